--- /dev/null
+++ b/burdockdrum/__init__.py
@@ -0,0 +1,3 @@
+"""A multi-region inference gateway and the coordination parts it uses."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/burdockdrum/metrics/__init__.py
@@ -0,0 +1,8 @@
+"""Counters, gauges and histograms, shown in the usual text format."""
+
+from burdockdrum.metrics.metrics import Counter
+from burdockdrum.metrics.metrics import Gauge
+from burdockdrum.metrics.metrics import Histogram
+from burdockdrum.metrics.metrics import Metrics
+
+__all__ = ["Counter", "Gauge", "Histogram", "Metrics"]
--- /dev/null
+++ b/burdockdrum/peers/identity.py
@@ -0,0 +1,18 @@
+"""Who a VM is and where it is reached."""
+
+import msgspec
+
+
+class VmIdentity(msgspec.Struct, frozen=True, kw_only=True):
+    """One start of one VM of the system.
+
+    ``incarnation`` is larger for each start of the same VM. Addresses are
+    ``tcp://IP:PORT`` for control and ``http://IP:PORT`` for callers.
+    """
+
+    vm_id: str
+    incarnation: int
+    region: str
+    data_centre: str
+    control_address: str
+    http_address: str
--- /dev/null
+++ b/burdockdrum/peers/messages.py
@@ -0,0 +1,49 @@
+"""The frame that carries messages, and their base class.
+
+Messages are ``msgspec.Struct`` rather than frozen data classes: only those
+decode in strict, typed form. Unknown fields from a newer version of a peer
+are ignored, so that VMs can be upgraded one by one.
+"""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from burdockdrum.timeline import Stamp
+
+
+class Message(msgspec.Struct, frozen=True, kw_only=True):
+    """The base class of what one process tells another."""
+
+    @classmethod
+    def kind(cls) -> str:
+        """Return the name on the wire: the package and the class."""
+        return f"{cls.__module__.split('.')[1]}.{cls.__name__}"
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """One message; ``call_id`` is 0 where no reply is expected."""
+
+    kind: str
+    call_id: int
+    is_reply: bool
+    body: msgspec.Raw
+
+
+class Frame(msgspec.Struct, frozen=True, array_like=True):
+    """The messages that go to one peer together."""
+
+    sender_id: str
+    sender_address: str
+    incarnation: int
+    stamp: Stamp
+    envelopes: list[Envelope]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Sender:
+    """Where a message came from, as its frame says."""
+
+    vm_id: str
+    address: str
+    incarnation: int
--- /dev/null
+++ b/burdockdrum/peers/peers.py
@@ -0,0 +1,290 @@
+"""The service that sends and receives messages.
+
+A pynng send costs about 330 µs whatever its size, so the messages for one
+peer are collected for a tick and sent as one frame. The first message after
+a pause leaves at once.
+"""
+
+import asyncio
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+from typing import Any
+from typing import TypeVar
+
+from loguru import logger
+import msgspec
+
+from burdockdrum.metrics import Metrics
+from burdockdrum.peers.identity import VmIdentity
+from burdockdrum.peers.messages import Envelope
+from burdockdrum.peers.messages import Frame
+from burdockdrum.peers.messages import Message
+from burdockdrum.peers.messages import Sender
+from burdockdrum.peers.seal import Seal
+from burdockdrum.ports import Clock
+from burdockdrum.ports import Mailbox
+from burdockdrum.ports import SendFailed
+from burdockdrum.timeline import HybridClock
+
+TICK_SECONDS = 0.02
+MAX_QUEUED = 2048
+IDLE_PEER_SECONDS = 120.0
+
+M = TypeVar("M", bound=Message)
+R = TypeVar("R", bound=Message)
+Handler = Callable[[Sender, Any], Awaitable[Message | None]]
+
+
+class CallFailed(Exception):
+    """No reply came: the peer may or may not have acted on the call."""
+
+
+class Peers:
+    """Messages to and from other VMs, by address.
+
+    Delivery is lossy and unordered after a reconnect. ``send`` never waits;
+    ``call`` waits for a reply until its timeout.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: VmIdentity,
+        mailbox: Mailbox,
+        clock: Clock,
+        hybrid_clock: HybridClock,
+        rng: random.Random,
+        seal: Seal,
+        metrics: Metrics,
+    ) -> None:
+        """Create the service over an open mailbox."""
+        self.identity = identity
+        self._mailbox = mailbox
+        self._clock = clock
+        self._hybrid_clock = hybrid_clock
+        self._seal = seal
+        self._handlers_by_kind: dict[str, tuple[type[Message], Handler]] = {}
+        self._outboxes_by_address: dict[str, _Outbox] = {}
+        self._inboxes_by_sender: dict[str, asyncio.Queue] = {}
+        self._replies_by_call: dict[int, asyncio.Future[msgspec.Raw]] = {}
+        # Call ids start anywhere, so that a reply to an earlier start of
+        # this VM is not taken for the reply to a call of this one.
+        self._next_call = rng.randrange(1, 1 << 48)
+        self._group: asyncio.TaskGroup | None = None
+        self._bytes = metrics.counter(
+            "burdockdrum_peer_bytes_total", "Bytes sent to and from peers."
+        )
+        self._frames = metrics.counter(
+            "burdockdrum_peer_frames_total", "Frames sent to and from peers."
+        )
+        self._dropped = metrics.counter(
+            "burdockdrum_peer_dropped_total",
+            "Messages dropped, by reason.",
+        )
+
+    def register(
+        self,
+        message_type: type[M],
+        handler: Callable[[Sender, M], Awaitable[Message | None]],
+    ) -> None:
+        """Choose who handles a type of message.
+
+        What the handler returns is the reply to a call. Messages of one
+        sender that expect no reply are handled in order, one at a time;
+        calls are handled side by side.
+        """
+        self._handlers_by_kind[message_type.kind()] = (message_type, handler)
+
+    def send(self, address: str, message: Message) -> None:
+        """Queue a message; the oldest goes if too many wait."""
+        self._enqueue(address, _envelope(message, 0, is_reply=False))
+
+    async def call(
+        self,
+        address: str,
+        message: Message,
+        reply_type: type[R],
+        *,
+        timeout: float,
+    ) -> R:
+        """Send a message and wait for its reply.
+
+        :param timeout: seconds to wait
+        :raises CallFailed: if no reply came in time; the peer may have acted
+        """
+        call_id = self._next_call
+        self._next_call += 1
+        future: asyncio.Future[msgspec.Raw] = asyncio.Future()
+        self._replies_by_call[call_id] = future
+        try:
+            self._enqueue(address, _envelope(message, call_id, is_reply=False))
+            async with asyncio.timeout(timeout):
+                body = await future
+            return msgspec.msgpack.decode(body, type=reply_type)
+        except TimeoutError:
+            raise CallFailed(
+                f"no reply to {message.kind()} from {address} in {timeout} s"
+            ) from None
+        except msgspec.MsgspecError as error:
+            raise CallFailed(f"bad reply from {address}: {error}") from error
+        finally:
+            del self._replies_by_call[call_id]
+
+    async def run(self) -> None:
+        """Send and receive until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            self._group = group
+            for address, outbox in self._outboxes_by_address.items():
+                group.create_task(self._send_to(address, outbox))
+            group.create_task(self._receive())
+
+    async def close(self) -> None:
+        """Close the mailbox."""
+        await self._mailbox.close()
+
+    def _enqueue(self, address: str, envelope: Envelope) -> None:
+        outbox = self._outboxes_by_address.get(address)
+        if outbox is None:
+            outbox = _Outbox()
+            self._outboxes_by_address[address] = outbox
+            if self._group is not None:
+                self._group.create_task(self._send_to(address, outbox))
+        if len(outbox.envelopes) == MAX_QUEUED:
+            self._dropped.increment(reason="queue_full")
+        outbox.envelopes.append(envelope)
+        outbox.filled.set()
+
+    async def _send_to(self, address: str, outbox: "_Outbox") -> None:
+        while True:
+            try:
+                async with asyncio.timeout(IDLE_PEER_SECONDS):
+                    await outbox.filled.wait()
+            except TimeoutError:
+                if self._outboxes_by_address.get(address) is outbox:
+                    del self._outboxes_by_address[address]
+                return
+            outbox.filled.clear()
+            envelopes = list(outbox.envelopes)
+            outbox.envelopes.clear()
+            await self._send_frame(address, envelopes)
+            await self._clock.sleep(TICK_SECONDS)
+
+    async def _send_frame(
+        self, address: str, envelopes: list[Envelope]
+    ) -> None:
+        frame = Frame(
+            self.identity.vm_id,
+            self._mailbox.address,
+            self.identity.incarnation,
+            self._hybrid_clock.tick(),
+            envelopes,
+        )
+        payload = self._seal.close(msgspec.msgpack.encode(frame))
+        self._bytes.increment(len(payload), way="out")
+        self._frames.increment(way="out")
+        try:
+            await self._mailbox.send(address, payload)
+        except SendFailed:
+            self._dropped.increment(len(envelopes), reason="send_failed")
+
+    async def _receive(self) -> None:
+        decoder = msgspec.msgpack.Decoder(Frame)
+        while True:
+            sealed = await self._mailbox.receive()
+            self._bytes.increment(len(sealed), way="in")
+            self._frames.increment(way="in")
+            payload = self._seal.open(sealed)
+            if payload is None:
+                self._dropped.increment(reason="bad_seal")
+                continue
+            try:
+                frame = decoder.decode(payload)
+            except msgspec.MsgspecError:
+                self._dropped.increment(reason="bad_frame")
+                continue
+            self._hybrid_clock.observe(frame.stamp)
+            self._dispatch(frame)
+
+    def _dispatch(self, frame: Frame) -> None:
+        sender = Sender(
+            vm_id=frame.sender_id,
+            address=frame.sender_address,
+            incarnation=frame.incarnation,
+        )
+        for envelope in frame.envelopes:
+            if envelope.is_reply:
+                self._resolve(envelope)
+            elif envelope.call_id:
+                self._spawn(self._handle(sender, envelope))
+            else:
+                self._inbox(sender).put_nowait((sender, envelope))
+
+    def _resolve(self, envelope: Envelope) -> None:
+        future = self._replies_by_call.get(envelope.call_id)
+        # A reply that comes after its call was given up reaches nobody.
+        if future is not None and not future.done():
+            future.set_result(envelope.body)
+
+    def _inbox(self, sender: Sender) -> asyncio.Queue:
+        queue = self._inboxes_by_sender.get(sender.address)
+        if queue is None:
+            queue = asyncio.Queue()
+            self._inboxes_by_sender[sender.address] = queue
+            self._spawn(self._handle_from(sender.address, queue))
+        return queue
+
+    async def _handle_from(self, address: str, queue: asyncio.Queue) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(IDLE_PEER_SECONDS):
+                    sender, envelope = await queue.get()
+            except TimeoutError:
+                if queue.empty():
+                    del self._inboxes_by_sender[address]
+                    return
+                continue
+            await self._handle(sender, envelope)
+
+    async def _handle(self, sender: Sender, envelope: Envelope) -> None:
+        known = self._handlers_by_kind.get(envelope.kind)
+        if known is None:
+            self._dropped.increment(reason="unknown_kind")
+            return
+        message_type, handler = known
+        try:
+            message = msgspec.msgpack.decode(envelope.body, type=message_type)
+        except msgspec.MsgspecError:
+            self._dropped.increment(reason="bad_body")
+            return
+        try:
+            reply = await handler(sender, message)
+        except Exception as error:
+            # One message must not end the task that serves all peers.
+            logger.opt(exception=error).error(
+                "handling {} from {} failed", envelope.kind, sender.vm_id
+            )
+            return
+        if reply is not None and envelope.call_id:
+            self._enqueue(
+                sender.address,
+                _envelope(reply, envelope.call_id, is_reply=True),
+            )
+
+    def _spawn(self, coroutine: Any) -> None:
+        assert self._group is not None, "peers is not running"
+        self._group.create_task(coroutine)
+
+
+class _Outbox:
+    """The messages that wait for one peer."""
+
+    def __init__(self) -> None:
+        self.envelopes = collections.deque[Envelope](maxlen=MAX_QUEUED)
+        self.filled = asyncio.Event()
+
+
+def _envelope(message: Message, call_id: int, *, is_reply: bool) -> Envelope:
+    body = msgspec.Raw(msgspec.msgpack.encode(message))
+    return Envelope(message.kind(), call_id, is_reply, body)
--- /dev/null
+++ b/burdockdrum/ports/clock.py
@@ -0,0 +1,41 @@
+"""The port for time."""
+
+import asyncio
+import time
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """A VM's clock.
+
+    Two clocks may drift against each other; only ``wall`` is comparable
+    between VMs, and only roughly.
+    """
+
+    def monotonic(self) -> float:
+        """Return seconds that never go back, from an arbitrary start."""
+        ...
+
+    def wall(self) -> float:
+        """Return seconds since the epoch, which may jump."""
+        ...
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait for so many seconds of this clock."""
+        ...
+
+
+class SystemClock:
+    """The machine's clock, through the running event loop."""
+
+    def monotonic(self) -> float:
+        """Return the event loop's time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def wall(self) -> float:
+        """Return seconds since the epoch."""
+        return time.time()
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait for so many seconds."""
+        await asyncio.sleep(seconds)
--- /dev/null
+++ b/burdockdrum/ports/real/disk.py
@@ -0,0 +1,82 @@
+"""Files in a folder of the machine."""
+
+import asyncio
+from collections.abc import Callable
+import os
+import pathlib
+from typing import TypeVar
+
+from burdockdrum.ports.disk import DiskError
+
+T = TypeVar("T")
+
+
+class FolderDisk:
+    """A disk port over one folder; blocking calls run in threads."""
+
+    def __init__(self, *, folder: pathlib.Path) -> None:
+        """Create the folder if it is missing."""
+        self._folder = folder
+        folder.mkdir(parents=True, exist_ok=True)
+
+    async def read(self, name: str) -> bytes | None:
+        """Return a file's content, or None if there is none."""
+        path = self._folder / name
+        if not path.exists():
+            return None
+        return await self._run(path.read_bytes)
+
+    async def write(self, name: str, content: bytes) -> None:
+        """Create a file or replace its content, unsynced."""
+        await self._run(lambda: (self._folder / name).write_bytes(content))
+
+    async def append(self, name: str, content: bytes) -> None:
+        """Add to the end of a file, creating it, unsynced."""
+
+        def add() -> None:
+            with open(self._folder / name, "ab") as file:
+                file.write(content)
+
+        await self._run(add)
+
+    async def truncate(self, name: str, size: int) -> None:
+        """Cut a file to a size in bytes, unsynced."""
+        await self._run(lambda: os.truncate(self._folder / name, size))
+
+    async def sync(self, name: str) -> None:
+        """Make a file's content last."""
+        await self._run(lambda: _sync_path(self._folder / name))
+
+    async def rename(self, old: str, new: str) -> None:
+        """Rename a file over another."""
+        await self._run(
+            lambda: os.replace(self._folder / old, self._folder / new)
+        )
+
+    async def remove(self, name: str) -> None:
+        """Remove a file if it is there."""
+        await self._run(lambda: (self._folder / name).unlink(missing_ok=True))
+
+    async def sync_folder(self) -> None:
+        """Make creations, renames and removals last."""
+        await self._run(lambda: _sync_path(self._folder))
+
+    async def list(self) -> list[str]:
+        """Return the names of the files, sorted."""
+        return sorted(
+            path.name for path in self._folder.iterdir() if path.is_file()
+        )
+
+    async def _run(self, call: Callable[[], T]) -> T:
+        try:
+            return await asyncio.to_thread(call)
+        except OSError as error:
+            raise DiskError(str(error)) from error
+
+
+def _sync_path(path: pathlib.Path) -> None:
+    descriptor = os.open(path, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- /dev/null
+++ b/burdockdrum/ports/real/network.py
@@ -0,0 +1,102 @@
+"""The control network over pynng's push and pull sockets."""
+
+import contextlib
+
+import pynng
+
+from burdockdrum.ports.network import Mailbox
+from burdockdrum.ports.network import SendFailed
+
+MAX_PAYLOAD_BYTES = 4 * 1024 * 1024
+SEND_TIMEOUT_MS = 500
+SEND_BUFFER_PAYLOADS = 4
+RECEIVE_BUFFER_PAYLOADS = 256
+_THREADS = 2
+
+
+def limit_threads() -> None:
+    """Keep nng to a few threads; call before the first socket.
+
+    By default nng starts two threads a core, which on a VM of 12 cores is
+    30 threads for a process that one event loop drives.
+    """
+    lib = pynng.lib
+    for parameter in (
+        "NNG_INIT_NUM_TASK_THREADS",
+        "NNG_INIT_MAX_TASK_THREADS",
+        "NNG_INIT_NUM_POLLER_THREADS",
+        "NNG_INIT_MAX_POLLER_THREADS",
+        "NNG_INIT_NUM_EXPIRE_THREADS",
+        "NNG_INIT_MAX_EXPIRE_THREADS",
+    ):
+        if hasattr(lib, parameter):
+            lib.nng_init_set_parameter(getattr(lib, parameter), _THREADS)
+
+
+class PynngMailbox:
+    """A pull socket for what comes in and a push socket a peer."""
+
+    def __init__(self, *, pull: pynng.Pull0, address: str) -> None:
+        """Take over a listening socket."""
+        self._pull = pull
+        self._address = address
+        self._pushes_by_address: dict[str, pynng.Push0] = {}
+
+    @property
+    def address(self) -> str:
+        """Return the address that peers dial."""
+        return self._address
+
+    async def send(self, address: str, payload: bytes) -> None:
+        """Hand a payload to the socket of that peer."""
+        push = self._pushes_by_address.get(address)
+        try:
+            if push is None:
+                push = self._dial(address)
+            await push.asend(payload)
+        except pynng.NNGException as error:
+            self._drop(address)
+            raise SendFailed(f"{address}: {error}") from error
+
+    async def receive(self) -> bytes:
+        """Wait for the next payload."""
+        while True:
+            with contextlib.suppress(pynng.exceptions.Timeout):
+                payload: bytes = await self._pull.arecv()
+                return payload
+
+    async def close(self) -> None:
+        """Close every socket."""
+        for address in list(self._pushes_by_address):
+            self._drop(address)
+        self._pull.close()
+
+    def _dial(self, address: str) -> pynng.Push0:
+        push = pynng.Push0(
+            send_timeout=SEND_TIMEOUT_MS,
+            send_buffer_size=SEND_BUFFER_PAYLOADS,
+        )
+        push.dial(address, block=False)
+        self._pushes_by_address[address] = push
+        return push
+
+    def _drop(self, address: str) -> None:
+        push = self._pushes_by_address.pop(address, None)
+        if push is not None:
+            push.close()
+
+
+class PynngNetwork:
+    """The control network of the machine."""
+
+    async def open(self, address: str) -> Mailbox:
+        """Listen on an address; port 0 takes a free one."""
+        pull = pynng.Pull0(
+            recv_max_size=MAX_PAYLOAD_BYTES,
+            recv_buffer_size=RECEIVE_BUFFER_PAYLOADS,
+        )
+        listener = pull.listen(address)
+        bound = str(listener.local_address)
+        if address.endswith(":0"):
+            address = f"tcp://{bound.removeprefix('tcp://')}"
+        return PynngMailbox(pull=pull, address=address)
--- /dev/null
+++ b/burdockdrum/testing/__init__.py
@@ -0,0 +1,28 @@
+"""Fakes for the ports: virtual time, a network that fails, a lossy disk.
+
+They are part of the package because an embedder's tests need them too.
+"""
+
+from burdockdrum.testing.disk import FakeDisk
+from burdockdrum.testing.http import FakeAnswer
+from burdockdrum.testing.http import FakeHttpClient
+from burdockdrum.testing.http import FakeWeb
+from burdockdrum.testing.network import FakeNetwork
+from burdockdrum.testing.network import HostNetwork
+from burdockdrum.testing.network import LinkState
+from burdockdrum.testing.virtual_time import NothingScheduled
+from burdockdrum.testing.virtual_time import run_virtual
+from burdockdrum.testing.virtual_time import VirtualClock
+
+__all__ = [
+    "FakeAnswer",
+    "FakeDisk",
+    "FakeHttpClient",
+    "FakeNetwork",
+    "FakeWeb",
+    "HostNetwork",
+    "LinkState",
+    "NothingScheduled",
+    "run_virtual",
+    "VirtualClock",
+]
--- /dev/null
+++ b/burdockdrum/timeline/__init__.py
@@ -0,0 +1,9 @@
+"""A time line of events that orders across processes."""
+
+from burdockdrum.timeline.hybrid_clock import HybridClock
+from burdockdrum.timeline.hybrid_clock import Stamp
+from burdockdrum.timeline.timeline import Event
+from burdockdrum.timeline.timeline import merge
+from burdockdrum.timeline.timeline import Timeline
+
+__all__ = ["Event", "HybridClock", "merge", "Stamp", "Timeline"]
--- /dev/null
+++ b/burdockdrum/timeline/timeline.py
@@ -0,0 +1,92 @@
+"""The events of one process, kept in a ring."""
+
+import collections
+from collections.abc import Iterable
+
+import msgspec
+
+from burdockdrum.timeline.hybrid_clock import HybridClock
+from burdockdrum.timeline.hybrid_clock import Stamp
+
+DEFAULT_CAPACITY = 10_000
+
+
+class Event(msgspec.Struct, frozen=True, kw_only=True):
+    """Something that happened in one process."""
+
+    stamp: Stamp
+    process: str
+    incarnation: int
+    name: str
+    request_id: str | None = None
+    revision: int | None = None
+    details: dict[str, str | int | float | bool | None] = {}
+
+
+class Timeline:
+    """Record events and give them out in order."""
+
+    def __init__(
+        self,
+        *,
+        process: str,
+        incarnation: int,
+        clock: HybridClock,
+        capacity: int = DEFAULT_CAPACITY,
+    ) -> None:
+        """Create an empty time line.
+
+        :param process: the VM's id
+        :param incarnation: tells the starts of one VM apart
+        :param capacity: how many events are kept; the oldest go first
+        """
+        self.clock = clock
+        self._process = process
+        self._incarnation = incarnation
+        self._events = collections.deque[Event](maxlen=capacity)
+
+    def record(
+        self,
+        name: str,
+        *,
+        request_id: str | None = None,
+        revision: int | None = None,
+        **details: str | int | float | bool | None,
+    ) -> Event:
+        """Add an event that happened now.
+
+        :param name: a noun and a past participle, such as
+            ``endpoint.announced``
+        """
+        event = Event(
+            stamp=self.clock.tick(),
+            process=self._process,
+            incarnation=self._incarnation,
+            name=name,
+            request_id=request_id,
+            revision=revision,
+            details=details,
+        )
+        self._events.append(event)
+        return event
+
+    def events(
+        self,
+        *,
+        prefix: str = "",
+        request_id: str | None = None,
+        revision: int | None = None,
+    ) -> list[Event]:
+        """Return the events kept that match, oldest first."""
+        return [
+            event
+            for event in self._events
+            if event.name.startswith(prefix)
+            and request_id in (None, event.request_id)
+            and revision in (None, event.revision)
+        ]
+
+
+def merge(events: Iterable[Event]) -> list[Event]:
+    """Order the events of several processes into one time line."""
+    return sorted(events, key=lambda event: (event.stamp, event.process))
--- /dev/null
+++ b/burdockdrum/verdicts/refusal.py
@@ -0,0 +1,97 @@
+"""The refusal that a caller gets in place of an answer."""
+
+import enum
+
+from burdockdrum.verdicts.verdict import Verdict
+
+
+class RefusalCode(enum.Enum):
+    """Stable codes that callers' programs may match on."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    UNKNOWN_CLIENT = "unknown_client"
+    UNKNOWN_SERVICE = "unknown_service"
+    RESIDENCY = "residency"
+    NO_ENDPOINT = "no_endpoint"
+    OVERLOADED = "overloaded"
+    QUOTA = "quota"
+    DEADLINE = "deadline"
+    DRAINING = "draining"
+    CONFIGURATION_STALE = "configuration_stale"
+    CLAIM_UNREACHABLE = "claim_unreachable"
+    CLAIM_UNKNOWN = "claim_unknown"
+    CLAIM_IN_PROGRESS = "claim_in_progress"
+    CLAIM_MISMATCH = "claim_mismatch"
+    QUARANTINED = "quarantined"
+    ENDPOINT_LOST = "endpoint_lost"
+    ENDPOINT_ERROR = "endpoint_error"
+    ANSWER_TOO_LARGE = "answer_too_large"
+    LOOP = "loop"
+    INTERNAL = "internal"
+
+
+_STATUS_BY_CODE = {
+    RefusalCode.BAD_REQUEST: 400,
+    RefusalCode.BODY_TOO_LARGE: 413,
+    RefusalCode.UNAUTHENTICATED: 401,
+    RefusalCode.FORBIDDEN: 403,
+    RefusalCode.NOT_FOUND: 404,
+    RefusalCode.UNKNOWN_CLIENT: 403,
+    RefusalCode.UNKNOWN_SERVICE: 404,
+    RefusalCode.RESIDENCY: 403,
+    RefusalCode.QUOTA: 429,
+    RefusalCode.OVERLOADED: 503,
+    RefusalCode.CLAIM_IN_PROGRESS: 409,
+    RefusalCode.CLAIM_MISMATCH: 422,
+    RefusalCode.QUARANTINED: 422,
+    RefusalCode.DEADLINE: 504,
+    RefusalCode.ENDPOINT_LOST: 502,
+    RefusalCode.ENDPOINT_ERROR: 502,
+    RefusalCode.ANSWER_TOO_LARGE: 502,
+    RefusalCode.LOOP: 508,
+    RefusalCode.INTERNAL: 500,
+}
+_DEFAULT_STATUS = 503
+
+
+class Refusal(Exception):
+    """A request that gets no answer, with the verdict on whether it ran."""
+
+    def __init__(
+        self,
+        *,
+        code: RefusalCode,
+        message: str,
+        verdict: Verdict,
+        retry_after: float | None = None,
+    ) -> None:
+        """Create a refusal.
+
+        :param code: the stable code
+        :param message: a sentence for people that names the field or limit
+        :param verdict: whether the request may have run
+        :param retry_after: seconds after which it is worth trying again
+        """
+        super().__init__(message)
+        self.code = code
+        self.message = message
+        self.verdict = verdict
+        self.retry_after = retry_after
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status that goes with the code."""
+        return _STATUS_BY_CODE.get(self.code, _DEFAULT_STATUS)
+
+    def with_verdict(self, verdict: Verdict) -> "Refusal":
+        """Copy the refusal with another verdict."""
+        return Refusal(
+            code=self.code,
+            message=self.message,
+            verdict=verdict,
+            retry_after=self.retry_after,
+        )
--- /dev/null
+++ b/run.py
@@ -0,0 +1,86 @@
+"""Set up a virtual environment and run one of the project's jobs.
+
+Usage: python3 run.py {demo|test|check|bench} [ARGUMENT ...]
+
+The environment is made in .venv, or in the folder that the variable
+BURDOCKDRUM_VENV names, and is reused while requirements.lock is the same.
+"""
+
+import hashlib
+import os
+import pathlib
+import subprocess
+import sys
+import venv
+
+ROOT = pathlib.Path(__file__).resolve().parent
+LOCK = ROOT / "requirements.lock"
+SOURCES = ("burdockdrum", "tests", "scripts", "run.py")
+JOBS = {
+    "demo": [["{python}", "-m", "scripts.demo", "{arguments}"]],
+    "test": [["{python}", "-m", "scripts.run_tests", "{arguments}"]],
+    "bench": [["{python}", "-m", "scripts.bench", "{arguments}"]],
+    "check": [
+        ["{python}", "-m", "ruff", "format", "--check", *SOURCES],
+        ["{python}", "-m", "ruff", "check", *SOURCES],
+        ["{python}", "-m", "flake8", *SOURCES],
+        ["{python}", "-m", "mypy", "burdockdrum", "scripts"],
+    ],
+}
+
+
+def make_environment() -> pathlib.Path:
+    """Create or reuse the virtual environment.
+
+    :returns: the path of its Python interpreter
+    """
+    named = os.environ.get("BURDOCKDRUM_VENV")
+    folder = pathlib.Path(named) if named else ROOT / ".venv"
+    python = folder / "bin" / "python"
+    stamp = folder / "requirements.sha256"
+    digest = hashlib.sha256(LOCK.read_bytes()).hexdigest()
+    if stamp.exists() and stamp.read_text() == digest:
+        return python
+    if not python.exists():
+        venv.create(folder, with_pip=True)
+    subprocess.run(
+        [str(python), "-m", "pip", "install", "-q", "-r", str(LOCK)],
+        check=True,
+    )
+    stamp.write_text(digest)
+    return python
+
+
+def run_step(step: list[str], python: pathlib.Path, extra: list[str]) -> int:
+    """Run one command of a job from the project's root.
+
+    :returns: the command's exit code
+    """
+    command: list[str] = []
+    for word in step:
+        if word == "{arguments}":
+            command.extend(extra)
+        else:
+            command.append(word.format(python=python))
+    environment = dict(os.environ, PYTHONPATH=str(ROOT))
+    return subprocess.run(command, cwd=ROOT, env=environment).returncode
+
+
+def main() -> int:
+    """Run the job named on the command line.
+
+    :returns: 0, or the exit code of the first command that failed
+    """
+    if len(sys.argv) < 2 or sys.argv[1] not in JOBS:
+        print(__doc__)
+        return 64
+    python = make_environment()
+    for step in JOBS[sys.argv[1]]:
+        code = run_step(step, python, sys.argv[2:])
+        if code != 0:
+            return code
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for developers that stay outside the package."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that mirror the package."""
--- /dev/null
+++ b/tests/peers/test_peers.py
@@ -0,0 +1,165 @@
+"""Tests of the messages between processes."""
+
+import asyncio
+import random
+import unittest
+
+from burdockdrum.metrics import Metrics
+from burdockdrum.peers import CallFailed
+from burdockdrum.peers import Message
+from burdockdrum.peers import Peers
+from burdockdrum.peers import Seal
+from burdockdrum.peers import VmIdentity
+from burdockdrum.testing import FakeNetwork
+from burdockdrum.testing import run_virtual
+from burdockdrum.testing import VirtualClock
+from burdockdrum.timeline import HybridClock
+
+
+class Ping(Message):
+    """A message of the test."""
+
+    number: int
+
+
+class Fixture:
+    """Two hosts, each with a Peers service, on one network."""
+
+    def __init__(self) -> None:
+        self.network = FakeNetwork(rng=random.Random(1))
+        self.metrics = Metrics()
+        self.seen: list[int] = []
+
+    async def start(self, name: str, secret: bytes = b"s") -> Peers:
+        clock = VirtualClock()
+        mailbox = await self.network.host(name).open(f"mem://{name}:0")
+        return Peers(
+            identity=VmIdentity(
+                vm_id=name,
+                incarnation=1,
+                region="r",
+                data_centre="d",
+                control_address=mailbox.address,
+                http_address="http://127.0.0.1:1",
+            ),
+            mailbox=mailbox,
+            clock=clock,
+            hybrid_clock=HybridClock(clock=clock),
+            rng=random.Random(2),
+            seal=Seal(secret=secret),
+            metrics=self.metrics,
+        )
+
+    async def answer(self, sender, message):
+        self.seen.append(message.number)
+        return Ping(number=message.number + 1)
+
+
+async def _run_both(first: Peers, second: Peers, use) -> None:
+    tasks = [asyncio.create_task(p.run()) for p in (first, second)]
+    try:
+        await use()
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class PeersTest(unittest.TestCase):
+    """What one VM tells another."""
+
+    def test_call_is_answered(self):
+        async def main():
+            fixture = Fixture()
+            a = await fixture.start("a")
+            b = await fixture.start("b")
+            b.register(Ping, fixture.answer)
+
+            async def use():
+                reply = await a.call(
+                    b.identity.control_address,
+                    Ping(number=1),
+                    Ping,
+                    timeout=1,
+                )
+                self.assertEqual(2, reply.number)
+
+            await _run_both(a, b, use)
+
+        run_virtual(main())
+
+    def test_messages_of_one_tick_share_a_frame(self):
+        async def main():
+            fixture = Fixture()
+            a = await fixture.start("a")
+            b = await fixture.start("b")
+            b.register(Ping, fixture.answer)
+
+            async def use():
+                for number in range(50):
+                    a.send(b.identity.control_address, Ping(number=number))
+                await asyncio.sleep(1)
+                self.assertEqual(list(range(50)), fixture.seen)
+                self.assertEqual(1, fixture.network.delivered)
+
+            await _run_both(a, b, use)
+
+        run_virtual(main())
+
+    def test_call_over_a_cut_fails_in_time(self):
+        # The caller sees CallFailed after its timeout, never a hang. The
+        # link drops the request silently; the reply can't come, and the
+        # peer may or may not have acted, which the error says.
+        async def main():
+            fixture = Fixture()
+            a = await fixture.start("a")
+            b = await fixture.start("b")
+            fixture.network.cut(["a"], ["b"])
+
+            async def use():
+                started = asyncio.get_running_loop().time()
+                with self.assertRaises(CallFailed):
+                    await a.call(
+                        b.identity.control_address,
+                        Ping(number=1),
+                        Ping,
+                        timeout=0.5,
+                    )
+                now = asyncio.get_running_loop().time()
+                self.assertAlmostEqual(0.5, now - started, places=3)
+
+            await _run_both(a, b, use)
+
+        run_virtual(main())
+
+    def test_garbage_and_a_foreign_secret_are_dropped(self):
+        # Whoever reaches the control port can send bytes. Garbage, and a
+        # well-formed frame under another secret, are counted and dropped;
+        # the next good message is handled.
+        async def main():
+            fixture = Fixture()
+            a = await fixture.start("a")
+            b = await fixture.start("b")
+            b.register(Ping, fixture.answer)
+            stranger = await fixture.start("c", secret=b"other")
+
+            async def use():
+                target = b.identity.control_address
+                for size in (0, 1, 17, 18, 400):
+                    fixture.network.deliver("c", target, b"\x01" * size)
+                stranger.send(target, Ping(number=7))
+                task = asyncio.create_task(stranger.run())
+                await asyncio.sleep(1)
+                task.cancel()
+                self.assertEqual([], fixture.seen)
+                a.send(target, Ping(number=8))
+                await asyncio.sleep(1)
+                self.assertEqual([8], fixture.seen)
+                dropped = fixture.metrics.counter(
+                    "burdockdrum_peer_dropped_total", ""
+                )
+                self.assertEqual(6, dropped.value(reason="bad_seal"))
+
+            await _run_both(a, b, use)
+
+        run_virtual(main())
