--- /dev/null
+++ b/burdockdrum/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The operators' and callers' command-line tool."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/burdockdrum/daemon/__main__.py
@@ -0,0 +1,71 @@
+"""Run one VM of the gateway.
+
+Usage:
+  burdockdrumd --settings FILE
+  burdockdrumd --check --settings FILE
+  burdockdrumd (-h | --help)
+  burdockdrumd --version
+
+Options:
+  --settings FILE  The TOML settings; see docs/reference/settings.md.
+  --check          Check the settings and exit.
+  -h --help        Show this text.
+  --version        Show the version.
+
+Exit codes: 0 after a drain or a good check, 64 for a wrong command line,
+78 for settings that can't be used.
+
+Examples:
+  burdockdrumd --check --settings entry-1.toml
+  burdockdrumd --settings entry-1.toml
+"""
+
+import asyncio
+import importlib.metadata
+import pathlib
+import sys
+
+from docopt import docopt
+
+from burdockdrum.daemon.daemon import Daemon
+from burdockdrum.daemon.logs import set_up_log
+from burdockdrum.settings import load_settings
+from burdockdrum.settings import Settings
+from burdockdrum.settings import SettingsError
+
+EXIT_SETTINGS = 78
+
+
+async def _run(settings: Settings) -> None:
+    await Daemon(settings=settings).run()
+
+
+def _version() -> str:
+    try:
+        return importlib.metadata.version("burdockdrum")
+    except importlib.metadata.PackageNotFoundError:
+        return "not installed"
+
+
+def main() -> int:
+    """Run the daemon.
+
+    :returns: the exit code
+    """
+    arguments = docopt(__doc__, version=_version())
+    try:
+        settings = load_settings(pathlib.Path(arguments["--settings"]))
+    except SettingsError as error:
+        for problem in error.problems:
+            print(problem, file=sys.stderr)
+        return EXIT_SETTINGS
+    if arguments["--check"]:
+        print("the settings are good")
+        return 0
+    set_up_log(settings.log, settings.vm.id)
+    asyncio.run(_run(settings))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/burdockdrum/daemon/daemon.py
@@ -0,0 +1,99 @@
+"""One VM's process from its start to its exit."""
+
+import asyncio
+import random
+import signal
+import time
+from urllib.parse import urlsplit
+
+from loguru import logger
+
+from burdockdrum.daemon.assembly import assemble
+from burdockdrum.kernel import Kernel
+from burdockdrum.peers import VmIdentity
+from burdockdrum.settings import Settings
+from burdockdrum.system_ports import limit_threads
+from burdockdrum.system_ports import PynngNetwork
+from burdockdrum.vms import VALID_SECONDS
+from burdockdrum.vms import VmDirectory
+from burdockdrum.web import bind
+from burdockdrum.web import WebServer
+
+_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class Daemon:
+    """Run the services of a VM until a signal or a drain ends them."""
+
+    def __init__(self, *, settings: Settings) -> None:
+        """Create a daemon that has not started."""
+        self._settings = settings
+        self._signals = 0
+        self._stopping = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until told to stop, then finish what runs."""
+        limit_threads()
+        kernel = await self._assemble()
+        loop = asyncio.get_running_loop()
+        running = asyncio.create_task(kernel.run())
+        for number in _SIGNALS:
+            loop.add_signal_handler(number, self._take_signal, running)
+        stopping = asyncio.create_task(self._stopping.wait())
+        await asyncio.wait(
+            {running, stopping}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if stopping.done():
+            await self._shut_down(kernel)
+        stopping.cancel()
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    async def _assemble(self) -> Kernel:
+        settings = self._settings
+        mailbox = await PynngNetwork().open(settings.listen.control)
+        parts = urlsplit(settings.listen.http)
+        listener = bind(parts.hostname or "", parts.port or 0)
+        host, port = listener.getsockname()[:2]
+        identity = VmIdentity(
+            vm_id=settings.vm.id,
+            incarnation=time.time_ns() // 1_000_000,
+            region=settings.vm.region,
+            data_centre=settings.vm.data_centre,
+            control_address=mailbox.address,
+            http_address=f"{parts.scheme}://{host}:{port}",
+        )
+        logger.info(
+            "{} serves callers on {} and peers on {}",
+            identity.vm_id,
+            identity.http_address,
+            identity.control_address,
+        )
+        return assemble(
+            settings=settings,
+            identity=identity,
+            mailbox=mailbox,
+            listener=listener,
+            rng=random.Random(),
+        )
+
+    def _take_signal(self, running: asyncio.Task) -> None:
+        self._signals += 1
+        self._stopping.set()
+        if self._signals > 1:
+            logger.warning("a second signal: not waiting for what runs")
+            running.cancel()
+
+    async def _shut_down(self, kernel: Kernel) -> None:
+        vms = kernel.find("vms", VmDirectory)
+        web = kernel.find("web", WebServer)
+        vms.draining = True
+        logger.info("draining: off the lists, then finishing what runs")
+        # Callers hold lists of entries that name this VM for so long.
+        await asyncio.sleep(VALID_SECONDS)
+        web.stop()
+        try:
+            async with asyncio.timeout(self._settings.drain.limit_seconds):
+                await web.stopped.wait()
+        except TimeoutError:
+            logger.warning("the drain's limit has passed")
--- /dev/null
+++ b/burdockdrum/endpoints/__init__.py
@@ -0,0 +1,15 @@
+"""The endpoints that announced themselves to this data centre."""
+
+from burdockdrum.endpoints.announcements import Announcement
+from burdockdrum.endpoints.announcements import LeaseGrant
+from burdockdrum.endpoints.announcements import Report
+from burdockdrum.endpoints.registry import Endpoint
+from burdockdrum.endpoints.registry import EndpointRegistry
+
+__all__ = [
+    "Announcement",
+    "Endpoint",
+    "EndpointRegistry",
+    "LeaseGrant",
+    "Report",
+]
--- a/burdockdrum/ports/__init__.py
+++ b/burdockdrum/ports/__init__.py
@@ -7,7 +7,6 @@
 """
 
 from burdockdrum.ports.clock import Clock
-from burdockdrum.ports.clock import SystemClock
 from burdockdrum.ports.disk import Disk
 from burdockdrum.ports.disk import DiskError
 from burdockdrum.ports.http import AnswerLost
@@ -29,7 +28,6 @@
     "Mailbox",
     "Network",
     "SendFailed",
-    "SystemClock",
     "UpstreamAnswer",
     "UpstreamCall",
 ]
--- /dev/null
+++ b/burdockdrum/requests/forwarding.py
@@ -0,0 +1,119 @@
+"""What travels with a request that is passed to another data centre."""
+
+import base64
+import hashlib
+
+import msgspec
+
+from burdockdrum.peers import Seal
+from burdockdrum.requests.model import InboundRequest
+from burdockdrum.requests.model import RequestKind
+
+FORWARD_HEADER = "x-burdockdrum-forward"
+
+
+class ForwardHeader(msgspec.Struct, frozen=True, kw_only=True):
+    """All of a request but its body.
+
+    Deadlines travel as seconds remaining: two VMs' clocks don't compare.
+    """
+
+    request_id: str
+    client_id: str
+    service: str
+    kind: str
+    method: str
+    path: str
+    content_type: str
+    stream: bool
+    seconds_remaining: float
+    priority_class: str | None
+    unrepeatable: bool
+    idempotency_key: str | None
+    adapter: str | None
+    prompt_tokens: int
+    max_tokens: int
+    prefix_hashes: list[int]
+    fingerprint: str
+    hops: list[str]
+
+    @classmethod
+    def from_request(
+        cls, request: InboundRequest, *, data_centre: str, now: float
+    ) -> "ForwardHeader":
+        """Describe a request that leaves a data centre now."""
+        return cls(
+            request_id=request.request_id,
+            client_id=request.client_id,
+            service=request.service,
+            kind=request.kind.value,
+            method=request.method,
+            path=request.path,
+            content_type=request.content_type,
+            stream=request.stream,
+            seconds_remaining=request.deadline - now,
+            priority_class=request.priority_class,
+            unrepeatable=request.unrepeatable,
+            idempotency_key=request.idempotency_key,
+            adapter=request.adapter,
+            prompt_tokens=request.prompt_tokens,
+            max_tokens=request.max_tokens,
+            prefix_hashes=list(request.prefix_hashes),
+            fingerprint=request.fingerprint,
+            hops=[*request.hops, data_centre],
+        )
+
+    def to_request(self, body: bytes, *, now: float) -> InboundRequest:
+        """Rebuild the request where it arrives."""
+        return InboundRequest(
+            request_id=self.request_id,
+            client_id=self.client_id,
+            service=self.service,
+            kind=RequestKind(self.kind),
+            method=self.method,
+            path=self.path,
+            body=body,
+            content_type=self.content_type,
+            stream=self.stream,
+            received_at=now,
+            deadline=now + self.seconds_remaining,
+            priority_class=self.priority_class,
+            unrepeatable=self.unrepeatable,
+            idempotency_key=self.idempotency_key,
+            adapter=self.adapter,
+            prompt_tokens=self.prompt_tokens,
+            max_tokens=self.max_tokens,
+            prefix_hashes=tuple(self.prefix_hashes),
+            fingerprint=self.fingerprint,
+            hops=tuple(self.hops),
+        )
+
+
+class _Sealed(msgspec.Struct, frozen=True, array_like=True):
+    body_digest: bytes
+    header: ForwardHeader
+
+
+def seal_header(seal: Seal, header: ForwardHeader, body: bytes) -> str:
+    """Encode a header so that only holders of the secret could have."""
+    sealed = _Sealed(_digest(body), header)
+    payload = seal.close(msgspec.msgpack.encode(sealed))
+    return base64.urlsafe_b64encode(payload).decode()
+
+
+def open_header(seal: Seal, text: str, body: bytes) -> ForwardHeader | None:
+    """Decode a header, or return None if it or the body was tampered with."""
+    try:
+        payload = seal.open(base64.urlsafe_b64decode(text))
+        if payload is None:
+            return None
+        sealed = msgspec.msgpack.decode(payload, type=_Sealed)
+    except (ValueError, msgspec.MsgspecError):
+        return None
+    if sealed.body_digest != _digest(body):
+        return None
+    return sealed.header
+
+
+def _digest(body: bytes) -> bytes:
+    return hashlib.blake2b(body, digest_size=16).digest()
--- /dev/null
+++ b/burdockdrum/resources/configuration.py
@@ -0,0 +1,81 @@
+"""All resources at one revision."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+import functools
+
+from burdockdrum.resources.specs import ClientSpec
+from burdockdrum.resources.specs import DataCentreSpec
+from burdockdrum.resources.specs import OperatorSpec
+from burdockdrum.resources.specs import PriorityClassSpec
+from burdockdrum.resources.specs import RegionSpec
+from burdockdrum.resources.specs import Resource
+from burdockdrum.resources.specs import ResourceKey
+from burdockdrum.resources.specs import ServiceSpec
+from burdockdrum.resources.specs import TeamSpec
+
+
+@dataclass(frozen=True, kw_only=True)
+class Configuration:
+    """The accepted resources at a revision; never changed in place."""
+
+    revision: int = 0
+    resources_by_key: Mapping[ResourceKey, Resource] = field(
+        default_factory=dict
+    )
+
+    @functools.cached_property
+    def regions_by_name(self) -> dict[str, RegionSpec]:
+        """Return the regions."""
+        return self._specs(RegionSpec)
+
+    @functools.cached_property
+    def data_centres_by_name(self) -> dict[str, DataCentreSpec]:
+        """Return the data centres."""
+        return self._specs(DataCentreSpec)
+
+    @functools.cached_property
+    def services_by_name(self) -> dict[str, ServiceSpec]:
+        """Return the services."""
+        return self._specs(ServiceSpec)
+
+    @functools.cached_property
+    def teams_by_name(self) -> dict[str, TeamSpec]:
+        """Return the teams."""
+        return self._specs(TeamSpec)
+
+    @functools.cached_property
+    def priority_classes_by_name(self) -> dict[str, PriorityClassSpec]:
+        """Return the priority classes."""
+        return self._specs(PriorityClassSpec)
+
+    @functools.cached_property
+    def clients_by_id(self) -> dict[str, ClientSpec]:
+        """Return the clients."""
+        return self._specs(ClientSpec)
+
+    @functools.cached_property
+    def client_ids_by_token_hash(self) -> dict[str, str]:
+        """Return which client a token's hash belongs to."""
+        return {
+            token_hash: client_id
+            for client_id, spec in self.clients_by_id.items()
+            for token_hash in spec.token_hashes
+        }
+
+    @functools.cached_property
+    def operators_by_token_hash(self) -> dict[str, str]:
+        """Return which operator a token's hash belongs to."""
+        return {
+            token_hash: name
+            for name, spec in self._specs(OperatorSpec).items()
+            for token_hash in spec.token_hashes
+        }
+
+    def _specs(self, spec_type: type) -> dict:
+        return {
+            resource.name: resource.spec
+            for resource in self.resources_by_key.values()
+            if isinstance(resource.spec, spec_type)
+        }
--- /dev/null
+++ b/burdockdrum/resources/validation.py
@@ -0,0 +1,158 @@
+"""Check a resource before it is accepted."""
+
+import re
+from typing import Any
+
+import msgspec
+
+from burdockdrum.resources.configuration import Configuration
+from burdockdrum.resources.specs import ClientSpec
+from burdockdrum.resources.specs import DataCentreSpec
+from burdockdrum.resources.specs import OperatorSpec
+from burdockdrum.resources.specs import PriorityClassSpec
+from burdockdrum.resources.specs import ResourceKey
+from burdockdrum.resources.specs import ServiceSpec
+from burdockdrum.resources.specs import Spec
+from burdockdrum.resources.specs import SPECS_BY_KIND
+
+_NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+_HASH = re.compile(r"[0-9a-f]{64}")
+
+
+class ResourceError(Exception):
+    """A resource was not accepted; the message names the field."""
+
+
+def check_key(key: ResourceKey) -> None:
+    """Check the kind and the form of the name.
+
+    :raises ResourceError: if either is wrong
+    """
+    if key.kind not in SPECS_BY_KIND:
+        known = ", ".join(sorted(SPECS_BY_KIND))
+        raise ResourceError(f"kind {key.kind!r} is not one of: {known}")
+    if not _NAME.fullmatch(key.name):
+        raise ResourceError(
+            f"name {key.name!r} must be 1 to 63 of a-z, 0-9, dot, dash and "
+            "underscore, and start with a letter or digit"
+        )
+
+
+def parse_spec(kind: str, fields: dict[str, Any]) -> Spec:
+    """Read the desired state of a resource of a kind.
+
+    :raises ResourceError: naming the first field that is unknown, missing
+        or of a wrong type
+    """
+    if kind not in SPECS_BY_KIND:
+        known = ", ".join(sorted(SPECS_BY_KIND))
+        raise ResourceError(f"kind {kind!r} is not one of: {known}")
+    if "kind" in fields and fields["kind"] != kind:
+        raise ResourceError(f"spec.kind is not {kind!r}")
+    try:
+        return msgspec.convert(fields, SPECS_BY_KIND[kind])
+    except msgspec.ValidationError as error:
+        raise ResourceError(f"spec: {error}") from None
+
+
+def check_references(
+    configuration: Configuration, key: ResourceKey, spec: Spec
+) -> None:
+    """Check that what a resource refers to exists, and its ranges.
+
+    :raises ResourceError: naming the field
+    """
+    match spec:
+        case DataCentreSpec(region=region):
+            _must_exist(configuration, "spec.region", "region", region)
+        case ServiceSpec():
+            _check_service(configuration, spec)
+        case ClientSpec():
+            _check_client(configuration, spec)
+        case PriorityClassSpec(deadline_seconds=seconds):
+            if seconds <= 0:
+                raise ResourceError("spec.deadline_seconds must be above 0")
+        case OperatorSpec(token_hashes=hashes):
+            _check_hashes(hashes)
+
+
+def check_unreferenced(configuration: Configuration, key: ResourceKey) -> None:
+    """Check that nothing refers to a resource that is to be deleted.
+
+    :raises ResourceError: naming one resource that does
+    """
+    for other in configuration.resources_by_key.values():
+        if key in references(other.spec):
+            raise ResourceError(
+                f"{key.kind} {key.name!r} is used by "
+                f"{other.kind} {other.name!r}"
+            )
+
+
+def references(spec: Spec) -> set[ResourceKey]:
+    """Return the keys that a spec refers to."""
+    keys: set[ResourceKey] = set()
+    match spec:
+        case DataCentreSpec(region=region):
+            keys.add(ResourceKey("region", region))
+        case ServiceSpec(regions=regions):
+            keys.update(ResourceKey("region", name) for name in regions)
+        case ClientSpec():
+            names = {spec.home_region, *spec.residency}
+            keys.update(ResourceKey("region", name) for name in names)
+            if spec.team is not None:
+                keys.add(ResourceKey("team", spec.team))
+            classes = set(spec.priority_classes)
+            if spec.priority_class is not None:
+                classes.add(spec.priority_class)
+            keys.update(ResourceKey("priority_class", n) for n in classes)
+    return keys
+
+
+def _check_service(configuration: Configuration, spec: ServiceSpec) -> None:
+    for index, region in enumerate(spec.regions):
+        field = f"spec.regions[{index}]"
+        _must_exist(configuration, field, "region", region)
+    if spec.min_replicas < 0:
+        raise ResourceError("spec.min_replicas must not be negative")
+    if spec.max_unavailable < 1:
+        raise ResourceError("spec.max_unavailable must be at least 1")
+
+
+def _check_client(configuration: Configuration, spec: ClientSpec) -> None:
+    if not spec.residency:
+        raise ResourceError("spec.residency must name at least one region")
+    for index, region in enumerate(spec.residency):
+        field = f"spec.residency[{index}]"
+        _must_exist(configuration, field, "region", region)
+    if spec.home_region not in spec.residency:
+        raise ResourceError("spec.home_region is not in spec.residency")
+    if spec.team is not None:
+        _must_exist(configuration, "spec.team", "team", spec.team)
+    if spec.priority_class is not None:
+        _must_exist(
+            configuration,
+            "spec.priority_class",
+            "priority_class",
+            spec.priority_class,
+        )
+    for index, name in enumerate(spec.priority_classes):
+        field = f"spec.priority_classes[{index}]"
+        _must_exist(configuration, field, "priority_class", name)
+    _check_hashes(spec.token_hashes)
+
+
+def _check_hashes(hashes: list[str]) -> None:
+    for index, value in enumerate(hashes):
+        if not _HASH.fullmatch(value):
+            raise ResourceError(
+                f"spec.token_hashes[{index}] is not a SHA-256 in "
+                "hexadecimal; make one with 'burdockdrum hash-token'"
+            )
+
+
+def _must_exist(
+    configuration: Configuration, field: str, kind: str, name: str
+) -> None:
+    if ResourceKey(kind, name) not in configuration.resources_by_key:
+        raise ResourceError(f"{field}: there is no {kind} {name!r}")
--- /dev/null
+++ b/burdockdrum/settings/__init__.py
@@ -0,0 +1,19 @@
+"""Settings in TOML, checked before a process starts."""
+
+from burdockdrum.settings.checks import check_settings
+from burdockdrum.settings.checks import SettingsProblem
+from burdockdrum.settings.loader import load_settings
+from burdockdrum.settings.loader import read_settings
+from burdockdrum.settings.loader import SettingsError
+from burdockdrum.settings.model import ControlSettings
+from burdockdrum.settings.model import Settings
+
+__all__ = [
+    "check_settings",
+    "ControlSettings",
+    "load_settings",
+    "read_settings",
+    "Settings",
+    "SettingsError",
+    "SettingsProblem",
+]
--- /dev/null
+++ b/burdockdrum/settings/checks.py
@@ -0,0 +1,137 @@
+"""Contradictions between settings, each with the way to mend it."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+import ipaddress
+import re
+from urllib.parse import urlsplit
+
+from burdockdrum.settings.model import Settings
+
+_HASH = re.compile(r"[0-9a-f]{64}")
+_QUORUM_SIZES = (1, 3, 5)
+_MIN_SECRET = 16
+
+
+@dataclass(frozen=True, kw_only=True)
+class SettingsProblem:
+    """One thing wrong with a settings file."""
+
+    key: str
+    problem: str
+    fix: str
+
+    def __str__(self) -> str:
+        where = f"{self.key} " if self.key else ""
+        return f"{where}{self.problem}: {self.fix}"
+
+
+def check_settings(settings: Settings) -> list[SettingsProblem]:
+    """Return every contradiction found."""
+    return [
+        *_check_addresses(settings),
+        *_check_cluster(settings),
+        *_check_control(settings),
+        *_check_hashes(settings),
+        *_check_limits(settings),
+    ]
+
+
+def _check_addresses(settings: Settings) -> Iterator[SettingsProblem]:
+    yield from _check_address("listen.control", settings.listen.control, "tcp")
+    scheme = "https" if settings.listen.tls else "http"
+    yield from _check_address("listen.http", settings.listen.http, scheme)
+    for index, address in enumerate(settings.cluster.join):
+        yield from _check_address(f"cluster.join[{index}]", address, "tcp")
+    for vm_id, address in settings.control.members.items():
+        yield from _check_address(f"control.members.{vm_id}", address, "tcp")
+
+
+def _check_address(
+    key: str, address: str, scheme: str
+) -> Iterator[SettingsProblem]:
+    parts = urlsplit(address)
+    try:
+        ipaddress.ip_address(parts.hostname or "")
+        good = parts.scheme == scheme and parts.port is not None
+    except ValueError:
+        good = False
+    if not good:
+        yield SettingsProblem(
+            key=key,
+            problem=f"is {address!r}",
+            fix=f"write {scheme}://IP:PORT with an IP number, not a name",
+        )
+
+
+def _check_cluster(settings: Settings) -> Iterator[SettingsProblem]:
+    cluster = settings.cluster
+    if (cluster.secret is None) == (cluster.secret_file is None):
+        yield SettingsProblem(
+            key="cluster",
+            problem="needs one of secret and secret_file",
+            fix="set secret_file to a file that all VMs share",
+        )
+    if cluster.secret is not None and len(cluster.secret) < _MIN_SECRET:
+        yield SettingsProblem(
+            key="cluster.secret",
+            problem=f"has under {_MIN_SECRET} characters",
+            fix="make one with 'burdockdrum make-token'",
+        )
+
+
+def _check_control(settings: Settings) -> Iterator[SettingsProblem]:
+    control = settings.control
+    if len(control.members) not in _QUORUM_SIZES:
+        yield SettingsProblem(
+            key="control.members",
+            problem=f"names {len(control.members)} VMs",
+            fix="name 1, 3 or 5 VMs that have disks",
+        )
+    is_member = settings.vm.id in control.members
+    if is_member and control.data_folder is None:
+        yield SettingsProblem(
+            key="control.data_folder",
+            problem="is missing on a VM that control.members names",
+            fix="set it to a folder on this VM's disk",
+        )
+    address = control.members.get(settings.vm.id)
+    if address is not None and address != settings.listen.control:
+        yield SettingsProblem(
+            key="listen.control",
+            problem=f"is not the address in control.members: {address}",
+            fix="make the two the same",
+        )
+
+
+def _check_hashes(settings: Settings) -> Iterator[SettingsProblem]:
+    sections = {
+        "operators.token_hashes": settings.operators.token_hashes,
+        "endpoints.token_hashes": settings.endpoints.token_hashes,
+    }
+    for key, hashes in sections.items():
+        for index, value in enumerate(hashes):
+            if not _HASH.fullmatch(value):
+                yield SettingsProblem(
+                    key=f"{key}[{index}]",
+                    problem="is not a SHA-256 in hexadecimal",
+                    fix="make one with 'burdockdrum hash-token'",
+                )
+
+
+def _check_limits(settings: Settings) -> Iterator[SettingsProblem]:
+    limits = settings.limits
+    if limits.body_bytes < 1:
+        yield SettingsProblem(
+            key="limits.body_bytes", problem="is below 1", fix="raise it"
+        )
+    if not 0 < limits.default_deadline_seconds <= limits.max_deadline_seconds:
+        yield SettingsProblem(
+            key="limits.default_deadline_seconds",
+            problem="is not above 0 and up to limits.max_deadline_seconds",
+            fix="lower it, or raise limits.max_deadline_seconds",
+        )
+    if settings.drain.limit_seconds <= 0:
+        yield SettingsProblem(
+            key="drain.limit_seconds", problem="is not above 0", fix="raise it"
+        )
--- /dev/null
+++ b/burdockdrum/settings/loader.py
@@ -0,0 +1,114 @@
+"""Read settings, and name what is wrong with the way to mend it."""
+
+import difflib
+import pathlib
+import re
+import tomllib
+from typing import Any
+
+import msgspec
+
+from burdockdrum.settings.checks import check_settings
+from burdockdrum.settings.checks import SettingsProblem
+from burdockdrum.settings.model import Settings
+
+
+class SettingsError(Exception):
+    """A settings file can't be used; ``problems`` says why."""
+
+    def __init__(self, problems: list[SettingsProblem]) -> None:
+        super().__init__("; ".join(str(problem) for problem in problems))
+        self.problems = problems
+
+
+def load_settings(path: pathlib.Path) -> Settings:
+    """Read and check a settings file.
+
+    :raises SettingsError: with every problem found
+    """
+    try:
+        text = path.read_text()
+    except OSError as error:
+        raise SettingsError(
+            [
+                SettingsProblem(
+                    key="",
+                    problem=f"can't read {path}: {error.strerror}",
+                    fix="give the path of a readable TOML file",
+                )
+            ]
+        ) from None
+    return read_settings(text)
+
+
+def read_settings(text: str) -> Settings:
+    """Read and check settings from TOML.
+
+    :raises SettingsError: with every problem found
+    """
+    try:
+        fields = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(
+            [
+                SettingsProblem(
+                    key="", problem=f"not TOML: {error}", fix="mend the line"
+                )
+            ]
+        ) from None
+    problems = find_unknown_keys(fields, Settings, "")
+    if problems:
+        raise SettingsError(problems)
+    try:
+        settings = msgspec.convert(fields, Settings)
+    except msgspec.ValidationError as error:
+        raise SettingsError([_explain(str(error))]) from None
+    problems = check_settings(settings)
+    if problems:
+        raise SettingsError(problems)
+    return settings
+
+
+def find_unknown_keys(
+    fields: dict[str, Any], section: type, path: str
+) -> list[SettingsProblem]:
+    """List the keys that no setting has, each with the nearest known one."""
+    known = {
+        field.name: field.type for field in msgspec.structs.fields(section)
+    }
+    problems = []
+    for key, value in fields.items():
+        if key not in known:
+            problems.append(_unknown_key(path + key, key, list(known)))
+            continue
+        inner = _find_section(known[key])
+        if inner is not None and isinstance(value, dict):
+            problems += find_unknown_keys(value, inner, f"{path}{key}.")
+    return problems
+
+
+def _find_section(annotation: Any) -> type | None:
+    options = getattr(annotation, "__args__", (annotation,))
+    for option in options:
+        if isinstance(option, type) and issubclass(option, msgspec.Struct):
+            return option
+    return None
+
+
+def _unknown_key(path: str, key: str, known: list[str]) -> SettingsProblem:
+    near = difflib.get_close_matches(key, known, n=1)
+    fix = f"did you mean {near[0]!r}?" if near else "remove it"
+    if not near:
+        fix += f"; known here: {', '.join(sorted(known))}"
+    return SettingsProblem(key=path, problem="is not a setting", fix=fix)
+
+
+def _explain(message: str) -> SettingsProblem:
+    found = re.search(r"at `\$\.?(.*)`", message)
+    key = found.group(1) if found else ""
+    problem = message.split(" - at ")[0]
+    return SettingsProblem(
+        key=key,
+        problem=problem,
+        fix="see docs/reference/settings.md for its type",
+    )
--- /dev/null
+++ b/burdockdrum/settings/model.py
@@ -0,0 +1,115 @@
+"""The settings of a daemon, with their defaults.
+
+docs/reference/settings.md describes each; a test holds it to this module.
+"""
+
+from typing import Literal
+
+import msgspec
+
+
+class _Section(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """The base class of a table; unknown keys are refused."""
+
+
+class VmSettings(_Section, frozen=True, kw_only=True):
+    """Who this VM is."""
+
+    id: str
+    region: str
+    data_centre: str
+
+
+class TlsSettings(_Section, frozen=True, kw_only=True):
+    """Certificate and key of the HTTP listener, as PEM files."""
+
+    certificate_file: str
+    key_file: str
+    trust_file: str | None = None
+
+
+class ListenSettings(_Section, frozen=True, kw_only=True):
+    """Where this VM is reached; port 0 takes a free one."""
+
+    control: str = "tcp://127.0.0.1:0"
+    http: str = "http://127.0.0.1:0"
+    tls: TlsSettings | None = None
+
+
+class ClusterSettings(_Section, frozen=True, kw_only=True):
+    """How this VM finds the others."""
+
+    secret: str | None = None
+    secret_file: str | None = None
+    join: list[str] = []
+
+
+class ControlSettings(_Section, frozen=True, kw_only=True):
+    """Where the configuration is agreed.
+
+    ``members`` are the control VMs that first form the cluster, by id, with
+    their control addresses; ``data_folder`` is set on those VMs only.
+    """
+
+    members: dict[str, str] = {}
+    data_folder: str | None = None
+
+
+class OperatorSettings(_Section, frozen=True, kw_only=True):
+    """Hashes of tokens that work before any operator resource exists."""
+
+    token_hashes: list[str] = []
+
+
+class EndpointSettings(_Section, frozen=True, kw_only=True):
+    """Hashes of the tokens that endpoints announce themselves with."""
+
+    token_hashes: list[str] = []
+
+
+class LimitSettings(_Section, frozen=True, kw_only=True):
+    """Bounds on what a caller may send and hold."""
+
+    body_bytes: int = 4 * 1024 * 1024
+    default_deadline_seconds: float = 60.0
+    max_deadline_seconds: float = 600.0
+
+
+class PolicySettings(_Section, frozen=True, kw_only=True):
+    """What counts most when load is above capacity.
+
+    ``tail`` keeps the latency of the highest ranks low; ``worth`` keeps the
+    most worth to the client completed.
+    """
+
+    prefer: Literal["tail", "worth"] = "tail"
+
+
+class DrainSettings(_Section, frozen=True, kw_only=True):
+    """How long a shutdown may take."""
+
+    limit_seconds: float = 120.0
+
+
+class LogSettings(_Section, frozen=True, kw_only=True):
+    """What is logged and in which form."""
+
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+    format: Literal["text", "json"] = "text"
+
+
+class Settings(_Section, frozen=True, kw_only=True):
+    """All settings of a daemon."""
+
+    vm: VmSettings
+    listen: ListenSettings = ListenSettings()
+    cluster: ClusterSettings = ClusterSettings()
+    control: ControlSettings = ControlSettings()
+    operators: OperatorSettings = OperatorSettings()
+    endpoints: EndpointSettings = EndpointSettings()
+    limits: LimitSettings = LimitSettings()
+    policy: PolicySettings = PolicySettings()
+    drain: DrainSettings = DrainSettings()
+    log: LogSettings = LogSettings()
--- /dev/null
+++ b/burdockdrum/vms/__init__.py
@@ -0,0 +1,21 @@
+"""The VMs of the system that this VM knows, and what others can take."""
+
+from burdockdrum.vms.directory import VmDirectory
+from burdockdrum.vms.directory import VmView
+from burdockdrum.vms.messages import Hello
+from burdockdrum.vms.messages import ServiceSummary
+from burdockdrum.vms.selection import EntryChoice
+from burdockdrum.vms.selection import EntryList
+from burdockdrum.vms.selection import select_entries
+from burdockdrum.vms.selection import VALID_SECONDS
+
+__all__ = [
+    "EntryChoice",
+    "EntryList",
+    "Hello",
+    "select_entries",
+    "ServiceSummary",
+    "VALID_SECONDS",
+    "VmDirectory",
+    "VmView",
+]
--- /dev/null
+++ b/burdockdrum/web/application.py
@@ -0,0 +1,50 @@
+"""The routes of all faces in one application."""
+
+from blacksheep import Application
+
+from burdockdrum.web.callers import CallerFace
+from burdockdrum.web.endpoint_face import EndpointFace
+from burdockdrum.web.guard import guard
+from burdockdrum.web.operators import OperatorFace
+from burdockdrum.web.peer_face import PeerFace
+
+PLAIN_METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE")
+
+
+def build_application(
+    *,
+    callers: CallerFace,
+    endpoints: EndpointFace,
+    operators: OperatorFace,
+    peers: PeerFace,
+) -> Application:
+    """Return the ASGI application of a daemon."""
+    application = Application(show_error_details=False)
+    router = application.router
+    router.add_post("/v1/chat/completions", guard(callers.chat))
+    router.add_post("/v1/completions", guard(callers.complete))
+    router.add_get("/v1/models", guard(callers.list_models))
+    router.add_get("/v1/entries", guard(callers.list_entries))
+    for method in PLAIN_METHODS:
+        router.add(method, "/services/*", guard(callers.call_plain))
+
+    router.add_post("/v1/endpoints/announce", guard(endpoints.announce))
+    report = "/v1/endpoints/:endpoint_id/report"
+    router.add_post(report, guard(endpoints.report))
+    leave = "/v1/endpoints/:endpoint_id/leave"
+    router.add_post(leave, guard(endpoints.leave))
+
+    router.add_post("/v1/forward", guard(peers.forward))
+
+    router.add_get("/v1/resources/:kind", guard(operators.list))
+    resource = "/v1/resources/:kind/:name"
+    router.add_get(resource, guard(operators.get))
+    router.add_put(resource, guard(operators.put))
+    router.add_delete(resource, guard(operators.delete))
+    router.add_get("/v1/watch", guard(operators.watch))
+    router.add_get("/v1/endpoints", guard(operators.list_endpoints))
+    router.add_get("/v1/status", guard(operators.status))
+    router.add_get("/v1/timeline", guard(operators.events))
+    router.add_post("/v1/drain", guard(operators.drain))
+    router.add_get("/metrics", guard(operators.metrics))
+    return application
--- /dev/null
+++ b/burdockdrum/web/authentication.py
@@ -0,0 +1,73 @@
+"""Bearer tokens of clients, operators and endpoints."""
+
+from blacksheep.messages import Request
+
+from burdockdrum.configuration import ConfigurationService
+from burdockdrum.resources import hash_token
+from burdockdrum.settings import Settings
+from burdockdrum.verdicts import Refusal
+from burdockdrum.verdicts import RefusalCode
+from burdockdrum.verdicts import Verdict
+from burdockdrum.web.reading import header
+
+_PREFIX = "bearer "
+
+
+class Authenticator:
+    """Say whose token a request bears."""
+
+    def __init__(
+        self, *, settings: Settings, configuration: ConfigurationService
+    ) -> None:
+        """Create an authenticator over the configuration in force."""
+        self._operator_hashes = frozenset(settings.operators.token_hashes)
+        self._endpoint_hashes = frozenset(settings.endpoints.token_hashes)
+        self._configuration = configuration
+
+    def find_client(self, request: Request) -> str:
+        """Return the id of the client whose token the request bears.
+
+        :raises Refusal: if the token is missing or no client's
+        """
+        token_hash = self._read_hash(request)
+        current = self._configuration.current
+        client_id = current.client_ids_by_token_hash.get(token_hash)
+        if client_id is None:
+            raise _refuse("the token is no client's")
+        return client_id
+
+    def find_operator(self, request: Request) -> str:
+        """Return the name of the operator whose token the request bears.
+
+        :raises Refusal: if the token is missing or no operator's
+        """
+        token_hash = self._read_hash(request)
+        current = self._configuration.current
+        name = current.operators_by_token_hash.get(token_hash)
+        if name is None and token_hash in self._operator_hashes:
+            name = "bootstrap"
+        if name is None:
+            raise _refuse("the token is no operator's")
+        return name
+
+    def check_endpoint(self, request: Request) -> None:
+        """Check that the request bears an endpoint's token.
+
+        :raises Refusal: if it doesn't
+        """
+        if self._read_hash(request) not in self._endpoint_hashes:
+            raise _refuse("the token is no endpoint's")
+
+    def _read_hash(self, request: Request) -> str:
+        value = header(request, "authorization") or ""
+        if not value.lower().startswith(_PREFIX):
+            raise _refuse("send 'Authorization: Bearer TOKEN'")
+        return hash_token(value[len(_PREFIX) :].strip())
+
+
+def _refuse(message: str) -> Refusal:
+    return Refusal(
+        code=RefusalCode.UNAUTHENTICATED,
+        message=message,
+        verdict=Verdict.NOT_RUN,
+    )
--- /dev/null
+++ b/burdockdrum/web/callers.py
@@ -0,0 +1,179 @@
+"""What callers use: completions, models, plain services, entries."""
+
+import random
+
+from blacksheep.messages import Request
+from blacksheep.messages import Response
+import msgspec
+
+from burdockdrum.configuration import ConfigurationService
+from burdockdrum.ports import Clock
+from burdockdrum.requests import InboundRequest
+from burdockdrum.requests import RequestKind
+from burdockdrum.requests import RequestService
+from burdockdrum.settings import Settings
+from burdockdrum.verdicts import Refusal
+from burdockdrum.verdicts import RefusalCode
+from burdockdrum.verdicts import Verdict
+from burdockdrum.vms import select_entries
+from burdockdrum.vms import VmDirectory
+from burdockdrum.web.authentication import Authenticator
+from burdockdrum.web.parsing import fingerprint
+from burdockdrum.web.parsing import parse_completion
+from burdockdrum.web.parsing import parse_headers
+from burdockdrum.web.reading import header
+from burdockdrum.web.reading import query
+from burdockdrum.web.reading import read_body
+from burdockdrum.web.responses import json_response
+from burdockdrum.web.streaming import stream_response
+
+SERVICES_PREFIX = "/services/"
+
+
+class ModelEntry(msgspec.Struct, frozen=True):
+    """One model, as OpenAI-style clients list them."""
+
+    id: str
+    object: str = "model"
+    created: int = 0
+    owned_by: str = "burdockdrum"
+
+
+class ModelList(msgspec.Struct, frozen=True):
+    """The models that a client may use."""
+
+    data: list[ModelEntry]
+    object: str = "list"
+
+
+class CallerFace:
+    """The handlers of callers' requests."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        clock: Clock,
+        rng: random.Random,
+        authenticator: Authenticator,
+        configuration: ConfigurationService,
+        requests: RequestService,
+        vms: VmDirectory,
+    ) -> None:
+        """Create the handlers."""
+        self._settings = settings
+        self._clock = clock
+        self._rng = rng
+        self._authenticator = authenticator
+        self._configuration = configuration
+        self._requests = requests
+        self._vms = vms
+
+    async def chat(self, request: Request, request_id: str) -> Response:
+        """Serve POST /v1/chat/completions."""
+        return await self._complete(request, request_id, RequestKind.CHAT)
+
+    async def complete(self, request: Request, request_id: str) -> Response:
+        """Serve POST /v1/completions."""
+        kind = RequestKind.COMPLETION
+        return await self._complete(request, request_id, kind)
+
+    async def call_plain(self, request: Request, request_id: str) -> Response:
+        """Serve any method on /services/SERVICE/PATH."""
+        client_id = self._authenticator.find_client(request)
+        body = await read_body(request, self._settings.limits.body_bytes)
+        headers = parse_headers(request, self._settings)
+        path = request.url.path.decode()
+        service, _, rest = path.removeprefix(SERVICES_PREFIX).partition("/")
+        search = request.url.query
+        target = "/" + rest + ("?" + search.decode() if search else "")
+        now = self._clock.monotonic()
+        method = request.method
+        inbound = InboundRequest(
+            request_id=request_id,
+            client_id=client_id,
+            service=service,
+            kind=RequestKind.PLAIN,
+            method=method,
+            path=target,
+            body=body,
+            content_type=header(request, "content-type")
+            or "application/octet-stream",
+            stream=False,
+            received_at=now,
+            deadline=now + headers.seconds,
+            priority_class=headers.priority_class,
+            unrepeatable=headers.unrepeatable,
+            idempotency_key=headers.idempotency_key,
+            fingerprint=fingerprint(
+                b"\0".join(
+                    (service.encode(), method.encode(), target.encode(), body)
+                )
+            ),
+        )
+        answer = await self._requests.handle(inbound)
+        return stream_response(request, answer, request_id)
+
+    async def list_models(self, request: Request, request_id: str) -> Response:
+        """Serve GET /v1/models: those the client's residency allows."""
+        client_id = self._authenticator.find_client(request)
+        configuration = self._configuration.current
+        client = configuration.clients_by_id[client_id]
+        allowed = set(client.residency)
+        names = [
+            name
+            for name, service in configuration.services_by_name.items()
+            if service.type == "model" and allowed & set(service.regions)
+        ]
+        return json_response(
+            ModelList(data=[ModelEntry(id=name) for name in sorted(names)])
+        )
+
+    async def list_entries(
+        self, request: Request, request_id: str
+    ) -> Response:
+        """Serve GET /v1/entries: which entry VMs to use, and how long."""
+        self._check_any_token(request)
+        identity = self._vms.identity
+        entries = select_entries(
+            views=self._vms.live_vms(),
+            region=query(request, "region") or identity.region,
+            data_centre=query(request, "data_centre") or identity.data_centre,
+            rng=self._rng,
+        )
+        return json_response(entries)
+
+    def _check_any_token(self, request: Request) -> None:
+        try:
+            self._authenticator.find_client(request)
+        except Refusal:
+            self._authenticator.find_operator(request)
+
+    async def _complete(
+        self, request: Request, request_id: str, kind: RequestKind
+    ) -> Response:
+        client_id = self._authenticator.find_client(request)
+        body = await read_body(request, self._settings.limits.body_bytes)
+        inbound = parse_completion(
+            request=request,
+            request_id=request_id,
+            client_id=client_id,
+            kind=kind,
+            body=body,
+            settings=self._settings,
+            clock=self._clock,
+        )
+        self._check_is_model(inbound)
+        answer = await self._requests.handle(inbound)
+        return stream_response(request, answer, request_id)
+
+    def _check_is_model(self, inbound: InboundRequest) -> None:
+        services = self._configuration.current.services_by_name
+        service = services.get(inbound.service)
+        if service is not None and service.type != "model":
+            raise Refusal(
+                code=RefusalCode.UNKNOWN_SERVICE,
+                message=f"{inbound.service!r} is a plain service, "
+                f"reached under {SERVICES_PREFIX}{inbound.service}/",
+                verdict=Verdict.NOT_RUN,
+            )
--- /dev/null
+++ b/burdockdrum/web/parsing.py
@@ -0,0 +1,196 @@
+"""Turn a caller's HTTP request into an inbound request."""
+
+from dataclasses import dataclass
+import hashlib
+import math
+from typing import Any
+
+from blacksheep.messages import Request
+import msgspec
+
+from burdockdrum.ports import Clock
+from burdockdrum.requests import InboundRequest
+from burdockdrum.requests import RequestKind
+from burdockdrum.settings import Settings
+from burdockdrum.web.reading import bad_request
+from burdockdrum.web.reading import header
+
+DEADLINE_HEADER = "x-deadline-seconds"
+PRIORITY_HEADER = "x-priority-class"
+UNREPEATABLE_HEADER = "x-unrepeatable"
+IDEMPOTENCY_HEADER = "idempotency-key"
+MAX_KEY_LENGTH = 255
+DEFAULT_MAX_TOKENS = 256
+PREFIX_BLOCK_BYTES = 512
+MAX_PREFIX_BLOCKS = 64
+# English text has about four bytes a token.
+_BYTES_PER_TOKEN = 4
+
+
+class ChatMessage(msgspec.Struct, frozen=True):
+    """One message of a chat; other fields pass through unread."""
+
+    role: str
+    content: Any = ""
+
+
+class CompletionBody(msgspec.Struct, frozen=True, kw_only=True):
+    """The fields of a completion request that routing needs.
+
+    Other fields are the engine's and pass through unread.
+    """
+
+    model: str
+    messages: list[ChatMessage] | None = None
+    prompt: str | list[str] | None = None
+    stream: bool = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    adapter: str | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class CallerHeaders:
+    """What a caller may say about any request."""
+
+    seconds: float
+    priority_class: str | None
+    unrepeatable: bool
+    idempotency_key: str | None
+
+
+def parse_headers(request: Request, settings: Settings) -> CallerHeaders:
+    """Read deadline, priority class and the marks of a request.
+
+    :raises Refusal: naming the header that is wrong
+    """
+    key = header(request, IDEMPOTENCY_HEADER)
+    if key is not None and not 0 < len(key) <= MAX_KEY_LENGTH:
+        raise bad_request(
+            f"Idempotency-Key must have 1 to {MAX_KEY_LENGTH} characters"
+        )
+    unrepeatable = _parse_mark(request)
+    if unrepeatable and key is None:
+        raise bad_request(
+            "an unrepeatable request needs an Idempotency-Key, so that "
+            "sending it again can't run it twice"
+        )
+    return CallerHeaders(
+        seconds=_parse_deadline(request, settings),
+        priority_class=header(request, PRIORITY_HEADER),
+        unrepeatable=unrepeatable,
+        idempotency_key=key,
+    )
+
+
+def parse_completion(
+    *,
+    request: Request,
+    request_id: str,
+    client_id: str,
+    kind: RequestKind,
+    body: bytes,
+    settings: Settings,
+    clock: Clock,
+) -> InboundRequest:
+    """Read a chat or text completion.
+
+    :raises Refusal: naming the field that is wrong
+    """
+    try:
+        parsed = msgspec.json.decode(body, type=CompletionBody)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise bad_request(f"the body is not as expected: {error}") from None
+    prompt = _extract_prompt(parsed, kind)
+    max_tokens = parsed.max_completion_tokens or parsed.max_tokens
+    if max_tokens is not None and max_tokens < 1:
+        raise bad_request("max_tokens must be at least 1")
+    headers = parse_headers(request, settings)
+    now = clock.monotonic()
+    return InboundRequest(
+        request_id=request_id,
+        client_id=client_id,
+        service=parsed.model,
+        kind=kind,
+        method="POST",
+        path=request.url.path.decode(),
+        body=body,
+        content_type="application/json",
+        stream=parsed.stream,
+        received_at=now,
+        deadline=now + headers.seconds,
+        priority_class=headers.priority_class,
+        unrepeatable=headers.unrepeatable,
+        idempotency_key=headers.idempotency_key,
+        adapter=parsed.adapter,
+        prompt_tokens=len(prompt) // _BYTES_PER_TOKEN + 1,
+        max_tokens=max_tokens or DEFAULT_MAX_TOKENS,
+        prefix_hashes=hash_prefixes(prompt),
+        fingerprint=fingerprint(parsed.model.encode() + b"\0" + prompt),
+    )
+
+
+def hash_prefixes(prompt: bytes) -> tuple[int, ...]:
+    """Return a hash of each growing prefix of whole blocks.
+
+    Two prompts share their first hashes exactly as far as their first
+    blocks are equal, which is how engines cache prefixes.
+    """
+    digest = hashlib.blake2b(digest_size=8)
+    hashes = []
+    for index in range(
+        min(len(prompt) // PREFIX_BLOCK_BYTES, MAX_PREFIX_BLOCKS)
+    ):
+        start = index * PREFIX_BLOCK_BYTES
+        digest.update(prompt[start : start + PREFIX_BLOCK_BYTES])
+        value = int.from_bytes(digest.copy().digest(), "big")
+        hashes.append(value >> 1)
+    return tuple(hashes)
+
+
+def fingerprint(content: bytes) -> str:
+    """Return what tells that two requests ask for the same work."""
+    return hashlib.blake2b(content, digest_size=16).hexdigest()
+
+
+def _extract_prompt(parsed: CompletionBody, kind: RequestKind) -> bytes:
+    if kind is RequestKind.CHAT:
+        if not parsed.messages:
+            raise bad_request("messages must hold at least one message")
+        return b"".join(
+            message.role.encode() + b"\0" + _flatten(message.content) + b"\0"
+            for message in parsed.messages
+        )
+    if parsed.prompt is None:
+        raise bad_request("prompt is missing")
+    return _flatten(parsed.prompt)
+
+
+def _flatten(content: Any) -> bytes:
+    if isinstance(content, str):
+        return content.encode()
+    return msgspec.json.encode(content)
+
+
+def _parse_mark(request: Request) -> bool:
+    value = (header(request, UNREPEATABLE_HEADER) or "false").lower()
+    if value not in ("true", "false"):
+        raise bad_request(f"{UNREPEATABLE_HEADER} must be true or false")
+    return value == "true"
+
+
+def _parse_deadline(request: Request, settings: Settings) -> float:
+    text = header(request, DEADLINE_HEADER)
+    if text is None:
+        return settings.limits.default_deadline_seconds
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    # A comparison with NaN is false, so NaN is refused here too.
+    if not 0 < seconds <= settings.limits.max_deadline_seconds:
+        raise bad_request(
+            f"{DEADLINE_HEADER} must be a number of seconds above 0 and up "
+            f"to {settings.limits.max_deadline_seconds:g}"
+        )
+    return seconds
--- /dev/null
+++ b/burdockdrum/web/peer_face.py
@@ -0,0 +1,54 @@
+"""What other entry VMs use: requests passed on between data centres."""
+
+from blacksheep.messages import Request
+from blacksheep.messages import Response
+
+from burdockdrum.peers import Seal
+from burdockdrum.ports import Clock
+from burdockdrum.requests import FORWARD_HEADER
+from burdockdrum.requests import open_header
+from burdockdrum.requests import RequestService
+from burdockdrum.settings import Settings
+from burdockdrum.verdicts import Refusal
+from burdockdrum.verdicts import RefusalCode
+from burdockdrum.verdicts import Verdict
+from burdockdrum.web.reading import header
+from burdockdrum.web.reading import read_body
+from burdockdrum.web.streaming import stream_response
+
+
+class PeerFace:
+    """The handler of requests that another data centre passed on."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        seal: Seal,
+        clock: Clock,
+        requests: RequestService,
+    ) -> None:
+        """Create the handler."""
+        self._limit = settings.limits.body_bytes
+        self._seal = seal
+        self._clock = clock
+        self._requests = requests
+
+    async def forward(self, request: Request, request_id: str) -> Response:
+        """Serve POST /v1/forward.
+
+        The request is checked again here, residency and hops included: the
+        sender's view may be older than this VM's.
+        """
+        body = await read_body(request, self._limit)
+        text = header(request, FORWARD_HEADER) or ""
+        forwarded = open_header(self._seal, text, body)
+        if forwarded is None:
+            raise Refusal(
+                code=RefusalCode.UNAUTHENTICATED,
+                message="the forward header is missing or not sealed",
+                verdict=Verdict.NOT_RUN,
+            )
+        inbound = forwarded.to_request(body, now=self._clock.monotonic())
+        answer = await self._requests.handle(inbound)
+        return stream_response(request, answer, inbound.request_id)
--- /dev/null
+++ b/burdockdrum/web/reading.py
@@ -0,0 +1,77 @@
+"""Read what a caller sent, within bounds."""
+
+from typing import TypeVar
+
+from blacksheep.messages import Request
+import msgspec
+
+from burdockdrum.verdicts import Refusal
+from burdockdrum.verdicts import RefusalCode
+from burdockdrum.verdicts import Verdict
+
+T = TypeVar("T")
+
+
+def bad_request(message: str) -> Refusal:
+    """Return the refusal of a request whose form is wrong."""
+    return Refusal(
+        code=RefusalCode.BAD_REQUEST,
+        message=message,
+        verdict=Verdict.NOT_RUN,
+    )
+
+
+async def read_body(request: Request, limit: int) -> bytes:
+    """Read a body of at most so many bytes.
+
+    :raises Refusal: if it is larger, before the rest has been read
+    """
+    declared = header(request, "content-length")
+    if declared is not None and declared.isdigit() and int(declared) > limit:
+        raise _too_large(limit)
+    parts = []
+    size = 0
+    async for part in request.stream():  # type: ignore[attr-defined]
+        size += len(part)
+        if size > limit:
+            raise _too_large(limit)
+        parts.append(part)
+    return b"".join(parts)
+
+
+async def read_json(request: Request, limit: int, expected: type[T]) -> T:
+    """Read a JSON body of a type.
+
+    :raises Refusal: naming the field that is wrong
+    """
+    body = await read_body(request, limit)
+    try:
+        return msgspec.json.decode(body, type=expected)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise bad_request(f"the body is not as expected: {error}") from None
+
+
+def header(request: Request, name: str) -> str | None:
+    """Return the first header of that name."""
+    value = request.get_first_header(name.encode())
+    return value.decode("latin-1") if value is not None else None
+
+
+def query(request: Request, name: str) -> str | None:
+    """Return the first query parameter of that name."""
+    values = request.query.get(name)
+    return values[0] if values else None
+
+
+def route_value(request: Request, name: str) -> str:
+    """Return the part of the path that a route names."""
+    values = request.route_values or {}
+    return values.get(name) or ""
+
+
+def _too_large(limit: int) -> Refusal:
+    return Refusal(
+        code=RefusalCode.BODY_TOO_LARGE,
+        message=f"the body is over the limit of {limit} bytes",
+        verdict=Verdict.NOT_RUN,
+    )
--- /dev/null
+++ b/burdockdrum/web/responses.py
@@ -0,0 +1,58 @@
+"""Answers in JSON, and refusals with their verdict."""
+
+import math
+import secrets
+from typing import Any
+
+from blacksheep.contents import Content
+from blacksheep.messages import Response
+import msgspec
+
+from burdockdrum.verdicts import Refusal
+
+REQUEST_ID_HEADER = b"x-request-id"
+
+
+class RefusalBody(msgspec.Struct, frozen=True, kw_only=True):
+    """A refusal as a caller reads it."""
+
+    code: str
+    message: str
+    request_id: str
+    verdict: str
+
+
+class _Wrapped(msgspec.Struct, frozen=True):
+    error: RefusalBody
+
+
+def make_request_id() -> str:
+    """Return an id that no other request has."""
+    return f"req-{secrets.token_hex(10)}"
+
+
+def json_response(value: Any, *, status: int = 200) -> Response:
+    """Encode a value as JSON."""
+    content = Content(b"application/json", msgspec.json.encode(value))
+    return Response(status, None, content)
+
+
+def text_response(text: str) -> Response:
+    """Return plain text."""
+    return Response(200, None, Content(b"text/plain", text.encode()))
+
+
+def refusal_response(refusal: Refusal, request_id: str) -> Response:
+    """Tell a caller why there is no answer and whether it may have run."""
+    body = RefusalBody(
+        code=refusal.code.value,
+        message=refusal.message,
+        request_id=request_id,
+        verdict=refusal.verdict.value,
+    )
+    response = json_response(_Wrapped(body), status=refusal.status)
+    response.add_header(REQUEST_ID_HEADER, request_id.encode())
+    if refusal.retry_after is not None:
+        seconds = max(1, math.ceil(refusal.retry_after))
+        response.add_header(b"retry-after", str(seconds).encode())
+    return response
--- /dev/null
+++ b/scripts/cluster.py
@@ -0,0 +1,188 @@
+"""Start and end the processes of a small cluster on loopback.
+
+The product's processes start no others; this program outside the package
+does it for the demonstration and the tests over real processes.
+"""
+
+import asyncio
+from dataclasses import dataclass
+import pathlib
+import secrets
+import socket
+import sys
+import tempfile
+
+from burdockdrum.resources import hash_token
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+END_SECONDS = 20.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class VmPlan:
+    """One entry VM to start; its data centre is named after its region."""
+
+    vm_id: str
+    region: str
+    control: bool = False
+
+
+@dataclass(frozen=True, kw_only=True)
+class EndpointPlan:
+    """One stand-in to start."""
+
+    endpoint_id: str
+    region: str
+    service: str
+    plain: bool = False
+    slots: int = 8
+    token_seconds: float = 0.005
+
+
+class Cluster:
+    """The running processes; an asynchronous context manager."""
+
+    def __init__(
+        self, *, vms: list[VmPlan], endpoints: list[EndpointPlan]
+    ) -> None:
+        """Plan a cluster without starting it."""
+        self._vms = vms
+        self._endpoints = endpoints
+        self._folder = tempfile.TemporaryDirectory()
+        self.folder = pathlib.Path(self._folder.name)
+        self.operator_token = secrets.token_urlsafe(24)
+        self._endpoint_token = secrets.token_urlsafe(24)
+        self._secret = secrets.token_urlsafe(24)
+        self._control_ports = {plan.vm_id: free_port() for plan in vms}
+        self._http_ports = {plan.vm_id: free_port() for plan in vms}
+        self.processes_by_name: dict[str, asyncio.subprocess.Process] = {}
+
+    @staticmethod
+    def hash(token: str) -> str:
+        """Return the hash of a token."""
+        return hash_token(token)
+
+    @property
+    def entry_urls(self) -> list[str]:
+        """Return the URLs of the entry VMs."""
+        return [self.url(plan.vm_id) for plan in self._vms]
+
+    def url(self, vm_id: str) -> str:
+        """Return the URL of one entry VM."""
+        return f"http://127.0.0.1:{self._http_ports[vm_id]}"
+
+    async def __aenter__(self) -> "Cluster":
+        for plan in self._vms:
+            await self.start_vm(plan)
+        for endpoint in self._endpoints:
+            await self._start_endpoint(endpoint)
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        for process in self.processes_by_name.values():
+            if process.returncode is None:
+                process.kill()
+        for process in self.processes_by_name.values():
+            await process.wait()
+        self._folder.cleanup()
+
+    async def start_vm(self, plan: VmPlan) -> None:
+        """Start the daemon of a VM, or start it again."""
+        path = self.folder / f"{plan.vm_id}.toml"
+        path.write_text(self._settings(plan))
+        await self._start(
+            plan.vm_id,
+            ["burdockdrum.daemon", "--settings", str(path)],
+        )
+
+    async def stop(self, name: str, *, kill: bool = False) -> int:
+        """End a process with SIGTERM, or kill it.
+
+        :returns: its exit code
+        """
+        process = self.processes_by_name[name]
+        if kill:
+            process.kill()
+        else:
+            process.terminate()
+        async with asyncio.timeout(END_SECONDS):
+            return await process.wait()
+
+    async def _start(self, name: str, arguments: list[str]) -> None:
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes_by_name[
+                name
+            ] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                *arguments,
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+            )
+
+    async def _start_endpoint(self, plan: EndpointPlan) -> None:
+        entries = [
+            self.url(vm.vm_id) for vm in self._vms if vm.region == plan.region
+        ]
+        arguments = [
+            "burdockdrum.emulator",
+            "plain" if plan.plain else "engine",
+            plan.service,
+            plan.endpoint_id,
+            ",".join(entries),
+            self._endpoint_token,
+            f"--slots={plan.slots}",
+        ]
+        if not plan.plain:
+            arguments.append(f"--token-seconds={plan.token_seconds}")
+        await self._start(plan.endpoint_id, arguments)
+
+    def _settings(self, plan: VmPlan) -> str:
+        members = {
+            vm.vm_id: self._control_address(vm.vm_id)
+            for vm in self._vms
+            if vm.control
+        }
+        listed = "\n".join(f'{k} = "{v}"' for k, v in members.items())
+        data = ""
+        if plan.control:
+            data = f'data_folder = "{self.folder / (plan.vm_id + ".data")}"'
+        join = [self._control_address(vm.vm_id) for vm in self._vms[:2]]
+        return f"""
+[vm]
+id = "{plan.vm_id}"
+region = "{plan.region}"
+data_centre = "{plan.region}"
+
+[listen]
+control = "{self._control_address(plan.vm_id)}"
+http = "{self.url(plan.vm_id)}"
+
+[cluster]
+secret = "{self._secret}"
+join = {join}
+
+[control]
+{data}
+
+[control.members]
+{listed}
+
+[operators]
+token_hashes = ["{hash_token(self.operator_token)}"]
+
+[endpoints]
+token_hashes = ["{hash_token(self._endpoint_token)}"]
+"""
+
+    def _control_address(self, vm_id: str) -> str:
+        return f"tcp://127.0.0.1:{self._control_ports[vm_id]}"
+
+
+def free_port() -> int:
+    """Return a port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,275 @@
+"""Run two regions on this machine, send requests, print what happened.
+
+Usage: python -m scripts.demo [--seconds S]
+
+Starts three entry VMs in two regions and four stand-ins for endpoints as
+separate processes over loopback, lets an operator write resources, sends
+completions and plain calls through the entries that the system names, and
+ends with a table. Every process it started is ended again.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable
+from dataclasses import dataclass
+import json
+import random
+import secrets
+import sys
+import time
+
+from burdockdrum.client import ClientError
+from burdockdrum.client import GatewayClient
+from burdockdrum.client import GatewayReply
+from burdockdrum.emulator.engine import make_answer
+from burdockdrum.system_ports import SystemClock
+from scripts.cluster import Cluster
+from scripts.cluster import EndpointPlan
+from scripts.cluster import VmPlan
+
+VMS = [
+    VmPlan(vm_id="dunantul-1", region="dunantul", control=True),
+    VmPlan(vm_id="dunantul-2", region="dunantul"),
+    VmPlan(vm_id="alfold-1", region="alfold"),
+]
+ENDPOINTS = [
+    EndpointPlan(
+        endpoint_id="engine-d1", region="dunantul", service="planner"
+    ),
+    EndpointPlan(
+        endpoint_id="engine-d2", region="dunantul", service="planner"
+    ),
+    EndpointPlan(endpoint_id="engine-a1", region="alfold", service="planner"),
+    EndpointPlan(
+        endpoint_id="roster-a1", region="alfold", service="roster", plain=True
+    ),
+]
+RESOURCES = [
+    ("region", "dunantul", {}),
+    ("region", "alfold", {}),
+    ("region", "eszak", {}),
+    ("data_centre", "dunantul", {"region": "dunantul"}),
+    ("data_centre", "alfold", {"region": "alfold"}),
+    ("priority_class", "crew", {"rank": 0, "worth": 5.0}),
+    ("service", "planner", {"regions": ["dunantul", "alfold", "eszak"]}),
+    ("service", "roster", {"type": "plain", "regions": ["alfold"]}),
+]
+COMPLETIONS = 40
+PLAIN_CALLS = 20
+IN_FORCE_LIMIT = 15.0
+
+Check = Callable[[GatewayReply], bool]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Outcome:
+    """What came of one request."""
+
+    sort: str
+    result: str
+    seconds: float
+
+
+class Demonstration:
+    """The operator and the callers of the demonstration."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self._cluster = cluster
+        self._rng = random.Random(7)
+        self._tokens = {
+            name: secrets.token_urlsafe(24) for name in ("zoldsav", "north")
+        }
+        self.outcomes: list[Outcome] = []
+
+    async def run(self) -> None:
+        """Write resources, wait until in force, and send requests."""
+        operator = self._connect(self._cluster.operator_token)
+        await self._write_resources(operator)
+        await self._wait_in_force(operator)
+        await self._wait_for_endpoints()
+        caller = self._connect(self._tokens["zoldsav"])
+        calls = [self._complete(caller, i) for i in range(COMPLETIONS)]
+        calls += [self._call_plain(caller, i) for i in range(PLAIN_CALLS)]
+        await asyncio.gather(*calls)
+        await self._send_out_of_bounds()
+
+    def _connect(self, token: str) -> GatewayClient:
+        return GatewayClient(
+            seeds=self._cluster.entry_urls,
+            token=token,
+            clock=SystemClock(),
+            rng=self._rng,
+        )
+
+    async def _write_resources(self, operator: GatewayClient) -> None:
+        clients = [
+            ("client", "zoldsav", self._client_spec("zoldsav", "dunantul")),
+            ("client", "north", self._client_spec("north", "eszak")),
+        ]
+        for kind, name, spec in [*RESOURCES, *clients]:
+            change_id = f"demo-{kind}-{name}"
+            body = json.dumps({"spec": spec, "change_id": change_id})
+            reply = await self._put(operator, kind, name, body.encode())
+            if not reply.ok:
+                raise SystemExit(f"{kind} {name}: {reply.body.decode()}")
+
+    async def _put(
+        self, operator: GatewayClient, kind: str, name: str, body: bytes
+    ) -> GatewayReply:
+        limit = time.monotonic() + IN_FORCE_LIMIT
+        while True:
+            path = f"/v1/resources/{kind}/{name}"
+            reply = await operator.call("PUT", path, body=body)
+            if reply.status < 500 or time.monotonic() > limit:
+                return reply
+            await asyncio.sleep(0.2)
+
+    def _client_spec(self, name: str, home: str) -> dict:
+        residency = ["eszak"] if name == "north" else ["dunantul", "alfold"]
+        return {
+            "home_region": home,
+            "residency": residency,
+            "priority_class": "crew",
+            "token_hashes": [self._cluster.hash(self._tokens[name])],
+        }
+
+    async def _wait_in_force(self, operator: GatewayClient) -> None:
+        started = time.monotonic()
+        while time.monotonic() < started + IN_FORCE_LIMIT:
+            reply = await operator.call("GET", "/v1/resources/client/north")
+            if reply.ok:
+                status = json.loads(reply.body)["status"]
+                if len(status["in_force_at"]) == len(VMS):
+                    seconds = time.monotonic() - started
+                    print(f"in force at {len(VMS)} VMs after {seconds:.2f} s")
+                    return
+            await asyncio.sleep(0.05)
+        raise SystemExit("the configuration did not come in force in time")
+
+    async def _wait_for_endpoints(self) -> None:
+        operator = self._connect(self._cluster.operator_token)
+        limit = time.monotonic() + IN_FORCE_LIMIT
+        for url in self._cluster.entry_urls:
+            while time.monotonic() < limit:
+                answer = await operator.open(url, "GET", "/v1/endpoints")
+                body = b"".join([part async for part in answer.chunks()])
+                if json.loads(body):
+                    break
+                await asyncio.sleep(0.1)
+
+    async def _complete(self, caller: GatewayClient, number: int) -> None:
+        stream = number % 2 == 0
+        messages = [{"role": "user", "content": f"plan section {number}"}]
+        body = json.dumps(
+            {
+                "model": "planner",
+                "messages": messages,
+                "max_tokens": 12,
+                "stream": stream,
+            }
+        ).encode()
+        prompt = json.dumps(messages, separators=(",", ":")).encode()
+        wanted = make_answer(prompt, 12)
+        sort = "completion, streamed" if stream else "completion, whole"
+        await self._send(
+            caller,
+            sort,
+            "POST",
+            "/v1/chat/completions",
+            body,
+            lambda reply: _read_text(reply, stream) == wanted,
+        )
+
+    async def _call_plain(self, caller: GatewayClient, number: int) -> None:
+        await self._send(
+            caller,
+            "plain service",
+            "GET",
+            f"/services/roster/crews/{number}",
+            b"",
+            lambda reply: json.loads(reply.body)["path"] == f"/crews/{number}",
+        )
+
+    async def _send_out_of_bounds(self) -> None:
+        caller = self._connect(self._tokens["north"])
+        messages = [{"role": "user", "content": "x"}]
+        body = json.dumps({"model": "planner", "messages": messages}).encode()
+        await self._send(
+            caller,
+            "completion, residency excludes every live region",
+            "POST",
+            "/v1/chat/completions",
+            body,
+            lambda reply: False,
+        )
+
+    async def _send(
+        self,
+        caller: GatewayClient,
+        sort: str,
+        method: str,
+        path: str,
+        body: bytes,
+        is_whole: Check,
+    ) -> None:
+        started = time.monotonic()
+        try:
+            reply = await caller.call(method, path, body=body)
+        except ClientError as error:
+            verdict = "may have run" if error.may_have_run else "not run"
+            result = f"no answer: {verdict}"
+        else:
+            result = _judge(reply, is_whole)
+        seconds = time.monotonic() - started
+        outcome = Outcome(sort=sort, result=result, seconds=seconds)
+        self.outcomes.append(outcome)
+
+
+def _judge(reply: GatewayReply, is_whole: Check) -> str:
+    if reply.ok:
+        return "whole answer" if is_whole(reply) else "WRONG ANSWER"
+    error = json.loads(reply.body)["error"]
+    return f"refused: {error['code']}, {error['verdict']}"
+
+
+def _read_text(reply: GatewayReply, stream: bool) -> str:
+    if not stream:
+        return json.loads(reply.body)["choices"][0]["message"]["content"]
+    text = ""
+    lines = reply.body.decode().splitlines()
+    if "data: [DONE]" not in lines:
+        return "no terminal marker"
+    for line in lines:
+        if line.startswith("data: {"):
+            choice = json.loads(line.removeprefix("data: "))["choices"][0]
+            text += choice["delta"].get("content", "")
+    return text
+
+
+def print_table(outcomes: list[Outcome]) -> None:
+    """Print how many requests of each sort ended how, and how fast."""
+    groups = collections.defaultdict(list)
+    for outcome in outcomes:
+        groups[(outcome.sort, outcome.result)].append(outcome.seconds)
+    print(f"{'REQUEST':50}{'RESULT':34}{'COUNT':>6}{'MEDIAN s':>10}")
+    for (sort, result), seconds in sorted(groups.items()):
+        median = sorted(seconds)[len(seconds) // 2]
+        print(f"{sort:50}{result:34}{len(seconds):6}{median:10.3f}")
+
+
+async def _main() -> int:
+    async with Cluster(vms=VMS, endpoints=ENDPOINTS) as cluster:
+        demonstration = Demonstration(cluster)
+        await demonstration.run()
+        print_table(demonstration.outcomes)
+        wrong = [
+            outcome
+            for outcome in demonstration.outcomes
+            if outcome.result != "whole answer"
+            and "residency" not in outcome.sort
+        ]
+    return 1 if wrong else 0
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(_main()))
