Let each package name its services; run whole VMs under virtual time

The daemon's assembly only lists packages; each says by itself how its services are built and finds others by name. The ASGI application of a VM answers calls in memory, so a test runs the very services of the daemon, blacksheep included, over fakes. Routing and admission get their place and their interfaces; what they decide is still the simplest thing.

--- /dev/null
+++ b/burdockdrum/admission/__init__.py
@@ -0,0 +1,7 @@
+"""Which requests are accepted: quotas, priorities, queues, deadlines."""
+
+from burdockdrum.admission.admission import Admission
+from burdockdrum.admission.admission import Permit
+from burdockdrum.admission.services import add_services
+
+__all__ = ["add_services", "Admission", "Permit"]
--- /dev/null
+++ b/burdockdrum/admission/services.py
@@ -0,0 +1,18 @@
+"""Name the services of this package."""
+
+from burdockdrum.admission.admission import Admission
+from burdockdrum.configuration import ConfigurationService
+from burdockdrum.kernel import Kernel
+from burdockdrum.ports import Clock
+
+
+def add_services(kernel: Kernel) -> None:
+    """Name the admission."""
+    kernel.add("admission", _build_admission)
+
+
+def _build_admission(kernel: Kernel) -> Admission:
+    return Admission(
+        clock=kernel.find("clock", Clock),
+        configuration=kernel.find("configuration", ConfigurationService),
+    )
--- a/burdockdrum/configuration/__init__.py
+++ b/burdockdrum/configuration/__init__.py
@@ -2,5 +2,6 @@
 
 from burdockdrum.configuration.service import ChangeUnknown
 from burdockdrum.configuration.service import ConfigurationService
+from burdockdrum.configuration.services import add_services
 
-__all__ = ["ChangeUnknown", "ConfigurationService"]
+__all__ = ["add_services", "ChangeUnknown", "ConfigurationService"]
--- a/burdockdrum/daemon/daemon.py
+++ b/burdockdrum/daemon/daemon.py
@@ -3,9 +3,11 @@
 import asyncio
 import random
 import signal
+import socket
 import time
 from urllib.parse import urlsplit
 
+from blacksheep import Application
 from loguru import logger
 
 from burdockdrum.daemon.assembly import assemble
@@ -13,7 +15,9 @@
 from burdockdrum.peers import VmIdentity
 from burdockdrum.settings import Settings
 from burdockdrum.system_ports import limit_threads
+from burdockdrum.system_ports import PooledHttpClient
 from burdockdrum.system_ports import PynngNetwork
+from burdockdrum.system_ports import SystemClock
 from burdockdrum.vms import VALID_SECONDS
 from burdockdrum.vms import VmDirectory
 from burdockdrum.web import bind
@@ -69,13 +73,16 @@
             identity.http_address,
             identity.control_address,
         )
-        return assemble(
+        kernel = assemble(
             settings=settings,
             identity=identity,
             mailbox=mailbox,
-            listener=listener,
+            clock=SystemClock(),
+            http=PooledHttpClient(),
             rng=random.Random(),
         )
+        kernel.add("web", lambda kernel: _build_web(kernel, listener))
+        return kernel
 
     def _take_signal(self, running: asyncio.Task) -> None:
         self._signals += 1
@@ -97,3 +104,13 @@
                 await web.stopped.wait()
         except TimeoutError:
             logger.warning("the drain's limit has passed")
+
+
+def _build_web(kernel: Kernel, listener: socket.socket) -> WebServer:
+    tls = kernel.find("settings", Settings).listen.tls
+    return WebServer(
+        application=kernel.find("application", Application),
+        listener=listener,
+        certificate_file=tls.certificate_file if tls else None,
+        key_file=tls.key_file if tls else None,
+    )
--- a/burdockdrum/emulator/application.py
+++ b/burdockdrum/emulator/application.py
@@ -7,6 +7,7 @@
 from blacksheep.contents import StreamedContent
 from blacksheep.messages import Request
 from blacksheep.messages import Response
+from blacksheep.server.routing import Router
 
 from burdockdrum.emulator.engine import EmulatedEngine
 from burdockdrum.emulator.engine import parse_work
@@ -20,7 +21,7 @@
 
 def build_engine_application(engine: EmulatedEngine) -> Application:
     """Return the ASGI application of an engine."""
-    application = Application(show_error_details=True)
+    application = Application(router=Router(), show_error_details=True)
 
     async def chat(request: Request) -> Response:
         return await _complete(engine, request, chat=True)
@@ -42,7 +43,7 @@
 
 def build_plain_application(service: PlainService) -> Application:
     """Return the ASGI application of a plain service."""
-    application = Application(show_error_details=True)
+    application = Application(router=Router(), show_error_details=True)
 
     async def call(request: Request) -> Response:
         key = _header(request, b"idempotency-key")
--- a/burdockdrum/endpoints/__init__.py
+++ b/burdockdrum/endpoints/__init__.py
@@ -5,8 +5,10 @@
 from burdockdrum.endpoints.announcements import Report
 from burdockdrum.endpoints.registry import Endpoint
 from burdockdrum.endpoints.registry import EndpointRegistry
+from burdockdrum.endpoints.services import add_services
 
 __all__ = [
+    "add_services",
     "Announcement",
     "Endpoint",
     "EndpointRegistry",
--- a/burdockdrum/peers/__init__.py
+++ b/burdockdrum/peers/__init__.py
@@ -6,5 +6,14 @@
 from burdockdrum.peers.peers import CallFailed
 from burdockdrum.peers.peers import Peers
 from burdockdrum.peers.seal import Seal
+from burdockdrum.peers.services import add_services
 
-__all__ = ["CallFailed", "Message", "Peers", "Seal", "Sender", "VmIdentity"]
+__all__ = [
+    "add_services",
+    "CallFailed",
+    "Message",
+    "Peers",
+    "Seal",
+    "Sender",
+    "VmIdentity",
+]
--- /dev/null
+++ b/burdockdrum/peers/services.py
@@ -0,0 +1,39 @@
+"""Name the services of this package."""
+
+import pathlib
+import random
+
+from burdockdrum.kernel import Kernel
+from burdockdrum.metrics import Metrics
+from burdockdrum.peers.identity import VmIdentity
+from burdockdrum.peers.peers import Peers
+from burdockdrum.peers.seal import Seal
+from burdockdrum.ports import Clock
+from burdockdrum.ports import Mailbox
+from burdockdrum.settings import Settings
+from burdockdrum.timeline import Timeline
+
+
+def add_services(kernel: Kernel) -> None:
+    """Name the messages between VMs and their seal."""
+    kernel.add("seal", _build_seal)
+    kernel.add("peers", _build_peers)
+
+
+def _build_seal(kernel: Kernel) -> Seal:
+    cluster = kernel.find("settings", Settings).cluster
+    if cluster.secret_file is not None:
+        return Seal(secret=pathlib.Path(cluster.secret_file).read_bytes())
+    return Seal(secret=(cluster.secret or "").encode())
+
+
+def _build_peers(kernel: Kernel) -> Peers:
+    return Peers(
+        identity=kernel.find("identity", VmIdentity),
+        mailbox=kernel.find("mailbox", Mailbox),
+        clock=kernel.find("clock", Clock),
+        hybrid_clock=kernel.find("timeline", Timeline).clock,
+        rng=kernel.find("random", random.Random),
+        seal=kernel.find("seal", Seal),
+        metrics=kernel.find("metrics", Metrics),
+    )
--- a/burdockdrum/requests/__init__.py
+++ b/burdockdrum/requests/__init__.py
@@ -6,8 +6,10 @@
 from burdockdrum.requests.model import InboundRequest
 from burdockdrum.requests.model import RequestKind
 from burdockdrum.requests.service import RequestService
+from burdockdrum.requests.services import add_services
 
 __all__ = [
+    "add_services",
     "Answer",
     "FORWARD_HEADER",
     "InboundRequest",
--- a/burdockdrum/requests/service.py
+++ b/burdockdrum/requests/service.py
@@ -1,12 +1,12 @@
 """Serve a request: check, choose an endpoint, relay the answer."""
 
 from collections.abc import AsyncIterator
-import random
 
+from burdockdrum.admission import Admission
+from burdockdrum.admission import Permit
 from burdockdrum.configuration import ConfigurationService
-from burdockdrum.endpoints import Endpoint
-from burdockdrum.endpoints import EndpointRegistry
 from burdockdrum.peers import Seal
+from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import AnswerLost
 from burdockdrum.ports import Clock
 from burdockdrum.ports import ConnectFailed
@@ -18,14 +18,18 @@
 from burdockdrum.requests.forwarding import seal_header
 from burdockdrum.requests.model import Answer
 from burdockdrum.requests.model import InboundRequest
+from burdockdrum.routing import Attempt
+from burdockdrum.routing import AttemptOutcome
+from burdockdrum.routing import Demand
+from burdockdrum.routing import Nowhere
+from burdockdrum.routing import Router
+from burdockdrum.routing import ToDataCentre
+from burdockdrum.routing import ToEndpoint
 from burdockdrum.timeline import Timeline
 from burdockdrum.verdicts import Refusal
 from burdockdrum.verdicts import RefusalCode
 from burdockdrum.verdicts import Verdict
 from burdockdrum.vms import VmDirectory
-from burdockdrum.vms import VmView
-
-MAX_HOPS = 2
 
 
 class RequestService:
@@ -35,23 +39,23 @@
         self,
         *,
         clock: Clock,
-        rng: random.Random,
         http: HttpClient,
         seal: Seal,
         timeline: Timeline,
         configuration: ConfigurationService,
-        endpoints: EndpointRegistry,
         vms: VmDirectory,
+        admission: Admission,
+        router: Router,
     ) -> None:
         """Create the service."""
         self._clock = clock
-        self._rng = rng
         self._http = http
         self._seal = seal
         self._timeline = timeline
         self._configuration = configuration
-        self._endpoints = endpoints
         self._vms = vms
+        self._admission = admission
+        self._router = router
 
     async def handle(self, request: InboundRequest) -> Answer:
         """Serve a request.
@@ -63,22 +67,29 @@
             request_id=request.request_id,
             service=request.service,
         )
-        regions = self._allowed_regions(request)
-        if self._vms.identity.region in regions:
-            candidates = self._endpoints.candidates(request.service)
-            if candidates:
-                endpoint = self._rng.choice(candidates)
-                return await self._attempt(request, endpoint)
-        for view in self._remote_entries(request, regions):
-            return await self._forward(request, view)
-        raise Refusal(
-            code=RefusalCode.NO_ENDPOINT,
-            message=(
-                f"no live endpoint of {request.service!r} in the regions "
-                f"that the client's residency allows: {sorted(regions)}"
-            ),
-            verdict=Verdict.NOT_RUN,
-            retry_after=1.0,
+        demand = self._make_demand(request)
+        permit = await self._admission.admit(request.client_id, demand)
+        match self._router.choose(demand):
+            case ToEndpoint(endpoint=endpoint):
+                attempt = self._router.begin(endpoint, demand)
+                return await self._attempt(request, attempt, permit)
+            case ToDataCentre(entries=entries):
+                return await self._forward(request, entries[0], permit)
+            case Nowhere() as nowhere:
+                permit.release(completed=False)
+                raise _refuse(nowhere)
+
+    def _make_demand(self, request: InboundRequest) -> Demand:
+        return Demand(
+            service=request.service,
+            regions=frozenset(self._allowed_regions(request)),
+            deadline=request.deadline,
+            adapter=request.adapter,
+            prompt_tokens=request.prompt_tokens,
+            max_tokens=request.max_tokens,
+            prefix_hashes=request.prefix_hashes,
+            repeatable=not request.unrepeatable,
+            hops=request.hops,
         )
 
     def _allowed_regions(self, request: InboundRequest) -> set[str]:
@@ -99,36 +110,26 @@
             )
         return set(client.residency) & set(service.regions)
 
-    def _remote_entries(
-        self, request: InboundRequest, regions: set[str]
-    ) -> list[VmView]:
-        if len(request.hops) >= MAX_HOPS:
-            return []
-        return [
-            view
-            for view in self._vms.live_vms()[1:]
-            if view.identity.region in regions
-            and view.identity.data_centre not in request.hops
-            and view.identity.data_centre != self._vms.identity.data_centre
-            and not view.draining
-            and any(s.service == request.service for s in view.services)
-        ]
-
     async def _attempt(
-        self, request: InboundRequest, endpoint: Endpoint
+        self, request: InboundRequest, attempt: Attempt, permit: Permit
     ) -> Answer:
+        headers = {
+            "content-type": request.content_type,
+            "x-request-id": request.request_id,
+        }
+        if request.idempotency_key is not None:
+            headers["idempotency-key"] = request.idempotency_key
         call = UpstreamCall(
             method=request.method,
-            url=endpoint.url + request.path,
-            headers={
-                "content-type": request.content_type,
-                "x-request-id": request.request_id,
-            },
+            url=attempt.endpoint.url + request.path,
+            headers=headers,
             body=request.body,
         )
-        return await self._open(request, call)
+        return await self._open(request, call, permit, attempt)
 
-    async def _forward(self, request: InboundRequest, view: VmView) -> Answer:
+    async def _forward(
+        self, request: InboundRequest, entry: VmIdentity, permit: Permit
+    ) -> Answer:
         header = ForwardHeader.from_request(
             request,
             data_centre=self._vms.identity.data_centre,
@@ -136,7 +137,7 @@
         )
         call = UpstreamCall(
             method="POST",
-            url=view.identity.http_address + "/v1/forward",
+            url=entry.http_address + "/v1/forward",
             headers={
                 "content-type": request.content_type,
                 FORWARD_HEADER: seal_header(self._seal, header, request.body),
@@ -144,18 +145,22 @@
             body=request.body,
         )
         self._timeline.record(
-            "request.forwarded",
-            request_id=request.request_id,
-            to=view.identity.vm_id,
+            "request.forwarded", request_id=request.request_id, to=entry.vm_id
         )
-        return await self._open(request, call)
+        return await self._open(request, call, permit, None)
 
     async def _open(
-        self, request: InboundRequest, call: UpstreamCall
+        self,
+        request: InboundRequest,
+        call: UpstreamCall,
+        permit: Permit,
+        attempt: Attempt | None,
     ) -> Answer:
         try:
             upstream = await self._http.open(call)
         except ConnectFailed as error:
+            _finish(attempt, AttemptOutcome.UNREACHABLE)
+            permit.release(completed=False)
             raise Refusal(
                 code=RefusalCode.NO_ENDPOINT,
                 message=f"could not connect: {error}",
@@ -163,6 +168,8 @@
                 retry_after=1.0,
             ) from error
         except AnswerLost as error:
+            _finish(attempt, AttemptOutcome.FAILED)
+            permit.release(completed=False)
             raise Refusal(
                 code=RefusalCode.ENDPOINT_LOST,
                 message=f"no answer came: {error}",
@@ -171,17 +178,49 @@
         return Answer(
             status=upstream.status,
             content_type=upstream.headers.get("content-type", ""),
-            body=self._relay(request, upstream),
+            body=self._relay(request, upstream, permit, attempt),
         )
 
     async def _relay(
-        self, request: InboundRequest, upstream: UpstreamAnswer
+        self,
+        request: InboundRequest,
+        upstream: UpstreamAnswer,
+        permit: Permit,
+        attempt: Attempt | None,
     ) -> AsyncIterator[bytes]:
+        outcome = AttemptOutcome.FAILED
         try:
             async for chunk in upstream.chunks():
+                if attempt is not None:
+                    attempt.note_first_token()
                 yield chunk
+            outcome = AttemptOutcome.COMPLETED
             self._timeline.record(
                 "request.answered", request_id=request.request_id
             )
         finally:
+            completed = outcome is AttemptOutcome.COMPLETED
+            _finish(attempt, outcome)
+            permit.release(completed=completed)
             await upstream.close()
+
+
+def _finish(attempt: Attempt | None, outcome: AttemptOutcome) -> None:
+    if attempt is not None:
+        attempt.finish(outcome)
+
+
+def _refuse(nowhere: Nowhere) -> Refusal:
+    code = RefusalCode.OVERLOADED
+    if nowhere.loop:
+        code = RefusalCode.LOOP
+    elif nowhere.no_endpoint:
+        code = RefusalCode.NO_ENDPOINT
+    elif nowhere.missed_deadline:
+        code = RefusalCode.DEADLINE
+    return Refusal(
+        code=code,
+        message=nowhere.message,
+        verdict=Verdict.NOT_RUN,
+        retry_after=nowhere.retry_after,
+    )
--- /dev/null
+++ b/burdockdrum/routing/__init__.py
@@ -0,0 +1,23 @@
+"""Where a request goes: an endpoint here, or another data centre."""
+
+from burdockdrum.routing.model import AttemptOutcome
+from burdockdrum.routing.model import Choice
+from burdockdrum.routing.model import Demand
+from burdockdrum.routing.model import Nowhere
+from burdockdrum.routing.model import ToDataCentre
+from burdockdrum.routing.model import ToEndpoint
+from burdockdrum.routing.router import Attempt
+from burdockdrum.routing.router import Router
+from burdockdrum.routing.services import add_services
+
+__all__ = [
+    "add_services",
+    "Attempt",
+    "AttemptOutcome",
+    "Choice",
+    "Demand",
+    "Nowhere",
+    "Router",
+    "ToDataCentre",
+    "ToEndpoint",
+]
--- a/burdockdrum/testing/__init__.py
+++ b/burdockdrum/testing/__init__.py
@@ -3,6 +3,7 @@
 They are part of the package because an embedder's tests need them too.
 """
 
+from burdockdrum.testing.asgi import serve_asgi
 from burdockdrum.testing.disk import FakeDisk
 from burdockdrum.testing.http import FakeAnswer
 from burdockdrum.testing.http import FakeHttpClient
@@ -24,5 +25,6 @@
     "LinkState",
     "NothingScheduled",
     "run_virtual",
+    "serve_asgi",
     "VirtualClock",
 ]
--- /dev/null
+++ b/burdockdrum/testing/vms.py
@@ -0,0 +1,89 @@
+"""Whole VMs in one process, over the fakes.
+
+A ``FakeCluster`` starts the very services that the daemon runs, with its
+ports replaced, so that a test can cut, crash and restart VMs under virtual
+time. It holds no behaviour of its own.
+"""
+
+import asyncio
+import random
+
+from blacksheep import Application
+
+from burdockdrum.daemon import assemble
+from burdockdrum.kernel import Kernel
+from burdockdrum.peers import VmIdentity
+from burdockdrum.settings import Settings
+from burdockdrum.testing.asgi import serve_asgi
+from burdockdrum.testing.http import FakeHttpClient
+from burdockdrum.testing.http import FakeWeb
+from burdockdrum.testing.network import FakeNetwork
+from burdockdrum.testing.virtual_time import VirtualClock
+
+
+class FakeVm:
+    """One VM that was started; ``stop`` is a crash."""
+
+    def __init__(self, *, identity: VmIdentity, kernel: Kernel) -> None:
+        """Take over a kernel whose services are named."""
+        self.identity = identity
+        self.kernel = kernel
+        self.task: asyncio.Task[None] | None = None
+
+
+class FakeCluster:
+    """VMs by id over one network and one web."""
+
+    def __init__(self, *, seed: int) -> None:
+        """Create a cluster without VMs."""
+        self.rng = random.Random(seed)
+        self.network = FakeNetwork(rng=random.Random(seed + 1))
+        self.web = FakeWeb(network=self.network)
+        self.vms_by_id: dict[str, FakeVm] = {}
+        self._incarnation = 0
+
+    async def start_vm(self, settings: Settings) -> FakeVm:
+        """Start a VM, or start it again after a crash."""
+        vm_id = settings.vm.id
+        self._incarnation += 1
+        mailbox = await self.network.host(vm_id).open(settings.listen.control)
+        identity = VmIdentity(
+            vm_id=vm_id,
+            incarnation=self._incarnation,
+            region=settings.vm.region,
+            data_centre=settings.vm.data_centre,
+            control_address=mailbox.address,
+            http_address=settings.listen.http,
+        )
+        kernel = assemble(
+            settings=settings,
+            identity=identity,
+            mailbox=mailbox,
+            clock=VirtualClock(),
+            http=FakeHttpClient(web=self.web, host=vm_id),
+            rng=random.Random(self.rng.random()),
+        )
+        vm = FakeVm(identity=identity, kernel=kernel)
+        application = kernel.find("application", Application)
+        await application.start()
+        self.web.serve(settings.listen.http, vm_id, serve_asgi(application))
+        vm.task = asyncio.create_task(kernel.run())
+        self.vms_by_id[vm_id] = vm
+        return vm
+
+    async def crash_vm(self, vm_id: str) -> None:
+        """Stop a VM at once; what it held in memory is lost."""
+        vm = self.vms_by_id.pop(vm_id)
+        self.web.stop(vm.identity.http_address)
+        assert vm.task is not None
+        vm.task.cancel()
+        await asyncio.gather(vm.task, return_exceptions=True)
+
+    async def stop(self) -> None:
+        """Stop every VM."""
+        for vm_id in list(self.vms_by_id):
+            await self.crash_vm(vm_id)
+
+    def client(self, host: str) -> FakeHttpClient:
+        """Return the HTTP port of a caller or an endpoint."""
+        return FakeHttpClient(web=self.web, host=host)
--- a/burdockdrum/vms/__init__.py
+++ b/burdockdrum/vms/__init__.py
@@ -8,8 +8,10 @@
 from burdockdrum.vms.selection import EntryList
 from burdockdrum.vms.selection import select_entries
 from burdockdrum.vms.selection import VALID_SECONDS
+from burdockdrum.vms.services import add_services
 
 __all__ = [
+    "add_services",
     "EntryChoice",
     "EntryList",
     "Hello",
--- a/burdockdrum/vms/directory.py
+++ b/burdockdrum/vms/directory.py
@@ -74,6 +74,14 @@
             if view.identity.data_centre == data_centre
         ]
 
+    def relay_of(self, data_centre: str) -> VmView | None:
+        """Return the VM that passes messages on for a data centre.
+
+        Every VM that sees the same live VMs names the same one.
+        """
+        views = [v for v in self.vms_in(data_centre) if not v.draining]
+        return min(views, key=lambda v: v.identity.vm_id, default=None)
+
     async def run(self) -> None:
         """Say hello to every known VM until cancelled."""
         while True:
--- a/burdockdrum/web/__init__.py
+++ b/burdockdrum/web/__init__.py
@@ -8,8 +8,10 @@
 from burdockdrum.web.peer_face import PeerFace
 from burdockdrum.web.server import bind
 from burdockdrum.web.server import WebServer
+from burdockdrum.web.services import add_services
 
 __all__ = [
+    "add_services",
     "Authenticator",
     "bind",
     "build_application",
--- a/burdockdrum/web/application.py
+++ b/burdockdrum/web/application.py
@@ -1,6 +1,7 @@
 """The routes of all faces in one application."""
 
 from blacksheep import Application
+from blacksheep.server.routing import Router
 
 from burdockdrum.web.callers import CallerFace
 from burdockdrum.web.endpoint_face import EndpointFace
@@ -19,8 +20,9 @@
     peers: PeerFace,
 ) -> Application:
     """Return the ASGI application of a daemon."""
-    application = Application(show_error_details=False)
-    router = application.router
+    # A router of its own: by default applications of one process share one.
+    router = Router()
+    application = Application(router=router, show_error_details=False)
     router.add_post("/v1/chat/completions", guard(callers.chat))
     router.add_post("/v1/completions", guard(callers.complete))
     router.add_get("/v1/models", guard(callers.list_models))
--- /dev/null
+++ b/burdockdrum/web/services.py
@@ -0,0 +1,81 @@
+"""Name the services of this package."""
+
+import random
+
+from blacksheep import Application
+
+from burdockdrum.configuration import ConfigurationService
+from burdockdrum.endpoints import EndpointRegistry
+from burdockdrum.kernel import Kernel
+from burdockdrum.metrics import Metrics
+from burdockdrum.peers import Seal
+from burdockdrum.ports import Clock
+from burdockdrum.requests import RequestService
+from burdockdrum.settings import Settings
+from burdockdrum.timeline import Timeline
+from burdockdrum.vms import VmDirectory
+from burdockdrum.web.application import build_application
+from burdockdrum.web.authentication import Authenticator
+from burdockdrum.web.callers import CallerFace
+from burdockdrum.web.endpoint_face import EndpointFace
+from burdockdrum.web.operators import OperatorFace
+from burdockdrum.web.peer_face import PeerFace
+
+
+def add_services(kernel: Kernel) -> None:
+    """Name the ASGI application; what serves it is named elsewhere."""
+    kernel.add("application", _build_application)
+
+
+def _build_application(kernel: Kernel) -> Application:
+    authenticator = Authenticator(
+        settings=kernel.find("settings", Settings),
+        configuration=kernel.find("configuration", ConfigurationService),
+    )
+    return build_application(
+        callers=_build_callers(kernel, authenticator),
+        endpoints=EndpointFace(
+            settings=kernel.find("settings", Settings),
+            authenticator=authenticator,
+            endpoints=kernel.find("endpoints", EndpointRegistry),
+        ),
+        operators=_build_operators(kernel, authenticator),
+        peers=PeerFace(
+            settings=kernel.find("settings", Settings),
+            seal=kernel.find("seal", Seal),
+            clock=kernel.find("clock", Clock),
+            requests=kernel.find("requests", RequestService),
+        ),
+    )
+
+
+def _build_callers(kernel: Kernel, authenticator: Authenticator) -> CallerFace:
+    return CallerFace(
+        settings=kernel.find("settings", Settings),
+        clock=kernel.find("clock", Clock),
+        rng=kernel.find("random", random.Random),
+        authenticator=authenticator,
+        configuration=kernel.find("configuration", ConfigurationService),
+        requests=kernel.find("requests", RequestService),
+        vms=kernel.find("vms", VmDirectory),
+    )
+
+
+def _build_operators(
+    kernel: Kernel, authenticator: Authenticator
+) -> OperatorFace:
+    vms = kernel.find("vms", VmDirectory)
+
+    def begin_drain() -> None:
+        vms.draining = True
+
+    return OperatorFace(
+        settings=kernel.find("settings", Settings),
+        authenticator=authenticator,
+        configuration=kernel.find("configuration", ConfigurationService),
+        endpoints=kernel.find("endpoints", EndpointRegistry),
+        vms=vms,
+        timeline=kernel.find("timeline", Timeline),
+        metrics=kernel.find("metrics", Metrics),
+        begin_drain=begin_drain,
+    )
