Record histories of concurrent runs and check the nine conditions

Three regions in one process under virtual time, the VMs running the daemon's own services: callers, operators, endpoints and a plan of faults, with a checker for each point of what must always hold. The recorder looks only at what callers and endpoints see.

--- /dev/null
+++ b/tests/histories/__init__.py
@@ -0,0 +1,1 @@
+"""Histories of concurrent runs, and checkers of what must always hold."""
--- /dev/null
+++ b/tests/histories/operators.py
@@ -0,0 +1,134 @@
+"""The operator of a history: sets the system up and keeps changing it."""
+
+import asyncio
+import random
+from typing import Any
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from burdockdrum.ports import AnswerLost
+from burdockdrum.ports import ConnectFailed
+from burdockdrum.ports import UpstreamCall
+from burdockdrum.resources import hash_token
+from tests.histories.checkers import HOME_CLIENT_PREFIX
+from tests.histories.events import Accepted
+
+if TYPE_CHECKING:
+    from tests.histories.world import World
+
+HOST = "alfold-operator"
+SET_UP_TRIES = 40
+CHANGES = 10
+TIMEOUT = 8.0
+
+
+class Operator:
+    """Puts resources, and sends a change again when no answer came."""
+
+    def __init__(self, *, world: "World") -> None:
+        """Create an operator."""
+        self._world = world
+
+    async def set_up(self) -> None:
+        """Write the regions, services and clients."""
+        regions = ["dunantul", "alfold", "eszak"]
+        for region in regions:
+            await self._must_put("region", region, {})
+            spec = {"region": region}
+            await self._must_put("data_centre", region, spec)
+        await self._must_put("service", "planner", {"regions": regions})
+        plain = {"type": "plain", "regions": regions}
+        await self._must_put("service", "booking", plain)
+        for index, region in enumerate(regions):
+            other = regions[(index + 1) % len(regions)]
+            home = HOME_CLIENT_PREFIX + region
+            await self._put_client(home, region, [region, other])
+            await self._put_client(f"bound-{region}", region, [region])
+
+    async def keep_changing(self) -> None:
+        """Change priority classes now and then, at any VM."""
+        rng = random.Random(self._world.rng.random())
+        for number in range(CHANGES):
+            await asyncio.sleep(
+                rng.uniform(0, 2 * self._world.seconds / CHANGES)
+            )
+            name = f"class-{rng.randrange(3)}"
+            spec = {"rank": number, "worth": float(number)}
+            await self._change(rng, name, spec, f"change-{number}")
+
+    async def _change(
+        self, rng: random.Random, name: str, spec: dict, change_id: str
+    ) -> None:
+        version = 0
+        for _ in range(6):
+            body = {
+                "spec": spec,
+                "resource_version": version,
+                "change_id": f"{change_id}-{version}",
+            }
+            entry = rng.choice(self._world.vm_ids)
+            reply = await self._call(
+                entry, "PUT", f"priority_class/{name}", body
+            )
+            if reply is None or reply[0] >= 500:
+                await asyncio.sleep(0.5)
+                continue
+            status, fields = reply
+            if status == 409:
+                version = (fields.get("current") or {}).get("version", 0)
+                continue
+            if status == 200:
+                value = msgspec.json.encode(fields["current"]["spec"])
+                self._world.history.accepted.append(
+                    Accepted(
+                        time=self._world.now(),
+                        revision=fields["current"]["version"],
+                        kind="priority_class",
+                        name=name,
+                        value=value.decode(),
+                    )
+                )
+            return
+
+    async def _put_client(
+        self, name: str, home: str, residency: list[str]
+    ) -> None:
+        spec = {
+            "home_region": home,
+            "residency": residency,
+            "token_hashes": [hash_token(name)],
+        }
+        await self._must_put("client", name, spec)
+        residencies = self._world.history.residency_by_client
+        residencies[name] = frozenset(residency)
+
+    async def _must_put(self, kind: str, name: str, spec: dict) -> None:
+        body = {"spec": spec, "change_id": f"set-up-{kind}-{name}"}
+        for attempt in range(SET_UP_TRIES):
+            entry = self._world.vm_ids[attempt % 6]
+            reply = await self._call(entry, "PUT", f"{kind}/{name}", body)
+            if reply is not None and reply[0] == 200:
+                return
+            await asyncio.sleep(0.5)
+        raise AssertionError(f"{kind} {name} was never accepted: {reply}")
+
+    async def _call(
+        self, entry: str, method: str, path: str, body: dict[str, Any]
+    ) -> tuple[int, dict[str, Any]] | None:
+        call = UpstreamCall(
+            method=method,
+            url=f"{self._world.entry_url(entry)}/v1/resources/{path}",
+            headers={
+                "authorization": "Bearer operator",
+                "content-type": "application/json",
+            },
+            body=msgspec.json.encode(body),
+            head_timeout=TIMEOUT,
+        )
+        try:
+            answer = await self._world.cluster.client(HOST).open(call)
+            parts = [part async for part in answer.chunks()]
+        except (ConnectFailed, AnswerLost):
+            return None
+        return answer.status, msgspec.json.decode(b"".join(parts))
