--- a/tests/daemon/test_whole_path.py
+++ b/tests/daemon/test_whole_path.py
@@ -57,18 +57,20 @@
     )
 
 
+def connect(cluster: FakeCluster, token: str) -> GatewayClient:
+    """Return a client that begins at the first VM."""
+    return GatewayClient(
+        seeds=["http://127.0.0.1:2001"],
+        token=token,
+        clock=VirtualClock(),
+        rng=random.Random(3),
+        http=cluster.client("caller"),
+    )
+
+
 class WholePathTest(unittest.TestCase):
     """An operator, an endpoint and a caller, over two VMs of two regions."""
 
-    def connect(self, cluster: FakeCluster, token: str) -> GatewayClient:
-        return GatewayClient(
-            seeds=["http://127.0.0.1:2001"],
-            token=token,
-            clock=VirtualClock(),
-            rng=random.Random(3),
-            http=cluster.client("caller"),
-        )
-
     async def put(self, operator, kind, name, spec):
         body = msgspec.json.encode({"spec": spec})
         path = f"/v1/resources/{kind}/{name}"
@@ -104,7 +106,7 @@
                 read_load=lambda: (engine.running, engine.waiting),
             )
             announcing = asyncio.create_task(announcer.run())
-            operator = self.connect(cluster, "operator")
+            operator = connect(cluster, "operator")
             await asyncio.sleep(5)
             for region in ("north", "south"):
                 await self.put(operator, "region", region, {})
@@ -123,7 +125,7 @@
                 },
             )
             await asyncio.sleep(5)
-            caller = self.connect(cluster, "caller")
+            caller = connect(cluster, "caller")
             messages = [{"role": "user", "content": "hello"}]
             body = msgspec.json.encode(
                 {"model": "planner", "messages": messages, "max_tokens": 5}
--- /dev/null
+++ b/tests/settings/test_settings.py
@@ -0,0 +1,150 @@
+"""Tests of reading and checking settings."""
+
+import pathlib
+import re
+import unittest
+
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
+import msgspec
+
+from burdockdrum.settings import read_settings
+from burdockdrum.settings import Settings
+from burdockdrum.settings import SettingsError
+
+GOOD = """
+[vm]
+id = "d1"
+region = "dunantul"
+data_centre = "dunantul-1"
+[listen]
+control = "tcp://127.0.0.1:7001"
+[cluster]
+secret = "sixteen characters and more"
+[control]
+data_folder = "data"
+[control.members]
+d1 = "tcp://127.0.0.1:7001"
+"""
+REFERENCE = (
+    pathlib.Path(__file__).parents[2] / "docs" / "reference" / "settings.md"
+)
+
+
+def problems_of(text: str) -> list[str]:
+    """Return the problems of a settings text, as an operator reads them."""
+    try:
+        read_settings(text)
+    except SettingsError as error:
+        return [str(problem) for problem in error.problems]
+    return []
+
+
+class SettingsTest(unittest.TestCase):
+    """A mistake in the settings is named with the way to mend it."""
+
+    def test_good_settings_are_read(self):
+        settings = read_settings(GOOD)
+        self.assertEqual("d1", settings.vm.id)
+        self.assertEqual(60.0, settings.limits.default_deadline_seconds)
+
+    def test_misspelt_key_is_named_with_the_nearest(self):
+        text = GOOD.replace("region =", "regoin =")
+        self.assertEqual(
+            ["vm.regoin is not a setting: did you mean 'region'?"],
+            problems_of(text),
+        )
+
+    def test_every_unknown_key_is_named(self):
+        text = GOOD + "[limits]\nbody_byte = 1\n[elephants]\n"
+        found = "\n".join(problems_of(text))
+        self.assertIn("limits.body_byte is not a setting", found)
+        self.assertIn("elephants is not a setting", found)
+
+    def test_wrong_type_is_named(self):
+        text = GOOD + '[limits]\nbody_bytes = "many"\n'
+        [problem] = problems_of(text)
+        self.assertIn("limits.body_bytes", problem)
+        self.assertIn("int", problem)
+
+    def test_missing_key_is_named(self):
+        [problem] = problems_of(GOOD.replace('id = "d1"', ""))
+        self.assertIn("id", problem)
+
+    def test_broken_toml_is_named(self):
+        [problem] = problems_of("[vm\n")
+        self.assertIn("not TOML", problem)
+
+    def test_contradictions_are_all_named(self):
+        text = GOOD.replace('data_folder = "data"', "")
+        text = text.replace("127.0.0.1:7001", "localhost:7001", 1)
+        found = "\n".join(problems_of(text))
+        self.assertIn("control.data_folder is missing", found)
+        self.assertIn("listen.control is 'tcp://localhost:7001'", found)
+        self.assertIn("with an IP number, not a name", found)
+
+    def test_even_number_of_control_vms_is_refused(self):
+        text = GOOD + 'd2 = "tcp://127.0.0.1:7002"\n'
+        [problem] = problems_of(text)
+        self.assertIn("name 1, 3 or 5 VMs", problem)
+
+    def test_plain_token_in_place_of_a_hash_is_refused(self):
+        text = GOOD + '[operators]\ntoken_hashes = ["hunter2"]\n'
+        [problem] = problems_of(text)
+        self.assertIn("operators.token_hashes[0]", problem)
+        self.assertIn("burdockdrum hash-token", problem)
+
+    @hypothesis_settings(derandomize=True, database=None, max_examples=150)
+    @given(strategies.text(max_size=200))
+    def test_any_text_is_read_or_refused_clearly(self, text):
+        found = problems_of(text)
+        self.assertTrue(found)
+
+    @hypothesis_settings(derandomize=True, database=None, max_examples=100)
+    @given(
+        strategies.sampled_from(GOOD.split("\n")),
+        strategies.text(
+            alphabet=strategies.characters(blacklist_characters="\n"),
+            max_size=20,
+        ),
+    )
+    def test_one_changed_line_never_breaks_the_reader(self, line, other):
+        problems_of(GOOD.replace(line, other, 1))
+
+
+class ReferenceTest(unittest.TestCase):
+    """The reference page lists every setting with its default."""
+
+    def test_every_setting_is_described_with_its_default(self):
+        page = REFERENCE.read_text()
+        for path, default in list_settings(Settings, ""):
+            row = re.search(rf"^\| `{re.escape(path)}` \|.*$", page, re.M)
+            self.assertIsNotNone(row, f"{path} is not described")
+            self.assertIn(f"| {default} |", row.group(0), path)
+
+
+def list_settings(section: type, path: str) -> list[tuple[str, str]]:
+    """List every setting below a section with its default as shown."""
+    found = []
+    for field in msgspec.structs.fields(section):
+        options = getattr(field.type, "__args__", (field.type,))
+        inner = [
+            option
+            for option in options
+            if isinstance(option, type) and issubclass(option, msgspec.Struct)
+        ]
+        if inner:
+            found += list_settings(inner[0], f"{path}{field.name}.")
+        else:
+            found.append((path + field.name, show_default(field)))
+    return found
+
+
+def show_default(field: msgspec.structs.FieldInfo) -> str:
+    """Show a default as the reference page does."""
+    if field.default is msgspec.NODEFAULT:
+        if field.default_factory is msgspec.NODEFAULT:
+            return "required"
+        return f"`{msgspec.json.encode(field.default_factory()).decode()}`"
+    return f"`{msgspec.json.encode(field.default).decode()}`"
