--- a/burdockdrum/daemon/daemon.py
+++ b/burdockdrum/daemon/daemon.py
@@ -15,6 +15,7 @@
 from burdockdrum.peers import VmIdentity
 from burdockdrum.settings import Settings
 from burdockdrum.system_ports import limit_threads
+from burdockdrum.system_ports import make_trust
 from burdockdrum.system_ports import PooledHttpClient
 from burdockdrum.system_ports import PynngNetwork
 from burdockdrum.system_ports import SystemClock
@@ -67,6 +68,8 @@
             control_address=mailbox.address,
             http_address=f"{parts.scheme}://{host}:{port}",
         )
+        tls = settings.listen.tls
+        trust_file = tls.trust_file if tls is not None else None
         logger.info(
             "{} serves callers on {} and peers on {}",
             identity.vm_id,
@@ -78,7 +81,7 @@
             identity=identity,
             mailbox=mailbox,
             clock=SystemClock(),
-            http=PooledHttpClient(),
+            http=PooledHttpClient(ssl_context=make_trust(trust_file)),
             rng=random.Random(),
         )
         kernel.add("web", lambda kernel: _build_web(kernel, listener))
--- /dev/null
+++ b/tests/daemon/test_tls.py
@@ -0,0 +1,68 @@
+"""A listener with TLS, over a real socket."""
+
+import asyncio
+import logging
+import pathlib
+import ssl
+import unittest
+
+from blacksheep import Application
+from blacksheep.contents import Content
+from blacksheep.messages import Request
+from blacksheep.messages import Response
+from blacksheep.server.routing import Router
+
+from burdockdrum.ports import ConnectFailed
+from burdockdrum.ports import UpstreamCall
+from burdockdrum.system_ports import make_trust
+from burdockdrum.system_ports import PooledHttpClient
+from burdockdrum.web import bind
+from burdockdrum.web import WebServer
+
+FOLDER = pathlib.Path(__file__).parent / "tls"
+CERTIFICATE = str(FOLDER / "certificate.pem")
+
+
+async def greet(request: Request) -> Response:
+    return Response(200, None, Content(b"text/plain", b"hello"))
+
+
+class TlsTest(unittest.IsolatedAsyncioTestCase):
+    """A client that trusts the certificate is served, another one not."""
+
+    async def asyncSetUp(self):
+        application = Application(router=Router())
+        application.router.add_get("/", greet)
+        listener = bind("127.0.0.1", 0)
+        self.url = f"https://127.0.0.1:{listener.getsockname()[1]}/"
+        self.web = WebServer(
+            application=application,
+            listener=listener,
+            certificate_file=CERTIFICATE,
+            key_file=str(FOLDER / "key.pem"),
+        )
+        self.serving = asyncio.create_task(self.web.run())
+
+    async def asyncTearDown(self):
+        self.web.stop()
+        await self.serving
+
+    async def call(self, trust: ssl.SSLContext | None):
+        http = PooledHttpClient(ssl_context=trust)
+        call = UpstreamCall(method="GET", url=self.url, connect_timeout=10)
+        answer = await http.open(call)
+        body = b"".join([part async for part in answer.chunks()])
+        await http.close()
+        return answer.status, body
+
+    async def test_trusted_certificate(self):
+        trust = make_trust(CERTIFICATE)
+        self.assertEqual((200, b"hello"), await self.call(trust))
+
+    async def test_untrusted_certificate_means_not_sent(self):
+        # The caller is told that nothing was sent: the handshake fails
+        # before a byte of the request could leave. The server logs it.
+        logging.getLogger("asyncio").setLevel(logging.CRITICAL)
+        self.addCleanup(logging.getLogger("asyncio").setLevel, logging.WARNING)
+        with self.assertRaises(ConnectFailed):
+            await self.call(ssl.create_default_context())
