--- a/tests/histories/checkers.py
+++ b/burdockdrum/testing/histories/checkers.py
@@ -7,11 +7,11 @@
 import collections
 from collections.abc import Callable
 
-from tests.histories.events import Ended
-from tests.histories.events import Ending
-from tests.histories.events import History
-from tests.histories.events import Sent
-from tests.histories.events import Sort
+from burdockdrum.testing.histories.events import Ended
+from burdockdrum.testing.histories.events import Ending
+from burdockdrum.testing.histories.events import History
+from burdockdrum.testing.histories.events import Sent
+from burdockdrum.testing.histories.events import Sort
 
 MAX_FORWARDS = 2
 LEAVE_SECONDS = 4.0
--- a/tests/histories/callers.py
+++ b/tests/histories/callers.py
@@ -11,10 +11,10 @@
 from burdockdrum.ports import ConnectFailed
 from burdockdrum.ports import UpstreamAnswer
 from burdockdrum.ports import UpstreamCall
-from tests.histories.events import Ended
-from tests.histories.events import Ending
-from tests.histories.events import Sent
-from tests.histories.events import Sort
+from burdockdrum.testing.histories import Ended
+from burdockdrum.testing.histories import Ending
+from burdockdrum.testing.histories import Sent
+from burdockdrum.testing.histories import Sort
 
 if TYPE_CHECKING:
     from tests.histories.world import World
--- a/tests/histories/endpoints.py
+++ b/tests/histories/endpoints.py
@@ -18,10 +18,10 @@
 from burdockdrum.testing import FakeAnswer
 from burdockdrum.testing import serve_asgi
 from burdockdrum.testing import VirtualClock
+from burdockdrum.testing.histories import History
+from burdockdrum.testing.histories import Left
+from burdockdrum.testing.histories import Ran
 from burdockdrum.testing.vms import FakeCluster
-from tests.histories.events import History
-from tests.histories.events import Left
-from tests.histories.events import Ran
 
 ENGINES_A_REGION = 2
 SLOTS = 8
--- a/tests/histories/operators.py
+++ b/tests/histories/operators.py
@@ -11,8 +11,8 @@
 from burdockdrum.ports import ConnectFailed
 from burdockdrum.ports import UpstreamCall
 from burdockdrum.resources import hash_token
-from tests.histories.checkers import HOME_CLIENT_PREFIX
-from tests.histories.events import Accepted
+from burdockdrum.testing.histories import Accepted
+from burdockdrum.testing.histories import HOME_CLIENT_PREFIX
 
 if TYPE_CHECKING:
     from tests.histories.world import World
--- a/tests/histories/world.py
+++ b/tests/histories/world.py
@@ -19,12 +19,12 @@
 from burdockdrum.settings import read_settings
 from burdockdrum.settings import Settings
 from burdockdrum.testing import FakeAnswer
+from burdockdrum.testing.histories import Forwarded
+from burdockdrum.testing.histories import History
+from burdockdrum.testing.histories import InForce
 from burdockdrum.testing.vms import FakeCluster
 from tests.histories.callers import Caller
 from tests.histories.endpoints import EndpointFleet
-from tests.histories.events import Forwarded
-from tests.histories.events import History
-from tests.histories.events import InForce
 from tests.histories.faults import Planned
 from tests.histories.injection import Injector
 from tests.histories.operators import HOST as OPERATOR_HOST
