--- /dev/null
+++ b/burdockdrum/histories/__init__.py
@@ -0,0 +1,35 @@
+"""What happened in a run, and checkers of what must always hold."""
+
+from burdockdrum.histories.checkers import check_all
+from burdockdrum.histories.checkers import CHECKERS
+from burdockdrum.histories.checkers import HOME_CLIENT_PREFIX
+from burdockdrum.histories.events import Accepted
+from burdockdrum.histories.events import Drained
+from burdockdrum.histories.events import Ended
+from burdockdrum.histories.events import Ending
+from burdockdrum.histories.events import FaultSpan
+from burdockdrum.histories.events import Forwarded
+from burdockdrum.histories.events import History
+from burdockdrum.histories.events import InForce
+from burdockdrum.histories.events import Left
+from burdockdrum.histories.events import Ran
+from burdockdrum.histories.events import Sent
+from burdockdrum.histories.events import Sort
+
+__all__ = [
+    "Accepted",
+    "check_all",
+    "CHECKERS",
+    "Drained",
+    "Ended",
+    "Ending",
+    "FaultSpan",
+    "Forwarded",
+    "History",
+    "HOME_CLIENT_PREFIX",
+    "InForce",
+    "Left",
+    "Ran",
+    "Sent",
+    "Sort",
+]
--- a/burdockdrum/testing/histories/checkers.py
+++ b/burdockdrum/histories/checkers.py
@@ -7,11 +7,11 @@
 import collections
 from collections.abc import Callable
 
-from burdockdrum.testing.histories.events import Ended
-from burdockdrum.testing.histories.events import Ending
-from burdockdrum.testing.histories.events import History
-from burdockdrum.testing.histories.events import Sent
-from burdockdrum.testing.histories.events import Sort
+from burdockdrum.histories.events import Ended
+from burdockdrum.histories.events import Ending
+from burdockdrum.histories.events import History
+from burdockdrum.histories.events import Sent
+from burdockdrum.histories.events import Sort
 
 MAX_FORWARDS = 2
 LEAVE_SECONDS = 4.0
--- a/tests/histories/callers.py
+++ b/tests/histories/callers.py
@@ -7,14 +7,14 @@
 import msgspec
 
 from burdockdrum.emulator import make_answer
+from burdockdrum.histories import Ended
+from burdockdrum.histories import Ending
+from burdockdrum.histories import Sent
+from burdockdrum.histories import Sort
 from burdockdrum.ports import AnswerLost
 from burdockdrum.ports import ConnectFailed
 from burdockdrum.ports import UpstreamAnswer
 from burdockdrum.ports import UpstreamCall
-from burdockdrum.testing.histories import Ended
-from burdockdrum.testing.histories import Ending
-from burdockdrum.testing.histories import Sent
-from burdockdrum.testing.histories import Sort
 
 if TYPE_CHECKING:
     from tests.histories.world import World
--- a/tests/histories/endpoints.py
+++ b/tests/histories/endpoints.py
@@ -14,13 +14,13 @@
 from burdockdrum.emulator import EngineSettings
 from burdockdrum.emulator import PlainService
 from burdockdrum.endpoints import Announcement
+from burdockdrum.histories import History
+from burdockdrum.histories import Left
+from burdockdrum.histories import Ran
 from burdockdrum.ports import UpstreamCall
 from burdockdrum.testing import FakeAnswer
 from burdockdrum.testing import serve_asgi
 from burdockdrum.testing import VirtualClock
-from burdockdrum.testing.histories import History
-from burdockdrum.testing.histories import Left
-from burdockdrum.testing.histories import Ran
 from burdockdrum.testing.vms import FakeCluster
 
 ENGINES_A_REGION = 2
--- a/tests/histories/injection.py
+++ b/tests/histories/injection.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from burdockdrum.testing.histories import FaultSpan
+from burdockdrum.histories import FaultSpan
 from tests.histories.faults import CrashEndpoint
 from tests.histories.faults import CrashVm
 from tests.histories.faults import CutOneWay
--- a/tests/histories/operators.py
+++ b/tests/histories/operators.py
@@ -7,12 +7,12 @@
 
 import msgspec
 
+from burdockdrum.histories import Accepted
+from burdockdrum.histories import HOME_CLIENT_PREFIX
 from burdockdrum.ports import AnswerLost
 from burdockdrum.ports import ConnectFailed
 from burdockdrum.ports import UpstreamCall
 from burdockdrum.resources import hash_token
-from burdockdrum.testing.histories import Accepted
-from burdockdrum.testing.histories import HOME_CLIENT_PREFIX
 
 if TYPE_CHECKING:
     from tests.histories.world import World
--- a/tests/histories/world.py
+++ b/tests/histories/world.py
@@ -11,6 +11,9 @@
 import msgspec
 
 from burdockdrum.configuration import ConfigurationService
+from burdockdrum.histories import Forwarded
+from burdockdrum.histories import History
+from burdockdrum.histories import InForce
 from burdockdrum.peers import Seal
 from burdockdrum.ports import UpstreamCall
 from burdockdrum.requests import FORWARD_HEADER
@@ -19,9 +22,6 @@
 from burdockdrum.settings import read_settings
 from burdockdrum.settings import Settings
 from burdockdrum.testing import FakeAnswer
-from burdockdrum.testing.histories import Forwarded
-from burdockdrum.testing.histories import History
-from burdockdrum.testing.histories import InForce
 from burdockdrum.testing.vms import FakeCluster
 from tests.histories.callers import Caller
 from tests.histories.endpoints import EndpointFleet
