--- a/burdockdrum/histories/__init__.py
+++ b/burdockdrum/histories/__init__.py
@@ -1,5 +1,6 @@
 """What happened in a run, and checkers of what must always hold."""
 
+from burdockdrum.histories.caller import RecordingCaller
 from burdockdrum.histories.checkers import check_all
 from burdockdrum.histories.checkers import CHECKERS
 from burdockdrum.histories.checkers import HOME_CLIENT_PREFIX
@@ -30,6 +31,7 @@
     "InForce",
     "Left",
     "Ran",
+    "RecordingCaller",
     "Sent",
     "Sort",
 ]
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -51,7 +51,7 @@
         self._folder = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self._folder.name)
         self.operator_token = secrets.token_urlsafe(24)
-        self._endpoint_token = secrets.token_urlsafe(24)
+        self.endpoint_token = secrets.token_urlsafe(24)
         self._secret = secrets.token_urlsafe(24)
         self._control_ports = {plan.vm_id: free_port() for plan in vms}
         self._http_ports = {plan.vm_id: free_port() for plan in vms}
@@ -67,6 +67,17 @@
         """Return the URLs of the entry VMs."""
         return [self.url(plan.vm_id) for plan in self._vms]
 
+    @property
+    def entry_urls_by_vm_id(self) -> dict[str, str]:
+        """Return the URL of each entry VM."""
+        return {plan.vm_id: self.url(plan.vm_id) for plan in self._vms}
+
+    def entry_urls_in(self, region: str) -> list[str]:
+        """Return the URLs of the entry VMs of a region."""
+        return [
+            self.url(plan.vm_id) for plan in self._vms if plan.region == region
+        ]
+
     def url(self, vm_id: str) -> str:
         """Return the URL of one entry VM."""
         return f"http://127.0.0.1:{self._http_ports[vm_id]}"
@@ -122,16 +133,14 @@
             )
 
     async def _start_endpoint(self, plan: EndpointPlan) -> None:
-        entries = [
-            self.url(vm.vm_id) for vm in self._vms if vm.region == plan.region
-        ]
+        entries = self.entry_urls_in(plan.region)
         arguments = [
             "burdockdrum.emulator",
             "plain" if plan.plain else "engine",
             plan.service,
             plan.endpoint_id,
             ",".join(entries),
-            self._endpoint_token,
+            self.endpoint_token,
             f"--slots={plan.slots}",
         ]
         if not plan.plain:
@@ -173,7 +182,7 @@
 token_hashes = ["{hash_token(self.operator_token)}"]
 
 [endpoints]
-token_hashes = ["{hash_token(self._endpoint_token)}"]
+token_hashes = ["{hash_token(self.endpoint_token)}"]
 """
 
     def _control_address(self, vm_id: str) -> str:
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -1,6 +1,6 @@
 """Run two regions on this machine, send requests, print what happened.
 
-Usage: python -m scripts.demo [--seconds S]
+Usage: python -m scripts.demo
 
 Starts three entry VMs in two regions and four stand-ins for endpoints as
 separate processes over loopback, lets an operator write resources, sends
--- /dev/null
+++ b/tests/fuzzing/__init__.py
@@ -0,0 +1,1 @@
+"""What comes from outside, drawn by hypothesis."""
