--- /dev/null
+++ b/burdockdrum/consensus/following.py
@@ -0,0 +1,195 @@
+"""Take entries and snapshots from the leader."""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from burdockdrum.consensus.applier import Applier
+from burdockdrum.consensus.founding import Founding
+from burdockdrum.consensus.messages import AppendReply
+from burdockdrum.consensus.messages import AppendRequest
+from burdockdrum.consensus.messages import MemberMessage
+from burdockdrum.consensus.messages import RollbackNotice
+from burdockdrum.consensus.messages import SnapshotReply
+from burdockdrum.consensus.messages import SnapshotRequest
+from burdockdrum.consensus.records import Entry
+from burdockdrum.consensus.replica import Replica
+from burdockdrum.consensus.snapshot import digest_of
+from burdockdrum.consensus.snapshot import Snapshot
+from burdockdrum.peers import Message
+from burdockdrum.peers import Peers
+from burdockdrum.peers import Sender
+
+
+@dataclass(kw_only=True)
+class PartialSnapshot:
+    """The parts of a snapshot that have come so far."""
+
+    digest: bytes
+    data: bytearray = field(default_factory=bytearray)
+
+
+class Following:
+    """This member's side of the leader's replication."""
+
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        applier: Applier,
+        founding: Founding,
+        peers: Peers,
+    ) -> None:
+        """Answer a leader from now on."""
+        self._replica = replica
+        self._applier = applier
+        self._founding = founding
+        self._partial: PartialSnapshot | None = None
+        peers.register(AppendRequest, self._on_append)
+        peers.register(SnapshotRequest, self._on_snapshot)
+        peers.register(RollbackNotice, self._on_rollback)
+
+    async def _on_append(
+        self, sender: Sender, message: AppendRequest
+    ) -> Message | None:
+        replica = self._replica
+        storage = replica.storage
+        if not await self._accept_leader(message):
+            return None
+        if message.term < storage.term:
+            return self._refuse(0)
+        replica.follow(message.term, message.sender_id)
+        if not self._holds_previous(message):
+            retry_index = self._find_retry_index(message)
+            await storage.sync()
+            return self._refuse(retry_index)
+        match_index = message.previous_index + len(message.entries)
+        for entry in message.entries:
+            self._place(entry)
+        # The answer counts towards the quorum, so it waits for the sync.
+        await storage.sync()
+        if storage.term != message.term:
+            return self._refuse(0)
+        replica.commit(min(message.commit_index, match_index))
+        return AppendReply(
+            term=storage.term,
+            accepted=True,
+            disk_id=replica.disk_id,
+            last_index=storage.last_index,
+            match_index=match_index,
+        )
+
+    async def _on_snapshot(
+        self, sender: Sender, message: SnapshotRequest
+    ) -> Message | None:
+        replica = self._replica
+        if not await self._accept_leader(message):
+            return None
+        if message.term >= replica.storage.term:
+            replica.follow(message.term, message.sender_id)
+            if await self._take_part(message):
+                return self._snapshot_reply(message.size, done=True)
+        await replica.storage.sync()
+        held = len(self._partial.data) if self._partial else 0
+        return self._snapshot_reply(held, done=False)
+
+    async def _on_rollback(
+        self, sender: Sender, message: RollbackNotice
+    ) -> Message | None:
+        if await self._accept_leader(message):
+            self._replica.halt(
+                f"this disk ends at entry {message.found_index}, but entry "
+                f"{message.acknowledged_index} was acknowledged from it: it "
+                "holds an older image. Remove this member, empty the data "
+                "folder and add it again."
+            )
+        return None
+
+    async def _accept_leader(self, message: MemberMessage) -> bool:
+        replica = self._replica
+        if message.target_disk_id != replica.disk_id:
+            return False
+        if not self._founding.may_join(message.cluster_id):
+            return False
+        if not replica.identity.current.formed:
+            await self._founding.join(message.cluster_id)
+        return replica.takes_part
+
+    def _holds_previous(self, message: AppendRequest) -> bool:
+        # What is committed here is the same in every later leader's log.
+        if message.previous_index <= self._replica.commit_index:
+            return True
+        term = self._replica.storage.term_at(message.previous_index)
+        return term == message.previous_term
+
+    def _place(self, entry: Entry) -> None:
+        """Add an entry unless it is held already.
+
+        An older request that arrives late must not cut off what came after.
+        """
+        replica = self._replica
+        if entry.index <= replica.commit_index:
+            return
+        if replica.storage.term_at(entry.index) != entry.term:
+            replica.place(entry)
+
+    def _find_retry_index(self, message: AppendRequest) -> int:
+        """Return where the leader should try next.
+
+        All entries of the conflicting term are skipped in one step
+        (section 5.3 of the Raft paper).
+        """
+        storage = self._replica.storage
+        if message.previous_index > storage.last_index:
+            return storage.last_index + 1
+        index = message.previous_index
+        conflicting = storage.term_at(index)
+        first = self._replica.commit_index + 1
+        while index > first and storage.term_at(index - 1) == conflicting:
+            index -= 1
+        return index
+
+    def _refuse(self, retry_index: int) -> AppendReply:
+        storage = self._replica.storage
+        return AppendReply(
+            term=storage.term,
+            accepted=False,
+            disk_id=self._replica.disk_id,
+            last_index=storage.last_index,
+            retry_index=retry_index,
+        )
+
+    async def _take_part(self, message: SnapshotRequest) -> bool:
+        """Add a part.
+
+        :returns: whether the whole snapshot is on the synced disk
+        """
+        if message.index <= self._replica.commit_index:
+            await self._replica.storage.sync()
+            return self._replica.storage.durable_index >= message.index
+        partial = self._partial
+        if partial is None or partial.digest != message.digest:
+            partial = self._partial = PartialSnapshot(digest=message.digest)
+        if message.offset == len(partial.data):
+            partial.data.extend(message.data)
+        if len(partial.data) < message.size:
+            return False
+        self._partial = None
+        data = bytes(partial.data)
+        if digest_of(data) != message.digest:
+            return False
+        await self._applier.install(
+            Snapshot.of(
+                index=message.index,
+                term=message.index_term,
+                configuration=message.configuration,
+                data=data,
+            )
+        )
+        return True
+
+    def _snapshot_reply(self, next_offset: int, *, done: bool) -> Message:
+        return SnapshotReply(
+            term=self._replica.storage.term,
+            next_offset=next_offset,
+            done=done,
+        )
--- /dev/null
+++ b/burdockdrum/consensus/leadership.py
@@ -0,0 +1,329 @@
+"""What a member does while it leads."""
+
+import asyncio
+import math
+
+from burdockdrum.consensus.interface import NotAccepted
+from burdockdrum.consensus.interface import NotCurrent
+from burdockdrum.consensus.interface import Role
+from burdockdrum.consensus.membership import Configuration
+from burdockdrum.consensus.membership import Member
+from burdockdrum.consensus.messages import LeadReply
+from burdockdrum.consensus.messages import LeadRequest
+from burdockdrum.consensus.records import Entry
+from burdockdrum.consensus.records import EntryKind
+from burdockdrum.consensus.replica import Replica
+from burdockdrum.consensus.replication import Replicator
+from burdockdrum.consensus.signals import Signal
+from burdockdrum.consensus.signals import wait_for_any
+from burdockdrum.peers import CallFailed
+from burdockdrum.peers import Peers
+
+
+class Leadership:
+    """The tasks of a leader, its lease and the changes of members."""
+
+    def __init__(self, *, replica: Replica, peers: Peers) -> None:
+        """Create it; ``run`` leads."""
+        self._replica = replica
+        self._peers = peers
+        self._replicators_by_id: dict[str, Replicator] = {}
+        self._tasks_by_id: dict[str, asyncio.Task] = {}
+        self._first_index = 0
+        self._began_at = -math.inf
+        self._progressed = Signal()
+
+    async def run(self) -> None:
+        """Lead until deposed."""
+        replica = self._replica
+        self._replicators_by_id.clear()
+        self._tasks_by_id.clear()
+        self._began_at = replica.clock.monotonic()
+        replica.leader_id = replica.vm_id
+        replica.set_role(Role.LEADER)
+        replica.timeline.record("leader.elected", term=replica.storage.term)
+        # Only an entry of its own term tells a leader what is committed
+        # (section 5.4.2 of the Raft paper), so reads wait for this one.
+        self._first_index = replica.append(EntryKind.NOOP).index
+        async with asyncio.TaskGroup() as group:
+            tasks = [
+                group.create_task(self._advance()),
+                group.create_task(self._watch_own_disk()),
+                group.create_task(self._watch_quorum()),
+            ]
+            self._match_tasks(group)
+            while replica.role is Role.LEADER:
+                self._match_tasks(group)
+                await wait_for_any(replica.send_wanted, replica.role_changed)
+            for task in [*tasks, *self._tasks_by_id.values()]:
+                task.cancel()
+
+    @property
+    def holds_lease(self) -> bool:
+        """Say whether no other member can have been elected."""
+        replica = self._replica
+        if replica.role is not Role.LEADER or replica.transferring:
+            return False
+        ends_at = self.quorum_heard_at + replica.settings.lease_seconds
+        return replica.clock.monotonic() < ends_at
+
+    @property
+    def is_current(self) -> bool:
+        """Say whether this leader also knows all that is committed."""
+        return (
+            self.holds_lease
+            and self._replica.commit_index >= self._first_index
+        )
+
+    @property
+    def quorum_heard_at(self) -> float:
+        """Return when the last request that a quorum answered was sent."""
+        now = self._replica.clock.monotonic()
+        configuration = self._replica.configuration
+        times = [
+            now if self._is_self(member) else self._heard_at(member)
+            for member in configuration.voters
+        ]
+        times.sort(reverse=True)
+        return times[configuration.quorum - 1] if times else -math.inf
+
+    def append_command(self, command: bytes) -> Entry:
+        """Add a command to the log.
+
+        :raises NotAccepted: if this member does not lead, or is about to
+            stop
+        """
+        replica = self._replica
+        if replica.role is not Role.LEADER or replica.transferring:
+            raise NotAccepted(f"{replica.vm_id} does not lead")
+        return replica.append(EntryKind.COMMAND, command)
+
+    async def confirm_read(self) -> int:
+        """Return an index that holds all that was acknowledged so far.
+
+        :raises NotCurrent: if this member was deposed meanwhile
+        """
+        replica = self._replica
+        term = replica.storage.term
+        while replica.commit_index < self._first_index:
+            self._check_leads(term)
+            await self._progressed.wait()
+        self._check_leads(term)
+        index = replica.commit_index
+        if self.holds_lease:
+            return index
+        asked_at = replica.clock.monotonic()
+        for replicator in self._replicators_by_id.values():
+            replicator.wanted_at = asked_at
+        replica.send_wanted.fire()
+        while self.quorum_heard_at < asked_at:
+            await self._progressed.wait()
+            self._check_leads(term)
+        return index
+
+    def change_members(self, configuration: Configuration) -> Entry:
+        """Put a configuration into the log.
+
+        :raises NotAccepted: if this member does not lead, or an earlier
+            change is not committed yet
+        """
+        replica = self._replica
+        if replica.role is not Role.LEADER or replica.transferring:
+            raise NotAccepted(f"{replica.vm_id} does not lead")
+        if not self._may_change_members():
+            raise NotAccepted("an earlier change of members is under way")
+        return replica.append(EntryKind.CONFIGURATION, configuration.encode())
+
+    async def hand_over(self) -> None:
+        """Let the most advanced voter take over, then stop leading.
+
+        Refusing commands from here on is final for the term, since the
+        member steps down also if nobody took over.
+        """
+        replica = self._replica
+        if replica.role is not Role.LEADER:
+            return
+        target = self._best_successor()
+        if target is None:
+            return
+        term = replica.storage.term
+        replica.transferring = True
+        try:
+            await self._bring_up_to_date(target)
+            if self._leads_in(term):
+                await self._ask_to_lead(target.member)
+        finally:
+            if self._leads_in(term):
+                replica.step_down("handed over")
+            # Leaves the successor the time of an election.
+            seconds = replica.settings.election_timeout_seconds
+            replica.election_reset_at = replica.clock.monotonic() + seconds
+
+    async def _bring_up_to_date(self, target: Replicator) -> None:
+        replica = self._replica
+        term = replica.storage.term
+        seconds = replica.settings.election_timeout_seconds
+        deadline = replica.clock.monotonic() + seconds
+        while (
+            self._leads_in(term)
+            and target.match_index < replica.storage.last_index
+            and replica.clock.monotonic() < deadline
+        ):
+            await self._progressed.wait_until(replica.clock, deadline)
+
+    async def _ask_to_lead(self, member: Member) -> None:
+        replica = self._replica
+        request = LeadRequest(
+            cluster_id=replica.identity.current.cluster_id,
+            target_disk_id=member.disk_id,
+            term=replica.storage.term,
+            sender_id=replica.vm_id,
+        )
+        try:
+            await self._peers.call(
+                member.address,
+                request,
+                LeadReply,
+                timeout=replica.settings.call_timeout_seconds,
+            )
+        except CallFailed:
+            pass
+
+    def _best_successor(self) -> Replicator | None:
+        voters = [
+            replicator
+            for replicator in self._replicators_by_id.values()
+            if replicator.member.voter
+        ]
+        return max(voters, key=lambda r: r.match_index, default=None)
+
+    def _leads_in(self, term: int) -> bool:
+        replica = self._replica
+        return replica.role is Role.LEADER and replica.storage.term == term
+
+    def _check_leads(self, term: int) -> None:
+        if not self._leads_in(term):
+            raise NotCurrent("deposed while a read was being confirmed")
+
+    def _match_tasks(self, group: asyncio.TaskGroup) -> None:
+        """Run one task for each other member of the configuration."""
+        replica = self._replica
+        wanted = {
+            member.vm_id: member
+            for member in replica.configuration.members
+            if not self._is_self(member)
+        }
+        for vm_id, replicator in list(self._replicators_by_id.items()):
+            member = wanted.get(vm_id)
+            if member is None or member.disk_id != replicator.member.disk_id:
+                self._tasks_by_id.pop(vm_id).cancel()
+                del self._replicators_by_id[vm_id]
+            else:
+                replicator.member = member
+        for vm_id, member in wanted.items():
+            if vm_id not in self._replicators_by_id:
+                replicator = Replicator(
+                    replica=replica,
+                    peers=self._peers,
+                    member=member,
+                    progressed=self._progressed,
+                )
+                self._replicators_by_id[vm_id] = replicator
+                self._tasks_by_id[vm_id] = group.create_task(replicator.run())
+
+    async def _advance(self) -> None:
+        while True:
+            self._advance_commit()
+            self._promote_learner()
+            await self._progressed.wait()
+
+    async def _watch_own_disk(self) -> None:
+        # The leader's own copy counts only once it is synced, like others'.
+        while True:
+            await self._replica.storage.synced.wait()
+            self._progressed.fire()
+
+    async def _watch_quorum(self) -> None:
+        """Step down when no quorum answered for an election timeout."""
+        replica = self._replica
+        timeout = replica.settings.election_timeout_seconds
+        while True:
+            await replica.clock.sleep(replica.settings.heartbeat_seconds)
+            heard_at = max(self.quorum_heard_at, self._began_at)
+            if replica.clock.monotonic() - heard_at > timeout:
+                replica.step_down("no quorum answers")
+
+    def _advance_commit(self) -> None:
+        replica = self._replica
+        configuration = replica.configuration
+        matches = sorted(
+            (self._match_index(member) for member in configuration.voters),
+            reverse=True,
+        )
+        if not matches or replica.role is not Role.LEADER:
+            return
+        index = matches[configuration.quorum - 1]
+        if replica.storage.term_at(index) == replica.storage.term:
+            replica.commit(index)
+        is_settled = replica.history.latest_index <= replica.commit_index
+        if is_settled and not replica.is_voter:
+            replica.step_down("removed from the members")
+
+    def _promote_learner(self) -> None:
+        """Let a learner count that holds all that is committed.
+
+        Its acknowledgements are of synced entries, so another voter can be
+        lost at once: every quorum of the new configuration still includes a
+        member with each committed entry.
+        """
+        replica = self._replica
+        if replica.role is not Role.LEADER or not self._may_change_members():
+            return
+        for replicator in self._replicators_by_id.values():
+            member = replicator.member
+            caught_up = replicator.match_index >= replica.commit_index
+            if not member.voter and caught_up:
+                promoted = Member(
+                    vm_id=member.vm_id,
+                    address=member.address,
+                    disk_id=member.disk_id,
+                )
+                self.change_members(
+                    replica.configuration.with_member(promoted)
+                )
+                replica.timeline.record("member.promoted", vm=member.vm_id)
+                return
+
+    def _may_change_members(self) -> bool:
+        # Two changes under way, or one before the first commit of the term,
+        # could give two quorums without a common member.
+        replica = self._replica
+        return (
+            replica.history.latest_index <= replica.commit_index
+            and self._first_index <= replica.commit_index
+            and not replica.transferring
+        )
+
+    def _is_self(self, member: Member) -> bool:
+        replica = self._replica
+        return (
+            member.vm_id == replica.vm_id and member.disk_id == replica.disk_id
+        )
+
+    def _match_index(self, member: Member) -> int:
+        if self._is_self(member):
+            return self._replica.storage.durable_index
+        replicator = self._replicators_by_id.get(member.vm_id)
+        if replicator is None:
+            return 0
+        if replicator.member.disk_id != member.disk_id:
+            return 0
+        return replicator.match_index
+
+    def _heard_at(self, member: Member) -> float:
+        replicator = self._replicators_by_id.get(member.vm_id)
+        if replicator is None:
+            return -math.inf
+        if replicator.member.disk_id != member.disk_id:
+            return -math.inf
+        return replicator.acknowledged_at
--- /dev/null
+++ b/burdockdrum/consensus/log.py
@@ -0,0 +1,317 @@
+"""The service: one member's replicated log.
+
+After Ongaro and Ousterhout, "In Search of an Understandable Consensus
+Algorithm" (2014), and Ongaro's thesis, "Consensus: Bridging Theory and
+Practice" (2014), for pre-vote, leases, single-server membership changes and
+compaction.
+"""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+from burdockdrum.consensus.applier import Applier
+from burdockdrum.consensus.election import Election
+from burdockdrum.consensus.following import Following
+from burdockdrum.consensus.forwarding import Forwarding
+from burdockdrum.consensus.founding import Founding
+from burdockdrum.consensus.identity import IdentityFile
+from burdockdrum.consensus.interface import Applied
+from burdockdrum.consensus.interface import LogSettings
+from burdockdrum.consensus.interface import NotAccepted
+from burdockdrum.consensus.interface import NotCurrent
+from burdockdrum.consensus.interface import OutcomeUnknown
+from burdockdrum.consensus.interface import Role
+from burdockdrum.consensus.interface import StateMachine
+from burdockdrum.consensus.leadership import Leadership
+from burdockdrum.consensus.membership import Configuration
+from burdockdrum.consensus.membership import Member
+from burdockdrum.consensus.records import Entry
+from burdockdrum.consensus.replica import Replica
+from burdockdrum.consensus.snapshot import SnapshotStore
+from burdockdrum.consensus.storage import Storage
+from burdockdrum.consensus.voting import Voting
+from burdockdrum.consensus.witness import Witness
+from burdockdrum.metrics import Metrics
+from burdockdrum.peers import Peers
+from burdockdrum.ports import Clock
+from burdockdrum.ports import Disk
+from burdockdrum.timeline import Timeline
+
+
+class ReplicatedLog:
+    """Commands in one order, kept by a quorum of control VMs."""
+
+    def __init__(
+        self,
+        *,
+        peers: Peers,
+        disk: Disk,
+        clock: Clock,
+        rng: random.Random,
+        timeline: Timeline,
+        metrics: Metrics,
+        state_machine: StateMachine,
+        settings: LogSettings,
+    ) -> None:
+        """Create the service; ``run`` reads the data folder."""
+        self._peers = peers
+        self._disk = disk
+        self._clock = clock
+        self._rng = rng
+        self._timeline = timeline
+        self._metrics = metrics
+        self._state_machine = state_machine
+        self._settings = settings
+        self._listeners: list[Callable[[int], None]] = []
+        self._replica: Replica | None = None
+        self._started = asyncio.Event()
+
+    async def run(self) -> None:
+        """Take part in the cluster until cancelled.
+
+        :raises CorruptLog: if the data folder can't be trusted
+        :raises DiskError: if it can't be read
+        """
+        await self._open()
+        replica = self._replica
+        assert replica is not None
+        self._started.set()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(replica.storage.run())
+            group.create_task(self._watch_disk())
+            group.create_task(self._applier.run())
+            group.create_task(self._applier.run_snapshots())
+            group.create_task(self._founding.run())
+            group.create_task(self._watch_founding())
+            group.create_task(self._witness.run())
+            group.create_task(self._election.run())
+
+    @property
+    def leader_id(self) -> str | None:
+        """Return the VM that is known to lead, if any."""
+        return self._replica.leader_id if self._replica else None
+
+    @property
+    def is_leader(self) -> bool:
+        """Say whether this VM leads, with a valid lease, and is current."""
+        return self._replica is not None and self._leadership.is_current
+
+    @property
+    def term(self) -> int:
+        """Return the term that this VM is in."""
+        return self._replica.storage.term if self._replica else 0
+
+    @property
+    def role(self) -> Role:
+        """Return what this VM does at the moment."""
+        return self._replica.role if self._replica else Role.WAITING
+
+    @property
+    def halt_reason(self) -> str | None:
+        """Return why this VM stepped aside, if it did."""
+        return self._replica.halt_reason if self._replica else None
+
+    @property
+    def commit_index(self) -> int:
+        """Return the index up to which entries are known committed."""
+        return self._replica.commit_index if self._replica else 0
+
+    @property
+    def applied_index(self) -> int:
+        """Return the index up to which entries were applied here."""
+        return self._applier.applied_index if self._replica else 0
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """Return the members by the newest configuration in this log."""
+        return self._replica.configuration.members if self._replica else ()
+
+    @property
+    def disk_id(self) -> str | None:
+        """Return the id of the data folder, to add this VM by."""
+        return self._replica.disk_id if self._replica else None
+
+    @property
+    def last_contact_age(self) -> float | None:
+        """Return the seconds since a leader, or its quorum, was heard of.
+
+        None if that never happened since the start.
+        """
+        replica = self._replica
+        if replica is None:
+            return None
+        if replica.role is Role.LEADER:
+            age = self._clock.monotonic() - self._leadership.quorum_heard_at
+            return age if age < float("inf") else None
+        return replica.contact_age
+
+    def add_listener(self, callback: Callable[[int], None]) -> None:
+        """Call back after each applied index, or a snapshot's last one."""
+        self._listeners.append(callback)
+
+    async def propose(self, command: bytes, *, timeout: float) -> Applied:
+        """Have a command applied, through the leader.
+
+        A command may be applied twice if messages are doubled: the state
+        machine tells by the change id.
+
+        :param timeout: seconds to wait
+        :raises NotAccepted: if it was not applied and never will be
+        :raises OutcomeUnknown: if it may have been or may yet be
+        """
+        if len(command) > self._settings.max_command_bytes:
+            raise NotAccepted(
+                f"a command has at most {self._settings.max_command_bytes} "
+                f"bytes, this one has {len(command)}"
+            )
+        if self._replica is None:
+            raise NotAccepted("the log is not open yet")
+        return await self._forwarding.propose(command, timeout)
+
+    async def read_barrier(self, *, timeout: float) -> int:
+        """Wait until all that was acknowledged before is applied here.
+
+        :param timeout: seconds to wait
+        :returns: the index that a read from here on includes
+        :raises NotCurrent: if no leader with a quorum confirmed it in time
+        """
+        if self._replica is None:
+            raise NotCurrent("the log is not open yet")
+        return await self._forwarding.read_barrier(timeout)
+
+    async def add_member(
+        self, vm_id: str, address: str, disk_id: str, *, timeout: float = 10.0
+    ) -> None:
+        """Add a VM as a learner; it counts once it holds the log.
+
+        Only on the leader. A VM that came back with another disk has to be
+        removed first, so that the two never count at once.
+
+        :raises NotAccepted: if nothing was changed
+        :raises OutcomeUnknown: if the change may yet come into effect
+        """
+        configuration = self._configuration_to_change()
+        known = configuration.find(vm_id)
+        if known is not None and known.disk_id == disk_id:
+            return
+        if known is not None:
+            raise NotAccepted(
+                f"{vm_id} is a member with disk {known.disk_id}: remove it "
+                "before it is added with another"
+            )
+        member = Member(
+            vm_id=vm_id, address=address, disk_id=disk_id, voter=False
+        )
+        await self._change(configuration.with_member(member), timeout)
+
+    async def remove_member(
+        self, vm_id: str, *, timeout: float = 10.0
+    ) -> None:
+        """Remove a VM. Only on the leader.
+
+        :raises NotAccepted: if nothing was changed
+        :raises OutcomeUnknown: if the change may yet come into effect
+        """
+        configuration = self._configuration_to_change()
+        if configuration.find(vm_id) is None:
+            return
+        if [voter.vm_id for voter in configuration.voters] == [vm_id]:
+            raise NotAccepted("the last voter can't be removed")
+        await self._change(configuration.without(vm_id), timeout)
+
+    async def step_aside(self) -> None:
+        """Hand leadership on; call it before a shutdown."""
+        if self._replica is not None:
+            await self._leadership.hand_over()
+
+    async def _open(self) -> None:
+        identity = await IdentityFile.open(
+            disk=self._disk, vm_id=self._settings.vm_id, rng=self._rng
+        )
+        snapshots = SnapshotStore(disk=self._disk)
+        snapshot = await snapshots.load()
+        storage = Storage(
+            disk=self._disk,
+            disk_id=identity.current.disk_id,
+            segment_bytes=self._settings.segment_bytes,
+        )
+        await storage.open(snapshot)
+        if storage.torn_bytes:
+            self._timeline.record("log.tail_cut", size=storage.torn_bytes)
+        replica = Replica(
+            identity=identity,
+            storage=storage,
+            snapshots=snapshots,
+            settings=self._settings,
+            clock=self._clock,
+            rng=self._rng,
+            timeline=self._timeline,
+        )
+        self._build(identity, replica)
+        self._replica = replica
+
+    def _build(self, identity: IdentityFile, replica: Replica) -> None:
+        peers = self._peers
+        self._applier = Applier(
+            replica=replica, state_machine=self._state_machine
+        )
+        for listener in self._listeners:
+            self._applier.listeners.append(listener)
+        # Listeners that are added later join the same list.
+        self._listeners = self._applier.listeners
+        self._founding = Founding(
+            file=identity,
+            settings=self._settings,
+            peers=peers,
+            clock=self._clock,
+            on_disk_failure=replica.storage.fail,
+        )
+        self._witness = Witness(replica=replica, peers=peers)
+        self._leadership = Leadership(replica=replica, peers=peers)
+        self._election = Election(
+            replica=replica, leadership=self._leadership, peers=peers
+        )
+        self._forwarding = Forwarding(
+            replica=replica,
+            applier=self._applier,
+            leadership=self._leadership,
+            peers=peers,
+        )
+        # The handlers register themselves and live as long as peers does.
+        Voting(replica=replica, founding=self._founding, peers=peers)
+        Following(
+            replica=replica,
+            applier=self._applier,
+            founding=self._founding,
+            peers=peers,
+        )
+
+    async def _watch_disk(self) -> None:
+        replica = self._replica
+        assert replica is not None
+        while replica.storage.failure is None:
+            await replica.storage.synced.wait()
+        replica.halt(replica.storage.failure)
+
+    async def _watch_founding(self) -> None:
+        replica = self._replica
+        assert replica is not None
+        while True:
+            replica.adopt_founding()
+            await self._founding.changed.wait()
+
+    def _configuration_to_change(self) -> Configuration:
+        if self._replica is None or self._replica.role is not Role.LEADER:
+            raise NotAccepted(f"{self._settings.vm_id} does not lead")
+        return self._replica.configuration
+
+    async def _change(
+        self, configuration: Configuration, timeout: float
+    ) -> None:
+        entry: Entry = self._leadership.change_members(configuration)
+        try:
+            async with asyncio.timeout(timeout):
+                await self._applier.expect(entry)
+        except TimeoutError:
+            raise OutcomeUnknown("the change of members may follow") from None
--- /dev/null
+++ b/burdockdrum/consensus/messages.py
@@ -0,0 +1,167 @@
+"""What the members tell each other.
+
+Each message names the cluster and the disk that it is meant for, so that a
+VM with another disk never answers in the place of the member that it was.
+"""
+
+from burdockdrum.consensus.membership import Configuration
+from burdockdrum.consensus.records import Entry
+from burdockdrum.peers import Message
+
+
+class MemberMessage(Message, frozen=True, kw_only=True):
+    """The base class of what goes from one member to another."""
+
+    cluster_id: str
+    target_disk_id: str
+    term: int
+    sender_id: str
+
+
+class VoteRequest(MemberMessage, frozen=True, kw_only=True):
+    """Ask for a vote.
+
+    A ``trial`` (pre-vote) asks whether the vote would be given, and changes
+    nothing. A ``transfer`` was caused by the leader itself, which gave up
+    its lease before, so the promise not to vote does not hold for it.
+    """
+
+    sender_disk_id: str
+    last_index: int
+    last_term: int
+    trial: bool = False
+    transfer: bool = False
+
+
+class VoteReply(Message, frozen=True, kw_only=True):
+    """Give or refuse a vote."""
+
+    term: int
+    granted: bool
+
+
+class AppendRequest(MemberMessage, frozen=True, kw_only=True):
+    """Entries after ``previous_index``; a heartbeat if there are none."""
+
+    previous_index: int
+    previous_term: int
+    commit_index: int
+    entries: list[Entry]
+
+
+class AppendReply(Message, frozen=True, kw_only=True):
+    """What the follower holds on its synced disk.
+
+    If not ``accepted``, the leader tries again from ``retry_index``.
+    """
+
+    term: int
+    accepted: bool
+    disk_id: str
+    last_index: int
+    match_index: int = 0
+    retry_index: int = 0
+
+
+class SnapshotRequest(MemberMessage, frozen=True, kw_only=True):
+    """One part of a snapshot."""
+
+    index: int
+    index_term: int
+    configuration: Configuration
+    digest: bytes
+    size: int
+    offset: int
+    data: bytes
+
+
+class SnapshotReply(Message, frozen=True, kw_only=True):
+    """The offset that the follower wants next; ``size`` once it is done."""
+
+    term: int
+    next_offset: int
+    done: bool
+
+
+class RollbackNotice(MemberMessage, frozen=True, kw_only=True):
+    """Tell a member that its disk holds less than it acknowledged."""
+
+    acknowledged_index: int
+    found_index: int
+
+
+class LeadRequest(MemberMessage, frozen=True, kw_only=True):
+    """Ask a follower to stand for election at once (TimeoutNow)."""
+
+
+class LeadReply(Message, frozen=True, kw_only=True):
+    """Say that the request came."""
+
+    term: int
+
+
+class ProposeRequest(Message, frozen=True, kw_only=True):
+    """Pass a command on to the leader of a term.
+
+    The term makes a refusal final: who leads no longer in it never will
+    again, so a copy of this message that arrives later is refused as well.
+    """
+
+    term: int
+    command: bytes
+    timeout: float
+
+
+class ProposeReply(Message, frozen=True, kw_only=True):
+    """What became of a command; ``refused`` is final for its term."""
+
+    index: int = 0
+    result: bytes = b""
+    refused: bool = False
+    unknown: bool = False
+    reason: str = ""
+
+
+class ReadRequest(Message, frozen=True, kw_only=True):
+    """Ask the leader up to where a current read has to have applied."""
+
+    timeout: float
+
+
+class ReadReply(Message, frozen=True, kw_only=True):
+    """The index, or None if it could not be confirmed."""
+
+    index: int | None
+
+
+class FoundingQuery(Message, frozen=True, kw_only=True):
+    """Ask a control VM what it knows of the cluster."""
+
+
+class FoundingReply(Message, frozen=True, kw_only=True):
+    """A VM's disk, and what it promised or knows to be founded."""
+
+    vm_id: str
+    disk_id: str
+    founding: Configuration | None
+    formed: bool
+
+
+class FoundingProposal(Message, frozen=True, kw_only=True):
+    """Ask for the promise to take part in a founding configuration."""
+
+    founding: Configuration
+
+
+class WitnessQuery(Message, frozen=True, kw_only=True):
+    """Ask what was seen of a disk before it started again."""
+
+    disk_id: str
+
+
+class WitnessReply(Message, frozen=True, kw_only=True):
+    """The newest term and index that the disk acknowledged, 0 if none."""
+
+    own_disk_id: str
+    term: int
+    index: int
--- /dev/null
+++ b/burdockdrum/consensus/signals.py
@@ -0,0 +1,68 @@
+"""A way to wait for the next change of something."""
+
+import asyncio
+
+from burdockdrum.ports import Clock
+
+
+class Signal:
+    """Wakes every task that waits when something changed.
+
+    Unlike an event it has no state to clear, so two waiters can't take a
+    change from each other. A waiter checks its condition first.
+    """
+
+    def __init__(self) -> None:
+        """Create a signal that nobody waits for."""
+        self._waiters: set[asyncio.Future[None]] = set()
+
+    def fire(self) -> None:
+        """Wake all who wait."""
+        waiters = self._waiters
+        self._waiters = set()
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    async def wait(self) -> None:
+        """Wait for the next change."""
+        await wait_for_any(self)
+
+    async def wait_until(self, clock: Clock, deadline: float) -> bool:
+        """Wait for the next change, at most until the clock says so.
+
+        :returns: whether the change came
+        """
+        seconds = deadline - clock.monotonic()
+        if seconds <= 0:
+            return False
+        waiter = self.subscribe()
+        sleeping = asyncio.ensure_future(clock.sleep(seconds))
+        try:
+            await asyncio.wait(
+                {sleeping, waiter}, return_when=asyncio.FIRST_COMPLETED
+            )
+            return waiter.done()
+        finally:
+            sleeping.cancel()
+            self.unsubscribe(waiter)
+
+    def subscribe(self) -> asyncio.Future[None]:
+        """Return a future that is done with the next change from now on."""
+        waiter: asyncio.Future[None] = asyncio.Future()
+        self._waiters.add(waiter)
+        return waiter
+
+    def unsubscribe(self, waiter: asyncio.Future[None]) -> None:
+        """Forget a future that nobody waits for any more."""
+        self._waiters.discard(waiter)
+
+
+async def wait_for_any(*signals: Signal) -> None:
+    """Wait for the next change of any of these."""
+    waiters = [signal.subscribe() for signal in signals]
+    try:
+        await asyncio.wait(waiters, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for signal, waiter in zip(signals, waiters, strict=True):
+            signal.unsubscribe(waiter)
--- /dev/null
+++ b/burdockdrum/consensus/storage.py
@@ -0,0 +1,355 @@
+"""The entries, the term and the vote, in memory and in the data folder.
+
+Changes show in memory at once and go to the disk in the order in which they
+were made. One task writes: it takes all that is waiting, appends it as one
+frame and syncs once. Nothing in a segment is ever changed or cut, but for a
+tail torn by a loss of power: an entry takes away those at or after its
+index, also when the segments are read back.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from burdockdrum.consensus.records import CorruptLog
+from burdockdrum.consensus.records import decode_records
+from burdockdrum.consensus.records import encode_records
+from burdockdrum.consensus.records import Entry
+from burdockdrum.consensus.records import FORMAT_VERSION
+from burdockdrum.consensus.records import HardState
+from burdockdrum.consensus.records import Record
+from burdockdrum.consensus.records import Reset
+from burdockdrum.consensus.records import SegmentHead
+from burdockdrum.consensus.signals import Signal
+from burdockdrum.consensus.snapshot import Snapshot
+from burdockdrum.ports import Disk
+from burdockdrum.ports import DiskError
+
+_PREFIX = "log-"
+_UNKNOWN_TERM = -1
+
+
+class StorageFailed(Exception):
+    """The disk failed; nothing is promised from it until a restart."""
+
+
+@dataclass(kw_only=True)
+class Segment:
+    """One file of the log; ``last_index`` is the highest that it holds."""
+
+    name: str
+    number: int
+    size: int
+    last_index: int = 0
+
+
+class Storage:
+    """The durable state of one member."""
+
+    def __init__(
+        self, *, disk: Disk, disk_id: str, segment_bytes: int
+    ) -> None:
+        """Create the storage; ``open`` reads what is there."""
+        self._disk = disk
+        self._disk_id = disk_id
+        self._segment_bytes = segment_bytes
+        self._segments: list[Segment] = []
+        self._queue: list[Record] = []
+        self._queued = asyncio.Event()
+        self._waiters: list[asyncio.Future[None]] = []
+        self._writing = False
+        self._writing_up_to = 0
+        self.term = 0
+        self.voted_for: str | None = None
+        self.base_index = 0
+        self.base_term = 0
+        self.entries: list[Entry] = []
+        self.durable_index = 0
+        self.failure: str | None = None
+        self.torn_bytes = 0
+        self.synced = Signal()
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry, synced or not."""
+        return self.base_index + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    @property
+    def disk_bytes(self) -> int:
+        """Return the size of the segments."""
+        return sum(segment.size for segment in self._segments)
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None if it is not held."""
+        if index == self.base_index:
+            return None if self.base_term == _UNKNOWN_TERM else self.base_term
+        if self.base_index < index <= self.last_index:
+            return self.entries[index - self.base_index - 1].term
+        return None
+
+    def entry(self, index: int) -> Entry:
+        """Return an entry that is held."""
+        return self.entries[index - self.base_index - 1]
+
+    def read_from(self, index: int, max_bytes: int) -> list[Entry]:
+        """Return entries from an index on; one at least if there are any."""
+        found: list[Entry] = []
+        size = 0
+        for entry in self.entries[index - self.base_index - 1 :]:
+            size += len(entry.data)
+            if found and size > max_bytes:
+                break
+            found.append(entry)
+        return found
+
+    def set_hard_state(self, term: int, voted_for: str | None) -> None:
+        """Change term and vote; ``sync`` makes them last."""
+        if (term, voted_for) != (self.term, self.voted_for):
+            self.term = term
+            self.voted_for = voted_for
+            self._enqueue(HardState(term, voted_for))
+
+    def append(self, entry: Entry) -> None:
+        """Add an entry in place of those at or after its index."""
+        self._place(entry)
+        self._enqueue(entry)
+
+    def reset(self, index: int, term: int) -> None:
+        """Put a synced snapshot in the place of all entries."""
+        self._place_reset(Reset(index, term))
+        self.durable_index = index
+        self._writing_up_to = 0
+        self._enqueue(Reset(index, term))
+
+    async def sync(self) -> None:
+        """Wait until every change so far has lasted.
+
+        :raises StorageFailed: if it may not have, now or ever before
+        """
+        if self.failure is not None:
+            raise StorageFailed(self.failure)
+        if not self._queue and not self._writing:
+            return
+        waiter: asyncio.Future[None] = asyncio.Future()
+        self._waiters.append(waiter)
+        # Also wakes the writer when what is waited for is being written.
+        self._queued.set()
+        await waiter
+
+    async def run(self) -> None:
+        """Write what is queued until cancelled or the disk fails."""
+        while self.failure is None:
+            await self._queued.wait()
+            self._queued.clear()
+            await self._write_queue()
+
+    async def open(self, snapshot: Snapshot | None) -> None:
+        """Read the segments back.
+
+        :raises CorruptLog: if something that was synced is not there
+        """
+        names = await self._disk.list()
+        names = [name for name in names if name.startswith(_PREFIX)]
+        for name in names:
+            await self._load_segment(name, is_last=name == names[-1])
+        if snapshot is not None:
+            self._join_snapshot(snapshot)
+        elif self.base_index > 0:
+            raise CorruptLog("entries were compacted but no snapshot is left")
+        self.durable_index = self.last_index
+        if not self._segments:
+            await self._add_segment()
+
+    async def compact(self, index: int) -> None:
+        """Drop entries up to an index that a synced snapshot covers."""
+        term = self.term_at(index)
+        if term is None:
+            return
+        del self.entries[: index - self.base_index]
+        self.base_index = index
+        self.base_term = term
+        covered = 0
+        for segment in self._segments[:-1]:
+            if segment.last_index > index:
+                break
+            covered += 1
+        removed = self._segments[:covered]
+        del self._segments[:covered]
+        for segment in removed:
+            await self._disk.remove(segment.name)
+
+    def fail(self, reason: str) -> None:
+        """Promise nothing from now on."""
+        self.failure = reason
+        waiters = self._waiters
+        self._waiters = []
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_exception(StorageFailed(reason))
+                # Its task may have been cancelled meanwhile.
+                waiter.exception()
+        self.synced.fire()
+
+    def _enqueue(self, record: Record) -> None:
+        self._queue.append(record)
+        self._queued.set()
+
+    def _place(self, entry: Entry) -> None:
+        kept = entry.index - self.base_index - 1
+        if kept > len(self.entries):
+            raise CorruptLog(
+                f"entry {entry.index} follows entry {self.last_index}"
+            )
+        if kept < 0:
+            raise CorruptLog(f"entry {entry.index} is compacted already")
+        if kept < len(self.entries):
+            del self.entries[kept:]
+            self.durable_index = min(self.durable_index, entry.index - 1)
+            self._writing_up_to = min(self._writing_up_to, entry.index - 1)
+        self.entries.append(entry)
+
+    def _place_reset(self, record: Reset) -> None:
+        self.entries.clear()
+        self.base_index = record.index
+        self.base_term = record.term
+
+    async def _write_queue(self) -> None:
+        records = self._queue
+        waiters = self._waiters
+        self._queue = []
+        self._waiters = []
+        self._writing_up_to = self.last_index
+        self._writing = True
+        try:
+            if records:
+                await self._write(records)
+        except DiskError as error:
+            # After a failed sync the kernel may drop the pages and report
+            # success the next time: a retry could acknowledge what is lost.
+            self._waiters.extend(waiters)
+            self.fail(f"the disk failed: {error}")
+            return
+        self._writing = False
+        self.durable_index = max(self.durable_index, self._writing_up_to)
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+        self.synced.fire()
+
+    async def _write(self, records: list[Record]) -> None:
+        if self._segments[-1].size > self._segment_bytes:
+            await self._add_segment()
+        segment = self._segments[-1]
+        frame = encode_records(records)
+        await self._disk.append(segment.name, frame)
+        await self._disk.sync(segment.name)
+        segment.size += len(frame)
+        _note_last_index(segment, records)
+
+    async def _add_segment(self) -> None:
+        number = self._segments[-1].number + 1 if self._segments else 1
+        segment = Segment(
+            name=f"{_PREFIX}{number:016d}", number=number, size=0
+        )
+        # Term and vote stand in each segment, since earlier ones are removed.
+        head: list[Record] = [
+            SegmentHead(FORMAT_VERSION, number, self._disk_id),
+            HardState(self.term, self.voted_for),
+        ]
+        frame = encode_records(head)
+        await self._disk.write(segment.name, frame)
+        await self._disk.sync(segment.name)
+        await self._disk.sync_folder()
+        segment.size = len(frame)
+        self._segments.append(segment)
+
+    async def _load_segment(self, name: str, *, is_last: bool) -> None:
+        content = await self._disk.read(name) or b""
+        number = int(name.removeprefix(_PREFIX))
+        records, size = decode_records(content, name)
+        if size < len(content) or not records:
+            if not is_last:
+                raise CorruptLog(f"{name} is damaged at byte {size}")
+            await self._cut_tail(name, size, len(content))
+        if not records:
+            return
+        if self._segments and number != self._segments[-1].number + 1:
+            # A removal after a snapshot may be undone by a loss of power for
+            # one segment and not for the next. What is missing must be in
+            # the snapshot, which is checked once all are read.
+            self._segments.clear()
+            self._place_reset(Reset(0, 0))
+        self._segments.append(Segment(name=name, number=number, size=size))
+        self._check_head(records[0], name)
+        for record in records:
+            self._replay(record)
+        _note_last_index(self._segments[-1], records)
+
+    async def _cut_tail(self, name: str, size: int, before: int) -> None:
+        self.torn_bytes += before - size
+        if size:
+            await self._disk.truncate(name, size)
+            await self._disk.sync(name)
+        else:
+            await self._disk.remove(name)
+            await self._disk.sync_folder()
+
+    def _check_head(self, record: Record, name: str) -> None:
+        if not isinstance(record, SegmentHead):
+            raise CorruptLog(f"{name} does not begin with its head")
+        if record.disk_id != self._disk_id:
+            raise CorruptLog(f"{name} was written under another disk id")
+        if record.format != FORMAT_VERSION:
+            raise CorruptLog(
+                f"{name} has format {record.format}, this program reads "
+                f"{FORMAT_VERSION}"
+            )
+
+    def _replay(self, record: Record) -> None:
+        match record:
+            case Entry():
+                self._begin_if_first(record)
+                self._place(record)
+            case HardState(term=term, voted_for=voted_for):
+                self.term = term
+                self.voted_for = voted_for
+            case Reset():
+                self._place_reset(record)
+            case SegmentHead():
+                pass
+
+    def _begin_if_first(self, entry: Entry) -> None:
+        """Accept any index for the first entry that compaction has left.
+
+        So too for an entry that takes away that first one.
+        """
+        is_first = not self.entries and self.base_index == 0
+        takes_first = entry.index <= self.base_index
+        if is_first or (takes_first and self.base_term == _UNKNOWN_TERM):
+            self.entries.clear()
+            self.base_index = entry.index - 1
+            self.base_term = _UNKNOWN_TERM if entry.index > 1 else 0
+
+    def _join_snapshot(self, snapshot: Snapshot) -> None:
+        if self.base_index > snapshot.index:
+            raise CorruptLog(
+                f"the log begins after entry {self.base_index}, but the "
+                f"newest snapshot ends at {snapshot.index}"
+            )
+        if self.base_index == snapshot.index:
+            self.base_term = snapshot.term
+        elif self.term_at(snapshot.index) != snapshot.term:
+            # A crash came between a leader's snapshot and its reset record.
+            self._place_reset(Reset(snapshot.index, snapshot.term))
+            self._queue.append(Reset(snapshot.index, snapshot.term))
+            self._queued.set()
+
+
+def _note_last_index(segment: Segment, records: list[Record]) -> None:
+    for record in records:
+        if isinstance(record, Entry):
+            segment.last_index = max(segment.last_index, record.index)
--- /dev/null
+++ b/burdockdrum/consensus/voting.py
@@ -0,0 +1,89 @@
+"""Give or refuse votes, and stand for election when a leader asks."""
+
+from burdockdrum.consensus.founding import Founding
+from burdockdrum.consensus.interface import Role
+from burdockdrum.consensus.messages import LeadReply
+from burdockdrum.consensus.messages import LeadRequest
+from burdockdrum.consensus.messages import VoteReply
+from burdockdrum.consensus.messages import VoteRequest
+from burdockdrum.consensus.replica import Replica
+from burdockdrum.peers import Message
+from burdockdrum.peers import Peers
+from burdockdrum.peers import Sender
+
+
+class Voting:
+    """This member's side of other members' elections."""
+
+    def __init__(
+        self, *, replica: Replica, founding: Founding, peers: Peers
+    ) -> None:
+        """Answer vote requests from now on."""
+        self._replica = replica
+        self._founding = founding
+        peers.register(VoteRequest, self._on_vote)
+        peers.register(LeadRequest, self._on_lead)
+
+    async def _on_vote(
+        self, sender: Sender, message: VoteRequest
+    ) -> Message | None:
+        replica = self._replica
+        if not self._is_for_this_disk(message):
+            return None
+        if not message.trial and not self._must_refuse(message):
+            replica.observe_term(message.term)
+        if not message.trial:
+            replica.acknowledged(message.sender_disk_id, message.term, 0)
+        granted = self._decide(message)
+        if granted and not message.trial:
+            replica.storage.set_hard_state(message.term, message.sender_id)
+            replica.election_reset_at = replica.clock.monotonic()
+        # A vote that a loss of power takes back could be given twice.
+        await replica.storage.sync()
+        return VoteReply(term=replica.storage.term, granted=granted)
+
+    async def _on_lead(
+        self, sender: Sender, message: LeadRequest
+    ) -> Message | None:
+        replica = self._replica
+        if not self._is_for_this_disk(message):
+            return None
+        if message.term == replica.storage.term and replica.is_voter:
+            replica.campaign_asked.fire()
+        return LeadReply(term=replica.storage.term)
+
+    def _is_for_this_disk(self, message: VoteRequest | LeadRequest) -> bool:
+        # The sender names the disk that it counts. A VM with another disk
+        # has forgotten what that one promised, and is told apart here; one
+        # that has not yet received the entry that made it a voter is not.
+        return (
+            message.target_disk_id == self._replica.disk_id
+            and self._replica.takes_part
+            and self._replica.identity.current.formed
+            and self._founding.may_join(message.cluster_id)
+        )
+
+    def _must_refuse(self, message: VoteRequest) -> bool:
+        """Say whether a leader's lease forbids even to hear of the term.
+
+        Section 4.2.3 and 6.4.1 of Ongaro's thesis: without this, a removed
+        or returning member could depose a leader that serves reads under
+        its lease.
+        """
+        if message.transfer:
+            return False
+        return self._replica.owes_silence or self._replica.role is Role.LEADER
+
+    def _decide(self, message: VoteRequest) -> bool:
+        replica = self._replica
+        storage = replica.storage
+        if message.term < storage.term or self._must_refuse(message):
+            return False
+        if (message.last_term, message.last_index) < (
+            storage.last_term,
+            storage.last_index,
+        ):
+            return False
+        if message.trial:
+            return message.term > storage.term
+        return storage.voted_for in (None, message.sender_id)
