--- a/burdockdrum/resources/configuration.py
+++ b/burdockdrum/resources/configuration.py
@@ -1,10 +1,13 @@
 """All resources at one revision."""
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
 import functools
 
+from burdockdrum.resources.digest import DIGEST_MASK
+from burdockdrum.resources.digest import digest_of
 from burdockdrum.resources.specs import ClientSpec
 from burdockdrum.resources.specs import DataCentreSpec
 from burdockdrum.resources.specs import OperatorSpec
@@ -12,18 +15,56 @@
 from burdockdrum.resources.specs import RegionSpec
 from burdockdrum.resources.specs import Resource
 from burdockdrum.resources.specs import ResourceKey
+from burdockdrum.resources.specs import Revised
 from burdockdrum.resources.specs import ServiceSpec
 from burdockdrum.resources.specs import TeamSpec
 
 
 @dataclass(frozen=True, kw_only=True)
 class Configuration:
-    """The accepted resources at a revision; never changed in place."""
+    """The accepted resources at a revision; never changed in place.
+
+    ``digest`` is the sum of the resources' digests, so that a change costs
+    two hashes and not one of everything.
+    """
 
     revision: int = 0
     resources_by_key: Mapping[ResourceKey, Resource] = field(
         default_factory=dict
     )
+    digest: int = 0
+
+    @classmethod
+    def of(
+        cls, revision: int, resources: Iterable[Resource]
+    ) -> "Configuration":
+        """Return the configuration that holds these resources."""
+        resources_by_key = {r.key: r for r in resources}
+        digests = map(digest_of, resources_by_key.values())
+        return cls(
+            revision=revision,
+            resources_by_key=resources_by_key,
+            digest=sum(digests) & DIGEST_MASK,
+        )
+
+    def revise(self, changes: Iterable[Revised]) -> "Configuration":
+        """Return the configuration after changes, in their order."""
+        revision, digest = self.revision, self.digest
+        resources_by_key = dict(self.resources_by_key)
+        for change in changes:
+            key = ResourceKey(change.kind, change.name)
+            old = resources_by_key.pop(key, None)
+            if old is not None:
+                digest -= digest_of(old)
+            if change.resource is not None:
+                resources_by_key[key] = change.resource
+                digest += digest_of(change.resource)
+            revision = change.revision
+        return Configuration(
+            revision=revision,
+            resources_by_key=resources_by_key,
+            digest=digest & DIGEST_MASK,
+        )
 
     @functools.cached_property
     def regions_by_name(self) -> dict[str, RegionSpec]:
--- a/burdockdrum/resources/specs.py
+++ b/burdockdrum/resources/specs.py
@@ -147,3 +147,12 @@
     def key(self) -> ResourceKey:
         """Return what names the resource."""
         return ResourceKey(self.kind, self.name)
+
+
+class Revised(msgspec.Struct, frozen=True, kw_only=True):
+    """What one revision changed; ``resource`` is None when deleted."""
+
+    revision: int
+    kind: str
+    name: str
+    resource: Resource | None
--- a/burdockdrum/resources/store.py
+++ b/burdockdrum/resources/store.py
@@ -1,16 +1,27 @@
 """The state machine that holds the accepted resources."""
 
+from collections.abc import Callable
+
 import msgspec
 
+from burdockdrum.resources.answers import digest_change
+from burdockdrum.resources.answers import KeptAnswer
+from burdockdrum.resources.answers import KeptAnswers
 from burdockdrum.resources.configuration import Configuration
 from burdockdrum.resources.specs import Resource
 from burdockdrum.resources.specs import ResourceKey
+from burdockdrum.resources.specs import Revised
 from burdockdrum.resources.specs import Spec
 from burdockdrum.resources.validation import check_key
+from burdockdrum.resources.validation import check_kind
 from burdockdrum.resources.validation import check_references
 from burdockdrum.resources.validation import check_unreferenced
 from burdockdrum.resources.validation import ResourceError
 
+ACCEPTED = "accepted"
+CONFLICT = "conflict"
+INVALID = "invalid"
+
 
 class Put(msgspec.Struct, frozen=True, kw_only=True, tag="put"):
     """Create or replace a resource.
@@ -50,69 +61,141 @@
     current: Resource | None = None
 
 
+class StoreSnapshot(msgspec.Struct, frozen=True, kw_only=True):
+    """All that a store holds, the answers kept included."""
+
+    revision: int
+    resources: list[Resource]
+    answers: list[KeptAnswer]
+
+
 class ResourceStore:
-    """The accepted resources, changed by one command at a time."""
+    """The accepted resources, changed by one command at a time.
+
+    Two stores that are given the same changes are the same: no clock, no
+    random numbers.
+    """
 
     def __init__(self) -> None:
         """Create an empty store at revision 0."""
         self.configuration = Configuration()
-        self._results_by_change_id: dict[str, ChangeResult] = {}
+        self.listeners: list[Callable[[Revised | None], None]] = []
+        self._answers = KeptAnswers()
 
     def apply(self, change: Change) -> ChangeResult:
         """Carry out a change, or return the first answer to it again."""
-        known = self._results_by_change_id.get(change.change_id)
-        if known is not None:
-            return known
+        kept = self._answers.find(change.change_id)
+        if kept is not None:
+            return self._answer_again(change, kept)
         result = self._apply_new(change)
-        self._results_by_change_id[change.change_id] = result
+        self._answers.keep(
+            KeptAnswer(
+                change_id=change.change_id,
+                digest=digest_change(change),
+                code=result.code,
+                revision=result.revision,
+                message=result.message,
+            )
+        )
         return result
 
+    def snapshot(self) -> StoreSnapshot:
+        """Return all that the store holds."""
+        return StoreSnapshot(
+            revision=self.configuration.revision,
+            resources=list(self.configuration.resources_by_key.values()),
+            answers=self._answers.as_list(),
+        )
+
+    def restore(self, snapshot: StoreSnapshot) -> None:
+        """Replace all that the store holds."""
+        self.configuration = Configuration.of(
+            snapshot.revision, snapshot.resources
+        )
+        self._answers = KeptAnswers(snapshot.answers)
+        self._tell(None)
+
+    def _answer_again(self, change: Change, kept: KeptAnswer) -> ChangeResult:
+        if kept.digest != digest_change(change):
+            return self._refuse("change_id was used for another change")
+        current = self._find(change)
+        if kept.code == ACCEPTED:
+            current = _make_resource(change, kept.revision)
+        return ChangeResult(
+            code=kept.code,
+            revision=kept.revision,
+            message=kept.message,
+            current=current,
+        )
+
     def _apply_new(self, change: Change) -> ChangeResult:
-        key = ResourceKey(change.kind, change.name)
-        current = self.configuration.resources_by_key.get(key)
+        try:
+            check_key(ResourceKey(change.kind, change.name))
+        except ResourceError as error:
+            return self._refuse(str(error))
+        current = self._find(change)
         version = current.version if current is not None else 0
-        revision = self.configuration.revision
         if version != change.expected_version:
             return ChangeResult(
-                code="conflict",
-                revision=revision,
+                code=CONFLICT,
+                revision=self.configuration.revision,
                 message=f"the resource is at version {version}",
                 current=current,
             )
         try:
-            check_key(key)
-            self._check(key, change)
+            self._check(change)
         except ResourceError as error:
-            return ChangeResult(
-                code="invalid", revision=revision, message=str(error)
-            )
-        return self._accept(key, change)
+            return self._refuse(str(error))
+        return self._accept(change)
 
-    def _check(self, key: ResourceKey, change: Change) -> None:
+    def _check(self, change: Change) -> None:
+        key = ResourceKey(change.kind, change.name)
         match change:
             case Put(spec=spec):
+                check_kind(key, spec)
                 check_references(self.configuration, key, spec)
+            case Delete(expected_version=0):
+                raise ResourceError(f"there is no {key.kind} {key.name!r}")
             case Delete():
                 check_unreferenced(self.configuration, key)
 
-    def _accept(self, key: ResourceKey, change: Change) -> ChangeResult:
+    def _accept(self, change: Change) -> ChangeResult:
         revision = self.configuration.revision + 1
-        resources_by_key = dict(self.configuration.resources_by_key)
-        resource: Resource | None = None
-        match change:
-            case Put(spec=spec):
-                resource = Resource(
-                    kind=key.kind,
-                    name=key.name,
-                    version=revision,
-                    spec=spec,
-                )
-                resources_by_key[key] = resource
-            case Delete():
-                resources_by_key.pop(key, None)
-        self.configuration = Configuration(
-            revision=revision, resources_by_key=resources_by_key
+        resource = _make_resource(change, revision)
+        revised = Revised(
+            revision=revision,
+            kind=change.kind,
+            name=change.name,
+            resource=resource,
         )
+        self.configuration = self.configuration.revise([revised])
+        self._tell(revised)
+        return ChangeResult(code=ACCEPTED, revision=revision, current=resource)
+
+    def _refuse(self, message: str) -> ChangeResult:
         return ChangeResult(
-            code="accepted", revision=revision, current=resource
+            code=INVALID,
+            revision=self.configuration.revision,
+            message=message,
         )
+
+    def _find(self, change: Change) -> Resource | None:
+        key = ResourceKey(change.kind, change.name)
+        return self.configuration.resources_by_key.get(key)
+
+    def _tell(self, revised: Revised | None) -> None:
+        for listener in self.listeners:
+            listener(revised)
+
+
+def _make_resource(change: Change, revision: int) -> Resource | None:
+    match change:
+        case Put(spec=spec):
+            return Resource(
+                kind=change.kind,
+                name=change.name,
+                version=revision,
+                spec=spec,
+            )
+        case Delete():
+            return None
--- a/burdockdrum/resources/validation.py
+++ b/burdockdrum/resources/validation.py
@@ -10,10 +10,12 @@
 from burdockdrum.resources.specs import DataCentreSpec
 from burdockdrum.resources.specs import OperatorSpec
 from burdockdrum.resources.specs import PriorityClassSpec
+from burdockdrum.resources.specs import Quota
 from burdockdrum.resources.specs import ResourceKey
 from burdockdrum.resources.specs import ServiceSpec
 from burdockdrum.resources.specs import Spec
 from burdockdrum.resources.specs import SPECS_BY_KIND
+from burdockdrum.resources.specs import TeamSpec
 
 _NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
 _HASH = re.compile(r"[0-9a-f]{64}")
@@ -38,6 +40,15 @@
         )
 
 
+def check_kind(key: ResourceKey, spec: Spec) -> None:
+    """Check that a spec is of the kind that its key names.
+
+    :raises ResourceError: if it is not
+    """
+    if not isinstance(spec, SPECS_BY_KIND[key.kind]):
+        raise ResourceError(f"spec.kind is not {key.kind!r}")
+
+
 def parse_spec(kind: str, fields: dict[str, Any]) -> Spec:
     """Read the desired state of a resource of a kind.
 
@@ -69,11 +80,15 @@
             _check_service(configuration, spec)
         case ClientSpec():
             _check_client(configuration, spec)
+            _check_tokens(configuration, key, spec.token_hashes)
+        case TeamSpec(quota=quota):
+            _check_quota(quota)
         case PriorityClassSpec(deadline_seconds=seconds):
             if seconds <= 0:
                 raise ResourceError("spec.deadline_seconds must be above 0")
         case OperatorSpec(token_hashes=hashes):
             _check_hashes(hashes)
+            _check_tokens(configuration, key, hashes)
 
 
 def check_unreferenced(configuration: Configuration, key: ResourceKey) -> None:
@@ -110,6 +125,8 @@
 
 
 def _check_service(configuration: Configuration, spec: ServiceSpec) -> None:
+    if not spec.regions:
+        raise ResourceError("spec.regions must name at least one region")
     for index, region in enumerate(spec.regions):
         field = f"spec.regions[{index}]"
         _must_exist(configuration, field, "region", region)
@@ -140,6 +157,32 @@
         field = f"spec.priority_classes[{index}]"
         _must_exist(configuration, field, "priority_class", name)
     _check_hashes(spec.token_hashes)
+    _check_quota(spec.quota)
+
+
+def _check_quota(quota: Quota) -> None:
+    for field in quota.__struct_fields__:
+        limit = getattr(quota, field)
+        if limit is not None and limit < 0:
+            raise ResourceError(f"spec.quota.{field} must not be negative")
+
+
+def _check_tokens(
+    configuration: Configuration, key: ResourceKey, hashes: list[str]
+) -> None:
+    # A token that two resources hold would let the one's caller in as the
+    # other.
+    for index, value in enumerate(hashes):
+        for kind, owners_by_hash in (
+            ("client", configuration.client_ids_by_token_hash),
+            ("operator", configuration.operators_by_token_hash),
+        ):
+            owner = ResourceKey(kind, owners_by_hash.get(value, ""))
+            if owner.name and owner != key:
+                raise ResourceError(
+                    f"spec.token_hashes[{index}] is already in use by "
+                    f"{owner.kind} {owner.name!r}"
+                )
 
 
 def _check_hashes(hashes: list[str]) -> None:
