Put the configuration on the agreed log and pass revisions on

A control VM is followed by one relay a data centre, the relay by the VMs there; deltas, digests, acknowledgements and the age of what is known travel in the same two messages.

--- /dev/null
+++ b/burdockdrum/configuration/control_state.py
@@ -0,0 +1,101 @@
+"""The state machine over the replicated log: resources and leases."""
+
+import msgspec
+
+from burdockdrum.leases import GrantLease
+from burdockdrum.leases import LeaseResult
+from burdockdrum.leases import LeaseTable
+from burdockdrum.leases import LeaseTableSnapshot
+from burdockdrum.leases import OpenEpoch
+from burdockdrum.leases import ReleaseLease
+from burdockdrum.resources import ChangeResult
+from burdockdrum.resources import Delete
+from burdockdrum.resources import INVALID
+from burdockdrum.resources import Put
+from burdockdrum.resources import ResourceStore
+from burdockdrum.resources import StoreSnapshot
+
+Command = Put | Delete | OpenEpoch | GrantLease | ReleaseLease
+
+SNAPSHOT_FORMAT = 1
+
+
+class UnknownSnapshot(Exception):
+    """A snapshot is of a format that this version does not know."""
+
+
+class _Snapshot(msgspec.Struct, frozen=True, kw_only=True):
+    format: int
+    store: StoreSnapshot
+    leases: LeaseTableSnapshot
+
+
+def encode_command(command: Command) -> bytes:
+    """Encode a command for the log."""
+    return msgspec.msgpack.encode(command)
+
+
+def decode_change_result(result: bytes) -> ChangeResult:
+    """Decode what applying a change returned."""
+    return msgspec.msgpack.decode(result, type=ChangeResult)
+
+
+def decode_lease_result(result: bytes) -> LeaseResult:
+    """Decode what applying a lease's command returned."""
+    return msgspec.msgpack.decode(result, type=LeaseResult)
+
+
+class ControlState:
+    """All agreed state of a cluster, changed by one command at a time.
+
+    The same commands give the same state on every control VM, so nothing
+    here reads a clock or a random number.
+    """
+
+    def __init__(self) -> None:
+        """Create an empty state."""
+        self.store = ResourceStore()
+        self.leases = LeaseTable()
+        self._decoder = msgspec.msgpack.Decoder(Command)
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply a command and return its encoded result.
+
+        A command that can't be decoded changes nothing: raising would end
+        every control VM at the same entry, again after each restart.
+        """
+        try:
+            decoded = self._decoder.decode(command)
+        except msgspec.MsgspecError as error:
+            result = ChangeResult(
+                code=INVALID,
+                revision=self.store.configuration.revision,
+                message=f"the command is not known: {error}",
+            )
+            return msgspec.msgpack.encode(result)
+        match decoded:
+            case Put() | Delete():
+                return msgspec.msgpack.encode(self.store.apply(decoded))
+            case _:
+                return msgspec.msgpack.encode(self.leases.apply(decoded))
+
+    def snapshot(self) -> bytes:
+        """Return the whole state, answers to change ids included."""
+        return msgspec.msgpack.encode(
+            _Snapshot(
+                format=SNAPSHOT_FORMAT,
+                store=self.store.snapshot(),
+                leases=self.leases.snapshot(),
+            )
+        )
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the whole state.
+
+        :raises UnknownSnapshot: if it was written by a later version
+        """
+        decoded = msgspec.msgpack.decode(snapshot, type=_Snapshot)
+        if decoded.format != SNAPSHOT_FORMAT:
+            raise UnknownSnapshot(f"format {decoded.format}")
+        self.store.restore(decoded.store)
+        self.leases.restore(decoded.leases)
--- /dev/null
+++ b/burdockdrum/configuration/knowledge.py
@@ -0,0 +1,80 @@
+"""What this VM knows of the configuration, and since when."""
+
+from collections.abc import Callable
+
+from burdockdrum.configuration.history import History
+from burdockdrum.ports import Clock
+from burdockdrum.resources import Configuration
+from burdockdrum.timeline import Timeline
+
+
+class Knowledge:
+    """The history, the age of what it tells, and whether to serve by it.
+
+    ``known`` is false after a start until this VM has learned a revision
+    that can't be older than one it served before.
+    """
+
+    def __init__(self, *, clock: Clock, timeline: Timeline) -> None:
+        """Know nothing."""
+        self.history = History()
+        self.known = False
+        self.listeners: list[Callable[[], None]] = []
+        self._clock = clock
+        self._timeline = timeline
+        self._started_at: float | None = None
+        self._current_at: float | None = None
+        self.history.listeners.append(self._record)
+
+    def start(self) -> None:
+        """Note that this VM has started to run."""
+        self._started_at = self._clock.monotonic()
+
+    @property
+    def current(self) -> Configuration:
+        """Return the configuration in force here."""
+        return self.history.current
+
+    @property
+    def uptime(self) -> float:
+        """Return the seconds since the start."""
+        if self._started_at is None:
+            return 0.0
+        return self._clock.monotonic() - self._started_at
+
+    @property
+    def age(self) -> float | None:
+        """Return how many seconds ago the current revision was the newest.
+
+        It is never too low: every step from the control VM here counts from
+        before its question was sent. None if no control VM was heard of.
+        """
+        if self._current_at is None:
+            return None
+        return max(0.0, self._clock.monotonic() - self._current_at)
+
+    def note_current(self, moment: float) -> None:
+        """Note that nothing newer had been accepted at a moment.
+
+        What was accepted before this VM started was then known, so the
+        current revision is not older than any that it served before.
+        """
+        if self._current_at is None or moment > self._current_at:
+            self._current_at = moment
+        if self._started_at is not None and moment >= self._started_at:
+            self.mark_known("control")
+
+    def mark_known(self, source: str) -> None:
+        """Serve by the current revision from now on."""
+        if not self.known:
+            self.known = True
+            self._timeline.record(
+                "configuration.known",
+                revision=self.current.revision,
+                source=source,
+            )
+
+    def _record(self, configuration: Configuration) -> None:
+        self._timeline.record(
+            "configuration.in_force", revision=configuration.revision
+        )
--- a/burdockdrum/configuration/messages.py
+++ b/burdockdrum/configuration/messages.py
@@ -1,31 +1,99 @@
-"""How revisions travel between VMs."""
+"""How revisions travel between VMs, and where they are in force.
+
+The structs that travel often are arrays on the wire, to spend few bytes;
+fields are only ever added at their ends.
+"""
+
+import msgspec
 
 from burdockdrum.peers import Message
 from burdockdrum.resources import Change
 from burdockdrum.resources import ChangeResult
 from burdockdrum.resources import Resource
+from burdockdrum.resources import Revised
 
 
 class Propose(Message, frozen=True, kw_only=True):
-    """Ask a control VM to make a change."""
+    """Ask a control VM to make a change; ``timeout`` is in seconds."""
 
     change: Change
+    timeout: float
 
 
 class Proposed(Message, frozen=True, kw_only=True):
-    """What became of a proposed change."""
+    """What became of a proposed change.
+
+    Without a result, ``may_apply`` says whether the change may have been
+    accepted or may be yet.
+    """
+
+    result: ChangeResult | None = None
+    may_apply: bool = False
+    reason: str = ""
+
+
+class Report(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Which revision the VMs of a data centre have in force.
+
+    Those that ``behind`` does not name have ``revision`` or a later one.
+    ``vm_ids`` is None while the receiver has shown, by ``vm_ids_digest``,
+    that it knows them.
+    """
+
+    data_centre: str
+    revision: int
+    behind: dict[str, int]
+    vm_ids_digest: int
+    vm_ids: list[str] | None = None
 
-    result: ChangeResult
 
+class Follow(Message, frozen=True, kw_only=True, array_like=True):
+    """A follower's sign of life to its source, and acknowledgement.
 
-class Snapshot(Message, frozen=True, kw_only=True):
-    """All resources at a revision."""
+    ``sent_at`` is of the follower's clock and comes back in the updates.
+    ``content`` asks for the changes after ``revision``, ``snapshot`` for
+    everything.
+    """
 
     revision: int
-    resources: list[Resource]
+    digest: int
+    sent_at: float
+    content: bool = True
+    snapshot: bool = False
+    report: Report | None = None
 
 
-class InForce(Message, frozen=True, kw_only=True):
-    """The revision that a VM has in force."""
+class Update(Message, frozen=True, kw_only=True, array_like=True):
+    """What a source has in force, and what the follower lacks of it.
+
+    ``age`` is how many seconds ago a control VM knew that nothing newer had
+    been accepted, as far as the source knows; None if it never heard.
+    ``known`` says that the source itself serves by this revision. ``echo``
+    is the ``sent_at`` of the follower's last message.
+    """
 
     revision: int
+    digest: int
+    echo: float
+    age: float | None
+    known: bool
+    changes: list[Revised] = []
+    resources: list[Resource] | None = None
+    vm_ids_digest: int = 0
+
+
+class InForceQuery(Message, frozen=True, kw_only=True):
+    """Ask a control VM for the reports that it holds."""
+
+
+class AgedReport(msgspec.Struct, frozen=True, kw_only=True):
+    """A report and how many seconds ago it came."""
+
+    report: Report
+    age: float
+
+
+class InForceReply(Message, frozen=True, kw_only=True):
+    """The reports that a control VM holds."""
+
+    reports: list[AgedReport]
--- /dev/null
+++ b/burdockdrum/configuration/publishing.py
@@ -0,0 +1,148 @@
+"""Pass revisions on to the VMs that follow this one."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import replace
+
+from burdockdrum.configuration.history import RevisionGone
+from burdockdrum.configuration.knowledge import Knowledge
+from burdockdrum.configuration.messages import Follow
+from burdockdrum.configuration.messages import Update
+from burdockdrum.configuration.reports import Reports
+from burdockdrum.peers import Message
+from burdockdrum.peers import Peers
+from burdockdrum.peers import Sender
+from burdockdrum.ports import Clock
+from burdockdrum.resources import Configuration
+
+RESEND_SECONDS = 0.5
+MAX_RESENDS = 3
+# A follower that has not been heard of for so long is no follower any more.
+FOLLOWER_SECONDS = 12.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class FollowerState:
+    """What a follower last said, and what was sent to it since."""
+
+    sender: Sender
+    revision: int
+    echo: float
+    content: bool
+    heard_at: float
+    sent_at: float
+    data_centre: str = ""
+    sends: int = 0
+
+
+class Publisher:
+    """Send each new revision to the followers until they acknowledge it."""
+
+    def __init__(
+        self,
+        *,
+        peers: Peers,
+        clock: Clock,
+        knowledge: Knowledge,
+        reports: Reports,
+    ) -> None:
+        """Create a publisher without followers."""
+        self._peers = peers
+        self._clock = clock
+        self._knowledge = knowledge
+        self._reports = reports
+        self._followers_by_address: dict[str, FollowerState] = {}
+        self.on_follow: Callable[[Sender, Follow], None] | None = None
+        knowledge.history.listeners.append(self._push_all)
+        peers.register(Follow, self._take_follow)
+
+    async def run(self) -> None:
+        """Send again what was not acknowledged, until cancelled."""
+        while True:
+            await self._clock.sleep(RESEND_SECONDS)
+            now = self._clock.monotonic()
+            for address, state in list(self._followers_by_address.items()):
+                if now - state.heard_at > FOLLOWER_SECONDS:
+                    del self._followers_by_address[address]
+                elif self._is_overdue(state, now):
+                    self._push(address, state)
+
+    def _is_overdue(self, state: FollowerState, now: float) -> bool:
+        return (
+            state.content
+            and state.revision < self._knowledge.current.revision
+            and state.sends <= MAX_RESENDS
+            and now - state.sent_at >= RESEND_SECONDS
+        )
+
+    async def _take_follow(
+        self, sender: Sender, message: Follow
+    ) -> Message | None:
+        known = self._followers_by_address.get(sender.address)
+        if known is not None and _is_older(sender, message, known):
+            return None
+        now = self._clock.monotonic()
+        state = FollowerState(
+            sender=sender,
+            revision=message.revision,
+            echo=message.sent_at,
+            content=message.content,
+            heard_at=now,
+            sent_at=now,
+            data_centre=message.report.data_centre if message.report else "",
+        )
+        self._followers_by_address[sender.address] = state
+        self._reports.take_acknowledgement(sender.vm_id, message.revision)
+        if message.report is not None:
+            self._reports.take_report(message.report)
+        if self.on_follow is not None:
+            self.on_follow(sender, message)
+        if message.revision < self._knowledge.current.revision:
+            self._push(sender.address, state, snapshot=message.snapshot)
+        else:
+            update = self._make_update(state, snapshot=message.snapshot)
+            self._peers.send(sender.address, update)
+        return None
+
+    def _push_all(self, configuration: Configuration) -> None:
+        for address, state in list(self._followers_by_address.items()):
+            if state.content and state.revision < configuration.revision:
+                self._push(address, replace(state, sends=0))
+
+    def _push(
+        self, address: str, state: FollowerState, *, snapshot: bool = False
+    ) -> None:
+        update = self._make_update(state, snapshot=snapshot)
+        self._peers.send(address, update)
+        self._followers_by_address[address] = replace(
+            state, sent_at=self._clock.monotonic(), sends=state.sends + 1
+        )
+
+    def _make_update(self, state: FollowerState, *, snapshot: bool) -> Update:
+        current = self._knowledge.current
+        changes = []
+        resources = None
+        if state.content and not snapshot:
+            try:
+                history = self._knowledge.history
+                changes = history.changes_after(state.revision)
+            except RevisionGone:
+                snapshot = True
+        if state.content and snapshot:
+            resources = list(current.resources_by_key.values())
+        return Update(
+            revision=current.revision,
+            digest=current.digest,
+            echo=state.echo,
+            age=self._knowledge.age,
+            known=self._knowledge.known,
+            changes=changes,
+            resources=resources,
+            vm_ids_digest=self._reports.vm_ids_digest(state.data_centre),
+        )
+
+
+def _is_older(sender: Sender, message: Follow, known: FollowerState) -> bool:
+    if sender.incarnation != known.sender.incarnation:
+        return sender.incarnation < known.sender.incarnation
+    return message.sent_at < known.echo
--- a/burdockdrum/configuration/service.py
+++ b/burdockdrum/configuration/service.py
@@ -1,11 +1,28 @@
-"""The configuration in force on this VM."""
+"""The configuration in force on this VM, and changes to it."""
 
+import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Mapping
 
-from burdockdrum.configuration.messages import InForce
+import msgspec
+
+from burdockdrum.configuration.control import Control
+from burdockdrum.configuration.control import ControlStatus
+from burdockdrum.configuration.control_state import ControlState
+from burdockdrum.configuration.following import Follower
+from burdockdrum.configuration.knowledge import Knowledge
+from burdockdrum.configuration.messages import InForceQuery
+from burdockdrum.configuration.messages import InForceReply
 from burdockdrum.configuration.messages import Propose
 from burdockdrum.configuration.messages import Proposed
-from burdockdrum.configuration.messages import Snapshot
+from burdockdrum.configuration.publishing import Publisher
+from burdockdrum.configuration.reports import Directory
+from burdockdrum.configuration.reports import expand
+from burdockdrum.configuration.reports import Reports
+from burdockdrum.configuration.residency import allowed_regions
+from burdockdrum.configuration.residency import check_known
+from burdockdrum.consensus import ReplicatedLog
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Message
 from burdockdrum.peers import Peers
@@ -14,19 +31,43 @@
 from burdockdrum.resources import Change
 from burdockdrum.resources import ChangeResult
 from burdockdrum.resources import Configuration
-from burdockdrum.resources import ResourceStore
+from burdockdrum.resources import Revised
 from burdockdrum.timeline import Timeline
 
-PASS_ON_SECONDS = 0.5
-PROPOSE_TIMEOUT_SECONDS = 3.0
+CHANGE_SECONDS = 6.0
+PROPOSE_SECONDS = 2.5
+RETRY_SECONDS = 0.2
+IN_FORCE_HERE_SECONDS = 1.0
+QUERY_SECONDS = 1.0
+_POLL_SECONDS = 0.02
 
 
 class ChangeUnknown(Exception):
     """No answer came: the change may be accepted or not; send it again."""
 
 
+class ChangeNotAccepted(Exception):
+    """The change was not accepted and never will be, unless sent again."""
+
+
+class ConfigurationStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """What this VM knows of the configuration, as operators read it."""
+
+    known: bool
+    revision: int
+    digest: int
+    age_seconds: float | None
+    residency_lease_seconds: float
+    control: ControlStatus | None = None
+
+
 class ConfigurationService:
-    """Follow the accepted configuration and pass changes to it on."""
+    """Know the accepted configuration, serve by it and change it.
+
+    ``known``, ``age`` and ``allowed_regions`` say what this VM may do by
+    what it knows; ``watch`` follows changes; ``fetch_in_force`` tells where
+    each revision is in force.
+    """
 
     def __init__(
         self,
@@ -34,112 +75,233 @@
         peers: Peers,
         clock: Clock,
         timeline: Timeline,
-        store: ResourceStore | None,
-        control_addresses: list[str],
+        directory: Callable[[], Directory],
+        control_addresses: Mapping[str, str],
+        residency_lease_seconds: float,
+        state: ControlState | None = None,
+        log: ReplicatedLog | None = None,
     ) -> None:
-        """Create a follower, or the keeper where there is a store.
+        """Create the service.
 
-        :param store: the accepted resources, on a control VM
-        :param control_addresses: where changes are proposed
+        :param directory: returns the directory of VMs
+        :param control_addresses: the control VMs' addresses by id
+        :param residency_lease_seconds: how long a VM that is cut off sends
+            data to regions other than the client's home
+        :param state: the agreed state, on a control VM
+        :param log: what agrees on it, on a control VM
         """
-        self.current = Configuration()
         self.in_force_by_vm_id: dict[str, int] = {}
         self._peers = peers
         self._clock = clock
-        self._timeline = timeline
-        self._store = store
-        self._control_addresses = control_addresses
-        self._followers: set[str] = set()
-        self._listeners: list[Callable[[Configuration], None]] = []
-        peers.register(Propose, self._take_proposal)
-        peers.register(Snapshot, self._take_snapshot)
-        peers.register(InForce, self._take_in_force)
+        self._control_addresses = dict(control_addresses)
+        self._lease_seconds = residency_lease_seconds
+        self._knowledge = Knowledge(clock=clock, timeline=timeline)
+        self._reports = Reports(clock=clock, identity=peers.identity)
+        self._publisher = Publisher(
+            peers=peers,
+            clock=clock,
+            knowledge=self._knowledge,
+            reports=self._reports,
+        )
+        self._follower = Follower(
+            peers=peers,
+            clock=clock,
+            knowledge=self._knowledge,
+            reports=self._reports,
+            directory=directory,
+            read_control_addresses=lambda: self._control_addresses,
+        )
+        self._publisher.on_follow = self._follower.note_follow
+        self._control: Control | None = None
+        if state is not None and log is not None:
+            self._control = Control(
+                peers=peers,
+                clock=clock,
+                knowledge=self._knowledge,
+                state=state,
+                log=log,
+            )
+        peers.register(InForceQuery, self._take_query)
+
+    @property
+    def current(self) -> Configuration:
+        """Return the configuration in force here."""
+        return self._knowledge.current
+
+    @property
+    def known(self) -> bool:
+        """Say whether this VM has learned what to serve by."""
+        return self._knowledge.known
+
+    @property
+    def age(self) -> float | None:
+        """Return how many seconds ago this was known to be the newest.
+
+        None if no control VM was heard of since the start.
+        """
+        return self._knowledge.age
+
+    @property
+    def control_addresses(self) -> Mapping[str, str]:
+        """Return the control VMs' addresses by id."""
+        return self._control_addresses
+
+    def check_known(self) -> None:
+        """Check that this VM may serve by what it knows.
+
+        :raises Refusal: CONFIGURATION_STALE, "not run", if it may not
+        """
+        check_known(self._knowledge)
+
+    def allowed_regions(self, client_id: str, service: str) -> frozenset[str]:
+        """Return the regions in which a request may be processed now.
+
+        Every VM that a request passes asks for itself. Cut off for long, a
+        VM allows no more than the client's home region.
+
+        :raises Refusal: "not run", if the client or the service is unknown,
+            or this VM does not know what to serve by
+        """
+        return allowed_regions(
+            self._knowledge,
+            client_id=client_id,
+            service=service,
+            lease_seconds=self._lease_seconds,
+        )
+
+    def status(self) -> ConfigurationStatus:
+        """Return what this VM knows, for operators."""
+        age = self.age
+        return ConfigurationStatus(
+            known=self.known,
+            revision=self.current.revision,
+            digest=self.current.digest,
+            age_seconds=None if age is None else round(age, 3),
+            residency_lease_seconds=self._lease_seconds,
+            control=self._control.status() if self._control else None,
+        )
 
     def add_listener(self, listener: Callable[[Configuration], None]) -> None:
         """Call a function with each configuration that comes in force."""
-        self._listeners.append(listener)
+        self._knowledge.history.listeners.append(listener)
+
+    def watch(self, revision: int) -> AsyncIterator[Revised]:
+        """Yield the changes after a revision as they come in force here.
+
+        :raises RevisionGone: if some are not kept any more
+        """
+        return self._knowledge.history.watch(revision)
+
+    def changes_after(self, revision: int) -> list[Revised]:
+        """Return the changes after a revision that are in force here.
+
+        :raises RevisionGone: if some are not kept any more
+        """
+        return self._knowledge.history.changes_after(revision)
 
     async def change(self, change: Change) -> ChangeResult:
-        """Propose a change to the control VMs.
+        """Have a change agreed; once accepted, it is in force here soon.
 
         :raises ChangeUnknown: if it may have been accepted; the same change
             id may be sent again
+        :raises ChangeNotAccepted: if it was not and will not be
+        """
+        result = await self._propose(change)
+        deadline = self._clock.monotonic() + IN_FORCE_HERE_SECONDS
+        # The operator who reads next, here, finds what was accepted.
+        while self.current.revision < result.revision:
+            if self._clock.monotonic() >= deadline:
+                break
+            await self._clock.sleep(_POLL_SECONDS)
+        return result
+
+    async def fetch_in_force(self) -> dict[str, int]:
+        """Return the revision in force by VM id, all data centres' together.
+
+        Those of a data centre that is cut off are as it last reported. Where
+        no control VM answers, only what this VM knows itself is returned.
         """
-        if self._store is not None:
-            return self._apply(change)
-        for address in self._control_addresses:
-            try:
-                reply = await self._peers.call(
-                    address,
-                    Propose(change=change),
-                    Proposed,
-                    timeout=PROPOSE_TIMEOUT_SECONDS,
-                )
-            except CallFailed:
-                continue
-            return reply.result
-        raise ChangeUnknown("no control VM answered")
+        reports = self._reports.aged_reports()
+        own = self._peers.identity.vm_id
+        calls = [
+            self._query(address)
+            for vm_id, address in self._control_addresses.items()
+            if vm_id != own
+        ]
+        for found in await asyncio.gather(*calls):
+            reports += found.reports
+        self.in_force_by_vm_id = expand(reports)
+        self.in_force_by_vm_id[own] = self.current.revision
+        return self.in_force_by_vm_id
 
     async def run(self) -> None:
-        """Tell the control VM what is in force, and fetch what is new."""
+        """Follow and pass on until cancelled."""
+        self._knowledge.start()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._publisher.run())
+            group.create_task(self._follower.run())
+            if self._control is not None:
+                group.create_task(self._control.run())
+
+    async def _propose(self, change: Change) -> ChangeResult:
+        deadline = self._clock.monotonic() + CHANGE_SECONDS
+        may_apply = False
+        reason = "no control VM answered"
         while True:
-            identity = self._peers.identity
-            self.in_force_by_vm_id[identity.vm_id] = self.current.revision
-            if self._store is None:
-                message = InForce(revision=self.current.revision)
-                for address in self._control_addresses:
-                    self._peers.send(address, message)
-            await self._clock.sleep(PASS_ON_SECONDS)
-
-    def _apply(self, change: Change) -> ChangeResult:
-        assert self._store is not None
-        result = self._store.apply(change)
-        self._put_in_force(self._store.configuration)
-        for address in self._followers:
-            self._peers.send(address, self._make_snapshot())
-        return result
+            for address in self._proposal_addresses():
+                left = deadline - self._clock.monotonic()
+                if left <= 0:
+                    break
+                timeout = min(left, PROPOSE_SECONDS)
+                proposed = await self._propose_at(address, change, timeout)
+                if proposed.result is not None:
+                    return proposed.result
+                # The same change id may go to another control VM: whichever
+                # entry comes first decides, and answers the others.
+                may_apply = may_apply or proposed.may_apply
+                reason = proposed.reason or reason
+            if self._clock.monotonic() + RETRY_SECONDS >= deadline:
+                break
+            await self._clock.sleep(RETRY_SECONDS)
+        if may_apply:
+            raise ChangeUnknown(reason)
+        raise ChangeNotAccepted(reason)
 
-    async def _take_proposal(
-        self, sender: Sender, message: Propose
-    ) -> Message | None:
-        if self._store is None:
-            return None
-        return Proposed(result=self._apply(message.change))
+    def _proposal_addresses(self) -> list[str | None]:
+        """Return whom to ask, None for this VM itself."""
+        own = self._peers.identity.vm_id
+        others: list[str | None] = [
+            address
+            for vm_id, address in self._control_addresses.items()
+            if vm_id != own
+        ]
+        return [None, *others] if self._control is not None else others
 
-    async def _take_snapshot(
-        self, sender: Sender, message: Snapshot
-    ) -> Message | None:
-        self._put_in_force(
-            Configuration(
-                revision=message.revision,
-                resources_by_key={r.key: r for r in message.resources},
+    async def _propose_at(
+        self, address: str | None, change: Change, timeout: float
+    ) -> Proposed:
+        if address is None:
+            assert self._control is not None
+            return await self._control.propose(change, timeout)
+        try:
+            return await self._peers.call(
+                address,
+                Propose(change=change, timeout=timeout),
+                Proposed,
+                timeout=timeout,
             )
-        )
-        return None
+        except CallFailed as error:
+            return Proposed(may_apply=True, reason=str(error))
 
-    async def _take_in_force(
-        self, sender: Sender, message: InForce
-    ) -> Message | None:
-        self.in_force_by_vm_id[sender.vm_id] = message.revision
-        self._followers.add(sender.address)
-        if message.revision < self.current.revision:
-            self._peers.send(sender.address, self._make_snapshot())
-        return None
-
-    def _make_snapshot(self) -> Snapshot:
-        return Snapshot(
-            revision=self.current.revision,
-            resources=list(self.current.resources_by_key.values()),
-        )
+    async def _query(self, address: str) -> InForceReply:
+        try:
+            return await self._peers.call(
+                address, InForceQuery(), InForceReply, timeout=QUERY_SECONDS
+            )
+        except CallFailed:
+            return InForceReply(reports=[])
 
-    def _put_in_force(self, configuration: Configuration) -> None:
-        # Messages arrive out of order: an older revision never replaces a
-        # newer one.
-        if configuration.revision <= self.current.revision:
-            return
-        self.current = configuration
-        self._timeline.record(
-            "configuration.in_force", revision=configuration.revision
-        )
-        for listener in self._listeners:
-            listener(configuration)
+    async def _take_query(
+        self, sender: Sender, message: InForceQuery
+    ) -> Message | None:
+        return InForceReply(reports=self._reports.aged_reports())
--- a/burdockdrum/configuration/services.py
+++ b/burdockdrum/configuration/services.py
@@ -1,26 +1,83 @@
 """Name the services of this package."""
 
+import functools
+import random
+
+from burdockdrum.configuration.control import propose_lease
+from burdockdrum.configuration.control_state import ControlState
+from burdockdrum.configuration.reports import Directory
 from burdockdrum.configuration.service import ConfigurationService
+from burdockdrum.consensus import LogSettings
+from burdockdrum.consensus import ReplicatedLog
 from burdockdrum.kernel import Kernel
+from burdockdrum.leases import LeaseKeeper
+from burdockdrum.metrics import Metrics
 from burdockdrum.peers import Peers
 from burdockdrum.ports import Clock
-from burdockdrum.resources import ResourceStore
+from burdockdrum.ports import Disk
 from burdockdrum.settings import Settings
 from burdockdrum.timeline import Timeline
 
 
 def add_services(kernel: Kernel) -> None:
-    """Name the configuration in force."""
+    """Name the configuration in force and, on a control VM, its log."""
+    if kernel.has("disk"):
+        kernel.add("control_state", lambda kernel: ControlState())
+        kernel.add("log", _build_log)
+        kernel.add("lease_keeper", _build_lease_keeper)
     kernel.add("configuration", _build_configuration)
 
 
+def _build_log(kernel: Kernel) -> ReplicatedLog:
+    settings = kernel.find("settings", Settings)
+    return ReplicatedLog(
+        peers=kernel.find("peers", Peers),
+        disk=kernel.find("disk", Disk),
+        clock=kernel.find("clock", Clock),
+        rng=kernel.find("random", random.Random),
+        timeline=kernel.find("timeline", Timeline),
+        metrics=kernel.find("metrics", Metrics),
+        state_machine=kernel.find("control_state", ControlState),
+        settings=_log_settings(settings),
+    )
+
+
+def _build_lease_keeper(kernel: Kernel) -> LeaseKeeper:
+    log = kernel.find("log", ReplicatedLog)
+    return LeaseKeeper(
+        peers=kernel.find("peers", Peers),
+        clock=kernel.find("clock", Clock),
+        rng=kernel.find("random", random.Random),
+        table=kernel.find("control_state", ControlState).leases,
+        leadership=log,
+        propose=functools.partial(propose_lease, log),
+    )
+
+
+def _log_settings(settings: Settings) -> LogSettings:
+    members = settings.control.members
+    is_founder = settings.vm.id in members
+    return LogSettings(
+        vm_id=settings.vm.id,
+        bootstrap_addresses_by_id=members if is_founder else {},
+    )
+
+
 def _build_configuration(kernel: Kernel) -> ConfigurationService:
     settings = kernel.find("settings", Settings)
-    is_member = settings.vm.id in settings.control.members
+    is_control = kernel.has("log")
+    state = kernel.find("control_state", ControlState) if is_control else None
+    log = kernel.find("log", ReplicatedLog) if is_control else None
+    lease_seconds = settings.configuration.residency_lease_seconds
     return ConfigurationService(
         peers=kernel.find("peers", Peers),
         clock=kernel.find("clock", Clock),
         timeline=kernel.find("timeline", Timeline),
-        store=ResourceStore() if is_member else None,
-        control_addresses=list(settings.control.members.values()),
+        # The directory tells the others this VM's revision, so it is built
+        # after this service.
+        directory=lambda: kernel.find("vms", Directory),
+        control_addresses=settings.control.members,
+        residency_lease_seconds=lease_seconds,
+        state=state,
+        log=log,
     )
--- a/burdockdrum/daemon/assembly.py
+++ b/burdockdrum/daemon/assembly.py
@@ -11,10 +11,12 @@
 import burdockdrum.configuration
 import burdockdrum.endpoints
 from burdockdrum.kernel import Kernel
+import burdockdrum.leases
 from burdockdrum.metrics import Metrics
 import burdockdrum.peers
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
+from burdockdrum.ports import Disk
 from burdockdrum.ports import HttpClient
 from burdockdrum.ports import Mailbox
 import burdockdrum.requests
@@ -29,6 +31,7 @@
     burdockdrum.peers,
     burdockdrum.endpoints,
     burdockdrum.configuration,
+    burdockdrum.leases,
     burdockdrum.vms,
     burdockdrum.routing,
     burdockdrum.admission,
@@ -45,10 +48,13 @@
     clock: Clock,
     http: HttpClient,
     rng: random.Random,
+    disk: Disk | None = None,
 ) -> Kernel:
     """Return a kernel with every service of a VM named.
 
     The ports come from the caller: real ones in the daemon, fakes in tests.
+
+    :param disk: the data folder, on a control VM only
     """
     kernel = Kernel()
     kernel.provide("settings", settings)
@@ -58,6 +64,8 @@
     kernel.provide("clock", clock)
     kernel.provide("http", http)
     kernel.provide("metrics", Metrics())
+    if disk is not None:
+        kernel.provide("disk", disk)
     kernel.add("timeline", _build_timeline)
     for package in _PACKAGES:
         package.add_services(kernel)
--- a/burdockdrum/settings/checks.py
+++ b/burdockdrum/settings/checks.py
@@ -32,6 +32,7 @@
         *_check_addresses(settings),
         *_check_cluster(settings),
         *_check_control(settings),
+        *_check_configuration(settings),
         *_check_hashes(settings),
         *_check_limits(settings),
     ]
@@ -104,6 +105,16 @@
         )
 
 
+def _check_configuration(settings: Settings) -> Iterator[SettingsProblem]:
+    if settings.configuration.residency_lease_seconds <= 0:
+        yield SettingsProblem(
+            key="configuration.residency_lease_seconds",
+            problem="is not above 0",
+            fix="set it to the seconds for which a VM that is cut off may "
+            "go by what it last knew",
+        )
+
+
 def _check_hashes(settings: Settings) -> Iterator[SettingsProblem]:
     sections = {
         "operators.token_hashes": settings.operators.token_hashes,
--- a/burdockdrum/settings/model.py
+++ b/burdockdrum/settings/model.py
@@ -57,6 +57,17 @@
     data_folder: str | None = None
 
 
+class ConfigurationSettings(_Section, frozen=True, kw_only=True):
+    """What a VM does that hears of no change for long.
+
+    For ``residency_lease_seconds`` after it last knew its configuration to
+    be current, a VM lets a client's data go to every region of its
+    residency; from then on to its home region only.
+    """
+
+    residency_lease_seconds: float = 300.0
+
+
 class OperatorSettings(_Section, frozen=True, kw_only=True):
     """Hashes of tokens that work before any operator resource exists."""
 
@@ -107,6 +118,7 @@
     listen: ListenSettings = ListenSettings()
     cluster: ClusterSettings = ClusterSettings()
     control: ControlSettings = ControlSettings()
+    configuration: ConfigurationSettings = ConfigurationSettings()
     operators: OperatorSettings = OperatorSettings()
     endpoints: EndpointSettings = EndpointSettings()
     limits: LimitSettings = LimitSettings()
--- a/burdockdrum/web/operators.py
+++ b/burdockdrum/web/operators.py
@@ -1,8 +1,9 @@
 """What operators use: resources, status, the time line, drains."""
 
-import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Iterable
+import contextlib
 import secrets
 from typing import Any
 
@@ -11,8 +12,10 @@
 from blacksheep.messages import Response
 import msgspec
 
+from burdockdrum.configuration import ChangeNotAccepted
 from burdockdrum.configuration import ChangeUnknown
 from burdockdrum.configuration import ConfigurationService
+from burdockdrum.configuration import RevisionGone
 from burdockdrum.endpoints import EndpointRegistry
 from burdockdrum.metrics import Metrics
 from burdockdrum.resources import Change
@@ -24,6 +27,7 @@
 from burdockdrum.resources import Resource
 from burdockdrum.resources import ResourceError
 from burdockdrum.resources import ResourceKey
+from burdockdrum.resources import Revised
 from burdockdrum.settings import Settings
 from burdockdrum.timeline import Timeline
 from burdockdrum.verdicts import Refusal
@@ -32,13 +36,16 @@
 from burdockdrum.vms import VmDirectory
 from burdockdrum.web.authentication import Authenticator
 from burdockdrum.web.reading import bad_request
+from burdockdrum.web.reading import header
 from burdockdrum.web.reading import query
 from burdockdrum.web.reading import read_json
 from burdockdrum.web.reading import route_value
 from burdockdrum.web.responses import json_response
 from burdockdrum.web.responses import text_response
+from burdockdrum.web.streaming import watch
 
 _STATUS_BY_CODE = {"accepted": 200, "conflict": 409, "invalid": 422}
+_GONE_STATUS = 410
 _MAX_CHANGE_ID = 128
 
 
@@ -76,13 +83,14 @@
     status: ResourceStatus
 
 
-class WatchEvent(msgspec.Struct, frozen=True, kw_only=True):
-    """One resource that changed; ``resource`` is None when deleted."""
+class WatchGone(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer to a watch from a revision that is too old."""
 
-    revision: int
-    kind: str
-    name: str
-    resource: Resource | None
+    message: str
+    request_id: str
+    oldest_revision: int
+    code: str = "revision_gone"
+    verdict: str = Verdict.NOT_RUN.value
 
 
 class OperatorFace:
@@ -153,39 +161,62 @@
                 message=f"there is no {key.kind} {key.name!r}",
                 verdict=Verdict.NOT_RUN,
             )
-        return json_response(self._view(resource))
+        revisions = await self._configuration.fetch_in_force()
+        return json_response(_view(resource, revisions))
 
     async def list(self, request: Request, request_id: str) -> Response:
         """Serve GET /v1/resources/KIND."""
         self._authenticator.find_operator(request)
         kind = route_value(request, "kind")
         resources = self._configuration.current.resources_by_key
+        revisions = await self._configuration.fetch_in_force()
         return json_response(
             [
-                self._view(resource)
+                _view(resource, revisions)
                 for key, resource in sorted(resources.items())
                 if key.kind == kind
             ]
         )
 
     async def watch(self, request: Request, request_id: str) -> Response:
-        """Serve GET /v1/watch: an event a changed resource."""
-        self._authenticator.find_operator(request)
+        """Serve GET /v1/watch: an event a changed resource.
 
-        async def events() -> AsyncIterator[bytes]:
-            queue: asyncio.Queue[Configuration] = asyncio.Queue()
-            self._configuration.add_listener(queue.put_nowait)
-            before = Configuration()
-            after = self._configuration.current
-            while True:
-                for event in _compare(before, after):
-                    yield b"data: " + msgspec.json.encode(event) + b"\n\n"
-                before = after
-                after = await queue.get()
-
-        return Response(
-            200, None, StreamedContent(b"text/event-stream", events)
-        )
+        From ``revision``, or the ``Last-Event-ID`` of a watch that broke, on;
+        without either, first every resource as it is.
+        """
+        self._authenticator.find_operator(request)
+        revision = _read_revision(request)
+        current = self._configuration.current
+        first = []
+        if revision is None:
+            first = _list_events(current)
+            revision = current.revision
+        try:
+            self._configuration.changes_after(revision)
+        except RevisionGone as gone:
+            return _gone_response(gone, request_id)
+
+        async def body() -> AsyncIterator[bytes]:
+            parts = watch(request, self._watch_events(first, revision))
+            async with contextlib.aclosing(parts):
+                async for part in parts:
+                    yield part
+
+        content = StreamedContent(b"text/event-stream", body)
+        return Response(200, None, content)
+
+    async def _watch_events(
+        self, first: Iterable[Revised], revision: int
+    ) -> AsyncIterator[bytes]:
+        for change in first:
+            yield _encode_event(change)
+        try:
+            async for change in self._configuration.watch(revision):
+                yield _encode_event(change)
+        except RevisionGone as gone:
+            # The watcher read more slowly than changes came.
+            message = msgspec.json.encode({"message": str(gone)})
+            yield b"event: gone\ndata: " + message + b"\n\n"
 
     async def list_endpoints(
         self, request: Request, request_id: str
@@ -197,13 +228,15 @@
     async def status(self, request: Request, request_id: str) -> Response:
         """Serve GET /v1/status: this VM and what it knows of others."""
         self._authenticator.find_operator(request)
+        in_force_by_vm_id = await self._configuration.fetch_in_force()
         return json_response(
             {
                 "vm": self._vms.identity,
                 "draining": self._vms.draining,
                 "revision": self._configuration.current.revision,
+                "configuration": self._configuration.status(),
                 "vms": self._vms.live_vms(),
-                "in_force_by_vm_id": self._configuration.in_force_by_vm_id,
+                "in_force_by_vm_id": in_force_by_vm_id,
             }
         )
 
@@ -239,23 +272,30 @@
                 verdict=Verdict.MAY_HAVE_RUN,
                 retry_after=1.0,
             ) from error
+        except ChangeNotAccepted as error:
+            raise Refusal(
+                code=RefusalCode.CONFIGURATION_STALE,
+                message=f"the change was not accepted: {error}",
+                verdict=Verdict.NOT_RUN,
+                retry_after=1.0,
+            ) from error
         return _change_response(result)
 
-    def _view(self, resource: Resource) -> ResourceView:
-        revisions = self._configuration.in_force_by_vm_id
-        reached = [
-            vm_id
-            for vm_id, revision in revisions.items()
-            if revision >= resource.version
-        ]
-        return ResourceView(
-            resource=resource,
-            status=ResourceStatus(
-                in_force_here=True,
-                in_force_at=sorted(reached),
-                not_in_force_at=sorted(set(revisions) - set(reached)),
-            ),
-        )
+
+def _view(resource: Resource, revisions: dict[str, int]) -> ResourceView:
+    reached = [
+        vm_id
+        for vm_id, revision in revisions.items()
+        if revision >= resource.version
+    ]
+    return ResourceView(
+        resource=resource,
+        status=ResourceStatus(
+            in_force_here=True,
+            in_force_at=sorted(reached),
+            not_in_force_at=sorted(set(revisions) - set(reached)),
+        ),
+    )
 
 
 def _change_response(result: ChangeResult) -> Response:
@@ -274,25 +314,43 @@
     return change_id or secrets.token_hex(16)
 
 
-def _compare(before: Configuration, after: Configuration) -> list[WatchEvent]:
-    events = [
-        WatchEvent(
+def _read_revision(request: Request) -> int | None:
+    for field, value in (
+        ("Last-Event-ID", header(request, "last-event-id")),
+        ("revision", query(request, "revision")),
+    ):
+        if value:
+            if not value.isdecimal():
+                raise bad_request(f"{field} is {value!r}, not a revision")
+            return int(value)
+    return None
+
+
+def _list_events(configuration: Configuration) -> list[Revised]:
+    # In the order of their versions, so that the id of each is a revision
+    # that a watch which breaks here can go on from.
+    resources = sorted(
+        configuration.resources_by_key.values(),
+        key=lambda resource: resource.version,
+    )
+    return [
+        Revised(
             revision=resource.version,
-            kind=key.kind,
-            name=key.name,
+            kind=resource.kind,
+            name=resource.name,
             resource=resource,
         )
-        for key, resource in after.resources_by_key.items()
-        if before.resources_by_key.get(key) != resource
+        for resource in resources
     ]
-    events.sort(key=lambda event: event.revision)
-    for key in before.resources_by_key.keys() - after.resources_by_key.keys():
-        events.append(
-            WatchEvent(
-                revision=after.revision,
-                kind=key.kind,
-                name=key.name,
-                resource=None,
-            )
-        )
-    return events
+
+
+def _encode_event(change: Revised) -> bytes:
+    data = msgspec.json.encode(change)
+    return b"id: %d\ndata: %b\n\n" % (change.revision, data)
+
+
+def _gone_response(gone: RevisionGone, request_id: str) -> Response:
+    body = WatchGone(
+        message=str(gone), request_id=request_id, oldest_revision=gone.oldest
+    )
+    return json_response({"error": body}, status=_GONE_STATUS)
