--- a/burdockdrum/daemon/daemon.py
+++ b/burdockdrum/daemon/daemon.py
@@ -1,6 +1,7 @@
 """One VM's process from its start to its exit."""
 
 import asyncio
+import pathlib
 import random
 import signal
 import socket
@@ -14,6 +15,7 @@
 from burdockdrum.kernel import Kernel
 from burdockdrum.peers import VmIdentity
 from burdockdrum.settings import Settings
+from burdockdrum.system_ports import FolderDisk
 from burdockdrum.system_ports import limit_threads
 from burdockdrum.system_ports import PooledHttpClient
 from burdockdrum.system_ports import PynngNetwork
@@ -80,6 +82,7 @@
             clock=SystemClock(),
             http=PooledHttpClient(),
             rng=random.Random(),
+            disk=_open_disk(settings),
         )
         kernel.add("web", lambda kernel: _build_web(kernel, listener))
         return kernel
@@ -106,6 +109,11 @@
             logger.warning("the drain's limit has passed")
 
 
+def _open_disk(settings: Settings) -> FolderDisk | None:
+    folder = settings.control.data_folder
+    return FolderDisk(folder=pathlib.Path(folder)) if folder else None
+
+
 def _build_web(kernel: Kernel, listener: socket.socket) -> WebServer:
     tls = kernel.find("settings", Settings).listen.tls
     return WebServer(
--- a/burdockdrum/testing/vms.py
+++ b/burdockdrum/testing/vms.py
@@ -15,6 +15,7 @@
 from burdockdrum.peers import VmIdentity
 from burdockdrum.settings import Settings
 from burdockdrum.testing.asgi import serve_asgi
+from burdockdrum.testing.disk import FakeDisk
 from burdockdrum.testing.http import FakeHttpClient
 from burdockdrum.testing.http import FakeWeb
 from burdockdrum.testing.network import FakeNetwork
@@ -40,6 +41,7 @@
         self.network = FakeNetwork(rng=random.Random(seed + 1))
         self.web = FakeWeb(network=self.network)
         self.vms_by_id: dict[str, FakeVm] = {}
+        self.disks_by_vm_id: dict[str, FakeDisk] = {}
         self._incarnation = 0
 
     async def start_vm(self, settings: Settings) -> FakeVm:
@@ -62,6 +64,7 @@
             clock=VirtualClock(),
             http=FakeHttpClient(web=self.web, host=vm_id),
             rng=random.Random(self.rng.random()),
+            disk=self._find_disk(settings),
         )
         vm = FakeVm(identity=identity, kernel=kernel)
         application = kernel.find("application", Application)
@@ -79,6 +82,15 @@
         vm.task.cancel()
         await asyncio.gather(vm.task, return_exceptions=True)
 
+    def _find_disk(self, settings: Settings) -> FakeDisk | None:
+        if settings.control.data_folder is None:
+            return None
+        vm_id = settings.vm.id
+        if vm_id not in self.disks_by_vm_id:
+            rng = random.Random(self.rng.random())
+            self.disks_by_vm_id[vm_id] = FakeDisk(rng=rng)
+        return self.disks_by_vm_id[vm_id]
+
     async def stop(self) -> None:
         """Stop every VM."""
         for vm_id in list(self.vms_by_id):
