Spread endpoints and VMs by delta-coded publications

Each entry knew only the endpoints that announced to itself, and every VM of the system said hello to every other one twice a second, which grows with the square of all VMs.

A VM now publishes records (identity, state, endpoints, loads, cached prefixes, summaries heard) to the VMs of its data centre: one message a peer and tick with what changed, a sequence that is the heartbeat, and a request for what was missed on a gap, which a third VM can answer. Between data centres only summaries travel.

--- a/burdockdrum/endpoints/__init__.py
+++ b/burdockdrum/endpoints/__init__.py
@@ -1,17 +1,29 @@
 """The endpoints that announced themselves to this data centre."""
 
 from burdockdrum.endpoints.announcements import Announcement
+from burdockdrum.endpoints.announcements import CacheEvent
 from burdockdrum.endpoints.announcements import LeaseGrant
 from burdockdrum.endpoints.announcements import Report
-from burdockdrum.endpoints.registry import Endpoint
+from burdockdrum.endpoints.cache import PrefixCache
+from burdockdrum.endpoints.cache import PREFIXES_AN_ENDPOINT
+from burdockdrum.endpoints.model import Endpoint
+from burdockdrum.endpoints.registry import COPY_LEASE_SECONDS
 from burdockdrum.endpoints.registry import EndpointRegistry
+from burdockdrum.endpoints.registry import LEASE_SECONDS
+from burdockdrum.endpoints.registry import REPORT_SECONDS
 from burdockdrum.endpoints.services import add_services
 
 __all__ = [
     "add_services",
     "Announcement",
+    "CacheEvent",
+    "COPY_LEASE_SECONDS",
     "Endpoint",
     "EndpointRegistry",
+    "LEASE_SECONDS",
     "LeaseGrant",
+    "PrefixCache",
+    "PREFIXES_AN_ENDPOINT",
     "Report",
+    "REPORT_SECONDS",
 ]
--- a/burdockdrum/endpoints/announcements.py
+++ b/burdockdrum/endpoints/announcements.py
@@ -8,7 +8,7 @@
 class Announcement(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """An endpoint that offers itself.
+    """An endpoint that offers itself to one entry VM of its data centre.
 
     ``incarnation`` is larger for each start at the same address. ``slots``
     is how many requests it runs at once. ``role`` splits engines that only
@@ -40,8 +40,12 @@
 ):
     """An endpoint's load; a report renews its lease.
 
-    ``sequence`` counts reports of one incarnation, so that gaps show.
-    ``age_seconds`` is how old the figures were when they were sent.
+    ``sequence`` counts reports of one incarnation, so that gaps show and a
+    late report changes nothing. ``age_seconds`` is how old the figures were
+    when they were sent. ``cache_sequence`` counts the engine's cache events
+    up to the last one of this report; with ``cache_complete`` the events
+    name all that the cache holds. ``leaving`` repeats that the endpoint
+    wants no new work, for an entry VM that missed it.
     """
 
     incarnation: int
@@ -56,6 +60,7 @@
     versions: list[str] | None = None
     adapters: list[str] | None = None
     role: Literal["both", "prefill", "decode"] | None = None
+    leaving: bool = False
 
 
 class LeaseGrant(msgspec.Struct, frozen=True, kw_only=True):
@@ -63,9 +68,12 @@
 
     ``known`` is false when the endpoint has to announce itself again;
     ``resync`` asks for the whole cache content in the next report.
+    ``entries`` are the entry VMs of the data centre, in the answer to an
+    announcement: the endpoint goes on to another one when its own fails.
     """
 
     lease_seconds: float
     report_seconds: float
     known: bool = True
     resync: bool = False
+    entries: list[str] = []
--- a/burdockdrum/endpoints/registry.py
+++ b/burdockdrum/endpoints/registry.py
@@ -1,41 +1,33 @@
-"""Which endpoints there are and what they last reported."""
+"""Which endpoints there are and what they last reported.
 
-from dataclasses import dataclass
+An endpoint talks to one entry VM, its reporter, which passes it on. So a VM
+holds copies: its own of endpoints that talk to it, and those of other VMs.
+For each endpoint the copy with the highest incarnation, then the highest
+report sequence counts; an endpoint that moves to another reporter is
+followed without a break.
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
 from dataclasses import replace
 
 from burdockdrum.endpoints.announcements import Announcement
 from burdockdrum.endpoints.announcements import LeaseGrant
 from burdockdrum.endpoints.announcements import Report
+from burdockdrum.endpoints.cache import PrefixCache
+from burdockdrum.endpoints.damping import Damping
+from burdockdrum.endpoints.model import Endpoint
 from burdockdrum.ports import Clock
 from burdockdrum.timeline import Timeline
 
 LEASE_SECONDS = 3.0
 REPORT_SECONDS = 0.5
-
-
-@dataclass(frozen=True, kw_only=True)
-class Endpoint:
-    """What this VM knows of an endpoint.
-
-    ``reported_at`` and ``lease_until`` are on this VM's monotonic clock.
-    """
-
-    endpoint_id: str
-    incarnation: int
-    url: str
-    service: str
-    slots: int
-    versions: frozenset[str]
-    adapters: frozenset[str]
-    role: str
-    checks_fencing: bool
-    running: int
-    waiting: int
-    memory_used: float
-    sequence: int
-    reported_at: float
-    lease_until: float
-    leaving: bool = False
+# How long the copy of another VM counts once that VM is silent: the time
+# in which a live endpoint has found another reporter.
+COPY_LEASE_SECONDS = 6.0
+OWN = ""
+MAX_ENDED = 4096
 
 
 class EndpointRegistry:
@@ -46,17 +38,40 @@
         self._clock = clock
         self._timeline = timeline
         self.endpoints_by_id: dict[str, Endpoint] = {}
+        self.entries: Callable[[], list[str]] = list
+        self._copies_by_id: dict[str, dict[str, Endpoint]] = {}
+        self._id_by_url: dict[str, str] = {}
+        self._caches_by_id: dict[str, PrefixCache] = {}
+        self._damping = Damping()
+        self._listeners: list[Callable[[], None]] = []
+        # The newest incarnation by address, and the incarnations that left:
+        # late messages of an old one must not bring it back.
+        self._newest_by_url: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self._left_by_id: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call a function when endpoints appear, leave or vanish here."""
+        self._listeners.append(listener)
 
     def announce(self, announcement: Announcement) -> LeaseGrant:
         """Take in an endpoint that offers itself.
 
         An older incarnation than the one known is told that it is unknown.
         """
-        known = self.endpoints_by_id.get(announcement.endpoint_id)
-        if known is not None and known.incarnation > announcement.incarnation:
-            return _grant(known=False)
+        if self._is_outdated(
+            announcement.endpoint_id,
+            announcement.url,
+            announcement.incarnation,
+        ):
+            return self._grant(known=False)
         now = self._clock.monotonic()
-        self.endpoints_by_id[announcement.endpoint_id] = Endpoint(
+        known = self.endpoints_by_id.get(announcement.endpoint_id)
+        same = known if _is_same(known, announcement.incarnation) else None
+        endpoint = Endpoint(
             endpoint_id=announcement.endpoint_id,
             incarnation=announcement.incarnation,
             url=announcement.url,
@@ -66,25 +81,33 @@
             adapters=frozenset(announcement.adapters),
             role=announcement.role,
             checks_fencing=announcement.checks_fencing,
-            running=0,
-            waiting=0,
-            memory_used=0.0,
-            sequence=0,
+            running=same.running if same else 0,
+            waiting=same.waiting if same else 0,
+            memory_used=same.memory_used if same else 0.0,
+            sequence=same.sequence if same else 0,
             reported_at=now,
             lease_until=now + LEASE_SECONDS,
         )
+        self.take_copy(OWN, endpoint)
         self._timeline.record(
             "endpoint.announced", endpoint_id=announcement.endpoint_id
         )
-        return _grant(known=True)
+        self._tell()
+        return self._grant(known=True, entries=self.entries())
 
     def report(self, endpoint_id: str, report: Report) -> LeaseGrant:
         """Renew an endpoint's lease and take its figures."""
         known = self.endpoints_by_id.get(endpoint_id)
         if known is None or known.incarnation != report.incarnation:
-            return _grant(known=False)
+            return self._grant(known=False)
         now = self._clock.monotonic()
-        self.endpoints_by_id[endpoint_id] = replace(
+        own = self._copies_by_id[endpoint_id].get(OWN)
+        if report.sequence < known.sequence:
+            # A report that was overtaken, or one of a restarted count.
+            renewed = replace(own or known, lease_until=now + LEASE_SECONDS)
+            self.take_copy(OWN, renewed)
+            return self._grant(known=True)
+        endpoint = replace(
             known,
             running=report.running,
             waiting=report.waiting,
@@ -92,31 +115,198 @@
             sequence=report.sequence,
             reported_at=now - report.age_seconds,
             lease_until=now + LEASE_SECONDS,
+            versions=_choose(report.versions, known.versions),
+            adapters=_choose(report.adapters, known.adapters),
+            role=report.role or known.role,
         )
-        return _grant(known=True)
+        self.take_copy(OWN, endpoint)
+        if report.leaving:
+            self.leave(endpoint_id, report.incarnation)
+        resync = self.cache_of(endpoint_id).take_report(report)
+        return self._grant(known=True, resync=resync)
 
     def leave(self, endpoint_id: str, incarnation: int) -> None:
         """Give an endpoint no new work; its running work goes on."""
+        if self._left_by_id.get(endpoint_id, -1) >= incarnation:
+            return
+        self._left_by_id[endpoint_id] = incarnation
+        _trim(self._left_by_id)
         known = self.endpoints_by_id.get(endpoint_id)
-        if known is not None and known.incarnation == incarnation:
-            self.endpoints_by_id[endpoint_id] = replace(known, leaving=True)
-            self._timeline.record("endpoint.leaving", endpoint_id=endpoint_id)
+        if not _is_same(known, incarnation):
+            return
+        assert known is not None
+        if OWN not in self._copies_by_id[endpoint_id]:
+            # Its reporter may have missed it: this VM tells it on as well.
+            lease = self._clock.monotonic() + LEASE_SECONDS
+            self.take_copy(OWN, replace(known, lease_until=lease))
+        self._merge(endpoint_id)
+        self._timeline.record("endpoint.leaving", endpoint_id=endpoint_id)
+        self._tell()
 
     def candidates(self, service: str) -> list[Endpoint]:
-        """Return the endpoints of a service that may get new work."""
+        """Return the endpoints of a service that may get new work.
+
+        Those held back for flapping are left out unless there is no other.
+        """
         now = self._clock.monotonic()
-        return [
+        live = [
             endpoint
             for endpoint in self.endpoints_by_id.values()
             if endpoint.service == service
             and not endpoint.leaving
             and endpoint.lease_until > now
         ]
+        steady = [e for e in live if not self._damping.is_held(e.url, now)]
+        return steady or live
+
+    def is_held(self, endpoint: Endpoint) -> bool:
+        """Say whether an endpoint is held back for flapping."""
+        return self._damping.is_held(endpoint.url, self._clock.monotonic())
+
+    def cache_of(self, endpoint_id: str) -> PrefixCache:
+        """Return what is known of an endpoint's prefix cache."""
+        cache = self._caches_by_id.get(endpoint_id)
+        if cache is None:
+            cache = self._caches_by_id[endpoint_id] = PrefixCache()
+        return cache
+
+    def own_endpoints(self) -> list[Endpoint]:
+        """Return the endpoints whose reporter this VM is."""
+        return [
+            copies[OWN]
+            for copies in self._copies_by_id.values()
+            if OWN in copies
+        ]
+
+    def has_left(self, endpoint: Endpoint) -> bool:
+        """Say whether this incarnation of an endpoint wants no new work."""
+        left = self._left_by_id.get(endpoint.endpoint_id, -1)
+        return left >= endpoint.incarnation
+
+    def take_copy(self, vm_id: str, endpoint: Endpoint) -> None:
+        """Take in what a VM knows of an endpoint; ``OWN`` is this VM."""
+        name, url = endpoint.endpoint_id, endpoint.url
+        if self._is_outdated(name, url, endpoint.incarnation):
+            return
+        self._newest_by_url[url] = endpoint.incarnation
+        self._newest_by_url.move_to_end(url)
+        _trim(self._newest_by_url)
+        other = self._id_by_url.get(url)
+        if other is not None and other != name:
+            if not self._replaces(endpoint, other):
+                return
+            self._forget(other, "endpoint.replaced")
+        self._id_by_url[url] = name
+        copies = self._copies_by_id.setdefault(name, {})
+        for source, copy in list(copies.items()):
+            if copy.incarnation < endpoint.incarnation:
+                del copies[source]
+        copies[vm_id] = endpoint
+        self._merge(name)
+
+    def drop_copy(self, vm_id: str, endpoint_id: str) -> None:
+        """Forget what a VM knew of an endpoint."""
+        copies = self._copies_by_id.get(endpoint_id)
+        if copies is not None and copies.pop(vm_id, None) is not None:
+            self._merge(endpoint_id)
+
+    def prune(self) -> None:
+        """Drop the copies whose lease has ended."""
+        now = self._clock.monotonic()
+        for endpoint_id, copies in list(self._copies_by_id.items()):
+            for vm_id, copy in list(copies.items()):
+                if copy.lease_until <= now:
+                    self.drop_copy(vm_id, endpoint_id)
+
+    def _merge(self, endpoint_id: str) -> None:
+        copies = self._copies_by_id.get(endpoint_id)
+        if not copies:
+            self._forget(endpoint_id, "endpoint.gone")
+            return
+        best = max(
+            copies.values(),
+            key=lambda copy: (copy.sequence, copy.lease_until),
+        )
+        known = self.endpoints_by_id.get(endpoint_id)
+        if _is_same(known, best.incarnation):
+            assert known is not None
+            since = known.known_since
+        else:
+            since = self._clock.monotonic()
+            self._note_appeared(best)
+        lease_until = max(copy.lease_until for copy in copies.values())
+        self.endpoints_by_id[endpoint_id] = replace(
+            best,
+            leaving=self.has_left(best),
+            known_since=since,
+            lease_until=lease_until,
+        )
+
+    def _note_appeared(self, endpoint: Endpoint) -> None:
+        self._caches_by_id.pop(endpoint.endpoint_id, None)
+        hold = self._damping.note_return(endpoint.url, self._clock.monotonic())
+        if hold:
+            self._timeline.record(
+                "endpoint.held", endpoint_id=endpoint.endpoint_id, seconds=hold
+            )
+
+    def _forget(self, endpoint_id: str, event: str) -> None:
+        self._copies_by_id.pop(endpoint_id, None)
+        self._caches_by_id.pop(endpoint_id, None)
+        known = self.endpoints_by_id.pop(endpoint_id, None)
+        if known is None:
+            return
+        if self._id_by_url.get(known.url) == endpoint_id:
+            del self._id_by_url[known.url]
+        self._timeline.record(event, endpoint_id=endpoint_id)
+        self._tell()
+
+    def _is_outdated(
+        self, endpoint_id: str, url: str, incarnation: int
+    ) -> bool:
+        known = self.endpoints_by_id.get(endpoint_id)
+        newest = self._newest_by_url.get(url, -1)
+        if known is not None:
+            newest = max(newest, known.incarnation)
+        return incarnation < newest
+
+    def _replaces(self, endpoint: Endpoint, other_id: str) -> bool:
+        # Two ids that claim one address under one incarnation are a fault
+        # of the endpoint; the order of ids keeps all VMs at one of them.
+        other = self.endpoints_by_id[other_id]
+        new = (endpoint.incarnation, endpoint.endpoint_id)
+        return new > (other.incarnation, other_id)
+
+    def _tell(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+    def _grant(
+        self,
+        *,
+        known: bool,
+        resync: bool = False,
+        entries: Iterable[str] = (),
+    ) -> LeaseGrant:
+        return LeaseGrant(
+            lease_seconds=LEASE_SECONDS,
+            report_seconds=REPORT_SECONDS,
+            known=known,
+            resync=resync,
+            entries=list(entries),
+        )
+
+
+def _is_same(endpoint: Endpoint | None, incarnation: int) -> bool:
+    return endpoint is not None and endpoint.incarnation == incarnation
+
+
+def _choose(
+    reported: list[str] | None, known: frozenset[str]
+) -> frozenset[str]:
+    return known if reported is None else frozenset(reported)
 
 
-def _grant(*, known: bool) -> LeaseGrant:
-    return LeaseGrant(
-        lease_seconds=LEASE_SECONDS,
-        report_seconds=REPORT_SECONDS,
-        known=known,
-    )
+def _trim(ordered: collections.OrderedDict) -> None:
+    while len(ordered) > MAX_ENDED:
+        ordered.popitem(last=False)
--- a/burdockdrum/vms/__init__.py
+++ b/burdockdrum/vms/__init__.py
@@ -1,8 +1,9 @@
 """The VMs of the system that this VM knows, and what others can take."""
 
+from burdockdrum.vms.directory import DataCentreView
 from burdockdrum.vms.directory import VmDirectory
 from burdockdrum.vms.directory import VmView
-from burdockdrum.vms.messages import Hello
+from burdockdrum.vms.endpoint_sharing import EndpointSharing
 from burdockdrum.vms.messages import ServiceSummary
 from burdockdrum.vms.selection import EntryChoice
 from burdockdrum.vms.selection import EntryList
@@ -12,9 +13,10 @@
 
 __all__ = [
     "add_services",
+    "DataCentreView",
+    "EndpointSharing",
     "EntryChoice",
     "EntryList",
-    "Hello",
     "select_entries",
     "ServiceSummary",
     "VALID_SECONDS",
--- /dev/null
+++ b/burdockdrum/vms/publication.py
@@ -0,0 +1,179 @@
+"""The records that one VM publishes, and another VM's copy of them."""
+
+import collections
+from dataclasses import dataclass
+
+import msgspec
+
+from burdockdrum.vms.messages import Changes
+from burdockdrum.vms.messages import Record
+
+# Dropped records remembered, so that a peer that missed some ticks is told
+# of the drops alone; one that missed more is sent everything.
+MAX_DROPPED = 512
+NIL = msgspec.Raw(b"\xc0")
+
+RecordKey = tuple[int, int]
+
+
+@dataclass(frozen=True, slots=True)
+class _Value:
+    raw: msgspec.Raw
+    changed_at: int
+
+
+class Publication:
+    """Records by topic and key, with the sequence that last changed each.
+
+    The sequence grows with each tick of its owner, also without changes:
+    its growth is the owner's heartbeat (van Renesse, Minsky and Hayden, "A
+    gossip-style failure detection service", 1998).
+    """
+
+    def __init__(self, *, vm_id: str, incarnation: int) -> None:
+        """Create an empty publication."""
+        self.vm_id = vm_id
+        self.incarnation = incarnation
+        self.sequence = 0
+        self._values_by_key: dict[RecordKey, _Value] = {}
+        self._dropped_at_by_key: collections.OrderedDict[RecordKey, int] = (
+            collections.OrderedDict()
+        )
+        # Before this sequence drops have been forgotten.
+        self._horizon = 0
+        self._changed: set[RecordKey] = set()
+
+    def __len__(self) -> int:
+        """Return the number of records."""
+        return len(self._values_by_key)
+
+    def get(self, topic: int, key: int) -> msgspec.Raw | None:
+        """Return a value, or None if there is none."""
+        value = self._values_by_key.get((topic, key))
+        return value.raw if value else None
+
+    def put(self, topic: int, key: int, raw: bytes) -> bool:
+        """Set a value from the next tick on; say whether it is new."""
+        known = self._values_by_key.get((topic, key))
+        if known is not None and bytes(known.raw) == raw:
+            return False
+        self._store((topic, key), msgspec.Raw(raw), self.sequence + 1)
+        self._changed.add((topic, key))
+        return True
+
+    def drop(self, topic: int, key: int) -> bool:
+        """Remove a value from the next tick on; say whether it was there."""
+        if (topic, key) not in self._values_by_key:
+            return False
+        self._remove((topic, key), self.sequence + 1)
+        self._changed.add((topic, key))
+        return True
+
+    def advance(self) -> Changes:
+        """Begin the next sequence and return what changed with it."""
+        since = self.sequence
+        self.sequence += 1
+        records = [self._record(key) for key in sorted(self._changed)]
+        self._changed.clear()
+        return self._changes(since, False, records)
+
+    def changes_since(self, sequence: int) -> Changes:
+        """Return what changed after a sequence, or everything."""
+        if sequence < max(self._horizon, 1):
+            return self._changes(0, True, self._all_records())
+        keys = [
+            key
+            for key, value in self._values_by_key.items()
+            if value.changed_at > sequence
+        ]
+        keys += [
+            key
+            for key, dropped_at in self._dropped_at_by_key.items()
+            if dropped_at > sequence
+        ]
+        records = [self._record(key) for key in sorted(keys)]
+        return self._changes(sequence, False, records)
+
+    def apply(self, changes: Changes) -> list[Record] | None:
+        """Take over what the owner changed.
+
+        :returns: the records that are news, or None on a gap: nothing was
+            taken over and the changes since ``sequence`` have to be asked
+            for
+        """
+        if changes.sequence <= self.sequence:
+            return []
+        if not changes.full and changes.since > self.sequence:
+            return None
+        news = []
+        if changes.full:
+            news += self._drop_missing(changes)
+        for record in changes.records:
+            if self._take(record, changes.sequence):
+                news.append(record)
+        self.sequence = changes.sequence
+        return news
+
+    def clear(self) -> list[Record]:
+        """Remove everything; return the records of the drops."""
+        keys = list(self._values_by_key)
+        self._values_by_key.clear()
+        return [Record(topic, key, NIL) for topic, key in keys]
+
+    def _take(self, record: Record, sequence: int) -> bool:
+        key = (record.topic, record.key)
+        if bytes(record.value) == bytes(NIL):
+            # A drop of what never came here is kept too: a third VM that
+            # has the value may ask this one.
+            was_there = key in self._values_by_key
+            self._remove(key, sequence)
+            return was_there
+        known = self._values_by_key.get(key)
+        if known is not None and bytes(known.raw) == bytes(record.value):
+            return False
+        # A view into the frame that brought it would keep the frame.
+        self._store(key, msgspec.Raw(bytes(record.value)), sequence)
+        return True
+
+    def _drop_missing(self, changes: Changes) -> list[Record]:
+        kept = {(record.topic, record.key) for record in changes.records}
+        missing = [key for key in self._values_by_key if key not in kept]
+        for key in missing:
+            self._remove(key, changes.sequence)
+        # Drops before these are not in a full answer, so not known here.
+        self._horizon = changes.sequence
+        return [Record(topic, key, NIL) for topic, key in missing]
+
+    def _store(self, key: RecordKey, raw: msgspec.Raw, sequence: int) -> None:
+        self._values_by_key[key] = _Value(raw, sequence)
+        self._dropped_at_by_key.pop(key, None)
+
+    def _remove(self, key: RecordKey, sequence: int) -> None:
+        self._values_by_key.pop(key, None)
+        self._dropped_at_by_key[key] = sequence
+        if len(self._dropped_at_by_key) > MAX_DROPPED:
+            _, self._horizon = self._dropped_at_by_key.popitem(last=False)
+
+    def _record(self, key: RecordKey) -> Record:
+        value = self._values_by_key.get(key)
+        return Record(key[0], key[1], value.raw if value else NIL)
+
+    def _all_records(self) -> list[Record]:
+        return [
+            Record(key[0], key[1], value.raw)
+            for key, value in sorted(
+                self._values_by_key.items(), key=lambda item: item[0]
+            )
+        ]
+
+    def _changes(
+        self, since: int, full: bool, records: list[Record]
+    ) -> Changes:
+        return Changes(
+            vm_id=self.vm_id,
+            incarnation=self.incarnation,
+            since=since,
+            sequence=self.sequence,
+            full=full,
+            records=records,
+        )
--- a/burdockdrum/vms/services.py
+++ b/burdockdrum/vms/services.py
@@ -1,5 +1,7 @@
 """Name the services of this package."""
 
+import random
+
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.endpoints import EndpointRegistry
 from burdockdrum.kernel import Kernel
@@ -8,12 +10,14 @@
 from burdockdrum.settings import Settings
 from burdockdrum.timeline import Timeline
 from burdockdrum.vms.directory import VmDirectory
+from burdockdrum.vms.endpoint_sharing import EndpointSharing
 from burdockdrum.vms.messages import ServiceSummary
 
 
 def add_services(kernel: Kernel) -> None:
-    """Name the directory of VMs."""
+    """Name the directory of VMs and what tells it of endpoints."""
     kernel.add("vms", _build_vms)
+    kernel.add("endpoint_sharing", _build_sharing)
 
 
 def _build_vms(kernel: Kernel) -> VmDirectory:
@@ -23,12 +27,21 @@
         peers=kernel.find("peers", Peers),
         clock=kernel.find("clock", Clock),
         timeline=kernel.find("timeline", Timeline),
+        rng=kernel.find("random", random.Random),
         join=kernel.find("settings", Settings).cluster.join,
         read_revision=lambda: configuration.current.revision,
         read_services=lambda: _summarize(configuration, endpoints),
     )
 
 
+def _build_sharing(kernel: Kernel) -> EndpointSharing:
+    return EndpointSharing(
+        clock=kernel.find("clock", Clock),
+        group=kernel.find("vms", VmDirectory).group,
+        registry=kernel.find("endpoints", EndpointRegistry),
+    )
+
+
 def _summarize(
     configuration: ConfigurationService, endpoints: EndpointRegistry
 ) -> list[ServiceSummary]:
--- /dev/null
+++ b/tests/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of burdockdrum.orders."""
--- /dev/null
+++ b/tests/vms/bed.py
@@ -0,0 +1,258 @@
+"""VMs reduced to membership, over the fakes, for tests and measurements."""
+
+import asyncio
+import random
+
+from burdockdrum.endpoints import Announcement
+from burdockdrum.endpoints import EndpointRegistry
+from burdockdrum.endpoints import Report
+from burdockdrum.endpoints import REPORT_SECONDS
+from burdockdrum.metrics import Metrics
+from burdockdrum.peers import Peers
+from burdockdrum.peers import Seal
+from burdockdrum.peers import VmIdentity
+from burdockdrum.testing import FakeNetwork
+from burdockdrum.testing import VirtualClock
+from burdockdrum.timeline import HybridClock
+from burdockdrum.timeline import Timeline
+from burdockdrum.vms import EndpointSharing
+from burdockdrum.vms import ServiceSummary
+from burdockdrum.vms import VmDirectory
+
+
+class BedVm:
+    """A VM without a web server; ``start`` and ``crash`` as often as told."""
+
+    def __init__(
+        self,
+        *,
+        network: FakeNetwork,
+        vm_id: str,
+        data_centre: str,
+        incarnation: int,
+        join: list[str],
+        seed: int,
+        services: int = 1,
+    ) -> None:
+        self.clock = VirtualClock()
+        self.metrics = Metrics()
+        mailbox = network.open(vm_id, f"tcp://{vm_id}")
+        self.identity = VmIdentity(
+            vm_id=vm_id,
+            incarnation=incarnation,
+            region=data_centre,
+            data_centre=data_centre,
+            control_address=mailbox.address,
+            http_address=f"http://{vm_id}",
+        )
+        self.timeline = Timeline(
+            process=vm_id,
+            incarnation=incarnation,
+            clock=HybridClock(clock=self.clock),
+        )
+        self.peers = Peers(
+            identity=self.identity,
+            mailbox=mailbox,
+            clock=self.clock,
+            hybrid_clock=self.timeline.clock,
+            rng=random.Random(seed),
+            seal=Seal(secret=b"secret"),
+            metrics=self.metrics,
+        )
+        self.registry = EndpointRegistry(
+            clock=self.clock, timeline=self.timeline
+        )
+        self.services = services
+        self.vms = VmDirectory(
+            peers=self.peers,
+            clock=self.clock,
+            timeline=self.timeline,
+            rng=random.Random(seed + 1),
+            join=join,
+            read_revision=lambda: 1,
+            read_services=self.summarize,
+        )
+        self.sharing = EndpointSharing(
+            clock=self.clock, group=self.vms.group, registry=self.registry
+        )
+        self.task: asyncio.Task | None = None
+
+    def summarize(self) -> list[ServiceSummary]:
+        live = self.registry.candidates("planner")
+        room = sum(e.slots - e.running for e in live)
+        return [
+            ServiceSummary(
+                service=f"planner-{number}",
+                endpoints=len(live),
+                slots=8 * len(live),
+                room=room,
+                queue_seconds=0.0,
+            )
+            for number in range(self.services)
+        ]
+
+    def start(self) -> None:
+        self.task = asyncio.create_task(self._run())
+
+    async def crash(self) -> None:
+        assert self.task is not None
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+        await self.peers.close()
+
+    def knows(self, vm_id: str) -> bool:
+        """Say whether a VM is live and not suspected in this VM's view."""
+        return any(
+            view.identity.vm_id == vm_id and not view.suspected
+            for view in self.vms.live_vms()
+        )
+
+    def offers(self, endpoint_id: str) -> bool:
+        """Say whether an endpoint may get new work from this VM."""
+        return any(
+            endpoint.endpoint_id == endpoint_id
+            for endpoint in self.registry.candidates("planner")
+        )
+
+    async def _run(self) -> None:
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.peers.run())
+            group.create_task(self.vms.run())
+
+
+class BedEndpoint:
+    """An endpoint that reports to one VM and moves on when it fails."""
+
+    def __init__(
+        self, *, bed: "Bed", endpoint_id: str, reporter: str, seed: int
+    ) -> None:
+        self.bed = bed
+        self.announcement = Announcement(
+            endpoint_id=endpoint_id,
+            incarnation=1,
+            url=f"http://{endpoint_id}",
+            service="planner",
+            slots=8,
+        )
+        self.reporter = reporter
+        self.changes_load = True
+        self._rng = random.Random(seed)
+        self._sequence = 0
+        self.task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        self.task = asyncio.create_task(self._run())
+
+    def die(self) -> None:
+        assert self.task is not None
+        self.task.cancel()
+
+    def leave(self, vm_id: str) -> None:
+        self.bed.vms_by_id[vm_id].registry.leave(
+            self.announcement.endpoint_id, self.announcement.incarnation
+        )
+
+    async def _run(self) -> None:
+        known = False
+        # Endpoints do not start in step.
+        await asyncio.sleep(self._rng.random() * REPORT_SECONDS)
+        while True:
+            vm = self.bed.vms_by_id.get(self.reporter)
+            if vm is None:
+                await asyncio.sleep(2.0)
+                self.reporter = self._rng.choice(sorted(self.bed.vms_by_id))
+                known = False
+                continue
+            if not known:
+                known = vm.registry.announce(self.announcement).known
+            else:
+                known = self._report(vm)
+            await asyncio.sleep(REPORT_SECONDS)
+
+    def _report(self, vm: BedVm) -> bool:
+        self._sequence += 1
+        running = self._rng.randrange(9) if self.changes_load else 0
+        report = Report(
+            incarnation=self.announcement.incarnation,
+            sequence=self._sequence,
+            running=running,
+            memory_used=running / 8,
+        )
+        name = self.announcement.endpoint_id
+        return vm.registry.report(name, report).known
+
+
+class Bed:
+    """VMs by id over one network."""
+
+    def __init__(self, *, seed: int) -> None:
+        self.network = FakeNetwork(rng=random.Random(seed))
+        self.vms_by_id: dict[str, BedVm] = {}
+        self._seed = seed
+        self._incarnation = 0
+
+    def start_vm(
+        self,
+        vm_id: str,
+        *,
+        data_centre: str = "dc",
+        join: list[str] | None = None,
+        services: int = 1,
+    ) -> BedVm:
+        self._incarnation += 1
+        self._seed += 7
+        vm = BedVm(
+            network=self.network,
+            vm_id=vm_id,
+            data_centre=data_centre,
+            incarnation=self._incarnation,
+            join=["tcp://vm0", "tcp://vm1"] if join is None else join,
+            seed=self._seed,
+            services=services,
+        )
+        self.vms_by_id[vm_id] = vm
+        vm.start()
+        return vm
+
+    def start_vms(self, count: int) -> list[BedVm]:
+        return [self.start_vm(f"vm{number}") for number in range(count)]
+
+    async def crash_vm(self, vm_id: str) -> None:
+        await self.vms_by_id.pop(vm_id).crash()
+
+    def start_endpoint(self, endpoint_id: str, reporter: str) -> BedEndpoint:
+        self._seed += 3
+        endpoint = BedEndpoint(
+            bed=self,
+            endpoint_id=endpoint_id,
+            reporter=reporter,
+            seed=self._seed,
+        )
+        endpoint.start()
+        return endpoint
+
+    async def wait_until(self, condition, *, limit: float) -> float:
+        """Wait for a condition; return the seconds it took.
+
+        :raises AssertionError: if it did not come about in time
+        """
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        while not condition():
+            if loop.time() - started > limit:
+                raise AssertionError(f"not within {limit} s")
+            await asyncio.sleep(0.02)
+        return loop.time() - started
+
+    def everywhere(self, condition) -> bool:
+        return all(condition(vm) for vm in self.vms_by_id.values())
+
+    def nobody_offers(self, endpoint_id: str) -> bool:
+        """Say whether no VM gives an endpoint new work."""
+        return not any(
+            vm.offers(endpoint_id) for vm in self.vms_by_id.values()
+        )
+
+    async def stop(self) -> None:
+        for vm_id in list(self.vms_by_id):
+            await self.crash_vm(vm_id)
