--- a/burdockdrum/vms/group.py
+++ b/burdockdrum/vms/group.py
@@ -11,6 +11,7 @@
 import random
 import zlib
 
+from loguru import logger
 import msgspec
 
 from burdockdrum.peers import Message
@@ -154,7 +155,7 @@
         if identity.data_centre != self.identity.data_centre:
             return
         if identity.vm_id == self.identity.vm_id:
-            self._note_same_id(identity)
+            self._check_same_id(identity.incarnation, identity.control_address)
             return
         known = self.members_by_id.get(identity.vm_id)
         if known and known.identity.incarnation >= identity.incarnation:
@@ -203,20 +204,30 @@
     async def _pause(self) -> None:
         seconds = self.tick_seconds()
         started = self._clock.monotonic()
-        try:
-            async with asyncio.timeout(seconds):
-                await self._urgent.wait()
-            self._urgent.clear()
+        if await self._wait_for_urgency(seconds):
+            seconds = self._clock.monotonic() - started + URGENT_SECONDS
             await self._clock.sleep(URGENT_SECONDS)
-            seconds += URGENT_SECONDS
-        except TimeoutError:
-            pass
         stall = self._clock.monotonic() - started - seconds
         if stall > STALL_SECONDS:
             self._timeline.record("vm.stalled", seconds=round(stall, 3))
             for member in self.members_by_id.values():
                 member.heartbeat.excuse(stall)
 
+    async def _wait_for_urgency(self, seconds: float) -> bool:
+        # The injected clock, not asyncio.timeout: a stall shows on it.
+        sleeping = asyncio.create_task(self._clock.sleep(seconds))
+        urged = asyncio.create_task(self._urgent.wait())
+        try:
+            await asyncio.wait(
+                {sleeping, urged}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            sleeping.cancel()
+            urged.cancel()
+        was_urged = self._urgent.is_set()
+        self._urgent.clear()
+        return was_urged
+
     def _publish(self) -> None:
         for source in self._sources:
             source()
@@ -292,7 +303,7 @@
     ) -> Message | None:
         direct = sender.vm_id == changes.vm_id
         if changes.vm_id == self.identity.vm_id:
-            self._check_same_id(sender, changes)
+            self._check_same_id(changes.incarnation, sender.address)
             return None
         member = self.members_by_id.get(changes.vm_id)
         if member is None:
@@ -301,6 +312,11 @@
             return None
         known = member.identity.incarnation
         if changes.incarnation < known:
+            if direct:
+                # It goes on though another one took its id: let it know.
+                publication = member.publication
+                news = publication.changes_since(publication.sequence)
+                self._peers.send(sender.address, news)
             return None
         if changes.incarnation > known:
             if direct:
@@ -360,22 +376,18 @@
         ask = Ask(vm_id=changes.vm_id, incarnation=changes.incarnation, have=0)
         self._peers.send(sender.address, ask)
 
-    def _check_same_id(self, sender: Sender, changes: Changes) -> None:
-        if sender.vm_id != self.identity.vm_id:
-            return
-        if changes.incarnation != self.identity.incarnation:
-            self._report_same_id(sender.address)
-
-    def _note_same_id(self, identity: VmIdentity) -> None:
-        if identity.incarnation > self.identity.incarnation:
-            self._report_same_id(identity.control_address)
-
-    def _report_same_id(self, address: str) -> None:
+    def _check_same_id(self, incarnation: int, address: str) -> None:
         # Two VMs with one id take each other's place at every peer. The
-        # operator has to mend the settings of one; until then both say so.
-        if not self.has_duplicate_id:
-            self.has_duplicate_id = True
-            self._timeline.record("vm.duplicate_id", address=address)
+        # operator has to mend the settings of one; the older one says so.
+        if incarnation <= self.identity.incarnation or self.has_duplicate_id:
+            return
+        self.has_duplicate_id = True
+        self._timeline.record("vm.duplicate_id", told_by=address)
+        logger.error(
+            "a newer process has this VM's id {!r}: give one of them "
+            "another vm.id in its settings",
+            self.identity.vm_id,
+        )
 
     def _remove(self, member: Member, event: str) -> None:
         vm_id = member.identity.vm_id
--- a/burdockdrum/vms/publication.py
+++ b/burdockdrum/vms/publication.py
@@ -41,7 +41,7 @@
         )
         # Before this sequence drops have been forgotten.
         self._horizon = 0
-        self._changed: set[RecordKey] = set()
+        self._pending: dict[RecordKey, msgspec.Raw | None] = {}
 
     def __len__(self) -> int:
         """Return the number of records."""
@@ -52,29 +52,32 @@
         value = self._values_by_key.get((topic, key))
         return value.raw if value else None
 
-    def put(self, topic: int, key: int, raw: bytes) -> bool:
-        """Set a value from the next tick on; say whether it is new."""
+    def put(self, topic: int, key: int, raw: bytes) -> None:
+        """Set a value from the next tick on."""
         known = self._values_by_key.get((topic, key))
         if known is not None and bytes(known.raw) == raw:
-            return False
-        self._store((topic, key), msgspec.Raw(raw), self.sequence + 1)
-        self._changed.add((topic, key))
-        return True
+            self._pending.pop((topic, key), None)
+        else:
+            self._pending[(topic, key)] = msgspec.Raw(raw)
 
-    def drop(self, topic: int, key: int) -> bool:
-        """Remove a value from the next tick on; say whether it was there."""
-        if (topic, key) not in self._values_by_key:
-            return False
-        self._remove((topic, key), self.sequence + 1)
-        self._changed.add((topic, key))
-        return True
+    def drop(self, topic: int, key: int) -> None:
+        """Remove a value from the next tick on."""
+        if (topic, key) in self._values_by_key:
+            self._pending[(topic, key)] = None
+        else:
+            self._pending.pop((topic, key), None)
 
     def advance(self) -> Changes:
         """Begin the next sequence and return what changed with it."""
         since = self.sequence
         self.sequence += 1
-        records = [self._record(key) for key in sorted(self._changed)]
-        self._changed.clear()
+        for key, raw in self._pending.items():
+            if raw is None:
+                self._remove(key, self.sequence)
+            else:
+                self._store(key, raw, self.sequence)
+        records = [self._record(key) for key in sorted(self._pending)]
+        self._pending.clear()
         return self._changes(since, False, records)
 
     def changes_since(self, sequence: int) -> Changes:
--- /dev/null
+++ b/tests/endpoints/test_registry.py
@@ -0,0 +1,199 @@
+"""The endpoints that one VM knows."""
+
+import asyncio
+import unittest
+
+from burdockdrum.endpoints import Announcement
+from burdockdrum.endpoints import CacheEvent
+from burdockdrum.endpoints import EndpointRegistry
+from burdockdrum.endpoints import PREFIXES_AN_ENDPOINT
+from burdockdrum.endpoints import Report
+from burdockdrum.testing import run_virtual
+from burdockdrum.testing import VirtualClock
+from burdockdrum.timeline import HybridClock
+from burdockdrum.timeline import Timeline
+
+
+def make_registry() -> EndpointRegistry:
+    """Return an empty registry under virtual time."""
+    clock = VirtualClock()
+    timeline = Timeline(
+        process="vm", incarnation=1, clock=HybridClock(clock=clock)
+    )
+    return EndpointRegistry(clock=clock, timeline=timeline)
+
+
+def announce(
+    registry: EndpointRegistry,
+    *,
+    endpoint_id: str = "e1",
+    incarnation: int = 1,
+    url: str = "http://e1",
+    service: str = "planner",
+):
+    """Announce an endpoint."""
+    return registry.announce(
+        Announcement(
+            endpoint_id=endpoint_id,
+            incarnation=incarnation,
+            url=url,
+            service=service,
+            slots=4,
+        )
+    )
+
+
+def names(registry: EndpointRegistry) -> list[str]:
+    """Return the ids of the endpoints that get new work."""
+    return [e.endpoint_id for e in registry.candidates("planner")]
+
+
+class RegistryTest(unittest.TestCase):
+    """Announcements and reports of endpoints, in and out of order."""
+
+    def test_late_messages_of_a_dead_incarnation_change_nothing(self):
+        # An engine is restarted at its address. The old process's report,
+        # held up by the network, arrives after the new announcement, and
+        # then its leaving. Neither may touch the new one.
+        async def main():
+            registry = make_registry()
+            announce(registry, incarnation=1)
+            announce(registry, incarnation=2)
+            late = Report(incarnation=1, sequence=9, running=4)
+            self.assertFalse(registry.report("e1", late).known)
+            registry.leave("e1", 1)
+            self.assertFalse(announce(registry, incarnation=1).known)
+            endpoint = registry.endpoints_by_id["e1"]
+            self.assertEqual((2, 0), (endpoint.incarnation, endpoint.running))
+            self.assertEqual(["e1"], names(registry))
+
+        run_virtual(main())
+
+    def test_old_start_stays_out_after_its_record_has_expired(self):
+        async def main():
+            registry = make_registry()
+            announce(registry, incarnation=2)
+            await asyncio.sleep(60)
+            registry.prune()
+            self.assertEqual({}, registry.endpoints_by_id)
+            self.assertFalse(announce(registry, incarnation=1).known)
+
+        run_virtual(main())
+
+    def test_overtaken_report_renews_but_changes_no_figure(self):
+        async def main():
+            registry = make_registry()
+            announce(registry)
+            registry.report("e1", Report(incarnation=1, sequence=2, running=3))
+            registry.report("e1", Report(incarnation=1, sequence=1, running=0))
+            self.assertEqual(3, registry.endpoints_by_id["e1"].running)
+
+        run_virtual(main())
+
+    def test_leaving_is_kept_when_it_announces_itself_again(self):
+        # The reporter forgot the endpoint and asks for an announcement; the
+        # same start is still leaving and must get no new work.
+        async def main():
+            registry = make_registry()
+            announce(registry)
+            registry.leave("e1", 1)
+            announce(registry)
+            self.assertEqual([], names(registry))
+            announce(registry, incarnation=2)
+            self.assertEqual(["e1"], names(registry))
+
+        run_virtual(main())
+
+    def test_leaving_told_in_a_report(self):
+        async def main():
+            registry = make_registry()
+            announce(registry)
+            report = Report(incarnation=1, sequence=1, leaving=True)
+            registry.report("e1", report)
+            self.assertEqual([], names(registry))
+
+        run_virtual(main())
+
+    def test_flapping_endpoint_is_held_back_longer_each_time(self):
+        # An endpoint crashes a second after each start and loses what it
+        # was given. Its third return within two minutes is held back.
+        async def main():
+            registry = make_registry()
+            announce(registry, endpoint_id="e2", url="http://e2")
+            held = []
+            for incarnation in range(1, 6):
+                announce(registry, incarnation=incarnation)
+                start = asyncio.get_running_loop().time()
+                while "e1" not in names(registry):
+                    await asyncio.sleep(0.5)
+                    announce(registry, incarnation=incarnation)
+                    announce(registry, endpoint_id="e2", url="http://e2")
+                now = asyncio.get_running_loop().time()
+                held.append(round(now - start))
+            self.assertEqual([0, 0, 4, 8, 16], held)
+
+        run_virtual(main())
+
+    def test_held_back_endpoints_serve_when_there_is_no_other(self):
+        async def main():
+            registry = make_registry()
+            for incarnation in range(1, 6):
+                announce(registry, incarnation=incarnation)
+            self.assertEqual(["e1"], names(registry))
+
+        run_virtual(main())
+
+    def test_gap_in_cache_events_asks_for_all(self):
+        # Events 3 and 4 were lost. Until everything was sent again the
+        # endpoint is asked for it with each report.
+        async def main():
+            registry = make_registry()
+            announce(registry)
+
+            def report(sequence, events, count, complete=False):
+                return registry.report(
+                    "e1",
+                    Report(
+                        incarnation=1,
+                        sequence=sequence,
+                        cache_events=[
+                            CacheEvent(prefix=prefix, stored=True)
+                            for prefix in events
+                        ],
+                        cache_sequence=count,
+                        cache_complete=complete,
+                    ),
+                ).resync
+
+            self.assertFalse(report(1, [1, 2], 2))
+            self.assertTrue(report(2, [5], 5))
+            self.assertTrue(report(3, [6], 6))
+            self.assertFalse(report(4, [1, 5, 6], 6, complete=True))
+            self.assertFalse(report(5, [7], 7))
+            cache = registry.cache_of("e1")
+            self.assertEqual(3, cache.count_leading([1, 2, 5]))
+            self.assertEqual(0, cache.count_leading([2, 3]))
+
+        run_virtual(main())
+
+    def test_cache_is_bounded(self):
+        async def main():
+            registry = make_registry()
+            announce(registry)
+            cache = registry.cache_of("e1")
+            cache.add(range(PREFIXES_AN_ENDPOINT + 10))
+            self.assertEqual(PREFIXES_AN_ENDPOINT, len(cache))
+            self.assertEqual(0, cache.count_leading([9]))
+            self.assertEqual(1, cache.count_leading([10]))
+
+        run_virtual(main())
+
+    def test_returned_endpoint_has_an_empty_cache(self):
+        async def main():
+            registry = make_registry()
+            announce(registry)
+            registry.cache_of("e1").add([1])
+            announce(registry, incarnation=2)
+            self.assertEqual(0, len(registry.cache_of("e1")))
+
+        run_virtual(main())
--- a/tests/vms/bed.py
+++ b/tests/vms/bed.py
@@ -33,10 +33,11 @@
         join: list[str],
         seed: int,
         services: int = 1,
+        address: str | None = None,
     ) -> None:
         self.clock = VirtualClock()
         self.metrics = Metrics()
-        mailbox = network.open(vm_id, f"tcp://{vm_id}")
+        mailbox = network.open(vm_id, address or f"tcp://{vm_id}")
         self.identity = VmIdentity(
             vm_id=vm_id,
             incarnation=incarnation,
@@ -198,6 +199,7 @@
         data_centre: str = "dc",
         join: list[str] | None = None,
         services: int = 1,
+        address: str | None = None,
     ) -> BedVm:
         self._incarnation += 1
         self._seed += 7
@@ -209,6 +211,7 @@
             join=["tcp://vm0", "tcp://vm1"] if join is None else join,
             seed=self._seed,
             services=services,
+            address=address,
         )
         self.vms_by_id[vm_id] = vm
         vm.start()
--- /dev/null
+++ b/tests/vms/test_remote.py
@@ -0,0 +1,180 @@
+"""What data centres know of each other."""
+
+import asyncio
+import unittest
+
+from burdockdrum.testing import run_virtual
+from tests.vms.bed import Bed
+
+KNOWN_WITHIN = 4.0
+SILENT_WITHIN = 6.0
+HEALED_WITHIN = 4.0
+
+
+def hears(vm, data_centre: str) -> bool:
+    """Say whether a VM has a fresh summary of a data centre."""
+    return data_centre in vm.vms.summaries_by_data_centre
+
+
+class RemoteTest(unittest.TestCase):
+    """Two data centres with three VMs each; both join through one VM."""
+
+    async def start(self, seed: int) -> Bed:
+        bed = Bed(seed=seed)
+        for name in ("north", "south"):
+            for number in range(3):
+                bed.start_vm(
+                    f"{name}{number}",
+                    data_centre=name,
+                    join=["tcp://north0"],
+                )
+        await asyncio.sleep(5)
+        return bed
+
+    def test_every_vm_knows_the_other_data_centres_room_and_entries(self):
+        async def main():
+            bed = await self.start(1)
+            bed.start_endpoint("e1", "south1")
+            await bed.wait_until(
+                lambda: any(
+                    service.slots == 8
+                    for service in bed.vms_by_id["north2"]
+                    .vms.summaries_by_data_centre["south"]
+                    .services
+                ),
+                limit=KNOWN_WITHIN,
+            )
+            for vm in bed.vms_by_id.values():
+                other = (
+                    "south" if vm.identity.data_centre == "north" else "north"
+                )
+                self.assertEqual(3, len(vm.vms.vms_in(other)))
+                relays = vm.vms.relay_of(other)
+                self.assertEqual(f"{other}0", relays.identity.vm_id)
+            await bed.stop()
+
+        run_virtual(main())
+
+    def test_draining_vm_is_no_longer_named_elsewhere(self):
+        async def main():
+            bed = await self.start(2)
+            bed.vms_by_id["south1"].vms.draining = True
+            await bed.wait_until(
+                lambda: not bed.vms_by_id["north1"].knows("south1"),
+                limit=KNOWN_WITHIN,
+            )
+            await bed.stop()
+
+        run_virtual(main())
+
+    def test_relay_fails_over(self):
+        # The VM that sends the summaries dies. Without another one in its
+        # place the data centre would look cut off.
+        async def main():
+            bed = await self.start(3)
+            for name in ("south0", "south1"):
+                await bed.crash_vm(name)
+                for _ in range(100):
+                    await asyncio.sleep(0.1)
+                    for number in range(3):
+                        vm = bed.vms_by_id[f"north{number}"]
+                        self.assertTrue(hears(vm, "south"))
+            await bed.stop()
+
+        run_virtual(main())
+
+    def test_cut_heals_after_every_vm_was_replaced(self):
+        # The regions lose each other, and during the cut every VM of the
+        # south is replaced at another address. The addresses that the north
+        # knows are all dead; the south knows the north's.
+        async def main():
+            bed = await self.start(4)
+            north = [f"north{number}" for number in range(3)]
+            south = [f"south{number}" for number in range(3)]
+            bed.network.cut(north, south)
+            await bed.wait_until(
+                lambda: bed.everywhere(
+                    lambda vm: len(vm.vms.summaries_by_data_centre) == 1
+                ),
+                limit=SILENT_WITHIN,
+            )
+            await asyncio.sleep(30)
+            for name in south:
+                await bed.crash_vm(name)
+                bed.start_vm(
+                    name,
+                    data_centre="south",
+                    join=["tcp://north0", "tcp://new-south1"],
+                    address=f"tcp://new-{name}",
+                )
+                await asyncio.sleep(10)
+            await asyncio.sleep(20)
+            bed.network.heal(north, south)
+            await bed.wait_until(
+                lambda: bed.everywhere(
+                    lambda vm: len(vm.vms.summaries_by_data_centre) == 2
+                ),
+                limit=20.0,
+            )
+            await bed.stop()
+
+        run_virtual(main())
+
+    def test_cut_heals_within_seconds_where_addresses_stayed(self):
+        async def main():
+            bed = await self.start(5)
+            north = [f"north{number}" for number in range(3)]
+            south = [f"south{number}" for number in range(3)]
+            bed.network.cut(north, south)
+            await asyncio.sleep(120)
+            bed.network.heal(north, south)
+            await bed.wait_until(
+                lambda: bed.everywhere(
+                    lambda vm: len(vm.vms.summaries_by_data_centre) == 2
+                ),
+                limit=HEALED_WITHIN,
+            )
+            await bed.stop()
+
+        run_virtual(main())
+
+    def test_old_summary_counts_for_less_room(self):
+        # Every data centre sees the same room in the south and sends work
+        # there. The older the figure, the more of it has been taken.
+        async def main():
+            bed = await self.start(6)
+            endpoint = bed.start_endpoint("e1", "south1")
+            endpoint.changes_load = False
+            await asyncio.sleep(5)
+            view = bed.vms_by_id["north0"].vms
+            fresh = view.summaries_by_data_centre["south"]
+            self.assertEqual(8, fresh.services[0].room)
+            south = [f"south{number}" for number in range(3)]
+            bed.network.cut(south, ["north0", "north1", "north2"])
+            await asyncio.sleep(3)
+            stale = view.summaries_by_data_centre["south"]
+            self.assertGreater(stale.age_seconds, 2.0)
+            self.assertLess(stale.services[0].room, 6)
+            await bed.stop()
+
+        run_virtual(main())
+
+    def test_clock_set_back_does_not_silence_a_data_centre(self):
+        # The south's clocks are set back by an hour. Summaries are ordered
+        # by stamps of those clocks: the north must not wait for an hour.
+        async def main():
+            bed = await self.start(7)
+            for number in range(3):
+                await bed.crash_vm(f"south{number}")
+            for number in range(3):
+                vm = bed.start_vm(
+                    f"south{number}",
+                    data_centre="south",
+                    join=["tcp://south0"],
+                )
+                vm.clock._wall_offset = -3600.0
+            await asyncio.sleep(10)
+            self.assertTrue(hears(bed.vms_by_id["north1"], "south"))
+            await bed.stop()
+
+        run_virtual(main())
