--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -86,8 +86,8 @@
         operator = self._connect(self._cluster.operator_token)
         await self._write_resources(operator)
         await self._wait_in_force(operator)
-        await self._wait_for_endpoints()
         caller = self._connect(self._tokens["zoldsav"])
+        await self._wait_for_endpoints(caller)
         calls = [self._complete(caller, i) for i in range(COMPLETIONS)]
         calls += [self._call_plain(caller, i) for i in range(PLAIN_CALLS)]
         await asyncio.gather(*calls)
@@ -146,14 +146,15 @@
             await asyncio.sleep(0.05)
         raise SystemExit("the configuration did not come in force in time")
 
-    async def _wait_for_endpoints(self) -> None:
-        operator = self._connect(self._cluster.operator_token)
+    async def _wait_for_endpoints(self, caller: GatewayClient) -> None:
+        """Wait until each entry VM has heard of every service."""
         limit = time.monotonic() + IN_FORCE_LIMIT
         for url in self._cluster.entry_urls:
             while time.monotonic() < limit:
-                answer = await operator.open(url, "GET", "/v1/endpoints")
-                body = b"".join([part async for part in answer.chunks()])
-                if json.loads(body):
+                answer = await caller.open(url, "GET", "/services/roster/ping")
+                async for _ in answer.chunks():
+                    pass
+                if answer.status == 200:
                     break
                 await asyncio.sleep(0.1)
 
