Make the stand-in engine batch, cache, fail and take orders

The thin engine ran each request by itself, so that load, warm prefixes and faults cost nothing and no policy could be told from another.

--- a/burdockdrum/emulator/__main__.py
+++ b/burdockdrum/emulator/__main__.py
@@ -13,6 +13,10 @@
   --listen ADDRESS   Where to listen [default: 127.0.0.1:0].
   --slots N          Requests that run at once [default: 8].
   --token-seconds S  Seconds between two tokens [default: 0.005].
+  --fault FAULT      none, errors, slow, hang or silent [default: none].
+  --poison MARK      Die of a prompt that holds this mark.
+  --ignore-fencing   Carry out orders with old fencing numbers.
+  --report-lag S     Report the load of so long ago [default: 0].
   -h --help          Show this text.
 
 Example:
@@ -20,6 +24,8 @@
 """
 
 import asyncio
+import os
+import random
 import signal
 import sys
 import time
@@ -33,6 +39,8 @@
 from burdockdrum.emulator.application import build_plain_application
 from burdockdrum.emulator.engine import EmulatedEngine
 from burdockdrum.emulator.engine import EngineSettings
+from burdockdrum.emulator.engine import Fault
+from burdockdrum.emulator.orders import OrderBook
 from burdockdrum.emulator.plain import PlainService
 from burdockdrum.endpoints import Announcement
 from burdockdrum.system_ports import PooledHttpClient
@@ -40,30 +48,31 @@
 from burdockdrum.web import bind
 from burdockdrum.web import WebServer
 
+EXIT_CRASHED = 70
+
 
 async def _run(arguments: dict[str, Any]) -> None:
     host, _, port = arguments["--listen"].rpartition(":")
     listener = bind(host, int(port))
     bound_host, bound_port = listener.getsockname()[:2]
     engine: EmulatedEngine | None = None
+    orders: OrderBook | None = None
     application: Application
     if arguments["engine"]:
-        engine = EmulatedEngine(
-            settings=EngineSettings(
-                service=arguments["SERVICE"],
-                slots=int(arguments["--slots"]),
-                token_seconds=float(arguments["--token-seconds"]),
-            ),
-            clock=SystemClock(),
+        engine = _build_engine(arguments)
+        orders = OrderBook(
+            versions=set(),
+            adapters=set(),
+            checks_fencing=not arguments["--ignore-fencing"],
         )
-        application = build_engine_application(engine)
+        application = build_engine_application(engine, orders)
     else:
         application = build_plain_application(
             PlainService(clock=SystemClock())
         )
 
     def read_load() -> tuple[int, int]:
-        return (engine.running, engine.waiting) if engine else (0, 0)
+        return engine.read_reported_load() if engine else (0, 0)
 
     announcer = Announcer(
         http=PooledHttpClient(),
@@ -76,14 +85,36 @@
             url=f"http://{bound_host}:{bound_port}",
             service=arguments["SERVICE"],
             slots=int(arguments["--slots"]),
-            checks_fencing=True,
+            checks_fencing=not arguments["--ignore-fencing"],
         ),
         read_load=read_load,
+        cache=engine.cache if engine else None,
+        orders=orders,
+        load_age_seconds=float(arguments["--report-lag"]),
     )
     web = WebServer(application=application, listener=listener)
     await _serve(web, announcer)
 
 
+def _build_engine(arguments: dict[str, Any]) -> EmulatedEngine:
+    poison = arguments["--poison"]
+    engine = EmulatedEngine(
+        settings=EngineSettings(
+            service=arguments["SERVICE"],
+            slots=int(arguments["--slots"]),
+            token_seconds=float(arguments["--token-seconds"]),
+            report_lag=float(arguments["--report-lag"]),
+            poison=poison.encode() if poison else None,
+        ),
+        clock=SystemClock(),
+        rng=random.Random(),
+        # Nothing is flushed or finished: streams are cut as by a crash.
+        on_crash=lambda: os._exit(EXIT_CRASHED),
+    )
+    engine.fault = Fault(arguments["--fault"])
+    return engine
+
+
 async def _serve(web: WebServer, announcer: Announcer) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/burdockdrum/emulator/application.py
+++ b/burdockdrum/emulator/application.py
@@ -1,6 +1,11 @@
 """The HTTP face of the stand-ins."""
 
+import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+from typing import Any
 
 from blacksheep import Application
 from blacksheep.contents import Content
@@ -8,37 +13,66 @@
 from blacksheep.messages import Request
 from blacksheep.messages import Response
 from blacksheep.server.routing import Router
+import msgspec
 
+from burdockdrum.emulator.completions import parse_work
+from burdockdrum.emulator.completions import stream_events
+from burdockdrum.emulator.completions import whole_answer
+from burdockdrum.emulator.completions import Work
 from burdockdrum.emulator.engine import EmulatedEngine
-from burdockdrum.emulator.engine import parse_work
-from burdockdrum.emulator.engine import stream_events
-from burdockdrum.emulator.engine import whole_answer
+from burdockdrum.emulator.engine import EngineCrashed
+from burdockdrum.emulator.engine import EngineFailed
+from burdockdrum.emulator.engine import Fault
+from burdockdrum.emulator.orders import OldFencingNumber
+from burdockdrum.emulator.orders import Order
+from burdockdrum.emulator.orders import OrderBook
 from burdockdrum.emulator.plain import PlainService
 
 _JSON = b"application/json"
 _METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE")
+_GONE_POLL_SECONDS = 0.05
 
 
-def build_engine_application(engine: EmulatedEngine) -> Application:
+def build_engine_application(
+    engine: EmulatedEngine, orders: OrderBook | None = None
+) -> Application:
     """Return the ASGI application of an engine."""
     application = Application(router=Router(), show_error_details=True)
+    face = _EngineFace(
+        engine, orders or OrderBook(versions=set(), adapters=set())
+    )
+    router = application.router
+    router.add_post("/v1/chat/completions", _plain_function(face.chat))
+    router.add_post("/v1/completions", _plain_function(face.complete))
+    router.add_delete("/v1/requests/:request_id", _plain_function(face.cancel))
+    router.add_get("/v1/kv/:prefix", _plain_function(face.export_kv))
+    router.add_put("/v1/kv/:prefix", _plain_function(face.import_kv))
+    router.add_post("/orders", _plain_function(face.order))
+    return application
 
-    async def chat(request: Request) -> Response:
-        return await _complete(engine, request, chat=True)
 
-    async def complete(request: Request) -> Response:
-        return await _complete(engine, request, chat=False)
+def cut_when_crashed(application: Any, engine: EmulatedEngine) -> Any:
+    """Wrap an ASGI application so that a dead engine cuts its calls.
 
-    async def cancel(request: Request) -> Response:
-        values = request.route_values or {}
-        found = engine.cancel(values.get("request_id") or "")
-        return Response(204 if found else 404)
+    A web framework would turn the crash into an answer with status 500,
+    which no dead process gives.
+    """
 
-    router = application.router
-    router.add_post("/v1/chat/completions", chat)
-    router.add_post("/v1/completions", complete)
-    router.add_delete("/v1/requests/:request_id", cancel)
-    return application
+    async def run(scope: Any, receive: Any, send: Any) -> None:
+        call = asyncio.ensure_future(application(scope, receive, send))
+        died = asyncio.ensure_future(engine.died.wait())
+        try:
+            await asyncio.wait(
+                {call, died}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if engine.died.is_set():
+                raise EngineCrashed("the engine died")
+            await call
+        finally:
+            died.cancel()
+            call.cancel()
+
+    return run
 
 
 def build_plain_application(service: PlainService) -> Application:
@@ -56,30 +90,145 @@
     return application
 
 
-async def _complete(
-    engine: EmulatedEngine, request: Request, *, chat: bool
-) -> Response:
-    body = await request.read() or b""
-    work = parse_work(
-        body,
-        chat=chat,
-        request_id=_header(request, b"x-request-id") or "unnamed",
-        resume_offset=int(_header(request, b"x-resume-offset") or 0),
-    )
-    if not work.stream:
-        answer = await whole_answer(engine, work)
+class _EngineFace:
+    """The handlers of an engine's requests."""
+
+    def __init__(self, engine: EmulatedEngine, orders: OrderBook) -> None:
+        self._engine = engine
+        self._orders = orders
+        self._kv_by_prefix: dict[int, bytes] = {}
+
+    async def chat(self, request: Request) -> Response:
+        """Serve POST /v1/chat/completions."""
+        return await self._complete(request, chat=True)
+
+    async def complete(self, request: Request) -> Response:
+        """Serve POST /v1/completions."""
+        return await self._complete(request, chat=False)
+
+    async def cancel(self, request: Request) -> Response:
+        """Serve DELETE /v1/requests/ID."""
+        found = self._engine.cancel(_value(request, "request_id"))
+        return Response(204 if found else 404)
+
+    async def export_kv(self, request: Request) -> Response:
+        """Serve GET /v1/kv/PREFIX: the state of a prefix, if held."""
+        prefix = int(_value(request, "prefix"))
+        if not self._engine.cache.match((prefix,)):
+            return Response(404)
+        # The state of a real prefix is megabytes; its number stands in.
+        state = self._kv_by_prefix.get(prefix, str(prefix).encode())
+        content = Content(b"application/octet-stream", state)
+        return Response(200, None, content)
+
+    async def import_kv(self, request: Request) -> Response:
+        """Serve PUT /v1/kv/PREFIX: hold a prefix without reading it."""
+        prefix = int(_value(request, "prefix"))
+        self._kv_by_prefix[prefix] = await request.read() or b""
+        self._engine.cache.store((prefix,))
+        return Response(204)
+
+    async def order(self, request: Request) -> Response:
+        """Serve POST /orders; 409 refuses an old fencing number."""
+        try:
+            order = msgspec.json.decode(
+                await request.read() or b"", type=Order
+            )
+        except msgspec.MsgspecError as error:
+            return Response(400, None, Content(b"text/plain", _text(error)))
+        try:
+            await self._orders.carry_out(order)
+        except OldFencingNumber as error:
+            return Response(409, None, Content(b"text/plain", _text(error)))
+        body = msgspec.json.encode({"order_id": order.order_id})
+        return Response(200, None, Content(_JSON, body))
+
+    async def _complete(self, request: Request, *, chat: bool) -> Response:
+        engine = self._engine
+        work = parse_work(
+            await request.read() or b"",
+            chat=chat,
+            request_id=_header(request, b"x-request-id") or "unnamed",
+            resume_offset=int(_header(request, b"x-resume-offset") or 0),
+            rank=int(_header(request, b"x-priority") or 0),
+        )
+        if engine.fault is Fault.ERRORS:
+            return Response(500)
+        if work.stream:
+            # The framework accepts an async generator function only, by
+            # which a bound method is not recognised.
+            async def events() -> AsyncIterator[bytes]:
+                async for event in self._events(request, work):
+                    yield event
+
+            content = StreamedContent(b"text/event-stream", events)
+            return Response(200, None, content)
+        return await self._answer_whole(request, work)
+
+    async def _events(
+        self, request: Request, work: Work
+    ) -> AsyncIterator[bytes]:
+        tokens = self._engine.generate(work)
+        model = self._engine.settings.service
+        async with self._cancelling_when_gone(request, work):
+            async for event in stream_events(model, work, tokens):
+                yield event
+
+    async def _answer_whole(self, request: Request, work: Work) -> Response:
+        tokens = self._engine.generate(work)
+        model = self._engine.settings.service
+        try:
+            async with self._cancelling_when_gone(request, work):
+                answer = await whole_answer(model, work, tokens)
+        except EngineFailed:
+            return Response(500)
+        except EngineCrashed:
+            # A dead engine answers nothing: see cut_when_crashed.
+            await asyncio.Event().wait()
+            raise
         if answer is None:
             return Response(499)
         return Response(200, None, Content(_JSON, answer))
 
-    async def events() -> AsyncIterator[bytes]:
-        async for event in stream_events(engine, work):
-            yield event
-            if await request.is_disconnected():
-                engine.cancel(work.request_id)
+    @contextlib.asynccontextmanager
+    async def _cancelling_when_gone(
+        self, request: Request, work: Work
+    ) -> AsyncIterator[None]:
+        """Cancel the work once its connection has closed.
+
+        The server tells a stream nothing when its caller goes: without the
+        watch the slot would stay taken to the end of the answer.
+        """
+
+        async def watch() -> None:
+            while not await request.is_disconnected():
+                await self._engine.clock.sleep(_GONE_POLL_SECONDS)
+            self._engine.cancel(work.request_id)
+
+        watching = asyncio.create_task(watch())
+        try:
+            yield
+        finally:
+            watching.cancel()
+
+
+def _plain_function(
+    method: Callable[[Request], Awaitable[Response]],
+) -> Callable[[Request], Awaitable[Response]]:
+    """Return a function for the router, which marks its handlers."""
+
+    async def handle(request: Request) -> Response:
+        return await method(request)
+
+    return handle
+
+
+def _text(error: Exception) -> bytes:
+    return str(error).encode()
+
 
-    content = StreamedContent(b"text/event-stream", events)
-    return Response(200, None, content)
+def _value(request: Request, name: str) -> str:
+    return (request.route_values or {}).get(name) or ""
 
 
 def _header(request: Request, name: bytes) -> str | None:
--- a/burdockdrum/emulator/engine.py
+++ b/burdockdrum/emulator/engine.py
@@ -1,199 +1,334 @@
 """An engine that batches continuously, without a model.
 
-Each token of an answer is made from a digest of the prompt and its own
-number, so that a test can tell a whole answer from one that lost, doubled
-or mixed tokens.
+Iteration-level scheduling as in Yu et al., "Orca" (OSDI 2022): requests
+join and leave the batch between two steps, and a step costs more the more
+sequences it holds. Prompts are read in chunks beside the running sequences
+(Agrawal et al., "Sarathi-Serve", OSDI 2024), but for the prefix in cache.
 """
 
 import asyncio
+import collections
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from dataclasses import dataclass
-import hashlib
-from typing import Any
-
-import msgspec
+import enum
+import heapq
+import itertools
+import math
+import random
 
+from burdockdrum.emulator.completions import make_token
+from burdockdrum.emulator.completions import Work
+from burdockdrum.emulator.prefix_cache import PrefixCache
 from burdockdrum.ports import Clock
 
-DONE = b"data: [DONE]\n\n"
+# Tokens of a prompt in one block of the prefix cache.
+BLOCK_TOKENS = 128
+_SLOW_FACTOR = 10
+
+
+class EngineCrashed(ConnectionError):
+    """The engine died: its streams are cut."""
+
+
+class EngineFailed(Exception):
+    """The engine answers with an error at once."""
+
+
+class Fault(enum.Enum):
+    """What is wrong with an engine.
+
+    ``SILENT`` takes new requests and does nothing with them, so that it
+    reports itself idle; ``HANG`` stops in the middle of all its work.
+    """
+
+    NONE = "none"
+    ERRORS = "errors"
+    SLOW = "slow"
+    HANG = "hang"
+    SILENT = "silent"
 
 
 @dataclass(frozen=True, kw_only=True)
 class EngineSettings:
-    """How fast the engine is and what it holds.
+    """How fast the engine is and what it holds; times are in seconds.
 
-    ``prefill_seconds`` is for a prompt of one token, ``token_seconds`` the
-    time between two tokens of one stream.
+    A step costs ``token_seconds``, ``sequence_seconds`` for each sequence
+    in the batch and ``prefill_seconds`` for each token of a prompt read in
+    it, of at most ``prefill_chunk``. ``steps_at_once`` above 1 lets a long
+    run of equal steps pass as one, which hands tokens out in bursts.
+    ``poison`` is the mark in a prompt that kills the engine.
     """
 
     service: str
     slots: int = 8
     prefill_seconds: float = 0.0001
+    prefill_chunk: int = 512
     token_seconds: float = 0.01
+    sequence_seconds: float = 0.0
+    steps_at_once: int = 1
+    cache_blocks: int = 512
+    cache_event_lag: float = 0.0
+    cache_event_loss: float = 0.0
+    report_lag: float = 0.0
+    poison: bytes | None = None
 
 
-@dataclass(frozen=True, kw_only=True)
-class Work:
-    """One completion as the engine understands it."""
+class _Job:
+    """One request in the queue or in the batch."""
+
+    def __init__(self, work: Work) -> None:
+        self.work = work
+        self.produced = work.resume_offset
+        self.prefill_left = 0
+        self.ended = False
+        self.error: Exception | None = None
+        self.changed = asyncio.Event()
 
-    request_id: str
-    chat: bool
-    stream: bool
-    prompt: bytes
-    max_tokens: int
-    resume_offset: int = 0
+    def end(self, error: Exception | None = None) -> None:
+        self.ended = True
+        self.error = error
+        self.changed.set()
 
 
 class EmulatedEngine:
     """The batching core, behind HTTP or in memory."""
 
-    def __init__(self, *, settings: EngineSettings, clock: Clock) -> None:
-        """Create an idle engine."""
+    def __init__(
+        self,
+        *,
+        settings: EngineSettings,
+        clock: Clock,
+        rng: random.Random | None = None,
+        on_crash: Callable[[], None] | None = None,
+    ) -> None:
+        """Create an idle engine.
+
+        :param on_crash: called when the engine dies, to stop its server
+        """
         self.settings = settings
-        self._clock = clock
-        self._slots = asyncio.Semaphore(settings.slots)
-        self.running = 0
-        self.waiting = 0
+        self.fault = Fault.NONE
+        self.died = asyncio.Event()
         self.completed = 0
-        self._tasks_by_request_id: dict[str, asyncio.Event] = {}
+        self.busy_seconds = 0.0
+        self.slot_seconds = 0.0
+        self.cache = PrefixCache(
+            clock=clock,
+            rng=rng or random.Random(0),
+            capacity=settings.cache_blocks,
+            event_lag=settings.cache_event_lag,
+            event_loss=settings.cache_event_loss,
+        )
+        self.clock = clock
+        self._on_crash = on_crash
+        self._batch: list[_Job] = []
+        self._queue: list[tuple[int, int, _Job]] = []
+        self._order = itertools.count()
+        self._jobs_by_request_id: dict[str, _Job] = {}
+        self._disturbed = asyncio.Event()
+        self._loop: asyncio.Task[None] | None = None
+        self._loads: collections.deque[tuple[float, int, int]] = (
+            collections.deque([(-math.inf, 0, 0)])
+        )
+
+    @property
+    def running(self) -> int:
+        """Return how many requests are in the batch."""
+        return len(self._batch)
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait for a slot."""
+        return sum(not job.ended for _, _, job in self._queue)
+
+    def read_reported_load(self) -> tuple[int, int]:
+        """Return running and waiting as they were ``report_lag`` ago."""
+        limit = self.clock.monotonic() - self.settings.report_lag
+        while len(self._loads) > 1 and self._loads[1][0] <= limit:
+            self._loads.popleft()
+        _, running, waiting = self._loads[0]
+        return running, waiting
 
     def cancel(self, request_id: str) -> bool:
         """Stop a request; say whether it was running or waiting."""
-        cancelled = self._tasks_by_request_id.get(request_id)
-        if cancelled is None:
+        job = self._jobs_by_request_id.get(request_id)
+        if job is None:
             return False
-        cancelled.set()
+        self._remove(job)
         return True
 
+    def crash(self) -> None:
+        """Die: cut every stream and stop the server."""
+        self.died.set()
+        for job in list(self._jobs_by_request_id.values()):
+            job.end(EngineCrashed("the engine died"))
+        self._batch.clear()
+        self._queue.clear()
+        self._jobs_by_request_id.clear()
+        self.cache.clear()
+        self._note_load()
+        if self._loop is not None:
+            self._loop.cancel()
+            self._loop = None
+        if self._on_crash is not None:
+            self._on_crash()
+
+    def restart(self) -> None:
+        """Come back empty, as another incarnation."""
+        self.died.clear()
+        self.fault = Fault.NONE
+
     async def generate(self, work: Work) -> AsyncIterator[bytes]:
-        """Yield the tokens of a completion as they are made."""
-        cancelled = asyncio.Event()
-        self._tasks_by_request_id[work.request_id] = cancelled
-        self.waiting += 1
-        try:
-            await self._slots.acquire()
-        except asyncio.CancelledError:
-            self.waiting -= 1
-            raise
-        self.waiting -= 1
-        self.running += 1
+        """Yield the tokens of a completion as they are made.
+
+        It ends early if the request is cancelled.
+
+        :raises EngineCrashed: if the engine dies
+        :raises EngineFailed: if the fault is ``ERRORS``
+        """
+        if self.died.is_set():
+            raise EngineCrashed("the engine is dead")
+        if self.fault is Fault.ERRORS:
+            raise EngineFailed("internal error")
+        job = _Job(work)
+        self._jobs_by_request_id[work.request_id] = job
+        self._enqueue(job)
+        sent = work.resume_offset
         try:
-            size = len(work.prompt) // 4 + 1
-            await self._clock.sleep(size * self.settings.prefill_seconds)
-            for index in range(work.resume_offset, work.max_tokens):
-                if cancelled.is_set():
+            while True:
+                while sent < job.produced:
+                    yield make_token(work.prompt, sent)
+                    sent += 1
+                if job.error is not None:
+                    raise job.error
+                if job.ended:
                     return
-                yield make_token(work.prompt, index)
-                await self._clock.sleep(self.settings.token_seconds)
-            self.completed += 1
+                job.changed.clear()
+                await job.changed.wait()
         finally:
-            self.running -= 1
-            self._slots.release()
-            self._tasks_by_request_id.pop(work.request_id, None)
+            self._remove(job)
+
+    def _enqueue(self, job: _Job) -> None:
+        if self.fault is Fault.SILENT:
+            return
+        entry = (job.work.rank, next(self._order), job)
+        heapq.heappush(self._queue, entry)
+        if len(self._batch) < self.settings.slots:
+            self._disturbed.set()
+        self._note_load()
+        if self._loop is None:
+            self._loop = asyncio.create_task(self._run_batches())
 
+    def _remove(self, job: _Job) -> None:
+        job.end(job.error)
+        if self._jobs_by_request_id.get(job.work.request_id) is job:
+            del self._jobs_by_request_id[job.work.request_id]
+        if job in self._batch:
+            self._batch.remove(job)
+            self._disturbed.set()
+            self._note_load()
 
-def make_token(prompt: bytes, index: int) -> bytes:
-    """Return the token that answers a prompt at an offset."""
-    digest = hashlib.blake2b(prompt, digest_size=3).hexdigest()
-    return f"{digest}-{index} ".encode()
+    async def _run_batches(self) -> None:
+        while self._batch or self._queue:
+            self._fill_batch()
+            if self.fault is Fault.HANG:
+                await asyncio.Event().wait()
+            if not self._batch:
+                continue
+            prompts = self._plan_prefill()
+            if prompts:
+                await self.clock.sleep(self._step_seconds(prompts))
+                self._account(self._step_seconds(prompts))
+                self._finish_step(1, prompts)
+                continue
+            steps, seconds = await self._sleep_steps()
+            self._account(seconds)
+            self._finish_step(steps, {})
+        self._loop = None
 
+    async def _sleep_steps(self) -> tuple[int, float]:
+        """Let equal steps pass until one is the last of a sequence.
 
-def make_answer(prompt: bytes, count: int) -> str:
-    """Return the whole answer to a prompt."""
-    return b"".join(make_token(prompt, i) for i in range(count)).decode()
+        Arrivals and cancellations end the run at the next step.
 
+        :returns: the steps that passed, and their seconds
+        """
+        step = self._step_seconds({})
+        left = min(job.work.max_tokens - job.produced for job in self._batch)
+        steps = max(1, min(left, self.settings.steps_at_once))
+        if steps == 1:
+            await self.clock.sleep(step)
+            return 1, step
+        self._disturbed.clear()
+        began = self.clock.monotonic()
+        try:
+            async with asyncio.timeout(steps * step):
+                await self._disturbed.wait()
+        except TimeoutError:
+            return steps, steps * step
+        elapsed = self.clock.monotonic() - began
+        steps = min(steps, int(elapsed / step) + 1)
+        await self.clock.sleep(max(0.0, steps * step - elapsed))
+        return steps, steps * step
 
-def parse_work(
-    body: bytes, *, chat: bool, request_id: str, resume_offset: int = 0
-) -> Work:
-    """Read a completion request.
+    def _fill_batch(self) -> None:
+        while self._queue and len(self._batch) < self.settings.slots:
+            _, _, job = heapq.heappop(self._queue)
+            if job.ended:
+                continue
+            poison = self.settings.poison
+            if poison is not None and poison in job.work.prompt:
+                asyncio.get_running_loop().call_soon(self.crash)
+            hit = self.cache.match(job.work.prefix_hashes)
+            tokens = job.work.prompt_tokens - hit * BLOCK_TOKENS
+            job.prefill_left = max(1, tokens)
+            self._batch.append(job)
+        self._note_load()
 
-    :raises msgspec.MsgspecError: if it is not JSON
-    """
-    fields: dict[str, Any] = msgspec.json.decode(body)
-    if chat:
-        prompt = msgspec.json.encode(fields.get("messages"))
-    else:
-        prompt = msgspec.json.encode(fields.get("prompt"))
-    max_tokens = fields.get("max_completion_tokens") or fields.get(
-        "max_tokens"
-    )
-    return Work(
-        request_id=request_id,
-        chat=chat,
-        stream=bool(fields.get("stream")),
-        prompt=prompt,
-        max_tokens=int(max_tokens or 16),
-        resume_offset=resume_offset,
-    )
-
-
-async def stream_events(
-    engine: EmulatedEngine, work: Work
-) -> AsyncIterator[bytes]:
-    """Yield the server-sent events of a streamed completion.
-
-    Each event's id is the number of tokens sent with it, from which a
-    broken stream can be resumed.
-    """
-    count = work.resume_offset
-    async for token in engine.generate(work):
-        count += 1
-        yield _event(engine, work, count, token.decode(), None)
-    if count < work.max_tokens:
-        return
-    yield _event(engine, work, count, "", "length")
-    yield DONE
-
-
-async def whole_answer(engine: EmulatedEngine, work: Work) -> bytes | None:
-    """Return the JSON of a whole completion, or None if cancelled."""
-    tokens = [token async for token in engine.generate(work)]
-    if len(tokens) + work.resume_offset < work.max_tokens:
-        return None
-    text = b"".join(tokens).decode()
-    choice: dict[str, Any] = {"index": 0, "finish_reason": "length"}
-    if work.chat:
-        choice["message"] = {"role": "assistant", "content": text}
-    else:
-        choice["text"] = text
-    return msgspec.json.encode(
-        {
-            "id": work.request_id,
-            "object": "chat.completion" if work.chat else "text_completion",
-            "created": 0,
-            "model": engine.settings.service,
-            "choices": [choice],
-            "usage": {
-                "prompt_tokens": len(work.prompt) // 4 + 1,
-                "completion_tokens": len(tokens),
-                "total_tokens": len(work.prompt) // 4 + 1 + len(tokens),
-            },
-        }
-    )
-
-
-def _event(
-    engine: EmulatedEngine,
-    work: Work,
-    count: int,
-    text: str,
-    finish_reason: str | None,
-) -> bytes:
-    choice: dict[str, Any] = {"index": 0, "finish_reason": finish_reason}
-    if work.chat:
-        choice["delta"] = {"content": text} if text else {}
-    else:
-        choice["text"] = text
-    data = msgspec.json.encode(
-        {
-            "id": work.request_id,
-            "object": "chat.completion.chunk"
-            if work.chat
-            else "text_completion",
-            "created": 0,
-            "model": engine.settings.service,
-            "choices": [choice],
-        }
-    )
-    return b"id: %d\ndata: %s\n\n" % (count, data)
+    def _plan_prefill(self) -> dict[_Job, int]:
+        budget = self.settings.prefill_chunk
+        prompts: dict[_Job, int] = {}
+        for job in self._batch:
+            if job.prefill_left and budget:
+                prompts[job] = min(budget, job.prefill_left)
+                budget -= prompts[job]
+        return prompts
+
+    def _step_seconds(self, prompts: dict[_Job, int]) -> float:
+        settings = self.settings
+        decoding = sum(not job.prefill_left for job in self._batch)
+        seconds = settings.prefill_seconds * sum(prompts.values())
+        if decoding:
+            seconds += settings.token_seconds
+            seconds += settings.sequence_seconds * decoding
+        if self.fault is Fault.SLOW:
+            seconds *= _SLOW_FACTOR
+        return seconds
+
+    def _finish_step(self, steps: int, prompts: dict[_Job, int]) -> None:
+        for job in list(self._batch):
+            if job.prefill_left:
+                job.prefill_left -= prompts.get(job, 0)
+                if job.prefill_left:
+                    continue
+                self.cache.store(job.work.prefix_hashes)
+                job.produced += 1
+            else:
+                job.produced += steps
+            job.changed.set()
+            if job.produced >= job.work.max_tokens:
+                job.produced = job.work.max_tokens
+                self.completed += 1
+                self._remove(job)
+
+    def _account(self, seconds: float) -> None:
+        self.busy_seconds += seconds
+        self.slot_seconds += seconds * len(self._batch)
+
+    def _note_load(self) -> None:
+        now = self.clock.monotonic()
+        self._loads.append((now, self.running, self.waiting))
+        # Reports look back report_lag seconds, never further.
+        limit = now - self.settings.report_lag
+        while len(self._loads) > 1 and self._loads[1][0] <= limit:
+            self._loads.popleft()
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -21,7 +21,7 @@
 from burdockdrum.client import ClientError
 from burdockdrum.client import GatewayClient
 from burdockdrum.client import GatewayReply
-from burdockdrum.emulator.engine import make_answer
+from burdockdrum.emulator import make_answer
 from burdockdrum.system_ports import SystemClock
 from scripts.cluster import Cluster
 from scripts.cluster import EndpointPlan
