--- a/burdockdrum/admission/admission.py
+++ b/burdockdrum/admission/admission.py
@@ -1,8 +1,27 @@
 """Accept a request, or refuse it early and cheaply."""
 
+import asyncio
+import itertools
+import math
+
+from burdockdrum.admission.waiting import Waiter
+from burdockdrum.admission.waiting import WaitingLine
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.ports import Clock
 from burdockdrum.routing import Demand
+from burdockdrum.routing import Estimate
+from burdockdrum.routing import Router
+from burdockdrum.settings import PolicySettings
+from burdockdrum.verdicts import Refusal
+from burdockdrum.verdicts import RefusalCode
+from burdockdrum.verdicts import Verdict
+
+# How often waiters are looked at when no attempt ends: summaries of other
+# data centres and reports of endpoints come without a call.
+TICK_SECONDS = 0.1
+# Waiters looked at for a start in one go; those behind wait for the next.
+MAX_TRIES = 8
+MIN_RETRY_AFTER_SECONDS = 1.0
 
 
 class Permit:
@@ -21,20 +40,185 @@
 
 
 class Admission:
-    """Decide which requests may start."""
+    """Decide which requests may start, and in which order.
+
+    Where no endpoint has room, requests wait here and not in the engines'
+    queues: here the order can still be changed and the wait ended by a
+    refusal that is truthfully "not run".
+    """
 
     def __init__(
-        self, *, clock: Clock, configuration: ConfigurationService
+        self,
+        *,
+        clock: Clock,
+        configuration: ConfigurationService,
+        router: Router,
+        policy: PolicySettings | None = None,
     ) -> None:
         """Create an admission without load."""
         self._clock = clock
         self._configuration = configuration
+        self._router = router
+        self._policy = policy or PolicySettings()
+        self._lines_by_service: dict[str, WaitingLine] = {}
+        self._order = itertools.count()
+        self._filled = asyncio.Event()
         self.running = 0
+        router.read_wait = self.expect_wait
+        router.add_listener(self._reconsider)
 
     async def admit(self, client_id: str, demand: Demand) -> Permit:
         """Wait, within bounds, until a request may start.
 
         :raises Refusal: with the verdict "not run" and when to come back
         """
+        await self._wait_for_room(demand)
         self.running += 1
         return Permit(admission=self)
+
+    async def run(self) -> None:
+        """Look at the waiters from time to time until cancelled."""
+        while True:
+            await self._filled.wait()
+            await self._clock.sleep(TICK_SECONDS)
+            for service in list(self._lines_by_service):
+                self._reconsider(service)
+            if not any(self._lines_by_service.values()):
+                self._filled.clear()
+
+    def queue_seconds(self, service: str) -> float:
+        """Return how long a request of middling rank would wait."""
+        line = self._lines_by_service.get(service)
+        if not line:
+            return 0.0
+        ahead = sum(waiter.slot_seconds for waiter in line) / 2
+        return self._drain_seconds(service, ahead)
+
+    def expect_wait(self, demand: Demand) -> float:
+        """Return how long a request would wait for its turn here."""
+        line = self._lines_by_service.get(demand.service)
+        if not line:
+            return 0.0
+        # An estimate of its run would ask the router again, which asks
+        # here: the place in the line needs the order only.
+        key = self._key(demand, 1.0, sequence=math.inf)
+        ahead = line.seconds_ahead(key)
+        return self._drain_seconds(demand.service, ahead)
+
+    async def _wait_for_room(self, demand: Demand) -> None:
+        estimate = self._router.estimate(demand)
+        if estimate is None:
+            # The router says why there is none.
+            return
+        self._check_deadline(demand, estimate)
+        line = self._lines_by_service.setdefault(demand.service, WaitingLine())
+        key = self._key(demand, estimate.finish, next(self._order))
+        ahead = line.seconds_ahead(key)
+        wait = self._drain_seconds(demand.service, ahead)
+        if not ahead and self._router.can_start(demand, wait=wait):
+            return
+        if demand.hops:
+            # A request of another data centre never waits here: its own
+            # entry has a line, and knows better where else there is room.
+            raise _refuse(RefusalCode.OVERLOADED, "no room for others", 1.0)
+        waiter = Waiter(
+            demand=demand,
+            key=key,
+            slot_seconds=estimate.finish,
+            since=self._clock.monotonic(),
+        )
+        line.add(waiter)
+        self._filled.set()
+        try:
+            self._shed(demand.service, line)
+            await waiter.turn
+        finally:
+            line.remove(waiter)
+        # Others are looked at once this one has begun and counts as load.
+        asyncio.get_running_loop().call_soon(self._reconsider, demand.service)
+
+    def _check_deadline(self, demand: Demand, estimate: Estimate) -> None:
+        left = demand.deadline - self._clock.monotonic()
+        if estimate.finish > left:
+            raise _refuse(
+                RefusalCode.DEADLINE,
+                f"an answer takes about {estimate.finish:.1f} s, and "
+                f"{max(0.0, left):.1f} s are left",
+                MIN_RETRY_AFTER_SECONDS,
+            )
+
+    def _key(
+        self, demand: Demand, slot_seconds: float, sequence: float
+    ) -> tuple[float, ...]:
+        """Return the place of a request in its line."""
+        if self._policy.prefer == "worth":
+            return (-demand.worth / max(slot_seconds, 0.01), sequence)
+        return (demand.rank, sequence)
+
+    def _reconsider(self, service: str) -> None:
+        """Start the first waiter that can, and shed those that can't."""
+        line = self._lines_by_service.get(service)
+        if not line:
+            return
+        ahead = 0.0
+        for tries, waiter in enumerate(line):
+            if tries >= MAX_TRIES:
+                break
+            wait = self._drain_seconds(service, ahead)
+            ahead += waiter.slot_seconds
+            if self._router.can_start(waiter.demand, wait=wait):
+                line.remove(waiter)
+                waiter.admit()
+                break
+        self._shed(service, line)
+
+    def _shed(self, service: str, line: WaitingLine) -> None:
+        """Refuse the waiters that would wait too long, at once.
+
+        Those who come later in the order wait for all before them, so the
+        lowest class is shed first.
+        """
+        now = self._clock.monotonic()
+        ahead = 0.0
+        for waiter in line:
+            wait = self._drain_seconds(service, ahead)
+            ahead += waiter.slot_seconds
+            finish = now + wait + waiter.slot_seconds
+            if finish > waiter.demand.deadline:
+                ahead -= waiter.slot_seconds
+                self._refuse_waiter(line, waiter, RefusalCode.DEADLINE, wait)
+            elif now + wait - waiter.since > self._max_wait():
+                ahead -= waiter.slot_seconds
+                self._refuse_waiter(line, waiter, RefusalCode.OVERLOADED, wait)
+
+    def _refuse_waiter(
+        self,
+        line: WaitingLine,
+        waiter: Waiter,
+        code: RefusalCode,
+        wait: float,
+    ) -> None:
+        line.remove(waiter)
+        message = f"the wait would be about {wait:.1f} s"
+        waiter.refuse(_refuse(code, message, wait))
+
+    def _max_wait(self) -> float:
+        if self._policy.prefer == "worth":
+            # An answer is worth the same until its deadline.
+            return math.inf
+        return self._policy.max_wait_seconds
+
+    def _drain_seconds(self, service: str, slot_seconds: float) -> float:
+        """Return when so much work ahead will have been started."""
+        capacity = max(1.0, self._router.own_capacity(service))
+        mean = self._router.mean_service_seconds(service)
+        return (mean + slot_seconds) / capacity
+
+
+def _refuse(code: RefusalCode, message: str, retry_after: float) -> Refusal:
+    return Refusal(
+        code=code,
+        message=message,
+        verdict=Verdict.NOT_RUN,
+        retry_after=max(MIN_RETRY_AFTER_SECONDS, retry_after),
+    )
--- a/burdockdrum/admission/services.py
+++ b/burdockdrum/admission/services.py
@@ -4,6 +4,8 @@
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.kernel import Kernel
 from burdockdrum.ports import Clock
+from burdockdrum.routing import Router
+from burdockdrum.settings import Settings
 
 
 def add_services(kernel: Kernel) -> None:
@@ -15,4 +17,6 @@
     return Admission(
         clock=kernel.find("clock", Clock),
         configuration=kernel.find("configuration", ConfigurationService),
+        router=kernel.find("router", Router),
+        policy=kernel.find("settings", Settings).policy,
     )
--- a/burdockdrum/routing/__init__.py
+++ b/burdockdrum/routing/__init__.py
@@ -1,12 +1,14 @@
 """Where a request goes: an endpoint here, or another data centre."""
 
+from burdockdrum.routing.attempts import Attempt
+from burdockdrum.routing.elsewhere import MAX_HOPS
 from burdockdrum.routing.model import AttemptOutcome
 from burdockdrum.routing.model import Choice
 from burdockdrum.routing.model import Demand
+from burdockdrum.routing.model import Estimate
 from burdockdrum.routing.model import Nowhere
 from burdockdrum.routing.model import ToDataCentre
 from burdockdrum.routing.model import ToEndpoint
-from burdockdrum.routing.router import Attempt
 from burdockdrum.routing.router import Router
 from burdockdrum.routing.services import add_services
 
@@ -16,6 +18,8 @@
     "AttemptOutcome",
     "Choice",
     "Demand",
+    "Estimate",
+    "MAX_HOPS",
     "Nowhere",
     "Router",
     "ToDataCentre",
--- a/burdockdrum/routing/model.py
+++ b/burdockdrum/routing/model.py
@@ -1,7 +1,6 @@
 """What the router is asked, and what it answers."""
 
 from dataclasses import dataclass
-from dataclasses import field
 import enum
 
 from burdockdrum.endpoints import Endpoint
@@ -34,6 +33,14 @@
     isolated: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class Estimate:
+    """What a request may expect, in seconds from now."""
+
+    first_token: float
+    finish: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class ToEndpoint:
     """Send the request to an endpoint of this data centre."""
@@ -84,4 +91,3 @@
     first_token_seconds: float | None = None
     total_seconds: float = 0.0
     tokens: int = 0
-    details: dict[str, float] = field(default_factory=dict)
--- a/burdockdrum/routing/services.py
+++ b/burdockdrum/routing/services.py
@@ -6,6 +6,7 @@
 from burdockdrum.kernel import Kernel
 from burdockdrum.ports import Clock
 from burdockdrum.routing.router import Router
+from burdockdrum.settings import Settings
 from burdockdrum.vms import VmDirectory
 
 
@@ -20,4 +21,5 @@
         rng=kernel.find("random", random.Random),
         endpoints=kernel.find("endpoints", EndpointRegistry),
         vms=kernel.find("vms", VmDirectory),
+        policy=kernel.find("settings", Settings).policy,
     )
--- /dev/null
+++ b/burdockdrum/routing/tracking.py
@@ -0,0 +1,84 @@
+"""What one VM has learned of one incarnation of an endpoint."""
+
+import random
+
+from burdockdrum.endpoints import Endpoint
+from burdockdrum.routing.health import EndpointHealth
+from burdockdrum.routing.load import OwnLoad
+from burdockdrum.routing.speed import ConcurrencyLimit
+from burdockdrum.routing.speed import Speed
+from burdockdrum.routing.speed import SpeedModel
+
+# A first token is overdue after this many times its expected seconds, and
+# this many seconds besides.
+OVERDUE_FACTOR = 4.0
+OVERDUE_SECONDS = 1.5
+# Times slower than the service's others that makes an outlier.
+OUTLIER_SLOWNESS = 3.0
+_MIN_SAMPLES = 3
+
+
+class EndpointTracker:
+    """Own load, health, speed and limit of an endpoint."""
+
+    def __init__(
+        self,
+        *,
+        endpoint: Endpoint,
+        rng: random.Random,
+        slow_start_seconds: float,
+        start_speed: Speed,
+    ) -> None:
+        """Create the tracker of an endpoint that was just heard of."""
+        self.incarnation = endpoint.incarnation
+        self.name = f"{endpoint.endpoint_id}@{endpoint.incarnation}"
+        self.own = OwnLoad()
+        self.suspects = 0
+        self.health = EndpointHealth(
+            rng=rng, slow_start_seconds=slow_start_seconds
+        )
+        self.speed = SpeedModel(start=start_speed)
+        self.limit = ConcurrencyLimit(slots=endpoint.slots)
+        self.service_seconds = 1.0
+        # When the first token of each attempt that waits for it is overdue.
+        self._overdue_at_by_attempt: dict[int, float] = {}
+
+    def estimate_load(self, endpoint: Endpoint) -> float:
+        """Return the requests at the endpoint, all VMs' together."""
+        reported = endpoint.running + endpoint.waiting
+        return self.own.estimate_total(reported, endpoint.reported_at)
+
+    def current_limit(self, now: float) -> float:
+        """Return how many requests it may have in flight now."""
+        if self.health.is_on_trial(now) or self.is_outlier():
+            return 1.0
+        share = self.health.share(now)
+        return max(1.0, self.limit.value * share) if share else 0.0
+
+    def is_outlier(self) -> bool:
+        """Say whether it is far slower than its service's others."""
+        speed = self.speed
+        return (
+            speed.samples >= _MIN_SAMPLES and speed.slowness > OUTLIER_SLOWNESS
+        )
+
+    def expect_first_token(
+        self, attempt: int, now: float, expected: float
+    ) -> None:
+        """Note when an attempt's first token will be overdue."""
+        overdue_at = now + expected * OVERDUE_FACTOR + OVERDUE_SECONDS
+        self._overdue_at_by_attempt[attempt] = overdue_at
+
+    def got_first_token(self, attempt: int) -> None:
+        """Expect no more of an attempt."""
+        self._overdue_at_by_attempt.pop(attempt, None)
+
+    def is_silent(self, now: float) -> bool:
+        """Say whether the oldest first token is overdue.
+
+        An endpoint that takes requests and answers none looks idle in its
+        own reports; without this it would draw all work until timeouts
+        tell, which are as long as the deadlines.
+        """
+        oldest = next(iter(self._overdue_at_by_attempt.values()), None)
+        return oldest is not None and oldest < now
--- a/burdockdrum/settings/__init__.py
+++ b/burdockdrum/settings/__init__.py
@@ -6,6 +6,7 @@
 from burdockdrum.settings.loader import read_settings
 from burdockdrum.settings.loader import SettingsError
 from burdockdrum.settings.model import ControlSettings
+from burdockdrum.settings.model import PolicySettings
 from burdockdrum.settings.model import Settings
 
 __all__ = [
@@ -13,6 +14,7 @@
     "ControlSettings",
     "load_settings",
     "read_settings",
+    "PolicySettings",
     "Settings",
     "SettingsError",
     "SettingsProblem",
--- a/burdockdrum/settings/checks.py
+++ b/burdockdrum/settings/checks.py
@@ -34,6 +34,7 @@
         *_check_control(settings),
         *_check_hashes(settings),
         *_check_limits(settings),
+        *_check_policy(settings),
     ]
 
 
@@ -135,3 +136,27 @@
         yield SettingsProblem(
             key="drain.limit_seconds", problem="is not above 0", fix="raise it"
         )
+
+
+def _check_policy(settings: Settings) -> Iterator[SettingsProblem]:
+    policy = settings.policy
+    if policy.choices < 1:
+        yield SettingsProblem(
+            key="policy.choices", problem="is below 1", fix="set 2 or more"
+        )
+    if not 0 <= policy.spill_reserve < 1:
+        yield SettingsProblem(
+            key="policy.spill_reserve",
+            problem="is not a share from 0 to below 1",
+            fix="set 0.1 to keep a tenth of the slots for own callers",
+        )
+    for key in (
+        "max_wait_seconds",
+        "slow_start_seconds",
+        "wide_area_seconds",
+        "spill_margin_seconds",
+    ):
+        if getattr(policy, key) < 0:
+            yield SettingsProblem(
+                key=f"policy.{key}", problem="is below 0", fix="raise it"
+            )
--- a/burdockdrum/settings/model.py
+++ b/burdockdrum/settings/model.py
@@ -81,10 +81,17 @@
     """What counts most when load is above capacity.
 
     ``tail`` keeps the latency of the highest ranks low; ``worth`` keeps the
-    most worth to the client completed.
+    most worth to the client completed. docs/howto/policy.md says what each
+    setting did when it was measured.
     """
 
     prefer: Literal["tail", "worth"] = "tail"
+    max_wait_seconds: float = 5.0
+    choices: int = 3
+    slow_start_seconds: float = 10.0
+    wide_area_seconds: float = 0.055
+    spill_margin_seconds: float = 0.1
+    spill_reserve: float = 0.1
 
 
 class DrainSettings(_Section, frozen=True, kw_only=True):
--- a/run.py
+++ b/run.py
@@ -1,6 +1,6 @@
 """Set up a virtual environment and run one of the project's jobs.
 
-Usage: python3 run.py {demo|test|check|bench} [ARGUMENT ...]
+Usage: python3 run.py {demo|test|check|bench|experiment} [ARGUMENT ...]
 
 The environment is made in .venv, or in the folder that the variable
 BURDOCKDRUM_VENV names, and is reused while requirements.lock is the same.
@@ -19,6 +19,7 @@
 JOBS = {
     "demo": [["{python}", "-m", "scripts.demo", "{arguments}"]],
     "test": [["{python}", "-m", "scripts.run_tests", "{arguments}"]],
+    "experiment": [["{python}", "-m", "scripts.experiment", "{arguments}"]],
     "bench": [["{python}", "-m", "scripts.bench", "{arguments}"]],
     "check": [
         ["{python}", "-m", "ruff", "format", "--check", *SOURCES],
--- /dev/null
+++ b/scripts/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""The load and experiment tool: the users' mixes against policies."""
--- /dev/null
+++ b/scripts/experiment/driver.py
@@ -0,0 +1,235 @@
+"""Send the arrivals through the entries, as the request path does.
+
+The driver mirrors ``burdockdrum.requests``: admission, choice, one attempt,
+then others while the work is repeatable and the deadline allows. It leaves
+out HTTP and bodies, which cost no time that a policy could change.
+"""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass
+from dataclasses import replace
+import enum
+import random
+
+from burdockdrum.emulator import EngineCrashed
+from burdockdrum.emulator import EngineFailed
+from burdockdrum.emulator import Work
+from burdockdrum.routing import AttemptOutcome
+from burdockdrum.routing import Demand
+from burdockdrum.routing import Nowhere
+from burdockdrum.routing import ToDataCentre
+from burdockdrum.routing import ToEndpoint
+from burdockdrum.verdicts import Refusal
+from burdockdrum.verdicts import RefusalCode
+from burdockdrum.verdicts import Verdict
+from scripts.experiment.scenarios import Scenario
+from scripts.experiment.workload import Arrival
+from scripts.experiment.workload import make_arrivals
+from scripts.experiment.world import CALLER_SECONDS
+from scripts.experiment.world import Entry
+from scripts.experiment.world import LOCAL_SECONDS
+from scripts.experiment.world import WIDE_AREA_SECONDS
+from scripts.experiment.world import World
+
+MAX_TRIES = 3
+
+
+class Ending(enum.Enum):
+    """What the caller got."""
+
+    WHOLE = "whole answer"
+    NOT_RUN = "not run"
+    MAY_HAVE_RUN = "may have run"
+    LATE = "deadline passed"
+
+
+@dataclass(kw_only=True)
+class Outcome:
+    """One request's end; times are seconds since it was sent."""
+
+    arrival: Arrival
+    ending: Ending = Ending.LATE
+    code: str = ""
+    first_token: float = 0.0
+    finish: float = 0.0
+    ran_in: str = ""
+    tries: int = 0
+
+
+class Driver:
+    """The callers of one run."""
+
+    def __init__(self, *, world: World, scenario: Scenario, seed: int) -> None:
+        """Create callers."""
+        self._world = world
+        self._scenario = scenario
+        self._seed = seed
+        self._rng = random.Random(seed + 1)
+        self.outcomes: list[Outcome] = []
+
+    async def run(self) -> None:
+        """Send every arrival at its time and wait for all ends."""
+        arrivals = make_arrivals(
+            self._world.user,
+            self._scenario.load_of,
+            self._scenario.seconds,
+            self._seed,
+        )
+        # Reports and summaries flow before the first caller comes.
+        await asyncio.sleep(2.0)
+        start = _now()
+        async with asyncio.TaskGroup() as group:
+            for arrival in arrivals:
+                await asyncio.sleep(max(0.0, start + arrival.at - _now()))
+                group.create_task(self._call(arrival))
+
+    async def _call(self, arrival: Arrival) -> None:
+        outcome = Outcome(arrival=arrival)
+        self.outcomes.append(outcome)
+        sent_at = _now()
+        deadline = sent_at + arrival.request_class.deadline
+        entries = self._world.entries_by_region[arrival.region]
+        entry = self._rng.choice(entries)
+        demand = self._make_demand(arrival, deadline)
+        try:
+            async with asyncio.timeout_at(deadline):
+                await asyncio.sleep(CALLER_SECONDS)
+                exchange = _Exchange(self._world, arrival, outcome, sent_at)
+                await exchange.serve(entry, demand, CALLER_SECONDS)
+                await asyncio.sleep(CALLER_SECONDS)
+            outcome.ending = Ending.WHOLE
+        except Refusal as refusal:
+            outcome.code = refusal.code.value
+            outcome.ending = Ending.NOT_RUN
+            if refusal.verdict is not Verdict.NOT_RUN:
+                outcome.ending = Ending.MAY_HAVE_RUN
+        except TimeoutError:
+            outcome.ending = Ending.LATE
+        outcome.finish = _now() - sent_at
+
+    def _make_demand(self, arrival: Arrival, deadline: float) -> Demand:
+        chosen = arrival.request_class
+        return Demand(
+            service=chosen.service,
+            regions=frozenset(self._world.user.regions),
+            deadline=deadline,
+            rank=chosen.rank,
+            worth=chosen.worth,
+            prompt_tokens=arrival.prompt_tokens,
+            max_tokens=arrival.answer_tokens,
+            prefix_hashes=arrival.prefix_hashes,
+        )
+
+
+class _Exchange:
+    """One request on its way through one or two entries."""
+
+    def __init__(
+        self, world: World, arrival: Arrival, outcome: Outcome, sent_at: float
+    ) -> None:
+        self._world = world
+        self._arrival = arrival
+        self._outcome = outcome
+        self._sent_at = sent_at
+
+    async def serve(self, entry: Entry, demand: Demand, back: float) -> None:
+        """Serve at an entry.
+
+        :param back: seconds that a token takes from there to the caller
+        """
+        for _ in range(MAX_TRIES):
+            permit = await entry.admission.admit("client", demand)
+            try:
+                match entry.router.choose(demand):
+                    case ToEndpoint(endpoint=endpoint):
+                        name = endpoint.endpoint_id
+                        if await self._attempt(entry, endpoint, demand, back):
+                            return
+                        tried = demand.excluded_endpoints | {name}
+                        demand = replace(demand, excluded_endpoints=tried)
+                    case ToDataCentre() as choice:
+                        if await self._forward(entry, choice, demand, back):
+                            return
+                        tried = demand.excluded_data_centres
+                        tried = tried | {choice.data_centre}
+                        demand = replace(demand, excluded_data_centres=tried)
+                    case Nowhere() as nowhere:
+                        raise _overloaded(nowhere.message)
+            finally:
+                permit.release(completed=True)
+        raise _overloaded("tried too often")
+
+    async def _forward(
+        self, entry: Entry, choice: ToDataCentre, demand: Demand, back: float
+    ) -> bool:
+        """Pass the request on; say whether it was answered there."""
+        entries = self._world.entries_by_region[choice.data_centre]
+        vm_id = choice.entries[0].vm_id
+        other = next(e for e in entries if e.identity.vm_id == vm_id)
+        hops = (*demand.hops, entry.identity.data_centre)
+        passed_on = replace(demand, hops=hops)
+        await asyncio.sleep(WIDE_AREA_SECONDS)
+        try:
+            await self.serve(other, passed_on, back + WIDE_AREA_SECONDS)
+            return True
+        except Refusal:
+            return False
+        finally:
+            await asyncio.sleep(WIDE_AREA_SECONDS)
+
+    async def _attempt(
+        self, entry: Entry, endpoint, demand: Demand, back: float
+    ) -> bool:
+        """Run at an endpoint; say whether the answer was whole."""
+        engine = self._world.hosts_by_id[endpoint.endpoint_id].engine
+        attempt = entry.router.begin(endpoint, demand)
+        self._outcome.tries += 1
+        outcome = AttemptOutcome.FAILED
+        work = Work(
+            request_id=f"{self._arrival.number}-{self._outcome.tries}",
+            chat=True,
+            stream=True,
+            prompt=b"",
+            max_tokens=demand.max_tokens,
+            rank=demand.rank,
+            prompt_tokens=demand.prompt_tokens,
+            prefix_hashes=demand.prefix_hashes,
+        )
+        try:
+            await asyncio.sleep(LOCAL_SECONDS)
+            async with contextlib.aclosing(engine.generate(work)) as tokens:
+                async for _ in tokens:
+                    attempt.note_first_token()
+                    self._note_first_token(back + LOCAL_SECONDS)
+            await asyncio.sleep(LOCAL_SECONDS)
+            outcome = AttemptOutcome.COMPLETED
+            self._outcome.ran_in = entry.identity.region
+        except EngineCrashed:
+            outcome = AttemptOutcome.UNREACHABLE
+        except EngineFailed:
+            outcome = AttemptOutcome.FAILED
+        except asyncio.CancelledError:
+            outcome = AttemptOutcome.CANCELLED
+            if not self._outcome.first_token:
+                outcome = AttemptOutcome.TIMED_OUT
+            raise
+        finally:
+            attempt.finish(outcome, tokens=demand.max_tokens)
+        return outcome is AttemptOutcome.COMPLETED
+
+    def _note_first_token(self, back: float) -> None:
+        if not self._outcome.first_token:
+            self._outcome.first_token = _now() + back - self._sent_at
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _overloaded(message: str) -> Refusal:
+    return Refusal(
+        code=RefusalCode.OVERLOADED,
+        message=message,
+        verdict=Verdict.NOT_RUN,
+    )
