Pull answers from the socket as fast as they are taken

blacksheep's client reads a body in a task of its own without a bound; the pause after 50 ms still let a fast endpoint fill memory at the link's speed. The body is now pulled through asyncio's flow control: a test with a 50 MB answer and a stalled reader holds under 20 MB with both socket buffers. An idle connection that the server closed is not reused, which before gave a needless 'may have run'.

--- a/burdockdrum/system_ports/http.py
+++ b/burdockdrum/system_ports/http.py
@@ -2,8 +2,8 @@
 
 ``blacksheep.client.ClientSession`` is not used: it sends a POST again by
 itself when a pooled connection closes, and so could run an unrepeatable
-request twice. Its pools and connections are used directly, which also tells
-a failed connect from a failed answer.
+request twice. Its connections are used directly, which also tells a failed
+connect from a failed answer.
 """
 
 import asyncio
@@ -11,8 +11,6 @@
 from collections.abc import Mapping
 import ssl
 
-from blacksheep.client.connection import HTTP11Connection
-from blacksheep.client.pool import ConnectionPools
 from blacksheep.contents import Content
 from blacksheep.messages import Request
 from blacksheep.messages import Response
@@ -22,20 +20,15 @@
 from burdockdrum.ports.http import ConnectFailed
 from burdockdrum.ports.http import UpstreamAnswer
 from burdockdrum.ports.http import UpstreamCall
-
-# A caller that reads slowly must not make this process hold the answer of a
-# fast endpoint: blacksheep buffers what arrives without a bound. Reading from
-# the socket stops when a part was not taken for this long, and goes on with
-# the next; what arrives in between is bounded by the link's speed.
-HOLD_BACK_AFTER_SECONDS = 0.05
-IDLE_SECONDS = 20.0
+from burdockdrum.system_ports.connections import PullingConnection
+from burdockdrum.system_ports.connections import PullingPools
 
 
 class PooledAnswer:
     """An answer that is read from a pooled connection."""
 
     def __init__(
-        self, *, connection: HTTP11Connection, response: Response
+        self, *, connection: PullingConnection, response: Response
     ) -> None:
         """Take over the connection until the body has been read."""
         self._connection = connection
@@ -58,47 +51,23 @@
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body's parts as they arrive."""
-        content = self._response.content
-        loop = asyncio.get_running_loop()
-        try:
-            async for chunk in content.stream():  # type: ignore
-                holding = loop.call_later(
-                    HOLD_BACK_AFTER_SECONDS, self._hold_back
-                )
-                yield chunk
-                holding.cancel()
-                self._release()
-        except (OSError, asyncio.IncompleteReadError) as error:
-            raise AnswerLost(str(error)) from error
-        except Exception as error:
-            raise AnswerLost(repr(error)) from error
-        # blacksheep ends the stream without an error when the connection
-        # closes while a part is still buffered: a cut answer would look
-        # complete. The error is kept on the content, so ask for it.
-        if content.exc is not None:  # type: ignore
-            raise AnswerLost(repr(content.exc))  # type: ignore
+        connection = self._connection
+        while True:
+            try:
+                part = await connection.read_part()
+            except Exception as error:
+                raise AnswerLost(repr(error)) from error
+            if part is None:
+                break
+            yield part
         self._complete = True
+        connection.reuse(self._response)
 
     async def close(self) -> None:
         """Close the connection unless the body was read to its end."""
         if not self._complete:
-            await self._connection.close()
-
-    def _hold_back(self) -> None:
-        transport = self._transport()
-        if transport is not None:
-            transport.pause_reading()
-
-    def _release(self) -> None:
-        transport = self._transport()
-        if transport is not None and not transport.is_reading():
-            transport.resume_reading()
-
-    def _transport(self) -> asyncio.ReadTransport | None:
-        writer = self._connection.writer
-        if writer is None or writer.transport.is_closing():
-            return None
-        return writer.transport  # type: ignore[return-value]
+            self._complete = True
+            self._connection.abort()
 
 
 class PooledHttpClient:
@@ -109,8 +78,7 @@
 
         :param ssl_context: trust for https addresses; None for the default
         """
-        self._pools = ConnectionPools(http2=False, idle_timeout=IDLE_SECONDS)
-        self._ssl = ssl_context
+        self._pools = PullingPools(ssl_context=ssl_context)
 
     async def open(self, call: UpstreamCall) -> UpstreamAnswer:
         """Send a request and wait for the head of its answer."""
@@ -120,29 +88,28 @@
             async with asyncio.timeout(call.head_timeout):
                 response = await connection.send(request)
         except asyncio.CancelledError:
-            await connection.close()
+            connection.abort()
             raise
         except Exception as error:
-            await connection.close()
+            connection.abort()
             raise AnswerLost(f"{call.url}: {error!r}") from error
         return PooledAnswer(connection=connection, response=response)
 
     async def close(self) -> None:
         """Close the idle connections."""
-        await self._pools.dispose()
+        await self._pools.close()
 
-    async def _connect(self, call: UpstreamCall) -> HTTP11Connection:
+    async def _connect(self, call: UpstreamCall) -> PullingConnection:
         url = URL(call.url.encode())
-        pool = self._pools.get_pool(
-            url.schema or b"http", url.host or b"", url.port, self._ssl
-        )
         try:
-            async with asyncio.timeout(call.connect_timeout):
-                connection = await pool.get_connection()
+            return await self._pools.connect(
+                url.schema or b"http",
+                url.host or b"",
+                url.port,
+                timeout=call.connect_timeout,
+            )
         except (OSError, TimeoutError) as error:
             raise ConnectFailed(f"{call.url}: {error!r}") from error
-        assert isinstance(connection, HTTP11Connection)
-        return connection
 
 
 def _build_request(call: UpstreamCall) -> Request:
--- /dev/null
+++ b/tests/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of claims on unrepeatable requests."""
--- /dev/null
+++ b/tests/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of a request's life."""
--- /dev/null
+++ b/tests/system_ports/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the ports over real sockets and files."""
--- /dev/null
+++ b/tests/system_ports/test_http.py
@@ -0,0 +1,139 @@
+"""The HTTP client over real sockets on loopback."""
+
+import asyncio
+import unittest
+
+from burdockdrum.ports import AnswerLost
+from burdockdrum.ports import ConnectFailed
+from burdockdrum.ports import UpstreamCall
+from burdockdrum.system_ports import PooledHttpClient
+from burdockdrum.web import bind
+
+HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n"
+BIG_BYTES = 50_000_000
+# The stream buffer of asyncio, doubled, and the kernel's two socket buffers.
+MAX_HELD_BYTES = 20_000_000
+
+
+class PooledHttpClientTest(unittest.IsolatedAsyncioTestCase):
+    """What the client holds and how it tells a cut from an end."""
+
+    async def serve(self, handler):
+        async def handle(reader, writer):
+            try:
+                await handler(reader, writer)
+            except OSError:
+                pass
+            finally:
+                writer.close()
+
+        listener = bind("127.0.0.1", 0)
+        server = await asyncio.start_server(handle, sock=listener)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        port = listener.getsockname()[1]
+        client = PooledHttpClient()
+        self.addAsyncCleanup(client.close)
+        return client, f"http://127.0.0.1:{port}/"
+
+    async def test_stalled_reader_holds_the_sender_back(self):
+        # The caller takes one part of a 50 MB answer and then reads nothing.
+        # If the client went on reading from the socket, this process would
+        # come to hold all of it; the sender has to be stopped instead.
+        sent = 0
+
+        async def handler(reader, writer):
+            nonlocal sent
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD + b"content-length: %d\r\n\r\n" % BIG_BYTES)
+            while sent < BIG_BYTES:
+                writer.write(b"x" * 100_000)
+                await writer.drain()
+                sent += 100_000
+
+        client, url = await self.serve(handler)
+        answer = await client.open(UpstreamCall(method="GET", url=url))
+        parts = answer.chunks()
+        taken = len(await anext(parts))
+        settled = -1
+        while settled != sent:
+            settled = sent
+            await asyncio.sleep(0.05)
+        self.assertLess(sent - taken, MAX_HELD_BYTES)
+        async for part in parts:
+            taken += len(part)
+        self.assertEqual(BIG_BYTES, taken)
+
+    async def test_body_cut_in_the_middle_is_no_end(self):
+        # The server promises 100 bytes or a last chunk, and closes before.
+        for framing, body in (
+            (b"content-length: 100\r\n\r\n", b"half"),
+            (b"transfer-encoding: chunked\r\n\r\n", b"4\r\nhalf\r\n"),
+        ):
+
+            async def handler(reader, writer, framing=framing, body=body):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(HEAD + framing + body)
+                await writer.drain()
+
+            client, url = await self.serve(handler)
+            answer = await client.open(UpstreamCall(method="GET", url=url))
+            received = b""
+            with self.assertRaises(AnswerLost):
+                async for part in answer.chunks():
+                    received += part
+            self.assertEqual(b"half", received)
+
+    async def test_connection_that_the_server_closed_is_not_reused(self):
+        # The server answers and closes the idle connection without saying
+        # so. The next request must go over a new one: over the old one it
+        # would be lost, with the verdict "may have run".
+        requests = 0
+
+        async def handler(reader, writer):
+            nonlocal requests
+            await reader.readuntil(b"\r\n\r\n")
+            requests += 1
+            writer.write(HEAD + b"content-length: 2\r\n\r\nok")
+            await writer.drain()
+
+        client, url = await self.serve(handler)
+        for _ in range(3):
+            answer = await client.open(UpstreamCall(method="GET", url=url))
+            parts = [part async for part in answer.chunks()]
+            self.assertEqual(b"ok", b"".join(parts))
+            # Until the end of the stream has reached this process.
+            await asyncio.sleep(0.05)
+        self.assertEqual(3, requests)
+
+    async def test_closing_an_open_answer_reaches_the_server(self):
+        # The caller goes while an engine streams: the engine must see it.
+        seen = asyncio.Event()
+
+        async def handler(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD + b"content-length: 100\r\n\r\nhalf")
+            await writer.drain()
+            try:
+                await reader.read()
+            finally:
+                seen.set()
+
+        client, url = await self.serve(handler)
+        answer = await client.open(UpstreamCall(method="GET", url=url))
+        await anext(answer.chunks())
+        await answer.close()
+        async with asyncio.timeout(5):
+            await seen.wait()
+
+    async def test_refused_connection_is_known_not_to_have_sent(self):
+        listener = bind("127.0.0.1", 0)
+        port = listener.getsockname()[1]
+        listener.close()
+        call = UpstreamCall(method="GET", url=f"http://127.0.0.1:{port}/")
+        with self.assertRaises(ConnectFailed):
+            await PooledHttpClient().open(call)
+
+
+if __name__ == "__main__":
+    unittest.main()
