Retry, resume and verdicts; claims; quarantine

An exchange holds the attempts of one request: the verdict over all of them, the retry budget, residency asked again before each. Streams resume from their offset and never end cleanly without the marker. Claims by the votes of a region's keepers, suspects tried one at an endpoint.

--- a/burdockdrum/daemon/assembly.py
+++ b/burdockdrum/daemon/assembly.py
@@ -8,6 +8,7 @@
 import random
 
 import burdockdrum.admission
+import burdockdrum.claims
 import burdockdrum.configuration
 import burdockdrum.endpoints
 from burdockdrum.kernel import Kernel
@@ -17,6 +18,7 @@
 from burdockdrum.ports import Clock
 from burdockdrum.ports import HttpClient
 from burdockdrum.ports import Mailbox
+import burdockdrum.quarantine
 import burdockdrum.requests
 import burdockdrum.routing
 from burdockdrum.settings import Settings
@@ -32,6 +34,8 @@
     burdockdrum.vms,
     burdockdrum.routing,
     burdockdrum.admission,
+    burdockdrum.claims,
+    burdockdrum.quarantine,
     burdockdrum.requests,
     burdockdrum.web,
 )
--- a/burdockdrum/requests/__init__.py
+++ b/burdockdrum/requests/__init__.py
@@ -1,5 +1,6 @@
 """A request's life: from admission to the whole answer or a refusal."""
 
+from burdockdrum.requests.attempts import VERDICT_HEADER
 from burdockdrum.requests.forwarding import FORWARD_HEADER
 from burdockdrum.requests.forwarding import open_header
 from burdockdrum.requests.model import Answer
@@ -16,4 +17,5 @@
     "open_header",
     "RequestKind",
     "RequestService",
+    "VERDICT_HEADER",
 ]
--- a/burdockdrum/requests/forwarding.py
+++ b/burdockdrum/requests/forwarding.py
@@ -36,12 +36,22 @@
     prefix_hashes: list[int]
     fingerprint: str
     hops: list[str]
+    resume_offset: int = 0
+    headers: list[tuple[str, str]] = []
 
     @classmethod
     def from_request(
-        cls, request: InboundRequest, *, data_centre: str, now: float
+        cls,
+        request: InboundRequest,
+        *,
+        data_centre: str,
+        now: float,
+        resume_offset: int = 0,
     ) -> "ForwardHeader":
-        """Describe a request that leaves a data centre now."""
+        """Describe a request that leaves a data centre now.
+
+        :param resume_offset: how many tokens the caller has already
+        """
         return cls(
             request_id=request.request_id,
             client_id=request.client_id,
@@ -61,6 +71,8 @@
             prefix_hashes=list(request.prefix_hashes),
             fingerprint=request.fingerprint,
             hops=[*request.hops, data_centre],
+            resume_offset=resume_offset,
+            headers=list(request.headers),
         )
 
     def to_request(self, body: bytes, *, now: float) -> InboundRequest:
@@ -86,6 +98,8 @@
             prefix_hashes=tuple(self.prefix_hashes),
             fingerprint=self.fingerprint,
             hops=tuple(self.hops),
+            resume_offset=self.resume_offset,
+            headers=tuple(self.headers),
         )
 
 
--- a/burdockdrum/requests/model.py
+++ b/burdockdrum/requests/model.py
@@ -6,6 +6,9 @@
 from dataclasses import field
 import enum
 
+# RFC 9110, section 9.2.2: what may be sent again without asking.
+_IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+
 
 class RequestKind(enum.Enum):
     """How the answer of a request is framed and completed."""
@@ -22,6 +25,8 @@
     ``deadline`` and ``received_at`` are on this VM's monotonic clock in
     seconds. ``hops`` names the data centres that have passed it on, oldest
     first. ``prefix_hashes`` names growing prefixes of the prompt.
+    ``resume_offset`` is how many tokens the caller has already.
+    ``headers`` are those that a plain service may need.
     """
 
     request_id: str
@@ -44,6 +49,24 @@
     prefix_hashes: tuple[int, ...] = ()
     fingerprint: str = ""
     hops: tuple[str, ...] = ()
+    resume_offset: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+
+    @property
+    def may_run_again(self) -> bool:
+        """Say whether the gateway may run it again after it may have run.
+
+        A completion only computes. A call of a plain service that is not
+        idempotent by its method is repeated only under a key by which the
+        service itself can tell the copies.
+        """
+        if self.unrepeatable:
+            return False
+        if self.kind is not RequestKind.PLAIN:
+            return True
+        if self.idempotency_key is not None:
+            return True
+        return self.method in _IDEMPOTENT_METHODS
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -55,5 +78,5 @@
 
     status: int
     content_type: str
-    body: AsyncIterator[bytes]
+    body: AsyncIterator[bytes] | bytes
     headers: Mapping[str, str] = field(default_factory=dict)
--- a/burdockdrum/requests/service.py
+++ b/burdockdrum/requests/service.py
@@ -1,226 +1,190 @@
-"""Serve a request: check, choose an endpoint, relay the answer."""
+"""Serve a request: claim, admit, attempt, relay the answer."""
 
+import asyncio
 from collections.abc import AsyncIterator
 
-from burdockdrum.admission import Admission
 from burdockdrum.admission import Permit
-from burdockdrum.configuration import ConfigurationService
-from burdockdrum.peers import Seal
-from burdockdrum.peers import VmIdentity
-from burdockdrum.ports import AnswerLost
-from burdockdrum.ports import Clock
-from burdockdrum.ports import ConnectFailed
-from burdockdrum.ports import HttpClient
-from burdockdrum.ports import UpstreamAnswer
-from burdockdrum.ports import UpstreamCall
-from burdockdrum.requests.forwarding import FORWARD_HEADER
-from burdockdrum.requests.forwarding import ForwardHeader
-from burdockdrum.requests.forwarding import seal_header
+from burdockdrum.claims import Claim
+from burdockdrum.claims import Claims
+from burdockdrum.claims import StoredAnswer
+from burdockdrum.requests.exchange import Exchange
+from burdockdrum.requests.exchange import ExchangeParts
+from burdockdrum.requests.exchange import MAX_FORWARDS
 from burdockdrum.requests.model import Answer
 from burdockdrum.requests.model import InboundRequest
-from burdockdrum.routing import Attempt
-from burdockdrum.routing import AttemptOutcome
-from burdockdrum.routing import Demand
-from burdockdrum.routing import Nowhere
-from burdockdrum.routing import Router
-from burdockdrum.routing import ToDataCentre
-from burdockdrum.routing import ToEndpoint
-from burdockdrum.timeline import Timeline
+from burdockdrum.requests.model import RequestKind
+from burdockdrum.requests.streamed import open_stream
+from burdockdrum.requests.whole import fetch_whole
 from burdockdrum.verdicts import Refusal
 from burdockdrum.verdicts import RefusalCode
 from burdockdrum.verdicts import Verdict
-from burdockdrum.vms import VmDirectory
 
 
 class RequestService:
     """Give each accepted request one complete answer or a refusal."""
 
-    def __init__(
-        self,
-        *,
-        clock: Clock,
-        http: HttpClient,
-        seal: Seal,
-        timeline: Timeline,
-        configuration: ConfigurationService,
-        vms: VmDirectory,
-        admission: Admission,
-        router: Router,
-    ) -> None:
+    def __init__(self, *, parts: ExchangeParts, claims: Claims) -> None:
         """Create the service."""
-        self._clock = clock
-        self._http = http
-        self._seal = seal
-        self._timeline = timeline
-        self._configuration = configuration
-        self._vms = vms
-        self._admission = admission
-        self._router = router
+        self._parts = parts
+        self._claims = claims
+        self._unrepeatable: set[asyncio.Task[Answer]] = set()
 
     async def handle(self, request: InboundRequest) -> Answer:
         """Serve a request.
 
         :raises Refusal: with the verdict, if there is no answer
         """
-        self._timeline.record(
+        self._parts.timeline.record(
             "request.received",
             request_id=request.request_id,
             service=request.service,
         )
-        demand = self._make_demand(request)
-        permit = await self._admission.admit(request.client_id, demand)
-        match self._router.choose(demand):
-            case ToEndpoint(endpoint=endpoint):
-                attempt = self._router.begin(endpoint, demand)
-                return await self._attempt(request, attempt, permit)
-            case ToDataCentre(entries=entries):
-                return await self._forward(request, entries[0], permit)
-            case Nowhere() as nowhere:
-                permit.release(completed=False)
-                raise _refuse(nowhere)
-
-    def _make_demand(self, request: InboundRequest) -> Demand:
-        return Demand(
-            service=request.service,
-            regions=frozenset(self._allowed_regions(request)),
-            deadline=request.deadline,
-            adapter=request.adapter,
-            prompt_tokens=request.prompt_tokens,
-            max_tokens=request.max_tokens,
-            prefix_hashes=request.prefix_hashes,
-            repeatable=not request.unrepeatable,
-            hops=request.hops,
+        self._check_hops(request)
+        self._parts.budget.earn()
+        if not request.unrepeatable:
+            return await self._serve(request)
+        # The run of an unrepeatable request outlives its caller: cut off in
+        # the middle it could never be repeated, while a caller that comes
+        # back with the same key gets the answer.
+        task = asyncio.create_task(self._serve_once(request))
+        self._unrepeatable.add(task)
+        task.add_done_callback(self._forget)
+        return await asyncio.shield(task)
+
+    async def close(self) -> None:
+        """Stop what runs for callers that have gone."""
+        for task in self._unrepeatable:
+            task.cancel()
+        await asyncio.gather(*self._unrepeatable, return_exceptions=True)
+        await self._parts.opener.close()
+
+    def _forget(self, task: asyncio.Task[Answer]) -> None:
+        self._unrepeatable.discard(task)
+        if not task.cancelled():
+            # Its caller may have gone, and then nobody asks for the error.
+            task.exception()
+
+    async def _serve_once(self, request: InboundRequest) -> Answer:
+        if request.hops:
+            # Whoever passed it on holds the claim and keeps the answer.
+            return await self._serve(request)
+        claim = await self._claims.take(
+            client_id=request.client_id,
+            key=request.idempotency_key or "",
+            fingerprint=request.fingerprint,
+            owner=request.request_id,
+            seconds=request.deadline - self._parts.clock.monotonic(),
         )
-
-    def _allowed_regions(self, request: InboundRequest) -> set[str]:
-        configuration = self._configuration.current
-        client = configuration.clients_by_id.get(request.client_id)
-        if client is None:
-            raise Refusal(
-                code=RefusalCode.UNKNOWN_CLIENT,
-                message=f"there is no client {request.client_id!r}",
-                verdict=Verdict.NOT_RUN,
-            )
-        service = configuration.services_by_name.get(request.service)
-        if service is None:
-            raise Refusal(
-                code=RefusalCode.UNKNOWN_SERVICE,
-                message=f"there is no service {request.service!r}",
-                verdict=Verdict.NOT_RUN,
+        if isinstance(claim, StoredAnswer):
+            return _replay(claim)
+        exchange = Exchange(parts=self._parts, request=request)
+        try:
+            answer = await self._run(exchange)
+        except Refusal as refusal:
+            await _settle(claim, refusal.verdict)
+            raise
+        except BaseException:
+            await _settle(claim, exchange.verdict)
+            raise
+        if isinstance(answer.body, bytes):
+            await claim.keep(
+                status=answer.status,
+                content_type=answer.content_type,
+                body=answer.body,
             )
-        return set(client.residency) & set(service.regions)
-
-    async def _attempt(
-        self, request: InboundRequest, attempt: Attempt, permit: Permit
-    ) -> Answer:
-        headers = {
-            "content-type": request.content_type,
-            "x-request-id": request.request_id,
-        }
-        if request.idempotency_key is not None:
-            headers["idempotency-key"] = request.idempotency_key
-        call = UpstreamCall(
-            method=request.method,
-            url=attempt.endpoint.url + request.path,
-            headers=headers,
-            body=request.body,
-        )
-        return await self._open(request, call, permit, attempt)
-
-    async def _forward(
-        self, request: InboundRequest, entry: VmIdentity, permit: Permit
-    ) -> Answer:
-        header = ForwardHeader.from_request(
-            request,
-            data_centre=self._vms.identity.data_centre,
-            now=self._clock.monotonic(),
-        )
-        call = UpstreamCall(
-            method="POST",
-            url=entry.http_address + "/v1/forward",
-            headers={
-                "content-type": request.content_type,
-                FORWARD_HEADER: seal_header(self._seal, header, request.body),
-            },
-            body=request.body,
+            return answer
+        return Answer(
+            status=answer.status,
+            content_type=answer.content_type,
+            headers=answer.headers,
+            body=_settle_after(claim, exchange, answer.body),
         )
-        self._timeline.record(
-            "request.forwarded", request_id=request.request_id, to=entry.vm_id
+
+    async def _serve(self, request: InboundRequest) -> Answer:
+        return await self._run(Exchange(parts=self._parts, request=request))
+
+    async def _run(self, exchange: Exchange) -> Answer:
+        request = exchange.request
+        self._parts.quarantine.check(request.fingerprint)
+        permit = await self._parts.admission.admit(
+            request.client_id, exchange.make_demand()
         )
-        return await self._open(request, call, permit, None)
-
-    async def _open(
-        self,
-        request: InboundRequest,
-        call: UpstreamCall,
-        permit: Permit,
-        attempt: Attempt | None,
-    ) -> Answer:
         try:
-            upstream = await self._http.open(call)
-        except ConnectFailed as error:
-            _finish(attempt, AttemptOutcome.UNREACHABLE)
+            if request.stream and request.kind is not RequestKind.PLAIN:
+                answer = await open_stream(exchange)
+            else:
+                answer = await fetch_whole(exchange)
+        except BaseException:
             permit.release(completed=False)
+            raise
+        if isinstance(answer.body, bytes):
+            permit.release(completed=True)
+            return answer
+        return Answer(
+            status=answer.status,
+            content_type=answer.content_type,
+            headers=answer.headers,
+            body=_release_after(permit, exchange, answer.body),
+        )
+
+    def _check_hops(self, request: InboundRequest) -> None:
+        hops = request.hops
+        own = self._parts.identity.data_centre
+        if len(hops) > MAX_FORWARDS or own in hops:
             raise Refusal(
-                code=RefusalCode.NO_ENDPOINT,
-                message=f"could not connect: {error}",
+                code=RefusalCode.LOOP,
+                message=f"came back to {own!r}, or was passed on too often: "
+                + ", ".join(hops),
                 verdict=Verdict.NOT_RUN,
                 retry_after=1.0,
-            ) from error
-        except AnswerLost as error:
-            _finish(attempt, AttemptOutcome.FAILED)
-            permit.release(completed=False)
-            raise Refusal(
-                code=RefusalCode.ENDPOINT_LOST,
-                message=f"no answer came: {error}",
-                verdict=Verdict.MAY_HAVE_RUN,
-            ) from error
-        return Answer(
-            status=upstream.status,
-            content_type=upstream.headers.get("content-type", ""),
-            body=self._relay(request, upstream, permit, attempt),
+            )
+
+
+async def _release_after(
+    permit: Permit, exchange: Exchange, body: AsyncIterator[bytes]
+) -> AsyncIterator[bytes]:
+    try:
+        async for part in body:
+            yield part
+    finally:
+        await _close(body)
+        permit.release(
+            completed=exchange.verdict is Verdict.RAN,
+            tokens=exchange.delivered,
         )
 
-    async def _relay(
-        self,
-        request: InboundRequest,
-        upstream: UpstreamAnswer,
-        permit: Permit,
-        attempt: Attempt | None,
-    ) -> AsyncIterator[bytes]:
-        outcome = AttemptOutcome.FAILED
-        try:
-            async for chunk in upstream.chunks():
-                if attempt is not None:
-                    attempt.note_first_token()
-                yield chunk
-            outcome = AttemptOutcome.COMPLETED
-            self._timeline.record(
-                "request.answered", request_id=request.request_id
-            )
-        finally:
-            completed = outcome is AttemptOutcome.COMPLETED
-            _finish(attempt, outcome)
-            permit.release(completed=completed)
-            await upstream.close()
-
-
-def _finish(attempt: Attempt | None, outcome: AttemptOutcome) -> None:
-    if attempt is not None:
-        attempt.finish(outcome)
-
-
-def _refuse(nowhere: Nowhere) -> Refusal:
-    code = RefusalCode.OVERLOADED
-    if nowhere.loop:
-        code = RefusalCode.LOOP
-    elif nowhere.no_endpoint:
-        code = RefusalCode.NO_ENDPOINT
-    elif nowhere.missed_deadline:
-        code = RefusalCode.DEADLINE
-    return Refusal(
-        code=code,
-        message=nowhere.message,
-        verdict=Verdict.NOT_RUN,
-        retry_after=nowhere.retry_after,
+
+async def _settle_after(
+    claim: Claim, exchange: Exchange, body: AsyncIterator[bytes]
+) -> AsyncIterator[bytes]:
+    try:
+        async for part in body:
+            yield part
+    finally:
+        await _close(body)
+        await _settle(claim, exchange.verdict)
+
+
+async def _settle(claim: Claim, verdict: Verdict) -> None:
+    match verdict:
+        case Verdict.NOT_RUN:
+            await claim.release()
+        case Verdict.MAY_HAVE_RUN:
+            await claim.lose()
+        case Verdict.RAN:
+            await claim.keep(status=0, content_type="", body=None)
+
+
+async def _close(body: AsyncIterator[bytes]) -> None:
+    close = getattr(body, "aclose", None)
+    if close is not None:
+        await close()
+
+
+def _replay(stored: StoredAnswer) -> Answer:
+    return Answer(
+        status=stored.status,
+        content_type=stored.content_type,
+        headers={"idempotent-replay": "true"},
+        body=stored.body,
     )
--- a/burdockdrum/requests/services.py
+++ b/burdockdrum/requests/services.py
@@ -1,15 +1,22 @@
 """Name the services of this package."""
 
 from burdockdrum.admission import Admission
+from burdockdrum.claims import Claims
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.kernel import Kernel
 from burdockdrum.peers import Seal
+from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
 from burdockdrum.ports import HttpClient
+from burdockdrum.quarantine import Quarantine
+from burdockdrum.requests.budget import RetryBudget
+from burdockdrum.requests.exchange import ExchangeParts
 from burdockdrum.requests.service import RequestService
+from burdockdrum.requests.upstreams import SilenceLimits
+from burdockdrum.requests.upstreams import UpstreamOpener
 from burdockdrum.routing import Router
+from burdockdrum.settings import Settings
 from burdockdrum.timeline import Timeline
-from burdockdrum.vms import VmDirectory
 
 
 def add_services(kernel: Kernel) -> None:
@@ -18,13 +25,28 @@
 
 
 def _build_requests(kernel: Kernel) -> RequestService:
-    return RequestService(
-        clock=kernel.find("clock", Clock),
+    identity = kernel.find("identity", VmIdentity)
+    attempts = kernel.find("settings", Settings).attempts
+    clock = kernel.find("clock", Clock)
+    opener = UpstreamOpener(
         http=kernel.find("http", HttpClient),
+        clock=clock,
         seal=kernel.find("seal", Seal),
+        data_centre=identity.data_centre,
+        limits=SilenceLimits(
+            first_token=attempts.first_token_seconds,
+            between_tokens=attempts.between_tokens_seconds,
+        ),
+    )
+    parts = ExchangeParts(
+        clock=clock,
         timeline=kernel.find("timeline", Timeline),
         configuration=kernel.find("configuration", ConfigurationService),
-        vms=kernel.find("vms", VmDirectory),
         admission=kernel.find("admission", Admission),
         router=kernel.find("router", Router),
+        opener=opener,
+        budget=RetryBudget(),
+        quarantine=kernel.find("quarantine", Quarantine),
+        identity=identity,
     )
+    return RequestService(parts=parts, claims=kernel.find("claims", Claims))
--- a/burdockdrum/settings/checks.py
+++ b/burdockdrum/settings/checks.py
@@ -34,6 +34,8 @@
         *_check_control(settings),
         *_check_hashes(settings),
         *_check_limits(settings),
+        *_check_attempts(settings),
+        *_check_claims(settings),
     ]
 
 
@@ -135,3 +137,30 @@
         yield SettingsProblem(
             key="drain.limit_seconds", problem="is not above 0", fix="raise it"
         )
+
+
+def _check_attempts(settings: Settings) -> Iterator[SettingsProblem]:
+    for key in ("first_token_seconds", "between_tokens_seconds"):
+        if getattr(settings.attempts, key) <= 0:
+            yield SettingsProblem(
+                key=f"attempts.{key}", problem="is not above 0", fix="raise it"
+            )
+
+
+def _check_claims(settings: Settings) -> Iterator[SettingsProblem]:
+    keepers = settings.claims.keepers
+    for vm_id, address in keepers.items():
+        yield from _check_address(f"claims.keepers.{vm_id}", address, "tcp")
+    if keepers and len(keepers) % 2 == 0:
+        yield SettingsProblem(
+            key="claims.keepers",
+            problem=f"names {len(keepers)} VMs",
+            fix="name an odd number: a majority of 2 is both",
+        )
+    own = keepers.get(settings.vm.id)
+    if own is not None and own != settings.listen.control:
+        yield SettingsProblem(
+            key="listen.control",
+            problem=f"is not the address in claims.keepers: {own}",
+            fix="make the two the same",
+        )
--- a/burdockdrum/settings/model.py
+++ b/burdockdrum/settings/model.py
@@ -87,6 +87,24 @@
     prefer: Literal["tail", "worth"] = "tail"
 
 
+class AttemptSettings(_Section, frozen=True, kw_only=True):
+    """How long an endpoint may be silent before another one is tried."""
+
+    first_token_seconds: float = 15.0
+    between_tokens_seconds: float = 10.0
+
+
+class ClaimSettings(_Section, frozen=True, kw_only=True):
+    """Which VMs of this region keep the claims of its clients.
+
+    ``keepers`` maps ids to control addresses and has to be the same on all
+    VMs of the region, through restarts. Where it is empty the control VMs
+    of all regions are the keepers.
+    """
+
+    keepers: dict[str, str] = {}
+
+
 class DrainSettings(_Section, frozen=True, kw_only=True):
     """How long a shutdown may take."""
 
@@ -111,5 +129,7 @@
     endpoints: EndpointSettings = EndpointSettings()
     limits: LimitSettings = LimitSettings()
     policy: PolicySettings = PolicySettings()
+    attempts: AttemptSettings = AttemptSettings()
+    claims: ClaimSettings = ClaimSettings()
     drain: DrainSettings = DrainSettings()
     log: LogSettings = LogSettings()
--- a/burdockdrum/web/application.py
+++ b/burdockdrum/web/application.py
@@ -8,6 +8,7 @@
 from burdockdrum.web.guard import guard
 from burdockdrum.web.operators import OperatorFace
 from burdockdrum.web.peer_face import PeerFace
+from burdockdrum.web.quarantine_face import QuarantineFace
 
 PLAIN_METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE")
 
@@ -18,6 +19,7 @@
     endpoints: EndpointFace,
     operators: OperatorFace,
     peers: PeerFace,
+    quarantine: QuarantineFace,
 ) -> Application:
     """Return the ASGI application of a daemon."""
     # A router of its own: by default applications of one process share one.
@@ -27,6 +29,7 @@
     router.add_post("/v1/completions", guard(callers.complete))
     router.add_get("/v1/models", guard(callers.list_models))
     router.add_get("/v1/entries", guard(callers.list_entries))
+    router.add_post("/v1/tickets", guard(callers.issue_ticket))
     for method in PLAIN_METHODS:
         router.add(method, "/services/*", guard(callers.call_plain))
 
@@ -47,6 +50,8 @@
     router.add_get("/v1/endpoints", guard(operators.list_endpoints))
     router.add_get("/v1/status", guard(operators.status))
     router.add_get("/v1/timeline", guard(operators.events))
+    router.add_get("/v1/quarantine", guard(quarantine.list))
+    router.add_delete("/v1/quarantine/:fingerprint", guard(quarantine.lift))
     router.add_post("/v1/drain", guard(operators.drain))
     router.add_get("/metrics", guard(operators.metrics))
     return application
--- a/burdockdrum/web/callers.py
+++ b/burdockdrum/web/callers.py
@@ -6,6 +6,8 @@
 from blacksheep.messages import Response
 import msgspec
 
+from burdockdrum.claims import Claims
+from burdockdrum.claims import RETENTION_SECONDS
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.ports import Clock
 from burdockdrum.requests import InboundRequest
@@ -18,14 +20,15 @@
 from burdockdrum.vms import select_entries
 from burdockdrum.vms import VmDirectory
 from burdockdrum.web.authentication import Authenticator
-from burdockdrum.web.parsing import fingerprint
+from burdockdrum.web.parsing import is_unrepeatable_path
+from burdockdrum.web.parsing import make_plain
 from burdockdrum.web.parsing import parse_completion
 from burdockdrum.web.parsing import parse_headers
-from burdockdrum.web.reading import header
+from burdockdrum.web.parsing import PriorityClasses
 from burdockdrum.web.reading import query
 from burdockdrum.web.reading import read_body
 from burdockdrum.web.responses import json_response
-from burdockdrum.web.streaming import stream_response
+from burdockdrum.web.streaming import respond
 
 SERVICES_PREFIX = "/services/"
 
@@ -46,6 +49,13 @@
     object: str = "list"
 
 
+class Ticket(msgspec.Struct, frozen=True, kw_only=True):
+    """A key for an unrepeatable request, and how long it is remembered."""
+
+    idempotency_key: str
+    remembered_seconds: float
+
+
 class CallerFace:
     """The handlers of callers' requests."""
 
@@ -58,6 +68,7 @@
         authenticator: Authenticator,
         configuration: ConfigurationService,
         requests: RequestService,
+        claims: Claims,
         vms: VmDirectory,
     ) -> None:
         """Create the handlers."""
@@ -67,6 +78,7 @@
         self._authenticator = authenticator
         self._configuration = configuration
         self._requests = requests
+        self._claims = claims
         self._vms = vms
 
     async def chat(self, request: Request, request_id: str) -> Response:
@@ -82,37 +94,40 @@
         """Serve any method on /services/SERVICE/PATH."""
         client_id = self._authenticator.find_client(request)
         body = await read_body(request, self._settings.limits.body_bytes)
-        headers = parse_headers(request, self._settings)
         path = request.url.path.decode()
         service, _, rest = path.removeprefix(SERVICES_PREFIX).partition("/")
-        search = request.url.query
-        target = "/" + rest + ("?" + search.decode() if search else "")
-        now = self._clock.monotonic()
-        method = request.method
-        inbound = InboundRequest(
+        spec = self._configuration.current.services_by_name.get(service)
+        headers = parse_headers(
+            request,
+            self._settings,
+            self._find_classes(client_id),
+            always_unrepeatable=spec is not None
+            and is_unrepeatable_path(spec, request.method, "/" + rest),
+        )
+        inbound = make_plain(
+            request,
             request_id=request_id,
             client_id=client_id,
             service=service,
-            kind=RequestKind.PLAIN,
-            method=method,
-            path=target,
+            rest=rest,
             body=body,
-            content_type=header(request, "content-type")
-            or "application/octet-stream",
-            stream=False,
-            received_at=now,
-            deadline=now + headers.seconds,
-            priority_class=headers.priority_class,
-            unrepeatable=headers.unrepeatable,
-            idempotency_key=headers.idempotency_key,
-            fingerprint=fingerprint(
-                b"\0".join(
-                    (service.encode(), method.encode(), target.encode(), body)
-                )
-            ),
+            headers=headers,
+            now=self._clock.monotonic(),
+        )
+        return await respond(request, inbound, self._requests, request_id)
+
+    async def issue_ticket(
+        self, request: Request, request_id: str
+    ) -> Response:
+        """Serve POST /v1/tickets: a key that is provably new."""
+        client_id = self._authenticator.find_client(request)
+        ticket = await self._claims.issue_ticket(client_id)
+        return json_response(
+            Ticket(
+                idempotency_key=ticket,
+                remembered_seconds=RETENTION_SECONDS,
+            )
         )
-        answer = await self._requests.handle(inbound)
-        return stream_response(request, answer, request_id)
 
     async def list_models(self, request: Request, request_id: str) -> Response:
         """Serve GET /v1/models: those the client's residency allows."""
@@ -161,11 +176,18 @@
             kind=kind,
             body=body,
             settings=self._settings,
+            classes=self._find_classes(client_id),
             clock=self._clock,
         )
         self._check_is_model(inbound)
-        answer = await self._requests.handle(inbound)
-        return stream_response(request, answer, request_id)
+        return await respond(request, inbound, self._requests, request_id)
+
+    def _find_classes(self, client_id: str) -> PriorityClasses:
+        configuration = self._configuration.current
+        return PriorityClasses(
+            client=configuration.clients_by_id[client_id],
+            specs_by_name=configuration.priority_classes_by_name,
+        )
 
     def _check_is_model(self, inbound: InboundRequest) -> None:
         services = self._configuration.current.services_by_name
--- a/burdockdrum/web/parsing.py
+++ b/burdockdrum/web/parsing.py
@@ -1,6 +1,8 @@
 """Turn a caller's HTTP request into an inbound request."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
+import fnmatch
 import hashlib
 import math
 from typing import Any
@@ -11,7 +13,13 @@
 from burdockdrum.ports import Clock
 from burdockdrum.requests import InboundRequest
 from burdockdrum.requests import RequestKind
+from burdockdrum.resources.specs import ClientSpec
+from burdockdrum.resources.specs import PriorityClassSpec
+from burdockdrum.resources.specs import ServiceSpec
 from burdockdrum.settings import Settings
+from burdockdrum.verdicts import Refusal
+from burdockdrum.verdicts import RefusalCode
+from burdockdrum.verdicts import Verdict
 from burdockdrum.web.reading import bad_request
 from burdockdrum.web.reading import header
 
@@ -20,6 +28,15 @@
 UNREPEATABLE_HEADER = "x-unrepeatable"
 IDEMPOTENCY_HEADER = "idempotency-key"
 MAX_KEY_LENGTH = 255
+# What a plain service may need to know of the caller's wishes.
+PASSED_REQUEST_HEADERS = (
+    "accept",
+    "accept-language",
+    "if-match",
+    "if-none-match",
+    "if-modified-since",
+    "content-encoding",
+)
 DEFAULT_MAX_TOKENS = 256
 PREFIX_BLOCK_BYTES = 512
 MAX_PREFIX_BLOCKS = 64
@@ -59,25 +76,71 @@
     idempotency_key: str | None
 
 
-def parse_headers(request: Request, settings: Settings) -> CallerHeaders:
+@dataclass(frozen=True, kw_only=True)
+class PriorityClasses:
+    """The classes there are, and the client that may use some of them."""
+
+    client: ClientSpec
+    specs_by_name: Mapping[str, PriorityClassSpec]
+
+    def find(self, name: str | None) -> PriorityClassSpec | None:
+        """Return the class that a request asks for, or the client's own.
+
+        :raises Refusal: if there is none of that name, or it is not allowed
+        """
+        wanted = name or self.client.priority_class
+        spec = self.specs_by_name.get(wanted) if wanted else None
+        if name is None:
+            return spec
+        if spec is None:
+            raise bad_request(
+                f"{PRIORITY_HEADER}: there is no priority class {name!r}"
+            )
+        allowed = {self.client.priority_class, *self.client.priority_classes}
+        if name not in allowed:
+            raise Refusal(
+                code=RefusalCode.FORBIDDEN,
+                message=f"{PRIORITY_HEADER}: the client may not use the "
+                f"priority class {name!r}",
+                verdict=Verdict.NOT_RUN,
+            )
+        return spec
+
+
+def parse_headers(
+    request: Request,
+    settings: Settings,
+    classes: PriorityClasses,
+    *,
+    always_unrepeatable: bool = False,
+) -> CallerHeaders:
     """Read deadline, priority class and the marks of a request.
 
+    :param always_unrepeatable: true where the operator marked the path
     :raises Refusal: naming the header that is wrong
     """
     key = header(request, IDEMPOTENCY_HEADER)
-    if key is not None and not 0 < len(key) <= MAX_KEY_LENGTH:
+    if key is not None and not _is_good_key(key):
         raise bad_request(
-            f"Idempotency-Key must have 1 to {MAX_KEY_LENGTH} characters"
+            f"{IDEMPOTENCY_HEADER} must have 1 to {MAX_KEY_LENGTH} printable "
+            "ASCII characters"
+        )
+    unrepeatable = _parse_mark(request) or always_unrepeatable
+    priority_class = header(request, PRIORITY_HEADER)
+    spec = classes.find(priority_class)
+    default = settings.limits.default_deadline_seconds
+    if spec is not None:
+        default = min(
+            spec.deadline_seconds, settings.limits.max_deadline_seconds
         )
-    unrepeatable = _parse_mark(request)
     if unrepeatable and key is None:
         raise bad_request(
             "an unrepeatable request needs an Idempotency-Key, so that "
             "sending it again can't run it twice"
         )
     return CallerHeaders(
-        seconds=_parse_deadline(request, settings),
-        priority_class=header(request, PRIORITY_HEADER),
+        seconds=_parse_deadline(request, settings, default),
+        priority_class=priority_class,
         unrepeatable=unrepeatable,
         idempotency_key=key,
     )
@@ -91,6 +154,7 @@
     kind: RequestKind,
     body: bytes,
     settings: Settings,
+    classes: PriorityClasses,
     clock: Clock,
 ) -> InboundRequest:
     """Read a chat or text completion.
@@ -105,7 +169,7 @@
     max_tokens = parsed.max_completion_tokens or parsed.max_tokens
     if max_tokens is not None and max_tokens < 1:
         raise bad_request("max_tokens must be at least 1")
-    headers = parse_headers(request, settings)
+    headers = parse_headers(request, settings, classes)
     now = clock.monotonic()
     return InboundRequest(
         request_id=request_id,
@@ -130,6 +194,59 @@
     )
 
 
+def make_plain(
+    request: Request,
+    *,
+    request_id: str,
+    client_id: str,
+    service: str,
+    rest: str,
+    body: bytes,
+    headers: CallerHeaders,
+    now: float,
+) -> InboundRequest:
+    """Return a call of a plain service, passed through as it came."""
+    search = request.url.query
+    target = "/" + rest + ("?" + search.decode() if search else "")
+    content = (service.encode(), request.method.encode(), target.encode())
+    return InboundRequest(
+        request_id=request_id,
+        client_id=client_id,
+        service=service,
+        kind=RequestKind.PLAIN,
+        method=request.method,
+        path=target,
+        body=body,
+        content_type=header(request, "content-type")
+        or "application/octet-stream",
+        stream=False,
+        received_at=now,
+        deadline=now + headers.seconds,
+        priority_class=headers.priority_class,
+        unrepeatable=headers.unrepeatable,
+        idempotency_key=headers.idempotency_key,
+        fingerprint=fingerprint(b"\0".join((*content, body))),
+        headers=tuple(
+            (name, value)
+            for name in PASSED_REQUEST_HEADERS
+            if (value := header(request, name)) is not None
+        ),
+    )
+
+
+def is_unrepeatable_path(spec: ServiceSpec, method: str, path: str) -> bool:
+    """Say whether the operator marked a call as one not to repeat.
+
+    A pattern of ``unrepeatable_paths`` may hold ``*`` for any characters.
+    """
+    if method in ("GET", "HEAD"):
+        return False
+    return any(
+        fnmatch.fnmatchcase(path, pattern)
+        for pattern in spec.unrepeatable_paths
+    )
+
+
 def hash_prefixes(prompt: bytes) -> tuple[int, ...]:
     """Return a hash of each growing prefix of whole blocks.
 
@@ -179,10 +296,17 @@
     return value == "true"
 
 
-def _parse_deadline(request: Request, settings: Settings) -> float:
+def _is_good_key(key: str) -> bool:
+    fits = 0 < len(key) <= MAX_KEY_LENGTH
+    return fits and key.isascii() and key.isprintable()
+
+
+def _parse_deadline(
+    request: Request, settings: Settings, default: float
+) -> float:
     text = header(request, DEADLINE_HEADER)
     if text is None:
-        return settings.limits.default_deadline_seconds
+        return default
     try:
         seconds = float(text)
     except ValueError:
--- a/burdockdrum/web/peer_face.py
+++ b/burdockdrum/web/peer_face.py
@@ -14,7 +14,7 @@
 from burdockdrum.verdicts import Verdict
 from burdockdrum.web.reading import header
 from burdockdrum.web.reading import read_body
-from burdockdrum.web.streaming import stream_response
+from burdockdrum.web.streaming import respond
 
 
 class PeerFace:
@@ -50,5 +50,6 @@
                 verdict=Verdict.NOT_RUN,
             )
         inbound = forwarded.to_request(body, now=self._clock.monotonic())
-        answer = await self._requests.handle(inbound)
-        return stream_response(request, answer, inbound.request_id)
+        return await respond(
+            request, inbound, self._requests, inbound.request_id
+        )
--- a/burdockdrum/web/responses.py
+++ b/burdockdrum/web/responses.py
@@ -8,9 +8,11 @@
 from blacksheep.messages import Response
 import msgspec
 
+from burdockdrum.requests import VERDICT_HEADER
 from burdockdrum.verdicts import Refusal
 
 REQUEST_ID_HEADER = b"x-request-id"
+_VERDICT_HEADER = VERDICT_HEADER.encode()
 
 
 class RefusalBody(msgspec.Struct, frozen=True, kw_only=True):
@@ -52,6 +54,7 @@
     )
     response = json_response(_Wrapped(body), status=refusal.status)
     response.add_header(REQUEST_ID_HEADER, request_id.encode())
+    response.add_header(_VERDICT_HEADER, refusal.verdict.value.encode())
     if refusal.retry_after is not None:
         seconds = max(1, math.ceil(refusal.retry_after))
         response.add_header(b"retry-after", str(seconds).encode())
--- a/burdockdrum/web/services.py
+++ b/burdockdrum/web/services.py
@@ -4,12 +4,14 @@
 
 from blacksheep import Application
 
+from burdockdrum.claims import Claims
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.endpoints import EndpointRegistry
 from burdockdrum.kernel import Kernel
 from burdockdrum.metrics import Metrics
 from burdockdrum.peers import Seal
 from burdockdrum.ports import Clock
+from burdockdrum.quarantine import Quarantine
 from burdockdrum.requests import RequestService
 from burdockdrum.settings import Settings
 from burdockdrum.timeline import Timeline
@@ -20,6 +22,7 @@
 from burdockdrum.web.endpoint_face import EndpointFace
 from burdockdrum.web.operators import OperatorFace
 from burdockdrum.web.peer_face import PeerFace
+from burdockdrum.web.quarantine_face import QuarantineFace
 
 
 def add_services(kernel: Kernel) -> None:
@@ -40,6 +43,10 @@
             endpoints=kernel.find("endpoints", EndpointRegistry),
         ),
         operators=_build_operators(kernel, authenticator),
+        quarantine=QuarantineFace(
+            authenticator=authenticator,
+            quarantine=kernel.find("quarantine", Quarantine),
+        ),
         peers=PeerFace(
             settings=kernel.find("settings", Settings),
             seal=kernel.find("seal", Seal),
@@ -57,6 +64,7 @@
         authenticator=authenticator,
         configuration=kernel.find("configuration", ConfigurationService),
         requests=kernel.find("requests", RequestService),
+        claims=kernel.find("claims", Claims),
         vms=kernel.find("vms", VmDirectory),
     )
 
