--- /dev/null
+++ b/tests/requests/stack.py
@@ -0,0 +1,340 @@
+"""Whole VMs and scripted endpoints for the tests of a request's life."""
+
+import asyncio
+import collections
+from dataclasses import dataclass
+from dataclasses import field
+import random
+
+import msgspec
+
+from burdockdrum.client import GatewayClient
+from burdockdrum.emulator import Announcer
+from burdockdrum.endpoints import Announcement
+from burdockdrum.ports import AnswerLost
+from burdockdrum.resources import hash_token
+from burdockdrum.settings import read_settings
+from burdockdrum.testing import FakeAnswer
+from burdockdrum.testing import FakeDisk
+from burdockdrum.testing import VirtualClock
+from burdockdrum.testing.vms import FakeCluster
+
+SETTINGS = """
+[vm]
+id = "{vm}"
+region = "{region}"
+data_centre = "{region}"
+[listen]
+control = "tcp://127.0.0.1:{control}"
+http = "http://127.0.0.1:{http}"
+[cluster]
+secret = "sixteen characters and more"
+join = ["tcp://127.0.0.1:1001", "tcp://127.0.0.1:1002"]
+[control]
+{data}
+[control.members]
+a1 = "tcp://127.0.0.1:1001"
+[operators]
+token_hashes = ["{operator}"]
+[endpoints]
+token_hashes = ["{endpoint}"]
+{more}
+"""
+
+
+@dataclass(kw_only=True)
+class Endpoint:
+    """A scripted endpoint: it notes what it gets and fails as told.
+
+    ``crash_on`` is a content on which it dies in the middle of an answer,
+    with everything else that it runs. ``cut_after`` ends streams without
+    the marker after so many tokens, ``silent`` never answers.
+    """
+
+    name: str
+    tokens: int = 6
+    token_seconds: float = 0.1
+    crash_on: bytes | None = None
+    cut_after: int | None = None
+    cut_clean: bool = False
+    silent: bool = False
+    status: int = 200
+    body: bytes = b"{}"
+    seconds: float = 0.01
+    echo_id: str | None = None
+    restarts_after: float | None = None
+    calls: list = field(default_factory=list)
+    cancelled: list = field(default_factory=list)
+    closed: list = field(default_factory=list)
+    crashes: int = 0
+    running: int = 0
+    runs_by_key: collections.Counter = field(
+        default_factory=collections.Counter
+    )
+    crashed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def serve(self, call):
+        """Answer as the script says."""
+        if call.method == "DELETE":
+            self.cancelled.append(call.url.rpartition("/")[2])
+            return FakeAnswer(status=204)
+        self.calls.append(call)
+        key = call.headers.get("idempotency-key")
+        if key is not None:
+            self.runs_by_key[key] += 1
+        if self.silent:
+            await asyncio.sleep(10_000)
+        if self.status != 200:
+            return FakeAnswer(status=self.status, body=self.body)
+        if b'"stream":true' in call.body:
+            request_id = self.echo_id or call.headers["x-request-id"]
+            return FakeAnswer(
+                headers={
+                    "content-type": "text/event-stream",
+                    "x-request-id": request_id,
+                },
+                body=self.stream(call, request_id),
+                on_close=lambda: self.closed.append(request_id),
+            )
+        crashing = self.crash_on and self.crash_on in call.body
+        crashed = self.crashed
+        await asyncio.sleep(self.seconds)
+        if crashing:
+            self.crash()
+        if crashed.is_set():
+            raise AnswerLost("reset by peer")
+        return FakeAnswer(
+            headers={
+                "content-type": "application/json",
+                "connection": "keep-alive",
+                "etag": '"7"',
+            },
+            body=self.body,
+        )
+
+    def crash(self):
+        """Lose everything that runs."""
+        self.crashes += 1
+        self.crashed.set()
+        self.crashed = asyncio.Event()
+
+    async def stream(self, call, request_id):
+        """Yield the events from the offset asked for."""
+        start = int(call.headers.get("x-resume-offset", 0))
+        crashed = self.crashed
+        self.running += 1
+        try:
+            for number in range(start + 1, self.tokens + 1):
+                await asyncio.sleep(self.token_seconds)
+                if self.crash_on and self.crash_on in call.body:
+                    self.crash()
+                if crashed.is_set():
+                    raise AnswerLost("reset by peer")
+                yield event(request_id, number, f"t{number} ")
+                if self.cut_after == number:
+                    self.cut_after = None
+                    if self.cut_clean:
+                        return
+                    raise AnswerLost("reset by peer")
+            yield event(request_id, self.tokens, "", "length")
+            yield b"data: [DONE]\n\n"
+        finally:
+            self.running -= 1
+
+
+def event(request_id, number, text, reason=None):
+    """Return one event of a stream."""
+    data = msgspec.json.encode(
+        {
+            "id": request_id,
+            "choices": [{"text": text, "finish_reason": reason}],
+        }
+    )
+    return b"id: %d\ndata: %s\n\n" % (number, data)
+
+
+def read_text(body: bytes) -> str:
+    """Return the text of a stream's events."""
+    text = ""
+    for part in body.decode().split("\n\n"):
+        for line in part.split("\n"):
+            if line.startswith("data: {") and "choices" in line:
+                text += msgspec.json.decode(line[6:])["choices"][0]["text"]
+    return text
+
+
+class Stack:
+    """A cluster with its operator, its endpoints and a caller."""
+
+    def __init__(self, *, seed: int = 1, more: str = "") -> None:
+        """Create a stack without VMs.
+
+        :param more: TOML that is added to every VM's settings
+        """
+        self.cluster = FakeCluster(seed=seed)
+        self.more = more
+        self.disks_by_vm: dict[str, FakeDisk] = {}
+        self._numbers_by_vm: dict[str, int] = {}
+        self._tasks: list[asyncio.Task] = []
+        self._ports = 3000
+
+    def settings(self, vm: str):
+        """Return the settings of a VM, whose region its name begins with."""
+        number = self._numbers_by_vm.setdefault(
+            vm, len(self._numbers_by_vm) + 1
+        )
+        region = {"a": "north", "b": "south", "c": "west"}[vm[0]]
+        return read_settings(
+            SETTINGS.format(
+                vm=vm,
+                region=region,
+                control=1000 + number,
+                http=2000 + number,
+                data='data_folder = "unused"' if vm == "a1" else "",
+                operator=hash_token("operator"),
+                endpoint=hash_token("endpoint"),
+                more=self.more,
+            )
+        )
+
+    async def start(self, *vms: str) -> None:
+        """Start VMs and give them a configuration."""
+        for vm in vms:
+            await self.start_vm(vm)
+        await asyncio.sleep(3)
+
+    async def start_vm(self, vm: str):
+        """Start a VM, or start it again."""
+        return await self.cluster.start_vm(self.settings(vm))
+
+    async def configure(
+        self, *, residency=("north", "south"), client="crew", home="north"
+    ):
+        """Put the resources that the tests use."""
+        for region in ("north", "south", "west"):
+            await self.put("region", region, {})
+        regions = ["north", "south", "west"]
+        await self.put("service", "planner", {"regions": regions})
+        await self.put(
+            "service",
+            "booking",
+            {
+                "regions": regions,
+                "type": "plain",
+                "unrepeatable_paths": ["/book/*"],
+            },
+        )
+        await self.put_client(residency=residency, client=client, home=home)
+        await asyncio.sleep(3)
+
+    async def put_client(self, *, residency, client="crew", home="north"):
+        """Put a client, or change it."""
+        await self.put(
+            "client",
+            client,
+            {
+                "home_region": home,
+                "residency": list(residency),
+                "token_hashes": [hash_token("caller")],
+            },
+        )
+
+    async def put(self, kind, name, spec):
+        """Put one resource, replacing what is there."""
+        operator = self.client("operator")
+        path = f"/v1/resources/{kind}/{name}"
+        known = await operator.call("GET", path)
+        fields = {"spec": spec}
+        if known.status == 200:
+            version = msgspec.json.decode(known.body)["version"]
+            fields["version"] = version
+        body = msgspec.json.encode(fields)
+        reply = await operator.call("PUT", path, body=body)
+        assert reply.status == 200, reply.body
+
+    def client(self, token, host="caller"):
+        """Return a client at the first VM."""
+        return GatewayClient(
+            seeds=["http://127.0.0.1:2001"],
+            token=token,
+            clock=VirtualClock(),
+            rng=random.Random(3),
+            http=self.cluster.client(host),
+        )
+
+    def url(self, vm: str) -> str:
+        """Return the URL of a VM."""
+        return f"http://127.0.0.1:{2000 + self._numbers_by_vm[vm]}"
+
+    async def add_endpoint(self, endpoint, *vms, service="planner"):
+        """Announce an endpoint at VMs of its data centre."""
+        self._ports += 1
+        url = f"http://127.0.0.1:{self._ports}"
+        self.cluster.web.serve(url, endpoint.name, endpoint.serve)
+        endpoint.url = url
+        announcer = Announcer(
+            http=self.cluster.client(endpoint.name),
+            clock=VirtualClock(),
+            entries=[self.url(vm) for vm in vms],
+            token="endpoint",
+            announcement=Announcement(
+                endpoint_id=endpoint.name,
+                incarnation=1,
+                url=url,
+                service=service,
+                slots=8,
+            ),
+            read_load=lambda: (endpoint.running, 0),
+        )
+        self._tasks.append(asyncio.create_task(announcer.run()))
+        await asyncio.sleep(1)
+        return endpoint
+
+    async def complete(self, vm, prompt="hello", *, stream=True, headers=None):
+        """Send a completion to a VM and return the open answer."""
+        fields = {"model": "planner", "prompt": prompt, "max_tokens": 6}
+        if stream:
+            fields["stream"] = True
+        return await self.client("caller").open(
+            self.url(vm),
+            "POST",
+            "/v1/completions",
+            msgspec.json.encode(fields),
+            headers,
+        )
+
+    async def read(self, answer) -> bytes:
+        """Read an answer to its end."""
+        return b"".join([part async for part in answer.chunks()])
+
+    async def book(self, vm, key, *, content=b"{}", headers=None):
+        """Send an unrepeatable call and return status, verdict and body."""
+        answer = await self.client("caller").open(
+            self.url(vm),
+            "POST",
+            "/services/booking/book/1",
+            content,
+            {"idempotency-key": key, **(headers or {})},
+        )
+        body = await self.read(answer)
+        return Booked(answer.status, answer.headers.get("x-verdict"), body)
+
+    async def stop(self):
+        """Stop everything."""
+        for task in self._tasks:
+            task.cancel()
+        await self.cluster.stop()
+
+
+@dataclass(frozen=True)
+class Booked:
+    """How an unrepeatable call ended."""
+
+    status: int
+    verdict: str | None
+    body: bytes
+
+    @property
+    def code(self) -> str:
+        """Return the code of the refusal."""
+        return msgspec.json.decode(self.body)["error"]["code"]
