--- a/tests/system_ports/__init__.py
+++ b/tests/system_ports/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the ports over real sockets and files."""
+"""Tests of burdockdrum.system_ports."""
