--- a/scripts/experiment/world.py
+++ b/scripts/experiment/world.py
@@ -17,7 +17,7 @@
 from burdockdrum.endpoints import Announcement
 from burdockdrum.endpoints import EndpointRegistry
 from burdockdrum.endpoints import Report
-from burdockdrum.endpoints.registry import REPORT_SECONDS
+from burdockdrum.endpoints import REPORT_SECONDS
 from burdockdrum.peers import VmIdentity
 from burdockdrum.settings import PolicySettings
 from burdockdrum.testing import VirtualClock
