--- a/burdockdrum/web/operators.py
+++ b/burdockdrum/web/operators.py
@@ -3,7 +3,6 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Iterable
-import contextlib
 import secrets
 from typing import Any
 
@@ -42,7 +41,7 @@
 from burdockdrum.web.reading import route_value
 from burdockdrum.web.responses import json_response
 from burdockdrum.web.responses import text_response
-from burdockdrum.web.streaming import watch
+from burdockdrum.web.streaming import watch_stream
 
 _STATUS_BY_CODE = {"accepted": 200, "conflict": 409, "invalid": 422}
 _GONE_STATUS = 410
@@ -195,13 +194,8 @@
             self._configuration.changes_after(revision)
         except RevisionGone as gone:
             return _gone_response(gone, request_id)
-
-        async def body() -> AsyncIterator[bytes]:
-            parts = watch(request, self._watch_events(first, revision))
-            async with contextlib.aclosing(parts):
-                async for part in parts:
-                    yield part
-
+        events = self._watch_events(first, revision)
+        body = watch_stream(request, events)
         content = StreamedContent(b"text/event-stream", body)
         return Response(200, None, content)
 
--- a/burdockdrum/web/streaming.py
+++ b/burdockdrum/web/streaming.py
@@ -90,6 +90,13 @@
     return Response(answer.status, headers, streamed)
 
 
+def watch_stream(
+    request: Request, parts: AsyncIterator[bytes]
+) -> Callable[[], AsyncIterator[bytes]]:
+    """Return the body of an answer that ends once its caller has gone."""
+    return _stream(CallerWatch(request=request), parts)
+
+
 def _stream(
     watch: CallerWatch, parts: AsyncIterator[bytes]
 ) -> Callable[[], AsyncIterator[bytes]]:
