--- a/burdockdrum/consensus/applier.py
+++ b/burdockdrum/consensus/applier.py
@@ -60,11 +60,10 @@
 
     async def run_snapshots(self) -> None:
         """Take a snapshot whenever enough was applied, until cancelled."""
-        while self._replica.halt_reason is None:
+        while self._replica.storage.failure is None:
+            await self.changed.wait()
             if self._is_snapshot_due():
                 await self._take_snapshot()
-            else:
-                await self.changed.wait()
 
     async def wait_for(self, index: int) -> None:
         """Wait until an index is applied here."""
--- a/burdockdrum/consensus/signals.py
+++ b/burdockdrum/consensus/signals.py
@@ -4,6 +4,8 @@
 
 from burdockdrum.ports import Clock
 
+_SHORTEST_SECONDS = 0.0001
+
 
 class Signal:
     """Wakes every task that waits when something changed.
@@ -14,12 +16,13 @@
 
     def __init__(self) -> None:
         """Create a signal that nobody waits for."""
-        self._waiters: set[asyncio.Future[None]] = set()
+        # A dict keeps the order, so that a run under virtual time repeats.
+        self._waiters: dict[asyncio.Future[None], None] = {}
 
     def fire(self) -> None:
         """Wake all who wait."""
         waiters = self._waiters
-        self._waiters = set()
+        self._waiters = {}
         for waiter in waiters:
             if not waiter.done():
                 waiter.set_result(None)
@@ -37,6 +40,8 @@
         if seconds <= 0:
             return False
         waiter = self.subscribe()
+        # A rest too small to move the clock on would make its caller spin.
+        seconds = max(seconds, _SHORTEST_SECONDS)
         sleeping = asyncio.ensure_future(clock.sleep(seconds))
         try:
             await asyncio.wait(
@@ -50,12 +55,12 @@
     def subscribe(self) -> asyncio.Future[None]:
         """Return a future that is done with the next change from now on."""
         waiter: asyncio.Future[None] = asyncio.Future()
-        self._waiters.add(waiter)
+        self._waiters[waiter] = None
         return waiter
 
     def unsubscribe(self, waiter: asyncio.Future[None]) -> None:
         """Forget a future that nobody waits for any more."""
-        self._waiters.discard(waiter)
+        self._waiters.pop(waiter, None)
 
 
 async def wait_for_any(*signals: Signal) -> None:
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -89,6 +89,9 @@
         self.vms: dict[str, Vm] = {}
         self.errors: list[BaseException] = []
         self.make_disk = make_disk
+        self.make_machine: Callable[[str], ListMachine] = (
+            lambda vm_id: ListMachine()
+        )
         drift = list(rates)
         for place in range(size):
             self.add_vm(rate=drift[place] if place < len(drift) else 1.0)
@@ -138,7 +141,7 @@
             seal=Seal(secret=b"s"),
             metrics=vm.metrics,
         )
-        vm.machine = ListMachine()
+        vm.machine = self.make_machine(vm_id)
         vm.log = ReplicatedLog(
             peers=peers,
             disk=self.make_disk(vm.disk) if self.make_disk else vm.disk,
--- /dev/null
+++ b/tests/consensus/histories.py
@@ -0,0 +1,324 @@
+"""Random histories: clients, failures and the checks, all from one seed."""
+
+import asyncio
+from dataclasses import dataclass
+from dataclasses import field
+import random
+
+from burdockdrum.consensus import NotAccepted
+from burdockdrum.consensus import NotCurrent
+from burdockdrum.consensus import OutcomeUnknown
+from burdockdrum.consensus import ReplicatedLog
+from burdockdrum.consensus import Role
+from burdockdrum.testing import run_virtual
+from tests.consensus.checker import History
+from tests.consensus.checker import Operation
+from tests.consensus.checker import Violation
+from tests.consensus.cluster import Cluster
+from tests.consensus.cluster import ListMachine
+
+CLIENTS = 4
+WATCH_SECONDS = 0.02
+DRIFT = 0.01
+FAULTS = (
+    "cut_off",
+    "cut_one_way",
+    "split",
+    "heal",
+    "crash",
+    "power_loss",
+    "power_loss_everywhere",
+    "start",
+    "start",
+    "slow_disk",
+    "failing_disk",
+    "full_disk",
+    "step_aside",
+    "replace",
+    "bad_links",
+    "good_links",
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Plan:
+    """What one history does; the defaults are what CI runs."""
+
+    seed: int
+    size: int = 3
+    seconds: float = 12.0
+    faults: tuple[str, ...] = FAULTS
+    settings: dict = field(default_factory=dict)
+
+
+class _CheckedMachine(ListMachine):
+    def __init__(self, *, vm_id: str, history: History) -> None:
+        super().__init__()
+        self._vm_id = vm_id
+        self._history = history
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        self._history.note_applied(self._vm_id, index, command)
+        return super().apply(index, command)
+
+
+class HistoryRun:
+    """One cluster under load and failures."""
+
+    def __init__(
+        self, *, plan: Plan, cluster_type: type[Cluster] = Cluster
+    ) -> None:
+        """Draw everything from the plan's seed."""
+        self._plan = plan
+        self._rng = random.Random(plan.seed)
+        rates = [
+            self._rng.choice((1 - DRIFT, 1, 1 + DRIFT))
+            for _ in range(plan.size)
+        ]
+        settings = {
+            "snapshot_every_entries": 25,
+            "keep_entries": 5,
+            "segment_bytes": 2000,
+            "max_clock_drift": DRIFT,
+        }
+        self.cluster = cluster_type(
+            size=plan.size,
+            seed=self._rng.randrange(1 << 30),
+            rates=rates,
+            **{**settings, **plan.settings},
+        )
+        self.history = History()
+        self.cluster.make_machine = lambda vm_id: _CheckedMachine(
+            vm_id=vm_id, history=self.history
+        )
+        self._replacing: str | None = None
+        self._next_command = 0
+        self._background: set[asyncio.Task] = set()
+
+    async def run(self) -> History:
+        """Run the plan and check what came of it.
+
+        :raises Violation: if the log broke a promise
+        """
+        cluster = self.cluster
+        self._set_links(bad=False)
+        await cluster.start_all()
+        watching = asyncio.create_task(self._watch())
+        try:
+            await cluster.leader(seconds=60)
+            async with asyncio.TaskGroup() as group:
+                for _ in range(CLIENTS):
+                    group.create_task(self._be_client())
+                group.create_task(self._bring_failures())
+            await self._recover()
+        finally:
+            watching.cancel()
+            await asyncio.wait({watching})
+            for task in self._background:
+                task.cancel()
+            await cluster.stop_all()
+        if not watching.cancelled() and watching.exception():
+            raise watching.exception()  # type: ignore[misc]
+        self.history.check()
+        return self.history
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    async def _be_client(self) -> None:
+        end = self._now() + self._plan.seconds
+        while self._now() < end:
+            logs = self.cluster.logs
+            if logs:
+                log = self._rng.choice(logs)
+                if self._rng.random() < 0.4:
+                    await self._read(log)
+                else:
+                    await self._write(log)
+            await asyncio.sleep(self._rng.uniform(0, 0.2))
+
+    async def _write(self, log: ReplicatedLog) -> None:
+        self._next_command += 1
+        command = f"{self._next_command}".encode()
+        operation = Operation(command=command, began=self._now())
+        self.history.operations.append(operation)
+        try:
+            applied = await log.propose(
+                command, timeout=self._rng.uniform(0.3, 3)
+            )
+        except NotAccepted:
+            operation.refused = True
+            return
+        except OutcomeUnknown:
+            return
+        operation.index = applied.index
+        operation.ended = self._now()
+
+    async def _read(self, log: ReplicatedLog) -> None:
+        operation = Operation(command=None, began=self._now())
+        self.history.operations.append(operation)
+        try:
+            index = await log.read_barrier(timeout=1.0)
+        except NotCurrent:
+            return
+        operation.index = index
+        operation.ended = self._now()
+
+    async def _watch(self) -> None:
+        while True:
+            for log in self.cluster.logs:
+                if log.role is Role.LEADER:
+                    vm_id = self.cluster.vm_of(log).vm_id
+                    self.history.note_leader(vm_id, log.term)
+            self.history.note_leases(
+                [
+                    self.cluster.vm_of(log).vm_id
+                    for log in self.cluster.logs
+                    if log.is_leader
+                ]
+            )
+            await asyncio.sleep(WATCH_SECONDS)
+
+    async def _bring_failures(self) -> None:
+        end = self._now() + self._plan.seconds
+        while self._now() < end:
+            await asyncio.sleep(self._rng.uniform(0.2, 1.5))
+            fault = self._rng.choice(self._plan.faults)
+            vm_id = self._rng.choice(sorted(self.cluster.vms))
+            await self._bring(fault, vm_id)
+
+    async def _bring(self, fault: str, vm_id: str) -> None:
+        cluster = self.cluster
+        vm = cluster.vms[vm_id]
+        match fault:
+            case "cut_off":
+                cluster.cut_off(vm_id)
+            case "cut_one_way":
+                cluster.cut_off(vm_id, both=False)
+            case "split":
+                names = sorted(cluster.vms)
+                half = self._rng.sample(names, len(names) // 2)
+                rest = [name for name in names if name not in half]
+                cluster.network.cut(half, rest)
+            case "heal":
+                cluster.heal()
+            case "crash":
+                await cluster.stop(vm_id)
+            case "power_loss":
+                await cluster.stop(vm_id, power_loss=True)
+            case "power_loss_everywhere":
+                await cluster.stop_all(power_loss=True)
+            case "start":
+                await self._start_all()
+            case "slow_disk":
+                vm.disk.sync_seconds = self._rng.uniform(0, 0.3)
+            case "failing_disk":
+                vm.disk.fail_syncs = True
+            case "full_disk":
+                vm.disk.full = True
+            case "step_aside":
+                if vm.task:
+                    self._spawn(vm.running.step_aside())
+            case "replace":
+                if self._replacing is None:
+                    self._replacing = vm_id
+                    self._spawn(self._replace(vm_id))
+            case "bad_links":
+                self._set_links(bad=True)
+            case "good_links":
+                self._set_links(bad=False)
+
+    def _spawn(self, coroutine: object) -> None:
+        task = asyncio.ensure_future(coroutine)  # type: ignore[call-overload]
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    def _set_links(self, *, bad: bool) -> None:
+        self.cluster.network.set_default(
+            delay=self._rng.choice((0.001, 0.02, 0.055)),
+            jitter=self._rng.choice((0.001, 0.1)) if bad else 0.001,
+            loss=self._rng.choice((0.0, 0.05, 0.2)) if bad else 0.0,
+            duplicate=self._rng.choice((0.0, 0.2)) if bad else 0.0,
+        )
+
+    async def _start_all(self) -> None:
+        for vm in self.cluster.vms.values():
+            if vm.task is None:
+                vm.disk.fail_syncs = False
+                vm.disk.full = False
+                await self.cluster.start(vm.vm_id)
+
+    async def _replace(self, vm_id: str) -> None:
+        """Empty one VM's disk, remove the old member and add the new one.
+
+        Only one at a time: losing the disks of a quorum loses what it held.
+        """
+        cluster = self.cluster
+        vm = cluster.vms[vm_id]
+        await cluster.stop(vm_id)
+        vm.disk.wipe()
+        vm.disk.fail_syncs = False
+        vm.disk.full = False
+        vm.disk.sync_seconds = 0.0
+        if vm.task is None:
+            await cluster.start(vm_id)
+        while not await self._try_to_add(vm_id):
+            await asyncio.sleep(0.3)
+        self._replacing = None
+
+    async def _try_to_add(self, vm_id: str) -> bool:
+        cluster = self.cluster
+        leader = next((log for log in cluster.logs if log.is_leader), None)
+        vm = cluster.vms[vm_id]
+        if leader is None or vm.task is None:
+            return False
+        disk_id = vm.running.disk_id
+        if disk_id is None:
+            return False
+        known = next((m for m in leader.members if m.vm_id == vm_id), None)
+        try:
+            if known is None:
+                await leader.add_member(vm_id, vm.address, disk_id, timeout=2)
+            elif known.disk_id != disk_id:
+                await leader.remove_member(vm_id, timeout=2)
+            else:
+                return known.voter and leader.commit_index > 0
+        except (NotAccepted, OutcomeUnknown):
+            pass
+        return False
+
+    async def _recover(self) -> None:
+        """Mend everything; the cluster has to work again."""
+        cluster = self.cluster
+        cluster.heal()
+        self._set_links(bad=False)
+        for vm in cluster.vms.values():
+            vm.disk.sync_seconds = 0.0
+            vm.disk.fail_syncs = False
+            vm.disk.full = False
+            if vm.task and vm.running.role is Role.HALTED:
+                await cluster.stop(vm.vm_id)
+        await self._start_all()
+        await cluster.until(lambda: self._replacing is None, seconds=60)
+        log = await cluster.leader(seconds=60)
+        operation = Operation(command=b"last", began=self._now())
+        self.history.operations.append(operation)
+        applied = await log.propose(b"last", timeout=30)
+        operation.index = applied.index
+        operation.ended = self._now()
+        await cluster.settle(seconds=60)
+        commands = [vm.machine.commands for vm in cluster.vms.values()]
+        if any(other != commands[0] for other in commands):
+            raise Violation("members end with different states")
+
+
+def run_history(
+    plan: Plan, cluster_type: type[Cluster] = Cluster
+) -> HistoryRun:
+    """Run one history under virtual time and check it.
+
+    :raises Violation: if the log broke a promise
+    """
+    run = HistoryRun(plan=plan, cluster_type=cluster_type)
+    run_virtual(run.run())
+    return run
