Send a burst of changes together, and only what was not sent yet

Pushes are collected for 20 ms and go on from what was sent; a follower that stays silent gets three repeats.

--- a/burdockdrum/configuration/publishing.py
+++ b/burdockdrum/configuration/publishing.py
@@ -1,5 +1,6 @@
 """Pass revisions on to the VMs that follow this one."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import replace
@@ -13,8 +14,9 @@
 from burdockdrum.peers import Peers
 from burdockdrum.peers import Sender
 from burdockdrum.ports import Clock
-from burdockdrum.resources import Configuration
 
+# Changes that come in a burst are sent together, at most so often.
+PUSH_SECONDS = 0.02
 RESEND_SECONDS = 0.5
 MAX_RESENDS = 3
 # A follower that has not been heard of for so long is no follower any more.
@@ -23,7 +25,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class FollowerState:
-    """What a follower last said, and what was sent to it since."""
+    """What a follower last said, and what was sent to it since.
+
+    ``sends`` counts since it was last heard of.
+    """
 
     sender: Sender
     revision: int
@@ -31,6 +36,7 @@
     content: bool
     heard_at: float
     sent_at: float
+    sent_revision: int
     data_centre: str = ""
     sends: int = 0
 
@@ -52,12 +58,29 @@
         self._knowledge = knowledge
         self._reports = reports
         self._followers_by_address: dict[str, FollowerState] = {}
+        self._grown = asyncio.Event()
         self.on_follow: Callable[[Sender, Follow], None] | None = None
-        knowledge.history.listeners.append(self._push_all)
+        knowledge.history.listeners.append(lambda _: self._grown.set())
         peers.register(Follow, self._take_follow)
 
     async def run(self) -> None:
-        """Send again what was not acknowledged, until cancelled."""
+        """Send what is new, and again what was not acknowledged."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._push_new())
+            group.create_task(self._push_again())
+
+    async def _push_new(self) -> None:
+        while True:
+            await self._grown.wait()
+            self._grown.clear()
+            revision = self._knowledge.current.revision
+            for address, state in list(self._followers_by_address.items()):
+                is_silent = state.sends > MAX_RESENDS
+                if state.sent_revision < revision and not is_silent:
+                    self._push(address, state, state.sent_revision)
+            await self._clock.sleep(PUSH_SECONDS)
+
+    async def _push_again(self) -> None:
         while True:
             await self._clock.sleep(RESEND_SECONDS)
             now = self._clock.monotonic()
@@ -65,12 +88,11 @@
                 if now - state.heard_at > FOLLOWER_SECONDS:
                     del self._followers_by_address[address]
                 elif self._is_overdue(state, now):
-                    self._push(address, state)
+                    self._push(address, state, state.revision)
 
     def _is_overdue(self, state: FollowerState, now: float) -> bool:
         return (
-            state.content
-            and state.revision < self._knowledge.current.revision
+            state.revision < self._knowledge.current.revision
             and state.sends <= MAX_RESENDS
             and now - state.sent_at >= RESEND_SECONDS
         )
@@ -89,6 +111,7 @@
             content=message.content,
             heard_at=now,
             sent_at=now,
+            sent_revision=message.revision,
             data_centre=message.report.data_centre if message.report else "",
         )
         self._followers_by_address[sender.address] = state
@@ -97,35 +120,40 @@
             self._reports.take_report(message.report)
         if self.on_follow is not None:
             self.on_follow(sender, message)
-        if message.revision < self._knowledge.current.revision:
-            self._push(sender.address, state, snapshot=message.snapshot)
-        else:
-            update = self._make_update(state, snapshot=message.snapshot)
-            self._peers.send(sender.address, update)
+        self._push(
+            sender.address,
+            state,
+            message.revision,
+            snapshot=message.snapshot,
+        )
         return None
 
-    def _push_all(self, configuration: Configuration) -> None:
-        for address, state in list(self._followers_by_address.items()):
-            if state.content and state.revision < configuration.revision:
-                self._push(address, replace(state, sends=0))
-
     def _push(
-        self, address: str, state: FollowerState, *, snapshot: bool = False
+        self,
+        address: str,
+        state: FollowerState,
+        after: int,
+        *,
+        snapshot: bool = False,
     ) -> None:
-        update = self._make_update(state, snapshot=snapshot)
+        update = self._make_update(state, after, snapshot)
         self._peers.send(address, update)
         self._followers_by_address[address] = replace(
-            state, sent_at=self._clock.monotonic(), sends=state.sends + 1
+            state,
+            sent_at=self._clock.monotonic(),
+            sent_revision=update.revision,
+            sends=state.sends + 1,
         )
 
-    def _make_update(self, state: FollowerState, *, snapshot: bool) -> Update:
+    def _make_update(
+        self, state: FollowerState, after: int, snapshot: bool
+    ) -> Update:
         current = self._knowledge.current
         changes = []
         resources = None
         if state.content and not snapshot:
             try:
-                history = self._knowledge.history
-                changes = history.changes_after(state.revision)
+                changes = self._knowledge.history.changes_after(after)
             except RevisionGone:
                 snapshot = True
         if state.content and snapshot:
--- a/burdockdrum/testing/vms.py
+++ b/burdockdrum/testing/vms.py
@@ -42,6 +42,8 @@
         self.web = FakeWeb(network=self.network)
         self.vms_by_id: dict[str, FakeVm] = {}
         self.disks_by_vm_id: dict[str, FakeDisk] = {}
+        # How many seconds a VM's clock counts in a second; 1 if not named.
+        self.clock_rates_by_vm_id: dict[str, float] = {}
         self._incarnation = 0
 
     async def start_vm(self, settings: Settings) -> FakeVm:
@@ -61,7 +63,7 @@
             settings=settings,
             identity=identity,
             mailbox=mailbox,
-            clock=VirtualClock(),
+            clock=VirtualClock(rate=self.clock_rates_by_vm_id.get(vm_id, 1.0)),
             http=FakeHttpClient(web=self.web, host=vm_id),
             rng=random.Random(self.rng.random()),
             disk=self._find_disk(settings),
--- /dev/null
+++ b/tests/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the configuration: agreed, passed on, cut off."""
--- /dev/null
+++ b/tests/configuration/test_agreed.py
@@ -0,0 +1,132 @@
+"""Changes over whole VMs: one winner, one answer, nothing lost."""
+
+import asyncio
+import unittest
+
+from burdockdrum.testing import run_virtual
+from tests.configuration.deployment import Deployment
+
+VM_IDS = ["n1.1", "n1.2", "s1.1", "s1.2", "e1.1", "e1.2"]
+CONTROL_IDS = ["n1.1", "s1.1", "e1.1"]
+
+
+class AgreedTest(unittest.TestCase):
+    """Three control VMs in three regions, and a VM beside each."""
+
+    def run_deployment(self, scenario):
+        async def main():
+            deployment = Deployment(
+                seed=11, vm_ids=VM_IDS, control_ids=CONTROL_IDS
+            )
+            await deployment.start()
+            await scenario(deployment)
+            await deployment.stop()
+
+        run_virtual(main())
+
+    def test_two_operators_at_two_entries_under_one_version(self):
+        # Two operators change one region at entries of two data centres at
+        # the same time, under the same version. One is told "accepted", the
+        # other "conflict" with what the first wrote.
+        async def scenario(deployment):
+            made = await deployment.put("n1.2", "region", "north", {})
+            changes = [
+                deployment.put(
+                    vm_id,
+                    "region",
+                    "north",
+                    {"description": vm_id},
+                    version=made.revision,
+                )
+                for vm_id in ("s1.2", "e1.2")
+            ]
+            results = await asyncio.gather(*changes)
+            codes = sorted(result.code for result in results)
+            self.assertEqual(["accepted", "conflict"], codes)
+            self.assertEqual(results[0].current, results[1].current)
+
+        self.run_deployment(scenario)
+
+    def test_resent_change_after_leader_change_and_restart(self):
+        # The operator's answer is lost. It sends the change again, with the
+        # same change id, after the leader has crashed; then after every
+        # control VM has lost power. Each time it gets the first answer, and
+        # the change is not applied again.
+        async def scenario(deployment):
+            change = ("region", "north", {"description": "first"})
+            first = await deployment.put("n1.2", *change, change_id="x")
+            await deployment.put(
+                "n1.2",
+                "region",
+                "north",
+                {"description": "second"},
+                version=first.revision,
+            )
+            leader = deployment.leader()
+            await deployment.crash(leader, power=True)
+            again = await deployment.put("s1.2", *change, change_id="x")
+            self.assertEqual(first, again)
+            await deployment.start_vm(leader)
+            for vm_id in CONTROL_IDS:
+                await deployment.crash(vm_id, power=True)
+            for vm_id in CONTROL_IDS:
+                await deployment.start_vm(vm_id)
+            await asyncio.sleep(8)
+            again = await deployment.put("e1.2", *change, change_id="x")
+            self.assertEqual(first, again)
+            await deployment.wait_for(2)
+            self.assertEqual(
+                2, deployment.configuration("n1.2").current.revision
+            )
+
+        self.run_deployment(scenario)
+
+    def test_many_changes_then_all_restart(self):
+        # After over a thousand changes every VM loses power. Snapshots have
+        # replaced the log's start, and the last state is in force everywhere
+        # again, a resent change of before the snapshot answered as at first.
+        async def scenario(deployment):
+            first = await deployment.put(
+                "n1.1", "region", "north", {}, change_id="first"
+            )
+            entry = deployment.leader()
+            for batch in range(22):
+                changes = [
+                    deployment.put(entry, "region", f"r{batch}-{number}", {})
+                    for number in range(50)
+                ]
+                await asyncio.gather(*changes)
+            for vm_id in VM_IDS:
+                await deployment.crash(vm_id, power=True)
+            for vm_id in VM_IDS:
+                await deployment.start_vm(vm_id)
+            await deployment.wait_for(1101)
+            names = list(deployment.cluster.disks_by_vm_id["n1.1"]._seen)
+            self.assertTrue([n for n in names if "snapshot" in n], names)
+            digests = {
+                deployment.configuration(vm_id).current.digest
+                for vm_id in VM_IDS
+            }
+            self.assertEqual(1, len(digests))
+            again = await deployment.put(
+                "e1.2", "region", "north", {}, change_id="first"
+            )
+            self.assertEqual(first, again)
+
+        self.run_deployment(scenario)
+
+    def test_status_names_who_has_a_revision_in_force(self):
+        # An operator asks a VM that holds no state, in another region. All
+        # VMs are named; one that is cut off stays named as behind.
+        async def scenario(deployment):
+            await deployment.put("n1.2", "region", "north", {})
+            await asyncio.sleep(3)
+            found = await deployment.configuration("e1.2").fetch_in_force()
+            self.assertEqual(dict.fromkeys(VM_IDS, 1), found)
+            deployment.cut(["s1.2"])
+            await deployment.put("n1.2", "region", "south", {})
+            await asyncio.sleep(1)
+            found = await deployment.configuration("e1.2").fetch_in_force()
+            self.assertEqual({**dict.fromkeys(VM_IDS, 2), "s1.2": 1}, found)
+
+        self.run_deployment(scenario)
--- /dev/null
+++ b/tests/configuration/test_passing_on.py
@@ -0,0 +1,153 @@
+"""Every accepted revision reaches every VM, through whatever fails."""
+
+import asyncio
+import unittest
+
+from burdockdrum.configuration.messages import Follow
+from burdockdrum.resources import Configuration
+from burdockdrum.resources import Resource
+from burdockdrum.resources import ResourceKey
+from burdockdrum.resources.specs import RegionSpec
+from burdockdrum.testing import run_virtual
+from tests.configuration.deployment import Deployment
+
+VM_IDS = ["n1.1", "n1.2", "s1.1", "s1.2", "s1.3", "s1.4"]
+# What the letter allows from accepted to in force everywhere.
+LIMIT_SECONDS = 4.0
+
+
+class PassingOnTest(unittest.TestCase):
+    """One control VM, and a data centre that holds none."""
+
+    def run_deployment(self, scenario):
+        async def main():
+            deployment = Deployment(
+                seed=5, vm_ids=VM_IDS, control_ids=["n1.1"]
+            )
+            await deployment.start()
+            await scenario(deployment)
+            await deployment.stop()
+
+        run_virtual(main())
+
+    async def change(self, deployment, number: int) -> float:
+        result = await deployment.put("n1.1", "region", f"r{number}", {})
+        return await deployment.wait_for(result.revision)
+
+    def test_lost_doubled_and_late_messages(self):
+        # Of all messages a tenth is lost and a fifth doubled, and they
+        # overtake each other by up to 0.3 s. Each revision is in force
+        # everywhere within seconds, and no VM ever goes back.
+        async def scenario(deployment):
+            revisions_by_vm_id = {vm_id: [] for vm_id in VM_IDS}
+            for vm_id, revisions in revisions_by_vm_id.items():
+                deployment.configuration(vm_id).add_listener(
+                    lambda new, seen=revisions: seen.append(new.revision)
+                )
+            deployment.cluster.network.set_default(
+                loss=0.1, duplicate=0.2, jitter=0.3
+            )
+            for number in range(20):
+                seconds = await self.change(deployment, number)
+                self.assertLess(seconds, LIMIT_SECONDS)
+            for revisions in revisions_by_vm_id.values():
+                self.assertEqual(sorted(set(revisions)), revisions)
+                self.assertEqual(20, revisions[-1])
+
+        self.run_deployment(scenario)
+
+    def test_relay_dies(self):
+        # The relay crashes right when a change is accepted. The VMs that it
+        # served ask others and have the change in force within seconds.
+        async def scenario(deployment):
+            self.assertEqual("s1.1", deployment.relay("s1.3"))
+            await deployment.crash("s1.1")
+            result = await deployment.put("n1.1", "region", "north", {})
+            rest = [vm_id for vm_id in VM_IDS if vm_id != "s1.1"]
+            seconds = await deployment.wait_for(result.revision, *rest)
+            self.assertLess(seconds, LIMIT_SECONDS)
+
+        self.run_deployment(scenario)
+
+    def test_relay_is_cut_off_from_control_only(self):
+        # The relay lives, so its data centre goes on asking it, but it hears
+        # of nothing new itself. Both it and the others get the change
+        # another way within seconds.
+        async def scenario(deployment):
+            network = deployment.cluster.network
+            network.cut(["s1.1"], ["n1.1", "n1.2"])
+            await asyncio.sleep(10)
+            result = await deployment.put("n1.1", "region", "north", {})
+            seconds = await deployment.wait_for(result.revision)
+            self.assertLess(seconds, LIMIT_SECONDS)
+
+        self.run_deployment(scenario)
+
+    def test_divergence_is_noticed_and_healed(self):
+        # A fault in memory changes a resource on one VM without a new
+        # revision. Its digest differs from its relay's, and it fetches the
+        # whole configuration.
+        async def scenario(deployment):
+            await self.change(deployment, 0)
+            key = ResourceKey("region", "r0")
+            wrong = Resource(
+                kind="region",
+                name="r0",
+                version=1,
+                spec=RegionSpec(description="wrong"),
+            )
+            service = deployment.configuration("s1.3")
+            service._knowledge.history.replace(Configuration.of(1, [wrong]))
+            await asyncio.sleep(5)
+            right = deployment.configuration("n1.1").current
+            self.assertEqual(
+                right.resources_by_key[key],
+                service.current.resources_by_key[key],
+            )
+            self.assertEqual(right.digest, service.current.digest)
+
+        self.run_deployment(scenario)
+
+    def test_vm_that_missed_more_than_is_kept_gets_everything(self):
+        # A VM is cut off for over a thousand changes. It can't be given just
+        # those it lacks, and gets the whole configuration.
+        async def scenario(deployment):
+            deployment.cut(["s1.4"])
+            for batch in range(22):
+                changes = [
+                    deployment.put("n1.1", "region", f"r{batch}-{i}", {})
+                    for i in range(50)
+                ]
+                await asyncio.gather(*changes)
+            deployment.heal(["s1.4"])
+            await deployment.wait_for(1100)
+            digests = {
+                deployment.configuration(vm_id).current.digest
+                for vm_id in VM_IDS
+            }
+            self.assertEqual(1, len(digests))
+
+        self.run_deployment(scenario)
+
+    def test_control_vm_is_followed_by_relays_only(self):
+        # Were every VM to follow the control VM, its share would grow with
+        # the number of VMs and not with that of data centres.
+        async def scenario(deployment):
+            followers = set()
+            network = deployment.cluster.network
+            deliver = network.deliver
+
+            def spy(host, address, payload):
+                is_control = address == "tcp://127.0.0.1:1001"
+                if is_control and Follow.kind().encode() in payload:
+                    followers.add(host)
+                deliver(host, address, payload)
+
+            await asyncio.sleep(5)
+            network.deliver = spy
+            await self.change(deployment, 0)
+            await asyncio.sleep(10)
+            # n1.2 follows n1.1 as the relay of its own data centre.
+            self.assertEqual({"s1.1", "n1.2"}, followers)
+
+        self.run_deployment(scenario)
