Drain in steps, for SIGTERM and the operator alike

POST /v1/drain only took the VM off the lists and SIGTERM stopped the listener after the lists' validity, without a refusal on kept connections and without handing on leases; the process never ended after POST.

The service "drain" leads through serving, leaving (off the lists, still serving), refusing ("not run" with Retry-After), waiting for what is in flight, hooks for leases, done. The web application counts requests to the end of their streams; that number is each VM's published load too. An endpoint that reports to a draining VM is sent to another one. A service that fails no longer ends the daemon with exit code 0.

Tests: tests/vms/test_drain.py.

--- a/burdockdrum/daemon/daemon.py
+++ b/burdockdrum/daemon/daemon.py
@@ -19,11 +19,11 @@
 from burdockdrum.system_ports import PooledHttpClient
 from burdockdrum.system_ports import PynngNetwork
 from burdockdrum.system_ports import SystemClock
-from burdockdrum.vms import VALID_SECONDS
-from burdockdrum.vms import VmDirectory
+from burdockdrum.vms import Drain
 from burdockdrum.web import bind
 from burdockdrum.web import WebServer
 
+STOP_SECONDS = 2.0
 _SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -34,25 +34,28 @@
         """Create a daemon that has not started."""
         self._settings = settings
         self._signals = 0
-        self._stopping = asyncio.Event()
 
     async def run(self) -> None:
         """Serve until told to stop, then finish what runs."""
         limit_threads()
         kernel = await self._assemble()
+        drain = kernel.find("drain", Drain)
         loop = asyncio.get_running_loop()
         running = asyncio.create_task(kernel.run())
         for number in _SIGNALS:
-            loop.add_signal_handler(number, self._take_signal, running)
-        stopping = asyncio.create_task(self._stopping.wait())
+            loop.add_signal_handler(number, self._take_signal, drain, running)
+        drained = asyncio.create_task(drain.done.wait())
         await asyncio.wait(
-            {running, stopping}, return_when=asyncio.FIRST_COMPLETED
+            {running, drained}, return_when=asyncio.FIRST_COMPLETED
         )
-        if stopping.done():
-            await self._shut_down(kernel)
-        stopping.cancel()
+        if drained.done():
+            await _stop_web(kernel.find("web", WebServer))
+        drained.cancel()
         running.cancel()
-        await asyncio.gather(running, return_exceptions=True)
+        try:
+            await running
+        except asyncio.CancelledError:
+            pass
 
     async def _assemble(self) -> Kernel:
         settings = self._settings
@@ -87,26 +90,22 @@
         kernel.add("web", lambda kernel: _build_web(kernel, listener))
         return kernel
 
-    def _take_signal(self, running: asyncio.Task) -> None:
+    def _take_signal(self, drain: Drain, running: asyncio.Task) -> None:
         self._signals += 1
-        self._stopping.set()
+        drain.begin()
         if self._signals > 1:
             logger.warning("a second signal: not waiting for what runs")
             running.cancel()
 
-    async def _shut_down(self, kernel: Kernel) -> None:
-        vms = kernel.find("vms", VmDirectory)
-        web = kernel.find("web", WebServer)
-        vms.draining = True
-        logger.info("draining: off the lists, then finishing what runs")
-        # Callers hold lists of entries that name this VM for so long.
-        await asyncio.sleep(VALID_SECONDS)
-        web.stop()
-        try:
-            async with asyncio.timeout(self._settings.drain.limit_seconds):
-                await web.stopped.wait()
-        except TimeoutError:
-            logger.warning("the drain's limit has passed")
+
+async def _stop_web(web: WebServer) -> None:
+    web.stop()
+    try:
+        # Only connections of watchers and status pages are left by now.
+        async with asyncio.timeout(STOP_SECONDS):
+            await web.stopped.wait()
+    except TimeoutError:
+        logger.info("closing connections that are still open")
 
 
 def _build_web(kernel: Kernel, listener: socket.socket) -> WebServer:
--- a/burdockdrum/vms/__init__.py
+++ b/burdockdrum/vms/__init__.py
@@ -3,6 +3,8 @@
 from burdockdrum.vms.directory import DataCentreView
 from burdockdrum.vms.directory import VmDirectory
 from burdockdrum.vms.directory import VmView
+from burdockdrum.vms.drain import Drain
+from burdockdrum.vms.drain import DrainState
 from burdockdrum.vms.endpoint_sharing import EndpointSharing
 from burdockdrum.vms.messages import ServiceSummary
 from burdockdrum.vms.selection import EntryChoice
@@ -14,6 +16,8 @@
 __all__ = [
     "add_services",
     "DataCentreView",
+    "Drain",
+    "DrainState",
     "EndpointSharing",
     "EntryChoice",
     "EntryList",
--- a/burdockdrum/vms/group.py
+++ b/burdockdrum/vms/group.py
@@ -256,6 +256,11 @@
 
     def _set_health(self, member: Member, health: Health) -> None:
         member.health = health
+        if member.state is not None and member.state.draining:
+            # It said that it would go: nothing to worry an operator with.
+            if health is Health.DEAD:
+                self._timeline.record("vm.left", vm_id=member.identity.vm_id)
+            return
         self._timeline.record(
             f"vm.{health.value}", vm_id=member.identity.vm_id
         )
--- a/burdockdrum/vms/services.py
+++ b/burdockdrum/vms/services.py
@@ -10,6 +10,7 @@
 from burdockdrum.settings import Settings
 from burdockdrum.timeline import Timeline
 from burdockdrum.vms.directory import VmDirectory
+from burdockdrum.vms.drain import Drain
 from burdockdrum.vms.endpoint_sharing import EndpointSharing
 from burdockdrum.vms.messages import ServiceSummary
 
@@ -18,6 +19,7 @@
     """Name the directory of VMs and what tells it of endpoints."""
     kernel.add("vms", _build_vms)
     kernel.add("endpoint_sharing", _build_sharing)
+    kernel.add("drain", _build_drain)
 
 
 def _build_vms(kernel: Kernel) -> VmDirectory:
@@ -34,6 +36,15 @@
     )
 
 
+def _build_drain(kernel: Kernel) -> Drain:
+    return Drain(
+        clock=kernel.find("clock", Clock),
+        timeline=kernel.find("timeline", Timeline),
+        vms=kernel.find("vms", VmDirectory),
+        limit_seconds=kernel.find("settings", Settings).drain.limit_seconds,
+    )
+
+
 def _build_sharing(kernel: Kernel) -> EndpointSharing:
     return EndpointSharing(
         clock=kernel.find("clock", Clock),
--- a/burdockdrum/web/application.py
+++ b/burdockdrum/web/application.py
@@ -1,9 +1,13 @@
 """The routes of all faces in one application."""
 
+import functools
+
 from blacksheep import Application
 from blacksheep.server.routing import Router
 
+from burdockdrum.vms import Drain
 from burdockdrum.web.callers import CallerFace
+from burdockdrum.web.counting import CountingApplication
 from burdockdrum.web.endpoint_face import EndpointFace
 from burdockdrum.web.guard import guard
 from burdockdrum.web.operators import OperatorFace
@@ -18,17 +22,19 @@
     endpoints: EndpointFace,
     operators: OperatorFace,
     peers: PeerFace,
+    drain: Drain,
 ) -> Application:
     """Return the ASGI application of a daemon."""
+    work = functools.partial(guard, check=drain.check)
     # A router of its own: by default applications of one process share one.
     router = Router()
-    application = Application(router=router, show_error_details=False)
-    router.add_post("/v1/chat/completions", guard(callers.chat))
-    router.add_post("/v1/completions", guard(callers.complete))
+    application = CountingApplication(router=router, drain=drain)
+    router.add_post("/v1/chat/completions", work(callers.chat))
+    router.add_post("/v1/completions", work(callers.complete))
     router.add_get("/v1/models", guard(callers.list_models))
     router.add_get("/v1/entries", guard(callers.list_entries))
     for method in PLAIN_METHODS:
-        router.add(method, "/services/*", guard(callers.call_plain))
+        router.add(method, "/services/*", work(callers.call_plain))
 
     router.add_post("/v1/endpoints/announce", guard(endpoints.announce))
     report = "/v1/endpoints/:endpoint_id/report"
@@ -36,7 +42,7 @@
     leave = "/v1/endpoints/:endpoint_id/leave"
     router.add_post(leave, guard(endpoints.leave))
 
-    router.add_post("/v1/forward", guard(peers.forward))
+    router.add_post("/v1/forward", work(peers.forward))
 
     router.add_get("/v1/resources/:kind", guard(operators.list))
     resource = "/v1/resources/:kind/:name"
--- a/burdockdrum/web/endpoint_face.py
+++ b/burdockdrum/web/endpoint_face.py
@@ -8,6 +8,10 @@
 from burdockdrum.endpoints import EndpointRegistry
 from burdockdrum.endpoints import Report
 from burdockdrum.settings import Settings
+from burdockdrum.verdicts import Refusal
+from burdockdrum.verdicts import RefusalCode
+from burdockdrum.verdicts import Verdict
+from burdockdrum.vms import VmDirectory
 from burdockdrum.web.authentication import Authenticator
 from burdockdrum.web.reading import read_json
 from burdockdrum.web.reading import route_value
@@ -31,21 +35,25 @@
         settings: Settings,
         authenticator: Authenticator,
         endpoints: EndpointRegistry,
+        vms: VmDirectory,
     ) -> None:
         """Create the handlers."""
         self._limit = settings.limits.body_bytes
         self._authenticator = authenticator
         self._endpoints = endpoints
+        self._vms = vms
 
     async def announce(self, request: Request, request_id: str) -> Response:
         """Serve POST /v1/endpoints/announce."""
         self._authenticator.check_endpoint(request)
+        self._check_stays()
         announcement = await read_json(request, self._limit, Announcement)
         return json_response(self._endpoints.announce(announcement))
 
     async def report(self, request: Request, request_id: str) -> Response:
         """Serve POST /v1/endpoints/ID/report."""
         self._authenticator.check_endpoint(request)
+        self._check_stays()
         report = await read_json(request, self._limit, Report)
         endpoint_id = route_value(request, "endpoint_id")
         return json_response(self._endpoints.report(endpoint_id, report))
@@ -57,3 +65,17 @@
         endpoint_id = route_value(request, "endpoint_id")
         self._endpoints.leave(endpoint_id, leaving.incarnation)
         return json_response({"left": endpoint_id})
+
+    def _check_stays(self) -> None:
+        # An endpoint whose reporter drains has to move on before the VM is
+        # gone, or it would be offered by nobody for a while.
+        if not self._vms.draining:
+            return
+        here = self._vms.vms_in(self._vms.identity.data_centre)
+        if any(not view.draining for view in here):
+            raise Refusal(
+                code=RefusalCode.DRAINING,
+                message="this entry VM is shutting down; report to another",
+                verdict=Verdict.NOT_RUN,
+                retry_after=1.0,
+            )
--- a/burdockdrum/web/guard.py
+++ b/burdockdrum/web/guard.py
@@ -17,9 +17,13 @@
 Guarded = Callable[[Request], Awaitable[Response]]
 
 
-def guard(handler: Handler) -> Guarded:
+def guard(
+    handler: Handler, *, check: Callable[[], None] | None = None
+) -> Guarded:
     """Give each request an id, and each failure its JSON form.
 
+    ``check`` may refuse a request before its handler sees it.
+
     An error that nobody foresaw says "may have run": what was done before
     it is not known here.
     """
@@ -27,6 +31,8 @@
     async def handle(request: Request) -> Response:
         request_id = make_request_id()
         try:
+            if check is not None:
+                check()
             return await handler(request, request_id)
         except Refusal as refusal:
             return refusal_response(refusal, request_id)
--- a/burdockdrum/web/services.py
+++ b/burdockdrum/web/services.py
@@ -13,6 +13,7 @@
 from burdockdrum.requests import RequestService
 from burdockdrum.settings import Settings
 from burdockdrum.timeline import Timeline
+from burdockdrum.vms import Drain
 from burdockdrum.vms import VmDirectory
 from burdockdrum.web.application import build_application
 from burdockdrum.web.authentication import Authenticator
@@ -38,6 +39,7 @@
             settings=kernel.find("settings", Settings),
             authenticator=authenticator,
             endpoints=kernel.find("endpoints", EndpointRegistry),
+            vms=kernel.find("vms", VmDirectory),
         ),
         operators=_build_operators(kernel, authenticator),
         peers=PeerFace(
@@ -46,6 +48,7 @@
             clock=kernel.find("clock", Clock),
             requests=kernel.find("requests", RequestService),
         ),
+        drain=kernel.find("drain", Drain),
     )
 
 
@@ -64,18 +67,13 @@
 def _build_operators(
     kernel: Kernel, authenticator: Authenticator
 ) -> OperatorFace:
-    vms = kernel.find("vms", VmDirectory)
-
-    def begin_drain() -> None:
-        vms.draining = True
-
     return OperatorFace(
         settings=kernel.find("settings", Settings),
         authenticator=authenticator,
         configuration=kernel.find("configuration", ConfigurationService),
         endpoints=kernel.find("endpoints", EndpointRegistry),
-        vms=vms,
+        vms=kernel.find("vms", VmDirectory),
         timeline=kernel.find("timeline", Timeline),
         metrics=kernel.find("metrics", Metrics),
-        begin_drain=begin_drain,
+        begin_drain=kernel.find("drain", Drain).begin,
     )
--- /dev/null
+++ b/tests/vms/test_drain.py
@@ -0,0 +1,100 @@
+"""The steps of a drain."""
+
+import asyncio
+import unittest
+
+from burdockdrum.testing import run_virtual
+from burdockdrum.verdicts import Refusal
+from burdockdrum.verdicts import RefusalCode
+from burdockdrum.verdicts import Verdict
+from burdockdrum.vms import Drain
+from burdockdrum.vms import DrainState
+from burdockdrum.vms import VALID_SECONDS
+from tests.vms.bed import Bed
+from tests.vms.bed import BedVm
+
+LIMIT_SECONDS = 60.0
+
+
+def make_drain(vm: BedVm) -> Drain:
+    """Return the drain of a VM, running."""
+    drain = Drain(
+        clock=vm.clock,
+        timeline=vm.timeline,
+        vms=vm.vms,
+        limit_seconds=LIMIT_SECONDS,
+    )
+    vm.drain_task = asyncio.create_task(drain.run())
+    return drain
+
+
+class DrainTest(unittest.TestCase):
+    """One VM of two goes."""
+
+    def test_it_serves_while_lists_name_it_and_refuses_after(self):
+        # A caller got its list a moment before the drain and comes with it
+        # four seconds later: it must be served. One that comes after the
+        # list's validity is told that its request did not run.
+        async def main():
+            bed = Bed(seed=1)
+            vm, other = bed.start_vms(2)
+            drain = make_drain(vm)
+            await asyncio.sleep(5)
+            drain.begin()
+            await asyncio.sleep(0.3)
+            [view] = [
+                v for v in other.vms.live_vms() if v.identity == vm.identity
+            ]
+            self.assertTrue(view.draining)
+            await asyncio.sleep(VALID_SECONDS - 1)
+            drain.check()
+            with drain.count_request():
+                await asyncio.sleep(2)
+                with self.assertRaises(Refusal) as caught:
+                    drain.check()
+                self.assertIs(Verdict.NOT_RUN, caught.exception.verdict)
+                self.assertIs(RefusalCode.DRAINING, caught.exception.code)
+            await bed.stop()
+
+        run_virtual(main())
+
+    def test_leases_are_handed_on_after_the_last_answer(self):
+        # A hook that fails or hangs must not keep the VM from going.
+        async def main():
+            bed = Bed(seed=2)
+            [vm] = bed.start_vms(1)
+            drain = make_drain(vm)
+            order = []
+
+            async def hand_on():
+                order.append(("handed on", vm.vms.in_flight))
+
+            async def fail():
+                raise OSError("gone")
+
+            drain.add_hook(fail)
+            drain.add_hook(hand_on)
+            drain.add_hook(lambda: asyncio.sleep(3600))
+            with drain.count_request():
+                drain.begin()
+                await asyncio.sleep(30)
+                self.assertIs(DrainState.REFUSING, drain.state)
+                self.assertEqual([], order)
+            await asyncio.wait_for(drain.done.wait(), 10)
+            self.assertEqual([("handed on", 0)], order)
+            await bed.stop()
+
+        run_virtual(main())
+
+    def test_limit_ends_the_wait_for_an_answer_that_never_ends(self):
+        async def main():
+            bed = Bed(seed=3)
+            [vm] = bed.start_vms(1)
+            drain = make_drain(vm)
+            with drain.count_request():
+                drain.begin()
+                await asyncio.wait_for(drain.done.wait(), LIMIT_SECONDS + 15)
+            self.assertTrue(vm.timeline.events(prefix="drain.limit_passed"))
+            await bed.stop()
+
+        run_virtual(main())
