Weight entries by load and move callers on from entries that go

The list of entries weighted by distance alone; callers who took the first of a sorted list all took the nearest tier at random, but the least loaded was never preferred and backups could be chosen while near ones lived.

Now the nearest distance with a healthy VM takes the callers, weighted by requests in flight and the room of the data centre; the others are backups of weight 0. The order is random by weight, so that nobody is the first of everybody.

--- a/burdockdrum/vms/directory.py
+++ b/burdockdrum/vms/directory.py
@@ -99,6 +99,7 @@
             timeline=timeline,
             group=self.group,
             make_summary=self._make_summary,
+            read_headline=self._read_headline,
             relay_ids=self._relay_ids,
         )
         self._joining = Joining(
@@ -262,6 +263,10 @@
                 ids.append(member.identity.vm_id)
         return ids
 
+    def _read_headline(self) -> frozenset[str]:
+        services = [s.service for s in self._read_services() if s.endpoints]
+        return frozenset([*services, *self._relay_ids()])
+
     def _make_summary(self, data_centre: str) -> DataCentreSummary:
         # Each data centre is told of other entries, so that what comes from
         # all of them spreads over the VMs here.
--- a/burdockdrum/vms/remote.py
+++ b/burdockdrum/vms/remote.py
@@ -92,11 +92,13 @@
         timeline: Timeline,
         group: VmGroup,
         make_summary: Callable[[str], DataCentreSummary],
+        read_headline: Callable[[], frozenset[str]],
         relay_ids: Callable[[], list[str]],
     ) -> None:
         """Create an empty set.
 
         :param make_summary: describes this data centre to the one named
+        :param read_headline: returns what others must be told of at once
         :param relay_ids: the VMs here that may send summaries
         """
         self.known_by_name: dict[str, RemoteDataCentre] = {}
@@ -106,6 +108,7 @@
         self._timeline = timeline
         self._group = group
         self._make_summary = make_summary
+        self._read_headline = read_headline
         self._relay_ids = relay_ids
         self._keys_by_name: dict[str, int] = {}
         self._received_by_name: dict[str, DataCentreSummary] = {}
@@ -157,9 +160,17 @@
     async def run(self) -> None:
         """Send this data centre's summary until cancelled."""
         due_by_name: dict[str, float] = {}
+        told: frozenset[str] = frozenset()
+        told_at = float("-inf")
         while True:
             now = self._clock.monotonic()
             interval = self.interval_seconds()
+            headline = self._read_headline()
+            if headline != told and now - told_at >= MIN_SUMMARY_SECONDS:
+                # A service that came or went, or an entry that drains, is
+                # not kept back for the rest of the interval.
+                told, told_at = headline, now
+                due_by_name.clear()
             for remote in list(self.known_by_name.values()):
                 if now < due_by_name.get(remote.name, 0.0):
                     continue
--- a/burdockdrum/vms/selection.py
+++ b/burdockdrum/vms/selection.py
@@ -1,5 +1,6 @@
 """Which entry VMs a caller is told to use."""
 
+import enum
 import random
 
 import msgspec
@@ -7,13 +8,19 @@
 from burdockdrum.vms.directory import VmView
 
 VALID_SECONDS = 5.0
-_OWN_DATA_CENTRE = 100
-_OWN_REGION = 50
-_ELSEWHERE = 10
+# The largest data centre has 17 entry VMs today; a list stays below 4 KB.
+MAX_NEAR = 20
+MAX_BACKUPS = 12
+MAX_WEIGHT = 100
+# With so many requests in flight a VM counts half of an idle one.
+HALF_WEIGHT_IN_FLIGHT = 32
 
 
 class EntryChoice(msgspec.Struct, frozen=True, kw_only=True):
-    """One entry VM; callers choose in proportion to ``weight``."""
+    """One entry VM; callers choose in proportion to ``weight``.
+
+    One of weight 0 is for use when all others fail.
+    """
 
     vm_id: str
     url: str
@@ -29,33 +36,71 @@
     valid_seconds: float
 
 
+class _Distance(enum.IntEnum):
+    OWN_DATA_CENTRE = 0
+    OWN_REGION = 1
+    ELSEWHERE = 2
+
+
 def select_entries(
     *, views: list[VmView], region: str, data_centre: str, rng: random.Random
 ) -> EntryList:
     """Choose entry VMs for a caller near a region and data centre.
 
-    The order is random among equals, so that callers who take the first
-    spread over all.
+    The nearest distance that has a healthy VM takes the callers, weighted
+    by load; others are backups. The order is random in proportion to the
+    weights (Efraimidis and Spirakis, 2006), so that callers who only take
+    the first spread as well as those who use the weights. VMs that drain
+    are left out, suspected ones are backups.
     """
-    entries = [
-        EntryChoice(
-            vm_id=view.identity.vm_id,
-            url=view.identity.http_address,
-            region=view.identity.region,
-            data_centre=view.identity.data_centre,
-            weight=_weigh(view, region, data_centre),
-        )
-        for view in views
-        if not view.draining
+    serving = [view for view in views if not view.draining]
+    healthy = [view for view in serving if not view.suspected]
+    nearest = min(
+        (_measure(view, region, data_centre) for view in healthy), default=None
+    )
+    near = [
+        (view, _weigh(view))
+        for view in healthy
+        if _measure(view, region, data_centre) == nearest
     ]
-    rng.shuffle(entries)
-    entries.sort(key=lambda entry: -entry.weight)
-    return EntryList(entries=entries, valid_seconds=VALID_SECONDS)
+    near.sort(key=lambda pair: -(rng.random() ** (1 / pair[1])))
+    near_ids = {view.identity.vm_id for view, _ in near}
+    backups = [v for v in serving if v.identity.vm_id not in near_ids]
+    rng.shuffle(backups)
+    backups.sort(key=lambda v: (v.suspected, _measure(v, region, data_centre)))
+    chosen = near[:MAX_NEAR] + [(v, 0) for v in backups[:MAX_BACKUPS]]
+    return EntryList(
+        entries=[_describe(view, weight) for view, weight in chosen],
+        valid_seconds=VALID_SECONDS,
+    )
 
 
-def _weigh(view: VmView, region: str, data_centre: str) -> int:
+def _measure(view: VmView, region: str, data_centre: str) -> _Distance:
     if view.identity.data_centre == data_centre:
-        return _OWN_DATA_CENTRE
+        return _Distance.OWN_DATA_CENTRE
     if view.identity.region == region:
-        return _OWN_REGION
-    return _ELSEWHERE
+        return _Distance.OWN_REGION
+    return _Distance.ELSEWHERE
+
+
+def _weigh(view: VmView) -> int:
+    load = 1 + view.in_flight / HALF_WEIGHT_IN_FLIGHT
+    return max(1, round(MAX_WEIGHT / load * _room_share(view)))
+
+
+def _room_share(view: VmView) -> float:
+    # The VMs of one data centre share its room, so it only counts between
+    # data centres. A full one still takes callers: it can pass work on.
+    slots = sum(service.slots for service in view.services)
+    room = sum(service.room for service in view.services)
+    return 0.25 + 0.75 * min(1.0, room / slots) if slots else 0.25
+
+
+def _describe(view: VmView, weight: int) -> EntryChoice:
+    return EntryChoice(
+        vm_id=view.identity.vm_id,
+        url=view.identity.http_address,
+        region=view.identity.region,
+        data_centre=view.identity.data_centre,
+        weight=weight,
+    )
--- a/burdockdrum/vms/services.py
+++ b/burdockdrum/vms/services.py
@@ -12,7 +12,7 @@
 from burdockdrum.vms.directory import VmDirectory
 from burdockdrum.vms.drain import Drain
 from burdockdrum.vms.endpoint_sharing import EndpointSharing
-from burdockdrum.vms.messages import ServiceSummary
+from burdockdrum.vms.summaries import Summaries
 
 
 def add_services(kernel: Kernel) -> None:
@@ -25,6 +25,11 @@
 def _build_vms(kernel: Kernel) -> VmDirectory:
     endpoints = kernel.find("endpoints", EndpointRegistry)
     configuration = kernel.find("configuration", ConfigurationService)
+    summaries = Summaries(
+        clock=kernel.find("clock", Clock),
+        configuration=configuration,
+        endpoints=endpoints,
+    )
     return VmDirectory(
         peers=kernel.find("peers", Peers),
         clock=kernel.find("clock", Clock),
@@ -32,7 +37,7 @@
         rng=kernel.find("random", random.Random),
         join=kernel.find("settings", Settings).cluster.join,
         read_revision=lambda: configuration.current.revision,
-        read_services=lambda: _summarize(configuration, endpoints),
+        read_services=summaries.read,
     )
 
 
@@ -51,24 +56,3 @@
         group=kernel.find("vms", VmDirectory).group,
         registry=kernel.find("endpoints", EndpointRegistry),
     )
-
-
-def _summarize(
-    configuration: ConfigurationService, endpoints: EndpointRegistry
-) -> list[ServiceSummary]:
-    summaries = []
-    for name in configuration.current.services_by_name:
-        live = endpoints.candidates(name)
-        slots = sum(endpoint.slots for endpoint in live)
-        running = sum(endpoint.running for endpoint in live)
-        if live:
-            summaries.append(
-                ServiceSummary(
-                    service=name,
-                    endpoints=len(live),
-                    slots=slots,
-                    room=max(0, slots - running),
-                    queue_seconds=0.0,
-                )
-            )
-    return summaries
--- /dev/null
+++ b/tests/client/test_client.py
@@ -0,0 +1,170 @@
+"""What a caller's client does when its entry fails."""
+
+import random
+import unittest
+
+import msgspec
+
+from burdockdrum.client import ClientError
+from burdockdrum.client import GatewayClient
+from burdockdrum.ports import AnswerLost
+from burdockdrum.ports import UpstreamCall
+from burdockdrum.testing import FakeAnswer
+from burdockdrum.testing import FakeHttpClient
+from burdockdrum.testing import FakeNetwork
+from burdockdrum.testing import FakeWeb
+from burdockdrum.testing import run_virtual
+from burdockdrum.testing import VirtualClock
+
+DRAINING = (
+    b'{"error": {"code": "draining", "message": "", "request_id": "r",'
+    b' "verdict": "not run"}}'
+)
+
+
+class Entries:
+    """Two entries; the first one chosen fails as told."""
+
+    def __init__(self, *, fail) -> None:
+        self.web = FakeWeb(network=FakeNetwork(rng=random.Random(1)))
+        self.calls: list[tuple[str, UpstreamCall]] = []
+        self._fail = fail
+        for name in ("one", "two"):
+            self.web.serve(f"http://{name}:80", name, self._server(name))
+        self.client = GatewayClient(
+            seeds=["http://one:80"],
+            token="t",
+            clock=VirtualClock(),
+            rng=random.Random(2),
+            http=FakeHttpClient(web=self.web, host="caller"),
+        )
+
+    def _server(self, name: str):
+        async def serve(call: UpstreamCall) -> FakeAnswer:
+            if call.url.endswith("/v1/entries"):
+                return FakeAnswer(body=self._list())
+            self.calls.append((name, call))
+            if len(self.calls) == 1:
+                return self._fail()
+            return FakeAnswer(body=b"done by " + name.encode())
+
+        return serve
+
+    def _list(self) -> bytes:
+        entries = [
+            {
+                "vm_id": name,
+                "url": f"http://{name}:80",
+                "region": "r",
+                "data_centre": "d",
+                "weight": 10,
+            }
+            for name in ("one", "two")
+        ]
+        return msgspec.json.encode({"entries": entries, "valid_seconds": 5.0})
+
+
+def lose() -> FakeAnswer:
+    raise AnswerLost("the entry died")
+
+
+def drain() -> FakeAnswer:
+    return FakeAnswer(status=503, body=DRAINING)
+
+
+class ClientTest(unittest.TestCase):
+    """One call whose first entry fails."""
+
+    def check_moved(self, entries: Entries) -> None:
+        names = [name for name, _ in entries.calls]
+        self.assertEqual(["one", "two"], sorted(names))
+
+    def test_repeatable_request_moves_to_another_entry(self):
+        async def main():
+            entries = Entries(fail=lose)
+            reply = await entries.client.call("POST", "/v1/completions")
+            self.check_moved(entries)
+            self.assertTrue(reply.ok)
+            self.assertTrue(reply.may_have_run)
+
+        run_virtual(main())
+
+    def test_unrepeatable_request_is_sent_again_under_its_key(self):
+        # The entry dies after it got a booking. The client sends it to
+        # another entry under the same key, which the gateway runs at most
+        # once.
+        async def main():
+            entries = Entries(fail=lose)
+            headers = {"Idempotency-Key": "k1", "x-unrepeatable": "true"}
+            reply = await entries.client.call(
+                "POST", "/services/b/", headers=headers, repeatable=False
+            )
+            self.check_moved(entries)
+            self.assertTrue(reply.ok)
+            keys = {c.headers["Idempotency-Key"] for _, c in entries.calls}
+            self.assertEqual({"k1"}, keys)
+
+        run_virtual(main())
+
+    def test_unrepeatable_request_without_a_key_is_not_sent_again(self):
+        async def main():
+            entries = Entries(fail=lose)
+            with self.assertRaises(ClientError) as caught:
+                await entries.client.call(
+                    "POST", "/services/b/", repeatable=False
+                )
+            self.assertTrue(caught.exception.may_have_run)
+            self.assertEqual(1, len(entries.calls))
+
+        run_virtual(main())
+
+    def test_entry_that_shuts_down_is_left_whatever_the_request(self):
+        async def main():
+            entries = Entries(fail=drain)
+            reply = await entries.client.call(
+                "POST", "/services/b/", repeatable=False
+            )
+            self.check_moved(entries)
+            self.assertTrue(reply.ok)
+            self.assertFalse(reply.may_have_run)
+
+        run_virtual(main())
+
+    def test_stream_moves_on_before_its_first_part(self):
+        async def main():
+            entries = Entries(fail=drain)
+            stream = entries.client.stream("POST", "/v1/completions")
+            parts = [part async for part in stream]
+            self.check_moved(entries)
+            self.assertEqual(1, len(parts))
+            self.assertTrue(parts[0].startswith(b"done by"))
+
+        run_virtual(main())
+
+    def test_stream_that_breaks_is_an_error_and_not_sent_again(self):
+        async def broken():
+            yield b"part"
+            raise AnswerLost("cut")
+
+        async def main():
+            entries = Entries(fail=lambda: FakeAnswer(body=broken()))
+            parts = []
+            with self.assertRaises(ClientError) as caught:
+                async for part in entries.client.stream("POST", "/v1/x"):
+                    parts.append(part)
+            self.assertEqual([b"part"], parts)
+            self.assertTrue(caught.exception.may_have_run)
+            self.assertEqual(1, len(entries.calls))
+
+        run_virtual(main())
+
+    def test_dead_entry_is_not_tried_again_while_the_list_names_it(self):
+        async def main():
+            entries = Entries(fail=lambda: FakeAnswer(body=b"ok"))
+            await entries.client.call("GET", "/v1/models")
+            entries.web.stop("http://one:80")
+            for _ in range(20):
+                reply = await entries.client.call("GET", "/v1/models")
+                self.assertEqual("http://two:80", reply.entry)
+
+        run_virtual(main())
--- /dev/null
+++ b/tests/vms/test_selection.py
@@ -0,0 +1,96 @@
+"""Which entries a caller is told to use."""
+
+import collections
+import random
+import unittest
+
+from burdockdrum.peers import VmIdentity
+from burdockdrum.vms import select_entries
+from burdockdrum.vms import ServiceSummary
+from burdockdrum.vms import VmView
+
+
+def make_view(vm_id: str, data_centre: str, **changes) -> VmView:
+    """Return a healthy view; the region is the data centre's first letter."""
+    room = changes.pop("room", 4)
+    return VmView(
+        identity=VmIdentity(
+            vm_id=vm_id,
+            incarnation=1,
+            region=data_centre[0],
+            data_centre=data_centre,
+            control_address=f"tcp://{vm_id}",
+            http_address=f"http://{vm_id}",
+        ),
+        draining=changes.pop("draining", False),
+        revision=1,
+        services=(
+            ServiceSummary(
+                service="planner",
+                endpoints=1,
+                slots=4,
+                room=room,
+                queue_seconds=0.0,
+            ),
+        ),
+        heard_at=0.0,
+        **changes,
+    )
+
+
+class SelectionTest(unittest.TestCase):
+    """Lists for a caller near data centre a1 of region a."""
+
+    def select(self, views: list[VmView], seed: int = 1):
+        return select_entries(
+            views=views, region="a", data_centre="a1", rng=random.Random(seed)
+        ).entries
+
+    def test_own_data_centre_then_own_region_then_elsewhere(self):
+        views = [
+            make_view("far", "b1"),
+            make_view("near", "a2"),
+            make_view("own", "a1"),
+        ]
+        entries = self.select(views)
+        self.assertEqual(
+            ["own", "near", "far"], [entry.vm_id for entry in entries]
+        )
+        self.assertGreater(entries[0].weight, 0)
+        self.assertEqual([0, 0], [entry.weight for entry in entries[1:]])
+
+    def test_callers_who_take_the_first_spread_over_all(self):
+        # Every caller takes the first entry of its list. One VM is busier:
+        # it gets fewer of them, but no VM gets all, and none is starved.
+        views = [make_view(f"vm{n}", "a1") for n in range(4)]
+        views.append(make_view("busy", "a1", in_flight=96))
+        counts = collections.Counter(
+            self.select(views, seed)[0].vm_id for seed in range(2000)
+        )
+        for number in range(4):
+            share = counts[f"vm{number}"] / 2000
+            self.assertAlmostEqual(0.235, share, delta=0.04)
+        self.assertAlmostEqual(0.06, counts["busy"] / 2000, delta=0.03)
+
+    def test_draining_is_left_out_and_suspected_comes_last(self):
+        views = [
+            make_view("suspected", "a1", suspected=True),
+            make_view("draining", "a1", draining=True),
+            make_view("far", "b1"),
+        ]
+        self.assertEqual(
+            ["far", "suspected"], [e.vm_id for e in self.select(views)]
+        )
+
+    def test_region_with_room_gets_more_callers(self):
+        views = [
+            make_view("full", "b1", room=0),
+            make_view("free", "c1", room=4),
+        ]
+        weights = {e.vm_id: e.weight for e in self.select(views)}
+        self.assertEqual({"full": 25, "free": 100}, weights)
+
+    def test_list_is_short_at_the_size_of_two_years(self):
+        views = [make_view(f"own{n}", "a1") for n in range(17)]
+        views += [make_view(f"far{n}", f"b{n}") for n in range(225)]
+        self.assertEqual(29, len(self.select(views)))
