--- a/burdockdrum/vms/services.py
+++ b/burdockdrum/vms/services.py
@@ -10,19 +10,26 @@
 from burdockdrum.settings import Settings
 from burdockdrum.timeline import Timeline
 from burdockdrum.vms.directory import VmDirectory
+from burdockdrum.vms.drain import Drain
 from burdockdrum.vms.endpoint_sharing import EndpointSharing
-from burdockdrum.vms.messages import ServiceSummary
+from burdockdrum.vms.summaries import Summaries
 
 
 def add_services(kernel: Kernel) -> None:
     """Name the directory of VMs and what tells it of endpoints."""
     kernel.add("vms", _build_vms)
     kernel.add("endpoint_sharing", _build_sharing)
+    kernel.add("drain", _build_drain)
 
 
 def _build_vms(kernel: Kernel) -> VmDirectory:
     endpoints = kernel.find("endpoints", EndpointRegistry)
     configuration = kernel.find("configuration", ConfigurationService)
+    summaries = Summaries(
+        clock=kernel.find("clock", Clock),
+        configuration=configuration,
+        endpoints=endpoints,
+    )
     return VmDirectory(
         peers=kernel.find("peers", Peers),
         clock=kernel.find("clock", Clock),
@@ -30,7 +37,16 @@
         rng=kernel.find("random", random.Random),
         join=kernel.find("settings", Settings).cluster.join,
         read_revision=lambda: configuration.current.revision,
-        read_services=lambda: _summarize(configuration, endpoints),
+        read_services=summaries.read,
+    )
+
+
+def _build_drain(kernel: Kernel) -> Drain:
+    return Drain(
+        clock=kernel.find("clock", Clock),
+        timeline=kernel.find("timeline", Timeline),
+        vms=kernel.find("vms", VmDirectory),
+        limit_seconds=kernel.find("settings", Settings).drain.limit_seconds,
     )
 
 
@@ -40,24 +56,3 @@
         group=kernel.find("vms", VmDirectory).group,
         registry=kernel.find("endpoints", EndpointRegistry),
     )
-
-
-def _summarize(
-    configuration: ConfigurationService, endpoints: EndpointRegistry
-) -> list[ServiceSummary]:
-    summaries = []
-    for name in configuration.current.services_by_name:
-        live = endpoints.candidates(name)
-        slots = sum(endpoint.slots for endpoint in live)
-        running = sum(endpoint.running for endpoint in live)
-        if live:
-            summaries.append(
-                ServiceSummary(
-                    service=name,
-                    endpoints=len(live),
-                    slots=slots,
-                    room=max(0, slots - running),
-                    queue_seconds=0.0,
-                )
-            )
-    return summaries
