Judge slow endpoints against the others of their service

Cause: the time to a first token was held against a cached prompt's read time of about 0.03 s, so that the ordinary wait for other prompts of the batch (0.1 to 0.4 s) made each endpoint an outlier that got one request at a time. Now that wait is allowed for, and an outlier is three times slower than the median of its service.

The tool's capacities are now measured (python -m scripts.experiment.capacity: 17.5 and 4.9 requests a second).

--- a/burdockdrum/routing/router.py
+++ b/burdockdrum/routing/router.py
@@ -364,6 +364,7 @@
                 expected=attempt.expected_first,
                 tokens_read=attempt.tokens_read,
             )
+            tracker.compare(self._typical_slowness(attempt.endpoint.service))
 
     def _learn_finish(self, attempt: Attempt, facts: AttemptFacts) -> None:
         now = self.now()
@@ -409,6 +410,13 @@
         self._trackers_by_id[endpoint.endpoint_id] = tracker
         return tracker
 
+    def _typical_slowness(self, service: str) -> float:
+        values = [
+            self._track(endpoint).speed.slowness
+            for endpoint in self._endpoints.candidates(service)
+        ]
+        return statistics.median(values) if values else 1.0
+
     def _typical_speed(self, service: str) -> Speed:
         """Return the median speed of a service's endpoints."""
         now = self.now()
--- a/burdockdrum/routing/speed.py
+++ b/burdockdrum/routing/speed.py
@@ -5,13 +5,16 @@
 # Starting points until the first answers; seconds.
 DEFAULT_PREFILL_SECONDS = 0.0002
 DEFAULT_TOKEN_SECONDS = 0.02
+# A first token may wait this long for other prompts of its batch to be
+# read: an endpoint is not slow for that.
+BATCH_SECONDS = 0.4
 _WEIGHT = 0.15
 # Prompts shorter than this say little about the time to read a token.
 _MIN_PREFILL_TOKENS = 256
 # The limit sinks when the first token takes this many times as long as
 # expected, and this many seconds more than that.
 _LATE_FACTOR = 2.0
-_LATE_SECONDS = 0.5
+_LATE_SECONDS = 1.0
 _DECREASE = 0.9
 _DECREASE_EVERY_SECONDS = 1.0
 
@@ -49,7 +52,7 @@
         :param tokens_read: tokens of the prompt that were thought uncached
         """
         self.samples += 1
-        ratio = min(20.0, seconds / max(expected, 0.02))
+        ratio = min(20.0, seconds / (expected + BATCH_SECONDS))
         self.slowness += _WEIGHT * 2 * (ratio - self.slowness)
         if tokens_read >= _MIN_PREFILL_TOKENS:
             observed = max(0.0, seconds - self._token) / tokens_read
--- a/burdockdrum/routing/tracking.py
+++ b/burdockdrum/routing/tracking.py
@@ -34,6 +34,7 @@
         self.name = f"{endpoint.endpoint_id}@{endpoint.incarnation}"
         self.own = OwnLoad()
         self.suspects = 0
+        self.is_outlier = False
         self.health = EndpointHealth(
             rng=rng, slow_start_seconds=slow_start_seconds
         )
@@ -50,16 +51,17 @@
 
     def current_limit(self, now: float) -> float:
         """Return how many requests it may have in flight now."""
-        if self.health.is_on_trial(now) or self.is_outlier():
+        if self.health.is_on_trial(now) or self.is_outlier:
             return 1.0
         share = self.health.share(now)
         return max(1.0, self.limit.value * share) if share else 0.0
 
-    def is_outlier(self) -> bool:
-        """Say whether it is far slower than its service's others."""
+    def compare(self, typical_slowness: float) -> None:
+        """Judge anew whether it is far slower than its service's others."""
         speed = self.speed
-        return (
-            speed.samples >= _MIN_SAMPLES and speed.slowness > OUTLIER_SLOWNESS
+        limit = OUTLIER_SLOWNESS * max(1.0, typical_slowness)
+        self.is_outlier = (
+            speed.samples >= _MIN_SAMPLES and speed.slowness > limit
         )
 
     def expect_first_token(
--- a/scripts/experiment/workload.py
+++ b/scripts/experiment/workload.py
@@ -36,7 +36,7 @@
 
     ``runners`` is the number a region of each service. ``capacity`` is the
     rate in requests a second at which all runners together are full, as
-    measured with ``python -m scripts.experiment capacity``.
+    measured with ``python -m scripts.experiment.capacity``.
     """
 
     name: str
@@ -132,7 +132,7 @@
         ),
     ),
     documents=40,
-    capacity=12.0,
+    capacity=17.5,
     prefer="tail",
 )
 
@@ -191,7 +191,7 @@
         ),
     ),
     documents=25,
-    capacity=5.0,
+    capacity=4.9,
     prefer="worth",
 )
 
--- a/scripts/experiment/world.py
+++ b/scripts/experiment/world.py
@@ -14,9 +14,9 @@
 from burdockdrum.emulator import EmulatedEngine
 from burdockdrum.emulator import EngineSettings
 from burdockdrum.emulator import Fault
-from burdockdrum.endpoints import Announcement
-from burdockdrum.endpoints import EndpointRegistry
-from burdockdrum.endpoints import Report
+from burdockdrum.endpoints.announcements import Announcement
+from burdockdrum.endpoints.announcements import Report
+from burdockdrum.endpoints.registry import EndpointRegistry
 from burdockdrum.endpoints.registry import REPORT_SECONDS
 from burdockdrum.peers import VmIdentity
 from burdockdrum.settings import PolicySettings
