Give no entry VM less than an equal part of its data centre's capacity

Cause: an entry VM without running requests took its capacity for almost nothing and its first waiter's wait for endless, so it refused.

--- a/burdockdrum/emulator/engine.py
+++ b/burdockdrum/emulator/engine.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import collections
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from collections.abc import Callable
 from dataclasses import dataclass
 import enum
@@ -178,7 +178,7 @@
         self.died.clear()
         self.fault = Fault.NONE
 
-    async def generate(self, work: Work) -> AsyncIterator[bytes]:
+    async def generate(self, work: Work) -> AsyncGenerator[bytes, None]:
         """Yield the tokens of a completion as they are made.
 
         It ends early if the request is cancelled.
--- a/burdockdrum/routing/router.py
+++ b/burdockdrum/routing/router.py
@@ -178,7 +178,8 @@
         """Return how many requests of this VM may run at once here.
 
         The data centre's entry VMs share its endpoints as their work does
-        now; an idle VM counts as having one request.
+        now, but none has less than an equal part: an idle VM that counted
+        with nothing would take its first wait for endless.
         """
         now = self.now()
         limit = own = total = 0.0
@@ -187,7 +188,12 @@
             limit += tracker.current_limit(now)
             own += tracker.own.count
             total += tracker.estimate_load(endpoint)
-        return limit * max(1.0, own) / max(1.0, total)
+        identity = self._vms.identity
+        entries = sum(
+            view.identity.data_centre == identity.data_centre
+            for view in self._vms.live_vms()
+        )
+        return limit * max(own / max(1.0, total), 1 / max(1, entries))
 
     def mean_service_seconds(self, service: str) -> float:
         """Return how long a request has run lately."""
--- a/scripts/experiment/driver.py
+++ b/scripts/experiment/driver.py
@@ -15,6 +15,7 @@
 from burdockdrum.emulator import EngineCrashed
 from burdockdrum.emulator import EngineFailed
 from burdockdrum.emulator import Work
+from burdockdrum.endpoints import Endpoint
 from burdockdrum.routing import AttemptOutcome
 from burdockdrum.routing import Demand
 from burdockdrum.routing import Nowhere
@@ -179,7 +180,7 @@
             await asyncio.sleep(WIDE_AREA_SECONDS)
 
     async def _attempt(
-        self, entry: Entry, endpoint, demand: Demand, back: float
+        self, entry: Entry, endpoint: Endpoint, demand: Demand, back: float
     ) -> bool:
         """Run at an endpoint; say whether the answer was whole."""
         engine = self._world.hosts_by_id[endpoint.endpoint_id].engine
