--- a/burdockdrum/routing/router.py
+++ b/burdockdrum/routing/router.py
@@ -178,7 +178,8 @@
         """Return how many requests of this VM may run at once here.
 
         The data centre's entry VMs share its endpoints as their work does
-        now; an idle VM counts as having one request.
+        now, but none has less than an equal part: an idle VM that counted
+        with nothing would take its first wait for endless.
         """
         now = self.now()
         limit = own = total = 0.0
@@ -187,7 +188,12 @@
             limit += tracker.current_limit(now)
             own += tracker.own.count
             total += tracker.estimate_load(endpoint)
-        return limit * max(1.0, own) / max(1.0, total)
+        identity = self._vms.identity
+        entries = sum(
+            view.identity.data_centre == identity.data_centre
+            for view in self._vms.live_vms()
+        )
+        return limit * max(own / max(1.0, total), 1 / max(1, entries))
 
     def mean_service_seconds(self, service: str) -> float:
         """Return how long a request has run lately."""
@@ -364,6 +370,7 @@
                 expected=attempt.expected_first,
                 tokens_read=attempt.tokens_read,
             )
+            tracker.compare(self._typical_slowness(attempt.endpoint.service))
 
     def _learn_finish(self, attempt: Attempt, facts: AttemptFacts) -> None:
         now = self.now()
@@ -409,6 +416,13 @@
         self._trackers_by_id[endpoint.endpoint_id] = tracker
         return tracker
 
+    def _typical_slowness(self, service: str) -> float:
+        values = [
+            self._track(endpoint).speed.slowness
+            for endpoint in self._endpoints.candidates(service)
+        ]
+        return statistics.median(values) if values else 1.0
+
     def _typical_speed(self, service: str) -> Speed:
         """Return the median speed of a service's endpoints."""
         now = self.now()
