--- a/burdockdrum/claims/claims.py
+++ b/burdockdrum/claims/claims.py
@@ -238,7 +238,7 @@
             raise Refusal(
                 code=RefusalCode.UNKNOWN_CLIENT,
                 message=f"there is no client {client_id!r}",
-                verdict=Verdict.NOT_RUN,
+                verdict=Verdict.MAY_HAVE_RUN,
             )
         return client.home_region
 
--- a/burdockdrum/web/guard.py
+++ b/burdockdrum/web/guard.py
@@ -13,6 +13,9 @@
 from burdockdrum.web.responses import make_request_id
 from burdockdrum.web.responses import refusal_response
 
+_KEY_HEADER = b"idempotency-key"
+_CALLER_PATHS = (b"/services/", b"/v1/chat/completions", b"/v1/completions")
+
 Handler = Callable[[Request, str], Awaitable[Response]]
 Guarded = Callable[[Request], Awaitable[Response]]
 
@@ -29,7 +32,7 @@
         try:
             return await handler(request, request_id)
         except Refusal as refusal:
-            return refusal_response(refusal, request_id)
+            return refusal_response(_soften(request, refusal), request_id)
         except Exception as error:
             logger.opt(exception=error).error("request {} failed", request_id)
             return refusal_response(_make_internal(), request_id)
@@ -37,6 +40,22 @@
     return handle
 
 
+def _soften(request: Request, refusal: Refusal) -> Refusal:
+    """Admit that an earlier copy of a request may have run.
+
+    What is refused before the keepers of claims were asked, as by a VM that
+    has restarted and does not know the client yet, says nothing of a run
+    that the same key began elsewhere.
+    """
+    if refusal.verdict is not Verdict.NOT_RUN:
+        return refusal
+    if request.get_first_header(_KEY_HEADER) is None:
+        return refusal
+    if not request.url.path.startswith(_CALLER_PATHS):
+        return refusal
+    return refusal.with_verdict(Verdict.MAY_HAVE_RUN)
+
+
 def _make_internal() -> Refusal:
     return Refusal(
         code=RefusalCode.INTERNAL,
--- a/burdockdrum/web/streaming.py
+++ b/burdockdrum/web/streaming.py
@@ -11,6 +11,8 @@
 
 from burdockdrum.requests import InboundRequest
 from burdockdrum.requests import RequestService
+from burdockdrum.verdicts import Refusal
+from burdockdrum.web.responses import refusal_response
 from burdockdrum.web.responses import REQUEST_ID_HEADER
 
 # What the log of a proxy usually shows; the caller is not there to see it.
@@ -63,7 +65,7 @@
 ) -> Response:
     """Serve a request whose body has been read.
 
-    :raises Refusal: with the verdict, if there is no answer
+    A refusal from here on is answered with the verdict that it bears.
     """
     watch = CallerWatch(request=request)
     watch.waiting = True
@@ -74,6 +76,9 @@
         if watch.absorb():
             return Response(STATUS_CALLER_GONE)
         raise
+    except Refusal as refusal:
+        watch.stop()
+        return refusal_response(refusal, request_id)
     except BaseException:
         watch.stop()
         raise
--- a/tests/requests/stack.py
+++ b/tests/requests/stack.py
@@ -15,7 +15,6 @@
 from burdockdrum.resources import hash_token
 from burdockdrum.settings import read_settings
 from burdockdrum.testing import FakeAnswer
-from burdockdrum.testing import FakeDisk
 from burdockdrum.testing import VirtualClock
 from burdockdrum.testing.vms import FakeCluster
 
@@ -166,14 +165,15 @@
 class Stack:
     """A cluster with its operator, its endpoints and a caller."""
 
-    def __init__(self, *, seed: int = 1, more: str = "") -> None:
+    def __init__(
+        self, *, seed: int = 1, keepers: tuple[str, ...] = ()
+    ) -> None:
         """Create a stack without VMs.
 
-        :param more: TOML that is added to every VM's settings
+        :param keepers: VMs of the north that keep its claims
         """
         self.cluster = FakeCluster(seed=seed)
-        self.more = more
-        self.disks_by_vm: dict[str, FakeDisk] = {}
+        self._keepers = keepers
         self._numbers_by_vm: dict[str, int] = {}
         self._tasks: list[asyncio.Task] = []
         self._ports = 3000
@@ -184,6 +184,12 @@
             vm, len(self._numbers_by_vm) + 1
         )
         region = {"a": "north", "b": "south", "c": "west"}[vm[0]]
+        more = ""
+        if self._keepers and region == "north":
+            more = "[claims.keepers]\n" + "\n".join(
+                f'{name} = "tcp://127.0.0.1:{1000 + number}"'
+                for number, name in enumerate(self._keepers, 1)
+            )
         return read_settings(
             SETTINGS.format(
                 vm=vm,
@@ -193,7 +199,7 @@
                 data='data_folder = "unused"' if vm == "a1" else "",
                 operator=hash_token("operator"),
                 endpoint=hash_token("endpoint"),
-                more=self.more,
+                more=more,
             )
         )
 
