--- a/burdockdrum/settings/checks.py
+++ b/burdockdrum/settings/checks.py
@@ -32,8 +32,10 @@
         *_check_addresses(settings),
         *_check_cluster(settings),
         *_check_control(settings),
+        *_check_configuration(settings),
         *_check_hashes(settings),
         *_check_limits(settings),
+        *_check_policy(settings),
         *_check_attempts(settings),
         *_check_claims(settings),
     ]
@@ -106,6 +108,16 @@
         )
 
 
+def _check_configuration(settings: Settings) -> Iterator[SettingsProblem]:
+    if settings.configuration.residency_lease_seconds <= 0:
+        yield SettingsProblem(
+            key="configuration.residency_lease_seconds",
+            problem="is not above 0",
+            fix="set it to the seconds for which a VM that is cut off may "
+            "go by what it last knew",
+        )
+
+
 def _check_hashes(settings: Settings) -> Iterator[SettingsProblem]:
     sections = {
         "operators.token_hashes": settings.operators.token_hashes,
@@ -139,6 +151,30 @@
         )
 
 
+def _check_policy(settings: Settings) -> Iterator[SettingsProblem]:
+    policy = settings.policy
+    if policy.choices < 1:
+        yield SettingsProblem(
+            key="policy.choices", problem="is below 1", fix="set 2 or more"
+        )
+    if not 0 <= policy.spill_reserve < 1:
+        yield SettingsProblem(
+            key="policy.spill_reserve",
+            problem="is not a share from 0 to below 1",
+            fix="set 0.1 to keep a tenth of the slots for own callers",
+        )
+    for key in (
+        "max_wait_seconds",
+        "slow_start_seconds",
+        "wide_area_seconds",
+        "spill_margin_seconds",
+    ):
+        if getattr(policy, key) < 0:
+            yield SettingsProblem(
+                key=f"policy.{key}", problem="is below 0", fix="raise it"
+            )
+
+
 def _check_attempts(settings: Settings) -> Iterator[SettingsProblem]:
     for key in ("first_token_seconds", "between_tokens_seconds"):
         if getattr(settings.attempts, key) <= 0:
