--- a/scripts/experiment/world.py
+++ b/scripts/experiment/world.py
@@ -18,10 +18,6 @@
 from burdockdrum.endpoints import EndpointRegistry
 from burdockdrum.endpoints import Report
 from burdockdrum.endpoints import REPORT_SECONDS
-from burdockdrum.endpoints.announcements import Announcement
-from burdockdrum.endpoints.announcements import Report
-from burdockdrum.endpoints.registry import EndpointRegistry
-from burdockdrum.endpoints.registry import REPORT_SECONDS
 from burdockdrum.peers import VmIdentity
 from burdockdrum.settings import PolicySettings
 from burdockdrum.testing import VirtualClock
