Let requests for a service hosted only elsewhere wait their turn there

Cause: a request that its own data centre has no endpoint for was passed on as a spill, and the receiver refuses spills beyond the room it keeps for its own callers. Ruled out: the summary being late; with fresh summaries the reserve alone refuses them.

The forward header now says whether the request is displaced (its data centre has no endpoint for it); such a request waits in the receiver's line. Rank and worth of the priority class now reach routing and admission.

--- a/burdockdrum/admission/admission.py
+++ b/burdockdrum/admission/admission.py
@@ -117,9 +117,9 @@
         wait = self._drain_seconds(demand.service, ahead)
         if not ahead and self._router.can_start(demand, wait=wait):
             return
-        if demand.hops:
-            # A request of another data centre never waits here: its own
-            # entry has a line, and knows better where else there is room.
+        if demand.hops and not demand.displaced:
+            # A spilled request never waits here: its own entry has a line,
+            # and knows better where else there is room.
             raise _refuse(RefusalCode.OVERLOADED, "no room for others", 1.0)
         waiter = Waiter(
             demand=demand,
--- a/burdockdrum/requests/exchange.py
+++ b/burdockdrum/requests/exchange.py
@@ -22,6 +22,7 @@
 from burdockdrum.requests.attempts import VERDICT_HEADER
 from burdockdrum.requests.budget import RetryBudget
 from burdockdrum.requests.model import InboundRequest
+from burdockdrum.requests.priority import find_priority
 from burdockdrum.requests.residency import find_allowed_regions
 from burdockdrum.requests.upstreams import UpstreamOpener
 from burdockdrum.routing import AttemptOutcome
@@ -83,10 +84,13 @@
         :raises Refusal: if residency does not allow it to run anywhere
         """
         request = self.request
+        priority = find_priority(self._parts.configuration, request)
         return Demand(
             service=request.service,
             regions=find_allowed_regions(self._parts.configuration, request),
             deadline=request.deadline,
+            rank=priority.rank,
+            worth=priority.worth,
             adapter=request.adapter,
             prompt_tokens=request.prompt_tokens,
             max_tokens=request.max_tokens,
@@ -95,6 +99,7 @@
             hops=request.hops,
             excluded_endpoints=self._excluded_endpoints,
             excluded_data_centres=self._excluded_data_centres,
+            displaced=request.displaced,
             isolated=self._parts.quarantine.is_suspect(request.fingerprint),
         )
 
@@ -215,6 +220,7 @@
                     entry,
                     attempt_id=self.request.request_id,
                     offset=self.delivered,
+                    displaced=self._parts.router.is_displaced(demand),
                 )
                 if VERDICT_HEADER not in upstream.headers:
                     self.verdict = worst(self.verdict, Verdict.MAY_HAVE_RUN)
--- a/burdockdrum/requests/forwarding.py
+++ b/burdockdrum/requests/forwarding.py
@@ -36,6 +36,7 @@
     prefix_hashes: list[int]
     fingerprint: str
     hops: list[str]
+    displaced: bool = False
     resume_offset: int = 0
     headers: list[tuple[str, str]] = []
 
@@ -46,10 +47,12 @@
         *,
         data_centre: str,
         now: float,
+        displaced: bool = False,
         resume_offset: int = 0,
     ) -> "ForwardHeader":
         """Describe a request that leaves a data centre now.
 
+        :param displaced: whether no endpoint of the data centre may run it
         :param resume_offset: how many tokens the caller has already
         """
         return cls(
@@ -71,6 +74,7 @@
             prefix_hashes=list(request.prefix_hashes),
             fingerprint=request.fingerprint,
             hops=[*request.hops, data_centre],
+            displaced=displaced,
             resume_offset=resume_offset,
             headers=list(request.headers),
         )
@@ -98,6 +102,7 @@
             prefix_hashes=tuple(self.prefix_hashes),
             fingerprint=self.fingerprint,
             hops=tuple(self.hops),
+            displaced=self.displaced,
             resume_offset=self.resume_offset,
             headers=tuple(self.headers),
         )
--- a/burdockdrum/requests/model.py
+++ b/burdockdrum/requests/model.py
@@ -49,6 +49,7 @@
     prefix_hashes: tuple[int, ...] = ()
     fingerprint: str = ""
     hops: tuple[str, ...] = ()
+    displaced: bool = False
     resume_offset: int = 0
     headers: tuple[tuple[str, str], ...] = ()
 
--- a/burdockdrum/requests/upstreams.py
+++ b/burdockdrum/requests/upstreams.py
@@ -111,6 +111,7 @@
         *,
         attempt_id: str,
         offset: int,
+        displaced: bool,
     ) -> Upstream:
         """Pass a request on to an entry VM of another data centre.
 
@@ -122,6 +123,7 @@
             request,
             data_centre=self._data_centre,
             now=now,
+            displaced=displaced,
             resume_offset=offset,
         )
         limit = remaining
--- a/burdockdrum/routing/model.py
+++ b/burdockdrum/routing/model.py
@@ -13,8 +13,9 @@
 
     ``deadline`` is on this VM's monotonic clock. ``rank`` is that of the
     priority class, lower first. ``excluded_endpoints`` failed this request
-    already; ``hops`` are the data centres that passed it on. ``rehomed`` is
-    true where the request must not leave this data centre again.
+    already; ``hops`` are the data centres that passed it on. ``displaced`` is
+    true where the one that passed it on has no endpoint for it: the request
+    is no spill, and waits its turn like those of own callers.
     """
 
     service: str
@@ -31,6 +32,7 @@
     excluded_endpoints: frozenset[str] = frozenset()
     excluded_data_centres: frozenset[str] = frozenset()
     isolated: bool = False
+    displaced: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/burdockdrum/routing/router.py
+++ b/burdockdrum/routing/router.py
@@ -111,10 +111,10 @@
         """
         options = self._weigh(demand)
         with_room = [option for option in options if option.room >= 1]
-        if demand.hops:
+        if demand.hops and not demand.displaced:
             return self._can_take_for_other(demand, options)
-        if with_room:
-            return True
+        if with_room or demand.hops:
+            return bool(with_room)
         return self._find_better_offer(demand, None, wait) is not None
 
     def estimate(self, demand: Demand) -> Estimate | None:
@@ -134,6 +134,12 @@
             first_token=offers[0].first_token, finish=offers[0].finish
         )
 
+    def is_displaced(self, demand: Demand) -> bool:
+        """Say whether no endpoint of this data centre may ever run it."""
+        if self._vms.identity.region not in demand.regions:
+            return True
+        return not self._endpoints.candidates(demand.service)
+
     def begin(self, endpoint: Endpoint, demand: Demand) -> Attempt:
         """Count an attempt that starts now."""
         tracker = self._track(endpoint)
@@ -296,7 +302,9 @@
         """Return another data centre's offer if going there pays."""
         if best is not None and best.room >= 1:
             return None
-        offers = [o for o in self._find_offers(demand) if o.room >= 1]
+        offers = self._find_offers(demand)
+        if not self.is_displaced(demand):
+            offers = [offer for offer in offers if offer.room >= 1]
         if not offers:
             return None
         here = math.inf
@@ -325,7 +333,8 @@
         """
         if not options:
             return self._explain(demand)
-        if not self._can_take_for_other(demand, options):
+        is_spill = not demand.displaced
+        if is_spill and not self._can_take_for_other(demand, options):
             return Nowhere(message="no room beyond that of own callers")
         best = self._pick(options, demand)
         assert best is not None
--- a/tests/daemon/test_whole_path.py
+++ b/tests/daemon/test_whole_path.py
@@ -68,78 +68,104 @@
     )
 
 
+REGIONS = ["north", "south"]
+SLOTS = 4
+TOKENS = 5
+
+
+async def put(operator: GatewayClient, kind: str, name: str, spec: dict):
+    """Put a resource, or fail the test."""
+    body = msgspec.json.encode({"spec": spec})
+    reply = await operator.call(
+        "PUT", f"/v1/resources/{kind}/{name}", body=body
+    )
+    assert reply.status == 200, reply.body
+
+
+async def start_engine(cluster: FakeCluster, entry: str) -> asyncio.Task:
+    """Start an engine that announces itself to one entry VM."""
+    engine = EmulatedEngine(
+        settings=EngineSettings(service="planner", slots=SLOTS),
+        clock=VirtualClock(),
+    )
+    application = build_engine_application(engine)
+    await application.start()
+    url = "http://127.0.0.1:3001"
+    cluster.web.serve(url, "engine", serve_asgi(application))
+    announcer = Announcer(
+        http=cluster.client("engine"),
+        clock=VirtualClock(),
+        entries=[entry],
+        token="endpoint",
+        announcement=Announcement(
+            endpoint_id="e1",
+            incarnation=1,
+            url=url,
+            service="planner",
+            slots=SLOTS,
+        ),
+        read_load=lambda: (engine.running, engine.waiting),
+    )
+    return asyncio.create_task(announcer.run())
+
+
+async def run_with_engine_in_the_south(use) -> None:
+    """Run a coroutine with a caller at the entry VM of the north."""
+    cluster = FakeCluster(seed=1)
+    await cluster.start_vm(make_settings("a", "north", 1))
+    await cluster.start_vm(make_settings("b", "south", 2))
+    announcing = await start_engine(cluster, "http://127.0.0.1:2002")
+    operator = connect(cluster, "operator")
+    await asyncio.sleep(5)
+    for region in REGIONS:
+        await put(operator, "region", region, {})
+    await put(operator, "service", "planner", {"regions": REGIONS})
+    client = {
+        "home_region": "north",
+        "residency": REGIONS,
+        "token_hashes": [hash_token("caller")],
+    }
+    await put(operator, "client", "crew", client)
+    await asyncio.sleep(5)
+    try:
+        await use(connect(cluster, "caller"))
+    finally:
+        announcing.cancel()
+        await cluster.stop()
+
+
+async def complete(caller: GatewayClient, content: str) -> tuple[int, str]:
+    """Send a completion; return the status and the text."""
+    messages = [{"role": "user", "content": content}]
+    body = {"model": "planner", "messages": messages, "max_tokens": TOKENS}
+    reply = await caller.call(
+        "POST", "/v1/chat/completions", body=msgspec.json.encode(body)
+    )
+    if not reply.ok:
+        return reply.status, reply.body.decode()
+    answer = msgspec.json.decode(reply.body)
+    text = answer["choices"][0]["message"]["content"]
+    wanted = make_answer(msgspec.json.encode(messages), TOKENS)
+    return reply.status, "whole" if text == wanted else text
+
+
 class WholePathTest(unittest.TestCase):
     """An operator, an endpoint and a caller, over two VMs of two regions."""
 
-    async def put(self, operator, kind, name, spec):
-        body = msgspec.json.encode({"spec": spec})
-        path = f"/v1/resources/{kind}/{name}"
-        reply = await operator.call("PUT", path, body=body)
-        self.assertEqual(200, reply.status, reply.body)
-
     def test_request_is_answered_through_another_region(self):
-        async def main():
-            cluster = FakeCluster(seed=1)
-            await cluster.start_vm(make_settings("a", "north", 1))
-            await cluster.start_vm(make_settings("b", "south", 2))
-            engine = EmulatedEngine(
-                settings=EngineSettings(service="planner"),
-                clock=VirtualClock(),
-            )
-            application = build_engine_application(engine)
-            await application.start()
-            cluster.web.serve(
-                "http://127.0.0.1:3001", "engine", serve_asgi(application)
-            )
-            announcer = Announcer(
-                http=cluster.client("engine"),
-                clock=VirtualClock(),
-                entries=["http://127.0.0.1:2002"],
-                token="endpoint",
-                announcement=Announcement(
-                    endpoint_id="e1",
-                    incarnation=1,
-                    url="http://127.0.0.1:3001",
-                    service="planner",
-                    slots=4,
-                ),
-                read_load=lambda: (engine.running, engine.waiting),
-            )
-            announcing = asyncio.create_task(announcer.run())
-            operator = connect(cluster, "operator")
-            await asyncio.sleep(5)
-            for region in ("north", "south"):
-                await self.put(operator, "region", region, {})
-            regions = ["north", "south"]
-            await self.put(
-                operator, "service", "planner", {"regions": regions}
-            )
-            await self.put(
-                operator,
-                "client",
-                "crew",
-                {
-                    "home_region": "north",
-                    "residency": regions,
-                    "token_hashes": [hash_token("caller")],
-                },
-            )
-            await asyncio.sleep(5)
-            caller = connect(cluster, "caller")
-            messages = [{"role": "user", "content": "hello"}]
-            body = msgspec.json.encode(
-                {"model": "planner", "messages": messages, "max_tokens": 5}
-            )
-            reply = await caller.call(
-                "POST", "/v1/chat/completions", body=body
-            )
-            self.assertEqual(200, reply.status, reply.body)
-            answer = msgspec.json.decode(reply.body)
-            self.assertEqual(
-                make_answer(msgspec.json.encode(messages), 5),
-                answer["choices"][0]["message"]["content"],
-            )
-            announcing.cancel()
-            await cluster.stop()
-
-        run_virtual(main())
+        async def use(caller):
+            self.assertEqual((200, "whole"), await complete(caller, "hello"))
+
+        run_virtual(run_with_engine_in_the_south(use))
+
+    def test_burst_for_a_service_hosted_elsewhere_waits_its_turn(self):
+        # Callers in the north send five times what the only engine, in the
+        # south, runs at once. They are no spill: the north has no endpoint
+        # for them. Refused as such, most saw "overloaded" while the engine
+        # was idle half a second later; they have to wait their turn there.
+        async def use(caller):
+            calls = [complete(caller, f"plan {i}") for i in range(5 * SLOTS)]
+            answers = await asyncio.gather(*calls)
+            self.assertEqual({(200, "whole")}, set(answers))
+
+        run_virtual(run_with_engine_in_the_south(use))
