--- a/burdockdrum/web/streaming.py
+++ b/burdockdrum/web/streaming.py
@@ -1,6 +1,7 @@
 """Send an answer while watching whether the caller is still there."""
 
 import asyncio
+from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 
@@ -95,6 +96,16 @@
     return Response(answer.status, headers, streamed)
 
 
+async def watch(
+    request: Request, parts: AsyncIterator[bytes]
+) -> AsyncGenerator[bytes, None]:
+    """Yield the parts until the caller has gone."""
+    watching = CallerWatch(request=request)
+    stream = _stream(watching, parts)()
+    async for part in stream:
+        yield part
+
+
 def _stream(
     watch: CallerWatch, parts: AsyncIterator[bytes]
 ) -> Callable[[], AsyncIterator[bytes]]:
--- a/tests/claims/test_at_most_once.py
+++ b/tests/claims/test_at_most_once.py
@@ -15,9 +15,11 @@
 SEEDS = range(3)
 
 
-def run_with_service(scenario, *, seed=1, vms=VMS, seconds=0.5):
+def run_with_service(
+    scenario, *, seed=1, vms=VMS, keepers=KEEPERS, seconds=0.5
+):
     async def main():
-        stack = Stack(seed=seed, keepers=KEEPERS)
+        stack = Stack(seed=seed, keepers=keepers)
         await stack.start(*vms)
         await stack.configure()
         service = Endpoint(name="e1", seconds=seconds, body=b'{"booked":1}')
@@ -197,8 +199,7 @@
         # after the restart provably never ran.
         async def scenario(stack, service):
             await stack.book("a2", "key")
-            await self.restart(stack, *KEEPERS)
-            await stack.configure()
+            await self.restart(stack, "a1", "a2", "a3", "a4")
             await asyncio.sleep(10)
             refused = await stack.book("a2", "key")
             self.assertEqual("claim_unknown", refused.code)
@@ -213,7 +214,27 @@
             self.assertEqual(1, service.runs_by_key[key])
             self.assertEqual(1, service.runs_by_key["key"])
 
-        run_with_service(scenario)
+        run_with_service(
+            scenario,
+            vms=("a1", "a2", "a3", "a4", "b1"),
+            keepers=("a2", "a3", "a4"),
+        )
+
+    def test_keeper_with_a_disk_remembers_over_the_restart_of_all(self):
+        # The region's keeper has a disk. After the restart of everything
+        # the old key has its answer, and a new key needs no ticket.
+        async def scenario(stack, service):
+            first = await stack.book("a2", "key")
+            stack.cluster.disks_by_vm_id["a1"].lose_power()
+            await self.restart(stack, *VMS)
+            await asyncio.sleep(10)
+            again = await stack.book("b1", "key")
+            self.assertEqual((200, first.body), (again.status, again.body))
+            fresh = await stack.book("a2", "new")
+            self.assertEqual(200, fresh.status, fresh.body)
+            self.assertEqual(1, service.runs_by_key["key"])
+
+        run_with_service(scenario, keepers=("a1",))
 
 
 class HistoryTest(unittest.TestCase):
--- a/tests/requests/stack.py
+++ b/tests/requests/stack.py
@@ -162,6 +162,11 @@
     return text
 
 
+def find_number(vm: str) -> int:
+    """Return the number by which a VM's ports are told apart."""
+    return 10 * (ord(vm[0]) - ord("a")) + int(vm[1:])
+
+
 class Stack:
     """A cluster with its operator, its endpoints and a caller."""
 
@@ -174,21 +179,18 @@
         """
         self.cluster = FakeCluster(seed=seed)
         self._keepers = keepers
-        self._numbers_by_vm: dict[str, int] = {}
         self._tasks: list[asyncio.Task] = []
         self._ports = 3000
 
     def settings(self, vm: str):
         """Return the settings of a VM, whose region its name begins with."""
-        number = self._numbers_by_vm.setdefault(
-            vm, len(self._numbers_by_vm) + 1
-        )
+        number = find_number(vm)
         region = {"a": "north", "b": "south", "c": "west"}[vm[0]]
         more = ""
         if self._keepers and region == "north":
             more = "[claims.keepers]\n" + "\n".join(
-                f'{name} = "tcp://127.0.0.1:{1000 + number}"'
-                for number, name in enumerate(self._keepers, 1)
+                f'{name} = "tcp://127.0.0.1:{1000 + find_number(name)}"'
+                for name in self._keepers
             )
         return read_settings(
             SETTINGS.format(
@@ -270,7 +272,7 @@
 
     def url(self, vm: str) -> str:
         """Return the URL of a VM."""
-        return f"http://127.0.0.1:{2000 + self._numbers_by_vm[vm]}"
+        return f"http://127.0.0.1:{2000 + find_number(vm)}"
 
     async def add_endpoint(self, endpoint, *vms, service="planner"):
         """Announce an endpoint at VMs of its data centre."""
