--- a/burdockdrum/testing/__init__.py
+++ b/burdockdrum/testing/__init__.py
@@ -3,6 +3,7 @@
 They are part of the package because an embedder's tests need them too.
 """
 
+from burdockdrum.testing.asgi import AsgiServer
 from burdockdrum.testing.asgi import serve_asgi
 from burdockdrum.testing.disk import FakeDisk
 from burdockdrum.testing.http import FakeAnswer
@@ -16,6 +17,7 @@
 from burdockdrum.testing.virtual_time import VirtualClock
 
 __all__ = [
+    "AsgiServer",
     "FakeAnswer",
     "FakeDisk",
     "FakeHttpClient",
--- a/burdockdrum/testing/asgi.py
+++ b/burdockdrum/testing/asgi.py
@@ -12,18 +12,26 @@
 from burdockdrum.ports import AnswerLost
 from burdockdrum.ports import UpstreamCall
 from burdockdrum.testing.http import FakeAnswer
-from burdockdrum.testing.http import Server
 
 # What uvicorn buffers before a slow reader holds the application back.
 MAX_UNREAD_PARTS = 64
 
 
-def serve_asgi(application: Any) -> Server:
-    """Return a server for ``FakeWeb.serve`` that calls the application."""
+class AsgiServer:
+    """A server for ``FakeWeb.serve`` that calls an application."""
+
+    def __init__(self, *, application: Any) -> None:
+        """Create a server without calls."""
+        self._application = application
+        self._exchanges: set[_Exchange] = set()
 
-    async def serve(call: UpstreamCall) -> FakeAnswer:
+    async def __call__(self, call: UpstreamCall) -> FakeAnswer:
+        """Answer a call."""
         exchange = _Exchange(call)
-        exchange.task = asyncio.create_task(exchange.run(application))
+        self._exchanges.add(exchange)
+        task = asyncio.create_task(exchange.run(self._application))
+        task.add_done_callback(lambda _: self._exchanges.discard(exchange))
+        exchange.task = task
         try:
             status, headers = await asyncio.shield(exchange.head)
         except asyncio.CancelledError:
@@ -36,7 +44,15 @@
             on_close=exchange.hang_up,
         )
 
-    return serve
+    def abort(self) -> None:
+        """Break off every call, as when the process is killed."""
+        for exchange in list(self._exchanges):
+            exchange.abort()
+
+
+def serve_asgi(application: Any) -> AsgiServer:
+    """Return a server for ``FakeWeb.serve`` that calls the application."""
+    return AsgiServer(application=application)
 
 
 class _Exchange:
@@ -64,8 +80,17 @@
         finally:
             if not self.head.done():
                 self.head.set_exception(AnswerLost("no head of an answer"))
-            if not self._gone.is_set():
-                await self._parts.put(None)
+        if not self._gone.is_set():
+            await self._parts.put(None)
+
+    def abort(self) -> None:
+        """Stop the application; the caller sees its connection break."""
+        if self.task is not None:
+            self.task.cancel()
+        self._complete = False
+        while not self._parts.empty():
+            self._parts.get_nowait()
+        self._parts.put_nowait(None)
 
     def hang_up(self) -> None:
         """Let the application see that its caller has gone."""
--- a/burdockdrum/testing/vms.py
+++ b/burdockdrum/testing/vms.py
@@ -14,6 +14,7 @@
 from burdockdrum.kernel import Kernel
 from burdockdrum.peers import VmIdentity
 from burdockdrum.settings import Settings
+from burdockdrum.testing.asgi import AsgiServer
 from burdockdrum.testing.asgi import serve_asgi
 from burdockdrum.testing.disk import FakeDisk
 from burdockdrum.testing.http import FakeHttpClient
@@ -29,6 +30,7 @@
         """Take over a kernel whose services are named."""
         self.identity = identity
         self.kernel = kernel
+        self.server: AsgiServer | None = None
         self.task: asyncio.Task[None] | None = None
 
 
@@ -71,7 +73,8 @@
         vm = FakeVm(identity=identity, kernel=kernel)
         application = kernel.find("application", Application)
         await application.start()
-        self.web.serve(settings.listen.http, vm_id, serve_asgi(application))
+        vm.server = serve_asgi(application)
+        self.web.serve(settings.listen.http, vm_id, vm.server)
         vm.task = asyncio.create_task(kernel.run())
         self.vms_by_id[vm_id] = vm
         return vm
@@ -81,6 +84,8 @@
         vm = self.vms_by_id.pop(vm_id)
         self.web.stop(vm.identity.http_address)
         assert vm.task is not None
+        if vm.server is not None:
+            vm.server.abort()
         vm.task.cancel()
         await asyncio.gather(vm.task, return_exceptions=True)
 
--- a/tests/histories/endpoints.py
+++ b/tests/histories/endpoints.py
@@ -18,6 +18,7 @@
 from burdockdrum.histories import Left
 from burdockdrum.histories import Ran
 from burdockdrum.ports import UpstreamCall
+from burdockdrum.testing import AsgiServer
 from burdockdrum.testing import FakeAnswer
 from burdockdrum.testing import serve_asgi
 from burdockdrum.testing import VirtualClock
@@ -31,6 +32,7 @@
 @dataclass
 class _Running:
     announcer: Announcer
+    server: AsgiServer
     task: asyncio.Task[None]
 
 
@@ -111,7 +113,7 @@
             read_load=read_load,
         )
         task = asyncio.create_task(announcer.run())
-        self._running_by_id[endpoint_id] = _Running(announcer, task)
+        self._running_by_id[endpoint_id] = _Running(announcer, server, task)
 
     async def crash_endpoint(self, endpoint_id: str) -> None:
         """Stop an endpoint at once."""
@@ -119,6 +121,7 @@
         if running is None:
             return
         self._cluster.web.stop(self._url(endpoint_id))
+        running.server.abort()
         running.task.cancel()
         await asyncio.gather(running.task, return_exceptions=True)
 
--- a/tests/histories/world.py
+++ b/tests/histories/world.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from burdockdrum.configuration import ConfigurationService
+from burdockdrum.histories import Drained
 from burdockdrum.histories import Forwarded
 from burdockdrum.histories import History
 from burdockdrum.histories import InForce
@@ -24,6 +25,7 @@
 from burdockdrum.settings import Settings
 from burdockdrum.testing import FakeAnswer
 from burdockdrum.testing.vms import FakeCluster
+from burdockdrum.vms import Drain
 from tests.histories.callers import Caller
 from tests.histories.endpoints import EndpointFleet
 from tests.histories.faults import Planned
@@ -51,6 +53,8 @@
 {data}
 [control.members]
 {members}
+[claims.keepers]
+{keepers}
 [operators]
 token_hashes = ["{operator}"]
 [endpoints]
@@ -167,11 +171,21 @@
 
     def lose_disk(self, vm_id: str) -> None:
         """Empty the disk of a VM that is stopped."""
-        raise NotImplementedError
+        self.cluster.disks_by_vm_id[vm_id].wipe()
 
     async def drain_vm(self, vm_id: str) -> None:
         """Drain a VM and wait until it has exited."""
-        raise NotImplementedError
+        vm = self.cluster.vms_by_id.get(vm_id)
+        if vm is None:
+            return
+        start = self.now()
+        drain = vm.kernel.find("drain", Drain)
+        drain.begin()
+        await drain.done.wait()
+        self.history.drained.append(
+            Drained(time=start, until=self.now(), vm_id=vm_id)
+        )
+        await self.crash_vm(vm_id)
 
     def _record_forward(self, call: UpstreamCall, data_centre: str) -> None:
         text = call.headers.get(FORWARD_HEADER, "")
@@ -224,6 +238,9 @@
             f"{name}-1": self._control_address(f"{name}-1") for name in REGIONS
         }
         is_member = vm_id in members
+        # The VM with a disk keeps the claims of its region.
+        keeper = f"{region}-1"
+        keepers = {keeper: members[keeper]}
         return read_settings(
             SETTINGS.format(
                 vm_id=vm_id,
@@ -234,7 +251,8 @@
                 join_a=self._control_address("dunantul-1"),
                 join_b=self._control_address("alfold-1"),
                 data='data_folder = "unused"' if is_member else "",
-                members="\n".join(f'{k} = "{v}"' for k, v in members.items()),
+                members=_show_table(members),
+                keepers=_show_table(keepers),
                 operator=hash_token("operator"),
                 endpoint=hash_token("endpoint"),
             )
@@ -244,5 +262,9 @@
         return f"tcp://127.0.0.1:{1001 + self.vm_ids.index(vm_id)}"
 
 
+def _show_table(addresses: dict[str, str]) -> str:
+    return "\n".join(f'{k} = "{v}"' for k, v in addresses.items())
+
+
 def _value(spec: object) -> str:
     return msgspec.json.encode(spec).decode()
