--- a/tests/histories/callers.py
+++ b/tests/histories/callers.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from tests.histories.world import World
 
-TOKENS = (5, 20, 60)
+TOKENS = (5, 30, 150)
 MAX_BOOKING_SENDINGS = 4
 
 
--- a/tests/histories/endpoints.py
+++ b/tests/histories/endpoints.py
@@ -27,6 +27,7 @@
 ENGINES_A_REGION = 2
 SLOTS = 8
 TOKEN_SECONDS = 0.02
+BOOKING_SECONDS = 0.8
 
 
 @dataclass
@@ -78,7 +79,8 @@
         clock = VirtualClock()
         engine: EmulatedEngine | None = None
         if endpoint_id.endswith("booking"):
-            application = build_plain_application(PlainService(clock=clock))
+            plain = PlainService(clock=clock, seconds=BOOKING_SECONDS)
+            application = build_plain_application(plain)
         else:
             engine = EmulatedEngine(
                 settings=EngineSettings(
@@ -130,8 +132,6 @@
         running = self._running_by_id.get(endpoint_id)
         if running is None:
             return
-        running.task.cancel()
-        await asyncio.gather(running.task, return_exceptions=True)
         await running.announcer.leave()
         now = asyncio.get_running_loop().time()
         self._history.left.append(Left(time=now, endpoint_id=endpoint_id))
