--- /dev/null
+++ b/burdockdrum/cli/connection.py
@@ -0,0 +1,19 @@
+"""Make a client from the command line."""
+
+import random
+from typing import Any
+
+from burdockdrum.client import GatewayClient
+from burdockdrum.system_ports import make_trust
+from burdockdrum.system_ports import SystemClock
+
+
+def connect(arguments: dict[str, Any]) -> GatewayClient:
+    """Return a client for the entries, token and trust that were named."""
+    return GatewayClient(
+        seeds=arguments["seeds"],
+        token=arguments["--token"],
+        clock=SystemClock(),
+        rng=random.Random(),
+        ssl_context=make_trust(arguments["--trust"]),
+    )
--- /dev/null
+++ b/burdockdrum/daemon/daemon.py
@@ -0,0 +1,126 @@
+"""One VM's process from its start to its exit."""
+
+import asyncio
+import pathlib
+import random
+import signal
+import socket
+import time
+from urllib.parse import urlsplit
+
+from blacksheep import Application
+from loguru import logger
+
+from burdockdrum.daemon.assembly import assemble
+from burdockdrum.kernel import Kernel
+from burdockdrum.peers import VmIdentity
+from burdockdrum.settings import Settings
+from burdockdrum.system_ports import FolderDisk
+from burdockdrum.system_ports import limit_threads
+from burdockdrum.system_ports import make_trust
+from burdockdrum.system_ports import PooledHttpClient
+from burdockdrum.system_ports import PynngNetwork
+from burdockdrum.system_ports import SystemClock
+from burdockdrum.vms import Drain
+from burdockdrum.web import bind
+from burdockdrum.web import WebServer
+
+STOP_SECONDS = 2.0
+_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class Daemon:
+    """Run the services of a VM until a signal or a drain ends them."""
+
+    def __init__(self, *, settings: Settings) -> None:
+        """Create a daemon that has not started."""
+        self._settings = settings
+        self._signals = 0
+
+    async def run(self) -> None:
+        """Serve until told to stop, then finish what runs."""
+        limit_threads()
+        kernel = await self._assemble()
+        drain = kernel.find("drain", Drain)
+        loop = asyncio.get_running_loop()
+        running = asyncio.create_task(kernel.run())
+        for number in _SIGNALS:
+            loop.add_signal_handler(number, self._take_signal, drain, running)
+        drained = asyncio.create_task(drain.done.wait())
+        await asyncio.wait(
+            {running, drained}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if drained.done():
+            await _stop_web(kernel.find("web", WebServer))
+        drained.cancel()
+        running.cancel()
+        try:
+            await running
+        except asyncio.CancelledError:
+            pass
+
+    async def _assemble(self) -> Kernel:
+        settings = self._settings
+        mailbox = await PynngNetwork().open(settings.listen.control)
+        parts = urlsplit(settings.listen.http)
+        listener = bind(parts.hostname or "", parts.port or 0)
+        host, port = listener.getsockname()[:2]
+        identity = VmIdentity(
+            vm_id=settings.vm.id,
+            incarnation=time.time_ns() // 1_000_000,
+            region=settings.vm.region,
+            data_centre=settings.vm.data_centre,
+            control_address=mailbox.address,
+            http_address=f"{parts.scheme}://{host}:{port}",
+        )
+        tls = settings.listen.tls
+        trust_file = tls.trust_file if tls is not None else None
+        logger.info(
+            "{} serves callers on {} and peers on {}",
+            identity.vm_id,
+            identity.http_address,
+            identity.control_address,
+        )
+        kernel = assemble(
+            settings=settings,
+            identity=identity,
+            mailbox=mailbox,
+            clock=SystemClock(),
+            http=PooledHttpClient(ssl_context=make_trust(trust_file)),
+            rng=random.Random(),
+            disk=_open_disk(settings),
+        )
+        kernel.add("web", lambda kernel: _build_web(kernel, listener))
+        return kernel
+
+    def _take_signal(self, drain: Drain, running: asyncio.Task) -> None:
+        self._signals += 1
+        drain.begin()
+        if self._signals > 1:
+            logger.warning("a second signal: not waiting for what runs")
+            running.cancel()
+
+
+async def _stop_web(web: WebServer) -> None:
+    web.stop()
+    try:
+        # Only connections of watchers and status pages are left by now.
+        async with asyncio.timeout(STOP_SECONDS):
+            await web.stopped.wait()
+    except TimeoutError:
+        logger.info("closing connections that are still open")
+
+
+def _open_disk(settings: Settings) -> FolderDisk | None:
+    folder = settings.control.data_folder
+    return FolderDisk(folder=pathlib.Path(folder)) if folder else None
+
+
+def _build_web(kernel: Kernel, listener: socket.socket) -> WebServer:
+    tls = kernel.find("settings", Settings).listen.tls
+    return WebServer(
+        application=kernel.find("application", Application),
+        listener=listener,
+        certificate_file=tls.certificate_file if tls else None,
+        key_file=tls.key_file if tls else None,
+    )
--- /dev/null
+++ b/burdockdrum/requests/__init__.py
@@ -0,0 +1,21 @@
+"""A request's life: from admission to the whole answer or a refusal."""
+
+from burdockdrum.requests.attempts import VERDICT_HEADER
+from burdockdrum.requests.forwarding import FORWARD_HEADER
+from burdockdrum.requests.forwarding import open_header
+from burdockdrum.requests.model import Answer
+from burdockdrum.requests.model import InboundRequest
+from burdockdrum.requests.model import RequestKind
+from burdockdrum.requests.service import RequestService
+from burdockdrum.requests.services import add_services
+
+__all__ = [
+    "add_services",
+    "Answer",
+    "FORWARD_HEADER",
+    "InboundRequest",
+    "open_header",
+    "RequestKind",
+    "RequestService",
+    "VERDICT_HEADER",
+]
--- /dev/null
+++ b/burdockdrum/vms/__init__.py
@@ -0,0 +1,29 @@
+"""The VMs of the system that this VM knows, and what others can take."""
+
+from burdockdrum.vms.directory import DataCentreView
+from burdockdrum.vms.directory import VmDirectory
+from burdockdrum.vms.directory import VmView
+from burdockdrum.vms.drain import Drain
+from burdockdrum.vms.drain import DrainState
+from burdockdrum.vms.endpoint_sharing import EndpointSharing
+from burdockdrum.vms.messages import ServiceSummary
+from burdockdrum.vms.selection import EntryChoice
+from burdockdrum.vms.selection import EntryList
+from burdockdrum.vms.selection import select_entries
+from burdockdrum.vms.selection import VALID_SECONDS
+from burdockdrum.vms.services import add_services
+
+__all__ = [
+    "add_services",
+    "DataCentreView",
+    "Drain",
+    "DrainState",
+    "EndpointSharing",
+    "EntryChoice",
+    "EntryList",
+    "select_entries",
+    "ServiceSummary",
+    "VALID_SECONDS",
+    "VmDirectory",
+    "VmView",
+]
--- /dev/null
+++ b/burdockdrum/vms/services.py
@@ -0,0 +1,58 @@
+"""Name the services of this package."""
+
+import random
+
+from burdockdrum.configuration import ConfigurationService
+from burdockdrum.endpoints import EndpointRegistry
+from burdockdrum.kernel import Kernel
+from burdockdrum.peers import Peers
+from burdockdrum.ports import Clock
+from burdockdrum.settings import Settings
+from burdockdrum.timeline import Timeline
+from burdockdrum.vms.directory import VmDirectory
+from burdockdrum.vms.drain import Drain
+from burdockdrum.vms.endpoint_sharing import EndpointSharing
+from burdockdrum.vms.summaries import Summaries
+
+
+def add_services(kernel: Kernel) -> None:
+    """Name the directory of VMs and what tells it of endpoints."""
+    kernel.add("vms", _build_vms)
+    kernel.add("endpoint_sharing", _build_sharing)
+    kernel.add("drain", _build_drain)
+
+
+def _build_vms(kernel: Kernel) -> VmDirectory:
+    endpoints = kernel.find("endpoints", EndpointRegistry)
+    configuration = kernel.find("configuration", ConfigurationService)
+    summaries = Summaries(
+        clock=kernel.find("clock", Clock),
+        configuration=configuration,
+        endpoints=endpoints,
+    )
+    return VmDirectory(
+        peers=kernel.find("peers", Peers),
+        clock=kernel.find("clock", Clock),
+        timeline=kernel.find("timeline", Timeline),
+        rng=kernel.find("random", random.Random),
+        join=kernel.find("settings", Settings).cluster.join,
+        read_revision=lambda: configuration.current.revision,
+        read_services=summaries.read,
+    )
+
+
+def _build_drain(kernel: Kernel) -> Drain:
+    return Drain(
+        clock=kernel.find("clock", Clock),
+        timeline=kernel.find("timeline", Timeline),
+        vms=kernel.find("vms", VmDirectory),
+        limit_seconds=kernel.find("settings", Settings).drain.limit_seconds,
+    )
+
+
+def _build_sharing(kernel: Kernel) -> EndpointSharing:
+    return EndpointSharing(
+        clock=kernel.find("clock", Clock),
+        group=kernel.find("vms", VmDirectory).group,
+        registry=kernel.find("endpoints", EndpointRegistry),
+    )
--- /dev/null
+++ b/burdockdrum/web/operators.py
@@ -0,0 +1,350 @@
+"""What operators use: resources, status, the time line, drains."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from collections.abc import Iterable
+import secrets
+from typing import Any
+
+from blacksheep.contents import StreamedContent
+from blacksheep.messages import Request
+from blacksheep.messages import Response
+import msgspec
+
+from burdockdrum.configuration import ChangeNotAccepted
+from burdockdrum.configuration import ChangeUnknown
+from burdockdrum.configuration import ConfigurationService
+from burdockdrum.configuration import RevisionGone
+from burdockdrum.endpoints import EndpointRegistry
+from burdockdrum.metrics import Metrics
+from burdockdrum.resources import Change
+from burdockdrum.resources import ChangeResult
+from burdockdrum.resources import Configuration
+from burdockdrum.resources import Delete
+from burdockdrum.resources import parse_spec
+from burdockdrum.resources import Put
+from burdockdrum.resources import Resource
+from burdockdrum.resources import ResourceError
+from burdockdrum.resources import ResourceKey
+from burdockdrum.resources import Revised
+from burdockdrum.settings import Settings
+from burdockdrum.timeline import Timeline
+from burdockdrum.verdicts import Refusal
+from burdockdrum.verdicts import RefusalCode
+from burdockdrum.verdicts import Verdict
+from burdockdrum.vms import VmDirectory
+from burdockdrum.web.authentication import Authenticator
+from burdockdrum.web.reading import bad_request
+from burdockdrum.web.reading import header
+from burdockdrum.web.reading import query
+from burdockdrum.web.reading import read_json
+from burdockdrum.web.reading import route_value
+from burdockdrum.web.responses import json_response
+from burdockdrum.web.responses import text_response
+from burdockdrum.web.streaming import watch_stream
+
+_STATUS_BY_CODE = {"accepted": 200, "conflict": 409, "invalid": 422}
+_GONE_STATUS = 410
+_MAX_CHANGE_ID = 128
+
+
+class PutBody(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """What an operator sends to put a resource."""
+
+    spec: dict[str, Any]
+    resource_version: int = 0
+    change_id: str = ""
+
+
+class DeleteBody(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """What an operator sends to delete a resource."""
+
+    resource_version: int
+    change_id: str = ""
+
+
+class ResourceStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """Where a resource's accepted state is in force."""
+
+    in_force_here: bool
+    in_force_at: list[str]
+    not_in_force_at: list[str]
+
+
+class ResourceView(msgspec.Struct, frozen=True, kw_only=True):
+    """A resource as an operator reads it: desired and in force apart."""
+
+    resource: Resource
+    status: ResourceStatus
+
+
+class WatchGone(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer to a watch from a revision that is too old."""
+
+    message: str
+    request_id: str
+    oldest_revision: int
+    code: str = "revision_gone"
+    verdict: str = Verdict.NOT_RUN.value
+
+
+class OperatorFace:
+    """The handlers of operators' requests."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        authenticator: Authenticator,
+        configuration: ConfigurationService,
+        endpoints: EndpointRegistry,
+        vms: VmDirectory,
+        timeline: Timeline,
+        metrics: Metrics,
+        begin_drain: Callable[[], None],
+    ) -> None:
+        """Create the handlers."""
+        self._limit = settings.limits.body_bytes
+        self._authenticator = authenticator
+        self._configuration = configuration
+        self._endpoints = endpoints
+        self._vms = vms
+        self._timeline = timeline
+        self._metrics = metrics
+        self._begin_drain = begin_drain
+
+    async def put(self, request: Request, request_id: str) -> Response:
+        """Serve PUT /v1/resources/KIND/NAME."""
+        self._authenticator.find_operator(request)
+        body = await read_json(request, self._limit, PutBody)
+        key = _read_key(request)
+        try:
+            spec = parse_spec(key.kind, body.spec)
+        except ResourceError as error:
+            raise bad_request(str(error)) from None
+        change = Put(
+            change_id=_check_change_id(body.change_id),
+            kind=key.kind,
+            name=key.name,
+            expected_version=body.resource_version,
+            spec=spec,
+        )
+        return await self._change(change)
+
+    async def delete(self, request: Request, request_id: str) -> Response:
+        """Serve DELETE /v1/resources/KIND/NAME."""
+        self._authenticator.find_operator(request)
+        body = await read_json(request, self._limit, DeleteBody)
+        key = _read_key(request)
+        change = Delete(
+            change_id=_check_change_id(body.change_id),
+            kind=key.kind,
+            name=key.name,
+            expected_version=body.resource_version,
+        )
+        return await self._change(change)
+
+    async def get(self, request: Request, request_id: str) -> Response:
+        """Serve GET /v1/resources/KIND/NAME."""
+        self._authenticator.find_operator(request)
+        key = _read_key(request)
+        resources = self._configuration.current.resources_by_key
+        resource = resources.get(key)
+        if resource is None:
+            raise Refusal(
+                code=RefusalCode.NOT_FOUND,
+                message=f"there is no {key.kind} {key.name!r}",
+                verdict=Verdict.NOT_RUN,
+            )
+        revisions = await self._configuration.fetch_in_force()
+        return json_response(_view(resource, revisions))
+
+    async def list(self, request: Request, request_id: str) -> Response:
+        """Serve GET /v1/resources/KIND."""
+        self._authenticator.find_operator(request)
+        kind = route_value(request, "kind")
+        resources = self._configuration.current.resources_by_key
+        revisions = await self._configuration.fetch_in_force()
+        return json_response(
+            [
+                _view(resource, revisions)
+                for key, resource in sorted(resources.items())
+                if key.kind == kind
+            ]
+        )
+
+    async def watch(self, request: Request, request_id: str) -> Response:
+        """Serve GET /v1/watch: an event a changed resource.
+
+        From ``revision``, or the ``Last-Event-ID`` of a watch that broke, on;
+        without either, first every resource as it is.
+        """
+        self._authenticator.find_operator(request)
+        revision = _read_revision(request)
+        current = self._configuration.current
+        first = []
+        if revision is None:
+            first = _list_events(current)
+            revision = current.revision
+        try:
+            self._configuration.changes_after(revision)
+        except RevisionGone as gone:
+            return _gone_response(gone, request_id)
+        events = self._watch_events(first, revision)
+        body = watch_stream(request, events)
+        content = StreamedContent(b"text/event-stream", body)
+        return Response(200, None, content)
+
+    async def _watch_events(
+        self, first: Iterable[Revised], revision: int
+    ) -> AsyncIterator[bytes]:
+        for change in first:
+            yield _encode_event(change)
+        try:
+            async for change in self._configuration.watch(revision):
+                yield _encode_event(change)
+        except RevisionGone as gone:
+            # The watcher read more slowly than changes came.
+            message = msgspec.json.encode({"message": str(gone)})
+            yield b"event: gone\ndata: " + message + b"\n\n"
+
+    async def list_endpoints(
+        self, request: Request, request_id: str
+    ) -> Response:
+        """Serve GET /v1/endpoints: those this VM knows."""
+        self._authenticator.find_operator(request)
+        return json_response(list(self._endpoints.endpoints_by_id.values()))
+
+    async def status(self, request: Request, request_id: str) -> Response:
+        """Serve GET /v1/status: this VM and what it knows of others."""
+        self._authenticator.find_operator(request)
+        in_force_by_vm_id = await self._configuration.fetch_in_force()
+        return json_response(
+            {
+                "vm": self._vms.identity,
+                "draining": self._vms.draining,
+                "revision": self._configuration.current.revision,
+                "configuration": self._configuration.status(),
+                "vms": self._vms.live_vms(),
+                "in_force_by_vm_id": in_force_by_vm_id,
+            }
+        )
+
+    async def events(self, request: Request, request_id: str) -> Response:
+        """Serve GET /v1/timeline: the events of this process."""
+        self._authenticator.find_operator(request)
+        revision = query(request, "revision")
+        return json_response(
+            self._timeline.events(
+                prefix=query(request, "prefix") or "",
+                request_id=query(request, "request_id"),
+                revision=int(revision) if revision else None,
+            )
+        )
+
+    async def drain(self, request: Request, request_id: str) -> Response:
+        """Serve POST /v1/drain: this VM finishes its work and exits."""
+        self._authenticator.find_operator(request)
+        self._begin_drain()
+        return json_response({"draining": self._vms.identity.vm_id})
+
+    async def metrics(self, request: Request, request_id: str) -> Response:
+        """Serve GET /metrics in the usual text format."""
+        return text_response(self._metrics.text())
+
+    async def _change(self, change: Change) -> Response:
+        try:
+            result = await self._configuration.change(change)
+        except ChangeUnknown as error:
+            raise Refusal(
+                code=RefusalCode.CONFIGURATION_STALE,
+                message=f"{error}; send it again with the same change_id",
+                verdict=Verdict.MAY_HAVE_RUN,
+                retry_after=1.0,
+            ) from error
+        except ChangeNotAccepted as error:
+            raise Refusal(
+                code=RefusalCode.CONFIGURATION_STALE,
+                message=f"the change was not accepted: {error}",
+                verdict=Verdict.NOT_RUN,
+                retry_after=1.0,
+            ) from error
+        return _change_response(result)
+
+
+def _view(resource: Resource, revisions: dict[str, int]) -> ResourceView:
+    reached = [
+        vm_id
+        for vm_id, revision in revisions.items()
+        if revision >= resource.version
+    ]
+    return ResourceView(
+        resource=resource,
+        status=ResourceStatus(
+            in_force_here=True,
+            in_force_at=sorted(reached),
+            not_in_force_at=sorted(set(revisions) - set(reached)),
+        ),
+    )
+
+
+def _change_response(result: ChangeResult) -> Response:
+    return json_response(result, status=_STATUS_BY_CODE[result.code])
+
+
+def _read_key(request: Request) -> ResourceKey:
+    return ResourceKey(
+        route_value(request, "kind"), route_value(request, "name")
+    )
+
+
+def _check_change_id(change_id: str) -> str:
+    if len(change_id) > _MAX_CHANGE_ID:
+        raise bad_request(f"change_id is over {_MAX_CHANGE_ID} characters")
+    return change_id or secrets.token_hex(16)
+
+
+def _read_revision(request: Request) -> int | None:
+    for field, value in (
+        ("Last-Event-ID", header(request, "last-event-id")),
+        ("revision", query(request, "revision")),
+    ):
+        if value:
+            if not value.isdecimal():
+                raise bad_request(f"{field} is {value!r}, not a revision")
+            return int(value)
+    return None
+
+
+def _list_events(configuration: Configuration) -> list[Revised]:
+    # In the order of their versions, so that the id of each is a revision
+    # that a watch which breaks here can go on from.
+    resources = sorted(
+        configuration.resources_by_key.values(),
+        key=lambda resource: resource.version,
+    )
+    return [
+        Revised(
+            revision=resource.version,
+            kind=resource.kind,
+            name=resource.name,
+            resource=resource,
+        )
+        for resource in resources
+    ]
+
+
+def _encode_event(change: Revised) -> bytes:
+    data = msgspec.json.encode(change)
+    return b"id: %d\ndata: %b\n\n" % (change.revision, data)
+
+
+def _gone_response(gone: RevisionGone, request_id: str) -> Response:
+    body = WatchGone(
+        message=str(gone), request_id=request_id, oldest_revision=gone.oldest
+    )
+    return json_response({"error": body}, status=_GONE_STATUS)
--- /dev/null
+++ b/burdockdrum/web/services.py
@@ -0,0 +1,87 @@
+"""Name the services of this package."""
+
+import random
+
+from blacksheep import Application
+
+from burdockdrum.claims import Claims
+from burdockdrum.configuration import ConfigurationService
+from burdockdrum.endpoints import EndpointRegistry
+from burdockdrum.kernel import Kernel
+from burdockdrum.metrics import Metrics
+from burdockdrum.peers import Seal
+from burdockdrum.ports import Clock
+from burdockdrum.quarantine import Quarantine
+from burdockdrum.requests import RequestService
+from burdockdrum.settings import Settings
+from burdockdrum.timeline import Timeline
+from burdockdrum.vms import Drain
+from burdockdrum.vms import VmDirectory
+from burdockdrum.web.application import build_application
+from burdockdrum.web.authentication import Authenticator
+from burdockdrum.web.callers import CallerFace
+from burdockdrum.web.endpoint_face import EndpointFace
+from burdockdrum.web.operators import OperatorFace
+from burdockdrum.web.peer_face import PeerFace
+from burdockdrum.web.quarantine_face import QuarantineFace
+
+
+def add_services(kernel: Kernel) -> None:
+    """Name the ASGI application; what serves it is named elsewhere."""
+    kernel.add("application", _build_application)
+
+
+def _build_application(kernel: Kernel) -> Application:
+    authenticator = Authenticator(
+        settings=kernel.find("settings", Settings),
+        configuration=kernel.find("configuration", ConfigurationService),
+    )
+    return build_application(
+        callers=_build_callers(kernel, authenticator),
+        endpoints=EndpointFace(
+            settings=kernel.find("settings", Settings),
+            authenticator=authenticator,
+            endpoints=kernel.find("endpoints", EndpointRegistry),
+            vms=kernel.find("vms", VmDirectory),
+        ),
+        operators=_build_operators(kernel, authenticator),
+        quarantine=QuarantineFace(
+            authenticator=authenticator,
+            quarantine=kernel.find("quarantine", Quarantine),
+        ),
+        peers=PeerFace(
+            settings=kernel.find("settings", Settings),
+            seal=kernel.find("seal", Seal),
+            clock=kernel.find("clock", Clock),
+            requests=kernel.find("requests", RequestService),
+        ),
+        drain=kernel.find("drain", Drain),
+    )
+
+
+def _build_callers(kernel: Kernel, authenticator: Authenticator) -> CallerFace:
+    return CallerFace(
+        settings=kernel.find("settings", Settings),
+        clock=kernel.find("clock", Clock),
+        rng=kernel.find("random", random.Random),
+        authenticator=authenticator,
+        configuration=kernel.find("configuration", ConfigurationService),
+        requests=kernel.find("requests", RequestService),
+        claims=kernel.find("claims", Claims),
+        vms=kernel.find("vms", VmDirectory),
+    )
+
+
+def _build_operators(
+    kernel: Kernel, authenticator: Authenticator
+) -> OperatorFace:
+    return OperatorFace(
+        settings=kernel.find("settings", Settings),
+        authenticator=authenticator,
+        configuration=kernel.find("configuration", ConfigurationService),
+        endpoints=kernel.find("endpoints", EndpointRegistry),
+        vms=kernel.find("vms", VmDirectory),
+        timeline=kernel.find("timeline", Timeline),
+        metrics=kernel.find("metrics", Metrics),
+        begin_drain=kernel.find("drain", Drain).begin,
+    )
--- /dev/null
+++ b/tests/daemon/test_whole_path.py
@@ -0,0 +1,171 @@
+"""The whole path in one process, under virtual time."""
+
+import asyncio
+import random
+import unittest
+
+import msgspec
+
+from burdockdrum.client import GatewayClient
+from burdockdrum.emulator import Announcer
+from burdockdrum.emulator import build_engine_application
+from burdockdrum.emulator import EmulatedEngine
+from burdockdrum.emulator import EngineSettings
+from burdockdrum.emulator import make_answer
+from burdockdrum.endpoints import Announcement
+from burdockdrum.resources import hash_token
+from burdockdrum.settings import read_settings
+from burdockdrum.testing import run_virtual
+from burdockdrum.testing import serve_asgi
+from burdockdrum.testing import VirtualClock
+from burdockdrum.testing.vms import FakeCluster
+
+SETTINGS = """
+[vm]
+id = "{vm}"
+region = "{region}"
+data_centre = "{region}"
+[listen]
+control = "tcp://127.0.0.1:{port}"
+http = "http://127.0.0.1:{http}"
+[cluster]
+secret = "sixteen characters and more"
+join = ["tcp://127.0.0.1:1001"]
+[control]
+{data}
+[control.members]
+a = "tcp://127.0.0.1:1001"
+[operators]
+token_hashes = ["{operator}"]
+[endpoints]
+token_hashes = ["{endpoint}"]
+"""
+
+
+def make_settings(vm: str, region: str, number: int):
+    data = 'data_folder = "unused"' if number == 1 else ""
+    return read_settings(
+        SETTINGS.format(
+            vm=vm,
+            region=region,
+            port=1000 + number,
+            http=2000 + number,
+            data=data,
+            operator=hash_token("operator"),
+            endpoint=hash_token("endpoint"),
+        )
+    )
+
+
+def connect(cluster: FakeCluster, token: str) -> GatewayClient:
+    """Return a client that begins at the first VM."""
+    return GatewayClient(
+        seeds=["http://127.0.0.1:2001"],
+        token=token,
+        clock=VirtualClock(),
+        rng=random.Random(3),
+        http=cluster.client("caller"),
+    )
+
+
+REGIONS = ["north", "south"]
+SLOTS = 4
+TOKENS = 5
+
+
+async def put(operator: GatewayClient, kind: str, name: str, spec: dict):
+    """Put a resource, or fail the test."""
+    body = msgspec.json.encode({"spec": spec})
+    reply = await operator.call(
+        "PUT", f"/v1/resources/{kind}/{name}", body=body
+    )
+    assert reply.status == 200, reply.body
+
+
+async def start_engine(cluster: FakeCluster, entry: str) -> asyncio.Task:
+    """Start an engine that announces itself to one entry VM."""
+    engine = EmulatedEngine(
+        settings=EngineSettings(service="planner", slots=SLOTS),
+        clock=VirtualClock(),
+    )
+    application = build_engine_application(engine)
+    await application.start()
+    url = "http://127.0.0.1:3001"
+    cluster.web.serve(url, "engine", serve_asgi(application))
+    announcer = Announcer(
+        http=cluster.client("engine"),
+        clock=VirtualClock(),
+        entries=[entry],
+        token="endpoint",
+        announcement=Announcement(
+            endpoint_id="e1",
+            incarnation=1,
+            url=url,
+            service="planner",
+            slots=SLOTS,
+        ),
+        read_load=lambda: (engine.running, engine.waiting),
+    )
+    return asyncio.create_task(announcer.run())
+
+
+async def run_with_engine_in_the_south(use) -> None:
+    """Run a coroutine with a caller at the entry VM of the north."""
+    cluster = FakeCluster(seed=1)
+    await cluster.start_vm(make_settings("a", "north", 1))
+    await cluster.start_vm(make_settings("b", "south", 2))
+    announcing = await start_engine(cluster, "http://127.0.0.1:2002")
+    operator = connect(cluster, "operator")
+    await asyncio.sleep(5)
+    for region in REGIONS:
+        await put(operator, "region", region, {})
+    await put(operator, "service", "planner", {"regions": REGIONS})
+    client = {
+        "home_region": "north",
+        "residency": REGIONS,
+        "token_hashes": [hash_token("caller")],
+    }
+    await put(operator, "client", "crew", client)
+    await asyncio.sleep(5)
+    try:
+        await use(connect(cluster, "caller"))
+    finally:
+        announcing.cancel()
+        await cluster.stop()
+
+
+async def complete(caller: GatewayClient, content: str) -> tuple[int, str]:
+    """Send a completion; return the status and the text."""
+    messages = [{"role": "user", "content": content}]
+    body = {"model": "planner", "messages": messages, "max_tokens": TOKENS}
+    reply = await caller.call(
+        "POST", "/v1/chat/completions", body=msgspec.json.encode(body)
+    )
+    if not reply.ok:
+        return reply.status, reply.body.decode()
+    answer = msgspec.json.decode(reply.body)
+    text = answer["choices"][0]["message"]["content"]
+    wanted = make_answer(msgspec.json.encode(messages), TOKENS)
+    return reply.status, "whole" if text == wanted else text
+
+
+class WholePathTest(unittest.TestCase):
+    """An operator, an endpoint and a caller, over two VMs of two regions."""
+
+    def test_request_is_answered_through_another_region(self):
+        async def use(caller):
+            self.assertEqual((200, "whole"), await complete(caller, "hello"))
+
+        run_virtual(run_with_engine_in_the_south(use))
+
+    def test_burst_for_a_service_hosted_elsewhere_waits_its_turn(self):
+        # Callers in the north send five times what the only engine, in the
+        # south, runs at once. They are no spill: the north has no endpoint
+        # for them. Refused as such, most saw "overloaded" while the engine
+        # was idle half a second later; they have to wait their turn there.
+        async def use(caller):
+            calls = [complete(caller, f"plan {i}") for i in range(5 * SLOTS)]
+            answers = await asyncio.gather(*calls)
+            self.assertEqual({(200, "whole")}, set(answers))
+
+        run_virtual(run_with_engine_in_the_south(use))
