Let a service send while peers is being cancelled

A call made while the task group was shutting down raised RuntimeError in the caller, which then ended with an error in place of being cancelled. Found by a test that restarts control VMs while they found a cluster.

--- a/burdockdrum/peers/peers.py
+++ b/burdockdrum/peers/peers.py
@@ -150,7 +150,7 @@
             outbox = _Outbox()
             self._outboxes_by_address[address] = outbox
             if self._group is not None:
-                self._group.create_task(self._send_to(address, outbox))
+                self._spawn(self._send_to(address, outbox))
         if len(outbox.envelopes) == MAX_QUEUED:
             self._dropped.increment(reason="queue_full")
         outbox.envelopes.append(envelope)
@@ -274,7 +274,12 @@
 
     def _spawn(self, coroutine: Any) -> None:
         assert self._group is not None, "peers is not running"
-        self._group.create_task(coroutine)
+        try:
+            self._group.create_task(coroutine)
+        except RuntimeError:
+            # The group is being cancelled: a service that still sends while
+            # everything shuts down must not fail for it.
+            coroutine.close()
 
 
 class _Outbox:
