--- a/burdockdrum/consensus/leadership.py
+++ b/burdockdrum/consensus/leadership.py
@@ -55,6 +55,7 @@
             while replica.role is Role.LEADER:
                 self._match_tasks(group)
                 await wait_for_any(replica.send_wanted, replica.role_changed)
+            replica.note_quorum(self.quorum_heard_at)
             for task in [*tasks, *self._tasks_by_id.values()]:
                 task.cancel()
 
--- a/burdockdrum/consensus/log.py
+++ b/burdockdrum/consensus/log.py
@@ -124,8 +124,11 @@
 
     @property
     def members(self) -> tuple[Member, ...]:
-        """Return the members by the newest configuration in this log."""
-        return self._replica.configuration.members if self._replica else ()
+        """Return the members by the newest committed configuration."""
+        replica = self._replica
+        if replica is None:
+            return ()
+        return replica.history.at(replica.commit_index).members
 
     @property
     def disk_id(self) -> str | None:
@@ -142,8 +145,7 @@
         if replica is None:
             return None
         if replica.role is Role.LEADER:
-            age = self._clock.monotonic() - self._leadership.quorum_heard_at
-            return age if age < float("inf") else None
+            replica.note_quorum(self._leadership.quorum_heard_at)
         return replica.contact_age
 
     def add_listener(self, callback: Callable[[int], None]) -> None:
--- a/burdockdrum/consensus/replica.py
+++ b/burdockdrum/consensus/replica.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import math
 import random
 
 from loguru import logger
@@ -65,6 +66,7 @@
         self._role = Role.FOLLOWER
         self._started_at = clock.monotonic()
         self._contact_at: float | None = None
+        self._quorum_at = -math.inf
         self.election_reset_at = self._started_at
 
     @property
@@ -113,10 +115,11 @@
 
     @property
     def contact_age(self) -> float | None:
-        """Return the seconds since a leader was last heard of."""
-        if self._contact_at is None:
+        """Return the seconds since a leader or its quorum was heard of."""
+        contact_at = max(self._contact_at or -math.inf, self._quorum_at)
+        if contact_at == -math.inf:
             return None
-        return self.clock.monotonic() - self._contact_at
+        return self.clock.monotonic() - contact_at
 
     @property
     def owes_silence(self) -> bool:
@@ -159,6 +162,10 @@
             )
         self.set_role(Role.FOLLOWER)
 
+    def note_quorum(self, heard_at: float) -> None:
+        """Note when this member, as the leader, last heard of a quorum."""
+        self._quorum_at = max(self._quorum_at, heard_at)
+
     def step_down(self, reason: str) -> None:
         """Stop leading or standing for election."""
         if self._role is Role.LEADER:
--- /dev/null
+++ b/tests/consensus/test_membership.py
@@ -0,0 +1,220 @@
+"""Tests of founding, and of VMs that are emptied, added and removed."""
+
+import asyncio
+import unittest
+
+from loguru import logger
+
+from burdockdrum.consensus import NotAccepted
+from burdockdrum.consensus import Role
+from burdockdrum.testing import run_virtual
+from tests.consensus.cluster import Cluster
+from tests.consensus.cluster import with_cluster
+
+
+async def replace(cluster, vm_id):
+    """Remove a member and add its VM again with the disk that it has."""
+    leader = await cluster.leader()
+    vm = cluster.vms[vm_id]
+    await leader.remove_member(vm_id)
+    await leader.add_member(vm_id, vm.address, vm.running.disk_id)
+
+
+def voters(log):
+    return sorted(member.vm_id for member in log.members if member.voter)
+
+
+async def stop_follower(cluster, leader, *, wipe=False):
+    """Stop one member that does not lead and return it."""
+    vm = next(v for v in cluster.vms.values() if v.log is not leader)
+    await cluster.stop(vm.vm_id)
+    if wipe:
+        vm.disk.wipe()
+    return vm
+
+
+class FoundingTest(unittest.TestCase):
+    """The first configuration."""
+
+    def setUp(self):
+        logger.disable("burdockdrum")
+        self.addCleanup(logger.enable, "burdockdrum")
+
+    def test_no_vote_before_all_founders_are_known(self):
+        async def main():
+            cluster = Cluster()
+            await cluster.start("a")
+            await cluster.start("b")
+            await asyncio.sleep(60)
+            for log in cluster.logs:
+                self.assertEqual(Role.WAITING, log.role)
+                self.assertEqual(0, log.term)
+            await cluster.start("c")
+            leader = await cluster.leader()
+            self.assertEqual(["a", "b", "c"], voters(leader))
+            await cluster.stop_all()
+
+        run_virtual(main())
+
+    def test_crash_at_any_moment_of_the_founding(self):
+        # One founder after the other loses its power while the promises are
+        # being given. The cluster is founded once, with the disks there are.
+        async def main(seed):
+            cluster = Cluster(seed=seed)
+            cluster.network.set_default(delay=0.05, loss=0.2)
+            await cluster.start_all()
+            for vm_id in ("a", "b", "c"):
+                await asyncio.sleep(0.02 * seed)
+                await cluster.restart(vm_id, power_loss=True)
+            leader = await cluster.leader(seconds=60)
+            self.assertEqual(["a", "b", "c"], voters(leader))
+            await cluster.stop_all()
+            self.assertEqual([], cluster.errors)
+
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                run_virtual(main(seed))
+
+    def test_emptied_founders_found_no_second_cluster(self):
+        # The founder that proposes, or two of three, lose their disks. They
+        # don't form a cluster that has forgotten everything.
+        async def use(cluster):
+            leader = await cluster.leader()
+            await leader.propose(b"kept", timeout=5)
+            await cluster.settle()
+            await cluster.stop("a")
+            await cluster.stop("b")
+            cluster.vms["a"].disk.wipe()
+            cluster.vms["b"].disk.wipe()
+            await cluster.start_all()
+            await asyncio.sleep(120)
+            self.assertFalse(any(log.is_leader for log in cluster.logs))
+            for vm_id in ("a", "b"):
+                log = cluster.vms[vm_id].running
+                self.assertEqual(Role.WAITING, log.role)
+
+        run_virtual(with_cluster(Cluster(), use))
+
+
+class MembershipTest(unittest.TestCase):
+    """Changes of members."""
+
+    def setUp(self):
+        logger.disable("burdockdrum")
+        self.addCleanup(logger.enable, "burdockdrum")
+
+    def test_emptied_member_does_not_vote_as_it_was(self):
+        # A command is accepted by the leader and b, while c is down. b comes
+        # back empty and the leader is gone: b and c must not elect a leader,
+        # for neither holds the command.
+        async def use(cluster):
+            leader = await cluster.leader()
+            c = await stop_follower(cluster, leader)
+            await leader.propose(b"kept", timeout=5)
+            b = await stop_follower_but(cluster, leader, c)
+            b.disk.wipe()
+            await cluster.stop(cluster.vm_of(leader).vm_id)
+            await cluster.start(b.vm_id)
+            await cluster.start(c.vm_id)
+            await asyncio.sleep(120)
+            self.assertFalse(any(log.is_leader for log in cluster.logs))
+
+        async def stop_follower_but(cluster, leader, down):
+            vm = next(
+                v
+                for v in cluster.vms.values()
+                if v.log is not leader and v is not down
+            )
+            await cluster.stop(vm.vm_id)
+            return vm
+
+        run_virtual(with_cluster(Cluster(), use))
+
+    def test_second_loss_right_after_a_repair_loses_nothing(self):
+        # b loses its disk and is added again. The moment it counts, another
+        # VM loses its disk too. Everything accepted is still there, also
+        # what was accepted while b was catching up.
+        async def use(cluster):
+            leader = await cluster.leader()
+            kept = []
+            for number in range(120):
+                kept.append(b"%d" % number)
+                await leader.propose(kept[-1], timeout=5)
+            emptied = await stop_follower(cluster, leader, wipe=True)
+            await cluster.start(emptied.vm_id)
+            await asyncio.sleep(1)
+            await replace(cluster, emptied.vm_id)
+            kept.append(b"meanwhile")
+            await leader.propose(kept[-1], timeout=5)
+            await cluster.until(lambda: len(voters(leader)) == 3)
+            second = next(
+                vm for vm in cluster.vms.values() if vm.log is leader
+            )
+            await cluster.stop(second.vm_id)
+            second.disk.wipe()
+            leader = await cluster.leader()
+            await leader.read_barrier(timeout=5)
+            self.assertEqual(kept, cluster.vm_of(leader).machine.commands)
+            await cluster.start(second.vm_id)
+            await asyncio.sleep(1)
+            await replace(cluster, second.vm_id)
+            await cluster.until(lambda: len(voters(leader)) == 3)
+            await cluster.settle()
+            self.assertEqual(kept, second.machine.commands)
+
+        settings = {"snapshot_every_entries": 30, "keep_entries": 5}
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                run_virtual(with_cluster(Cluster(seed=seed, **settings), use))
+
+    def test_learner_that_is_cut_off_counts_for_nothing(self):
+        async def use(cluster):
+            leader = await cluster.leader()
+            new = cluster.add_vm()
+            await cluster.start(new.vm_id)
+            await asyncio.sleep(1)
+            disk_id = new.running.disk_id
+            cluster.cut_off(new.vm_id)
+            await leader.add_member(new.vm_id, new.address, disk_id)
+            await stop_follower(cluster, leader)
+            await leader.propose(b"x", timeout=5)
+            self.assertEqual(["a", "b", "c"], voters(leader))
+
+        run_virtual(with_cluster(Cluster(), use))
+
+    def test_three_members_grow_to_five_and_back(self):
+        async def use(cluster):
+            leader = await cluster.leader()
+            for number in range(2):
+                new = cluster.add_vm()
+                await cluster.start(new.vm_id)
+                await asyncio.sleep(1)
+                await leader.add_member(
+                    new.vm_id, new.address, new.running.disk_id
+                )
+                size = 4 + number
+                await cluster.until(lambda n=size: len(voters(leader)) == n)
+            await leader.propose(b"x", timeout=5)
+            own_id = cluster.vm_of(leader).vm_id
+            await leader.remove_member(own_id)
+            await cluster.stop(own_id)
+            leader = await cluster.leader()
+            self.assertEqual(4, len(voters(leader)))
+            await leader.propose(b"y", timeout=5)
+            await cluster.settle()
+            for log in cluster.logs:
+                commands = cluster.vm_of(log).machine.commands
+                self.assertEqual([b"x", b"y"], commands)
+
+        run_virtual(with_cluster(Cluster(), use))
+
+    def test_other_disk_is_refused_until_the_old_one_is_removed(self):
+        async def use(cluster):
+            leader = await cluster.leader()
+            vm = await stop_follower(cluster, leader, wipe=True)
+            log = await cluster.start(vm.vm_id)
+            await asyncio.sleep(1)
+            with self.assertRaises(NotAccepted):
+                await leader.add_member(vm.vm_id, vm.address, log.disk_id)
+
+        run_virtual(with_cluster(Cluster(), use))
--- /dev/null
+++ b/tests/consensus/test_storage.py
@@ -0,0 +1,225 @@
+"""Tests of what is on the disk after crashes, torn writes and damage."""
+
+import random
+import unittest
+
+from burdockdrum.consensus import Configuration
+from burdockdrum.consensus import CorruptLog
+from burdockdrum.consensus.records import Entry
+from burdockdrum.consensus.records import EntryKind
+from burdockdrum.consensus.snapshot import Snapshot
+from burdockdrum.consensus.snapshot import SnapshotStore
+from burdockdrum.consensus.storage import Storage
+from burdockdrum.consensus.storage import StorageFailed
+from burdockdrum.testing import FakeDisk
+from burdockdrum.testing import run_virtual
+
+FIRST_SEGMENT = "log-0000000000000001"
+MEMBERS = Configuration(cluster_id="x", members=())
+
+
+class Crash(Exception):
+    """The process ends here."""
+
+
+class CrashingDisk:
+    """A disk whose process ends before its n-th change."""
+
+    def __init__(self, *, disk, changes):
+        self._disk = disk
+        self._left = changes
+
+    def __getattr__(self, name):
+        method = getattr(self._disk, name)
+        if name in ("read", "list"):
+            return method
+
+        async def count(*arguments):
+            if self._left == 0:
+                raise Crash
+            self._left -= 1
+            return await method(*arguments)
+
+        return count
+
+
+def entry(index, term=1, data=b"data"):
+    return Entry(index, term, EntryKind.COMMAND, data)
+
+
+async def open_storage(disk, *, segment_bytes=1000, snapshot=None):
+    storage = Storage(disk=disk, disk_id="d", segment_bytes=segment_bytes)
+    await storage.open(snapshot)
+    return storage
+
+
+async def write(storage, *entries):
+    for item in entries:
+        storage.append(item)
+    await storage._write_queue()
+
+
+class StorageTest(unittest.TestCase):
+    """Reading back what was written."""
+
+    def test_torn_tail_is_cut_wherever_it_tears(self):
+        # Power is lost while the last frame is being written. The member
+        # starts with all that was synced before, and goes on writing.
+        async def main():
+            disk = FakeDisk(rng=random.Random(1))
+            storage = await open_storage(disk)
+            await write(storage, entry(1), entry(2))
+            whole = len(await disk.read(FIRST_SEGMENT))
+            await write(storage, entry(3, data=b"x" * 50))
+            content = await disk.read(FIRST_SEGMENT)
+            for size in range(whole, len(content)):
+                torn = FakeDisk(rng=random.Random(1))
+                await torn.write(FIRST_SEGMENT, content[:size])
+                opened = await open_storage(torn)
+                self.assertEqual(2, opened.last_index)
+                await write(opened, entry(3, term=2))
+                opened = await open_storage(torn)
+                self.assertEqual(2, opened.last_term)
+
+        run_virtual(main())
+
+    def test_damage_before_a_whole_frame_is_refused(self):
+        # A byte of a synced record went bad. Cutting the log there would
+        # let this member vote without entries that it acknowledged.
+        async def main():
+            disk = FakeDisk(rng=random.Random(1))
+            storage = await open_storage(disk)
+            await write(storage, entry(1))
+            await write(storage, entry(2))
+            end = len(await disk.read(FIRST_SEGMENT))
+            await write(storage, entry(3))
+            for offset in range(end):
+                disk.corrupt(FIRST_SEGMENT, offset)
+                with self.assertRaises(CorruptLog):
+                    await open_storage(disk)
+                disk.corrupt(FIRST_SEGMENT, offset)
+            self.assertEqual(3, (await open_storage(disk)).last_index)
+
+        run_virtual(main())
+
+    def test_missing_segment_is_refused(self):
+        async def main():
+            disk = FakeDisk(rng=random.Random(1))
+            storage = await open_storage(disk, segment_bytes=100)
+            for index in range(1, 20):
+                await write(storage, entry(index))
+            names = await disk.list()
+            self.assertGreater(len(names), 3)
+            await disk.remove(names[1])
+            with self.assertRaises(CorruptLog):
+                await open_storage(disk)
+
+        run_virtual(main())
+
+    def test_later_entry_takes_away_those_after_it(self):
+        async def main():
+            disk = FakeDisk(rng=random.Random(1))
+            storage = await open_storage(disk)
+            await write(storage, entry(1), entry(2), entry(3))
+            await write(storage, entry(2, term=2))
+            for opened in (storage, await open_storage(disk)):
+                self.assertEqual(2, opened.last_index)
+                self.assertEqual(2, opened.durable_index)
+                self.assertEqual(2, opened.term_at(2))
+
+        run_virtual(main())
+
+    def test_entry_replaced_while_it_is_written_does_not_count(self):
+        # The sync of entry 2 is under way when a new leader replaces it. Its
+        # end must not count the new entry, which is not on the disk yet.
+        async def main():
+            disk = FakeDisk(rng=random.Random(1))
+            storage = await open_storage(disk)
+            storage.append(entry(1))
+            storage.append(entry(2))
+            honest = disk.sync
+
+            async def replace_meanwhile(name):
+                await honest(name)
+                storage.append(entry(2, term=2))
+
+            disk.sync = replace_meanwhile
+            await storage._write_queue()
+            self.assertEqual(1, storage.durable_index)
+
+        run_virtual(main())
+
+    def test_failed_sync_is_never_taken_back(self):
+        # The second sync reports success for pages that the first one lost.
+        async def main():
+            disk = FakeDisk(rng=random.Random(1))
+            storage = await open_storage(disk)
+            disk.fail_syncs = True
+            await write(storage, entry(1))
+            disk.fail_syncs = False
+            with self.assertRaises(StorageFailed):
+                await storage.sync()
+            await storage.run()
+            self.assertEqual(0, storage.durable_index)
+
+        run_virtual(main())
+
+
+class CrashTest(unittest.TestCase):
+    """A crash before each single change to the disk."""
+
+    def test_nothing_synced_is_lost_at_any_crash(self):
+        # Entries, votes, a snapshot, compaction and new segments; the
+        # process ends before change n, with and without a loss of power.
+        # After the restart all that was acknowledged is there.
+        async def main():
+            changes = 0
+            finished = False
+            while not finished:
+                for seed in range(4):
+                    finished = await self._crash_after(changes, seed)
+                changes += 1
+            self.assertGreater(changes, 30)
+
+        run_virtual(main())
+
+    async def _crash_after(self, changes, seed):
+        disk = FakeDisk(rng=random.Random(seed))
+        acknowledged = {"index": 0, "term": 0}
+        try:
+            await self._work(
+                CrashingDisk(disk=disk, changes=changes), acknowledged
+            )
+            finished = True
+        except Crash:
+            finished = False
+        if seed:
+            disk.lose_power()
+        snapshots = SnapshotStore(disk=disk)
+        snapshot = await snapshots.load()
+        storage = await open_storage(
+            disk, segment_bytes=200, snapshot=snapshot
+        )
+        self.assertGreaterEqual(storage.last_index, acknowledged["index"])
+        self.assertGreaterEqual(storage.term, acknowledged["term"])
+        for index in range(storage.base_index + 1, storage.last_index + 1):
+            self.assertEqual(index, storage.entry(index).index)
+        return finished
+
+    async def _work(self, disk, acknowledged):
+        snapshots = SnapshotStore(disk=disk)
+        storage = await open_storage(disk, segment_bytes=200)
+        for index in range(1, 31):
+            storage.set_hard_state(index // 5, None)
+            await write(storage, entry(index, term=index // 5))
+            acknowledged.update(index=index, term=index // 5)
+            if index % 10 == 0:
+                await snapshots.save(
+                    Snapshot.of(
+                        index=index,
+                        term=index // 5,
+                        configuration=MEMBERS,
+                        data=b"s" * index,
+                    )
+                )
+                await storage.compact(index - 2)
