--- a/burdockdrum/web/application.py
+++ b/burdockdrum/web/application.py
@@ -12,6 +12,7 @@
 from burdockdrum.web.guard import guard
 from burdockdrum.web.operators import OperatorFace
 from burdockdrum.web.peer_face import PeerFace
+from burdockdrum.web.quarantine_face import QuarantineFace
 
 PLAIN_METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE")
 
@@ -23,6 +24,7 @@
     operators: OperatorFace,
     peers: PeerFace,
     drain: Drain,
+    quarantine: QuarantineFace,
 ) -> Application:
     """Return the ASGI application of a daemon."""
     work = functools.partial(guard, check=drain.check)
@@ -33,6 +35,7 @@
     router.add_post("/v1/completions", work(callers.complete))
     router.add_get("/v1/models", guard(callers.list_models))
     router.add_get("/v1/entries", guard(callers.list_entries))
+    router.add_post("/v1/tickets", work(callers.issue_ticket))
     for method in PLAIN_METHODS:
         router.add(method, "/services/*", work(callers.call_plain))
 
@@ -53,6 +56,8 @@
     router.add_get("/v1/endpoints", guard(operators.list_endpoints))
     router.add_get("/v1/status", guard(operators.status))
     router.add_get("/v1/timeline", guard(operators.events))
+    router.add_get("/v1/quarantine", guard(quarantine.list))
+    router.add_delete("/v1/quarantine/:fingerprint", guard(quarantine.lift))
     router.add_post("/v1/drain", guard(operators.drain))
     router.add_get("/metrics", guard(operators.metrics))
     return application
--- a/tests/daemon/test_drain.py
+++ b/tests/daemon/test_drain.py
@@ -98,8 +98,7 @@
             for number, name in enumerate(ENTRIES, start=2):
                 await cluster.start_vm(make_settings(name, "north", number))
             engines = [
-                await self.start_engine(cluster, number)
-                for number in (1, 2)
+                await self.start_engine(cluster, number) for number in (1, 2)
             ]
             await asyncio.sleep(5)
             await self.configure(cluster)
