--- a/burdockdrum/web/application.py
+++ b/burdockdrum/web/application.py
@@ -35,7 +35,7 @@
     router.add_post("/v1/completions", work(callers.complete))
     router.add_get("/v1/models", guard(callers.list_models))
     router.add_get("/v1/entries", guard(callers.list_entries))
-    router.add_post("/v1/tickets", guard(callers.issue_ticket))
+    router.add_post("/v1/tickets", work(callers.issue_ticket))
     for method in PLAIN_METHODS:
         router.add(method, "/services/*", work(callers.call_plain))
 
