--- a/burdockdrum/claims/claims.py
+++ b/burdockdrum/claims/claims.py
@@ -40,6 +40,7 @@
 TAKE_SECONDS = 2.5
 MAX_COORDINATORS = 2
 TIDY_SECONDS = 10.0
+CONFIRM_POLL_SECONDS = 0.25
 
 
 class Claim:
@@ -124,6 +125,7 @@
             addresses_by_id=addresses_by_id,
         )
         self._last = configuration.current
+        self._confirmed = False
         peers.register(TakeCall, self._take_take)
         peers.register(SettleCall, self._take_settle)
         peers.register(TicketCall, self._take_ticket)
@@ -210,6 +212,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(recovery.run())
             group.create_task(self._tidy(self._keeper))
+            group.create_task(self._wait_until_confirmed())
             self._configuration.add_listener(
                 lambda new: self._note_clients(group, new)
             )
@@ -224,14 +227,24 @@
     ) -> None:
         """Note clients that were not there in the revision before.
 
-        Revision 0 says nothing: a VM that restarts starts there.
+        That counts only once a control VM has said that a revision seen
+        here was the newest: a VM that restarts may be shown old ones first,
+        in which clients are missing that have used keys since.
         """
         last, self._last = self._last, new
-        if self._keeper is None or last.revision == 0:
+        if self._keeper is None or not self._confirmed:
             return
         for client_id in new.clients_by_id.keys() - last.clients_by_id.keys():
             group.create_task(self._keeper.note_new_client(client_id))
 
+    async def _wait_until_confirmed(self) -> None:
+        started_at = self._clock.monotonic()
+        while not self._confirmed:
+            await self._clock.sleep(CONFIRM_POLL_SECONDS)
+            age = self._configuration.age
+            uptime = self._clock.monotonic() - started_at
+            self._confirmed = age is not None and age <= uptime
+
     def _find_home(self, client_id: str) -> str:
         client = self._configuration.current.clients_by_id.get(client_id)
         if client is None:
--- a/burdockdrum/requests/exchange.py
+++ b/burdockdrum/requests/exchange.py
@@ -22,6 +22,9 @@
 from burdockdrum.requests.attempts import VERDICT_HEADER
 from burdockdrum.requests.budget import RetryBudget
 from burdockdrum.requests.model import InboundRequest
+from burdockdrum.requests.priorities import DEFAULT_RANK
+from burdockdrum.requests.priorities import DEFAULT_WORTH
+from burdockdrum.requests.priorities import find_priority_class
 from burdockdrum.requests.residency import find_allowed_regions
 from burdockdrum.requests.upstreams import UpstreamOpener
 from burdockdrum.routing import AttemptOutcome
@@ -83,10 +86,14 @@
         :raises Refusal: if residency does not allow it to run anywhere
         """
         request = self.request
+        configuration = self._parts.configuration
+        spec = find_priority_class(configuration, request)
         return Demand(
             service=request.service,
-            regions=find_allowed_regions(self._parts.configuration, request),
+            regions=find_allowed_regions(configuration, request),
             deadline=request.deadline,
+            rank=spec.rank if spec else DEFAULT_RANK,
+            worth=spec.worth if spec else DEFAULT_WORTH,
             adapter=request.adapter,
             prompt_tokens=request.prompt_tokens,
             max_tokens=request.max_tokens,
--- a/burdockdrum/requests/residency.py
+++ b/burdockdrum/requests/residency.py
@@ -17,22 +17,7 @@
 
     :raises Refusal: if there is none, or client or service is unknown
     """
-    current = configuration.current
-    client = current.clients_by_id.get(request.client_id)
-    if client is None:
-        raise Refusal(
-            code=RefusalCode.UNKNOWN_CLIENT,
-            message=f"there is no client {request.client_id!r}",
-            verdict=Verdict.NOT_RUN,
-        )
-    service = current.services_by_name.get(request.service)
-    if service is None:
-        raise Refusal(
-            code=RefusalCode.UNKNOWN_SERVICE,
-            message=f"there is no service {request.service!r}",
-            verdict=Verdict.NOT_RUN,
-        )
-    allowed = frozenset(client.residency).intersection(service.regions)
+    allowed = configuration.allowed_regions(request.client_id, request.service)
     if not allowed:
         raise Refusal(
             code=RefusalCode.RESIDENCY,
