--- a/burdockdrum/routing/router.py
+++ b/burdockdrum/routing/router.py
@@ -111,10 +111,10 @@
         """
         options = self._weigh(demand)
         with_room = [option for option in options if option.room >= 1]
-        if demand.hops:
+        if demand.hops and not demand.displaced:
             return self._can_take_for_other(demand, options)
-        if with_room:
-            return True
+        if with_room or demand.hops:
+            return bool(with_room)
         return self._find_better_offer(demand, None, wait) is not None
 
     def estimate(self, demand: Demand) -> Estimate | None:
@@ -134,6 +134,12 @@
             first_token=offers[0].first_token, finish=offers[0].finish
         )
 
+    def is_displaced(self, demand: Demand) -> bool:
+        """Say whether no endpoint of this data centre may ever run it."""
+        if self._vms.identity.region not in demand.regions:
+            return True
+        return not self._endpoints.candidates(demand.service)
+
     def begin(self, endpoint: Endpoint, demand: Demand) -> Attempt:
         """Count an attempt that starts now."""
         tracker = self._track(endpoint)
@@ -178,7 +184,8 @@
         """Return how many requests of this VM may run at once here.
 
         The data centre's entry VMs share its endpoints as their work does
-        now; an idle VM counts as having one request.
+        now, but none has less than an equal part: an idle VM that counted
+        with nothing would take its first wait for endless.
         """
         now = self.now()
         limit = own = total = 0.0
@@ -187,7 +194,12 @@
             limit += tracker.current_limit(now)
             own += tracker.own.count
             total += tracker.estimate_load(endpoint)
-        return limit * max(1.0, own) / max(1.0, total)
+        identity = self._vms.identity
+        entries = sum(
+            view.identity.data_centre == identity.data_centre
+            for view in self._vms.live_vms()
+        )
+        return limit * max(own / max(1.0, total), 1 / max(1, entries))
 
     def mean_service_seconds(self, service: str) -> float:
         """Return how long a request has run lately."""
@@ -290,7 +302,9 @@
         """Return another data centre's offer if going there pays."""
         if best is not None and best.room >= 1:
             return None
-        offers = [o for o in self._find_offers(demand) if o.room >= 1]
+        offers = self._find_offers(demand)
+        if not self.is_displaced(demand):
+            offers = [offer for offer in offers if offer.room >= 1]
         if not offers:
             return None
         here = math.inf
@@ -319,7 +333,8 @@
         """
         if not options:
             return self._explain(demand)
-        if not self._can_take_for_other(demand, options):
+        is_spill = not demand.displaced
+        if is_spill and not self._can_take_for_other(demand, options):
             return Nowhere(message="no room beyond that of own callers")
         best = self._pick(options, demand)
         assert best is not None
@@ -364,6 +379,7 @@
                 expected=attempt.expected_first,
                 tokens_read=attempt.tokens_read,
             )
+            tracker.compare(self._typical_slowness(attempt.endpoint.service))
 
     def _learn_finish(self, attempt: Attempt, facts: AttemptFacts) -> None:
         now = self.now()
@@ -409,6 +425,13 @@
         self._trackers_by_id[endpoint.endpoint_id] = tracker
         return tracker
 
+    def _typical_slowness(self, service: str) -> float:
+        values = [
+            self._track(endpoint).speed.slowness
+            for endpoint in self._endpoints.candidates(service)
+        ]
+        return statistics.median(values) if values else 1.0
+
     def _typical_speed(self, service: str) -> Speed:
         """Return the median speed of a service's endpoints."""
         now = self.now()
--- a/burdockdrum/web/streaming.py
+++ b/burdockdrum/web/streaming.py
@@ -1,7 +1,6 @@
 """Send an answer while watching whether the caller is still there."""
 
 import asyncio
-from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 
@@ -96,14 +95,11 @@
     return Response(answer.status, headers, streamed)
 
 
-async def watch(
+def watch_stream(
     request: Request, parts: AsyncIterator[bytes]
-) -> AsyncGenerator[bytes, None]:
-    """Yield the parts until the caller has gone."""
-    watching = CallerWatch(request=request)
-    stream = _stream(watching, parts)()
-    async for part in stream:
-        yield part
+) -> Callable[[], AsyncIterator[bytes]]:
+    """Return the body of an answer that ends once its caller has gone."""
+    return _stream(CallerWatch(request=request), parts)
 
 
 def _stream(
