--- a/burdockdrum/requests/exchange.py
+++ b/burdockdrum/requests/exchange.py
@@ -61,6 +61,12 @@
     identity: VmIdentity
 
 
+# A refusal of one entry VM, whose neighbours may do better.
+_OF_ENTRY_ALONE = frozenset(
+    {RefusalCode.DRAINING, RefusalCode.CONFIGURATION_STALE}
+)
+
+
 class Exchange:
     """One request, its attempts so far, and the verdict on them."""
 
@@ -345,7 +351,7 @@
     """Say whether another entry VM of the data centre may do better."""
     if failure.outcome is AttemptOutcome.UNREACHABLE:
         return True
-    return failure.refusal.code is RefusalCode.DRAINING
+    return failure.refusal.code in _OF_ENTRY_ALONE
 
 
 def _refuse_nowhere(nowhere: Nowhere, last: Refusal | None) -> Refusal:
