--- a/burdockdrum/requests/service.py
+++ b/burdockdrum/requests/service.py
@@ -19,6 +19,9 @@
 from burdockdrum.verdicts import RefusalCode
 from burdockdrum.verdicts import Verdict
 
+KNOWN_WAIT_SECONDS = 3.0
+KNOWN_POLL_SECONDS = 0.1
+
 
 class RequestService:
     """Give each accepted request one complete answer or a refusal."""
@@ -40,6 +43,7 @@
             service=request.service,
         )
         self._check_hops(request)
+        await self._wait_until_known(request)
         self._parts.budget.earn()
         if not request.unrepeatable:
             return await self._serve(request)
@@ -127,6 +131,20 @@
             body=_release_after(permit, exchange, answer.body),
         )
 
+    async def _wait_until_known(self, request: InboundRequest) -> None:
+        """Hold a request while this VM learns what to serve by.
+
+        A VM that has just started is on callers' lists a moment before it
+        knows that its configuration is the newest. Refused at once, their
+        requests would fail at each replacement of an entry VM.
+        """
+        clock = self._parts.clock
+        until = min(clock.monotonic() + KNOWN_WAIT_SECONDS, request.deadline)
+        while not self._parts.configuration.known:
+            if clock.monotonic() >= until:
+                return
+            await clock.sleep(KNOWN_POLL_SECONDS)
+
     def _check_hops(self, request: InboundRequest) -> None:
         hops = request.hops
         own = self._parts.identity.data_centre
