Order waiting requests by the worth a second of their class

Cause: by each request's own worth a second, long requests of the top class were overtaken by the shortest of the others and missed their deadlines.

--- a/burdockdrum/admission/admission.py
+++ b/burdockdrum/admission/admission.py
@@ -22,6 +22,7 @@
 # Waiters looked at for a start in one go; those behind wait for the next.
 MAX_TRIES = 8
 MIN_RETRY_AFTER_SECONDS = 1.0
+_WEIGHT = 0.05
 
 
 class Permit:
@@ -61,6 +62,7 @@
         self._router = router
         self._policy = policy or PolicySettings()
         self._lines_by_service: dict[str, WaitingLine] = {}
+        self._mean_seconds_by_worth: dict[float, float] = {}
         self._order = itertools.count()
         self._filled = asyncio.Event()
         self.running = 0
@@ -99,9 +101,7 @@
         line = self._lines_by_service.get(demand.service)
         if not line:
             return 0.0
-        # An estimate of its run would ask the router again, which asks
-        # here: the place in the line needs the order only.
-        key = self._key(demand, 1.0, sequence=math.inf)
+        key = self._key(demand, math.inf)
         ahead = line.seconds_ahead(key)
         return self._drain_seconds(demand.service, ahead)
 
@@ -112,7 +112,8 @@
             return
         self._check_deadline(demand, estimate)
         line = self._lines_by_service.setdefault(demand.service, WaitingLine())
-        key = self._key(demand, estimate.finish, next(self._order))
+        self._learn_seconds(demand, estimate.finish)
+        key = self._key(demand, next(self._order))
         ahead = line.seconds_ahead(key)
         wait = self._drain_seconds(demand.service, ahead)
         if not ahead and self._router.can_start(demand, wait=wait):
@@ -147,14 +148,23 @@
                 MIN_RETRY_AFTER_SECONDS,
             )
 
-    def _key(
-        self, demand: Demand, slot_seconds: float, sequence: float
-    ) -> tuple[float, ...]:
-        """Return the place of a request in its line."""
+    def _key(self, demand: Demand, sequence: float) -> tuple[float, ...]:
+        """Return the place of a request in its line.
+
+        Worth counts a second of a class's mean run and not of the request
+        itself: otherwise the long requests of the best class are overtaken
+        by the shortest of the others and miss their deadlines.
+        """
         if self._policy.prefer == "worth":
-            return (-demand.worth / max(slot_seconds, 0.01), sequence)
+            mean = self._mean_seconds_by_worth.get(demand.worth, 1.0)
+            return (-demand.worth / mean, demand.rank, sequence)
         return (demand.rank, sequence)
 
+    def _learn_seconds(self, demand: Demand, seconds: float) -> None:
+        means = self._mean_seconds_by_worth
+        mean = means.get(demand.worth, seconds)
+        means[demand.worth] = max(0.01, mean + _WEIGHT * (seconds - mean))
+
     def _reconsider(self, service: str) -> None:
         """Start the first waiter that can, and shed those that can't."""
         line = self._lines_by_service.get(service)
