Let another entry VM of the data centre have the slot that it needs more

Cause: the VM whose request ends sees the free slot at once, others only in the next report: the VM that had most slots kept them and ran its lower classes while the top class missed deadlines at the other.

--- a/burdockdrum/admission/admission.py
+++ b/burdockdrum/admission/admission.py
@@ -22,6 +22,9 @@
 # Waiters looked at for a start in one go; those behind wait for the next.
 MAX_TRIES = 8
 MIN_RETRY_AFTER_SECONDS = 1.0
+# How much longer the line of another entry VM must be to be let ahead.
+YIELD_FACTOR = 1.3
+YIELD_SECONDS = 1.0
 _WEIGHT = 0.05
 
 
@@ -172,7 +175,7 @@
             return
         ahead = 0.0
         for tries, waiter in enumerate(line):
-            if tries >= MAX_TRIES:
+            if tries >= MAX_TRIES or self._should_yield(service):
                 break
             wait = self._drain_seconds(service, ahead)
             ahead += waiter.slot_seconds
@@ -182,6 +185,18 @@
                 break
         self._shed(service, line)
 
+    def _should_yield(self, service: str) -> bool:
+        """Say whether another entry VM here should have the next slot.
+
+        The VM whose request ends sees the free slot first, others only in
+        the next report. Without this the VM that once has most slots keeps
+        them, while better requests wait in vain at the other.
+        """
+        share = self._router.share(service)
+        mine = self.queue_seconds(service)
+        behind = share.peers_wait > mine * YIELD_FACTOR + YIELD_SECONDS
+        return behind and share.own > share.equal_part
+
     def _shed(self, service: str, line: WaitingLine) -> None:
         """Refuse the waiters that would wait too long, at once.
 
@@ -220,7 +235,7 @@
 
     def _drain_seconds(self, service: str, slot_seconds: float) -> float:
         """Return when so much work ahead will have been started."""
-        capacity = max(1.0, self._router.own_capacity(service))
+        capacity = max(1.0, self._router.share(service).capacity)
         mean = self._router.mean_service_seconds(service)
         return (mean + slot_seconds) / capacity
 
--- a/burdockdrum/routing/__init__.py
+++ b/burdockdrum/routing/__init__.py
@@ -3,6 +3,7 @@
 from burdockdrum.routing.attempts import Attempt
 from burdockdrum.routing.elsewhere import MAX_HOPS
 from burdockdrum.routing.model import AttemptOutcome
+from burdockdrum.routing.model import CapacityShare
 from burdockdrum.routing.model import Choice
 from burdockdrum.routing.model import Demand
 from burdockdrum.routing.model import Estimate
@@ -16,6 +17,7 @@
     "add_services",
     "Attempt",
     "AttemptOutcome",
+    "CapacityShare",
     "Choice",
     "Demand",
     "Estimate",
--- a/burdockdrum/routing/model.py
+++ b/burdockdrum/routing/model.py
@@ -41,6 +41,38 @@
     finish: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class CapacityShare:
+    """What a data centre can run of a service, and this VM's part.
+
+    ``limit``, ``own`` and ``total`` are requests: what may run, what this
+    VM has running and what all of its ``entries`` VMs have. ``peers_wait``
+    is the longest line of the others there, in seconds.
+    """
+
+    limit: float
+    own: float
+    total: float
+    entries: int
+    peers_wait: float
+
+    @property
+    def equal_part(self) -> float:
+        """Return the requests that each entry VM could have running."""
+        return self.limit / self.entries
+
+    @property
+    def capacity(self) -> float:
+        """Return how many requests of this VM may run at once.
+
+        The entry VMs share the endpoints as their work does now, but none
+        has less than an equal part: an idle VM that counted with nothing
+        would take its first wait for endless.
+        """
+        share = self.own / max(1.0, self.total)
+        return self.limit * max(share, 1 / self.entries)
+
+
 @dataclass(frozen=True, kw_only=True)
 class ToEndpoint:
     """Send the request to an endpoint of this data centre."""
--- a/burdockdrum/routing/router.py
+++ b/burdockdrum/routing/router.py
@@ -17,6 +17,7 @@
 from burdockdrum.routing.elsewhere import reserve_of
 from burdockdrum.routing.model import AttemptFacts
 from burdockdrum.routing.model import AttemptOutcome
+from burdockdrum.routing.model import CapacityShare
 from burdockdrum.routing.model import Choice
 from burdockdrum.routing.model import Demand
 from burdockdrum.routing.model import Estimate
@@ -27,6 +28,7 @@
 from burdockdrum.routing.tracking import EndpointTracker
 from burdockdrum.settings import PolicySettings
 from burdockdrum.vms import VmDirectory
+from burdockdrum.vms import VmView
 
 _FAILURES = (
     AttemptOutcome.FAILED,
@@ -174,13 +176,8 @@
                 total += max(0.0, tracker.current_limit(now) - load)
         return total
 
-    def own_capacity(self, service: str) -> float:
-        """Return how many requests of this VM may run at once here.
-
-        The data centre's entry VMs share its endpoints as their work does
-        now, but none has less than an equal part: an idle VM that counted
-        with nothing would take its first wait for endless.
-        """
+    def share(self, service: str) -> CapacityShare:
+        """Return this VM's part of what its data centre can run."""
         now = self.now()
         limit = own = total = 0.0
         for endpoint in self._endpoints.candidates(service):
@@ -188,12 +185,30 @@
             limit += tracker.current_limit(now)
             own += tracker.own.count
             total += tracker.estimate_load(endpoint)
-        identity = self._vms.identity
-        entries = sum(
-            view.identity.data_centre == identity.data_centre
-            for view in self._vms.live_vms()
+        peers = self._peers_here()
+        return CapacityShare(
+            limit=limit,
+            own=own,
+            total=total,
+            entries=len(peers) + 1,
+            peers_wait=max(
+                (
+                    summary.queue_seconds
+                    for view in peers
+                    for summary in view.services
+                    if summary.service == service
+                ),
+                default=0.0,
+            ),
         )
-        return limit * max(own / max(1.0, total), 1 / max(1, entries))
+
+    def _peers_here(self) -> list[VmView]:
+        own = self._vms.identity.data_centre
+        return [
+            view
+            for view in self._vms.live_vms()[1:]
+            if view.identity.data_centre == own and not view.draining
+        ]
 
     def mean_service_seconds(self, service: str) -> float:
         """Return how long a request has run lately."""
