--- a/burdockdrum/admission/admission.py
+++ b/burdockdrum/admission/admission.py
@@ -1,6 +1,7 @@
 """Accept a request, or refuse it early and cheaply."""
 
 import asyncio
+from dataclasses import dataclass
 import itertools
 import math
 
@@ -43,6 +44,18 @@
             self._admission.running -= 1
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Drain:
+    """How fast a line empties: mean run in seconds, runs at once."""
+
+    mean: float
+    capacity: float
+
+    def seconds(self, ahead: float) -> float:
+        """Return when so many slot seconds ahead will have started."""
+        return (self.mean + ahead) / self.capacity
+
+
 class Admission:
     """Decide which requests may start, and in which order.
 
@@ -97,7 +110,7 @@
         if not line:
             return 0.0
         ahead = sum(waiter.slot_seconds for waiter in line) / 2
-        return self._drain_seconds(service, ahead)
+        return self._read_drain(service).seconds(ahead)
 
     def expect_wait(self, demand: Demand) -> float:
         """Return how long a request would wait for its turn here."""
@@ -106,7 +119,7 @@
             return 0.0
         key = self._key(demand, math.inf)
         ahead = line.seconds_ahead(key)
-        return self._drain_seconds(demand.service, ahead)
+        return self._read_drain(demand.service).seconds(ahead)
 
     async def _wait_for_room(self, demand: Demand) -> None:
         estimate = self._router.estimate(demand)
@@ -118,7 +131,7 @@
         self._learn_seconds(demand, estimate.finish)
         key = self._key(demand, next(self._order))
         ahead = line.seconds_ahead(key)
-        wait = self._drain_seconds(demand.service, ahead)
+        wait = self._read_drain(demand.service).seconds(ahead)
         if not ahead and self._router.can_start(demand, wait=wait):
             return
         if demand.hops:
@@ -134,7 +147,7 @@
         line.add(waiter)
         self._filled.set()
         try:
-            self._shed(demand.service, line)
+            self._shed(line, self._read_drain(demand.service))
             await waiter.turn
         finally:
             line.remove(waiter)
@@ -173,17 +186,22 @@
         line = self._lines_by_service.get(service)
         if not line:
             return
+        drain = self._read_drain(service)
+        if not self._should_yield(service):
+            self._start_one(line, drain)
+        self._shed(line, drain)
+
+    def _start_one(self, line: WaitingLine, drain: _Drain) -> None:
         ahead = 0.0
         for tries, waiter in enumerate(line):
-            if tries >= MAX_TRIES or self._should_yield(service):
-                break
-            wait = self._drain_seconds(service, ahead)
+            if tries >= MAX_TRIES:
+                return
+            wait = drain.seconds(ahead)
             ahead += waiter.slot_seconds
             if self._router.can_start(waiter.demand, wait=wait):
                 line.remove(waiter)
                 waiter.admit()
-                break
-        self._shed(service, line)
+                return
 
     def _should_yield(self, service: str) -> bool:
         """Say whether another entry VM here should have the next slot.
@@ -197,7 +215,7 @@
         behind = share.peers_wait > mine * YIELD_FACTOR + YIELD_SECONDS
         return behind and share.own > share.equal_part
 
-    def _shed(self, service: str, line: WaitingLine) -> None:
+    def _shed(self, line: WaitingLine, drain: _Drain) -> None:
         """Refuse the waiters that would wait too long, at once.
 
         Those who come later in the order wait for all before them, so the
@@ -206,7 +224,7 @@
         now = self._clock.monotonic()
         ahead = 0.0
         for waiter in line:
-            wait = self._drain_seconds(service, ahead)
+            wait = drain.seconds(ahead)
             ahead += waiter.slot_seconds
             finish = now + wait + waiter.slot_seconds
             if finish > waiter.demand.deadline:
@@ -233,11 +251,11 @@
             return math.inf
         return self._policy.max_wait_seconds
 
-    def _drain_seconds(self, service: str, slot_seconds: float) -> float:
-        """Return when so much work ahead will have been started."""
-        capacity = max(1.0, self._router.share(service).capacity)
-        mean = self._router.mean_service_seconds(service)
-        return (mean + slot_seconds) / capacity
+    def _read_drain(self, service: str) -> _Drain:
+        return _Drain(
+            mean=self._router.mean_service_seconds(service),
+            capacity=max(1.0, self._router.share(service).capacity),
+        )
 
 
 def _refuse(code: RefusalCode, message: str, retry_after: float) -> Refusal:
