Offer a data centre that refused nothing for a moment, and wait meanwhile

Before, a request that two data centres had refused was refused at once; now it waits for its turn, and its VM asks them again after 0.6 s. A line without endpoints at home is held against an equal part of what survives.

--- a/burdockdrum/routing/elsewhere.py
+++ b/burdockdrum/routing/elsewhere.py
@@ -20,6 +20,9 @@
 FILL_PER_SECOND = 0.02
 # Own forwards count against a summary's room until it can show them.
 FORWARD_SHOWS_SECONDS = 1.5
+# A data centre that refused a request is not asked for so long: its summary
+# comes every half second, and is late.
+REFUSED_SECONDS = 0.6
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -60,6 +63,7 @@
         self._spill_reserve = spill_reserve
         self._placements = PlacementMemory(capacity=10_000)
         self._forwards: dict[str, collections.deque[float]] = {}
+        self._refused_at: dict[str, float] = {}
 
     def find_offers(self, demand: Demand, speed: Speed) -> list[Offer]:
         """Return the data centres that may run a request, best first."""
@@ -85,6 +89,26 @@
         self._rng.shuffle(entries)
         return ToDataCentre(data_centre=data_centre, entries=tuple(entries))
 
+    def note_refused(self, data_centre: str) -> None:
+        """Offer nothing of a data centre until its view is newer."""
+        self._refused_at[data_centre] = self._clock.monotonic()
+
+    def equal_part(self, service: str) -> float:
+        """Return the slots elsewhere that are this data centre's part.
+
+        What survives is split evenly among the data centres that there
+        were: it bounds a line where there is no endpoint at home.
+        """
+        own = self._vms.identity.data_centre
+        slots_by_data_centre = {
+            view.identity.data_centre: summary.slots
+            for view in self._vms.live_vms()[1:]
+            for summary in view.services
+            if summary.service == service and view.identity.data_centre != own
+        }
+        slots = sum(slots_by_data_centre.values())
+        return slots / (len(slots_by_data_centre) + 1)
+
     def _find_summaries(
         self, demand: Demand
     ) -> dict[str, tuple[ServiceSummary, float]]:
@@ -128,6 +152,12 @@
         blocks = len(demand.prefix_hashes)
         warm = depths.get(name, 0) / blocks if blocks else 0.0
         read = demand.prompt_tokens * (1 - warm) * speed.prefill
+        refused_at = self._refused_at.get(name)
+        if refused_at is not None:
+            if self._clock.monotonic() - refused_at < REFUSED_SECONDS:
+                room = min(0.0, room)
+            else:
+                del self._refused_at[name]
         wait = summary.queue_seconds if room < 1 else 0.0
         first = 2 * self._wide_area_seconds + read + wait + speed.token
         return Offer(
--- a/burdockdrum/routing/router.py
+++ b/burdockdrum/routing/router.py
@@ -136,6 +136,14 @@
             first_token=offers[0].first_token, finish=offers[0].finish
         )
 
+    def note_forward_refused(self, data_centre: str) -> None:
+        """Take in that a data centre had no room for a request.
+
+        It is offered nothing for a moment; the request itself need not
+        exclude it for good and may wait here until there is room again.
+        """
+        self._elsewhere.note_refused(data_centre)
+
     def begin(self, endpoint: Endpoint, demand: Demand) -> Attempt:
         """Count an attempt that starts now."""
         tracker = self._track(endpoint)
@@ -186,6 +194,7 @@
             own += tracker.own.count
             total += tracker.estimate_load(endpoint)
         peers = self._peers_here()
+        limit = limit or self._elsewhere.equal_part(service)
         return CapacityShare(
             limit=limit,
             own=own,
--- a/scripts/experiment/driver.py
+++ b/scripts/experiment/driver.py
@@ -34,6 +34,7 @@
 from scripts.experiment.world import World
 
 MAX_TRIES = 3
+MAX_FORWARDS = 5
 
 
 class Ending(enum.Enum):
@@ -139,7 +140,7 @@
 
         :param back: seconds that a token takes from there to the caller
         """
-        for _ in range(MAX_TRIES):
+        for _ in range(MAX_TRIES + MAX_FORWARDS):
             permit = await entry.admission.admit("client", demand)
             try:
                 match entry.router.choose(demand):
@@ -152,9 +153,7 @@
                     case ToDataCentre() as choice:
                         if await self._forward(entry, choice, demand, back):
                             return
-                        tried = demand.excluded_data_centres
-                        tried = tried | {choice.data_centre}
-                        demand = replace(demand, excluded_data_centres=tried)
+                        entry.router.note_forward_refused(choice.data_centre)
                     case Nowhere() as nowhere:
                         raise _overloaded(nowhere.message)
             finally:
