Let requests whose home has no endpoint wait where they are sent

Cause: after a region's loss its requests were kept at home until a summary showed room beyond the receivers' reserve; own callers there took each slot before the summary was out. Now the receiver lets them wait in its own line, behind its own callers of the same rank.

--- a/burdockdrum/admission/admission.py
+++ b/burdockdrum/admission/admission.py
@@ -134,9 +134,9 @@
         wait = self._read_drain(demand.service).seconds(ahead)
         if not ahead and self._router.can_start(demand, wait=wait):
             return
-        if demand.hops:
-            # A request of another data centre never waits here: its own
-            # entry has a line, and knows better where else there is room.
+        if demand.hops and not self._router.is_homeless(demand):
+            # Its own entry has a line for it, and knows better where else
+            # there is room. One whose home has no endpoint waits here.
             raise _refuse(RefusalCode.OVERLOADED, "no room for others", 1.0)
         waiter = Waiter(
             demand=demand,
@@ -173,8 +173,8 @@
         """
         if self._policy.prefer == "worth":
             mean = self._mean_seconds_by_worth.get(demand.worth, 1.0)
-            return (-demand.worth / mean, demand.rank, sequence)
-        return (demand.rank, sequence)
+            return (-demand.worth / mean, len(demand.hops), sequence)
+        return (demand.rank, len(demand.hops), sequence)
 
     def _learn_seconds(self, demand: Demand, seconds: float) -> None:
         means = self._mean_seconds_by_worth
--- a/burdockdrum/routing/elsewhere.py
+++ b/burdockdrum/routing/elsewhere.py
@@ -2,6 +2,7 @@
 
 import collections
 from dataclasses import dataclass
+import math
 import random
 
 from burdockdrum.peers import VmIdentity
@@ -29,11 +30,13 @@
 class Offer:
     """A data centre that would take a request, and when it would begin.
 
-    ``room`` is what it has beyond the part reserved for its own callers.
+    ``room`` is what it has beyond the part reserved for its own callers;
+    ``refused`` says that it refused a request a moment ago.
     """
 
     data_centre: str
     room: float
+    refused: bool
     first_token: float
     finish: float
 
@@ -93,6 +96,15 @@
         """Offer nothing of a data centre until its view is newer."""
         self._refused_at[data_centre] = self._clock.monotonic()
 
+    def has_endpoints(self, data_centre: str, service: str) -> bool:
+        """Say whether a data centre is known to have a live endpoint."""
+        return any(
+            summary.service == service and summary.endpoints
+            for view in self._vms.live_vms()[1:]
+            if view.identity.data_centre == data_centre
+            for summary in view.services
+        )
+
     def equal_part(self, service: str) -> float:
         """Return the slots elsewhere that are this data centre's part.
 
@@ -152,21 +164,23 @@
         blocks = len(demand.prefix_hashes)
         warm = depths.get(name, 0) / blocks if blocks else 0.0
         read = demand.prompt_tokens * (1 - warm) * speed.prefill
-        refused_at = self._refused_at.get(name)
-        if refused_at is not None:
-            if self._clock.monotonic() - refused_at < REFUSED_SECONDS:
-                room = min(0.0, room)
-            else:
-                del self._refused_at[name]
+        refused = self._has_refused(name)
+        if refused:
+            room = min(0.0, room)
         wait = summary.queue_seconds if room < 1 else 0.0
         first = 2 * self._wide_area_seconds + read + wait + speed.token
         return Offer(
             data_centre=name,
             room=room,
+            refused=refused,
             first_token=first,
             finish=first + demand.max_tokens * speed.token,
         )
 
+    def _has_refused(self, name: str) -> bool:
+        refused_at = self._refused_at.get(name, -math.inf)
+        return self._clock.monotonic() - refused_at < REFUSED_SECONDS
+
     def _recent_forwards(self, name: str) -> int:
         forwards = self._forwards.get(name)
         if not forwards:
--- a/burdockdrum/routing/router.py
+++ b/burdockdrum/routing/router.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 import itertools
-import math
 import random
 import statistics
 
@@ -119,6 +118,13 @@
             return True
         return self._find_better_offer(demand, None, wait) is not None
 
+    def is_homeless(self, demand: Demand) -> bool:
+        """Say whether a request was passed on for want of any endpoint."""
+        if not demand.hops:
+            return False
+        home = demand.hops[0]
+        return not self._elsewhere.has_endpoints(home, demand.service)
+
     def estimate(self, demand: Demand) -> Estimate | None:
         """Return the best that a request may expect once it starts."""
         options = self._weigh(demand)
@@ -320,16 +326,18 @@
         """Return another data centre's offer if going there pays."""
         if best is not None and best.room >= 1:
             return None
-        offers = [o for o in self._find_offers(demand) if o.room >= 1]
-        if not offers:
-            return None
-        here = math.inf
+        offers = self._find_offers(demand)
         estimate = best.estimate if best else self._estimate_here(demand)
-        if estimate is not None:
-            here = estimate.finish + wait
+        if estimate is None:
+            # There is no endpoint at home: the request may as well wait
+            # there, in the order of its rank.
+            return next((o for o in offers if not o.refused), None)
+        here = estimate.finish + wait
         margin = self.policy.spill_margin_seconds
-        better = [offer for offer in offers if offer.finish + margin < here]
-        return better[0] if better else None
+        for offer in offers:
+            if offer.room >= 1 and offer.finish + margin < here:
+                return offer
+        return None
 
     def _estimate_here(self, demand: Demand) -> Estimate | None:
         options = self._weigh(demand)
@@ -349,7 +357,7 @@
         """
         if not options:
             return self._explain(demand)
-        if not self._can_take_for_other(demand, options):
+        if not self.can_start(demand):
             return Nowhere(message="no room beyond that of own callers")
         best = self._pick(options, demand)
         assert best is not None
@@ -360,8 +368,12 @@
     ) -> bool:
         room = sum(max(0.0, option.room) for option in options)
         slots = sum(option.endpoint.slots for option in options)
-        reserve = reserve_of(slots, self.policy.spill_reserve)
         has_room = any(option.room >= 1 for option in options)
+        if self.is_homeless(demand):
+            # It has no other place to run. Own callers of its rank still
+            # go before it in the line.
+            return has_room
+        reserve = reserve_of(slots, self.policy.spill_reserve)
         return has_room and room >= 1 + reserve / 2
 
     def _explain(self, demand: Demand) -> Nowhere:
