--- a/burdockdrum/admission/admission.py
+++ b/burdockdrum/admission/admission.py
@@ -106,8 +106,8 @@
 
     def queue_seconds(self, service: str) -> float:
         """Return how long a request of middling rank would wait."""
-        line = self._lines_by_service.get(service)
-        if not line:
+        line = self._lines_by_service.get(service) or ()
+        if not line and self._router.room(service) >= 1:
             return 0.0
         ahead = sum(waiter.slot_seconds for waiter in line) / 2
         return self._read_drain(service).seconds(ahead)
--- a/burdockdrum/routing/elsewhere.py
+++ b/burdockdrum/routing/elsewhere.py
@@ -167,14 +167,19 @@
         refused = self._has_refused(name)
         if refused:
             room = min(0.0, room)
-        wait = summary.queue_seconds if room < 1 else 0.0
+        run = demand.max_tokens * speed.token
+        wait = 0.0
+        if room < 1:
+            # What was sent there since has joined the line.
+            ahead = self._recent_forwards(name) * run
+            wait = summary.queue_seconds + ahead / max(1, summary.slots)
         first = 2 * self._wide_area_seconds + read + wait + speed.token
         return Offer(
             data_centre=name,
             room=room,
             refused=refused,
             first_token=first,
-            finish=first + demand.max_tokens * speed.token,
+            finish=first + run,
         )
 
     def _has_refused(self, name: str) -> bool:
