--- a/burdockdrum/testing/asgi.py
+++ b/burdockdrum/testing/asgi.py
@@ -69,6 +69,8 @@
         self.head: asyncio.Future[tuple[int, dict[str, str]]] = (
             asyncio.Future()
         )
+        # A caller that has gone does not ask what became of the head.
+        self.head.add_done_callback(_note_retrieved)
         self.task: asyncio.Task[None] | None = None
 
     async def run(self, application: Any) -> None:
@@ -158,3 +160,8 @@
             "server": (parts.hostname, parts.port),
             "root_path": "",
         }
+
+
+def _note_retrieved(head: asyncio.Future[tuple[int, dict[str, str]]]) -> None:
+    if not head.cancelled():
+        head.exception()
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -2,11 +2,19 @@
 
 Usage: python -m scripts.run_tests [PATTERN ...]
 
-Every test under tests/ runs. A failing test that KNOWN-RED.txt names is
-printed and passed over; any other failure fails the run, and so does a
-named test that passes, because then its line is out of date.
+Every test under tests/ whose dotted name has one of the patterns runs, each
+module in a process of its own, a few at a time. A failing test that
+KNOWN-RED.txt names is printed and passed over; any other failure fails the
+run, and so does a named test that passes, because then its line is out of
+date.
 """
 
+import concurrent.futures
+from dataclasses import dataclass
+import io
+import itertools
+import multiprocessing
+import os
 import pathlib
 import sys
 import time
@@ -16,6 +24,17 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+MAX_PROCESSES = 6
+SLOWEST = 5
+
+
+@dataclass(frozen=True, kw_only=True)
+class ModuleResult:
+    """What came of the tests of one module."""
+
+    output: str
+    failed: frozenset[str]
+    seconds_by_test: dict[str, float]
 
 
 def read_known_red() -> dict[str, str]:
@@ -30,19 +49,22 @@
     return lines_by_test
 
 
-def find_tests(patterns: list[str]) -> unittest.TestSuite:
-    """Collect the tests whose dotted name has one of the patterns.
+def find_tests(patterns: list[str]) -> dict[str, list[str]]:
+    """Return the names of the tests that have a pattern, by module.
 
     :param patterns: parts of dotted names; none means every test
     """
-    found = unittest.TestLoader().discover(
-        str(ROOT / "tests"), top_level_dir=str(ROOT)
-    )
-    chosen = unittest.TestSuite()
+    loader = unittest.TestLoader()
+    found = loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
+    for error in loader.errors:
+        print(error)
+    names_by_module: dict[str, list[str]] = {}
     for test in flatten(found):
         if not patterns or any(part in test.id() for part in patterns):
-            chosen.addTest(test)
-    return chosen
+            # A module that can't be imported is a test of its own.
+            module = type(test).__module__
+            names_by_module.setdefault(module, []).append(test.id())
+    return names_by_module
 
 
 def flatten(suite: unittest.TestSuite) -> list[unittest.TestCase]:
@@ -75,33 +97,62 @@
         super().stopTest(test)
 
 
+def run_module(names: list[str]) -> ModuleResult:
+    """Run the named tests of one module in this process."""
+    logger.remove()
+    suite = unittest.TestLoader().loadTestsFromNames(names)
+    stream = io.StringIO()
+    runner = unittest.TextTestRunner(
+        resultclass=TimedResult, stream=stream, verbosity=0
+    )
+    result = runner.run(suite)
+    assert isinstance(result, TimedResult)
+    troubled = [*result.failures, *result.errors]
+    failed = {test.id().split(" ")[0] for test, _ in troubled}
+    failed |= {test.id() for test in result.unexpectedSuccesses}
+    return ModuleResult(
+        output=stream.getvalue() if failed else "",
+        failed=frozenset(failed),
+        seconds_by_test=result.seconds_by_test,
+    )
+
+
+def run_all(names_by_module: dict[str, list[str]]) -> list[ModuleResult]:
+    """Run the modules side by side; the results are in their order."""
+    processes = min(MAX_PROCESSES, os.cpu_count() or 1)
+    with concurrent.futures.ProcessPoolExecutor(
+        processes,
+        mp_context=multiprocessing.get_context("spawn"),
+        max_tasks_per_child=1,
+    ) as pool:
+        return list(pool.map(run_module, names_by_module.values()))
+
+
 def main() -> int:
     """Run the chosen tests.
 
     :returns: 0 when every test not known to fail has passed
     """
-    logger.remove()
     known_red = read_known_red()
-    runner = unittest.TextTestRunner(
-        resultclass=TimedResult, verbosity=1, stream=sys.stdout
-    )
-    result = runner.run(find_tests(sys.argv[1:]))
-    assert isinstance(result, TimedResult)
-    failed = {test.id().split(" ")[0] for test, _ in result.failures}
-    failed |= {test.id().split(" ")[0] for test, _ in result.errors}
+    results = run_all(find_tests(sys.argv[1:]))
+    for result in results:
+        print(result.output, end="")
+    failed = set(itertools.chain(*(r.failed for r in results)))
+    seconds_by_test: dict[str, float] = {}
+    for result in results:
+        seconds_by_test |= result.seconds_by_test
     for name in sorted(failed & set(known_red)):
         print(f"known red: {known_red[name]}")
-    ran = set(result.seconds_by_test)
-    stale = (ran & set(known_red)) - failed
+    stale = (set(seconds_by_test) & set(known_red)) - failed
     for name in sorted(stale):
         print(f"passes, but KNOWN-RED.txt names it: {name}")
-    slowest = sorted(result.seconds_by_test.items(), key=lambda kv: -kv[1])
-    for name, seconds in slowest[:5]:
+    slowest = sorted(seconds_by_test.items(), key=lambda item: -item[1])
+    for name, seconds in slowest[:SLOWEST]:
         print(f"slow: {seconds:6.2f} s {name}")
     unexpected = failed - set(known_red)
-    passed = result.testsRun - len(failed)
+    passed = len(seconds_by_test) - len(failed)
     print(f"{passed} passed, {len(unexpected)} failed")
-    return 1 if unexpected or stale or not result.testsRun else 0
+    return 1 if unexpected or stale or not seconds_by_test else 0
 
 
 if __name__ == "__main__":
