Let the VM with a disk keep its region's claims in the scripts' clusters

Over real processes each booking was refused as claim_unknown (270 of 270): without keepers named, the control VMs of all regions kept the claims, and the clients had been written before that group had formed, so no key could be proven new.

--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -173,7 +173,12 @@
             for vm in self._vms
             if vm.control
         }
-        listed = "\n".join(f'{k} = "{v}"' for k, v in members.items())
+        # The VM with a disk keeps the claims of its region.
+        keepers = {
+            vm.vm_id: members[vm.vm_id]
+            for vm in self._vms
+            if vm.control and vm.region == plan.region
+        }
         data = ""
         if plan.control:
             data = f'data_folder = "{self.folder / (plan.vm_id + ".data")}"'
@@ -196,7 +201,10 @@
 {data}
 
 [control.members]
-{listed}
+{show_table(members)}
+
+[claims.keepers]
+{show_table(keepers)}
 
 [operators]
 token_hashes = ["{hash_token(self.operator_token)}"]
@@ -209,6 +217,11 @@
         return f"tcp://127.0.0.1:{self._control_ports[vm_id]}"
 
 
+def show_table(addresses: dict[str, str]) -> str:
+    """Return the lines of a TOML table."""
+    return "\n".join(f'{k} = "{v}"' for k, v in addresses.items())
+
+
 def free_port() -> int:
     """Return a port that was free a moment ago."""
     with socket.socket() as probe:
