Let an endpoint that leaves say so when it announces itself again

The endpoint went on reporting, was told to announce itself, and got 4 requests up to 7.2 s after it had left. Ruled out: the report's leaving mark, which the registry honours, but only for endpoints that it knows.

The announcement now carries the mark too, and the stand-in repeats it in each message.

--- a/burdockdrum/emulator/announcer.py
+++ b/burdockdrum/emulator/announcer.py
@@ -66,7 +66,10 @@
                 group.create_task(self._inform(entry))
 
     async def leave(self) -> None:
-        """Ask for no new work."""
+        """Ask for no new work, now and with every message from now on."""
+        self._announcement = msgspec.structs.replace(
+            self._announcement, leaving=True
+        )
         name = self._announcement.endpoint_id
         body = msgspec.json.encode(
             {"incarnation": self._announcement.incarnation}
@@ -109,6 +112,7 @@
             versions=sorted(orders.versions) if orders else None,
             adapters=sorted(orders.adapters) if orders else None,
             role=orders.role if orders else None,
+            leaving=self._announcement.leaving,
         )
 
     def _take_cache_events(self, entry: str, resync: bool) -> list[CacheEvent]:
--- a/burdockdrum/endpoints/announcements.py
+++ b/burdockdrum/endpoints/announcements.py
@@ -12,7 +12,9 @@
 
     ``incarnation`` is larger for each start at the same address. ``slots``
     is how many requests it runs at once. ``role`` splits engines that only
-    read prompts from those that only generate.
+    read prompts from those that only generate. ``leaving`` is for an endpoint
+    that has announced that it leaves: an entry VM which was restarted since
+    would otherwise take it for one that offers itself.
     """
 
     endpoint_id: str
@@ -24,6 +26,7 @@
     adapters: list[str] = []
     role: Literal["both", "prefill", "decode"] = "both"
     checks_fencing: bool = False
+    leaving: bool = False
 
 
 class CacheEvent(
--- a/burdockdrum/endpoints/registry.py
+++ b/burdockdrum/endpoints/registry.py
@@ -89,6 +89,8 @@
             lease_until=now + LEASE_SECONDS,
         )
         self.take_copy(OWN, endpoint)
+        if announcement.leaving:
+            self.leave(announcement.endpoint_id, announcement.incarnation)
         self._timeline.record(
             "endpoint.announced", endpoint_id=announcement.endpoint_id
         )
--- a/tests/histories/test_histories.py
+++ b/tests/histories/test_histories.py
@@ -11,6 +11,7 @@
 from tests.histories.faults import CrashEndpoint
 from tests.histories.faults import CrashVm
 from tests.histories.faults import CutOneWay
+from tests.histories.faults import decode_plan
 from tests.histories.faults import DrainVm
 from tests.histories.faults import encode_plan
 from tests.histories.faults import Isolate
@@ -66,6 +67,24 @@
         endings = {ended.ending.value for ended in history.ended}
         self.assertEqual({"answered"}, endings)
 
+    def test_leaving_endpoint_is_left_alone_by_restarted_vms(self):
+        # An endpoint announces that it leaves and goes on reporting while
+        # its work finishes. Then every VM of its region loses power and
+        # forgets it. It has to announce itself again, and got new work for
+        # as long as it lived: its announcement did not say that it leaves.
+        text = (
+            '[{"start": 5.4, "seconds": 2.6, "fault": "LosePower", '
+            '"region": "dunantul"}, '
+            '{"start": 11.2, "seconds": 7.8, "fault": "LeaveEndpoint", '
+            '"endpoint_id": "alfold-engine2"}, '
+            '{"start": 3.5, "seconds": 7.3, "fault": "DrainVm", '
+            '"vm_id": "alfold-1"}, '
+            '{"start": 3.8, "seconds": 4.1, "fault": "LeaveEndpoint", '
+            '"endpoint_id": "dunantul-engine2"}]'
+        )
+        plan = decode_plan(text)
+        self.check(1001, plan)
+
     @draw(8)
     @given(PLANS)
     def test_drawn_faults(self, plan):
