Send to a member without waiting for its earlier answers

Cause: one request at a time to each member, so a change waited for the answer to a heartbeat or to the change before.

--- a/burdockdrum/consensus/election.py
+++ b/burdockdrum/consensus/election.py
@@ -8,6 +8,7 @@
 from burdockdrum.consensus.messages import VoteReply
 from burdockdrum.consensus.messages import VoteRequest
 from burdockdrum.consensus.replica import Replica
+from burdockdrum.consensus.signals import wait_until
 from burdockdrum.consensus.storage import StorageFailed
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Peers
@@ -58,8 +59,9 @@
             deadline = replica.election_reset_at + timeout
             if replica.clock.monotonic() >= deadline:
                 return False
-            asked = replica.campaign_asked
-            if await asked.wait_until(replica.clock, deadline):
+            if await wait_until(
+                replica.clock, deadline, replica.campaign_asked
+            ):
                 return True
 
     def _draw_timeout(self) -> float:
--- a/burdockdrum/consensus/leadership.py
+++ b/burdockdrum/consensus/leadership.py
@@ -16,6 +16,7 @@
 from burdockdrum.consensus.replication import Replicator
 from burdockdrum.consensus.signals import Signal
 from burdockdrum.consensus.signals import wait_for_any
+from burdockdrum.consensus.signals import wait_until
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Peers
 
@@ -170,7 +171,7 @@
             and target.match_index < replica.storage.last_index
             and replica.clock.monotonic() < deadline
         ):
-            await self._progressed.wait_until(replica.clock, deadline)
+            await wait_until(replica.clock, deadline, self._progressed)
 
     async def _ask_to_lead(self, member: Member) -> None:
         replica = self._replica
@@ -227,6 +228,7 @@
                     replica=replica,
                     peers=self._peers,
                     member=member,
+                    next_index=self._first_index,
                     progressed=self._progressed,
                 )
                 self._replicators_by_id[vm_id] = replicator
--- a/burdockdrum/consensus/replication.py
+++ b/burdockdrum/consensus/replication.py
@@ -4,6 +4,7 @@
 snapshot; and it keeps what that member has acknowledged.
 """
 
+import asyncio
 import math
 
 from burdockdrum.consensus.membership import Member
@@ -14,10 +15,14 @@
 from burdockdrum.consensus.messages import SnapshotRequest
 from burdockdrum.consensus.replica import Replica
 from burdockdrum.consensus.signals import Signal
+from burdockdrum.consensus.signals import wait_until
 from burdockdrum.consensus.snapshot import Snapshot
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Peers
 
+# Requests on their way to one member.
+_WINDOW = 16
+
 
 class Replicator:
     """What one member holds, and the task that sends it the rest.
@@ -32,85 +37,126 @@
         replica: Replica,
         peers: Peers,
         member: Member,
+        next_index: int,
         progressed: Signal,
     ) -> None:
-        """Start from the end of the leader's log."""
+        """Start from an index that the member is believed to need."""
         self._replica = replica
         self._peers = peers
         self._progressed = progressed
         self._term = replica.storage.term
         self._sent_at = -math.inf
-        self._known_commit = 0
+        self._sent_commit = 0
+        self._in_flight = 0
+        self._window = 1
+        self._answered = Signal()
         self.member = member
-        self.next_index = replica.storage.last_index + 1
+        self.next_index = next_index
         self.match_index = 0
         self.acknowledged_at = -math.inf
         self.wanted_at = -math.inf
 
     async def run(self) -> None:
-        """Replicate until cancelled."""
-        while True:
-            try:
-                if self._needs_snapshot():
+        """Replicate until cancelled.
+
+        Requests don't wait for the answers to earlier ones, since a round
+        trip between regions is far longer than the time between changes.
+        """
+        async with asyncio.TaskGroup() as group:
+            while True:
+                await self._wait_for_work()
+                if not self._needs_snapshot():
+                    request = self._next_request()
+                    group.create_task(self._exchange(request))
+                elif self._in_flight == 0:
                     await self._send_snapshot()
                 else:
-                    await self._send_entries()
-            except CallFailed:
-                # The call has waited its timeout, so this does not spin.
-                continue
-            await self._wait_for_work()
+                    await self._answered.wait()
 
     async def _wait_for_work(self) -> None:
         replica = self._replica
-        due = self._sent_at + replica.settings.heartbeat_seconds
-        while not self._has_work() and replica.clock.monotonic() < due:
-            await replica.send_wanted.wait_until(replica.clock, due)
+        while True:
+            if self._in_flight >= self._window:
+                await self._answered.wait()
+                continue
+            due = self._sent_at + replica.settings.heartbeat_seconds
+            if self._has_work() or replica.clock.monotonic() >= due:
+                return
+            await wait_until(
+                replica.clock, due, replica.send_wanted, self._answered
+            )
 
     def _has_work(self) -> bool:
         replica = self._replica
         return (
             self.next_index <= replica.storage.last_index
-            or self._known_commit < replica.commit_index
+            or self._sent_commit < replica.commit_index
             or self.wanted_at > self._sent_at
         )
 
     def _needs_snapshot(self) -> bool:
         return self._replica.storage.term_at(self.next_index - 1) is None
 
-    async def _send_entries(self) -> None:
+    async def _exchange(self, request: AppendRequest) -> None:
+        sent_at = self._replica.clock.monotonic()
+        match_at_send = self.match_index
+        try:
+            reply = await self._peers.call(
+                self.member.address,
+                request,
+                AppendReply,
+                timeout=self._replica.settings.call_timeout_seconds,
+            )
+            self._take_reply(request, reply, sent_at, match_at_send)
+        except CallFailed:
+            self._go_back(request.previous_index + 1)
+        finally:
+            self._in_flight -= 1
+            self._answered.fire()
+
+    def _next_request(self) -> AppendRequest:
         replica = self._replica
         storage = replica.storage
         previous = self.next_index - 1
         entries = storage.read_from(
             self.next_index, replica.settings.append_bytes
         )
-        request = AppendRequest(
+        self.next_index += len(entries)
+        self._in_flight += 1
+        self._sent_commit = replica.commit_index
+        self._sent_at = replica.clock.monotonic()
+        return AppendRequest(
             **self._address_fields(),
             previous_index=previous,
             previous_term=storage.term_at(previous) or 0,
             commit_index=replica.commit_index,
             entries=entries,
         )
-        sent_at = self._sent_at = replica.clock.monotonic()
-        match_at_send = self.match_index
-        reply = await self._peers.call(
-            self.member.address,
-            request,
-            AppendReply,
-            timeout=replica.settings.call_timeout_seconds,
-        )
+
+    def _take_reply(
+        self,
+        request: AppendRequest,
+        reply: AppendReply,
+        sent_at: float,
+        match_at_send: int,
+    ) -> None:
         if not self._note_answer(reply, sent_at):
             return
         if reply.accepted:
-            self._known_commit = request.commit_index
+            self._window = _WINDOW
             self._note_match(reply.match_index, reply.counts)
         elif reply.last_index < match_at_send:
             self._refuse_rollback(reply, match_at_send)
         else:
-            self.next_index = max(
-                self.match_index + 1,
-                min(reply.retry_index, self.next_index - 1),
-            )
+            self._go_back(min(reply.retry_index, request.previous_index))
+
+    def _go_back(self, index: int) -> None:
+        """Send again from an index, one request at a time at first."""
+        self._window = 1
+        self._sent_commit = 0
+        self.next_index = max(
+            self.match_index + 1, min(index, self.next_index)
+        )
 
     async def _send_snapshot(self) -> None:
         replica = self._replica
@@ -120,12 +166,16 @@
         done = counts = False
         while not done:
             sent_at = self._sent_at = replica.clock.monotonic()
-            reply = await self._peers.call(
-                self.member.address,
-                self._snapshot_part(snapshot, offset),
-                SnapshotReply,
-                timeout=replica.settings.call_timeout_seconds,
-            )
+            try:
+                reply = await self._peers.call(
+                    self.member.address,
+                    self._snapshot_part(snapshot, offset),
+                    SnapshotReply,
+                    timeout=replica.settings.call_timeout_seconds,
+                )
+            except CallFailed:
+                # The next request asks how much has come.
+                return
             if not self._note_answer(reply, sent_at):
                 return
             offset = reply.next_offset
--- a/burdockdrum/consensus/signals.py
+++ b/burdockdrum/consensus/signals.py
@@ -31,27 +31,6 @@
         """Wait for the next change."""
         await wait_for_any(self)
 
-    async def wait_until(self, clock: Clock, deadline: float) -> bool:
-        """Wait for the next change, at most until the clock says so.
-
-        :returns: whether the change came
-        """
-        seconds = deadline - clock.monotonic()
-        if seconds <= 0:
-            return False
-        waiter = self.subscribe()
-        # A rest too small to move the clock on would make its caller spin.
-        seconds = max(seconds, _SHORTEST_SECONDS)
-        sleeping = asyncio.ensure_future(clock.sleep(seconds))
-        try:
-            await asyncio.wait(
-                {sleeping, waiter}, return_when=asyncio.FIRST_COMPLETED
-            )
-            return waiter.done()
-        finally:
-            sleeping.cancel()
-            self.unsubscribe(waiter)
-
     def subscribe(self) -> asyncio.Future[None]:
         """Return a future that is done with the next change from now on."""
         waiter: asyncio.Future[None] = asyncio.Future()
@@ -71,3 +50,26 @@
     finally:
         for signal, waiter in zip(signals, waiters, strict=True):
             signal.unsubscribe(waiter)
+
+
+async def wait_until(clock: Clock, deadline: float, *signals: Signal) -> bool:
+    """Wait for the next change, at most until the clock says so.
+
+    :returns: whether a change came
+    """
+    seconds = deadline - clock.monotonic()
+    if seconds <= 0:
+        return False
+    # A rest too small to move the clock on would make its caller spin.
+    seconds = max(seconds, _SHORTEST_SECONDS)
+    sleeping = asyncio.ensure_future(clock.sleep(seconds))
+    waiters = [signal.subscribe() for signal in signals]
+    try:
+        await asyncio.wait(
+            [sleeping, *waiters], return_when=asyncio.FIRST_COMPLETED
+        )
+        return any(waiter.done() for waiter in waiters)
+    finally:
+        sleeping.cancel()
+        for signal, waiter in zip(signals, waiters, strict=True):
+            signal.unsubscribe(waiter)
