End a lease whose holder was suspended; catch a vote after a wipe

A suspended VM's monotonic clock may stand still, and its lease then looks valid long after another leader is elected. The wall clock shows it. The checks of histories are proved on a third fault: a member that takes itself for the one whose disk was emptied.

--- a/burdockdrum/consensus/leadership.py
+++ b/burdockdrum/consensus/leadership.py
@@ -20,6 +20,10 @@
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Peers
 
+# How far the wall clock may run ahead before the lease is distrusted; less
+# than what the lease leaves for drift.
+_SUSPENSION_SECONDS = 0.01
+
 
 class Leadership:
     """The tasks of a leader, its lease and the changes of members."""
@@ -32,6 +36,8 @@
         self._tasks_by_id: dict[str, asyncio.Task] = {}
         self._first_index = 0
         self._began_at = -math.inf
+        self._distrusted_until = -math.inf
+        self._wall_offset = math.inf
         self._progressed = Signal()
 
     async def run(self) -> None:
@@ -40,6 +46,7 @@
         self._replicators_by_id.clear()
         self._tasks_by_id.clear()
         self._began_at = replica.clock.monotonic()
+        self._wall_offset = replica.clock.wall() - self._began_at
         replica.leader_id = replica.vm_id
         replica.set_role(Role.LEADER)
         replica.timeline.record("leader.elected", term=replica.storage.term)
@@ -66,6 +73,7 @@
         replica = self._replica
         if replica.role is not Role.LEADER or replica.transferring:
             return False
+        self._notice_suspension()
         ends_at = self.quorum_heard_at + replica.settings.lease_seconds
         return replica.clock.monotonic() < ends_at
 
@@ -79,7 +87,10 @@
 
     @property
     def quorum_heard_at(self) -> float:
-        """Return when the last request that a quorum answered was sent."""
+        """Return when the last request that a quorum answered was sent.
+
+        Minus infinity if there is none that can be trusted.
+        """
         now = self._replica.clock.monotonic()
         configuration = self._replica.configuration
         times = [
@@ -87,7 +98,25 @@
             for member in configuration.voters
         ]
         times.sort(reverse=True)
-        return times[configuration.quorum - 1] if times else -math.inf
+        heard_at = times[configuration.quorum - 1] if times else -math.inf
+        return heard_at if heard_at >= self._distrusted_until else -math.inf
+
+    def _notice_suspension(self) -> None:
+        """Trust no earlier answer once the wall clock has run ahead.
+
+        While a VM is suspended its monotonic clock may stand still. When it
+        goes on, a lease would look valid that ended long ago; the wall clock
+        shows it. One that was only set forward costs the lease for a round
+        trip.
+        """
+        clock = self._replica.clock
+        now = clock.monotonic()
+        offset = clock.wall() - now
+        ahead = offset - self._wall_offset
+        if ahead > _SUSPENSION_SECONDS:
+            self._distrusted_until = now
+        if ahead > _SUSPENSION_SECONDS or ahead < 0:
+            self._wall_offset = offset
 
     def append_command(self, command: bytes) -> Entry:
         """Add a command to the log.
@@ -252,6 +281,7 @@
         timeout = replica.settings.election_timeout_seconds
         while True:
             await replica.clock.sleep(replica.settings.heartbeat_seconds)
+            self._notice_suspension()
             heard_at = max(self.quorum_heard_at, self._began_at)
             if replica.clock.monotonic() - heard_at > timeout:
                 replica.step_down("no quorum answers")
--- a/tests/consensus/test_histories.py
+++ b/tests/consensus/test_histories.py
@@ -8,10 +8,14 @@
 from hypothesis import strategies as st
 from loguru import logger
 
+from burdockdrum.consensus.identity import FolderIdentity
+from burdockdrum.consensus.identity import IdentityFile
 from burdockdrum.consensus.interface import LogSettings
 from burdockdrum.consensus.interface import OutcomeUnknown
 from burdockdrum.consensus.leadership import Leadership
+from burdockdrum.consensus.records import FORMAT_VERSION
 from burdockdrum.consensus.storage import Storage
+from burdockdrum.consensus.witness import Witness
 from tests.consensus.checker import History
 from tests.consensus.checker import Operation
 from tests.consensus.checker import Violation
@@ -121,6 +125,30 @@
         plans = [Plan(seed=seed, faults=faults) for seed in range(20)]
         self.assert_caught(plans, "leases held at once")
 
+    def test_voting_after_a_wipe_is_caught(self):
+        # An emptied VM that takes itself for the member it was, and counts
+        # at once, lets a quorum forget what was acknowledged.
+        async def begin(cls, disk, vm_id, rng):
+            identity = FolderIdentity(
+                format=FORMAT_VERSION, vm_id=vm_id, disk_id=vm_id
+            )
+            file = cls(disk=disk, identity=identity)
+            await file.save(identity)
+            return file
+
+        async def admit(self):
+            self._replica.admitted = True
+
+        honest = IdentityFile._begin
+        honest_run = Witness.run
+        IdentityFile._begin = classmethod(begin)
+        Witness.run = admit
+        self.addCleanup(setattr, IdentityFile, "_begin", honest)
+        self.addCleanup(setattr, Witness, "run", honest_run)
+        faults = ("replace", "replace", "cut_off", "heal", "crash", "start")
+        plans = [Plan(seed=seed, faults=faults) for seed in range(40)]
+        self.assert_caught(plans, "applied")
+
     def test_a_lost_and_a_stale_answer_are_caught(self):
         kept = Operation(command=b"x", began=1, ended=2, index=5)
         with self.assertRaises(Violation):
--- a/tests/consensus/test_partitions.py
+++ b/tests/consensus/test_partitions.py
@@ -120,6 +120,20 @@
 
         run_virtual(with_cluster(Cluster(seed=5), use))
 
+    def test_lease_ends_when_the_leader_was_suspended(self):
+        # The leader's VM is stopped for ten seconds. Its monotonic clock did
+        # not count them, so the lease seems to hold, while another member
+        # may lead by now; only the wall clock has moved.
+        async def use(cluster):
+            leader = await cluster.leader()
+            vm = cluster.vm_of(leader)
+            vm.clock._wall_offset += 10
+            self.assertFalse(leader.is_leader)
+            await asyncio.sleep(1)
+            self.assertTrue(leader.is_leader)
+
+        run_virtual(with_cluster(Cluster(), use))
+
     def test_leadership_is_handed_over_before_a_shutdown(self):
         # No election timeout passes: the next leader is there within a few
         # round trips, and commands that were refused meanwhile go to it.
