--- a/burdockdrum/consensus/log.py
+++ b/burdockdrum/consensus/log.py
@@ -63,6 +63,11 @@
         self._metrics = metrics
         self._state_machine = state_machine
         self._settings = settings
+        self._propose_seconds = metrics.histogram(
+            "burdockdrum_log_propose_seconds",
+            "Time from a proposal to its outcome.",
+        )
+        self._add_gauges(metrics)
         self._listeners: list[Callable[[int], None]] = []
         self._replica: Replica | None = None
         self._started = asyncio.Event()
@@ -169,7 +174,18 @@
             )
         if self._replica is None:
             raise NotAccepted("the log is not open yet")
-        return await self._forwarding.propose(command, timeout)
+        began = self._clock.monotonic()
+        outcome = "unknown"
+        try:
+            applied = await self._forwarding.propose(command, timeout)
+            outcome = "applied"
+            return applied
+        except NotAccepted:
+            outcome = "refused"
+            raise
+        finally:
+            took = self._clock.monotonic() - began
+            self._propose_seconds.record(took, outcome=outcome)
 
     async def read_barrier(self, *, timeout: float) -> int:
         """Wait until all that was acknowledged before is applied here.
@@ -227,6 +243,21 @@
         if self._replica is not None:
             await self._leadership.hand_over()
 
+    def _add_gauges(self, metrics: Metrics) -> None:
+        gauges: list[tuple[str, str, Callable[[], float]]] = [
+            ("term", "The term of the log.", lambda: self.term),
+            ("commit_index", "Entries committed.", lambda: self.commit_index),
+            ("applied_index", "Entries applied.", lambda: self.applied_index),
+            ("leads", "1 on the leader, else 0.", lambda: self.is_leader),
+            (
+                "halted",
+                "1 if this VM stepped aside, else 0.",
+                lambda: self.halt_reason is not None,
+            ),
+        ]
+        for name, help_text, read in gauges:
+            metrics.gauge(f"burdockdrum_log_{name}", help_text, read)
+
     async def _open(self) -> None:
         identity = await IdentityFile.open(
             disk=self._disk, vm_id=self._settings.vm_id, rng=self._rng
--- a/tests/consensus/test_log.py
+++ b/tests/consensus/test_log.py
@@ -50,5 +50,8 @@
             for _ in range(3):
                 await leader.propose(b"x", timeout=5)
             self.assertEqual([2, 3, 4], seen)
+            page = cluster.vm_of(leader).metrics.text()
+            self.assertIn("burdockdrum_log_leads 1", page)
+            self.assertIn("burdockdrum_log_commit_index 4", page)
 
         run_virtual(with_cluster(Cluster(size=3), use))
