--- a/burdockdrum/routing/model.py
+++ b/burdockdrum/routing/model.py
@@ -1,7 +1,6 @@
 """What the router is asked, and what it answers."""
 
 from dataclasses import dataclass
-from dataclasses import field
 import enum
 
 from burdockdrum.endpoints import Endpoint
@@ -14,8 +13,9 @@
 
     ``deadline`` is on this VM's monotonic clock. ``rank`` is that of the
     priority class, lower first. ``excluded_endpoints`` failed this request
-    already; ``hops`` are the data centres that passed it on. ``rehomed`` is
-    true where the request must not leave this data centre again.
+    already; ``hops`` are the data centres that passed it on. ``displaced`` is
+    true where the one that passed it on has no endpoint for it: the request
+    is no spill, and waits its turn like those of own callers.
     """
 
     service: str
@@ -32,6 +32,15 @@
     excluded_endpoints: frozenset[str] = frozenset()
     excluded_data_centres: frozenset[str] = frozenset()
     isolated: bool = False
+    displaced: bool = False
+
+
+@dataclass(frozen=True, kw_only=True)
+class Estimate:
+    """What a request may expect, in seconds from now."""
+
+    first_token: float
+    finish: float
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -84,4 +93,3 @@
     first_token_seconds: float | None = None
     total_seconds: float = 0.0
     tokens: int = 0
-    details: dict[str, float] = field(default_factory=dict)
--- a/burdockdrum/web/services.py
+++ b/burdockdrum/web/services.py
@@ -4,15 +4,18 @@
 
 from blacksheep import Application
 
+from burdockdrum.claims import Claims
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.endpoints import EndpointRegistry
 from burdockdrum.kernel import Kernel
 from burdockdrum.metrics import Metrics
 from burdockdrum.peers import Seal
 from burdockdrum.ports import Clock
+from burdockdrum.quarantine import Quarantine
 from burdockdrum.requests import RequestService
 from burdockdrum.settings import Settings
 from burdockdrum.timeline import Timeline
+from burdockdrum.vms import Drain
 from burdockdrum.vms import VmDirectory
 from burdockdrum.web.application import build_application
 from burdockdrum.web.authentication import Authenticator
@@ -20,6 +23,7 @@
 from burdockdrum.web.endpoint_face import EndpointFace
 from burdockdrum.web.operators import OperatorFace
 from burdockdrum.web.peer_face import PeerFace
+from burdockdrum.web.quarantine_face import QuarantineFace
 
 
 def add_services(kernel: Kernel) -> None:
@@ -38,14 +42,20 @@
             settings=kernel.find("settings", Settings),
             authenticator=authenticator,
             endpoints=kernel.find("endpoints", EndpointRegistry),
+            vms=kernel.find("vms", VmDirectory),
         ),
         operators=_build_operators(kernel, authenticator),
+        quarantine=QuarantineFace(
+            authenticator=authenticator,
+            quarantine=kernel.find("quarantine", Quarantine),
+        ),
         peers=PeerFace(
             settings=kernel.find("settings", Settings),
             seal=kernel.find("seal", Seal),
             clock=kernel.find("clock", Clock),
             requests=kernel.find("requests", RequestService),
         ),
+        drain=kernel.find("drain", Drain),
     )
 
 
@@ -57,6 +67,7 @@
         authenticator=authenticator,
         configuration=kernel.find("configuration", ConfigurationService),
         requests=kernel.find("requests", RequestService),
+        claims=kernel.find("claims", Claims),
         vms=kernel.find("vms", VmDirectory),
     )
 
@@ -64,18 +75,13 @@
 def _build_operators(
     kernel: Kernel, authenticator: Authenticator
 ) -> OperatorFace:
-    vms = kernel.find("vms", VmDirectory)
-
-    def begin_drain() -> None:
-        vms.draining = True
-
     return OperatorFace(
         settings=kernel.find("settings", Settings),
         authenticator=authenticator,
         configuration=kernel.find("configuration", ConfigurationService),
         endpoints=kernel.find("endpoints", EndpointRegistry),
-        vms=vms,
+        vms=kernel.find("vms", VmDirectory),
         timeline=kernel.find("timeline", Timeline),
         metrics=kernel.find("metrics", Metrics),
-        begin_drain=begin_drain,
+        begin_drain=kernel.find("drain", Drain).begin,
     )
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -16,6 +16,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 END_SECONDS = 20.0
+START_SECONDS = 30.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -51,7 +52,7 @@
         self._folder = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self._folder.name)
         self.operator_token = secrets.token_urlsafe(24)
-        self._endpoint_token = secrets.token_urlsafe(24)
+        self.endpoint_token = secrets.token_urlsafe(24)
         self._secret = secrets.token_urlsafe(24)
         self._control_ports = {plan.vm_id: free_port() for plan in vms}
         self._http_ports = {plan.vm_id: free_port() for plan in vms}
@@ -67,6 +68,17 @@
         """Return the URLs of the entry VMs."""
         return [self.url(plan.vm_id) for plan in self._vms]
 
+    @property
+    def entry_urls_by_vm_id(self) -> dict[str, str]:
+        """Return the URL of each entry VM."""
+        return {plan.vm_id: self.url(plan.vm_id) for plan in self._vms}
+
+    def entry_urls_in(self, region: str) -> list[str]:
+        """Return the URLs of the entry VMs of a region."""
+        return [
+            self.url(plan.vm_id) for plan in self._vms if plan.region == region
+        ]
+
     def url(self, vm_id: str) -> str:
         """Return the URL of one entry VM."""
         return f"http://127.0.0.1:{self._http_ports[vm_id]}"
@@ -74,6 +86,8 @@
     async def __aenter__(self) -> "Cluster":
         for plan in self._vms:
             await self.start_vm(plan)
+        for plan in self._vms:
+            await self.wait_until_serving(plan.vm_id)
         for endpoint in self._endpoints:
             await self._start_endpoint(endpoint)
         return self
@@ -95,6 +109,23 @@
             ["burdockdrum.daemon", "--settings", str(path)],
         )
 
+    async def wait_until_serving(self, vm_id: str) -> None:
+        """Wait until a VM takes connections from callers.
+
+        :raises TimeoutError: if it does not in time
+        """
+        async with asyncio.timeout(START_SECONDS):
+            while True:
+                try:
+                    _, writer = await asyncio.open_connection(
+                        "127.0.0.1", self._http_ports[vm_id]
+                    )
+                except OSError:
+                    await asyncio.sleep(0.05)
+                    continue
+                writer.close()
+                return
+
     async def stop(self, name: str, *, kill: bool = False) -> int:
         """End a process with SIGTERM, or kill it.
 
@@ -122,16 +153,14 @@
             )
 
     async def _start_endpoint(self, plan: EndpointPlan) -> None:
-        entries = [
-            self.url(vm.vm_id) for vm in self._vms if vm.region == plan.region
-        ]
+        entries = self.entry_urls_in(plan.region)
         arguments = [
             "burdockdrum.emulator",
             "plain" if plan.plain else "engine",
             plan.service,
             plan.endpoint_id,
             ",".join(entries),
-            self._endpoint_token,
+            self.endpoint_token,
             f"--slots={plan.slots}",
         ]
         if not plan.plain:
@@ -173,7 +202,7 @@
 token_hashes = ["{hash_token(self.operator_token)}"]
 
 [endpoints]
-token_hashes = ["{hash_token(self._endpoint_token)}"]
+token_hashes = ["{hash_token(self.endpoint_token)}"]
 """
 
     def _control_address(self, vm_id: str) -> str:
