--- a/burdockdrum/consensus/replica.py
+++ b/burdockdrum/consensus/replica.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import math
 import random
 
 from loguru import logger
@@ -48,10 +49,15 @@
         self.leader_id: str | None = None
         self.commit_index = 0
         self.transferring = False
+        # Whether this member votes and counts; see the module ``witness``.
         self.admitted = False
+        # Whether all that the leader knows committed is on the synced disk.
+        self.caught_up = False
         self.halt_reason: str | None = None
         # Told of what other disks acknowledge: disk id, term, index.
         self.acknowledged: Callable[[str, int, int], None] = _ignore
+        # Told of the first entry that another takes away: index and term.
+        self.replaced: Callable[[int, int], None] = _ignore
         self.role_changed = Signal()
         self.commit_changed = Signal()
         self.send_wanted = Signal()
@@ -60,6 +66,7 @@
         self._role = Role.FOLLOWER
         self._started_at = clock.monotonic()
         self._contact_at: float | None = None
+        self._quorum_at = -math.inf
         self.election_reset_at = self._started_at
 
     @property
@@ -91,6 +98,16 @@
         """Say whether this VM with this disk counts."""
         return self.configuration.has_voter(self.vm_id, self.disk_id)
 
+    @property
+    def is_learner(self) -> bool:
+        """Say whether this VM with this disk is to count later."""
+        member = self.configuration.find(self.vm_id)
+        return (
+            member is not None
+            and member.disk_id == self.disk_id
+            and not member.voter
+        )
+
     @property
     def takes_part(self) -> bool:
         """Say whether this member may vote, acknowledge and lead."""
@@ -98,10 +115,11 @@
 
     @property
     def contact_age(self) -> float | None:
-        """Return the seconds since a leader was last heard of."""
-        if self._contact_at is None:
+        """Return the seconds since a leader or its quorum was heard of."""
+        contact_at = max(self._contact_at or -math.inf, self._quorum_at)
+        if contact_at == -math.inf:
             return None
-        return self.clock.monotonic() - self._contact_at
+        return self.clock.monotonic() - contact_at
 
     @property
     def owes_silence(self) -> bool:
@@ -144,6 +162,10 @@
             )
         self.set_role(Role.FOLLOWER)
 
+    def note_quorum(self, heard_at: float) -> None:
+        """Note when this member, as the leader, last heard of a quorum."""
+        self._quorum_at = max(self._quorum_at, heard_at)
+
     def step_down(self, reason: str) -> None:
         """Stop leading or standing for election."""
         if self._role is Role.LEADER:
@@ -177,6 +199,7 @@
         """Add an entry in place of those at or after its index."""
         if entry.index <= self.storage.last_index:
             self.history.truncate(entry.index)
+            self.replaced(entry.index, self.storage.entry(entry.index).term)
         self.storage.append(entry)
         if entry.kind is EntryKind.CONFIGURATION:
             configuration = Configuration.decode(entry.data)
@@ -221,5 +244,5 @@
         return history
 
 
-def _ignore(disk_id: str, term: int, index: int) -> None:
-    """Drop it until somebody remembers it."""
+def _ignore(*arguments: object) -> None:
+    """Drop what nobody has asked to be told."""
--- a/burdockdrum/requests/exchange.py
+++ b/burdockdrum/requests/exchange.py
@@ -22,6 +22,7 @@
 from burdockdrum.requests.attempts import VERDICT_HEADER
 from burdockdrum.requests.budget import RetryBudget
 from burdockdrum.requests.model import InboundRequest
+from burdockdrum.requests.priority import find_priority
 from burdockdrum.requests.residency import find_allowed_regions
 from burdockdrum.requests.upstreams import UpstreamOpener
 from burdockdrum.routing import AttemptOutcome
@@ -60,6 +61,12 @@
     identity: VmIdentity
 
 
+# A refusal of one entry VM, whose neighbours may do better.
+_OF_ENTRY_ALONE = frozenset(
+    {RefusalCode.DRAINING, RefusalCode.CONFIGURATION_STALE}
+)
+
+
 class Exchange:
     """One request, its attempts so far, and the verdict on them."""
 
@@ -83,10 +90,13 @@
         :raises Refusal: if residency does not allow it to run anywhere
         """
         request = self.request
+        priority = find_priority(self._parts.configuration, request)
         return Demand(
             service=request.service,
             regions=find_allowed_regions(self._parts.configuration, request),
             deadline=request.deadline,
+            rank=priority.rank,
+            worth=priority.worth,
             adapter=request.adapter,
             prompt_tokens=request.prompt_tokens,
             max_tokens=request.max_tokens,
@@ -95,6 +105,7 @@
             hops=request.hops,
             excluded_endpoints=self._excluded_endpoints,
             excluded_data_centres=self._excluded_data_centres,
+            displaced=request.displaced,
             isolated=self._parts.quarantine.is_suspect(request.fingerprint),
         )
 
@@ -215,6 +226,7 @@
                     entry,
                     attempt_id=self.request.request_id,
                     offset=self.delivered,
+                    displaced=self._parts.router.is_displaced(demand),
                 )
                 if VERDICT_HEADER not in upstream.headers:
                     self.verdict = worst(self.verdict, Verdict.MAY_HAVE_RUN)
@@ -339,7 +351,7 @@
     """Say whether another entry VM of the data centre may do better."""
     if failure.outcome is AttemptOutcome.UNREACHABLE:
         return True
-    return failure.refusal.code is RefusalCode.DRAINING
+    return failure.refusal.code in _OF_ENTRY_ALONE
 
 
 def _refuse_nowhere(nowhere: Nowhere, last: Refusal | None) -> Refusal:
--- a/burdockdrum/testing/vms.py
+++ b/burdockdrum/testing/vms.py
@@ -14,6 +14,7 @@
 from burdockdrum.kernel import Kernel
 from burdockdrum.peers import VmIdentity
 from burdockdrum.settings import Settings
+from burdockdrum.testing.asgi import AsgiServer
 from burdockdrum.testing.asgi import serve_asgi
 from burdockdrum.testing.disk import FakeDisk
 from burdockdrum.testing.http import FakeHttpClient
@@ -29,6 +30,7 @@
         """Take over a kernel whose services are named."""
         self.identity = identity
         self.kernel = kernel
+        self.server: AsgiServer | None = None
         self.task: asyncio.Task[None] | None = None
 
 
@@ -42,6 +44,8 @@
         self.web = FakeWeb(network=self.network)
         self.vms_by_id: dict[str, FakeVm] = {}
         self.disks_by_vm_id: dict[str, FakeDisk] = {}
+        # How many seconds a VM's clock counts in a second; 1 if not named.
+        self.clock_rates_by_vm_id: dict[str, float] = {}
         self._incarnation = 0
 
     async def start_vm(self, settings: Settings) -> FakeVm:
@@ -61,7 +65,7 @@
             settings=settings,
             identity=identity,
             mailbox=mailbox,
-            clock=VirtualClock(),
+            clock=VirtualClock(rate=self.clock_rates_by_vm_id.get(vm_id, 1.0)),
             http=FakeHttpClient(web=self.web, host=vm_id),
             rng=random.Random(self.rng.random()),
             disk=self._find_disk(settings),
@@ -69,7 +73,8 @@
         vm = FakeVm(identity=identity, kernel=kernel)
         application = kernel.find("application", Application)
         await application.start()
-        self.web.serve(settings.listen.http, vm_id, serve_asgi(application))
+        vm.server = serve_asgi(application)
+        self.web.serve(settings.listen.http, vm_id, vm.server)
         vm.task = asyncio.create_task(kernel.run())
         self.vms_by_id[vm_id] = vm
         return vm
@@ -79,6 +84,8 @@
         vm = self.vms_by_id.pop(vm_id)
         self.web.stop(vm.identity.http_address)
         assert vm.task is not None
+        if vm.server is not None:
+            vm.server.abort()
         vm.task.cancel()
         await asyncio.gather(vm.task, return_exceptions=True)
 
--- a/burdockdrum/web/application.py
+++ b/burdockdrum/web/application.py
@@ -23,8 +23,8 @@
     endpoints: EndpointFace,
     operators: OperatorFace,
     peers: PeerFace,
-    drain: Drain,
     quarantine: QuarantineFace,
+    drain: Drain,
 ) -> Application:
     """Return the ASGI application of a daemon."""
     work = functools.partial(guard, check=drain.check)
--- a/tests/requests/stack.py
+++ b/tests/requests/stack.py
@@ -15,7 +15,6 @@
 from burdockdrum.resources import hash_token
 from burdockdrum.settings import read_settings
 from burdockdrum.testing import FakeAnswer
-from burdockdrum.testing import FakeDisk
 from burdockdrum.testing import VirtualClock
 from burdockdrum.testing.vms import FakeCluster
 
@@ -163,27 +162,36 @@
     return text
 
 
+def find_number(vm: str) -> int:
+    """Return the number by which a VM's ports are told apart."""
+    return 10 * (ord(vm[0]) - ord("a")) + int(vm[1:])
+
+
 class Stack:
     """A cluster with its operator, its endpoints and a caller."""
 
-    def __init__(self, *, seed: int = 1, more: str = "") -> None:
+    def __init__(
+        self, *, seed: int = 1, keepers: tuple[str, ...] = ()
+    ) -> None:
         """Create a stack without VMs.
 
-        :param more: TOML that is added to every VM's settings
+        :param keepers: VMs of the north that keep its claims
         """
         self.cluster = FakeCluster(seed=seed)
-        self.more = more
-        self.disks_by_vm: dict[str, FakeDisk] = {}
-        self._numbers_by_vm: dict[str, int] = {}
+        self._keepers = keepers
         self._tasks: list[asyncio.Task] = []
         self._ports = 3000
 
     def settings(self, vm: str):
         """Return the settings of a VM, whose region its name begins with."""
-        number = self._numbers_by_vm.setdefault(
-            vm, len(self._numbers_by_vm) + 1
-        )
+        number = find_number(vm)
         region = {"a": "north", "b": "south", "c": "west"}[vm[0]]
+        more = ""
+        if self._keepers and region == "north":
+            more = "[claims.keepers]\n" + "\n".join(
+                f'{name} = "tcp://127.0.0.1:{1000 + find_number(name)}"'
+                for name in self._keepers
+            )
         return read_settings(
             SETTINGS.format(
                 vm=vm,
@@ -193,7 +201,7 @@
                 data='data_folder = "unused"' if vm == "a1" else "",
                 operator=hash_token("operator"),
                 endpoint=hash_token("endpoint"),
-                more=self.more,
+                more=more,
             )
         )
 
@@ -246,8 +254,8 @@
         known = await operator.call("GET", path)
         fields = {"spec": spec}
         if known.status == 200:
-            version = msgspec.json.decode(known.body)["version"]
-            fields["version"] = version
+            resource = msgspec.json.decode(known.body)["resource"]
+            fields["resource_version"] = resource["version"]
         body = msgspec.json.encode(fields)
         reply = await operator.call("PUT", path, body=body)
         assert reply.status == 200, reply.body
@@ -264,7 +272,7 @@
 
     def url(self, vm: str) -> str:
         """Return the URL of a VM."""
-        return f"http://127.0.0.1:{2000 + self._numbers_by_vm[vm]}"
+        return f"http://127.0.0.1:{2000 + find_number(vm)}"
 
     async def add_endpoint(self, endpoint, *vms, service="planner"):
         """Announce an endpoint at VMs of its data centre."""
