Hold quotas over a data centre's entry VMs; one suspect at a time; fair turns

Quotas: each entry VM has an equal part of each limit and lends what lies idle for five seconds at a time; a loan ends by itself, sooner at the borrower. A VM that fell silent keeps its part for ten minutes, because it may be cut off and serving. Within a rank teams take turns by start-time fair queueing. Suspects take the one turn of their data centre.

--- a/burdockdrum/admission/__init__.py
+++ b/burdockdrum/admission/__init__.py
@@ -2,6 +2,16 @@
 
 from burdockdrum.admission.admission import Admission
 from burdockdrum.admission.admission import Permit
+from burdockdrum.admission.quotas import QuotaHold
+from burdockdrum.admission.quotas import QuotaLedger
 from burdockdrum.admission.services import add_services
+from burdockdrum.admission.suspects import SuspectTurns
 
-__all__ = ["add_services", "Admission", "Permit"]
+__all__ = [
+    "add_services",
+    "Admission",
+    "Permit",
+    "QuotaHold",
+    "QuotaLedger",
+    "SuspectTurns",
+]
--- a/burdockdrum/admission/admission.py
+++ b/burdockdrum/admission/admission.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from dataclasses import dataclass
-import itertools
 import math
 
+from burdockdrum.admission.quotas import QuotaHold
+from burdockdrum.admission.quotas import QuotaLedger
+from burdockdrum.admission.suspects import SuspectTurns
 from burdockdrum.admission.waiting import Waiter
 from burdockdrum.admission.waiting import WaitingLine
 from burdockdrum.configuration import ConfigurationService
@@ -32,16 +34,25 @@
 class Permit:
     """A request that was accepted; released exactly once at its end."""
 
-    def __init__(self, *, admission: "Admission") -> None:
+    def __init__(
+        self,
+        *,
+        admission: "Admission",
+        hold: QuotaHold | None = None,
+        suspect_turn: str | None = None,
+    ) -> None:
         """Create a permit."""
         self._admission = admission
+        self._hold = hold
+        self._suspect_turn = suspect_turn
         self._released = False
 
     def release(self, *, completed: bool, tokens: int = 0) -> None:
         """Give the permit back; later calls change nothing."""
-        if not self._released:
-            self._released = True
-            self._admission.running -= 1
+        if self._released:
+            return
+        self._released = True
+        self._admission.give_back(self._hold, self._suspect_turn, tokens)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -68,18 +79,21 @@
         self,
         *,
         clock: Clock,
-        configuration: ConfigurationService,
+        configuration: ConfigurationService | None,
         router: Router,
         policy: PolicySettings | None = None,
+        quotas: QuotaLedger | None = None,
+        suspects: SuspectTurns | None = None,
     ) -> None:
         """Create an admission without load."""
+        self._quotas = quotas
+        self._suspects = suspects
         self._clock = clock
         self._configuration = configuration
         self._router = router
         self._policy = policy or PolicySettings()
         self._lines_by_service: dict[str, WaitingLine] = {}
         self._mean_seconds_by_worth: dict[float, float] = {}
-        self._order = itertools.count()
         self._filled = asyncio.Event()
         self.running = 0
         router.read_wait = self.expect_wait
@@ -88,11 +102,39 @@
     async def admit(self, client_id: str, demand: Demand) -> Permit:
         """Wait, within bounds, until a request may start.
 
+        A request that another data centre passed on was counted against
+        its quotas there.
+
         :raises Refusal: with the verdict "not run" and when to come back
         """
-        await self._wait_for_room(demand)
+        hold = None
+        if self._quotas is not None and not demand.hops:
+            hold = await self._quotas.take(client_id, demand)
+        turn = None
+        try:
+            if demand.isolated and self._suspects is not None:
+                turn = await self._suspects.acquire(demand)
+            await self._wait_for_room(self._team_of(client_id), demand)
+        except BaseException:
+            self._give_back_parts(hold, turn, 0)
+            raise
         self.running += 1
-        return Permit(admission=self)
+        return Permit(admission=self, hold=hold, suspect_turn=turn)
+
+    def give_back(
+        self, hold: QuotaHold | None, suspect_turn: str | None, tokens: int
+    ) -> None:
+        """Give back what a permit held."""
+        self.running -= 1
+        self._give_back_parts(hold, suspect_turn, tokens)
+
+    def _give_back_parts(
+        self, hold: QuotaHold | None, suspect_turn: str | None, tokens: int
+    ) -> None:
+        if hold is not None:
+            hold.release(tokens=tokens)
+        if suspect_turn is not None and self._suspects is not None:
+            self._suspects.release(suspect_turn)
 
     async def run(self) -> None:
         """Look at the waiters from time to time until cancelled."""
@@ -121,7 +163,7 @@
         ahead = line.seconds_ahead(key)
         return self._read_drain(demand.service).seconds(ahead)
 
-    async def _wait_for_room(self, demand: Demand) -> None:
+    async def _wait_for_room(self, team: str, demand: Demand) -> None:
         estimate = self._router.estimate(demand)
         if estimate is None:
             # The router says why there is none.
@@ -129,7 +171,8 @@
         self._check_deadline(demand, estimate)
         line = self._lines_by_service.setdefault(demand.service, WaitingLine())
         self._learn_seconds(demand, estimate.finish)
-        key = self._key(demand, next(self._order))
+        turn = line.take_turn(team, demand.rank, estimate.finish)
+        key = self._key(demand, turn)
         ahead = line.seconds_ahead(key)
         wait = self._read_drain(demand.service).seconds(ahead)
         if not ahead and self._router.can_start(demand, wait=wait):
@@ -141,6 +184,7 @@
         waiter = Waiter(
             demand=demand,
             key=key,
+            turn_tag=turn,
             slot_seconds=estimate.finish,
             since=self._clock.monotonic(),
         )
@@ -164,17 +208,25 @@
                 MIN_RETRY_AFTER_SECONDS,
             )
 
-    def _key(self, demand: Demand, sequence: float) -> tuple[float, ...]:
+    def _team_of(self, client_id: str) -> str:
+        if self._configuration is None:
+            return client_id
+        client = self._configuration.current.clients_by_id.get(client_id)
+        return client.team or client_id if client else client_id
+
+    def _key(self, demand: Demand, turn: float) -> tuple[float, ...]:
         """Return the place of a request in its line.
 
+        :param turn: its fair turn among the teams of its rank
+
         Worth counts a second of a class's mean run and not of the request
         itself: otherwise the long requests of the best class are overtaken
         by the shortest of the others and miss their deadlines.
         """
         if self._policy.prefer == "worth":
             mean = self._mean_seconds_by_worth.get(demand.worth, 1.0)
-            return (-demand.worth / mean, len(demand.hops), sequence)
-        return (demand.rank, len(demand.hops), sequence)
+            return (-demand.worth / mean, len(demand.hops), turn)
+        return (demand.rank, len(demand.hops), turn)
 
     def _learn_seconds(self, demand: Demand, seconds: float) -> None:
         means = self._mean_seconds_by_worth
@@ -200,6 +252,7 @@
             ahead += waiter.slot_seconds
             if self._router.can_start(waiter.demand, wait=wait):
                 line.remove(waiter)
+                line.note_started(waiter)
                 waiter.admit()
                 return
 
--- /dev/null
+++ b/burdockdrum/admission/messages.py
@@ -0,0 +1,40 @@
+"""What entry VMs of a data centre tell each other about quotas."""
+
+from burdockdrum.peers import Message
+
+
+class Borrow(Message, frozen=True, kw_only=True):
+    """A request for a part of another VM's share of a limit."""
+
+    subject: str
+    resource: str
+    amount: float
+
+
+class Lent(Message, frozen=True, kw_only=True):
+    """What is lent, 0 for nothing, and for how many seconds."""
+
+    amount: float
+    seconds: float
+
+
+class TakeSuspectTurn(Message, frozen=True, kw_only=True):
+    """A request for the one turn of suspects in a data centre.
+
+    ``seconds`` is when the suspect ends at the latest.
+    """
+
+    turn: str
+    seconds: float
+
+
+class SuspectTurn(Message, frozen=True, kw_only=True):
+    """Whether the turn is given."""
+
+    given: bool
+
+
+class ReturnSuspectTurn(Message, frozen=True, kw_only=True):
+    """The suspect has ended."""
+
+    turn: str
--- a/burdockdrum/admission/services.py
+++ b/burdockdrum/admission/services.py
@@ -1,22 +1,51 @@
 """Name the services of this package."""
 
+import random
+
 from burdockdrum.admission.admission import Admission
+from burdockdrum.admission.quotas import QuotaLedger
+from burdockdrum.admission.suspects import SuspectTurns
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.kernel import Kernel
+from burdockdrum.peers import Peers
 from burdockdrum.ports import Clock
 from burdockdrum.routing import Router
 from burdockdrum.settings import Settings
+from burdockdrum.vms import VmDirectory
 
 
 def add_services(kernel: Kernel) -> None:
-    """Name the admission."""
+    """Name the admission and what it counts with."""
+    kernel.add("quotas", _build_quotas)
+    kernel.add("suspect_turns", _build_suspect_turns)
     kernel.add("admission", _build_admission)
 
 
+def _build_quotas(kernel: Kernel) -> QuotaLedger:
+    return QuotaLedger(
+        clock=kernel.find("clock", Clock),
+        rng=kernel.find("random", random.Random),
+        configuration=kernel.find("configuration", ConfigurationService),
+        peers=kernel.find("peers", Peers),
+        vms=kernel.find("vms", VmDirectory),
+    )
+
+
+def _build_suspect_turns(kernel: Kernel) -> SuspectTurns:
+    return SuspectTurns(
+        clock=kernel.find("clock", Clock),
+        rng=kernel.find("random", random.Random),
+        peers=kernel.find("peers", Peers),
+        vms=kernel.find("vms", VmDirectory),
+    )
+
+
 def _build_admission(kernel: Kernel) -> Admission:
     return Admission(
         clock=kernel.find("clock", Clock),
         configuration=kernel.find("configuration", ConfigurationService),
         router=kernel.find("router", Router),
         policy=kernel.find("settings", Settings).policy,
+        quotas=kernel.find("quotas", QuotaLedger),
+        suspects=kernel.find("suspect_turns", SuspectTurns),
     )
--- a/burdockdrum/admission/waiting.py
+++ b/burdockdrum/admission/waiting.py
@@ -16,11 +16,13 @@
         *,
         demand: Demand,
         key: tuple[float, ...],
+        turn_tag: float,
         slot_seconds: float,
         since: float,
     ) -> None:
         """Create a waiter; lower keys go first."""
         self.demand = demand
+        self.turn_tag = turn_tag
         self.key = key
         self.slot_seconds = slot_seconds
         self.since = since
@@ -38,11 +40,34 @@
 
 
 class WaitingLine:
-    """Waiters in the order in which they will start."""
+    """Waiters in the order in which they will start.
+
+    Within a rank, teams take turns by start-time fair queueing (Goyal, Vin
+    and Cheng, 1996): the flood of one team waits behind its own requests
+    and not before those of others.
+    """
 
     def __init__(self) -> None:
         """Create an empty line."""
         self._waiters: list[Waiter] = []
+        self._turn_by_rank: dict[int, float] = {}
+        self._next_by_team: dict[tuple[int, str], float] = {}
+
+    def take_turn(self, team: str, rank: int, slot_seconds: float) -> float:
+        """Return a team's next turn and count its cost."""
+        if not self._waiters:
+            # Nobody waits: what teams have had before no longer counts.
+            self._next_by_team.clear()
+        now = self._turn_by_rank.get(rank, 0.0)
+        turn = max(now, self._next_by_team.get((rank, team), now))
+        self._next_by_team[(rank, team)] = turn + slot_seconds
+        return turn
+
+    def note_started(self, waiter: Waiter) -> None:
+        """Move its rank's time on to the turn of one that starts."""
+        rank = waiter.demand.rank
+        now = self._turn_by_rank.get(rank, 0.0)
+        self._turn_by_rank[rank] = max(now, waiter.turn_tag)
 
     def __len__(self) -> int:
         return len(self._waiters)
--- a/scripts/experiment/policies.py
+++ b/scripts/experiment/policies.py
@@ -33,6 +33,10 @@
         self.running += 1
         return Permit(admission=self)  # type: ignore[arg-type]
 
+    def give_back(self, hold: Any, suspect_turn: Any, tokens: int) -> None:
+        """Count a request that ended."""
+        self.running -= 1
+
     async def run(self) -> None:
         """Do nothing."""
 
