Try an endpoint that was slow again, and forget its slow time then

Cause: an endpoint that had been ten times slower was never chosen again: all others looked better, so nothing new was learned of it. The stand-in's hang now ends with its fault.

--- a/burdockdrum/emulator/engine.py
+++ b/burdockdrum/emulator/engine.py
@@ -25,6 +25,7 @@
 # Tokens of a prompt in one block of the prefix cache.
 BLOCK_TOKENS = 128
 _SLOW_FACTOR = 10
+_HANG_POLL_SECONDS = 0.5
 
 
 class EngineCrashed(ConnectionError):
@@ -231,8 +232,8 @@
     async def _run_batches(self) -> None:
         while self._batch or self._queue:
             self._fill_batch()
-            if self.fault is Fault.HANG:
-                await asyncio.Event().wait()
+            while self.fault is Fault.HANG:
+                await self.clock.sleep(_HANG_POLL_SECONDS)
             if not self._batch:
                 continue
             prompts = self._plan_prefill()
--- a/burdockdrum/routing/router.py
+++ b/burdockdrum/routing/router.py
@@ -172,6 +172,7 @@
         )
         now = self.now()
         tracker.own.change(1, now)
+        tracker.tried_at = now
         tracker.suspects += demand.isolated
         tracker.expect_first_token(
             attempt.number, now, option.estimate.first_token
@@ -297,6 +298,11 @@
             return None
         if demand.isolated:
             return min(options, key=lambda option: option.load)
+        now = self.now()
+        for option in options:
+            # Only work that may be run again is risked on a trial.
+            if demand.repeatable and option.tracker.is_due_for_trial(now):
+                return option
         sample = options
         if len(options) > self.policy.choices:
             warm = sorted(options, key=lambda option: option.tokens_read)
@@ -406,7 +412,12 @@
                 expected=attempt.expected_first,
                 tokens_read=attempt.tokens_read,
             )
-            tracker.compare(self._typical_slowness(attempt.endpoint.service))
+            service = attempt.endpoint.service
+            tracker.compare(
+                self._typical_slowness(service),
+                self._typical_speed(service),
+                self.now(),
+            )
 
     def _learn_finish(self, attempt: Attempt, facts: AttemptFacts) -> None:
         now = self.now()
--- a/burdockdrum/routing/speed.py
+++ b/burdockdrum/routing/speed.py
@@ -9,6 +9,7 @@
 # read: an endpoint is not slow for that.
 BATCH_SECONDS = 0.4
 _WEIGHT = 0.15
+_SLOWNESS_WEIGHT = 0.3
 # Prompts shorter than this say little about the time to read a token.
 _MIN_PREFILL_TOKENS = 256
 # The limit sinks when the first token takes this many times as long as
@@ -53,7 +54,7 @@
         """
         self.samples += 1
         ratio = min(20.0, seconds / (expected + BATCH_SECONDS))
-        self.slowness += _WEIGHT * 2 * (ratio - self.slowness)
+        self.slowness += _SLOWNESS_WEIGHT * (ratio - self.slowness)
         if tokens_read >= _MIN_PREFILL_TOKENS:
             observed = max(0.0, seconds - self._token) / tokens_read
             self._prefill += _WEIGHT * (observed - self._prefill)
--- a/burdockdrum/routing/tracking.py
+++ b/burdockdrum/routing/tracking.py
@@ -1,5 +1,6 @@
 """What one VM has learned of one incarnation of an endpoint."""
 
+import math
 import random
 
 from burdockdrum.endpoints import Endpoint
@@ -15,6 +16,8 @@
 OVERDUE_SECONDS = 1.5
 # Times slower than the service's others that makes an outlier.
 OUTLIER_SLOWNESS = 3.0
+# An endpoint that is held back gets one request in so many seconds.
+TRIAL_SECONDS = 4.0
 _MIN_SAMPLES = 3
 
 
@@ -35,6 +38,7 @@
         self.own = OwnLoad()
         self.suspects = 0
         self.is_outlier = False
+        self.tried_at = -math.inf
         self.health = EndpointHealth(
             rng=rng, slow_start_seconds=slow_start_seconds
         )
@@ -56,13 +60,34 @@
         share = self.health.share(now)
         return max(1.0, self.limit.value * share) if share else 0.0
 
-    def compare(self, typical_slowness: float) -> None:
+    def compare(
+        self, typical_slowness: float, typical: Speed, now: float
+    ) -> None:
         """Judge anew whether it is far slower than its service's others."""
         speed = self.speed
         limit = OUTLIER_SLOWNESS * max(1.0, typical_slowness)
+        was_outlier = self.is_outlier
         self.is_outlier = (
             speed.samples >= _MIN_SAMPLES and speed.slowness > limit
         )
+        if was_outlier and not self.is_outlier:
+            # What was learned of it while it was slow would keep all work
+            # away from it, and nothing new would be learned.
+            self.speed = SpeedModel(start=typical)
+            self.health.start_slowly(now)
+
+    def is_due_for_trial(self, now: float) -> bool:
+        """Say whether it should get one request although others are better.
+
+        Without it an endpoint that was slow once would never be chosen
+        again, and its recovery never noticed.
+        """
+        held_back = self.is_outlier or self.health.is_on_trial(now)
+        return (
+            held_back
+            and not self.own.count
+            and now - self.tried_at >= TRIAL_SECONDS
+        )
 
     def expect_first_token(
         self, attempt: int, now: float, expected: float
