Count a waiter's run without the wait; return loans that outlive their use

The lender now counts a loan of places until the borrower returns it, or the longest deadline has passed. VMs are watched from the start, also before a quota is first used: cut off before that, each took the whole.

--- a/burdockdrum/admission/admission.py
+++ b/burdockdrum/admission/admission.py
@@ -170,8 +170,8 @@
             return
         self._check_deadline(demand, estimate)
         line = self._lines_by_service.setdefault(demand.service, WaitingLine())
-        self._learn_seconds(demand, estimate.finish)
-        turn = line.take_turn(team, demand.rank, estimate.finish)
+        self._learn_seconds(demand, estimate.run)
+        turn = line.take_turn(team, demand.rank, estimate.run)
         key = self._key(demand, turn)
         ahead = line.seconds_ahead(key)
         wait = self._read_drain(demand.service).seconds(ahead)
@@ -185,7 +185,7 @@
             demand=demand,
             key=key,
             turn_tag=turn,
-            slot_seconds=estimate.finish,
+            slot_seconds=estimate.run,
             since=self._clock.monotonic(),
         )
         line.add(waiter)
@@ -200,10 +200,10 @@
 
     def _check_deadline(self, demand: Demand, estimate: Estimate) -> None:
         left = demand.deadline - self._clock.monotonic()
-        if estimate.finish > left:
+        if estimate.run > left:
             raise _refuse(
                 RefusalCode.DEADLINE,
-                f"an answer takes about {estimate.finish:.1f} s, and "
+                f"an answer takes about {estimate.run:.1f} s, and "
                 f"{max(0.0, left):.1f} s are left",
                 MIN_RETRY_AFTER_SECONDS,
             )
@@ -283,7 +283,7 @@
             if finish > waiter.demand.deadline:
                 ahead -= waiter.slot_seconds
                 self._refuse_waiter(line, waiter, RefusalCode.DEADLINE, wait)
-            elif now + wait - waiter.since > self._max_wait():
+            elif now + wait - waiter.since > self._max_wait(drain, waiter):
                 ahead -= waiter.slot_seconds
                 self._refuse_waiter(line, waiter, RefusalCode.OVERLOADED, wait)
 
@@ -298,11 +298,16 @@
         message = f"the wait would be about {wait:.1f} s"
         waiter.refuse(_refuse(code, message, wait))
 
-    def _max_wait(self) -> float:
+    def _max_wait(self, drain: _Drain, waiter: Waiter) -> float:
         if self._policy.prefer == "worth":
             # An answer is worth the same until its deadline.
             return math.inf
-        return self._policy.max_wait_seconds
+        limit = self._policy.max_wait_seconds
+        if waiter.since < self._clock.monotonic():
+            # The drain counts in whole slots, and time passes until the
+            # next one is free: that alone is no reason to give up.
+            limit += drain.mean / drain.capacity
+        return limit
 
     def _read_drain(self, service: str) -> _Drain:
         return _Drain(
--- a/burdockdrum/admission/messages.py
+++ b/burdockdrum/admission/messages.py
@@ -4,8 +4,12 @@
 
 
 class Borrow(Message, frozen=True, kw_only=True):
-    """A request for a part of another VM's share of a limit."""
+    """A request for a part of another VM's share of a limit.
 
+    Asking again under the same loan id renews the loan.
+    """
+
+    loan_id: str
     subject: str
     resource: str
     amount: float
@@ -18,6 +22,14 @@
     seconds: float
 
 
+class ReturnLoan(Message, frozen=True, kw_only=True):
+    """What was lent is no longer used."""
+
+    loan_id: str
+    subject: str
+    resource: str
+
+
 class TakeSuspectTurn(Message, frozen=True, kw_only=True):
     """A request for the one turn of suspects in a data centre.
 
--- a/burdockdrum/admission/quotas.py
+++ b/burdockdrum/admission/quotas.py
@@ -1,14 +1,17 @@
 """Quotas of teams and clients over the entry VMs of a data centre."""
 
 from collections.abc import Iterator
+import dataclasses
 from dataclasses import dataclass
 import math
 import random
 
 from burdockdrum.admission.messages import Borrow
 from burdockdrum.admission.messages import Lent
+from burdockdrum.admission.messages import ReturnLoan
 from burdockdrum.admission.shares import BORROWED_SECONDS
 from burdockdrum.admission.shares import ConcurrentShare
+from burdockdrum.admission.shares import Loan
 from burdockdrum.admission.shares import LOAN_SECONDS
 from burdockdrum.admission.shares import RateShare
 from burdockdrum.admission.shares import Resource
@@ -32,6 +35,9 @@
 # A VM that was not heard of for so long no longer has a part. Until then it
 # may be cut off and serving: its part must not be used twice.
 FORGET_SECONDS = 600.0
+TEND_SECONDS = 0.5
+# Loans in use are renewed when so much of them is left.
+RENEW_SECONDS = 2.0
 
 AnyShare = RateShare | ConcurrentShare
 
@@ -92,6 +98,7 @@
         self._pauses: dict[tuple[str, Resource], float] = {}
         self._seen_at_by_vm: dict[str, float] = {}
         peers.register(Borrow, self._take_borrow)
+        peers.register(ReturnLoan, self._take_return)
 
     async def take(self, client_id: str, demand: Demand) -> QuotaHold:
         """Take a request's part of each limit on it.
@@ -188,9 +195,45 @@
             if seen_at >= limit
         )
 
+    async def run(self) -> None:
+        """Renew loans in use, return the others, and watch for VMs."""
+        while True:
+            await self._clock.sleep(TEND_SECONDS)
+            # Parts depend on who was ever seen, also before the first use.
+            self._known_vms()
+            for (subject, resource), share in list(self._shares.items()):
+                await self._tend(subject, resource, share)
+
+    async def _tend(
+        self, subject: str, resource: Resource, share: AnyShare
+    ) -> None:
+        now = self._now()
+        match share:
+            case RateShare():
+                for loan in list(share.borrowed_by_id.values()):
+                    if loan.until <= now:
+                        del share.borrowed_by_id[loan.loan_id]
+            case ConcurrentShare():
+                for loan in list(share.borrowed_by_id.values()):
+                    due = loan.until - now < RENEW_SECONDS
+                    if due and share.in_use > share.base:
+                        await self._ask(subject, resource, share, loan)
+                for loan in share.find_unused(self._now()):
+                    del share.borrowed_by_id[loan.loan_id]
+                    self._peers.send(
+                        loan.peer,
+                        ReturnLoan(
+                            loan_id=loan.loan_id,
+                            subject=subject,
+                            resource=resource.value,
+                        ),
+                    )
+
     async def _borrow(self, claim: _Claim) -> None:
         """Ask other VMs here for a part of theirs, one after another."""
         key = (claim.subject, claim.resource)
+        share = claim.share
+        share.short_at = self._now()
         if self._pauses.get(key, -math.inf) > self._now():
             return
         own = self._vms.identity
@@ -200,28 +243,42 @@
             if view.identity.data_centre == own.data_centre
         ]
         self._rng.shuffle(lenders)
-        amount = max(1.0, claim.share.base / 2)
-        message = Borrow(
-            subject=claim.subject,
-            resource=claim.resource.value,
-            amount=amount,
-        )
         for address in lenders[:MAX_LENDERS]:
-            asked_at = self._now()
-            try:
-                reply = await self._peers.call(
-                    address, message, Lent, timeout=BORROW_TIMEOUT_SECONDS
-                )
-            except CallFailed:
-                continue
-            if reply.amount > 0:
-                # Counted from the asking: the lender began to count later.
-                until = asked_at + min(BORROWED_SECONDS, reply.seconds)
-                claim.share.borrow(reply.amount, until)
-                if claim.share.can_take(self._now()):
-                    return
+            loan = Loan(
+                loan_id=f"{own.vm_id}-{self._rng.getrandbits(64):x}",
+                peer=address,
+                amount=max(1.0, share.base / 2),
+                until=self._now(),
+            )
+            await self._ask(claim.subject, claim.resource, share, loan)
+            if share.can_take(self._now()):
+                return
         self._pauses[key] = self._now() + PAUSE_SECONDS
 
+    async def _ask(
+        self, subject: str, resource: Resource, share: AnyShare, loan: Loan
+    ) -> None:
+        """Ask for a loan, or for its renewal."""
+        asked_at = self._now()
+        message = Borrow(
+            loan_id=loan.loan_id,
+            subject=subject,
+            resource=resource.value,
+            amount=loan.amount,
+        )
+        try:
+            reply = await self._peers.call(
+                loan.peer, message, Lent, timeout=BORROW_TIMEOUT_SECONDS
+            )
+        except CallFailed:
+            return
+        if reply.amount > 0:
+            # Counted from the asking: the lender began to count later.
+            until = asked_at + min(BORROWED_SECONDS, reply.seconds)
+            share.borrowed_by_id[loan.loan_id] = dataclasses.replace(
+                loan, amount=reply.amount, until=until
+            )
+
     async def _take_borrow(
         self, sender: Sender, message: Borrow
     ) -> Message | None:
@@ -230,9 +287,23 @@
         if limit is None:
             return Lent(amount=0.0, seconds=0.0)
         share = self._share(message.subject, resource, limit)
-        amount = share.lend(message.amount, self._now())
+        amount = share.lend(
+            loan_id=message.loan_id,
+            peer=sender.address,
+            wanted=message.amount,
+            now=self._now(),
+        )
         return Lent(amount=amount, seconds=LOAN_SECONDS)
 
+    async def _take_return(
+        self, sender: Sender, message: ReturnLoan
+    ) -> Message | None:
+        key = (message.subject, Resource(message.resource))
+        share = self._shares.get(key)
+        if share is not None:
+            share.lent_by_id.pop(message.loan_id, None)
+        return None
+
     def _find_limit(self, subject: str, resource: Resource) -> float | None:
         configuration = self._configuration.current
         sort, _, name = subject.partition(" ")
--- a/burdockdrum/routing/elsewhere.py
+++ b/burdockdrum/routing/elsewhere.py
@@ -31,7 +31,8 @@
     """A data centre that would take a request, and when it would begin.
 
     ``room`` is what it has beyond the part reserved for its own callers;
-    ``refused`` says that it refused a request a moment ago.
+    ``run`` is the time in a slot there, ``refused`` says that it refused a
+    request a moment ago.
     """
 
     data_centre: str
@@ -39,6 +40,7 @@
     refused: bool
     first_token: float
     finish: float
+    run: float
 
 
 def reserve_of(slots: int, share: float) -> float:
@@ -180,6 +182,7 @@
             refused=refused,
             first_token=first,
             finish=first + run,
+            run=read + run,
         )
 
     def _has_refused(self, name: str) -> bool:
--- a/burdockdrum/routing/router.py
+++ b/burdockdrum/routing/router.py
@@ -138,8 +138,9 @@
         offers = self._find_offers(demand)
         if not offers:
             return None
+        best = offers[0]
         return Estimate(
-            first_token=offers[0].first_token, finish=offers[0].finish
+            first_token=best.first_token, finish=best.finish, run=best.run
         )
 
     def note_forward_refused(self, data_centre: str) -> None:
@@ -274,7 +275,7 @@
         wait = ahead * tracker.service_seconds / max(1.0, limit)
         # Prompts of others are read between the tokens of this one, so the
         # busier endpoint is also the slower one.
-        crowd = 1 + 0.5 * min(1.0, load / max(1.0, limit))
+        crowd = 0.85 + 0.3 * min(1.0, load / max(1.0, limit))
         first = wait + (tokens_read * speed.prefill + speed.token) * crowd
         finish = first + demand.max_tokens * speed.token * crowd
         return _Option(
@@ -283,7 +284,9 @@
             load=load,
             room=limit - load,
             tokens_read=tokens_read,
-            estimate=Estimate(first_token=first, finish=finish),
+            estimate=Estimate(
+                first_token=first, finish=finish, run=finish - wait
+            ),
         )
 
     def _pick(self, options: list[_Option], demand: Demand) -> _Option | None:
--- /dev/null
+++ b/tests/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of quotas, lines and early refusals."""
--- /dev/null
+++ b/tests/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the choice of endpoints and data centres."""
