--- a/burdockdrum/admission/admission.py
+++ b/burdockdrum/admission/admission.py
@@ -177,9 +177,9 @@
         wait = self._read_drain(demand.service).seconds(ahead)
         if not ahead and self._router.can_start(demand, wait=wait):
             return
-        if demand.hops and not self._router.is_homeless(demand):
-            # Its own entry has a line for it, and knows better where else
-            # there is room. One whose home has no endpoint waits here.
+        if demand.hops and not demand.displaced:
+            # A spilled request never waits here: its own entry has a line,
+            # and knows better where else there is room.
             raise _refuse(RefusalCode.OVERLOADED, "no room for others", 1.0)
         waiter = Waiter(
             demand=demand,
--- a/burdockdrum/routing/elsewhere.py
+++ b/burdockdrum/routing/elsewhere.py
@@ -98,15 +98,6 @@
         """Offer nothing of a data centre until its view is newer."""
         self._refused_at[data_centre] = self._clock.monotonic()
 
-    def has_endpoints(self, data_centre: str, service: str) -> bool:
-        """Say whether a data centre is known to have a live endpoint."""
-        return any(
-            summary.service == service and summary.endpoints
-            for view in self._vms.live_vms()[1:]
-            if view.identity.data_centre == data_centre
-            for summary in view.services
-        )
-
     def equal_part(self, service: str) -> float:
         """Return the slots elsewhere that are this data centre's part.
 
--- a/burdockdrum/routing/router.py
+++ b/burdockdrum/routing/router.py
@@ -118,13 +118,6 @@
             return True
         return self._find_better_offer(demand, None, wait) is not None
 
-    def is_homeless(self, demand: Demand) -> bool:
-        """Say whether a request was passed on for want of any endpoint."""
-        if not demand.hops:
-            return False
-        home = demand.hops[0]
-        return not self._elsewhere.has_endpoints(home, demand.service)
-
     def estimate(self, demand: Demand) -> Estimate | None:
         """Return the best that a request may expect once it starts."""
         options = self._weigh(demand)
@@ -143,6 +136,12 @@
             first_token=best.first_token, finish=best.finish, run=best.run
         )
 
+    def is_displaced(self, demand: Demand) -> bool:
+        """Say whether no endpoint of this data centre may ever run it."""
+        if self._vms.identity.region not in demand.regions:
+            return True
+        return not self._endpoints.candidates(demand.service)
+
     def note_forward_refused(self, data_centre: str) -> None:
         """Take in that a data centre had no room for a request.
 
@@ -378,7 +377,7 @@
         room = sum(max(0.0, option.room) for option in options)
         slots = sum(option.endpoint.slots for option in options)
         has_room = any(option.room >= 1 for option in options)
-        if self.is_homeless(demand):
+        if demand.displaced:
             # It has no other place to run. Own callers of its rank still
             # go before it in the line.
             return has_room
--- a/burdockdrum/settings/model.py
+++ b/burdockdrum/settings/model.py
@@ -57,6 +57,17 @@
     data_folder: str | None = None
 
 
+class ConfigurationSettings(_Section, frozen=True, kw_only=True):
+    """What a VM does that hears of no change for long.
+
+    For ``residency_lease_seconds`` after it last knew its configuration to
+    be current, a VM lets a client's data go to every region of its
+    residency; from then on to its home region only.
+    """
+
+    residency_lease_seconds: float = 300.0
+
+
 class OperatorSettings(_Section, frozen=True, kw_only=True):
     """Hashes of tokens that work before any operator resource exists."""
 
@@ -94,6 +105,24 @@
     spill_reserve: float = 0.1
 
 
+class AttemptSettings(_Section, frozen=True, kw_only=True):
+    """How long an endpoint may be silent before another one is tried."""
+
+    first_token_seconds: float = 15.0
+    between_tokens_seconds: float = 10.0
+
+
+class ClaimSettings(_Section, frozen=True, kw_only=True):
+    """Which VMs of this region keep the claims of its clients.
+
+    ``keepers`` maps ids to control addresses and has to be the same on all
+    VMs of the region, through restarts. Where it is empty the control VMs
+    of all regions are the keepers.
+    """
+
+    keepers: dict[str, str] = {}
+
+
 class DrainSettings(_Section, frozen=True, kw_only=True):
     """How long a shutdown may take."""
 
@@ -114,9 +143,12 @@
     listen: ListenSettings = ListenSettings()
     cluster: ClusterSettings = ClusterSettings()
     control: ControlSettings = ControlSettings()
+    configuration: ConfigurationSettings = ConfigurationSettings()
     operators: OperatorSettings = OperatorSettings()
     endpoints: EndpointSettings = EndpointSettings()
     limits: LimitSettings = LimitSettings()
     policy: PolicySettings = PolicySettings()
+    attempts: AttemptSettings = AttemptSettings()
+    claims: ClaimSettings = ClaimSettings()
     drain: DrainSettings = DrainSettings()
     log: LogSettings = LogSettings()
--- a/burdockdrum/testing/vms.py
+++ b/burdockdrum/testing/vms.py
@@ -14,7 +14,9 @@
 from burdockdrum.kernel import Kernel
 from burdockdrum.peers import VmIdentity
 from burdockdrum.settings import Settings
+from burdockdrum.testing.asgi import AsgiServer
 from burdockdrum.testing.asgi import serve_asgi
+from burdockdrum.testing.disk import FakeDisk
 from burdockdrum.testing.http import FakeHttpClient
 from burdockdrum.testing.http import FakeWeb
 from burdockdrum.testing.network import FakeNetwork
@@ -28,6 +30,7 @@
         """Take over a kernel whose services are named."""
         self.identity = identity
         self.kernel = kernel
+        self.server: AsgiServer | None = None
         self.task: asyncio.Task[None] | None = None
 
 
@@ -40,6 +43,9 @@
         self.network = FakeNetwork(rng=random.Random(seed + 1))
         self.web = FakeWeb(network=self.network)
         self.vms_by_id: dict[str, FakeVm] = {}
+        self.disks_by_vm_id: dict[str, FakeDisk] = {}
+        # How many seconds a VM's clock counts in a second; 1 if not named.
+        self.clock_rates_by_vm_id: dict[str, float] = {}
         self._incarnation = 0
 
     async def start_vm(self, settings: Settings) -> FakeVm:
@@ -59,14 +65,16 @@
             settings=settings,
             identity=identity,
             mailbox=mailbox,
-            clock=VirtualClock(),
+            clock=VirtualClock(rate=self.clock_rates_by_vm_id.get(vm_id, 1.0)),
             http=FakeHttpClient(web=self.web, host=vm_id),
             rng=random.Random(self.rng.random()),
+            disk=self._find_disk(settings),
         )
         vm = FakeVm(identity=identity, kernel=kernel)
         application = kernel.find("application", Application)
         await application.start()
-        self.web.serve(settings.listen.http, vm_id, serve_asgi(application))
+        vm.server = serve_asgi(application)
+        self.web.serve(settings.listen.http, vm_id, vm.server)
         vm.task = asyncio.create_task(kernel.run())
         self.vms_by_id[vm_id] = vm
         return vm
@@ -76,9 +84,20 @@
         vm = self.vms_by_id.pop(vm_id)
         self.web.stop(vm.identity.http_address)
         assert vm.task is not None
+        if vm.server is not None:
+            vm.server.abort()
         vm.task.cancel()
         await asyncio.gather(vm.task, return_exceptions=True)
 
+    def _find_disk(self, settings: Settings) -> FakeDisk | None:
+        if settings.control.data_folder is None:
+            return None
+        vm_id = settings.vm.id
+        if vm_id not in self.disks_by_vm_id:
+            rng = random.Random(self.rng.random())
+            self.disks_by_vm_id[vm_id] = FakeDisk(rng=rng)
+        return self.disks_by_vm_id[vm_id]
+
     async def stop(self) -> None:
         """Stop every VM."""
         for vm_id in list(self.vms_by_id):
--- a/scripts/experiment/driver.py
+++ b/scripts/experiment/driver.py
@@ -168,7 +168,8 @@
         vm_id = choice.entries[0].vm_id
         other = next(e for e in entries if e.identity.vm_id == vm_id)
         hops = (*demand.hops, entry.identity.data_centre)
-        passed_on = replace(demand, hops=hops)
+        displaced = entry.router.is_displaced(demand)
+        passed_on = replace(demand, hops=hops, displaced=displaced)
         await asyncio.sleep(WIDE_AREA_SECONDS)
         try:
             await self.serve(other, passed_on, back + WIDE_AREA_SECONDS)
