Leave trials of suspects to the quarantine

Two parts granted them: the quarantine's trials, one VM of the data centre granting them, and the turns in admission. The router still sends a suspect to the endpoint with the least other work, and others elsewhere meanwhile.

--- a/burdockdrum/admission/__init__.py
+++ b/burdockdrum/admission/__init__.py
@@ -5,7 +5,6 @@
 from burdockdrum.admission.quotas import QuotaHold
 from burdockdrum.admission.quotas import QuotaLedger
 from burdockdrum.admission.services import add_services
-from burdockdrum.admission.suspects import SuspectTurns
 
 __all__ = [
     "add_services",
@@ -13,5 +12,4 @@
     "Permit",
     "QuotaHold",
     "QuotaLedger",
-    "SuspectTurns",
 ]
--- a/burdockdrum/admission/admission.py
+++ b/burdockdrum/admission/admission.py
@@ -6,7 +6,6 @@
 
 from burdockdrum.admission.quotas import QuotaHold
 from burdockdrum.admission.quotas import QuotaLedger
-from burdockdrum.admission.suspects import SuspectTurns
 from burdockdrum.admission.waiting import Waiter
 from burdockdrum.admission.waiting import WaitingLine
 from burdockdrum.configuration import ConfigurationService
@@ -39,12 +38,10 @@
         *,
         admission: "Admission",
         hold: QuotaHold | None = None,
-        suspect_turn: str | None = None,
     ) -> None:
         """Create a permit."""
         self._admission = admission
         self._hold = hold
-        self._suspect_turn = suspect_turn
         self._released = False
 
     def release(self, *, completed: bool, tokens: int = 0) -> None:
@@ -52,7 +49,7 @@
         if self._released:
             return
         self._released = True
-        self._admission.give_back(self._hold, self._suspect_turn, tokens)
+        self._admission.give_back(self._hold, tokens)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -83,11 +80,9 @@
         router: Router,
         policy: PolicySettings | None = None,
         quotas: QuotaLedger | None = None,
-        suspects: SuspectTurns | None = None,
     ) -> None:
         """Create an admission without load."""
         self._quotas = quotas
-        self._suspects = suspects
         self._clock = clock
         self._configuration = configuration
         self._router = router
@@ -110,31 +105,20 @@
         hold = None
         if self._quotas is not None and not demand.hops:
             hold = await self._quotas.take(client_id, demand)
-        turn = None
         try:
-            if demand.isolated and self._suspects is not None:
-                turn = await self._suspects.acquire(demand)
             await self._wait_for_room(self._team_of(client_id), demand)
         except BaseException:
-            self._give_back_parts(hold, turn, 0)
+            if hold is not None:
+                hold.release(tokens=0)
             raise
         self.running += 1
-        return Permit(admission=self, hold=hold, suspect_turn=turn)
+        return Permit(admission=self, hold=hold)
 
-    def give_back(
-        self, hold: QuotaHold | None, suspect_turn: str | None, tokens: int
-    ) -> None:
+    def give_back(self, hold: QuotaHold | None, tokens: int) -> None:
         """Give back what a permit held."""
         self.running -= 1
-        self._give_back_parts(hold, suspect_turn, tokens)
-
-    def _give_back_parts(
-        self, hold: QuotaHold | None, suspect_turn: str | None, tokens: int
-    ) -> None:
         if hold is not None:
             hold.release(tokens=tokens)
-        if suspect_turn is not None and self._suspects is not None:
-            self._suspects.release(suspect_turn)
 
     async def run(self) -> None:
         """Look at the waiters from time to time until cancelled."""
--- a/burdockdrum/admission/messages.py
+++ b/burdockdrum/admission/messages.py
@@ -28,25 +28,3 @@
     loan_id: str
     subject: str
     resource: str
-
-
-class TakeSuspectTurn(Message, frozen=True, kw_only=True):
-    """A request for the one turn of suspects in a data centre.
-
-    ``seconds`` is when the suspect ends at the latest.
-    """
-
-    turn: str
-    seconds: float
-
-
-class SuspectTurn(Message, frozen=True, kw_only=True):
-    """Whether the turn is given."""
-
-    given: bool
-
-
-class ReturnSuspectTurn(Message, frozen=True, kw_only=True):
-    """The suspect has ended."""
-
-    turn: str
--- a/burdockdrum/admission/services.py
+++ b/burdockdrum/admission/services.py
@@ -4,7 +4,6 @@
 
 from burdockdrum.admission.admission import Admission
 from burdockdrum.admission.quotas import QuotaLedger
-from burdockdrum.admission.suspects import SuspectTurns
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.kernel import Kernel
 from burdockdrum.peers import Peers
@@ -17,7 +16,6 @@
 def add_services(kernel: Kernel) -> None:
     """Name the admission and what it counts with."""
     kernel.add("quotas", _build_quotas)
-    kernel.add("suspect_turns", _build_suspect_turns)
     kernel.add("admission", _build_admission)
 
 
@@ -31,15 +29,6 @@
     )
 
 
-def _build_suspect_turns(kernel: Kernel) -> SuspectTurns:
-    return SuspectTurns(
-        clock=kernel.find("clock", Clock),
-        rng=kernel.find("random", random.Random),
-        peers=kernel.find("peers", Peers),
-        vms=kernel.find("vms", VmDirectory),
-    )
-
-
 def _build_admission(kernel: Kernel) -> Admission:
     return Admission(
         clock=kernel.find("clock", Clock),
@@ -47,5 +36,4 @@
         router=kernel.find("router", Router),
         policy=kernel.find("settings", Settings).policy,
         quotas=kernel.find("quotas", QuotaLedger),
-        suspects=kernel.find("suspect_turns", SuspectTurns),
     )
--- a/scripts/experiment/policies.py
+++ b/scripts/experiment/policies.py
@@ -33,7 +33,7 @@
         self.running += 1
         return Permit(admission=self)  # type: ignore[arg-type]
 
-    def give_back(self, hold: Any, suspect_turn: Any, tokens: int) -> None:
+    def give_back(self, hold: Any, tokens: int) -> None:
         """Count a request that ended."""
         self.running -= 1
 
