--- a/burdockdrum/routing/router.py
+++ b/burdockdrum/routing/router.py
@@ -131,8 +131,9 @@
         offers = self._find_offers(demand)
         if not offers:
             return None
+        best = offers[0]
         return Estimate(
-            first_token=offers[0].first_token, finish=offers[0].finish
+            first_token=best.first_token, finish=best.finish, run=best.run
         )
 
     def is_displaced(self, demand: Demand) -> bool:
@@ -171,6 +172,7 @@
         )
         now = self.now()
         tracker.own.change(1, now)
+        tracker.tried_at = now
         tracker.suspects += demand.isolated
         tracker.expect_first_token(
             attempt.number, now, option.estimate.first_token
@@ -272,7 +274,7 @@
         wait = ahead * tracker.service_seconds / max(1.0, limit)
         # Prompts of others are read between the tokens of this one, so the
         # busier endpoint is also the slower one.
-        crowd = 1 + 0.5 * min(1.0, load / max(1.0, limit))
+        crowd = 0.85 + 0.3 * min(1.0, load / max(1.0, limit))
         first = wait + (tokens_read * speed.prefill + speed.token) * crowd
         finish = first + demand.max_tokens * speed.token * crowd
         return _Option(
@@ -281,7 +283,9 @@
             load=load,
             room=limit - load,
             tokens_read=tokens_read,
-            estimate=Estimate(first_token=first, finish=finish),
+            estimate=Estimate(
+                first_token=first, finish=finish, run=finish - wait
+            ),
         )
 
     def _pick(self, options: list[_Option], demand: Demand) -> _Option | None:
@@ -296,6 +300,11 @@
             return None
         if demand.isolated:
             return min(options, key=lambda option: option.load)
+        now = self.now()
+        for option in options:
+            # Only work that may be run again is risked on a trial.
+            if demand.repeatable and option.tracker.is_due_for_trial(now):
+                return option
         sample = options
         if len(options) > self.policy.choices:
             warm = sorted(options, key=lambda option: option.tokens_read)
@@ -405,7 +414,12 @@
                 expected=attempt.expected_first,
                 tokens_read=attempt.tokens_read,
             )
-            tracker.compare(self._typical_slowness(attempt.endpoint.service))
+            service = attempt.endpoint.service
+            tracker.compare(
+                self._typical_slowness(service),
+                self._typical_speed(service),
+                self.now(),
+            )
 
     def _learn_finish(self, attempt: Attempt, facts: AttemptFacts) -> None:
         now = self.now()
