--- a/burdockdrum/system_ports/connections.py
+++ b/burdockdrum/system_ports/connections.py
@@ -14,17 +14,92 @@
 from blacksheep.client.pool import ConnectionPool
 from blacksheep.messages import Response
 import h11
+import httptools
 
 READ_BYTES = 65536
+MAX_HEAD_BYTES = 65536
 
 
 class ConnectionEnded(Exception):
     """The peer closed or broke the connection in the middle."""
 
 
+class ResponseReceiver:
+    """What of a response has arrived; the callbacks of ``httptools``.
+
+    ``h11`` encodes the requests; to decode a streamed token it takes 12 µs
+    of processor time where ``httptools`` takes 0.3.
+    """
+
+    def __init__(self) -> None:
+        """Wait for a response."""
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.parts: list[bytes] = []
+        self.head_complete = False
+        self.complete = False
+        self.keep_alive = False
+        self.status = 0
+        self._parser = httptools.HttpResponseParser(self)
+        self._size = 0
+
+    def feed(self, data: bytes) -> None:
+        """Take in what has arrived.
+
+        :raises ConnectionEnded: if it is not HTTP, or the head is too large
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            raise ConnectionEnded(f"not HTTP: {error}") from error
+        if not self.head_complete:
+            self._size += len(data)
+            if self._size > MAX_HEAD_BYTES:
+                raise ConnectionEnded("the head of the answer is too large")
+
+    def feed_end(self) -> None:
+        """Take in the end of the connection.
+
+        :raises ConnectionEnded: unless it is what ends this body
+        """
+        names = {name.lower() for name, _ in self.headers}
+        framed = names & {b"content-length", b"transfer-encoding"}
+        if not self.head_complete or framed:
+            raise ConnectionEnded("closed before the end of the answer")
+        self.complete = True
+
+    def take(self) -> bytes:
+        """Return the parts of the body that have arrived, joined."""
+        parts, self.parts = self.parts, []
+        return parts[0] if len(parts) == 1 else b"".join(parts)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
+        self.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Take the head; that of an interim response does not count."""
+        self.status = self._parser.get_status_code()
+        if self.status >= 200:
+            self.head_complete = True
+        else:
+            self.headers.clear()
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self.parts.append(body)
+
+    def on_message_complete(self) -> None:
+        """Take the end of the response."""
+        self.complete = self.head_complete
+        # The parser knows it now and forgets it with what comes next.
+        self.keep_alive = self._parser.should_keep_alive()
+
+
 class PullingConnection(HTTP11Connection):
     """A connection that reads the next part of a body when asked for it."""
 
+    _receiver: ResponseReceiver
+
     @property
     def is_open(self) -> bool:
         """Say whether a new request may be sent.
@@ -41,18 +116,20 @@
 
         :raises ConnectionEnded: if the connection ends before the body does
         """
-        event = await self._next_event()
-        while not isinstance(event, h11.Data):
-            if isinstance(event, h11.EndOfMessage):
+        receiver = self._receiver
+        while not receiver.parts:
+            if receiver.complete:
                 return None
-            if isinstance(event, h11.ConnectionClosed):
-                raise ConnectionEnded("closed before the end of the body")
-            event = await self._next_event()
-        return bytes(event.data)
+            await self._receive(receiver)
+        return receiver.take()
 
-    def reuse(self, response: Response) -> None:
+    def reuse(self) -> None:
         """Give the connection back to its pool, if it can take a request."""
-        self._handle_connection_reuse(response)
+        if not self._receiver.keep_alive:
+            self.abort()
+            return
+        self._h11_conn = h11.Connection(our_role=h11.CLIENT)
+        self._try_return_to_pool()
 
     def abort(self) -> None:
         """Close at once, without waiting for what is still to be sent."""
@@ -63,26 +140,20 @@
 
     async def _receive_response(self, timeout: float = 60.0) -> Response:
         # The base class starts a task here that reads the whole body.
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Response):
-                headers = [(name, value) for name, value in event.headers]
-                return Response(event.status_code, headers, None)
-            if isinstance(event, h11.ConnectionClosed):
-                raise ConnectionEnded("closed before the head of the answer")
-
-    async def _next_event(self) -> object:
-        codec = self._h11_conn
-        reader = self.reader
-        if codec is None or reader is None:
+        receiver = ResponseReceiver()
+        self._receiver = receiver
+        while not receiver.head_complete:
+            await self._receive(receiver)
+        return Response(receiver.status, receiver.headers, None)
+
+    async def _receive(self, receiver: ResponseReceiver) -> None:
+        if self.reader is None:
             raise ConnectionEnded("closed on this side")
-        while True:
-            event = codec.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            # An empty read tells h11 of the end, which is an error in the
-            # middle of a framed body.
-            codec.receive_data(await reader.read(READ_BYTES))
+        data = await self.reader.read(READ_BYTES)
+        if data:
+            receiver.feed(data)
+        else:
+            receiver.feed_end()
 
 
 class PullingPool(ConnectionPool):
--- a/burdockdrum/system_ports/http.py
+++ b/burdockdrum/system_ports/http.py
@@ -61,7 +61,7 @@
                 break
             yield part
         self._complete = True
-        connection.reuse(self._response)
+        connection.reuse()
 
     async def close(self) -> None:
         """Close the connection unless the body was read to its end."""
--- a/tests/system_ports/test_http.py
+++ b/tests/system_ports/test_http.py
@@ -126,6 +126,48 @@
         async with asyncio.timeout(5):
             await seen.wait()
 
+    async def test_connection_is_kept_for_the_next_request(self):
+        connections = 0
+
+        async def handler(reader, writer):
+            nonlocal connections
+            connections += 1
+            while await reader.readuntil(b"\r\n\r\n"):
+                writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                writer.write(HEAD + b"transfer-encoding: chunked\r\n\r\n")
+                writer.write(b"2\r\nok\r\n0\r\n\r\n")
+                await writer.drain()
+
+        client, url = await self.serve(handler)
+        for _ in range(3):
+            answer = await client.open(UpstreamCall(method="GET", url=url))
+            parts = [part async for part in answer.chunks()]
+            self.assertEqual(b"ok", b"".join(parts))
+        self.assertEqual(1, connections)
+
+    async def test_body_without_a_frame_ends_with_the_connection(self):
+        async def handler(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD + b"\r\nall of it")
+            await writer.drain()
+
+        client, url = await self.serve(handler)
+        answer = await client.open(UpstreamCall(method="GET", url=url))
+        parts = [part async for part in answer.chunks()]
+        self.assertEqual(b"all of it", b"".join(parts))
+
+    async def test_what_is_not_http_is_a_lost_answer(self):
+        for garbage in (b"\x00\xff\r\n\r\n", HEAD + b"a: b\r\n" * 20_000):
+
+            async def handler(reader, writer, garbage=garbage):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(garbage)
+                await writer.drain()
+
+            client, url = await self.serve(handler)
+            with self.assertRaises(AnswerLost):
+                await client.open(UpstreamCall(method="GET", url=url))
+
     async def test_refused_connection_is_known_not_to_have_sent(self):
         listener = bind("127.0.0.1", 0)
         port = listener.getsockname()[1]
