--- a/burdockdrum/requests/attempts.py
+++ b/burdockdrum/requests/attempts.py
@@ -15,6 +15,7 @@
 from burdockdrum.ports import AnswerLost
 from burdockdrum.ports import UpstreamAnswer
 from burdockdrum.requests.events import is_of_other
+from burdockdrum.requests.silence import SilenceTimer
 from burdockdrum.routing import Attempt
 from burdockdrum.routing import AttemptOutcome
 from burdockdrum.verdicts import Refusal
@@ -94,6 +95,7 @@
         self.attempt_id = attempt_id.encode()
         self._answer = answer
         self._silence_seconds = silence_seconds
+        self._silence = SilenceTimer()
         self._parts: AsyncIterator[bytes] = aiter(answer.chunks())
         # A refusal of another entry VM bears an id of its own.
         if VERDICT_HEADER not in answer.headers:
@@ -105,13 +107,17 @@
         :param seconds: until the deadline
         :raises AttemptFailed: if it breaks, or is silent for too long
         """
+        self._silence.begin(min(seconds, self._silence_seconds))
         try:
-            async with asyncio.timeout(min(seconds, self._silence_seconds)):
-                part = await anext(self._parts, None)
-        except TimeoutError:
+            part = await anext(self._parts, None)
+        except asyncio.CancelledError:
+            if not self._silence.absorb():
+                raise
             raise fail_silent("nothing came in the middle") from None
         except AnswerLost as error:
             raise fail_lost(error) from error
+        finally:
+            self._silence.end()
         if part is not None and isinstance(self.place, ToEndpointPlace):
             self.place.attempt.note_first_token()
         return part
@@ -166,6 +172,7 @@
 
     async def close(self) -> None:
         """Close the connection unless the body was read to its end."""
+        self._silence.stop()
         await self._answer.close()
 
     def _check_id(self, value: str | None) -> None:
--- a/tests/requests/stack.py
+++ b/tests/requests/stack.py
@@ -47,7 +47,8 @@
 
     ``crash_on`` is a content on which it dies in the middle of an answer,
     with everything else that it runs. ``cut_after`` ends streams without
-    the marker after so many tokens, ``silent`` never answers.
+    the marker after so many tokens, ``stall_after`` leaves them open and
+    sends nothing more, ``silent`` never answers.
     """
 
     name: str
@@ -57,6 +58,7 @@
     cut_after: int | None = None
     cut_clean: bool = False
     silent: bool = False
+    stall_after: int | None = None
     status: int = 200
     body: bytes = b"{}"
     seconds: float = 0.01
@@ -130,6 +132,8 @@
                 if crashed.is_set():
                     raise AnswerLost("reset by peer")
                 yield event(request_id, number, f"t{number} ")
+                if self.stall_after == number:
+                    await asyncio.sleep(10_000)
                 if self.cut_after == number:
                     self.cut_after = None
                     if self.cut_clean:
--- a/tests/requests/test_streams.py
+++ b/tests/requests/test_streams.py
@@ -76,6 +76,22 @@
         # only the end to give, and no token comes twice.
         self.check_resumed(cut_after=6)
 
+    def test_stream_that_stalls_is_resumed_and_cancelled(self):
+        # The engine keeps the connection open and sends nothing more after
+        # three tokens. After the limit the stream goes on elsewhere, and
+        # the first engine is told that nobody waits.
+        async def scenario(stack):
+            stalled = Endpoint(name="e1", stall_after=3)
+            await stack.add_endpoint(stalled, "a1")
+            await stack.add_endpoint(Endpoint(name="e2"), "a1")
+            while not stalled.calls:
+                body = await stack.read(await stack.complete("a1"))
+                self.assertEqual(WHOLE, read_text(body))
+                self.assertEqual(1, body.count(DONE))
+            self.assertEqual(1, len(stalled.cancelled))
+
+        run_with_stack(scenario, "a1")
+
     def test_stream_that_nobody_can_resume_ends_in_an_error(self):
         # The only engine dies after three tokens and stays away. The
         # caller has three tokens; it must be told, and get no marker.
