--- a/burdockdrum/admission/admission.py
+++ b/burdockdrum/admission/admission.py
@@ -1,6 +1,7 @@
 """Accept a request, or refuse it early and cheaply."""
 
 import asyncio
+from dataclasses import dataclass
 import itertools
 import math
 
@@ -22,6 +23,10 @@
 # Waiters looked at for a start in one go; those behind wait for the next.
 MAX_TRIES = 8
 MIN_RETRY_AFTER_SECONDS = 1.0
+# How much longer the line of another entry VM must be to be let ahead.
+YIELD_FACTOR = 1.3
+YIELD_SECONDS = 1.0
+_WEIGHT = 0.05
 
 
 class Permit:
@@ -39,6 +44,18 @@
             self._admission.running -= 1
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Drain:
+    """How fast a line empties: mean run in seconds, runs at once."""
+
+    mean: float
+    capacity: float
+
+    def seconds(self, ahead: float) -> float:
+        """Return when so many slot seconds ahead will have started."""
+        return (self.mean + ahead) / self.capacity
+
+
 class Admission:
     """Decide which requests may start, and in which order.
 
@@ -61,6 +78,7 @@
         self._router = router
         self._policy = policy or PolicySettings()
         self._lines_by_service: dict[str, WaitingLine] = {}
+        self._mean_seconds_by_worth: dict[float, float] = {}
         self._order = itertools.count()
         self._filled = asyncio.Event()
         self.running = 0
@@ -88,22 +106,20 @@
 
     def queue_seconds(self, service: str) -> float:
         """Return how long a request of middling rank would wait."""
-        line = self._lines_by_service.get(service)
-        if not line:
+        line = self._lines_by_service.get(service) or ()
+        if not line and self._router.room(service) >= 1:
             return 0.0
         ahead = sum(waiter.slot_seconds for waiter in line) / 2
-        return self._drain_seconds(service, ahead)
+        return self._read_drain(service).seconds(ahead)
 
     def expect_wait(self, demand: Demand) -> float:
         """Return how long a request would wait for its turn here."""
         line = self._lines_by_service.get(demand.service)
         if not line:
             return 0.0
-        # An estimate of its run would ask the router again, which asks
-        # here: the place in the line needs the order only.
-        key = self._key(demand, 1.0, sequence=math.inf)
+        key = self._key(demand, math.inf)
         ahead = line.seconds_ahead(key)
-        return self._drain_seconds(demand.service, ahead)
+        return self._read_drain(demand.service).seconds(ahead)
 
     async def _wait_for_room(self, demand: Demand) -> None:
         estimate = self._router.estimate(demand)
@@ -112,9 +128,10 @@
             return
         self._check_deadline(demand, estimate)
         line = self._lines_by_service.setdefault(demand.service, WaitingLine())
-        key = self._key(demand, estimate.finish, next(self._order))
+        self._learn_seconds(demand, estimate.finish)
+        key = self._key(demand, next(self._order))
         ahead = line.seconds_ahead(key)
-        wait = self._drain_seconds(demand.service, ahead)
+        wait = self._read_drain(demand.service).seconds(ahead)
         if not ahead and self._router.can_start(demand, wait=wait):
             return
         if demand.hops and not demand.displaced:
@@ -130,7 +147,7 @@
         line.add(waiter)
         self._filled.set()
         try:
-            self._shed(demand.service, line)
+            self._shed(line, self._read_drain(demand.service))
             await waiter.turn
         finally:
             line.remove(waiter)
@@ -147,32 +164,58 @@
                 MIN_RETRY_AFTER_SECONDS,
             )
 
-    def _key(
-        self, demand: Demand, slot_seconds: float, sequence: float
-    ) -> tuple[float, ...]:
-        """Return the place of a request in its line."""
+    def _key(self, demand: Demand, sequence: float) -> tuple[float, ...]:
+        """Return the place of a request in its line.
+
+        Worth counts a second of a class's mean run and not of the request
+        itself: otherwise the long requests of the best class are overtaken
+        by the shortest of the others and miss their deadlines.
+        """
         if self._policy.prefer == "worth":
-            return (-demand.worth / max(slot_seconds, 0.01), sequence)
-        return (demand.rank, sequence)
+            mean = self._mean_seconds_by_worth.get(demand.worth, 1.0)
+            return (-demand.worth / mean, len(demand.hops), sequence)
+        return (demand.rank, len(demand.hops), sequence)
+
+    def _learn_seconds(self, demand: Demand, seconds: float) -> None:
+        means = self._mean_seconds_by_worth
+        mean = means.get(demand.worth, seconds)
+        means[demand.worth] = max(0.01, mean + _WEIGHT * (seconds - mean))
 
     def _reconsider(self, service: str) -> None:
         """Start the first waiter that can, and shed those that can't."""
         line = self._lines_by_service.get(service)
         if not line:
             return
+        drain = self._read_drain(service)
+        if not self._should_yield(service):
+            self._start_one(line, drain)
+        self._shed(line, drain)
+
+    def _start_one(self, line: WaitingLine, drain: _Drain) -> None:
         ahead = 0.0
         for tries, waiter in enumerate(line):
             if tries >= MAX_TRIES:
-                break
-            wait = self._drain_seconds(service, ahead)
+                return
+            wait = drain.seconds(ahead)
             ahead += waiter.slot_seconds
             if self._router.can_start(waiter.demand, wait=wait):
                 line.remove(waiter)
                 waiter.admit()
-                break
-        self._shed(service, line)
+                return
+
+    def _should_yield(self, service: str) -> bool:
+        """Say whether another entry VM here should have the next slot.
 
-    def _shed(self, service: str, line: WaitingLine) -> None:
+        The VM whose request ends sees the free slot first, others only in
+        the next report. Without this the VM that once has most slots keeps
+        them, while better requests wait in vain at the other.
+        """
+        share = self._router.share(service)
+        mine = self.queue_seconds(service)
+        behind = share.peers_wait > mine * YIELD_FACTOR + YIELD_SECONDS
+        return behind and share.own > share.equal_part
+
+    def _shed(self, line: WaitingLine, drain: _Drain) -> None:
         """Refuse the waiters that would wait too long, at once.
 
         Those who come later in the order wait for all before them, so the
@@ -181,7 +224,7 @@
         now = self._clock.monotonic()
         ahead = 0.0
         for waiter in line:
-            wait = self._drain_seconds(service, ahead)
+            wait = drain.seconds(ahead)
             ahead += waiter.slot_seconds
             finish = now + wait + waiter.slot_seconds
             if finish > waiter.demand.deadline:
@@ -208,11 +251,11 @@
             return math.inf
         return self._policy.max_wait_seconds
 
-    def _drain_seconds(self, service: str, slot_seconds: float) -> float:
-        """Return when so much work ahead will have been started."""
-        capacity = max(1.0, self._router.own_capacity(service))
-        mean = self._router.mean_service_seconds(service)
-        return (mean + slot_seconds) / capacity
+    def _read_drain(self, service: str) -> _Drain:
+        return _Drain(
+            mean=self._router.mean_service_seconds(service),
+            capacity=max(1.0, self._router.share(service).capacity),
+        )
 
 
 def _refuse(code: RefusalCode, message: str, retry_after: float) -> Refusal:
