--- a/burdockdrum/cli/__main__.py
+++ b/burdockdrum/cli/__main__.py
@@ -14,7 +14,7 @@
   burdockdrum [options] drain
   burdockdrum [options] timeline [--prefix NAME] [--request ID]
               [--revision N]
-  burdockdrum [--json] check FILE
+  burdockdrum [options] check FILE
   burdockdrum make-token
   burdockdrum hash-token TOKEN
   burdockdrum (-h | --help)
--- a/burdockdrum/cli/commands.py
+++ b/burdockdrum/cli/commands.py
@@ -25,6 +25,7 @@
 CHAT_PATH = "/v1/chat/completions"
 _CONFLICT_STATUS = 409
 _NOT_RUN = "not run"
+_MAY_HAVE_RUN = "may have run"
 
 
 def run_check(path: str, *, as_json: bool) -> int:
@@ -271,8 +272,10 @@
             return 0
         if reply.status == _CONFLICT_STATUS:
             return EXIT_CONFLICT
-        refused = _NOT_RUN.encode() in reply.body
-        return EXIT_NOT_RUN if refused else EXIT_MAY_HAVE_RUN
+        if _MAY_HAVE_RUN.encode() in reply.body or reply.status >= 500:
+            refused = _NOT_RUN.encode() in reply.body
+            return EXIT_NOT_RUN if refused else EXIT_MAY_HAVE_RUN
+        return EXIT_NOT_RUN
 
 
 def _read_resources(path: str) -> list[dict[str, Any]]:
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -4,11 +4,14 @@
 import contextlib
 import io
 import pathlib
+import re
 import tempfile
 import unittest
 
+from docopt import docopt
 import msgspec
 
+import burdockdrum.cli.__main__ as cli
 from burdockdrum.cli.commands import Commands
 from burdockdrum.cli.commands import run_check
 from burdockdrum.cli.exit_codes import EXIT_CONFLICT
@@ -99,6 +102,18 @@
         self.assertNotEqual(0, code)
         self.assertIn("spec.regions[0]: there is no region 'south'", output)
 
+    def test_refused_deletion_did_not_happen(self):
+        path = self.write(RESOURCES)
+
+        async def use(commands):
+            await commands.apply(path)
+            await asyncio.sleep(3)
+            return await commands.delete("region", "north")
+
+        code, output = self.run_commands(use)
+        self.assertEqual(EXIT_NOT_RUN, code)
+        self.assertIn("is used by service 'planner'", output)
+
     def test_missing_resource_is_refused(self):
         code, output = self.run_commands(lambda c: c.get("region", "x"))
         self.assertEqual(EXIT_NOT_RUN, code)
@@ -139,6 +154,25 @@
         self.assertIn("a configuration.in_force revision 2", output)
 
 
+class UsageTest(unittest.TestCase):
+    """Every command line of the help is understood, with --json too."""
+
+    def test_each_usage_line_takes_json(self):
+        usage = cli.__doc__.split("Usage:")[1].split("\n\n")[0]
+        usage = re.sub(r"\n {4,}", " ", usage)
+        lines = [
+            line.split("burdockdrum [options] ")[1]
+            for line in usage.splitlines()
+            if "[options]" in line
+        ]
+        self.assertEqual(12, len(lines))
+        for line in lines:
+            words = re.sub(r"\[.*?\]", "", line).split()
+            parsed = docopt(cli.__doc__, argv=["--json", *words])
+            self.assertTrue(parsed["--json"], line)
+            self.assertTrue(parsed[words[0]], line)
+
+
 class CheckTest(unittest.TestCase):
     """The check of a settings file."""
 
