Let a member that was made a voter without hearing of it vote

A learner was made a voter and lost power before the entry reached it. It now asks the members that it knows what they saw of its disk, as a voter does.

--- a/burdockdrum/consensus/witness.py
+++ b/burdockdrum/consensus/witness.py
@@ -63,14 +63,21 @@
         while not replica.admitted and replica.halt_reason is None:
             if not replica.identity.current.formed:
                 await self._founding.changed.wait()
-            elif replica.is_voter:
-                await self._admit_voter()
-            elif replica.is_learner and replica.caught_up:
-                replica.admitted = True
+            elif self._began_empty and replica.is_learner:
+                await self._admit_learner()
+            elif replica.is_voter or replica.is_learner:
+                # A learner may have been made a voter without hearing of it.
+                await self._admit_returned()
             else:
                 await replica.send_wanted.wait()
 
-    async def _admit_voter(self) -> None:
+    async def _admit_learner(self) -> None:
+        if self._replica.caught_up:
+            self._replica.admitted = True
+        else:
+            await self._replica.send_wanted.wait()
+
+    async def _admit_returned(self) -> None:
         replica = self._replica
         if self._began_empty and replica.identity.current.founding is None:
             # A member is a learner first and counts only after it has
@@ -81,15 +88,18 @@
                 "it again."
             )
             return
-        voters = replica.configuration.voters
-        heard = [m for m in voters if m.disk_id in self._answered]
-        if len(heard) >= len(voters) // 2:
+        others = [
+            member
+            for member in replica.configuration.voters
+            if member.disk_id != replica.disk_id
+        ]
+        heard = [m for m in others if m.disk_id in self._answered]
+        if len(heard) >= (len(others) + 1) // 2:
             replica.admitted = True
             return
         async with asyncio.TaskGroup() as group:
-            for member in voters:
-                if member.vm_id != replica.vm_id:
-                    group.create_task(self._ask(member))
+            for member in others:
+                group.create_task(self._ask(member))
         await replica.clock.sleep(_PAUSE_SECONDS)
 
     async def _ask(self, member: Member) -> None:
--- a/tests/consensus/test_histories.py
+++ b/tests/consensus/test_histories.py
@@ -54,7 +54,10 @@
         # 1175: a member came back knowing a configuration whose members were
         # all replaced meanwhile, waited for answers from disks that were
         # gone, and so never took part again.
-        for plan in (Plan(seed=1175, size=5),):
+        # 6055: a learner was made a voter and lost power before it heard so.
+        # Another VM's disk was lost; the learner waited for a leader before
+        # it voted, and so none could be elected.
+        for plan in (Plan(seed=1175, size=5), Plan(seed=6055)):
             with self.subTest(plan=plan):
                 run_history(plan)
 
