--- a/burdockdrum/routing/router.py
+++ b/burdockdrum/routing/router.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 import itertools
-import math
 import random
 import statistics
 
@@ -17,6 +16,7 @@
 from burdockdrum.routing.elsewhere import reserve_of
 from burdockdrum.routing.model import AttemptFacts
 from burdockdrum.routing.model import AttemptOutcome
+from burdockdrum.routing.model import CapacityShare
 from burdockdrum.routing.model import Choice
 from burdockdrum.routing.model import Demand
 from burdockdrum.routing.model import Estimate
@@ -27,6 +27,7 @@
 from burdockdrum.routing.tracking import EndpointTracker
 from burdockdrum.settings import PolicySettings
 from burdockdrum.vms import VmDirectory
+from burdockdrum.vms import VmView
 
 _FAILURES = (
     AttemptOutcome.FAILED,
@@ -111,10 +112,10 @@
         """
         options = self._weigh(demand)
         with_room = [option for option in options if option.room >= 1]
-        if demand.hops and not demand.displaced:
+        if demand.hops:
             return self._can_take_for_other(demand, options)
-        if with_room or demand.hops:
-            return bool(with_room)
+        if with_room:
+            return True
         return self._find_better_offer(demand, None, wait) is not None
 
     def estimate(self, demand: Demand) -> Estimate | None:
@@ -130,8 +131,9 @@
         offers = self._find_offers(demand)
         if not offers:
             return None
+        best = offers[0]
         return Estimate(
-            first_token=offers[0].first_token, finish=offers[0].finish
+            first_token=best.first_token, finish=best.finish, run=best.run
         )
 
     def is_displaced(self, demand: Demand) -> bool:
@@ -140,6 +142,14 @@
             return True
         return not self._endpoints.candidates(demand.service)
 
+    def note_forward_refused(self, data_centre: str) -> None:
+        """Take in that a data centre had no room for a request.
+
+        It is offered nothing for a moment; the request itself need not
+        exclude it for good and may wait here until there is room again.
+        """
+        self._elsewhere.note_refused(data_centre)
+
     def begin(self, endpoint: Endpoint, demand: Demand) -> Attempt:
         """Count an attempt that starts now."""
         tracker = self._track(endpoint)
@@ -162,6 +172,7 @@
         )
         now = self.now()
         tracker.own.change(1, now)
+        tracker.tried_at = now
         tracker.suspects += demand.isolated
         tracker.expect_first_token(
             attempt.number, now, option.estimate.first_token
@@ -180,13 +191,8 @@
                 total += max(0.0, tracker.current_limit(now) - load)
         return total
 
-    def own_capacity(self, service: str) -> float:
-        """Return how many requests of this VM may run at once here.
-
-        The data centre's entry VMs share its endpoints as their work does
-        now, but none has less than an equal part: an idle VM that counted
-        with nothing would take its first wait for endless.
-        """
+    def share(self, service: str) -> CapacityShare:
+        """Return this VM's part of what its data centre can run."""
         now = self.now()
         limit = own = total = 0.0
         for endpoint in self._endpoints.candidates(service):
@@ -194,12 +200,31 @@
             limit += tracker.current_limit(now)
             own += tracker.own.count
             total += tracker.estimate_load(endpoint)
-        identity = self._vms.identity
-        entries = sum(
-            view.identity.data_centre == identity.data_centre
-            for view in self._vms.live_vms()
+        peers = self._peers_here()
+        limit = limit or self._elsewhere.equal_part(service)
+        return CapacityShare(
+            limit=limit,
+            own=own,
+            total=total,
+            entries=len(peers) + 1,
+            peers_wait=max(
+                (
+                    summary.queue_seconds
+                    for view in peers
+                    for summary in view.services
+                    if summary.service == service
+                ),
+                default=0.0,
+            ),
         )
-        return limit * max(own / max(1.0, total), 1 / max(1, entries))
+
+    def _peers_here(self) -> list[VmView]:
+        own = self._vms.identity.data_centre
+        return [
+            view
+            for view in self._vms.live_vms()[1:]
+            if view.identity.data_centre == own and not view.draining
+        ]
 
     def mean_service_seconds(self, service: str) -> float:
         """Return how long a request has run lately."""
@@ -249,7 +274,7 @@
         wait = ahead * tracker.service_seconds / max(1.0, limit)
         # Prompts of others are read between the tokens of this one, so the
         # busier endpoint is also the slower one.
-        crowd = 1 + 0.5 * min(1.0, load / max(1.0, limit))
+        crowd = 0.85 + 0.3 * min(1.0, load / max(1.0, limit))
         first = wait + (tokens_read * speed.prefill + speed.token) * crowd
         finish = first + demand.max_tokens * speed.token * crowd
         return _Option(
@@ -258,7 +283,9 @@
             load=load,
             room=limit - load,
             tokens_read=tokens_read,
-            estimate=Estimate(first_token=first, finish=finish),
+            estimate=Estimate(
+                first_token=first, finish=finish, run=finish - wait
+            ),
         )
 
     def _pick(self, options: list[_Option], demand: Demand) -> _Option | None:
@@ -273,6 +300,11 @@
             return None
         if demand.isolated:
             return min(options, key=lambda option: option.load)
+        now = self.now()
+        for option in options:
+            # Only work that may be run again is risked on a trial.
+            if demand.repeatable and option.tracker.is_due_for_trial(now):
+                return option
         sample = options
         if len(options) > self.policy.choices:
             warm = sorted(options, key=lambda option: option.tokens_read)
@@ -303,17 +335,17 @@
         if best is not None and best.room >= 1:
             return None
         offers = self._find_offers(demand)
-        if not self.is_displaced(demand):
-            offers = [offer for offer in offers if offer.room >= 1]
-        if not offers:
-            return None
-        here = math.inf
         estimate = best.estimate if best else self._estimate_here(demand)
-        if estimate is not None:
-            here = estimate.finish + wait
+        if estimate is None:
+            # There is no endpoint at home: the request may as well wait
+            # there, in the order of its rank.
+            return next((o for o in offers if not o.refused), None)
+        here = estimate.finish + wait
         margin = self.policy.spill_margin_seconds
-        better = [offer for offer in offers if offer.finish + margin < here]
-        return better[0] if better else None
+        for offer in offers:
+            if offer.room >= 1 and offer.finish + margin < here:
+                return offer
+        return None
 
     def _estimate_here(self, demand: Demand) -> Estimate | None:
         options = self._weigh(demand)
@@ -333,8 +365,7 @@
         """
         if not options:
             return self._explain(demand)
-        is_spill = not demand.displaced
-        if is_spill and not self._can_take_for_other(demand, options):
+        if not self.can_start(demand):
             return Nowhere(message="no room beyond that of own callers")
         best = self._pick(options, demand)
         assert best is not None
@@ -345,8 +376,12 @@
     ) -> bool:
         room = sum(max(0.0, option.room) for option in options)
         slots = sum(option.endpoint.slots for option in options)
-        reserve = reserve_of(slots, self.policy.spill_reserve)
         has_room = any(option.room >= 1 for option in options)
+        if demand.displaced:
+            # It has no other place to run. Own callers of its rank still
+            # go before it in the line.
+            return has_room
+        reserve = reserve_of(slots, self.policy.spill_reserve)
         return has_room and room >= 1 + reserve / 2
 
     def _explain(self, demand: Demand) -> Nowhere:
@@ -379,7 +414,12 @@
                 expected=attempt.expected_first,
                 tokens_read=attempt.tokens_read,
             )
-            tracker.compare(self._typical_slowness(attempt.endpoint.service))
+            service = attempt.endpoint.service
+            tracker.compare(
+                self._typical_slowness(service),
+                self._typical_speed(service),
+                self.now(),
+            )
 
     def _learn_finish(self, attempt: Attempt, facts: AttemptFacts) -> None:
         now = self.now()
--- a/tests/histories/endpoints.py
+++ b/tests/histories/endpoints.py
@@ -18,6 +18,7 @@
 from burdockdrum.histories import Left
 from burdockdrum.histories import Ran
 from burdockdrum.ports import UpstreamCall
+from burdockdrum.testing import AsgiServer
 from burdockdrum.testing import FakeAnswer
 from burdockdrum.testing import serve_asgi
 from burdockdrum.testing import VirtualClock
@@ -26,11 +27,13 @@
 ENGINES_A_REGION = 2
 SLOTS = 8
 TOKEN_SECONDS = 0.02
+BOOKING_SECONDS = 0.8
 
 
 @dataclass
 class _Running:
     announcer: Announcer
+    server: AsgiServer
     task: asyncio.Task[None]
 
 
@@ -76,7 +79,8 @@
         clock = VirtualClock()
         engine: EmulatedEngine | None = None
         if endpoint_id.endswith("booking"):
-            application = build_plain_application(PlainService(clock=clock))
+            plain = PlainService(clock=clock, seconds=BOOKING_SECONDS)
+            application = build_plain_application(plain)
         else:
             engine = EmulatedEngine(
                 settings=EngineSettings(
@@ -111,7 +115,7 @@
             read_load=read_load,
         )
         task = asyncio.create_task(announcer.run())
-        self._running_by_id[endpoint_id] = _Running(announcer, task)
+        self._running_by_id[endpoint_id] = _Running(announcer, server, task)
 
     async def crash_endpoint(self, endpoint_id: str) -> None:
         """Stop an endpoint at once."""
@@ -119,6 +123,7 @@
         if running is None:
             return
         self._cluster.web.stop(self._url(endpoint_id))
+        running.server.abort()
         running.task.cancel()
         await asyncio.gather(running.task, return_exceptions=True)
 
@@ -127,8 +132,6 @@
         running = self._running_by_id.get(endpoint_id)
         if running is None:
             return
-        running.task.cancel()
-        await asyncio.gather(running.task, return_exceptions=True)
         await running.announcer.leave()
         now = asyncio.get_running_loop().time()
         self._history.left.append(Left(time=now, endpoint_id=endpoint_id))
