Send no frame that its receiver must drop

What waits for a peer was sent as one frame. Over 4 MiB, such as sixteen requests of a replicated log to a member that catches up, the receiver drops it without a word, and each retry again.

--- a/burdockdrum/peers/peers.py
+++ b/burdockdrum/peers/peers.py
@@ -31,6 +31,8 @@
 TICK_SECONDS = 0.02
 MAX_QUEUED = 2048
 IDLE_PEER_SECONDS = 120.0
+# A quarter of what a receiver takes; one message may be larger.
+MAX_FRAME_BYTES = 1024 * 1024
 
 M = TypeVar("M", bound=Message)
 R = TypeVar("R", bound=Message)
@@ -165,10 +167,7 @@
                 if self._outboxes_by_address.get(address) is outbox:
                     del self._outboxes_by_address[address]
                 return
-            outbox.filled.clear()
-            envelopes = list(outbox.envelopes)
-            outbox.envelopes.clear()
-            await self._send_frame(address, envelopes)
+            await self._send_frame(address, outbox.take())
             await self._clock.sleep(TICK_SECONDS)
 
     async def _send_frame(
@@ -289,6 +288,23 @@
         self.envelopes = collections.deque[Envelope](maxlen=MAX_QUEUED)
         self.filled = asyncio.Event()
 
+    def take(self) -> list[Envelope]:
+        """Take the messages of the next frame, one at least.
+
+        The receiver drops a payload over its limit without a word, and with
+        it every message inside.
+        """
+        taken = [self.envelopes.popleft()]
+        size = len(taken[0].body)
+        while self.envelopes:
+            size += len(self.envelopes[0].body)
+            if size > MAX_FRAME_BYTES:
+                break
+            taken.append(self.envelopes.popleft())
+        if not self.envelopes:
+            self.filled.clear()
+        return taken
+
 
 def _envelope(message: Message, call_id: int, *, is_reply: bool) -> Envelope:
     body = msgspec.Raw(msgspec.msgpack.encode(message))
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -22,6 +22,12 @@
     number: int
 
 
+class Load(Message):
+    """A message of some size."""
+
+    content: bytes
+
+
 class Fixture:
     """Two hosts, each with a Peers service, on one network."""
 
@@ -68,6 +74,41 @@
 class PeersTest(unittest.TestCase):
     """What one VM tells another."""
 
+    def test_large_messages_go_in_several_frames(self):
+        # Sixteen messages of 300 kB are sent at once. In one frame they
+        # would be over what a receiver takes, which drops it silently: all
+        # would be lost, and again at each attempt.
+        async def main():
+            fixture = Fixture()
+            a = await fixture.start("a")
+            b = await fixture.start("b")
+            sizes = []
+            send = a._mailbox.send
+
+            async def measure(address, payload):
+                sizes.append(len(payload))
+                await send(address, payload)
+
+            a._mailbox.send = measure
+            received = []
+
+            async def take(sender, message):
+                received.append(len(message.content))
+
+            b.register(Load, take)
+
+            async def use():
+                for _ in range(16):
+                    target = b.identity.control_address
+                    a.send(target, Load(content=bytes(300_000)))
+                await asyncio.sleep(1)
+
+            await _run_both(a, b, use)
+            self.assertEqual([300_000] * 16, received)
+            self.assertLess(max(sizes), 1_100_000)
+
+        run_virtual(main())
+
     def test_call_is_answered(self):
         async def main():
             fixture = Fixture()
