Bound what waits for a quorum and what is on its way to a member

A leader without a quorum took changes without a bound until it stepped down, and up to 16 requests of 256 kB went to one member at once. Now 4,096 entries wait at most, and 1 MB is on its way.

--- a/burdockdrum/consensus/forwarding.py
+++ b/burdockdrum/consensus/forwarding.py
@@ -111,6 +111,9 @@
             return ProposeReply(refused=True, reason="a newer term here")
         if replica.role is Role.CANDIDATE:
             return ProposeReply(unknown=True, reason="an election goes on")
+        if self._leadership.is_full:
+            # Not final, as there may be room for a late copy of the message.
+            return ProposeReply(unknown=True, reason="too many changes wait")
         try:
             applied = await self._propose_here(
                 message.command, message.timeout
--- a/burdockdrum/consensus/interface.py
+++ b/burdockdrum/consensus/interface.py
@@ -93,6 +93,7 @@
     append_bytes: int = 256 * 1024
     snapshot_chunk_bytes: int = 256 * 1024
     max_command_bytes: int = 1024 * 1024
+    max_uncommitted_entries: int = 4096
     snapshot_every_entries: int = 1000
     snapshot_every_bytes: int = 4 * 1024 * 1024
     keep_entries: int = 200
--- a/burdockdrum/consensus/leadership.py
+++ b/burdockdrum/consensus/leadership.py
@@ -118,13 +118,22 @@
         if ahead > _SUSPENSION_SECONDS or ahead < 0:
             self._wall_offset = offset
 
+    @property
+    def is_full(self) -> bool:
+        """Say whether too much waits to be committed for more to be taken."""
+        replica = self._replica
+        waiting = replica.storage.last_index - replica.commit_index
+        return waiting >= replica.settings.max_uncommitted_entries
+
     def append_command(self, command: bytes) -> Entry:
         """Add a command to the log.
 
         :raises NotAccepted: if this member does not lead, or is about to
-            stop
+            stop, or too much waits to be committed
         """
         replica = self._replica
+        if self.is_full:
+            raise NotAccepted("too many changes wait for a quorum")
         if replica.role is not Role.LEADER or replica.transferring:
             raise NotAccepted(f"{replica.vm_id} does not lead")
         return replica.append(EntryKind.COMMAND, command)
--- a/burdockdrum/consensus/replication.py
+++ b/burdockdrum/consensus/replication.py
@@ -13,6 +13,7 @@
 from burdockdrum.consensus.messages import RollbackNotice
 from burdockdrum.consensus.messages import SnapshotReply
 from burdockdrum.consensus.messages import SnapshotRequest
+from burdockdrum.consensus.records import Entry
 from burdockdrum.consensus.replica import Replica
 from burdockdrum.consensus.signals import Signal
 from burdockdrum.consensus.signals import wait_until
@@ -20,8 +21,10 @@
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Peers
 
-# Requests on their way to one member.
+# Requests on their way to one member, and how many of the largest: more
+# would only wait at a slow link until their calls are given up.
 _WINDOW = 16
+_WINDOW_APPENDS = 4
 
 
 class Replicator:
@@ -48,6 +51,7 @@
         self._sent_at = -math.inf
         self._sent_commit = 0
         self._in_flight = 0
+        self._bytes_in_flight = 0
         self._window = 1
         self._answered = Signal()
         self.member = member
@@ -76,7 +80,7 @@
     async def _wait_for_work(self) -> None:
         replica = self._replica
         while True:
-            if self._in_flight >= self._window:
+            if self._is_saturated():
                 await self._answered.wait()
                 continue
             due = self._sent_at + replica.settings.heartbeat_seconds
@@ -86,6 +90,13 @@
                 replica.clock, due, replica.send_wanted, self._answered
             )
 
+    def _is_saturated(self) -> bool:
+        settings = self._replica.settings
+        return (
+            self._in_flight >= self._window
+            or self._bytes_in_flight >= _WINDOW_APPENDS * settings.append_bytes
+        )
+
     def _has_work(self) -> bool:
         replica = self._replica
         return (
@@ -112,6 +123,7 @@
             self._go_back(request.previous_index + 1)
         finally:
             self._in_flight -= 1
+            self._bytes_in_flight -= _size_of(request.entries)
             self._answered.fire()
 
     def _next_request(self) -> AppendRequest:
@@ -123,6 +135,7 @@
         )
         self.next_index += len(entries)
         self._in_flight += 1
+        self._bytes_in_flight += _size_of(entries)
         self._sent_commit = replica.commit_index
         self._sent_at = replica.clock.monotonic()
         return AppendRequest(
@@ -249,3 +262,7 @@
                 found_index=reply.last_index,
             ),
         )
+
+
+def _size_of(entries: list[Entry]) -> int:
+    return sum(len(entry.data) for entry in entries)
--- a/tests/consensus/test_log.py
+++ b/tests/consensus/test_log.py
@@ -1,8 +1,10 @@
 """Tests of the log's everyday work."""
 
+import asyncio
 import unittest
 
 from burdockdrum.consensus import NotAccepted
+from burdockdrum.consensus import OutcomeUnknown
 from burdockdrum.testing import run_virtual
 from tests.consensus.cluster import Cluster
 from tests.consensus.cluster import with_cluster
@@ -42,6 +44,41 @@
 
         run_virtual(with_cluster(Cluster(size=1), use))
 
+    def test_leader_without_a_quorum_takes_a_bounded_number(self):
+        # The others are cut off. What the leader takes meanwhile waits in
+        # memory; beyond a bound it refuses, and that is final.
+        async def use(cluster):
+            leader = await cluster.leader()
+            cluster.cut_off(cluster.vm_of(leader).vm_id)
+            proposing = [
+                asyncio.create_task(leader.propose(b"%d" % n, timeout=0.3))
+                for n in range(8)
+            ]
+            await asyncio.wait(proposing)
+            errors = [type(task.exception()) for task in proposing]
+            self.assertEqual(5, errors.count(OutcomeUnknown))
+            self.assertEqual(3, errors.count(NotAccepted))
+
+        settings = {"max_uncommitted_entries": 5}
+        run_virtual(with_cluster(Cluster(size=3, **settings), use))
+
+    def test_member_catches_up_on_megabytes(self):
+        async def use(cluster):
+            leader = await cluster.leader()
+            away = next(
+                vm.vm_id for vm in cluster.vms.values() if vm.log != leader
+            )
+            await cluster.stop(away)
+            for _ in range(30):
+                await leader.propose(bytes(200_000), timeout=5)
+            cluster.network.set_default(delay=0.055)
+            await cluster.start(away)
+            await cluster.settle()
+            self.assertEqual(30, len(cluster.vms[away].machine.commands))
+
+        settings = {"snapshot_every_bytes": 100_000_000}
+        run_virtual(with_cluster(Cluster(size=3, **settings), use))
+
     def test_listener_hears_of_each_index(self):
         async def use(cluster):
             leader = await cluster.leader()
