Give the lease a module of its own; keep leading when a clock is set

A wall clock set forward by 10 ms or more ended the lease as intended, but the leader then also counted the silence from its election and stepped down.

--- a/burdockdrum/consensus/leadership.py
+++ b/burdockdrum/consensus/leadership.py
@@ -6,6 +6,7 @@
 from burdockdrum.consensus.interface import NotAccepted
 from burdockdrum.consensus.interface import NotCurrent
 from burdockdrum.consensus.interface import Role
+from burdockdrum.consensus.lease import Lease
 from burdockdrum.consensus.membership import Configuration
 from burdockdrum.consensus.membership import Member
 from burdockdrum.consensus.messages import LeadReply
@@ -20,10 +21,6 @@
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Peers
 
-# How far the wall clock may run ahead before the lease is distrusted; less
-# than what the lease leaves for drift.
-_SUSPENSION_SECONDS = 0.01
-
 
 class Leadership:
     """The tasks of a leader, its lease and the changes of members."""
@@ -35,9 +32,7 @@
         self._replicators_by_id: dict[str, Replicator] = {}
         self._tasks_by_id: dict[str, asyncio.Task] = {}
         self._first_index = 0
-        self._began_at = -math.inf
-        self._distrusted_until = -math.inf
-        self._wall_offset = math.inf
+        self.lease = Lease(replica=replica, heard_at=self._heard_at)
         self._progressed = Signal()
 
     async def run(self) -> None:
@@ -45,8 +40,7 @@
         replica = self._replica
         self._replicators_by_id.clear()
         self._tasks_by_id.clear()
-        self._began_at = replica.clock.monotonic()
-        self._wall_offset = replica.clock.wall() - self._began_at
+        self.lease.begin()
         replica.leader_id = replica.vm_id
         replica.set_role(Role.LEADER)
         replica.timeline.record("leader.elected", term=replica.storage.term)
@@ -63,7 +57,7 @@
             while replica.role is Role.LEADER:
                 self._match_tasks(group)
                 await wait_for_any(replica.send_wanted, replica.role_changed)
-            replica.note_quorum(self.quorum_heard_at)
+            replica.note_quorum(self.lease.quorum_heard_at)
             for task in [*tasks, *self._tasks_by_id.values()]:
                 task.cancel()
 
@@ -73,9 +67,7 @@
         replica = self._replica
         if replica.role is not Role.LEADER or replica.transferring:
             return False
-        self._notice_suspension()
-        ends_at = self.quorum_heard_at + replica.settings.lease_seconds
-        return replica.clock.monotonic() < ends_at
+        return self.lease.is_valid
 
     @property
     def is_current(self) -> bool:
@@ -85,39 +77,6 @@
             and self._replica.commit_index >= self._first_index
         )
 
-    @property
-    def quorum_heard_at(self) -> float:
-        """Return when the last request that a quorum answered was sent.
-
-        Minus infinity if there is none that can be trusted.
-        """
-        now = self._replica.clock.monotonic()
-        configuration = self._replica.configuration
-        times = [
-            now if self._is_self(member) else self._heard_at(member)
-            for member in configuration.voters
-        ]
-        times.sort(reverse=True)
-        heard_at = times[configuration.quorum - 1] if times else -math.inf
-        return heard_at if heard_at >= self._distrusted_until else -math.inf
-
-    def _notice_suspension(self) -> None:
-        """Trust no earlier answer once the wall clock has run ahead.
-
-        While a VM is suspended its monotonic clock may stand still. When it
-        goes on, a lease would look valid that ended long ago; the wall clock
-        shows it. One that was only set forward costs the lease for a round
-        trip.
-        """
-        clock = self._replica.clock
-        now = clock.monotonic()
-        offset = clock.wall() - now
-        ahead = offset - self._wall_offset
-        if ahead > _SUSPENSION_SECONDS:
-            self._distrusted_until = now
-        if ahead > _SUSPENSION_SECONDS or ahead < 0:
-            self._wall_offset = offset
-
     @property
     def is_full(self) -> bool:
         """Say whether too much waits to be committed for more to be taken."""
@@ -156,7 +115,7 @@
         for replicator in self._replicators_by_id.values():
             replicator.wanted_at = asked_at
         replica.send_wanted.fire()
-        while self.quorum_heard_at < asked_at:
+        while self.lease.quorum_heard_at < asked_at:
             await self._progressed.wait()
             self._check_leads(term)
         return index
@@ -290,9 +249,8 @@
         timeout = replica.settings.election_timeout_seconds
         while True:
             await replica.clock.sleep(replica.settings.heartbeat_seconds)
-            self._notice_suspension()
-            heard_at = max(self.quorum_heard_at, self._began_at)
-            if replica.clock.monotonic() - heard_at > timeout:
+            self.lease.notice_suspension()
+            if self.lease.silent_seconds > timeout:
                 replica.step_down("no quorum answers")
 
     def _advance_commit(self) -> None:
--- a/burdockdrum/consensus/log.py
+++ b/burdockdrum/consensus/log.py
@@ -150,7 +150,7 @@
         if replica is None:
             return None
         if replica.role is Role.LEADER:
-            replica.note_quorum(self._leadership.quorum_heard_at)
+            replica.note_quorum(self._leadership.lease.quorum_heard_at)
         return replica.contact_age
 
     def add_listener(self, callback: Callable[[int], None]) -> None:
