--- a/scripts/bench/consensus.py
+++ b/scripts/bench/consensus.py
@@ -2,6 +2,7 @@
 
 Usage:
   consensus latency
+  consensus failover
   consensus idle
   consensus throughput [--seconds=N] [--clients=N]
   consensus start
@@ -9,6 +10,8 @@
 
 latency     From propose to applied on all members, 55 ms one way between
             them, in virtual time.
+failover    From the leader's crash, its being cut off or its handing over to
+            the next change that is accepted, 55 ms one way, virtual time.
 idle        Messages and bytes a member and second without changes, in
             virtual time, and the processor time over real sockets.
 throughput  Changes a second and processor time a change: three members in
@@ -36,6 +39,7 @@
 from docopt import docopt
 from loguru import logger
 
+from burdockdrum.consensus import LogError
 from burdockdrum.consensus import LogSettings
 from burdockdrum.consensus import ReplicatedLog
 from burdockdrum.metrics import Metrics
@@ -196,6 +200,46 @@
     await cluster.stop_all()
 
 
+async def fail_over(seed: int, way: str) -> float:
+    """Take the leader away and return the seconds until changes go on."""
+    cluster = Cluster(seed=seed)
+    cluster.network.set_default(delay=WAN_SECONDS, jitter=0.002)
+    await cluster.start_all()
+    leader = await cluster.leader()
+    await asyncio.sleep(2 + cluster.rng.random())
+    vm_id = cluster.vm_of(leader).vm_id
+    other = next(log for log in cluster.logs if log is not leader)
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    match way:
+        case "crash":
+            await cluster.stop(vm_id)
+        case "cut":
+            cluster.cut_off(vm_id)
+        case "hand over":
+            await leader.step_aside()
+    accepted = False
+    while not accepted:
+        try:
+            await other.propose(b"x", timeout=0.5)
+            accepted = True
+        except LogError:
+            pass
+    took = loop.time() - began
+    await cluster.stop_all()
+    return took
+
+
+def measure_failover() -> None:
+    """Print how long no change is accepted."""
+    for way in ("crash", "cut", "hand over"):
+        took = [run_virtual(fail_over(seed, way)) for seed in range(100)]
+        print(
+            f"{way:9}: p50 {percentile(took, 50):.2f} s, "
+            f"p99 {percentile(took, 99):.2f} s, longest {max(took):.2f} s"
+        )
+
+
 async def measure_idle() -> None:
     """Count what goes over the network without changes."""
     cluster = Cluster()
@@ -347,6 +391,9 @@
         for interval in (1.0, 0.1, 0.02):
             run_virtual(measure_latency(interval))
         return 0
+    if arguments["failover"]:
+        measure_failover()
+        return 0
     limit_threads()
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
