--- /dev/null
+++ b/scripts/bench/configuration.py
@@ -0,0 +1,400 @@
+"""Measure how configuration travels: time, bytes, processor time, memory.
+
+Usage: configuration [--changes=COUNT]
+
+The configuration service, the log and the messages between VMs run as in
+the product, over the in-memory network under virtual time with 55 ms one
+way between regions and 1 ms within. Time and bytes are virtual and exact;
+processor time is that of this process, shared out over its VMs.
+
+Options:
+  --changes=COUNT  Changes to make at each size [default: 20].
+"""
+
+import asyncio
+import collections
+from dataclasses import dataclass
+import functools
+import random
+import sys
+import time
+import tracemalloc
+
+from docopt import docopt
+from loguru import logger
+
+from burdockdrum.configuration import ConfigurationService
+from burdockdrum.configuration import ControlState
+from burdockdrum.configuration import propose_lease
+from burdockdrum.consensus import LogSettings
+from burdockdrum.consensus import ReplicatedLog
+from burdockdrum.leases import LeaseKeeper
+from burdockdrum.leases import LeaseService
+from burdockdrum.metrics import Metrics
+from burdockdrum.peers import Peers
+from burdockdrum.peers import Seal
+from burdockdrum.peers import VmIdentity
+from burdockdrum.resources import Configuration
+from burdockdrum.resources import hash_token
+from burdockdrum.resources import parse_spec
+from burdockdrum.resources import Put
+from burdockdrum.resources import Resource
+from burdockdrum.testing import FakeDisk
+from burdockdrum.testing import FakeNetwork
+from burdockdrum.testing import run_virtual
+from burdockdrum.testing import VirtualClock
+from burdockdrum.timeline import HybridClock
+from burdockdrum.timeline import Timeline
+
+REGION_DELAY = 0.055
+LOCAL_DELAY = 0.001
+# VMs, data centres; three of the VMs have disks.
+SIZES = ((6, 3), (24, 6), (76, 19), (152, 38), (304, 76))
+IDLE_SECONDS = 20.0
+CHANGE_SECONDS = 1.7
+CONTROL = 3
+
+
+@dataclass(frozen=True, kw_only=True)
+class View:
+    """A VM as the directory shows it."""
+
+    identity: VmIdentity
+
+
+class FixedDirectory:
+    """A directory in which all VMs live: it sends nothing itself."""
+
+    def __init__(self, identities: list[VmIdentity]) -> None:
+        self._views = [View(identity=identity) for identity in identities]
+        self._by_data_centre: dict[str, list[View]] = {}
+        for view in self._views:
+            name = view.identity.data_centre
+            self._by_data_centre.setdefault(name, []).append(view)
+
+    def live_vms(self) -> list[View]:
+        """Return all."""
+        return self._views
+
+    def vms_in(self, data_centre: str) -> list[View]:
+        """Return those of a data centre."""
+        return self._by_data_centre[data_centre]
+
+    def relay_of(self, data_centre: str) -> View:
+        """Return the last, which is no control VM where there are two."""
+        return self._by_data_centre[data_centre][-1]
+
+
+class Vm:
+    """The services of one VM that have to do with configuration."""
+
+    def __init__(
+        self,
+        *,
+        identity: VmIdentity,
+        network: FakeNetwork,
+        members: dict[str, str],
+        directory: FixedDirectory,
+    ) -> None:
+        self.identity = identity
+        host = network.host(identity.vm_id)
+        self._host = host
+        self._members = members
+        self._directory = directory
+        self.in_force_at: dict[int, float] = {}
+
+    async def start(self, group: asyncio.TaskGroup) -> None:
+        """Build the services and run them in a group."""
+        clock = VirtualClock()
+        rng = random.Random(self.identity.vm_id)
+        hybrid_clock = HybridClock(clock=clock)
+        metrics = Metrics()
+        peers = Peers(
+            identity=self.identity,
+            mailbox=await self._host.open(self.identity.control_address),
+            clock=clock,
+            hybrid_clock=hybrid_clock,
+            rng=rng,
+            seal=Seal(secret=b"sixteen characters"),
+            metrics=metrics,
+        )
+        timeline = Timeline(
+            process=self.identity.vm_id,
+            incarnation=1,
+            clock=hybrid_clock,
+            capacity=10,
+        )
+        state: ControlState | None = None
+        self.log: ReplicatedLog | None = None
+        services: list = [peers]
+        if self.identity.vm_id in self._members:
+            state = ControlState()
+            self.log = ReplicatedLog(
+                peers=peers,
+                disk=FakeDisk(rng=rng),
+                clock=clock,
+                rng=rng,
+                timeline=timeline,
+                metrics=metrics,
+                state_machine=state,
+                settings=LogSettings(
+                    vm_id=self.identity.vm_id,
+                    bootstrap_addresses_by_id=self._members,
+                ),
+            )
+            keeper = LeaseKeeper(
+                peers=peers,
+                clock=clock,
+                rng=rng,
+                table=state.leases,
+                leadership=self.log,
+                propose=functools.partial(propose_lease, self.log),
+            )
+            services += [self.log, keeper]
+        self.configuration = ConfigurationService(
+            peers=peers,
+            clock=clock,
+            timeline=timeline,
+            directory=lambda: self._directory,
+            control_addresses=self._members,
+            residency_lease_seconds=300.0,
+            state=state,
+            log=self.log,
+        )
+        self.configuration.add_listener(self._note)
+        self.leases = LeaseService(
+            peers=peers,
+            clock=clock,
+            rng=rng,
+            timeline=timeline,
+            read_control_addresses=lambda: self._members,
+        )
+        for service in (*services, self.configuration, self.leases):
+            group.create_task(service.run())
+
+    def _note(self, configuration: Configuration) -> None:
+        now = asyncio.get_running_loop().time()
+        self.in_force_at[configuration.revision] = now
+
+
+class Plane:
+    """All VMs of one size."""
+
+    def __init__(self, *, vms: int, data_centres: int) -> None:
+        self.network = FakeNetwork(rng=random.Random(1))
+        identities = [
+            VmIdentity(
+                vm_id=f"vm-{number:04}",
+                incarnation=1,
+                region=f"region-{number % data_centres % 33}",
+                data_centre=f"dc-{number % data_centres}",
+                control_address=f"tcp://10.0.0.0:{number + 1}",
+                http_address=f"http://10.0.0.0:{number + 1}",
+            )
+            for number in range(vms)
+        ]
+        members = {
+            identity.vm_id: identity.control_address
+            for identity in identities[:CONTROL]
+        }
+        directory = FixedDirectory(identities)
+        self.vms = [
+            Vm(
+                identity=identity,
+                network=self.network,
+                members=members,
+                directory=directory,
+            )
+            for identity in identities
+        ]
+        self.network.set_default(delay=REGION_DELAY)
+        by_region = collections.defaultdict(list)
+        for identity in identities:
+            by_region[identity.region].append(identity.vm_id)
+        for vm_ids in by_region.values():
+            for index, vm_id in enumerate(vm_ids):
+                for other in vm_ids[:index]:
+                    self.network.set_link(vm_id, other, delay=LOCAL_DELAY)
+        self.relay_ids = {
+            directory.relay_of(i.data_centre).identity.vm_id
+            for i in identities
+        }
+
+    @property
+    def leader(self) -> Vm:
+        """Return the control VM that leads."""
+        return next(vm for vm in self.vms if vm.log and vm.log.is_leader)
+
+    def role(self, vm: Vm) -> str:
+        """Return leader, control, relay or member."""
+        if vm is self.leader:
+            return "leader"
+        if vm.log is not None:
+            return "control"
+        is_relay = vm.identity.vm_id in self.relay_ids
+        return "relay" if is_relay else "member"
+
+    def bytes_by_role(self, before: dict[str, int]) -> dict[str, float]:
+        """Return the most bytes sent by a VM of each role since before."""
+        most: dict[str, float] = {}
+        for vm in self.vms:
+            vm_id = vm.identity.vm_id
+            sent = self.network.bytes_by_host.get(vm_id, 0)
+            role = self.role(vm)
+            number = sent - before.get(vm_id, 0)
+            most[role] = max(most.get(role, 0), number)
+        return most
+
+
+async def measure(vms: int, data_centres: int, changes: int) -> None:
+    """Run one size and print its line."""
+    plane = Plane(vms=vms, data_centres=data_centres)
+    async with asyncio.TaskGroup() as group:
+        for vm in plane.vms:
+            await vm.start(group)
+        while not all(vm.configuration.known for vm in plane.vms):
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(5)
+        before = dict(plane.network.bytes_by_host)
+        started = time.process_time()
+        await asyncio.sleep(IDLE_SECONDS)
+        idle_cpu = time.process_time() - started
+        idle = plane.bytes_by_role(before)
+        before = dict(plane.network.bytes_by_host)
+        started = time.process_time()
+        answers = [await change(plane, number) for number in range(changes)]
+        cpu = time.process_time() - started
+        busy = plane.bytes_by_role(before)
+        print_line(plane, answers, idle, busy, idle_cpu, cpu)
+        for task in list(group._tasks):
+            task.cancel()
+
+
+async def change(plane: Plane, number: int) -> float:
+    """Make one change and return the seconds until its answer."""
+    entry = plane.vms[-1 - number % len(plane.vms)]
+    put = Put(
+        change_id=f"change-{number}",
+        kind="region",
+        name=f"region-{number}",
+        expected_version=0,
+        spec=parse_spec("region", {"description": "x" * 200}),
+    )
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    await entry.configuration.change(put)
+    seconds = loop.time() - started
+    await asyncio.sleep(CHANGE_SECONDS)
+    return seconds
+
+
+def print_line(
+    plane: Plane,
+    answers: list[float],
+    idle: dict[str, float],
+    busy: dict[str, float],
+    idle_cpu: float,
+    cpu: float,
+) -> None:
+    """Print what one size gave."""
+    delays = []
+    lasts = []
+    for revision, accepted_at in plane.leader.in_force_at.items():
+        times = [vm.in_force_at[revision] for vm in plane.vms]
+        delays += [moment - accepted_at for moment in times]
+        lasts.append(max(times) - accepted_at)
+    changes = len(lasts)
+    seconds = sum(answers) + changes * CHANGE_SECONDS
+    idle_rate = idle_cpu / IDLE_SECONDS
+    extra = (cpu - idle_rate * seconds) / changes
+    roles = sorted(idle)
+    idle_text = " ".join(f"{r}={idle[r] / IDLE_SECONDS:.0f}" for r in roles)
+    busy_text = " ".join(
+        f"{r}={(busy[r] - idle[r] / IDLE_SECONDS * seconds) / changes:.0f}"
+        for r in roles
+    )
+    print(
+        f"{len(plane.vms):4} VMs, {len(plane.relay_ids):2} data centres: "
+        f"a VM p50 {_at(delays, 50):.3f} p99 {_at(delays, 99):.3f} s; "
+        f"everywhere p50 {_at(lasts, 50):.3f} p99 {_at(lasts, 99):.3f} s; "
+        f"answered p50 {_at(answers, 50):.3f} p99 {_at(answers, 99):.3f} s"
+    )
+    print(f"     idle bytes/s sent, most of a role: {idle_text}")
+    print(f"     bytes sent a change, most of a role: {busy_text}")
+    print(
+        f"     processor: idle {idle_rate / len(plane.vms) * 1e6:.0f} us "
+        f"a VM and second; a change {extra / len(plane.vms) * 1e6:.0f} us "
+        "a VM"
+    )
+
+
+def _at(values: list[float], percent: float) -> float:
+    ordered = sorted(values)
+    index = min(len(ordered) - 1, int(len(ordered) * percent / 100))
+    return ordered[index]
+
+
+def measure_memory() -> None:
+    """Print what the letter's configuration takes."""
+    tracemalloc.start()
+    resources = list(_letter_resources())
+    before = tracemalloc.get_traced_memory()[0]
+    configuration = Configuration.of(len(resources), resources)
+    started = time.process_time()
+    configuration.client_ids_by_token_hash
+    configuration.services_by_name
+    lookups = time.process_time() - started
+    index_bytes = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    print(
+        f"{len(resources)} resources: {before / 1e6:.2f} MB, their indexes "
+        f"{index_bytes / 1e6:.2f} MB, rebuilt after a change in "
+        f"{lookups * 1e3:.2f} ms"
+    )
+
+
+def _letter_resources():
+    number = 0
+    specs: list[tuple[str, str, dict]] = []
+    regions = [f"region-{i}" for i in range(33)]
+    specs += [("region", name, {}) for name in regions]
+    specs += [
+        ("data_centre", f"dc-{i}", {"region": regions[i % 33]})
+        for i in range(76)
+    ]
+    specs += [
+        ("service", f"model-{i}", {"regions": regions}) for i in range(14)
+    ]
+    for team in range(260):
+        specs.append(("team", f"team-{team}", {}))
+        for client in range(4):
+            fields = {
+                "home_region": regions[team % 33],
+                "residency": [regions[(team + i) % 33] for i in range(3)],
+                "token_hashes": [hash_token(f"{team}-{client}")],
+                "team": f"team-{team}",
+            }
+            specs.append(("client", f"client-{team}-{client}", fields))
+    for kind, name, fields in specs:
+        number += 1
+        yield Resource(
+            kind=kind, name=name, version=number, spec=parse_spec(kind, fields)
+        )
+
+
+def main() -> int:
+    """Measure every size."""
+    arguments = docopt(__doc__)
+    changes = int(arguments["--changes"])
+    logger.remove()
+    measure_memory()
+    for vms, data_centres in SIZES:
+        try:
+            run_virtual(measure(vms, data_centres, changes))
+        except* asyncio.CancelledError:
+            pass
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
