--- a/burdockdrum/configuration/control.py
+++ b/burdockdrum/configuration/control.py
@@ -95,7 +95,10 @@
             result = await propose_to_log(self._log, change, timeout)
         except NotProposed as error:
             return Proposed(may_apply=error.may_apply, reason=str(error))
-        return Proposed(result=decode_change_result(result))
+        return Proposed(
+            result=decode_change_result(result),
+            leader_id=self._log.leader_id,
+        )
 
     def status(self) -> ControlStatus:
         """Return this VM's view of the log."""
--- a/burdockdrum/configuration/messages.py
+++ b/burdockdrum/configuration/messages.py
@@ -23,13 +23,15 @@
 class Proposed(Message, frozen=True, kw_only=True):
     """What became of a proposed change.
 
-    Without a result, ``may_apply`` says whether the change may have been
-    accepted or may be yet.
+    ``leader_id`` is a hint whom to ask the next time. Without a result,
+    ``may_apply`` says whether the change may have been accepted or may be
+    yet.
     """
 
     result: ChangeResult | None = None
     may_apply: bool = False
     reason: str = ""
+    leader_id: str | None = None
 
 
 class Report(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/burdockdrum/configuration/service.py
+++ b/burdockdrum/configuration/service.py
@@ -112,6 +112,7 @@
             read_control_addresses=lambda: self._control_addresses,
         )
         self._publisher.on_follow = self._follower.note_follow
+        self._leader_id: str | None = None
         self._control: Control | None = None
         if state is not None and log is not None:
             self._control = Control(
@@ -254,6 +255,7 @@
                     break
                 timeout = min(left, PROPOSE_SECONDS)
                 proposed = await self._propose_at(address, change, timeout)
+                self._leader_id = proposed.leader_id
                 if proposed.result is not None:
                     return proposed.result
                 # The same change id may go to another control VM: whichever
@@ -270,10 +272,11 @@
     def _proposal_addresses(self) -> list[str | None]:
         """Return whom to ask, None for this VM itself."""
         own = self._peers.identity.vm_id
+        vm_ids = [v for v in self._control_addresses if v != own]
+        # The leader that answered last spares the way over another.
+        vm_ids.sort(key=lambda vm_id: vm_id != self._leader_id)
         others: list[str | None] = [
-            address
-            for vm_id, address in self._control_addresses.items()
-            if vm_id != own
+            self._control_addresses[vm_id] for vm_id in vm_ids
         ]
         return [None, *others] if self._control is not None else others
 
