--- a/burdockdrum/leases/keeper.py
+++ b/burdockdrum/leases/keeper.py
@@ -191,13 +191,12 @@
     ) -> Message | None:
         if not self.is_keeper:
             return self._decline()
-        renewed, lost = [], []
-        for name, fencing in message.fencing_by_name.items():
-            if self._renew(sender, name, fencing):
-                renewed.append(name)
-            else:
-                lost.append(name)
-        return LeaseAnswer(is_keeper=True, renewed=renewed, lost=lost)
+        lost = [
+            name
+            for name, fencing in message.fencing_by_name.items()
+            if not self._renew(sender, name, fencing)
+        ]
+        return LeaseAnswer(is_keeper=True, lost=lost)
 
     def _renew(self, sender: Sender, name: str, fencing: int) -> bool:
         grant = self._table.grants_by_name.get(name)
--- a/burdockdrum/leases/service.py
+++ b/burdockdrum/leases/service.py
@@ -205,16 +205,16 @@
         answer = await self._ask(RenewLeases(fencing_by_name=fencing_by_name))
         if answer is None:
             return
-        for name in answer.renewed:
+        for name, fencing in fencing_by_name.items():
             lease = self._leases_by_name.get(name)
-            if lease is not None and lease.fencing == fencing_by_name[name]:
+            if lease is None or lease.fencing != fencing:
+                continue
+            if name in answer.lost:
+                self._drop(name)
+            else:
                 self._leases_by_name[name] = replace(
                     lease, expires_at=started + LEASE_SECONDS
                 )
-        for name in answer.lost:
-            lease = self._leases_by_name.get(name)
-            if lease is not None and lease.fencing == fencing_by_name[name]:
-                self._drop(name)
 
     def _drop_expired(self) -> None:
         for name in list(self._leases_by_name):
--- a/scripts/bench/configuration.py
+++ b/scripts/bench/configuration.py
@@ -310,10 +310,13 @@
     log = plane.leader.log
     assert log is not None
     opener = plane.leader.state.leases.opener
-    for _ in range(count):
-        # Opening the open epoch again changes nothing, as a renewal would.
-        await propose_lease(log, OpenEpoch(opener=opener), 2.0)
-        await asyncio.sleep(0)
+    async with asyncio.TaskGroup() as group:
+        for _ in range(count):
+            # Opening the open epoch again changes nothing, as would a
+            # renewal.
+            command = OpenEpoch(opener=opener)
+            group.create_task(propose_lease(log, command, 2.0))
+            await asyncio.sleep(IDLE_SECONDS / count)
 
 
 async def print_lease_cost(plane: Plane, what: str, work: Coroutine) -> None:
