Test the operators' face: conflicts, watches, status

Over a real socket the test of a watch whose operator has gone fails without the look-out for the connection; over the fake web it could not fail, so it is not there.

--- a/tests/configuration/deployment.py
+++ b/tests/configuration/deployment.py
@@ -7,6 +7,7 @@
 from burdockdrum.leases import LeaseService
 from burdockdrum.resources import ChangeResult
 from burdockdrum.resources import Delete
+from burdockdrum.resources import hash_token
 from burdockdrum.resources import parse_spec
 from burdockdrum.resources import Put
 from burdockdrum.settings import read_settings
@@ -30,8 +31,12 @@
 {data}
 [control.members]
 {members}
+[operators]
+token_hashes = ["{operator}"]
 """
 
+OPERATOR_TOKEN = "operator"
+
 
 class Deployment:
     """VMs whose ids tell their region, data centre and number.
@@ -63,7 +68,7 @@
 
     async def start_vm(self, vm_id: str) -> None:
         """Start a VM, or start it again."""
-        await self.cluster.start_vm(read_settings(self._settings(vm_id)))
+        await self.cluster.start_vm(read_settings(self.settings(vm_id)))
 
     async def crash(self, vm_id: str, *, power: bool = False) -> None:
         """Crash a VM; without power, its disk keeps only what was synced."""
@@ -107,6 +112,10 @@
         """Return a control VM's log."""
         return self._find(vm_id, "log", ReplicatedLog)
 
+    def url(self, vm_id: str) -> str:
+        """Return the URL at which a VM serves."""
+        return f"http://127.0.0.1:{self._ports[vm_id] + 10_000}"
+
     def relay(self, vm_id: str) -> str:
         """Return who, as a VM sees it, relays for its data centre."""
         directory = self._find(vm_id, "vms", VmDirectory)
@@ -176,7 +185,8 @@
         self._next_change += 1
         return f"change-{self._next_change}"
 
-    def _settings(self, vm_id: str) -> str:
+    def settings(self, vm_id: str) -> str:
+        """Return a VM's settings file."""
         members = "\n".join(
             f'"{member}" = "{self._address(member)}"'
             for member in self._control_ids
@@ -192,6 +202,7 @@
             lease=self._lease_seconds,
             data='data_folder = "unused"' if is_control else "",
             members=members,
+            operator=hash_token(OPERATOR_TOKEN),
         )
 
     def _address(self, vm_id: str) -> str:
--- /dev/null
+++ b/tests/web/test_operators.py
@@ -0,0 +1,265 @@
+"""What operators see: changes, watches, status, and what is refused."""
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+import msgspec
+
+from burdockdrum.configuration import ConfigurationService
+from burdockdrum.configuration import history
+from burdockdrum.daemon import assemble
+from burdockdrum.peers import VmIdentity
+from burdockdrum.ports import UpstreamCall
+from burdockdrum.settings import read_settings
+from burdockdrum.system_ports import PooledHttpClient
+from burdockdrum.system_ports import SystemClock
+from burdockdrum.testing import FakeNetwork
+from burdockdrum.testing import run_virtual
+from burdockdrum.web import bind
+from burdockdrum.web import WebServer
+from tests.configuration.deployment import Deployment
+from tests.configuration.deployment import OPERATOR_TOKEN
+
+VM_IDS = ["n1.1", "s1.1"]
+
+
+class Operator:
+    """An operator at one entry VM."""
+
+    def __init__(self, deployment: Deployment, vm_id: str) -> None:
+        self._http = deployment.cluster.client("operator")
+        self._url = deployment.url(vm_id)
+
+    async def open(self, method, path, body=b"", **headers):
+        """Send a request and return the open answer."""
+        headers["authorization"] = f"Bearer {OPERATOR_TOKEN}"
+        return await self._http.open(
+            UpstreamCall(
+                method=method,
+                url=self._url + path,
+                headers={k.replace("_", "-"): v for k, v in headers.items()},
+                body=body,
+            )
+        )
+
+    async def call(self, method, path, fields=None):
+        """Send a request and return the status and the decoded body."""
+        body = msgspec.json.encode(fields) if fields is not None else b""
+        answer = await self.open(method, path, body)
+        parts = [part async for part in answer.chunks()]
+        return answer.status, msgspec.json.decode(b"".join(parts))
+
+    async def put(self, name, description="", version=0):
+        """Put a region."""
+        return await self.call(
+            "PUT",
+            f"/v1/resources/region/{name}",
+            {
+                "spec": {"description": description},
+                "resource_version": version,
+            },
+        )
+
+
+class OperatorTest(unittest.TestCase):
+    def run_operator(self, scenario):
+        async def main():
+            deployment = Deployment(
+                seed=4, vm_ids=VM_IDS, control_ids=["n1.1"]
+            )
+            await deployment.start()
+            # The entry that holds no state serves operators as well.
+            await scenario(deployment, Operator(deployment, "s1.1"))
+            await deployment.stop()
+
+        run_virtual(main())
+
+    async def read_events(self, answer, count: int) -> list[dict]:
+        """Read so many events of a watch, ids included, and hang up."""
+        buffer = b""
+        async for chunk in answer.chunks():
+            buffer += chunk
+            if buffer.count(b"\n\n") >= count:
+                break
+        await answer.close()
+        events = []
+        for block in buffer.decode().split("\n\n")[:count]:
+            fields = dict(line.split(": ", 1) for line in block.split("\n"))
+            events.append(
+                {**fields, "data": msgspec.json.decode(fields["data"])}
+            )
+        return events
+
+    def test_conflict_shows_the_current_resource(self):
+        async def scenario(deployment, operator):
+            status, made = await operator.put("north")
+            self.assertEqual((200, 1), (status, made["revision"]))
+            status, lost = await operator.put("north", "late")
+            self.assertEqual(409, status)
+            self.assertEqual(made["current"], lost["current"])
+
+        self.run_operator(scenario)
+
+    def test_bad_changes_name_the_field(self):
+        async def scenario(deployment, operator):
+            path = "/v1/resources/region/x"
+            for fields, status, word in (
+                ({"spec": {"descriptoin": ""}}, 400, "descriptoin"),
+                ({"spec": {}, "change_id": "x" * 129}, 400, "change_id"),
+                ({"spec": {}, "versoin": 1}, 400, "versoin"),
+                ({"spec": {"description": 7}}, 400, "description"),
+            ):
+                with self.subTest(word=word):
+                    found = await operator.call("PUT", path, fields)
+                    self.assertEqual(status, found[0])
+                    self.assertIn(word, found[1]["error"]["message"])
+            status, found = await operator.call("GET", path)
+            self.assertEqual(404, status)
+
+        self.run_operator(scenario)
+
+    def test_change_without_control_vm_is_refused_in_doubt(self):
+        # The entry can't reach the control VM. The operator must not read
+        # "not run": the change may have got there, only its answer did not.
+        async def scenario(deployment, operator):
+            deployment.cut(["s1.1"])
+            status, found = await operator.put("north")
+            self.assertEqual(503, status)
+            self.assertEqual("may have run", found["error"]["verdict"])
+            self.assertIn("change_id", found["error"]["message"])
+
+        self.run_operator(scenario)
+
+    def test_watch_goes_on_where_it_broke(self):
+        # An operator's watch breaks after the first event. It comes back
+        # with that event's id and misses nothing: neither the later change
+        # nor the deletion of what it had seen.
+        async def scenario(deployment, operator):
+            await operator.put("north")
+            await operator.put("south")
+            answer = await operator.open("GET", "/v1/watch")
+            first = await self.read_events(answer, 1)
+            self.assertEqual("1", first[0]["id"])
+            await operator.call(
+                "DELETE", "/v1/resources/region/north", {"resource_version": 1}
+            )
+            answer = await operator.open(
+                "GET", "/v1/watch", last_event_id=first[0]["id"]
+            )
+            reading = asyncio.create_task(self.read_events(answer, 3))
+            await asyncio.sleep(1)
+            await operator.put("east")
+            events = await reading
+            self.assertEqual(["2", "3", "4"], [e["id"] for e in events])
+            names = [event["data"]["name"] for event in events]
+            self.assertEqual(["south", "north", "east"], names)
+            self.assertIsNone(events[1]["data"]["resource"])
+
+        self.run_operator(scenario)
+
+    def test_watch_from_too_old_a_revision_is_told_so(self):
+        # The changes since are kept no more. Going on as if nothing were
+        # missing would leave the operator with a wrong picture.
+        async def scenario(deployment, operator):
+            for number in range(6):
+                await operator.put(f"r{number}")
+            status, found = await operator.call("GET", "/v1/watch?revision=2")
+            self.assertEqual(410, status)
+            self.assertEqual("revision_gone", found["error"]["code"])
+            self.assertEqual(3, found["error"]["oldest_revision"])
+            status, found = await operator.call("GET", "/v1/watch?revision=x")
+            self.assertEqual(400, status)
+
+        with mock.patch.object(history, "KEPT_REVISIONS", 3):
+            self.run_operator(scenario)
+
+    def test_status_tells_age_and_where_revisions_are_in_force(self):
+        async def scenario(deployment, operator):
+            await operator.put("north")
+            await asyncio.sleep(3)
+            _, found = await operator.call("GET", "/v1/status")
+            self.assertEqual(
+                {"n1.1": 1, "s1.1": 1}, found["in_force_by_vm_id"]
+            )
+            self.assertTrue(found["configuration"]["known"])
+            self.assertLess(found["configuration"]["age_seconds"], 5)
+            deployment.cut(["s1.1"])
+            await asyncio.sleep(60)
+            _, found = await operator.call("GET", "/v1/status")
+            self.assertGreater(found["configuration"]["age_seconds"], 55)
+            control = await Operator(deployment, "n1.1").call(
+                "GET", "/v1/status"
+            )
+            role = control[1]["configuration"]["control"]["role"]
+            self.assertEqual("leader", role)
+
+        self.run_operator(scenario)
+
+
+class WatchSocketTest(unittest.IsolatedAsyncioTestCase):
+    """A watch over a real socket, where a stream isn't told of its end."""
+
+    async def test_watch_whose_operator_is_gone_is_removed(self):
+        # The operator hangs up while nothing changes. The watch must not
+        # stay until the next change, or idle watches would pile up.
+        settings = read_settings(
+            Deployment(seed=1, vm_ids=["n1.1"], control_ids=["n1.1"]).settings(
+                "n1.1"
+            )
+        )
+        network = FakeNetwork(rng=random.Random(1))
+        mailbox = await network.host("n1.1").open(settings.listen.control)
+        listener = bind("127.0.0.1", 0)
+        kernel = assemble(
+            settings=settings,
+            identity=VmIdentity(
+                vm_id="n1.1",
+                incarnation=1,
+                region="n",
+                data_centre="n1",
+                control_address=mailbox.address,
+                http_address="http://127.0.0.1:1",
+            ),
+            mailbox=mailbox,
+            clock=SystemClock(),
+            http=PooledHttpClient(),
+            rng=random.Random(1),
+        )
+        configuration = kernel.find("configuration", ConfigurationService)
+        began, ended = asyncio.Event(), asyncio.Event()
+
+        async def changes(revision):
+            began.set()
+            try:
+                await asyncio.Event().wait()
+                yield None
+            finally:
+                ended.set()
+
+        configuration.watch = changes
+        web = WebServer(
+            application=kernel.find("application", object), listener=listener
+        )
+        running = asyncio.create_task(web.run())
+        async with asyncio.timeout(10):
+            writer = await self.connect(*listener.getsockname()[:2])
+        head = f"authorization: Bearer {OPERATOR_TOKEN}\r\nhost: x\r\n\r\n"
+        writer.write(b"GET /v1/watch HTTP/1.1\r\n" + head.encode())
+        async with asyncio.timeout(10):
+            await began.wait()
+            writer.close()
+            await ended.wait()
+        web.stop()
+        await running
+
+    async def connect(self, host, port):
+        """Connect once the server listens."""
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(host, port)
+            except ConnectionRefusedError:
+                await asyncio.sleep(0.01)
+            else:
+                return writer
