--- a/burdockdrum/routing/router.py
+++ b/burdockdrum/routing/router.py
@@ -267,7 +267,8 @@
         load = tracker.estimate_load(endpoint)
         limit = tracker.current_limit(self.now())
         blocks = len(demand.prefix_hashes)
-        warm = depths.get(tracker.name, 0) / blocks if blocks else 0.0
+        depth = self._depth(endpoint, tracker, demand, depths)
+        warm = depth / blocks if blocks else 0.0
         tokens_read = demand.prompt_tokens * (1 - warm)
         speed = tracker.speed.speed
         ahead = max(0.0, load + 1 - limit)
@@ -288,6 +289,23 @@
             ),
         )
 
+    def _depth(
+        self,
+        endpoint: Endpoint,
+        tracker: EndpointTracker,
+        demand: Demand,
+        depths: dict[str, int],
+    ) -> int:
+        """Return how many leading blocks of a prompt it may hold.
+
+        What the engine tells is late and has gaps, but knows what was
+        dropped; where it tells nothing, own placements have to do.
+        """
+        cache = self._endpoints.cache_of(endpoint.endpoint_id)
+        if len(cache):
+            return cache.count_leading(demand.prefix_hashes)
+        return depths.get(tracker.name, 0)
+
     def _pick(self, options: list[_Option], demand: Demand) -> _Option | None:
         """Return the best of a random sample and of the warm endpoints.
 
--- a/scripts/experiment/world.py
+++ b/scripts/experiment/world.py
@@ -101,6 +101,8 @@
                 running=running,
                 waiting=waiting,
                 age_seconds=self.engine.settings.report_lag,
+                cache_events=self.engine.cache.take_events(),
+                cache_sequence=self.engine.cache.sequence,
             )
             for registry in self.registries:
                 registry.report(self.endpoint_id, report)
