Believe an old report less, and try slow endpoints again

Others' requests at an endpoint are taken as reported when the report is fresh, and as what others have on average when it is old (a third is still believed after one second).

--- a/burdockdrum/routing/load.py
+++ b/burdockdrum/routing/load.py
@@ -38,7 +38,6 @@
                 return count
         return self._changes[0][1]
 
-    def estimate_total(self, reported: int, reported_at: float) -> float:
-        """Return own and others' requests by a report of some age."""
-        others = max(0, reported - self.count_at(reported_at))
-        return self.count + others
+    def estimate_others(self, reported: int, reported_at: float) -> int:
+        """Return others' requests at the time of a report."""
+        return max(0, reported - self.count_at(reported_at))
--- a/burdockdrum/routing/router.py
+++ b/burdockdrum/routing/router.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 import itertools
+import math
 import random
 import statistics
 
@@ -35,6 +36,8 @@
     AttemptOutcome.UNREACHABLE,
     AttemptOutcome.TIMED_OUT,
 )
+# The age of a report at which a third of it is still believed.
+TRUST_SECONDS = 1.0
 _SPEED_SECONDS = 1.0
 _SERVICE_WEIGHT = 0.1
 
@@ -153,8 +156,13 @@
     def begin(self, endpoint: Endpoint, demand: Demand) -> Attempt:
         """Count an attempt that starts now."""
         tracker = self._track(endpoint)
+        loads = self._estimate_loads([endpoint])
         option = self._weigh_one(
-            endpoint, tracker, demand, self._depths(demand)
+            endpoint,
+            tracker,
+            demand,
+            self._depths(demand),
+            loads[endpoint.endpoint_id],
         )
         typical = self._typical_speed(endpoint.service)
         expected = option.tokens_read * typical.prefill + typical.token
@@ -184,10 +192,12 @@
         """Return how many requests could start at once here."""
         total = 0.0
         now = self.now()
-        for endpoint in self._endpoints.candidates(service):
+        candidates = self._endpoints.candidates(service)
+        loads = self._estimate_loads(candidates)
+        for endpoint in candidates:
             tracker = self._track(endpoint)
             if not tracker.is_silent(now):
-                load = tracker.estimate_load(endpoint)
+                load = loads[endpoint.endpoint_id]
                 total += max(0.0, tracker.current_limit(now) - load)
         return total
 
@@ -195,11 +205,13 @@
         """Return this VM's part of what its data centre can run."""
         now = self.now()
         limit = own = total = 0.0
-        for endpoint in self._endpoints.candidates(service):
+        candidates = self._endpoints.candidates(service)
+        loads = self._estimate_loads(candidates)
+        for endpoint in candidates:
             tracker = self._track(endpoint)
             limit += tracker.current_limit(now)
             own += tracker.own.count
-            total += tracker.estimate_load(endpoint)
+            total += loads[endpoint.endpoint_id]
         peers = self._peers_here()
         limit = limit or self._elsewhere.equal_part(service)
         return CapacityShare(
@@ -242,6 +254,7 @@
         options = []
         depths = self._depths(demand)
         candidates = self._endpoints.candidates(demand.service)
+        loads = self._estimate_loads(candidates)
         fitting = _with_adapter(candidates, demand.adapter)
         for endpoint in fitting:
             if endpoint.endpoint_id in demand.excluded_endpoints:
@@ -251,7 +264,13 @@
                 continue
             if tracker.suspects and not demand.isolated:
                 continue
-            option = self._weigh_one(endpoint, tracker, demand, depths)
+            option = self._weigh_one(
+                endpoint,
+                tracker,
+                demand,
+                depths,
+                loads[endpoint.endpoint_id],
+            )
             if tracker.health.is_on_trial(now) and option.room < 1:
                 continue
             options.append(option)
@@ -263,8 +282,8 @@
         tracker: EndpointTracker,
         demand: Demand,
         depths: dict[str, int],
+        load: float,
     ) -> _Option:
-        load = tracker.estimate_load(endpoint)
         limit = tracker.current_limit(self.now())
         blocks = len(demand.prefix_hashes)
         depth = self._depth(endpoint, tracker, demand, depths)
@@ -289,6 +308,31 @@
             ),
         )
 
+    def _estimate_loads(self, endpoints: list[Endpoint]) -> dict[str, float]:
+        """Return the requests at each endpoint, all VMs' together.
+
+        Own requests are counted as they are. Those of others are as old as
+        the report; the older it is, the more they are taken to be what
+        others have on average. Taken at its word, an old report that shows
+        one endpoint idle sends it the next requests of every VM.
+        """
+        now = self.now()
+        others = {
+            endpoint.endpoint_id: self._track(endpoint).estimate_others(
+                endpoint
+            )
+            for endpoint in endpoints
+        }
+        mean = sum(others.values()) / max(1, len(others))
+        loads = {}
+        for endpoint in endpoints:
+            age = now - endpoint.reported_at
+            trust = math.exp(-age / TRUST_SECONDS)
+            name = endpoint.endpoint_id
+            expected = trust * others[name] + (1 - trust) * mean
+            loads[name] = self._track(endpoint).own.count + expected
+        return loads
+
     def _depth(
         self,
         endpoint: Endpoint,
@@ -319,9 +363,11 @@
         if demand.isolated:
             return min(options, key=lambda option: option.load)
         now = self.now()
+        typical = self._typical_speed(demand.service)
         for option in options:
             # Only work that may be run again is risked on a trial.
-            if demand.repeatable and option.tracker.is_due_for_trial(now):
+            due = option.tracker.is_due_for_trial(typical, now)
+            if due and demand.repeatable:
                 return option
         sample = options
         if len(options) > self.policy.choices:
@@ -442,12 +488,17 @@
     def _learn_finish(self, attempt: Attempt, facts: AttemptFacts) -> None:
         now = self.now()
         tracker = attempt.tracker
+        # Whoever gave up after its first token was overdue, waited in vain:
+        # without this each caller's deadline would bring a new burst.
+        in_vain = tracker.is_overdue(attempt.number, now)
         tracker.got_first_token(attempt.number)
         tracker.own.change(-1, now)
         tracker.suspects -= attempt.demand.isolated
         if facts.outcome is AttemptOutcome.COMPLETED:
             self._learn_completion(attempt, facts)
             tracker.health.note_success(now)
+        elif in_vain:
+            tracker.health.eject(now)
         elif facts.outcome in _FAILURES:
             tracker.health.note_failure(now)
         for listener in self._listeners:
--- a/burdockdrum/routing/speed.py
+++ b/burdockdrum/routing/speed.py
@@ -8,6 +8,10 @@
 # A first token may wait this long for other prompts of its batch to be
 # read: an endpoint is not slow for that.
 BATCH_SECONDS = 0.4
+# An answer in less than this share of the expected time starts anew.
+RECOVERED_SHARE = 0.5
+# Times slower than typical from which an endpoint hardly gets requests.
+_SLOW_FACTOR = 1.5
 _WEIGHT = 0.15
 _SLOWNESS_WEIGHT = 0.3
 # Prompts shorter than this say little about the time to read a token.
@@ -44,6 +48,13 @@
         """Return the averages."""
         return Speed(prefill=self._prefill, token=self._token)
 
+    def is_slower_than(self, typical: Speed) -> bool:
+        """Say whether the choice would hardly ever fall on it."""
+        return (
+            self._token > typical.token * _SLOW_FACTOR
+            or self._prefill > typical.prefill * _SLOW_FACTOR * 2
+        )
+
     def learn_first_token(
         self, *, seconds: float, expected: float, tokens_read: float
     ) -> None:
@@ -61,8 +72,15 @@
 
     def learn_tokens(self, *, seconds: float, tokens: int) -> None:
         """Take in the time that tokens after the first took."""
-        if tokens > 0:
-            self._token += _WEIGHT * (seconds / tokens - self._token)
+        if tokens <= 0:
+            return
+        observed = seconds / tokens
+        if observed < self._token * RECOVERED_SHARE:
+            # It has recovered: an average would hold the past against it
+            # for many requests, which it would not get.
+            self._token = observed
+        else:
+            self._token += _WEIGHT * (observed - self._token)
 
 
 class ConcurrencyLimit:
--- a/burdockdrum/routing/tracking.py
+++ b/burdockdrum/routing/tracking.py
@@ -48,10 +48,10 @@
         # When the first token of each attempt that waits for it is overdue.
         self._overdue_at_by_attempt: dict[int, float] = {}
 
-    def estimate_load(self, endpoint: Endpoint) -> float:
-        """Return the requests at the endpoint, all VMs' together."""
+    def estimate_others(self, endpoint: Endpoint) -> int:
+        """Return other VMs' requests there, as of the last report."""
         reported = endpoint.running + endpoint.waiting
-        return self.own.estimate_total(reported, endpoint.reported_at)
+        return self.own.estimate_others(reported, endpoint.reported_at)
 
     def current_limit(self, now: float) -> float:
         """Return how many requests it may have in flight now."""
@@ -76,13 +76,17 @@
             self.speed = SpeedModel(start=typical)
             self.health.start_slowly(now)
 
-    def is_due_for_trial(self, now: float) -> bool:
+    def is_due_for_trial(self, typical: Speed, now: float) -> bool:
         """Say whether it should get one request although others are better.
 
         Without it an endpoint that was slow once would never be chosen
         again, and its recovery never noticed.
         """
-        held_back = self.is_outlier or self.health.is_on_trial(now)
+        held_back = (
+            self.is_outlier
+            or self.health.is_on_trial(now)
+            or self.speed.is_slower_than(typical)
+        )
         return (
             held_back
             and not self.own.count
@@ -100,6 +104,10 @@
         """Expect no more of an attempt."""
         self._overdue_at_by_attempt.pop(attempt, None)
 
+    def is_overdue(self, attempt: int, now: float) -> bool:
+        """Say whether an attempt's first token should have come."""
+        return self._overdue_at_by_attempt.get(attempt, math.inf) < now
+
     def is_silent(self, now: float) -> bool:
         """Say whether the oldest first token is overdue.
 
--- a/scripts/experiment/world.py
+++ b/scripts/experiment/world.py
@@ -136,7 +136,14 @@
 class World:
     """All data centres of a user under one policy."""
 
-    def __init__(self, *, user: User, policy: Policy, seed: int) -> None:
+    def __init__(
+        self,
+        *,
+        user: User,
+        policy: Policy,
+        seed: int,
+        entries_a_region: int = ENTRIES_A_REGION,
+    ) -> None:
         """Create entries and endpoints."""
         self._rng = random.Random(seed)
         self.user = user
@@ -145,7 +152,7 @@
         for index, region in enumerate(user.regions):
             entries = [
                 self._make_entry(region, number, policy)
-                for number in range(ENTRIES_A_REGION)
+                for number in range(entries_a_region)
             ]
             self.entries_by_region[region] = entries
             registries = [entry.registry for entry in entries]
