--- a/burdockdrum/routing/router.py
+++ b/burdockdrum/routing/router.py
@@ -1,11 +1,8 @@
 """Choose where a request goes."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 import itertools
-import math
 import random
-import statistics
 
 from burdockdrum.endpoints import Endpoint
 from burdockdrum.endpoints import EndpointRegistry
@@ -15,6 +12,8 @@
 from burdockdrum.routing.elsewhere import MAX_HOPS
 from burdockdrum.routing.elsewhere import Offer
 from burdockdrum.routing.elsewhere import reserve_of
+from burdockdrum.routing.fleet import Fleet
+from burdockdrum.routing.fleet import Option
 from burdockdrum.routing.model import AttemptFacts
 from burdockdrum.routing.model import AttemptOutcome
 from burdockdrum.routing.model import CapacityShare
@@ -23,9 +22,6 @@
 from burdockdrum.routing.model import Estimate
 from burdockdrum.routing.model import Nowhere
 from burdockdrum.routing.model import ToEndpoint
-from burdockdrum.routing.placements import PlacementMemory
-from burdockdrum.routing.speed import Speed
-from burdockdrum.routing.tracking import EndpointTracker
 from burdockdrum.settings import PolicySettings
 from burdockdrum.vms import VmDirectory
 from burdockdrum.vms import VmView
@@ -36,24 +32,9 @@
     AttemptOutcome.UNREACHABLE,
     AttemptOutcome.TIMED_OUT,
 )
-# The age of a report at which a third of it is still believed.
-TRUST_SECONDS = 1.0
-_SPEED_SECONDS = 1.0
 _SERVICE_WEIGHT = 0.1
 
 
-@dataclass(frozen=True, kw_only=True)
-class _Option:
-    """An endpoint weighed for one request; ``room`` is in requests."""
-
-    endpoint: Endpoint
-    tracker: EndpointTracker
-    load: float
-    room: float
-    tokens_read: float
-    estimate: Estimate
-
-
 class Router:
     """Choose among the endpoints here and the data centres elsewhere."""
 
@@ -72,7 +53,13 @@
         self._rng = rng
         self._endpoints = endpoints
         self._vms = vms
-        self._placements = PlacementMemory()
+        self._fleet = Fleet(
+            clock=clock,
+            rng=rng,
+            endpoints=endpoints,
+            region=vms.identity.region,
+            policy=self.policy,
+        )
         self._elsewhere = Elsewhere(
             clock=clock,
             rng=rng,
@@ -80,9 +67,7 @@
             wide_area_seconds=self.policy.wide_area_seconds,
             spill_reserve=self.policy.spill_reserve,
         )
-        self._trackers_by_id: dict[str, EndpointTracker] = {}
         self._numbers = itertools.count()
-        self._speeds_by_service: dict[str, tuple[float, Speed]] = {}
         self._listeners: list[Callable[[str], None]] = []
         # Set by admission: seconds a request would wait for its turn here.
         self.read_wait: Callable[[Demand], float] = lambda demand: 0.0
@@ -97,7 +82,7 @@
 
     def choose(self, demand: Demand) -> Choice:
         """Say where a request should go now."""
-        options = self._weigh(demand)
+        options = self._fleet.weigh(demand)
         if demand.hops:
             return self._choose_for_other(demand, options)
         best = self._pick(options, demand)
@@ -113,7 +98,7 @@
 
         :param wait: seconds until its turn, if it stays here
         """
-        options = self._weigh(demand)
+        options = self._fleet.weigh(demand)
         with_room = [option for option in options if option.room >= 1]
         if demand.hops:
             return self._can_take_for_other(demand, options)
@@ -123,7 +108,7 @@
 
     def estimate(self, demand: Demand) -> Estimate | None:
         """Return the best that a request may expect once it starts."""
-        options = self._weigh(demand)
+        options = self._fleet.weigh(demand)
         local = min(
             (option.estimate for option in options),
             key=lambda estimate: estimate.finish,
@@ -155,16 +140,16 @@
 
     def begin(self, endpoint: Endpoint, demand: Demand) -> Attempt:
         """Count an attempt that starts now."""
-        tracker = self._track(endpoint)
-        loads = self._estimate_loads([endpoint])
-        option = self._weigh_one(
+        tracker = self._fleet.track(endpoint)
+        loads = self._fleet.estimate_loads([endpoint])
+        option = self._fleet.weigh_one(
             endpoint,
             tracker,
             demand,
-            self._depths(demand),
+            self._fleet.depths(demand),
             loads[endpoint.endpoint_id],
         )
-        typical = self._typical_speed(endpoint.service)
+        typical = self._fleet.typical_speed(endpoint.service)
         expected = option.tokens_read * typical.prefill + typical.token
         attempt = Attempt(
             number=next(self._numbers),
@@ -185,30 +170,17 @@
         tracker.expect_first_token(
             attempt.number, now, option.estimate.first_token
         )
-        self._placements.remember(demand.prefix_hashes, tracker.name)
+        self._fleet.placements.remember(demand.prefix_hashes, tracker.name)
         return attempt
 
-    def room(self, service: str) -> float:
-        """Return how many requests could start at once here."""
-        total = 0.0
-        now = self.now()
-        candidates = self._endpoints.candidates(service)
-        loads = self._estimate_loads(candidates)
-        for endpoint in candidates:
-            tracker = self._track(endpoint)
-            if not tracker.is_silent(now):
-                load = loads[endpoint.endpoint_id]
-                total += max(0.0, tracker.current_limit(now) - load)
-        return total
-
     def share(self, service: str) -> CapacityShare:
         """Return this VM's part of what its data centre can run."""
         now = self.now()
         limit = own = total = 0.0
         candidates = self._endpoints.candidates(service)
-        loads = self._estimate_loads(candidates)
+        loads = self._fleet.estimate_loads(candidates)
         for endpoint in candidates:
-            tracker = self._track(endpoint)
+            tracker = self._fleet.track(endpoint)
             limit += tracker.current_limit(now)
             own += tracker.own.count
             total += loads[endpoint.endpoint_id]
@@ -238,119 +210,7 @@
             if view.identity.data_centre == own and not view.draining
         ]
 
-    def mean_service_seconds(self, service: str) -> float:
-        """Return how long a request has run lately."""
-        times = [
-            self._track(endpoint).service_seconds
-            for endpoint in self._endpoints.candidates(service)
-        ]
-        return statistics.fmean(times) if times else 1.0
-
-    def _weigh(self, demand: Demand) -> list[_Option]:
-        """Return the endpoints here that may be sent the request."""
-        if self._vms.identity.region not in demand.regions:
-            return []
-        now = self.now()
-        options = []
-        depths = self._depths(demand)
-        candidates = self._endpoints.candidates(demand.service)
-        loads = self._estimate_loads(candidates)
-        fitting = _with_adapter(candidates, demand.adapter)
-        for endpoint in fitting:
-            if endpoint.endpoint_id in demand.excluded_endpoints:
-                continue
-            tracker = self._track(endpoint)
-            if tracker.current_limit(now) <= 0 or tracker.is_silent(now):
-                continue
-            if tracker.suspects and not demand.isolated:
-                continue
-            option = self._weigh_one(
-                endpoint,
-                tracker,
-                demand,
-                depths,
-                loads[endpoint.endpoint_id],
-            )
-            if tracker.health.is_on_trial(now) and option.room < 1:
-                continue
-            options.append(option)
-        return options
-
-    def _weigh_one(
-        self,
-        endpoint: Endpoint,
-        tracker: EndpointTracker,
-        demand: Demand,
-        depths: dict[str, int],
-        load: float,
-    ) -> _Option:
-        limit = tracker.current_limit(self.now())
-        blocks = len(demand.prefix_hashes)
-        depth = self._depth(endpoint, tracker, demand, depths)
-        warm = depth / blocks if blocks else 0.0
-        tokens_read = demand.prompt_tokens * (1 - warm)
-        speed = tracker.speed.speed
-        ahead = max(0.0, load + 1 - limit)
-        wait = ahead * tracker.service_seconds / max(1.0, limit)
-        # Prompts of others are read between the tokens of this one, so the
-        # busier endpoint is also the slower one.
-        crowd = 0.85 + 0.3 * min(1.0, load / max(1.0, limit))
-        first = wait + (tokens_read * speed.prefill + speed.token) * crowd
-        finish = first + demand.max_tokens * speed.token * crowd
-        return _Option(
-            endpoint=endpoint,
-            tracker=tracker,
-            load=load,
-            room=limit - load,
-            tokens_read=tokens_read,
-            estimate=Estimate(
-                first_token=first, finish=finish, run=finish - wait
-            ),
-        )
-
-    def _estimate_loads(self, endpoints: list[Endpoint]) -> dict[str, float]:
-        """Return the requests at each endpoint, all VMs' together.
-
-        Own requests are counted as they are. Those of others are as old as
-        the report; the older it is, the more they are taken to be what
-        others have on average. Taken at its word, an old report that shows
-        one endpoint idle sends it the next requests of every VM.
-        """
-        now = self.now()
-        others = {
-            endpoint.endpoint_id: self._track(endpoint).estimate_others(
-                endpoint
-            )
-            for endpoint in endpoints
-        }
-        mean = sum(others.values()) / max(1, len(others))
-        loads = {}
-        for endpoint in endpoints:
-            age = now - endpoint.reported_at
-            trust = math.exp(-age / TRUST_SECONDS)
-            name = endpoint.endpoint_id
-            expected = trust * others[name] + (1 - trust) * mean
-            loads[name] = self._track(endpoint).own.count + expected
-        return loads
-
-    def _depth(
-        self,
-        endpoint: Endpoint,
-        tracker: EndpointTracker,
-        demand: Demand,
-        depths: dict[str, int],
-    ) -> int:
-        """Return how many leading blocks of a prompt it may hold.
-
-        What the engine tells is late and has gaps, but knows what was
-        dropped; where it tells nothing, own placements have to do.
-        """
-        cache = self._endpoints.cache_of(endpoint.endpoint_id)
-        if len(cache):
-            return cache.count_leading(demand.prefix_hashes)
-        return depths.get(tracker.name, 0)
-
-    def _pick(self, options: list[_Option], demand: Demand) -> _Option | None:
+    def _pick(self, options: list[Option], demand: Demand) -> Option | None:
         """Return the best of a random sample and of the warm endpoints.
 
         Several VMs see the same late reports. If each took the endpoint
@@ -363,7 +223,7 @@
         if demand.isolated:
             return min(options, key=lambda option: option.load)
         now = self.now()
-        typical = self._typical_speed(demand.service)
+        typical = self._fleet.typical_speed(demand.service)
         for option in options:
             # Only work that may be run again is risked on a trial.
             due = option.tracker.is_due_for_trial(typical, now)
@@ -389,11 +249,11 @@
     def _find_offers(self, demand: Demand) -> list[Offer]:
         if len(demand.hops) >= MAX_HOPS:
             return []
-        speed = self._typical_speed(demand.service)
+        speed = self._fleet.typical_speed(demand.service)
         return self._elsewhere.find_offers(demand, speed)
 
     def _find_better_offer(
-        self, demand: Demand, best: _Option | None, wait: float
+        self, demand: Demand, best: Option | None, wait: float
     ) -> Offer | None:
         """Return another data centre's offer if going there pays."""
         if best is not None and best.room >= 1:
@@ -412,7 +272,7 @@
         return None
 
     def _estimate_here(self, demand: Demand) -> Estimate | None:
-        options = self._weigh(demand)
+        options = self._fleet.weigh(demand)
         if not options:
             return None
         return min(
@@ -420,7 +280,7 @@
         )
 
     def _choose_for_other(
-        self, demand: Demand, options: list[_Option]
+        self, demand: Demand, options: list[Option]
     ) -> Choice:
         """Take a request of another data centre, or refuse it at once.
 
@@ -436,7 +296,7 @@
         return _to_endpoint(best)
 
     def _can_take_for_other(
-        self, demand: Demand, options: list[_Option]
+        self, demand: Demand, options: list[Option]
     ) -> bool:
         room = sum(max(0.0, option.room) for option in options)
         slots = sum(option.endpoint.slots for option in options)
@@ -480,8 +340,8 @@
             )
             service = attempt.endpoint.service
             tracker.compare(
-                self._typical_slowness(service),
-                self._typical_speed(service),
+                self._fleet.typical_slowness(service),
+                self._fleet.typical_speed(service),
                 self.now(),
             )
 
@@ -515,67 +375,16 @@
                 tokens=tokens - 1,
             )
 
-    def _depths(self, demand: Demand) -> dict[str, int]:
-        return self._placements.depths(demand.prefix_hashes)
-
-    def _track(self, endpoint: Endpoint) -> EndpointTracker:
-        known = self._trackers_by_id.get(endpoint.endpoint_id)
-        if known is not None and known.incarnation == endpoint.incarnation:
-            return known
-        tracker = EndpointTracker(
-            endpoint=endpoint,
-            rng=self._rng,
-            slow_start_seconds=self.policy.slow_start_seconds,
-            start_speed=self._typical_speed(endpoint.service),
-        )
-        if known is not None:
-            # The same endpoint started again: its caches are empty.
-            tracker.health.start_slowly(self.now())
-        self._trackers_by_id[endpoint.endpoint_id] = tracker
-        return tracker
-
-    def _typical_slowness(self, service: str) -> float:
-        values = [
-            self._track(endpoint).speed.slowness
-            for endpoint in self._endpoints.candidates(service)
-        ]
-        return statistics.median(values) if values else 1.0
-
-    def _typical_speed(self, service: str) -> Speed:
-        """Return the median speed of a service's endpoints."""
-        now = self.now()
-        known = self._speeds_by_service.get(service)
-        if known is not None and now - known[0] < _SPEED_SECONDS:
-            return known[1]
-        speeds = [
-            self._trackers_by_id[endpoint.endpoint_id].speed.speed
-            for endpoint in self._endpoints.candidates(service)
-            if endpoint.endpoint_id in self._trackers_by_id
-        ]
-        speed = Speed()
-        if speeds:
-            speed = Speed(
-                prefill=statistics.median(s.prefill for s in speeds),
-                token=statistics.median(s.token for s in speeds),
-            )
-        elif known is not None:
-            speed = known[1]
-        self._speeds_by_service[service] = (now, speed)
-        return speed
-
+    def room(self, service: str) -> float:
+        """Return how many requests could start at once here."""
+        return self._fleet.room(service)
 
-def _with_adapter(
-    endpoints: list[Endpoint], adapter: str | None
-) -> list[Endpoint]:
-    """Return those that have the adapter loaded, or all if none has."""
-    fitting = [e for e in endpoints if e.role != "prefill"]
-    if adapter is None:
-        return fitting
-    loaded = [e for e in fitting if adapter in e.adapters]
-    return loaded or fitting
+    def mean_service_seconds(self, service: str) -> float:
+        """Return how long a request has run lately."""
+        return self._fleet.mean_service_seconds(service)
 
 
-def _to_endpoint(option: _Option) -> ToEndpoint:
+def _to_endpoint(option: Option) -> ToEndpoint:
     return ToEndpoint(
         endpoint=option.endpoint,
         estimated_first_token_seconds=option.estimate.first_token,
