--- /dev/null
+++ b/tests/routing/test_spill.py
@@ -0,0 +1,216 @@
+"""Requests between data centres: when, where to, and never in a circle."""
+
+import asyncio
+import random
+import types
+import unittest
+
+from burdockdrum.endpoints import Announcement
+from burdockdrum.endpoints import EndpointRegistry
+from burdockdrum.peers import VmIdentity
+from burdockdrum.routing import AttemptOutcome
+from burdockdrum.routing import Demand
+from burdockdrum.routing import Nowhere
+from burdockdrum.routing import Router
+from burdockdrum.routing import ToDataCentre
+from burdockdrum.routing import ToEndpoint
+from burdockdrum.testing import run_virtual
+from burdockdrum.testing import VirtualClock
+from burdockdrum.timeline import HybridClock
+from burdockdrum.timeline import Timeline
+from burdockdrum.vms import ServiceSummary
+from burdockdrum.vms import VmView
+
+REGIONS = frozenset({"north", "south", "west"})
+
+
+def make_identity(region: str) -> VmIdentity:
+    return VmIdentity(
+        vm_id=region,
+        incarnation=1,
+        region=region,
+        data_centre=region,
+        control_address=region,
+        http_address=region,
+    )
+
+
+def make_view(region: str, room: int, queue: float = 0.0) -> VmView:
+    summary = ServiceSummary(
+        service="planner",
+        endpoints=1,
+        slots=16,
+        room=room,
+        queue_seconds=queue,
+    )
+    return VmView(
+        identity=make_identity(region),
+        draining=False,
+        revision=1,
+        services=(summary,),
+        heard_at=0.0,
+    )
+
+
+class Here:
+    """A router in the north with one endpoint of some slots, or none."""
+
+    def __init__(self, *, slots: int, others: list[VmView]) -> None:
+        clock = VirtualClock()
+        own = VmView(
+            identity=make_identity("north"),
+            draining=False,
+            revision=1,
+            services=(),
+            heard_at=0.0,
+        )
+        vms = types.SimpleNamespace(
+            identity=own.identity, live_vms=lambda: [own, *others]
+        )
+        timeline = Timeline(
+            process="a", incarnation=1, clock=HybridClock(clock=clock)
+        )
+        registry = EndpointRegistry(clock=clock, timeline=timeline)
+        if slots:
+            registry.announce(
+                Announcement(
+                    endpoint_id="e1",
+                    incarnation=1,
+                    url="http://e1",
+                    service="planner",
+                    slots=slots,
+                )
+            )
+        self.router = Router(
+            clock=clock,
+            rng=random.Random(1),
+            endpoints=registry,
+            vms=vms,
+        )
+
+    def fill(self, count: int) -> None:
+        for _ in range(count):
+            choice = self.router.choose(make_demand(hops=()))
+            if isinstance(choice, ToEndpoint):
+                self.router.begin(choice.endpoint, make_demand())
+
+
+def make_demand(**changes) -> Demand:
+    fields = {
+        "service": "planner",
+        "regions": REGIONS,
+        "deadline": 1e6,
+        "prompt_tokens": 1000,
+        "max_tokens": 100,
+        **changes,
+    }
+    return Demand(**fields)
+
+
+def choose(*, slots: int, load: int, others, **demand):
+    async def main():
+        here = Here(slots=slots, others=others)
+        here.fill(load)
+        here.router.read_wait = lambda demand: 3.0
+        return here.router.choose(make_demand(**demand))
+
+    return run_virtual(main())
+
+
+class SpillTest(unittest.TestCase):
+    """What the sender decides."""
+
+    def test_request_stays_while_there_is_room(self):
+        choice = choose(slots=4, load=2, others=[make_view("south", 16)])
+        self.assertIsInstance(choice, ToEndpoint)
+
+    def test_request_goes_where_there_is_room_when_it_pays(self):
+        others = [make_view("south", 0), make_view("west", 9)]
+        choice = choose(slots=4, load=4, others=others)
+        self.assertIsInstance(choice, ToDataCentre)
+        self.assertEqual("west", choice.data_centre)
+
+    def test_room_that_is_kept_for_own_callers_is_not_offered(self):
+        choice = choose(slots=4, load=4, others=[make_view("south", 2)])
+        self.assertIsInstance(choice, ToEndpoint)
+
+    def test_region_that_residency_forbids_is_never_chosen(self):
+        """All permitted regions are full or lost; a forbidden one has room.
+
+        The request is refused rather than run there.
+        """
+        others = [make_view("south", 16)]
+        choice = choose(
+            slots=0, load=0, others=others, regions=frozenset({"north"})
+        )
+        self.assertIsInstance(choice, Nowhere)
+        self.assertTrue(choice.no_endpoint)
+
+    def test_one_summary_does_not_draw_all_requests(self):
+        """Room for six is told, and not told anew while requests come.
+
+        What was sent there since counts against it.
+        """
+
+        async def main():
+            here = Here(slots=1, others=[make_view("south", 6)])
+            here.fill(1)
+            here.router.read_wait = lambda demand: 3.0
+            choices = [here.router.choose(make_demand()) for _ in range(20)]
+            return sum(isinstance(c, ToDataCentre) for c in choices)
+
+        self.assertLessEqual(run_virtual(main()), 5)
+
+
+class ReceiverTest(unittest.TestCase):
+    """What the receiver decides about a request that was passed on."""
+
+    def test_request_is_never_passed_on_by_its_receiver(self):
+        """Two data centres are full, and each thinks the other has room.
+
+        The receiver serves or refuses. Were it to pass the request on, it
+        would go back and forth until its deadline.
+        """
+        others = [make_view("south", 16), make_view("west", 16)]
+        for load in (4, 9):
+            choice = choose(slots=4, load=load, others=others, hops=("south",))
+            self.assertIsInstance(choice, Nowhere)
+            self.assertFalse(choice.loop)
+        choice = choose(slots=0, load=0, others=others, hops=("south",))
+        self.assertIsInstance(choice, Nowhere)
+
+    def test_request_out_of_bounds_is_refused_by_the_receiver(self):
+        choice = choose(
+            slots=4,
+            load=0,
+            others=[],
+            hops=("south",),
+            regions=frozenset({"south", "west"}),
+        )
+        self.assertIsInstance(choice, Nowhere)
+
+    def test_receiver_keeps_room_for_its_own_callers(self):
+        free = choose(slots=8, load=2, others=[], hops=("south",))
+        self.assertIsInstance(free, ToEndpoint)
+        tight = choose(slots=8, load=7, others=[], hops=("south",))
+        self.assertIsInstance(tight, Nowhere)
+        displaced = choose(
+            slots=8, load=7, others=[], hops=("south",), displaced=True
+        )
+        self.assertIsInstance(displaced, ToEndpoint)
+
+    def test_suspect_runs_where_least_else_runs_and_alone(self):
+        async def main():
+            here = Here(slots=8, others=[])
+            suspect = make_demand(isolated=True)
+            choice = here.router.choose(suspect)
+            attempt = here.router.begin(choice.endpoint, suspect)
+            self.assertIsInstance(here.router.choose(make_demand()), Nowhere)
+            await asyncio.sleep(0.1)
+            attempt.note_first_token()
+
+            attempt.finish(AttemptOutcome.COMPLETED)
+            choice = here.router.choose(make_demand())
+            self.assertIsInstance(choice, ToEndpoint)
+
+        run_virtual(main())
