Don't wait for a keeper that is down; keep an answer's headers

A request under a claim waited up to 1 s for a keeper that was cut off; now for a majority only. Votes left over run to their end: cancelled in the middle of a sync, the next one would have reported it as done; the log now steps aside on that too. The client is part of a request's fingerprint, so a false alarm refuses no other client.

--- a/burdockdrum/claims/claims.py
+++ b/burdockdrum/claims/claims.py
@@ -62,30 +62,25 @@
         """Note that the request may have run and no answer will come."""
         await self._settle(ClaimState.LOST)
 
-    async def keep(
-        self, *, status: int, content_type: str, body: bytes | None
-    ) -> None:
-        """Keep the answer for whoever sends the same key again."""
-        await self._settle(
-            ClaimState.RAN, status=status, content_type=content_type, body=body
-        )
+    async def keep(self, answer: StoredAnswer | None) -> None:
+        """Keep the answer for whoever sends the same key again.
+
+        :param answer: None where it went out as a stream
+        """
+        await self._settle(ClaimState.RAN, answer)
 
     async def _settle(
-        self,
-        state: ClaimState | None,
-        *,
-        status: int = 0,
-        content_type: str = "",
-        body: bytes | None = None,
+        self, state: ClaimState | None, answer: StoredAnswer | None = None
     ) -> None:
         call = SettleCall(
             client_id=self._record.client_id,
             key=self._record.key,
             owner=self._record.owner,
             state=state,
-            status=status,
-            content_type=content_type,
-            body=body,
+            status=answer.status if answer else 0,
+            content_type=answer.content_type if answer else "",
+            headers=dict(answer.headers) if answer else {},
+            body=answer.body if answer else None,
             pass_on=True,
         )
         await self._claims.settle(call, self._home_region)
--- a/burdockdrum/claims/coordinator.py
+++ b/burdockdrum/claims/coordinator.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+from collections.abc import Iterable
+from collections.abc import Mapping
 import contextlib
 from dataclasses import dataclass
 import random
@@ -35,6 +37,7 @@
 
     status: int
     content_type: str
+    headers: Mapping[str, str]
     body: bytes
 
 
@@ -59,14 +62,11 @@
         self._keeper = keeper
         self._addresses_by_id = addresses_by_id
         self._keepers = sorted(addresses_by_id)
+        self._running: set[asyncio.Task] = set()
 
     async def take(self, record: ClaimRecord) -> TakeReply:
         """Ask for the votes, and give them back if they don't suffice."""
-        call = VoteCall(keepers=self._keepers, record=record)
-        replies = await asyncio.gather(
-            *(self._ask(vm_id, call) for vm_id in self._keepers)
-        )
-        votes = [reply for reply in replies if reply is not None]
+        votes = await self._collect(record)
         known = _find_best(
             [
                 vote.record
@@ -90,6 +90,27 @@
             return TakeReply(outcome=TakeOutcome.FULL)
         return TakeReply(outcome=TakeOutcome.UNREACHABLE)
 
+    async def _collect(self, record: ClaimRecord) -> list[VoteReply]:
+        """Return the votes, without waiting for those not needed.
+
+        A keeper that is down must not hold up each request for a second.
+        """
+        call = VoteCall(keepers=self._keepers, record=record)
+        asking = {
+            asyncio.create_task(self._ask(vm_id, call))
+            for vm_id in self._keepers
+        }
+        self._keep(asking)
+        votes: list[VoteReply] = []
+        enough = majority(len(self._keepers))
+        while asking and count_valid(votes) < enough:
+            done, asking = await asyncio.wait(
+                asking, return_when=asyncio.FIRST_COMPLETED
+            )
+            replies = (task.result() for task in done)
+            votes += [reply for reply in replies if reply is not None]
+        return votes
+
     async def give_back(self, record: ClaimRecord) -> None:
         """Withdraw what votes an owner has; it will not run."""
         await self.settle(
@@ -102,10 +123,21 @@
         )
 
     async def settle(self, call: SettleCall) -> None:
-        """Tell every keeper how a run ended, as far as they are reached."""
-        await asyncio.gather(
-            *(self._tell(vm_id, call) for vm_id in self._keepers)
-        )
+        """Tell every keeper how a run ended, as far as they are reached.
+
+        Return once a majority has heard of it; the rest are told while the
+        caller has its answer.
+        """
+        telling = {
+            asyncio.create_task(self._tell(vm_id, call))
+            for vm_id in self._keepers
+        }
+        self._keep(telling)
+        count = 0
+        for told in asyncio.as_completed(telling):
+            count += await told
+            if count >= majority(len(self._keepers)):
+                return
 
     async def issue_ticket(self) -> str | None:
         """Return a key of the present epoch, if a keeper is ready."""
@@ -135,16 +167,25 @@
         except CallFailed:
             return None
 
-    async def _tell(self, vm_id: str, call: SettleCall) -> None:
+    def _keep(self, tasks: Iterable[asyncio.Task]) -> None:
+        """Let tasks run to their end: one may be syncing a vote."""
+        for task in tasks:
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+
+    async def _tell(self, vm_id: str, call: SettleCall) -> bool:
         if vm_id == self._peers.identity.vm_id:
             if self._keeper is not None:
                 await self._keeper.settle(call)
-            return
+            return True
         address = self._addresses_by_id[vm_id]
-        with contextlib.suppress(CallFailed):
+        try:
             await self._peers.call(
                 address, call, SettleReply, timeout=VOTE_SECONDS
             )
+        except CallFailed:
+            return False
+        return True
 
 
 def count_valid(votes: list[VoteReply]) -> int:
--- a/burdockdrum/claims/keeper.py
+++ b/burdockdrum/claims/keeper.py
@@ -133,6 +133,7 @@
                 state=call.state,
                 status=call.status,
                 content_type=call.content_type,
+                headers=call.headers,
                 body=call.body,
             )
             self.book.put(record)
--- a/burdockdrum/claims/log.py
+++ b/burdockdrum/claims/log.py
@@ -131,7 +131,7 @@
                 await self._disk.sync(NEW_FILE)
                 await self._disk.rename(NEW_FILE, FILE)
                 await self._disk.sync_folder()
-            except DiskError:
+            except BaseException:
                 self.broken = True
                 raise
             self._size = len(content)
@@ -144,7 +144,9 @@
         try:
             await self._disk.append(FILE, content)
             await self._disk.sync(FILE)
-        except DiskError:
+        except BaseException:
+            # Cancelled half-way, it is not known what lasts either: the
+            # entries of all who wait for this sync are in it.
             self.broken = True
             raise
         self._size += len(content)
--- a/burdockdrum/claims/messages.py
+++ b/burdockdrum/claims/messages.py
@@ -32,6 +32,7 @@
     state: ClaimState = ClaimState.GRANTED
     status: int = 0
     content_type: str = ""
+    headers: dict[str, str] = {}
     body: bytes | None = None
 
     @property
@@ -87,6 +88,7 @@
     state: ClaimState | None
     status: int = 0
     content_type: str = ""
+    headers: dict[str, str] = {}
     body: bytes | None = None
     pass_on: bool = False
 
--- a/burdockdrum/claims/refusals.py
+++ b/burdockdrum/claims/refusals.py
@@ -59,6 +59,7 @@
             return StoredAnswer(
                 status=known.status,
                 content_type=known.content_type,
+                headers=known.headers,
                 body=known.body,
             )
         raise _refuse(
--- a/burdockdrum/requests/service.py
+++ b/burdockdrum/requests/service.py
@@ -19,6 +19,8 @@
 from burdockdrum.verdicts import RefusalCode
 from burdockdrum.verdicts import Verdict
 
+# Tells a caller that this is the answer of an earlier run.
+REPLAY_HEADER = "idempotent-replay"
 KNOWN_WAIT_SECONDS = 3.0
 KNOWN_POLL_SECONDS = 0.1
 
@@ -91,11 +93,13 @@
             await _settle(claim, exchange.verdict)
             raise
         if isinstance(answer.body, bytes):
-            await claim.keep(
+            stored = StoredAnswer(
                 status=answer.status,
                 content_type=answer.content_type,
+                headers=answer.headers,
                 body=answer.body,
             )
+            await claim.keep(stored)
             return answer
         return Answer(
             status=answer.status,
@@ -190,7 +194,7 @@
         case Verdict.MAY_HAVE_RUN:
             await claim.lose()
         case Verdict.RAN:
-            await claim.keep(status=0, content_type="", body=None)
+            await claim.keep(None)
 
 
 async def _close(body: AsyncIterator[bytes]) -> None:
@@ -203,6 +207,6 @@
     return Answer(
         status=stored.status,
         content_type=stored.content_type,
-        headers={"idempotent-replay": "true"},
+        headers={**stored.headers, REPLAY_HEADER: "true"},
         body=stored.body,
     )
--- a/burdockdrum/web/parsing.py
+++ b/burdockdrum/web/parsing.py
@@ -190,7 +190,9 @@
         prompt_tokens=len(prompt) // _BYTES_PER_TOKEN + 1,
         max_tokens=max_tokens or DEFAULT_MAX_TOKENS,
         prefix_hashes=hash_prefixes(prompt),
-        fingerprint=fingerprint(parsed.model.encode() + b"\0" + prompt),
+        fingerprint=fingerprint(
+            b"\0".join((client_id.encode(), parsed.model.encode(), prompt))
+        ),
     )
 
 
@@ -208,7 +210,8 @@
     """Return a call of a plain service, passed through as it came."""
     search = request.url.query
     target = "/" + rest + ("?" + search.decode() if search else "")
-    content = (service.encode(), request.method.encode(), target.encode())
+    texts = (client_id, service, request.method, target)
+    content = [text.encode() for text in texts]
     return InboundRequest(
         request_id=request_id,
         client_id=client_id,
@@ -266,7 +269,11 @@
 
 
 def fingerprint(content: bytes) -> str:
-    """Return what tells that two requests ask for the same work."""
+    """Return what tells that two requests ask for the same work.
+
+    The client is part of the content, so that a quarantine which turns out
+    to be a false alarm never refuses another client's requests.
+    """
     return hashlib.blake2b(content, digest_size=16).hexdigest()
 
 
--- a/tests/claims/test_at_most_once.py
+++ b/tests/claims/test_at_most_once.py
@@ -59,6 +59,8 @@
             for vm in VMS:
                 again = await stack.book(vm, "key")
                 self.assertEqual((200, first.body), (again.status, again.body))
+                self.assertEqual('"7"', again.headers["etag"])
+                self.assertEqual("true", again.headers["idempotent-replay"])
             self.assertEqual(1, service.runs_by_key["key"])
 
         run_with_service(scenario)
@@ -152,6 +154,19 @@
 
         run_with_service(scenario)
 
+    def test_keeper_that_is_down_holds_up_nobody(self):
+        # Two of three keepers suffice; a request must not wait for the
+        # third until its call times out.
+        async def scenario(stack, service):
+            stack.cluster.network.cut(["a3"], ["a1", "a2"])
+            loop = asyncio.get_running_loop()
+            began_at = loop.time()
+            booked = await stack.book("a1", "key")
+            self.assertEqual(200, booked.status)
+            self.assertLess(loop.time() - began_at, 0.5 + 0.2)
+
+        run_with_service(scenario)
+
 
 class RestartTest(unittest.TestCase):
     """HARD CASE 3: keepers without a disk forget."""
--- a/tests/claims/test_keeper.py
+++ b/tests/claims/test_keeper.py
@@ -121,6 +121,22 @@
 
         run_virtual(main())
 
+    def test_cancelled_sync_is_not_taken_for_done(self):
+        # Two votes share a sync, and the task of the first is cancelled in
+        # the middle of it. The second must not be told that it lasts.
+        async def main():
+            disk = FakeDisk(rng=random.Random(1))
+            keeper = await start(disk, form=True)
+            disk.sync_seconds = 1.0
+            first = asyncio.create_task(vote(keeper))
+            await asyncio.sleep(0.1)
+            second = asyncio.create_task(vote(keeper, key="other"))
+            await asyncio.sleep(0.1)
+            first.cancel()
+            self.assertEqual(VoteOutcome.NOT_READY, await second)
+
+        run_virtual(main())
+
     def test_wiped_disk_remembers_nothing_and_does_not_vote(self):
         async def main():
             disk = FakeDisk(rng=random.Random(1))
--- a/tests/requests/stack.py
+++ b/tests/requests/stack.py
@@ -329,7 +329,9 @@
             {"idempotency-key": key, **(headers or {})},
         )
         body = await self.read(answer)
-        return Booked(answer.status, answer.headers.get("x-verdict"), body)
+        headers = answer.headers
+        verdict = headers.get("x-verdict")
+        return Booked(answer.status, verdict, body, headers)
 
     async def stop(self):
         """Stop everything."""
@@ -345,6 +347,7 @@
     status: int
     verdict: str | None
     body: bytes
+    headers: dict
 
     @property
     def code(self) -> str:
--- a/tests/system_ports/test_http.py
+++ b/tests/system_ports/test_http.py
@@ -22,7 +22,7 @@
         async def handle(reader, writer):
             try:
                 await handler(reader, writer)
-            except OSError:
+            except (OSError, asyncio.IncompleteReadError):
                 pass
             finally:
                 writer.close()
