Close three gaps that mutations showed

Of twelve safeguards taken out one by one, three were missed by the tests: no repeat of an unrepeatable call after a break, the receiver's own check of the path, and the id within an event.

--- a/tests/requests/test_forwarding.py
+++ b/tests/requests/test_forwarding.py
@@ -132,10 +132,14 @@
     """HARD CASE 11: a request is passed on a fixed number of times."""
 
     def test_request_that_came_back_is_refused(self):
+        # Though an engine here could run it: whoever sent it back has a
+        # wrong view, and the first to pass it on still waits.
         async def scenario(stack):
+            engine = await stack.add_endpoint(Endpoint(name="e1"), "a1")
             answer, body = await forward(stack, "a1", hops=["north", "south"])
             self.assertIn(b'"loop"', body)
             self.assertEqual("not run", answer.headers["x-verdict"])
+            self.assertEqual([], engine.calls)
 
         run_with_stack(scenario, "a1", "b1")
 
--- a/tests/requests/test_streams.py
+++ b/tests/requests/test_streams.py
@@ -184,6 +184,20 @@
 
         run_with_stack(scenario, "a1")
 
+    def test_unrepeatable_request_is_not_repeated_after_a_break(self):
+        # The service takes the booking and dies. Another one stands ready
+        # and there is time left; the request may have run all the same.
+        async def scenario(stack):
+            services = [Endpoint(name=f"e{n}", crash_on=b"x") for n in (1, 2)]
+            for one in services:
+                await stack.add_endpoint(one, "a1", service="booking")
+            booked = await stack.book("a1", "key", content=b'"x"')
+            self.assertEqual("endpoint_lost", booked.code)
+            self.assertEqual("may have run", booked.verdict)
+            self.assertEqual(1, sum(len(one.calls) for one in services))
+
+        run_with_stack(scenario, "a1")
+
     def test_refused_connection_is_provably_not_run(self):
         # Nothing listens at the service's address: no byte has left, so
         # even an unrepeatable request may say "not run" and come again.
@@ -305,6 +319,15 @@
 
         self.check(parts, "one two", failed=False)
 
+    def test_event_of_another_request_is_not_passed_on(self):
+        # The head is the right one, but an event within the stream bears
+        # another request's id.
+        def parts(request_id):
+            yield event(request_id, 1, "one ")
+            yield event("req-other.00.0", 2, "secret")
+
+        self.check(parts, "one ", failed=True)
+
     def test_marker_within_a_text_is_not_the_end(self):
         # The answer speaks of "data: [DONE]", and the engine then closes.
         def parts(request_id):
