--- a/burdockdrum/consensus/leadership.py
+++ b/burdockdrum/consensus/leadership.py
@@ -16,9 +16,14 @@
 from burdockdrum.consensus.replication import Replicator
 from burdockdrum.consensus.signals import Signal
 from burdockdrum.consensus.signals import wait_for_any
+from burdockdrum.consensus.signals import wait_until
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Peers
 
+# How far the wall clock may run ahead before the lease is distrusted; less
+# than what the lease leaves for drift.
+_SUSPENSION_SECONDS = 0.01
+
 
 class Leadership:
     """The tasks of a leader, its lease and the changes of members."""
@@ -31,6 +36,8 @@
         self._tasks_by_id: dict[str, asyncio.Task] = {}
         self._first_index = 0
         self._began_at = -math.inf
+        self._distrusted_until = -math.inf
+        self._wall_offset = math.inf
         self._progressed = Signal()
 
     async def run(self) -> None:
@@ -39,6 +46,7 @@
         self._replicators_by_id.clear()
         self._tasks_by_id.clear()
         self._began_at = replica.clock.monotonic()
+        self._wall_offset = replica.clock.wall() - self._began_at
         replica.leader_id = replica.vm_id
         replica.set_role(Role.LEADER)
         replica.timeline.record("leader.elected", term=replica.storage.term)
@@ -65,6 +73,7 @@
         replica = self._replica
         if replica.role is not Role.LEADER or replica.transferring:
             return False
+        self._notice_suspension()
         ends_at = self.quorum_heard_at + replica.settings.lease_seconds
         return replica.clock.monotonic() < ends_at
 
@@ -78,7 +87,10 @@
 
     @property
     def quorum_heard_at(self) -> float:
-        """Return when the last request that a quorum answered was sent."""
+        """Return when the last request that a quorum answered was sent.
+
+        Minus infinity if there is none that can be trusted.
+        """
         now = self._replica.clock.monotonic()
         configuration = self._replica.configuration
         times = [
@@ -86,7 +98,25 @@
             for member in configuration.voters
         ]
         times.sort(reverse=True)
-        return times[configuration.quorum - 1] if times else -math.inf
+        heard_at = times[configuration.quorum - 1] if times else -math.inf
+        return heard_at if heard_at >= self._distrusted_until else -math.inf
+
+    def _notice_suspension(self) -> None:
+        """Trust no earlier answer once the wall clock has run ahead.
+
+        While a VM is suspended its monotonic clock may stand still. When it
+        goes on, a lease would look valid that ended long ago; the wall clock
+        shows it. One that was only set forward costs the lease for a round
+        trip.
+        """
+        clock = self._replica.clock
+        now = clock.monotonic()
+        offset = clock.wall() - now
+        ahead = offset - self._wall_offset
+        if ahead > _SUSPENSION_SECONDS:
+            self._distrusted_until = now
+        if ahead > _SUSPENSION_SECONDS or ahead < 0:
+            self._wall_offset = offset
 
     def append_command(self, command: bytes) -> Entry:
         """Add a command to the log.
@@ -170,7 +200,7 @@
             and target.match_index < replica.storage.last_index
             and replica.clock.monotonic() < deadline
         ):
-            await self._progressed.wait_until(replica.clock, deadline)
+            await wait_until(replica.clock, deadline, self._progressed)
 
     async def _ask_to_lead(self, member: Member) -> None:
         replica = self._replica
@@ -227,6 +257,7 @@
                     replica=replica,
                     peers=self._peers,
                     member=member,
+                    next_index=self._first_index,
                     progressed=self._progressed,
                 )
                 self._replicators_by_id[vm_id] = replicator
@@ -250,6 +281,7 @@
         timeout = replica.settings.election_timeout_seconds
         while True:
             await replica.clock.sleep(replica.settings.heartbeat_seconds)
+            self._notice_suspension()
             heard_at = max(self.quorum_heard_at, self._began_at)
             if replica.clock.monotonic() - heard_at > timeout:
                 replica.step_down("no quorum answers")
