--- a/burdockdrum/claims/book.py
+++ b/burdockdrum/claims/book.py
@@ -2,6 +2,8 @@
 
 import collections
 from collections.abc import Iterator
+import itertools
+import sys
 
 import msgspec
 
@@ -9,7 +11,7 @@
 
 ClaimId = tuple[str, str]
 
-MAX_CLAIMS = 50_000
+MAX_CLAIMS = 40_000
 MAX_ANSWER_BYTES = 16 * 1024
 MAX_ANSWERS_BYTES = 4 * 1024 * 1024
 
@@ -24,9 +26,7 @@
     def __init__(self) -> None:
         """Create an empty book."""
         self._records_by_id: dict[ClaimId, ClaimRecord] = {}
-        self._places_by_id: dict[ClaimId, int] = {}
-        self._ids_by_place: dict[int, ClaimId] = {}
-        self._next_place = 1
+        self._removed = 0
         self._answers = collections.OrderedDict[ClaimId, int]()
         self._answers_bytes = 0
 
@@ -43,11 +43,10 @@
 
     def put(self, record: ClaimRecord) -> None:
         """Add a claim, or replace what is known of it."""
+        # One string for all claims of a client.
+        client_id = sys.intern(record.client_id)
+        record = msgspec.structs.replace(record, client_id=client_id)
         claim_id = record.claim_id
-        if claim_id not in self._places_by_id:
-            self._places_by_id[claim_id] = self._next_place
-            self._ids_by_place[self._next_place] = claim_id
-            self._next_place += 1
         self._forget_answer(claim_id)
         size = len(record.body or b"")
         if size > MAX_ANSWER_BYTES:
@@ -62,10 +61,8 @@
     def remove(self, claim_id: ClaimId) -> None:
         """Forget a claim."""
         self._forget_answer(claim_id)
-        self._records_by_id.pop(claim_id, None)
-        place = self._places_by_id.pop(claim_id, None)
-        if place is not None:
-            del self._ids_by_place[place]
+        if self._records_by_id.pop(claim_id, None) is not None:
+            self._removed += 1
 
     def expire(self, before: float) -> list[ClaimId]:
         """Forget the claims taken before a wall time; return which."""
@@ -87,16 +84,18 @@
     ) -> tuple[list[ClaimRecord], int | None]:
         """Return claims behind a place, and the place of the last one.
 
-        Places only grow, so what is added between two pages is on a later
-        one and what is removed shifts nothing.
+        A place counts the claims before it, removed ones too. What is
+        removed while pages are read only makes them overlap; what is added
+        is on the last one.
         """
-        records = []
-        for place, claim_id in self._ids_by_place.items():
-            if place > after:
-                records.append(self._records_by_id[claim_id])
-                if len(records) == count:
-                    return records, place
-        return records, None
+        start = max(0, after - self._removed)
+        kept = itertools.islice(
+            self._records_by_id.values(), start, start + count
+        )
+        records = list(kept)
+        if len(records) < count:
+            return records, None
+        return records, self._removed + start + count
 
     def _make_room(self) -> None:
         while self._answers_bytes > MAX_ANSWERS_BYTES:
--- a/burdockdrum/requests/exchange.py
+++ b/burdockdrum/requests/exchange.py
@@ -265,6 +265,8 @@
             code=refusal.code.value,
             attempt=self._attempts,
         )
+        if self.remaining() <= 0:
+            raise self._admit(_refuse_late())
         if failure.final or self._attempts >= MAX_ATTEMPTS:
             raise self._admit(refusal)
         if refusal.verdict is not Verdict.NOT_RUN:
--- a/tests/requests/test_streams.py
+++ b/tests/requests/test_streams.py
@@ -168,6 +168,29 @@
 
         run_with_stack(scenario, "a1")
 
+    def test_deadline_that_passes_is_named(self):
+        # Nothing comes before the deadline, or the last tokens would come
+        # after it: the caller is told so, when it passes.
+        async def scenario(stack):
+            engine = await stack.add_endpoint(
+                Endpoint(name="e1", silent=True), "a1"
+            )
+            headers = {"x-deadline-seconds": "3"}
+            answer = await stack.complete("a1", headers=headers)
+            body = await stack.read(answer)
+            self.assertEqual(504, answer.status)
+            self.assertIn(b'"deadline"', body)
+            self.assertEqual("may have run", answer.headers["x-verdict"])
+            engine.silent = False
+            engine.token_seconds = 1.0
+            answer = await stack.complete("a1", headers=headers)
+            body = await stack.read(answer)
+            self.assertIn(b"event: error", body)
+            self.assertIn(b'"deadline"', body)
+            self.assertNotIn(DONE, body)
+
+        run_with_stack(scenario, "a1")
+
     def test_unrepeatable_request_is_not_repeated_after_silence(self):
         # The service takes the booking and says nothing until the
         # deadline. Whether it booked is not known: no second attempt.
