Count answers, refusals by verdict and forwards; drain to the end

New requests are refused once a drain takes none, and a drain waits for unrepeatable runs whose callers have gone: before, in_flight counted open connections only, and the run would have been cut off.

--- a/burdockdrum/requests/exchange.py
+++ b/burdockdrum/requests/exchange.py
@@ -21,6 +21,7 @@
 from burdockdrum.requests.attempts import Upstream
 from burdockdrum.requests.attempts import VERDICT_HEADER
 from burdockdrum.requests.budget import RetryBudget
+from burdockdrum.requests.meters import RequestMeters
 from burdockdrum.requests.model import InboundRequest
 from burdockdrum.requests.priority import find_priority
 from burdockdrum.requests.residency import find_allowed_regions
@@ -59,6 +60,7 @@
     budget: RetryBudget
     quarantine: Quarantine
     identity: VmIdentity
+    meters: RequestMeters
 
 
 # A refusal of one entry VM, whose neighbours may do better.
@@ -213,6 +215,7 @@
         self, choice: ToDataCentre, demand: Demand
     ) -> Upstream:
         self._check_forward(choice, demand)
+        self._parts.meters.note_forward(choice.data_centre)
         failure: AttemptFailed | None = None
         for entry in choice.entries:
             self._parts.timeline.record(
@@ -258,6 +261,7 @@
         refusal = failure.refusal
         self.verdict = worst(self.verdict, refusal.verdict)
         self._last = refusal
+        self._parts.meters.note_failure(refusal)
         self._attempts += 1
         self._parts.timeline.record(
             "request.attempt_failed",
--- a/burdockdrum/requests/service.py
+++ b/burdockdrum/requests/service.py
@@ -10,6 +10,8 @@
 from burdockdrum.requests.exchange import Exchange
 from burdockdrum.requests.exchange import ExchangeParts
 from burdockdrum.requests.exchange import MAX_FORWARDS
+from burdockdrum.requests.meters import AnswerMeter
+from burdockdrum.requests.meters import UNCLASSED
 from burdockdrum.requests.model import Answer
 from burdockdrum.requests.model import InboundRequest
 from burdockdrum.requests.model import RequestKind
@@ -18,6 +20,7 @@
 from burdockdrum.verdicts import Refusal
 from burdockdrum.verdicts import RefusalCode
 from burdockdrum.verdicts import Verdict
+from burdockdrum.vms import Drain
 
 # Tells a caller that this is the answer of an earlier run.
 REPLAY_HEADER = "idempotent-replay"
@@ -28,10 +31,13 @@
 class RequestService:
     """Give each accepted request one complete answer or a refusal."""
 
-    def __init__(self, *, parts: ExchangeParts, claims: Claims) -> None:
+    def __init__(
+        self, *, parts: ExchangeParts, claims: Claims, drain: Drain
+    ) -> None:
         """Create the service."""
         self._parts = parts
         self._claims = claims
+        self._drain = drain
         self._unrepeatable: set[asyncio.Task[Answer]] = set()
 
     async def handle(self, request: InboundRequest) -> Answer:
@@ -44,7 +50,14 @@
             request_id=request.request_id,
             service=request.service,
         )
-        self._check_hops(request)
+        try:
+            return await self._handle(request)
+        except Refusal as refusal:
+            self._parts.meters.note_refusal(refusal)
+            raise
+
+    async def _handle(self, request: InboundRequest) -> Answer:
+        self._check_may_start(request)
         await self._wait_until_known(request)
         self._parts.budget.earn()
         if not request.unrepeatable:
@@ -71,6 +84,11 @@
             task.exception()
 
     async def _serve_once(self, request: InboundRequest) -> Answer:
+        # A drain waits for it also when its caller has gone.
+        with self._drain.count_request():
+            return await self._serve_claimed(request)
+
+    async def _serve_claimed(self, request: InboundRequest) -> Answer:
         if request.hops:
             # Whoever passed it on holds the claim and keeps the answer.
             return await self._serve(request)
@@ -125,16 +143,41 @@
         except BaseException:
             permit.release(completed=False)
             raise
+        meter = self._begin_meter(request)
         if isinstance(answer.body, bytes):
             permit.release(completed=True)
+            meter.end(whole=True)
             return answer
         return Answer(
             status=answer.status,
             content_type=answer.content_type,
             headers=answer.headers,
-            body=_release_after(permit, exchange, answer.body),
+            body=_release_after(permit, exchange, meter, answer.body),
+        )
+
+    def _begin_meter(self, request: InboundRequest) -> AnswerMeter:
+        client = self._parts.configuration.current.clients_by_id.get(
+            request.client_id
+        )
+        own = client.priority_class if client else None
+        return AnswerMeter(
+            meters=self._parts.meters,
+            clock=self._parts.clock,
+            received_at=request.received_at,
+            priority_class=request.priority_class or own or UNCLASSED,
+            forwarded=bool(request.hops),
         )
 
+    def _check_may_start(self, request: InboundRequest) -> None:
+        try:
+            self._drain.check()
+            self._check_hops(request)
+        except Refusal as refusal:
+            if not request.unrepeatable or request.hops:
+                raise
+            # The keepers were not asked: an earlier copy may have run.
+            raise refusal.with_verdict(Verdict.MAY_HAVE_RUN) from None
+
     async def _wait_until_known(self, request: InboundRequest) -> None:
         """Hold a request while this VM learns what to serve by.
 
@@ -163,17 +206,19 @@
 
 
 async def _release_after(
-    permit: Permit, exchange: Exchange, body: AsyncIterator[bytes]
+    permit: Permit,
+    exchange: Exchange,
+    meter: AnswerMeter,
+    body: AsyncIterator[bytes],
 ) -> AsyncIterator[bytes]:
     try:
         async for part in body:
             yield part
     finally:
         await _close(body)
-        permit.release(
-            completed=exchange.verdict is Verdict.RAN,
-            tokens=exchange.delivered,
-        )
+        whole = exchange.verdict is Verdict.RAN
+        permit.release(completed=whole, tokens=exchange.delivered)
+        meter.end(whole=whole)
 
 
 async def _settle_after(
--- a/burdockdrum/requests/services.py
+++ b/burdockdrum/requests/services.py
@@ -4,6 +4,7 @@
 from burdockdrum.claims import Claims
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.kernel import Kernel
+from burdockdrum.metrics import Metrics
 from burdockdrum.peers import Seal
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
@@ -11,12 +12,14 @@
 from burdockdrum.quarantine import Quarantine
 from burdockdrum.requests.budget import RetryBudget
 from burdockdrum.requests.exchange import ExchangeParts
+from burdockdrum.requests.meters import RequestMeters
 from burdockdrum.requests.service import RequestService
 from burdockdrum.requests.upstreams import SilenceLimits
 from burdockdrum.requests.upstreams import UpstreamOpener
 from burdockdrum.routing import Router
 from burdockdrum.settings import Settings
 from burdockdrum.timeline import Timeline
+from burdockdrum.vms import Drain
 
 
 def add_services(kernel: Kernel) -> None:
@@ -48,5 +51,10 @@
         budget=RetryBudget(),
         quarantine=kernel.find("quarantine", Quarantine),
         identity=identity,
+        meters=RequestMeters(metrics=kernel.find("metrics", Metrics)),
+    )
+    return RequestService(
+        parts=parts,
+        claims=kernel.find("claims", Claims),
+        drain=kernel.find("drain", Drain),
     )
-    return RequestService(parts=parts, claims=kernel.find("claims", Claims))
