Pass large plain answers on as they come

Whole answers of up to 8 MiB were held for each slow reader. Of a plain service 256 KiB are held now, completions up to 4 MiB. A test with a 20 MB answer and a caller that stops reading sees under 2 MB made; a cut breaks the caller's connection off.

--- a/burdockdrum/requests/attempts.py
+++ b/burdockdrum/requests/attempts.py
@@ -27,7 +27,7 @@
 VERDICT_HEADER = "x-verdict"
 REQUEST_ID_HEADER = "x-request-id"
 DRAIN_SECONDS = 0.5
-MAX_WHOLE_BYTES = 8 * 1024 * 1024
+MAX_WHOLE_BYTES = 4 * 1024 * 1024
 # What an overloaded or failing server answers before it does the work.
 RETRYABLE_STATUSES = frozenset({429, 500, 502, 503, 504})
 
@@ -128,20 +128,35 @@
         :param seconds: how long that may take
         :raises AttemptFailed: if it breaks, is late or is too large
         """
-        parts = []
+        body, ended = await self.read_start(seconds, MAX_WHOLE_BYTES)
+        if not ended:
+            raise _fail_too_large()
+        return body
+
+    async def read_start(
+        self, seconds: float, limit: int
+    ) -> tuple[bytes, bool]:
+        """Read a body up to a size, and say whether it has ended.
+
+        :param seconds: how long that may take
+        :param limit: in bytes; one part more may be returned
+        :raises AttemptFailed: if it breaks or is late
+        """
+        parts: list[bytes] = []
         size = 0
         try:
             async with asyncio.timeout(seconds):
-                async for part in self._parts:
+                while size <= limit:
+                    part = await anext(self._parts, None)
+                    if part is None:
+                        return b"".join(parts), True
                     parts.append(part)
                     size += len(part)
-                    if size > MAX_WHOLE_BYTES:
-                        raise _fail_too_large()
         except TimeoutError:
             raise fail_silent("the answer was not whole in time") from None
         except AnswerLost as error:
             raise fail_lost(error) from error
-        return b"".join(parts)
+        return b"".join(parts), False
 
     def check_owner(self, content: bytes) -> None:
         """Check that a part of the answer is this attempt's own.
--- a/burdockdrum/requests/whole.py
+++ b/burdockdrum/requests/whole.py
@@ -6,6 +6,8 @@
 asked for as the caller asked; one that was cut is run again.
 """
 
+from collections.abc import AsyncIterator
+
 import msgspec
 
 from burdockdrum.requests.attempts import AttemptFailed
@@ -17,6 +19,9 @@
 from burdockdrum.requests.model import Answer
 from burdockdrum.requests.model import RequestKind
 
+# How much of a plain service's answer is held before its head goes out; a
+# failure until then is still another attempt, or a refusal of its own.
+PLAIN_HELD_BYTES = 256 * 1024
 # What says something of the answer itself. Headers of one connection, such
 # as Connection and Transfer-Encoding, must not be passed on (RFC 9110, 7.6).
 PASSED_HEADERS = (
@@ -52,13 +57,23 @@
 async def read_answer(exchange: Exchange, upstream: Upstream) -> Answer:
     """Read the whole answer of one attempt.
 
+    Of a plain service only the start of a large answer is held: many slow
+    readers of large answers would otherwise take up all memory. From then on
+    it goes out as it comes, and a cut is a cut for the caller too.
+
     :raises AttemptFailed: if it is an error, breaks or is not complete
     """
     request = exchange.request
-    body = await upstream.read_whole(exchange.remaining())
     if upstream.status in RETRYABLE_STATUSES:
         _weigh_error(exchange, upstream)
-    elif request.kind is not RequestKind.PLAIN:
+    if request.kind is RequestKind.PLAIN:
+        body, ended = await upstream.read_start(
+            exchange.remaining(), PLAIN_HELD_BYTES
+        )
+        if not ended:
+            return make_answer(upstream, _pass_on(exchange, upstream, body))
+    else:
+        body = await upstream.read_whole(exchange.remaining())
         _check_complete(upstream, body)
         own = upstream.attempt_id
         body = body.replace(own, request.request_id.encode(), 1)
@@ -66,7 +81,28 @@
     return make_answer(upstream, body)
 
 
-def make_answer(upstream: Upstream, body: bytes) -> Answer:
+async def _pass_on(
+    exchange: Exchange, upstream: Upstream, start: bytes
+) -> AsyncIterator[bytes]:
+    part: bytes | None = start
+    finished = False
+    try:
+        while part is not None:
+            yield part
+            part = await upstream.read(max(0.0, exchange.remaining()))
+        finished = True
+        exchange.complete(upstream)
+    except AttemptFailed as failure:
+        # Ending in good form would make half an answer look whole.
+        raise ConnectionResetError(str(failure)) from failure
+    finally:
+        if not finished:
+            await exchange.abandon(upstream)
+
+
+def make_answer(
+    upstream: Upstream, body: AsyncIterator[bytes] | bytes
+) -> Answer:
     """Return what the caller gets of an answer."""
     return Answer(
         status=upstream.status,
--- a/tests/requests/stack.py
+++ b/tests/requests/stack.py
@@ -48,7 +48,8 @@
     ``crash_on`` is a content on which it dies in the middle of an answer,
     with everything else that it runs. ``cut_after`` ends streams without
     the marker after so many tokens, ``stall_after`` leaves them open and
-    sends nothing more, ``silent`` never answers.
+    sends nothing more, ``silent`` never answers. ``parts`` is the length
+    of a plain service's large body.
     """
 
     name: str
@@ -58,6 +59,8 @@
     cut_after: int | None = None
     cut_clean: bool = False
     silent: bool = False
+    parts: int = 0
+    parts_made: int = 0
     stall_after: int | None = None
     status: int = 200
     body: bytes = b"{}"
@@ -110,7 +113,7 @@
                 "connection": "keep-alive",
                 "etag": '"7"',
             },
-            body=self.body,
+            body=self.large() if self.parts else self.body,
         )
 
     def crash(self):
@@ -119,6 +122,14 @@
         self.crashed.set()
         self.crashed = asyncio.Event()
 
+    async def large(self):
+        """Yield a large body, in parts of 10 kB."""
+        for number in range(1, self.parts + 1):
+            yield b"x" * 10_000
+            self.parts_made = number
+            if self.cut_after == number:
+                raise AnswerLost("reset by peer")
+
     async def stream(self, call, request_id):
         """Yield the events from the offset asked for."""
         start = int(call.headers.get("x-resume-offset", 0))
--- a/tests/requests/test_forwarding.py
+++ b/tests/requests/test_forwarding.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from burdockdrum.peers import Seal
+from burdockdrum.ports import AnswerLost
 from burdockdrum.ports import UpstreamCall
 from burdockdrum.requests.forwarding import FORWARD_HEADER
 from burdockdrum.requests.forwarding import ForwardHeader
@@ -272,6 +273,39 @@
 
         run_with_stack(scenario, "a1")
 
+    async def open_large(self, stack, **faults):
+        service = Endpoint(name="e1", parts=2000, **faults)
+        await stack.add_endpoint(service, "a1", service="booking")
+        answer = await stack.client("caller").open(
+            stack.url("a1"), "GET", "/services/booking/list"
+        )
+        self.assertEqual(200, answer.status)
+        return service, answer
+
+    def test_large_answer_is_not_held_for_a_slow_reader(self):
+        # A service answers with 20 MB; the caller takes the first part and
+        # waits. The entry holds a bounded part of it, and then passes on
+        # the rest.
+        async def scenario(stack):
+            service, answer = await self.open_large(stack)
+            parts = answer.chunks()
+            size = len(await anext(parts))
+            await asyncio.sleep(10)
+            self.assertLess(service.parts_made, 200)
+            async for part in parts:
+                size += len(part)
+            self.assertEqual(20_000_000, size)
+
+        run_with_stack(scenario, "a1")
+
+    def test_large_answer_that_is_cut_does_not_look_whole(self):
+        async def scenario(stack):
+            _, answer = await self.open_large(stack, cut_after=1000)
+            with self.assertRaises(AnswerLost):
+                await stack.read(answer)
+
+        run_with_stack(scenario, "a1")
+
     def test_deadline_travels_as_time_remaining(self):
         # An engine in the other region says nothing for 15 s of the 20;
         # the next one is told of the 5 s that are left.
