Shorten elections: retry soon, and let one of two candidates give way

Cause: after a refused trial a member waited a whole election timeout, and two that stood within a round trip split the votes, up to ten times in a row since both then waited equally long.

--- a/burdockdrum/consensus/election.py
+++ b/burdockdrum/consensus/election.py
@@ -13,6 +13,11 @@
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Peers
 
+# Which part of an election timeout is waited after an attempt that failed.
+# The usual reason is that another member still owes the lost leader silence
+# for a moment; a whole timeout more would double the time without a leader.
+_RETRY_PARTS = (0.1, 0.5)
+
 
 class Election:
     """The task that makes this member a candidate and then a leader."""
@@ -27,18 +32,25 @@
 
     async def run(self) -> None:
         """Wait for silence, stand for election and lead, until cancelled."""
+        replica = self._replica
+        timeout = self._draw_timeout()
         while True:
-            transfer = await self._wait_for_silence()
+            transfer = await self._wait_for_silence(timeout)
+            timeout = self._draw_timeout()
             if not self._may_stand():
-                await self._replica.clock.sleep(
-                    self._replica.settings.heartbeat_seconds
-                )
+                await replica.clock.sleep(replica.settings.heartbeat_seconds)
                 continue
             try:
-                if await self._stand(transfer):
+                elected = await self._stand(transfer)
+                if elected:
                     await self._leadership.run()
+                # From the end of an attempt: two that began together would
+                # else stand together, and split the votes, again and again.
+                replica.put_off_election()
+                if not elected:
+                    timeout *= replica.rng.uniform(*_RETRY_PARTS)
             except StorageFailed as error:
-                self._replica.halt(str(error))
+                replica.halt(str(error))
 
     def _may_stand(self) -> bool:
         replica = self._replica
@@ -48,15 +60,18 @@
             and replica.identity.current.formed
         )
 
-    async def _wait_for_silence(self) -> bool:
-        """Wait for an election timeout without a leader.
+    async def _wait_for_silence(self, timeout: float) -> bool:
+        """Wait for a time without a leader.
 
         :returns: whether the leader asked for an election before it was over
         """
         replica = self._replica
-        timeout = self._draw_timeout()
+        reset_at = replica.election_reset_at
         while True:
-            deadline = replica.election_reset_at + timeout
+            if replica.election_reset_at != reset_at:
+                reset_at = replica.election_reset_at
+                timeout = self._draw_timeout()
+            deadline = reset_at + timeout
             if replica.clock.monotonic() >= deadline:
                 return False
             if await wait_until(
@@ -82,9 +97,7 @@
         replica.set_role(Role.CANDIDATE)
         # A member that was cut off for long would else return with a term
         # that deposes the leader. The trial (pre-vote) raises no term.
-        if not transfer and not await self._collect(
-            term=storage.term + 1, trial=True, transfer=False
-        ):
+        if not transfer and not await self._try_out():
             replica.step_down("no quorum in the trial")
             return False
         if replica.role is not Role.CANDIDATE:
@@ -101,6 +114,16 @@
             replica.step_down("no quorum")
         return False
 
+    async def _try_out(self) -> bool:
+        replica = self._replica
+        replica.in_trial = True
+        try:
+            return await self._collect(
+                term=replica.storage.term + 1, trial=True, transfer=False
+            )
+        finally:
+            replica.in_trial = False
+
     async def _collect(
         self, *, term: int, trial: bool, transfer: bool
     ) -> bool:
--- a/burdockdrum/consensus/replica.py
+++ b/burdockdrum/consensus/replica.py
@@ -49,6 +49,8 @@
         self.leader_id: str | None = None
         self.commit_index = 0
         self.transferring = False
+        # Whether a candidate has not yet raised its term.
+        self.in_trial = False
         # Whether this member votes and counts; see the module ``witness``.
         self.admitted = False
         # Whether all that the leader knows committed is on the synced disk.
@@ -136,6 +138,11 @@
             now - self._contact_at < timeout
         )
 
+    def put_off_election(self) -> None:
+        """Leave others an election timeout from now to be elected."""
+        now = self.clock.monotonic()
+        self.election_reset_at = max(self.election_reset_at, now)
+
     def set_role(self, role: Role) -> None:
         """Change what this member does and wake those who wait for it."""
         if role is not self._role:
--- a/burdockdrum/consensus/voting.py
+++ b/burdockdrum/consensus/voting.py
@@ -74,6 +74,24 @@
             return False
         return self._replica.owes_silence or self._replica.role is Role.LEADER
 
+    def _yields_to(self, message: VoteRequest) -> bool:
+        """Say whether another candidate goes before this member.
+
+        Two that stand within a round trip would each get its own vote only,
+        and wait for another timeout. While both are at their trials, the one
+        with the newer log or the higher id goes first and the other gives up.
+        """
+        replica = self._replica
+        if replica.role is not Role.CANDIDATE:
+            return True
+        storage = replica.storage
+        own = (storage.last_term, storage.last_index, replica.vm_id)
+        other = (message.last_term, message.last_index, message.sender_id)
+        if not replica.in_trial or own > other:
+            return False
+        replica.step_down(f"{message.sender_id} goes first")
+        return True
+
     def _decide(self, message: VoteRequest) -> bool:
         replica = self._replica
         storage = replica.storage
@@ -85,5 +103,5 @@
         ):
             return False
         if message.trial:
-            return message.term > storage.term
+            return message.term > storage.term and self._yields_to(message)
         return storage.voted_for in (None, message.sender_id)
