--- a/tests/consensus/test_histories.py
+++ b/tests/consensus/test_histories.py
@@ -120,11 +120,11 @@
 
         honest = LogSettings.lease_seconds
         honest_watch = Leadership._watch_quorum
-        LogSettings.lease_seconds = 4.0
+        LogSettings.lease_seconds = 30.0
         Leadership._watch_quorum = watch_nothing
         self.addCleanup(setattr, LogSettings, "lease_seconds", honest)
         self.addCleanup(setattr, Leadership, "_watch_quorum", honest_watch)
-        faults = ("cut_off", "heal")
+        faults = ("cut_off", "cut_off", "heal")
         plans = [Plan(seed=seed, faults=faults) for seed in range(10, 30)]
         self.assert_caught(plans, "leases held at once")
 
