Pass changes of members on to the leader

An operator had to find the leader first. The logic moves from log.py to a module of its own; the refusal of a late copy is final by its term.

--- a/burdockdrum/consensus/forwarding.py
+++ b/burdockdrum/consensus/forwarding.py
@@ -72,7 +72,7 @@
         replica = self._replica
         if replica.role is Role.LEADER:
             return await self._propose_here(command, timeout)
-        address = self._leader_address()
+        address = self._replica.leader_address
         if address is None:
             raise NotAccepted("no leader is known")
         request = ProposeRequest(
@@ -137,7 +137,7 @@
                 return await self._leadership.confirm_read()
             except NotCurrent:
                 return None
-        address = self._leader_address()
+        address = self._replica.leader_address
         if address is None:
             return None
         wait = min(timeout, self._replica.settings.call_timeout_seconds)
@@ -160,10 +160,3 @@
         except (NotCurrent, TimeoutError):
             return ReadReply(index=None)
         return ReadReply(index=index)
-
-    def _leader_address(self) -> str | None:
-        leader_id = self._replica.leader_id
-        if leader_id is None or leader_id == self._replica.vm_id:
-            return None
-        member = self._replica.configuration.find(leader_id)
-        return member.address if member else None
--- a/burdockdrum/consensus/log.py
+++ b/burdockdrum/consensus/log.py
@@ -20,13 +20,11 @@
 from burdockdrum.consensus.interface import LogSettings
 from burdockdrum.consensus.interface import NotAccepted
 from burdockdrum.consensus.interface import NotCurrent
-from burdockdrum.consensus.interface import OutcomeUnknown
 from burdockdrum.consensus.interface import Role
 from burdockdrum.consensus.interface import StateMachine
 from burdockdrum.consensus.leadership import Leadership
-from burdockdrum.consensus.membership import Configuration
+from burdockdrum.consensus.member_changes import MemberChanges
 from burdockdrum.consensus.membership import Member
-from burdockdrum.consensus.records import Entry
 from burdockdrum.consensus.replica import Replica
 from burdockdrum.consensus.snapshot import SnapshotStore
 from burdockdrum.consensus.storage import Storage
@@ -203,40 +201,26 @@
     ) -> None:
         """Add a VM as a learner; it counts once it holds the log.
 
-        Only on the leader. A VM that came back with another disk has to be
+        A VM that came back with another disk has to be
         removed first, so that the two never count at once.
 
         :raises NotAccepted: if nothing was changed
         :raises OutcomeUnknown: if the change may yet come into effect
         """
-        configuration = self._configuration_to_change()
-        known = configuration.find(vm_id)
-        if known is not None and known.disk_id == disk_id:
-            return
-        if known is not None:
-            raise NotAccepted(
-                f"{vm_id} is a member with disk {known.disk_id}: remove it "
-                "before it is added with another"
-            )
-        member = Member(
+        learner = Member(
             vm_id=vm_id, address=address, disk_id=disk_id, voter=False
         )
-        await self._change(configuration.with_member(member), timeout)
+        await self._change_members(vm_id, learner, timeout)
 
     async def remove_member(
         self, vm_id: str, *, timeout: float = 10.0
     ) -> None:
-        """Remove a VM. Only on the leader.
+        """Remove a VM, by its id.
 
         :raises NotAccepted: if nothing was changed
         :raises OutcomeUnknown: if the change may yet come into effect
         """
-        configuration = self._configuration_to_change()
-        if configuration.find(vm_id) is None:
-            return
-        if [voter.vm_id for voter in configuration.voters] == [vm_id]:
-            raise NotAccepted("the last voter can't be removed")
-        await self._change(configuration.without(vm_id), timeout)
+        await self._change_members(vm_id, None, timeout)
 
     async def step_aside(self) -> None:
         """Hand leadership on; call it before a shutdown."""
@@ -313,6 +297,12 @@
             leadership=self._leadership,
             peers=peers,
         )
+        self._member_changes = MemberChanges(
+            replica=replica,
+            applier=self._applier,
+            leadership=self._leadership,
+            peers=peers,
+        )
         # The handlers register themselves and live as long as peers does.
         Voting(replica=replica, founding=self._founding, peers=peers)
         Following(
@@ -336,17 +326,9 @@
             replica.adopt_founding()
             await self._founding.changed.wait()
 
-    def _configuration_to_change(self) -> Configuration:
-        if self._replica is None or self._replica.role is not Role.LEADER:
-            raise NotAccepted(f"{self._settings.vm_id} does not lead")
-        return self._replica.configuration
-
-    async def _change(
-        self, configuration: Configuration, timeout: float
+    async def _change_members(
+        self, vm_id: str, learner: Member | None, timeout: float
     ) -> None:
-        entry: Entry = self._leadership.change_members(configuration)
-        try:
-            async with asyncio.timeout(timeout):
-                await self._applier.expect(entry)
-        except TimeoutError:
-            raise OutcomeUnknown("the change of members may follow") from None
+        if self._replica is None:
+            raise NotAccepted("the log is not open yet")
+        await self._member_changes.change(vm_id, learner, timeout)
--- a/burdockdrum/consensus/messages.py
+++ b/burdockdrum/consensus/messages.py
@@ -5,6 +5,7 @@
 """
 
 from burdockdrum.consensus.membership import Configuration
+from burdockdrum.consensus.membership import Member
 from burdockdrum.consensus.records import Entry
 from burdockdrum.peers import Message
 
@@ -124,6 +125,18 @@
     reason: str = ""
 
 
+class MemberChangeRequest(Message, frozen=True, kw_only=True):
+    """Ask the leader of a term to add a learner.
+
+    Without one the member of the VM is removed. A ``ProposeReply`` answers.
+    """
+
+    term: int
+    vm_id: str
+    learner: Member | None
+    timeout: float
+
+
 class ReadRequest(Message, frozen=True, kw_only=True):
     """Ask the leader up to where a current read has to have applied."""
 
--- a/burdockdrum/consensus/replica.py
+++ b/burdockdrum/consensus/replica.py
@@ -95,6 +95,14 @@
             return Role.WAITING
         return self._role
 
+    @property
+    def leader_address(self) -> str | None:
+        """Return where the leader is reached, if another VM leads."""
+        if self.leader_id is None or self.leader_id == self.vm_id:
+            return None
+        member = self.configuration.find(self.leader_id)
+        return member.address if member else None
+
     @property
     def is_voter(self) -> bool:
         """Say whether this VM with this disk counts."""
--- a/tests/consensus/test_membership.py
+++ b/tests/consensus/test_membership.py
@@ -16,8 +16,10 @@
     """Remove a member and add its VM again with the disk that it has."""
     leader = await cluster.leader()
     vm = cluster.vms[vm_id]
-    await leader.remove_member(vm_id)
-    await leader.add_member(vm_id, vm.address, vm.running.disk_id)
+    # Through a follower, which passes the changes on.
+    other = next(log for log in cluster.logs if log not in (leader, vm.log))
+    await other.remove_member(vm_id)
+    await other.add_member(vm_id, vm.address, vm.running.disk_id)
 
 
 def voters(log):
