Admit a member that knows only others who are gone

A member restarted that had not heard of a replaced one, and the only other that it knew lost its disk. It now also asks who stands for election, and goes by the newest configuration that it hears of.

--- a/burdockdrum/consensus/messages.py
+++ b/burdockdrum/consensus/messages.py
@@ -175,8 +175,15 @@
 
 
 class WitnessReply(Message, frozen=True, kw_only=True):
-    """The newest term and index that the disk acknowledged, 0 if none."""
+    """The newest term and index that the disk acknowledged, 0 if none.
+
+    Also the configuration that the answering member knows, and where its
+    log ends, as the other one may know only members that are gone.
+    """
 
     own_disk_id: str
     term: int
     index: int
+    configuration: Configuration
+    last_term: int
+    last_index: int
--- a/burdockdrum/consensus/replica.py
+++ b/burdockdrum/consensus/replica.py
@@ -58,6 +58,8 @@
         self.halt_reason: str | None = None
         # Told of what other disks acknowledge: disk id, term, index.
         self.acknowledged: Callable[[str, int, int], None] = _ignore
+        # Told of who stands for election: disk id and address.
+        self.contacted: Callable[[str, str], None] = _ignore
         # Told of the first entry that another takes away: index and term.
         self.replaced: Callable[[int, int], None] = _ignore
         self.role_changed = Signal()
--- a/burdockdrum/consensus/voting.py
+++ b/burdockdrum/consensus/voting.py
@@ -28,6 +28,7 @@
         self, sender: Sender, message: VoteRequest
     ) -> Message | None:
         replica = self._replica
+        replica.contacted(message.sender_disk_id, sender.address)
         if not self._is_for_this_disk(message):
             return None
         if not message.trial and not self._must_refuse(message):
--- a/burdockdrum/consensus/witness.py
+++ b/burdockdrum/consensus/witness.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 
 from burdockdrum.consensus.founding import Founding
-from burdockdrum.consensus.membership import Member
+from burdockdrum.consensus.membership import Configuration
 from burdockdrum.consensus.messages import WitnessQuery
 from burdockdrum.consensus.messages import WitnessReply
 from burdockdrum.consensus.replica import Replica
@@ -44,11 +44,15 @@
         self._founding = founding
         self._peers = peers
         self._answered: set[str] = set()
+        self._candidates_by_disk: dict[str, str] = {}
+        self._heard = (0, 0)
+        self._heard_configuration = replica.configuration
         self._began_empty = not replica.identity.current.formed
         self._acknowledged_by_disk: dict[str, Acknowledged] = {}
         self._term_at_start = replica.storage.term
         self._index_at_start = replica.storage.last_index
         replica.acknowledged = self.note
+        replica.contacted = self._note_candidate
         peers.register(WitnessQuery, self._on_query)
 
     def note(self, disk_id: str, term: int, index: int) -> None:
@@ -90,35 +94,56 @@
             return
         others = [
             member
-            for member in replica.configuration.voters
+            for member in self._newest_configuration().voters
             if member.disk_id != replica.disk_id
         ]
         heard = [m for m in others if m.disk_id in self._answered]
         if len(heard) >= (len(others) + 1) // 2:
             replica.admitted = True
             return
+        addresses = {member.disk_id: member.address for member in others}
+        addresses.update(self._candidates_by_disk)
         async with asyncio.TaskGroup() as group:
-            for member in others:
-                group.create_task(self._ask(member))
+            for disk_id, address in addresses.items():
+                group.create_task(self._ask(disk_id, address))
         await replica.clock.sleep(_PAUSE_SECONDS)
 
-    async def _ask(self, member: Member) -> None:
+    def _newest_configuration(self) -> Configuration:
+        """Return what this member or one that answered knows.
+
+        The own log may end before another member was replaced. If all that
+        it names are gone, the rest could elect no leader for want of its
+        vote, and it would hear of the change from none.
+        """
+        storage = self._replica.storage
+        if self._heard > (storage.last_term, storage.last_index):
+            return self._heard_configuration
+        return self._replica.configuration
+
+    async def _ask(self, disk_id: str, address: str) -> None:
         replica = self._replica
         try:
             reply = await self._peers.call(
-                member.address,
+                address,
                 WitnessQuery(disk_id=replica.disk_id),
                 WitnessReply,
                 timeout=replica.settings.call_timeout_seconds,
             )
         except CallFailed:
             return
-        if reply.own_disk_id != member.disk_id:
+        if reply.own_disk_id != disk_id:
             return
-        self._answered.add(member.disk_id)
-        self._compare(member, reply)
+        self._answered.add(disk_id)
+        if (reply.last_term, reply.last_index) > self._heard:
+            self._heard = (reply.last_term, reply.last_index)
+            self._heard_configuration = reply.configuration
+        self._compare(reply)
+
+    def _note_candidate(self, disk_id: str, address: str) -> None:
+        if not self._replica.admitted:
+            self._candidates_by_disk[disk_id] = address
 
-    def _compare(self, member: Member, reply: WitnessReply) -> None:
+    def _compare(self, reply: WitnessReply) -> None:
         term = self._term_at_start
         index = self._index_at_start
         went_back = reply.term > term or (
@@ -126,9 +151,9 @@
         )
         if went_back:
             self._replica.halt(
-                f"{member.vm_id} saw this disk at entry {reply.index} of term "
-                f"{reply.term}, but it ends at entry {index} and "
-                f"term {term}: it holds an older image. Remove this "
+                f"another member saw this disk at entry {reply.index} of "
+                f"term {reply.term}, but it ends at entry {index} of term "
+                f"{term}: it holds an older image. Remove this "
                 "member, empty the data folder and add it again."
             )
 
@@ -142,4 +167,7 @@
             own_disk_id=self._replica.disk_id,
             term=known.term,
             index=known.index,
+            configuration=self._replica.configuration,
+            last_term=self._replica.storage.last_term,
+            last_index=self._replica.storage.last_index,
         )
