Sync what a start reads back before it counts

A process killed between writing an entry or a vote and its sync leaves it in the kernel. The next start read it back and acknowledged it, and a loss of power then took it: an accepted change could be lost. Found by reading; the new test failed before.

--- a/burdockdrum/consensus/storage.py
+++ b/burdockdrum/consensus/storage.py
@@ -150,6 +150,7 @@
     async def open(self, snapshot: Snapshot | None) -> None:
         """Read the segments back.
 
+        :raises DiskError: if what was read may not last
         :raises CorruptLog: if something that was synced is not there
         """
         names = await self._disk.list()
@@ -160,9 +161,15 @@
             self._join_snapshot(snapshot)
         elif self.base_index > 0:
             raise CorruptLog("entries were compacted but no snapshot is left")
-        self.durable_index = self.last_index
-        if not self._segments:
+        if self._segments:
+            # A process that was killed leaves writes in the kernel that were
+            # never synced. They are read back here, so without this they
+            # would be acknowledged and lost with the power.
+            await self._disk.sync(self._segments[-1].name)
+            await self._disk.sync_folder()
+        else:
             await self._add_segment()
+        self.durable_index = self.last_index
 
     async def compact(self, index: int) -> None:
         """Drop entries up to an index that a synced snapshot covers."""
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -14,6 +14,7 @@
 from burdockdrum.peers import Seal
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Disk
+from burdockdrum.ports import DiskError
 from burdockdrum.testing import FakeDisk
 from burdockdrum.testing import FakeNetwork
 from burdockdrum.testing import VirtualClock
@@ -238,7 +239,10 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(peers.run())
                 group.create_task(log.run())
-        except BaseExceptionGroup as error:
+        except* DiskError:
+            # A disk that fails during the start ends the process.
+            self.vm_of(log).task = None
+        except* Exception as error:
             self.errors.append(error)
         finally:
             await peers.close()
--- a/tests/consensus/test_histories.py
+++ b/tests/consensus/test_histories.py
@@ -57,9 +57,9 @@
         # 6055: a learner was made a voter and lost power before it heard so.
         # Another VM's disk was lost; the learner waited for a leader before
         # it voted, and so none could be elected.
-        # 30059, 30138: a member restarted that had not heard of a replaced one, and
-        # the only other that it knew lost its disk. It waited to be told by
-        # that one what it had seen, and its vote was needed.
+        # 30059, 30138: a member restarted that had not heard of a replaced
+        # one, and the only other that it knew lost its disk. It waited to be
+        # told by that one what it had seen, and its vote was needed.
         for plan in (
             Plan(seed=1175, size=5),
             Plan(seed=6055),
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -164,6 +164,28 @@
 
         run_virtual(main())
 
+    def test_what_is_read_back_is_synced_before_it_counts(self):
+        # The process is killed after it wrote an entry and before the sync.
+        # Its next start finds the entry, since the kernel has kept it, and
+        # acknowledges it. Then the power goes, and with it what was never
+        # synced.
+        async def main():
+            for seed in range(10):
+                disk = FakeDisk(rng=random.Random(seed))
+                storage = await open_storage(disk)
+                storage.append(entry(1))
+                crashing = CrashingDisk(disk=disk, changes=1)
+                storage._disk = crashing
+                with self.assertRaises(Crash):
+                    await storage._write_queue()
+                again = await open_storage(disk)
+                self.assertEqual(1, again.durable_index)
+                disk.lose_power()
+                opened = await open_storage(disk)
+                self.assertEqual(1, opened.last_index)
+
+        run_virtual(main())
+
 
 class CrashTest(unittest.TestCase):
     """A crash before each single change to the disk."""
