--- a/burdockdrum/consensus/voting.py
+++ b/burdockdrum/consensus/voting.py
@@ -28,9 +28,11 @@
         self, sender: Sender, message: VoteRequest
     ) -> Message | None:
         replica = self._replica
-        replica.contacted(message.sender_disk_id, sender.address)
         if not self._is_for_this_disk(message):
             return None
+        replica.contacted(message.sender_disk_id, sender.address)
+        if not replica.takes_part:
+            return None
         if not message.trial and not self._must_refuse(message):
             replica.observe_term(message.term)
         if not message.trial:
@@ -49,7 +51,7 @@
         replica = self._replica
         if not self._is_for_this_disk(message):
             return None
-        if message.term == replica.storage.term and replica.is_voter:
+        if message.term == replica.storage.term:
             replica.campaign_asked.fire()
         return LeadReply(term=replica.storage.term)
 
@@ -59,7 +61,6 @@
         # that has not yet received the entry that made it a voter is not.
         return (
             message.target_disk_id == self._replica.disk_id
-            and self._replica.takes_part
             and self._replica.identity.current.formed
             and self._founding.may_join(message.cluster_id)
         )
