--- a/burdockdrum/consensus/voting.py
+++ b/burdockdrum/consensus/voting.py
@@ -30,6 +30,9 @@
         replica = self._replica
         if not self._is_for_this_disk(message):
             return None
+        replica.contacted(message.sender_disk_id, sender.address)
+        if not replica.takes_part:
+            return None
         if not message.trial and not self._must_refuse(message):
             replica.observe_term(message.term)
         if not message.trial:
@@ -48,7 +51,7 @@
         replica = self._replica
         if not self._is_for_this_disk(message):
             return None
-        if message.term == replica.storage.term and replica.is_voter:
+        if message.term == replica.storage.term:
             replica.campaign_asked.fire()
         return LeadReply(term=replica.storage.term)
 
@@ -58,7 +61,6 @@
         # that has not yet received the entry that made it a voter is not.
         return (
             message.target_disk_id == self._replica.disk_id
-            and self._replica.takes_part
             and self._replica.identity.current.formed
             and self._founding.may_join(message.cluster_id)
         )
@@ -74,6 +76,24 @@
             return False
         return self._replica.owes_silence or self._replica.role is Role.LEADER
 
+    def _yields_to(self, message: VoteRequest) -> bool:
+        """Say whether another candidate goes before this member.
+
+        Two that stand within a round trip would each get its own vote only,
+        and wait for another timeout. While both are at their trials, the one
+        with the newer log or the higher id goes first and the other gives up.
+        """
+        replica = self._replica
+        if replica.role is not Role.CANDIDATE:
+            return True
+        storage = replica.storage
+        own = (storage.last_term, storage.last_index, replica.vm_id)
+        other = (message.last_term, message.last_index, message.sender_id)
+        if not replica.in_trial or own > other:
+            return False
+        replica.step_down(f"{message.sender_id} goes first")
+        return True
+
     def _decide(self, message: VoteRequest) -> bool:
         replica = self._replica
         storage = replica.storage
@@ -85,5 +105,5 @@
         ):
             return False
         if message.trial:
-            return message.term > storage.term
+            return message.term > storage.term and self._yields_to(message)
         return storage.voted_for in (None, message.sender_id)
