Let every VM learn the control VMs from those that know

Settings name the control VMs of the first start only. After one was removed or added, VMs that serve went on asking the old ones; now the addresses come with an update when the follower's digest of them differs (4 bytes a message otherwise).

--- a/burdockdrum/configuration/control.py
+++ b/burdockdrum/configuration/control.py
@@ -122,6 +122,8 @@
                 logger.debug("the configuration may not be current: {}", error)
             else:
                 self._knowledge.note_current(moment)
+                addresses = {m.vm_id: m.address for m in self._log.members}
+                self._knowledge.note_control(addresses, moment)
             await self._clock.sleep(BARRIER_SECONDS)
 
     def _take_applied(self, revised: Revised | None) -> None:
--- a/burdockdrum/configuration/following.py
+++ b/burdockdrum/configuration/following.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Mapping
 import zlib
 
 from loguru import logger
@@ -53,21 +52,17 @@
         knowledge: Knowledge,
         reports: Reports,
         directory: Callable[[], Directory],
-        read_control_addresses: Callable[[], Mapping[str, str]],
     ) -> None:
         """Create a follower.
 
         :param directory: returns the directory, which may need this to be
             built
-        :param read_control_addresses: returns the control VMs' addresses by
-            id
         """
         self._peers = peers
         self._clock = clock
         self._knowledge = knowledge
         self._reports = reports
         self._find_directory = directory
-        self._read_control_addresses = read_control_addresses
         self._wake = asyncio.Event()
         self._turn = 0
         self._healed_at: float | None = None
@@ -181,6 +176,7 @@
             content=content,
             snapshot=snapshot,
             report=report,
+            control_digest=self._knowledge.control_digest,
         )
         self._peers.send(address, message)
 
@@ -199,6 +195,10 @@
         if message.age is not None and message.revision <= current.revision:
             # What the source knew, it knew after this VM asked.
             self._knowledge.note_current(message.echo - message.age)
+        if message.age is not None and message.control_addresses:
+            self._knowledge.note_control(
+                message.control_addresses, message.echo - message.age
+            )
         if not self._knowledge.known:
             self._conclude()
         return None
@@ -282,7 +282,7 @@
         own = self._peers.identity
         addresses = sorted(
             address
-            for vm_id, address in self._read_control_addresses().items()
+            for vm_id, address in self._knowledge.control_addresses.items()
             if vm_id != own.vm_id
         )
         if not addresses:
--- a/burdockdrum/configuration/knowledge.py
+++ b/burdockdrum/configuration/knowledge.py
@@ -1,6 +1,8 @@
 """What this VM knows of the configuration, and since when."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
+import zlib
 
 from burdockdrum.configuration.history import History
 from burdockdrum.ports import Clock
@@ -15,8 +17,16 @@
     that can't be older than one it served before.
     """
 
-    def __init__(self, *, clock: Clock, timeline: Timeline) -> None:
-        """Know nothing."""
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        timeline: Timeline,
+        control_addresses: Mapping[str, str],
+    ) -> None:
+        """Know nothing but the control VMs that the settings name."""
+        self.control_addresses = dict(control_addresses)
+        self._control_learned_at: float | None = None
         self.history = History()
         self.known = False
         self.listeners: list[Callable[[], None]] = []
@@ -64,6 +74,22 @@
         if self._started_at is not None and moment >= self._started_at:
             self.mark_known("control")
 
+    @property
+    def control_digest(self) -> int:
+        """Return a digest of the control VMs' addresses."""
+        return digest_addresses(self.control_addresses)
+
+    def note_control(self, addresses: Mapping[str, str], now: float) -> None:
+        """Note which VMs were the control VMs at a moment.
+
+        What an out-of-date source tells must not bring back one that was
+        removed.
+        """
+        learned_at = self._control_learned_at
+        if addresses and (learned_at is None or now >= learned_at):
+            self.control_addresses = dict(addresses)
+            self._control_learned_at = now
+
     def mark_known(self, source: str) -> None:
         """Serve by the current revision from now on."""
         if not self.known:
@@ -78,3 +104,9 @@
         self._timeline.record(
             "configuration.in_force", revision=configuration.revision
         )
+
+
+def digest_addresses(addresses: Mapping[str, str]) -> int:
+    """Return a digest of addresses by VM id."""
+    lines = sorted(f"{vm_id} {addresses[vm_id]}" for vm_id in addresses)
+    return zlib.crc32("\n".join(lines).encode())
--- a/burdockdrum/configuration/messages.py
+++ b/burdockdrum/configuration/messages.py
@@ -54,7 +54,7 @@
 
     ``sent_at`` is of the follower's clock and comes back in the updates.
     ``content`` asks for the changes after ``revision``, ``snapshot`` for
-    everything.
+    everything. ``control_digest`` tells which control VMs it knows.
     """
 
     revision: int
@@ -63,6 +63,7 @@
     content: bool = True
     snapshot: bool = False
     report: Report | None = None
+    control_digest: int = 0
 
 
 class Update(Message, frozen=True, kw_only=True, array_like=True):
@@ -71,7 +72,8 @@
     ``age`` is how many seconds ago a control VM knew that nothing newer had
     been accepted, as far as the source knows; None if it never heard.
     ``known`` says that the source itself serves by this revision. ``echo``
-    is the ``sent_at`` of the follower's last message.
+    is the ``sent_at`` of the follower's last message. ``control_addresses``
+    are those of the control VMs by id, if the follower knows others.
     """
 
     revision: int
@@ -82,6 +84,7 @@
     changes: list[Revised] = []
     resources: list[Resource] | None = None
     vm_ids_digest: int = 0
+    control_addresses: dict[str, str] | None = None
 
 
 class InForceQuery(Message, frozen=True, kw_only=True):
--- a/burdockdrum/configuration/publishing.py
+++ b/burdockdrum/configuration/publishing.py
@@ -38,6 +38,7 @@
     sent_at: float
     sent_revision: int
     data_centre: str = ""
+    control_digest: int = 0
     sends: int = 0
 
 
@@ -113,6 +114,7 @@
             sent_at=now,
             sent_revision=message.revision,
             data_centre=message.report.data_centre if message.report else "",
+            control_digest=message.control_digest,
         )
         self._followers_by_address[sender.address] = state
         self._reports.take_acknowledgement(sender.vm_id, message.revision)
@@ -149,6 +151,9 @@
         self, state: FollowerState, after: int, snapshot: bool
     ) -> Update:
         current = self._knowledge.current
+        control_addresses = None
+        if state.control_digest != self._knowledge.control_digest:
+            control_addresses = self._knowledge.control_addresses
         changes = []
         resources = None
         if state.content and not snapshot:
@@ -167,6 +172,7 @@
             changes=changes,
             resources=resources,
             vm_ids_digest=self._reports.vm_ids_digest(state.data_centre),
+            control_addresses=control_addresses,
         )
 
 
--- a/burdockdrum/configuration/service.py
+++ b/burdockdrum/configuration/service.py
@@ -84,7 +84,8 @@
         """Create the service.
 
         :param directory: returns the directory of VMs
-        :param control_addresses: the control VMs' addresses by id
+        :param control_addresses: the control VMs' addresses by id, to begin
+            with
         :param residency_lease_seconds: how long a VM that is cut off sends
             data to regions other than the client's home
         :param state: the agreed state, on a control VM
@@ -93,9 +94,12 @@
         self.in_force_by_vm_id: dict[str, int] = {}
         self._peers = peers
         self._clock = clock
-        self._control_addresses = dict(control_addresses)
         self._lease_seconds = residency_lease_seconds
-        self._knowledge = Knowledge(clock=clock, timeline=timeline)
+        self._knowledge = Knowledge(
+            clock=clock,
+            timeline=timeline,
+            control_addresses=control_addresses,
+        )
         self._reports = Reports(clock=clock, identity=peers.identity)
         self._publisher = Publisher(
             peers=peers,
@@ -109,7 +113,6 @@
             knowledge=self._knowledge,
             reports=self._reports,
             directory=directory,
-            read_control_addresses=lambda: self._control_addresses,
         )
         self._publisher.on_follow = self._follower.note_follow
         self._leader_id: str | None = None
@@ -144,8 +147,8 @@
 
     @property
     def control_addresses(self) -> Mapping[str, str]:
-        """Return the control VMs' addresses by id."""
-        return self._control_addresses
+        """Return the control VMs' addresses by id, as last learned."""
+        return self._knowledge.control_addresses
 
     def check_known(self) -> None:
         """Check that this VM may serve by what it knows.
@@ -226,7 +229,7 @@
         own = self._peers.identity.vm_id
         calls = [
             self._query(address)
-            for vm_id, address in self._control_addresses.items()
+            for vm_id, address in self.control_addresses.items()
             if vm_id != own
         ]
         for found in await asyncio.gather(*calls):
@@ -272,11 +275,11 @@
     def _proposal_addresses(self) -> list[str | None]:
         """Return whom to ask, None for this VM itself."""
         own = self._peers.identity.vm_id
-        vm_ids = [v for v in self._control_addresses if v != own]
+        vm_ids = [v for v in self.control_addresses if v != own]
         # The leader that answered last spares the way over another.
         vm_ids.sort(key=lambda vm_id: vm_id != self._leader_id)
         others: list[str | None] = [
-            self._control_addresses[vm_id] for vm_id in vm_ids
+            self.control_addresses[vm_id] for vm_id in vm_ids
         ]
         return [None, *others] if self._control is not None else others
 
--- a/burdockdrum/leases/services.py
+++ b/burdockdrum/leases/services.py
@@ -1,15 +1,25 @@
 """Name the services of this package."""
 
+from collections.abc import Mapping
 import random
+from typing import Protocol
 
 from burdockdrum.kernel import Kernel
 from burdockdrum.leases.service import LeaseService
 from burdockdrum.peers import Peers
 from burdockdrum.ports import Clock
-from burdockdrum.settings import Settings
 from burdockdrum.timeline import Timeline
 
 
+class ControlVms(Protocol):
+    """What is asked of the configuration."""
+
+    @property
+    def control_addresses(self) -> Mapping[str, str]:
+        """Return the control VMs' addresses by id."""
+        ...
+
+
 def add_services(kernel: Kernel) -> None:
     """Name the leases of this VM.
 
@@ -20,11 +30,11 @@
 
 
 def _build_leases(kernel: Kernel) -> LeaseService:
-    members = kernel.find("settings", Settings).control.members
+    source = kernel.find("configuration", ControlVms)
     return LeaseService(
         peers=kernel.find("peers", Peers),
         clock=kernel.find("clock", Clock),
         rng=kernel.find("random", random.Random),
         timeline=kernel.find("timeline", Timeline),
-        read_control_addresses=lambda: members,
+        read_control_addresses=lambda: source.control_addresses,
     )
--- a/tests/configuration/test_agreed.py
+++ b/tests/configuration/test_agreed.py
@@ -130,3 +130,23 @@
             self.assertEqual({**dict.fromkeys(VM_IDS, 2), "s1.2": 1}, found)
 
         self.run_deployment(scenario)
+
+    def test_removed_control_vm_is_asked_no_more(self):
+        # A control VM is taken out of the quorum. The VMs that only serve
+        # learn it, also one that restarts with the old settings, and
+        # changes and leases go on without it.
+        async def scenario(deployment):
+            leader = deployment.leader()
+            removed = next(v for v in CONTROL_IDS if v != leader)
+            rest = set(CONTROL_IDS) - {removed}
+            await deployment.log(leader).remove_member(removed)
+            await deployment.restart("e1.2")
+            await asyncio.sleep(8)
+            for vm_id in ("n1.2", "s1.2", "e1.2"):
+                service = deployment.configuration(vm_id)
+                self.assertEqual(rest, set(service.control_addresses))
+                result = await deployment.put(vm_id, "region", vm_id, {})
+                self.assertEqual("accepted", result.code)
+                await deployment.leases(vm_id).acquire(vm_id)
+
+        self.run_deployment(scenario)
