--- a/burdockdrum/daemon/assembly.py
+++ b/burdockdrum/daemon/assembly.py
@@ -14,6 +14,7 @@
 from burdockdrum.kernel import Kernel
 import burdockdrum.leases
 from burdockdrum.metrics import Metrics
+import burdockdrum.orders
 import burdockdrum.peers
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
@@ -35,6 +36,7 @@
     burdockdrum.configuration,
     burdockdrum.leases,
     burdockdrum.vms,
+    burdockdrum.orders,
     burdockdrum.routing,
     burdockdrum.admission,
     burdockdrum.claims,
--- a/burdockdrum/settings/checks.py
+++ b/burdockdrum/settings/checks.py
@@ -145,6 +145,12 @@
             problem="is not above 0 and up to limits.max_deadline_seconds",
             fix="lower it, or raise limits.max_deadline_seconds",
         )
+    if settings.orders.loads_a_minute <= 0:
+        yield SettingsProblem(
+            key="orders.loads_a_minute",
+            problem="is not above 0",
+            fix="raise it",
+        )
     if settings.drain.limit_seconds <= 0:
         yield SettingsProblem(
             key="drain.limit_seconds", problem="is not above 0", fix="raise it"
--- a/burdockdrum/settings/model.py
+++ b/burdockdrum/settings/model.py
@@ -123,6 +123,16 @@
     keepers: dict[str, str] = {}
 
 
+class OrderSettings(_Section, frozen=True, kw_only=True):
+    """How fast endpoints may be told to load weights.
+
+    ``loads_a_minute`` is what the weight store gives to all data centres
+    together; each takes an equal share.
+    """
+
+    loads_a_minute: float = 60.0
+
+
 class DrainSettings(_Section, frozen=True, kw_only=True):
     """How long a shutdown may take."""
 
@@ -150,5 +160,6 @@
     policy: PolicySettings = PolicySettings()
     attempts: AttemptSettings = AttemptSettings()
     claims: ClaimSettings = ClaimSettings()
+    orders: OrderSettings = OrderSettings()
     drain: DrainSettings = DrainSettings()
     log: LogSettings = LogSettings()
--- a/burdockdrum/vms/directory.py
+++ b/burdockdrum/vms/directory.py
@@ -274,6 +274,7 @@
             self._relay_ids(), data_centre, ENTRIES_A_SUMMARY
         )
         by_id = {v.identity.vm_id: v.identity for v in self._views_here()}
+        summaries = self._read_services()
         return DataCentreSummary(
             data_centre=self.identity.data_centre,
             region=self.identity.region,
@@ -288,7 +289,8 @@
                 )
                 for name in names
             ],
-            services=[make_figures(s) for s in self._read_services()],
+            services=[summary.service for summary in summaries],
+            figures=[make_figures(summary) for summary in summaries],
         )
 
 
--- a/burdockdrum/vms/messages.py
+++ b/burdockdrum/vms/messages.py
@@ -79,12 +79,11 @@
 
 
 class ServiceFigures(msgspec.Struct, frozen=True, array_like=True):
-    """A ``ServiceSummary`` in short form for the wire.
+    """A ``ServiceSummary`` without its name, in short form for the wire.
 
     Queue in tenths of a second, warmth in hundredths.
     """
 
-    service: str
     endpoints: int
     slots: int
     room: int
@@ -105,7 +104,8 @@
     """What a data centre tells another one about itself.
 
     ``made_at`` orders the summaries of one data centre, whichever of its
-    VMs sent them. ``entries`` are a few VMs to forward to.
+    VMs sent them. ``entries`` are a few VMs to forward to; ``figures`` go
+    with ``services``, in their order.
     """
 
     data_centre: str
@@ -113,4 +113,5 @@
     made_at: Stamp
     revision: int
     entries: list[EntryAddress]
-    services: list[ServiceFigures]
+    services: list[str]
+    figures: list[ServiceFigures]
--- a/burdockdrum/vms/remote.py
+++ b/burdockdrum/vms/remote.py
@@ -47,23 +47,25 @@
 
 
 class RemoteRecord(msgspec.Struct, frozen=True, array_like=True):
-    """A summary as a VM publishes it to its data centre, without its time."""
+    """What seldom changes of a summary, for the VMs of this data centre."""
 
     data_centre: str
     region: str
-    revision: int
     entries: list[EntryAddress]
-    services: list[ServiceFigures]
+    services: list[str]
 
 
 class HeardRecord(msgspec.Struct, frozen=True, array_like=True):
-    """When a summary was made, and how old it was when published.
+    """The rest of a summary, and how old it was when published.
 
-    The age is in tenths of a second.
+    The age is in tenths of a second. ``figures`` go with the services of
+    the ``RemoteRecord``, in their order.
     """
 
     made_at: Stamp
     age: int
+    revision: int
+    figures: list[ServiceFigures]
 
 
 @dataclass(kw_only=True)
@@ -225,9 +227,8 @@
         if summary.data_centre == self._own.data_centre:
             return None
         name = summary.data_centre
-        if not self._update(
-            _make_record(summary), HeardRecord(summary.made_at, 0)
-        ):
+        record, heard = _make_record(summary), _make_heard(summary, 0)
+        if not self._update(record, heard):
             return None
         self._received_by_name[name] = summary
         self._received_at_by_name[name] = self._clock.monotonic()
@@ -248,8 +249,7 @@
             self._published_by_name[name] = summary.made_at
             self._group.put(REMOTE_TOPIC, key, _make_record(summary))
             age = max(0, round((now - remote.heard_at) * 10))
-            heard = HeardRecord(summary.made_at, age)
-            self._group.put(HEARD_TOPIC, key, heard)
+            self._group.put(HEARD_TOPIC, key, _make_heard(summary, age))
 
     def _take_remote_record(
         self, vm_id: str, key: int, value: msgspec.Raw | None
@@ -281,7 +281,7 @@
             return False
         remote.made_at = heard.made_at
         remote.heard_at = self._clock.monotonic() - heard.age / 10
-        remote.revision = record.revision
+        remote.revision = heard.revision
         remote.region = record.region
         remote.entries = tuple(
             VmIdentity(
@@ -294,7 +294,12 @@
             )
             for entry in record.entries
         )
-        remote.services = tuple(read_figures(f) for f in record.services)
+        remote.services = tuple(
+            read_figures(name, figures)
+            for name, figures in zip(
+                record.services, heard.figures, strict=False
+            )
+        )
         for identity in remote.entries:
             self.introduce(identity)
         return True
@@ -311,12 +316,15 @@
     return RemoteRecord(
         summary.data_centre,
         summary.region,
-        summary.revision,
         summary.entries,
         summary.services,
     )
 
 
+def _make_heard(summary: DataCentreSummary, age: int) -> HeardRecord:
+    return HeardRecord(summary.made_at, age, summary.revision, summary.figures)
+
+
 def choose_by_hash(ids: Iterable[str], key: str, count: int) -> list[str]:
     """Return the ids that rank first for a key; others keep their place."""
 
@@ -330,7 +338,6 @@
 def make_figures(summary: ServiceSummary) -> ServiceFigures:
     """Shorten a summary for the wire."""
     return ServiceFigures(
-        summary.service,
         summary.endpoints,
         summary.slots,
         summary.room,
@@ -339,10 +346,10 @@
     )
 
 
-def read_figures(figures: ServiceFigures) -> ServiceSummary:
+def read_figures(service: str, figures: ServiceFigures) -> ServiceSummary:
     """Undo ``make_figures``."""
     return ServiceSummary(
-        service=figures.service,
+        service=service,
         endpoints=figures.endpoints,
         slots=figures.slots,
         room=figures.room,
--- a/tests/vms/bed.py
+++ b/tests/vms/bed.py
@@ -65,6 +65,7 @@
             clock=self.clock, timeline=self.timeline
         )
         self.services = services
+        self._rng = random.Random(seed)
         self.vms = VmDirectory(
             peers=self.peers,
             clock=self.clock,
@@ -82,6 +83,9 @@
     def summarize(self) -> list[ServiceSummary]:
         live = self.registry.candidates("planner")
         room = sum(e.slots - e.running for e in live)
+        if self.services > 1:
+            # Several services stand for a loaded data centre.
+            room = self._rng.randrange(1000)
         return [
             ServiceSummary(
                 service=f"planner-{number}",
