--- a/scripts/experiment/world.py
+++ b/scripts/experiment/world.py
@@ -101,6 +101,8 @@
                 running=running,
                 waiting=waiting,
                 age_seconds=self.engine.settings.report_lag,
+                cache_events=self.engine.cache.take_events(),
+                cache_sequence=self.engine.cache.sequence,
             )
             for registry in self.registries:
                 registry.report(self.endpoint_id, report)
@@ -134,7 +136,14 @@
 class World:
     """All data centres of a user under one policy."""
 
-    def __init__(self, *, user: User, policy: Policy, seed: int) -> None:
+    def __init__(
+        self,
+        *,
+        user: User,
+        policy: Policy,
+        seed: int,
+        entries_a_region: int = ENTRIES_A_REGION,
+    ) -> None:
         """Create entries and endpoints."""
         self._rng = random.Random(seed)
         self.user = user
@@ -143,7 +152,7 @@
         for index, region in enumerate(user.regions):
             entries = [
                 self._make_entry(region, number, policy)
-                for number in range(ENTRIES_A_REGION)
+                for number in range(entries_a_region)
             ]
             self.entries_by_region[region] = entries
             registries = [entry.registry for entry in entries]
