--- a/scripts/experiment/driver.py
+++ b/scripts/experiment/driver.py
@@ -114,7 +114,9 @@
         chosen = arrival.request_class
         return Demand(
             service=chosen.service,
-            regions=frozenset(self._world.user.regions),
+            regions=frozenset(
+                {arrival.region} if arrival.bound else self._world.user.regions
+            ),
             deadline=deadline,
             rank=chosen.rank,
             worth=chosen.worth,
--- a/scripts/experiment/policies.py
+++ b/scripts/experiment/policies.py
@@ -88,6 +88,7 @@
             for summary in view.services
             if summary.service == demand.service
             and view.identity.data_centre != own
+            and view.identity.region in demand.regions
             and view.identity.data_centre not in demand.excluded_data_centres
         }
 
--- a/scripts/experiment/report.py
+++ b/scripts/experiment/report.py
@@ -17,6 +17,7 @@
     ("end p95", 8),
     ("end p99", 8),
     ("away", 7),
+    ("out", 4),
     ("worth", 7),
     ("top", 7),
 )
@@ -88,6 +89,7 @@
         f"{result.end_p95:8.2f}",
         f"{result.end_p99:8.2f}",
         f"{result.elsewhere:7.1%}",
+        f"{result.out_of_bounds:4d}",
         f"{result.worth:7.1%}",
         f"{result.top_worth:7.1%}",
     ]
--- a/scripts/experiment/workload.py
+++ b/scripts/experiment/workload.py
@@ -12,6 +12,8 @@
 # How far the daily peak rises above the mean.
 PEAK_SHARE = 0.3
 BLOCK_TOKENS = 128
+# The share of requests that residency binds to their home.
+BOUND_SHARE = 0.12
 _ZIPF_EXPONENT = 1.1
 
 
@@ -51,7 +53,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Arrival:
-    """One request of a caller in a region."""
+    """One request of a caller in a region.
+
+    ``bound`` is one that may run in no other region.
+    """
 
     number: int
     at: float
@@ -60,6 +65,7 @@
     prefix_hashes: tuple[int, ...]
     prompt_tokens: int
     answer_tokens: int
+    bound: bool
 
 
 def _engine(service: str, slots: int) -> EngineSettings:
@@ -262,6 +268,7 @@
         prefix_hashes=tuple(base + i for i in range(blocks)),
         prompt_tokens=blocks * BLOCK_TOKENS + tail,
         answer_tokens=rng.randint(*chosen.answer_tokens),
+        bound=rng.random() < BOUND_SHARE,
     )
 
 
