--- /dev/null
+++ b/tests/docs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that hold the pages to the code."""
--- a/tests/leases/test_histories.py
+++ b/tests/leases/test_histories.py
@@ -15,7 +15,7 @@
 
 VM_IDS = ["n1.1", "s1.1", "e1.1", "e1.2"]
 CONTROL_IDS = ["n1.1", "s1.1", "e1.1"]
-NAME = "orders/e1"
+NAME = "repairs/e1"
 # More seeds: BURDOCKDRUM_SEEDS=200 python3 run.py test tests.leases
 SEEDS = range(int(os.environ.get("BURDOCKDRUM_SEEDS", "4")))
 SEED_OF_OVERLAP = 1
--- a/tests/leases/test_service.py
+++ b/tests/leases/test_service.py
@@ -13,7 +13,7 @@
 
 VM_IDS = ["n1.1", "s1.1", "e1.1", "e1.2", "e1.3"]
 CONTROL_IDS = ["n1.1", "s1.1", "e1.1"]
-NAME = "orders/e1"
+NAME = "repairs/e1"
 
 
 class LeaseServiceTest(unittest.TestCase):
