--- a/scripts/bench/memory.py
+++ b/scripts/bench/memory.py
@@ -2,9 +2,10 @@
 
 Usage: memory
 
-Starts one daemon on loopback and reads its resident size when idle; then
-fills the parts of a VM in this process and prints bytes an item. Takes
-about 10 seconds. Linux only: it reads /proc.
+Starts one daemon on loopback and reads its resident size when idle, and
+again while it relays many open streams; then fills the parts of a VM in this
+process and prints bytes an item. Takes about half a minute. Linux only: it
+reads /proc.
 """
 
 import asyncio
@@ -23,12 +24,14 @@
 from burdockdrum.timeline import HybridClock
 from burdockdrum.timeline import Timeline
 from scripts.cluster import Cluster
+from scripts.cluster import EndpointPlan
 from scripts.cluster import VmPlan
 
 SETTLE_SECONDS = 4.0
 CLIENTS = 1040
 EVENTS = 10_000
 HISTOGRAMS = 50
+STREAMS = 200
 
 
 def resident_bytes(pid: int) -> int:
@@ -38,13 +41,32 @@
     return int(line.split()[1]) * 1024
 
 
-async def measure_daemon() -> float:
-    """Return the resident megabytes of an idle daemon."""
+async def measure_daemon() -> tuple[float, float]:
+    """Return an idle daemon's resident bytes, and those of a stream."""
     plan = VmPlan(vm_id="first", region="north", control=True)
-    async with Cluster(vms=[plan], endpoints=[]) as cluster:
+    engine = EndpointPlan(
+        endpoint_id="engine",
+        region="north",
+        service="planner",
+        slots=STREAMS,
+        token_seconds=1.0,
+    )
+    async with Cluster(vms=[plan], endpoints=[engine]) as cluster:
+        load = Load(cluster)
+        await load.configure()
+        await load.stream()
         await asyncio.sleep(SETTLE_SECONDS)
         process = cluster.processes_by_name["first"]
-        return resident_bytes(process.pid) / 1e6
+        idle = resident_bytes(process.pid)
+        streams = [asyncio.create_task(load.stream()) for _ in range(STREAMS)]
+        await asyncio.sleep(SETTLE_SECONDS)
+        busy = resident_bytes(process.pid)
+        still_open = sum(not stream.done() for stream in streams)
+        assert still_open == STREAMS, f"only {still_open} streams are open"
+        for stream in streams:
+            stream.cancel()
+        await asyncio.gather(*streams, return_exceptions=True)
+        return idle, (busy - idle) / STREAMS
 
 
 def measure_clients() -> float:
@@ -95,7 +117,9 @@
 
 
 async def _main() -> None:
-    print(f"idle daemon, resident: {await measure_daemon():.1f} MB")
+    idle, stream = await measure_daemon()
+    print(f"idle daemon, resident: {idle / 1e6:.1f} MB")
+    print(f"an open stream: {stream / 1e3:.0f} kB")
     gc.collect()
     tracemalloc.start()
     print(f"a client resource: {measure_clients():.0f} B")
