Take an answer for current only if it was asked since the start

After a reboot the monotonic clock begins anew, and a late answer to a message of before made the VM take old knowledge for current. The test fails without the check.

--- a/burdockdrum/configuration/following.py
+++ b/burdockdrum/configuration/following.py
@@ -184,6 +184,11 @@
         self, sender: Sender, message: Update
     ) -> Message | None:
         self._take_content(sender, message)
+        if not self._knowledge.is_since_start(message.echo):
+            # It answers a message of before this VM's restart, and came
+            # late: what its sender knew then proves nothing about now. This
+            # VM may have served a later revision in between.
+            return None
         current = self._knowledge.current
         if message.known:
             self._highest_revision = max(
--- a/burdockdrum/configuration/knowledge.py
+++ b/burdockdrum/configuration/knowledge.py
@@ -63,6 +63,13 @@
             return None
         return max(0.0, self._clock.monotonic() - self._current_at)
 
+    def is_since_start(self, moment: float) -> bool:
+        """Say whether a moment lies between the start and now."""
+        return (
+            self._started_at is not None
+            and self._started_at <= moment <= self._clock.monotonic()
+        )
+
     def note_current(self, moment: float) -> None:
         """Note that nothing newer had been accepted at a moment.
 
--- a/tests/configuration/deployment.py
+++ b/tests/configuration/deployment.py
@@ -5,6 +5,8 @@
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.consensus import ReplicatedLog
 from burdockdrum.leases import LeaseService
+from burdockdrum.peers import Message
+from burdockdrum.peers import Peers
 from burdockdrum.resources import ChangeResult
 from burdockdrum.resources import Delete
 from burdockdrum.resources import hash_token
@@ -112,6 +114,11 @@
         """Return a control VM's log."""
         return self._find(vm_id, "log", ReplicatedLog)
 
+    def send(self, source: str, target: str, message: Message) -> None:
+        """Send a message from one VM to another."""
+        peers = self._find(source, "peers", Peers)
+        peers.send(self._address(target), message)
+
     def url(self, vm_id: str) -> str:
         """Return the URL at which a VM serves."""
         return f"http://127.0.0.1:{self._ports[vm_id] + 10_000}"
--- a/tests/configuration/test_cut_off.py
+++ b/tests/configuration/test_cut_off.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from burdockdrum.configuration.messages import Update
 from burdockdrum.resources import hash_token
 from burdockdrum.testing import run_virtual
 from burdockdrum.verdicts import Refusal
@@ -162,6 +163,38 @@
 
         self.run_deployment(scenario)
 
+    def test_answer_from_before_the_restart_proves_nothing(self):
+        # The VM's machine reboots, and its monotonic clock begins anew. An
+        # answer to what it asked before comes late; by the new clock it was
+        # asked in the future. Taking it for current knowledge, the VM would
+        # serve a revision older than one that it had served.
+        async def scenario(deployment):
+            old = deployment.configuration("s1.3").current
+            asked_at = asyncio.get_running_loop().time() + 1000
+            deployment.cut(["s1.3"])
+            await deployment.restart("s1.3")
+            await asyncio.sleep(1)
+            late = Update(
+                revision=old.revision,
+                digest=old.digest,
+                echo=asked_at,
+                age=0.0,
+                known=True,
+                resources=list(old.resources_by_key.values()),
+            )
+            service = deployment.configuration("s1.3")
+            network = deployment.cluster.network
+            network.set_link("s1.2", "s1.3", both=False, cut=False)
+            deployment.send("s1.2", "s1.3", late)
+            await asyncio.sleep(0.1)
+            deployment.cut(["s1.3"])
+            self.assertEqual(old.revision, service.current.revision)
+            self.assertFalse(service.known)
+            await asyncio.sleep(10)
+            self.assert_refuses(deployment, "s1.3")
+
+        self.run_deployment(scenario)
+
     def test_whole_data_centre_restarts_cut_off(self):
         # All VMs of a cut-off data centre restart, the control VM too. Its
         # disk holds the log but not how far it was agreed, so nobody there
