--- a/tests/consensus/test_histories.py
+++ b/tests/consensus/test_histories.py
@@ -57,7 +57,15 @@
         # 6055: a learner was made a voter and lost power before it heard so.
         # Another VM's disk was lost; the learner waited for a leader before
         # it voted, and so none could be elected.
-        for plan in (Plan(seed=1175, size=5), Plan(seed=6055)):
+        # 30059, 30138: a member restarted that had not heard of a replaced
+        # one, and the only other that it knew lost its disk. It waited to be
+        # told by that one what it had seen, and its vote was needed.
+        for plan in (
+            Plan(seed=1175, size=5),
+            Plan(seed=6055),
+            Plan(seed=30059),
+            Plan(seed=30138),
+        ):
             with self.subTest(plan=plan):
                 run_history(plan)
 
@@ -120,11 +128,11 @@
 
         honest = LogSettings.lease_seconds
         honest_watch = Leadership._watch_quorum
-        LogSettings.lease_seconds = 4.0
+        LogSettings.lease_seconds = 30.0
         Leadership._watch_quorum = watch_nothing
         self.addCleanup(setattr, LogSettings, "lease_seconds", honest)
         self.addCleanup(setattr, Leadership, "_watch_quorum", honest_watch)
-        faults = ("cut_off", "heal")
+        faults = ("cut_off", "cut_off", "heal")
         plans = [Plan(seed=seed, faults=faults) for seed in range(10, 30)]
         self.assert_caught(plans, "leases held at once")
 
