--- a/scripts/bench/membership.py
+++ b/scripts/bench/membership.py
@@ -26,6 +26,8 @@
 from docopt import docopt
 from loguru import logger
 
+from burdockdrum.endpoints import PrefixCache
+from burdockdrum.endpoints import PREFIXES_AN_ENDPOINT
 from burdockdrum.testing import run_virtual
 from tests.vms.bed import Bed
 
@@ -199,6 +201,18 @@
     await bed.stop()
 
 
+def show_cache_memory() -> None:
+    """Print the memory of the prefixes of all endpoints, when full."""
+    rng = random.Random(1)
+    tracemalloc.start()
+    caches = [PrefixCache() for _ in range(ENDPOINTS)]
+    for cache in caches:
+        cache.add(rng.getrandbits(32) for _ in range(PREFIXES_AN_ENDPOINT))
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    print(f"{ENDPOINTS} full prefix caches: {held / 1024:.0f} KB")
+
+
 def show_costs(seconds: float) -> None:
     """Print the costs as VMs and endpoints grow."""
     print("VMS ENDPOINTS" + HEADER)
@@ -208,6 +222,7 @@
     print("VMS ENDPOINTS  MEMORY a VM")
     for vms, endpoints in ((4, 40), (8, 80), (17, 40), (17, 160)):
         run_virtual(measure_memory(vms, endpoints))
+    show_cache_memory()
 
 
 async def measure_data_centres(count: int, seconds: float) -> None:
