Hand out the rest of the changes after a record that can't be read

A record in a form of a newer version raised in its handler: the records after it in the same tick were lost for good, since the sequence had moved on.

--- a/burdockdrum/vms/group.py
+++ b/burdockdrum/vms/group.py
@@ -354,7 +354,18 @@
             if handler is None:
                 continue
             dropped = bytes(record.value) == bytes(NIL)
-            handler(vm_id, record.key, None if dropped else record.value)
+            try:
+                handler(vm_id, record.key, None if dropped else record.value)
+            except msgspec.MsgspecError as error:
+                # A newer version may publish what this one can't read. The
+                # rest of the changes has to get through all the same: they
+                # are not sent again.
+                logger.warning(
+                    "{} published topic {} in a form unknown here: {}",
+                    vm_id,
+                    record.topic,
+                    error,
+                )
 
     def _take_own_record(
         self, vm_id: str, key: int, value: msgspec.Raw | None
