--- a/burdockdrum/consensus/leadership.py
+++ b/burdockdrum/consensus/leadership.py
@@ -6,6 +6,7 @@
 from burdockdrum.consensus.interface import NotAccepted
 from burdockdrum.consensus.interface import NotCurrent
 from burdockdrum.consensus.interface import Role
+from burdockdrum.consensus.lease import Lease
 from burdockdrum.consensus.membership import Configuration
 from burdockdrum.consensus.membership import Member
 from burdockdrum.consensus.messages import LeadReply
@@ -16,6 +17,7 @@
 from burdockdrum.consensus.replication import Replicator
 from burdockdrum.consensus.signals import Signal
 from burdockdrum.consensus.signals import wait_for_any
+from burdockdrum.consensus.signals import wait_until
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Peers
 
@@ -30,7 +32,7 @@
         self._replicators_by_id: dict[str, Replicator] = {}
         self._tasks_by_id: dict[str, asyncio.Task] = {}
         self._first_index = 0
-        self._began_at = -math.inf
+        self.lease = Lease(replica=replica, heard_at=self._heard_at)
         self._progressed = Signal()
 
     async def run(self) -> None:
@@ -38,7 +40,7 @@
         replica = self._replica
         self._replicators_by_id.clear()
         self._tasks_by_id.clear()
-        self._began_at = replica.clock.monotonic()
+        self.lease.begin()
         replica.leader_id = replica.vm_id
         replica.set_role(Role.LEADER)
         replica.timeline.record("leader.elected", term=replica.storage.term)
@@ -55,7 +57,7 @@
             while replica.role is Role.LEADER:
                 self._match_tasks(group)
                 await wait_for_any(replica.send_wanted, replica.role_changed)
-            replica.note_quorum(self.quorum_heard_at)
+            replica.note_quorum(self.lease.quorum_heard_at)
             for task in [*tasks, *self._tasks_by_id.values()]:
                 task.cancel()
 
@@ -65,8 +67,7 @@
         replica = self._replica
         if replica.role is not Role.LEADER or replica.transferring:
             return False
-        ends_at = self.quorum_heard_at + replica.settings.lease_seconds
-        return replica.clock.monotonic() < ends_at
+        return self.lease.is_valid
 
     @property
     def is_current(self) -> bool:
@@ -77,24 +78,21 @@
         )
 
     @property
-    def quorum_heard_at(self) -> float:
-        """Return when the last request that a quorum answered was sent."""
-        now = self._replica.clock.monotonic()
-        configuration = self._replica.configuration
-        times = [
-            now if self._is_self(member) else self._heard_at(member)
-            for member in configuration.voters
-        ]
-        times.sort(reverse=True)
-        return times[configuration.quorum - 1] if times else -math.inf
+    def is_full(self) -> bool:
+        """Say whether too much waits to be committed for more to be taken."""
+        replica = self._replica
+        waiting = replica.storage.last_index - replica.commit_index
+        return waiting >= replica.settings.max_uncommitted_entries
 
     def append_command(self, command: bytes) -> Entry:
         """Add a command to the log.
 
         :raises NotAccepted: if this member does not lead, or is about to
-            stop
+            stop, or too much waits to be committed
         """
         replica = self._replica
+        if self.is_full:
+            raise NotAccepted("too many changes wait for a quorum")
         if replica.role is not Role.LEADER or replica.transferring:
             raise NotAccepted(f"{replica.vm_id} does not lead")
         return replica.append(EntryKind.COMMAND, command)
@@ -117,7 +115,7 @@
         for replicator in self._replicators_by_id.values():
             replicator.wanted_at = asked_at
         replica.send_wanted.fire()
-        while self.quorum_heard_at < asked_at:
+        while self.lease.quorum_heard_at < asked_at:
             await self._progressed.wait()
             self._check_leads(term)
         return index
@@ -170,7 +168,7 @@
             and target.match_index < replica.storage.last_index
             and replica.clock.monotonic() < deadline
         ):
-            await self._progressed.wait_until(replica.clock, deadline)
+            await wait_until(replica.clock, deadline, self._progressed)
 
     async def _ask_to_lead(self, member: Member) -> None:
         replica = self._replica
@@ -227,6 +225,7 @@
                     replica=replica,
                     peers=self._peers,
                     member=member,
+                    next_index=self._first_index,
                     progressed=self._progressed,
                 )
                 self._replicators_by_id[vm_id] = replicator
@@ -250,8 +249,8 @@
         timeout = replica.settings.election_timeout_seconds
         while True:
             await replica.clock.sleep(replica.settings.heartbeat_seconds)
-            heard_at = max(self.quorum_heard_at, self._began_at)
-            if replica.clock.monotonic() - heard_at > timeout:
+            self.lease.notice_suspension()
+            if self.lease.silent_seconds > timeout:
                 replica.step_down("no quorum answers")
 
     def _advance_commit(self) -> None:
--- a/burdockdrum/consensus/log.py
+++ b/burdockdrum/consensus/log.py
@@ -20,13 +20,11 @@
 from burdockdrum.consensus.interface import LogSettings
 from burdockdrum.consensus.interface import NotAccepted
 from burdockdrum.consensus.interface import NotCurrent
-from burdockdrum.consensus.interface import OutcomeUnknown
 from burdockdrum.consensus.interface import Role
 from burdockdrum.consensus.interface import StateMachine
 from burdockdrum.consensus.leadership import Leadership
-from burdockdrum.consensus.membership import Configuration
+from burdockdrum.consensus.member_changes import MemberChanges
 from burdockdrum.consensus.membership import Member
-from burdockdrum.consensus.records import Entry
 from burdockdrum.consensus.replica import Replica
 from burdockdrum.consensus.snapshot import SnapshotStore
 from burdockdrum.consensus.storage import Storage
@@ -63,6 +61,11 @@
         self._metrics = metrics
         self._state_machine = state_machine
         self._settings = settings
+        self._propose_seconds = metrics.histogram(
+            "burdockdrum_log_propose_seconds",
+            "Time from a proposal to its outcome.",
+        )
+        self._add_gauges(metrics)
         self._listeners: list[Callable[[int], None]] = []
         self._replica: Replica | None = None
         self._started = asyncio.Event()
@@ -145,7 +148,7 @@
         if replica is None:
             return None
         if replica.role is Role.LEADER:
-            replica.note_quorum(self._leadership.quorum_heard_at)
+            replica.note_quorum(self._leadership.lease.quorum_heard_at)
         return replica.contact_age
 
     def add_listener(self, callback: Callable[[int], None]) -> None:
@@ -169,7 +172,18 @@
             )
         if self._replica is None:
             raise NotAccepted("the log is not open yet")
-        return await self._forwarding.propose(command, timeout)
+        began = self._clock.monotonic()
+        outcome = "unknown"
+        try:
+            applied = await self._forwarding.propose(command, timeout)
+            outcome = "applied"
+            return applied
+        except NotAccepted:
+            outcome = "refused"
+            raise
+        finally:
+            took = self._clock.monotonic() - began
+            self._propose_seconds.record(took, outcome=outcome)
 
     async def read_barrier(self, *, timeout: float) -> int:
         """Wait until all that was acknowledged before is applied here.
@@ -187,46 +201,47 @@
     ) -> None:
         """Add a VM as a learner; it counts once it holds the log.
 
-        Only on the leader. A VM that came back with another disk has to be
+        A VM that came back with another disk has to be
         removed first, so that the two never count at once.
 
         :raises NotAccepted: if nothing was changed
         :raises OutcomeUnknown: if the change may yet come into effect
         """
-        configuration = self._configuration_to_change()
-        known = configuration.find(vm_id)
-        if known is not None and known.disk_id == disk_id:
-            return
-        if known is not None:
-            raise NotAccepted(
-                f"{vm_id} is a member with disk {known.disk_id}: remove it "
-                "before it is added with another"
-            )
-        member = Member(
+        learner = Member(
             vm_id=vm_id, address=address, disk_id=disk_id, voter=False
         )
-        await self._change(configuration.with_member(member), timeout)
+        await self._change_members(vm_id, learner, timeout)
 
     async def remove_member(
         self, vm_id: str, *, timeout: float = 10.0
     ) -> None:
-        """Remove a VM. Only on the leader.
+        """Remove a VM, by its id.
 
         :raises NotAccepted: if nothing was changed
         :raises OutcomeUnknown: if the change may yet come into effect
         """
-        configuration = self._configuration_to_change()
-        if configuration.find(vm_id) is None:
-            return
-        if [voter.vm_id for voter in configuration.voters] == [vm_id]:
-            raise NotAccepted("the last voter can't be removed")
-        await self._change(configuration.without(vm_id), timeout)
+        await self._change_members(vm_id, None, timeout)
 
     async def step_aside(self) -> None:
         """Hand leadership on; call it before a shutdown."""
         if self._replica is not None:
             await self._leadership.hand_over()
 
+    def _add_gauges(self, metrics: Metrics) -> None:
+        gauges: list[tuple[str, str, Callable[[], float]]] = [
+            ("term", "The term of the log.", lambda: self.term),
+            ("commit_index", "Entries committed.", lambda: self.commit_index),
+            ("applied_index", "Entries applied.", lambda: self.applied_index),
+            ("leads", "1 on the leader, else 0.", lambda: self.is_leader),
+            (
+                "halted",
+                "1 if this VM stepped aside, else 0.",
+                lambda: self.halt_reason is not None,
+            ),
+        ]
+        for name, help_text, read in gauges:
+            metrics.gauge(f"burdockdrum_log_{name}", help_text, read)
+
     async def _open(self) -> None:
         identity = await IdentityFile.open(
             disk=self._disk, vm_id=self._settings.vm_id, rng=self._rng
@@ -282,6 +297,12 @@
             leadership=self._leadership,
             peers=peers,
         )
+        self._member_changes = MemberChanges(
+            replica=replica,
+            applier=self._applier,
+            leadership=self._leadership,
+            peers=peers,
+        )
         # The handlers register themselves and live as long as peers does.
         Voting(replica=replica, founding=self._founding, peers=peers)
         Following(
@@ -305,17 +326,9 @@
             replica.adopt_founding()
             await self._founding.changed.wait()
 
-    def _configuration_to_change(self) -> Configuration:
-        if self._replica is None or self._replica.role is not Role.LEADER:
-            raise NotAccepted(f"{self._settings.vm_id} does not lead")
-        return self._replica.configuration
-
-    async def _change(
-        self, configuration: Configuration, timeout: float
+    async def _change_members(
+        self, vm_id: str, learner: Member | None, timeout: float
     ) -> None:
-        entry: Entry = self._leadership.change_members(configuration)
-        try:
-            async with asyncio.timeout(timeout):
-                await self._applier.expect(entry)
-        except TimeoutError:
-            raise OutcomeUnknown("the change of members may follow") from None
+        if self._replica is None:
+            raise NotAccepted("the log is not open yet")
+        await self._member_changes.change(vm_id, learner, timeout)
--- a/burdockdrum/requests/attempts.py
+++ b/burdockdrum/requests/attempts.py
@@ -15,6 +15,7 @@
 from burdockdrum.ports import AnswerLost
 from burdockdrum.ports import UpstreamAnswer
 from burdockdrum.requests.events import is_of_other
+from burdockdrum.requests.silence import SilenceTimer
 from burdockdrum.routing import Attempt
 from burdockdrum.routing import AttemptOutcome
 from burdockdrum.verdicts import Refusal
@@ -26,7 +27,7 @@
 VERDICT_HEADER = "x-verdict"
 REQUEST_ID_HEADER = "x-request-id"
 DRAIN_SECONDS = 0.5
-MAX_WHOLE_BYTES = 8 * 1024 * 1024
+MAX_WHOLE_BYTES = 4 * 1024 * 1024
 # What an overloaded or failing server answers before it does the work.
 RETRYABLE_STATUSES = frozenset({429, 500, 502, 503, 504})
 
@@ -94,6 +95,7 @@
         self.attempt_id = attempt_id.encode()
         self._answer = answer
         self._silence_seconds = silence_seconds
+        self._silence = SilenceTimer()
         self._parts: AsyncIterator[bytes] = aiter(answer.chunks())
         # A refusal of another entry VM bears an id of its own.
         if VERDICT_HEADER not in answer.headers:
@@ -105,13 +107,17 @@
         :param seconds: until the deadline
         :raises AttemptFailed: if it breaks, or is silent for too long
         """
+        self._silence.begin(min(seconds, self._silence_seconds))
         try:
-            async with asyncio.timeout(min(seconds, self._silence_seconds)):
-                part = await anext(self._parts, None)
-        except TimeoutError:
+            part = await anext(self._parts, None)
+        except asyncio.CancelledError:
+            if not self._silence.absorb():
+                raise
             raise fail_silent("nothing came in the middle") from None
         except AnswerLost as error:
             raise fail_lost(error) from error
+        finally:
+            self._silence.end()
         if part is not None and isinstance(self.place, ToEndpointPlace):
             self.place.attempt.note_first_token()
         return part
@@ -122,20 +128,35 @@
         :param seconds: how long that may take
         :raises AttemptFailed: if it breaks, is late or is too large
         """
-        parts = []
+        body, ended = await self.read_start(seconds, MAX_WHOLE_BYTES)
+        if not ended:
+            raise _fail_too_large()
+        return body
+
+    async def read_start(
+        self, seconds: float, limit: int
+    ) -> tuple[bytes, bool]:
+        """Read a body up to a size, and say whether it has ended.
+
+        :param seconds: how long that may take
+        :param limit: in bytes; one part more may be returned
+        :raises AttemptFailed: if it breaks or is late
+        """
+        parts: list[bytes] = []
         size = 0
         try:
             async with asyncio.timeout(seconds):
-                async for part in self._parts:
+                while size <= limit:
+                    part = await anext(self._parts, None)
+                    if part is None:
+                        return b"".join(parts), True
                     parts.append(part)
                     size += len(part)
-                    if size > MAX_WHOLE_BYTES:
-                        raise _fail_too_large()
         except TimeoutError:
             raise fail_silent("the answer was not whole in time") from None
         except AnswerLost as error:
             raise fail_lost(error) from error
-        return b"".join(parts)
+        return b"".join(parts), False
 
     def check_owner(self, content: bytes) -> None:
         """Check that a part of the answer is this attempt's own.
@@ -166,6 +187,7 @@
 
     async def close(self) -> None:
         """Close the connection unless the body was read to its end."""
+        self._silence.stop()
         await self._answer.close()
 
     def _check_id(self, value: str | None) -> None:
--- a/tests/requests/stack.py
+++ b/tests/requests/stack.py
@@ -47,7 +47,9 @@
 
     ``crash_on`` is a content on which it dies in the middle of an answer,
     with everything else that it runs. ``cut_after`` ends streams without
-    the marker after so many tokens, ``silent`` never answers.
+    the marker after so many tokens, ``stall_after`` leaves them open and
+    sends nothing more, ``silent`` never answers. ``parts`` is the length
+    of a plain service's large body.
     """
 
     name: str
@@ -57,6 +59,9 @@
     cut_after: int | None = None
     cut_clean: bool = False
     silent: bool = False
+    parts: int = 0
+    parts_made: int = 0
+    stall_after: int | None = None
     status: int = 200
     body: bytes = b"{}"
     seconds: float = 0.01
@@ -108,7 +113,7 @@
                 "connection": "keep-alive",
                 "etag": '"7"',
             },
-            body=self.body,
+            body=self.large() if self.parts else self.body,
         )
 
     def crash(self):
@@ -117,6 +122,14 @@
         self.crashed.set()
         self.crashed = asyncio.Event()
 
+    async def large(self):
+        """Yield a large body, in parts of 10 kB."""
+        for number in range(1, self.parts + 1):
+            yield b"x" * 10_000
+            self.parts_made = number
+            if self.cut_after == number:
+                raise AnswerLost("reset by peer")
+
     async def stream(self, call, request_id):
         """Yield the events from the offset asked for."""
         start = int(call.headers.get("x-resume-offset", 0))
@@ -130,6 +143,8 @@
                 if crashed.is_set():
                     raise AnswerLost("reset by peer")
                 yield event(request_id, number, f"t{number} ")
+                if self.stall_after == number:
+                    await asyncio.sleep(10_000)
                 if self.cut_after == number:
                     self.cut_after = None
                     if self.cut_clean:
@@ -325,7 +340,9 @@
             {"idempotency-key": key, **(headers or {})},
         )
         body = await self.read(answer)
-        return Booked(answer.status, answer.headers.get("x-verdict"), body)
+        headers = answer.headers
+        verdict = headers.get("x-verdict")
+        return Booked(answer.status, verdict, body, headers)
 
     async def stop(self):
         """Stop everything."""
@@ -341,6 +358,7 @@
     status: int
     verdict: str | None
     body: bytes
+    headers: dict
 
     @property
     def code(self) -> str:
--- a/tests/requests/test_streams.py
+++ b/tests/requests/test_streams.py
@@ -76,6 +76,22 @@
         # only the end to give, and no token comes twice.
         self.check_resumed(cut_after=6)
 
+    def test_stream_that_stalls_is_resumed_and_cancelled(self):
+        # The engine keeps the connection open and sends nothing more after
+        # three tokens. After the limit the stream goes on elsewhere, and
+        # the first engine is told that nobody waits.
+        async def scenario(stack):
+            stalled = Endpoint(name="e1", stall_after=3)
+            await stack.add_endpoint(stalled, "a1")
+            await stack.add_endpoint(Endpoint(name="e2"), "a1")
+            while not stalled.calls:
+                body = await stack.read(await stack.complete("a1"))
+                self.assertEqual(WHOLE, read_text(body))
+                self.assertEqual(1, body.count(DONE))
+            self.assertEqual(1, len(stalled.cancelled))
+
+        run_with_stack(scenario, "a1")
+
     def test_stream_that_nobody_can_resume_ends_in_an_error(self):
         # The only engine dies after three tokens and stays away. The
         # caller has three tokens; it must be told, and get no marker.
@@ -152,6 +168,31 @@
 
         run_with_stack(scenario, "a1")
 
+    def test_deadline_that_passes_is_named(self):
+        # Nothing comes before the deadline, or the last tokens would come
+        # after it: the caller is told so, when it passes.
+        async def scenario(stack):
+            engine = await stack.add_endpoint(
+                Endpoint(name="e1", silent=True), "a1"
+            )
+            headers = {"x-deadline-seconds": "3"}
+            answer = await stack.complete("a1", headers=headers)
+            body = await stack.read(answer)
+            self.assertEqual(504, answer.status)
+            self.assertIn(b'"deadline"', body)
+            self.assertEqual("may have run", answer.headers["x-verdict"])
+            engine.silent = False
+            engine.token_seconds = 1.0
+            # Routing leaves an endpoint alone that was silent to the end.
+            await asyncio.sleep(10)
+            answer = await stack.complete("a1", headers=headers)
+            body = await stack.read(answer)
+            self.assertIn(b"event: error", body)
+            self.assertIn(b'"deadline"', body)
+            self.assertNotIn(DONE, body)
+
+        run_with_stack(scenario, "a1")
+
     def test_unrepeatable_request_is_not_repeated_after_silence(self):
         # The service takes the booking and says nothing until the
         # deadline. Whether it booked is not known: no second attempt.
@@ -168,6 +209,20 @@
 
         run_with_stack(scenario, "a1")
 
+    def test_unrepeatable_request_is_not_repeated_after_a_break(self):
+        # The service takes the booking and dies. Another one stands ready
+        # and there is time left; the request may have run all the same.
+        async def scenario(stack):
+            services = [Endpoint(name=f"e{n}", crash_on=b"x") for n in (1, 2)]
+            for one in services:
+                await stack.add_endpoint(one, "a1", service="booking")
+            booked = await stack.book("a1", "key", content=b'"x"')
+            self.assertEqual("endpoint_lost", booked.code)
+            self.assertEqual("may have run", booked.verdict)
+            self.assertEqual(1, sum(len(one.calls) for one in services))
+
+        run_with_stack(scenario, "a1")
+
     def test_refused_connection_is_provably_not_run(self):
         # Nothing listens at the service's address: no byte has left, so
         # even an unrepeatable request may say "not run" and come again.
@@ -289,6 +344,15 @@
 
         self.check(parts, "one two", failed=False)
 
+    def test_event_of_another_request_is_not_passed_on(self):
+        # The head is the right one, but an event within the stream bears
+        # another request's id.
+        def parts(request_id):
+            yield event(request_id, 1, "one ")
+            yield event("req-other.00.0", 2, "secret")
+
+        self.check(parts, "one ", failed=True)
+
     def test_marker_within_a_text_is_not_the_end(self):
         # The answer speaks of "data: [DONE]", and the engine then closes.
         def parts(request_id):
--- a/tests/vms/bed.py
+++ b/tests/vms/bed.py
@@ -1,6 +1,7 @@
 """VMs reduced to membership, over the fakes, for tests and measurements."""
 
 import asyncio
+from collections.abc import Callable
 import random
 
 from burdockdrum.endpoints import Announcement
@@ -64,6 +65,7 @@
             clock=self.clock, timeline=self.timeline
         )
         self.services = services
+        self._rng = random.Random(seed)
         self.vms = VmDirectory(
             peers=self.peers,
             clock=self.clock,
@@ -81,6 +83,9 @@
     def summarize(self) -> list[ServiceSummary]:
         live = self.registry.candidates("planner")
         room = sum(e.slots - e.running for e in live)
+        if self.services > 1:
+            # Several services stand for a loaded data centre.
+            room = self._rng.randrange(1000)
         return [
             ServiceSummary(
                 service=f"planner-{number}",
@@ -234,7 +239,9 @@
         endpoint.start()
         return endpoint
 
-    async def wait_until(self, condition, *, limit: float) -> float:
+    async def wait_until(
+        self, condition: Callable[[], bool], *, limit: float
+    ) -> float:
         """Wait for a condition; return the seconds it took.
 
         :raises AssertionError: if it did not come about in time
@@ -247,7 +254,7 @@
             await asyncio.sleep(0.02)
         return loop.time() - started
 
-    def everywhere(self, condition) -> bool:
+    def everywhere(self, condition: Callable[[BedVm], bool]) -> bool:
         return all(condition(vm) for vm in self.vms_by_id.values())
 
     def nobody_offers(self, endpoint_id: str) -> bool:
