--- a/burdockdrum/admission/services.py
+++ b/burdockdrum/admission/services.py
@@ -10,6 +10,7 @@
 from burdockdrum.ports import Clock
 from burdockdrum.routing import Router
 from burdockdrum.settings import Settings
+from burdockdrum.vms import Summaries
 from burdockdrum.vms import VmDirectory
 
 
@@ -30,10 +31,15 @@
 
 
 def _build_admission(kernel: Kernel) -> Admission:
-    return Admission(
+    router = kernel.find("router", Router)
+    admission = Admission(
         clock=kernel.find("clock", Clock),
         configuration=kernel.find("configuration", ConfigurationService),
-        router=kernel.find("router", Router),
+        router=router,
         policy=kernel.find("settings", Settings).policy,
         quotas=kernel.find("quotas", QuotaLedger),
     )
+    summaries = kernel.find("summaries", Summaries)
+    summaries.read_room = router.room
+    summaries.read_queue_seconds = admission.queue_seconds
+    return admission
--- a/burdockdrum/vms/__init__.py
+++ b/burdockdrum/vms/__init__.py
@@ -12,6 +12,7 @@
 from burdockdrum.vms.selection import select_entries
 from burdockdrum.vms.selection import VALID_SECONDS
 from burdockdrum.vms.services import add_services
+from burdockdrum.vms.summaries import Summaries
 
 __all__ = [
     "add_services",
@@ -23,6 +24,7 @@
     "EntryList",
     "select_entries",
     "ServiceSummary",
+    "Summaries",
     "VALID_SECONDS",
     "VmDirectory",
     "VmView",
--- a/burdockdrum/vms/services.py
+++ b/burdockdrum/vms/services.py
@@ -17,19 +17,23 @@
 
 def add_services(kernel: Kernel) -> None:
     """Name the directory of VMs and what tells it of endpoints."""
+    kernel.add("summaries", _build_summaries)
     kernel.add("vms", _build_vms)
     kernel.add("endpoint_sharing", _build_sharing)
     kernel.add("drain", _build_drain)
 
 
-def _build_vms(kernel: Kernel) -> VmDirectory:
-    endpoints = kernel.find("endpoints", EndpointRegistry)
-    configuration = kernel.find("configuration", ConfigurationService)
-    summaries = Summaries(
+def _build_summaries(kernel: Kernel) -> Summaries:
+    return Summaries(
         clock=kernel.find("clock", Clock),
-        configuration=configuration,
-        endpoints=endpoints,
+        configuration=kernel.find("configuration", ConfigurationService),
+        endpoints=kernel.find("endpoints", EndpointRegistry),
     )
+
+
+def _build_vms(kernel: Kernel) -> VmDirectory:
+    configuration = kernel.find("configuration", ConfigurationService)
+    summaries = kernel.find("summaries", Summaries)
     return VmDirectory(
         peers=kernel.find("peers", Peers),
         clock=kernel.find("clock", Clock),
--- a/burdockdrum/vms/summaries.py
+++ b/burdockdrum/vms/summaries.py
@@ -1,5 +1,7 @@
 """What this data centre can take of each service."""
 
+from collections.abc import Callable
+
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.endpoints import EndpointRegistry
 from burdockdrum.ports import Clock
@@ -30,6 +32,10 @@
         self._clock = clock
         self._configuration = configuration
         self._endpoints = endpoints
+        # Set once the router and the admission exist, which need the VMs:
+        # they know own requests in flight and the line, reports don't.
+        self.read_room: Callable[[str], float] | None = None
+        self.read_queue_seconds: Callable[[str], float] | None = None
         self._summaries: list[ServiceSummary] = []
         self._made_at = float("-inf")
 
@@ -54,7 +60,17 @@
             service=name,
             endpoints=len(live),
             slots=slots,
-            room=max(0, slots - running - waiting),
-            queue_seconds=queue,
+            room=self._estimate_room(name, slots - running - waiting),
+            queue_seconds=self._estimate_queue(name, queue),
             warmth=len(warm) / len(live) if live else 0.0,
         )
+
+    def _estimate_room(self, name: str, reported: int) -> int:
+        if self.read_room is None:
+            return max(0, reported)
+        return int(self.read_room(name))
+
+    def _estimate_queue(self, name: str, reported: float) -> float:
+        if self.read_queue_seconds is None:
+            return reported
+        return self.read_queue_seconds(name)
