Keep a keeper with a failed disk away from the others

It would have begun epoch after epoch, in which the others refuse keys from before; a disk that failed at the start ended the whole VM.

--- a/burdockdrum/claims/keeper.py
+++ b/burdockdrum/claims/keeper.py
@@ -17,6 +17,7 @@
 
 from collections.abc import Iterator
 
+from loguru import logger
 import msgspec
 
 from burdockdrum.claims.book import ClaimBook
@@ -77,14 +78,22 @@
         self._formed_at = 0.0
         self._new_clients: set[str] = set()
 
-    async def load(self) -> None:
-        """Take up what the disk kept; a keeper that was ready is again.
+    @property
+    def broken(self) -> bool:
+        """Say whether the disk has failed: it won't vote until a restart."""
+        return self._log is not None and self._log.broken
 
-        :raises DiskError: if the disk can't be used
-        """
+    async def load(self) -> None:
+        """Take up what the disk kept; a keeper that was ready is again."""
         if self._log is None:
             return
-        for entry in await self._log.load():
+        try:
+            entries = await self._log.load()
+        except DiskError:
+            self._log.broken = True
+            self._step_aside()
+            return
+        for entry in entries:
             match entry:
                 case Put(record=record):
                     self.book.put(record)
@@ -184,7 +193,7 @@
         await self._write(Entered(epoch=epoch, formed_at=formed_at))
         for client_id in sorted(new_clients):
             await self._write(ClientSeen(client_id=client_id))
-        self.ready = self._log is None or not self._log.broken
+        self.ready = not self.broken
         self._timeline.record("claims.keeper_ready", epoch=epoch.number)
 
     def note_incarnations(self, incarnations: dict[str, int]) -> None:
@@ -204,7 +213,7 @@
         self._formed_at = call.formed_at
         self.ready = False
         await self._write(Entered(epoch=call.epoch, formed_at=call.formed_at))
-        self.ready = self._log is None or not self._log.broken
+        self.ready = not self.broken
         self._timeline.record("claims.epoch_entered", epoch=call.epoch.number)
         return EpochReply(accepted=self.ready, epoch=self.epoch)
 
@@ -260,8 +269,8 @@
     def _step_aside(self) -> None:
         # What was not synced may be gone after a restart: a vote on it
         # would be forgotten, and the request could run twice.
-        if self.ready:
-            self._timeline.record("claims.keeper_stepped_aside")
+        logger.error("the disk failed: this VM keeps no claims any more")
+        self._timeline.record("claims.keeper_stepped_aside")
         self.ready = False
 
     def _entries(self) -> Iterator[Entry]:
--- a/burdockdrum/claims/recovery.py
+++ b/burdockdrum/claims/recovery.py
@@ -66,8 +66,12 @@
         }
 
     async def run(self) -> None:
-        """Recover, and again whenever the others have moved on."""
-        while True:
+        """Recover, and again whenever the others have moved on.
+
+        A keeper whose disk failed stays away: it could only disturb the
+        others with new epochs.
+        """
+        while not self._keeper.broken:
             await self._recover()
             await self._clock.sleep(CHECK_SECONDS)
             found = await self._ask_all(after=_END)
@@ -80,7 +84,7 @@
     async def _recover(self) -> None:
         started_at = self._clock.monotonic()
         rounds = 0
-        while not self._keeper.ready:
+        while not self._keeper.ready and not self._keeper.broken:
             found = await self._ask_all(after=0)
             if self._keeper.ready or await self._try_to_adopt(found):
                 return
--- a/scripts/bench/requests.py
+++ b/scripts/bench/requests.py
@@ -3,7 +3,7 @@
 Usage: requests [--seconds S]
 
 Options:
-  --seconds S  Length of each of the five phases [default: 6].
+  --seconds S  Length of each of the seven phases [default: 4].
 
 Starts one daemon, one engine and one plain service on loopback and sends
 each sort of request in turns through the daemon and directly, so that both
@@ -34,7 +34,7 @@
 
 STREAM_TOKENS = 100
 WHOLE_CALLERS = 4
-STREAM_CALLERS = 16
+STREAM_CALLERS = (4, 16, 64)
 SETTLE_SECONDS = 5.0
 _TICKS = os.sysconf("SC_CLK_TCK")
 
@@ -123,8 +123,9 @@
         through = await self._load(self._complete(gateway), WHOLE_CALLERS)
         direct = await self._load(self._complete(engine), WHOLE_CALLERS)
         self._print("whole completion", through, direct)
-        through = await self._load(self._stream(gateway), STREAM_CALLERS)
-        self._print("stream", through, None)
+        for callers in STREAM_CALLERS:
+            through = await self._load(self._stream(gateway), callers)
+            self._print(f"{callers} streams", through, None)
         await self._http.close()
 
     def _print(self, name: str, through: Load, direct: Load | None) -> None:
@@ -136,7 +137,8 @@
         )
         if through.tokens:
             micros = 1e6 * through.cpu_seconds / through.tokens
-            line += f", {micros:.0f} us CPU a token"
+            rate = through.tokens / through.seconds
+            line += f", {micros:.0f} us CPU a token at {rate:.0f} a second"
         if direct is not None:
             line += f", {1000 / per_request:.0f} a core and second"
             for share in (0.5, 0.99):
@@ -234,7 +236,7 @@
             region="north",
             service="planner",
             slots=64,
-            token_seconds=0.01,
+            token_seconds=0.02,
         ),
         EndpointPlan(
             endpoint_id="roster", region="north", service="roster", plain=True
--- a/tests/claims/test_keeper.py
+++ b/tests/claims/test_keeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import types
 import unittest
 
 from burdockdrum.claims.book import ClaimBook
@@ -21,6 +22,7 @@
 from burdockdrum.claims.messages import VoteOutcome
 from burdockdrum.claims.messages import VoteReply
 from burdockdrum.claims.recovery import majority
+from burdockdrum.claims.recovery import Recovery
 from burdockdrum.claims.recovery import responders_needed
 from burdockdrum.claims.tickets import make_ticket
 from burdockdrum.peers import VmIdentity
@@ -33,6 +35,16 @@
 EPOCH = Epoch(1, "a")
 
 
+IDENTITY = VmIdentity(
+    vm_id="a",
+    incarnation=1,
+    region="north",
+    data_centre="north",
+    control_address="tcp://127.0.0.1:1",
+    http_address="http://127.0.0.1:2",
+)
+
+
 def make_record(key="key", owner="req-1", **changes):
     return ClaimRecord(
         client_id="crew",
@@ -47,16 +59,8 @@
 
 def make_keeper(disk, compact_bytes):
     clock = VirtualClock()
-    identity = VmIdentity(
-        vm_id="a",
-        incarnation=1,
-        region="north",
-        data_centre="north",
-        control_address="tcp://127.0.0.1:1",
-        http_address="http://127.0.0.1:2",
-    )
     return Keeper(
-        identity=identity,
+        identity=IDENTITY,
         clock=clock,
         timeline=Timeline(
             process="a", incarnation=1, clock=HybridClock(clock=clock)
@@ -121,6 +125,38 @@
 
         run_virtual(main())
 
+    def test_keeper_with_a_failed_disk_begins_no_epochs(self):
+        # Its votes don't last, and the others would be driven from epoch to
+        # epoch, in which keys from before are refused.
+        async def main():
+            disk = FakeDisk(rng=random.Random(1))
+            keeper = await start(disk, form=True)
+            disk.fail_syncs = True
+            await vote(keeper)
+            recovery = Recovery(
+                keeper=keeper,
+                peers=types.SimpleNamespace(identity=IDENTITY),
+                clock=VirtualClock(),
+                addresses_by_id={"a": IDENTITY.control_address},
+            )
+            async with asyncio.timeout(60):
+                await recovery.run()
+            self.assertEqual(EPOCH, keeper.epoch)
+            self.assertFalse(keeper.ready)
+
+        run_virtual(main())
+
+    def test_disk_that_fails_at_the_start_is_no_empty_one(self):
+        async def main():
+            disk = FakeDisk(rng=random.Random(1))
+            disk.fail_syncs = True
+            keeper = await start(disk)
+            self.assertTrue(keeper.broken)
+            outcome = await vote(keeper)
+            self.assertEqual(VoteOutcome.NOT_READY, outcome)
+
+        run_virtual(main())
+
     def test_cancelled_sync_is_not_taken_for_done(self):
         # Two votes share a sync, and the task of the first is cancelled in
         # the middle of it. The second must not be told that it lasts.
