--- a/burdockdrum/configuration/messages.py
+++ b/burdockdrum/configuration/messages.py
@@ -23,13 +23,15 @@
 class Proposed(Message, frozen=True, kw_only=True):
     """What became of a proposed change.
 
-    Without a result, ``may_apply`` says whether the change may have been
-    accepted or may be yet.
+    ``leader_id`` is a hint whom to ask the next time. Without a result,
+    ``may_apply`` says whether the change may have been accepted or may be
+    yet.
     """
 
     result: ChangeResult | None = None
     may_apply: bool = False
     reason: str = ""
+    leader_id: str | None = None
 
 
 class Report(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -52,7 +54,7 @@
 
     ``sent_at`` is of the follower's clock and comes back in the updates.
     ``content`` asks for the changes after ``revision``, ``snapshot`` for
-    everything.
+    everything. ``control_digest`` tells which control VMs it knows.
     """
 
     revision: int
@@ -61,6 +63,7 @@
     content: bool = True
     snapshot: bool = False
     report: Report | None = None
+    control_digest: int = 0
 
 
 class Update(Message, frozen=True, kw_only=True, array_like=True):
@@ -69,7 +72,8 @@
     ``age`` is how many seconds ago a control VM knew that nothing newer had
     been accepted, as far as the source knows; None if it never heard.
     ``known`` says that the source itself serves by this revision. ``echo``
-    is the ``sent_at`` of the follower's last message.
+    is the ``sent_at`` of the follower's last message. ``control_addresses``
+    are those of the control VMs by id, if the follower knows others.
     """
 
     revision: int
@@ -80,6 +84,7 @@
     changes: list[Revised] = []
     resources: list[Resource] | None = None
     vm_ids_digest: int = 0
+    control_addresses: dict[str, str] | None = None
 
 
 class InForceQuery(Message, frozen=True, kw_only=True):
--- a/burdockdrum/consensus/replica.py
+++ b/burdockdrum/consensus/replica.py
@@ -49,6 +49,8 @@
         self.leader_id: str | None = None
         self.commit_index = 0
         self.transferring = False
+        # Whether a candidate has not yet raised its term.
+        self.in_trial = False
         # Whether this member votes and counts; see the module ``witness``.
         self.admitted = False
         # Whether all that the leader knows committed is on the synced disk.
@@ -56,6 +58,8 @@
         self.halt_reason: str | None = None
         # Told of what other disks acknowledge: disk id, term, index.
         self.acknowledged: Callable[[str, int, int], None] = _ignore
+        # Told of who stands for election: disk id and address.
+        self.contacted: Callable[[str, str], None] = _ignore
         # Told of the first entry that another takes away: index and term.
         self.replaced: Callable[[int, int], None] = _ignore
         self.role_changed = Signal()
@@ -93,6 +97,14 @@
             return Role.WAITING
         return self._role
 
+    @property
+    def leader_address(self) -> str | None:
+        """Return where the leader is reached, if another VM leads."""
+        if self.leader_id is None or self.leader_id == self.vm_id:
+            return None
+        member = self.configuration.find(self.leader_id)
+        return member.address if member else None
+
     @property
     def is_voter(self) -> bool:
         """Say whether this VM with this disk counts."""
@@ -136,6 +148,11 @@
             now - self._contact_at < timeout
         )
 
+    def put_off_election(self) -> None:
+        """Leave others an election timeout from now to be elected."""
+        now = self.clock.monotonic()
+        self.election_reset_at = max(self.election_reset_at, now)
+
     def set_role(self, role: Role) -> None:
         """Change what this member does and wake those who wait for it."""
         if role is not self._role:
