--- a/scripts/bench/memory.py
+++ b/scripts/bench/memory.py
@@ -23,6 +23,7 @@
 from burdockdrum.system_ports import SystemClock
 from burdockdrum.timeline import HybridClock
 from burdockdrum.timeline import Timeline
+from scripts.bench.requests import Measurement
 from scripts.cluster import Cluster
 from scripts.cluster import EndpointPlan
 from scripts.cluster import VmPlan
@@ -43,7 +44,7 @@
 
 async def measure_daemon() -> tuple[float, float]:
     """Return an idle daemon's resident bytes, and those of a stream."""
-    plan = VmPlan(vm_id="first", region="north", control=True)
+    plan = VmPlan(vm_id="entry", region="north", control=True)
     engine = EndpointPlan(
         endpoint_id="engine",
         region="north",
@@ -52,19 +53,18 @@
         token_seconds=1.0,
     )
     async with Cluster(vms=[plan], endpoints=[engine]) as cluster:
-        load = Load(cluster)
-        await load.configure()
-        await load.stream()
-        await asyncio.sleep(SETTLE_SECONDS)
-        process = cluster.processes_by_name["first"]
+        measurement = Measurement(cluster=cluster, seconds=0)
+        await measurement.prepare()
+        stream = measurement.stream(cluster.entry_urls[0])
+        process = cluster.processes_by_name["entry"]
         idle = resident_bytes(process.pid)
-        streams = [asyncio.create_task(load.stream()) for _ in range(STREAMS)]
+        streams = [asyncio.ensure_future(stream()) for _ in range(STREAMS)]
         await asyncio.sleep(SETTLE_SECONDS)
         busy = resident_bytes(process.pid)
-        still_open = sum(not stream.done() for stream in streams)
+        still_open = sum(not task.done() for task in streams)
         assert still_open == STREAMS, f"only {still_open} streams are open"
-        for stream in streams:
-            stream.cancel()
+        for task in streams:
+            task.cancel()
         await asyncio.gather(*streams, return_exceptions=True)
         return idle, (busy - idle) / STREAMS
 
--- a/scripts/bench/requests.py
+++ b/scripts/bench/requests.py
@@ -124,7 +124,7 @@
         direct = await self._load(self._complete(engine), WHOLE_CALLERS)
         self._print("whole completion", through, direct)
         for callers in STREAM_CALLERS:
-            through = await self._load(self._stream(gateway), callers)
+            through = await self._load(self.stream(gateway), callers)
             self._print(f"{callers} streams", through, None)
         await self._http.close()
 
@@ -192,7 +192,8 @@
 
         return send
 
-    def _stream(self, url: str) -> Send:
+    def stream(self, url: str) -> Send:
+        """Return what reads one stream to its end, and counts its tokens."""
         body = {
             "model": "planner",
             "prompt": "hello",
