Work out the capacity page from measured slopes

Each slope stands with its command; the page's tables are computed from them and a test holds the two together.

--- /dev/null
+++ b/tests/docs/test_capacity.py
@@ -0,0 +1,34 @@
+"""The capacity page is what the measured slopes give."""
+
+import tomllib
+import unittest
+
+from scripts.capacity import compute_costs
+from scripts.capacity import PAGE
+from scripts.capacity import render
+from scripts.capacity import SLOPES
+
+
+class CapacityTest(unittest.TestCase):
+    """docs/CAPACITY.md and docs/capacity-slopes.toml."""
+
+    def setUp(self):
+        self.slopes = tomllib.loads(SLOPES.read_text())
+
+    def test_page_is_worked_out_from_the_slopes(self):
+        page = PAGE.read_text()
+        self.assertEqual(render(page, self.slopes), page)
+
+    def test_another_slope_gives_another_page(self):
+        page = PAGE.read_text()
+        self.slopes["data_centre"]["megabytes"] += 50
+        self.assertNotEqual(render(page, self.slopes), page)
+
+    def test_traffic_grows_with_endpoints(self):
+        mean, busy = compute_costs(self.slopes)[:2]
+        self.assertGreater(busy.bytes_per_second, mean.bytes_per_second)
+
+    def test_each_slope_has_its_command(self):
+        for name, section in self.slopes.items():
+            if name not in ("size", "budget"):
+                self.assertTrue(section["command"].startswith("python -m"))
