Forget data centres that were given up

A data centre was kept, and sent summaries, as long as any address of it was known, which was for ever.

--- a/burdockdrum/vms/remote.py
+++ b/burdockdrum/vms/remote.py
@@ -40,6 +40,8 @@
 # A summary that this VM received stays published for so long, so that the
 # next one for it is a small change.
 KEEP_SECONDS = 120.0
+# One not heard yet is passed on for so long, while everything starts.
+INTRODUCE_SECONDS = 60.0
 FORGET_SECONDS = 24 * 3600.0
 
 REMOTE_TOPIC = 1
@@ -70,10 +72,11 @@
 
 @dataclass(kw_only=True)
 class RemoteDataCentre:
-    """Another data centre; ``heard_at`` is on this VM's clock."""
+    """Another data centre; the times are on this VM's clock."""
 
     name: str
     region: str
+    introduced_at: float
     made_at: Stamp = Stamp(0, 0)
     heard_at: float = float("-inf")
     revision: int = 0
@@ -154,9 +157,14 @@
 
     def contacts(self, count: int) -> list[VmIdentity]:
         """Return a few VMs of each other data centre."""
+        now = self._clock.monotonic()
         found = []
-        for name in self.known_by_name:
-            found += self.contacts_in(name)[-count:]
+        for name, remote in self.known_by_name.items():
+            # One silent for a day is not passed on: VMs would remind each
+            # other for ever of a data centre that is gone.
+            is_new = now - remote.introduced_at < INTRODUCE_SECONDS
+            if is_new or now - remote.heard_at < FORGET_SECONDS:
+                found += self.contacts_in(name)[-count:]
         return found
 
     def contacts_in(self, name: str) -> list[VmIdentity]:
@@ -218,8 +226,10 @@
             remote.was_live = is_live
             name = "data_centre.heard" if is_live else "data_centre.silent"
             self._timeline.record(name, data_centre=remote.name)
-        if silence > FORGET_SECONDS and not remote.contacts_by_id:
+        # One that was given up would otherwise be sent to for ever.
+        if now - max(remote.heard_at, remote.introduced_at) > FORGET_SECONDS:
             del self.known_by_name[remote.name]
+            self._received_by_name.pop(remote.name, None)
 
     async def _take_summary(
         self, sender: Sender, summary: DataCentreSummary
@@ -307,7 +317,10 @@
     def _find(self, name: str, region: str) -> RemoteDataCentre:
         remote = self.known_by_name.get(name)
         if remote is None:
-            remote = RemoteDataCentre(name=name, region=region)
+            now = self._clock.monotonic()
+            remote = RemoteDataCentre(
+                name=name, region=region, introduced_at=now
+            )
             self.known_by_name[name] = remote
         return remote
 
--- a/tests/vms/test_remote.py
+++ b/tests/vms/test_remote.py
@@ -4,6 +4,7 @@
 import unittest
 
 from burdockdrum.testing import run_virtual
+from burdockdrum.vms.remote import FORGET_SECONDS
 from tests.vms.bed import Bed
 
 KNOWN_WITHIN = 4.0
@@ -178,3 +179,22 @@
             await bed.stop()
 
         run_virtual(main())
+
+    def test_data_centre_that_was_given_up_is_forgotten(self):
+        # The operators close the south. A day later nothing is sent there
+        # any more, and the VMs do not remind each other of it.
+        async def main():
+            bed = await self.start(8)
+            for number in range(3):
+                await bed.crash_vm(f"south{number}")
+            await asyncio.sleep(10)
+            for vm in bed.vms_by_id.values():
+                remote = vm.vms._remote.known_by_name["south"]
+                remote.heard_at -= FORGET_SECONDS
+                remote.introduced_at -= FORGET_SECONDS
+            await asyncio.sleep(60)
+            for vm in bed.vms_by_id.values():
+                self.assertEqual({}, vm.vms._remote.known_by_name)
+            await bed.stop()
+
+        run_virtual(main())
