Tell the starts of an endpoint apart when checking who left

The trace: it announced that it leaves at 9.8 s, crashed at 10.4 s and started again at 12.6 s; the requests went to the new start, which had offered itself.

--- a/burdockdrum/histories/checkers.py
+++ b/burdockdrum/histories/checkers.py
@@ -6,6 +6,7 @@
 
 import collections
 from collections.abc import Callable
+import math
 
 from burdockdrum.histories.events import Ended
 from burdockdrum.histories.events import Ending
@@ -125,15 +126,24 @@
 
 
 def check_leaving(history: History) -> list[str]:
-    """A leaving endpoint gets no new work after a few seconds."""
-    left_at = {left.endpoint_id: left.time for left in history.left}
-    return [
-        f"{ran.endpoint_id} got request {ran.number} "
-        f"{ran.time - left_at[ran.endpoint_id]:.1f} s after it left"
-        for ran in history.ran
-        if ran.endpoint_id in left_at
-        and ran.time > left_at[ran.endpoint_id] + LEAVE_SECONDS
-    ]
+    """A leaving endpoint gets no new work after a few seconds.
+
+    One that crashed and started again since is another start, which offers
+    itself.
+    """
+    left_at = {
+        (left.endpoint_id, left.incarnation): left.time
+        for left in history.left
+    }
+    violations = []
+    for ran in history.ran:
+        left = left_at.get((ran.endpoint_id, ran.incarnation), math.inf)
+        if ran.time > left + LEAVE_SECONDS:
+            violations.append(
+                f"{ran.endpoint_id} got request {ran.number} "
+                f"{ran.time - left:.1f} s after it left"
+            )
+    return violations
 
 
 def check_graceful_shutdown(history: History) -> list[str]:
--- a/burdockdrum/histories/events.py
+++ b/burdockdrum/histories/events.py
@@ -66,6 +66,7 @@
     region: str
     number: int | None
     key: str | None
+    incarnation: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -80,10 +81,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Left:
-    """An endpoint announced that it leaves."""
+    """An endpoint announced that this start of it leaves."""
 
     time: float
     endpoint_id: str
+    incarnation: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/tests/histories/endpoints.py
+++ b/tests/histories/endpoints.py
@@ -32,6 +32,7 @@
 
 @dataclass
 class _Running:
+    incarnation: int
     announcer: Announcer
     server: AsgiServer
     task: asyncio.Task[None]
@@ -115,7 +116,9 @@
             read_load=read_load,
         )
         task = asyncio.create_task(announcer.run())
-        self._running_by_id[endpoint_id] = _Running(announcer, server, task)
+        self._running_by_id[endpoint_id] = _Running(
+            self._incarnation, announcer, server, task
+        )
 
     async def crash_endpoint(self, endpoint_id: str) -> None:
         """Stop an endpoint at once."""
@@ -134,7 +137,13 @@
             return
         await running.announcer.leave()
         now = asyncio.get_running_loop().time()
-        self._history.left.append(Left(time=now, endpoint_id=endpoint_id))
+        self._history.left.append(
+            Left(
+                time=now,
+                endpoint_id=endpoint_id,
+                incarnation=running.incarnation,
+            )
+        )
 
     async def stop(self) -> None:
         """Stop every endpoint."""
@@ -147,6 +156,8 @@
         region: str,
         server: Callable[[UpstreamCall], Awaitable[FakeAnswer]],
     ) -> Callable[[UpstreamCall], Awaitable[FakeAnswer]]:
+        incarnation = self._incarnation
+
         async def recording(call: UpstreamCall) -> FakeAnswer:
             key = call.headers.get("idempotency-key")
             number = _read_number(call) if key is None else None
@@ -158,6 +169,7 @@
                         region=region,
                         number=number,
                         key=key,
+                        incarnation=incarnation,
                     )
                 )
             return await server(call)
