--- a/burdockdrum/consensus/forwarding.py
+++ b/burdockdrum/consensus/forwarding.py
@@ -21,6 +21,7 @@
 from burdockdrum.peers import Sender
 
 _RETRY_SECONDS = 0.05
+_RESEND_SECONDS = 1.0
 
 
 class Forwarding:
@@ -83,18 +84,40 @@
             command=command,
             timeout=timeout,
         )
-        try:
-            reply = await self._peers.call(
-                address, request, ProposeReply, timeout=timeout
-            )
-        except CallFailed as error:
-            raise OutcomeUnknown(str(error)) from error
+        reply = await self._call_leader(address, request)
         if reply.refused:
             raise NotAccepted(reply.reason)
         if reply.unknown:
             raise OutcomeUnknown(reply.reason)
         return Applied(index=reply.index, result=reply.result)
 
+    async def _call_leader(
+        self, address: str, request: ProposeRequest
+    ) -> ProposeReply:
+        """Send a command until it is answered, its term or time is over.
+
+        One lost message would else cost the caller the whole time. The
+        leader tells the copies by their number.
+        """
+        replica = self._replica
+        deadline = replica.clock.monotonic() + request.timeout
+        while True:
+            left = deadline - replica.clock.monotonic()
+            try:
+                return await self._peers.call(
+                    address,
+                    request,
+                    ProposeReply,
+                    timeout=min(left, _RESEND_SECONDS),
+                )
+            except CallFailed as error:
+                left = deadline - replica.clock.monotonic()
+                if (
+                    left < _RETRY_SECONDS
+                    or replica.storage.term != request.term
+                ):
+                    raise OutcomeUnknown(str(error)) from error
+
     async def _propose_here(self, command: bytes, timeout: float) -> Applied:
         entry = self._leadership.append_command(command)
         try:
--- a/tests/consensus/test_histories.py
+++ b/tests/consensus/test_histories.py
@@ -77,12 +77,15 @@
         # 40361: the network doubled a command on its way to the leader. The
         # first copy went into the log; then the leader's disk failed, and it
         # answered the second copy with a refusal.
+        # 60056: a command that was passed on was lost on its way, and its
+        # caller waited its whole time for the answer.
         for plan in (
             Plan(seed=1175, size=5),
             Plan(seed=6055),
             Plan(seed=30059),
             Plan(seed=30138),
             Plan(seed=40361, size=5),
+            Plan(seed=60056),
         ):
             with self.subTest(plan=plan):
                 run_history(plan)
--- a/tests/consensus/test_partitions.py
+++ b/tests/consensus/test_partitions.py
@@ -51,6 +51,24 @@
 
         run_virtual(with_cluster(Cluster(), use))
 
+    def test_lost_message_does_not_cost_the_whole_time(self):
+        # A command that a follower passes on is lost on its way. It is sent
+        # again within a second, and applied once.
+        async def use(cluster):
+            leader = await cluster.leader()
+            await cluster.settle()
+            vm_id = cluster.vm_of(leader).vm_id
+            other = next(log for log in cluster.logs if log is not leader)
+            cluster.network.cut([cluster.vm_of(other).vm_id], [vm_id])
+            proposing = asyncio.create_task(other.propose(b"x", timeout=30))
+            await asyncio.sleep(0.3)
+            cluster.heal()
+            await asyncio.sleep(2)
+            self.assertTrue(proposing.done())
+            self.assertEqual([b"x"], cluster.vms[vm_id].machine.commands)
+
+        run_virtual(with_cluster(Cluster(), use))
+
     def test_write_on_an_isolated_leader_is_not_called_refused(self):
         async def use(cluster):
             old = await cluster.leader()
