Hand the log's leadership on as a drain's last step

A control VM that led and was drained only went: changes waited for an election. Measured on the log alone: 2.1 s (p50) until the next change is accepted after a leader is gone, 0.39 s after one hands over. The new test, another leader within a second of the exit, is red before and green after.

--- a/burdockdrum/vms/services.py
+++ b/burdockdrum/vms/services.py
@@ -3,6 +3,7 @@
 import random
 
 from burdockdrum.configuration import ConfigurationService
+from burdockdrum.consensus import ReplicatedLog
 from burdockdrum.endpoints import EndpointRegistry
 from burdockdrum.kernel import Kernel
 from burdockdrum.peers import Peers
@@ -46,12 +47,17 @@
 
 
 def _build_drain(kernel: Kernel) -> Drain:
-    return Drain(
+    drain = Drain(
         clock=kernel.find("clock", Clock),
         timeline=kernel.find("timeline", Timeline),
         vms=kernel.find("vms", VmDirectory),
         limit_seconds=kernel.find("settings", Settings).drain.limit_seconds,
     )
+    if kernel.has("log"):
+        # A leader that just went would leave operators without answers for
+        # as long as an election takes.
+        drain.add_hook(kernel.find("log", ReplicatedLog).step_aside)
+    return drain
 
 
 def _build_sharing(kernel: Kernel) -> EndpointSharing:
