--- a/burdockdrum/cli/commands.py
+++ b/burdockdrum/cli/commands.py
@@ -17,6 +17,7 @@
 from burdockdrum.client import ClientError
 from burdockdrum.client import GatewayClient
 from burdockdrum.client import GatewayReply
+from burdockdrum.ports import read_whole
 from burdockdrum.settings import load_settings
 from burdockdrum.settings import SettingsError
 from burdockdrum.timeline import Event
@@ -171,7 +172,7 @@
     async def drain(self, entry: str) -> int:
         """Let one VM finish its work and exit."""
         answer = await self._client.open(entry, "POST", "/v1/drain")
-        body = b"".join([part async for part in answer.chunks()])
+        body = await read_whole(answer)
         print(body.decode())
         return 0 if answer.status == 200 else EXIT_NOT_RUN
 
@@ -199,7 +200,7 @@
 
     async def _fetch_events(self, entry: str, path: str) -> list[Event]:
         answer = await self._client.open(entry, "GET", path)
-        body = b"".join([part async for part in answer.chunks()])
+        body = await read_whole(answer)
         if answer.status != 200:
             print(f"{entry}: {body.decode()}", file=sys.stderr)
             return []
--- a/burdockdrum/client/client.py
+++ b/burdockdrum/client/client.py
@@ -27,6 +27,7 @@
 from burdockdrum.ports import Clock
 from burdockdrum.ports import ConnectFailed
 from burdockdrum.ports import HttpClient
+from burdockdrum.ports import read_whole
 from burdockdrum.ports import UpstreamAnswer
 from burdockdrum.ports import UpstreamCall
 from burdockdrum.system_ports import PooledHttpClient
@@ -134,7 +135,7 @@
             entry = await self._choose()
             try:
                 answer = await self.open(entry, method, path, body, headers)
-                content = b"".join([part async for part in answer.chunks()])
+                content = await read_whole(answer)
             except ConnectFailed as error:
                 trouble = str(error)
             except AnswerLost as error:
@@ -245,7 +246,7 @@
             answer = await self.open(
                 url, "GET", path, timeout=LIST_TIMEOUT_SECONDS
             )
-            body = b"".join([part async for part in answer.chunks()])
+            body = await read_whole(answer)
         except (ConnectFailed, AnswerLost):
             self._book.avoid(url)
             return None
--- a/burdockdrum/emulator/announcer.py
+++ b/burdockdrum/emulator/announcer.py
@@ -16,6 +16,7 @@
 from burdockdrum.ports import Clock
 from burdockdrum.ports import ConnectFailed
 from burdockdrum.ports import HttpClient
+from burdockdrum.ports import read_whole
 from burdockdrum.ports import UpstreamCall
 
 RETRY_SECONDS = 0.5
@@ -139,7 +140,7 @@
         )
         try:
             answer = await self._http.open(call)
-            parts = [part async for part in answer.chunks()]
+            body = await read_whole(answer)
         except (ConnectFailed, AnswerLost) as error:
             logger.debug("{} did not answer: {}", url, error)
             return None
@@ -147,6 +148,6 @@
             logger.warning("{} answered {}", url, answer.status)
             return None
         try:
-            return msgspec.json.decode(b"".join(parts), type=LeaseGrant)
+            return msgspec.json.decode(body, type=LeaseGrant)
         except msgspec.MsgspecError:
             return None
--- a/burdockdrum/histories/reading.py
+++ b/burdockdrum/histories/reading.py
@@ -4,6 +4,7 @@
 
 from burdockdrum.histories.events import Ending
 from burdockdrum.histories.events import Sort
+from burdockdrum.ports import read_whole
 from burdockdrum.ports import UpstreamAnswer
 
 _DONE = b"[DONE]"
@@ -31,7 +32,7 @@
         :raises AnswerLost: if the connection broke
         """
         if answer.status != 200 or self._sort is not Sort.STREAMED:
-            body = b"".join([part async for part in answer.chunks()])
+            body = await read_whole(answer)
             self._take_whole(answer.status, body)
             return
         buffer = b""
--- a/burdockdrum/ports/__init__.py
+++ b/burdockdrum/ports/__init__.py
@@ -12,6 +12,7 @@
 from burdockdrum.ports.http import AnswerLost
 from burdockdrum.ports.http import ConnectFailed
 from burdockdrum.ports.http import HttpClient
+from burdockdrum.ports.http import read_whole
 from burdockdrum.ports.http import UpstreamAnswer
 from burdockdrum.ports.http import UpstreamCall
 from burdockdrum.ports.network import Mailbox
@@ -27,6 +28,7 @@
     "HttpClient",
     "Mailbox",
     "Network",
+    "read_whole",
     "SendFailed",
     "UpstreamAnswer",
     "UpstreamCall",
--- a/burdockdrum/ports/http.py
+++ b/burdockdrum/ports/http.py
@@ -61,6 +61,14 @@
         ...
 
 
+async def read_whole(answer: UpstreamAnswer) -> bytes:
+    """Return an answer's whole body.
+
+    :raises AnswerLost: if the body was cut before its end
+    """
+    return b"".join([part async for part in answer.chunks()])
+
+
 class HttpClient(Protocol):
     """A client that opens calls and never retries by itself."""
 
--- a/scripts/bench/data_centre.py
+++ b/scripts/bench/data_centre.py
@@ -27,6 +27,7 @@
 from burdockdrum.client import GatewayClient
 from burdockdrum.emulator import Announcer
 from burdockdrum.endpoints import Announcement
+from burdockdrum.ports import read_whole
 from burdockdrum.system_ports import PooledHttpClient
 from burdockdrum.system_ports import SystemClock
 from scripts.bench.memory import resident_bytes
@@ -134,7 +135,7 @@
     samples = {}
     for vm_id, url in cluster.entry_urls_by_vm_id.items():
         answer = await operator.open(url, "GET", "/metrics")
-        text = b"".join([part async for part in answer.chunks()]).decode()
+        text = (await read_whole(answer)).decode()
         process = cluster.processes_by_name[vm_id]
         samples[vm_id] = Sample(
             moment=time.monotonic(),
--- a/scripts/bench/requests.py
+++ b/scripts/bench/requests.py
@@ -25,6 +25,7 @@
 import msgspec
 
 from burdockdrum.client import GatewayClient
+from burdockdrum.ports import read_whole
 from burdockdrum.ports import UpstreamCall
 from burdockdrum.system_ports import PooledHttpClient
 from burdockdrum.system_ports import SystemClock
@@ -220,7 +221,7 @@
             body=body,
         )
         answer = await self._http.open(call)
-        content = b"".join([part async for part in answer.chunks()])
+        content = await read_whole(answer)
         assert answer.status == 200, content
         return content
 
--- a/scripts/real_load.py
+++ b/scripts/real_load.py
@@ -26,6 +26,7 @@
 from burdockdrum.histories import Sort
 from burdockdrum.ports import AnswerLost
 from burdockdrum.ports import ConnectFailed
+from burdockdrum.ports import read_whole
 from burdockdrum.resources import hash_token
 from burdockdrum.system_ports import PooledHttpClient
 from burdockdrum.system_ports import SystemClock
@@ -247,10 +248,10 @@
                     answer = await self._operator.open(
                         url, "GET", "/v1/status"
                     )
-                    parts = [part async for part in answer.chunks()]
+                    body = await read_whole(answer)
                 except (ConnectFailed, AnswerLost):
                     continue
-                status = json.loads(b"".join(parts))
+                status = json.loads(body)
                 self.history.in_force.append(
                     InForce(
                         time=self.now(),
--- a/tests/daemon/test_tls.py
+++ b/tests/daemon/test_tls.py
@@ -13,6 +13,7 @@
 from blacksheep.server.routing import Router
 
 from burdockdrum.ports import ConnectFailed
+from burdockdrum.ports import read_whole
 from burdockdrum.ports import UpstreamCall
 from burdockdrum.system_ports import make_trust
 from burdockdrum.system_ports import PooledHttpClient
@@ -51,7 +52,7 @@
         http = PooledHttpClient(ssl_context=trust)
         call = UpstreamCall(method="GET", url=self.url, connect_timeout=10)
         answer = await http.open(call)
-        body = b"".join([part async for part in answer.chunks()])
+        body = await read_whole(answer)
         await http.close()
         return answer.status, body
 
--- a/tests/daemon/test_whole_path.py
+++ b/tests/daemon/test_whole_path.py
@@ -15,6 +15,7 @@
 from burdockdrum.emulator import EngineSettings
 from burdockdrum.emulator import make_answer
 from burdockdrum.endpoints import Announcement
+from burdockdrum.ports import read_whole
 from burdockdrum.resources import hash_token
 from burdockdrum.settings import read_settings
 from burdockdrum.testing import run_virtual
@@ -161,7 +162,7 @@
     body = {"model": "planner", "messages": messages, "max_tokens": TOKENS}
     path = "/v1/chat/completions"
     reply = await caller.open(entry, "POST", path, msgspec.json.encode(body))
-    content = b"".join([part async for part in reply.chunks()]).decode()
+    content = (await read_whole(reply)).decode()
     if reply.status != 200:
         return reply.status, content
     answer = msgspec.json.decode(content)
--- a/tests/fuzzing/test_http_bodies.py
+++ b/tests/fuzzing/test_http_bodies.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 import msgspec
 
+from burdockdrum.ports import read_whole
 from burdockdrum.ports import UpstreamCall
 from burdockdrum.testing import run_virtual
 from burdockdrum.testing.vms import FakeCluster
@@ -65,8 +66,8 @@
             body=body,
         )
         answer = await http.open(call)
-        parts = [part async for part in answer.chunks()]
-        replies.append((answer.status, b"".join(parts)))
+        body = await read_whole(answer)
+        replies.append((answer.status, body))
     await cluster.stop()
     return replies
 
--- a/tests/histories/operators.py
+++ b/tests/histories/operators.py
@@ -11,6 +11,7 @@
 from burdockdrum.histories import HOME_CLIENT_PREFIX
 from burdockdrum.ports import AnswerLost
 from burdockdrum.ports import ConnectFailed
+from burdockdrum.ports import read_whole
 from burdockdrum.ports import UpstreamCall
 from burdockdrum.resources import hash_token
 
@@ -128,7 +129,7 @@
         )
         try:
             answer = await self._world.cluster.client(HOST).open(call)
-            parts = [part async for part in answer.chunks()]
+            body = await read_whole(answer)
         except (ConnectFailed, AnswerLost):
             return None
-        return answer.status, msgspec.json.decode(b"".join(parts))
+        return answer.status, msgspec.json.decode(body)
--- a/tests/requests/stack.py
+++ b/tests/requests/stack.py
@@ -12,6 +12,7 @@
 from burdockdrum.emulator import Announcer
 from burdockdrum.endpoints import Announcement
 from burdockdrum.ports import AnswerLost
+from burdockdrum.ports import read_whole
 from burdockdrum.resources import hash_token
 from burdockdrum.settings import read_settings
 from burdockdrum.testing import FakeAnswer
@@ -328,7 +329,7 @@
 
     async def read(self, answer) -> bytes:
         """Read an answer to its end."""
-        return b"".join([part async for part in answer.chunks()])
+        return await read_whole(answer)
 
     async def book(self, vm, key, *, content=b"{}", headers=None):
         """Send an unrepeatable call and return status, verdict and body."""
