--- a/burdockdrum/admission/admission.py
+++ b/burdockdrum/admission/admission.py
@@ -166,9 +166,7 @@
         self._learn_seconds(demand, estimate.run)
         turn = line.take_turn(team, demand.rank, estimate.run)
         key = self._key(demand, turn)
-        ahead = line.seconds_ahead(key)
-        wait = self._read_drain(demand.service).seconds(ahead)
-        if not ahead and self._router.can_start(demand, wait=wait):
+        if not line.seconds_ahead(key) and self._can_start(demand):
             return
         if demand.hops and not demand.displaced:
             # A spilled request never waits here: its own entry has a line,
@@ -191,6 +189,14 @@
         # Others are looked at once this one has begun and counts as load.
         asyncio.get_running_loop().call_soon(self._reconsider, demand.service)
 
+    def _can_start(self, demand: Demand) -> bool:
+        # The drain looks at all endpoints: it is read only where there is
+        # no room here, and waiting is weighed against going elsewhere.
+        if self._router.can_start(demand):
+            return True
+        wait = self._read_drain(demand.service).seconds(0.0)
+        return self._router.can_start(demand, wait=wait)
+
     def _check_deadline(self, demand: Demand, estimate: Estimate) -> None:
         left = demand.deadline - self._clock.monotonic()
         if estimate.run > left:
