Let the stand-in report to one entry VM at a time

The entry VMs of a data centre tell each other of endpoints; the stand-in told each of them by itself, so each published all. It moves to another, which it knows from the first's answer, when one is silent.

--- a/burdockdrum/emulator/announcer.py
+++ b/burdockdrum/emulator/announcer.py
@@ -1,6 +1,5 @@
 """Tell the entry VMs that a stand-in is there."""
 
-import asyncio
 from collections.abc import Callable
 
 from loguru import logger
@@ -24,7 +23,11 @@
 
 
 class Announcer:
-    """Announce, report and leave at each entry VM given."""
+    """Announce and report to one entry VM, and to another if it is silent.
+
+    The entry VMs of a data centre tell each other: were each told of each
+    endpoint by itself, each would publish all of them.
+    """
 
     def __init__(
         self,
@@ -48,7 +51,7 @@
         """
         self._http = http
         self._clock = clock
-        self._entries = entries
+        self._entries = list(entries)
         self._token = token
         self._announcement = announcement
         self._read_load = read_load
@@ -56,15 +59,19 @@
         self._orders = orders
         self._load_age_seconds = load_age_seconds
         self._sequence = 0
-        self._events_by_entry: dict[str, list[CacheEvent]] = {
-            entry: [] for entry in entries
-        }
 
     async def run(self) -> None:
-        """Keep every entry VM informed until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            for entry in self._entries:
-                group.create_task(self._inform(entry))
+        """Keep one entry VM informed until cancelled."""
+        grant: LeaseGrant | None = None
+        while True:
+            if grant is None or not grant.known:
+                grant = await self._announce()
+            else:
+                grant = await self._report(grant.resync)
+            if grant is None:
+                self._move_on()
+            pause = grant.report_seconds if grant else RETRY_SECONDS
+            await self._clock.sleep(pause)
 
     async def leave(self) -> None:
         """Ask for no new work, now and with every message from now on."""
@@ -78,26 +85,26 @@
         for entry in self._entries:
             await self._post(f"{entry}/v1/endpoints/{name}/leave", body)
 
-    async def _inform(self, entry: str) -> None:
-        grant: LeaseGrant | None = None
-        while True:
-            if grant is None or not grant.known:
-                grant = await self._announce(entry)
-            else:
-                grant = await self._report(entry, grant.resync)
-            pause = grant.report_seconds if grant else RETRY_SECONDS
-            await self._clock.sleep(pause)
+    def _move_on(self) -> None:
+        """Turn to the next entry VM; the silent one comes last."""
+        self._entries.append(self._entries.pop(0))
 
-    async def _announce(self, entry: str) -> LeaseGrant | None:
+    async def _announce(self) -> LeaseGrant | None:
         body = msgspec.json.encode(self._announcement)
-        return await self._post(f"{entry}/v1/endpoints/announce", body)
-
-    async def _report(self, entry: str, resync: bool) -> LeaseGrant | None:
+        url = f"{self._entries[0]}/v1/endpoints/announce"
+        grant = await self._post(url, body)
+        if grant is not None:
+            known = set(self._entries)
+            self._entries += [e for e in grant.entries if e not in known]
+        return grant
+
+    async def _report(self, resync: bool) -> LeaseGrant | None:
         name = self._announcement.endpoint_id
-        body = msgspec.json.encode(self._make_report(entry, resync))
-        return await self._post(f"{entry}/v1/endpoints/{name}/report", body)
+        body = msgspec.json.encode(self._make_report(resync))
+        url = f"{self._entries[0]}/v1/endpoints/{name}/report"
+        return await self._post(url, body)
 
-    def _make_report(self, entry: str, resync: bool) -> Report:
+    def _make_report(self, resync: bool) -> Report:
         self._sequence += 1
         running, waiting = self._read_load()
         orders = self._orders
@@ -107,7 +114,7 @@
             running=running,
             waiting=waiting,
             age_seconds=self._load_age_seconds,
-            cache_events=self._take_cache_events(entry, resync),
+            cache_events=self._take_cache_events(resync),
             cache_sequence=self._cache.sequence if self._cache else 0,
             cache_complete=resync and self._cache is not None,
             versions=sorted(orders.versions) if orders else None,
@@ -116,15 +123,11 @@
             leaving=self._announcement.leaving,
         )
 
-    def _take_cache_events(self, entry: str, resync: bool) -> list[CacheEvent]:
-        """Return what an entry VM has not been told yet."""
+    def _take_cache_events(self, resync: bool) -> list[CacheEvent]:
+        """Return what the entry VM has not been told yet."""
         if self._cache is None:
             return []
-        for event in self._cache.take_events():
-            for events in self._events_by_entry.values():
-                events.append(event)
-        events = self._events_by_entry[entry]
-        self._events_by_entry[entry] = []
+        events = self._cache.take_events()
         return self._cache.contents() if resync else events
 
     async def _post(self, url: str, body: bytes) -> LeaseGrant | None:
