Let operators replace a control VM or its disk; quarantine from the tool

The log could take and remove members, but nothing offered it to operators: a control VM whose disk was lost could not be repaired. The face and the command-line tool now list, add and remove members; quarantines are shown and lifted from the tool too.

--- a/burdockdrum/cli/__main__.py
+++ b/burdockdrum/cli/__main__.py
@@ -12,6 +12,11 @@
   burdockdrum [options] send MODEL PROMPT [--stream] [--max-tokens N]
               [--key KEY] [--unrepeatable] [--deadline S] [--priority CLASS]
   burdockdrum [options] drain
+  burdockdrum [options] members
+  burdockdrum [options] add-member VM ADDRESS DISK
+  burdockdrum [options] remove-member VM
+  burdockdrum [options] quarantine
+  burdockdrum [options] lift FINGERPRINT
   burdockdrum [options] timeline [--prefix NAME] [--request ID]
               [--revision N]
   burdockdrum [options] check FILE
@@ -45,7 +50,8 @@
   burdockdrum timeline --request req-0123
   burdockdrum check entry-1.toml
 
-"drain" goes to the first VM that --entry names.
+"drain" and the commands about members go to the first VM that --entry names;
+the latter has to be a control VM.
 """
 
 import asyncio
@@ -86,10 +92,29 @@
             return await commands.show_endpoints()
         case {"send": True}:
             return await commands.send(arguments)
-        case {"drain": True}:
-            return await commands.drain(_seeds(arguments)[0])
-        case _:
+        case {"quarantine": True}:
+            return await commands.show_quarantine()
+        case {"lift": True}:
+            return await commands.lift(arguments["FINGERPRINT"])
+        case {"timeline": True}:
             return await commands.show_timeline(arguments)
+        case _:
+            return await _run_on_one_vm(commands, arguments)
+
+
+async def _run_on_one_vm(commands: Commands, arguments: dict[str, Any]) -> int:
+    entry = _seeds(arguments)[0]
+    match arguments:
+        case {"members": True}:
+            return await commands.show_members(entry)
+        case {"add-member": True, "VM": vm_id}:
+            return await commands.add_member(
+                entry, vm_id, arguments["ADDRESS"], arguments["DISK"]
+            )
+        case {"remove-member": True, "VM": vm_id}:
+            return await commands.remove_member(entry, vm_id)
+        case _:
+            return await commands.drain(entry)
 
 
 def _seeds(arguments: dict[str, Any]) -> list[str]:
--- a/burdockdrum/cli/commands.py
+++ b/burdockdrum/cli/commands.py
@@ -24,6 +24,7 @@
 from burdockdrum.timeline import merge
 
 CHAT_PATH = "/v1/chat/completions"
+MEMBERS_PATH = "/v1/control/members"
 _CONFLICT_STATUS = 409
 _NOT_RUN = "not run"
 _MAY_HAVE_RUN = "may have run"
@@ -171,10 +172,47 @@
 
     async def drain(self, entry: str) -> int:
         """Let one VM finish its work and exit."""
-        answer = await self._client.open(entry, "POST", "/v1/drain")
-        body = await read_whole(answer)
-        print(body.decode())
-        return 0 if answer.status == 200 else EXIT_NOT_RUN
+        return await self._call_one(entry, "POST", "/v1/drain")
+
+    async def show_members(self, entry: str) -> int:
+        """Show the control VMs, as one of them knows them."""
+        return await self._call_one(entry, "GET", MEMBERS_PATH)
+
+    async def add_member(
+        self, entry: str, vm_id: str, address: str, disk_id: str
+    ) -> int:
+        """Add a control VM with its disk; it votes once it holds the log."""
+        body = msgspec.json.encode({"address": address, "disk_id": disk_id})
+        path = f"{MEMBERS_PATH}/{vm_id}"
+        return await self._call_one(entry, "PUT", path, body)
+
+    async def remove_member(self, entry: str, vm_id: str) -> int:
+        """Remove a control VM."""
+        path = f"{MEMBERS_PATH}/{vm_id}"
+        return await self._call_one(entry, "DELETE", path)
+
+    async def show_quarantine(self) -> int:
+        """Show the requests that are suspected of crashing endpoints."""
+        reply = await self._client.call("GET", "/v1/quarantine")
+        return self._show_reply(reply)
+
+    async def lift(self, fingerprint: str) -> int:
+        """Let a quarantined request run again."""
+        path = f"/v1/quarantine/{fingerprint}"
+        return self._show_reply(await self._client.call("DELETE", path))
+
+    async def _call_one(
+        self, entry: str, method: str, path: str, body: bytes = b""
+    ) -> int:
+        """Call one VM that was named, rather than any of them."""
+        answer = await self._client.open(entry, method, path, body)
+        reply = GatewayReply(
+            status=answer.status,
+            headers=answer.headers,
+            body=await read_whole(answer),
+            entry=entry,
+        )
+        return self._show_reply(reply)
 
     async def show_timeline(self, arguments: dict[str, Any]) -> int:
         """Merge the events of every VM into one time line."""
@@ -267,7 +305,7 @@
         if self._as_json:
             print(reply.body.decode())
         else:
-            shown = msgspec.json.format(reply.body, indent=2).decode()
+            shown = msgspec.json.format(reply.body or b"{}", indent=2).decode()
             print(shown, file=sys.stdout if reply.ok else sys.stderr)
         if reply.ok:
             return 0
--- a/burdockdrum/verdicts/refusal.py
+++ b/burdockdrum/verdicts/refusal.py
@@ -31,6 +31,8 @@
     ENDPOINT_ERROR = "endpoint_error"
     ANSWER_TOO_LARGE = "answer_too_large"
     LOOP = "loop"
+    NOT_ACCEPTED = "not_accepted"
+    OUTCOME_UNKNOWN = "outcome_unknown"
     INTERNAL = "internal"
 
 
@@ -53,6 +55,7 @@
     RefusalCode.ENDPOINT_ERROR: 502,
     RefusalCode.ANSWER_TOO_LARGE: 502,
     RefusalCode.LOOP: 508,
+    RefusalCode.NOT_ACCEPTED: 409,
     RefusalCode.INTERNAL: 500,
 }
 _DEFAULT_STATUS = 503
--- a/burdockdrum/web/application.py
+++ b/burdockdrum/web/application.py
@@ -7,6 +7,7 @@
 
 from burdockdrum.vms import Drain
 from burdockdrum.web.callers import CallerFace
+from burdockdrum.web.control_face import ControlFace
 from burdockdrum.web.counting import CountingApplication
 from burdockdrum.web.endpoint_face import EndpointFace
 from burdockdrum.web.guard import guard
@@ -24,6 +25,7 @@
     operators: OperatorFace,
     peers: PeerFace,
     quarantine: QuarantineFace,
+    control: ControlFace,
     drain: Drain,
 ) -> Application:
     """Return the ASGI application of a daemon."""
@@ -58,6 +60,10 @@
     router.add_get("/v1/timeline", guard(operators.events))
     router.add_get("/v1/quarantine", guard(quarantine.list))
     router.add_delete("/v1/quarantine/:fingerprint", guard(quarantine.lift))
+    router.add_get("/v1/control/members", guard(control.list))
+    member = "/v1/control/members/:vm_id"
+    router.add_put(member, guard(control.add))
+    router.add_delete(member, guard(control.remove))
     router.add_post("/v1/drain", guard(operators.drain))
     router.add_get("/metrics", guard(operators.metrics))
     return application
--- a/burdockdrum/web/services.py
+++ b/burdockdrum/web/services.py
@@ -6,6 +6,7 @@
 
 from burdockdrum.claims import Claims
 from burdockdrum.configuration import ConfigurationService
+from burdockdrum.consensus import ReplicatedLog
 from burdockdrum.endpoints import EndpointRegistry
 from burdockdrum.kernel import Kernel
 from burdockdrum.metrics import Metrics
@@ -20,6 +21,7 @@
 from burdockdrum.web.application import build_application
 from burdockdrum.web.authentication import Authenticator
 from burdockdrum.web.callers import CallerFace
+from burdockdrum.web.control_face import ControlFace
 from burdockdrum.web.endpoint_face import EndpointFace
 from burdockdrum.web.operators import OperatorFace
 from burdockdrum.web.peer_face import PeerFace
@@ -45,6 +47,7 @@
             vms=kernel.find("vms", VmDirectory),
         ),
         operators=_build_operators(kernel, authenticator),
+        control=_build_control(kernel, authenticator),
         quarantine=QuarantineFace(
             authenticator=authenticator,
             quarantine=kernel.find("quarantine", Quarantine),
@@ -72,6 +75,19 @@
     )
 
 
+def _build_control(
+    kernel: Kernel, authenticator: Authenticator
+) -> ControlFace:
+    settings = kernel.find("settings", Settings)
+    has_log = kernel.has("log")
+    return ControlFace(
+        authenticator=authenticator,
+        log=kernel.find("log", ReplicatedLog) if has_log else None,
+        control_ids=list(settings.control.members),
+        body_limit=settings.limits.body_bytes,
+    )
+
+
 def _build_operators(
     kernel: Kernel, authenticator: Authenticator
 ) -> OperatorFace:
