End a daemon whose part failed, with its reason and an exit code

Found while damaging a data folder: the daemon logged nothing useful and hung. Two causes. pynng swallows a cancellation that meets the end of a send or receive (read in its source: it waits again and then looks only at the operation's result), so the task of a peer went on and its group waited for good. Ruled out: the kernel, whose other tasks had ended. And the error ended as a traceback.

The port now passes the cancellation on and keeps what a cancelled receive got; a damaged folder or a failed disk ends the daemon with one line and exit code 70. Both tests were red before (the first hung).

--- a/burdockdrum/daemon/__main__.py
+++ b/burdockdrum/daemon/__main__.py
@@ -13,7 +13,8 @@
   --version        Show the version.
 
 Exit codes: 0 after a drain or a good check, 64 for a wrong command line,
-78 for settings that can't be used.
+70 when a part failed (the log says which), 78 for settings that can't be
+used.
 
 Examples:
   burdockdrumd --check --settings entry-1.toml
@@ -26,20 +27,42 @@
 import sys
 
 from docopt import docopt
+from loguru import logger
 
+from burdockdrum.consensus import CorruptLog
 from burdockdrum.daemon.daemon import Daemon
 from burdockdrum.daemon.logs import set_up_log
+from burdockdrum.ports import DiskError
 from burdockdrum.settings import load_settings
 from burdockdrum.settings import Settings
 from burdockdrum.settings import SettingsError
 
+EXIT_FAILED = 70
 EXIT_SETTINGS = 78
+# Their text says what to do; a traceback would only hide it.
+_EXPLAINED = (CorruptLog, DiskError)
 
 
 async def _run(settings: Settings) -> None:
     await Daemon(settings=settings).run()
 
 
+def report_failure(group: BaseExceptionGroup) -> None:
+    """Log why the daemon's parts failed."""
+    explained, others = group.split(_EXPLAINED)
+    if explained is not None:
+        for error in _leaves(explained):
+            logger.error("{}", error)
+    if others is not None:
+        logger.opt(exception=others).error("a part of the daemon failed")
+
+
+def _leaves(error: BaseException) -> list[BaseException]:
+    if not isinstance(error, BaseExceptionGroup):
+        return [error]
+    return [leaf for inner in error.exceptions for leaf in _leaves(inner)]
+
+
 def _version() -> str:
     try:
         return importlib.metadata.version("burdockdrum")
@@ -63,7 +86,11 @@
         print("the settings are good")
         return 0
     set_up_log(settings.log, settings.vm.id)
-    asyncio.run(_run(settings))
+    try:
+        asyncio.run(_run(settings))
+    except BaseExceptionGroup as group:
+        report_failure(group)
+        return EXIT_FAILED
     return 0
 
 
--- a/burdockdrum/system_ports/network.py
+++ b/burdockdrum/system_ports/network.py
@@ -1,6 +1,11 @@
 """The control network over pynng's push and pull sockets."""
 
+import asyncio
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
+from typing import TypeVar
 
 import pynng
 
@@ -13,6 +18,8 @@
 RECEIVE_BUFFER_PAYLOADS = 256
 _THREADS = 2
 
+T = TypeVar("T")
+
 
 def limit_threads() -> None:
     """Keep nng to a few threads; call before the first socket.
@@ -33,6 +40,36 @@
             lib.nng_init_set_parameter(getattr(lib, parameter), _THREADS)
 
 
+async def _finish(
+    operation: Awaitable[T], keep: Callable[[T], None] | None = None
+) -> T:
+    """Wait for a socket operation and pass a cancellation on.
+
+    pynng swallows the cancellation of an operation that ends at that very
+    moment: the task goes on, waits for the next one, and whoever cancelled it
+    waits for good. A daemon with a failed part did not exit.
+
+    :param keep: takes the result where the task was cancelled all the same
+    """
+    before = _count_cancellations()
+    try:
+        result = await operation
+    except pynng.NNGException as error:
+        if _count_cancellations() > before:
+            raise asyncio.CancelledError from error
+        raise
+    if _count_cancellations() > before:
+        if keep is not None:
+            keep(result)
+        raise asyncio.CancelledError
+    return result
+
+
+def _count_cancellations() -> int:
+    task = asyncio.current_task()
+    return task.cancelling() if task is not None else 0
+
+
 class PynngMailbox:
     """A pull socket for what comes in and a push socket a peer."""
 
@@ -41,6 +78,8 @@
         self._pull = pull
         self._address = address
         self._pushes_by_address: dict[str, pynng.Push0] = {}
+        # What was received by a task that was cancelled just then.
+        self._held = collections.deque[bytes]()
 
     @property
     def address(self) -> str:
@@ -53,17 +92,18 @@
         try:
             if push is None:
                 push = self._dial(address)
-            await push.asend(payload)
+            await _finish(push.asend(payload))
         except pynng.NNGException as error:
             self._drop(address)
             raise SendFailed(f"{address}: {error}") from error
 
     async def receive(self) -> bytes:
         """Wait for the next payload."""
+        if self._held:
+            return self._held.popleft()
         while True:
             with contextlib.suppress(pynng.exceptions.Timeout):
-                payload: bytes = await self._pull.arecv()
-                return payload
+                return await _finish(self._pull.arecv(), self._held.append)
 
     async def close(self) -> None:
         """Close every socket."""
--- a/tests/system_ports/test_network.py
+++ b/tests/system_ports/test_network.py
@@ -54,6 +54,46 @@
                 received.append(await self.second.receive())
         self.assertEqual(sorted(wanted), sorted(received))
 
+    async def test_cancellation_is_passed_on(self):
+        # A part of a daemon fails and the others are cancelled. A send that
+        # ends at that very moment returns as if nothing had been asked: its
+        # task went on and the daemon hung instead of exiting.
+        class LatePush:
+            """A socket whose operation ends while it is cancelled."""
+
+            async def asend(self, payload):
+                with contextlib.suppress(asyncio.CancelledError):
+                    await asyncio.Event().wait()
+
+            def close(self):
+                pass
+
+        self.first._pushes_by_address["there"] = LatePush()
+        sending = asyncio.create_task(self.first.send("there", b"x"))
+        await asyncio.sleep(0)
+        sending.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await sending
+
+    async def test_payload_of_a_cancelled_receive_is_kept(self):
+        class LatePull:
+            """A socket that receives while it is cancelled."""
+
+            async def arecv(self):
+                with contextlib.suppress(asyncio.CancelledError):
+                    await asyncio.Event().wait()
+                return b"late"
+
+        pull = self.first._pull
+        self.first._pull = LatePull()
+        receiving = asyncio.create_task(self.first.receive())
+        await asyncio.sleep(0)
+        receiving.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await receiving
+        self.first._pull = pull
+        self.assertEqual(b"late", await self.first.receive())
+
     async def test_absent_peer_is_reported_and_not_waited_for(self):
         # Nobody listens there. The first payloads fit the buffer; once it
         # is full a send must fail by itself, or the task of that peer would
