Let callers wait for an entry that has just started; ports that don't clash

Seen over real processes: two requests with good tokens were refused as unauthenticated by an entry that had just been restarted and knew no client yet. They are held until it knows its configuration, 3 s at most, and then refused as configuration_stale with a Retry-After; a request without a token is still refused at once.

The script's clusters took any free port, and one daemon's control port could be another's HTTP port by the time it listened (seen once with 17 daemons); ports are now chosen apart and below those of connections.

--- a/burdockdrum/configuration/service.py
+++ b/burdockdrum/configuration/service.py
@@ -41,6 +41,7 @@
 RETRY_SECONDS = 0.2
 IN_FORCE_HERE_SECONDS = 1.0
 QUERY_SECONDS = 1.0
+KNOWN_POLL_SECONDS = 0.1
 _POLL_SECONDS = 0.02
 
 
@@ -139,6 +140,17 @@
         """Say whether this VM has learned what to serve by."""
         return self._knowledge.known
 
+    async def wait_until_known(self, seconds: float) -> bool:
+        """Wait until this VM has learned what to serve by.
+
+        :param seconds: how long to wait at most
+        :returns: whether it has
+        """
+        until = self._clock.monotonic() + seconds
+        while not self.known and self._clock.monotonic() < until:
+            await self._clock.sleep(KNOWN_POLL_SECONDS)
+        return self.known
+
     @property
     def age(self) -> float | None:
         """Return how many seconds ago this was known to be the newest.
--- a/burdockdrum/requests/service.py
+++ b/burdockdrum/requests/service.py
@@ -25,7 +25,6 @@
 # Tells a caller that this is the answer of an earlier run.
 REPLAY_HEADER = "idempotent-replay"
 KNOWN_WAIT_SECONDS = 3.0
-KNOWN_POLL_SECONDS = 0.1
 
 
 class RequestService:
@@ -185,12 +184,9 @@
         knows that its configuration is the newest. Refused at once, their
         requests would fail at each replacement of an entry VM.
         """
-        clock = self._parts.clock
-        until = min(clock.monotonic() + KNOWN_WAIT_SECONDS, request.deadline)
-        while not self._parts.configuration.known:
-            if clock.monotonic() >= until:
-                return
-            await clock.sleep(KNOWN_POLL_SECONDS)
+        left = request.deadline - self._parts.clock.monotonic()
+        seconds = min(KNOWN_WAIT_SECONDS, left)
+        await self._parts.configuration.wait_until_known(seconds)
 
     def _check_hops(self, request: InboundRequest) -> None:
         hops = request.hops
--- a/burdockdrum/web/authentication.py
+++ b/burdockdrum/web/authentication.py
@@ -10,6 +10,7 @@
 from burdockdrum.verdicts import Verdict
 from burdockdrum.web.reading import header
 
+KNOWN_WAIT_SECONDS = 3.0
 _PREFIX = "bearer "
 
 
@@ -24,6 +25,26 @@
         self._endpoint_hashes = frozenset(settings.endpoints.token_hashes)
         self._configuration = configuration
 
+    async def identify_client(self, request: Request) -> str:
+        """Return the client, waiting while this VM learns of clients.
+
+        A VM that has just started knows no client yet. Told that its token
+        is wrong, a caller with a good one would give up for good.
+
+        :raises Refusal: if the token is missing or no client's, or if this
+            VM has not learned its configuration in time
+        """
+        # A request without a token is refused without a wait.
+        self._read_hash(request)
+        if not await self._configuration.wait_until_known(KNOWN_WAIT_SECONDS):
+            raise Refusal(
+                code=RefusalCode.CONFIGURATION_STALE,
+                message="this VM does not know its configuration yet",
+                verdict=Verdict.NOT_RUN,
+                retry_after=1.0,
+            )
+        return self.find_client(request)
+
     def find_client(self, request: Request) -> str:
         """Return the id of the client whose token the request bears.
 
--- a/burdockdrum/web/callers.py
+++ b/burdockdrum/web/callers.py
@@ -92,7 +92,7 @@
 
     async def call_plain(self, request: Request, request_id: str) -> Response:
         """Serve any method on /services/SERVICE/PATH."""
-        client_id = self._authenticator.find_client(request)
+        client_id = await self._authenticator.identify_client(request)
         body = await read_body(request, self._settings.limits.body_bytes)
         path = request.url.path.decode()
         service, _, rest = path.removeprefix(SERVICES_PREFIX).partition("/")
@@ -120,7 +120,7 @@
         self, request: Request, request_id: str
     ) -> Response:
         """Serve POST /v1/tickets: a key that is provably new."""
-        client_id = self._authenticator.find_client(request)
+        client_id = await self._authenticator.identify_client(request)
         ticket = await self._claims.issue_ticket(client_id)
         return json_response(
             Ticket(
@@ -131,7 +131,7 @@
 
     async def list_models(self, request: Request, request_id: str) -> Response:
         """Serve GET /v1/models: those the client's residency allows."""
-        client_id = self._authenticator.find_client(request)
+        client_id = await self._authenticator.identify_client(request)
         configuration = self._configuration.current
         client = configuration.clients_by_id[client_id]
         allowed = set(client.residency)
@@ -167,7 +167,7 @@
     async def _complete(
         self, request: Request, request_id: str, kind: RequestKind
     ) -> Response:
-        client_id = self._authenticator.find_client(request)
+        client_id = await self._authenticator.identify_client(request)
         body = await read_body(request, self._settings.limits.body_bytes)
         inbound = parse_completion(
             request=request,
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -7,6 +7,7 @@
 import asyncio
 from dataclasses import dataclass
 import pathlib
+import random
 import secrets
 import socket
 import sys
@@ -16,6 +17,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 END_SECONDS = 20.0
+PORT_RANGE = (20_000, 30_000)
 START_SECONDS = 30.0
 
 
@@ -54,8 +56,9 @@
         self.operator_token = secrets.token_urlsafe(24)
         self.endpoint_token = secrets.token_urlsafe(24)
         self._secret = secrets.token_urlsafe(24)
-        self._control_ports = {plan.vm_id: free_port() for plan in vms}
-        self._http_ports = {plan.vm_id: free_port() for plan in vms}
+        ports = iter(free_ports(2 * len(vms)))
+        self._control_ports = {plan.vm_id: next(ports) for plan in vms}
+        self._http_ports = {plan.vm_id: next(ports) for plan in vms}
         self.processes_by_name: dict[str, asyncio.subprocess.Process] = {}
 
     @staticmethod
@@ -222,9 +225,20 @@
     return "\n".join(f'{k} = "{v}"' for k, v in addresses.items())
 
 
-def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
+def free_ports(count: int) -> list[int]:
+    """Return different ports that were free a moment ago.
+
+    They lie below those that the machine gives to connections, or one of
+    these could take a daemon's port before it listens.
+    """
+    ports: list[int] = []
+    for port in random.sample(range(*PORT_RANGE), 4 * count):
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise OSError("too few free ports")
