--- a/burdockdrum/testing/__init__.py
+++ b/burdockdrum/testing/__init__.py
@@ -12,6 +12,7 @@
 from burdockdrum.testing.network import FakeNetwork
 from burdockdrum.testing.network import HostNetwork
 from burdockdrum.testing.network import LinkState
+from burdockdrum.testing.peers import make_peers
 from burdockdrum.testing.virtual_time import NothingScheduled
 from burdockdrum.testing.virtual_time import run_virtual
 from burdockdrum.testing.virtual_time import VirtualClock
@@ -25,6 +26,7 @@
     "FakeWeb",
     "HostNetwork",
     "LinkState",
+    "make_peers",
     "NothingScheduled",
     "run_virtual",
     "serve_asgi",
--- /dev/null
+++ b/burdockdrum/testing/peers.py
@@ -0,0 +1,38 @@
+"""A message service by itself, without the rest of a VM."""
+
+import random
+
+from burdockdrum.metrics import Metrics
+from burdockdrum.peers import Peers
+from burdockdrum.peers import Seal
+from burdockdrum.peers import VmIdentity
+from burdockdrum.ports import Clock
+from burdockdrum.ports import Mailbox
+from burdockdrum.timeline import HybridClock
+
+
+def make_peers(
+    *,
+    vm_id: str,
+    mailbox: Mailbox,
+    clock: Clock,
+    secret: bytes = b"secret of a test",
+    metrics: Metrics | None = None,
+) -> Peers:
+    """Return the message service of a VM that is nothing else."""
+    return Peers(
+        identity=VmIdentity(
+            vm_id=vm_id,
+            incarnation=1,
+            region="region",
+            data_centre="data-centre",
+            control_address=mailbox.address,
+            http_address="http://127.0.0.1:1",
+        ),
+        mailbox=mailbox,
+        clock=clock,
+        hybrid_clock=HybridClock(clock=clock),
+        rng=random.Random(2),
+        seal=Seal(secret=secret),
+        metrics=metrics or Metrics(),
+    )
--- a/scripts/bench/peers.py
+++ b/scripts/bench/peers.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import random
 import time
 
 from docopt import docopt
@@ -16,12 +15,10 @@
 from burdockdrum.metrics import Metrics
 from burdockdrum.peers import Message
 from burdockdrum.peers import Peers
-from burdockdrum.peers import Seal
-from burdockdrum.peers import VmIdentity
 from burdockdrum.system_ports import limit_threads
 from burdockdrum.system_ports import PynngNetwork
 from burdockdrum.system_ports import SystemClock
-from burdockdrum.timeline import HybridClock
+from burdockdrum.testing import make_peers
 
 FRAMES = 100
 BATCHES = (1, 10, 50)
@@ -45,21 +42,10 @@
     async def start(self, name: str) -> Peers:
         """Open one end."""
         mailbox = await PynngNetwork().open("tcp://127.0.0.1:0")
-        clock = SystemClock()
-        peers = Peers(
-            identity=VmIdentity(
-                vm_id=name,
-                incarnation=1,
-                region="r",
-                data_centre="d",
-                control_address=mailbox.address,
-                http_address="http://127.0.0.1:1",
-            ),
+        peers = make_peers(
+            vm_id=name,
             mailbox=mailbox,
-            clock=clock,
-            hybrid_clock=HybridClock(clock=clock),
-            rng=random.Random(1),
-            seal=Seal(secret=b"measurement"),
+            clock=SystemClock(),
             metrics=self.metrics,
         )
         peers.register(Payload, self._take)
--- a/tests/fuzzing/test_peer_messages.py
+++ b/tests/fuzzing/test_peer_messages.py
@@ -10,13 +10,11 @@
 
 from burdockdrum.metrics import Metrics
 from burdockdrum.peers import Message
-from burdockdrum.peers import Peers
 from burdockdrum.peers import Seal
-from burdockdrum.peers import VmIdentity
 from burdockdrum.testing import FakeNetwork
+from burdockdrum.testing import make_peers
 from burdockdrum.testing import run_virtual
 from burdockdrum.testing import VirtualClock
-from burdockdrum.timeline import HybridClock
 from tests.drawing import draw
 
 SECRET = b"secret of the test"
@@ -34,22 +32,12 @@
     """Deliver payloads, then a good message; return what was handled."""
     network = FakeNetwork(rng=random.Random(1))
     mailbox = await network.host("vm").open("mem://vm:1")
-    clock = VirtualClock()
     metrics = Metrics()
-    peers = Peers(
-        identity=VmIdentity(
-            vm_id="vm",
-            incarnation=1,
-            region="r",
-            data_centre="d",
-            control_address=mailbox.address,
-            http_address="http://127.0.0.1:1",
-        ),
+    peers = make_peers(
+        vm_id="vm",
         mailbox=mailbox,
-        clock=clock,
-        hybrid_clock=HybridClock(clock=clock),
-        rng=random.Random(2),
-        seal=Seal(secret=SECRET),
+        clock=VirtualClock(),
+        secret=SECRET,
         metrics=metrics,
     )
     handled: list[int] = []
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -8,12 +8,10 @@
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Message
 from burdockdrum.peers import Peers
-from burdockdrum.peers import Seal
-from burdockdrum.peers import VmIdentity
 from burdockdrum.testing import FakeNetwork
+from burdockdrum.testing import make_peers
 from burdockdrum.testing import run_virtual
 from burdockdrum.testing import VirtualClock
-from burdockdrum.timeline import HybridClock
 
 
 class Ping(Message):
@@ -37,22 +35,11 @@
         self.seen: list[int] = []
 
     async def start(self, name: str, secret: bytes = b"s") -> Peers:
-        clock = VirtualClock()
-        mailbox = await self.network.host(name).open(f"mem://{name}:0")
-        return Peers(
-            identity=VmIdentity(
-                vm_id=name,
-                incarnation=1,
-                region="r",
-                data_centre="d",
-                control_address=mailbox.address,
-                http_address="http://127.0.0.1:1",
-            ),
-            mailbox=mailbox,
-            clock=clock,
-            hybrid_clock=HybridClock(clock=clock),
-            rng=random.Random(2),
-            seal=Seal(secret=secret),
+        return make_peers(
+            vm_id=name,
+            mailbox=await self.network.host(name).open(f"mem://{name}:0"),
+            clock=VirtualClock(),
+            secret=secret,
             metrics=self.metrics,
         )
 
