--- a/burdockdrum/resources/configuration.py
+++ b/burdockdrum/resources/configuration.py
@@ -12,7 +12,6 @@
 from burdockdrum.resources.specs import DataCentreSpec
 from burdockdrum.resources.specs import OperatorSpec
 from burdockdrum.resources.specs import PriorityClassSpec
-from burdockdrum.resources.specs import RegionSpec
 from burdockdrum.resources.specs import Resource
 from burdockdrum.resources.specs import ResourceKey
 from burdockdrum.resources.specs import Revised
@@ -66,11 +65,6 @@
             digest=digest & DIGEST_MASK,
         )
 
-    @functools.cached_property
-    def regions_by_name(self) -> dict[str, RegionSpec]:
-        """Return the regions."""
-        return self._specs(RegionSpec)
-
     @functools.cached_property
     def data_centres_by_name(self) -> dict[str, DataCentreSpec]:
         """Return the data centres."""
--- a/burdockdrum/web/control_face.py
+++ b/burdockdrum/web/control_face.py
@@ -29,13 +29,18 @@
 
 
 class ControlView(msgspec.Struct, frozen=True, kw_only=True):
-    """The members of the log, and this VM's own part in it."""
+    """The members of the log, and this VM's own part in it.
+
+    ``last_contact_seconds`` is since when no leader, or on the leader no
+    quorum, was heard.
+    """
 
     members: list[Member]
     role: str
     leader_id: str | None
     disk_id: str | None
     halt_reason: str | None
+    last_contact_seconds: float | None
 
 
 class ControlFace:
@@ -69,6 +74,7 @@
                 leader_id=log.leader_id,
                 disk_id=log.disk_id,
                 halt_reason=log.halt_reason,
+                last_contact_seconds=log.last_contact_age,
             )
         )
 
