--- a/tests/histories/injection.py
+++ b/tests/histories/injection.py
@@ -87,6 +87,7 @@
             case LosePower(region=region):
                 for vm_id in self._vms_in(region):
                     await world.crash_vm(vm_id)
+                    world.lose_unsynced(vm_id)
             case CrashEndpoint(endpoint_id=endpoint_id):
                 await world.fleet.crash_endpoint(endpoint_id)
             case LeaveEndpoint(endpoint_id=endpoint_id):
--- a/tests/histories/world.py
+++ b/tests/histories/world.py
@@ -169,6 +169,12 @@
         if vm_id in self.cluster.vms_by_id:
             await self.cluster.crash_vm(vm_id)
 
+    def lose_unsynced(self, vm_id: str) -> None:
+        """Lose what a VM's disk, if it has one, had not synced."""
+        disk = self.cluster.disks_by_vm_id.get(vm_id)
+        if disk is not None:
+            disk.lose_power()
+
     def lose_disk(self, vm_id: str) -> None:
         """Empty the disk of a VM that is stopped."""
         self.cluster.disks_by_vm_id[vm_id].wipe()
