Refuse an unknown path as JSON with its verdict

The library answered it with plain text, the one refusal without a code and a verdict. Found by adding such a path to the drawn bodies: red before, green after.

--- a/burdockdrum/web/application.py
+++ b/burdockdrum/web/application.py
@@ -3,8 +3,13 @@
 import functools
 
 from blacksheep import Application
+from blacksheep.messages import Request
+from blacksheep.messages import Response
 from blacksheep.server.routing import Router
 
+from burdockdrum.verdicts import Refusal
+from burdockdrum.verdicts import RefusalCode
+from burdockdrum.verdicts import Verdict
 from burdockdrum.vms import Drain
 from burdockdrum.web.callers import CallerFace
 from burdockdrum.web.control_face import ControlFace
@@ -66,4 +71,14 @@
     router.add_delete(member, guard(control.remove))
     router.add_post("/v1/drain", guard(operators.drain))
     router.add_get("/metrics", guard(operators.metrics))
+    router.fallback = guard(_refuse_unknown)
     return application
+
+
+async def _refuse_unknown(request: Request, request_id: str) -> Response:
+    path = request.url.path.decode(errors="replace")
+    raise Refusal(
+        code=RefusalCode.NOT_FOUND,
+        message=f"nothing answers {request.method} {path}",
+        verdict=Verdict.NOT_RUN,
+    )
--- a/tests/fuzzing/test_http_bodies.py
+++ b/tests/fuzzing/test_http_bodies.py
@@ -22,6 +22,8 @@
     "/v1/forward",
     "/v1/endpoints/announce",
     "/v1/endpoints/x/report",
+    "/v1/entries",
+    "/no/such/path",
 ]
 BODIES = strategies.lists(
     strategies.tuples(
