--- a/tests/histories/test_histories.py
+++ b/tests/histories/test_histories.py
@@ -94,6 +94,26 @@
         ]
         self.check(5211, plan)
 
+    def test_change_just_after_a_control_vm_was_drained(self):
+        # 8006: the VM that a data centre follows, its own control VM, has
+        # exited after a drain. A change accepted 1.3 s later is in force at
+        # the other VM there only 5 s after it was accepted: it goes on
+        # following the one that is gone until it takes its silence for lost.
+        plan = [
+            Planned(
+                start=11.0,
+                seconds=6.1,
+                fault=DrainVm(vm_id="dunantul-1"),
+            ),
+            Planned(
+                start=2.0,
+                seconds=4.2,
+                fault=LeaveEndpoint(endpoint_id="dunantul-engine1"),
+            ),
+            Planned(start=3.0, seconds=5.4, fault=DrainVm(vm_id="eszak-1")),
+        ]
+        self.check(8006, plan)
+
     @draw(14)
     @given(PLANS)
     def test_drawn_faults(self, plan):
