--- a/tests/histories/injection.py
+++ b/tests/histories/injection.py
@@ -1,6 +1,7 @@
 """Bring about the faults of a plan."""
 
 import asyncio
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from burdockdrum.histories import FaultSpan
@@ -72,14 +73,8 @@
         world = self._world
         network = world.cluster.network
         match planned.fault:
-            case Isolate(region=region):
-                network.cut(world.hosts_in(region), self._others(region))
-            case CutOneWay(source=source, target=target):
-                sources, targets = (
-                    world.hosts_in(source),
-                    world.hosts_in(target),
-                )
-                network.cut(sources, targets, both=False)
+            case (Isolate() | CutOneWay()) as fault:
+                self._change_links(fault, network.cut)
             case Lossy(loss=loss):
                 self._set_loss(loss)
             case CrashVm(vm_id=vm_id):
@@ -99,14 +94,8 @@
         world = self._world
         network = world.cluster.network
         match planned.fault:
-            case Isolate(region=region):
-                network.heal(world.hosts_in(region), self._others(region))
-            case CutOneWay(source=source, target=target):
-                sources, targets = (
-                    world.hosts_in(source),
-                    world.hosts_in(target),
-                )
-                network.heal(sources, targets, both=False)
+            case (Isolate() | CutOneWay()) as fault:
+                self._change_links(fault, network.heal)
             case Lossy():
                 self._set_loss(0.0)
             case CrashVm(vm_id=vm_id, lose_disk=lose_disk):
@@ -121,6 +110,18 @@
             case DrainVm(vm_id=vm_id):
                 await world.start_vm(vm_id)
 
+    def _change_links(
+        self, fault: Isolate | CutOneWay, change: Callable[..., None]
+    ) -> None:
+        """Cut or heal the links that a fault is about."""
+        match fault:
+            case Isolate(region=region):
+                change(self._world.hosts_in(region), self._others(region))
+            case CutOneWay(source=source, target=target):
+                sources = self._world.hosts_in(source)
+                targets = self._world.hosts_in(target)
+                change(sources, targets, both=False)
+
     def _others(self, region: str) -> list[str]:
         inside = set(self._world.hosts_in(region))
         return [host for host in self._world.hosts() if host not in inside]
