--- a/burdockdrum/configuration/control.py
+++ b/burdockdrum/configuration/control.py
@@ -23,6 +23,7 @@
 from burdockdrum.peers import Sender
 from burdockdrum.ports import Clock
 from burdockdrum.resources import Change
+from burdockdrum.resources import Configuration
 from burdockdrum.resources import Revised
 
 BARRIER_SECONDS = 1.0
@@ -100,6 +101,15 @@
             leader_id=self._log.leader_id,
         )
 
+    async def read_agreed(self, timeout: float) -> Configuration:
+        """Return what includes every change acknowledged before the call.
+
+        :param timeout: seconds to wait
+        :raises NotCurrent: if no quorum confirmed it in time
+        """
+        await self._log.read_barrier(timeout=timeout)
+        return self._store.configuration
+
     def status(self) -> ControlStatus:
         """Return this VM's view of the log."""
         log = self._log
--- a/burdockdrum/configuration/control_state.py
+++ b/burdockdrum/configuration/control_state.py
@@ -12,10 +12,20 @@
 from burdockdrum.resources import Delete
 from burdockdrum.resources import INVALID
 from burdockdrum.resources import Put
+from burdockdrum.resources import ReplaceRoutes
 from burdockdrum.resources import ResourceStore
+from burdockdrum.resources import SetEvacuation
 from burdockdrum.resources import StoreSnapshot
 
-Command = Put | Delete | OpenEpoch | GrantLease | ReleaseLease
+Command = (
+    Put
+    | Delete
+    | ReplaceRoutes
+    | SetEvacuation
+    | OpenEpoch
+    | GrantLease
+    | ReleaseLease
+)
 
 SNAPSHOT_FORMAT = 1
 
@@ -74,7 +84,7 @@
             )
             return msgspec.msgpack.encode(result)
         match decoded:
-            case Put() | Delete():
+            case Put() | Delete() | ReplaceRoutes() | SetEvacuation():
                 return msgspec.msgpack.encode(self.store.apply(decoded))
             case _:
                 return msgspec.msgpack.encode(self.leases.apply(decoded))
--- a/burdockdrum/configuration/service.py
+++ b/burdockdrum/configuration/service.py
@@ -22,6 +22,7 @@
 from burdockdrum.configuration.reports import Reports
 from burdockdrum.configuration.residency import allowed_regions
 from burdockdrum.configuration.residency import check_known
+from burdockdrum.consensus import NotCurrent
 from burdockdrum.consensus import ReplicatedLog
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Message
@@ -233,6 +234,16 @@
             await self._clock.sleep(_POLL_SECONDS)
         return result
 
+    async def read_agreed(self, timeout: float) -> Configuration:
+        """Return what includes every change acknowledged before the call.
+
+        :param timeout: seconds to wait
+        :raises NotCurrent: if that can't be made sure of here
+        """
+        if self._control is None:
+            raise NotCurrent("this VM has no part in agreeing on changes")
+        return await self._control.read_agreed(timeout)
+
     async def fetch_in_force(self) -> dict[str, int]:
         """Return the revision in force by VM id, all data centres' together.
 
--- /dev/null
+++ b/burdockdrum/gateway/process.py
@@ -0,0 +1,136 @@
+"""One VM's process: its start, its signals, its end."""
+
+import asyncio
+from collections.abc import Callable
+import pathlib
+import random
+import signal
+import time
+
+from loguru import logger
+
+from burdockdrum.gateway.assembly import assemble
+from burdockdrum.kernel import Kernel
+from burdockdrum.logs import log_decision
+from burdockdrum.logs import set_up_structured_log
+from burdockdrum.peers import VmIdentity
+from burdockdrum.settings import Settings
+from burdockdrum.system_ports import FolderDisk
+from burdockdrum.system_ports import limit_threads
+from burdockdrum.system_ports import PynngNetwork
+from burdockdrum.system_ports import SystemClock
+from burdockdrum.vms import Drain
+
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class Gateway:
+    """Run the services of a VM until a signal ends them."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        name: str,
+        extend: Callable[[Kernel], None],
+        reload: Callable[[], Settings],
+    ) -> None:
+        """Create a VM that has not started.
+
+        :param name: what operators call the VM
+        :param extend: adds the faces of a deployment to the kernel
+        :param reload: reads the settings again
+        """
+        self._settings = settings
+        self._name = name
+        self._extend = extend
+        self._reload = reload
+
+    async def run(self) -> None:
+        """Serve until told to stop, then finish what runs."""
+        log = set_up_structured_log(self._settings.log, self._name)
+        writing = asyncio.create_task(log.run())
+        limit_threads()
+        try:
+            await self._serve()
+        except BaseExceptionGroup as group:
+            logger.opt(exception=group).error("process.failed")
+            raise
+        finally:
+            log_decision("process.stopped")
+            writing.cancel()
+            await asyncio.gather(writing, return_exceptions=True)
+
+    async def _serve(self) -> None:
+        kernel = await self._assemble()
+        drain = kernel.find("drain", Drain)
+        loop = asyncio.get_running_loop()
+        for number in _STOP_SIGNALS:
+            loop.add_signal_handler(number, self._stop, drain, number)
+        loop.add_signal_handler(signal.SIGHUP, self._take_reload)
+        running = asyncio.create_task(kernel.run())
+        drained = asyncio.create_task(drain.done.wait())
+        await asyncio.wait(
+            {running, drained}, return_when=asyncio.FIRST_COMPLETED
+        )
+        drained.cancel()
+        running.cancel()
+        try:
+            await running
+        except asyncio.CancelledError:
+            log_decision("process.services_ended")
+
+    async def _assemble(self) -> Kernel:
+        settings = self._settings
+        mailbox = await PynngNetwork().open(settings.listen.control)
+        callers = settings.passthrough.callers
+        identity = VmIdentity(
+            vm_id=settings.vm.id,
+            incarnation=time.time_ns() // 1_000_000,
+            region=settings.vm.region,
+            data_centre=settings.vm.data_centre,
+            control_address=mailbox.address,
+            http_address=f"http://{callers}" if callers else "",
+        )
+        folder = settings.control.data_folder
+        kernel = assemble(
+            settings=settings,
+            identity=identity,
+            mailbox=mailbox,
+            clock=SystemClock(),
+            rng=random.Random(),
+            disk=FolderDisk(folder=pathlib.Path(folder)) if folder else None,
+        )
+        self._extend(kernel)
+        log_decision(
+            "process.started",
+            vm_id=identity.vm_id,
+            incarnation=identity.incarnation,
+            data_centre=identity.data_centre,
+            region=identity.region,
+            control_address=identity.control_address,
+            http_address=identity.http_address,
+        )
+        return kernel
+
+    def _stop(self, drain: Drain, number: int) -> None:
+        log_decision("process.stopping", signal=signal.Signals(number).name)
+        drain.begin()
+
+    def _take_reload(self) -> None:
+        """Read the settings again and say what a restart would change.
+
+        All that changes while a VM runs comes with the configuration; the
+        settings only say who a VM is and whom it asks first.
+        """
+        try:
+            settings = self._reload()
+        except Exception as error:
+            logger.bind(reason=str(error)).warning("settings.refused")
+            return
+        changed = [
+            name
+            for name in settings.__struct_fields__
+            if getattr(settings, name) != getattr(self._settings, name)
+        ]
+        log_decision("settings.read", needs_restart=", ".join(changed))
--- /dev/null
+++ b/burdockdrum/http1/__init__.py
@@ -0,0 +1,38 @@
+"""HTTP/1.1 without a framework, for requests that are passed through.
+
+The parser is ``httptools``. What stands here is what a pass-through needs
+and frameworks hide: when exactly a caller has gone, whether a byte of a
+request may have left, and which connections may be used again.
+"""
+
+from burdockdrum.http1.client import ClientConnection
+from burdockdrum.http1.client import ConnectionPool
+from burdockdrum.http1.client import NotConnected
+from burdockdrum.http1.client import ResponseHead
+from burdockdrum.http1.client import ResponseLost
+from burdockdrum.http1.heads import encode_request
+from burdockdrum.http1.heads import encode_response
+from burdockdrum.http1.heads import Headers
+from burdockdrum.http1.heads import without_connection_headers
+from burdockdrum.http1.listener import Handler
+from burdockdrum.http1.listener import Limits
+from burdockdrum.http1.listener import Listener
+from burdockdrum.http1.server import Exchange
+from burdockdrum.http1.server import RequestHead
+
+__all__ = [
+    "ClientConnection",
+    "ConnectionPool",
+    "encode_request",
+    "encode_response",
+    "Exchange",
+    "Handler",
+    "Headers",
+    "Limits",
+    "Listener",
+    "NotConnected",
+    "RequestHead",
+    "ResponseHead",
+    "ResponseLost",
+    "without_connection_headers",
+]
--- /dev/null
+++ b/burdockdrum/http1/heads.py
@@ -0,0 +1,65 @@
+"""Headers, and the heads of requests and responses as bytes."""
+
+from collections.abc import Iterable
+import http
+
+Headers = list[tuple[bytes, bytes]]
+
+# RFC 9110, section 7.6.1: these concern one connection only.
+_CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+_FRAMING_HEADERS = frozenset({b"content-length", b"expect"})
+_REASONS_BY_STATUS = {
+    status.value: status.phrase.encode() for status in http.HTTPStatus
+}
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header; the name is in lower case."""
+    for known, value in headers:
+        if known.lower() == name:
+            return value
+    return None
+
+
+def without_connection_headers(
+    headers: Headers, dropped: frozenset[bytes] = frozenset()
+) -> Headers:
+    """Leave out what concerns one connection or the framing of a body.
+
+    :param dropped: further names to leave out, in lower case
+    """
+    named = find_header(headers, b"connection")
+    listed: frozenset[bytes] = frozenset()
+    if named is not None:
+        listed = frozenset(n.strip().lower() for n in named.split(b","))
+    out = _CONNECTION_HEADERS | _FRAMING_HEADERS | dropped | listed
+    return [pair for pair in headers if pair[0].lower() not in out]
+
+
+def encode_request(
+    method: bytes, target: bytes, headers: Iterable[tuple[bytes, bytes]]
+) -> bytes:
+    """Return the head of a request, its empty line included."""
+    lines = [b"%s %s HTTP/1.1" % (method, target)]
+    lines += [b"%s: %s" % pair for pair in headers]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def encode_response(
+    status: int, headers: Iterable[tuple[bytes, bytes]]
+) -> bytes:
+    """Return the head of a response, its empty line included."""
+    reason = _REASONS_BY_STATUS.get(status, b"")
+    lines = [b"HTTP/1.1 %d %s" % (status, reason)]
+    lines += [b"%s: %s" % pair for pair in headers]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
--- /dev/null
+++ b/burdockdrum/passthrough/attempts.py
@@ -0,0 +1,289 @@
+"""One attempt: at an endpoint here, or through an entry elsewhere."""
+
+import asyncio
+
+from burdockdrum.http1 import ClientConnection
+from burdockdrum.http1 import ConnectionPool
+from burdockdrum.http1 import Exchange
+from burdockdrum.http1 import NotConnected
+from burdockdrum.http1 import ResponseHead
+from burdockdrum.http1 import ResponseLost
+from burdockdrum.passthrough.events import BrokenEvents
+from burdockdrum.passthrough.events import EventCutter
+from burdockdrum.passthrough.fleet import Choice
+from burdockdrum.passthrough.fleet import Fleet
+from burdockdrum.passthrough.fleet import Placement
+from burdockdrum.passthrough.health import EndpointHealth
+from burdockdrum.passthrough.model import Answered
+from burdockdrum.passthrough.model import Delivered
+from burdockdrum.passthrough.model import EndpointPlace
+from burdockdrum.passthrough.model import Lost
+from burdockdrum.passthrough.model import NotStarted
+from burdockdrum.passthrough.model import Outcome
+from burdockdrum.passthrough.model import PassedRequest
+from burdockdrum.passthrough.model import Place
+from burdockdrum.passthrough.model import Progress
+from burdockdrum.passthrough.model import RegionPlace
+from burdockdrum.passthrough.payloads import PayloadMaker
+from burdockdrum.passthrough.responses import AnswerCut
+from burdockdrum.passthrough.responses import read_held
+from burdockdrum.passthrough.responses import read_small
+from burdockdrum.passthrough.responses import ResponseReader
+from burdockdrum.ports import Clock
+
+# Within a region a connection opens in a few milliseconds; a packet that
+# was lost is sent again after a second.
+CONNECT_SECONDS = 0.4
+# To another region it takes 110 ms.
+HOP_CONNECT_SECONDS = 0.6
+# An endpoint's own answer at the deadline is on its way by then.
+GRACE_SECONDS = 0.05
+
+
+class Attempts:
+    """Make attempts and say what became of each."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        fleet: Fleet,
+        endpoint_pool: ConnectionPool,
+        vm_pool: ConnectionPool,
+        payloads: PayloadMaker,
+        responses: ResponseReader,
+    ) -> None:
+        """Create it over the pools of connections."""
+        self._clock = clock
+        self._fleet = fleet
+        self._endpoint_pool = endpoint_pool
+        self._vm_pool = vm_pool
+        self._payloads = payloads
+        self._responses = responses
+
+    async def make(
+        self,
+        place: Place,
+        request: PassedRequest,
+        progress: Progress,
+        exchange: Exchange,
+        cutter: EventCutter,
+    ) -> Outcome:
+        """Make an attempt and pass its answer on.
+
+        :raises AnswerCut: if the answer broke off and can't go on
+        """
+        match place:
+            case EndpointPlace():
+                return await self._at_endpoint(
+                    place, request, progress, exchange, cutter
+                )
+            case RegionPlace():
+                return await self._through_region(
+                    place, request, progress, exchange, cutter
+                )
+
+    async def _at_endpoint(
+        self,
+        place: EndpointPlace,
+        request: PassedRequest,
+        progress: Progress,
+        exchange: Exchange,
+        cutter: EventCutter,
+    ) -> Outcome:
+        endpoint = place.endpoint
+        choice = Choice(
+            endpoint=endpoint,
+            wait_seconds=place.wait_seconds,
+            unread_tokens=place.unread_tokens,
+        )
+        placement = self._fleet.begin(choice, request.backend, request.prompt)
+        payload = self._payloads.for_endpoint(
+            request,
+            endpoint_id=endpoint.endpoint_id,
+            seconds_left=self._seconds_left(request),
+            last_event=cutter.last_number,
+        )
+        call = _Call(
+            pool=self._endpoint_pool,
+            address=endpoint.address,
+            payload=payload,
+            connect_seconds=CONNECT_SECONDS,
+            placement=placement,
+        )
+        outcome: Outcome | None = None
+        try:
+            outcome = await self._call(
+                call, request, progress, exchange, cutter
+            )
+            return outcome
+        finally:
+            whole = isinstance(outcome, Delivered)
+            self._fleet.end(placement, whole=whole)
+            self._judge(self._fleet.health_of(endpoint), outcome)
+
+    async def _through_region(
+        self,
+        place: RegionPlace,
+        request: PassedRequest,
+        progress: Progress,
+        exchange: Exchange,
+        cutter: EventCutter,
+    ) -> Outcome:
+        payload = self._payloads.for_region(
+            request,
+            seconds_left=self._seconds_left(request),
+            attempts=max(1, request.attempts - progress.runs),
+            last_event=cutter.last_number,
+        )
+        call = _Call(
+            pool=self._vm_pool,
+            address=place.address,
+            payload=payload,
+            connect_seconds=HOP_CONNECT_SECONDS,
+        )
+        return await self._call(call, request, progress, exchange, cutter)
+
+    async def _call(
+        self,
+        call: "_Call",
+        request: PassedRequest,
+        progress: Progress,
+        exchange: Exchange,
+        cutter: EventCutter,
+    ) -> Outcome:
+        try:
+            connection = await call.pool.take(
+                call.address, timeout=call.connect_seconds
+            )
+        except NotConnected as error:
+            return NotStarted(reason=str(error), reached=False)
+        left = self._seconds_left(request) + GRACE_SECONDS
+        if left <= GRACE_SECONDS:
+            call.pool.give_back(call.address, connection)
+            return NotStarted(reason="no time was left", reached=False)
+        progress.sent += 1
+        try:
+            connection.send(call.payload, request.request_id.encode())
+            async with asyncio.timeout(left):
+                return await self._receive(
+                    connection, call, request, exchange, cutter
+                )
+        except TimeoutError:
+            return Lost(reason="the deadline has passed", timed_out=True)
+        except (ResponseLost, BrokenEvents) as error:
+            return Lost(reason=str(error))
+        finally:
+            # One whose response was not read to its end is closed, and
+            # what runs at the other side ends.
+            call.pool.give_back(call.address, connection)
+
+    async def _receive(
+        self,
+        connection: ClientConnection,
+        call: "_Call",
+        request: PassedRequest,
+        exchange: Exchange,
+        cutter: EventCutter,
+    ) -> Outcome:
+        head = await connection.read_head()
+        judged = self._responses.judge(head)
+        if judged is not None:
+            await read_small(connection)
+            return judged
+        if head.status >= 300:
+            body = await read_small(connection)
+            return Answered(head=head, body=body)
+        if request.route.streams:
+            return await self._pass_stream(
+                connection, head, call, exchange, cutter
+            )
+        return await self._pass_whole(connection, head, exchange)
+
+    async def _pass_whole(
+        self,
+        connection: ClientConnection,
+        head: ResponseHead,
+        exchange: Exchange,
+    ) -> Outcome:
+        body, whole = await read_held(connection)
+        headers = self._responses.headers_for_caller(head)
+        if whole:
+            exchange.answer(head.status, headers, body)
+            return Delivered(status=head.status)
+        exchange.start(head.status, headers)
+        exchange.write(body)
+        try:
+            while (part := await connection.read_part()) is not None:
+                exchange.write(part)
+                await exchange.drain()
+        except ResponseLost as error:
+            raise AnswerCut(str(error)) from error
+        exchange.finish()
+        return Delivered(status=head.status)
+
+    async def _pass_stream(
+        self,
+        connection: ClientConnection,
+        head: ResponseHead,
+        call: "_Call",
+        exchange: Exchange,
+        cutter: EventCutter,
+    ) -> Outcome:
+        cutter.begin_run()
+        while (part := await connection.read_part()) is not None:
+            if call.placement is not None:
+                self._fleet.note_output(call.placement)
+            events = cutter.feed(part)
+            if events:
+                self._start_stream(exchange, head)
+                exchange.write(events)
+                await exchange.drain()
+        if cutter.has_rest:
+            raise BrokenEvents("the stream ended in the middle of an event")
+        self._start_stream(exchange, head)
+        exchange.finish()
+        return Delivered(status=head.status)
+
+    def _start_stream(self, exchange: Exchange, head: ResponseHead) -> None:
+        # Not before the first event: until then another endpoint can give
+        # the answer, its head included.
+        if not exchange.started:
+            headers = self._responses.headers_for_caller(head)
+            exchange.start(head.status, headers)
+
+    def _seconds_left(self, request: PassedRequest) -> float:
+        return request.deadline - self._clock.monotonic()
+
+    def _judge(self, health: EndpointHealth, outcome: Outcome | None) -> None:
+        now = self._clock.monotonic()
+        match outcome:
+            case Delivered():
+                health.note_success()
+            case Answered(head=head) if head.status >= 500:
+                health.note_failure(now)
+            case NotStarted(reached=False):
+                health.note_unreachable(now)
+            case Lost(timed_out=False):
+                health.note_failure(now)
+            case _:
+                health.note_neutral()
+
+
+class _Call:
+    """Where an attempt goes, and with which bytes."""
+
+    def __init__(
+        self,
+        *,
+        pool: ConnectionPool,
+        address: str,
+        payload: bytes,
+        connect_seconds: float,
+        placement: Placement | None = None,
+    ) -> None:
+        self.pool = pool
+        self.address = address
+        self.payload = payload
+        self.connect_seconds = connect_seconds
+        self.placement = placement
--- /dev/null
+++ b/burdockdrum/passthrough/model.py
@@ -0,0 +1,110 @@
+"""A request that is passed through, and what becomes of its attempts."""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from burdockdrum.http1 import RequestHead
+from burdockdrum.http1 import ResponseHead
+from burdockdrum.passthrough.prompts import Prompt
+from burdockdrum.registrations import RegisteredEndpoint
+from burdockdrum.resources import Backend
+from burdockdrum.resources import Route
+from burdockdrum.verdicts import Verdict
+
+
+@dataclass(frozen=True, kw_only=True)
+class PassedRequest:
+    """A request with its route.
+
+    ``deadline`` is when the caller gives up, or the route's timeout if that
+    comes first, on the monotonic clock. ``came_from`` is the region of the
+    entry that passed it on, None for a caller's own.
+    """
+
+    request_id: str
+    head: RequestHead
+    route: Route
+    backend: Backend
+    prompt: Prompt
+    received_at: float
+    deadline: float
+    attempts: int
+    last_event: int | None = None
+    came_from: str | None = None
+    revision: int = 0
+
+
+@dataclass(kw_only=True)
+class Progress:
+    """What has become of a request so far.
+
+    ``runs`` counts the attempts that may have run, ``sent`` those that
+    reached an endpoint at all.
+    """
+
+    verdict: Verdict = Verdict.NOT_RUN
+    runs: int = 0
+    sent: int = 0
+    tried: set[str] = field(default_factory=set)
+    tried_regions: set[str] = field(default_factory=set)
+    last_reason: str = ""
+    failure: "Answered | None" = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class EndpointPlace:
+    """An attempt at an endpoint of this region."""
+
+    endpoint: RegisteredEndpoint
+    wait_seconds: float
+    unread_tokens: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class RegionPlace:
+    """An attempt through an entry of another region."""
+
+    region: str
+    address: str
+    vm_id: str
+
+
+Place = EndpointPlace | RegionPlace
+
+
+@dataclass(frozen=True, kw_only=True)
+class Delivered:
+    """The caller has the whole answer."""
+
+    status: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class Answered:
+    """An endpoint answered with a failure of its own, held back so far."""
+
+    head: ResponseHead
+    body: bytes
+
+
+@dataclass(frozen=True, kw_only=True)
+class NotStarted:
+    """The attempt did not run; ``reached`` says whether it arrived."""
+
+    reason: str
+    reached: bool
+    retry_after: float | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class Lost:
+    """The attempt may have run and gave no whole answer.
+
+    ``timed_out`` says that the time was up.
+    """
+
+    reason: str
+    timed_out: bool = False
+
+
+Outcome = Delivered | Answered | NotStarted | Lost
--- /dev/null
+++ b/burdockdrum/passthrough/payloads.py
@@ -0,0 +1,90 @@
+"""The bytes of a request as an endpoint or another entry gets it."""
+
+from burdockdrum.http1 import encode_request
+from burdockdrum.http1 import Headers
+from burdockdrum.http1 import without_connection_headers
+from burdockdrum.passthrough.model import PassedRequest
+from burdockdrum.passthrough.vocabulary import HeaderNames
+from burdockdrum.passthrough.vocabulary import HOP_ATTEMPTS
+from burdockdrum.passthrough.vocabulary import HOP_HEADERS
+from burdockdrum.passthrough.vocabulary import HOP_REGION
+
+_MILLISECONDS = 1000
+# Of the ranks that an engine knows, the last.
+MAX_URGENCY = 9
+
+
+class PayloadMaker:
+    """Make payloads; what the caller may not set is left out."""
+
+    def __init__(self, *, names: HeaderNames, region: str) -> None:
+        """Create it for the entries of a region."""
+        self._names = names
+        self._region = region.encode()
+        self._dropped = (
+            names.system_only
+            | HOP_HEADERS
+            | frozenset(
+                {
+                    names.deadline,
+                    names.expected_endpoint,
+                    names.last_event,
+                    names.urgency,
+                }
+            )
+        )
+
+    def for_endpoint(
+        self,
+        request: PassedRequest,
+        *,
+        endpoint_id: str,
+        seconds_left: float,
+        last_event: int | None,
+    ) -> bytes:
+        """Return the payload for an endpoint."""
+        headers = self._common(request, seconds_left, last_event)
+        names = self._names
+        headers.append((names.expected_endpoint, endpoint_id.encode()))
+        if request.backend.engine is not None:
+            rank = min(request.route.rank, MAX_URGENCY)
+            headers.append((names.urgency, b"%d" % rank))
+        return self._finish(request, headers)
+
+    def for_region(
+        self,
+        request: PassedRequest,
+        *,
+        seconds_left: float,
+        attempts: int,
+        last_event: int | None,
+    ) -> bytes:
+        """Return the payload for an entry of another region."""
+        headers = self._common(request, seconds_left, last_event)
+        headers.append((HOP_REGION, self._region))
+        headers.append((HOP_ATTEMPTS, b"%d" % attempts))
+        return self._finish(request, headers)
+
+    def _common(
+        self,
+        request: PassedRequest,
+        seconds_left: float,
+        last_event: int | None,
+    ) -> Headers:
+        names = self._names
+        headers = without_connection_headers(
+            request.head.headers, self._dropped
+        )
+        if request.head.find(names.request_id) is None:
+            headers.append((names.request_id, request.request_id.encode()))
+        left = max(1, int(seconds_left * _MILLISECONDS))
+        headers.append((names.deadline, b"%d" % left))
+        if last_event is not None:
+            headers.append((names.last_event, b"%d" % last_event))
+        return headers
+
+    def _finish(self, request: PassedRequest, headers: Headers) -> bytes:
+        head = request.head
+        if head.body or head.method not in (b"GET", b"HEAD"):
+            headers.append((b"content-length", b"%d" % len(head.body)))
+        return encode_request(head.method, head.target, headers) + head.body
--- /dev/null
+++ b/burdockdrum/passthrough/placing.py
@@ -0,0 +1,170 @@
+"""Choose where a request is tried next: here, or in another region."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import random
+
+from burdockdrum.passthrough.fleet import Choice
+from burdockdrum.passthrough.fleet import Fleet
+from burdockdrum.passthrough.fleet import PREFILL_TOKENS_A_SECOND
+from burdockdrum.passthrough.model import EndpointPlace
+from burdockdrum.passthrough.model import PassedRequest
+from burdockdrum.passthrough.model import Place
+from burdockdrum.passthrough.model import Progress
+from burdockdrum.passthrough.model import RegionPlace
+from burdockdrum.peers import VmIdentity
+from burdockdrum.ports import Clock
+from burdockdrum.registrations import ServiceRoom
+from burdockdrum.verdicts import Refusal
+from burdockdrum.verdicts import RefusalCode
+
+# There and back between two regions, and the hop's own work.
+HOP_SECONDS = 0.12
+# Sums of load are half a second old and all entries see the same ones: a
+# region must look better by this much before work is sent there, or all
+# would send at once.
+SPILL_MARGIN_SECONDS = 0.15
+# Where no endpoint may take a request the next check-in may change that.
+RETRY_AFTER_NONE = 1.0
+MIN_RETRY_SECONDS = 0.3
+MAX_RETRY_SECONDS = 3.0
+
+
+class Placing:
+    """Choose among the endpoints here and the entries of other regions."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        fleet: Fleet,
+        region: str,
+        read_rooms: Callable[[], list[ServiceRoom]],
+        read_entries: Callable[[], Iterable[VmIdentity]],
+        read_closed: Callable[[], frozenset[str]],
+        hop_address: Callable[[VmIdentity], str],
+    ) -> None:
+        """Create it for a region.
+
+        :param read_rooms: returns what each region has under way
+        :param read_entries: returns the live entries of other regions
+        :param read_closed: returns the data centres that get no new work
+        :param hop_address: returns where an entry takes what is passed on
+        """
+        self._clock = clock
+        self._rng = rng
+        self._fleet = fleet
+        self._region = region
+        self._read_rooms = read_rooms
+        self._read_entries = read_entries
+        self._read_closed = read_closed
+        self._hop_address = hop_address
+
+    def place(self, request: PassedRequest, progress: Progress) -> Place:
+        """Choose the next place.
+
+        :raises Refusal: with the verdict so far, if there is none
+        """
+        here = self._choose_here(request, progress)
+        elsewhere = self._choose_region(request, progress, here)
+        if elsewhere is not None:
+            return elsewhere
+        left = request.deadline - self._clock.monotonic()
+        if here is None:
+            raise self._refuse(request, progress, RETRY_AFTER_NONE)
+        if here.wait_seconds >= left:
+            raise self._refuse(request, progress, here.wait_seconds - left)
+        return EndpointPlace(
+            endpoint=here.endpoint,
+            wait_seconds=here.wait_seconds,
+            unread_tokens=here.unread_tokens,
+        )
+
+    def _choose_here(
+        self, request: PassedRequest, progress: Progress
+    ) -> Choice | None:
+        homes = request.route.homes
+        if homes and self._region not in homes:
+            return None
+        return self._fleet.choose(
+            backend=request.backend,
+            prompt=request.prompt,
+            tried=frozenset(progress.tried),
+            closed_data_centres=self._read_closed(),
+        )
+
+    def _choose_region(
+        self,
+        request: PassedRequest,
+        progress: Progress,
+        here: Choice | None,
+    ) -> RegionPlace | None:
+        if request.came_from is not None:
+            # One hop only: two regions that each think that the other has
+            # room would pass a request to and fro.
+            return None
+        limit = float("inf")
+        if here is not None:
+            limit = here.wait_seconds - SPILL_MARGIN_SECONDS
+            if limit <= HOP_SECONDS:
+                return None
+        waits = self._rate_regions(request, progress)
+        for wait, region in sorted(waits):
+            if wait >= limit:
+                return None
+            entry = self._choose_entry(region, progress)
+            if entry is not None:
+                return RegionPlace(
+                    region=region,
+                    address=self._hop_address(entry),
+                    vm_id=entry.vm_id,
+                )
+        return None
+
+    def _rate_regions(
+        self, request: PassedRequest, progress: Progress
+    ) -> list[tuple[float, str]]:
+        homes = request.route.homes
+        waits = []
+        for room in self._read_rooms():
+            if room.service != request.backend.name:
+                continue
+            if room.region == self._region or not room.endpoints:
+                continue
+            if room.region in progress.tried_regions:
+                continue
+            if homes and room.region not in homes:
+                continue
+            waits.append((self._estimate(request, room), room.region))
+        return waits
+
+    def _estimate(self, request: PassedRequest, room: ServiceRoom) -> float:
+        tokens = room.tokens / room.endpoints + request.prompt.tokens
+        wait = tokens / PREFILL_TOKENS_A_SECOND
+        over = room.requests + 1 - room.slots
+        if over > 0 and room.slots:
+            run_seconds = self._fleet.run_seconds(room.service)
+            wait += over / room.slots * run_seconds
+        return wait + HOP_SECONDS
+
+    def _choose_entry(
+        self, region: str, progress: Progress
+    ) -> VmIdentity | None:
+        entries = [
+            entry
+            for entry in self._read_entries()
+            if entry.region == region and entry.vm_id not in progress.tried
+        ]
+        return self._rng.choice(entries) if entries else None
+
+    def _refuse(
+        self, request: PassedRequest, progress: Progress, wait: float
+    ) -> Refusal:
+        reason = progress.last_reason or "no endpoint has room in time"
+        return Refusal(
+            code=RefusalCode.OVERLOADED,
+            message=f"{request.backend.name}: {reason}",
+            verdict=progress.verdict,
+            retry_after=min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait)),
+        )
--- /dev/null
+++ b/burdockdrum/passthrough/prompts.py
@@ -0,0 +1,62 @@
+"""What a request says of its prompt."""
+
+from dataclasses import dataclass
+
+# Prompts of more parts are not longer in practice; the rest is read anew.
+MAX_PARTS = 64
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PromptPart:
+    """A part that other prompts may begin with as well."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Prompt:
+    """The size of a prompt and its parts in order.
+
+    The last part belongs to the request or its session; those before it are
+    shared.
+    """
+
+    tokens: int = 0
+    max_output: int = 0
+    parts: tuple[PromptPart, ...] = ()
+
+    @property
+    def affinity_key(self) -> str | None:
+        """Return the longest shared beginning, by its last part's id."""
+        return self.parts[-2].part_id if len(self.parts) > 1 else None
+
+
+def parse_prompt(counts: bytes | None, parts: bytes | None) -> Prompt:
+    """Read the headers of a prompt; what is malformed counts as absent.
+
+    They only help to place a request: the endpoint reads them for itself.
+    """
+    tokens, max_output = _parse_counts(counts)
+    return Prompt(
+        tokens=tokens, max_output=max_output, parts=_parse_parts(parts)
+    )
+
+
+def _parse_counts(value: bytes | None) -> tuple[int, int]:
+    numbers = (value or b"").split(b",")
+    if len(numbers) != 2 or not all(n.strip().isdigit() for n in numbers):
+        return 0, 0
+    return int(numbers[0]), int(numbers[1])
+
+
+def _parse_parts(value: bytes | None) -> tuple[PromptPart, ...]:
+    parts = []
+    for item in (value or b"").split(b",")[:MAX_PARTS]:
+        name, _, tokens = item.strip().partition(b":")
+        if not name or not tokens.isdigit():
+            return ()
+        parts.append(
+            PromptPart(part_id=name.decode("latin-1"), tokens=int(tokens))
+        )
+    return tuple(parts)
--- /dev/null
+++ b/burdockdrum/passthrough/services.py
@@ -0,0 +1,181 @@
+"""Name the services of this package."""
+
+from collections.abc import Iterable
+import random
+from urllib.parse import urlsplit
+
+from burdockdrum.configuration import ConfigurationService
+from burdockdrum.http1 import ConnectionPool
+from burdockdrum.http1 import Limits
+from burdockdrum.http1 import Listener
+from burdockdrum.kernel import Kernel
+from burdockdrum.metrics import Metrics
+from burdockdrum.passthrough.attempts import Attempts
+from burdockdrum.passthrough.fleet import Fleet
+from burdockdrum.passthrough.limits import RetryBudget
+from burdockdrum.passthrough.payloads import PayloadMaker
+from burdockdrum.passthrough.placing import Placing
+from burdockdrum.passthrough.reading import RequestReader
+from burdockdrum.passthrough.relay import Relay
+from burdockdrum.passthrough.responses import ResponseReader
+from burdockdrum.passthrough.routes_in_force import RoutesInForce
+from burdockdrum.passthrough.server import PassThroughServer
+from burdockdrum.passthrough.vocabulary import HeaderNames
+from burdockdrum.peers import VmIdentity
+from burdockdrum.ports import Clock
+from burdockdrum.registrations import RegistrationFollower
+from burdockdrum.settings import Settings
+from burdockdrum.vms import Drain
+from burdockdrum.vms import VmDirectory
+
+# Connections between entries are closed by the one that opened them.
+VM_IDLE_SECONDS = 60.0
+
+
+def add_services(kernel: Kernel) -> None:
+    """Name the pass-through of an entry."""
+    kernel.add("header_names", lambda kernel: HeaderNames())
+    kernel.add("routes_in_force", _build_routes)
+    kernel.add("fleet", _build_fleet)
+    kernel.add("endpoint_pool", _build_endpoint_pool)
+    kernel.add("vm_pool", _build_pool)
+    kernel.add("placing", _build_placing)
+    kernel.add("retry_budget", _build_budget)
+    kernel.add("relay", _build_relay)
+    kernel.add("passthrough", _build_server)
+
+
+def _build_routes(kernel: Kernel) -> RoutesInForce:
+    configuration = kernel.find("configuration", ConfigurationService)
+    return RoutesInForce(configuration=configuration)
+
+
+def _build_fleet(kernel: Kernel) -> Fleet:
+    registrations = kernel.find("registrations", RegistrationFollower)
+    fleet = Fleet(
+        clock=kernel.find("clock", Clock),
+        rng=kernel.find("random", random.Random),
+        read_endpoints=lambda: registrations.endpoints_by_id,
+        read_load=registrations.load_of,
+    )
+    registrations.read_load = fleet.read_own_load
+    return fleet
+
+
+def _build_endpoint_pool(kernel: Kernel) -> ConnectionPool:
+    opened = kernel.find("metrics", Metrics).counter(
+        "burdockdrum_endpoint_connections_total",
+        "Connections opened to endpoints.",
+    )
+    names = kernel.find("header_names", HeaderNames)
+    return ConnectionPool(id_header=names.request_id, on_open=opened.increment)
+
+
+def _build_pool(kernel: Kernel) -> ConnectionPool:
+    names = kernel.find("header_names", HeaderNames)
+    return ConnectionPool(id_header=names.request_id)
+
+
+def _build_placing(kernel: Kernel) -> Placing:
+    identity = kernel.find("identity", VmIdentity)
+    registrations = kernel.find("registrations", RegistrationFollower)
+    configuration = kernel.find("configuration", ConfigurationService)
+    directory = kernel.find("vms", VmDirectory)
+    settings = kernel.find("settings", Settings)
+    port = settings.passthrough.vms.rpartition(":")[2]
+
+    def read_entries() -> Iterable[VmIdentity]:
+        for view in directory.live_vms():
+            if view.identity.http_address and not view.draining:
+                yield view.identity
+
+    def hop_address(entry: VmIdentity) -> str:
+        return f"{urlsplit(entry.http_address).hostname}:{port}"
+
+    return Placing(
+        clock=kernel.find("clock", Clock),
+        rng=kernel.find("random", random.Random),
+        fleet=kernel.find("fleet", Fleet),
+        region=identity.region,
+        read_rooms=lambda: registrations.rooms,
+        read_entries=read_entries,
+        read_closed=lambda: configuration.current.evacuated_data_centres,
+        hop_address=hop_address,
+    )
+
+
+def _build_budget(kernel: Kernel) -> RetryBudget:
+    settings = kernel.find("settings", Settings).passthrough
+    return RetryBudget(
+        clock=kernel.find("clock", Clock),
+        ratio=settings.retry_ratio,
+        burst=settings.retry_burst,
+        window=settings.retry_window_seconds,
+    )
+
+
+def _build_relay(kernel: Kernel) -> Relay:
+    clock = kernel.find("clock", Clock)
+    names = kernel.find("header_names", HeaderNames)
+    configuration = kernel.find("configuration", ConfigurationService)
+    routes = kernel.find("routes_in_force", RoutesInForce)
+    responses = ResponseReader(names=names)
+    return Relay(
+        clock=clock,
+        names=names,
+        reader=RequestReader(
+            clock=clock,
+            rng=kernel.find("random", random.Random),
+            names=names,
+            read_index=lambda: routes.index,
+            read_age=lambda: configuration.age,
+        ),
+        placing=kernel.find("placing", Placing),
+        attempts=Attempts(
+            clock=clock,
+            fleet=kernel.find("fleet", Fleet),
+            endpoint_pool=kernel.find("endpoint_pool", ConnectionPool),
+            vm_pool=kernel.find("vm_pool", ConnectionPool),
+            payloads=PayloadMaker(
+                names=names,
+                region=kernel.find("identity", VmIdentity).region,
+            ),
+            responses=responses,
+        ),
+        responses=responses,
+        budget=kernel.find("retry_budget", RetryBudget),
+        drain=kernel.find("drain", Drain),
+        metrics=kernel.find("metrics", Metrics),
+    )
+
+
+def _build_server(kernel: Kernel) -> PassThroughServer:
+    settings = kernel.find("settings", Settings).passthrough
+    relay = kernel.find("relay", Relay)
+    routes = kernel.find("routes_in_force", RoutesInForce)
+    return PassThroughServer(
+        clock=kernel.find("clock", Clock),
+        callers=Listener(
+            address=settings.callers,
+            handle=relay.serve_caller,
+            read_limits=lambda: routes.limits,
+        ),
+        # What an entry has taken in may have grown by a few headers.
+        vms=Listener(
+            address=settings.vms,
+            handle=relay.serve_vm,
+            read_limits=lambda: Limits(
+                header_bytes=2 * routes.limits.header_bytes,
+                body_bytes=routes.limits.body_bytes,
+                idle_seconds=VM_IDLE_SECONDS,
+            ),
+        ),
+        pools=[
+            kernel.find("endpoint_pool", ConnectionPool),
+            kernel.find("vm_pool", ConnectionPool),
+        ],
+        fleet=kernel.find("fleet", Fleet),
+        budget=kernel.find("retry_budget", RetryBudget),
+        registrations=kernel.find("registrations", RegistrationFollower),
+        drain=kernel.find("drain", Drain),
+    )
--- /dev/null
+++ b/burdockdrum/passthrough/table.py
@@ -0,0 +1,45 @@
+"""Find the route of a request."""
+
+import random
+
+from burdockdrum.resources import Backend
+from burdockdrum.resources import Route
+from burdockdrum.resources import RouteTableSpec
+
+
+class RouteIndex:
+    """The routes of one table by host, the longest prefix first."""
+
+    def __init__(self, *, table: RouteTableSpec) -> None:
+        """Index a table."""
+        self.generation = table.generation
+        self.backends_by_name: dict[str, Backend] = {
+            backend.name: backend for backend in table.backends
+        }
+        self._routes_by_host: dict[str, list[Route]] = {}
+        for route in table.routes:
+            routes = self._routes_by_host.setdefault(route.host.lower(), [])
+            routes.append(route)
+        for routes in self._routes_by_host.values():
+            routes.sort(key=lambda r: len(r.path_prefix), reverse=True)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route whose prefix is the longest that fits."""
+        for route in self._routes_by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def homes_of(self, host: str) -> frozenset[str]:
+        """Return the regions that some route of a host is kept to."""
+        routes = self._routes_by_host.get(host, ())
+        return frozenset(home for route in routes for home in route.homes)
+
+
+def choose_service(route: Route, rng: random.Random) -> str:
+    """Draw the service of a request by the route's weights."""
+    services = route.services
+    if len(services) == 1:
+        return services[0].service
+    weights = [share.weight for share in services]
+    return rng.choices(services, weights=weights)[0].service
--- /dev/null
+++ b/burdockdrum/passthrough/vocabulary.py
@@ -0,0 +1,42 @@
+"""The names of the headers that a pass-through reads and sets.
+
+A deployment whose callers and endpoints use other names supplies its own.
+"""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+
+@dataclass(frozen=True, kw_only=True)
+class HeaderNames:
+    """Header names in lower case.
+
+    ``request_id`` names a request and is echoed in its answer. ``deadline``
+    is how many milliseconds the caller will wait. ``provenance`` marks what
+    an endpoint answered itself. ``expected_endpoint`` makes any other one
+    refuse, with status 421. ``not_run`` is an endpoint's promise that it
+    did not run a request. ``last_event`` is the number of the last event
+    that the caller has. ``token_counts`` are the prompt's tokens and the
+    most to generate; ``prompt_parts`` names the prompt's parts in order,
+    as ``ID:TOKENS``. ``urgency`` is 0 for what an engine admits first.
+    ``system_only`` are dropped where a caller sends them.
+    """
+
+    request_id: bytes = b"x-request-id"
+    deadline: bytes = b"x-deadline-ms"
+    provenance: bytes = b"x-endpoint"
+    expected_endpoint: bytes = b"x-expected-endpoint"
+    not_run: bytes = b"x-not-started"
+    last_event: bytes = b"last-event-id"
+    token_counts: bytes = b"x-tokens"
+    prompt_parts: bytes = b"x-prompt-parts"
+    urgency: bytes = b"x-urgency"
+    system_only: frozenset[bytes] = field(default_factory=frozenset)
+
+
+# Between entries. A caller who sends them is not an entry: they are dropped
+# on the callers' listener.
+HOP_REGION = b"x-burdockdrum-from"
+HOP_ATTEMPTS = b"x-burdockdrum-attempts"
+VERDICT = b"x-verdict"
+HOP_HEADERS = frozenset({HOP_REGION, HOP_ATTEMPTS, VERDICT})
--- /dev/null
+++ b/burdockdrum/registrations/follower.py
@@ -0,0 +1,225 @@
+"""The entry's part: follow what every control VM has heard."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+
+from burdockdrum.peers import Message
+from burdockdrum.peers import Peers
+from burdockdrum.peers import Sender
+from burdockdrum.ports import Clock
+from burdockdrum.registrations.messages import Load
+from burdockdrum.registrations.messages import Registration
+from burdockdrum.registrations.messages import RegistrationState
+from burdockdrum.registrations.messages import ServiceRoom
+from burdockdrum.registrations.messages import Watch
+from burdockdrum.registrations.messages import Watched
+from burdockdrum.registrations.model import EndpointLoad
+from burdockdrum.registrations.model import RegisteredEndpoint
+
+WATCH_SECONDS = 0.5
+# What a control VM knew before its restart counts for so long: within it a
+# live endpoint has checked in again, there or elsewhere.
+KEEP_OLD_SECONDS = 6.0
+# Sums of load older than this say nothing of the present.
+LOAD_SECONDS = 3.0
+# A start that ended is remembered for as long as a late message about it
+# may be on its way.
+KEEP_GONE_SECONDS = 120.0
+_NO_LOAD = EndpointLoad()
+
+
+@dataclass(kw_only=True)
+class _Source:
+    """What one control VM has told; ``epoch`` is its start."""
+
+    epoch: int = 0
+    serial: int = 0
+    heard_at: float = float("-inf")
+    endpoints_by_id: dict[str, RegisteredEndpoint] = field(
+        default_factory=dict
+    )
+    old_until_by_id: dict[str, float] = field(default_factory=dict)
+
+
+class RegistrationFollower:
+    """The endpoints of this region by id, from all control VMs."""
+
+    def __init__(
+        self,
+        *,
+        peers: Peers,
+        clock: Clock,
+        control_addresses: Callable[[], Mapping[str, str]],
+        read_load: Callable[[], dict[str, Load]] = dict,
+    ) -> None:
+        """Know no endpoint.
+
+        :param control_addresses: returns the control VMs' addresses by id
+        :param read_load: returns what this VM has under way, by endpoint
+        """
+        self.endpoints_by_id: dict[str, RegisteredEndpoint] = {}
+        self.rooms: list[ServiceRoom] = []
+        self.rooms_at = float("-inf")
+        self.read_load = read_load
+        self.listeners: list[Callable[[], None]] = []
+        self._peers = peers
+        self._clock = clock
+        self._control_addresses = control_addresses
+        self._sources_by_id: dict[str, _Source] = {}
+        self._gone_at_by_id: dict[str, float] = {}
+        self._load_by_id: dict[str, EndpointLoad] = {}
+        self._load_at = float("-inf")
+        self._counts: dict[str, tuple[int, int]] = {}
+        peers.register(Watched, self._take_watched)
+
+    @property
+    def entries_here(self) -> int:
+        """Return how many entries this region may have, at least one."""
+        return max([1, *(here for here, _ in self._counts.values())])
+
+    @property
+    def entries_everywhere(self) -> int:
+        """Return how many entries there may be, at least one."""
+        return max([1, *(all_ for _, all_ in self._counts.values())])
+
+    def load_of(self, endpoint_id: str) -> EndpointLoad:
+        """Return what the other entries have under way at an endpoint."""
+        if self._clock.monotonic() - self._load_at > LOAD_SECONDS:
+            return _NO_LOAD
+        return self._load_by_id.get(endpoint_id, _NO_LOAD)
+
+    def is_heard(self, seconds: float) -> bool:
+        """Say whether a control VM was heard of in the last seconds."""
+        since = self._clock.monotonic() - seconds
+        return any(s.heard_at >= since for s in self._sources_by_id.values())
+
+    def drop(self, endpoint_id: str) -> None:
+        """Forget a start of an endpoint that another has replaced."""
+        self._gone_at_by_id[endpoint_id] = self._clock.monotonic()
+        self._merge(endpoint_id)
+        self._tell()
+
+    async def run(self) -> None:
+        """Watch every control VM until cancelled."""
+        while True:
+            self._watch_all()
+            self._prune()
+            await self._clock.sleep(WATCH_SECONDS)
+
+    def _watch_all(self) -> None:
+        load_by_id = self.read_load()
+        for vm_id, address in self._control_addresses().items():
+            self._watch(vm_id, address, load_by_id)
+
+    def _watch(
+        self, vm_id: str, address: str, load_by_id: dict[str, Load]
+    ) -> None:
+        source = self._sources_by_id.setdefault(vm_id, _Source())
+        message = Watch(
+            region=self._peers.identity.region,
+            epoch=source.epoch,
+            serial=source.serial,
+            load_by_id=load_by_id,
+        )
+        self._peers.send(address, message)
+
+    async def _take_watched(
+        self, sender: Sender, message: Watched
+    ) -> Message | None:
+        source = self._sources_by_id.setdefault(sender.vm_id, _Source())
+        now = self._clock.monotonic()
+        if message.epoch < source.epoch:
+            return None
+        if message.epoch > source.epoch:
+            self._begin_epoch(source, message.epoch, now)
+        source.heard_at = now
+        self._counts[sender.vm_id] = (
+            message.entries_here,
+            message.entries_everywhere,
+        )
+        self._take_load(message, now)
+        if message.after <= source.serial <= message.serial:
+            source.serial = message.serial
+        for registration in message.registrations:
+            self._take(source, registration, now)
+        if message.registrations:
+            self._tell()
+        return None
+
+    def _begin_epoch(self, source: _Source, epoch: int, now: float) -> None:
+        source.epoch = epoch
+        source.serial = 0
+        source.old_until_by_id = dict.fromkeys(
+            source.endpoints_by_id, now + KEEP_OLD_SECONDS
+        )
+
+    def _take_load(self, message: Watched, now: float) -> None:
+        if message.load_by_id is None or message.rooms is None:
+            return
+        self._load_at = self.rooms_at = now
+        self.rooms = message.rooms
+        self._load_by_id = {
+            endpoint_id: EndpointLoad(
+                requests=load.requests, tokens=load.tokens
+            )
+            for endpoint_id, load in message.load_by_id.items()
+        }
+
+    def _take(
+        self, source: _Source, registration: Registration, now: float
+    ) -> None:
+        endpoint_id = registration.endpoint_id
+        source.old_until_by_id.pop(endpoint_id, None)
+        match registration.state:
+            case RegistrationState.GONE:
+                self._gone_at_by_id[endpoint_id] = now
+                source.endpoints_by_id.pop(endpoint_id, None)
+            case RegistrationState.FORGOTTEN:
+                source.endpoints_by_id.pop(endpoint_id, None)
+            case _:
+                left = registration.seconds_left
+                source.endpoints_by_id[endpoint_id] = RegisteredEndpoint(
+                    endpoint_id=endpoint_id,
+                    service=registration.service,
+                    address=registration.address,
+                    data_centre=registration.data_centre,
+                    slots=registration.slots,
+                    sequence=registration.sequence,
+                    state=registration.state,
+                    cold_until=now + registration.cold_seconds,
+                    ends_at=None if left is None else now + left,
+                )
+        self._merge(endpoint_id)
+
+    def _merge(self, endpoint_id: str) -> None:
+        copies = [
+            source.endpoints_by_id[endpoint_id]
+            for source in self._sources_by_id.values()
+            if endpoint_id in source.endpoints_by_id
+        ]
+        if not copies or endpoint_id in self._gone_at_by_id:
+            self.endpoints_by_id.pop(endpoint_id, None)
+            return
+        # Silence at one control VM says little while another hears it.
+        heard = [copy for copy in copies if not copy.silent] or copies
+        leaving = [copy for copy in copies if copy.leaving]
+        chosen = max(leaving or heard, key=lambda copy: copy.sequence)
+        self.endpoints_by_id[endpoint_id] = chosen
+
+    def _prune(self) -> None:
+        now = self._clock.monotonic()
+        for source in self._sources_by_id.values():
+            for endpoint_id, until in list(source.old_until_by_id.items()):
+                if now >= until:
+                    del source.old_until_by_id[endpoint_id]
+                    source.endpoints_by_id.pop(endpoint_id, None)
+                    self._merge(endpoint_id)
+        for endpoint_id, gone_at in list(self._gone_at_by_id.items()):
+            if now - gone_at > KEEP_GONE_SECONDS:
+                del self._gone_at_by_id[endpoint_id]
+
+    def _tell(self) -> None:
+        for listener in self.listeners:
+            listener()
--- /dev/null
+++ b/burdockdrum/registrations/messages.py
@@ -0,0 +1,99 @@
+"""What control VMs and entries tell each other of endpoints.
+
+The structs are arrays on the wire, to spend few bytes; fields are only ever
+added at their ends.
+"""
+
+import enum
+
+import msgspec
+
+from burdockdrum.peers import Message
+
+
+class RegistrationState(enum.Enum):
+    """What an endpoint said last, or what its silence means.
+
+    ``SILENT`` may still serve: its check-ins may be what is lost.
+    ``FORGOTTEN`` only says that a control VM does not know it any more;
+    after ``GONE`` that start of the endpoint never comes back.
+    """
+
+    READY = "ready"
+    LEAVING = "leaving"
+    SILENT = "silent"
+    GONE = "gone"
+    FORGOTTEN = "forgotten"
+
+
+class Registration(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """One start of an endpoint, as it described itself.
+
+    ``endpoint_id`` is new for each start. ``sequence`` counts its check-ins.
+    ``cold_seconds`` is how much longer it is cold, ``seconds_left`` how long
+    until it is taken away, both from when this was sent; the latter is
+    None if no end is known.
+    """
+
+    endpoint_id: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    sequence: int
+    state: RegistrationState
+    cold_seconds: float = 0.0
+    seconds_left: float | None = None
+
+
+class Load(msgspec.Struct, frozen=True, array_like=True):
+    """What an entry has under way at an endpoint.
+
+    ``tokens`` are those of prompts that have not been read yet.
+    """
+
+    requests: int
+    tokens: int
+
+
+class ServiceRoom(msgspec.Struct, frozen=True, array_like=True):
+    """What the endpoints of a service in one region have under way."""
+
+    region: str
+    service: str
+    endpoints: int
+    slots: int
+    requests: int
+    tokens: int
+
+
+class Watch(Message, frozen=True, kw_only=True, array_like=True):
+    """An entry asks a control VM for the registrations of its region.
+
+    ``serial`` is the last change that it knows, of the control VM's start
+    ``epoch``.
+    """
+
+    region: str
+    epoch: int
+    serial: int
+    load_by_id: dict[str, Load] = {}
+
+
+class Watched(Message, frozen=True, kw_only=True, array_like=True):
+    """What a control VM has heard since the serial that was asked for.
+
+    ``after`` is that serial: where the entry has another one it has missed
+    a change and asks again. ``load_by_id`` sums up the other entries.
+    ``entries_here`` and ``entries_everywhere`` count the entries that may
+    be alive, in this region and in all.
+    """
+
+    epoch: int
+    after: int
+    serial: int
+    registrations: list[Registration] = []
+    load_by_id: dict[str, Load] | None = None
+    rooms: list[ServiceRoom] | None = None
+    entries_here: int = 0
+    entries_everywhere: int = 0
--- /dev/null
+++ b/burdockdrum/registrations/publisher.py
@@ -0,0 +1,169 @@
+"""The control VM's part: tell entries what endpoints said."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+
+from burdockdrum.peers import Message
+from burdockdrum.peers import Peers
+from burdockdrum.peers import Sender
+from burdockdrum.ports import Clock
+from burdockdrum.registrations.book import RegistrationBook
+from burdockdrum.registrations.messages import Load
+from burdockdrum.registrations.messages import Registration
+from burdockdrum.registrations.messages import ServiceRoom
+from burdockdrum.registrations.messages import Watch
+from burdockdrum.registrations.messages import Watched
+
+PRUNE_SECONDS = 0.5
+# An entry watches twice a second; one that was silent for so long has gone,
+# or will ask again.
+FRESH_SECONDS = 2.0
+# Entries count each other high for the limits that they share: one that may
+# only be cut off still holds its share.
+COUNT_SECONDS = 20.0
+
+
+@dataclass(kw_only=True)
+class _Watcher:
+    address: str
+    region: str
+    incarnation: int
+    serial: int
+    heard_at: float
+    load_by_id: dict[str, Load] = field(default_factory=dict)
+
+
+class RegistrationPublisher:
+    """Send changes to the entries that watch, at once and when asked."""
+
+    def __init__(
+        self,
+        *,
+        peers: Peers,
+        clock: Clock,
+        book: RegistrationBook,
+        regions_by_data_centre: Mapping[str, str],
+    ) -> None:
+        """Answer entries from now on."""
+        self._peers = peers
+        self._clock = clock
+        self._book = book
+        self._regions_by_data_centre = dict(regions_by_data_centre)
+        self._watchers_by_id: dict[str, _Watcher] = {}
+        book.listeners.append(self._take_change)
+        peers.register(Watch, self._take_watch)
+
+    async def run(self) -> None:
+        """Notice silent endpoints until cancelled."""
+        while True:
+            self._book.prune()
+            await self._clock.sleep(PRUNE_SECONDS)
+
+    def count_watchers(self, region: str | None = None) -> int:
+        """Return how many entries may be alive, of one region or of all."""
+        since = self._clock.monotonic() - COUNT_SECONDS
+        return sum(
+            watcher.heard_at >= since
+            and (region is None or watcher.region == region)
+            for watcher in self._watchers_by_id.values()
+        )
+
+    async def _take_watch(
+        self, sender: Sender, message: Watch
+    ) -> Message | None:
+        now = self._clock.monotonic()
+        known = self._watchers_by_id.get(sender.vm_id)
+        if known is not None and known.incarnation > sender.incarnation:
+            return None
+        epoch = self._peers.identity.incarnation
+        serial = message.serial if message.epoch == epoch else 0
+        watcher = _Watcher(
+            address=sender.address,
+            region=message.region,
+            incarnation=sender.incarnation,
+            serial=serial,
+            heard_at=now,
+            load_by_id=message.load_by_id,
+        )
+        self._watchers_by_id[sender.vm_id] = watcher
+        self._send(sender.vm_id, watcher, with_load=True)
+        self._forget_watchers(now)
+        return None
+
+    def _take_change(self, registration: Registration) -> None:
+        region = self._regions_by_data_centre.get(registration.data_centre)
+        since = self._clock.monotonic() - FRESH_SECONDS
+        for vm_id, watcher in self._watchers_by_id.items():
+            if watcher.region == region and watcher.heard_at >= since:
+                self._send(vm_id, watcher, with_load=False)
+
+    def _send(self, vm_id: str, watcher: _Watcher, *, with_load: bool) -> None:
+        data_centres = frozenset(
+            name
+            for name, region in self._regions_by_data_centre.items()
+            if region == watcher.region
+        )
+        book = self._book
+        message = Watched(
+            epoch=self._peers.identity.incarnation,
+            after=watcher.serial,
+            serial=book.serial,
+            registrations=book.changes_after(watcher.serial, data_centres),
+            load_by_id=self._sum_loads(vm_id, watcher) if with_load else None,
+            rooms=self._sum_rooms() if with_load else None,
+            entries_here=self.count_watchers(watcher.region),
+            entries_everywhere=self.count_watchers(),
+        )
+        self._peers.send(watcher.address, message)
+
+    def _sum_loads(self, vm_id: str, asker: _Watcher) -> dict[str, Load]:
+        sums: dict[str, Load] = {}
+        for other_id, other in self._fresh_watchers():
+            if other_id == vm_id or other.region != asker.region:
+                continue
+            for endpoint_id, load in other.load_by_id.items():
+                sums[endpoint_id] = _add(sums.get(endpoint_id), load)
+        return sums
+
+    def _sum_rooms(self) -> list[ServiceRoom]:
+        sums: dict[str, Load] = {}
+        for _, watcher in self._fresh_watchers():
+            for endpoint_id, load in watcher.load_by_id.items():
+                sums[endpoint_id] = _add(sums.get(endpoint_id), load)
+        rooms: dict[tuple[str, str], ServiceRoom] = {}
+        for registration in self._book.live():
+            region = self._regions_by_data_centre.get(registration.data_centre)
+            if region is None:
+                continue
+            key = (region, registration.service)
+            held = rooms.get(key) or ServiceRoom(*key, 0, 0, 0, 0)
+            load = sums.get(registration.endpoint_id) or Load(0, 0)
+            rooms[key] = ServiceRoom(
+                region,
+                registration.service,
+                held.endpoints + 1,
+                held.slots + registration.slots,
+                held.requests + load.requests,
+                held.tokens + load.tokens,
+            )
+        return list(rooms.values())
+
+    def _fresh_watchers(self) -> list[tuple[str, _Watcher]]:
+        since = self._clock.monotonic() - FRESH_SECONDS
+        return [
+            (vm_id, watcher)
+            for vm_id, watcher in self._watchers_by_id.items()
+            if watcher.heard_at >= since
+        ]
+
+    def _forget_watchers(self, now: float) -> None:
+        for vm_id, watcher in list(self._watchers_by_id.items()):
+            if now - watcher.heard_at > COUNT_SECONDS:
+                del self._watchers_by_id[vm_id]
+
+
+def _add(first: Load | None, second: Load) -> Load:
+    if first is None:
+        return second
+    return Load(first.requests + second.requests, first.tokens + second.tokens)
--- /dev/null
+++ b/burdockdrum/registrations/services.py
@@ -0,0 +1,42 @@
+"""Name the services of this package."""
+
+from burdockdrum.configuration import ConfigurationService
+from burdockdrum.kernel import Kernel
+from burdockdrum.peers import Peers
+from burdockdrum.ports import Clock
+from burdockdrum.registrations.book import RegistrationBook
+from burdockdrum.registrations.follower import RegistrationFollower
+from burdockdrum.registrations.publisher import RegistrationPublisher
+from burdockdrum.settings import Settings
+
+
+def add_services(kernel: Kernel) -> None:
+    """Name what hears endpoints, on a control VM, or follows them."""
+    if kernel.has("log"):
+        kernel.add("registration_book", _build_book)
+        kernel.add("registration_publisher", _build_publisher)
+    else:
+        kernel.add("registrations", _build_follower)
+
+
+def _build_book(kernel: Kernel) -> RegistrationBook:
+    return RegistrationBook(clock=kernel.find("clock", Clock))
+
+
+def _build_publisher(kernel: Kernel) -> RegistrationPublisher:
+    settings = kernel.find("settings", Settings)
+    return RegistrationPublisher(
+        peers=kernel.find("peers", Peers),
+        clock=kernel.find("clock", Clock),
+        book=kernel.find("registration_book", RegistrationBook),
+        regions_by_data_centre=settings.topology.regions_by_data_centre,
+    )
+
+
+def _build_follower(kernel: Kernel) -> RegistrationFollower:
+    configuration = kernel.find("configuration", ConfigurationService)
+    return RegistrationFollower(
+        peers=kernel.find("peers", Peers),
+        clock=kernel.find("clock", Clock),
+        control_addresses=lambda: configuration.control_addresses,
+    )
--- a/burdockdrum/resources/__init__.py
+++ b/burdockdrum/resources/__init__.py
@@ -2,18 +2,27 @@
 
 from burdockdrum.resources.answers import KEPT_ANSWERS
 from burdockdrum.resources.configuration import Configuration
+from burdockdrum.resources.errors import ResourceError
+from burdockdrum.resources.kinds import Resource
+from burdockdrum.resources.kinds import ResourceKey
+from burdockdrum.resources.kinds import Revised
+from burdockdrum.resources.kinds import Spec
+from burdockdrum.resources.kinds import SPECS_BY_KIND
+from burdockdrum.resources.route_validation import check_routes
+from burdockdrum.resources.routes import Backend
+from burdockdrum.resources.routes import Engine
+from burdockdrum.resources.routes import EvacuationSpec
+from burdockdrum.resources.routes import ListenerLimits
+from burdockdrum.resources.routes import Route
+from burdockdrum.resources.routes import RouteTableSpec
+from burdockdrum.resources.routes import WeightedService
 from burdockdrum.resources.specs import ClientSpec
 from burdockdrum.resources.specs import DataCentreSpec
 from burdockdrum.resources.specs import OperatorSpec
 from burdockdrum.resources.specs import PriorityClassSpec
 from burdockdrum.resources.specs import Quota
 from burdockdrum.resources.specs import RegionSpec
-from burdockdrum.resources.specs import Resource
-from burdockdrum.resources.specs import ResourceKey
-from burdockdrum.resources.specs import Revised
 from burdockdrum.resources.specs import ServiceSpec
-from burdockdrum.resources.specs import Spec
-from burdockdrum.resources.specs import SPECS_BY_KIND
 from burdockdrum.resources.specs import TeamSpec
 from burdockdrum.resources.store import ACCEPTED
 from burdockdrum.resources.store import Change
@@ -22,38 +31,49 @@
 from burdockdrum.resources.store import Delete
 from burdockdrum.resources.store import INVALID
 from burdockdrum.resources.store import Put
+from burdockdrum.resources.store import ReplaceRoutes
 from burdockdrum.resources.store import ResourceStore
+from burdockdrum.resources.store import SetEvacuation
 from burdockdrum.resources.store import StoreSnapshot
 from burdockdrum.resources.tokens import hash_token
 from burdockdrum.resources.validation import parse_spec
-from burdockdrum.resources.validation import ResourceError
 
 __all__ = [
     "ACCEPTED",
+    "Backend",
     "Change",
     "ChangeResult",
+    "check_routes",
     "ClientSpec",
     "Configuration",
     "CONFLICT",
     "DataCentreSpec",
     "Delete",
+    "Engine",
+    "EvacuationSpec",
     "hash_token",
     "INVALID",
     "KEPT_ANSWERS",
+    "ListenerLimits",
     "OperatorSpec",
     "parse_spec",
     "PriorityClassSpec",
     "Put",
     "Quota",
     "RegionSpec",
+    "ReplaceRoutes",
     "Resource",
     "ResourceError",
     "ResourceKey",
     "ResourceStore",
     "Revised",
+    "Route",
+    "RouteTableSpec",
     "ServiceSpec",
+    "SetEvacuation",
     "Spec",
     "SPECS_BY_KIND",
     "StoreSnapshot",
     "TeamSpec",
+    "WeightedService",
 ]
--- a/burdockdrum/resources/configuration.py
+++ b/burdockdrum/resources/configuration.py
@@ -8,13 +8,15 @@
 
 from burdockdrum.resources.digest import DIGEST_MASK
 from burdockdrum.resources.digest import digest_of
+from burdockdrum.resources.kinds import Resource
+from burdockdrum.resources.kinds import ResourceKey
+from burdockdrum.resources.kinds import Revised
+from burdockdrum.resources.routes import EvacuationSpec
+from burdockdrum.resources.routes import RouteTableSpec
 from burdockdrum.resources.specs import ClientSpec
 from burdockdrum.resources.specs import DataCentreSpec
 from burdockdrum.resources.specs import OperatorSpec
 from burdockdrum.resources.specs import PriorityClassSpec
-from burdockdrum.resources.specs import Resource
-from burdockdrum.resources.specs import ResourceKey
-from burdockdrum.resources.specs import Revised
 from burdockdrum.resources.specs import ServiceSpec
 from burdockdrum.resources.specs import TeamSpec
 
@@ -108,6 +110,16 @@
             for token_hash in spec.token_hashes
         }
 
+    @functools.cached_property
+    def route_table(self) -> RouteTableSpec | None:
+        """Return the route table, None before the first."""
+        return next(iter(self._specs(RouteTableSpec).values()), None)
+
+    @functools.cached_property
+    def evacuated_data_centres(self) -> frozenset[str]:
+        """Return the data centres whose endpoints get no new work."""
+        return frozenset(self._specs(EvacuationSpec))
+
     def _specs(self, spec_type: type) -> dict:
         return {
             resource.name: resource.spec
--- a/burdockdrum/resources/digest.py
+++ b/burdockdrum/resources/digest.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from burdockdrum.resources.specs import Resource
+from burdockdrum.resources.kinds import Resource
 
 _DIGEST_BYTES = 7
 # Fits the integers of MessagePack.
--- a/burdockdrum/resources/specs.py
+++ b/burdockdrum/resources/specs.py
@@ -5,7 +5,6 @@
 """
 
 from typing import Literal
-from typing import NamedTuple
 
 import msgspec
 
@@ -21,7 +20,7 @@
     tokens_per_second: float | None = None
 
 
-class _Spec(
+class SpecBase(
     msgspec.Struct,
     frozen=True,
     kw_only=True,
@@ -31,20 +30,20 @@
     """The base class of the desired state of a resource."""
 
 
-class RegionSpec(_Spec, frozen=True, kw_only=True, tag="region"):
+class RegionSpec(SpecBase, frozen=True, kw_only=True, tag="region"):
     """A region: data of clients is kept to the regions they allow."""
 
     description: str = ""
 
 
-class DataCentreSpec(_Spec, frozen=True, kw_only=True, tag="data_centre"):
+class DataCentreSpec(SpecBase, frozen=True, kw_only=True, tag="data_centre"):
     """A data centre in a region."""
 
     region: str
     description: str = ""
 
 
-class ServiceSpec(_Spec, frozen=True, kw_only=True, tag="service"):
+class ServiceSpec(SpecBase, frozen=True, kw_only=True, tag="service"):
     """A model service, or a plain service that is passed through.
 
     ``regions`` may host it. ``engines_check_fencing`` says whether its
@@ -63,14 +62,14 @@
     unrepeatable_paths: list[str] = []
 
 
-class TeamSpec(_Spec, frozen=True, kw_only=True, tag="team"):
+class TeamSpec(SpecBase, frozen=True, kw_only=True, tag="team"):
     """A team of clients that share a quota."""
 
     quota: Quota = Quota()
 
 
 class PriorityClassSpec(
-    _Spec, frozen=True, kw_only=True, tag="priority_class"
+    SpecBase, frozen=True, kw_only=True, tag="priority_class"
 ):
     """A class of callers.
 
@@ -83,7 +82,7 @@
     deadline_seconds: float = 60.0
 
 
-class ClientSpec(_Spec, frozen=True, kw_only=True, tag="client"):
+class ClientSpec(SpecBase, frozen=True, kw_only=True, tag="client"):
     """A client: its token hashes, the regions its data may be in, limits.
 
     ``home_region`` keeps the claims of its unrepeatable requests.
@@ -98,61 +97,7 @@
     quota: Quota = Quota()
 
 
-class OperatorSpec(_Spec, frozen=True, kw_only=True, tag="operator"):
+class OperatorSpec(SpecBase, frozen=True, kw_only=True, tag="operator"):
     """A person or program that may use the operators' API."""
 
     token_hashes: list[str]
-
-
-Spec = (
-    RegionSpec
-    | DataCentreSpec
-    | ServiceSpec
-    | TeamSpec
-    | PriorityClassSpec
-    | ClientSpec
-    | OperatorSpec
-)
-
-SPECS_BY_KIND: dict[str, type[Spec]] = {
-    "region": RegionSpec,
-    "data_centre": DataCentreSpec,
-    "service": ServiceSpec,
-    "team": TeamSpec,
-    "priority_class": PriorityClassSpec,
-    "client": ClientSpec,
-    "operator": OperatorSpec,
-}
-
-
-class ResourceKey(NamedTuple):
-    """What names a resource."""
-
-    kind: str
-    name: str
-
-
-class Resource(msgspec.Struct, frozen=True, kw_only=True):
-    """A resource as accepted.
-
-    ``version`` is the revision of the configuration that last changed it.
-    """
-
-    kind: str
-    name: str
-    version: int
-    spec: Spec
-
-    @property
-    def key(self) -> ResourceKey:
-        """Return what names the resource."""
-        return ResourceKey(self.kind, self.name)
-
-
-class Revised(msgspec.Struct, frozen=True, kw_only=True):
-    """What one revision changed; ``resource`` is None when deleted."""
-
-    revision: int
-    kind: str
-    name: str
-    resource: Resource | None
--- a/burdockdrum/resources/store.py
+++ b/burdockdrum/resources/store.py
@@ -8,20 +8,27 @@
 from burdockdrum.resources.answers import KeptAnswer
 from burdockdrum.resources.answers import KeptAnswers
 from burdockdrum.resources.configuration import Configuration
-from burdockdrum.resources.specs import Resource
-from burdockdrum.resources.specs import ResourceKey
-from burdockdrum.resources.specs import Revised
-from burdockdrum.resources.specs import Spec
+from burdockdrum.resources.errors import ResourceError
+from burdockdrum.resources.kinds import Resource
+from burdockdrum.resources.kinds import ResourceKey
+from burdockdrum.resources.kinds import Revised
+from burdockdrum.resources.kinds import Spec
+from burdockdrum.resources.route_validation import check_routes
+from burdockdrum.resources.routes import EvacuationSpec
+from burdockdrum.resources.routes import ROUTE_TABLE_NAME
+from burdockdrum.resources.routes import RouteTableSpec
 from burdockdrum.resources.validation import check_key
 from burdockdrum.resources.validation import check_kind
 from burdockdrum.resources.validation import check_references
 from burdockdrum.resources.validation import check_unreferenced
-from burdockdrum.resources.validation import ResourceError
 
 ACCEPTED = "accepted"
 CONFLICT = "conflict"
 INVALID = "invalid"
 
+# The route table is one resource: it takes effect as a whole.
+ROUTE_TABLE = ResourceKey("route_table", ROUTE_TABLE_NAME)
+
 
 class Put(msgspec.Struct, frozen=True, kw_only=True, tag="put"):
     """Create or replace a resource.
@@ -45,7 +52,26 @@
     expected_version: int
 
 
-Change = Put | Delete
+class ReplaceRoutes(msgspec.Struct, frozen=True, kw_only=True, tag="routes"):
+    """Bring a route table into force unless a later generation is.
+
+    One that is not later than the table in force is acknowledged and
+    changes nothing, so that a resent or overtaken one needs no answer kept.
+    """
+
+    spec: RouteTableSpec
+
+
+class SetEvacuation(
+    msgspec.Struct, frozen=True, kw_only=True, tag="evacuation"
+):
+    """Keep new work from a data centre's endpoints, or no longer do so."""
+
+    data_centre: str
+    evacuated: bool
+
+
+Change = Put | Delete | ReplaceRoutes | SetEvacuation
 
 
 class ChangeResult(msgspec.Struct, frozen=True, kw_only=True):
@@ -84,6 +110,15 @@
 
     def apply(self, change: Change) -> ChangeResult:
         """Carry out a change, or return the first answer to it again."""
+        match change:
+            case ReplaceRoutes(spec=spec):
+                return self._replace_routes(spec)
+            case SetEvacuation():
+                return self._set_evacuation(change)
+            case _:
+                return self._apply_once(change)
+
+    def _apply_once(self, change: Put | Delete) -> ChangeResult:
         kept = self._answers.find(change.change_id)
         if kept is not None:
             return self._answer_again(change, kept)
@@ -115,7 +150,35 @@
         self._answers = KeptAnswers(snapshot.answers)
         self._tell(None)
 
-    def _answer_again(self, change: Change, kept: KeptAnswer) -> ChangeResult:
+    def _replace_routes(self, spec: RouteTableSpec) -> ChangeResult:
+        try:
+            check_routes(spec)
+        except ResourceError as error:
+            return self._refuse(str(error))
+        current = self.configuration.route_table
+        if current is not None and spec.generation <= current.generation:
+            return self._acknowledge()
+        return self._revise(ROUTE_TABLE, spec)
+
+    def _set_evacuation(self, change: SetEvacuation) -> ChangeResult:
+        key = ResourceKey("evacuation", change.data_centre)
+        try:
+            check_key(key)
+        except ResourceError as error:
+            return self._refuse(str(error))
+        known = key in self.configuration.resources_by_key
+        if known == change.evacuated:
+            return self._acknowledge()
+        return self._revise(key, EvacuationSpec() if not known else None)
+
+    def _acknowledge(self) -> ChangeResult:
+        return ChangeResult(
+            code=ACCEPTED, revision=self.configuration.revision
+        )
+
+    def _answer_again(
+        self, change: Put | Delete, kept: KeptAnswer
+    ) -> ChangeResult:
         if kept.digest != digest_change(change):
             return self._refuse("change_id was used for another change")
         current = self._find(change)
@@ -128,7 +191,7 @@
             current=current,
         )
 
-    def _apply_new(self, change: Change) -> ChangeResult:
+    def _apply_new(self, change: Put | Delete) -> ChangeResult:
         try:
             check_key(ResourceKey(change.kind, change.name))
         except ResourceError as error:
@@ -148,7 +211,7 @@
             return self._refuse(str(error))
         return self._accept(change)
 
-    def _check(self, change: Change) -> None:
+    def _check(self, change: Put | Delete) -> None:
         key = ResourceKey(change.kind, change.name)
         match change:
             case Put(spec=spec):
@@ -159,18 +222,29 @@
             case Delete():
                 check_unreferenced(self.configuration, key)
 
-    def _accept(self, change: Change) -> ChangeResult:
+    def _accept(self, change: Put | Delete) -> ChangeResult:
+        spec = change.spec if isinstance(change, Put) else None
+        key = ResourceKey(change.kind, change.name)
+        result = self._revise(key, spec)
+        return ChangeResult(
+            code=ACCEPTED,
+            revision=result.revision,
+            current=_make_resource(change, result.revision),
+        )
+
+    def _revise(self, key: ResourceKey, spec: Spec | None) -> ChangeResult:
         revision = self.configuration.revision + 1
-        resource = _make_resource(change, revision)
+        resource = None
+        if spec is not None:
+            resource = Resource(
+                kind=key.kind, name=key.name, version=revision, spec=spec
+            )
         revised = Revised(
-            revision=revision,
-            kind=change.kind,
-            name=change.name,
-            resource=resource,
+            revision=revision, kind=key.kind, name=key.name, resource=resource
         )
         self.configuration = self.configuration.revise([revised])
         self._tell(revised)
-        return ChangeResult(code=ACCEPTED, revision=revision, current=resource)
+        return self._acknowledge()
 
     def _refuse(self, message: str) -> ChangeResult:
         return ChangeResult(
@@ -179,7 +253,7 @@
             message=message,
         )
 
-    def _find(self, change: Change) -> Resource | None:
+    def _find(self, change: Put | Delete) -> Resource | None:
         key = ResourceKey(change.kind, change.name)
         return self.configuration.resources_by_key.get(key)
 
@@ -188,7 +262,7 @@
             listener(revised)
 
 
-def _make_resource(change: Change, revision: int) -> Resource | None:
+def _make_resource(change: Put | Delete, revision: int) -> Resource | None:
     match change:
         case Put(spec=spec):
             return Resource(
--- a/burdockdrum/resources/validation.py
+++ b/burdockdrum/resources/validation.py
@@ -6,25 +6,25 @@
 import msgspec
 
 from burdockdrum.resources.configuration import Configuration
+from burdockdrum.resources.errors import ResourceError
+from burdockdrum.resources.kinds import ResourceKey
+from burdockdrum.resources.kinds import Spec
+from burdockdrum.resources.kinds import SPECS_BY_KIND
+from burdockdrum.resources.route_validation import check_routes
+from burdockdrum.resources.routes import ROUTE_TABLE_NAME
+from burdockdrum.resources.routes import RouteTableSpec
 from burdockdrum.resources.specs import ClientSpec
 from burdockdrum.resources.specs import DataCentreSpec
 from burdockdrum.resources.specs import OperatorSpec
 from burdockdrum.resources.specs import PriorityClassSpec
 from burdockdrum.resources.specs import Quota
-from burdockdrum.resources.specs import ResourceKey
 from burdockdrum.resources.specs import ServiceSpec
-from burdockdrum.resources.specs import Spec
-from burdockdrum.resources.specs import SPECS_BY_KIND
 from burdockdrum.resources.specs import TeamSpec
 
 _NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
 _HASH = re.compile(r"[0-9a-f]{64}")
 
 
-class ResourceError(Exception):
-    """A resource was not accepted; the message names the field."""
-
-
 def check_key(key: ResourceKey) -> None:
     """Check the kind and the form of the name.
 
@@ -89,6 +89,23 @@
         case OperatorSpec(token_hashes=hashes):
             _check_hashes(hashes)
             _check_tokens(configuration, key, hashes)
+        case RouteTableSpec():
+            _check_table(configuration, key, spec)
+
+
+def _check_table(
+    configuration: Configuration, key: ResourceKey, spec: RouteTableSpec
+) -> None:
+    current = configuration.route_table
+    if key.name != ROUTE_TABLE_NAME:
+        raise ResourceError(
+            f"a route table is named {ROUTE_TABLE_NAME!r}: there is one"
+        )
+    if current is not None and spec.generation <= current.generation:
+        raise ResourceError(
+            f"spec.generation must be above {current.generation}"
+        )
+    check_routes(spec)
 
 
 def check_unreferenced(configuration: Configuration, key: ResourceKey) -> None:
--- a/burdockdrum/settings/model.py
+++ b/burdockdrum/settings/model.py
@@ -57,6 +57,31 @@
     data_folder: str | None = None
 
 
+class TopologySettings(_Section, frozen=True, kw_only=True):
+    """The data centres that there are, each with its region.
+
+    A control VM takes check-ins of endpoints in these only.
+    """
+
+    regions_by_data_centre: dict[str, str] = {}
+
+
+class PassThroughSettings(_Section, frozen=True, kw_only=True):
+    """Where requests are taken that are passed through by routes.
+
+    ``callers`` and ``vms`` are ``IP:PORT``; the port of ``vms`` is the same
+    on all entries. Of the requests to a service so large a part,
+    ``retry_ratio``, may be sent once more in ``retry_window_seconds``, and
+    ``retry_burst`` beyond it, over all entries.
+    """
+
+    callers: str = ""
+    vms: str = ""
+    retry_ratio: float = 0.2
+    retry_burst: float = 50.0
+    retry_window_seconds: float = 10.0
+
+
 class ConfigurationSettings(_Section, frozen=True, kw_only=True):
     """What a VM does that hears of no change for long.
 
@@ -134,8 +159,13 @@
 
 
 class DrainSettings(_Section, frozen=True, kw_only=True):
-    """How long a shutdown may take."""
+    """How long a shutdown may take.
+
+    For ``lists_seconds`` callers may still hold a list that names this VM;
+    then running requests are waited for, for ``limit_seconds`` at most.
+    """
 
+    lists_seconds: float = 6.0
     limit_seconds: float = 120.0
 
 
@@ -153,6 +183,8 @@
     listen: ListenSettings = ListenSettings()
     cluster: ClusterSettings = ClusterSettings()
     control: ControlSettings = ControlSettings()
+    topology: TopologySettings = TopologySettings()
+    passthrough: PassThroughSettings = PassThroughSettings()
     configuration: ConfigurationSettings = ConfigurationSettings()
     operators: OperatorSettings = OperatorSettings()
     endpoints: EndpointSettings = EndpointSettings()
--- a/burdockdrum/system_ports/__init__.py
+++ b/burdockdrum/system_ports/__init__.py
@@ -1,8 +1,9 @@
 """The ports over the machine's clock, sockets and files."""
 
+from typing import Any
+
 from burdockdrum.system_ports.clock import SystemClock
 from burdockdrum.system_ports.disk import FolderDisk
-from burdockdrum.system_ports.http import PooledHttpClient
 from burdockdrum.system_ports.network import limit_threads
 from burdockdrum.system_ports.network import PynngNetwork
 from burdockdrum.system_ports.trust import make_trust
@@ -15,3 +16,13 @@
     "PynngNetwork",
     "SystemClock",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    # A VM that only passes requests through needs none of blacksheep, whose
+    # import takes 0.15 s and 12 MB.
+    if name != "PooledHttpClient":
+        raise AttributeError(name)
+    from burdockdrum.system_ports.http import PooledHttpClient
+
+    return PooledHttpClient
--- a/burdockdrum/vms/directory.py
+++ b/burdockdrum/vms/directory.py
@@ -270,10 +270,10 @@
     def _make_summary(self, data_centre: str) -> DataCentreSummary:
         # Each data centre is told of other entries, so that what comes from
         # all of them spreads over the VMs here.
-        names = choose_by_hash(
-            self._relay_ids(), data_centre, ENTRIES_A_SUMMARY
-        )
         by_id = {v.identity.vm_id: v.identity for v in self._views_here()}
+        # A VM that takes no callers has no address for them.
+        entries = [n for n in self._relay_ids() if by_id[n].http_address]
+        names = choose_by_hash(entries, data_centre, ENTRIES_A_SUMMARY)
         summaries = self._read_services()
         return DataCentreSummary(
             data_centre=self.identity.data_centre,
--- a/burdockdrum/vms/drain.py
+++ b/burdockdrum/vms/drain.py
@@ -51,9 +51,11 @@
         timeline: Timeline,
         vms: VmDirectory,
         limit_seconds: float,
+        lists_seconds: float = VALID_SECONDS + HEARD_SECONDS,
     ) -> None:
         """Create a drain that has not begun.
 
+        :param lists_seconds: how long callers may hold a list with this VM
         :param limit_seconds: how long running requests are waited for
         """
         self.state = DrainState.SERVING
@@ -62,6 +64,7 @@
         self._timeline = timeline
         self._vms = vms
         self._limit = limit_seconds
+        self._lists_seconds = lists_seconds
         self._begun = asyncio.Event()
         self._hooks: list[Hook] = []
 
@@ -107,8 +110,7 @@
         """Wait for the beginning of the drain and bring it to its end."""
         await self._begun.wait()
         logger.info("draining: off the lists, then finishing what runs")
-        # Callers hold lists of entries that name this VM for so long.
-        await self._clock.sleep(VALID_SECONDS + HEARD_SECONDS)
+        await self._clock.sleep(self._lists_seconds)
         self._enter(DrainState.REFUSING)
         await self._wait_for_requests()
         await self._hand_on()
--- a/burdockdrum/vms/services.py
+++ b/burdockdrum/vms/services.py
@@ -47,11 +47,13 @@
 
 
 def _build_drain(kernel: Kernel) -> Drain:
+    settings = kernel.find("settings", Settings).drain
     drain = Drain(
         clock=kernel.find("clock", Clock),
         timeline=kernel.find("timeline", Timeline),
         vms=kernel.find("vms", VmDirectory),
-        limit_seconds=kernel.find("settings", Settings).drain.limit_seconds,
+        limit_seconds=settings.limit_seconds,
+        lists_seconds=settings.lists_seconds,
     )
     if kernel.has("log"):
         # A leader that just went would leave operators without answers for
