Notice links that take frames and deliver none; ask whoever is ahead

Frames now say when the receiver was last heard, and each entry hears the revision of every control VM twice a second.

--- a/burdockdrum/configuration/following.py
+++ b/burdockdrum/configuration/following.py
@@ -82,7 +82,7 @@
         one of its data centre has caught up.
         """
         if message.revision > self._knowledge.current.revision:
-            self._ask_content(sender.address)
+            self.ask(sender.address)
         if self.is_relay and self._make_report() != self._reported:
             self._wake.set()
 
@@ -218,7 +218,7 @@
             )
             if not complete:
                 # A change between was lost, or none were asked for.
-                self._ask_content(sender.address)
+                self.ask(sender.address)
         self._compare_digests(sender, message)
 
     def _take_snapshot(self, sender: Sender, message: Update) -> None:
@@ -251,7 +251,8 @@
             )
             self._send_follow(sender.address, snapshot=True)
 
-    def _ask_content(self, address: str) -> None:
+    def ask(self, address: str) -> None:
+        """Ask a VM that is ahead for what is missing, but not too often."""
         now = self._clock.monotonic()
         asked_at = self._asked_at_by_address.get(address)
         if asked_at is None or now - asked_at >= HURRIED_SECONDS:
--- a/burdockdrum/configuration/service.py
+++ b/burdockdrum/configuration/service.py
@@ -218,6 +218,17 @@
         """
         return self._knowledge.history.changes_after(revision)
 
+    def note_revision(self, address: str, revision: int) -> None:
+        """Take note of the revision that a VM has in force.
+
+        Failure: the VM that this one follows hangs, or the path to it.
+        Symptom: a change is in force everywhere but here, for as long as
+        the other's silence takes to be noticed. Whoever is known to be
+        ahead is asked at once instead.
+        """
+        if revision > self.current.revision:
+            self._follower.ask(address)
+
     async def change(self, change: Change) -> ChangeResult:
         """Have a change agreed; once accepted, it is in force here soon.
 
--- /dev/null
+++ b/burdockdrum/peers/link_watch.py
@@ -0,0 +1,77 @@
+"""Notice a link that takes frames and delivers none.
+
+Failure: a path goes silent without a reset, or a peer loses power and
+comes back while the kernel still waits to try again. Symptom: frames are
+taken for seconds, even minutes, and none arrives; what the peer sends comes
+on another connection and proves nothing. Each frame says how long ago its
+sender last heard from the receiver, so either side sees what did not
+arrive, and a new connection is opened.
+"""
+
+from dataclasses import dataclass
+
+# Two heartbeats and a way there and back between regions. Far below the
+# 5 s after which others count on this VM to have noticed.
+SILENT_SECONDS = 1.5
+# A peer that is gone for good is dialled anew less and less often.
+MAX_PAUSE_SECONDS = 12.0
+
+
+@dataclass(kw_only=True)
+class _Link:
+    """``pending_since`` is when the first unconfirmed frame was sent."""
+
+    heard_at: float | None = None
+    pending_since: float | None = None
+    pause: float = SILENT_SECONDS
+
+
+class LinkWatch:
+    """The links to peers by address, on the monotonic clock."""
+
+    def __init__(self) -> None:
+        """Watch no link yet."""
+        self._links_by_address: dict[str, _Link] = {}
+
+    def heard_age(self, address: str, now: float) -> float | None:
+        """Return how many seconds ago a peer was heard, None if never."""
+        link = self._links_by_address.get(address)
+        if link is None or link.heard_at is None:
+            return None
+        return round(now - link.heard_at, 2)
+
+    def note_heard(
+        self, address: str, now: float, its_age: float | None
+    ) -> None:
+        """Take note of a frame.
+
+        :param its_age: how many seconds before it the peer heard this VM
+        """
+        link = self._links_by_address.setdefault(address, _Link())
+        link.heard_at = now
+        if its_age is None or link.pending_since is None:
+            return
+        if now - its_age >= link.pending_since:
+            link.pending_since = None
+            link.pause = SILENT_SECONDS
+
+    def note_sent(self, address: str, now: float) -> None:
+        """Take note of a frame that is sent."""
+        link = self._links_by_address.setdefault(address, _Link())
+        if link.pending_since is None:
+            link.pending_since = now
+
+    def must_renew(self, address: str, now: float) -> bool:
+        """Say whether to open a new connection before the next frame."""
+        link = self._links_by_address.get(address)
+        if link is None or link.pending_since is None:
+            return False
+        if now - link.pending_since < link.pause:
+            return False
+        link.pending_since = now
+        link.pause = min(MAX_PAUSE_SECONDS, link.pause * 1.5)
+        return True
+
+    def forget(self, address: str) -> None:
+        """Forget a peer that nothing is sent to any more."""
+        self._links_by_address.pop(address, None)
--- a/burdockdrum/peers/messages.py
+++ b/burdockdrum/peers/messages.py
@@ -32,13 +32,18 @@
 
 
 class Frame(msgspec.Struct, frozen=True, array_like=True):
-    """The messages that go to one peer together."""
+    """The messages that go to one peer together.
+
+    ``heard_age`` is how many seconds ago the sender last heard from the
+    receiver, None if never.
+    """
 
     sender_id: str
     sender_address: str
     incarnation: int
     stamp: Stamp
     envelopes: list[Envelope]
+    heard_age: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/burdockdrum/peers/peers.py
+++ b/burdockdrum/peers/peers.py
@@ -18,6 +18,7 @@
 
 from burdockdrum.metrics import Metrics
 from burdockdrum.peers.identity import VmIdentity
+from burdockdrum.peers.link_watch import LinkWatch
 from burdockdrum.peers.messages import Envelope
 from burdockdrum.peers.messages import Frame
 from burdockdrum.peers.messages import Message
@@ -75,12 +76,17 @@
         # this VM is not taken for the reply to a call of this one.
         self._next_call = rng.randrange(1, 1 << 48)
         self._group: asyncio.TaskGroup | None = None
+        self._links = LinkWatch()
         self._bytes = metrics.counter(
             "burdockdrum_peer_bytes_total", "Bytes sent to and from peers."
         )
         self._frames = metrics.counter(
             "burdockdrum_peer_frames_total", "Frames sent to and from peers."
         )
+        self._renewed = metrics.counter(
+            "burdockdrum_peer_links_renewed_total",
+            "Connections to peers opened anew because nothing arrived.",
+        )
         self._dropped = metrics.counter(
             "burdockdrum_peer_dropped_total",
             "Messages dropped, by reason.",
@@ -166,6 +172,7 @@
             except TimeoutError:
                 if self._outboxes_by_address.get(address) is outbox:
                     del self._outboxes_by_address[address]
+                    self._links.forget(address)
                 return
             await self._send_frame(address, outbox.take())
             await self._clock.sleep(TICK_SECONDS)
@@ -173,12 +180,18 @@
     async def _send_frame(
         self, address: str, envelopes: list[Envelope]
     ) -> None:
+        now = self._clock.monotonic()
+        if self._links.must_renew(address, now):
+            self._renewed.increment()
+            self._mailbox.renew(address)
+        self._links.note_sent(address, now)
         frame = Frame(
             self.identity.vm_id,
             self._mailbox.address,
             self.identity.incarnation,
             self._hybrid_clock.tick(),
             envelopes,
+            self._links.heard_age(address, now),
         )
         payload = self._seal.close(msgspec.msgpack.encode(frame))
         self._bytes.increment(len(payload), way="out")
@@ -204,6 +217,9 @@
                 self._dropped.increment(reason="bad_frame")
                 continue
             self._hybrid_clock.observe(frame.stamp)
+            self._links.note_heard(
+                frame.sender_address, self._clock.monotonic(), frame.heard_age
+            )
             self._dispatch(frame)
 
     def _dispatch(self, frame: Frame) -> None:
--- a/burdockdrum/ports/network.py
+++ b/burdockdrum/ports/network.py
@@ -26,6 +26,13 @@
         """
         ...
 
+    def renew(self, address: str) -> None:
+        """Send to a peer over a new connection from now on.
+
+        What was handed over and not delivered yet may be lost.
+        """
+        ...
+
     async def receive(self) -> bytes:
         """Wait for the next payload."""
         ...
--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -53,11 +53,13 @@
         clock: Clock,
         control_addresses: Callable[[], Mapping[str, str]],
         read_load: Callable[[], dict[str, Load]] = dict,
+        take_revision: Callable[[str, int], None] = lambda *_: None,
     ) -> None:
         """Know no endpoint.
 
         :param control_addresses: returns the control VMs' addresses by id
         :param read_load: returns what this VM has under way, by endpoint
+        :param take_revision: is told of the revision at a control address
         """
         self.endpoints_by_id: dict[str, RegisteredEndpoint] = {}
         self.rooms: list[ServiceRoom] = []
@@ -67,6 +69,7 @@
         self._peers = peers
         self._clock = clock
         self._control_addresses = control_addresses
+        self._take_revision = take_revision
         self._sources_by_id: dict[str, _Source] = {}
         self._gone_at_by_id: dict[str, float] = {}
         self._load_by_id: dict[str, EndpointLoad] = {}
@@ -135,6 +138,7 @@
         if message.epoch > source.epoch:
             self._begin_epoch(source, message.epoch, now)
         source.heard_at = now
+        self._take_revision(sender.address, message.revision)
         self._counts[sender.vm_id] = (
             message.entries_here,
             message.entries_everywhere,
--- a/burdockdrum/registrations/messages.py
+++ b/burdockdrum/registrations/messages.py
@@ -86,7 +86,8 @@
     ``after`` is that serial: where the entry has another one it has missed
     a change and asks again. ``load_by_id`` sums up the other entries.
     ``entries_here`` and ``entries_everywhere`` count the entries that may
-    be alive, in this region and in all.
+    be alive, in this region and in all. ``revision`` is that of the
+    configuration which the control VM has in force.
     """
 
     epoch: int
@@ -97,3 +98,4 @@
     rooms: list[ServiceRoom] | None = None
     entries_here: int = 0
     entries_everywhere: int = 0
+    revision: int = 0
--- a/burdockdrum/registrations/publisher.py
+++ b/burdockdrum/registrations/publisher.py
@@ -1,5 +1,6 @@
 """The control VM's part: tell entries what endpoints said."""
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
@@ -44,12 +45,14 @@
         clock: Clock,
         book: RegistrationBook,
         regions_by_data_centre: Mapping[str, str],
+        read_revision: Callable[[], int],
     ) -> None:
         """Answer entries from now on."""
         self._peers = peers
         self._clock = clock
         self._book = book
         self._regions_by_data_centre = dict(regions_by_data_centre)
+        self._read_revision = read_revision
         self._watchers_by_id: dict[str, _Watcher] = {}
         book.listeners.append(self._take_change)
         peers.register(Watch, self._take_watch)
@@ -114,6 +117,7 @@
             rooms=self._sum_rooms() if with_load else None,
             entries_here=self.count_watchers(watcher.region),
             entries_everywhere=self.count_watchers(),
+            revision=self._read_revision(),
         )
         self._peers.send(watcher.address, message)
 
--- a/burdockdrum/registrations/services.py
+++ b/burdockdrum/registrations/services.py
@@ -25,11 +25,13 @@
 
 def _build_publisher(kernel: Kernel) -> RegistrationPublisher:
     settings = kernel.find("settings", Settings)
+    configuration = kernel.find("configuration", ConfigurationService)
     return RegistrationPublisher(
         peers=kernel.find("peers", Peers),
         clock=kernel.find("clock", Clock),
         book=kernel.find("registration_book", RegistrationBook),
         regions_by_data_centre=settings.topology.regions_by_data_centre,
+        read_revision=lambda: configuration.current.revision,
     )
 
 
@@ -39,4 +41,5 @@
         peers=kernel.find("peers", Peers),
         clock=kernel.find("clock", Clock),
         control_addresses=lambda: configuration.control_addresses,
+        take_revision=configuration.note_revision,
     )
--- a/burdockdrum/system_ports/network.py
+++ b/burdockdrum/system_ports/network.py
@@ -97,6 +97,10 @@
             self._drop(address)
             raise SendFailed(f"{address}: {error}") from error
 
+    def renew(self, address: str) -> None:
+        """Close the socket of a peer; the next payload opens another."""
+        self._drop(address)
+
     async def receive(self) -> bytes:
         """Wait for the next payload."""
         if self._held:
--- a/burdockdrum/testing/network.py
+++ b/burdockdrum/testing/network.py
@@ -155,6 +155,9 @@
     async def send(self, address: str, payload: bytes) -> None:
         self._network.deliver(self.host, address, payload)
 
+    def renew(self, address: str) -> None:
+        """Do nothing: a link in memory has no connection that hangs."""
+
     async def receive(self) -> bytes:
         return await self.queue.get()
 
