Name home regions to callers whose own region has no entry

Cause: two entries of a region that were stopped in turn left the directory with none there, and it named any other region; 85 of 797 requests with homes went to a region that is no home.

--- a/burdockdrum/gateway/assembly.py
+++ b/burdockdrum/gateway/assembly.py
@@ -24,6 +24,7 @@
     burdockdrum.configuration,
     burdockdrum.vms,
     burdockdrum.registrations,
+    burdockdrum.passthrough,
 )
 
 
@@ -49,8 +50,6 @@
     kernel.add("timeline", _build_timeline)
     for package in _PACKAGES:
         package.add_services(kernel)
-    if disk is None:
-        burdockdrum.passthrough.add_services(kernel)
     return kernel
 
 
--- a/burdockdrum/passthrough/routes_in_force.py
+++ b/burdockdrum/passthrough/routes_in_force.py
@@ -25,6 +25,10 @@
         """Return the routes to serve by, None while they are not known."""
         return self._index if self._configuration.known else None
 
+    def homes_of(self, host: str) -> frozenset[str]:
+        """Return the regions that some route of a host is kept to."""
+        return self._index.homes_of(host) if self._index else frozenset()
+
     def _take(self, configuration: Configuration) -> None:
         table = configuration.route_table
         if table is self._table:
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -33,9 +33,11 @@
 
 
 def add_services(kernel: Kernel) -> None:
-    """Name the pass-through of an entry."""
-    kernel.add("header_names", lambda kernel: HeaderNames())
+    """Name the routes and, on an entry, what passes requests through."""
     kernel.add("routes_in_force", _build_routes)
+    if kernel.has("log"):
+        return
+    kernel.add("header_names", lambda kernel: HeaderNames())
     kernel.add("fleet", _build_fleet)
     kernel.add("endpoint_pool", _build_endpoint_pool)
     kernel.add("vm_pool", _build_pool)
--- a/burdockdrum/vms/selection.py
+++ b/burdockdrum/vms/selection.py
@@ -1,5 +1,6 @@
 """Which entry VMs a caller is told to use."""
 
+from collections.abc import Container
 import enum
 import random
 
@@ -39,11 +40,17 @@
 class _Distance(enum.IntEnum):
     OWN_DATA_CENTRE = 0
     OWN_REGION = 1
-    ELSEWHERE = 2
+    PREFERRED = 2
+    ELSEWHERE = 3
 
 
 def select_entries(
-    *, views: list[VmView], region: str, data_centre: str, rng: random.Random
+    *,
+    views: list[VmView],
+    region: str,
+    data_centre: str,
+    rng: random.Random,
+    preferred_regions: Container[str] = (),
 ) -> EntryList:
     """Choose entry VMs for a caller near a region and data centre.
 
@@ -51,23 +58,28 @@
     by load; others are backups. The order is random in proportion to the
     weights (Efraimidis and Spirakis, 2006), so that callers who only take
     the first spread as well as those who use the weights. VMs that drain
-    are left out, suspected ones are backups.
+    are left out, suspected ones are backups. Where a caller's own region
+    has no entry, one of ``preferred_regions`` may see its data.
     """
+
+    def measure(view: VmView) -> _Distance:
+        distance = _measure(view, region, data_centre)
+        preferred = view.identity.region in preferred_regions
+        if distance is _Distance.ELSEWHERE and preferred:
+            return _Distance.PREFERRED
+        return distance
+
     serving = [view for view in views if not view.draining]
     healthy = [view for view in serving if not view.suspected]
-    nearest = min(
-        (_measure(view, region, data_centre) for view in healthy), default=None
-    )
+    nearest = min(map(measure, healthy), default=None)
     near = [
-        (view, _weigh(view))
-        for view in healthy
-        if _measure(view, region, data_centre) == nearest
+        (view, _weigh(view)) for view in healthy if measure(view) == nearest
     ]
     near.sort(key=lambda pair: -(rng.random() ** (1 / pair[1])))
     near_ids = {view.identity.vm_id for view, _ in near}
     backups = [v for v in serving if v.identity.vm_id not in near_ids]
     rng.shuffle(backups)
-    backups.sort(key=lambda v: (v.suspected, _measure(v, region, data_centre)))
+    backups.sort(key=lambda v: (v.suspected, measure(v)))
     chosen = near[:MAX_NEAR] + [(v, 0) for v in backups[:MAX_BACKUPS]]
     return EntryList(
         entries=[_describe(view, weight) for view, weight in chosen],
