Take emptied control VMs in again and replace lost ones by themselves

Cause: a VM that lost its disk waited for an operator's command, and there is none on a deployment that runs by itself; the next loss would have stopped the log. Tests: tests/consensus/test_self_repair.py.

--- a/burdockdrum/configuration/services.py
+++ b/burdockdrum/configuration/services.py
@@ -38,7 +38,7 @@
         timeline=kernel.find("timeline", Timeline),
         metrics=kernel.find("metrics", Metrics),
         state_machine=kernel.find("control_state", ControlState),
-        settings=_log_settings(settings),
+        settings=_log_settings(kernel, settings),
     )
 
 
@@ -54,12 +54,20 @@
     )
 
 
-def _log_settings(settings: Settings) -> LogSettings:
+def _log_settings(kernel: Kernel, settings: Settings) -> LogSettings:
     members = settings.control.members
     is_founder = settings.vm.id in members
+
+    def read_addresses() -> list[str]:
+        service = kernel.find("configuration", ConfigurationService)
+        known = service.control_addresses.values()
+        return [*members.values(), *settings.cluster.join, *known]
+
     return LogSettings(
         vm_id=settings.vm.id,
         bootstrap_addresses_by_id=members if is_founder else {},
+        voters=settings.control.voters,
+        read_addresses=read_addresses,
     )
 
 
--- a/burdockdrum/consensus/interface.py
+++ b/burdockdrum/consensus/interface.py
@@ -1,5 +1,7 @@
 """What others code against: settings, the state machine and the errors."""
 
+from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
@@ -80,12 +82,18 @@
     configuration, this one included. It is read only while the data folder
     is empty; it is empty on a VM that is to be added later.
 
+    ``voters`` is how many voters the members keep up by themselves, 0 if
+    operators do; ``read_addresses`` returns where control VMs may be asked
+    for a place.
+
     ``max_clock_drift`` is by how much a VM's clock may run fast or slow, as
     a part of one; the leader's lease rests on it.
     """
 
     vm_id: str
     bootstrap_addresses_by_id: Mapping[str, str] = field(default_factory=dict)
+    voters: int = 0
+    read_addresses: Callable[[], Iterable[str]] = tuple
     heartbeat_seconds: float = 0.25
     election_timeout_seconds: float = 1.2
     call_timeout_seconds: float = 0.6
--- a/burdockdrum/consensus/leadership.py
+++ b/burdockdrum/consensus/leadership.py
@@ -133,6 +133,27 @@
             raise NotAccepted("an earlier change of members is under way")
         return replica.append(EntryKind.CONFIGURATION, configuration.encode())
 
+    def silent_members(self, seconds: float) -> list[str]:
+        """Return the members that have answered nothing for so long."""
+        limit = self._replica.clock.monotonic() - seconds
+        return [
+            vm_id
+            for vm_id, replicator in self._replicators_by_id.items()
+            if max(replicator.acknowledged_at, replicator.began_at) < limit
+        ]
+
+    def is_safe_without(self, vm_id: str) -> bool:
+        """Say whether a quorum of the other voters answers.
+
+        Without one the removal could not be agreed on, and would hold up
+        every other change of members until it can.
+        """
+        replica = self._replica
+        rest = replica.configuration.without(vm_id)
+        silent = self.silent_members(replica.settings.lease_seconds)
+        answering = [v for v in rest.voters if v.vm_id not in silent]
+        return bool(rest.voters) and len(answering) >= rest.quorum
+
     async def hand_over(self) -> None:
         """Let the most advanced voter take over, then stop leading.
 
--- a/burdockdrum/consensus/log.py
+++ b/burdockdrum/consensus/log.py
@@ -26,6 +26,7 @@
 from burdockdrum.consensus.member_changes import MemberChanges
 from burdockdrum.consensus.membership import Member
 from burdockdrum.consensus.replica import Replica
+from burdockdrum.consensus.self_repair import SelfRepair
 from burdockdrum.consensus.snapshot import SnapshotStore
 from burdockdrum.consensus.storage import Storage
 from burdockdrum.consensus.voting import Voting
@@ -89,6 +90,7 @@
             group.create_task(self._watch_founding())
             group.create_task(self._witness.run())
             group.create_task(self._election.run())
+            group.create_task(self._self_repair.run())
 
     @property
     def leader_id(self) -> str | None:
@@ -303,6 +305,14 @@
             leadership=self._leadership,
             peers=peers,
         )
+        self._self_repair = SelfRepair(
+            replica=replica,
+            leadership=self._leadership,
+            changes=self._member_changes,
+            peers=peers,
+            voters=self._settings.voters,
+            read_addresses=self._settings.read_addresses,
+        )
         # The handlers register themselves and live as long as peers does.
         Voting(replica=replica, founding=self._founding, peers=peers)
         Following(
--- a/burdockdrum/consensus/messages.py
+++ b/burdockdrum/consensus/messages.py
@@ -19,6 +19,15 @@
     sender_id: str
 
 
+class JoinRequest(Message, frozen=True, kw_only=True):
+    """Ask the leader for a place among the members, with the disk named."""
+
+    vm_id: str
+    address: str
+    disk_id: str
+    incarnation: int
+
+
 class VoteRequest(MemberMessage, frozen=True, kw_only=True):
     """Ask for a vote.
 
--- a/burdockdrum/consensus/replication.py
+++ b/burdockdrum/consensus/replication.py
@@ -57,6 +57,7 @@
         self.member = member
         self.next_index = next_index
         self.match_index = 0
+        self.began_at = replica.clock.monotonic()
         self.acknowledged_at = -math.inf
         self.wanted_at = -math.inf
 
--- a/burdockdrum/settings/model.py
+++ b/burdockdrum/settings/model.py
@@ -51,9 +51,13 @@
 
     ``members`` are the control VMs that first form the cluster, by id, with
     their control addresses; ``data_folder`` is set on those VMs only.
+    ``voters`` is how many members the control VMs keep up by themselves:
+    an emptied one is taken in again, a lost one replaced. 0 leaves this to
+    operators.
     """
 
     members: dict[str, str] = {}
+    voters: int = 0
     data_folder: str | None = None
 
 
--- /dev/null
+++ b/tests/consensus/test_self_repair.py
@@ -0,0 +1,168 @@
+"""Tests of control VMs that are taken in again without an operator."""
+
+import asyncio
+import unittest
+
+from loguru import logger
+
+from burdockdrum.consensus.messages import JoinRequest
+from burdockdrum.testing import run_virtual
+from tests.consensus.cluster import Cluster
+
+
+def make_cluster(*, size=3, seed=1, voters=3):
+    cluster = Cluster(
+        size=size,
+        seed=seed,
+        voters=voters,
+        read_addresses=lambda: [vm.address for vm in cluster.vms.values()],
+    )
+    cluster.network.set_default(delay=0.055)
+    return cluster
+
+
+def voters(log):
+    return sorted(member.vm_id for member in log.members if member.voter)
+
+
+def disks(log):
+    return {m.vm_id: m.disk_id for m in log.members if m.voter}
+
+
+def counts(cluster, vm):
+    """Say whether a VM with the disk that it has now is a voter."""
+    disk_id = vm.running.disk_id
+    return disk_id is not None and any(
+        disks(log).get(vm.vm_id) == disk_id for log in cluster.logs
+    )
+
+
+async def wait_for(condition, seconds):
+    for _ in range(int(seconds / 0.1)):
+        if condition():
+            return True
+        await asyncio.sleep(0.1)
+    return False
+
+
+class SelfRepairTest(unittest.TestCase):
+    """Members that lose their disks, or never come back."""
+
+    def setUp(self):
+        logger.disable("burdockdrum")
+        self.addCleanup(logger.enable, "burdockdrum")
+
+    def test_emptied_vm_counts_again_and_another_loss_is_borne(self):
+        # An operator's change is acknowledged; the VM that did so loses its
+        # disk. It is taken in with its new disk within 4 s; then another
+        # one dies, and changes are still agreed on, the first one kept.
+        async def main(seed):
+            cluster = make_cluster(seed=seed)
+            await cluster.start_all()
+            leader = await cluster.leader()
+            await leader.propose(b"first", timeout=5)
+            emptied = next(v for v in cluster.vms.values() if v.log is leader)
+            await cluster.stop(emptied.vm_id)
+            emptied.disk.wipe()
+            await cluster.start(emptied.vm_id)
+            back = await wait_for(lambda: counts(cluster, emptied), 6)
+            self.assertTrue(back)
+            other = next(v for v in cluster.vms.values() if v is not emptied)
+            await cluster.stop(other.vm_id)
+            leader = await cluster.leader()
+            await leader.propose(b"second", timeout=5)
+            await cluster.settle()
+            self.assertEqual([b"first", b"second"], emptied.machine.commands)
+            await cluster.stop_all()
+            self.assertEqual([], cluster.errors)
+
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                run_virtual(main(seed))
+
+    def test_newcomer_takes_the_place_of_a_vm_that_is_gone(self):
+        # One VM never comes back; an empty one is started at another
+        # address. It becomes a voter and the lost one is dropped, so that
+        # there are three voters again and not four with one dead.
+        async def main():
+            cluster = make_cluster()
+            await cluster.start_all()
+            leader = await cluster.leader()
+            gone = next(v for v in cluster.vms.values() if v.log is not leader)
+            await cluster.stop(gone.vm_id)
+            newcomer = cluster.add_vm()
+            await cluster.start(newcomer.vm_id)
+            expected = sorted({*cluster.founders, "d"} - {gone.vm_id})
+            self.assertTrue(
+                await wait_for(lambda: voters(leader) == expected, 20)
+            )
+            await cluster.stop_all()
+
+        run_virtual(main())
+
+    def test_late_request_of_a_lost_disk_evicts_nobody(self):
+        # A VM asks for a place, loses its disk and gets one with the next.
+        # A copy of its first request arrives after that: the place must
+        # stay with the disk that there is.
+        async def main():
+            cluster = make_cluster()
+            await cluster.start_all()
+            leader = await cluster.leader()
+            vm = next(v for v in cluster.vms.values() if v.log is not leader)
+            await cluster.stop(vm.vm_id)
+            vm.disk.wipe()
+            await cluster.start(vm.vm_id)
+            self.assertTrue(await wait_for(lambda: counts(cluster, vm), 6))
+            held = dict(disks(leader))
+            late = JoinRequest(
+                vm_id=vm.vm_id,
+                address=vm.address,
+                disk_id="lost",
+                incarnation=vm.incarnation - 1,
+            )
+            lead = next(v for v in cluster.vms.values() if v.log is leader)
+            vm.running._peers.send(lead.address, late)
+            await asyncio.sleep(5)
+            self.assertEqual(held, disks(leader))
+            await cluster.stop_all()
+
+        run_virtual(main())
+
+    def test_number_of_voters_grows_to_what_is_asked_for(self):
+        # Three found the cluster; three more start, as a deployment whose
+        # settings name only three. Five count, the sixth stands by.
+        async def main():
+            cluster = make_cluster(voters=5)
+            await cluster.start_all()
+            await cluster.leader()
+            for _ in range(3):
+                await cluster.start(cluster.add_vm().vm_id)
+            leader = await cluster.leader()
+            self.assertTrue(
+                await wait_for(lambda: len(voters(leader)) == 5, 10)
+            )
+            await asyncio.sleep(5)
+            self.assertEqual(5, len(leader.members))
+            await cluster.stop_all()
+
+        run_virtual(main())
+
+    def test_nobody_is_removed_while_no_quorum_would_answer(self):
+        # Two of three are emptied at once, more than is borne. The one left
+        # may not drop either of them: what it holds stays, and no second
+        # cluster is founded beside it.
+        async def main():
+            cluster = make_cluster()
+            await cluster.start_all()
+            leader = await cluster.leader()
+            await leader.propose(b"kept", timeout=5)
+            for vm in [v for v in cluster.vms.values() if v.log is not leader]:
+                await cluster.stop(vm.vm_id)
+                vm.disk.wipe()
+                await cluster.start(vm.vm_id)
+            await asyncio.sleep(30)
+            self.assertEqual(3, len(voters(leader)))
+            self.assertFalse(any(log.is_leader for log in cluster.logs))
+            await cluster.stop_all()
+
+        run_virtual(main())
