Turn from a control VM that leaves as soon as it says so

Cause: a drained control VM stays a member, so the VM of its data centre that then followed the control VMs itself began with just that one, and turned from it only after 6 s of silence.

--- a/burdockdrum/configuration/following.py
+++ b/burdockdrum/configuration/following.py
@@ -39,6 +39,9 @@
 # The directory names the data centre's VMs within so many seconds of a
 # start.
 SETTLE_SECONDS = 3.0
+# A source that said that it leaves is asked last for so long: it ends within
+# its drain, and one that returns says so itself when it is asked.
+LEAVING_SECONDS = 30.0
 
 
 class Follower:
@@ -68,6 +71,7 @@
         self._healed_at: float | None = None
         self._asked_at_by_address: dict[str, float] = {}
         self._known_by_vm_id: dict[str, bool] = {}
+        self._leaving_at_by_address: dict[str, float] = {}
         self._highest_revision = 0
         self._primary_address: str | None = None
         self._told_vm_ids_digest = 0
@@ -184,6 +188,7 @@
         self, sender: Sender, message: Update
     ) -> Message | None:
         self._take_content(sender, message)
+        self._note_leaving(sender.address, message.leaving)
         if not self._knowledge.is_since_start(message.echo):
             # It answers a message of before this VM's restart, and came
             # late: what its sender knew then proves nothing about now. This
@@ -208,6 +213,26 @@
             self._conclude()
         return None
 
+    def _note_leaving(self, address: str, leaving: bool) -> None:
+        """Turn from a source that leaves before it is silent.
+
+        Failure: the control VM that a data centre follows is drained.
+        Symptom: a change made just after its end is in force here only when
+        its silence has been noticed, seconds late.
+        """
+        if not leaving:
+            self._leaving_at_by_address.pop(address, None)
+            return
+        self._leaving_at_by_address[address] = self._clock.monotonic()
+        if address == self._primary_address:
+            self._wake.set()
+
+    def _is_leaving(self, address: str) -> bool:
+        said_at = self._leaving_at_by_address.get(address)
+        if said_at is None:
+            return False
+        return self._clock.monotonic() - said_at < LEAVING_SECONDS
+
     def _take_content(self, sender: Sender, message: Update) -> None:
         history = self._knowledge.history
         if message.resources is not None:
@@ -294,7 +319,8 @@
         if not addresses:
             return []
         start = zlib.crc32(own.data_centre.encode()) % len(addresses)
-        return addresses[start:] + addresses[:start]
+        rotated = addresses[start:] + addresses[:start]
+        return sorted(rotated, key=self._is_leaving)
 
     def _make_report(self) -> Report:
         return self._reports.make_report(
--- a/burdockdrum/configuration/messages.py
+++ b/burdockdrum/configuration/messages.py
@@ -73,7 +73,8 @@
     been accepted, as far as the source knows; None if it never heard.
     ``known`` says that the source itself serves by this revision. ``echo``
     is the ``sent_at`` of the follower's last message. ``control_addresses``
-    are those of the control VMs by id, if the follower knows others.
+    are those of the control VMs by id, if the follower knows others. From
+    a source that is ``leaving`` the follower turns to another one.
     """
 
     revision: int
@@ -85,6 +86,7 @@
     resources: list[Resource] | None = None
     vm_ids_digest: int = 0
     control_addresses: dict[str, str] | None = None
+    leaving: bool = False
 
 
 class InForceQuery(Message, frozen=True, kw_only=True):
--- a/burdockdrum/configuration/publishing.py
+++ b/burdockdrum/configuration/publishing.py
@@ -52,8 +52,13 @@
         clock: Clock,
         knowledge: Knowledge,
         reports: Reports,
+        is_leaving: Callable[[], bool],
     ) -> None:
-        """Create a publisher without followers."""
+        """Create a publisher without followers.
+
+        :param is_leaving: says whether this VM is on its way out
+        """
+        self._is_leaving = is_leaving
         self._peers = peers
         self._clock = clock
         self._knowledge = knowledge
@@ -173,6 +178,7 @@
             resources=resources,
             vm_ids_digest=self._reports.vm_ids_digest(state.data_centre),
             control_addresses=control_addresses,
+            leaving=self._is_leaving(),
         )
 
 
--- a/burdockdrum/configuration/reports.py
+++ b/burdockdrum/configuration/reports.py
@@ -31,6 +31,11 @@
 class Directory(Protocol):
     """What is asked of the directory of VMs."""
 
+    @property
+    def draining(self) -> bool:
+        """Say whether this VM is on its way out."""
+        ...
+
     def live_vms(self) -> list:
         """Return the VMs heard of lately."""
         ...
--- a/burdockdrum/configuration/service.py
+++ b/burdockdrum/configuration/service.py
@@ -110,6 +110,7 @@
             clock=clock,
             knowledge=self._knowledge,
             reports=self._reports,
+            is_leaving=lambda: directory().draining,
         )
         self._follower = Follower(
             peers=peers,
