--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the process of a pass-through VM."""
--- /dev/null
+++ b/tests/http1/test_server.py
@@ -0,0 +1,210 @@
+"""Tests of the listener with requests that are sent by hand."""
+
+import asyncio
+import unittest
+
+from loguru import logger
+
+from burdockdrum.http1 import Limits
+from tests.http1.wire import ListenerCase
+
+
+async def echo(exchange):
+    request = exchange.request
+    body = request.method + b" " + request.target + b" " + request.body
+    exchange.answer(200, [], body)
+
+
+class ServerTest(ListenerCase, unittest.IsolatedAsyncioTestCase):
+    """Requests as callers send them, right and wrong."""
+
+    async def asyncSetUp(self):
+        self.handled = 0
+
+        async def count(exchange):
+            self.handled += 1
+            await echo(exchange)
+
+        await self.open(count)
+        self.addAsyncCleanup(self.listener_closed)
+
+    async def listener_closed(self):
+        await self.listener.close()
+
+    async def test_connection_serves_one_request_after_the_other(self):
+        answer = await self.send(
+            b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+            b"POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n"
+            b"Connection: close\r\n\r\nhi"
+        )
+        self.assertLess(answer.index(b"GET /a "), answer.index(b"POST /b hi"))
+
+    async def test_body_in_chunks_is_joined(self):
+        answer = await self.send(
+            b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+            b"Connection: close\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+        )
+        self.assertTrue(answer.endswith(b"POST / abc"))
+
+    async def test_requests_that_hide_another_are_refused(self):
+        # A request whose end two parsers see in different places smuggles
+        # the rest past the first of them. None of these may be handled.
+        smuggled = (
+            b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+            b"Content-Length: 5\r\n\r\nabcde",
+            b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: +4\r\n\r\nabcd",
+            b"GET / HTTP/1.1\nHost: x\n\n",
+            b"GET / HTTP/1.1\r\nHost: x\r\n folded: y\r\n\r\n",
+            b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding : chunked"
+            b"\r\n\r\n0\r\n\r\n",
+            b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+            b"\r\n3\nabc\n0\r\n\r\n",
+            b"POST / HTTP/1.1\r\nHost: x\r\n"
+            b"Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+        )
+        for data in smuggled:
+            with self.subTest(data=data):
+                answer = await self.send(data)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 400 "))
+        self.assertEqual(0, self.handled)
+
+    async def test_limits_are_those_in_force(self):
+        # An operator lowers the limits while connections are open: the next
+        # request is measured by the new ones.
+        reader, writer = await self.connect()
+        large = b"GET / HTTP/1.1\r\nHost: x\r\nX: " + b"y" * 900 + b"\r\n\r\n"
+        writer.write(large)
+        self.assertIn(b"200 OK", await reader.readuntil(b"\r\n\r\n"))
+        self.limits = Limits(header_bytes=500, body_bytes=10)
+        writer.write(large)
+        rest = await reader.read()
+        self.assertIn(b"431 ", rest)
+        writer.close()
+        answer = await self.send(
+            b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 11\r\n\r\n"
+        )
+        self.assertIn(b"413 ", answer)
+        answer = await self.send(
+            b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+            b"\r\nb\r\n" + b"z" * 11 + b"\r\n0\r\n\r\n"
+        )
+        self.assertIn(b"413 ", answer)
+
+    async def test_half_a_head_gets_an_answer_in_time(self):
+        self.limits = Limits(header_seconds=0.1)
+        answer = await self.send(b"GET / HTTP/1.1\r\nHost:")
+        self.assertIn(b"408 ", answer)
+
+    async def test_idle_connection_stays_for_its_whole_time(self):
+        self.limits = Limits(idle_seconds=0.4)
+        reader, writer = await self.connect()
+        await asyncio.sleep(0.3)
+        writer.write(b"GET /late HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertIn(b"200 OK", await reader.readuntil(b"\r\n\r\n"))
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        await reader.read()
+        self.assertGreater(loop.time() - began, 0.3)
+        writer.close()
+
+    async def test_expectation_is_met_before_the_body(self):
+        reader, writer = await self.connect()
+        writer.write(
+            b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n"
+            b"Expect: 100-continue\r\n\r\n"
+        )
+        self.assertIn(b"100 Continue", await reader.readuntil(b"\r\n\r\n"))
+        writer.write(b"z")
+        self.assertIn(b"200 OK", await reader.readuntil(b"\r\n\r\n"))
+        writer.close()
+
+    async def test_drain_closes_after_the_answer(self):
+        # A caller with an open connection sends one more request to an
+        # entry that is stopping: it gets its answer, and is told to go.
+        reader, writer = await self.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\nGET / ")
+        self.listener.draining = True
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        answer = await reader.read()
+        self.assertIn(b"200 OK", answer)
+        self.assertIn(b"connection: close", answer)
+        writer.close()
+
+
+class HandlerTest(ListenerCase, unittest.IsolatedAsyncioTestCase):
+    """What becomes of a caller whose request is being handled."""
+
+    async def asyncTearDown(self):
+        await self.listener.close()
+
+    async def test_handler_ends_when_its_caller_goes(self):
+        # The caller hangs up while an endpoint works for it: the work must
+        # end at once, not when the answer can't be written.
+        ended = asyncio.Event()
+
+        async def wait(exchange):
+            try:
+                await asyncio.sleep(60)
+            finally:
+                ended.set()
+
+        await self.open(wait)
+        reader, writer = await self.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        await asyncio.sleep(0.05)
+        writer.close()
+        async with asyncio.timeout(0.5):
+            await ended.wait()
+
+    async def test_part_of_an_answer_never_looks_whole(self):
+        # The answer breaks off after its first part: the caller has the
+        # part, sees no last chunk, and the connection ends.
+        async def cut(exchange):
+            exchange.start(200, [])
+            exchange.write(b"part")
+
+        await self.open(cut)
+        answer = await self.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertIn(b"part", answer)
+        self.assertNotIn(b"\r\n0\r\n\r\n", answer)
+
+    async def test_fault_of_the_program_costs_one_request(self):
+        async def fail(exchange):
+            if exchange.request.target == b"/bad":
+                raise ValueError("a fault")
+            await echo(exchange)
+
+        logger.disable("burdockdrum")
+        self.addCleanup(logger.enable, "burdockdrum")
+        await self.open(fail)
+        answer = await self.send(
+            b"GET /bad HTTP/1.1\r\nHost: x\r\n\r\n"
+            b"GET /good HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        )
+        self.assertTrue(answer.startswith(b"HTTP/1.1 500 "))
+        self.assertIn(b"GET /good", answer)
+
+    async def test_slow_reader_holds_bounded_memory(self):
+        # A caller stops reading a long answer: the handler waits, and what
+        # waits for the caller stays small.
+        written = 0
+
+        async def stream(exchange):
+            nonlocal written
+            exchange.start(200, [])
+            while written < 64 * 1024 * 1024:
+                exchange.write(b"x" * 65536)
+                await exchange.drain()
+                written += 65536
+            exchange.finish()
+
+        await self.open(stream)
+        _, writer = await self.connect()
+        writer.transport.pause_reading()
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        await asyncio.sleep(0.5)
+        self.assertLess(written, 16 * 1024 * 1024)
+        writer.transport.abort()
--- /dev/null
+++ b/tests/http1/wire.py
@@ -0,0 +1,91 @@
+"""Speak HTTP by hand: what a client library would refuse to send."""
+
+import asyncio
+
+from burdockdrum.http1 import Limits
+from burdockdrum.http1 import Listener
+
+
+class ListenerCase:
+    """A listener on a free port, and raw connections to it."""
+
+    async def open(self, handle, **limits):
+        """Open a listener whose limits can be replaced."""
+        self.limits = Limits(**limits)
+        self.listener = Listener(
+            address="127.0.0.1:0",
+            handle=handle,
+            read_limits=lambda: self.limits,
+        )
+        await self.listener.open()
+        return self.listener
+
+    async def connect(self):
+        """Open a raw connection."""
+        host, _, port = self.listener.address.rpartition(":")
+        return await asyncio.open_connection(host, int(port))
+
+    async def send(self, data):
+        """Send bytes on a connection of their own, return the answer."""
+        reader, writer = await self.connect()
+        writer.write(data)
+        async with asyncio.timeout(5):
+            answer = await reader.read()
+        writer.close()
+        return answer
+
+
+class ScriptedServer:
+    """An endpoint that sends what it is told to, right or wrong."""
+
+    def __init__(self, script):
+        """Run ``script(reader, writer)`` for each connection."""
+        self.script = script
+        self.connections = 0
+        self.writers = []
+
+    async def open(self):
+        """Listen; return the address."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+        return self.address
+
+    async def close(self):
+        """Stop listening and drop the connections."""
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        self.writers.append(writer)
+        try:
+            await self.script(reader, writer)
+        except (
+            ConnectionError,
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+        ):
+            # The caller went, or the test is over.
+            writer.transport.abort()
+
+
+async def read_request(reader):
+    """Return the head and the body of a request as it was sent."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = 0
+    for line in head.split(b"\r\n"):
+        name, _, value = line.partition(b":")
+        if name.lower() == b"content-length":
+            length = int(value)
+    return head, await reader.readexactly(length)
+
+
+def header(head, name):
+    """Return a header of a raw head."""
+    for line in head.split(b"\r\n")[1:]:
+        known, _, value = line.partition(b":")
+        if known.lower() == name:
+            return value.strip()
+    return None
--- /dev/null
+++ b/tests/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of structured logs."""
--- /dev/null
+++ b/tests/passthrough/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of requests that are passed through."""
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the translation of the platform's messages."""
--- /dev/null
+++ b/tests/registrations/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of endpoints that check in at control VMs."""
