--- a/burdockdrum/passthrough/attempts.py
+++ b/burdockdrum/passthrough/attempts.py
@@ -167,7 +167,7 @@
             connection.send(call.payload, request.request_id.encode())
             async with asyncio.timeout(left):
                 return await self._receive(
-                    connection, call, request, exchange, cutter
+                    connection, call, request, progress, exchange, cutter
                 )
         except TimeoutError:
             return Lost(reason="the deadline has passed", timed_out=True)
@@ -183,6 +183,7 @@
         connection: ClientConnection,
         call: "_Call",
         request: PassedRequest,
+        progress: Progress,
         exchange: Exchange,
         cutter: EventCutter,
     ) -> Outcome:
@@ -196,7 +197,7 @@
             return Answered(head=head, body=body)
         if request.route.streams:
             return await self._pass_stream(
-                connection, head, call, exchange, cutter
+                connection, head, call, progress, exchange, cutter
             )
         return await self._pass_whole(connection, head, exchange)
 
@@ -227,6 +228,7 @@
         connection: ClientConnection,
         head: ResponseHead,
         call: "_Call",
+        progress: Progress,
         exchange: Exchange,
         cutter: EventCutter,
     ) -> Outcome:
@@ -236,6 +238,8 @@
                 self._fleet.note_output(call.placement)
             events = cutter.feed(part)
             if events:
+                if progress.first_part_at is None:
+                    progress.first_part_at = self._clock.monotonic()
                 self._start_stream(exchange, head)
                 exchange.write(events)
                 await exchange.drain()
--- a/burdockdrum/passthrough/model.py
+++ b/burdockdrum/passthrough/model.py
@@ -39,7 +39,8 @@
     """What has become of a request so far.
 
     ``runs`` counts the attempts that may have run, ``sent`` those that
-    reached an endpoint at all.
+    reached an endpoint at all. ``first_part_at`` is when the first part of
+    an answer went out, on the monotonic clock.
     """
 
     verdict: Verdict = Verdict.NOT_RUN
@@ -48,6 +49,7 @@
     tried: set[str] = field(default_factory=set)
     tried_regions: set[str] = field(default_factory=set)
     last_reason: str = ""
+    first_part_at: float | None = None
     failure: "Answered | None" = None
 
 
@@ -67,6 +69,7 @@
     region: str
     address: str
     vm_id: str
+    wait_seconds: float
 
 
 Place = EndpointPlace | RegionPlace
--- a/burdockdrum/passthrough/placing.py
+++ b/burdockdrum/passthrough/placing.py
@@ -119,6 +119,7 @@
                     region=region,
                     address=self._hop_address(entry),
                     vm_id=entry.vm_id,
+                    wait_seconds=wait,
                 )
         return None
 
--- a/burdockdrum/passthrough/reading.py
+++ b/burdockdrum/passthrough/reading.py
@@ -19,8 +19,9 @@
 
 STALE_RETRY_SECONDS = 1.0
 # An absent route may be one that this VM has not heard of yet. It says so
-# for certain only while what it knows is no older than this.
-CERTAIN_SECONDS = 2.5
+# for certain only while what it knows is no older than this: the two
+# seconds between two messages of whom it follows, and that one's own.
+CERTAIN_SECONDS = 4.0
 _MILLISECONDS = 1000.0
 
 
--- a/burdockdrum/passthrough/relay.py
+++ b/burdockdrum/passthrough/relay.py
@@ -128,7 +128,7 @@
             outcome = await self._attempts.make(
                 place, request, progress, exchange, cutter
             )
-            self._note(place, request, outcome)
+            self._note(place, request, progress, outcome)
             if isinstance(outcome, Delivered):
                 return
             self._take_outcome(place, request, progress, outcome)
@@ -256,14 +256,22 @@
         answer_refusal(exchange, refusal, identity, to_vm=is_hop)
 
     def _note(
-        self, place: Place, request: PassedRequest, outcome: Outcome
+        self,
+        place: Place,
+        request: PassedRequest,
+        progress: Progress,
+        outcome: Outcome,
     ) -> None:
         seconds = self._clock.monotonic() - request.received_at
         match place:
-            case EndpointPlace(endpoint=endpoint, wait_seconds=wait):
-                where, expected = endpoint.endpoint_id, wait
+            case EndpointPlace(endpoint=endpoint):
+                where, expected = endpoint.endpoint_id, place.wait_seconds
+                unread = place.unread_tokens
             case RegionPlace(vm_id=vm_id):
-                where, expected = vm_id, 0.0
+                where, expected = vm_id, place.wait_seconds
+                unread = request.prompt.tokens
+        first_at = progress.first_part_at
+        first = None if first_at is None else first_at - request.received_at
         log = log_decision if isinstance(outcome, Delivered) else log_failure
         log(
             "request.attempted",
@@ -272,7 +280,10 @@
             generation=request.revision,
             place=where,
             expected_wait=round(expected, 4),
+            prompt_tokens=request.prompt.tokens,
+            unread_tokens=unread,
             outcome=type(outcome).__name__,
             reason=getattr(outcome, "reason", None),
+            first_seconds=None if first is None else round(first, 4),
             seconds=round(seconds, 4),
         )
--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -40,6 +40,7 @@
     endpoints_by_id: dict[str, RegisteredEndpoint] = field(
         default_factory=dict
     )
+    rooms: list[ServiceRoom] = field(default_factory=list)
     old_until_by_id: dict[str, float] = field(default_factory=dict)
 
 
@@ -62,8 +63,6 @@
         :param take_revision: is told of the revision at a control address
         """
         self.endpoints_by_id: dict[str, RegisteredEndpoint] = {}
-        self.rooms: list[ServiceRoom] = []
-        self.rooms_at = float("-inf")
         self.read_load = read_load
         self.listeners: list[Callable[[], None]] = []
         self._peers = peers
@@ -77,6 +76,23 @@
         self._counts: dict[str, tuple[int, int]] = {}
         peers.register(Watched, self._take_watched)
 
+    @property
+    def rooms(self) -> list[ServiceRoom]:
+        """Return what each region has under way, of each service.
+
+        A control VM only tells of the endpoints that check in there, so
+        the parts of all that were heard lately are added up.
+        """
+        since = self._clock.monotonic() - LOAD_SECONDS
+        sums: dict[tuple[str, str], ServiceRoom] = {}
+        for source in self._sources_by_id.values():
+            if source.heard_at < since:
+                continue
+            for room in source.rooms:
+                key = (room.region, room.service)
+                sums[key] = _add_rooms(sums.get(key), room)
+        return list(sums.values())
+
     @property
     def entries_here(self) -> int:
         """Return how many entries this region may have, at least one."""
@@ -143,7 +159,7 @@
             message.entries_here,
             message.entries_everywhere,
         )
-        self._take_load(message, now)
+        self._take_load(source, message, now)
         if message.after <= source.serial <= message.serial:
             source.serial = message.serial
         for registration in message.registrations:
@@ -159,11 +175,13 @@
             source.endpoints_by_id, now + KEEP_OLD_SECONDS
         )
 
-    def _take_load(self, message: Watched, now: float) -> None:
+    def _take_load(
+        self, source: _Source, message: Watched, now: float
+    ) -> None:
         if message.load_by_id is None or message.rooms is None:
             return
-        self._load_at = self.rooms_at = now
-        self.rooms = message.rooms
+        self._load_at = now
+        source.rooms = message.rooms
         self._load_by_id = {
             endpoint_id: EndpointLoad(
                 requests=load.requests, tokens=load.tokens
@@ -227,3 +245,16 @@
     def _tell(self) -> None:
         for listener in self.listeners:
             listener()
+
+
+def _add_rooms(first: ServiceRoom | None, second: ServiceRoom) -> ServiceRoom:
+    if first is None:
+        return second
+    return ServiceRoom(
+        first.region,
+        first.service,
+        first.endpoints + second.endpoints,
+        first.slots + second.slots,
+        first.requests + second.requests,
+        first.tokens + second.tokens,
+    )
--- /dev/null
+++ b/tests/registrations/test_following.py
@@ -0,0 +1,224 @@
+"""Tests of entries that follow several control VMs, in memory."""
+
+import asyncio
+import random
+import unittest
+
+from burdockdrum.metrics import Metrics
+from burdockdrum.peers import Peers
+from burdockdrum.peers import Seal
+from burdockdrum.peers import VmIdentity
+from burdockdrum.registrations import Registration
+from burdockdrum.registrations import RegistrationBook
+from burdockdrum.registrations import RegistrationFollower
+from burdockdrum.registrations import RegistrationPublisher
+from burdockdrum.registrations import RegistrationState
+from burdockdrum.registrations.messages import Load
+from burdockdrum.testing import FakeNetwork
+from burdockdrum.testing import run_virtual
+from burdockdrum.testing import VirtualClock
+from burdockdrum.timeline import HybridClock
+
+REGIONS = {"dc": "here", "far": "there"}
+
+
+def make(endpoint_id, *, sequence=1, state="ready", data_centre="dc"):
+    return Registration(
+        endpoint_id=endpoint_id,
+        service="s",
+        address=f"{endpoint_id}:80",
+        data_centre=data_centre,
+        slots=4,
+        sequence=sequence,
+        state=RegistrationState(state),
+    )
+
+
+class World:
+    """Control VMs a and b, entries x and y of one region."""
+
+    def __init__(self, seed=1):
+        """Create VMs that are not started."""
+        self.clock = VirtualClock()
+        self.rng = random.Random(seed)
+        self.network = FakeNetwork(rng=random.Random(seed))
+        self.network.set_default(delay=0.055)
+        self.books = {}
+        self.followers = {}
+        self.tasks = {}
+        self.addresses = {n: f"tcp://{n}:1" for n in "ab"}
+        self.incarnation = 0
+
+    async def start(self, name):
+        """Start a VM, or start it again with nothing in memory."""
+        self.incarnation += 1
+        address = f"tcp://{name}:1"
+        peers = Peers(
+            identity=VmIdentity(
+                vm_id=name,
+                incarnation=self.incarnation,
+                region="here",
+                data_centre="dc",
+                control_address=address,
+                http_address="",
+            ),
+            mailbox=await self.network.host(name).open(address),
+            clock=self.clock,
+            hybrid_clock=HybridClock(clock=self.clock),
+            rng=self.rng,
+            seal=Seal(secret=b"s"),
+            metrics=Metrics(),
+        )
+        if name in self.addresses:
+            book = self.books[name] = RegistrationBook(clock=self.clock)
+            service = RegistrationPublisher(
+                peers=peers,
+                clock=self.clock,
+                book=book,
+                regions_by_data_centre=REGIONS,
+                read_revision=lambda: 0,
+            )
+        else:
+            service = self.followers[name] = RegistrationFollower(
+                peers=peers,
+                clock=self.clock,
+                control_addresses=lambda: self.addresses,
+            )
+        self.tasks[name] = asyncio.create_task(self._run(peers, service))
+
+    async def stop(self, name):
+        """End a VM."""
+        task = self.tasks.pop(name)
+        task.cancel()
+        await asyncio.wait({task})
+
+    async def _run(self, peers, service):
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(peers.run())
+                group.create_task(service.run())
+        finally:
+            await peers.close()
+
+
+def play(test):
+    async def main():
+        world = World()
+        for name in "abxy":
+            await world.start(name)
+        await asyncio.sleep(1)
+        await test(world)
+        for name in list(world.tasks):
+            await world.stop(name)
+
+    run_virtual(main())
+
+
+class FollowingTest(unittest.TestCase):
+    """What entries know, and when."""
+
+    def test_every_entry_hears_a_notice_at_once(self):
+        # An endpoint tells one control VM that it leaves. Both entries give
+        # it nothing new a moment later, far inside the three seconds after
+        # which a request there would break a promise.
+        async def check(world):
+            world.books["a"].take(make("e1"))
+            await asyncio.sleep(0.5)
+            world.books["a"].take(make("e1", sequence=2, state="leaving"))
+            await asyncio.sleep(0.2)
+            for follower in world.followers.values():
+                self.assertTrue(follower.endpoints_by_id["e1"].leaving)
+
+        play(check)
+
+    def test_lost_notice_is_told_again(self):
+        # The message with the notice is lost on its way to one entry; the
+        # next question shows what it lacks.
+        async def check(world):
+            world.books["a"].take(make("e1"))
+            await asyncio.sleep(0.5)
+            world.network.cut(["a"], ["x"])
+            world.books["a"].take(make("e1", sequence=2, state="leaving"))
+            await asyncio.sleep(0.4)
+            world.network.heal(["a"], ["x"])
+            await asyncio.sleep(1.0)
+            self.assertTrue(world.followers["x"].endpoints_by_id["e1"].leaving)
+
+        play(check)
+
+    def test_notice_at_one_control_vm_outweighs_silence_at_another(self):
+        # The endpoint checked in at a, moved to b and left there. At a it
+        # only falls silent; what it said last counts.
+        async def check(world):
+            world.books["a"].take(make("e1", sequence=1))
+            world.books["b"].take(make("e1", sequence=2, state="leaving"))
+            await asyncio.sleep(6)
+            self.assertTrue(world.followers["x"].endpoints_by_id["e1"].leaving)
+
+        play(check)
+
+    def test_restarted_control_vm_takes_nothing_away_at_once(self):
+        # A control VM restarts and knows nothing. Its endpoints serve on
+        # until they have checked in again; one that never does is dropped.
+        async def check(world):
+            world.books["a"].take(make("e1"))
+            world.books["a"].take(make("e2"))
+            await asyncio.sleep(0.5)
+            await world.stop("a")
+            await world.start("a")
+            await asyncio.sleep(1)
+            follower = world.followers["x"]
+            self.assertEqual({"e1", "e2"}, set(follower.endpoints_by_id))
+            world.books["b"].take(make("e1", sequence=2))
+            await asyncio.sleep(7)
+            self.assertEqual({"e1"}, set(follower.endpoints_by_id))
+
+        play(check)
+
+    def test_last_knowledge_stays_while_no_control_vm_answers(self):
+        async def check(world):
+            world.books["a"].take(make("e1"))
+            await asyncio.sleep(0.5)
+            world.network.cut(["a", "b"], ["x"])
+            await asyncio.sleep(20)
+            self.assertIn("e1", world.followers["x"].endpoints_by_id)
+            self.assertFalse(world.followers["x"].is_heard(3))
+
+        play(check)
+
+    def test_rooms_of_all_control_vms_are_added_up(self):
+        # Each control VM hears some of another region's endpoints. An entry
+        # that took one's word for all would find no room there at times,
+        # and refuse what that region could serve.
+        async def check(world):
+            world.books["a"].take(make("f1", data_centre="far"))
+            world.books["b"].take(make("f2", data_centre="far"))
+            await asyncio.sleep(1)
+            for _ in range(10):
+                await asyncio.sleep(0.11)
+                (room,) = world.followers["x"].rooms
+                self.assertEqual((2, 8), (room.endpoints, room.slots))
+
+        play(check)
+
+    def test_load_of_the_other_entries_is_told(self):
+        async def check(world):
+            world.books["a"].take(make("e1"))
+            world.followers["y"].read_load = lambda: {"e1": Load(3, 700)}
+            await asyncio.sleep(1.5)
+            load = world.followers["x"].load_of("e1")
+            self.assertEqual((3, 700), (load.requests, load.tokens))
+            self.assertEqual(0, world.followers["y"].load_of("e1").requests)
+
+        play(check)
+
+    def test_entries_count_each_other(self):
+        async def check(world):
+            await asyncio.sleep(1)
+            self.assertEqual(2, world.followers["x"].entries_here)
+            # One that is gone still counts for a while: it may be cut off.
+            await world.stop("y")
+            await asyncio.sleep(5)
+            self.assertEqual(2, world.followers["x"].entries_here)
+
+        play(check)
