--- a/burdockdrum/configuration/control.py
+++ b/burdockdrum/configuration/control.py
@@ -27,6 +27,9 @@
 from burdockdrum.resources import Revised
 
 BARRIER_SECONDS = 1.0
+# Until the first confirmation after a start every VM that follows this one
+# refuses its callers: the leader is asked as soon as there is one.
+FIRST_BARRIER_SECONDS = 0.1
 MAX_PROPOSE_SECONDS = 10.0
 
 
@@ -125,16 +128,23 @@
     async def run(self) -> None:
         """Make sure again and again that nothing newer was accepted."""
         while True:
-            moment = self._clock.monotonic()
-            try:
-                await self._log.read_barrier(timeout=BARRIER_SECONDS)
-            except NotCurrent as error:
-                logger.debug("the configuration may not be current: {}", error)
-            else:
-                self._knowledge.note_current(moment)
-                addresses = {m.vm_id: m.address for m in self._log.members}
-                self._knowledge.note_control(addresses, moment)
-            await self._clock.sleep(BARRIER_SECONDS)
+            confirmed = await self._confirm()
+            soon = not confirmed and not self._knowledge.known
+            await self._clock.sleep(
+                FIRST_BARRIER_SECONDS if soon else BARRIER_SECONDS
+            )
+
+    async def _confirm(self) -> bool:
+        moment = self._clock.monotonic()
+        try:
+            await self._log.read_barrier(timeout=BARRIER_SECONDS)
+        except NotCurrent as error:
+            logger.debug("the configuration may not be current: {}", error)
+            return False
+        addresses = {m.vm_id: m.address for m in self._log.members}
+        self._knowledge.note_control(addresses, moment)
+        self._knowledge.note_current(moment)
+        return True
 
     def _take_applied(self, revised: Revised | None) -> None:
         history = self._knowledge.history
--- a/burdockdrum/configuration/following.py
+++ b/burdockdrum/configuration/following.py
@@ -28,6 +28,8 @@
 FOLLOW_SECONDS = 2.0
 # And while it does not yet know what to serve by, or hears nothing fresh.
 HURRIED_SECONDS = 0.5
+# Until it knows what to serve by a VM refuses its callers.
+FIRST_SECONDS = 0.25
 # Knowledge older than this is not fresh: one message in a row was lost at
 # each of the two steps from a control VM.
 FRESH_SECONDS = 6.0
@@ -110,6 +112,8 @@
             self._wake.clear()
             self._follow()
             period = FOLLOW_SECONDS if self.is_fresh else HURRIED_SECONDS
+            if not self._knowledge.known:
+                period = FIRST_SECONDS
             try:
                 async with asyncio.timeout(period):
                     await self._wake.wait()
--- a/burdockdrum/configuration/knowledge.py
+++ b/burdockdrum/configuration/knowledge.py
@@ -106,6 +106,8 @@
                 revision=self.current.revision,
                 source=source,
             )
+            for listener in self.listeners:
+                listener()
 
     def _record(self, configuration: Configuration) -> None:
         self._timeline.record(
--- a/burdockdrum/configuration/publishing.py
+++ b/burdockdrum/configuration/publishing.py
@@ -67,6 +67,7 @@
         self._grown = asyncio.Event()
         self.on_follow: Callable[[Sender, Follow], None] | None = None
         knowledge.history.listeners.append(lambda _: self._grown.set())
+        knowledge.listeners.append(self._tell_known)
         peers.register(Follow, self._take_follow)
 
     async def run(self) -> None:
@@ -86,6 +87,15 @@
                     self._push(address, state, state.sent_revision)
             await self._clock.sleep(PUSH_SECONDS)
 
+    def _tell_known(self) -> None:
+        """Tell every follower that this VM serves by what it knows.
+
+        After a start of all VMs the followers wait for just this; each
+        would else ask again a good while later.
+        """
+        for address, state in list(self._followers_by_address.items()):
+            self._push(address, state, state.revision)
+
     async def _push_again(self) -> None:
         while True:
             await self._clock.sleep(RESEND_SECONDS)
--- a/burdockdrum/configuration/services.py
+++ b/burdockdrum/configuration/services.py
@@ -67,6 +67,9 @@
         vm_id=settings.vm.id,
         bootstrap_addresses_by_id=members if is_founder else {},
         voters=settings.control.voters,
+        election_timeout_seconds=settings.control.election_seconds,
+        heartbeat_seconds=settings.control.election_seconds / 5,
+        call_timeout_seconds=settings.control.election_seconds / 2,
         read_addresses=read_addresses,
     )
 
--- a/burdockdrum/gateway/assembly.py
+++ b/burdockdrum/gateway/assembly.py
@@ -5,6 +5,7 @@
 import burdockdrum.configuration
 import burdockdrum.endpoints
 from burdockdrum.kernel import Kernel
+from burdockdrum.logs import log_decision
 from burdockdrum.metrics import Metrics
 import burdockdrum.passthrough
 import burdockdrum.peers
@@ -14,6 +15,7 @@
 from burdockdrum.ports import Mailbox
 import burdockdrum.registrations
 from burdockdrum.settings import Settings
+from burdockdrum.timeline import Event
 from burdockdrum.timeline import HybridClock
 from burdockdrum.timeline import Timeline
 import burdockdrum.vms
@@ -27,6 +29,9 @@
     burdockdrum.passthrough,
 )
 
+# Names that the log gives a meaning of its own.
+_TAKEN = frozenset({"event", "revision"})
+
 
 def assemble(
     *,
@@ -59,4 +64,13 @@
         process=identity.vm_id,
         incarnation=identity.incarnation,
         clock=HybridClock(clock=kernel.find("clock", Clock)),
+        sink=_log_event,
+    )
+
+
+def _log_event(event: Event) -> None:
+    log_decision(
+        event.name,
+        revision=event.revision,
+        **{k: v for k, v in event.details.items() if k not in _TAKEN},
     )
--- a/burdockdrum/passthrough/reading.py
+++ b/burdockdrum/passthrough/reading.py
@@ -22,6 +22,10 @@
 # for certain only while what it knows is no older than this: the two
 # seconds between two messages of whom it follows, and that one's own.
 CERTAIN_SECONDS = 4.0
+# How long a request is held while this VM learns the routes, and at most
+# which part of its time: the rest has to do for serving it.
+MAX_HOLD_SECONDS = 1.0
+HOLD_PART = 0.3
 _MILLISECONDS = 1000.0
 
 
@@ -48,6 +52,13 @@
         self._read_index = read_index
         self._read_age = read_age
 
+    def wait_seconds(self, head: RequestHead) -> float:
+        """Return how long a request may wait for the routes to be known."""
+        asked = _parse_int(head.find(self._names.deadline))
+        if asked is None:
+            return MAX_HOLD_SECONDS
+        return min(MAX_HOLD_SECONDS, asked / _MILLISECONDS * HOLD_PART)
+
     def read(self, head: RequestHead, *, is_hop: bool) -> PassedRequest:
         """Read a request.
 
--- a/burdockdrum/passthrough/relay.py
+++ b/burdockdrum/passthrough/relay.py
@@ -1,5 +1,6 @@
 """Give each request that is passed through one answer, or a refusal."""
 
+from burdockdrum.configuration import ConfigurationService
 from burdockdrum.http1 import Exchange
 from burdockdrum.logs import log_decision
 from burdockdrum.logs import log_failure
@@ -49,9 +50,11 @@
         responses: ResponseReader,
         budget: RetryBudget,
         drain: Drain,
+        configuration: ConfigurationService,
         metrics: Metrics,
     ) -> None:
         """Create the service."""
+        self._configuration = configuration
         self._drain = drain
         self._clock = clock
         self._names = names
@@ -92,6 +95,7 @@
     async def _answer(self, exchange: Exchange, *, is_hop: bool) -> str:
         try:
             self._drain.check()
+            await self._wait_until_known(exchange)
             request = self._reader.read(exchange.request, is_hop=is_hop)
         except Refusal as refusal:
             self._refuse(exchange, refusal, None, is_hop=is_hop)
@@ -113,6 +117,15 @@
             return "cut"
         return "answered"
 
+    async def _wait_until_known(self, exchange: Exchange) -> None:
+        """Hold a request while this VM learns what to serve by.
+
+        A VM that has just started learns it within a second or two, and
+        callers that are refused come back later than that.
+        """
+        seconds = self._reader.wait_seconds(exchange.request)
+        await self._configuration.wait_until_known(seconds)
+
     async def _run(
         self, request: PassedRequest, progress: Progress, exchange: Exchange
     ) -> None:
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -147,6 +147,7 @@
         responses=responses,
         budget=kernel.find("retry_budget", RetryBudget),
         drain=kernel.find("drain", Drain),
+        configuration=configuration,
         metrics=kernel.find("metrics", Metrics),
     )
 
--- a/burdockdrum/settings/model.py
+++ b/burdockdrum/settings/model.py
@@ -53,11 +53,13 @@
     their control addresses; ``data_folder`` is set on those VMs only.
     ``voters`` is how many members the control VMs keep up by themselves:
     an emptied one is taken in again, a lost one replaced. 0 leaves this to
-    operators.
+    operators. A control VM that hears no leader for ``election_seconds``
+    stands for election: several round trips and disk syncs.
     """
 
     members: dict[str, str] = {}
     voters: int = 0
+    election_seconds: float = 1.2
     data_folder: str | None = None
 
 
--- a/burdockdrum/timeline/timeline.py
+++ b/burdockdrum/timeline/timeline.py
@@ -1,6 +1,7 @@
 """The events of one process, kept in a ring."""
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 
 import msgspec
@@ -33,13 +34,16 @@
         incarnation: int,
         clock: HybridClock,
         capacity: int = DEFAULT_CAPACITY,
+        sink: Callable[[Event], None] | None = None,
     ) -> None:
         """Create an empty time line.
 
         :param process: the VM's id
         :param incarnation: tells the starts of one VM apart
         :param capacity: how many events are kept; the oldest go first
+        :param sink: is given each event, as the log is
         """
+        self._sink = sink
         self.clock = clock
         self._process = process
         self._incarnation = incarnation
@@ -68,6 +72,8 @@
             details=details,
         )
         self._events.append(event)
+        if self._sink is not None:
+            self._sink(event)
         return event
 
     def events(
