--- a/burdockdrum/passthrough/attempts.py
+++ b/burdockdrum/passthrough/attempts.py
@@ -10,7 +10,6 @@
 from burdockdrum.http1 import ResponseLost
 from burdockdrum.passthrough.events import BrokenEvents
 from burdockdrum.passthrough.events import EventCutter
-from burdockdrum.passthrough.fleet import Choice
 from burdockdrum.passthrough.fleet import Fleet
 from burdockdrum.passthrough.fleet import Placement
 from burdockdrum.passthrough.health import EndpointHealth
@@ -91,13 +90,10 @@
         exchange: Exchange,
         cutter: EventCutter,
     ) -> Outcome:
-        endpoint = place.endpoint
-        choice = Choice(
-            endpoint=endpoint,
-            wait_seconds=place.wait_seconds,
-            unread_tokens=place.unread_tokens,
+        endpoint = place.choice.endpoint
+        placement = self._fleet.begin(
+            place.choice, request.backend, request.prompt, request.route.rank
         )
-        placement = self._fleet.begin(choice, request.backend, request.prompt)
         payload = self._payloads.for_endpoint(
             request,
             endpoint_id=endpoint.endpoint_id,
--- a/burdockdrum/passthrough/fleet.py
+++ b/burdockdrum/passthrough/fleet.py
@@ -8,25 +8,24 @@
 from burdockdrum.passthrough.health import EndpointHealth
 from burdockdrum.passthrough.limits import ColdGate
 from burdockdrum.passthrough.prompts import Prompt
+from burdockdrum.passthrough.waiting import estimate_queue
+from burdockdrum.passthrough.waiting import reading_seconds
+from burdockdrum.passthrough.waiting import Wait
 from burdockdrum.passthrough.warmth import HeldParts
 from burdockdrum.passthrough.warmth import rank_by_hash
 from burdockdrum.ports import Clock
-from burdockdrum.registrations import EndpointLoad
+from burdockdrum.registrations import Load
+from burdockdrum.registrations import RankLoad
 from burdockdrum.registrations import RegisteredEndpoint
-from burdockdrum.registrations.messages import Load
 from burdockdrum.resources import Backend
 
-# A mid-size model on one server reads some 80 tokens of prompt a
-# millisecond; the estimate only ranks endpoints and prices waiting.
-PREFILL_TOKENS_A_SECOND = 80_000.0
 # Before a request of a service has been timed.
 FIRST_RUN_SECONDS = 0.5
-_KEPT = 0.9
-# Of the endpoints of a region so many are meant for a shared beginning: one
-# would be a hot spot, and more read it more often than they use it.
-HOMES_OF_A_PART = 2
-# What a hash alone is worth: the part may have been sent there by others.
-HOPED_PART = 0.5
+_KEPT = 0.95
+# Which part of a shared beginning counts as held at the endpoint that a
+# hash names first, and second: others send it there as well. With 0.9 the
+# first takes it unless its queue is longer by the time to read it.
+HOPED_PARTS = (0.9, 0.4)
 # Estimates that differ by less are as good as the same.
 TIE_SECONDS = 0.002
 # A silent endpoint is tried where no other one is as good by far.
@@ -39,8 +38,7 @@
 
     held: HeldParts
     health: EndpointHealth = field(default_factory=EndpointHealth)
-    requests: int = 0
-    tokens: int = 0
+    load: Load = field(default_factory=Load)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -48,18 +46,23 @@
     """An endpoint, and when its first output is to be expected."""
 
     endpoint: RegisteredEndpoint
-    wait_seconds: float
+    wait: Wait
     unread_tokens: int
 
 
 @dataclass(kw_only=True)
 class Placement:
-    """A request under way at an endpoint."""
+    """A request under way at an endpoint.
+
+    ``reading_seconds`` is what its prompt is expected to take;
+    ``read_at`` is when its first output came, on the monotonic clock.
+    """
 
     endpoint: RegisteredEndpoint
-    unread_tokens: int
+    rank: int
+    reading_seconds: float
     began_at: float
-    reading: bool = True
+    read_at: float | None = None
 
 
 class Fleet:
@@ -71,7 +74,7 @@
         clock: Clock,
         rng: random.Random,
         read_endpoints: Callable[[], dict[str, RegisteredEndpoint]],
-        read_load: Callable[[str], EndpointLoad],
+        read_load: Callable[[str], Load],
     ) -> None:
         """Create a fleet.
 
@@ -85,18 +88,20 @@
         self._read_load = read_load
         self._tracks_by_id: dict[str, _Track] = {}
         self._run_seconds_by_service: dict[str, float] = {}
-        self._cold_gate = ColdGate(clock=clock)
+        self._cold_gate = ColdGate(clock=clock, rng=rng)
 
     def choose(
         self,
         *,
         backend: Backend,
         prompt: Prompt,
+        rank: int,
         tried: frozenset[str],
         closed_data_centres: frozenset[str],
     ) -> Choice | None:
         """Return the endpoint that should answer first, None if none may.
 
+        :param rank: how urgent it is; 0 is the most urgent
         :param tried: ids of endpoints that are not to be chosen again
         :param closed_data_centres: whose endpoints get no new work
         """
@@ -105,14 +110,17 @@
             for endpoint in self._live(backend.name)
             if endpoint.endpoint_id not in tried
             and endpoint.data_centre not in closed_data_centres
-            and self._may_take(endpoint)
+            and self._may_take(endpoint, backend)
         ]
         if not candidates:
             return None
-        homes = self._homes(prompt, candidates)
-        choices = [self._rate(e, backend, prompt, homes) for e in candidates]
-        best = min(choice.wait_seconds for choice in choices)
-        near = [c for c in choices if c.wait_seconds <= best + TIE_SECONDS]
+        hopes = self._hopes(prompt, candidates)
+        choices = [
+            self._rate(e, backend, prompt, rank, hopes.get(e.endpoint_id, 0.0))
+            for e in candidates
+        ]
+        best = min(choice.wait.total for choice in choices)
+        near = [c for c in choices if c.wait.total <= best + TIE_SECONDS]
         return self._rng.choice(near)
 
     def count_live(self, service: str) -> int:
@@ -120,14 +128,13 @@
         return sum(1 for _ in self._live(service))
 
     def begin(
-        self, choice: Choice, backend: Backend, prompt: Prompt
+        self, choice: Choice, backend: Backend, prompt: Prompt, rank: int
     ) -> Placement:
         """Count a request that is sent to an endpoint."""
         endpoint = choice.endpoint
         now = self._clock.monotonic()
         track = self._track(endpoint, backend)
-        track.requests += 1
-        track.tokens += choice.unread_tokens
+        track.load.add(rank, 1, choice.wait.own)
         track.health.begin(now)
         track.held.note(prompt)
         if endpoint.cold_until > now:
@@ -138,30 +145,37 @@
             )
         return Placement(
             endpoint=endpoint,
-            unread_tokens=choice.unread_tokens,
+            rank=rank,
+            reading_seconds=choice.wait.own,
             began_at=now,
         )
 
     def note_output(self, placement: Placement) -> None:
         """Take note that a prompt has been read."""
+        if placement.read_at is not None:
+            return
+        placement.read_at = self._clock.monotonic()
         track = self._tracks_by_id.get(placement.endpoint.endpoint_id)
-        if placement.reading and track is not None:
-            track.tokens -= placement.unread_tokens
-        placement.reading = False
+        if track is not None:
+            track.load.add(placement.rank, 0, -placement.reading_seconds)
 
     def end(self, placement: Placement, *, whole: bool) -> None:
         """Take note that nothing is under way any more."""
+        now = self._clock.monotonic()
+        if whole:
+            # What it waited in the endpoint's queue held no slot.
+            began = placement.began_at
+            if placement.read_at is not None:
+                began = placement.read_at - placement.reading_seconds
+            service = placement.endpoint.service
+            known = self.run_seconds(service)
+            self._run_seconds_by_service[service] = known * _KEPT + (
+                now - began
+            ) * (1 - _KEPT)
         self.note_output(placement)
-        endpoint = placement.endpoint
-        track = self._tracks_by_id.get(endpoint.endpoint_id)
+        track = self._tracks_by_id.get(placement.endpoint.endpoint_id)
         if track is not None:
-            track.requests -= 1
-        if whole:
-            seconds = self._clock.monotonic() - placement.began_at
-            known = self.run_seconds(endpoint.service)
-            self._run_seconds_by_service[endpoint.service] = (
-                known * _KEPT + seconds * (1 - _KEPT)
-            )
+            track.load.add(placement.rank, -1, 0.0)
 
     def health_of(self, endpoint: RegisteredEndpoint) -> EndpointHealth:
         """Return what became of the requests at an endpoint."""
@@ -172,19 +186,19 @@
         """Return how long a request of a service takes, on average."""
         return self._run_seconds_by_service.get(service, FIRST_RUN_SECONDS)
 
-    def read_own_load(self) -> dict[str, Load]:
+    def read_own_load(self) -> dict[str, list[RankLoad]]:
         """Return what this entry has under way, by endpoint."""
         return {
-            endpoint_id: Load(track.requests, track.tokens)
+            endpoint_id: track.load.ranks()
             for endpoint_id, track in self._tracks_by_id.items()
-            if track.requests
+            if track.load.requests
         }
 
     def forget_ended(self) -> None:
         """Drop what is known of endpoints that are gone."""
         live = self._read_endpoints()
         for endpoint_id, track in list(self._tracks_by_id.items()):
-            if endpoint_id not in live and not track.requests:
+            if endpoint_id not in live and not track.load.requests:
                 del self._tracks_by_id[endpoint_id]
 
     def _live(self, service: str) -> list[RegisteredEndpoint]:
@@ -197,53 +211,58 @@
             and (endpoint.ends_at is None or endpoint.ends_at > now)
         ]
 
-    def _may_take(self, endpoint: RegisteredEndpoint) -> bool:
+    def _may_take(
+        self, endpoint: RegisteredEndpoint, backend: Backend
+    ) -> bool:
         now = self._clock.monotonic()
         track = self._tracks_by_id.get(endpoint.endpoint_id)
         if track is not None and not track.health.is_usable(now):
             return False
         if endpoint.cold_until > now:
-            return self._cold_gate.is_open(endpoint.endpoint_id)
+            return self._cold_gate.is_open(
+                endpoint.endpoint_id,
+                backend.cold_requests_per_second,
+                self.entries,
+            )
         return True
 
-    def _homes(
+    def _hopes(
         self, prompt: Prompt, candidates: list[RegisteredEndpoint]
-    ) -> frozenset[str]:
+    ) -> dict[str, float]:
         key = prompt.affinity_key
         if key is None:
-            return frozenset()
+            return {}
         ids = [endpoint.endpoint_id for endpoint in candidates]
         ids.sort(key=lambda name: rank_by_hash(key, name))
-        return frozenset(ids[:HOMES_OF_A_PART])
+        return dict(zip(ids, HOPED_PARTS, strict=False))
 
     def _rate(
         self,
         endpoint: RegisteredEndpoint,
         backend: Backend,
         prompt: Prompt,
-        homes: frozenset[str],
+        rank: int,
+        hope: float,
     ) -> Choice:
         track = self._track(endpoint, backend)
-        others = self._read_load(endpoint.endpoint_id)
-        requests = track.requests + others.requests
-        unread = prompt.tokens - track.held.held_tokens(prompt)
-        if endpoint.endpoint_id in homes:
-            shared = sum(part.tokens for part in prompt.parts[:-1])
-            hoped = prompt.tokens - int(shared * HOPED_PART)
-            unread = min(unread, hoped)
-        waiting_tokens = track.tokens + others.tokens + unread
-        wait = waiting_tokens / PREFILL_TOKENS_A_SECOND
+        load = Load()
+        load.merge(track.load)
+        load.merge(self._read_load(endpoint.endpoint_id))
+        shared = sum(part.tokens for part in prompt.parts[:-1])
+        unread = prompt.tokens - max(
+            track.held.held_tokens(prompt), int(shared * hope)
+        )
         run_seconds = self.run_seconds(backend.name)
-        over = requests + 1 - endpoint.slots
-        if over > 0:
-            wait += over / endpoint.slots * run_seconds
+        queue = estimate_queue(
+            load, rank=rank, slots=endpoint.slots, run_seconds=run_seconds
+        )
         # Between endpoints with room the emptier one answers sooner.
-        wait += requests / endpoint.slots * run_seconds / endpoint.slots
+        filled = load.requests / endpoint.slots
+        queue += filled * run_seconds / endpoint.slots
         if endpoint.silent:
-            wait += SILENT_PENALTY_SECONDS
-        return Choice(
-            endpoint=endpoint, wait_seconds=wait, unread_tokens=unread
-        )
+            queue += SILENT_PENALTY_SECONDS
+        wait = Wait(queue=queue, own=reading_seconds(prompt, unread))
+        return Choice(endpoint=endpoint, wait=wait, unread_tokens=unread)
 
     def _track(self, endpoint: RegisteredEndpoint, backend: Backend) -> _Track:
         track = self._tracks_by_id.get(endpoint.endpoint_id)
--- a/burdockdrum/passthrough/limits.py
+++ b/burdockdrum/passthrough/limits.py
@@ -5,13 +5,19 @@
 """
 
 import collections
+import random
 
 from burdockdrum.ports import Clock
 
 # Shares leave a part of a limit unused: entries count each other
 # differently while some start or are cut off.
 SAFE_PART = 0.7
-_SECOND = 1.0
+# With so many entries one request of each at once is harmless still: what
+# a cold endpoint bears in a second is half its rate more, and three.
+MAX_TOGETHER = 4
+# Requests a second; a rate of 0 would close an endpoint for good.
+MIN_RATE = 0.01
+MAX_KEPT = 4096
 
 
 class RetryBudget:
@@ -81,32 +87,43 @@
 
     Failure: an endpoint returns cold and all entries send what it took
     before. Symptom: it crashes again. Each entry sends one request and then
-    waits for its part of the rate, so that in any second all of them send
-    at most one each and the rate.
+    waits for its part of the rate; so in any second all of them send one
+    each and the rate, which few entries may. Where there are more, each
+    begins at a random moment within its pause, and the rate alone is sent.
     """
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(self, *, clock: Clock, rng: random.Random) -> None:
         """Create a gate that has let nothing pass."""
         self._clock = clock
+        self._rng = rng
         self._next_at_by_id: dict[str, float] = {}
 
-    def is_open(self, endpoint_id: str) -> bool:
-        """Say whether a request may be sent now."""
-        next_at = self._next_at_by_id.get(endpoint_id, 0.0)
-        return self._clock.monotonic() >= next_at
-
-    def pass_one(self, endpoint_id: str, rate: float, entries: int) -> None:
-        """Count a request.
+    def is_open(self, endpoint_id: str, rate: float, entries: int) -> bool:
+        """Say whether a request may be sent now.
 
         :param rate: requests a second from all entries
         :param entries: how many entries may send to the endpoint
         """
         now = self._clock.monotonic()
-        pause = max(1, entries) / max(rate * SAFE_PART, 0.01)
-        self._next_at_by_id[endpoint_id] = now + max(pause, _SECOND)
-        if len(self._next_at_by_id) > 4096:
+        next_at = self._next_at_by_id.get(endpoint_id)
+        if next_at is None:
+            next_at = now
+            if entries > MAX_TOGETHER:
+                next_at += self._rng.uniform(0, _pause(rate, entries))
+            self._next_at_by_id[endpoint_id] = next_at
+        return now >= next_at
+
+    def pass_one(self, endpoint_id: str, rate: float, entries: int) -> None:
+        """Count a request."""
+        now = self._clock.monotonic()
+        self._next_at_by_id[endpoint_id] = now + _pause(rate, entries)
+        if len(self._next_at_by_id) > MAX_KEPT:
             self._next_at_by_id = {
                 name: at
                 for name, at in self._next_at_by_id.items()
                 if at > now
             }
+
+
+def _pause(rate: float, entries: int) -> float:
+    return max(1, entries) / max(rate * SAFE_PART, MIN_RATE)
--- a/burdockdrum/passthrough/model.py
+++ b/burdockdrum/passthrough/model.py
@@ -5,8 +5,8 @@
 
 from burdockdrum.http1 import RequestHead
 from burdockdrum.http1 import ResponseHead
+from burdockdrum.passthrough.fleet import Choice
 from burdockdrum.passthrough.prompts import Prompt
-from burdockdrum.registrations import RegisteredEndpoint
 from burdockdrum.resources import Backend
 from burdockdrum.resources import Route
 from burdockdrum.verdicts import Verdict
@@ -57,9 +57,7 @@
 class EndpointPlace:
     """An attempt at an endpoint of this region."""
 
-    endpoint: RegisteredEndpoint
-    wait_seconds: float
-    unread_tokens: int
+    choice: Choice
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/burdockdrum/passthrough/placing.py
+++ b/burdockdrum/passthrough/placing.py
@@ -6,14 +6,17 @@
 
 from burdockdrum.passthrough.fleet import Choice
 from burdockdrum.passthrough.fleet import Fleet
-from burdockdrum.passthrough.fleet import PREFILL_TOKENS_A_SECOND
 from burdockdrum.passthrough.model import EndpointPlace
 from burdockdrum.passthrough.model import PassedRequest
 from burdockdrum.passthrough.model import Place
 from burdockdrum.passthrough.model import Progress
 from burdockdrum.passthrough.model import RegionPlace
+from burdockdrum.passthrough.waiting import estimate_queue
+from burdockdrum.passthrough.waiting import reading_seconds
+from burdockdrum.passthrough.waiting import Wait
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
+from burdockdrum.registrations import Load
 from burdockdrum.registrations import ServiceRoom
 from burdockdrum.verdicts import Refusal
 from burdockdrum.verdicts import RefusalCode
@@ -27,6 +30,11 @@
 # Where no endpoint may take a request the next check-in may change that.
 RETRY_AFTER_NONE = 1.0
 MIN_RETRY_SECONDS = 0.3
+# Of the time in which a first part is due: the rest is for reading the
+# prompt and for what the estimate misses.
+OBJECTIVE_PART = 0.6
+# What is late already is served where that takes little from others.
+MIN_QUEUE_SECONDS = 0.1
 MAX_RETRY_SECONDS = 3.0
 
 
@@ -73,13 +81,23 @@
         left = request.deadline - self._clock.monotonic()
         if here is None:
             raise self._refuse(request, progress, RETRY_AFTER_NONE)
-        if here.wait_seconds >= left:
-            raise self._refuse(request, progress, here.wait_seconds - left)
-        return EndpointPlace(
-            endpoint=here.endpoint,
-            wait_seconds=here.wait_seconds,
-            unread_tokens=here.unread_tokens,
-        )
+        allowed = self._allowed_queue(request, left)
+        if here.wait.queue > allowed:
+            raise self._refuse(request, progress, here.wait.queue - allowed)
+        return EndpointPlace(choice=here)
+
+    def _allowed_queue(self, request: PassedRequest, left: float) -> float:
+        """Return how long a request may wait for what came before it.
+
+        Failure: more comes than is served, and the queues grow. Symptom:
+        every answer is late, though as many are given as ever. What would
+        wait longer than its objective is refused at once, so that those who
+        are served are served in time; while it is not late already, and not
+        longer than it has.
+        """
+        passed = self._clock.monotonic() - request.received_at
+        objective = request.route.objective_seconds * OBJECTIVE_PART
+        return min(left, max(objective - passed, MIN_QUEUE_SECONDS))
 
     def _choose_here(
         self, request: PassedRequest, progress: Progress
@@ -90,6 +108,7 @@
         return self._fleet.choose(
             backend=request.backend,
             prompt=request.prompt,
+            rank=request.route.rank,
             tried=frozenset(progress.tried),
             closed_data_centres=self._read_closed(),
         )
@@ -106,28 +125,31 @@
             return None
         limit = float("inf")
         if here is not None:
-            limit = here.wait_seconds - SPILL_MARGIN_SECONDS
+            limit = here.wait.total - SPILL_MARGIN_SECONDS
             if limit <= HOP_SECONDS:
                 return None
-        waits = self._rate_regions(request, progress)
-        for wait, region in sorted(waits):
-            if wait >= limit:
+        left = request.deadline - self._clock.monotonic()
+        allowed = self._allowed_queue(request, left)
+        for wait, region in self._rate_regions(request, progress):
+            if wait.total >= limit:
                 return None
+            if wait.queue > allowed:
+                continue
             entry = self._choose_entry(region, progress)
             if entry is not None:
                 return RegionPlace(
                     region=region,
                     address=self._hop_address(entry),
                     vm_id=entry.vm_id,
-                    wait_seconds=wait,
+                    wait_seconds=wait.total,
                 )
         return None
 
     def _rate_regions(
         self, request: PassedRequest, progress: Progress
-    ) -> list[tuple[float, str]]:
+    ) -> list[tuple[Wait, str]]:
         homes = request.route.homes
-        waits = []
+        waits: list[tuple[Wait, str]] = []
         for room in self._read_rooms():
             if room.service != request.backend.name:
                 continue
@@ -138,16 +160,19 @@
             if homes and room.region not in homes:
                 continue
             waits.append((self._estimate(request, room), room.region))
-        return waits
-
-    def _estimate(self, request: PassedRequest, room: ServiceRoom) -> float:
-        tokens = room.tokens / room.endpoints + request.prompt.tokens
-        wait = tokens / PREFILL_TOKENS_A_SECOND
-        over = room.requests + 1 - room.slots
-        if over > 0 and room.slots:
-            run_seconds = self._fleet.run_seconds(room.service)
-            wait += over / room.slots * run_seconds
-        return wait + HOP_SECONDS
+        return sorted(waits, key=lambda pair: pair[0].total)
+
+    def _estimate(self, request: PassedRequest, room: ServiceRoom) -> Wait:
+        """Estimate by the average endpoint: which one is chosen there."""
+        queue = estimate_queue(
+            Load.of(room.ranks).average(room.endpoints),
+            rank=request.route.rank,
+            slots=max(1, room.slots // room.endpoints),
+            run_seconds=self._fleet.run_seconds(room.service),
+        )
+        prompt = request.prompt
+        own = reading_seconds(prompt, prompt.tokens) + HOP_SECONDS
+        return Wait(queue=queue, own=own)
 
     def _choose_entry(
         self, region: str, progress: Progress
--- a/burdockdrum/passthrough/relay.py
+++ b/burdockdrum/passthrough/relay.py
@@ -167,8 +167,8 @@
         outcome: Outcome,
     ) -> None:
         match place:
-            case EndpointPlace(endpoint=endpoint):
-                progress.tried.add(endpoint.endpoint_id)
+            case EndpointPlace(choice=choice):
+                progress.tried.add(choice.endpoint.endpoint_id)
             case RegionPlace(vm_id=vm_id, region=region):
                 progress.tried.add(vm_id)
                 if not isinstance(outcome, NotStarted) or outcome.retry_after:
@@ -277,9 +277,12 @@
     ) -> None:
         seconds = self._clock.monotonic() - request.received_at
         match place:
-            case EndpointPlace(endpoint=endpoint):
-                where, expected = endpoint.endpoint_id, place.wait_seconds
-                unread = place.unread_tokens
+            case EndpointPlace(choice=choice):
+                where, expected = (
+                    choice.endpoint.endpoint_id,
+                    choice.wait.total,
+                )
+                unread = choice.unread_tokens
             case RegionPlace(vm_id=vm_id):
                 where, expected = vm_id, place.wait_seconds
                 unread = request.prompt.tokens
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -23,6 +23,7 @@
 from burdockdrum.passthrough.vocabulary import HeaderNames
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
+from burdockdrum.registrations import LoadSharing
 from burdockdrum.registrations import RegistrationFollower
 from burdockdrum.settings import Settings
 from burdockdrum.vms import Drain
@@ -54,13 +55,14 @@
 
 def _build_fleet(kernel: Kernel) -> Fleet:
     registrations = kernel.find("registrations", RegistrationFollower)
+    sharing = kernel.find("load_sharing", LoadSharing)
     fleet = Fleet(
         clock=kernel.find("clock", Clock),
         rng=kernel.find("random", random.Random),
         read_endpoints=lambda: registrations.endpoints_by_id,
-        read_load=registrations.load_of,
+        read_load=sharing.load_of,
     )
-    registrations.read_load = fleet.read_own_load
+    registrations.read_load = sharing.read_load = fleet.read_own_load
     return fleet
 
 
--- a/burdockdrum/registrations/__init__.py
+++ b/burdockdrum/registrations/__init__.py
@@ -8,17 +8,21 @@
 
 from burdockdrum.registrations.book import RegistrationBook
 from burdockdrum.registrations.follower import RegistrationFollower
+from burdockdrum.registrations.load_sharing import LoadSharing
+from burdockdrum.registrations.loads import Load
+from burdockdrum.registrations.loads import RankLoad
 from burdockdrum.registrations.messages import Registration
 from burdockdrum.registrations.messages import RegistrationState
 from burdockdrum.registrations.messages import ServiceRoom
-from burdockdrum.registrations.model import EndpointLoad
 from burdockdrum.registrations.model import RegisteredEndpoint
 from burdockdrum.registrations.publisher import RegistrationPublisher
 from burdockdrum.registrations.services import add_services
 
 __all__ = [
     "add_services",
-    "EndpointLoad",
+    "Load",
+    "LoadSharing",
+    "RankLoad",
     "RegisteredEndpoint",
     "Registration",
     "RegistrationBook",
--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -9,25 +9,24 @@
 from burdockdrum.peers import Peers
 from burdockdrum.peers import Sender
 from burdockdrum.ports import Clock
-from burdockdrum.registrations.messages import Load
+from burdockdrum.registrations.loads import Load
+from burdockdrum.registrations.loads import RankLoad
 from burdockdrum.registrations.messages import Registration
 from burdockdrum.registrations.messages import RegistrationState
 from burdockdrum.registrations.messages import ServiceRoom
 from burdockdrum.registrations.messages import Watch
 from burdockdrum.registrations.messages import Watched
-from burdockdrum.registrations.model import EndpointLoad
 from burdockdrum.registrations.model import RegisteredEndpoint
 
 WATCH_SECONDS = 0.5
 # What a control VM knew before its restart counts for so long: within it a
 # live endpoint has checked in again, there or elsewhere.
 KEEP_OLD_SECONDS = 6.0
-# Sums of load older than this say nothing of the present.
-LOAD_SECONDS = 3.0
+# What a region had under way longer ago says nothing of the present.
+ROOMS_SECONDS = 3.0
 # A start that ended is remembered for as long as a late message about it
 # may be on its way.
 KEEP_GONE_SECONDS = 120.0
-_NO_LOAD = EndpointLoad()
 
 
 @dataclass(kw_only=True)
@@ -53,7 +52,7 @@
         peers: Peers,
         clock: Clock,
         control_addresses: Callable[[], Mapping[str, str]],
-        read_load: Callable[[], dict[str, Load]] = dict,
+        read_load: Callable[[], dict[str, list[RankLoad]]] = dict,
         take_revision: Callable[[str, int], None] = lambda *_: None,
     ) -> None:
         """Know no endpoint.
@@ -71,8 +70,6 @@
         self._take_revision = take_revision
         self._sources_by_id: dict[str, _Source] = {}
         self._gone_at_by_id: dict[str, float] = {}
-        self._load_by_id: dict[str, EndpointLoad] = {}
-        self._load_at = float("-inf")
         self._counts: dict[str, tuple[int, int]] = {}
         peers.register(Watched, self._take_watched)
 
@@ -83,7 +80,7 @@
         A control VM only tells of the endpoints that check in there, so
         the parts of all that were heard lately are added up.
         """
-        since = self._clock.monotonic() - LOAD_SECONDS
+        since = self._clock.monotonic() - ROOMS_SECONDS
         sums: dict[tuple[str, str], ServiceRoom] = {}
         for source in self._sources_by_id.values():
             if source.heard_at < since:
@@ -103,12 +100,6 @@
         """Return how many entries there may be, at least one."""
         return max([1, *(all_ for _, all_ in self._counts.values())])
 
-    def load_of(self, endpoint_id: str) -> EndpointLoad:
-        """Return what the other entries have under way at an endpoint."""
-        if self._clock.monotonic() - self._load_at > LOAD_SECONDS:
-            return _NO_LOAD
-        return self._load_by_id.get(endpoint_id, _NO_LOAD)
-
     def is_heard(self, seconds: float) -> bool:
         """Say whether a control VM was heard of in the last seconds."""
         since = self._clock.monotonic() - seconds
@@ -133,7 +124,7 @@
             self._watch(vm_id, address, load_by_id)
 
     def _watch(
-        self, vm_id: str, address: str, load_by_id: dict[str, Load]
+        self, vm_id: str, address: str, load_by_id: dict[str, list[RankLoad]]
     ) -> None:
         source = self._sources_by_id.setdefault(vm_id, _Source())
         message = Watch(
@@ -159,7 +150,8 @@
             message.entries_here,
             message.entries_everywhere,
         )
-        self._take_load(source, message, now)
+        if message.rooms is not None:
+            source.rooms = message.rooms
         if message.after <= source.serial <= message.serial:
             source.serial = message.serial
         for registration in message.registrations:
@@ -175,20 +167,6 @@
             source.endpoints_by_id, now + KEEP_OLD_SECONDS
         )
 
-    def _take_load(
-        self, source: _Source, message: Watched, now: float
-    ) -> None:
-        if message.load_by_id is None or message.rooms is None:
-            return
-        self._load_at = now
-        source.rooms = message.rooms
-        self._load_by_id = {
-            endpoint_id: EndpointLoad(
-                requests=load.requests, tokens=load.tokens
-            )
-            for endpoint_id, load in message.load_by_id.items()
-        }
-
     def _take(
         self, source: _Source, registration: Registration, now: float
     ) -> None:
@@ -250,11 +228,11 @@
 def _add_rooms(first: ServiceRoom | None, second: ServiceRoom) -> ServiceRoom:
     if first is None:
         return second
+    load = Load.of([*first.ranks, *second.ranks])
     return ServiceRoom(
         first.region,
         first.service,
         first.endpoints + second.endpoints,
         first.slots + second.slots,
-        first.requests + second.requests,
-        first.tokens + second.tokens,
+        load.ranks(),
     )
--- /dev/null
+++ b/burdockdrum/registrations/loads.py
@@ -0,0 +1,93 @@
+"""What is under way at endpoints, by how urgent it is.
+
+An engine admits what is more urgent first, so what a request waits for
+depends on its own rank. Prompts count by the time that reading them takes.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+
+import msgspec
+
+
+class RankLoad(msgspec.Struct, frozen=True, array_like=True):
+    """The requests of one rank; 0 is the most urgent.
+
+    ``reading_ms`` is how many milliseconds it takes to read what has not
+    been read of their prompts.
+    """
+
+    rank: int
+    requests: int
+    reading_ms: int
+
+
+@dataclass(kw_only=True)
+class Load:
+    """What is under way at one endpoint, or at several together."""
+
+    requests_by_rank: dict[int, int] = field(default_factory=dict)
+    reading_by_rank: dict[int, float] = field(default_factory=dict)
+
+    @classmethod
+    def of(cls, ranks: Iterable[RankLoad]) -> "Load":
+        """Return what the ranks say together."""
+        load = cls()
+        for rank in ranks:
+            load.add(rank.rank, rank.requests, rank.reading_ms / 1000)
+        return load
+
+    @property
+    def requests(self) -> int:
+        """Return the requests of all ranks."""
+        return sum(self.requests_by_rank.values())
+
+    def add(self, rank: int, requests: int, reading_seconds: float) -> None:
+        """Count requests; a negative number takes them back."""
+        count = self.requests_by_rank.get(rank, 0) + requests
+        reading = self.reading_by_rank.get(rank, 0.0) + reading_seconds
+        self.requests_by_rank[rank] = max(0, count)
+        self.reading_by_rank[rank] = max(0.0, reading)
+
+    def merge(self, other: "Load") -> None:
+        """Add what another load holds."""
+        for rank, requests in other.requests_by_rank.items():
+            self.add(rank, requests, other.reading_by_rank[rank])
+
+    def average(self, endpoints: int) -> "Load":
+        """Return what each of several endpoints has, on average."""
+        return Load(
+            requests_by_rank={
+                rank: round(count / endpoints)
+                for rank, count in self.requests_by_rank.items()
+            },
+            reading_by_rank={
+                rank: seconds / endpoints
+                for rank, seconds in self.reading_by_rank.items()
+            },
+        )
+
+    def up_to(self, rank: int) -> tuple[int, float]:
+        """Return the requests as urgent or more, and their reading time."""
+        ranks = [r for r in self.requests_by_rank if r <= rank]
+        return (
+            sum(self.requests_by_rank[r] for r in ranks),
+            sum(self.reading_by_rank[r] for r in ranks),
+        )
+
+    def above(self, rank: int) -> tuple[int, float]:
+        """Return the less urgent requests, and their reading time."""
+        ranks = [r for r in self.requests_by_rank if r > rank]
+        return (
+            sum(self.requests_by_rank[r] for r in ranks),
+            sum(self.reading_by_rank[r] for r in ranks),
+        )
+
+    def ranks(self) -> list[RankLoad]:
+        """Return the ranks that have requests, for the wire."""
+        return [
+            RankLoad(rank, count, round(self.reading_by_rank[rank] * 1000))
+            for rank, count in self.requests_by_rank.items()
+            if count
+        ]
--- a/burdockdrum/registrations/messages.py
+++ b/burdockdrum/registrations/messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from burdockdrum.peers import Message
+from burdockdrum.registrations.loads import RankLoad
 
 
 class RegistrationState(enum.Enum):
@@ -46,16 +47,6 @@
     seconds_left: float | None = None
 
 
-class Load(msgspec.Struct, frozen=True, array_like=True):
-    """What an entry has under way at an endpoint.
-
-    ``tokens`` are those of prompts that have not been read yet.
-    """
-
-    requests: int
-    tokens: int
-
-
 class ServiceRoom(msgspec.Struct, frozen=True, array_like=True):
     """What the endpoints of a service in one region have under way."""
 
@@ -63,8 +54,7 @@
     service: str
     endpoints: int
     slots: int
-    requests: int
-    tokens: int
+    ranks: list[RankLoad]
 
 
 class Watch(Message, frozen=True, kw_only=True, array_like=True):
@@ -77,24 +67,29 @@
     region: str
     epoch: int
     serial: int
-    load_by_id: dict[str, Load] = {}
+    load_by_id: dict[str, list[RankLoad]] = {}
+
+
+class LoadNotice(Message, frozen=True, kw_only=True, array_like=True):
+    """An entry tells the others of its region what it has under way."""
+
+    load_by_id: dict[str, list[RankLoad]]
 
 
 class Watched(Message, frozen=True, kw_only=True, array_like=True):
     """What a control VM has heard since the serial that was asked for.
 
     ``after`` is that serial: where the entry has another one it has missed
-    a change and asks again. ``load_by_id`` sums up the other entries.
-    ``entries_here`` and ``entries_everywhere`` count the entries that may
-    be alive, in this region and in all. ``revision`` is that of the
-    configuration which the control VM has in force.
+    a change and asks again. ``entries_here`` and ``entries_everywhere``
+    count the entries that may be alive, in this region and in all.
+    ``revision`` is that of the configuration which the control VM has in
+    force.
     """
 
     epoch: int
     after: int
     serial: int
     registrations: list[Registration] = []
-    load_by_id: dict[str, Load] | None = None
     rooms: list[ServiceRoom] | None = None
     entries_here: int = 0
     entries_everywhere: int = 0
--- a/burdockdrum/registrations/model.py
+++ b/burdockdrum/registrations/model.py
@@ -31,11 +31,3 @@
     def silent(self) -> bool:
         """Say whether no control VM has heard from it lately."""
         return self.state is RegistrationState.SILENT
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class EndpointLoad:
-    """What the other entries have under way at an endpoint."""
-
-    requests: int = 0
-    tokens: int = 0
--- a/burdockdrum/registrations/publisher.py
+++ b/burdockdrum/registrations/publisher.py
@@ -10,7 +10,8 @@
 from burdockdrum.peers import Sender
 from burdockdrum.ports import Clock
 from burdockdrum.registrations.book import RegistrationBook
-from burdockdrum.registrations.messages import Load
+from burdockdrum.registrations.loads import Load
+from burdockdrum.registrations.loads import RankLoad
 from burdockdrum.registrations.messages import Registration
 from burdockdrum.registrations.messages import ServiceRoom
 from burdockdrum.registrations.messages import Watch
@@ -32,7 +33,7 @@
     incarnation: int
     serial: int
     heard_at: float
-    load_by_id: dict[str, Load] = field(default_factory=dict)
+    load_by_id: dict[str, list[RankLoad]] = field(default_factory=dict)
 
 
 class RegistrationPublisher:
@@ -90,18 +91,18 @@
             load_by_id=message.load_by_id,
         )
         self._watchers_by_id[sender.vm_id] = watcher
-        self._send(sender.vm_id, watcher, with_load=True)
+        self._send(watcher, with_rooms=True)
         self._forget_watchers(now)
         return None
 
     def _take_change(self, registration: Registration) -> None:
         region = self._regions_by_data_centre.get(registration.data_centre)
         since = self._clock.monotonic() - FRESH_SECONDS
-        for vm_id, watcher in self._watchers_by_id.items():
+        for watcher in self._watchers_by_id.values():
             if watcher.region == region and watcher.heard_at >= since:
-                self._send(vm_id, watcher, with_load=False)
+                self._send(watcher, with_rooms=False)
 
-    def _send(self, vm_id: str, watcher: _Watcher, *, with_load: bool) -> None:
+    def _send(self, watcher: _Watcher, *, with_rooms: bool) -> None:
         data_centres = frozenset(
             name
             for name, region in self._regions_by_data_centre.items()
@@ -113,61 +114,43 @@
             after=watcher.serial,
             serial=book.serial,
             registrations=book.changes_after(watcher.serial, data_centres),
-            load_by_id=self._sum_loads(vm_id, watcher) if with_load else None,
-            rooms=self._sum_rooms() if with_load else None,
+            rooms=self._sum_rooms() if with_rooms else None,
             entries_here=self.count_watchers(watcher.region),
             entries_everywhere=self.count_watchers(),
             revision=self._read_revision(),
         )
         self._peers.send(watcher.address, message)
 
-    def _sum_loads(self, vm_id: str, asker: _Watcher) -> dict[str, Load]:
-        sums: dict[str, Load] = {}
-        for other_id, other in self._fresh_watchers():
-            if other_id == vm_id or other.region != asker.region:
-                continue
-            for endpoint_id, load in other.load_by_id.items():
-                sums[endpoint_id] = _add(sums.get(endpoint_id), load)
-        return sums
-
     def _sum_rooms(self) -> list[ServiceRoom]:
-        sums: dict[str, Load] = {}
-        for _, watcher in self._fresh_watchers():
-            for endpoint_id, load in watcher.load_by_id.items():
-                sums[endpoint_id] = _add(sums.get(endpoint_id), load)
-        rooms: dict[tuple[str, str], ServiceRoom] = {}
+        loads_by_id = self._sum_loads()
+        sums: dict[tuple[str, str], tuple[int, int, Load]] = {}
         for registration in self._book.live():
             region = self._regions_by_data_centre.get(registration.data_centre)
             if region is None:
                 continue
             key = (region, registration.service)
-            held = rooms.get(key) or ServiceRoom(*key, 0, 0, 0, 0)
-            load = sums.get(registration.endpoint_id) or Load(0, 0)
-            rooms[key] = ServiceRoom(
-                region,
-                registration.service,
-                held.endpoints + 1,
-                held.slots + registration.slots,
-                held.requests + load.requests,
-                held.tokens + load.tokens,
-            )
-        return list(rooms.values())
-
-    def _fresh_watchers(self) -> list[tuple[str, _Watcher]]:
-        since = self._clock.monotonic() - FRESH_SECONDS
+            endpoints, slots, load = sums.get(key, (0, 0, Load()))
+            own = loads_by_id.get(registration.endpoint_id)
+            if own is not None:
+                load.merge(own)
+            sums[key] = (endpoints + 1, slots + registration.slots, load)
         return [
-            (vm_id, watcher)
-            for vm_id, watcher in self._watchers_by_id.items()
-            if watcher.heard_at >= since
+            ServiceRoom(region, service, endpoints, slots, load.ranks())
+            for (region, service), (endpoints, slots, load) in sums.items()
         ]
 
+    def _sum_loads(self) -> dict[str, Load]:
+        since = self._clock.monotonic() - FRESH_SECONDS
+        sums: dict[str, Load] = {}
+        for watcher in self._watchers_by_id.values():
+            if watcher.heard_at < since:
+                continue
+            for endpoint_id, ranks in watcher.load_by_id.items():
+                load = sums.setdefault(endpoint_id, Load())
+                load.merge(Load.of(ranks))
+        return sums
+
     def _forget_watchers(self, now: float) -> None:
         for vm_id, watcher in list(self._watchers_by_id.items()):
             if now - watcher.heard_at > COUNT_SECONDS:
                 del self._watchers_by_id[vm_id]
-
-
-def _add(first: Load | None, second: Load) -> Load:
-    if first is None:
-        return second
-    return Load(first.requests + second.requests, first.tokens + second.tokens)
--- a/burdockdrum/registrations/services.py
+++ b/burdockdrum/registrations/services.py
@@ -3,11 +3,14 @@
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.kernel import Kernel
 from burdockdrum.peers import Peers
+from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
 from burdockdrum.registrations.book import RegistrationBook
 from burdockdrum.registrations.follower import RegistrationFollower
+from burdockdrum.registrations.load_sharing import LoadSharing
 from burdockdrum.registrations.publisher import RegistrationPublisher
 from burdockdrum.settings import Settings
+from burdockdrum.vms import VmDirectory
 
 
 def add_services(kernel: Kernel) -> None:
@@ -17,6 +20,7 @@
         kernel.add("registration_publisher", _build_publisher)
     else:
         kernel.add("registrations", _build_follower)
+        kernel.add("load_sharing", _build_load_sharing)
 
 
 def _build_book(kernel: Kernel) -> RegistrationBook:
@@ -43,3 +47,23 @@
         control_addresses=lambda: configuration.control_addresses,
         take_revision=configuration.note_revision,
     )
+
+
+def _build_load_sharing(kernel: Kernel) -> LoadSharing:
+    directory = kernel.find("vms", VmDirectory)
+    own = kernel.find("identity", VmIdentity)
+
+    def read_addresses() -> list[str]:
+        return [
+            view.identity.control_address
+            for view in directory.live_vms()
+            if view.identity.region == own.region
+            and view.identity.http_address
+            and view.identity.vm_id != own.vm_id
+        ]
+
+    return LoadSharing(
+        peers=kernel.find("peers", Peers),
+        clock=kernel.find("clock", Clock),
+        read_addresses=read_addresses,
+    )
--- /dev/null
+++ b/tests/passthrough/fakes.py
@@ -0,0 +1,108 @@
+"""What the tests of the pass-through share."""
+
+import random
+
+from burdockdrum.passthrough.fleet import Fleet
+from burdockdrum.passthrough.prompts import Prompt
+from burdockdrum.passthrough.prompts import PromptPart
+from burdockdrum.registrations import Load
+from burdockdrum.registrations import RegisteredEndpoint
+from burdockdrum.registrations import RegistrationState
+from burdockdrum.resources import Backend
+from burdockdrum.resources import Engine
+from burdockdrum.resources import Route
+from burdockdrum.resources import WeightedService
+
+MODEL = Backend(
+    name="model",
+    cold_requests_per_second=3.3,
+    engine=Engine(slots=8, memory_tokens=400_000),
+)
+PLAIN = Backend(name="plain")
+
+
+class SteppedClock:
+    """A clock that a test moves."""
+
+    def __init__(self):
+        """Start at 100 s."""
+        self.now = 100.0
+
+    def monotonic(self):
+        """Return the time."""
+        return self.now
+
+    async def sleep(self, seconds):
+        """Move the time on."""
+        self.now += seconds
+
+
+def make_endpoint(endpoint_id, **fields):
+    """Return an endpoint with 8 slots that takes work."""
+    defaults = {
+        "service": "model",
+        "address": f"{endpoint_id}:80",
+        "data_centre": "dc",
+        "slots": 8,
+        "sequence": 1,
+        "state": RegistrationState.READY,
+        "cold_until": 0.0,
+        "ends_at": None,
+    }
+    return RegisteredEndpoint(
+        endpoint_id=endpoint_id, **{**defaults, **fields}
+    )
+
+
+def make_prompt(tokens, *shared):
+    """Return a prompt whose last part is its own."""
+    parts = [PromptPart(part_id=n, tokens=t) for n, t in shared]
+    own = tokens - sum(part.tokens for part in parts)
+    parts.append(PromptPart(part_id=f"own-{tokens}", tokens=own))
+    return Prompt(tokens=tokens, max_output=100, parts=tuple(parts))
+
+
+def make_route(**fields):
+    """Return a route of the model service."""
+    defaults = {
+        "name": "r",
+        "host": "h",
+        "path_prefix": "/p/",
+        "services": [WeightedService(service="model")],
+        "idempotent": True,
+        "attempts": 2,
+        "timeout_seconds": 3.0,
+        "objective_seconds": 1.0,
+    }
+    return Route(**{**defaults, **fields})
+
+
+class FleetWorld:
+    """A fleet over endpoints and loads that a test sets."""
+
+    def __init__(self, *ids, seed=1):
+        """Create endpoints that are idle."""
+        self.clock = SteppedClock()
+        self.endpoints = {name: make_endpoint(name) for name in ids}
+        self.others = {}
+        self.fleet = Fleet(
+            clock=self.clock,
+            rng=random.Random(seed),
+            read_endpoints=lambda: self.endpoints,
+            read_load=lambda name: self.others.get(name, Load()),
+        )
+
+    def choose(self, prompt, *, rank=0, backend=MODEL, tried=(), closed=()):
+        """Choose an endpoint for a request."""
+        return self.fleet.choose(
+            backend=backend,
+            prompt=prompt,
+            rank=rank,
+            tried=frozenset(tried),
+            closed_data_centres=frozenset(closed),
+        )
+
+    def send(self, prompt, *, rank=0, backend=MODEL):
+        """Choose an endpoint and count the request there."""
+        choice = self.choose(prompt, rank=rank, backend=backend)
+        return self.fleet.begin(choice, backend, prompt, rank)
--- /dev/null
+++ b/tests/passthrough/test_fleet.py
@@ -0,0 +1,171 @@
+"""Tests of the choice among the endpoints of a region."""
+
+import dataclasses
+import unittest
+
+from burdockdrum.registrations import Load
+from burdockdrum.registrations import RankLoad
+from burdockdrum.registrations import RegistrationState
+from tests.passthrough.fakes import FleetWorld
+from tests.passthrough.fakes import make_endpoint
+from tests.passthrough.fakes import make_prompt
+from tests.passthrough.fakes import MODEL
+from tests.passthrough.fakes import PLAIN
+
+
+class ChoiceTest(unittest.TestCase):
+    """One request after the other."""
+
+    def test_short_request_avoids_a_long_prompt_of_another_entry(self):
+        # Another entry has just sent 57,000 tokens to one endpoint. What
+        # this entry sends next goes elsewhere and is not held up by 1.2 s.
+        world = FleetWorld("a", "b", "c")
+        world.others["a"] = Load.of([RankLoad(1, 1, 1150)])
+        chosen = {
+            world.choose(make_prompt(1000)).endpoint.endpoint_id
+            for _ in range(30)
+        }
+        self.assertEqual({"b", "c"}, chosen)
+
+    def test_requests_spread_over_idle_endpoints(self):
+        world = FleetWorld("a", "b", "c", "d")
+        placed = [
+            world.send(make_prompt(1000 + n)).endpoint.endpoint_id
+            for n in range(12)
+        ]
+        self.assertEqual(3, max(placed.count(name) for name in placed))
+
+    def test_prompt_goes_where_its_beginning_is_held(self):
+        # Three entries that never tell each other what they sent where
+        # choose the same endpoint for a shared beginning of 5,000 tokens.
+        shared = (("head", 500), ("plan-7", 4900))
+        chosen = set()
+        for seed in range(3):
+            world = FleetWorld("a", "b", "c", "d", "e", seed=seed)
+            placement = world.send(make_prompt(6600, *shared), rank=1)
+            chosen.add(placement.endpoint.endpoint_id)
+        self.assertEqual(1, len(chosen))
+
+    def test_beginning_is_read_again_rather_than_waited_for(self):
+        # The endpoint that holds it has a second of prompts to read first.
+        world = FleetWorld("a", "b")
+        prompt = make_prompt(6600, ("plan-7", 5000))
+        home = world.choose(prompt).endpoint.endpoint_id
+        world.others[home] = Load.of([RankLoad(0, 3, 1000)])
+        other = world.choose(prompt).endpoint.endpoint_id
+        self.assertNotEqual(home, other)
+
+    def test_nothing_goes_where_it_may_not(self):
+        world = FleetWorld("ok")
+        away = {
+            "leaving": {"state": RegistrationState.LEAVING},
+            "elsewhere": {"data_centre": "closed"},
+            "other": {"service": "other"},
+            "ended": {"ends_at": 99.0},
+            "tried": {},
+        }
+        for name, fields in away.items():
+            world.endpoints[name] = make_endpoint(name, **fields)
+        for _ in range(20):
+            choice = world.choose(
+                make_prompt(100), tried=["tried"], closed=["closed"]
+            )
+            self.assertEqual("ok", choice.endpoint.endpoint_id)
+
+    def test_silent_endpoint_is_the_last_choice(self):
+        world = FleetWorld("a", "quiet")
+        quiet = world.endpoints["quiet"]
+        world.endpoints["quiet"] = dataclasses.replace(
+            quiet, state=RegistrationState.SILENT
+        )
+        for _ in range(5):
+            self.assertEqual(
+                "a", world.choose(make_prompt(10)).endpoint.endpoint_id
+            )
+        del world.endpoints["a"]
+        self.assertEqual(
+            "quiet", world.choose(make_prompt(10)).endpoint.endpoint_id
+        )
+
+    def test_failing_endpoint_is_set_aside_and_tried_again(self):
+        # It answers fast with failures and so looks idle. After a few it
+        # gets nothing, then one request at a time until one succeeds.
+        world = FleetWorld("bad")
+        bad = world.endpoints["bad"]
+        for _ in range(8):
+            placement = world.send(make_prompt(10))
+            world.fleet.end(placement, whole=False)
+            world.fleet.health_of(bad).note_failure(world.clock.now)
+            if world.choose(make_prompt(10)) is None:
+                break
+        self.assertIsNone(world.choose(make_prompt(10)))
+        world.clock.now += 1.5
+        placement = world.send(make_prompt(10))
+        self.assertIsNone(world.choose(make_prompt(10)))
+        world.fleet.end(placement, whole=True)
+        world.fleet.health_of(bad).note_success()
+        self.assertIsNotNone(world.choose(make_prompt(10)))
+
+    def test_some_failures_among_successes_change_nothing(self):
+        # A service that fails one request in seven by its nature.
+        world = FleetWorld("a")
+        health = world.fleet.health_of(world.endpoints["a"])
+        world.send(make_prompt(10))
+        for number in range(700):
+            if number % 7 == 0:
+                health.note_failure(world.clock.now)
+            else:
+                health.note_success()
+            self.assertIsNotNone(world.choose(make_prompt(10)))
+
+    def test_counts_return_to_nothing(self):
+        world = FleetWorld("a")
+        placements = [world.send(make_prompt(100 + n)) for n in range(5)]
+        self.assertEqual(5, world.fleet.read_own_load()["a"][0].requests)
+        for placement in placements:
+            world.fleet.note_output(placement)
+            world.fleet.end(placement, whole=True)
+        self.assertEqual({}, world.fleet.read_own_load())
+
+
+class ColdTest(unittest.TestCase):
+    """The pattern: a region's endpoints come back cold together.
+
+    A cold one takes 3.3 requests a second from all entries, and crashes
+    well above that: 1.5 times the rate and three more in any second.
+    """
+
+    def test_entries_together_keep_to_the_rate(self):
+        for entries in (1, 2, 3, 4, 12, 28):
+            with self.subTest(entries=entries):
+                self.assertLessEqual(self.busiest_second(entries), 7)
+
+    def busiest_second(self, entries):
+        worlds = [FleetWorld("cold", seed=n) for n in range(entries)]
+        for world in worlds:
+            world.fleet.entries = entries
+            world.endpoints["cold"] = make_endpoint("cold", cold_until=200.0)
+        sent = []
+        for tick in range(1000):
+            for world in worlds:
+                world.clock.now = 100 + tick / 100
+                if world.choose(make_prompt(10)) is not None:
+                    world.send(make_prompt(10))
+                    sent.append(tick)
+        self.assertGreater(len(sent), 10)
+        return max(
+            sum(begin <= tick < begin + 100 for tick in sent)
+            for begin in range(0, 1000, 5)
+        )
+
+    def test_warm_endpoint_takes_what_it_can(self):
+        world = FleetWorld("a")
+        for _ in range(20):
+            self.assertIsNotNone(world.choose(make_prompt(10)))
+            world.send(make_prompt(10), backend=MODEL)
+
+    def test_plain_service_needs_no_prompt(self):
+        world = FleetWorld()
+        world.endpoints["p"] = make_endpoint("p", service="plain")
+        choice = world.choose(make_prompt(0), backend=PLAIN)
+        self.assertEqual(0.0, choice.wait.total)
--- /dev/null
+++ b/tests/passthrough/test_waiting.py
@@ -0,0 +1,63 @@
+"""Tests of what a request is expected to wait for."""
+
+import unittest
+
+from burdockdrum.passthrough.prompts import Prompt
+from burdockdrum.passthrough.waiting import estimate_queue
+from burdockdrum.passthrough.waiting import reading_seconds
+from burdockdrum.registrations import Load
+from burdockdrum.registrations import RankLoad
+
+
+class QueueTest(unittest.TestCase):
+    """The pattern: short urgent queries among long plans on full engines.
+
+    A third of the load is short queries of rank 0, the rest plans of rank
+    1; the slots are full of plans, whose lines grow. An engine admits the
+    queries first all the same.
+    """
+
+    def queue(self, load, rank):
+        return estimate_queue(load, rank=rank, slots=32, run_seconds=1.2)
+
+    def test_urgent_request_does_not_wait_for_less_urgent_ones(self):
+        # Counted alike, 60 plans would make a query wait 1.1 s, and it
+        # would be refused though it is answered in 0.16 s.
+        load = Load.of([RankLoad(1, 60, 4000)])
+        self.assertLess(self.queue(load, 0), 2.1 + 0.1)
+        reading_of_running = 4.0 * 31 / 60
+        self.assertAlmostEqual(reading_of_running, self.queue(load, 0))
+
+    def test_less_urgent_request_waits_for_all_before_it(self):
+        load = Load.of([RankLoad(0, 10, 300), RankLoad(1, 40, 2000)])
+        # 19 too many, of which one leaves each 1.2 / 32 s.
+        expected = 2.3 + 19 * 1.2 / 32
+        self.assertAlmostEqual(expected, self.queue(load, 1))
+
+    def test_idle_endpoint_has_no_queue(self):
+        self.assertEqual(0.0, self.queue(Load(), 0))
+
+    def test_long_prompt_takes_longer_than_its_tokens(self):
+        # 60,000 tokens took 1.2 s on an idle engine and not 0.7.
+        prompt = Prompt(tokens=60_000)
+        self.assertAlmostEqual(
+            1.2, reading_seconds(prompt, 60_000), delta=0.05
+        )
+        # What is held is neither read nor paired again.
+        self.assertLess(reading_seconds(prompt, 10_000), 0.3)
+
+
+class LoadTest(unittest.TestCase):
+    """Counting what is under way."""
+
+    def test_what_is_taken_back_never_goes_below_zero(self):
+        load = Load()
+        load.add(0, 1, 0.2)
+        load.add(0, -2, -0.5)
+        self.assertEqual((0, 0.0), load.up_to(9))
+
+    def test_ranks_survive_the_wire(self):
+        load = Load.of([RankLoad(0, 2, 100), RankLoad(1, 1, 900)])
+        self.assertEqual(load, Load.of(load.ranks()))
+        self.assertEqual((2, 0.1), load.up_to(0))
+        self.assertEqual((1, 0.9), load.above(0))
--- a/tests/registrations/test_following.py
+++ b/tests/registrations/test_following.py
@@ -13,7 +13,6 @@
 from burdockdrum.registrations import RegistrationFollower
 from burdockdrum.registrations import RegistrationPublisher
 from burdockdrum.registrations import RegistrationState
-from burdockdrum.registrations.messages import Load
 from burdockdrum.testing import FakeNetwork
 from burdockdrum.testing import run_virtual
 from burdockdrum.testing import VirtualClock
@@ -201,17 +200,6 @@
 
         play(check)
 
-    def test_load_of_the_other_entries_is_told(self):
-        async def check(world):
-            world.books["a"].take(make("e1"))
-            world.followers["y"].read_load = lambda: {"e1": Load(3, 700)}
-            await asyncio.sleep(1.5)
-            load = world.followers["x"].load_of("e1")
-            self.assertEqual((3, 700), (load.requests, load.tokens))
-            self.assertEqual(0, world.followers["y"].load_of("e1").requests)
-
-        play(check)
-
     def test_entries_count_each_other(self):
         async def check(world):
             await asyncio.sleep(1)
