--- /dev/null
+++ b/tests/passthrough/test_limits.py
@@ -0,0 +1,65 @@
+"""Tests of limits that entries keep together without asking each other."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from burdockdrum.passthrough.limits import RetryBudget
+from tests.passthrough.fakes import SteppedClock
+
+RATIO = 0.2
+BURST = 54.0
+WINDOW = 10.0
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """The pattern: a service fails everything, and all entries retry."""
+
+    def make(self, clock, entries):
+        budget = RetryBudget(
+            clock=clock, ratio=RATIO, burst=BURST, window=WINDOW
+        )
+        budget.entries = entries
+        return budget
+
+    @settings(max_examples=60, deadline=None)
+    @given(
+        entries=strategies.integers(1, 30),
+        seen=strategies.lists(strategies.floats(0.75, 2.0), min_size=30),
+        per_second=strategies.integers(0, 20),
+    )
+    def test_sum_holds_with_views_that_differ(self, entries, seen, per_second):
+        # Entries count each other a little low, or high, while some start
+        # or are cut off. In no window may all retries together pass what
+        # the service was promised.
+        clock = SteppedClock()
+        budgets = [
+            self.make(clock, max(1, round(entries * seen[n])))
+            for n in range(entries)
+        ]
+        firsts, retries = [], []
+        for step in range(150):
+            clock.now = 100 + step / 5
+            for budget in budgets:
+                for _ in range(per_second // 5 + 1):
+                    budget.note_request("s")
+                    firsts.append(clock.now)
+                    if budget.take("s"):
+                        retries.append(clock.now)
+        for end in range(100, 130):
+            sent = sum(end - WINDOW < at <= end for at in retries)
+            asked = sum(end - WINDOW < at <= end for at in firsts)
+            self.assertLessEqual(sent, RATIO * asked + BURST)
+
+    def test_lone_failure_may_always_be_retried(self):
+        budget = self.make(SteppedClock(), entries=7)
+        budget.note_request("s")
+        self.assertTrue(budget.take("s"))
+
+    def test_services_have_budgets_of_their_own(self):
+        budget = self.make(SteppedClock(), entries=1)
+        while budget.take("a"):
+            pass
+        self.assertTrue(budget.take("b"))
--- /dev/null
+++ b/tests/passthrough/test_table.py
@@ -0,0 +1,141 @@
+"""Tests of finding the route of a request, and reading it."""
+
+import random
+import unittest
+
+from burdockdrum.http1 import RequestHead
+from burdockdrum.passthrough.prompts import parse_prompt
+from burdockdrum.passthrough.reading import CERTAIN_SECONDS
+from burdockdrum.passthrough.reading import RequestReader
+from burdockdrum.passthrough.refusing import status_of
+from burdockdrum.passthrough.table import choose_service
+from burdockdrum.passthrough.table import RouteIndex
+from burdockdrum.passthrough.vocabulary import HeaderNames
+from burdockdrum.resources import Backend
+from burdockdrum.resources import RouteTableSpec
+from burdockdrum.resources import WeightedService
+from burdockdrum.verdicts import Refusal
+from burdockdrum.verdicts import RefusalCode
+from burdockdrum.verdicts import Verdict
+from tests.passthrough.fakes import make_route
+from tests.passthrough.fakes import SteppedClock
+
+
+def make_index(*routes):
+    backends = [Backend(name="model"), Backend(name="other")]
+    return RouteIndex(
+        table=RouteTableSpec(generation=4, routes=routes, backends=backends)
+    )
+
+
+class TableTest(unittest.TestCase):
+    """Hosts and prefixes."""
+
+    def test_longest_prefix_counts(self):
+        index = make_index(
+            make_route(name="all", path_prefix="/"),
+            make_route(name="long", path_prefix="/a/b/"),
+            make_route(name="short", path_prefix="/a/"),
+            make_route(name="elsewhere", host="other", path_prefix="/a/b/c/"),
+        )
+        expected = {
+            "/a/b/c/x": "long",
+            "/a/c": "short",
+            "/a": "all",
+            "/ab/": "all",
+        }
+        for path, name in expected.items():
+            self.assertEqual(name, index.find("h", path).name)
+        self.assertIsNone(index.find("unknown", "/a/"))
+
+    def test_requests_are_split_by_weight(self):
+        route = make_route(
+            services=[
+                WeightedService(service="model", weight=90),
+                WeightedService(service="other", weight=10),
+                WeightedService(service="never", weight=0),
+            ]
+        )
+        rng = random.Random(1)
+        drawn = [choose_service(route, rng) for _ in range(1000)]
+        self.assertNotIn("never", drawn)
+        self.assertAlmostEqual(100, drawn.count("other"), delta=30)
+
+
+class ReaderTest(unittest.TestCase):
+    """Requests of callers, and those that another entry passed on."""
+
+    def setUp(self):
+        self.clock = SteppedClock()
+        self.index = make_index(make_route(timeout_seconds=5.0, attempts=3))
+        self.age = 0.5
+
+    def read(self, *headers, is_hop=False, target=b"/p/x"):
+        reader = RequestReader(
+            clock=self.clock,
+            rng=random.Random(1),
+            names=HeaderNames(),
+            read_index=lambda: self.index,
+            read_age=lambda: self.age,
+        )
+        head = RequestHead(
+            method=b"GET",
+            target=target,
+            headers=[(b"Host", b"H:80"), *headers],
+            body=b"",
+            keep_alive=True,
+            received_at=99.0,
+        )
+        return reader.read(head, is_hop=is_hop)
+
+    def test_deadline_is_the_nearer_of_two(self):
+        self.assertEqual(104.0, self.read().deadline)
+        request = self.read((b"X-Deadline-Ms", b"1500"))
+        self.assertEqual(100.5, request.deadline)
+        request = self.read((b"X-Deadline-Ms", b"60000"))
+        self.assertEqual(104.0, request.deadline)
+
+    def test_caller_can_not_claim_to_be_an_entry(self):
+        hop = (
+            (b"X-Burdockdrum-From", b"far"),
+            (b"X-Burdockdrum-Attempts", b"1"),
+        )
+        request = self.read(*hop)
+        self.assertEqual((None, 3), (request.came_from, request.attempts))
+        request = self.read(*hop, is_hop=True)
+        self.assertEqual(("far", 1), (request.came_from, request.attempts))
+
+    def test_absent_route_is_only_certain_while_the_table_is_fresh(self):
+        # An entry that has not heard of changes for long can't know that
+        # there is no such route: "not found" would end the caller's tries.
+        with self.assertRaises(Refusal) as caught:
+            self.read(target=b"/q/")
+        self.assertEqual(404, status_of(caught.exception))
+        for age in (CERTAIN_SECONDS + 1, None):
+            self.age = age
+            with self.assertRaises(Refusal) as caught:
+                self.read(target=b"/q/")
+            self.assertEqual(503, status_of(caught.exception))
+        self.index = None
+        with self.assertRaises(Refusal) as caught:
+            self.read()
+        self.assertEqual(503, status_of(caught.exception))
+
+    def test_malformed_hints_count_as_absent(self):
+        for value in (b"", b"a,b", b"1", b"1,2,3"):
+            self.assertEqual(0, parse_prompt(value, None).tokens)
+        for value in (b"x", b"x:", b":3", b"a:1,b"):
+            self.assertEqual((), parse_prompt(b"5,1", value).parts)
+        prompt = parse_prompt(b"30,9", b"a:10, b:15,own:5")
+        self.assertEqual((30, 9), (prompt.tokens, prompt.max_output))
+        self.assertEqual("b", prompt.affinity_key)
+
+
+class StatusTest(unittest.TestCase):
+    """HARD CASE 4: only what has not run is promised not to have run."""
+
+    def test_no_promise_for_what_may_have_run(self):
+        for code in RefusalCode:
+            for verdict in (Verdict.MAY_HAVE_RUN, Verdict.RAN):
+                refusal = Refusal(code=code, message="", verdict=verdict)
+                self.assertIn(status_of(refusal), (502, 504))
