--- /dev/null
+++ b/tests/platform/test_faces.py
@@ -0,0 +1,197 @@
+"""Tests of the platform's calls, over sockets."""
+
+import json
+import pathlib
+import random
+import sys
+import types
+import unittest
+
+from loguru import logger
+
+ROOT = pathlib.Path(__file__).parents[2]
+sys.path.insert(0, str(ROOT / "platform"))
+
+from adapter.faces import DirectoryCalls  # noqa: E402
+from adapter.faces import Face  # noqa: E402
+from adapter.faces import OperatorCalls  # noqa: E402
+from adapter.faces import RunnerCalls  # noqa: E402
+
+from burdockdrum.configuration import ChangeUnknown  # noqa: E402
+from burdockdrum.consensus import NotCurrent  # noqa: E402
+from burdockdrum.peers import VmIdentity  # noqa: E402
+from burdockdrum.registrations import RegistrationBook  # noqa: E402
+from burdockdrum.resources import ChangeResult  # noqa: E402
+from burdockdrum.resources import ResourceStore  # noqa: E402
+from burdockdrum.vms import VmView  # noqa: E402
+from tests.http1.wire import ListenerCase  # noqa: E402
+from tests.passthrough.fakes import SteppedClock  # noqa: E402
+from tests.platform.test_boot import CheckInTest  # noqa: E402
+from tests.platform.test_boot import DOCUMENT  # noqa: E402
+
+
+class Configuration:
+    """A configuration service over a store that always agrees."""
+
+    def __init__(self):
+        """Start empty."""
+        self.store = ResourceStore()
+        self.error = None
+
+    async def change(self, change) -> ChangeResult:
+        """Apply a change, or raise what a test asks for."""
+        if self.error is not None:
+            raise self.error
+        return self.store.apply(change)
+
+    async def read_agreed(self, timeout):
+        """Return the configuration, or raise."""
+        if self.error is not None:
+            raise self.error
+        return self.store.configuration
+
+
+class FacesTest(ListenerCase, unittest.IsolatedAsyncioTestCase):
+    """Operators, runners and callers that look for an entry."""
+
+    async def asyncSetUp(self):
+        logger.disable("burdockdrum")
+        self.addCleanup(logger.enable, "burdockdrum")
+        logger.disable("adapter")
+        self.configuration = Configuration()
+        operators = OperatorCalls(configuration=self.configuration)
+        self.book = RegistrationBook(clock=SteppedClock())
+        runners = RunnerCalls(book=self.book)
+        self.views = []
+        directory = DirectoryCalls(
+            vms=types.SimpleNamespace(live_vms=lambda: self.views),
+            routes=types.SimpleNamespace(homes_of=lambda host: {"home"}),
+            rng=random.Random(1),
+        )
+        face = Face(
+            calls={
+                "PUT /v1/config": operators.put_config,
+                "GET /v1/config": operators.get_config,
+                "POST /v1/evac/": operators.start_evacuation,
+                "DELETE /v1/evac/": operators.end_evacuation,
+                "PUT /v1/instances/": runners.check_in,
+                "DELETE /v1/instances/": runners.leave,
+                "GET /v1/resolve": directory.resolve,
+            }
+        )
+        await self.open(face.serve)
+        self.addAsyncCleanup(self.listener.close)
+
+    async def call(self, method, path, body=""):
+        data = body.encode() if isinstance(body, str) else body
+        answer = await self.send(
+            f"{method} {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+            f"Content-Length: {len(data)}\r\n\r\n".encode()
+            + data
+        )
+        head, _, rest = answer.partition(b"\r\n\r\n")
+        return int(head.split(b" ")[1]), rest
+
+    def document(self, **changes):
+        return json.dumps({**DOCUMENT, **changes})
+
+    async def test_document_is_kept_and_read_back(self):
+        self.assertEqual(503, (await self.call("GET", "/v1/config"))[0])
+        body = self.document()
+        self.assertEqual(200, (await self.call("PUT", "/v1/config", body))[0])
+        status, read = await self.call("GET", "/v1/config")
+        self.assertEqual((200, body.encode()), (status, read))
+
+    async def test_older_document_is_acknowledged_and_changes_nothing(self):
+        # HARD CASE 16, as the platform has it: a copy that arrives again
+        # after a newer one, or other content under the version in force.
+        newest = self.document(version=9)
+        await self.call("PUT", "/v1/config", newest)
+        for version in (7, 9):
+            older = self.document(version=version, limits={})
+            status, _ = await self.call("PUT", "/v1/config", older)
+            self.assertEqual(200, status)
+        _, read = await self.call("GET", "/v1/config")
+        self.assertEqual(newest.encode(), read)
+
+    async def test_invalid_document_is_refused_whole(self):
+        await self.call("PUT", "/v1/config", self.document())
+        wrong = self.document(version=8, services=[])
+        status, reason = await self.call("PUT", "/v1/config", wrong)
+        self.assertEqual(400, status)
+        self.assertIn(b"service", reason)
+        status, _ = await self.call("PUT", "/v1/config", wrong[:50])
+        self.assertEqual(400, status)
+        _, read = await self.call("GET", "/v1/config")
+        self.assertEqual(self.document().encode(), read)
+
+    async def test_nothing_is_read_or_promised_without_a_quorum(self):
+        await self.call("PUT", "/v1/config", self.document())
+        self.configuration.error = NotCurrent("no quorum")
+        self.assertEqual(503, (await self.call("GET", "/v1/config"))[0])
+        self.configuration.error = ChangeUnknown("no answer")
+        body = self.document(version=8)
+        self.assertEqual(503, (await self.call("PUT", "/v1/config", body))[0])
+
+    async def test_evacuation_begins_and_ends(self):
+        for _ in range(2):
+            status, _ = await self.call("POST", "/v1/evac/zone-a")
+            self.assertEqual(200, status)
+        current = self.configuration.store.configuration
+        self.assertEqual({"zone-a"}, set(current.evacuated_data_centres))
+        for _ in range(2):
+            status, _ = await self.call("DELETE", "/v1/evac/zone-a")
+            self.assertEqual(200, status)
+        current = self.configuration.store.configuration
+        self.assertEqual(set(), set(current.evacuated_data_centres))
+        status, _ = await self.call("POST", "/v1/evac/")
+        self.assertEqual(404, status)
+
+    async def test_runner_checks_in_and_leaves(self):
+        body = json.dumps(CheckInTest.SAID)
+        status, _ = await self.call("PUT", "/v1/instances/i-1", body)
+        self.assertEqual(200, status)
+        self.assertEqual(["i-1"], [r.endpoint_id for r in self.book.live()])
+        await self.call("DELETE", "/v1/instances/i-1")
+        self.assertTrue(self.book.is_gone("i-1"))
+        status, reason = await self.call("PUT", "/v1/instances/i-1", "{}")
+        self.assertEqual(400, status)
+        self.assertIn(b"service", reason)
+
+    async def test_directory_prefers_what_is_near_then_homes(self):
+        def add(region, zone, ip, **fields):
+            self.views.append(
+                VmView(
+                    identity=VmIdentity(
+                        vm_id=ip,
+                        incarnation=1,
+                        region=region,
+                        data_centre=zone,
+                        control_address="",
+                        http_address=f"http://{ip}:80" if ip else "",
+                    ),
+                    draining=fields.get("draining", False),
+                    revision=1,
+                    services=(),
+                    heard_at=0.0,
+                )
+            )
+
+        async def resolve():
+            path = "/v1/resolve?name=h&region=r&zone=a"
+            return await self.call("GET", path)
+
+        self.assertEqual(503, (await resolve())[0])
+        add("r", "a", "")
+        add("far", "f", "10.9.0.1")
+        self.assertIn(b"10.9.0.1:80", (await resolve())[1])
+        add("home", "h", "10.8.0.1")
+        self.assertNotIn(b"10.9.0.1", (await resolve())[1])
+        add("r", "b", "10.0.1.1")
+        self.assertNotIn(b"10.8.0.1", (await resolve())[1])
+        add("r", "a", "10.0.0.1", draining=True)
+        self.assertIn(b"10.0.1.1", (await resolve())[1])
+        add("r", "a", "10.0.0.2")
+        self.assertEqual(
+            b'{"addrs":["10.0.0.2:80"],"ttl_s":2}', (await resolve())[1]
+        )
