--- /dev/null
+++ b/tests/platform/deployment.py
@@ -0,0 +1,208 @@
+"""A small deployment of real processes on loopback addresses."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).parents[2]
+PROGRAM = ROOT / "platform" / "vm.py"
+CONTROL_PORT = 18146
+CALLERS_PORT = 18144
+READY_PORT = 18140
+DIRECTORY_PORT = 18143
+INNER_PORTS = (17660, 17675)
+STOP_SECONDS = 10
+
+
+class Machine:
+    """One process, its settings file and what it wrote."""
+
+    def __init__(self, *, name, ip, zone, is_control, deployment):
+        """Create a machine that is not started."""
+        self.name = name
+        self.ip = ip
+        self.zone = zone
+        self.is_control = is_control
+        self.folder = deployment.folder / name
+        self.folder.mkdir()
+        self.deployment = deployment
+        self.process = None
+        self.first_start = True
+
+    def write_settings(self, **changes):
+        """Write the settings file as the platform does."""
+        listen = (
+            {
+                "control": f"{self.ip}:{CONTROL_PORT}",
+                "directory": f"{self.ip}:{DIRECTORY_PORT}",
+            }
+            if self.is_control
+            else {
+                "front": f"{self.ip}:{CALLERS_PORT}",
+                "ready": f"{self.ip}:{READY_PORT}",
+                "directory": f"{self.ip}:{DIRECTORY_PORT}",
+            }
+        )
+        fields = {
+            "node": self.name,
+            "ip": self.ip,
+            "zone": self.zone,
+            "region": self.zone,
+            "internal_port_range": list(INNER_PORTS),
+            "seeds": self.deployment.seeds,
+            "first_start": self.first_start,
+            **changes,
+        }
+        if self.is_control:
+            fields["data_dir"] = str(self.folder)
+        lines = [f"{k} = {json.dumps(v)}" for k, v in fields.items()]
+        tables = {
+            "zones": {zone: zone for zone in self.deployment.zones},
+            "listen": listen,
+            "tolerate": {"machines": 1},
+            "bounds": {"grace_s": 8},
+        }
+        for name, table in tables.items():
+            lines.append(f"[{name}]")
+            lines += [f"{k} = {json.dumps(v)}" for k, v in table.items()]
+        self.settings = self.folder / "node.toml"
+        self.settings.write_text("\n".join(lines) + "\n")
+
+    async def start(self):
+        """Start the process."""
+        self.write_settings()
+        self.first_start = False
+        log = (self.folder / "output").open("ab")
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(PROGRAM),
+            env={**os.environ, "BURDOCKDRUM_BOOT": str(self.settings)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    def send_signal(self, number):
+        """Send a signal to the process."""
+        self.process.send_signal(number)
+
+    async def stop(self, number=signal.SIGKILL):
+        """End the process; return its exit code."""
+        if self.process is None:
+            return None
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+        async with asyncio.timeout(STOP_SECONDS):
+            code = await self.process.wait()
+        self.process = None
+        return code
+
+    def log(self):
+        """Return the lines that the process wrote."""
+        text = (self.folder / "output").read_text()
+        lines = [line for line in text.splitlines() if line.startswith("{")]
+        return [json.loads(line) for line in lines]
+
+    def events(self):
+        """Return the names of the events in the log."""
+        return [line["event"] for line in self.log()]
+
+
+class Deployment:
+    """Control machines and entries in some zones, one region each."""
+
+    def __init__(self, *, zones=("a", "b", "c"), entries=1):
+        """Create machines that are not started."""
+        self._temporary = tempfile.TemporaryDirectory()
+        self.folder = pathlib.Path(self._temporary.name)
+        self.zones = zones
+        self.seeds = [
+            f"127.0.{n + 1}.1:{CONTROL_PORT}" for n in range(len(zones))
+        ]
+        self.control = []
+        self.entries = []
+        for number, zone in enumerate(zones):
+            self.control.append(
+                Machine(
+                    name=f"control-{zone}",
+                    ip=f"127.0.{number + 1}.1",
+                    zone=zone,
+                    is_control=True,
+                    deployment=self,
+                )
+            )
+            for count in range(entries):
+                self.entries.append(
+                    Machine(
+                        name=f"entry-{zone}-{count}",
+                        ip=f"127.0.{number + 1}.{10 + count}",
+                        zone=zone,
+                        is_control=False,
+                        deployment=self,
+                    )
+                )
+
+    @property
+    def machines(self):
+        """Return all machines."""
+        return [*self.control, *self.entries]
+
+    async def start(self):
+        """Start every machine."""
+        for machine in self.machines:
+            await machine.start()
+
+    async def stop(self):
+        """End every process that was started here."""
+        for machine in self.machines:
+            await machine.stop()
+        self._temporary.cleanup()
+
+    async def until_ready(self, machines=None, seconds=15):
+        """Wait until entries say that they are ready."""
+        for machine in machines or self.entries:
+            await until(lambda m=machine: is_ready(m), seconds)
+
+
+async def is_ready(machine):
+    """Say whether an entry is ready."""
+    return (await call(machine.ip, READY_PORT, "GET", "/v1/ready"))[0] == 200
+
+
+async def until(check, seconds=10.0):
+    """Wait until a coroutine function returns something true."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    while True:
+        found = await check()
+        if found:
+            return found
+        if loop.time() > end:
+            raise AssertionError("waited in vain")
+        await asyncio.sleep(0.1)
+
+
+async def call(ip, port, method, path, body=b"", headers=()):
+    """Make a call on a connection of its own; status 0 if there is none."""
+    try:
+        async with asyncio.timeout(3):
+            reader, writer = await asyncio.open_connection(ip, port)
+            lines = [
+                f"{method} {path} HTTP/1.1",
+                "Connection: close",
+                f"Content-Length: {len(body)}",
+                *headers,
+            ]
+            if not any(h.lower().startswith("host:") for h in headers):
+                lines.append("Host: x")
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            data = await reader.read()
+            writer.close()
+    except (OSError, TimeoutError):
+        return 0, b""
+    head, _, rest = data.partition(b"\r\n\r\n")
+    return (int(head.split(b" ")[1]) if head else 0), rest
