Set failing endpoints aside only where there are better ones; keep work in its region

Failures now weigh a tenth, a set-aside endpoint is used where none is better, and what is expected within half of its objective stays.

--- a/burdockdrum/passthrough/attempts.py
+++ b/burdockdrum/passthrough/attempts.py
@@ -265,7 +265,7 @@
             case NotStarted(reached=False):
                 health.note_unreachable(now)
             case Lost(timed_out=False):
-                health.note_failure(now)
+                health.note_loss(now)
             case _:
                 health.note_neutral()
 
--- a/burdockdrum/passthrough/fleet.py
+++ b/burdockdrum/passthrough/fleet.py
@@ -30,6 +30,8 @@
 TIE_SECONDS = 0.002
 # A silent endpoint is tried where no other one is as good by far.
 SILENT_PENALTY_SECONDS = 1.0
+# So is one that fails: another region is nearer than that.
+SET_ASIDE_PENALTY_SECONDS = 1.0
 
 
 @dataclass(kw_only=True)
@@ -216,7 +218,7 @@
     ) -> bool:
         now = self._clock.monotonic()
         track = self._tracks_by_id.get(endpoint.endpoint_id)
-        if track is not None and not track.health.is_usable(now):
+        if track is not None and not track.health.is_reachable(now):
             return False
         if endpoint.cold_until > now:
             return self._cold_gate.is_open(
@@ -259,9 +261,14 @@
         # Between endpoints with room the emptier one answers sooner.
         filled = load.requests / endpoint.slots
         queue += filled * run_seconds / endpoint.slots
+        penalty = 0.0
         if endpoint.silent:
-            queue += SILENT_PENALTY_SECONDS
-        wait = Wait(queue=queue, own=reading_seconds(prompt, unread))
+            penalty += SILENT_PENALTY_SECONDS
+        if track.health.is_set_aside(self._clock.monotonic()):
+            penalty += SET_ASIDE_PENALTY_SECONDS
+        wait = Wait(
+            queue=queue, own=reading_seconds(prompt, unread), penalty=penalty
+        )
         return Choice(endpoint=endpoint, wait=wait, unread_tokens=unread)
 
     def _track(self, endpoint: RegisteredEndpoint, backend: Backend) -> _Track:
--- a/burdockdrum/passthrough/health.py
+++ b/burdockdrum/passthrough/health.py
@@ -6,11 +6,14 @@
 
 from dataclasses import dataclass
 
-# With 0.8 an endpoint is set aside after three failures in a row, or when
-# over half of its answers fail for a while; one failure changes nothing.
-_KEPT = 0.8
+# What one outcome counts. With a tenth, a service that fails one request in
+# seven by its nature stays four standard deviations below the limit, and an
+# endpoint that fails all is set aside after six; a connection that breaks
+# is no answer of any service and counts double.
+_FAILURE_WEIGHT = 0.1
+_LOSS_WEIGHT = 0.2
 SET_ASIDE_SCORE = 0.45
-# First and longest time that it gets nothing; then a trickle tries it.
+# First and longest time that it gets nothing; then one request tries it.
 FIRST_PAUSE_SECONDS = 1.0
 MAX_PAUSE_SECONDS = 8.0
 # How long after a failed connect it is passed over: a restart takes seconds.
@@ -19,16 +22,26 @@
 
 @dataclass(kw_only=True)
 class EndpointHealth:
-    """The recent failures of one endpoint, on the monotonic clock."""
+    """The recent failures of one endpoint, on the monotonic clock.
+
+    One that is ``unreachable`` gets nothing. One that is set aside for its
+    failures is used where there is no better one: a service that fails
+    everywhere is not helped by having its endpoints set aside.
+    """
 
     score: float = 0.0
     paused_until: float = 0.0
+    unreachable_until: float = 0.0
     pause: float = 0.0
     on_trial: bool = False
 
-    def is_usable(self, now: float) -> bool:
-        """Say whether it may get a request."""
-        return now >= self.paused_until and not self.on_trial
+    def is_reachable(self, now: float) -> bool:
+        """Say whether a connection may come about."""
+        return now >= self.unreachable_until
+
+    def is_set_aside(self, now: float) -> bool:
+        """Say whether others are to be used first."""
+        return now < self.paused_until or self.on_trial
 
     def begin(self, now: float) -> None:
         """Take note of a request that is sent; one at a time on trial."""
@@ -37,30 +50,34 @@
 
     def note_success(self) -> None:
         """Take note of a good answer."""
-        self.score *= _KEPT
+        self.score *= 1 - _FAILURE_WEIGHT
         self.on_trial = False
         if self.score < SET_ASIDE_SCORE:
             self.pause = 0.0
+            self.paused_until = 0.0
 
     def note_failure(self, now: float) -> None:
-        """Take note of a failed, lost or wrong answer."""
-        self.score = self.score * _KEPT + (1 - _KEPT)
-        self.on_trial = False
-        if self.score >= SET_ASIDE_SCORE or self.pause:
-            self._set_aside(now)
+        """Take note of a failure that the endpoint answered."""
+        self._note(now, _FAILURE_WEIGHT)
+
+    def note_loss(self, now: float) -> None:
+        """Take note of an answer that was cut, wrong or never came."""
+        self._note(now, _LOSS_WEIGHT)
 
     def note_unreachable(self, now: float) -> None:
         """Take note that no connection came about."""
         self.on_trial = False
-        self.score = max(self.score, SET_ASIDE_SCORE)
-        self.paused_until = max(self.paused_until, now + UNREACHABLE_SECONDS)
-        self.pause = max(self.pause, UNREACHABLE_SECONDS)
+        self.unreachable_until = now + UNREACHABLE_SECONDS
 
     def note_neutral(self) -> None:
         """Take note of an end that says nothing, as when a caller left."""
         self.on_trial = False
 
-    def _set_aside(self, now: float) -> None:
+    def _note(self, now: float, weight: float) -> None:
+        self.score = self.score * (1 - weight) + weight
+        self.on_trial = False
+        if self.score < SET_ASIDE_SCORE:
+            return
         self.pause = min(
             MAX_PAUSE_SECONDS, max(FIRST_PAUSE_SECONDS, self.pause * 2)
         )
--- a/burdockdrum/passthrough/placing.py
+++ b/burdockdrum/passthrough/placing.py
@@ -29,6 +29,9 @@
 SPILL_MARGIN_SECONDS = 0.15
 # Where no endpoint may take a request the next check-in may change that.
 RETRY_AFTER_NONE = 1.0
+# What is expected within this part of the objective stays here: bytes
+# between regions are paid for, and the prompt would be read anew there.
+SPILL_PART = 0.5
 MIN_RETRY_SECONDS = 0.3
 # Of the time in which a first part is due: the rest is for reading the
 # prompt and for what the estimate misses.
@@ -125,9 +128,10 @@
             return None
         limit = float("inf")
         if here is not None:
-            limit = here.wait.total - SPILL_MARGIN_SECONDS
-            if limit <= HOP_SECONDS:
+            enough = request.route.objective_seconds * SPILL_PART
+            if here.wait.total <= enough:
                 return None
+            limit = here.wait.total - SPILL_MARGIN_SECONDS
         left = request.deadline - self._clock.monotonic()
         allowed = self._allowed_queue(request, left)
         for wait, region in self._rate_regions(request, progress):
--- a/burdockdrum/passthrough/waiting.py
+++ b/burdockdrum/passthrough/waiting.py
@@ -28,15 +28,17 @@
     """The parts of an expected wait, in seconds.
 
     ``queue`` is spent on what came before, ``own`` on reading the prompt.
+    ``penalty`` is what a doubtful endpoint must be better by to be chosen.
     """
 
     queue: float
     own: float
+    penalty: float = 0.0
 
     @property
     def total(self) -> float:
-        """Return when the first output is to be expected."""
-        return self.queue + self.own
+        """Return what choices are compared by."""
+        return self.queue + self.own + self.penalty
 
 
 def estimate_queue(
