--- a/burdockdrum/passthrough/attempts.py
+++ b/burdockdrum/passthrough/attempts.py
@@ -97,6 +97,7 @@
         payload = self._payloads.for_endpoint(
             request,
             endpoint_id=endpoint.endpoint_id,
+            fetch_from=place.choice.fetch_from,
             seconds_left=self._seconds_left(request),
             last_event=cutter.last_number,
         )
--- a/burdockdrum/passthrough/fleet.py
+++ b/burdockdrum/passthrough/fleet.py
@@ -11,8 +11,9 @@
 from burdockdrum.passthrough.waiting import estimate_queue
 from burdockdrum.passthrough.waiting import reading_seconds
 from burdockdrum.passthrough.waiting import Wait
-from burdockdrum.passthrough.warmth import HeldParts
-from burdockdrum.passthrough.warmth import rank_by_hash
+from burdockdrum.passthrough.warmth import Holder
+from burdockdrum.passthrough.warmth import home_of
+from burdockdrum.passthrough.warmth import Warmth
 from burdockdrum.ports import Clock
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RankLoad
@@ -22,10 +23,14 @@
 # Before a request of a service has been timed.
 FIRST_RUN_SECONDS = 0.5
 _KEPT = 0.95
-# Which part of a shared beginning counts as held at the endpoint that a
-# hash names first, and second: others send it there as well. With 0.9 the
-# first takes it unless its queue is longer by the time to read it.
-HOPED_PARTS = (0.9, 0.4)
+# What an endpoint must be better by than the one that a beginning belongs
+# to, while nobody is known to hold it: entries that don't know of each
+# other's choice make the same one, and it is read once and not several times.
+HOME_SECONDS = 0.1
+# A shorter beginning is read in less time than fetching it takes to set up.
+MIN_FETCH_TOKENS = 200
+_BITS_A_BYTE = 8
+_BITS_A_MEGABIT = 1_000_000
 # Estimates that differ by less are as good as the same.
 TIE_SECONDS = 0.002
 # A silent endpoint is tried where no other one is as good by far.
@@ -38,18 +43,21 @@
 class _Track:
     """What this entry knows of an endpoint beside its registration."""
 
-    held: HeldParts
     health: EndpointHealth = field(default_factory=EndpointHealth)
     load: Load = field(default_factory=Load)
 
 
 @dataclass(frozen=True, kw_only=True)
 class Choice:
-    """An endpoint, and when its first output is to be expected."""
+    """An endpoint, and when its first output is to be expected.
+
+    ``fetch_from`` is the address of one that holds what it lacks.
+    """
 
     endpoint: RegisteredEndpoint
     wait: Wait
     unread_tokens: int
+    fetch_from: str | None = None
 
 
 @dataclass(kw_only=True)
@@ -84,6 +92,7 @@
         :param read_load: returns what other entries have at an endpoint
         """
         self.entries = 1
+        self.warmth = Warmth()
         self._clock = clock
         self._rng = rng
         self._read_endpoints = read_endpoints
@@ -116,10 +125,10 @@
         ]
         if not candidates:
             return None
-        hopes = self._hopes(prompt, candidates)
+        beginning = self._find_beginning(backend, prompt, candidates)
         choices = [
-            self._rate(e, backend, prompt, rank, hopes.get(e.endpoint_id, 0.0))
-            for e in candidates
+            self._rate(endpoint, backend, prompt, rank, beginning)
+            for endpoint in candidates
         ]
         best = min(choice.wait.total for choice in choices)
         near = [c for c in choices if c.wait.total <= best + TIE_SECONDS]
@@ -135,10 +144,12 @@
         """Count a request that is sent to an endpoint."""
         endpoint = choice.endpoint
         now = self._clock.monotonic()
-        track = self._track(endpoint, backend)
+        track = self._track(endpoint)
         track.load.add(rank, 1, choice.wait.own)
         track.health.begin(now)
-        track.held.note(prompt)
+        if backend.engine is not None:
+            memory = backend.engine.memory_tokens
+            self.warmth.note_sent(endpoint.endpoint_id, prompt, memory)
         if endpoint.cold_until > now:
             self._cold_gate.pass_one(
                 endpoint.endpoint_id,
@@ -202,6 +213,7 @@
         for endpoint_id, track in list(self._tracks_by_id.items()):
             if endpoint_id not in live and not track.load.requests:
                 del self._tracks_by_id[endpoint_id]
+        self.warmth.keep_only(live)
 
     def _live(self, service: str) -> list[RegisteredEndpoint]:
         now = self._clock.monotonic()
@@ -228,15 +240,28 @@
             )
         return True
 
-    def _hopes(
-        self, prompt: Prompt, candidates: list[RegisteredEndpoint]
-    ) -> dict[str, float]:
-        key = prompt.affinity_key
-        if key is None:
-            return {}
-        ids = [endpoint.endpoint_id for endpoint in candidates]
-        ids.sort(key=lambda name: rank_by_hash(key, name))
-        return dict(zip(ids, HOPED_PARTS, strict=False))
+    def _find_beginning(
+        self,
+        backend: Backend,
+        prompt: Prompt,
+        candidates: list[RegisteredEndpoint],
+    ) -> "_Beginning":
+        """Find who holds the beginning of a prompt, or should read it."""
+        by_id = {
+            endpoint.endpoint_id: endpoint
+            for endpoint in self._live(backend.name)
+        }
+        holder = None
+        if backend.engine is not None:
+            holder = self.warmth.best_holder(prompt, by_id)
+        home = None
+        if holder is None and prompt.shared_tokens >= MIN_FETCH_TOKENS:
+            home = home_of(prompt, [e.endpoint_id for e in candidates])
+        return _Beginning(
+            holder=holder,
+            holder_address=by_id[holder.endpoint_id].address if holder else "",
+            home_id=home,
+        )
 
     def _rate(
         self,
@@ -244,16 +269,12 @@
         backend: Backend,
         prompt: Prompt,
         rank: int,
-        hope: float,
+        beginning: "_Beginning",
     ) -> Choice:
-        track = self._track(endpoint, backend)
+        track = self._track(endpoint)
         load = Load()
         load.merge(track.load)
         load.merge(self._read_load(endpoint.endpoint_id))
-        shared = sum(part.tokens for part in prompt.parts[:-1])
-        unread = prompt.tokens - max(
-            track.held.held_tokens(prompt), int(shared * hope)
-        )
         run_seconds = self.run_seconds(backend.name)
         queue = estimate_queue(
             load, rank=rank, slots=endpoint.slots, run_seconds=run_seconds
@@ -261,20 +282,56 @@
         # Between endpoints with room the emptier one answers sooner.
         filled = load.requests / endpoint.slots
         queue += filled * run_seconds / endpoint.slots
+        held = self.warmth.held_tokens(endpoint.endpoint_id, prompt)
+        fetched = beginning.fetchable(endpoint.endpoint_id, held)
+        unread = prompt.tokens - held - fetched
+        own = reading_seconds(prompt, unread) + fetch_seconds(backend, fetched)
+        wait = Wait(
+            queue=queue, own=own, penalty=self._penalty(endpoint, beginning)
+        )
+        return Choice(
+            endpoint=endpoint,
+            wait=wait,
+            unread_tokens=unread,
+            fetch_from=beginning.holder_address if fetched else None,
+        )
+
+    def _penalty(
+        self, endpoint: RegisteredEndpoint, beginning: "_Beginning"
+    ) -> float:
         penalty = 0.0
         if endpoint.silent:
             penalty += SILENT_PENALTY_SECONDS
-        if track.health.is_set_aside(self._clock.monotonic()):
+        if self._track(endpoint).health.is_set_aside(self._clock.monotonic()):
             penalty += SET_ASIDE_PENALTY_SECONDS
-        wait = Wait(
-            queue=queue, own=reading_seconds(prompt, unread), penalty=penalty
-        )
-        return Choice(endpoint=endpoint, wait=wait, unread_tokens=unread)
+        if beginning.home_id not in (None, endpoint.endpoint_id):
+            penalty += HOME_SECONDS
+        return penalty
 
-    def _track(self, endpoint: RegisteredEndpoint, backend: Backend) -> _Track:
-        track = self._tracks_by_id.get(endpoint.endpoint_id)
-        if track is None:
-            memory = backend.engine.memory_tokens if backend.engine else 0
-            track = _Track(held=HeldParts(memory_tokens=memory))
-            self._tracks_by_id[endpoint.endpoint_id] = track
-        return track
+    def _track(self, endpoint: RegisteredEndpoint) -> _Track:
+        return self._tracks_by_id.setdefault(endpoint.endpoint_id, _Track())
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Beginning:
+    """Who holds the beginning of a prompt, or else should read it."""
+
+    holder: Holder | None
+    holder_address: str
+    home_id: str | None
+
+    def fetchable(self, endpoint_id: str, held_tokens: int) -> int:
+        """Return the tokens that an endpoint lacks and another one holds."""
+        if self.holder is None or self.holder.endpoint_id == endpoint_id:
+            return 0
+        more = self.holder.tokens - held_tokens
+        return more if more >= MIN_FETCH_TOKENS else 0
+
+
+def fetch_seconds(backend: Backend, tokens: int) -> float:
+    """Return how long it takes to fetch tokens from another endpoint."""
+    engine = backend.engine
+    if engine is None or not tokens or not engine.link_megabits:
+        return 0.0
+    bits = tokens * engine.bytes_a_token * _BITS_A_BYTE
+    return bits / (engine.link_megabits * _BITS_A_MEGABIT)
--- a/burdockdrum/passthrough/payloads.py
+++ b/burdockdrum/passthrough/payloads.py
@@ -30,6 +30,7 @@
                     names.expected_endpoint,
                     names.last_event,
                     names.urgency,
+                    names.fetch_from,
                 }
             )
         )
@@ -39,16 +40,22 @@
         request: PassedRequest,
         *,
         endpoint_id: str,
+        fetch_from: str | None,
         seconds_left: float,
         last_event: int | None,
     ) -> bytes:
-        """Return the payload for an endpoint."""
+        """Return the payload for an endpoint.
+
+        :param fetch_from: the address of one that holds what it lacks
+        """
         headers = self._common(request, seconds_left, last_event)
         names = self._names
         headers.append((names.expected_endpoint, endpoint_id.encode()))
         if request.backend.engine is not None:
             rank = min(request.route.rank, MAX_URGENCY)
             headers.append((names.urgency, b"%d" % rank))
+        if fetch_from is not None:
+            headers.append((names.fetch_from, fetch_from.encode()))
         return self._finish(request, headers)
 
     def for_region(
--- a/burdockdrum/passthrough/prompts.py
+++ b/burdockdrum/passthrough/prompts.py
@@ -26,6 +26,11 @@
     max_output: int = 0
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def shared_tokens(self) -> int:
+        """Return the tokens of the parts that others may share."""
+        return sum(part.tokens for part in self.parts[:-1])
+
     @property
     def affinity_key(self) -> str | None:
         """Return the longest shared beginning, by its last part's id."""
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -63,6 +63,8 @@
         read_load=sharing.load_of,
     )
     registrations.read_load = sharing.read_load = fleet.read_own_load
+    sharing.take_placed = fleet.warmth.take_placed
+    sharing.hear_placed = fleet.warmth.hear_placed
     return fleet
 
 
--- a/burdockdrum/passthrough/vocabulary.py
+++ b/burdockdrum/passthrough/vocabulary.py
@@ -19,7 +19,8 @@
     that the caller has. ``token_counts`` are the prompt's tokens and the
     most to generate; ``prompt_parts`` names the prompt's parts in order,
     as ``ID:TOKENS``. ``urgency`` is 0 for what an engine admits first.
-    ``system_only`` are dropped where a caller sends them.
+    ``fetch_from`` names the address of an endpoint that holds a beginning
+    of the prompt. ``system_only`` are dropped where a caller sends them.
     """
 
     request_id: bytes = b"x-request-id"
@@ -31,6 +32,7 @@
     token_counts: bytes = b"x-tokens"
     prompt_parts: bytes = b"x-prompt-parts"
     urgency: bytes = b"x-urgency"
+    fetch_from: bytes = b"x-fetch-from"
     system_only: frozenset[bytes] = field(default_factory=frozenset)
 
 
--- a/burdockdrum/registrations/__init__.py
+++ b/burdockdrum/registrations/__init__.py
@@ -11,6 +11,7 @@
 from burdockdrum.registrations.load_sharing import LoadSharing
 from burdockdrum.registrations.loads import Load
 from burdockdrum.registrations.loads import RankLoad
+from burdockdrum.registrations.messages import PlacedParts
 from burdockdrum.registrations.messages import Registration
 from burdockdrum.registrations.messages import RegistrationState
 from burdockdrum.registrations.messages import ServiceRoom
@@ -22,6 +23,7 @@
     "add_services",
     "Load",
     "LoadSharing",
+    "PlacedParts",
     "RankLoad",
     "RegisteredEndpoint",
     "Registration",
--- a/burdockdrum/registrations/load_sharing.py
+++ b/burdockdrum/registrations/load_sharing.py
@@ -17,6 +17,7 @@
 from burdockdrum.registrations.loads import Load
 from burdockdrum.registrations.loads import RankLoad
 from burdockdrum.registrations.messages import LoadNotice
+from burdockdrum.registrations.messages import PlacedParts
 
 TELL_SECONDS = 0.1
 # With so many others in the region each is told at longer intervals.
@@ -44,6 +45,8 @@
         :param read_load: returns what this VM has under way, by endpoint
         """
         self.read_load = read_load
+        self.take_placed: Callable[[], list[PlacedParts]] = list
+        self.hear_placed: Callable[[list[PlacedParts]], None] = _ignore
         self._peers = peers
         self._clock = clock
         self._read_addresses = read_addresses
@@ -72,12 +75,15 @@
 
     def _tell(self, addresses: list[str]) -> None:
         load = self.read_load()
+        placed = self.take_placed()
         now = self._clock.monotonic()
-        if load == self._told and now - self._told_at < REPEAT_SECONDS:
+        is_same = load == self._told and not placed
+        if is_same and now - self._told_at < REPEAT_SECONDS:
             return
         self._told, self._told_at = load, now
+        notice = LoadNotice(load_by_id=load, placed=placed)
         for address in addresses:
-            self._peers.send(address, LoadNotice(load_by_id=load))
+            self._peers.send(address, notice)
 
     async def _take_notice(
         self, sender: Sender, message: LoadNotice
@@ -88,6 +94,7 @@
         }
         self._heard_at_by_vm_id[sender.vm_id] = self._clock.monotonic()
         self._totals_by_id = None
+        self.hear_placed(message.placed)
         return None
 
     def _sum_up(self) -> dict[str, Load]:
@@ -104,3 +111,7 @@
                 del self._heard_at_by_vm_id[vm_id]
                 del self._loads_by_vm_id[vm_id]
                 self._totals_by_id = None
+
+
+def _ignore(placed: list[PlacedParts]) -> None:
+    """Drop what nobody asks for."""
--- a/burdockdrum/registrations/messages.py
+++ b/burdockdrum/registrations/messages.py
@@ -70,10 +70,24 @@
     load_by_id: dict[str, list[RankLoad]] = {}
 
 
+class PlacedParts(msgspec.Struct, frozen=True, array_like=True):
+    """The beginning of a prompt that was sent to an endpoint.
+
+    ``parts`` are the ids and tokens of its shared parts, in their order.
+    """
+
+    endpoint_id: str
+    parts: list[tuple[str, int]]
+
+
 class LoadNotice(Message, frozen=True, kw_only=True, array_like=True):
-    """An entry tells the others of its region what it has under way."""
+    """An entry tells the others of its region what it has under way.
+
+    ``placed`` is what it has sent where since the last notice.
+    """
 
     load_by_id: dict[str, list[RankLoad]]
+    placed: list[PlacedParts] = []
 
 
 class Watched(Message, frozen=True, kw_only=True, array_like=True):
--- a/burdockdrum/resources/routes.py
+++ b/burdockdrum/resources/routes.py
@@ -52,10 +52,16 @@
 
 
 class Engine(_Part, frozen=True, kw_only=True):
-    """What one endpoint of a model service holds at most."""
+    """What one endpoint of a model service holds at most.
+
+    A token that another endpoint has read takes ``bytes_a_token`` over a
+    link of ``link_megabits`` a second; 0 where none can be fetched.
+    """
 
     slots: int
     memory_tokens: int
+    bytes_a_token: int = 0
+    link_megabits: float = 0.0
 
 
 class Backend(_Part, frozen=True, kw_only=True):
