--- a/tests/passthrough/fakes.py
+++ b/tests/passthrough/fakes.py
@@ -16,7 +16,12 @@
 MODEL = Backend(
     name="model",
     cold_requests_per_second=3.3,
-    engine=Engine(slots=8, memory_tokens=400_000),
+    engine=Engine(
+        slots=8,
+        memory_tokens=400_000,
+        bytes_a_token=327_680,
+        link_megabits=350_000.0,
+    ),
 )
 PLAIN = Backend(name="plain")
 
--- a/tests/passthrough/test_warmth.py
+++ b/tests/passthrough/test_warmth.py
@@ -12,11 +12,10 @@
 from burdockdrum.passthrough.warmth import Warmth
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RankLoad
-from burdockdrum.resources import Backend
-from burdockdrum.resources import Engine
 from tests.passthrough.fakes import FleetWorld
 from tests.passthrough.fakes import make_prompt
 from tests.passthrough.fakes import MODEL
+from tests.passthrough.fakes import PLAIN
 
 SHARED = (("head", 500), ("plan-7", 4900))
 
@@ -98,12 +97,5 @@
         self.assertIsNone(choice.fetch_from)
 
     def test_fetching_takes_its_bytes_over_the_link(self):
-        engine = Engine(
-            slots=8,
-            memory_tokens=400_000,
-            bytes_a_token=327_680,
-            link_megabits=350_000.0,
-        )
-        backend = Backend(name="model", engine=engine)
-        self.assertAlmostEqual(0.04, fetch_seconds(backend, 5400), places=3)
-        self.assertEqual(0.0, fetch_seconds(MODEL, 5400))
+        self.assertAlmostEqual(0.04, fetch_seconds(MODEL, 5400), places=3)
+        self.assertEqual(0.0, fetch_seconds(PLAIN, 5400))
