--- /dev/null
+++ b/tests/resources/test_routes.py
@@ -0,0 +1,170 @@
+"""Tests of route tables and evacuations as agreed state."""
+
+import unittest
+
+import msgspec
+
+from burdockdrum.configuration.control_state import ControlState
+from burdockdrum.configuration.control_state import decode_change_result
+from burdockdrum.configuration.control_state import encode_command
+from burdockdrum.resources import ACCEPTED
+from burdockdrum.resources import Backend
+from burdockdrum.resources import INVALID
+from burdockdrum.resources import ListenerLimits
+from burdockdrum.resources import Put
+from burdockdrum.resources import ReplaceRoutes
+from burdockdrum.resources import ResourceStore
+from burdockdrum.resources import Route
+from burdockdrum.resources import RouteTableSpec
+from burdockdrum.resources import SetEvacuation
+from burdockdrum.resources import WeightedService
+
+
+def make_route(**fields):
+    defaults = {
+        "name": "r",
+        "host": "h",
+        "path_prefix": "/p/",
+        "services": [WeightedService(service="s")],
+        "idempotent": True,
+        "timeout_seconds": 1.0,
+    }
+    return Route(**{**defaults, **fields})
+
+
+def make_table(generation, *routes, **fields):
+    return RouteTableSpec(
+        generation=generation,
+        routes=list(routes) or [make_route()],
+        backends=[Backend(name="s")],
+        **fields,
+    )
+
+
+class RouteTableTest(unittest.TestCase):
+    """HARD CASE 16, for a table that is replaced as a whole."""
+
+    def setUp(self):
+        self.store = ResourceStore()
+
+    def replace(self, *arguments, **fields):
+        spec = make_table(*arguments, **fields)
+        return self.store.apply(ReplaceRoutes(spec=spec))
+
+    def test_highest_generation_counts_whatever_the_order(self):
+        # Two operators send tables at once; a copy of the older one arrives
+        # again after the newer. Both are acknowledged, the newer stays.
+        for generation in (4, 9, 7, 4):
+            self.assertEqual(ACCEPTED, self.replace(generation).code)
+        self.assertEqual(9, self.store.configuration.route_table.generation)
+        self.assertEqual(2, self.store.configuration.revision)
+
+    def test_other_content_under_the_generation_held_changes_nothing(self):
+        self.replace(4)
+        held = self.store.configuration
+        result = self.replace(4, make_route(host="other"))
+        self.assertEqual(ACCEPTED, result.code)
+        self.assertIs(held, self.store.configuration)
+
+    def test_invalid_table_is_refused_with_the_field(self):
+        self.replace(4)
+        held = self.store.configuration
+        wrong = {
+            "host is empty": make_route(host=""),
+            "path_prefix": make_route(path_prefix="/p"),
+            "timeout_seconds": make_route(timeout_seconds=0),
+            "attempts": make_route(attempts=0),
+            "there is no service": make_route(
+                services=[WeightedService(service="unknown")]
+            ),
+            "add up to 0": make_route(
+                services=[WeightedService(service="s", weight=0)]
+            ),
+            "below 0": make_route(
+                services=[WeightedService(service="s", weight=-1)]
+            ),
+        }
+        for words, route in wrong.items():
+            with self.subTest(words=words):
+                result = self.replace(5, route)
+                self.assertEqual(INVALID, result.code)
+                self.assertIn(words, result.message)
+        result = self.replace(5, make_route(), make_route(name="twin"))
+        self.assertIn("host and prefix", result.message)
+        result = self.replace(5, limits=ListenerLimits(idle_seconds=0))
+        self.assertIn("idle_seconds", result.message)
+        self.assertIs(held, self.store.configuration)
+
+    def test_same_rules_hold_for_a_change_of_one_resource(self):
+        def put(name, generation, version):
+            return self.store.apply(
+                Put(
+                    change_id=f"{name}-{generation}-{version}",
+                    kind="route_table",
+                    name=name,
+                    expected_version=version,
+                    spec=make_table(generation),
+                )
+            )
+
+        self.assertEqual(INVALID, put("another", 1, 0).code)
+        self.assertEqual(ACCEPTED, put("main", 3, 0).code)
+        self.assertEqual(INVALID, put("main", 3, 1).code)
+        self.assertEqual(ACCEPTED, put("main", 4, 1).code)
+
+    def test_change_is_one_revision_for_followers(self):
+        # Each revision is taken up as a whole, so no VM ever serves by half
+        # of a table.
+        told = []
+        self.store.listeners.append(told.append)
+        self.replace(4, make_route(), make_route(name="b", host="b"))
+        (revised,) = told
+        self.assertEqual(2, len(revised.resource.spec.routes))
+
+
+class EvacuationTest(unittest.TestCase):
+    """Data centres whose endpoints get no new work."""
+
+    def test_repeated_orders_are_acknowledged(self):
+        store = ResourceStore()
+        expected = [
+            (True, {"a"}),
+            (True, {"a"}),
+            (False, set()),
+            (False, set()),
+            (True, {"a"}),
+        ]
+        for evacuated, centres in expected:
+            change = SetEvacuation(data_centre="a", evacuated=evacuated)
+            self.assertEqual(ACCEPTED, store.apply(change).code)
+            self.assertEqual(
+                centres, set(store.configuration.evacuated_data_centres)
+            )
+
+    def test_name_that_can_be_none_is_refused(self):
+        for name in ("", "A B", "x" * 64):
+            change = SetEvacuation(data_centre=name, evacuated=True)
+            self.assertEqual(INVALID, ResourceStore().apply(change).code)
+
+
+class AgreedTest(unittest.TestCase):
+    """The commands in the log and in its snapshots."""
+
+    def test_log_and_snapshot_keep_both(self):
+        state = ControlState()
+        commands = [
+            ReplaceRoutes(spec=make_table(4, document=b"\x00text")),
+            SetEvacuation(data_centre="a", evacuated=True),
+        ]
+        for index, command in enumerate(commands, 1):
+            result = state.apply(index, encode_command(command))
+            self.assertEqual(ACCEPTED, decode_change_result(result).code)
+        other = ControlState()
+        other.restore(state.snapshot())
+        self.assertEqual(
+            msgspec.to_builtins(state.store.configuration.route_table),
+            msgspec.to_builtins(other.store.configuration.route_table),
+        )
+        self.assertEqual(
+            {"a"}, set(other.store.configuration.evacuated_data_centres)
+        )
