Count attempts across a hop; mind outputs that would end late

An entry now says how many it used; one that is lost counts as all that it was given, and a stream is given one.

--- a/burdockdrum/passthrough/attempts.py
+++ b/burdockdrum/passthrough/attempts.py
@@ -26,6 +26,7 @@
 from burdockdrum.passthrough.payloads import PayloadMaker
 from burdockdrum.passthrough.responses import AnswerCut
 from burdockdrum.passthrough.responses import read_held
+from burdockdrum.passthrough.responses import read_runs
 from burdockdrum.passthrough.responses import read_small
 from burdockdrum.passthrough.responses import ResponseReader
 from burdockdrum.ports import Clock
@@ -130,7 +131,7 @@
         payload = self._payloads.for_region(
             request,
             seconds_left=self._seconds_left(request),
-            attempts=max(1, request.attempts - progress.runs),
+            attempts=handed_attempts(request, progress),
             last_event=cutter.last_number,
         )
         call = _Call(
@@ -191,7 +192,7 @@
             return judged
         if head.status >= 300:
             body = await read_small(connection)
-            return Answered(head=head, body=body)
+            return Answered(head=head, body=body, runs=read_runs(head) or 1)
         if request.route.streams:
             return await self._pass_stream(
                 connection, head, call, progress, exchange, cutter
@@ -271,6 +272,17 @@
                 health.note_neutral()
 
 
+def handed_attempts(request: PassedRequest, progress: Progress) -> int:
+    """Return how many endpoints another region may run a request at.
+
+    A stream that breaks off on its way back may have used them all; it goes
+    on from here only if one was handed over and not every one.
+    """
+    if request.route.streams:
+        return 1
+    return max(1, request.attempts - progress.runs)
+
+
 class _Call:
     """Where an attempt goes, and with which bytes."""
 
--- a/burdockdrum/passthrough/fleet.py
+++ b/burdockdrum/passthrough/fleet.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+import math
 import random
 
 from burdockdrum.passthrough.health import EndpointHealth
@@ -10,7 +11,9 @@
 from burdockdrum.passthrough.prompts import Prompt
 from burdockdrum.passthrough.waiting import estimate_queue
 from burdockdrum.passthrough.waiting import reading_seconds
+from burdockdrum.passthrough.waiting import RECENT_SECONDS
 from burdockdrum.passthrough.waiting import Wait
+from burdockdrum.passthrough.waiting import writing_risk
 from burdockdrum.passthrough.warmth import Holder
 from burdockdrum.passthrough.warmth import home_of
 from burdockdrum.passthrough.warmth import Warmth
@@ -45,6 +48,13 @@
 
     health: EndpointHealth = field(default_factory=EndpointHealth)
     load: Load = field(default_factory=Load)
+    recent_at: float = 0.0
+
+    def add_recent(self, now: float, seconds: float) -> None:
+        """Count reading that is sent now; what was sent before fades."""
+        faded = math.exp((self.recent_at - now) / RECENT_SECONDS)
+        self.load.recent_seconds = self.load.recent_seconds * faded + seconds
+        self.recent_at = now
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -107,12 +117,14 @@
         backend: Backend,
         prompt: Prompt,
         rank: int,
+        seconds_left: float,
         tried: frozenset[str],
         closed_data_centres: frozenset[str],
     ) -> Choice | None:
         """Return the endpoint that should answer first, None if none may.
 
         :param rank: how urgent it is; 0 is the most urgent
+        :param seconds_left: until the caller's deadline
         :param tried: ids of endpoints that are not to be chosen again
         :param closed_data_centres: whose endpoints get no new work
         """
@@ -127,7 +139,9 @@
             return None
         beginning = self._find_beginning(backend, prompt, candidates)
         choices = [
-            self._rate(endpoint, backend, prompt, rank, beginning)
+            self._rate(
+                endpoint, backend, prompt, rank, seconds_left, beginning
+            )
             for endpoint in candidates
         ]
         best = min(choice.wait.total for choice in choices)
@@ -146,6 +160,7 @@
         now = self._clock.monotonic()
         track = self._track(endpoint)
         track.load.add(rank, 1, choice.wait.own)
+        track.add_recent(now, choice.wait.own)
         track.health.begin(now)
         if backend.engine is not None:
             memory = backend.engine.memory_tokens
@@ -201,11 +216,14 @@
 
     def read_own_load(self) -> dict[str, list[RankLoad]]:
         """Return what this entry has under way, by endpoint."""
-        return {
-            endpoint_id: track.load.ranks()
-            for endpoint_id, track in self._tracks_by_id.items()
-            if track.load.requests
-        }
+        now = self._clock.monotonic()
+        ranks_by_id = {}
+        for endpoint_id, track in self._tracks_by_id.items():
+            track.add_recent(now, 0.0)
+            ranks = track.load.ranks()
+            if ranks:
+                ranks_by_id[endpoint_id] = ranks
+        return ranks_by_id
 
     def forget_ended(self) -> None:
         """Drop what is known of endpoints that are gone."""
@@ -269,9 +287,11 @@
         backend: Backend,
         prompt: Prompt,
         rank: int,
+        seconds_left: float,
         beginning: "_Beginning",
     ) -> Choice:
         track = self._track(endpoint)
+        track.add_recent(self._clock.monotonic(), 0.0)
         load = Load()
         load.merge(track.load)
         load.merge(self._read_load(endpoint.endpoint_id))
@@ -286,9 +306,10 @@
         fetched = beginning.fetchable(endpoint.endpoint_id, held)
         unread = prompt.tokens - held - fetched
         own = reading_seconds(prompt, unread) + fetch_seconds(backend, fetched)
-        wait = Wait(
-            queue=queue, own=own, penalty=self._penalty(endpoint, beginning)
-        )
+        penalty = self._penalty(endpoint, beginning)
+        if backend.engine is not None:
+            penalty += writing_risk(prompt, load, seconds_left)
+        wait = Wait(queue=queue, own=own, penalty=penalty)
         return Choice(
             endpoint=endpoint,
             wait=wait,
--- a/burdockdrum/passthrough/model.py
+++ b/burdockdrum/passthrough/model.py
@@ -82,10 +82,14 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Answered:
-    """An endpoint answered with a failure of its own, held back so far."""
+    """An endpoint answered with a failure of its own, held back so far.
+
+    ``runs`` is how many attempts that took, in another region.
+    """
 
     head: ResponseHead
     body: bytes
+    runs: int = 1
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -101,11 +105,13 @@
 class Lost:
     """The attempt may have run and gave no whole answer.
 
-    ``timed_out`` says that the time was up.
+    ``timed_out`` says that the time was up. ``runs`` is how many attempts
+    the other region used, None if it did not say.
     """
 
     reason: str
     timed_out: bool = False
+    runs: int | None = None
 
 
 Outcome = Delivered | Answered | NotStarted | Lost
--- a/burdockdrum/passthrough/placing.py
+++ b/burdockdrum/passthrough/placing.py
@@ -14,6 +14,7 @@
 from burdockdrum.passthrough.waiting import estimate_queue
 from burdockdrum.passthrough.waiting import reading_seconds
 from burdockdrum.passthrough.waiting import Wait
+from burdockdrum.passthrough.waiting import writing_risk
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
 from burdockdrum.registrations import Load
@@ -116,6 +117,7 @@
             backend=request.backend,
             prompt=request.prompt,
             rank=request.route.rank,
+            seconds_left=request.deadline - self._clock.monotonic(),
             tried=frozenset(progress.tried),
             closed_data_centres=self._read_closed(),
         )
@@ -172,15 +174,18 @@
 
     def _estimate(self, request: PassedRequest, room: ServiceRoom) -> Wait:
         """Estimate by the average endpoint: which one is chosen there."""
+        load = Load.of(room.ranks).average(room.endpoints)
         queue = estimate_queue(
-            Load.of(room.ranks).average(room.endpoints),
+            load,
             rank=request.route.rank,
             slots=max(1, room.slots // room.endpoints),
             run_seconds=self._fleet.run_seconds(room.service),
         )
         prompt = request.prompt
         own = reading_seconds(prompt, prompt.tokens) + HOP_SECONDS
-        return Wait(queue=queue, own=own)
+        left = request.deadline - self._clock.monotonic()
+        risk = writing_risk(prompt, load, left)
+        return Wait(queue=queue, own=own, penalty=risk)
 
     def _choose_entry(
         self, region: str, progress: Progress
--- a/burdockdrum/passthrough/relay.py
+++ b/burdockdrum/passthrough/relay.py
@@ -6,6 +6,7 @@
 from burdockdrum.logs import log_failure
 from burdockdrum.metrics import Metrics
 from burdockdrum.passthrough.attempts import Attempts
+from burdockdrum.passthrough.attempts import handed_attempts
 from burdockdrum.passthrough.events import EventCutter
 from burdockdrum.passthrough.limits import RetryBudget
 from burdockdrum.passthrough.model import Answered
@@ -25,6 +26,7 @@
 from burdockdrum.passthrough.responses import AnswerCut
 from burdockdrum.passthrough.responses import ResponseReader
 from burdockdrum.passthrough.vocabulary import HeaderNames
+from burdockdrum.passthrough.vocabulary import HOP_RUNS
 from burdockdrum.ports import Clock
 from burdockdrum.verdicts import Refusal
 from burdockdrum.verdicts import RefusalCode
@@ -104,7 +106,9 @@
         try:
             await self._run(request, progress, exchange)
         except Refusal as refusal:
-            self._refuse(exchange, refusal, request, is_hop=is_hop)
+            self._refuse(
+                exchange, refusal, request, is_hop=is_hop, runs=progress.runs
+            )
             return "refused"
         except AnswerCut as error:
             log_failure(
@@ -136,7 +140,7 @@
             try:
                 place = self._placing.place(request, progress)
             except Refusal as refusal:
-                self._end_without_place(progress, exchange, refusal)
+                self._end_without_place(request, progress, exchange, refusal)
                 return
             outcome = await self._attempts.make(
                 place, request, progress, exchange, cutter
@@ -150,14 +154,18 @@
                 return
 
     def _end_without_place(
-        self, progress: Progress, exchange: Exchange, refusal: Refusal
+        self,
+        request: PassedRequest,
+        progress: Progress,
+        exchange: Exchange,
+        refusal: Refusal,
     ) -> None:
         if exchange.started:
             raise AnswerCut(refusal.message)
         if progress.failure is None:
             raise refusal
         # An endpoint's own failure says more than that no other is left.
-        self._pass_failure(exchange, progress.failure)
+        self._pass_failure(request, exchange, progress.failure, progress.runs)
 
     def _take_outcome(
         self,
@@ -178,10 +186,10 @@
                 progress.last_reason = reason
             case Lost(reason=reason):
                 progress.last_reason = reason
-                progress.runs += 1
                 progress.verdict = Verdict.MAY_HAVE_RUN
-            case Answered():
-                progress.runs += 1
+                progress.runs += _count_runs(place, outcome, request, progress)
+            case Answered(runs=runs):
+                progress.runs += runs
                 progress.verdict = Verdict.RAN
                 progress.failure = outcome
 
@@ -216,7 +224,9 @@
         if exchange.started:
             raise AnswerCut(progress.last_reason)
         if progress.failure is not None:
-            self._pass_failure(exchange, progress.failure)
+            self._pass_failure(
+                request, exchange, progress.failure, progress.runs
+            )
             return
         timed_out = isinstance(outcome, Lost) and outcome.timed_out
         late = request.deadline <= self._clock.monotonic()
@@ -233,8 +243,16 @@
             retry_after=retry_after,
         )
 
-    def _pass_failure(self, exchange: Exchange, failure: Answered) -> None:
+    def _pass_failure(
+        self,
+        request: PassedRequest,
+        exchange: Exchange,
+        failure: Answered,
+        runs: int,
+    ) -> None:
         headers = self._responses.headers_for_caller(failure.head)
+        if request.came_from is not None:
+            headers.append((HOP_RUNS, b"%d" % runs))
         status = failure.head.status
         if status in (408, 421, 429, 503):
             # It has run: the status would promise that it has not. Without
@@ -251,6 +269,7 @@
         request: PassedRequest | None,
         *,
         is_hop: bool,
+        runs: int = 0,
     ) -> None:
         name = self._names.request_id
         given = exchange.request.find(name)
@@ -266,6 +285,8 @@
             reason=refusal.message,
             hop=is_hop,
         )
+        if is_hop:
+            identity.append((HOP_RUNS, b"%d" % runs))
         answer_refusal(exchange, refusal, identity, to_vm=is_hop)
 
     def _note(
@@ -303,3 +324,18 @@
             first_seconds=None if first is None else round(first, 4),
             seconds=round(seconds, 4),
         )
+
+
+def _count_runs(
+    place: Place, lost: Lost, request: PassedRequest, progress: Progress
+) -> int:
+    """Return how many endpoints a lost attempt may have run at.
+
+    An entry of another region may have used every attempt that it was
+    given, unless it says how many.
+    """
+    if isinstance(place, EndpointPlace):
+        return 1
+    if lost.runs is not None:
+        return lost.runs
+    return handed_attempts(request, progress)
--- a/burdockdrum/passthrough/responses.py
+++ b/burdockdrum/passthrough/responses.py
@@ -9,6 +9,7 @@
 from burdockdrum.passthrough.model import NotStarted
 from burdockdrum.passthrough.vocabulary import HeaderNames
 from burdockdrum.passthrough.vocabulary import HOP_HEADERS
+from burdockdrum.passthrough.vocabulary import HOP_RUNS
 from burdockdrum.passthrough.vocabulary import VERDICT
 from burdockdrum.verdicts import Verdict
 
@@ -95,10 +96,18 @@
             retry_after=_read_seconds(head),
         )
     return Lost(
-        reason="lost in the other region", timed_out=head.status == 504
+        reason="lost in the other region",
+        timed_out=head.status == 504,
+        runs=read_runs(head),
     )
 
 
+def read_runs(head: ResponseHead) -> int | None:
+    """Return how many attempts another entry says that it used."""
+    value = head.find(HOP_RUNS)
+    return int(value) if value is not None and value.isdigit() else None
+
+
 def _read_seconds(head: ResponseHead) -> float | None:
     value = head.find(b"retry-after")
     try:
--- a/burdockdrum/passthrough/vocabulary.py
+++ b/burdockdrum/passthrough/vocabulary.py
@@ -41,4 +41,6 @@
 HOP_REGION = b"x-burdockdrum-from"
 HOP_ATTEMPTS = b"x-burdockdrum-attempts"
 VERDICT = b"x-verdict"
-HOP_HEADERS = frozenset({HOP_REGION, HOP_ATTEMPTS, VERDICT})
+# How many attempts the other entry has used.
+HOP_RUNS = b"x-burdockdrum-runs"
+HOP_HEADERS = frozenset({HOP_REGION, HOP_ATTEMPTS, HOP_RUNS, VERDICT})
--- a/burdockdrum/registrations/loads.py
+++ b/burdockdrum/registrations/loads.py
@@ -15,20 +15,26 @@
     """The requests of one rank; 0 is the most urgent.
 
     ``reading_ms`` is how many milliseconds it takes to read what has not
-    been read of their prompts.
+    been read of their prompts; ``recent_ms`` what was sent in the last
+    seconds, whether it has been read or not.
     """
 
     rank: int
     requests: int
     reading_ms: int
+    recent_ms: int = 0
 
 
 @dataclass(kw_only=True)
 class Load:
-    """What is under way at one endpoint, or at several together."""
+    """What is under way at one endpoint, or at several together.
+
+    ``recent_seconds`` of reading were sent to it lately.
+    """
 
     requests_by_rank: dict[int, int] = field(default_factory=dict)
     reading_by_rank: dict[int, float] = field(default_factory=dict)
+    recent_seconds: float = 0.0
 
     @classmethod
     def of(cls, ranks: Iterable[RankLoad]) -> "Load":
@@ -36,6 +42,7 @@
         load = cls()
         for rank in ranks:
             load.add(rank.rank, rank.requests, rank.reading_ms / 1000)
+            load.recent_seconds += rank.recent_ms / 1000
         return load
 
     @property
@@ -54,6 +61,7 @@
         """Add what another load holds."""
         for rank, requests in other.requests_by_rank.items():
             self.add(rank, requests, other.reading_by_rank[rank])
+        self.recent_seconds += other.recent_seconds
 
     def average(self, endpoints: int) -> "Load":
         """Return what each of several endpoints has, on average."""
@@ -66,6 +74,7 @@
                 rank: seconds / endpoints
                 for rank, seconds in self.reading_by_rank.items()
             },
+            recent_seconds=self.recent_seconds / endpoints,
         )
 
     def up_to(self, rank: int) -> tuple[int, float]:
@@ -86,8 +95,12 @@
 
     def ranks(self) -> list[RankLoad]:
         """Return the ranks that have requests, for the wire."""
-        return [
+        ranks = [
             RankLoad(rank, count, round(self.reading_by_rank[rank] * 1000))
             for rank, count in self.requests_by_rank.items()
             if count
         ]
+        recent_ms = round(self.recent_seconds * 1000)
+        if recent_ms:
+            ranks.append(RankLoad(0, 0, 0, recent_ms))
+        return ranks
--- a/tests/passthrough/test_fleet.py
+++ b/tests/passthrough/test_fleet.py
@@ -87,7 +87,7 @@
             "quiet", world.choose(make_prompt(10)).endpoint.endpoint_id
         )
 
-    def fail(self, world, name, times, *, note="note_failure"):
+    def have_fail(self, world, name, times, *, note="note_failure"):
         """Have an endpoint fail requests."""
         for _ in range(times):
             placement = world.send(make_prompt(10))
@@ -124,21 +124,21 @@
         # and refusing everything would be worse than any.
         world = FleetWorld("a", "b")
         for name in "ab":
-            self.fail(world, name, 8)
+            self.have_fail(world, name, 8)
         choice = world.choose(make_prompt(10))
         self.assertGreater(choice.wait.penalty, 0.5)
         self.assertLess(choice.wait.queue, 0.5)
 
     def test_endpoint_without_a_connection_gets_nothing_for_a_while(self):
         world = FleetWorld("a")
-        self.fail(world, "a", 1, note="note_unreachable")
+        self.have_fail(world, "a", 1, note="note_unreachable")
         self.assertIsNone(world.choose(make_prompt(10)))
         world.clock.now += 1.1
         self.assertIsNotNone(world.choose(make_prompt(10)))
 
     def test_broken_connections_count_double(self):
         world = FleetWorld("a")
-        health = self.fail(world, "a", 3, note="note_loss")
+        health = self.have_fail(world, "a", 3, note="note_loss")
         self.assertTrue(health.is_set_aside(world.clock.now))
 
     def test_some_failures_among_successes_change_nothing(self):
@@ -160,6 +160,11 @@
         for placement in placements:
             world.fleet.note_output(placement)
             world.fleet.end(placement, whole=True)
+        ranks = world.fleet.read_own_load()["a"]
+        self.assertEqual(0, sum(rank.requests for rank in ranks))
+        self.assertEqual(0, sum(rank.reading_ms for rank in ranks))
+        # What was sent lately fades.
+        world.clock.now += 30
         self.assertEqual({}, world.fleet.read_own_load())
 
 
--- a/tests/passthrough/test_relay.py
+++ b/tests/passthrough/test_relay.py
@@ -6,6 +6,8 @@
 
 from loguru import logger
 
+from burdockdrum.registrations import Load
+from burdockdrum.registrations import RankLoad
 from tests.http1.wire import header
 from tests.passthrough.entries import answer
 from tests.passthrough.entries import close_unanswered
@@ -300,6 +302,38 @@
             self.assertEqual(expected, status)
             self.assertIsNone(header(head, b"x-verdict"))
 
+    async def test_attempts_are_counted_across_the_hop(self):
+        # The entry here passes a request on; both endpoints there fail, and
+        # the caller's route allows two. It must not run here as well.
+        bad = answer(b"why", b"500 Bad")
+        here = Endpoint(bad)
+        there = [Endpoint(bad), Endpoint(bad)]
+        entry = await self.open_two(
+            here=[here], there=there, attempts=2, homes=["there", "here"]
+        )
+        busy = Load.of([RankLoad(0, 1, 550)])
+        entry.fleet._read_load = lambda name: busy
+        status, _, _ = await entry.call(b"X-Deadline-Ms: 60000")
+        self.assertEqual(500, status)
+        runs = len(here.seen) + sum(len(e.seen) for e in there)
+        self.assertEqual(2, runs)
+
+    async def test_lost_hop_counts_as_all_that_was_allowed(self):
+        # The other entry is gone in the middle: it may have used every
+        # attempt that it was given.
+        there = Endpoint(keep_silent)
+        entry = await self.open_two(
+            here=[Endpoint(answer(b"here"))], there=[there], attempts=2
+        )
+        busy = Load.of([RankLoad(0, 1, 550)])
+        entry.fleet._read_load = lambda name: busy
+        task = asyncio.create_task(entry.call())
+        await asyncio.sleep(0.2)
+        self.assertEqual(1, len(there.seen))
+        for connection in list(self.world.entries["there"].vms.connections):
+            connection._transport.abort()
+        self.assertEqual(502, (await task)[0])
+
     async def test_homes_are_kept_to(self):
         # HARD CASE 10: the entry's own region is no home, then no region
         # with room is.
--- a/tests/passthrough/test_waiting.py
+++ b/tests/passthrough/test_waiting.py
@@ -5,6 +5,10 @@
 from burdockdrum.passthrough.prompts import Prompt
 from burdockdrum.passthrough.waiting import estimate_queue
 from burdockdrum.passthrough.waiting import reading_seconds
+from burdockdrum.passthrough.waiting import RECENT_SECONDS
+from burdockdrum.passthrough.waiting import Wait
+from burdockdrum.passthrough.waiting import writing_risk
+from burdockdrum.passthrough.waiting import writing_seconds
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RankLoad
 
@@ -47,6 +51,43 @@
         self.assertLess(reading_seconds(prompt, 10_000), 0.3)
 
 
+class WritingTest(unittest.TestCase):
+    """The pattern: a region at its peak, whose endpoints read all the time.
+
+    Its prompts come at the rate at which they are read; other regions read
+    a third of the time.
+    """
+
+    PROMPT = Prompt(tokens=12_000, max_output=390)
+
+    def load(self, busy):
+        return Load(recent_seconds=busy * RECENT_SECONDS)
+
+    def test_long_output_beside_prompts_takes_ten_seconds(self):
+        def writing(busy):
+            return writing_seconds(self.PROMPT, self.load(busy))
+
+        self.assertAlmostEqual(1.4, writing(0.0), delta=0.1)
+        self.assertGreater(writing(1.0), 10.0)
+        self.assertEqual(writing(1.0), writing(3.0))
+
+    def total(self, prompt, busy, own):
+        risk = writing_risk(prompt, self.load(busy), 10.0)
+        return Wait(queue=0.0, own=own, penalty=risk).total
+
+    def test_long_output_goes_where_less_is_read(self):
+        # The first part would come as soon at the busy endpoint.
+        busy = self.total(self.PROMPT, 1.0, 0.15)
+        self.assertLess(self.total(self.PROMPT, 0.3, 0.15 + 0.12), busy)
+
+    def test_nothing_is_at_risk_at_the_usual_load(self):
+        # A hop between regions costs bytes and time: none is made for an
+        # output that ends well within its time.
+        self.assertEqual(0.15, self.total(self.PROMPT, 0.25, 0.15))
+        query = Prompt(tokens=2400, max_output=23)
+        self.assertEqual(0.03, self.total(query, 1.0, 0.03))
+
+
 class LoadTest(unittest.TestCase):
     """Counting what is under way."""
 
@@ -57,7 +98,8 @@
         self.assertEqual((0, 0.0), load.up_to(9))
 
     def test_ranks_survive_the_wire(self):
-        load = Load.of([RankLoad(0, 2, 100), RankLoad(1, 1, 900)])
+        load = Load.of([RankLoad(0, 2, 100), RankLoad(1, 1, 900, 2500)])
+        self.assertEqual(2.5, load.recent_seconds)
         self.assertEqual(load, Load.of(load.ranks()))
         self.assertEqual((2, 0.1), load.up_to(0))
         self.assertEqual((1, 0.9), load.above(0))
