Give up on attempts that give nothing, where another is allowed

An attempt that gives nothing for far longer than usual is closed and made elsewhere; an endpoint that has work and gives nothing gets no more.

--- a/burdockdrum/passthrough/attempts.py
+++ b/burdockdrum/passthrough/attempts.py
@@ -23,6 +23,7 @@
 from burdockdrum.passthrough.model import Place
 from burdockdrum.passthrough.model import Progress
 from burdockdrum.passthrough.model import RegionPlace
+from burdockdrum.passthrough.patience import Patience
 from burdockdrum.passthrough.payloads import PayloadMaker
 from burdockdrum.passthrough.responses import AnswerCut
 from burdockdrum.passthrough.responses import read_held
@@ -52,8 +53,10 @@
         vm_pool: ConnectionPool,
         payloads: PayloadMaker,
         responses: ResponseReader,
+        patience: Patience,
     ) -> None:
         """Create it over the pools of connections."""
+        self._patience = patience
         self._clock = clock
         self._fleet = fleet
         self._endpoint_pool = endpoint_pool
@@ -107,6 +110,7 @@
             address=endpoint.address,
             payload=payload,
             connect_seconds=CONNECT_SECONDS,
+            place=place,
             placement=placement,
         )
         outcome: Outcome | None = None
@@ -139,6 +143,7 @@
             address=place.address,
             payload=payload,
             connect_seconds=HOP_CONNECT_SECONDS,
+            place=place,
         )
         return await self._call(call, request, progress, exchange, cutter)
 
@@ -161,13 +166,19 @@
             call.pool.give_back(call.address, connection)
             return NotStarted(reason="no time was left", reached=False)
         progress.sent += 1
+        first = self._patience.until_first_part(call.place, request, progress)
+        began = self._clock.monotonic()
         try:
             connection.send(call.payload, request.request_id.encode())
-            async with asyncio.timeout(left):
+            limit = left if first is None else min(left, first)
+            async with asyncio.timeout(limit) as call.timeout:
                 return await self._receive(
                     connection, call, request, progress, exchange, cutter
                 )
         except TimeoutError:
+            if self._seconds_left(request) > 0:
+                silence = self._clock.monotonic() - began
+                return Lost(reason=f"gave nothing for {silence:.2f} s")
             return Lost(reason="the deadline has passed", timed_out=True)
         except (ResponseLost, BrokenEvents) as error:
             return Lost(reason=str(error))
@@ -195,10 +206,21 @@
             return Answered(head=head, body=body, runs=read_runs(head) or 1)
         if request.route.streams:
             return await self._pass_stream(
-                connection, head, call, progress, exchange, cutter
+                connection, head, call, request, progress, exchange, cutter
             )
+        self._wait_on(call, request, None)
         return await self._pass_whole(connection, head, exchange)
 
+    def _wait_on(
+        self, call: "_Call", request: PassedRequest, seconds: float | None
+    ) -> None:
+        """Wait for so long from now on, or else until the deadline."""
+        left = self._seconds_left(request) + GRACE_SECONDS
+        limit = left if seconds is None else min(left, seconds)
+        if call.timeout is not None:
+            loop = asyncio.get_running_loop()
+            call.timeout.reschedule(loop.time() + limit)
+
     async def _pass_whole(
         self,
         connection: ClientConnection,
@@ -226,12 +248,15 @@
         connection: ClientConnection,
         head: ResponseHead,
         call: "_Call",
+        request: PassedRequest,
         progress: Progress,
         exchange: Exchange,
         cutter: EventCutter,
     ) -> Outcome:
         cutter.begin_run()
+        between = self._patience.between_parts(request, progress)
         while (part := await connection.read_part()) is not None:
+            self._wait_on(call, request, between)
             if call.placement is not None:
                 self._fleet.note_output(call.placement)
             events = cutter.feed(part)
@@ -293,10 +318,13 @@
         address: str,
         payload: bytes,
         connect_seconds: float,
+        place: Place,
         placement: Placement | None = None,
     ) -> None:
         self.pool = pool
         self.address = address
         self.payload = payload
         self.connect_seconds = connect_seconds
+        self.place = place
         self.placement = placement
+        self.timeout: asyncio.Timeout | None = None
--- a/burdockdrum/passthrough/fleet.py
+++ b/burdockdrum/passthrough/fleet.py
@@ -30,6 +30,11 @@
 # to, while nobody is known to hold it: entries that don't know of each
 # other's choice make the same one, and it is read once and not several times.
 HOME_SECONDS = 0.1
+# An endpoint with work gives something within so many usual runs, and at
+# the latest within the time that it takes to read the longest prompt.
+MUTE_RUNS = 8
+MIN_MUTE_SECONDS = 0.4
+MAX_MUTE_SECONDS = 1.5
 # A shorter beginning is read in less time than fetching it takes to set up.
 MIN_FETCH_TOKENS = 200
 _BITS_A_BYTE = 8
@@ -49,6 +54,7 @@
     health: EndpointHealth = field(default_factory=EndpointHealth)
     load: Load = field(default_factory=Load)
     recent_at: float = 0.0
+    silent_since: float = 0.0
 
     def add_recent(self, now: float, seconds: float) -> None:
         """Count reading that is sent now; what was sent before fades."""
@@ -158,6 +164,8 @@
         track.load.add(rank, 1, choice.wait.own)
         track.add_recent(now, choice.wait.own)
         track.health.begin(now)
+        if track.load.requests == 1:
+            track.silent_since = now
         if backend.engine is not None:
             memory = backend.engine.memory_tokens
             self.warmth.note_sent(endpoint.endpoint_id, prompt, memory)
@@ -175,10 +183,16 @@
         )
 
     def note_output(self, placement: Placement) -> None:
-        """Take note that a prompt has been read."""
-        if placement.read_at is not None:
-            return
-        placement.read_at = self._clock.monotonic()
+        """Take note that something came, for the first time or again."""
+        now = self._clock.monotonic()
+        track = self._tracks_by_id.get(placement.endpoint.endpoint_id)
+        if track is not None:
+            track.silent_since = now
+        if placement.read_at is None:
+            placement.read_at = now
+            self._end_reading(placement)
+
+    def _end_reading(self, placement: Placement) -> None:
         track = self._tracks_by_id.get(placement.endpoint.endpoint_id)
         if track is not None:
             track.load.add(placement.rank, 0, -placement.reading_seconds)
@@ -196,10 +210,13 @@
             self._run_seconds_by_service[service] = known * _KEPT + (
                 now - began
             ) * (1 - _KEPT)
-        self.note_output(placement)
+        if placement.read_at is None:
+            self._end_reading(placement)
         track = self._tracks_by_id.get(placement.endpoint.endpoint_id)
         if track is not None:
             track.load.add(placement.rank, -1, 0.0)
+            if whole:
+                track.silent_since = now
 
     def health_of(self, endpoint: RegisteredEndpoint) -> EndpointHealth:
         """Return what became of the requests at an endpoint."""
@@ -318,12 +335,31 @@
         penalty = 0.0
         if endpoint.silent:
             penalty += SILENT_PENALTY_SECONDS
-        if self._track(endpoint).health.is_set_aside(self._clock.monotonic()):
+        now = self._clock.monotonic()
+        track = self._track(endpoint)
+        if track.health.is_set_aside(now) or self._is_mute(track, endpoint):
             penalty += SET_ASIDE_PENALTY_SECONDS
         if beginning.home_id not in (None, endpoint.endpoint_id):
             penalty += HOME_SECONDS
         return penalty
 
+    def _is_mute(self, track: _Track, endpoint: RegisteredEndpoint) -> bool:
+        """Say whether an endpoint has work and gives nothing.
+
+        Failure: an endpoint loses its power, or hangs. Symptom: its open
+        connections take requests for the four seconds until the kernel ends
+        them, and each of these is lost.
+        """
+        if not track.load.requests:
+            return False
+        silence = self._clock.monotonic() - track.silent_since
+        return silence > self.mute_seconds(endpoint.service)
+
+    def mute_seconds(self, service: str) -> float:
+        """Return how long an endpoint with work may give nothing."""
+        usual = self.run_seconds(service) * MUTE_RUNS
+        return min(MAX_MUTE_SECONDS, max(MIN_MUTE_SECONDS, usual))
+
     def _track(self, endpoint: RegisteredEndpoint) -> _Track:
         return self._tracks_by_id.setdefault(endpoint.endpoint_id, _Track())
 
--- a/burdockdrum/passthrough/limits.py
+++ b/burdockdrum/passthrough/limits.py
@@ -50,11 +50,15 @@
         """Count a request's first attempt."""
         self._firsts.add(service)
 
-    def take(self, service: str) -> bool:
-        """Take one retry, if the budget has it."""
+    def has(self, service: str) -> bool:
+        """Say whether the budget has a retry."""
         share = self._burst * SAFE_PART / max(1, self.entries)
         earned = self._firsts.count(service) * self._ratio * SAFE_PART
-        if self._retries.count(service) + 1 > share + earned:
+        return self._retries.count(service) + 1 <= share + earned
+
+    def take(self, service: str) -> bool:
+        """Take one retry, if the budget has it."""
+        if not self.has(service):
             return False
         self._retries.add(service)
         return True
--- a/burdockdrum/passthrough/model.py
+++ b/burdockdrum/passthrough/model.py
@@ -33,6 +33,12 @@
     came_from: str | None = None
     revision: int = 0
 
+    @property
+    def may_repeat(self) -> bool:
+        """Say whether it may run once more after it may have run."""
+        route = self.route
+        return route.idempotent or (route.streams and route.resumable)
+
 
 @dataclass(kw_only=True)
 class Progress:
--- a/burdockdrum/passthrough/relay.py
+++ b/burdockdrum/passthrough/relay.py
@@ -202,13 +202,9 @@
             return False
         if isinstance(outcome, Answered) and outcome.head.status < 500:
             return False
-        if progress.runs:
-            route = request.route
-            may_repeat = route.idempotent or (
-                route.streams and route.resumable
-            )
-            if not may_repeat or progress.runs >= request.attempts:
-                return False
+        used_up = not request.may_repeat or progress.runs >= request.attempts
+        if progress.runs and used_up:
+            return False
         reached = progress.sent > 0 and not (
             isinstance(outcome, NotStarted) and not outcome.reached
         )
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -13,6 +13,7 @@
 from burdockdrum.passthrough.attempts import Attempts
 from burdockdrum.passthrough.fleet import Fleet
 from burdockdrum.passthrough.limits import RetryBudget
+from burdockdrum.passthrough.patience import Patience
 from burdockdrum.passthrough.payloads import PayloadMaker
 from burdockdrum.passthrough.placing import Placing
 from burdockdrum.passthrough.reading import RequestReader
@@ -147,6 +148,10 @@
                 region=kernel.find("identity", VmIdentity).region,
             ),
             responses=responses,
+            patience=Patience(
+                fleet=kernel.find("fleet", Fleet),
+                budget=kernel.find("retry_budget", RetryBudget),
+            ),
         ),
         responses=responses,
         budget=kernel.find("retry_budget", RetryBudget),
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -11,6 +11,7 @@
 from burdockdrum.passthrough.attempts import Attempts
 from burdockdrum.passthrough.fleet import Fleet
 from burdockdrum.passthrough.limits import RetryBudget
+from burdockdrum.passthrough.patience import Patience
 from burdockdrum.passthrough.payloads import PayloadMaker
 from burdockdrum.passthrough.placing import Placing
 from burdockdrum.passthrough.reading import RequestReader
@@ -181,6 +182,7 @@
                 backends=[Backend(name="model")],
             )
         )
+        budget = RetryBudget(clock=clock, ratio=1, burst=50, window=10)
         relay = Relay(
             clock=clock,
             names=NAMES,
@@ -210,9 +212,10 @@
                 vm_pool=pools[1],
                 payloads=PayloadMaker(names=NAMES, region=region),
                 responses=responses,
+                patience=Patience(fleet=fleet, budget=budget),
             ),
             responses=responses,
-            budget=RetryBudget(clock=clock, ratio=1, burst=50, window=10),
+            budget=budget,
             drain=FakeDrain(),
             configuration=KnownConfiguration(),
             metrics=Metrics(),
--- a/tests/passthrough/test_fleet.py
+++ b/tests/passthrough/test_fleet.py
@@ -6,12 +6,15 @@
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RankLoad
 from burdockdrum.registrations import RegistrationState
+from burdockdrum.resources import Backend
 from tests.passthrough.fakes import FleetWorld
 from tests.passthrough.fakes import make_endpoint
 from tests.passthrough.fakes import make_prompt
 from tests.passthrough.fakes import MODEL
 from tests.passthrough.fakes import PLAIN
 
+PLAIN_MODEL = Backend(name="model")
+
 
 class ChoiceTest(unittest.TestCase):
     """One request after the other."""
@@ -129,6 +132,22 @@
         self.assertGreater(choice.wait.penalty, 0.5)
         self.assertLess(choice.wait.queue, 0.5)
 
+    def test_endpoint_that_gives_nothing_is_avoided(self):
+        # It has gone dark with a request on it. The next ones go elsewhere
+        # after half a second, not when the kernel notices after four.
+        world = FleetWorld("dark", "good")
+        for _ in range(20):
+            placement = world.send(make_prompt(0), backend=PLAIN_MODEL)
+            if placement.endpoint.endpoint_id == "dark":
+                break
+            world.fleet.end(placement, whole=True)
+        world.fleet._run_seconds_by_service["model"] = 0.03
+        world.clock.now += 0.5
+        for _ in range(10):
+            placement = world.send(make_prompt(0), backend=PLAIN_MODEL)
+            self.assertEqual("good", placement.endpoint.endpoint_id)
+            world.fleet.end(placement, whole=True)
+
     def test_endpoint_without_a_connection_gets_nothing_for_a_while(self):
         world = FleetWorld("a")
         self.have_fail(world, "a", 1, note="note_unreachable")
--- a/tests/passthrough/test_relay.py
+++ b/tests/passthrough/test_relay.py
@@ -20,6 +20,16 @@
 NOT_RUN = b"X-Not-Started: 1"
 
 
+class _Open:
+    """A writer that stays open."""
+
+    def __init__(self, writer):
+        self.write = writer.write
+
+    def close(self):
+        """Do nothing."""
+
+
 class RelayCase(unittest.IsolatedAsyncioTestCase):
     """An entry with some endpoints."""
 
@@ -170,6 +180,30 @@
         self.assertEqual(504, status)
         self.assertLess(time.monotonic() - began, 0.6)
 
+    async def test_dark_endpoint_costs_a_repeatable_request_little(self):
+        # The endpoint loses its power with the request on a connection. The
+        # caller has an answer from another one long before its deadline.
+        shared = [keep_silent, answer(b"ran")]
+        endpoints = [Endpoint(keep_silent), Endpoint(keep_silent)]
+        entry = await self.open(*endpoints, attempts=2)
+        entry.fleet._run_seconds_by_service["model"] = 0.03
+        for endpoint in endpoints:
+            endpoint.behaviours = shared
+        began = time.monotonic()
+        status, _, body = await entry.call()
+        self.assertEqual((200, b"ran"), (status, body))
+        self.assertLess(time.monotonic() - began, 1.0)
+
+    async def test_unrepeatable_request_waits_for_its_endpoint(self):
+        entry = await self.open(
+            Endpoint(keep_silent), Endpoint(answer()), idempotent=False
+        )
+        entry.fleet._run_seconds_by_service["model"] = 0.03
+        codes = set()
+        for _ in range(6):
+            codes.add((await entry.call(b"X-Deadline-Ms: 700"))[0])
+        self.assertLessEqual(codes, {200, 504})
+
     async def test_nowhere_to_go_is_said_at_once(self):
         entry = await self.open()
         began = time.monotonic()
@@ -242,6 +276,25 @@
         self.assertEqual(event(1) + event(2), data)
         self.assertEqual(1, sum(len(e.seen) for e in endpoints))
 
+    async def test_stream_that_stalls_goes_on_elsewhere(self):
+        # The endpoint sends two events and then nothing, its connection
+        # stays open. Callers leave after some seconds; before that another
+        # endpoint has gone on.
+        async def stall(writer, request_id):
+            await events(1, 2, end=False, rest=b"")(_Open(writer), request_id)
+            await asyncio.sleep(60)
+
+        shared = [stall, events(3, 4)]
+        endpoints = [Endpoint(stall), Endpoint(stall)]
+        entry = await self.open(*endpoints, **self.ROUTE)
+        for endpoint in endpoints:
+            endpoint.behaviours = shared
+        began = time.monotonic()
+        status, _, data, whole = await self.call(entry)
+        self.assertEqual((200, True), (status, whole))
+        self.assertEqual(b"".join(event(n) for n in range(1, 5)), data)
+        self.assertLess(time.monotonic() - began, 2.5)
+
     async def test_loss_before_the_first_event_costs_no_answer(self):
         # The head has come and the endpoint crashes: nothing has been
         # passed on yet, so another one gives the whole answer.
