Guess the length of outputs by what callers say

Cause: the header's most is the same for all outputs of a route, 1,116 tokens where 360 are usual, so every plan looked at risk at the usual load. The caller's hint, right in the middle of its errors, is used instead, and a long output only goes abroad if it would take most of its time here.

--- a/burdockdrum/passthrough/fleet.py
+++ b/burdockdrum/passthrough/fleet.py
@@ -123,12 +123,14 @@
         backend: Backend,
         prompt: Prompt,
         rank: int,
+        seconds_left: float,
         tried: frozenset[str],
         closed_data_centres: frozenset[str],
     ) -> Choice | None:
         """Return the endpoint that should answer first, None if none may.
 
         :param rank: how urgent it is; 0 is the most urgent
+        :param seconds_left: until the caller's deadline
         :param tried: ids of endpoints that are not to be chosen again
         :param closed_data_centres: whose endpoints get no new work
         """
@@ -143,7 +145,9 @@
             return None
         beginning = self._find_beginning(backend, prompt, candidates)
         choices = [
-            self._rate(endpoint, backend, prompt, rank, beginning)
+            self._rate(
+                endpoint, backend, prompt, rank, seconds_left, beginning
+            )
             for endpoint in candidates
         ]
         best = min(choice.wait.total for choice in choices)
@@ -300,6 +304,7 @@
         backend: Backend,
         prompt: Prompt,
         rank: int,
+        seconds_left: float,
         beginning: "_Beginning",
     ) -> Choice:
         track = self._track(endpoint)
@@ -320,7 +325,7 @@
         own = reading_seconds(prompt, unread) + fetch_seconds(backend, fetched)
         penalty = self._penalty(endpoint, beginning)
         if backend.engine is not None:
-            penalty += writing_risk(prompt, load)
+            penalty += writing_risk(prompt, load, seconds_left)
         wait = Wait(queue=queue, own=own, penalty=penalty)
         return Choice(
             endpoint=endpoint,
--- a/burdockdrum/passthrough/model.py
+++ b/burdockdrum/passthrough/model.py
@@ -56,6 +56,7 @@
     tried_regions: set[str] = field(default_factory=set)
     last_reason: str = ""
     first_part_at: float | None = None
+    last_event: int | None = None
     failure: "Answered | None" = None
 
 
--- a/burdockdrum/passthrough/placing.py
+++ b/burdockdrum/passthrough/placing.py
@@ -117,6 +117,7 @@
             backend=request.backend,
             prompt=request.prompt,
             rank=request.route.rank,
+            seconds_left=request.deadline - self._clock.monotonic(),
             tried=frozenset(progress.tried),
             closed_data_centres=self._read_closed(),
         )
@@ -182,7 +183,8 @@
         )
         prompt = request.prompt
         own = reading_seconds(prompt, prompt.tokens) + HOP_SECONDS
-        risk = writing_risk(prompt, load)
+        left = request.deadline - self._clock.monotonic()
+        risk = writing_risk(prompt, load, left)
         return Wait(queue=queue, own=own, penalty=risk)
 
     def _choose_entry(
--- a/burdockdrum/passthrough/prompts.py
+++ b/burdockdrum/passthrough/prompts.py
@@ -19,13 +19,21 @@
     """The size of a prompt and its parts in order.
 
     The last part belongs to the request or its session; those before it are
-    shared.
+    shared. ``hinted_output`` is the caller's guess of what is generated.
     """
 
     tokens: int = 0
     max_output: int = 0
+    hinted_output: int | None = None
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def expected_output(self) -> int:
+        """Return how many tokens are expected to be generated."""
+        if self.hinted_output is None:
+            return self.max_output
+        return min(self.hinted_output, self.max_output)
+
     @property
     def shared_tokens(self) -> int:
         """Return the tokens of the parts that others may share."""
@@ -37,14 +45,19 @@
         return self.parts[-2].part_id if len(self.parts) > 1 else None
 
 
-def parse_prompt(counts: bytes | None, parts: bytes | None) -> Prompt:
+def parse_prompt(
+    counts: bytes | None, parts: bytes | None, hint: bytes | None = None
+) -> Prompt:
     """Read the headers of a prompt; what is malformed counts as absent.
 
     They only help to place a request: the endpoint reads them for itself.
     """
     tokens, max_output = _parse_counts(counts)
     return Prompt(
-        tokens=tokens, max_output=max_output, parts=_parse_parts(parts)
+        tokens=tokens,
+        max_output=max_output,
+        hinted_output=int(hint) if hint and hint.isdigit() else None,
+        parts=_parse_parts(parts),
     )
 
 
--- a/burdockdrum/passthrough/reading.py
+++ b/burdockdrum/passthrough/reading.py
@@ -91,7 +91,9 @@
             route=route,
             backend=index.backends_by_name[service],
             prompt=parse_prompt(
-                head.find(names.token_counts), head.find(names.prompt_parts)
+                head.find(names.token_counts),
+                head.find(names.prompt_parts),
+                head.find(names.length_hint),
             ),
             received_at=head.received_at,
             deadline=head.received_at + left,
--- a/burdockdrum/passthrough/relay.py
+++ b/burdockdrum/passthrough/relay.py
@@ -145,6 +145,7 @@
             outcome = await self._attempts.make(
                 place, request, progress, exchange, cutter
             )
+            progress.last_event = cutter.last_number
             self._note(place, request, progress, outcome)
             if isinstance(outcome, Delivered):
                 return
@@ -315,6 +316,8 @@
             expected_wait=round(expected, 4),
             prompt_tokens=request.prompt.tokens,
             unread_tokens=unread,
+            expected_output=request.prompt.expected_output,
+            last_event=progress.last_event,
             outcome=type(outcome).__name__,
             reason=getattr(outcome, "reason", None),
             first_seconds=None if first is None else round(first, 4),
--- a/burdockdrum/passthrough/vocabulary.py
+++ b/burdockdrum/passthrough/vocabulary.py
@@ -17,8 +17,9 @@
     refuse, with status 421. ``not_run`` is an endpoint's promise that it
     did not run a request. ``last_event`` is the number of the last event
     that the caller has. ``token_counts`` are the prompt's tokens and the
-    most to generate; ``prompt_parts`` names the prompt's parts in order,
-    as ``ID:TOKENS``. ``urgency`` is 0 for what an engine admits first.
+    most to generate; ``length_hint`` is the caller's guess of what will
+    be. ``prompt_parts`` names the prompt's parts in order, as
+    ``ID:TOKENS``. ``urgency`` is 0 for what an engine admits first.
     ``fetch_from`` names the address of an endpoint that holds a beginning
     of the prompt. ``system_only`` are dropped where a caller sends them.
     """
@@ -30,6 +31,7 @@
     not_run: bytes = b"x-not-started"
     last_event: bytes = b"last-event-id"
     token_counts: bytes = b"x-tokens"
+    length_hint: bytes = b"x-length-hint"
     prompt_parts: bytes = b"x-prompt-parts"
     urgency: bytes = b"x-urgency"
     fetch_from: bytes = b"x-fetch-from"
--- a/burdockdrum/passthrough/waiting.py
+++ b/burdockdrum/passthrough/waiting.py
@@ -17,25 +17,37 @@
 # What was sent to an endpoint counts as recent for so long. It is as long as
 # most outputs take: over it the share of reading steps hardly changes.
 RECENT_SECONDS = 2.0
-# From this part of its time on that an endpoint reads prompts, outputs are
-# at risk. Below it, on the usual days, nothing is sent to another region for
-# it: that cost more in bytes than it saved (0.06 of the score).
-RISKY_PART = 0.85
-# Shorter outputs end in time all the same.
-LONG_OUTPUT_TOKENS = 100
-
-
-def writing_risk(prompt: Prompt, load: Load) -> float:
+# A step that generates a token for each running request; one that also
+# reads a part of a prompt, as an engine does while any waits to be read.
+STEP_SECONDS = 0.0035
+READING_STEP_SECONDS = 0.024
+# Which part of its time an output may take without being at risk: others
+# come while it is written, and its length is a guess.
+SAFE_WRITING_PART = 0.6
+# What a second beyond that counts against a second until the first part.
+# The longest outputs are worth most, and a hop costs them least; at the
+# usual load a few in a hundred are sent to another region for it.
+RISK_WEIGHT = 0.3
+
+
+def writing_seconds(prompt: Prompt, load: Load) -> float:
+    """Return how long the output of a prompt is expected to take."""
+    busy = min(1.0, load.recent_seconds / RECENT_SECONDS)
+    step = STEP_SECONDS + busy * READING_STEP_SECONDS
+    return prompt.expected_output * step
+
+
+def writing_risk(prompt: Prompt, load: Load, seconds_left: float) -> float:
     """Return what an endpoint is worse by for an output that may be late.
 
     Failure: a region's endpoints read prompts without a pause. Symptom: each
-    token takes eight times as long, 27 ms and not 3.5, and long outputs run
-    into their deadline, though the first part came in time. One second is
-    counted for twice as much to read as can be.
+    token takes up to eight times as long, 27 ms and not 3.5, and long
+    outputs run into their deadline, though the first part came in time.
+
+    :param seconds_left: until the caller's deadline
     """
-    if prompt.max_output < LONG_OUTPUT_TOKENS:
-        return 0.0
-    return max(0.0, load.recent_seconds / RECENT_SECONDS - RISKY_PART)
+    safe = seconds_left * SAFE_WRITING_PART
+    return max(0.0, writing_seconds(prompt, load) - safe) * RISK_WEIGHT
 
 
 def reading_seconds(prompt: Prompt, unread_tokens: int) -> float:
--- a/tests/passthrough/fakes.py
+++ b/tests/passthrough/fakes.py
@@ -103,6 +103,7 @@
             backend=backend,
             prompt=prompt,
             rank=rank,
+            seconds_left=10.0,
             tried=frozenset(tried),
             closed_data_centres=frozenset(closed),
         )
