--- a/scripts/local_deployment.py
+++ b/scripts/local_deployment.py
@@ -21,6 +21,7 @@
 DIRECTORY_PORT = 18143
 INNER_PORTS = (17660, 17675)
 STOP_SECONDS = 10
+NETWORKS = 250
 
 
 class Machine:
@@ -136,8 +137,10 @@
         self._temporary = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self._temporary.name)
         self.zones = zones
+        # Runs beside each other keep apart by their loopback networks.
+        network = f"127.{1 + os.getpid() % NETWORKS}"
         self.seeds = [
-            f"127.0.{n + 1}.1:{CONTROL_PORT}" for n in range(len(zones))
+            f"{network}.{n + 1}.1:{CONTROL_PORT}" for n in range(len(zones))
         ]
         self.control: list[Machine] = []
         self.entries: list[Machine] = []
@@ -145,7 +148,7 @@
             self.control.append(
                 Machine(
                     name=f"control-{zone}",
-                    ip=f"127.0.{number + 1}.1",
+                    ip=f"{network}.{number + 1}.1",
                     zone=zone,
                     is_control=True,
                     deployment=self,
@@ -155,7 +158,7 @@
                 self.entries.append(
                     Machine(
                         name=f"entry-{zone}-{count}",
-                        ip=f"127.0.{number + 1}.{10 + count}",
+                        ip=f"{network}.{number + 1}.{10 + count}",
                         zone=zone,
                         is_control=False,
                         deployment=self,
--- /dev/null
+++ b/scripts/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real processes with faults from outside them."""
--- /dev/null
+++ b/scripts/soak/__main__.py
@@ -0,0 +1,55 @@
+"""Soak a deployment of real processes under random faults.
+
+Usage:
+  soak [--seed N] [--seeds N] [--seconds S] [--keep FOLDER]
+
+Options:
+  --seed N       The first seed [default: 1].
+  --seeds N      How many seeds to run [default: 1].
+  --seconds S    How long faults come, for each seed [default: 20].
+  --keep FOLDER  Keep the logs of seeds that failed there.
+
+Three control VMs and three entries run as processes on loopback addresses.
+Signals, restarts, emptied disks, proxies before the endpoints and changes of
+the configuration come at random and overlap. Checked all the while: nothing
+that must run once runs twice, what was refused as not run has not run, every
+answer belongs to its request, what was acknowledged is never read back
+older. Afterwards everything must serve again.
+"""
+
+import asyncio
+import pathlib
+import shutil
+import sys
+
+from docopt import docopt
+
+from scripts.soak.scene import run_seed
+
+
+def main() -> int:
+    """Run seeds one after the other.
+
+    :returns: 1 if a promise was broken
+    """
+    arguments = docopt(__doc__)
+    first = int(arguments["--seed"])
+    failed = 0
+    for seed in range(first, first + int(arguments["--seeds"])):
+        logs = pathlib.Path(arguments["--keep"] or "") / f"seed-{seed}"
+        result = asyncio.run(
+            run_seed(
+                seed,
+                seconds=float(arguments["--seconds"]),
+                logs=logs if arguments["--keep"] else None,
+            )
+        )
+        if not result.broken and arguments["--keep"]:
+            shutil.rmtree(logs, ignore_errors=True)
+        failed += bool(result.broken)
+        print(result.show(), flush=True)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
