--- a/burdockdrum/vms/directory.py
+++ b/burdockdrum/vms/directory.py
@@ -9,11 +9,11 @@
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
 from burdockdrum.timeline import Timeline
-from burdockdrum.vms.group import Member
 from burdockdrum.vms.group import VmGroup
-from burdockdrum.vms.group import VmState
 from burdockdrum.vms.joining import Joining
 from burdockdrum.vms.liveness import Health
+from burdockdrum.vms.members import Member
+from burdockdrum.vms.members import VmState
 from burdockdrum.vms.messages import DataCentreSummary
 from burdockdrum.vms.messages import EntryAddress
 from burdockdrum.vms.messages import ServiceSummary
--- a/burdockdrum/vms/group.py
+++ b/burdockdrum/vms/group.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 import random
 import zlib
 
@@ -24,6 +23,8 @@
 from burdockdrum.vms.liveness import Heartbeat
 from burdockdrum.vms.liveness import Limits
 from burdockdrum.vms.liveness import STALL_SECONDS
+from burdockdrum.vms.members import Member
+from burdockdrum.vms.members import VmState
 from burdockdrum.vms.messages import Ask
 from burdockdrum.vms.messages import Changes
 from burdockdrum.vms.messages import Record
@@ -47,26 +48,6 @@
 SyncHandler = Callable[[str], None]
 
 
-class VmState(msgspec.Struct, frozen=True, array_like=True):
-    """What a VM publishes of itself beside its identity."""
-
-    draining: bool
-    revision: int
-    in_flight: int
-
-
-@dataclass(kw_only=True)
-class Member:
-    """Another VM of this data centre; ``state`` is None until heard."""
-
-    identity: VmIdentity
-    publication: Publication
-    heartbeat: Heartbeat
-    state: VmState | None = None
-    health: Health = Health.ALIVE
-    asked_at: float = float("-inf")
-
-
 class VmGroup:
     """Publish this VM's records and follow those of the others."""
 
--- a/scripts/bench/configuration.py
+++ b/scripts/bench/configuration.py
@@ -17,7 +17,6 @@
 from collections.abc import Coroutine
 from collections.abc import Iterator
 import contextlib
-from dataclasses import dataclass
 import functools
 import random
 import sys
@@ -51,6 +50,7 @@
 from burdockdrum.testing import VirtualClock
 from burdockdrum.timeline import HybridClock
 from burdockdrum.timeline import Timeline
+from scripts.bench.fixed_directory import FixedDirectory
 
 REGION_DELAY = 0.055
 LOCAL_DELAY = 0.001
@@ -67,38 +67,6 @@
 ENTRIES = 3
 
 
-@dataclass(frozen=True, kw_only=True)
-class View:
-    """A VM as the directory shows it."""
-
-    identity: VmIdentity
-
-
-class FixedDirectory:
-    """A directory in which all VMs live: it sends nothing itself."""
-
-    draining = False
-
-    def __init__(self, identities: list[VmIdentity]) -> None:
-        self._views = [View(identity=identity) for identity in identities]
-        self._by_data_centre: dict[str, list[View]] = {}
-        for view in self._views:
-            name = view.identity.data_centre
-            self._by_data_centre.setdefault(name, []).append(view)
-
-    def live_vms(self) -> list[View]:
-        """Return all."""
-        return self._views
-
-    def vms_in(self, data_centre: str) -> list[View]:
-        """Return those of a data centre."""
-        return self._by_data_centre[data_centre]
-
-    def relay_of(self, data_centre: str) -> View:
-        """Return the last, which is no control VM where there are two."""
-        return self._by_data_centre[data_centre][-1]
-
-
 class Vm:
     """The services of one VM that have to do with configuration."""
 
