--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -7,6 +7,7 @@
 from burdockdrum.http1 import encode_request
 from burdockdrum.http1 import NotConnected
 from burdockdrum.http1 import ResponseLost
+from tests.http1.wire import header
 from tests.http1.wire import read_request
 from tests.http1.wire import ScriptedServer
 
@@ -135,6 +136,38 @@
         await self.call(address)
         self.assertEqual(2, self.server.connections)
 
+    async def test_answer_before_the_body_is_out_spoils_nothing(self):
+        # The endpoint answers a long request before it has read it, keeps
+        # the connection and reads on later. It must find the rest of that
+        # body there, and the next request behind it.
+        seen = []
+
+        async def script(reader, writer):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                writer.write(OURS)
+                await asyncio.sleep(0.05)
+                length = int(header(head, b"content-length"))
+                seen.append(await reader.readexactly(length))
+
+        server = ScriptedServer(script)
+        address = await server.open()
+        self.addAsyncCleanup(server.close)
+        self.pool = ConnectionPool(id_header=b"x-id")
+        bodies = [b"a" * 3_000_000, b"b" * 10, b"c" * 3_000_000]
+        for body in bodies:
+            connection = await self.pool.take(address, timeout=1)
+            length = (b"content-length", b"%d" % len(body))
+            head = encode_request(b"POST", b"/", [(b"host", b"x"), length])
+            connection.send(head + body, b"1")
+            self.assertEqual(200, (await connection.read_head()).status)
+            while await connection.read_part() is not None:
+                pass
+            self.pool.give_back(address, connection)
+        await asyncio.sleep(0.4)
+        self.assertEqual(bodies, seen)
+        self.assertEqual(1, server.connections)
+
     async def test_closed_port_is_no_connection(self):
         address = await self.serve(OURS)
         await self.server.close()
