Forget an endpoint whose address another start has taken

Cause, seen in the last read: what an endpoint answered with 421 only passed over it for this request; each later one went there again and cost a retry of all entries' budget. The method that forgets it was there, unused.

--- a/burdockdrum/passthrough/attempts.py
+++ b/burdockdrum/passthrough/attempts.py
@@ -125,6 +125,8 @@
             whole = isinstance(outcome, Delivered)
             self._fleet.end(placement, whole=whole)
             self._judge(self._fleet.health_of(endpoint), outcome)
+            if isinstance(outcome, NotStarted) and outcome.replaced:
+                self._fleet.drop(endpoint)
 
     async def _through_region(
         self,
--- a/burdockdrum/passthrough/fleet.py
+++ b/burdockdrum/passthrough/fleet.py
@@ -101,11 +101,13 @@
         rng: random.Random,
         read_endpoints: Callable[[], dict[str, RegisteredEndpoint]],
         read_load: Callable[[str], Load],
+        drop_endpoint: Callable[[str], None] = lambda endpoint_id: None,
     ) -> None:
         """Create a fleet.
 
         :param read_endpoints: returns the registered endpoints by id
         :param read_load: returns what other entries have at an endpoint
+        :param drop_endpoint: forgets an endpoint, by its id
         """
         self.entries = 1
         self.warmth = Warmth()
@@ -113,6 +115,7 @@
         self._rng = rng
         self._read_endpoints = read_endpoints
         self._read_load = read_load
+        self._drop_endpoint = drop_endpoint
         self._tracks_by_id: dict[str, _Track] = {}
         self._run_seconds_by_service: dict[str, float] = {}
         self._cold_gate = ColdGate(clock=clock, rng=rng)
@@ -222,6 +225,14 @@
             if whole:
                 track.silent_since = now
 
+    def drop(self, endpoint: RegisteredEndpoint) -> None:
+        """Forget a start of an endpoint that another has taken the place of.
+
+        Its own end may never be told; each request sent to it is refused,
+        and counts as one more that was sent.
+        """
+        self._drop_endpoint(endpoint.endpoint_id)
+
     def health_of(self, endpoint: RegisteredEndpoint) -> EndpointHealth:
         """Return what became of the requests at an endpoint."""
         track = self._tracks_by_id.get(endpoint.endpoint_id)
--- a/burdockdrum/passthrough/model.py
+++ b/burdockdrum/passthrough/model.py
@@ -101,10 +101,14 @@
 
 @dataclass(frozen=True, kw_only=True)
 class NotStarted:
-    """The attempt did not run; ``reached`` says whether it arrived."""
+    """The attempt did not run; ``reached`` says whether it arrived.
+
+    ``replaced`` says that another start has the endpoint's address.
+    """
 
     reason: str
     reached: bool
+    replaced: bool = False
     retry_after: float | None = None
 
 
--- a/burdockdrum/passthrough/responses.py
+++ b/burdockdrum/passthrough/responses.py
@@ -40,7 +40,9 @@
         if verdict is not None:
             return _read_verdict(head, verdict)
         if head.status == ANOTHER_ENDPOINT:
-            return NotStarted(reason="another endpoint answered", reached=True)
+            return NotStarted(
+                reason="another endpoint answered", reached=True, replaced=True
+            )
         if head.find(self._names.not_run) is not None:
             return NotStarted(
                 reason=f"the endpoint refused with {head.status}",
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -62,6 +62,7 @@
         rng=kernel.find("random", random.Random),
         read_endpoints=lambda: registrations.endpoints_by_id,
         read_load=sharing.load_of,
+        drop_endpoint=registrations.drop,
     )
     registrations.read_load = sharing.read_load = fleet.read_own_load
     sharing.take_placed = fleet.warmth.take_placed
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -173,6 +173,7 @@
             rng=rng,
             read_endpoints=lambda: registered,
             read_load=lambda name: Load(),
+            drop_endpoint=registered.pop,
         )
         pools = [ConnectionPool(id_header=NAMES.request_id) for _ in "ab"]
         responses = ResponseReader(names=NAMES)
--- a/tests/passthrough/test_relay.py
+++ b/tests/passthrough/test_relay.py
@@ -105,6 +105,16 @@
             status, _, body = await entry.call(method=b"POST", body=b"x")
             self.assertEqual((200, b"ran"), (status, body))
 
+    async def test_replaced_endpoint_is_asked_once(self):
+        # An endpoint crashed without a word and another start, of another
+        # service perhaps, has its address and says so. Each further request
+        # there would only cost one of the retries.
+        replaced = Endpoint(answer(b"", b"421 Misdirected", stamp=False))
+        entry = await self.open(replaced, Endpoint(answer(b"ran")))
+        for _ in range(8):
+            self.assertEqual(200, (await entry.call())[0])
+        self.assertLessEqual(len(replaced.seen), 1)
+
     async def test_refusal_by_all_is_passed_on_as_not_run(self):
         full = answer(b"", b"503 Full", NOT_RUN)
         entry = await self.open(Endpoint(full), idempotent=False)
