--- a/burdockdrum/daemon/assembly.py
+++ b/burdockdrum/daemon/assembly.py
@@ -11,9 +11,9 @@
 import burdockdrum.claims
 import burdockdrum.configuration
 import burdockdrum.endpoints
+from burdockdrum.gateway.base import make_kernel
 from burdockdrum.kernel import Kernel
 import burdockdrum.leases
-from burdockdrum.metrics import Metrics
 import burdockdrum.orders
 import burdockdrum.peers
 from burdockdrum.peers import VmIdentity
@@ -25,8 +25,6 @@
 import burdockdrum.requests
 import burdockdrum.routing
 from burdockdrum.settings import Settings
-from burdockdrum.timeline import HybridClock
-from burdockdrum.timeline import Timeline
 import burdockdrum.vms
 import burdockdrum.web
 
@@ -62,26 +60,15 @@
 
     :param disk: the data folder, on a control VM only
     """
-    kernel = Kernel()
-    kernel.provide("settings", settings)
-    kernel.provide("identity", identity)
-    kernel.provide("mailbox", mailbox)
-    kernel.provide("random", rng)
-    kernel.provide("clock", clock)
+    kernel = make_kernel(
+        settings=settings,
+        identity=identity,
+        mailbox=mailbox,
+        clock=clock,
+        rng=rng,
+        disk=disk,
+    )
     kernel.provide("http", http)
-    kernel.provide("metrics", Metrics())
-    if disk is not None:
-        kernel.provide("disk", disk)
-    kernel.add("timeline", _build_timeline)
     for package in _PACKAGES:
         package.add_services(kernel)
     return kernel
-
-
-def _build_timeline(kernel: Kernel) -> Timeline:
-    identity = kernel.find("identity", VmIdentity)
-    return Timeline(
-        process=identity.vm_id,
-        incarnation=identity.incarnation,
-        clock=HybridClock(clock=kernel.find("clock", Clock)),
-    )
--- a/burdockdrum/gateway/assembly.py
+++ b/burdockdrum/gateway/assembly.py
@@ -4,9 +4,9 @@
 
 import burdockdrum.configuration
 import burdockdrum.endpoints
+from burdockdrum.gateway.base import make_kernel
 from burdockdrum.kernel import Kernel
 from burdockdrum.logs import log_decision
-from burdockdrum.metrics import Metrics
 import burdockdrum.passthrough
 import burdockdrum.peers
 from burdockdrum.peers import VmIdentity
@@ -16,8 +16,6 @@
 import burdockdrum.registrations
 from burdockdrum.settings import Settings
 from burdockdrum.timeline import Event
-from burdockdrum.timeline import HybridClock
-from burdockdrum.timeline import Timeline
 import burdockdrum.vms
 
 _PACKAGES = (
@@ -43,31 +41,20 @@
     disk: Disk | None = None,
 ) -> Kernel:
     """Return a kernel: a control VM's with a disk, else an entry's."""
-    kernel = Kernel()
-    kernel.provide("settings", settings)
-    kernel.provide("identity", identity)
-    kernel.provide("mailbox", mailbox)
-    kernel.provide("random", rng)
-    kernel.provide("clock", clock)
-    kernel.provide("metrics", Metrics())
-    if disk is not None:
-        kernel.provide("disk", disk)
-    kernel.add("timeline", _build_timeline)
+    kernel = make_kernel(
+        settings=settings,
+        identity=identity,
+        mailbox=mailbox,
+        clock=clock,
+        rng=rng,
+        disk=disk,
+        sink=_log_event,
+    )
     for package in _PACKAGES:
         package.add_services(kernel)
     return kernel
 
 
-def _build_timeline(kernel: Kernel) -> Timeline:
-    identity = kernel.find("identity", VmIdentity)
-    return Timeline(
-        process=identity.vm_id,
-        incarnation=identity.incarnation,
-        clock=HybridClock(clock=kernel.find("clock", Clock)),
-        sink=_log_event,
-    )
-
-
 def _log_event(event: Event) -> None:
     log_decision(
         event.name,
--- a/burdockdrum/http1/__init__.py
+++ b/burdockdrum/http1/__init__.py
@@ -17,8 +17,8 @@
 from burdockdrum.http1.listener import Handler
 from burdockdrum.http1.listener import Limits
 from burdockdrum.http1.listener import Listener
+from burdockdrum.http1.requests import RequestHead
 from burdockdrum.http1.server import Exchange
-from burdockdrum.http1.server import RequestHead
 
 __all__ = [
     "ClientConnection",
--- a/burdockdrum/http1/server.py
+++ b/burdockdrum/http1/server.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-from dataclasses import dataclass
 import time
 from typing import cast
 from typing import Protocol
@@ -14,6 +13,8 @@
 from burdockdrum.http1.heads import encode_response
 from burdockdrum.http1.heads import find_header
 from burdockdrum.http1.heads import Headers
+from burdockdrum.http1.requests import Fault
+from burdockdrum.http1.requests import RequestHead
 from burdockdrum.http1.sockets import watch_peer
 
 MAX_WAITING_REQUESTS = 2
@@ -22,45 +23,6 @@
 _LAST_CHUNK = b"0\r\n\r\n"
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RequestHead:
-    """A request whose whole body has arrived.
-
-    ``received_at`` is when its first byte did, on the monotonic clock.
-    """
-
-    method: bytes
-    target: bytes
-    headers: Headers
-    body: bytes
-    keep_alive: bool
-    received_at: float
-
-    def find(self, name: bytes) -> bytes | None:
-        """Return the first value of a header; the name is in lower case."""
-        return find_header(self.headers, name)
-
-    @property
-    def path(self) -> bytes:
-        """Return the target without its query."""
-        return self.target.partition(b"?")[0]
-
-    @property
-    def host(self) -> str:
-        """Return the name of the host without its port, in lower case."""
-        value = (self.find(b"host") or b"").decode("latin-1").lower()
-        name, colon, port = value.rpartition(":")
-        return name if colon and port.isdigit() else value
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _Fault:
-    """A request that can't be read, and the status that says so."""
-
-    status: int
-    reason: str
-
-
 class ListenerFace(Protocol):
     """What a connection asks of its listener."""
 
@@ -164,7 +126,7 @@
         self._handle = handle
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
-        self._waiting: list[RequestHead | _Fault] = []
+        self._waiting: list[RequestHead | Fault] = []
         self._arrived = asyncio.Event()
         self._writable = asyncio.Event()
         self._writable.set()
@@ -318,7 +280,7 @@
     def _take_fault(self, status: int, reason: str) -> None:
         if not self._faulty:
             self._faulty = True
-            self._waiting.append(_Fault(status=status, reason=reason))
+            self._waiting.append(Fault(status=status, reason=reason))
             self._arrived.set()
 
     async def _run(self) -> None:
@@ -329,7 +291,7 @@
             received = self._waiting.pop(0)
             self._busy = True
             self._disarm()
-            if isinstance(received, _Fault):
+            if isinstance(received, Fault):
                 self._refuse(received)
                 return
             await self._serve(received)
@@ -364,7 +326,7 @@
         )
         self._arm(seconds)
 
-    def _refuse(self, fault: _Fault) -> None:
+    def _refuse(self, fault: Fault) -> None:
         body = fault.reason.encode()
         headers = [
             (b"connection", b"close"),
--- a/burdockdrum/passthrough/attempts.py
+++ b/burdockdrum/passthrough/attempts.py
@@ -11,7 +11,6 @@
 from burdockdrum.passthrough.events import BrokenEvents
 from burdockdrum.passthrough.events import EventCutter
 from burdockdrum.passthrough.fleet import Fleet
-from burdockdrum.passthrough.fleet import Placement
 from burdockdrum.passthrough.health import EndpointHealth
 from burdockdrum.passthrough.model import Answered
 from burdockdrum.passthrough.model import Delivered
@@ -30,6 +29,7 @@
 from burdockdrum.passthrough.responses import read_runs
 from burdockdrum.passthrough.responses import read_small
 from burdockdrum.passthrough.responses import ResponseReader
+from burdockdrum.passthrough.tracks import Placement
 from burdockdrum.ports import Clock
 
 # Within a region a connection opens in a few milliseconds; a packet that
--- a/burdockdrum/passthrough/fleet.py
+++ b/burdockdrum/passthrough/fleet.py
@@ -1,20 +1,21 @@
 """Choose an endpoint of this region for a request."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
-import math
 import random
 
+from burdockdrum.passthrough.beginnings import Beginning
+from burdockdrum.passthrough.beginnings import fetch_seconds
+from burdockdrum.passthrough.beginnings import MIN_FETCH_TOKENS
 from burdockdrum.passthrough.health import EndpointHealth
 from burdockdrum.passthrough.limits import ColdGate
 from burdockdrum.passthrough.prompts import Prompt
+from burdockdrum.passthrough.tracks import Choice
+from burdockdrum.passthrough.tracks import Placement
+from burdockdrum.passthrough.tracks import Track
 from burdockdrum.passthrough.waiting import estimate_queue
 from burdockdrum.passthrough.waiting import reading_seconds
-from burdockdrum.passthrough.waiting import RECENT_SECONDS
 from burdockdrum.passthrough.waiting import Wait
 from burdockdrum.passthrough.waiting import writing_risk
-from burdockdrum.passthrough.warmth import Holder
 from burdockdrum.passthrough.warmth import home_of
 from burdockdrum.passthrough.warmth import Warmth
 from burdockdrum.ports import Clock
@@ -35,10 +36,6 @@
 MUTE_RUNS = 8
 MIN_MUTE_SECONDS = 0.4
 MAX_MUTE_SECONDS = 1.5
-# A shorter beginning is read in less time than fetching it takes to set up.
-MIN_FETCH_TOKENS = 200
-_BITS_A_BYTE = 8
-_BITS_A_MEGABIT = 1_000_000
 # Estimates that differ by less are as good as the same.
 TIE_SECONDS = 0.002
 # A silent endpoint is tried where no other one is as good by far.
@@ -47,50 +44,6 @@
 SET_ASIDE_PENALTY_SECONDS = 1.0
 
 
-@dataclass(kw_only=True)
-class _Track:
-    """What this entry knows of an endpoint beside its registration."""
-
-    health: EndpointHealth = field(default_factory=EndpointHealth)
-    load: Load = field(default_factory=Load)
-    recent_at: float = 0.0
-    silent_since: float = 0.0
-
-    def add_recent(self, now: float, seconds: float) -> None:
-        """Count reading that is sent now; what was sent before fades."""
-        faded = math.exp((self.recent_at - now) / RECENT_SECONDS)
-        self.load.recent_seconds = self.load.recent_seconds * faded + seconds
-        self.recent_at = now
-
-
-@dataclass(frozen=True, kw_only=True)
-class Choice:
-    """An endpoint, and when its first output is to be expected.
-
-    ``fetch_from`` is the address of one that holds what it lacks.
-    """
-
-    endpoint: RegisteredEndpoint
-    wait: Wait
-    unread_tokens: int
-    fetch_from: str | None = None
-
-
-@dataclass(kw_only=True)
-class Placement:
-    """A request under way at an endpoint.
-
-    ``reading_seconds`` is what its prompt is expected to take;
-    ``read_at`` is when its first output came, on the monotonic clock.
-    """
-
-    endpoint: RegisteredEndpoint
-    rank: int
-    reading_seconds: float
-    began_at: float
-    read_at: float | None = None
-
-
 class Fleet:
     """The endpoints of this region, and what this entry has there."""
 
@@ -116,7 +69,7 @@
         self._read_endpoints = read_endpoints
         self._read_load = read_load
         self._drop_endpoint = drop_endpoint
-        self._tracks_by_id: dict[str, _Track] = {}
+        self._tracks_by_id: dict[str, Track] = {}
         self._run_seconds_by_service: dict[str, float] = {}
         self._cold_gate = ColdGate(clock=clock, rng=rng)
 
@@ -298,7 +251,7 @@
         backend: Backend,
         prompt: Prompt,
         candidates: list[RegisteredEndpoint],
-    ) -> "_Beginning":
+    ) -> Beginning:
         """Find who holds the beginning of a prompt, or should read it."""
         by_id = {
             endpoint.endpoint_id: endpoint
@@ -310,7 +263,7 @@
         home = None
         if holder is None and prompt.shared_tokens >= MIN_FETCH_TOKENS:
             home = home_of(prompt, [e.endpoint_id for e in candidates])
-        return _Beginning(
+        return Beginning(
             holder=holder,
             holder_address=by_id[holder.endpoint_id].address if holder else "",
             home_id=home,
@@ -323,7 +276,7 @@
         prompt: Prompt,
         rank: int,
         seconds_left: float,
-        beginning: "_Beginning",
+        beginning: Beginning,
     ) -> Choice:
         track = self._track(endpoint)
         track.add_recent(self._clock.monotonic(), 0.0)
@@ -353,7 +306,7 @@
         )
 
     def _penalty(
-        self, endpoint: RegisteredEndpoint, beginning: "_Beginning"
+        self, endpoint: RegisteredEndpoint, beginning: Beginning
     ) -> float:
         penalty = 0.0
         if endpoint.silent:
@@ -366,7 +319,7 @@
             penalty += HOME_SECONDS
         return penalty
 
-    def _is_mute(self, track: _Track, endpoint: RegisteredEndpoint) -> bool:
+    def _is_mute(self, track: Track, endpoint: RegisteredEndpoint) -> bool:
         """Say whether an endpoint has work and gives nothing.
 
         Failure: an endpoint loses its power, or hangs. Symptom: its open
@@ -383,30 +336,5 @@
         usual = self.run_seconds(service) * MUTE_RUNS
         return min(MAX_MUTE_SECONDS, max(MIN_MUTE_SECONDS, usual))
 
-    def _track(self, endpoint: RegisteredEndpoint) -> _Track:
-        return self._tracks_by_id.setdefault(endpoint.endpoint_id, _Track())
-
-
-@dataclass(frozen=True, kw_only=True)
-class _Beginning:
-    """Who holds the beginning of a prompt, or else should read it."""
-
-    holder: Holder | None
-    holder_address: str
-    home_id: str | None
-
-    def fetchable(self, endpoint_id: str, held_tokens: int) -> int:
-        """Return the tokens that an endpoint lacks and another one holds."""
-        if self.holder is None or self.holder.endpoint_id == endpoint_id:
-            return 0
-        more = self.holder.tokens - held_tokens
-        return more if more >= MIN_FETCH_TOKENS else 0
-
-
-def fetch_seconds(backend: Backend, tokens: int) -> float:
-    """Return how long it takes to fetch tokens from another endpoint."""
-    engine = backend.engine
-    if engine is None or not tokens or not engine.link_megabits:
-        return 0.0
-    bits = tokens * engine.bytes_a_token * _BITS_A_BYTE
-    return bits / (engine.link_megabits * _BITS_A_MEGABIT)
+    def _track(self, endpoint: RegisteredEndpoint) -> Track:
+        return self._tracks_by_id.setdefault(endpoint.endpoint_id, Track())
--- a/burdockdrum/passthrough/model.py
+++ b/burdockdrum/passthrough/model.py
@@ -5,8 +5,8 @@
 
 from burdockdrum.http1 import RequestHead
 from burdockdrum.http1 import ResponseHead
-from burdockdrum.passthrough.fleet import Choice
 from burdockdrum.passthrough.prompts import Prompt
+from burdockdrum.passthrough.tracks import Choice
 from burdockdrum.resources import Backend
 from burdockdrum.resources import Route
 from burdockdrum.verdicts import Verdict
--- a/burdockdrum/passthrough/placing.py
+++ b/burdockdrum/passthrough/placing.py
@@ -5,13 +5,13 @@
 import random
 
 from burdockdrum.passthrough.attempts import HOP_SECONDS
-from burdockdrum.passthrough.fleet import Choice
 from burdockdrum.passthrough.fleet import Fleet
 from burdockdrum.passthrough.model import EndpointPlace
 from burdockdrum.passthrough.model import PassedRequest
 from burdockdrum.passthrough.model import Place
 from burdockdrum.passthrough.model import Progress
 from burdockdrum.passthrough.model import RegionPlace
+from burdockdrum.passthrough.tracks import Choice
 from burdockdrum.passthrough.waiting import estimate_queue
 from burdockdrum.passthrough.waiting import reading_seconds
 from burdockdrum.passthrough.waiting import Wait
--- a/tests/passthrough/test_warmth.py
+++ b/tests/passthrough/test_warmth.py
@@ -7,7 +7,7 @@
 
 import unittest
 
-from burdockdrum.passthrough.fleet import fetch_seconds
+from burdockdrum.passthrough.beginnings import fetch_seconds
 from burdockdrum.passthrough.warmth import HeldParts
 from burdockdrum.passthrough.warmth import Warmth
 from burdockdrum.registrations import Load
