Tell every entry of an end said at another control VM

The book now keeps such an end, without a home, and the publisher tells every entry. The test fails on the earlier code.

--- a/burdockdrum/registrations/book.py
+++ b/burdockdrum/registrations/book.py
@@ -18,6 +18,8 @@
 FORGET_SECONDS = 30.0
 # Late check-ins of an ended start arrive within seconds of its end.
 KEEP_GONE_SECONDS = 120.0
+# The data centre of an endpoint of which only its end is known.
+ANYWHERE = ""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -64,13 +66,29 @@
     def end(self, endpoint_id: str) -> bool:
         """Take in that an endpoint has ended, or ends without a notice.
 
+        Failure: it checked in at another control VM, and says here that it
+        ends. Symptom: entries send it work until it is gone, though its end
+        was acknowledged. So the end of an unknown one is kept as well, and
+        told in every region.
+
         :returns: whether it was known
         """
         known = self._entries_by_id.get(endpoint_id)
-        if known is None:
-            return False
-        self._set_state(known, RegistrationState.GONE)
-        return True
+        if known is not None:
+            self._set_state(known, RegistrationState.GONE)
+            return True
+        self._put(
+            Registration(
+                endpoint_id=endpoint_id,
+                service="",
+                address="",
+                data_centre=ANYWHERE,
+                slots=0,
+                sequence=0,
+                state=RegistrationState.GONE,
+            )
+        )
+        return False
 
     def is_gone(self, endpoint_id: str) -> bool:
         """Say whether an endpoint has said that it ends."""
@@ -88,7 +106,7 @@
             _age(entry.registration, now - entry.heard_at)
             for entry in self._entries_by_id.values()
             if entry.serial > serial
-            and entry.registration.data_centre in data_centres
+            and entry.registration.data_centre in {ANYWHERE, *data_centres}
         ]
 
     def live(self) -> Iterable[Registration]:
--- a/burdockdrum/registrations/publisher.py
+++ b/burdockdrum/registrations/publisher.py
@@ -9,6 +9,7 @@
 from burdockdrum.peers import Peers
 from burdockdrum.peers import Sender
 from burdockdrum.ports import Clock
+from burdockdrum.registrations.book import ANYWHERE
 from burdockdrum.registrations.book import RegistrationBook
 from burdockdrum.registrations.loads import Load
 from burdockdrum.registrations.loads import RankLoad
@@ -98,8 +99,10 @@
     def _take_change(self, registration: Registration) -> None:
         region = self._regions_by_data_centre.get(registration.data_centre)
         since = self._clock.monotonic() - FRESH_SECONDS
+        everywhere = registration.data_centre == ANYWHERE
         for watcher in self._watchers_by_id.values():
-            if watcher.region == region and watcher.heard_at >= since:
+            concerned = everywhere or watcher.region == region
+            if concerned and watcher.heard_at >= since:
                 self._send(watcher, with_rooms=False)
 
     def _send(self, watcher: _Watcher, *, with_rooms: bool) -> None:
--- a/tests/registrations/test_following.py
+++ b/tests/registrations/test_following.py
@@ -156,6 +156,25 @@
 
         play(check)
 
+    def test_end_said_at_a_control_vm_that_never_heard_of_it(self):
+        # The endpoint checked in at a. Without a notice it says at b that
+        # it ends, and b acknowledges: no entry may send it work any more,
+        # though at a it seems ready for some seconds.
+        async def check(world):
+            world.books["a"].take(make("e1"))
+            await asyncio.sleep(0.5)
+            world.books["b"].end("e1")
+            await asyncio.sleep(0.2)
+            for follower in world.followers.values():
+                self.assertNotIn("e1", follower.endpoints_by_id)
+            world.books["a"].take(make("e1", sequence=2))
+            await world.stop("x")
+            await world.start("x")
+            await asyncio.sleep(1)
+            self.assertNotIn("e1", world.followers["x"].endpoints_by_id)
+
+        play(check)
+
     def test_restarted_control_vm_takes_nothing_away_at_once(self):
         # A control VM restarts and knows nothing. Its endpoints serve on
         # until they have checked in again; one that never does is dropped.
