Start entries again that drain as the soak's faults end

Cause, from the kept logs: entry-c was told to stop 3 s before the faults ended and drained for 5.0 s, until the deadline of its last call; the end of the faults cut off its restart, and recover saw a live process. The fault is the soak's, not the product's.

--- a/scripts/local_deployment.py
+++ b/scripts/local_deployment.py
@@ -47,6 +47,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.settings = self.folder / "node.toml"
         self.first_start = True
+        self.is_ending = False
 
     def write_settings(self, **changes: Any) -> None:
         """Write the settings file as the platform does."""
@@ -110,10 +111,18 @@
         if self.process is None:
             return None
         if self.process.returncode is None:
+            self.is_ending = True
             self.process.send_signal(number)
+        return await self.wait_until_ended()
+
+    async def wait_until_ended(self) -> int | None:
+        """Wait for a process that was told to end; return its exit code."""
+        if self.process is None:
+            return None
         async with asyncio.timeout(STOP_SECONDS):
             code = await self.process.wait()
         self.process = None
+        self.is_ending = False
         return code
 
     def log(self) -> list[dict]:
--- a/scripts/soak/scene.py
+++ b/scripts/soak/scene.py
@@ -210,14 +210,7 @@
         for proxy in self.proxies:
             proxy.set_fault(Fault.NONE)
         for machine in self.deployment.machines:
-            if (
-                machine.process is None
-                or machine.process.returncode is not None
-            ):
-                machine.process = None
-                await machine.start()
-            else:
-                machine.send_signal(signal.SIGCONT)
+            await self._bring_back(machine)
         try:
             await until(self.serves, RECOVER_SECONDS)
             await until(self._reads_newest, RECOVER_SECONDS)
@@ -226,6 +219,17 @@
                 f"not everything serves {RECOVER_SECONDS} s after the faults"
             )
 
+    async def _bring_back(self, machine: Machine) -> None:
+        if machine.is_ending:
+            # The faults ended while it was draining, and with them the
+            # restart: it would end later and never be started again.
+            await machine.wait_until_ended()
+        if machine.process is None or machine.process.returncode is not None:
+            machine.process = None
+            await machine.start()
+        else:
+            machine.send_signal(signal.SIGCONT)
+
     async def serves(self) -> bool:
         """Say whether every entry gives an answer."""
         for entry in self.deployment.entries:
@@ -259,12 +263,12 @@
     async def _kill(self) -> None:
         machine = self._pick(self.deployment.machines)
         if machine is not None:
-            await self._restart(machine, signal.SIGKILL, "killed")
+            await self.restart(machine, signal.SIGKILL, "killed")
 
     async def _stop(self) -> None:
         machine = self._pick(self.deployment.machines)
         if machine is not None:
-            await self._restart(machine, signal.SIGTERM, "stopped")
+            await self.restart(machine, signal.SIGTERM, "stopped")
 
     async def _wipe(self) -> None:
         machine = self._pick(self.deployment.control)
@@ -274,7 +278,7 @@
         def empty() -> None:
             shutil.rmtree(machine.folder / "log", ignore_errors=True)
 
-        await self._restart(machine, signal.SIGKILL, "emptied", empty)
+        await self.restart(machine, signal.SIGKILL, "emptied", empty)
 
     async def _pause(self) -> None:
         machine = self._pick(self.deployment.machines)
@@ -296,13 +300,14 @@
         await asyncio.sleep(seconds)
         proxy.set_fault(Fault.NONE)
 
-    async def _restart(
+    async def restart(
         self,
         machine: Machine,
         number: int,
         word: str,
         between: Callable[[], None] | None = None,
     ) -> None:
+        """End a process by a signal and start it again, a while later."""
         self._note(f"{machine.name} {word}")
         await machine.stop(number)
         if between is not None:
