Name statuses and growths, and share what was written twice

Read as a newcomer; behaviour stays. The endpoint that a beginning belongs to is chosen by the hash of burdockdrum.vms, the end of a run is counted by note_run, and the statuses that promise that nothing has run stand in one place.

--- a/burdockdrum/passthrough/fleet.py
+++ b/burdockdrum/passthrough/fleet.py
@@ -26,6 +26,7 @@
 
 # Before a request of a service has been timed.
 FIRST_RUN_SECONDS = 0.5
+# What an average keeps with each new time: it follows the last twenty or so.
 _KEPT = 0.95
 # What an endpoint must be better by than the one that a beginning belongs
 # to, while nobody is known to hold it: entries that don't know of each
@@ -165,11 +166,7 @@
             began = placement.began_at
             if placement.read_at is not None:
                 began = placement.read_at - placement.reading_seconds
-            service = placement.endpoint.service
-            known = self.run_seconds(service)
-            self._run_seconds_by_service[service] = known * _KEPT + (
-                now - began
-            ) * (1 - _KEPT)
+            self.note_run(placement.endpoint.service, now - began)
         if placement.read_at is None:
             self._end_reading(placement)
         track = self._tracks_by_id.get(placement.endpoint.endpoint_id)
--- a/burdockdrum/passthrough/refusing.py
+++ b/burdockdrum/passthrough/refusing.py
@@ -2,6 +2,7 @@
 
 from burdockdrum.http1 import Exchange
 from burdockdrum.http1 import Headers
+from burdockdrum.passthrough.vocabulary import TIMED_OUT_STATUS
 from burdockdrum.passthrough.vocabulary import VERDICT
 from burdockdrum.verdicts import Refusal
 from burdockdrum.verdicts import RefusalCode
@@ -17,15 +18,16 @@
 }
 NOT_RUN_STATUS = 503
 LOST_STATUS = 502
-TIMED_OUT_STATUS = 504
+# Callers take these for a promise that a request has not run.
+PROMISING_STATUSES = frozenset({408, 421, 429, NOT_RUN_STATUS})
 
 
 def status_of(refusal: Refusal) -> int:
     """Return the status that says what is true of a request.
 
-    Callers take 408, 421, 429 and 503 for a promise that it has not run and
-    never will, and send it again; so none of them may stand for a request
-    of which a byte has left and nothing more is known.
+    Callers that get one of ``PROMISING_STATUSES`` send a request again; so
+    none of them may stand for one of which a byte has left and nothing more
+    is known.
     """
     if refusal.verdict is not Verdict.NOT_RUN:
         if refusal.code is RefusalCode.DEADLINE:
--- a/burdockdrum/passthrough/relay.py
+++ b/burdockdrum/passthrough/relay.py
@@ -22,6 +22,8 @@
 from burdockdrum.passthrough.placing import Placing
 from burdockdrum.passthrough.reading import RequestReader
 from burdockdrum.passthrough.refusing import answer_refusal
+from burdockdrum.passthrough.refusing import LOST_STATUS
+from burdockdrum.passthrough.refusing import PROMISING_STATUSES
 from burdockdrum.passthrough.refusing import status_of
 from burdockdrum.passthrough.responses import AnswerCut
 from burdockdrum.passthrough.responses import ResponseReader
@@ -251,12 +253,12 @@
         if request.came_from is not None:
             headers.append((HOP_RUNS, b"%d" % runs))
         status = failure.head.status
-        if status in (408, 421, 429, 503):
+        if status in PROMISING_STATUSES:
             # It has run: the status would promise that it has not. Without
             # the endpoint's mark the answer is this VM's own.
             provenance = self._names.provenance
             headers = [h for h in headers if h[0].lower() != provenance]
-            status = 502
+            status = LOST_STATUS
         exchange.answer(status, headers, failure.body)
 
     def _refuse(
--- a/burdockdrum/passthrough/responses.py
+++ b/burdockdrum/passthrough/responses.py
@@ -10,6 +10,7 @@
 from burdockdrum.passthrough.vocabulary import HeaderNames
 from burdockdrum.passthrough.vocabulary import HOP_HEADERS
 from burdockdrum.passthrough.vocabulary import HOP_RUNS
+from burdockdrum.passthrough.vocabulary import TIMED_OUT_STATUS
 from burdockdrum.passthrough.vocabulary import VERDICT
 from burdockdrum.verdicts import Verdict
 
@@ -99,7 +100,7 @@
         )
     return Lost(
         reason="lost in the other region",
-        timed_out=head.status == 504,
+        timed_out=head.status == TIMED_OUT_STATUS,
         runs=read_runs(head),
     )
 
--- a/burdockdrum/passthrough/vocabulary.py
+++ b/burdockdrum/passthrough/vocabulary.py
@@ -45,4 +45,6 @@
 VERDICT = b"x-verdict"
 # How many attempts the other entry has used.
 HOP_RUNS = b"x-burdockdrum-runs"
+# The time of a request that may have run is over.
+TIMED_OUT_STATUS = 504
 HOP_HEADERS = frozenset({HOP_REGION, HOP_ATTEMPTS, HOP_RUNS, VERDICT})
--- a/burdockdrum/passthrough/warmth.py
+++ b/burdockdrum/passthrough/warmth.py
@@ -9,11 +9,11 @@
 from collections.abc import Container
 from collections.abc import Iterable
 from dataclasses import dataclass
-import hashlib
 
 from burdockdrum.passthrough.prompts import Prompt
 from burdockdrum.passthrough.prompts import PromptPart
 from burdockdrum.registrations import PlacedParts
+from burdockdrum.vms import choose_by_hash
 
 # Of the memory of an engine; running requests take the rest.
 HELD_PART = 0.6
@@ -142,9 +142,4 @@
     key = prompt.affinity_key
     if key is None or not endpoint_ids:
         return None
-
-    def rank(endpoint_id: str) -> bytes:
-        text = f"{key}\n{endpoint_id}".encode()
-        return hashlib.blake2b(text, digest_size=8).digest()
-
-    return min(endpoint_ids, key=rank)
+    return choose_by_hash(endpoint_ids, key, 1)[0]
--- a/burdockdrum/peers/link_watch.py
+++ b/burdockdrum/peers/link_watch.py
@@ -15,6 +15,8 @@
 SILENT_SECONDS = 1.5
 # A peer that is gone for good is dialled anew less and less often.
 MAX_PAUSE_SECONDS = 12.0
+# So each pause is longer than the one before, and the seventh is the longest.
+PAUSE_GROWTH = 1.5
 
 
 @dataclass(kw_only=True)
@@ -69,7 +71,7 @@
         if now - link.pending_since < link.pause:
             return False
         link.pending_since = now
-        link.pause = min(MAX_PAUSE_SECONDS, link.pause * 1.5)
+        link.pause = min(MAX_PAUSE_SECONDS, link.pause * PAUSE_GROWTH)
         return True
 
     def forget(self, address: str) -> None:
--- a/burdockdrum/vms/__init__.py
+++ b/burdockdrum/vms/__init__.py
@@ -7,6 +7,7 @@
 from burdockdrum.vms.drain import DrainState
 from burdockdrum.vms.endpoint_sharing import EndpointSharing
 from burdockdrum.vms.messages import ServiceSummary
+from burdockdrum.vms.remote import choose_by_hash
 from burdockdrum.vms.selection import EntryChoice
 from burdockdrum.vms.selection import EntryList
 from burdockdrum.vms.selection import select_entries
@@ -16,6 +17,7 @@
 
 __all__ = [
     "add_services",
+    "choose_by_hash",
     "DataCentreView",
     "Drain",
     "DrainState",
