Give a silent attempt up only where another place takes it

Cause: under load an attempt that waited in an endpoint's queue was given up after 1.5 s, though every other endpoint was as full; the request was refused there and its caller told 502.

An attempt is now left once another place would take the request at that moment and a retry is paid for; until then it keeps its place.

--- a/burdockdrum/passthrough/attempts.py
+++ b/burdockdrum/passthrough/attempts.py
@@ -23,6 +23,7 @@
 from burdockdrum.passthrough.model import Progress
 from burdockdrum.passthrough.model import RegionPlace
 from burdockdrum.passthrough.patience import Patience
+from burdockdrum.passthrough.patience import SilenceWatch
 from burdockdrum.passthrough.payloads import PayloadMaker
 from burdockdrum.passthrough.responses import AnswerCut
 from burdockdrum.passthrough.responses import read_held
@@ -176,12 +177,16 @@
             call.pool.give_back(call.address, connection)
             return NotStarted(reason="no time was left", reached=False)
         progress.sent += 1
-        first = self._patience.until_first_part(call.place, request, progress)
         began = self._clock.monotonic()
         try:
             connection.send(call.payload, request.request_id.encode())
-            limit = left if first is None else min(left, first)
-            async with asyncio.timeout(limit) as call.timeout:
+            async with asyncio.timeout(left) as timeout:
+                call.watch = self._patience.watch(
+                    call.place,
+                    request,
+                    progress,
+                    lambda: timeout.reschedule(0.0),
+                )
                 return await self._receive(
                     connection, call, request, progress, exchange, cutter
                 )
@@ -193,6 +198,7 @@
         except (ResponseLost, BrokenEvents) as error:
             return Lost(reason=str(error))
         finally:
+            call.stop_watching()
             # One whose response was not read to its end is closed, and
             # what runs at the other side ends.
             call.pool.give_back(call.address, connection)
@@ -218,19 +224,9 @@
             return await self._pass_stream(
                 connection, head, call, request, progress, exchange, cutter
             )
-        self._wait_on(call, request, None)
+        call.stop_watching()
         return await self._pass_whole(connection, head, exchange)
 
-    def _wait_on(
-        self, call: "_Call", request: PassedRequest, seconds: float | None
-    ) -> None:
-        """Wait for so long from now on, or else until the deadline."""
-        left = self._seconds_left(request) + GRACE_SECONDS
-        limit = left if seconds is None else min(left, seconds)
-        if call.timeout is not None:
-            loop = asyncio.get_running_loop()
-            call.timeout.reschedule(loop.time() + limit)
-
     async def _pass_whole(
         self,
         connection: ClientConnection,
@@ -264,9 +260,9 @@
         cutter: EventCutter,
     ) -> Outcome:
         cutter.begin_run()
-        between = self._patience.between_parts(request, progress)
         while (part := await connection.read_part()) is not None:
-            self._wait_on(call, request, between)
+            if call.watch is not None:
+                call.watch.note_part()
             if call.placement is not None:
                 self._fleet.note_output(call.placement)
             events = cutter.feed(part)
@@ -337,4 +333,10 @@
         self.connect_seconds = connect_seconds
         self.place = place
         self.placement = placement
-        self.timeout: asyncio.Timeout | None = None
+        self.watch: SilenceWatch | None = None
+
+    def stop_watching(self) -> None:
+        """Wait until the deadline from now on."""
+        if self.watch is not None:
+            self.watch.stop()
+            self.watch = None
--- a/burdockdrum/passthrough/model.py
+++ b/burdockdrum/passthrough/model.py
@@ -46,7 +46,8 @@
 
     ``runs`` counts the attempts that may have run, ``sent`` those that
     reached an endpoint at all. ``first_part_at`` is when the first part of
-    an answer went out, on the monotonic clock.
+    an answer went out, on the monotonic clock. ``has_paid_retry`` says that
+    the next attempt has been taken from the budget already.
     """
 
     verdict: Verdict = Verdict.NOT_RUN
@@ -58,6 +59,7 @@
     first_part_at: float | None = None
     last_event: int | None = None
     failure: "Answered | None" = None
+    has_paid_retry: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/burdockdrum/passthrough/placing.py
+++ b/burdockdrum/passthrough/placing.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from dataclasses import replace
 import random
 
 from burdockdrum.passthrough.attempts import HOP_SECONDS
@@ -95,6 +96,24 @@
             raise self._refuse(request, progress, reason, queue - allowed)
         return EndpointPlace(choice=here)
 
+    def has_other(
+        self, request: PassedRequest, progress: Progress, place: Place
+    ) -> bool:
+        """Say whether a request would be taken now at another place."""
+        tried, regions = set(progress.tried), set(progress.tried_regions)
+        match place:
+            case EndpointPlace(choice=choice):
+                tried.add(choice.endpoint.endpoint_id)
+            case RegionPlace(vm_id=vm_id, region=region):
+                tried.add(vm_id)
+                regions.add(region)
+        later = replace(progress, tried=tried, tried_regions=regions)
+        try:
+            self.place(request, later)
+        except Refusal:
+            return False
+        return True
+
     def _allowed_queue(self, request: PassedRequest, left: float) -> float:
         """Return how long a request may wait for what came before it.
 
--- a/burdockdrum/passthrough/relay.py
+++ b/burdockdrum/passthrough/relay.py
@@ -211,7 +211,12 @@
         reached = progress.sent > 0 and not (
             isinstance(outcome, NotStarted) and not outcome.reached
         )
-        return not reached or self._budget.take(request.backend.name)
+        if not reached:
+            return True
+        if progress.has_paid_retry:
+            progress.has_paid_retry = False
+            return True
+        return self._budget.take(request.backend.name)
 
     def _give_up(
         self,
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -185,6 +185,16 @@
             )
         )
         budget = RetryBudget(clock=clock, ratio=1, burst=50, window=10)
+        placing = Placing(
+            clock=clock,
+            rng=rng,
+            fleet=fleet,
+            region=region,
+            read_rooms=lambda: rooms,
+            read_entries=lambda: [e.identity for e in self.others(region)],
+            read_closed=frozenset,
+            hop_address=lambda vm: self.entries[vm.region].vms.address,
+        )
         relay = Relay(
             clock=clock,
             names=NAMES,
@@ -195,16 +205,7 @@
                 read_index=lambda: index,
                 read_age=lambda: 0.1,
             ),
-            placing=Placing(
-                clock=clock,
-                rng=rng,
-                fleet=fleet,
-                region=region,
-                read_rooms=lambda: rooms,
-                read_entries=lambda: [e.identity for e in self.others(region)],
-                read_closed=frozenset,
-                hop_address=lambda vm: self.entries[vm.region].vms.address,
-            ),
+            placing=placing,
             attempts=Attempts(
                 clock=clock,
                 fleet=fleet,
@@ -212,7 +213,9 @@
                 vm_pool=pools[1],
                 payloads=PayloadMaker(names=NAMES, region=region),
                 responses=responses,
-                patience=Patience(fleet=fleet, budget=budget),
+                patience=Patience(
+                    fleet=fleet, budget=budget, has_other=placing.has_other
+                ),
             ),
             responses=responses,
             budget=budget,
