Bound the digits of numbers in headers

Cause: int() raises for thousands of digits, and the caller was answered 500; float() takes inf and nan, which were passed on as the time to come back. One parser for counts and one for seconds, used in all five places.

--- a/burdockdrum/http1/__init__.py
+++ b/burdockdrum/http1/__init__.py
@@ -17,6 +17,8 @@
 from burdockdrum.http1.listener import Handler
 from burdockdrum.http1.listener import Limits
 from burdockdrum.http1.listener import Listener
+from burdockdrum.http1.numbers import parse_count
+from burdockdrum.http1.numbers import parse_seconds
 from burdockdrum.http1.requests import RequestHead
 from burdockdrum.http1.server import Exchange
 
@@ -31,6 +33,8 @@
     "Limits",
     "Listener",
     "NotConnected",
+    "parse_count",
+    "parse_seconds",
     "RequestHead",
     "ResponseHead",
     "ResponseLost",
--- a/burdockdrum/http1/client.py
+++ b/burdockdrum/http1/client.py
@@ -9,6 +9,7 @@
 
 from burdockdrum.http1.heads import find_header
 from burdockdrum.http1.heads import Headers
+from burdockdrum.http1.numbers import parse_count
 from burdockdrum.http1.sockets import watch_peer
 
 MAX_BUFFERED_BYTES = 128 * 1024
@@ -224,8 +225,9 @@
             return
         for item in value.split(b","):
             name, _, number = item.strip().partition(b"=")
-            if name.lower() == b"timeout" and number.isdigit():
-                self.idle_seconds = int(number) * IDLE_SHARE
+            seconds = parse_count(number)
+            if name.lower() == b"timeout" and seconds is not None:
+                self.idle_seconds = seconds * IDLE_SHARE
 
     async def _wait(self) -> None:
         if self._error is not None:
--- a/burdockdrum/http1/server.py
+++ b/burdockdrum/http1/server.py
@@ -13,6 +13,7 @@
 from burdockdrum.http1.heads import encode_response
 from burdockdrum.http1.heads import find_header
 from burdockdrum.http1.heads import Headers
+from burdockdrum.http1.numbers import parse_count
 from burdockdrum.http1.requests import Fault
 from burdockdrum.http1.requests import RequestHead
 from burdockdrum.http1.sockets import watch_peer
@@ -229,12 +230,14 @@
     def on_headers_complete(self) -> None:
         """Check the head before the body is read."""
         self._head_complete = True
-        size = sum(len(name) + len(value) + 4 for name, value in self._headers)
-        if size + len(self._target) > self._listener.header_bytes:
+        head = sum(len(name) + len(value) + 4 for name, value in self._headers)
+        if head + len(self._target) > self._listener.header_bytes:
             self._take_fault(431, "the head is too large")
             return
-        length = find_header(self._headers, b"content-length")
-        if length is not None and int(length) > self._listener.body_bytes:
+        # The parser has refused what is no number; a longer one is too much.
+        length = find_header(self._headers, b"content-length") or b"0"
+        size = parse_count(length)
+        if size is None or size > self._listener.body_bytes:
             self._take_fault(413, "the body is too large")
             return
         expect = find_header(self._headers, b"expect")
--- a/burdockdrum/passthrough/prompts.py
+++ b/burdockdrum/passthrough/prompts.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from burdockdrum.http1 import parse_count
+
 # Prompts of more parts are not longer in practice; the rest is read anew.
 MAX_PARTS = 64
 
@@ -56,25 +58,27 @@
     return Prompt(
         tokens=tokens,
         max_output=max_output,
-        hinted_output=int(hint) if hint and hint.isdigit() else None,
+        hinted_output=parse_count(hint),
         parts=_parse_parts(parts),
     )
 
 
 def _parse_counts(value: bytes | None) -> tuple[int, int]:
     numbers = (value or b"").split(b",")
-    if len(numbers) != 2 or not all(n.strip().isdigit() for n in numbers):
+    if len(numbers) != 2:
+        return 0, 0
+    tokens, max_output = map(parse_count, numbers)
+    if tokens is None or max_output is None:
         return 0, 0
-    return int(numbers[0]), int(numbers[1])
+    return tokens, max_output
 
 
 def _parse_parts(value: bytes | None) -> tuple[PromptPart, ...]:
     parts = []
     for item in (value or b"").split(b",")[:MAX_PARTS]:
-        name, _, tokens = item.strip().partition(b":")
-        if not name or not tokens.isdigit():
+        name, _, number = item.strip().partition(b":")
+        tokens = parse_count(number)
+        if not name or tokens is None:
             return ()
-        parts.append(
-            PromptPart(part_id=name.decode("latin-1"), tokens=int(tokens))
-        )
+        parts.append(PromptPart(part_id=name.decode("latin-1"), tokens=tokens))
     return tuple(parts)
--- a/burdockdrum/passthrough/reading.py
+++ b/burdockdrum/passthrough/reading.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 
+from burdockdrum.http1 import parse_count
 from burdockdrum.http1 import RequestHead
 from burdockdrum.passthrough.model import PassedRequest
 from burdockdrum.passthrough.prompts import parse_prompt
@@ -54,7 +55,7 @@
 
     def wait_seconds(self, head: RequestHead) -> float:
         """Return how long a request may wait for the routes to be known."""
-        asked = _parse_int(head.find(self._names.deadline))
+        asked = parse_count(head.find(self._names.deadline))
         if asked is None:
             return MAX_HOLD_SECONDS
         return min(MAX_HOLD_SECONDS, asked / _MILLISECONDS * HOLD_PART)
@@ -74,12 +75,12 @@
         names = self._names
         service = choose_service(route, self._rng)
         left = route.timeout_seconds
-        asked = _parse_int(head.find(names.deadline))
+        asked = parse_count(head.find(names.deadline))
         if asked is not None:
             left = min(left, asked / _MILLISECONDS)
         attempts = route.attempts
         if is_hop:
-            allowed = _parse_int(head.find(HOP_ATTEMPTS))
+            allowed = parse_count(head.find(HOP_ATTEMPTS))
             attempts = min(attempts, allowed or 1)
         given_id = head.find(names.request_id)
         region = head.find(HOP_REGION) if is_hop else None
@@ -98,7 +99,7 @@
             received_at=head.received_at,
             deadline=head.received_at + left,
             attempts=attempts,
-            last_event=_parse_int(head.find(names.last_event)),
+            last_event=parse_count(head.find(names.last_event)),
             came_from=region.decode("latin-1") if region else None,
             revision=index.generation,
         )
@@ -125,9 +126,3 @@
         verdict=Verdict.NOT_RUN,
         retry_after=STALE_RETRY_SECONDS,
     )
-
-
-def _parse_int(value: bytes | None) -> int | None:
-    if value is None or not value.strip().isdigit():
-        return None
-    return int(value)
--- a/burdockdrum/passthrough/responses.py
+++ b/burdockdrum/passthrough/responses.py
@@ -2,6 +2,8 @@
 
 from burdockdrum.http1 import ClientConnection
 from burdockdrum.http1 import Headers
+from burdockdrum.http1 import parse_count
+from burdockdrum.http1 import parse_seconds
 from burdockdrum.http1 import ResponseHead
 from burdockdrum.http1 import ResponseLost
 from burdockdrum.http1 import without_connection_headers
@@ -107,13 +109,8 @@
 
 def read_runs(head: ResponseHead) -> int | None:
     """Return how many attempts another entry says that it used."""
-    value = head.find(HOP_RUNS)
-    return int(value) if value is not None and value.isdigit() else None
+    return parse_count(head.find(HOP_RUNS))
 
 
 def _read_seconds(head: ResponseHead) -> float | None:
-    value = head.find(b"retry-after")
-    try:
-        return float(value) if value is not None else None
-    except ValueError:
-        return None
+    return parse_seconds(head.find(b"retry-after"))
--- a/tests/passthrough/test_relay.py
+++ b/tests/passthrough/test_relay.py
@@ -205,6 +205,21 @@
         self.assertEqual((200, b"ran"), (status, body))
         self.assertLess(time.monotonic() - began, 1.0)
 
+    async def test_slow_answer_is_waited_for_where_no_other_is(self):
+        # Every endpoint is busy and the request waits in a queue for far
+        # longer than usual. Given up it would lose its place, run nowhere
+        # else and fail; it is answered once its turn has come.
+        async def answer_late(writer, request_id):
+            await asyncio.sleep(1.0)
+            await answer(b"ran")(writer, request_id)
+
+        endpoint = Endpoint(answer_late)
+        entry = await self.open(endpoint, attempts=2)
+        entry.fleet._run_seconds_by_service["model"] = 0.03
+        status, _, body = await entry.call()
+        self.assertEqual((200, b"ran"), (status, body))
+        self.assertEqual(1, len(endpoint.seen))
+
     async def test_unrepeatable_request_waits_for_its_endpoint(self):
         entry = await self.open(
             Endpoint(keep_silent), Endpoint(answer()), idempotent=False
@@ -215,6 +230,13 @@
             codes.add((await entry.call(b"X-Deadline-Ms: 700"))[0])
         self.assertLessEqual(codes, {200, 504})
 
+    async def test_absurd_deadline_is_none(self):
+        # A number of thousands of digits was answered 500: the conversion
+        # raises an error of its own.
+        entry = await self.open(Endpoint(answer(b"ran")))
+        status, _, body = await entry.call(b"X-Deadline-Ms: " + b"9" * 5000)
+        self.assertEqual((200, b"ran"), (status, body))
+
     async def test_nowhere_to_go_is_said_at_once(self):
         entry = await self.open()
         began = time.monotonic()
--- a/tests/passthrough/test_table.py
+++ b/tests/passthrough/test_table.py
@@ -122,7 +122,7 @@
         self.assertEqual(503, status_of(caught.exception))
 
     def test_malformed_hints_count_as_absent(self):
-        for value in (b"", b"a,b", b"1", b"1,2,3"):
+        for value in (b"", b"a,b", b"1", b"1,2,3", b"9" * 5000 + b",1"):
             self.assertEqual(0, parse_prompt(value, None).tokens)
         for value in (b"x", b"x:", b":3", b"a:1,b"):
             self.assertEqual((), parse_prompt(b"5,1", value).parts)
