Make control VMs beyond the voters members that stand by

Cause: with six control VMs and five voters the sixth was no member, so no entry followed it. Ruled out: the regions of the settings, refused check-ins.

A control VM is now a learner at least, and one is promoted as soon as a voter is given up.

--- a/burdockdrum/consensus/leadership.py
+++ b/burdockdrum/consensus/leadership.py
@@ -21,6 +21,11 @@
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Peers
 
+# A voter with its disk that is silent for so long gives its place to a VM
+# that is there. Restarts and cuts of some seconds are over by then; one
+# that comes back later asks for a place itself.
+GIVEN_UP_SECONDS = 9.0
+
 
 class Leadership:
     """The tasks of a leader, its lease and the changes of members."""
@@ -300,6 +305,8 @@
         replica = self._replica
         if replica.role is not Role.LEADER or not self._may_change_members():
             return
+        if not self._wants_voter():
+            return
         for replicator in self._replicators_by_id.values():
             member = replicator.member
             caught_up = replicator.match_index >= replica.commit_index
@@ -315,6 +322,20 @@
                 replica.timeline.record("member.promoted", vm=member.vm_id)
                 return
 
+    def _wants_voter(self) -> bool:
+        """Say whether there are fewer voters than there should be.
+
+        Learners beyond that number stand by: they hold the log, and one of
+        them counts as soon as a voter is given up.
+        """
+        replica = self._replica
+        wanted = replica.settings.voters
+        if not wanted:
+            return True
+        gone = self.silent_members(GIVEN_UP_SECONDS)
+        voters = replica.configuration.voters
+        return sum(v.vm_id not in gone for v in voters) < wanted
+
     def _may_change_members(self) -> bool:
         # Two changes under way, or one before the first commit of the term,
         # could give two quorums without a common member.
--- a/burdockdrum/consensus/self_repair.py
+++ b/burdockdrum/consensus/self_repair.py
@@ -15,6 +15,7 @@
 from burdockdrum.consensus.interface import NotAccepted
 from burdockdrum.consensus.interface import OutcomeUnknown
 from burdockdrum.consensus.interface import Role
+from burdockdrum.consensus.leadership import GIVEN_UP_SECONDS
 from burdockdrum.consensus.leadership import Leadership
 from burdockdrum.consensus.member_changes import MemberChanges
 from burdockdrum.consensus.membership import Configuration
@@ -28,10 +29,9 @@
 ASK_SECONDS = 0.5
 # A VM that asked so long ago may be gone again.
 FRESH_SECONDS = 2.0
-# A member with its disk that is silent for so long gives its place to a VM
-# that is there. Restarts and cuts of some seconds are over by then; one
-# that comes back later asks for a place itself.
-GIVEN_UP_SECONDS = 9.0
+# Control VMs beyond the voters stand by. So many, with five voters, are all
+# the VMs that may be set aside for control.
+MAX_STANDING_BY = 12
 # A member that hears no leader for so long may have been removed.
 ORPHANED_SECONDS = 4.0
 CHANGE_SECONDS = 2.0
@@ -152,17 +152,25 @@
         return await self._change(request.vm_id, learner)
 
     def _has_room(self, configuration: Configuration) -> bool:
-        gone = self._find_given_up()
-        return len(configuration.members) - len(gone) < self._voters
+        """Say whether one more VM may be a member.
+
+        Failure: a control VM is started that is not needed as a voter.
+        Symptom: nobody follows it, and what endpoints tell it is never
+        heard. As a learner it is one of the control VMs that all follow.
+        """
+        most = self._voters + MAX_STANDING_BY
+        return len(configuration.members) - len(self._find_given_up()) < most
 
     def _find_given_up(self) -> list[str]:
         return self._leadership.silent_members(GIVEN_UP_SECONDS)
 
     async def _drop_surplus(self) -> None:
         configuration = self._replica.configuration
-        if len(configuration.voters) <= self._voters:
-            return
+        has_surplus = len(configuration.voters) > self._voters
         for vm_id in self._find_given_up():
+            member = configuration.find(vm_id)
+            if member is None or (member.voter and not has_surplus):
+                continue
             if self._leadership.is_safe_without(vm_id):
                 await self._change(vm_id, None)
                 return
