Check every number, name and file of the settings by one rule

Cause: ids that are empty, hold a space or have 5,000 characters, a secret file that is not there, an infinite wait and one port for both listeners passed the check, and a file that is not UTF-8 gave a traceback.

--- a/burdockdrum/settings/__init__.py
+++ b/burdockdrum/settings/__init__.py
@@ -1,13 +1,13 @@
 """Settings in TOML, checked before a process starts."""
 
 from burdockdrum.settings.checks import check_settings
-from burdockdrum.settings.checks import SettingsProblem
 from burdockdrum.settings.loader import load_settings
 from burdockdrum.settings.loader import read_settings
 from burdockdrum.settings.loader import SettingsError
 from burdockdrum.settings.model import ControlSettings
 from burdockdrum.settings.model import PolicySettings
 from burdockdrum.settings.model import Settings
+from burdockdrum.settings.problems import SettingsProblem
 
 __all__ = [
     "check_settings",
--- a/burdockdrum/settings/checks.py
+++ b/burdockdrum/settings/checks.py
@@ -1,34 +1,23 @@
 """Contradictions between settings, each with the way to mend it."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 import ipaddress
 import re
 from urllib.parse import urlsplit
 
 from burdockdrum.settings.model import Settings
+from burdockdrum.settings.problems import SettingsProblem
+from burdockdrum.settings.values import check_values
 
 _HASH = re.compile(r"[0-9a-f]{64}")
 _QUORUM_SIZES = (1, 3, 5)
 _MIN_SECRET = 16
 
 
-@dataclass(frozen=True, kw_only=True)
-class SettingsProblem:
-    """One thing wrong with a settings file."""
-
-    key: str
-    problem: str
-    fix: str
-
-    def __str__(self) -> str:
-        where = f"{self.key} " if self.key else ""
-        return f"{where}{self.problem}: {self.fix}"
-
-
 def check_settings(settings: Settings) -> list[SettingsProblem]:
     """Return every contradiction found."""
     return [
+        *check_values(settings),
         *_check_addresses(settings),
         *_check_cluster(settings),
         *_check_control(settings),
@@ -45,12 +34,26 @@
     yield from _check_address("listen.control", settings.listen.control, "tcp")
     scheme = "https" if settings.listen.tls else "http"
     yield from _check_address("listen.http", settings.listen.http, scheme)
+    yield from _check_listeners(settings)
     for index, address in enumerate(settings.cluster.join):
         yield from _check_address(f"cluster.join[{index}]", address, "tcp")
     for vm_id, address in settings.control.members.items():
         yield from _check_address(f"control.members.{vm_id}", address, "tcp")
 
 
+def _check_listeners(settings: Settings) -> Iterator[SettingsProblem]:
+    places = [
+        urlsplit(address).netloc
+        for address in (settings.listen.control, settings.listen.http)
+    ]
+    if places[0] == places[1] and not places[0].endswith(":0"):
+        yield SettingsProblem(
+            key="listen.http",
+            problem=f"is {places[0]}, as listen.control is",
+            fix="give each listener a port of its own",
+        )
+
+
 def _check_address(
     key: str, address: str, scheme: str
 ) -> Iterator[SettingsProblem]:
--- a/burdockdrum/settings/loader.py
+++ b/burdockdrum/settings/loader.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from burdockdrum.settings.checks import check_settings
-from burdockdrum.settings.checks import SettingsProblem
 from burdockdrum.settings.model import Settings
+from burdockdrum.settings.problems import SettingsProblem
 
 
 class SettingsError(Exception):
@@ -27,7 +27,17 @@
     :raises SettingsError: with every problem found
     """
     try:
-        text = path.read_text()
+        text = path.read_text(encoding="utf-8")
+    except UnicodeDecodeError as error:
+        raise SettingsError(
+            [
+                SettingsProblem(
+                    key="",
+                    problem=f"{path} is not UTF-8 at byte {error.start}",
+                    fix="save it as UTF-8, as TOML files are",
+                )
+            ]
+        ) from None
     except OSError as error:
         raise SettingsError(
             [
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -2,12 +2,14 @@
 
 import pathlib
 import re
+import tempfile
 import unittest
 
 from hypothesis import given
 from hypothesis import strategies
 import msgspec
 
+from burdockdrum.settings import load_settings
 from burdockdrum.settings import read_settings
 from burdockdrum.settings import Settings
 from burdockdrum.settings import SettingsError
@@ -95,6 +97,54 @@
         self.assertIn("operators.token_hashes[0]", problem)
         self.assertIn("burdockdrum hash-token", problem)
 
+    def test_names_that_logs_and_addresses_can_not_hold(self):
+        for name in ("", "a b", "x" * 5000, "-a", "a/b", "a\\nb"):
+            for key in ("id", "region", "data_centre"):
+                text = re.sub(
+                    rf"(?m)^{key} = .*$",
+                    lambda _, name=name, key=key: f'{key} = "{name}"',
+                    GOOD,
+                )
+                found = "\n".join(problems_of(text))
+                self.assertIn(f"vm.{key} has the name", found)
+
+    def test_name_of_a_member_is_checked_as_well(self):
+        found = problems_of(GOOD + '"d 2" = "tcp://127.0.0.1:7002"\n')
+        self.assertIn("control.members has the name 'd 2'", "\n".join(found))
+
+    def test_every_number_is_finite(self):
+        # A wait without end, or a comparison that is never true.
+        for key, value in (
+            ("drain.limit_seconds", "inf"),
+            ("policy.max_wait_seconds", "nan"),
+            ("attempts.first_token_seconds", "inf"),
+        ):
+            section, _, name = key.partition(".")
+            text = GOOD + f"[{section}]\n{name} = {value}\n"
+            self.assertIn(f"{key} is {value}", "\n".join(problems_of(text)))
+
+    def test_file_that_can_not_be_read_is_named(self):
+        text = GOOD.replace(
+            'secret = "sixteen characters and more"',
+            'secret_file = "/nowhere/secret"',
+        )
+        found = "\n".join(problems_of(text))
+        self.assertIn("cluster.secret_file names '/nowhere/secret'", found)
+
+    def test_two_listeners_on_one_port(self):
+        text = GOOD.replace(
+            "[cluster]", 'http = "http://127.0.0.1:7001"\n[cluster]'
+        )
+        self.assertIn("listen.http is", "\n".join(problems_of(text)))
+
+    def test_file_that_is_not_utf8_is_refused_with_the_fix(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "settings.toml"
+            path.write_bytes(b'[vm]\nid = "\xff"\n')
+            with self.assertRaises(SettingsError) as caught:
+                load_settings(path)
+        self.assertIn("save it as UTF-8", str(caught.exception))
+
     @draw(150)
     @given(strategies.text(max_size=200))
     def test_any_text_is_read_or_refused_clearly(self, text):
