Send a VM that is far behind what there is now, not every version

Cause: when all VMs start at once, each asks for all changes; with 18 versions of a route table its data centre's relay had 150 KB for each of 15 VMs, asked for four times a second, on a link of 5 Mbit/s. Ruled out: the election (2.5 s after power) and the start itself (1.1 s).

The new test restarts a data centre after forty changes of a resource and counts bytes; it fails without the change.

--- a/burdockdrum/configuration/publishing.py
+++ b/burdockdrum/configuration/publishing.py
@@ -162,6 +162,11 @@
             sends=state.sends + 1,
         )
 
+    # Failure: every VM starts at once, after many changes of a few resources.
+    # Symptom: each is sent every version that there was: with 18 versions of
+    # a table, 150 KB to each of the fifteen VMs of a data centre by its relay,
+    # which fills a link of 5 Mbit/s for four seconds in which nothing else
+    # passes. What there is now is less, so it is sent instead.
     def _make_update(
         self, state: FollowerState, after: int, snapshot: bool
     ) -> Update:
@@ -176,6 +181,8 @@
                 changes = self._knowledge.history.changes_after(after)
             except RevisionGone:
                 snapshot = True
+        if len(changes) > len(current.resources_by_key):
+            snapshot, changes = True, []
         if state.content and snapshot:
             resources = list(current.resources_by_key.values())
         return Update(
--- a/tests/configuration/test_passing_on.py
+++ b/tests/configuration/test_passing_on.py
@@ -4,6 +4,7 @@
 import unittest
 
 from burdockdrum.configuration.messages import Follow
+from burdockdrum.metrics import Metrics
 from burdockdrum.resources import Configuration
 from burdockdrum.resources import Resource
 from burdockdrum.resources import ResourceKey
@@ -16,6 +17,17 @@
 LIMIT_SECONDS = 4.0
 
 
+def bytes_in(deployment, vm_id):
+    """Return how many bytes a VM has received from others."""
+    kernel = deployment.cluster.vms_by_id[vm_id].kernel
+    [line] = [
+        line
+        for line in kernel.find("metrics", Metrics).text().splitlines()
+        if line.startswith('burdockdrum_peer_bytes_total{way="in"}')
+    ]
+    return float(line.rpartition(" ")[2])
+
+
 class PassingOnTest(unittest.TestCase):
     """One control VM, and a data centre that holds none."""
 
@@ -56,6 +68,30 @@
 
         self.run_deployment(scenario)
 
+    def test_vm_that_starts_is_not_sent_every_version(self):
+        # One resource was changed forty times. All VMs of a data centre
+        # start again at once: each is sent what there is now, not the forty
+        # versions, which would fill the relay's link for seconds.
+        async def scenario(deployment):
+            for number in range(40):
+                result = await deployment.put(
+                    "n1.1",
+                    "region",
+                    "north",
+                    {"description": f"{number:03}" * 400},
+                    version=number,
+                )
+                await deployment.wait_for(result.revision)
+            restarted = ["s1.1", "s1.2", "s1.3", "s1.4"]
+            for vm_id in restarted:
+                await deployment.restart(vm_id)
+            await deployment.wait_for(result.revision, *restarted)
+            await asyncio.sleep(2)
+            for vm_id in restarted:
+                self.assertLess(bytes_in(deployment, vm_id), 40_000)
+
+        self.run_deployment(scenario)
+
     def test_relay_dies(self):
         # The relay crashes right when a change is accepted. The VMs that it
         # served ask others and have the change in force within seconds.
