Spread what comes between two reports, and count who was not heard

Cause: 28 entries see the same endpoint as the emptiest for half a second. What will come until the next report is now spread by how far each endpoint is below the level that it fills up to. After a start of everything an entry takes those that it has not heard of to do what it does itself.

--- a/burdockdrum/passthrough/fleet.py
+++ b/burdockdrum/passthrough/fleet.py
@@ -9,11 +9,13 @@
 from burdockdrum.passthrough.health import EndpointHealth
 from burdockdrum.passthrough.limits import ColdGate
 from burdockdrum.passthrough.prompts import Prompt
+from burdockdrum.passthrough.stale import draw
 from burdockdrum.passthrough.tracks import Choice
 from burdockdrum.passthrough.tracks import Placement
 from burdockdrum.passthrough.tracks import Track
 from burdockdrum.passthrough.waiting import estimate_queue
 from burdockdrum.passthrough.waiting import reading_seconds
+from burdockdrum.passthrough.waiting import RECENT_SECONDS
 from burdockdrum.passthrough.waiting import Wait
 from burdockdrum.passthrough.waiting import writing_risk
 from burdockdrum.passthrough.warmth import home_of
@@ -37,7 +39,8 @@
 MUTE_RUNS = 8
 MIN_MUTE_SECONDS = 0.4
 MAX_MUTE_SECONDS = 1.5
-# Estimates that differ by less are as good as the same.
+# Estimates that differ by less are as good as the same: the work that is
+# taken to come at least, so that equal endpoints take turns.
 TIE_SECONDS = 0.002
 # A silent endpoint is tried where no other one is as good by far.
 SILENT_PENALTY_SECONDS = 1.0
@@ -55,12 +58,16 @@
         rng: random.Random,
         read_endpoints: Callable[[], dict[str, RegisteredEndpoint]],
         read_load: Callable[[str], Load],
+        read_unheard: Callable[[], int] = int,
+        read_lag: Callable[[], float] = float,
         drop_endpoint: Callable[[str], None] = lambda endpoint_id: None,
     ) -> None:
         """Create a fleet.
 
         :param read_endpoints: returns the registered endpoints by id
         :param read_load: returns what other entries have at an endpoint
+        :param read_unheard: returns how many entries tell nothing
+        :param read_lag: returns how many seconds ago the others were heard
         :param drop_endpoint: forgets an endpoint, by its id
         """
         self.entries = 1
@@ -69,6 +76,8 @@
         self._rng = rng
         self._read_endpoints = read_endpoints
         self._read_load = read_load
+        self._read_unheard = read_unheard
+        self._read_lag = read_lag
         self._drop_endpoint = drop_endpoint
         self._tracks_by_id: dict[str, Track] = {}
         self._run_seconds_by_service: dict[str, float] = {}
@@ -107,9 +116,10 @@
             )
             for endpoint in candidates
         ]
-        best = min(choice.wait.total for choice in choices)
-        near = [c for c in choices if c.wait.total <= best + TIE_SECONDS]
-        return self._rng.choice(near)
+        pace = sum(choice.pace for choice in choices)
+        coming = max(pace * self._read_lag(), TIE_SECONDS)
+        waits = [choice.wait.total for choice in choices]
+        return choices[draw(waits, coming, self._rng)]
 
     def count_live(self, service: str) -> int:
         """Return how many endpoints of a service take work here."""
@@ -280,6 +290,9 @@
         load = Load()
         load.merge(track.load)
         load.merge(self._read_load(endpoint.endpoint_id))
+        unheard = self._read_unheard()
+        if unheard:
+            load.merge(track.load.times(unheard))
         run_seconds = self.run_seconds(backend.name)
         queue = estimate_queue(
             load, rank=rank, slots=endpoint.slots, run_seconds=run_seconds
@@ -300,6 +313,7 @@
             wait=wait,
             unread_tokens=unread,
             fetch_from=beginning.holder_address if fetched else None,
+            pace=load.recent_seconds / RECENT_SECONDS,
         )
 
     def _penalty(
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -62,6 +62,8 @@
         rng=kernel.find("random", random.Random),
         read_endpoints=lambda: registrations.endpoints_by_id,
         read_load=sharing.load_of,
+        read_unheard=lambda: sharing.unheard,
+        read_lag=lambda: sharing.lag,
         drop_endpoint=registrations.drop,
     )
     sharing.read_load = fleet.read_own_load
--- a/burdockdrum/passthrough/tracks.py
+++ b/burdockdrum/passthrough/tracks.py
@@ -31,13 +31,15 @@
 class Choice:
     """An endpoint, and when its first output is to be expected.
 
-    ``fetch_from`` is the address of one that holds what it lacks.
+    ``fetch_from`` is the address of one that holds what it lacks, ``pace``
+    how many seconds of reading all entries send there in a second.
     """
 
     endpoint: RegisteredEndpoint
     wait: Wait
     unread_tokens: int
     fetch_from: str | None = None
+    pace: float = 0.0
 
 
 @dataclass(kw_only=True)
--- a/burdockdrum/registrations/load_sharing.py
+++ b/burdockdrum/registrations/load_sharing.py
@@ -82,6 +82,10 @@
         self._read_rooms = read_rooms
         self._keepers = KeeperChoice(own=self._own)
         self._keeper: VmIdentity | None = None
+        # The entries whose load this one should know of, but for its own.
+        self._others = 0
+        self._interval = TELL_SECONDS
+        self._answered_at = float("-inf")
         # Where they are, and when each was heard.
         self._keepers_by_data_centre: dict[str, tuple[str, float]] = {}
         self._here = LoadSums()
@@ -92,7 +96,6 @@
         self._told_at = float("-inf")
         self._told_others_at = float("-inf")
         self._rooms: list[ServiceRoom] = []
-        self._rooms_at = float("-inf")
         peers.register(LoadNotice, self._take_notice)
         peers.register(RegionLoad, self._take_region_load)
         peers.register(DataCentreLoad, self._take_data_centre_load)
@@ -105,10 +108,41 @@
     @property
     def rooms(self) -> list[ServiceRoom]:
         """Return what each region has under way, as heard last."""
-        if self._clock.monotonic() - self._rooms_at <= KEEP_SECONDS:
+        if self._clock.monotonic() - self._answered_at <= KEEP_SECONDS:
             return self._rooms
         return self._read_rooms()
 
+    @property
+    def lag(self) -> float:
+        """Return how many seconds old the others' loads are, on average.
+
+        A load waits half an interval at its entry, and for a keeper's
+        answer since the last one.
+        """
+        if not self._others:
+            return 0.0
+        if self._keeper is None:
+            return TELL_SECONDS
+        if self.is_keeper:
+            return self._interval
+        age = self._clock.monotonic() - self._answered_at
+        return min(KEEP_SECONDS, age + self._interval / 2)
+
+    @property
+    def unheard(self) -> int:
+        """Return how many entries of this region tell nothing just now.
+
+        Failure: every VM starts at once, and each entry fills the first
+        endpoints that it hears of, by what it has sent itself. Symptom:
+        28 entries put seventeen seconds of prompts before one endpoint, and
+        requests run into their deadlines long after all is up. Who has not
+        been heard of is taken to do what this entry does.
+        """
+        if self._keeper is None or self.is_keeper:
+            return max(0, self._others - self._here.sources)
+        is_told = self._here.sources > 0
+        return 0 if is_told else self._others
+
     def load_of(self, endpoint_id: str) -> Load:
         """Return what the other entries have under way at an endpoint."""
         here = self._here.load_of(endpoint_id)
@@ -135,19 +169,22 @@
         """Tell who is to be told; return the seconds until the next time."""
         now = self._clock.monotonic()
         others = list(self._read_entries())
+        self._others = self._count(others)
         self._here.prune(now - KEEP_SECONDS)
         self._elsewhere.prune(now - KEEP_SECONDS)
         self._set_keeper(self._choose_keeper(others, now))
         if self._keeper is None:
             self._tell([e.control_address for e in others], now, asks=False)
             return TELL_SECONDS
-        neighbours = [e for e in others if self._is_neighbour(e)]
+        neighbours = sum(self._is_neighbour(entry) for entry in others)
+        interval = SECONDS_AN_ENTRY * (neighbours + 1)
+        self._interval = max(TELL_SECONDS, interval)
         if self.is_keeper:
             self._tell_data_centres(others, now)
             return DATA_CENTRE_SECONDS
         if self._tell([self._keeper.control_address], now, asks=True):
             self._keepers.note_asked(self._keeper.vm_id, now)
-        return max(TELL_SECONDS, SECONDS_AN_ENTRY * (len(neighbours) + 1))
+        return self._interval
 
     def _choose_keeper(
         self, others: list[VmIdentity], now: float
@@ -158,6 +195,11 @@
         may_keep = not self._read_draining()
         return self._keepers.choose(neighbours, now, may_keep=may_keep)
 
+    def _count(self, others: list[VmIdentity]) -> int:
+        """Count entries; another data centre is heard of as one."""
+        here = sum(self._is_neighbour(entry) for entry in others)
+        return here if self.is_keeper else len(others)
+
     def _set_keeper(self, keeper: VmIdentity | None) -> None:
         if keeper == self._keeper:
             return
@@ -260,7 +302,7 @@
         self._here.keep_only(sender.vm_id)
         self._reply_source = sender.vm_id
         self._elsewhere.prune(float("inf"))
-        self._rooms, self._rooms_at = message.rooms, now
+        self._rooms, self._answered_at = message.rooms, now
         self.hear_placed(message.placed)
         return None
 
--- a/burdockdrum/registrations/load_sums.py
+++ b/burdockdrum/registrations/load_sums.py
@@ -35,6 +35,11 @@
         """Return the sum of all parts, by endpoint."""
         return self._sums_by_id
 
+    @property
+    def sources(self) -> int:
+        """Return how many sources have told their part."""
+        return len(self._parts_by_source)
+
     def load_of(self, endpoint_id: str) -> Load:
         """Return the sum at one endpoint."""
         return self._sums_by_id.get(endpoint_id, _NO_LOAD)
--- a/burdockdrum/registrations/loads.py
+++ b/burdockdrum/registrations/loads.py
@@ -70,6 +70,20 @@
         rest = self.recent_seconds - other.recent_seconds
         self.recent_seconds = max(0.0, rest)
 
+    def times(self, number: int) -> "Load":
+        """Return what so many VMs have under way, if each has this much."""
+        return Load(
+            requests_by_rank={
+                rank: count * number
+                for rank, count in self.requests_by_rank.items()
+            },
+            reading_by_rank={
+                rank: seconds * number
+                for rank, seconds in self.reading_by_rank.items()
+            },
+            recent_seconds=self.recent_seconds * number,
+        )
+
     def average(self, endpoints: int) -> "Load":
         """Return what each of several endpoints has, on average."""
         return Load(
--- a/tests/passthrough/fakes.py
+++ b/tests/passthrough/fakes.py
@@ -90,11 +90,13 @@
         self.clock = SteppedClock()
         self.endpoints = {name: make_endpoint(name) for name in ids}
         self.others = {}
+        self.unheard = 0
         self.fleet = Fleet(
             clock=self.clock,
             rng=random.Random(seed),
             read_endpoints=lambda: self.endpoints,
             read_load=lambda name: self.others.get(name, Load()),
+            read_unheard=lambda: self.unheard,
         )
 
     def choose(self, prompt, *, rank=0, backend=MODEL, tried=(), closed=()):
--- a/tests/passthrough/test_fleet.py
+++ b/tests/passthrough/test_fleet.py
@@ -38,6 +38,20 @@
         ]
         self.assertEqual(3, max(placed.count(name) for name in placed))
 
+    def test_unheard_entries_are_taken_to_do_the_same(self):
+        # Everything has just started, and two endpoints have checked in. 27
+        # other entries have the same requests to place; none of them has
+        # told anything yet. After a few of its own an entry expects a queue
+        # that a request would be refused for.
+        world = FleetWorld("a", "b")
+        alone = [world.send(make_prompt(6000)) for _ in range(4)]
+        self.assertEqual(4, len(alone))
+        short = world.choose(make_prompt(6000)).wait.queue
+        world.unheard = 27
+        long = world.choose(make_prompt(6000)).wait.queue
+        self.assertLess(short, 0.3)
+        self.assertGreater(long, 2.0)
+
     def test_prompt_goes_where_its_beginning_is_held(self):
         # Three entries that never tell each other what they sent where
         # choose the same endpoint for a shared beginning of 5,000 tokens.
--- a/tests/registrations/test_load_sharing.py
+++ b/tests/registrations/test_load_sharing.py
@@ -308,6 +308,32 @@
 
         play([6, 6], check)
 
+    def test_entries_that_were_not_heard_yet_are_counted(self):
+        # All VMs start at once. Until the first answers come an entry knows
+        # how many there are, and nothing of what they have under way.
+        async def check(world):
+            for entry in world.entries:
+                self.assertEqual(0, entry.sharing.unheard)
+            names = [e.identity.vm_id for e in world.entries]
+            world.network.cut(names[:1], names[1:])
+            await asyncio.sleep(3)
+            alone, *others = world.entries
+            self.assertEqual(7, alone.sharing.unheard)
+            self.assertLessEqual({e.sharing.unheard for e in others}, {0, 1})
+
+        play([8], check)
+
+    def test_few_entries_that_were_not_heard_are_counted(self):
+        async def check(world):
+            first, second, third = world.entries
+            self.assertEqual(0, first.sharing.unheard)
+            await second.stop()
+            await asyncio.sleep(2)
+            self.assertEqual(1, first.sharing.unheard)
+            self.assertEqual(1, third.sharing.unheard)
+
+        play([3], check)
+
     def test_rooms_come_with_the_answers(self):
         async def check(world):
             for entry in world.entries:
