--- a/burdockdrum/registrations/load_sharing.py
+++ b/burdockdrum/registrations/load_sharing.py
@@ -94,7 +94,6 @@
         self._placed = PlacedNotices()
         self._told: LoadById = {}
         self._told_at = float("-inf")
-        self._told_others_at = float("-inf")
         self._rooms: list[ServiceRoom] = []
         peers.register(LoadNotice, self._take_notice)
         peers.register(RegionLoad, self._take_region_load)
--- a/tests/consensus/test_self_repair.py
+++ b/tests/consensus/test_self_repair.py
@@ -45,6 +45,18 @@
     return False
 
 
+async def start_six(cluster):
+    """Start three founders and three more; return the leader of the six."""
+    await cluster.start_all()
+    for _ in range(3):
+        await cluster.start(cluster.add_vm().vm_id)
+    leader = await cluster.leader()
+    if not await wait_for(lambda: len(leader.members) == 6, 10):
+        raise AssertionError(f"members: {leader.members}")
+    await asyncio.sleep(5)
+    return leader
+
+
 class SelfRepairTest(unittest.TestCase):
     """Members that lose their disks, or never come back."""
 
@@ -106,13 +118,7 @@
         # all that it acknowledged would be known to nobody.
         async def main():
             cluster = make_cluster(size=3, voters=5)
-            await cluster.start_all()
-            for _ in range(3):
-                await cluster.start(cluster.add_vm().vm_id)
-            leader = await cluster.leader()
-            known = await wait_for(lambda: len(leader.members) == 6, 10)
-            self.assertTrue(known)
-            await asyncio.sleep(5)
+            leader = await start_six(cluster)
             self.assertEqual(5, len(voters(leader)))
             self.assertEqual(6, len(leader.members))
             await leader.propose(b"x", timeout=5)
@@ -129,12 +135,7 @@
         # two more losses are borne.
         async def main():
             cluster = make_cluster(size=3, voters=5)
-            await cluster.start_all()
-            for _ in range(3):
-                await cluster.start(cluster.add_vm().vm_id)
-            leader = await cluster.leader()
-            await wait_for(lambda: len(leader.members) == 6, 10)
-            await asyncio.sleep(5)
+            leader = await start_six(cluster)
             spare = next(m.vm_id for m in leader.members if not m.voter)
             gone = next(
                 vm.vm_id
