--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -250,7 +250,7 @@
             "endpoint.believed",
             endpoint_id=known.endpoint_id,
             service=known.service,
-            place=known.data_centre,
+            data_centre=known.data_centre,
             address=known.address,
             sequence=known.sequence,
             state=after.state.value if after else "dropped",
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -4,6 +4,9 @@
 import contextlib
 import random
 import time
+import unittest
+
+from loguru import logger
 
 from burdockdrum.http1 import ConnectionPool
 from burdockdrum.http1 import Listener
@@ -279,3 +282,17 @@
         writer.close()
         head, _, rest = data.partition(b"\r\n\r\n")
         return int(head.split(b" ")[1]) if head else 0, head, rest
+
+
+class RelayCase(unittest.IsolatedAsyncioTestCase):
+    """An entry with some endpoints."""
+
+    def setUp(self):
+        logger.disable("burdockdrum")
+        self.addCleanup(logger.enable, "burdockdrum")
+
+    async def open(self, *endpoints, **route):
+        """Open an entry over endpoints for a route."""
+        self.world = EntryWorld(**route)
+        self.addAsyncCleanup(self.world.close)
+        return await self.world.open_entry("here", endpoints)
