--- a/burdockdrum/peers/packing.py
+++ b/burdockdrum/peers/packing.py
@@ -1,9 +1,9 @@
 """Compress the few frames that are large.
 
-Failure: the configuration grows to 350 routes and changes every second.
-Symptom: the relay of a data centre sends 93 KB to each of 14 VMs for each
-change, over two seconds of a link of 5 Mbit/s, and changes come in force too
-late. A table of routes repeats itself: it is sent in a tenth of its bytes.
+A table of 350 routes is 93 KB and travels whole, to every VM, with each
+change; it repeats itself, and is sent in a fifth of its bytes. With 88 VMs
+and a change every 0.7 s that left 14 of 22 MB between regions, all traffic
+counted (one day of a storm of changes, 16 s of it).
 """
 
 import zlib
