--- a/burdockdrum/registrations/load_sharing.py
+++ b/burdockdrum/registrations/load_sharing.py
@@ -25,6 +25,7 @@
 from burdockdrum.ports import Clock
 from burdockdrum.registrations.keepers import KeeperChoice
 from burdockdrum.registrations.load_sums import add_up
+from burdockdrum.registrations.load_sums import from_wire
 from burdockdrum.registrations.load_sums import LoadById
 from burdockdrum.registrations.load_sums import LoadSums
 from burdockdrum.registrations.load_sums import to_wire
@@ -258,7 +259,7 @@
 
     def _sum_here(self) -> dict[str, Load]:
         """Return what this data centre has under way, by endpoint."""
-        return add_up(self._here.sums_by_id, _read(self.read_load()))
+        return add_up(self._here.sums_by_id, from_wire(self.read_load()))
 
     async def _take_notice(
         self, sender: Sender, message: LoadNotice
@@ -279,7 +280,7 @@
         loads_by_id = add_up(
             self._here.sums_by_id,
             self._elsewhere.sums_by_id,
-            _read(self.read_load()),
+            from_wire(self.read_load()),
         )
         for endpoint_id, load in self._here.part_of(asker).items():
             loads_by_id[endpoint_id].take_away(load)
@@ -329,9 +330,5 @@
     return f"data_centre:{name}"
 
 
-def _read(load_by_id: LoadById) -> dict[str, Load]:
-    return {name: Load.of(ranks) for name, ranks in load_by_id.items()}
-
-
 def _ignore(placed: list[PlacedParts]) -> None:
     """Drop what nobody asks for."""
--- a/burdockdrum/registrations/load_sums.py
+++ b/burdockdrum/registrations/load_sums.py
@@ -52,7 +52,7 @@
     def put(self, source: str, load_by_id: LoadById, now: float) -> None:
         """Replace the part of a source."""
         self.drop(source)
-        loads = {name: Load.of(ranks) for name, ranks in load_by_id.items()}
+        loads = from_wire(load_by_id)
         self._parts_by_source[source] = _Part(loads_by_id=loads, heard_at=now)
         for endpoint_id, load in loads.items():
             self._sums_by_id.setdefault(endpoint_id, Load()).merge(load)
@@ -90,6 +90,11 @@
     return sums
 
 
+def from_wire(load_by_id: LoadById) -> dict[str, Load]:
+    """Return loads as they are counted, by endpoint."""
+    return {name: Load.of(ranks) for name, ranks in load_by_id.items()}
+
+
 def to_wire(loads_by_id: Mapping[str, Load]) -> LoadById:
     """Return loads as messages hold them, without the empty ones."""
     ranks_by_id = {name: load.ranks() for name, load in loads_by_id.items()}
