Tell each data centre of a region what endpoints hold in the others

Cause: an entry knows all entries of its own data centre and three of each other one. Entries told those that they knew what the endpoints hold that they listen to, so in a region with two data centres most entries heard nothing of half of the region's endpoints. The same held for what came from other regions.

Change: entries tell their own data centre; one of them, by hash, tells one entry of each data centre beside, and one of each other region, which pass it on. What crosses is one message a batch and data centre.

Ruled out: listening at one entry of each data centre; it would double the questions to endpoints.

--- a/burdockdrum/holdings/messages.py
+++ b/burdockdrum/holdings/messages.py
@@ -34,8 +34,10 @@
 class HoldingsNotice(Message, frozen=True, kw_only=True, array_like=True):
     """What has changed since the last notice, or all if it was asked for.
 
-    ``passes_on`` asks the receiver to tell the entries of its region.
+    ``passes_on`` asks the receiver to tell the entries of its data centre,
+    ``to_region`` to tell the other data centres of its region as well.
     """
 
     changes: list[HeldChange]
     passes_on: bool = False
+    to_region: bool = False
--- a/burdockdrum/holdings/services.py
+++ b/burdockdrum/holdings/services.py
@@ -1,5 +1,7 @@
 """Name the services of this package."""
 
+import random
+
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.holdings.ledger import HoldingsLedger
 from burdockdrum.holdings.listening import HoldingsListener
@@ -50,6 +52,7 @@
     return HoldingsSharing(
         peers=kernel.find("peers", Peers),
         clock=kernel.find("clock", Clock),
+        rng=kernel.find("random", random.Random),
         ledger=kernel.find("holdings", HoldingsLedger),
         shared=kernel.find("shared_parts", SharedParts),
         near_data_centres=frozenset({own.data_centre, *near}),
--- a/burdockdrum/holdings/sharing.py
+++ b/burdockdrum/holdings/sharing.py
@@ -1,14 +1,25 @@
 """Tell the other entries what endpoints hold.
 
-In a region every entry tells all others of the endpoints that it listens to;
-one entry, the reporter, tells one of each other region, which passes it on
-there. Only shared parts are told, in batches: some 20 bytes a part.
+In a data centre every entry tells all others of the endpoints that it listens
+to. Of another data centre an entry knows a few others only, so one entry, the
+reporter, tells one of each data centre beside, which passes it on there, and
+one of each other region, which passes it on there and to the data centres
+beside it. Only shared parts are told, in batches: some 20 bytes a part.
+
+Failure: each entry tells those that it knows. Symptom: in a region with two
+data centres of a dozen entries, nine of twelve don't know what is held in the
+other one, and have it read again. What crosses is one message a batch and
+data centre, whatever the number of entries.
 """
 
 import asyncio
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+import itertools
+import random
 
 import msgspec
 
@@ -56,6 +67,7 @@
         *,
         peers: Peers,
         clock: Clock,
+        rng: random.Random,
         ledger: HoldingsLedger,
         shared: SharedParts,
         near_data_centres: frozenset[str],
@@ -74,14 +86,20 @@
         self._own = peers.identity
         self._peers = peers
         self._clock = clock
+        self._rng = rng
         self._ledger = ledger
         self._shared = shared
         self._near_data_centres = near_data_centres
         self._read_entries = read_entries
         self._told_regions_at = float("-inf")
         self._whole_at_by_id: dict[str, float] = {}
+        # For this data centre, for those beside it, and for other regions.
         self._waiting_here = _Batch()
+        self._waiting_near = _Batch()
         self._waiting_there = _Batch()
+        # What came from another region, for the data centres beside.
+        self._waiting_passed = _Batch()
+        self._occupied: frozenset[str] = frozenset({self._own.data_centre})
         ledger.listeners.append(self._take_change)
         peers.register(HoldingsNotice, self._take_notice)
         peers.register(HoldingsQuestion, self._answer)
@@ -113,8 +131,9 @@
         began = self._clock.monotonic()
         asked: set[str] = set()
         while len(asked) < MAX_ASKED:
-            here, _ = self._split_entries()
-            entry = next((e for e in here if e.vm_id not in asked), None)
+            here = self._split_entries().by_data_centre.values()
+            known = itertools.chain.from_iterable(here)
+            entry = next((e for e in known if e.vm_id not in asked), None)
             if entry is None:
                 if self._clock.monotonic() - began > ALONE_SECONDS:
                     return
@@ -145,30 +164,28 @@
 
     def _tick(self) -> None:
         now = self._clock.monotonic()
-        here, there = self._split_entries()
+        entries = self._split_entries()
+        near = [
+            n for n in entries.by_data_centre if n != self._own.data_centre
+        ]
+        self._occupied = frozenset({self._own.data_centre, *near})
         self._renew_whole(now)
-        changes = self._waiting_here.take()
-        if changes:
-            for entry in here:
-                self._peers.send(
-                    entry.control_address, HoldingsNotice(changes=changes)
-                )
+        self._tell_here(entries)
+        self._tell_near(entries)
         if now - self._told_regions_at >= TELL_REGIONS_SECONDS:
             self._told_regions_at = now
-            self._tell_regions(here, there)
+            self._tell_regions(entries)
         self._ledger.forget_unheard(now - KEEP_SECONDS, self.read_listened())
 
-    def _split_entries(
-        self,
-    ) -> tuple[list[VmIdentity], dict[str, list[VmIdentity]]]:
-        here: list[VmIdentity] = []
-        there: dict[str, list[VmIdentity]] = {}
+    def _split_entries(self) -> "_Entries":
+        entries = _Entries()
         for entry in self._read_entries():
             if entry.region == self._own.region:
-                here.append(entry)
+                known = entries.by_data_centre
+                known.setdefault(entry.data_centre, []).append(entry)
             else:
-                there.setdefault(entry.region, []).append(entry)
-        return here, there
+                entries.by_region.setdefault(entry.region, []).append(entry)
+        return entries
 
     def _renew_whole(self, now: float) -> None:
         listened = self.read_listened()
@@ -183,30 +200,75 @@
         for endpoint_id in self._whole_at_by_id.keys() - set(listened):
             del self._whole_at_by_id[endpoint_id]
 
-    def _tell_regions(
-        self, here: list[VmIdentity], there: dict[str, list[VmIdentity]]
-    ) -> None:
+    def _tell_here(self, entries: "_Entries") -> None:
+        changes = self._waiting_here.take()
+        if not changes:
+            return
+        notice = HoldingsNotice(changes=changes)
+        for entry in entries.by_data_centre.get(self._own.data_centre, ()):
+            self._peers.send(entry.control_address, notice)
+
+    def _tell_near(self, entries: "_Entries") -> None:
+        changes = self._waiting_near.take()
+        if not self._is_reporter(entries):
+            changes = []
+        changes += self._waiting_passed.take()
+        if not changes:
+            return
+        notice = HoldingsNotice(changes=changes, passes_on=True)
+        for data_centre, near in entries.by_data_centre.items():
+            if data_centre != self._own.data_centre:
+                self._tell_one(near, notice)
+
+    def _tell_regions(self, entries: "_Entries") -> None:
         changes = self._waiting_there.take()
-        reporters = [self._own.vm_id, *(entry.vm_id for entry in here)]
-        [reporter] = choose_by_hash(reporters, self._own.region, 1)
-        if reporter != self._own.vm_id or not changes:
+        if not changes or not self._is_reporter(entries):
             return
-        for region, entries in there.items():
-            by_id = {entry.vm_id: entry for entry in entries}
-            [chosen] = choose_by_hash(by_id, f"{self._own.region} {region}", 1)
-            self._peers.send(
-                by_id[chosen].control_address,
-                HoldingsNotice(changes=changes, passes_on=True),
-            )
+        notice = HoldingsNotice(
+            changes=changes, passes_on=True, to_region=True
+        )
+        for there in entries.by_region.values():
+            self._tell_one(there, notice)
+
+    def _tell_one(
+        self, entries: list[VmIdentity], notice: HoldingsNotice
+    ) -> None:
+        """Tell one of some entries, another one each time.
+
+        One that is frozen or gone, and not known to be, swallows a part of
+        what is told and not all of it until membership notices.
+        """
+        entry = self._rng.choice(entries)
+        self._peers.send(entry.control_address, notice)
+
+    def _is_reporter(self, entries: "_Entries") -> bool:
+        """Say whether this entry tells others for its data centre."""
+        here = entries.by_data_centre.get(self._own.data_centre, ())
+        ids = [self._own.vm_id, *(entry.vm_id for entry in here)]
+        return choose_by_hash(ids, self._own.data_centre, 1) == [
+            self._own.vm_id
+        ]
 
     def _take_change(self, change: HeldChange) -> None:
         """Have a change told, if it is for this entry to tell."""
         told = self._only_shared(change)
         if change.endpoint_id in self.read_listened():
             self._waiting_here.add(told)
-        if change.data_centre in self._near_data_centres:
+        if self._is_told_from_here(change):
+            self._waiting_near.add(told)
             self._waiting_there.add(_only_long(told))
 
+    def _is_told_from_here(self, change: HeldChange) -> bool:
+        """Say whether an endpoint is for this data centre to tell of.
+
+        Where no entry is left beside an endpoint, those of the data centres
+        near it listen and tell.
+        """
+        if change.data_centre == self._own.data_centre:
+            return True
+        is_near = change.data_centre in self._near_data_centres
+        return is_near and change.data_centre not in self._occupied
+
     def _only_shared(self, change: HeldChange) -> HeldChange:
         tokens_by_part = {
             part_id: tokens
@@ -221,6 +283,8 @@
         for change in self._take_all(message.changes):
             if message.passes_on:
                 self._waiting_here.add(change)
+            if message.to_region:
+                self._waiting_passed.add(change)
         return None
 
     def _take_all(self, changes: list[HeldChange]) -> list[HeldChange]:
@@ -240,6 +304,14 @@
         )
 
 
+@dataclass(kw_only=True)
+class _Entries:
+    """The other entries: those of this region, and of other regions."""
+
+    by_data_centre: dict[str, list[VmIdentity]] = field(default_factory=dict)
+    by_region: dict[str, list[VmIdentity]] = field(default_factory=dict)
+
+
 class _Batch:
     """The changes that wait to be told, one an endpoint."""
 
