Count messages between VMs by kind and distance

An operator could read how many bytes a VM sends to its peers, but not of which messages nor what crosses between data centres and regions, which is what is paid for and what grows with the number of VMs.

--- a/burdockdrum/peers/__init__.py
+++ b/burdockdrum/peers/__init__.py
@@ -7,13 +7,17 @@
 from burdockdrum.peers.peers import Peers
 from burdockdrum.peers.seal import Seal
 from burdockdrum.peers.services import add_services
+from burdockdrum.peers.traffic import Distance
+from burdockdrum.peers.traffic import Traffic
 
 __all__ = [
     "add_services",
     "CallFailed",
+    "Distance",
     "Message",
     "Peers",
     "Seal",
     "Sender",
+    "Traffic",
     "VmIdentity",
 ]
--- a/burdockdrum/peers/peers.py
+++ b/burdockdrum/peers/peers.py
@@ -1,6 +1,6 @@
 """The service that sends and receives messages.
 
-A pynng send costs about 330 µs whatever its size, so the messages for one
+A pynng send costs as much whatever its size, so the messages for one
 peer are collected for a tick and sent as one frame. The first message after
 a pause leaves at once.
 """
@@ -27,6 +27,7 @@
 from burdockdrum.peers.packing import unpack
 from burdockdrum.peers.packing import UnpackError
 from burdockdrum.peers.seal import Seal
+from burdockdrum.peers.traffic import Traffic
 from burdockdrum.ports import Clock
 from burdockdrum.ports import Mailbox
 from burdockdrum.ports import SendFailed
@@ -80,6 +81,7 @@
         self._next_call = rng.randrange(1, 1 << 48)
         self._group: asyncio.TaskGroup | None = None
         self._links = LinkWatch()
+        self.traffic = Traffic(metrics=metrics)
         self._bytes = metrics.counter(
             "burdockdrum_peer_bytes_total", "Bytes sent to and from peers."
         )
@@ -177,6 +179,7 @@
                 if self._outboxes_by_address.get(address) is outbox:
                     del self._outboxes_by_address[address]
                     self._links.forget(address)
+                    self.traffic.forget(address)
                 return
             # Slept before a frame, not after each: most frames come alone,
             # and a wake for nothing costs a tenth of a frame.
@@ -205,6 +208,7 @@
         payload = self._seal.close(pack(msgspec.msgpack.encode(frame)))
         self._bytes.increment(len(payload), way="out")
         self._frames.increment(way="out")
+        self.traffic.note_frame(address, envelopes, len(payload))
         try:
             await self._mailbox.send(address, payload)
         except SendFailed:
--- a/burdockdrum/vms/directory.py
+++ b/burdockdrum/vms/directory.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 import random
 
+from burdockdrum.peers import Distance
 from burdockdrum.peers import Peers
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
@@ -110,6 +111,7 @@
             group=self.group,
             remote=self._remote,
         )
+        peers.traffic.read_distance = self.read_distance
 
     @property
     def draining(self) -> bool:
@@ -176,6 +178,19 @@
         ]
         return min(views, key=lambda v: v.identity.vm_id, default=None)
 
+    def read_distance(self, address: str) -> Distance:
+        """Return how far the VM at a control address is away."""
+        for member in self.group.members_by_id.values():
+            if member.identity.control_address == address:
+                return Distance.DATA_CENTRE
+        for name, remote in self._remote.known_by_name.items():
+            for identity in self._remote.contacts_in(name):
+                if identity.control_address == address:
+                    if remote.region == self.identity.region:
+                        return Distance.REGION
+                    return Distance.ELSEWHERE
+        return Distance.UNKNOWN
+
     async def run(self) -> None:
         """Keep up with the other VMs until cancelled."""
         async with asyncio.TaskGroup() as tasks:
