--- a/run.py
+++ b/run.py
@@ -1,6 +1,10 @@
 """Set up a virtual environment and run one of the project's jobs.
 
 Usage: python3 run.py {demo|test|check|experiment} [ARGUMENT ...]
+       python3 run.py script NAME [ARGUMENT ...]
+
+``script`` runs one of the modules under scripts, such as ablation, soak or
+bench.peers, in the same environment.
 
 The environment is made in .venv, or in the folder that the variable
 BURDOCKDRUM_VENV names, and is reused while requirements.lock is the same.
@@ -69,17 +73,30 @@
     return subprocess.run(command, cwd=ROOT, env=environment).returncode
 
 
+def find_steps(words: list[str]) -> tuple[list[list[str]], list[str]]:
+    """Return the commands of a job, none if there is no such job.
+
+    :param words: those of the command line
+    :returns: the commands, and the arguments of those that take any
+    """
+    if len(words) > 1 and words[0] == "script":
+        module = f"scripts.{words[1]}"
+        return [["{python}", "-m", module, "{arguments}"]], words[2:]
+    return JOBS.get(words[0] if words else "", []), words[1:]
+
+
 def main() -> int:
     """Run the job named on the command line.
 
     :returns: 0, or the exit code of the first command that failed
     """
-    if len(sys.argv) < 2 or sys.argv[1] not in JOBS:
+    steps, arguments = find_steps(sys.argv[1:])
+    if not steps:
         print(__doc__)
         return 64
     python = make_environment()
-    for step in JOBS[sys.argv[1]]:
-        code = run_step(step, python, sys.argv[2:])
+    for step in steps:
+        code = run_step(step, python, arguments)
         if code != 0:
             return code
     return 0
