--- a/burdockdrum/passthrough/engines.py
+++ b/burdockdrum/passthrough/engines.py
@@ -20,8 +20,8 @@
 # Until anything was observed: a mid-size model on one server (a dense model
 # of 70 billion parameters on four accelerators). The first part takes a few
 # steps, reading a prompt a time for each token and for each pair of tokens.
-# A prior three times as slow was tried: it refuses more of those who come
-# back at once after a full stop, and lost 0.018 of the worth of heavy days.
+# It is no slower than engines usually are: what is expected to be late is
+# refused, and after a full stop nothing has been observed yet.
 PRIOR_FIRST_SECONDS = 0.02
 PRIOR_TOKEN_SECONDS = 1 / 85_000
 PRIOR_PAIR_SECONDS = 2.75e-10
--- a/burdockdrum/passthrough/stale.py
+++ b/burdockdrum/passthrough/stale.py
@@ -1,12 +1,12 @@
 """Choose by loads that are a moment old.
 
 Failure: all entries of a region see the same endpoint as the emptiest and
-send there what comes until they hear again. Symptom: with 28 entries, 430
-requests a second and half a second between two reports, the first part of
-an answer takes four times as long as expected, though the endpoints beside
-have room. What will come meanwhile is spread so that the waits would be
-level at its end (Dahlin, "Interpreting stale load information", 2000): an
-endpoint is drawn by how far its wait is below that level.
+send there what comes until they hear again. Symptom: with dozens of entries
+the first part of an answer takes several times as long as expected, though
+the endpoints beside have room. What will come meanwhile is spread so that the
+waits would be level at its end (Dahlin, "Interpreting stale load
+information", 2000): an endpoint is drawn by how far its wait is below that
+level.
 """
 
 from collections.abc import Sequence
--- a/burdockdrum/registrations/load_sharing.py
+++ b/burdockdrum/registrations/load_sharing.py
@@ -8,8 +8,7 @@
 entries that would be n * n messages: above a handful, each tells one entry
 of its data centre, the keeper, and hears from it of everything else. Keepers
 of a region tell each other. So an entry sends and receives a few messages a
-second however many others there are: with 28 entries in a region 6 instead
-of 70, measured as frames an entry.
+second however many others there are.
 """
 
 from collections.abc import Callable
@@ -42,8 +41,7 @@
 # So many others are told directly: as many messages as a keeper would take.
 MAX_TOLD_DIRECTLY = 4
 # A keeper hears and answers 40 notices a second, whatever the number of
-# entries: 80 messages of 165 us each way are 1.3% of a core, and 48 KB/s
-# with 30 endpoints.
+# entries: a hundredth of a core.
 SECONDS_AN_ENTRY = 0.025
 # Data centres of a region tell each other so often.
 DATA_CENTRE_SECONDS = 0.25
--- a/burdockdrum/registrations/pacing.py
+++ b/burdockdrum/registrations/pacing.py
@@ -1,8 +1,8 @@
 """How often entries ask control VMs, by how many entries there are."""
 
 MIN_WATCH_SECONDS = 0.5
-# A control VM answers so many entries a second: at 165 us for a message each
-# way they are 1.5% of a core. Changes are told at once, not with an answer.
+# A control VM answers so many entries a second, however many there are:
+# a fiftieth of a core. Changes are told at once, not with an answer.
 WATCHES_A_SECOND = 45
 # The part by which each pause is longer or shorter at random.
 WATCH_SPREAD = 0.2
--- a/burdockdrum/system_ports/network.py
+++ b/burdockdrum/system_ports/network.py
@@ -15,9 +15,8 @@
 # three ways there and back between regions: a dozen frames in 0.4 s.
 SEND_BUFFER_PAYLOADS = 16
 # VMs that start together dial peers that don't listen yet. The next try comes
-# soon, and then ever later: with a tenth of a second at first, and four
-# payloads kept, two control VMs heard of each other 0.75 s after both were
-# up, with these 0.35 s.
+# soon, and then ever later: a leader can't be elected before control VMs hear
+# of each other.
 REDIAL_MIN_MS = 20
 REDIAL_MAX_MS = 500
 RECEIVE_BUFFER_PAYLOADS = 256
@@ -70,9 +69,8 @@
     """A pull socket for what comes in and a push socket a peer.
 
     Both are used without waiting inside the library: what waits there comes
-    back through one of its threads, which takes the interpreter's lock. A
-    message takes 254 us of processor time for both ends so, and 371 us with
-    ``asend`` and ``arecv`` (1,000 messages over loopback, 2 ms apart).
+    back through one of its threads, which takes the interpreter's lock, and
+    costs half as much again as the message.
     """
 
     def __init__(self, *, pull: pynng.Pull0, address: str) -> None:
