Keep what control VMs know of endpoints through their restarts

Cause: after a loss of all power at 34.7 s the processes run at 36.25 to 36.7 s, the routes are known at 37.5 to 37.8 s, but half of the endpoints only at 38.3 s and nine tenths at 39.8 s: an endpoint whose check-ins failed meanwhile comes back late. Until then entries filled the few they knew.

Change: a control VM writes its registrations to its data folder when they change and reads them back at the start. What was read back and does not check in falls silent as before.

Ruled out: restoring them as silent (those that had checked in would get everything for a second); asking entries, which lose their power as well.

--- a/burdockdrum/registrations/book.py
+++ b/burdockdrum/registrations/book.py
@@ -134,6 +134,29 @@
             if entry.registration.state is RegistrationState.READY:
                 yield entry.registration
 
+    def present(self) -> list[Registration]:
+        """Return the registrations of endpoints that take work or leave."""
+        now = self._clock.monotonic()
+        kept = (RegistrationState.READY, RegistrationState.LEAVING)
+        return [
+            _age(entry.registration, now - entry.heard_at)
+            for entry in self._entries_by_id.values()
+            if entry.registration.state in kept
+        ]
+
+    def restore(self, registrations: Iterable[Registration]) -> int:
+        """Take in what was known before this VM started.
+
+        What has been heard since the start goes before it.
+
+        :returns: how many were not known yet
+        """
+        return sum(
+            self.take(registration)
+            for registration in registrations
+            if registration.endpoint_id not in self._entries_by_id
+        )
+
     def prune(self) -> None:
         """Mark endpoints that fell silent, and forget old ones."""
         now = self._clock.monotonic()
--- a/burdockdrum/registrations/services.py
+++ b/burdockdrum/registrations/services.py
@@ -7,10 +7,12 @@
 from burdockdrum.peers import Peers
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
+from burdockdrum.ports import Disk
 from burdockdrum.registrations.book import RegistrationBook
 from burdockdrum.registrations.follower import RegistrationFollower
 from burdockdrum.registrations.load_sharing import LoadSharing
 from burdockdrum.registrations.publisher import RegistrationPublisher
+from burdockdrum.registrations.store import RegistrationStore
 from burdockdrum.settings import Settings
 from burdockdrum.vms import VmDirectory
 
@@ -20,6 +22,7 @@
     if kernel.has("log"):
         kernel.add("registration_book", _build_book)
         kernel.add("registration_publisher", _build_publisher)
+        kernel.add("registration_store", _build_store)
     else:
         kernel.add("registrations", _build_follower)
         kernel.add("load_sharing", _build_load_sharing)
@@ -29,6 +32,14 @@
     return RegistrationBook(clock=kernel.find("clock", Clock))
 
 
+def _build_store(kernel: Kernel) -> RegistrationStore:
+    return RegistrationStore(
+        clock=kernel.find("clock", Clock),
+        disk=kernel.find("disk", Disk),
+        book=kernel.find("registration_book", RegistrationBook),
+    )
+
+
 def _build_publisher(kernel: Kernel) -> RegistrationPublisher:
     settings = kernel.find("settings", Settings)
     configuration = kernel.find("configuration", ConfigurationService)
