Dial anew what was dialled before the other VM was up

Cause: VMs that lose their power together are up again within half a second of each other. The first one dials another that is still dark; nothing answers, and the kernel tries again after a second. In logs of a full stop three voters ran at 36.25 s and a leader stood at 37.36 s, a second and a way there and back after their first dial.

--- a/burdockdrum/peers/peers.py
+++ b/burdockdrum/peers/peers.py
@@ -231,7 +231,10 @@
                 continue
             self._hybrid_clock.observe(frame.stamp)
             self._links.note_heard(
-                frame.sender_address, self._clock.monotonic(), frame.heard_age
+                frame.sender_address,
+                self._clock.monotonic(),
+                frame.heard_age,
+                frame.incarnation,
             )
             self._dispatch(frame)
 
--- a/tests/peers/test_link_watch.py
+++ b/tests/peers/test_link_watch.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from burdockdrum.peers.link_watch import FIRST_SILENT_SECONDS
 from burdockdrum.peers.link_watch import LinkWatch
 from burdockdrum.peers.link_watch import SILENT_SECONDS
 
@@ -37,6 +38,34 @@
         self.assertGreater(renewed, 8)
         self.assertLess(renewed, 20)
 
+    def test_peer_that_starts_is_dialled_anew_at_once(self):
+        # A region's power returns. This VM is up first and dials another
+        # that is not: the kernel tries again after a second. The other one
+        # is up, dials for itself and is heard; it has heard nothing.
+        self.watch.note_sent("a", 0.0)
+        self.watch.note_heard("a", 0.4, None, incarnation=7)
+        self.assertTrue(self.watch.must_renew("a", 0.4))
+        self.watch.note_sent("a", 0.4)
+        self.watch.note_heard("a", 0.5, None, incarnation=7)
+        self.assertFalse(self.watch.must_renew("a", 0.5))
+
+    def test_connection_that_comes_about_is_left(self):
+        # Both were dialled at the same moment.
+        self.watch.note_sent("a", 0.0)
+        self.watch.note_heard("a", 0.15, None, incarnation=7)
+        self.assertFalse(self.watch.must_renew("a", 0.15))
+
+    def test_peer_that_has_heard_this_vm_is_left(self):
+        self.watch.note_sent("a", 0.0)
+        self.watch.note_heard("a", 0.4, 0.1, incarnation=7)
+        self.assertFalse(self.watch.must_renew("a", 0.4))
+
+    def test_peer_that_was_never_heard_is_tried_sooner(self):
+        # A VM's first question to a control VM that is not up yet is lost.
+        # Nobody there knows of it, so no word comes that would show it.
+        self.watch.note_sent("a", 0.0)
+        self.assertTrue(self.watch.must_renew("a", FIRST_SILENT_SECONDS))
+
     def test_pause_without_frames_proves_nothing(self):
         # Nothing was sent for long, so the peer heard nothing for long.
         self.watch.note_sent("a", 0.0)
