Tell which endpoints give no answer, and fetch from others

Cause: a data centre's endpoints crash while the next one takes its callers. Beginnings of prompts are fetched from the crashed ones; each such fetch waits for a second or two, transfers come one after the other, and what does not fetch waits behind them.

Change: the entry that listens to an endpoint tells when it gives no answer; holders that are silent, or that this entry could not reach, are passed over.

--- a/burdockdrum/holdings/ledger.py
+++ b/burdockdrum/holdings/ledger.py
@@ -14,7 +14,8 @@
 class Memory:
     """The memory of one endpoint, as it said itself.
 
-    ``heard_at`` is when it was last heard of, on the monotonic clock.
+    ``heard_at`` is when it was last heard of, on the monotonic clock. One
+    that ``is_silent`` does not answer who asks it what it holds.
     """
 
     endpoint_id: str
@@ -23,6 +24,7 @@
     epoch: int
     number: int
     heard_at: float
+    is_silent: bool = False
     tokens_by_part: dict[str, int] = field(default_factory=dict)
 
 
@@ -62,6 +64,7 @@
             return False
         memory.heard_at = now
         memory.number = change.number
+        memory.is_silent = change.is_silent
         if change.whole:
             gone = memory.tokens_by_part.keys() - change.tokens_by_part.keys()
             for part_id in gone:
@@ -85,6 +88,7 @@
             number=memory.number,
             tokens_by_part=dict(memory.tokens_by_part),
             whole=True,
+            is_silent=memory.is_silent,
         )
 
     def forget(self, endpoint_id: str) -> None:
@@ -130,5 +134,5 @@
 
 def _is_newer(change: HeldChange, memory: Memory) -> bool:
     if change.number == memory.number:
-        return change.whole
+        return change.whole or change.is_silent != memory.is_silent
     return change.number > memory.number
--- a/burdockdrum/holdings/listening.py
+++ b/burdockdrum/holdings/listening.py
@@ -16,6 +16,8 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+import msgspec
+
 from burdockdrum.holdings.ledger import HoldingsLedger
 from burdockdrum.holdings.messages import HeldChange
 from burdockdrum.holdings.source import HeldEvents
@@ -122,10 +124,13 @@
             pause = ASK_SECONDS
             try:
                 await self._ask(source, endpoint)
+                if not is_heard:
+                    self._tell_heard(endpoint.endpoint_id, is_silent=False)
                 is_heard = True
             except HoldingsUnknown as error:
                 pause = PAUSE_SECONDS
                 if is_heard:
+                    self._tell_heard(endpoint.endpoint_id, is_silent=True)
                     log_failure(
                         "holdings.unknown",
                         endpoint_id=endpoint.endpoint_id,
@@ -135,6 +140,21 @@
             took = self._clock.monotonic() - asked_at
             await self._clock.sleep(max(0.0, pause - took))
 
+    def _tell_heard(self, endpoint_id: str, *, is_silent: bool) -> None:
+        """Tell whether an endpoint answers, with all that it holds.
+
+        Failure: a data centre's endpoints crash, and others are told to
+        fetch beginnings from them. Symptom: each such fetch waits for a
+        second or more, transfers come one after the other, and what comes
+        to those endpoints meanwhile waits behind them. One question that
+        fails is enough: where the endpoint lives after all, others fetch
+        from elsewhere for a moment.
+        """
+        whole = self._ledger.read_whole(endpoint_id)
+        if whole is not None:
+            change = msgspec.structs.replace(whole, is_silent=is_silent)
+            self._ledger.take(change, self._clock.monotonic())
+
     async def _ask(
         self, source: HoldingsSource, endpoint: RegisteredEndpoint
     ) -> None:
--- a/burdockdrum/holdings/messages.py
+++ b/burdockdrum/holdings/messages.py
@@ -15,7 +15,8 @@
     ``epoch`` names the memory: it is another one after a restart. ``number``
     is that of the last event that this includes. ``tokens_by_part`` are the
     parts of prompts with the tokens that are held now, 0 for one that is
-    gone; if ``whole``, nothing else is held.
+    gone; if ``whole``, nothing else is held. One that ``is_silent`` gave no
+    answer to a question: nothing can be fetched from it.
     """
 
     endpoint_id: str
@@ -25,6 +26,7 @@
     number: int
     tokens_by_part: dict[str, int]
     whole: bool = False
+    is_silent: bool = False
 
 
 class HoldingsQuestion(Message, frozen=True, kw_only=True, array_like=True):
--- a/burdockdrum/holdings/sharing.py
+++ b/burdockdrum/holdings/sharing.py
@@ -320,7 +320,8 @@
 
     def add(self, change: HeldChange) -> None:
         """Add a change to what waits of its endpoint."""
-        if not change.tokens_by_part and not change.whole:
+        is_news = change.tokens_by_part or change.whole or change.is_silent
+        if not is_news:
             return
         before = self._changes_by_id.get(change.endpoint_id)
         is_same = before is not None and before.epoch == change.epoch
--- a/tests/holdings/test_sharing.py
+++ b/tests/holdings/test_sharing.py
@@ -234,6 +234,30 @@
 
         play(check)
 
+    def test_endpoint_that_gives_no_answer_is_told_of(self):
+        # It crashes with all that it holds. Entries that have sent it
+        # nothing don't know; they would have others fetch from it, and each
+        # fetch would wait for an address that does not answer.
+        async def check(world):
+            world.share("plan")
+            memory = world.memories["n0"]
+            memory.put("plan", 4900)
+            await asyncio.sleep(4)
+            memory.is_silent = True
+            memory.put("plan", 4900)
+            await asyncio.sleep(4)
+            for name in NAMES:
+                known = world.entries[name].ledger.find("n0")
+                self.assertTrue(known.is_silent, name)
+            memory.is_silent = False
+            await asyncio.sleep(5)
+            for name in NAMES:
+                known = world.entries[name].ledger.find("n0")
+                self.assertFalse(known.is_silent, name)
+                self.assertIn("plan", known.tokens_by_part)
+
+        play(check)
+
     def test_lone_entry_of_a_region_begins_by_itself(self):
         async def check(world):
             world.memories["n0"].put("plan", 4900)
--- a/tests/passthrough/test_warmth.py
+++ b/tests/passthrough/test_warmth.py
@@ -7,6 +7,8 @@
 
 import unittest
 
+import msgspec
+
 from burdockdrum.holdings import HeldChange
 from burdockdrum.holdings import HoldingsLedger
 from burdockdrum.passthrough.beginnings import Fetch
@@ -176,6 +178,21 @@
             tell(world.ledger, name, other=5000)
         self.assertEqual({0.0}, set(self.penalties(world).values()))
 
+    def test_beginning_is_kept_to_one_where_news_comes_too_late(self):
+        # Dozens of entries are asked for the same beginning in one second,
+        # and hear of each other's choices after it. Each would have it read
+        # at another endpoint; so all prefer the same one.
+        world = FleetWorld("a", "b", "c")
+        for name in "abc":
+            tell(world.ledger, name, other=5000)
+        prompt = make_prompt(7000, *SHARED)
+        for lag, number in ((0.01, 3), (1.0, 1)):
+            world.lag = lag
+            chosen = {
+                world.choose(prompt).endpoint.endpoint_id for _ in range(30)
+            }
+            self.assertEqual(number, len(chosen))
+
 
 class FetchTest(unittest.TestCase):
     """Where prompts go whose beginning is held somewhere."""
@@ -204,6 +221,26 @@
         self.assertEqual("b:80", choice.fetch_from)
         self.assertEqual(1600, choice.unread_tokens)
 
+    def test_nothing_is_fetched_from_an_endpoint_that_is_gone(self):
+        # The holder has crashed; this entry has just failed to connect. A
+        # fetch from it would wait, and what is sent to the same endpoint
+        # after it as well.
+        self.hold("b")
+        track = self.world.fleet._track(self.world.endpoints["b"])
+        track.health.note_unreachable(self.world.clock.now)
+        choice = self.world.choose(make_prompt(7000, *SHARED), rank=1)
+        self.assertIsNone(choice.fetch_from)
+
+    def test_nothing_is_fetched_from_an_endpoint_that_gives_no_answer(self):
+        # Others have asked it what it holds, and have told that it is mute.
+        far = {"data_centre": "there", "head": 500, "plan_7": 4900}
+        tell(self.world.ledger, "far", **far)
+        whole = self.world.ledger.read_whole("far")
+        silent = msgspec.structs.replace(whole, is_silent=True)
+        self.world.ledger.take(silent, self.world.clock.now)
+        choice = self.world.choose(make_prompt(7000, *SHARED), rank=1)
+        self.assertIsNone(choice.fetch_from)
+
     def test_beginning_is_fetched_from_another_region(self):
         # Peaks move from region to region: what was asked for there comes
         # here now, and a fetch takes a fifth of the time of reading it.
