Send work where it will be answered in time, by what is seen at a peak

- Another region is rated by what is held there, or fetched from here, and not as if all of a prompt had to be read.
- How much later first parts come than estimated is learned by rank and by how much an engine reads (late_parts); a few observations count after a start.
- An urgent request counts what it takes from a less urgent one when all slots are full (full_slots).
- Where news of who reads a beginning takes longer than reading it, entries keep to one endpoint by a hash.
- A megabyte that crosses to another data centre counts 4 s against a sooner answer (crossing_seconds_a_megabyte).

Ruled out: memory of the engines (own tokens of what runs stay under a fifth of it; slots are full at the peak, 42 requests for 32).

The module that chooses endpoints is split: what is learned of runs stands in learning.py, other regions in regions.py.

--- a/burdockdrum/holdings/listening.py
+++ b/burdockdrum/holdings/listening.py
@@ -35,8 +35,9 @@
 ASK_SECONDS = 1.0
 # After a question that got no answer.
 PAUSE_SECONDS = 2.0
-# How often the endpoints to listen to are looked over.
-LOOK_SECONDS = 0.5
+# How often the endpoints to listen to are looked over: after a full stop
+# what is held is read again until it is known.
+LOOK_SECONDS = 0.2
 
 
 class HoldingsListener:
--- a/burdockdrum/passthrough/fleet.py
+++ b/burdockdrum/passthrough/fleet.py
@@ -2,15 +2,20 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
+from dataclasses import replace
 import random
 
 from burdockdrum.holdings import HoldingsLedger
 from burdockdrum.passthrough.beginnings import Beginning
+from burdockdrum.passthrough.beginnings import Fetch
+from burdockdrum.passthrough.beginnings import link_seconds
 from burdockdrum.passthrough.beginnings import MIN_FETCH_TOKENS
 from burdockdrum.passthrough.engines import Engines
 from burdockdrum.passthrough.health import EndpointHealth
+from burdockdrum.passthrough.learning import Learning
 from burdockdrum.passthrough.limits import ColdGate
 from burdockdrum.passthrough.prompts import Prompt
+from burdockdrum.passthrough.rating import FAR_TIMES
 from burdockdrum.passthrough.rating import Rater
 from burdockdrum.passthrough.rating import Wanted
 from burdockdrum.passthrough.stale import draw
@@ -29,20 +34,11 @@
 from burdockdrum.resources import Route
 from burdockdrum.settings import MechanismSettings
 
-# Before a request of a service has been timed.
-FIRST_RUN_SECONDS = 0.5
-# What an average keeps with each new time: it follows the last twenty or so.
-_KEPT = 0.95
 # An endpoint with work gives something within so many usual runs, and at
 # the latest within the time that it takes to read the longest prompt.
 MUTE_RUNS = 8
 MIN_MUTE_SECONDS = 0.4
 MAX_MUTE_SECONDS = 1.5
-# A first part tells how fast an endpoint reads if no more than this part of
-# its prompt's tokens was before it.
-ALONE_PART = 0.1
-# No first part comes sooner: what seems to is a clock that stands.
-MIN_FIRST_SECONDS = 0.001
 # Estimates that differ by less are as good as the same: the work that is
 # taken to come at least, so that equal endpoints take turns.
 TIE_SECONDS = 0.002
@@ -65,6 +61,8 @@
         note_shared: Callable[[str], None] = lambda part_id: None,
         read_region: Callable[[str], str | None] = lambda name: None,
         mechanisms: MechanismSettings | None = None,
+        data_centre: str | None = None,
+        crossing_seconds: float = 0.0,
     ) -> None:
         """Create a fleet.
 
@@ -77,6 +75,9 @@
         :param note_shared: is told of parts that prompts share
         :param read_region: returns the region of a data centre
         :param mechanisms: the parts of the policy that are in use; all
+        :param data_centre: where this entry is
+        :param crossing_seconds: what a megabyte to another data centre
+            counts against seconds of waiting
         """
         self._mechanisms = mechanisms or MechanismSettings()
         self.entries = 1
@@ -84,6 +85,7 @@
             read_now=clock.monotonic, ledger=ledger, note_shared=note_shared
         )
         self.engines = Engines(mechanisms=self._mechanisms)
+        self._learning = Learning(engines=self.engines)
         self._clock = clock
         self._rng = rng
         self._read_endpoints = read_endpoints
@@ -93,12 +95,13 @@
             read_unheard=read_unheard,
             read_region=read_region,
             mechanisms=self._mechanisms,
+            data_centre=data_centre,
+            crossing_seconds=crossing_seconds,
         )
         self._read_lag = read_lag
         self._drop_endpoint = drop_endpoint
         self._read_region = read_region
         self._tracks_by_id: dict[str, Track] = {}
-        self._run_seconds_by_service: dict[str, float] = {}
         self._cold_gate = ColdGate(clock=clock, rng=rng)
 
     def choose(
@@ -110,12 +113,14 @@
         seconds_left: float,
         tried: frozenset[str],
         closed_data_centres: frozenset[str],
+        body_bytes: int = 0,
     ) -> Choice | None:
         """Return the endpoint that should answer first, None if none may.
 
         :param seconds_left: until the caller's deadline
         :param tried: ids of endpoints that are not to be chosen again
         :param closed_data_centres: whose endpoints get no new work
+        :param body_bytes: what is sent with it
         """
         candidates = [
             endpoint
@@ -135,6 +140,8 @@
                 backend, prompt, candidates, route.homes
             ),
             run_seconds=self.run_seconds(backend.name),
+            surprises=self._learning.surprises_of(backend.name),
+            body_bytes=body_bytes,
         )
         choices = [self._rate(endpoint, wanted) for endpoint in candidates]
         pace = sum(choice.pace for choice in choices)
@@ -142,7 +149,11 @@
         if self._mechanisms.stale_spread:
             coming = max(pace * self._read_lag(), TIE_SECONDS)
         waits = [choice.wait.total for choice in choices]
-        return choices[draw(waits, coming, self._rng)]
+        chosen = choices[draw(waits, coming, self._rng)]
+        reading_tokens = self._rater.reading_tokens(
+            wanted, chosen.unread_tokens
+        )
+        return replace(chosen, reading_tokens=reading_tokens)
 
     def count_live(self, service: str) -> int:
         """Return how many endpoints of a service take work here."""
@@ -189,31 +200,7 @@
             placement.read_at = now
             if track is not None:
                 track.first_at = now
-            self._learn_reading(placement, now)
-
-    def _learn_reading(self, placement: Placement, now: float) -> None:
-        choice = placement.choice
-        unread = choice.unread_tokens
-        if choice.ahead_tokens > unread * ALONE_PART:
-            return
-        service = choice.endpoint.service
-        seconds = max(MIN_FIRST_SECONDS, now - placement.began_at)
-        if choice.fetch is None:
-            self.engines.note_first_part(
-                service,
-                choice.endpoint.endpoint_id,
-                placement.prompt,
-                unread,
-                seconds,
-            )
-            return
-        fetching = self.engines.fetch_seconds(service, choice.fetch)
-        rest = choice.wait.own - fetching
-        self.engines.note_fetch(
-            service,
-            choice.fetch,
-            max(MIN_FIRST_SECONDS, seconds - rest),
-        )
+            self._learning.note_first_part(placement, now)
 
     def end(
         self, placement: Placement, backend: Backend, *, whole: bool
@@ -221,33 +208,13 @@
         """Take note that nothing is under way any more."""
         now = self._clock.monotonic()
         if whole:
-            # What it waited in the endpoint's queue held no slot.
-            began = placement.began_at
-            if placement.read_at is not None:
-                began = max(
-                    began, placement.read_at - placement.choice.wait.own
-                )
-            self.note_run(placement.endpoint.service, now - began)
-            self._learn_writing(placement, backend)
+            self._learning.note_whole(placement, backend, now)
         track = self._tracks_by_id.get(placement.endpoint.endpoint_id)
         if track is not None:
             track.placements.discard(placement)
             if whole:
                 track.silent_since = now
 
-    def _learn_writing(self, placement: Placement, backend: Backend) -> None:
-        first, last = placement.read_at, placement.last_at
-        engine = backend.engine
-        if engine is None or first is None or last is None:
-            return
-        tokens = (placement.parts - 1) * engine.tokens_an_event
-        if tokens > 0 and last > first:
-            self.engines.note_writing(
-                placement.endpoint.service,
-                (last - first) / tokens,
-                placement.choice.busy,
-            )
-
     def drop(self, endpoint: RegisteredEndpoint) -> None:
         """Forget a start of an endpoint that another has taken the place of.
 
@@ -262,15 +229,18 @@
         return track.health if track is not None else EndpointHealth()
 
     def note_run(self, service: str, seconds: float) -> None:
-        """Take note of how long a request has held a slot."""
-        known = self.run_seconds(service)
-        self._run_seconds_by_service[service] = known * _KEPT + seconds * (
-            1 - _KEPT
-        )
+        """Take note of how long a request has held a slot elsewhere."""
+        self._learning.note_run(service, seconds)
+
+    def expect_unforeseen(self, service: str, rank: int, busy: float) -> float:
+        """Return how much later than estimated a first part will come."""
+        if not self._mechanisms.late_parts:
+            return 0.0
+        return self._learning.surprises_of(service).expect(rank, busy)
 
     def run_seconds(self, service: str) -> float:
         """Return how long a request of a service takes, on average."""
-        return self._run_seconds_by_service.get(service, FIRST_RUN_SECONDS)
+        return self._learning.run_seconds(service)
 
     def read_own_load(self) -> dict[str, list[RankLoad]]:
         """Return what this entry has under way, by endpoint."""
@@ -348,9 +318,27 @@
         is_long = prompt.shared_tokens >= MIN_FETCH_TOKENS
         if holder is None and is_long and self._mechanisms.hashed_homes:
             ids = [endpoint.endpoint_id for endpoint in candidates]
-            home = None if self.warmth.is_told(ids) else home_of(prompt, ids)
+            if not self._is_heard_in_time(backend, prompt, ids):
+                home = home_of(prompt, ids)
         return Beginning(holder=holder, home_id=home)
 
+    def _is_heard_in_time(
+        self, backend: Backend, prompt: Prompt, endpoint_ids: list[str]
+    ) -> bool:
+        """Say whether others know who reads a beginning before it is read.
+
+        Failure: entries hear of each other's choices later than a beginning
+        takes to read. Symptom: one that dozens of entries are asked for in
+        the same second is read at as many endpoints. Where all keep to one
+        by a hash until someone is known to hold it, it is read there.
+        """
+        if not self.warmth.is_told(endpoint_ids):
+            return False
+        seconds = self.engines.reading_seconds(
+            backend.name, prompt, prompt.shared_tokens
+        )
+        return self._read_lag() < seconds
+
     def find_holder(
         self, backend: Backend, prompt: Prompt, homes: Sequence[str]
     ) -> Holder | None:
@@ -367,10 +355,46 @@
             [
                 (e.endpoint_id, e.address, e.data_centre)
                 for e in self._live(backend.name)
+                if may_fetch(e.data_centre) and self._answers(e)
             ],
             may_fetch,
         )
 
+    def _answers(self, endpoint: RegisteredEndpoint) -> bool:
+        """Say whether others may fetch from an endpoint, as seen here."""
+        track = self._tracks_by_id.get(endpoint.endpoint_id)
+        if endpoint.silent or track is None:
+            return not endpoint.silent
+        now = self._clock.monotonic()
+        is_reachable = track.health.is_reachable(now)
+        return is_reachable and not self._is_doubtful(track, endpoint, now)
+
+    def expect_elsewhere(
+        self,
+        backend: Backend,
+        prompt: Prompt,
+        region: str,
+        homes: Sequence[str],
+    ) -> tuple[int, Fetch | None]:
+        """Return what an endpoint of another region would read and fetch."""
+        if not self._mechanisms.fetched_beginnings:
+            return prompt.tokens, None
+        holder = self.warmth.holder_among(
+            prompt, lambda name: self._read_region(name) == region
+        )
+        if holder is not None:
+            return prompt.tokens - holder.tokens, None
+        holder = self.find_holder(backend, prompt, homes)
+        if holder is None or holder.tokens < MIN_FETCH_TOKENS:
+            return prompt.tokens, None
+        fetch = Fetch(
+            address=holder.address,
+            tokens=holder.tokens,
+            link_seconds=link_seconds(backend, holder.tokens) * FAR_TIMES,
+            is_far=True,
+        )
+        return prompt.tokens - holder.tokens, fetch
+
     def _rate(self, endpoint: RegisteredEndpoint, wanted: Wanted) -> Choice:
         now = self._clock.monotonic()
         track = self._track(endpoint)
--- a/burdockdrum/passthrough/placing.py
+++ b/burdockdrum/passthrough/placing.py
@@ -5,21 +5,16 @@
 from dataclasses import replace
 import random
 
-from burdockdrum.passthrough.attempts import HOP_SECONDS
 from burdockdrum.passthrough.fleet import Fleet
 from burdockdrum.passthrough.model import EndpointPlace
 from burdockdrum.passthrough.model import PassedRequest
 from burdockdrum.passthrough.model import Place
 from burdockdrum.passthrough.model import Progress
 from burdockdrum.passthrough.model import RegionPlace
+from burdockdrum.passthrough.regions import RegionRater
 from burdockdrum.passthrough.tracks import Choice
-from burdockdrum.passthrough.waiting import estimate_queue
-from burdockdrum.passthrough.waiting import RECENT_SECONDS
-from burdockdrum.passthrough.waiting import Wait
-from burdockdrum.passthrough.waiting import writing_risk
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
-from burdockdrum.registrations import Load
 from burdockdrum.registrations import ServiceRoom
 from burdockdrum.settings import MechanismSettings
 from burdockdrum.verdicts import Refusal
@@ -57,6 +52,7 @@
         read_closed: Callable[[], frozenset[str]],
         hop_address: Callable[[VmIdentity], str],
         mechanisms: MechanismSettings | None = None,
+        crossing_seconds: float = 0.0,
     ) -> None:
         """Create it for a region.
 
@@ -65,13 +61,22 @@
         :param read_closed: returns the data centres that get no new work
         :param hop_address: returns where an entry takes what is passed on
         :param mechanisms: the parts of the policy that are in use; all
+        :param crossing_seconds: what a megabyte to another region counts
+            against seconds of waiting
         """
         self._mechanisms = mechanisms or MechanismSettings()
         self._clock = clock
         self._rng = rng
         self._fleet = fleet
         self._region = region
-        self._read_rooms = read_rooms
+        self._regions = RegionRater(
+            clock=clock,
+            fleet=fleet,
+            region=region,
+            read_rooms=read_rooms,
+            mechanisms=self._mechanisms,
+            crossing_seconds=crossing_seconds,
+        )
         self._read_entries = read_entries
         self._read_closed = read_closed
         self._hop_address = hop_address
@@ -122,9 +127,8 @@
         every answer is late, though as many are given as ever. What would
         wait longer than its objective is refused at once, so that those who
         are served are served in time; while it is not late already, and not
-        longer than it has. A bound of 0.6 of the objective refused 2.4% of
-        the requests of five heavy days, this one 1.6%, at the same worth;
-        a third fewer were refused when they came back.
+        longer than it has. A shorter bound refuses some who would have been
+        in time, and who come back to be refused again.
         """
         if not self._mechanisms.early_refusal:
             return left
@@ -145,6 +149,7 @@
             seconds_left=request.deadline - self._clock.monotonic(),
             tried=frozenset(progress.tried),
             closed_data_centres=self._read_closed(),
+            body_bytes=len(request.head.body),
         )
 
     def _choose_region(
@@ -171,7 +176,7 @@
             # What is known of other regions is half a second old. They
             # refuse for themselves what they have no room for.
             allowed = min(left, allowed * DOUBT_TIMES)
-        for wait, region in self._rate_regions(request, progress):
+        for wait, region in self._regions.rate(request, progress):
             if wait.total >= limit:
                 return None
             if wait.queue > allowed:
@@ -186,53 +191,6 @@
                 )
         return None
 
-    def _rate_regions(
-        self, request: PassedRequest, progress: Progress
-    ) -> list[tuple[Wait, str]]:
-        homes = request.route.homes
-        waits: list[tuple[Wait, str]] = []
-        for room in self._read_rooms():
-            if room.service != request.backend.name:
-                continue
-            if room.region == self._region or not room.endpoints:
-                continue
-            if room.region in progress.tried_regions:
-                continue
-            if homes and room.region not in homes:
-                continue
-            waits.append((self._estimate(request, room), room.region))
-        return sorted(waits, key=lambda pair: pair[0].total)
-
-    def _estimate(self, request: PassedRequest, room: ServiceRoom) -> Wait:
-        """Estimate by the average endpoint: which one is chosen there."""
-        load = Load.of(room.ranks).times(1 / room.endpoints)
-        service = room.service
-        engines = self._fleet.engines
-        token_seconds = engines.token_seconds(service)
-        queue = estimate_queue(
-            load,
-            rank=request.route.rank,
-            slots=max(1, room.slots // room.endpoints),
-            run_seconds=self._fleet.run_seconds(service),
-            token_seconds=token_seconds,
-            counts_coming=self._mechanisms.urgent_share,
-        )
-        if request.backend.engine is None:
-            return Wait(queue=queue, own=HOP_SECONDS)
-        prompt = request.prompt
-        own = (
-            engines.reading_seconds(service, prompt, prompt.tokens)
-            + engines.first_seconds(service)
-            + HOP_SECONDS
-        )
-        busy = load.recent_tokens * token_seconds / RECENT_SECONDS
-        left = request.deadline - self._clock.monotonic()
-        step = engines.step_seconds(service, busy)
-        risk = 0.0
-        if self._mechanisms.writing_risk:
-            risk = writing_risk(prompt, step, left)
-        return Wait(queue=queue, own=own, penalty=risk)
-
     def _choose_entry(
         self, region: str, progress: Progress
     ) -> VmIdentity | None:
--- a/burdockdrum/passthrough/rating.py
+++ b/burdockdrum/passthrough/rating.py
@@ -2,15 +2,18 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import field
 
 from burdockdrum.passthrough.beginnings import Beginning
 from burdockdrum.passthrough.beginnings import Fetch
 from burdockdrum.passthrough.beginnings import link_seconds
 from burdockdrum.passthrough.engines import Engines
 from burdockdrum.passthrough.prompts import Prompt
+from burdockdrum.passthrough.surprises import Surprises
 from burdockdrum.passthrough.tracks import Choice
 from burdockdrum.passthrough.tracks import Track
 from burdockdrum.passthrough.waiting import estimate_queue
+from burdockdrum.passthrough.waiting import pushed_out_seconds
 from burdockdrum.passthrough.waiting import RECENT_SECONDS
 from burdockdrum.passthrough.waiting import Wait
 from burdockdrum.passthrough.waiting import writing_risk
@@ -26,6 +29,9 @@
 HOME_SECONDS = 0.1
 # How many times as long a transfer takes between data centres.
 FAR_TIMES = 2.0
+_BYTES_A_MEGABYTE = 1_000_000
+# The headers of a request and of its answer, and a short body of the latter.
+EXCHANGE_BYTES = 2000
 # A silent endpoint is tried where no other one is as good by far.
 SILENT_PENALTY_SECONDS = 1.0
 # So is one that fails: another region is nearer than that.
@@ -37,7 +43,9 @@
     """What an endpoint is wanted for.
 
     ``seconds_left`` is how long the caller will wait, ``run_seconds`` what a
-    request of the service takes.
+    request of the service takes. ``body_bytes`` are sent to the endpoint.
+    Most endpoints hold the same of a prompt, or nothing: what is worked out
+    for one is kept in ``reading_seconds_by_unread``.
     """
 
     route: Route
@@ -46,6 +54,9 @@
     seconds_left: float
     beginning: Beginning
     run_seconds: float
+    surprises: Surprises
+    body_bytes: int = 0
+    reading_seconds_by_unread: dict[int, float] = field(default_factory=dict)
 
 
 class Rater:
@@ -59,13 +70,20 @@
         read_unheard: Callable[[], int],
         read_region: Callable[[str], str | None],
         mechanisms: MechanismSettings,
+        data_centre: str | None = None,
+        crossing_seconds: float = 0.0,
     ) -> None:
         """Create it.
 
         :param read_load: returns what other entries have at an endpoint
         :param read_unheard: returns how many entries tell nothing
         :param read_region: returns the region of a data centre
+        :param data_centre: where this entry is, None if it doesn't matter
+        :param crossing_seconds: how much sooner an answer must come for each
+            megabyte that is sent to another data centre
         """
+        self._data_centre = data_centre
+        self._crossing_seconds = crossing_seconds
         self._engines = engines
         self._read_load = read_load
         self._read_unheard = read_unheard
@@ -99,13 +117,15 @@
                 queue=self._queue(endpoint, load, wanted),
                 own=self._own(endpoint, wanted, unread, fetch),
                 penalty=self._penalty(endpoint, wanted, is_doubtful)
-                + self._writing_risk(wanted, pace),
+                + self._pushed_out(endpoint, load, wanted)
+                + self._writing_risk(wanted, pace)
+                + self._crossing(endpoint, wanted),
+                unforeseen=self._unforeseen(wanted, pace),
             ),
             unread_tokens=unread,
             fetch=fetch,
             pace=pace,
-            ahead_tokens=load.above(-1).unread_tokens,
-            reading_tokens=self._reading_tokens(wanted, unread),
+            ahead_tokens=load.unread_tokens,
             busy=min(1.0, pace),
         )
 
@@ -154,14 +174,22 @@
         if backend.engine is None:
             return 0.0
         engines = self._engines
-        reading = engines.reading_seconds(
-            backend.name, wanted.prompt, unread
-        ) + engines.first_seconds(backend.name)
+        reading = self._reading_seconds(wanted, unread)
+        reading += engines.first_seconds(backend.name)
         factor = engines.factor(backend.name, endpoint.endpoint_id)
         fetching = engines.fetch_seconds(backend.name, fetch)
         return reading * factor + fetching
 
-    def _reading_tokens(self, wanted: Wanted, unread: int) -> float:
+    def _reading_seconds(self, wanted: Wanted, unread: int) -> float:
+        known = wanted.reading_seconds_by_unread.get(unread)
+        if known is None:
+            known = self._engines.reading_seconds(
+                wanted.backend.name, wanted.prompt, unread
+            )
+            wanted.reading_seconds_by_unread[unread] = known
+        return known
+
+    def reading_tokens(self, wanted: Wanted, unread: int) -> float:
         """Return what reading a prompt counts in an endpoint's load.
 
         Failure: a prompt of 64,000 tokens counts as these. Symptom: pairs of
@@ -173,7 +201,7 @@
             return 0.0
         if not self._mechanisms.long_prompt_cost:
             return float(unread)
-        seconds = self._engines.reading_seconds(service, wanted.prompt, unread)
+        seconds = self._reading_seconds(wanted, unread)
         return seconds / self._engines.token_seconds(service)
 
     def _find_fetch(
@@ -210,6 +238,34 @@
         step = self._engines.step_seconds(wanted.backend.name, busy)
         return writing_risk(wanted.prompt, step, wanted.seconds_left)
 
+    def _pushed_out(
+        self, endpoint: RegisteredEndpoint, load: Load, wanted: Wanted
+    ) -> float:
+        if wanted.backend.engine is None or not self._mechanisms.full_slots:
+            return 0.0
+        return pushed_out_seconds(
+            load,
+            rank=wanted.route.rank,
+            slots=endpoint.slots,
+            run_seconds=wanted.run_seconds,
+        )
+
+    def _unforeseen(self, wanted: Wanted, busy: float) -> float:
+        if wanted.backend.engine is None or not self._mechanisms.late_parts:
+            return 0.0
+        return wanted.surprises.expect(wanted.route.rank, busy)
+
+    def _crossing(self, endpoint: RegisteredEndpoint, wanted: Wanted) -> float:
+        """Return what an endpoint is worse by for being farther away.
+
+        Failure: endpoints beside this entry and in the next data centre are
+        as good as each other. Symptom: half of all bodies cross, and what
+        crosses is paid for, though the one beside would answer as soon.
+        """
+        if self._data_centre in (None, endpoint.data_centre):
+            return 0.0
+        return crossing_seconds(wanted.body_bytes, self._crossing_seconds)
+
     def _penalty(
         self, endpoint: RegisteredEndpoint, wanted: Wanted, is_doubtful: bool
     ) -> float:
@@ -221,3 +277,9 @@
         if wanted.beginning.home_id not in (None, endpoint.endpoint_id):
             penalty += HOME_SECONDS
         return penalty
+
+
+def crossing_seconds(body_bytes: int, seconds_a_megabyte: float) -> float:
+    """Return how much sooner an answer from elsewhere must come."""
+    sent = body_bytes + EXCHANGE_BYTES
+    return sent / _BYTES_A_MEGABYTE * seconds_a_megabyte
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -76,6 +76,8 @@
         ).note_shared,
         read_region=topology.regions_by_data_centre.get,
         mechanisms=settings.policy.mechanisms,
+        data_centre=kernel.find("identity", VmIdentity).data_centre,
+        crossing_seconds=settings.policy.crossing_seconds_a_megabyte,
     )
     sharing.read_load = fleet.read_own_load
     sharing.take_placed = fleet.warmth.take_placed
@@ -123,6 +125,7 @@
         read_closed=lambda: configuration.current.evacuated_data_centres,
         hop_address=hop_address,
         mechanisms=settings.policy.mechanisms,
+        crossing_seconds=settings.policy.crossing_seconds_a_megabyte,
     )
 
 
--- a/burdockdrum/passthrough/tracks.py
+++ b/burdockdrum/passthrough/tracks.py
@@ -109,16 +109,17 @@
         """
         load = Load()
         for placement in self.placements:
-            unread = placement.unread_tokens
-            load.add(
-                placement.rank,
-                RankSum(requests=1, waiting=unread > 0, unread_tokens=unread),
-            )
+            part = load.of_rank(placement.rank)
+            part.requests += 1
+            if placement.read_at is None:
+                unread = placement.unread_tokens
+                part.waiting += unread > 0
+                part.unread_tokens += unread
         if counts_progress:
             self._take_off_progress(load, now, token_seconds)
         self.add_recent(now, 0, 0.0)
         for rank, tokens in self.recent_by_rank.items():
-            load.add(rank, RankSum(recent_tokens=tokens))
+            load.of_rank(rank).recent_tokens += tokens
         return load
 
     def _take_off_progress(
@@ -132,7 +133,9 @@
         to be in work: were each to count down by itself, an engine that is
         slower than expected would seem to have nothing left to read.
         """
-        waiting = [p for p in self.placements if p.unread_tokens]
+        waiting = [
+            p for p in self.placements if p.read_at is None and p.unread_tokens
+        ]
         if not waiting:
             return
         first = min(waiting, key=lambda p: (p.rank, p.began_at))
--- a/burdockdrum/passthrough/waiting.py
+++ b/burdockdrum/passthrough/waiting.py
@@ -41,23 +41,42 @@
     return max(0.0, writing - safe) * RISK_WEIGHT
 
 
+def pushed_out_seconds(
+    load: Load, *, rank: int, slots: int, run_seconds: float
+) -> float:
+    """Return what a request costs those that it takes a slot from.
+
+    Failure: an engine whose slots are full admits what is more urgent and
+    puts something back that runs. Symptom: an urgent request is answered as
+    if there were room, and a long one beside it is read anew and comes
+    seconds late, while endpoints in other regions have free slots.
+
+    :param run_seconds: how long a request holds a slot, on average
+    """
+    is_full = load.requests + 1 > slots
+    return run_seconds if is_full and load.above(rank).requests else 0.0
+
+
 @dataclass(frozen=True, kw_only=True)
 class Wait:
     """The parts of an expected wait, in seconds.
 
     ``queue`` is spent on what came before, ``own`` on reading the prompt
-    until the first part. ``penalty`` is what a doubtful endpoint, or one
-    where the output would end late, must be better by to be chosen.
+    until the first part. ``unforeseen`` is what first parts have come later
+    by than these two say, at engines that read as much. ``penalty`` is what
+    a doubtful endpoint, or one where the output would end late, must be
+    better by to be chosen.
     """
 
     queue: float
     own: float
     penalty: float = 0.0
+    unforeseen: float = 0.0
 
     @property
     def total(self) -> float:
         """Return what choices are compared by."""
-        return self.queue + self.own + self.penalty
+        return self.queue + self.own + self.unforeseen + self.penalty
 
 
 def estimate_queue(
--- a/burdockdrum/passthrough/warmth.py
+++ b/burdockdrum/passthrough/warmth.py
@@ -148,8 +148,8 @@
         """Say whether endpoints tell what they hold.
 
         Where they do, a beginning that none of them names is held by none,
-        and may be read at any: keeping to one cost 0.007 and 0.016 of the
-        worth of heavy days on two deployments, and gave nothing on a third.
+        and may be read at any: keeping to one would have some wait there
+        while others are free.
         """
         return any(self._ledger.find(name) for name in endpoint_ids)
 
@@ -169,6 +169,9 @@
         shared = prompt.parts[:-1]
         best: Holder | None = None
         for endpoint_id, address, data_centre in near:
+            memory = self._ledger.find(endpoint_id)
+            if memory is not None and memory.is_silent:
+                continue
             tokens = self._held(endpoint_id, shared)
             if tokens and (best is None or tokens > best.tokens):
                 best = Holder(
@@ -181,7 +184,7 @@
             prompt.shared_tokens * WHOLE_PART
         ):
             return best
-        return self._find_far(prompt, best, may_fetch)
+        return self.holder_among(prompt, may_fetch, best)
 
     def keep_only(self, endpoint_ids: Container[str]) -> None:
         """Forget the endpoints that are gone."""
@@ -189,18 +192,23 @@
             if endpoint_id not in endpoint_ids:
                 del self._sent_by_id[endpoint_id]
 
-    def _find_far(
+    def holder_among(
         self,
         prompt: Prompt,
-        best: Holder | None,
-        may_fetch: Callable[[str], bool],
+        is_wanted: Callable[[str], bool],
+        best: Holder | None = None,
     ) -> Holder | None:
+        """Return who holds most, by what endpoints have said themselves.
+
+        :param is_wanted: whether a data centre's endpoints count
+        :param best: who must hold less to be passed over
+        """
         shared = prompt.parts[:-1]
         if not shared:
             return best
         longest = max(shared, key=lambda part: part.tokens)
         for memory in self._ledger.holders(longest.part_id):
-            if not may_fetch(memory.data_centre):
+            if memory.is_silent or not is_wanted(memory.data_centre):
                 continue
             tokens = self._held(memory.endpoint_id, shared)
             if best is None or tokens > best.tokens:
--- a/burdockdrum/registrations/loads.py
+++ b/burdockdrum/registrations/loads.py
@@ -38,6 +38,12 @@
 
     def add(self, other: "RankSum", times: float = 1) -> None:
         """Add another one so many times; nothing goes below zero."""
+        if times >= 0:
+            self.requests += other.requests * times
+            self.waiting += other.waiting * times
+            self.unread_tokens += other.unread_tokens * times
+            self.recent_tokens += other.recent_tokens * times
+            return
         self.requests = max(0, self.requests + other.requests * times)
         self.waiting = max(0, self.waiting + other.waiting * times)
         unread = self.unread_tokens + other.unread_tokens * times
@@ -73,6 +79,11 @@
         """Return the requests of all ranks."""
         return sum(part.requests for part in self.sums_by_rank.values())
 
+    @property
+    def unread_tokens(self) -> float:
+        """Return what is to be read, of all ranks."""
+        return sum(part.unread_tokens for part in self.sums_by_rank.values())
+
     @property
     def recent_tokens(self) -> float:
         """Return what was sent lately to be read, of all ranks."""
@@ -80,7 +91,14 @@
 
     def add(self, rank: int, part: RankSum, times: float = 1) -> None:
         """Count what is of a rank so many times."""
-        self.sums_by_rank.setdefault(rank, RankSum()).add(part, times)
+        self.of_rank(rank).add(part, times)
+
+    def of_rank(self, rank: int) -> RankSum:
+        """Return what is counted of a rank, to be added to."""
+        known = self.sums_by_rank.get(rank)
+        if known is None:
+            known = self.sums_by_rank[rank] = RankSum()
+        return known
 
     def merge(self, other: "Load") -> None:
         """Add what another load holds."""
@@ -101,11 +119,15 @@
 
     def up_to(self, rank: int) -> RankSum:
         """Return what is as urgent as a rank, or more."""
-        return self._sum(r for r in self.sums_by_rank if r <= rank)
+        return _add_up(
+            part for r, part in self.sums_by_rank.items() if r <= rank
+        )
 
     def above(self, rank: int) -> RankSum:
         """Return what is less urgent than a rank."""
-        return self._sum(r for r in self.sums_by_rank if r > rank)
+        return _add_up(
+            part for r, part in self.sums_by_rank.items() if r > rank
+        )
 
     def ranks(self) -> list[RankLoad]:
         """Return the ranks that have something, for the wire."""
@@ -121,8 +143,9 @@
         ]
         return [rank for rank in ranks if rank.requests or rank.recent_tokens]
 
-    def _sum(self, ranks: Iterable[int]) -> RankSum:
-        total = RankSum()
-        for rank in ranks:
-            total.add(self.sums_by_rank[rank])
-        return total
+
+def _add_up(parts: Iterable[RankSum]) -> RankSum:
+    total = RankSum()
+    for part in parts:
+        total.add(part)
+    return total
--- a/burdockdrum/settings/checks.py
+++ b/burdockdrum/settings/checks.py
@@ -178,6 +178,7 @@
         "slow_start_seconds",
         "wide_area_seconds",
         "spill_margin_seconds",
+        "crossing_seconds_a_megabyte",
     ):
         if getattr(policy, key) < 0:
             yield SettingsProblem(
--- a/burdockdrum/settings/model.py
+++ b/burdockdrum/settings/model.py
@@ -122,14 +122,16 @@
 class MechanismSettings(_Section, frozen=True, kw_only=True):
     """Which parts of the policy of passed requests are in use.
 
-    Each has been measured with and without; docs/howto/policy.md says what
-    it gives, and when an operator may want to turn it off. What keeps a
+    docs/howto/policy.md says what each of them gives, and when an operator
+    may want to turn it off. What keeps a
     promise, as the bound on retries does, has no switch.
     """
 
     observed_engines: bool = True
     endpoint_speeds: bool = True
     long_prompt_cost: bool = True
+    late_parts: bool = True
+    full_slots: bool = True
     reading_progress: bool = True
     urgent_share: bool = True
     endpoint_holdings: bool = True
@@ -151,7 +153,7 @@
 
     ``tail`` keeps the latency of the highest ranks low; ``worth`` keeps the
     most worth to the client completed. docs/howto/policy.md says what each
-    setting did when it was measured.
+    setting does.
     """
 
     prefer: Literal["tail", "worth"] = "tail"
@@ -161,6 +163,7 @@
     wide_area_seconds: float = 0.055
     spill_margin_seconds: float = 0.1
     spill_reserve: float = 0.1
+    crossing_seconds_a_megabyte: float = 4.0
     mechanisms: MechanismSettings = MechanismSettings()
 
 
--- a/tests/passthrough/fakes.py
+++ b/tests/passthrough/fakes.py
@@ -86,12 +86,13 @@
 class FleetWorld:
     """A fleet over endpoints and loads that a test sets."""
 
-    def __init__(self, *ids, seed=1):
+    def __init__(self, *ids, seed=1, crossing_seconds=0.0):
         """Create endpoints that are idle."""
         self.clock = SteppedClock()
         self.endpoints = {name: make_endpoint(name) for name in ids}
         self.others = {}
         self.unheard = 0
+        self.lag = 0.0
         self.ledger = HoldingsLedger()
         self.fleet = Fleet(
             clock=self.clock,
@@ -99,8 +100,15 @@
             read_endpoints=lambda: self.endpoints,
             read_load=lambda name: self.others.get(name, Load()),
             read_unheard=lambda: self.unheard,
+            read_lag=lambda: self.lag,
             ledger=self.ledger,
-            read_region={"dc": "here", "there": "over"}.get,
+            read_region={
+                "dc": "here",
+                "beside": "here",
+                "there": "over",
+            }.get,
+            data_centre="dc",
+            crossing_seconds=crossing_seconds,
         )
 
     def choose(
@@ -112,6 +120,7 @@
         tried=(),
         closed=(),
         homes=(),
+        body_bytes=0,
     ):
         """Choose an endpoint for a request."""
         return self.fleet.choose(
@@ -121,6 +130,7 @@
             seconds_left=10.0,
             tried=frozenset(tried),
             closed_data_centres=frozenset(closed),
+            body_bytes=body_bytes,
         )
 
     def send(self, prompt, *, rank=0, backend=MODEL):
--- a/tests/passthrough/test_fleet.py
+++ b/tests/passthrough/test_fleet.py
@@ -85,6 +85,30 @@
         other = world.choose(prompt).endpoint.endpoint_id
         self.assertNotEqual(home, other)
 
+    def test_long_body_stays_in_its_data_centre_while_that_is_as_good(self):
+        # Region with two data centres, endpoints idle in both. What crosses
+        # between them is paid for, and would be answered no sooner.
+        world = FleetWorld("a", "b", crossing_seconds=1.5)
+        for name in ("c", "d"):
+            world.endpoints[name] = make_endpoint(name, data_centre="beside")
+        chosen = {
+            world.choose(
+                make_prompt(1000), body_bytes=34_000
+            ).endpoint.endpoint_id
+            for _ in range(30)
+        }
+        self.assertEqual({"a", "b"}, chosen)
+
+    def test_body_crosses_where_it_is_answered_sooner(self):
+        # The endpoints beside the entry have a second to read before it: a
+        # caller is not made to wait for bytes that cost 0.05 s.
+        world = FleetWorld("a", "b", crossing_seconds=1.5)
+        world.endpoints["c"] = make_endpoint("c", data_centre="beside")
+        for name in ("a", "b"):
+            world.others[name] = Load.of([RankLoad(0, 1, 57_000, waiting=1)])
+        choice = world.choose(make_prompt(1000), body_bytes=34_000)
+        self.assertEqual("c", choice.endpoint.endpoint_id)
+
     def test_nothing_goes_where_it_may_not(self):
         world = FleetWorld("ok")
         away = {
@@ -168,7 +192,7 @@
             if placement.endpoint.endpoint_id == "dark":
                 break
             world.fleet.end(placement, PLAIN_MODEL, whole=True)
-        world.fleet._run_seconds_by_service["model"] = 0.03
+        world.fleet._learning._run_seconds_by_service["model"] = 0.03
         world.clock.now += 0.5
         for _ in range(10):
             placement = world.send(make_prompt(0), backend=PLAIN_MODEL)
--- a/tests/passthrough/test_relay.py
+++ b/tests/passthrough/test_relay.py
@@ -165,7 +165,7 @@
         shared = [keep_silent, answer(b"ran")]
         endpoints = [Endpoint(keep_silent), Endpoint(keep_silent)]
         entry = await self.open(*endpoints, attempts=2)
-        entry.fleet._run_seconds_by_service["model"] = 0.03
+        entry.fleet._learning._run_seconds_by_service["model"] = 0.03
         for endpoint in endpoints:
             endpoint.behaviours = shared
         began = time.monotonic()
@@ -183,7 +183,7 @@
 
         endpoint = Endpoint(answer_late)
         entry = await self.open(endpoint, attempts=2)
-        entry.fleet._run_seconds_by_service["model"] = 0.03
+        entry.fleet._learning._run_seconds_by_service["model"] = 0.03
         status, _, body = await entry.call()
         self.assertEqual((200, b"ran"), (status, body))
         self.assertEqual(1, len(endpoint.seen))
@@ -192,7 +192,7 @@
         entry = await self.open(
             Endpoint(keep_silent), Endpoint(answer()), idempotent=False
         )
-        entry.fleet._run_seconds_by_service["model"] = 0.03
+        entry.fleet._learning._run_seconds_by_service["model"] = 0.03
         codes = set()
         for _ in range(6):
             codes.add((await entry.call(b"X-Deadline-Ms: 700"))[0])
