--- a/tests/registrations/test_store.py
+++ b/tests/registrations/test_store.py
@@ -6,10 +6,10 @@
 
 from loguru import logger
 
-from burdockdrum.registrations import RegistrationBook
-from burdockdrum.registrations import RegistrationState
+from burdockdrum.registrations.book import RegistrationBook
 from burdockdrum.registrations.book import SILENT_SECONDS
 from burdockdrum.registrations.messages import Registration
+from burdockdrum.registrations.messages import RegistrationState
 from burdockdrum.registrations.store import MAX_AGE_SECONDS
 from burdockdrum.registrations.store import RegistrationStore
 from burdockdrum.registrations.store import WRITE_SECONDS
