Hold all owners of a key that a recovering keeper is told of

Cause: a keeper without a disk restarts and recovers from two others, which have voted for different owners of one key. It took up the first that it was told of. That one gave its claim back, the key was unknown to a majority, and a third owner was granted it, though the other had the forgotten vote and ran: an unrepeatable request ran twice.

Change: the keeper holds all of them and votes for nobody until one is left, or one has had effects; it tells all to the next one that recovers.

Ruled out: taking up the one with more votes (what was forgotten is not among them); the estimate of how old the configuration is (traced, correct).

--- a/burdockdrum/claims/keeper.py
+++ b/burdockdrum/claims/keeper.py
@@ -9,7 +9,8 @@
   that each majority it was part of is among them (Liskov and Cowling,
   "Viewstamped Replication Revisited", 2012, recovery). They then name its
   new start in their votes, so that a vote from before its restart no longer
-  counts beside theirs.
+  counts beside theirs. Where they know several owners of a key, it holds all
+  of these (see ``rivals``).
 - Where too many have forgotten, a new epoch begins, in which an unknown key
   gets a vote only if it is provably from this epoch: it is a ticket, or its
   client was created since.
@@ -28,6 +29,7 @@
 from burdockdrum.claims.log import Put
 from burdockdrum.claims.log import Removed
 from burdockdrum.claims.messages import ClaimRecord
+from burdockdrum.claims.messages import ClaimState
 from burdockdrum.claims.messages import Epoch
 from burdockdrum.claims.messages import EpochCall
 from burdockdrum.claims.messages import EpochReply
@@ -38,6 +40,7 @@
 from burdockdrum.claims.messages import VoteCall
 from burdockdrum.claims.messages import VoteOutcome
 from burdockdrum.claims.messages import VoteReply
+from burdockdrum.claims.rivals import Rivals
 from burdockdrum.claims.tickets import is_ticket_of
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
@@ -77,6 +80,7 @@
         self._log = log
         self._formed_at = 0.0
         self._new_clients: set[str] = set()
+        self._rivals = Rivals()
 
     @property
     def broken(self) -> bool:
@@ -96,7 +100,7 @@
         for entry in entries:
             match entry:
                 case Put(record=record):
-                    self.book.put(record)
+                    self.hold(record)
                 case Removed(client_id=client_id, key=key):
                     self.book.remove((client_id, key))
                 case Entered(epoch=epoch, formed_at=formed_at):
@@ -114,9 +118,7 @@
         if not self.ready or call.keepers != self._keepers:
             return self._reply(VoteOutcome.NOT_READY, known)
         if known is not None:
-            if known.owner == record.owner:
-                return await self._give(known)
-            return self._reply(VoteOutcome.TAKEN, known)
+            return await self._vote_again(record, known)
         if not self._is_provably_new(record):
             return self._reply(VoteOutcome.UNKNOWN, None)
         if self.book.is_full():
@@ -128,15 +130,51 @@
         self.book.put(record)
         return await self._give(record)
 
+    async def _vote_again(
+        self, record: ClaimRecord, known: ClaimRecord
+    ) -> VoteReply:
+        if known.owner != record.owner:
+            return self._reply(VoteOutcome.TAKEN, known)
+        rivals = self._rivals.of(record.claim_id)
+        if rivals:
+            # Any of them may have had the vote that was forgotten.
+            return self._reply(VoteOutcome.TAKEN, rivals[0])
+        return await self._give(known)
+
+    def hold(self, record: ClaimRecord) -> bool:
+        """Hold a claim that others know of, beside any that is held.
+
+        :returns: whether it was news
+        """
+        known = self.book.get(record.claim_id)
+        if known == record:
+            return False
+        if known is None or known.owner == record.owner:
+            self.book.put(record)
+            return True
+        if known.state is not ClaimState.GRANTED:
+            # It has had effects, so no other one was granted.
+            return False
+        if record.state is ClaimState.GRANTED:
+            return self._rivals.add(record)
+        self.book.put(record)
+        self._rivals.clear(record.claim_id)
+        return True
+
     async def settle(self, call: SettleCall) -> None:
         """Note how a run ended, or forget a claim that was given back."""
         known = self.book.get((call.client_id, call.key))
-        if known is None or known.owner != call.owner:
+        if known is None:
             return
+        if known.owner != call.owner:
+            rival = self._rivals.take(known.claim_id, call.owner)
+            if rival is None or call.state is None:
+                return
+            known = rival
         if call.state is None:
-            self.book.remove(known.claim_id)
-            entry: Entry = Removed(client_id=call.client_id, key=call.key)
+            entry = self._forget(known)
         else:
+            self._rivals.clear(known.claim_id)
             record = msgspec.structs.replace(
                 known,
                 state=call.state,
@@ -149,6 +187,15 @@
             entry = Put(record=record)
         await self._write(entry)
 
+    def _forget(self, record: ClaimRecord) -> Entry:
+        """Forget a claim that was given back; a rival takes its place."""
+        rival = self._rivals.take_any(record.claim_id)
+        if rival is not None:
+            self.book.put(rival)
+            return Put(record=rival)
+        self.book.remove(record.claim_id)
+        return Removed(client_id=record.client_id, key=record.key)
+
     def answer_recovery(self, call: RecoverCall) -> RecoverReply:
         """Tell a keeper that forgot what this one knows.
 
@@ -158,6 +205,8 @@
         known = self.incarnations.get(call.vm_id, 0)
         self.incarnations[call.vm_id] = max(known, call.incarnation)
         records, last = self.book.page(call.after, PAGE_RECORDS)
+        for record in list(records):
+            records += self._rivals.of(record.claim_id)
         return RecoverReply(
             vm_id=self._identity.vm_id,
             incarnation=self._identity.incarnation,
@@ -185,8 +234,7 @@
         """
         self._new_clients = set(new_clients)
         for record in records:
-            if self.book.get(record.claim_id) is None:
-                self.book.put(record)
+            if self.hold(record):
                 await self._write(Put(record=record))
         self.epoch = epoch
         self._formed_at = formed_at
@@ -228,7 +276,9 @@
 
     async def tidy(self) -> None:
         """Forget what is over the retention, and keep the file short."""
-        self.book.expire(self._clock.wall() - RETENTION_SECONDS)
+        oldest = self._clock.wall() - RETENTION_SECONDS
+        for claim_id in self.book.expire(oldest):
+            self._rivals.clear(claim_id)
         if self._log is None or not self._log.needs_compaction():
             return
         try:
@@ -279,6 +329,8 @@
             yield ClientSeen(client_id=client_id)
         for record in self.book.records():
             yield Put(record=record)
+            for rival in self._rivals.of(record.claim_id):
+                yield Put(record=rival)
 
     def _reply(
         self, outcome: VoteOutcome, record: ClaimRecord | None
--- a/burdockdrum/claims/recovery.py
+++ b/burdockdrum/claims/recovery.py
@@ -127,8 +127,7 @@
         )
         for one in found:
             for record in one.records:
-                if self._keeper.book.get(record.claim_id) is None:
-                    self._keeper.book.put(record)
+                self._keeper.hold(record)
         accepted = await asyncio.gather(
             *(self._call_epoch(address, call) for address in self._addresses())
         )
