Answer a VM that has just started as soon as a control VM has made sure

Cause: a control VM makes sure once a second that what it knows is the newest.

Change: a follower says that it waits; a control VM then makes sure at once, a tenth of a second after the last time at the earliest, and answers again. How old an answer is counts from when the question arrived, so that it is right for an answer that comes later.

--- a/burdockdrum/configuration/control.py
+++ b/burdockdrum/configuration/control.py
@@ -87,6 +87,7 @@
         self._knowledge = knowledge
         self._store = state.store
         self._log = log
+        self._is_wanted = False
         state.store.listeners.append(self._take_applied)
         peers.register(Propose, self._take_proposal)
 
@@ -128,11 +129,21 @@
     async def run(self) -> None:
         """Make sure again and again that nothing newer was accepted."""
         while True:
+            self._is_wanted = False
             confirmed = await self._confirm()
-            soon = not confirmed and not self._knowledge.known
-            await self._clock.sleep(
-                FIRST_BARRIER_SECONDS if soon else BARRIER_SECONDS
-            )
+            await self._clock.sleep(FIRST_BARRIER_SECONDS)
+            if confirmed or self._knowledge.known:
+                await self._pause()
+
+    async def _pause(self) -> None:
+        pause = BARRIER_SECONDS - FIRST_BARRIER_SECONDS
+        until = self._clock.monotonic() + pause
+        while not self._is_wanted and self._clock.monotonic() < until:
+            await self._clock.sleep(FIRST_BARRIER_SECONDS)
+
+    def confirm_soon(self) -> None:
+        """Make sure before the next time is due: a VM waits for it."""
+        self._is_wanted = True
 
     async def _confirm(self) -> bool:
         moment = self._clock.monotonic()
--- a/burdockdrum/configuration/following.py
+++ b/burdockdrum/configuration/following.py
@@ -185,6 +185,7 @@
             snapshot=snapshot,
             report=report,
             control_digest=self._knowledge.control_digest,
+            waits=not self._knowledge.known,
         )
         self._peers.send(address, message)
 
--- a/burdockdrum/configuration/knowledge.py
+++ b/burdockdrum/configuration/knowledge.py
@@ -30,6 +30,8 @@
         self.history = History()
         self.known = False
         self.listeners: list[Callable[[], None]] = []
+        # Told each time that the current revision is known to be the newest.
+        self.current_listeners: list[Callable[[], None]] = []
         self._clock = clock
         self._timeline = timeline
         self._started_at: float | None = None
@@ -63,6 +65,11 @@
             return None
         return max(0.0, self._clock.monotonic() - self._current_at)
 
+    @property
+    def current_at(self) -> float | None:
+        """Return when the current revision was the newest, None if never."""
+        return self._current_at
+
     def is_since_start(self, moment: float) -> bool:
         """Say whether a moment lies between the start and now."""
         return (
@@ -76,10 +83,14 @@
         What was accepted before this VM started was then known, so the
         current revision is not older than any that it served before.
         """
-        if self._current_at is None or moment > self._current_at:
+        is_later = self._current_at is None or moment > self._current_at
+        if is_later:
             self._current_at = moment
         if self._started_at is not None and moment >= self._started_at:
             self.mark_known("control")
+        if is_later:
+            for listener in self.current_listeners:
+                listener()
 
     @property
     def control_digest(self) -> int:
--- a/burdockdrum/configuration/messages.py
+++ b/burdockdrum/configuration/messages.py
@@ -54,7 +54,8 @@
 
     ``sent_at`` is of the follower's clock and comes back in the updates.
     ``content`` asks for the changes after ``revision``, ``snapshot`` for
-    everything. ``control_digest`` tells which control VMs it knows.
+    everything. ``control_digest`` tells which control VMs it knows. One that
+    ``waits`` does not know yet what to serve by.
     """
 
     revision: int
@@ -64,13 +65,15 @@
     snapshot: bool = False
     report: Report | None = None
     control_digest: int = 0
+    waits: bool = False
 
 
 class Update(Message, frozen=True, kw_only=True, array_like=True):
     """What a source has in force, and what the follower lacks of it.
 
-    ``age`` is how many seconds ago a control VM knew that nothing newer had
-    been accepted, as far as the source knows; None if it never heard.
+    ``age`` is how many seconds before the follower's last message arrived a
+    control VM knew that nothing newer had been accepted, as far as the source
+    knows; 0 if it has made sure since, None if it never heard.
     ``known`` says that the source itself serves by this revision. ``echo``
     is the ``sent_at`` of the follower's last message. ``control_addresses``
     are those of the control VMs by id, if the follower knows others. From
--- a/burdockdrum/configuration/publishing.py
+++ b/burdockdrum/configuration/publishing.py
@@ -39,6 +39,7 @@
     sent_revision: int
     data_centre: str = ""
     control_digest: int = 0
+    waits: bool = False
     sends: int = 0
 
 
@@ -66,8 +67,11 @@
         self._followers_by_address: dict[str, FollowerState] = {}
         self._grown = asyncio.Event()
         self.on_follow: Callable[[Sender, Follow], None] | None = None
+        # Called when a follower waits for what only a control VM can tell.
+        self.on_wait: Callable[[], None] | None = None
         knowledge.history.listeners.append(lambda _: self._grown.set())
         knowledge.listeners.append(self._tell_known)
+        knowledge.current_listeners.append(self._tell_waiting)
         peers.register(Follow, self._take_follow)
 
     async def run(self) -> None:
@@ -96,6 +100,23 @@
         for address, state in list(self._followers_by_address.items()):
             self._push(address, state, state.revision)
 
+    def _tell_waiting(self) -> None:
+        """Answer the followers that have asked since their start.
+
+        Failure: a VM starts, and asks a source that made sure of what it
+        knows a moment before. Symptom: the answer does not prove that it is
+        as new as what that VM may have served before, so its callers wait
+        for up to a second more. It is answered again as soon as the source
+        has made sure.
+        """
+        current_at = self._knowledge.current_at
+        assert current_at is not None
+        for address, state in list(self._followers_by_address.items()):
+            if state.waits and state.heard_at <= current_at:
+                self._push(
+                    address, replace(state, waits=False), state.revision
+                )
+
     async def _push_again(self) -> None:
         while True:
             await self._clock.sleep(RESEND_SECONDS)
@@ -130,6 +151,7 @@
             sent_revision=message.revision,
             data_centre=message.report.data_centre if message.report else "",
             control_digest=message.control_digest,
+            waits=message.waits,
         )
         self._followers_by_address[sender.address] = state
         self._reports.take_acknowledgement(sender.vm_id, message.revision)
@@ -137,6 +159,8 @@
             self._reports.take_report(message.report)
         if self.on_follow is not None:
             self.on_follow(sender, message)
+        if message.waits and self.on_wait is not None:
+            self.on_wait()
         self._push(
             sender.address,
             state,
@@ -189,7 +213,7 @@
             revision=current.revision,
             digest=current.digest,
             echo=state.echo,
-            age=self._knowledge.age,
+            age=self._age_at(state.heard_at),
             known=self._knowledge.known,
             changes=changes,
             resources=resources,
@@ -198,6 +222,11 @@
             leaving=self._is_leaving(),
         )
 
+    def _age_at(self, heard_at: float) -> float | None:
+        """Return how old what is known was when a follower asked."""
+        current_at = self._knowledge.current_at
+        return None if current_at is None else max(0.0, heard_at - current_at)
+
 
 def _is_older(sender: Sender, message: Follow, known: FollowerState) -> bool:
     if sender.incarnation != known.sender.incarnation:
--- a/burdockdrum/configuration/service.py
+++ b/burdockdrum/configuration/service.py
@@ -130,6 +130,7 @@
                 state=state,
                 log=log,
             )
+            self._publisher.on_wait = self._control.confirm_soon
         peers.register(InForceQuery, self._take_query)
 
     @property
