--- a/burdockdrum/passthrough/surprises.py
+++ b/burdockdrum/passthrough/estimate_errors.py
@@ -19,7 +19,7 @@
 _MAX_SECONDS = 2.0
 
 
-class Surprises:
+class EstimateErrors:
     """The mean error of one service's estimates, by rank and share."""
 
     def __init__(self) -> None:
--- a/burdockdrum/passthrough/fleet.py
+++ b/burdockdrum/passthrough/fleet.py
@@ -143,7 +143,7 @@
                 backend, prompt, candidates, route.homes
             ),
             run_seconds=self.run_seconds(backend.name),
-            surprises=self._learning.surprises_of(backend.name),
+            errors=self._learning.errors_of(backend.name),
             body_bytes=body_bytes,
         )
         choices = [self._rate(endpoint, wanted) for endpoint in candidates]
@@ -257,11 +257,11 @@
         """Take note of how long a request has held a slot elsewhere."""
         self._learning.note_run(service, seconds)
 
-    def expect_unforeseen(self, service: str, rank: int, busy: float) -> float:
+    def expect_error(self, service: str, rank: int, busy: float) -> float:
         """Return how much later than estimated a first part will come."""
         if not self._mechanisms.late_parts:
             return 0.0
-        return self._learning.surprises_of(service).expect(rank, busy)
+        return self._learning.errors_of(service).expect(rank, busy)
 
     def run_seconds(self, service: str) -> float:
         """Return how long a request of a service takes, on average."""
--- a/burdockdrum/passthrough/learning.py
+++ b/burdockdrum/passthrough/learning.py
@@ -1,7 +1,7 @@
 """Learn from the requests of this entry how long things take."""
 
 from burdockdrum.passthrough.engines import Engines
-from burdockdrum.passthrough.surprises import Surprises
+from burdockdrum.passthrough.estimate_errors import EstimateErrors
 from burdockdrum.passthrough.tracks import Placement
 from burdockdrum.resources import Backend
 
@@ -26,11 +26,11 @@
         """
         self._engines = engines
         self._run_seconds_by_service: dict[str, float] = {}
-        self._surprises_by_service: dict[str, Surprises] = {}
+        self._errors_by_service: dict[str, EstimateErrors] = {}
 
-    def surprises_of(self, service: str) -> Surprises:
+    def errors_of(self, service: str) -> EstimateErrors:
         """Return how far the estimates of a service were wrong."""
-        return self._surprises_by_service.setdefault(service, Surprises())
+        return self._errors_by_service.setdefault(service, EstimateErrors())
 
     def run_seconds(self, service: str) -> float:
         """Return how long a request of a service takes, on average."""
@@ -47,7 +47,7 @@
         """Take note of the first output of a request."""
         choice = placement.choice
         wait = choice.wait
-        self.surprises_of(choice.endpoint.service).note(
+        self.errors_of(choice.endpoint.service).note(
             placement.rank,
             choice.busy,
             now - placement.began_at - wait.queue - wait.own,
--- a/burdockdrum/passthrough/rating.py
+++ b/burdockdrum/passthrough/rating.py
@@ -8,12 +8,12 @@
 from burdockdrum.passthrough.beginnings import Fetch
 from burdockdrum.passthrough.beginnings import link_seconds
 from burdockdrum.passthrough.engines import Engines
+from burdockdrum.passthrough.estimate_errors import EstimateErrors
 from burdockdrum.passthrough.prompts import Prompt
-from burdockdrum.passthrough.surprises import Surprises
 from burdockdrum.passthrough.tracks import Choice
 from burdockdrum.passthrough.tracks import Track
 from burdockdrum.passthrough.waiting import estimate_queue
-from burdockdrum.passthrough.waiting import pushed_out_seconds
+from burdockdrum.passthrough.waiting import preemption_seconds
 from burdockdrum.passthrough.waiting import RECENT_SECONDS
 from burdockdrum.passthrough.waiting import Wait
 from burdockdrum.passthrough.waiting import writing_risk
@@ -54,7 +54,7 @@
     seconds_left: float
     beginning: Beginning
     run_seconds: float
-    surprises: Surprises
+    errors: EstimateErrors
     body_bytes: int = 0
     reading_seconds_by_unread: dict[int, float] = field(default_factory=dict)
 
@@ -117,10 +117,10 @@
                 queue=self._queue(endpoint, load, wanted),
                 own=self._own(endpoint, wanted, unread, fetch),
                 penalty=self._penalty(endpoint, wanted, is_doubtful)
-                + self._pushed_out(endpoint, load, wanted)
+                + self._preemption(endpoint, load, wanted)
                 + self._writing_risk(wanted, pace)
                 + self._crossing(endpoint, wanted),
-                unforeseen=self._unforeseen(wanted, pace),
+                usual_error=self._usual_error(wanted, pace),
             ),
             unread_tokens=unread,
             fetch=fetch,
@@ -238,22 +238,22 @@
         step = self._engines.step_seconds(wanted.backend.name, busy)
         return writing_risk(wanted.prompt, step, wanted.seconds_left)
 
-    def _pushed_out(
+    def _preemption(
         self, endpoint: RegisteredEndpoint, load: Load, wanted: Wanted
     ) -> float:
         if wanted.backend.engine is None or not self._mechanisms.full_slots:
             return 0.0
-        return pushed_out_seconds(
+        return preemption_seconds(
             load,
             rank=wanted.route.rank,
             slots=endpoint.slots,
             run_seconds=wanted.run_seconds,
         )
 
-    def _unforeseen(self, wanted: Wanted, busy: float) -> float:
+    def _usual_error(self, wanted: Wanted, busy: float) -> float:
         if wanted.backend.engine is None or not self._mechanisms.late_parts:
             return 0.0
-        return wanted.surprises.expect(wanted.route.rank, busy)
+        return wanted.errors.expect(wanted.route.rank, busy)
 
     def _crossing(self, endpoint: RegisteredEndpoint, wanted: Wanted) -> float:
         """Return what an endpoint is worse by for being farther away.
--- a/burdockdrum/passthrough/regions.py
+++ b/burdockdrum/passthrough/regions.py
@@ -8,7 +8,7 @@
 from burdockdrum.passthrough.model import Progress
 from burdockdrum.passthrough.rating import crossing_seconds
 from burdockdrum.passthrough.waiting import estimate_queue
-from burdockdrum.passthrough.waiting import pushed_out_seconds
+from burdockdrum.passthrough.waiting import preemption_seconds
 from burdockdrum.passthrough.waiting import RECENT_SECONDS
 from burdockdrum.passthrough.waiting import Wait
 from burdockdrum.passthrough.waiting import writing_risk
@@ -90,17 +90,17 @@
         )
         if request.backend.engine is None:
             return Wait(queue=queue, own=HOP_SECONDS, penalty=crossing)
-        pushed_out = 0.0
+        preemption = 0.0
         if self._mechanisms.full_slots:
-            pushed_out = pushed_out_seconds(
+            preemption = preemption_seconds(
                 load, rank=rank, slots=slots, run_seconds=run_seconds
             )
         busy = load.recent_tokens * token_seconds / RECENT_SECONDS
         return Wait(
             queue=queue,
             own=self._own(request, room.region) + HOP_SECONDS,
-            penalty=self._writing_risk(request, busy) + crossing + pushed_out,
-            unforeseen=self._fleet.expect_unforeseen(service, rank, busy),
+            penalty=self._writing_risk(request, busy) + crossing + preemption,
+            usual_error=self._fleet.expect_error(service, rank, busy),
         )
 
     def _own(self, request: PassedRequest, region: str) -> float:
--- a/burdockdrum/passthrough/waiting.py
+++ b/burdockdrum/passthrough/waiting.py
@@ -41,7 +41,7 @@
     return max(0.0, writing - safe) * RISK_WEIGHT
 
 
-def pushed_out_seconds(
+def preemption_seconds(
     load: Load, *, rank: int, slots: int, run_seconds: float
 ) -> float:
     """Return what a request costs those that it takes a slot from.
@@ -62,7 +62,7 @@
     """The parts of an expected wait, in seconds.
 
     ``queue`` is spent on what came before, ``own`` on reading the prompt
-    until the first part. ``unforeseen`` is what first parts have come later
+    until the first part. ``usual_error`` is what first parts have come later
     by than these two say, at engines that read as much. ``penalty`` is what
     a doubtful endpoint, or one where the output would end late, must be
     better by to be chosen.
@@ -71,12 +71,12 @@
     queue: float
     own: float
     penalty: float = 0.0
-    unforeseen: float = 0.0
+    usual_error: float = 0.0
 
     @property
     def total(self) -> float:
         """Return what choices are compared by."""
-        return self.queue + self.own + self.unforeseen + self.penalty
+        return self.queue + self.own + self.usual_error + self.penalty
 
 
 def estimate_queue(
--- a/tests/passthrough/test_surprises.py
+++ b/tests/passthrough/test_estimate_errors.py
@@ -6,7 +6,7 @@
 
 import unittest
 
-from burdockdrum.passthrough.surprises import Surprises
+from burdockdrum.passthrough.estimate_errors import EstimateErrors
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RankLoad
 from tests.passthrough.fakes import FleetWorld
@@ -17,48 +17,48 @@
 CALM = 0.1
 
 
-class SurprisesTest(unittest.TestCase):
+class EstimateErrorsTest(unittest.TestCase):
     """What is learned from errors."""
 
     def setUp(self):
-        self.surprises = Surprises()
+        self.errors = EstimateErrors()
 
     def note(self, busy, seconds, number=100, rank=0):
         for _ in range(number):
-            self.surprises.note(rank, busy, seconds)
+            self.errors.note(rank, busy, seconds)
 
     def test_late_parts_at_busy_engines_are_expected_there_only(self):
         self.note(PEAK, 0.3)
         self.note(CALM, 0.0)
-        self.assertAlmostEqual(0.3, self.surprises.expect(0, PEAK), delta=0.01)
-        self.assertEqual(0.0, self.surprises.expect(0, CALM))
+        self.assertAlmostEqual(0.3, self.errors.expect(0, PEAK), delta=0.01)
+        self.assertEqual(0.0, self.errors.expect(0, CALM))
 
     def test_busier_engine_is_never_expected_to_be_sooner(self):
         # One lucky request at an engine that reads all the time must not
         # draw all others there.
         self.note(PEAK, 0.3)
         self.note(0.95, -0.1, number=1)
-        self.assertAlmostEqual(0.3, self.surprises.expect(0, 0.95), delta=0.01)
+        self.assertAlmostEqual(0.3, self.errors.expect(0, 0.95), delta=0.01)
 
     def test_a_few_late_parts_are_enough_after_a_start(self):
         # One of seventy entries sees three long prompts in the first four
         # seconds of a peak; what it learned after twenty would be too late.
         self.note(PEAK, 0.4, number=3)
-        self.assertGreater(self.surprises.expect(0, PEAK), 0.2)
+        self.assertGreater(self.errors.expect(0, PEAK), 0.2)
 
     def test_early_parts_promise_nothing(self):
         self.note(PEAK, -0.2)
-        self.assertEqual(0.0, self.surprises.expect(0, PEAK))
+        self.assertEqual(0.0, self.errors.expect(0, PEAK))
 
     def test_ranks_are_told_apart(self):
         # Urgent ones are let in first; the others wait for them.
         self.note(PEAK, 0.3, rank=1)
-        self.assertEqual(0.0, self.surprises.expect(0, PEAK))
+        self.assertEqual(0.0, self.errors.expect(0, PEAK))
 
     def test_lost_endpoint_counts_for_little(self):
         self.note(PEAK, 0.0, number=30)
         self.note(PEAK, 60.0, number=1)
-        self.assertLess(self.surprises.expect(0, PEAK), 0.11)
+        self.assertLess(self.errors.expect(0, PEAK), 0.11)
 
 
 class BusyEngineTest(unittest.TestCase):
