--- a/burdockdrum/passthrough/fleet.py
+++ b/burdockdrum/passthrough/fleet.py
@@ -1,21 +1,16 @@
 """Choose an endpoint of this region for a request."""
 
 from collections.abc import Callable
-from collections.abc import Sequence
 from dataclasses import replace
 import random
 
 from burdockdrum.holdings import HoldingsLedger
-from burdockdrum.passthrough.beginnings import Beginning
-from burdockdrum.passthrough.beginnings import Fetch
-from burdockdrum.passthrough.beginnings import link_seconds
-from burdockdrum.passthrough.beginnings import MIN_FETCH_TOKENS
 from burdockdrum.passthrough.engines import Engines
+from burdockdrum.passthrough.finding import BeginningFinder
 from burdockdrum.passthrough.health import EndpointHealth
 from burdockdrum.passthrough.learning import Learning
 from burdockdrum.passthrough.limits import ColdGate
 from burdockdrum.passthrough.prompts import Prompt
-from burdockdrum.passthrough.rating import FAR_TIMES
 from burdockdrum.passthrough.rating import Rater
 from burdockdrum.passthrough.rating import Wanted
 from burdockdrum.passthrough.stale import draw
@@ -23,8 +18,6 @@
 from burdockdrum.passthrough.tracks import Choice
 from burdockdrum.passthrough.tracks import Placement
 from burdockdrum.passthrough.tracks import Track
-from burdockdrum.passthrough.warmth import Holder
-from burdockdrum.passthrough.warmth import home_of
 from burdockdrum.passthrough.warmth import Warmth
 from burdockdrum.ports import Clock
 from burdockdrum.registrations import Load
@@ -87,6 +80,14 @@
         )
         self.engines = Engines(mechanisms=self._mechanisms)
         self._learning = Learning(engines=self.engines)
+        self.beginnings = BeginningFinder(
+            warmth=self.warmth,
+            engines=self.engines,
+            list_sources=self._list_sources,
+            read_region=read_region,
+            read_lag=read_lag,
+            mechanisms=self._mechanisms,
+        )
         self._clock = clock
         self._rng = rng
         self._read_endpoints = read_endpoints
@@ -103,7 +104,6 @@
         self._prefers_near = crossing_seconds > 0
         self._read_lag = read_lag
         self._drop_endpoint = drop_endpoint
-        self._read_region = read_region
         self._tracks_by_id: dict[str, Track] = {}
         self._cold_gate = ColdGate(clock=clock, rng=rng)
 
@@ -139,7 +139,7 @@
             backend=backend,
             prompt=prompt,
             seconds_left=seconds_left,
-            beginning=self._find_beginning(
+            beginning=self.beginnings.find(
                 backend, prompt, candidates, route.homes
             ),
             run_seconds=self.run_seconds(backend.name),
@@ -327,63 +327,9 @@
         health = self.health_of(endpoint)
         return health.may_have_restarted(now, backend.cold_seconds)
 
-    def _find_beginning(
-        self,
-        backend: Backend,
-        prompt: Prompt,
-        candidates: list[RegisteredEndpoint],
-        homes: Sequence[str],
-    ) -> Beginning:
-        """Find who holds the beginning of a prompt, or should read it."""
-        holder = None
-        is_shared = backend.engine is not None and prompt.shared_tokens > 0
-        if is_shared and self._mechanisms.fetched_beginnings:
-            holder = self.find_holder(backend, prompt, homes)
-        home = None
-        is_long = prompt.shared_tokens >= MIN_FETCH_TOKENS
-        if holder is None and is_long and self._mechanisms.hashed_homes:
-            ids = [endpoint.endpoint_id for endpoint in candidates]
-            if not self._is_heard_in_time(backend, prompt, ids):
-                home = home_of(prompt, ids)
-        return Beginning(holder=holder, home_id=home)
-
-    def _is_heard_in_time(
-        self, backend: Backend, prompt: Prompt, endpoint_ids: list[str]
-    ) -> bool:
-        """Say whether others know who reads a beginning before it is read.
-
-        Failure: entries hear of each other's choices later than a beginning
-        takes to read. Symptom: one that dozens of entries are asked for in
-        the same second is read at as many endpoints. Where all keep to one
-        by a hash until someone is known to hold it, it is read there.
-        """
-        if not self.warmth.is_told(endpoint_ids):
-            return False
-        seconds = self.engines.reading_seconds(
-            backend.name, prompt, prompt.shared_tokens
-        )
-        return self._read_lag() < seconds
-
-    def find_holder(
-        self, backend: Backend, prompt: Prompt, homes: Sequence[str]
-    ) -> Holder | None:
-        """Return who holds most of a prompt's beginning, in any region.
-
-        What may not be processed in a region may not be fetched from there.
-        """
-
-        def may_fetch(data_centre: str) -> bool:
-            return not homes or self._read_region(data_centre) in homes
-
-        return self.warmth.best_holder(
-            prompt,
-            [
-                (e.endpoint_id, e.address, e.data_centre)
-                for e in self._live(backend.name)
-                if may_fetch(e.data_centre) and self._answers(e)
-            ],
-            may_fetch,
-        )
+    def _list_sources(self, service: str) -> list[RegisteredEndpoint]:
+        """Return the endpoints here that others may fetch from."""
+        return [e for e in self._live(service) if self._answers(e)]
 
     def _answers(self, endpoint: RegisteredEndpoint) -> bool:
         """Say whether others may fetch from an endpoint, as seen here."""
@@ -394,32 +340,6 @@
         is_reachable = track.health.is_reachable(now)
         return is_reachable and not self._is_doubtful(track, endpoint, now)
 
-    def expect_elsewhere(
-        self,
-        backend: Backend,
-        prompt: Prompt,
-        region: str,
-        homes: Sequence[str],
-    ) -> tuple[int, Fetch | None]:
-        """Return what an endpoint of another region would read and fetch."""
-        if not self._mechanisms.fetched_beginnings:
-            return prompt.tokens, None
-        holder = self.warmth.holder_among(
-            prompt, lambda name: self._read_region(name) == region
-        )
-        if holder is not None:
-            return prompt.tokens - holder.tokens, None
-        holder = self.find_holder(backend, prompt, homes)
-        if holder is None or holder.tokens < MIN_FETCH_TOKENS:
-            return prompt.tokens, None
-        fetch = Fetch(
-            address=holder.address,
-            tokens=holder.tokens,
-            link_seconds=link_seconds(backend, holder.tokens) * FAR_TIMES,
-            is_far=True,
-        )
-        return prompt.tokens - holder.tokens, fetch
-
     def _rate(self, endpoint: RegisteredEndpoint, wanted: Wanted) -> Choice:
         now = self._clock.monotonic()
         track = self._track(endpoint)
--- a/burdockdrum/passthrough/regions.py
+++ b/burdockdrum/passthrough/regions.py
@@ -112,7 +112,7 @@
         """
         engines = self._fleet.engines
         service, prompt = request.backend.name, request.prompt
-        unread, fetch = self._fleet.expect_elsewhere(
+        unread, fetch = self._fleet.beginnings.expect_elsewhere(
             request.backend, prompt, region, request.route.homes
         )
         reading = engines.reading_seconds(service, prompt, unread)
--- a/tests/passthrough/test_regions.py
+++ b/tests/passthrough/test_regions.py
@@ -111,7 +111,7 @@
         # Only an endpoint here holds the beginning. One there would fetch
         # it, which takes less than reading 13,300 tokens.
         self.hold("a", "dc")
-        unread, fetch = self.world.fleet.expect_elsewhere(
+        unread, fetch = self.world.fleet.beginnings.expect_elsewhere(
             MODEL, PLAN, "over", ()
         )
         self.assertEqual(3_700, unread)
@@ -120,7 +120,7 @@
     def test_homes_bind_what_is_fetched(self):
         # What may not be processed in a region may not be fetched there.
         self.hold("a", "dc")
-        unread, fetch = self.world.fleet.expect_elsewhere(
+        unread, fetch = self.world.fleet.beginnings.expect_elsewhere(
             MODEL, PLAN, "over", ("over",)
         )
         self.assertEqual(17_000, unread)
