Elect a leader at once where some control VMs have lost their disks

Cause: after a loss of all power voters waive what they may have promised only if every voter says that it doesn't lead.

Change: a VM says of itself with a former disk that it doesn't lead. It gives no vote for that disk, as before.

--- a/burdockdrum/consensus/election.py
+++ b/burdockdrum/consensus/election.py
@@ -204,6 +204,7 @@
         replica = self._replica
         request = VoteRequest(
             cluster_id=replica.identity.current.cluster_id,
+            target_id=member.vm_id,
             target_disk_id=member.disk_id,
             term=term,
             sender_id=replica.vm_id,
--- a/burdockdrum/consensus/messages.py
+++ b/burdockdrum/consensus/messages.py
@@ -37,8 +37,10 @@
     ``waived_start`` is the start of the receiver at which it was asked in a
     trial in which every voter said that it does not lead: what it may have
     promised to a leader before that start no longer holds. 0 if not so.
+    ``target_id`` is the VM whose disk the request is for.
     """
 
+    target_id: str = ""
     sender_disk_id: str
     last_index: int
     last_term: int
--- a/burdockdrum/consensus/voting.py
+++ b/burdockdrum/consensus/voting.py
@@ -29,7 +29,7 @@
     ) -> Message | None:
         replica = self._replica
         if not self._is_for_this_disk(message):
-            return None
+            return self._answer_for_lost_disk(message)
         replica.contacted(message.sender_disk_id, sender.address)
         if not replica.takes_part:
             # It has no vote yet, but can say that it doesn't lead.
@@ -76,6 +76,21 @@
             and self._founding.may_join(message.cluster_id)
         )
 
+    def _answer_for_lost_disk(self, message: VoteRequest) -> VoteReply | None:
+        """Say of this VM with a former disk that it does not lead.
+
+        It has no vote, but with its process its leadership has ended.
+        """
+        replica = self._replica
+        is_former = (
+            message.target_id == replica.vm_id
+            and message.target_disk_id != replica.disk_id
+        )
+        if not message.trial or not is_former:
+            return None
+        term = min(message.term, replica.storage.term)
+        return VoteReply(term=term, granted=False, leads=False)
+
     def _must_refuse(self, message: VoteRequest) -> bool:
         """Say whether a leader's lease forbids even to hear of the term.
 
--- a/tests/consensus/test_full_stop.py
+++ b/tests/consensus/test_full_stop.py
@@ -69,6 +69,40 @@
                 with self.subTest(seed=seed, size=size):
                     run_virtual(main(seed, size))
 
+    def test_members_that_lost_their_disks_do_not_hold_up_the_others(self):
+        """A member that is silent about its lost disk might seem to lead."""
+
+        async def main(seed, lost):
+            cluster = make_cluster(seed, 5)
+            await cluster.start_all()
+            leader = await cluster.leader()
+            await leader.propose(b"first", timeout=5)
+            await cluster.settle()
+            names = list(cluster.vms)
+            if lost == "leader":
+                names.sort(key=lambda n: cluster.vms[n].log is not leader)
+            await cluster.stop_all(power_loss=True)
+            await asyncio.sleep(DOWN_SECONDS)
+            for name in names[:2]:
+                cluster.vms[name].disk.wipe()
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            await cluster.start_all()
+            leader = await cluster.leader()
+            self.assertLess(loop.time() - began, LEADER_WITHIN_SECONDS)
+            await leader.propose(b"second", timeout=5)
+            self.assertEqual(
+                [b"first", b"second"],
+                cluster.vm_of(leader).machine.commands,
+            )
+            await cluster.stop_all()
+            self.assertEqual([], cluster.errors)
+
+        for seed in range(8):
+            for lost in ("leader", "any"):
+                with self.subTest(seed=seed, lost=lost):
+                    run_virtual(main(seed, lost))
+
     def test_lease_of_a_leader_that_is_cut_off_is_kept(self):
         # Both followers start again just after they have answered a leader,
         # which then is cut off from them and serves reads by its lease. No
