Log what a caller had when it left

A caller that left at its deadline left no line, so that nothing showed what became of plans that were placed after 0.2 s and ended at 10 s.

--- a/burdockdrum/passthrough/model.py
+++ b/burdockdrum/passthrough/model.py
@@ -51,7 +51,8 @@
     ``runs`` counts the attempts that may have run, ``sent`` those that
     reached an endpoint at all. ``first_part_at`` is when the first part of
     an answer went out, on the monotonic clock, ``longest_pause`` the most
-    seconds between two parts. ``has_paid_retry`` says that the next attempt
+    seconds between two of the ``parts``. ``place`` is where the last attempt
+    went. ``has_paid_retry`` says that the next attempt
     has been taken from the budget already.
     """
 
@@ -67,9 +68,12 @@
     last_event: int | None = None
     failure: "Answered | None" = None
     has_paid_retry: bool = False
+    place: "Place | None" = None
+    parts: int = 0
 
     def note_part(self, now: float) -> None:
         """Take note of a part of the answer that goes out."""
+        self.parts += 1
         if self.first_part_at is None:
             self.first_part_at = now
         elif self.last_part_at is not None:
--- a/burdockdrum/passthrough/relay.py
+++ b/burdockdrum/passthrough/relay.py
@@ -1,5 +1,7 @@
 """Give each request that is passed through one answer, or a refusal."""
 
+import asyncio
+
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.http1 import Exchange
 from burdockdrum.logs import log_decision
@@ -137,6 +139,9 @@
                 runs=progress.runs,
             )
             return "cut"
+        except asyncio.CancelledError:
+            self._note_left(request, progress)
+            raise
         return "answered"
 
     async def _wait_until_known(self, exchange: Exchange) -> None:
@@ -162,6 +167,7 @@
             except Refusal as refusal:
                 self._end_without_place(request, progress, exchange, refusal)
                 return
+            progress.place = place
             began = self._clock.monotonic()
             outcome = await self._attempts.make(
                 place, request, progress, exchange, cutter
@@ -345,6 +351,29 @@
             since_received=round(now - request.received_at, 4),
         )
 
+    def _note_left(self, request: PassedRequest, progress: Progress) -> None:
+        """Log what a caller had when it left, and what was expected."""
+        now = self._clock.monotonic()
+        first = progress.first_part_at
+        place = progress.place
+        log_failure(
+            "request.left",
+            request_id=request.request_id,
+            route=request.route.name,
+            team=request.team,
+            **(_describe(place, request) if place is not None else {}),
+            prompt_tokens=request.prompt.tokens,
+            expected_output=request.prompt.expected_output,
+            parts=progress.parts,
+            first_part=_seconds_between(request.received_at, first),
+            last_part=_seconds_between(
+                request.received_at, progress.last_part_at or first
+            ),
+            longest_pause=round(progress.longest_pause, 4),
+            since_received=round(now - request.received_at, 4),
+            seconds_left=round(request.deadline - now, 4),
+        )
+
     def _note_error(self, place: Place, first: float) -> None:
         """Record how good the estimate was that an endpoint was chosen by."""
         if not isinstance(place, EndpointPlace):
@@ -355,6 +384,10 @@
         self._errors.record(abs(error), side=side)
 
 
+def _seconds_between(first: float, second: float | None) -> float | None:
+    return None if second is None else round(second - first, 4)
+
+
 def _describe(place: Place, request: PassedRequest) -> dict[str, Value]:
     """Return where an attempt went, and what it was expected to wait."""
     match place:
