--- a/burdockdrum/claims/rivals.py
+++ b/burdockdrum/claims/rivals.py
@@ -1,10 +1,9 @@
 """Claims of one key by several owners, of which one may have been granted.
 
-Failure: a keeper forgets its votes, and the others that it recovers from have
-voted for different owners of one key. Symptom: it takes up one of them, that
-one gives its claim back, the key is unknown to a majority and granted again,
-though the other owner had the forgotten vote and runs. So the keeper holds
-all of them, and votes for nobody until only one is left.
+A keeper that has forgotten its votes may recover from others that voted for
+different owners of a key. One of these may run, whichever gives its claim
+back. So the keeper holds all of them, and votes for nobody until only one is
+left.
 """
 
 from burdockdrum.claims.book import ClaimId
--- a/burdockdrum/configuration/following.py
+++ b/burdockdrum/configuration/following.py
@@ -221,9 +221,8 @@
     def _note_leaving(self, address: str, leaving: bool) -> None:
         """Turn from a source that leaves before it is silent.
 
-        Failure: the control VM that a data centre follows is drained.
-        Symptom: a change made just after its end is in force here only when
-        its silence has been noticed, seconds late.
+        Otherwise a change made just after the end of that VM would wait until
+        its silence is noticed.
         """
         if not leaving:
             self._leaving_at_by_address.pop(address, None)
--- a/burdockdrum/configuration/publishing.py
+++ b/burdockdrum/configuration/publishing.py
@@ -103,11 +103,9 @@
     def _tell_waiting(self) -> None:
         """Answer the followers that have asked since their start.
 
-        Failure: a VM starts, and asks a source that made sure of what it
-        knows a moment before. Symptom: the answer does not prove that it is
-        as new as what that VM may have served before, so its callers wait
-        for up to a second more. It is answered again as soon as the source
-        has made sure.
+        What was known before a follower started does not prove that it is as
+        new as what the follower served before. So it is answered again as soon
+        as this VM has made sure.
         """
         current_at = self._knowledge.current_at
         assert current_at is not None
@@ -186,11 +184,8 @@
             sends=state.sends + 1,
         )
 
-    # Failure: every VM starts at once, after many changes of a few resources.
-    # Symptom: each is sent every version that there was: with 18 versions of
-    # a table, 150 KB to each of the fifteen VMs of a data centre by its relay,
-    # which fills a link of 5 Mbit/s for four seconds in which nothing else
-    # passes. What there is now is less, so it is sent instead.
+    # Of a resource that changed often the versions take more bytes than what
+    # there is now, and fill the links of entries.
     def _make_update(
         self, state: FollowerState, after: int, snapshot: bool
     ) -> Update:
--- a/burdockdrum/configuration/service.py
+++ b/burdockdrum/configuration/service.py
@@ -223,10 +223,8 @@
     def note_revision(self, address: str, revision: int) -> None:
         """Take note of the revision that a VM has in force.
 
-        Failure: the VM that this one follows hangs, or the path to it.
-        Symptom: a change is in force everywhere but here, for as long as
-        the other's silence takes to be noticed. Whoever is known to be
-        ahead is asked at once instead.
+        Whoever is known to be ahead is asked at once: the VM that this one
+        follows may hang, or the path to it.
         """
         if revision > self.current.revision:
             self._follower.ask(address)
--- a/burdockdrum/consensus/seats.py
+++ b/burdockdrum/consensus/seats.py
@@ -1,12 +1,10 @@
 """Which members of the log are voters, decided by the leader.
 
-Failure: a voter is gone for good and an empty VM is started in its place.
-Symptom: while the newcomer does not count, the next loss ends the quorum;
-with losses eight seconds apart, waiting nine for the first one to come back
-left a cluster of three without a quorum for good. So nobody is waited for
-who can be replaced: a learner that holds the log takes the place of a voter
-as soon as that one has missed two elections. A voter that was only cut off
-comes back as a learner and stands by; a swap costs two entries of the log.
+While the place of a lost voter is empty, the next loss may end the quorum. So
+nobody is waited for who can be replaced: a learner that holds the log takes
+the place of a voter as soon as that one has missed two elections. A voter that
+was only cut off comes back as a learner and stands by; a swap costs two
+entries of the log.
 
 The lost voter is taken out before the newcomer is added: were it added
 first and lost in the same moment, two of four would be gone. Each step
--- a/burdockdrum/consensus/self_repair.py
+++ b/burdockdrum/consensus/self_repair.py
@@ -1,11 +1,10 @@
 """Take control VMs in again, or others in their place, without an operator.
 
-Failure: a VM loses its disk, or never comes back. Symptom: the cluster goes
-on with one member less, and the next loss stops it. A VM that is no member
-with the disk that it has asks for it; the leader removes the member that
-the VM was and adds it as a learner; which learners then vote is decided in
-``seats``. All of it goes through the configuration entries of the log, one
-at a time, so any two quorums share a member throughout.
+A VM that is no member with the disk that it has asks to be one; the leader
+removes the member that the VM was and adds it as a learner; which learners
+then vote is decided in ``seats``. All of it goes through the configuration
+entries of the log, one at a time, so any two quorums share a member
+throughout.
 """
 
 from collections.abc import Callable
@@ -164,9 +163,8 @@
     def _has_room(self, configuration: Configuration) -> bool:
         """Say whether one more VM may be a member.
 
-        Failure: a control VM is started that is not needed as a voter.
-        Symptom: nobody follows it, and what endpoints tell it is never
-        heard. As a learner it is one of the control VMs that all follow.
+        One that is not needed as a voter is a learner: all VMs follow the
+        members, and endpoints may check in at each.
         """
         most = self._voters + MAX_STANDING_BY
         given_up = self._leadership.seats.silent_members(GIVEN_UP_SECONDS)
--- a/burdockdrum/consensus/voting.py
+++ b/burdockdrum/consensus/voting.py
@@ -110,11 +110,9 @@
     def _only_restarted(self, message: VoteRequest) -> bool:
         """Say whether a trial is refused only for the sake of a restart.
 
-        Failure: all members are killed and start again. Symptom: each keeps
-        the silence that it may have promised to a leader, though there is
-        none, and for an election timeout more nobody can be elected. If
-        every voter says that it does not lead, no leader holds a lease that
-        rests on such a promise; ``start`` binds that to this start.
+        After a restart a member keeps the silence that it may have promised to
+        a leader. If every voter says that it does not lead, no leader holds a
+        lease that rests on such a promise; ``start`` binds that to this start.
         """
         replica = self._replica
         if not message.trial or replica.role is Role.LEADER:
--- a/burdockdrum/holdings/listening.py
+++ b/burdockdrum/holdings/listening.py
@@ -1,9 +1,7 @@
 """Listen to some endpoints for what they hold, and tell the others.
 
-Failure: what an endpoint holds is guessed from what was sent there. Symptom:
-its memory was taken for 60% of what it is, or for more than was left beside
-what runs; a quarter of all prompts' tokens were read again though some
-endpoint held them.
+What an endpoint holds can't be told from what was sent there: its memory is
+shared with what runs.
 
 Each endpoint is listened to by one entry, chosen by rendezvous hash among
 those of its data centre, so that an endpoint is asked once a second however
@@ -144,12 +142,10 @@
     def _tell_heard(self, endpoint_id: str, *, is_silent: bool) -> None:
         """Tell whether an endpoint answers, with all that it holds.
 
-        Failure: a data centre's endpoints crash, and others are told to
-        fetch beginnings from them. Symptom: each such fetch waits for a
-        second or more, transfers come one after the other, and what comes
-        to those endpoints meanwhile waits behind them. One question that
-        fails is enough: where the endpoint lives after all, others fetch
-        from elsewhere for a moment.
+        Others fetch beginnings from endpoints that hold them, and a fetch from
+        one that is gone takes seconds. One question that fails is enough:
+        where the endpoint lives after all, others fetch from elsewhere for a
+        moment.
         """
         whole = self._ledger.read_whole(endpoint_id)
         if whole is not None:
--- a/burdockdrum/holdings/sharing.py
+++ b/burdockdrum/holdings/sharing.py
@@ -6,10 +6,9 @@
 one of each other region, which passes it on there and to the data centres
 beside it. Only shared parts are told, in batches: some 20 bytes a part.
 
-Failure: each entry tells those that it knows. Symptom: in a region with two
-data centres of a dozen entries, nine of twelve don't know what is held in the
-other one, and have it read again. What crosses is one message a batch and
-data centre, whatever the number of entries.
+An entry knows a few of another data centre only, so what they are told is
+passed on there. What crosses is one message a batch and data centre, whatever
+the number of entries.
 """
 
 import asyncio
--- a/burdockdrum/http1/sockets.py
+++ b/burdockdrum/http1/sockets.py
@@ -1,9 +1,8 @@
 """Options that make a silent peer noticed.
 
-Failure: a peer loses power, or a path drops packets without a word.
-Symptom: a connection stays open for minutes and what is sent on it is lost.
-The kernel's probes end it within ``SILENT_SECONDS``, and no answer that is
-merely slow is cut: a live peer's kernel answers them.
+A peer that loses power, or a path that drops packets, leaves a connection open
+for minutes. The kernel's probes end it within ``SILENT_SECONDS``, and no
+answer that is merely slow is cut: a live peer's kernel answers them.
 """
 
 import asyncio
--- a/burdockdrum/logs/writer.py
+++ b/burdockdrum/logs/writer.py
@@ -1,8 +1,7 @@
 """Write lines to a pipe that may not be read.
 
-Failure: whoever collects the logs stops reading. Symptom: the pipe fills,
-a plain write blocks, and with it every request. Lines wait here instead, up
-to a bound; from then on the newest are dropped and counted.
+A plain write would block the process once the pipe is full. Lines wait here
+instead, up to a bound; from then on the newest are dropped and counted.
 """
 
 import collections
--- a/burdockdrum/passthrough/attempts.py
+++ b/burdockdrum/passthrough/attempts.py
@@ -72,9 +72,7 @@
     def end_start(self, endpoint_id: str) -> None:
         """Give up what runs at a start of an endpoint that is over.
 
-        Failure: an endpoint loses its power and starts again. Symptom: its
-        former connections stay open in the kernel, and callers wait for the
-        former start until their deadlines.
+        Its connections may stay open in the kernel after a loss of power.
         """
         number = self._under_way.give_up_all(
             endpoint_id, "the endpoint started again"
--- a/burdockdrum/passthrough/engines.py
+++ b/burdockdrum/passthrough/engines.py
@@ -1,10 +1,7 @@
 """How fast the engines of a service read and write, as observed.
 
-Failure: waits are estimated by the speed of other engines. Symptom: an
-engine that reads at half the speed looks half as busy as it is; prompts pile
-up there while others would be sooner, and requests that can't be served in
-time are taken. So nothing here is an engine's figure but a prior, which the
-first dozen observations of a size replace.
+Nothing here is an engine's figure but a prior, which the first dozen
+observations of a size replace.
 """
 
 from dataclasses import dataclass
@@ -33,9 +30,8 @@
 # transfers of an endpoint come one after the other.
 PRIOR_FETCH_SECONDS = 0.01
 PRIOR_FETCH_TIMES = 1.5
-# From another region it takes some round trips of 110 ms more. Failure: one
-# curve for both. Symptom: with half of the beginnings from other regions,
-# what is expected after 0.2 s comes after 0.4, and near fetches look slow.
+# From another region it takes some round trips of 110 ms more. They are
+# learned apart from those within a region.
 PRIOR_FAR_FETCH_SECONDS = 0.25
 # Sizes are told apart by powers of two of the tokens that are read, from
 # 2**7; nobody sends more than 2**17.
--- a/burdockdrum/passthrough/estimate_errors.py
+++ b/burdockdrum/passthrough/estimate_errors.py
@@ -1,11 +1,9 @@
 """How much later first parts come than is expected.
 
-Failure: a wait is estimated from what is known to be before a request. An
-engine also writes for those that run, lets urgent ones in between and is
-sent work by entries that have not told yet. Symptom: a region at its peak
-gives first parts twice as late as it expects, and keeps what idle regions
-would have answered in time. How late they come is observed, by how much an
-engine reads: where it reads nothing they come as expected.
+A wait is estimated from what is known to be before a request. An engine also
+writes for those that run, lets urgent ones in between and is sent work by
+entries that have not told yet. How late first parts come is observed, by how
+much an engine reads: where it reads nothing they come as expected.
 """
 
 # Shares of the time that an engine reads, told apart in fifths.
--- a/burdockdrum/passthrough/events.py
+++ b/burdockdrum/passthrough/events.py
@@ -20,9 +20,8 @@
 class EventCutter:
     """Whole events in, whole events out, each number once and in order.
 
-    Failure: an endpoint stops in the middle of an event, and another one
-    goes on. Symptom: the caller gets pieces of two runs in one event. What
-    is not a whole event is held back, so nothing of it has been sent.
+    What is not a whole event is held back: where an endpoint stops in the
+    middle of one, another can go on before it.
     """
 
     def __init__(self, *, last_number: int | None) -> None:
--- a/burdockdrum/passthrough/finding.py
+++ b/burdockdrum/passthrough/finding.py
@@ -101,10 +101,9 @@
     ) -> bool:
         """Say whether others know who reads a beginning before it is read.
 
-        Failure: entries hear of each other's choices later than a beginning
-        takes to read. Symptom: one that dozens of entries are asked for in
-        the same second is read at as many endpoints. Where all keep to one
-        by a hash until someone is known to hold it, it is read there.
+        If they know later, a beginning that many ask for at once is read at as
+        many endpoints. Then all keep to one endpoint by a hash until someone
+        is known to hold it.
         """
         if not self._warmth.is_told(endpoint_ids):
             return False
--- a/burdockdrum/passthrough/fleet.py
+++ b/burdockdrum/passthrough/fleet.py
@@ -163,10 +163,8 @@
     def _keep_near(self, choices: list[Choice], coming: float) -> list[Choice]:
         """Leave out what is farther away, where something near will do.
 
-        Failure: what comes is spread over all endpoints that have room for
-        some of it. Symptom: half of it crosses between data centres, and is
-        paid for, though those beside each entry have room for their half.
-        So an endpoint of this data centre that would get some gets it all.
+        An endpoint of this data centre that would get some of what comes gets
+        it all: crossings between data centres are paid for.
 
         :param coming: seconds of work that come until loads are heard again
         """
@@ -364,9 +362,8 @@
     def _is_mute(self, track: Track, endpoint: RegisteredEndpoint) -> bool:
         """Say whether an endpoint has work and gives nothing.
 
-        Failure: an endpoint loses its power, or hangs. Symptom: its open
-        connections take requests for the four seconds until the kernel ends
-        them, and each of these is lost.
+        Its connections may take requests for seconds after it has lost its
+        power, until the kernel ends them.
         """
         if not track.placements:
             return False
--- a/burdockdrum/passthrough/health.py
+++ b/burdockdrum/passthrough/health.py
@@ -46,10 +46,9 @@
     def may_have_restarted(self, now: float, cold_seconds: float) -> bool:
         """Say whether it may have started again, and be cold still.
 
-        Failure: an endpoint crashes and is back under the same id before
-        its first check-in. Symptom: what it took before crashes it again.
-        From the first answer after a failed connect it counts as cold for
-        as long as a start makes it so.
+        It may be back under the same id before its first check-in. From the
+        first answer after a failed connect it counts as cold for as long as a
+        start makes it so.
         """
         if not self.was_unreachable:
             return False
--- a/burdockdrum/passthrough/limits.py
+++ b/burdockdrum/passthrough/limits.py
@@ -23,9 +23,8 @@
 class RetryBudget:
     """How many requests may be sent to a service once more.
 
-    Failure: endpoints fail under load and each failure is tried again.
-    Symptom: load multiplies until nothing is answered. Retries are kept to
-    a part of the requests in a sliding window, and a burst that all entries
+    Where each failure is tried again, load multiplies. Retries are kept to a
+    part of the requests in a sliding window, and a burst that all entries
     share.
     """
 
@@ -89,11 +88,10 @@
 class ColdGate:
     """How fast this entry may send to an endpoint that is cold.
 
-    Failure: an endpoint returns cold and all entries send what it took
-    before. Symptom: it crashes again. Each entry sends one request and then
-    waits for its part of the rate; so in any second all of them send one
-    each and the rate, which few entries may. Where there are more, each
-    begins at a random moment within its pause, and the rate alone is sent.
+    Each entry sends one request and then waits for its part of the rate; so in
+    any second all of them send one each and the rate, which few entries may.
+    Where there are more, each begins at a random moment within its pause, and
+    the rate alone is sent.
     """
 
     def __init__(self, *, clock: Clock, rng: random.Random) -> None:
--- a/burdockdrum/passthrough/patience.py
+++ b/burdockdrum/passthrough/patience.py
@@ -1,10 +1,8 @@
 """How long an attempt is waited for before another is made.
 
-Failure: an endpoint goes dark with requests on its connections. Symptom: a
-request that could run elsewhere in a few milliseconds waits for its
-deadline. Where another attempt is allowed, one that gives nothing for far
-longer than usual is given up; its connection is closed, so that a slow
-endpoint stops working on it.
+Where another attempt is allowed, one that gives nothing for far longer than
+usual is given up; its connection is closed, so that a slow endpoint stops
+working on it.
 
 Under load every endpoint is slow, and what waits in a queue would lose its
 place there for none elsewhere: an attempt is only given up once another
--- a/burdockdrum/passthrough/placing.py
+++ b/burdockdrum/passthrough/placing.py
@@ -123,12 +123,9 @@
     def _allowed_queue(self, request: PassedRequest, left: float) -> float:
         """Return how long a request may wait for what came before it.
 
-        Failure: more comes than is served, and the queues grow. Symptom:
-        every answer is late, though as many are given as ever. What would
-        wait longer than its objective is refused at once, so that those who
-        are served are served in time; while it is not late already, and not
-        longer than it has. A shorter bound refuses some who would have been
-        in time, and who come back to be refused again.
+        What would wait longer than its objective is refused at once, so that
+        those who are served are served in time; while it is not late already,
+        and not longer than it has.
         """
         if not self._mechanisms.early_refusal:
             return left
--- a/burdockdrum/passthrough/rating.py
+++ b/burdockdrum/passthrough/rating.py
@@ -192,9 +192,8 @@
     def reading_tokens(self, wanted: Wanted, unread: int) -> float:
         """Return what reading a prompt counts in an endpoint's load.
 
-        Failure: a prompt of 64,000 tokens counts as these. Symptom: pairs of
-        tokens double its time; what comes after it is expected after 0.2 s
-        and gives its first part after 1.3 s.
+        Pairs of tokens add to the time of a long prompt; this counts them as
+        tokens that take as long.
         """
         service = wanted.backend.name
         if wanted.backend.engine is None:
@@ -258,9 +257,8 @@
     def _crossing(self, endpoint: RegisteredEndpoint, wanted: Wanted) -> float:
         """Return what an endpoint is worse by for being farther away.
 
-        Failure: endpoints beside this entry and in the next data centre are
-        as good as each other. Symptom: half of all bodies cross, and what
-        crosses is paid for, though the one beside would answer as soon.
+        The endpoint beside is better while it answers about as soon: what
+        crosses is paid for.
         """
         if self._data_centre in (None, endpoint.data_centre):
             return 0.0
--- a/burdockdrum/passthrough/regions.py
+++ b/burdockdrum/passthrough/regions.py
@@ -106,9 +106,7 @@
     def _own(self, request: PassedRequest, region: str) -> float:
         """Return how long reading the prompt takes there.
 
-        Failure: all of a prompt counts as unread in another region. Symptom:
-        a region at its peak keeps what waits there for longer than it would
-        take where its beginning is held and engines are free.
+        An endpoint there may hold a beginning of it, or fetch one.
         """
         engines = self._fleet.engines
         service, prompt = request.backend.name, request.prompt
--- a/burdockdrum/passthrough/stale.py
+++ b/burdockdrum/passthrough/stale.py
@@ -1,10 +1,8 @@
 """Choose by loads that are a moment old.
 
-Failure: all entries of a region see the same endpoint as the emptiest and
-send there what comes until they hear again. Symptom: with dozens of entries
-the first part of an answer takes several times as long as expected, though
-the endpoints beside have room. What will come meanwhile is spread so that the
-waits would be level at its end (Dahlin, "Interpreting stale load
+Entries that see the same endpoint as the emptiest would all send there what
+comes until they hear again. So what will come meanwhile is spread such that
+the waits would be level at its end (Dahlin, "Interpreting stale load
 information", 2000): an endpoint is drawn by how far its wait is below that
 level.
 """
--- a/burdockdrum/passthrough/tracks.py
+++ b/burdockdrum/passthrough/tracks.py
@@ -127,11 +127,9 @@
     ) -> None:
         """Count what has been read of the prompt that is read now.
 
-        Failure: a prompt counts as a whole until its first output. Symptom:
-        an endpoint that is about to give one seems as busy as one that was
-        sent a prompt just now. Only the one that must be read first is taken
-        to be in work: were each to count down by itself, an engine that is
-        slower than expected would seem to have nothing left to read.
+        Only the one that must be read first is taken to be in work: were each
+        to count down by itself, an engine that is slower than expected would
+        seem to have nothing left to read.
         """
         waiting = [
             p for p in self.placements if p.read_at is None and p.unread_tokens
--- a/burdockdrum/passthrough/waiting.py
+++ b/burdockdrum/passthrough/waiting.py
@@ -29,9 +29,9 @@
 ) -> float:
     """Return what an endpoint is worse by for an output that may be late.
 
-    Failure: a region's endpoints read prompts without a pause. Symptom: each
-    token takes up to eight times as long, 27 ms and not 3.5, and long
-    outputs run into their deadline, though the first part came in time.
+    An engine that reads without a pause takes several times as long for a
+    token, and long outputs run into their deadline though the first part came
+    in time.
 
     :param step_seconds: what a token takes to write there
     :param seconds_left: until the caller's deadline
@@ -46,10 +46,8 @@
 ) -> float:
     """Return what a request costs those that it takes a slot from.
 
-    Failure: an engine whose slots are full admits what is more urgent and
-    puts something back that runs. Symptom: an urgent request is answered as
-    if there were room, and a long one beside it is read anew and comes
-    seconds late, while endpoints in other regions have free slots.
+    An engine whose slots are full admits what is more urgent and puts
+    something back that runs, which is read anew later.
 
     :param run_seconds: how long a request holds a slot, on average
     """
@@ -95,9 +93,8 @@
     for all that are as urgent or more, and for the rest of one other. While
     it waits, more urgent ones come and go before it.
 
-    Failure: only what waits now is counted. Symptom: at an engine that reads
-    short urgent prompts two thirds of the time, a long one that is expected
-    after 0.2 s gives its first part after 1.8 s.
+    More urgent ones that are yet to come count as well: an engine that reads
+    them most of the time leaves little for others.
 
     :param run_seconds: how long a request holds a slot, on average
     :param token_seconds: how long a token of a prompt takes to read
--- a/burdockdrum/peers/link_watch.py
+++ b/burdockdrum/peers/link_watch.py
@@ -1,11 +1,9 @@
 """Notice a link that takes frames and delivers none.
 
-Failure: a path goes silent without a reset, or a peer loses power and
-comes back while the kernel still waits to try again. Symptom: frames are
-taken for seconds, even minutes, and none arrives; what the peer sends comes
-on another connection and proves nothing. Each frame says how long ago its
-sender last heard from the receiver, so either side sees what did not
-arrive, and a new connection is opened.
+A path may go silent without a reset, and the kernel of a sender takes frames
+for minutes. Each frame says how long ago its sender last heard from the
+receiver, so either side sees what did not arrive, and a new connection is
+opened.
 
 The same after a loss of power: what was dialled before the peer was up hangs
 for the second until the kernel tries again, whatever the peer says since. A
--- a/burdockdrum/registrations/book.py
+++ b/burdockdrum/registrations/book.py
@@ -76,10 +76,8 @@
     def end(self, name: str, born: int = UNKNOWN_START) -> bool:
         """Take in that an endpoint has ended, or ends without a notice.
 
-        Failure: it checked in at another control VM, and says here that it
-        ends. Symptom: entries send it work until it is gone, though its end
-        was acknowledged. So the end of an unknown one is kept as well, and
-        told in every region.
+        It may have checked in at another control VM. So the end of an unknown
+        one is kept as well, and told in every region.
 
         :param name: the id that the endpoint goes by
         :param born: the start that ends; unknown, whichever there is
--- a/burdockdrum/registrations/load_sharing.py
+++ b/burdockdrum/registrations/load_sharing.py
@@ -1,8 +1,7 @@
 """Entries of a region tell each other what they have under way.
 
-Failure: several entries see the same endpoint idle and all send there.
-Symptom: a short request waits a second behind a long prompt that another
-entry has sent a moment before.
+An entry that did not know what others have sent would send to an endpoint that
+only seems idle.
 
 A few entries each tell all others of changes, ten times a second. With n
 entries that would be n * n messages: above a handful, each tells one entry
@@ -130,11 +129,9 @@
     def unheard(self) -> int:
         """Return how many entries of this region tell nothing just now.
 
-        Failure: every VM starts at once, and each entry fills the first
-        endpoints that it hears of, by what it has sent itself. Symptom:
-        28 entries put seventeen seconds of prompts before one endpoint, and
-        requests run into their deadlines long after all is up. Who has not
-        been heard of is taken to do what this entry does.
+        After a start of everything nobody knows of others yet. Who has not
+        been heard of is taken to do what this entry does, so that the first
+        endpoints that are known are not filled by all.
         """
         if self._keeper is None or self.is_keeper:
             return max(0, self._others - self._here.sources)
--- a/burdockdrum/registrations/publisher.py
+++ b/burdockdrum/registrations/publisher.py
@@ -130,9 +130,7 @@
     def _tell_again(self) -> None:
         """Send anew what an entry has not confirmed.
 
-        Failure: a connection breaks, and what was on it is gone. Symptom: an
-        entry sends work to an endpoint that said it leaves, until it asks
-        again by itself.
+        What was on a connection that broke is gone.
         """
         now = self._clock.monotonic()
         for watcher in self._fresh_watchers():
--- a/burdockdrum/registrations/store.py
+++ b/burdockdrum/registrations/store.py
@@ -1,8 +1,7 @@
 """Keep what a control VM knows of endpoints through its restarts.
 
-Failure: all control VMs lose their power at once, and the endpoints go on.
-Symptom: until each endpoint has checked in again, a second and more, entries
-know a few of them only, and fill these with the callers of all.
+After a loss of all power entries know every endpoint at once, not only those
+that have checked in again.
 
 What was known last is read back at the start and counts as heard then: an
 endpoint that lives checks in soon, and another one is passed over at the
