Tell use between data centres more rarely while teams are far from limits

Keepers told each other four times a second whatever was going on. Now every 0.4 s, and every 0.2 s while some team asks for more than 0.7 of its limit or has drawn on its burst.

--- a/burdockdrum/quotas/limits.py
+++ b/burdockdrum/quotas/limits.py
@@ -16,6 +16,8 @@
 # pass all the while: refusing all and nothing by turns serves nobody.
 REPAY_SECONDS = 2.0
 MIN_PASSING_PART = 0.25
+# A team that asks for so much of its limit may be beyond it soon.
+NEAR_PART = 0.7
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -67,6 +69,11 @@
     return 1.0 if known.asked <= allowed else allowed / known.asked
 
 
+def is_near(limit: RateLimit, known: Known) -> bool:
+    """Say whether a team may soon have to be held to its limit."""
+    return known.drawn > 0 or known.asked > limit.per_second * NEAR_PART
+
+
 def seconds_until_room(limit: RateLimit, known: Known) -> float:
     """Return when a request fits, if others ask as they do now."""
     heard = max(1 - known.unheard, 1e-3)
--- a/burdockdrum/quotas/meter.py
+++ b/burdockdrum/quotas/meter.py
@@ -11,6 +11,7 @@
 from burdockdrum.quotas.decaying import DecayingSum
 from burdockdrum.quotas.limits import ASKED_SECONDS
 from burdockdrum.quotas.limits import draw_on
+from burdockdrum.quotas.limits import is_near
 from burdockdrum.quotas.limits import Known
 from burdockdrum.quotas.limits import passing_part
 from burdockdrum.quotas.limits import seconds_until_room
@@ -74,6 +75,7 @@
         sharing.read_own = self.read_own
         sharing.read_drawn = self._read_drawn
         sharing.take_drawn = self._take_drawn
+        sharing.read_near = self._is_near
         self._used = metrics.counter(
             "burdockdrum_team_used_total",
             "What teams have used of their limits, in the limits' units.",
@@ -155,6 +157,14 @@
             return 0.0
         return self._read_known(team, tally, self._clock.monotonic()).drawn
 
+    def _is_near(self) -> bool:
+        """Say whether some team is near its limit."""
+        now = self._clock.monotonic()
+        return any(
+            is_near(tally.limit, self._read_known(team, tally, now))
+            for team, tally in self._tally_by_team.items()
+        )
+
     def _take_drawn(self, team: str, drawn: float) -> None:
         """Go on from what the keeper has added up."""
         tally = self._tally_by_team.get(team)
--- a/burdockdrum/quotas/sharing.py
+++ b/burdockdrum/quotas/sharing.py
@@ -34,7 +34,10 @@
 # A keeper hears and answers 40 notices a second, whatever the number of
 # entries.
 SECONDS_AN_ENTRY = 0.025
-DATA_CENTRE_SECONDS = 0.25
+# Keepers tell each other so often, and more rarely while every team is far
+# from its limit.
+DATA_CENTRE_SECONDS = 0.2
+CALM_SECONDS = 0.4
 # What an entry that is gone has told has faded by now.
 FORGET_SECONDS = 10.0
 # Sums are added up anew after this, not for each request.
@@ -65,6 +68,8 @@
         # What was used of a burst, as this VM or its keeper adds it up.
         self.read_drawn: Callable[[str], float] = _nothing
         self.take_drawn: Callable[[str, float], None] = _ignore
+        # Whether some team is near its limit.
+        self.read_near: Callable[[], bool] = bool
         self._own = peers.identity
         self._peers = peers
         self._clock = clock
@@ -73,6 +78,7 @@
         self._keepers = KeeperChoice(own=self._own)
         self._keeper: VmIdentity = self._own
         self._neighbours = 0
+        self._told_at = float("-inf")
         # Of a keeper, what each entry here has told; else the keeper's word.
         self._here = UseSums()
         # By the address of the entry that adds up there.
@@ -138,13 +144,19 @@
             self._keepers.choose(neighbours, now, may_keep=may_keep), now
         )
         if self.is_keeper:
-            self._tell_data_centres(others, now)
+            if self._is_due(now):
+                self._tell_data_centres(others, now)
+                self._told_at = now
             return DATA_CENTRE_SECONDS
         notice = UseNotice(uses=_to_wire(own))
         self._peers.send(self._keeper.control_address, notice)
         self._keepers.note_asked(self._keeper.vm_id, now)
         return max(TELL_SECONDS, SECONDS_AN_ENTRY * (len(neighbours) + 1))
 
+    def _is_due(self, now: float) -> bool:
+        rest = now + DATA_CENTRE_SECONDS - self._told_at
+        return self.read_near() or rest > CALM_SECONDS
+
     def _set_keeper(self, keeper: VmIdentity, now: float) -> None:
         if keeper == self._keeper:
             return
