Tell requests of equally ranked teams apart by their routes' ranks

Cause: a team's rank took the place of the route's. Where all teams have the same one, as on the shifted deployment, short urgent queries waited behind long prompts, and engines were told the same urgency for all.

Change: the rank of the team goes first, then that of the route; pairs that a table has are numbered without gaps.

--- a/burdockdrum/callers/__init__.py
+++ b/burdockdrum/callers/__init__.py
@@ -4,6 +4,7 @@
 from burdockdrum.callers.caller import callers_by_token_hash
 from burdockdrum.callers.finding import CallerFinder
 from burdockdrum.callers.finding import refuse_unsure
+from burdockdrum.callers.ranks import RankOrder
 from burdockdrum.callers.routes import NoCommonHome
 from burdockdrum.callers.routes import route_for
 from burdockdrum.callers.services import add_services
@@ -14,6 +15,7 @@
     "CallerFinder",
     "callers_by_token_hash",
     "NoCommonHome",
+    "RankOrder",
     "refuse_unsure",
     "route_for",
 ]
--- a/burdockdrum/callers/routes.py
+++ b/burdockdrum/callers/routes.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from burdockdrum.callers.caller import Caller
+from burdockdrum.callers.ranks import RankOrder
 from burdockdrum.resources import Route
 
 
@@ -10,13 +11,14 @@
     """A route and a team are kept to regions that have none in common."""
 
 
-def route_for(caller: Caller, route: Route) -> Route:
+def route_for(caller: Caller | None, route: Route, ranks: RankOrder) -> Route:
     """Return a route with the rank and the homes that bind a caller.
 
+    :param caller: None for a route that everyone may use
     :raises NoCommonHome: if no region may serve it
     """
-    rank = route.rank if caller.rank is None else caller.rank
-    homes = _common(route.homes, list(caller.homes))
+    rank = ranks.find(caller.rank if caller else None, route.rank)
+    homes = _common(route.homes, list(caller.homes) if caller else [])
     if rank == route.rank and homes == route.homes:
         return route
     return msgspec.structs.replace(route, rank=rank, homes=homes)
--- a/burdockdrum/passthrough/reading.py
+++ b/burdockdrum/passthrough/reading.py
@@ -7,6 +7,7 @@
 from burdockdrum.callers import Caller
 from burdockdrum.callers import CallerFinder
 from burdockdrum.callers import NoCommonHome
+from burdockdrum.callers import RankOrder
 from burdockdrum.callers import refuse_unsure
 from burdockdrum.callers import route_for
 from burdockdrum.http1 import parse_count
@@ -81,8 +82,8 @@
         if route is None:
             raise self._refuse_unknown(head, index.generation)
         caller = self._find_caller(head, route, index, is_hop=is_hop)
-        if caller is not None:
-            route = _route_for(caller, route)
+        if index.has_teams:
+            route = _route_for(caller, route, index.ranks)
         names = self._names
         service = choose_service(route, self._rng)
         left = route.timeout_seconds
@@ -155,9 +156,9 @@
         )
 
 
-def _route_for(caller: Caller, route: Route) -> Route:
+def _route_for(caller: Caller | None, route: Route, ranks: RankOrder) -> Route:
     try:
-        return route_for(caller, route)
+        return route_for(caller, route, ranks)
     except NoCommonHome as error:
         raise Refusal(
             code=RefusalCode.RESIDENCY,
--- a/burdockdrum/passthrough/table.py
+++ b/burdockdrum/passthrough/table.py
@@ -2,6 +2,7 @@
 
 import random
 
+from burdockdrum.callers import RankOrder
 from burdockdrum.resources import Backend
 from burdockdrum.resources import Route
 from burdockdrum.resources import RouteTableSpec
@@ -14,6 +15,7 @@
         """Index a table."""
         self.generation = table.generation
         self.has_teams = table.teams is not None
+        self.ranks = RankOrder(teams=table.teams or (), routes=table.routes)
         self.backends_by_name: dict[str, Backend] = {
             backend.name: backend for backend in table.backends
         }
