Refuse at once what would be late by all that is expected of it

Cause: a request was let in while the queue before it was shorter than its objective; its own reading and what first parts usually come later by were not counted. Near full load a fifth of the answers were late.

Change: both count; long prompts, which take up their objective by themselves, may wait for a quarter of it. The same for other regions.

--- a/burdockdrum/passthrough/placing.py
+++ b/burdockdrum/passthrough/placing.py
@@ -13,6 +13,7 @@
 from burdockdrum.passthrough.model import RegionPlace
 from burdockdrum.passthrough.regions import RegionRater
 from burdockdrum.passthrough.tracks import Choice
+from burdockdrum.passthrough.waiting import Wait
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
 from burdockdrum.registrations import ServiceRoom
@@ -34,6 +35,9 @@
 MIN_RETRY_SECONDS = 0.3
 # What is late already is served where that takes little from others.
 MIN_QUEUE_SECONDS = 0.1
+# Long prompts take up their objective by themselves: they may wait for so
+# much of it nevertheless.
+MIN_QUEUE_PART = 0.25
 MAX_RETRY_SECONDS = 3.0
 
 
@@ -95,7 +99,7 @@
             known = self._fleet.count_live(request.backend.name)
             reason = f"none of {known} endpoints here may take it"
             raise self._refuse(request, progress, reason, RETRY_AFTER_NONE)
-        allowed = self._allowed_queue(request, left)
+        allowed = self._allowed_queue(request, left, here.wait)
         queue = here.wait.queue
         if queue > allowed:
             reason = f"queue of {queue:.2f} s, {allowed:.2f} s are allowed"
@@ -120,18 +124,23 @@
             return False
         return True
 
-    def _allowed_queue(self, request: PassedRequest, left: float) -> float:
+    def _allowed_queue(
+        self, request: PassedRequest, left: float, wait: Wait
+    ) -> float:
         """Return how long a request may wait for what came before it.
 
-        What would wait longer than its objective is refused at once, so that
+        What would be late by all that is expected is refused at once, so that
         those who are served are served in time; while it is not late already,
         and not longer than it has.
+
+        :param wait: what is expected at the place in question
         """
         if not self._mechanisms.early_refusal:
             return left
         passed = self._clock.monotonic() - request.received_at
         due = request.route.objective_seconds - passed
-        return min(left, max(due, MIN_QUEUE_SECONDS))
+        rest = due - wait.own - wait.usual_error
+        return min(left, max(rest, due * MIN_QUEUE_PART, MIN_QUEUE_SECONDS))
 
     def _choose_here(
         self, request: PassedRequest, progress: Progress
@@ -168,14 +177,14 @@
                 return None
             limit = here.wait.total - SPILL_MARGIN_SECONDS
         left = request.deadline - self._clock.monotonic()
-        allowed = self._allowed_queue(request, left)
-        if here is None:
-            # What is known of other regions is half a second old. They
-            # refuse for themselves what they have no room for.
-            allowed = min(left, allowed * DOUBT_TIMES)
         for wait, region in self._regions.rate(request, progress):
             if wait.total >= limit:
                 return None
+            allowed = self._allowed_queue(request, left, wait)
+            if here is None:
+                # What is known of other regions is half a second old. They
+                # refuse for themselves what they have no room for.
+                allowed = min(left, allowed * DOUBT_TIMES)
             if wait.queue > allowed:
                 continue
             entry = self._choose_entry(region, progress)
--- a/tests/passthrough/test_placing.py
+++ b/tests/passthrough/test_placing.py
@@ -44,7 +44,7 @@
             mechanisms=MechanismSettings(**mechanisms),
         )
 
-    def make_request(self, since=0.0):
+    def make_request(self, since=0.0, tokens=100):
         now = self.world.clock.now
         return PassedRequest(
             request_id="r",
@@ -58,7 +58,7 @@
             ),
             route=make_route(objective_seconds=1.0),
             backend=MODEL,
-            prompt=make_prompt(100),
+            prompt=make_prompt(tokens),
             received_at=now - since,
             deadline=now + 3.0,
             attempts=2,
@@ -82,6 +82,25 @@
         self.assertIs(Verdict.NOT_RUN, raised.exception.verdict)
         self.assertAlmostEqual(0.5, raised.exception.retry_after, delta=0.1)
 
+    def test_time_to_read_its_own_prompt_counts(self):
+        """Prompts are let in that are late once they have been read."""
+        tokens = int(0.3 / self.token_seconds)
+        place = self.make_placing().place
+        self.fill(0.5)
+        place(self.make_request(tokens=tokens), Progress())
+        self.fill(0.85)
+        place(self.make_request(), Progress())
+        with self.assertRaises(Refusal):
+            place(self.make_request(tokens=tokens), Progress())
+
+    def test_longest_prompts_are_not_kept_out(self):
+        """The largest requests are refused under any load."""
+        tokens = int(1.5 / self.token_seconds)
+        self.fill(0.2)
+        request = self.make_request(tokens=tokens)
+        place = self.make_placing().place(request, Progress())
+        self.assertIsInstance(place, EndpointPlace)
+
     def test_what_is_late_already_waits_a_moment_at_most(self):
         # It was held while the routes were learned. There is room for it
         # only where it takes little from those who are in time.
