--- a/burdockdrum/passthrough/reading.py
+++ b/burdockdrum/passthrough/reading.py
@@ -30,8 +30,8 @@
 
 # How long a request is held while this VM learns the routes, and at most
 # which part of its time: the rest has to do for serving it.
-MAX_HOLD_SECONDS = 1.0
-HOLD_PART = 0.3
+MAX_HOLD_SECONDS = 1.2
+HOLD_PART = 0.4
 # Only another configuration will let it run.
 RESIDENCY_RETRY_SECONDS = 5.0
 _MILLISECONDS = 1000.0
