Find callers of both faces in one place

The own interface looked tokens up by itself, and refused one for good also where the VM had heard of no change for long. It now asks the finder that the pass-through asks.

--- a/burdockdrum/daemon/assembly.py
+++ b/burdockdrum/daemon/assembly.py
@@ -8,6 +8,7 @@
 import random
 
 import burdockdrum.admission
+import burdockdrum.callers
 import burdockdrum.claims
 import burdockdrum.configuration
 import burdockdrum.endpoints
@@ -32,6 +33,7 @@
     burdockdrum.peers,
     burdockdrum.endpoints,
     burdockdrum.configuration,
+    burdockdrum.callers,
     burdockdrum.leases,
     burdockdrum.vms,
     burdockdrum.orders,
--- a/burdockdrum/web/authentication.py
+++ b/burdockdrum/web/authentication.py
@@ -2,6 +2,7 @@
 
 from blacksheep.messages import Request
 
+from burdockdrum.callers import CallerFinder
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.resources import hash_token
 from burdockdrum.settings import Settings
@@ -18,12 +19,17 @@
     """Say whose token a request bears."""
 
     def __init__(
-        self, *, settings: Settings, configuration: ConfigurationService
+        self,
+        *,
+        settings: Settings,
+        configuration: ConfigurationService,
+        callers: CallerFinder,
     ) -> None:
         """Create an authenticator over the configuration in force."""
         self._operator_hashes = frozenset(settings.operators.token_hashes)
         self._endpoint_hashes = frozenset(settings.endpoints.token_hashes)
         self._configuration = configuration
+        self._callers = callers
 
     async def identify_client(self, request: Request) -> str:
         """Return the client, waiting while this VM learns of clients.
@@ -35,7 +41,7 @@
             VM has not learned its configuration in time
         """
         # A request without a token is refused without a wait.
-        self._read_hash(request)
+        self._read_token(request)
         if not await self._configuration.wait_until_known(KNOWN_WAIT_SECONDS):
             raise Refusal(
                 code=RefusalCode.CONFIGURATION_STALE,
@@ -50,12 +56,11 @@
 
         :raises Refusal: if the token is missing or no client's
         """
-        token_hash = self._read_hash(request)
-        current = self._configuration.current
-        client_id = current.client_ids_by_token_hash.get(token_hash)
-        if client_id is None:
+        caller = self._callers.find(self._read_token(request))
+        if caller.client_id is None:
+            # Teams of a route table call by its routes only.
             raise _refuse("the token is no client's")
-        return client_id
+        return caller.client_id
 
     def find_operator(self, request: Request) -> str:
         """Return the name of the operator whose token the request bears.
@@ -80,10 +85,13 @@
             raise _refuse("the token is no endpoint's")
 
     def _read_hash(self, request: Request) -> str:
+        return hash_token(self._read_token(request))
+
+    def _read_token(self, request: Request) -> str:
         value = header(request, "authorization") or ""
         if not value.lower().startswith(_PREFIX):
             raise _refuse("send 'Authorization: Bearer TOKEN'")
-        return hash_token(value[len(_PREFIX) :].strip())
+        return value[len(_PREFIX) :].strip()
 
 
 def _refuse(message: str) -> Refusal:
--- a/burdockdrum/web/services.py
+++ b/burdockdrum/web/services.py
@@ -4,6 +4,7 @@
 
 from blacksheep import Application
 
+from burdockdrum.callers import CallerFinder
 from burdockdrum.claims import Claims
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.consensus import ReplicatedLog
@@ -37,6 +38,7 @@
     authenticator = Authenticator(
         settings=kernel.find("settings", Settings),
         configuration=kernel.find("configuration", ConfigurationService),
+        callers=kernel.find("callers", CallerFinder),
     )
     return build_application(
         callers=_build_callers(kernel, authenticator),
