Add up the use of limits once for all who ask a keeper

A keeper's answer was worked out anew for each entry: 705 us with 16 teams and 16 entries, 11.6 ms with 260 teams, at 40 answers a second.

--- a/burdockdrum/quotas/sharing.py
+++ b/burdockdrum/quotas/sharing.py
@@ -93,6 +93,8 @@
         self._unheard_by_team: dict[str, float] = {}
         self._others: dict[str, Use] = {}
         self._others_at = float("-inf")
+        self._everywhere: list[TeamUse] = []
+        self._everywhere_at = float("-inf")
         peers.register(UseNotice, self._take_notice)
         peers.register(OthersUse, self._take_others)
         peers.register(DataCentreUse, self._take_data_centre)
@@ -230,23 +232,33 @@
         return None
 
     def _answer(self, asker: str, now: float) -> OthersUse:
-        sums = dict(self._add_up_others())
-        merge(sums, self.read_own())
-        for team, use in self._here.read(asker, now).items():
-            sums[team] = sums.get(team, NO_USE).minus(use)
+        told = self._here.read(asker, now)
         return OthersUse(
             uses=[
-                TeamUse(
-                    team,
-                    round(use.used, 1),
-                    round(use.asked, 1),
-                    round(self.read_drawn(team), 1),
-                    round(self.unheard(team), 3),
-                )
-                for team, use in sums.items()
+                _without(use, told[use.team]) if use.team in told else use
+                for use in self._list_everywhere(now)
             ]
         )
 
+    def _list_everywhere(self, now: float) -> list[TeamUse]:
+        """Return what is used here and elsewhere, for answers."""
+        if now - self._everywhere_at <= ADD_UP_SECONDS:
+            return self._everywhere
+        sums = dict(self._add_up_others())
+        merge(sums, self.read_own())
+        self._everywhere = [
+            TeamUse(
+                team,
+                round(use.used, 1),
+                round(use.asked, 1),
+                round(self.read_drawn(team), 1),
+                round(self.unheard(team), 3),
+            )
+            for team, use in sums.items()
+        ]
+        self._everywhere_at = now
+        return self._everywhere
+
     async def _take_others(
         self, sender: Sender, message: OthersUse
     ) -> Message | None:
@@ -292,6 +304,17 @@
         return None
 
 
+def _without(use: TeamUse, part: Use) -> TeamUse:
+    """Return what is left of a use without a part of it."""
+    return TeamUse(
+        use.team,
+        max(0.0, use.used - part.used),
+        max(0.0, use.asked - part.asked),
+        use.drawn,
+        use.unheard,
+    )
+
+
 def _part(first: float, second: float) -> float:
     return first / max(1.0, first + second)
 
--- a/tests/quotas/test_sharing.py
+++ b/tests/quotas/test_sharing.py
@@ -13,7 +13,7 @@
 from burdockdrum.peers import Seal
 from burdockdrum.peers import VmIdentity
 from burdockdrum.quotas import QuotaMeter
-from burdockdrum.quotas import UseSharing
+from burdockdrum.quotas.sharing import UseSharing
 from burdockdrum.quotas.sums import NO_USE
 from burdockdrum.resources import RateLimit
 from burdockdrum.testing import FakeNetwork
--- a/tests/web/test_authentication.py
+++ b/tests/web/test_authentication.py
@@ -4,7 +4,7 @@
 
 from blacksheep.messages import Request
 
-from burdockdrum.settings import Settings
+from burdockdrum.settings.model import Settings
 from burdockdrum.settings.model import VmSettings
 from burdockdrum.verdicts import Refusal
 from burdockdrum.verdicts import RefusalCode
