--- a/scripts/bench/team_limits.py
+++ b/scripts/bench/team_limits.py
@@ -30,11 +30,11 @@
 from burdockdrum.peers import Seal
 from burdockdrum.peers import Sender
 from burdockdrum.peers import VmIdentity
-from burdockdrum.quotas import QuotaMeter
-from burdockdrum.quotas import UseSharing
 from burdockdrum.quotas.messages import DataCentreUse
 from burdockdrum.quotas.messages import TeamUse
 from burdockdrum.quotas.messages import UseNotice
+from burdockdrum.quotas.meter import QuotaMeter
+from burdockdrum.quotas.sharing import UseSharing
 from burdockdrum.resources import Backend
 from burdockdrum.resources import Configuration
 from burdockdrum.resources import hash_token
@@ -135,10 +135,9 @@
 
     def find(self, requests: int) -> float:
         """Return the seconds that finding a caller takes."""
-        ranks = RankOrder(
-            teams=self.configuration.current.route_table.teams or (),  # type: ignore[union-attr]
-            routes=[ROUTE],
-        )
+        table = self.configuration.current.route_table
+        assert table is not None
+        ranks = RankOrder(teams=table.teams or (), routes=[ROUTE])
         tokens = self._draw(requests)
         began = time.process_time()
         for token in tokens:
