Split what a request's log lines say from the relay; one class finds far keepers

load_sharing and quotas' sharing each looked for the keepers of other data centres in the same way; vms.keepers now does. No behaviour is changed.

--- a/burdockdrum/passthrough/relay.py
+++ b/burdockdrum/passthrough/relay.py
@@ -4,9 +4,7 @@
 
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.http1 import Exchange
-from burdockdrum.logs import log_decision
 from burdockdrum.logs import log_failure
-from burdockdrum.logs import Value
 from burdockdrum.metrics import Metrics
 from burdockdrum.passthrough.attempts import Attempts
 from burdockdrum.passthrough.attempts import handed_attempts
@@ -28,6 +26,8 @@
 from burdockdrum.passthrough.refusing import LOST_STATUS
 from burdockdrum.passthrough.refusing import PROMISING_STATUSES
 from burdockdrum.passthrough.refusing import status_of
+from burdockdrum.passthrough.request_log import log_attempt
+from burdockdrum.passthrough.request_log import log_left
 from burdockdrum.passthrough.responses import AnswerCut
 from burdockdrum.passthrough.responses import ResponseReader
 from burdockdrum.passthrough.vocabulary import HeaderNames
@@ -140,7 +140,7 @@
             )
             return "cut"
         except asyncio.CancelledError:
-            self._note_left(request, progress)
+            log_left(request, progress, self._clock.monotonic())
             raise
         return "answered"
 
@@ -330,51 +330,16 @@
         now = self._clock.monotonic()
         first = None
         if progress.first_part_at is not None:
-            first = round(progress.first_part_at - began, 4)
-        if first is not None:
+            first = progress.first_part_at - began
             self._note_error(place, first)
-        log = log_decision if isinstance(outcome, Delivered) else log_failure
-        log(
-            "request.attempted",
-            request_id=request.request_id,
-            route=request.route.name,
-            generation=request.revision,
-            team=request.team,
-            rank=request.route.rank,
-            **_describe(place, request),
-            prompt_tokens=request.prompt.tokens,
-            shared_tokens=request.prompt.shared_tokens,
-            expected_output=request.prompt.expected_output,
-            last_event=progress.last_event,
-            outcome=type(outcome).__name__,
-            reason=getattr(outcome, "reason", None),
-            first_seconds=first if first is None or first >= 0 else None,
-            longest_pause=round(progress.longest_pause, 4),
-            seconds=round(now - began, 4),
-            since_received=round(now - request.received_at, 4),
-        )
-
-    def _note_left(self, request: PassedRequest, progress: Progress) -> None:
-        """Log what a caller had when it left, and what was expected."""
-        now = self._clock.monotonic()
-        first = progress.first_part_at
-        place = progress.place
-        log_failure(
-            "request.left",
-            request_id=request.request_id,
-            route=request.route.name,
-            team=request.team,
-            **(_describe(place, request) if place is not None else {}),
-            prompt_tokens=request.prompt.tokens,
-            expected_output=request.prompt.expected_output,
-            parts=progress.parts,
-            first_part=_seconds_between(request.received_at, first),
-            last_part=_seconds_between(
-                request.received_at, progress.last_part_at or first
-            ),
-            longest_pause=round(progress.longest_pause, 4),
-            since_received=round(now - request.received_at, 4),
-            seconds_left=round(request.deadline - now, 4),
+        log_attempt(
+            place,
+            request,
+            progress,
+            outcome,
+            began=began,
+            first=first,
+            now=now,
         )
 
     def _note_error(self, place: Place, first: float) -> None:
@@ -387,30 +352,6 @@
         self._errors.record(abs(error), side=side)
 
 
-def _seconds_between(first: float, second: float | None) -> float | None:
-    return None if second is None else round(second - first, 4)
-
-
-def _describe(place: Place, request: PassedRequest) -> dict[str, Value]:
-    """Return where an attempt went, and what it was expected to wait."""
-    match place:
-        case EndpointPlace(choice=choice):
-            return {
-                "place": choice.endpoint.endpoint_id,
-                "expected_wait": round(choice.wait.total, 4),
-                "expected_queue": round(choice.wait.queue, 4),
-                "expected_own": round(choice.wait.own, 4),
-                "unread_tokens": choice.unread_tokens,
-                "fetch_from": choice.fetch_from,
-            }
-        case RegionPlace(vm_id=vm_id):
-            return {
-                "place": vm_id,
-                "expected_wait": round(place.wait_seconds, 4),
-                "unread_tokens": request.prompt.tokens,
-            }
-
-
 def _count_runs(
     place: Place, lost: Lost, request: PassedRequest, progress: Progress
 ) -> int:
--- /dev/null
+++ b/burdockdrum/passthrough/request_log.py
@@ -0,0 +1,99 @@
+"""The lines of the log that say what became of a request."""
+
+from burdockdrum.logs import log_decision
+from burdockdrum.logs import log_failure
+from burdockdrum.logs import Value
+from burdockdrum.passthrough.model import Delivered
+from burdockdrum.passthrough.model import EndpointPlace
+from burdockdrum.passthrough.model import Outcome
+from burdockdrum.passthrough.model import PassedRequest
+from burdockdrum.passthrough.model import Place
+from burdockdrum.passthrough.model import Progress
+from burdockdrum.passthrough.model import RegionPlace
+
+
+def log_attempt(
+    place: Place,
+    request: PassedRequest,
+    progress: Progress,
+    outcome: Outcome,
+    *,
+    began: float,
+    first: float | None,
+    now: float,
+) -> None:
+    """Log where a request was tried, why there, and what came of it.
+
+    :param began: when the attempt began, on the monotonic clock
+    :param first: seconds from then until the first part of the answer
+    """
+    log = log_decision if isinstance(outcome, Delivered) else log_failure
+    if first is not None and first < 0:
+        # What went out before the attempt belongs to an earlier one.
+        first = None
+    log(
+        "request.attempted",
+        request_id=request.request_id,
+        route=request.route.name,
+        generation=request.revision,
+        team=request.team,
+        rank=request.route.rank,
+        **_describe(place, request),
+        prompt_tokens=request.prompt.tokens,
+        shared_tokens=request.prompt.shared_tokens,
+        expected_output=request.prompt.expected_output,
+        last_event=progress.last_event,
+        outcome=type(outcome).__name__,
+        reason=getattr(outcome, "reason", None),
+        first_seconds=None if first is None else _round(first),
+        longest_pause=_round(progress.longest_pause),
+        seconds=_round(now - began),
+        since_received=_round(now - request.received_at),
+    )
+
+
+def log_left(request: PassedRequest, progress: Progress, now: float) -> None:
+    """Log what a caller had when it left, and what was expected."""
+    received_at = request.received_at
+    first = progress.first_part_at
+    last = progress.last_part_at or first
+    place = progress.place
+    log_failure(
+        "request.left",
+        request_id=request.request_id,
+        route=request.route.name,
+        team=request.team,
+        **(_describe(place, request) if place is not None else {}),
+        prompt_tokens=request.prompt.tokens,
+        expected_output=request.prompt.expected_output,
+        parts=progress.parts,
+        first_part=None if first is None else _round(first - received_at),
+        last_part=None if last is None else _round(last - received_at),
+        longest_pause=_round(progress.longest_pause),
+        since_received=_round(now - received_at),
+        seconds_left=_round(request.deadline - now),
+    )
+
+
+def _describe(place: Place, request: PassedRequest) -> dict[str, Value]:
+    """Return where an attempt went, and what it was expected to wait."""
+    match place:
+        case EndpointPlace(choice=choice):
+            return {
+                "place": choice.endpoint.endpoint_id,
+                "expected_wait": _round(choice.wait.total),
+                "expected_queue": _round(choice.wait.queue),
+                "expected_own": _round(choice.wait.own),
+                "unread_tokens": choice.unread_tokens,
+                "fetch_from": choice.fetch_from,
+            }
+        case RegionPlace(vm_id=vm_id):
+            return {
+                "place": vm_id,
+                "expected_wait": _round(place.wait_seconds),
+                "unread_tokens": request.prompt.tokens,
+            }
+
+
+def _round(seconds: float) -> float:
+    return round(seconds, 4)
--- a/burdockdrum/quotas/sharing.py
+++ b/burdockdrum/quotas/sharing.py
@@ -27,7 +27,7 @@
 from burdockdrum.quotas.sums import NO_USE
 from burdockdrum.quotas.sums import Use
 from burdockdrum.quotas.sums import UseSums
-from burdockdrum.vms import choose_by_hash
+from burdockdrum.vms import FarKeepers
 from burdockdrum.vms import KeeperChoice
 
 TELL_SECONDS = 0.2
@@ -83,7 +83,9 @@
         self._here = UseSums()
         # By the address of the entry that adds up there.
         self._elsewhere = UseSums()
-        self._keepers_by_data_centre: dict[str, tuple[str, float]] = {}
+        self._far_keepers = FarKeepers(
+            own=self._own, keep_seconds=SILENT_SECONDS
+        )
         own = self._own.data_centre
         now = clock.monotonic()
         self._far_silence = Silence(
@@ -178,31 +180,14 @@
         return entry.data_centre == self._own.data_centre
 
     def _tell_data_centres(self, others: list[VmIdentity], now: float) -> None:
-        entries_by_data_centre: dict[str, list[VmIdentity]] = {}
-        for entry in others:
-            if not self._is_neighbour(entry):
-                name = entry.data_centre
-                entries_by_data_centre.setdefault(name, []).append(entry)
         message = DataCentreUse(
             data_centre=self._own.data_centre,
             keeper=self._own.control_address,
             uses=_to_wire(self._sum_here(now)),
         )
-        for name, entries in entries_by_data_centre.items():
-            address = self._find_keeper_of(name, entries, now)
+        for address in self._far_keepers.find_all(others, now).values():
             self._peers.send(address, message)
 
-    def _find_keeper_of(
-        self, data_centre: str, entries: list[VmIdentity], now: float
-    ) -> str:
-        """Return its address, or that of an entry which passes on to it."""
-        known = self._keepers_by_data_centre.get(data_centre)
-        if known is not None and now - known[1] <= SILENT_SECONDS:
-            return known[0]
-        by_id = {entry.vm_id: entry for entry in entries}
-        [chosen] = choose_by_hash(by_id, self._own.data_centre, 1)
-        return by_id[chosen].control_address
-
     def _sum_here(self, now: float) -> dict[str, Use]:
         """Return what began in this data centre, by team."""
         sums = self._here.add_up(now)
@@ -291,7 +276,7 @@
             return None
         now = self._clock.monotonic()
         name = message.data_centre
-        self._keepers_by_data_centre[name] = (message.keeper, now)
+        self._far_keepers.note(name, message.keeper, now)
         self._elsewhere.put(message.keeper, message.uses, now)
         own, others = self.read_own(), self._add_up_others()
         parts = {}
@@ -299,7 +284,7 @@
             total = others.get(use.team, NO_USE).asked
             total += own.get(use.team, NO_USE).asked
             parts[use.team] = use.asked / max(1.0, total, use.asked)
-        known = len(self._keepers_by_data_centre) + 1
+        known = len(self._far_keepers) + 1
         self._far_silence.note(name, parts, now, equal_part=1 / known)
         return None
 
--- a/burdockdrum/registrations/load_sharing.py
+++ b/burdockdrum/registrations/load_sharing.py
@@ -33,7 +33,7 @@
 from burdockdrum.registrations.messages import RegionLoad
 from burdockdrum.registrations.messages import ServiceRoom
 from burdockdrum.registrations.placed_parts import PlacedNotices
-from burdockdrum.vms import choose_by_hash
+from burdockdrum.vms import FarKeepers
 from burdockdrum.vms import KeeperChoice
 
 TELL_SECONDS = 0.1
@@ -84,8 +84,9 @@
         self._others = 0
         self._interval = TELL_SECONDS
         self._answered_at = float("-inf")
-        # Where they are, and when each was heard.
-        self._keepers_by_data_centre: dict[str, tuple[str, float]] = {}
+        self._far_keepers = FarKeepers(
+            own=self._own, keep_seconds=KEEP_SECONDS
+        )
         self._here = LoadSums()
         self._elsewhere = LoadSums()
         self._reply_source: str | None = None
@@ -223,14 +224,10 @@
 
     def _tell_data_centres(self, others: list[VmIdentity], now: float) -> None:
         self._placed.add(self._own.vm_id, self.take_placed())
-        entries_by_data_centre: dict[str, list[VmIdentity]] = {}
-        for entry in others:
-            if not self._is_neighbour(entry):
-                name = entry.data_centre
-                entries_by_data_centre.setdefault(name, []).append(entry)
+        address_by_data_centre = self._far_keepers.find_all(others, now)
         load = to_wire(self._sum_here())
-        foreign = frozenset(map(_name_data_centre, entries_by_data_centre))
-        for name, entries in entries_by_data_centre.items():
+        foreign = frozenset(map(_name_data_centre, address_by_data_centre))
+        for name, address in address_by_data_centre.items():
             source = _name_data_centre(name)
             message = DataCentreLoad(
                 data_centre=self._own.data_centre,
@@ -238,20 +235,8 @@
                 load_by_id=load,
                 placed=self._placed.take_for(source, without=foreign),
             )
-            address = self._find_keeper_of(name, entries, now)
             self._peers.send(address, message)
 
-    def _find_keeper_of(
-        self, data_centre: str, entries: list[VmIdentity], now: float
-    ) -> str:
-        """Return its address, or that of an entry which passes on to it."""
-        known = self._keepers_by_data_centre.get(data_centre)
-        if known is not None and now - known[1] <= KEEP_SECONDS:
-            return known[0]
-        by_id = {entry.vm_id: entry for entry in entries}
-        [chosen] = choose_by_hash(by_id, self._own.data_centre, 1)
-        return by_id[chosen].control_address
-
     def _sum_here(self) -> dict[str, Load]:
         """Return what this data centre has under way, by endpoint."""
         return add_up(self._here.sums_by_id, from_wire(self.read_load()))
@@ -310,10 +295,7 @@
             return None
         source = _name_data_centre(message.data_centre)
         now = self._clock.monotonic()
-        self._keepers_by_data_centre[message.data_centre] = (
-            message.keeper,
-            now,
-        )
+        self._far_keepers.note(message.data_centre, message.keeper, now)
         self._elsewhere.put(source, message.load_by_id, now)
         self.hear_placed(message.placed)
         self._placed.add(source, message.placed)
--- a/burdockdrum/vms/__init__.py
+++ b/burdockdrum/vms/__init__.py
@@ -6,6 +6,7 @@
 from burdockdrum.vms.drain import Drain
 from burdockdrum.vms.drain import DrainState
 from burdockdrum.vms.endpoint_sharing import EndpointSharing
+from burdockdrum.vms.keepers import FarKeepers
 from burdockdrum.vms.keepers import KeeperChoice
 from burdockdrum.vms.messages import ServiceSummary
 from burdockdrum.vms.remote import choose_by_hash
@@ -25,6 +26,7 @@
     "EndpointSharing",
     "EntryChoice",
     "EntryList",
+    "FarKeepers",
     "KeeperChoice",
     "select_entries",
     "ServiceSummary",
--- a/burdockdrum/vms/keepers.py
+++ b/burdockdrum/vms/keepers.py
@@ -1,5 +1,7 @@
 """Which entry of a data centre sums up what all of them tell."""
 
+from collections.abc import Iterable
+
 from burdockdrum.peers import VmIdentity
 from burdockdrum.vms.remote import choose_by_hash
 
@@ -60,3 +62,52 @@
         if asked is not None and now - self._asked_at > SILENT_SECONDS:
             self._skipped_until_by_id[asked] = now + SKIP_SECONDS
             self._asked_id = None
+
+
+class FarKeepers:
+    """Where the keepers of other data centres are."""
+
+    def __init__(self, *, own: VmIdentity, keep_seconds: float) -> None:
+        """Know of none.
+
+        :param keep_seconds: how long an address that was heard is used
+        """
+        self._own = own
+        self._keep_seconds = keep_seconds
+        # The address, and when it was heard.
+        self._known_by_data_centre: dict[str, tuple[str, float]] = {}
+
+    def __len__(self) -> int:
+        return len(self._known_by_data_centre)
+
+    def note(self, data_centre: str, address: str, now: float) -> None:
+        """Take note of the keeper that a data centre has."""
+        self._known_by_data_centre[data_centre] = (address, now)
+
+    def find_all(
+        self, entries: Iterable[VmIdentity], now: float
+    ) -> dict[str, str]:
+        """Return an address for each other data centre.
+
+        It is its keeper's, or that of an entry which passes on to it.
+        """
+        entries_by_data_centre: dict[str, dict[str, VmIdentity]] = {}
+        for entry in entries:
+            if entry.data_centre != self._own.data_centre:
+                by_id = entries_by_data_centre.setdefault(
+                    entry.data_centre, {}
+                )
+                by_id[entry.vm_id] = entry
+        return {
+            name: self._find(name, by_id, now)
+            for name, by_id in entries_by_data_centre.items()
+        }
+
+    def _find(
+        self, data_centre: str, by_id: dict[str, VmIdentity], now: float
+    ) -> str:
+        known = self._known_by_data_centre.get(data_centre)
+        if known is not None and now - known[1] <= self._keep_seconds:
+            return known[0]
+        [chosen] = choose_by_hash(by_id, self._own.data_centre, 1)
+        return by_id[chosen].control_address
