--- a/burdockdrum/passthrough/reading.py
+++ b/burdockdrum/passthrough/reading.py
@@ -148,7 +148,7 @@
         if is_hop:
             # The first entry has found it, and may know a newer table.
             team = head.find(HOP_TEAM) or b""
-            return self._callers.find_team(team.decode())
+            return self._callers.find_team(team.decode(errors="replace"))
         tokens = head.find_all(self._names.token)
         # Of two tokens none says for certain who calls.
         return self._callers.find(tokens[0] if len(tokens) == 1 else None)
