Take back that a caller's earlier tries count

The form that was committed judges nothing here, as 30 in 100 must name the same time, and on a deployment where most do it would refuse those who name less from the start.

--- a/burdockdrum/passthrough/placing.py
+++ b/burdockdrum/passthrough/placing.py
@@ -137,7 +137,7 @@
         """
         if not self._mechanisms.early_refusal:
             return left
-        passed = self._clock.monotonic() - request.asked_at
+        passed = self._clock.monotonic() - request.received_at
         due = request.route.objective_seconds - passed
         rest = due - wait.own - wait.usual_error
         return min(left, max(rest, due * MIN_QUEUE_PART, MIN_QUEUE_SECONDS))
--- a/burdockdrum/passthrough/reading.py
+++ b/burdockdrum/passthrough/reading.py
@@ -20,7 +20,6 @@
 from burdockdrum.passthrough.vocabulary import HOP_ATTEMPTS
 from burdockdrum.passthrough.vocabulary import HOP_REGION
 from burdockdrum.passthrough.vocabulary import HOP_TEAM
-from burdockdrum.passthrough.waited import WaitedTimes
 from burdockdrum.ports import Clock
 from burdockdrum.quotas import QuotaMeter
 from burdockdrum.quotas import Taken
@@ -61,7 +60,6 @@
         self._read_index = read_index
         self._callers = callers
         self._meter = meter
-        self._waited = WaitedTimes()
 
     def wait_seconds(self, head: RequestHead) -> float:
         """Return how long a request may wait for the routes to be known."""
@@ -88,7 +86,10 @@
             route = _route_for(caller, route, index.ranks)
         names = self._names
         service = choose_service(route, self._rng)
-        left, waited = self._read_times(head, route, is_hop=is_hop)
+        left = route.timeout_seconds
+        asked = parse_count(head.find(names.deadline))
+        if asked is not None:
+            left = min(left, asked / _MILLISECONDS)
         attempts = route.attempts
         if is_hop:
             allowed = parse_count(head.find(HOP_ATTEMPTS))
@@ -113,7 +114,6 @@
             backend=index.backends_by_name[service],
             prompt=prompt,
             received_at=head.received_at,
-            asked_at=head.received_at - waited,
             deadline=head.received_at + left,
             attempts=attempts,
             last_event=parse_count(head.find(names.last_event)),
@@ -123,17 +123,6 @@
             taken=taken,
         )
 
-    def _read_times(
-        self, head: RequestHead, route: Route, *, is_hop: bool
-    ) -> tuple[float, float]:
-        """Return the seconds that are left, and those waited before."""
-        asked = parse_count(head.find(self._names.deadline))
-        if asked is None:
-            return route.timeout_seconds, 0.0
-        seconds = asked / _MILLISECONDS
-        waited = 0.0 if is_hop else self._waited.note(route.name, seconds)
-        return min(route.timeout_seconds, seconds), waited
-
     def _find_caller(
         self,
         head: RequestHead,
