--- a/burdockdrum/callers/finding.py
+++ b/burdockdrum/callers/finding.py
@@ -27,7 +27,7 @@
         certain_seconds: float | None = None,
         strict_seconds: float | None = None,
     ) -> None:
-        """Index the configuration now and each time that it changes.
+        """Create a finder over a configuration service.
 
         :param certain_seconds: how old what is known may be for a refusal
             for good; None does not ask
@@ -54,7 +54,7 @@
                 return caller
         reason = "the token is no client's" if token else "there is no token"
         if not self.is_certain:
-            raise refuse_unsure(f"{reason} that is known, by what is known")
+            raise refuse_unsure(f"{reason} here, which may be out of date")
         raise Refusal(
             code=RefusalCode.UNAUTHENTICATED,
             message=reason,
