Log and count the rate limits that endpoints announce

An entry now parses the header, writes endpoint.limit_announced, endpoint.limit_withdrawn or endpoint.limit_ignored, and counts them. Nothing is enforced yet.

A value that is no single decimal number (empty, negative, NaN, infinite, repeated) is ignored: it neither sets nor withdraws a limit.

--- a/burdockdrum/http1/__init__.py
+++ b/burdockdrum/http1/__init__.py
@@ -18,6 +18,7 @@
 from burdockdrum.http1.listener import Limits
 from burdockdrum.http1.listener import Listener
 from burdockdrum.http1.numbers import parse_count
+from burdockdrum.http1.numbers import parse_decimal
 from burdockdrum.http1.numbers import parse_seconds
 from burdockdrum.http1.requests import RequestHead
 from burdockdrum.http1.server import Exchange
@@ -34,6 +35,7 @@
     "Listener",
     "NotConnected",
     "parse_count",
+    "parse_decimal",
     "parse_seconds",
     "remove_hop_by_hop_headers",
     "RequestHead",
--- a/burdockdrum/http1/client.py
+++ b/burdockdrum/http1/client.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from burdockdrum.http1.heads import find_all_headers
 from burdockdrum.http1.heads import find_header
 from burdockdrum.http1.heads import Headers
 from burdockdrum.http1.numbers import parse_count
@@ -44,6 +45,10 @@
         """Return the first value of a header; the name is in lower case."""
         return find_header(self.headers, name)
 
+    def find_all(self, name: bytes) -> list[bytes]:
+        """Return every value of a header; the name is in lower case."""
+        return find_all_headers(self.headers, name)
+
 
 class ClientConnection(asyncio.Protocol):
     """A connection that carries one request at a time.
--- a/burdockdrum/http1/heads.py
+++ b/burdockdrum/http1/heads.py
@@ -31,6 +31,11 @@
     return None
 
 
+def find_all_headers(headers: Headers, name: bytes) -> list[bytes]:
+    """Return every value of a header; the name is in lower case."""
+    return [value for known, value in headers if known.lower() == name]
+
+
 def remove_hop_by_hop_headers(
     headers: Headers, dropped: frozenset[bytes] = frozenset()
 ) -> Headers:
--- a/burdockdrum/http1/numbers.py
+++ b/burdockdrum/http1/numbers.py
@@ -14,6 +14,11 @@
 
 def parse_seconds(value: bytes | None) -> float | None:
     """Parse non-negative decimal seconds; return None if invalid."""
+    return parse_decimal(value)
+
+
+def parse_decimal(value: bytes | None) -> float | None:
+    """Parse a non-negative decimal number; return None if invalid."""
     whole, dot, fraction = (value or b"").strip().partition(b".")
     if not whole.isdigit() or len(whole) > MAX_DIGITS:
         return None
--- a/burdockdrum/passthrough/attempts.py
+++ b/burdockdrum/passthrough/attempts.py
@@ -14,6 +14,8 @@
 from burdockdrum.http1 import ResponseLost
 from burdockdrum.logs import log_decision
 from burdockdrum.passthrough.attempt_timeouts import AttemptTimeouts
+from burdockdrum.passthrough.endpoint_limits import EndpointLimits
+from burdockdrum.passthrough.endpoint_state import InFlightRequest
 from burdockdrum.passthrough.events import InvalidEventStream
 from burdockdrum.passthrough.events import ResumableEventSplitter
 from burdockdrum.passthrough.fleet import Fleet
@@ -61,8 +63,10 @@
         payloads: PayloadEncoder,
         responses: ResponseClassifier,
         timeouts: AttemptTimeouts,
+        limits: EndpointLimits,
     ) -> None:
         """Create the runner with its connection pools and collaborators."""
+        self._limits = limits
         self._timeouts = timeouts
         self._clock = clock
         self._fleet = fleet
@@ -240,6 +244,8 @@
     ) -> Outcome:
         head = await connection.read_head()
         failure = self._responses.classify(head)
+        if call.in_flight_request is not None:
+            self._observe_limit(call.in_flight_request, head, failure)
         if failure is not None:
             await read_error_body(connection)
             return failure
@@ -255,6 +261,20 @@
         call.disarm_watchdog()
         return await self._forward_response(connection, head, exchange)
 
+    def _observe_limit(
+        self,
+        in_flight_request: InFlightRequest,
+        head: ResponseHead,
+        failure: NotStarted | Lost | None,
+    ) -> None:
+        """Observe the rate limit in a response of the endpoint itself."""
+        values = self._responses.rate_limits(head)
+        match failure:
+            case None:
+                self._limits.observe(in_flight_request.endpoint, values)
+            case NotStarted(reached=True, replaced=False) if values:
+                self._limits.observe(in_flight_request.endpoint, values)
+
     async def _forward_response(
         self,
         connection: ClientConnection,
--- a/burdockdrum/passthrough/header_names.py
+++ b/burdockdrum/passthrough/header_names.py
@@ -25,6 +25,8 @@
     - ``urgency``: the priority in an engine; 0 is admitted first.
     - ``fetch_from``: the address of an endpoint that has a prefix of the
       prompt cached.
+    - ``rate_limit``: the requests per second that the endpoint accepts from
+      all entries together, announced in its responses.
     - ``token``: authenticates the caller; never forwarded.
     - ``team``: the team that the token belongs to.
     - ``system_only``: headers that are dropped from callers' requests.
@@ -41,6 +43,7 @@
     prompt_parts: bytes = b"x-prompt-parts"
     urgency: bytes = b"x-urgency"
     fetch_from: bytes = b"x-fetch-from"
+    rate_limit: bytes = b"x-rate-limit"
     token: bytes = b"x-api-token"
     team: bytes = b"x-team"
     system_only: frozenset[bytes] = field(default_factory=frozenset)
--- a/burdockdrum/passthrough/responses.py
+++ b/burdockdrum/passthrough/responses.py
@@ -68,6 +68,10 @@
             return Lost(reason="response with an unrequested content coding")
         return None
 
+    def rate_limits(self, head: ResponseHead) -> list[bytes]:
+        """Return the rate limits that a response announces, unparsed."""
+        return head.find_all(self._names.rate_limit)
+
     def headers_for_caller(self, head: ResponseHead) -> Headers:
         """Return the response headers to forward to the caller."""
         return remove_hop_by_hop_headers(head.headers, HOP_HEADERS)
--- a/burdockdrum/passthrough/server.py
+++ b/burdockdrum/passthrough/server.py
@@ -2,6 +2,7 @@
 
 from burdockdrum.http1 import ConnectionPool
 from burdockdrum.http1 import Listener
+from burdockdrum.passthrough.endpoint_limits import EndpointLimits
 from burdockdrum.passthrough.fleet import Fleet
 from burdockdrum.passthrough.limits import RetryBudget
 from burdockdrum.ports import Clock
@@ -23,6 +24,7 @@
         vms: Listener,
         pools: list[ConnectionPool],
         fleet: Fleet,
+        limits: EndpointLimits,
         budget: RetryBudget,
         registrations: RegistrationFollower,
         drain: Drain,
@@ -33,6 +35,7 @@
         self._vms = vms
         self._pools = pools
         self._fleet = fleet
+        self._limits = limits
         self._budget = budget
         self._registrations = registrations
         self._drain = drain
@@ -57,5 +60,6 @@
         self._fleet.entries = self._registrations.region_entries
         self._budget.entries = self._registrations.total_entries
         self._fleet.remove_ended()
+        self._limits.retain(set(self._registrations.endpoints_by_id))
         for pool in self._pools:
             pool.prune()
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -16,6 +16,7 @@
 from burdockdrum.passthrough.active_routes import ActiveRoutes
 from burdockdrum.passthrough.attempt_timeouts import AttemptTimeouts
 from burdockdrum.passthrough.attempts import AttemptRunner
+from burdockdrum.passthrough.endpoint_limits import EndpointLimits
 from burdockdrum.passthrough.fleet import Fleet
 from burdockdrum.passthrough.header_names import HeaderNames
 from burdockdrum.passthrough.limits import RetryBudget
@@ -45,6 +46,7 @@
     if kernel.has("log"):
         return
     kernel.add("header_names", lambda kernel: HeaderNames())
+    kernel.add("endpoint_limits", _build_endpoint_limits)
     kernel.add("fleet", _build_fleet)
     kernel.add("endpoint_pool", _build_endpoint_pool)
     kernel.add("vm_pool", _build_vm_pool)
@@ -60,6 +62,10 @@
     return ActiveRoutes(configuration=configuration)
 
 
+def _build_endpoint_limits(kernel: Kernel) -> EndpointLimits:
+    return EndpointLimits(metrics=kernel.find("metrics", Metrics))
+
+
 def _build_fleet(kernel: Kernel) -> Fleet:
     registrations = kernel.find("registrations", RegistrationFollower)
     sharing = kernel.find("load_sharing", LoadSharing)
@@ -164,6 +170,7 @@
             ).has_alternative,
             mechanisms=kernel.find("settings", Settings).policy.mechanisms,
         ),
+        limits=kernel.find("endpoint_limits", EndpointLimits),
     )
     registrations = kernel.find("registrations", RegistrationFollower)
     registrations.restart_listeners.append(runner.abort_incarnation)
@@ -224,6 +231,7 @@
             kernel.find("vm_pool", ConnectionPool),
         ],
         fleet=kernel.find("fleet", Fleet),
+        limits=kernel.find("endpoint_limits", EndpointLimits),
         budget=kernel.find("retry_budget", RetryBudget),
         registrations=kernel.find("registrations", RegistrationFollower),
         drain=kernel.find("drain", Drain),
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -13,6 +13,7 @@
 from burdockdrum.metrics import Metrics
 from burdockdrum.passthrough.attempt_timeouts import AttemptTimeouts
 from burdockdrum.passthrough.attempts import AttemptRunner
+from burdockdrum.passthrough.endpoint_limits import EndpointLimits
 from burdockdrum.passthrough.fleet import Fleet
 from burdockdrum.passthrough.header_names import HeaderNames
 from burdockdrum.passthrough.limits import RetryBudget
@@ -178,6 +179,8 @@
             read_load=lambda name: self.entries[region].others,
             drop_endpoint=registered.pop,
         )
+        metrics = Metrics()
+        limits = EndpointLimits(metrics=metrics)
         pools = [ConnectionPool(id_header=NAMES.request_id) for _ in "ab"]
         responses = ResponseClassifier(names=NAMES)
         finder = make_finder(self.configuration)
@@ -205,8 +208,8 @@
                 budget=budget,
                 has_alternative=selector.has_alternative,
             ),
+            limits=limits,
         )
-        metrics = Metrics()
         relay = Relay(
             clock=clock,
             names=NAMES,
