Keep all entries together within an endpoint's announced limit

What callers saw: nothing yet; an endpoint that had asked for 1 request a second got 32 in 4 s.

Load was bounded by what entries believe of an endpoint (slots, queue, slow start), never by what the endpoint says itself. Evidence: the reproduction logs the announcement at both entries and no withdrawal, and 251 requests arrive in 4 s, where 11 are allowed.

Change: a limit becomes part of an endpoint's registration. An entry that is told reports it to the control VM where the endpoint is registered, which publishes it to all entries of the region, also to those that start later. A few entries, the holders, divide a limit among them; they are chosen by rendezvous hashing from the rosters of a quorum of control VMs, valid for a short time after the poll that they answer. A new holder waits until a former one must have stopped, so the shares never exceed the limit while entries and control VMs start, stop, freeze or are cut off. A request that no limit leaves room for is refused at once, not run, with a time to come back (code endpoint_limit).

Why it works: two quorums share a control VM, whose roster lists both entries; so an entry is in the roster of every other holder, and there are at most as many holders as shares.

Ruled out: the whole limit at each entry (exceeds it by the number of entries), equal shares of all entries (an idle entry collects one request, so 30 entries send 30 at once).

--- a/burdockdrum/passthrough/attempts.py
+++ b/burdockdrum/passthrough/attempts.py
@@ -267,13 +267,24 @@
         head: ResponseHead,
         failure: NotStarted | Lost | None,
     ) -> None:
-        """Observe the rate limit in a response of the endpoint itself."""
+        """Observe the rate limit in a response of the endpoint itself.
+
+        A rejection can announce a limit, but not withdraw one.
+        """
         values = self._responses.rate_limits(head)
         match failure:
             case None:
-                self._limits.observe(in_flight_request.endpoint, values)
-            case NotStarted(reached=True, replaced=False) if values:
-                self._limits.observe(in_flight_request.endpoint, values)
+                is_observed = True
+            case NotStarted(reached=True, replaced=False):
+                is_observed = bool(values)
+            case _:
+                is_observed = False
+        if is_observed:
+            self._limits.observe(
+                in_flight_request.endpoint,
+                values,
+                sent_at=in_flight_request.began_at,
+            )
 
     async def _forward_response(
         self,
--- a/burdockdrum/passthrough/endpoint_state.py
+++ b/burdockdrum/passthrough/endpoint_state.py
@@ -27,7 +27,8 @@
     per second, ``prefill_share`` the share of its time spent on prefill.
     ``queued_tokens`` are the uncached tokens of other prompts there.
     ``prefill_cost_tokens`` is the prefill cost of the prompt, as the number of
-    tokens of short prompts that take as long.
+    tokens of short prompts that take as long. ``skipped_at_limit`` is how
+    many other endpoints were skipped because of their rate limits.
     """
 
     endpoint: RegisteredEndpoint
@@ -38,6 +39,7 @@
     queued_tokens: float = 0.0
     prefill_cost_tokens: float = 0.0
     prefill_share: float = 0.0
+    skipped_at_limit: int = 0
 
     @property
     def fetch_from(self) -> str | None:
--- a/burdockdrum/passthrough/fleet.py
+++ b/burdockdrum/passthrough/fleet.py
@@ -9,6 +9,8 @@
 import random
 
 from burdockdrum.holdings import PrefixCacheTable
+from burdockdrum.metrics import Metrics
+from burdockdrum.passthrough.endpoint_limits import EndpointLimits
 from burdockdrum.passthrough.endpoint_rating import EndpointRater
 from burdockdrum.passthrough.endpoint_rating import RatedRequest
 from burdockdrum.passthrough.endpoint_state import EndpointState
@@ -61,6 +63,7 @@
         mechanisms: MechanismSettings | None = None,
         data_centre: str | None = None,
         crossing_seconds: float = 0.0,
+        limits: EndpointLimits | None = None,
     ) -> None:
         """Create a fleet.
 
@@ -78,6 +81,7 @@
         :param data_centre: the data centre of this entry VM
         :param crossing_seconds: seconds of waiting that equal the cost of
             sending a megabyte to another data centre
+        :param limits: the rate limits of endpoints; none by default
         """
         self._mechanisms = mechanisms or MechanismSettings()
         self.entries = 1
@@ -114,6 +118,9 @@
         self._drop_endpoint = drop_endpoint
         self._states_by_id: dict[str, EndpointState] = {}
         self._slow_start_gate = SlowStartGate(clock=clock, rng=rng)
+        self._limits = limits or EndpointLimits(
+            clock=clock, metrics=Metrics(), read_endpoints=read_endpoints
+        )
 
     def choose(
         self,
@@ -135,12 +142,11 @@
         :param closed_data_centres: data centres that get no new requests
         :param body_bytes: size of the request's body
         """
+        eligible = self._list_eligible(backend, tried, closed_data_centres)
         candidates = [
             endpoint
-            for endpoint in self._live(backend.name)
-            if endpoint.endpoint_id not in tried
-            and endpoint.data_centre not in closed_data_centres
-            and self._is_eligible(endpoint, backend)
+            for endpoint in eligible
+            if self._limits.has_capacity(endpoint.endpoint_id)
         ]
         if not candidates:
             return None
@@ -174,7 +180,44 @@
         prefill_cost_tokens = self._rater.prefill_cost_tokens(
             request, chosen.uncached_tokens
         )
-        return replace(chosen, prefill_cost_tokens=prefill_cost_tokens)
+        return replace(
+            chosen,
+            prefill_cost_tokens=prefill_cost_tokens,
+            skipped_at_limit=len(eligible) - len(candidates),
+        )
+
+    def seconds_until_capacity(
+        self,
+        backend: Backend,
+        tried: frozenset[str],
+        closed_data_centres: frozenset[str],
+    ) -> float | None:
+        """Return when the first endpoint is below its rate limit again.
+
+        :returns: None if no endpoint is excluded by its limit
+        """
+        waits = [
+            self._limits.seconds_until_capacity(endpoint.endpoint_id)
+            for endpoint in self._list_eligible(
+                backend, tried, closed_data_centres
+            )
+        ]
+        return min((wait for wait in waits if wait > 0), default=None)
+
+    def _list_eligible(
+        self,
+        backend: Backend,
+        tried: frozenset[str],
+        closed_data_centres: frozenset[str],
+    ) -> list[RegisteredEndpoint]:
+        """Return the eligible endpoints, also those at their rate limits."""
+        return [
+            endpoint
+            for endpoint in self._live(backend.name)
+            if endpoint.endpoint_id not in tried
+            and endpoint.data_centre not in closed_data_centres
+            and self._is_eligible(endpoint, backend)
+        ]
 
     def _prefer_local(
         self, rated_endpoints: list[RatedEndpoint], expected_work: float
@@ -210,6 +253,7 @@
         """Record a request that is sent to an endpoint."""
         endpoint = choice.endpoint
         now = self._clock.monotonic()
+        self._limits.record_sent(endpoint.endpoint_id)
         state = self._state_of(endpoint)
         state.add_recent(now, rank, choice.prefill_cost_tokens)
         state.health.record_start(now)
--- a/burdockdrum/passthrough/relay.py
+++ b/burdockdrum/passthrough/relay.py
@@ -91,6 +91,10 @@
             "burdockdrum_passed_seconds",
             "Time from first byte of a request to the end of its response.",
         )
+        self._limit_decisions_total = metrics.counter(
+            "burdockdrum_endpoint_limit_decisions_total",
+            "Attempts and refusals that the rate limits of endpoints decided.",
+        )
         self._estimate_errors = metrics.histogram(
             "burdockdrum_first_part_error_seconds",
             "Absolute error of the expected time to first byte of streams.",
@@ -324,6 +328,8 @@
         name = self._names.request_id
         given = exchange.request.find(name)
         identity = [(name, given)] if given is not None else []
+        if refusal.code is RefusalCode.ENDPOINT_LIMIT:
+            self._limit_decisions_total.increment(decision="refused")
         log_failure(
             "request.refused",
             request_id=(given or b"").decode("latin-1"),
@@ -349,6 +355,7 @@
         started_at: float,
     ) -> None:
         now = self._clock.monotonic()
+        self._count_skipped(target)
         first_byte_seconds = None
         if progress.first_chunk_at is not None:
             first_byte_seconds = progress.first_chunk_at - started_at
@@ -363,6 +370,12 @@
             now=now,
         )
 
+    def _count_skipped(self, target: Target) -> None:
+        """Count an attempt for which endpoints at their limit were skipped."""
+        match target:
+            case EndpointTarget(choice=choice) if choice.skipped_at_limit:
+                self._limit_decisions_total.increment(decision="skipped")
+
     def _record_estimate_error(
         self, target: Target, first_byte_seconds: float
     ) -> None:
--- a/burdockdrum/passthrough/request_log.py
+++ b/burdockdrum/passthrough/request_log.py
@@ -92,6 +92,7 @@
                 "expected_own": _round(choice.wait.service_time),
                 "unread_tokens": choice.uncached_tokens,
                 "fetch_from": choice.fetch_from,
+                "skipped_at_limit": choice.skipped_at_limit,
             }
         case RegionTarget(vm_id=vm_id):
             return {
--- a/burdockdrum/passthrough/server.py
+++ b/burdockdrum/passthrough/server.py
@@ -60,6 +60,6 @@
         self._fleet.entries = self._registrations.region_entries
         self._budget.entries = self._registrations.total_entries
         self._fleet.remove_ended()
-        self._limits.retain(set(self._registrations.endpoints_by_id))
+        self._limits.remove_ended()
         for pool in self._pools:
             pool.prune()
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -63,7 +63,16 @@
 
 
 def _build_endpoint_limits(kernel: Kernel) -> EndpointLimits:
-    return EndpointLimits(metrics=kernel.find("metrics", Metrics))
+    registrations = kernel.find("registrations", RegistrationFollower)
+    limits = EndpointLimits(
+        clock=kernel.find("clock", Clock),
+        metrics=kernel.find("metrics", Metrics),
+        read_endpoints=lambda: registrations.endpoints_by_id,
+        read_share=registrations.limit_shares.share_of,
+        report=registrations.report_limits,
+    )
+    registrations.read_limits = lambda: limits.announced_by_id
+    return limits
 
 
 def _build_fleet(kernel: Kernel) -> Fleet:
@@ -87,6 +96,7 @@
         mechanisms=settings.policy.mechanisms,
         data_centre=kernel.find("identity", VmIdentity).data_centre,
         crossing_seconds=settings.policy.crossing_seconds_a_megabyte,
+        limits=kernel.find("endpoint_limits", EndpointLimits),
     )
     sharing.read_load = fleet.read_own_load
     sharing.pop_placed = fleet.prefix_cache_view.pop_notices
--- a/burdockdrum/passthrough/target_selection.py
+++ b/burdockdrum/passthrough/target_selection.py
@@ -43,6 +43,7 @@
 # a long prompt alone can exceed the objective.
 MIN_QUEUE_FRACTION = 0.25
 MAX_RETRY_AFTER_SECONDS = 3.0
+LIMIT_RETRY_JITTER_FACTOR = 2.0
 
 
 class TargetSelector:
@@ -104,11 +105,7 @@
             return remote
         remaining = request.deadline - self._clock.monotonic()
         if local is None:
-            live_count = self._fleet.count_live(request.backend.name)
-            reason = f"none of {live_count} local endpoints is eligible"
-            raise self._refuse(
-                request, progress, reason, NO_ENDPOINT_RETRY_AFTER_SECONDS
-            )
+            raise self._refuse_without_endpoint(request, progress)
         allowed = self._max_queue_seconds(request, remaining, local.wait)
         queue = local.wait.queue
         if queue > allowed:
@@ -229,17 +226,42 @@
         ]
         return self._rng.choice(entries) if entries else None
 
+    def _refuse_without_endpoint(
+        self, request: ProxiedRequest, progress: RequestProgress
+    ) -> Refusal:
+        live_count = self._fleet.count_live(request.backend.name)
+        reason = f"none of {live_count} local endpoints is eligible"
+        wait = self._fleet.seconds_until_capacity(
+            request.backend,
+            frozenset(progress.tried),
+            self._read_closed_data_centres(),
+        )
+        if wait is None:
+            return self._refuse(
+                request, progress, reason, NO_ENDPOINT_RETRY_AFTER_SECONDS
+            )
+        # Callers that are refused together should not return together.
+        wait *= self._rng.uniform(1.0, LIMIT_RETRY_JITTER_FACTOR)
+        return self._refuse(
+            request,
+            progress,
+            f"{reason} below its announced rate limit",
+            wait,
+            code=RefusalCode.ENDPOINT_LIMIT,
+        )
+
     def _refuse(
         self,
         request: ProxiedRequest,
         progress: RequestProgress,
         reason: str,
         wait: float,
+        code: RefusalCode = RefusalCode.OVERLOADED,
     ) -> Refusal:
         if progress.last_reason:
             reason = f"{progress.last_reason}; {reason}"
         return Refusal(
-            code=RefusalCode.OVERLOADED,
+            code=code,
             message=f"{request.backend.name}: {reason}",
             verdict=progress.verdict,
             retry_after=min(
--- a/burdockdrum/registrations/__init__.py
+++ b/burdockdrum/registrations/__init__.py
@@ -18,17 +18,23 @@
 from burdockdrum.registrations.messages import ServiceCapacity
 from burdockdrum.registrations.model import RegisteredEndpoint
 from burdockdrum.registrations.publisher import RegistrationPublisher
+from burdockdrum.registrations.rate_limits import AnnouncedLimit
+from burdockdrum.registrations.rate_limits import newest_limit
+from burdockdrum.registrations.rate_limits import rate_of
 from burdockdrum.registrations.services import add_services
 from burdockdrum.registrations.table import RegistrationTable
 
 __all__ = [
     "add_services",
+    "AnnouncedLimit",
     "Load",
     "LoadSharing",
     "make_incarnation_id",
+    "newest_limit",
     "PlacedPrefix",
     "RankLoad",
     "RankSum",
+    "rate_of",
     "RegisteredEndpoint",
     "Registration",
     "RegistrationFollower",
--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -6,8 +6,6 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
-from dataclasses import dataclass
-from dataclasses import field
 import random
 
 from burdockdrum.logs import log_decision
@@ -15,10 +13,16 @@
 from burdockdrum.peers import Peers
 from burdockdrum.peers import Sender
 from burdockdrum.ports import Clock
+from burdockdrum.registrations.control_source import add_capacities
+from burdockdrum.registrations.control_source import ControlSource
+from burdockdrum.registrations.control_source import make_endpoint
 from burdockdrum.registrations.incarnations import LatestIncarnations
 from burdockdrum.registrations.incarnations import UNKNOWN_INCARNATION
+from burdockdrum.registrations.limit_reports import keep_newest_limit
+from burdockdrum.registrations.limit_reports import list_unknown_limits
+from burdockdrum.registrations.limit_shares import LimitShares
 from burdockdrum.registrations.load_sums import LoadById
-from burdockdrum.registrations.loads import Load
+from burdockdrum.registrations.messages import LimitNotice
 from burdockdrum.registrations.messages import Registration
 from burdockdrum.registrations.messages import RegistrationState
 from burdockdrum.registrations.messages import RegistrationUpdate
@@ -28,6 +32,8 @@
 from burdockdrum.registrations.pacing import MIN_WATCH_INTERVAL_SECONDS
 from burdockdrum.registrations.pacing import watch_interval
 from burdockdrum.registrations.pacing import WATCH_JITTER_FRACTION
+from burdockdrum.registrations.rate_limits import AnnouncedLimit
+from burdockdrum.registrations.rosters import NO_ROSTER_VERSION
 
 # Registrations from before a control VM's restart stay valid for so long, in
 # which a live endpoint checks in again.
@@ -38,23 +44,6 @@
 TOMBSTONE_SECONDS = 120.0
 
 
-@dataclass(kw_only=True)
-class _Source:
-    """The state received from one control VM.
-
-    ``epoch`` is the incarnation of the control VM.
-    """
-
-    epoch: int = 0
-    serial: int = 0
-    received_at: float = float("-inf")
-    endpoints_by_id: dict[str, RegisteredEndpoint] = field(
-        default_factory=dict
-    )
-    capacities: list[ServiceCapacity] = field(default_factory=list)
-    stale_until_by_id: dict[str, float] = field(default_factory=dict)
-
-
 class RegistrationFollower:
     """The endpoints of this region by id, merged from all control VMs."""
 
@@ -78,6 +67,8 @@
         """
         self.endpoints_by_id: dict[str, RegisteredEndpoint] = {}
         self.read_report = read_report
+        # The limits that endpoints announced to this entry, by endpoint id.
+        self.read_limits: Callable[[], Mapping[str, AnnouncedLimit]] = dict
         self.listeners: list[Callable[[], None]] = []
         # Called with the id of each incarnation that a newer one replaced.
         self.restart_listeners: list[Callable[[str], None]] = []
@@ -86,12 +77,18 @@
         self._rng = rng
         self._control_addresses = control_addresses
         self._on_revision = on_revision
-        self._sources_by_id: dict[str, _Source] = {}
+        self._sources_by_id: dict[str, ControlSource] = {}
         self._ended_at_by_id: dict[str, float] = {}
         self._incarnations = LatestIncarnations()
         # When ends of endpoints without a known incarnation arrived.
         self._unmatched_ends_by_name: dict[str, float] = {}
         self._entry_counts_by_id: dict[str, tuple[int, int]] = {}
+        self.limit_shares = LimitShares(
+            clock=clock,
+            own_id=peers.identity.vm_id,
+            read_control_ids=lambda: frozenset(control_addresses()),
+            read_entry_count=lambda: self.total_entries,
+        )
         peers.register(RegistrationUpdate, self._receive_update)
 
     @property
@@ -108,7 +105,7 @@
                 continue
             for capacity in source.capacities:
                 key = (capacity.region, capacity.service)
-                sums[key] = _add_capacities(sums.get(key), capacity)
+                sums[key] = add_capacities(sums.get(key), capacity)
         return list(sums.values())
 
     @property
@@ -138,6 +135,13 @@
             s.received_at >= since for s in self._sources_by_id.values()
         )
 
+    def report_limits(self) -> None:
+        """Report limits at once to the control VMs that don't know them."""
+        for vm_id, address in self._control_addresses().items():
+            source = self._sources_by_id.get(vm_id)
+            if source is not None and self._list_unknown_limits(source):
+                self._watch(vm_id, address, None, is_acknowledgement=True)
+
     def drop(self, endpoint_id: str) -> None:
         """Remove an incarnation of an endpoint that was replaced."""
         self._ended_at_by_id[endpoint_id] = self._clock.monotonic()
@@ -175,31 +179,43 @@
         *,
         is_acknowledgement: bool = False,
     ) -> None:
-        source = self._sources_by_id.setdefault(vm_id, _Source())
+        source = self._sources_by_id.setdefault(vm_id, ControlSource())
         message = Watch(
             region=self._peers.identity.region,
             epoch=source.epoch,
             serial=source.serial,
             load_by_id=report,
             is_acknowledgement=is_acknowledgement,
+            limits=self._list_unknown_limits(source),
+            sent_at_ms=int(self._clock.monotonic() * 1000),
+            roster_version=source.roster_version,
         )
         self._peers.send(address, message)
 
+    def _list_unknown_limits(self, source: ControlSource) -> list[LimitNotice]:
+        return list_unknown_limits(
+            source.endpoints_by_id,
+            self.endpoints_by_id,
+            self.read_limits(),
+            self._clock.monotonic(),
+        )
+
     async def _receive_update(
         self, sender: Sender, message: RegistrationUpdate
     ) -> Message | None:
-        source = self._sources_by_id.setdefault(sender.vm_id, _Source())
+        source = self._sources_by_id.setdefault(sender.vm_id, ControlSource())
         now = self._clock.monotonic()
         if message.epoch < source.epoch:
             return None
         if message.epoch > source.epoch:
-            self._begin_epoch(source, message.epoch, now)
+            source.begin_epoch(message.epoch, now + STALE_GRACE_SECONDS)
         source.received_at = now
         self._on_revision(sender.address, message.revision)
         self._entry_counts_by_id[sender.vm_id] = (
             message.region_entries,
             message.total_entries,
         )
+        self._receive_roster(sender.vm_id, source, message)
         if message.capacities is not None:
             source.capacities = message.capacities
         if message.base_serial <= source.serial <= message.serial:
@@ -213,15 +229,17 @@
             self._notify_listeners()
         return None
 
-    def _begin_epoch(self, source: _Source, epoch: int, now: float) -> None:
-        source.epoch = epoch
-        source.serial = 0
-        source.stale_until_by_id = dict.fromkeys(
-            source.endpoints_by_id, now + STALE_GRACE_SECONDS
-        )
+    def _receive_roster(
+        self, vm_id: str, source: ControlSource, message: RegistrationUpdate
+    ) -> None:
+        if message.roster_version == NO_ROSTER_VERSION:
+            self.limit_shares.drop(vm_id)
+        elif source.update_roster(message):
+            confirmed_at = message.watch_sent_at_ms / 1000
+            self.limit_shares.record(vm_id, source.entry_ids, confirmed_at)
 
     def _apply(
-        self, source: _Source, registration: Registration, now: float
+        self, source: ControlSource, registration: Registration, now: float
     ) -> None:
         endpoint_id = registration.endpoint_id
         source.stale_until_by_id.pop(endpoint_id, None)
@@ -231,13 +249,13 @@
             source.endpoints_by_id.pop(endpoint_id, None)
         elif self._is_current(registration, now):
             self._observe_incarnation(registration, now)
-            source.endpoints_by_id[endpoint_id] = _make_endpoint(
+            source.endpoints_by_id[endpoint_id] = make_endpoint(
                 registration, now
             )
         self._merge(endpoint_id)
 
     def _apply_end(
-        self, source: _Source, registration: Registration, now: float
+        self, source: ControlSource, registration: Registration, now: float
     ) -> None:
         self._ended_at_by_id[registration.endpoint_id] = now
         source.endpoints_by_id.pop(registration.endpoint_id, None)
@@ -295,19 +313,25 @@
 
     def _merge(self, endpoint_id: str) -> None:
         before = self.endpoints_by_id.pop(endpoint_id, None)
-        after = self._choose_copy(endpoint_id)
+        copies = self._find_copies(endpoint_id)
+        after = self._choose_copy(endpoint_id, copies)
         if after is not None:
+            after = keep_newest_limit(before, after, copies)
             self.endpoints_by_id[endpoint_id] = after
         if _state_of(before) is not _state_of(after):
             self._log(before, after)
 
-    def _choose_copy(self, endpoint_id: str) -> RegisteredEndpoint | None:
-        """Return the current registration of an endpoint, None if gone."""
-        copies = [
+    def _find_copies(self, endpoint_id: str) -> list[RegisteredEndpoint]:
+        return [
             source.endpoints_by_id[endpoint_id]
             for source in self._sources_by_id.values()
             if endpoint_id in source.endpoints_by_id
         ]
+
+    def _choose_copy(
+        self, endpoint_id: str, copies: list[RegisteredEndpoint]
+    ) -> RegisteredEndpoint | None:
+        """Return the current registration of an endpoint, None if gone."""
         if not copies or endpoint_id in self._ended_at_by_id:
             return None
         # Unreachable at one control VM, it may check in at another.
@@ -358,41 +382,7 @@
             listener()
 
 
-def _make_endpoint(
-    registration: Registration, now: float
-) -> RegisteredEndpoint:
-    left = registration.seconds_left
-    return RegisteredEndpoint(
-        endpoint_id=registration.endpoint_id,
-        service=registration.service,
-        address=registration.address,
-        data_centre=registration.data_centre,
-        slots=registration.slots,
-        sequence=registration.sequence,
-        state=registration.state,
-        slow_start_until=now + registration.slow_start_seconds,
-        ends_at=None if left is None else now + left,
-        name=registration.name,
-        incarnation=registration.incarnation,
-    )
-
-
 def _state_of(
     endpoint: RegisteredEndpoint | None,
 ) -> RegistrationState | None:
     return endpoint.state if endpoint is not None else None
-
-
-def _add_capacities(
-    first: ServiceCapacity | None, second: ServiceCapacity
-) -> ServiceCapacity:
-    if first is None:
-        return second
-    load = Load.from_ranks([*first.ranks, *second.ranks])
-    return ServiceCapacity(
-        first.region,
-        first.service,
-        first.endpoints + second.endpoints,
-        first.slots + second.slots,
-        load.ranks(),
-    )
--- /dev/null
+++ b/burdockdrum/registrations/limit_reports.py
@@ -0,0 +1,84 @@
+"""How entries and control VMs tell each other the limits of endpoints.
+
+An entry reports a limit to a control VM whose registration of the endpoint
+has another one. So a control VM learns limits that are announced, and those
+that it lost by a restart or missed in a partition.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from dataclasses import replace
+
+from burdockdrum.logs import log_decision
+from burdockdrum.registrations.messages import LimitNotice
+from burdockdrum.registrations.messages import Registration
+from burdockdrum.registrations.model import RegisteredEndpoint
+from burdockdrum.registrations.rate_limits import AnnouncedLimit
+from burdockdrum.registrations.rate_limits import newest_limit
+from burdockdrum.registrations.rate_limits import rate_of
+
+
+def read_limit(
+    registration: Registration, now: float
+) -> AnnouncedLimit | None:
+    """Return the limit in a registration that has just been received."""
+    if registration.rate_limit_age is None:
+        return None
+    return AnnouncedLimit(
+        requests_per_second=registration.rate_limit,
+        observed_at=now - registration.rate_limit_age,
+    )
+
+
+def list_unknown_limits(
+    copies_by_id: Mapping[str, RegisteredEndpoint],
+    merged_by_id: Mapping[str, RegisteredEndpoint],
+    own_limits_by_id: Mapping[str, AnnouncedLimit],
+    now: float,
+) -> list[LimitNotice]:
+    """Return the limits that differ from those of a control VM.
+
+    :param copies_by_id: the registrations of the control VM
+    :param merged_by_id: those of all control VMs, merged
+    :param own_limits_by_id: what endpoints announced to this entry
+    """
+    notices = []
+    for endpoint_id, copy in copies_by_id.items():
+        merged = merged_by_id.get(endpoint_id)
+        limit = newest_limit(
+            [
+                own_limits_by_id.get(endpoint_id),
+                merged.rate_limit if merged is not None else None,
+            ]
+        )
+        if limit is None or rate_of(limit) == rate_of(copy.rate_limit):
+            continue
+        age = now - limit.observed_at
+        notices.append(
+            LimitNotice(endpoint_id, limit.requests_per_second, age)
+        )
+    return notices
+
+
+def keep_newest_limit(
+    before: RegisteredEndpoint | None,
+    after: RegisteredEndpoint,
+    copies: Iterable[RegisteredEndpoint],
+) -> RegisteredEndpoint:
+    """Return an endpoint with the limit that it announced last.
+
+    A control VM that it has just checked in at may not know the limit.
+
+    :param before: the endpoint as known until now
+    :param copies: its registrations at the control VMs
+    """
+    known = before.rate_limit if before is not None else None
+    limit = newest_limit([known, *(copy.rate_limit for copy in copies)])
+    if rate_of(limit) != rate_of(known):
+        log_decision(
+            "endpoint.limit_learned",
+            endpoint_id=after.endpoint_id,
+            requests_per_second=rate_of(limit),
+            previous=rate_of(known),
+        )
+    return replace(after, rate_limit=limit)
--- /dev/null
+++ b/burdockdrum/registrations/limit_shares.py
@@ -0,0 +1,170 @@
+"""An entry's share of the rate limit of an endpoint.
+
+A limit is divided among a few entries, the holders, chosen by rendezvous
+hashing, as equal shares of all entries would be too small to be of use.
+Entries with different views must not hold more shares than there are:
+
+- Each control VM tells an entry the roster, the ids of all entries of the
+  region that it heard recently. An entry uses the union of the rosters of a
+  quorum of control VMs, which shares a control VM with any other quorum.
+- A roster is valid for a limited time after the poll that it answers.
+- An entry that becomes a holder waits until every other entry has either
+  learned of it or lost its own rosters.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from burdockdrum.ports import Clock
+from burdockdrum.registrations.pacing import hold_off_seconds
+from burdockdrum.registrations.pacing import roster_lease_seconds
+from burdockdrum.vms import choose_by_hash
+
+# A holder with a smaller share would get too few requests to use it.
+MIN_SHARE_PER_SECOND = 1.0
+# Floor of a limit: an endpoint that gets no requests can't withdraw it.
+MIN_LIMIT_PER_SECOND = 0.01
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Roster:
+    entry_ids: frozenset[str]
+    confirmed_at: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Period:
+    """From when on a union of rosters was in use."""
+
+    entry_ids: frozenset[str]
+    since: float
+
+
+class LimitShares:
+    """The shares that this entry holds."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        own_id: str,
+        read_control_ids: Callable[[], frozenset[str]],
+        read_entry_count: Callable[[], int],
+    ) -> None:
+        """Create it without rosters.
+
+        :param own_id: the id of this entry
+        :param read_control_ids: returns the ids of all control VMs
+        :param read_entry_count: returns the number of entries of all regions
+        """
+        self._clock = clock
+        self._own_id = own_id
+        self._read_control_ids = read_control_ids
+        self._read_entry_count = read_entry_count
+        self._rosters_by_control_id: dict[str, _Roster] = {}
+        self._periods: list[_Period] = []
+        self._valid_until = float("-inf")
+        self._is_changed = False
+        self._is_holder_by_key: dict[tuple[str, int], bool] = {}
+
+    def record(
+        self, control_id: str, entry_ids: frozenset[str], confirmed_at: float
+    ) -> None:
+        """Record a control VM's roster.
+
+        :param confirmed_at: when the poll that it answers was sent
+        """
+        self._refresh()
+        known = self._rosters_by_control_id.get(control_id)
+        if known is not None and known.confirmed_at > confirmed_at:
+            return
+        self._rosters_by_control_id[control_id] = _Roster(
+            entry_ids=entry_ids, confirmed_at=confirmed_at
+        )
+        self._is_changed = True
+        self._refresh()
+
+    def drop(self, control_id: str) -> None:
+        """Remove the roster of a control VM that has none to give."""
+        if self._rosters_by_control_id.pop(control_id, None) is not None:
+            self._is_changed = True
+            self._refresh()
+
+    def share_of(self, endpoint_id: str, limit: float) -> float | None:
+        """Return the requests per second that this entry may send.
+
+        :param limit: the limit over all entries, in requests per second
+        :returns: None if this entry holds no share of it
+        """
+        self._refresh()
+        hold_off = hold_off_seconds(self._read_entry_count())
+        begin = self._clock.monotonic() - hold_off
+        if not self._periods or self._periods[0].since > begin:
+            return None
+        self._forget_periods_before(begin)
+        holders = max(1, int(limit / MIN_SHARE_PER_SECOND))
+        if not self._is_holder(endpoint_id, holders):
+            return None
+        entries = len(self._periods[-1].entry_ids)
+        return max(limit, MIN_LIMIT_PER_SECOND) / min(holders, entries)
+
+    def _is_holder(self, endpoint_id: str, holders: int) -> bool:
+        """Return whether this entry was a holder during the whole hold-off."""
+        key = (endpoint_id, holders)
+        known = self._is_holder_by_key.get(key)
+        if known is None:
+            known = all(
+                self._own_id
+                in choose_by_hash(period.entry_ids, endpoint_id, holders)
+                for period in self._periods
+            )
+            self._is_holder_by_key[key] = known
+        return known
+
+    def _refresh(self) -> None:
+        """Update the union of the rosters after a change or its expiry."""
+        now = self._clock.monotonic()
+        if now > self._valid_until:
+            self._set_periods([])
+        elif not self._is_changed:
+            return
+        self._is_changed = False
+        self._drop_invalid_rosters(now)
+        rosters = self._rosters_by_control_id.values()
+        quorum = len(self._read_control_ids()) // 2 + 1
+        if len(rosters) < quorum:
+            self._set_periods([])
+            self._valid_until = float("-inf")
+            return
+        newest_first = sorted((r.confirmed_at for r in rosters), reverse=True)
+        self._valid_until = newest_first[quorum - 1] + self._lease_seconds
+        entry_ids = frozenset().union(*(r.entry_ids for r in rosters))
+        if not self._periods or self._periods[-1].entry_ids != entry_ids:
+            period = _Period(entry_ids=entry_ids, since=now)
+            self._set_periods([*self._periods, period])
+
+    def _drop_invalid_rosters(self, now: float) -> None:
+        control_ids = self._read_control_ids()
+        oldest = now - self._lease_seconds
+        self._rosters_by_control_id = {
+            control_id: roster
+            for control_id, roster in self._rosters_by_control_id.items()
+            if control_id in control_ids
+            and roster.confirmed_at >= oldest
+            and self._own_id in roster.entry_ids
+        }
+
+    @property
+    def _lease_seconds(self) -> float:
+        return roster_lease_seconds(self._read_entry_count())
+
+    def _forget_periods_before(self, begin: float) -> None:
+        kept = self._periods
+        while len(kept) > 1 and kept[1].since <= begin:
+            kept = kept[1:]
+        if len(kept) < len(self._periods):
+            self._set_periods(kept)
+
+    def _set_periods(self, periods: list[_Period]) -> None:
+        self._periods = periods
+        self._is_holder_by_key = {}
--- a/burdockdrum/registrations/messages.py
+++ b/burdockdrum/registrations/messages.py
@@ -38,6 +38,9 @@
     counts the check-ins of this incarnation. ``slow_start_seconds`` is the
     remaining slow start and ``seconds_left`` the time until the endpoint is
     removed, None if not planned; both count from when the message was sent.
+    ``rate_limit`` is the number of requests per second that the endpoint
+    announced to accept from all entries, None if unlimited, and
+    ``rate_limit_age`` the age of that in seconds, None if never announced.
     """
 
     endpoint_id: str
@@ -51,6 +54,8 @@
     seconds_left: float | None = None
     name: str = ""
     incarnation: int = UNKNOWN_INCARNATION
+    rate_limit: float | None = None
+    rate_limit_age: float | None = None
 
     @property
     def reported_id(self) -> str:
@@ -68,13 +73,27 @@
     ranks: list[RankLoad]
 
 
+class LimitNotice(msgspec.Struct, frozen=True, array_like=True):
+    """The rate limit that an endpoint announced to an entry.
+
+    ``requests_per_second`` is None if the limit was withdrawn. ``age`` is in
+    seconds, and counts from when the message was sent.
+    """
+
+    endpoint_id: str
+    requests_per_second: float | None
+    age: float
+
+
 class Watch(Message, frozen=True, kw_only=True, array_like=True):
     """An entry polls a control VM for the registrations of its region.
 
     ``serial`` is the last change received from the control VM's incarnation
     ``epoch``. ``load_by_id`` is None if another entry reports the load. If
     ``is_acknowledgement``, the message only confirms received changes, and
-    the control VM sends no answer.
+    the control VM sends no answer. ``limits`` are those that the control VM
+    doesn't know yet. ``sent_at_ms`` is in milliseconds by the entry's
+    monotonic clock; ``roster_version`` is the last one received.
     """
 
     region: str
@@ -82,6 +101,9 @@
     serial: int
     load_by_id: dict[str, list[RankLoad]] | None = None
     is_acknowledgement: bool = False
+    limits: list[LimitNotice] = []
+    sent_at_ms: int = 0
+    roster_version: int = 0
 
 
 class PlacedPrefix(msgspec.Struct, frozen=True, array_like=True):
@@ -141,7 +163,10 @@
     An entry whose last serial is older has missed changes and polls again.
     ``region_entries`` and ``total_entries`` count the entries that may be
     alive, in this region and in all. ``revision`` is that of the
-    configuration in force at the control VM.
+    configuration in force at the control VM. ``entry_ids`` are the entries of
+    the region, None if unchanged since the version that the entry reported;
+    ``roster_version`` is 0 if the control VM doesn't know them yet.
+    ``watch_sent_at_ms`` repeats ``sent_at_ms`` of the entry's last message.
     """
 
     wire_kind: ClassVar[str | None] = "registrations.Watched"
@@ -154,3 +179,6 @@
     region_entries: int = 0
     total_entries: int = 0
     revision: int = 0
+    watch_sent_at_ms: int = 0
+    roster_version: int = 0
+    entry_ids: list[str] | None = None
--- a/burdockdrum/registrations/model.py
+++ b/burdockdrum/registrations/model.py
@@ -4,6 +4,7 @@
 
 from burdockdrum.registrations.incarnations import UNKNOWN_INCARNATION
 from burdockdrum.registrations.messages import RegistrationState
+from burdockdrum.registrations.rate_limits import AnnouncedLimit
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -14,6 +15,7 @@
     the slow start and ``ends_at`` the planned removal, None if there is none.
     ``name`` is the id that the endpoint reports, over all incarnations;
     ``incarnation`` is its start time by its own clock, 0 if unknown.
+    ``rate_limit`` is what it announced to any entry, None if nothing.
     """
 
     endpoint_id: str
@@ -27,6 +29,7 @@
     ends_at: float | None
     name: str = ""
     incarnation: int = UNKNOWN_INCARNATION
+    rate_limit: AnnouncedLimit | None = None
 
     @property
     def reported_id(self) -> str:
--- a/burdockdrum/registrations/publisher.py
+++ b/burdockdrum/registrations/publisher.py
@@ -9,17 +9,21 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from burdockdrum.logs import log_decision
 from burdockdrum.peers import Message
 from burdockdrum.peers import Peers
 from burdockdrum.peers import Sender
 from burdockdrum.ports import Clock
 from burdockdrum.registrations.loads import Load
 from burdockdrum.registrations.loads import RankLoad
+from burdockdrum.registrations.messages import LimitNotice
 from burdockdrum.registrations.messages import Registration
 from burdockdrum.registrations.messages import RegistrationUpdate
 from burdockdrum.registrations.messages import ServiceCapacity
 from burdockdrum.registrations.messages import Watch
 from burdockdrum.registrations.pacing import liveness_timeout
+from burdockdrum.registrations.rosters import EntryRosters
+from burdockdrum.registrations.rosters import NO_ROSTER_VERSION
 from burdockdrum.registrations.table import ANY_DATA_CENTRE
 from burdockdrum.registrations.table import RegistrationTable
 
@@ -39,7 +43,8 @@
     """An entry that polls this control VM.
 
     ``serial`` is the last serial that it acknowledged, ``sent_serial`` the
-    last one sent to it with a change of its region.
+    last one sent to it with a change of its region. ``roster_version`` and
+    ``watch_sent_at_ms`` are those of its last message.
     """
 
     address: str
@@ -47,6 +52,8 @@
     incarnation: int
     serial: int
     received_at: float
+    roster_version: int = 0
+    watch_sent_at_ms: int = 0
     sent_serial: int = 0
     sent_at: float = float("-inf")
     load_by_id: dict[str, list[RankLoad]] = field(default_factory=dict)
@@ -78,6 +85,7 @@
         self._regions_by_data_centre = dict(regions_by_data_centre)
         self._read_revision = read_revision
         self._watchers_by_id: dict[str, _Watcher] = {}
+        self._rosters = EntryRosters(clock=clock)
         table.listeners.append(self._publish_change)
         peers.register(Watch, self._receive_watch)
 
@@ -116,9 +124,15 @@
                 received_at=now,
             )
             self._watchers_by_id[sender.vm_id] = watcher
-        epoch = self._peers.identity.incarnation
-        watcher.serial = message.serial if message.epoch == epoch else 0
+        is_same_epoch = message.epoch == self._peers.identity.incarnation
+        watcher.serial = message.serial if is_same_epoch else 0
+        watcher.roster_version = (
+            message.roster_version if is_same_epoch else NO_ROSTER_VERSION
+        )
+        watcher.watch_sent_at_ms = message.sent_at_ms
         watcher.received_at = now
+        self._rosters.record(sender.vm_id, message.region)
+        self._record_limits(sender, message.limits)
         if message.load_by_id is not None:
             watcher.load_by_id, watcher.load_received_at = (
                 message.load_by_id,
@@ -130,6 +144,19 @@
         self._forget_watchers(now)
         return None
 
+    def _record_limits(
+        self, sender: Sender, notices: list[LimitNotice]
+    ) -> None:
+        for notice in notices:
+            if self._table.record_limit(notice):
+                log_decision(
+                    "endpoint.limit_recorded",
+                    endpoint_id=notice.endpoint_id,
+                    requests_per_second=notice.requests_per_second,
+                    age=round(notice.age, 3),
+                    about_vm=sender.vm_id,
+                )
+
     def _publish_change(self, registration: Registration) -> None:
         region = self._regions_by_data_centre.get(registration.data_centre)
         is_for_all_regions = registration.data_centre == ANY_DATA_CENTRE
@@ -168,6 +195,8 @@
             if region == watcher.region
         )
         table = self._table
+        roster = self._rosters.read(watcher.region)
+        is_known = roster.version == watcher.roster_version
         message = RegistrationUpdate(
             epoch=self._peers.identity.incarnation,
             base_serial=watcher.serial,
@@ -177,6 +206,9 @@
             region_entries=self.count_watchers(watcher.region),
             total_entries=self.count_watchers(),
             revision=self._read_revision(),
+            watch_sent_at_ms=watcher.watch_sent_at_ms,
+            roster_version=roster.version,
+            entry_ids=None if is_known else list(roster.entry_ids),
         )
         self._peers.send(watcher.address, message)
 
--- /dev/null
+++ b/burdockdrum/registrations/rate_limits.py
@@ -0,0 +1,29 @@
+"""Rate limits that endpoints announce, with the age of the announcement."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AnnouncedLimit:
+    """What an endpoint last announced.
+
+    ``requests_per_second`` applies to all entries together, None if the
+    endpoint stopped announcing a limit. ``observed_at`` is monotonic.
+    """
+
+    requests_per_second: float | None
+    observed_at: float
+
+
+def newest_limit(
+    limits: Iterable[AnnouncedLimit | None],
+) -> AnnouncedLimit | None:
+    """Return the latest of several announcements, None if there is none."""
+    known = [limit for limit in limits if limit is not None]
+    return max(known, key=lambda limit: limit.observed_at, default=None)
+
+
+def rate_of(limit: AnnouncedLimit | None) -> float | None:
+    """Return the requests per second of a limit, None if unlimited."""
+    return limit.requests_per_second if limit is not None else None
--- a/burdockdrum/registrations/table.py
+++ b/burdockdrum/registrations/table.py
@@ -15,6 +15,7 @@
 from burdockdrum.registrations.incarnations import LatestIncarnations
 from burdockdrum.registrations.incarnations import make_incarnation_id
 from burdockdrum.registrations.incarnations import UNKNOWN_INCARNATION
+from burdockdrum.registrations.messages import LimitNotice
 from burdockdrum.registrations.messages import Registration
 from burdockdrum.registrations.messages import RegistrationState
 
@@ -35,6 +36,7 @@
     serial: int
     received_at: float
     changed_at: float
+    limit_observed_at: float | None = None
 
 
 class RegistrationTable:
@@ -66,6 +68,7 @@
             for previous in self._incarnations_of(name):
                 self._set_state(previous, RegistrationState.GONE)
         now = self._clock.monotonic()
+        registration = _keep_limit(registration, known)
         if known is not None and _is_unchanged(registration, known):
             self._records_by_id[registration.endpoint_id] = replace(
                 known, registration=registration, received_at=now
@@ -112,6 +115,27 @@
         )
         return False
 
+    def record_limit(self, notice: LimitNotice) -> bool:
+        """Record the rate limit that an endpoint announced to an entry.
+
+        :returns: whether it differs from the one known before
+        """
+        known = self._records_by_id.get(notice.endpoint_id)
+        if known is None:
+            return False
+        observed_at = self._clock.monotonic() - notice.age
+        previous_at = known.limit_observed_at
+        if previous_at is not None and observed_at <= previous_at:
+            return False
+        record = replace(known, limit_observed_at=observed_at)
+        self._records_by_id[notice.endpoint_id] = record
+        rate = notice.requests_per_second
+        if rate == known.registration.rate_limit:
+            return False
+        changed = msgspec.structs.replace(known.registration, rate_limit=rate)
+        self._put(changed, received_at=known.received_at)
+        return True
+
     def has_ended(self, endpoint_id: str) -> bool:
         """Return whether an endpoint has ended."""
         known = self._records_by_id.get(endpoint_id)
@@ -125,7 +149,7 @@
         """Return the registrations changed after a serial."""
         now = self._clock.monotonic()
         return [
-            _count_down(record.registration, now - record.received_at)
+            _count_down(record, now)
             for record in self._records_by_id.values()
             if record.serial > serial
             and record.registration.data_centre
@@ -143,7 +167,7 @@
         now = self._clock.monotonic()
         kept = (RegistrationState.READY, RegistrationState.DRAINING)
         return [
-            _count_down(record.registration, now - record.received_at)
+            _count_down(record, now)
             for record in self._records_by_id.values()
             if record.registration.state in kept
         ]
@@ -217,10 +241,9 @@
         if record.registration.state is state:
             return
         now = self._clock.monotonic()
-        counted_down = _count_down(
-            record.registration, now - record.received_at
+        changed = msgspec.structs.replace(
+            _count_down(record, now), state=state
         )
-        changed = msgspec.structs.replace(counted_down, state=state)
         self._put(changed, received_at=record.received_at)
 
     def _put(
@@ -228,11 +251,13 @@
     ) -> None:
         self.serial += 1
         now = self._clock.monotonic()
+        known = self._records_by_id.get(registration.endpoint_id)
         self._records_by_id[registration.endpoint_id] = _Record(
             registration=registration,
             serial=self.serial,
             received_at=now if received_at is None else received_at,
             changed_at=now,
+            limit_observed_at=_limit_observed_at(registration, known, now),
         )
         for listener in self.listeners:
             listener(registration)
@@ -249,6 +274,32 @@
             del self._newest_id_by_address[registration.address]
 
 
+def _keep_limit(
+    registration: Registration, known: _Record | None
+) -> Registration:
+    """Return a check-in with the rate limit known before.
+
+    An endpoint announces it in its responses, not when it checks in.
+    """
+    if known is None or known.limit_observed_at is None:
+        return registration
+    return msgspec.structs.replace(
+        registration,
+        rate_limit=known.registration.rate_limit,
+        rate_limit_age=known.registration.rate_limit_age,
+    )
+
+
+def _limit_observed_at(
+    registration: Registration, known: _Record | None, now: float
+) -> float | None:
+    """Return when the limit of a registration was observed."""
+    if known is not None and known.limit_observed_at is not None:
+        return known.limit_observed_at
+    age = registration.rate_limit_age
+    return None if age is None else now - age
+
+
 def _is_newer(registration: Registration, known: _Record) -> bool:
     current = known.registration
     if current.state is RegistrationState.GONE:
@@ -281,12 +332,21 @@
     )
 
 
-def _count_down(registration: Registration, seconds: float) -> Registration:
+def _count_down(record: _Record, now: float) -> Registration:
+    """Return a registration whose times count from now."""
+    registration = record.registration
+    seconds = now - record.received_at
     left = registration.seconds_left
-    if not registration.slow_start_seconds and left is None:
+    observed_at = record.limit_observed_at
+    if (
+        not registration.slow_start_seconds
+        and left is None
+        and observed_at is None
+    ):
         return registration
     return msgspec.structs.replace(
         registration,
         slow_start_seconds=max(0.0, registration.slow_start_seconds - seconds),
         seconds_left=None if left is None else max(0.0, left - seconds),
+        rate_limit_age=None if observed_at is None else now - observed_at,
     )
--- a/burdockdrum/verdicts/refusal.py
+++ b/burdockdrum/verdicts/refusal.py
@@ -18,6 +18,7 @@
     RESIDENCY = "residency"
     NO_ENDPOINT = "no_endpoint"
     OVERLOADED = "overloaded"
+    ENDPOINT_LIMIT = "endpoint_limit"
     QUOTA = "quota"
     DEADLINE = "deadline"
     DRAINING = "draining"
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -172,15 +172,20 @@
                 name, address=await endpoint.open(), data_centre=region
             )
             self.closers.append(endpoint.close)
+        metrics = Metrics()
+        limits = EndpointLimits(
+            clock=clock,
+            metrics=metrics,
+            read_endpoints=lambda: registered,
+        )
         fleet = Fleet(
             clock=clock,
             rng=rng,
             read_endpoints=lambda: registered,
             read_load=lambda name: self.entries[region].others,
             drop_endpoint=registered.pop,
+            limits=limits,
         )
-        metrics = Metrics()
-        limits = EndpointLimits(metrics=metrics)
         pools = [ConnectionPool(id_header=NAMES.request_id) for _ in "ab"]
         responses = ResponseClassifier(names=NAMES)
         finder = make_finder(self.configuration)
--- /dev/null
+++ b/tests/registrations/limited_region.py
@@ -0,0 +1,254 @@
+"""Control VMs and entries of a region with endpoints that have rate limits.
+
+Everything runs under virtual time. Entries send as often as their shares
+allow; endpoints answer with the limit that they have at that moment.
+"""
+
+import asyncio
+import random
+
+from burdockdrum.metrics import Metrics
+from burdockdrum.passthrough.endpoint_limits import EndpointLimits
+from burdockdrum.peers import PayloadAuthenticator
+from burdockdrum.peers import Peers
+from burdockdrum.peers import VmIdentity
+from burdockdrum.registrations import Registration
+from burdockdrum.registrations import RegistrationFollower
+from burdockdrum.registrations import RegistrationPublisher
+from burdockdrum.registrations import RegistrationState
+from burdockdrum.registrations import RegistrationTable
+from burdockdrum.testing import FakeNetwork
+from burdockdrum.testing import VirtualClock
+from burdockdrum.timeline import HybridClock
+
+CHECK_IN_INTERVAL_SECONDS = 1.2
+ANSWER_SECONDS = 0.03
+SEND_INTERVAL_SECONDS = 0.02
+
+
+class Endpoint:
+    """An endpoint that checks in at one control VM."""
+
+    def __init__(self, endpoint_id, *, checks_in_at):
+        """Create an endpoint without a limit."""
+        self.endpoint_id = endpoint_id
+        self.checks_in_at = checks_in_at
+        self.limit = None
+        self.sequence = 0
+        # When each request arrived, and from which entry.
+        self.arrivals = []
+
+    def registration(self):
+        """Return the next check-in."""
+        self.sequence += 1
+        return Registration(
+            endpoint_id=self.endpoint_id,
+            service="s",
+            address=f"{self.endpoint_id}:80",
+            data_centre="dc",
+            slots=4,
+            sequence=self.sequence,
+            state=RegistrationState.READY,
+        )
+
+    def busiest(self, seconds, *, since=0.0, until=float("inf")):
+        """Return the most arrivals in any window of a length."""
+        times = [at for at, _ in self.arrivals if since <= at <= until]
+        return max(
+            (sum(t <= at < t + seconds for at in times) for t in times),
+            default=0,
+        )
+
+
+class LimitedRegion:
+    """A region with control VMs, entries and endpoints."""
+
+    def __init__(self, *, seed=1, control=3, entries=3, endpoints=1):
+        """Create VMs that are not started."""
+        self.clock = VirtualClock()
+        self.rng = random.Random(seed)
+        self.network = FakeNetwork(rng=random.Random(seed))
+        self.network.set_default(delay=0.02)
+        self.control = [f"c{n}" for n in range(control)]
+        self.entries = [f"e{n}" for n in range(entries)]
+        self.endpoints = [
+            Endpoint(f"p{n}", checks_in_at=self.control[n % control])
+            for n in range(endpoints)
+        ]
+        self.addresses = {name: f"tcp://{name}:1" for name in self.control}
+        self.tables = {}
+        self.followers = {}
+        self.limits = {}
+        self.paused = set()
+        self.incarnation = 0
+        self.tasks = {}
+
+    @property
+    def endpoint(self):
+        """Return the only endpoint."""
+        (endpoint,) = self.endpoints
+        return endpoint
+
+    async def run(self, seconds):
+        """Let time pass."""
+        await asyncio.sleep(seconds)
+
+    async def start_all(self, seconds=12.0):
+        """Start every VM, and wait until shares can be used."""
+        for name in [*self.control, *self.entries]:
+            await self.start(name)
+        self.tasks["endpoints"] = asyncio.create_task(self._check_in())
+        await self.run(seconds)
+
+    async def stop_all(self):
+        """Stop everything."""
+        for name in list(self.tasks):
+            await self.stop(name)
+
+    async def start(self, name):
+        """Start or restart a VM with empty state."""
+        self.incarnation += 1
+        address = f"tcp://{name}:1"
+        peers = Peers(
+            identity=VmIdentity(
+                vm_id=name,
+                incarnation=self.incarnation,
+                region="here",
+                data_centre="dc",
+                control_address=address,
+                http_address="",
+            ),
+            mailbox=await self.network.host(name).open(address),
+            clock=self.clock,
+            hybrid_clock=HybridClock(clock=self.clock),
+            rng=self.rng,
+            authenticator=PayloadAuthenticator(secret=b"s"),
+            metrics=Metrics(),
+        )
+        if name in self.addresses:
+            jobs = [self._make_control(name, peers).run()]
+        else:
+            jobs = [
+                self._make_entry(name, peers).run(),
+                self._send_continuously(name),
+            ]
+        self.tasks[name] = asyncio.create_task(self._run(peers, jobs))
+
+    async def stop(self, name):
+        """Stop a VM; its state is lost."""
+        self.tables.pop(name, None)
+        self.limits.pop(name, None)
+        self.followers.pop(name, None)
+        task = self.tasks.pop(name)
+        task.cancel()
+        await asyncio.wait({task})
+
+    def cut(self, names):
+        """Cut some VMs off from all others."""
+        everyone = [*self.control, *self.entries]
+        others = [name for name in everyone if name not in names]
+        self.network.cut(list(names), others)
+
+    def heal(self):
+        """Restore all links."""
+        everyone = [*self.control, *self.entries]
+        self.network.heal(everyone, everyone)
+
+    def freeze(self, name, seconds):
+        """Freeze an entry.
+
+        It sends nothing, and handles the messages of this time at its end.
+        """
+        self.paused.add(name)
+        for other in self.control:
+            self.network.set_link(other, name, delay=seconds)
+            self.network.cut([name], [other], both=False)
+
+    def thaw(self, name):
+        """Let a frozen entry go on with its outdated state."""
+        self.paused.discard(name)
+        for other in self.control:
+            self.network.set_link(other, name, delay=0.02)
+            self.network.heal([name], [other], both=False)
+
+    def total_share(self, endpoint_id, limit):
+        """Return the sum of the shares of all running entries."""
+        shares = [
+            self.followers[name].limit_shares.share_of(endpoint_id, limit)
+            for name in self.limits
+            if name not in self.paused
+        ]
+        return sum(share for share in shares if share is not None)
+
+    def _make_control(self, name, peers):
+        table = RegistrationTable(clock=self.clock)
+        self.tables[name] = table
+        return RegistrationPublisher(
+            peers=peers,
+            clock=self.clock,
+            table=table,
+            regions_by_data_centre={"dc": "here"},
+            read_revision=lambda: 0,
+        )
+
+    def _make_entry(self, name, peers):
+        follower = RegistrationFollower(
+            peers=peers,
+            clock=self.clock,
+            rng=self.rng,
+            control_addresses=lambda: self.addresses,
+        )
+        limits = EndpointLimits(
+            clock=self.clock,
+            metrics=Metrics(),
+            read_endpoints=lambda: follower.endpoints_by_id,
+            read_share=follower.limit_shares.share_of,
+            report=follower.report_limits,
+        )
+        follower.read_limits = lambda: limits.announced_by_id
+        self.followers[name], self.limits[name] = follower, limits
+        return follower
+
+    async def _run(self, peers, jobs):
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(peers.run())
+                for job in jobs:
+                    group.create_task(job)
+        finally:
+            await peers.close()
+
+    async def _check_in(self):
+        while True:
+            for endpoint in self.endpoints:
+                table = self.tables.get(endpoint.checks_in_at)
+                if table is None:
+                    endpoint.checks_in_at = self.rng.choice(self.control)
+                else:
+                    table.apply(endpoint.registration())
+            await asyncio.sleep(CHECK_IN_INTERVAL_SECONDS)
+
+    async def _send_continuously(self, name):
+        limits, follower = self.limits[name], self.followers[name]
+        async with asyncio.TaskGroup() as group:
+            while True:
+                jitter = self.rng.uniform(0.5, 1.5)
+                await asyncio.sleep(SEND_INTERVAL_SECONDS * jitter)
+                if name in self.paused:
+                    continue
+                for endpoint in self.endpoints:
+                    known = follower.endpoints_by_id.get(endpoint.endpoint_id)
+                    if known and limits.has_capacity(endpoint.endpoint_id):
+                        limits.record_sent(endpoint.endpoint_id)
+                        group.create_task(
+                            self._request(name, limits, known, endpoint)
+                        )
+
+    async def _request(self, name, limits, known, endpoint):
+        sent_at = self.clock.monotonic()
+        await asyncio.sleep(0.001)
+        endpoint.arrivals.append((self.clock.monotonic(), name))
+        limit = endpoint.limit
+        await asyncio.sleep(ANSWER_SECONDS)
+        values = [] if limit is None else [b"%g" % limit]
+        limits.observe(known, values, sent_at=sent_at)
