Grant permits for endpoints' limits to entries without a share

Cause: with a limit divided among holders only, requests at other entries were refused while the holders had too few requests to use it up.

A denial says when to come back, each time later than before, so that refused callers don't return together. A limit has one holder for each 5 requests a second.

Permits cost a message where a request would be refused otherwise.

--- a/burdockdrum/passthrough/endpoint_limits.py
+++ b/burdockdrum/passthrough/endpoint_limits.py
@@ -15,16 +15,20 @@
 
 # An unreadable announcement is logged up to this length.
 MAX_LOGGED_BYTES = 40
-# Unused requests that a holder may send at once, in seconds of its share.
-BURST_SECONDS = 0.5
+# Unused requests that may be sent at once, in seconds of the share.
+BURST_SECONDS = 1.0
+MIN_BURST_REQUESTS = 2.0
+# Stands for the interval between requests at a limit of 0.
+MAX_INTERVAL_SECONDS = 60.0
 
 
 class _TokenBucket:
-    """A token bucket that starts empty and holds one request at least."""
+    """A token bucket that starts empty."""
 
     def __init__(self, *, started_at: float) -> None:
         self._tokens = 0.0
         self._updated_at = started_at
+        self._next_return_at = started_at
 
     def seconds_until_token(self, rate: float, now: float) -> float:
         """Return the seconds until a token is available, 0 if one is."""
@@ -36,8 +40,19 @@
         self._refill(rate, now)
         self._tokens -= 1.0
 
+    def reserve_return(self, rate: float, now: float) -> float:
+        """Return after how many seconds a refused request should return.
+
+        Each one is given a later time, so that they don't compete.
+        """
+        available_at = now + self.seconds_until_token(rate, now)
+        self._next_return_at = max(
+            available_at, self._next_return_at + 1.0 / rate
+        )
+        return self._next_return_at - now
+
     def _refill(self, rate: float, now: float) -> None:
-        capacity = max(1.0, rate * BURST_SECONDS)
+        capacity = max(MIN_BURST_REQUESTS, rate * BURST_SECONDS)
         added = (now - self._updated_at) * rate
         self._tokens = min(capacity, self._tokens + added)
         self._updated_at = now
@@ -116,6 +131,10 @@
             return announced
         return newest_limit([announced, endpoint.rate_limit])
 
+    def rate_of(self, endpoint_id: str) -> float | None:
+        """Return the limit in requests per second, None if unlimited."""
+        return rate_of(self.limit_of(endpoint_id))
+
     def has_capacity(self, endpoint_id: str) -> bool:
         """Return whether a request may be sent to an endpoint now."""
         return self.seconds_until_capacity(endpoint_id) <= 0
@@ -123,8 +142,8 @@
     def seconds_until_capacity(self, endpoint_id: str) -> float:
         """Return the seconds until this entry may send a request.
 
-        Without a share it is the average time between two requests of the
-        holders, as a caller that returns may reach one of them.
+        Without a share it is the average time between two requests of all
+        entries.
         """
         limit = self.limit_of(endpoint_id)
         rate = rate_of(limit)
@@ -132,10 +151,22 @@
             return 0.0
         share = self._read_share(endpoint_id, rate)
         if share is None:
-            return 1.0 / rate if rate else float("inf")
+            return _interval_seconds(rate)
         bucket = self._bucket(endpoint_id, limit)
         return bucket.seconds_until_token(share, self._clock.monotonic())
 
+    def reserve_return(self, endpoint_id: str) -> float:
+        """Return after how many seconds a refused request should return."""
+        limit = self.limit_of(endpoint_id)
+        rate = rate_of(limit)
+        if limit is None or rate is None:
+            return 0.0
+        share = self._read_share(endpoint_id, rate)
+        if share is None:
+            return _interval_seconds(rate)
+        bucket = self._bucket(endpoint_id, limit)
+        return bucket.reserve_return(share, self._clock.monotonic())
+
     def record_sent(self, endpoint_id: str) -> None:
         """Count a request against the share."""
         limit = self.limit_of(endpoint_id)
@@ -203,3 +234,7 @@
             rate_of(self.limit_of(endpoint_id)) is not None
             for endpoint_id in self._read_endpoints()
         )
+
+
+def _interval_seconds(rate: float) -> float:
+    return 1.0 / rate if rate else MAX_INTERVAL_SECONDS
--- a/burdockdrum/passthrough/endpoint_state.py
+++ b/burdockdrum/passthrough/endpoint_state.py
@@ -29,6 +29,8 @@
     ``prefill_cost_tokens`` is the prefill cost of the prompt, as the number of
     tokens of short prompts that take as long. ``skipped_at_limit`` is how
     many other endpoints were skipped because of their rate limits.
+    ``has_permit`` says that a holder of the endpoint's limit has counted the
+    request.
     """
 
     endpoint: RegisteredEndpoint
@@ -40,6 +42,7 @@
     prefill_cost_tokens: float = 0.0
     prefill_share: float = 0.0
     skipped_at_limit: int = 0
+    has_permit: bool = False
 
     @property
     def fetch_from(self) -> str | None:
--- a/burdockdrum/passthrough/fleet.py
+++ b/burdockdrum/passthrough/fleet.py
@@ -132,6 +132,7 @@
         tried: frozenset[str],
         closed_data_centres: frozenset[str],
         body_bytes: int = 0,
+        permitted: str | None = None,
     ) -> RatedEndpoint | None:
         """Return the endpoint with the best expected wait.
 
@@ -141,6 +142,8 @@
         :param tried: ids of endpoints to exclude
         :param closed_data_centres: data centres that get no new requests
         :param body_bytes: size of the request's body
+        :param permitted: id of an endpoint at its rate limit, for which a
+            permit was acquired
         """
         eligible = self._list_eligible(backend, tried, closed_data_centres)
         candidates = [
@@ -148,6 +151,12 @@
             for endpoint in eligible
             if self._limits.has_capacity(endpoint.endpoint_id)
         ]
+        skipped = len(eligible) - len(candidates)
+        candidates = [
+            endpoint
+            for endpoint in eligible
+            if endpoint.endpoint_id == permitted
+        ] or candidates
         if not candidates:
             return None
         request = RatedRequest(
@@ -183,26 +192,24 @@
         return replace(
             chosen,
             prefill_cost_tokens=prefill_cost_tokens,
-            skipped_at_limit=len(eligible) - len(candidates),
+            skipped_at_limit=skipped,
+            has_permit=chosen.endpoint.endpoint_id == permitted,
         )
 
-    def seconds_until_capacity(
+    def list_at_limit(
         self,
         backend: Backend,
         tried: frozenset[str],
         closed_data_centres: frozenset[str],
-    ) -> float | None:
-        """Return when the first endpoint is below its rate limit again.
-
-        :returns: None if no endpoint is excluded by its limit
-        """
-        waits = [
-            self._limits.seconds_until_capacity(endpoint.endpoint_id)
+    ) -> list[str]:
+        """Return the ids of endpoints that only their limits exclude."""
+        return [
+            endpoint.endpoint_id
             for endpoint in self._list_eligible(
                 backend, tried, closed_data_centres
             )
+            if not self._limits.has_capacity(endpoint.endpoint_id)
         ]
-        return min((wait for wait in waits if wait > 0), default=None)
 
     def _list_eligible(
         self,
@@ -253,7 +260,8 @@
         """Record a request that is sent to an endpoint."""
         endpoint = choice.endpoint
         now = self._clock.monotonic()
-        self._limits.record_sent(endpoint.endpoint_id)
+        if not choice.has_permit:
+            self._limits.record_sent(endpoint.endpoint_id)
         state = self._state_of(endpoint)
         state.add_recent(now, rank, choice.prefill_cost_tokens)
         state.health.record_start(now)
--- a/burdockdrum/passthrough/relay.py
+++ b/burdockdrum/passthrough/relay.py
@@ -15,6 +15,7 @@
 from burdockdrum.passthrough.events import ResumableEventSplitter
 from burdockdrum.passthrough.header_names import HeaderNames
 from burdockdrum.passthrough.header_names import HOP_USED_ATTEMPTS
+from burdockdrum.passthrough.limit_permits import LimitPermits
 from burdockdrum.passthrough.limits import RetryBudget
 from burdockdrum.passthrough.model import Delivered
 from burdockdrum.passthrough.model import EndpointTarget
@@ -66,6 +67,7 @@
         configuration: ConfigurationService,
         metrics: Metrics,
         meter: QuotaMeter,
+        permits: LimitPermits,
         mechanisms: MechanismSettings | None = None,
     ) -> None:
         """Create the service.
@@ -75,6 +77,7 @@
         self._mechanisms = mechanisms or MechanismSettings()
         self._configuration = configuration
         self._meter = meter
+        self._permits = permits
         self._drain = drain
         self._clock = clock
         self._names = names
@@ -176,10 +179,13 @@
             try:
                 target = self._selector.select(request, progress)
             except Refusal as refusal:
+                if await self._ask_for_permit(request, progress):
+                    continue
                 self._finish_without_target(
                     request, progress, exchange, refusal
                 )
                 return
+            progress.permit = None
             progress.target = target
             started_at = self._clock.monotonic()
             outcome = await self._runner.execute(
@@ -196,6 +202,22 @@
                 self._finish_failed(request, progress, exchange, outcome)
                 return
 
+    async def _ask_for_permit(
+        self, request: ProxiedRequest, progress: RequestProgress
+    ) -> bool:
+        """Ask for a permit before a request is refused.
+
+        :returns: whether it was asked for, and a target can be selected
+            again, or the refusal says better when to come back
+        """
+        if progress.permit is not None:
+            return False
+        endpoint_ids = self._selector.list_at_limit(request, progress)
+        if not endpoint_ids:
+            return False
+        progress.permit = await self._permits.acquire(endpoint_ids)
+        return True
+
     def _finish_without_target(
         self,
         request: ProxiedRequest,
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -19,6 +19,10 @@
 from burdockdrum.passthrough.endpoint_limits import EndpointLimits
 from burdockdrum.passthrough.fleet import Fleet
 from burdockdrum.passthrough.header_names import HeaderNames
+from burdockdrum.passthrough.limit_permits import LimitPermits
+from burdockdrum.passthrough.limit_permits import PERMIT_SECONDS
+from burdockdrum.passthrough.limit_permits import PermitReply
+from burdockdrum.passthrough.limit_permits import PermitRequest
 from burdockdrum.passthrough.limits import RetryBudget
 from burdockdrum.passthrough.payloads import PayloadEncoder
 from burdockdrum.passthrough.relay import Relay
@@ -26,6 +30,7 @@
 from burdockdrum.passthrough.responses import ResponseClassifier
 from burdockdrum.passthrough.server import PassThroughServer
 from burdockdrum.passthrough.target_selection import TargetSelector
+from burdockdrum.peers import Peers
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
 from burdockdrum.quotas import QuotaMeter
@@ -47,6 +52,7 @@
         return
     kernel.add("header_names", lambda kernel: HeaderNames())
     kernel.add("endpoint_limits", _build_endpoint_limits)
+    kernel.add("limit_permits", _build_limit_permits)
     kernel.add("fleet", _build_fleet)
     kernel.add("endpoint_pool", _build_endpoint_pool)
     kernel.add("vm_pool", _build_vm_pool)
@@ -75,6 +81,27 @@
     return limits
 
 
+def _build_limit_permits(kernel: Kernel) -> LimitPermits:
+    registrations = kernel.find("registrations", RegistrationFollower)
+    peers = kernel.find("peers", Peers)
+
+    async def ask(address: str, request: PermitRequest) -> PermitReply:
+        return await peers.call(
+            address, request, PermitReply, timeout=PERMIT_SECONDS
+        )
+
+    permits = LimitPermits(
+        clock=kernel.find("clock", Clock),
+        rng=kernel.find("random", random.Random),
+        limits=kernel.find("endpoint_limits", EndpointLimits),
+        metrics=kernel.find("metrics", Metrics),
+        read_holders=registrations.limit_shares.other_holders,
+        ask=ask,
+    )
+    peers.register(PermitRequest, permits.handle)
+    return permits
+
+
 def _build_fleet(kernel: Kernel) -> Fleet:
     registrations = kernel.find("registrations", RegistrationFollower)
     sharing = kernel.find("load_sharing", LoadSharing)
@@ -211,6 +238,7 @@
         configuration=configuration,
         metrics=kernel.find("metrics", Metrics),
         meter=kernel.find("quota_meter", QuotaMeter),
+        permits=kernel.find("limit_permits", LimitPermits),
         mechanisms=kernel.find("settings", Settings).policy.mechanisms,
     )
 
--- a/burdockdrum/passthrough/target_selection.py
+++ b/burdockdrum/passthrough/target_selection.py
@@ -43,7 +43,6 @@
 # a long prompt alone can exceed the objective.
 MIN_QUEUE_FRACTION = 0.25
 MAX_RETRY_AFTER_SECONDS = 3.0
-LIMIT_RETRY_JITTER_FACTOR = 2.0
 
 
 class TargetSelector:
@@ -162,9 +161,9 @@
     def _choose_local(
         self, request: ProxiedRequest, progress: RequestProgress
     ) -> RatedEndpoint | None:
-        homes = request.route.homes
-        if homes and self._region not in homes:
+        if not self._may_run_here(request):
             return None
+        permit = progress.permit
         return self._fleet.choose(
             route=request.route,
             backend=request.backend,
@@ -173,6 +172,7 @@
             tried=frozenset(progress.tried),
             closed_data_centres=self._read_closed_data_centres(),
             body_bytes=len(request.head.body),
+            permitted=permit.endpoint_id if permit is not None else None,
         )
 
     def _choose_region(
@@ -226,22 +226,34 @@
         ]
         return self._rng.choice(entries) if entries else None
 
-    def _refuse_without_endpoint(
+    def list_at_limit(
         self, request: ProxiedRequest, progress: RequestProgress
-    ) -> Refusal:
-        live_count = self._fleet.count_live(request.backend.name)
-        reason = f"none of {live_count} local endpoints is eligible"
-        wait = self._fleet.seconds_until_capacity(
+    ) -> list[str]:
+        """Return the ids of local endpoints that only limits exclude."""
+        if not self._may_run_here(request):
+            return []
+        return self._fleet.list_at_limit(
             request.backend,
             frozenset(progress.tried),
             self._read_closed_data_centres(),
         )
-        if wait is None:
+
+    def _may_run_here(self, request: ProxiedRequest) -> bool:
+        homes = request.route.homes
+        return not homes or self._region in homes
+
+    def _refuse_without_endpoint(
+        self, request: ProxiedRequest, progress: RequestProgress
+    ) -> Refusal:
+        live_count = self._fleet.count_live(request.backend.name)
+        reason = f"none of {live_count} local endpoints is eligible"
+        if not self.list_at_limit(request, progress):
             return self._refuse(
                 request, progress, reason, NO_ENDPOINT_RETRY_AFTER_SECONDS
             )
-        # Callers that are refused together should not return together.
-        wait *= self._rng.uniform(1.0, LIMIT_RETRY_JITTER_FACTOR)
+        wait = NO_ENDPOINT_RETRY_AFTER_SECONDS
+        if progress.permit is not None and progress.permit.retry_after:
+            wait = progress.permit.retry_after
         return self._refuse(
             request,
             progress,
--- a/burdockdrum/registrations/control_source.py
+++ b/burdockdrum/registrations/control_source.py
@@ -16,14 +16,14 @@
 class ControlSource:
     """The state received from one control VM.
 
-    ``epoch`` is the incarnation of the control VM, ``entry_ids`` its roster
-    of the entries of this region.
+    ``epoch`` is the incarnation of the control VM, ``address_by_entry_id``
+    its roster of the entries of this region.
     """
 
     epoch: int = 0
     serial: int = 0
     roster_version: int = NO_ROSTER_VERSION
-    entry_ids: frozenset[str] = frozenset()
+    address_by_entry_id: dict[str, str] = field(default_factory=dict)
     received_at: float = float("-inf")
     endpoints_by_id: dict[str, RegisteredEndpoint] = field(
         default_factory=dict
@@ -50,9 +50,11 @@
         """
         if message.roster_version < self.roster_version:
             return False
-        if message.entry_ids is not None:
+        if message.entries is not None:
             self.roster_version = message.roster_version
-            self.entry_ids = frozenset(message.entry_ids)
+            self.address_by_entry_id = {
+                entry.vm_id: entry.address for entry in message.entries
+            }
         return message.roster_version == self.roster_version
 
 
--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -236,7 +236,9 @@
             self.limit_shares.drop(vm_id)
         elif source.update_roster(message):
             confirmed_at = message.watch_sent_at_ms / 1000
-            self.limit_shares.record(vm_id, source.entry_ids, confirmed_at)
+            self.limit_shares.record(
+                vm_id, source.address_by_entry_id, confirmed_at
+            )
 
     def _apply(
         self, source: ControlSource, registration: Registration, now: float
--- a/burdockdrum/registrations/limit_shares.py
+++ b/burdockdrum/registrations/limit_shares.py
@@ -13,22 +13,26 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from dataclasses import dataclass
 
+from burdockdrum.logs import log_decision
+from burdockdrum.logs import log_failure
 from burdockdrum.ports import Clock
 from burdockdrum.registrations.pacing import hold_off_seconds
 from burdockdrum.registrations.pacing import roster_lease_seconds
 from burdockdrum.vms import choose_by_hash
 
-# A holder with a smaller share would get too few requests to use it.
-MIN_SHARE_PER_SECOND = 1.0
+# A limit has a single holder up to twice this, as permits of several holders
+# are found less easily.
+MIN_SHARE_PER_SECOND = 5.0
 # Floor of a limit: an endpoint that gets no requests can't withdraw it.
 MIN_LIMIT_PER_SECOND = 0.01
 
 
 @dataclass(frozen=True, kw_only=True)
 class _Roster:
-    entry_ids: frozenset[str]
+    address_by_id: Mapping[str, str]
     confirmed_at: float
 
 
@@ -68,10 +72,14 @@
         self._is_holder_by_key: dict[tuple[str, int], bool] = {}
 
     def record(
-        self, control_id: str, entry_ids: frozenset[str], confirmed_at: float
+        self,
+        control_id: str,
+        address_by_id: Mapping[str, str],
+        confirmed_at: float,
     ) -> None:
         """Record a control VM's roster.
 
+        :param address_by_id: the addresses of the entries
         :param confirmed_at: when the poll that it answers was sent
         """
         self._refresh()
@@ -79,7 +87,7 @@
         if known is not None and known.confirmed_at > confirmed_at:
             return
         self._rosters_by_control_id[control_id] = _Roster(
-            entry_ids=entry_ids, confirmed_at=confirmed_at
+            address_by_id=address_by_id, confirmed_at=confirmed_at
         )
         self._is_changed = True
         self._refresh()
@@ -102,12 +110,29 @@
         if not self._periods or self._periods[0].since > begin:
             return None
         self._forget_periods_before(begin)
-        holders = max(1, int(limit / MIN_SHARE_PER_SECOND))
+        holders = _count_holders(limit)
         if not self._is_holder(endpoint_id, holders):
             return None
         entries = len(self._periods[-1].entry_ids)
         return max(limit, MIN_LIMIT_PER_SECOND) / min(holders, entries)
 
+    def other_holders(self, endpoint_id: str, limit: float) -> dict[str, str]:
+        """Return the addresses of the other holders of a limit, by id."""
+        self._refresh()
+        if not self._periods:
+            return {}
+        address_by_id: dict[str, str] = {}
+        for roster in self._rosters_by_control_id.values():
+            address_by_id |= roster.address_by_id
+        holders = choose_by_hash(
+            self._periods[-1].entry_ids, endpoint_id, _count_holders(limit)
+        )
+        return {
+            vm_id: address_by_id[vm_id]
+            for vm_id in holders
+            if vm_id != self._own_id and vm_id in address_by_id
+        }
+
     def _is_holder(self, endpoint_id: str, holders: int) -> bool:
         """Return whether this entry was a holder during the whole hold-off."""
         key = (endpoint_id, holders)
@@ -138,7 +163,7 @@
             return
         newest_first = sorted((r.confirmed_at for r in rosters), reverse=True)
         self._valid_until = newest_first[quorum - 1] + self._lease_seconds
-        entry_ids = frozenset().union(*(r.entry_ids for r in rosters))
+        entry_ids = frozenset().union(*(r.address_by_id for r in rosters))
         if not self._periods or self._periods[-1].entry_ids != entry_ids:
             period = _Period(entry_ids=entry_ids, since=now)
             self._set_periods([*self._periods, period])
@@ -151,7 +176,7 @@
             for control_id, roster in self._rosters_by_control_id.items()
             if control_id in control_ids
             and roster.confirmed_at >= oldest
-            and self._own_id in roster.entry_ids
+            and self._own_id in roster.address_by_id
         }
 
     @property
@@ -166,5 +191,21 @@
             self._set_periods(kept)
 
     def _set_periods(self, periods: list[_Period]) -> None:
+        if periods and periods[-1:] != self._periods[-1:]:
+            log_decision(
+                "limits.roster_changed",
+                entries=len(periods[-1].entry_ids),
+                control_vms=len(self._rosters_by_control_id),
+            )
+        elif self._periods and not periods:
+            log_failure(
+                "limits.rosters_lost",
+                control_vms=len(self._rosters_by_control_id),
+                reason="no recent rosters of a quorum of control VMs",
+            )
         self._periods = periods
         self._is_holder_by_key = {}
+
+
+def _count_holders(limit: float) -> int:
+    return max(1, int(limit / MIN_SHARE_PER_SECOND))
--- a/burdockdrum/registrations/messages.py
+++ b/burdockdrum/registrations/messages.py
@@ -157,13 +157,20 @@
     is_forwarded: bool = False
 
 
+class RosterEntry(msgspec.Struct, frozen=True, array_like=True):
+    """An entry of a region, with its address for messages."""
+
+    vm_id: str
+    address: str
+
+
 class RegistrationUpdate(Message, frozen=True, kw_only=True, array_like=True):
     """The changes at a control VM after the serial ``base_serial``.
 
     An entry whose last serial is older has missed changes and polls again.
     ``region_entries`` and ``total_entries`` count the entries that may be
     alive, in this region and in all. ``revision`` is that of the
-    configuration in force at the control VM. ``entry_ids`` are the entries of
+    configuration in force at the control VM. ``entries`` are the entries of
     the region, None if unchanged since the version that the entry reported;
     ``roster_version`` is 0 if the control VM doesn't know them yet.
     ``watch_sent_at_ms`` repeats ``sent_at_ms`` of the entry's last message.
@@ -181,4 +188,4 @@
     revision: int = 0
     watch_sent_at_ms: int = 0
     roster_version: int = 0
-    entry_ids: list[str] | None = None
+    entries: list[RosterEntry] | None = None
--- a/burdockdrum/registrations/publisher.py
+++ b/burdockdrum/registrations/publisher.py
@@ -131,7 +131,7 @@
         )
         watcher.watch_sent_at_ms = message.sent_at_ms
         watcher.received_at = now
-        self._rosters.record(sender.vm_id, message.region)
+        self._rosters.record(sender.vm_id, sender.address, message.region)
         self._record_limits(sender, message.limits)
         if message.load_by_id is not None:
             watcher.load_by_id, watcher.load_received_at = (
@@ -208,7 +208,7 @@
             revision=self._read_revision(),
             watch_sent_at_ms=watcher.watch_sent_at_ms,
             roster_version=roster.version,
-            entry_ids=None if is_known else list(roster.entry_ids),
+            entries=None if is_known else list(roster.entries),
         )
         self._peers.send(watcher.address, message)
 
--- a/burdockdrum/registrations/rosters.py
+++ b/burdockdrum/registrations/rosters.py
@@ -8,6 +8,7 @@
 from dataclasses import field
 
 from burdockdrum.ports import Clock
+from burdockdrum.registrations.messages import RosterEntry
 from burdockdrum.registrations.pacing import roster_memory_seconds
 
 NO_ROSTER_VERSION = 0
@@ -15,10 +16,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Roster:
-    """The entries of a region; the version changes with the ids."""
+    """The entries of a region; the version changes with them."""
 
     version: int
-    entry_ids: tuple[str, ...] = ()
+    entries: tuple[RosterEntry, ...] = ()
 
 
 NO_ROSTER = Roster(version=NO_ROSTER_VERSION)
@@ -27,6 +28,7 @@
 @dataclass(kw_only=True)
 class _Region:
     heard_at_by_id: dict[str, float] = field(default_factory=dict)
+    address_by_id: dict[str, str] = field(default_factory=dict)
     roster: Roster = NO_ROSTER
     is_outdated: bool = True
     expires_at: float = float("-inf")
@@ -42,10 +44,11 @@
         self._version = NO_ROSTER_VERSION
         self._regions_by_name: dict[str, _Region] = {}
 
-    def record(self, entry_id: str, region_name: str) -> None:
+    def record(self, entry_id: str, address: str, region_name: str) -> None:
         """Record a message of an entry."""
         region = self._regions_by_name.setdefault(region_name, _Region())
-        if entry_id not in region.heard_at_by_id:
+        if region.address_by_id.get(entry_id) != address:
+            region.address_by_id[entry_id] = address
             region.is_outdated = True
         region.heard_at_by_id[entry_id] = self._clock.monotonic()
 
@@ -72,13 +75,20 @@
             for entry_id, heard_at in region.heard_at_by_id.items()
             if now - heard_at < memory
         }
+        region.address_by_id = {
+            entry_id: region.address_by_id[entry_id]
+            for entry_id in region.heard_at_by_id
+        }
         region.is_outdated = False
         oldest = min(region.heard_at_by_id.values(), default=now)
         region.expires_at = oldest + memory
-        entry_ids = tuple(sorted(region.heard_at_by_id))
-        if entry_ids != region.roster.entry_ids:
+        entries = tuple(
+            RosterEntry(vm_id, address)
+            for vm_id, address in sorted(region.address_by_id.items())
+        )
+        if entries != region.roster.entries:
             self._version += 1
-            region.roster = Roster(version=self._version, entry_ids=entry_ids)
+            region.roster = Roster(version=self._version, entries=entries)
 
     def _count_entries(self) -> int:
         return sum(
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -16,6 +16,7 @@
 from burdockdrum.passthrough.endpoint_limits import EndpointLimits
 from burdockdrum.passthrough.fleet import Fleet
 from burdockdrum.passthrough.header_names import HeaderNames
+from burdockdrum.passthrough.limit_permits import LimitPermits
 from burdockdrum.passthrough.limits import RetryBudget
 from burdockdrum.passthrough.payloads import PayloadEncoder
 from burdockdrum.passthrough.relay import Relay
@@ -143,6 +144,11 @@
     await asyncio.sleep(60)
 
 
+async def never_asked(address, request):
+    """Fail if an entry asks another one for a permit."""
+    raise AssertionError(f"asked {address} for a permit")
+
+
 class EntryDeployment:
     """Regions with an entry and endpoints each."""
 
@@ -215,6 +221,14 @@
             ),
             limits=limits,
         )
+        permits = LimitPermits(
+            clock=clock,
+            rng=rng,
+            limits=limits,
+            metrics=metrics,
+            read_holders=lambda endpoint_id, limit: {},
+            ask=never_asked,
+        )
         relay = Relay(
             clock=clock,
             names=NAMES,
@@ -236,10 +250,12 @@
             configuration=self.configuration,
             metrics=metrics,
             meter=meter,
+            permits=permits,
         )
         entry = Entry(region, relay, runner, fleet, capacities)
         entry.metrics = metrics
         entry.meter = meter
+        entry.limits, entry.permits = limits, permits
         await entry.callers.open()
         await entry.vms.open()
         self.entries[region] = entry
