Check endpoints' limits in the soak, and in what regions offer

A short seed runs with the tests.

An endpoint with a limit is left out of the capacity that a region offers to others, so that no request is forwarded there to be refused. A holder that knows no limit denies permits: it may not have learned of it yet.

--- a/burdockdrum/passthrough/limit_permits.py
+++ b/burdockdrum/passthrough/limit_permits.py
@@ -28,6 +28,7 @@
 MIN_ASK_INTERVAL_SECONDS = 0.05
 # After this many seconds a holder that did not reply is asked again.
 FAILED_ASK_INTERVAL_SECONDS = 1.0
+UNKNOWN_LIMIT_SECONDS = 0.3
 
 
 class PermitRequest(Message, frozen=True, kw_only=True, array_like=True):
@@ -114,6 +115,10 @@
         return self._grant(request.endpoint_id)
 
     def _grant(self, endpoint_id: str) -> PermitReply:
+        if self._limits.rate_of(endpoint_id) is None:
+            # The limit has not been learned here, or has been withdrawn; the
+            # requester soon learns of it.
+            return self._deny(UNKNOWN_LIMIT_SECONDS)
         if self._limits.has_capacity(endpoint_id):
             self._limits.record_sent(endpoint_id)
             return PermitReply(is_granted=True)
--- a/burdockdrum/registrations/publisher.py
+++ b/burdockdrum/registrations/publisher.py
@@ -217,7 +217,9 @@
         sums: dict[tuple[str, str], tuple[int, int, Load]] = {}
         for registration in self._table.ready():
             region = self._regions_by_data_centre.get(registration.data_centre)
-            if region is None:
+            if region is None or registration.rate_limit is not None:
+                # An endpoint that limits its requests can't take more from
+                # other regions.
                 continue
             key = (region, registration.service)
             endpoints, slots, load = sums.get(key, (0, 0, Load()))
--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -1,20 +1,22 @@
 """Soak a deployment of real processes under random faults.
 
 Usage:
-  soak [--seed N] [--seeds N] [--seconds S] [--keep FOLDER]
+  soak [--seed N] [--seeds N] [--seconds S] [--keep FOLDER] [--limits]
 
 Options:
   --seed N       The first seed [default: 1].
   --seeds N      How many seeds to run [default: 1].
   --seconds S    How long faults come, for each seed [default: 20].
   --keep FOLDER  Keep the logs of seeds that failed there.
+  --limits       Endpoints announce rate limits, to two entries in each region.
 
 Three control VMs and three entries run as processes on loopback addresses.
 Signals, restarts, emptied disks, proxies before the endpoints and changes of
 the configuration come at random and overlap. Checked all the while: nothing
 that must run once runs twice, what was refused as not run has not run, every
 answer belongs to its request, what was acknowledged is never read back
-older. Afterwards everything must serve again.
+older, and no endpoint gets more requests than it announced to accept.
+Afterwards everything must serve again.
 """
 
 import asyncio
@@ -42,6 +44,7 @@
                 seed,
                 seconds=float(arguments["--seconds"]),
                 logs=logs if arguments["--keep"] else None,
+                has_limits=arguments["--limits"],
             )
         )
         if not result.violations and arguments["--keep"]:
--- a/scripts/soak/endpoint.py
+++ b/scripts/soak/endpoint.py
@@ -1,22 +1,51 @@
 """A simulated endpoint and a proxy that injects faults in front of it."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
+from dataclasses import dataclass
 import enum
 import random
+import time
 
 SLOTS = 8
 
 
+@dataclass(kw_only=True)
+class AnnouncedPeriod:
+    """A time in which an endpoint announces the same limit.
+
+    ``limit`` is in requests per second, None for no limit. ``heard_at`` is
+    when a response with it first arrived. Times are monotonic.
+    """
+
+    limit: float | None
+    heard_at: float | None = None
+    ended_at: float | None = None
+
+
 class Endpoint:
     """Answers requests and counts the runs of each.
 
     A request under ``/once/`` must not run twice; one under ``/again/`` may.
+    ``limits`` has the rate limits that it announced and when each began;
+    ``arrived_at`` is when requests arrived. Both are monotonic.
     """
 
-    def __init__(self, *, rng: random.Random) -> None:
-        """Create an endpoint that is not open."""
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        is_heard: Callable[[], bool] = lambda: True,
+    ) -> None:
+        """Create an endpoint that is not open.
+
+        :param is_heard: returns whether its responses arrive
+        """
         self.runs_by_id: dict[str, int] = {}
+        self.arrived_at: list[float] = []
+        self.limits: list[AnnouncedPeriod] = []
+        self._is_heard = is_heard
         self.address = ""
         self._rng = rng
         self._server: asyncio.Server | None = None
@@ -58,15 +87,33 @@
         body = await reader.readexactly(length)
         request_id = headers[b"x-request-id"].decode()
         self.runs_by_id[request_id] = self.runs_by_id.get(request_id, 0) + 1
+        self.arrived_at.append(time.monotonic())
         await asyncio.sleep(self._rng.uniform(0.001, 0.05))
         answer = request_id.encode() + b":" + body
         writer.write(
-            b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Request-Id: "
+            b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n"
+            + self._announce()
+            + b"X-Request-Id: "
             + request_id.encode()
             + b"\r\nContent-Length: %d\r\n\r\n" % len(answer)
             + answer
         )
 
+    def set_limit(self, limit: float | None) -> None:
+        """Announce another limit from now on, or none."""
+        now = time.monotonic()
+        if self.limits:
+            self.limits[-1].ended_at = now
+        self.limits.append(AnnouncedPeriod(limit=limit))
+
+    def _announce(self) -> bytes:
+        period = self.limits[-1] if self.limits else None
+        if period is None or period.limit is None:
+            return b""
+        if period.heard_at is None and self._is_heard():
+            period.heard_at = time.monotonic()
+        return b"Server-Limit: %g\r\n" % period.limit
+
 
 def parse_headers(head: bytes) -> dict[bytes, bytes]:
     """Return the headers of a message head, with names in lower case."""
@@ -103,6 +150,10 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
+    def forwards_responses(self) -> bool:
+        """Return whether responses arrive, though perhaps late."""
+        return self.fault in (Fault.NONE, Fault.DELAY)
+
     def set_fault(self, fault: Fault) -> None:
         """Set the fault; RESET aborts all open connections."""
         self.fault = fault
--- a/scripts/soak/invariants.py
+++ b/scripts/soak/invariants.py
@@ -2,6 +2,13 @@
 
 from dataclasses import dataclass
 
+from scripts.soak.endpoint import AnnouncedPeriod
+
+# The platform's rule on the requests that an endpoint with a limit gets.
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK_REQUESTS = 5
+LIMIT_LEARNING_SECONDS = 5.0
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -75,7 +82,44 @@
             if record.status == 200 and not runs:
                 self._add_violation(record, "got status 200 but did not run")
 
+    def check_limits(
+        self,
+        name: str,
+        periods: list[AnnouncedPeriod],
+        arrived_at: list[float],
+    ) -> None:
+        """Compare the arrivals at an endpoint with its rate limits.
+
+        :param name: names the endpoint in violations
+        :param arrived_at: when requests arrived, in order
+        """
+        for period in periods:
+            if period.limit is None or period.heard_at is None:
+                continue
+            allowed = period.limit * LIMIT_WINDOW_SECONDS * LIMIT_FACTOR
+            allowed += LIMIT_SLACK_REQUESTS
+            begin = period.heard_at + LIMIT_LEARNING_SECONDS
+            end = period.ended_at or float("inf")
+            times = [at for at in arrived_at if begin <= at <= end]
+            most = count_in_window(times, LIMIT_WINDOW_SECONDS)
+            if most > allowed:
+                self.violations.append(
+                    f"endpoint {name} announced {period.limit:g} requests a "
+                    f"second and got {most} in {LIMIT_WINDOW_SECONDS:g} s; "
+                    f"{allowed:g} are allowed"
+                )
+
     def _add_violation(self, record: RequestRecord, description: str) -> None:
         self.violations.append(
             f"request {record.request_id} ({record.path}) {description}"
         )
+
+
+def count_in_window(times: list[float], seconds: float) -> int:
+    """Return the most events in any window of a length."""
+    most = first = 0
+    for index, at in enumerate(times):
+        while times[first] <= at - seconds:
+            first += 1
+        most = max(most, index - first + 1)
+    return most
--- a/scripts/soak/run.py
+++ b/scripts/soak/run.py
@@ -29,6 +29,9 @@
 # Covers several elections, repairs and registrations.
 RECOVERY_SECONDS = 25.0
 SETTLE_DELAY_SECONDS = 3.0
+# Requests per second that endpoints announce, and for how long.
+ANNOUNCED_LIMITS = (None, 1.0, 2.0, 5.0)
+LIMIT_SECONDS = (2.0, 8.0)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -58,14 +61,22 @@
 class SoakRun:
     """A deployment under load and faults."""
 
-    def __init__(self, seed: int) -> None:
-        """Create a run that is not started."""
+    def __init__(self, seed: int, *, entries: int = 1) -> None:
+        """Create a run that is not started.
+
+        :param entries: the number of entries in each region
+        """
         self.rng = random.Random(seed)
-        self.deployment = Deployment()
+        # Apart, so that a seed has the same faults with and without limits.
+        self.limit_rng = random.Random(seed)
+        self.deployment = Deployment(entries=entries)
         self.invariants = InvariantChecker()
         self.faults: list[str] = []
-        self.endpoints = [Endpoint(rng=self.rng) for _ in "abc"]
         self.proxies = [Proxy(rng=self.rng) for _ in "abc"]
+        self.endpoints = [
+            Endpoint(rng=self.rng, is_heard=proxy.forwards_responses)
+            for proxy in self.proxies
+        ]
         self.version = 1
         self._number = 0
         self._sequence = 0
@@ -198,17 +209,37 @@
         self.invariants.record_read(version, acknowledged)
         return version
 
-    async def inject_faults(self) -> None:
-        """Inject random faults that may overlap."""
+    async def inject_faults(self, *, has_limits: bool = False) -> None:
+        """Inject random faults that may overlap, and change limits."""
         async with asyncio.TaskGroup() as group:
+            if has_limits:
+                group.create_task(self.change_limits())
             while True:
                 await asyncio.sleep(self.rng.uniform(0.5, 3.0))
                 group.create_task(self._inject_fault())
 
+    async def change_limits(self) -> None:
+        """Change the rate limits of random endpoints."""
+        while True:
+            endpoint = self.limit_rng.choice(self.endpoints)
+            limit = self.limit_rng.choice(ANNOUNCED_LIMITS)
+            endpoint.set_limit(limit)
+            self._record_fault(f"endpoint {endpoint.address} limit {limit}")
+            await asyncio.sleep(self.limit_rng.uniform(*LIMIT_SECONDS))
+
+    def check_limits(self) -> None:
+        """Check that no endpoint got more than it announced to accept."""
+        for endpoint in self.endpoints:
+            self.invariants.check_limits(
+                endpoint.address, endpoint.limits, endpoint.arrived_at
+            )
+
     async def recover(self) -> None:
         """End all faults and wait until all entries serve requests."""
         for proxy in self.proxies:
             proxy.set_fault(Fault.NONE)
+        for endpoint in self.endpoints:
+            endpoint.set_limit(None)
         for machine in self.deployment.machines:
             await self._restore_machine(machine)
         try:
@@ -351,14 +382,20 @@
 
 
 async def run_seed(
-    seed: int, *, seconds: float, logs: pathlib.Path | None
+    seed: int,
+    *,
+    seconds: float,
+    logs: pathlib.Path | None,
+    has_limits: bool = False,
 ) -> Result:
     """Run one seed.
 
     :param seconds: duration of the fault injection
+    :param has_limits: whether endpoints announce rate limits, to two entries
+        in each region
     :param logs: folder to copy the logs to, or None
     """
-    soak_run = SoakRun(seed)
+    soak_run = SoakRun(seed, entries=2 if has_limits else 1)
     try:
         registering = asyncio.create_task(soak_run.register_endpoints())
         await soak_run.open()
@@ -369,13 +406,14 @@
         load.append(asyncio.create_task(soak_run.run_operator()))
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds):
-                await soak_run.inject_faults()
+                await soak_run.inject_faults(has_limits=has_limits)
         await soak_run.recover()
         for task in load:
             task.cancel()
         await asyncio.gather(*load, return_exceptions=True)
         await asyncio.sleep(SETTLE_DELAY_SECONDS)
         soak_run.invariants.check_runs(soak_run.runs_by_id(), settled=True)
+        soak_run.check_limits()
         registering.cancel()
         if logs is not None:
             _copy_logs(soak_run, logs)
--- a/tests/http1/test_numbers.py
+++ b/tests/http1/test_numbers.py
@@ -1,11 +1,13 @@
 """Tests of parsing numbers in untrusted headers."""
 
+import math
 import unittest
 
 from hypothesis import given
 from hypothesis import strategies
 
 from burdockdrum.http1 import parse_count
+from burdockdrum.http1 import parse_decimal
 from burdockdrum.http1 import parse_seconds
 
 
@@ -45,3 +47,10 @@
     def test_arbitrary_bytes_do_not_raise(self, value):
         parse_count(value)
         parse_seconds(value)
+
+    @given(strategies.binary(max_size=40) | strategies.from_regex(rb"[0-9.]+"))
+    def test_decimals_are_finite_and_not_negative(self, value):
+        number = parse_decimal(value)
+        if number is not None:
+            self.assertTrue(math.isfinite(number))
+            self.assertGreaterEqual(number, 0.0)
--- a/tests/passthrough/test_limit_permits.py
+++ b/tests/passthrough/test_limit_permits.py
@@ -130,6 +130,18 @@
             self.assertAlmostEqual(0.5, second - first)
         self.assertTrue(all(abs(r.next_after - 0.5) < 1e-6 for r in replies))
 
+    async def test_holder_that_has_not_learned_the_limit_grants_nothing(self):
+        # Guards against a holder that grants every request because it does
+        # not know of a limit yet.
+        self.share = 2.0
+        self.clock.now += 10.0
+        endpoint = make_endpoint("p")
+        self.limits.observe(endpoint, [], sent_at=self.clock.now - 1)
+        request = PermitRequest(endpoint_id="p")
+        for _ in range(3):
+            reply = await self.permits.handle(None, request)
+            self.assertFalse(reply.is_granted)
+
     async def test_former_holder_grants_nothing(self):
         self.share = None
         self.clock.now += 10.0
@@ -167,6 +179,26 @@
         # The first request was sent before the limit was known.
         self.assertEqual(3, len(asked))
 
+    async def test_retry_asks_for_another_permit(self):
+        # Guards against a second attempt that is refused, or sent without
+        # a permit, because the first one had one.
+        asked = []
+
+        async def ask(address, request):
+            asked.append(request.endpoint_id)
+            return GRANTED
+
+        limit = b"X-Rate-Limit: 0.5"
+        ok = answer(b"ok", b"200 OK", limit)
+        full = answer(b"", b"503 Full", b"X-Not-Started: 1", limit)
+        endpoints = [Endpoint(ok, full), Endpoint(ok, full)]
+        entry = await self.open_without_share(*endpoints, ask=ask)
+        for _ in range(4):
+            await entry.call()
+        asked.clear()
+        self.assertEqual(503, (await entry.call())[0])
+        self.assertEqual(["here-0", "here-1"], sorted(asked))
+
     async def test_denied_request_is_refused_with_the_holders_time(self):
         async def ask(address, request):
             return PermitReply(
--- a/tests/registrations/test_limits_over_entries.py
+++ b/tests/registrations/test_limits_over_entries.py
@@ -155,6 +155,19 @@
 
         self.play(check, endpoints=8, entries=6)
 
+    def test_limited_endpoint_offers_no_capacity_to_other_regions(self):
+        # Guards against forwarding requests to a region that refuses them.
+        async def check(world):
+            await self.announce(world, 3.0, world.endpoints[0])
+            await world.run(2)
+            (capacity,) = world.followers["e0"].capacities
+            self.assertEqual(1, capacity.endpoints)
+            await self.announce(world, 3.0, world.endpoints[1])
+            await world.run(2)
+            self.assertEqual([], world.followers["e0"].capacities)
+
+        self.play(check, endpoints=2)
+
     def test_endpoint_with_a_limit_of_zero_can_withdraw_it(self):
         # Guards against closing an endpoint for good: without a request
         # there is no response that could withdraw the limit.
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from scripts.soak.endpoint import AnnouncedPeriod
+from scripts.soak.invariants import count_in_window
 from scripts.soak.invariants import InvariantChecker
 from scripts.soak.invariants import RequestRecord
 
@@ -54,6 +56,25 @@
         self.invariants.record_answer(make_record("a", 200, answer=b"a:q"))
         self.assertIn("did not run", self.check({})[0])
 
+    def check_arrivals(self, count, *, at=6.0, **period):
+        """Check arrivals at an endpoint that announced 1 a second at 0 s."""
+        announced = AnnouncedPeriod(limit=1.0, heard_at=0.0, **period)
+        self.invariants.check_limits("e", [announced], [at] * count)
+        return self.invariants.violations
+
+    def test_arrivals_within_a_limit_give_no_violation(self):
+        self.assertEqual([], self.check_arrivals(11))
+        # Before every entry must have learned the limit, and after its end.
+        self.assertEqual([], self.check_arrivals(50, at=4.0))
+        self.assertEqual([], self.check_arrivals(50, ended_at=5.5))
+
+    def test_arrivals_beyond_a_limit_are_a_violation(self):
+        self.assertIn("got 12 in 4 s", self.check_arrivals(12)[0])
+
+    def test_busiest_window_is_found(self):
+        times = [0.0, 3.0, 3.5, 4.0, 6.9, 7.5, 20.0]
+        self.assertEqual(4, count_in_window(times, 4.0))
+
     def test_read_older_than_an_acknowledged_version_is_a_violation(self):
         self.invariants.record_read(3, 4)
         self.assertIn("version 3 was read", self.check({})[0])
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -29,6 +29,21 @@
         self.assertEqual([], result.violations, result.format_result())
         self.assertGreater(result.counts_by_status.get(200, 0), 100)
 
+    def test_limits_of_endpoints_hold_under_random_faults(self):
+        # Endpoints announce, change and withdraw limits while the entries
+        # that share them are killed, paused and stopped.
+        with tempfile.TemporaryDirectory() as folder:
+            result = asyncio.run(
+                run_seed(
+                    1,
+                    seconds=20.0,
+                    logs=pathlib.Path(folder),
+                    has_limits=True,
+                )
+            )
+        self.assertEqual([], result.violations, result.format_result())
+        self.assertGreater(result.counts_by_status.get(200, 0), 100)
+
     def test_entry_that_drains_when_the_faults_end_is_restarted(self):
         # Cancelling the restart of a draining entry must not leave the entry
         # stopped, as seed 310 once did.
