Bound the messages about limits that change all the time

An endpoint may compute its limit anew for each response. Each change was reported to the control VMs and published to every entry of the region: at ten responses a second and 30 entries 300 messages a second for each endpoint (by reading, not measured). An entry now reports, and a control VM takes up, at most four changes a second of an endpoint; what was left out is reported again while it differs.

The cache of holders is bounded as well: its keys are ids of endpoints, and it was cleared only when the entries change.

Tests: reports and published changes of a limit that changes with each response failed before (a report for each) and pass; a rejection withdraws no limit.

--- a/burdockdrum/passthrough/endpoint_limits.py
+++ b/burdockdrum/passthrough/endpoint_limits.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
 
 from burdockdrum.http1 import parse_decimal
 from burdockdrum.logs import log_decision
@@ -18,6 +20,8 @@
 # Unused requests that may be sent at once, in seconds of the share.
 BURST_SECONDS = 1.0
 MIN_BURST_REQUESTS = 2.0
+# An endpoint may announce another limit in each response.
+MIN_REPORT_INTERVAL_SECONDS = 0.25
 # Stands for the interval between requests at a limit of 0.
 MAX_INTERVAL_SECONDS = 60.0
 
@@ -58,6 +62,38 @@
         self._updated_at = now
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Allowance:
+    """What this entry may send to an endpoint that has a rate limit.
+
+    ``limit`` and ``share`` are in requests per second; ``share`` is None if
+    this entry holds none.
+    """
+
+    limit: float
+    share: float | None
+    bucket: _TokenBucket
+
+    def seconds_until_capacity(self, now: float) -> float:
+        if self.share is None:
+            return self._interval_seconds
+        return self.bucket.seconds_until_token(self.share, now)
+
+    def reserve_return(self, now: float) -> float:
+        if self.share is None:
+            return self._interval_seconds
+        return self.bucket.reserve_return(self.share, now)
+
+    def take(self, now: float) -> None:
+        if self.share is not None:
+            self.bucket.take(self.share, now)
+
+    @property
+    def _interval_seconds(self) -> float:
+        """Return the average time between two requests of all entries."""
+        return 1.0 / self.limit if self.limit else MAX_INTERVAL_SECONDS
+
+
 class EndpointLimits:
     """Keeps this entry's requests to limited endpoints within its shares.
 
@@ -82,7 +118,8 @@
         :param read_share: returns the requests per second that this entry
             may send to an endpoint with a limit, None if it holds no share;
             by default the whole limit
-        :param report: called when a response changes a limit
+        :param report: called when a response has another limit than the
+            control VMs know
         """
         self._clock = clock
         self._read_endpoints = read_endpoints
@@ -91,6 +128,7 @@
         # What endpoints announced to this entry.
         self.announced_by_id: dict[str, AnnouncedLimit] = {}
         self._buckets_by_id: dict[str, _TokenBucket] = {}
+        self._reported_at_by_id: dict[str, float] = {}
         self._announcements_total = metrics.counter(
             "burdockdrum_endpoint_limit_announcements_total",
             "Changes of the rate limits that endpoints announce, by result.",
@@ -140,73 +178,82 @@
         return self.seconds_until_capacity(endpoint_id) <= 0
 
     def seconds_until_capacity(self, endpoint_id: str) -> float:
-        """Return the seconds until this entry may send a request.
-
-        Without a share it is the average time between two requests of all
-        entries.
-        """
-        limit = self.limit_of(endpoint_id)
-        rate = rate_of(limit)
-        if limit is None or rate is None:
+        """Return the seconds until this entry may send a request."""
+        allowance = self._find_allowance(endpoint_id)
+        if allowance is None:
             return 0.0
-        share = self._read_share(endpoint_id, rate)
-        if share is None:
-            return _interval_seconds(rate)
-        bucket = self._bucket(endpoint_id, limit)
-        return bucket.seconds_until_token(share, self._clock.monotonic())
+        return allowance.seconds_until_capacity(self._clock.monotonic())
 
     def reserve_return(self, endpoint_id: str) -> float:
         """Return after how many seconds a refused request should return."""
-        limit = self.limit_of(endpoint_id)
-        rate = rate_of(limit)
-        if limit is None or rate is None:
+        allowance = self._find_allowance(endpoint_id)
+        if allowance is None:
             return 0.0
-        share = self._read_share(endpoint_id, rate)
-        if share is None:
-            return _interval_seconds(rate)
-        bucket = self._bucket(endpoint_id, limit)
-        return bucket.reserve_return(share, self._clock.monotonic())
+        return allowance.reserve_return(self._clock.monotonic())
 
     def record_sent(self, endpoint_id: str) -> None:
         """Count a request against the share."""
-        limit = self.limit_of(endpoint_id)
-        rate = rate_of(limit)
-        if limit is None or rate is None:
+        allowance = self._find_allowance(endpoint_id)
+        if allowance is None:
+            # The next limit begins without unused requests.
             self._buckets_by_id.pop(endpoint_id, None)
-            return
-        share = self._read_share(endpoint_id, rate)
-        if share is not None:
-            bucket = self._bucket(endpoint_id, limit)
-            bucket.take(share, self._clock.monotonic())
+        else:
+            allowance.take(self._clock.monotonic())
 
     def remove_ended(self) -> None:
         """Remove the state of endpoints that no longer exist."""
         live = self._read_endpoints()
-        for by_id in (self.announced_by_id, self._buckets_by_id):
+        tables: tuple[dict[str, Any], ...] = (
+            self.announced_by_id,
+            self._buckets_by_id,
+            self._reported_at_by_id,
+        )
+        for by_id in tables:
             for endpoint_id in set(by_id) - set(live):
                 del by_id[endpoint_id]
 
-    def _bucket(self, endpoint_id: str, limit: AnnouncedLimit) -> _TokenBucket:
-        return self._buckets_by_id.setdefault(
-            endpoint_id, _TokenBucket(started_at=limit.observed_at)
-        )
+    def _find_allowance(self, endpoint_id: str) -> _Allowance | None:
+        """Return what may be sent to an endpoint, None if unlimited."""
+        known = self.limit_of(endpoint_id)
+        if known is None or known.requests_per_second is None:
+            return None
+        limit = known.requests_per_second
+        bucket = self._buckets_by_id.get(endpoint_id)
+        if bucket is None:
+            bucket = _TokenBucket(started_at=known.observed_at)
+            self._buckets_by_id[endpoint_id] = bucket
+        share = self._read_share(endpoint_id, limit)
+        return _Allowance(limit=limit, share=share, bucket=bucket)
 
     def _set(self, endpoint_id: str, rate: float | None) -> None:
-        previous = rate_of(self.limit_of(endpoint_id))
+        previous = self.rate_of(endpoint_id)
         self.announced_by_id[endpoint_id] = AnnouncedLimit(
             requests_per_second=rate, observed_at=self._clock.monotonic()
         )
-        if rate == previous:
-            return
-        result = "withdrawn" if rate is None else "announced"
-        self._announcements_total.increment(result=result)
-        log_decision(
-            f"endpoint.limit_{result}",
-            endpoint_id=endpoint_id,
-            requests_per_second=rate,
-            previous=previous,
-        )
-        self._report()
+        is_changed = rate != previous
+        if is_changed:
+            result = "withdrawn" if rate is None else "announced"
+            self._announcements_total.increment(result=result)
+            log_decision(
+                f"endpoint.limit_{result}",
+                endpoint_id=endpoint_id,
+                requests_per_second=rate,
+                previous=previous,
+            )
+        if is_changed or rate != self._registered_rate(endpoint_id):
+            self._report_rarely(endpoint_id)
+
+    def _registered_rate(self, endpoint_id: str) -> float | None:
+        """Return the limit that the control VMs know."""
+        endpoint = self._read_endpoints().get(endpoint_id)
+        return rate_of(endpoint.rate_limit) if endpoint is not None else None
+
+    def _report_rarely(self, endpoint_id: str) -> None:
+        now = self._clock.monotonic()
+        last_at = self._reported_at_by_id.get(endpoint_id, float("-inf"))
+        if now - last_at >= MIN_REPORT_INTERVAL_SECONDS:
+            self._reported_at_by_id[endpoint_id] = now
+            self._report()
 
     def _observe_none(self, endpoint_id: str, sent_at: float) -> None:
         """Withdraw a limit if the request was sent after it was known.
@@ -214,7 +261,7 @@
         An earlier request may have been answered before the announcement.
         """
         known = self.limit_of(endpoint_id)
-        if rate_of(known) is None or known is None:
+        if known is None or known.requests_per_second is None:
             return
         if sent_at > known.observed_at:
             self._set(endpoint_id, None)
@@ -231,7 +278,7 @@
 
     def _count_limited(self) -> int:
         return sum(
-            rate_of(self.limit_of(endpoint_id)) is not None
+            self.rate_of(endpoint_id) is not None
             for endpoint_id in self._read_endpoints()
         )
 
--- a/burdockdrum/registrations/limit_shares.py
+++ b/burdockdrum/registrations/limit_shares.py
@@ -23,9 +23,10 @@
 from burdockdrum.registrations.pacing import roster_lease_seconds
 from burdockdrum.vms import choose_by_hash
 
-# A limit has a single holder up to twice this, as permits of several holders
-# are found less easily.
+# More holders mean smaller shares, so that more requests for permits are
+# denied by one holder while another has capacity.
 MIN_SHARE_PER_SECOND = 5.0
+MAX_CACHED_KEYS = 4096
 # Floor of a limit: an endpoint that gets no requests can't withdraw it.
 MIN_LIMIT_PER_SECOND = 0.01
 
@@ -143,6 +144,8 @@
                 in choose_by_hash(period.entry_ids, endpoint_id, holders)
                 for period in self._periods
             )
+            if len(self._is_holder_by_key) >= MAX_CACHED_KEYS:
+                self._is_holder_by_key.clear()
             self._is_holder_by_key[key] = known
         return known
 
--- a/burdockdrum/registrations/table.py
+++ b/burdockdrum/registrations/table.py
@@ -26,6 +26,9 @@
 EXPIRY_SECONDS = 30.0
 # Outlasts late check-ins of an ended incarnation, which must not revive it.
 TOMBSTONE_SECONDS = 120.0
+# A change of an endpoint's rate limit is published to every entry, and an
+# endpoint may change it with each response.
+MIN_LIMIT_SECONDS = 0.25
 # The data centre of an endpoint of which only the end is known.
 ANY_DATA_CENTRE = ""
 
@@ -37,6 +40,7 @@
     received_at: float
     changed_at: float
     limit_observed_at: float | None = None
+    limit_changed_at: float = float("-inf")
 
 
 class RegistrationTable:
@@ -121,16 +125,24 @@
         :returns: whether it differs from the one known before
         """
         known = self._records_by_id.get(notice.endpoint_id)
-        if known is None:
+        if known is None or self.has_ended(notice.endpoint_id):
             return False
-        observed_at = self._clock.monotonic() - notice.age
+        now = self._clock.monotonic()
+        observed_at = now - notice.age
         previous_at = known.limit_observed_at
         if previous_at is not None and observed_at <= previous_at:
             return False
-        record = replace(known, limit_observed_at=observed_at)
-        self._records_by_id[notice.endpoint_id] = record
         rate = notice.requests_per_second
-        if rate == known.registration.rate_limit:
+        is_changed = rate != known.registration.rate_limit
+        if is_changed and now < known.limit_changed_at + MIN_LIMIT_SECONDS:
+            # The entry reports it again while it differs.
+            return False
+        self._records_by_id[notice.endpoint_id] = replace(
+            known,
+            limit_observed_at=observed_at,
+            limit_changed_at=now if is_changed else known.limit_changed_at,
+        )
+        if not is_changed:
             return False
         changed = msgspec.structs.replace(known.registration, rate_limit=rate)
         self._put(changed, received_at=known.received_at)
@@ -258,6 +270,7 @@
             received_at=now if received_at is None else received_at,
             changed_at=now,
             limit_observed_at=_limit_observed_at(registration, known, now),
+            limit_changed_at=_limit_changed_at(known),
         )
         for listener in self.listeners:
             listener(registration)
@@ -300,6 +313,10 @@
     return None if age is None else now - age
 
 
+def _limit_changed_at(known: _Record | None) -> float:
+    return known.limit_changed_at if known is not None else float("-inf")
+
+
 def _is_newer(registration: Registration, known: _Record) -> bool:
     current = known.registration
     if current.state is RegistrationState.GONE:
--- a/tests/passthrough/test_endpoint_limits.py
+++ b/tests/passthrough/test_endpoint_limits.py
@@ -175,6 +175,14 @@
         self.assertFalse(self.limits.has_capacity("p"))
         self.assertAlmostEqual(0.25, self.limits.seconds_until_capacity("p"))
 
+    def test_limit_that_changes_with_each_response_is_reported_rarely(self):
+        # Guards against a message to every entry for each response.
+        for tick in range(200):
+            self.clock.now = 100 + tick / 100
+            self.observe(b"%d" % (2 + tick % 7))
+        self.assertLessEqual(self.reports, 9)
+        self.assertGreaterEqual(self.reports, 7)
+
     def test_state_ends_with_the_endpoint(self):
         # Guards against tables that grow with each start of an endpoint.
         self.observe(b"2")
@@ -244,6 +252,20 @@
         ]
         self.assertEqual([0, 1], announced)
 
+    async def test_rejection_withdraws_no_limit(self):
+        # Guards against ending a limit because an overloaded endpoint, which
+        # is in need of it, rejects a request without naming it.
+        endpoint = Endpoint(
+            answer(b"ok", b"200 OK", b"X-Rate-Limit: 900"),
+            answer(b"", b"503 Full", b"X-Not-Started: 1"),
+        )
+        entry = await self.open(endpoint, idempotent=False)
+        for expected in (200, 503):
+            status, _, _ = await entry.call(method=b"POST", body=b"x")
+            self.assertEqual(expected, status)
+            await asyncio.sleep(0.01)
+        self.assertEqual(900.0, entry.limits.rate_of("here-0"))
+
     async def test_rejection_can_announce_a_limit(self):
         full = answer(
             b"", b"503 Full", b"X-Not-Started: 1", b"X-Rate-Limit: 0.5"
--- a/tests/registrations/test_limits_over_entries.py
+++ b/tests/registrations/test_limits_over_entries.py
@@ -130,6 +130,23 @@
 
         self.play(check)
 
+    def test_limit_that_changes_with_each_response_is_published_rarely(self):
+        # Guards against a message to every entry for each response of an
+        # endpoint that computes its limit anew each time.
+        async def check(world):
+            table = world.tables[world.endpoint.checks_in_at]
+            before = table.serial
+            for number in range(100):
+                world.endpoint.limit = 50.0 + number % 7
+                await world.run(0.1)
+            self.assertLessEqual(table.serial - before, 41)
+            world.endpoint.limit = 3.0
+            await world.run(LEARNING_SECONDS)
+            for limits in world.limits.values():
+                self.assertEqual(3.0, limits.rate_of("p0"))
+
+        self.play(check)
+
     def test_withdrawn_limit_ends_at_every_entry(self):
         async def check(world):
             await self.announce(world, 3.0)
