Use no share of a limit after a suspension

A machine may be suspended for seconds, which the monotonic clock does not count: a holder's rosters, and the answers in its buffers, still looked recent when it resumed, while another entry had taken over its shares. The check of the log's leader for this, a wall clock that jumps ahead, becomes SuspensionDetector and serves both.

Test: test_suspended_holder_has_no_share_when_it_resumes.

--- a/burdockdrum/consensus/lease.py
+++ b/burdockdrum/consensus/lease.py
@@ -10,6 +10,7 @@
 
 from burdockdrum.consensus.membership import Member
 from burdockdrum.consensus.replica import Replica
+from burdockdrum.timeline import SuspensionDetector
 
 # A larger jump of the wall clock invalidates the lease. Less than the margin
 # that the lease leaves for drift.
@@ -30,13 +31,14 @@
         self._replica = replica
         self._read_contact_at = read_contact_at
         self._trusted_from = -math.inf
-        self._wall_offset = math.inf
+        self._suspension = SuspensionDetector(
+            clock=replica.clock, max_jump_seconds=_MAX_WALL_CLOCK_JUMP_SECONDS
+        )
 
     def begin(self) -> None:
         """Count only replies to requests sent from now on."""
-        clock = self._replica.clock
-        self._trusted_from = clock.monotonic()
-        self._wall_offset = clock.wall() - self._trusted_from
+        self._trusted_from = self._replica.clock.monotonic()
+        self._suspension.reset()
 
     @property
     def is_valid(self) -> bool:
@@ -77,17 +79,10 @@
         return self._replica.clock.monotonic() - contact_at
 
     def detect_suspension(self) -> None:
-        """Discard earlier replies if the wall clock has jumped ahead.
+        """Discard earlier replies if this VM was suspended.
 
-        The monotonic clock may stop while a VM is suspended, so that an
-        expired lease would look valid after it resumes. A wall clock that
-        was only set forward costs the lease for one round trip.
+        A wall clock that was only set forward costs the lease for one round
+        trip.
         """
-        clock = self._replica.clock
-        now = clock.monotonic()
-        offset = clock.wall() - now
-        ahead = offset - self._wall_offset
-        if ahead > _MAX_WALL_CLOCK_JUMP_SECONDS:
-            self._trusted_from = now
-        if ahead > _MAX_WALL_CLOCK_JUMP_SECONDS or ahead < 0:
-            self._wall_offset = offset
+        if self._suspension.detect():
+            self._trusted_from = self._replica.clock.monotonic()
--- a/burdockdrum/registrations/limit_shares.py
+++ b/burdockdrum/registrations/limit_shares.py
@@ -21,12 +21,15 @@
 from burdockdrum.ports import Clock
 from burdockdrum.registrations.pacing import hold_off_seconds
 from burdockdrum.registrations.pacing import roster_lease_seconds
+from burdockdrum.timeline import SuspensionDetector
 from burdockdrum.vms import choose_by_hash
 
 # More holders mean smaller shares, so that more requests for permits are
 # denied by one holder while another has capacity.
 MIN_SHARE_PER_SECOND = 5.0
 MAX_CACHED_KEYS = 4096
+# Less than what the hold-off exceeds the lease of a roster by.
+MAX_WALL_CLOCK_JUMP_SECONDS = 0.3
 # Floor of a limit: an endpoint that gets no requests can't withdraw it.
 MIN_LIMIT_PER_SECOND = 0.01
 
@@ -66,6 +69,11 @@
         self._own_id = own_id
         self._read_control_ids = read_control_ids
         self._read_entry_count = read_entry_count
+        self._suspension = SuspensionDetector(
+            clock=clock, max_jump_seconds=MAX_WALL_CLOCK_JUMP_SECONDS
+        )
+        # Answers to polls that were sent before don't count.
+        self._trusted_from = float("-inf")
         self._rosters_by_control_id: dict[str, _Roster] = {}
         self._periods: list[_Period] = []
         self._valid_until = float("-inf")
@@ -152,6 +160,9 @@
     def _refresh(self) -> None:
         """Update the union of the rosters after a change or its expiry."""
         now = self._clock.monotonic()
+        if self._suspension.detect():
+            self._trusted_from = now
+            self._valid_until = float("-inf")
         if now > self._valid_until:
             self._set_periods([])
         elif not self._is_changed:
@@ -173,7 +184,7 @@
 
     def _drop_invalid_rosters(self, now: float) -> None:
         control_ids = self._read_control_ids()
-        oldest = now - self._lease_seconds
+        oldest = max(now - self._lease_seconds, self._trusted_from)
         self._rosters_by_control_id = {
             control_id: roster
             for control_id, roster in self._rosters_by_control_id.items()
--- a/tests/passthrough/fakes.py
+++ b/tests/passthrough/fakes.py
@@ -33,11 +33,17 @@
     def __init__(self):
         """Start at 100 s."""
         self.now = 100.0
+        # Of the wall clock, which a suspension or an operator changes.
+        self.wall_offset = 0.0
 
     def monotonic(self):
         """Return the current time."""
         return self.now
 
+    def wall(self):
+        """Return the time of the wall clock."""
+        return self.now + self.wall_offset
+
     async def sleep(self, seconds):
         """Advance the time."""
         self.now += seconds
--- a/tests/registrations/test_limit_shares.py
+++ b/tests/registrations/test_limit_shares.py
@@ -93,6 +93,29 @@
         self.keep_confirming(HOLD_OFF + 1, (shares, ["x"]))
         self.assertEqual(5.0, shares.share_of("p", 5.0))
 
+    def test_suspended_holder_has_no_share_when_it_resumes(self):
+        # Guards against rosters that look recent because the monotonic clock
+        # stopped during the suspension.
+        shares = self.make("x")
+        self.keep_confirming(HOLD_OFF + 1, (shares, ["x"]))
+        self.assertEqual(1.0, shares.share_of("p", 1.0))
+        asked_at = self.clock.now
+        self.clock.wall_offset += 20.0
+        self.assertIsNone(shares.share_of("p", 1.0))
+        # The answers to polls from before the suspension arrive now.
+        for control_id in ("c0", "c1"):
+            shares.record(control_id, {"x": ""}, asked_at - 0.01)
+        self.clock.now += HOLD_OFF * 0.9
+        self.assertIsNone(shares.share_of("p", 1.0))
+        self.keep_confirming(HOLD_OFF + 1, (shares, ["x"]))
+        self.assertEqual(1.0, shares.share_of("p", 1.0))
+
+    def test_wall_clock_that_is_set_back_changes_nothing(self):
+        shares = self.make("x")
+        self.keep_confirming(HOLD_OFF + 1, (shares, ["x"]))
+        self.clock.wall_offset -= 20.0
+        self.assertEqual(1.0, shares.share_of("p", 1.0))
+
     def test_share_needs_a_quorum_of_rosters(self):
         shares = self.make("x")
         for _ in range(40):
