Keep the age of a stored limit over a restart

A control VM that read its registrations back took a limit for as old as when it was written. A limit that was withdrawn while the VM was down looked later than the withdrawal, and held until the next response without it.

Test: test_restored_limit_is_as_old_as_it_is failed before (0.3 s in place of more than 5) and passes.

--- a/burdockdrum/registrations/store.py
+++ b/burdockdrum/registrations/store.py
@@ -77,7 +77,10 @@
         if not 0 <= age <= MAX_AGE_SECONDS:
             log_decision("registrations.too_old", age=round(age, 1))
             return
-        count = self._table.restore(stored.registrations)
+        count = self._table.restore(
+            _add_age(registration, age)
+            for registration in stored.registrations
+        )
         log_decision(
             "registrations.restored", endpoints=count, age=round(age, 3)
         )
@@ -95,3 +98,12 @@
         await self._disk.rename(_TEMPORARY_FILE_NAME, _FILE_NAME)
         await self._disk.sync_folder()
         self._written_serial = serial
+
+
+def _add_age(registration: Registration, seconds: float) -> Registration:
+    """Return a registration whose limit is older by the time since."""
+    if registration.rate_limit_age is None:
+        return registration
+    return msgspec.structs.replace(
+        registration, rate_limit_age=registration.rate_limit_age + seconds
+    )
--- a/tests/registrations/test_store.py
+++ b/tests/registrations/test_store.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from burdockdrum.registrations.messages import LimitNotice
 from burdockdrum.registrations.messages import Registration
 from burdockdrum.registrations.messages import RegistrationState
 from burdockdrum.registrations.store import MAX_AGE_SECONDS
@@ -93,6 +94,22 @@
 
         self.play(before, after)
 
+    def test_restored_limit_is_as_old_as_it_is(self):
+        # Guards against a limit that was withdrawn while the VM was down and
+        # looks like the later announcement after the restart.
+        async def before(vm):
+            vm.table.apply(make_registration("a"))
+            vm.table.record_limit(LimitNotice("a", 2.0, 0.0))
+            await asyncio.sleep(WRITE_INTERVAL_SECONDS * 2)
+
+        async def after(vm):
+            (known,) = vm.table.changes_after(0, frozenset({"dc"}))
+            self.assertEqual(2.0, known.rate_limit)
+            self.assertGreater(known.rate_limit_age, 5.0)
+            self.assertTrue(vm.table.record_limit(LimitNotice("a", None, 4.0)))
+
+        self.play(before, after, down_seconds=5.0)
+
     def test_draining_endpoint_is_restored_as_draining(self):
         # Otherwise it would receive new requests until its next check-in.
         async def before(vm):
