--- a/tests/registrations/test_limit_shares.py
+++ b/tests/registrations/test_limit_shares.py
@@ -105,9 +105,11 @@
         # The answers to polls from before the suspension arrive now.
         for control_id in ("c0", "c1"):
             shares.record(control_id, {"x": ""}, asked_at - 0.01)
-        self.clock.now += HOLD_OFF * 0.9
+        self.clock.now += 1.0
+        # The hold-off begins with the first answer to a later poll.
+        self.keep_confirming(HOLD_OFF - 0.5, (shares, ["x"]))
         self.assertIsNone(shares.share_of("p", 1.0))
-        self.keep_confirming(HOLD_OFF + 1, (shares, ["x"]))
+        self.keep_confirming(1.0, (shares, ["x"]))
         self.assertEqual(1.0, shares.share_of("p", 1.0))
 
     def test_wall_clock_that_is_set_back_changes_nothing(self):
