--- a/tests/peers/test_kinds.py
+++ b/tests/peers/test_kinds.py
@@ -56,6 +56,8 @@
     "leases.GiveBackLease",
     "leases.LeaseAnswer",
     "leases.RenewLeases",
+    "passthrough.PermitReply",
+    "passthrough.PermitRequest",
     "quarantine.ClearNote",
     "quarantine.LossNote",
     "quarantine.TrialCall",
