Visit only endpoints with limits when limits are reported

Cause: for each message to a control VM an entry compared the limits of all endpoints of its region. With a thousand endpoints a region, each of which is acknowledged when it checks in for the first time, that grows with the square of the endpoints.

Change: the limits that control VMs know are kept by endpoint, and only these and the entry's own are compared.

Test: test_endpoints_without_limits_are_not_visited_for_reports.

--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -72,6 +72,8 @@
         self.listeners: list[Callable[[], None]] = []
         # Called with the id of each incarnation that a newer one replaced.
         self.restart_listeners: list[Callable[[str], None]] = []
+        # What the control VMs know of the limits of endpoints.
+        self._limits_by_id: dict[str, AnnouncedLimit] = {}
         self._peers = peers
         self._clock = clock
         self._rng = rng
@@ -195,7 +197,7 @@
     def _list_unknown_limits(self, source: ControlSource) -> list[LimitNotice]:
         return list_unknown_limits(
             source.endpoints_by_id,
-            self.endpoints_by_id,
+            self._limits_by_id,
             self.read_limits(),
             self._clock.monotonic(),
         )
@@ -320,6 +322,10 @@
         if after is not None:
             after = keep_newest_limit(before, after, copies)
             self.endpoints_by_id[endpoint_id] = after
+        if after is not None and after.rate_limit is not None:
+            self._limits_by_id[endpoint_id] = after.rate_limit
+        else:
+            self._limits_by_id.pop(endpoint_id, None)
         if _state_of(before) is not _state_of(after):
             self._log(before, after)
 
--- a/burdockdrum/registrations/limit_reports.py
+++ b/burdockdrum/registrations/limit_reports.py
@@ -32,26 +32,26 @@
 
 def list_unknown_limits(
     copies_by_id: Mapping[str, RegisteredEndpoint],
-    merged_by_id: Mapping[str, RegisteredEndpoint],
+    limits_by_id: Mapping[str, AnnouncedLimit],
     own_limits_by_id: Mapping[str, AnnouncedLimit],
     now: float,
 ) -> list[LimitNotice]:
     """Return the limits that differ from those of a control VM.
 
     :param copies_by_id: the registrations of the control VM
-    :param merged_by_id: those of all control VMs, merged
+    :param limits_by_id: what the control VMs know, merged
     :param own_limits_by_id: what endpoints announced to this entry
     """
     notices = []
-    for endpoint_id, copy in copies_by_id.items():
-        merged = merged_by_id.get(endpoint_id)
+    # Not all endpoints: this is called for each message to a control VM.
+    for endpoint_id in limits_by_id.keys() | own_limits_by_id.keys():
+        copy = copies_by_id.get(endpoint_id)
         limit = newest_limit(
-            [
-                own_limits_by_id.get(endpoint_id),
-                merged.rate_limit if merged is not None else None,
-            ]
+            [own_limits_by_id.get(endpoint_id), limits_by_id.get(endpoint_id)]
         )
-        if limit is None or rate_of(limit) == rate_of(copy.rate_limit):
+        if copy is None or limit is None:
+            continue
+        if rate_of(limit) == rate_of(copy.rate_limit):
             continue
         age = now - limit.observed_at
         notices.append(
@@ -81,4 +81,6 @@
             requests_per_second=rate_of(limit),
             previous=rate_of(known),
         )
+    if limit == after.rate_limit:
+        return after
     return replace(after, rate_limit=limit)
--- a/tests/registrations/test_limit_shares.py
+++ b/tests/registrations/test_limit_shares.py
@@ -1,8 +1,12 @@
 """Tests of how entries divide the rate limit of an endpoint."""
 
 import unittest
+from unittest import mock
+
+import msgspec
 
 from burdockdrum.registrations.limit_reports import keep_newest_limit
+from burdockdrum.registrations.limit_reports import list_unknown_limits
 from burdockdrum.registrations.limit_shares import LimitShares
 from burdockdrum.registrations.limit_shares import MIN_SHARE_PER_SECOND
 from burdockdrum.registrations.pacing import hold_off_seconds
@@ -235,6 +239,15 @@
         kept = keep_newest_limit(before, after, [after])
         self.assertEqual(limit, kept.rate_limit)
 
+    def test_endpoints_without_limits_are_not_visited_for_reports(self):
+        # Guards against a cost of each message to a control VM that grows
+        # with the number of endpoints of the region.
+        copies = mock.Mock(get={"p": make_endpoint("p")}.get)
+        own = {"p": AnnouncedLimit(requests_per_second=2.0, observed_at=90.0)}
+        self.assertEqual([], list_unknown_limits(copies, {}, {}, 100.0))
+        (notice,) = list_unknown_limits(copies, {}, own, 100.0)
+        self.assertEqual(("p", 2.0, 10.0), msgspec.structs.astuple(notice))
+
     def test_latest_announcement_decides(self):
         older, newer = (
             make_endpoint(
