--- a/burdockdrum/passthrough/endpoint_limits.py
+++ b/burdockdrum/passthrough/endpoint_limits.py
@@ -20,7 +20,7 @@
 # Unused requests that may be sent at once, in seconds of the share.
 BURST_SECONDS = 1.0
 MIN_BURST_REQUESTS = 2.0
-# An endpoint may announce another limit in each response.
+# Of one endpoint, which may announce another limit in each response.
 MIN_REPORT_INTERVAL_SECONDS = 0.25
 # Stands for the interval between requests at a limit of 0.
 MAX_INTERVAL_SECONDS = 60.0
@@ -112,7 +112,7 @@
         ),
         report: Callable[[], None] = lambda: None,
     ) -> None:
-        """Create it without limits.
+        """Create the limits of an entry; none is known at first.
 
         :param read_endpoints: returns the registered endpoints by id
         :param read_share: returns the requests per second that this entry
@@ -281,7 +281,3 @@
             self.rate_of(endpoint_id) is not None
             for endpoint_id in self._read_endpoints()
         )
-
-
-def _interval_seconds(rate: float) -> float:
-    return 1.0 / rate if rate else MAX_INTERVAL_SECONDS
--- a/burdockdrum/passthrough/limit_permits.py
+++ b/burdockdrum/passthrough/limit_permits.py
@@ -21,13 +21,14 @@
 # A permit that took longer is not used, as the holder may have counted on
 # an earlier arrival. Also the timeout of a request for a permit.
 PERMIT_SECONDS = 0.2
-# Endpoints that are tried for one request.
+# The most endpoints for which a request asks for a permit.
 MAX_ENDPOINTS_ASKED = 2
 # Holders are not asked again before they expect to have a permit, but after
 # this many seconds at the earliest.
 MIN_ASK_INTERVAL_SECONDS = 0.05
 # After this many seconds a holder that did not reply is asked again.
 FAILED_ASK_INTERVAL_SECONDS = 1.0
+# Covers the publication of a limit to an entry that has not learned it.
 UNKNOWN_LIMIT_SECONDS = 0.3
 
 
@@ -74,7 +75,7 @@
         read_holders: Callable[[str, float], Mapping[str, str]],
         ask: Callable[[str, PermitRequest], Awaitable[PermitReply]],
     ) -> None:
-        """Create it.
+        """Create the permits of an entry.
 
         :param read_holders: returns the addresses of the other holders of
             an endpoint's limit, by id
@@ -90,7 +91,7 @@
             "burdockdrum_endpoint_limit_permits_total",
             "Permits to use endpoints' rate limits, by what holders replied.",
         )
-        # By endpoint and holder.
+        # When to ask a holder again, by the ids of endpoint and holder.
         self._ask_again_at_by_key: dict[tuple[str, str], float] = {}
 
     async def acquire(self, endpoint_ids: list[str]) -> PermitResult:
--- a/burdockdrum/passthrough/relay.py
+++ b/burdockdrum/passthrough/relay.py
@@ -207,8 +207,8 @@
     ) -> bool:
         """Ask for a permit before a request is refused.
 
-        :returns: whether it was asked for, and a target can be selected
-            again, or the refusal says better when to come back
+        :returns: whether it was asked for; then a target should be selected
+            again, with the permit or with the time to come back
         """
         if progress.permit is not None:
             return False
--- a/burdockdrum/registrations/limit_shares.py
+++ b/burdockdrum/registrations/limit_shares.py
@@ -59,7 +59,7 @@
         read_control_ids: Callable[[], frozenset[str]],
         read_entry_count: Callable[[], int],
     ) -> None:
-        """Create it without rosters.
+        """Create the shares of an entry, which holds none at first.
 
         :param own_id: the id of this entry
         :param read_control_ids: returns the ids of all control VMs
--- a/burdockdrum/testing/peers.py
+++ b/burdockdrum/testing/peers.py
@@ -18,13 +18,16 @@
     clock: Clock,
     secret: bytes = b"secret of a test",
     metrics: Metrics | None = None,
+    incarnation: int = 1,
+    region: str = "region",
+    rng: random.Random | None = None,
 ) -> Peers:
     """Return a message service with the identity of a test VM."""
     return Peers(
         identity=VmIdentity(
             vm_id=vm_id,
-            incarnation=1,
-            region="region",
+            incarnation=incarnation,
+            region=region,
             data_centre="data-centre",
             control_address=mailbox.address,
             http_address="http://127.0.0.1:1",
@@ -32,7 +35,7 @@
         mailbox=mailbox,
         clock=clock,
         hybrid_clock=HybridClock(clock=clock),
-        rng=random.Random(2),
+        rng=rng or random.Random(2),
         authenticator=PayloadAuthenticator(secret=secret),
         metrics=metrics or Metrics(),
     )
--- a/burdockdrum/timeline/suspension.py
+++ b/burdockdrum/timeline/suspension.py
@@ -14,7 +14,7 @@
     """
 
     def __init__(self, *, clock: Clock, max_jump_seconds: float) -> None:
-        """Create it; only later jumps are detected.
+        """Create a detector of later jumps.
 
         :param max_jump_seconds: smaller jumps are ignored
         """
--- a/tests/passthrough/test_endpoint_limits.py
+++ b/tests/passthrough/test_endpoint_limits.py
@@ -253,8 +253,8 @@
         self.assertEqual([0, 1], announced)
 
     async def test_rejection_withdraws_no_limit(self):
-        # Guards against ending a limit because an overloaded endpoint, which
-        # is in need of it, rejects a request without naming it.
+        # Guards against ending a limit because an overloaded endpoint
+        # rejects a request without announcing the limit.
         endpoint = Endpoint(
             answer(b"ok", b"200 OK", b"X-Rate-Limit: 900"),
             answer(b"", b"503 Full", b"X-Not-Started: 1"),
--- a/tests/registrations/limited_region.py
+++ b/tests/registrations/limited_region.py
@@ -13,17 +13,14 @@
 from burdockdrum.passthrough.limit_permits import PERMIT_SECONDS
 from burdockdrum.passthrough.limit_permits import PermitReply
 from burdockdrum.passthrough.limit_permits import PermitRequest
-from burdockdrum.peers import PayloadAuthenticator
-from burdockdrum.peers import Peers
-from burdockdrum.peers import VmIdentity
 from burdockdrum.registrations import Registration
 from burdockdrum.registrations import RegistrationFollower
 from burdockdrum.registrations import RegistrationPublisher
 from burdockdrum.registrations import RegistrationState
 from burdockdrum.registrations import RegistrationTable
 from burdockdrum.testing import FakeNetwork
+from burdockdrum.testing import make_peers
 from burdockdrum.testing import VirtualClock
-from burdockdrum.timeline import HybridClock
 
 CHECK_IN_INTERVAL_SECONDS = 1.2
 ANSWER_SECONDS = 0.03
@@ -116,22 +113,13 @@
     async def start(self, name):
         """Start or restart a VM with empty state."""
         self.incarnation += 1
-        address = f"tcp://{name}:1"
-        peers = Peers(
-            identity=VmIdentity(
-                vm_id=name,
-                incarnation=self.incarnation,
-                region="here",
-                data_centre="dc",
-                control_address=address,
-                http_address="",
-            ),
-            mailbox=await self.network.host(name).open(address),
+        peers = make_peers(
+            vm_id=name,
+            mailbox=await self.network.host(name).open(f"tcp://{name}:1"),
             clock=self.clock,
-            hybrid_clock=HybridClock(clock=self.clock),
+            incarnation=self.incarnation,
+            region="here",
             rng=self.rng,
-            authenticator=PayloadAuthenticator(secret=b"s"),
-            metrics=Metrics(),
         )
         if name in self.addresses:
             jobs = [self._make_control(name, peers).run()]
