--- a/burdockdrum/passthrough/attempts.py
+++ b/burdockdrum/passthrough/attempts.py
@@ -14,8 +14,6 @@
 from burdockdrum.http1 import ResponseLost
 from burdockdrum.logs import log_decision
 from burdockdrum.passthrough.attempt_timeouts import AttemptTimeouts
-from burdockdrum.passthrough.endpoint_limits import EndpointLimits
-from burdockdrum.passthrough.endpoint_state import InFlightRequest
 from burdockdrum.passthrough.events import InvalidEventStream
 from burdockdrum.passthrough.events import ResumableEventSplitter
 from burdockdrum.passthrough.fleet import Fleet
@@ -33,6 +31,7 @@
 from burdockdrum.passthrough.model import RequestProgress
 from burdockdrum.passthrough.model import Target
 from burdockdrum.passthrough.payloads import PayloadEncoder
+from burdockdrum.passthrough.response_signals import ResponseSignals
 from burdockdrum.passthrough.responses import read_buffered
 from burdockdrum.passthrough.responses import read_error_body
 from burdockdrum.passthrough.responses import read_used_attempts
@@ -63,10 +62,10 @@
         payloads: PayloadEncoder,
         responses: ResponseClassifier,
         timeouts: AttemptTimeouts,
-        limits: EndpointLimits,
+        signals: ResponseSignals,
     ) -> None:
         """Create the runner with its connection pools and collaborators."""
-        self._limits = limits
+        self._signals = signals
         self._timeouts = timeouts
         self._clock = clock
         self._fleet = fleet
@@ -245,7 +244,9 @@
         head = await connection.read_head()
         failure = self._responses.classify(head)
         if call.in_flight_request is not None:
-            self._observe_limit(call.in_flight_request, head, failure)
+            self._signals.observe(
+                call.in_flight_request, request.request_id, head, failure
+            )
         if failure is not None:
             await read_error_body(connection)
             return failure
@@ -261,31 +262,6 @@
         call.disarm_watchdog()
         return await self._forward_response(connection, head, exchange)
 
-    def _observe_limit(
-        self,
-        in_flight_request: InFlightRequest,
-        head: ResponseHead,
-        failure: NotStarted | Lost | None,
-    ) -> None:
-        """Observe the rate limit in a response of the endpoint itself.
-
-        A rejection can announce a limit, but not withdraw one.
-        """
-        values = self._responses.rate_limits(head)
-        match failure:
-            case None:
-                is_observed = True
-            case NotStarted(reached=True, replaced=False):
-                is_observed = bool(values)
-            case _:
-                is_observed = False
-        if is_observed:
-            self._limits.observe(
-                in_flight_request.endpoint,
-                values,
-                sent_at=in_flight_request.began_at,
-            )
-
     async def _forward_response(
         self,
         connection: ClientConnection,
--- a/burdockdrum/passthrough/endpoint_limits.py
+++ b/burdockdrum/passthrough/endpoint_limits.py
@@ -7,16 +7,14 @@
 
 from burdockdrum.http1 import parse_decimal
 from burdockdrum.logs import log_decision
-from burdockdrum.logs import log_failure
 from burdockdrum.metrics import Metrics
+from burdockdrum.passthrough.signal_log import log_ignored
 from burdockdrum.ports import Clock
 from burdockdrum.registrations import AnnouncedLimit
 from burdockdrum.registrations import newest_limit
 from burdockdrum.registrations import rate_of
 from burdockdrum.registrations import RegisteredEndpoint
 
-# An unreadable announcement is logged up to this length.
-MAX_LOGGED_BYTES = 40
 # Unused requests that may be sent at once, in seconds of the share.
 BURST_SECONDS = 1.0
 MIN_BURST_REQUESTS = 2.0
@@ -268,13 +266,7 @@
 
     def _ignore(self, endpoint_id: str, values: list[bytes]) -> None:
         self._announcements_total.increment(result="ignored")
-        text = b", ".join(values)[:MAX_LOGGED_BYTES]
-        log_failure(
-            "endpoint.limit_ignored",
-            endpoint_id=endpoint_id,
-            count=len(values),
-            value=text.decode("latin-1"),
-        )
+        log_ignored("endpoint.limit_ignored", endpoint_id, values)
 
     def _count_limited(self) -> int:
         return sum(
--- a/burdockdrum/passthrough/header_names.py
+++ b/burdockdrum/passthrough/header_names.py
@@ -27,6 +27,7 @@
       prompt cached.
     - ``rate_limit``: the requests per second that the endpoint accepts from
       all entries together, announced in its responses.
+    - ``draining``: 1 in the responses of an endpoint that drains.
     - ``token``: authenticates the caller; never forwarded.
     - ``team``: the team that the token belongs to.
     - ``system_only``: headers that are dropped from callers' requests.
@@ -44,6 +45,7 @@
     urgency: bytes = b"x-urgency"
     fetch_from: bytes = b"x-fetch-from"
     rate_limit: bytes = b"x-rate-limit"
+    draining: bytes = b"x-draining"
     token: bytes = b"x-api-token"
     team: bytes = b"x-team"
     system_only: frozenset[bytes] = field(default_factory=frozenset)
--- /dev/null
+++ b/burdockdrum/passthrough/requested_backoffs.py
@@ -0,0 +1,108 @@
+"""Backoffs that endpoints request from this entry."""
+
+from collections.abc import Callable
+from collections.abc import Container
+
+from burdockdrum.http1 import parse_seconds
+from burdockdrum.logs import log_decision
+from burdockdrum.metrics import Metrics
+from burdockdrum.passthrough.signal_log import log_ignored
+from burdockdrum.ports import Clock
+
+
+class RequestedBackoffs:
+    """Until when endpoints want no requests from this entry.
+
+    An endpoint requests a backoff by ``Retry-After`` in a response with
+    status 503, RFC 9110, section 10.2.3. It applies to one incarnation of
+    the endpoint, whose id is the key, and only to the entry that is asked.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        read_endpoints: Callable[[], Container[str]],
+    ) -> None:
+        """Create the backoffs of an entry; none is known at first.
+
+        :param read_endpoints: returns the ids of the registered endpoints
+        """
+        self._clock = clock
+        self._read_endpoints = read_endpoints
+        self._ends_at_by_id: dict[str, float] = {}
+        self._requests_total = metrics.counter(
+            "burdockdrum_endpoint_backoff_requests_total",
+            "Backoffs that endpoints requested from this entry, by result.",
+        )
+        metrics.gauge(
+            "burdockdrum_endpoints_in_backoff",
+            "Endpoints that want no requests from this entry now.",
+            self._count_active,
+        )
+        metrics.gauge(
+            "burdockdrum_endpoint_backoff_longest_seconds",
+            "Time until the last of the requested backoffs ends.",
+            self._longest_seconds,
+        )
+
+    def observe(
+        self,
+        endpoint_id: str,
+        values: list[bytes],
+        *,
+        request_id: str | None,
+    ) -> None:
+        """Record the backoff that a rejection of an endpoint requests.
+
+        A shorter one does not end one that was requested before.
+
+        :param values: the unparsed values; empty if none is requested
+        :param request_id: the request that was rejected
+        """
+        if not values:
+            return
+        distinct = {value.strip() for value in values}
+        seconds = parse_seconds(values[0]) if len(distinct) == 1 else None
+        if seconds is None:
+            self._requests_total.increment(result="ignored")
+            log_ignored(
+                "endpoint.backoff_ignored", endpoint_id, values, request_id
+            )
+            return
+        previous = self.seconds_left(endpoint_id)
+        now = self._clock.monotonic()
+        self._ends_at_by_id[endpoint_id] = now + max(seconds, previous)
+        self._requests_total.increment(result="requested")
+        log_decision(
+            "endpoint.backoff_requested",
+            request_id=request_id,
+            endpoint_id=endpoint_id,
+            seconds=seconds,
+            previous=round(previous, 3),
+        )
+
+    def seconds_left(self, endpoint_id: str) -> float:
+        """Return the seconds until a backoff ends, 0 if there is none."""
+        ends_at = self._ends_at_by_id.get(endpoint_id)
+        if ends_at is None:
+            return 0.0
+        return max(0.0, ends_at - self._clock.monotonic())
+
+    def is_active(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint wants no requests now."""
+        return self.seconds_left(endpoint_id) > 0
+
+    def remove_ended(self) -> None:
+        """Remove what has ended, and endpoints that no longer exist."""
+        live = self._read_endpoints()
+        for endpoint_id in list(self._ends_at_by_id):
+            if endpoint_id not in live or not self.is_active(endpoint_id):
+                del self._ends_at_by_id[endpoint_id]
+
+    def _count_active(self) -> int:
+        return sum(map(self.is_active, self._ends_at_by_id))
+
+    def _longest_seconds(self) -> float:
+        return max(map(self.seconds_left, self._ends_at_by_id), default=0.0)
--- a/burdockdrum/passthrough/responses.py
+++ b/burdockdrum/passthrough/responses.py
@@ -68,15 +68,25 @@
             return Lost(reason="response with an unrequested content coding")
         return None
 
-    def rate_limits(self, head: ResponseHead) -> list[bytes]:
-        """Return the rate limits that a response announces, unparsed."""
-        return head.find_all(self._names.rate_limit)
-
     def headers_for_caller(self, head: ResponseHead) -> Headers:
         """Return the response headers to forward to the caller."""
         return remove_hop_by_hop_headers(head.headers, HOP_HEADERS)
 
 
+def is_from_endpoint(head: ResponseHead, names: HeaderNames) -> bool:
+    """Return whether the endpoint that was called sent a response itself.
+
+    Only endpoints say that they did not run a request; such a response may
+    have no provenance header.
+    """
+    if head.find(VERDICT) is not None or head.status == MISDIRECTED_STATUS:
+        return False
+    return (
+        head.find(names.provenance) is not None
+        or head.find(names.not_run) is not None
+    )
+
+
 async def read_buffered(connection: ClientConnection) -> tuple[bytes, bool]:
     """Read a body to its end, or up to ``MAX_BUFFERED_BYTES``.
 
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -16,6 +16,7 @@
 from burdockdrum.passthrough.active_routes import ActiveRoutes
 from burdockdrum.passthrough.attempt_timeouts import AttemptTimeouts
 from burdockdrum.passthrough.attempts import AttemptRunner
+from burdockdrum.passthrough.drain_announcements import DrainAnnouncements
 from burdockdrum.passthrough.endpoint_limits import EndpointLimits
 from burdockdrum.passthrough.fleet import Fleet
 from burdockdrum.passthrough.header_names import HeaderNames
@@ -27,6 +28,8 @@
 from burdockdrum.passthrough.payloads import PayloadEncoder
 from burdockdrum.passthrough.relay import Relay
 from burdockdrum.passthrough.request_reader import RequestReader
+from burdockdrum.passthrough.requested_backoffs import RequestedBackoffs
+from burdockdrum.passthrough.response_signals import ResponseSignals
 from burdockdrum.passthrough.responses import ResponseClassifier
 from burdockdrum.passthrough.server import PassThroughServer
 from burdockdrum.passthrough.target_selection import TargetSelector
@@ -53,6 +56,8 @@
     kernel.add("header_names", lambda kernel: HeaderNames())
     kernel.add("endpoint_limits", _build_endpoint_limits)
     kernel.add("limit_permits", _build_limit_permits)
+    kernel.add("requested_backoffs", _build_backoffs)
+    kernel.add("response_signals", _build_response_signals)
     kernel.add("fleet", _build_fleet)
     kernel.add("endpoint_pool", _build_endpoint_pool)
     kernel.add("vm_pool", _build_vm_pool)
@@ -81,6 +86,28 @@
     return limits
 
 
+def _build_backoffs(kernel: Kernel) -> RequestedBackoffs:
+    registrations = kernel.find("registrations", RegistrationFollower)
+    return RequestedBackoffs(
+        clock=kernel.find("clock", Clock),
+        metrics=kernel.find("metrics", Metrics),
+        read_endpoints=lambda: registrations.endpoints_by_id,
+    )
+
+
+def _build_response_signals(kernel: Kernel) -> ResponseSignals:
+    registrations = kernel.find("registrations", RegistrationFollower)
+    return ResponseSignals(
+        names=kernel.find("header_names", HeaderNames),
+        limits=kernel.find("endpoint_limits", EndpointLimits),
+        backoffs=kernel.find("requested_backoffs", RequestedBackoffs),
+        drains=DrainAnnouncements(
+            metrics=kernel.find("metrics", Metrics),
+            record=registrations.record_drain,
+        ),
+    )
+
+
 def _build_limit_permits(kernel: Kernel) -> LimitPermits:
     registrations = kernel.find("registrations", RegistrationFollower)
     peers = kernel.find("peers", Peers)
@@ -207,7 +234,7 @@
             ).has_alternative,
             mechanisms=kernel.find("settings", Settings).policy.mechanisms,
         ),
-        limits=kernel.find("endpoint_limits", EndpointLimits),
+        signals=kernel.find("response_signals", ResponseSignals),
     )
     registrations = kernel.find("registrations", RegistrationFollower)
     registrations.restart_listeners.append(runner.abort_incarnation)
--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -82,6 +82,8 @@
         self._sources_by_id: dict[str, ControlSource] = {}
         self._ended_at_by_id: dict[str, float] = {}
         self._incarnations = LatestIncarnations()
+        # Endpoints that announced to drain.
+        self._announced_drains: set[str] = set()
         # When ends of endpoints without a known incarnation arrived.
         self._unmatched_ends_by_name: dict[str, float] = {}
         self._entry_counts_by_id: dict[str, tuple[int, int]] = {}
@@ -144,6 +146,16 @@
             if source is not None and self._list_unknown_limits(source):
                 self._watch(vm_id, address, None, is_acknowledgement=True)
 
+    def record_drain(self, endpoint_id: str) -> bool:
+        """Record that an endpoint announced to drain.
+
+        :returns: whether it was not known before
+        """
+        if endpoint_id in self._announced_drains:
+            return False
+        self._announced_drains.add(endpoint_id)
+        return True
+
     def drop(self, endpoint_id: str) -> None:
         """Remove an incarnation of an endpoint that was replaced."""
         self._ended_at_by_id[endpoint_id] = self._clock.monotonic()
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 import time
 import unittest
@@ -13,6 +14,7 @@
 from burdockdrum.metrics import Metrics
 from burdockdrum.passthrough.attempt_timeouts import AttemptTimeouts
 from burdockdrum.passthrough.attempts import AttemptRunner
+from burdockdrum.passthrough.drain_announcements import DrainAnnouncements
 from burdockdrum.passthrough.endpoint_limits import EndpointLimits
 from burdockdrum.passthrough.fleet import Fleet
 from burdockdrum.passthrough.header_names import HeaderNames
@@ -21,11 +23,14 @@
 from burdockdrum.passthrough.payloads import PayloadEncoder
 from burdockdrum.passthrough.relay import Relay
 from burdockdrum.passthrough.request_reader import RequestReader
+from burdockdrum.passthrough.requested_backoffs import RequestedBackoffs
+from burdockdrum.passthrough.response_signals import ResponseSignals
 from burdockdrum.passthrough.responses import ResponseClassifier
 from burdockdrum.passthrough.route_index import RouteIndex
 from burdockdrum.passthrough.target_selection import TargetSelector
 from burdockdrum.peers import VmIdentity
 from burdockdrum.registrations import Load
+from burdockdrum.registrations import RegistrationState
 from burdockdrum.registrations import ServiceCapacity
 from tests.callers.fakes import FakeConfiguration
 from tests.callers.fakes import make_finder
@@ -184,6 +189,19 @@
             metrics=metrics,
             read_endpoints=lambda: registered,
         )
+        backoffs = RequestedBackoffs(
+            clock=clock, metrics=metrics, read_endpoints=lambda: registered
+        )
+
+        def drain_endpoint(name):
+            known = registered.get(name)
+            if known is None or known.is_draining:
+                return False
+            registered[name] = dataclasses.replace(
+                known, state=RegistrationState.DRAINING
+            )
+            return True
+
         fleet = Fleet(
             clock=clock,
             rng=rng,
@@ -219,7 +237,14 @@
                 budget=budget,
                 has_alternative=selector.has_alternative,
             ),
-            limits=limits,
+            signals=ResponseSignals(
+                names=NAMES,
+                limits=limits,
+                backoffs=backoffs,
+                drains=DrainAnnouncements(
+                    metrics=metrics, record=drain_endpoint
+                ),
+            ),
         )
         permits = LimitPermits(
             clock=clock,
@@ -256,6 +281,7 @@
         entry.metrics = metrics
         entry.meter = meter
         entry.limits, entry.permits = limits, permits
+        entry.backoffs, entry.registered = backoffs, registered
         await entry.callers.open()
         await entry.vms.open()
         self.entries[region] = entry
--- /dev/null
+++ b/tests/passthrough/test_response_signals.py
@@ -0,0 +1,117 @@
+"""Tests of the backoffs and drains that endpoints' responses announce."""
+
+from tests.passthrough.entries import answer
+from tests.passthrough.entries import Endpoint
+from tests.passthrough.entries import RelayCase
+
+BACKOFFS = "burdockdrum_endpoint_backoff_requests_total"
+DRAINS = "burdockdrum_endpoint_drain_announcements_total"
+UNAVAILABLE = b"503 Service Unavailable"
+NOT_RUN = b"X-Not-Started: 1"
+UNREADABLE_SECONDS = [
+    [b""],
+    [b" -1"],
+    [b" NaN"],
+    [b" inf"],
+    [b" 1e9"],
+    [b" " + b"9" * 5000],
+    [b" Thu, 03 Dec 2026 12:00:00 GMT"],
+    [b" 2, 3"],
+    [b" 2", b" 3"],
+]
+
+
+def reject(*values, extra=(NOT_RUN,), status=UNAVAILABLE):
+    """Return a behaviour that rejects a request and requests backoffs."""
+    lines = [b"Retry-After:" + value for value in values]
+    return answer(b"", status, *extra, *lines, has_provenance=False)
+
+
+class BackoffObservationTest(RelayCase):
+    """Backoffs as an entry receives them."""
+
+    async def observe(self, behaviour):
+        """Let an endpoint respond once; return the backoff in seconds."""
+        self.entry = await self.open(Endpoint(behaviour))
+        await self.entry.call()
+        return self.entry.backoffs.seconds_left("here-0")
+
+    def count(self, result):
+        return self.entry.metrics.counter(BACKOFFS, "").value(result=result)
+
+    async def test_rejection_requests_a_backoff(self):
+        self.assertAlmostEqual(3.0, await self.observe(reject(b" 3")), 0)
+        self.assertEqual(1, self.count("requested"))
+
+    async def test_error_of_the_endpoint_counts_without_not_run(self):
+        # Guards against reading only responses that say "not run".
+        behaviour = answer(b"x", UNAVAILABLE, b"Retry-After: 3")
+        self.assertAlmostEqual(3.0, await self.observe(behaviour), 0)
+
+    async def test_equal_values_count_once(self):
+        seconds = await self.observe(reject(b" 3", b" 3"))
+        self.assertAlmostEqual(3.0, seconds, 0)
+
+    async def test_other_statuses_and_senders_request_nothing(self):
+        # Guards against a backoff that the endpoint did not request.
+        for behaviour in (
+            answer(b"x", UNAVAILABLE, b"Retry-After: 3", has_provenance=False),
+            reject(b" 3", extra=(NOT_RUN, b"X-Verdict: not run")),
+            reject(b" 3", status=b"421 Misdirected Request"),
+            reject(b" 3", status=b"429 Too Many Requests"),
+            answer(b"x", b"200 OK", b"Retry-After: 3"),
+        ):
+            with self.subTest(behaviour=behaviour):
+                self.assertEqual(0.0, await self.observe(behaviour))
+                self.assertEqual(0, self.count("requested"))
+
+    async def test_unreadable_value_is_ignored(self):
+        # Guards against a backoff of NaN or infinity, which never ends.
+        for values in UNREADABLE_SECONDS:
+            with self.subTest(values=values):
+                self.assertEqual(0.0, await self.observe(reject(*values)))
+                self.assertEqual(1, self.count("ignored"))
+
+
+class DrainObservationTest(RelayCase):
+    """Announced drains as an entry receives them."""
+
+    async def observe(self, behaviour):
+        """Let an endpoint respond twice; return whether it drains."""
+        self.entry = await self.open(Endpoint(behaviour))
+        await self.entry.call()
+        await self.entry.call()
+        endpoint = self.entry.registered.get("here-0")
+        return endpoint is not None and endpoint.is_draining
+
+    def count(self, result):
+        return self.entry.metrics.counter(DRAINS, "").value(result=result)
+
+    async def test_every_response_of_the_endpoint_can_announce(self):
+        drain = b"X-Draining: 1"
+        for behaviour in (
+            answer(b"ok", b"200 OK", drain),
+            answer(b"x", b"404 Not Found", drain),
+            answer(b"x", b"500 Internal Server Error", drain),
+            reject(extra=(NOT_RUN, drain)),
+        ):
+            with self.subTest(behaviour=behaviour):
+                self.assertTrue(await self.observe(behaviour))
+                self.assertEqual(1, self.count("announced"))
+
+    async def test_other_senders_announce_nothing(self):
+        drain = b"X-Draining: 1"
+        for behaviour in (
+            answer(b"x", b"200 OK", drain, has_provenance=False),
+            reject(extra=(drain, NOT_RUN, b"X-Verdict: not run")),
+            reject(extra=(NOT_RUN, drain), status=b"421 Misdirected Request"),
+        ):
+            with self.subTest(behaviour=behaviour):
+                self.assertFalse(await self.observe(behaviour))
+
+    async def test_other_values_are_ignored(self):
+        for value in (b"", b" 0", b" true", b" 2", b" 1, 1"):
+            with self.subTest(value=value):
+                behaviour = answer(b"ok", b"200 OK", b"X-Draining:" + value)
+                self.assertFalse(await self.observe(behaviour))
+                self.assertEqual(2, self.count("ignored"))
