--- /dev/null
+++ b/tests/platform/runners.py
@@ -0,0 +1,165 @@
+"""A deployment of processes with a runner that two entries send to."""
+
+import asyncio
+import json
+import time
+import unittest
+
+from scripts.local_deployment import call
+from scripts.local_deployment import CALLERS_PORT
+from scripts.local_deployment import CONTROL_PORT
+from scripts.local_deployment import Deployment
+from scripts.local_deployment import until
+from tests.http1.wire import header
+from tests.http1.wire import read_request
+from tests.http1.wire import ScriptedServer
+
+CONFIG = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "fetch",
+            "host": "h",
+            "path_prefix": "/p/",
+            "kind": "safe",
+            "timeout_ms": 2000,
+            "service": "s",
+        }
+    ],
+    "services": [{"name": "s"}],
+}
+SEND_INTERVAL_SECONDS = 0.02
+
+
+class Runner(ScriptedServer):
+    """A runner that records its requests.
+
+    ``status`` is that of its responses; ``headers`` are added to them.
+    """
+
+    def __init__(self):
+        """Create a runner that serves every request."""
+        super().__init__(self._respond)
+        self.status = b"200 OK"
+        self.headers = ()
+        self.arrived_at_by_id = {}
+
+    async def _respond(self, reader, writer):
+        while True:
+            head, _ = await read_request(reader)
+            request_id = header(head, b"x-request-id")
+            self.arrived_at_by_id[request_id.decode()] = time.monotonic()
+            lines = [
+                b"HTTP/1.1 " + self.status,
+                b"X-Request-Id: " + request_id,
+                *self.headers,
+            ]
+            if self.status.startswith(b"200"):
+                lines.append(b"X-Server-Stamp: s")
+            else:
+                lines.append(b"X-Not-Run: 1")
+            lines.append(b"Content-Length: 3")
+            writer.write(b"\r\n".join(lines) + b"\r\n\r\nran")
+
+
+class RunnerCase(unittest.IsolatedAsyncioTestCase):
+    """Base class of tests with two entries of one region and a runner.
+
+    Requests to the entries have ids that begin with 0- and with 1-.
+    """
+
+    async def asyncSetUp(self):
+        self.deployment = Deployment(entries=2)
+        self.addAsyncCleanup(self.deployment.stop)
+        self.runner = Runner()
+        self.address = await self.runner.open()
+        self.addAsyncCleanup(self.runner.close)
+        await self.deployment.start()
+        self.tasks = [asyncio.create_task(self.check_in())]
+        self.addAsyncCleanup(self.cancel_tasks)
+        self.entries = [e for e in self.deployment.entries if e.zone == "a"]
+        self.statuses_by_id = {}
+        self.calls = 0
+        await until(self.put_config, 20)
+        await self.deployment.until_ready()
+        await until(self.is_served)
+
+    async def cancel_tasks(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def check_in(self):
+        """Check in the runner at the first control VM."""
+        sequence = 0
+        while True:
+            sequence += 1
+            body = {
+                "service": "s",
+                "addr": self.address,
+                "zone": "a",
+                "slots": 4,
+                "state": "ready",
+                "seq": sequence,
+            }
+            await call(
+                self.deployment.control[0].ip,
+                CONTROL_PORT,
+                "PUT",
+                "/v1/instances/i-1",
+                json.dumps(body).encode(),
+            )
+            await asyncio.sleep(0.3)
+
+    async def put_config(self):
+        status, _ = await call(
+            self.deployment.control[0].ip,
+            CONTROL_PORT,
+            "PUT",
+            "/v1/config",
+            json.dumps(CONFIG).encode(),
+        )
+        return status == 200
+
+    async def send_request(self, entry):
+        self.calls += 1
+        request_id = f"{self.entries.index(entry)}-{self.calls}"
+        headers = (
+            "Host: h",
+            f"X-Request-Id: {request_id}",
+            "X-Deadline-Ms: 2000",
+        )
+        status, _ = await call(
+            entry.ip, CALLERS_PORT, "POST", "/p/x", b"q", headers
+        )
+        self.statuses_by_id[request_id] = status
+        return status
+
+    async def is_served(self):
+        """Return whether requests to both entries succeed."""
+        statuses = [await self.send_request(e) for e in self.entries]
+        return statuses == [200, 200]
+
+    async def send_continuously(self, entry):
+        while True:
+            await self.send_request(entry)
+            await asyncio.sleep(SEND_INTERVAL_SECONDS)
+
+    def send_to_all(self):
+        """Begin to send requests to both entries."""
+        self.tasks += [
+            asyncio.create_task(self.send_continuously(entry))
+            for entry in self.entries
+        ]
+
+    def arrivals(self, number, since):
+        """Return when requests of an entry arrived after a time."""
+        return [
+            at
+            for request_id, at in self.runner.arrived_at_by_id.items()
+            if request_id.startswith(f"{number}-") and at >= since
+        ]
+
+    def events(self):
+        """Return the names of the events that both entries logged."""
+        return [name for entry in self.entries for name in entry.events()]
