--- a/burdockdrum/holdings/polling.py
+++ b/burdockdrum/holdings/polling.py
@@ -65,6 +65,8 @@
         self._has_prefix_cache = has_prefix_cache
         self._initial_sync_done = initial_sync_done
         self._tasks_by_id: dict[str, asyncio.Task[None]] = {}
+        # Returns for how many seconds an endpoint wants no queries.
+        self.read_backoff: Callable[[str], float] = lambda endpoint_id: 0.0
 
     @property
     def endpoint_ids(self) -> Collection[str]:
@@ -117,6 +119,7 @@
     ) -> None:
         was_reachable = True
         while True:
+            await self._wait_for_backoff(endpoint.endpoint_id)
             started_at = self._clock.monotonic()
             delay = POLL_INTERVAL_SECONDS
             try:
@@ -141,6 +144,10 @@
             elapsed = self._clock.monotonic() - started_at
             await self._clock.sleep(max(0.0, delay - elapsed))
 
+    async def _wait_for_backoff(self, endpoint_id: str) -> None:
+        while (seconds := self.read_backoff(endpoint_id)) > 0:
+            await self._clock.sleep(seconds)
+
     def _publish_reachability(
         self, endpoint_id: str, *, is_unreachable: bool
     ) -> None:
--- a/burdockdrum/passthrough/__init__.py
+++ b/burdockdrum/passthrough/__init__.py
@@ -8,6 +8,7 @@
 from burdockdrum.passthrough.active_routes import ActiveRoutes
 from burdockdrum.passthrough.header_names import HeaderNames
 from burdockdrum.passthrough.relay import Relay
+from burdockdrum.passthrough.response_signals import ResponseSignals
 from burdockdrum.passthrough.route_index import RouteIndex
 from burdockdrum.passthrough.server import PassThroughServer
 from burdockdrum.passthrough.services import add_services
@@ -17,6 +18,7 @@
     "HeaderNames",
     "PassThroughServer",
     "Relay",
+    "ResponseSignals",
     "RouteIndex",
     "ActiveRoutes",
 ]
--- a/burdockdrum/passthrough/attempts.py
+++ b/burdockdrum/passthrough/attempts.py
@@ -125,17 +125,20 @@
         in_flight_request = self._fleet.record_sent(
             target.choice, request.backend, request.prompt, request.route.rank
         )
-        payload = self._payloads.for_endpoint(
-            request,
-            endpoint_id=endpoint.reported_id,
-            fetch_from=target.choice.fetch_from,
-            seconds_left=self._seconds_left(request),
-            last_event=splitter.last_number,
-        )
+
+        def encode() -> bytes:
+            return self._payloads.for_endpoint(
+                request,
+                endpoint_id=endpoint.reported_id,
+                fetch_from=self._fleet.current_fetch_from(target.choice),
+                seconds_left=self._seconds_left(request),
+                last_event=splitter.last_number,
+            )
+
         call = Call(
             pool=self._endpoint_pool,
             address=endpoint.address,
-            payload=payload,
+            encode=encode,
             connect_timeout_seconds=CONNECT_TIMEOUT_SECONDS,
             target=target,
             in_flight_request=in_flight_request,
@@ -165,16 +168,20 @@
         exchange: Exchange,
         splitter: ResumableEventSplitter,
     ) -> Outcome:
-        payload = self._payloads.for_region(
-            request,
-            seconds_left=self._seconds_left(request),
-            attempts=forwarded_attempts(request, progress),
-            last_event=splitter.last_number,
-        )
+        attempts = forwarded_attempts(request, progress)
+
+        def encode() -> bytes:
+            return self._payloads.for_region(
+                request,
+                seconds_left=self._seconds_left(request),
+                attempts=attempts,
+                last_event=splitter.last_number,
+            )
+
         call = Call(
             pool=self._vm_pool,
             address=target.address,
-            payload=payload,
+            encode=encode,
             connect_timeout_seconds=HOP_CONNECT_TIMEOUT_SECONDS,
             target=target,
         )
@@ -200,17 +207,15 @@
             )
         except NotConnected as error:
             return NotStarted(reason=str(error), reached=False)
-        left = self._seconds_left(request) + DEADLINE_GRACE_SECONDS
-        if left <= DEADLINE_GRACE_SECONDS:
+        reason = self._reason_to_withhold(call, request)
+        if reason is not None:
             call.pool.release(call.address, connection)
-            return NotStarted(
-                reason="the deadline passed before the request was sent",
-                reached=False,
-            )
+            return NotStarted(reason=reason, reached=False, withheld=True)
+        left = self._seconds_left(request) + DEADLINE_GRACE_SECONDS
         progress.sent += 1
         began = self._clock.monotonic()
         try:
-            connection.send(call.payload, request.request_id.encode())
+            connection.send(call.encode(), request.request_id.encode())
             async with asyncio.timeout(left) as call.timeout:
                 call.watchdog = self._timeouts.start_watchdog(
                     call.target, request, progress, call.abort
@@ -232,6 +237,18 @@
             # end, which cancels the request at the other side.
             call.pool.release(call.address, connection)
 
+    def _reason_to_withhold(
+        self, call: Call, request: ProxiedRequest
+    ) -> str | None:
+        """Return why a request should not be sent any more, if so."""
+        if self._seconds_left(request) <= 0:
+            return "the deadline passed before the request was sent"
+        match call.target:
+            case EndpointTarget(choice=choice):
+                if not self._fleet.accepts(choice.endpoint):
+                    return "the endpoint meanwhile wants no requests"
+        return None
+
     async def _receive(
         self,
         connection: ClientConnection,
@@ -335,7 +352,7 @@
                 health.record_success()
             case ErrorResponse(head=head) if head.status >= 500:
                 health.record_error(now)
-            case NotStarted(reached=False):
+            case NotStarted(reached=False, withheld=False):
                 health.record_unreachable(now)
             case Lost(timed_out=False):
                 health.record_loss(now)
--- /dev/null
+++ b/burdockdrum/passthrough/candidates.py
@@ -0,0 +1,39 @@
+"""The endpoints that a request may be sent to now."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from burdockdrum.passthrough.endpoint_limits import EndpointLimits
+from burdockdrum.passthrough.requested_backoffs import RequestedBackoffs
+from burdockdrum.registrations import RegisteredEndpoint
+
+
+@dataclass(frozen=True, kw_only=True)
+class Candidates:
+    """Eligible endpoints, by whether they want requests now.
+
+    ``at_limit`` are those that have no room below their rate limits and
+    ``in_backoff`` those that want no requests from this entry.
+    """
+
+    available: list[RegisteredEndpoint]
+    at_limit: list[RegisteredEndpoint]
+    in_backoff: list[RegisteredEndpoint]
+
+
+def split_candidates(
+    eligible: Iterable[RegisteredEndpoint],
+    limits: EndpointLimits,
+    backoffs: RequestedBackoffs,
+) -> Candidates:
+    """Split eligible endpoints by what they announced."""
+    candidates = Candidates(available=[], at_limit=[], in_backoff=[])
+    for endpoint in eligible:
+        endpoint_id = endpoint.endpoint_id
+        if backoffs.is_active(endpoint_id):
+            candidates.in_backoff.append(endpoint)
+        elif limits.has_capacity(endpoint_id):
+            candidates.available.append(endpoint)
+        else:
+            candidates.at_limit.append(endpoint)
+    return candidates
--- a/burdockdrum/passthrough/endpoint_rating.py
+++ b/burdockdrum/passthrough/endpoint_rating.py
@@ -237,6 +237,7 @@
             seconds *= REMOTE_LINK_FACTOR
         here, there = endpoint.data_centre, holder.data_centre
         return PrefixFetch(
+            source_id=holder.endpoint_id,
             address=holder.address,
             tokens=tokens,
             transfer_seconds=seconds,
--- a/burdockdrum/passthrough/endpoint_state.py
+++ b/burdockdrum/passthrough/endpoint_state.py
@@ -28,7 +28,8 @@
     ``queued_tokens`` are the uncached tokens of other prompts there.
     ``prefill_cost_tokens`` is the prefill cost of the prompt, as the number of
     tokens of short prompts that take as long. ``skipped_at_limit`` is how
-    many other endpoints were skipped because of their rate limits.
+    many other endpoints were skipped because of their rate limits, and
+    ``skipped_in_backoff`` because of the backoffs that they requested.
     ``has_permit`` says that a holder of the endpoint's limit has counted the
     request.
     """
@@ -42,6 +43,7 @@
     prefill_cost_tokens: float = 0.0
     prefill_share: float = 0.0
     skipped_at_limit: int = 0
+    skipped_in_backoff: int = 0
     has_permit: bool = False
 
     @property
--- a/burdockdrum/passthrough/fleet.py
+++ b/burdockdrum/passthrough/fleet.py
@@ -10,6 +10,8 @@
 
 from burdockdrum.holdings import PrefixCacheTable
 from burdockdrum.metrics import Metrics
+from burdockdrum.passthrough.candidates import Candidates
+from burdockdrum.passthrough.candidates import split_candidates
 from burdockdrum.passthrough.endpoint_limits import EndpointLimits
 from burdockdrum.passthrough.endpoint_rating import EndpointRater
 from burdockdrum.passthrough.endpoint_rating import RatedRequest
@@ -23,6 +25,8 @@
 from burdockdrum.passthrough.prefix_finder import PrefixFinder
 from burdockdrum.passthrough.prompts import Prompt
 from burdockdrum.passthrough.request_timings import RequestTimings
+from burdockdrum.passthrough.requested_backoffs import RequestedBackoff
+from burdockdrum.passthrough.requested_backoffs import RequestedBackoffs
 from burdockdrum.passthrough.stale_load import draw
 from burdockdrum.passthrough.stale_load import find_level
 from burdockdrum.ports import Clock
@@ -64,6 +68,7 @@
         data_centre: str | None = None,
         crossing_seconds: float = 0.0,
         limits: EndpointLimits | None = None,
+        backoffs: RequestedBackoffs | None = None,
     ) -> None:
         """Create a fleet.
 
@@ -82,6 +87,7 @@
         :param crossing_seconds: seconds of waiting that equal the cost of
             sending a megabyte to another data centre
         :param limits: the rate limits of endpoints; none by default
+        :param backoffs: the backoffs that endpoints request; none by default
         """
         self._mechanisms = mechanisms or MechanismSettings()
         self.entries = 1
@@ -96,6 +102,7 @@
             prefix_cache_view=self.prefix_cache_view,
             engines=self.engines,
             list_sources=self._list_sources,
+            may_fetch_from=self._may_fetch_from,
             read_region=read_region,
             read_load_age=read_load_age,
             mechanisms=self._mechanisms,
@@ -121,6 +128,9 @@
         self._limits = limits or EndpointLimits(
             clock=clock, metrics=Metrics(), read_endpoints=read_endpoints
         )
+        self._backoffs = backoffs or RequestedBackoffs(
+            clock=clock, metrics=Metrics(), read_endpoints=read_endpoints
+        )
 
     def choose(
         self,
@@ -145,18 +155,12 @@
         :param permitted: id of an endpoint at its rate limit, for which a
             permit was acquired
         """
-        eligible = self._list_eligible(backend, tried, closed_data_centres)
-        candidates = [
-            endpoint
-            for endpoint in eligible
-            if self._limits.has_capacity(endpoint.endpoint_id)
-        ]
-        skipped = len(eligible) - len(candidates)
+        split = self._split_eligible(backend, tried, closed_data_centres)
         candidates = [
             endpoint
-            for endpoint in eligible
+            for endpoint in [*split.at_limit, *split.available]
             if endpoint.endpoint_id == permitted
-        ] or candidates
+        ] or split.available
         if not candidates:
             return None
         request = RatedRequest(
@@ -192,7 +196,8 @@
         return replace(
             chosen,
             prefill_cost_tokens=prefill_cost_tokens,
-            skipped_at_limit=skipped,
+            skipped_at_limit=len(split.at_limit),
+            skipped_in_backoff=len(split.in_backoff),
             has_permit=chosen.endpoint.endpoint_id == permitted,
         )
 
@@ -203,28 +208,54 @@
         closed_data_centres: frozenset[str],
     ) -> list[str]:
         """Return the ids of endpoints that only their limits exclude."""
-        return [
-            endpoint.endpoint_id
-            for endpoint in self._list_eligible(
-                backend, tried, closed_data_centres
-            )
-            if not self._limits.has_capacity(endpoint.endpoint_id)
+        split = self._split_eligible(backend, tried, closed_data_centres)
+        return [endpoint.endpoint_id for endpoint in split.at_limit]
+
+    def find_first_backoff(
+        self, backend: Backend, closed_data_centres: frozenset[str]
+    ) -> RequestedBackoff | None:
+        """Return the backoff that ends first, if all endpoints are in one."""
+        backoffs = [
+            self._backoffs.find(endpoint.endpoint_id)
+            for endpoint in self._live(backend.name)
+            if endpoint.data_centre not in closed_data_centres
         ]
+        active = [backoff for backoff in backoffs if backoff is not None]
+        if len(active) < len(backoffs):
+            return None
+        return min(active, key=lambda known: known.ends_at, default=None)
 
-    def _list_eligible(
+    def accepts(self, endpoint: RegisteredEndpoint) -> bool:
+        """Return whether a request placed before may still be sent."""
+        if self._backoffs.is_active(endpoint.endpoint_id):
+            return False
+        known = self._read_endpoints().get(endpoint.endpoint_id)
+        return known is None or not known.is_draining
+
+    def current_fetch_from(self, choice: RatedEndpoint) -> str | None:
+        """Return the address to fetch the prefix from, if still possible."""
+        fetch = choice.fetch
+        if fetch is None or not self._may_fetch_from(fetch.source_id):
+            return None
+        return fetch.address
+
+    def _may_fetch_from(self, endpoint_id: str) -> bool:
+        return not self._backoffs.is_active(endpoint_id)
+
+    def _split_eligible(
         self,
         backend: Backend,
         tried: frozenset[str],
         closed_data_centres: frozenset[str],
-    ) -> list[RegisteredEndpoint]:
-        """Return the eligible endpoints, also those at their rate limits."""
-        return [
+    ) -> Candidates:
+        eligible = (
             endpoint
             for endpoint in self._live(backend.name)
             if endpoint.endpoint_id not in tried
             and endpoint.data_centre not in closed_data_centres
             and self._is_eligible(endpoint, backend)
-        ]
+        )
+        return split_candidates(eligible, self._limits, self._backoffs)
 
     def _prefer_local(
         self, rated_endpoints: list[RatedEndpoint], expected_work: float
@@ -250,6 +281,13 @@
         """Return how many endpoints of a service accept requests here."""
         return sum(1 for _ in self._live(service))
 
+    def count_draining(self, service: str) -> int:
+        """Return how many endpoints of a service drain here."""
+        return sum(
+            endpoint.service == service and endpoint.is_draining
+            for endpoint in self._read_endpoints().values()
+        )
+
     def record_sent(
         self,
         choice: RatedEndpoint,
@@ -420,7 +458,12 @@
 
     def _list_sources(self, service: str) -> list[RegisteredEndpoint]:
         """Return the endpoints here that may serve prefix fetches."""
-        return [e for e in self._live(service) if self._is_responsive(e)]
+        return [
+            endpoint
+            for endpoint in self._live(service)
+            if self._is_responsive(endpoint)
+            and self._may_fetch_from(endpoint.endpoint_id)
+        ]
 
     def _is_responsive(self, endpoint: RegisteredEndpoint) -> bool:
         """Return whether an endpoint sends heartbeats and responses."""
--- a/burdockdrum/passthrough/in_flight_calls.py
+++ b/burdockdrum/passthrough/in_flight_calls.py
@@ -1,6 +1,7 @@
 """In-flight calls of attempts, and how to abort them."""
 
 import asyncio
+from collections.abc import Callable
 
 from burdockdrum.http1 import ConnectionPool
 from burdockdrum.passthrough.attempt_timeouts import AttemptWatchdog
@@ -9,14 +10,17 @@
 
 
 class Call:
-    """The target and payload of an attempt, with its abort handle."""
+    """The target of an attempt, with its abort handle.
+
+    ``encode`` returns the request as it is sent now.
+    """
 
     def __init__(
         self,
         *,
         pool: ConnectionPool,
         address: str,
-        payload: bytes,
+        encode: Callable[[], bytes],
         connect_timeout_seconds: float,
         target: Target,
         in_flight_request: InFlightRequest | None = None,
@@ -24,7 +28,7 @@
         """Create a call that has not been sent yet."""
         self.pool = pool
         self.address = address
-        self.payload = payload
+        self.encode = encode
         self.connect_timeout_seconds = connect_timeout_seconds
         self.target = target
         self.in_flight_request = in_flight_request
--- a/burdockdrum/passthrough/model.py
+++ b/burdockdrum/passthrough/model.py
@@ -58,6 +58,8 @@
     the last attempt. ``has_acquired_retry`` says that the next attempt has
     already been charged to the retry budget. ``permit`` is what came of
     asking for a permit for the next attempt, None if not asked.
+    ``region_retry_after`` is the shortest time in seconds after which another
+    region wants the request to return, None if no region said so.
     """
 
     verdict: Verdict = Verdict.NOT_RUN
@@ -75,6 +77,16 @@
     target: "Target | None" = None
     chunks_sent: int = 0
     permit: PermitResult | None = None
+    region_retry_after: float | None = None
+
+    def record_region_retry_after(self, seconds: float | None) -> None:
+        """Record when another region wants the request to return, if so."""
+        if seconds is None:
+            return
+        known = self.region_retry_after
+        self.region_retry_after = (
+            seconds if known is None else min(known, seconds)
+        )
 
     def record_chunk(self, now: float) -> None:
         """Record a chunk that is sent to the caller."""
@@ -134,14 +146,16 @@
 class NotStarted:
     """The attempt did not run.
 
-    ``reached`` says whether the target could be connected to, ``replaced``
-    that another incarnation has the endpoint's address.
+    ``reached`` says whether the target responded, ``withheld`` that the
+    request was not sent although the target could be connected to, and
+    ``replaced`` that another incarnation has the endpoint's address.
     """
 
     log_name: ClassVar[str] = "NotStarted"
 
     reason: str
     reached: bool
+    withheld: bool = False
     replaced: bool = False
     retry_after: float | None = None
 
--- a/burdockdrum/passthrough/prefix_cache_view.py
+++ b/burdockdrum/passthrough/prefix_cache_view.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from burdockdrum.holdings import EndpointCache
 from burdockdrum.holdings import PrefixCacheTable
 from burdockdrum.passthrough.prompts import Prompt
 from burdockdrum.passthrough.prompts import PromptPart
@@ -167,7 +168,7 @@
         self,
         prompt: Prompt,
         near: Iterable[tuple[str, str, str]],
-        may_fetch: Callable[[str], bool],
+        is_source: Callable[[EndpointCache], bool],
     ) -> PrefixHolder | None:
         """Return the endpoint with the longest part of a shared prefix.
 
@@ -175,7 +176,7 @@
 
         :param near: ids, addresses and data centres of this region's
             endpoints
-        :param may_fetch: returns whether a data centre's endpoints may be
+        :param is_source: returns whether a reporting endpoint may be
             fetched from
         """
         shared = prompt.parts[:-1]
@@ -196,7 +197,7 @@
             prompt.shared_tokens * WHOLE_PART_FRACTION
         ):
             return best
-        return self.find_reported_holder(prompt, may_fetch, best)
+        return self.find_reported_holder(prompt, is_source, best)
 
     def retain_endpoints(self, endpoint_ids: Container[str]) -> None:
         """Discard the sent parts of all other endpoints."""
@@ -207,12 +208,12 @@
     def find_reported_holder(
         self,
         prompt: Prompt,
-        is_eligible: Callable[[str], bool],
+        is_eligible: Callable[[EndpointCache], bool],
         best: PrefixHolder | None = None,
     ) -> PrefixHolder | None:
         """Return the reporting endpoint with the longest cached prefix.
 
-        :param is_eligible: returns whether a data centre's endpoints count
+        :param is_eligible: returns whether a reporting endpoint counts
         :param best: returned if no reporting endpoint holds more
         """
         shared = prompt.parts[:-1]
@@ -220,7 +221,7 @@
             return best
         longest = max(shared, key=lambda part: part.tokens)
         for memory in self._cache_reports.holders(longest.part_id):
-            if memory.is_unreachable or not is_eligible(memory.data_centre):
+            if memory.is_unreachable or not is_eligible(memory):
                 continue
             tokens = self._count_cached_tokens(memory.endpoint_id, shared)
             if best is None or tokens > best.tokens:
--- a/burdockdrum/passthrough/prefix_finder.py
+++ b/burdockdrum/passthrough/prefix_finder.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 
+from burdockdrum.holdings import EndpointCache
 from burdockdrum.passthrough.endpoint_rating import REMOTE_LINK_FACTOR
 from burdockdrum.passthrough.engines import EngineEstimates
 from burdockdrum.passthrough.prefix_cache_view import choose_prefix_endpoint
@@ -31,6 +32,7 @@
         prefix_cache_view: PrefixCacheView,
         engines: EngineEstimates,
         list_sources: Callable[[str], list[RegisteredEndpoint]],
+        may_fetch_from: Callable[[str], bool],
         read_region: Callable[[str], str | None],
         read_load_age: Callable[[], float],
         mechanisms: MechanismSettings,
@@ -39,6 +41,8 @@
 
         :param list_sources: returns a service's endpoints of this region
             that others may fetch from
+        :param may_fetch_from: returns whether an endpoint of any region may
+            be fetched from, by its id
         :param read_region: returns the region of a data centre
         :param read_load_age: returns the age in seconds of the reports from
             other entries
@@ -46,6 +50,7 @@
         self._prefix_cache_view = prefix_cache_view
         self._engines = engines
         self._list_sources = list_sources
+        self._may_fetch_from = may_fetch_from
         self._read_region = read_region
         self._read_load_age = read_load_age
         self._mechanisms = mechanisms
@@ -90,7 +95,8 @@
         if not self._mechanisms.fetched_beginnings:
             return prompt.tokens, None
         holder = self._prefix_cache_view.find_reported_holder(
-            prompt, lambda name: self._read_region(name) == region
+            prompt,
+            lambda cache: self._read_region(cache.data_centre) == region,
         )
         if holder is not None:
             return prompt.tokens - holder.tokens, None
@@ -98,6 +104,7 @@
         if holder is None or holder.tokens < MIN_FETCH_TOKENS:
             return prompt.tokens, None
         fetch = PrefixFetch(
+            source_id=holder.endpoint_id,
             address=holder.address,
             tokens=holder.tokens,
             transfer_seconds=transfer_seconds(backend, holder.tokens)
@@ -130,15 +137,20 @@
         A prompt is not fetched from regions that may not process it.
         """
 
-        def may_fetch(data_centre: str) -> bool:
+        def is_home(data_centre: str) -> bool:
             return not homes or self._read_region(data_centre) in homes
 
+        def is_source(cache: EndpointCache) -> bool:
+            return is_home(cache.data_centre) and self._may_fetch_from(
+                cache.endpoint_id
+            )
+
         return self._prefix_cache_view.find_best_holder(
             prompt,
             [
                 (e.endpoint_id, e.address, e.data_centre)
                 for e in self._list_sources(backend.name)
-                if may_fetch(e.data_centre)
+                if is_home(e.data_centre)
             ],
-            may_fetch,
+            is_source,
         )
--- a/burdockdrum/passthrough/prefixes.py
+++ b/burdockdrum/passthrough/prefixes.py
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class PrefixFetch:
-    """A transfer of cached tokens from another endpoint.
+    """A transfer of cached tokens from another endpoint, ``source_id``.
 
     ``transfer_seconds`` is the transfer time by the bandwidth of the links;
     ``is_cross_region`` says whether the source is in another region.
@@ -46,6 +46,7 @@
     address: str
     tokens: int
     transfer_seconds: float
+    source_id: str = ""
     is_cross_region: bool = False
 
 
--- a/burdockdrum/passthrough/relay.py
+++ b/burdockdrum/passthrough/relay.py
@@ -98,6 +98,10 @@
             "burdockdrum_endpoint_limit_decisions_total",
             "Attempts and refusals that the rate limits of endpoints decided.",
         )
+        self._backoff_decisions_total = metrics.counter(
+            "burdockdrum_endpoint_backoff_decisions_total",
+            "Attempts and refusals that requested backoffs decided.",
+        )
         self._estimate_errors = metrics.histogram(
             "burdockdrum_first_part_error_seconds",
             "Absolute error of the expected time to first byte of streams.",
@@ -248,6 +252,8 @@
                 progress.tried.add(vm_id)
                 if not isinstance(outcome, NotStarted) or outcome.retry_after:
                     progress.tried_regions.add(region)
+                if isinstance(outcome, NotStarted):
+                    progress.record_region_retry_after(outcome.retry_after)
         match outcome:
             case NotStarted(reason=reason):
                 progress.last_reason = reason
@@ -306,18 +312,28 @@
         timed_out = isinstance(outcome, Lost) and outcome.timed_out
         deadline_passed = request.deadline <= self._clock.monotonic()
         is_deadline = timed_out or deadline_passed
-        retry_after = None
-        if isinstance(outcome, NotStarted):
-            retry_after = outcome.retry_after
         raise Refusal(
             code=RefusalCode.DEADLINE
             if is_deadline
             else RefusalCode.ENDPOINT_LOST,
             message=f"{request.backend.name}: {progress.last_reason}",
             verdict=progress.verdict,
-            retry_after=retry_after,
+            retry_after=self._return_seconds(request, progress, outcome),
         )
 
+    def _return_seconds(
+        self,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        outcome: Outcome,
+    ) -> float | None:
+        """Return when a rejected request should return, if known."""
+        if not isinstance(outcome, NotStarted):
+            return None
+        if outcome.retry_after is not None:
+            return outcome.retry_after
+        return self._selector.seconds_until_backoffs_end(request, progress)
+
     def _forward_failure(
         self,
         request: ProxiedRequest,
@@ -350,8 +366,11 @@
         name = self._names.request_id
         given = exchange.request.find(name)
         identity = [(name, given)] if given is not None else []
-        if refusal.code is RefusalCode.ENDPOINT_LIMIT:
-            self._limit_decisions_total.increment(decision="refused")
+        match refusal.code:
+            case RefusalCode.ENDPOINT_LIMIT:
+                self._limit_decisions_total.increment(decision="refused")
+            case RefusalCode.ENDPOINT_BACKOFF:
+                self._backoff_decisions_total.increment(decision="refused")
         log_failure(
             "request.refused",
             request_id=(given or b"").decode("latin-1"),
@@ -362,6 +381,7 @@
             verdict=refusal.verdict.value,
             status=status_of(refusal),
             reason=refusal.message,
+            retry_after=refusal.retry_after,
             hop=is_hop,
         )
         if is_hop:
@@ -393,10 +413,13 @@
         )
 
     def _count_skipped(self, target: Target) -> None:
-        """Count an attempt for which endpoints at their limit were skipped."""
-        match target:
-            case EndpointTarget(choice=choice) if choice.skipped_at_limit:
-                self._limit_decisions_total.increment(decision="skipped")
+        """Count an attempt for which endpoints were skipped."""
+        if not isinstance(target, EndpointTarget):
+            return
+        if target.choice.skipped_at_limit:
+            self._limit_decisions_total.increment(decision="skipped")
+        if target.choice.skipped_in_backoff:
+            self._backoff_decisions_total.increment(decision="skipped")
 
     def _record_estimate_error(
         self, target: Target, first_byte_seconds: float
--- a/burdockdrum/passthrough/request_log.py
+++ b/burdockdrum/passthrough/request_log.py
@@ -93,6 +93,7 @@
                 "unread_tokens": choice.uncached_tokens,
                 "fetch_from": choice.fetch_from,
                 "skipped_at_limit": choice.skipped_at_limit,
+                "skipped_in_backoff": choice.skipped_in_backoff,
                 "has_permit": choice.has_permit,
             }
         case RegionTarget(vm_id=vm_id):
--- a/burdockdrum/passthrough/requested_backoffs.py
+++ b/burdockdrum/passthrough/requested_backoffs.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Container
+from dataclasses import dataclass
 
 from burdockdrum.http1 import parse_seconds
 from burdockdrum.logs import log_decision
@@ -10,6 +11,17 @@
 from burdockdrum.ports import Clock
 
 
+@dataclass(frozen=True, kw_only=True)
+class RequestedBackoff:
+    """The backoff that an endpoint requested.
+
+    ``seconds`` is its whole length; ``ends_at`` is monotonic.
+    """
+
+    seconds: float
+    ends_at: float
+
+
 class RequestedBackoffs:
     """Until when endpoints want no requests from this entry.
 
@@ -31,7 +43,7 @@
         """
         self._clock = clock
         self._read_endpoints = read_endpoints
-        self._ends_at_by_id: dict[str, float] = {}
+        self._backoffs_by_id: dict[str, RequestedBackoff] = {}
         self._requests_total = metrics.counter(
             "burdockdrum_endpoint_backoff_requests_total",
             "Backoffs that endpoints requested from this entry, by result.",
@@ -72,8 +84,10 @@
             )
             return
         previous = self.seconds_left(endpoint_id)
-        now = self._clock.monotonic()
-        self._ends_at_by_id[endpoint_id] = now + max(seconds, previous)
+        if seconds > previous:
+            self._backoffs_by_id[endpoint_id] = RequestedBackoff(
+                seconds=seconds, ends_at=self._clock.monotonic() + seconds
+            )
         self._requests_total.increment(result="requested")
         log_decision(
             "endpoint.backoff_requested",
@@ -83,26 +97,33 @@
             previous=round(previous, 3),
         )
 
+    def find(self, endpoint_id: str) -> RequestedBackoff | None:
+        """Return the backoff of an endpoint that has not ended, if any."""
+        backoff = self._backoffs_by_id.get(endpoint_id)
+        if backoff is None or backoff.ends_at <= self._clock.monotonic():
+            return None
+        return backoff
+
     def seconds_left(self, endpoint_id: str) -> float:
         """Return the seconds until a backoff ends, 0 if there is none."""
-        ends_at = self._ends_at_by_id.get(endpoint_id)
-        if ends_at is None:
+        backoff = self.find(endpoint_id)
+        if backoff is None:
             return 0.0
-        return max(0.0, ends_at - self._clock.monotonic())
+        return backoff.ends_at - self._clock.monotonic()
 
     def is_active(self, endpoint_id: str) -> bool:
         """Return whether an endpoint wants no requests now."""
-        return self.seconds_left(endpoint_id) > 0
+        return self.find(endpoint_id) is not None
 
     def remove_ended(self) -> None:
         """Remove what has ended, and endpoints that no longer exist."""
         live = self._read_endpoints()
-        for endpoint_id in list(self._ends_at_by_id):
+        for endpoint_id in list(self._backoffs_by_id):
             if endpoint_id not in live or not self.is_active(endpoint_id):
-                del self._ends_at_by_id[endpoint_id]
+                del self._backoffs_by_id[endpoint_id]
 
     def _count_active(self) -> int:
-        return sum(map(self.is_active, self._ends_at_by_id))
+        return sum(map(self.is_active, self._backoffs_by_id))
 
     def _longest_seconds(self) -> float:
-        return max(map(self.seconds_left, self._ends_at_by_id), default=0.0)
+        return max(map(self.seconds_left, self._backoffs_by_id), default=0.0)
--- a/burdockdrum/passthrough/response_signals.py
+++ b/burdockdrum/passthrough/response_signals.py
@@ -8,10 +8,10 @@
 from burdockdrum.passthrough.model import Lost
 from burdockdrum.passthrough.model import NotStarted
 from burdockdrum.passthrough.requested_backoffs import RequestedBackoffs
+from burdockdrum.passthrough.responses import BACKOFF_STATUS
 from burdockdrum.passthrough.responses import is_from_endpoint
 from burdockdrum.registrations import RegisteredEndpoint
 
-BACKOFF_STATUS = 503
 _RETRY_AFTER = b"retry-after"
 
 
--- a/burdockdrum/passthrough/responses.py
+++ b/burdockdrum/passthrough/responses.py
@@ -21,6 +21,8 @@
 from burdockdrum.verdicts import Verdict
 
 MISDIRECTED_STATUS = 421
+# With this status an endpoint may ask an entry to send no requests.
+BACKOFF_STATUS = 503
 # A response up to this size is forwarded once it is complete, so that a
 # truncated one can be retried; a larger one is streamed.
 MAX_BUFFERED_BYTES = 256 * 1024
@@ -56,7 +58,10 @@
             return NotStarted(
                 reason=f"the endpoint refused with status {head.status}",
                 reached=True,
-                retry_after=_parse_retry_after(head),
+                # A backoff is kept by the entry, which tells its callers.
+                retry_after=None
+                if head.status == BACKOFF_STATUS
+                else _parse_retry_after(head),
             )
         if head.find(self._names.request_id) is None:
             return Lost(reason="response without the request id")
--- a/burdockdrum/passthrough/server.py
+++ b/burdockdrum/passthrough/server.py
@@ -5,6 +5,7 @@
 from burdockdrum.passthrough.endpoint_limits import EndpointLimits
 from burdockdrum.passthrough.fleet import Fleet
 from burdockdrum.passthrough.limits import RetryBudget
+from burdockdrum.passthrough.requested_backoffs import RequestedBackoffs
 from burdockdrum.ports import Clock
 from burdockdrum.registrations import RegistrationFollower
 from burdockdrum.vms import Drain
@@ -25,6 +26,7 @@
         pools: list[ConnectionPool],
         fleet: Fleet,
         limits: EndpointLimits,
+        backoffs: RequestedBackoffs,
         budget: RetryBudget,
         registrations: RegistrationFollower,
         drain: Drain,
@@ -36,6 +38,7 @@
         self._pools = pools
         self._fleet = fleet
         self._limits = limits
+        self._backoffs = backoffs
         self._budget = budget
         self._registrations = registrations
         self._drain = drain
@@ -61,5 +64,6 @@
         self._budget.entries = self._registrations.total_entries
         self._fleet.remove_ended()
         self._limits.remove_ended()
+        self._backoffs.remove_ended()
         for pool in self._pools:
             pool.prune()
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -6,6 +6,7 @@
 
 from burdockdrum.callers import CallerFinder
 from burdockdrum.configuration import ConfigurationService
+from burdockdrum.holdings import PrefixCachePoller
 from burdockdrum.holdings import PrefixCacheSharing
 from burdockdrum.holdings import PrefixCacheTable
 from burdockdrum.http1 import ConnectionPool
@@ -151,6 +152,7 @@
         data_centre=kernel.find("identity", VmIdentity).data_centre,
         crossing_seconds=settings.policy.crossing_seconds_a_megabyte,
         limits=kernel.find("endpoint_limits", EndpointLimits),
+        backoffs=kernel.find("requested_backoffs", RequestedBackoffs),
     )
     sharing.read_load = fleet.read_own_load
     sharing.pop_placed = fleet.prefix_cache_view.pop_notices
@@ -274,6 +276,9 @@
     settings = kernel.find("settings", Settings).passthrough
     relay = kernel.find("relay", Relay)
     routes = kernel.find("routes_in_force", ActiveRoutes)
+    backoffs = kernel.find("requested_backoffs", RequestedBackoffs)
+    poller = kernel.find("holdings_listener", PrefixCachePoller)
+    poller.read_backoff = backoffs.seconds_left
     return PassThroughServer(
         clock=kernel.find("clock", Clock),
         callers=Listener(
@@ -297,6 +302,7 @@
         ],
         fleet=kernel.find("fleet", Fleet),
         limits=kernel.find("endpoint_limits", EndpointLimits),
+        backoffs=backoffs,
         budget=kernel.find("retry_budget", RetryBudget),
         registrations=kernel.find("registrations", RegistrationFollower),
         drain=kernel.find("drain", Drain),
--- a/burdockdrum/passthrough/target_selection.py
+++ b/burdockdrum/passthrough/target_selection.py
@@ -43,6 +43,10 @@
 # a long prompt alone can exceed the objective.
 MIN_QUEUE_FRACTION = 0.25
 MAX_RETRY_AFTER_SECONDS = 3.0
+# Requests refused because of a backoff return over this fraction of its
+# length after its end, and over so many seconds at most.
+RETURN_SPREAD_FRACTION = 0.5
+MAX_RETURN_SPREAD_SECONDS = 5.0
 
 
 class TargetSelector:
@@ -238,6 +242,32 @@
             self._read_closed_data_centres(),
         )
 
+    def seconds_until_backoffs_end(
+        self, request: ProxiedRequest, progress: RequestProgress
+    ) -> float | None:
+        """Return when a request should return if all endpoints back off.
+
+        The times of several requests are spread. Another region may have
+        given an earlier time.
+
+        :returns: the seconds, or None if an endpoint is in no backoff
+        """
+        if not self._may_run_here(request):
+            return None
+        backoff = self._fleet.find_first_backoff(
+            request.backend, self._read_closed_data_centres()
+        )
+        if backoff is None:
+            return None
+        spread = min(
+            backoff.seconds * RETURN_SPREAD_FRACTION, MAX_RETURN_SPREAD_SECONDS
+        )
+        seconds = backoff.ends_at - self._clock.monotonic()
+        seconds += self._rng.uniform(0.0, spread)
+        if progress.region_retry_after is not None:
+            return min(seconds, progress.region_retry_after)
+        return seconds
+
     def _may_run_here(self, request: ProxiedRequest) -> bool:
         homes = request.route.homes
         return not homes or self._region in homes
@@ -245,8 +275,22 @@
     def _refuse_without_endpoint(
         self, request: ProxiedRequest, progress: RequestProgress
     ) -> Refusal:
-        live_count = self._fleet.count_live(request.backend.name)
-        reason = f"none of {live_count} local endpoints is eligible"
+        service = request.backend.name
+        live_count = self._fleet.count_live(service)
+        draining_count = self._fleet.count_draining(service)
+        backoff_seconds = self.seconds_until_backoffs_end(request, progress)
+        if backoff_seconds is not None:
+            return self._make_refusal(
+                request,
+                progress,
+                f"all of {live_count} local endpoints requested a backoff",
+                backoff_seconds,
+                code=RefusalCode.ENDPOINT_BACKOFF,
+            )
+        reason = (
+            f"none of {live_count} local endpoints is eligible, "
+            f"{draining_count} more drain"
+        )
         if not self.list_at_limit(request, progress):
             return self._refuse(
                 request, progress, reason, NO_ENDPOINT_RETRY_AFTER_SECONDS
@@ -269,6 +313,22 @@
         reason: str,
         wait: float,
         code: RefusalCode = RefusalCode.OVERLOADED,
+    ) -> Refusal:
+        return self._make_refusal(
+            request,
+            progress,
+            reason,
+            min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, wait)),
+            code,
+        )
+
+    def _make_refusal(
+        self,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        reason: str,
+        retry_after: float,
+        code: RefusalCode,
     ) -> Refusal:
         if progress.last_reason:
             reason = f"{progress.last_reason}; {reason}"
@@ -276,7 +336,5 @@
             code=code,
             message=f"{request.backend.name}: {reason}",
             verdict=progress.verdict,
-            retry_after=min(
-                MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, wait)
-            ),
+            retry_after=retry_after,
         )
--- a/burdockdrum/verdicts/refusal.py
+++ b/burdockdrum/verdicts/refusal.py
@@ -19,6 +19,7 @@
     NO_ENDPOINT = "no_endpoint"
     OVERLOADED = "overloaded"
     ENDPOINT_LIMIT = "endpoint_limit"
+    ENDPOINT_BACKOFF = "endpoint_backoff"
     QUOTA = "quota"
     DEADLINE = "deadline"
     DRAINING = "draining"
--- a/tests/holdings/test_sharing.py
+++ b/tests/holdings/test_sharing.py
@@ -220,6 +220,25 @@
 
         play(check)
 
+    def test_endpoint_in_backoff_is_not_queried(self):
+        # Guards against queries to an endpoint that wants no requests.
+        async def check(world):
+            await asyncio.sleep(2)
+            ends_at = world.clock.monotonic() + 6
+            for entry in world.entries.values():
+                entry.poller.read_backoff = lambda endpoint_id: (
+                    ends_at - world.clock.monotonic()
+                )
+            # The query in flight may still end.
+            await asyncio.sleep(1.5)
+            queries = world.caches["n0"].queries
+            await asyncio.sleep(4)
+            self.assertEqual(queries, world.caches["n0"].queries)
+            await asyncio.sleep(2)
+            self.assertGreater(world.caches["n0"].queries, queries)
+
+        play(check)
+
     def test_cache_of_unreachable_endpoint_is_kept(self):
         async def check(world):
             world.share("plan")
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -209,6 +209,7 @@
             read_load=lambda name: self.entries[region].others,
             drop_endpoint=registered.pop,
             limits=limits,
+            backoffs=backoffs,
         )
         pools = [ConnectionPool(id_header=NAMES.request_id) for _ in "ab"]
         responses = ResponseClassifier(names=NAMES)
@@ -281,6 +282,7 @@
         entry.metrics = metrics
         entry.meter = meter
         entry.limits, entry.permits = limits, permits
+        entry.budget = budget
         entry.backoffs, entry.registered = backoffs, registered
         await entry.callers.open()
         await entry.vms.open()
--- a/tests/platform/test_memories.py
+++ b/tests/platform/test_memories.py
@@ -123,16 +123,17 @@
 class CallTest(unittest.IsolatedAsyncioTestCase):
     """Queries over sockets."""
 
-    async def open(self, status, body):
+    async def open(self, status, body, *headers):
         self.targets = []
+        self.observed = []
 
         async def answer(reader, writer):
             while True:
                 head, _ = await read_request(reader)
                 self.targets.append(head.split(b"\r\n")[0])
                 writer.write(
-                    b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s"
-                    % (status, len(body), body)
+                    b"HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s"
+                    % (status, b"".join(headers), len(body), body)
                 )
 
         server = ScriptedServer(answer)
@@ -140,9 +141,11 @@
         self.addAsyncCleanup(server.close)
         pool = ConnectionPool(id_header=b"x-request-id")
         self.addCleanup(pool.close)
-        return RunnerCacheClient(pool=pool), make_endpoint(
-            "e", address=address
-        )
+        client = RunnerCacheClient(pool=pool, observe=self.observe)
+        return client, make_endpoint("e", address=address)
+
+    def observe(self, endpoint, head):
+        self.observed.append((endpoint.endpoint_id, head))
 
     async def test_connection_is_reused(self):
         prefix_caches, endpoint = await self.open(200, encode(EVENTS))
@@ -157,6 +160,18 @@
         with self.assertRaises(PrefixCacheUnavailable):
             await prefix_caches.read_events(endpoint, 19)
 
+    async def test_every_response_is_observed(self):
+        # Guards against a drain or a backoff that only the response to a
+        # query announces.
+        leaving = b"Server-Leaving: 1\r\n"
+        prefix_caches, endpoint = await self.open(503, b"", leaving)
+        with self.assertRaises(PrefixCacheUnavailable):
+            await prefix_caches.read_events(endpoint, 19)
+        [(endpoint_id, head)] = self.observed
+        self.assertEqual("e", endpoint_id)
+        self.assertEqual(503, head.status)
+        self.assertEqual(b"1", head.find(b"server-leaving"))
+
     async def test_unreachable_endpoint_raises(self):
         prefix_caches, endpoint = await self.open(200, encode(SNAPSHOT))
         unreachable = make_endpoint("e", address="127.0.0.1:1")
