--- a/burdockdrum/passthrough/candidates.py
+++ b/burdockdrum/passthrough/candidates.py
@@ -1,10 +1,10 @@
 """The endpoints that a request may be sent to now."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from burdockdrum.passthrough.endpoint_limits import EndpointLimits
-from burdockdrum.passthrough.requested_backoffs import RequestedBackoffs
 from burdockdrum.registrations import RegisteredEndpoint
 
 
@@ -12,8 +12,9 @@
 class Candidates:
     """Eligible endpoints, by whether they want requests now.
 
-    ``at_limit`` are those that have no room below their rate limits and
-    ``in_backoff`` those that want no requests from this entry.
+    ``at_limit`` are those that have no room below their rate limits.
+    ``in_backoff`` are those that want no requests from this entry, or no
+    others until they have responded to those in flight.
     """
 
     available: list[RegisteredEndpoint]
@@ -24,13 +25,13 @@
 def split_candidates(
     eligible: Iterable[RegisteredEndpoint],
     limits: EndpointLimits,
-    backoffs: RequestedBackoffs,
+    is_in_backoff: Callable[[str], bool],
 ) -> Candidates:
     """Split eligible endpoints by what they announced."""
     candidates = Candidates(available=[], at_limit=[], in_backoff=[])
     for endpoint in eligible:
         endpoint_id = endpoint.endpoint_id
-        if backoffs.is_active(endpoint_id):
+        if is_in_backoff(endpoint_id):
             candidates.in_backoff.append(endpoint)
         elif limits.has_capacity(endpoint_id):
             candidates.available.append(endpoint)
--- a/burdockdrum/passthrough/endpoint_state.py
+++ b/burdockdrum/passthrough/endpoint_state.py
@@ -98,6 +98,13 @@
     latest_first_output_at: float = 0.0
     idle_since: float = 0.0
 
+    def count_unanswered(self) -> int:
+        """Return how many requests have no response yet."""
+        return sum(
+            request.first_output_at is None
+            for request in self.in_flight_requests
+        )
+
     def add_recent(self, now: float, rank: int, tokens: float) -> None:
         """Add tokens to the recent ones, which decay exponentially."""
         decayed = math.exp(
--- a/burdockdrum/passthrough/fleet.py
+++ b/burdockdrum/passthrough/fleet.py
@@ -12,6 +12,7 @@
 from burdockdrum.metrics import Metrics
 from burdockdrum.passthrough.candidates import Candidates
 from burdockdrum.passthrough.candidates import split_candidates
+from burdockdrum.passthrough.congestion_windows import CongestionWindows
 from burdockdrum.passthrough.endpoint_limits import EndpointLimits
 from burdockdrum.passthrough.endpoint_rating import EndpointRater
 from burdockdrum.passthrough.endpoint_rating import RatedRequest
@@ -46,6 +47,8 @@
 # Least expected work when drawing an endpoint: those whose estimates differ by
 # less share the requests.
 TIE_MARGIN_SECONDS = 0.002
+# When a request that found a full congestion window should return.
+FULL_WINDOW_SECONDS = 0.5
 
 
 class Fleet:
@@ -131,6 +134,8 @@
         self._backoffs = backoffs or RequestedBackoffs(
             clock=clock, metrics=Metrics(), read_endpoints=read_endpoints
         )
+        self._windows = CongestionWindows(clock=clock)
+        self._backoffs.listeners.append(self._reduce_window)
 
     def choose(
         self,
@@ -216,7 +221,7 @@
     ) -> RequestedBackoff | None:
         """Return the backoff that ends first, if all endpoints are in one."""
         backoffs = [
-            self._backoffs.find(endpoint.endpoint_id)
+            self._find_backoff(endpoint.endpoint_id)
             for endpoint in self._live(backend.name)
             if endpoint.data_centre not in closed_data_centres
         ]
@@ -255,7 +260,34 @@
             and endpoint.data_centre not in closed_data_centres
             and self._is_eligible(endpoint, backend)
         )
-        return split_candidates(eligible, self._limits, self._backoffs)
+        return split_candidates(
+            eligible,
+            self._limits,
+            lambda endpoint_id: self._find_backoff(endpoint_id) is not None,
+        )
+
+    def _find_backoff(self, endpoint_id: str) -> RequestedBackoff | None:
+        """Return why an endpoint should get no requests now, if so.
+
+        After a backoff its congestion window may be full for a short time.
+        """
+        backoff = self._backoffs.find(endpoint_id)
+        if backoff is not None:
+            return backoff
+        unanswered = self._count_unanswered(endpoint_id)
+        if self._windows.has_room(endpoint_id, unanswered):
+            return None
+        return RequestedBackoff(
+            seconds=FULL_WINDOW_SECONDS,
+            ends_at=self._clock.monotonic() + FULL_WINDOW_SECONDS,
+        )
+
+    def _reduce_window(self, endpoint_id: str) -> None:
+        self._windows.reduce(endpoint_id, self._count_unanswered(endpoint_id))
+
+    def _count_unanswered(self, endpoint_id: str) -> int:
+        state = self._states_by_id.get(endpoint_id)
+        return state.count_unanswered() if state is not None else 0
 
     def _prefer_local(
         self, rated_endpoints: list[RatedEndpoint], expected_work: float
@@ -335,6 +367,9 @@
         in_flight_request.chunks_received += 1
         if in_flight_request.first_output_at is None:
             in_flight_request.first_output_at = now
+            self._windows.record_accepted(
+                in_flight_request.endpoint.endpoint_id
+            )
             if state is not None:
                 state.latest_first_output_at = now
             self._timings.record_first_token(in_flight_request, now)
@@ -353,6 +388,10 @@
         now = self._clock.monotonic()
         if whole:
             self._timings.record_completion(in_flight_request, backend, now)
+        if whole and in_flight_request.first_output_at is None:
+            self._windows.record_accepted(
+                in_flight_request.endpoint.endpoint_id
+            )
         state = self._states_by_id.get(in_flight_request.endpoint.endpoint_id)
         if state is not None:
             state.in_flight_requests.discard(in_flight_request)
@@ -414,6 +453,7 @@
                 del self._states_by_id[endpoint_id]
                 self.engines.remove_endpoint(endpoint_id)
         self.prefix_cache_view.retain_endpoints(live)
+        self._windows.remove_ended(live)
 
     def _live(self, service: str) -> list[RegisteredEndpoint]:
         now = self._clock.monotonic()
--- a/burdockdrum/passthrough/requested_backoffs.py
+++ b/burdockdrum/passthrough/requested_backoffs.py
@@ -43,6 +43,8 @@
         """
         self._clock = clock
         self._read_endpoints = read_endpoints
+        # Called with the id of an endpoint when it enters a backoff.
+        self.listeners: list[Callable[[str], None]] = []
         self._backoffs_by_id: dict[str, RequestedBackoff] = {}
         self._requests_total = metrics.counter(
             "burdockdrum_endpoint_backoff_requests_total",
@@ -96,6 +98,9 @@
             seconds=seconds,
             previous=round(previous, 3),
         )
+        if not previous:
+            for listener in self.listeners:
+                listener(endpoint_id)
 
     def find(self, endpoint_id: str) -> RequestedBackoff | None:
         """Return the backoff of an endpoint that has not ended, if any."""
--- a/burdockdrum/passthrough/target_selection.py
+++ b/burdockdrum/passthrough/target_selection.py
@@ -43,9 +43,8 @@
 # a long prompt alone can exceed the objective.
 MIN_QUEUE_FRACTION = 0.25
 MAX_RETRY_AFTER_SECONDS = 3.0
-# Requests refused because of a backoff return over this fraction of its
-# length after its end, and over so many seconds at most.
-RETURN_SPREAD_FRACTION = 0.5
+# Requests refused because of a backoff return over its length after its end,
+# and over so many seconds at most.
 MAX_RETURN_SPREAD_SECONDS = 5.0
 
 
@@ -259,9 +258,7 @@
         )
         if backoff is None:
             return None
-        spread = min(
-            backoff.seconds * RETURN_SPREAD_FRACTION, MAX_RETURN_SPREAD_SECONDS
-        )
+        spread = min(backoff.seconds, MAX_RETURN_SPREAD_SECONDS)
         seconds = backoff.ends_at - self._clock.monotonic()
         seconds += self._rng.uniform(0.0, spread)
         if progress.region_retry_after is not None:
@@ -283,7 +280,8 @@
             return self._make_refusal(
                 request,
                 progress,
-                f"all of {live_count} local endpoints requested a backoff",
+                f"all of {live_count} local endpoints requested a backoff "
+                f"or recover from one",
                 backoff_seconds,
                 code=RefusalCode.ENDPOINT_BACKOFF,
             )
--- a/tests/passthrough/test_requested_backoffs.py
+++ b/tests/passthrough/test_requested_backoffs.py
@@ -174,6 +174,78 @@
         self.assertEqual(4.0, find(MODEL, frozenset()).seconds)
 
 
+class CongestionWindowTest(unittest.TestCase):
+    """The requests at one endpoint after a backoff."""
+
+    def setUp(self):
+        self.world = FleetHarness("a")
+        self.backoffs = self.world.fleet._backoffs
+
+    def request(self):
+        self.backoffs.observe("a", [b"1"], request_id="r")
+        self.world.clock.now += 1.01
+
+    def send_all(self):
+        """Send requests until none is accepted; return them."""
+        sent = []
+        while self.world.choose(make_prompt(10)) is not None:
+            sent.append(self.world.send(make_prompt(10)))
+            if len(sent) > 100:
+                break
+        return sent
+
+    def respond(self, requests):
+        for request in requests:
+            self.world.fleet.record_output(request)
+
+    def end(self, requests, *, whole=True):
+        for request in requests:
+            self.world.fleet.record_end(request, MODEL, whole=whole)
+
+    def test_requests_come_back_a_few_at_a_time(self):
+        # Guards against filling the queue of an endpoint at the end of each
+        # backoff, so that it requests the next one at once.
+        before = [self.world.send(make_prompt(10)) for _ in range(12)]
+        self.request()
+        self.end(before, whole=False)
+        sizes = []
+        for _ in range(4):
+            sent = self.send_all()
+            sizes.append(len(sent))
+            self.respond(sent)
+            self.end(sent)
+        self.assertEqual([2, 4, 7, 8], sizes)
+
+    def test_window_counts_requests_without_a_response(self):
+        # Guards against long streams that hold a window shut.
+        self.request()
+        streams = self.send_all()
+        self.respond(streams)
+        self.assertGreaterEqual(len(self.send_all()), 2)
+
+    def test_window_opens_by_itself(self):
+        # Guards against an endpoint with little traffic that stays limited.
+        self.request()
+        self.assertEqual(2, len(self.send_all()))
+        self.world.clock.now += 61
+        self.world.fleet.remove_ended()
+        self.assertGreater(len(self.send_all()), 100)
+
+    def test_rejections_of_one_moment_reduce_it_once(self):
+        before = [self.world.send(make_prompt(10)) for _ in range(12)]
+        self.backoffs.observe("a", [b"1"], request_id="r")
+        self.end(before[:10], whole=False)
+        self.request()
+        window = self.world.fleet._windows._windows_by_id["a"]
+        self.assertEqual(6, window.threshold)
+
+    def test_state_ends_with_the_endpoint(self):
+        self.request()
+        self.world.endpoints.clear()
+        self.world.fleet.remove_ended()
+        self.assertEqual({}, self.world.fleet._windows._windows_by_id)
+
+
 class RelayBackoffTest(RelayCase):
     """Requests of callers while endpoints want none."""
 
@@ -219,7 +291,7 @@
         times = [
             (await self.call(entry, method=b"POST"))[2] for _ in range(40)
         ]
-        self.assertGreater(max(times) - min(times), 1.0)
+        self.assertGreater(max(times) - min(times), 2.0)
 
     async def test_requests_return_after_the_backoff(self):
         endpoint = Endpoint(reject(0.2), answer(b"ok"))
