--- a/burdockdrum/passthrough/attempts.py
+++ b/burdockdrum/passthrough/attempts.py
@@ -245,8 +245,8 @@
             return "the deadline passed before the request was sent"
         match call.target:
             case EndpointTarget(choice=choice):
-                if not self._fleet.accepts(choice.endpoint):
-                    return "the endpoint meanwhile wants no requests"
+                if self._fleet.is_in_backoff(choice.endpoint):
+                    return "the endpoint meanwhile requested a backoff"
         return None
 
     async def _receive(
--- a/burdockdrum/passthrough/congestion_windows.py
+++ b/burdockdrum/passthrough/congestion_windows.py
@@ -51,10 +51,10 @@
             reduced_at=self._clock.monotonic(),
         )
 
-    def has_room(self, endpoint_id: str, unanswered: int) -> bool:
-        """Return whether another request may be sent."""
+    def size_of(self, endpoint_id: str) -> float | None:
+        """Return the size of a window in requests, None if there is none."""
         window = self._windows_by_id.get(endpoint_id)
-        return window is None or unanswered < window.size
+        return window.size if window is not None else None
 
     def record_accepted(self, endpoint_id: str) -> None:
         """Record that an endpoint began to respond to a request."""
--- a/burdockdrum/passthrough/fleet.py
+++ b/burdockdrum/passthrough/fleet.py
@@ -230,12 +230,9 @@
             return None
         return min(active, key=lambda known: known.ends_at, default=None)
 
-    def accepts(self, endpoint: RegisteredEndpoint) -> bool:
-        """Return whether a request placed before may still be sent."""
-        if self._backoffs.is_active(endpoint.endpoint_id):
-            return False
-        known = self._read_endpoints().get(endpoint.endpoint_id)
-        return known is None or not known.is_draining
+    def is_in_backoff(self, endpoint: RegisteredEndpoint) -> bool:
+        """Return whether an endpoint wants no requests from this entry."""
+        return self._backoffs.is_active(endpoint.endpoint_id)
 
     def current_fetch_from(self, choice: RatedEndpoint) -> str | None:
         """Return the address to fetch the prefix from, if still possible."""
@@ -274,8 +271,8 @@
         backoff = self._backoffs.find(endpoint_id)
         if backoff is not None:
             return backoff
-        unanswered = self._count_unanswered(endpoint_id)
-        if self._windows.has_room(endpoint_id, unanswered):
+        window = self._windows.size_of(endpoint_id)
+        if window is None or self._count_unanswered(endpoint_id) < window:
             return None
         return RequestedBackoff(
             seconds=FULL_WINDOW_SECONDS,
--- a/burdockdrum/registrations/control_source.py
+++ b/burdockdrum/registrations/control_source.py
@@ -76,6 +76,7 @@
         name=registration.name,
         incarnation=registration.incarnation,
         rate_limit=read_limit(registration, now),
+        is_drain_announced=registration.is_drain_announced,
     )
 
 
--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -13,6 +13,7 @@
 from burdockdrum.peers import Peers
 from burdockdrum.peers import Sender
 from burdockdrum.ports import Clock
+from burdockdrum.registrations.announced_drains import AnnouncedDrains
 from burdockdrum.registrations.control_source import add_capacities
 from burdockdrum.registrations.control_source import ControlSource
 from burdockdrum.registrations.control_source import make_endpoint
@@ -82,8 +83,7 @@
         self._sources_by_id: dict[str, ControlSource] = {}
         self._ended_at_by_id: dict[str, float] = {}
         self._incarnations = LatestIncarnations()
-        # Endpoints that announced to drain.
-        self._announced_drains: set[str] = set()
+        self._drains = AnnouncedDrains(memory_seconds=TOMBSTONE_SECONDS)
         # When ends of endpoints without a known incarnation arrived.
         self._unmatched_ends_by_name: dict[str, float] = {}
         self._entry_counts_by_id: dict[str, tuple[int, int]] = {}
@@ -147,13 +147,20 @@
                 self._watch(vm_id, address, None, is_acknowledgement=True)
 
     def record_drain(self, endpoint_id: str) -> bool:
-        """Record that an endpoint announced to drain.
+        """Record that an endpoint announced to drain to this entry.
+
+        The control VMs are told at once.
 
         :returns: whether it was not known before
         """
-        if endpoint_id in self._announced_drains:
+        if not self._drains.add(endpoint_id, self._clock.monotonic()):
             return False
-        self._announced_drains.add(endpoint_id)
+        self._merge(endpoint_id)
+        self._notify_listeners()
+        for vm_id, address in self._control_addresses().items():
+            source = self._sources_by_id.get(vm_id)
+            if source is not None and endpoint_id in source.endpoints_by_id:
+                self._watch(vm_id, address, None, is_acknowledgement=True)
         return True
 
     def drop(self, endpoint_id: str) -> None:
@@ -203,6 +210,7 @@
             limits=self._list_unknown_limits(source),
             sent_at_ms=int(self._clock.monotonic() * 1000),
             roster_version=source.roster_version,
+            drains=self._drains.list_unknown(source.endpoints_by_id),
         )
         self._peers.send(address, message)
 
@@ -265,6 +273,8 @@
             source.endpoints_by_id.pop(endpoint_id, None)
         elif self._is_current(registration, now):
             self._observe_incarnation(registration, now)
+            if registration.is_drain_announced:
+                self._drains.add(endpoint_id, now)
             source.endpoints_by_id[endpoint_id] = make_endpoint(
                 registration, now
             )
@@ -333,6 +343,7 @@
         after = self._choose_copy(endpoint_id, copies)
         if after is not None:
             after = keep_newest_limit(before, after, copies)
+            after = self._drains.apply(after)
             self.endpoints_by_id[endpoint_id] = after
         if after is not None and after.rate_limit is not None:
             self._limits_by_id[endpoint_id] = after.rate_limit
@@ -381,6 +392,7 @@
 
     def _prune(self) -> None:
         now = self._clock.monotonic()
+        self._drains.prune(self.endpoints_by_id, now)
         for source in self._sources_by_id.values():
             for endpoint_id, until in list(source.stale_until_by_id.items()):
                 if now >= until:
--- a/burdockdrum/registrations/messages.py
+++ b/burdockdrum/registrations/messages.py
@@ -41,6 +41,8 @@
     ``rate_limit`` is the number of requests per second that the endpoint
     announced to accept from all entries, None if unlimited, and
     ``rate_limit_age`` the age of that in seconds, None if never announced.
+    ``is_drain_announced`` says that it announced to drain in a response; then
+    it is draining whatever its check-ins say.
     """
 
     endpoint_id: str
@@ -56,6 +58,7 @@
     incarnation: int = UNKNOWN_INCARNATION
     rate_limit: float | None = None
     rate_limit_age: float | None = None
+    is_drain_announced: bool = False
 
     @property
     def reported_id(self) -> str:
@@ -92,7 +95,8 @@
     ``epoch``. ``load_by_id`` is None if another entry reports the load. If
     ``is_acknowledgement``, the message only confirms received changes, and
     the control VM sends no answer. ``limits`` are those that the control VM
-    doesn't know yet. ``sent_at_ms`` is in milliseconds by the entry's
+    doesn't know yet, and ``drains`` the ids of endpoints that announced to
+    drain. ``sent_at_ms`` is in milliseconds by the entry's
     monotonic clock; ``roster_version`` is the last one received.
     """
 
@@ -104,6 +108,7 @@
     limits: list[LimitNotice] = []
     sent_at_ms: int = 0
     roster_version: int = 0
+    drains: list[str] = []
 
 
 class PlacedPrefix(msgspec.Struct, frozen=True, array_like=True):
--- a/burdockdrum/registrations/model.py
+++ b/burdockdrum/registrations/model.py
@@ -15,7 +15,8 @@
     the slow start and ``ends_at`` the planned removal, None if there is none.
     ``name`` is the id that the endpoint reports, over all incarnations;
     ``incarnation`` is its start time by its own clock, 0 if unknown.
-    ``rate_limit`` is what it announced to any entry, None if nothing.
+    ``rate_limit`` is what it announced to any entry, None if nothing;
+    ``is_drain_announced`` says that it announced to drain to any entry.
     """
 
     endpoint_id: str
@@ -30,6 +31,7 @@
     name: str = ""
     incarnation: int = UNKNOWN_INCARNATION
     rate_limit: AnnouncedLimit | None = None
+    is_drain_announced: bool = False
 
     @property
     def reported_id(self) -> str:
--- a/burdockdrum/registrations/publisher.py
+++ b/burdockdrum/registrations/publisher.py
@@ -133,6 +133,7 @@
         watcher.received_at = now
         self._rosters.record(sender.vm_id, sender.address, message.region)
         self._record_limits(sender, message.limits)
+        self._record_drains(sender, message.drains)
         if message.load_by_id is not None:
             watcher.load_by_id, watcher.load_received_at = (
                 message.load_by_id,
@@ -157,6 +158,15 @@
                     about_vm=sender.vm_id,
                 )
 
+    def _record_drains(self, sender: Sender, endpoint_ids: list[str]) -> None:
+        for endpoint_id in endpoint_ids:
+            if self._table.record_drain(endpoint_id):
+                log_decision(
+                    "endpoint.drain_recorded",
+                    endpoint_id=endpoint_id,
+                    about_vm=sender.vm_id,
+                )
+
     def _publish_change(self, registration: Registration) -> None:
         region = self._regions_by_data_centre.get(registration.data_centre)
         is_for_all_regions = registration.data_centre == ANY_DATA_CENTRE
--- a/burdockdrum/registrations/table.py
+++ b/burdockdrum/registrations/table.py
@@ -72,7 +72,7 @@
             for previous in self._incarnations_of(name):
                 self._set_state(previous, RegistrationState.GONE)
         now = self._clock.monotonic()
-        registration = _keep_limit(registration, known)
+        registration = _keep_drain(_keep_limit(registration, known), known)
         if known is not None and _is_unchanged(registration, known):
             self._records_by_id[registration.endpoint_id] = replace(
                 known, registration=registration, received_at=now
@@ -148,6 +148,24 @@
         self._put(changed, received_at=known.received_at)
         return True
 
+    def record_drain(self, endpoint_id: str) -> bool:
+        """Record that an endpoint announced to drain to an entry.
+
+        :returns: whether it was not known before
+        """
+        known = self._records_by_id.get(endpoint_id)
+        if known is None or self.has_ended(endpoint_id):
+            return False
+        if known.registration.is_drain_announced:
+            return False
+        changed = msgspec.structs.replace(
+            _count_down(known, self._clock.monotonic()),
+            state=RegistrationState.DRAINING,
+            is_drain_announced=True,
+        )
+        self._put(changed, received_at=known.received_at)
+        return True
+
     def has_ended(self, endpoint_id: str) -> bool:
         """Return whether an endpoint has ended."""
         known = self._records_by_id.get(endpoint_id)
@@ -303,6 +321,19 @@
     )
 
 
+def _keep_drain(
+    registration: Registration, known: _Record | None
+) -> Registration:
+    """Return a check-in that doesn't end an announced drain."""
+    if known is None or not known.registration.is_drain_announced:
+        return registration
+    return msgspec.structs.replace(
+        registration,
+        state=RegistrationState.DRAINING,
+        is_drain_announced=True,
+    )
+
+
 def _limit_observed_at(
     registration: Registration, known: _Record | None, now: float
 ) -> float | None:
--- a/scripts/bench/endpoint_backoffs.py
+++ b/scripts/bench/endpoint_backoffs.py
@@ -213,8 +213,8 @@
     def _may_send(self, entry: int, name: str) -> bool:
         if self.way.keeps and self.backoffs[entry].is_active(name):
             return False
-        unanswered = self.in_flight[entry, name]
-        return self.windows[entry].has_room(name, unanswered)
+        window = self.windows[entry].size_of(name)
+        return window is None or self.in_flight[entry, name] < window
 
     def _back_off(self, entry: int, name: str) -> None:
         if self.way.has_window and not self.backoffs[entry].is_active(name):
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -226,6 +226,12 @@
             read_closed_data_centres=frozenset,
             hop_address=lambda vm: self.entries[vm.region].vms.address,
         )
+        signals = ResponseSignals(
+            names=NAMES,
+            limits=limits,
+            backoffs=backoffs,
+            drains=DrainAnnouncements(metrics=metrics, record=drain_endpoint),
+        )
         runner = AttemptRunner(
             clock=clock,
             fleet=fleet,
@@ -238,14 +244,7 @@
                 budget=budget,
                 has_alternative=selector.has_alternative,
             ),
-            signals=ResponseSignals(
-                names=NAMES,
-                limits=limits,
-                backoffs=backoffs,
-                drains=DrainAnnouncements(
-                    metrics=metrics, record=drain_endpoint
-                ),
-            ),
+            signals=signals,
         )
         permits = LimitPermits(
             clock=clock,
@@ -282,7 +281,7 @@
         entry.metrics = metrics
         entry.meter = meter
         entry.limits, entry.permits = limits, permits
-        entry.budget = budget
+        entry.budget, entry.signals = budget, signals
         entry.backoffs, entry.registered = backoffs, registered
         await entry.callers.open()
         await entry.vms.open()
--- a/tests/passthrough/test_response_signals.py
+++ b/tests/passthrough/test_response_signals.py
@@ -1,7 +1,12 @@
 """Tests of the backoffs and drains that endpoints' responses announce."""
 
+import asyncio
+
+from burdockdrum.http1 import ResponseHead
 from tests.passthrough.entries import answer
 from tests.passthrough.entries import Endpoint
+from tests.passthrough.entries import event
+from tests.passthrough.entries import events
 from tests.passthrough.entries import RelayCase
 
 BACKOFFS = "burdockdrum_endpoint_backoff_requests_total"
@@ -115,3 +120,57 @@
                 behaviour = answer(b"ok", b"200 OK", b"X-Draining:" + value)
                 self.assertFalse(await self.observe(behaviour))
                 self.assertEqual(2, self.count("ignored"))
+
+
+class DrainEffectTest(RelayCase):
+    """Requests while endpoints announce to drain."""
+
+    async def test_other_endpoints_serve_instead(self):
+        draining = Endpoint(answer(b"first", b"200 OK", b"X-Draining: 1"))
+        other = Endpoint(answer(b"other"))
+        entry = await self.open(draining, other)
+        for _ in range(20):
+            self.assertEqual(200, (await entry.call())[0])
+        self.assertEqual(1, len(draining.seen))
+
+    async def test_request_is_refused_at_once_if_all_drain(self):
+        # Guards against a request that waits for an endpoint to return.
+        draining = Endpoint(answer(b"first", b"200 OK", b"X-Draining: 1"))
+        entry = await self.open(draining, idempotent=False)
+        self.assertEqual(200, (await entry.call(method=b"POST"))[0])
+        began = asyncio.get_running_loop().time()
+        status, _, body = await entry.call(method=b"POST")
+        self.assertLess(asyncio.get_running_loop().time() - began, 0.25)
+        self.assertEqual(503, status)
+        self.assertIn(b"1 more drain", body)
+        self.assertEqual(1, len(draining.seen))
+
+    async def test_running_stream_ends_whole(self):
+        async def drain_meanwhile(writer, request_id):
+            await events(1, 2, end=False)(NoClose(writer), request_id)
+            entry.signals.observe_head(
+                entry.registered["here-0"],
+                ResponseHead(
+                    status=200,
+                    headers=[(b"x-endpoint", b"e"), (b"x-draining", b"1")],
+                ),
+            )
+            self.assertTrue(entry.registered["here-0"].is_draining)
+            for chunk in (event(3), b""):
+                writer.write(b"%x\r\n%s\r\n" % (len(chunk), chunk))
+
+        entry = await self.open(Endpoint(drain_meanwhile), streams=True)
+        status, _, body = await entry.call()
+        self.assertEqual(200, status)
+        self.assertIn(b"piece-3", body)
+
+
+class NoClose:
+    """A writer that stays open when a behaviour closes it."""
+
+    def __init__(self, writer):
+        """Create it for a writer."""
+        self.write = writer.write
+
+    def close(self):
+        """Keep the connection open."""
