--- a/burdockdrum/http1/client.py
+++ b/burdockdrum/http1/client.py
@@ -309,15 +309,27 @@
         connection.on_lost = lambda: self._change_open_count(address, -1)
         return connection
 
-    def release(self, address: str, connection: ClientConnection) -> None:
-        """Return a connection to the pool, or close it if not reusable."""
+    def release(
+        self,
+        address: str,
+        connection: ClientConnection,
+        *,
+        max_idle: int | None = None,
+    ) -> None:
+        """Return a connection to the pool, or close it if not reusable.
+
+        :param max_idle: close it instead of keeping more than so many
+        """
         if not connection.reusable:
             connection.close()
             return
+        idle = self._idle_by_address.setdefault(address, [])
+        if max_idle is not None and len(idle) >= max_idle:
+            connection.close()
+            return
         expires_at = (
             asyncio.get_running_loop().time() + connection.idle_timeout_seconds
         )
-        idle = self._idle_by_address.setdefault(address, [])
         idle.append((expires_at, connection))
 
     def prune(self) -> None:
--- a/burdockdrum/passthrough/attempts.py
+++ b/burdockdrum/passthrough/attempts.py
@@ -140,6 +140,9 @@
             address=endpoint.address,
             encode=encode,
             connect_timeout_seconds=CONNECT_TIMEOUT_SECONDS,
+            max_idle=self._fleet.max_idle_connections(
+                endpoint, request.backend
+            ),
             target=target,
             in_flight_request=in_flight_request,
         )
@@ -209,7 +212,7 @@
             return NotStarted(reason=str(error), reached=False)
         reason = self._reason_to_withhold(call, request)
         if reason is not None:
-            call.pool.release(call.address, connection)
+            call.pool.release(call.address, connection, max_idle=call.max_idle)
             return NotStarted(reason=reason, reached=False, withheld=True)
         left = self._seconds_left(request) + DEADLINE_GRACE_SECONDS
         progress.sent += 1
@@ -235,7 +238,7 @@
             call.disarm_watchdog()
             # The pool closes a connection whose response was not read to its
             # end, which cancels the request at the other side.
-            call.pool.release(call.address, connection)
+            call.pool.release(call.address, connection, max_idle=call.max_idle)
 
     def _reason_to_withhold(
         self, call: Call, request: ProxiedRequest
--- a/burdockdrum/passthrough/fleet.py
+++ b/burdockdrum/passthrough/fleet.py
@@ -13,6 +13,9 @@
 from burdockdrum.passthrough.candidates import Candidates
 from burdockdrum.passthrough.candidates import split_candidates
 from burdockdrum.passthrough.congestion_windows import CongestionWindows
+from burdockdrum.passthrough.connection_shares import equal_share
+from burdockdrum.passthrough.connection_shares import max_idle_connections
+from burdockdrum.passthrough.connection_shares import may_add_connection
 from burdockdrum.passthrough.endpoint_limits import EndpointLimits
 from burdockdrum.passthrough.endpoint_rating import EndpointRater
 from burdockdrum.passthrough.endpoint_rating import RatedRequest
@@ -113,6 +116,7 @@
         self._clock = clock
         self._rng = rng
         self._read_endpoints = read_endpoints
+        self._read_load = read_load
         self._rater = EndpointRater(
             engines=self.engines,
             read_load=read_load,
@@ -403,6 +407,12 @@
         """
         self._drop_endpoint(endpoint.endpoint_id)
 
+    def max_idle_connections(
+        self, endpoint: RegisteredEndpoint, backend: Backend
+    ) -> int:
+        """Return how many idle connections to an endpoint may be kept."""
+        return max_idle_connections(backend, endpoint.slots, self.entries)
+
     def health_of(self, endpoint: RegisteredEndpoint) -> EndpointHealth:
         """Return the health of an endpoint."""
         state = self._states_by_id.get(endpoint.endpoint_id)
@@ -469,6 +479,10 @@
         state = self._states_by_id.get(endpoint.endpoint_id)
         if state is not None and not state.health.is_reachable(now):
             return False
+        if state is not None and not self._may_add_connection(
+            endpoint, state, backend
+        ):
+            return False
         if self._is_in_slow_start(endpoint, backend):
             return self._slow_start_gate.is_open(
                 endpoint.endpoint_id,
@@ -477,6 +491,18 @@
             )
         return True
 
+    def _may_add_connection(
+        self,
+        endpoint: RegisteredEndpoint,
+        state: EndpointState,
+        backend: Backend,
+    ) -> bool:
+        own = len(state.in_flight_requests)
+        if own < equal_share(backend, self.entries):
+            return True
+        others = self._read_load(endpoint.endpoint_id).requests
+        return may_add_connection(backend, self.entries, own, others)
+
     def _is_in_slow_start(
         self, endpoint: RegisteredEndpoint, backend: Backend
     ) -> bool:
--- a/burdockdrum/passthrough/in_flight_calls.py
+++ b/burdockdrum/passthrough/in_flight_calls.py
@@ -22,14 +22,20 @@
         address: str,
         encode: Callable[[], bytes],
         connect_timeout_seconds: float,
+        max_idle: int | None = None,
         target: Target,
         in_flight_request: InFlightRequest | None = None,
     ) -> None:
-        """Create a call that has not been sent yet."""
+        """Create a call that has not been sent yet.
+
+        :param max_idle: the idle connections that the pool keeps to the
+            address; any number if None
+        """
         self.pool = pool
         self.address = address
         self.encode = encode
         self.connect_timeout_seconds = connect_timeout_seconds
+        self.max_idle = max_idle
         self.target = target
         self.in_flight_request = in_flight_request
         self.watchdog: AttemptWatchdog | None = None
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -57,6 +57,20 @@
             self.assertEqual(b"ok", (await self.call(address))[1])
         self.assertEqual(1, self.server.connections)
 
+    async def test_surplus_idle_connections_are_closed(self):
+        # Guards against idle connections that use up what the endpoint
+        # accepts from all callers.
+        address = await self.serve(RESPONSE)
+        pool = self.pool
+        connections = [
+            await pool.acquire(address, timeout=1) for _ in range(5)
+        ]
+        for connection in connections:
+            pool.release(address, connection, max_idle=2)
+        await asyncio.sleep(0.01)
+        self.assertEqual(2, pool.open_by_address[address])
+        pool.close()
+
     async def test_response_with_the_id_of_another_request_is_skipped(self):
         # A stray response must not be returned for the current request.
         address = await self.serve(STRAY_RESPONSE + RESPONSE)
