--- a/burdockdrum/resources/routes.py
+++ b/burdockdrum/resources/routes.py
@@ -36,7 +36,8 @@
     to. ``timeout_seconds`` limits the whole request, ``objective_seconds``
     is the objective for the time to first byte. ``rank`` 0 is the most
     urgent. Without ``homes`` any region may serve. A ``public`` route needs
-    no token, even if the table has teams.
+    no token, even if the table has teams. ``shares_prompts`` is not used;
+    stored tables have it.
     """
 
     name: str
@@ -76,7 +77,8 @@
 
     In slow start, for ``cold_seconds`` after it has started, an endpoint
     accepts ``cold_requests_per_second`` from all VMs together.
-    ``max_connections`` is the limit for each endpoint.
+    ``max_connections`` is the limit for each endpoint, over all VMs.
+    ``health_path`` is not used; stored tables have it.
     """
 
     name: str
