--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -1,7 +1,8 @@
 """Soak a deployment of real processes under random faults.
 
 Usage:
-  soak [--seed N] [--seeds N] [--seconds S] [--keep FOLDER] [--limits]
+  soak [--seed N] [--seeds N] [--seconds S] [--keep FOLDER]
+       [--limits | --signals]
 
 Options:
   --seed N       The first seed [default: 1].
@@ -9,13 +10,15 @@
   --seconds S    How long faults come, for each seed [default: 20].
   --keep FOLDER  Keep the logs of seeds that failed there.
   --limits       Endpoints announce rate limits, to two entries in each region.
+  --signals      Endpoints request backoffs, and announce drains and restart.
 
 Three control VMs and three entries run as processes on loopback addresses.
 Signals, restarts, emptied disks, proxies before the endpoints and changes of
 the configuration come at random and overlap. Checked all the while: nothing
 that must run once runs twice, what was refused as not run has not run, every
 answer belongs to its request, what was acknowledged is never read back
-older, and no endpoint gets more requests than it announced to accept.
+older, no endpoint gets more requests than it announced to accept, and none in
+a backoff that it requested or after it announced to drain.
 Afterwards everything must serve again.
 """
 
@@ -45,6 +48,7 @@
                 seconds=float(arguments["--seconds"]),
                 logs=logs if arguments["--keep"] else None,
                 has_limits=arguments["--limits"],
+                has_signals=arguments["--signals"],
             )
         )
         if not result.violations and arguments["--keep"]:
--- a/scripts/soak/endpoint.py
+++ b/scripts/soak/endpoint.py
@@ -24,12 +24,35 @@
     ended_at: float | None = None
 
 
+@dataclass(frozen=True, kw_only=True)
+class Arrival:
+    """A request at an endpoint, by monotonic time.
+
+    ``expected_id`` is the id of the endpoint that it was sent to.
+    """
+
+    at: float
+    expected_id: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Rejection:
+    """A rejection that requested a backoff of so many seconds."""
+
+    at: float
+    seconds: float
+
+
 class Endpoint:
     """Answers requests and counts the runs of each.
 
     A request under ``/once/`` must not run twice; one under ``/again/`` may.
     ``limits`` has the rate limits that it announced and when each began;
-    ``arrived_at`` is when requests arrived. Both are monotonic.
+    ``arrivals`` are all requests. While ``backoff_seconds`` is set, it rejects
+    requests and requests such a backoff, and adds ``rejections``. While
+    ``is_draining``, it announces that, under its ``endpoint_id``;
+    ``drained_at_by_id`` is when such a response first arrived. Times are
+    monotonic.
     """
 
     def __init__(
@@ -43,7 +66,12 @@
         :param is_heard: returns whether its responses arrive
         """
         self.runs_by_id: dict[str, int] = {}
-        self.arrived_at: list[float] = []
+        self.arrivals: list[Arrival] = []
+        self.rejections: list[Rejection] = []
+        self.drained_at_by_id: dict[str, float] = {}
+        self.backoff_seconds: float | None = None
+        self.is_draining = False
+        self.endpoint_id = ""
         self.limits: list[AnnouncedPeriod] = []
         self._is_heard = is_heard
         self.address = ""
@@ -86,8 +114,14 @@
         length = int(headers.get(b"content-length", b"0"))
         body = await reader.readexactly(length)
         request_id = headers[b"x-request-id"].decode()
+        expected_id = headers.get(b"x-expect-instance", b"").decode()
+        self.arrivals.append(
+            Arrival(at=time.monotonic(), expected_id=expected_id)
+        )
+        if self.backoff_seconds is not None:
+            self._reject(writer, request_id, self.backoff_seconds)
+            return
         self.runs_by_id[request_id] = self.runs_by_id.get(request_id, 0) + 1
-        self.arrived_at.append(time.monotonic())
         await asyncio.sleep(self._rng.uniform(0.001, 0.05))
         answer = request_id.encode() + b":" + body
         writer.write(
@@ -99,6 +133,18 @@
             + answer
         )
 
+    def _reject(
+        self, writer: asyncio.StreamWriter, request_id: str, seconds: float
+    ) -> None:
+        if self._is_heard():
+            now = time.monotonic()
+            self.rejections.append(Rejection(at=now, seconds=seconds))
+        writer.write(
+            b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n"
+            b"X-Request-Id: %s\r\nRetry-After: %g\r\n"
+            b"Content-Length: 0\r\n\r\n" % (request_id.encode(), seconds)
+        )
+
     def set_limit(self, limit: float | None) -> None:
         """Announce another limit from now on, or none."""
         now = time.monotonic()
@@ -107,6 +153,17 @@
         self.limits.append(AnnouncedPeriod(limit=limit))
 
     def _announce(self) -> bytes:
+        return self._announce_limit() + self._announce_drain()
+
+    def _announce_drain(self) -> bytes:
+        if not self.is_draining:
+            return b""
+        if self._is_heard():
+            now = time.monotonic()
+            self.drained_at_by_id.setdefault(self.endpoint_id, now)
+        return b"Server-Leaving: 1\r\n"
+
+    def _announce_limit(self) -> bytes:
         period = self.limits[-1] if self.limits else None
         if period is None or period.limit is None:
             return b""
--- a/scripts/soak/invariants.py
+++ b/scripts/soak/invariants.py
@@ -3,12 +3,18 @@
 from dataclasses import dataclass
 
 from scripts.soak.endpoint import AnnouncedPeriod
+from scripts.soak.endpoint import Endpoint
 
 # The platform's rule on the requests that an endpoint with a limit gets.
 LIMIT_WINDOW_SECONDS = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK_REQUESTS = 5
 LIMIT_LEARNING_SECONDS = 5.0
+# The platform's rule on the requests of an entry during a backoff.
+BACKOFF_LEARNING_SECONDS = 0.5
+MAX_REQUESTS_IN_BACKOFF = 2
+# An entry stops at once; this is for requests on their way.
+DRAIN_LEARNING_SECONDS = 0.5
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -27,6 +33,18 @@
     seconds: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class Disturbance:
+    """A time in which a fault excuses an entry, by monotonic time."""
+
+    began_at: float
+    ended_at: float
+
+    def overlaps(self, begin: float, end: float) -> bool:
+        """Return whether it overlaps an interval."""
+        return self.began_at <= end and begin <= self.ended_at
+
+
 class InvariantChecker:
     """Checks all invariants and collects violations."""
 
@@ -109,6 +127,47 @@
                     f"{allowed:g} are allowed"
                 )
 
+    def check_backoffs(
+        self, endpoint: Endpoint, disturbed: list["Disturbance"]
+    ) -> None:
+        """Compare the arrivals at an endpoint with its backoffs.
+
+        :param disturbed: of the only entry that sends there, or its link
+        """
+        for rejection in endpoint.rejections:
+            begin = rejection.at + BACKOFF_LEARNING_SECONDS
+            end = rejection.at + rejection.seconds
+            if any(d.overlaps(rejection.at, end) for d in disturbed):
+                continue
+            count = sum(begin < a.at < end for a in endpoint.arrivals)
+            if count > MAX_REQUESTS_IN_BACKOFF:
+                self.violations.append(
+                    f"endpoint {endpoint.address} requested a backoff of "
+                    f"{rejection.seconds:g} s and got {count} requests"
+                )
+
+    def check_drains(
+        self, endpoint: Endpoint, disturbed: list["Disturbance"]
+    ) -> None:
+        """Check that no requests came after an announced drain.
+
+        :param disturbed: of the only entry that sends there, or its link
+        """
+        for endpoint_id, drained_at in endpoint.drained_at_by_id.items():
+            late = [
+                arrival.at
+                for arrival in endpoint.arrivals
+                if arrival.expected_id == endpoint_id
+                and arrival.at > drained_at + DRAIN_LEARNING_SECONDS
+            ]
+            if late and not any(
+                d.overlaps(drained_at, max(late)) for d in disturbed
+            ):
+                self.violations.append(
+                    f"endpoint {endpoint_id} announced to drain and got "
+                    f"{len(late)} requests later"
+                )
+
     def _add_violation(self, record: RequestRecord, description: str) -> None:
         self.violations.append(
             f"request {record.request_id} ({record.path}) {description}"
--- a/scripts/soak/run.py
+++ b/scripts/soak/run.py
@@ -2,8 +2,10 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
 from dataclasses import dataclass
+import itertools
 import json
 import pathlib
 import random
@@ -21,6 +23,7 @@
 from scripts.soak.endpoint import Fault
 from scripts.soak.endpoint import Proxy
 from scripts.soak.endpoint import SLOTS
+from scripts.soak.invariants import Disturbance
 from scripts.soak.invariants import InvariantChecker
 from scripts.soak.invariants import RequestRecord
 
@@ -32,6 +35,12 @@
 # Requests per second that endpoints announce, and for how long.
 ANNOUNCED_LIMITS = (None, 1.0, 2.0, 5.0)
 LIMIT_SECONDS = (2.0, 8.0)
+# How long endpoints reject requests, and the backoffs that they request.
+REJECTION_SECONDS = (0.5, 3.0)
+BACKOFF_SECONDS = (0.3, 3.0)
+# Until a drain ends with another incarnation, and how long this one serves.
+DRAIN_SECONDS = (1.0, 4.0)
+SERVING_SECONDS = (1.0, 5.0)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -67,8 +76,8 @@
         :param entries: the number of entries in each region
         """
         self.rng = random.Random(seed)
-        # Apart, so that a seed has the same faults with and without limits.
-        self.limit_rng = random.Random(seed)
+        # Apart, so that what endpoints announce does not change the faults.
+        self.signal_rng = random.Random(seed)
         self.deployment = Deployment(entries=entries)
         self.invariants = InvariantChecker()
         self.faults: list[str] = []
@@ -82,6 +91,11 @@
         self._sequence = 0
         self._began = time.monotonic()
         self._down: set[str] = set()
+        self._disturbances_by_zone: dict[str, list[Disturbance]] = {
+            zone: [] for zone in self.deployment.zones
+        }
+        for number, endpoint in enumerate(self.endpoints):
+            endpoint.endpoint_id = f"e{number}"
 
     async def open(self) -> None:
         """Start all processes and wait until entries are ready."""
@@ -113,6 +127,7 @@
         while True:
             self._sequence += 1
             for number, proxy in enumerate(self.proxies):
+                endpoint_id = self.endpoints[number].endpoint_id
                 registration = {
                     "service": "s",
                     "addr": proxy.address,
@@ -122,7 +137,9 @@
                     "seq": self._sequence,
                 }
                 await self._call_control(
-                    "PUT", f"/v1/instances/e{number}", json.dumps(registration)
+                    "PUT",
+                    f"/v1/instances/{endpoint_id}",
+                    json.dumps(registration),
                 )
             await asyncio.sleep(0.5)
 
@@ -209,11 +226,17 @@
         self.invariants.record_read(version, acknowledged)
         return version
 
-    async def inject_faults(self, *, has_limits: bool = False) -> None:
-        """Inject random faults that may overlap, and change limits."""
+    async def inject_faults(
+        self, *, has_limits: bool = False, has_signals: bool = False
+    ) -> None:
+        """Inject random faults that may overlap, and change signals."""
         async with asyncio.TaskGroup() as group:
             if has_limits:
                 group.create_task(self.change_limits())
+            if has_signals:
+                for endpoint in self.endpoints:
+                    group.create_task(self.reject_at_times(endpoint))
+                    group.create_task(self.drain_at_times(endpoint))
             while True:
                 await asyncio.sleep(self.rng.uniform(0.5, 3.0))
                 group.create_task(self._inject_fault())
@@ -221,18 +244,47 @@
     async def change_limits(self) -> None:
         """Change the rate limits of random endpoints."""
         while True:
-            endpoint = self.limit_rng.choice(self.endpoints)
-            limit = self.limit_rng.choice(ANNOUNCED_LIMITS)
+            endpoint = self.signal_rng.choice(self.endpoints)
+            limit = self.signal_rng.choice(ANNOUNCED_LIMITS)
             endpoint.set_limit(limit)
             self._record_fault(f"endpoint {endpoint.address} limit {limit}")
-            await asyncio.sleep(self.limit_rng.uniform(*LIMIT_SECONDS))
+            await asyncio.sleep(self.signal_rng.uniform(*LIMIT_SECONDS))
 
-    def check_limits(self) -> None:
-        """Check that no endpoint got more than it announced to accept."""
-        for endpoint in self.endpoints:
+    async def reject_at_times(self, endpoint: Endpoint) -> None:
+        """Let an endpoint reject requests and request backoffs."""
+        rng = self.signal_rng
+        while True:
+            await asyncio.sleep(rng.uniform(*SERVING_SECONDS))
+            seconds = round(rng.uniform(*BACKOFF_SECONDS), 2)
+            endpoint.backoff_seconds = seconds
+            self._record_fault(f"{endpoint.endpoint_id} backoff {seconds} s")
+            await asyncio.sleep(rng.uniform(*REJECTION_SECONDS))
+            endpoint.backoff_seconds = None
+
+    async def drain_at_times(self, endpoint: Endpoint) -> None:
+        """Let an endpoint announce a drain, and restart under another id."""
+        rng = self.signal_rng
+        name = endpoint.endpoint_id
+        for number in itertools.count(1):
+            await asyncio.sleep(rng.uniform(*SERVING_SECONDS))
+            endpoint.is_draining = True
+            self._record_fault(f"{endpoint.endpoint_id} drains")
+            await asyncio.sleep(rng.uniform(*DRAIN_SECONDS))
+            endpoint.is_draining = False
+            endpoint.endpoint_id = f"{name}-{number}"
+
+    def check_signals(self) -> None:
+        """Check that what endpoints announced was kept to."""
+        for endpoint, zone in zip(
+            self.endpoints, self.deployment.zones, strict=True
+        ):
+            arrived_at = [arrival.at for arrival in endpoint.arrivals]
             self.invariants.check_limits(
-                endpoint.address, endpoint.limits, endpoint.arrived_at
+                endpoint.address, endpoint.limits, arrived_at
             )
+            disturbed = self._disturbances_by_zone[zone]
+            self.invariants.check_backoffs(endpoint, disturbed)
+            self.invariants.check_drains(endpoint, disturbed)
 
     async def recover(self) -> None:
         """End all faults and wait until all entries serve requests."""
@@ -240,6 +292,8 @@
             proxy.set_fault(Fault.NONE)
         for endpoint in self.endpoints:
             endpoint.set_limit(None)
+            endpoint.backoff_seconds = None
+            endpoint.is_draining = False
         for machine in self.deployment.machines:
             await self._restore_machine(machine)
         try:
@@ -317,9 +371,10 @@
             return
         seconds = self.rng.uniform(0.5, 4.0)
         self._record_fault(f"{machine.name} paused for {seconds:.1f} s")
-        machine.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(seconds)
-        machine.send_signal(signal.SIGCONT)
+        with self._disturb_machine(machine):
+            machine.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(seconds)
+            machine.send_signal(signal.SIGCONT)
         self._down.discard(machine.name)
 
     async def _inject_proxy_fault(self) -> None:
@@ -329,9 +384,11 @@
         self._record_fault(
             f"endpoint {proxy.address}: {fault.value}, {seconds:.1f} s"
         )
-        proxy.set_fault(fault)
-        await asyncio.sleep(seconds)
-        proxy.set_fault(Fault.NONE)
+        zone = self.deployment.zones[self.proxies.index(proxy)]
+        with self._disturb(zone):
+            proxy.set_fault(fault)
+            await asyncio.sleep(seconds)
+            proxy.set_fault(Fault.NONE)
 
     async def restart(
         self,
@@ -342,11 +399,12 @@
     ) -> None:
         """Stop a process by a signal and restart it after a delay."""
         self._record_fault(f"{machine.name} {action}")
-        await machine.stop(number)
-        if between is not None:
-            between()
-        await asyncio.sleep(self.rng.uniform(0.1, 3.0))
-        await machine.start()
+        with self._disturb_machine(machine):
+            await machine.stop(number)
+            if between is not None:
+                between()
+            await asyncio.sleep(self.rng.uniform(0.1, 3.0))
+            await machine.start()
         # A control VM counts as down until it has caught up.
         await asyncio.sleep(6.0 if machine.is_control else 0.0)
         self._down.discard(machine.name)
@@ -368,6 +426,24 @@
         self._down.add(machine.name)
         return machine
 
+    def _disturb_machine(
+        self, machine: Machine
+    ) -> contextlib.AbstractContextManager[None]:
+        if machine.is_control:
+            return contextlib.nullcontext()
+        return self._disturb(machine.zone)
+
+    @contextlib.contextmanager
+    def _disturb(self, zone: str) -> Iterator[None]:
+        """Record a disturbance of a zone's entry or its link."""
+        began_at = time.monotonic()
+        try:
+            yield
+        finally:
+            self._disturbances_by_zone[zone].append(
+                Disturbance(began_at=began_at, ended_at=time.monotonic())
+            )
+
     def _record_fault(self, description: str) -> None:
         seconds = time.monotonic() - self._began
         self.faults.append(f"{seconds:6.2f} s  {description}")
@@ -387,12 +463,14 @@
     seconds: float,
     logs: pathlib.Path | None,
     has_limits: bool = False,
+    has_signals: bool = False,
 ) -> Result:
     """Run one seed.
 
     :param seconds: duration of the fault injection
     :param has_limits: whether endpoints announce rate limits, to two entries
         in each region
+    :param has_signals: whether endpoints request backoffs and announce drains
     :param logs: folder to copy the logs to, or None
     """
     soak_run = SoakRun(seed, entries=2 if has_limits else 1)
@@ -406,14 +484,16 @@
         load.append(asyncio.create_task(soak_run.run_operator()))
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds):
-                await soak_run.inject_faults(has_limits=has_limits)
+                await soak_run.inject_faults(
+                    has_limits=has_limits, has_signals=has_signals
+                )
         await soak_run.recover()
         for task in load:
             task.cancel()
         await asyncio.gather(*load, return_exceptions=True)
         await asyncio.sleep(SETTLE_DELAY_SECONDS)
         soak_run.invariants.check_runs(soak_run.runs_by_id(), settled=True)
-        soak_run.check_limits()
+        soak_run.check_signals()
         registering.cancel()
         if logs is not None:
             _copy_logs(soak_run, logs)
