--- a/burdockdrum/passthrough/endpoint_limits.py
+++ b/burdockdrum/passthrough/endpoint_limits.py
@@ -42,16 +42,21 @@
         self._refill(rate, now)
         self._tokens -= 1.0
 
-    def reserve_return(self, rate: float, now: float) -> float:
+    def reserve_return(
+        self, rate: float, now: float, seconds_left: float
+    ) -> float:
         """Return after how many seconds a refused request should return.
 
-        Each one is given a later time, so that they don't compete.
+        Each one is given a later time, so that they don't compete. A time
+        that is too late for the request is not reserved.
+
+        :param seconds_left: until the request's deadline
         """
         available_at = now + self.seconds_until_token(rate, now)
-        self._next_return_at = max(
-            available_at, self._next_return_at + 1.0 / rate
-        )
-        return self._next_return_at - now
+        return_at = max(available_at, self._next_return_at + 1.0 / rate)
+        if return_at - now <= seconds_left:
+            self._next_return_at = return_at
+        return return_at - now
 
     def _refill(self, rate: float, now: float) -> None:
         capacity = max(MIN_BURST_REQUESTS, rate * BURST_SECONDS)
@@ -77,10 +82,10 @@
             return self._interval_seconds
         return self.bucket.seconds_until_token(self.share, now)
 
-    def reserve_return(self, now: float) -> float:
+    def reserve_return(self, now: float, seconds_left: float) -> float:
         if self.share is None:
             return self._interval_seconds
-        return self.bucket.reserve_return(self.share, now)
+        return self.bucket.reserve_return(self.share, now, seconds_left)
 
     def take(self, now: float) -> None:
         if self.share is not None:
@@ -182,12 +187,16 @@
             return 0.0
         return allowance.seconds_until_capacity(self._clock.monotonic())
 
-    def reserve_return(self, endpoint_id: str) -> float:
-        """Return after how many seconds a refused request should return."""
+    def reserve_return(self, endpoint_id: str, seconds_left: float) -> float:
+        """Return after how many seconds a refused request should return.
+
+        :param seconds_left: until the request's deadline
+        """
         allowance = self._find_allowance(endpoint_id)
         if allowance is None:
             return 0.0
-        return allowance.reserve_return(self._clock.monotonic())
+        now = self._clock.monotonic()
+        return allowance.reserve_return(now, seconds_left)
 
     def record_sent(self, endpoint_id: str) -> None:
         """Count a request against the share."""
--- a/burdockdrum/passthrough/relay.py
+++ b/burdockdrum/passthrough/relay.py
@@ -219,7 +219,9 @@
         endpoint_ids = self._selector.list_at_limit(request, progress)
         if not endpoint_ids:
             return False
-        progress.permit = await self._permits.acquire(endpoint_ids)
+        progress.permit = await self._permits.acquire(
+            endpoint_ids, request.deadline - self._clock.monotonic()
+        )
         return True
 
     def _finish_without_target(
--- a/burdockdrum/passthrough/target_selection.py
+++ b/burdockdrum/passthrough/target_selection.py
@@ -296,11 +296,11 @@
         wait = NO_ENDPOINT_RETRY_AFTER_SECONDS
         if progress.permit is not None and progress.permit.retry_after:
             wait = progress.permit.retry_after
-        return self._refuse(
+        return self._make_refusal(
             request,
             progress,
             f"{reason} below its announced rate limit",
-            wait,
+            max(MIN_RETRY_AFTER_SECONDS, wait),
             code=RefusalCode.ENDPOINT_LIMIT,
         )
 
@@ -310,14 +310,13 @@
         progress: RequestProgress,
         reason: str,
         wait: float,
-        code: RefusalCode = RefusalCode.OVERLOADED,
     ) -> Refusal:
         return self._make_refusal(
             request,
             progress,
             reason,
             min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, wait)),
-            code,
+            code=RefusalCode.OVERLOADED,
         )
 
     def _make_refusal(
--- a/tests/passthrough/test_endpoint_limits.py
+++ b/tests/passthrough/test_endpoint_limits.py
@@ -219,6 +219,16 @@
         self.assertEqual(1, len(limited.seen))
         self.assertEqual(1, self.decisions(entry, "refused"))
 
+    async def test_time_to_come_back_is_not_cut(self):
+        # Guards against a constant that brings all callers back at once,
+        # long before the endpoint takes another request.
+        limited = Endpoint(answer(b"ok", b"200 OK", b"X-Rate-Limit: 0.1"))
+        entry = await self.open(limited, idempotent=False)
+        await entry.call(method=b"POST")
+        _, head, _ = await entry.call(method=b"POST")
+        retry_after = float(header(head + b"\r\n", b"retry-after"))
+        self.assertGreater(retry_after, 9.0)
+
     async def test_other_endpoints_serve_instead(self):
         limited = Endpoint(answer(b"ok", b"200 OK", b"X-Rate-Limit: 0.5"))
         other = Endpoint(answer(b"other"))
--- a/tests/passthrough/test_limit_permits.py
+++ b/tests/passthrough/test_limit_permits.py
@@ -56,7 +56,7 @@
         return self.reply
 
     async def acquire(self):
-        return await self.permits.acquire(["p"])
+        return await self.permits.acquire(["p"], seconds_left=10.0)
 
     async def test_holder_grants_a_permit(self):
         result = await self.acquire()
@@ -130,6 +130,39 @@
             self.assertAlmostEqual(0.5, second - first)
         self.assertTrue(all(abs(r.next_after - 0.5) < 1e-6 for r in replies))
 
+    async def test_times_that_are_too_late_are_not_reserved(self):
+        # Guards against an order of return that grows with each refusal,
+        # also of callers that never come back.
+        self.share = 2.0
+        request = PermitRequest(endpoint_id="p", seconds_left=3.0)
+        for _ in range(100):
+            reply = await self.permits.handle(None, request)
+        self.assertLessEqual(reply.retry_after, 3.0 + 1 / 2.0)
+        self.assertGreater(reply.retry_after, 3.0)
+        self.clock.now += 10.0
+        for _ in range(3):
+            reply = await self.permits.handle(None, request)
+        self.assertFalse(reply.is_granted)
+        self.assertLess(reply.retry_after, 1.0)
+
+    async def test_holder_learns_how_long_the_request_may_wait(self):
+        requests = []
+
+        async def ask(address, request):
+            requests.append(request)
+            return DENIED
+
+        self.permits._ask = ask
+        await self.acquire()
+        self.assertEqual(10.0, requests[0].seconds_left)
+
+    async def test_requests_denied_unasked_return_after_the_first_one(self):
+        # Guards against telling them the next free time, which is taken.
+        self.reply = DENIED
+        waits = [(await self.acquire()).retry_after for _ in range(20)]
+        self.assertGreaterEqual(min(waits), 2.9)
+        self.assertGreater(max(waits) - min(waits), 1.0)
+
     async def test_holder_that_has_not_learned_the_limit_grants_nothing(self):
         # Guards against a holder that grants every request because it does
         # not know of a limit yet.
--- a/tests/registrations/limited_region.py
+++ b/tests/registrations/limited_region.py
@@ -262,7 +262,9 @@
         if limits.has_capacity(endpoint_id):
             limits.record_sent(endpoint_id)
         else:
-            result = await self.permits[name].acquire([endpoint_id])
+            result = await self.permits[name].acquire(
+                [endpoint_id], seconds_left=10.0
+            )
             if result.endpoint_id is None:
                 self.retry_seconds.append(result.retry_after)
                 return
