--- a/burdockdrum/holdings/polling.py
+++ b/burdockdrum/holdings/polling.py
@@ -146,7 +146,7 @@
 
     async def _wait_for_backoff(self, endpoint_id: str) -> None:
         while (seconds := self.read_backoff(endpoint_id)) > 0:
-            await self._clock.sleep(seconds)
+            await self._clock.sleep(min(seconds, POLL_INTERVAL_SECONDS))
 
     def _publish_reachability(
         self, endpoint_id: str, *, is_unreachable: bool
--- a/burdockdrum/passthrough/fleet.py
+++ b/burdockdrum/passthrough/fleet.py
@@ -10,9 +10,9 @@
 
 from burdockdrum.holdings import PrefixCacheTable
 from burdockdrum.metrics import Metrics
+from burdockdrum.passthrough.backoff_gate import BackoffGate
 from burdockdrum.passthrough.candidates import Candidates
 from burdockdrum.passthrough.candidates import split_candidates
-from burdockdrum.passthrough.congestion_windows import CongestionWindows
 from burdockdrum.passthrough.connection_shares import equal_share
 from burdockdrum.passthrough.connection_shares import max_idle_connections
 from burdockdrum.passthrough.connection_shares import may_add_connection
@@ -50,8 +50,6 @@
 # Least expected work when drawing an endpoint: those whose estimates differ by
 # less share the requests.
 TIE_MARGIN_SECONDS = 0.002
-# When a request that found a full congestion window should return.
-FULL_WINDOW_SECONDS = 0.5
 
 
 class Fleet:
@@ -138,8 +136,11 @@
         self._backoffs = backoffs or RequestedBackoffs(
             clock=clock, metrics=Metrics(), read_endpoints=read_endpoints
         )
-        self._windows = CongestionWindows(clock=clock)
-        self._backoffs.listeners.append(self._reduce_window)
+        self._backoff_gate = BackoffGate(
+            clock=clock,
+            backoffs=self._backoffs,
+            count_unanswered=self._count_unanswered,
+        )
 
     def choose(
         self,
@@ -225,7 +226,7 @@
     ) -> RequestedBackoff | None:
         """Return the backoff that ends first, if all endpoints are in one."""
         backoffs = [
-            self._find_backoff(endpoint.endpoint_id)
+            self._backoff_gate.find(endpoint.endpoint_id)
             for endpoint in self._live(backend.name)
             if endpoint.data_centre not in closed_data_centres
         ]
@@ -236,7 +237,7 @@
 
     def is_in_backoff(self, endpoint: RegisteredEndpoint) -> bool:
         """Return whether an endpoint wants no requests from this entry."""
-        return self._backoffs.is_active(endpoint.endpoint_id)
+        return self._backoff_gate.is_backing_off(endpoint.endpoint_id)
 
     def current_fetch_from(self, choice: RatedEndpoint) -> str | None:
         """Return the address to fetch the prefix from, if still possible."""
@@ -246,7 +247,7 @@
         return fetch.address
 
     def _may_fetch_from(self, endpoint_id: str) -> bool:
-        return not self._backoffs.is_active(endpoint_id)
+        return not self._backoff_gate.is_backing_off(endpoint_id)
 
     def _split_eligible(
         self,
@@ -264,28 +265,9 @@
         return split_candidates(
             eligible,
             self._limits,
-            lambda endpoint_id: self._find_backoff(endpoint_id) is not None,
+            self._backoff_gate.is_closed,
         )
 
-    def _find_backoff(self, endpoint_id: str) -> RequestedBackoff | None:
-        """Return why an endpoint should get no requests now, if so.
-
-        After a backoff its congestion window may be full for a short time.
-        """
-        backoff = self._backoffs.find(endpoint_id)
-        if backoff is not None:
-            return backoff
-        window = self._windows.size_of(endpoint_id)
-        if window is None or self._count_unanswered(endpoint_id) < window:
-            return None
-        return RequestedBackoff(
-            seconds=FULL_WINDOW_SECONDS,
-            ends_at=self._clock.monotonic() + FULL_WINDOW_SECONDS,
-        )
-
-    def _reduce_window(self, endpoint_id: str) -> None:
-        self._windows.reduce(endpoint_id, self._count_unanswered(endpoint_id))
-
     def _count_unanswered(self, endpoint_id: str) -> int:
         state = self._states_by_id.get(endpoint_id)
         return state.count_unanswered() if state is not None else 0
@@ -368,7 +350,7 @@
         in_flight_request.chunks_received += 1
         if in_flight_request.first_output_at is None:
             in_flight_request.first_output_at = now
-            self._windows.record_accepted(
+            self._backoff_gate.record_accepted(
                 in_flight_request.endpoint.endpoint_id
             )
             if state is not None:
@@ -390,7 +372,7 @@
         if whole:
             self._timings.record_completion(in_flight_request, backend, now)
         if whole and in_flight_request.first_output_at is None:
-            self._windows.record_accepted(
+            self._backoff_gate.record_accepted(
                 in_flight_request.endpoint.endpoint_id
             )
         state = self._states_by_id.get(in_flight_request.endpoint.endpoint_id)
@@ -460,7 +442,7 @@
                 del self._states_by_id[endpoint_id]
                 self.engines.remove_endpoint(endpoint_id)
         self.prefix_cache_view.retain_endpoints(live)
-        self._windows.remove_ended(live)
+        self._backoff_gate.remove_ended(live)
 
     def _live(self, service: str) -> list[RegisteredEndpoint]:
         now = self._clock.monotonic()
--- a/burdockdrum/passthrough/relay.py
+++ b/burdockdrum/passthrough/relay.py
@@ -383,7 +383,9 @@
             verdict=refusal.verdict.value,
             status=status_of(refusal),
             reason=refusal.message,
-            retry_after=refusal.retry_after,
+            retry_after=None
+            if refusal.retry_after is None
+            else round(refusal.retry_after, 3),
             hop=is_hop,
         )
         if is_hop:
--- a/burdockdrum/passthrough/requested_backoffs.py
+++ b/burdockdrum/passthrough/requested_backoffs.py
@@ -86,10 +86,6 @@
             )
             return
         previous = self.seconds_left(endpoint_id)
-        if seconds > previous:
-            self._backoffs_by_id[endpoint_id] = RequestedBackoff(
-                seconds=seconds, ends_at=self._clock.monotonic() + seconds
-            )
         self._requests_total.increment(result="requested")
         log_decision(
             "endpoint.backoff_requested",
@@ -98,9 +94,8 @@
             seconds=seconds,
             previous=round(previous, 3),
         )
-        if not previous:
-            for listener in self.listeners:
-                listener(endpoint_id)
+        if seconds > previous:
+            self._extend(endpoint_id, seconds)
 
     def find(self, endpoint_id: str) -> RequestedBackoff | None:
         """Return the backoff of an endpoint that has not ended, if any."""
@@ -127,6 +122,15 @@
             if endpoint_id not in live or not self.is_active(endpoint_id):
                 del self._backoffs_by_id[endpoint_id]
 
+    def _extend(self, endpoint_id: str, seconds: float) -> None:
+        was_active = self.is_active(endpoint_id)
+        self._backoffs_by_id[endpoint_id] = RequestedBackoff(
+            seconds=seconds, ends_at=self._clock.monotonic() + seconds
+        )
+        if not was_active:
+            for listener in self.listeners:
+                listener(endpoint_id)
+
     def _count_active(self) -> int:
         return sum(map(self.is_active, self._backoffs_by_id))
 
--- a/tests/passthrough/test_requested_backoffs.py
+++ b/tests/passthrough/test_requested_backoffs.py
@@ -231,19 +231,25 @@
         self.world.fleet.remove_ended()
         self.assertGreater(len(self.send_all()), 50)
 
+    def test_backoff_of_no_time_reduces_nothing(self):
+        self.backoffs.observe("a", [b"0"], request_id="r")
+        self.assertGreater(len(self.send_all()), 50)
+
     def test_rejections_of_one_moment_reduce_it_once(self):
         before = [self.world.send(make_prompt(10)) for _ in range(12)]
         self.backoffs.observe("a", [b"1"], request_id="r")
         self.end(before[:10], whole=False)
         self.request()
-        window = self.world.fleet._windows._windows_by_id["a"]
+        window = self.world.fleet._backoff_gate._windows._windows_by_id["a"]
         self.assertEqual(6, window.threshold)
 
     def test_state_ends_with_the_endpoint(self):
         self.request()
         self.world.endpoints.clear()
         self.world.fleet.remove_ended()
-        self.assertEqual({}, self.world.fleet._windows._windows_by_id)
+        self.assertEqual(
+            {}, self.world.fleet._backoff_gate._windows._windows_by_id
+        )
 
 
 class RelayBackoffTest(RelayCase):
