--- a/tests/registrations/test_announced_drains.py
+++ b/tests/registrations/test_announced_drains.py
@@ -80,6 +80,24 @@
 
         play(check)
 
+    def test_entry_that_was_told_tells_others(self):
+        # The entry that received the announcement is gone, and the control
+        # VMs have forgotten it.
+        async def check(world):
+            await check_in(world, "a", 1)
+            world.followers["x"].record_drain("e1")
+            await asyncio.sleep(1)
+            await world.stop("x")
+            for control in "ab":
+                await world.stop(control)
+                await world.start(control)
+            for sequence in range(2, 6):
+                await check_in(world, "b", sequence)
+                self.assert_draining(world, "y")
+            self.assertEqual([], list(world.tables["b"].ready()))
+
+        play(check)
+
     def test_entry_that_starts_later_learns_of_it(self):
         async def check(world):
             await check_in(world, "a", 1)
