--- a/scripts/soak/endpoint.py
+++ b/scripts/soak/endpoint.py
@@ -40,6 +40,7 @@
     """A rejection that requested a backoff of so many seconds."""
 
     at: float
+    endpoint_id: str
     seconds: float
 
 
@@ -118,6 +119,9 @@
         self.arrivals.append(
             Arrival(at=time.monotonic(), expected_id=expected_id)
         )
+        if expected_id != self.endpoint_id:
+            self._refuse(writer, b"421 Misdirected Request", request_id)
+            return
         if self.backoff_seconds is not None:
             self._reject(writer, request_id, self.backoff_seconds)
             return
@@ -138,11 +142,20 @@
     ) -> None:
         if self._is_heard():
             now = time.monotonic()
-            self.rejections.append(Rejection(at=now, seconds=seconds))
+            self.rejections.append(
+                Rejection(
+                    at=now, endpoint_id=self.endpoint_id, seconds=seconds
+                )
+            )
+        status = b"503 Service Unavailable\r\nRetry-After: %g" % seconds
+        self._refuse(writer, status, request_id)
+
+    def _refuse(
+        self, writer: asyncio.StreamWriter, status: bytes, request_id: str
+    ) -> None:
         writer.write(
-            b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n"
-            b"X-Request-Id: %s\r\nRetry-After: %g\r\n"
-            b"Content-Length: 0\r\n\r\n" % (request_id.encode(), seconds)
+            b"HTTP/1.1 %s\r\nX-Not-Run: 1\r\nX-Request-Id: %s\r\n"
+            b"Content-Length: 0\r\n\r\n" % (status, request_id.encode())
         )
 
     def set_limit(self, limit: float | None) -> None:
--- a/scripts/soak/invariants.py
+++ b/scripts/soak/invariants.py
@@ -139,10 +139,14 @@
             end = rejection.at + rejection.seconds
             if any(d.overlaps(rejection.at, end) for d in disturbed):
                 continue
-            count = sum(begin < a.at < end for a in endpoint.arrivals)
+            count = sum(
+                begin < arrival.at < end
+                and arrival.expected_id == rejection.endpoint_id
+                for arrival in endpoint.arrivals
+            )
             if count > MAX_REQUESTS_IN_BACKOFF:
                 self.violations.append(
-                    f"endpoint {endpoint.address} requested a backoff of "
+                    f"endpoint {rejection.endpoint_id} requested a backoff of "
                     f"{rejection.seconds:g} s and got {count} requests"
                 )
 
