Split the proxy's package into rooms by job

Change: state (what an entry knows of endpoints), protocol (requests and responses as types and codecs), selection (decisions, without sockets and headers) and relaying (attempts, retries, listeners), each with a public __init__; none imports from one that comes later. The tests mirror them. No behaviour changes.

--- a/burdockdrum/passthrough/__init__.py
+++ b/burdockdrum/passthrough/__init__.py
@@ -5,12 +5,12 @@
 membership and verdicts.
 """
 
-from burdockdrum.passthrough.active_routes import ActiveRoutes
-from burdockdrum.passthrough.header_names import HeaderNames
-from burdockdrum.passthrough.relay import Relay
-from burdockdrum.passthrough.response_signals import ResponseSignals
-from burdockdrum.passthrough.route_index import RouteIndex
-from burdockdrum.passthrough.server import PassThroughServer
+from burdockdrum.passthrough.protocol import ActiveRoutes
+from burdockdrum.passthrough.protocol import HeaderNames
+from burdockdrum.passthrough.protocol import ResponseSignals
+from burdockdrum.passthrough.protocol import RouteIndex
+from burdockdrum.passthrough.relaying import PassThroughServer
+from burdockdrum.passthrough.relaying import Relay
 from burdockdrum.passthrough.services import add_services
 
 __all__ = [
--- /dev/null
+++ b/burdockdrum/passthrough/protocol/__init__.py
@@ -0,0 +1,64 @@
+"""Requests and responses as they are read, classified and written.
+
+Only the types and codecs; connections belong to ``relaying``.
+"""
+
+from burdockdrum.passthrough.protocol.active_routes import ActiveRoutes
+from burdockdrum.passthrough.protocol.events import InvalidEventStream
+from burdockdrum.passthrough.protocol.events import ResumableEventSplitter
+from burdockdrum.passthrough.protocol.header_names import HeaderNames
+from burdockdrum.passthrough.protocol.header_names import HOP_USED_ATTEMPTS
+from burdockdrum.passthrough.protocol.model import Delivered
+from burdockdrum.passthrough.protocol.model import EndpointTarget
+from burdockdrum.passthrough.protocol.model import ErrorResponse
+from burdockdrum.passthrough.protocol.model import Lost
+from burdockdrum.passthrough.protocol.model import NotStarted
+from burdockdrum.passthrough.protocol.model import Outcome
+from burdockdrum.passthrough.protocol.model import ProxiedRequest
+from burdockdrum.passthrough.protocol.model import RegionTarget
+from burdockdrum.passthrough.protocol.model import RequestProgress
+from burdockdrum.passthrough.protocol.model import Target
+from burdockdrum.passthrough.protocol.payloads import PayloadEncoder
+from burdockdrum.passthrough.protocol.refusal_responses import MAYBE_RUN_STATUS
+from burdockdrum.passthrough.protocol.refusal_responses import NOT_RUN_STATUSES
+from burdockdrum.passthrough.protocol.refusal_responses import send_refusal
+from burdockdrum.passthrough.protocol.refusal_responses import status_of
+from burdockdrum.passthrough.protocol.request_reader import RequestReader
+from burdockdrum.passthrough.protocol.response_signals import ResponseSignals
+from burdockdrum.passthrough.protocol.responses import read_buffered
+from burdockdrum.passthrough.protocol.responses import read_error_body
+from burdockdrum.passthrough.protocol.responses import read_used_attempts
+from burdockdrum.passthrough.protocol.responses import ResponseClassifier
+from burdockdrum.passthrough.protocol.responses import ResponseTruncated
+from burdockdrum.passthrough.protocol.route_index import RouteIndex
+
+__all__ = [
+    "ActiveRoutes",
+    "Delivered",
+    "EndpointTarget",
+    "ErrorResponse",
+    "HeaderNames",
+    "HOP_USED_ATTEMPTS",
+    "InvalidEventStream",
+    "Lost",
+    "MAYBE_RUN_STATUS",
+    "NOT_RUN_STATUSES",
+    "NotStarted",
+    "Outcome",
+    "PayloadEncoder",
+    "ProxiedRequest",
+    "read_buffered",
+    "read_error_body",
+    "read_used_attempts",
+    "RegionTarget",
+    "RequestProgress",
+    "RequestReader",
+    "ResponseClassifier",
+    "ResponseSignals",
+    "ResponseTruncated",
+    "ResumableEventSplitter",
+    "RouteIndex",
+    "send_refusal",
+    "status_of",
+    "Target",
+]
--- a/burdockdrum/passthrough/active_routes.py
+++ b/burdockdrum/passthrough/protocol/active_routes.py
@@ -2,7 +2,7 @@
 
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.http1 import Limits
-from burdockdrum.passthrough.route_index import RouteIndex
+from burdockdrum.passthrough.protocol.route_index import RouteIndex
 from burdockdrum.resources import Configuration
 from burdockdrum.resources import RouteTableSpec
 
--- a/burdockdrum/passthrough/model.py
+++ b/burdockdrum/passthrough/protocol/model.py
@@ -6,9 +6,9 @@
 
 from burdockdrum.http1 import RequestHead
 from burdockdrum.http1 import ResponseHead
-from burdockdrum.passthrough.endpoint_state import RatedEndpoint
-from burdockdrum.passthrough.limit_permits import PermitResult
-from burdockdrum.passthrough.prompts import Prompt
+from burdockdrum.passthrough.state import PermitResult
+from burdockdrum.passthrough.state import Prompt
+from burdockdrum.passthrough.state import RatedEndpoint
 from burdockdrum.quotas import Charge
 from burdockdrum.resources import Backend
 from burdockdrum.resources import Route
--- a/burdockdrum/passthrough/payloads.py
+++ b/burdockdrum/passthrough/protocol/payloads.py
@@ -6,12 +6,12 @@
 from burdockdrum.http1 import encode_request
 from burdockdrum.http1 import Headers
 from burdockdrum.http1 import remove_hop_by_hop_headers
-from burdockdrum.passthrough.header_names import HeaderNames
-from burdockdrum.passthrough.header_names import HOP_ATTEMPTS
-from burdockdrum.passthrough.header_names import HOP_HEADERS
-from burdockdrum.passthrough.header_names import HOP_REGION
-from burdockdrum.passthrough.header_names import HOP_TEAM
-from burdockdrum.passthrough.model import ProxiedRequest
+from burdockdrum.passthrough.protocol.header_names import HeaderNames
+from burdockdrum.passthrough.protocol.header_names import HOP_ATTEMPTS
+from burdockdrum.passthrough.protocol.header_names import HOP_HEADERS
+from burdockdrum.passthrough.protocol.header_names import HOP_REGION
+from burdockdrum.passthrough.protocol.header_names import HOP_TEAM
+from burdockdrum.passthrough.protocol.model import ProxiedRequest
 
 _MILLISECONDS_PER_SECOND = 1000
 # The lowest priority that engines accept.
--- a/burdockdrum/passthrough/refusal_responses.py
+++ b/burdockdrum/passthrough/protocol/refusal_responses.py
@@ -6,8 +6,8 @@
 
 from burdockdrum.http1 import Exchange
 from burdockdrum.http1 import Headers
-from burdockdrum.passthrough.header_names import TIMED_OUT_STATUS
-from burdockdrum.passthrough.header_names import VERDICT
+from burdockdrum.passthrough.protocol.header_names import TIMED_OUT_STATUS
+from burdockdrum.passthrough.protocol.header_names import VERDICT
 from burdockdrum.verdicts import Refusal
 from burdockdrum.verdicts import RefusalCode
 from burdockdrum.verdicts import Verdict
--- a/burdockdrum/passthrough/response_signals.py
+++ b/burdockdrum/passthrough/protocol/response_signals.py
@@ -1,15 +1,15 @@
 """What endpoints say of themselves in the heads of their responses."""
 
 from burdockdrum.http1 import ResponseHead
-from burdockdrum.passthrough.drain_announcements import DrainAnnouncements
-from burdockdrum.passthrough.endpoint_limits import EndpointLimits
-from burdockdrum.passthrough.endpoint_state import InFlightRequest
-from burdockdrum.passthrough.header_names import HeaderNames
-from burdockdrum.passthrough.model import Lost
-from burdockdrum.passthrough.model import NotStarted
-from burdockdrum.passthrough.requested_backoffs import RequestedBackoffs
-from burdockdrum.passthrough.responses import BACKOFF_STATUS
-from burdockdrum.passthrough.responses import is_from_endpoint
+from burdockdrum.passthrough.protocol.header_names import HeaderNames
+from burdockdrum.passthrough.protocol.model import Lost
+from burdockdrum.passthrough.protocol.model import NotStarted
+from burdockdrum.passthrough.protocol.responses import BACKOFF_STATUS
+from burdockdrum.passthrough.protocol.responses import is_from_endpoint
+from burdockdrum.passthrough.state import DrainAnnouncements
+from burdockdrum.passthrough.state import EndpointLimits
+from burdockdrum.passthrough.state import InFlightRequest
+from burdockdrum.passthrough.state import RequestedBackoffs
 from burdockdrum.registrations import RegisteredEndpoint
 
 _RETRY_AFTER = b"retry-after"
--- a/burdockdrum/passthrough/responses.py
+++ b/burdockdrum/passthrough/protocol/responses.py
@@ -11,13 +11,13 @@
 from burdockdrum.http1 import remove_hop_by_hop_headers
 from burdockdrum.http1 import ResponseHead
 from burdockdrum.http1 import ResponseLost
-from burdockdrum.passthrough.header_names import HeaderNames
-from burdockdrum.passthrough.header_names import HOP_HEADERS
-from burdockdrum.passthrough.header_names import HOP_USED_ATTEMPTS
-from burdockdrum.passthrough.header_names import TIMED_OUT_STATUS
-from burdockdrum.passthrough.header_names import VERDICT
-from burdockdrum.passthrough.model import Lost
-from burdockdrum.passthrough.model import NotStarted
+from burdockdrum.passthrough.protocol.header_names import HeaderNames
+from burdockdrum.passthrough.protocol.header_names import HOP_HEADERS
+from burdockdrum.passthrough.protocol.header_names import HOP_USED_ATTEMPTS
+from burdockdrum.passthrough.protocol.header_names import TIMED_OUT_STATUS
+from burdockdrum.passthrough.protocol.header_names import VERDICT
+from burdockdrum.passthrough.protocol.model import Lost
+from burdockdrum.passthrough.protocol.model import NotStarted
 from burdockdrum.verdicts import Verdict
 
 MISDIRECTED_STATUS = 421
--- a/burdockdrum/passthrough/attempt_timeouts.py
+++ b/burdockdrum/passthrough/relaying/attempt_timeouts.py
@@ -9,12 +9,12 @@
 import asyncio
 from collections.abc import Callable
 
-from burdockdrum.passthrough.fleet import Fleet
-from burdockdrum.passthrough.limits import RetryBudget
-from burdockdrum.passthrough.model import EndpointTarget
-from burdockdrum.passthrough.model import ProxiedRequest
-from burdockdrum.passthrough.model import RequestProgress
-from burdockdrum.passthrough.model import Target
+from burdockdrum.passthrough.protocol import EndpointTarget
+from burdockdrum.passthrough.protocol import ProxiedRequest
+from burdockdrum.passthrough.protocol import RequestProgress
+from burdockdrum.passthrough.protocol import Target
+from burdockdrum.passthrough.selection import Fleet
+from burdockdrum.passthrough.state import RetryBudget
 from burdockdrum.settings import MechanismSettings
 
 # Multiple of the expected wait after which an attempt times out.
--- a/burdockdrum/passthrough/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -13,38 +13,37 @@
 from burdockdrum.http1 import ResponseHead
 from burdockdrum.http1 import ResponseLost
 from burdockdrum.logs import log_decision
-from burdockdrum.passthrough.attempt_timeouts import AttemptTimeouts
-from burdockdrum.passthrough.events import InvalidEventStream
-from burdockdrum.passthrough.events import ResumableEventSplitter
-from burdockdrum.passthrough.fleet import Fleet
-from burdockdrum.passthrough.health import EndpointHealth
-from burdockdrum.passthrough.in_flight_calls import Call
-from burdockdrum.passthrough.in_flight_calls import InFlightCalls
-from burdockdrum.passthrough.model import Delivered
-from burdockdrum.passthrough.model import EndpointTarget
-from burdockdrum.passthrough.model import ErrorResponse
-from burdockdrum.passthrough.model import Lost
-from burdockdrum.passthrough.model import NotStarted
-from burdockdrum.passthrough.model import Outcome
-from burdockdrum.passthrough.model import ProxiedRequest
-from burdockdrum.passthrough.model import RegionTarget
-from burdockdrum.passthrough.model import RequestProgress
-from burdockdrum.passthrough.model import Target
-from burdockdrum.passthrough.payloads import PayloadEncoder
-from burdockdrum.passthrough.response_signals import ResponseSignals
-from burdockdrum.passthrough.responses import read_buffered
-from burdockdrum.passthrough.responses import read_error_body
-from burdockdrum.passthrough.responses import read_used_attempts
-from burdockdrum.passthrough.responses import ResponseClassifier
-from burdockdrum.passthrough.responses import ResponseTruncated
+from burdockdrum.passthrough.protocol import Delivered
+from burdockdrum.passthrough.protocol import EndpointTarget
+from burdockdrum.passthrough.protocol import ErrorResponse
+from burdockdrum.passthrough.protocol import InvalidEventStream
+from burdockdrum.passthrough.protocol import Lost
+from burdockdrum.passthrough.protocol import NotStarted
+from burdockdrum.passthrough.protocol import Outcome
+from burdockdrum.passthrough.protocol import PayloadEncoder
+from burdockdrum.passthrough.protocol import ProxiedRequest
+from burdockdrum.passthrough.protocol import read_buffered
+from burdockdrum.passthrough.protocol import read_error_body
+from burdockdrum.passthrough.protocol import read_used_attempts
+from burdockdrum.passthrough.protocol import RegionTarget
+from burdockdrum.passthrough.protocol import RequestProgress
+from burdockdrum.passthrough.protocol import ResponseClassifier
+from burdockdrum.passthrough.protocol import ResponseSignals
+from burdockdrum.passthrough.protocol import ResponseTruncated
+from burdockdrum.passthrough.protocol import ResumableEventSplitter
+from burdockdrum.passthrough.protocol import Target
+from burdockdrum.passthrough.relaying.attempt_timeouts import AttemptTimeouts
+from burdockdrum.passthrough.relaying.in_flight_calls import Call
+from burdockdrum.passthrough.relaying.in_flight_calls import InFlightCalls
+from burdockdrum.passthrough.selection import Fleet
+from burdockdrum.passthrough.selection import HOP_DELAY_SECONDS
+from burdockdrum.passthrough.state import EndpointHealth
 from burdockdrum.ports import Clock
 
 # Shorter than the one-second TCP retransmission timeout: after a lost packet
 # a new connection is faster than the retransmission.
 CONNECT_TIMEOUT_SECONDS = 0.4
 HOP_CONNECT_TIMEOUT_SECONDS = 0.6
-# Round trip between two regions, plus the processing at the other entry VM.
-HOP_DELAY_SECONDS = 0.12
 # Lets a response that the endpoint sent at the deadline still arrive.
 DEADLINE_GRACE_SECONDS = 0.05
 
--- a/burdockdrum/passthrough/in_flight_calls.py
+++ b/burdockdrum/passthrough/relaying/in_flight_calls.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 
 from burdockdrum.http1 import ConnectionPool
-from burdockdrum.passthrough.attempt_timeouts import AttemptWatchdog
-from burdockdrum.passthrough.endpoint_state import InFlightRequest
-from burdockdrum.passthrough.model import Target
+from burdockdrum.passthrough.protocol import Target
+from burdockdrum.passthrough.relaying.attempt_timeouts import AttemptWatchdog
+from burdockdrum.passthrough.state import InFlightRequest
 
 
 class Call:
--- a/burdockdrum/passthrough/request_log.py
+++ b/burdockdrum/passthrough/relaying/request_log.py
@@ -3,13 +3,13 @@
 from burdockdrum.logs import log_decision
 from burdockdrum.logs import log_failure
 from burdockdrum.logs import Value
-from burdockdrum.passthrough.model import Delivered
-from burdockdrum.passthrough.model import EndpointTarget
-from burdockdrum.passthrough.model import Outcome
-from burdockdrum.passthrough.model import ProxiedRequest
-from burdockdrum.passthrough.model import RegionTarget
-from burdockdrum.passthrough.model import RequestProgress
-from burdockdrum.passthrough.model import Target
+from burdockdrum.passthrough.protocol import Delivered
+from burdockdrum.passthrough.protocol import EndpointTarget
+from burdockdrum.passthrough.protocol import Outcome
+from burdockdrum.passthrough.protocol import ProxiedRequest
+from burdockdrum.passthrough.protocol import RegionTarget
+from burdockdrum.passthrough.protocol import RequestProgress
+from burdockdrum.passthrough.protocol import Target
 
 
 def log_attempt(
--- a/burdockdrum/passthrough/server.py
+++ b/burdockdrum/passthrough/relaying/server.py
@@ -2,10 +2,10 @@
 
 from burdockdrum.http1 import ConnectionPool
 from burdockdrum.http1 import Listener
-from burdockdrum.passthrough.endpoint_limits import EndpointLimits
-from burdockdrum.passthrough.fleet import Fleet
-from burdockdrum.passthrough.limits import RetryBudget
-from burdockdrum.passthrough.requested_backoffs import RequestedBackoffs
+from burdockdrum.passthrough.selection import Fleet
+from burdockdrum.passthrough.state import EndpointLimits
+from burdockdrum.passthrough.state import RequestedBackoffs
+from burdockdrum.passthrough.state import RetryBudget
 from burdockdrum.ports import Clock
 from burdockdrum.registrations import RegistrationFollower
 from burdockdrum.vms import Drain
--- a/burdockdrum/passthrough/candidates.py
+++ b/burdockdrum/passthrough/selection/candidates.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from burdockdrum.passthrough.endpoint_limits import EndpointLimits
+from burdockdrum.passthrough.state import EndpointLimits
 from burdockdrum.registrations import RegisteredEndpoint
 
 
--- a/burdockdrum/passthrough/prefix_finder.py
+++ b/burdockdrum/passthrough/selection/prefix_finder.py
@@ -8,16 +8,16 @@
 from collections.abc import Sequence
 
 from burdockdrum.holdings import EndpointCache
-from burdockdrum.passthrough.endpoint_rating import REMOTE_LINK_FACTOR
-from burdockdrum.passthrough.engines import EngineEstimates
-from burdockdrum.passthrough.prefix_cache_view import choose_prefix_endpoint
-from burdockdrum.passthrough.prefix_cache_view import PrefixCacheView
-from burdockdrum.passthrough.prefix_cache_view import PrefixHolder
-from burdockdrum.passthrough.prefixes import MIN_FETCH_TOKENS
-from burdockdrum.passthrough.prefixes import PrefixFetch
-from burdockdrum.passthrough.prefixes import PrefixLocation
-from burdockdrum.passthrough.prefixes import transfer_seconds
-from burdockdrum.passthrough.prompts import Prompt
+from burdockdrum.passthrough.selection.endpoint_rater import REMOTE_LINK_FACTOR
+from burdockdrum.passthrough.state import choose_prefix_endpoint
+from burdockdrum.passthrough.state import EngineEstimates
+from burdockdrum.passthrough.state import MIN_FETCH_TOKENS
+from burdockdrum.passthrough.state import PrefixCacheView
+from burdockdrum.passthrough.state import PrefixFetch
+from burdockdrum.passthrough.state import PrefixHolder
+from burdockdrum.passthrough.state import PrefixLocation
+from burdockdrum.passthrough.state import Prompt
+from burdockdrum.passthrough.state import transfer_seconds
 from burdockdrum.registrations import RegisteredEndpoint
 from burdockdrum.resources import Backend
 from burdockdrum.settings import MechanismSettings
--- a/burdockdrum/passthrough/region_rating.py
+++ b/burdockdrum/passthrough/selection/region_rating.py
@@ -5,21 +5,23 @@
 
 from collections.abc import Callable
 
-from burdockdrum.passthrough.attempts import HOP_DELAY_SECONDS
-from burdockdrum.passthrough.endpoint_rating import crossing_seconds
-from burdockdrum.passthrough.fleet import Fleet
-from burdockdrum.passthrough.model import ProxiedRequest
-from burdockdrum.passthrough.model import RequestProgress
-from burdockdrum.passthrough.wait_estimates import decode_risk_seconds
-from burdockdrum.passthrough.wait_estimates import estimate_queue
-from burdockdrum.passthrough.wait_estimates import ExpectedWait
-from burdockdrum.passthrough.wait_estimates import preemption_seconds
-from burdockdrum.passthrough.wait_estimates import RECENT_WINDOW_SECONDS
+from burdockdrum.passthrough.protocol import ProxiedRequest
+from burdockdrum.passthrough.protocol import RequestProgress
+from burdockdrum.passthrough.selection.endpoint_rater import crossing_seconds
+from burdockdrum.passthrough.selection.fleet import Fleet
+from burdockdrum.passthrough.state import decode_risk_seconds
+from burdockdrum.passthrough.state import estimate_queue
+from burdockdrum.passthrough.state import ExpectedWait
+from burdockdrum.passthrough.state import preemption_seconds
+from burdockdrum.passthrough.state import RECENT_WINDOW_SECONDS
 from burdockdrum.ports import Clock
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import ServiceCapacity
 from burdockdrum.settings import MechanismSettings
 
+# Round trip between two regions, plus the processing at the other entry VM.
+HOP_DELAY_SECONDS = 0.12
+
 
 class RegionRater:
     """Rates other regions by the average load of their endpoints.
--- a/burdockdrum/passthrough/target_selection.py
+++ b/burdockdrum/passthrough/selection/targets.py
@@ -9,15 +9,15 @@
 from dataclasses import replace
 import random
 
-from burdockdrum.passthrough.endpoint_state import RatedEndpoint
-from burdockdrum.passthrough.fleet import Fleet
-from burdockdrum.passthrough.model import EndpointTarget
-from burdockdrum.passthrough.model import ProxiedRequest
-from burdockdrum.passthrough.model import RegionTarget
-from burdockdrum.passthrough.model import RequestProgress
-from burdockdrum.passthrough.model import Target
-from burdockdrum.passthrough.region_rating import RegionRater
-from burdockdrum.passthrough.wait_estimates import ExpectedWait
+from burdockdrum.passthrough.protocol import EndpointTarget
+from burdockdrum.passthrough.protocol import ProxiedRequest
+from burdockdrum.passthrough.protocol import RegionTarget
+from burdockdrum.passthrough.protocol import RequestProgress
+from burdockdrum.passthrough.protocol import Target
+from burdockdrum.passthrough.selection.fleet import Fleet
+from burdockdrum.passthrough.selection.region_rating import RegionRater
+from burdockdrum.passthrough.state import ExpectedWait
+from burdockdrum.passthrough.state import RatedEndpoint
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
 from burdockdrum.registrations import ServiceCapacity
--- a/burdockdrum/passthrough/drain_announcements.py
+++ b/burdockdrum/passthrough/state/announced_drains.py
@@ -4,7 +4,7 @@
 
 from burdockdrum.logs import log_decision
 from burdockdrum.metrics import Metrics
-from burdockdrum.passthrough.signal_log import log_ignored
+from burdockdrum.passthrough.state.signal_log import log_ignored
 
 _DRAINING_VALUE = b"1"
 
--- a/burdockdrum/passthrough/backoff_gate.py
+++ b/burdockdrum/passthrough/state/backoff_gate.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 from collections.abc import Container
 
-from burdockdrum.passthrough.congestion_windows import CongestionWindows
-from burdockdrum.passthrough.requested_backoffs import RequestedBackoff
-from burdockdrum.passthrough.requested_backoffs import RequestedBackoffs
+from burdockdrum.passthrough.state.congestion_windows import CongestionWindows
+from burdockdrum.passthrough.state.requested_backoffs import RequestedBackoff
+from burdockdrum.passthrough.state.requested_backoffs import RequestedBackoffs
 from burdockdrum.ports import Clock
 
 # When a request that found a full congestion window should return.
--- a/burdockdrum/passthrough/endpoint_limits.py
+++ b/burdockdrum/passthrough/state/endpoint_limits.py
@@ -8,7 +8,7 @@
 from burdockdrum.http1 import parse_decimal
 from burdockdrum.logs import log_decision
 from burdockdrum.metrics import Metrics
-from burdockdrum.passthrough.signal_log import log_ignored
+from burdockdrum.passthrough.state.signal_log import log_ignored
 from burdockdrum.ports import Clock
 from burdockdrum.registrations import AnnouncedLimit
 from burdockdrum.registrations import newest_limit
--- a/burdockdrum/passthrough/endpoint_state.py
+++ b/burdockdrum/passthrough/state/endpoint_state.py
@@ -4,11 +4,11 @@
 from dataclasses import field
 import math
 
-from burdockdrum.passthrough.health import EndpointHealth
-from burdockdrum.passthrough.prefixes import PrefixFetch
-from burdockdrum.passthrough.prompts import Prompt
-from burdockdrum.passthrough.wait_estimates import ExpectedWait
-from burdockdrum.passthrough.wait_estimates import RECENT_WINDOW_SECONDS
+from burdockdrum.passthrough.state.health import EndpointHealth
+from burdockdrum.passthrough.state.prefixes import PrefixFetch
+from burdockdrum.passthrough.state.prompts import Prompt
+from burdockdrum.passthrough.state.wait_estimates import ExpectedWait
+from burdockdrum.passthrough.state.wait_estimates import RECENT_WINDOW_SECONDS
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RankSum
 from burdockdrum.registrations import RegisteredEndpoint
--- a/burdockdrum/passthrough/engines.py
+++ b/burdockdrum/passthrough/state/engines.py
@@ -8,10 +8,10 @@
 from dataclasses import field
 import math
 
-from burdockdrum.passthrough.observed_curve import Features
-from burdockdrum.passthrough.observed_curve import ObservedCurve
-from burdockdrum.passthrough.prefixes import PrefixFetch
-from burdockdrum.passthrough.prompts import Prompt
+from burdockdrum.passthrough.state.observed_curve import Features
+from burdockdrum.passthrough.state.observed_curve import ObservedCurve
+from burdockdrum.passthrough.state.prefixes import PrefixFetch
+from burdockdrum.passthrough.state.prompts import Prompt
 from burdockdrum.settings import MechanismSettings
 
 # Prior for a dense model of 70 billion parameters on four accelerators. The
--- a/burdockdrum/passthrough/limit_permits.py
+++ b/burdockdrum/passthrough/state/limit_permits.py
@@ -12,7 +12,7 @@
 
 from burdockdrum.logs import log_failure
 from burdockdrum.metrics import Metrics
-from burdockdrum.passthrough.endpoint_limits import EndpointLimits
+from burdockdrum.passthrough.state.endpoint_limits import EndpointLimits
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Message
 from burdockdrum.peers import Sender
--- a/burdockdrum/passthrough/prefix_cache_view.py
+++ b/burdockdrum/passthrough/state/prefix_cache.py
@@ -13,8 +13,8 @@
 
 from burdockdrum.holdings import EndpointCache
 from burdockdrum.holdings import PrefixCacheTable
-from burdockdrum.passthrough.prompts import Prompt
-from burdockdrum.passthrough.prompts import PromptPart
+from burdockdrum.passthrough.state.prompts import Prompt
+from burdockdrum.passthrough.state.prompts import PromptPart
 from burdockdrum.registrations import PlacedPrefix
 from burdockdrum.vms import choose_by_hash
 
--- a/burdockdrum/passthrough/prefixes.py
+++ b/burdockdrum/passthrough/state/prefixes.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 
-from burdockdrum.passthrough.prefix_cache_view import PrefixHolder
+from burdockdrum.passthrough.state.prefix_cache import PrefixHolder
 from burdockdrum.resources import Backend
 
 # The prefill of a shorter prefix takes less time than setting up a transfer.
--- a/burdockdrum/passthrough/request_timings.py
+++ b/burdockdrum/passthrough/state/request_timings.py
@@ -4,9 +4,9 @@
 nothing about the speed of prefill.
 """
 
-from burdockdrum.passthrough.endpoint_state import InFlightRequest
-from burdockdrum.passthrough.engines import EngineEstimates
-from burdockdrum.passthrough.estimate_errors import EstimateErrors
+from burdockdrum.passthrough.state.endpoint_state import InFlightRequest
+from burdockdrum.passthrough.state.engines import EngineEstimates
+from burdockdrum.passthrough.state.estimate_errors import EstimateErrors
 from burdockdrum.resources import Backend
 
 # Assumed until a request of the service has completed.
--- a/burdockdrum/passthrough/requested_backoffs.py
+++ b/burdockdrum/passthrough/state/requested_backoffs.py
@@ -7,7 +7,7 @@
 from burdockdrum.http1 import parse_seconds
 from burdockdrum.logs import log_decision
 from burdockdrum.metrics import Metrics
-from burdockdrum.passthrough.signal_log import log_ignored
+from burdockdrum.passthrough.state.signal_log import log_ignored
 from burdockdrum.ports import Clock
 
 
--- a/burdockdrum/passthrough/wait_estimates.py
+++ b/burdockdrum/passthrough/state/wait_estimates.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass
 
-from burdockdrum.passthrough.prompts import Prompt
+from burdockdrum.passthrough.state.prompts import Prompt
 from burdockdrum.registrations import Load
 
 # Decay time of recently sent tokens; about the duration of most responses.
--- a/scripts/bench/choosing.py
+++ b/scripts/bench/choosing.py
@@ -18,10 +18,10 @@
 
 from docopt import docopt
 
-from burdockdrum.passthrough.endpoint_state import InFlightRequest
-from burdockdrum.passthrough.fleet import Fleet
-from burdockdrum.passthrough.prompts import Prompt
-from burdockdrum.passthrough.prompts import PromptPart
+from burdockdrum.passthrough.selection import Fleet
+from burdockdrum.passthrough.state import InFlightRequest
+from burdockdrum.passthrough.state import Prompt
+from burdockdrum.passthrough.state import PromptPart
 from burdockdrum.registrations.load_sums import LoadSums
 from burdockdrum.registrations.loads import RankLoad
 from burdockdrum.registrations.messages import RegistrationState
--- a/scripts/bench/endpoint_backoffs.py
+++ b/scripts/bench/endpoint_backoffs.py
@@ -27,8 +27,8 @@
 from loguru import logger
 
 from burdockdrum.metrics import Metrics
-from burdockdrum.passthrough.congestion_windows import CongestionWindows
-from burdockdrum.passthrough.requested_backoffs import RequestedBackoffs
+from burdockdrum.passthrough.state import CongestionWindows
+from burdockdrum.passthrough.state import RequestedBackoffs
 from scripts.experiment.passed.schedule import Schedule
 
 ENDPOINTS = 3
--- a/scripts/bench/endpoint_limits.py
+++ b/scripts/bench/endpoint_limits.py
@@ -23,8 +23,8 @@
 from loguru import logger
 
 from burdockdrum.metrics import Metrics
-from burdockdrum.passthrough.endpoint_limits import EndpointLimits
-from burdockdrum.passthrough.limits import SlowStartGate
+from burdockdrum.passthrough.state import EndpointLimits
+from burdockdrum.passthrough.state import SlowStartGate
 from burdockdrum.registrations.limit_shares import LimitShares
 from burdockdrum.registrations.messages import RegistrationState
 from burdockdrum.registrations.model import RegisteredEndpoint
--- a/scripts/bench/limit_returns.py
+++ b/scripts/bench/limit_returns.py
@@ -26,7 +26,7 @@
 from loguru import logger
 
 from burdockdrum.metrics import Metrics
-from burdockdrum.passthrough.endpoint_limits import EndpointLimits
+from burdockdrum.passthrough.state import EndpointLimits
 from scripts.bench.endpoint_limits import ENDPOINT
 from scripts.bench.endpoint_limits import ENDPOINT_ID
 from scripts.experiment.passed.schedule import Schedule
--- a/scripts/experiment/passed/callers.py
+++ b/scripts/experiment/passed/callers.py
@@ -10,11 +10,11 @@
 import random
 
 from burdockdrum.http1 import RequestHead
-from burdockdrum.passthrough.endpoint_state import InFlightRequest
-from burdockdrum.passthrough.model import EndpointTarget
-from burdockdrum.passthrough.model import ProxiedRequest
-from burdockdrum.passthrough.model import RegionTarget
-from burdockdrum.passthrough.model import RequestProgress
+from burdockdrum.passthrough.protocol import EndpointTarget
+from burdockdrum.passthrough.protocol import ProxiedRequest
+from burdockdrum.passthrough.protocol import RegionTarget
+from burdockdrum.passthrough.protocol import RequestProgress
+from burdockdrum.passthrough.state import InFlightRequest
 from burdockdrum.resources import Route
 from burdockdrum.resources import WeightedService
 from burdockdrum.verdicts import Refusal
--- a/scripts/experiment/passed/engine.py
+++ b/scripts/experiment/passed/engine.py
@@ -12,7 +12,7 @@
 import heapq
 import itertools
 
-from burdockdrum.passthrough.prompts import Prompt
+from burdockdrum.passthrough.state import Prompt
 from scripts.experiment.passed.schedule import Schedule
 from scripts.experiment.passed.shapes import Shape
 
--- a/scripts/experiment/passed/loads.py
+++ b/scripts/experiment/passed/loads.py
@@ -5,8 +5,8 @@
 import math
 import random
 
-from burdockdrum.passthrough.prompts import Prompt
-from burdockdrum.passthrough.prompts import PromptPart
+from burdockdrum.passthrough.state import Prompt
+from burdockdrum.passthrough.state import PromptPart
 from scripts.experiment.passed.shapes import Mix
 from scripts.experiment.passed.shapes import RequestKind
 from scripts.experiment.passed.shapes import scale_kind
--- a/scripts/experiment/passed/variants.py
+++ b/scripts/experiment/passed/variants.py
@@ -4,15 +4,15 @@
 from dataclasses import dataclass
 import random
 
-from burdockdrum.passthrough.endpoint_state import RatedEndpoint
-from burdockdrum.passthrough.fleet import Fleet
-from burdockdrum.passthrough.model import EndpointTarget
-from burdockdrum.passthrough.model import ProxiedRequest
-from burdockdrum.passthrough.model import RequestProgress
-from burdockdrum.passthrough.model import Target
-from burdockdrum.passthrough.prefix_cache_view import choose_prefix_endpoint
-from burdockdrum.passthrough.target_selection import TargetSelector
-from burdockdrum.passthrough.wait_estimates import ExpectedWait
+from burdockdrum.passthrough.protocol import EndpointTarget
+from burdockdrum.passthrough.protocol import ProxiedRequest
+from burdockdrum.passthrough.protocol import RequestProgress
+from burdockdrum.passthrough.protocol import Target
+from burdockdrum.passthrough.selection import Fleet
+from burdockdrum.passthrough.selection import TargetSelector
+from burdockdrum.passthrough.state import choose_prefix_endpoint
+from burdockdrum.passthrough.state import ExpectedWait
+from burdockdrum.passthrough.state import RatedEndpoint
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RegisteredEndpoint
 from burdockdrum.settings import MechanismSettings
--- a/scripts/experiment/passed/world.py
+++ b/scripts/experiment/passed/world.py
@@ -8,8 +8,8 @@
 
 from burdockdrum.holdings import PrefixCacheChange
 from burdockdrum.holdings import PrefixCacheTable
-from burdockdrum.passthrough.fleet import Fleet
-from burdockdrum.passthrough.target_selection import TargetSelector
+from burdockdrum.passthrough.selection import Fleet
+from burdockdrum.passthrough.selection import TargetSelector
 from burdockdrum.peers import VmIdentity
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import PlacedPrefix
--- a/tests/experiment/test_passed.py
+++ b/tests/experiment/test_passed.py
@@ -8,8 +8,8 @@
 import functools
 import unittest
 
-from burdockdrum.passthrough.prompts import Prompt
-from burdockdrum.passthrough.prompts import PromptPart
+from burdockdrum.passthrough.state.prompts import Prompt
+from burdockdrum.passthrough.state.prompts import PromptPart
 from burdockdrum.settings import MechanismSettings
 from scripts.experiment.passed.engine import Job
 from scripts.experiment.passed.engine import SimulatedEngine
--- a/tests/passthrough/fakes.py
+++ b/tests/passthrough/fakes.py
@@ -3,9 +3,9 @@
 import random
 
 from burdockdrum.holdings import PrefixCacheTable
-from burdockdrum.passthrough.fleet import Fleet
-from burdockdrum.passthrough.prompts import Prompt
-from burdockdrum.passthrough.prompts import PromptPart
+from burdockdrum.passthrough.selection.fleet import Fleet
+from burdockdrum.passthrough.state.prompts import Prompt
+from burdockdrum.passthrough.state.prompts import PromptPart
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RegisteredEndpoint
 from burdockdrum.registrations import RegistrationState
--- a/tests/passthrough/test_events.py
+++ b/tests/passthrough/protocol/test_events.py
@@ -5,8 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies
 
-from burdockdrum.passthrough.events import InvalidEventStream
-from burdockdrum.passthrough.events import ResumableEventSplitter
+from burdockdrum.passthrough.protocol.events import InvalidEventStream
+from burdockdrum.passthrough.protocol.events import ResumableEventSplitter
 
 
 def event(number):
--- a/tests/passthrough/test_table.py
+++ b/tests/passthrough/protocol/test_table.py
@@ -4,12 +4,12 @@
 import unittest
 
 from burdockdrum.http1 import RequestHead
-from burdockdrum.passthrough.header_names import HeaderNames
-from burdockdrum.passthrough.prompts import parse_prompt
-from burdockdrum.passthrough.refusal_responses import status_of
-from burdockdrum.passthrough.request_reader import RequestReader
-from burdockdrum.passthrough.route_index import choose_service
-from burdockdrum.passthrough.route_index import RouteIndex
+from burdockdrum.passthrough.protocol.header_names import HeaderNames
+from burdockdrum.passthrough.protocol.refusal_responses import status_of
+from burdockdrum.passthrough.protocol.request_reader import RequestReader
+from burdockdrum.passthrough.protocol.route_index import choose_service
+from burdockdrum.passthrough.protocol.route_index import RouteIndex
+from burdockdrum.passthrough.state.prompts import parse_prompt
 from burdockdrum.resources import Backend
 from burdockdrum.resources import RouteTableSpec
 from burdockdrum.resources import WeightedService
--- a/tests/passthrough/test_attempt_timeouts.py
+++ b/tests/passthrough/relaying/test_attempt_timeouts.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from burdockdrum.passthrough.attempt_timeouts import AttemptWatchdog
+from burdockdrum.passthrough.relaying.attempt_timeouts import AttemptWatchdog
 from burdockdrum.testing import run_virtual
 
 
--- a/tests/passthrough/test_request_log.py
+++ b/tests/passthrough/relaying/test_request_log.py
@@ -5,14 +5,14 @@
 
 from burdockdrum.http1 import RequestHead
 from burdockdrum.http1 import ResponseHead
-from burdockdrum.passthrough.model import Delivered
-from burdockdrum.passthrough.model import ErrorResponse
-from burdockdrum.passthrough.model import Lost
-from burdockdrum.passthrough.model import NotStarted
-from burdockdrum.passthrough.model import ProxiedRequest
-from burdockdrum.passthrough.model import RegionTarget
-from burdockdrum.passthrough.model import RequestProgress
-from burdockdrum.passthrough.request_log import log_attempt
+from burdockdrum.passthrough.protocol.model import Delivered
+from burdockdrum.passthrough.protocol.model import ErrorResponse
+from burdockdrum.passthrough.protocol.model import Lost
+from burdockdrum.passthrough.protocol.model import NotStarted
+from burdockdrum.passthrough.protocol.model import ProxiedRequest
+from burdockdrum.passthrough.protocol.model import RegionTarget
+from burdockdrum.passthrough.protocol.model import RequestProgress
+from burdockdrum.passthrough.relaying.request_log import log_attempt
 from tests.passthrough.fakes import make_prompt
 from tests.passthrough.fakes import make_route
 from tests.passthrough.fakes import PLAIN
@@ -45,7 +45,7 @@
     def log_outcome(self, outcome):
         """Log an attempt; return the log function and the logged outcome."""
         with mock.patch.multiple(
-            "burdockdrum.passthrough.request_log",
+            "burdockdrum.passthrough.relaying.request_log",
             log_decision=mock.DEFAULT,
             log_failure=mock.DEFAULT,
         ) as logs:
--- a/tests/passthrough/test_regions.py
+++ b/tests/passthrough/selection/test_regions.py
@@ -9,11 +9,11 @@
 
 from burdockdrum.holdings import PrefixCacheChange
 from burdockdrum.http1 import RequestHead
-from burdockdrum.passthrough.model import EndpointTarget
-from burdockdrum.passthrough.model import ProxiedRequest
-from burdockdrum.passthrough.model import RegionTarget
-from burdockdrum.passthrough.model import RequestProgress
-from burdockdrum.passthrough.target_selection import TargetSelector
+from burdockdrum.passthrough.protocol.model import EndpointTarget
+from burdockdrum.passthrough.protocol.model import ProxiedRequest
+from burdockdrum.passthrough.protocol.model import RegionTarget
+from burdockdrum.passthrough.protocol.model import RequestProgress
+from burdockdrum.passthrough.selection.targets import TargetSelector
 from burdockdrum.peers import VmIdentity
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RankLoad
--- a/tests/passthrough/test_stale.py
+++ b/tests/passthrough/selection/test_stale.py
@@ -7,8 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies
 
-from burdockdrum.passthrough.stale_load import draw
-from burdockdrum.passthrough.stale_load import find_level
+from burdockdrum.passthrough.selection.stale_load import draw
+from burdockdrum.passthrough.selection.stale_load import find_level
 from tests.drawing import draw as drawn
 
 WAITS = strategies.lists(
--- a/tests/passthrough/test_target_selection.py
+++ b/tests/passthrough/selection/test_target_selection.py
@@ -4,11 +4,11 @@
 import unittest
 
 from burdockdrum.http1 import RequestHead
-from burdockdrum.passthrough.model import EndpointTarget
-from burdockdrum.passthrough.model import ProxiedRequest
-from burdockdrum.passthrough.model import RequestProgress
-from burdockdrum.passthrough.target_selection import MIN_QUEUE_SECONDS
-from burdockdrum.passthrough.target_selection import TargetSelector
+from burdockdrum.passthrough.protocol.model import EndpointTarget
+from burdockdrum.passthrough.protocol.model import ProxiedRequest
+from burdockdrum.passthrough.protocol.model import RequestProgress
+from burdockdrum.passthrough.selection import MIN_QUEUE_SECONDS
+from burdockdrum.passthrough.selection.targets import TargetSelector
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RankLoad
 from burdockdrum.settings import MechanismSettings
--- /dev/null
+++ b/tests/passthrough/state/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package ``passthrough.state``."""
--- a/tests/passthrough/test_connection_shares.py
+++ b/tests/passthrough/state/test_connections.py
@@ -5,9 +5,9 @@
 from hypothesis import given
 from hypothesis import strategies
 
-from burdockdrum.passthrough.connection_shares import equal_share
-from burdockdrum.passthrough.connection_shares import max_idle_connections
-from burdockdrum.passthrough.connection_shares import may_add_connection
+from burdockdrum.passthrough.state.connections import equal_share
+from burdockdrum.passthrough.state.connections import max_idle_connections
+from burdockdrum.passthrough.state.connections import may_add_connection
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RankLoad
 from burdockdrum.resources import Backend
--- a/tests/passthrough/test_endpoint_limits.py
+++ b/tests/passthrough/state/test_endpoint_limits.py
@@ -4,7 +4,7 @@
 import unittest
 
 from burdockdrum.metrics import Metrics
-from burdockdrum.passthrough.endpoint_limits import EndpointLimits
+from burdockdrum.passthrough.state.endpoint_limits import EndpointLimits
 from burdockdrum.registrations import AnnouncedLimit
 from burdockdrum.registrations import ServiceCapacity
 from tests.http1.wire import header
--- a/tests/passthrough/test_engines.py
+++ b/tests/passthrough/state/test_engines.py
@@ -3,10 +3,10 @@
 import random
 import unittest
 
-from burdockdrum.passthrough.endpoint_state import MIN_UNCACHED_FRACTION
-from burdockdrum.passthrough.engines import count_attention_pairs
-from burdockdrum.passthrough.engines import EngineEstimates
-from burdockdrum.passthrough.prompts import Prompt
+from burdockdrum.passthrough.state.endpoint_state import MIN_UNCACHED_FRACTION
+from burdockdrum.passthrough.state.engines import count_attention_pairs
+from burdockdrum.passthrough.state.engines import EngineEstimates
+from burdockdrum.passthrough.state.prompts import Prompt
 from tests.passthrough.fakes import FleetHarness
 from tests.passthrough.fakes import make_prompt
 from tests.passthrough.fakes import MODEL
--- a/tests/passthrough/test_estimate_errors.py
+++ b/tests/passthrough/state/test_estimate_errors.py
@@ -6,7 +6,7 @@
 
 import unittest
 
-from burdockdrum.passthrough.estimate_errors import EstimateErrors
+from burdockdrum.passthrough.state.estimate_errors import EstimateErrors
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RankLoad
 from tests.passthrough.fakes import FleetHarness
--- a/tests/passthrough/test_limit_permits.py
+++ b/tests/passthrough/state/test_limit_permits.py
@@ -4,11 +4,11 @@
 import unittest
 
 from burdockdrum.metrics import Metrics
-from burdockdrum.passthrough.endpoint_limits import EndpointLimits
-from burdockdrum.passthrough.limit_permits import LimitPermits
-from burdockdrum.passthrough.limit_permits import PERMIT_SECONDS
-from burdockdrum.passthrough.limit_permits import PermitReply
-from burdockdrum.passthrough.limit_permits import PermitRequest
+from burdockdrum.passthrough.state.endpoint_limits import EndpointLimits
+from burdockdrum.passthrough.state.limit_permits import LimitPermits
+from burdockdrum.passthrough.state.limit_permits import PERMIT_SECONDS
+from burdockdrum.passthrough.state.limit_permits import PermitReply
+from burdockdrum.passthrough.state.limit_permits import PermitRequest
 from burdockdrum.peers import CallFailed
 from tests.http1.wire import header
 from tests.passthrough.entries import answer
--- a/tests/passthrough/test_limits.py
+++ b/tests/passthrough/state/test_limits.py
@@ -6,7 +6,7 @@
 from hypothesis import settings
 from hypothesis import strategies
 
-from burdockdrum.passthrough.limits import RetryBudget
+from burdockdrum.passthrough.state.limits import RetryBudget
 from tests.passthrough.fakes import ManualClock
 
 RATIO = 0.2
--- a/tests/passthrough/test_requested_backoffs.py
+++ b/tests/passthrough/state/test_requested_backoffs.py
@@ -4,8 +4,8 @@
 import unittest
 
 from burdockdrum.metrics import Metrics
-from burdockdrum.passthrough.requested_backoffs import RequestedBackoffs
-from burdockdrum.passthrough.target_selection import MAX_RETURN_SPREAD_SECONDS
+from burdockdrum.passthrough.selection import MAX_RETURN_SPREAD_SECONDS
+from burdockdrum.passthrough.state.requested_backoffs import RequestedBackoffs
 from burdockdrum.registrations import ServiceCapacity
 from tests.http1.wire import header
 from tests.passthrough.entries import answer
@@ -17,7 +17,7 @@
 from tests.passthrough.fakes import make_prompt
 from tests.passthrough.fakes import ManualClock
 from tests.passthrough.fakes import MODEL
-from tests.passthrough.test_warmth import report_cache
+from tests.passthrough.state.test_warmth import report_cache
 
 DECISIONS = "burdockdrum_endpoint_backoff_decisions_total"
 SHARED = [("head", 500), ("plan-7", 4900)]
--- a/tests/passthrough/test_waiting.py
+++ b/tests/passthrough/state/test_waiting.py
@@ -2,11 +2,11 @@
 
 import unittest
 
-from burdockdrum.passthrough.prompts import Prompt
-from burdockdrum.passthrough.wait_estimates import decode_risk_seconds
-from burdockdrum.passthrough.wait_estimates import estimate_queue
-from burdockdrum.passthrough.wait_estimates import ExpectedWait
-from burdockdrum.passthrough.wait_estimates import MIN_CAPACITY_FRACTION
+from burdockdrum.passthrough.state.prompts import Prompt
+from burdockdrum.passthrough.state.wait_estimates import decode_risk_seconds
+from burdockdrum.passthrough.state.wait_estimates import estimate_queue
+from burdockdrum.passthrough.state.wait_estimates import ExpectedWait
+from burdockdrum.passthrough.state.wait_estimates import MIN_CAPACITY_FRACTION
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RankLoad
 from burdockdrum.registrations import RankSum
--- a/tests/passthrough/test_warmth.py
+++ b/tests/passthrough/state/test_warmth.py
@@ -6,12 +6,12 @@
 
 from burdockdrum.holdings import PrefixCacheChange
 from burdockdrum.holdings import PrefixCacheTable
-from burdockdrum.passthrough.engines import EngineEstimates
-from burdockdrum.passthrough.prefix_cache_view import PrefixCacheView
-from burdockdrum.passthrough.prefix_cache_view import SENT_VALID_SECONDS
-from burdockdrum.passthrough.prefix_cache_view import SentParts
-from burdockdrum.passthrough.prefixes import PrefixFetch
-from burdockdrum.passthrough.prefixes import transfer_seconds
+from burdockdrum.passthrough.state.engines import EngineEstimates
+from burdockdrum.passthrough.state.prefix_cache import PrefixCacheView
+from burdockdrum.passthrough.state.prefix_cache import SENT_VALID_SECONDS
+from burdockdrum.passthrough.state.prefix_cache import SentParts
+from burdockdrum.passthrough.state.prefixes import PrefixFetch
+from burdockdrum.passthrough.state.prefixes import transfer_seconds
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RankLoad
 from tests.passthrough.fakes import FleetHarness
--- a/tests/registrations/limited_region.py
+++ b/tests/registrations/limited_region.py
@@ -8,11 +8,11 @@
 import random
 
 from burdockdrum.metrics import Metrics
-from burdockdrum.passthrough.endpoint_limits import EndpointLimits
-from burdockdrum.passthrough.limit_permits import LimitPermits
-from burdockdrum.passthrough.limit_permits import PERMIT_SECONDS
-from burdockdrum.passthrough.limit_permits import PermitReply
-from burdockdrum.passthrough.limit_permits import PermitRequest
+from burdockdrum.passthrough.state.endpoint_limits import EndpointLimits
+from burdockdrum.passthrough.state.limit_permits import LimitPermits
+from burdockdrum.passthrough.state.limit_permits import PERMIT_SECONDS
+from burdockdrum.passthrough.state.limit_permits import PermitReply
+from burdockdrum.passthrough.state.limit_permits import PermitRequest
 from burdockdrum.registrations import Registration
 from burdockdrum.registrations import RegistrationFollower
 from burdockdrum.registrations import RegistrationPublisher
