--- a/scripts/experiment/passed/__main__.py
+++ b/scripts/experiment/passed/__main__.py
@@ -6,15 +6,19 @@
   experiment passed -h | --help
 
 The same seed gives the same figures. Columns: share of the worth earned, of
-the two worst windows, of requests in time, late, refused, failed, refused a
-second time, run in another region, of the tokens read that some engine held,
-and the error of the expected first part in seconds.
+the two worst windows, of the worst kind and of the worst team, of requests
+in time, late, refused, failed, refused a second time, run in another region,
+of the tokens read that some engine held, and the error of the expected first
+part in seconds.
 
 Options:
-  --day NAME    quiet, peaks, 'burst and lost engines' or 'full stop'; all.
-  --mix NAME    'long prompts' or 'short prompts'; all.
-  --shape NAME  base, 'twice the speed', 'half the speed', 'little memory' or
-                'few slots'; all.
+  --day NAME    quiet, peaks, 'burst and lost engines', 'full stop',
+                'steep peaks', 'burst of the least urgent' or 'flooding
+                teams'; all.
+  --mix NAME    'long prompts', 'short prompts', 'long outputs' or 'short and
+                urgent'; all.
+  --shape NAME  base, 'twice the speed', 'half the speed', 'little memory',
+                'few slots', wide, uneven or fast; all.
   --only NAME   Just these policies, of those in the table.
   --without     The policy without each mechanism as well.
   --seeds N     Seeds 0 to N - 1, averaged [default: 1].
--- a/scripts/experiment/passed/callers.py
+++ b/scripts/experiment/passed/callers.py
@@ -87,6 +87,7 @@
         timeout_seconds=kind.deadline_seconds,
         objective_seconds=kind.objective_seconds,
         rank=kind.rank,
+        homes=list(kind.homes),
     )
 
 
@@ -150,6 +151,7 @@
             deadline=self.deadline,
             attempts=MAX_ATTEMPTS,
             forwarded_from=forwarded_from,
+            team=f"team-{arrival.team}",
         )
 
     def make_forwarded_request(
--- a/scripts/experiment/passed/engine.py
+++ b/scripts/experiment/passed/engine.py
@@ -11,6 +11,7 @@
 from dataclasses import field
 import heapq
 import itertools
+import random
 
 from burdockdrum.passthrough.state import Prompt
 from scripts.experiment.passed.schedule import Schedule
@@ -51,9 +52,18 @@
     """One engine; ``crash`` stops it for good."""
 
     def __init__(
-        self, *, endpoint_id: str, shape: Shape, schedule: Schedule
+        self,
+        *,
+        endpoint_id: str,
+        shape: Shape,
+        schedule: Schedule,
+        speed: float = 1.0,
     ) -> None:
-        """Create an idle engine with an empty cache."""
+        """Create an idle engine with an empty cache.
+
+        :param speed: how much faster than its profile it is
+        """
+        self._speed = speed
         self.endpoint_id = endpoint_id
         self.shape = shape
         self.is_dead = False
@@ -123,7 +133,7 @@
 
     def _prefill(self, ready: list[Job], decoding: list[Job]) -> None:
         shape = self.shape
-        left, seconds, done = shape.chunk_tokens, shape.step_seconds, []
+        left, seconds, done = shape.chunk_tokens, self._step_seconds(), []
         for job in sorted(ready, key=lambda j: (j.rank, j.order)):
             tokens = min(left, job.prefill_tokens_left)
             pairs = tokens * (job.context_tokens + tokens / 2)
@@ -144,7 +154,22 @@
             self._emit_tokens(decoding + done, 1)
             self._step()
 
-        self._schedule.after(seconds, finish)
+        self._schedule.after(seconds * self._slowness(), finish)
+
+    def _step_seconds(self) -> float:
+        shape = self.shape
+        return shape.step_seconds + shape.slot_seconds * len(self._running)
+
+    def _slowness(self) -> float:
+        """Return the factor of a step's time, which changes at intervals."""
+        shape = self.shape
+        interval = int(self._schedule.now / shape.pause_interval)
+        is_slow = (
+            shape.pause_fraction > 0
+            and random.Random(f"{self.endpoint_id} {interval}").random()
+            < shape.pause_fraction
+        )
+        return (shape.pause_factor if is_slow else 1.0) / self._speed
 
     def _decode(self, decoding: list[Job], prefilling: list[Job]) -> None:
         """Decode several steps at once, up to the next event."""
@@ -159,7 +184,8 @@
             self._emit_tokens(decoding, steps)
             self._step()
 
-        self._schedule.after(steps * self.shape.step_seconds, finish)
+        seconds = steps * self._step_seconds() * self._slowness()
+        self._schedule.after(seconds, finish)
 
     def _emit_tokens(self, jobs: list[Job], steps: int) -> None:
         stride = self.shape.tokens_an_event
--- a/scripts/experiment/passed/loads.py
+++ b/scripts/experiment/passed/loads.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from dataclasses import replace
 import math
 import random
 
@@ -13,6 +14,12 @@
 
 REGIONS = ("east", "north", "west")
 BURST_FACTOR = 2.5
+# Load of a region outside its steep peak, relative to its mean.
+STEEP_REST = 0.17
+# Fraction of the period in which a steep peak rises, and in which it falls.
+_STEEP_EDGE = 0.09
+TEAM_COUNT = 16
+FLOOD_FACTOR = 6.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -34,8 +41,12 @@
     """A load over time; ``level`` scales the rates of the mix.
 
     The load of each region is a sine wave of ``period`` seconds that peaks
-    at ``peak`` times the mean, with a phase shift between regions. Between
-    the two times of ``burst`` it is multiplied by ``BURST_FACTOR``.
+    at ``peak`` times the mean, with a phase shift between regions. With
+    ``is_steep`` each region has ``peak`` times its mean for a third of the
+    period and ``STEEP_REST`` of it otherwise. Between the two times of
+    ``burst`` the load, or that of the kind ``burst_kind``, is multiplied by
+    ``BURST_FACTOR``. Between the two times of ``flood`` the teams with the
+    numbers ``flood_teams`` send ``FLOOD_FACTOR`` times their usual.
     """
 
     name: str
@@ -43,15 +54,34 @@
     level: float = 1.0
     peak: float = 1.6
     period: float = 24.0
+    is_steep: bool = False
     burst: tuple[float, float] = (0.0, 0.0)
+    burst_kind: str = ""
+    flood: tuple[float, float] = (0.0, 0.0)
+    flood_teams: tuple[int, ...] = ()
     incidents: tuple[Incident, ...] = ()
 
     def factor(self, region: int, moment: float) -> float:
         """Return the load of a region at a time, relative to its mean."""
         phase = moment / self.period - region / len(REGIONS)
         daily_factor = 1 + (self.peak - 1) * math.sin(2 * math.pi * phase)
+        if self.is_steep:
+            daily_factor = _steep_factor(phase, self.peak)
+        return self.level * daily_factor
+
+    def burst_factor(self, kind: str, moment: float) -> float:
+        """Return by how much a kind's load is multiplied at a time."""
         in_burst = self.burst[0] <= moment < self.burst[1]
-        return self.level * daily_factor * (BURST_FACTOR if in_burst else 1.0)
+        is_meant = self.burst_kind in ("", kind)
+        return BURST_FACTOR if in_burst and is_meant else 1.0
+
+    def team_weights(self, moment: float) -> list[float]:
+        """Return the relative load of each team at a time."""
+        weights = [1 / (number + 1) for number in range(TEAM_COUNT)]
+        if self.flood[0] <= moment < self.flood[1]:
+            for number in self.flood_teams:
+                weights[number] *= FLOOD_FACTOR
+        return weights
 
     def scaled(self, time_scale: float) -> "Day":
         """Return the day with all times multiplied."""
@@ -61,7 +91,11 @@
             level=self.level,
             peak=self.peak,
             period=self.period * time_scale,
+            is_steep=self.is_steep,
             burst=(self.burst[0] * time_scale, self.burst[1] * time_scale),
+            burst_kind=self.burst_kind,
+            flood=(self.flood[0] * time_scale, self.flood[1] * time_scale),
+            flood_teams=self.flood_teams,
             incidents=tuple(
                 Incident(
                     at=incident.at * time_scale,
@@ -74,6 +108,15 @@
         )
 
 
+def _steep_factor(phase: float, peak: float) -> float:
+    """Return the load of a region whose peak rises and falls steeply."""
+    position = phase % 1.0
+    high = 1 / len(REGIONS) + _STEEP_EDGE
+    rise = min(1.0, position / _STEEP_EDGE)
+    fall = min(1.0, max(0.0, (high - position) / _STEEP_EDGE))
+    return STEEP_REST + (peak - STEEP_REST) * min(rise, fall)
+
+
 DAYS = {
     day.name: day
     for day in (
@@ -93,6 +136,23 @@
             level=1.5,
             incidents=(Incident(at=15.0, kind="restart", seconds=2.0),),
         ),
+        Day(name="steep peaks", level=1.1, peak=2.8, is_steep=True),
+        Day(
+            name="burst of the least urgent",
+            level=1.1,
+            peak=2.8,
+            is_steep=True,
+            burst=(8.0, 14.0),
+            burst_kind="hint",
+            incidents=(Incident(at=12.0, kind="crash", count=1),),
+        ),
+        Day(
+            name="flooding teams",
+            level=1.3,
+            peak=1.3,
+            flood=(10.0, 16.0),
+            flood_teams=(3, 5),
+        ),
     )
 }
 
@@ -106,6 +166,7 @@
     kind: RequestKind
     prompt: Prompt
     output_tokens: int
+    team: int = 0
 
 
 def make_arrivals(
@@ -118,9 +179,8 @@
     rng = random.Random(seed)
     kinds = [scale_kind(kind, time_scale) for kind in mix.kinds]
     moment, scaled_day = 0.0, day.scaled(time_scale)
-    max_rate = (
-        BURST_FACTOR * day.level * day.peak * sum(kind.rate for kind in kinds)
-    )
+    max_factor = BURST_FACTOR * day.level * day.peak * _max_flood(day)
+    max_rate = max_factor * sum(kind.rate for kind in kinds)
     number = 0
     while True:
         moment += rng.expovariate(max_rate)
@@ -128,14 +188,23 @@
             return
         kind = rng.choices(kinds, weights=[k.rate for k in kinds])[0]
         index = rng.randrange(len(REGIONS))
-        acceptance_rate = scaled_day.factor(index, moment) / (
-            BURST_FACTOR * day.level * day.peak
-        )
+        factor = scaled_day.factor(index, moment)
+        factor *= scaled_day.burst_factor(kind.name, moment)
+        weights = scaled_day.team_weights(moment)
+        factor *= sum(weights) / sum(scaled_day.team_weights(-1.0))
+        acceptance_rate = factor / max_factor
         accepted = rng.random() < acceptance_rate
         number += 1
         arrival = _draw_arrival(rng, moment, REGIONS[index], kind, number)
         if accepted:
-            yield arrival
+            team_rng = random.Random(f"{seed} {number}")
+            team = team_rng.choices(range(TEAM_COUNT), weights=weights)[0]
+            yield replace(arrival, team=team)
+
+
+def _max_flood(day: Day) -> float:
+    flooded = day.team_weights(day.flood[0])
+    return max(1.0, sum(flooded) / sum(day.team_weights(-1.0)))
 
 
 def _draw_arrival(
--- a/scripts/experiment/passed/shapes.py
+++ b/scripts/experiment/passed/shapes.py
@@ -15,7 +15,10 @@
     A step takes ``step_seconds`` and generates a token for every request. It
     also prefills up to ``chunk_tokens``, each in ``token_seconds`` plus
     ``pair_seconds`` for every preceding token. Fetching a cached prefix
-    takes ``fetch_token_seconds`` per token.
+    takes ``fetch_token_seconds`` per token. Each running request lengthens a
+    step by ``slot_seconds``. The engines have the speeds ``speeds`` by turns,
+    and in the fraction ``pause_fraction`` of the intervals of
+    ``pause_interval`` seconds a step takes ``pause_factor`` times as long.
     """
 
     name: str
@@ -27,6 +30,11 @@
     chunk_tokens: int = 512
     fetch_token_seconds: float = 1.5e-6
     tokens_an_event: int = 6
+    slot_seconds: float = 0.0
+    speeds: tuple[float, ...] = (1.0,)
+    pause_fraction: float = 0.0
+    pause_factor: float = 1.0
+    pause_interval: float = 0.6
 
     def scaled(self, time_scale: float) -> "Shape":
         """Return the profile with all times multiplied."""
@@ -36,6 +44,8 @@
             token_seconds=self.token_seconds * time_scale,
             pair_seconds=self.pair_seconds * time_scale,
             fetch_token_seconds=self.fetch_token_seconds * time_scale,
+            slot_seconds=self.slot_seconds * time_scale,
+            pause_interval=self.pause_interval * time_scale,
         )
 
 
@@ -46,7 +56,8 @@
     ``shared_tokens``, ``own_tokens`` and ``output_tokens`` are means; there
     are ``subjects`` different shared prefixes. A response is worth ``worth``
     if its first event comes within ``objective_seconds`` and no pause is
-    longer than ``pause_seconds``, else ``LATE_WORTH_FRACTION`` of it.
+    longer than ``pause_seconds``, else ``LATE_WORTH_FRACTION`` of it. Only
+    the regions ``homes`` may run it, any if empty.
     """
 
     name: str
@@ -60,6 +71,7 @@
     deadline_seconds: float
     worth: float
     pause_seconds: float = 0.3
+    homes: tuple[str, ...] = ()
 
 
 # The worth of a late response relative to one in time.
@@ -105,7 +117,76 @@
     pause_seconds=0.4,
 )
 
+# Summaries of long texts that each caller reads again, and urgent questions.
+SUMMARIES = RequestKind(
+    name="summary",
+    rate=16.0,
+    rank=1,
+    shared_tokens=5_382,
+    subjects=135,
+    own_tokens=6_610,
+    output_tokens=382,
+    objective_seconds=1.2,
+    deadline_seconds=12.0,
+    worth=5.0,
+    pause_seconds=0.6,
+)
+CLIPS = RequestKind(
+    name="clip",
+    rate=33.0,
+    rank=0,
+    shared_tokens=568,
+    subjects=190,
+    own_tokens=1_800,
+    output_tokens=24,
+    objective_seconds=0.8,
+    deadline_seconds=3.0,
+    worth=1.6,
+    pause_seconds=0.6,
+    homes=("east", "north"),
+)
+# Urgent and long reviews beside many short hints of the lowest rank.
+REVIEWS = RequestKind(
+    name="review",
+    rate=10.0,
+    rank=0,
+    shared_tokens=5_382,
+    subjects=125,
+    own_tokens=6_610,
+    output_tokens=382,
+    objective_seconds=1.0,
+    deadline_seconds=12.0,
+    worth=12.0,
+    pause_seconds=0.6,
+)
+HINTS = RequestKind(
+    name="hint",
+    rate=87.0,
+    rank=2,
+    shared_tokens=568,
+    subjects=950,
+    own_tokens=1_800,
+    output_tokens=24,
+    objective_seconds=2.0,
+    deadline_seconds=3.0,
+    worth=0.73,
+    pause_seconds=0.6,
+    homes=("east", "north"),
+)
+
 _BASE = Shape(name="base")
+# Engines for many requests at once, with large chunks of prefill.
+_WIDE = Shape(
+    name="wide",
+    memory_tokens=475_000,
+    step_seconds=0.0031,
+    slot_seconds=0.000_1,
+    token_seconds=17.6e-6,
+    pair_seconds=1.65e-10,
+    chunk_tokens=2048,
+    fetch_token_seconds=0.3e-6,
+    tokens_an_event=9,
+)
 SHAPES = {
     shape.name: shape
     for shape in (
@@ -114,6 +195,21 @@
         replace(_BASE.scaled(2.0), name="half the speed"),
         replace(_BASE, name="little memory", memory_tokens=120_000),
         replace(_BASE, name="few slots", slots=12),
+        _WIDE,
+        replace(
+            _WIDE,
+            name="uneven",
+            speeds=(0.6, 1.0, 1.6),
+            pause_fraction=0.15,
+            pause_factor=2.5,
+        ),
+        replace(
+            _WIDE,
+            name="fast",
+            token_seconds=10.9e-6,
+            pair_seconds=3.5e-10,
+            speeds=(1.0, 1.0, 1.3),
+        ),
     )
 }
 
@@ -131,6 +227,8 @@
     for mix in (
         Mix(name="long prompts", kinds=(FILES, QUESTIONS)),
         Mix(name="short prompts", kinds=(PLANS, QUESTIONS)),
+        Mix(name="long outputs", kinds=(SUMMARIES, CLIPS)),
+        Mix(name="short and urgent", kinds=(REVIEWS, HINTS)),
     )
 }
 
--- a/scripts/experiment/passed/simulation.py
+++ b/scripts/experiment/passed/simulation.py
@@ -1,6 +1,8 @@
 """Simulate a day under a policy and summarize the results."""
 
 import collections
+from collections.abc import Callable
+from collections.abc import Hashable
 from dataclasses import dataclass
 import functools
 import random
@@ -37,6 +39,8 @@
     requests: int
     worth: float
     worst_windows: float
+    worst_kind: float
+    worst_team: float
     in_time: float
     late: float
     refused: float
@@ -111,6 +115,8 @@
         requests=total,
         worth=_worth_fraction(outcomes),
         worst_windows=_worst_windows(outcomes, window),
+        worst_kind=_worst_group(outcomes, lambda o: o.arrival.kind.name),
+        worst_team=_worst_group(outcomes, lambda o: o.arrival.team),
         in_time=sum(o.is_in_time for o in outcomes) / total,
         late=sum(not o.is_in_time for o in completed) / total,
         refused=len(refused) / total,
@@ -139,6 +145,16 @@
     return statistics.fmean(fractions[:2])
 
 
+def _worst_group(
+    outcomes: list[Outcome], key: Callable[[Outcome], Hashable]
+) -> float:
+    """Return the least worth of all groups, as a fraction of the owed."""
+    by_key: dict[Hashable, list[Outcome]] = collections.defaultdict(list)
+    for outcome in outcomes:
+        by_key[key(outcome)].append(outcome)
+    return min(map(_worth_fraction, by_key.values()))
+
+
 def _required_tokens(outcomes: list[Outcome]) -> int:
     """Return the tokens to prefill if each shared part is computed once."""
     shared: dict[str, int] = {}
--- a/scripts/experiment/passed/world.py
+++ b/scripts/experiment/passed/world.py
@@ -152,8 +152,12 @@
             self.schedule.at(incident.at, start_incident)
 
     def _add_engine(self, region: str, name: str) -> None:
+        speeds = self.shape.speeds
         self.engines_by_id[name] = SimulatedEngine(
-            endpoint_id=name, shape=self.shape, schedule=self.schedule
+            endpoint_id=name,
+            shape=self.shape,
+            schedule=self.schedule,
+            speed=speeds[len(self.engines_by_id) % len(speeds)],
         )
         self._endpoints_by_region[region][name] = RegisteredEndpoint(
             endpoint_id=name,
