Count the wait for an engine's memory

Cause: the estimated wait knew slots and prefill, but no memory. Long prompts fill an engine's memory at half of its slots; further ones wait there while others have memory, and cached prefixes are evicted. With many entries the most urgent kind of request was served worst.

Change: loads carry the tokens that requests hold; the time until enough of them is released counts as waiting, at endpoints and in other regions. Switch memory_room.

--- a/burdockdrum/passthrough/selection/endpoint_rater.py
+++ b/burdockdrum/passthrough/selection/endpoint_rater.py
@@ -14,6 +14,7 @@
 from burdockdrum.passthrough.state import estimate_queue
 from burdockdrum.passthrough.state import EstimateErrors
 from burdockdrum.passthrough.state import ExpectedWait
+from burdockdrum.passthrough.state import memory_wait_seconds
 from burdockdrum.passthrough.state import preemption_seconds
 from burdockdrum.passthrough.state import PrefixFetch
 from burdockdrum.passthrough.state import PrefixLocation
@@ -48,7 +49,8 @@
     """A request and what its ratings at all endpoints have in common.
 
     ``seconds_left`` is the time until the caller's deadline, ``run_seconds``
-    how long a request of the service holds a slot on average.
+    how long a request of the service holds a slot on average, and
+    ``held_seconds`` how long a token is held in memory.
     ``prefill_seconds_by_uncached`` caches prefill times by uncached tokens, as
     most endpoints have the same tokens of a prompt cached.
     """
@@ -59,6 +61,7 @@
     seconds_left: float
     prefix: PrefixLocation
     run_seconds: float
+    held_seconds: float
     errors: EstimateErrors
     body_bytes: int = 0
     prefill_seconds_by_uncached: dict[int, float] = field(default_factory=dict)
@@ -170,6 +173,7 @@
             run_seconds=request.run_seconds,
             prefill_token_seconds=self._engines.prefill_token_seconds(service),
             counts_arrivals=self._mechanisms.urgent_share,
+            memory_wait_seconds=self._memory_wait(load, request),
         )
         # Prefers the less loaded of several endpoints with free slots.
         utilization = load.requests / endpoint.slots
@@ -177,6 +181,18 @@
             queue * factor + utilization * request.run_seconds / endpoint.slots
         )
 
+    def _memory_wait(self, load: Load, request: RatedRequest) -> float:
+        engine = request.backend.engine
+        if engine is None or not self._mechanisms.memory_room:
+            return 0.0
+        return memory_wait_seconds(
+            load,
+            rank=request.route.rank,
+            request_tokens=request.prompt.memory_tokens,
+            memory_tokens=engine.memory_tokens,
+            held_seconds=request.held_seconds,
+        )
+
     def _service_time(
         self,
         endpoint: RegisteredEndpoint,
--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -182,6 +182,7 @@
                 backend, prompt, candidates, route.homes
             ),
             run_seconds=self.run_seconds(backend.name),
+            held_seconds=self.held_seconds(backend.name),
             errors=self._timings.errors_of(backend.name),
             body_bytes=body_bytes,
         )
@@ -416,6 +417,10 @@
         """Return how long a request of a service holds a slot on average."""
         return self._timings.run_seconds(service)
 
+    def held_seconds(self, service: str) -> float:
+        """Return how long a token is held in an engine's memory."""
+        return self._timings.held_seconds(service)
+
     def read_own_load(self) -> dict[str, list[RankLoad]]:
         """Return this entry VM's load by endpoint id."""
         now = self._clock.monotonic()
--- a/burdockdrum/passthrough/selection/region_rating.py
+++ b/burdockdrum/passthrough/selection/region_rating.py
@@ -12,6 +12,7 @@
 from burdockdrum.passthrough.state import decode_risk_seconds
 from burdockdrum.passthrough.state import estimate_queue
 from burdockdrum.passthrough.state import ExpectedWait
+from burdockdrum.passthrough.state import memory_wait_seconds
 from burdockdrum.passthrough.state import preemption_seconds
 from burdockdrum.passthrough.state import RECENT_WINDOW_SECONDS
 from burdockdrum.ports import Clock
@@ -96,6 +97,7 @@
             run_seconds=run_seconds,
             prefill_token_seconds=prefill_token_seconds,
             counts_arrivals=self._mechanisms.urgent_share,
+            memory_wait_seconds=self._memory_wait(request, load),
         )
         crossing = crossing_seconds(
             len(request.head.body), self._crossing_seconds
@@ -124,6 +126,18 @@
             ),
         )
 
+    def _memory_wait(self, request: ProxiedRequest, load: Load) -> float:
+        engine = request.backend.engine
+        if engine is None or not self._mechanisms.memory_room:
+            return 0.0
+        return memory_wait_seconds(
+            load,
+            rank=request.route.rank,
+            request_tokens=request.prompt.memory_tokens,
+            memory_tokens=engine.memory_tokens,
+            held_seconds=self._fleet.held_seconds(request.backend.name),
+        )
+
     def _service_time(self, request: ProxiedRequest, region: str) -> float:
         """Return the expected prefill time in a region.
 
--- a/burdockdrum/passthrough/state/__init__.py
+++ b/burdockdrum/passthrough/state/__init__.py
@@ -39,6 +39,7 @@
 from burdockdrum.passthrough.state.wait_estimates import decode_risk_seconds
 from burdockdrum.passthrough.state.wait_estimates import estimate_queue
 from burdockdrum.passthrough.state.wait_estimates import ExpectedWait
+from burdockdrum.passthrough.state.wait_estimates import memory_wait_seconds
 from burdockdrum.passthrough.state.wait_estimates import preemption_seconds
 from burdockdrum.passthrough.state.wait_estimates import RECENT_WINDOW_SECONDS
 
@@ -66,6 +67,7 @@
     "PermitReply",
     "PermitRequest",
     "PermitResult",
+    "memory_wait_seconds",
     "preemption_seconds",
     "PrefixCacheView",
     "PrefixFetch",
--- a/burdockdrum/passthrough/state/endpoint_state.py
+++ b/burdockdrum/passthrough/state/endpoint_state.py
@@ -133,6 +133,7 @@
         for in_flight_request in self.in_flight_requests:
             rank_sum = load.of_rank(in_flight_request.rank)
             rank_sum.requests += 1
+            rank_sum.held_tokens += in_flight_request.prompt.memory_tokens
             if in_flight_request.first_output_at is None:
                 uncached = in_flight_request.uncached_tokens
                 rank_sum.waiting += uncached > 0
--- a/burdockdrum/passthrough/state/prompts.py
+++ b/burdockdrum/passthrough/state/prompts.py
@@ -40,6 +40,11 @@
             return self.max_output_tokens
         return min(self.hinted_output_tokens, self.max_output_tokens)
 
+    @property
+    def memory_tokens(self) -> int:
+        """Return the tokens that an engine keeps until the response ends."""
+        return self.tokens + self.expected_output_tokens
+
     @property
     def shared_tokens(self) -> int:
         """Return the number of tokens in the shared prefix."""
--- a/burdockdrum/passthrough/state/request_timings.py
+++ b/burdockdrum/passthrough/state/request_timings.py
@@ -4,6 +4,8 @@
 nothing about the speed of prefill.
 """
 
+from dataclasses import dataclass
+
 from burdockdrum.passthrough.state.endpoint_state import InFlightRequest
 from burdockdrum.passthrough.state.engines import EngineEstimates
 from burdockdrum.passthrough.state.estimate_errors import EstimateErrors
@@ -20,6 +22,19 @@
 MIN_FIRST_CHUNK_SECONDS = 0.001
 
 
+@dataclass(kw_only=True)
+class _Holding:
+    """Decaying sums of the tokens held in memory, and for how long."""
+
+    tokens: float = 0.0
+    token_seconds: float = 0.0
+
+    def record(self, tokens: int, seconds: float) -> None:
+        self.tokens = self.tokens * _AVERAGE_DECAY + tokens
+        self.token_seconds *= _AVERAGE_DECAY
+        self.token_seconds += tokens * seconds
+
+
 class RequestTimings:
     """Average run times and estimate errors by service."""
 
@@ -30,6 +45,7 @@
         """
         self._engines = engines
         self._run_seconds_by_service: dict[str, float] = {}
+        self._holding_by_service: dict[str, _Holding] = {}
         self._errors_by_service: dict[str, EstimateErrors] = {}
 
     def errors_of(self, service: str) -> EstimateErrors:
@@ -40,6 +56,13 @@
         """Return how long a request of a service holds a slot on average."""
         return self._run_seconds_by_service.get(service, DEFAULT_RUN_SECONDS)
 
+    def held_seconds(self, service: str) -> float:
+        """Return how long a token is held in an engine's memory."""
+        holding = self._holding_by_service.get(service)
+        if holding is None:
+            return self.run_seconds(service)
+        return holding.token_seconds / holding.tokens
+
     def record_run(self, service: str, seconds: float) -> None:
         """Record how long a request held a slot."""
         mean = self.run_seconds(service)
@@ -94,7 +117,13 @@
                 in_flight_request.first_output_at
                 - in_flight_request.choice.wait.service_time,
             )
-        self.record_run(in_flight_request.endpoint.service, now - began)
+        service = in_flight_request.endpoint.service
+        self.record_run(service, now - began)
+        tokens = in_flight_request.prompt.memory_tokens
+        if tokens:
+            self._holding_by_service.setdefault(service, _Holding()).record(
+                tokens, now - began
+            )
         self._record_decode(in_flight_request, backend)
 
     def _record_decode(
--- a/burdockdrum/passthrough/state/wait_estimates.py
+++ b/burdockdrum/passthrough/state/wait_estimates.py
@@ -81,6 +81,7 @@
     run_seconds: float,
     prefill_token_seconds: float,
     counts_arrivals: bool = True,
+    memory_wait_seconds: float = 0.0,
 ) -> float:
     """Return how many seconds a request of a rank queues at an endpoint.
 
@@ -94,6 +95,7 @@
     :param run_seconds: how long a request holds a slot on average
     :param prefill_token_seconds: prefill time of a token
     :param counts_arrivals: whether to expect further more urgent requests
+    :param memory_wait_seconds: until the engine has memory for the request
     """
     ahead, behind = load.up_to(rank), load.above(rank)
     uncached = ahead.uncached_tokens
@@ -106,7 +108,29 @@
             MIN_CAPACITY_FRACTION, 1 - arriving / RECENT_WINDOW_SECONDS
         )
     excess = max(0.0, ahead.requests + 1 - slots)
-    return (
-        uncached * prefill_token_seconds / capacity
-        + excess * run_seconds / slots
-    )
+    start_wait = max(excess * run_seconds / slots, memory_wait_seconds)
+    return uncached * prefill_token_seconds / capacity + start_wait
+
+
+def memory_wait_seconds(
+    load: Load,
+    *,
+    rank: int,
+    request_tokens: int,
+    memory_tokens: int,
+    held_seconds: float,
+) -> float:
+    """Return how long a request waits for memory of an engine.
+
+    Less urgent requests are preempted for it, and cached prefixes evicted.
+    Memory is released evenly.
+
+    :param request_tokens: tokens that the request needs
+    :param memory_tokens: the engine's memory
+    :param held_seconds: how long a token is held on average
+    """
+    if not memory_tokens:
+        return 0.0
+    needed = load.up_to(rank).held_tokens + request_tokens
+    excess = max(0.0, needed - memory_tokens)
+    return excess / memory_tokens * held_seconds
--- a/burdockdrum/registrations/loads.py
+++ b/burdockdrum/registrations/loads.py
@@ -17,7 +17,8 @@
 
     ``uncached_tokens`` are the prompt tokens not yet processed;
     ``recent_tokens`` those sent in the last seconds, processed or not.
-    ``waiting`` requests have not returned a first byte yet.
+    ``waiting`` requests have not returned a first byte yet. ``held_tokens``
+    is the memory of all requests, for prompts and expected outputs.
     """
 
     rank: int
@@ -25,6 +26,7 @@
     uncached_tokens: int
     recent_tokens: int = 0
     waiting: int = 0
+    held_tokens: int = 0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -35,6 +37,7 @@
     waiting: float = 0
     uncached_tokens: float = 0.0
     recent_tokens: float = 0.0
+    held_tokens: float = 0.0
 
     def add(self, other: "RankSum", factor: float = 1) -> None:
         """Add another sum times a factor; no field drops below zero."""
@@ -43,6 +46,7 @@
             self.waiting += other.waiting * factor
             self.uncached_tokens += other.uncached_tokens * factor
             self.recent_tokens += other.recent_tokens * factor
+            self.held_tokens += other.held_tokens * factor
             return
         self.requests = max(0, self.requests + other.requests * factor)
         self.waiting = max(0, self.waiting + other.waiting * factor)
@@ -50,6 +54,8 @@
         self.uncached_tokens = max(0.0, uncached)
         recent = self.recent_tokens + other.recent_tokens * factor
         self.recent_tokens = max(0.0, recent)
+        held = self.held_tokens + other.held_tokens * factor
+        self.held_tokens = max(0.0, held)
 
 
 @dataclass(kw_only=True)
@@ -70,6 +76,7 @@
                     waiting=rank.waiting,
                     uncached_tokens=rank.uncached_tokens,
                     recent_tokens=rank.recent_tokens,
+                    held_tokens=rank.held_tokens,
                 ),
             )
         return load
@@ -138,6 +145,7 @@
                 round(part.uncached_tokens),
                 round(part.recent_tokens),
                 round(part.waiting),
+                round(part.held_tokens),
             )
             for rank, part in self.sums_by_rank.items()
         ]
--- a/burdockdrum/settings/model.py
+++ b/burdockdrum/settings/model.py
@@ -144,6 +144,7 @@
     long_prompt_cost: bool = True
     late_parts: bool = True
     full_slots: bool = True
+    memory_room: bool = True
     reading_progress: bool = True
     urgent_share: bool = True
     endpoint_holdings: bool = True
