Decide a test runner's response when the request arrives

The runner read its status and headers when it wrote a response, after a wait, but recorded the arrival before. A request in flight when the test switched to rejections was rejected, its entry backed off as it should, and sent nothing in the 3 s that the test measured, so no arrival followed the switch. Shown by making the window wide: with run_seconds 0.05 the test as it was failed in 2 of 3 runs.

Now the response is decided on arrival, requests are in flight at the switch in every run, the test waits for the first rejected request of each entry (5 s at most), and the whole backoff after it is measured, with the bounds as they were. 3 of 3 runs hold, and with backoffs that are never active it fails (32 requests, 2 allowed).

Looked at and not affected: DrainTest and LimitOverEntriesTest measure from a grace after the announcement, ConnectionsTest changes no response.

--- a/tests/platform/runners.py
+++ b/tests/platform/runners.py
@@ -33,7 +33,8 @@
 class Runner(ScriptedServer):
     """A runner that records its requests.
 
-    ``status`` is that of its responses; ``headers`` are added to them.
+    ``status`` is that of its responses; ``headers`` are added to them. Both
+    apply to requests that arrive from then on.
     ``run_seconds`` is how long it runs a request. ``open_connections`` counts
     the connections, ``most_connections`` is the highest count.
     """
@@ -62,14 +63,15 @@
     async def _serve_request(self, reader, writer):
         head, _ = await read_request(reader)
         request_id = header(head, b"x-request-id")
+        status, headers = self.status, self.headers
         self.arrived_at_by_id[request_id.decode()] = time.monotonic()
         await asyncio.sleep(self.run_seconds)
         lines = [
-            b"HTTP/1.1 " + self.status,
+            b"HTTP/1.1 " + status,
             b"X-Request-Id: " + request_id,
-            *self.headers,
+            *headers,
         ]
-        if self.status.startswith(b"200"):
+        if status.startswith(b"200"):
             lines.append(b"X-Server-Stamp: s")
         else:
             lines.append(b"X-Not-Run: 1")
--- a/tests/platform/test_endpoint_backoffs.py
+++ b/tests/platform/test_endpoint_backoffs.py
@@ -1,6 +1,7 @@
 """Tests of a runner that asks entries to back off or announces to drain."""
 
 import asyncio
+import functools
 import time
 
 from scripts.local_deployment import until
@@ -21,26 +22,36 @@
     async def test_entries_keep_to_a_requested_backoff(self):
         # Guards against sending further requests to an endpoint that asked
         # for none.
+        # Requests are in flight when the runner begins to reject others.
+        self.runner.run_seconds = 0.05
         self.send_to_all()
         await asyncio.sleep(1.0)
         begin = time.monotonic()
         self.runner.headers = (b"Retry-After: %g" % BACKOFF_SECONDS,)
         self.runner.status = b"503 Service Unavailable"
-        # The rejections reach both entries within the grace time.
-        await asyncio.sleep(BACKOFF_SECONDS)
+        first_arrivals = [
+            await until(functools.partial(self.find_first, number, begin), 5)
+            for number in range(len(self.entries))
+        ]
+        ends_at = max(first_arrivals) + BACKOFF_SECONDS
+        await asyncio.sleep(ends_at - time.monotonic())
         self.runner.status = b"200 OK"
         self.runner.headers = ()
         self.assertIn("endpoint.backoff_requested", self.events())
-        for number in range(len(self.entries)):
+        for number, first_at in enumerate(first_arrivals):
             with self.subTest(entry=number):
-                arrivals = self.arrivals(number, begin)
-                self.assertTrue(arrivals)
-                since = arrivals[0] + BACKOFF_GRACE_SECONDS
-                self.assertLessEqual(
-                    len(self.arrivals(number, since)), MAX_IN_BACKOFF
-                )
+                since = first_at + BACKOFF_GRACE_SECONDS
+                until_at = first_at + BACKOFF_SECONDS
+                in_backoff = [
+                    at for at in self.arrivals(number, since) if at <= until_at
+                ]
+                self.assertLessEqual(len(in_backoff), MAX_IN_BACKOFF)
         await until(self.is_served, 5)
 
+    async def find_first(self, number, since):
+        """Return when an entry's first request after a time arrived."""
+        return min(self.arrivals(number, since), default=None)
+
 
 class DrainTest(RunnerCase):
     """A runner that announces to drain while its check-ins say ready."""
