--- a/burdockdrum/holdings/table.py
+++ b/burdockdrum/holdings/table.py
@@ -38,7 +38,9 @@
         """Create an empty table."""
         self.listeners: list[Callable[[PrefixCacheChange], None]] = []
         self._caches_by_id: dict[str, EndpointCache] = {}
-        self._ids_by_part: dict[str, set[str]] = {}
+        # Used as ordered sets: which of two equal holders is found first must
+        # not depend on the hashes of strings.
+        self._ids_by_part: dict[str, dict[str, None]] = {}
 
     @property
     def caches_by_id(self) -> Mapping[str, EndpointCache]:
@@ -133,13 +135,13 @@
     ) -> None:
         if tokens > 0:
             cache.tokens_by_part[part_id] = tokens
-            ids = self._ids_by_part.setdefault(part_id, set())
-            ids.add(cache.endpoint_id)
+            ids = self._ids_by_part.setdefault(part_id, {})
+            ids[cache.endpoint_id] = None
             return
         cache.tokens_by_part.pop(part_id, None)
         holder_ids = self._ids_by_part.get(part_id)
         if holder_ids is not None:
-            holder_ids.discard(cache.endpoint_id)
+            holder_ids.pop(cache.endpoint_id, None)
             if not holder_ids:
                 del self._ids_by_part[part_id]
 
--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -337,7 +337,7 @@
             rank=rank,
             began_at=now,
         )
-        state.in_flight_requests.add(in_flight_request)
+        state.in_flight_requests[in_flight_request] = None
         return in_flight_request
 
     def record_output(self, in_flight_request: InFlightRequest) -> None:
@@ -377,7 +377,7 @@
             )
         state = self._states_by_id.get(in_flight_request.endpoint.endpoint_id)
         if state is not None:
-            state.in_flight_requests.discard(in_flight_request)
+            state.in_flight_requests.pop(in_flight_request, None)
             if whole:
                 state.idle_since = now
 
--- a/burdockdrum/passthrough/state/endpoint_state.py
+++ b/burdockdrum/passthrough/state/endpoint_state.py
@@ -92,7 +92,10 @@
 
     service: str
     health: EndpointHealth = field(default_factory=EndpointHealth)
-    in_flight_requests: set[InFlightRequest] = field(default_factory=set)
+    # Used as an ordered set: sums over it must not depend on addresses.
+    in_flight_requests: dict[InFlightRequest, None] = field(
+        default_factory=dict
+    )
     recent_tokens_by_rank: dict[int, float] = field(default_factory=dict)
     recent_updated_at: float = 0.0
     latest_first_output_at: float = 0.0
--- a/tests/experiment/test_passed.py
+++ b/tests/experiment/test_passed.py
@@ -6,6 +6,9 @@
 
 from dataclasses import replace
 import functools
+import os
+import subprocess
+import sys
 import unittest
 
 from burdockdrum.passthrough.state.prompts import Prompt
@@ -179,6 +182,30 @@
         self.assertGreater(result.in_time, 0.97)
         self.assertLess(result.refused + result.failed, 0.01)
 
+    def test_figures_do_not_depend_on_addresses_and_hashes(self):
+        # Guards against orders of iteration that differ between processes,
+        # with which no two runs can be compared.
+        command = [sys.executable, "-m", "scripts.experiment", "passed"]
+        for option, value in (
+            ("--day", "steep peaks"),
+            ("--mix", "long outputs"),
+            ("--shape", "uneven"),
+            ("--only", "all in use"),
+            ("--jobs", "1"),
+        ):
+            command += [option, value]
+        tables = [
+            subprocess.run(
+                command,
+                env={**os.environ, "PYTHONHASHSEED": seed},
+                stdout=subprocess.PIPE,
+                check=True,
+            ).stdout
+            for seed in ("1", "2")
+        ]
+        self.assertIn(b"all in use", tables[0])
+        self.assertEqual(tables[0], tables[1])
+
 
 if __name__ == "__main__":
     unittest.main()
