Move eligibility and stall detection out of the fleet

Which endpoints may be sent a request is decided in selection/eligibility.py, and which have stopped sending in selection/stalls.py; the fleet's methods are as they were.

The clock, an entry's share of connections and the endpoints in a backoff are now read once for all endpoints rather than for each.

--- a/burdockdrum/passthrough/selection/candidates.py
+++ b/burdockdrum/passthrough/selection/candidates.py
@@ -1,6 +1,6 @@
 """The endpoints that a request may be sent to now."""
 
-from collections.abc import Callable
+from collections.abc import Container
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -25,13 +25,17 @@
 def split_candidates(
     eligible: Iterable[RegisteredEndpoint],
     limits: EndpointLimits,
-    is_in_backoff: Callable[[str], bool],
+    closed_ids: Container[str],
 ) -> Candidates:
-    """Split eligible endpoints by what they announced."""
+    """Split eligible endpoints by what they announced.
+
+    :param closed_ids: the endpoints that should get no requests because of
+        their backoffs
+    """
     candidates = Candidates(available=[], at_limit=[], in_backoff=[])
     for endpoint in eligible:
         endpoint_id = endpoint.endpoint_id
-        if is_in_backoff(endpoint_id):
+        if endpoint_id in closed_ids:
             candidates.in_backoff.append(endpoint)
         elif limits.has_capacity(endpoint_id):
             candidates.available.append(endpoint)
--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -11,21 +11,20 @@
 from burdockdrum.holdings import PrefixCacheTable
 from burdockdrum.metrics import Metrics
 from burdockdrum.passthrough.selection.candidates import Candidates
-from burdockdrum.passthrough.selection.candidates import split_candidates
+from burdockdrum.passthrough.selection.eligibility import Eligibility
 from burdockdrum.passthrough.selection.endpoint_rater import EndpointRater
 from burdockdrum.passthrough.selection.endpoint_rater import RatedRequest
 from burdockdrum.passthrough.selection.prefix_finder import PrefixFinder
 from burdockdrum.passthrough.selection.stale_load import draw
 from burdockdrum.passthrough.selection.stale_load import find_level
+from burdockdrum.passthrough.selection.stalls import StallDetector
 from burdockdrum.passthrough.state import BackoffGate
 from burdockdrum.passthrough.state import EndpointHealth
 from burdockdrum.passthrough.state import EndpointLimits
 from burdockdrum.passthrough.state import EndpointState
 from burdockdrum.passthrough.state import EngineEstimates
-from burdockdrum.passthrough.state import equal_share
 from burdockdrum.passthrough.state import InFlightRequest
 from burdockdrum.passthrough.state import max_idle_connections
-from burdockdrum.passthrough.state import may_add_connection
 from burdockdrum.passthrough.state import PrefixCacheView
 from burdockdrum.passthrough.state import Prompt
 from burdockdrum.passthrough.state import RatedEndpoint
@@ -37,16 +36,10 @@
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RankLoad
 from burdockdrum.registrations import RegisteredEndpoint
-from burdockdrum.registrations import UNKNOWN_INCARNATION
 from burdockdrum.resources import Backend
 from burdockdrum.resources import Route
 from burdockdrum.settings import MechanismSettings
 
-# An endpoint is stalled if it has work and sends nothing for this many average
-# run times, within bounds; the maximum covers the prefill of a long prompt.
-STALL_TIMEOUT_RUNS = 8
-MIN_STALL_TIMEOUT_SECONDS = 0.4
-MAX_STALL_TIMEOUT_SECONDS = 1.5
 # Least expected work when drawing an endpoint: those whose estimates differ by
 # less share the requests.
 TIE_MARGIN_SECONDS = 0.002
@@ -94,7 +87,6 @@
         :param backoffs: the backoffs that endpoints request; none by default
         """
         self._mechanisms = mechanisms or MechanismSettings()
-        self.entries = 1
         self.prefix_cache_view = PrefixCacheView(
             read_now=clock.monotonic,
             table=prefix_cache_table,
@@ -106,7 +98,9 @@
             prefix_cache_view=self.prefix_cache_view,
             engines=self.engines,
             list_sources=self._list_sources,
-            may_fetch_from=self._may_fetch_from,
+            may_fetch_from=lambda endpoint_id: (
+                self._eligibility.may_fetch_from(endpoint_id)
+            ),
             read_region=read_region,
             read_load_age=read_load_age,
             mechanisms=self._mechanisms,
@@ -141,6 +135,29 @@
             backoffs=self._backoffs,
             count_unanswered=self._count_unanswered,
         )
+        self._stalls = StallDetector(
+            run_seconds=self._timings.run_seconds,
+            mechanisms=self._mechanisms,
+        )
+        self._eligibility = Eligibility(
+            clock=clock,
+            read_endpoints=read_endpoints,
+            read_load=read_load,
+            states_by_id=self._states_by_id,
+            stalls=self._stalls,
+            slow_start_gate=self._slow_start_gate,
+            limits=self._limits,
+            backoff_gate=self._backoff_gate,
+        )
+
+    @property
+    def entries(self) -> int:
+        """Return the number of entries of this region."""
+        return self._eligibility.entries
+
+    @entries.setter
+    def entries(self, number: int) -> None:
+        self._eligibility.entries = number
 
     def choose(
         self,
@@ -166,11 +183,13 @@
             permit was acquired
         """
         split = self._split_eligible(backend, tried, closed_data_centres)
-        candidates = [
-            endpoint
-            for endpoint in [*split.at_limit, *split.available]
-            if endpoint.endpoint_id == permitted
-        ] or split.available
+        candidates = split.available
+        if permitted is not None:
+            candidates = [
+                endpoint
+                for endpoint in [*split.at_limit, *split.available]
+                if endpoint.endpoint_id == permitted
+            ] or candidates
         if not candidates:
             return None
         request = RatedRequest(
@@ -185,8 +204,9 @@
             errors=self._timings.errors_of(backend.name),
             body_bytes=body_bytes,
         )
+        now = self._clock.monotonic()
         rated_endpoints = [
-            self._rate(endpoint, request) for endpoint in candidates
+            self._rate(endpoint, request, now) for endpoint in candidates
         ]
         offered_load = sum(rated.offered_load for rated in rated_endpoints)
         expected_work = TIE_MARGIN_SECONDS
@@ -227,7 +247,7 @@
         """Return the backoff that ends first, if all endpoints are in one."""
         backoffs = [
             self._backoff_gate.find(endpoint.endpoint_id)
-            for endpoint in self._live(backend.name)
+            for endpoint in self._eligibility.list_live(backend.name)
             if endpoint.data_centre not in closed_data_centres
         ]
         active = [backoff for backoff in backoffs if backoff is not None]
@@ -242,32 +262,27 @@
     def current_fetch_from(self, choice: RatedEndpoint) -> str | None:
         """Return the address to fetch the prefix from, if still possible."""
         fetch = choice.fetch
-        if fetch is None or not self._may_fetch_from(fetch.source_id):
+        if fetch is None:
+            return None
+        if not self._eligibility.may_fetch_from(fetch.source_id):
             return None
         return fetch.address
 
-    def _may_fetch_from(self, endpoint_id: str) -> bool:
-        return not self._backoff_gate.is_backing_off(endpoint_id)
-
     def _split_eligible(
         self,
         backend: Backend,
         tried: frozenset[str],
         closed_data_centres: frozenset[str],
     ) -> Candidates:
-        eligible = (
-            endpoint
-            for endpoint in self._live(backend.name)
-            if endpoint.endpoint_id not in tried
-            and endpoint.data_centre not in closed_data_centres
-            and self._is_eligible(endpoint, backend)
-        )
-        return split_candidates(
-            eligible,
-            self._limits,
-            self._backoff_gate.is_closed,
+        live = self._eligibility.list_live(backend.name)
+        return self._eligibility.split(
+            live, backend, tried, closed_data_centres
         )
 
+    def _list_sources(self, service: str) -> list[RegisteredEndpoint]:
+        live = self._eligibility.list_live(service)
+        return self._eligibility.list_sources(live)
+
     def _count_unanswered(self, endpoint_id: str) -> int:
         state = self._states_by_id.get(endpoint_id)
         return state.count_unanswered() if state is not None else 0
@@ -294,7 +309,7 @@
 
     def count_live(self, service: str) -> int:
         """Return how many endpoints of a service accept requests here."""
-        return sum(1 for _ in self._live(service))
+        return len(self._eligibility.list_live(service))
 
     def count_draining(self, service: str) -> int:
         """Return how many endpoints of a service drain here."""
@@ -325,7 +340,7 @@
             self.prefix_cache_view.record_sent(
                 endpoint.endpoint_id, prompt, memory
             )
-        if self._is_in_slow_start(endpoint, backend):
+        if self._eligibility.is_in_slow_start(endpoint, backend, now):
             self._slow_start_gate.acquire(
                 endpoint.endpoint_id,
                 backend.cold_requests_per_second,
@@ -444,85 +459,9 @@
         self.prefix_cache_view.retain_endpoints(live)
         self._backoff_gate.remove_ended(live)
 
-    def _live(self, service: str) -> list[RegisteredEndpoint]:
-        now = self._clock.monotonic()
-        return [
-            endpoint
-            for endpoint in self._read_endpoints().values()
-            if endpoint.service == service
-            and not endpoint.is_draining
-            and (endpoint.ends_at is None or endpoint.ends_at > now)
-        ]
-
-    def _is_eligible(
-        self, endpoint: RegisteredEndpoint, backend: Backend
-    ) -> bool:
-        now = self._clock.monotonic()
-        state = self._states_by_id.get(endpoint.endpoint_id)
-        if state is not None and not state.health.is_reachable(now):
-            return False
-        if state is not None and not self._may_add_connection(
-            endpoint, state, backend
-        ):
-            return False
-        if self._is_in_slow_start(endpoint, backend):
-            return self._slow_start_gate.is_open(
-                endpoint.endpoint_id,
-                backend.cold_requests_per_second,
-                self.entries,
-            )
-        return True
-
-    def _may_add_connection(
-        self,
-        endpoint: RegisteredEndpoint,
-        state: EndpointState,
-        backend: Backend,
-    ) -> bool:
-        own = len(state.in_flight_requests)
-        if own < equal_share(backend, self.entries):
-            return True
-        others = self._read_load(endpoint.endpoint_id).requests
-        return may_add_connection(backend, self.entries, own, others)
-
-    def _is_in_slow_start(
-        self, endpoint: RegisteredEndpoint, backend: Backend
-    ) -> bool:
-        now = self._clock.monotonic()
-        if endpoint.slow_start_until > now:
-            return True
-        if (
-            endpoint.incarnation == UNKNOWN_INCARNATION
-            or not backend.cold_seconds
-        ):
-            # A restarted endpoint has a new id and refuses requests for the
-            # old one.
-            return False
-        health = self.health_of(endpoint)
-        return health.may_have_restarted(now, backend.cold_seconds)
-
-    def _list_sources(self, service: str) -> list[RegisteredEndpoint]:
-        """Return the endpoints here that may serve prefix fetches."""
-        return [
-            endpoint
-            for endpoint in self._live(service)
-            if self._is_responsive(endpoint)
-            and self._may_fetch_from(endpoint.endpoint_id)
-        ]
-
-    def _is_responsive(self, endpoint: RegisteredEndpoint) -> bool:
-        """Return whether an endpoint sends heartbeats and responses."""
-        state = self._states_by_id.get(endpoint.endpoint_id)
-        if endpoint.is_unreachable or state is None:
-            return not endpoint.is_unreachable
-        now = self._clock.monotonic()
-        is_reachable = state.health.is_reachable(now)
-        return is_reachable and not self._is_suspect(state, endpoint, now)
-
     def _rate(
-        self, endpoint: RegisteredEndpoint, request: RatedRequest
+        self, endpoint: RegisteredEndpoint, request: RatedRequest, now: float
     ) -> RatedEndpoint:
-        now = self._clock.monotonic()
         state = self._state_of(endpoint)
         return self._rater.rate(
             endpoint,
@@ -532,39 +471,16 @@
                 endpoint.endpoint_id, request.prompt
             ),
             now,
-            is_suspect=self._is_suspect(state, endpoint, now),
-        )
-
-    def _is_suspect(
-        self, state: EndpointState, endpoint: RegisteredEndpoint, now: float
-    ) -> bool:
-        if self._mechanisms.failing_set_aside and state.health.is_ejected(now):
-            return True
-        return self._mechanisms.mute_avoided and self._is_stalled(
-            state, endpoint
+            is_suspect=self._stalls.is_suspect(state, now),
         )
 
-    def _is_stalled(
-        self, state: EndpointState, endpoint: RegisteredEndpoint
-    ) -> bool:
-        """Return whether an endpoint has requests and sends nothing.
-
-        After a power loss its connections accept requests for seconds, until
-        the kernel reports an error.
-        """
-        if not state.in_flight_requests:
-            return False
-        idle_seconds = self._clock.monotonic() - state.idle_since
-        return idle_seconds > self.stall_timeout_seconds(endpoint.service)
-
     def stall_timeout_seconds(self, service: str) -> float:
         """Return after how long without output an endpoint is stalled."""
-        usual = self.run_seconds(service) * STALL_TIMEOUT_RUNS
-        return min(
-            MAX_STALL_TIMEOUT_SECONDS, max(MIN_STALL_TIMEOUT_SECONDS, usual)
-        )
+        return self._stalls.timeout_seconds(service)
 
     def _state_of(self, endpoint: RegisteredEndpoint) -> EndpointState:
-        return self._states_by_id.setdefault(
-            endpoint.endpoint_id, EndpointState(service=endpoint.service)
-        )
+        state = self._states_by_id.get(endpoint.endpoint_id)
+        if state is None:
+            state = EndpointState(service=endpoint.service)
+            self._states_by_id[endpoint.endpoint_id] = state
+        return state
--- a/burdockdrum/passthrough/state/backoff_gate.py
+++ b/burdockdrum/passthrough/state/backoff_gate.py
@@ -37,9 +37,15 @@
         """Return whether an endpoint wants no requests at all."""
         return self._backoffs.is_active(endpoint_id)
 
-    def is_closed(self, endpoint_id: str) -> bool:
-        """Return whether an endpoint should get no requests now."""
-        return self.find(endpoint_id) is not None
+    def backing_off_ids(self) -> set[str]:
+        """Return the endpoints that want no requests at all."""
+        return self._backoffs.active_ids()
+
+    def closed_ids(self) -> set[str]:
+        """Return the endpoints that should get no requests now."""
+        closed = self._backoffs.active_ids()
+        closed.update(filter(self._is_window_full, self._windows.ids()))
+        return closed
 
     def find(self, endpoint_id: str) -> RequestedBackoff | None:
         """Return why an endpoint should get no requests now, if so.
@@ -49,8 +55,7 @@
         backoff = self._backoffs.find(endpoint_id)
         if backoff is not None:
             return backoff
-        window = self._windows.size_of(endpoint_id)
-        if window is None or self._count_unanswered(endpoint_id) < window:
+        if not self._is_window_full(endpoint_id):
             return None
         return RequestedBackoff(
             seconds=FULL_WINDOW_SECONDS,
@@ -65,5 +70,11 @@
         """Remove the state of endpoints that are not live."""
         self._windows.remove_ended(live)
 
+    def _is_window_full(self, endpoint_id: str) -> bool:
+        window = self._windows.size_of(endpoint_id)
+        if window is None:
+            return False
+        return self._count_unanswered(endpoint_id) >= window
+
     def _reduce_window(self, endpoint_id: str) -> None:
         self._windows.reduce(endpoint_id, self._count_unanswered(endpoint_id))
--- a/burdockdrum/passthrough/state/congestion_windows.py
+++ b/burdockdrum/passthrough/state/congestion_windows.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Container
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from burdockdrum.ports import Clock
@@ -56,6 +57,10 @@
         window = self._windows_by_id.get(endpoint_id)
         return window.size if window is not None else None
 
+    def ids(self) -> Iterable[str]:
+        """Return the endpoints that have a window."""
+        return self._windows_by_id.keys()
+
     def record_accepted(self, endpoint_id: str) -> None:
         """Record that an endpoint began to respond to a request."""
         window = self._windows_by_id.get(endpoint_id)
--- a/burdockdrum/passthrough/state/endpoint_limits.py
+++ b/burdockdrum/passthrough/state/endpoint_limits.py
@@ -178,7 +178,10 @@
 
     def has_capacity(self, endpoint_id: str) -> bool:
         """Return whether a request may be sent to an endpoint now."""
-        return self.seconds_until_capacity(endpoint_id) <= 0
+        allowance = self._find_allowance(endpoint_id)
+        if allowance is None:
+            return True
+        return allowance.seconds_until_capacity(self._clock.monotonic()) <= 0
 
     def seconds_until_capacity(self, endpoint_id: str) -> float:
         """Return the seconds until this entry may send a request."""
--- a/burdockdrum/passthrough/state/requested_backoffs.py
+++ b/burdockdrum/passthrough/state/requested_backoffs.py
@@ -115,6 +115,15 @@
         """Return whether an endpoint wants no requests now."""
         return self.find(endpoint_id) is not None
 
+    def active_ids(self) -> set[str]:
+        """Return the endpoints that want no requests now."""
+        now = self._clock.monotonic()
+        return {
+            endpoint_id
+            for endpoint_id, backoff in self._backoffs_by_id.items()
+            if backoff.ends_at > now
+        }
+
     def remove_ended(self) -> None:
         """Remove what has ended, and endpoints that no longer exist."""
         live = self._read_endpoints()
