Rate endpoints with fewer passes over loads and parts

Queues are estimated in one pass over the ranks, loads are merged without a call for each rank, errors are kept in a list for each rank, and an endpoint without in-flight prompts skips the estimate of its progress.

scripts/bench/choosing.py now has prompts of three parts, three ranks and cache reports, and shows the least of several runs.

--- a/burdockdrum/passthrough/state/endpoint_state.py
+++ b/burdockdrum/passthrough/state/endpoint_state.py
@@ -110,12 +110,13 @@
 
     def add_recent(self, now: float, rank: int, tokens: float) -> None:
         """Add tokens to the recent ones, which decay exponentially."""
-        decayed = math.exp(
-            (self.recent_updated_at - now) / RECENT_WINDOW_SECONDS
-        )
-        for recent_rank in self.recent_tokens_by_rank:
-            self.recent_tokens_by_rank[recent_rank] *= decayed
-        self.recent_updated_at = now
+        if now != self.recent_updated_at:
+            decayed = math.exp(
+                (self.recent_updated_at - now) / RECENT_WINDOW_SECONDS
+            )
+            for recent_rank in self.recent_tokens_by_rank:
+                self.recent_tokens_by_rank[recent_rank] *= decayed
+            self.recent_updated_at = now
         before = self.recent_tokens_by_rank.get(rank, 0.0)
         self.recent_tokens_by_rank[rank] = before + tokens
 
@@ -133,14 +134,16 @@
             the running prefill
         """
         load = Load()
+        is_reading = False
         for in_flight_request in self.in_flight_requests:
             rank_sum = load.of_rank(in_flight_request.rank)
             rank_sum.requests += 1
             if in_flight_request.first_output_at is None:
-                uncached = in_flight_request.uncached_tokens
+                uncached = in_flight_request.choice.prefill_cost_tokens
                 rank_sum.waiting += uncached > 0
                 rank_sum.uncached_tokens += uncached
-        if counts_progress:
+                is_reading = is_reading or uncached > 0
+        if counts_progress and is_reading:
             self._subtract_progress(load, now, prefill_token_seconds)
         self.add_recent(now, 0, 0.0)
         for rank, tokens in self.recent_tokens_by_rank.items():
@@ -160,8 +163,6 @@
             for p in self.in_flight_requests
             if p.first_output_at is None and p.uncached_tokens
         ]
-        if not waiting:
-            return
         first = min(waiting, key=lambda p: (p.rank, p.began_at))
         seconds = now - max(self.latest_first_output_at, first.began_at)
         limit = first.uncached_tokens * (1 - MIN_UNCACHED_FRACTION)
--- a/burdockdrum/passthrough/state/estimate_errors.py
+++ b/burdockdrum/passthrough/state/estimate_errors.py
@@ -21,7 +21,8 @@
 
     def __init__(self) -> None:
         """Start with an expected error of zero."""
-        self._seconds_by_key: dict[tuple[int, int], float] = {}
+        # A mean for each bucket of the prefill share.
+        self._seconds_by_rank: dict[int, list[float]] = {}
         self._counts_by_key: dict[tuple[int, int], int] = {}
 
     def record(self, rank: int, prefill_share: float, seconds: float) -> None:
@@ -30,13 +31,14 @@
         :param prefill_share: share of the engine's time spent on prefill
         :param seconds: negative if the response came earlier
         """
-        key = (rank, _bucket(prefill_share))
+        bucket = _bucket(prefill_share)
+        key = (rank, bucket)
         error = max(-_MAX_ERROR_SECONDS, min(_MAX_ERROR_SECONDS, seconds))
         count = self._counts_by_key.get(key, 0) + 1
         self._counts_by_key[key] = count
         gain = max(_MIN_GAIN, 1 / (count + _PRIOR_OBSERVATIONS))
-        mean = self._seconds_by_key.get(key, 0.0)
-        self._seconds_by_key[key] = mean + (error - mean) * gain
+        means = self._seconds_by_rank.setdefault(rank, [0.0] * _SHARE_BUCKETS)
+        means[bucket] += (error - means[bucket]) * gain
 
     def expect(self, rank: int, prefill_share: float) -> float:
         """Return the expected error in seconds, at least 0.
@@ -44,12 +46,10 @@
         It never decreases with the prefill share: with few samples a bucket,
         one early response must not attract all further requests.
         """
-        top = _bucket(prefill_share)
-        mean_errors = [
-            self._seconds_by_key.get((rank, bucket), 0.0)
-            for bucket in range(top + 1)
-        ]
-        return max(0.0, *mean_errors)
+        means = self._seconds_by_rank.get(rank)
+        if means is None:
+            return 0.0
+        return max(0.0, *means[: _bucket(prefill_share) + 1])
 
 
 def _bucket(prefill_share: float) -> int:
--- a/burdockdrum/passthrough/state/observed_curve.py
+++ b/burdockdrum/passthrough/state/observed_curve.py
@@ -100,12 +100,12 @@
 
     def seconds(self, features: Features) -> float:
         """Return the predicted seconds for some features."""
-        return sum(
-            value * coefficient
-            for value, coefficient in zip(
-                features, self.coefficients, strict=True
-            )
-        )
+        total = 0.0
+        for value, coefficient in zip(
+            features, self.coefficients, strict=True
+        ):
+            total += value * coefficient
+        return total
 
     def record(self, key: int, features: Features, seconds: float) -> None:
         """Record an observation.
--- a/burdockdrum/passthrough/state/prefix_cache.py
+++ b/burdockdrum/passthrough/state/prefix_cache.py
@@ -238,24 +238,25 @@
     ) -> int:
         memory = self._cache_reports.find(endpoint_id)
         sent = self._sent_by_id.get(endpoint_id)
-        since = float("-inf")
-        if memory is not None:
-            since = self._read_now() - SENT_VALID_SECONDS
+        if memory is None:
+            if sent is None:
+                return 0
+            return _count_sent_tokens(sent, parts)
+        since = self._read_now() - SENT_VALID_SECONDS
         total = skipped = 0
         for part in parts:
-            tokens = 0
-            if memory is not None:
-                tokens = memory.tokens_by_part.get(part.part_id, 0)
-            if tokens < part.tokens and sent is not None:
+            whole = part.tokens
+            tokens = memory.tokens_by_part.get(part.part_id, 0)
+            if tokens < whole and sent is not None:
                 tokens = max(tokens, sent.tokens_of(part, since))
-            if tokens < part.tokens * WHOLE_PART_FRACTION:
-                if memory is not None and part.tokens < MIN_REPORTED_TOKENS:
-                    # Too short to be reported: cached if the next part is.
-                    skipped += part.tokens
-                    continue
-                return total + min(tokens, part.tokens)
-            total += skipped + min(tokens, part.tokens)
-            skipped = 0
+            if tokens >= whole * WHOLE_PART_FRACTION:
+                total += skipped + min(tokens, whole)
+                skipped = 0
+            elif whole < MIN_REPORTED_TOKENS:
+                # Too short to be reported: cached if the next part is.
+                skipped += whole
+            else:
+                return total + min(tokens, whole)
         return total
 
     def _mark_shared_parts(self, parts: Iterable[tuple[str, int]]) -> None:
@@ -273,6 +274,17 @@
         return sent
 
 
+def _count_sent_tokens(sent: SentParts, parts: Iterable[PromptPart]) -> int:
+    """Return the length of the prefix sent to an endpoint without reports."""
+    total = 0
+    for part in parts:
+        tokens = sent.tokens_of(part, float("-inf"))
+        if tokens < part.tokens:
+            break
+        total += tokens
+    return total
+
+
 def choose_prefix_endpoint(
     prompt: Prompt, endpoint_ids: list[str]
 ) -> str | None:
--- a/burdockdrum/passthrough/state/prompts.py
+++ b/burdockdrum/passthrough/state/prompts.py
@@ -43,7 +43,10 @@
     @property
     def shared_tokens(self) -> int:
         """Return the number of tokens in the shared prefix."""
-        return sum(part.tokens for part in self.parts[:-1])
+        total = 0
+        for part in self.parts[:-1]:
+            total += part.tokens
+        return total
 
     @property
     def affinity_key(self) -> str | None:
--- a/burdockdrum/passthrough/state/wait_estimates.py
+++ b/burdockdrum/passthrough/state/wait_estimates.py
@@ -46,8 +46,12 @@
 
     :param run_seconds: how long a request holds a slot on average
     """
-    is_full = load.requests + 1 > slots
-    return run_seconds if is_full and load.above(rank).requests else 0.0
+    if load.requests + 1 <= slots:
+        return 0.0
+    for other_rank, part in load.sums_by_rank.items():
+        if other_rank > rank and part.requests:
+            return run_seconds
+    return 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -95,17 +99,27 @@
     :param prefill_token_seconds: prefill time of a token
     :param counts_arrivals: whether to expect further more urgent requests
     """
-    ahead, behind = load.up_to(rank), load.above(rank)
-    uncached = ahead.uncached_tokens
-    if behind.uncached_tokens:
-        uncached += behind.uncached_tokens / max(1.0, behind.waiting)
+    # One pass, as this runs for each endpoint and request.
+    requests = uncached = arriving_tokens = 0.0
+    uncached_behind = waiting_behind = 0.0
+    for other_rank, part in load.sums_by_rank.items():
+        if other_rank > rank:
+            uncached_behind += part.uncached_tokens
+            waiting_behind += part.waiting
+            continue
+        requests += part.requests
+        uncached += part.uncached_tokens
+        if other_rank < rank:
+            arriving_tokens += part.recent_tokens
+    if uncached_behind:
+        uncached += uncached_behind / max(1.0, waiting_behind)
     capacity = 1.0
     if counts_arrivals:
-        arriving = load.up_to(rank - 1).recent_tokens * prefill_token_seconds
+        arriving = arriving_tokens * prefill_token_seconds
         capacity = max(
             MIN_CAPACITY_FRACTION, 1 - arriving / RECENT_WINDOW_SECONDS
         )
-    excess = max(0.0, ahead.requests + 1 - slots)
+    excess = max(0.0, requests + 1 - slots)
     return (
         uncached * prefill_token_seconds / capacity
         + excess * run_seconds / slots
--- a/burdockdrum/registrations/loads.py
+++ b/burdockdrum/registrations/loads.py
@@ -63,7 +63,7 @@
         """Return the load of several ranks."""
         load = cls()
         for rank in ranks:
-            load.add(
+            load._add_copy(
                 rank.rank,
                 RankSum(
                     requests=rank.requests,
@@ -77,17 +77,26 @@
     @property
     def requests(self) -> float:
         """Return the number of requests of all ranks."""
-        return sum(part.requests for part in self.sums_by_rank.values())
+        total = 0.0
+        for part in self.sums_by_rank.values():
+            total += part.requests
+        return total
 
     @property
     def uncached_tokens(self) -> float:
         """Return the unprocessed prompt tokens of all ranks."""
-        return sum(part.uncached_tokens for part in self.sums_by_rank.values())
+        total = 0.0
+        for part in self.sums_by_rank.values():
+            total += part.uncached_tokens
+        return total
 
     @property
     def recent_tokens(self) -> float:
         """Return the recently sent prompt tokens of all ranks."""
-        return sum(part.recent_tokens for part in self.sums_by_rank.values())
+        total = 0.0
+        for part in self.sums_by_rank.values():
+            total += part.recent_tokens
+        return total
 
     def add(self, rank: int, part: RankSum, factor: float = 1) -> None:
         """Add a sum times a factor to a rank."""
@@ -103,13 +112,29 @@
     def merge(self, other: "Load") -> None:
         """Add another load to this one."""
         for rank, part in other.sums_by_rank.items():
-            self.add(rank, part)
+            self._add_copy(rank, part)
 
     def subtract(self, other: "Load") -> None:
         """Subtract a load that was merged into this one."""
         for rank, part in other.sums_by_rank.items():
             self.add(rank, part, -1)
 
+    def _add_copy(self, rank: int, part: RankSum) -> None:
+        """Add a sum that stays as it is; it may be that of another load."""
+        known = self.sums_by_rank.get(rank)
+        if known is None:
+            self.sums_by_rank[rank] = RankSum(
+                requests=part.requests,
+                waiting=part.waiting,
+                uncached_tokens=part.uncached_tokens,
+                recent_tokens=part.recent_tokens,
+            )
+            return
+        known.requests += part.requests
+        known.waiting += part.waiting
+        known.uncached_tokens += part.uncached_tokens
+        known.recent_tokens += part.recent_tokens
+
     def scaled(self, number: float) -> "Load":
         """Return this load times a number."""
         load = Load()
--- a/scripts/bench/choosing.py
+++ b/scripts/bench/choosing.py
@@ -1,15 +1,17 @@
 """Measure what it costs to choose an endpoint, by how many there are.
 
 Usage:
-  choosing [--requests N] [COUNT ...]
+  choosing [--requests N] [--repeats N] [COUNT ...]
   choosing -h | --help
 
 Options:
   --requests N  So many requests are placed [default: 400].
+  --repeats N   So many times; the least time is shown [default: 5].
   -h --help     Show this text.
 
-Each endpoint has work of a dozen other entries; one prompt in ten is long
-and shares its beginning with others. Processor time, one line a count.
+Each endpoint has work of a dozen other entries in three ranks and reports
+its prefix cache; prompts have three parts, and one in ten is long and shares
+its beginning with others. Processor time, one line a count.
 """
 
 import random
@@ -18,6 +20,8 @@
 
 from docopt import docopt
 
+from burdockdrum.holdings import PrefixCacheChange
+from burdockdrum.holdings import PrefixCacheTable
 from burdockdrum.passthrough.selection import Fleet
 from burdockdrum.passthrough.state import InFlightRequest
 from burdockdrum.passthrough.state import Prompt
@@ -80,7 +84,25 @@
     """Return a fleet whose endpoints have work of other entries."""
     endpoints = make_endpoints(count)
     sums = LoadSums()
-    ranks = [RankLoad(0, 3, 300, 20_000, 1), RankLoad(1, 1, 2000, 30_000, 1)]
+    ranks = [
+        RankLoad(0, 3, 300, 20_000, 1),
+        RankLoad(1, 1, 2000, 30_000, 1),
+        RankLoad(2, 1, 1000, 10_000, 1),
+    ]
+    table = PrefixCacheTable()
+    for number, endpoint in enumerate(endpoints.values()):
+        table.apply(
+            PrefixCacheChange(
+                endpoint_id=endpoint.endpoint_id,
+                address=endpoint.address,
+                data_centre=endpoint.data_centre,
+                epoch=1,
+                number=1,
+                tokens_by_part={f"file{number % 50}": 13_300},
+                is_snapshot=True,
+            ),
+            0.0,
+        )
     for number in range(OTHER_ENTRIES):
         sums.put(f"vm{number}", dict.fromkeys(endpoints, ranks), 0.0)
     return Fleet(
@@ -88,6 +110,7 @@
         rng=rng,
         read_endpoints=lambda: endpoints,
         read_load=sums.load_of,
+        prefix_cache_table=table,
         data_centre="dc0",
         crossing_seconds=4.0,
     )
@@ -98,13 +121,15 @@
     if rng.random() < LONG_PART:
         shared = PromptPart(part_id=f"file{rng.randrange(50)}", tokens=13_300)
         own = PromptPart(part_id="own", tokens=3700)
+        session = PromptPart(part_id=f"part{rng.randrange(500)}", tokens=400)
     else:
         shared = PromptPart(part_id=f"head{rng.randrange(50)}", tokens=60)
         own = PromptPart(part_id="own", tokens=320)
+        session = PromptPart(part_id=f"part{rng.randrange(500)}", tokens=90)
     return Prompt(
-        tokens=shared.tokens + own.tokens,
+        tokens=shared.tokens + session.tokens + own.tokens,
         max_output_tokens=60,
-        parts=(shared, own),
+        parts=(shared, session, own),
     )
 
 
@@ -142,7 +167,10 @@
     """
     arguments = docopt(__doc__, argv)
     for count in arguments["COUNT"] or DEFAULT_COUNTS:
-        seconds = measure(int(count), int(arguments["--requests"]))
+        seconds = min(
+            measure(int(count), int(arguments["--requests"]))
+            for _ in range(int(arguments["--repeats"]))
+        )
         print(f"{count} endpoints: {seconds * 1e6:.0f} us a request")
     return 0
 
