Put back the reasons and numbers of constants

Comments and docstrings only.

What follows from constants or code was checked against them. Times and sizes that no constant holds (a reply in milliseconds, the parts of a busy service, a restart in seconds) are as the former comments said. Left out are CPU times of one machine and what the code no longer does.

--- a/burdockdrum/configuration/history.py
+++ b/burdockdrum/configuration/history.py
@@ -8,7 +8,8 @@
 from burdockdrum.resources import Configuration
 from burdockdrum.resources import ResourceRevision
 
-# Covers two and a half hours at 9,500 changes a day.
+# Covers two and a half hours at 9,500 changes a day. Changes share their
+# resources with the configurations, so only replaced ones take memory.
 MAX_KEPT_REVISIONS = 1000
 
 
--- a/burdockdrum/consensus/replica.py
+++ b/burdockdrum/consensus/replica.py
@@ -24,6 +24,7 @@
 from burdockdrum.ports import Clock
 from burdockdrum.timeline import Timeline
 
+# Enough that no two random ids of starts are equal.
 _START_ID_BITS = 62
 
 
--- a/burdockdrum/holdings/polling.py
+++ b/burdockdrum/holdings/polling.py
@@ -26,6 +26,8 @@
 from burdockdrum.registrations import RegisteredEndpoint
 from burdockdrum.vms import choose_by_hash
 
+# A busy endpoint has news at any time, and each query costs it and the entry
+# CPU time. What was sent to it meanwhile is known without a report.
 POLL_INTERVAL_SECONDS = 1.0
 # The delay after a failed query.
 RETRY_DELAY_SECONDS = 2.0
--- a/burdockdrum/holdings/shared_parts.py
+++ b/burdockdrum/holdings/shared_parts.py
@@ -7,6 +7,7 @@
 
 import collections
 
+# Ten times the shared parts of a busy service.
 MAX_PARTS = 20_000
 
 
--- a/burdockdrum/holdings/sharing.py
+++ b/burdockdrum/holdings/sharing.py
@@ -41,7 +41,8 @@
 MIN_CROSS_REGION_TOKENS = 1000
 # Snapshots are sent regularly to repair updates lost with a connection.
 SNAPSHOT_INTERVAL_SECONDS = 15.0
-# A starting entry queries so many other entries, one after the other.
+# A starting entry queries so many other entries, one after the other; a reply
+# takes a few milliseconds.
 MAX_SYNC_ATTEMPTS = 3
 SYNC_TIMEOUT_SECONDS = 0.2
 # How long a starting entry waits until it knows of any other entry.
--- a/burdockdrum/passthrough/protocol/events.py
+++ b/burdockdrum/passthrough/protocol/events.py
@@ -8,7 +8,8 @@
 
 _EVENT_ID = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
-# Bounds the memory for a stream whose events never end.
+# Bounds the memory for a stream whose events never end; an event normally
+# holds a few tokens.
 MAX_EVENT_BYTES = 256 * 1024
 
 
--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -41,7 +41,8 @@
 from burdockdrum.ports import Clock
 
 # Shorter than the one-second TCP retransmission timeout: after a lost packet
-# a new connection is faster than the retransmission.
+# a new connection is faster than the retransmission. A connection opens in a
+# few milliseconds within a region, and in about 110 ms to another one.
 CONNECT_TIMEOUT_SECONDS = 0.4
 HOP_CONNECT_TIMEOUT_SECONDS = 0.6
 # Lets a response that the endpoint sent at the deadline still arrive.
--- a/burdockdrum/passthrough/selection/endpoint_rater.py
+++ b/burdockdrum/passthrough/selection/endpoint_rater.py
@@ -37,7 +37,8 @@
 _BYTES_PER_MEGABYTE = 1_000_000
 # Headers of a request and its response, and a short response body.
 EXCHANGE_OVERHEAD_BYTES = 2000
-# Penalty of an endpoint that misses its heartbeats.
+# Penalty of an endpoint that misses its heartbeats: it is used where all
+# others are far worse.
 MISSED_HEARTBEAT_PENALTY_SECONDS = 1.0
 # Penalty of an ejected or stalled endpoint; larger than that of using another
 # region.
--- a/burdockdrum/passthrough/selection/targets.py
+++ b/burdockdrum/passthrough/selection/targets.py
@@ -37,7 +37,8 @@
 # traffic between regions costs money and loses cached prefixes.
 SPILL_OBJECTIVE_FRACTION = 0.5
 MIN_RETRY_AFTER_SECONDS = 0.3
-# Queue limit of requests that have already missed their objective.
+# Queue limit of requests that have already missed their objective: they are
+# served only where that takes little time from others.
 MIN_QUEUE_SECONDS = 0.1
 # Fraction of the objective that a request may always queue, as the prefill of
 # a long prompt alone can exceed the objective.
--- a/burdockdrum/passthrough/state/engines.py
+++ b/burdockdrum/passthrough/state/engines.py
@@ -30,13 +30,15 @@
 # speed says: the transfers of an endpoint are serialized.
 PRIOR_FETCH_SECONDS = 0.01
 PRIOR_FETCH_FACTOR = 1.5
-# A fetch from another region needs more round trips; these have a curve of
-# their own.
+# A fetch from another region needs some more round trips of 110 ms each; such
+# fetches have a curve of their own.
 PRIOR_REMOTE_FETCH_SECONDS = 0.25
-# Prefill observations are bucketed by powers of two of the number of tokens.
+# Prefill observations are bucketed by powers of two of the number of tokens;
+# prompts of more than 2**17 tokens are not expected.
 _MIN_POWER = 7
 _MAX_POWER = 17
-# Fetches are bucketed by powers of two of the link's milliseconds.
+# Fetches are bucketed by powers of two of the link's milliseconds, up to
+# about a second.
 _MAX_FETCH_POWER = 10
 # Decode observations are bucketed by the share of time spent on prefill.
 _PREFILL_SHARE_BUCKETS = 5
--- a/burdockdrum/passthrough/state/estimate_errors.py
+++ b/burdockdrum/passthrough/state/estimate_errors.py
@@ -6,7 +6,8 @@
 """
 
 _SHARE_BUCKETS = 5
-# Least weight of a new error in the moving average.
+# Least weight of a new error in the moving average, so that it follows about
+# the last 20 errors.
 _MIN_GAIN = 0.05
 # An average starts as that of this many estimates without an error, so that a
 # few observations suffice after a start: an entry VM sees only a few long
--- a/burdockdrum/passthrough/state/health.py
+++ b/burdockdrum/passthrough/state/health.py
@@ -1,21 +1,23 @@
 """Passive health checks: outlier ejection by the outcomes of requests.
 
 Active status checks are not enough: an endpoint can pass them and still fail
-every request.
+every request, or fail them and still serve.
 """
 
 from dataclasses import dataclass
 
 # Weights of an outcome in the moving failure rate. An endpoint that fails all
-# requests is ejected after six, one that fails every seventh is not. A broken
-# connection is never a regular response and counts double.
+# requests is ejected after six; the rate of one that fails every seventh stays
+# about four standard deviations below the limit. A broken connection is never
+# a regular response and counts double.
 _FAILURE_WEIGHT = 0.1
 _LOSS_WEIGHT = 0.2
 EJECTION_SCORE = 0.45
 # First and longest ejection; after it a single request probes the endpoint.
 MIN_EJECTION_SECONDS = 1.0
 MAX_EJECTION_SECONDS = 8.0
-# How long an endpoint is skipped after a failed connect.
+# How long an endpoint is skipped after a failed connect; a restart takes
+# seconds.
 CONNECT_BACKOFF_SECONDS = 1.0
 
 
--- a/burdockdrum/passthrough/state/limits.py
+++ b/burdockdrum/passthrough/state/limits.py
@@ -12,8 +12,9 @@
 # Part of a limit that is used: entry VMs disagree on their number while some
 # start or are partitioned.
 SAFE_FRACTION = 0.7
-# Up to this many entry VMs may each send a first request at once. An endpoint
-# in slow start tolerates 1.5 times its rate plus three requests in a second.
+# Up to this many entry VMs may each send a first request at once, which comes
+# on top of the rate in that second. An endpoint in slow start tolerates 1.5
+# times its rate plus three requests in a second.
 MAX_UNSTAGGERED_ENTRIES = 4
 # Floor of a rate, as a rate of 0 would close an endpoint for good.
 MIN_REQUESTS_PER_SECOND = 0.01
--- a/burdockdrum/passthrough/state/observed_curve.py
+++ b/burdockdrum/passthrough/state/observed_curve.py
@@ -13,12 +13,15 @@
 
 Features = tuple[float, ...]
 
-# Weight of a bucket's prior, in observations.
+# Weight of a bucket's prior, in observations. The prior keeps the curve's
+# shape where nothing was observed.
 PRIOR_WEIGHT = 0.5
-# Limits a mean's weight, so that it follows changes of speed.
+# Limits a mean's weight, so that it follows changes of speed: at the request
+# rates of a busy service within about ten seconds.
 MAX_WEIGHT = 24.0
 # After this many observations in a row on one side of a mean, its weight is
-# halved: most such streaks are a change of speed and not noise.
+# halved: most such streaks are a change of speed and not noise. By chance only
+# one in 32 rows of six observations is on one side.
 STREAK_LENGTH = 6
 MIN_WEIGHT_AFTER_STREAK = 4.0
 # Clips an observation's ratio to the mean: outliers come from unknown queues
--- a/burdockdrum/passthrough/state/prefix_cache.py
+++ b/burdockdrum/passthrough/state/prefix_cache.py
@@ -23,12 +23,14 @@
 SENT_CACHE_FRACTION = 0.6
 # The prefill of shorter prefixes takes less time than reporting them.
 MIN_REPORTED_TOKENS = 200
-# Limits the notices that are queued for the next broadcast.
+# Limits the notices that are queued for the next broadcast; more than an entry
+# adds between two.
 MAX_PENDING_NOTICES = 256
 # Assumed for an engine until this entry has sent it a prompt.
 DEFAULT_MEMORY_TOKENS = 400_000
 # How long a sent part counts as cached although the endpoint's reports lack
-# it: covers the prefill, the polling interval and late reports.
+# it: a second for the prefill, one until the endpoint is polled, and one for
+# late reports.
 SENT_VALID_SECONDS = 3.0
 # A part counts as whole from this fraction on: engines cache whole blocks of
 # tokens only, so that the end of a part may be missing.
--- a/burdockdrum/passthrough/state/request_timings.py
+++ b/burdockdrum/passthrough/state/request_timings.py
@@ -13,7 +13,8 @@
 
 # Assumed until a request of the service has completed.
 DEFAULT_RUN_SECONDS = 0.5
-# Weight of the previous average when a run time is added.
+# Weight of the previous average when a run time is added; the average follows
+# about the last 20 run times.
 _AVERAGE_DECAY = 0.95
 # The time to first token is only used as a sample if the tokens queued before
 # the request are at most this fraction of its own.
--- a/burdockdrum/passthrough/state/wait_estimates.py
+++ b/burdockdrum/passthrough/state/wait_estimates.py
@@ -8,7 +8,8 @@
 from burdockdrum.passthrough.state.prompts import Prompt
 from burdockdrum.registrations import Load
 
-# Decay time of recently sent tokens; about the duration of most responses.
+# Decay time of recently sent tokens; about the duration of most responses,
+# over which the share of steps that prefill hardly changes.
 RECENT_WINDOW_SECONDS = 2.0
 # Least fraction of an engine's time that more urgent requests leave to others;
 # beyond it they are spilled to other regions or refused themselves.
@@ -16,7 +17,8 @@
 # Fraction of the remaining time that decoding may take without a penalty. Less
 # than 1, as more load can arrive and the output length is an estimate.
 SAFE_DECODE_FRACTION = 0.6
-# Penalty for each second beyond that, in seconds of waiting.
+# Penalty for each second beyond that, in seconds of waiting. The delay of a
+# hop to another region matters least for the longest outputs.
 DECODE_RISK_WEIGHT = 0.3
 
 
--- a/burdockdrum/quarantine/quarantine.py
+++ b/burdockdrum/quarantine/quarantine.py
@@ -37,6 +37,8 @@
 # loss, of a request that ran alone, identifies the request at fault.
 MAX_LOSSES = 2
 SUSPICION_DURATION_SECONDS = 300.0
+# A request that is quarantined by mistake is refused for so long, unless an
+# operator lifts the quarantine.
 QUARANTINE_DURATION_SECONDS = 900.0
 MAX_SUSPECTS = 10_000
 TRIAL_CALL_TIMEOUT_SECONDS = 0.5
--- a/burdockdrum/quotas/reservations.py
+++ b/burdockdrum/quotas/reservations.py
@@ -12,7 +12,7 @@
 # Three lost messages in a row, and the delay between two regions.
 UNREACHABLE_TIMEOUT_SECONDS = 1.0
 # After a start, other sources get this long to report before any fraction
-# is reserved for them.
+# is reserved for them; a VM that has started finds them within this time.
 STARTUP_GRACE_SECONDS = 3.0
 # A source that is unreachable for so long is considered removed.
 EXPIRY_SECONDS = 600.0
--- a/burdockdrum/registrations/placement_log.py
+++ b/burdockdrum/registrations/placement_log.py
@@ -8,8 +8,9 @@
 
 from burdockdrum.registrations.messages import PlacedPrefix
 
-# More than a data centre adds before loads expire; a receiver that is further
-# behind misses the oldest.
+# More than a data centre adds before loads expire: one of 20 entries adds a
+# few hundred in that time. A receiver that is further behind misses the
+# oldest.
 MAX_PLACEMENTS = 512
 
 
--- a/burdockdrum/vms/group.py
+++ b/burdockdrum/vms/group.py
@@ -38,7 +38,8 @@
 URGENT_DELAY_SECONDS = 0.05
 INDIRECT_QUERY_COUNT = 2
 QUERY_INTERVAL_SECONDS = 0.2
-# Dead VMs are still sent hellos for this time, to rejoin after a partition.
+# Dead VMs are still sent hellos for this time, to rejoin after a partition,
+# which may last for an hour.
 DEAD_RETENTION_SECONDS = 4 * 3600.0
 
 IDENTITY_TOPIC = 0
--- a/burdockdrum/vms/remote.py
+++ b/burdockdrum/vms/remote.py
@@ -30,7 +30,7 @@
 
 MIN_SUMMARY_INTERVAL_SECONDS = 1.0
 # The interval grows with the number of data centres, which bounds the traffic
-# of a VM.
+# of a VM: it is within its budget with 76 data centres.
 SUMMARY_INTERVAL_PER_DATA_CENTRE_SECONDS = 0.1
 STALE_INTERVALS = 3.0
 STALE_MARGIN_SECONDS = 1.0
