Learn endpoints' speeds from more samples, and share them

Cause: each entry learned each endpoint's deviation alone, from the few requests that did not queue, and left samples of fast and slow endpoints out of the service's curves.

Change: ratios of queued first tokens and the pace of running responses count as well, in decaying sums which the entries of a region tell each other with their loads; curves are those of a typical endpoint; the factor applies to progress, decode risk, preemption and run times.

--- a/burdockdrum/metrics/metrics.py
+++ b/burdockdrum/metrics/metrics.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
@@ -70,6 +71,25 @@
         return [f"{name} {self._read():g}"]
 
 
+class GaugesByLabel:
+    """Values by one label, read whenever the metrics are exposed."""
+
+    kind = "gauge"
+
+    def __init__(
+        self, label: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        self._label = label
+        self._read = read
+
+    def lines(self, name: str) -> list[str]:
+        """Return the lines of the text format."""
+        return [
+            f"{name}{_format_labels(((self._label, text),))} {value:g}"
+            for text, value in self._read().items()
+        ]
+
+
 class Histogram:
     """A distribution of durations in seconds, kept per set of labels."""
 
@@ -118,7 +138,9 @@
     def __init__(self) -> None:
         """Create an empty registry."""
         self._helps_by_name: dict[str, str] = {}
-        self._metrics_by_name: dict[str, Counter | Gauge | Histogram] = {}
+        self._metrics_by_name: dict[
+            str, Counter | Gauge | GaugesByLabel | Histogram
+        ] = {}
 
     def counter(self, name: str, help_text: str) -> Counter:
         """Return the counter of that name, creating it if needed."""
@@ -134,6 +156,17 @@
         """Add a gauge whose value comes from a function."""
         return self._get(name, help_text, lambda: Gauge(read))
 
+    def gauges(
+        self,
+        name: str,
+        help_text: str,
+        *,
+        label: str,
+        read: Callable[[], Mapping[str, float]],
+    ) -> GaugesByLabel:
+        """Add gauges whose values by a label come from a function."""
+        return self._get(name, help_text, lambda: GaugesByLabel(label, read))
+
     def text(self) -> str:
         """Return all metrics in the text format."""
         lines = []
--- a/burdockdrum/passthrough/selection/endpoint_rater.py
+++ b/burdockdrum/passthrough/selection/endpoint_rater.py
@@ -118,17 +118,20 @@
         uncached = request.prompt.tokens - cached_tokens
         if fetch is not None:
             uncached -= fetch.tokens
-        offered_load = self._offered_load(request.backend.name, endpoint, load)
+        factor = self._engines.time_factor(
+            request.backend.name, endpoint.endpoint_id
+        )
+        offered_load = self._offered_load(request.backend.name, load, factor)
         return RatedEndpoint(
             endpoint=endpoint,
             wait=ExpectedWait(
-                queue=self._queue(endpoint, load, request),
+                queue=self._queue(endpoint, load, request, factor),
                 service_time=self._service_time(
-                    endpoint, request, uncached, fetch
+                    request, uncached, fetch, factor
                 ),
                 penalty=self._penalty(endpoint, request, is_suspect)
-                + self._preemption(endpoint, load, request)
-                + self._decode_risk(request, offered_load)
+                + self._preemption(endpoint, load, request) * factor
+                + self._decode_risk(request, offered_load, factor)
                 + self._crossing(endpoint, request),
                 expected_error=self._expected_error(request, offered_load),
             ),
@@ -137,17 +140,17 @@
             offered_load=offered_load,
             queued_tokens=load.uncached_tokens,
             prefill_share=min(1.0, offered_load),
+            time_factor=factor,
         )
 
     def _load(
         self, endpoint: RegisteredEndpoint, state: EndpointState, now: float
     ) -> Load:
-        prefill_token_seconds = self._engines.prefill_token_seconds(
-            endpoint.service
-        )
         load = state.load(
             now,
-            prefill_token_seconds,
+            self._engines.endpoint_token_seconds(
+                endpoint.service, endpoint.endpoint_id
+            ),
             counts_progress=self._mechanisms.reading_progress,
         )
         if not self._mechanisms.shared_loads:
@@ -159,10 +162,13 @@
         return load
 
     def _queue(
-        self, endpoint: RegisteredEndpoint, load: Load, request: RatedRequest
+        self,
+        endpoint: RegisteredEndpoint,
+        load: Load,
+        request: RatedRequest,
+        factor: float,
     ) -> float:
         service = request.backend.name
-        factor = self._engines.time_factor(service, endpoint.endpoint_id)
         queue = estimate_queue(
             load,
             rank=request.route.rank,
@@ -173,16 +179,15 @@
         )
         # Prefers the less loaded of several endpoints with free slots.
         utilization = load.requests / endpoint.slots
-        return (
-            queue * factor + utilization * request.run_seconds / endpoint.slots
-        )
+        preference = utilization * request.run_seconds / endpoint.slots
+        return (queue + preference) * factor
 
     def _service_time(
         self,
-        endpoint: RegisteredEndpoint,
         request: RatedRequest,
         uncached: int,
         fetch: PrefixFetch | None,
+        factor: float,
     ) -> float:
         backend = request.backend
         if backend.engine is None:
@@ -190,7 +195,6 @@
         engines = self._engines
         prefill = self._prefill_seconds(request, uncached)
         prefill += engines.first_token_seconds(backend.name)
-        factor = engines.time_factor(backend.name, endpoint.endpoint_id)
         fetching = engines.fetch_seconds(backend.name, fetch)
         return prefill * factor + fetching
 
@@ -245,18 +249,15 @@
             != self._read_region(there),
         )
 
-    def _offered_load(
-        self, service: str, endpoint: RegisteredEndpoint, load: Load
-    ) -> float:
+    def _offered_load(self, service: str, load: Load, factor: float) -> float:
         """Return the seconds of prefill sent to an endpoint per second."""
         seconds = load.recent_tokens * self._engines.prefill_token_seconds(
             service
         )
-        factor = self._engines.time_factor(service, endpoint.endpoint_id)
         return seconds * factor / RECENT_WINDOW_SECONDS
 
     def _decode_risk(
-        self, request: RatedRequest, prefill_share: float
+        self, request: RatedRequest, prefill_share: float, factor: float
     ) -> float:
         is_on = self._mechanisms.writing_risk
         if request.backend.engine is None or not is_on:
@@ -264,7 +265,9 @@
         step = self._engines.decode_step_seconds(
             request.backend.name, prefill_share
         )
-        return decode_risk_seconds(request.prompt, step, request.seconds_left)
+        return decode_risk_seconds(
+            request.prompt, step * factor, request.seconds_left
+        )
 
     def _preemption(
         self, endpoint: RegisteredEndpoint, load: Load, request: RatedRequest
--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -37,6 +37,7 @@
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RankLoad
 from burdockdrum.registrations import RegisteredEndpoint
+from burdockdrum.registrations import SpeedSum
 from burdockdrum.registrations import UNKNOWN_INCARNATION
 from burdockdrum.resources import Backend
 from burdockdrum.resources import Route
@@ -50,6 +51,8 @@
 # Least expected work when drawing an endpoint: those whose estimates differ by
 # less share the requests.
 TIE_MARGIN_SECONDS = 0.002
+# Least time between two samples of the pace of running responses.
+PACE_INTERVAL_SECONDS = 0.1
 
 
 class Fleet:
@@ -129,6 +132,7 @@
         self._read_load_age = read_load_age
         self._drop_endpoint = drop_endpoint
         self._states_by_id: dict[str, EndpointState] = {}
+        self._speeds_updated_at = float("-inf")
         self._slow_start_gate = SlowStartGate(clock=clock, rng=rng)
         self._limits = limits or EndpointLimits(
             clock=clock, metrics=Metrics(), read_endpoints=read_endpoints
@@ -346,6 +350,7 @@
         state = self._states_by_id.get(in_flight_request.endpoint.endpoint_id)
         if state is not None:
             state.idle_since = now
+        self._record_pace_event(in_flight_request, state, now)
         in_flight_request.last_output_at = now
         in_flight_request.chunks_received += 1
         if in_flight_request.first_output_at is None:
@@ -421,12 +426,11 @@
         now = self._clock.monotonic()
         ranks_by_id = {}
         for endpoint_id, state in self._states_by_id.items():
-            prefill_token_seconds = self.engines.prefill_token_seconds(
-                state.service
-            )
             load = state.load(
                 now,
-                prefill_token_seconds,
+                self.engines.endpoint_token_seconds(
+                    state.service, endpoint_id
+                ),
                 counts_progress=self._mechanisms.reading_progress,
             )
             ranks = load.ranks()
@@ -434,6 +438,67 @@
                 ranks_by_id[endpoint_id] = ranks
         return ranks_by_id
 
+    def pop_speed_news(self) -> list[SpeedSum]:
+        """Return what this entry observed of speeds since the last call."""
+        self._update_speeds()
+        return self.engines.pop_speed_news()
+
+    def read_speeds(self) -> list[SpeedSum]:
+        """Return what is known of the speeds of all endpoints."""
+        return self.engines.read_speeds(self._clock.monotonic())
+
+    def receive_speeds(self, news: list[SpeedSum]) -> None:
+        """Add what other entries observed of the endpoints' speeds."""
+        now = self._clock.monotonic()
+        endpoints_by_id = self._read_endpoints()
+        for told in news:
+            endpoint = endpoints_by_id.get(told.endpoint_id)
+            if endpoint is not None:
+                self.engines.receive_speed(endpoint.service, told, now)
+
+    def _update_speeds(self) -> None:
+        """Update beliefs from the pace of the running responses."""
+        now = self._clock.monotonic()
+        if (
+            not self._mechanisms.endpoint_speeds
+            or now - self._speeds_updated_at < PACE_INTERVAL_SECONDS
+        ):
+            return
+        self._speeds_updated_at = now
+        for endpoint_id, state in self._states_by_id.items():
+            if state.in_flight_requests:
+                self._observe_pace(endpoint_id, state, now)
+        self.engines.refresh_speeds(now)
+
+    def _observe_pace(
+        self, endpoint_id: str, state: EndpointState, now: float
+    ) -> None:
+        load = state.load(now, float("inf"), counts_progress=False)
+        load.merge(self._read_load(endpoint_id))
+        sample = state.close_pace_window(
+            load,
+            lambda source: self.engines.expected_pace(
+                state.service, endpoint_id, source
+            ),
+            now,
+        )
+        if sample is not None:
+            self.engines.record_pace(state.service, endpoint_id, sample, now)
+
+    def _record_pace_event(
+        self,
+        in_flight_request: InFlightRequest,
+        state: EndpointState | None,
+        now: float,
+    ) -> None:
+        previous_at = in_flight_request.last_output_at
+        if (
+            state is not None
+            and previous_at is not None
+            and in_flight_request.choice.prefill_cost_tokens
+        ):
+            state.pace.record_event(previous_at, now)
+
     def remove_ended(self) -> None:
         """Remove the state of endpoints that no longer exist."""
         live = self._read_endpoints()
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -154,9 +154,18 @@
         limits=kernel.find("endpoint_limits", EndpointLimits),
         backoffs=kernel.find("requested_backoffs", RequestedBackoffs),
     )
+    kernel.find("metrics", Metrics).gauges(
+        "burdockdrum_endpoint_time_factor",
+        "How many times as long as is typical an endpoint takes, by endpoint.",
+        label="endpoint_id",
+        read=fleet.engines.time_factors_by_id,
+    )
     sharing.read_load = fleet.read_own_load
     sharing.pop_placed = fleet.prefix_cache_view.pop_notices
     sharing.receive_placed = fleet.prefix_cache_view.record_notices
+    sharing.speed_news.pop_own = fleet.pop_speed_news
+    sharing.speed_news.read_all = fleet.read_speeds
+    sharing.speed_news.receive = fleet.receive_speeds
     return fleet
 
 
--- a/burdockdrum/passthrough/state/endpoint_state.py
+++ b/burdockdrum/passthrough/state/endpoint_state.py
@@ -1,10 +1,14 @@
 """Track this entry VM's requests at an endpoint and the load they cause."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 import math
 
 from burdockdrum.passthrough.state.health import EndpointHealth
+from burdockdrum.passthrough.state.pace import pace_source
+from burdockdrum.passthrough.state.pace import PaceSample
+from burdockdrum.passthrough.state.pace import PaceWindow
 from burdockdrum.passthrough.state.prefixes import PrefixFetch
 from burdockdrum.passthrough.state.prompts import Prompt
 from burdockdrum.passthrough.state.wait_estimates import ExpectedWait
@@ -31,7 +35,8 @@
     many other endpoints were skipped because of their rate limits, and
     ``skipped_in_backoff`` because of the backoffs that they requested.
     ``has_permit`` says that a holder of the endpoint's limit has counted the
-    request.
+    request. ``time_factor`` is how many times as long as is typical the
+    endpoint was expected to take.
     """
 
     endpoint: RegisteredEndpoint
@@ -45,6 +50,7 @@
     skipped_at_limit: int = 0
     skipped_in_backoff: int = 0
     has_permit: bool = False
+    time_factor: float = 1.0
 
     @property
     def fetch_from(self) -> str | None:
@@ -97,6 +103,7 @@
     recent_updated_at: float = 0.0
     latest_first_output_at: float = 0.0
     idle_since: float = 0.0
+    pace: PaceWindow = field(default_factory=PaceWindow)
 
     def count_unanswered(self) -> int:
         """Return how many requests have no response yet."""
@@ -105,6 +112,22 @@
             for request in self.in_flight_requests
         )
 
+    def close_pace_window(
+        self, load: Load, expect: Callable[[str], float | None], now: float
+    ) -> PaceSample | None:
+        """Return what the running responses tell of the endpoint's pace.
+
+        :param load: of all entries at the endpoint
+        :param expect: returns the seconds between events under conditions
+        """
+        source = pace_source(load)
+        last_output_times = [
+            request.last_output_at
+            for request in self.in_flight_requests
+            if request.last_output_at is not None
+        ]
+        return self.pace.close(source, last_output_times, expect(source), now)
+
     def add_recent(self, now: float, rank: int, tokens: float) -> None:
         """Add tokens to the recent ones, which decay exponentially."""
         decayed = math.exp(
@@ -125,7 +148,7 @@
     ) -> Load:
         """Return this entry VM's load at the endpoint.
 
-        :param prefill_token_seconds: prefill time of a token
+        :param prefill_token_seconds: prefill time of a token there
         :param counts_progress: whether to subtract the estimated progress of
             the running prefill
         """
--- a/burdockdrum/passthrough/state/engines.py
+++ b/burdockdrum/passthrough/state/engines.py
@@ -10,8 +10,11 @@
 
 from burdockdrum.passthrough.state.observed_curve import Features
 from burdockdrum.passthrough.state.observed_curve import ObservedCurve
+from burdockdrum.passthrough.state.pace import PaceSample
 from burdockdrum.passthrough.state.prefixes import PrefixFetch
 from burdockdrum.passthrough.state.prompts import Prompt
+from burdockdrum.passthrough.state.speeds import EndpointSpeeds
+from burdockdrum.registrations import SpeedSum
 from burdockdrum.settings import MechanismSettings
 
 # Prior for a dense model of 70 billion parameters on four accelerators. The
@@ -40,14 +43,15 @@
 _MAX_FETCH_POWER = 10
 # Decode observations are bucketed by the share of time spent on prefill.
 _PREFILL_SHARE_BUCKETS = 5
-# Number of observations after which half of an endpoint's deviation from its
-# service is trusted; the least gain of a later observation; and its limit.
-_HALF_TRUST_OBSERVATIONS = 6.0
-_MIN_ENDPOINT_GAIN = 0.1
-_MAX_UPDATE = math.log(2.0)
-# Endpoints that deviate by more than this from the median don't contribute to
-# the service's curve: one failing endpoint must not slow the estimates down.
+# Endpoints whose speed is not known well enough to explain a sample up to this
+# ratio don't contribute to the service's curve: one failing endpoint must not
+# slow the estimates down.
 _MAX_TYPICAL_DEVIATION = math.log(1.6)
+# Sources of observations of the endpoints' speeds (see ``EndpointSpeeds``).
+_FIRST_TOKEN = "first token"
+_QUEUED_FIRST_TOKEN = "queued first token"
+# Weight of a time to first token behind a queue, whose length is an estimate.
+_QUEUED_WEIGHT = 0.5
 
 
 # Indexes of the features whose coefficient must be positive: the prefill of a
@@ -105,25 +109,6 @@
     return prior
 
 
-@dataclass(kw_only=True)
-class _EndpointDeviation:
-    """Log ratio of one endpoint's times to the service's estimates."""
-
-    value: float = 0.0
-    observations: int = 0
-
-    def update(self, ratio: float) -> None:
-        step = math.log(ratio) - self.value
-        step = max(-_MAX_UPDATE, min(_MAX_UPDATE, step))
-        self.observations += 1
-        self.value += step * max(_MIN_ENDPOINT_GAIN, 1 / self.observations)
-
-    def factor(self, median: float) -> float:
-        count = self.observations
-        trust = count / (count + _HALF_TRUST_OBSERVATIONS)
-        return math.exp((self.value - median) * trust)
-
-
 @dataclass(kw_only=True)
 class _ServiceCurves:
     prefill: ObservedCurve = field(
@@ -148,20 +133,6 @@
             required_feature=_LINK_FEATURE,
         )
     )
-    deviations_by_id: dict[str, _EndpointDeviation] = field(
-        default_factory=dict
-    )
-    median_deviation: float = 0.0
-
-    def record_ratio(self, endpoint_id: str, ratio: float) -> float:
-        """Record a ratio; return the endpoint's deviation from the median."""
-        deviation = self.deviations_by_id.setdefault(
-            endpoint_id, _EndpointDeviation()
-        )
-        deviation.update(ratio)
-        values = sorted(d.value for d in self.deviations_by_id.values())
-        self.median_deviation = values[len(values) // 2]
-        return deviation.value - self.median_deviation
 
 
 class EngineEstimates:
@@ -174,6 +145,7 @@
         """
         self._mechanisms = mechanisms or MechanismSettings()
         self._curves_by_service: dict[str, _ServiceCurves] = {}
+        self._speeds_by_service: dict[str, EndpointSpeeds] = {}
 
     def first_token_seconds(self, service: str) -> float:
         """Return the time to first token of a fully cached prompt."""
@@ -183,6 +155,11 @@
         """Return the prefill time of a token, without attention pairs."""
         return self._curves(service).prefill.coefficients[1]
 
+    def endpoint_token_seconds(self, service: str, endpoint_id: str) -> float:
+        """Return the prefill time of a token at one endpoint."""
+        factor = self.time_factor(service, endpoint_id)
+        return self.prefill_token_seconds(service) * factor
+
     def prefill_seconds(
         self, service: str, prompt: Prompt, uncached_tokens: int
     ) -> float:
@@ -211,11 +188,17 @@
 
     def time_factor(self, service: str, endpoint_id: str) -> float:
         """Return an endpoint's times as a multiple of the service's."""
-        curves = self._curves(service)
-        deviation = curves.deviations_by_id.get(endpoint_id)
-        if deviation is None or not self._mechanisms.endpoint_speeds:
+        if not self._mechanisms.endpoint_speeds:
             return 1.0
-        return deviation.factor(curves.median_deviation)
+        speeds = self._speeds_by_service.get(service)
+        return speeds.factor(endpoint_id) if speeds is not None else 1.0
+
+    def time_factors_by_id(self) -> dict[str, float]:
+        """Return the factors of all endpoints with observations."""
+        factors: dict[str, float] = {}
+        for speeds in self._speeds_by_service.values():
+            factors |= speeds.factors_by_id()
+        return factors
 
     def record_first_token(
         self,
@@ -224,24 +207,94 @@
         prompt: Prompt,
         uncached_tokens: int,
         seconds: float,
+        now: float = 0.0,
     ) -> None:
         """Record the time to first token of a request that did not queue."""
-        curves = self._curves(service)
+        curve = self._curves(service).prefill
         features = _prefill_features(
             uncached_tokens, count_attention_pairs(prompt, uncached_tokens)
         )
-        expected = curves.prefill.seconds(features)
+        expected = curve.seconds(features)
         if expected <= 0:
             return
-        ratio = seconds / expected
-        is_typical = (
-            abs(curves.record_ratio(endpoint_id, ratio))
-            <= _MAX_TYPICAL_DEVIATION
+        self._speeds(service).record(
+            endpoint_id,
+            source=_FIRST_TOKEN,
+            ratio=seconds / expected,
+            weight=1.0,
+            now=now,
         )
-        if is_typical and self._mechanisms.observed_engines:
+        factor = self.time_factor(service, endpoint_id)
+        if self._mechanisms.observed_engines and self._is_explained(
+            service, endpoint_id, factor
+        ):
             power = max(uncached_tokens, 1).bit_length() - 1
             key = max(_MIN_POWER, min(_MAX_POWER, power))
-            curves.prefill.record(key, features, seconds)
+            curve.record(key, features, seconds / factor)
+
+    def record_queued_first_token(
+        self, service: str, endpoint_id: str, ratio: float, now: float
+    ) -> None:
+        """Record the time to first token of a request that queued.
+
+        :param ratio: of the time to what a typical endpoint would take
+        """
+        if self._mechanisms.endpoint_speeds:
+            self._speeds(service).record(
+                endpoint_id,
+                source=_QUEUED_FIRST_TOKEN,
+                ratio=ratio,
+                weight=_QUEUED_WEIGHT,
+                now=now,
+            )
+
+    def record_pace(
+        self, service: str, endpoint_id: str, sample: PaceSample, now: float
+    ) -> None:
+        """Record the pace at which an endpoint writes its responses."""
+        self._speeds(service).record(
+            endpoint_id,
+            source=sample.source,
+            ratio=sample.seconds,
+            weight=sample.weight,
+            now=now,
+        )
+
+    def expected_pace(
+        self, service: str, endpoint_id: str, source: str
+    ) -> float | None:
+        """Return the expected seconds between events, None if unknown."""
+        return self._speeds(service).expected_ratio(endpoint_id, source)
+
+    def refresh_speeds(self, now: float) -> None:
+        """Update what is believed of the endpoints' speeds."""
+        for speeds in self._speeds_by_service.values():
+            speeds.refresh(now)
+
+    def pop_speed_news(self) -> list[SpeedSum]:
+        """Return and forget the observations since the last call."""
+        if not self._mechanisms.endpoint_speeds:
+            return []
+        return [
+            told
+            for speeds in self._speeds_by_service.values()
+            for told in speeds.pop_news()
+        ]
+
+    def read_speeds(self, now: float) -> list[SpeedSum]:
+        """Return what is known of the lasting speeds of all endpoints."""
+        if not self._mechanisms.endpoint_speeds:
+            return []
+        return [
+            told
+            for speeds in self._speeds_by_service.values()
+            for told in speeds.read_all(now)
+        ]
+
+    def receive_speed(self, service: str, told: SpeedSum, now: float) -> None:
+        """Add what other entries observed of an endpoint."""
+        if self._mechanisms.endpoint_speeds:
+            self._speeds(service).receive(told, now)
 
     def record_fetch(
         self, service: str, fetch: PrefixFetch, seconds: float
@@ -276,8 +329,8 @@
 
     def remove_endpoint(self, endpoint_id: str) -> None:
         """Remove an endpoint that no longer exists."""
-        for curves in self._curves_by_service.values():
-            curves.deviations_by_id.pop(endpoint_id, None)
+        for speeds in self._speeds_by_service.values():
+            speeds.remove(endpoint_id)
 
     def _fetch_curve(self, service: str, fetch: PrefixFetch) -> ObservedCurve:
         curves = self._curves(service)
@@ -287,6 +340,20 @@
             else curves.fetching
         )
 
+    def _is_explained(
+        self, service: str, endpoint_id: str, factor: float
+    ) -> bool:
+        """Return whether the factor explains an endpoint's deviation."""
+        mean = self._speeds(service).observed_deviation(endpoint_id)
+        return abs(mean - math.log(factor)) <= _MAX_TYPICAL_DEVIATION
+
+    def _speeds(self, service: str) -> EndpointSpeeds:
+        speeds = self._speeds_by_service.get(service)
+        if speeds is None:
+            speeds = EndpointSpeeds(service=service)
+            self._speeds_by_service[service] = speeds
+        return speeds
+
     def _curves(self, service: str) -> _ServiceCurves:
         curves = self._curves_by_service.get(service)
         if curves is None:
--- a/burdockdrum/passthrough/state/request_timings.py
+++ b/burdockdrum/passthrough/state/request_timings.py
@@ -5,6 +5,7 @@
 """
 
 from burdockdrum.passthrough.state.endpoint_state import InFlightRequest
+from burdockdrum.passthrough.state.endpoint_state import RatedEndpoint
 from burdockdrum.passthrough.state.engines import EngineEstimates
 from burdockdrum.passthrough.state.estimate_errors import EstimateErrors
 from burdockdrum.resources import Backend
@@ -59,12 +60,13 @@
             now - in_flight_request.began_at - wait.queue - wait.service_time,
         )
         uncached = choice.uncached_tokens
-        if choice.queued_tokens > uncached * MAX_QUEUED_FRACTION:
-            return
-        service = choice.endpoint.service
         seconds = max(
             MIN_FIRST_CHUNK_SECONDS, now - in_flight_request.began_at
         )
+        if choice.queued_tokens > uncached * MAX_QUEUED_FRACTION:
+            self._record_queued(choice, seconds, now)
+            return
+        service = choice.endpoint.service
         if choice.fetch is None:
             self._engines.record_first_token(
                 service,
@@ -72,6 +74,7 @@
                 in_flight_request.prompt,
                 uncached,
                 seconds,
+                now,
             )
             return
         fetching = self._engines.fetch_seconds(service, choice.fetch)
@@ -82,6 +85,26 @@
             max(MIN_FIRST_CHUNK_SECONDS, seconds - rest),
         )
 
+    def _record_queued(
+        self, choice: RatedEndpoint, seconds: float, now: float
+    ) -> None:
+        """Record the time to first token behind a known queue.
+
+        The wait was estimated with the endpoint's factor at that time.
+        """
+        if choice.fetch is not None or not choice.prefill_cost_tokens:
+            return
+        wait = choice.wait
+        expected = wait.queue + wait.service_time + wait.expected_error
+        if expected <= 0:
+            return
+        self._engines.record_queued_first_token(
+            choice.endpoint.service,
+            choice.endpoint.endpoint_id,
+            seconds / expected * choice.time_factor,
+            now,
+        )
+
     def record_completion(
         self, in_flight_request: InFlightRequest, backend: Backend, now: float
     ) -> None:
@@ -94,7 +117,11 @@
                 in_flight_request.first_output_at
                 - in_flight_request.choice.wait.service_time,
             )
-        self.record_run(in_flight_request.endpoint.service, now - began)
+        endpoint = in_flight_request.endpoint
+        factor = self._engines.time_factor(
+            endpoint.service, endpoint.endpoint_id
+        )
+        self.record_run(endpoint.service, (now - began) / factor)
         self._record_decode(in_flight_request, backend)
 
     def _record_decode(
@@ -111,8 +138,12 @@
             in_flight_request.chunks_received - 1
         ) * engine.tokens_an_event
         if tokens > 0 and last > first:
+            endpoint = in_flight_request.endpoint
+            factor = self._engines.time_factor(
+                endpoint.service, endpoint.endpoint_id
+            )
             self._engines.record_decode(
-                in_flight_request.endpoint.service,
-                (last - first) / tokens,
+                endpoint.service,
+                (last - first) / tokens / factor,
                 in_flight_request.choice.prefill_share,
             )
--- a/burdockdrum/registrations/__init__.py
+++ b/burdockdrum/registrations/__init__.py
@@ -16,12 +16,14 @@
 from burdockdrum.registrations.messages import Registration
 from burdockdrum.registrations.messages import RegistrationState
 from burdockdrum.registrations.messages import ServiceCapacity
+from burdockdrum.registrations.messages import SpeedSum
 from burdockdrum.registrations.model import RegisteredEndpoint
 from burdockdrum.registrations.publisher import RegistrationPublisher
 from burdockdrum.registrations.rate_limits import AnnouncedLimit
 from burdockdrum.registrations.rate_limits import newest_limit
 from burdockdrum.registrations.rate_limits import rate_of
 from burdockdrum.registrations.services import add_services
+from burdockdrum.registrations.speed_news import SpeedNews
 from burdockdrum.registrations.table import RegistrationTable
 
 __all__ = [
@@ -42,5 +44,7 @@
     "RegistrationState",
     "RegistrationTable",
     "ServiceCapacity",
+    "SpeedNews",
+    "SpeedSum",
     "UNKNOWN_INCARNATION",
 ]
--- a/burdockdrum/registrations/load_sharing.py
+++ b/burdockdrum/registrations/load_sharing.py
@@ -30,6 +30,7 @@
 from burdockdrum.registrations.messages import RegionLoad
 from burdockdrum.registrations.messages import ServiceCapacity
 from burdockdrum.registrations.placement_log import PlacementLog
+from burdockdrum.registrations.speed_news import SpeedNews
 from burdockdrum.vms import AggregatorSelector
 from burdockdrum.vms import RemoteAggregators
 
@@ -68,6 +69,7 @@
         self.read_load = read_load
         self.pop_placed: Callable[[], list[PlacedPrefix]] = list
         self.receive_placed: Callable[[list[PlacedPrefix]], None] = _ignore
+        self.speed_news = SpeedNews()
         self._own = peers.identity
         self._peers = peers
         self._clock = clock
@@ -226,7 +228,8 @@
     ) -> bool:
         load = self.read_load()
         placed = self.pop_placed()
-        is_unchanged = load == self._sent_load and not placed
+        speeds = self.speed_news.pop_for_all(now)
+        is_unchanged = load == self._sent_load and not placed and not speeds
         if (
             is_unchanged
             and not wants_reply
@@ -235,7 +238,11 @@
             return False
         self._sent_load, self._sent_at = load, now
         report = LoadReport(
-            load_by_id=load, placed=placed, wants_reply=wants_reply
+            load_by_id=load,
+            placed=placed,
+            wants_reply=wants_reply,
+            speeds=speeds,
+            knows_speeds=self.speed_news.is_informed,
         )
         for address in addresses:
             self._peers.send(address, report)
@@ -261,9 +268,14 @@
                 placed=self._placements.read_unsent(
                     source, excluded_sources=remote_sources
                 ),
+                speeds=self.speed_news.pop_for(source, now),
             )
             self._peers.send(address, message)
 
+    def _remote_sources(self) -> frozenset[str]:
+        """Return the sources of the other data centres' loads."""
+        return frozenset(self._remote_loads.sources)
+
     def _sum_local(self) -> dict[str, Load]:
         """Return the load of this data centre's entries, by endpoint."""
         return sum_loads(
@@ -282,11 +294,31 @@
         self._local_loads.put(sender.vm_id, message.load_by_id, now)
         self.receive_placed(message.placed)
         self._placements.add(sender.vm_id, message.placed)
+        self.speed_news.record(sender.vm_id, message.speeds)
         if message.wants_reply:
-            self._peers.send(sender.address, self._make_reply(sender.vm_id))
+            reply = self._make_reply(
+                sender.vm_id, now, knows_speeds=message.knows_speeds
+            )
+            self._peers.send(sender.address, reply)
+        elif not message.knows_speeds:
+            self._tell_speeds(sender)
         return None
 
-    def _make_reply(self, requester: str) -> RegionLoad:
+    def _tell_speeds(self, sender: Sender) -> None:
+        """Tell an entry that has just started what this one knows."""
+        speeds = self.speed_news.read_all()
+        if not speeds:
+            return
+        report = LoadReport(
+            load_by_id=self.read_load(),
+            speeds=speeds,
+            knows_speeds=self.speed_news.is_informed,
+        )
+        self._peers.send(sender.address, report)
+
+    def _make_reply(
+        self, requester: str, now: float, *, knows_speeds: bool
+    ) -> RegionLoad:
         loads_by_id = sum_loads(
             self._local_loads.sums_by_id,
             self._remote_loads.sums_by_id,
@@ -301,6 +333,9 @@
             load_by_id=encode_loads(loads_by_id),
             placed=self._placements.read_unsent(requester),
             capacities=self.capacities,
+            speeds=self.speed_news.pop_for(
+                requester, now, is_informed=knows_speeds
+            ),
         )
 
     async def _receive_region_load(
@@ -316,6 +351,7 @@
         self._remote_loads.prune(float("inf"))
         self._capacities, self._reply_received_at = message.capacities, now
         self.receive_placed(message.placed)
+        self.speed_news.record(sender.vm_id, message.speeds)
         return None
 
     async def _receive_data_centre_load(
@@ -337,6 +373,9 @@
         self._remote_loads.put(source, message.load_by_id, now)
         self.receive_placed(message.placed)
         self._placements.add(source, message.placed)
+        self.speed_news.record(
+            source, message.speeds, excluded=self._remote_sources()
+        )
         return None
 
 
--- a/burdockdrum/registrations/load_sums.py
+++ b/burdockdrum/registrations/load_sums.py
@@ -4,6 +4,7 @@
 as they are read for each request.
 """
 
+from collections.abc import Collection
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -38,6 +39,11 @@
         """Return the number of sources with a report."""
         return len(self._parts_by_source)
 
+    @property
+    def sources(self) -> Collection[str]:
+        """Return the sources with a report."""
+        return self._parts_by_source.keys()
+
     def load_of(self, endpoint_id: str) -> Load:
         """Return the sum of all sources at one endpoint."""
         return self._sums_by_id.get(endpoint_id, _NO_LOAD)
--- a/burdockdrum/registrations/messages.py
+++ b/burdockdrum/registrations/messages.py
@@ -121,11 +121,42 @@
     parts: list[tuple[str, int]]
 
 
+class SpeedSum(msgspec.Struct, frozen=True, array_like=True):
+    """Samples of how much longer an endpoint takes than is typical.
+
+    ``hundredths`` is the sum of their weights, in hundredths of a sample, and
+    ``log_hundredths`` that of the weighted natural logarithms of the ratios.
+    """
+
+    endpoint_id: str
+    hundredths: int
+    log_hundredths: int
+
+    @classmethod
+    def make(
+        cls, endpoint_id: str, weight: float, weighted_log: float
+    ) -> "SpeedSum":
+        """Return the rounded sum of samples."""
+        return cls(endpoint_id, round(weight * 100), round(weighted_log * 100))
+
+    @property
+    def weight(self) -> float:
+        """Return the sum of the samples' weights."""
+        return self.hundredths / 100
+
+    @property
+    def weighted_log(self) -> float:
+        """Return the sum of the weighted logarithms."""
+        return self.log_hundredths / 100
+
+
 class LoadReport(Message, frozen=True, kw_only=True, array_like=True):
     """An entry reports its load to other entries of its region.
 
     ``placed`` are the prefixes sent to endpoints since the last report. If
-    ``wants_reply``, the receiver answers with a ``RegionLoad``.
+    ``wants_reply``, the receiver answers with a ``RegionLoad``. ``speeds``
+    are observations since the last report. Unless ``knows_speeds``, the
+    receiver answers with all that it knows.
     """
 
     wire_kind: ClassVar[str | None] = "registrations.LoadNotice"
@@ -133,18 +164,22 @@
     load_by_id: dict[str, list[RankLoad]]
     placed: list[PlacedPrefix] = []
     wants_reply: bool = False
+    speeds: list[SpeedSum] = []
+    knows_speeds: bool = True
 
 
 class RegionLoad(Message, frozen=True, kw_only=True, array_like=True):
     """The aggregator's reply to a load report.
 
     ``load_by_id`` is the load of the region without what the requester
-    itself reported; ``capacities`` cover all regions.
+    itself reported; ``capacities`` cover all regions. ``speeds`` are the
+    other entries' observations since the last reply.
     """
 
     load_by_id: dict[str, list[RankLoad]]
     placed: list[PlacedPrefix] = []
     capacities: list[ServiceCapacity] = []
+    speeds: list[SpeedSum] = []
 
 
 class DataCentreLoad(Message, frozen=True, kw_only=True, array_like=True):
@@ -152,7 +187,8 @@
 
     ``aggregator_address`` is that of the sending data centre. If
     ``is_forwarded``, an entry of the receiver's data centre has forwarded
-    the message; it is forwarded at most once.
+    the message; it is forwarded at most once. ``speeds`` are observations of
+    the data centre's entries since the last message.
     """
 
     data_centre: str
@@ -160,6 +196,7 @@
     load_by_id: dict[str, list[RankLoad]]
     placed: list[PlacedPrefix] = []
     is_forwarded: bool = False
+    speeds: list[SpeedSum] = []
 
 
 class RosterEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/scripts/experiment/passed/world.py
+++ b/scripts/experiment/passed/world.py
@@ -17,6 +17,8 @@
 from burdockdrum.registrations import RegisteredEndpoint
 from burdockdrum.registrations import RegistrationState
 from burdockdrum.registrations import ServiceCapacity
+from burdockdrum.registrations import SpeedNews
+from burdockdrum.registrations import SpeedSum
 from burdockdrum.resources import Backend
 from burdockdrum.resources import Engine
 from scripts.experiment.passed.engine import SimulatedEngine
@@ -59,6 +61,7 @@
         default_factory=dict
     )
     capacities: list[ServiceCapacity] = field(default_factory=list)
+    speed_news: SpeedNews = field(default_factory=SpeedNews)
 
     def load_of(self, endpoint_id: str) -> Load:
         """Return the load of the other entries at an endpoint."""
@@ -206,6 +209,10 @@
             read_region=lambda name: name,
             mechanisms=self._variant.mechanisms,
         )
+        entry.speed_news = SpeedNews()
+        entry.speed_news.pop_own = entry.fleet.pop_speed_news
+        entry.speed_news.read_all = entry.fleet.read_speeds
+        entry.speed_news.receive = entry.fleet.receive_speeds
         if self._variant.pick is not None:
             entry.selector = BaselineSelector(
                 pick=self._variant.pick,
@@ -243,10 +250,11 @@
             return
         load = entry.fleet.read_own_load()
         placed = entry.fleet.prefix_cache_view.pop_notices()
+        speeds = entry.speed_news.pop_for_all(self.schedule.now)
         for other in self.live_entries(entry.identity.region):
             if other is not entry:
                 deliver = functools.partial(
-                    self._receive_load, other, entry, load, placed
+                    self._receive_load, other, entry, load, placed, speeds
                 )
                 self.schedule.after(
                     LOCAL_DELAY_SECONDS * self.time_scale, deliver
@@ -258,8 +266,10 @@
         entry: Entry,
         load: dict[str, list[RankLoad]],
         placed: list[PlacedPrefix],
+        speeds: list[SpeedSum],
     ) -> None:
         other.loads_by_vm[entry.identity.vm_id] = load
+        other.speed_news.record(entry.identity.vm_id, speeds)
         other.fleet.prefix_cache_view.record_notices(placed)
 
     def _send_capacities(self) -> None:
