Draw endpoints by their speed, and notice changes from few samples

Cause: the work expected until the next report was spread by waits alone, as if a second of each endpoint did the same; a change showed only in a sum of 0.6 s, too short where an endpoint has a few requests a second.

Change: waits rise to a common level by each endpoint's speed; a third sum of 2.5 s.

--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -192,7 +192,9 @@
         rated_endpoints = [
             self._rate(endpoint, request) for endpoint in candidates
         ]
-        offered_load = sum(rated.offered_load for rated in rated_endpoints)
+        offered_load = sum(
+            rated.offered_load / rated.time_factor for rated in rated_endpoints
+        )
         expected_work = TIE_MARGIN_SECONDS
         if self._mechanisms.stale_spread:
             expected_work = max(
@@ -203,7 +205,8 @@
                 rated_endpoints, expected_work
             )
         waits = [rated.wait.total for rated in rated_endpoints]
-        chosen = rated_endpoints[draw(waits, expected_work, self._rng)]
+        speeds = [1 / rated.time_factor for rated in rated_endpoints]
+        chosen = rated_endpoints[draw(waits, expected_work, self._rng, speeds)]
         prefill_cost_tokens = self._rater.prefill_cost_tokens(
             request, chosen.uncached_tokens
         )
@@ -284,10 +287,12 @@
         Traffic between data centres costs money, so that local endpoints
         below the fill level get all of the expected work.
 
-        :param expected_work: seconds of work until the next load report
+        :param expected_work: seconds of work of a typical endpoint until the
+            next load report
         """
         waits = [rated.wait.total for rated in rated_endpoints]
-        level = find_level(waits, expected_work)
+        speeds = [1 / rated.time_factor for rated in rated_endpoints]
+        level = find_level(waits, expected_work, speeds)
         local = [
             rated
             for rated in rated_endpoints
--- a/burdockdrum/passthrough/state/speeds.py
+++ b/burdockdrum/passthrough/state/speeds.py
@@ -1,7 +1,7 @@
 """How much faster or slower each endpoint of a service is than is typical.
 
-The ratios of observed to expected times are kept as two decaying sums: one
-for the lasting speed, and one for what the endpoint does now. Entries of a
+The ratios of observed to expected times are kept as decaying sums: one for
+the lasting speed, and two for what the endpoint does now. Entries of a
 region tell each other what they added. Times are passed in; nothing here
 reads a clock.
 """
@@ -14,16 +14,18 @@
 from burdockdrum.logs import log_decision
 from burdockdrum.registrations import SpeedSum
 
-# Decay times of the two sums.
+# Decay times of the three sums.
 LASTING_SECONDS = 10.0
+RECENT_SECONDS = 2.5
 CURRENT_SECONDS = 0.6
 # Weight at which half of a sum's deviation is believed. A single sample of
 # the current speed has an unknown cause in most cases.
 LASTING_HALF_TRUST = 2.0
 CURRENT_HALF_TRUST = 2.0
-# Square of the deviation, in standard deviations, from which on a change is
-# believed.
-CHANGE_EVIDENCE = 9.0
+# Squares of the deviations, in standard errors, from which on a change is
+# believed; the shorter sum holds fewer samples, of one cause more often.
+RECENT_EVIDENCE = 4.0
+CURRENT_EVIDENCE = 9.0
 # Limits the lasting weight, so that many entries can't make a belief rigid,
 # and how much a single observation says.
 MAX_WEIGHT = 200.0
@@ -79,12 +81,22 @@
             self.weight + half_trust
         )
 
+    def evidence_against(self, belief: float) -> float:
+        """Return the square of how many standard errors the mean is off."""
+        if not self.weight:
+            return 0.0
+        difference = self.weighted_log / self.weight - belief
+        return difference**2 * self.weight / _PRECISE_VARIANCE
+
 
 @dataclass(kw_only=True, slots=True)
 class _EndpointSpeed:
     lasting: DecayingSum = field(
         default_factory=lambda: DecayingSum(decay_seconds=LASTING_SECONDS)
     )
+    recent: DecayingSum = field(
+        default_factory=lambda: DecayingSum(decay_seconds=RECENT_SECONDS)
+    )
     current: DecayingSum = field(
         default_factory=lambda: DecayingSum(decay_seconds=CURRENT_SECONDS)
     )
@@ -93,10 +105,12 @@
 
     def add(self, weight: float, weighted_log: float, now: float) -> None:
         self.lasting.add(weight, weighted_log, now)
+        self.recent.add(weight, weighted_log, now)
         self.current.add(weight, weighted_log, now)
 
     def decay(self, now: float) -> None:
         self.lasting.decay(now)
+        self.recent.decay(now)
         self.current.decay(now)
 
     def update(self, median: float) -> None:
@@ -106,18 +120,18 @@
     def _believe(self, median: float) -> float:
         """Return the logarithm of the present speed.
 
-        The current sum counts only if it differs from the lasting one by more
-        than its samples would by chance.
+        A shorter sum counts only if it differs from what the longer ones say
+        by more than its samples would by chance: with many samples a change
+        is noticed by the shortest, with few by the longer one.
         """
-        lasting = self.lasting.shrink_towards(median, LASTING_HALF_TRUST)
-        current = self.current
-        if not current.weight:
-            return lasting
-        difference = current.weighted_log / current.weight - lasting
-        evidence = difference**2 * current.weight / _PRECISE_VARIANCE
-        if evidence < CHANGE_EVIDENCE:
-            return lasting
-        return current.shrink_towards(lasting, CURRENT_HALF_TRUST)
+        belief = self.lasting.shrink_towards(median, LASTING_HALF_TRUST)
+        for part, evidence in (
+            (self.recent, RECENT_EVIDENCE),
+            (self.current, CURRENT_EVIDENCE),
+        ):
+            if part.evidence_against(belief) >= evidence:
+                belief = part.shrink_towards(belief, CURRENT_HALF_TRUST)
+        return belief
 
 
 @dataclass(kw_only=True, slots=True)
