--- a/burdockdrum/passthrough/selection/endpoint_rater.py
+++ b/burdockdrum/passthrough/selection/endpoint_rater.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from burdockdrum.passthrough.selection.output_pace import delay_of_others
 from burdockdrum.passthrough.state import decode_risk_seconds
 from burdockdrum.passthrough.state import EndpointState
 from burdockdrum.passthrough.state import EngineEstimates
@@ -119,6 +120,7 @@
         if fetch is not None:
             uncached -= fetch.tokens
         offered_load = self._offered_load(request.backend.name, endpoint, load)
+        output = self._output_seconds(endpoint, request, offered_load)
         return RatedEndpoint(
             endpoint=endpoint,
             wait=ExpectedWait(
@@ -128,15 +130,18 @@
                 ),
                 penalty=self._penalty(endpoint, request, is_suspect)
                 + self._preemption(endpoint, load, request)
-                + self._decode_risk(request, offered_load)
+                + self._decode_risk(request, output)
+                + self._delay_of_others(endpoint, load, request, uncached)
                 + self._crossing(endpoint, request),
                 expected_error=self._expected_error(request, offered_load),
+                output=output,
             ),
             uncached_tokens=uncached,
             fetch=fetch,
             offered_load=offered_load,
             queued_tokens=load.uncached_tokens,
             prefill_share=min(1.0, offered_load),
+            requests=load.requests,
         )
 
     def _load(
@@ -255,16 +260,42 @@
         factor = self._engines.time_factor(service, endpoint.endpoint_id)
         return seconds * factor / RECENT_WINDOW_SECONDS
 
-    def _decode_risk(
-        self, request: RatedRequest, prefill_share: float
+    def _output_seconds(
+        self,
+        endpoint: RegisteredEndpoint,
+        request: RatedRequest,
+        prefill_share: float,
     ) -> float:
-        is_on = self._mechanisms.writing_risk
-        if request.backend.engine is None or not is_on:
+        backend = request.backend
+        if backend.engine is None:
             return 0.0
+        tokens = request.prompt.expected_output_tokens
         step = self._engines.decode_step_seconds(
-            request.backend.name, prefill_share
+            backend.name, prefill_share, tokens
         )
-        return decode_risk_seconds(request.prompt, step, request.seconds_left)
+        factor = self._engines.time_factor(backend.name, endpoint.endpoint_id)
+        return tokens * step * factor
+
+    def _decode_risk(
+        self, request: RatedRequest, output_seconds: float
+    ) -> float:
+        if not self._mechanisms.writing_risk:
+            return 0.0
+        return decode_risk_seconds(output_seconds, request.seconds_left)
+
+    def _delay_of_others(
+        self,
+        endpoint: RegisteredEndpoint,
+        load: Load,
+        request: RatedRequest,
+        uncached: int,
+    ) -> float:
+        backend = request.backend
+        if backend.engine is None or not self._mechanisms.output_pace:
+            return 0.0
+        factor = self._engines.time_factor(backend.name, endpoint.endpoint_id)
+        seconds = self._prefill_seconds(request, uncached) * factor
+        return delay_of_others(load, prefill_seconds=seconds)
 
     def _preemption(
         self, endpoint: RegisteredEndpoint, load: Load, request: RatedRequest
--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -14,6 +14,7 @@
 from burdockdrum.passthrough.selection.candidates import split_candidates
 from burdockdrum.passthrough.selection.endpoint_rater import EndpointRater
 from burdockdrum.passthrough.selection.endpoint_rater import RatedRequest
+from burdockdrum.passthrough.selection.output_pace import OutputNeeds
 from burdockdrum.passthrough.selection.prefix_finder import PrefixFinder
 from burdockdrum.passthrough.selection.stale_load import draw
 from burdockdrum.passthrough.selection.stale_load import find_level
@@ -189,6 +190,9 @@
             self._rate(endpoint, request) for endpoint in candidates
         ]
         offered_load = sum(rated.offered_load for rated in rated_endpoints)
+        if self._mechanisms.output_pace and backend.engine is not None:
+            needs = OutputNeeds.of(route, backend.engine, prompt, seconds_left)
+            rated_endpoints = needs.prefer_meeting(rated_endpoints)
         expected_work = TIE_MARGIN_SECONDS
         if self._mechanisms.stale_spread:
             expected_work = max(
--- a/burdockdrum/passthrough/state/endpoint_state.py
+++ b/burdockdrum/passthrough/state/endpoint_state.py
@@ -25,7 +25,8 @@
     ``fetch`` is the prefix that it would fetch from another endpoint.
     ``offered_load`` is how many seconds of prefill all entry VMs send there
     per second, ``prefill_share`` the share of its time spent on prefill.
-    ``queued_tokens`` are the uncached tokens of other prompts there.
+    ``queued_tokens`` are the uncached tokens of other prompts there,
+    ``requests`` the other requests there.
     ``prefill_cost_tokens`` is the prefill cost of the prompt, as the number of
     tokens of short prompts that take as long. ``skipped_at_limit`` is how
     many other endpoints were skipped because of their rate limits, and
@@ -42,6 +43,7 @@
     queued_tokens: float = 0.0
     prefill_cost_tokens: float = 0.0
     prefill_share: float = 0.0
+    requests: float = 0.0
     skipped_at_limit: int = 0
     skipped_in_backoff: int = 0
     has_permit: bool = False
--- a/burdockdrum/passthrough/state/engines.py
+++ b/burdockdrum/passthrough/state/engines.py
@@ -151,6 +151,9 @@
     deviations_by_id: dict[str, _EndpointDeviation] = field(
         default_factory=dict
     )
+    length_deviations_by_power: dict[int, _EndpointDeviation] = field(
+        default_factory=dict
+    )
     median_deviation: float = 0.0
 
     def record_ratio(self, endpoint_id: str, ratio: float) -> float:
@@ -193,14 +196,24 @@
         curve = self._curves(service).prefill
         return curve.seconds(features) - curve.coefficients[0]
 
-    def decode_step_seconds(self, service: str, prefill_share: float) -> float:
-        """Return the time of a decode step.
+    def decode_step_seconds(
+        self, service: str, prefill_share: float, output_tokens: int = 0
+    ) -> float:
+        """Return the mean time of a decode step during a response.
+
+        Short responses fall wholly into a prefill or between two, and many of
+        them are written when there is much to prefill; so the mean differs
+        from that of long ones.
 
         :param prefill_share: share of the engine's time spent on prefill
+        :param output_tokens: expected length of the response, 0 if unknown
         """
-        return self._curves(service).decode.seconds(
-            (1.0, min(1.0, prefill_share))
+        curves = self._curves(service)
+        seconds = curves.decode.seconds((1.0, min(1.0, prefill_share)))
+        known = curves.length_deviations_by_power.get(
+            output_tokens.bit_length()
         )
+        return seconds * known.factor(0.0) if known is not None else seconds
 
     def fetch_seconds(self, service: str, fetch: PrefixFetch | None) -> float:
         """Return the time to fetch a cached prefix, 0 without a fetch."""
@@ -257,11 +270,16 @@
         )
 
     def record_decode(
-        self, service: str, seconds: float, prefill_share: float
+        self,
+        service: str,
+        seconds: float,
+        prefill_share: float,
+        output_tokens: int = 0,
     ) -> None:
         """Record the seconds per token of a decoded response.
 
         :param prefill_share: share of the engine's time spent on prefill
+        :param output_tokens: length of the response, 0 if unknown
         """
         if not self._mechanisms.observed_engines:
             return
@@ -270,9 +288,14 @@
             _PREFILL_SHARE_BUCKETS - 1,
             int(prefill_share * _PREFILL_SHARE_BUCKETS),
         )
-        self._curves(service).decode.record(
-            bucket, (1.0, prefill_share), seconds
-        )
+        curves = self._curves(service)
+        features = (1.0, prefill_share)
+        if output_tokens:
+            deviation = curves.length_deviations_by_power.setdefault(
+                output_tokens.bit_length(), _EndpointDeviation()
+            )
+            deviation.update(seconds / curves.decode.seconds(features))
+        curves.decode.record(bucket, features, seconds)
 
     def remove_endpoint(self, endpoint_id: str) -> None:
         """Remove an endpoint that no longer exists."""
--- a/burdockdrum/passthrough/state/request_timings.py
+++ b/burdockdrum/passthrough/state/request_timings.py
@@ -115,4 +115,5 @@
                 in_flight_request.endpoint.service,
                 (last - first) / tokens,
                 in_flight_request.choice.prefill_share,
+                tokens,
             )
