--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -14,6 +14,7 @@
 from burdockdrum.passthrough.selection.eligibility import Eligibility
 from burdockdrum.passthrough.selection.endpoint_rater import EndpointRater
 from burdockdrum.passthrough.selection.endpoint_rater import RatedRequest
+from burdockdrum.passthrough.selection.output_pace import OutputNeeds
 from burdockdrum.passthrough.selection.prefix_finder import PrefixFinder
 from burdockdrum.passthrough.selection.stale_load import draw
 from burdockdrum.passthrough.selection.stale_load import find_level
@@ -213,6 +214,9 @@
         rated_endpoints = [
             self._rate(endpoint, request, now) for endpoint in candidates
         ]
+        if self._mechanisms.output_pace and backend.engine is not None:
+            needs = OutputNeeds.of(route, backend.engine, prompt, seconds_left)
+            rated_endpoints = needs.prefer_meeting(rated_endpoints)
         offered_load = sum(
             rated.offered_load / rated.time_factor for rated in rated_endpoints
         )
--- a/burdockdrum/passthrough/state/engines.py
+++ b/burdockdrum/passthrough/state/engines.py
@@ -43,6 +43,11 @@
 # Fetches are bucketed by powers of two of the link's milliseconds, up to
 # about a second.
 _MAX_FETCH_POWER = 10
+# Number of observations after which half of an output length's deviation is
+# trusted; the least gain of a later observation; and its limit.
+_HALF_TRUST_OBSERVATIONS = 6.0
+_MIN_LENGTH_GAIN = 0.1
+_MAX_UPDATE = math.log(2.0)
 # Decode observations are bucketed by the share of time spent on prefill.
 _PREFILL_SHARE_BUCKETS = 5
 # Endpoints whose speed is not known well enough to explain a sample up to this
@@ -111,6 +116,25 @@
     return prior
 
 
+@dataclass(kw_only=True)
+class _LengthDeviation:
+    """Log ratio of the decode steps of one output length to the curve."""
+
+    value: float = 0.0
+    observations: int = 0
+
+    def update(self, ratio: float) -> None:
+        step = math.log(ratio) - self.value
+        step = max(-_MAX_UPDATE, min(_MAX_UPDATE, step))
+        self.observations += 1
+        self.value += step * max(_MIN_LENGTH_GAIN, 1 / self.observations)
+
+    def factor(self) -> float:
+        count = self.observations
+        trust = count / (count + _HALF_TRUST_OBSERVATIONS)
+        return math.exp(self.value * trust)
+
+
 @dataclass(kw_only=True)
 class _ServiceCurves:
     prefill: ObservedCurve = field(
@@ -135,6 +159,9 @@
             required_feature=_LINK_FEATURE,
         )
     )
+    length_deviations_by_power: dict[int, _LengthDeviation] = field(
+        default_factory=dict
+    )
 
 
 class EngineEstimates:
@@ -172,14 +199,24 @@
         curve = self._curves(service).prefill
         return curve.seconds(features) - curve.coefficients[0]
 
-    def decode_step_seconds(self, service: str, prefill_share: float) -> float:
-        """Return the time of a decode step.
+    def decode_step_seconds(
+        self, service: str, prefill_share: float, output_tokens: int = 0
+    ) -> float:
+        """Return the mean time of a decode step during a response.
+
+        Short responses fall wholly into a prefill or between two, and many of
+        them are written when there is much to prefill; so the mean differs
+        from that of long ones.
 
         :param prefill_share: share of the engine's time spent on prefill
+        :param output_tokens: expected length of the response, 0 if unknown
         """
-        return self._curves(service).decode.seconds(
-            (1.0, min(1.0, prefill_share))
+        curves = self._curves(service)
+        seconds = curves.decode.seconds((1.0, min(1.0, prefill_share)))
+        known = curves.length_deviations_by_power.get(
+            output_tokens.bit_length()
         )
+        return seconds * known.factor() if known is not None else seconds
 
     def fetch_seconds(self, service: str, fetch: PrefixFetch | None) -> float:
         """Return the time to fetch a cached prefix, 0 without a fetch."""
@@ -312,11 +349,16 @@
         )
 
     def record_decode(
-        self, service: str, seconds: float, prefill_share: float
+        self,
+        service: str,
+        seconds: float,
+        prefill_share: float,
+        output_tokens: int = 0,
     ) -> None:
         """Record the seconds per token of a decoded response.
 
         :param prefill_share: share of the engine's time spent on prefill
+        :param output_tokens: length of the response, 0 if unknown
         """
         if not self._mechanisms.observed_engines:
             return
@@ -325,9 +367,14 @@
             _PREFILL_SHARE_BUCKETS - 1,
             int(prefill_share * _PREFILL_SHARE_BUCKETS),
         )
-        self._curves(service).decode.record(
-            bucket, (1.0, prefill_share), seconds
-        )
+        curves = self._curves(service)
+        features = (1.0, prefill_share)
+        if output_tokens:
+            deviation = curves.length_deviations_by_power.setdefault(
+                output_tokens.bit_length(), _LengthDeviation()
+            )
+            deviation.update(seconds / curves.decode.seconds(features))
+        curves.decode.record(bucket, features, seconds)
 
     def remove_endpoint(self, endpoint_id: str) -> None:
         """Remove an endpoint that no longer exists."""
