--- a/tests/experiment/test_heavy_loads.py
+++ b/tests/experiment/test_heavy_loads.py
@@ -48,5 +48,7 @@
         self.assertLessEqual(late_fraction(outcomes, "review"), 0.05)
 
     def test_urgent_prompts_are_late_if_memory_is_not_considered(self):
-        outcomes = self.outcomes(MechanismSettings(memory_room=False))
+        # Without the pace of outputs, which spreads such prompts as well.
+        mechanisms = MechanismSettings(memory_room=False, output_pace=False)
+        outcomes = self.outcomes(mechanisms)
         self.assertGreater(late_fraction(outcomes, "review"), 0.05)
