Decode the longest pause of a route's streams

Cause: a route tells how long a pause between two events may be, and nothing in the product knew it. Change: Route.max_pause_seconds, decoded from the platform's document and set in the simulation.

--- a/burdockdrum/resources/routes.py
+++ b/burdockdrum/resources/routes.py
@@ -34,10 +34,11 @@
     ``resumable`` an interrupted one may be resumed after the last event.
     ``attempts`` is the maximum number of endpoints that a request is sent
     to. ``timeout_seconds`` limits the whole request, ``objective_seconds``
-    is the objective for the time to first byte. ``rank`` 0 is the most
-    urgent. Without ``homes`` any region may serve. A ``public`` route needs
-    no token, even if the table has teams. ``shares_prompts`` is not used;
-    stored tables have it.
+    is the objective for the time to first byte, ``max_pause_seconds`` that
+    for the time between two events of a stream, 0 for none. ``rank`` 0 is
+    the most urgent. Without ``homes`` any region may serve. A ``public``
+    route needs no token, even if the table has teams. ``shares_prompts`` is
+    not used; stored tables have it.
     """
 
     name: str
@@ -50,6 +51,7 @@
     attempts: int = 1
     timeout_seconds: float
     objective_seconds: float = 1.0
+    max_pause_seconds: float = 0.0
     rank: int = 0
     homes: list[str] = []
     shares_prompts: bool = False
--- a/scripts/experiment/passed/callers.py
+++ b/scripts/experiment/passed/callers.py
@@ -86,6 +86,7 @@
         attempts=MAX_ATTEMPTS,
         timeout_seconds=kind.deadline_seconds,
         objective_seconds=kind.objective_seconds,
+        max_pause_seconds=kind.pause_seconds,
         rank=kind.rank,
         homes=list(kind.homes),
     )
