Place prompts where responses are still written in time

Cause: an engine that processes a prompt gives each running response one token a chunk. Endpoints were compared by the first token, so prompts went to short queues beside many responses, which paused or were cut at their deadline after having been accepted.

Change: a prompt's prefill counts half a second of penalty for each second and request that it delays, here and in other regions. The expected time of the output (decode step by share of prefill and by length) is part of the expected wait: endpoints and regions that can't finish are left out, and the request is refused if none can. Loads tell how many responses of a rank are behind their deadline; less urgent prompts are held back from them.

--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -123,7 +123,11 @@
     ) -> Outcome:
         endpoint = target.choice.endpoint
         in_flight_request = self._fleet.record_sent(
-            target.choice, request.backend, request.prompt, request.route.rank
+            target.choice,
+            request.backend,
+            request.prompt,
+            request.route.rank,
+            deadline=request.deadline,
         )
 
         def encode() -> bytes:
--- a/burdockdrum/passthrough/relaying/request_log.py
+++ b/burdockdrum/passthrough/relaying/request_log.py
@@ -90,6 +90,7 @@
                 "expected_wait": _round(choice.wait.total),
                 "expected_queue": _round(choice.wait.queue),
                 "expected_own": _round(choice.wait.service_time),
+                "expected_finish": _round(choice.wait.until_complete),
                 "unread_tokens": choice.uncached_tokens,
                 "fetch_from": choice.fetch_from,
                 "skipped_at_limit": choice.skipped_at_limit,
--- a/burdockdrum/passthrough/selection/endpoint_rater.py
+++ b/burdockdrum/passthrough/selection/endpoint_rater.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from burdockdrum.passthrough.selection.output_pace import delay_of_others
 from burdockdrum.passthrough.state import decode_risk_seconds
 from burdockdrum.passthrough.state import EndpointState
 from burdockdrum.passthrough.state import EngineEstimates
@@ -126,6 +127,7 @@
             request.backend.name, endpoint.endpoint_id
         )
         offered_load = self._offered_load(request.backend.name, load, factor)
+        output = self._output_seconds(request, offered_load, factor)
         return RatedEndpoint(
             endpoint=endpoint,
             wait=ExpectedWait(
@@ -135,9 +137,12 @@
                 ),
                 penalty=self._penalty(endpoint, request, is_suspect)
                 + self._preemption(endpoint, load, request) * factor
-                + self._decode_risk(request, offered_load, factor)
+                + self._decode_risk(request, output)
+                + self._delay_of_others(load, request, uncached, factor)
                 + self._crossing(endpoint, request),
                 expected_error=self._expected_error(request, offered_load),
+                output=output,
+                urgent_behind=load.up_to(request.route.rank - 1).behind,
             ),
             uncached_tokens=uncached,
             fetch=fetch,
@@ -145,6 +150,7 @@
             queued_tokens=load.uncached_tokens,
             prefill_share=min(1.0, offered_load),
             time_factor=factor,
+            requests=load.requests,
         )
 
     def _load(
@@ -156,6 +162,9 @@
                 endpoint.service, endpoint.endpoint_id
             ),
             counts_progress=self._mechanisms.reading_progress,
+            fastest_step=self._engines.decode_step_seconds(
+                endpoint.service, 0.0
+            ),
         )
         if not self._mechanisms.shared_loads:
             return load
@@ -273,18 +282,37 @@
         )
         return seconds * factor / RECENT_WINDOW_SECONDS
 
-    def _decode_risk(
+    def _output_seconds(
         self, request: RatedRequest, prefill_share: float, factor: float
     ) -> float:
-        is_on = self._mechanisms.writing_risk
-        if request.backend.engine is None or not is_on:
+        backend = request.backend
+        if backend.engine is None:
             return 0.0
+        tokens = request.prompt.expected_output_tokens
         step = self._engines.decode_step_seconds(
-            request.backend.name, prefill_share
-        )
-        return decode_risk_seconds(
-            request.prompt, step * factor, request.seconds_left
+            backend.name, prefill_share, tokens
         )
+        return tokens * step * factor
+
+    def _decode_risk(
+        self, request: RatedRequest, output_seconds: float
+    ) -> float:
+        if not self._mechanisms.writing_risk:
+            return 0.0
+        return decode_risk_seconds(output_seconds, request.seconds_left)
+
+    def _delay_of_others(
+        self,
+        load: Load,
+        request: RatedRequest,
+        uncached: int,
+        factor: float,
+    ) -> float:
+        backend = request.backend
+        if backend.engine is None or not self._mechanisms.output_pace:
+            return 0.0
+        seconds = self._prefill_seconds(request, uncached) * factor
+        return delay_of_others(load, prefill_seconds=seconds)
 
     def _preemption(
         self, endpoint: RegisteredEndpoint, load: Load, request: RatedRequest
--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -14,6 +14,7 @@
 from burdockdrum.passthrough.selection.eligibility import Eligibility
 from burdockdrum.passthrough.selection.endpoint_rater import EndpointRater
 from burdockdrum.passthrough.selection.endpoint_rater import RatedRequest
+from burdockdrum.passthrough.selection.output_pace import OutputNeeds
 from burdockdrum.passthrough.selection.prefix_finder import PrefixFinder
 from burdockdrum.passthrough.selection.stale_load import draw
 from burdockdrum.passthrough.selection.stale_load import find_level
@@ -216,6 +217,9 @@
         offered_load = sum(
             rated.offered_load / rated.time_factor for rated in rated_endpoints
         )
+        if self._mechanisms.output_pace and backend.engine is not None:
+            needs = OutputNeeds.of(route, backend.engine, prompt, seconds_left)
+            rated_endpoints = needs.prefer_meeting(rated_endpoints)
         expected_work = TIE_MARGIN_SECONDS
         if self._mechanisms.stale_spread:
             expected_work = max(
@@ -334,6 +338,8 @@
         backend: Backend,
         prompt: Prompt,
         rank: int,
+        *,
+        deadline: float | None = None,
     ) -> InFlightRequest:
         """Record a request that is sent to an endpoint."""
         endpoint = choice.endpoint
@@ -361,6 +367,10 @@
             prompt=prompt,
             rank=rank,
             began_at=now,
+            event_tokens=backend.engine.tokens_an_event
+            if backend.engine is not None
+            else 1,
+            deadline=deadline,
         )
         state.in_flight_requests[in_flight_request] = None
         return in_flight_request
@@ -457,6 +467,9 @@
                     state.service, endpoint_id
                 ),
                 counts_progress=self._mechanisms.reading_progress,
+                fastest_step=self.engines.decode_step_seconds(
+                    state.service, 0.0
+                ),
             )
             ranks = load.ranks()
             if ranks:
--- a/burdockdrum/passthrough/selection/region_rating.py
+++ b/burdockdrum/passthrough/selection/region_rating.py
@@ -9,6 +9,7 @@
 from burdockdrum.passthrough.protocol import RequestProgress
 from burdockdrum.passthrough.selection.endpoint_rater import crossing_seconds
 from burdockdrum.passthrough.selection.fleet import Fleet
+from burdockdrum.passthrough.selection.output_pace import delay_of_others
 from burdockdrum.passthrough.state import decode_risk_seconds
 from burdockdrum.passthrough.state import estimate_queue
 from burdockdrum.passthrough.state import ExpectedWait
@@ -114,16 +115,20 @@
         prefill_share = (
             load.recent_tokens * prefill_token_seconds / RECENT_WINDOW_SECONDS
         )
+        output = self._output_seconds(request, prefill_share)
+        own_seconds = self._service_time(request, candidate.region)
         return ExpectedWait(
             queue=queue,
-            service_time=self._service_time(request, candidate.region)
-            + HOP_DELAY_SECONDS,
-            penalty=self._decode_risk(request, prefill_share)
+            service_time=own_seconds + HOP_DELAY_SECONDS,
+            penalty=self._decode_risk(request, output)
+            + self._delay_of_others(service, load, own_seconds)
             + crossing
             + preemption,
             expected_error=self._fleet.estimate_error(
                 service, rank, prefill_share
             ),
+            output=output,
+            urgent_behind=load.up_to(rank - 1).behind,
         )
 
     def _memory_wait(self, request: ProxiedRequest, load: Load) -> float:
@@ -155,13 +160,29 @@
             full_prefill, prefill + fetching
         )
 
-    def _decode_risk(
-        self, request: ProxiedRequest, prefill_share: float
+    def _delay_of_others(
+        self, service: str, load: Load, own_seconds: float
     ) -> float:
-        if not self._mechanisms.writing_risk:
+        if not self._mechanisms.output_pace:
             return 0.0
+        prefill = own_seconds - self._fleet.engines.first_token_seconds(
+            service
+        )
+        return delay_of_others(load, prefill_seconds=max(0.0, prefill))
+
+    def _output_seconds(
+        self, request: ProxiedRequest, prefill_share: float
+    ) -> float:
+        tokens = request.prompt.expected_output_tokens
         step = self._fleet.engines.decode_step_seconds(
-            request.backend.name, prefill_share
+            request.backend.name, prefill_share, tokens
         )
+        return tokens * step
+
+    def _decode_risk(
+        self, request: ProxiedRequest, output_seconds: float
+    ) -> float:
+        if not self._mechanisms.writing_risk:
+            return 0.0
         left = request.deadline - self._clock.monotonic()
-        return decode_risk_seconds(request.prompt, step, left)
+        return decode_risk_seconds(output_seconds, left)
--- a/burdockdrum/passthrough/selection/targets.py
+++ b/burdockdrum/passthrough/selection/targets.py
@@ -15,6 +15,8 @@
 from burdockdrum.passthrough.protocol import RequestProgress
 from burdockdrum.passthrough.protocol import Target
 from burdockdrum.passthrough.selection.fleet import Fleet
+from burdockdrum.passthrough.selection.output_pace import delays_urgent
+from burdockdrum.passthrough.selection.output_pace import OutputNeeds
 from burdockdrum.passthrough.selection.region_rating import RegionRater
 from burdockdrum.passthrough.state import ExpectedWait
 from burdockdrum.passthrough.state import RatedEndpoint
@@ -114,8 +116,50 @@
         if queue > allowed:
             reason = f"queue of {queue:.2f} s exceeds {allowed:.2f} s"
             raise self._refuse(request, progress, reason, queue - allowed)
+        self._check_finish(request, progress, local, remaining)
         return EndpointTarget(choice=local)
 
+    def _check_finish(
+        self,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        local: RatedEndpoint,
+        remaining: float,
+    ) -> None:
+        """Refuse a request if a response would be cut at its deadline.
+
+        That may be its own, or a more urgent one that it would delay. A
+        response that has begun is continued as far as possible.
+
+        :param remaining: seconds until the caller's deadline
+        :raises Refusal: if a response would not be complete
+        """
+        needs = self._output_needs(request, remaining)
+        if needs is None or progress.first_chunk_at is not None:
+            return
+        if delays_urgent(local.wait):
+            raise self._refuse(
+                request,
+                progress,
+                "more urgent responses are behind their deadline",
+                self._fleet.run_seconds(request.backend.name),
+            )
+        late = needs.seconds_too_late(local)
+        if late > 0:
+            reason = (
+                f"response expected after {local.wait.until_complete:.2f} s, "
+                f"deadline in {remaining:.2f} s"
+            )
+            raise self._refuse(request, progress, reason, late)
+
+    def _output_needs(
+        self, request: ProxiedRequest, remaining: float
+    ) -> OutputNeeds | None:
+        engine = request.backend.engine
+        if engine is None or not self._mechanisms.output_pace:
+            return None
+        return OutputNeeds.of(request.route, engine, request.prompt, remaining)
+
     def has_alternative(
         self,
         request: ProxiedRequest,
@@ -190,17 +234,23 @@
             # other would send a request back and forth.
             return None
         limit = float("inf")
+        remaining = request.deadline - self._clock.monotonic()
+        needs: OutputNeeds | None = None
         if local is not None:
             if not self._mechanisms.region_spill:
                 return None
             spill_threshold = (
                 request.route.objective_seconds * SPILL_OBJECTIVE_FRACTION
             )
-            if local.wait.total <= spill_threshold:
+            needs = self._output_needs(request, remaining)
+            is_met = needs is None or needs.are_met(local.wait)
+            if is_met and local.wait.total <= spill_threshold:
                 return None
-            limit = local.wait.total - SPILL_MARGIN_SECONDS
-        remaining = request.deadline - self._clock.monotonic()
+            if is_met:
+                limit = local.wait.total - SPILL_MARGIN_SECONDS
         for wait, region in self._regions.rate(request, progress):
+            if needs is not None and not needs.are_met(wait):
+                continue
             if wait.total >= limit:
                 return None
             allowed = self._max_queue_seconds(request, remaining, wait)
--- a/burdockdrum/passthrough/state/endpoint_state.py
+++ b/burdockdrum/passthrough/state/endpoint_state.py
@@ -29,7 +29,8 @@
     ``fetch`` is the prefix that it would fetch from another endpoint.
     ``offered_load`` is how many seconds of prefill all entry VMs send there
     per second, ``prefill_share`` the share of its time spent on prefill.
-    ``queued_tokens`` are the uncached tokens of other prompts there.
+    ``queued_tokens`` are the uncached tokens of other prompts there,
+    ``requests`` the other requests there.
     ``prefill_cost_tokens`` is the prefill cost of the prompt, as the number of
     tokens of short prompts that take as long. ``skipped_at_limit`` is how
     many other endpoints were skipped because of their rate limits, and
@@ -47,6 +48,7 @@
     queued_tokens: float = 0.0
     prefill_cost_tokens: float = 0.0
     prefill_share: float = 0.0
+    requests: float = 0.0
     skipped_at_limit: int = 0
     skipped_in_backoff: int = 0
     has_permit: bool = False
@@ -72,12 +74,27 @@
     first_output_at: float | None = None
     last_output_at: float | None = None
     chunks_received: int = 0
+    event_tokens: int = 1
+    deadline: float | None = None
 
     @property
     def endpoint(self) -> RegisteredEndpoint:
         """Return the endpoint that the request was sent to."""
         return self.choice.endpoint
 
+    def is_behind(self, now: float, fastest_step: float) -> bool:
+        """Return whether the response is too slow, but could be complete.
+
+        :param fastest_step: seconds a token while no prompt is processed
+        """
+        first_at, tokens = self.first_output_at, self.chunks_received - 1
+        tokens *= self.event_tokens
+        if self.deadline is None or first_at is None or tokens <= 0:
+            return False
+        left = self.prompt.expected_output_tokens - tokens
+        pace = (now - first_at) / tokens
+        return left * fastest_step <= self.deadline - now < left * pace
+
     @property
     def uncached_tokens(self) -> float:
         """Return the prefill cost of its prompt, 0 after the first chunk."""
@@ -149,6 +166,7 @@
         prefill_token_seconds: float,
         *,
         counts_progress: bool = True,
+        fastest_step: float = 0.0,
     ) -> Load:
         """Return this entry VM's load at the endpoint.
 
@@ -162,6 +180,7 @@
             rank_sum = load.of_rank(in_flight_request.rank)
             rank_sum.requests += 1
             rank_sum.held_tokens += in_flight_request.prompt.memory_tokens
+            rank_sum.behind += in_flight_request.is_behind(now, fastest_step)
             if in_flight_request.first_output_at is None:
                 uncached = in_flight_request.choice.prefill_cost_tokens
                 rank_sum.waiting += uncached > 0
--- a/burdockdrum/passthrough/state/engines.py
+++ b/burdockdrum/passthrough/state/engines.py
@@ -8,6 +8,7 @@
 from dataclasses import field
 import math
 
+from burdockdrum.passthrough.state.length_factors import LengthFactors
 from burdockdrum.passthrough.state.observed_curve import Features
 from burdockdrum.passthrough.state.observed_curve import ObservedCurve
 from burdockdrum.passthrough.state.pace import PaceSample
@@ -135,6 +136,7 @@
             required_feature=_LINK_FEATURE,
         )
     )
+    length_factors: LengthFactors = field(default_factory=LengthFactors)
 
 
 class EngineEstimates:
@@ -172,14 +174,19 @@
         curve = self._curves(service).prefill
         return curve.seconds(features) - curve.coefficients[0]
 
-    def decode_step_seconds(self, service: str, prefill_share: float) -> float:
-        """Return the time of a decode step.
+    def decode_step_seconds(
+        self, service: str, prefill_share: float, output_tokens: int = 0
+    ) -> float:
+        """Return the mean time of a decode step during a response.
 
         :param prefill_share: share of the engine's time spent on prefill
+        :param output_tokens: expected length of the response, 0 if unknown
         """
-        return self._curves(service).decode.seconds(
-            (1.0, min(1.0, prefill_share))
-        )
+        curves = self._curves(service)
+        seconds = curves.decode.seconds((1.0, min(1.0, prefill_share)))
+        if not output_tokens:
+            return seconds
+        return seconds * curves.length_factors.factor(output_tokens)
 
     def fetch_seconds(self, service: str, fetch: PrefixFetch | None) -> float:
         """Return the time to fetch a cached prefix, 0 without a fetch."""
@@ -312,11 +319,16 @@
         )
 
     def record_decode(
-        self, service: str, seconds: float, prefill_share: float
+        self,
+        service: str,
+        seconds: float,
+        prefill_share: float,
+        output_tokens: int = 0,
     ) -> None:
         """Record the seconds per token of a decoded response.
 
         :param prefill_share: share of the engine's time spent on prefill
+        :param output_tokens: length of the response, 0 if unknown
         """
         if not self._mechanisms.observed_engines:
             return
@@ -325,9 +337,12 @@
             _PREFILL_SHARE_BUCKETS - 1,
             int(prefill_share * _PREFILL_SHARE_BUCKETS),
         )
-        self._curves(service).decode.record(
-            bucket, (1.0, prefill_share), seconds
-        )
+        curves = self._curves(service)
+        features = (1.0, prefill_share)
+        if output_tokens:
+            expected = curves.decode.seconds(features)
+            curves.length_factors.record(output_tokens, seconds / expected)
+        curves.decode.record(bucket, features, seconds)
 
     def remove_endpoint(self, endpoint_id: str) -> None:
         """Remove an endpoint that no longer exists."""
--- a/burdockdrum/passthrough/state/request_timings.py
+++ b/burdockdrum/passthrough/state/request_timings.py
@@ -174,4 +174,5 @@
                 endpoint.service,
                 (last - first) / tokens / factor,
                 in_flight_request.choice.prefill_share,
+                tokens,
             )
--- a/burdockdrum/passthrough/state/wait_estimates.py
+++ b/burdockdrum/passthrough/state/wait_estimates.py
@@ -5,7 +5,6 @@
 
 from dataclasses import dataclass
 
-from burdockdrum.passthrough.state.prompts import Prompt
 from burdockdrum.registrations import Load
 
 # Decay time of recently sent tokens; about the duration of most responses,
@@ -22,20 +21,17 @@
 DECODE_RISK_WEIGHT = 0.3
 
 
-def decode_risk_seconds(
-    prompt: Prompt, decode_step_seconds: float, seconds_left: float
-) -> float:
+def decode_risk_seconds(output_seconds: float, seconds_left: float) -> float:
     """Return the penalty for an output that may miss its deadline.
 
     Decoding is several times slower on an engine that is busy with prefill:
     long outputs can be late although their first token came in time.
 
-    :param decode_step_seconds: time of a decode step at the endpoint
+    :param output_seconds: expected time of the output at the endpoint
     :param seconds_left: until the caller's deadline
     """
-    decode_seconds = prompt.expected_output_tokens * decode_step_seconds
     safe = seconds_left * SAFE_DECODE_FRACTION
-    return max(0.0, decode_seconds - safe) * DECODE_RISK_WEIGHT
+    return max(0.0, output_seconds - safe) * DECODE_RISK_WEIGHT
 
 
 def preemption_seconds(
@@ -63,13 +59,17 @@
     ``queue`` is the time behind earlier requests, ``service_time`` the prefill
     of the request itself. ``expected_error`` is by how much such estimates
     were too low. ``penalty`` is no waiting time, but only ranks the endpoint
-    lower.
+    lower. ``output`` is the time from the first token to the last.
+    ``urgent_behind`` is no time but the number of more urgent responses there
+    that are written too slowly for their deadline.
     """
 
     queue: float
     service_time: float
     penalty: float = 0.0
     expected_error: float = 0.0
+    output: float = 0.0
+    urgent_behind: float = 0.0
 
     @property
     def total(self) -> float:
@@ -78,6 +78,13 @@
             self.queue + self.service_time + self.expected_error + self.penalty
         )
 
+    @property
+    def until_complete(self) -> float:
+        """Return the expected time until the response is complete."""
+        return (
+            self.queue + self.service_time + self.expected_error + self.output
+        )
+
 
 def estimate_queue(
     load: Load,
--- a/burdockdrum/registrations/loads.py
+++ b/burdockdrum/registrations/loads.py
@@ -18,7 +18,8 @@
     ``uncached_tokens`` are the prompt tokens not yet processed;
     ``recent_tokens`` those sent in the last seconds, processed or not.
     ``waiting`` requests have not returned a first byte yet. ``held_tokens``
-    is the memory of all requests, for prompts and expected outputs.
+    is the memory of all requests, for prompts and expected outputs. Responses
+    that are ``behind`` are written too slowly for their deadline.
     """
 
     rank: int
@@ -27,6 +28,7 @@
     recent_tokens: int = 0
     waiting: int = 0
     held_tokens: int = 0
+    behind: int = 0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -38,6 +40,7 @@
     uncached_tokens: float = 0.0
     recent_tokens: float = 0.0
     held_tokens: float = 0.0
+    behind: float = 0
 
     def add(self, other: "RankSum", factor: float = 1) -> None:
         """Add another sum times a factor; no field drops below zero."""
@@ -47,6 +50,7 @@
             self.uncached_tokens += other.uncached_tokens * factor
             self.recent_tokens += other.recent_tokens * factor
             self.held_tokens += other.held_tokens * factor
+            self.behind += other.behind * factor
             return
         self.requests = max(0, self.requests + other.requests * factor)
         self.waiting = max(0, self.waiting + other.waiting * factor)
@@ -56,6 +60,7 @@
         self.recent_tokens = max(0.0, recent)
         held = self.held_tokens + other.held_tokens * factor
         self.held_tokens = max(0.0, held)
+        self.behind = max(0, self.behind + other.behind * factor)
 
 
 @dataclass(kw_only=True)
@@ -77,6 +82,7 @@
                     uncached_tokens=rank.uncached_tokens,
                     recent_tokens=rank.recent_tokens,
                     held_tokens=rank.held_tokens,
+                    behind=rank.behind,
                 ),
             )
         return load
@@ -173,6 +179,7 @@
                 round(part.recent_tokens),
                 round(part.waiting),
                 round(part.held_tokens),
+                round(part.behind),
             )
             for rank, part in self.sums_by_rank.items()
         ]
--- a/burdockdrum/settings/model.py
+++ b/burdockdrum/settings/model.py
@@ -155,6 +155,7 @@
     region_spill: bool = True
     early_refusal: bool = True
     writing_risk: bool = True
+    output_pace: bool = True
     failing_set_aside: bool = True
     mute_avoided: bool = True
     silence_given_up: bool = True
--- a/scripts/experiment/passed/callers.py
+++ b/scripts/experiment/passed/callers.py
@@ -227,7 +227,11 @@
         choice = target.choice
         rank = self.request.route.rank
         in_flight_request = fleet.record_sent(
-            choice, self.request.backend, self.request.prompt, rank
+            choice,
+            self.request.backend,
+            self.request.prompt,
+            rank,
+            deadline=self.request.deadline,
         )
         outcome = self.call.outcome
         if outcome.expected_first is None:
--- a/tests/passthrough/state/test_waiting.py
+++ b/tests/passthrough/state/test_waiting.py
@@ -79,7 +79,8 @@
 
     def total(self, prompt, busy, own):
         step = STEP_SECONDS + busy * READING_STEP_SECONDS
-        risk = decode_risk_seconds(prompt, step, 10.0)
+        output = prompt.expected_output_tokens * step
+        risk = decode_risk_seconds(output, 10.0)
         return ExpectedWait(queue=0.0, service_time=own, penalty=risk).total
 
     def test_long_output_goes_where_decoding_is_faster(self):
