--- a/burdockdrum/passthrough/selection/endpoint_rater.py
+++ b/burdockdrum/passthrough/selection/endpoint_rater.py
@@ -142,6 +142,7 @@
                 + self._crossing(endpoint, request),
                 expected_error=self._expected_error(request, offered_load),
                 output=output,
+                urgent_behind=load.up_to(request.route.rank - 1).behind,
             ),
             uncached_tokens=uncached,
             fetch=fetch,
@@ -161,6 +162,9 @@
                 endpoint.service, endpoint.endpoint_id
             ),
             counts_progress=self._mechanisms.reading_progress,
+            fastest_step=self._engines.decode_step_seconds(
+                endpoint.service, 0.0
+            ),
         )
         if not self._mechanisms.shared_loads:
             return load
@@ -304,7 +308,8 @@
         uncached: int,
         factor: float,
     ) -> float:
-        if request.backend.engine is None or not self._mechanisms.output_pace:
+        backend = request.backend
+        if backend.engine is None or not self._mechanisms.output_pace:
             return 0.0
         seconds = self._prefill_seconds(request, uncached) * factor
         return delay_of_others(load, prefill_seconds=seconds)
--- a/burdockdrum/passthrough/selection/output_pace.py
+++ b/burdockdrum/passthrough/selection/output_pace.py
@@ -31,6 +31,16 @@
     return prefill_seconds * load.requests * MEAN_DELAYED_FRACTION
 
 
+def delays_urgent(wait: ExpectedWait) -> bool:
+    """Return whether a prompt delays more urgent responses too much.
+
+    While a more urgent response is too slow for its deadline, the endpoint
+    gets no prompt that is less urgent. Other regions are rated by their mean:
+    below 1 an endpoint there has no such response.
+    """
+    return wait.urgent_behind >= 1
+
+
 @dataclass(frozen=True, kw_only=True)
 class OutputNeeds:
     """What a response needs to be in time.
@@ -60,10 +70,14 @@
         )
 
     def are_met(self, wait: ExpectedWait) -> bool:
-        """Return whether a response is expected to be in time.
+        """Return whether this and more urgent responses will be in time.
 
         :param wait: the expected times at an endpoint
         """
+        return self.is_in_time(wait) and not delays_urgent(wait)
+
+    def is_in_time(self, wait: ExpectedWait) -> bool:
+        """Return whether this response is expected to be in time."""
         if wait.until_complete > self.seconds_left:
             return False
         tokens = self.prompt.expected_output_tokens
@@ -75,8 +89,12 @@
     def prefer_meeting(
         self, rated: list[RatedEndpoint]
     ) -> list[RatedEndpoint]:
-        """Return the endpoints that meet the needs, or all if none does."""
-        return [one for one in rated if self.are_met(one.wait)] or rated
+        """Return the endpoints that meet the needs best; all if none does."""
+        return (
+            [one for one in rated if self.are_met(one.wait)]
+            or [one for one in rated if self.is_in_time(one.wait)]
+            or rated
+        )
 
     def seconds_too_late(self, rated: RatedEndpoint) -> float:
         """Return by how much a response will miss its deadline.
--- a/burdockdrum/passthrough/selection/region_rating.py
+++ b/burdockdrum/passthrough/selection/region_rating.py
@@ -128,6 +128,7 @@
                 service, rank, prefill_share
             ),
             output=output,
+            urgent_behind=load.up_to(rank - 1).behind,
         )
 
     def _memory_wait(self, request: ProxiedRequest, load: Load) -> float:
--- a/burdockdrum/passthrough/selection/targets.py
+++ b/burdockdrum/passthrough/selection/targets.py
@@ -15,6 +15,7 @@
 from burdockdrum.passthrough.protocol import RequestProgress
 from burdockdrum.passthrough.protocol import Target
 from burdockdrum.passthrough.selection.fleet import Fleet
+from burdockdrum.passthrough.selection.output_pace import delays_urgent
 from burdockdrum.passthrough.selection.output_pace import OutputNeeds
 from burdockdrum.passthrough.selection.region_rating import RegionRater
 from burdockdrum.passthrough.state import ExpectedWait
@@ -125,16 +126,24 @@
         local: RatedEndpoint,
         remaining: float,
     ) -> None:
-        """Refuse a request whose response would be cut at its deadline.
+        """Refuse a request if a response would be cut at its deadline.
 
-        A response that has begun is continued as far as possible.
+        That may be its own, or a more urgent one that it would delay. A
+        response that has begun is continued as far as possible.
 
         :param remaining: seconds until the caller's deadline
-        :raises Refusal: if the response would not be complete
+        :raises Refusal: if a response would not be complete
         """
         needs = self._output_needs(request, remaining)
         if needs is None or progress.first_chunk_at is not None:
             return
+        if delays_urgent(local.wait):
+            raise self._refuse(
+                request,
+                progress,
+                "more urgent responses are behind their deadline",
+                self._fleet.run_seconds(request.backend.name),
+            )
         late = needs.seconds_too_late(local)
         if late > 0:
             reason = (
--- a/burdockdrum/passthrough/state/engines.py
+++ b/burdockdrum/passthrough/state/engines.py
@@ -8,6 +8,7 @@
 from dataclasses import field
 import math
 
+from burdockdrum.passthrough.state.length_factors import LengthFactors
 from burdockdrum.passthrough.state.observed_curve import Features
 from burdockdrum.passthrough.state.observed_curve import ObservedCurve
 from burdockdrum.passthrough.state.pace import PaceSample
@@ -159,9 +160,7 @@
             required_feature=_LINK_FEATURE,
         )
     )
-    length_deviations_by_power: dict[int, _LengthDeviation] = field(
-        default_factory=dict
-    )
+    length_factors: LengthFactors = field(default_factory=LengthFactors)
 
 
 class EngineEstimates:
@@ -204,19 +203,14 @@
     ) -> float:
         """Return the mean time of a decode step during a response.
 
-        Short responses fall wholly into a prefill or between two, and many of
-        them are written when there is much to prefill; so the mean differs
-        from that of long ones.
-
         :param prefill_share: share of the engine's time spent on prefill
         :param output_tokens: expected length of the response, 0 if unknown
         """
         curves = self._curves(service)
         seconds = curves.decode.seconds((1.0, min(1.0, prefill_share)))
-        known = curves.length_deviations_by_power.get(
-            output_tokens.bit_length()
-        )
-        return seconds * known.factor() if known is not None else seconds
+        if not output_tokens:
+            return seconds
+        return seconds * curves.length_factors.factor(output_tokens)
 
     def fetch_seconds(self, service: str, fetch: PrefixFetch | None) -> float:
         """Return the time to fetch a cached prefix, 0 without a fetch."""
@@ -370,10 +364,8 @@
         curves = self._curves(service)
         features = (1.0, prefill_share)
         if output_tokens:
-            deviation = curves.length_deviations_by_power.setdefault(
-                output_tokens.bit_length(), _LengthDeviation()
-            )
-            deviation.update(seconds / curves.decode.seconds(features))
+            expected = curves.decode.seconds(features)
+            curves.length_factors.record(output_tokens, seconds / expected)
         curves.decode.record(bucket, features, seconds)
 
     def remove_endpoint(self, endpoint_id: str) -> None:
--- a/burdockdrum/passthrough/state/wait_estimates.py
+++ b/burdockdrum/passthrough/state/wait_estimates.py
@@ -60,6 +60,8 @@
     of the request itself. ``expected_error`` is by how much such estimates
     were too low. ``penalty`` is no waiting time, but only ranks the endpoint
     lower. ``output`` is the time from the first token to the last.
+    ``urgent_behind`` is no time but the number of more urgent responses there
+    that are written too slowly for their deadline.
     """
 
     queue: float
@@ -67,6 +69,7 @@
     penalty: float = 0.0
     expected_error: float = 0.0
     output: float = 0.0
+    urgent_behind: float = 0.0
 
     @property
     def total(self) -> float:
--- a/tests/passthrough/selection/test_output_pace.py
+++ b/tests/passthrough/selection/test_output_pace.py
@@ -75,7 +75,7 @@
             [RankLoad(2, requests, 0)]
         )
 
-    def select(self, prompt, progress=None):
+    def select(self, prompt, progress=None, rank=0):
         now = self.world.clock.now
         selector = TargetSelector(
             clock=self.world.clock,
@@ -97,7 +97,7 @@
                 keep_alive=True,
                 received_at=now,
             ),
-            route=make_route(),
+            route=make_route(rank=rank),
             backend=MODEL,
             prompt=prompt,
             received_at=now,
@@ -151,6 +151,25 @@
         self.capacities = [ServiceCapacity("over", "model", 1, 8, [])]
         self.assertIsInstance(self.select(make_long(600)), RegionTarget)
 
+    def test_less_urgent_prompt_leaves_slow_urgent_responses_alone(self):
+        # Guards against prompts that make more urgent outputs be cut.
+        deadline = self.world.clock.now + 10.0
+        choice = self.world.choose(make_long(300))
+        sent = self.world.fleet.record_sent(
+            choice, MODEL, make_long(300), 0, deadline=deadline
+        )
+        for _ in range(3):
+            self.world.clock.now += 0.3
+            self.world.fleet.record_output(sent)
+        [reported] = self.world.fleet.read_own_load()["a"]
+        self.assertEqual(1, reported.behind)
+        with self.assertRaises(Refusal) as raised:
+            self.select(make_long(10), rank=2)
+        self.assertIn("more urgent", raised.exception.message)
+        self.assertIsInstance(self.select(make_long(10)), EndpointTarget)
+        self.capacities = [ServiceCapacity("over", "model", 1, 8, [])]
+        self.assertIsInstance(self.select(make_long(10), rank=2), RegionTarget)
+
     @settings(max_examples=50, deadline=None)
     @given(
         strategies.lists(strategies.floats(0, 20), min_size=1),
