Refuse long outputs only with a margin for their length

Cause: the caller's estimate of an output is off by a factor of nearly two either way. Outputs that would have ended in time were refused.

Change: a response is refused before it starts only if even 0.56 of the estimate would miss the deadline.

--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -214,9 +214,6 @@
         rated_endpoints = [
             self._rate(endpoint, request, now) for endpoint in candidates
         ]
-        if self._mechanisms.output_pace and backend.engine is not None:
-            needs = OutputNeeds.of(route, backend.engine, prompt, seconds_left)
-            rated_endpoints = needs.prefer_meeting(rated_endpoints)
         offered_load = sum(
             rated.offered_load / rated.time_factor for rated in rated_endpoints
         )
--- a/burdockdrum/passthrough/selection/output_pace.py
+++ b/burdockdrum/passthrough/selection/output_pace.py
@@ -17,6 +17,8 @@
 # A prefill begins at any moment of the responses that it delays; on average it
 # delays this fraction of the tokens of each.
 MEAN_DELAYED_FRACTION = 0.5
+# An output may be as short as this fraction of the caller's estimate.
+MIN_LENGTH_FRACTION = 0.56
 
 
 def delay_of_others(load: Load, *, prefill_seconds: float) -> float:
@@ -108,4 +110,7 @@
         is_estimated = self.prompt.hinted_output_tokens is not None
         if not is_estimated or rated.requests < 1:
             return 0.0
-        return max(0.0, rated.wait.until_complete - self.seconds_left)
+        wait = rated.wait
+        # An output can be as much shorter than its estimate.
+        unneeded = wait.output * (1 - MIN_LENGTH_FRACTION)
+        return max(0.0, wait.until_complete - unneeded - self.seconds_left)
--- a/burdockdrum/passthrough/state/engines.py
+++ b/burdockdrum/passthrough/state/engines.py
@@ -44,11 +44,6 @@
 # Fetches are bucketed by powers of two of the link's milliseconds, up to
 # about a second.
 _MAX_FETCH_POWER = 10
-# Number of observations after which half of an output length's deviation is
-# trusted; the least gain of a later observation; and its limit.
-_HALF_TRUST_OBSERVATIONS = 6.0
-_MIN_LENGTH_GAIN = 0.1
-_MAX_UPDATE = math.log(2.0)
 # Decode observations are bucketed by the share of time spent on prefill.
 _PREFILL_SHARE_BUCKETS = 5
 # Endpoints whose speed is not known well enough to explain a sample up to this
@@ -117,25 +112,6 @@
     return prior
 
 
-@dataclass(kw_only=True)
-class _LengthDeviation:
-    """Log ratio of the decode steps of one output length to the curve."""
-
-    value: float = 0.0
-    observations: int = 0
-
-    def update(self, ratio: float) -> None:
-        step = math.log(ratio) - self.value
-        step = max(-_MAX_UPDATE, min(_MAX_UPDATE, step))
-        self.observations += 1
-        self.value += step * max(_MIN_LENGTH_GAIN, 1 / self.observations)
-
-    def factor(self) -> float:
-        count = self.observations
-        trust = count / (count + _HALF_TRUST_OBSERVATIONS)
-        return math.exp(self.value * trust)
-
-
 @dataclass(kw_only=True)
 class _ServiceCurves:
     prefill: ObservedCurve = field(
