Search a prompt's holder once for all ratings of a request

The endpoint to fetch a prefix from was searched for the rating here and again for each other region, among the same endpoints at the same moment: 806 searches for 495 requests on a busy entry, 14% of its processor time. The last result is now kept for its prompt, for 5 ms at most.

--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -108,6 +108,7 @@
             read_region=read_region,
             read_load_age=read_load_age,
             mechanisms=self._mechanisms,
+            clock=clock,
         )
         self._clock = clock
         self._rng = rng
--- a/burdockdrum/passthrough/selection/prefix_finder.py
+++ b/burdockdrum/passthrough/selection/prefix_finder.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from burdockdrum.holdings import EndpointCache
 from burdockdrum.passthrough.selection.endpoint_rater import REMOTE_LINK_FACTOR
@@ -18,10 +19,26 @@
 from burdockdrum.passthrough.state import PrefixLocation
 from burdockdrum.passthrough.state import Prompt
 from burdockdrum.passthrough.state import transfer_seconds
+from burdockdrum.ports import Clock
 from burdockdrum.registrations import RegisteredEndpoint
 from burdockdrum.resources import Backend
 from burdockdrum.settings import MechanismSettings
 
+# A request's ratings here and in other regions follow each other, and share
+# the holder that was found for the first of them.
+MAX_HOLDER_AGE_SECONDS = 0.005
+
+
+@dataclass(frozen=True, kw_only=True)
+class _FoundHolder:
+    """The holder that was last found, and for what."""
+
+    prompt: Prompt
+    service: str
+    homes: Sequence[str]
+    found_at: float
+    holder: PrefixHolder | None
+
 
 class PrefixFinder:
     """Finds cached prefixes in this region and in others."""
@@ -36,6 +53,7 @@
         read_region: Callable[[str], str | None],
         read_load_age: Callable[[], float],
         mechanisms: MechanismSettings,
+        clock: Clock,
     ) -> None:
         """Create a finder.
 
@@ -54,6 +72,8 @@
         self._read_region = read_region
         self._read_load_age = read_load_age
         self._mechanisms = mechanisms
+        self._clock = clock
+        self._last_found: _FoundHolder | None = None
 
     def find(
         self,
@@ -136,6 +156,33 @@
 
         A prompt is not fetched from regions that may not process it.
         """
+        now = self._clock.monotonic()
+        last = self._last_found
+        if (
+            last is not None
+            and last.prompt is prompt
+            and last.service == backend.name
+            and last.homes == homes
+            and now - last.found_at <= MAX_HOLDER_AGE_SECONDS
+            and self._is_still_source(last.holder)
+        ):
+            return last.holder
+        holder = self._search_best_holder(backend, prompt, homes)
+        self._last_found = _FoundHolder(
+            prompt=prompt,
+            service=backend.name,
+            homes=homes,
+            found_at=now,
+            holder=holder,
+        )
+        return holder
+
+    def _is_still_source(self, holder: PrefixHolder | None) -> bool:
+        return holder is None or self._may_fetch_from(holder.endpoint_id)
+
+    def _search_best_holder(
+        self, backend: Backend, prompt: Prompt, homes: Sequence[str]
+    ) -> PrefixHolder | None:
 
         def is_home(data_centre: str) -> bool:
             return not homes or self._read_region(data_centre) in homes
