Count the requests in flight at an endpoint as they come and go

A load was summed over all requests in flight for each endpoint and request, and over their prompts' sizes; most of them have begun to respond and no longer differ. Requests and held memory are now counted by rank when they are sent and when they end, whole numbers that stay exact, and only requests without output are gone through.

--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -367,7 +367,7 @@
             rank=rank,
             began_at=now,
         )
-        state.in_flight_requests[in_flight_request] = None
+        state.add_request(in_flight_request)
         return in_flight_request
 
     def record_output(self, in_flight_request: InFlightRequest) -> None:
@@ -385,7 +385,7 @@
                 in_flight_request.endpoint.endpoint_id
             )
             if state is not None:
-                state.latest_first_output_at = now
+                state.record_first_output(in_flight_request, now)
             self._timings.record_first_token(in_flight_request, now)
 
     def record_end(
@@ -408,7 +408,7 @@
             )
         state = self._states_by_id.get(in_flight_request.endpoint.endpoint_id)
         if state is not None:
-            state.in_flight_requests.pop(in_flight_request, None)
+            state.remove_request(in_flight_request)
             if whole:
                 state.idle_since = now
 
--- a/burdockdrum/passthrough/state/endpoint_state.py
+++ b/burdockdrum/passthrough/state/endpoint_state.py
@@ -94,6 +94,7 @@
 class EndpointState:
     """This entry VM's state of an endpoint, beside its registration.
 
+    ``unanswered_requests`` are those in flight without output yet.
     ``latest_first_output_at`` is when a response last sent its first chunk,
     ``idle_since`` when the endpoint last sent a chunk or got work while idle.
     """
@@ -104,6 +105,12 @@
     in_flight_requests: dict[InFlightRequest, None] = field(
         default_factory=dict
     )
+    unanswered_requests: dict[InFlightRequest, None] = field(
+        default_factory=dict
+    )
+    # The requests in flight and the memory that they hold, of ranks that have
+    # any. Whole numbers, so that the sums stay exact.
+    _counts_by_rank: dict[int, RankSum] = field(default_factory=dict)
     recent_tokens_by_rank: dict[int, float] = field(default_factory=dict)
     recent_updated_at: float = 0.0
     latest_first_output_at: float = 0.0
@@ -112,10 +119,34 @@
 
     def count_unanswered(self) -> int:
         """Return how many requests have no response yet."""
-        return sum(
-            request.first_output_at is None
-            for request in self.in_flight_requests
-        )
+        return len(self.unanswered_requests)
+
+    def add_request(self, request: InFlightRequest) -> None:
+        """Add a request that is sent to the endpoint."""
+        self.in_flight_requests[request] = None
+        self.unanswered_requests[request] = None
+        counts = self._counts_by_rank.setdefault(request.rank, RankSum())
+        counts.requests += 1
+        counts.held_tokens += request.prompt.memory_tokens
+
+    def record_first_output(
+        self, request: InFlightRequest, now: float
+    ) -> None:
+        """Record the first chunk of a response."""
+        self.unanswered_requests.pop(request, None)
+        self.latest_first_output_at = now
+
+    def remove_request(self, request: InFlightRequest) -> None:
+        """Remove a request that has ended."""
+        if request not in self.in_flight_requests:
+            return
+        del self.in_flight_requests[request]
+        self.unanswered_requests.pop(request, None)
+        counts = self._counts_by_rank[request.rank]
+        counts.requests -= 1
+        counts.held_tokens -= request.prompt.memory_tokens
+        if not counts.requests:
+            del self._counts_by_rank[request.rank]
 
     def close_pace_window(
         self, load: Load, expect: Callable[[str], float | None], now: float
@@ -159,17 +190,19 @@
             the running prefill
         """
         load = Load()
-        is_reading = False
-        for in_flight_request in self.in_flight_requests:
-            rank_sum = load.of_rank(in_flight_request.rank)
-            rank_sum.requests += 1
-            rank_sum.held_tokens += in_flight_request.prompt.memory_tokens
-            if in_flight_request.first_output_at is None:
-                uncached = in_flight_request.choice.prefill_cost_tokens
-                rank_sum.waiting += uncached > 0
+        for rank, counts in self._counts_by_rank.items():
+            load.sums_by_rank[rank] = RankSum(
+                requests=counts.requests, held_tokens=counts.held_tokens
+            )
+        is_prefilling = False
+        for request in self.unanswered_requests:
+            uncached = request.choice.prefill_cost_tokens
+            if uncached > 0:
+                is_prefilling = True
+                rank_sum = load.sums_by_rank[request.rank]
+                rank_sum.waiting += 1
                 rank_sum.uncached_tokens += uncached
-                is_reading = is_reading or uncached > 0
-        if counts_progress and is_reading:
+        if counts_progress and is_prefilling:
             self._subtract_progress(load, now, prefill_token_seconds)
         self.add_recent(now, 0, 0.0)
         for rank, tokens in self.recent_tokens_by_rank.items():
@@ -185,9 +218,7 @@
         down, an engine slower than estimated would seem to have no queue.
         """
         waiting = [
-            p
-            for p in self.in_flight_requests
-            if p.first_output_at is None and p.uncached_tokens
+            p for p in self.unanswered_requests if p.choice.prefill_cost_tokens
         ]
         first = min(waiting, key=lambda p: (p.rank, p.began_at))
         seconds = now - max(self.latest_first_output_at, first.began_at)
--- a/tests/registrations/test_load_sums.py
+++ b/tests/registrations/test_load_sums.py
@@ -1,5 +1,6 @@
 """Tests of the sums of several sources' loads."""
 
+import dataclasses
 import unittest
 
 from hypothesis import given
@@ -71,3 +72,16 @@
         sums.drop("y")
         sums.drop("x")
         self.assertEqual({}, sums.sums_by_id)
+
+    def test_every_field_is_added(self):
+        # Guards against a new field that a merge forgets.
+        names = [field.name for field in dataclasses.fields(RankSum)]
+        part = Load()
+        part.add(1, RankSum(**{n: i + 1.0 for i, n in enumerate(names)}))
+        total = Load()
+        total.merge(part)
+        self.assertEqual(part, total)
+        total.merge(part)
+        self.assertEqual(part.scaled(2), total)
+        total.subtract(part)
+        self.assertEqual(part, total)
