--- a/burdockdrum/passthrough/selection/endpoint_rater.py
+++ b/burdockdrum/passthrough/selection/endpoint_rater.py
@@ -52,7 +52,8 @@
 
     ``seconds_left`` is the time until the caller's deadline, ``run_seconds``
     how long a request of the service holds a slot on average, and
-    ``held_seconds`` how long a token is held in memory.
+    ``held_seconds`` how long a token is held in memory;
+    ``prefill_token_seconds`` is the service's prefill time of a token.
     ``prefill_seconds_by_uncached`` caches prefill times by uncached tokens, as
     most endpoints have the same tokens of a prompt cached.
     """
@@ -64,6 +65,7 @@
     prefix: PrefixLocation
     run_seconds: float
     held_seconds: float
+    prefill_token_seconds: float
     errors: EstimateErrors
     body_bytes: int = 0
     prefill_seconds_by_uncached: dict[int, float] = field(default_factory=dict)
@@ -118,15 +120,16 @@
         :param cached_tokens: tokens of the prompt that the endpoint has cached
         :param is_suspect: whether the endpoint is ejected or stalled
         """
-        load = self._load(endpoint, state, now)
+        service = request.backend.name
+        factor = self._engines.time_factor(service, endpoint.endpoint_id)
+        load = self._load(
+            endpoint, state, request.prefill_token_seconds * factor, now
+        )
         fetch = self._find_fetch(endpoint, request, cached_tokens)
         uncached = request.prompt.tokens - cached_tokens
         if fetch is not None:
             uncached -= fetch.tokens
-        factor = self._engines.time_factor(
-            request.backend.name, endpoint.endpoint_id
-        )
-        offered_load = self._offered_load(request.backend.name, load, factor)
+        offered_load = self._offered_load(request, load, factor)
         output = self._output_seconds(request, offered_load, factor)
         return RatedEndpoint(
             endpoint=endpoint,
@@ -153,13 +156,15 @@
         )
 
     def _load(
-        self, endpoint: RegisteredEndpoint, state: EndpointState, now: float
+        self,
+        endpoint: RegisteredEndpoint,
+        state: EndpointState,
+        token_seconds: float,
+        now: float,
     ) -> Load:
         load = state.load(
             now,
-            self._engines.endpoint_token_seconds(
-                endpoint.service, endpoint.endpoint_id
-            ),
+            token_seconds,
             counts_progress=self._mechanisms.reading_progress,
         )
         if not self._mechanisms.shared_loads:
@@ -177,13 +182,12 @@
         request: RatedRequest,
         factor: float,
     ) -> float:
-        service = request.backend.name
         queue = estimate_queue(
             load,
             rank=request.route.rank,
             slots=endpoint.slots,
             run_seconds=request.run_seconds,
-            prefill_token_seconds=self._engines.prefill_token_seconds(service),
+            prefill_token_seconds=request.prefill_token_seconds,
             counts_arrivals=self._mechanisms.urgent_share,
             memory_wait_seconds=self._memory_wait(load, request),
         )
@@ -271,11 +275,11 @@
             != self._read_region(there),
         )
 
-    def _offered_load(self, service: str, load: Load, factor: float) -> float:
+    def _offered_load(
+        self, request: RatedRequest, load: Load, factor: float
+    ) -> float:
         """Return the seconds of prefill sent to an endpoint per second."""
-        seconds = load.recent_tokens * self._engines.prefill_token_seconds(
-            service
-        )
+        seconds = load.recent_tokens * request.prefill_token_seconds
         return seconds * factor / RECENT_WINDOW_SECONDS
 
     def _output_seconds(
--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -208,6 +208,9 @@
             ),
             run_seconds=self.run_seconds(backend.name),
             held_seconds=self.held_seconds(backend.name),
+            prefill_token_seconds=self.engines.prefill_token_seconds(
+                backend.name
+            ),
             errors=self._timings.errors_of(backend.name),
             body_bytes=body_bytes,
         )
