--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -108,6 +108,7 @@
             read_region=read_region,
             read_load_age=read_load_age,
             mechanisms=self._mechanisms,
+            clock=clock,
         )
         self._clock = clock
         self._rng = rng
@@ -207,6 +208,9 @@
             ),
             run_seconds=self.run_seconds(backend.name),
             held_seconds=self.held_seconds(backend.name),
+            prefill_token_seconds=self.engines.prefill_token_seconds(
+                backend.name
+            ),
             errors=self._timings.errors_of(backend.name),
             body_bytes=body_bytes,
         )
@@ -372,7 +376,7 @@
             else 1,
             deadline=deadline,
         )
-        state.in_flight_requests[in_flight_request] = None
+        state.add_request(in_flight_request)
         return in_flight_request
 
     def record_output(self, in_flight_request: InFlightRequest) -> None:
@@ -390,7 +394,7 @@
                 in_flight_request.endpoint.endpoint_id
             )
             if state is not None:
-                state.latest_first_output_at = now
+                state.record_first_output(in_flight_request, now)
             self._timings.record_first_token(in_flight_request, now)
 
     def record_end(
@@ -413,7 +417,7 @@
             )
         state = self._states_by_id.get(in_flight_request.endpoint.endpoint_id)
         if state is not None:
-            state.in_flight_requests.pop(in_flight_request, None)
+            state.remove_request(in_flight_request)
             if whole:
                 state.idle_since = now
 
