Try slow endpoints again, and weigh observations by their certainty

Cause: an endpoint that hung seemed slow for half a minute after its last request, as nothing is sent to a slow one; an entry's first observation of a kind counted fully, though what is common to the kind was unknown.

Change: a slow endpoint without samples is forgotten within some seconds; an observation counts by how many there were of its kind; queued first tokens count less.

--- a/burdockdrum/passthrough/state/engines.py
+++ b/burdockdrum/passthrough/state/engines.py
@@ -53,7 +53,7 @@
 _FIRST_TOKEN = "first token"
 _QUEUED_FIRST_TOKEN = "queued first token"
 # Weight of a time to first token behind a queue, whose length is an estimate.
-_QUEUED_WEIGHT = 0.5
+_QUEUED_WEIGHT = 0.2
 
 
 # Indexes of the features whose coefficient must be positive: the prefill of a
--- a/burdockdrum/passthrough/state/pace.py
+++ b/burdockdrum/passthrough/state/pace.py
@@ -12,7 +12,7 @@
 
 # Weight of a second of observed pace, relative to a time to first token.
 # While an engine prefills, the length of its steps varies with the prompts.
-CLEAR_WEIGHT_PER_SECOND = 6.0
+CLEAR_WEIGHT_PER_SECOND = 10.0
 PREFILL_WEIGHT_PER_SECOND = 3.0
 # A response whose next event is this many times later than expected counts
 # as observed before the event comes.
--- a/burdockdrum/passthrough/state/speeds.py
+++ b/burdockdrum/passthrough/state/speeds.py
@@ -18,6 +18,9 @@
 LASTING_SECONDS = 10.0
 RECENT_SECONDS = 2.5
 CURRENT_SECONDS = 0.6
+# A slow endpoint without a sample for so long is forgotten faster: it may have
+# recovered, which only a request can show.
+UNUSED_SECONDS = 3.0
 # Weight at which half of a sum's deviation is believed. A single sample of
 # the current speed has an unknown cause in most cases.
 LASTING_HALF_TRUST = 2.0
@@ -41,6 +44,10 @@
 _MIN_MEDIAN_WEIGHT = 1.0
 # Below it an endpoint's sums are as good as none.
 _FORGOTTEN_WEIGHT = 0.02
+# The typical speed is computed after each of the first observations, later
+# only after so many, as that takes longer than an observation.
+INITIAL_MEDIANS = 32
+MEDIAN_INTERVAL = 8
 # Limits what an endpoint contributes to the typical speed.
 _MAX_TYPICAL_DEVIATION = math.log(2.0)
 # A change of the lasting belief is logged from this ratio on.
@@ -56,12 +63,15 @@
     weighted_log: float = 0.0
     updated_at: float = 0.0
 
-    def decay(self, now: float) -> None:
-        """Let the sum decay up to a time; an earlier one changes nothing."""
+    def decay(self, now: float, seconds: float | None = None) -> None:
+        """Let the sum decay up to a time; an earlier one changes nothing.
+
+        :param seconds: another decay time for this while
+        """
         passed = now - self.updated_at
         if passed <= 0:
             return
-        factor = math.exp(-passed / self.decay_seconds)
+        factor = math.exp(-passed / (seconds or self.decay_seconds))
         self.weight *= factor
         self.weighted_log *= factor
         self.updated_at = now
@@ -102,14 +112,19 @@
     )
     belief: float = 0.0
     logged: float = 0.0
+    sampled_at: float = 0.0
 
     def add(self, weight: float, weighted_log: float, now: float) -> None:
+        self.sampled_at = now
         self.lasting.add(weight, weighted_log, now)
         self.recent.add(weight, weighted_log, now)
         self.current.add(weight, weighted_log, now)
 
-    def decay(self, now: float) -> None:
-        self.lasting.decay(now)
+    def decay(self, now: float, median: float) -> None:
+        is_slow = self.lasting.weighted_log > median * self.lasting.weight
+        is_unused = now - self.sampled_at > UNUSED_SECONDS
+        seconds = RECENT_SECONDS if is_slow and is_unused else None
+        self.lasting.decay(now, seconds)
         self.recent.decay(now)
         self.current.decay(now)
 
@@ -147,8 +162,12 @@
     weight: float = 0.0
 
     def precision(self) -> float:
-        """Return how much an observation says, at most 1."""
-        return min(1.0, _PRECISE_VARIANCE / self.variance)
+        """Return how much an observation says, at most 1.
+
+        What is common is as uncertain as the observations that it comes from.
+        """
+        certainty = self.weight / (self.weight + 1.0)
+        return certainty * min(1.0, _PRECISE_VARIANCE / self.variance)
 
     def update(self, error: float, weight: float) -> None:
         """Record by how much an observation differs from the belief."""
@@ -168,6 +187,7 @@
         self._sources_by_name: dict[str, _Source] = {}
         self._news_by_id: dict[str, DecayingSum] = {}
         self._median = 0.0
+        self._observations = 0
 
     def factor(self, endpoint_id: str) -> float:
         """Return an endpoint's times as a multiple of the typical ones."""
@@ -210,10 +230,16 @@
             known = _Source(common=log_ratio - deviation_before)
             self._sources_by_name[source] = known
         deviation = _clip(log_ratio - known.common, MAX_DEVIATION)
+        precision = known.precision()
         known.update(deviation - deviation_before, weight)
-        weight *= known.precision()
+        weight *= precision
         self._add(speed, weight, weight * deviation, now)
-        self._update_median()
+        self._observations += 1
+        if (
+            self._observations <= INITIAL_MEDIANS
+            or self._observations % MEDIAN_INTERVAL == 0
+        ):
+            self._update_median()
         news = self._news_by_id.get(endpoint_id)
         if news is None:
             news = DecayingSum(decay_seconds=LASTING_SECONDS, updated_at=now)
@@ -251,7 +277,7 @@
     def read_all(self, now: float) -> list[SpeedSum]:
         """Return the sums of the lasting speeds."""
         for speed in self._speeds_by_id.values():
-            speed.decay(now)
+            speed.decay(now, self._median)
         return _encode(
             (endpoint_id, speed.lasting)
             for endpoint_id, speed in self._speeds_by_id.items()
@@ -260,7 +286,7 @@
     def refresh(self, now: float) -> None:
         """Let all sums decay, and update the median and the beliefs."""
         for endpoint_id, speed in list(self._speeds_by_id.items()):
-            speed.decay(now)
+            speed.decay(now, self._median)
             if speed.lasting.weight < _FORGOTTEN_WEIGHT:
                 del self._speeds_by_id[endpoint_id]
         self._update_median()
--- a/tests/passthrough/state/test_speeds.py
+++ b/tests/passthrough/state/test_speeds.py
@@ -175,6 +175,19 @@
         for factor in speeds.factors_by_id().values():
             self.assertAlmostEqual(1.0, factor, delta=0.25)
 
+    def test_a_slow_endpoint_without_requests_is_tried_again(self):
+        # Guards against an endpoint that hung, gets no request as it seems
+        # slow, and so seems slow when it has long recovered.
+        region = Region()
+        region.slow_by_id["e1"] = 8.0
+        region.play(9.0, sample_seconds=1.0)
+        entry = region.entries[0]
+        self.assertGreater(entry.factor("e1"), 4.0)
+        for step in range(150):
+            entry.refresh(region.now + step * 0.1)
+        self.assertLess(entry.factor("e1"), 1.6)
+        self.assertLess(entry.factor("e2"), 0.9)
+
     def test_an_endpoint_without_news_returns_to_typical(self):
         region = Region()
         region.play(9.0)
