--- a/burdockdrum/passthrough/selection/endpoint_rater.py
+++ b/burdockdrum/passthrough/selection/endpoint_rater.py
@@ -117,14 +117,14 @@
         :param cached_tokens: tokens of the prompt that the endpoint has cached
         :param is_suspect: whether the endpoint is ejected or stalled
         """
-        load = self._load(endpoint, state, now)
+        factor = self._engines.time_factor(
+            request.backend.name, endpoint.endpoint_id
+        )
+        load = self._load(endpoint, state, now, factor)
         fetch = self._find_fetch(endpoint, request, cached_tokens)
         uncached = request.prompt.tokens - cached_tokens
         if fetch is not None:
             uncached -= fetch.tokens
-        factor = self._engines.time_factor(
-            request.backend.name, endpoint.endpoint_id
-        )
         offered_load = self._offered_load(request.backend.name, load, factor)
         return RatedEndpoint(
             endpoint=endpoint,
@@ -148,13 +148,15 @@
         )
 
     def _load(
-        self, endpoint: RegisteredEndpoint, state: EndpointState, now: float
+        self,
+        endpoint: RegisteredEndpoint,
+        state: EndpointState,
+        now: float,
+        factor: float,
     ) -> Load:
         load = state.load(
             now,
-            self._engines.endpoint_token_seconds(
-                endpoint.service, endpoint.endpoint_id
-            ),
+            self._engines.prefill_token_seconds(endpoint.service) * factor,
             counts_progress=self._mechanisms.reading_progress,
         )
         if not self._mechanisms.shared_loads:
--- a/burdockdrum/passthrough/state/speeds.py
+++ b/burdockdrum/passthrough/state/speeds.py
@@ -113,6 +113,8 @@
     belief: float = 0.0
     logged: float = 0.0
     sampled_at: float = 0.0
+    _factor: float = 1.0
+    _factor_median: float | None = None
 
     def add(self, weight: float, weighted_log: float, now: float) -> None:
         self.sampled_at = now
@@ -131,6 +133,14 @@
     def update(self, median: float) -> None:
         """Update the belief, which without samples is the median."""
         self.belief = self._believe(median)
+        self._factor_median = None
+
+    def factor(self, median: float) -> float:
+        """Return the believed time as a multiple of the typical one."""
+        if self._factor_median != median:
+            self._factor_median = median
+            self._factor = math.exp(self.belief - median)
+        return self._factor
 
     def _believe(self, median: float) -> float:
         """Return the logarithm of the present speed.
@@ -192,9 +202,7 @@
     def factor(self, endpoint_id: str) -> float:
         """Return an endpoint's times as a multiple of the typical ones."""
         speed = self._speeds_by_id.get(endpoint_id)
-        if speed is None:
-            return 1.0
-        return math.exp(speed.belief - self._median)
+        return speed.factor(self._median) if speed is not None else 1.0
 
     def factors_by_id(self) -> dict[str, float]:
         """Return the factors of all endpoints with observations."""
