--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -15,6 +15,7 @@
 from burdockdrum.passthrough.selection.endpoint_rater import EndpointRater
 from burdockdrum.passthrough.selection.endpoint_rater import RatedRequest
 from burdockdrum.passthrough.selection.prefix_finder import PrefixFinder
+from burdockdrum.passthrough.selection.speed_observer import SpeedObserver
 from burdockdrum.passthrough.selection.stale_load import draw
 from burdockdrum.passthrough.selection.stale_load import find_level
 from burdockdrum.passthrough.selection.stalls import StallDetector
@@ -36,7 +37,6 @@
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RankLoad
 from burdockdrum.registrations import RegisteredEndpoint
-from burdockdrum.registrations import SpeedSum
 from burdockdrum.resources import Backend
 from burdockdrum.resources import Route
 from burdockdrum.settings import MechanismSettings
@@ -44,8 +44,6 @@
 # Least expected work when drawing an endpoint: those whose estimates differ by
 # less share the requests.
 TIE_MARGIN_SECONDS = 0.002
-# Least time between two samples of the pace of running responses.
-PACE_INTERVAL_SECONDS = 0.1
 
 
 class Fleet:
@@ -126,7 +124,14 @@
         self._read_load_age = read_load_age
         self._drop_endpoint = drop_endpoint
         self._states_by_id: dict[str, EndpointState] = {}
-        self._speeds_updated_at = float("-inf")
+        self.speeds = SpeedObserver(
+            clock=clock,
+            engines=self.engines,
+            read_endpoints=read_endpoints,
+            read_load=read_load,
+            states_by_id=self._states_by_id,
+            mechanisms=self._mechanisms,
+        )
         self._slow_start_gate = SlowStartGate(clock=clock, rng=rng)
         self._limits = limits or EndpointLimits(
             clock=clock, metrics=Metrics(), read_endpoints=read_endpoints
@@ -226,7 +231,7 @@
                 rated_endpoints, expected_work
             )
         waits = [rated.wait.total for rated in rated_endpoints]
-        speeds = [1 / rated.time_factor for rated in rated_endpoints]
+        speeds = _speeds_of(rated_endpoints)
         chosen = rated_endpoints[draw(waits, expected_work, self._rng, speeds)]
         prefill_cost_tokens = self._rater.prefill_cost_tokens(
             request, chosen.uncached_tokens
@@ -307,7 +312,7 @@
             next load report
         """
         waits = [rated.wait.total for rated in rated_endpoints]
-        speeds = [1 / rated.time_factor for rated in rated_endpoints]
+        speeds = _speeds_of(rated_endpoints)
         level = find_level(waits, expected_work, speeds)
         local = [
             rated
@@ -371,7 +376,7 @@
         state = self._states_by_id.get(in_flight_request.endpoint.endpoint_id)
         if state is not None:
             state.idle_since = now
-        self._record_pace_event(in_flight_request, state, now)
+        self.speeds.record_event(in_flight_request, now)
         in_flight_request.last_output_at = now
         in_flight_request.chunks_received += 1
         if in_flight_request.first_output_at is None:
@@ -463,67 +468,6 @@
                 ranks_by_id[endpoint_id] = ranks
         return ranks_by_id
 
-    def pop_speed_news(self) -> list[SpeedSum]:
-        """Return what this entry observed of speeds since the last call."""
-        self._update_speeds()
-        return self.engines.pop_speed_news()
-
-    def read_speeds(self) -> list[SpeedSum]:
-        """Return what is known of the speeds of all endpoints."""
-        return self.engines.read_speeds(self._clock.monotonic())
-
-    def receive_speeds(self, news: list[SpeedSum]) -> None:
-        """Add what other entries observed of the endpoints' speeds."""
-        now = self._clock.monotonic()
-        endpoints_by_id = self._read_endpoints()
-        for told in news:
-            endpoint = endpoints_by_id.get(told.endpoint_id)
-            if endpoint is not None:
-                self.engines.receive_speed(endpoint.service, told, now)
-
-    def _update_speeds(self) -> None:
-        """Update beliefs from the pace of the running responses."""
-        now = self._clock.monotonic()
-        if (
-            not self._mechanisms.endpoint_speeds
-            or now - self._speeds_updated_at < PACE_INTERVAL_SECONDS
-        ):
-            return
-        self._speeds_updated_at = now
-        for endpoint_id, state in self._states_by_id.items():
-            if state.in_flight_requests:
-                self._observe_pace(endpoint_id, state, now)
-        self.engines.refresh_speeds(now)
-
-    def _observe_pace(
-        self, endpoint_id: str, state: EndpointState, now: float
-    ) -> None:
-        load = state.load(now, float("inf"), counts_progress=False)
-        load.merge(self._read_load(endpoint_id))
-        sample = state.close_pace_window(
-            load,
-            lambda source: self.engines.expected_pace(
-                state.service, endpoint_id, source
-            ),
-            now,
-        )
-        if sample is not None:
-            self.engines.record_pace(state.service, endpoint_id, sample, now)
-
-    def _record_pace_event(
-        self,
-        in_flight_request: InFlightRequest,
-        state: EndpointState | None,
-        now: float,
-    ) -> None:
-        previous_at = in_flight_request.last_output_at
-        if (
-            state is not None
-            and previous_at is not None
-            and in_flight_request.choice.prefill_cost_tokens
-        ):
-            state.pace.record_event(previous_at, now)
-
     def remove_ended(self) -> None:
         """Remove the state of endpoints that no longer exist."""
         live = self._read_endpoints()
@@ -559,3 +503,10 @@
             state = EndpointState(service=endpoint.service)
             self._states_by_id[endpoint.endpoint_id] = state
         return state
+
+
+def _speeds_of(rated_endpoints: list[RatedEndpoint]) -> list[float] | None:
+    """Return the speeds of endpoints, None if all are typical."""
+    if all(rated.time_factor == 1.0 for rated in rated_endpoints):
+        return None
+    return [1 / rated.time_factor for rated in rated_endpoints]
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -163,9 +163,9 @@
     sharing.read_load = fleet.read_own_load
     sharing.pop_placed = fleet.prefix_cache_view.pop_notices
     sharing.receive_placed = fleet.prefix_cache_view.record_notices
-    sharing.speed_news.pop_own = fleet.pop_speed_news
-    sharing.speed_news.read_all = fleet.read_speeds
-    sharing.speed_news.receive = fleet.receive_speeds
+    sharing.speed_news.pop_own = fleet.speeds.pop_news
+    sharing.speed_news.read_all = fleet.speeds.read_all
+    sharing.speed_news.receive = fleet.speeds.receive
     return fleet
 
 
--- a/scripts/experiment/passed/world.py
+++ b/scripts/experiment/passed/world.py
@@ -210,9 +210,9 @@
             mechanisms=self._variant.mechanisms,
         )
         entry.speed_news = SpeedNews()
-        entry.speed_news.pop_own = entry.fleet.pop_speed_news
-        entry.speed_news.read_all = entry.fleet.read_speeds
-        entry.speed_news.receive = entry.fleet.receive_speeds
+        entry.speed_news.pop_own = entry.fleet.speeds.pop_news
+        entry.speed_news.read_all = entry.fleet.speeds.read_all
+        entry.speed_news.receive = entry.fleet.speeds.receive
         if self._variant.pick is not None:
             entry.selector = BaselineSelector(
                 pick=self._variant.pick,
