--- a/burdockdrum/passthrough/state/engines.py
+++ b/burdockdrum/passthrough/state/engines.py
@@ -49,12 +49,12 @@
 # Endpoints whose speed is not known well enough to explain a sample up to this
 # ratio don't contribute to the service's curve: one failing endpoint must not
 # slow the estimates down.
-_MAX_TYPICAL_DEVIATION = math.log(1.6)
+_MAX_TYPICAL_DEVIATION = math.log(3.0)
 # Sources of observations of the endpoints' speeds (see ``EndpointSpeeds``).
 _FIRST_TOKEN = "first token"
 _QUEUED_FIRST_TOKEN = "queued first token"
 # Weight of a time to first token behind a queue, whose length is an estimate.
-_QUEUED_WEIGHT = 0.5
+_QUEUED_WEIGHT = 0.2
 
 
 # Indexes of the features whose coefficient must be positive: the prefill of a
