Count requests that end without a response in the expected errors

Cause: the expected error of a wait was learned from first tokens only. Requests that died in an endpoint's queue taught nothing, so that under overload short requests went on being accepted where a third of them died. Change: a request that ends without a first token counts by what it waited longer than expected, unless its endpoint is stalled. Ruled out: the quarter of the objective that a request may always queue; few of those that died had used it (they were accepted early, mean 0.1 s after their arrival, with expected queues of 1 to 1.6 s).

--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -91,6 +91,8 @@
         :param backoffs: the backoffs that endpoints request; none by default
         """
         self._mechanisms = mechanisms or MechanismSettings()
+        # Called with a service when an endpoint may have capacity again.
+        self.on_capacity: Callable[[str], None] = _ignore
         self.prefix_cache_view = PrefixCacheView(
             read_now=clock.monotonic,
             table=prefix_cache_table,
@@ -325,6 +327,10 @@
         """Return how many endpoints of a service accept requests here."""
         return len(self._eligibility.list_live(service))
 
+    def endpoints_per_entry(self, service: str) -> float:
+        """Return how many endpoints of a service there are per entry here."""
+        return self.count_live(service) / max(1, self.entries)
+
     def count_draining(self, service: str) -> int:
         """Return how many endpoints of a service drain here."""
         return sum(
@@ -386,6 +392,7 @@
             if state is not None:
                 state.latest_first_output_at = now
             self._timings.record_first_token(in_flight_request, now)
+            self.on_capacity(in_flight_request.endpoint.service)
 
     def record_end(
         self,
@@ -407,9 +414,27 @@
             )
         state = self._states_by_id.get(in_flight_request.endpoint.endpoint_id)
         if state is not None:
+            if not whole:
+                self._record_unanswered(in_flight_request, state)
             state.in_flight_requests.pop(in_flight_request, None)
             if whole:
                 state.idle_since = now
+        self.on_capacity(in_flight_request.endpoint.service)
+
+    def _record_unanswered(
+        self, in_flight_request: InFlightRequest, state: EndpointState
+    ) -> None:
+        """Record a request that waited longer than expected for nothing.
+
+        A stalled endpoint says nothing about the queues of others.
+        """
+        now = self._clock.monotonic()
+        if (
+            in_flight_request.first_output_at is None
+            and in_flight_request in state.in_flight_requests
+            and not self._stalls.is_stalled(state, now)
+        ):
+            self._timings.record_unanswered(in_flight_request, now)
 
     def remove_incarnation(self, endpoint: RegisteredEndpoint) -> None:
         """Remove an incarnation of an endpoint that has been replaced.
@@ -563,3 +588,7 @@
             state = EndpointState(service=endpoint.service)
             self._states_by_id[endpoint.endpoint_id] = state
         return state
+
+
+def _ignore(service: str) -> None:
+    """Ignore free capacity; the default where nothing waits for it."""
--- a/burdockdrum/passthrough/state/request_timings.py
+++ b/burdockdrum/passthrough/state/request_timings.py
@@ -129,6 +129,22 @@
             now,
         )
 
+    def record_unanswered(
+        self, in_flight_request: InFlightRequest, now: float
+    ) -> None:
+        """Record a request that ended without a first token.
+
+        Its error is at least what it has waited too long. Without these, the
+        errors would be those of requests that were lucky.
+        """
+        choice = in_flight_request.choice
+        waited = now - in_flight_request.began_at
+        error = waited - choice.wait.queue - choice.wait.service_time
+        if error > 0:
+            self.errors_of(choice.endpoint.service).record(
+                in_flight_request.rank, choice.prefill_share, error
+            )
+
     def record_completion(
         self, in_flight_request: InFlightRequest, backend: Backend, now: float
     ) -> None:
--- a/tests/passthrough/state/test_estimate_errors.py
+++ b/tests/passthrough/state/test_estimate_errors.py
@@ -88,6 +88,26 @@
         after = world.choose(make_prompt(1000))
         self.assertEqual("idle", after.endpoint.endpoint_id)
 
+    def test_requests_that_end_without_a_response_count(self):
+        # Guards against learning from those only that were served: an
+        # endpoint whose queue is too long seems right until all are late.
+        world = FleetHarness("a")
+        errors = world.fleet._timings.errors_of("model")
+        for _ in range(10):
+            in_flight_request = world.send(make_prompt(1000), rank=2)
+            wait = in_flight_request.choice.wait
+            world.clock.now += wait.queue + wait.service_time + 0.2
+            world.fleet.record_end(in_flight_request, MODEL, whole=False)
+        share = in_flight_request.choice.prefill_share
+        self.assertGreater(errors.expect(2, share), 0.1)
+
+    def test_attempts_that_fail_at_once_do_not_count(self):
+        world = FleetHarness("a")
+        in_flight_request = world.send(make_prompt(1000), rank=2)
+        world.fleet.record_end(in_flight_request, MODEL, whole=False)
+        errors = world.fleet._timings.errors_of("model")
+        self.assertEqual(0.0, errors.expect(2, 1.0))
+
 
 if __name__ == "__main__":
     unittest.main()
