Keep callers to their return times; a waiting line, off by default

The experiment releases the load of callers that leave, as the relay does; before, what died stayed in the loads for good.

The waiting line holds requests at their entry (policy.waiting_line).

--- a/burdockdrum/passthrough/protocol/model.py
+++ b/burdockdrum/passthrough/protocol/model.py
@@ -60,6 +60,8 @@
     asking for a permit for the next attempt, None if not asked.
     ``region_retry_after`` is the shortest time in seconds after which another
     region wants the request to return, None if no region said so.
+    ``may_wait`` says that the request can wait at this entry for a shorter
+    queue.
     """
 
     verdict: Verdict = Verdict.NOT_RUN
@@ -78,6 +80,7 @@
     chunks_sent: int = 0
     permit: PermitResult | None = None
     region_retry_after: float | None = None
+    may_wait: bool = False
 
     def record_region_retry_after(self, seconds: float | None) -> None:
         """Record when another region wants the request to return, if so."""
--- a/burdockdrum/passthrough/relaying/relay.py
+++ b/burdockdrum/passthrough/relaying/relay.py
@@ -34,9 +34,11 @@
 from burdockdrum.passthrough.relaying.attempts import forwarded_attempts
 from burdockdrum.passthrough.relaying.request_log import log_attempt
 from burdockdrum.passthrough.relaying.request_log import log_disconnect
+from burdockdrum.passthrough.selection import QueueTooLong
 from burdockdrum.passthrough.selection import TargetSelector
 from burdockdrum.passthrough.state import LimitPermits
 from burdockdrum.passthrough.state import RetryBudget
+from burdockdrum.passthrough.waiting import RequestHolder
 from burdockdrum.ports import Clock
 from burdockdrum.quotas import QuotaMeter
 from burdockdrum.settings import MechanismSettings
@@ -68,6 +70,7 @@
         metrics: Metrics,
         meter: QuotaMeter,
         permits: LimitPermits,
+        holder: RequestHolder,
         mechanisms: MechanismSettings | None = None,
     ) -> None:
         """Create the service.
@@ -78,6 +81,7 @@
         self._configuration = configuration
         self._meter = meter
         self._permits = permits
+        self._holder = holder
         self._drain = drain
         self._clock = clock
         self._names = names
@@ -181,7 +185,7 @@
         splitter = ResumableEventSplitter(last_number=request.last_event)
         while True:
             try:
-                target = self._selector.select(request, progress)
+                target = await self._select(request, progress)
             except Refusal as refusal:
                 if await self._ask_for_permit(request, progress):
                     continue
@@ -206,6 +210,23 @@
                 self._finish_failed(request, progress, exchange, outcome)
                 return
 
+    async def _select(
+        self, request: ProxiedRequest, progress: RequestProgress
+    ) -> Target:
+        """Select a target, after waiting for capacity if need be.
+
+        :raises Refusal: if no target accepts the request in time
+        """
+        progress.may_wait = self._holder.may_wait(request)
+        if not progress.sent:
+            self._holder.check_return(request)
+        try:
+            return self._selector.select(request, progress)
+        except QueueTooLong as refusal:
+            if not self._holder.handles(request):
+                raise
+            return await self._holder.hold(request, progress, refusal)
+
     async def _ask_for_permit(
         self, request: ProxiedRequest, progress: RequestProgress
     ) -> bool:
--- a/burdockdrum/passthrough/relaying/server.py
+++ b/burdockdrum/passthrough/relaying/server.py
@@ -1,17 +1,24 @@
 """The listeners of the proxy and its periodic maintenance."""
 
+import asyncio
+
 from burdockdrum.http1 import ConnectionPool
 from burdockdrum.http1 import Listener
 from burdockdrum.passthrough.selection import Fleet
 from burdockdrum.passthrough.state import EndpointLimits
 from burdockdrum.passthrough.state import RequestedBackoffs
 from burdockdrum.passthrough.state import RetryBudget
+from burdockdrum.passthrough.waiting import RequestHolder
 from burdockdrum.ports import Clock
 from burdockdrum.registrations import RegistrationFollower
+from burdockdrum.verdicts import Refusal
+from burdockdrum.verdicts import RefusalCode
+from burdockdrum.verdicts import Verdict
 from burdockdrum.vms import Drain
 from burdockdrum.vms import DrainState
 
 UPDATE_INTERVAL_SECONDS = 0.25
+RETRY_AFTER_SECONDS = 0.5
 
 
 class PassThroughServer:
@@ -30,6 +37,7 @@
         budget: RetryBudget,
         registrations: RegistrationFollower,
         drain: Drain,
+        holder: RequestHolder,
     ) -> None:
         """Create a server; ``run`` opens its listeners."""
         self._clock = clock
@@ -42,6 +50,7 @@
         self._budget = budget
         self._registrations = registrations
         self._drain = drain
+        self._holder = holder
 
     async def run(self) -> None:
         """Open the listeners, then update shares and pools periodically."""
@@ -52,7 +61,17 @@
             await self._clock.sleep(UPDATE_INTERVAL_SECONDS)
 
     async def close(self) -> None:
-        """Close the listeners and all connections."""
+        """Refuse what waits, close the listeners and all connections."""
+        self._holder.refuse_all(
+            Refusal(
+                code=RefusalCode.DRAINING,
+                message="this entry VM is stopping; use another one",
+                verdict=Verdict.NOT_RUN,
+                retry_after=RETRY_AFTER_SECONDS,
+            )
+        )
+        # The tasks of the refused requests write their responses first.
+        await asyncio.sleep(0)
         await self._callers.close()
         await self._vms.close()
         for pool in self._pools:
--- a/burdockdrum/passthrough/selection/targets.py
+++ b/burdockdrum/passthrough/selection/targets.py
@@ -45,11 +45,46 @@
 # a long prompt alone can exceed the objective.
 MIN_QUEUE_FRACTION = 0.25
 MAX_RETRY_AFTER_SECONDS = 3.0
+# Fraction of the objective up to which the queue of an endpoint may grow by
+# requests that can wait at the entry instead. It covers the age of the loads
+# that other entries report, so that no endpoint runs out of work.
+SENT_QUEUE_FRACTION = 0.5
 # Requests refused because of a backoff return over its length after its end,
 # and over so many seconds at most.
 MAX_RETURN_SPREAD_SECONDS = 5.0
 
 
+class QueueTooLong(Refusal):
+    """A refusal because the queues of all targets are too long.
+
+    Times are in seconds: ``queue_seconds`` is the best queue here,
+    ``limit_seconds`` the longest that the request is sent to,
+    ``allowed_seconds`` how long it may queue in all and ``work_seconds``
+    what it takes of an engine.
+    """
+
+    def __init__(
+        self,
+        *,
+        refusal: Refusal,
+        queue_seconds: float,
+        limit_seconds: float,
+        allowed_seconds: float,
+        work_seconds: float,
+    ) -> None:
+        """Create it from the refusal that the caller would get."""
+        super().__init__(
+            code=refusal.code,
+            message=refusal.message,
+            verdict=refusal.verdict,
+            retry_after=refusal.retry_after,
+        )
+        self.queue_seconds = queue_seconds
+        self.limit_seconds = limit_seconds
+        self.allowed_seconds = allowed_seconds
+        self.work_seconds = work_seconds
+
+
 class TargetSelector:
     """Selects among local endpoints and entry VMs of other regions."""
 
@@ -112,9 +147,11 @@
             raise self._refuse_without_endpoint(request, progress)
         allowed = self._max_queue_seconds(request, remaining, local.wait)
         queue = local.wait.queue
-        if queue > allowed:
-            reason = f"queue of {queue:.2f} s exceeds {allowed:.2f} s"
-            raise self._refuse(request, progress, reason, queue - allowed)
+        limit = self._limit_to_send(request, progress, allowed)
+        if queue > limit:
+            raise self._refuse_queue(
+                request, progress, local, limit=limit, allowed=allowed
+            )
         self._check_finish(request, progress, local, remaining)
         return EndpointTarget(choice=local)
 
@@ -165,7 +202,9 @@
             case RegionTarget(vm_id=vm_id, region=region):
                 tried.add(vm_id)
                 regions.add(region)
-        next_progress = replace(progress, tried=tried, tried_regions=regions)
+        next_progress = replace(
+            progress, tried=tried, tried_regions=regions, may_wait=False
+        )
         try:
             self.select(request, next_progress)
         except Refusal:
@@ -197,6 +236,24 @@
             ),
         )
 
+    def _limit_to_send(
+        self,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        allowed: float,
+    ) -> float:
+        """Return the longest queue of an endpoint that a request is sent to.
+
+        A request that may wait here is not sent to a long queue: there it
+        could not go elsewhere any more, nor let a more urgent one pass.
+
+        :param allowed: how many seconds the request may queue
+        """
+        if not progress.may_wait:
+            return allowed
+        objective = request.route.objective_seconds
+        return min(allowed, objective * SENT_QUEUE_FRACTION)
+
     def _choose_local(
         self, request: ProxiedRequest, progress: RequestProgress
     ) -> RatedEndpoint | None:
@@ -245,6 +302,7 @@
             if wait.total >= limit:
                 return None
             allowed = self._max_queue_seconds(request, remaining, wait)
+            allowed = self._limit_to_send(request, progress, allowed)
             if local is None:
                 # The load reports are stale; the other region refuses the
                 # request itself if it has no free capacity.
@@ -361,6 +419,29 @@
             code=RefusalCode.OVERLOADED,
         )
 
+    def _refuse_queue(
+        self,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        local: RatedEndpoint,
+        *,
+        limit: float,
+        allowed: float,
+    ) -> QueueTooLong:
+        queue = local.wait.queue
+        reason = f"queue of {queue:.2f} s exceeds {limit:.2f} s"
+        refusal = self._refuse(request, progress, reason, queue - allowed)
+        token_seconds = self._fleet.engines.prefill_token_seconds(
+            request.backend.name
+        )
+        return QueueTooLong(
+            refusal=refusal,
+            queue_seconds=queue,
+            limit_seconds=limit,
+            allowed_seconds=allowed,
+            work_seconds=local.prefill_cost_tokens * token_seconds,
+        )
+
     def _make_refusal(
         self,
         request: ProxiedRequest,
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -34,6 +34,9 @@
 from burdockdrum.passthrough.state import PermitRequest
 from burdockdrum.passthrough.state import RequestedBackoffs
 from burdockdrum.passthrough.state import RetryBudget
+from burdockdrum.passthrough.waiting import LineDispatcher
+from burdockdrum.passthrough.waiting import RequestHolder
+from burdockdrum.passthrough.waiting import WaitingLine
 from burdockdrum.peers import Peers
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
@@ -63,6 +66,7 @@
     kernel.add("endpoint_pool", _build_endpoint_pool)
     kernel.add("vm_pool", _build_vm_pool)
     kernel.add("placing", _build_target_selector)
+    kernel.add("waiting_requests", _build_holder)
     kernel.add("retry_budget", _build_budget)
     kernel.add("attempts", _build_attempt_runner)
     kernel.add("relay", _build_relay)
@@ -215,6 +219,28 @@
     )
 
 
+def _build_holder(kernel: Kernel) -> RequestHolder:
+    fleet = kernel.find("fleet", Fleet)
+    policy = kernel.find("settings", Settings).policy
+    clock = kernel.find("clock", Clock)
+    holder = RequestHolder(
+        clock=clock,
+        dispatcher=LineDispatcher(
+            clock=clock,
+            selector=kernel.find("placing", TargetSelector),
+            line=WaitingLine(),
+            read_endpoints_per_entry=fleet.endpoints_per_entry,
+            mechanisms=policy.mechanisms,
+            is_line_enabled=policy.waiting_line,
+        ),
+        check_drain=kernel.find("drain", Drain).check,
+        metrics=kernel.find("metrics", Metrics),
+    )
+    fleet.on_capacity = holder.wake
+    kernel.find("load_sharing", LoadSharing).on_loads = holder.wake_all
+    return holder
+
+
 def _build_budget(kernel: Kernel) -> RetryBudget:
     settings = kernel.find("settings", Settings).passthrough
     return RetryBudget(
@@ -277,6 +303,7 @@
         metrics=kernel.find("metrics", Metrics),
         meter=kernel.find("quota_meter", QuotaMeter),
         permits=kernel.find("limit_permits", LimitPermits),
+        holder=kernel.find("waiting_requests", RequestHolder),
         mechanisms=kernel.find("settings", Settings).policy.mechanisms,
     )
 
@@ -315,4 +342,5 @@
         budget=kernel.find("retry_budget", RetryBudget),
         registrations=kernel.find("registrations", RegistrationFollower),
         drain=kernel.find("drain", Drain),
+        holder=kernel.find("waiting_requests", RequestHolder),
     )
--- a/burdockdrum/registrations/load_sharing.py
+++ b/burdockdrum/registrations/load_sharing.py
@@ -70,6 +70,8 @@
         self.pop_placed: Callable[[], list[PlacedPrefix]] = list
         self.receive_placed: Callable[[list[PlacedPrefix]], None] = _ignore
         self.speed_news = SpeedNews()
+        # Called when loads of other entries were received.
+        self.on_loads: Callable[[], None] = _do_nothing
         self._own = peers.identity
         self._peers = peers
         self._clock = clock
@@ -295,6 +297,7 @@
         self.receive_placed(message.placed)
         self._placements.add(sender.vm_id, message.placed)
         self.speed_news.record(sender.vm_id, message.speeds)
+        self.on_loads()
         if message.wants_reply:
             reply = self._make_reply(
                 sender.vm_id, now, knows_speeds=message.knows_speeds
@@ -352,6 +355,7 @@
         self._capacities, self._reply_received_at = message.capacities, now
         self.receive_placed(message.placed)
         self.speed_news.record(sender.vm_id, message.speeds)
+        self.on_loads()
         return None
 
     async def _receive_data_centre_load(
@@ -376,6 +380,7 @@
         self.speed_news.record(
             source, message.speeds, excluded=self._remote_sources()
         )
+        self.on_loads()
         return None
 
 
@@ -386,3 +391,7 @@
 
 def _ignore(placed: list[PlacedPrefix]) -> None:
     """Ignore placements; the default handler."""
+
+
+def _do_nothing() -> None:
+    """Ignore received loads; the default handler."""
--- a/burdockdrum/settings/model.py
+++ b/burdockdrum/settings/model.py
@@ -160,6 +160,7 @@
     mute_avoided: bool = True
     silence_given_up: bool = True
     routes_awaited: bool = True
+    return_times: bool = True
 
 
 class PolicySettings(_Section, frozen=True, kw_only=True):
@@ -178,6 +179,7 @@
     spill_margin_seconds: float = 0.1
     spill_reserve: float = 0.1
     crossing_seconds_a_megabyte: float = 4.0
+    waiting_line: bool = False
     mechanisms: MechanismSettings = MechanismSettings()
 
 
--- a/scripts/experiment/passed/callers.py
+++ b/scripts/experiment/passed/callers.py
@@ -14,6 +14,8 @@
 from burdockdrum.passthrough.protocol import ProxiedRequest
 from burdockdrum.passthrough.protocol import RegionTarget
 from burdockdrum.passthrough.protocol import RequestProgress
+from burdockdrum.passthrough.protocol import Target
+from burdockdrum.passthrough.selection import QueueTooLong
 from burdockdrum.passthrough.state import InFlightRequest
 from burdockdrum.resources import Route
 from burdockdrum.resources import WeightedService
@@ -35,6 +37,9 @@
 # Retries of a refused request by its caller.
 MAX_RETRIES = 1
 MAX_ATTEMPTS = 2
+# Those of callers that repeat at once what is refused.
+MAX_REPEATS = 30
+REPEAT_DELAY_SECONDS = 0.02
 
 
 @dataclass(kw_only=True)
@@ -102,6 +107,7 @@
     sent_at: float
     retries: int = 0
     jobs: list[Job] = field(default_factory=list)
+    record_ends: list[Callable[[], None]] = field(default_factory=list)
     is_over: bool = False
 
     @property
@@ -163,9 +169,15 @@
 
     def _handle_refusal(self, refusal: Refusal) -> None:
         self.outcome.refusals += 1
-        if self.is_over or self.retries >= MAX_RETRIES:
+        repeats = self.outcome.arrival.repeats
+        max_retries = MAX_REPEATS if repeats else MAX_RETRIES
+        if self.is_over or self.retries >= max_retries:
             return
         self.retries += 1
+        if repeats:
+            delay = REPEAT_DELAY_SECONDS * self.world.time_scale
+            self.world.schedule.after(delay, self._send)
+            return
         left = self.deadline - self.world.schedule.now
         pause = min(
             refusal.retry_after or 0.0, left * MAX_RETRY_DELAY_FRACTION
@@ -195,6 +207,8 @@
         self.is_over = True
         for job in self.jobs:
             job.is_cancelled = True
+        for record_end in self.record_ends:
+            record_end()
 
 
 @dataclass(kw_only=True, eq=False)
@@ -211,11 +225,44 @@
         """Select a target and send an attempt to it."""
         if self.call.is_over or not self.entry.is_up:
             return
+        dispatcher = self.entry.dispatcher
         try:
+            if dispatcher is not None:
+                self.progress.may_wait = dispatcher.may_wait(self.request)
+                dispatcher.check_return(self.request)
             target = self.entry.selector.select(self.request, self.progress)
+        except QueueTooLong as refusal:
+            self._wait_or_refuse(refusal)
+            return
         except Refusal as refusal:
             self.refuse(refusal)
             return
+        self._send(target)
+
+    def _wait_or_refuse(self, refusal: QueueTooLong) -> None:
+        dispatcher = self.entry.dispatcher
+        if dispatcher is None or not dispatcher.handles(self.request):
+            self.refuse(refusal)
+            return
+        try:
+            dispatcher.offer(
+                self.request, self.progress, refusal, self._leave_line
+            )
+        except Refusal as final:
+            self.refuse(final)
+            return
+        self.entry.watch_line()
+
+    def _leave_line(self, result: Target | Refusal) -> None:
+        """Continue a request that waited in the line."""
+        if self.call.is_over or not self.entry.is_up:
+            return
+        if isinstance(result, Refusal):
+            self.refuse(result)
+            return
+        self._send(result)
+
+    def _send(self, target: Target) -> None:
         match target:
             case EndpointTarget():
                 self._attempt(target)
@@ -239,7 +286,10 @@
         outcome.runs += 1
 
         def on_output() -> None:
+            is_first = in_flight_request.first_output_at is None
             fleet.record_output(in_flight_request)
+            if is_first:
+                self.entry.check_line()
             self.call.record_event()
 
         job = Job(
@@ -254,11 +304,17 @@
             on_end=lambda whole: self._end(in_flight_request, whole),
         )
         self.call.jobs.append(job)
+        self.call.record_ends.append(
+            lambda: fleet.record_end(
+                in_flight_request, self.request.backend, whole=False
+            )
+        )
         world.engines_by_id[choice.endpoint.endpoint_id].submit(job)
 
     def _end(self, in_flight_request: InFlightRequest, whole: bool) -> None:
         fleet = self.entry.fleet
         fleet.record_end(in_flight_request, self.request.backend, whole=whole)
+        self.entry.check_line()
         health = fleet.health_of(in_flight_request.endpoint)
         if whole:
             health.record_success()
--- a/scripts/experiment/passed/cases.py
+++ b/scripts/experiment/passed/cases.py
@@ -36,6 +36,7 @@
     policies = [
         PolicyVariant(name=product.name, mechanisms=product.mechanisms())
     ]
+    policies.append(PolicyVariant(name="waiting line", has_line=True))
     policies += BASELINES
     if without:
         policies += [
--- a/scripts/experiment/passed/variants.py
+++ b/scripts/experiment/passed/variants.py
@@ -67,11 +67,15 @@
 
 @dataclass(frozen=True, kw_only=True)
 class PolicyVariant:
-    """A policy to compare; ``pick`` replaces the product's selection."""
+    """A policy to compare; ``pick`` replaces the product's selection.
+
+    ``has_line`` says that requests wait at their entries.
+    """
 
     name: str
     mechanisms: MechanismSettings = MechanismSettings()
     pick: Pick | None = None
+    has_line: bool = False
 
 
 BASELINES = (
--- a/scripts/experiment/passed/world.py
+++ b/scripts/experiment/passed/world.py
@@ -10,6 +10,8 @@
 from burdockdrum.holdings import PrefixCacheTable
 from burdockdrum.passthrough.selection import Fleet
 from burdockdrum.passthrough.selection import TargetSelector
+from burdockdrum.passthrough.waiting import LineDispatcher
+from burdockdrum.passthrough.waiting import WaitingLine
 from burdockdrum.peers import VmIdentity
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import PlacedPrefix
@@ -39,6 +41,8 @@
 CAPACITY_INTERVAL_SECONDS = 0.5
 CACHE_REPORT_INTERVAL_SECONDS = 1.0
 LOCAL_DELAY_SECONDS = 0.001
+# Entries with waiting requests check for capacity this often.
+RECHECK_INTERVAL_SECONDS = 0.05
 CROSS_REGION_DELAY_SECONDS = 0.055
 # Delay of a fetch from another region in addition to its transfer.
 CROSS_REGION_FETCH_DELAY_SECONDS = 0.22
@@ -56,6 +60,9 @@
     is_up: bool = True
     fleet: Fleet = field(init=False)
     selector: Selector = field(init=False)
+    schedule: Schedule
+    dispatcher: LineDispatcher | None = None
+    is_watching: bool = False
     prefix_cache_table: PrefixCacheTable = field(init=False)
     loads_by_vm: dict[str, dict[str, list[RankLoad]]] = field(
         default_factory=dict
@@ -63,6 +70,27 @@
     capacities: list[ServiceCapacity] = field(default_factory=list)
     speed_news: SpeedNews = field(default_factory=SpeedNews)
 
+    def check_line(self) -> None:
+        """Send the waiting requests for which there is capacity."""
+        while self.dispatcher is not None and self.dispatcher.line.has(
+            SERVICE
+        ):
+            if not self.dispatcher.check(SERVICE):
+                return
+
+    def watch_line(self) -> None:
+        """Check the line at intervals until it is empty."""
+        if self.is_watching or self.dispatcher is None:
+            return
+        self.is_watching = True
+        self.schedule.after(RECHECK_INTERVAL_SECONDS, self._recheck)
+
+    def _recheck(self) -> None:
+        self.is_watching = False
+        self.check_line()
+        if self.dispatcher is not None and self.dispatcher.line.has(SERVICE):
+            self.watch_line()
+
     def load_of(self, endpoint_id: str) -> Load:
         """Return the load of the other entries at an endpoint."""
         load = Load()
@@ -186,6 +214,7 @@
                 http_address=f"http://{name}",
             ),
             rng=random.Random(self._rng.random()),
+            schedule=self.schedule,
         )
         self._start_entry(entry)
         return entry
@@ -222,7 +251,7 @@
                 read_load=entry.load_of,
             )
             return
-        entry.selector = TargetSelector(
+        selector = TargetSelector(
             clock=self.schedule,
             rng=entry.rng,
             fleet=entry.fleet,
@@ -235,6 +264,17 @@
             hop_address=lambda identity: identity.http_address,
             mechanisms=self._variant.mechanisms,
         )
+        entry.selector = selector
+        entry.dispatcher = LineDispatcher(
+            clock=self.schedule,
+            selector=selector,
+            line=WaitingLine(),
+            read_endpoints_per_entry=lambda service: (
+                len(endpoints) / ENTRIES_PER_REGION
+            ),
+            mechanisms=self._variant.mechanisms,
+            is_line_enabled=self._variant.has_line,
+        )
 
     def _make_load_sender(self, entry: Entry) -> Callable[[], None]:
         def send() -> None:
@@ -271,6 +311,7 @@
         other.loads_by_vm[entry.identity.vm_id] = load
         other.speed_news.record(entry.identity.vm_id, speeds)
         other.fleet.prefix_cache_view.record_notices(placed)
+        other.check_line()
 
     def _send_capacities(self) -> None:
         capacities = [self._sum_capacity(region) for region in REGIONS]
--- a/tests/callers/fakes.py
+++ b/tests/callers/fakes.py
@@ -25,12 +25,13 @@
         self.age = age
         self.apply(teams=teams, routes=routes)
 
-    def apply(self, *, teams=None, routes=(), generation=1):
+    def apply(self, *, teams=None, routes=(), generation=1, backends=None):
         """Replace the current route table."""
         table = RouteTableSpec(
             generation=generation,
             routes=list(routes),
-            backends=[Backend(name="model"), Backend(name="other")],
+            backends=backends
+            or [Backend(name="model"), Backend(name="other")],
             teams=teams,
         )
         resource = Resource(
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -13,6 +13,7 @@
 from burdockdrum.http1 import Listener
 from burdockdrum.metrics import Metrics
 from burdockdrum.passthrough.protocol.header_names import HeaderNames
+from burdockdrum.passthrough.protocol.header_names import HOP_REGION
 from burdockdrum.passthrough.protocol.payloads import PayloadEncoder
 from burdockdrum.passthrough.protocol.request_reader import RequestReader
 from burdockdrum.passthrough.protocol.response_signals import ResponseSignals
@@ -28,10 +29,14 @@
 from burdockdrum.passthrough.state.limit_permits import LimitPermits
 from burdockdrum.passthrough.state.limits import RetryBudget
 from burdockdrum.passthrough.state.requested_backoffs import RequestedBackoffs
+from burdockdrum.passthrough.waiting import LineDispatcher
+from burdockdrum.passthrough.waiting import RequestHolder
+from burdockdrum.passthrough.waiting import WaitingLine
 from burdockdrum.peers import VmIdentity
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RegistrationState
 from burdockdrum.registrations import ServiceCapacity
+from burdockdrum.settings import MechanismSettings
 from tests.callers.fakes import FakeConfiguration
 from tests.callers.fakes import make_finder
 from tests.callers.fakes import make_meter
@@ -56,11 +61,17 @@
         await asyncio.sleep(seconds)
 
 
-class InactiveDrain:
-    """A drain that never starts."""
+class TestDrain:
+    """A drain that a test starts by setting ``refusal``."""
+
+    def __init__(self):
+        """Create a drain that has not begun."""
+        self.refusal = None
 
     def check(self):
-        """Accept every request."""
+        """Accept every request until the drain has begun."""
+        if self.refusal is not None:
+            raise self.refusal
 
     def count_request(self):
         """Return a context that counts nothing."""
@@ -157,8 +168,9 @@
 class EntryDeployment:
     """Regions with an entry and endpoints each."""
 
-    def __init__(self, *, teams=None, **route):
+    def __init__(self, *, teams=None, waiting_line=False, **route):
         """Create a deployment with one route and optional teams."""
+        self.waiting_line = waiting_line
         self.route = make_route(**route)
         self.configuration = FakeConfiguration(
             teams=teams, routes=[self.route]
@@ -173,6 +185,7 @@
         """
         clock = SystemClock()
         rng = random.Random(1)
+        drain = TestDrain()
         capacities = [
             ServiceCapacity(name, "model", 1, 8, []) for name in capacities
         ]
@@ -254,6 +267,20 @@
             read_holders=lambda endpoint_id, limit: {},
             ask=never_asked,
         )
+        holder = RequestHolder(
+            clock=clock,
+            dispatcher=LineDispatcher(
+                clock=clock,
+                selector=selector,
+                line=WaitingLine(),
+                read_endpoints_per_entry=fleet.endpoints_per_entry,
+                mechanisms=MechanismSettings(),
+                is_line_enabled=self.waiting_line,
+            ),
+            check_drain=drain.check,
+            metrics=metrics,
+        )
+        fleet.on_capacity = holder.wake
         relay = Relay(
             clock=clock,
             names=NAMES,
@@ -271,14 +298,15 @@
             runner=runner,
             responses=responses,
             budget=budget,
-            drain=InactiveDrain(),
+            drain=drain,
             configuration=self.configuration,
             metrics=metrics,
             meter=meter,
             permits=permits,
+            holder=holder,
         )
         entry = Entry(region, relay, runner, fleet, capacities)
-        entry.metrics = metrics
+        entry.metrics, entry.holder, entry.drain = metrics, holder, drain
         entry.meter = meter
         entry.limits, entry.permits = limits, permits
         entry.budget, entry.signals = budget, signals
@@ -322,9 +350,24 @@
             http_address="http://x",
         )
 
-    async def call(self, *headers, method=b"GET", target=b"/p/x", body=b""):
+    def add_endpoint(self, name, address):
+        """Register another endpoint."""
+        self.registered[name] = make_endpoint(name, address=address)
+
+    async def call(
+        self,
+        *headers,
+        method=b"GET",
+        target=b"/p/x",
+        body=b"",
+        forwarded_from=None,
+    ):
         """Send a request; return status, head and body of the response."""
-        host, _, port = self.callers.address.rpartition(":")
+        listener = self.callers
+        if forwarded_from is not None:
+            listener = self.vms
+            headers = (*headers, HOP_REGION + b": " + forwarded_from)
+        host, _, port = listener.address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         lines = [
             method + b" " + target + b" HTTP/1.1",
