--- a/burdockdrum/passthrough/state/engines.py
+++ b/burdockdrum/passthrough/state/engines.py
@@ -49,7 +49,7 @@
 # Endpoints whose speed is not known well enough to explain a sample up to this
 # ratio don't contribute to the service's curve: one failing endpoint must not
 # slow the estimates down.
-_MAX_TYPICAL_DEVIATION = math.log(3.0)
+_MAX_TYPICAL_DEVIATION = math.log(2.0)
 # Sources of observations of the endpoints' speeds (see ``EndpointSpeeds``).
 _FIRST_TOKEN = "first token"
 _QUEUED_FIRST_TOKEN = "queued first token"
