Keep callers to their return times after every refusal for capacity

Cause: only refusals for a queue that is too long were remembered; those for an output that can't end in time, or a share that is used up, were not, so that callers that repeat at once gained as much as before the pace of outputs.

Change: an entry remembers what it told any request that it refused for lack of capacity before it was sent.

--- a/burdockdrum/passthrough/relaying/relay.py
+++ b/burdockdrum/passthrough/relaying/relay.py
@@ -226,6 +226,10 @@
             if not self._holder.handles(request):
                 raise
             return await self._holder.hold(request, progress, refusal)
+        except Refusal as refusal:
+            if not progress.sent:
+                self._holder.record_refusal(request, refusal)
+            raise
 
     async def _ask_for_permit(
         self, request: ProxiedRequest, progress: RequestProgress
--- a/burdockdrum/passthrough/waiting/dispatcher.py
+++ b/burdockdrum/passthrough/waiting/dispatcher.py
@@ -126,6 +126,14 @@
                 retry_after=seconds,
             )
 
+    def record_refusal(
+        self, request: ProxiedRequest, refusal: Refusal
+    ) -> None:
+        """Remember when a request that no target accepts may come back."""
+        is_overloaded = refusal.code is RefusalCode.OVERLOADED
+        if is_overloaded and refusal.retry_after and self.handles(request):
+            self._remember(request, refusal.retry_after)
+
     def offer(
         self,
         request: ProxiedRequest,
--- a/burdockdrum/passthrough/waiting/holder.py
+++ b/burdockdrum/passthrough/waiting/holder.py
@@ -77,6 +77,12 @@
         """
         self._dispatcher.check_return(request)
 
+    def record_refusal(
+        self, request: ProxiedRequest, refusal: Refusal
+    ) -> None:
+        """Remember when a request that no target accepts may come back."""
+        self._dispatcher.record_refusal(request, refusal)
+
     async def hold(
         self,
         request: ProxiedRequest,
--- a/scripts/experiment/passed/callers.py
+++ b/scripts/experiment/passed/callers.py
@@ -226,15 +226,21 @@
         if self.call.is_over or not self.entry.is_up:
             return
         dispatcher = self.entry.dispatcher
-        try:
-            if dispatcher is not None:
-                self.progress.may_wait = dispatcher.may_wait(self.request)
+        if dispatcher is not None:
+            self.progress.may_wait = dispatcher.may_wait(self.request)
+            try:
                 dispatcher.check_return(self.request)
+            except Refusal as refusal:
+                self.refuse(refusal)
+                return
+        try:
             target = self.entry.selector.select(self.request, self.progress)
         except QueueTooLong as refusal:
             self._wait_or_refuse(refusal)
             return
         except Refusal as refusal:
+            if dispatcher is not None:
+                dispatcher.record_refusal(self.request, refusal)
             self.refuse(refusal)
             return
         self._send(target)
