--- a/tests/experiment/test_repeating_callers.py
+++ b/tests/experiment/test_repeating_callers.py
@@ -16,7 +16,7 @@
 
 DAY = replace(
     DAYS["burst of the least urgent"],
-    level=1.6,
+    level=2.2,
     seconds=16.0,
     repeats=(6.0, 16.0),
 )
