--- a/burdockdrum/passthrough/selection/targets.py
+++ b/burdockdrum/passthrough/selection/targets.py
@@ -408,6 +408,13 @@
     def _refuse_without_endpoint(
         self, request: ProxiedRequest, progress: RequestProgress
     ) -> Refusal:
+        if not self._may_run_here(request):
+            return self._refuse(
+                request,
+                progress,
+                f"region {self._region!r} is none of its home regions",
+                NO_ENDPOINT_RETRY_AFTER_SECONDS,
+            )
         service = request.backend.name
         live_count = self._fleet.count_live(service)
         draining_count = self._fleet.count_draining(service)
--- a/tests/passthrough/relaying/test_relay_hops.py
+++ b/tests/passthrough/relaying/test_relay_hops.py
@@ -102,7 +102,9 @@
             there=[Endpoint(answer())],
             homes=["third"],
         )
-        self.assertEqual(503, (await entry.call())[0])
+        status, _, body = await entry.call()
+        self.assertEqual(503, status)
+        self.assertIn(b"none of its home regions", body)
 
     async def test_outdated_report_of_a_full_region_refuses_nothing(self):
         # Guards against refusing a request because of an outdated report
