--- a/burdockdrum/passthrough/selection/targets.py
+++ b/burdockdrum/passthrough/selection/targets.py
@@ -163,15 +163,7 @@
             raise self._refuse_without_endpoint(request, progress)
         allowed = self._max_queue_seconds(request, remaining, local.wait)
         if shares is not None:
-            refusal = shares.find_refusal(request, progress, local, allowed)
-            if refusal is not None:
-                raise self._make_refusal(
-                    request,
-                    progress,
-                    refusal.reason,
-                    refusal.retry_after,
-                    code=RefusalCode.OVERLOADED,
-                )
+            self._check_share(request, progress, shares, local, allowed)
         queue = local.wait.queue
         limit = self._limit_to_send(request, progress, allowed)
         if queue > limit:
@@ -183,6 +175,29 @@
             local = shares.mark(request, local)
         return EndpointTarget(choice=local)
 
+    def _check_share(
+        self,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        shares: TeamShares,
+        local: RatedEndpoint,
+        allowed: float,
+    ) -> None:
+        """Refuse a request of a team above its share if endpoints are short.
+
+        :param allowed: how many seconds the request may queue
+        :raises Refusal: with the time at which its share admits it
+        """
+        refusal = shares.find_refusal(request, progress, local, allowed)
+        if refusal is not None:
+            raise self._make_refusal(
+                request,
+                progress,
+                refusal.reason,
+                refusal.retry_after,
+                code=RefusalCode.OVERLOADED,
+            )
+
     def _check_finish(
         self,
         request: ProxiedRequest,
