Log a fingerprint of requests whose attempt was lost

Callers send a request that crashes endpoints again under a new id, so that no log line told its attempts from those of requests that ran beside it. A lost attempt now names a digest of host, target, method, caller and body, computed at the first loss. No decision changes.

--- a/burdockdrum/passthrough/protocol/model.py
+++ b/burdockdrum/passthrough/protocol/model.py
@@ -3,10 +3,12 @@
 from dataclasses import dataclass
 from dataclasses import field
 import enum
+from functools import cached_property
 from typing import ClassVar
 
 from burdockdrum.http1 import RequestHead
 from burdockdrum.http1 import ResponseHead
+from burdockdrum.passthrough.protocol.fingerprint import make_fingerprint
 from burdockdrum.passthrough.state import PermitResult
 from burdockdrum.passthrough.state import Prompt
 from burdockdrum.passthrough.state import RatedEndpoint
@@ -63,6 +65,11 @@
         route = self.route
         return route.idempotent or (route.streams and route.resumable)
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """Return what identifies the request when it is sent again."""
+        return make_fingerprint(self.head, self.team)
+
 
 @dataclass(kw_only=True)
 class RequestProgress:
--- a/burdockdrum/passthrough/relaying/request_log.py
+++ b/burdockdrum/passthrough/relaying/request_log.py
@@ -5,6 +5,7 @@
 from burdockdrum.logs import Value
 from burdockdrum.passthrough.protocol import Delivered
 from burdockdrum.passthrough.protocol import EndpointTarget
+from burdockdrum.passthrough.protocol import Lost
 from burdockdrum.passthrough.protocol import Outcome
 from burdockdrum.passthrough.protocol import ProxiedRequest
 from burdockdrum.passthrough.protocol import RegionTarget
@@ -46,6 +47,9 @@
         within_share=progress.is_within_share,
         outcome=outcome.log_name,
         reason=getattr(outcome, "reason", None),
+        fingerprint=request.fingerprint
+        if isinstance(outcome, Lost)
+        else None,
         first_seconds=None
         if first_byte_seconds is None
         else _round(first_byte_seconds),
