Reproduce requests that crash endpoints, red

A request that ends each endpoint that runs it is sent to endpoints again whenever it comes. Tests with one entry and a soak over processes (--crashes), with a checker of what reaches endpoints after the third end.

--- a/burdockdrum/histories/__init__.py
+++ b/burdockdrum/histories/__init__.py
@@ -4,6 +4,8 @@
 from burdockdrum.histories.checkers import check_all
 from burdockdrum.histories.checkers import CHECKERS
 from burdockdrum.histories.checkers import HOME_CLIENT_PREFIX
+from burdockdrum.histories.crashes import CrashHistory
+from burdockdrum.histories.crashes import CrashingArrival
 from burdockdrum.histories.events import ChangeAccepted
 from burdockdrum.histories.events import Drained
 from burdockdrum.histories.events import Ending
@@ -25,6 +27,8 @@
 from burdockdrum.histories.retries import RetryPeak
 
 __all__ = [
+    "CrashHistory",
+    "CrashingArrival",
     "Began",
     "ChangeAccepted",
     "check_all",
--- a/burdockdrum/passthrough/relaying/request_log.py
+++ b/burdockdrum/passthrough/relaying/request_log.py
@@ -47,9 +47,7 @@
         within_share=progress.is_within_share,
         outcome=outcome.log_name,
         reason=getattr(outcome, "reason", None),
-        fingerprint=request.fingerprint
-        if isinstance(outcome, Lost)
-        else None,
+        fingerprint=request.fingerprint if isinstance(outcome, Lost) else None,
         first_seconds=None
         if first_byte_seconds is None
         else _round(first_byte_seconds),
--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -2,7 +2,7 @@
 
 Usage:
   soak [--seed N] [--seeds N] [--seconds S] [--keep FOLDER]
-       [--limits | --signals | --retries]
+       [--limits | --signals | --retries | --crashes]
        [--entries N] [--rate R]
 
 Options:
@@ -13,7 +13,8 @@
   --limits       Endpoints announce rate limits, to two entries in each region.
   --signals      Endpoints request backoffs, and announce drains and restart.
   --retries      Endpoints fail most requests; only retries are checked.
-  --entries N    With --retries: the entries in each region [default: 2].
+  --crashes      Some requests crash endpoints; only their runs are checked.
+  --entries N    With --retries, --crashes: entries of a region [default: 2].
   --rate R       With --retries: requests per second; at random by default.
 
 Three control VMs and three entries run as processes on loopback addresses.
@@ -36,6 +37,7 @@
 
 from docopt import docopt
 
+from scripts.soak.crashes import run_crash_seed
 from scripts.soak.retries import run_retry_seed
 from scripts.soak.run import Result
 from scripts.soak.run import run_seed
@@ -45,6 +47,13 @@
     seed: int, arguments: dict[str, Any], logs: pathlib.Path | None
 ) -> Coroutine[Any, Any, Result]:
     seconds = float(arguments["--seconds"])
+    if arguments["--crashes"]:
+        return run_crash_seed(
+            seed,
+            seconds=seconds,
+            logs=logs,
+            entries=int(arguments["--entries"]),
+        )
     if arguments["--retries"]:
         rate = arguments["--rate"]
         return run_retry_seed(
--- /dev/null
+++ b/scripts/soak/crashing_endpoint.py
@@ -0,0 +1,77 @@
+"""An endpoint that crashes when it runs certain requests."""
+
+import asyncio
+import itertools
+import random
+import time
+
+from burdockdrum.histories import CrashHistory
+from burdockdrum.histories import CrashingArrival
+from scripts.soak.endpoint import Endpoint
+from scripts.soak.endpoint import parse_headers
+
+CRASHING_PREFIX = "/again/crash-"
+# How long a request runs before it crashes the endpoint, or completes.
+RUN_SECONDS = (0.02, 0.3)
+RESTART_SECONDS = (1.5, 3.5)
+_incarnations = itertools.count()
+
+
+class CrashingEndpoint(Endpoint):
+    """Crashes under each request to a path that begins in a certain way.
+
+    It restarts after some seconds at the same address with another id.
+    """
+
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        service: str,
+        zone: str,
+        history: CrashHistory,
+    ) -> None:
+        """Create an endpoint that is not open."""
+        super().__init__(rng=rng)
+        self.service = service
+        self.zone = zone
+        self.is_registered = True
+        self._history = history
+        self._restarts: set[asyncio.Task[None]] = set()
+
+    async def crash(self) -> None:
+        """End with all connections; restart later."""
+        self.is_registered = False
+        self.close()
+        task = asyncio.create_task(self._restart())
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _restart(self) -> None:
+        await asyncio.sleep(self._rng.uniform(*RESTART_SECONDS))
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+        self.endpoint_id = f"i{next(_incarnations)}"
+        self.is_registered = True
+
+    async def _answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        headers = parse_headers(head)
+        await reader.readexactly(int(headers.get(b"content-length", b"0")))
+        target = head.split(b" ")[1].decode()
+        request_id = headers[b"x-request-id"].decode()
+        if headers.get(b"x-expect-instance") != self.endpoint_id.encode():
+            self._refuse(writer, b"421 Misdirected Request", request_id)
+            return
+        arrival = CrashingArrival(time=time.monotonic(), target=target)
+        is_crashing = target.startswith(CRASHING_PREFIX)
+        if is_crashing:
+            self._history.arrived.append(arrival)
+        await asyncio.sleep(self._rng.uniform(*RUN_SECONDS))
+        if not is_crashing:
+            await self._run(writer, request_id, b"")
+        elif self.is_registered:
+            self._history.crashed.append(arrival)
+            await self.crash()
--- a/scripts/soak/retries.py
+++ b/scripts/soak/retries.py
@@ -9,6 +9,7 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 import contextlib
 import json
 import pathlib
@@ -26,6 +27,7 @@
 from scripts.local_deployment import Deployment
 from scripts.local_deployment import Machine
 from scripts.local_deployment import until
+from scripts.soak.crashing_endpoint import CrashingEndpoint
 from scripts.soak.endpoint import SLOTS
 from scripts.soak.failing_endpoint import FailingEndpoint
 from scripts.soak.failing_endpoint import Failure
@@ -58,6 +60,7 @@
         :param entries: the number of entries in each region
         :param rate: requests per second; at random by default
         """
+        self.seed = seed
         self.rng = random.Random(seed)
         self.deployment = Deployment(entries=entries)
         self.history = RetryHistory()
@@ -65,7 +68,7 @@
         self.violations: list[str] = []
         self.counts_by_status: dict[int, int] = collections.Counter()
         self.rate = rate or self.rng.choice(REQUEST_RATES)
-        self.endpoints = [
+        self.endpoints: Sequence[FailingEndpoint | CrashingEndpoint] = [
             FailingEndpoint(
                 rng=self.rng, service=service, zone=zone, history=self.history
             )
@@ -105,7 +108,9 @@
             )
             await asyncio.sleep(0.5)
 
-    async def _register(self, endpoint: FailingEndpoint) -> None:
+    async def _register(
+        self, endpoint: FailingEndpoint | CrashingEndpoint
+    ) -> None:
         registration = {
             "service": endpoint.service,
             "addr": endpoint.address,
@@ -149,6 +154,13 @@
 
     async def send_request(self) -> int:
         """Send a request to a random entry; return the status."""
+        return await self.send_to("/again/x")
+
+    async def send_to(self, target: str) -> int:
+        """Send a request to a random entry; return the status.
+
+        :param target: its path, which the route's prefix begins
+        """
         self._number += 1
         request_id = f"r{self._number}"
         services = tuple(s for s, weight in self._weights.items() if weight)
@@ -162,7 +174,7 @@
             "X-Deadline-Ms": str(DEADLINE_MS),
         }
         response = await self._connections.post(
-            entry.ip, CALLERS_PORT, "/again/x", headers
+            entry.ip, CALLERS_PORT, target, headers
         )
         self.counts_by_status[response.status] += 1
         is_refused = response.status in NOT_RUN_STATUSES
@@ -200,7 +212,7 @@
         while True:
             # Most endpoints reject at most times, which is the cheapest.
             common = self.rng.choice([Failure.REJECTS, *failures])
-            for endpoint in self.endpoints:
+            for endpoint in self._failing_endpoints():
                 other = self.rng.choice(list(Failure))
                 is_common = self.rng.random() < 0.7
                 endpoint.failure = common if is_common else other
@@ -258,9 +270,12 @@
 
     def set_failure(self, failure: Failure) -> None:
         """Let all endpoints fail every request in the same way."""
-        for endpoint in self.endpoints:
+        for endpoint in self._failing_endpoints():
             endpoint.failure = failure
 
+    def _failing_endpoints(self) -> list[FailingEndpoint]:
+        return [e for e in self.endpoints if isinstance(e, FailingEndpoint)]
+
     async def change_weights(self) -> None:
         """Lead requests to the services in another proportion."""
         self._weights = {"s": 1, "t": self.rng.choice([0, 1, 4])}
@@ -326,13 +341,24 @@
     :param faults: what happens instead of random faults
     """
     soak = RetrySoak(seed, entries=entries, rate=rate)
+    return await run_soak(soak, seconds=seconds, logs=logs, faults=faults)
+
+
+async def run_soak(
+    soak: RetrySoak,
+    *,
+    seconds: float,
+    logs: pathlib.Path | None,
+    faults: Callable[[RetrySoak], Awaitable[None]] | None,
+) -> Result:
+    """Run a soak; the parameters are those of ``run_retry_seed``."""
     tasks = [asyncio.create_task(soak.register_endpoints())]
     try:
         await soak.open()
         tasks.append(asyncio.create_task(soak.send_continuously()))
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds):
-                await (faults or RetrySoak.inject_faults)(soak)
+                await (faults(soak) if faults else soak.inject_faults())
         if logs is not None:
             _copy_logs(soak, logs)
     finally:
@@ -347,7 +373,7 @@
             f"{peak.ends_at:.2f}"
         )
     return Result(
-        seed=seed,
+        seed=soak.seed,
         violations=soak.check(),
         counts_by_status=dict(soak.counts_by_status),
         faults=soak.faults,
