Reject requests that crash endpoints, on all entries

Callers of a request that ends each endpoint that runs it sent it again, and each attempt cost up to as many endpoints as its route allows; all others lost what ran there. The pass-through took every attempt for a new request: the quarantine of the product's own interface stands under one of the two request paths only.

A request is now known by its fingerprint. An entry whose connections to an endpoint are lost under requests connects to it once more: if that is refused while another endpoint is reached, or a later incarnation registers at the address, the endpoint has crashed, and each request that ran there is a suspect. Control VMs and entries merge these records in the messages that they exchange anyway; only the third crash of a request is pushed to all. A completed run clears a suspect. Three crashes quarantine it, unless another one ran beside it each time; these run apart until one is cleared. A quarantined request is rejected as not run, without Retry-After, also between attempts, after waiting and by the other region's word. It had been 422 in the pass-through's table of statuses, which nothing used: callers take 503 for the promise that it has not run.

Ruled out: a 421 as evidence.

--- a/burdockdrum/gateway/assembly.py
+++ b/burdockdrum/gateway/assembly.py
@@ -4,6 +4,7 @@
 
 import burdockdrum.callers
 import burdockdrum.configuration
+import burdockdrum.crashes
 import burdockdrum.endpoints
 from burdockdrum.gateway.base import make_kernel
 import burdockdrum.holdings
@@ -28,6 +29,7 @@
     burdockdrum.callers,
     burdockdrum.vms,
     burdockdrum.quotas,
+    burdockdrum.crashes,
     burdockdrum.registrations,
     burdockdrum.holdings,
     burdockdrum.passthrough,
--- a/burdockdrum/http1/client.py
+++ b/burdockdrum/http1/client.py
@@ -27,7 +27,15 @@
 
 
 class NotConnected(Exception):
-    """The connection failed; no byte of the request was sent."""
+    """The connection failed; no byte of the request was sent.
+
+    ``is_refused`` says that the peer's machine answered that nothing listens.
+    """
+
+    def __init__(self, reason: str, *, is_refused: bool = False) -> None:
+        """Create it with a reason."""
+        super().__init__(reason)
+        self.is_refused = is_refused
 
 
 class ResponseLost(Exception):
@@ -304,7 +312,10 @@
                     int(port),
                 )
         except (OSError, TimeoutError, ValueError) as error:
-            raise NotConnected(f"{address}: {error!r}") from error
+            raise NotConnected(
+                f"{address}: {error!r}",
+                is_refused=isinstance(error, ConnectionRefusedError),
+            ) from error
         self._change_open_count(address, 1)
         connection.on_lost = lambda: self._change_open_count(address, -1)
         return connection
--- a/burdockdrum/passthrough/protocol/header_names.py
+++ b/burdockdrum/passthrough/protocol/header_names.py
@@ -66,6 +66,8 @@
 HOP_USED_ATTEMPTS = b"x-burdockdrum-runs"
 # On a refusal: an endpoint of the other region may have got the request.
 HOP_REACHED = b"x-burdockdrum-reached"
+# On a refusal: the request crashes endpoints, and no region should run it.
+HOP_QUARANTINED = b"x-burdockdrum-quarantined"
 # For a request that may have run when its deadline passed.
 TIMED_OUT_STATUS = 504
 HOP_HEADERS = frozenset(
@@ -77,6 +79,7 @@
         HOP_TEAM,
         HOP_USED_ATTEMPTS,
         HOP_REACHED,
+        HOP_QUARANTINED,
         VERDICT,
     }
 )
--- a/burdockdrum/passthrough/protocol/model.py
+++ b/burdockdrum/passthrough/protocol/model.py
@@ -88,7 +88,8 @@
     ``region_retry_after`` is the shortest time in seconds after which another
     region wants the request to return, None if no region said so.
     ``may_wait`` says that the request can wait at this entry for a shorter
-    queue.
+    queue. ``avoided`` are endpoints that should not run it beside other
+    suspects of crashes; with ``must_avoid`` they must not.
     ``has_requested_work`` says that its work has been recorded for its team,
     and ``is_within_share`` whether its team's share covers it, None if not
     asked.
@@ -113,6 +114,8 @@
     permit: PermitResult | None = None
     region_retry_after: float | None = None
     may_wait: bool = False
+    avoided: frozenset[str] = frozenset()
+    must_avoid: bool = False
     has_requested_work: bool = False
     is_within_share: bool | None = None
 
@@ -201,6 +204,8 @@
     ``reached`` says whether an endpoint got it, ``withheld`` that the
     request was not sent although the target could be connected to, and
     ``replaced`` that another incarnation has the endpoint's address.
+    ``quarantined`` says that another region rejects it as it crashes
+    endpoints.
     """
 
     log_name: ClassVar[str] = "NotStarted"
@@ -209,6 +214,7 @@
     reached: bool
     withheld: bool = False
     replaced: bool = False
+    quarantined: bool = False
     retry_after: float | None = None
 
 
@@ -216,14 +222,16 @@
 class Lost:
     """The attempt may have run but gave no complete response.
 
-    ``timed_out`` says that the deadline passed. ``runs`` is how many attempts
-    the other region made, None if it did not report it.
+    ``timed_out`` says that the deadline passed, ``is_broken`` that the
+    connection ended first or nothing was received. ``runs`` is how many
+    attempts the other region made, None if it did not report it.
     """
 
     log_name: ClassVar[str] = "Lost"
 
     reason: str
     timed_out: bool = False
+    is_broken: bool = False
     runs: int | None = None
 
 
--- a/burdockdrum/passthrough/protocol/refusal_responses.py
+++ b/burdockdrum/passthrough/protocol/refusal_responses.py
@@ -18,9 +18,10 @@
     RefusalCode.BAD_REQUEST: 400,
     RefusalCode.UNAUTHENTICATED: 401,
     RefusalCode.NOT_FOUND: 404,
-    RefusalCode.QUARANTINED: 422,
 }
 NOT_RUN_STATUS = 503
+# Rejected without a time to come back, as no later attempt would be served.
+_FINAL_CODES = frozenset({RefusalCode.QUARANTINED})
 QUOTA_EXCEEDED_STATUS = 429
 MAYBE_RUN_STATUS = 502
 # Statuses by which callers conclude that the request has not run.
@@ -52,7 +53,7 @@
     """
     status = status_of(refusal)
     headers = [*identity, (b"content-type", b"text/plain; charset=utf-8")]
-    if status in NOT_RUN_STATUSES:
+    if status in NOT_RUN_STATUSES and refusal.code not in _FINAL_CODES:
         seconds = refusal.retry_after or DEFAULT_RETRY_AFTER_SECONDS
         headers.append((b"retry-after", b"%.2f" % seconds))
     if to_vm:
--- a/burdockdrum/passthrough/protocol/responses.py
+++ b/burdockdrum/passthrough/protocol/responses.py
@@ -13,6 +13,7 @@
 from burdockdrum.http1 import ResponseLost
 from burdockdrum.passthrough.protocol.header_names import HeaderNames
 from burdockdrum.passthrough.protocol.header_names import HOP_HEADERS
+from burdockdrum.passthrough.protocol.header_names import HOP_QUARANTINED
 from burdockdrum.passthrough.protocol.header_names import HOP_REACHED
 from burdockdrum.passthrough.protocol.header_names import HOP_USED_ATTEMPTS
 from burdockdrum.passthrough.protocol.header_names import TIMED_OUT_STATUS
@@ -126,6 +127,7 @@
         return NotStarted(
             reason="refused by the other region",
             reached=head.find(HOP_REACHED) is not None,
+            quarantined=head.find(HOP_QUARANTINED) is not None,
             retry_after=_parse_retry_after(head),
         )
     return Lost(
--- a/burdockdrum/passthrough/relaying/__init__.py
+++ b/burdockdrum/passthrough/relaying/__init__.py
@@ -2,6 +2,9 @@
 
 from burdockdrum.passthrough.relaying.attempt_timeouts import AttemptTimeouts
 from burdockdrum.passthrough.relaying.attempts import AttemptRunner
+from burdockdrum.passthrough.relaying.attempts import CONNECT_TIMEOUT_SECONDS
+from burdockdrum.passthrough.relaying.crash_detector import CrashDetector
+from burdockdrum.passthrough.relaying.crash_guard import CrashGuard
 from burdockdrum.passthrough.relaying.relay import Relay
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
 from burdockdrum.passthrough.relaying.server import PassThroughServer
@@ -9,6 +12,9 @@
 __all__ = [
     "AttemptRunner",
     "AttemptTimeouts",
+    "CONNECT_TIMEOUT_SECONDS",
+    "CrashDetector",
+    "CrashGuard",
     "PassThroughServer",
     "Relay",
     "RetryCharges",
--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -34,6 +34,7 @@
 from burdockdrum.passthrough.protocol import ResumableEventSplitter
 from burdockdrum.passthrough.protocol import Target
 from burdockdrum.passthrough.relaying.attempt_timeouts import AttemptTimeouts
+from burdockdrum.passthrough.relaying.crash_detector import CrashDetector
 from burdockdrum.passthrough.relaying.in_flight_calls import Call
 from burdockdrum.passthrough.relaying.in_flight_calls import InFlightCalls
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
@@ -41,6 +42,7 @@
 from burdockdrum.passthrough.selection import HOP_DELAY_SECONDS
 from burdockdrum.passthrough.state import EndpointHealth
 from burdockdrum.ports import Clock
+from burdockdrum.registrations import RegisteredEndpoint
 
 # Shorter than the one-second TCP retransmission timeout: after a lost packet
 # a new connection is faster than the retransmission. A connection opens in a
@@ -66,8 +68,10 @@
         timeouts: AttemptTimeouts,
         signals: ResponseSignals,
         retries: RetryCharges,
+        crashes: CrashDetector,
     ) -> None:
         """Create the runner with its connection pools and collaborators."""
+        self._crashes = crashes
         self._retries = retries
         self._signals = signals
         self._timeouts = timeouts
@@ -155,14 +159,22 @@
             in_flight_request=in_flight_request,
         )
         outcome: Outcome | None = None
+        suspect = self._crashes.begin_run(
+            lambda: request.fingerprint, endpoint.endpoint_id
+        )
         try:
             self._in_flight.add(endpoint.endpoint_id, call)
             outcome = await self._call(
                 call, request, progress, exchange, splitter
             )
             return outcome
+        except ResponseTruncated:
+            self._crashes.record_lost(request.fingerprint, endpoint)
+            raise
         finally:
             self._in_flight.remove(endpoint.endpoint_id, call)
+            self._crashes.end_run(suspect, endpoint.endpoint_id)
+            self._record_evidence(endpoint, request, outcome, call.sent_at)
             whole = isinstance(outcome, Delivered)
             self._fleet.record_end(
                 in_flight_request, request.backend, whole=whole
@@ -171,6 +183,22 @@
             if isinstance(outcome, NotStarted) and outcome.replaced:
                 self._fleet.remove_incarnation(endpoint)
 
+    def _record_evidence(
+        self,
+        endpoint: RegisteredEndpoint,
+        request: ProxiedRequest,
+        outcome: Outcome | None,
+        sent_at: float,
+    ) -> None:
+        """Record what an attempt says about a crash of its endpoint."""
+        match outcome:
+            case Lost(is_broken=True):
+                self._crashes.record_lost(request.fingerprint, endpoint)
+            case Delivered():
+                self._crashes.record_response(
+                    endpoint.endpoint_id, lambda: request.fingerprint, sent_at
+                )
+
     async def _forward_to_region(
         self,
         target: RegionTarget,
@@ -230,7 +258,7 @@
         progress.retry_grant = None
         if isinstance(call.target, EndpointTarget):
             progress.has_arrived = True
-        began = self._clock.monotonic()
+        began = call.sent_at = self._clock.monotonic()
         try:
             connection.send(call.encode(), request.request_id.encode())
             async with asyncio.timeout(left) as call.timeout:
@@ -244,9 +272,15 @@
             if call.abort_reason is not None:
                 waited = self._clock.monotonic() - began
                 reason = f"{call.abort_reason} after {waited:.2f} s"
-                return Lost(reason=reason)
-            return Lost(reason="the deadline has passed", timed_out=True)
-        except (ResponseLost, InvalidEventStream) as error:
+                return Lost(reason=reason, is_broken=True)
+            return Lost(
+                reason="the deadline has passed",
+                timed_out=True,
+                is_broken=True,
+            )
+        except ResponseLost as error:
+            return Lost(reason=str(error), is_broken=True)
+        except InvalidEventStream as error:
             return Lost(reason=str(error))
         finally:
             call.disarm_watchdog()
--- /dev/null
+++ b/burdockdrum/passthrough/relaying/crash_guard.py
@@ -0,0 +1,106 @@
+"""Rejects requests that crash endpoints, and keeps suspects apart."""
+
+from burdockdrum.crashes import Standing
+from burdockdrum.http1 import Exchange
+from burdockdrum.metrics import Metrics
+from burdockdrum.passthrough.protocol import Lost
+from burdockdrum.passthrough.protocol import NotStarted
+from burdockdrum.passthrough.protocol import Outcome
+from burdockdrum.passthrough.protocol import ProxiedRequest
+from burdockdrum.passthrough.protocol import RequestProgress
+from burdockdrum.passthrough.protocol import ResponseTruncated
+from burdockdrum.passthrough.relaying.crash_detector import CrashDetector
+from burdockdrum.verdicts import Refusal
+from burdockdrum.verdicts import RefusalCode
+
+# Crashes after which a request should run where no other suspect does.
+MIN_CRASHES_APART = 2
+# When a request returns that waits for another suspect's run to end.
+APART_RETRY_AFTER_SECONDS = 0.5
+
+
+class CrashGuard:
+    """Decides whether and beside which others a request may run."""
+
+    def __init__(self, *, detector: CrashDetector, metrics: Metrics) -> None:
+        """Create it for the crashes that an entry knows."""
+        self._detector = detector
+        self._decisions_total = metrics.counter(
+            "burdockdrum_crash_decisions_total",
+            "Requests rejected or kept apart because endpoints crashed.",
+        )
+
+    def check(
+        self,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        exchange: Exchange,
+    ) -> None:
+        """Check a request before its next attempt.
+
+        :raises Refusal: if it must not run, or not now
+        :raises ResponseTruncated: the same, if its response has begun
+        """
+        progress.avoided, progress.must_avoid = frozenset(), False
+        assessment = self._detector.assess(lambda: request.fingerprint)
+        if assessment is None or assessment.standing is Standing.CLEAR:
+            return
+        fingerprint = request.fingerprint
+        if assessment.standing is Standing.QUARANTINED:
+            reason = f"{fingerprint}: {assessment.describe()}"
+            self._reject(progress, exchange, reason)
+        if len(assessment.crashes) < MIN_CRASHES_APART:
+            return
+        progress.avoided = frozenset(self._detector.list_shared(fingerprint))
+        progress.must_avoid = assessment.standing is Standing.CONTESTED
+        if progress.must_avoid and self._detector.is_contested_running(
+            fingerprint
+        ):
+            self._decisions_total.increment(decision="postponed")
+            self._raise(
+                exchange,
+                Refusal(
+                    code=RefusalCode.OVERLOADED,
+                    message=f"{fingerprint} runs apart from another request "
+                    "that may crash endpoints",
+                    verdict=progress.verdict,
+                    retry_after=APART_RETRY_AFTER_SECONDS,
+                ),
+            )
+
+    async def check_outcome(
+        self,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        exchange: Exchange,
+        outcome: Outcome,
+    ) -> None:
+        """Check a request after an attempt that failed.
+
+        :raises Refusal: if it must not run again
+        :raises ResponseTruncated: the same, if its response has begun
+        """
+        match outcome:
+            case NotStarted(quarantined=True):
+                self._reject(
+                    progress, exchange, "another region rejects the request"
+                )
+            case Lost(is_broken=True):
+                await self._detector.settle(request.fingerprint)
+                self.check(request, progress, exchange)
+
+    def _reject(
+        self, progress: RequestProgress, exchange: Exchange, reason: str
+    ) -> None:
+        self._decisions_total.increment(decision="rejected")
+        refusal = Refusal(
+            code=RefusalCode.QUARANTINED,
+            message=reason,
+            verdict=progress.verdict,
+        )
+        self._raise(exchange, refusal)
+
+    def _raise(self, exchange: Exchange, refusal: Refusal) -> None:
+        if exchange.started:
+            raise ResponseTruncated(refusal.message)
+        raise refusal
--- a/burdockdrum/passthrough/relaying/relay.py
+++ b/burdockdrum/passthrough/relaying/relay.py
@@ -14,6 +14,7 @@
 from burdockdrum.passthrough.protocol import EndpointTarget
 from burdockdrum.passthrough.protocol import ErrorResponse
 from burdockdrum.passthrough.protocol import HeaderNames
+from burdockdrum.passthrough.protocol import HOP_QUARANTINED
 from burdockdrum.passthrough.protocol import HOP_REACHED
 from burdockdrum.passthrough.protocol import HOP_USED_ATTEMPTS
 from burdockdrum.passthrough.protocol import Lost
@@ -33,6 +34,7 @@
 from burdockdrum.passthrough.protocol import Target
 from burdockdrum.passthrough.relaying.attempts import AttemptRunner
 from burdockdrum.passthrough.relaying.attempts import forwarded_attempts
+from burdockdrum.passthrough.relaying.crash_guard import CrashGuard
 from burdockdrum.passthrough.relaying.request_log import log_attempt
 from burdockdrum.passthrough.relaying.request_log import log_disconnect
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
@@ -72,6 +74,7 @@
         meter: QuotaMeter,
         permits: LimitPermits,
         holder: RequestHolder,
+        crash_guard: CrashGuard,
         mechanisms: MechanismSettings | None = None,
     ) -> None:
         """Create the service.
@@ -83,6 +86,7 @@
         self._meter = meter
         self._permits = permits
         self._holder = holder
+        self._crash_guard = crash_guard
         self._drain = drain
         self._clock = clock
         self._names = names
@@ -185,6 +189,7 @@
     ) -> None:
         splitter = ResumableEventSplitter(last_number=request.last_event)
         while True:
+            self._crash_guard.check(request, progress, exchange)
             try:
                 target = await self._select(request, progress)
             except Refusal as refusal:
@@ -194,6 +199,8 @@
                     request, progress, exchange, refusal
                 )
                 return
+            # The request may have waited in the line meanwhile.
+            self._crash_guard.check(request, progress, exchange)
             progress.permit = None
             progress.target = target
             if isinstance(target, EndpointTarget):
@@ -209,6 +216,9 @@
             if isinstance(outcome, Delivered):
                 return
             self._record_outcome(target, request, progress, outcome)
+            await self._crash_guard.check_outcome(
+                request, progress, exchange, outcome
+            )
             if not await self._may_retry(request, progress, outcome):
                 self._finish_failed(request, progress, exchange, outcome)
                 return
@@ -416,6 +426,8 @@
             identity.append((HOP_USED_ATTEMPTS, b"%d" % progress.runs))
             if progress.has_arrived:
                 identity.append((HOP_REACHED, b"1"))
+            if refusal.code is RefusalCode.QUARANTINED:
+                identity.append((HOP_QUARANTINED, b"1"))
         send_refusal(exchange, refusal, identity, to_vm=is_hop)
 
     def _report_attempt(
--- a/burdockdrum/passthrough/relaying/server.py
+++ b/burdockdrum/passthrough/relaying/server.py
@@ -4,6 +4,7 @@
 
 from burdockdrum.http1 import ConnectionPool
 from burdockdrum.http1 import Listener
+from burdockdrum.passthrough.relaying.crash_detector import CrashDetector
 from burdockdrum.passthrough.selection import Fleet
 from burdockdrum.passthrough.state import EndpointLimits
 from burdockdrum.passthrough.state import RequestedBackoffs
@@ -38,8 +39,10 @@
         registrations: RegistrationFollower,
         drain: Drain,
         holder: RequestHolder,
+        crashes: CrashDetector,
     ) -> None:
         """Create a server; ``run`` opens its listeners."""
+        self._crashes = crashes
         self._clock = clock
         self._callers = callers
         self._vms = vms
@@ -84,6 +87,7 @@
         self._callers.draining = self._drain.state is not DrainState.SERVING
         self._update_entries()
         self._budget.update()
+        self._crashes.update()
         self._fleet.remove_ended()
         self._limits.remove_ended()
         self._backoffs.remove_ended()
--- a/burdockdrum/passthrough/selection/targets.py
+++ b/burdockdrum/passthrough/selection/targets.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Set
 from dataclasses import replace
 import random
 
@@ -310,13 +311,27 @@
     ) -> RatedEndpoint | None:
         if not self._may_run_here(request):
             return None
+        if progress.avoided:
+            apart = self._choose_untried(
+                request, progress, progress.tried | progress.avoided
+            )
+            if apart is not None or progress.must_avoid:
+                return apart
+        return self._choose_untried(request, progress, progress.tried)
+
+    def _choose_untried(
+        self,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        tried: Set[str],
+    ) -> RatedEndpoint | None:
         permit = progress.permit
         return self._fleet.choose(
             route=request.route,
             backend=request.backend,
             prompt=request.prompt,
             seconds_left=request.deadline - self._clock.monotonic(),
-            tried=frozenset(progress.tried),
+            tried=frozenset(tried),
             closed_data_centres=self._read_closed_data_centres(),
             body_bytes=len(request.head.body),
             permitted=permit.endpoint_id if permit is not None else None,
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -6,6 +6,7 @@
 
 from burdockdrum.callers import CallerFinder
 from burdockdrum.configuration import ConfigurationService
+from burdockdrum.crashes import CrashLedger
 from burdockdrum.fairness import FairShares
 from burdockdrum.fairness import weight_of
 from burdockdrum.holdings import PrefixCachePoller
@@ -24,6 +25,9 @@
 from burdockdrum.passthrough.protocol import ResponseSignals
 from burdockdrum.passthrough.relaying import AttemptRunner
 from burdockdrum.passthrough.relaying import AttemptTimeouts
+from burdockdrum.passthrough.relaying import CONNECT_TIMEOUT_SECONDS
+from burdockdrum.passthrough.relaying import CrashDetector
+from burdockdrum.passthrough.relaying import CrashGuard
 from burdockdrum.passthrough.relaying import PassThroughServer
 from burdockdrum.passthrough.relaying import Relay
 from burdockdrum.passthrough.relaying import RetryCharges
@@ -80,6 +84,7 @@
     kernel.add("retry_budget", _build_budget)
     kernel.add("retry_loans", _build_loans)
     kernel.add("retry_charges", _build_charges)
+    kernel.add("crash_detector", _build_crash_detector)
     kernel.add("attempts", _build_attempt_runner)
     kernel.add("relay", _build_relay)
     kernel.add("passthrough", _build_server)
@@ -337,6 +342,29 @@
     )
 
 
+def _build_crash_detector(kernel: Kernel) -> CrashDetector:
+    pool = kernel.find("endpoint_pool", ConnectionPool)
+    registrations = kernel.find("registrations", RegistrationFollower)
+
+    async def probe(address: str) -> None:
+        connection = await pool.acquire(
+            address, timeout=CONNECT_TIMEOUT_SECONDS
+        )
+        pool.release(address, connection, max_idle=1)
+
+    detector = CrashDetector(
+        clock=kernel.find("clock", Clock),
+        rng=kernel.find("random", random.Random),
+        ledger=kernel.find("crash_ledger", CrashLedger),
+        vm_id=kernel.find("identity", VmIdentity).vm_id,
+        read_endpoints=lambda: registrations.endpoints_by_id,
+        probe=probe,
+        metrics=kernel.find("metrics", Metrics),
+    )
+    registrations.restart_listeners.append(detector.record_replaced)
+    return detector
+
+
 def _build_attempt_runner(kernel: Kernel) -> AttemptRunner:
     names = kernel.find("header_names", HeaderNames)
     retries = kernel.find("retry_charges", RetryCharges)
@@ -360,6 +388,7 @@
         ),
         signals=kernel.find("response_signals", ResponseSignals),
         retries=retries,
+        crashes=kernel.find("crash_detector", CrashDetector),
     )
     registrations = kernel.find("registrations", RegistrationFollower)
     registrations.restart_listeners.append(runner.abort_incarnation)
@@ -392,6 +421,10 @@
         meter=kernel.find("quota_meter", QuotaMeter),
         permits=kernel.find("limit_permits", LimitPermits),
         holder=kernel.find("waiting_requests", RequestHolder),
+        crash_guard=CrashGuard(
+            detector=kernel.find("crash_detector", CrashDetector),
+            metrics=kernel.find("metrics", Metrics),
+        ),
         mechanisms=kernel.find("settings", Settings).policy.mechanisms,
     )
 
@@ -431,4 +464,5 @@
         registrations=kernel.find("registrations", RegistrationFollower),
         drain=kernel.find("drain", Drain),
         holder=kernel.find("waiting_requests", RequestHolder),
+        crashes=kernel.find("crash_detector", CrashDetector),
     )
--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -4,10 +4,14 @@
 of an endpoint is current where control VMs disagree.
 """
 
+import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
 import random
 
+from burdockdrum.crashes import CrashExchange
+from burdockdrum.crashes import CrashLedger
+from burdockdrum.crashes import SHARE_DELAY_SECONDS
 from burdockdrum.logs import log_decision
 from burdockdrum.peers import Message
 from burdockdrum.peers import Peers
@@ -57,6 +61,7 @@
         control_addresses: Callable[[], Mapping[str, str]],
         read_report: Callable[[], LoadById | None] = dict,
         on_revision: Callable[[str, int], None] = lambda *_: None,
+        crashes: CrashLedger | None = None,
     ) -> None:
         """Register the message handler; polling starts with ``run``.
 
@@ -65,6 +70,8 @@
             if another entry reports it
         :param on_revision: called with a control VM's address and the
             revision of its configuration
+        :param crashes: the crashes that this entry knows; a ledger of its
+            own by default
         """
         self.endpoints_by_id: dict[str, RegisteredEndpoint] = {}
         self.read_report = read_report
@@ -80,6 +87,8 @@
         self._rng = rng
         self._control_addresses = control_addresses
         self._on_revision = on_revision
+        self._crashes = crashes or CrashLedger(clock=clock)
+        self._crash_exchange = CrashExchange(ledger=self._crashes)
         self._sources_by_id: dict[str, ControlSource] = {}
         self._ended_at_by_id: dict[str, float] = {}
         self._incarnations = LatestIncarnations()
@@ -171,6 +180,20 @@
 
     async def run(self) -> None:
         """Poll every control VM until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._poll())
+            group.create_task(self._share_crashes())
+
+    async def _share_crashes(self) -> None:
+        """Report crashes that control VMs don't know, without a poll."""
+        while True:
+            await self._crash_exchange.wait_until_unknown()
+            await self._clock.sleep(SHARE_DELAY_SECONDS)
+            for vm_id, address in self._control_addresses().items():
+                if self._crash_exchange.list_unknown(vm_id):
+                    self._watch(vm_id, address, None, is_acknowledgement=True)
+
+    async def _poll(self) -> None:
         while True:
             report = self.read_report()
             for vm_id, address in self._control_addresses().items():
@@ -211,6 +234,8 @@
             sent_at_ms=int(self._clock.monotonic() * 1000),
             roster_version=source.roster_version,
             drains=self._drains.list_unknown(source.endpoints_by_id),
+            crashes=self._crash_exchange.list_unknown(vm_id),
+            crash_serial=self._crash_exchange.serial_of(vm_id),
         )
         self._peers.send(address, message)
 
@@ -231,6 +256,7 @@
             return None
         if message.epoch > source.epoch:
             source.begin_epoch(message.epoch, now + STALE_GRACE_SECONDS)
+            self._crash_exchange.begin_epoch(sender.vm_id)
         source.received_at = now
         self._on_revision(sender.address, message.revision)
         self._entry_counts_by_id[sender.vm_id] = (
@@ -238,6 +264,12 @@
             message.total_entries,
         )
         self._receive_roster(sender.vm_id, source, message)
+        self._crash_exchange.receive(
+            sender.vm_id,
+            message.crashes,
+            base=message.crash_base,
+            serial=message.crash_serial,
+        )
         if message.capacities is not None:
             source.capacities = message.capacities
         if message.base_serial <= source.serial <= message.serial:
@@ -392,6 +424,7 @@
 
     def _prune(self) -> None:
         now = self._clock.monotonic()
+        self._crashes.prune()
         self._drains.prune(self.endpoints_by_id, now)
         for source in self._sources_by_id.values():
             for endpoint_id, until in list(source.stale_until_by_id.items()):
--- a/burdockdrum/registrations/messages.py
+++ b/burdockdrum/registrations/messages.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from burdockdrum.crashes import CrashRecord
 from burdockdrum.peers import Message
 from burdockdrum.registrations.incarnations import UNKNOWN_INCARNATION
 from burdockdrum.registrations.loads import RankLoad
@@ -98,7 +99,9 @@
     the control VM sends no answer. ``limits`` are those that the control VM
     doesn't know yet, and ``drains`` the ids of endpoints that announced to
     drain. ``sent_at_ms`` is in milliseconds by the entry's
-    monotonic clock; ``roster_version`` is the last one received.
+    monotonic clock; ``roster_version`` is the last one received. ``crashes``
+    are records that the control VM may not know, ``crash_serial`` is the last
+    change of its own that the entry received.
     """
 
     region: str
@@ -110,6 +113,8 @@
     sent_at_ms: int = 0
     roster_version: int = 0
     drains: list[str] = []
+    crashes: list[CrashRecord] = []
+    crash_serial: int = 0
 
 
 class PlacedPrefix(msgspec.Struct, frozen=True, array_like=True):
@@ -222,6 +227,8 @@
     the region, None if unchanged since the version that the entry reported;
     ``roster_version`` is 0 if the control VM doesn't know them yet.
     ``watch_sent_at_ms`` repeats ``sent_at_ms`` of the entry's last message.
+    ``crashes`` are the records of crashes that were changed after the serial
+    ``crash_base``, up to ``crash_serial``.
     """
 
     wire_kind: ClassVar[str | None] = "registrations.Watched"
@@ -237,3 +244,6 @@
     watch_sent_at_ms: int = 0
     roster_version: int = 0
     entries: list[RosterEntry] | None = None
+    crashes: list[CrashRecord] = []
+    crash_base: int = 0
+    crash_serial: int = 0
--- a/burdockdrum/registrations/publisher.py
+++ b/burdockdrum/registrations/publisher.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from burdockdrum.crashes import CrashLedger
 from burdockdrum.logs import log_decision
 from burdockdrum.peers import Message
 from burdockdrum.peers import Peers
@@ -33,6 +34,8 @@
 ACK_TIMEOUT_SECONDS = 0.4
 # Entries report their load twice a second; older reports are not used.
 MAX_LOAD_AGE_SECONDS = 2.0
+# Records of crashes in one message.
+MAX_CRASH_RECORDS = 200
 # Entries divide shared limits by this count. It is high rather than low: an
 # entry that is only partitioned still uses its share.
 ENTRY_COUNT_WINDOW_SECONDS = 20.0
@@ -53,6 +56,7 @@
     serial: int
     received_at: float
     roster_version: int = 0
+    crash_serial: int = 0
     watch_sent_at_ms: int = 0
     sent_serial: int = 0
     sent_at: float = float("-inf")
@@ -77,8 +81,15 @@
         table: RegistrationTable,
         regions_by_data_centre: Mapping[str, str],
         read_revision: Callable[[], int],
+        crashes: CrashLedger | None = None,
     ) -> None:
-        """Register the message handler and listen for changes."""
+        """Register the message handler and listen for changes.
+
+        :param crashes: the crashes that this VM knows; a ledger of its own by
+            default
+        """
+        self._crashes = crashes or CrashLedger(clock=clock)
+        self._crashes.quarantine_listeners.append(self._publish_quarantine)
         self._peers = peers
         self._clock = clock
         self._table = table
@@ -93,6 +104,7 @@
         """Expire endpoints and resend lost changes until cancelled."""
         while True:
             self._table.prune()
+            self._crashes.prune()
             self._resend_unacknowledged()
             await self._clock.sleep(PRUNE_INTERVAL_SECONDS)
 
@@ -132,11 +144,14 @@
         watcher.roster_version = (
             message.roster_version if is_same_epoch else NO_ROSTER_VERSION
         )
+        watcher.crash_serial = message.crash_serial if is_same_epoch else 0
         watcher.watch_sent_at_ms = message.sent_at_ms
         watcher.received_at = now
         self._rosters.record(sender.vm_id, sender.address, message.region)
         self._record_limits(sender, message.limits)
         self._record_drains(sender, message.drains)
+        for record in message.crashes:
+            self._crashes.merge(record)
         if message.load_by_id is not None:
             watcher.load_by_id, watcher.load_received_at = (
                 message.load_by_id,
@@ -170,6 +185,10 @@
                     about_vm=sender.vm_id,
                 )
 
+    def _publish_quarantine(self, fingerprint: str) -> None:
+        for watcher in self._live_watchers():
+            self._send(watcher, with_capacities=False)
+
     def _publish_change(self, registration: Registration) -> None:
         region = self._regions_by_data_centre.get(registration.data_centre)
         is_for_all_regions = registration.data_centre == ANY_DATA_CENTRE
@@ -210,6 +229,9 @@
         table = self._table
         roster = self._rosters.read(watcher.region)
         is_known = roster.version == watcher.roster_version
+        crashes, crash_serial = self._crashes.records_after(
+            watcher.crash_serial, MAX_CRASH_RECORDS
+        )
         message = RegistrationUpdate(
             epoch=self._peers.identity.incarnation,
             base_serial=watcher.serial,
@@ -222,6 +244,9 @@
             watch_sent_at_ms=watcher.watch_sent_at_ms,
             roster_version=roster.version,
             entries=None if is_known else list(roster.entries),
+            crashes=crashes,
+            crash_base=watcher.crash_serial,
+            crash_serial=crash_serial,
         )
         self._peers.send(watcher.address, message)
 
--- a/burdockdrum/registrations/services.py
+++ b/burdockdrum/registrations/services.py
@@ -3,6 +3,7 @@
 import random
 
 from burdockdrum.configuration import ConfigurationService
+from burdockdrum.crashes import CrashLedger
 from burdockdrum.kernel import Kernel
 from burdockdrum.peers import Peers
 from burdockdrum.peers import VmIdentity
@@ -49,6 +50,7 @@
         table=kernel.find("registration_book", RegistrationTable),
         regions_by_data_centre=settings.topology.regions_by_data_centre,
         read_revision=lambda: configuration.current.revision,
+        crashes=kernel.find("crash_ledger", CrashLedger),
     )
 
 
@@ -60,6 +62,7 @@
         rng=kernel.find("random", random.Random),
         control_addresses=lambda: configuration.control_addresses,
         on_revision=configuration.handle_peer_revision,
+        crashes=kernel.find("crash_ledger", CrashLedger),
     )
 
 
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 
+from burdockdrum.crashes import CrashLedger
 from burdockdrum.http1 import ConnectionPool
 from burdockdrum.http1 import Listener
 from burdockdrum.metrics import Metrics
@@ -21,6 +22,8 @@
 from burdockdrum.passthrough.protocol.route_index import RouteIndex
 from burdockdrum.passthrough.relaying.attempt_timeouts import AttemptTimeouts
 from burdockdrum.passthrough.relaying.attempts import AttemptRunner
+from burdockdrum.passthrough.relaying.crash_detector import CrashDetector
+from burdockdrum.passthrough.relaying.crash_guard import CrashGuard
 from burdockdrum.passthrough.relaying.relay import Relay
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
 from burdockdrum.passthrough.selection.fleet import Fleet
@@ -261,6 +264,21 @@
             backoffs=backoffs,
             drains=DrainAnnouncements(metrics=metrics, record=drain_endpoint),
         )
+
+        async def probe(address):
+            connection = await pools[0].acquire(address, timeout=0.4)
+            pools[0].release(address, connection)
+
+        ledger = CrashLedger(clock=clock)
+        detector = CrashDetector(
+            clock=clock,
+            rng=rng,
+            ledger=ledger,
+            vm_id=f"vm-{region}",
+            read_endpoints=lambda: registered,
+            probe=probe,
+            metrics=metrics,
+        )
         runner = AttemptRunner(
             clock=clock,
             fleet=fleet,
@@ -275,6 +293,7 @@
             ),
             signals=signals,
             retries=retries,
+            crashes=detector,
         )
         permits = LimitPermits(
             clock=clock,
@@ -321,10 +340,12 @@
             meter=meter,
             permits=permits,
             holder=holder,
+            crash_guard=CrashGuard(detector=detector, metrics=metrics),
         )
         entry = Entry(region, relay, runner, fleet, capacities)
         entry.metrics, entry.holder, entry.drain = metrics, holder, drain
         entry.meter = meter
+        entry.detector, entry.ledger = detector, ledger
         entry.limits, entry.permits = limits, permits
         entry.budget, entry.signals = budget, signals
         entry.backoffs, entry.registered = backoffs, registered
--- a/tests/passthrough/relaying/test_server.py
+++ b/tests/passthrough/relaying/test_server.py
@@ -27,6 +27,7 @@
             registrations=registrations,
             drain=mock.Mock(),
             holder=mock.Mock(),
+            crashes=mock.Mock(),
         )
         registrations.region_entries = 7
         for listener in registrations.listeners:
