--- a/burdockdrum/crashes/exchange.py
+++ b/burdockdrum/crashes/exchange.py
@@ -59,9 +59,7 @@
         records: list[CrashRecord] = []
         for key in list(source.unknown):
             record = self._ledger.find(key)
-            if record is None:
-                source.unknown.discard(key)
-            elif record.is_cleared and key not in self._shared:
+            if record is None or record.is_cleared and key not in self._shared:
                 source.unknown.discard(key)
             elif record.age >= SHARE_DELAY_SECONDS:
                 records.append(record)
