Reproduce requests beyond a slow start, red

Entries spread their first requests to an endpoint in slow start at random, so that now and then too many come in the same second. The only endpoint of the other tests has no such second.

--- a/tests/registrations/test_slow_start_over_entries.py
+++ b/tests/registrations/test_slow_start_over_entries.py
@@ -14,7 +14,7 @@
 
 
 class ColdRegion(LimitedRegion):
-    """A region whose only endpoint is in slow start."""
+    """A region whose endpoints are in slow start."""
 
     async def _send_continuously(self, name):
         follower = self.followers[name]
@@ -28,7 +28,8 @@
             for endpoint_id in follower.endpoints_by_id:
                 if gate.is_open(endpoint_id, RATE_PER_SECOND, entries):
                     gate.acquire(endpoint_id, RATE_PER_SECOND, entries)
-                    self.endpoint.arrivals.append((now, name))
+                    endpoint = self.endpoints[int(endpoint_id[1:])]
+                    endpoint.arrivals.append((now, name))
 
 
 class SlowStartTest(unittest.TestCase):
@@ -53,6 +54,19 @@
 
         return run_virtual(run())
 
+    def test_many_entries_keep_to_slow_start_of_many_endpoints(self):
+        # Guards against first requests that are spread at random, of which
+        # too many come in the same second at one endpoint of many.
+        async def run(seed):
+            world = ColdRegion(seed=seed, entries=30, endpoints=60)
+            world.send_interval = 0.1
+            await world.start_all(5)
+            await world.stop_all()
+            return max(e.busiest(1.0) for e in world.endpoints)
+
+        most = [run_virtual(run(seed)) for seed in range(3)]
+        self.assertLessEqual(max(most), MAX_IN_A_SECOND, most)
+
     def test_restart_of_all_entries_keeps_to_slow_start(self):
         # Guards against entries that believe to be alone after a restart.
         most = self.play(lambda world: world.entries, entries=7)
