--- a/burdockdrum/crashes/ledger.py
+++ b/burdockdrum/crashes/ledger.py
@@ -168,6 +168,18 @@
             seconds_left=self._seconds_left(fingerprint, endpoint_ids),
         )
 
+    def suspects(self) -> dict[str, Assessment]:
+        """Return how each request is treated that is not clear."""
+        assessments = {
+            fingerprint: self.assess(fingerprint)
+            for fingerprint in self._endpoints_by_fingerprint
+        }
+        return {
+            fingerprint: assessment
+            for fingerprint, assessment in assessments.items()
+            if assessment.standing is not Standing.CLEAR
+        }
+
     def records_after(
         self, serial: int, limit: int
     ) -> tuple[list[CrashRecord], int]:
--- a/tests/platform/test_faces.py
+++ b/tests/platform/test_faces.py
@@ -14,11 +14,13 @@
 
 from adapter.faces import DirectoryHandlers  # noqa: E402
 from adapter.faces import OperatorHandlers  # noqa: E402
+from adapter.faces import QuarantineHandlers  # noqa: E402
 from adapter.faces import Router  # noqa: E402
 from adapter.faces import RunnerHandlers  # noqa: E402
 
 from burdockdrum.configuration import ChangeOutcomeUnknown  # noqa: E402
 from burdockdrum.consensus import NotCurrent  # noqa: E402
+from burdockdrum.crashes import CrashLedger  # noqa: E402
 from burdockdrum.peers import VmIdentity  # noqa: E402
 from burdockdrum.registrations import RegistrationTable  # noqa: E402
 from burdockdrum.resources import ChangeResult  # noqa: E402
@@ -70,8 +72,12 @@
             ),
             rng=random.Random(1),
         )
+        self.ledger = CrashLedger(clock=ManualClock())
+        quarantine = QuarantineHandlers(ledger=self.ledger)
         router = Router(
             handlers={
+                "GET /quarantine": quarantine.list,
+                "DELETE /quarantine/": quarantine.lift,
                 "PUT /v1/config": operators.put_config,
                 "GET /v1/config": operators.get_config,
                 "POST /v1/evac/": operators.start_evacuation,
@@ -149,6 +155,20 @@
         status, _ = await self.call("POST", "/v1/evac/")
         self.assertEqual(404, status)
 
+    async def test_quarantine_is_shown_and_lifted(self):
+        for endpoint_id in ("i-1", "i-2", "i-3"):
+            self.ledger.add("f", endpoint_id, "vm-1")
+        status, body = await self.call("GET", "/quarantine")
+        (shown,) = json.loads(body)
+        self.assertEqual(
+            (200, "f", "quarantined"),
+            (status, shown["fingerprint"], shown["standing"]),
+        )
+        self.assertEqual("vm-1", shown["crashes"][0]["observer"])
+        self.assertEqual(200, (await self.call("DELETE", "/quarantine/f"))[0])
+        self.assertTrue(self.ledger.is_empty)
+        self.assertEqual(404, (await self.call("DELETE", "/quarantine/f"))[0])
+
     async def test_runner_registers_and_deregisters(self):
         body = json.dumps(CheckInTest.SAID)
         status, _ = await self.call("PUT", "/v1/instances/i-1", body)
