--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -188,11 +188,15 @@
         self.entries = {}
         self.closers = []
 
-    async def open_entry(self, region, endpoints=(), *, capacities=()):
+    async def open_entry(
+        self, region, endpoints=(), *, capacities=(), name=None
+    ):
         """Open an entry with the endpoints of its region.
 
-        :param capacities: other regions that report free capacity
+        :param capacities: regions that report free capacity
+        :param name: the entry's name, if there are several in the region
         """
+        key = name or region
         clock = SystemClock()
         rng = random.Random(1)
         drain = TestDrain()
@@ -202,10 +206,12 @@
         registered = {}
         for number, endpoint in enumerate(endpoints):
             name = f"{region}-{number}"
+            if not hasattr(endpoint, "address"):
+                await endpoint.open()
+                self.closers.append(endpoint.close)
             registered[name] = make_endpoint(
-                name, address=await endpoint.open(), data_centre=region
+                name, address=endpoint.address, data_centre=region
             )
-            self.closers.append(endpoint.close)
         metrics = Metrics()
         limits = EndpointLimits(
             clock=clock,
@@ -229,7 +235,7 @@
             clock=clock,
             rng=rng,
             read_endpoints=lambda: registered,
-            read_load=lambda name: self.entries[region].others,
+            read_load=lambda name: self.entries[key].others,
             drop_endpoint=registered.pop,
             limits=limits,
             backoffs=backoffs,
@@ -254,9 +260,9 @@
             fleet=fleet,
             region=region,
             read_capacities=lambda: capacities,
-            read_entries=lambda: [e.identity for e in self.others(region)],
+            read_entries=lambda: [e.identity for e in self.others(key)],
             read_closed_data_centres=frozenset,
-            hop_address=lambda vm: self.entries[vm.region].vms.address,
+            hop_address=lambda vm: self.entries[vm.vm_id[3:]].vms.address,
         )
         signals = ResponseSignals(
             names=NAMES,
@@ -274,7 +280,7 @@
             clock=clock,
             rng=rng,
             ledger=ledger,
-            vm_id=f"vm-{region}",
+            vm_id=f"vm-{key}",
             read_endpoints=lambda: registered,
             probe=probe,
             metrics=metrics,
@@ -342,7 +348,7 @@
             holder=holder,
             crash_guard=CrashGuard(detector=detector, metrics=metrics),
         )
-        entry = Entry(region, relay, runner, fleet, capacities)
+        entry = Entry(key, region, relay, runner, fleet, capacities)
         entry.metrics, entry.holder, entry.drain = metrics, holder, drain
         entry.meter = meter
         entry.detector, entry.ledger = detector, ledger
@@ -351,13 +357,13 @@
         entry.backoffs, entry.registered = backoffs, registered
         await entry.callers.open()
         await entry.vms.open()
-        self.entries[region] = entry
+        self.entries[key] = entry
         self.closers += [entry.callers.close, entry.vms.close]
         return entry
 
-    def others(self, region):
-        """Return the entries of all other regions."""
-        return [e for name, e in self.entries.items() if name != region]
+    def others(self, key):
+        """Return all other entries."""
+        return [e for name, e in self.entries.items() if name != key]
 
     async def close(self):
         """Close all entries and endpoints."""
@@ -368,7 +374,7 @@
 class Entry:
     """An entry with its listeners."""
 
-    def __init__(self, region, relay, attempts, fleet, capacities):
+    def __init__(self, key, region, relay, attempts, fleet, capacities):
         """Create an entry whose listeners are not open yet."""
         self.capacities = capacities
         # The load of other entries, the same at each endpoint.
@@ -380,7 +386,7 @@
         )
         self.vms = Listener(address="127.0.0.1:0", handle=relay.serve_vm)
         self.identity = VmIdentity(
-            vm_id=f"vm-{region}",
+            vm_id=f"vm-{key}",
             incarnation=1,
             region=region,
             data_centre=region,
--- /dev/null
+++ b/tests/passthrough/relaying/test_cut_entries.py
@@ -0,0 +1,137 @@
+"""Tests of entries that lost their links to endpoints."""
+
+import asyncio
+import socket
+import time
+
+from tests.passthrough.entries import answer
+from tests.passthrough.entries import Endpoint
+from tests.passthrough.entries import EntryDeployment
+from tests.passthrough.entries import never_respond
+from tests.passthrough.entries import RelayCase
+
+REQUESTS = 12
+# After the links were cut, by when an entry must serve as well as others.
+LEARNING_SECONDS = 4.0
+SERVED_SECONDS = 0.5
+UPDATE_SECONDS = 0.1
+
+
+class RefusedLink:
+    """An address that refuses connections."""
+
+    async def open(self):
+        """Reserve an address that nothing listens on."""
+        self._socket = socket.socket()
+        self._socket.bind(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
+
+    async def close(self):
+        """Release the address."""
+        self._socket.close()
+
+
+class HangingLink(RefusedLink):
+    """An address at which connections hang, as its queue is full."""
+
+    async def open(self):
+        """Fill the queue of a listener that accepts nothing."""
+        await super().open()
+        self._socket.listen(0)
+        self._clients = []
+        for _ in range(3):
+            client = socket.socket()
+            client.setblocking(False)
+            client.connect_ex(self._socket.getsockname())
+            self._clients.append(client)
+
+    async def close(self):
+        """Close the listener and its clients."""
+        await super().close()
+        for client in self._clients:
+            client.close()
+
+
+class CutEntryTest(RelayCase):
+    """An entry without links; another one of its region is served."""
+
+    async def open_region(self, link, *, endpoints=4, **route):
+        """Open two entries of a region; the first has only such links."""
+        self.world = EntryDeployment(attempts=2, **route)
+        self.addAsyncCleanup(self.world.close)
+        self.endpoints = [Endpoint(answer()) for _ in range(endpoints)]
+        self.far = Endpoint(answer())
+        await self.world.open_entry("far", [self.far])
+        await self.world.open_entry(
+            "here", self.endpoints, name="sound", capacities=("here",)
+        )
+        cut = await self.world.open_entry(
+            "here", self.endpoints, name="cut", capacities=("here", "far")
+        )
+        self.links = [link() for _ in self.endpoints]
+        for name, one in zip(list(cut.registered), self.links, strict=True):
+            await one.open()
+            self.addAsyncCleanup(one.close)
+            cut.add_endpoint(name, one.address)
+        return cut
+
+    async def call_often(self, entry, **request):
+        """Send requests for a while; return the statuses and times after."""
+        began = time.monotonic()
+        while time.monotonic() < began + LEARNING_SECONDS:
+            call = asyncio.create_task(self.call_one(entry, **request))
+            self.addCleanup(call.cancel)
+            await asyncio.sleep(UPDATE_SECONDS)
+            if call.done() and len(self.early) >= REQUESTS:
+                break
+        results = []
+        for _ in range(REQUESTS):
+            results.append(await self.call_one(entry, **request))
+        return results
+
+    async def call_one(self, entry, **request):
+        """Send a request; return its status and the seconds it took."""
+        began = time.monotonic()
+        try:
+            status, _, _ = await entry.call(**request)
+        except TimeoutError:
+            status = 0
+        self.early.append(status)
+        return status, time.monotonic() - began
+
+    def setUp(self):
+        super().setUp()
+        self.early = []
+
+    def assert_served(self, results):
+        """Check that requests are served, and soon."""
+        self.assertEqual({200}, {status for status, _ in results}, results)
+        slowest = max(seconds for _, seconds in results)
+        self.assertLess(slowest, SERVED_SECONDS)
+
+    async def test_refused_links_are_replaced_by_another_entry(self):
+        # Guards against an entry that refuses what others of its region
+        # would serve, on a route that must not leave the region.
+        entry = await self.open_region(RefusedLink, homes=["here"])
+        self.assert_served(await self.call_often(entry))
+        self.assertEqual([], self.far.seen)
+
+    async def test_hanging_links_are_replaced_by_another_entry(self):
+        # Guards against callers that each wait for connects that hang.
+        entry = await self.open_region(HangingLink, homes=["here"])
+        self.assert_served(await self.call_often(entry))
+        self.assertEqual([], self.far.seen)
+
+    async def test_silent_links_are_replaced_by_another_entry(self):
+        # Guards against requests that wait on connections that are dead.
+        entry = await self.open_region(
+            lambda: Endpoint(never_respond), homes=["here"]
+        )
+        self.assert_served(await self.call_often(entry))
+
+    async def test_entry_of_many_endpoints_is_served_by_another(self):
+        # Guards against giving up before the request is handed on.
+        entry = await self.open_region(
+            RefusedLink, endpoints=12, homes=["here"]
+        )
+        self.assert_served([await self.call_one(entry)])
