Hand requests to other entries where links to endpoints are cut

Callers of entries without links to endpoints waited for connects that hang, once a second each, and were then refused or served by far regions, while the entry beside would have served them: a region never was a target for its own entries, and each caller's request was the probe.

An entry now probes what it may not reach, by connects of its own: endpoints that a request could not connect to, those that are silent under requests, and all others once after a probe has failed. Attempts that wait at an endpoint that a probe does not reach go on elsewhere if they may be repeated. Where any endpoint is in doubt, the region itself is rated beside the others, and its other entries are asked. One that reaches none says so and is left out for a second. After two endpoints in vain a request goes to another entry first.

--- a/burdockdrum/http1/client.py
+++ b/burdockdrum/http1/client.py
@@ -294,6 +294,12 @@
         :param timeout: limit in seconds for opening one
         :raises NotConnected: if the connection could not be opened
         """
+        connection = self._pop_idle(address)
+        if connection is not None:
+            return connection
+        return await self.open(address, timeout=timeout)
+
+    def _pop_idle(self, address: str) -> ClientConnection | None:
         loop = asyncio.get_running_loop()
         idle = self._idle_by_address.get(address, [])
         while idle:
@@ -301,11 +307,20 @@
             if connection.reusable and loop.time() < expires_at:
                 return connection
             connection.close()
+        return None
+
+    async def open(self, address: str, *, timeout: float) -> ClientConnection:
+        """Open a connection, whether or not there is an idle one.
+
+        :param timeout: limit in seconds
+        :raises NotConnected: if it could not be opened
+        """
         host, _, port = address.rpartition(":")
         if self._on_open is not None:
             self._on_open()
         try:
             async with asyncio.timeout(timeout):
+                loop = asyncio.get_running_loop()
                 _, connection = await loop.create_connection(
                     lambda: ClientConnection(id_header=self._id_header),
                     host,
--- a/burdockdrum/passthrough/protocol/__init__.py
+++ b/burdockdrum/passthrough/protocol/__init__.py
@@ -7,6 +7,7 @@
 from burdockdrum.passthrough.protocol.events import InvalidEventStream
 from burdockdrum.passthrough.protocol.events import ResumableEventSplitter
 from burdockdrum.passthrough.protocol.header_names import HeaderNames
+from burdockdrum.passthrough.protocol.header_names import HOP_CUT_OFF
 from burdockdrum.passthrough.protocol.header_names import HOP_QUARANTINED
 from burdockdrum.passthrough.protocol.header_names import HOP_REACHED
 from burdockdrum.passthrough.protocol.header_names import HOP_USED_ATTEMPTS
@@ -42,6 +43,7 @@
     "ErrorResponse",
     "HeaderNames",
     "HopCharge",
+    "HOP_CUT_OFF",
     "HOP_QUARANTINED",
     "HOP_REACHED",
     "HOP_USED_ATTEMPTS",
--- a/burdockdrum/passthrough/protocol/header_names.py
+++ b/burdockdrum/passthrough/protocol/header_names.py
@@ -68,6 +68,8 @@
 HOP_REACHED = b"x-burdockdrum-reached"
 # On a refusal: the request crashes endpoints, and no region should run it.
 HOP_QUARANTINED = b"x-burdockdrum-quarantined"
+# On a refusal: the other entry reaches no endpoint of the service.
+HOP_CUT_OFF = b"x-burdockdrum-cut-off"
 # For a request that may have run when its deadline passed.
 TIMED_OUT_STATUS = 504
 HOP_HEADERS = frozenset(
@@ -80,6 +82,7 @@
         HOP_USED_ATTEMPTS,
         HOP_REACHED,
         HOP_QUARANTINED,
+        HOP_CUT_OFF,
         VERDICT,
     }
 )
--- a/burdockdrum/passthrough/protocol/model.py
+++ b/burdockdrum/passthrough/protocol/model.py
@@ -88,7 +88,8 @@
     ``region_retry_after`` is the shortest time in seconds after which another
     region wants the request to return, None if no region said so.
     ``may_wait`` says that the request can wait at this entry for a shorter
-    queue. ``avoided`` are endpoints that should not run it beside other
+    queue. ``unreached`` counts the endpoints that could not be connected to.
+    ``avoided`` are endpoints that should not run it beside other
     suspects of crashes; with ``must_avoid`` they must not.
     ``has_requested_work`` says that its work has been recorded for its team,
     and ``is_within_share`` whether its team's share covers it, None if not
@@ -114,6 +115,7 @@
     permit: PermitResult | None = None
     region_retry_after: float | None = None
     may_wait: bool = False
+    unreached: int = 0
     avoided: frozenset[str] = frozenset()
     must_avoid: bool = False
     has_requested_work: bool = False
@@ -201,20 +203,23 @@
 class NotStarted:
     """The attempt did not run.
 
-    ``reached`` says whether an endpoint got it, ``withheld`` that the
+    ``reached`` says whether an endpoint got it, ``unconnected`` that the
+    target could not be connected to, ``withheld`` that the
     request was not sent although the target could be connected to, and
     ``replaced`` that another incarnation has the endpoint's address.
     ``quarantined`` says that another region rejects it as it crashes
-    endpoints.
+    endpoints, and ``cut_off`` that another entry reaches none.
     """
 
     log_name: ClassVar[str] = "NotStarted"
 
     reason: str
     reached: bool
+    unconnected: bool = False
     withheld: bool = False
     replaced: bool = False
     quarantined: bool = False
+    cut_off: bool = False
     retry_after: float | None = None
 
 
--- a/burdockdrum/passthrough/protocol/responses.py
+++ b/burdockdrum/passthrough/protocol/responses.py
@@ -12,6 +12,7 @@
 from burdockdrum.http1 import ResponseHead
 from burdockdrum.http1 import ResponseLost
 from burdockdrum.passthrough.protocol.header_names import HeaderNames
+from burdockdrum.passthrough.protocol.header_names import HOP_CUT_OFF
 from burdockdrum.passthrough.protocol.header_names import HOP_HEADERS
 from burdockdrum.passthrough.protocol.header_names import HOP_QUARANTINED
 from burdockdrum.passthrough.protocol.header_names import HOP_REACHED
@@ -125,8 +126,9 @@
 def _classify_verdict(head: ResponseHead, verdict: bytes) -> NotStarted | Lost:
     if verdict.decode("latin-1") == Verdict.NOT_RUN.value:
         return NotStarted(
-            reason="refused by the other region",
+            reason="refused by the other entry",
             reached=head.find(HOP_REACHED) is not None,
+            cut_off=head.find(HOP_CUT_OFF) is not None,
             quarantined=head.find(HOP_QUARANTINED) is not None,
             retry_after=_parse_retry_after(head),
         )
--- a/burdockdrum/passthrough/relaying/__init__.py
+++ b/burdockdrum/passthrough/relaying/__init__.py
@@ -5,6 +5,7 @@
 from burdockdrum.passthrough.relaying.attempts import CONNECT_TIMEOUT_SECONDS
 from burdockdrum.passthrough.relaying.crash_detector import CrashDetector
 from burdockdrum.passthrough.relaying.crash_guard import CrashGuard
+from burdockdrum.passthrough.relaying.endpoint_prober import EndpointProber
 from burdockdrum.passthrough.relaying.relay import Relay
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
 from burdockdrum.passthrough.relaying.server import PassThroughServer
@@ -15,6 +16,7 @@
     "CONNECT_TIMEOUT_SECONDS",
     "CrashDetector",
     "CrashGuard",
+    "EndpointProber",
     "PassThroughServer",
     "Relay",
     "RetryCharges",
--- a/burdockdrum/passthrough/relaying/attempt_timeouts.py
+++ b/burdockdrum/passthrough/relaying/attempt_timeouts.py
@@ -60,6 +60,12 @@
         """Restart the idle timeout after a chunk was received."""
         self._expires_at = self._loop.time() + self._idle_timeout_seconds
 
+    def expire(self) -> None:
+        """Let the timeout pass now; the attempt goes on if it must."""
+        self._timer.cancel()
+        self._expires_at = self._loop.time()
+        self._check()
+
     def stop(self) -> None:
         """Cancel the timer."""
         self._timer.cancel()
--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from burdockdrum.http1 import ClientConnection
 from burdockdrum.http1 import ConnectionPool
@@ -82,6 +83,8 @@
         self._payloads = payloads
         self._responses = responses
         self._in_flight = InFlightCalls()
+        # Called with the id of an endpoint that could not be connected to.
+        self.on_unreachable: Callable[[str], None] = _do_nothing
 
     def abort_incarnation(self, endpoint_id: str) -> None:
         """Abort the attempts at a previous incarnation of an endpoint.
@@ -97,6 +100,10 @@
                 "attempts.given_up", endpoint_id=endpoint_id, number=number
             )
 
+    def give_up_silent(self, endpoint_id: str) -> None:
+        """Retry the attempts at an unreachable endpoint elsewhere."""
+        self._in_flight.expire_all(endpoint_id)
+
     # Not named ``run``: the kernel starts the ``run`` of every service.
     async def execute(
         self,
@@ -175,6 +182,8 @@
             self._in_flight.remove(endpoint.endpoint_id, call)
             self._crashes.end_run(suspect, endpoint.endpoint_id)
             self._record_evidence(endpoint, request, outcome, call.sent_at)
+            if isinstance(outcome, NotStarted) and outcome.unconnected:
+                self.on_unreachable(endpoint.endpoint_id)
             whole = isinstance(outcome, Delivered)
             self._fleet.record_end(
                 in_flight_request, request.backend, whole=whole
@@ -248,7 +257,9 @@
                 call.address, timeout=call.connect_timeout_seconds
             )
         except NotConnected as error:
-            return NotStarted(reason=str(error), reached=False)
+            return NotStarted(
+                reason=str(error), reached=False, unconnected=True
+            )
         reason = self._reason_to_withhold(call, request, progress)
         if reason is not None:
             call.pool.release(call.address, connection, max_idle=call.max_idle)
@@ -410,7 +421,7 @@
                 health.record_success()
             case ErrorResponse(head=head) if head.status >= 500:
                 health.record_error(now)
-            case NotStarted(reached=False, withheld=False):
+            case NotStarted(unconnected=True):
                 health.record_unreachable(now)
             case Lost(timed_out=False):
                 health.record_loss(now)
@@ -418,6 +429,10 @@
                 health.record_neutral()
 
 
+def _do_nothing(endpoint_id: str) -> None:
+    """Ignore an unreachable endpoint; the default handler."""
+
+
 def _hop_charge(progress: RequestProgress) -> HopCharge | None:
     """Return how the other entry's retry budget counts a request."""
     if progress.has_arrived:
--- a/burdockdrum/passthrough/relaying/in_flight_calls.py
+++ b/burdockdrum/passthrough/relaying/in_flight_calls.py
@@ -77,6 +77,12 @@
         if not calls:
             self._calls_by_id.pop(endpoint_id, None)
 
+    def expire_all(self, endpoint_id: str) -> None:
+        """Let the timeouts of an endpoint's calls pass now."""
+        for call in list(self._calls_by_id.get(endpoint_id, ())):
+            if call.watchdog is not None:
+                call.watchdog.expire()
+
     def abort_all(self, endpoint_id: str, reason: str) -> int:
         """Abort every call to an endpoint; return how many there were."""
         calls = list(self._calls_by_id.get(endpoint_id, ()))
--- a/burdockdrum/passthrough/relaying/relay.py
+++ b/burdockdrum/passthrough/relaying/relay.py
@@ -14,6 +14,7 @@
 from burdockdrum.passthrough.protocol import EndpointTarget
 from burdockdrum.passthrough.protocol import ErrorResponse
 from burdockdrum.passthrough.protocol import HeaderNames
+from burdockdrum.passthrough.protocol import HOP_CUT_OFF
 from burdockdrum.passthrough.protocol import HOP_QUARANTINED
 from burdockdrum.passthrough.protocol import HOP_REACHED
 from burdockdrum.passthrough.protocol import HOP_USED_ATTEMPTS
@@ -288,12 +289,15 @@
         match target:
             case EndpointTarget(choice=choice):
                 progress.tried.add(choice.endpoint.endpoint_id)
+                progress.unreached += _is_unreached(outcome)
             case RegionTarget(vm_id=vm_id, region=region):
                 progress.tried.add(vm_id)
                 if not isinstance(outcome, NotStarted) or outcome.retry_after:
                     progress.tried_regions.add(region)
                 if isinstance(outcome, NotStarted):
                     progress.record_region_retry_after(outcome.retry_after)
+                    if outcome.cut_off or _is_unreached(outcome):
+                        self._selector.record_cut_off(vm_id)
         if not isinstance(outcome, NotStarted) or outcome.reached:
             progress.has_arrived = True
         match outcome:
@@ -426,6 +430,8 @@
             identity.append((HOP_USED_ATTEMPTS, b"%d" % progress.runs))
             if progress.has_arrived:
                 identity.append((HOP_REACHED, b"1"))
+            if refusal.code is RefusalCode.NO_ENDPOINT:
+                identity.append((HOP_CUT_OFF, b"1"))
             if refusal.code is RefusalCode.QUARANTINED:
                 identity.append((HOP_QUARANTINED, b"1"))
         send_refusal(exchange, refusal, identity, to_vm=is_hop)
@@ -475,6 +481,11 @@
         self._estimate_errors.record(abs(error), side=side)
 
 
+def _is_unreached(outcome: Outcome) -> bool:
+    """Return whether the target of an attempt could not be connected to."""
+    return isinstance(outcome, NotStarted) and outcome.unconnected
+
+
 def _count_runs(
     target: Target,
     lost: Lost,
--- a/burdockdrum/passthrough/relaying/server.py
+++ b/burdockdrum/passthrough/relaying/server.py
@@ -5,6 +5,7 @@
 from burdockdrum.http1 import ConnectionPool
 from burdockdrum.http1 import Listener
 from burdockdrum.passthrough.relaying.crash_detector import CrashDetector
+from burdockdrum.passthrough.relaying.endpoint_prober import EndpointProber
 from burdockdrum.passthrough.selection import Fleet
 from burdockdrum.passthrough.state import EndpointLimits
 from burdockdrum.passthrough.state import RequestedBackoffs
@@ -40,9 +41,11 @@
         drain: Drain,
         holder: RequestHolder,
         crashes: CrashDetector,
+        prober: EndpointProber,
     ) -> None:
         """Create a server; ``run`` opens its listeners."""
         self._crashes = crashes
+        self._prober = prober
         self._clock = clock
         self._callers = callers
         self._vms = vms
@@ -88,6 +91,7 @@
         self._update_entries()
         self._budget.update()
         self._crashes.update()
+        self._prober.update()
         self._fleet.remove_ended()
         self._limits.remove_ended()
         self._backoffs.remove_ended()
--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -481,6 +481,52 @@
         state = self._states_by_id.get(endpoint.endpoint_id)
         return state.health if state is not None else EndpointHealth()
 
+    def list_stalled(self) -> list[str]:
+        """Return the ids of endpoints that have requests and are silent."""
+        now = self._clock.monotonic()
+        return [
+            endpoint_id
+            for endpoint_id, state in self._states_by_id.items()
+            if self._stalls.is_stalled(state, now)
+        ]
+
+    def record_unreachable(
+        self, endpoint: RegisteredEndpoint, seconds: float
+    ) -> None:
+        """Skip an endpoint that could not be connected to for some time."""
+        now = self._clock.monotonic()
+        self._state_of(endpoint).health.record_unreachable(now, seconds)
+
+    def record_reachable(self, endpoint: RegisteredEndpoint) -> None:
+        """Use an endpoint again to which a connection was opened."""
+        self._state_of(endpoint).health.record_connected()
+
+    def has_doubtful(self, service: str) -> bool:
+        """Return whether this entry may reach an endpoint worse than others.
+
+        Some endpoint is unreachable, has failed too often or is silent.
+        """
+        return any(
+            map(self._is_doubtful, self._eligibility.list_live(service))
+        )
+
+    def is_cut_off(self, service: str) -> bool:
+        """Return whether this entry reaches no endpoint of a service."""
+        now = self._clock.monotonic()
+        live = self._eligibility.list_live(service)
+        return bool(live) and not any(
+            self.health_of(endpoint).is_reachable(now) for endpoint in live
+        )
+
+    def _is_doubtful(self, endpoint: RegisteredEndpoint) -> bool:
+        state = self._states_by_id.get(endpoint.endpoint_id)
+        if state is None:
+            return False
+        now = self._clock.monotonic()
+        return not state.health.is_reachable(now) or self._stalls.is_suspect(
+            state, now
+        )
+
     def record_run(self, service: str, seconds: float) -> None:
         """Record how long a request held a slot in another region."""
         self._timings.record_run(service, seconds)
--- a/burdockdrum/passthrough/selection/region_rating.py
+++ b/burdockdrum/passthrough/selection/region_rating.py
@@ -23,12 +23,15 @@
 
 # Round trip between two regions, plus the processing at the other entry VM.
 HOP_DELAY_SECONDS = 0.12
+# The same within a region.
+NEAR_HOP_DELAY_SECONDS = 0.01
 
 
 class RegionRater:
-    """Rates other regions by the average load of their endpoints.
+    """Rates regions by the average load of their endpoints.
 
-    The endpoint is selected by an entry VM of the other region.
+    The endpoint is selected by an entry VM of the other region, or by another
+    entry VM of this region if this one may not reach all endpoints.
     """
 
     def __init__(
@@ -75,7 +78,10 @@
         return (
             candidate.service == request.backend.name
             and candidate.endpoints > 0
-            and candidate.region != self._region
+            and (
+                candidate.region != self._region
+                or self._fleet.has_doubtful(candidate.service)
+            )
             and candidate.region not in progress.tried_regions
             and (not homes or candidate.region in homes)
         )
@@ -103,9 +109,12 @@
         crossing = crossing_seconds(
             len(request.head.body), self._crossing_seconds
         )
+        hop_delay = HOP_DELAY_SECONDS
+        if candidate.region == self._region:
+            hop_delay, crossing = NEAR_HOP_DELAY_SECONDS, 0.0
         if request.backend.engine is None:
             return ExpectedWait(
-                queue=queue, service_time=HOP_DELAY_SECONDS, penalty=crossing
+                queue=queue, service_time=hop_delay, penalty=crossing
             )
         preemption = 0.0
         if self._mechanisms.full_slots:
@@ -119,7 +128,7 @@
         own_seconds = self._service_time(request, candidate.region)
         return ExpectedWait(
             queue=queue,
-            service_time=own_seconds + HOP_DELAY_SECONDS,
+            service_time=own_seconds + hop_delay,
             penalty=self._decode_risk(request, output)
             + self._delay_of_others(service, load, own_seconds)
             + crossing
--- a/burdockdrum/passthrough/selection/targets.py
+++ b/burdockdrum/passthrough/selection/targets.py
@@ -52,6 +52,10 @@
 # requests that can wait at the entry instead. It covers the age of the loads
 # that other entries report, so that no endpoint runs out of work.
 SENT_QUEUE_FRACTION = 0.5
+# Endpoints that a request is sent to in vain before other entries are asked.
+MAX_UNREACHED_ENDPOINTS = 2
+# An entry that reaches no endpoint is not asked again for this time.
+CUT_ENTRY_SECONDS = 1.0
 # Requests refused because of a backoff return over its length after its end,
 # and over so many seconds at most.
 MAX_RETURN_SPREAD_SECONDS = 5.0
@@ -105,6 +109,7 @@
         mechanisms: MechanismSettings | None = None,
         crossing_seconds: float = 0.0,
         team_shares: TeamShares | None = None,
+        vm_id: str = "",
     ) -> None:
         """Create it for a region.
 
@@ -119,7 +124,10 @@
             sending a megabyte to another region
         :param team_shares: shares of teams where endpoints are short; none by
             default
+        :param vm_id: the id of this entry VM, which is not forwarded to
         """
+        self._vm_id = vm_id
+        self._ask_again_at_by_id: dict[str, float] = {}
         self._mechanisms = mechanisms or MechanismSettings()
         self._clock = clock
         self._rng = rng
@@ -154,7 +162,10 @@
         shares: TeamShares | None,
     ) -> Target:
         local = self._choose_local(request, progress)
-        remote = self._choose_region(request, progress, local)
+        is_unlinked = progress.unreached >= MAX_UNREACHED_ENDPOINTS
+        remote = self._choose_region(
+            request, progress, None if is_unlinked else local
+        )
         if remote is not None:
             return remote
         remaining = request.deadline - self._clock.monotonic()
@@ -388,13 +399,31 @@
     def _choose_entry(
         self, region: str, progress: RequestProgress
     ) -> VmIdentity | None:
+        if self._ask_again_at_by_id:
+            self._forget_cut_off()
         entries = [
             entry
             for entry in self._read_entries()
-            if entry.region == region and entry.vm_id not in progress.tried
+            if entry.region == region
+            and entry.vm_id != self._vm_id
+            and entry.vm_id not in progress.tried
+            and entry.vm_id not in self._ask_again_at_by_id
         ]
         return self._rng.choice(entries) if entries else None
 
+    def record_cut_off(self, vm_id: str) -> None:
+        """Record that an entry VM reaches no endpoint, or is not reached."""
+        now = self._clock.monotonic()
+        self._ask_again_at_by_id[vm_id] = now + CUT_ENTRY_SECONDS
+
+    def _forget_cut_off(self) -> None:
+        now = self._clock.monotonic()
+        self._ask_again_at_by_id = {
+            vm_id: at
+            for vm_id, at in self._ask_again_at_by_id.items()
+            if at > now
+        }
+
     def list_at_limit(
         self, request: ProxiedRequest, progress: RequestProgress
     ) -> list[str]:
@@ -458,6 +487,14 @@
                 backoff_seconds,
                 code=RefusalCode.ENDPOINT_BACKOFF,
             )
+        if self._fleet.is_cut_off(service):
+            return self._make_refusal(
+                request,
+                progress,
+                f"none of {live_count} local endpoints can be reached",
+                NO_ENDPOINT_RETRY_AFTER_SECONDS,
+                code=RefusalCode.NO_ENDPOINT,
+            )
         reason = (
             f"none of {live_count} local endpoints is eligible, "
             f"{draining_count} more drain"
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -28,6 +28,7 @@
 from burdockdrum.passthrough.relaying import CONNECT_TIMEOUT_SECONDS
 from burdockdrum.passthrough.relaying import CrashDetector
 from burdockdrum.passthrough.relaying import CrashGuard
+from burdockdrum.passthrough.relaying import EndpointProber
 from burdockdrum.passthrough.relaying import PassThroughServer
 from burdockdrum.passthrough.relaying import Relay
 from burdockdrum.passthrough.relaying import RetryCharges
@@ -86,6 +87,7 @@
     kernel.add("retry_charges", _build_charges)
     kernel.add("crash_detector", _build_crash_detector)
     kernel.add("attempts", _build_attempt_runner)
+    kernel.add("endpoint_prober", _build_prober)
     kernel.add("relay", _build_relay)
     kernel.add("passthrough", _build_server)
 
@@ -264,6 +266,7 @@
         team_shares=kernel.find("team_shares", TeamShares),
         mechanisms=settings.policy.mechanisms,
         crossing_seconds=settings.policy.crossing_seconds_a_megabyte,
+        vm_id=identity.vm_id,
     )
 
 
@@ -396,6 +399,27 @@
     return runner
 
 
+def _build_prober(kernel: Kernel) -> EndpointProber:
+    pool = kernel.find("endpoint_pool", ConnectionPool)
+    registrations = kernel.find("registrations", RegistrationFollower)
+    runner = kernel.find("attempts", AttemptRunner)
+
+    async def connect(address: str) -> None:
+        connection = await pool.open(address, timeout=CONNECT_TIMEOUT_SECONDS)
+        pool.release(address, connection, max_idle=1)
+
+    prober = EndpointProber(
+        clock=kernel.find("clock", Clock),
+        fleet=kernel.find("fleet", Fleet),
+        read_endpoints=lambda: registrations.endpoints_by_id,
+        connect=connect,
+        on_unreachable=runner.give_up_silent,
+        metrics=kernel.find("metrics", Metrics),
+    )
+    runner.on_unreachable = prober.record_unreachable
+    return prober
+
+
 def _build_relay(kernel: Kernel) -> Relay:
     clock = kernel.find("clock", Clock)
     names = kernel.find("header_names", HeaderNames)
@@ -465,5 +489,6 @@
         registrations=kernel.find("registrations", RegistrationFollower),
         drain=kernel.find("drain", Drain),
         holder=kernel.find("waiting_requests", RequestHolder),
+        prober=kernel.find("endpoint_prober", EndpointProber),
         crashes=kernel.find("crash_detector", CrashDetector),
     )
--- a/burdockdrum/passthrough/state/health.py
+++ b/burdockdrum/passthrough/state/health.py
@@ -85,10 +85,19 @@
         """Record a truncated, malformed or missing response."""
         self._record_failure(now, _LOSS_WEIGHT)
 
-    def record_unreachable(self, now: float) -> None:
-        """Record a failed connect."""
+    def record_connected(self) -> None:
+        """Record that a connection was opened, without a request."""
+        self.unreachable_until = 0.0
+
+    def record_unreachable(
+        self, now: float, seconds: float = CONNECT_BACKOFF_SECONDS
+    ) -> None:
+        """Record a failed connect.
+
+        :param seconds: for how long the endpoint is skipped
+        """
         self.is_probing = False
-        self.unreachable_until = now + CONNECT_BACKOFF_SECONDS
+        self.unreachable_until = max(self.unreachable_until, now + seconds)
         self.was_unreachable = True
         self.reachable_since = None
 
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -24,6 +24,7 @@
 from burdockdrum.passthrough.relaying.attempts import AttemptRunner
 from burdockdrum.passthrough.relaying.crash_detector import CrashDetector
 from burdockdrum.passthrough.relaying.crash_guard import CrashGuard
+from burdockdrum.passthrough.relaying.endpoint_prober import EndpointProber
 from burdockdrum.passthrough.relaying.relay import Relay
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
 from burdockdrum.passthrough.selection.fleet import Fleet
@@ -51,6 +52,7 @@
 from tests.passthrough.fakes import make_endpoint
 from tests.passthrough.fakes import make_route
 
+UPDATE_SECONDS = 0.1
 NAMES = HeaderNames(system_only=frozenset({b"x-system"}))
 
 
@@ -170,6 +172,19 @@
     raise AssertionError(f"asked {address} for a permit")
 
 
+async def update_continuously(*parts):
+    """Update parts of an entry periodically."""
+    while True:
+        await asyncio.sleep(UPDATE_SECONDS)
+        for part in parts:
+            part.update()
+
+
+async def stop_task(task):
+    """Cancel a task."""
+    task.cancel()
+
+
 async def lend_nothing(service):
     """Lend no retries."""
     return False
@@ -262,6 +277,7 @@
             read_capacities=lambda: capacities,
             read_entries=lambda: [e.identity for e in self.others(key)],
             read_closed_data_centres=frozenset,
+            vm_id=f"vm-{key}",
             hop_address=lambda vm: self.entries[vm.vm_id[3:]].vms.address,
         )
         signals = ResponseSignals(
@@ -301,6 +317,20 @@
             retries=retries,
             crashes=detector,
         )
+
+        async def connect(address):
+            connection = await pools[0].open(address, timeout=0.4)
+            pools[0].release(address, connection, max_idle=1)
+
+        prober = EndpointProber(
+            clock=clock,
+            fleet=fleet,
+            read_endpoints=lambda: registered,
+            connect=connect,
+            on_unreachable=runner.give_up_silent,
+            metrics=metrics,
+        )
+        runner.on_unreachable = prober.record_unreachable
         permits = LimitPermits(
             clock=clock,
             rng=rng,
@@ -355,8 +385,11 @@
         entry.limits, entry.permits = limits, permits
         entry.budget, entry.signals = budget, signals
         entry.backoffs, entry.registered = backoffs, registered
+        entry.prober = prober
         await entry.callers.open()
         await entry.vms.open()
+        updates = asyncio.create_task(update_continuously(prober, detector))
+        self.closers.append(lambda: stop_task(updates))
         self.entries[key] = entry
         self.closers += [entry.callers.close, entry.vms.close]
         return entry
--- a/tests/passthrough/relaying/test_cut_entries.py
+++ b/tests/passthrough/relaying/test_cut_entries.py
@@ -135,3 +135,34 @@
             RefusedLink, endpoints=12, homes=["here"]
         )
         self.assert_served([await self.call_one(entry)])
+
+    async def test_two_cut_entries_do_not_hand_a_request_to_and_fro(self):
+        # Guards against a loop, and against a wait where all links are cut.
+        entry = await self.open_region(RefusedLink, homes=["here"])
+        other = self.world.entries["sound"]
+        for name in list(other.registered):
+            other.add_endpoint(name, self.links[0].address)
+        results = await self.call_often(entry)
+        self.assertEqual({503}, {status for status, _ in results})
+        self.assertLess(max(seconds for _, seconds in results), SERVED_SECONDS)
+
+    async def test_entry_serves_by_itself_when_its_links_are_back(self):
+        entry = await self.open_region(RefusedLink, homes=["here"])
+        await self.call_often(entry)
+        for name, endpoint in zip(
+            list(entry.registered), self.endpoints, strict=True
+        ):
+            entry.add_endpoint(name, endpoint.address)
+        await asyncio.sleep(2.5)
+        self.assertFalse(entry.fleet.has_doubtful("model"))
+        status, _ = await self.call_one(entry)
+        self.assertEqual(200, status)
+
+    async def test_third_entry_is_asked_after_one_that_is_cut_off(self):
+        entry = await self.open_region(RefusedLink, homes=["here"])
+        cut = await self.world.open_entry(
+            "here", self.endpoints, name="also cut"
+        )
+        for name in list(cut.registered):
+            cut.add_endpoint(name, self.links[0].address)
+        self.assert_served(await self.call_often(entry))
--- a/tests/passthrough/relaying/test_server.py
+++ b/tests/passthrough/relaying/test_server.py
@@ -28,6 +28,7 @@
             drain=mock.Mock(),
             holder=mock.Mock(),
             crashes=mock.Mock(),
+            prober=mock.Mock(),
         )
         registrations.region_entries = 7
         for listener in registrations.listeners:
