Send brittle endpoints no more than they have slots

Endpoints may announce that they crash if they must reject more than some number of requests in a second for want of room. Nothing read that: with one entry and 30 requests at once an endpoint of 8 slots got 21 at a time.

The announcement has one decoder and a reader now: an entry sends such an endpoint its equal part of the slots, more only as far as the reported loads leave room, and pauses after its part of half of the tolerated rejections. No value ends it, an invalid one changes nothing.

The test that got 21 gets 8 at most.

--- a/burdockdrum/passthrough/protocol/header_names.py
+++ b/burdockdrum/passthrough/protocol/header_names.py
@@ -27,6 +27,8 @@
       prompt cached.
     - ``rate_limit``: the requests per second that the endpoint accepts from
       all entries together, announced in its responses.
+    - ``brittle``: how many requests an endpoint can reject in a second for
+      want of room without crashing, announced in its responses.
     - ``draining``: 1 in the responses of an endpoint that drains.
     - ``token``: authenticates the caller; never forwarded.
     - ``team``: the team that the token belongs to.
@@ -45,6 +47,7 @@
     urgency: bytes = b"x-urgency"
     fetch_from: bytes = b"x-fetch-from"
     rate_limit: bytes = b"x-rate-limit"
+    brittle: bytes = b"x-brittle"
     draining: bytes = b"x-draining"
     token: bytes = b"x-api-token"
     team: bytes = b"x-team"
--- a/burdockdrum/passthrough/protocol/response_signals.py
+++ b/burdockdrum/passthrough/protocol/response_signals.py
@@ -6,6 +6,7 @@
 from burdockdrum.passthrough.protocol.model import NotStarted
 from burdockdrum.passthrough.protocol.responses import BACKOFF_STATUS
 from burdockdrum.passthrough.protocol.responses import is_from_endpoint
+from burdockdrum.passthrough.state import BrittleEndpoints
 from burdockdrum.passthrough.state import DrainAnnouncements
 from burdockdrum.passthrough.state import EndpointLimits
 from burdockdrum.passthrough.state import InFlightRequest
@@ -25,12 +26,14 @@
         limits: EndpointLimits,
         backoffs: RequestedBackoffs,
         drains: DrainAnnouncements,
+        brittle: BrittleEndpoints,
     ) -> None:
         """Create it with the recipients of each signal."""
         self._names = names
         self._limits = limits
         self._backoffs = backoffs
         self._drains = drains
+        self._brittle = brittle
 
     def observe(
         self,
@@ -46,6 +49,8 @@
         endpoint = in_flight_request.endpoint
         self.observe_head(endpoint, head, request_id=request_id)
         self._observe_limit(in_flight_request, head, failure)
+        if isinstance(failure, NotStarted) and failure.reached:
+            self._brittle.record_rejection(endpoint.endpoint_id)
 
     def observe_head(
         self,
@@ -63,6 +68,7 @@
             head.find_all(self._names.draining),
             request_id=request_id,
         )
+        self._brittle.observe(endpoint_id, head.find_all(self._names.brittle))
         if head.status == BACKOFF_STATUS:
             self._backoffs.observe(
                 endpoint_id,
--- a/burdockdrum/passthrough/selection/eligibility.py
+++ b/burdockdrum/passthrough/selection/eligibility.py
@@ -9,6 +9,7 @@
 from burdockdrum.passthrough.selection.candidates import split_candidates
 from burdockdrum.passthrough.selection.stalls import StallDetector
 from burdockdrum.passthrough.state import BackoffGate
+from burdockdrum.passthrough.state import BrittleEndpoints
 from burdockdrum.passthrough.state import EndpointLimits
 from burdockdrum.passthrough.state import EndpointState
 from burdockdrum.passthrough.state import equal_share
@@ -35,6 +36,7 @@
         slow_start_gate: SlowStartGate,
         limits: EndpointLimits,
         backoff_gate: BackoffGate,
+        brittle: BrittleEndpoints,
     ) -> None:
         """Create it.
 
@@ -53,6 +55,7 @@
         self._slow_start_gate = slow_start_gate
         self._limits = limits
         self._backoff_gate = backoff_gate
+        self._brittle = brittle
 
     def list_live(self, service: str) -> list[RegisteredEndpoint]:
         """Return the endpoints of a service that accept requests here."""
@@ -143,6 +146,13 @@
                 endpoint, state, backend
             ):
                 return False
+        if not self._brittle.may_send(
+            endpoint,
+            own=len(state.in_flight_requests) if state is not None else 0,
+            others=self._read_load(endpoint.endpoint_id).requests,
+            entries=self.entries,
+        ):
+            return False
         if self.is_in_slow_start(endpoint, backend, now):
             return self._slow_start_gate.is_open(
                 endpoint.endpoint_id,
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -35,6 +35,7 @@
 from burdockdrum.passthrough.selection import Fleet
 from burdockdrum.passthrough.selection import TargetSelector
 from burdockdrum.passthrough.selection import TeamShares
+from burdockdrum.passthrough.state import BrittleEndpoints
 from burdockdrum.passthrough.state import DrainAnnouncements
 from burdockdrum.passthrough.state import EndpointLimits
 from burdockdrum.passthrough.state import LimitPermits
@@ -74,6 +75,7 @@
     kernel.add("endpoint_limits", _build_endpoint_limits)
     kernel.add("limit_permits", _build_limit_permits)
     kernel.add("requested_backoffs", _build_backoffs)
+    kernel.add("brittle_endpoints", _build_brittle_endpoints)
     kernel.add("response_signals", _build_response_signals)
     kernel.add("fleet", _build_fleet)
     kernel.add("endpoint_pool", _build_endpoint_pool)
@@ -119,6 +121,13 @@
     )
 
 
+def _build_brittle_endpoints(kernel: Kernel) -> BrittleEndpoints:
+    return BrittleEndpoints(
+        clock=kernel.find("clock", Clock),
+        metrics=kernel.find("metrics", Metrics),
+    )
+
+
 def _build_response_signals(kernel: Kernel) -> ResponseSignals:
     registrations = kernel.find("registrations", RegistrationFollower)
     return ResponseSignals(
@@ -129,6 +138,7 @@
             metrics=kernel.find("metrics", Metrics),
             record=registrations.record_drain,
         ),
+        brittle=kernel.find("brittle_endpoints", BrittleEndpoints),
     )
 
 
@@ -177,6 +187,7 @@
         limits=kernel.find("endpoint_limits", EndpointLimits),
         backoffs=kernel.find("requested_backoffs", RequestedBackoffs),
         is_chosen=registrations.limit_shares.is_chosen,
+        brittle=kernel.find("brittle_endpoints", BrittleEndpoints),
     )
     kernel.find("metrics", Metrics).gauges(
         "burdockdrum_endpoint_time_factor",
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -29,6 +29,7 @@
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
 from burdockdrum.passthrough.selection.fleet import Fleet
 from burdockdrum.passthrough.selection.targets import TargetSelector
+from burdockdrum.passthrough.state import BrittleEndpoints
 from burdockdrum.passthrough.state import DrainAnnouncements
 from burdockdrum.passthrough.state.endpoint_limits import EndpointLimits
 from burdockdrum.passthrough.state.limit_permits import LimitPermits
@@ -237,6 +238,8 @@
             clock=clock, metrics=metrics, read_endpoints=lambda: registered
         )
 
+        brittle = BrittleEndpoints(clock=clock, metrics=metrics)
+
         def drain_endpoint(name):
             known = registered.get(name)
             if known is None or known.is_draining:
@@ -254,6 +257,7 @@
             drop_endpoint=registered.pop,
             limits=limits,
             backoffs=backoffs,
+            brittle=brittle,
         )
         pools = [ConnectionPool(id_header=NAMES.request_id) for _ in "ab"]
         responses = ResponseClassifier(names=NAMES)
@@ -285,6 +289,7 @@
             limits=limits,
             backoffs=backoffs,
             drains=DrainAnnouncements(metrics=metrics, record=drain_endpoint),
+            brittle=brittle,
         )
 
         async def probe(address):
--- a/tests/passthrough/protocol/test_response_signals.py
+++ b/tests/passthrough/protocol/test_response_signals.py
@@ -174,3 +174,26 @@
 
     def close(self):
         """Keep the connection open."""
+
+
+class BrittleObservationTest(RelayCase):
+    """Endpoints that can't reject many requests."""
+
+    async def test_no_more_requests_than_slots_are_sent(self):
+        # Guards against an announcement that nobody reads.
+        running, most = 0, 0
+
+        async def run(writer, request_id):
+            nonlocal running, most
+            running += 1
+            most = max(most, running)
+            await asyncio.sleep(0.1)
+            running -= 1
+            await answer(b"ok", b"200 OK", b"X-Brittle: 3")(writer, request_id)
+
+        entry = await self.open(Endpoint(run))
+        await entry.call()
+        calls = [entry.call() for _ in range(30)]
+        statuses = [status for status, _, _ in await asyncio.gather(*calls)]
+        self.assertLessEqual(most, 8)
+        self.assertIn(200, statuses)
