Send callers to entries that reach endpoints

An entry that reaches no endpoint was listed among those to use as before, and other data centres forwarded to it. VMs now publish whether they reach none; such entries are backups in lists of entries, are not named in summaries to other data centres and not chosen to forward to, as long as others reach endpoints.

--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -526,6 +526,15 @@
             self.health_of(endpoint).is_reachable(now) for endpoint in live
         )
 
+    def reaches_none(self) -> bool:
+        """Return whether this entry reaches no endpoint of any service."""
+        now = self._clock.monotonic()
+        endpoints = self._read_endpoints().values()
+        return bool(endpoints) and not any(
+            self.health_of(endpoint).is_reachable(now)
+            for endpoint in endpoints
+        )
+
     def _is_doubtful(self, endpoint: RegisteredEndpoint) -> bool:
         state = self._states_by_id.get(endpoint.endpoint_id)
         if state is None:
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -257,7 +257,8 @@
 
     def read_entries() -> Iterable[VmIdentity]:
         for view in directory.live_vms():
-            if view.identity.http_address and not view.draining:
+            is_usable = not view.draining and not view.is_cut_off
+            if view.identity.http_address and is_usable:
                 yield view.identity
 
     def hop_address(entry: VmIdentity) -> str:
@@ -428,6 +429,8 @@
         metrics=kernel.find("metrics", Metrics),
     )
     runner.on_unreachable = prober.record_unreachable
+    directory = kernel.find("vms", VmDirectory)
+    directory.read_cut_off = kernel.find("fleet", Fleet).reaches_none
     return prober
 
 
--- a/burdockdrum/vms/directory.py
+++ b/burdockdrum/vms/directory.py
@@ -37,7 +37,8 @@
 
     ``heard_at`` is when it was last heard from, on this VM's monotonic clock.
     ``in_flight`` is the number of requests that it serves; it is 0 for VMs of
-    other data centres, which only send summaries.
+    other data centres, which only send summaries. ``is_cut_off`` says that
+    it reaches no endpoint.
     """
 
     identity: VmIdentity
@@ -47,6 +48,7 @@
     heard_at: float
     suspected: bool = False
     in_flight: int = 0
+    is_cut_off: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -85,6 +87,8 @@
         self.identity = peers.identity
         self.in_flight = 0
         self._draining = False
+        # Returns whether this VM reaches no endpoint.
+        self.read_cut_off: Callable[[], bool] = bool
         self._views: list[VmView] = []
         self._views_at = float("-inf")
         self._clock = clock
@@ -209,7 +213,12 @@
         return views
 
     def _read_state(self) -> VmState:
-        return VmState(self._draining, self._read_revision(), self.in_flight)
+        return VmState(
+            self._draining,
+            self._read_revision(),
+            self.in_flight,
+            self.read_cut_off(),
+        )
 
     def _local_views(self) -> list[VmView]:
         services = tuple(self._read_services())
@@ -220,6 +229,7 @@
             services=services,
             heard_at=self._clock.monotonic(),
             in_flight=self.in_flight,
+            is_cut_off=self.read_cut_off(),
         )
         others = [
             _view_member(member, services)
@@ -284,15 +294,28 @@
 
     def _read_urgent_state(self) -> frozenset[str]:
         services = [s.service for s in self._read_services() if s.endpoints]
-        return frozenset([*services, *self._relay_ids()])
+        entries = ",".join(sorted(self._entry_ids()))
+        return frozenset([*services, *self._relay_ids(), entries])
+
+    def _entry_ids(self) -> list[str]:
+        """Return the VMs that other data centres should forward to."""
+        views_by_id = {v.identity.vm_id: v for v in self._local_views()}
+        # A VM that serves no callers has no HTTP address.
+        entries = [
+            views_by_id[name]
+            for name in self._relay_ids()
+            if views_by_id[name].identity.http_address
+        ]
+        reaching = [view for view in entries if not view.is_cut_off]
+        return [view.identity.vm_id for view in reaching or entries]
 
     def _make_summary(self, data_centre: str) -> DataCentreSummary:
         # Each data centre gets different entries, so that the forwarded
         # requests spread over the VMs here.
         by_id = {v.identity.vm_id: v.identity for v in self._local_views()}
-        # A VM that serves no callers has no HTTP address.
-        entries = [n for n in self._relay_ids() if by_id[n].http_address]
-        names = choose_by_hash(entries, data_centre, ENTRIES_PER_SUMMARY)
+        names = choose_by_hash(
+            self._entry_ids(), data_centre, ENTRIES_PER_SUMMARY
+        )
         summaries = self._read_services()
         return DataCentreSummary(
             data_centre=self.identity.data_centre,
@@ -325,4 +348,5 @@
         heard_at=member.heartbeat.advanced_at,
         suspected=member.health is Health.SUSPECTED,
         in_flight=member.state.in_flight,
+        is_cut_off=member.state.is_cut_off,
     )
--- a/burdockdrum/vms/members.py
+++ b/burdockdrum/vms/members.py
@@ -11,11 +11,15 @@
 
 
 class VmState(msgspec.Struct, frozen=True, array_like=True):
-    """The state that a VM publishes beside its identity."""
+    """The state that a VM publishes beside its identity.
+
+    ``is_cut_off`` says that it reaches no endpoint.
+    """
 
     draining: bool
     revision: int
     in_flight: int
+    is_cut_off: bool = False
 
 
 @dataclass(kw_only=True)
--- a/burdockdrum/vms/selection.py
+++ b/burdockdrum/vms/selection.py
@@ -57,7 +57,8 @@
     The healthy VMs at the nearest distance get weights by load; others are
     backups. The order is a weighted random sample (Efraimidis and Spirakis,
     2006), so callers that only use the first entry are spread by weight too.
-    Draining VMs are excluded and suspected ones are backups. If the caller's
+    Draining VMs are excluded; suspected ones and those that reach no endpoint
+    are backups. If the caller's
     own region has no entry, those of ``preferred_regions`` come first, as
     they may process its data.
     """
@@ -70,7 +71,9 @@
         return distance
 
     serving = [view for view in views if not view.draining]
-    healthy = [view for view in serving if not view.suspected]
+    healthy = [
+        view for view in serving if not view.suspected and not view.is_cut_off
+    ]
     nearest = min(map(measure, healthy), default=None)
     near = [
         (view, _weigh(view)) for view in healthy if measure(view) == nearest
@@ -79,7 +82,7 @@
     near_ids = {view.identity.vm_id for view, _ in near}
     backups = [v for v in serving if v.identity.vm_id not in near_ids]
     rng.shuffle(backups)
-    backups.sort(key=lambda v: (v.suspected, measure(v)))
+    backups.sort(key=lambda v: (v.suspected, v.is_cut_off, measure(v)))
     chosen = near[:MAX_NEAREST] + [(v, 0) for v in backups[:MAX_BACKUPS]]
     return EntryList(
         entries=[_describe(view, weight) for view, weight in chosen],
--- a/tests/vms/test_remote.py
+++ b/tests/vms/test_remote.py
@@ -68,6 +68,29 @@
 
         run_virtual(main())
 
+    def test_vm_that_reaches_no_endpoint_is_no_entry_elsewhere(self):
+        # Guards against requests forwarded to an entry whose links are cut.
+        async def main():
+            harness = await self.start(2)
+            cut, near = (harness.vms_by_id[f"south{n}"] for n in (1, 0))
+            cut.vms.read_cut_off = lambda: True
+            await harness.wait_until(
+                lambda: not harness.vms_by_id["north1"].knows("south1"),
+                limit=KNOWN_WITHIN,
+            )
+            self.assertTrue(near.knows("south1"))
+            self.assertEqual(
+                {"south1"},
+                {
+                    view.identity.vm_id
+                    for view in near.vms.live_vms()
+                    if view.is_cut_off
+                },
+            )
+            await harness.stop()
+
+        run_virtual(main())
+
     def test_relay_fails_over(self):
         # The VM that sends the summaries dies. Another one must replace it,
         # or the data centre would count as unreachable.
--- a/tests/vms/test_selection.py
+++ b/tests/vms/test_selection.py
@@ -46,6 +46,30 @@
             views=views, region="a", data_centre="a1", rng=random.Random(seed)
         ).entries
 
+    def test_vm_that_reaches_no_endpoint_is_a_backup(self):
+        # Guards against callers sent to an entry whose links are cut.
+        views = [
+            make_view("cut", "a1", is_cut_off=True),
+            make_view("own", "a1"),
+        ]
+        entries = self.select(views)
+        self.assertEqual(["own", "cut"], [entry.vm_id for entry in entries])
+        self.assertEqual(0, entries[1].weight)
+
+    def test_vms_that_all_reach_no_endpoint_are_still_listed(self):
+        views = [make_view(n, "a1", is_cut_off=True) for n in ("x", "y")]
+        entries = self.select(views)
+        self.assertEqual({"x", "y"}, {entry.vm_id for entry in entries})
+
+    def test_near_region_replaces_a_cut_off_data_centre(self):
+        views = [
+            make_view("cut", "a1", is_cut_off=True),
+            make_view("near", "a2"),
+            make_view("far", "b1"),
+        ]
+        weighted = [e.vm_id for e in self.select(views) if e.weight]
+        self.assertEqual(["near"], weighted)
+
     def test_own_data_centre_then_own_region_then_elsewhere(self):
         views = [
             make_view("far", "b1"),
