Set aside endpoints that are silent until a request's deadline; soak cuts

A request that waited longer than a silence is usual, while the endpoint sent nothing to any request of the entry, counts as lost for its health now. Then it is in doubt, and other entries are asked.

The soak (--cuts) cuts entries from all endpoints, one, one of each region or all of a region, by connections that are silent or reset or by new ones that are reset, and compares first tries by the platform's rule.

--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -185,10 +185,13 @@
             if isinstance(outcome, NotStarted) and outcome.unconnected:
                 self.on_unreachable(endpoint.endpoint_id)
             whole = isinstance(outcome, Delivered)
+            is_silent = self._fleet.has_been_silent(endpoint, call.sent_at)
             self._fleet.record_end(
                 in_flight_request, request.backend, whole=whole
             )
-            self._record_outcome(self._fleet.health_of(endpoint), outcome)
+            self._record_outcome(
+                self._fleet.health_of(endpoint), outcome, is_silent=is_silent
+            )
             if isinstance(outcome, NotStarted) and outcome.replaced:
                 self._fleet.remove_incarnation(endpoint)
 
@@ -411,8 +414,16 @@
         return request.deadline - self._clock.monotonic()
 
     def _record_outcome(
-        self, health: EndpointHealth, outcome: Outcome | None
+        self,
+        health: EndpointHealth,
+        outcome: Outcome | None,
+        *,
+        is_silent: bool,
     ) -> None:
+        """Record an outcome for the health of an endpoint.
+
+        :param is_silent: whether it sent nothing to anyone meanwhile
+        """
         now = self._clock.monotonic()
         if isinstance(outcome, Delivered | ErrorResponse):
             health.record_reached(now)
@@ -425,6 +436,9 @@
                 health.record_unreachable(now)
             case Lost(timed_out=False):
                 health.record_loss(now)
+            # A busy endpoint lets a deadline pass, but responds to others.
+            case Lost() if is_silent:
+                health.record_loss(now)
             case _:
                 health.record_neutral()
 
--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -498,6 +498,19 @@
             if self._stalls.is_stalled(state, now)
         ]
 
+    def has_been_silent(
+        self, endpoint: RegisteredEndpoint, since: float
+    ) -> bool:
+        """Return whether an endpoint has sent nothing since a time.
+
+        False if that is no longer than usual.
+        """
+        state = self._states_by_id.get(endpoint.endpoint_id)
+        if state is None or state.idle_since > since:
+            return False
+        timeout = self.stall_timeout_seconds(endpoint.service)
+        return self._clock.monotonic() - since >= timeout
+
     def record_unreachable(
         self, endpoint: RegisteredEndpoint, seconds: float
     ) -> None:
--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -2,7 +2,7 @@
 
 Usage:
   soak [--seed N] [--seeds N] [--seconds S] [--keep FOLDER]
-       [--limits | --signals | --retries | --crashes]
+       [--limits | --signals | --retries | --crashes | --cuts]
        [--entries N] [--rate R]
 
 Options:
@@ -14,7 +14,8 @@
   --signals      Endpoints request backoffs, and announce drains and restart.
   --retries      Endpoints fail most requests; only retries are checked.
   --crashes      Some requests crash endpoints; only their runs are checked.
-  --entries N    With --retries, --crashes: entries of a region [default: 2].
+  --cuts         Entries lose their links; first tries there are checked.
+  --entries N    With these three: the entries of each region [default: 2].
   --rate R       With --retries: requests per second; at random by default.
 
 Three control VMs and three entries run as processes on loopback addresses.
@@ -38,6 +39,7 @@
 from docopt import docopt
 
 from scripts.soak.crashes import run_crash_seed
+from scripts.soak.cuts import run_cut_seed
 from scripts.soak.retries import run_retry_seed
 from scripts.soak.run import Result
 from scripts.soak.run import run_seed
@@ -54,6 +56,13 @@
             logs=logs,
             entries=int(arguments["--entries"]),
         )
+    if arguments["--cuts"]:
+        return run_cut_seed(
+            seed,
+            seconds=seconds,
+            logs=logs,
+            entries=int(arguments["--entries"]),
+        )
     if arguments["--retries"]:
         rate = arguments["--rate"]
         return run_retry_seed(
--- /dev/null
+++ b/scripts/soak/cut_endpoint.py
@@ -0,0 +1,104 @@
+"""An endpoint whose connections from some processes can be cut."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import enum
+import os
+import pathlib
+import random
+
+from burdockdrum.histories import RetryHistory
+from scripts.soak.failing_endpoint import FailingEndpoint
+
+SILENCE_SECONDS = 20.0
+_TCP_TABLE = pathlib.Path("/proc/net/tcp")
+_LOCAL_ADDRESS_FIELD, _INODE_FIELD = 1, 9
+
+
+class Cut(enum.Enum):
+    """What happens to the connections of a process that is cut off."""
+
+    SILENT = "all connections are silent"
+    RESET = "all connections are reset"
+    NEW_ONES_RESET = "new connections are reset, open ones live on"
+
+
+class CutEndpoint(FailingEndpoint):
+    """Serves every request, except those of processes that are cut off."""
+
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        service: str,
+        zone: str,
+        history: RetryHistory,
+        read_cuts: Callable[[], dict[int, Cut]],
+    ) -> None:
+        """Create an endpoint that is not open.
+
+        :param read_cuts: returns the processes that are cut off, by their id
+        """
+        super().__init__(rng=rng, service=service, zone=zone, history=history)
+        self._read_cuts = read_cuts
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        inode = _find_inode(writer.get_extra_info("peername")[1])
+        match self._find_cut(inode):
+            case Cut.RESET | Cut.NEW_ONES_RESET:
+                writer.transport.abort()
+                return
+        watch = asyncio.create_task(self._watch(writer, inode))
+        try:
+            await super()._serve(reader, writer)
+        finally:
+            watch.cancel()
+
+    async def _watch(self, writer: asyncio.StreamWriter, inode: str) -> None:
+        """Reset a connection once its process is cut off in that way."""
+        while self._find_cut(inode) is not Cut.RESET:
+            await asyncio.sleep(0.1)
+        writer.transport.abort()
+
+    async def _answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        inode = _find_inode(writer.get_extra_info("peername")[1])
+        if self._find_cut(inode) is Cut.SILENT:
+            await asyncio.sleep(SILENCE_SECONDS)
+            return
+        buffered = asyncio.StreamReader()
+        buffered.feed_data(head)
+        await super()._answer(buffered, writer)
+
+    def _find_cut(self, inode: str) -> Cut | None:
+        for pid, cut in self._read_cuts().items():
+            if inode and inode in _list_inodes(pid):
+                return cut
+        return None
+
+
+def _find_inode(port: int) -> str:
+    """Return the inode of the socket bound to a loopback port."""
+    suffix = f":{port:04X}"
+    for line in _TCP_TABLE.read_text().splitlines()[1:]:
+        fields = line.split()
+        if fields[_LOCAL_ADDRESS_FIELD].endswith(suffix):
+            return fields[_INODE_FIELD]
+    return ""
+
+
+def _list_inodes(pid: int) -> set[str]:
+    """Return the inodes of a process's sockets."""
+    inodes = set()
+    with contextlib.suppress(OSError):
+        for entry in os.scandir(f"/proc/{pid}/fd"):
+            with contextlib.suppress(OSError):
+                target = os.readlink(entry.path)
+                if target.startswith("socket:["):
+                    inodes.add(target.removeprefix("socket:[").rstrip("]"))
+    return inodes
--- a/scripts/soak/retries.py
+++ b/scripts/soak/retries.py
@@ -156,10 +156,11 @@
         """Send a request to a random entry; return the status."""
         return await self.send_to("/again/x")
 
-    async def send_to(self, target: str) -> int:
-        """Send a request to a random entry; return the status.
+    async def send_to(self, target: str, entry: Machine | None = None) -> int:
+        """Send a request to an entry; return the status.
 
         :param target: its path, which the route's prefix begins
+        :param entry: a random one by default
         """
         self._number += 1
         request_id = f"r{self._number}"
@@ -167,7 +168,7 @@
         self.history.offered.append(
             RequestOffered(time=time.monotonic(), services=services)
         )
-        entry = self.rng.choice(self.deployment.entries)
+        entry = entry or self.rng.choice(self.deployment.entries)
         headers = {
             "Host": "h",
             "X-Request-Id": request_id,
--- a/tests/passthrough/relaying/test_cut_entries.py
+++ b/tests/passthrough/relaying/test_cut_entries.py
@@ -166,3 +166,24 @@
         for name in list(cut.registered):
             cut.add_endpoint(name, self.links[0].address)
         self.assert_served(await self.call_often(entry))
+
+    async def test_endpoint_that_is_silent_until_the_deadline_is_set_aside(
+        self,
+    ):
+        # Guards against an entry that learns nothing from requests that it
+        # may not retry.
+        for behaviour, is_doubtful in (
+            (never_respond, True),
+            (answer(), False),
+        ):
+            entry = await self.open(
+                Endpoint(
+                    never_respond, never_respond, never_respond, behaviour
+                ),
+                timeout_seconds=2.0,
+                attempts=1,
+            )
+            calls = [self.call_one(entry) for _ in range(6)]
+            await asyncio.gather(*calls)
+            found = entry.fleet.has_doubtful("model")
+            self.assertEqual(is_doubtful, found, behaviour)
