Decide quarantines anew only for requests with enough crashes

Each new record sorted all suspects, thousands of which may be known for minutes after crashes of large batches. No verdict changes.

--- a/burdockdrum/crashes/ledger.py
+++ b/burdockdrum/crashes/ledger.py
@@ -91,6 +91,8 @@
         # In the order of their serials.
         self._known_by_key: dict[RecordKey, _Known] = {}
         self._endpoints_by_fingerprint: dict[str, set[str]] = {}
+        # The requests with enough crashes to be quarantined.
+        self._candidates: set[str] = set()
         self._quarantined: frozenset[str] = frozenset()
 
     @property
@@ -232,14 +234,25 @@
             endpoint_ids.discard(record.endpoint_id)
         else:
             endpoint_ids.add(record.endpoint_id)
-        if not endpoint_ids:
-            del self._endpoints_by_fingerprint[record.fingerprint]
+        self._update_candidate(record.fingerprint)
         if len(self._known_by_key) > MAX_RECORDS:
             self._remove_oldest()
-        self._update_quarantined()
         for listener in self.listeners:
             listener(record.key)
 
+    def _update_candidate(self, fingerprint: str) -> None:
+        """Take notice of a change of the crashes under a request."""
+        count = len(self._endpoints_by_fingerprint[fingerprint])
+        if not count:
+            del self._endpoints_by_fingerprint[fingerprint]
+        was_candidate = fingerprint in self._candidates
+        if count >= MAX_CRASHES:
+            self._candidates.add(fingerprint)
+        else:
+            self._candidates.discard(fingerprint)
+        if was_candidate or count >= MAX_CRASHES:
+            self._update_quarantined()
+
     def _remove_oldest(self) -> None:
         oldest_first = sorted(
             self._known_by_key,
@@ -257,9 +270,7 @@
             endpoint_ids = self._endpoints_by_fingerprint.get(fingerprint)
             if endpoint_ids is not None:
                 endpoint_ids.discard(endpoint_id)
-                if not endpoint_ids:
-                    del self._endpoints_by_fingerprint[fingerprint]
-        self._update_quarantined()
+                self._update_candidate(fingerprint)
 
     def _update_quarantined(self) -> None:
         """Decide anew which requests are quarantined.
@@ -269,11 +280,8 @@
         """
         suspects = sorted(
             (
-                (fingerprint, endpoint_ids)
-                for fingerprint, endpoint_ids in (
-                    self._endpoints_by_fingerprint.items()
-                )
-                if len(endpoint_ids) >= MAX_CRASHES
+                (fingerprint, self._endpoints_by_fingerprint[fingerprint])
+                for fingerprint in self._candidates
             ),
             key=lambda item: (-len(item[1]), item[0]),
         )
