Leave out entries for the service that they don't reach

An entry that reached no endpoint of one service, since all had crashed, was not asked for a second for any other service either, so that requests of these were refused or went farther. Found by reading. It is remembered by entry and service now; the test's entry was left out for both before.

--- a/burdockdrum/passthrough/relaying/relay.py
+++ b/burdockdrum/passthrough/relaying/relay.py
@@ -297,7 +297,9 @@
                 if isinstance(outcome, NotStarted):
                     progress.record_region_retry_after(outcome.retry_after)
                     if outcome.cut_off or _is_unreached(outcome):
-                        self._selector.record_cut_off(vm_id)
+                        self._selector.record_cut_off(
+                            vm_id, request.backend.name
+                        )
         if not isinstance(outcome, NotStarted) or outcome.reached:
             progress.has_arrived = True
         match outcome:
--- a/burdockdrum/passthrough/selection/targets.py
+++ b/burdockdrum/passthrough/selection/targets.py
@@ -1,6 +1,7 @@
 """Select the target of a request's next attempt, or refuse the request.
 
-Compares the best local endpoint with other regions (spill-over) and sheds
+Compares the best local endpoint with other regions (spill-over), or with other
+entry VMs of this region if this one may not reach all endpoints, and sheds
 load that would miss its latency objective.
 """
 
@@ -93,7 +94,7 @@
 
 
 class TargetSelector:
-    """Selects among local endpoints and entry VMs of other regions."""
+    """Selects among local endpoints and other entry VMs."""
 
     def __init__(
         self,
@@ -114,7 +115,7 @@
         """Create it for a region.
 
         :param read_capacities: returns the load and capacity of each region
-        :param read_entries: returns the live entry VMs of other regions
+        :param read_entries: returns the live entry VMs of all regions
         :param read_closed_data_centres: returns the data centres that get no
             new requests
         :param hop_address: returns where an entry VM accepts forwarded
@@ -127,7 +128,8 @@
         :param vm_id: the id of this entry VM, which is not forwarded to
         """
         self._vm_id = vm_id
-        self._ask_again_at_by_id: dict[str, float] = {}
+        # When to ask an entry VM again, by its id and the service.
+        self._ask_again_at_by_key: dict[tuple[str, str], float] = {}
         self._mechanisms = mechanisms or MechanismSettings()
         self._clock = clock
         self._rng = rng
@@ -355,7 +357,7 @@
         local: RatedEndpoint | None,
     ) -> RegionTarget | None:
         if request.forwarded_from is not None:
-            # Forwarding loop: two regions that each see free capacity in the
+            # Forwarding loop: two entry VMs that each see free capacity at the
             # other would send a request back and forth.
             return None
         limit = float("inf")
@@ -386,7 +388,7 @@
                 allowed = min(remaining, allowed * REMOTE_QUEUE_FACTOR)
             if wait.queue > allowed:
                 continue
-            entry = self._choose_entry(region, progress)
+            entry = self._choose_entry(region, request, progress)
             if entry is not None:
                 return RegionTarget(
                     region=region,
@@ -397,9 +399,10 @@
         return None
 
     def _choose_entry(
-        self, region: str, progress: RequestProgress
+        self, region: str, request: ProxiedRequest, progress: RequestProgress
     ) -> VmIdentity | None:
-        if self._ask_again_at_by_id:
+        service = request.backend.name
+        if self._ask_again_at_by_key:
             self._forget_cut_off()
         entries = [
             entry
@@ -407,20 +410,23 @@
             if entry.region == region
             and entry.vm_id != self._vm_id
             and entry.vm_id not in progress.tried
-            and entry.vm_id not in self._ask_again_at_by_id
+            and (entry.vm_id, service) not in self._ask_again_at_by_key
         ]
         return self._rng.choice(entries) if entries else None
 
-    def record_cut_off(self, vm_id: str) -> None:
-        """Record that an entry VM reaches no endpoint, or is not reached."""
+    def record_cut_off(self, vm_id: str, service: str) -> None:
+        """Record that an entry VM is of no use for a service.
+
+        It reaches no endpoint of the service, or is not reached itself.
+        """
         now = self._clock.monotonic()
-        self._ask_again_at_by_id[vm_id] = now + CUT_ENTRY_SECONDS
+        self._ask_again_at_by_key[(vm_id, service)] = now + CUT_ENTRY_SECONDS
 
     def _forget_cut_off(self) -> None:
         now = self._clock.monotonic()
-        self._ask_again_at_by_id = {
-            vm_id: at
-            for vm_id, at in self._ask_again_at_by_id.items()
+        self._ask_again_at_by_key = {
+            key: at
+            for key, at in self._ask_again_at_by_key.items()
             if at > now
         }
 
--- a/tests/passthrough/selection/test_regions.py
+++ b/tests/passthrough/selection/test_regions.py
@@ -167,3 +167,25 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class CutOffEntryTest(unittest.TestCase):
+    """Entries that reach no endpoint of a service."""
+
+    def test_entry_is_left_out_for_the_service_that_it_does_not_reach(self):
+        # Guards against leaving out an entry that serves other services.
+        peak = MovingPeakTest()
+        peak.setUp()
+        peak.fill_queue(0.6)
+        selector = peak.make_selector()
+
+        def select():
+            request = peak.make_request(make_prompt(100))
+            return selector.select(request, RequestProgress())
+
+        selector.record_cut_off("far", "another service")
+        self.assertIsInstance(select(), RegionTarget)
+        selector.record_cut_off("far", "model")
+        self.assertIsInstance(select(), EndpointTarget)
+        peak.world.clock.now += 1.1
+        self.assertIsInstance(select(), RegionTarget)
