Probe lost endpoints by connections of their own

The probe after a lost connection could take a kept one from the pool, which says nothing about whether connections are accepted: of the endpoint itself, or of another one that shows that the entry's links are sound. Found by reading; no run shows it. Both detectors connect in the same way now.

--- a/burdockdrum/passthrough/relaying/crash_detector.py
+++ b/burdockdrum/passthrough/relaying/crash_detector.py
@@ -35,8 +35,6 @@
 COMPARED_ENDPOINTS = 3
 MAX_PENDING_LOSSES = 256
 
-Probe = Callable[[str], Awaitable[None]]
-
 
 @dataclass(kw_only=True)
 class _Loss:
@@ -63,21 +61,22 @@
         ledger: CrashLedger,
         vm_id: str,
         read_endpoints: Callable[[], Mapping[str, RegisteredEndpoint]],
-        probe: Probe,
+        connect: Callable[[str], Awaitable[None]],
         metrics: Metrics,
     ) -> None:
         """Create it for the endpoints of an entry.
 
         :param vm_id: the id of this VM, as the observer of crashes
         :param read_endpoints: returns the registered endpoints by id
-        :param probe: connects to an address; raises ``NotConnected``
+        :param connect: opens a connection to an address; raises
+            ``NotConnected``
         """
         self._clock = clock
         self._rng = rng
         self._ledger = ledger
         self._vm_id = vm_id
         self._read_endpoints = read_endpoints
-        self._probe = probe
+        self._connect = connect
         self._losses_by_id: dict[str, _Loss] = {}
         # Keeps the tasks of losses that are forgotten meanwhile.
         self._probes: set[asyncio.Task[None]] = set()
@@ -224,7 +223,7 @@
         """Probe an endpoint whose connections were lost."""
         await self._clock.sleep(PROBE_DELAY_SECONDS)
         try:
-            await self._probe(loss.endpoint.address)
+            await self._connect(loss.endpoint.address)
         except NotConnected as error:
             if error.is_refused and await self._reaches_another(loss):
                 self._confirm(loss.endpoint.endpoint_id, "refused")
@@ -241,7 +240,7 @@
         number = min(COMPARED_ENDPOINTS, len(others))
         for endpoint in self._rng.sample(others, number):
             try:
-                await self._probe(endpoint.address)
+                await self._connect(endpoint.address)
             except NotConnected:
                 continue
             return True
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -1,5 +1,7 @@
 """Register the services of this package in the kernel."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Iterable
 import random
 from urllib.parse import urlsplit
@@ -358,23 +360,27 @@
     )
 
 
+def _make_connect(pool: ConnectionPool) -> Callable[[str], Awaitable[None]]:
+    """Return a function that opens a connection to an endpoint's address."""
+
+    async def connect(address: str) -> None:
+        connection = await pool.open(address, timeout=CONNECT_TIMEOUT_SECONDS)
+        pool.release(address, connection, max_idle=1)
+
+    return connect
+
+
 def _build_crash_detector(kernel: Kernel) -> CrashDetector:
     pool = kernel.find("endpoint_pool", ConnectionPool)
     registrations = kernel.find("registrations", RegistrationFollower)
 
-    async def probe(address: str) -> None:
-        connection = await pool.acquire(
-            address, timeout=CONNECT_TIMEOUT_SECONDS
-        )
-        pool.release(address, connection, max_idle=1)
-
     detector = CrashDetector(
         clock=kernel.find("clock", Clock),
         rng=kernel.find("random", random.Random),
         ledger=kernel.find("crash_ledger", CrashLedger),
         vm_id=kernel.find("identity", VmIdentity).vm_id,
         read_endpoints=lambda: registrations.endpoints_by_id,
-        probe=probe,
+        connect=_make_connect(pool),
         metrics=kernel.find("metrics", Metrics),
     )
     registrations.restart_listeners.append(detector.record_replaced)
@@ -416,15 +422,11 @@
     registrations = kernel.find("registrations", RegistrationFollower)
     runner = kernel.find("attempts", AttemptRunner)
 
-    async def connect(address: str) -> None:
-        connection = await pool.open(address, timeout=CONNECT_TIMEOUT_SECONDS)
-        pool.release(address, connection, max_idle=1)
-
     prober = EndpointProber(
         clock=kernel.find("clock", Clock),
         fleet=kernel.find("fleet", Fleet),
         read_endpoints=lambda: registrations.endpoints_by_id,
-        connect=connect,
+        connect=_make_connect(pool),
         on_unreachable=runner.give_up_silent,
         metrics=kernel.find("metrics", Metrics),
     )
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -292,9 +292,9 @@
             brittle=brittle,
         )
 
-        async def probe(address):
-            connection = await pools[0].acquire(address, timeout=0.4)
-            pools[0].release(address, connection)
+        async def connect(address):
+            connection = await pools[0].open(address, timeout=0.4)
+            pools[0].release(address, connection, max_idle=1)
 
         ledger = CrashLedger(clock=clock)
         detector = CrashDetector(
@@ -303,7 +303,7 @@
             ledger=ledger,
             vm_id=f"vm-{key}",
             read_endpoints=lambda: registered,
-            probe=probe,
+            connect=connect,
             metrics=metrics,
         )
         runner = AttemptRunner(
@@ -323,10 +323,6 @@
             crashes=detector,
         )
 
-        async def connect(address):
-            connection = await pools[0].open(address, timeout=0.4)
-            pools[0].release(address, connection, max_idle=1)
-
         prober = EndpointProber(
             clock=clock,
             fleet=fleet,
--- a/tests/passthrough/relaying/test_crash_detector.py
+++ b/tests/passthrough/relaying/test_crash_detector.py
@@ -30,11 +30,11 @@
             ledger=self.ledger,
             vm_id="vm",
             read_endpoints=lambda: self.endpoints,
-            probe=self.probe,
+            connect=self.connect,
             metrics=Metrics(),
         )
 
-    async def probe(self, address):
+    async def connect(self, address):
         self.probed.append(address)
         if address in self.refusing:
             raise NotConnected("refused", is_refused=True)
