--- a/tests/soak/test_crashes.py
+++ b/tests/soak/test_crashes.py
@@ -29,6 +29,13 @@
     await asyncio.Future()
 
 
+async def restart_everything(soak):
+    """Restart all processes after they have learned of the requests."""
+    await asyncio.sleep(10.0)
+    await soak.restart_everything()
+    await asyncio.Future()
+
+
 class CrashingRequestTest(unittest.TestCase):
     """Requests that crash endpoints, at six entries of three regions."""
 
@@ -52,5 +59,9 @@
         # Guards against control VMs that forget what entries told them.
         self.run_seed(restart_control, seconds=28)
 
+    def test_restarted_deployment_knows_crashing_requests(self):
+        # Guards against a quarantine that ends when all processes stop.
+        self.run_seed(restart_everything, seconds=32)
+
     def test_crashing_request_under_random_faults(self):
         self.run_seed(None, seconds=25)
