Refuse near entries' requests if all endpoints are in doubt; probe rarely

Callers of entries whose connections are silent, all of a region at once, were served 1 of 31 first tries: the entries forwarded to each other and waited there. An entry in doubt of all endpoints now refuses such requests, and they go to another region. And each silent endpoint was probed by a request of its own after it had been set aside; now one request for a service does so each 2 s.

--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -434,11 +434,9 @@
                 health.record_error(now)
             case NotStarted(unconnected=True):
                 health.record_unreachable(now)
-            case Lost(timed_out=False):
-                health.record_loss(now)
-            # A busy endpoint lets a deadline pass, but responds to others.
-            case Lost() if is_silent:
-                health.record_loss(now)
+            case Lost(timed_out=timed_out) if is_silent or not timed_out:
+                # A busy endpoint lets a deadline pass, but responds to others.
+                health.record_loss(now, is_silent=is_silent)
             case _:
                 health.record_neutral()
 
--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -47,6 +47,8 @@
 # Least expected work when drawing an endpoint: those whose estimates differ by
 # less share the requests.
 TIE_MARGIN_SECONDS = 0.002
+# Time between requests that probe silent endpoints of the same service.
+SILENT_PROBE_SPACING_SECONDS = 2.0
 
 
 class Fleet:
@@ -380,6 +382,8 @@
         state = self._state_of(endpoint)
         state.add_recent(now, rank, choice.prefill_cost_tokens)
         state.health.record_start(now)
+        if state.health.is_silent and state.health.is_probing:
+            self._postpone_probes(state, now)
         if not state.in_flight_requests:
             state.idle_since = now
         if backend.engine is not None:
@@ -406,6 +410,19 @@
         state.add_request(in_flight_request)
         return in_flight_request
 
+    def _postpone_probes(self, probed: EndpointState, now: float) -> None:
+        """Let one request at a time probe the silent endpoints of a service.
+
+        Their common cause may be the links of this entry.
+        """
+        for state in self._states_by_id.values():
+            if (
+                state is not probed
+                and state.service == probed.service
+                and state.health.is_silent
+            ):
+                state.health.postpone_probe(now + SILENT_PROBE_SPACING_SECONDS)
+
     def record_output(self, in_flight_request: InFlightRequest) -> None:
         """Record that an endpoint sent a chunk of its response."""
         now = self._clock.monotonic()
@@ -531,6 +548,11 @@
             map(self._is_doubtful, self._eligibility.list_live(service))
         )
 
+    def are_all_doubtful(self, service: str) -> bool:
+        """Return whether this entry may reach no endpoint of a service."""
+        live = self._eligibility.list_live(service)
+        return bool(live) and all(map(self._is_doubtful, live))
+
     def is_cut_off(self, service: str) -> bool:
         """Return whether this entry reaches no endpoint of a service."""
         now = self._clock.monotonic()
--- a/burdockdrum/passthrough/selection/targets.py
+++ b/burdockdrum/passthrough/selection/targets.py
@@ -175,6 +175,7 @@
             shares.record_requested(request, progress, local)
         if local is None:
             raise self._refuse_without_endpoint(request, progress)
+        self._check_links(request, progress)
         allowed = self._max_queue_seconds(request, remaining, local.wait)
         if shares is not None:
             self._check_share(request, progress, shares, local, allowed)
@@ -189,6 +190,26 @@
             local = shares.mark(request, local)
         return EndpointTarget(choice=local)
 
+    def _check_links(
+        self, request: ProxiedRequest, progress: RequestProgress
+    ) -> None:
+        """Refuse a request of another entry of this region in vain.
+
+        That entry may not reach the endpoints; another region may serve it.
+
+        :raises Refusal: if this entry may not reach any of them either
+        """
+        service = request.backend.name
+        is_near_hop = request.forwarded_from == self._region
+        if is_near_hop and self._fleet.are_all_doubtful(service):
+            raise self._make_refusal(
+                request,
+                progress,
+                "all local endpoints are in doubt here as well",
+                NO_ENDPOINT_RETRY_AFTER_SECONDS,
+                code=RefusalCode.NO_ENDPOINT,
+            )
+
     def _check_share(
         self,
         request: ProxiedRequest,
--- a/burdockdrum/passthrough/state/health.py
+++ b/burdockdrum/passthrough/state/health.py
@@ -28,7 +28,8 @@
     An unreachable endpoint gets no requests. An ejected one is still used if
     there is no better one: if a service fails everywhere, ejecting all of its
     endpoints would not help. ``reachable_since`` is the first success after a
-    failed connect, None if there is none.
+    failed connect, None if there is none. ``is_silent`` says that requests
+    were lost there without a byte for anyone.
     """
 
     score: float = 0.0
@@ -38,6 +39,7 @@
     is_probing: bool = False
     was_unreachable: bool = False
     reachable_since: float | None = None
+    is_silent: bool = False
 
     def is_reachable(self, now: float) -> bool:
         """Return whether the backoff after a failed connect has passed."""
@@ -71,6 +73,7 @@
 
     def record_success(self) -> None:
         """Record a successful response."""
+        self.is_silent = False
         self.score *= 1 - _FAILURE_WEIGHT
         self.is_probing = False
         if self.score < EJECTION_SCORE:
@@ -81,10 +84,19 @@
         """Record an error response."""
         self._record_failure(now, _FAILURE_WEIGHT)
 
-    def record_loss(self, now: float) -> None:
-        """Record a truncated, malformed or missing response."""
+    def record_loss(self, now: float, *, is_silent: bool = False) -> None:
+        """Record a truncated, malformed or missing response.
+
+        :param is_silent: whether nobody got a byte meanwhile
+        """
+        self.is_silent = self.is_silent or is_silent
         self._record_failure(now, _LOSS_WEIGHT)
 
+    def postpone_probe(self, until: float) -> None:
+        """Let no request probe an ejected endpoint before a time."""
+        if self.ejection_seconds:
+            self.ejected_until = max(self.ejected_until, until)
+
     def record_connected(self) -> None:
         """Record that a connection was opened, without a request."""
         self.unreachable_until = 0.0
