Read the sockets of processes ten times a second in the soak of cuts

The soak read the open files of each process that is cut off for each connection and request, ten times a second each, and sent 9 requests a second where 40 are meant, too few for entries to learn by. The lists are kept for 0.1 s now; the checks and bounds are the same.

--- a/scripts/soak/cut_endpoint.py
+++ b/scripts/soak/cut_endpoint.py
@@ -7,11 +7,14 @@
 import os
 import pathlib
 import random
+import time
 
 from burdockdrum.histories import RetryHistory
 from scripts.soak.failing_endpoint import FailingEndpoint
 
 SILENCE_SECONDS = 20.0
+# New connections of a process that is cut off may pass for so long.
+LIST_VALID_SECONDS = 0.1
 _TCP_TABLE = pathlib.Path("/proc/net/tcp")
 _LOCAL_ADDRESS_FIELD, _INODE_FIELD = 1, 9
 
@@ -60,7 +63,7 @@
     async def _watch(self, writer: asyncio.StreamWriter, inode: str) -> None:
         """Reset a connection once its process is cut off in that way."""
         while self._find_cut(inode) is not Cut.RESET:
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(LIST_VALID_SECONDS)
         writer.transport.abort()
 
     async def _answer(
@@ -77,7 +80,7 @@
 
     def _find_cut(self, inode: str) -> Cut | None:
         for pid, cut in self._read_cuts().items():
-            if inode and inode in _list_inodes(pid):
+            if inode and inode in _socket_lists.read(pid):
                 return cut
         return None
 
@@ -92,8 +95,26 @@
     return ""
 
 
+class _SocketLists:
+    """The inodes of the sockets of processes, read again now and then."""
+
+    def __init__(self) -> None:
+        self._lists_by_pid: dict[int, tuple[float, set[str]]] = {}
+
+    def read(self, pid: int) -> set[str]:
+        """Return the inodes of a process's sockets."""
+        now = time.monotonic()
+        read_at, inodes = self._lists_by_pid.get(pid, (0.0, set()))
+        if now - read_at > LIST_VALID_SECONDS:
+            inodes = _list_inodes(pid)
+            self._lists_by_pid[pid] = (now, inodes)
+        return inodes
+
+
+_socket_lists = _SocketLists()
+
+
 def _list_inodes(pid: int) -> set[str]:
-    """Return the inodes of a process's sockets."""
     inodes = set()
     with contextlib.suppress(OSError):
         for entry in os.scandir(f"/proc/{pid}/fd"):
