Keep the records of crashes on the disks of control VMs

Control VMs now store the records with the registrations and restore them with their age.

A test of the store drives the loss of power.

--- a/burdockdrum/crashes/__init__.py
+++ b/burdockdrum/crashes/__init__.py
@@ -5,6 +5,7 @@
 from burdockdrum.crashes.ledger import Assessment
 from burdockdrum.crashes.ledger import CrashLedger
 from burdockdrum.crashes.ledger import MAX_CRASHES
+from burdockdrum.crashes.ledger import MAX_RECORDS
 from burdockdrum.crashes.ledger import Standing
 from burdockdrum.crashes.records import CrashRecord
 from burdockdrum.crashes.services import add_services
@@ -16,6 +17,7 @@
     "CrashLedger",
     "CrashRecord",
     "MAX_CRASHES",
+    "MAX_RECORDS",
     "SHARE_DELAY_SECONDS",
     "Standing",
 ]
--- a/burdockdrum/registrations/services.py
+++ b/burdockdrum/registrations/services.py
@@ -38,6 +38,7 @@
         clock=kernel.find("clock", Clock),
         disk=kernel.find("disk", Disk),
         table=kernel.find("registration_book", RegistrationTable),
+        crashes=kernel.find("crash_ledger", CrashLedger),
     )
 
 
--- a/burdockdrum/registrations/store.py
+++ b/burdockdrum/registrations/store.py
@@ -1,4 +1,4 @@
-"""Persists a control VM's registrations across restarts.
+"""Persists a control VM's registrations and crash records across restarts.
 
 After a power failure entries know every endpoint at once, not only those that
 have checked in again. Restored registrations count as received at the start:
@@ -8,6 +8,9 @@
 
 import msgspec
 
+from burdockdrum.crashes import CrashLedger
+from burdockdrum.crashes import CrashRecord
+from burdockdrum.crashes import MAX_RECORDS
 from burdockdrum.logs import log_decision
 from burdockdrum.logs import log_failure
 from burdockdrum.ports import Clock
@@ -31,15 +34,26 @@
 
     written_at: float
     registrations: list[Registration]
+    crashes: list[CrashRecord] = []
 
 
 class RegistrationStore:
     """Stores a control VM's registrations in a file."""
 
     def __init__(
-        self, *, clock: Clock, disk: Disk, table: RegistrationTable
+        self,
+        *,
+        clock: Clock,
+        disk: Disk,
+        table: RegistrationTable,
+        crashes: CrashLedger | None = None,
     ) -> None:
-        """Create a store for a table that is still empty."""
+        """Create a store for a table that is still empty.
+
+        :param crashes: the crashes that this VM knows; none by default
+        """
+        self._crashes = crashes or CrashLedger(clock=clock)
+        self._written_crash_serial = 0
         self._clock = clock
         self._disk = disk
         self._table = table
@@ -50,7 +64,10 @@
         await self._restore()
         while True:
             await self._clock.sleep(WRITE_INTERVAL_SECONDS)
-            if self._table.serial == self._written_serial:
+            if (
+                self._table.serial == self._written_serial
+                and self._crashes.serial == self._written_crash_serial
+            ):
                 continue
             try:
                 await self._write()
@@ -81,15 +98,24 @@
             _add_age(registration, age)
             for registration in stored.registrations
         )
+        for record in stored.crashes:
+            self._crashes.merge(
+                msgspec.structs.replace(record, age=record.age + age)
+            )
         log_decision(
-            "registrations.restored", endpoints=count, age=round(age, 3)
+            "registrations.restored",
+            endpoints=count,
+            crashes=len(stored.crashes),
+            age=round(age, 3),
         )
 
     async def _write(self) -> None:
         serial = self._table.serial
+        crashes, crash_serial = self._crashes.records_after(0, MAX_RECORDS)
         stored = StoredRegistrations(
             written_at=self._clock.wall(),
             registrations=self._table.ready_or_draining(),
+            crashes=crashes,
         )
         await self._disk.write(
             _TEMPORARY_FILE_NAME, msgspec.msgpack.encode(stored)
@@ -98,6 +124,7 @@
         await self._disk.rename(_TEMPORARY_FILE_NAME, _FILE_NAME)
         await self._disk.sync_folder()
         self._written_serial = serial
+        self._written_crash_serial = crash_serial
 
 
 def _add_age(registration: Registration, seconds: float) -> Registration:
--- a/tests/registrations/test_store.py
+++ b/tests/registrations/test_store.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from burdockdrum.crashes import CrashLedger
 from burdockdrum.registrations.messages import LimitNotice
 from burdockdrum.registrations.messages import Registration
 from burdockdrum.registrations.messages import RegistrationState
@@ -38,8 +39,12 @@
     def __init__(self, disk):
         """Start with the content of a disk."""
         self.table = RegistrationTable(clock=VirtualClock())
+        self.crashes = CrashLedger(clock=VirtualClock())
         self.store = RegistrationStore(
-            clock=VirtualClock(), disk=disk, table=self.table
+            clock=VirtualClock(),
+            disk=disk,
+            table=self.table,
+            crashes=self.crashes,
         )
         self.task = asyncio.create_task(self.store.run())
 
@@ -94,6 +99,20 @@
 
         self.play(before, after)
 
+    def test_crashes_are_known_after_a_power_failure(self):
+        # Guards against a quarantine that ends when everything stops.
+        async def before(vm):
+            for endpoint_id in ("e1", "e2", "e3"):
+                vm.crashes.add("f", endpoint_id, "entry")
+            await asyncio.sleep(WRITE_INTERVAL_SECONDS * 2)
+
+        async def after(vm):
+            self.assertEqual({"f"}, set(vm.crashes.quarantined))
+            age = vm.crashes.assess("f").crashes[0].age
+            self.assertGreater(age, 1.5)
+
+        self.play(before, after)
+
     def test_restored_limit_is_as_old_as_it_is(self):
         # Guards against a limit that was withdrawn while the VM was down and
         # looks like the later announcement after the restart.
