--- a/burdockdrum/passthrough/state/health.py
+++ b/burdockdrum/passthrough/state/health.py
@@ -89,7 +89,10 @@
 
         :param is_silent: whether nobody got a byte meanwhile
         """
-        self.is_silent = self.is_silent or is_silent
+        if is_silent:
+            # One is enough: it was silent to all requests of this entry.
+            self.is_silent = True
+            self.score = max(self.score, EJECTION_SCORE)
         self._record_failure(now, _LOSS_WEIGHT)
 
     def postpone_probe(self, until: float) -> None:
