--- a/tests/crashes/test_ledger.py
+++ b/tests/crashes/test_ledger.py
@@ -3,6 +3,8 @@
 import unittest
 
 from hypothesis import given
+from hypothesis import HealthCheck
+from hypothesis import settings
 from hypothesis import strategies as st
 
 from burdockdrum.crashes import CrashLedger
@@ -133,6 +135,7 @@
 class MergeTest(LedgerCase):
     """Records that arrive from several VMs."""
 
+    @settings(deadline=None, suppress_health_check=[HealthCheck.too_slow])
     @given(records=RECORDS, order=st.randoms(use_true_random=False))
     def test_order_and_repetition_do_not_matter(self, records, order):
         # Guards against VMs that disagree after a partition.
@@ -146,6 +149,7 @@
             verdicts.append([ledger.assess(name).standing for name in "abc"])
         self.assertEqual(*verdicts)
 
+    @settings(deadline=None, suppress_health_check=[HealthCheck.too_slow])
     @given(records=RECORDS, limit=st.integers(1, 5))
     def test_parts_after_serials_are_all_records(self, records, limit):
         first = CrashLedger(clock=ManualClock())
