Reproduce copies of a crashing request that run at the same time, red

What the postmortem left open does show: 2, 4 and 8 copies at once reach 4, 6 and 10 endpoints, and each record waits half a second before other VMs hear of it.

--- a/tests/passthrough/relaying/test_crashing_requests.py
+++ b/tests/passthrough/relaying/test_crashing_requests.py
@@ -89,6 +89,22 @@
         self.assertEqual(MAX_CRASHES, self.count_arrivals())
         self.assertEqual(1, len(entry.ledger.quarantined))
 
+    async def test_copies_at_the_same_time_cost_an_endpoint_each_at_most(self):
+        # Guards against retries beside copies whose crashes aren't known yet.
+        for copies in (1, 2, 4, 8):
+            with self.subTest(copies=copies):
+                entry = await self.open_entry(endpoints=30)
+                for _ in range(5):
+                    await asyncio.gather(
+                        *(
+                            entry.call(method=b"POST", body=CRASHING_BODY)
+                            for _ in range(copies)
+                        )
+                    )
+                self.assertEqual(
+                    max(MAX_CRASHES, copies), self.count_arrivals()
+                )
+
     async def test_other_region_rejects_what_it_knows(self):
         # Guards against a request that goes on to the next region, where it
         # is not known yet, or comes back.
--- a/tests/registrations/test_crashes_over_vms.py
+++ b/tests/registrations/test_crashes_over_vms.py
@@ -3,12 +3,15 @@
 import unittest
 
 from burdockdrum.crashes import CrashLedger
+from burdockdrum.crashes import SHARE_DELAY_SECONDS
 from burdockdrum.crashes import Standing
 from burdockdrum.testing import run_virtual
 from tests.registrations.limited_region import LimitedRegion
 
 # By the platform's rules, every entry must know within 5 s.
 LEARNING_SECONDS = 4.0
+# Between two VMs of the test's network, with some reserve.
+MESSAGE_SECONDS = 0.15
 
 
 class CrashRegion(LimitedRegion):
@@ -73,6 +76,19 @@
             with self.subTest(entries=entries):
                 self.play(check, entries=entries)
 
+    def test_repeated_crash_is_known_within_the_time_of_a_message(self):
+        # Guards against copies at other entries that each cost an endpoint
+        # while the entry that knows of two crashes waits for a third.
+        async def check(world):
+            world.crash("e0", "x", "y")
+            world.crash("e1", "z")
+            await world.run(MESSAGE_SECONDS)
+            self.assertEqual(2, len(world.ledgers["c0"].assess("f").crashes))
+            await world.run(SHARE_DELAY_SECONDS + MESSAGE_SECONDS)
+            self.assert_rejected(world, world.entries)
+
+        self.play(check, entries=6)
+
     def test_restarted_entries_learn_from_control_vms(self):
         async def check(world):
             world.crash("e0", "x", "y", "z")
