Run copies of a request one after the other once an endpoint crashed

Callers of other requests lost an endpoint for each copy of a crashing request that ran, and for each retry that went on beside copies whose crashes were not known yet: 1, 2, 4 and 8 copies at once reached 3, 4, 6 and 10 endpoints of one entry. Other entries heard of a crash half a second later, whatever else was known.

Cause: the check before an attempt counts the crashes that are recorded, not the copies that run and may be about to crash theirs.

Change: an attempt of a suspect waits for copies that run at this entry, for half a second and a quarter of its time at most. Records of a second crash under a request are sent at once; others still wait half a second, by when most innocent requests have completed.

Ruled out: hashing every request to hold the second copy of the first crash; it would also hold polls that come often.

--- a/burdockdrum/crashes/exchange.py
+++ b/burdockdrum/crashes/exchange.py
@@ -16,6 +16,8 @@
 # Most requests that ran beside a crashing one complete within this time when
 # they are retried, and nobody else needs to know of them.
 SHARE_DELAY_SECONDS = 0.5
+# A request under which so many endpoints crashed is rarely innocent.
+MIN_URGENT_CRASHES = 2
 
 
 @dataclass(kw_only=True)
@@ -32,6 +34,7 @@
     def __init__(self, *, ledger: CrashLedger) -> None:
         """Create it for the ledger of an entry."""
         self._has_unknown = asyncio.Event()
+        self._has_urgent = asyncio.Event()
         self._ledger = ledger
         self._sources_by_id: dict[str, _Source] = {}
         # Records that other VMs know or may know.
@@ -48,10 +51,21 @@
         """Return the serial up to which a control VM's records are known."""
         return self._find(vm_id).serial
 
-    async def wait_until_unknown(self) -> None:
-        """Wait for a change that no control VM has sent."""
+    async def wait_until_due(self) -> None:
+        """Wait for records that should be sent without waiting for a poll.
+
+        Records of a first crash are due after ``SHARE_DELAY_SECONDS``.
+        """
         await self._has_unknown.wait()
         self._has_unknown.clear()
+        try:
+            async with asyncio.timeout(SHARE_DELAY_SECONDS):
+                await self._has_urgent.wait()
+        except TimeoutError:
+            return
+        self._has_urgent.clear()
+        # The other records are due later.
+        self._has_unknown.set()
 
     def list_unknown(self, vm_id: str) -> list[CrashRecord]:
         """Return records that a control VM doesn't know, some at a time."""
@@ -61,7 +75,7 @@
             record = self._ledger.find(key)
             if record is None or record.is_cleared and key not in self._shared:
                 source.unknown.discard(key)
-            elif record.age >= SHARE_DELAY_SECONDS:
+            elif record.age >= SHARE_DELAY_SECONDS or self._is_urgent(key):
                 records.append(record)
                 self._shared.add(key)
             if len(records) == MAX_RECORDS_A_MESSAGE:
@@ -103,3 +117,10 @@
                 source.unknown.add(key)
         if self._sender is None:
             self._has_unknown.set()
+            if self._is_urgent(key):
+                self._has_urgent.set()
+
+    def _is_urgent(self, key: RecordKey) -> bool:
+        fingerprint, _ = key
+        assessment = self._ledger.assess(fingerprint)
+        return len(assessment.crashes) >= MIN_URGENT_CRASHES
--- a/burdockdrum/passthrough/relaying/crash_detector.py
+++ b/burdockdrum/passthrough/relaying/crash_detector.py
@@ -49,6 +49,11 @@
     fingerprints: set[str] = field(default_factory=set)
     probe: asyncio.Task[None] | None = None
 
+    @property
+    def is_probed(self) -> bool:
+        """Return whether a probe of the endpoint is in progress."""
+        return self.probe is not None and not self.probe.done()
+
 
 class CrashDetector:
     """Finds crashed endpoints, and records which requests they ran."""
@@ -101,6 +106,23 @@
             return None
         return self._ledger.assess(fingerprint())
 
+    def is_suspect(self, fingerprint: Callable[[], str]) -> bool:
+        """Return whether an endpoint crashed, or may have, under a request.
+
+        One whose connections were lost may have until it has been probed.
+
+        :param fingerprint: computes the request's fingerprint
+        """
+        if not self._losses_by_id and self._ledger.is_empty:
+            return False
+        known = fingerprint()
+        if self._ledger.assess(known).standing is not Standing.CLEAR:
+            return True
+        return any(
+            known in loss.fingerprints and loss.is_probed
+            for loss in self._losses_by_id.values()
+        )
+
     def list_shared(self, fingerprint: str) -> set[str]:
         """Return the endpoints that run other suspects for this entry."""
         return {
--- a/burdockdrum/passthrough/relaying/crash_guard.py
+++ b/burdockdrum/passthrough/relaying/crash_guard.py
@@ -2,6 +2,7 @@
 
 from burdockdrum.crashes import Standing
 from burdockdrum.http1 import Exchange
+from burdockdrum.logs import log_decision
 from burdockdrum.metrics import Metrics
 from burdockdrum.passthrough.protocol import Lost
 from burdockdrum.passthrough.protocol import NotStarted
@@ -10,6 +11,9 @@
 from burdockdrum.passthrough.protocol import RequestProgress
 from burdockdrum.passthrough.protocol import ResponseTruncated
 from burdockdrum.passthrough.relaying.crash_detector import CrashDetector
+from burdockdrum.passthrough.relaying.running_copies import Run
+from burdockdrum.passthrough.relaying.running_copies import RunningCopies
+from burdockdrum.ports import Clock
 from burdockdrum.verdicts import Refusal
 from burdockdrum.verdicts import RefusalCode
 
@@ -22,14 +26,49 @@
 class CrashGuard:
     """Decides whether and beside which others a request may run."""
 
-    def __init__(self, *, detector: CrashDetector, metrics: Metrics) -> None:
+    def __init__(
+        self, *, clock: Clock, detector: CrashDetector, metrics: Metrics
+    ) -> None:
         """Create it for the crashes that an entry knows."""
+        self._clock = clock
+        self._copies = RunningCopies(clock=clock)
         self._detector = detector
         self._decisions_total = metrics.counter(
             "burdockdrum_crash_decisions_total",
             "Requests rejected or kept apart because endpoints crashed.",
         )
 
+    async def begin_attempt(self, request: ProxiedRequest) -> Run:
+        """Begin an attempt, after the copies of a suspect that run.
+
+        ``end_attempt`` must follow.
+        """
+        detector = self._detector
+
+        def is_suspect() -> bool:
+            return detector.is_suspect(lambda: request.fingerprint)
+
+        if is_suspect():
+            began = self._clock.monotonic()
+            fingerprint = request.fingerprint
+            if await self._copies.wait(
+                fingerprint, request.deadline - began, is_suspect
+            ):
+                self._decisions_total.increment(decision="delayed")
+                log_decision(
+                    "request.delayed",
+                    request_id=request.request_id,
+                    fingerprint=fingerprint,
+                    reason="a copy ran that may crash endpoints",
+                    seconds=round(self._clock.monotonic() - began, 4),
+                )
+                await detector.settle(fingerprint)
+        return self._copies.begin(lambda: request.fingerprint)
+
+    def end_attempt(self, run: Run) -> None:
+        """End an attempt that ``begin_attempt`` began."""
+        self._copies.end(run)
+
     def check(
         self,
         request: ProxiedRequest,
--- a/burdockdrum/passthrough/relaying/relay.py
+++ b/burdockdrum/passthrough/relaying/relay.py
@@ -190,39 +190,54 @@
     ) -> None:
         splitter = ResumableEventSplitter(last_number=request.last_event)
         while True:
-            self._crash_guard.check(request, progress, exchange)
+            run = await self._crash_guard.begin_attempt(request)
             try:
-                target = await self._select(request, progress)
-            except Refusal as refusal:
-                if await self._ask_for_permit(request, progress):
-                    continue
-                self._finish_without_target(
-                    request, progress, exchange, refusal
+                may_retry = await self._run_attempt(
+                    request, progress, exchange, splitter
                 )
+            finally:
+                self._crash_guard.end_attempt(run)
+            if not may_retry:
                 return
-            # The request may have waited in the line meanwhile.
-            self._crash_guard.check(request, progress, exchange)
-            progress.permit = None
-            progress.target = target
-            if isinstance(target, EndpointTarget):
-                self._retries.record_request(request, progress)
-            started_at = self._clock.monotonic()
-            outcome = await self._runner.execute(
-                target, request, progress, exchange, splitter
-            )
-            progress.last_event = splitter.last_number
-            self._report_attempt(
-                target, request, progress, outcome, started_at
-            )
-            if isinstance(outcome, Delivered):
-                return
-            self._record_outcome(target, request, progress, outcome)
-            await self._crash_guard.check_outcome(
-                request, progress, exchange, outcome
-            )
-            if not await self._may_retry(request, progress, outcome):
-                self._finish_failed(request, progress, exchange, outcome)
-                return
+
+    async def _run_attempt(
+        self,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        exchange: Exchange,
+        splitter: ResumableEventSplitter,
+    ) -> bool:
+        """Run one attempt; return whether another one should follow."""
+        self._crash_guard.check(request, progress, exchange)
+        try:
+            target = await self._select(request, progress)
+        except Refusal as refusal:
+            if await self._ask_for_permit(request, progress):
+                return True
+            self._finish_without_target(request, progress, exchange, refusal)
+            return False
+        # The request may have waited in the line meanwhile.
+        self._crash_guard.check(request, progress, exchange)
+        progress.permit = None
+        progress.target = target
+        if isinstance(target, EndpointTarget):
+            self._retries.record_request(request, progress)
+        started_at = self._clock.monotonic()
+        outcome = await self._runner.execute(
+            target, request, progress, exchange, splitter
+        )
+        progress.last_event = splitter.last_number
+        self._report_attempt(target, request, progress, outcome, started_at)
+        if isinstance(outcome, Delivered):
+            return False
+        self._record_outcome(target, request, progress, outcome)
+        await self._crash_guard.check_outcome(
+            request, progress, exchange, outcome
+        )
+        if await self._may_retry(request, progress, outcome):
+            return True
+        self._finish_failed(request, progress, exchange, outcome)
+        return False
 
     async def _select(
         self, request: ProxiedRequest, progress: RequestProgress
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -463,6 +463,7 @@
         permits=kernel.find("limit_permits", LimitPermits),
         holder=kernel.find("waiting_requests", RequestHolder),
         crash_guard=CrashGuard(
+            clock=clock,
             detector=kernel.find("crash_detector", CrashDetector),
             metrics=kernel.find("metrics", Metrics),
         ),
--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -11,7 +11,6 @@
 
 from burdockdrum.crashes import CrashExchange
 from burdockdrum.crashes import CrashLedger
-from burdockdrum.crashes import SHARE_DELAY_SECONDS
 from burdockdrum.logs import log_decision
 from burdockdrum.peers import Message
 from burdockdrum.peers import Peers
@@ -187,8 +186,7 @@
     async def _share_crashes(self) -> None:
         """Report crashes that control VMs don't know, without a poll."""
         while True:
-            await self._crash_exchange.wait_until_unknown()
-            await self._clock.sleep(SHARE_DELAY_SECONDS)
+            await self._crash_exchange.wait_until_due()
             for vm_id, address in self._control_addresses().items():
                 if self._crash_exchange.list_unknown(vm_id):
                     self._watch(vm_id, address, None, is_acknowledgement=True)
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -377,7 +377,9 @@
             meter=meter,
             permits=permits,
             holder=holder,
-            crash_guard=CrashGuard(detector=detector, metrics=metrics),
+            crash_guard=CrashGuard(
+                clock=clock, detector=detector, metrics=metrics
+            ),
         )
         entry = Entry(key, region, relay, runner, fleet, capacities)
         entry.metrics, entry.holder, entry.drain = metrics, holder, drain
