--- a/burdockdrum/passthrough/protocol/header_names.py
+++ b/burdockdrum/passthrough/protocol/header_names.py
@@ -19,6 +19,8 @@
       endpoint refuses it with status 421.
     - ``not_run``: the endpoint guarantees that it did not run the request.
     - ``last_event``: the number of the last event the caller received.
+    - ``resumes``: the id of the caller's request that brought the first event
+      of the stream that it takes up.
     - ``token_counts``: prompt tokens and maximum output tokens.
     - ``length_hint``: the caller's estimate of the output tokens.
     - ``prompt_parts``: the prompt's parts in order, each as ``ID:TOKENS``.
@@ -41,6 +43,7 @@
     expected_endpoint: bytes = b"x-expected-endpoint"
     not_run: bytes = b"x-not-started"
     last_event: bytes = b"last-event-id"
+    resumes: bytes = b"x-resumes"
     token_counts: bytes = b"x-tokens"
     length_hint: bytes = b"x-length-hint"
     prompt_parts: bytes = b"x-prompt-parts"
--- a/burdockdrum/passthrough/protocol/model.py
+++ b/burdockdrum/passthrough/protocol/model.py
@@ -37,6 +37,8 @@
     """A proxied request with its resolved route.
 
     ``team`` is the authenticated team, None if the route needs no token.
+    ``began_as`` is the id of the request that began the stream which this one
+    takes up, None if the caller named none.
     ``deadline`` is the earlier of the caller's and the route's, in monotonic
     time. ``forwarded_from`` is the region of the entry VM that forwarded it,
     None if it came directly from the caller. ``hop_charge`` is how it counts
@@ -53,6 +55,7 @@
     deadline: float
     attempts: int
     last_event: int | None = None
+    began_as: str | None = None
     forwarded_from: str | None = None
     hop_charge: HopCharge | None = None
     revision: int = 0
--- a/burdockdrum/passthrough/protocol/request_reader.py
+++ b/burdockdrum/passthrough/protocol/request_reader.py
@@ -37,6 +37,8 @@
 HOLD_DEADLINE_FRACTION = 0.4
 # Only a configuration change can resolve a residency conflict.
 RESIDENCY_RETRY_SECONDS = 5.0
+# Longer ids of requests whose streams are taken up count as unknown.
+MAX_REQUEST_ID_BYTES = 200
 _MILLISECONDS_PER_SECOND = 1000.0
 
 
@@ -127,6 +129,7 @@
             deadline=head.received_at + seconds_left,
             attempts=attempts,
             last_event=parse_count(head.find(names.last_event)),
+            began_as=self._read_began_as(head, route),
             forwarded_from=region.decode("latin-1") if region else None,
             hop_charge=_read_charge(head, service) if is_hop else None,
             revision=index.generation,
@@ -134,6 +137,18 @@
             quota_charge=quota_charge,
         )
 
+    def _read_began_as(self, head: RequestHead, route: Route) -> str | None:
+        """Return the id of the request whose stream a request takes up.
+
+        Several ids, or one that no caller could have sent, count as none.
+        """
+        given = head.find_all(self._names.resumes)
+        if not route.streams or not route.resumable or len(given) != 1:
+            return None
+        if not 0 < len(given[0]) <= MAX_REQUEST_ID_BYTES:
+            return None
+        return given[0].decode("latin-1")
+
     def _choose_service(
         self, head: RequestHead, route: Route, *, is_hop: bool
     ) -> str:
--- a/burdockdrum/passthrough/relaying/request_log.py
+++ b/burdockdrum/passthrough/relaying/request_log.py
@@ -44,6 +44,7 @@
         shared_tokens=request.prompt.shared_tokens,
         expected_output=request.prompt.expected_output_tokens,
         last_event=progress.last_event,
+        began_as=request.began_as,
         within_share=progress.is_within_share,
         outcome=outcome.log_name,
         reason=getattr(outcome, "reason", None),
@@ -90,6 +91,7 @@
         case EndpointTarget(choice=choice):
             return {
                 "place": choice.endpoint.endpoint_id,
+                "software_version": choice.endpoint.software_version,
                 "expected_wait": _round(choice.wait.total),
                 "expected_queue": _round(choice.wait.queue),
                 "expected_own": _round(choice.wait.service_time),
--- a/burdockdrum/registrations/control_source.py
+++ b/burdockdrum/registrations/control_source.py
@@ -77,6 +77,7 @@
         incarnation=registration.incarnation,
         rate_limit=read_limit(registration, now),
         is_drain_announced=registration.is_drain_announced,
+        software_version=registration.software_version,
     )
 
 
--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -418,6 +418,7 @@
             address=known.address,
             sequence=known.sequence,
             state=after.state.value if after else "dropped",
+            software_version=known.software_version,
         )
 
     def _prune(self) -> None:
--- a/burdockdrum/registrations/messages.py
+++ b/burdockdrum/registrations/messages.py
@@ -44,7 +44,8 @@
     announced to accept from all entries, None if unlimited, and
     ``rate_limit_age`` the age of that in seconds, None if never announced.
     ``is_drain_announced`` says that it announced to drain in a response; then
-    it is draining whatever its check-ins say.
+    it is draining whatever its check-ins say. ``software_version`` is that of
+    the program, not of a model's weights; empty if it has none.
     """
 
     endpoint_id: str
@@ -61,6 +62,7 @@
     rate_limit: float | None = None
     rate_limit_age: float | None = None
     is_drain_announced: bool = False
+    software_version: str = ""
 
     @property
     def reported_id(self) -> str:
--- a/burdockdrum/registrations/model.py
+++ b/burdockdrum/registrations/model.py
@@ -17,6 +17,7 @@
     ``incarnation`` is its start time by its own clock, 0 if unknown.
     ``rate_limit`` is what it announced to any entry, None if nothing;
     ``is_drain_announced`` says that it announced to drain to any entry.
+    ``software_version`` is that of the program, not of a model's weights.
     """
 
     endpoint_id: str
@@ -32,6 +33,7 @@
     incarnation: int = UNKNOWN_INCARNATION
     rate_limit: AnnouncedLimit | None = None
     is_drain_announced: bool = False
+    software_version: str = ""
 
     @property
     def reported_id(self) -> str:
