--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -131,7 +131,10 @@
 
 
 def events(first, last, *, end=True, rest=b""):
-    """Return a behaviour that streams events, truncated without ``end``."""
+    """Return a behaviour that streams events, truncated without ``end``.
+
+    The connection stays open, and more may follow, if ``end`` is None.
+    """
 
     async def respond(writer, request_id):
         writer.write(
@@ -147,7 +150,7 @@
                 await asyncio.sleep(0.01)
         if end:
             writer.write(b"0\r\n\r\n")
-        else:
+        elif end is not None:
             writer.close()
 
     return respond
@@ -158,6 +161,13 @@
     return b"id: %d\ndata: piece-%d\n\n" % (number, number)
 
 
+def at_version(version, *behaviours):
+    """Return an endpoint with a software version."""
+    endpoint = Endpoint(*behaviours)
+    endpoint.software_version = version
+    return endpoint
+
+
 async def close_without_response(writer, request_id):
     """Close the connection after reading the request."""
     writer.close()
@@ -226,7 +236,10 @@
                 await endpoint.open()
                 self.closers.append(endpoint.close)
             registered[name] = make_endpoint(
-                name, address=endpoint.address, data_centre=region
+                name,
+                address=endpoint.address,
+                data_centre=region,
+                software_version=getattr(endpoint, "software_version", ""),
             )
         metrics = Metrics()
         limits = EndpointLimits(
@@ -430,9 +443,9 @@
             http_address="http://x",
         )
 
-    def add_endpoint(self, name, address):
+    def add_endpoint(self, name, address, **fields):
         """Register another endpoint."""
-        self.registered[name] = make_endpoint(name, address=address)
+        self.registered[name] = make_endpoint(name, address=address, **fields)
 
     async def call(
         self,
@@ -441,6 +454,7 @@
         target=b"/p/x",
         body=b"",
         forwarded_from=None,
+        request_id=b"r1",
     ):
         """Send a request; return status, head and body of the response."""
         listener = self.callers
@@ -452,7 +466,7 @@
         lines = [
             method + b" " + target + b" HTTP/1.1",
             b"Host: h",
-            b"X-Request-Id: r1",
+            b"X-Request-Id: " + request_id,
             b"Connection: close",
             *headers,
         ]
