Resume a broken stream at the software version that began it

Cause: a broken stream was retried like any request, at whichever endpoint was best; what wrote its first event was kept nowhere, and a forwarded request carried its last event only.

Change: the first event fixes the origin of a stream, its service and software version. Only endpoints of that version may go on with it, here and in other regions: the version travels with the forwarded request and back with the response, and control VMs report the versions of a region with its capacity. With no such endpoint left the answer ends at once. A writer of another version than the origin is never passed on.

Ruled out: comparing the addresses or ids of endpoints, which change hands.

--- a/burdockdrum/passthrough/protocol/__init__.py
+++ b/burdockdrum/passthrough/protocol/__init__.py
@@ -6,11 +6,13 @@
 from burdockdrum.passthrough.protocol.active_routes import ActiveRoutes
 from burdockdrum.passthrough.protocol.events import InvalidEventStream
 from burdockdrum.passthrough.protocol.events import ResumableEventSplitter
+from burdockdrum.passthrough.protocol.header_names import encode_version
 from burdockdrum.passthrough.protocol.header_names import HeaderNames
 from burdockdrum.passthrough.protocol.header_names import HOP_CUT_OFF
 from burdockdrum.passthrough.protocol.header_names import HOP_QUARANTINED
 from burdockdrum.passthrough.protocol.header_names import HOP_REACHED
 from burdockdrum.passthrough.protocol.header_names import HOP_USED_ATTEMPTS
+from burdockdrum.passthrough.protocol.header_names import HOP_VERSION
 from burdockdrum.passthrough.protocol.model import Delivered
 from burdockdrum.passthrough.protocol.model import EndpointTarget
 from burdockdrum.passthrough.protocol.model import ErrorResponse
@@ -39,6 +41,7 @@
 __all__ = [
     "ActiveRoutes",
     "Delivered",
+    "encode_version",
     "EndpointTarget",
     "ErrorResponse",
     "HeaderNames",
@@ -47,6 +50,7 @@
     "HOP_QUARANTINED",
     "HOP_REACHED",
     "HOP_USED_ATTEMPTS",
+    "HOP_VERSION",
     "InvalidEventStream",
     "Lost",
     "MAYBE_RUN_STATUS",
--- a/burdockdrum/passthrough/protocol/header_names.py
+++ b/burdockdrum/passthrough/protocol/header_names.py
@@ -6,6 +6,8 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from urllib.parse import quote
+from urllib.parse import unquote
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -67,6 +69,9 @@
 HOP_SERVICE = b"x-burdockdrum-service"
 # The team that the first entry authenticated.
 HOP_TEAM = b"x-burdockdrum-team"
+# The software version that began a stream: of a request, the only one that
+# may go on with it; of a response, the one that writes it.
+HOP_VERSION = b"x-burdockdrum-version"
 VERDICT = b"x-verdict"
 # How many attempts the other entry used.
 HOP_USED_ATTEMPTS = b"x-burdockdrum-runs"
@@ -85,6 +90,7 @@
         HOP_CHARGE,
         HOP_SERVICE,
         HOP_TEAM,
+        HOP_VERSION,
         HOP_USED_ATTEMPTS,
         HOP_REACHED,
         HOP_QUARANTINED,
@@ -92,3 +98,13 @@
         VERDICT,
     }
 )
+
+
+def encode_version(version: str) -> bytes:
+    """Return a software version, which may be any text, for a header."""
+    return quote(version).encode()
+
+
+def decode_version(value: bytes) -> str:
+    """Return the software version that ``encode_version`` encoded."""
+    return unquote(value.decode("latin-1"))
--- a/burdockdrum/passthrough/protocol/model.py
+++ b/burdockdrum/passthrough/protocol/model.py
@@ -16,6 +16,7 @@
 from burdockdrum.quotas import Charge
 from burdockdrum.resources import Backend
 from burdockdrum.resources import Route
+from burdockdrum.streams import StreamOrigin
 from burdockdrum.verdicts import Verdict
 
 
@@ -38,7 +39,8 @@
 
     ``team`` is the authenticated team, None if the route needs no token.
     ``began_as`` is the id of the request that began the stream which this one
-    takes up, None if the caller named none.
+    takes up, None if the caller named none. ``origin`` is what the entry that
+    forwarded it knows of that stream.
     ``deadline`` is the earlier of the caller's and the route's, in monotonic
     time. ``forwarded_from`` is the region of the entry VM that forwarded it,
     None if it came directly from the caller. ``hop_charge`` is how it counts
@@ -56,6 +58,7 @@
     attempts: int
     last_event: int | None = None
     began_as: str | None = None
+    origin: StreamOrigin | None = None
     forwarded_from: str | None = None
     hop_charge: HopCharge | None = None
     revision: int = 0
@@ -65,8 +68,12 @@
     @property
     def is_retryable(self) -> bool:
         """Return whether a retry is safe after an attempt may have run."""
-        route = self.route
-        return route.idempotent or (route.streams and route.resumable)
+        return self.route.idempotent or self.is_resumable
+
+    @property
+    def is_resumable(self) -> bool:
+        """Return whether another endpoint may go on with its response."""
+        return self.route.streams and self.route.resumable
 
     @cached_property
     def fingerprint(self) -> str:
@@ -94,6 +101,8 @@
     queue. ``unreached`` counts the endpoints that could not be connected to.
     ``avoided`` are endpoints that should not run it beside other
     suspects of crashes; with ``must_avoid`` they must not.
+    ``origin`` is what began the stream of which the caller has events, None
+    as long as any endpoint may begin it.
     ``has_requested_work`` says that its work has been recorded for its team,
     and ``is_within_share`` whether its team's share covers it, None if not
     asked.
@@ -121,6 +130,7 @@
     unreached: int = 0
     avoided: frozenset[str] = frozenset()
     must_avoid: bool = False
+    origin: StreamOrigin | None = None
     has_requested_work: bool = False
     is_within_share: bool | None = None
 
@@ -132,6 +142,7 @@
             has_arrived=charge in (HopCharge.RETRY, HopCharge.UNPAID_RETRY),
             is_counted=request.forwarded_from is not None
             and charge is not HopCharge.REQUEST,
+            origin=request.origin,
         )
         if charge is HopCharge.RETRY:
             progress.retry_grant = RetryGrant(
--- a/burdockdrum/passthrough/protocol/payloads.py
+++ b/burdockdrum/passthrough/protocol/payloads.py
@@ -6,6 +6,7 @@
 from burdockdrum.http1 import encode_request
 from burdockdrum.http1 import Headers
 from burdockdrum.http1 import remove_hop_by_hop_headers
+from burdockdrum.passthrough.protocol.header_names import encode_version
 from burdockdrum.passthrough.protocol.header_names import HeaderNames
 from burdockdrum.passthrough.protocol.header_names import HOP_ATTEMPTS
 from burdockdrum.passthrough.protocol.header_names import HOP_CHARGE
@@ -13,6 +14,7 @@
 from burdockdrum.passthrough.protocol.header_names import HOP_REGION
 from burdockdrum.passthrough.protocol.header_names import HOP_SERVICE
 from burdockdrum.passthrough.protocol.header_names import HOP_TEAM
+from burdockdrum.passthrough.protocol.header_names import HOP_VERSION
 from burdockdrum.passthrough.protocol.model import HopCharge
 from burdockdrum.passthrough.protocol.model import ProxiedRequest
 
@@ -77,10 +79,12 @@
         attempts: int,
         charge: HopCharge | None,
         last_event: int | None,
+        software_version: str | None = None,
     ) -> bytes:
         """Return the payload for an entry of another region.
 
         :param charge: how its retry budget counts the request
+        :param software_version: the only one that may go on with the stream
         """
         headers = self._common_headers(request, seconds_left, last_event)
         headers.append((HOP_REGION, self._region))
@@ -88,6 +92,8 @@
         if charge is not None:
             headers.append((HOP_CHARGE, charge.value))
         headers.append((HOP_SERVICE, request.backend.name.encode()))
+        if software_version is not None:
+            headers.append((HOP_VERSION, encode_version(software_version)))
         if request.team is not None:
             headers.append((HOP_TEAM, request.team.encode()))
         return self._encode(request, headers)
--- a/burdockdrum/passthrough/protocol/refusal_responses.py
+++ b/burdockdrum/passthrough/protocol/refusal_responses.py
@@ -21,7 +21,13 @@
 }
 NOT_RUN_STATUS = 503
 # Rejected without a time to come back, as no later attempt would be served.
-_FINAL_CODES = frozenset({RefusalCode.QUARANTINED})
+_FINAL_CODES = frozenset(
+    {
+        RefusalCode.QUARANTINED,
+        RefusalCode.VERSION_GONE,
+        RefusalCode.VERSION_UNKNOWN,
+    }
+)
 QUOTA_EXCEEDED_STATUS = 429
 MAYBE_RUN_STATUS = 502
 # Statuses by which callers conclude that the request has not run.
--- a/burdockdrum/passthrough/protocol/request_reader.py
+++ b/burdockdrum/passthrough/protocol/request_reader.py
@@ -12,12 +12,14 @@
 from burdockdrum.callers import stale_configuration_refusal
 from burdockdrum.http1 import parse_count
 from burdockdrum.http1 import RequestHead
+from burdockdrum.passthrough.protocol.header_names import decode_version
 from burdockdrum.passthrough.protocol.header_names import HeaderNames
 from burdockdrum.passthrough.protocol.header_names import HOP_ATTEMPTS
 from burdockdrum.passthrough.protocol.header_names import HOP_CHARGE
 from burdockdrum.passthrough.protocol.header_names import HOP_REGION
 from burdockdrum.passthrough.protocol.header_names import HOP_SERVICE
 from burdockdrum.passthrough.protocol.header_names import HOP_TEAM
+from burdockdrum.passthrough.protocol.header_names import HOP_VERSION
 from burdockdrum.passthrough.protocol.model import HopCharge
 from burdockdrum.passthrough.protocol.model import ProxiedRequest
 from burdockdrum.passthrough.protocol.route_index import choose_service
@@ -27,6 +29,7 @@
 from burdockdrum.quotas import Charge
 from burdockdrum.quotas import QuotaMeter
 from burdockdrum.resources import Route
+from burdockdrum.streams import StreamOrigin
 from burdockdrum.verdicts import Refusal
 from burdockdrum.verdicts import RefusalCode
 from burdockdrum.verdicts import Verdict
@@ -130,6 +133,7 @@
             attempts=attempts,
             last_event=parse_count(head.find(names.last_event)),
             began_as=self._read_began_as(head, route),
+            origin=_read_origin(head) if is_hop else None,
             forwarded_from=region.decode("latin-1") if region else None,
             hop_charge=_read_charge(head, service) if is_hop else None,
             revision=index.generation,
@@ -196,6 +200,17 @@
         )
 
 
+def _read_origin(head: RequestHead) -> StreamOrigin | None:
+    """Return what began the stream of a forwarded request, if it goes on."""
+    version = head.find(HOP_VERSION)
+    if version is None:
+        return None
+    return StreamOrigin(
+        service=(head.find(HOP_SERVICE) or b"").decode("latin-1"),
+        software_version=decode_version(version),
+    )
+
+
 def _read_charge(head: RequestHead, service: str) -> HopCharge | None:
     """Return how a forwarded request counts in the retry budget.
 
--- a/burdockdrum/passthrough/protocol/responses.py
+++ b/burdockdrum/passthrough/protocol/responses.py
@@ -11,12 +11,14 @@
 from burdockdrum.http1 import remove_hop_by_hop_headers
 from burdockdrum.http1 import ResponseHead
 from burdockdrum.http1 import ResponseLost
+from burdockdrum.passthrough.protocol.header_names import decode_version
 from burdockdrum.passthrough.protocol.header_names import HeaderNames
 from burdockdrum.passthrough.protocol.header_names import HOP_CUT_OFF
 from burdockdrum.passthrough.protocol.header_names import HOP_HEADERS
 from burdockdrum.passthrough.protocol.header_names import HOP_QUARANTINED
 from burdockdrum.passthrough.protocol.header_names import HOP_REACHED
 from burdockdrum.passthrough.protocol.header_names import HOP_USED_ATTEMPTS
+from burdockdrum.passthrough.protocol.header_names import HOP_VERSION
 from burdockdrum.passthrough.protocol.header_names import TIMED_OUT_STATUS
 from burdockdrum.passthrough.protocol.header_names import VERDICT
 from burdockdrum.passthrough.protocol.model import Lost
@@ -76,6 +78,10 @@
             return Lost(reason="response with an unrequested content coding")
         return None
 
+    def read_version(self, head: ResponseHead) -> str:
+        """Return the software version that another entry reports."""
+        return decode_version(head.find(HOP_VERSION) or b"")
+
     def headers_for_caller(self, head: ResponseHead) -> Headers:
         """Return the response headers to forward to the caller."""
         return remove_hop_by_hop_headers(head.headers, HOP_HEADERS)
--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -15,8 +15,10 @@
 from burdockdrum.http1 import ResponseLost
 from burdockdrum.logs import log_decision
 from burdockdrum.passthrough.protocol import Delivered
+from burdockdrum.passthrough.protocol import encode_version
 from burdockdrum.passthrough.protocol import EndpointTarget
 from burdockdrum.passthrough.protocol import ErrorResponse
+from burdockdrum.passthrough.protocol import HOP_VERSION
 from burdockdrum.passthrough.protocol import HopCharge
 from burdockdrum.passthrough.protocol import InvalidEventStream
 from burdockdrum.passthrough.protocol import Lost
@@ -44,6 +46,7 @@
 from burdockdrum.passthrough.state import EndpointHealth
 from burdockdrum.ports import Clock
 from burdockdrum.registrations import RegisteredEndpoint
+from burdockdrum.streams import StreamOrigin
 
 # Shorter than the one-second TCP retransmission timeout: after a lost packet
 # a new connection is faster than the retransmission. A connection opens in a
@@ -230,6 +233,9 @@
                 attempts=attempts,
                 charge=charge,
                 last_event=splitter.last_number,
+                software_version=None
+                if progress.origin is None
+                else progress.origin.software_version,
             )
 
         call = Call(
@@ -384,6 +390,7 @@
         splitter: ResumableEventSplitter,
     ) -> Outcome:
         splitter.start_attempt()
+        has_events = False
         while (chunk := await connection.read_part()) is not None:
             if call.watchdog is not None:
                 call.watchdog.record_chunk()
@@ -391,24 +398,71 @@
                 self._fleet.record_output(call.in_flight_request)
             events = splitter.feed(chunk)
             if events:
+                if not has_events:
+                    has_events = True
+                    if request.is_resumable:
+                        self._check_version(call, head, request, progress)
                 progress.record_chunk(self._clock.monotonic())
-                self._start_stream(exchange, head)
+                self._start_stream(exchange, head, request, progress)
                 exchange.write(events)
                 await exchange.drain()
         if splitter.has_partial_event:
             raise InvalidEventStream(
                 "the stream ended in the middle of an event"
             )
-        self._start_stream(exchange, head)
+        self._start_stream(exchange, head, request, progress)
         exchange.finish()
         return Delivered(status=head.status)
 
-    def _start_stream(self, exchange: Exchange, head: ResponseHead) -> None:
+    def _check_version(
+        self,
+        call: Call,
+        head: ResponseHead,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+    ) -> None:
+        """Check which software version writes the events of an attempt.
+
+        The first one that writes any is the origin of the stream.
+
+        :raises InvalidEventStream: if it isn't the origin
+        """
+        match call.target:
+            case EndpointTarget(choice=choice):
+                if self._fleet.has_changed_version(choice.endpoint):
+                    raise InvalidEventStream(
+                        "the endpoint changed its software version"
+                    )
+                version = choice.endpoint.software_version
+            case RegionTarget():
+                version = self._responses.read_version(head)
+        writer = StreamOrigin(
+            service=request.backend.name, software_version=version
+        )
+        if progress.origin is None:
+            progress.origin = writer
+        elif progress.origin != writer:
+            raise InvalidEventStream(
+                f"software version {version!r} wrote the events, "
+                f"{progress.origin.software_version!r} began the stream"
+            )
+
+    def _start_stream(
+        self,
+        exchange: Exchange,
+        head: ResponseHead,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+    ) -> None:
         # Until the first event another endpoint can still provide the whole
         # response, its head included.
-        if not exchange.started:
-            headers = self._responses.headers_for_caller(head)
-            exchange.start(head.status, headers)
+        if exchange.started:
+            return
+        headers = self._responses.headers_for_caller(head)
+        if request.forwarded_from is not None and progress.origin is not None:
+            version = progress.origin.software_version
+            headers.append((HOP_VERSION, encode_version(version)))
+        exchange.start(head.status, headers)
 
     def _seconds_left(self, request: ProxiedRequest) -> float:
         return request.deadline - self._clock.monotonic()
--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -201,6 +201,7 @@
         closed_data_centres: frozenset[str],
         body_bytes: int = 0,
         permitted: str | None = None,
+        software_version: str | None = None,
     ) -> RatedEndpoint | None:
         """Return the endpoint with the best expected wait.
 
@@ -212,8 +213,11 @@
         :param body_bytes: size of the request's body
         :param permitted: id of an endpoint at its rate limit, for which a
             permit was acquired
+        :param software_version: the only one that the endpoint may have
         """
-        split = self._split_eligible(backend, tried, closed_data_centres)
+        split = self._split_eligible(
+            backend, tried, closed_data_centres, software_version
+        )
         candidates = split.available
         if permitted is not None:
             candidates = [
@@ -277,18 +281,24 @@
         backend: Backend,
         tried: frozenset[str],
         closed_data_centres: frozenset[str],
+        software_version: str | None = None,
     ) -> list[str]:
         """Return the ids of endpoints that only their limits exclude."""
-        split = self._split_eligible(backend, tried, closed_data_centres)
+        split = self._split_eligible(
+            backend, tried, closed_data_centres, software_version
+        )
         return [endpoint.endpoint_id for endpoint in split.at_limit]
 
     def find_first_backoff(
-        self, backend: Backend, closed_data_centres: frozenset[str]
+        self,
+        backend: Backend,
+        closed_data_centres: frozenset[str],
+        software_version: str | None = None,
     ) -> RequestedBackoff | None:
         """Return the backoff that ends first, if all endpoints are in one."""
         backoffs = [
             self._backoff_gate.find(endpoint.endpoint_id)
-            for endpoint in self._eligibility.list_live(backend.name)
+            for endpoint in self._list_live(backend.name, software_version)
             if endpoint.data_centre not in closed_data_centres
         ]
         active = [backoff for backoff in backoffs if backoff is not None]
@@ -314,12 +324,22 @@
         backend: Backend,
         tried: frozenset[str],
         closed_data_centres: frozenset[str],
+        software_version: str | None,
     ) -> Candidates:
-        live = self._eligibility.list_live(backend.name)
+        live = self._list_live(backend.name, software_version)
         return self._eligibility.split(
             live, backend, tried, closed_data_centres
         )
 
+    def _list_live(
+        self, service: str, software_version: str | None
+    ) -> list[RegisteredEndpoint]:
+        return [
+            endpoint
+            for endpoint in self._eligibility.list_live(service)
+            if software_version in (None, endpoint.software_version)
+        ]
+
     def _list_sources(self, service: str) -> list[RegisteredEndpoint]:
         live = self._eligibility.list_live(service)
         return self._eligibility.list_sources(live)
@@ -350,9 +370,22 @@
         ]
         return local or rated_endpoints
 
-    def count_live(self, service: str) -> int:
-        """Return how many endpoints of a service accept requests here."""
-        return len(self._eligibility.list_live(service))
+    def count_live(
+        self, service: str, software_version: str | None = None
+    ) -> int:
+        """Return how many endpoints of a service accept requests here.
+
+        :param software_version: count only those; all versions if None
+        """
+        return len(self._list_live(service, software_version))
+
+    def has_changed_version(self, endpoint: RegisteredEndpoint) -> bool:
+        """Return whether an endpoint has another version than it had."""
+        current = self._read_endpoints().get(endpoint.endpoint_id)
+        return (
+            current is not None
+            and current.software_version != endpoint.software_version
+        )
 
     def endpoints_per_entry(self, service: str) -> float:
         """Return how many endpoints of a service there are per entry here."""
--- a/burdockdrum/passthrough/selection/region_rating.py
+++ b/burdockdrum/passthrough/selection/region_rating.py
@@ -20,6 +20,7 @@
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import ServiceCapacity
 from burdockdrum.settings import MechanismSettings
+from burdockdrum.streams import StreamOrigin
 
 # Round trip between two regions, plus the processing at the other entry VM.
 HOP_DELAY_SECONDS = 0.12
@@ -68,6 +69,19 @@
         ]
         return sorted(waits, key=lambda pair: pair[0].total)
 
+    def serve_version(
+        self, request: ProxiedRequest, origin: StreamOrigin
+    ) -> bool:
+        """Return whether any allowed region can go on with a stream."""
+        homes = request.route.homes
+        return any(
+            candidate.service == origin.service
+            and candidate.endpoints > 0
+            and (not homes or candidate.region in homes)
+            and _has_version(candidate, origin)
+            for candidate in self._read_capacities()
+        )
+
     def _is_eligible(
         self,
         request: ProxiedRequest,
@@ -84,6 +98,7 @@
             )
             and candidate.region not in progress.tried_regions
             and (not homes or candidate.region in homes)
+            and _has_version(candidate, progress.origin)
         )
 
     def _estimate(
@@ -195,3 +210,17 @@
             return 0.0
         left = request.deadline - self._clock.monotonic()
         return decode_risk_seconds(output_seconds, left)
+
+
+def _has_version(
+    candidate: ServiceCapacity, origin: StreamOrigin | None
+) -> bool:
+    """Return whether a region may go on with a stream.
+
+    A control VM of an earlier release reports no versions.
+    """
+    return (
+        origin is None
+        or not candidate.software_versions
+        or origin.software_version in candidate.software_versions
+    )
--- a/burdockdrum/passthrough/selection/targets.py
+++ b/burdockdrum/passthrough/selection/targets.py
@@ -27,6 +27,7 @@
 from burdockdrum.ports import Clock
 from burdockdrum.registrations import ServiceCapacity
 from burdockdrum.settings import MechanismSettings
+from burdockdrum.streams import StreamOrigin
 from burdockdrum.verdicts import Refusal
 from burdockdrum.verdicts import RefusalCode
 
@@ -369,6 +370,7 @@
             closed_data_centres=self._read_closed_data_centres(),
             body_bytes=len(request.head.body),
             permitted=permit.endpoint_id if permit is not None else None,
+            software_version=_version_of(progress),
         )
 
     def _choose_region(
@@ -461,6 +463,7 @@
             request.backend,
             frozenset(progress.tried),
             self._read_closed_data_centres(),
+            _version_of(progress),
         )
 
     def seconds_until_backoffs_end(
@@ -476,7 +479,9 @@
         if not self._may_run_here(request):
             return None
         backoff = self._fleet.find_first_backoff(
-            request.backend, self._read_closed_data_centres()
+            request.backend,
+            self._read_closed_data_centres(),
+            _version_of(progress),
         )
         if backoff is None:
             return None
@@ -494,6 +499,7 @@
     def _refuse_without_endpoint(
         self, request: ProxiedRequest, progress: RequestProgress
     ) -> Refusal:
+        self._check_version(request, progress)
         if not self._may_run_here(request):
             return self._refuse(
                 request,
@@ -541,6 +547,42 @@
             code=RefusalCode.ENDPOINT_LIMIT,
         )
 
+    def _check_version(
+        self, request: ProxiedRequest, progress: RequestProgress
+    ) -> None:
+        """Refuse a stream for good if no endpoint may go on with it.
+
+        :raises Refusal: without a time to return
+        """
+        origin = progress.origin
+        if origin is None or self._is_version_served(request, origin):
+            return
+        reason = (
+            f"no endpoint of software version {origin.software_version!r}, "
+            "which began the stream, accepts requests"
+        )
+        if progress.last_reason:
+            reason = f"{progress.last_reason}; {reason}"
+        raise Refusal(
+            code=RefusalCode.VERSION_GONE,
+            message=f"{origin.service}: {reason}",
+            verdict=progress.verdict,
+        )
+
+    def _is_version_served(
+        self, request: ProxiedRequest, origin: StreamOrigin
+    ) -> bool:
+        service, version = request.backend.name, origin.software_version
+        if origin.service != service:
+            return False
+        if self._may_run_here(request) and self._fleet.count_live(
+            service, version
+        ):
+            return True
+        return request.forwarded_from is None and self._regions.serve_version(
+            request, origin
+        )
+
     def _refuse(
         self,
         request: ProxiedRequest,
@@ -595,3 +637,9 @@
             verdict=progress.verdict,
             retry_after=retry_after,
         )
+
+
+def _version_of(progress: RequestProgress) -> str | None:
+    """Return the only software version that may go on with a stream."""
+    origin = progress.origin
+    return origin.software_version if origin is not None else None
--- a/burdockdrum/registrations/control_source.py
+++ b/burdockdrum/registrations/control_source.py
@@ -94,4 +94,5 @@
         first.endpoints + second.endpoints,
         first.slots + second.slots,
         load.ranks(),
+        sorted({*first.software_versions, *second.software_versions}),
     )
--- a/burdockdrum/registrations/messages.py
+++ b/burdockdrum/registrations/messages.py
@@ -71,13 +71,17 @@
 
 
 class ServiceCapacity(msgspec.Struct, frozen=True, array_like=True):
-    """The capacity and load of a service's endpoints in one region."""
+    """The capacity and load of a service's endpoints in one region.
+
+    ``software_versions`` are those of its endpoints that accept requests.
+    """
 
     region: str
     service: str
     endpoints: int
     slots: int
     ranks: list[RankLoad]
+    software_versions: list[str] = []
 
 
 class LimitNotice(msgspec.Struct, frozen=True, array_like=True):
--- a/burdockdrum/registrations/publisher.py
+++ b/burdockdrum/registrations/publisher.py
@@ -253,6 +253,7 @@
     def _sum_capacities(self) -> list[ServiceCapacity]:
         loads_by_id = self._sum_loads()
         sums: dict[tuple[str, str], tuple[int, int, Load]] = {}
+        versions_by_key: dict[tuple[str, str], set[str]] = {}
         for registration in self._table.ready():
             region = self._regions_by_data_centre.get(registration.data_centre)
             if region is None or registration.rate_limit is not None:
@@ -265,8 +266,18 @@
             if own is not None:
                 load.merge(own)
             sums[key] = (endpoints + 1, slots + registration.slots, load)
+            versions_by_key.setdefault(key, set()).add(
+                registration.software_version
+            )
         return [
-            ServiceCapacity(region, service, endpoints, slots, load.ranks())
+            ServiceCapacity(
+                region,
+                service,
+                endpoints,
+                slots,
+                load.ranks(),
+                sorted(versions_by_key[(region, service)]),
+            )
             for (region, service), (endpoints, slots, load) in sums.items()
         ]
 
--- a/burdockdrum/verdicts/refusal.py
+++ b/burdockdrum/verdicts/refusal.py
@@ -29,6 +29,8 @@
     CLAIM_IN_PROGRESS = "claim_in_progress"
     CLAIM_MISMATCH = "claim_mismatch"
     QUARANTINED = "quarantined"
+    VERSION_GONE = "version_gone"
+    VERSION_UNKNOWN = "version_unknown"
     ENDPOINT_LOST = "endpoint_lost"
     ENDPOINT_ERROR = "endpoint_error"
     ANSWER_TOO_LARGE = "answer_too_large"
--- a/tests/passthrough/relaying/test_stream_versions.py
+++ b/tests/passthrough/relaying/test_stream_versions.py
@@ -2,7 +2,6 @@
 
 from burdockdrum.registrations import ServiceCapacity
 from tests.passthrough.entries import at_version
-from tests.passthrough.entries import EntryDeployment
 from tests.passthrough.entries import events
 from tests.passthrough.entries import RelayCase
 
