Bind streams that callers take up to the version that began them

Callers whose stream broke off, or whose entry was killed, took it up at any entry and got events of another software version.

Cause: what began a stream was kept nowhere but in the entry that served it, and ended with the answer; the header by which callers name the request that began it was not read.

Change: the new package streams. Before the first event is sent, the entry that begins a stream keeps its origin; while its service has or lately had several versions, it also tells one other entry of its data centre and one of another, chosen by rendezvous hash. Records of open streams are renewed when entries come or go. An entry that a stream is taken up at looks at its own records, then asks the holders. Where a majority of control VMs knows one version only, that is the one; else the answer is final at once, without a time to return.

Ruled out: records at control VMs, which would get each stream of all entries.

--- a/burdockdrum/gateway/assembly.py
+++ b/burdockdrum/gateway/assembly.py
@@ -19,6 +19,7 @@
 import burdockdrum.quotas
 import burdockdrum.registrations
 from burdockdrum.settings import Settings
+import burdockdrum.streams
 from burdockdrum.timeline import Event
 import burdockdrum.vms
 
@@ -31,6 +32,7 @@
     burdockdrum.quotas,
     burdockdrum.crashes,
     burdockdrum.registrations,
+    burdockdrum.streams,
     burdockdrum.holdings,
     burdockdrum.passthrough,
 )
--- a/burdockdrum/passthrough/protocol/request_reader.py
+++ b/burdockdrum/passthrough/protocol/request_reader.py
@@ -1,6 +1,7 @@
 """Parse the head of a request, authenticate its caller and find its route."""
 
 from collections.abc import Callable
+from dataclasses import replace
 import random
 import secrets
 
@@ -141,6 +142,23 @@
             quota_charge=quota_charge,
         )
 
+    def with_service(
+        self, request: ProxiedRequest, service: str
+    ) -> ProxiedRequest:
+        """Return a request that goes to another service of its route.
+
+        It stays as it is if its route doesn't use that service any more.
+        """
+        index = self._read_index()
+        backend = index.backends_by_name.get(service) if index else None
+        is_used = any(
+            share.service == service and share.weight
+            for share in request.route.services
+        )
+        if backend is None or not is_used:
+            return request
+        return replace(request, backend=backend)
+
     def _read_began_as(self, head: RequestHead, route: Route) -> str | None:
         """Return the id of the request whose stream a request takes up.
 
--- a/burdockdrum/passthrough/relaying/__init__.py
+++ b/burdockdrum/passthrough/relaying/__init__.py
@@ -9,6 +9,7 @@
 from burdockdrum.passthrough.relaying.relay import Relay
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
 from burdockdrum.passthrough.relaying.server import PassThroughServer
+from burdockdrum.passthrough.relaying.stream_resumption import StreamResumption
 
 __all__ = [
     "AttemptRunner",
@@ -20,4 +21,5 @@
     "PassThroughServer",
     "Relay",
     "RetryCharges",
+    "StreamResumption",
 ]
--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -86,6 +86,10 @@
         self._payloads = payloads
         self._responses = responses
         self._in_flight = InFlightCalls()
+        # Called with a stream and its origin before its events are sent.
+        self.on_stream: Callable[[ProxiedRequest, StreamOrigin], None] = (
+            _ignore_stream
+        )
         # Called with the id of an endpoint that could not be connected to.
         self.on_unreachable: Callable[[str], None] = _do_nothing
 
@@ -446,6 +450,7 @@
                 f"software version {version!r} wrote the events, "
                 f"{progress.origin.software_version!r} began the stream"
             )
+        self.on_stream(request, writer)
 
     def _start_stream(
         self,
@@ -499,6 +504,10 @@
     """Ignore an unreachable endpoint; the default handler."""
 
 
+def _ignore_stream(request: ProxiedRequest, origin: StreamOrigin) -> None:
+    """Ignore a stream; the default handler."""
+
+
 def _hop_charge(progress: RequestProgress) -> HopCharge | None:
     """Return how the other entry's retry budget counts a request."""
     if progress.has_arrived:
--- a/burdockdrum/passthrough/relaying/relay.py
+++ b/burdockdrum/passthrough/relaying/relay.py
@@ -39,6 +39,7 @@
 from burdockdrum.passthrough.relaying.request_log import log_attempt
 from burdockdrum.passthrough.relaying.request_log import log_disconnect
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
+from burdockdrum.passthrough.relaying.stream_resumption import StreamResumption
 from burdockdrum.passthrough.selection import QueueTooLong
 from burdockdrum.passthrough.selection import TargetSelector
 from burdockdrum.passthrough.state import LimitPermits
@@ -76,6 +77,7 @@
         permits: LimitPermits,
         holder: RequestHolder,
         crash_guard: CrashGuard,
+        resumption: StreamResumption,
         mechanisms: MechanismSettings | None = None,
     ) -> None:
         """Create the service.
@@ -88,6 +90,7 @@
         self._permits = permits
         self._holder = holder
         self._crash_guard = crash_guard
+        self._resumption = resumption
         self._drain = drain
         self._clock = clock
         self._names = names
@@ -149,6 +152,7 @@
             return "refused"
         progress = RequestProgress.begin(request)
         try:
+            request = await self._resumption.take_up(request, progress)
             await self._run(request, progress, exchange)
         except Refusal as refusal:
             if request.quota_charge is not None and not progress.runs:
@@ -169,6 +173,7 @@
             raise
         finally:
             self._retries.release(progress)
+            self._resumption.end(request)
         return "answered"
 
     async def _wait_for_configuration(self, exchange: Exchange) -> None:
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -34,6 +34,7 @@
 from burdockdrum.passthrough.relaying import PassThroughServer
 from burdockdrum.passthrough.relaying import Relay
 from burdockdrum.passthrough.relaying import RetryCharges
+from burdockdrum.passthrough.relaying import StreamResumption
 from burdockdrum.passthrough.selection import Fleet
 from burdockdrum.passthrough.selection import TargetSelector
 from burdockdrum.passthrough.selection import TeamShares
@@ -60,6 +61,7 @@
 from burdockdrum.registrations import LoadSharing
 from burdockdrum.registrations import RegistrationFollower
 from burdockdrum.settings import Settings
+from burdockdrum.streams import StreamOrigins
 from burdockdrum.vms import Drain
 from burdockdrum.vms import VmDirectory
 
@@ -441,19 +443,29 @@
     names = kernel.find("header_names", HeaderNames)
     configuration = kernel.find("configuration", ConfigurationService)
     routes = kernel.find("routes_in_force", ActiveRoutes)
+    reader = RequestReader(
+        clock=clock,
+        rng=kernel.find("random", random.Random),
+        names=names,
+        read_index=lambda: routes.index,
+        callers=kernel.find("callers", CallerFinder),
+        meter=kernel.find("quota_meter", QuotaMeter),
+    )
+    resumption = StreamResumption(
+        clock=clock,
+        origins=kernel.find("stream_origins", StreamOrigins),
+        reader=reader,
+        metrics=kernel.find("metrics", Metrics),
+    )
+    runner = kernel.find("attempts", AttemptRunner)
+    runner.on_stream = resumption.begin
     return Relay(
         clock=clock,
         names=names,
-        reader=RequestReader(
-            clock=clock,
-            rng=kernel.find("random", random.Random),
-            names=names,
-            read_index=lambda: routes.index,
-            callers=kernel.find("callers", CallerFinder),
-            meter=kernel.find("quota_meter", QuotaMeter),
-        ),
+        reader=reader,
         selector=kernel.find("placing", TargetSelector),
-        runner=kernel.find("attempts", AttemptRunner),
+        runner=runner,
+        resumption=resumption,
         responses=ResponseClassifier(names=names),
         retries=kernel.find("retry_charges", RetryCharges),
         drain=kernel.find("drain", Drain),
--- a/burdockdrum/registrations/control_source.py
+++ b/burdockdrum/registrations/control_source.py
@@ -8,6 +8,7 @@
 from burdockdrum.registrations.messages import Registration
 from burdockdrum.registrations.messages import RegistrationUpdate
 from burdockdrum.registrations.messages import ServiceCapacity
+from burdockdrum.registrations.messages import ServiceVersion
 from burdockdrum.registrations.model import RegisteredEndpoint
 from burdockdrum.registrations.rosters import NO_ROSTER_VERSION
 
@@ -29,6 +30,8 @@
         default_factory=dict
     )
     capacities: list[ServiceCapacity] = field(default_factory=list)
+    versions: list[ServiceVersion] = field(default_factory=list)
+    version_serial: int = 0
     stale_until_by_id: dict[str, float] = field(default_factory=dict)
 
     def begin_epoch(self, epoch: int, stale_until: float) -> None:
@@ -38,6 +41,7 @@
         """
         self.epoch = epoch
         self.serial = 0
+        self.version_serial = 0
         self.roster_version = NO_ROSTER_VERSION
         self.stale_until_by_id = dict.fromkeys(
             self.endpoints_by_id, stale_until
--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -33,11 +33,13 @@
 from burdockdrum.registrations.messages import ServiceCapacity
 from burdockdrum.registrations.messages import Watch
 from burdockdrum.registrations.model import RegisteredEndpoint
+from burdockdrum.registrations.pacing import liveness_timeout
 from burdockdrum.registrations.pacing import MIN_WATCH_INTERVAL_SECONDS
 from burdockdrum.registrations.pacing import watch_interval
 from burdockdrum.registrations.pacing import WATCH_JITTER_FRACTION
 from burdockdrum.registrations.rate_limits import AnnouncedLimit
 from burdockdrum.registrations.rosters import NO_ROSTER_VERSION
+from burdockdrum.registrations.software_versions import KnownVersions
 
 # Registrations from before a control VM's restart stay valid for so long, in
 # which a live endpoint checks in again.
@@ -101,6 +103,7 @@
             read_control_ids=lambda: frozenset(control_addresses()),
             read_entry_count=lambda: self.total_entries,
         )
+        self.versions = KnownVersions(clock=clock)
         peers.register(RegistrationUpdate, self._receive_update)
 
     @property
@@ -147,6 +150,20 @@
             s.received_at >= since for s in self._sources_by_id.values()
         )
 
+    def hears_majority(self) -> bool:
+        """Return whether most control VMs have sent updates lately.
+
+        Then a version that isn't known has no endpoint, except behind a cut.
+        """
+        since = self._clock.monotonic() - liveness_timeout(self.total_entries)
+        control_ids = self._control_addresses().keys()
+        heard = sum(
+            source.received_at >= since and source.version_serial > 0
+            for vm_id, source in self._sources_by_id.items()
+            if vm_id in control_ids
+        )
+        return heard * 2 > len(control_ids)
+
     def report_limits(self) -> None:
         """Report limits at once to the control VMs that don't know them."""
         for vm_id, address in self._control_addresses().items():
@@ -234,6 +251,7 @@
             drains=self._drains.list_unknown(source.endpoints_by_id),
             crashes=self._crash_exchange.list_unknown(vm_id),
             crash_serial=self._crash_exchange.serial_of(vm_id),
+            version_serial=source.version_serial,
         )
         self._peers.send(address, message)
 
@@ -268,6 +286,10 @@
             base=message.crash_base,
             serial=message.crash_serial,
         )
+        if message.versions is not None:
+            source.versions = message.versions
+            source.version_serial = message.version_serial
+        self.versions.record(source.versions)
         if message.capacities is not None:
             source.capacities = message.capacities
         if message.base_serial <= source.serial <= message.serial:
--- a/burdockdrum/registrations/messages.py
+++ b/burdockdrum/registrations/messages.py
@@ -84,6 +84,17 @@
     software_versions: list[str] = []
 
 
+class ServiceVersion(msgspec.Struct, frozen=True, array_like=True):
+    """A software version that endpoints of a service have, or had lately.
+
+    ``age`` is the time in seconds since one had it.
+    """
+
+    service: str
+    software_version: str
+    age: float = 0.0
+
+
 class LimitNotice(msgspec.Struct, frozen=True, array_like=True):
     """The rate limit that an endpoint announced to an entry.
 
@@ -107,7 +118,8 @@
     drain. ``sent_at_ms`` is in milliseconds by the entry's
     monotonic clock; ``roster_version`` is the last one received. ``crashes``
     are records that the control VM may not know, ``crash_serial`` is the last
-    change of its own that the entry received.
+    change of its own that the entry received, ``version_serial`` the last one
+    of the software versions.
     """
 
     region: str
@@ -121,6 +133,7 @@
     drains: list[str] = []
     crashes: list[CrashRecord] = []
     crash_serial: int = 0
+    version_serial: int = 0
 
 
 class PlacedPrefix(msgspec.Struct, frozen=True, array_like=True):
@@ -234,7 +247,8 @@
     ``roster_version`` is 0 if the control VM doesn't know them yet.
     ``watch_sent_at_ms`` repeats ``sent_at_ms`` of the entry's last message.
     ``crashes`` are the records of crashes that were changed after the serial
-    ``crash_base``, up to ``crash_serial``.
+    ``crash_base``, up to ``crash_serial``. ``versions`` are the software
+    versions of services, None if the entry knows those of ``version_serial``.
     """
 
     wire_kind: ClassVar[str | None] = "registrations.Watched"
@@ -253,3 +267,5 @@
     crashes: list[CrashRecord] = []
     crash_base: int = 0
     crash_serial: int = 0
+    versions: list[ServiceVersion] | None = None
+    version_serial: int = 0
--- a/burdockdrum/registrations/publisher.py
+++ b/burdockdrum/registrations/publisher.py
@@ -57,6 +57,7 @@
     received_at: float
     roster_version: int = 0
     crash_serial: int = 0
+    version_serial: int = 0
     watch_sent_at_ms: int = 0
     sent_serial: int = 0
     sent_at: float = float("-inf")
@@ -89,7 +90,9 @@
             default
         """
         self._crashes = crashes or CrashLedger(clock=clock)
-        self._crashes.quarantine_listeners.append(self._publish_quarantine)
+        self._crashes.quarantine_listeners.append(
+            lambda fingerprint: self._publish_to_all()
+        )
         self._peers = peers
         self._clock = clock
         self._table = table
@@ -98,6 +101,7 @@
         self._watchers_by_id: dict[str, _Watcher] = {}
         self._rosters = EntryRosters(clock=clock)
         table.listeners.append(self._publish_change)
+        table.versions.listeners.append(self._publish_to_all)
         peers.register(Watch, self._receive_watch)
 
     async def run(self) -> None:
@@ -145,6 +149,7 @@
             message.roster_version if is_same_epoch else NO_ROSTER_VERSION
         )
         watcher.crash_serial = message.crash_serial if is_same_epoch else 0
+        watcher.version_serial = message.version_serial if is_same_epoch else 0
         watcher.watch_sent_at_ms = message.sent_at_ms
         watcher.received_at = now
         self._rosters.record(sender.vm_id, sender.address, message.region)
@@ -185,7 +190,7 @@
                     about_vm=sender.vm_id,
                 )
 
-    def _publish_quarantine(self, fingerprint: str) -> None:
+    def _publish_to_all(self) -> None:
         for watcher in self._live_watchers():
             self._send(watcher, with_capacities=False)
 
@@ -229,6 +234,7 @@
         table = self._table
         roster = self._rosters.read(watcher.region)
         is_known = roster.version == watcher.roster_version
+        knows_versions = watcher.version_serial == table.versions.serial
         crashes, crash_serial = self._crashes.records_after(
             watcher.crash_serial, MAX_CRASH_RECORDS
         )
@@ -247,6 +253,8 @@
             crashes=crashes,
             crash_base=watcher.crash_serial,
             crash_serial=crash_serial,
+            versions=None if knows_versions else table.versions.list(),
+            version_serial=table.versions.serial,
         )
         self._peers.send(watcher.address, message)
 
--- a/burdockdrum/registrations/store.py
+++ b/burdockdrum/registrations/store.py
@@ -17,6 +17,7 @@
 from burdockdrum.ports import Disk
 from burdockdrum.ports import DiskError
 from burdockdrum.registrations.messages import Registration
+from burdockdrum.registrations.messages import ServiceVersion
 from burdockdrum.registrations.table import RegistrationTable
 
 # Check-ins without a change cause no write.
@@ -35,6 +36,7 @@
     written_at: float
     registrations: list[Registration]
     crashes: list[CrashRecord] = []
+    versions: list[ServiceVersion] = []
 
 
 class RegistrationStore:
@@ -98,6 +100,10 @@
             _add_age(registration, age)
             for registration in stored.registrations
         )
+        self._table.versions.restore(
+            msgspec.structs.replace(known, age=known.age + age)
+            for known in stored.versions
+        )
         for record in stored.crashes:
             self._crashes.merge(
                 msgspec.structs.replace(record, age=record.age + age)
@@ -116,6 +122,7 @@
             written_at=self._clock.wall(),
             registrations=self._table.ready_or_draining(),
             crashes=crashes,
+            versions=self._table.versions.list(),
         )
         await self._disk.write(
             _TEMPORARY_FILE_NAME, msgspec.msgpack.encode(stored)
--- a/burdockdrum/registrations/table.py
+++ b/burdockdrum/registrations/table.py
@@ -18,6 +18,7 @@
 from burdockdrum.registrations.messages import LimitNotice
 from burdockdrum.registrations.messages import Registration
 from burdockdrum.registrations.messages import RegistrationState
+from burdockdrum.registrations.software_versions import VersionMemory
 
 # Endpoints check in every 1.2 s, and a check-in may be seconds late.
 CHECK_IN_TIMEOUT_SECONDS = 4.5
@@ -50,6 +51,7 @@
         """Create an empty table."""
         self.serial = 0
         self.listeners: list[Callable[[Registration], None]] = []
+        self.versions = VersionMemory(clock=clock)
         self._clock = clock
         self._records_by_id: dict[str, _Record] = {}
         self._newest_id_by_address: dict[str, str] = {}
@@ -235,6 +237,18 @@
                 case _:
                     if age > TOMBSTONE_SECONDS:
                         self._remove(record)
+        self.versions.prune(self._list_current_versions())
+
+    def _list_current_versions(self) -> set[tuple[str, str]]:
+        ended = (RegistrationState.GONE, RegistrationState.EXPIRED)
+        return {
+            (
+                record.registration.service,
+                record.registration.software_version,
+            )
+            for record in self._records_by_id.values()
+            if record.registration.state not in ended
+        }
 
     def _incarnations_of(self, name: str) -> list[_Record]:
         return [
@@ -282,6 +296,10 @@
         self.serial += 1
         now = self._clock.monotonic()
         known = self._records_by_id.get(registration.endpoint_id)
+        if registration.state is not RegistrationState.GONE:
+            self.versions.observe(
+                registration.service, registration.software_version
+            )
         self._records_by_id[registration.endpoint_id] = _Record(
             registration=registration,
             serial=self.serial,
--- /dev/null
+++ b/burdockdrum/streams/origins.py
@@ -0,0 +1,307 @@
+"""Keeps what began each stream, and finds it for a caller's next try.
+
+While a service has one software version only, nothing is sent: any entry
+knows what must have begun a stream. Where it has, or lately had, several, each
+entry tells two others of the streams that it begins.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Collection
+from dataclasses import dataclass
+import enum
+import hashlib
+
+from burdockdrum.logs import log_decision
+from burdockdrum.metrics import Metrics
+from burdockdrum.peers import CallFailed
+from burdockdrum.peers import Message
+from burdockdrum.peers import Peers
+from burdockdrum.peers import Sender
+from burdockdrum.peers import VmIdentity
+from burdockdrum.ports import Clock
+from burdockdrum.streams.holders import HolderSelector
+from burdockdrum.streams.memory import MEMORY_SECONDS
+from burdockdrum.streams.memory import OriginMemory
+from burdockdrum.streams.messages import OriginNotice
+from burdockdrum.streams.messages import OriginQuery
+from burdockdrum.streams.messages import OriginRecord
+from burdockdrum.streams.messages import OriginReply
+from burdockdrum.streams.origin import StreamOrigin
+
+# How often the holders of open streams are checked for restarts.
+UPDATE_INTERVAL_SECONDS = 0.5
+# By then the records of open streams are sent again, before they expire.
+RENEWAL_SECONDS = MEMORY_SECONDS / 3
+# Two round trips between regions and a retransmission.
+ASK_TIMEOUT_SECONDS = 0.5
+KEY_BYTES = 12
+
+
+class Knowledge(enum.Enum):
+    """How an entry knows what began a stream.
+
+    ``OWN``: it began the stream, or keeps the record; ``KEPT``: another entry
+    does; ``ONLY_VERSION``: its service has had no other version.
+    """
+
+    OWN = "own"
+    KEPT = "kept"
+    ONLY_VERSION = "only version"
+
+
+@dataclass(frozen=True, kw_only=True)
+class FoundOrigin:
+    """What began a stream, and how this entry knows.
+
+    ``vm_id`` is the VM that kept it, None if there is no other version;
+    ``age`` is in seconds.
+    """
+
+    origin: StreamOrigin
+    knowledge: Knowledge
+    vm_id: str | None = None
+    age: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class UnknownOrigin:
+    """No one knows what began a stream."""
+
+    reason: str
+
+
+@dataclass(kw_only=True)
+class _OpenStream:
+    origin: StreamOrigin
+    sent_at: float | None = None
+
+
+def make_key(team: str | None, request_id: str) -> bytes:
+    """Return what identifies a stream, for its own caller only."""
+    digest = hashlib.blake2b(digest_size=KEY_BYTES)
+    digest.update(b"" if team is None else b"team " + team.encode() + b"\n")
+    digest.update(request_id.encode())
+    return digest.digest()
+
+
+class StreamOrigins:
+    """The origins of the streams of an entry, and those kept for others."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        peers: Peers,
+        metrics: Metrics,
+        read_entries: Callable[[], Collection[VmIdentity]],
+        read_versions: Callable[[str], list[str]],
+        knows_all_versions: Callable[[], bool],
+    ) -> None:
+        """Register the message handlers.
+
+        :param read_entries: returns the entries that are alive
+        :param read_versions: returns the software versions that a service
+            has or lately had
+        :param knows_all_versions: returns whether that is up to date
+        """
+        self._clock = clock
+        self._peers = peers
+        self._own_id = peers.identity.vm_id
+        self._read_versions = read_versions
+        self._knows_all_versions = knows_all_versions
+        self._holders = HolderSelector(
+            own=peers.identity, read_entries=read_entries
+        )
+        self._memory = OriginMemory(clock=clock)
+        self._open_by_key: dict[bytes, _OpenStream] = {}
+        self._view: frozenset[tuple[str, int]] = frozenset()
+        self._messages_total = metrics.counter(
+            "burdockdrum_stream_origin_messages_total",
+            "Messages to other entries about what began streams.",
+        )
+        metrics.gauge(
+            "burdockdrum_stream_origins",
+            "Streams of which this entry keeps what began them.",
+            read=lambda: len(self._memory),
+        )
+        peers.register(OriginNotice, self._receive_notice)
+        peers.register(OriginQuery, self._receive_query)
+
+    def begin(self, key: bytes, origin: StreamOrigin) -> None:
+        """Record that the first event of a stream is about to be sent."""
+        stream = self._open_by_key[key] = _OpenStream(origin=origin)
+        self._memory.keep(key, origin)
+        if self._is_needed(origin.service):
+            self._share({key: stream})
+
+    def end(self, key: bytes) -> None:
+        """Record that a stream is over or has broken off."""
+        self._open_by_key.pop(key, None)
+
+    async def find(
+        self, key: bytes | None, services: Collection[str], seconds: float
+    ) -> FoundOrigin | UnknownOrigin:
+        """Find what began a stream.
+
+        :param key: that of the stream, None if the caller didn't name it
+        :param services: those that may have begun it
+        :param seconds: how long at most
+        """
+        record = self._memory.find(key) if key is not None else None
+        if record is not None:
+            return _found(record, Knowledge.OWN, self._own_id)
+        only = self._find_only_version(services)
+        if only is not None:
+            return FoundOrigin(origin=only, knowledge=Knowledge.ONLY_VERSION)
+        if key is None:
+            return UnknownOrigin(
+                reason="endpoints have several software versions, and the "
+                "request doesn't name the one that began its stream"
+            )
+        asked = self._holders.choose_asked(key)
+        found = await self._ask(key, asked, min(seconds, ASK_TIMEOUT_SECONDS))
+        if found is not None:
+            return found
+        return UnknownOrigin(
+            reason=f"none of {len(asked)} other entries knows which software "
+            "version began the stream"
+        )
+
+    async def run(self) -> None:
+        """Renew the records of open streams until cancelled."""
+        while True:
+            await self._clock.sleep(UPDATE_INTERVAL_SECONDS)
+            self._memory.prune()
+            view = self._holders.read_view()
+            is_changed, self._view = view != self._view, view
+            now = self._clock.monotonic()
+            due = {
+                key: stream
+                for key, stream in self._open_by_key.items()
+                if (
+                    is_changed
+                    or stream.sent_at is None
+                    or now - stream.sent_at > RENEWAL_SECONDS
+                )
+                and self._is_needed(stream.origin.service)
+            }
+            if due:
+                self._share(due)
+
+    def _is_needed(self, service: str) -> bool:
+        """Return whether other entries can't tell what began a stream."""
+        return (
+            not self._knows_all_versions()
+            or len(self._read_versions(service)) > 1
+        )
+
+    def _find_only_version(
+        self, services: Collection[str]
+    ) -> StreamOrigin | None:
+        if len(services) != 1 or not self._knows_all_versions():
+            return None
+        (service,) = services
+        versions = self._read_versions(service)
+        if len(versions) != 1:
+            return None
+        return StreamOrigin(service=service, software_version=versions[0])
+
+    def _share(self, streams_by_key: dict[bytes, _OpenStream]) -> None:
+        """Let two other entries keep the origins of streams."""
+        now = self._clock.monotonic()
+        records_by_target: dict[tuple[str, bool], list[OriginRecord]] = {}
+        for key, stream in streams_by_key.items():
+            stream.sent_at = now
+            origin = stream.origin
+            self._memory.keep(key, origin)
+            record = OriginRecord(key, origin.service, origin.software_version)
+            for holder, is_near in (
+                (self._holders.choose_near(key), True),
+                (self._holders.choose_far(key), False),
+            ):
+                if holder is not None:
+                    records_by_target.setdefault(
+                        (holder.control_address, is_near), []
+                    ).append(record)
+        for (address, is_near), records in records_by_target.items():
+            self._send(address, records, is_passed_on=is_near)
+
+    def _send(
+        self, address: str, records: list[OriginRecord], *, is_passed_on: bool
+    ) -> None:
+        self._messages_total.increment(kind="notice")
+        self._peers.send(
+            address, OriginNotice(records=records, is_passed_on=is_passed_on)
+        )
+
+    async def _ask(
+        self, key: bytes, asked: Collection[VmIdentity], seconds: float
+    ) -> FoundOrigin | None:
+        """Return the first reply of an entry that knows a stream."""
+        calls = [
+            asyncio.create_task(self._ask_one(key, holder, seconds))
+            for holder in asked
+        ]
+        try:
+            for reply in asyncio.as_completed(calls):
+                found = await reply
+                if found is not None:
+                    return found
+        finally:
+            for call in calls:
+                call.cancel()
+        return None
+
+    async def _ask_one(
+        self, key: bytes, holder: VmIdentity, seconds: float
+    ) -> FoundOrigin | None:
+        self._messages_total.increment(kind="query")
+        try:
+            reply = await self._peers.call(
+                holder.control_address,
+                OriginQuery(key=key),
+                OriginReply,
+                timeout=seconds,
+            )
+        except CallFailed as error:
+            log_decision(
+                "stream.origin_not_told",
+                about_vm=holder.vm_id,
+                reason=str(error),
+            )
+            return None
+        if reply.record is None:
+            return None
+        return _found(reply.record, Knowledge.KEPT, holder.vm_id)
+
+    async def _receive_notice(
+        self, sender: Sender, notice: OriginNotice
+    ) -> Message | None:
+        records_by_address: dict[str, list[OriginRecord]] = {}
+        for record in notice.records:
+            self._memory.keep(record.key, record.origin, age=record.age)
+            holder = self._holders.choose_near(record.key)
+            if not notice.is_passed_on and holder is not None:
+                records_by_address.setdefault(
+                    holder.control_address, []
+                ).append(record)
+        for address, records in records_by_address.items():
+            self._send(address, records, is_passed_on=True)
+        return None
+
+    async def _receive_query(
+        self, sender: Sender, query: OriginQuery
+    ) -> OriginReply:
+        return OriginReply(record=self._memory.find(query.key))
+
+
+def _found(
+    record: OriginRecord, knowledge: Knowledge, vm_id: str
+) -> FoundOrigin:
+    return FoundOrigin(
+        origin=record.origin,
+        knowledge=knowledge,
+        vm_id=vm_id,
+        age=record.age,
+    )
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -27,6 +27,7 @@
 from burdockdrum.passthrough.relaying.endpoint_prober import EndpointProber
 from burdockdrum.passthrough.relaying.relay import Relay
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
+from burdockdrum.passthrough.relaying.stream_resumption import StreamResumption
 from burdockdrum.passthrough.selection.fleet import Fleet
 from burdockdrum.passthrough.selection.targets import TargetSelector
 from burdockdrum.passthrough.state import BrittleEndpoints
@@ -38,11 +39,15 @@
 from burdockdrum.passthrough.waiting import LineDispatcher
 from burdockdrum.passthrough.waiting import RequestHolder
 from burdockdrum.passthrough.waiting import WaitingLine
+from burdockdrum.peers import CallFailed
 from burdockdrum.peers import VmIdentity
+from burdockdrum.registrations import KnownVersions
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RegistrationState
 from burdockdrum.registrations import ServiceCapacity
+from burdockdrum.registrations import ServiceVersion
 from burdockdrum.settings import MechanismSettings
+from burdockdrum.streams import StreamOrigins
 from tests.callers.fakes import FakeConfiguration
 from tests.callers.fakes import make_finder
 from tests.callers.fakes import make_meter
@@ -201,6 +206,47 @@
     return False
 
 
+def make_identity(key, region):
+    """Return the identity of an entry."""
+    return VmIdentity(
+        vm_id=f"vm-{key}",
+        incarnation=1,
+        region=region,
+        data_centre=region,
+        control_address=f"tcp://{key}",
+        http_address="http://x",
+    )
+
+
+class LocalPeers:
+    """Hands messages to other entries of the same process."""
+
+    def __init__(self, identity, handlers_by_address):
+        """Create it for an entry."""
+        self.identity = identity
+        self._handlers_by_address = handlers_by_address
+        handlers_by_address[identity.control_address] = {}
+
+    def register(self, message_type, handler):
+        """Set the handler of a message type."""
+        address = self.identity.control_address
+        self._handlers_by_address[address][message_type] = handler
+
+    def send(self, address, message):
+        """Send a message; it is lost if the receiver is gone."""
+        handlers = self._handlers_by_address.get(address)
+        if handlers is not None:
+            handler = handlers[type(message)]
+            asyncio.get_running_loop().create_task(handler(None, message))
+
+    async def call(self, address, message, reply_type, *, timeout):
+        """Send a message and return the reply."""
+        if address not in self._handlers_by_address:
+            raise CallFailed(f"no reply from {address}")
+        handler = self._handlers_by_address[address][type(message)]
+        return await handler(None, message)
+
+
 class EntryDeployment:
     """Regions with an entry and endpoints each."""
 
@@ -213,6 +259,9 @@
         )
         self.entries = {}
         self.closers = []
+        # Of messages between entries, by the receiver's address and the type.
+        self.handlers_by_address = {}
+        self.knows_all_versions = True
 
     async def open_entry(
         self, region, endpoints=(), *, capacities=(), name=None
@@ -367,19 +416,43 @@
             metrics=metrics,
         )
         fleet.on_capacity = holder.wake
-        relay = Relay(
+        reader = RequestReader(
             clock=clock,
+            rng=rng,
             names=NAMES,
-            reader=RequestReader(
-                clock=clock,
-                rng=rng,
-                names=NAMES,
-                read_index=lambda: RouteIndex(
-                    table=self.configuration.current.route_table
-                ),
-                callers=finder,
-                meter=meter,
+            read_index=lambda: RouteIndex(
+                table=self.configuration.current.route_table
             ),
+            callers=finder,
+            meter=meter,
+        )
+        versions = KnownVersions(clock=clock)
+
+        def read_versions(service):
+            versions.record(
+                ServiceVersion(endpoint.service, endpoint.software_version)
+                for endpoint in registered.values()
+            )
+            return versions.versions_of(service)
+
+        identity = make_identity(key, region)
+        origins = StreamOrigins(
+            clock=clock,
+            peers=LocalPeers(identity, self.handlers_by_address),
+            metrics=metrics,
+            read_entries=lambda: [e.identity for e in self.entries.values()],
+            read_versions=read_versions,
+            knows_all_versions=lambda: self.knows_all_versions,
+        )
+        resumption = StreamResumption(
+            clock=clock, origins=origins, reader=reader, metrics=metrics
+        )
+        runner.on_stream = resumption.begin
+        relay = Relay(
+            clock=clock,
+            names=NAMES,
+            reader=reader,
+            resumption=resumption,
             selector=selector,
             runner=runner,
             responses=responses,
@@ -394,7 +467,8 @@
                 clock=clock, detector=detector, metrics=metrics
             ),
         )
-        entry = Entry(key, region, relay, runner, fleet, capacities)
+        entry = Entry(identity, relay, runner, fleet, capacities)
+        entry.origins = origins
         entry.metrics, entry.holder, entry.drain = metrics, holder, drain
         entry.meter = meter
         entry.detector, entry.ledger = detector, ledger
@@ -423,7 +497,7 @@
 class Entry:
     """An entry with its listeners."""
 
-    def __init__(self, key, region, relay, attempts, fleet, capacities):
+    def __init__(self, identity, relay, attempts, fleet, capacities):
         """Create an entry whose listeners are not open yet."""
         self.capacities = capacities
         # The load of other entries, the same at each endpoint.
@@ -434,14 +508,7 @@
             address="127.0.0.1:0", handle=relay.serve_caller
         )
         self.vms = Listener(address="127.0.0.1:0", handle=relay.serve_vm)
-        self.identity = VmIdentity(
-            vm_id=f"vm-{key}",
-            incarnation=1,
-            region=region,
-            data_centre=region,
-            control_address="",
-            http_address="http://x",
-        )
+        self.identity = identity
 
     def add_endpoint(self, name, address, **fields):
         """Register another endpoint."""
--- a/tests/passthrough/relaying/test_stream_versions.py
+++ b/tests/passthrough/relaying/test_stream_versions.py
@@ -1,7 +1,10 @@
 """Tests that a stream goes on at the software version that began it."""
 
+import asyncio
+
 from burdockdrum.registrations import ServiceCapacity
 from tests.passthrough.entries import at_version
+from tests.passthrough.entries import EntryDeployment
 from tests.passthrough.entries import events
 from tests.passthrough.entries import RelayCase
 
@@ -89,3 +92,75 @@
             await self.entry.call(*TAKEN_UP, request_id=b"again-%d" % number)
         self.assertEqual(0, self.count_arrivals(others))
         self.assertEqual(4, self.count_arrivals([self.first]))
+
+
+class TakenUpStreamTest(RelayCase):
+    """Streams that callers take up at an entry that didn't begin them."""
+
+    async def open_entries(self, **route):
+        """Open two entries with the same endpoints, of two versions."""
+        self.world = EntryDeployment(**{**STREAM, **route})
+        self.addAsyncCleanup(self.world.close)
+        self.first = at_version("v1", events(1, 3, end=False), events(4, 6))
+        self.others = [at_version("v2", events(1, 6)) for _ in range(4)]
+        self.began = await self.world.open_entry("here", [self.first])
+        self.entry = await self.world.open_entry(
+            "here", [self.first, *self.others], name="second"
+        )
+        self.began.origins._read_versions = lambda service: ["v1", "v2"]
+        await self.began.call()
+        await asyncio.sleep(0.01)
+
+    def count_others(self):
+        """Return how many requests the endpoints of v2 got."""
+        return sum(len(endpoint.seen) for endpoint in self.others)
+
+    async def test_stream_goes_on_at_another_entry(self):
+        await self.open_entries()
+        # The entry that began the stream is gone, but still known.
+        self.world.handlers_by_address.pop("tcp://here")
+        status, _, body = await self.entry.call(*TAKEN_UP, request_id=b"r2")
+        self.assertEqual((200, 0), (status, self.count_others()))
+        self.assertIn(b"id: 4\n", body)
+
+    async def test_stream_is_taken_up_a_second_time(self):
+        # Guards against knowledge of the caller's last try only.
+        await self.open_entries()
+        for number in range(3):
+            status, _, _ = await self.entry.call(
+                *TAKEN_UP, request_id=b"again-%d" % number
+            )
+            self.assertEqual(200, status)
+        self.assertEqual((4, 0), (len(self.first.seen), self.count_others()))
+
+    async def test_unknown_stream_gets_a_final_answer(self):
+        # Guards against guessing, and against a time to return in vain.
+        await self.open_entries()
+        bad = {
+            "unknown": [b"X-Resumes: r9"],
+            "none": [],
+            "empty": [b"X-Resumes: "],
+            "several": [b"X-Resumes: r1", b"X-Resumes: r1"],
+            "long": [b"X-Resumes: " + b"r" * 4000],
+            "bytes": [b"X-Resumes: \xff\x00\x01"],
+        }
+        for name, headers in bad.items():
+            with self.subTest(name):
+                status, head, _ = await self.entry.call(
+                    b"Last-Event-Id: 3", *headers, request_id=b"r2"
+                )
+                self.assertIn(status, (400, 503))
+                self.assertNotIn(b"retry-after", head.lower())
+        self.assertEqual(0, self.count_others())
+
+    async def test_stream_without_events_begins_anew(self):
+        await self.open_entries()
+        status, _, _ = await self.entry.call(
+            b"X-Resumes: r1", request_id=b"r2"
+        )
+        self.assertEqual(200, status)
+
+    async def test_stream_that_can_t_be_resumed_ignores_the_header(self):
+        await self.open_entries(resumable=False)
+        status, _, _ = await self.entry.call(*TAKEN_UP, request_id=b"r2")
+        self.assertEqual(200, status)
--- /dev/null
+++ b/tests/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what entries know of the streams that others began."""
--- /dev/null
+++ b/tests/streams/test_origins.py
@@ -0,0 +1,258 @@
+"""Tests that entries find what began a stream, whoever began it."""
+
+import asyncio
+import random
+import unittest
+
+from loguru import logger
+
+from burdockdrum.metrics import Metrics
+from burdockdrum.peers import Peers
+from burdockdrum.peers import VmIdentity
+from burdockdrum.streams import FoundOrigin
+from burdockdrum.streams import make_key
+from burdockdrum.streams import StreamOrigin
+from burdockdrum.streams import StreamOrigins
+from burdockdrum.streams import UnknownOrigin
+from burdockdrum.streams.memory import MAX_RECORDS
+from burdockdrum.streams.memory import MEMORY_SECONDS
+from burdockdrum.streams.memory import OriginMemory
+from burdockdrum.testing import FakeNetwork
+from burdockdrum.testing import make_peers
+from burdockdrum.testing import run_virtual
+from burdockdrum.testing import VirtualClock
+
+V1 = StreamOrigin(service="s", software_version="v1")
+V2 = StreamOrigin(service="s", software_version="v2")
+# Between two regions, with some reserve.
+MESSAGE_SECONDS = 0.1
+RESTART_SECONDS = 1.5
+VIEW_DELAY_SECONDS = 1.0
+
+
+class Entries:
+    """Entries of three data centres under virtual time."""
+
+    def __init__(self, *, per_data_centre=2):
+        """Create entries that are not started."""
+        self.clock = VirtualClock()
+        self.network = FakeNetwork(rng=random.Random(1))
+        self.network.set_default(delay=0.03)
+        self.versions = ["v1", "v2"]
+        self.knows_all = True
+        self.names = [
+            f"{data_centre}{number}"
+            for data_centre in "abc"
+            for number in range(per_data_centre)
+        ]
+        self.identities = {}
+        self.origins = {}
+        self.tasks = {}
+        self.incarnation = 0
+
+    async def start(self, name):
+        """Start an entry with empty memory."""
+        self.incarnation += 1
+        made = make_peers(
+            vm_id=name,
+            mailbox=await self.network.host(name).open(f"tcp://{name}:1"),
+            clock=self.clock,
+            incarnation=self.incarnation,
+        )
+        identity = VmIdentity(
+            vm_id=name,
+            incarnation=self.incarnation,
+            region=name[0],
+            data_centre=name[0],
+            control_address=f"tcp://{name}:1",
+            http_address="http://x",
+        )
+        made.identity = identity
+        self.identities[name] = identity
+        self.origins[name] = StreamOrigins(
+            clock=self.clock,
+            peers=made,
+            metrics=Metrics(),
+            read_entries=lambda: list(self.identities.values()),
+            read_versions=lambda service: self.versions,
+            knows_all_versions=lambda: self.knows_all,
+        )
+        self.tasks[name] = asyncio.create_task(
+            self._run(made, self.origins[name])
+        )
+
+    async def stop(self, name):
+        """Stop an entry; others learn of it later."""
+        task = self.tasks.pop(name)
+        task.cancel()
+        await asyncio.wait({task})
+        del self.origins[name]
+
+    async def _run(self, peers: Peers, origins: StreamOrigins):
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(peers.run())
+                group.create_task(origins.run())
+        finally:
+            await peers.close()
+
+    async def find(self, name, key):
+        """Return what an entry finds; the version, or None if unknown."""
+        found = await self.origins[name].find(key, ["s"], 3.0)
+        match found:
+            case FoundOrigin(origin=origin):
+                return origin.software_version
+            case UnknownOrigin():
+                return None
+
+
+class StreamOriginsTest(unittest.TestCase):
+    """Entries a0, a1, b0, b1, c0 and c1."""
+
+    def setUp(self):
+        logger.disable("burdockdrum")
+        self.addCleanup(logger.enable, "burdockdrum")
+
+    def play(self, test, **fields):
+        """Run a test with entries that have been started."""
+
+        async def main():
+            world = Entries(**fields)
+            for name in world.names:
+                await world.start(name)
+            await asyncio.sleep(1.0)
+            try:
+                await test(world)
+            finally:
+                for name in list(world.tasks):
+                    await world.stop(name)
+
+        run_virtual(main())
+
+    def begin(self, world, name, number=20):
+        """Begin streams at an entry; return their keys."""
+        keys = [make_key(None, f"r{n}") for n in range(number)]
+        for n, key in enumerate(keys):
+            world.origins[name].begin(key, V1 if n % 2 else V2)
+        return keys
+
+    async def assert_known(self, world, names, keys):
+        """Check that entries know all versions."""
+        for name in names:
+            found = [await world.find(name, key) for key in keys]
+            expected = ["v1" if n % 2 else "v2" for n in range(len(keys))]
+            self.assertEqual(expected, found, name)
+
+    def test_stream_of_an_entry_that_was_killed_is_known_everywhere(self):
+        # Guards against knowledge that ends with the entry that has it.
+        async def check(world):
+            keys = self.begin(world, "a0")
+            await asyncio.sleep(MESSAGE_SECONDS)
+            await world.stop("a0")
+            await self.assert_known(world, world.origins, keys)
+
+        for per_data_centre in (1, 2, 17):
+            with self.subTest(per_data_centre=per_data_centre):
+                self.play(check, per_data_centre=per_data_centre)
+
+    def test_stream_of_a_lost_region_is_known_in_the_others(self):
+        async def check(world):
+            keys = self.begin(world, "a0")
+            await asyncio.sleep(MESSAGE_SECONDS)
+            for name in ("a0", "a1"):
+                await world.stop(name)
+            await self.assert_known(world, ["b0", "b1", "c0", "c1"], keys)
+
+        self.play(check)
+
+    def test_open_streams_stay_known_while_all_entries_restart(self):
+        # Guards against holders that restart one after the other.
+        async def check(world):
+            keys = self.begin(world, "a0")
+            for name in world.names[1:]:
+                await world.stop(name)
+                await asyncio.sleep(RESTART_SECONDS)
+                await world.start(name)
+                await asyncio.sleep(VIEW_DELAY_SECONDS)
+            await world.stop("a0")
+            await self.assert_known(world, world.origins, keys)
+
+        self.play(check)
+
+    def test_long_streams_stay_known(self):
+        # Guards against records that expire while their streams go on.
+        async def check(world):
+            keys = self.begin(world, "a0", 2)
+            await asyncio.sleep(2.5 * MEMORY_SECONDS)
+            await world.stop("a0")
+            await self.assert_known(world, ["b0", "c1"], keys)
+
+        self.play(check)
+
+    def test_streams_that_began_before_the_second_version_are_told(self):
+        # Guards against streams that only their entry knows when versions
+        # begin to differ.
+        async def check(world):
+            world.versions = ["v1"]
+            key = make_key(None, "r1")
+            world.origins["a0"].begin(key, V1)
+            await asyncio.sleep(1.0)
+            self.assertEqual("v1", await world.find("b0", key))
+            world.versions = ["v1", "v2"]
+            await asyncio.sleep(1.0)
+            await world.stop("a0")
+            self.assertEqual("v1", await world.find("c0", key))
+
+        self.play(check)
+
+    def test_unknown_stream_is_not_guessed(self):
+        async def check(world):
+            self.assertIsNone(await world.find("a0", make_key(None, "r9")))
+            self.assertIsNone(await world.find("a0", None))
+            world.versions = ["v1"]
+            self.assertEqual("v1", await world.find("a0", None))
+            # A version may serve that this entry doesn't know.
+            world.knows_all = False
+            self.assertIsNone(await world.find("a0", None))
+
+        self.play(check)
+
+    def test_cut_entry_answers_in_time(self):
+        # Guards against a search that lasts until the deadline.
+        async def check(world):
+            world.network.cut(["b0"], [n for n in world.names if n != "b0"])
+            began = world.clock.monotonic()
+            self.assertIsNone(await world.find("b0", make_key(None, "r1")))
+            self.assertLess(world.clock.monotonic() - began, 0.6)
+
+        self.play(check)
+
+    def test_streams_of_other_teams_are_not_found(self):
+        self.assertNotEqual(make_key("x", "r1"), make_key("y", "r1"))
+        self.assertNotEqual(make_key("x", "r1"), make_key(None, "r1"))
+
+
+class OriginMemoryTest(unittest.TestCase):
+    """The memory of one entry."""
+
+    def test_memory_is_bounded_in_time_and_number(self):
+        async def check():
+            memory = OriginMemory(clock=VirtualClock())
+            for number in range(MAX_RECORDS + 1):
+                memory.keep(b"%d" % number, V1)
+            self.assertEqual(MAX_RECORDS, len(memory))
+            self.assertIsNone(memory.find(b"0"))
+            await asyncio.sleep(MEMORY_SECONDS + 1)
+            memory.prune()
+            self.assertEqual(0, len(memory))
+
+        run_virtual(check())
+
+    def test_record_that_arrives_late_doesn_t_replace_a_newer_one(self):
+        async def check():
+            memory = OriginMemory(clock=VirtualClock())
+            memory.keep(b"k", V2)
+            memory.keep(b"k", V1, age=1.0)
+            self.assertEqual(V2, memory.find(b"k").origin)
+
+        run_virtual(check())
