Soak streams over several software versions

Endpoints of three versions crash and come back at others, entries are killed, and callers take up their streams at any entry.

--- a/burdockdrum/histories/__init__.py
+++ b/burdockdrum/histories/__init__.py
@@ -25,8 +25,14 @@
 from burdockdrum.histories.retries import RequestOffered
 from burdockdrum.histories.retries import RetryHistory
 from burdockdrum.histories.retries import RetryPeak
+from burdockdrum.histories.streams import ReceivedEvent
+from burdockdrum.histories.streams import StreamHistory
+from burdockdrum.histories.streams import StreamTry
 
 __all__ = [
+    "ReceivedEvent",
+    "StreamHistory",
+    "StreamTry",
     "CrashHistory",
     "CrashingArrival",
     "Began",
--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -2,7 +2,7 @@
 
 Usage:
   soak [--seed N] [--seeds N] [--seconds S] [--keep FOLDER]
-       [--limits | --signals | --retries | --crashes | --cuts]
+       [--limits | --signals | --retries | --crashes | --cuts | --versions]
        [--entries N] [--rate R]
 
 Options:
@@ -15,7 +15,8 @@
   --retries      Endpoints fail most requests; only retries are checked.
   --crashes      Some requests crash endpoints; only their runs are checked.
   --cuts         Entries lose their links; first tries there are checked.
-  --entries N    With these three: the entries of each region [default: 2].
+  --versions     Endpoints have several versions; only streams are checked.
+  --entries N    With these four: the entries of each region [default: 2].
   --rate R       With --retries: requests per second; at random by default.
 
 Three control VMs and three entries run as processes on loopback addresses.
@@ -43,6 +44,7 @@
 from scripts.soak.retries import run_retry_seed
 from scripts.soak.run import Result
 from scripts.soak.run import run_seed
+from scripts.soak.versions import run_version_seed
 
 
 def _run(
@@ -63,6 +65,13 @@
             logs=logs,
             entries=int(arguments["--entries"]),
         )
+    if arguments["--versions"]:
+        return run_version_seed(
+            seed,
+            seconds=seconds,
+            logs=logs,
+            entries=int(arguments["--entries"]),
+        )
     if arguments["--retries"]:
         rate = arguments["--rate"]
         return run_retry_seed(
--- a/scripts/soak/endpoint.py
+++ b/scripts/soak/endpoint.py
@@ -74,6 +74,7 @@
         self.backoff_seconds: float | None = None
         self.is_draining = False
         self.endpoint_id = ""
+        self.software_version = "v1"
         self.limits: list[AnnouncedPeriod] = []
         self._is_heard = is_heard
         self.address = ""
--- a/scripts/soak/retries.py
+++ b/scripts/soak/retries.py
@@ -17,6 +17,8 @@
 import shutil
 import signal
 import time
+from typing import Any
+from typing import ClassVar
 
 from burdockdrum.histories import RequestOffered
 from burdockdrum.histories import RetryHistory
@@ -52,6 +54,9 @@
 class RetrySoak:
     """A deployment whose endpoints fail while processes come and go."""
 
+    # Fields of the route that differ from those of a plain one.
+    route_fields: ClassVar[dict[str, Any]] = {}
+
     def __init__(
         self, seed: int, *, entries: int = 2, rate: float | None = None
     ) -> None:
@@ -115,6 +120,7 @@
             "service": endpoint.service,
             "addr": endpoint.address,
             "zone": endpoint.zone,
+            "version": endpoint.software_version,
             "slots": SLOTS,
             "state": "ready",
             "seq": self._sequence,
@@ -137,6 +143,7 @@
             "timeout_ms": DEADLINE_MS,
             "backends": backends,
             "attempts": 3,
+            **self.route_fields,
         }
         document = {
             "version": self._version,
--- /dev/null
+++ b/scripts/soak/versions.py
@@ -0,0 +1,238 @@
+"""One seed of the soak of streams over several software versions.
+
+Endpoints of three versions crash, drain and come back at others, and entries
+are killed, while callers take up the streams that break off, at any entry.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import pathlib
+import re
+import signal
+import time
+
+from burdockdrum.histories import ReceivedEvent
+from burdockdrum.histories import StreamHistory
+from burdockdrum.histories import StreamTry
+from scripts.local_deployment import CALLERS_PORT
+from scripts.local_deployment import Machine
+from scripts.soak.retries import RetrySoak
+from scripts.soak.retries import run_soak
+from scripts.soak.run import Result
+from scripts.soak.versioned_endpoint import VersionedEndpoint
+
+ENDPOINTS_PER_ZONE = 4
+STREAM_RATE = 15.0
+DEADLINE_MS = 6000
+MAX_TRIES = 4
+UNTIL_TAKEN_UP_SECONDS = (0.02, 0.4)
+CONNECT_SECONDS = 1.0
+# A machine that was disturbed lately may not know enough.
+CONTACT_SECONDS = 5.0
+# An endpoint must have served for so long before a stream can go on there.
+SETTLED_SECONDS = 2.0
+MIN_ENDPOINTS = 2
+FAULT_SECONDS = (3.0, 8.0)
+# Longer than the contact time after the last fault.
+CALM_SECONDS = 9.0
+_EVENT = re.compile(rb"id: (\d+)\ndata: (v\d+)\n\n")
+
+
+class VersionSoak(RetrySoak):
+    """A deployment whose endpoints have several software versions."""
+
+    route_fields = {
+        "kind": "stream",
+        "can_resume": True,
+        "timeout_ms": DEADLINE_MS,
+    }
+
+    def __init__(self, seed: int, *, entries: int = 2) -> None:
+        """Create a run that is not started.
+
+        :param entries: the number of entries in each region
+        """
+        super().__init__(seed, entries=entries, rate=STREAM_RATE)
+        self.streams = StreamHistory()
+        self._weights = {"s": 1, "t": 0}
+        self._versioned = [
+            VersionedEndpoint(rng=self.rng, service="s", zone=zone)
+            for zone in self.deployment.zones
+            for _ in range(ENDPOINTS_PER_ZONE)
+        ]
+        self.endpoints = self._versioned
+        self._disturbed_at: dict[str, float] = {}
+        self._registered_at: dict[str, float] = {}
+
+    async def send_request(self) -> int:
+        """Send a stream, and take it up while it breaks off."""
+        tries: list[StreamTry] = []
+        self.streams.streams.append(tries)
+        status = 0
+        for _ in range(MAX_TRIES):
+            attempt = self._make_try(tries)
+            status, is_whole = await self._receive(attempt, tries)
+            self.counts_by_status[status] += 1
+            tries.append(attempt)
+            is_refused = attempt.resumes is not None and not attempt.events
+            if is_whole or (status == 503 and is_refused):
+                break
+            await asyncio.sleep(self.rng.uniform(*UNTIL_TAKEN_UP_SECONDS))
+        return status
+
+    def _make_try(self, tries: list[StreamTry]) -> StreamTry:
+        self._number += 1
+        entry = self.rng.choice(self.deployment.entries)
+        began = next((t for t in tries if t.events), None)
+        return StreamTry(
+            request_id=f"r{self._number}",
+            entry=entry.name,
+            resumes=began.request_id if began else None,
+            counts=self._is_calm(entry)
+            and (began is None or self._is_served(began.events[0].version)),
+        )
+
+    async def _receive(
+        self, attempt: StreamTry, tries: list[StreamTry]
+    ) -> tuple[int, bool]:
+        """Receive what a try brings; return the status, and if it is whole."""
+        headers = {
+            "Host": "h",
+            "X-Request-Id": attempt.request_id,
+            "X-Deadline-Ms": str(DEADLINE_MS),
+            "Content-Length": "0",
+            "Connection": "close",
+        }
+        if attempt.resumes is not None:
+            events = [event for t in tries for event in t.events]
+            headers["Resumes"] = attempt.resumes
+            headers["Last-Event-Id"] = str(events[-1].number)
+        lines = ["POST /again/x HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        (machine,) = (
+            m for m in self.deployment.entries if m.name == attempt.entry
+        )
+        data = b""
+        writer = None
+        # A stream that breaks off is taken up again.
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(CONNECT_SECONDS):
+                reader, writer = await asyncio.open_connection(
+                    machine.ip, CALLERS_PORT
+                )
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+            async with asyncio.timeout(DEADLINE_MS / 1000):
+                while chunk := await reader.read(65536):
+                    data += chunk
+        if writer is not None:
+            writer.close()
+        attempt.events = [
+            ReceivedEvent(number=int(number), version=version.decode())
+            for number, version in _EVENT.findall(data)
+        ]
+        status = int(data.split(b" ")[1]) if data else 0
+        return status, data.endswith(b"0\r\n\r\n")
+
+    def _is_calm(self, entry: Machine) -> bool:
+        """Return whether an entry and the control VMs were undisturbed."""
+        since = time.monotonic() - CONTACT_SECONDS
+        machines = [entry, *self.deployment.control]
+        return all(
+            self._disturbed_at.get(machine.name, 0.0) < since
+            and machine.process is not None
+            for machine in machines
+        )
+
+    def _is_served(self, version: str) -> bool:
+        """Return whether enough endpoints of a version serve."""
+        since = time.monotonic() - SETTLED_SECONDS
+        serving = [
+            endpoint
+            for endpoint in self._versioned
+            if endpoint.is_registered
+            and endpoint.software_version == version
+            and self._registered_at.get(endpoint.endpoint_id, 0.0) < since
+        ]
+        return len(serving) >= MIN_ENDPOINTS
+
+    async def _register(self, endpoint: object) -> None:
+        assert isinstance(endpoint, VersionedEndpoint)
+        self._registered_at.setdefault(endpoint.endpoint_id, time.monotonic())
+        await super()._register(endpoint)
+
+    async def inject_faults(self) -> None:
+        """Inject random faults, with times when only endpoints crash."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.change_failures())
+            while True:
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(
+                        self.rng.uniform(*FAULT_SECONDS)
+                    ):
+                        await super().inject_faults()
+                await asyncio.sleep(CALM_SECONDS)
+
+    async def change_failures(self) -> None:
+        """Let endpoints crash, some at other versions than before."""
+        while True:
+            await asyncio.sleep(self.rng.uniform(0.3, 2.0))
+            endpoint = self.rng.choice(self._versioned)
+            if endpoint.is_registered:
+                await endpoint.crash()
+
+    async def lose_endpoints(self) -> None:
+        """Crash all endpoints of a version."""
+        version = self.rng.choice(self._versioned).software_version
+        for endpoint in self._versioned:
+            if endpoint.software_version == version and endpoint.is_registered:
+                await endpoint.crash()
+
+    async def change_weights(self) -> None:
+        """Send the configuration again."""
+        await self.put_configuration()
+
+    async def _restart(
+        self, machines: list[Machine], number: int = signal.SIGKILL
+    ) -> None:
+        with self._disturbing(machines):
+            await super()._restart(machines, number)
+
+    async def _pause(self, machine: Machine) -> None:
+        with self._disturbing([machine]):
+            await super()._pause(machine)
+
+    @contextlib.contextmanager
+    def _disturbing(self, machines: list[Machine]) -> Iterator[None]:
+        """Mark machines as disturbed, from the begin to the end."""
+        for machine in machines:
+            self._disturbed_at[machine.name] = float("inf")
+        try:
+            yield
+        finally:
+            for machine in machines:
+                self._disturbed_at[machine.name] = time.monotonic()
+
+    def check(self) -> list[str]:
+        """Return what was violated."""
+        number, went_on = self.streams.count_taken_up()
+        self.faults.append(
+            f"{len(self.streams.streams)} streams; "
+            f"{went_on} of {number} that count went on"
+        )
+        return self.streams.check()
+
+
+async def run_version_seed(
+    seed: int,
+    *,
+    seconds: float,
+    logs: pathlib.Path | None,
+    entries: int = 2,
+    faults: Callable[[RetrySoak], Awaitable[None]] | None = None,
+) -> Result:
+    """Run one seed; the parameters are those of ``run_retry_seed``."""
+    soak = VersionSoak(seed, entries=entries)
+    return await run_soak(soak, seconds=seconds, logs=logs, faults=faults)
