Resume streams of the own interface at the version that began them

Callers of the product's own interface could get tokens of two software versions in one answer, as callers of the pass-through did: a broken stream was resumed by its offset at any engine, and engines didn't say which software they run.

Change: endpoints announce a software version. The exchange keeps that of the first token; routing leaves out endpoints of others, and the version travels with a forwarded request and back with its stream.

Measured: the two new tests of broken streams, at one entry and through an entry that crashes, sent the rest to the other version before.

--- a/burdockdrum/endpoints/announcements.py
+++ b/burdockdrum/endpoints/announcements.py
@@ -15,6 +15,8 @@
     whether it does prefill, decode or both. ``leaving`` is true for an
     endpoint that is draining; an entry VM that has restarted since the
     endpoint began to drain would otherwise send it new requests.
+    ``versions`` are those of the model's weights, ``software_version`` is
+    that of the program.
     """
 
     endpoint_id: str
@@ -27,6 +29,7 @@
     role: Literal["both", "prefill", "decode"] = "both"
     checks_fencing: bool = False
     leaving: bool = False
+    software_version: str = ""
 
 
 class CacheEvent(
--- a/burdockdrum/endpoints/model.py
+++ b/burdockdrum/endpoints/model.py
@@ -12,6 +12,8 @@
 
     ``reported_at``, ``lease_until`` and ``known_since`` are on this VM's
     monotonic clock; ``sequence`` is the number of its last report.
+    ``versions`` are those of the weights, ``software_version`` is that of the
+    program.
     Operators read the fields, by these names, from GET /v1/endpoints.
     """
 
@@ -32,3 +34,4 @@
     lease_until: float
     leaving: bool = False
     known_since: float = 0.0
+    software_version: str = ""
--- a/burdockdrum/endpoints/registry.py
+++ b/burdockdrum/endpoints/registry.py
@@ -93,6 +93,7 @@
             sequence=same.sequence if same else 0,
             reported_at=now,
             lease_until=now + LEASE_SECONDS,
+            software_version=announcement.software_version,
         )
         self.store_copy(LOCAL, endpoint)
         if announcement.leaving:
--- a/burdockdrum/requests/attempts.py
+++ b/burdockdrum/requests/attempts.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from urllib.parse import unquote
 
 import msgspec
 
@@ -25,6 +26,8 @@
 # them from errors of an endpoint.
 VERDICT_HEADER = "x-verdict"
 REQUEST_ID_HEADER = "x-request-id"
+# On streams of a forwarded request: the software version that writes them.
+VERSION_HEADER = "x-software-version"
 DRAIN_TIMEOUT_SECONDS = 0.5
 MAX_WHOLE_BYTES = 4 * 1024 * 1024
 # Statuses of an overloaded or failing server.
@@ -100,6 +103,15 @@
         if VERDICT_HEADER not in answer.headers:
             self._check_id(answer.headers.get(REQUEST_ID_HEADER))
 
+    @property
+    def software_version(self) -> str:
+        """Return that of the endpoint which writes the answer."""
+        match self.target:
+            case EndpointTarget(endpoint=endpoint):
+                return endpoint.software_version
+            case DataCentreTarget():
+                return unquote(self.headers.get(VERSION_HEADER, ""))
+
     async def read(self, seconds: float) -> bytes | None:
         """Return the next part of the body, or None at its end.
 
--- a/burdockdrum/requests/exchange.py
+++ b/burdockdrum/requests/exchange.py
@@ -78,6 +78,8 @@
         """Create an exchange without attempts."""
         self.request = request
         self.delivered_tokens = request.resume_offset
+        # That of the endpoint which began the stream, None if none has.
+        self.software_version = request.software_version
         self.verdict = Verdict.NOT_RUN
         self._services = services
         self._attempts = 0
@@ -111,6 +113,7 @@
             excluded_data_centres=self._excluded_data_centres,
             displaced=request.displaced,
             isolated=self._services.quarantine.is_suspect(request.fingerprint),
+            software_version=self.software_version,
         )
 
     def remaining(self) -> float:
@@ -238,6 +241,7 @@
                     displaced=self._services.router.is_displaced(
                         routing_request
                     ),
+                    software_version=self.software_version,
                 )
                 if VERDICT_HEADER not in upstream.headers:
                     self.verdict = worst(self.verdict, Verdict.MAY_HAVE_RUN)
--- a/burdockdrum/requests/forwarding.py
+++ b/burdockdrum/requests/forwarding.py
@@ -40,6 +40,7 @@
     displaced: bool = False
     resume_offset: int = 0
     headers: list[tuple[str, str]] = []
+    software_version: str | None = None
 
     @classmethod
     def from_request(
@@ -50,11 +51,13 @@
         now: float,
         displaced: bool = False,
         resume_offset: int = 0,
+        software_version: str | None = None,
     ) -> "ForwardHeader":
         """Create the header of a request that is forwarded now.
 
         :param displaced: whether the data centre has no endpoint for it
         :param resume_offset: number of tokens already sent to the caller
+        :param software_version: that of the endpoint which began the stream
         """
         return cls(
             request_id=request.request_id,
@@ -78,6 +81,7 @@
             displaced=displaced,
             resume_offset=resume_offset,
             headers=list(request.headers),
+            software_version=software_version,
         )
 
     def to_request(self, body: bytes, *, now: float) -> InboundRequest:
@@ -106,6 +110,7 @@
             displaced=self.displaced,
             resume_offset=self.resume_offset,
             headers=tuple(self.headers),
+            software_version=self.software_version,
         )
 
 
--- a/burdockdrum/requests/model.py
+++ b/burdockdrum/requests/model.py
@@ -26,7 +26,8 @@
     seconds. ``hops`` lists the data centres that have forwarded it, oldest
     first. ``prefix_hashes`` are the hashes of the prompt's prefixes,
     shortest first. ``resume_offset`` is the number of tokens already sent to
-    the caller. ``headers`` are forwarded to the endpoint.
+    the caller, and ``software_version`` that of the endpoint which began it,
+    None if none has. ``headers`` are forwarded to the endpoint.
     """
 
     request_id: str
@@ -51,6 +52,7 @@
     hops: tuple[str, ...] = ()
     displaced: bool = False
     resume_offset: int = 0
+    software_version: str | None = None
     headers: tuple[tuple[str, str], ...] = ()
 
     @property
--- a/burdockdrum/requests/streamed.py
+++ b/burdockdrum/requests/streamed.py
@@ -1,6 +1,7 @@
 """Relaying of streamed completions, with resumption after a failure."""
 
 from collections.abc import AsyncIterator
+from urllib.parse import quote
 
 from burdockdrum.requests.attempts import AttemptFailed
 from burdockdrum.requests.attempts import EndpointTarget
@@ -8,6 +9,7 @@
 from burdockdrum.requests.attempts import fail_status
 from burdockdrum.requests.attempts import RETRYABLE_STATUSES
 from burdockdrum.requests.attempts import Upstream
+from burdockdrum.requests.attempts import VERSION_HEADER
 from burdockdrum.requests.buffered import make_answer
 from burdockdrum.requests.buffered import read_answer
 from burdockdrum.requests.events import EventSplitter
@@ -50,10 +52,13 @@
             await exchange.abandon(upstream)
             raise
         head = make_answer(upstream, b"")
+        headers = dict(head.headers)
+        if exchange.request.hops:
+            headers[VERSION_HEADER] = quote(upstream.software_version)
         return Answer(
             status=head.status,
             content_type=head.content_type,
-            headers=head.headers,
+            headers=headers,
             body=_relay(exchange, relay, first),
         )
 
@@ -162,12 +167,24 @@
             self.resumable = self.resumable and not event.startswith(b"data:")
             return True
         if offset > self._exchange.delivered_tokens:
+            self._check_version()
             self._exchange.delivered_tokens = offset
             return True
         # A resumed stream may repeat tokens that were sent already. Only the
         # event with the finish reason has the offset of the one before it.
         return not (self._resumed and is_unfinished(event))
 
+    def _check_version(self) -> None:
+        """Check that one software version writes the whole stream.
+
+        :raises AttemptFailed: if another one began it
+        """
+        version = self.upstream.software_version
+        if self._exchange.software_version is None:
+            self._exchange.software_version = version
+        elif version != self._exchange.software_version:
+            raise fail_incomplete()
+
     def _end_with_error(self) -> None:
         """End the stream with the error event of another entry VM.
 
--- a/burdockdrum/requests/upstreams.py
+++ b/burdockdrum/requests/upstreams.py
@@ -115,9 +115,11 @@
         attempt_id: str,
         offset: int,
         displaced: bool,
+        software_version: str | None = None,
     ) -> Upstream:
         """Forward a request to an entry VM of another data centre.
 
+        :param software_version: that of the endpoint which began the stream
         :raises AttemptFailed: with the verdict on this attempt
         """
         now = self._clock.monotonic()
@@ -128,6 +130,7 @@
             now=now,
             displaced=displaced,
             resume_offset=offset,
+            software_version=software_version,
         )
         head_timeout = remaining
         idle_timeout = remaining
--- a/burdockdrum/routing/fleet.py
+++ b/burdockdrum/routing/fleet.py
@@ -94,6 +94,11 @@
         depths = self.depths(request)
         candidates = self._endpoints.candidates(request.service)
         fitting = _with_adapter(candidates, request.adapter)
+        fitting = [
+            endpoint
+            for endpoint in fitting
+            if request.software_version in (None, endpoint.software_version)
+        ]
         fitting = self._sample(fitting, depths)
         loads = self.estimate_loads(fitting)
         for endpoint in fitting:
--- a/burdockdrum/routing/model.py
+++ b/burdockdrum/routing/model.py
@@ -17,7 +17,8 @@
     ``displaced`` is true if the forwarding data centre has no endpoint for
     it: it is then queued like the requests of local callers, and the reserve
     against spilled requests does not apply. ``isolated`` marks a suspect of
-    the quarantine, which runs apart from other requests.
+    the quarantine, which runs apart from other requests. Only endpoints of
+    ``software_version`` may go on with a stream; None if it has not begun.
     """
 
     service: str
@@ -35,6 +36,7 @@
     excluded_data_centres: frozenset[str] = frozenset()
     isolated: bool = False
     displaced: bool = False
+    software_version: str | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/burdockdrum/vms/endpoint_sharing.py
+++ b/burdockdrum/vms/endpoint_sharing.py
@@ -44,6 +44,7 @@
     role: str
     checks_fencing: bool
     draining: bool
+    software_version: str = ""
 
 
 class LoadRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -214,6 +215,7 @@
         endpoint.role,
         endpoint.checks_fencing,
         draining,
+        endpoint.software_version,
     )
 
 
@@ -238,6 +240,7 @@
         sequence=known.sequence if known else 0,
         reported_at=known.reported_at if known else now,
         lease_until=now + COPY_LEASE_SECONDS,
+        software_version=record.software_version,
     )
 
 
--- a/tests/requests/stack.py
+++ b/tests/requests/stack.py
@@ -54,6 +54,7 @@
     """
 
     name: str
+    software_version: str = ""
     tokens: int = 6
     token_seconds: float = 0.1
     crash_on: bytes | None = None
@@ -234,6 +235,15 @@
         """Start or restart a VM."""
         return await self.cluster.start_vm(self.settings(vm))
 
+    async def crash_busy(self, *vms: str) -> None:
+        """Crash the first of some VMs that has received a request."""
+        for vm in vms:
+            kernel = self.cluster.vms_by_id[vm].kernel
+            events = kernel.find("timeline", object).events()
+            if any(event.name == "request.received" for event in events):
+                await self.cluster.crash_vm(vm)
+                return
+
     async def configure(
         self, *, residency=("north", "south"), client="crew", home="north"
     ):
@@ -310,6 +320,7 @@
                 url=url,
                 service=service,
                 slots=8,
+                software_version=endpoint.software_version,
             ),
             read_load=lambda: (endpoint.running, 0),
         )
--- a/tests/requests/test_streams.py
+++ b/tests/requests/test_streams.py
@@ -64,6 +64,49 @@
         # The caller must get each token once, across both attempts.
         self.check_resumed(cut_after=3)
 
+    def test_broken_stream_is_resumed_at_its_version(self):
+        # Guards against an answer with tokens of two software versions.
+        async def scenario(stack):
+            first = Endpoint(name="e1", software_version="v1", cut_after=3)
+            await stack.add_endpoint(first, "a1")
+            others = [
+                Endpoint(name=f"e{number}", software_version="v2")
+                for number in (2, 3, 4)
+            ]
+            parts = (await stack.complete("a1")).chunks()
+            body = await anext(parts)
+            for other in others:
+                await stack.add_endpoint(other, "a1")
+            async for part in parts:
+                body += part
+            self.assertEqual(WHOLE, read_text(body))
+            self.assertEqual([], [e for e in others if e.calls])
+
+        run_with_stack(scenario, "a1")
+
+    def test_forwarded_stream_is_resumed_at_its_version(self):
+        # Guards against a forwarded request that carries no version.
+        async def scenario(stack):
+            first = Endpoint(
+                name="e1", software_version="v1", token_seconds=1.0
+            )
+            await stack.add_endpoint(first, "b1", "b2")
+            parts = (await stack.complete("a1")).chunks()
+            body = await anext(parts)
+            others = [
+                Endpoint(name=f"e{number}", software_version="v2")
+                for number in (2, 3)
+            ]
+            for other in others:
+                await stack.add_endpoint(other, "b1", "b2")
+            await stack.crash_busy("b1", "b2")
+            async for part in parts:
+                body += part
+            self.assertEqual(WHOLE, read_text(body))
+            self.assertEqual([], [e for e in others if e.calls])
+
+        run_with_stack(scenario, "a1", "b1", "b2")
+
     def test_stream_closed_without_the_marker_is_resumed(self):
         # An engine that is stopped closes its streams without an error, but
         # the answer is incomplete.
@@ -129,17 +172,7 @@
             answer = await stack.complete("a1")
             parts = answer.chunks()
             body = await anext(parts)
-            busy = [
-                vm
-                for vm in ("b1", "b2")
-                if any(
-                    e.name == "request.received"
-                    for e in stack.cluster.vms_by_id[vm]
-                    .kernel.find("timeline", object)
-                    .events()
-                )
-            ]
-            await stack.cluster.crash_vm(busy[0])
+            await stack.crash_busy("b1", "b2")
             async for part in parts:
                 body += part
             self.assertEqual(WHOLE, read_text(body))
