--- a/burdockdrum/streams/holders.py
+++ b/burdockdrum/streams/holders.py
@@ -9,6 +9,7 @@
 
 from burdockdrum.peers import VmIdentity
 from burdockdrum.vms import choose_by_hash
+from burdockdrum.vms import ENTRIES_PER_SUMMARY
 
 # Of each data centre that may keep an origin, this many entries are asked:
 # the views of which entries are alive differ for a moment.
@@ -34,6 +35,15 @@
         self._own = own
         self._read_entries = read_entries
 
+    def are_all_known_elsewhere(self) -> bool:
+        """Return whether other data centres know all entries of this one."""
+        here = [
+            entry
+            for entry in self._read_entries()
+            if entry.data_centre == self._own.data_centre
+        ]
+        return len(here) <= ENTRIES_PER_SUMMARY
+
     def read_view(self) -> frozenset[tuple[str, int]]:
         """Return the entries, by id and incarnation, that may be chosen."""
         return frozenset(
--- a/burdockdrum/streams/messages.py
+++ b/burdockdrum/streams/messages.py
@@ -26,7 +26,7 @@
     """An entry asks others to keep the origins of streams.
 
     ``is_passed_on`` says that an entry of the receiver's data centre sent or
-    forwarded it. The others are forwarded, as the sender doesn't know all
+    forwarded it. The others are forwarded if the sender may not know all
     entries of the receiver's data centre.
     """
 
--- a/burdockdrum/streams/origins.py
+++ b/burdockdrum/streams/origins.py
@@ -278,11 +278,14 @@
     async def _receive_notice(
         self, sender: Sender, notice: OriginNotice
     ) -> Message | None:
-        records_by_address: dict[str, list[OriginRecord]] = {}
         for record in notice.records:
             self._memory.keep(record.key, record.origin, age=record.age)
+        if notice.is_passed_on or self._holders.are_all_known_elsewhere():
+            return None
+        records_by_address: dict[str, list[OriginRecord]] = {}
+        for record in notice.records:
             holder = self._holders.choose_near(record.key)
-            if not notice.is_passed_on and holder is not None:
+            if holder is not None:
                 records_by_address.setdefault(
                     holder.control_address, []
                 ).append(record)
--- a/burdockdrum/vms/__init__.py
+++ b/burdockdrum/vms/__init__.py
@@ -10,6 +10,7 @@
 from burdockdrum.vms.endpoint_sharing import EndpointSharing
 from burdockdrum.vms.messages import ServiceSummary
 from burdockdrum.vms.remote import choose_by_hash
+from burdockdrum.vms.remote import ENTRIES_PER_SUMMARY
 from burdockdrum.vms.selection import ENTRY_LIST_VALID_SECONDS
 from burdockdrum.vms.selection import EntryChoice
 from burdockdrum.vms.selection import EntryList
@@ -26,6 +27,7 @@
     "Drain",
     "DrainState",
     "EndpointSharing",
+    "ENTRIES_PER_SUMMARY",
     "ENTRY_LIST_VALID_SECONDS",
     "EntryChoice",
     "EntryList",
