--- a/burdockdrum/streams/origins.py
+++ b/burdockdrum/streams/origins.py
@@ -175,20 +175,27 @@
             self._memory.prune()
             view = self._holders.read_view()
             is_changed, self._view = view != self._view, view
-            now = self._clock.monotonic()
-            due = {
-                key: stream
-                for key, stream in self._open_by_key.items()
-                if (
-                    is_changed
-                    or stream.sent_at is None
-                    or now - stream.sent_at > RENEWAL_SECONDS
-                )
-                and self._is_needed(stream.origin.service)
-            }
+            due = self._list_due(is_changed=is_changed)
             if due:
                 self._share(due)
 
+    def _list_due(self, *, is_changed: bool) -> dict[bytes, _OpenStream]:
+        """Return the open streams that the holders should be told of.
+
+        :param is_changed: whether other entries are alive than before
+        """
+        since = self._clock.monotonic() - RENEWAL_SECONDS
+        services = {s.origin.service for s in self._open_by_key.values()}
+        needed = {name for name in services if self._is_needed(name)}
+        return {
+            key: stream
+            for key, stream in self._open_by_key.items()
+            if stream.origin.service in needed
+            and (
+                is_changed or stream.sent_at is None or stream.sent_at < since
+            )
+        }
+
     def _is_needed(self, service: str) -> bool:
         """Return whether other entries can't tell what began a stream."""
         return (
