Ask endpoints that are all silent for their health

Cause: a connect doesn't tell a silent endpoint from a sound one, and nothing else was sent than callers' requests.

Change: while all endpoints of a service are in doubt, those that were silent are asked for their health. Without a response they are skipped like endpoints that can't be connected to, so that requests go to other entries and regions; a response of any kind ends it. Where others respond, a silent one may only be busy, and is not asked.

--- a/burdockdrum/passthrough/relaying/__init__.py
+++ b/burdockdrum/passthrough/relaying/__init__.py
@@ -6,6 +6,7 @@
 from burdockdrum.passthrough.relaying.crash_detector import CrashDetector
 from burdockdrum.passthrough.relaying.crash_guard import CrashGuard
 from burdockdrum.passthrough.relaying.endpoint_prober import EndpointProber
+from burdockdrum.passthrough.relaying.health_checker import HealthChecker
 from burdockdrum.passthrough.relaying.relay import Relay
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
 from burdockdrum.passthrough.relaying.server import PassThroughServer
@@ -18,6 +19,7 @@
     "CrashDetector",
     "CrashGuard",
     "EndpointProber",
+    "HealthChecker",
     "PassThroughServer",
     "Relay",
     "RetryCharges",
--- a/burdockdrum/passthrough/relaying/endpoint_prober.py
+++ b/burdockdrum/passthrough/relaying/endpoint_prober.py
@@ -1,7 +1,9 @@
 """Probes endpoints that this entry may not reach.
 
 Without probes, callers' requests would find out again and again, each at the
-cost of a connect that hangs. A probe is a connect; nothing is sent.
+cost of a connect that hangs. A probe is a connect; nothing is sent. Only
+where connections open and all endpoints of a service are silent, a probe asks
+for the health of the endpoint.
 """
 
 import asyncio
@@ -33,10 +35,12 @@
 class _Doubt:
     """An endpoint that may be unreachable; times are monotonic.
 
-    ``failures`` counts the failed probes in a row.
+    ``failures`` counts the failed probes in a row. ``is_silent`` says that the
+    endpoint must also respond.
     """
 
     due_at: float
+    is_silent: bool = False
     failures: int = 0
     is_probing: bool = False
 
@@ -51,6 +55,7 @@
         fleet: Fleet,
         read_endpoints: Callable[[], Mapping[str, RegisteredEndpoint]],
         connect: Callable[[str], Awaitable[None]],
+        check_health: Callable[[RegisteredEndpoint], Awaitable[None]],
         on_unreachable: Callable[[str], None],
         metrics: Metrics,
     ) -> None:
@@ -59,6 +64,8 @@
         :param read_endpoints: returns the registered endpoints by id
         :param connect: opens a connection to an address; raises
             ``NotConnected``
+        :param check_health: waits for any response of an endpoint; raises
+            ``NotConnected``
         :param on_unreachable: called with the id of an endpoint that a probe
             did not reach
         """
@@ -66,6 +73,7 @@
         self._fleet = fleet
         self._read_endpoints = read_endpoints
         self._connect = connect
+        self._check_health = check_health
         self._on_unreachable = on_unreachable
         self._doubts_by_id: dict[str, _Doubt] = {}
         # When probes last reached endpoints.
@@ -98,6 +106,9 @@
         for endpoint_id in self._fleet.list_stalled():
             if endpoint_id not in self._connected_at_by_id:
                 self._doubt(endpoint_id, 0.0)
+        for endpoint_id in self._fleet.list_silent():
+            if endpoint_id not in self._connected_at_by_id:
+                self._doubt(endpoint_id, 0.0, is_silent=True)
         for endpoint_id, doubt in list(self._doubts_by_id.items()):
             endpoint = endpoints.get(endpoint_id)
             if endpoint is None:
@@ -116,7 +127,10 @@
         self, endpoint: RegisteredEndpoint, doubt: _Doubt
     ) -> None:
         try:
-            await self._connect(endpoint.address)
+            if doubt.is_silent:
+                await self._check_health(endpoint)
+            else:
+                await self._connect(endpoint.address)
         except NotConnected as error:
             self._probes_total.increment(result="failed")
             self._record_failure(endpoint, doubt, str(error))
@@ -174,11 +188,13 @@
         for other in self._doubts_by_id.values():
             other.due_at = min(other.due_at, now)
 
-    def _doubt(self, endpoint_id: str, delay: float) -> None:
-        if endpoint_id not in self._doubts_by_id:
-            self._doubts_by_id[endpoint_id] = _Doubt(
-                due_at=self._clock.monotonic() + delay
-            )
+    def _doubt(
+        self, endpoint_id: str, delay: float, *, is_silent: bool = False
+    ) -> None:
+        doubt = self._doubts_by_id.setdefault(
+            endpoint_id, _Doubt(due_at=self._clock.monotonic() + delay)
+        )
+        doubt.is_silent = doubt.is_silent or is_silent
 
     def _count_unreachable(self) -> int:
         return sum(bool(d.failures) for d in self._doubts_by_id.values())
--- /dev/null
+++ b/burdockdrum/passthrough/relaying/health_checker.py
@@ -0,0 +1,55 @@
+"""Ask an endpoint for its health, to learn whether it responds at all."""
+
+import asyncio
+from collections.abc import Callable
+
+from burdockdrum.http1 import ConnectionPool
+from burdockdrum.http1 import encode_request
+from burdockdrum.http1 import NotConnected
+from burdockdrum.http1 import ResponseLost
+from burdockdrum.registrations import RegisteredEndpoint
+
+CONNECT_TIMEOUT_SECONDS = 0.4
+# A health request waits for a slot like any other.
+RESPONSE_TIMEOUT_SECONDS = 1.0
+
+
+class HealthChecker:
+    """Checks endpoints on connections of their own."""
+
+    def __init__(
+        self,
+        *,
+        pool: ConnectionPool,
+        read_path: Callable[[str], str | None],
+    ) -> None:
+        """Create it.
+
+        :param read_path: returns the health path of a service, None if it is
+            unknown
+        """
+        self._pool = pool
+        self._read_path = read_path
+
+    async def check(self, endpoint: RegisteredEndpoint) -> None:
+        """Wait for a response, whatever it says.
+
+        :raises NotConnected: if there is none in time
+        """
+        address = endpoint.address
+        connection = await self._pool.open(
+            address, timeout=CONNECT_TIMEOUT_SECONDS
+        )
+        path = self._read_path(endpoint.service) or "/"
+        payload = encode_request(
+            b"GET", path.encode(), [(b"host", address.encode())]
+        )
+        try:
+            connection.send(payload, None)
+            async with asyncio.timeout(RESPONSE_TIMEOUT_SECONDS):
+                await connection.read_head()
+        except (ResponseLost, TimeoutError) as error:
+            raise NotConnected(f"{address}: no response: {error!r}") from error
+        finally:
+            # The rest of the response is not read.
+            self._pool.release(address, connection, max_idle=0)
--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -548,6 +548,23 @@
             if self._stalls.is_stalled(state, now)
         ]
 
+    def list_silent(self) -> list[str]:
+        """Return the ids of silent endpoints of services without others.
+
+        Elsewhere callers' requests find out whether one responds again.
+        """
+        services = {
+            state.service
+            for state in self._states_by_id.values()
+            if state.health.is_silent
+        }
+        doubtful = {s for s in services if self.are_all_doubtful(s)}
+        return [
+            endpoint_id
+            for endpoint_id, state in self._states_by_id.items()
+            if state.health.is_silent and state.service in doubtful
+        ]
+
     def has_been_silent(
         self, endpoint: RegisteredEndpoint, since: float
     ) -> bool:
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -31,6 +31,7 @@
 from burdockdrum.passthrough.relaying import CrashDetector
 from burdockdrum.passthrough.relaying import CrashGuard
 from burdockdrum.passthrough.relaying import EndpointProber
+from burdockdrum.passthrough.relaying import HealthChecker
 from burdockdrum.passthrough.relaying import PassThroughServer
 from burdockdrum.passthrough.relaying import Relay
 from burdockdrum.passthrough.relaying import RetryCharges
@@ -423,12 +424,21 @@
     pool = kernel.find("endpoint_pool", ConnectionPool)
     registrations = kernel.find("registrations", RegistrationFollower)
     runner = kernel.find("attempts", AttemptRunner)
+    routes = kernel.find("routes_in_force", ActiveRoutes)
+
+    def read_health_path(service: str) -> str | None:
+        index = routes.index
+        backend = index.backends_by_name.get(service) if index else None
+        return backend.health_path if backend is not None else None
 
     prober = EndpointProber(
         clock=kernel.find("clock", Clock),
         fleet=kernel.find("fleet", Fleet),
         read_endpoints=lambda: registrations.endpoints_by_id,
         connect=_make_connect(pool),
+        check_health=HealthChecker(
+            pool=pool, read_path=read_health_path
+        ).check,
         on_unreachable=runner.give_up_silent,
         metrics=kernel.find("metrics", Metrics),
     )
--- a/burdockdrum/resources/routes.py
+++ b/burdockdrum/resources/routes.py
@@ -80,7 +80,7 @@
     In slow start, for ``cold_seconds`` after it has started, an endpoint
     accepts ``cold_requests_per_second`` from all VMs together.
     ``max_connections`` is the limit for each endpoint, over all VMs.
-    ``health_path`` is not used; stored tables have it.
+    ``health_path`` is what an endpoint answers while it is alive.
     """
 
     name: str
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -25,6 +25,7 @@
 from burdockdrum.passthrough.relaying.crash_detector import CrashDetector
 from burdockdrum.passthrough.relaying.crash_guard import CrashGuard
 from burdockdrum.passthrough.relaying.endpoint_prober import EndpointProber
+from burdockdrum.passthrough.relaying.health_checker import HealthChecker
 from burdockdrum.passthrough.relaying.relay import Relay
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
 from burdockdrum.passthrough.relaying.stream_resumption import StreamResumption
@@ -116,7 +117,7 @@
             respond = self.behaviours[0]
             if len(self.behaviours) > 1:
                 self.behaviours.pop(0)
-            await respond(writer, header(head, NAMES.request_id))
+            await respond(writer, header(head, NAMES.request_id) or b"")
 
 
 def answer(
@@ -390,6 +391,9 @@
             fleet=fleet,
             read_endpoints=lambda: registered,
             connect=connect,
+            check_health=HealthChecker(
+                pool=pools[0], read_path=lambda service: "/health"
+            ).check,
             on_unreachable=runner.give_up_silent,
             metrics=metrics,
         )
--- a/tests/passthrough/fakes.py
+++ b/tests/passthrough/fakes.py
@@ -139,6 +139,13 @@
             body_bytes=body_bytes,
         )
 
+    def send_to(self, name, prompt):
+        """Record a request at one endpoint."""
+        choice = self.choose(
+            prompt, tried=[other for other in self.endpoints if other != name]
+        )
+        return self.fleet.record_sent(choice, MODEL, prompt, 0)
+
     def send(self, prompt, *, rank=0, backend=MODEL):
         """Choose an endpoint and record the request there."""
         choice = self.choose(prompt, rank=rank, backend=backend)
--- a/tests/passthrough/relaying/test_endpoint_prober.py
+++ b/tests/passthrough/relaying/test_endpoint_prober.py
@@ -21,12 +21,15 @@
         self.harness = FleetHarness(*"abcdef")
         self.cut = set()
         self.probed = []
+        self.mute = set()
+        self.checked = []
         self.given_up = []
         self.prober = EndpointProber(
             clock=self.harness.clock,
             fleet=self.harness.fleet,
             read_endpoints=lambda: self.harness.endpoints,
             connect=self.connect,
+            check_health=self.check_health,
             on_unreachable=self.given_up.append,
             metrics=Metrics(),
         )
@@ -36,6 +39,11 @@
         if address[0] in self.cut:
             raise NotConnected("timed out")
 
+    async def check_health(self, endpoint):
+        self.checked.append(endpoint.endpoint_id)
+        if endpoint.endpoint_id in self.mute:
+            raise NotConnected("no response")
+
     async def run_for(self, seconds):
         """Update the prober for some seconds."""
         for _ in range(round(seconds / UPDATE_SECONDS)):
@@ -116,6 +124,33 @@
         self.assertLessEqual(len(self.probed), most + 1)
         self.assertEqual(set("abcdef"), self.reached())
 
+    def record_silent(self, names):
+        """Let requests be lost at endpoints that sent nothing."""
+        for name in names:
+            sent = self.harness.send_to(name, make_prompt(100))
+            self.harness.fleet.health_of(sent.endpoint).record_loss(
+                self.harness.clock.now, is_silent=True
+            )
+
+    async def test_endpoints_that_are_all_silent_are_asked(self):
+        # Guards against callers' requests that find out again and again.
+        self.mute = set("abcdef")
+        self.record_silent("abcdef")
+        await self.run_for(3)
+        self.assertEqual(set(), self.reached())
+        self.assertTrue(self.harness.fleet.is_cut_off("model"))
+        self.mute = set()
+        await self.run_for(endpoint_prober.MAX_PROBE_INTERVAL_SECONDS + 0.5)
+        self.assertEqual(set("abcdef"), self.reached())
+
+    async def test_silent_endpoint_beside_others_is_not_asked(self):
+        # Guards against checks of endpoints that are only busy.
+        self.mute = set("a")
+        self.record_silent("a")
+        await self.run_for(10)
+        self.assertEqual([], self.checked)
+        self.assertIn("a", self.reached())
+
     async def test_ended_endpoint_is_not_probed_any_more(self):
         self.cut = {"a"}
         self.prober.record_unreachable("a")
