--- a/scripts/bench/stream_origins.py
+++ b/scripts/bench/stream_origins.py
@@ -24,11 +24,11 @@
 from burdockdrum.peers import Peers
 from burdockdrum.peers import Sender
 from burdockdrum.peers import VmIdentity
-from burdockdrum.streams import StreamOrigin
-from burdockdrum.streams import StreamOrigins
 from burdockdrum.streams.memory import OriginMemory
 from burdockdrum.streams.messages import OriginNotice
 from burdockdrum.streams.messages import OriginRecord
+from burdockdrum.streams.origin import StreamOrigin
+from burdockdrum.streams.origins import StreamOrigins
 from burdockdrum.system_ports import limit_threads
 from burdockdrum.system_ports import PynngNetwork
 from burdockdrum.system_ports import SystemClock
--- a/tests/histories/test_streams.py
+++ b/tests/histories/test_streams.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from burdockdrum.histories import ReceivedEvent
-from burdockdrum.histories import StreamHistory
-from burdockdrum.histories import StreamTry
 from burdockdrum.histories.streams import MIN_STREAMS
+from burdockdrum.histories.streams import ReceivedEvent
+from burdockdrum.histories.streams import StreamHistory
+from burdockdrum.histories.streams import StreamTry
 
 
 def make_try(*events, resumes=None, counts=True):
