--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -334,10 +334,13 @@
     def _list_live(
         self, service: str, software_version: str | None
     ) -> list[RegisteredEndpoint]:
+        live = self._eligibility.list_live(service)
+        if software_version is None:
+            return live
         return [
             endpoint
-            for endpoint in self._eligibility.list_live(service)
-            if software_version in (None, endpoint.software_version)
+            for endpoint in live
+            if endpoint.software_version == software_version
         ]
 
     def _list_sources(self, service: str) -> list[RegisteredEndpoint]:
