Refuse a stream for good only where other versions serve

With no endpoint of its service at all, a stream that is taken up waits for one to come back, as before streams were bound to versions: the caller gets a time to return.

--- a/burdockdrum/passthrough/selection/region_rating.py
+++ b/burdockdrum/passthrough/selection/region_rating.py
@@ -20,7 +20,6 @@
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import ServiceCapacity
 from burdockdrum.settings import MechanismSettings
-from burdockdrum.streams import StreamOrigin
 
 # Round trip between two regions, plus the processing at the other entry VM.
 HOP_DELAY_SECONDS = 0.12
@@ -70,15 +69,18 @@
         return sorted(waits, key=lambda pair: pair[0].total)
 
     def serve_version(
-        self, request: ProxiedRequest, origin: StreamOrigin
+        self, request: ProxiedRequest, software_version: str | None
     ) -> bool:
-        """Return whether any allowed region can go on with a stream."""
+        """Return whether any allowed region has endpoints of a version.
+
+        :param software_version: any one if None
+        """
         homes = request.route.homes
         return any(
-            candidate.service == origin.service
+            candidate.service == request.backend.name
             and candidate.endpoints > 0
             and (not homes or candidate.region in homes)
-            and _has_version(candidate, origin)
+            and _has_version(candidate, software_version)
             for candidate in self._read_capacities()
         )
 
@@ -98,7 +100,10 @@
             )
             and candidate.region not in progress.tried_regions
             and (not homes or candidate.region in homes)
-            and _has_version(candidate, progress.origin)
+            and (
+                progress.origin is None
+                or _has_version(candidate, progress.origin.software_version)
+            )
         )
 
     def _estimate(
@@ -213,14 +218,14 @@
 
 
 def _has_version(
-    candidate: ServiceCapacity, origin: StreamOrigin | None
+    candidate: ServiceCapacity, software_version: str | None
 ) -> bool:
-    """Return whether a region may go on with a stream.
+    """Return whether a region has endpoints of a version, or of any.
 
     A control VM of an earlier release reports no versions.
     """
     return (
-        origin is None
+        software_version is None
         or not candidate.software_versions
-        or origin.software_version in candidate.software_versions
+        or software_version in candidate.software_versions
     )
--- a/burdockdrum/passthrough/selection/targets.py
+++ b/burdockdrum/passthrough/selection/targets.py
@@ -27,7 +27,6 @@
 from burdockdrum.ports import Clock
 from burdockdrum.registrations import ServiceCapacity
 from burdockdrum.settings import MechanismSettings
-from burdockdrum.streams import StreamOrigin
 from burdockdrum.verdicts import Refusal
 from burdockdrum.verdicts import RefusalCode
 
@@ -550,12 +549,20 @@
     def _check_version(
         self, request: ProxiedRequest, progress: RequestProgress
     ) -> None:
-        """Refuse a stream for good if no endpoint may go on with it.
+        """Refuse a stream for good if only other versions serve.
+
+        Where nothing serves, endpoints of its version may come back.
 
         :raises Refusal: without a time to return
         """
         origin = progress.origin
-        if origin is None or self._is_version_served(request, origin):
+        if origin is None:
+            return
+        is_service_used = origin.service == request.backend.name
+        if is_service_used and (
+            self._is_served(request, origin.software_version)
+            or not self._is_served(request, None)
+        ):
             return
         reason = (
             f"no endpoint of software version {origin.software_version!r}, "
@@ -569,18 +576,19 @@
             verdict=progress.verdict,
         )
 
-    def _is_version_served(
-        self, request: ProxiedRequest, origin: StreamOrigin
+    def _is_served(
+        self, request: ProxiedRequest, software_version: str | None
     ) -> bool:
-        service, version = request.backend.name, origin.software_version
-        if origin.service != service:
-            return False
+        """Return whether endpoints of a version accept such requests.
+
+        :param software_version: any one if None
+        """
         if self._may_run_here(request) and self._fleet.count_live(
-            service, version
+            request.backend.name, software_version
         ):
             return True
         return request.forwarded_from is None and self._regions.serve_version(
-            request, origin
+            request, software_version
         )
 
     def _refuse(
--- a/tests/passthrough/relaying/test_stream_versions.py
+++ b/tests/passthrough/relaying/test_stream_versions.py
@@ -68,6 +68,17 @@
         self.assertNotIn(b"id: 4\n", body)
         self.assertEqual(0, self.count_arrivals(others))
 
+    async def test_taken_up_stream_waits_for_the_only_version_to_come_back(
+        self,
+    ):
+        # Guards against a final answer while nothing at all serves.
+        await self.open_broken()
+        await self.entry.call()
+        self.entry.registered.clear()
+        status, head, _ = await self.entry.call(*TAKEN_UP, request_id=b"r2")
+        self.assertEqual(503, status)
+        self.assertIn(b"retry-after", head.lower())
+
     async def test_broken_stream_of_another_region_keeps_its_version(self):
         # Guards against a forwarded request that carries no version.
         await self.open_broken()
