Let a stream that goes on queue as long as a new one

Callers whose stream broke off got a cut answer where the endpoints that may go on with it were busy for half a second: the stream was past its objective, and counted as a late request that may queue for 0.1 s only.

Change: its queue is limited as if it had just been received.

--- a/burdockdrum/passthrough/selection/targets.py
+++ b/burdockdrum/passthrough/selection/targets.py
@@ -176,7 +176,9 @@
         if local is None:
             raise self._refuse_without_endpoint(request, progress)
         self._check_links(request, progress)
-        allowed = self._max_queue_seconds(request, remaining, local.wait)
+        allowed = self._max_queue_seconds(
+            request, progress, remaining, local.wait
+        )
         if shares is not None:
             self._check_share(request, progress, shares, local, allowed)
         queue = local.wait.queue
@@ -298,7 +300,11 @@
         return True
 
     def _max_queue_seconds(
-        self, request: ProxiedRequest, remaining: float, wait: ExpectedWait
+        self,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        remaining: float,
+        wait: ExpectedWait,
     ) -> float:
         """Return how many seconds a request may queue.
 
@@ -311,6 +317,9 @@
         if not self._mechanisms.early_refusal:
             return remaining
         passed = self._clock.monotonic() - request.received_at
+        if progress.origin is not None:
+            # What its caller has would be lost, and few endpoints may go on.
+            passed = 0.0
         seconds_to_objective = request.route.objective_seconds - passed
         rest = seconds_to_objective - wait.service_time - wait.expected_error
         return min(
@@ -402,7 +411,9 @@
                 continue
             if wait.total >= limit:
                 return None
-            allowed = self._max_queue_seconds(request, remaining, wait)
+            allowed = self._max_queue_seconds(
+                request, progress, remaining, wait
+            )
             allowed = self._limit_to_send(request, progress, allowed)
             if local is None:
                 # The load reports are stale; the other region refuses the
--- a/tests/passthrough/selection/test_target_selection.py
+++ b/tests/passthrough/selection/test_target_selection.py
@@ -12,6 +12,7 @@
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RankLoad
 from burdockdrum.settings import MechanismSettings
+from burdockdrum.streams import StreamOrigin
 from burdockdrum.verdicts import Refusal
 from burdockdrum.verdicts import Verdict
 from tests.passthrough.fakes import FleetHarness
@@ -117,6 +118,16 @@
         with self.assertRaises(Refusal):
             self.make_selector().select(request, RequestProgress())
 
+    def test_stream_that_goes_on_queues_as_long_as_a_new_one(self):
+        # Guards against a stream that is cut though an endpoint of its
+        # version has room soon.
+        self.fill_queue(MIN_QUEUE_SECONDS * 4)
+        origin = StreamOrigin(service="model", software_version="")
+        target = self.make_selector().select(
+            self.make_request(since=2.0), RequestProgress(origin=origin)
+        )
+        self.assertIsInstance(target, EndpointTarget)
+
     def test_early_refusal_can_be_disabled(self):
         selector = self.make_selector(early_refusal=False)
         self.fill_queue(2.5)
