--- a/burdockdrum/passthrough/relaying/health_checker.py
+++ b/burdockdrum/passthrough/relaying/health_checker.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 
 from burdockdrum.http1 import ConnectionPool
 from burdockdrum.http1 import encode_request
@@ -32,9 +33,9 @@
         self._read_path = read_path
 
     async def check(self, endpoint: RegisteredEndpoint) -> None:
-        """Wait for a response, whatever it says.
+        """Wait for a response, whatever it says, or a reset.
 
-        :raises NotConnected: if there is none in time
+        :raises NotConnected: if the endpoint is silent
         """
         address = endpoint.address
         connection = await self._pool.open(
@@ -47,9 +48,12 @@
         try:
             connection.send(payload, None)
             async with asyncio.timeout(RESPONSE_TIMEOUT_SECONDS):
-                await connection.read_head()
-        except (ResponseLost, TimeoutError) as error:
-            raise NotConnected(f"{address}: no response: {error!r}") from error
+                with contextlib.suppress(ResponseLost):
+                    await connection.read_head()
+        except TimeoutError:
+            raise NotConnected(
+                f"{address}: no response in {RESPONSE_TIMEOUT_SECONDS} s"
+            ) from None
         finally:
             # The rest of the response is not read.
             self._pool.release(address, connection, max_idle=0)
--- a/scripts/soak/crashing_endpoint.py
+++ b/scripts/soak/crashing_endpoint.py
@@ -60,6 +60,8 @@
         head = await reader.readuntil(b"\r\n\r\n")
         headers = parse_headers(head)
         await reader.readexactly(int(headers.get(b"content-length", b"0")))
+        if self._answer_health(headers, writer):
+            return
         target = head.split(b" ")[1].decode()
         request_id = headers[b"x-request-id"].decode()
         if headers.get(b"x-expect-instance") != self.endpoint_id.encode():
--- a/scripts/soak/endpoint.py
+++ b/scripts/soak/endpoint.py
@@ -113,6 +113,8 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         headers, body = await self._read_request(reader)
+        if self._answer_health(headers, writer):
+            return
         request_id = headers[b"x-request-id"].decode()
         expected_id = headers.get(b"x-expect-instance", b"").decode()
         self.arrivals.append(
@@ -138,6 +140,15 @@
         length = int(headers.get(b"content-length", b"0"))
         return headers, await reader.readexactly(length)
 
+    def _answer_health(
+        self, headers: dict[bytes, bytes], writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answer a request for the health, which has no id."""
+        is_health = b"x-request-id" not in headers
+        if is_health:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        return is_health
+
     async def _run(
         self, writer: asyncio.StreamWriter, request_id: str, body: bytes
     ) -> None:
--- a/scripts/soak/failing_endpoint.py
+++ b/scripts/soak/failing_endpoint.py
@@ -48,6 +48,8 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         headers, body = await self._read_request(reader)
+        if self._answer_health(headers, writer):
+            return
         request_id = headers[b"x-request-id"].decode()
         self._history.arrived.append(
             RequestArrived(
--- a/scripts/soak/versioned_endpoint.py
+++ b/scripts/soak/versioned_endpoint.py
@@ -35,6 +35,8 @@
     ) -> None:
         headers = parse_headers(await reader.readuntil(b"\r\n\r\n"))
         await reader.readexactly(int(headers.get(b"content-length", b"0")))
+        if self._answer_health(headers, writer):
+            return
         request_id = headers[b"x-request-id"]
         expected = headers.get(b"x-expect-instance")
         if expected != self.endpoint_id.encode():
