Let only the entry that serves the caller keep what began a stream

Cause: an entry that a request was forwarded to recorded the stream as well. If it was killed, or its link broke, before an event arrived, the first entry began the stream at another version, and the two told different entries; the first reply counted.

Evidence: the new test takes such a stream up at the forwarding entry's region, and reached the other version before.

--- a/burdockdrum/passthrough/relaying/stream_resumption.py
+++ b/burdockdrum/passthrough/relaying/stream_resumption.py
@@ -68,8 +68,13 @@
                 return self._reader.with_service(request, origin.service)
 
     def begin(self, request: ProxiedRequest, origin: StreamOrigin) -> None:
-        """Record that a stream's next events are about to be sent."""
-        self._origins.begin(_key_of(request), origin)
+        """Record that a stream's next events are about to be sent.
+
+        Only the entry that serves the caller does: events that another entry
+        forwards may be lost on their way, and the stream begin elsewhere.
+        """
+        if request.forwarded_from is None:
+            self._origins.begin(_key_of(request), origin)
 
     def end(self, request: ProxiedRequest) -> None:
         """Record the end of a request."""
--- a/tests/passthrough/relaying/test_stream_versions.py
+++ b/tests/passthrough/relaying/test_stream_versions.py
@@ -144,6 +144,31 @@
             self.assertEqual(200, status)
         self.assertEqual((4, 0), (len(self.first.seen), self.count_others()))
 
+    async def test_stream_whose_forwarded_attempt_was_lost_keeps_its_version(
+        self,
+    ):
+        # Guards against an entry that had begun a stream at another version
+        # of which no event reached the caller.
+        self.world = EntryDeployment(**STREAM)
+        self.addAsyncCleanup(self.world.close)
+        first = at_version("v1", events(1, 3, end=False), events(4, 6))
+        other = at_version("v2", events(1, 6))
+        near = await self.world.open_entry("here", [first])
+        far = await self.world.open_entry("far", [other])
+        # One of these keeps what began the stream, instead of that entry.
+        for name in ("d", "e", "f", "g"):
+            await self.world.open_entry(name)
+        for entry in (near, far):
+            entry.origins._read_versions = lambda service: ["v1", "v2"]
+        await far.call(forwarded_from=b"here")
+        await near.call()
+        await asyncio.sleep(0.01)
+        arrivals = len(other.seen)
+        for number, entry in enumerate((far, near)):
+            await entry.call(*TAKEN_UP, request_id=b"again-%d" % number)
+        self.assertEqual(arrivals, len(other.seen))
+        self.assertEqual(2, len(first.seen))
+
     async def test_unknown_stream_gets_a_final_answer(self):
         # Guards against guessing, and against a time to return in vain.
         await self.open_entries()
