--- a/scripts/soak/crashing_endpoint.py
+++ b/scripts/soak/crashing_endpoint.py
@@ -50,8 +50,9 @@
     async def _restart(self) -> None:
         await asyncio.sleep(self._rng.uniform(*RESTART_SECONDS))
         host, _, port = self.address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
+        # Before it listens, else it accepts requests for the former one.
         self.endpoint_id = f"i{next(_incarnations)}"
+        self._server = await asyncio.start_server(self._serve, host, int(port))
         self.is_registered = True
 
     async def _answer(
