--- a/burdockdrum/registrations/publisher.py
+++ b/burdockdrum/registrations/publisher.py
@@ -253,7 +253,7 @@
             crashes=crashes,
             crash_base=watcher.crash_serial,
             crash_serial=crash_serial,
-            versions=None if knows_versions else table.versions.list(),
+            versions=None if knows_versions else table.versions.list_known(),
             version_serial=table.versions.serial,
         )
         self._peers.send(watcher.address, message)
--- a/burdockdrum/registrations/software_versions.py
+++ b/burdockdrum/registrations/software_versions.py
@@ -58,7 +58,7 @@
             del self._last_seen_by_key[key]
             self.serial += 1
 
-    def list(self) -> list[ServiceVersion]:
+    def list_known(self) -> list[ServiceVersion]:
         """Return the versions, with the time since they were last seen."""
         now = self._clock.monotonic()
         return [
--- a/burdockdrum/registrations/store.py
+++ b/burdockdrum/registrations/store.py
@@ -122,7 +122,7 @@
             written_at=self._clock.wall(),
             registrations=self._table.ready_or_draining(),
             crashes=crashes,
-            versions=self._table.versions.list(),
+            versions=self._table.versions.list_known(),
         )
         await self._disk.write(
             _TEMPORARY_FILE_NAME, msgspec.msgpack.encode(stored)
--- a/tests/registrations/test_software_versions.py
+++ b/tests/registrations/test_software_versions.py
@@ -70,11 +70,11 @@
             serial = table.versions.serial
             await asyncio.sleep(MEMORY_SECONDS - 1)
             table.prune()
-            known = [v.software_version for v in table.versions.list()]
+            known = [v.software_version for v in table.versions.list_known()]
             self.assertEqual(["v1", "v2"], sorted(known))
             await asyncio.sleep(2.0)
             table.prune()
-            known = [v.software_version for v in table.versions.list()]
+            known = [v.software_version for v in table.versions.list_known()]
             self.assertNotIn("v1", known)
             self.assertGreater(table.versions.serial, serial)
 
@@ -94,7 +94,9 @@
             disk.lose_power()
             vm = ControlVm(disk)
             await asyncio.sleep(0.5)
-            known = [v.software_version for v in vm.table.versions.list()]
+            known = [
+                v.software_version for v in vm.table.versions.list_known()
+            ]
             await vm.stop()
             self.assertEqual(["v1", "v2"], sorted(known))
 
@@ -149,7 +151,7 @@
                     state=RegistrationState.DRAINING,
                 )
             )
-            known.record(table.versions.list())
+            known.record(table.versions.list_known())
             self.assertEqual(["v1"], known.versions_of("model"))
             await asyncio.sleep(MEMORY_SECONDS + 1)
             self.assertEqual([], known.versions_of("model"))
