Reserve the loopback network of a local deployment

Cause: the network was chosen by the process id modulo 250, so that processes of concurrent runs whose ids differ by a multiple of it bound the same addresses.

Change: a bound socket reserves the network; a run takes the next free one.

--- a/scripts/local_deployment.py
+++ b/scripts/local_deployment.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import signal
+import socket
 import sys
 import tempfile
 from typing import Any
@@ -22,6 +23,7 @@
 INTERNAL_PORT_RANGE = (17660, 17675)
 STOP_TIMEOUT_SECONDS = 10
 LOOPBACK_NETWORKS = 250
+RESERVATION_PORT = 18139
 
 
 class Machine:
@@ -136,6 +138,24 @@
         return [line["event"] for line in self.log()]
 
 
+def _reserve_network() -> tuple[socket.socket, str]:
+    """Return a loopback network that no concurrent run uses.
+
+    :returns: a socket that reserves it until it is closed, and its prefix
+    """
+    for number in range(LOOPBACK_NETWORKS):
+        network = f"127.{1 + (os.getpid() + number) % LOOPBACK_NETWORKS}"
+        reservation = socket.socket()
+        try:
+            reservation.bind((f"{network}.250.1", RESERVATION_PORT))
+        except OSError:
+            # Another run has it.
+            reservation.close()
+            continue
+        return reservation, network
+    raise RuntimeError("all loopback networks are used by other runs")
+
+
 class Deployment:
     """Control and entry processes in some zones, one region each."""
 
@@ -146,8 +166,7 @@
         self._temporary_folder = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self._temporary_folder.name)
         self.zones = zones
-        # Concurrent runs use separate loopback networks.
-        network = f"127.{1 + os.getpid() % LOOPBACK_NETWORKS}"
+        self._reservation, network = _reserve_network()
         self.seeds = [
             f"{network}.{n + 1}.1:{CONTROL_PORT}" for n in range(len(zones))
         ]
@@ -188,6 +207,7 @@
         """Stop all processes."""
         for machine in self.machines:
             await machine.stop()
+        self._reservation.close()
         self._temporary_folder.cleanup()
 
     async def until_ready(
