--- a/scripts/soak/retries.py
+++ b/scripts/soak/retries.py
@@ -187,7 +187,9 @@
         self.counts_by_status[response.status] += 1
         is_refused = response.status in NOT_RUN_STATUSES
         if is_refused and b"retry-after" not in response.headers:
-            self.violations.append(f"{request_id} refused without Retry-After")
+            self.violations.append(
+                f"{request_id} to {target} refused without Retry-After"
+            )
         return response.status
 
     async def inject_faults(self) -> None:
