Quarantine no request whose crashes several others explain

Cause: a request was only contested if one other request had run on all of its endpoints. Now the crashes that its rivals share are put together, so that the records of the second one change the verdict. A rival has two crashes that no quarantined request explains; what ran beside one crash only is no rival, else every crashing request would be contested by whatever ran there.

Evidence: test_request_beside_several_crashing_ones_is_not_quarantined and test_crashing_request_replaces_one_that_ran_beside_it (the case of the logs) fail on the code before; the third new test holds on both. Ruled out: to count no crash that another request explains, which costs each of two crashing requests on one endpoint a fourth one.

--- a/burdockdrum/crashes/ledger.py
+++ b/burdockdrum/crashes/ledger.py
@@ -2,8 +2,9 @@
 
 Every request that ran on an endpoint when it crashed is a suspect, as an
 endpoint runs many at once. A completed run clears a request. One that has
-collected ``MAX_CRASHES`` is quarantined, unless another request ran on the
-same endpoints each time: then the two are told apart by running them apart.
+collected ``MAX_CRASHES`` is quarantined, unless a rival ran on the same
+endpoint each time: then they are told apart by running them apart. A rival is
+another request under which several endpoints crashed.
 
 All VMs merge the same records, in any order, and reach the same verdicts.
 """
@@ -22,11 +23,14 @@
 
 # Crashes under a request after which it is not run again.
 MAX_CRASHES = 3
-# A request with so many is quarantined though others ran beside it each time.
+# A request with so many is quarantined though rivals ran beside it each time.
 MAX_CONTESTED_CRASHES = 5
 # So many of them no other quarantined request may explain. One could be a
 # crash of another cause under a request that ran beside a crashing one.
 MIN_UNEXPLAINED_CRASHES = 2
+# Crashes under a request that may explain those of others. Each crash makes a
+# suspect of whatever ran there, so that one says little.
+MIN_RIVAL_CRASHES = 2
 # How long a crash counts; a quarantine ends when fewer than the maximum do.
 RECORD_SECONDS = 600.0
 # Beyond this number, the oldest records of requests that are not quarantined
@@ -91,8 +95,8 @@
         # In the order of their serials.
         self._known_by_key: dict[RecordKey, _Known] = {}
         self._endpoints_by_fingerprint: dict[str, set[str]] = {}
-        # The requests with enough crashes to be quarantined.
-        self._candidates: set[str] = set()
+        # The requests with enough crashes to be the rivals of others.
+        self._rivals: set[str] = set()
         self._quarantined: frozenset[str] = frozenset()
 
     @property
@@ -234,23 +238,23 @@
             endpoint_ids.discard(record.endpoint_id)
         else:
             endpoint_ids.add(record.endpoint_id)
-        self._update_candidate(record.fingerprint)
+        self._update_rival(record.fingerprint)
         if len(self._known_by_key) > MAX_RECORDS:
             self._remove_oldest()
         for listener in self.listeners:
             listener(record.key)
 
-    def _update_candidate(self, fingerprint: str) -> None:
+    def _update_rival(self, fingerprint: str) -> None:
         """Take notice of a change of the crashes under a request."""
         count = len(self._endpoints_by_fingerprint[fingerprint])
         if not count:
             del self._endpoints_by_fingerprint[fingerprint]
-        was_candidate = fingerprint in self._candidates
-        if count >= MAX_CRASHES:
-            self._candidates.add(fingerprint)
+        was_rival = fingerprint in self._rivals
+        if count >= MIN_RIVAL_CRASHES:
+            self._rivals.add(fingerprint)
         else:
-            self._candidates.discard(fingerprint)
-        if was_candidate or count >= MAX_CRASHES:
+            self._rivals.discard(fingerprint)
+        if was_rival or count >= MIN_RIVAL_CRASHES:
             self._update_quarantined()
 
     def _remove_oldest(self) -> None:
@@ -270,7 +274,7 @@
             endpoint_ids = self._endpoints_by_fingerprint.get(fingerprint)
             if endpoint_ids is not None:
                 endpoint_ids.discard(endpoint_id)
-                self._update_candidate(fingerprint)
+                self._update_rival(fingerprint)
 
     def _update_quarantined(self) -> None:
         """Decide anew which requests are quarantined.
@@ -281,21 +285,25 @@
         suspects = sorted(
             (
                 (fingerprint, self._endpoints_by_fingerprint[fingerprint])
-                for fingerprint in self._candidates
+                for fingerprint in self._rivals
             ),
             key=lambda item: (-len(item[1]), item[0]),
         )
         quarantined: list[str] = []
         explained: set[str] = set()
         for fingerprint, endpoint_ids in suspects:
+            if len(endpoint_ids) < MAX_CRASHES:
+                break
             left = endpoint_ids - explained
             if len(left) < MIN_UNEXPLAINED_CRASHES:
                 continue
-            is_contested = any(
-                left <= other_ids - explained
+            rivals = [
+                other_ids
                 for other, other_ids in suspects
-                if other != fingerprint and other not in quarantined
-            )
+                if other != fingerprint
+                and len(other_ids - explained) >= MIN_RIVAL_CRASHES
+            ]
+            is_contested = left <= set().union(*rivals)
             if is_contested and len(left) < MAX_CONTESTED_CRASHES:
                 continue
             quarantined.append(fingerprint)
--- a/tests/crashes/test_ledger.py
+++ b/tests/crashes/test_ledger.py
@@ -94,6 +94,25 @@
         self.crash("b", "e4", "e5", "e6")
         self.assert_standing(Standing.QUARANTINED, "a", "b")
 
+    def test_request_beside_several_crashing_ones_is_not_quarantined(self):
+        # Guards against rejecting a request whose crashes are explained by
+        # several others, none of which ran beside it each time.
+        self.crash("ab", "e1", "e2")
+        self.crash("ac", "e3")
+        self.crash("c", "e4")
+        self.assert_standing(Standing.CONTESTED, "a")
+        self.crash("b", "e5")
+        self.assert_standing(Standing.QUARANTINED, "b")
+        self.assert_standing(Standing.SUSPECT, "a")
+
+    def test_request_that_others_ran_beside_once_is_quarantined(self):
+        # Guards against a crashing request that costs more endpoints as
+        # each crash makes suspects of what else ran there.
+        self.crash("ab", "e1")
+        self.crash("ac", "e2")
+        self.crash("ad", "e3")
+        self.assert_standing(Standing.QUARANTINED, "a")
+
     def test_completed_run_clears(self):
         self.crash("a", "e1", "e2")
         self.ledger.clear("a")
--- a/tests/registrations/test_crashes_over_vms.py
+++ b/tests/registrations/test_crashes_over_vms.py
@@ -89,6 +89,26 @@
 
         self.play(check, entries=6)
 
+    def test_crashing_request_replaces_one_that_ran_beside_it(self):
+        # Guards against rejecting a request that ran beside crashing ones
+        # until the crashes of the other one are told half a second later.
+        async def check(world):
+            world.crash("e0", "u", "v", "x", fingerprint="known")
+            world.crash("e0", "x", fingerprint="beside")
+            world.crash("e2", "w", fingerprint="crashing")
+            await world.run(LEARNING_SECONDS)
+            world.crash("e0", "y", "z", fingerprint="beside")
+            await world.run(MESSAGE_SECONDS)
+            self.assert_rejected(world, ["e1"], fingerprint="beside")
+            world.crash("e1", "y", "z", fingerprint="crashing")
+            await world.run(2 * MESSAGE_SECONDS)
+            self.assert_rejected(world, world.entries, fingerprint="crashing")
+            for name in world.entries:
+                standing = world.ledgers[name].assess("beside").standing
+                self.assertIs(Standing.CLEAR, standing)
+
+        self.play(check)
+
     def test_restarted_entries_learn_from_control_vms(self):
         async def check(world):
             world.crash("e0", "x", "y", "z")
