Tell others at once that a request no longer is quarantined

Cause: an entry sent a cleared record half a second later, like a first crash, and control VMs pushed the begin of a quarantine to all entries but not its end. Both are sent at once now, the second after all records of a message have been merged. Records that nobody else has still aren't sent when cleared.

Evidence: test_quarantine_is_lifted_within_the_time_of_two_messages fails on the code before (still quarantined).

--- a/burdockdrum/crashes/exchange.py
+++ b/burdockdrum/crashes/exchange.py
@@ -121,6 +121,10 @@
                 self._has_urgent.set()
 
     def _is_urgent(self, key: RecordKey) -> bool:
+        record = self._ledger.find(key)
+        if record is not None and record.is_cleared and key in self._shared:
+            # Others may reject the request, or delay it.
+            return True
         fingerprint, _ = key
         assessment = self._ledger.assess(fingerprint)
         return len(assessment.crashes) >= MIN_URGENT_CRASHES
--- a/burdockdrum/crashes/ledger.py
+++ b/burdockdrum/crashes/ledger.py
@@ -89,8 +89,6 @@
         self.serial = 0
         # Called with the key of each record that was added or cleared.
         self.listeners: list[Callable[[RecordKey], None]] = []
-        # Called with each fingerprint that becomes quarantined.
-        self.quarantine_listeners: list[Callable[[str], None]] = []
         self._clock = clock
         # In the order of their serials.
         self._known_by_key: dict[RecordKey, _Known] = {}
@@ -321,8 +319,6 @@
             crashes=len(assessment.crashes),
             seconds_left=round(assessment.seconds_left, 1),
         )
-        for listener in self.quarantine_listeners:
-            listener(fingerprint)
 
     def _unexplained(self, fingerprint: str) -> set[str]:
         """Return the crashes that no quarantined request explains."""
--- a/burdockdrum/registrations/publisher.py
+++ b/burdockdrum/registrations/publisher.py
@@ -10,6 +10,7 @@
 from dataclasses import field
 
 from burdockdrum.crashes import CrashLedger
+from burdockdrum.crashes import CrashRecord
 from burdockdrum.logs import log_decision
 from burdockdrum.peers import Message
 from burdockdrum.peers import Peers
@@ -90,9 +91,6 @@
             default
         """
         self._crashes = crashes or CrashLedger(clock=clock)
-        self._crashes.quarantine_listeners.append(
-            lambda fingerprint: self._publish_to_all()
-        )
         self._peers = peers
         self._clock = clock
         self._table = table
@@ -155,8 +153,7 @@
         self._rosters.record(sender.vm_id, sender.address, message.region)
         self._record_limits(sender, message.limits)
         self._record_drains(sender, message.drains)
-        for record in message.crashes:
-            self._crashes.merge(record)
+        self._record_crashes(message.crashes)
         if message.load_by_id is not None:
             watcher.load_by_id, watcher.load_received_at = (
                 message.load_by_id,
@@ -190,6 +187,14 @@
                     about_vm=sender.vm_id,
                 )
 
+    def _record_crashes(self, records: list[CrashRecord]) -> None:
+        """Merge an entry's records; push what changes the quarantine."""
+        former = self._crashes.quarantined
+        for record in records:
+            self._crashes.merge(record)
+        if self._crashes.quarantined != former:
+            self._publish_to_all()
+
     def _publish_to_all(self) -> None:
         for watcher in self._live_watchers():
             self._send(watcher, with_capacities=False)
--- a/tests/registrations/test_crashes_over_vms.py
+++ b/tests/registrations/test_crashes_over_vms.py
@@ -172,6 +172,20 @@
 
         self.play(check)
 
+    def test_quarantine_is_lifted_within_the_time_of_two_messages(self):
+        # Guards against entries that reject a request which has completed.
+        async def check(world):
+            world.crash("e0", "x", "y", "z")
+            await world.run(MESSAGE_SECONDS)
+            self.assert_rejected(world, world.entries)
+            world.ledgers["e1"].clear("f")
+            await world.run(2 * MESSAGE_SECONDS)
+            for name in world.entries:
+                standing = world.ledgers[name].assess("f").standing
+                self.assertIs(Standing.CLEAR, standing, name)
+
+        self.play(check)
+
     def test_suspects_that_complete_at_once_are_not_shared(self):
         # Guards against messages for each request that ran on a crashed
         # endpoint and was served by another one.
