Log a lost health response; use the attempts' connect timeout

The health checker of entries that reach no endpoint had a connect timeout of its own with the same value, and took a lost response for an answer without a log line. No change of behaviour.

--- a/burdockdrum/passthrough/relaying/health_checker.py
+++ b/burdockdrum/passthrough/relaying/health_checker.py
@@ -2,15 +2,15 @@
 
 import asyncio
 from collections.abc import Callable
-import contextlib
 
 from burdockdrum.http1 import ConnectionPool
 from burdockdrum.http1 import encode_request
 from burdockdrum.http1 import NotConnected
 from burdockdrum.http1 import ResponseLost
+from burdockdrum.logs import log_decision
+from burdockdrum.passthrough.relaying.attempts import CONNECT_TIMEOUT_SECONDS
 from burdockdrum.registrations import RegisteredEndpoint
 
-CONNECT_TIMEOUT_SECONDS = 0.4
 # A health request waits for a slot like any other.
 RESPONSE_TIMEOUT_SECONDS = 1.0
 
@@ -48,8 +48,14 @@
         try:
             connection.send(payload, None)
             async with asyncio.timeout(RESPONSE_TIMEOUT_SECONDS):
-                with contextlib.suppress(ResponseLost):
-                    await connection.read_head()
+                await connection.read_head()
+        except ResponseLost as error:
+            # A reset is an answer too.
+            log_decision(
+                "endpoint.health_response_lost",
+                endpoint_id=endpoint.endpoint_id,
+                reason=str(error),
+            )
         except TimeoutError:
             raise NotConnected(
                 f"{address}: no response in {RESPONSE_TIMEOUT_SECONDS} s"
