Keep incarnations as long as the ends of their endpoints are kept

Symptom: an entry may send requests to an endpoint that has gone.

Cause: when the end of any endpoint was forgotten after two minutes, the latest incarnations of all other ended endpoints were forgotten too, so that a late check-in of an older incarnation was accepted. An end now keeps the name of its endpoint, and incarnations are kept for it.

Evidence: found by reading; the new test fails on the code before (an endpoint that has gone is registered again).

--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
+from dataclasses import dataclass
 import random
 
 from burdockdrum.crashes import CrashExchange
@@ -50,6 +51,14 @@
 TOMBSTONE_SECONDS = 120.0
 
 
+@dataclass(frozen=True, kw_only=True)
+class _End:
+    """When an incarnation of an endpoint ended."""
+
+    name: str
+    at: float
+
+
 class RegistrationFollower:
     """The endpoints of this region by id, merged from all control VMs."""
 
@@ -91,7 +100,7 @@
         self._crashes = crashes or CrashLedger(clock=clock)
         self._crash_exchange = CrashExchange(ledger=self._crashes)
         self._sources_by_id: dict[str, ControlSource] = {}
-        self._ended_at_by_id: dict[str, float] = {}
+        self._ends_by_id: dict[str, _End] = {}
         self._incarnations = LatestIncarnations()
         self._drains = AnnouncedDrains(memory_seconds=TOMBSTONE_SECONDS)
         # When ends of endpoints without a known incarnation arrived.
@@ -190,8 +199,9 @@
 
     def drop(self, endpoint_id: str) -> None:
         """Remove an incarnation of an endpoint that was replaced."""
-        self._ended_at_by_id[endpoint_id] = self._clock.monotonic()
-        self._merge(endpoint_id)
+        known = self.endpoints_by_id.get(endpoint_id)
+        name = known.reported_id if known is not None else endpoint_id
+        self._end_incarnation(endpoint_id, name, self._clock.monotonic())
         self._notify_listeners()
 
     async def run(self) -> None:
@@ -335,17 +345,17 @@
     def _apply_end(
         self, source: ControlSource, registration: Registration, now: float
     ) -> None:
-        self._ended_at_by_id[registration.endpoint_id] = now
+        name = registration.reported_id
+        self._ends_by_id[registration.endpoint_id] = _End(name=name, at=now)
         source.endpoints_by_id.pop(registration.endpoint_id, None)
         if registration.incarnation != UNKNOWN_INCARNATION:
             return
         # The control VM did not know which incarnation ended.
-        name = registration.reported_id
         incarnations = self._find_incarnations(name)
         if not incarnations:
             self._unmatched_ends_by_name[name] = now
         for endpoint in incarnations:
-            self._end_incarnation(endpoint.endpoint_id, now)
+            self._end_incarnation(endpoint.endpoint_id, name, now)
 
     def _is_current(self, registration: Registration, now: float) -> bool:
         name, incarnation = registration.reported_id, registration.incarnation
@@ -355,7 +365,7 @@
             return True
         # Another control VM already reported the end of this endpoint.
         self._incarnations.observe(name, incarnation)
-        self._ended_at_by_id[registration.endpoint_id] = now
+        self._ends_by_id[registration.endpoint_id] = _End(name=name, at=now)
         return False
 
     def _observe_incarnation(
@@ -367,7 +377,7 @@
         for previous in self._find_incarnations(name):
             if previous.endpoint_id == registration.endpoint_id:
                 continue
-            self._end_incarnation(previous.endpoint_id, now)
+            self._end_incarnation(previous.endpoint_id, name, now)
             log_decision(
                 "endpoint.restarted",
                 endpoint_id=registration.endpoint_id,
@@ -385,8 +395,10 @@
             if endpoint.reported_id == name
         ]
 
-    def _end_incarnation(self, endpoint_id: str, now: float) -> None:
-        self._ended_at_by_id[endpoint_id] = now
+    def _end_incarnation(
+        self, endpoint_id: str, name: str, now: float
+    ) -> None:
+        self._ends_by_id[endpoint_id] = _End(name=name, at=now)
         self._merge(endpoint_id)
 
     def _merge(self, endpoint_id: str) -> None:
@@ -415,7 +427,7 @@
         self, endpoint_id: str, copies: list[RegisteredEndpoint]
     ) -> RegisteredEndpoint | None:
         """Return the current registration of an endpoint, None if gone."""
-        if not copies or endpoint_id in self._ended_at_by_id:
+        if not copies or endpoint_id in self._ends_by_id:
             return None
         # Unreachable at one control VM, it may check in at another.
         reachable = [
@@ -454,15 +466,23 @@
                     del source.stale_until_by_id[endpoint_id]
                     source.endpoints_by_id.pop(endpoint_id, None)
                     self._merge(endpoint_id)
-        for ended_at in (self._ended_at_by_id, self._unmatched_ends_by_name):
-            for key, at in list(ended_at.items()):
-                if now - at > TOMBSTONE_SECONDS:
-                    del ended_at[key]
-                    self._forget_incarnations()
-
-    def _forget_incarnations(self) -> None:
-        endpoints = self.endpoints_by_id.values()
-        self._incarnations.retain({e.reported_id for e in endpoints})
+        self._forget_ends(now - TOMBSTONE_SECONDS)
+
+    def _forget_ends(self, since: float) -> None:
+        """Forget what ended before, and incarnations of nothing known."""
+        for name, at in list(self._unmatched_ends_by_name.items()):
+            if at < since:
+                del self._unmatched_ends_by_name[name]
+        forgotten = [
+            i for i, end in self._ends_by_id.items() if end.at < since
+        ]
+        for endpoint_id in forgotten:
+            del self._ends_by_id[endpoint_id]
+        if forgotten:
+            self._incarnations.retain(
+                {e.reported_id for e in self.endpoints_by_id.values()}
+                | {end.name for end in self._ends_by_id.values()}
+            )
 
     def _notify_listeners(self) -> None:
         for listener in self.listeners:
--- a/tests/registrations/test_restarts.py
+++ b/tests/registrations/test_restarts.py
@@ -12,6 +12,7 @@
 from burdockdrum.registrations import Registration
 from burdockdrum.registrations import RegistrationState
 from burdockdrum.registrations import RegistrationTable
+from burdockdrum.registrations.follower import TOMBSTONE_SECONDS
 from tests.registrations.test_book import HERE
 from tests.registrations.test_book import SteppedClock
 from tests.registrations.test_following import play
@@ -144,6 +145,25 @@
 
         play(check)
 
+    def test_late_check_in_does_not_revive_an_ended_endpoint(self):
+        # Guards against requests to an endpoint that has gone, after the end
+        # of another one has been forgotten.
+        async def check(world):
+            table, follower = world.tables["a"], world.followers["x"]
+            table.apply(make(1000, name="e2", address="e2:80"))
+            await asyncio.sleep(0.5)
+            table.end("e2")
+            await asyncio.sleep(TOMBSTONE_SECONDS - 10.0)
+            table.apply(make(2000))
+            await asyncio.sleep(0.5)
+            table.end("e1")
+            await asyncio.sleep(20.0)
+            world.tables["b"].apply(make(1000, sequence=41))
+            await asyncio.sleep(0.5)
+            self.assertEqual({}, follower.endpoints_by_id)
+
+        play(check)
+
     def test_end_reported_where_no_incarnation_is_known(self):
         # The end is reported at b, which does not know the endpoint, without
         # an incarnation. It must not apply to later incarnations.
