Forget the times of requests that no retry budget counts

Cause: the sliding windows of the retry budget were only shortened when a retry was charged or lent, and never lost a service. The periodic update shortens all of them and drops services without events.

--- a/burdockdrum/passthrough/state/retry_budget.py
+++ b/burdockdrum/passthrough/state/retry_budget.py
@@ -94,8 +94,14 @@
         )
 
     def update(self) -> None:
-        """Take notice of the share of the burst that is held now."""
+        """Take notice of the share held now; forget services out of use."""
         self._burst_share.read()
+        for window in (self._requests, self._retries, self._lent):
+            window.prune()
+        now = self._clock.monotonic()
+        for service, loans in list(self._borrowed_until.items()):
+            if not loans or loans[-1] < now:
+                del self._borrowed_until[service]
 
     def record_request(self, service: str) -> None:
         """Count a caller's request for a service."""
@@ -210,9 +216,17 @@
         self._seconds = seconds
         self._times_by_key: dict[str, collections.deque[float]] = {}
 
+    def __len__(self) -> int:
+        return sum(len(times) for times in self._times_by_key.values())
+
     def add(self, key: str, at: float) -> None:
         self._times_by_key.setdefault(key, collections.deque()).append(at)
 
+    def prune(self) -> None:
+        for key in list(self._times_by_key):
+            if not self.count(key):
+                del self._times_by_key[key]
+
     def remove(self, key: str, at: float) -> None:
         times = self._times_by_key.get(key)
         if times is not None and at in times:
--- a/tests/passthrough/state/test_retry_budget.py
+++ b/tests/passthrough/state/test_retry_budget.py
@@ -128,6 +128,24 @@
         budget.record_request("s")
         self.assertIsNotNone(budget.acquire("s", "r"))
 
+    def test_memory_is_bounded_without_retries(self):
+        # Guards against an entry that keeps the time of each request until
+        # the next retry.
+        clock = ManualClock()
+        budget = make_budget(clock)
+        for number in range(2000):
+            budget.record_request(f"s{number % 40}")
+            budget.lend(f"t{number % 40}", 1)
+            budget.borrow(f"s{number % 40}", 1, clock.now)
+            clock.now += WINDOW / 100
+            budget.update()
+        kept = (budget._requests, budget._lent, budget._borrowed_until)
+        for times in kept:
+            self.assertLess(len(times), 400)
+        clock.now += FILL_SECONDS
+        budget.update()
+        self.assertEqual([0, 0, 0], [len(times) for times in kept])
+
     def test_services_have_separate_budgets(self):
         budget = make_budget(ManualClock())
         for _ in range(1000):
