Bound the senders that a leader remembers for late copies

Cause: the number of the last evicted request was kept for each sender for good. The latest 4,096 senders are kept now; the copy of a request arrives at most minutes late.

Evidence: the new test fails on the code before (10,000 senders kept).

--- a/burdockdrum/consensus/deduplication.py
+++ b/burdockdrum/consensus/deduplication.py
@@ -14,6 +14,9 @@
 from burdockdrum.peers import Sender
 
 _MAX_REQUESTS = 4096
+# Senders of requests that were evicted. Copies arrive at most minutes late,
+# in which few VMs are replaced.
+_MAX_SENDERS = 4096
 
 _RequestKey = tuple[str, int, int]
 
@@ -26,7 +29,10 @@
         self._tasks_by_request: collections.OrderedDict[
             _RequestKey, asyncio.Task[ProposeReply]
         ] = collections.OrderedDict()
-        self._evicted_number_by_sender: dict[tuple[str, int], int] = {}
+        # The senders whose requests were evicted last come last.
+        self._evicted_number_by_sender: collections.OrderedDict[
+            tuple[str, int], int
+        ] = collections.OrderedDict()
 
     async def run_once(
         self,
@@ -55,6 +61,9 @@
             sender = (vm_id, incarnation)
             known = self._evicted_number_by_sender.get(sender, 0)
             self._evicted_number_by_sender[sender] = max(known, number)
+            self._evicted_number_by_sender.move_to_end(sender)
+        while len(self._evicted_number_by_sender) > _MAX_SENDERS:
+            self._evicted_number_by_sender.popitem(last=False)
 
 
 async def _run(handle: Callable[[], Awaitable[ProposeReply]]) -> ProposeReply:
--- a/tests/consensus/test_copies.py
+++ b/tests/consensus/test_copies.py
@@ -43,3 +43,20 @@
             self.assertEqual(4999, self.handled)
 
         run_virtual(main())
+
+    def test_memory_is_bounded_though_senders_are_replaced(self):
+        # Guards against a leader that remembers each VM there ever was.
+        async def main():
+            deduplicator = RequestDeduplicator()
+            last = None
+            for number in range(10_000):
+                last = Sender(vm_id=f"vm-{number}", address="x", incarnation=1)
+                await deduplicator.run_once(last, 1, self.handle)
+            for number in range(1, 5000):
+                await deduplicator.run_once(last, number, self.handle)
+            remembered = deduplicator._evicted_number_by_sender
+            self.assertLessEqual(len(remembered), 4096)
+            reply = await deduplicator.run_once(last, 2, self.handle)
+            self.assertTrue(reply.unknown)
+
+        run_virtual(main())
