Forget the join requests of VMs that have gone

Symptom: a control VM's memory grows with each VM that ever asked to join.

Cause: the last request and the newest incarnation of each VM were kept for good, in two tables. The request holds the incarnation, so one table is enough; requests are forgotten after ten minutes, which outlasts late copies.

Evidence: the new test fails on the code before.

--- a/burdockdrum/consensus/self_repair.py
+++ b/burdockdrum/consensus/self_repair.py
@@ -29,6 +29,8 @@
 JOIN_INTERVAL_SECONDS = 0.5
 # The VM of an older request may be gone again.
 JOIN_REQUEST_MAX_AGE_SECONDS = 2.0
+# Outlasts late copies of the requests that a VM sent before its restart.
+JOIN_REQUEST_MEMORY_SECONDS = 600.0
 # Control VMs beyond the voters are learners. With five voters, this allows
 # for the largest number of control VMs.
 MAX_SPARE_LEARNERS = 12
@@ -68,7 +70,6 @@
         self._target_voter_count = target_voter_count
         self._read_control_addresses = read_control_addresses
         self._received_by_vm_id: dict[str, _ReceivedJoinRequest] = {}
-        self._newest_incarnation_by_vm_id: dict[str, int] = {}
         self._request_received = Signal()
         peers.register(JoinRequest, self._on_join)
 
@@ -113,19 +114,27 @@
     async def _on_join(
         self, sender: Sender, message: JoinRequest
     ) -> Message | None:
-        newest = self._newest_incarnation_by_vm_id.get(message.vm_id, 0)
-        if message.incarnation < newest:
+        known = self._received_by_vm_id.get(message.vm_id)
+        if known is not None and (
+            message.incarnation < known.request.incarnation
+        ):
             # Sent before the VM's restart: it may name a disk that is gone
             # and must not replace the current one.
             return None
-        self._newest_incarnation_by_vm_id[message.vm_id] = message.incarnation
         now = self._replica.clock.monotonic()
+        self._forget_requests(now - JOIN_REQUEST_MEMORY_SECONDS)
         self._received_by_vm_id[message.vm_id] = _ReceivedJoinRequest(
             request=message, at=now
         )
         self._request_received.fire()
         return None
 
+    def _forget_requests(self, since: float) -> None:
+        """Forget the requests of VMs that have sent none since a time."""
+        for vm_id, received in list(self._received_by_vm_id.items()):
+            if received.at < since:
+                del self._received_by_vm_id[vm_id]
+
     async def _handle_recent_requests(self) -> bool:
         """Make the next change for the recent join requests.
 
--- a/tests/consensus/test_self_repair.py
+++ b/tests/consensus/test_self_repair.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from burdockdrum.consensus.messages import JoinRequest
+from burdockdrum.consensus.self_repair import JOIN_REQUEST_MEMORY_SECONDS
 from burdockdrum.testing import run_virtual
 from tests.consensus.cluster import Cluster
 
@@ -183,6 +184,29 @@
 
         run_virtual(main())
 
+    def test_replaced_vms_are_forgotten(self):
+        # Guards against a control VM that remembers each VM there ever was.
+        async def main():
+            cluster = make_cluster()
+            await cluster.start_all()
+            leader = await cluster.wait_for_leader()
+            lead = next(v for v in cluster.vms.values() if v.log is leader)
+            other = next(v for v in cluster.vms.values() if v is not lead)
+            for number in range(6):
+                request = JoinRequest(
+                    vm_id=f"replaced-{number}",
+                    address="x",
+                    disk_id=f"disk-{number}",
+                    incarnation=1,
+                )
+                other.running._peers.send(lead.address, request)
+                await asyncio.sleep(JOIN_REQUEST_MEMORY_SECONDS / 4)
+            remembered = leader._self_repair._received_by_vm_id
+            self.assertLessEqual(len(remembered), 5)
+            await cluster.stop_all()
+
+        run_virtual(main())
+
     def test_number_of_voters_grows_to_the_target(self):
         # Three founders and three more VMs, with five voters as the target.
         async def main():
