--- a/burdockdrum/web/parsing.py
+++ b/burdockdrum/web/parsing.py
@@ -168,7 +168,9 @@
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise bad_request(f"the body is invalid: {error}") from None
     prompt = _extract_prompt(parsed, kind)
-    max_tokens = parsed.max_completion_tokens or parsed.max_tokens
+    max_tokens = parsed.max_completion_tokens
+    if max_tokens is None:
+        max_tokens = parsed.max_tokens
     if max_tokens is not None and max_tokens < 1:
         raise bad_request("max_tokens must be at least 1")
     headers = parse_headers(request, settings, classes)
--- a/tests/web/test_callers.py
+++ b/tests/web/test_callers.py
@@ -23,6 +23,7 @@
     (TEXT, {**GOOD, "prompt": 7}, {}, 400, "prompt"),
     (TEXT, {"model": "planner"}, {}, 400, "prompt"),
     (TEXT, {**GOOD, "max_tokens": 0}, {}, 400, "max_tokens"),
+    (TEXT, {**GOOD, "max_completion_tokens": 0}, {}, 400, "max_tokens"),
     (TEXT, {**GOOD, "max_tokens": "many"}, {}, 400, "max_tokens"),
     (TEXT, {**GOOD, "stream": "yes"}, {}, 400, "stream"),
     (TEXT, {**GOOD, "model": "nothing"}, {}, 404, "nothing"),
