Read numbers of the own interface in one way

Symptom: GET /v1/timeline with a revision that is no number, a watch with more than 4,300 digits and an engine's event with such an id ended with a 500 or a broken stream; other digits than ASCII ones were read as numbers, also in Content-Length and Retry-After.

Cause: int() and float() behind isdigit() or isdecimal(), or alone. All use parse_count or parse_seconds now; an invalid parameter is a 400 that names it.

Evidence: the new tests fail on the code before (five values, 500 or 200).

--- a/burdockdrum/requests/attempts.py
+++ b/burdockdrum/requests/attempts.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from burdockdrum.endpoints import Endpoint
+from burdockdrum.http1 import parse_seconds
 from burdockdrum.ports import AnswerLost
 from burdockdrum.ports import UpstreamAnswer
 from burdockdrum.requests.events import has_other_request_id
@@ -309,7 +310,7 @@
         code=code,
         message=message,
         verdict=verdict,
-        retry_after=float(seconds_text) if seconds_text.isdigit() else None,
+        retry_after=parse_seconds(seconds_text.encode()),
     )
     return AttemptFailed(
         refusal,
--- a/burdockdrum/requests/events.py
+++ b/burdockdrum/requests/events.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from burdockdrum.http1 import parse_count
 from burdockdrum.verdicts import Refusal
 
 MAX_EVENT_BYTES = 1024 * 1024
@@ -64,8 +65,7 @@
     """Return the token offset of an event, or None if it has no valid id."""
     if not event.startswith(b"id:"):
         return None
-    digits = event[3 : event.index(b"\n")].strip()
-    return int(digits) if digits.isdigit() else None
+    return parse_count(event[3 : event.index(b"\n")])
 
 
 def has_other_request_id(content: bytes, request_id: bytes) -> bool:
--- a/burdockdrum/web/operator_handlers.py
+++ b/burdockdrum/web/operator_handlers.py
@@ -38,6 +38,7 @@
 from burdockdrum.web.reading import header
 from burdockdrum.web.reading import path_parameter
 from burdockdrum.web.reading import query_parameter
+from burdockdrum.web.reading import read_count
 from burdockdrum.web.reading import read_json
 from burdockdrum.web.responses import json_response
 from burdockdrum.web.responses import text_response
@@ -242,7 +243,9 @@
             self._timeline.events(
                 prefix=query_parameter(request, "prefix") or "",
                 request_id=query_parameter(request, "request_id"),
-                revision=int(revision) if revision else None,
+                revision=read_count("revision", revision)
+                if revision
+                else None,
             )
         )
 
@@ -318,9 +321,7 @@
         ("revision", query_parameter(request, "revision")),
     ):
         if value:
-            if not value.isdecimal():
-                raise bad_request(f"{field} is {value!r}, not a revision")
-            return int(value)
+            return read_count(field, value)
     return None
 
 
--- a/burdockdrum/web/reading.py
+++ b/burdockdrum/web/reading.py
@@ -5,6 +5,7 @@
 from blacksheep.messages import Request
 import msgspec
 
+from burdockdrum.http1 import parse_count
 from burdockdrum.verdicts import Refusal
 from burdockdrum.verdicts import RefusalCode
 from burdockdrum.verdicts import Verdict
@@ -26,8 +27,8 @@
 
     :raises Refusal: if it is larger, without reading the rest
     """
-    declared = header(request, "content-length")
-    if declared is not None and declared.isdigit() and int(declared) > limit:
+    declared = parse_count(request.get_first_header(b"content-length"))
+    if declared is not None and declared > limit:
         raise _too_large(limit)
     parts = []
     size = 0
@@ -57,6 +58,17 @@
     return value.decode("latin-1") if value is not None else None
 
 
+def read_count(name: str, value: str) -> int:
+    """Return the value of a parameter or header as a non-negative integer.
+
+    :raises Refusal: naming it, if it is anything but ASCII digits
+    """
+    count = parse_count(value.encode())
+    if count is None:
+        raise bad_request(f"{name} is {value[:32]!r}, not a number")
+    return count
+
+
 def query_parameter(request: Request, name: str) -> str | None:
     """Return the first query parameter of a name, None if there is none."""
     values = request.query.get(name)
--- a/tests/web/test_operators.py
+++ b/tests/web/test_operators.py
@@ -102,6 +102,20 @@
 
         self.run_operator(scenario)
 
+    def test_value_that_is_no_number_is_rejected_by_name(self):
+        # Guards against input that int() reads in another way, or fails on.
+        async def scenario(deployment, operator):
+            for value in ("x", "%C2%B2", "%D9%A3", "1_0", "9" * 5000):
+                for path in ("/v1/timeline", "/v1/watch"):
+                    with self.subTest(path=path, value=value[:8]):
+                        status, found = await operator.call(
+                            "GET", f"{path}?revision={value}"
+                        )
+                        self.assertEqual(400, status)
+                        self.assertIn("revision", found["error"]["message"])
+
+        self.run_operator(scenario)
+
     def test_bad_changes_name_the_field(self):
         async def scenario(deployment, operator):
             path = "/v1/resources/region/x"
