--- a/tests/registrations/test_restarts.py
+++ b/tests/registrations/test_restarts.py
@@ -8,11 +8,11 @@
 from hypothesis import strategies
 from loguru import logger
 
+from burdockdrum.registrations import follower as follower_module
 from burdockdrum.registrations import make_incarnation_id
 from burdockdrum.registrations import Registration
 from burdockdrum.registrations import RegistrationState
 from burdockdrum.registrations import RegistrationTable
-from burdockdrum.registrations.follower import TOMBSTONE_SECONDS
 from tests.registrations.test_book import HERE
 from tests.registrations.test_book import SteppedClock
 from tests.registrations.test_following import play
@@ -153,7 +153,7 @@
             table.apply(make(1000, name="e2", address="e2:80"))
             await asyncio.sleep(0.5)
             table.end("e2")
-            await asyncio.sleep(TOMBSTONE_SECONDS - 10.0)
+            await asyncio.sleep(follower_module.TOMBSTONE_SECONDS - 10.0)
             table.apply(make(2000))
             await asyncio.sleep(0.5)
             table.end("e1")
