--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -39,48 +39,34 @@
 
 from docopt import docopt
 
-from scripts.soak.crashes import run_crash_seed
-from scripts.soak.cuts import run_cut_seed
-from scripts.soak.retries import run_retry_seed
+from scripts.soak.crashes import CrashSoak
+from scripts.soak.cuts import CutSoak
+from scripts.soak.retries import RetrySoak
+from scripts.soak.retries import run_soak
 from scripts.soak.run import Result
 from scripts.soak.run import run_seed
-from scripts.soak.versions import run_version_seed
+from scripts.soak.versions import VersionSoak
 
 
 def _run(
     seed: int, arguments: dict[str, Any], logs: pathlib.Path | None
 ) -> Coroutine[Any, Any, Result]:
     seconds = float(arguments["--seconds"])
+    entries = int(arguments["--entries"])
+    soak: RetrySoak | None = None
     if arguments["--crashes"]:
-        return run_crash_seed(
-            seed,
-            seconds=seconds,
-            logs=logs,
-            entries=int(arguments["--entries"]),
-        )
-    if arguments["--cuts"]:
-        return run_cut_seed(
-            seed,
-            seconds=seconds,
-            logs=logs,
-            entries=int(arguments["--entries"]),
-        )
-    if arguments["--versions"]:
-        return run_version_seed(
-            seed,
-            seconds=seconds,
-            logs=logs,
-            entries=int(arguments["--entries"]),
-        )
-    if arguments["--retries"]:
+        soak = CrashSoak(seed, entries=entries)
+    elif arguments["--cuts"]:
+        soak = CutSoak(seed, entries=entries)
+    elif arguments["--versions"]:
+        soak = VersionSoak(seed, entries=entries)
+    elif arguments["--retries"]:
         rate = arguments["--rate"]
-        return run_retry_seed(
-            seed,
-            seconds=seconds,
-            logs=logs,
-            entries=int(arguments["--entries"]),
-            rate=float(rate) if rate else None,
+        soak = RetrySoak(
+            seed, entries=entries, rate=float(rate) if rate else None
         )
+    if soak is not None:
+        return run_soak(soak, seconds=seconds, logs=logs)
     return run_seed(
         seed,
         seconds=seconds,
--- a/scripts/soak/crashes.py
+++ b/scripts/soak/crashes.py
@@ -5,10 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 import contextlib
-import pathlib
 import signal
 import time
 
@@ -19,8 +16,6 @@
 from scripts.soak.crashing_endpoint import CrashingEndpoint
 from scripts.soak.retries import DEADLINE_MS
 from scripts.soak.retries import RetrySoak
-from scripts.soak.retries import run_soak
-from scripts.soak.run import Result
 
 # The platform's rule on requests that crash endpoints.
 MAX_CRASHES = 3
@@ -141,16 +136,3 @@
             learning_seconds=LEARNING_SECONDS,
             max_arrivals=MAX_LATE_ARRIVALS,
         )
-
-
-async def run_crash_seed(
-    seed: int,
-    *,
-    seconds: float,
-    logs: pathlib.Path | None,
-    entries: int = 2,
-    faults: Callable[[RetrySoak], Awaitable[None]] | None = None,
-) -> Result:
-    """Run one seed; the parameters are those of ``run_retry_seed``."""
-    soak = CrashSoak(seed, entries=entries)
-    return await run_soak(soak, seconds=seconds, logs=logs, faults=faults)
--- a/scripts/soak/cuts.py
+++ b/scripts/soak/cuts.py
@@ -1,10 +1,7 @@
 """One seed of the soak of entries that lose their links to endpoints."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 from dataclasses import dataclass
-import pathlib
 import time
 
 from scripts.local_deployment import Machine
@@ -12,8 +9,6 @@
 from scripts.soak.cut_endpoint import CutEndpoint
 from scripts.soak.retries import ENDPOINTS
 from scripts.soak.retries import RetrySoak
-from scripts.soak.retries import run_soak
-from scripts.soak.run import Result
 
 # The platform's rule on first tries at entries that are cut off.
 LEARNING_SECONDS = 5.0
@@ -147,16 +142,3 @@
         if is_worse and len(cut) - served > allowed:
             return [summary]
         return []
-
-
-async def run_cut_seed(
-    seed: int,
-    *,
-    seconds: float,
-    logs: pathlib.Path | None,
-    entries: int = 2,
-    faults: Callable[[RetrySoak], Awaitable[None]] | None = None,
-) -> Result:
-    """Run one seed; the parameters are those of ``run_retry_seed``."""
-    soak = CutSoak(seed, entries=entries)
-    return await run_soak(soak, seconds=seconds, logs=logs, faults=faults)
--- a/scripts/soak/retries.py
+++ b/scripts/soak/retries.py
@@ -334,34 +334,19 @@
         return status
 
 
-async def run_retry_seed(
-    seed: int,
+async def run_soak(
+    soak: RetrySoak,
     *,
     seconds: float,
-    logs: pathlib.Path | None,
-    entries: int = 2,
-    rate: float | None = None,
-    faults: Callable[[RetrySoak], Awaitable[None]] | None = None,
+    logs: pathlib.Path | None = None,
+    faults: Callable[[Any], Awaitable[None]] | None = None,
 ) -> Result:
-    """Run one seed.
+    """Run a soak.
 
     :param seconds: how long endpoints fail and faults come
     :param logs: folder to copy the logs to, or None
-    :param entries: the number of entries in each region
-    :param faults: what happens instead of random faults
+    :param faults: what happens to the soak instead of random faults
     """
-    soak = RetrySoak(seed, entries=entries, rate=rate)
-    return await run_soak(soak, seconds=seconds, logs=logs, faults=faults)
-
-
-async def run_soak(
-    soak: RetrySoak,
-    *,
-    seconds: float,
-    logs: pathlib.Path | None,
-    faults: Callable[[RetrySoak], Awaitable[None]] | None,
-) -> Result:
-    """Run a soak; the parameters are those of ``run_retry_seed``."""
     tasks = [asyncio.create_task(soak.register_endpoints())]
     try:
         await soak.open()
--- a/scripts/soak/versions.py
+++ b/scripts/soak/versions.py
@@ -5,11 +5,8 @@
 """
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
-import pathlib
 import re
 import signal
 import time
@@ -20,8 +17,6 @@
 from scripts.local_deployment import CALLERS_PORT
 from scripts.local_deployment import Machine
 from scripts.soak.retries import RetrySoak
-from scripts.soak.retries import run_soak
-from scripts.soak.run import Result
 from scripts.soak.versioned_endpoint import VersionedEndpoint
 
 ENDPOINTS_PER_ZONE = 4
@@ -227,16 +222,3 @@
             f"{went_on} of {number} that count went on"
         )
         return self.streams.check()
-
-
-async def run_version_seed(
-    seed: int,
-    *,
-    seconds: float,
-    logs: pathlib.Path | None,
-    entries: int = 2,
-    faults: Callable[[RetrySoak], Awaitable[None]] | None = None,
-) -> Result:
-    """Run one seed; the parameters are those of ``run_retry_seed``."""
-    soak = VersionSoak(seed, entries=entries)
-    return await run_soak(soak, seconds=seconds, logs=logs, faults=faults)
--- a/tests/soak/test_crashes.py
+++ b/tests/soak/test_crashes.py
@@ -1,9 +1,9 @@
 """Short runs of the soak of requests that crash endpoints."""
 
 import asyncio
-import unittest
 
-from scripts.soak.crashes import run_crash_seed
+from scripts.soak.crashes import CrashSoak
+from tests.soak.cases import SoakCase
 
 SEED = 1
 
@@ -36,15 +36,12 @@
     await asyncio.Future()
 
 
-class CrashingRequestTest(unittest.TestCase):
+class CrashingRequestTest(SoakCase):
     """Requests that crash endpoints, at six entries of three regions."""
 
     def run_seed(self, faults, *, seconds):
         """Run processes under the faults; check what endpoints got."""
-        result = asyncio.run(
-            run_crash_seed(SEED, seconds=seconds, logs=None, faults=faults)
-        )
-        self.assertEqual([], result.violations, result.format_result())
+        result = self.run_soak(CrashSoak(SEED), faults, seconds=seconds)
         self.assertGreater(result.counts_by_status.get(200, 0), 100)
 
     def test_crashing_request_is_rejected_by_all_entries(self):
--- a/tests/soak/test_cuts.py
+++ b/tests/soak/test_cuts.py
@@ -1,23 +1,20 @@
 """Short runs of the soak of entries that lose their links to endpoints."""
 
 import asyncio
-import unittest
 
 from scripts.soak.cut_endpoint import Cut
-from scripts.soak.cuts import run_cut_seed
+from scripts.soak.cuts import CutSoak
+from tests.soak.cases import SoakCase
 
 SEED = 1
 
 
-class CutEntriesTest(unittest.TestCase):
+class CutEntriesTest(SoakCase):
     """Entries of processes that are cut off from all endpoints."""
 
     def run_seed(self, faults, *, seconds):
         """Run processes under the faults; check first tries of callers."""
-        result = asyncio.run(
-            run_cut_seed(SEED, seconds=seconds, logs=None, faults=faults)
-        )
-        self.assertEqual([], result.violations, result.format_result())
+        result = self.run_soak(CutSoak(SEED), faults, seconds=seconds)
         self.assertGreater(result.counts_by_status.get(200, 0), 100)
 
     def test_callers_of_cut_entries_are_served_as_often(self):
--- a/tests/soak/test_retries.py
+++ b/tests/soak/test_retries.py
@@ -1,10 +1,10 @@
 """Short runs of the soak of the retry budget over real processes."""
 
 import asyncio
-import unittest
 
 from scripts.soak.failing_endpoint import Failure
-from scripts.soak.retries import run_retry_seed
+from scripts.soak.retries import RetrySoak
+from tests.soak.cases import SoakCase
 
 SEED = 1
 FILL_SECONDS = 11.0
@@ -27,17 +27,14 @@
     await asyncio.Future()
 
 
-class RetryBudgetTest(unittest.TestCase):
+class RetryBudgetTest(SoakCase):
     """Retries that endpoints get from six entries of three regions."""
 
     def run_seed(self, faults, *, seconds, rate):
         """Run processes under the faults, and check their retries."""
-        result = asyncio.run(
-            run_retry_seed(
-                SEED, seconds=seconds, logs=None, rate=rate, faults=faults
-            )
+        result = self.run_soak(
+            RetrySoak(SEED, rate=rate), faults, seconds=seconds
         )
-        self.assertEqual([], result.violations, result.format_result())
         self.assertGreater(sum(result.counts_by_status.values()), 100)
 
     def test_budget_holds_while_a_region_has_no_endpoints(self):
--- a/tests/soak/test_versions.py
+++ b/tests/soak/test_versions.py
@@ -1,11 +1,10 @@
 """Short runs of the soak of streams over several software versions."""
 
 import asyncio
-import unittest
 
 from burdockdrum.histories.streams import MIN_STREAMS
-from scripts.soak.retries import run_soak
 from scripts.soak.versions import VersionSoak
+from tests.soak.cases import SoakCase
 
 SEED = 1
 KILL_INTERVAL_SECONDS = 1.5
@@ -21,16 +20,13 @@
             group.create_task(soak.restart([entry]))
 
 
-class StreamVersionTest(unittest.TestCase):
+class StreamVersionTest(SoakCase):
     """Streams of three versions, at six entries of three regions."""
 
     def run_seed(self, faults, *, seconds):
         """Run processes under the faults; return what callers got."""
         soak = VersionSoak(SEED)
-        result = asyncio.run(
-            run_soak(soak, seconds=seconds, logs=None, faults=faults)
-        )
-        self.assertEqual([], result.violations, result.format_result())
+        result = self.run_soak(soak, faults, seconds=seconds)
         self.assertGreater(result.counts_by_status.get(200, 0), 100)
         return soak.streams
 
