Forget what replaced control VMs told of endpoints

Symptom: after a control VM was replaced by one with another id, an entry keeps sending requests to an endpoint that went silent later, for good.

Cause: an entry keeps the endpoints of each control VM until that one takes them back, which one that was replaced cannot do; the copy of a dead control VM outlived the EXPIRED of all others. The membership says which VMs are control VMs. What others reported is forgotten six seconds after they left it, as after a restart; not while a current control VM is not heard, as endpoints may check in there.

Evidence: found by reading the tables that never shrink; test_replaced_control_vm_does_not_keep_endpoints fails on the code before (the endpoint is still registered 120 s later).

--- a/burdockdrum/crashes/exchange.py
+++ b/burdockdrum/crashes/exchange.py
@@ -47,6 +47,10 @@
         """Start anew with a control VM that has lost its memory."""
         self._sources_by_id[vm_id] = _Source(unknown=set(self._ledger.keys()))
 
+    def forget(self, vm_id: str) -> None:
+        """Forget a VM that is no control VM any more."""
+        self._sources_by_id.pop(vm_id, None)
+
     def serial_of(self, vm_id: str) -> int:
         """Return the serial up to which a control VM's records are known."""
         return self._find(vm_id).serial
--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -39,11 +39,12 @@
 from burdockdrum.registrations.pacing import watch_interval
 from burdockdrum.registrations.pacing import WATCH_JITTER_FRACTION
 from burdockdrum.registrations.rate_limits import AnnouncedLimit
+from burdockdrum.registrations.replaced_control_vms import ReplacedControlVms
 from burdockdrum.registrations.rosters import NO_ROSTER_VERSION
 from burdockdrum.registrations.software_versions import KnownVersions
 
-# Registrations from before a control VM's restart stay valid for so long, in
-# which a live endpoint checks in again.
+# What a control VM reported before its restart or its replacement stays valid
+# for so long, in which a live endpoint checks in again.
 STALE_GRACE_SECONDS = 6.0
 # Older reports of a region's load are not used.
 MAX_CAPACITY_AGE_SECONDS = 3.0
@@ -100,6 +101,7 @@
         self._crashes = crashes or CrashLedger(clock=clock)
         self._crash_exchange = CrashExchange(ledger=self._crashes)
         self._sources_by_id: dict[str, ControlSource] = {}
+        self._replaced = ReplacedControlVms(grace_seconds=STALE_GRACE_SECONDS)
         self._ends_by_id: dict[str, _End] = {}
         self._incarnations = LatestIncarnations()
         self._drains = AnnouncedDrains(memory_seconds=TOMBSTONE_SECONDS)
@@ -466,8 +468,35 @@
                     del source.stale_until_by_id[endpoint_id]
                     source.endpoints_by_id.pop(endpoint_id, None)
                     self._merge(endpoint_id)
+        self._forget_replaced(now)
         self._forget_ends(now - TOMBSTONE_SECONDS)
 
+    def _forget_replaced(self, now: float) -> None:
+        """Forget what VMs reported that are no control VMs any more."""
+        heard_since = now - liveness_timeout(self.total_entries)
+        forgettable = self._replaced.list_forgettable(
+            known=self._sources_by_id.keys(),
+            current=self._control_addresses().keys(),
+            heard=[
+                vm_id
+                for vm_id, source in self._sources_by_id.items()
+                if source.received_at >= heard_since
+            ],
+            now=now,
+        )
+        for vm_id in forgettable:
+            source = self._sources_by_id.pop(vm_id)
+            self._entry_counts_by_id.pop(vm_id, None)
+            self._crash_exchange.forget(vm_id)
+            for endpoint_id in source.endpoints_by_id:
+                self._merge(endpoint_id)
+            log_decision(
+                "control_vm.forgotten",
+                about_vm=vm_id,
+                endpoints=len(source.endpoints_by_id),
+                age=round(now - source.received_at, 3),
+            )
+
     def _forget_ends(self, since: float) -> None:
         """Forget what ended before, and incarnations of nothing known."""
         for name, at in list(self._unmatched_ends_by_name.items()):
--- a/tests/registrations/test_following.py
+++ b/tests/registrations/test_following.py
@@ -211,6 +211,46 @@
 
         play(check)
 
+    def test_replaced_control_vm_does_not_keep_endpoints(self):
+        # Guards against requests to an endpoint that has gone, because a
+        # control VM that was replaced cannot say so any more.
+        async def check(world):
+            world.tables["a"].apply(make("e1"))
+            await asyncio.sleep(0.5)
+            await world.stop("a")
+            del world.addresses["a"]
+            world.addresses["c"] = "tcp://c:1"
+            await world.start("c")
+            await asyncio.sleep(1.0)
+            world.tables["b"].apply(make("e1", sequence=2))
+            await asyncio.sleep(1.0)
+            follower = world.followers["x"]
+            self.assertEqual({"e1"}, set(follower.endpoints_by_id))
+            await asyncio.sleep(120.0)
+            self.assertEqual({}, follower.endpoints_by_id)
+
+        play(check)
+
+    def test_replaced_control_vm_keeps_endpoints_during_a_cut(self):
+        # Guards against an entry that loses endpoints which check in at a
+        # control VM that it cannot reach.
+        async def check(world):
+            world.tables["a"].apply(make("e1"))
+            await asyncio.sleep(0.5)
+            world.network.cut(["b"], ["x"])
+            await world.stop("a")
+            del world.addresses["a"]
+            world.addresses["c"] = "tcp://c:1"
+            await world.start("c")
+            await asyncio.sleep(60.0)
+            follower = world.followers["x"]
+            self.assertEqual({"e1"}, set(follower.endpoints_by_id))
+            world.network.heal(["b"], ["x"])
+            await asyncio.sleep(10.0)
+            self.assertEqual({}, follower.endpoints_by_id)
+
+        play(check)
+
     def test_endpoints_are_kept_while_no_control_vm_is_reachable(self):
         async def check(world):
             world.tables["a"].apply(make("e1"))
