--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -7,7 +7,6 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
-from dataclasses import dataclass
 import random
 
 from burdockdrum.crashes import CrashExchange
@@ -21,7 +20,7 @@
 from burdockdrum.registrations.control_source import add_capacities
 from burdockdrum.registrations.control_source import ControlSource
 from burdockdrum.registrations.control_source import make_endpoint
-from burdockdrum.registrations.incarnations import LatestIncarnations
+from burdockdrum.registrations.ended_endpoints import EndedEndpoints
 from burdockdrum.registrations.incarnations import UNKNOWN_INCARNATION
 from burdockdrum.registrations.limit_reports import keep_newest_limit
 from burdockdrum.registrations.limit_reports import list_unknown_limits
@@ -52,14 +51,6 @@
 TOMBSTONE_SECONDS = 120.0
 
 
-@dataclass(frozen=True, kw_only=True)
-class _End:
-    """When an incarnation of an endpoint ended."""
-
-    name: str
-    at: float
-
-
 class RegistrationFollower:
     """The endpoints of this region by id, merged from all control VMs."""
 
@@ -102,11 +93,8 @@
         self._crash_exchange = CrashExchange(ledger=self._crashes)
         self._sources_by_id: dict[str, ControlSource] = {}
         self._replaced = ReplacedControlVms(grace_seconds=STALE_GRACE_SECONDS)
-        self._ends_by_id: dict[str, _End] = {}
-        self._incarnations = LatestIncarnations()
+        self._ended = EndedEndpoints(memory_seconds=TOMBSTONE_SECONDS)
         self._drains = AnnouncedDrains(memory_seconds=TOMBSTONE_SECONDS)
-        # When ends of endpoints without a known incarnation arrived.
-        self._unmatched_ends_by_name: dict[str, float] = {}
         self._entry_counts_by_id: dict[str, tuple[int, int]] = {}
         self.limit_shares = LimitShares(
             clock=clock,
@@ -335,7 +323,7 @@
             self._apply_end(source, registration, now)
         elif registration.state is RegistrationState.EXPIRED:
             source.endpoints_by_id.pop(endpoint_id, None)
-        elif self._is_current(registration, now):
+        elif self._ended.admits(registration, now):
             self._observe_incarnation(registration, now)
             if registration.is_drain_announced:
                 self._drains.add(endpoint_id, now)
@@ -348,34 +336,23 @@
         self, source: ControlSource, registration: Registration, now: float
     ) -> None:
         name = registration.reported_id
-        self._ends_by_id[registration.endpoint_id] = _End(name=name, at=now)
+        self._ended.add(registration.endpoint_id, name, now)
         source.endpoints_by_id.pop(registration.endpoint_id, None)
         if registration.incarnation != UNKNOWN_INCARNATION:
             return
         # The control VM did not know which incarnation ended.
         incarnations = self._find_incarnations(name)
         if not incarnations:
-            self._unmatched_ends_by_name[name] = now
+            self._ended.add_unmatched(name, now)
         for endpoint in incarnations:
             self._end_incarnation(endpoint.endpoint_id, name, now)
 
-    def _is_current(self, registration: Registration, now: float) -> bool:
-        name, incarnation = registration.reported_id, registration.incarnation
-        if self._incarnations.is_outdated(name, incarnation):
-            return False
-        if self._unmatched_ends_by_name.pop(name, None) is None:
-            return True
-        # Another control VM already reported the end of this endpoint.
-        self._incarnations.observe(name, incarnation)
-        self._ends_by_id[registration.endpoint_id] = _End(name=name, at=now)
-        return False
-
     def _observe_incarnation(
         self, registration: Registration, now: float
     ) -> None:
-        name = registration.reported_id
-        if not self._incarnations.observe(name, registration.incarnation):
+        if not self._ended.observe(registration):
             return
+        name = registration.reported_id
         for previous in self._find_incarnations(name):
             if previous.endpoint_id == registration.endpoint_id:
                 continue
@@ -400,7 +377,7 @@
     def _end_incarnation(
         self, endpoint_id: str, name: str, now: float
     ) -> None:
-        self._ends_by_id[endpoint_id] = _End(name=name, at=now)
+        self._ended.add(endpoint_id, name, now)
         self._merge(endpoint_id)
 
     def _merge(self, endpoint_id: str) -> None:
@@ -429,7 +406,7 @@
         self, endpoint_id: str, copies: list[RegisteredEndpoint]
     ) -> RegisteredEndpoint | None:
         """Return the current registration of an endpoint, None if gone."""
-        if not copies or endpoint_id in self._ends_by_id:
+        if not copies or endpoint_id in self._ended:
             return None
         # Unreachable at one control VM, it may check in at another.
         reachable = [
@@ -469,7 +446,8 @@
                     source.endpoints_by_id.pop(endpoint_id, None)
                     self._merge(endpoint_id)
         self._forget_replaced(now)
-        self._forget_ends(now - TOMBSTONE_SECONDS)
+        live_names = {e.reported_id for e in self.endpoints_by_id.values()}
+        self._ended.prune(live_names, now)
 
     def _forget_replaced(self, now: float) -> None:
         """Forget what VMs reported that are no control VMs any more."""
@@ -497,22 +475,6 @@
                 age=round(now - source.received_at, 3),
             )
 
-    def _forget_ends(self, since: float) -> None:
-        """Forget what ended before, and incarnations of nothing known."""
-        for name, at in list(self._unmatched_ends_by_name.items()):
-            if at < since:
-                del self._unmatched_ends_by_name[name]
-        forgotten = [
-            i for i, end in self._ends_by_id.items() if end.at < since
-        ]
-        for endpoint_id in forgotten:
-            del self._ends_by_id[endpoint_id]
-        if forgotten:
-            self._incarnations.retain(
-                {e.reported_id for e in self.endpoints_by_id.values()}
-                | {end.name for end in self._ends_by_id.values()}
-            )
-
     def _notify_listeners(self) -> None:
         for listener in self.listeners:
             listener()
