Bound the endpoints that an entry tracks on the own interface

Symptom: an entry's memory grows with each endpoint that it ever chose; no request is served worse.

Cause: the tracker of an endpoint was kept for good. Those that were not tracked for longest are forgotten beyond 4,096.

Evidence: found by reading; the new test fails on the code before (10,000 kept).

--- a/burdockdrum/routing/fleet.py
+++ b/burdockdrum/routing/fleet.py
@@ -4,6 +4,7 @@
 capacity, cached prefix and the resulting time to first token and to the end.
 """
 
+import collections
 from dataclasses import dataclass
 import math
 import random
@@ -24,6 +25,9 @@
 # Bounds the cost of evaluation per request, whatever the number of endpoints.
 MAX_EVALUATED_ENDPOINTS = 24
 MAX_PREFIX_MATCHES = 3
+# More than a data centre has endpoints at a time; those that were not tracked
+# for longest are forgotten.
+MAX_TRACKERS = 4096
 _SPEED_CACHE_SECONDS = 1.0
 
 
@@ -61,7 +65,10 @@
         self._endpoints = endpoints
         self._region = region
         self._policy = policy
-        self._trackers_by_id: dict[str, EndpointTracker] = {}
+        # The endpoints that were tracked last come last.
+        self._trackers_by_id: collections.OrderedDict[str, EndpointTracker] = (
+            collections.OrderedDict()
+        )
         self._speeds_by_service: dict[str, tuple[float, Speed]] = {}
 
     def free_capacity(self, service: str) -> float:
@@ -230,6 +237,7 @@
     def track(self, endpoint: Endpoint) -> EndpointTracker:
         known = self._trackers_by_id.get(endpoint.endpoint_id)
         if known is not None and known.incarnation == endpoint.incarnation:
+            self._trackers_by_id.move_to_end(endpoint.endpoint_id)
             return known
         tracker = EndpointTracker(
             endpoint=endpoint,
@@ -241,6 +249,9 @@
             # The endpoint has restarted: its caches are empty.
             tracker.health.begin_slow_start(self._clock.monotonic())
         self._trackers_by_id[endpoint.endpoint_id] = tracker
+        self._trackers_by_id.move_to_end(endpoint.endpoint_id)
+        if len(self._trackers_by_id) > MAX_TRACKERS:
+            self._trackers_by_id.popitem(last=False)
         return tracker
 
     def typical_speed(self, service: str) -> Speed:
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -1,5 +1,6 @@
 """Tests of the selection among many endpoints."""
 
+import dataclasses
 import random
 import types
 import unittest
@@ -58,6 +59,25 @@
     )
 
 
+class TrackingTest(unittest.TestCase):
+    """What is known of endpoints that come and go."""
+
+    def test_memory_is_bounded_though_endpoints_are_replaced(self):
+        # Guards against an entry that remembers each endpoint there ever was.
+        async def main():
+            fleet = make_router()._fleet
+            (first, *_) = fleet._endpoints.candidates("planner")
+            for number in range(10_000):
+                last = dataclasses.replace(
+                    first, endpoint_id=f"replaced-{number}"
+                )
+                tracker = fleet.track(last)
+            self.assertLessEqual(len(fleet._trackers_by_id), 4096)
+            self.assertIs(tracker, fleet.track(last))
+
+        run_virtual(main())
+
+
 class RouterTest(unittest.TestCase):
     """Selection when only a sample of the endpoints is evaluated."""
 
