--- a/burdockdrum/crashes/ledger.py
+++ b/burdockdrum/crashes/ledger.py
@@ -9,6 +9,7 @@
 All VMs merge the same records, in any order, and reach the same verdicts.
 """
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -275,11 +276,22 @@
                 self._update_rival(fingerprint)
 
     def _update_quarantined(self) -> None:
-        """Decide anew which requests are quarantined.
+        """Decide anew which requests are quarantined."""
+        former, self._quarantined = self._quarantined, self._find_quarantined()
+        for fingerprint in self._quarantined - former:
+            self._report_quarantined(fingerprint)
+
+    def _find_quarantined(self) -> frozenset[str]:
+        """Return the requests to reject.
 
         Those with most crashes come first: they explain the crashes of the
         requests that ran beside them.
         """
+        if not any(
+            len(self._endpoints_by_fingerprint[fingerprint]) >= MAX_CRASHES
+            for fingerprint in self._rivals
+        ):
+            return frozenset()
         suspects = sorted(
             (
                 (fingerprint, self._endpoints_by_fingerprint[fingerprint])
@@ -289,26 +301,23 @@
         )
         quarantined: list[str] = []
         explained: set[str] = set()
+        rivals_by_endpoint = _count_rivals(suspects, explained)
         for fingerprint, endpoint_ids in suspects:
             if len(endpoint_ids) < MAX_CRASHES:
                 break
             left = endpoint_ids - explained
             if len(left) < MIN_UNEXPLAINED_CRASHES:
                 continue
-            rivals = [
-                other_ids
-                for other, other_ids in suspects
-                if other != fingerprint
-                and len(other_ids - explained) >= MIN_RIVAL_CRASHES
-            ]
-            is_contested = left <= set().union(*rivals)
+            # The request itself is counted as well.
+            is_contested = all(
+                rivals_by_endpoint[endpoint_id] > 1 for endpoint_id in left
+            )
             if is_contested and len(left) < MAX_CONTESTED_CRASHES:
                 continue
             quarantined.append(fingerprint)
             explained |= left
-        former, self._quarantined = self._quarantined, frozenset(quarantined)
-        for fingerprint in self._quarantined - former:
-            self._report_quarantined(fingerprint)
+            rivals_by_endpoint = _count_rivals(suspects, explained)
+        return frozenset(quarantined)
 
     def _report_quarantined(self, fingerprint: str) -> None:
         assessment = self.assess(fingerprint)
@@ -342,3 +351,20 @@
     def _with_age(self, known: _Known) -> CrashRecord:
         age = self._clock.monotonic() - known.crashed_at
         return msgspec.structs.replace(known.record, age=age)
+
+
+def _count_rivals(
+    suspects: list[tuple[str, set[str]]], explained: set[str]
+) -> collections.Counter[str]:
+    """Return how many rivals ran on each endpoint when it crashed.
+
+    :param suspects: requests and the endpoints that crashed under them
+    :param explained: endpoints that quarantined requests crashed
+    """
+    rivals = (endpoint_ids - explained for _, endpoint_ids in suspects)
+    return collections.Counter(
+        endpoint_id
+        for endpoint_ids in rivals
+        if len(endpoint_ids) >= MIN_RIVAL_CRASHES
+        for endpoint_id in endpoint_ids
+    )
