--- a/burdockdrum/histories/__init__.py
+++ b/burdockdrum/histories/__init__.py
@@ -21,6 +21,8 @@
 from burdockdrum.histories.limits import Began
 from burdockdrum.histories.limits import check_limits
 from burdockdrum.histories.limits import LimitInForce
+from burdockdrum.histories.rejections import RejectionCrash
+from burdockdrum.histories.rejections import RejectionHistory
 from burdockdrum.histories.retries import RequestArrived
 from burdockdrum.histories.retries import RequestOffered
 from burdockdrum.histories.retries import RetryHistory
@@ -50,6 +52,8 @@
     "LimitInForce",
     "Ran",
     "RecordingCaller",
+    "RejectionCrash",
+    "RejectionHistory",
     "RequestArrived",
     "RequestEnded",
     "RequestForwarded",
--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -2,8 +2,8 @@
 
 Usage:
   soak [--seed N] [--seeds N] [--seconds S] [--keep FOLDER]
-       [--limits | --signals | --retries | --crashes | --cuts | --versions]
-       [--entries N] [--rate R]
+       [--limits | --signals | --retries | --crashes | --cuts | --versions |
+       --brittle] [--entries N] [--rate R]
 
 Options:
   --seed N       The first seed [default: 1].
@@ -15,8 +15,9 @@
   --retries      Endpoints fail most requests; only retries are checked.
   --crashes      Some requests crash endpoints; only their runs are checked.
   --cuts         Entries lose their links; first tries there are checked.
+  --brittle      Endpoints crash if they reject much; only that is checked.
   --versions     Endpoints have several versions; only streams are checked.
-  --entries N    With these four: the entries of each region [default: 2].
+  --entries N    With these five: the entries of each region [default: 2].
   --rate R       With --retries: requests per second; at random by default.
 
 Three control VMs and three entries run as processes on loopback addresses.
@@ -39,6 +40,7 @@
 
 from docopt import docopt
 
+from scripts.soak.brittle import BrittleSoak
 from scripts.soak.crashes import CrashSoak
 from scripts.soak.cuts import CutSoak
 from scripts.soak.retries import RetrySoak
@@ -56,6 +58,8 @@
     soak: RetrySoak | None = None
     if arguments["--crashes"]:
         soak = CrashSoak(seed, entries=entries)
+    elif arguments["--brittle"]:
+        soak = BrittleSoak(seed, entries=entries)
     elif arguments["--cuts"]:
         soak = CutSoak(seed, entries=entries)
     elif arguments["--versions"]:
--- a/scripts/soak/retries.py
+++ b/scripts/soak/retries.py
@@ -56,6 +56,8 @@
 
     # Fields of the route that differ from those of a plain one.
     route_fields: ClassVar[dict[str, Any]] = {}
+    # Requests that each endpoint says it runs at once.
+    slots = SLOTS
 
     def __init__(
         self, seed: int, *, entries: int = 2, rate: float | None = None
@@ -121,7 +123,7 @@
             "addr": endpoint.address,
             "zone": endpoint.zone,
             "version": endpoint.software_version,
-            "slots": SLOTS,
+            "slots": self.slots,
             "state": "ready",
             "seq": self._sequence,
         }
