Hand out places at brittle endpoints by one entry each

Cause: each entry bounded its requests and its rejections by itself, by loads that are late and a part of N that is one at least, and forgot an endpoint with its incarnation, or by one late response without the announcement.

Evidence: none with one or two entries, crashes from five on; 67 first announcements for 17 crashes in the logs.

Why it works: one entry for each endpoint hands out as many places as the endpoint has slots, and beyond what it is known to have had room for no more than half of what it tolerates. The announcement is a part of the registration, and holds for endpoints of the service that said nothing yet.

--- a/burdockdrum/passthrough/protocol/model.py
+++ b/burdockdrum/passthrough/protocol/model.py
@@ -8,6 +8,7 @@
 
 from burdockdrum.http1 import RequestHead
 from burdockdrum.http1 import ResponseHead
+from burdockdrum.passthrough.brittle import Place
 from burdockdrum.passthrough.protocol.fingerprint import make_fingerprint
 from burdockdrum.passthrough.state import PermitResult
 from burdockdrum.passthrough.state import Prompt
@@ -103,6 +104,8 @@
     suspects of crashes; with ``must_avoid`` they must not.
     ``origin`` is what began the stream of which the caller has events, None
     as long as any endpoint may begin it.
+    ``places_denied`` counts the brittle endpoints that had no place, and
+    ``place_retry_after`` is the shortest time in seconds until one has.
     ``has_requested_work`` says that its work has been recorded for its team,
     and ``is_within_share`` whether its team's share covers it, None if not
     asked.
@@ -131,6 +134,8 @@
     avoided: frozenset[str] = frozenset()
     must_avoid: bool = False
     origin: StreamOrigin | None = None
+    places_denied: int = 0
+    place_retry_after: float | None = None
     has_requested_work: bool = False
     is_within_share: bool | None = None
 
@@ -159,6 +164,14 @@
             seconds if known is None else min(known, seconds)
         )
 
+    def record_denied_place(self, seconds: float) -> None:
+        """Record that a brittle endpoint had no place for so long."""
+        self.places_denied += 1
+        known = self.place_retry_after
+        self.place_retry_after = (
+            seconds if known is None else min(known, seconds)
+        )
+
     def record_chunk(self, now: float) -> None:
         """Record a chunk that is sent to the caller."""
         self.chunks_sent += 1
@@ -172,9 +185,13 @@
 
 @dataclass(frozen=True, kw_only=True)
 class EndpointTarget:
-    """An endpoint of this region as the target of an attempt."""
+    """An endpoint of this region as the target of an attempt.
+
+    ``place`` is the right to use it if it is brittle.
+    """
 
     choice: RatedEndpoint
+    place: Place | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/burdockdrum/passthrough/protocol/response_signals.py
+++ b/burdockdrum/passthrough/protocol/response_signals.py
@@ -6,7 +6,6 @@
 from burdockdrum.passthrough.protocol.model import NotStarted
 from burdockdrum.passthrough.protocol.responses import BACKOFF_STATUS
 from burdockdrum.passthrough.protocol.responses import is_from_endpoint
-from burdockdrum.passthrough.state import BrittleEndpoints
 from burdockdrum.passthrough.state import DrainAnnouncements
 from burdockdrum.passthrough.state import EndpointLimits
 from burdockdrum.passthrough.state import InFlightRequest
@@ -26,14 +25,12 @@
         limits: EndpointLimits,
         backoffs: RequestedBackoffs,
         drains: DrainAnnouncements,
-        brittle: BrittleEndpoints,
     ) -> None:
         """Create it with the recipients of each signal."""
         self._names = names
         self._limits = limits
         self._backoffs = backoffs
         self._drains = drains
-        self._brittle = brittle
 
     def observe(
         self,
@@ -47,19 +44,28 @@
         :param failure: its classification
         """
         endpoint = in_flight_request.endpoint
-        self.observe_head(endpoint, head, request_id=request_id)
-        self._observe_limit(in_flight_request, head, failure)
-        if isinstance(failure, NotStarted) and failure.reached:
-            self._brittle.record_rejection(endpoint.endpoint_id)
+        self._observe_state(endpoint, head, request_id)
+        match failure:
+            case None:
+                self._observe_bounds(
+                    endpoint, head, in_flight_request.began_at
+                )
+            case NotStarted(reached=True, replaced=False):
+                self._observe_bounds(endpoint, head, None)
 
     def observe_head(
+        self, endpoint: RegisteredEndpoint, head: ResponseHead
+    ) -> None:
+        """Read the response to another kind of call than a request."""
+        self._observe_state(endpoint, head, None)
+        self._observe_bounds(endpoint, head, None)
+
+    def _observe_state(
         self,
         endpoint: RegisteredEndpoint,
         head: ResponseHead,
-        *,
-        request_id: str | None = None,
+        request_id: str | None,
     ) -> None:
-        """Read what any response says, also one to another kind of call."""
         if not is_from_endpoint(head, self._names):
             return
         endpoint_id = endpoint.endpoint_id
@@ -68,7 +74,6 @@
             head.find_all(self._names.draining),
             request_id=request_id,
         )
-        self._brittle.observe(endpoint_id, head.find_all(self._names.brittle))
         if head.status == BACKOFF_STATUS:
             self._backoffs.observe(
                 endpoint_id,
@@ -76,27 +81,21 @@
                 request_id=request_id,
             )
 
-    def _observe_limit(
+    def _observe_bounds(
         self,
-        in_flight_request: InFlightRequest,
+        endpoint: RegisteredEndpoint,
         head: ResponseHead,
-        failure: NotStarted | Lost | None,
+        sent_at: float | None,
     ) -> None:
-        """Observe the rate limit in a response of the endpoint itself.
+        """Observe the bounds in a response of the endpoint itself.
 
-        A rejection can announce a limit, but not withdraw one.
+        :param sent_at: when the request was sent; None if the response can
+            announce a bound, but not withdraw one
         """
-        values = head.find_all(self._names.rate_limit)
-        match failure:
-            case None:
-                is_observed = True
-            case NotStarted(reached=True, replaced=False):
-                is_observed = bool(values)
-            case _:
-                is_observed = False
-        if is_observed:
+        if is_from_endpoint(head, self._names):
             self._limits.observe(
-                in_flight_request.endpoint,
-                values,
-                sent_at=in_flight_request.began_at,
+                endpoint,
+                head.find_all(self._names.rate_limit),
+                head.find_all(self._names.brittle),
+                sent_at=sent_at,
             )
--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -14,6 +14,8 @@
 from burdockdrum.http1 import ResponseHead
 from burdockdrum.http1 import ResponseLost
 from burdockdrum.logs import log_decision
+from burdockdrum.passthrough.brittle import Place
+from burdockdrum.passthrough.brittle import PlaceEvent
 from burdockdrum.passthrough.protocol import Delivered
 from burdockdrum.passthrough.protocol import encode_version
 from burdockdrum.passthrough.protocol import EndpointTarget
@@ -349,6 +351,9 @@
         if failure is not None:
             await read_error_body(connection)
             return failure
+        match call.target:
+            case EndpointTarget(place=Place() as place):
+                place.record(PlaceEvent.ACCEPTED)
         if head.status >= 300:
             body = await read_error_body(connection)
             return ErrorResponse(
--- a/burdockdrum/passthrough/relaying/relay.py
+++ b/burdockdrum/passthrough/relaying/relay.py
@@ -5,11 +5,15 @@
 """
 
 import asyncio
+from dataclasses import replace
 
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.http1 import Exchange
 from burdockdrum.logs import log_failure
 from burdockdrum.metrics import Metrics
+from burdockdrum.passthrough.brittle import Place
+from burdockdrum.passthrough.brittle import PlaceBroker
+from burdockdrum.passthrough.brittle import PlaceDenied
 from burdockdrum.passthrough.protocol import Delivered
 from burdockdrum.passthrough.protocol import EndpointTarget
 from burdockdrum.passthrough.protocol import ErrorResponse
@@ -36,10 +40,12 @@
 from burdockdrum.passthrough.relaying.attempts import AttemptRunner
 from burdockdrum.passthrough.relaying.attempts import forwarded_attempts
 from burdockdrum.passthrough.relaying.crash_guard import CrashGuard
+from burdockdrum.passthrough.relaying.place_outcomes import record_place
 from burdockdrum.passthrough.relaying.request_log import log_attempt
 from burdockdrum.passthrough.relaying.request_log import log_disconnect
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
 from burdockdrum.passthrough.relaying.stream_resumption import StreamResumption
+from burdockdrum.passthrough.selection import MIN_RETRY_AFTER_SECONDS
 from burdockdrum.passthrough.selection import QueueTooLong
 from burdockdrum.passthrough.selection import TargetSelector
 from burdockdrum.passthrough.state import LimitPermits
@@ -55,6 +61,8 @@
 # Limits the attempts at endpoints that are unreachable or refuse, which come
 # on top of the route's attempts.
 MAX_NOT_STARTED_ATTEMPTS = 4
+# Endpoints that deny a request a place before it is refused.
+MAX_PLACES_DENIED = 4
 
 
 class Relay:
@@ -75,6 +83,7 @@
         metrics: Metrics,
         meter: QuotaMeter,
         permits: LimitPermits,
+        places: PlaceBroker,
         holder: RequestHolder,
         crash_guard: CrashGuard,
         resumption: StreamResumption,
@@ -88,6 +97,7 @@
         self._configuration = configuration
         self._meter = meter
         self._permits = permits
+        self._places = places
         self._holder = holder
         self._crash_guard = crash_guard
         self._resumption = resumption
@@ -223,14 +233,22 @@
             return False
         # The request may have waited in the line meanwhile.
         self._crash_guard.check(request, progress, exchange)
+        found = await self._acquire_place(target, request, progress)
+        if found is None:
+            return True
+        target = found
         progress.permit = None
         progress.target = target
         if isinstance(target, EndpointTarget):
             self._retries.record_request(request, progress)
         started_at = self._clock.monotonic()
-        outcome = await self._runner.execute(
-            target, request, progress, exchange, splitter
-        )
+        outcome: Outcome | None = None
+        try:
+            outcome = await self._runner.execute(
+                target, request, progress, exchange, splitter
+            )
+        finally:
+            record_place(target, outcome)
         progress.last_event = splitter.last_number
         self._report_attempt(target, request, progress, outcome, started_at)
         if isinstance(outcome, Delivered):
@@ -265,6 +283,40 @@
                 self._holder.record_refusal(request, refusal)
             raise
 
+    async def _acquire_place(
+        self,
+        target: Target,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+    ) -> Target | None:
+        """Acquire a place if the target is a brittle endpoint.
+
+        :returns: the target with its place; None if another target should be
+            selected
+        :raises Refusal: if several endpoints have denied one
+        """
+        if not isinstance(target, EndpointTarget):
+            return target
+        place = await self._places.acquire(
+            target.choice.endpoint, request.deadline - self._clock.monotonic()
+        )
+        match place:
+            case None:
+                return target
+            case Place():
+                return replace(target, place=place)
+            case PlaceDenied(retry_after=retry_after):
+                progress.record_denied_place(retry_after)
+        if progress.places_denied % MAX_PLACES_DENIED:
+            return None
+        raise Refusal(
+            code=RefusalCode.OVERLOADED,
+            message=f"{request.backend.name}: {progress.places_denied} "
+            "endpoints that tolerate few rejections had no place",
+            verdict=progress.verdict,
+            retry_after=max(MIN_RETRY_AFTER_SECONDS, retry_after),
+        )
+
     async def _ask_for_permit(
         self, request: ProxiedRequest, progress: RequestProgress
     ) -> bool:
--- a/burdockdrum/passthrough/relaying/server.py
+++ b/burdockdrum/passthrough/relaying/server.py
@@ -4,6 +4,7 @@
 
 from burdockdrum.http1 import ConnectionPool
 from burdockdrum.http1 import Listener
+from burdockdrum.passthrough.brittle import PlaceBroker
 from burdockdrum.passthrough.relaying.crash_detector import CrashDetector
 from burdockdrum.passthrough.relaying.endpoint_prober import EndpointProber
 from burdockdrum.passthrough.selection import Fleet
@@ -36,6 +37,7 @@
         fleet: Fleet,
         limits: EndpointLimits,
         backoffs: RequestedBackoffs,
+        places: PlaceBroker,
         budget: RetryBudget,
         registrations: RegistrationFollower,
         drain: Drain,
@@ -45,6 +47,7 @@
     ) -> None:
         """Create a server; ``run`` opens its listeners."""
         self._crashes = crashes
+        self._places = places
         self._prober = prober
         self._clock = clock
         self._callers = callers
@@ -95,6 +98,7 @@
         self._fleet.remove_ended()
         self._limits.remove_ended()
         self._backoffs.remove_ended()
+        self._places.update()
         for pool in self._pools:
             pool.prune()
 
--- a/burdockdrum/passthrough/selection/__init__.py
+++ b/burdockdrum/passthrough/selection/__init__.py
@@ -14,6 +14,7 @@
 from burdockdrum.passthrough.selection.team_shares import TeamShares
 
 __all__ = [
+    "MIN_RETRY_AFTER_SECONDS",
     "MAX_RETRY_AFTER_SECONDS",
     "MAX_RETURN_SPREAD_SECONDS",
     "MIN_QUEUE_SECONDS",
--- a/burdockdrum/passthrough/selection/eligibility.py
+++ b/burdockdrum/passthrough/selection/eligibility.py
@@ -9,7 +9,6 @@
 from burdockdrum.passthrough.selection.candidates import split_candidates
 from burdockdrum.passthrough.selection.stalls import StallDetector
 from burdockdrum.passthrough.state import BackoffGate
-from burdockdrum.passthrough.state import BrittleEndpoints
 from burdockdrum.passthrough.state import EndpointLimits
 from burdockdrum.passthrough.state import EndpointState
 from burdockdrum.passthrough.state import equal_share
@@ -36,7 +35,7 @@
         slow_start_gate: SlowStartGate,
         limits: EndpointLimits,
         backoff_gate: BackoffGate,
-        brittle: BrittleEndpoints,
+        may_have_place: Callable[[str], bool],
     ) -> None:
         """Create it.
 
@@ -44,6 +43,8 @@
         :param read_load: returns the load of other entry VMs at an endpoint
         :param states_by_id: this entry VM's state of each endpoint, as kept
             by the fleet
+        :param may_have_place: returns whether an endpoint may have a place
+            for a request, if it needs one
         """
         # The number of entries of this region.
         self.entries = 1
@@ -55,7 +56,7 @@
         self._slow_start_gate = slow_start_gate
         self._limits = limits
         self._backoff_gate = backoff_gate
-        self._brittle = brittle
+        self._may_have_place = may_have_place
 
     def list_live(self, service: str) -> list[RegisteredEndpoint]:
         """Return the endpoints of a service that accept requests here."""
@@ -146,12 +147,7 @@
                 endpoint, state, backend
             ):
                 return False
-        if not self._brittle.may_send(
-            endpoint,
-            own=len(state.in_flight_requests) if state is not None else 0,
-            others=self._read_load(endpoint.endpoint_id).requests,
-            entries=self.entries,
-        ):
+        if not self._may_have_place(endpoint.endpoint_id):
             return False
         if self.is_in_slow_start(endpoint, backend, now):
             return self._slow_start_gate.is_open(
--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -21,7 +21,6 @@
 from burdockdrum.passthrough.selection.stale_load import find_level
 from burdockdrum.passthrough.selection.stalls import StallDetector
 from burdockdrum.passthrough.state import BackoffGate
-from burdockdrum.passthrough.state import BrittleEndpoints
 from burdockdrum.passthrough.state import EndpointHealth
 from burdockdrum.passthrough.state import EndpointLimits
 from burdockdrum.passthrough.state import EndpointState
@@ -73,7 +72,7 @@
         limits: EndpointLimits | None = None,
         backoffs: RequestedBackoffs | None = None,
         is_chosen: Callable[[str, int], bool | None] = lambda *_: None,
-        brittle: BrittleEndpoints | None = None,
+        may_have_place: Callable[[str], bool] = lambda endpoint_id: True,
     ) -> None:
         """Create a fleet.
 
@@ -95,8 +94,8 @@
         :param backoffs: the backoffs that endpoints request; none by default
         :param is_chosen: returns whether this entry VM is among a number of
             them that a key selects, None if unknown; unknown by default
-        :param brittle: the endpoints that must not reject much; none by
-            default
+        :param may_have_place: returns whether an endpoint may have a place
+            for a request, if it needs one
         """
         self._mechanisms = mechanisms or MechanismSettings()
         # Called with a service when an endpoint may have capacity again.
@@ -157,9 +156,6 @@
         self._backoffs = backoffs or RequestedBackoffs(
             clock=clock, metrics=Metrics(), read_endpoints=read_endpoints
         )
-        self._brittle = brittle or BrittleEndpoints(
-            clock=clock, metrics=Metrics()
-        )
         self._backoff_gate = BackoffGate(
             clock=clock,
             backoffs=self._backoffs,
@@ -178,7 +174,7 @@
             slow_start_gate=self._slow_start_gate,
             limits=self._limits,
             backoff_gate=self._backoff_gate,
-            brittle=self._brittle,
+            may_have_place=may_have_place,
         )
 
     @property
@@ -681,7 +677,6 @@
                 self.engines.remove_endpoint(endpoint_id)
         self.prefix_cache_view.retain_endpoints(live)
         self._backoff_gate.remove_ended(live)
-        self._brittle.remove_ended(live)
 
     def _rate(
         self, endpoint: RegisteredEndpoint, request: RatedRequest, now: float
--- a/burdockdrum/passthrough/selection/targets.py
+++ b/burdockdrum/passthrough/selection/targets.py
@@ -543,9 +543,11 @@
             f"{draining_count} more drain"
         )
         if not self.list_at_limit(request, progress):
-            return self._refuse(
-                request, progress, reason, NO_ENDPOINT_RETRY_AFTER_SECONDS
-            )
+            wait = NO_ENDPOINT_RETRY_AFTER_SECONDS
+            if progress.place_retry_after is not None:
+                wait = progress.place_retry_after
+                reason += f", {progress.places_denied} had no place"
+            return self._refuse(request, progress, reason, wait)
         wait = NO_ENDPOINT_RETRY_AFTER_SECONDS
         if progress.permit is not None and progress.permit.retry_after:
             wait = progress.permit.retry_after
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -19,6 +19,13 @@
 from burdockdrum.http1 import Listener
 from burdockdrum.kernel import Kernel
 from burdockdrum.metrics import Metrics
+from burdockdrum.passthrough.brittle import ASK_TIMEOUT_SECONDS
+from burdockdrum.passthrough.brittle import BrittleEndpoints
+from burdockdrum.passthrough.brittle import PlaceBroker
+from burdockdrum.passthrough.brittle import PlaceNotice
+from burdockdrum.passthrough.brittle import PlaceReply
+from burdockdrum.passthrough.brittle import PlaceRequest
+from burdockdrum.passthrough.brittle import TenureNotice
 from burdockdrum.passthrough.protocol import ActiveRoutes
 from burdockdrum.passthrough.protocol import HeaderNames
 from burdockdrum.passthrough.protocol import PayloadEncoder
@@ -39,7 +46,6 @@
 from burdockdrum.passthrough.selection import Fleet
 from burdockdrum.passthrough.selection import TargetSelector
 from burdockdrum.passthrough.selection import TeamShares
-from burdockdrum.passthrough.state import BrittleEndpoints
 from burdockdrum.passthrough.state import DrainAnnouncements
 from burdockdrum.passthrough.state import EndpointLimits
 from burdockdrum.passthrough.state import LimitPermits
@@ -81,6 +87,7 @@
     kernel.add("limit_permits", _build_limit_permits)
     kernel.add("requested_backoffs", _build_backoffs)
     kernel.add("brittle_endpoints", _build_brittle_endpoints)
+    kernel.add("place_broker", _build_place_broker)
     kernel.add("response_signals", _build_response_signals)
     kernel.add("fleet", _build_fleet)
     kernel.add("endpoint_pool", _build_endpoint_pool)
@@ -127,12 +134,42 @@
 
 
 def _build_brittle_endpoints(kernel: Kernel) -> BrittleEndpoints:
+    registrations = kernel.find("registrations", RegistrationFollower)
     return BrittleEndpoints(
         clock=kernel.find("clock", Clock),
         metrics=kernel.find("metrics", Metrics),
+        read_endpoints=lambda: registrations.endpoints_by_id,
+        read_limit=kernel.find("endpoint_limits", EndpointLimits).limit_of,
     )
 
 
+def _build_place_broker(kernel: Kernel) -> PlaceBroker:
+    registrations = kernel.find("registrations", RegistrationFollower)
+    peers = kernel.find("peers", Peers)
+
+    async def ask(address: str, request: PlaceRequest) -> PlaceReply:
+        return await peers.call(
+            address, request, PlaceReply, timeout=ASK_TIMEOUT_SECONDS
+        )
+
+    broker = PlaceBroker(
+        clock=kernel.find("clock", Clock),
+        rng=kernel.find("random", random.Random),
+        own_id=peers.identity.vm_id,
+        incarnation=peers.identity.incarnation,
+        brittle=kernel.find("brittle_endpoints", BrittleEndpoints),
+        entries=registrations.likely_entries,
+        metrics=kernel.find("metrics", Metrics),
+        read_endpoints=lambda: registrations.endpoints_by_id,
+        ask=ask,
+        send=peers.send,
+    )
+    peers.register(PlaceRequest, broker.handle_request)
+    peers.register(PlaceNotice, broker.handle_notice)
+    peers.register(TenureNotice, broker.handle_tenures)
+    return broker
+
+
 def _build_response_signals(kernel: Kernel) -> ResponseSignals:
     registrations = kernel.find("registrations", RegistrationFollower)
     return ResponseSignals(
@@ -143,7 +180,6 @@
             metrics=kernel.find("metrics", Metrics),
             record=registrations.record_drain,
         ),
-        brittle=kernel.find("brittle_endpoints", BrittleEndpoints),
     )
 
 
@@ -192,7 +228,7 @@
         limits=kernel.find("endpoint_limits", EndpointLimits),
         backoffs=kernel.find("requested_backoffs", RequestedBackoffs),
         is_chosen=registrations.limit_shares.is_chosen,
-        brittle=kernel.find("brittle_endpoints", BrittleEndpoints),
+        may_have_place=kernel.find("place_broker", PlaceBroker).may_ask,
     )
     kernel.find("metrics", Metrics).gauges(
         "burdockdrum_endpoint_time_factor",
@@ -483,6 +519,7 @@
         metrics=kernel.find("metrics", Metrics),
         meter=kernel.find("quota_meter", QuotaMeter),
         permits=kernel.find("limit_permits", LimitPermits),
+        places=kernel.find("place_broker", PlaceBroker),
         holder=kernel.find("waiting_requests", RequestHolder),
         crash_guard=CrashGuard(
             clock=clock,
@@ -524,6 +561,7 @@
         fleet=kernel.find("fleet", Fleet),
         limits=kernel.find("endpoint_limits", EndpointLimits),
         backoffs=backoffs,
+        places=kernel.find("place_broker", PlaceBroker),
         budget=kernel.find("retry_budget", RetryBudget),
         registrations=kernel.find("registrations", RegistrationFollower),
         drain=kernel.find("drain", Drain),
--- a/burdockdrum/passthrough/state/__init__.py
+++ b/burdockdrum/passthrough/state/__init__.py
@@ -5,7 +5,6 @@
 
 from burdockdrum.passthrough.state.announced_drains import DrainAnnouncements
 from burdockdrum.passthrough.state.backoff_gate import BackoffGate
-from burdockdrum.passthrough.state.brittle_endpoints import BrittleEndpoints
 from burdockdrum.passthrough.state.congestion_windows import CongestionWindows
 from burdockdrum.passthrough.state.connections import equal_share
 from burdockdrum.passthrough.state.connections import max_idle_connections
@@ -51,7 +50,6 @@
 from burdockdrum.passthrough.state.wait_estimates import RECENT_WINDOW_SECONDS
 
 __all__ = [
-    "BrittleEndpoints",
     "BackoffGate",
     "choose_prefix_endpoint",
     "CongestionWindows",
--- a/burdockdrum/passthrough/state/endpoint_limits.py
+++ b/burdockdrum/passthrough/state/endpoint_limits.py
@@ -2,15 +2,19 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 
+from burdockdrum.http1 import parse_count
 from burdockdrum.http1 import parse_decimal
 from burdockdrum.logs import log_decision
 from burdockdrum.metrics import Metrics
 from burdockdrum.passthrough.state.signal_log import log_ignored
 from burdockdrum.ports import Clock
 from burdockdrum.registrations import AnnouncedLimit
+from burdockdrum.registrations import Bounds
+from burdockdrum.registrations import bounds_of
 from burdockdrum.registrations import newest_limit
 from burdockdrum.registrations import rate_of
 from burdockdrum.registrations import RegisteredEndpoint
@@ -22,6 +26,8 @@
 MIN_REPORT_INTERVAL_SECONDS = 0.25
 # Stands for the interval between requests at a limit of 0.
 MAX_INTERVAL_SECONDS = 60.0
+# A larger number bounds nothing, and would not fit into messages.
+MAX_REJECTIONS = 1_000_000
 
 
 class _TokenBucket:
@@ -132,10 +138,17 @@
         self.announced_by_id: dict[str, AnnouncedLimit] = {}
         self._buckets_by_id: dict[str, _TokenBucket] = {}
         self._reported_at_by_id: dict[str, float] = {}
-        self._announcements_total = metrics.counter(
-            "burdockdrum_endpoint_limit_announcements_total",
-            "Changes of the rate limits that endpoints announce, by result.",
-        )
+        self._announcements_by_kind = {
+            "limit": metrics.counter(
+                "burdockdrum_endpoint_limit_announcements_total",
+                "Changes of the rate limits that endpoints announce, by "
+                "result.",
+            ),
+            "brittle": metrics.counter(
+                "burdockdrum_brittle_endpoint_announcements_total",
+                "Changes of what brittle endpoints announced, by result.",
+            ),
+        }
         metrics.gauge(
             "burdockdrum_limited_endpoints",
             "Endpoints of this region with a rate limit.",
@@ -145,24 +158,44 @@
     def observe(
         self,
         endpoint: RegisteredEndpoint,
-        values: list[bytes],
+        rates: Sequence[bytes],
+        rejections: Sequence[bytes] = (),
         *,
-        sent_at: float,
+        sent_at: float | None,
     ) -> None:
-        """Record the announcement in a response of an endpoint.
+        """Record the announcements in a response of an endpoint.
+
+        A value that is absent withdraws an announcement that was known when
+        the request was sent; an earlier request may have been answered before
+        the announcement.
 
-        :param values: the unparsed values; empty if there is no announcement
-        :param sent_at: when the request was sent
+        :param rates: the unparsed rate limits; empty if not announced
+        :param rejections: the unparsed numbers of rejections that it
+            tolerates in a second; empty if not announced
+        :param sent_at: when the request was sent; None if the response can't
+            withdraw anything
         """
         endpoint_id = endpoint.endpoint_id
-        if not values:
-            self._observe_none(endpoint_id, sent_at)
-            return
-        rate = parse_decimal(values[0]) if len(values) == 1 else None
-        if rate is None:
-            self._ignore(endpoint_id, values)
-            return
-        self._set(endpoint_id, rate)
+        known = self.limit_of(endpoint_id)
+        rate, max_rejections = bounds_of(known)
+        if known is not None and sent_at is not None:
+            if not rates and sent_at > known.observed_at:
+                rate = None
+            if not rejections and sent_at > known.observed_at:
+                max_rejections = None
+        new_rate = parse_decimal(rates[0]) if len(rates) == 1 else None
+        if new_rate is not None:
+            rate = new_rate
+        elif rates:
+            self._ignore("limit", endpoint_id, rates)
+        number = parse_count(rejections[0]) if len(rejections) == 1 else None
+        if number is not None:
+            max_rejections = min(number, MAX_REJECTIONS)
+        elif rejections:
+            self._ignore("brittle", endpoint_id, rejections)
+        is_announced = new_rate is not None or number is not None
+        if is_announced or (rate, max_rejections) != bounds_of(known):
+            self._set(endpoint_id, rate, max_rejections)
 
     def limit_of(self, endpoint_id: str) -> AnnouncedLimit | None:
         """Return what an endpoint last announced to any entry."""
@@ -235,28 +268,48 @@
         share = self._read_share(endpoint_id, limit)
         return _Allowance(limit=limit, share=share, bucket=bucket)
 
-    def _set(self, endpoint_id: str, rate: float | None) -> None:
-        previous = self.rate_of(endpoint_id)
+    def _set(
+        self, endpoint_id: str, rate: float | None, max_rejections: int | None
+    ) -> None:
+        former = bounds_of(self.limit_of(endpoint_id))
+        bounds = rate, max_rejections
         self.announced_by_id[endpoint_id] = AnnouncedLimit(
-            requests_per_second=rate, observed_at=self._clock.monotonic()
+            requests_per_second=rate,
+            observed_at=self._clock.monotonic(),
+            max_rejections=max_rejections,
         )
-        is_changed = rate != previous
-        if is_changed:
-            result = "withdrawn" if rate is None else "announced"
-            self._announcements_total.increment(result=result)
-            log_decision(
-                f"endpoint.limit_{result}",
-                endpoint_id=endpoint_id,
+        if rate != former[0]:
+            self._log_change(
+                "limit",
+                endpoint_id,
                 requests_per_second=rate,
-                previous=previous,
+                previous=former[0],
             )
-        if is_changed or rate != self._registered_rate(endpoint_id):
+        if max_rejections != former[1]:
+            self._log_change(
+                "brittle",
+                endpoint_id,
+                max_rejections=max_rejections,
+                previous=former[1],
+            )
+        if bounds != former or bounds != self._registered(endpoint_id):
             self._report_rarely(endpoint_id)
 
-    def _registered_rate(self, endpoint_id: str) -> float | None:
-        """Return the limit that the control VMs know."""
+    def _log_change(
+        self, kind: str, endpoint_id: str, **fields: float | None
+    ) -> None:
+        """Log a change; the first field is the announced value."""
+        is_withdrawn = next(iter(fields.values())) is None
+        result = "withdrawn" if is_withdrawn else "announced"
+        self._announcements_by_kind[kind].increment(result=result)
+        log_decision(
+            f"endpoint.{kind}_{result}", endpoint_id=endpoint_id, **fields
+        )
+
+    def _registered(self, endpoint_id: str) -> Bounds:
+        """Return the bounds that the control VMs know."""
         endpoint = self._read_endpoints().get(endpoint_id)
-        return rate_of(endpoint.rate_limit) if endpoint is not None else None
+        return bounds_of(endpoint.rate_limit if endpoint is not None else None)
 
     def _report_rarely(self, endpoint_id: str) -> None:
         now = self._clock.monotonic()
@@ -265,20 +318,11 @@
             self._reported_at_by_id[endpoint_id] = now
             self._report()
 
-    def _observe_none(self, endpoint_id: str, sent_at: float) -> None:
-        """Withdraw a limit if the request was sent after it was known.
-
-        An earlier request may have been answered before the announcement.
-        """
-        known = self.limit_of(endpoint_id)
-        if known is None or known.requests_per_second is None:
-            return
-        if sent_at > known.observed_at:
-            self._set(endpoint_id, None)
-
-    def _ignore(self, endpoint_id: str, values: list[bytes]) -> None:
-        self._announcements_total.increment(result="ignored")
-        log_ignored("endpoint.limit_ignored", endpoint_id, values)
+    def _ignore(
+        self, kind: str, endpoint_id: str, values: Sequence[bytes]
+    ) -> None:
+        self._announcements_by_kind[kind].increment(result="ignored")
+        log_ignored(f"endpoint.{kind}_ignored", endpoint_id, values)
 
     def _count_limited(self) -> int:
         return sum(
--- a/burdockdrum/passthrough/state/signal_log.py
+++ b/burdockdrum/passthrough/state/signal_log.py
@@ -1,5 +1,7 @@
 """Log lines about values in endpoints' responses."""
 
+from collections.abc import Sequence
+
 from burdockdrum.logs import log_failure
 
 # An unreadable value is logged up to this length.
@@ -9,7 +11,7 @@
 def log_ignored(
     event: str,
     endpoint_id: str,
-    values: list[bytes],
+    values: Sequence[bytes],
     request_id: str | None = None,
 ) -> None:
     """Log that the values of a header were ignored as unreadable.
--- a/burdockdrum/peers/messages.py
+++ b/burdockdrum/peers/messages.py
@@ -17,10 +17,12 @@
     """The base class of messages between processes.
 
     A class that was renamed or moved sets ``wire_kind`` to the kind that it
-    had, so that peers of other versions still know its messages.
+    had, so that peers of other versions still know its messages. An urgent
+    message does not wait for others to be sent with it.
     """
 
     wire_kind: ClassVar[str | None] = None
+    is_urgent: ClassVar[bool] = False
 
     @classmethod
     def kind(cls) -> str:
--- a/burdockdrum/peers/peers.py
+++ b/burdockdrum/peers/peers.py
@@ -9,6 +9,7 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import random
 from typing import Any
 from typing import TypeVar
@@ -118,7 +119,8 @@
 
     def send(self, address: str, message: Message) -> None:
         """Queue a message; a full queue drops its oldest message."""
-        self._enqueue(address, _envelope(message, 0, is_reply=False))
+        envelope = _envelope(message, 0, is_reply=False)
+        self._enqueue(address, envelope, is_urgent=message.is_urgent)
 
     async def call(
         self,
@@ -139,7 +141,8 @@
         future: asyncio.Future[msgspec.Raw] = asyncio.Future()
         self._replies_by_call[call_id] = future
         try:
-            self._enqueue(address, _envelope(message, call_id, is_reply=False))
+            envelope = _envelope(message, call_id, is_reply=False)
+            self._enqueue(address, envelope, is_urgent=message.is_urgent)
             async with asyncio.timeout(timeout):
                 body = await future
             return msgspec.msgpack.decode(body, type=reply_type)
@@ -165,7 +168,9 @@
         """Close the mailbox."""
         await self._mailbox.close()
 
-    def _enqueue(self, address: str, envelope: Envelope) -> None:
+    def _enqueue(
+        self, address: str, envelope: Envelope, *, is_urgent: bool
+    ) -> None:
         outbox = self._outboxes_by_address.get(address)
         if outbox is None:
             outbox = _Outbox()
@@ -177,6 +182,8 @@
         outbox.envelopes.append(envelope)
         outbox.used_at = self._clock.monotonic()
         outbox.filled.set()
+        if is_urgent:
+            outbox.hurried.set()
 
     async def _send_to(self, address: str, outbox: "_Outbox") -> None:
         next_at = float("-inf")
@@ -186,7 +193,10 @@
             # a wake-up, as most frames come alone.
             delay = next_at - self._clock.monotonic()
             if delay > 0:
-                await self._clock.sleep(delay)
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(delay):
+                        await outbox.hurried.wait()
+            outbox.hurried.clear()
             await self._send_frame(address, outbox.pop_batch())
             next_at = self._clock.monotonic() + BATCH_INTERVAL_SECONDS
 
@@ -313,6 +323,7 @@
             self._enqueue(
                 sender.address,
                 _envelope(reply, envelope.call_id, is_reply=True),
+                is_urgent=reply.is_urgent,
             )
 
     def _spawn(self, coroutine: Any) -> asyncio.Task[None] | None:
@@ -365,6 +376,7 @@
             maxlen=MAX_QUEUED_MESSAGES
         )
         self.filled = asyncio.Event()
+        self.hurried = asyncio.Event()
 
     def is_idle(self, since: float) -> bool:
         """Return whether nothing was sent since a time."""
--- a/burdockdrum/registrations/__init__.py
+++ b/burdockdrum/registrations/__init__.py
@@ -8,6 +8,7 @@
 from burdockdrum.registrations.follower import RegistrationFollower
 from burdockdrum.registrations.incarnations import make_incarnation_id
 from burdockdrum.registrations.incarnations import UNKNOWN_INCARNATION
+from burdockdrum.registrations.likely_entries import LikelyEntries
 from burdockdrum.registrations.limit_shares import LimitShares
 from burdockdrum.registrations.load_sharing import LoadSharing
 from burdockdrum.registrations.loads import Load
@@ -22,6 +23,8 @@
 from burdockdrum.registrations.model import RegisteredEndpoint
 from burdockdrum.registrations.publisher import RegistrationPublisher
 from burdockdrum.registrations.rate_limits import AnnouncedLimit
+from burdockdrum.registrations.rate_limits import Bounds
+from burdockdrum.registrations.rate_limits import bounds_of
 from burdockdrum.registrations.rate_limits import newest_limit
 from burdockdrum.registrations.rate_limits import rate_of
 from burdockdrum.registrations.services import add_services
@@ -39,6 +42,9 @@
     "KnownVersions",
     "add_services",
     "AnnouncedLimit",
+    "Bounds",
+    "bounds_of",
+    "LikelyEntries",
     "LimitShares",
     "Load",
     "LoadSharing",
--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -22,6 +22,7 @@
 from burdockdrum.registrations.control_source import make_endpoint
 from burdockdrum.registrations.ended_endpoints import EndedEndpoints
 from burdockdrum.registrations.incarnations import UNKNOWN_INCARNATION
+from burdockdrum.registrations.likely_entries import LikelyEntries
 from burdockdrum.registrations.limit_reports import keep_newest_limit
 from burdockdrum.registrations.limit_reports import list_unknown_limits
 from burdockdrum.registrations.limit_shares import LimitShares
@@ -102,6 +103,9 @@
             read_control_ids=lambda: frozenset(control_addresses()),
             read_entry_count=lambda: self.total_entries,
         )
+        self.likely_entries = LikelyEntries(
+            clock=clock, read_entry_count=lambda: self.total_entries
+        )
         self.versions = KnownVersions(clock=clock)
         peers.register(RegistrationUpdate, self._receive_update)
 
@@ -308,7 +312,11 @@
     ) -> None:
         if message.roster_version == NO_ROSTER_VERSION:
             self.limit_shares.drop(vm_id)
+            if message.entries:
+                addresses = {e.vm_id: e.address for e in message.entries}
+                self.likely_entries.record(vm_id, addresses)
         elif source.update_roster(message):
+            self.likely_entries.record(vm_id, source.address_by_entry_id)
             confirmed_at = message.watch_sent_at_ms / 1000
             self.limit_shares.record(
                 vm_id, source.address_by_entry_id, confirmed_at
--- a/burdockdrum/registrations/limit_reports.py
+++ b/burdockdrum/registrations/limit_reports.py
@@ -14,6 +14,7 @@
 from burdockdrum.registrations.messages import Registration
 from burdockdrum.registrations.model import RegisteredEndpoint
 from burdockdrum.registrations.rate_limits import AnnouncedLimit
+from burdockdrum.registrations.rate_limits import bounds_of
 from burdockdrum.registrations.rate_limits import newest_limit
 from burdockdrum.registrations.rate_limits import rate_of
 
@@ -27,6 +28,7 @@
     return AnnouncedLimit(
         requests_per_second=registration.rate_limit,
         observed_at=now - registration.rate_limit_age,
+        max_rejections=registration.max_rejections,
     )
 
 
@@ -51,11 +53,16 @@
         )
         if copy is None or limit is None:
             continue
-        if rate_of(limit) == rate_of(copy.rate_limit):
+        if bounds_of(limit) == bounds_of(copy.rate_limit):
             continue
         age = now - limit.observed_at
         notices.append(
-            LimitNotice(endpoint_id, limit.requests_per_second, age)
+            LimitNotice(
+                endpoint_id,
+                limit.requests_per_second,
+                age,
+                limit.max_rejections,
+            )
         )
     return notices
 
@@ -74,12 +81,13 @@
     """
     known = before.rate_limit if before is not None else None
     limit = newest_limit([known, *(copy.rate_limit for copy in copies)])
-    if rate_of(limit) != rate_of(known):
+    if bounds_of(limit) != bounds_of(known):
         log_decision(
             "endpoint.limit_learned",
             endpoint_id=after.endpoint_id,
             requests_per_second=rate_of(limit),
             previous=rate_of(known),
+            max_rejections=bounds_of(limit)[1],
         )
     if limit == after.rate_limit:
         return after
--- a/burdockdrum/registrations/messages.py
+++ b/burdockdrum/registrations/messages.py
@@ -43,6 +43,8 @@
     ``rate_limit`` is the number of requests per second that the endpoint
     announced to accept from all entries, None if unlimited, and
     ``rate_limit_age`` the age of that in seconds, None if never announced.
+    ``max_rejections`` is how many requests it announced to tolerate to reject
+    in a second, None if it is not brittle; of the same age.
     ``is_drain_announced`` says that it announced to drain in a response; then
     it is draining whatever its check-ins say. ``software_version`` is that of
     the program, not of a model's weights; empty if it has none.
@@ -63,6 +65,7 @@
     rate_limit_age: float | None = None
     is_drain_announced: bool = False
     software_version: str = ""
+    max_rejections: int | None = None
 
     @property
     def reported_id(self) -> str:
@@ -96,15 +99,17 @@
 
 
 class LimitNotice(msgspec.Struct, frozen=True, array_like=True):
-    """The rate limit that an endpoint announced to an entry.
+    """The bounds that an endpoint announced to an entry.
 
-    ``requests_per_second`` is None if the limit was withdrawn. ``age`` is in
-    seconds, and counts from when the message was sent.
+    ``requests_per_second`` and ``max_rejections``, the rejections that it
+    tolerates in a second, are None if withdrawn. ``age`` is in seconds, and
+    counts from when the message was sent.
     """
 
     endpoint_id: str
     requests_per_second: float | None
     age: float
+    max_rejections: int | None = None
 
 
 class Watch(Message, frozen=True, kw_only=True, array_like=True):
@@ -244,7 +249,7 @@
     alive, in this region and in all. ``revision`` is that of the
     configuration in force at the control VM. ``entries`` are the entries of
     the region, None if unchanged since the version that the entry reported;
-    ``roster_version`` is 0 if the control VM doesn't know them yet.
+    ``roster_version`` is 0 if the control VM may not know all of them yet.
     ``watch_sent_at_ms`` repeats ``sent_at_ms`` of the entry's last message.
     ``crashes`` are the records of crashes that were changed after the serial
     ``crash_base``, up to ``crash_serial``. ``versions`` are the software
--- a/burdockdrum/registrations/publisher.py
+++ b/burdockdrum/registrations/publisher.py
@@ -21,6 +21,7 @@
 from burdockdrum.registrations.messages import LimitNotice
 from burdockdrum.registrations.messages import Registration
 from burdockdrum.registrations.messages import RegistrationUpdate
+from burdockdrum.registrations.messages import RosterEntry
 from burdockdrum.registrations.messages import ServiceCapacity
 from burdockdrum.registrations.messages import Watch
 from burdockdrum.registrations.pacing import liveness_timeout
@@ -174,6 +175,7 @@
                     "endpoint.limit_recorded",
                     endpoint_id=notice.endpoint_id,
                     requests_per_second=notice.requests_per_second,
+                    max_rejections=notice.max_rejections,
                     age=round(notice.age, 3),
                     about_vm=sender.vm_id,
                 )
@@ -238,7 +240,11 @@
         )
         table = self._table
         roster = self._rosters.read(watcher.region)
-        is_known = roster.version == watcher.roster_version
+        entries: tuple[RosterEntry, ...] | None = roster.entries
+        if roster.version == NO_ROSTER_VERSION:
+            entries = self._rosters.read_likely(watcher.region)
+        elif roster.version == watcher.roster_version:
+            entries = None
         knows_versions = watcher.version_serial == table.versions.serial
         crashes, crash_serial = self._crashes.records_after(
             watcher.crash_serial, MAX_CRASH_RECORDS
@@ -254,7 +260,7 @@
             revision=self._read_revision(),
             watch_sent_at_ms=watcher.watch_sent_at_ms,
             roster_version=roster.version,
-            entries=None if is_known else list(roster.entries),
+            entries=None if entries is None else list(entries),
             crashes=crashes,
             crash_base=watcher.crash_serial,
             crash_serial=crash_serial,
--- a/burdockdrum/registrations/rosters.py
+++ b/burdockdrum/registrations/rosters.py
@@ -10,6 +10,8 @@
 from burdockdrum.ports import Clock
 from burdockdrum.registrations.messages import RosterEntry
 from burdockdrum.registrations.pacing import roster_memory_seconds
+from burdockdrum.registrations.pacing import watch_interval
+from burdockdrum.registrations.pacing import WATCH_JITTER_FRACTION
 
 NO_ROSTER_VERSION = 0
 
@@ -69,6 +71,21 @@
             self._update(region, now, memory)
         return region.roster
 
+    def read_likely(self, region_name: str) -> tuple[RosterEntry, ...]:
+        """Return the entries of a region that were heard, perhaps not all.
+
+        None until each had the time for a poll.
+        """
+        ran = self._clock.monotonic() - self._started_at
+        slowest = watch_interval(self._count_entries())
+        region = self._regions_by_name.get(region_name)
+        if region is None or ran < slowest * (1 + WATCH_JITTER_FRACTION):
+            return ()
+        return tuple(
+            RosterEntry(vm_id, address)
+            for vm_id, address in sorted(region.address_by_id.items())
+        )
+
     def _update(self, region: _Region, now: float, memory: float) -> None:
         region.heard_at_by_id = {
             entry_id: heard_at
--- a/burdockdrum/registrations/table.py
+++ b/burdockdrum/registrations/table.py
@@ -122,7 +122,7 @@
         return False
 
     def record_limit(self, notice: LimitNotice) -> bool:
-        """Record the rate limit that an endpoint announced to an entry.
+        """Record the bounds that an endpoint announced to an entry.
 
         :returns: whether it differs from the one known before
         """
@@ -134,8 +134,11 @@
         previous_at = known.limit_observed_at
         if previous_at is not None and observed_at <= previous_at:
             return False
-        rate = notice.requests_per_second
-        is_changed = rate != known.registration.rate_limit
+        rate, rejections = notice.requests_per_second, notice.max_rejections
+        is_changed = (rate, rejections) != (
+            known.registration.rate_limit,
+            known.registration.max_rejections,
+        )
         if is_changed and now < known.limit_changed_at + MIN_LIMIT_SECONDS:
             # The entry reports it again while it differs.
             return False
@@ -146,7 +149,9 @@
         )
         if not is_changed:
             return False
-        changed = msgspec.structs.replace(known.registration, rate_limit=rate)
+        changed = msgspec.structs.replace(
+            known.registration, rate_limit=rate, max_rejections=rejections
+        )
         self._put(changed, received_at=known.received_at)
         return True
 
@@ -326,7 +331,7 @@
 def _keep_limit(
     registration: Registration, known: _Record | None
 ) -> Registration:
-    """Return a check-in with the rate limit known before.
+    """Return a check-in with the announced bounds known before.
 
     An endpoint announces it in its responses, not when it checks in.
     """
@@ -336,6 +341,7 @@
         registration,
         rate_limit=known.registration.rate_limit,
         rate_limit_age=known.registration.rate_limit_age,
+        max_rejections=known.registration.max_rejections,
     )
 
 
--- /dev/null
+++ b/tests/passthrough/brittle/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of endpoints that crash if they must reject too many requests."""
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -13,6 +13,8 @@
 from burdockdrum.http1 import ConnectionPool
 from burdockdrum.http1 import Listener
 from burdockdrum.metrics import Metrics
+from burdockdrum.passthrough.brittle import BrittleEndpoints
+from burdockdrum.passthrough.brittle import PlaceBroker
 from burdockdrum.passthrough.protocol.header_names import HeaderNames
 from burdockdrum.passthrough.protocol.header_names import HOP_REGION
 from burdockdrum.passthrough.protocol.payloads import PayloadEncoder
@@ -31,7 +33,6 @@
 from burdockdrum.passthrough.relaying.stream_resumption import StreamResumption
 from burdockdrum.passthrough.selection.fleet import Fleet
 from burdockdrum.passthrough.selection.targets import TargetSelector
-from burdockdrum.passthrough.state import BrittleEndpoints
 from burdockdrum.passthrough.state import DrainAnnouncements
 from burdockdrum.passthrough.state.endpoint_limits import EndpointLimits
 from burdockdrum.passthrough.state.limit_permits import LimitPermits
@@ -43,6 +44,7 @@
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import VmIdentity
 from burdockdrum.registrations import KnownVersions
+from burdockdrum.registrations import LikelyEntries
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RegistrationState
 from burdockdrum.registrations import ServiceCapacity
@@ -301,7 +303,25 @@
             clock=clock, metrics=metrics, read_endpoints=lambda: registered
         )
 
-        brittle = BrittleEndpoints(clock=clock, metrics=metrics)
+        entries = LikelyEntries(clock=clock, read_entry_count=lambda: 1)
+        entries.record("control", {f"vm-{key}": "alone"})
+        places = PlaceBroker(
+            clock=clock,
+            rng=rng,
+            own_id=f"vm-{key}",
+            incarnation=1,
+            brittle=BrittleEndpoints(
+                clock=clock,
+                metrics=metrics,
+                read_endpoints=lambda: registered,
+                read_limit=limits.limit_of,
+            ),
+            entries=entries,
+            metrics=metrics,
+            read_endpoints=lambda: registered,
+            ask=never_asked,
+            send=never_asked,
+        )
 
         def drain_endpoint(name):
             known = registered.get(name)
@@ -320,7 +340,7 @@
             drop_endpoint=registered.pop,
             limits=limits,
             backoffs=backoffs,
-            brittle=brittle,
+            may_have_place=places.may_ask,
         )
         pools = [ConnectionPool(id_header=NAMES.request_id) for _ in "ab"]
         responses = ResponseClassifier(names=NAMES)
@@ -352,7 +372,6 @@
             limits=limits,
             backoffs=backoffs,
             drains=DrainAnnouncements(metrics=metrics, record=drain_endpoint),
-            brittle=brittle,
         )
 
         async def connect(address):
@@ -466,6 +485,7 @@
             metrics=metrics,
             meter=meter,
             permits=permits,
+            places=places,
             holder=holder,
             crash_guard=CrashGuard(
                 clock=clock, detector=detector, metrics=metrics
--- a/tests/passthrough/protocol/test_response_signals.py
+++ b/tests/passthrough/protocol/test_response_signals.py
@@ -179,6 +179,37 @@
 class BrittleObservationTest(RelayCase):
     """Endpoints that can't reject many requests."""
 
+    def observe(self, *values, sent_at=None):
+        """Let an endpoint announce values; return what is known then."""
+        self.entry.limits.observe(
+            self.entry.registered["here-0"], [], values, sent_at=sent_at
+        )
+        limit = self.entry.limits.limit_of("here-0")
+        return limit.max_rejections if limit is not None else None
+
+    async def test_only_a_later_request_withdraws_an_announcement(self):
+        # Guards against ending it by a response that was late, or one to
+        # another kind of call.
+        self.entry = await self.open(Endpoint(answer(b"ok")))
+        began = asyncio.get_running_loop().time()
+        self.assertEqual(5, self.observe(b"5"))
+        self.assertEqual(5, self.observe(sent_at=began))
+        self.assertEqual(5, self.observe())
+        self.assertIsNone(self.observe(sent_at=began + 60))
+
+    async def test_unreadable_announcement_changes_nothing(self):
+        self.entry = await self.open(Endpoint(answer(b"ok")))
+        for values in ([b"-1"], [b"x"], [b""], [b"5", b"6"], [b"9" * 5000]):
+            with self.subTest(values=values):
+                self.assertIsNone(self.observe(*values))
+        self.assertEqual(5, self.observe(b" 5"))
+        self.assertEqual(5, self.observe(b"x", sent_at=float("inf")))
+
+    async def test_announced_values_fit_into_messages(self):
+        self.entry = await self.open(Endpoint(answer(b"ok")))
+        self.assertEqual(0, self.observe(b"0"))
+        self.assertEqual(1_000_000, self.observe(b"9" * 9))
+
     async def test_no_more_requests_than_slots_are_sent(self):
         # Guards against an announcement that nobody reads.
         running, most = 0, 0
--- a/tests/passthrough/relaying/test_server.py
+++ b/tests/passthrough/relaying/test_server.py
@@ -23,6 +23,7 @@
             fleet=fleet,
             limits=mock.Mock(),
             backoffs=mock.Mock(),
+            places=mock.Mock(),
             budget=mock.Mock(),
             registrations=registrations,
             drain=mock.Mock(),
--- a/tests/registrations/test_limit_shares.py
+++ b/tests/registrations/test_limit_shares.py
@@ -246,7 +246,9 @@
         own = {"p": AnnouncedLimit(requests_per_second=2.0, observed_at=90.0)}
         self.assertEqual([], list_unknown_limits(copies, {}, {}, 100.0))
         (notice,) = list_unknown_limits(copies, {}, own, 100.0)
-        self.assertEqual(("p", 2.0, 10.0), msgspec.structs.astuple(notice))
+        self.assertEqual(
+            ("p", 2.0, 10.0, None), msgspec.structs.astuple(notice)
+        )
 
     def test_latest_announcement_decides(self):
         older, newer = (
