Reject parts of prompts that crash endpoints

What callers saw: endpoints ended one by one under requests of which no two are alike, but which share a part of their prompts.

Cause: the ledger of crashes knew requests only as a whole.

Why it works: the parts of a prompt, without the last one, are suspects in the same ledger and messages. A part counts crashes apart in time, is cleared by a run that began to write after them, and is rejected together with its rivals only, if another part ran each time. After two crashes requests with it run one after the other, when a further crash would count.

Ruled out: that crashes are not seen, or verdicts come late.

--- a/burdockdrum/crashes/__init__.py
+++ b/burdockdrum/crashes/__init__.py
@@ -1,4 +1,7 @@
-"""Requests under which endpoints crashed, as all VMs know them."""
+"""Requests and prompt parts under which endpoints crashed.
+
+All VMs know them.
+"""
 
 from burdockdrum.crashes.exchange import CrashExchange
 from burdockdrum.crashes.exchange import SHARE_DELAY_SECONDS
@@ -6,8 +9,11 @@
 from burdockdrum.crashes.ledger import CrashLedger
 from burdockdrum.crashes.ledger import MAX_CRASHES
 from burdockdrum.crashes.ledger import MAX_RECORDS
+from burdockdrum.crashes.ledger import PART_CRASH_INTERVAL_SECONDS
 from burdockdrum.crashes.ledger import Standing
 from burdockdrum.crashes.records import CrashRecord
+from burdockdrum.crashes.records import is_part
+from burdockdrum.crashes.records import PART_PREFIX
 from burdockdrum.crashes.services import add_services
 
 __all__ = [
@@ -16,8 +22,11 @@
     "CrashExchange",
     "CrashLedger",
     "CrashRecord",
+    "is_part",
     "MAX_CRASHES",
     "MAX_RECORDS",
+    "PART_CRASH_INTERVAL_SECONDS",
+    "PART_PREFIX",
     "SHARE_DELAY_SECONDS",
     "Standing",
 ]
--- a/burdockdrum/crashes/ledger.py
+++ b/burdockdrum/crashes/ledger.py
@@ -1,23 +1,35 @@
-"""Crashes of endpoints by the requests that they ran, and what follows.
+"""Crashes of endpoints by what they ran, and what follows.
 
 Every request that ran on an endpoint when it crashed is a suspect, as an
-endpoint runs many at once. A completed run clears a request. One that has
-collected ``MAX_CRASHES`` is quarantined, unless a rival ran on the same
-endpoint each time: then they are told apart by running them apart. A rival is
-another request under which several endpoints crashed.
+endpoint runs many at once, and so is each part of their prompts that others
+may share. A run that began to write after the crash clears both. A suspect
+that has collected ``MAX_CRASHES`` is quarantined, unless a rival ran on the
+same endpoint each time: then they are told apart by running them apart. A
+rival is another suspect under which several endpoints crashed.
+
+A part that many requests share runs on several endpoints at once, and all may
+crash of one other cause. So its crashes within a short time count once.
+
+Parts that ran together each time can't be told apart. Such a part is only
+rejected together with another one of them, so that requests with one alone
+can clear it, or show that it is the cause.
 
 All VMs merge the same records, in any order, and reach the same verdicts.
 """
 
 import collections
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Sequence
 from dataclasses import dataclass
+from dataclasses import replace
 import enum
 
 import msgspec
 
 from burdockdrum.crashes.records import CrashRecord
+from burdockdrum.crashes.records import is_part
 from burdockdrum.crashes.records import RecordKey
 from burdockdrum.logs import log_decision
 from burdockdrum.ports import Clock
@@ -32,6 +44,8 @@
 # Crashes under a request that may explain those of others. Each crash makes a
 # suspect of whatever ran there, so that one says little.
 MIN_RIVAL_CRASHES = 2
+# Crashes of a part of prompts within this time count once.
+PART_CRASH_INTERVAL_SECONDS = 0.25
 # How long a crash counts; a quarantine ends when fewer than the maximum do.
 RECORD_SECONDS = 600.0
 # Beyond this number, the oldest records of requests that are not quarantined
@@ -48,17 +62,25 @@
     CONTESTED = "contested"
     QUARANTINED = "quarantined"
 
+    @property
+    def severity(self) -> int:
+        """Return the rank among all, 0 for the mildest."""
+        return list(Standing).index(self)
+
 
 @dataclass(frozen=True, kw_only=True)
 class Assessment:
     """How a request is treated, and the crashes that count against it.
 
-    ``seconds_left`` is the time until this ends without further crashes.
+    ``seconds_left`` is the time until this ends without further crashes,
+    ``since_latest`` the time in seconds since the latest crash.
     """
 
     standing: Standing
+    fingerprint: str = ""
     crashes: tuple[CrashRecord, ...] = ()
     seconds_left: float = 0.0
+    since_latest: float = float("inf")
 
     def describe(self) -> str:
         """Return the crashes and who saw them, in words."""
@@ -66,7 +88,9 @@
             f"{crash.endpoint_id} (seen by {crash.observer})"
             for crash in self.crashes
         )
+        subject = "prompt part" if is_part(self.fingerprint) else "request"
         return (
+            f"{subject} {self.fingerprint}: "
             f"{len(self.crashes)} endpoints crashed while running it: {seen}; "
             f"rejected for {self.seconds_left:.0f} s more"
         )
@@ -94,9 +118,12 @@
         # In the order of their serials.
         self._known_by_key: dict[RecordKey, _Known] = {}
         self._endpoints_by_fingerprint: dict[str, set[str]] = {}
-        # The requests with enough crashes to be the rivals of others.
+        # The suspects with enough crashes to be the rivals of others.
         self._rivals: set[str] = set()
         self._quarantined: frozenset[str] = frozenset()
+        # Other parts that ran whenever an endpoint crashed under a
+        # quarantined one, unless one crashed without them.
+        self._rivals_by_quarantined: dict[str, frozenset[str]] = {}
 
     @property
     def is_empty(self) -> bool:
@@ -112,21 +139,41 @@
         """Return the keys of all records."""
         return self._known_by_key.keys()
 
-    def add(self, fingerprint: str, endpoint_id: str, observer: str) -> bool:
-        """Record a crash that this VM saw; return whether it is new."""
+    def add(
+        self,
+        fingerprint: str,
+        endpoint_id: str,
+        observer: str,
+        age: float = 0.0,
+    ) -> bool:
+        """Record a crash that this VM saw; return whether it is new.
+
+        :param age: how many seconds ago it was
+        """
         return self.merge(
             CrashRecord(
                 fingerprint=fingerprint,
                 endpoint_id=endpoint_id,
-                age=0.0,
+                age=age,
                 observer=observer,
             )
         )
 
-    def clear(self, fingerprint: str) -> bool:
-        """Clear a request; return whether any crash counted against it."""
+    def clear(
+        self, fingerprint: str, wrote_since: float = float("inf")
+    ) -> bool:
+        """Clear a suspect; return whether any crash counted against it.
+
+        :param wrote_since: when the run that shows it to be sound began to
+            write; later crashes go on counting
+        """
         endpoint_ids = self._endpoints_by_fingerprint.get(fingerprint, set())
-        counted = list(endpoint_ids)
+        counted = [
+            endpoint_id
+            for endpoint_id in endpoint_ids
+            if self._known_by_key[(fingerprint, endpoint_id)].crashed_at
+            < wrote_since
+        ]
         for endpoint_id in counted:
             self._clear_record((fingerprint, endpoint_id))
         return bool(counted)
@@ -160,19 +207,42 @@
             return _CLEAR
         if fingerprint in self._quarantined:
             standing = Standing.QUARANTINED
-        elif len(endpoint_ids) < MAX_CRASHES:
+        elif self._count(fingerprint, endpoint_ids) < MAX_CRASHES:
             standing = Standing.SUSPECT
         else:
             standing = Standing.CONTESTED
         return Assessment(
             standing=standing,
+            fingerprint=fingerprint,
             crashes=tuple(
                 self._known_by_key[(fingerprint, endpoint_id)].record
                 for endpoint_id in sorted(endpoint_ids)
             ),
             seconds_left=self._seconds_left(fingerprint, endpoint_ids),
+            since_latest=self._clock.monotonic()
+            - max(
+                self._known_by_key[(fingerprint, endpoint_id)].crashed_at
+                for endpoint_id in endpoint_ids
+            ),
         )
 
+    def assess_all(self, fingerprints: Sequence[str]) -> Assessment:
+        """Return how a request is treated by all that may be its cause.
+
+        :param fingerprints: of the request and the parts of its prompt
+        """
+        worst = _CLEAR
+        for fingerprint in fingerprints:
+            if fingerprint not in self._endpoints_by_fingerprint:
+                continue
+            assessment = self.assess(fingerprint)
+            rivals = self._rivals_by_quarantined.get(fingerprint)
+            if rivals and rivals.isdisjoint(fingerprints):
+                assessment = replace(assessment, standing=Standing.SUSPECT)
+            if assessment.standing.severity > worst.standing.severity:
+                worst = assessment
+        return worst
+
     def suspects(self) -> dict[str, Assessment]:
         """Return how each request is treated that is not clear."""
         assessments = {
@@ -277,47 +347,104 @@
 
     def _update_quarantined(self) -> None:
         """Decide anew which requests are quarantined."""
-        former, self._quarantined = self._quarantined, self._find_quarantined()
+        former = self._quarantined
+        self._rivals_by_quarantined = self._find_quarantined()
+        self._quarantined = frozenset(self._rivals_by_quarantined)
         for fingerprint in self._quarantined - former:
             self._report_quarantined(fingerprint)
 
-    def _find_quarantined(self) -> frozenset[str]:
-        """Return the requests to reject.
+    def _find_quarantined(self) -> dict[str, frozenset[str]]:
+        """Return the suspects to reject, each with its rivals if contested.
 
-        Those with most crashes come first: they explain the crashes of the
-        requests that ran beside them.
+        Those with most crashes come first: they explain the crashes of what
+        ran beside them. A request comes before the parts of its prompt.
         """
-        if not any(
-            len(self._endpoints_by_fingerprint[fingerprint]) >= MAX_CRASHES
+        candidates = [
+            fingerprint
             for fingerprint in self._rivals
-        ):
-            return frozenset()
-        suspects = sorted(
-            (
-                (fingerprint, self._endpoints_by_fingerprint[fingerprint])
-                for fingerprint in self._rivals
-            ),
-            key=lambda item: (-len(item[1]), item[0]),
+            if self._count(
+                fingerprint, self._endpoints_by_fingerprint[fingerprint]
+            )
+            >= MAX_CRASHES
+        ]
+        candidates.sort(
+            key=lambda fingerprint: (
+                -len(self._endpoints_by_fingerprint[fingerprint]),
+                is_part(fingerprint),
+                fingerprint,
+            )
         )
-        quarantined: list[str] = []
+        if not candidates:
+            return {}
+        quarantined: dict[str, frozenset[str]] = {}
         explained: set[str] = set()
-        rivals_by_endpoint = _count_rivals(suspects, explained)
-        for fingerprint, endpoint_ids in suspects:
-            if len(endpoint_ids) < MAX_CRASHES:
-                break
-            left = endpoint_ids - explained
-            if len(left) < MIN_UNEXPLAINED_CRASHES:
+        numbers = self._count_rivals(explained)
+        for fingerprint in candidates:
+            left = self._endpoints_by_fingerprint[fingerprint] - explained
+            count = self._count(fingerprint, left)
+            if count < MIN_UNEXPLAINED_CRASHES:
                 continue
-            # The request itself is counted as well.
+            # The suspect itself is counted as well.
             is_contested = all(
-                rivals_by_endpoint[endpoint_id] > 1 for endpoint_id in left
+                numbers[(is_part(fingerprint), endpoint_id)] > 1
+                for endpoint_id in left
             )
-            if is_contested and len(left) < MAX_CONTESTED_CRASHES:
+            rivals: frozenset[str] = frozenset()
+            if is_contested and is_part(fingerprint):
+                rivals = self._list_rivals(fingerprint, left)
+            elif is_contested and count < MAX_CONTESTED_CRASHES:
                 continue
-            quarantined.append(fingerprint)
+            quarantined[fingerprint] = rivals
             explained |= left
-            rivals_by_endpoint = _count_rivals(suspects, explained)
-        return frozenset(quarantined)
+            numbers = self._count_rivals(explained)
+        return quarantined
+
+    def _list_rivals(
+        self, fingerprint: str, endpoint_ids: set[str]
+    ) -> frozenset[str]:
+        """Return the other parts under which some endpoints crashed."""
+        return frozenset(
+            other
+            for other in self._rivals
+            if other != fingerprint
+            and is_part(other)
+            and not endpoint_ids.isdisjoint(
+                self._endpoints_by_fingerprint[other]
+            )
+        )
+
+    def _count_rivals(
+        self, explained: set[str]
+    ) -> collections.Counter[tuple[bool, str]]:
+        """Return how many rivals ran on each endpoint when it crashed.
+
+        Requests and parts of prompts are counted apart.
+
+        :param explained: endpoints that quarantined suspects crashed
+        """
+        numbers: collections.Counter[tuple[bool, str]] = collections.Counter()
+        for fingerprint in self._rivals:
+            left = self._endpoints_by_fingerprint[fingerprint] - explained
+            if len(left) >= MIN_RIVAL_CRASHES:
+                kind = is_part(fingerprint)
+                numbers.update((kind, endpoint_id) for endpoint_id in left)
+        return numbers
+
+    def _count(self, fingerprint: str, endpoint_ids: Collection[str]) -> int:
+        """Return how many crashes count against a suspect.
+
+        Those of a part of a prompt within a short time count once.
+        """
+        if not is_part(fingerprint):
+            return len(endpoint_ids)
+        count, counted_at = 0, float("-inf")
+        for crashed_at in sorted(
+            self._known_by_key[(fingerprint, endpoint_id)].crashed_at
+            for endpoint_id in endpoint_ids
+        ):
+            if crashed_at - counted_at >= PART_CRASH_INTERVAL_SECONDS:
+                count, counted_at = count + 1, crashed_at
+        return count
 
     def _report_quarantined(self, fingerprint: str) -> None:
         assessment = self.assess(fingerprint)
@@ -351,20 +478,3 @@
     def _with_age(self, known: _Known) -> CrashRecord:
         age = self._clock.monotonic() - known.crashed_at
         return msgspec.structs.replace(known.record, age=age)
-
-
-def _count_rivals(
-    suspects: list[tuple[str, set[str]]], explained: set[str]
-) -> collections.Counter[str]:
-    """Return how many rivals ran on each endpoint when it crashed.
-
-    :param suspects: requests and the endpoints that crashed under them
-    :param explained: endpoints that quarantined requests crashed
-    """
-    rivals = (endpoint_ids - explained for _, endpoint_ids in suspects)
-    return collections.Counter(
-        endpoint_id
-        for endpoint_ids in rivals
-        if len(endpoint_ids) >= MIN_RIVAL_CRASHES
-        for endpoint_id in endpoint_ids
-    )
--- a/burdockdrum/passthrough/protocol/header_names.py
+++ b/burdockdrum/passthrough/protocol/header_names.py
@@ -26,6 +26,7 @@
     - ``token_counts``: prompt tokens and maximum output tokens.
     - ``length_hint``: the caller's estimate of the output tokens.
     - ``prompt_parts``: the prompt's parts in order, each as ``ID:TOKENS``.
+    - ``model``: the model that the prompt is for.
     - ``urgency``: the priority in an engine; 0 is admitted first.
     - ``fetch_from``: the address of an endpoint that has a prefix of the
       prompt cached.
@@ -49,6 +50,7 @@
     token_counts: bytes = b"x-tokens"
     length_hint: bytes = b"x-length-hint"
     prompt_parts: bytes = b"x-prompt-parts"
+    model: bytes = b"x-model"
     urgency: bytes = b"x-urgency"
     fetch_from: bytes = b"x-fetch-from"
     rate_limit: bytes = b"x-rate-limit"
--- a/burdockdrum/passthrough/protocol/model.py
+++ b/burdockdrum/passthrough/protocol/model.py
@@ -10,6 +10,7 @@
 from burdockdrum.http1 import ResponseHead
 from burdockdrum.passthrough.brittle import Place
 from burdockdrum.passthrough.protocol.fingerprint import make_fingerprint
+from burdockdrum.passthrough.protocol.fingerprint import make_part_fingerprint
 from burdockdrum.passthrough.state import PermitResult
 from burdockdrum.passthrough.state import Prompt
 from burdockdrum.passthrough.state import RatedEndpoint
@@ -81,6 +82,22 @@
         """Return what identifies the request when it is sent again."""
         return make_fingerprint(self.head, self.team)
 
+    @cached_property
+    def suspects(self) -> tuple[str, ...]:
+        """Return the fingerprints of what may crash endpoints.
+
+        That is the request itself, and each part of its prompt that others
+        may share, which the last one is not.
+        """
+        prompt = self.prompt
+        parts = (
+            make_part_fingerprint(
+                self.backend.name, prompt.model, part.part_id
+            )
+            for part in prompt.parts[:-1]
+        )
+        return tuple(dict.fromkeys((self.fingerprint, *parts)))
+
 
 @dataclass(kw_only=True)
 class RequestProgress:
--- a/burdockdrum/passthrough/protocol/request_reader.py
+++ b/burdockdrum/passthrough/protocol/request_reader.py
@@ -116,6 +116,7 @@
             head.find(names.token_counts),
             head.find(names.prompt_parts),
             head.find(names.length_hint),
+            head.find(names.model),
         )
         quota_charge: Charge | None = None
         if caller is not None and not is_hop:
--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -57,6 +57,9 @@
 HOP_CONNECT_TIMEOUT_SECONDS = 0.6
 # Lets a response that the endpoint sent at the deadline still arrive.
 DEADLINE_GRACE_SECONDS = 0.05
+# An endpoint that crashes under a request does so earlier after it began to
+# write the response.
+SOUND_SECONDS = 0.3
 
 
 class AttemptRunner:
@@ -175,8 +178,8 @@
             in_flight_request=in_flight_request,
         )
         outcome: Outcome | None = None
-        suspect = self._crashes.begin_run(
-            lambda: request.fingerprint, endpoint.endpoint_id
+        suspects = self._crashes.begin_run(
+            lambda: request.suspects, endpoint.endpoint_id
         )
         try:
             self._in_flight.add(endpoint.endpoint_id, call)
@@ -185,12 +188,12 @@
             )
             return outcome
         except ResponseTruncated:
-            self._crashes.record_lost(request.fingerprint, endpoint)
+            self._crashes.record_lost(request.suspects, endpoint)
             raise
         finally:
             self._in_flight.remove(endpoint.endpoint_id, call)
-            self._crashes.end_run(suspect, endpoint.endpoint_id)
-            self._record_evidence(endpoint, request, outcome, call.sent_at)
+            self._crashes.end_run(suspects, endpoint.endpoint_id)
+            self._record_evidence(endpoint, request, outcome, call)
             if isinstance(outcome, NotStarted) and outcome.unconnected:
                 self.on_unreachable(endpoint.endpoint_id)
             whole = isinstance(outcome, Delivered)
@@ -209,16 +212,28 @@
         endpoint: RegisteredEndpoint,
         request: ProxiedRequest,
         outcome: Outcome | None,
-        sent_at: float,
+        call: Call,
     ) -> None:
         """Record what an attempt says about a crash of its endpoint."""
         match outcome:
             case Lost(is_broken=True):
-                self._crashes.record_lost(request.fingerprint, endpoint)
+                self._crashes.record_lost(request.suspects, endpoint)
             case Delivered():
-                self._crashes.record_response(
-                    endpoint.endpoint_id, lambda: request.fingerprint, sent_at
-                )
+                self._record_sound(request, call, is_complete=True)
+
+    def _record_sound(
+        self, request: ProxiedRequest, call: Call, *, is_complete: bool
+    ) -> None:
+        """Record that an endpoint writes a response and goes on."""
+        if not isinstance(call.target, EndpointTarget):
+            return
+        self._crashes.record_response(
+            call.target.choice.endpoint.endpoint_id,
+            lambda: request.suspects,
+            call.sent_at,
+            call.wrote_since,
+            is_complete=is_complete,
+        )
 
     async def _forward_to_region(
         self,
@@ -351,6 +366,7 @@
         if failure is not None:
             await read_error_body(connection)
             return failure
+        call.wrote_since = self._clock.monotonic()
         match call.target:
             case EndpointTarget(place=Place() as place):
                 place.record(PlaceEvent.ACCEPTED)
@@ -400,6 +416,7 @@
     ) -> Outcome:
         splitter.start_attempt()
         has_events = False
+        is_sound = False
         while (chunk := await connection.read_part()) is not None:
             if call.watchdog is not None:
                 call.watchdog.record_chunk()
@@ -411,7 +428,11 @@
                     has_events = True
                     if request.is_resumable:
                         self._check_version(call, head, request, progress)
-                progress.record_chunk(self._clock.monotonic())
+                now = self._clock.monotonic()
+                progress.record_chunk(now)
+                if not is_sound and now - call.wrote_since > SOUND_SECONDS:
+                    is_sound = True
+                    self._record_sound(request, call, is_complete=False)
                 self._start_stream(exchange, head, request, progress)
                 exchange.write(events)
                 await exchange.drain()
--- a/burdockdrum/passthrough/relaying/crash_detector.py
+++ b/burdockdrum/passthrough/relaying/crash_detector.py
@@ -1,4 +1,4 @@
-"""Detects endpoints that crashed while they ran requests.
+"""Detects endpoints that crashed, and what they ran.
 
 A lost connection alone proves nothing: endpoints reset connections, and paths
 to them are cut. An endpoint has crashed if its connections were lost and its
@@ -9,14 +9,20 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Container
+from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
 import random
 
 from burdockdrum.crashes import Assessment
 from burdockdrum.crashes import CrashLedger
+from burdockdrum.crashes import is_part
 from burdockdrum.crashes import MAX_CRASHES
+from burdockdrum.crashes import PART_CRASH_INTERVAL_SECONDS
 from burdockdrum.crashes import Standing
 from burdockdrum.http1 import NotConnected
 from burdockdrum.logs import log_decision
@@ -34,19 +40,26 @@
 # Other endpoints that are tried to learn whether this entry reaches any.
 COMPARED_ENDPOINTS = 3
 MAX_PENDING_LOSSES = 256
+# Crashes after which requests with the same part run one after the other.
+# Many sound ones share a part, and one crash says little.
+MIN_PART_CRASHES_APART = 2
+
+# Computes the fingerprints of a request and of the parts of its prompt.
+ReadSuspects = Callable[[], Sequence[str]]
 
 
 @dataclass(kw_only=True)
 class _Loss:
     """The connections to an endpoint that were lost since a time.
 
-    ``known_ids`` are the incarnations that were registered at its address.
+    ``known_ids`` are the incarnations that were registered at its address,
+    ``suspects`` the requests that ran there and the parts of their prompts.
     """
 
     endpoint: RegisteredEndpoint
     lost_at: float
     known_ids: frozenset[str]
-    fingerprints: set[str] = field(default_factory=set)
+    suspects: set[str] = field(default_factory=set)
     probe: asyncio.Task[None] | None = None
 
     @property
@@ -85,8 +98,8 @@
         self._losses_by_id: dict[str, _Loss] = {}
         # Keeps the tasks of losses that are forgotten meanwhile.
         self._probes: set[asyncio.Task[None]] = set()
-        # The suspects that run on each endpoint for this entry.
-        self._suspects_by_id: dict[str, list[str]] = {}
+        # The suspects of each run on each endpoint for this entry.
+        self._suspects_by_id: dict[str, list[frozenset[str]]] = {}
         self._crashes_total = metrics.counter(
             "burdockdrum_endpoint_crashes_total",
             "Endpoints that crashed while running requests, by evidence.",
@@ -97,76 +110,102 @@
             read=lambda: len(ledger.quarantined),
         )
 
-    def assess(self, fingerprint: Callable[[], str]) -> Assessment | None:
-        """Return how a request is treated, None if there are no suspects.
+    def assess(self, suspects: ReadSuspects) -> Assessment | None:
+        """Return how a request is treated, None if nothing is suspected.
 
-        :param fingerprint: computes the request's fingerprint
+        :param suspects: returns the fingerprints of the request and of the
+            parts of its prompt
         """
         if self._ledger.is_empty:
             return None
-        return self._ledger.assess(fingerprint())
-
-    def is_suspect(self, fingerprint: Callable[[], str]) -> bool:
-        """Return whether an endpoint crashed, or may have, under a request.
+        return self._ledger.assess_all(suspects())
 
-        One whose connections were lost may have until it has been probed.
+    def list_apart(self, suspects: ReadSuspects) -> frozenset[str]:
+        """Return what a request should not run beside copies of.
 
-        :param fingerprint: computes the request's fingerprint
+        That is the request itself if an endpoint crashed under it, or may
+        have until it has been probed, and parts under which several did.
         """
         if not self._losses_by_id and self._ledger.is_empty:
-            return False
-        known = fingerprint()
-        if self._ledger.assess(known).standing is not Standing.CLEAR:
-            return True
-        return any(
-            known in loss.fingerprints and loss.is_probed
+            return frozenset()
+        return frozenset(filter(self._must_run_apart, suspects()))
+
+    def _must_run_apart(self, fingerprint: str) -> bool:
+        crashes = self._ledger.assess(fingerprint).crashes
+        if is_part(fingerprint):
+            return len(crashes) >= MIN_PART_CRASHES_APART
+        return bool(crashes) or any(
+            fingerprint in loss.suspects and loss.is_probed
             for loss in self._losses_by_id.values()
         )
 
-    def list_shared(self, fingerprint: str) -> set[str]:
+    def seconds_until_evidence(self, suspects: ReadSuspects) -> float:
+        """Return when a further crash under a request would count.
+
+        Until then it would cost an endpoint and tell nothing.
+        """
+        return max(
+            (
+                PART_CRASH_INTERVAL_SECONDS
+                - self._ledger.assess(fingerprint).since_latest
+                for fingerprint in self.list_apart(suspects)
+                if is_part(fingerprint)
+            ),
+            default=0.0,
+        )
+
+    def list_shared(self, suspects: Container[str]) -> set[str]:
         """Return the endpoints that run other suspects for this entry."""
         return {
             endpoint_id
-            for endpoint_id, suspects in self._suspects_by_id.items()
-            if any(other != fingerprint for other in suspects)
+            for endpoint_id, runs in self._suspects_by_id.items()
+            if any(other not in suspects for run in runs for other in run)
         }
 
-    def is_contested_running(self, fingerprint: str) -> bool:
-        """Return whether another contested request runs for this entry."""
+    def is_contested_running(self, suspects: Container[str]) -> bool:
+        """Return whether another contested suspect runs for this entry."""
         return any(
-            other != fingerprint
+            other not in suspects
             and self._ledger.assess(other).standing is Standing.CONTESTED
-            for suspects in self._suspects_by_id.values()
-            for other in suspects
+            for runs in self._suspects_by_id.values()
+            for run in runs
+            for other in run
         )
 
     def begin_run(
-        self, fingerprint: Callable[[], str], endpoint_id: str
-    ) -> str | None:
+        self, suspects: ReadSuspects, endpoint_id: str
+    ) -> frozenset[str]:
         """Record that a request is sent to an endpoint.
 
-        :returns: its fingerprint if it is a suspect, for ``end_run``
+        :returns: which of its suspects are not clear, for ``end_run``
         """
-        assessment = self.assess(fingerprint)
-        if assessment is None or assessment.standing is Standing.CLEAR:
-            return None
-        suspect = fingerprint()
-        self._suspects_by_id.setdefault(endpoint_id, []).append(suspect)
-        return suspect
+        if self._ledger.is_empty:
+            return frozenset()
+        run = frozenset(
+            fingerprint
+            for fingerprint in suspects()
+            if self._ledger.assess(fingerprint).standing is not Standing.CLEAR
+        )
+        if run:
+            self._suspects_by_id.setdefault(endpoint_id, []).append(run)
+        return run
 
-    def end_run(self, suspect: str | None, endpoint_id: str) -> None:
+    def end_run(self, run: frozenset[str], endpoint_id: str) -> None:
         """Record the end of what ``begin_run`` recorded."""
-        if suspect is None:
+        if not run:
             return
-        suspects = self._suspects_by_id[endpoint_id]
-        suspects.remove(suspect)
-        if not suspects:
+        runs = self._suspects_by_id[endpoint_id]
+        runs.remove(run)
+        if not runs:
             del self._suspects_by_id[endpoint_id]
 
     def record_lost(
-        self, fingerprint: str, endpoint: RegisteredEndpoint
+        self, suspects: Iterable[str], endpoint: RegisteredEndpoint
     ) -> None:
-        """Record that the connection of a running request was lost."""
+        """Record that the connection of a running request was lost.
+
+        :param suspects: the request, and the parts of its prompt
+        """
         if endpoint.is_draining or endpoint.ends_at is not None:
             return
         endpoint_id = endpoint.endpoint_id
@@ -181,14 +220,22 @@
             )
             self._losses_by_id[endpoint_id] = loss
             loss.probe = self._start_probe(loss)
-        loss.fingerprints.add(fingerprint)
+        loss.suspects.update(suspects)
 
     def record_response(
-        self, endpoint_id: str, fingerprint: Callable[[], str], sent_at: float
+        self,
+        endpoint_id: str,
+        suspects: ReadSuspects,
+        sent_at: float,
+        wrote_since: float,
+        *,
+        is_complete: bool = True,
     ) -> None:
-        """Record a complete response of an endpoint to a request.
+        """Record that an endpoint has run a request, or goes on with it.
 
         :param sent_at: when the request was sent, on the monotonic clock
+        :param wrote_since: when the endpoint began to write the response
+        :param is_complete: whether it has written all of it
         """
         loss = self._losses_by_id.get(endpoint_id)
         if loss is not None and sent_at > loss.lost_at:
@@ -196,28 +243,47 @@
             self._ledger.clear_endpoint(endpoint_id)
         if not self._losses_by_id and self._ledger.is_empty:
             return
+        sound = [
+            fingerprint
+            for fingerprint in suspects()
+            if is_complete or is_part(fingerprint)
+        ]
         for other in self._losses_by_id.values():
-            other.fingerprints.discard(fingerprint())
-        if self._ledger.clear(fingerprint()):
-            log_decision("request.cleared", fingerprint=fingerprint())
+            other.suspects.difference_update(
+                fingerprint
+                for fingerprint in sound
+                if not is_part(fingerprint) or wrote_since > other.lost_at
+            )
+        for fingerprint in sound:
+            # A request is cleared by any complete run of a copy.
+            since = wrote_since if is_part(fingerprint) else float("inf")
+            if self._ledger.clear(fingerprint, since):
+                log_decision("request.cleared", fingerprint=fingerprint)
 
     def record_replaced(self, endpoint_id: str) -> None:
         """Record that a later incarnation of an endpoint has registered."""
         self._confirm(endpoint_id, "restarted")
 
-    async def settle(self, fingerprint: str) -> None:
+    async def settle(self, suspects: Collection[str]) -> None:
         """Wait for probes that may decide whether to retry a request."""
+        probes = {
+            loss.probe
+            for fingerprint in suspects
+            for loss in self._list_decisive(fingerprint)
+            if loss.probe is not None
+        }
+        if probes:
+            await asyncio.wait(probes, timeout=SETTLE_SECONDS)
+
+    def _list_decisive(self, fingerprint: str) -> list[_Loss]:
+        """Return the losses after which a suspect may be rejected."""
         pending = [
             loss
             for loss in self._losses_by_id.values()
-            if fingerprint in loss.fingerprints
+            if fingerprint in loss.suspects
         ]
         known = self._ledger.assess(fingerprint).crashes
-        if len(known) + len(pending) < MAX_CRASHES:
-            return
-        probes = [loss.probe for loss in pending if loss.probe is not None]
-        if probes:
-            await asyncio.wait(probes, timeout=SETTLE_SECONDS)
+        return pending if len(known) + len(pending) >= MAX_CRASHES else []
 
     def update(self) -> None:
         """Look for later incarnations; forget losses without evidence."""
@@ -276,15 +342,17 @@
         if current is not None and current.is_draining:
             return
         self._crashes_total.increment(evidence=evidence)
+        since_lost = self._clock.monotonic() - loss.lost_at
         log_decision(
             "endpoint.crashed",
             endpoint_id=endpoint_id,
             evidence=evidence,
-            requests=len(loss.fingerprints),
-            since_lost=round(self._clock.monotonic() - loss.lost_at, 3),
+            requests=len(loss.suspects) - sum(map(is_part, loss.suspects)),
+            parts=sum(map(is_part, loss.suspects)),
+            since_lost=round(since_lost, 3),
         )
-        for fingerprint in loss.fingerprints:
-            self._ledger.add(fingerprint, endpoint_id, self._vm_id)
+        for fingerprint in loss.suspects:
+            self._ledger.add(fingerprint, endpoint_id, self._vm_id, since_lost)
 
     def _forget(self, endpoint_id: str) -> None:
         del self._losses_by_id[endpoint_id]
--- a/burdockdrum/passthrough/relaying/crash_guard.py
+++ b/burdockdrum/passthrough/relaying/crash_guard.py
@@ -39,31 +39,30 @@
         )
 
     async def begin_attempt(self, request: ProxiedRequest) -> Run:
-        """Begin an attempt, after the copies of a suspect that run.
+        """Begin an attempt, after the copies of suspects that run.
 
         ``end_attempt`` must follow.
         """
         detector = self._detector
 
-        def is_suspect() -> bool:
-            return detector.is_suspect(lambda: request.fingerprint)
-
-        if is_suspect():
-            began = self._clock.monotonic()
-            fingerprint = request.fingerprint
-            if await self._copies.wait(
-                fingerprint, request.deadline - began, is_suspect
-            ):
-                self._decisions_total.increment(decision="delayed")
-                log_decision(
-                    "request.delayed",
-                    request_id=request.request_id,
-                    fingerprint=fingerprint,
-                    reason="a copy ran that may crash endpoints",
-                    seconds=round(self._clock.monotonic() - began, 4),
-                )
-                await detector.settle(fingerprint)
-        return self._copies.begin(lambda: request.fingerprint)
+        def list_apart() -> frozenset[str]:
+            return detector.list_apart(lambda: request.suspects)
+
+        began = self._clock.monotonic()
+        pause = detector.seconds_until_evidence(lambda: request.suspects)
+        if pause > 0:
+            await self._clock.sleep(pause)
+        if await self._copies.wait(request.deadline - began, list_apart):
+            self._decisions_total.increment(decision="delayed")
+            log_decision(
+                "request.delayed",
+                request_id=request.request_id,
+                fingerprint=request.fingerprint,
+                reason="another request ran that may crash endpoints alike",
+                seconds=round(self._clock.monotonic() - began, 4),
+            )
+            await detector.settle(request.suspects)
+        return self._copies.begin(lambda: request.suspects)
 
     def end_attempt(self, run: Run) -> None:
         """End an attempt that ``begin_attempt`` began."""
@@ -81,27 +80,26 @@
         :raises ResponseTruncated: the same, if its response has begun
         """
         progress.avoided, progress.must_avoid = frozenset(), False
-        assessment = self._detector.assess(lambda: request.fingerprint)
+        assessment = self._detector.assess(lambda: request.suspects)
         if assessment is None or assessment.standing is Standing.CLEAR:
             return
-        fingerprint = request.fingerprint
         if assessment.standing is Standing.QUARANTINED:
-            reason = f"{fingerprint}: {assessment.describe()}"
-            self._reject(progress, exchange, reason)
+            self._reject(progress, exchange, assessment.describe())
         if len(assessment.crashes) < MIN_CRASHES_APART:
             return
-        progress.avoided = frozenset(self._detector.list_shared(fingerprint))
+        suspects = request.suspects
+        progress.avoided = frozenset(self._detector.list_shared(suspects))
         progress.must_avoid = assessment.standing is Standing.CONTESTED
         if progress.must_avoid and self._detector.is_contested_running(
-            fingerprint
+            suspects
         ):
             self._decisions_total.increment(decision="postponed")
             self._raise(
                 exchange,
                 Refusal(
                     code=RefusalCode.OVERLOADED,
-                    message=f"{fingerprint} runs apart from another request "
-                    "that may crash endpoints",
+                    message=f"{request.fingerprint} runs apart from another "
+                    "request that may crash endpoints",
                     verdict=progress.verdict,
                     retry_after=APART_RETRY_AFTER_SECONDS,
                 ),
@@ -125,7 +123,7 @@
                     progress, exchange, "another region rejects the request"
                 )
             case Lost(is_broken=True):
-                await self._detector.settle(request.fingerprint)
+                await self._detector.settle(request.suspects)
                 self.check(request, progress, exchange)
 
     def _reject(
--- a/burdockdrum/passthrough/relaying/in_flight_calls.py
+++ b/burdockdrum/passthrough/relaying/in_flight_calls.py
@@ -41,8 +41,10 @@
         self.watchdog: AttemptWatchdog | None = None
         self.timeout: asyncio.Timeout | None = None
         self.abort_reason: str | None = None
-        # When the request was sent, on the monotonic clock.
+        # When the request was sent, and when the response began, on the
+        # monotonic clock.
         self.sent_at = 0.0
+        self.wrote_since = 0.0
 
     def disarm_watchdog(self) -> None:
         """Stop the watchdog; only the deadline limits the call then."""
--- a/burdockdrum/passthrough/relaying/running_copies.py
+++ b/burdockdrum/passthrough/relaying/running_copies.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 import contextlib
 
 from burdockdrum.ports import Clock
@@ -16,11 +17,14 @@
 
 
 class Run:
-    """One attempt; ``fingerprint`` computes what identifies its request."""
+    """One attempt; ``suspects`` computes what identifies its request.
 
-    def __init__(self, *, fingerprint: Callable[[], str]) -> None:
+    That is its fingerprint, and those of the parts of its prompt.
+    """
+
+    def __init__(self, *, suspects: Callable[[], Sequence[str]]) -> None:
         """Create the run of a request."""
-        self.fingerprint = fingerprint
+        self.suspects = suspects
         self.ended = asyncio.Event()
 
 
@@ -32,9 +36,9 @@
         self._clock = clock
         self._runs: set[Run] = set()
 
-    def begin(self, fingerprint: Callable[[], str]) -> Run:
+    def begin(self, suspects: Callable[[], Sequence[str]]) -> Run:
         """Record an attempt that begins; ``end`` must follow."""
-        run = Run(fingerprint=fingerprint)
+        run = Run(suspects=suspects)
         self._runs.add(run)
         return run
 
@@ -45,23 +49,20 @@
 
     async def wait(
         self,
-        fingerprint: str,
         seconds_left: float,
-        is_suspect: Callable[[], bool],
+        list_apart: Callable[[], frozenset[str]],
     ) -> bool:
-        """Wait until no copy of a request runs, or it is cleared.
+        """Wait until no copy of a suspect runs, or it is cleared.
 
         :param seconds_left: until the deadline of the request
-        :param is_suspect: returns whether it may still crash endpoints
+        :param list_apart: returns what it should not run beside copies of
         :returns: whether any copy ran
         """
         waits_until = self._clock.monotonic() + min(
             MAX_WAIT_SECONDS, seconds_left * MAX_WAIT_FRACTION
         )
         has_waited = False
-        while (
-            is_suspect() and (run := self._find_copy(fingerprint)) is not None
-        ):
+        while (run := self._find_copy(list_apart())) is not None:
             left = waits_until - self._clock.monotonic()
             if left <= 0:
                 # The copy is not about to crash its endpoint.
@@ -72,8 +73,10 @@
                     await run.ended.wait()
         return has_waited
 
-    def _find_copy(self, fingerprint: str) -> Run | None:
+    def _find_copy(self, suspects: frozenset[str]) -> Run | None:
+        if not suspects:
+            return None
         for run in self._runs:
-            if run.fingerprint() == fingerprint:
+            if not suspects.isdisjoint(run.suspects()):
                 return run
         return None
--- a/burdockdrum/passthrough/state/prompts.py
+++ b/burdockdrum/passthrough/state/prompts.py
@@ -25,13 +25,15 @@
 
     The last part is specific to the request or its session; those before it
     form the shared prefix. ``max_output_tokens`` is the limit of the output,
-    ``hinted_output_tokens`` the caller's estimate of it.
+    ``hinted_output_tokens`` the caller's estimate of it. ``model`` is the
+    model that the parts are of, empty if the caller names none.
     """
 
     tokens: int = 0
     max_output_tokens: int = 0
     hinted_output_tokens: int | None = None
     parts: tuple[PromptPart, ...] = ()
+    model: str = ""
 
     @property
     def expected_output_tokens(self) -> int:
@@ -60,7 +62,10 @@
 
 
 def parse_prompt(
-    counts: bytes | None, parts: bytes | None, hint: bytes | None = None
+    counts: bytes | None,
+    parts: bytes | None,
+    hint: bytes | None = None,
+    model: bytes | None = None,
 ) -> Prompt:
     """Parse the prompt headers; malformed ones are treated as absent.
 
@@ -72,6 +77,7 @@
         max_output_tokens=max_output_tokens,
         hinted_output_tokens=parse_count(hint),
         parts=_parse_parts(parts),
+        model=(model or b"").decode("latin-1"),
     )
 
 
--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -3,7 +3,7 @@
 Usage:
   soak [--seed N] [--seeds N] [--seconds S] [--keep FOLDER]
        [--limits | --signals | --retries | --crashes | --cuts | --versions |
-       --brittle] [--entries N] [--rate R]
+       --brittle | --parts] [--entries N] [--rate R]
 
 Options:
   --seed N       The first seed [default: 1].
@@ -16,8 +16,9 @@
   --crashes      Some requests crash endpoints; only their runs are checked.
   --cuts         Entries lose their links; first tries there are checked.
   --brittle      Endpoints crash if they reject much; only that is checked.
+  --parts        A prompt part crashes endpoints; only that is checked.
   --versions     Endpoints have several versions; only streams are checked.
-  --entries N    With these five: the entries of each region [default: 2].
+  --entries N    With these six: the entries of each region [default: 2].
   --rate R       With --retries: requests per second; at random by default.
 
 Three control VMs and three entries run as processes on loopback addresses.
@@ -43,6 +44,7 @@
 from scripts.soak.brittle import BrittleSoak
 from scripts.soak.crashes import CrashSoak
 from scripts.soak.cuts import CutSoak
+from scripts.soak.parts import PartSoak
 from scripts.soak.retries import RetrySoak
 from scripts.soak.retries import run_soak
 from scripts.soak.run import Result
@@ -60,6 +62,8 @@
         soak = CrashSoak(seed, entries=entries)
     elif arguments["--brittle"]:
         soak = BrittleSoak(seed, entries=entries)
+    elif arguments["--parts"]:
+        soak = PartSoak(seed, entries=entries)
     elif arguments["--cuts"]:
         soak = CutSoak(seed, entries=entries)
     elif arguments["--versions"]:
--- a/scripts/soak/crashing_endpoint.py
+++ b/scripts/soak/crashing_endpoint.py
@@ -11,6 +11,7 @@
 from scripts.soak.endpoint import parse_headers
 
 CRASHING_PREFIX = "/again/crash-"
+CRASHING_PART = "bad"
 # How long a request runs before it crashes the endpoint, or completes.
 RUN_SECONDS = (0.02, 0.3)
 RESTART_SECONDS = (1.5, 3.5)
@@ -18,7 +19,7 @@
 
 
 class CrashingEndpoint(Endpoint):
-    """Crashes under each request to a path that begins in a certain way.
+    """Crashes under certain paths, and under a certain part of a prompt.
 
     It restarts after some seconds at the same address with another id.
     """
@@ -63,13 +64,13 @@
         await reader.readexactly(int(headers.get(b"content-length", b"0")))
         if self._answer_health(headers, writer):
             return
-        target = head.split(b" ")[1].decode()
+        target = _name_cause(head.split(b" ")[1].decode(), headers)
         request_id = headers[b"x-request-id"].decode()
         if headers.get(b"x-expect-instance") != self.endpoint_id.encode():
             self._refuse(writer, b"421 Misdirected Request", request_id)
             return
         arrival = CrashingArrival(time=time.monotonic(), target=target)
-        is_crashing = target.startswith(CRASHING_PREFIX)
+        is_crashing = target.startswith((CRASHING_PREFIX, CRASHING_PART))
         if is_crashing:
             self._history.arrived.append(arrival)
         await asyncio.sleep(self._rng.uniform(*RUN_SECONDS))
@@ -78,3 +79,10 @@
         elif self.is_registered:
             self._history.crashed.append(arrival)
             await self.crash()
+
+
+def _name_cause(target: str, headers: dict[bytes, bytes]) -> str:
+    """Return the crashing part of a request's prompt, else its path."""
+    parts = headers.get(b"x-prompt-prefix", b"").decode().split(",")
+    names = [part.partition(":")[0] for part in parts]
+    return CRASHING_PART if CRASHING_PART in names[:-1] else target
--- a/tests/crashes/test_ledger.py
+++ b/tests/crashes/test_ledger.py
@@ -10,13 +10,14 @@
 from burdockdrum.crashes import CrashLedger
 from burdockdrum.crashes import CrashRecord
 from burdockdrum.crashes import ledger as ledger_module
+from burdockdrum.crashes import PART_PREFIX
 from burdockdrum.crashes import Standing
 from tests.passthrough.fakes import ManualClock
 
 RECORDS = st.lists(
     st.builds(
         CrashRecord,
-        fingerprint=st.sampled_from("abc"),
+        fingerprint=st.sampled_from(["a", "b", "c", "part-a", "part-b"]),
         endpoint_id=st.sampled_from(["e1", "e2", "e3", "e4"]),
         age=st.just(1.0),
         observer=st.just("vm"),
@@ -181,3 +182,70 @@
                 second.merge(record)
         self.assertEqual(set(first.keys()), set(second.keys()))
         self.assertEqual(first.quarantined, second.quarantined)
+
+
+class PartTest(LedgerCase):
+    """Parts of prompts among the suspects."""
+
+    def crash_parts(self, endpoint_id, *names, after=1.0):
+        """Let an endpoint crash some time later while it ran parts."""
+        self.clock.now += after
+        for name in names:
+            self.ledger.add(PART_PREFIX + name, endpoint_id, "vm")
+
+    def assess(self, *names):
+        """Return how a request with some parts is treated."""
+        parts = [PART_PREFIX + name for name in names]
+        return self.ledger.assess_all(["request", *parts]).standing
+
+    def test_part_of_three_crashes_is_quarantined(self):
+        for endpoint_id in "abc":
+            self.crash_parts(endpoint_id, "bad")
+        self.assertEqual(Standing.QUARANTINED, self.assess("bad"))
+        self.assertEqual(Standing.CLEAR, self.assess("sound"))
+
+    def test_crashes_at_the_same_time_count_once(self):
+        # Guards against blaming a shared part when a data centre is lost.
+        for endpoint_id in "abcdefgh":
+            self.crash_parts(endpoint_id, "shared", after=0.01)
+        self.assertEqual(Standing.SUSPECT, self.assess("shared"))
+
+    def test_parts_that_always_ran_together_are_rejected_together(self):
+        # Guards against blaming the first part of a route for a rarer one.
+        for endpoint_id in "abc":
+            self.crash_parts(endpoint_id, "first", "bad")
+        self.assertEqual(Standing.QUARANTINED, self.assess("first", "bad"))
+        for names in (["first"], ["first", "sound"], ["bad"]):
+            self.assertNotEqual(Standing.QUARANTINED, self.assess(*names))
+        self.ledger.clear(PART_PREFIX + "first")
+        self.assertEqual(Standing.QUARANTINED, self.assess("bad"))
+        self.assertEqual(Standing.CLEAR, self.assess("first"))
+
+    def test_part_that_crashes_without_its_rival_is_quarantined(self):
+        for endpoint_id in "abc":
+            self.crash_parts(endpoint_id, "first", "bad")
+        self.crash_parts("d", "bad")
+        self.assertEqual(Standing.QUARANTINED, self.assess("bad"))
+        self.assertEqual(Standing.CLEAR, self.assess("first"))
+
+    def test_request_that_ran_beside_a_part_is_cleared_by_it(self):
+        # Guards against a request that was retried beside crashing ones.
+        for endpoint_id in "abc":
+            self.ledger.add("request", endpoint_id, "vm")
+            self.crash_parts(endpoint_id, "bad")
+        self.crash_parts("d", "bad")
+        self.assertEqual(
+            frozenset({PART_PREFIX + "bad"}), self.ledger.quarantined
+        )
+
+    def test_run_that_wrote_before_a_crash_clears_nothing(self):
+        # Guards against an old run that clears what crashes from now on.
+        began = self.clock.now
+        for endpoint_id in "abc":
+            self.crash_parts(endpoint_id, "bad")
+        self.assertFalse(self.ledger.clear(PART_PREFIX + "bad", began))
+        self.assertEqual(Standing.QUARANTINED, self.assess("bad"))
+        self.assertTrue(
+            self.ledger.clear(PART_PREFIX + "bad", self.clock.now + 1)
+        )
+        self.assertEqual(Standing.CLEAR, self.assess("bad"))
--- a/tests/passthrough/relaying/test_crash_detector.py
+++ b/tests/passthrough/relaying/test_crash_detector.py
@@ -44,8 +44,8 @@
     async def lose(self, *fingerprints, name="a"):
         """Lose the connections of some requests to an endpoint."""
         for fingerprint in fingerprints:
-            self.detector.record_lost(fingerprint, self.endpoints[name])
-        await self.detector.settle("none")
+            self.detector.record_lost((fingerprint,), self.endpoints[name])
+        await self.detector.settle(["none"])
         for probe in list(self.detector._probes):
             await probe
 
@@ -121,7 +121,9 @@
     async def test_response_after_the_loss_shows_that_it_is_alive(self):
         await self.lose("f")
         self.clock.now += 1
-        self.detector.record_response("a", lambda: "g", self.clock.now)
+        self.detector.record_response(
+            "a", lambda: ["g"], self.clock.now, self.clock.now
+        )
         self.endpoints["a2"] = make_endpoint("a2", address="a:80")
         self.detector.update()
         self.assertEqual(0, self.crashes())
@@ -129,14 +131,16 @@
     async def test_completed_run_clears_a_request(self):
         self.refusing = {"a:80"}
         await self.lose("f", "g")
-        self.detector.record_response("b", lambda: "f", self.clock.now)
+        self.detector.record_response(
+            "b", lambda: ["f"], self.clock.now, self.clock.now
+        )
         self.assertEqual((0, 1), (self.crashes("f"), self.crashes("g")))
 
     async def test_suspects_are_kept_apart(self):
         self.refusing = {"a:80"}
         await self.lose("f", "g")
-        run = self.detector.begin_run(lambda: "f", "b")
-        self.assertEqual({"b"}, self.detector.list_shared("g"))
-        self.assertEqual(set(), self.detector.list_shared("f"))
+        run = self.detector.begin_run(lambda: ["f"], "b")
+        self.assertEqual({"b"}, self.detector.list_shared(["g"]))
+        self.assertEqual(set(), self.detector.list_shared(["f"]))
         self.detector.end_run(run, "b")
-        self.assertEqual(set(), self.detector.list_shared("g"))
+        self.assertEqual(set(), self.detector.list_shared(["g"]))
--- a/tests/passthrough/relaying/test_crashing_parts.py
+++ b/tests/passthrough/relaying/test_crashing_parts.py
@@ -3,6 +3,8 @@
 import asyncio
 import itertools
 
+from burdockdrum.crashes import is_part
+from burdockdrum.passthrough.protocol.fingerprint import make_part_fingerprint
 from tests.http1.wire import header
 from tests.passthrough.entries import answer
 from tests.passthrough.entries import Endpoint
@@ -105,3 +107,61 @@
             self.count_arrivals(), MAX_CRASHES + MAX_LATE_ARRIVALS
         )
         self.assertEqual({200}, set(sound[before:]))
+
+    async def test_part_in_any_position_is_rejected(self):
+        for parts in ((CRASHING_PART,), (CRASHING_PART, b"a"), (b"a", b"b")):
+            with self.subTest(parts=parts):
+                await self.open_entry()
+                await self.call_in_series(
+                    12, *dict.fromkeys((*parts, CRASHING_PART))
+                )
+                self.assertLessEqual(
+                    self.count_arrivals(), MAX_CRASHES + MAX_LATE_ARRIVALS
+                )
+
+    async def test_requests_at_once_cost_few_endpoints(self):
+        # Guards against requests that pass before the part is known.
+        await self.open_entry()
+        await self.call_in_series(8, b"first", CRASHING_PART, copies=4)
+        before = self.count_arrivals()
+        await self.call_in_series(2, b"first", CRASHING_PART, copies=4)
+        self.assertEqual(before, self.count_arrivals())
+        self.assertLessEqual(before, 4 + MAX_CRASHES + MAX_LATE_ARRIVALS)
+
+    async def test_last_part_is_never_suspected(self):
+        # Guards against rejecting a session for one request of it.
+        await self.open_entry()
+        await self.call(b"first", CRASHING_PART)
+        parts = set(filter(is_part, self.entry.ledger.suspects()))
+        expected = {
+            make_part_fingerprint("model", "m", part)
+            for part in ("first", "BAD")
+        }
+        self.assertEqual(expected, parts)
+
+    async def test_same_part_of_another_model_is_served(self):
+        await self.open_entry()
+        await self.call_in_series(8, CRASHING_PART)
+        self.assertEqual(503, await self.call(CRASHING_PART))
+        before = self.count_arrivals()
+        await self.call(CRASHING_PART, model=b"other")
+        self.assertGreater(self.count_arrivals(), before)
+
+    async def test_endpoints_that_end_of_other_causes_blame_no_part(self):
+        # Guards against rejecting what many requests share because many
+        # endpoints end at the same time.
+        await self.open_entry()
+
+        async def send():
+            while True:
+                await self.call(b"first", b"second")
+
+        tasks = [asyncio.create_task(send()) for _ in range(20)]
+        for endpoints in (self.endpoints[:12], self.endpoints[12:24]):
+            await asyncio.sleep(0.5)
+            await asyncio.gather(*(e.close() for e in endpoints))
+        await asyncio.sleep(0.5)
+        self.assertEqual(200, await self.call(b"first", b"second"))
+        for task in tasks:
+            task.cancel()
+        self.assertEqual(frozenset(), self.entry.ledger.quarantined)
