Ask a third entry after one that reaches no endpoint

Cause: an entry that reaches no endpoint refuses with a time to come back, and such a refusal closed its whole region to the request. It showed only when the second since the last such refusal was over.

--- a/burdockdrum/passthrough/relaying/relay.py
+++ b/burdockdrum/passthrough/relaying/relay.py
@@ -364,7 +364,7 @@
                 progress.unreached += _is_unreached(outcome)
             case RegionTarget(vm_id=vm_id, region=region):
                 progress.tried.add(vm_id)
-                if not isinstance(outcome, NotStarted) or outcome.retry_after:
+                if _has_answered(outcome):
                     progress.tried_regions.add(region)
                 if isinstance(outcome, NotStarted):
                     progress.record_region_retry_after(outcome.retry_after)
@@ -560,6 +560,16 @@
     return isinstance(outcome, NotStarted) and outcome.unconnected
 
 
+def _has_answered(outcome: Outcome) -> bool:
+    """Return whether the entry that was asked spoke for its region.
+
+    One that reaches no endpoint says nothing about the others there.
+    """
+    if not isinstance(outcome, NotStarted):
+        return True
+    return bool(outcome.retry_after) and not outcome.cut_off
+
+
 def _count_runs(
     target: Target,
     lost: Lost,
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -499,7 +499,7 @@
         entry.limits, entry.permits = limits, permits
         entry.budget, entry.signals = budget, signals
         entry.backoffs, entry.registered = backoffs, registered
-        entry.prober = prober
+        entry.prober, entry.rng = prober, rng
         await entry.callers.open()
         await entry.vms.open()
         updates = asyncio.create_task(update_continuously(prober, detector))
--- a/tests/passthrough/relaying/test_cut_entries.py
+++ b/tests/passthrough/relaying/test_cut_entries.py
@@ -3,7 +3,9 @@
 import asyncio
 import socket
 import time
+from unittest import mock
 
+from burdockdrum.passthrough.selection.targets import CUT_ENTRY_SECONDS
 from tests.passthrough.entries import answer
 from tests.passthrough.entries import Endpoint
 from tests.passthrough.entries import EntryDeployment
@@ -169,6 +171,22 @@
             cut.add_endpoint(name, self.links[0].address)
         self.assert_served(await self.call_often(entry))
 
+    async def test_refusal_of_a_cut_entry_leaves_its_region_in_question(self):
+        # Guards against refusing a request because the entry that was asked
+        # first reaches no endpoint, while a third one does.
+        entry = await self.open_region(RefusedLink, homes=["here"])
+        cut = await self.world.open_entry(
+            "here", self.endpoints, name="also cut"
+        )
+        for name in list(cut.registered):
+            cut.add_endpoint(name, self.links[0].address)
+        for asked in (entry, cut):
+            await asyncio.gather(*(asked.call() for _ in range(2)))
+        await asyncio.sleep(CUT_ENTRY_SECONDS)
+        with mock.patch.object(entry.rng, "choice", lambda names: names[-1]):
+            status, _ = await self.call_one(entry)
+        self.assertEqual(200, status)
+
     async def test_endpoint_that_is_silent_until_the_deadline_is_set_aside(
         self,
     ):
