Begin with the places that a brittle endpoint has left

Cause: the holder of an endpoint that has just become brittle took nothing for proven, and granted one place at a time until it was accepted.

Now the first holder takes the reported requests for proven, up to the slots that they leave free, so that all together stay within the slots. A new incarnation has none and is tried one by one as before.

--- a/burdockdrum/passthrough/brittle/broker.py
+++ b/burdockdrum/passthrough/brittle/broker.py
@@ -21,6 +21,7 @@
 from burdockdrum.passthrough.brittle.messages import TenureNotice
 from burdockdrum.passthrough.brittle.places import Place
 from burdockdrum.passthrough.brittle.places import PlaceDenied
+from burdockdrum.passthrough.brittle.tenures import FIRST_TERM
 from burdockdrum.passthrough.brittle.tenures import Tenures
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Message
@@ -54,6 +55,7 @@
         entries: LikelyEntries,
         metrics: Metrics,
         read_endpoints: Callable[[], Mapping[str, RegisteredEndpoint]],
+        read_requests: Callable[[str], float],
         ask: Callable[[str, PlaceRequest], Awaitable[PlaceReply]],
         send: Callable[[str, PlaceNotice | TenureNotice], None],
     ) -> None:
@@ -63,6 +65,8 @@
         :param incarnation: differs for each start of this entry
         :param entries: those that may hold the places of an endpoint
         :param read_endpoints: returns the registered endpoints by id
+        :param read_requests: returns the requests of all entries at an
+            endpoint, as last reported
         :param ask: sends a request for a place to an address; raises
             ``CallFailed``
         :param send: sends a notice to an address
@@ -74,6 +78,7 @@
         self._brittle = brittle
         self._entries = entries
         self._read_endpoints = read_endpoints
+        self._read_requests = read_requests
         self._ask = ask
         self._send = send
         self._holder = PlaceHolder(clock=clock, metrics=metrics)
@@ -142,6 +147,12 @@
             # The entry does not reach the holder, or there is none.
             tenure = self._tenures.begin(endpoint_id, request.term)
             self._tell_others({endpoint_id: tenure})
+            if tenure.term == FIRST_TERM:
+                self._holder.begin(
+                    endpoint_id,
+                    slots=endpoint.slots,
+                    requests=self._read_requests(endpoint_id),
+                )
         max_rejections = self._brittle.max_rejections_of(endpoint)
         reply = await self._holder.acquire(
             endpoint_id,
--- a/burdockdrum/passthrough/brittle/holder.py
+++ b/burdockdrum/passthrough/brittle/holder.py
@@ -11,6 +11,7 @@
 import collections
 from dataclasses import dataclass
 from dataclasses import field
+import math
 
 from burdockdrum.logs import log_decision
 from burdockdrum.metrics import Metrics
@@ -145,6 +146,21 @@
             "and rejections in spite of them.",
         )
 
+    def begin(self, endpoint_id: str, *, slots: int, requests: float) -> None:
+        """Begin to grant places of an endpoint that nobody granted before.
+
+        :param slots: the requests that the endpoint runs at once
+        :param requests: those that are there now; it has room for as many
+            beside them if it has slots left
+        """
+        room = max(0, min(int(requests), slots - math.ceil(requests)))
+        self._endpoints_by_id[endpoint_id] = _Endpoint(
+            slots=slots,
+            max_rejections=0,
+            proven=room,
+            used_at=self._clock.monotonic(),
+        )
+
     async def acquire(
         self,
         endpoint_id: str,
--- a/burdockdrum/passthrough/brittle/tenures.py
+++ b/burdockdrum/passthrough/brittle/tenures.py
@@ -12,6 +12,9 @@
 from burdockdrum.passthrough.brittle.messages import Tenure
 from burdockdrum.registrations import LikelyEntries
 
+# That of an endpoint whose places nobody granted before.
+FIRST_TERM = 1
+
 
 class Tenures:
     """The latest tenures that this entry knows, by endpoint id."""
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -147,6 +147,13 @@
     registrations = kernel.find("registrations", RegistrationFollower)
     peers = kernel.find("peers", Peers)
 
+    sharing = kernel.find("load_sharing", LoadSharing)
+
+    def read_requests(endpoint_id: str) -> float:
+        own = sharing.read_load().get(endpoint_id, [])
+        others = sharing.load_of(endpoint_id).requests
+        return others + sum(rank.requests for rank in own)
+
     async def ask(address: str, request: PlaceRequest) -> PlaceReply:
         return await peers.call(
             address, request, PlaceReply, timeout=ASK_TIMEOUT_SECONDS
@@ -161,6 +168,7 @@
         entries=registrations.likely_entries,
         metrics=kernel.find("metrics", Metrics),
         read_endpoints=lambda: registrations.endpoints_by_id,
+        read_requests=read_requests,
         ask=ask,
         send=peers.send,
     )
--- a/tests/passthrough/brittle/region.py
+++ b/tests/passthrough/brittle/region.py
@@ -59,6 +59,8 @@
         self.crashes = 0
         self.refused = 0
         self.requests = 0
+        # What entries report to run at each endpoint.
+        self.reported = 0.0
         # Entries that are frozen or cut off from the others.
         self.unreached = set()
         self.brokers = {}
@@ -88,6 +90,7 @@
             entries=known,
             metrics=Metrics(),
             read_endpoints=lambda: self.registered,
+            read_requests=lambda endpoint_id: self.reported,
             ask=lambda address, request: self._ask(name, address, request),
             send=lambda address, notice: self._send(name, address, notice),
         )
--- a/tests/passthrough/brittle/test_holder.py
+++ b/tests/passthrough/brittle/test_holder.py
@@ -1,6 +1,7 @@
 """Tests of the entry that hands out the places at brittle endpoints."""
 
 import asyncio
+import functools
 import unittest
 
 from burdockdrum.metrics import Metrics
@@ -70,6 +71,24 @@
 
         self.play(check, max_rejections=3)
 
+    def test_endpoint_with_slots_left_has_room_for_as_many_more(self):
+        # Guards against leaving slots unused for seconds whenever endpoints
+        # become brittle, and against filling one that is busy.
+        async def check(requests, granted):
+            self.holder.begin("p", slots=SLOTS, requests=requests)
+            self.assertEqual(granted, await self.acquire(*"abcd"))
+
+        for requests, granted in (
+            (2.0, ["a", "b", "c"]),
+            (3.0, ["a", "b"]),
+            (30.0, ["a"]),
+        ):
+            with self.subTest(requests=requests):
+                self.play(
+                    functools.partial(check, requests, granted),
+                    max_rejections=1,
+                )
+
     def test_rejection_stops_further_attempts_for_a_second(self):
         # Guards against as many rejections as there are requests.
         async def check():
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -319,6 +319,7 @@
             entries=entries,
             metrics=metrics,
             read_endpoints=lambda: registered,
+            read_requests=lambda endpoint_id: 0.0,
             ask=never_asked,
             send=never_asked,
         )
