--- a/burdockdrum/crashes/ledger.py
+++ b/burdockdrum/crashes/ledger.py
@@ -118,8 +118,9 @@
         # In the order of their serials.
         self._known_by_key: dict[RecordKey, _Known] = {}
         self._endpoints_by_fingerprint: dict[str, set[str]] = {}
-        # The suspects with enough crashes to be the rivals of others.
-        self._rivals: set[str] = set()
+        # The suspects with enough crashes to be the rivals of others, with
+        # the crashes that count against them.
+        self._rivals: dict[str, int] = {}
         self._quarantined: frozenset[str] = frozenset()
         # Other parts that ran whenever an endpoint crashed under a
         # quarantined one, unless one crashed without them.
@@ -320,9 +321,11 @@
             del self._endpoints_by_fingerprint[fingerprint]
         was_rival = fingerprint in self._rivals
         if count >= MIN_RIVAL_CRASHES:
-            self._rivals.add(fingerprint)
+            self._rivals[fingerprint] = self._count(
+                fingerprint, self._endpoints_by_fingerprint[fingerprint]
+            )
         else:
-            self._rivals.discard(fingerprint)
+            self._rivals.pop(fingerprint, None)
         if was_rival or count >= MIN_RIVAL_CRASHES:
             self._update_quarantined()
 
@@ -361,12 +364,11 @@
         """
         candidates = [
             fingerprint
-            for fingerprint in self._rivals
-            if self._count(
-                fingerprint, self._endpoints_by_fingerprint[fingerprint]
-            )
-            >= MAX_CRASHES
+            for fingerprint, count in self._rivals.items()
+            if count >= MAX_CRASHES
         ]
+        if not candidates:
+            return {}
         candidates.sort(
             key=lambda fingerprint: (
                 -len(self._endpoints_by_fingerprint[fingerprint]),
@@ -374,8 +376,6 @@
                 fingerprint,
             )
         )
-        if not candidates:
-            return {}
         quarantined: dict[str, frozenset[str]] = {}
         explained: set[str] = set()
         numbers = self._count_rivals(explained)
@@ -385,10 +385,8 @@
             if count < MIN_UNEXPLAINED_CRASHES:
                 continue
             # The suspect itself is counted as well.
-            is_contested = all(
-                numbers[(is_part(fingerprint), endpoint_id)] > 1
-                for endpoint_id in left
-            )
+            beside = numbers[is_part(fingerprint)]
+            is_contested = all(beside[endpoint_id] > 1 for endpoint_id in left)
             rivals: frozenset[str] = frozenset()
             if is_contested and is_part(fingerprint):
                 rivals = self._list_rivals(fingerprint, left)
@@ -415,19 +413,21 @@
 
     def _count_rivals(
         self, explained: set[str]
-    ) -> collections.Counter[tuple[bool, str]]:
+    ) -> dict[bool, collections.Counter[str]]:
         """Return how many rivals ran on each endpoint when it crashed.
 
-        Requests and parts of prompts are counted apart.
-
         :param explained: endpoints that quarantined suspects crashed
+        :returns: the numbers of parts of prompts by True, of requests by
+            False
         """
-        numbers: collections.Counter[tuple[bool, str]] = collections.Counter()
+        numbers: dict[bool, collections.Counter[str]] = {
+            True: collections.Counter(),
+            False: collections.Counter(),
+        }
         for fingerprint in self._rivals:
             left = self._endpoints_by_fingerprint[fingerprint] - explained
             if len(left) >= MIN_RIVAL_CRASHES:
-                kind = is_part(fingerprint)
-                numbers.update((kind, endpoint_id) for endpoint_id in left)
+                numbers[is_part(fingerprint)].update(left)
         return numbers
 
     def _count(self, fingerprint: str, endpoint_ids: Collection[str]) -> int:
