Tell the address of a place holder that isn't listed yet

Cause, found by reading: an entry that has just started, before a control VM lists it, told others its tenure without an address, so that none of them could ask it for places until it was replaced by a later one.

--- a/burdockdrum/passthrough/brittle/broker.py
+++ b/burdockdrum/passthrough/brittle/broker.py
@@ -26,6 +26,7 @@
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Message
 from burdockdrum.peers import Sender
+from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
 from burdockdrum.registrations import LikelyEntries
 from burdockdrum.registrations import RegisteredEndpoint
@@ -49,8 +50,7 @@
         *,
         clock: Clock,
         rng: random.Random,
-        own_id: str,
-        incarnation: int,
+        own: VmIdentity,
         brittle: BrittleEndpoints,
         entries: LikelyEntries,
         metrics: Metrics,
@@ -61,8 +61,7 @@
     ) -> None:
         """Create it for the endpoints of an entry's region.
 
-        :param own_id: the id of this entry
-        :param incarnation: differs for each start of this entry
+        :param own: the identity of this entry
         :param entries: those that may hold the places of an endpoint
         :param read_endpoints: returns the registered endpoints by id
         :param read_requests: returns the requests of all entries at an
@@ -73,8 +72,8 @@
         """
         self._clock = clock
         self._rng = rng
-        self._own_id = own_id
-        self._place_prefix = f"{own_id}/{incarnation}/"
+        self._own_id = own.vm_id
+        self._place_prefix = f"{own.vm_id}/{own.incarnation}/"
         self._brittle = brittle
         self._entries = entries
         self._read_endpoints = read_endpoints
@@ -82,7 +81,11 @@
         self._ask = ask
         self._send = send
         self._holder = PlaceHolder(clock=clock, metrics=metrics)
-        self._tenures = Tenures(own_id=own_id, entries=entries)
+        self._tenures = Tenures(
+            own_id=own.vm_id,
+            own_address=own.control_address,
+            entries=entries,
+        )
         self._tell_at = float("-inf")
         self._number = 0
         # When to ask for a place at an endpoint again, by its id.
--- a/burdockdrum/passthrough/brittle/tenures.py
+++ b/burdockdrum/passthrough/brittle/tenures.py
@@ -19,12 +19,18 @@
 class Tenures:
     """The latest tenures that this entry knows, by endpoint id."""
 
-    def __init__(self, *, own_id: str, entries: LikelyEntries) -> None:
+    def __init__(
+        self, *, own_id: str, own_address: str, entries: LikelyEntries
+    ) -> None:
         """Create it without any.
 
+        :param own_id: the id of this entry
+        :param own_address: where it gets messages; control VMs may not list
+            it yet
         :param entries: those that may hold the places of an endpoint
         """
         self._own_id = own_id
+        self._own_address = own_address
         self._entries = entries
         self._tenures_by_id: dict[str, Tenure] = {}
 
@@ -70,7 +76,7 @@
         tenure = Tenure(
             term=max(after, self.term_of(endpoint_id)) + 1,
             vm_id=self._own_id,
-            address=self._entries.address_by_id.get(self._own_id, ""),
+            address=self._own_address,
         )
         self.observe(endpoint_id, tenure)
         return tenure
--- a/burdockdrum/passthrough/relaying/relay.py
+++ b/burdockdrum/passthrough/relaying/relay.py
@@ -305,8 +305,8 @@
                 return target
             case Place():
                 return replace(target, place=place)
-            case PlaceDenied(retry_after=retry_after):
-                progress.record_denied_place(retry_after)
+            case PlaceDenied():
+                progress.record_denied_place(place.retry_after)
         if progress.places_denied % MAX_PLACES_DENIED:
             return None
         raise Refusal(
@@ -314,7 +314,9 @@
             message=f"{request.backend.name}: {progress.places_denied} "
             "endpoints that tolerate few rejections had no place",
             verdict=progress.verdict,
-            retry_after=max(MIN_RETRY_AFTER_SECONDS, retry_after),
+            retry_after=max(
+                MIN_RETRY_AFTER_SECONDS, progress.place_retry_after or 0.0
+            ),
         )
 
     async def _ask_for_permit(
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -162,8 +162,7 @@
     broker = PlaceBroker(
         clock=kernel.find("clock", Clock),
         rng=kernel.find("random", random.Random),
-        own_id=peers.identity.vm_id,
-        incarnation=peers.identity.incarnation,
+        own=peers.identity,
         brittle=kernel.find("brittle_endpoints", BrittleEndpoints),
         entries=registrations.likely_entries,
         metrics=kernel.find("metrics", Metrics),
--- a/tests/passthrough/brittle/region.py
+++ b/tests/passthrough/brittle/region.py
@@ -12,6 +12,7 @@
 from burdockdrum.passthrough.brittle import PlaceNotice
 from burdockdrum.passthrough.brittle import TenureNotice
 from burdockdrum.peers import CallFailed
+from burdockdrum.peers import VmIdentity
 from burdockdrum.registrations import AnnouncedLimit
 from burdockdrum.registrations import LikelyEntries
 from burdockdrum.testing import VirtualClock
@@ -79,8 +80,14 @@
         self.brokers[name] = PlaceBroker(
             clock=self.clock,
             rng=self.rng,
-            own_id=name,
-            incarnation=self.rng.random(),
+            own=VmIdentity(
+                vm_id=name,
+                incarnation=self.rng.randrange(1_000_000),
+                region="here",
+                data_centre="dc",
+                control_address=name,
+                http_address="",
+            ),
             brittle=BrittleEndpoints(
                 clock=self.clock,
                 metrics=Metrics(),
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -308,8 +308,7 @@
         places = PlaceBroker(
             clock=clock,
             rng=rng,
-            own_id=f"vm-{key}",
-            incarnation=1,
+            own=make_identity(key, region),
             brittle=BrittleEndpoints(
                 clock=clock,
                 metrics=metrics,
