--- a/burdockdrum/crashes/__init__.py
+++ b/burdockdrum/crashes/__init__.py
@@ -3,18 +3,18 @@
 All VMs know them.
 """
 
+from burdockdrum.crashes.assessments import Assessment
+from burdockdrum.crashes.assessments import Standing
 from burdockdrum.crashes.exchange import CrashExchange
 from burdockdrum.crashes.exchange import SHARE_DELAY_SECONDS
-from burdockdrum.crashes.ledger import Assessment
 from burdockdrum.crashes.ledger import CrashLedger
-from burdockdrum.crashes.ledger import MAX_CRASHES
 from burdockdrum.crashes.ledger import MAX_RECORDS
 from burdockdrum.crashes.ledger import PART_CRASH_INTERVAL_SECONDS
-from burdockdrum.crashes.ledger import Standing
 from burdockdrum.crashes.records import CrashRecord
 from burdockdrum.crashes.records import is_part
 from burdockdrum.crashes.records import PART_PREFIX
 from burdockdrum.crashes.services import add_services
+from burdockdrum.crashes.verdicts import MAX_CRASHES
 
 __all__ = [
     "add_services",
--- a/burdockdrum/crashes/ledger.py
+++ b/burdockdrum/crashes/ledger.py
@@ -17,33 +17,27 @@
 All VMs merge the same records, in any order, and reach the same verdicts.
 """
 
-import collections
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import replace
-import enum
 
 import msgspec
 
+from burdockdrum.crashes.assessments import Assessment
+from burdockdrum.crashes.assessments import CLEAR
+from burdockdrum.crashes.assessments import Standing
 from burdockdrum.crashes.records import CrashRecord
 from burdockdrum.crashes.records import is_part
 from burdockdrum.crashes.records import RecordKey
+from burdockdrum.crashes.verdicts import find_quarantined
+from burdockdrum.crashes.verdicts import MAX_CRASHES
+from burdockdrum.crashes.verdicts import MIN_RIVAL_CRASHES
 from burdockdrum.logs import log_decision
 from burdockdrum.ports import Clock
 
-# Crashes under a request after which it is not run again.
-MAX_CRASHES = 3
-# A request with so many is quarantined though rivals ran beside it each time.
-MAX_CONTESTED_CRASHES = 5
-# So many of them no other quarantined request may explain. One could be a
-# crash of another cause under a request that ran beside a crashing one.
-MIN_UNEXPLAINED_CRASHES = 2
-# Crashes under a request that may explain those of others. Each crash makes a
-# suspect of whatever ran there, so that one says little.
-MIN_RIVAL_CRASHES = 2
 # Crashes of a part of prompts within this time count once.
 PART_CRASH_INTERVAL_SECONDS = 0.25
 # How long a crash counts; a quarantine ends when fewer than the maximum do.
@@ -54,51 +48,6 @@
 REMOVED_FRACTION = 0.1
 
 
-class Standing(enum.Enum):
-    """How a request is treated."""
-
-    CLEAR = "clear"
-    SUSPECT = "suspect"
-    CONTESTED = "contested"
-    QUARANTINED = "quarantined"
-
-    @property
-    def severity(self) -> int:
-        """Return the rank among all, 0 for the mildest."""
-        return list(Standing).index(self)
-
-
-@dataclass(frozen=True, kw_only=True)
-class Assessment:
-    """How a request is treated, and the crashes that count against it.
-
-    ``seconds_left`` is the time until this ends without further crashes,
-    ``since_latest`` the time in seconds since the latest crash.
-    """
-
-    standing: Standing
-    fingerprint: str = ""
-    crashes: tuple[CrashRecord, ...] = ()
-    seconds_left: float = 0.0
-    since_latest: float = float("inf")
-
-    def describe(self) -> str:
-        """Return the crashes and who saw them, in words."""
-        seen = ", ".join(
-            f"{crash.endpoint_id} (seen by {crash.observer})"
-            for crash in self.crashes
-        )
-        subject = "prompt part" if is_part(self.fingerprint) else "request"
-        return (
-            f"{subject} {self.fingerprint}: "
-            f"{len(self.crashes)} endpoints crashed while running it: {seen}; "
-            f"rejected for {self.seconds_left:.0f} s more"
-        )
-
-
-_CLEAR = Assessment(standing=Standing.CLEAR)
-
-
 @dataclass(frozen=True, kw_only=True)
 class _Known:
     record: CrashRecord
@@ -202,10 +151,10 @@
     def assess(self, fingerprint: str) -> Assessment:
         """Return how a request is treated now."""
         if fingerprint not in self._endpoints_by_fingerprint:
-            return _CLEAR
+            return CLEAR
         endpoint_ids = self._unexplained(fingerprint)
         if not endpoint_ids:
-            return _CLEAR
+            return CLEAR
         if fingerprint in self._quarantined:
             standing = Standing.QUARANTINED
         elif self._count(fingerprint, endpoint_ids) < MAX_CRASHES:
@@ -232,7 +181,7 @@
 
         :param fingerprints: of the request and the parts of its prompt
         """
-        worst = _CLEAR
+        worst = CLEAR
         for fingerprint in fingerprints:
             if fingerprint not in self._endpoints_by_fingerprint:
                 continue
@@ -351,85 +300,13 @@
     def _update_quarantined(self) -> None:
         """Decide anew which requests are quarantined."""
         former = self._quarantined
-        self._rivals_by_quarantined = self._find_quarantined()
+        self._rivals_by_quarantined = find_quarantined(
+            self._rivals, self._endpoints_by_fingerprint, self._count
+        )
         self._quarantined = frozenset(self._rivals_by_quarantined)
         for fingerprint in self._quarantined - former:
             self._report_quarantined(fingerprint)
 
-    def _find_quarantined(self) -> dict[str, frozenset[str]]:
-        """Return the suspects to reject, each with its rivals if contested.
-
-        Those with most crashes come first: they explain the crashes of what
-        ran beside them. A request comes before the parts of its prompt.
-        """
-        candidates = [
-            fingerprint
-            for fingerprint, count in self._rivals.items()
-            if count >= MAX_CRASHES
-        ]
-        if not candidates:
-            return {}
-        candidates.sort(
-            key=lambda fingerprint: (
-                -len(self._endpoints_by_fingerprint[fingerprint]),
-                is_part(fingerprint),
-                fingerprint,
-            )
-        )
-        quarantined: dict[str, frozenset[str]] = {}
-        explained: set[str] = set()
-        numbers = self._count_rivals(explained)
-        for fingerprint in candidates:
-            left = self._endpoints_by_fingerprint[fingerprint] - explained
-            count = self._count(fingerprint, left)
-            if count < MIN_UNEXPLAINED_CRASHES:
-                continue
-            # The suspect itself is counted as well.
-            beside = numbers[is_part(fingerprint)]
-            is_contested = all(beside[endpoint_id] > 1 for endpoint_id in left)
-            rivals: frozenset[str] = frozenset()
-            if is_contested and is_part(fingerprint):
-                rivals = self._list_rivals(fingerprint, left)
-            elif is_contested and count < MAX_CONTESTED_CRASHES:
-                continue
-            quarantined[fingerprint] = rivals
-            explained |= left
-            numbers = self._count_rivals(explained)
-        return quarantined
-
-    def _list_rivals(
-        self, fingerprint: str, endpoint_ids: set[str]
-    ) -> frozenset[str]:
-        """Return the other parts under which some endpoints crashed."""
-        return frozenset(
-            other
-            for other in self._rivals
-            if other != fingerprint
-            and is_part(other)
-            and not endpoint_ids.isdisjoint(
-                self._endpoints_by_fingerprint[other]
-            )
-        )
-
-    def _count_rivals(
-        self, explained: set[str]
-    ) -> dict[bool, collections.Counter[str]]:
-        """Return how many rivals ran on each endpoint when it crashed.
-
-        :param explained: endpoints that quarantined suspects crashed
-        :returns: the numbers of parts of prompts by True, of requests by
-            False
-        """
-        numbers: dict[bool, collections.Counter[str]] = {
-            True: collections.Counter(),
-            False: collections.Counter(),
-        }
-        for fingerprint in self._rivals:
-            left = self._endpoints_by_fingerprint[fingerprint] - explained
-            if len(left) >= MIN_RIVAL_CRASHES:
-                numbers[is_part(fingerprint)].update(left)
-        return numbers
-
     def _count(self, fingerprint: str, endpoint_ids: Collection[str]) -> int:
         """Return how many crashes count against a suspect.
 
