--- a/tests/passthrough/brittle/test_region.py
+++ b/tests/passthrough/brittle/test_region.py
@@ -83,6 +83,27 @@
                 self.assertLessEqual(world.crashes, MAX_CRASHES)
                 self.assertGreater(used, MIN_USED_FRACTION / 2)
 
+    def test_new_holder_crashes_no_endpoint_that_tolerates_nothing(self):
+        # Guards against a first request of a restarted holder at an endpoint
+        # whose slots are still taken by requests of before.
+        async def restart(world):
+            names = list(world.brokers)
+            while True:
+                await asyncio.sleep(2.0)
+                world.start(world.rng.choice(names), names)
+
+        crashes = [
+            self.play(
+                entries=5,
+                max_rejections=0,
+                load=OVERLOAD,
+                meanwhile=restart,
+                seed=seed,
+            )[0].crashes
+            for seed in range(4)
+        ]
+        self.assertLessEqual(max(crashes), MAX_CRASHES, crashes)
+
     def test_restart_of_all_entries_crashes_few_endpoints(self):
         # Guards against entries that know nothing of what runs.
         async def restart(world):
