--- a/tests/passthrough/brittle/test_region.py
+++ b/tests/passthrough/brittle/test_region.py
@@ -71,7 +71,7 @@
                 await asyncio.sleep(world.rng.uniform(0.5, 3.0))
                 world.unreached.discard(name)
 
-        for seed in range(4):
+        for seed in range(6):
             with self.subTest(seed=seed):
                 world, used = self.play(
                     entries=7,
