End connections of a simulated endpoint that crashes

A process that ends takes its connections with it.

Change: an endpoint serves only connections of the server that it listens with, and ends the handling of open ones when it is closed.

--- a/scripts/soak/crashing_endpoint.py
+++ b/scripts/soak/crashing_endpoint.py
@@ -53,7 +53,7 @@
         host, _, port = self.address.rpartition(":")
         # Before it listens, else it accepts requests for the former one.
         self.endpoint_id = f"i{next(_incarnations)}"
-        self._server = await asyncio.start_server(self._serve, host, int(port))
+        await self._listen(host, int(port))
         self.is_registered = True
 
     async def _answer(
--- a/scripts/soak/endpoint.py
+++ b/scripts/soak/endpoint.py
@@ -81,24 +81,51 @@
         self._rng = rng
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def open(self) -> None:
         """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()[:2]
+        server = await self._listen("127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
+    async def _listen(self, host: str, port: int) -> asyncio.Server:
+        """Serve connections until the endpoint is closed."""
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            # Accepted, but not served yet when the endpoint was closed.
+            if self._server is not server:
+                writer.transport.abort()
+                return
+            await self._serve(reader, writer)
+
+        server = await asyncio.start_server(
+            serve, host, port, start_serving=False
+        )
+        self._server = server
+        await server.start_serving()
+        return server
+
     def close(self) -> None:
-        """Stop listening and drop every connection."""
+        """Stop listening, and end with every connection."""
         if self._server is not None:
             self._server.close()
+            self._server = None
         for writer in self._writers:
             writer.transport.abort()
+        for task in self._tasks - {asyncio.current_task()}:
+            task.cancel()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
         # Injected faults drop connections; the end of a seed cancels the
         # tasks of those that are still open.
         with contextlib.suppress(
