Show that places change hands again and again after a freeze (red)

An entry that was frozen for a second and returns takes the others for lost for 5 s, and they take it for lost. A new holder knows nothing of what runs, so each of them may send a request too many.

--- a/tests/passthrough/brittle/region.py
+++ b/tests/passthrough/brittle/region.py
@@ -60,6 +60,8 @@
         self.crashes = 0
         self.refused = 0
         self.requests = 0
+        # The latest term of each endpoint that an entry told the others.
+        self.terms_by_id = {}
         # What entries report to run at each endpoint.
         self.reported = 0.0
         # Entries that are frozen or cut off from the others.
@@ -130,6 +132,11 @@
                     case TenureNotice():
                         await broker.handle_tenures(None, notice)
 
+        if isinstance(notice, TenureNotice):
+            for endpoint_id, tenure in notice.tenures_by_id.items():
+                term = self.terms_by_id.get(endpoint_id, 0)
+                self.terms_by_id[endpoint_id] = max(term, tenure.term)
+
         self.group.create_task(deliver())
 
     async def play(self, *, load, seconds, meanwhile=None):
--- a/tests/passthrough/brittle/test_region.py
+++ b/tests/passthrough/brittle/test_region.py
@@ -12,6 +12,8 @@
 MAX_CRASHES = 2 + ENDPOINTS / 10
 MIN_USED_FRACTION = 0.9
 OVERLOAD = 1.5
+# The first holder, one after its loss, one when it is back.
+MAX_TERMS = 3
 
 
 class BrittleRegionTest(unittest.TestCase):
@@ -83,6 +85,28 @@
                 self.assertLessEqual(world.crashes, MAX_CRASHES)
                 self.assertGreater(used, MIN_USED_FRACTION / 2)
 
+    def test_places_change_hands_once_for_a_loss_and_once_for_a_return(self):
+        # Guards against two entries that each take the other one for lost
+        # and take over from each other with every request.
+        async def freeze(world):
+            await asyncio.sleep(1.0)
+            world.unreached.add("e0")
+            await asyncio.sleep(1.0)
+            world.unreached.discard("e0")
+
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                world, _ = self.play(
+                    entries=5,
+                    max_rejections=3,
+                    load=OVERLOAD,
+                    meanwhile=freeze,
+                    seconds=4.0,
+                    seed=seed,
+                )
+                terms = world.terms_by_id
+                self.assertLessEqual(max(terms.values()), MAX_TERMS, terms)
+
     def test_new_holder_crashes_no_endpoint_that_tolerates_nothing(self):
         # Guards against a first request of a restarted holder at an endpoint
         # whose slots are still taken by requests of before.
