Ask a place holder again that sends messages

Callers saw nothing but endpoints that crashed more often than needed. Cause: an entry does not ask one that did not reply for 5 s, also when that one sends it requests and notices. After a freeze of a second two entries took over the places of an endpoint from each other with every request; each new holder begins without knowing what runs there.

Change: a message from an entry ends its time as unreached.

--- a/burdockdrum/passthrough/brittle/broker.py
+++ b/burdockdrum/passthrough/brittle/broker.py
@@ -137,6 +137,8 @@
 
         :param sender: the entry, None if this one asks itself
         """
+        if sender is not None:
+            self._record_reached(sender)
         endpoint_id = request.endpoint_id
         endpoint = self._read_endpoints().get(endpoint_id)
         if endpoint is None:
@@ -175,6 +177,7 @@
         self, sender: Sender, notice: PlaceNotice
     ) -> Message | None:
         """Record what became of a place of another entry."""
+        self._record_reached(sender)
         self._holder.record(notice.endpoint_id, notice.place_id, notice.event)
         return None
 
@@ -182,6 +185,7 @@
         self, sender: Sender, notice: TenureNotice
     ) -> Message | None:
         """Take note of the endpoints whose places another entry grants."""
+        self._record_reached(sender)
         for endpoint_id, tenure in notice.tenures_by_id.items():
             self._observe_tenure(endpoint_id, tenure)
         return None
@@ -260,6 +264,10 @@
         self._requests_total.increment(result="own" if is_own else "granted")
         return Place(report=record)
 
+    def _record_reached(self, sender: Sender) -> None:
+        """Ask an entry again that did not reply, but sends messages."""
+        self._ask_holder_from_by_id.pop(sender.vm_id, None)
+
     def _record_unreached(
         self, endpoint_id: str, holder_id: str, error: CallFailed
     ) -> None:
--- a/tests/passthrough/brittle/region.py
+++ b/tests/passthrough/brittle/region.py
@@ -12,6 +12,7 @@
 from burdockdrum.passthrough.brittle import PlaceNotice
 from burdockdrum.passthrough.brittle import TenureNotice
 from burdockdrum.peers import CallFailed
+from burdockdrum.peers import Sender
 from burdockdrum.peers import VmIdentity
 from burdockdrum.registrations import AnnouncedLimit
 from burdockdrum.registrations import LikelyEntries
@@ -29,6 +30,10 @@
 LEARNING_SECONDS = 0.3
 
 
+def _sender(name):
+    return Sender(vm_id=name, address=name, incarnation=0)
+
+
 class SimulatedEndpoint:
     """An endpoint that crashes if it rejects too much in a second."""
 
@@ -117,7 +122,9 @@
         if self._is_cut(name, address):
             await asyncio.sleep(0.5)
             raise CallFailed("no reply")
-        reply = await self.brokers[address].handle_request(None, request)
+        reply = await self.brokers[address].handle_request(
+            _sender(name), request
+        )
         await asyncio.sleep(MESSAGE_SECONDS)
         return reply
 
@@ -128,9 +135,9 @@
                 broker = self.brokers[address]
                 match notice:
                     case PlaceNotice():
-                        await broker.handle_notice(None, notice)
+                        await broker.handle_notice(_sender(name), notice)
                     case TenureNotice():
-                        await broker.handle_tenures(None, notice)
+                        await broker.handle_tenures(_sender(name), notice)
 
         if isinstance(notice, TenureNotice):
             for endpoint_id, tenure in notice.tenures_by_id.items():
