Tell a new holder which places of an endpoint are in use

Callers saw more crashes of endpoints that tolerate no rejection: when an entry was restarted, or took over the places of an endpoint from another one, it knew nothing of what ran there and sent a request to an endpoint that was full.

Cause: places in use were known only to the entry that granted them.

Change: each entry keeps the places that its own requests use and tells them to an entry that begins a tenure; what becomes of them is reported to that one. A restarted entry that begins the first tenure once more is told so. A new holder waits 0.1 s for these messages, and for a second sends nothing unproven to an endpoint that tolerates less than two rejections, as requests of an entry that is gone are told by nobody.

--- a/burdockdrum/passthrough/brittle/__init__.py
+++ b/burdockdrum/passthrough/brittle/__init__.py
@@ -14,6 +14,8 @@
 from burdockdrum.passthrough.brittle.messages import PlaceReply
 from burdockdrum.passthrough.brittle.messages import PlaceRequest
 from burdockdrum.passthrough.brittle.messages import TenureNotice
+from burdockdrum.passthrough.brittle.messages import UsedPlace
+from burdockdrum.passthrough.brittle.messages import UsedPlacesNotice
 from burdockdrum.passthrough.brittle.places import Place
 from burdockdrum.passthrough.brittle.places import PlaceDenied
 
@@ -29,4 +31,6 @@
     "PlaceReply",
     "PlaceRequest",
     "TenureNotice",
+    "UsedPlace",
+    "UsedPlacesNotice",
 ]
--- a/burdockdrum/passthrough/brittle/broker.py
+++ b/burdockdrum/passthrough/brittle/broker.py
@@ -19,10 +19,12 @@
 from burdockdrum.passthrough.brittle.messages import PlaceRequest
 from burdockdrum.passthrough.brittle.messages import Tenure
 from burdockdrum.passthrough.brittle.messages import TenureNotice
+from burdockdrum.passthrough.brittle.messages import UsedPlacesNotice
 from burdockdrum.passthrough.brittle.places import Place
 from burdockdrum.passthrough.brittle.places import PlaceDenied
 from burdockdrum.passthrough.brittle.tenures import FIRST_TERM
 from burdockdrum.passthrough.brittle.tenures import Tenures
+from burdockdrum.passthrough.brittle.used_places import UsedPlaces
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Message
 from burdockdrum.peers import Sender
@@ -57,7 +59,7 @@
         read_endpoints: Callable[[], Mapping[str, RegisteredEndpoint]],
         read_requests: Callable[[str], float],
         ask: Callable[[str, PlaceRequest], Awaitable[PlaceReply]],
-        send: Callable[[str, PlaceNotice | TenureNotice], None],
+        send: Callable[[str, Message], None],
     ) -> None:
         """Create it for the endpoints of an entry's region.
 
@@ -73,6 +75,7 @@
         self._clock = clock
         self._rng = rng
         self._own_id = own.vm_id
+        self._own_address = own.control_address
         self._place_prefix = f"{own.vm_id}/{own.incarnation}/"
         self._brittle = brittle
         self._entries = entries
@@ -86,6 +89,7 @@
             own_address=own.control_address,
             entries=entries,
         )
+        self._used = UsedPlaces(clock=clock)
         self._tell_at = float("-inf")
         self._number = 0
         # When to ask for a place at an endpoint again, by its id.
@@ -150,14 +154,7 @@
                 tenure = self._tenures.find(endpoint_id)
                 return PlaceReply(is_granted=False, tenure=tenure)
             # The entry does not reach the holder, or there is none.
-            tenure = self._tenures.begin(endpoint_id, request.term)
-            self._tell_others({endpoint_id: tenure})
-            if tenure.term == FIRST_TERM:
-                self._holder.begin(
-                    endpoint_id,
-                    slots=endpoint.slots,
-                    requests=self._read_requests(endpoint_id),
-                )
+            self._begin_tenure(endpoint, request.term)
         max_rejections = self._brittle.max_rejections_of(endpoint)
         reply = await self._holder.acquire(
             endpoint_id,
@@ -187,7 +184,18 @@
         """Take note of the endpoints whose places another entry grants."""
         self._record_reached(sender)
         for endpoint_id, tenure in notice.tenures_by_id.items():
-            self._observe_tenure(endpoint_id, tenure)
+            is_known = not self._observe_tenure(endpoint_id, tenure)
+            if is_known and notice.is_new:
+                self._tell_former(sender, endpoint_id)
+        return None
+
+    async def handle_used_places(
+        self, sender: Sender, notice: UsedPlacesNotice
+    ) -> Message | None:
+        """Count places that another entry got from a former holder."""
+        self._record_reached(sender)
+        if self._tenures.is_own(notice.endpoint_id):
+            self._holder.adopt(notice.endpoint_id, notice.places)
         return None
 
     def update(self) -> None:
@@ -201,22 +209,65 @@
         self._tenures.retain(self._read_endpoints())
         if now >= self._tell_at:
             self._tell_at = now + TENURE_INTERVAL_SECONDS
-            self._tell_others(self._tenures.list_own())
+            self._tell_others(self._tenures.list_own(), is_new=False)
 
-    def _tell_others(self, tenures_by_id: dict[str, Tenure]) -> None:
+    def _tell_others(
+        self, tenures_by_id: dict[str, Tenure], *, is_new: bool
+    ) -> None:
         """Tell the other entries of tenures of this one."""
         if not tenures_by_id:
             return
-        notice = TenureNotice(tenures_by_id=tenures_by_id)
+        notice = TenureNotice(tenures_by_id=tenures_by_id, is_new=is_new)
         for vm_id, address in self._entries.address_by_id.items():
             if vm_id != self._own_id:
                 self._send(address, notice)
 
-    def _observe_tenure(self, endpoint_id: str, tenure: Tenure) -> None:
+    def _begin_tenure(self, endpoint: RegisteredEndpoint, after: int) -> None:
+        """Begin to grant the places of an endpoint, after a term."""
+        endpoint_id = endpoint.endpoint_id
+        tenure = self._tenures.begin(endpoint_id, after)
+        self._tell_others({endpoint_id: tenure}, is_new=True)
+        if tenure.term == FIRST_TERM:
+            self._holder.begin(
+                endpoint_id,
+                slots=endpoint.slots,
+                requests=self._read_requests(endpoint_id),
+            )
+            return
+        self._holder.take_over(
+            endpoint_id,
+            slots=endpoint.slots,
+            max_rejections=self._brittle.max_rejections_of(endpoint) or 0,
+        )
+        self._holder.adopt(endpoint_id, self._used.list_used(endpoint_id))
+
+    def _observe_tenure(self, endpoint_id: str, tenure: Tenure) -> bool:
+        """Take note of a tenure; return whether it is later than the known."""
         was_own = self._tenures.is_own(endpoint_id)
-        is_later = self._tenures.observe(endpoint_id, tenure)
-        if is_later and was_own:
+        if not self._tenures.observe(endpoint_id, tenure):
+            return False
+        if was_own:
             self._holder.give_up(endpoint_id)
+        if self._used.list_used(endpoint_id):
+            self._tell_used(endpoint_id, tenure.address)
+        return True
+
+    def _tell_former(self, sender: Sender, endpoint_id: str) -> None:
+        """Tell an entry that began to grant places of who granted them."""
+        tenure = self._tenures.find(endpoint_id)
+        assert tenure is not None
+        if tenure.vm_id == sender.vm_id:
+            # It granted them before it was restarted.
+            self._tell_used(endpoint_id, sender.address)
+            return
+        notice = TenureNotice(tenures_by_id={endpoint_id: tenure})
+        self._send(sender.address, notice)
+
+    def _tell_used(self, endpoint_id: str, address: str) -> None:
+        """Tell a new holder which places the requests of this entry use."""
+        places = self._used.list_used(endpoint_id)
+        notice = UsedPlacesNotice(endpoint_id=endpoint_id, places=places)
+        self._send(address, notice)
 
     async def _acquire_from(
         self,
@@ -236,13 +287,8 @@
         is_own = holder_id == self._own_id
 
         def record(event: PlaceEvent) -> None:
-            if is_own:
-                self._holder.record(endpoint_id, request.place_id, event)
-                return
-            notice = PlaceNotice(
-                endpoint_id=endpoint_id, place_id=request.place_id, event=event
-            )
-            self._send(address, notice)
+            self._used.record(endpoint_id, request.place_id, event)
+            self._report(address, endpoint_id, request.place_id, event)
 
         try:
             reply = await (
@@ -262,12 +308,39 @@
         if not reply.is_granted:
             return PlaceDenied(retry_after=reply.retry_after)
         self._requests_total.increment(result="own" if is_own else "granted")
+        self._used.begin(endpoint_id, request.place_id, seconds_left)
+        tenure = self._tenures.find(endpoint_id)
+        if tenure is not None and tenure.vm_id != holder_id:
+            # Granted while another entry took over.
+            self._tell_used(endpoint_id, tenure.address)
         return Place(report=record)
 
     def _record_reached(self, sender: Sender) -> None:
         """Ask an entry again that did not reply, but sends messages."""
         self._ask_holder_from_by_id.pop(sender.vm_id, None)
 
+    def _report(
+        self,
+        address: str,
+        endpoint_id: str,
+        place_id: str,
+        event: PlaceEvent,
+    ) -> None:
+        """Tell the holder of an endpoint what became of a place.
+
+        :param address: that of the entry that granted it
+        """
+        tenure = self._tenures.find(endpoint_id)
+        if tenure is not None:
+            address = tenure.address
+        if address == self._own_address:
+            self._holder.record(endpoint_id, place_id, event)
+            return
+        notice = PlaceNotice(
+            endpoint_id=endpoint_id, place_id=place_id, event=event
+        )
+        self._send(address, notice)
+
     def _record_unreached(
         self, endpoint_id: str, holder_id: str, error: CallFailed
     ) -> None:
--- a/burdockdrum/passthrough/brittle/holder.py
+++ b/burdockdrum/passthrough/brittle/holder.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+from collections.abc import Collection
 from dataclasses import dataclass
 from dataclasses import field
 import math
@@ -17,6 +18,7 @@
 from burdockdrum.metrics import Metrics
 from burdockdrum.passthrough.brittle.messages import PlaceEvent
 from burdockdrum.passthrough.brittle.messages import PlaceReply
+from burdockdrum.passthrough.brittle.messages import UsedPlace
 from burdockdrum.ports import Clock
 
 # How long a request may wait for a place. Then another endpoint or region is
@@ -28,6 +30,8 @@
 INTOLERANT_REJECTION_SECONDS = 10.0
 # How long a request may go on at an endpoint after its connection was lost.
 LOST_SECONDS = 1.0
+# Covers the messages of other entries about the places that they use.
+HAND_OVER_SECONDS = 0.1
 # A place ends so long after the deadline of its request.
 EXPIRY_GRACE_SECONDS = 1.0
 # The weight of a new sample in the mean time for which places are used.
@@ -69,13 +73,16 @@
     """The places of one endpoint.
 
     ``proven`` is how many it is known to have had room for at once.
-    ``used_at`` is when the last place was granted.
+    ``used_at`` is when the last place was granted, ``begun_at`` when this
+    entry began to. ``is_taken_over`` says that places were granted before.
     """
 
     slots: int
     max_rejections: int
     proven: int = 0
     used_at: float = float("-inf")
+    begun_at: float = float("-inf")
+    is_taken_over: bool = False
     mean_use_seconds: float = INITIAL_USE_SECONDS
     places_by_id: dict[str, _GrantedPlace] = field(default_factory=dict)
     rejected_at: list[float] = field(default_factory=list)
@@ -101,15 +108,20 @@
             not place.is_accepted and place.number > self.proven
             for place in self.places_by_id.values()
         )
-        return at_risk + len(self.rejected_at) < self.tolerated
+        return at_risk + len(self.rejected_at) < self._count_tolerated(now)
 
-    @property
-    def tolerated(self) -> int:
+    def _count_tolerated(self, now: float) -> int:
         """Return how many requests may be rejected in a second.
 
-        For a moment two entries may take themselves for the holder.
+        For a moment two entries may take themselves for the holder. At least
+        one may, else nothing would ever be proven.
         """
-        return max(1, self.max_rejections // 2)
+        age = now - self.begun_at
+        if age < HAND_OVER_SECONDS:
+            return 0
+        # Requests of an entry that is gone may run, which nobody counts.
+        is_cautious = self.is_taken_over and age < LOST_SECONDS
+        return max(0 if is_cautious else 1, self.max_rejections // 2)
 
     def expire(self, now: float) -> None:
         """Forget places whose requests have ended, and old rejections."""
@@ -147,18 +159,62 @@
         )
 
     def begin(self, endpoint_id: str, *, slots: int, requests: float) -> None:
-        """Begin to grant places of an endpoint that nobody granted before.
+        """Begin to grant places of an endpoint, as far as known the first.
 
         :param slots: the requests that the endpoint runs at once
         :param requests: those that are there now; it has room for as many
             beside them if it has slots left
         """
         room = max(0, min(int(requests), slots - math.ceil(requests)))
+        now = self._clock.monotonic()
         self._endpoints_by_id[endpoint_id] = _Endpoint(
             slots=slots,
             max_rejections=0,
             proven=room,
-            used_at=self._clock.monotonic(),
+            used_at=now,
+            begun_at=now,
+        )
+
+    def take_over(
+        self, endpoint_id: str, *, slots: int, max_rejections: int
+    ) -> None:
+        """Begin to grant places of an endpoint after another holder.
+
+        :param slots: the requests that the endpoint runs at once
+        :param max_rejections: those that it tolerates to reject in a second
+        """
+        self._endpoints_by_id[endpoint_id] = _Endpoint(
+            slots=slots,
+            max_rejections=max_rejections,
+            begun_at=self._clock.monotonic(),
+            is_taken_over=True,
+        )
+
+    def adopt(self, endpoint_id: str, places: Collection[UsedPlace]) -> None:
+        """Count places that a former holder granted and that are in use."""
+        known = self._endpoints_by_id.get(endpoint_id)
+        if known is None:
+            return
+        known.is_taken_over = True
+        now = self._clock.monotonic()
+        for place in places:
+            if place.place_id in known.places_by_id:
+                continue
+            known.places_by_id[place.place_id] = _GrantedPlace(
+                number=len(known.places_by_id) + 1,
+                granted_at=now,
+                expires_at=now + place.seconds_left + EXPIRY_GRACE_SECONDS,
+                is_accepted=place.is_accepted,
+            )
+        accepted = sum(p.is_accepted for p in known.places_by_id.values())
+        known.proven = min(known.slots, max(known.proven, accepted))
+        known.used_at = now
+        log_decision(
+            "endpoint.places_taken_over",
+            endpoint_id=endpoint_id,
+            places=len(known.places_by_id),
+            slots=known.slots,
+            proven=known.proven,
         )
 
     async def acquire(
@@ -189,7 +245,7 @@
         if not waiter.is_granted.done() and may_wait:
             seconds = min(MAX_WAIT_SECONDS, max(0.0, seconds_left / 2))
             try:
-                await asyncio.wait({waiter.is_granted}, timeout=seconds)
+                await self._wait(known, waiter, seconds)
             except asyncio.CancelledError:
                 self.record(endpoint_id, place_id, PlaceEvent.UNUSED)
                 raise
@@ -285,6 +341,18 @@
             )
             waiter.is_granted.set_result(True)
 
+    async def _wait(
+        self, known: _Endpoint, waiter: _Waiter, seconds: float
+    ) -> None:
+        """Wait for a place, which may be free once the hand-over is over."""
+        now = self._clock.monotonic()
+        until_handed_over = known.begun_at + HAND_OVER_SECONDS - now
+        if 0 < until_handed_over < seconds:
+            await asyncio.wait({waiter.is_granted}, timeout=until_handed_over)
+            self._grant_waiting(known)
+            seconds -= until_handed_over
+        await asyncio.wait({waiter.is_granted}, timeout=seconds)
+
     def _stop_waiting(self, known: _Endpoint, place_id: str) -> None:
         """Let a request not wait any more whose entry has given up."""
         for waiter in list(known.waiters):
--- a/burdockdrum/passthrough/brittle/messages.py
+++ b/burdockdrum/passthrough/brittle/messages.py
@@ -72,11 +72,33 @@
 
 
 class TenureNotice(Message, frozen=True, kw_only=True, array_like=True):
-    """An entry tells the others of which endpoints it grants the places."""
+    """An entry tells the others of which endpoints it grants the places.
+
+    ``is_new`` says that it begins to. Those who know a former holder, or use
+    places, reply with ``UsedPlacesNotice``.
+    """
 
     is_urgent: ClassVar[bool] = True
 
     tenures_by_id: dict[str, Tenure]
+    is_new: bool = False
+
+
+class UsedPlace(msgspec.Struct, frozen=True, array_like=True):
+    """A place that a request uses, until at most its deadline."""
+
+    place_id: str
+    seconds_left: float
+    is_accepted: bool
+
+
+class UsedPlacesNotice(Message, frozen=True, kw_only=True, array_like=True):
+    """An entry tells a new holder which places its requests still use."""
+
+    is_urgent: ClassVar[bool] = True
+
+    endpoint_id: str
+    places: list[UsedPlace]
 
 
 class PlaceNotice(Message, frozen=True, kw_only=True, array_like=True):
--- a/burdockdrum/passthrough/brittle/places.py
+++ b/burdockdrum/passthrough/brittle/places.py
@@ -5,7 +5,7 @@
 
 from burdockdrum.passthrough.brittle.messages import PlaceEvent
 
-_FINAL = frozenset(PlaceEvent) - {PlaceEvent.ACCEPTED}
+FINAL_EVENTS = frozenset(PlaceEvent) - {PlaceEvent.ACCEPTED}
 
 
 class Place:
@@ -24,7 +24,7 @@
         """Report what became of it, unless it has ended already."""
         if self._is_ended:
             return
-        if event in _FINAL:
+        if event in FINAL_EVENTS:
             self._is_ended = True
         elif self._is_accepted:
             return
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -26,6 +26,7 @@
 from burdockdrum.passthrough.brittle import PlaceReply
 from burdockdrum.passthrough.brittle import PlaceRequest
 from burdockdrum.passthrough.brittle import TenureNotice
+from burdockdrum.passthrough.brittle import UsedPlacesNotice
 from burdockdrum.passthrough.protocol import ActiveRoutes
 from burdockdrum.passthrough.protocol import HeaderNames
 from burdockdrum.passthrough.protocol import PayloadEncoder
@@ -174,6 +175,7 @@
     peers.register(PlaceRequest, broker.handle_request)
     peers.register(PlaceNotice, broker.handle_notice)
     peers.register(TenureNotice, broker.handle_tenures)
+    peers.register(UsedPlacesNotice, broker.handle_used_places)
     return broker
 
 
--- a/tests/passthrough/brittle/region.py
+++ b/tests/passthrough/brittle/region.py
@@ -11,6 +11,7 @@
 from burdockdrum.passthrough.brittle import PlaceEvent
 from burdockdrum.passthrough.brittle import PlaceNotice
 from burdockdrum.passthrough.brittle import TenureNotice
+from burdockdrum.passthrough.brittle import UsedPlacesNotice
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Sender
 from burdockdrum.peers import VmIdentity
@@ -138,6 +139,8 @@
                         await broker.handle_notice(_sender(name), notice)
                     case TenureNotice():
                         await broker.handle_tenures(_sender(name), notice)
+                    case UsedPlacesNotice():
+                        await broker.handle_used_places(_sender(name), notice)
 
         if isinstance(notice, TenureNotice):
             for endpoint_id, tenure in notice.tenures_by_id.items():
--- a/tests/passthrough/brittle/test_holder.py
+++ b/tests/passthrough/brittle/test_holder.py
@@ -7,6 +7,7 @@
 from burdockdrum.metrics import Metrics
 from burdockdrum.passthrough.brittle import PlaceEvent
 from burdockdrum.passthrough.brittle import PlaceHolder
+from burdockdrum.passthrough.brittle import UsedPlace
 from burdockdrum.testing import run_virtual
 from burdockdrum.testing import VirtualClock
 
@@ -120,6 +121,40 @@
 
         self.play(check)
 
+    def test_new_holder_counts_the_places_of_the_former_one(self):
+        # Guards against a new holder that fills slots which are in use.
+        async def check():
+            self.holder.take_over(
+                "p", slots=SLOTS, max_rejections=MAX_REJECTIONS
+            )
+            self.holder.adopt(
+                "p",
+                [
+                    UsedPlace(
+                        place_id=place_id,
+                        seconds_left=DEADLINE_SECONDS,
+                        is_accepted=True,
+                    )
+                    for place_id in "abc"
+                ],
+            )
+            self.assertEqual(["d"], await self.acquire(*"de"))
+            self.record(PlaceEvent.ENDED, "a")
+            self.assertEqual(["f"], await self.acquire(*"fg"))
+
+        self.play(check)
+
+    def test_new_holder_grants_nothing_unproven_for_a_second(self):
+        # Guards against a rejection at an endpoint that tolerates none, by
+        # requests of an entry that is gone.
+        async def check():
+            self.holder.take_over("p", slots=SLOTS, max_rejections=0)
+            self.assertEqual([], await self.acquire("a"))
+            await asyncio.sleep(1.0)
+            self.assertEqual(["b"], await self.acquire("b"))
+
+        self.play(check, max_rejections=0)
+
     def test_request_that_gave_up_leaves_no_place(self):
         # Guards against a place for a request whose entry has gone on.
         async def check():
--- a/tests/peers/test_kinds.py
+++ b/tests/peers/test_kinds.py
@@ -64,6 +64,7 @@
     "passthrough.RetryLoanReply",
     "passthrough.RetryLoanRequest",
     "passthrough.TenureNotice",
+    "passthrough.UsedPlacesNotice",
     "quarantine.ClearNote",
     "quarantine.LossNote",
     "quarantine.TrialCall",
