Abort a call whose timeout just expires without an error

Cause: a call that is aborted after its timeout fired, but before its task has run, reschedules a timeout that can't be changed any more.

Change: such a call is left alone, as it ends anyway. The test fails before with that error.

--- a/burdockdrum/passthrough/relaying/in_flight_calls.py
+++ b/burdockdrum/passthrough/relaying/in_flight_calls.py
@@ -54,7 +54,7 @@
 
     def abort(self, reason: str) -> None:
         """Time the call out now, which closes its connection."""
-        if self.timeout is None:
+        if self.timeout is None or self.timeout.expired():
             return
         self.abort_reason = self.abort_reason or reason
         # A time in the past expires in the next iteration of the event loop.
