Let callers read a rejection while they still send the body

Callers with a body over the limit got a reset connection instead of 413, if they were still sending it.

Cause: the listener closed a connection with bytes that it had not read, and the kernel then resets it, which discards the response at the caller.

Change: after the last response the listener closes its direction only, reads and drops what still comes, and closes when the caller has, or after a second.

--- a/burdockdrum/http1/server.py
+++ b/burdockdrum/http1/server.py
@@ -21,6 +21,9 @@
 MAX_PIPELINED_REQUESTS = 2
 # Limits how much of a response is buffered for a slow reader.
 WRITE_HIGH_WATER_BYTES = 64 * 1024
+# How long a caller may go on sending after the last response. Bytes that are
+# not read would reset the connection, and the response could be lost.
+LINGER_SECONDS = 1.0
 _LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -168,6 +171,16 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _close_after_response(self) -> None:
+        """Close the connection once the caller has, or soon."""
+        self._closing = True
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._transport.write_eof()
+        if self._paused:
+            self._transport.resume_reading()
+        self._start_timer(LINGER_SECONDS)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that handles the connection's requests."""
         # uvloop's transports have the methods but not the base class.
@@ -300,7 +313,8 @@
                 return
             await self._serve(received)
             self._busy = False
-            self._await_next_request()
+            if not self._closing:
+                self._await_next_request()
 
     async def _serve(self, request: RequestHead) -> None:
         exchange = Exchange(request=request, connection=self)
@@ -316,7 +330,7 @@
             return
         await self.drain()
         if not self.will_stay_open(request):
-            self.close()
+            self._close_after_response()
 
     def _await_next_request(self) -> None:
         if self._paused and self._transport is not None:
@@ -338,7 +352,7 @@
             (b"content-length", b"%d" % len(body)),
         ]
         self.write(encode_response(rejected.status, headers) + body)
-        self.close()
+        self._close_after_response()
 
     def _close_incomplete(self) -> None:
         """Close the connection without sending the last chunk.
@@ -359,6 +373,9 @@
 
     def _on_timeout(self) -> None:
         self._timer = None
+        if self._closing:
+            self.close()
+            return
         if self._busy or self._pending:
             return
         if self._received_at:
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -8,6 +8,8 @@
 from burdockdrum.http1 import Limits
 from tests.http1.wire import ListenerCase
 
+BODY_BYTES = 1024 * 1024
+
 
 async def echo(exchange):
     request = exchange.request
@@ -89,6 +91,34 @@
         )
         self.assertIn(b"413 ", answer)
 
+    async def test_rejection_arrives_while_the_body_is_sent(self):
+        # Guards against a reset by unread bytes, which takes the response
+        # with it.
+        reader, writer = await self.connect()
+        writer.write(b"POST / HTTP/1.1\r\nHost: x\r\n")
+        writer.write(b"Content-Length: %d\r\n\r\n" % (16 * BODY_BYTES))
+        for _ in range(16):
+            writer.write(bytes(BODY_BYTES))
+            await asyncio.sleep(0.01)
+        async with asyncio.timeout(5):
+            answer = await reader.read()
+        self.assertIn(b"413 ", answer)
+        writer.close()
+
+    async def test_caller_that_goes_on_sending_is_disconnected(self):
+        reader, writer = await self.connect()
+        writer.write(b"POST / HTTP/1.1\r\nHost: x\r\n")
+        writer.write(b"Content-Length: %d\r\n\r\n" % 10**9)
+        await reader.read()
+        self.assertEqual(1, len(self.listener.connections))
+        with self.assertRaises(ConnectionError):
+            async with asyncio.timeout(5):
+                while True:
+                    writer.write(b"x")
+                    await writer.drain()
+                    await asyncio.sleep(0.05)
+        self.assertEqual(0, len(self.listener.connections))
+
     async def test_incomplete_head_times_out_with_a_response(self):
         self.limits = Limits(header_seconds=0.1)
         answer = await self.send(b"GET / HTTP/1.1\r\nHost:")
