Never join the events of two runs in one answer

On a route that streams, is idempotent and can't be resumed, a caller got events 1 and 2 of one run and 3 to 5 of another in one answer that looked whole. And a run that paused for 1.5 s after its first events was given up for a retry, so its answer broke off.

Cause: whether a request may run again decided also after its caller had events, when only a resumed run fits.

Change: after the first event there is a further attempt only if the stream can be resumed, and no watchdog otherwise. Two tests fail before ((200, True) with events of two runs; (200, False) after the pause).

--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -428,6 +428,9 @@
                     has_events = True
                     if request.is_resumable:
                         self._check_version(call, head, request, progress)
+                    else:
+                        # No other attempt can go on with the response.
+                        call.disarm_watchdog()
                 now = self._clock.monotonic()
                 progress.record_chunk(now)
                 if not is_sound and now - call.wrote_since > SOUND_SECONDS:
--- a/burdockdrum/passthrough/relaying/relay.py
+++ b/burdockdrum/passthrough/relaying/relay.py
@@ -402,6 +402,8 @@
             return False
         if isinstance(outcome, ErrorResponse) and outcome.head.status < 500:
             return False
+        if progress.chunks_sent and not request.is_resumable:
+            return False
         must_not_rerun = (
             not request.is_retryable or progress.runs >= request.attempts
         )
--- a/tests/passthrough/relaying/test_relay_streams.py
+++ b/tests/passthrough/relaying/test_relay_streams.py
@@ -90,6 +90,41 @@
         self.assertEqual(event(1) + event(2), data)
         self.assertEqual(1, sum(len(e.seen) for e in endpoints))
 
+    async def test_answer_holds_the_events_of_one_run(self):
+        # Guards against a retry that appends its events to those of a run
+        # which broke off, where no endpoint can go on with a stream.
+        for broken in (
+            events(1, 2, end=False),
+            events(1, 2, end=False, rest=event(3)[:8]),
+        ):
+            shared = [broken, events(1, 5)]
+            endpoints = [Endpoint(broken), Endpoint(broken)]
+            entry = await self.open(*endpoints, streams=True, idempotent=True)
+            for endpoint in endpoints:
+                endpoint.behaviours = shared
+            status, _, data, is_complete = await self.call(entry)
+            self.assertEqual((200, False), (status, is_complete))
+            self.assertEqual(event(1) + event(2), data)
+            self.assertEqual(1, sum(len(e.seen) for e in endpoints))
+
+    async def test_stream_that_goes_on_late_is_not_given_up(self):
+        # Guards against breaking off an answer for a retry that can't go on
+        # with it.
+        async def pause(writer, request_id):
+            await events(1, 2, end=False, rest=b"")(
+                _UnclosableWriter(writer), request_id
+            )
+            await asyncio.sleep(2.5)
+            data = event(3)
+            writer.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(data), data))
+            await writer.drain()
+
+        endpoints = [Endpoint(pause), Endpoint(pause)]
+        entry = await self.open(*endpoints, streams=True, idempotent=True)
+        status, _, data, is_complete = await self.call(entry)
+        self.assertEqual((200, True), (status, is_complete))
+        self.assertEqual(b"".join(event(n) for n in range(1, 4)), data)
+
     async def test_stalled_stream_is_resumed_at_another_endpoint(self):
         # The endpoint stops sending but its connection stays open. The
         # stream must resume elsewhere before callers disconnect.
