Stream to callers of HTTP/1.0 without chunks

Callers of HTTP/1.0 got streamed answers with the sizes of chunks in what they take for the body (b'2\r\nab\r\n1\r\nc\r\n0\r\n\r\n' for b'abc').

Cause: the listener streams in chunks whatever the version of the request.

Change: to such a caller a streamed response ends with its connection; one that breaks off ends with a reset, as nothing else tells it from a whole one. Two tests fail before.

--- a/burdockdrum/http1/requests.py
+++ b/burdockdrum/http1/requests.py
@@ -11,6 +11,7 @@
     """A request with its complete body.
 
     ``received_at`` is when its first byte arrived, by the monotonic clock.
+    ``knows_chunks`` says that its caller understands a chunked response.
     """
 
     method: bytes
@@ -19,6 +20,7 @@
     body: bytes
     keep_alive: bool
     received_at: float
+    knows_chunks: bool = True
 
     def find(self, name: bytes) -> bytes | None:
         """Return the first value of a header; the name is in lower case."""
--- a/burdockdrum/http1/server.py
+++ b/burdockdrum/http1/server.py
@@ -17,6 +17,7 @@
 from burdockdrum.http1.requests import RejectedRequest
 from burdockdrum.http1.requests import RequestHead
 from burdockdrum.http1.sockets import enable_keepalive
+from burdockdrum.http1.sockets import reset
 
 MAX_PIPELINED_REQUESTS = 2
 # Limits how much of a response is buffered for a slow reader.
@@ -66,7 +67,8 @@
 
     A handler calls either ``respond`` once, or ``start``, ``write`` and
     ``finish``. Without ``finish`` the connection is closed before the last
-    chunk, so that the caller detects a truncated response.
+    chunk, so that the caller detects a truncated response. One that doesn't
+    know chunks gets a response that ends with the connection, or a reset.
     """
 
     def __init__(
@@ -76,8 +78,20 @@
         self.request = request
         self.started = False
         self.finished = False
+        self._is_streamed = False
         self._connection = connection
-        self._chunked = False
+
+    @property
+    def is_unframed(self) -> bool:
+        """Whether the response ends with its connection."""
+        return self._is_streamed and not self.request.knows_chunks
+
+    @property
+    def keeps_connection(self) -> bool:
+        """Whether another request may follow on the connection."""
+        return not self.is_unframed and self._connection.will_stay_open(
+            self.request
+        )
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response."""
@@ -90,28 +104,30 @@
         self.finished = True
 
     def start(self, status: int, headers: Headers) -> None:
-        """Send the head of a chunked response."""
-        self._chunked = True
-        self.started = True
-        chunked = (b"transfer-encoding", b"chunked")
-        self._connection.write(self._encode_head(status, [*headers, chunked]))
+        """Send the head of a streamed response."""
+        self.started = self._is_streamed = True
+        if self.request.knows_chunks:
+            headers = [*headers, (b"transfer-encoding", b"chunked")]
+        self._connection.write(self._encode_head(status, headers))
 
     def write(self, part: bytes) -> None:
-        """Send a chunk of the body."""
-        if part:
-            self._connection.write(b"%x\r\n%s\r\n" % (len(part), part))
+        """Send a part of the body."""
+        if part and self.request.knows_chunks:
+            part = b"%x\r\n%s\r\n" % (len(part), part)
+        self._connection.write(part)
 
     async def drain(self) -> None:
         """Wait until the write buffer is below its high-water mark."""
         await self._connection.drain()
 
     def finish(self) -> None:
-        """Send the last chunk of the body."""
-        self._connection.write(_LAST_CHUNK)
+        """Send the end of the body."""
+        if self.request.knows_chunks:
+            self._connection.write(_LAST_CHUNK)
         self.finished = True
 
     def _encode_head(self, status: int, headers: Headers) -> bytes:
-        if not self._connection.will_stay_open(self.request):
+        if not self.keeps_connection:
             headers = [*headers, (b"connection", b"close")]
         return encode_response(status, headers)
 
@@ -280,6 +296,7 @@
                 body=b"".join(self._body),
                 keep_alive=self._parser.should_keep_alive(),
                 received_at=self._received_at,
+                knows_chunks=self._parser.get_http_version() != "1.0",
             )
         )
         self._reset_request()
@@ -326,10 +343,10 @@
             if not exchange.started:
                 exchange.respond(500, [], b"")
         if not exchange.finished:
-            self._close_incomplete()
+            self._close_incomplete(exchange)
             return
         await self.drain()
-        if not self.will_stay_open(request):
+        if not exchange.keeps_connection:
             self._close_after_response()
 
     def _await_next_request(self) -> None:
@@ -354,11 +371,16 @@
         self.write(encode_response(rejected.status, headers) + body)
         self._close_after_response()
 
-    def _close_incomplete(self) -> None:
+    def _close_incomplete(self, exchange: Exchange) -> None:
         """Close the connection without sending the last chunk.
 
-        The caller receives what was sent and detects the truncation.
+        The caller receives what was sent and detects the truncation, which
+        takes a reset if there are no chunks.
         """
+        if exchange.is_unframed and self._transport is not None:
+            self._closing = True
+            reset(self._transport)
+            return
         self.close()
 
     def _start_timer(self, seconds: float) -> None:
--- a/burdockdrum/http1/sockets.py
+++ b/burdockdrum/http1/sockets.py
@@ -1,18 +1,21 @@
-"""TCP keepalive options that detect an unreachable peer.
+"""Options of sockets, and how to reset a connection.
 
-Without them a connection whose peer loses power, or whose packets are
+Without keepalive a connection whose peer loses power, or whose packets are
 dropped, stays open for minutes. A slow response does not end a connection,
 as the peer's kernel acknowledges the probes.
 """
 
 import asyncio
 import socket
+import struct
 
 # Below the 5 s within which other VMs expect this one to have detected it.
 UNACKNOWLEDGED_TIMEOUT_SECONDS = 4
 _KEEPALIVE_IDLE_SECONDS = 2
 _KEEPALIVE_INTERVAL_SECONDS = 1
 _KEEPALIVE_PROBES = 2
+# Makes the kernel discard what is unsent and reset the connection.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def enable_keepalive(transport: asyncio.BaseTransport) -> None:
@@ -28,3 +31,11 @@
         (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_SECONDS * 1000),
     ):
         raw.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """Close a connection so that its peer gets an error, not an end."""
+    raw = transport.get_extra_info("socket")
+    if raw is not None:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    transport.abort()
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -196,6 +196,38 @@
         self.assertIn(b"part", answer)
         self.assertNotIn(b"\r\n0\r\n\r\n", answer)
 
+    async def stream(self, data, *, is_complete):
+        """Send a request whose response is streamed in two parts."""
+
+        async def handle(exchange):
+            exchange.start(200, [])
+            exchange.write(b"ab")
+            exchange.write(b"c")
+            if is_complete:
+                exchange.finish()
+
+        listener = await self.open(handle)
+        self.addAsyncCleanup(listener.close)
+        return await self.send(data)
+
+    async def test_caller_of_http_1_0_gets_no_chunks(self):
+        # Guards against sizes of chunks in what the caller takes for the
+        # body, as it doesn't know chunks.
+        for connection in (b"", b"Connection: keep-alive\r\n"):
+            answer = await self.stream(
+                b"GET / HTTP/1.0\r\n" + connection + b"\r\n",
+                is_complete=True,
+            )
+            head, _, body = answer.partition(b"\r\n\r\n")
+            self.assertEqual(b"abc", body)
+            self.assertNotIn(b"chunked", head)
+            self.assertIn(b"connection: close", head.lower())
+
+    async def test_caller_of_http_1_0_detects_an_incomplete_response(self):
+        # Guards against an answer that looks whole, as it has no length.
+        with self.assertRaises(ConnectionResetError):
+            await self.stream(b"GET / HTTP/1.0\r\n\r\n", is_complete=False)
+
     async def test_handler_exception_fails_only_its_request(self):
         async def fail(exchange):
             if exchange.request.target == b"/bad":
