Let the demo wait for its engines too

Cause: the demo waited only until each entry reached the plain service; its engines are other processes, which may start later on a busy machine, and the refusals were true.

Change: it waits for a completion at each entry as well. Trials in scratch copies with engines that start 4 s late: 40 of 40 refused before, none after. Without that it was not reproduced: 7 runs at load 18 to 24, all as expected.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -55,6 +55,8 @@
     ("service", "roster", {"type": "plain", "regions": ["alfold"]}),
 ]
 COMPLETIONS = 40
+COMPLETIONS_PATH = "/v1/chat/completions"
+OUTPUT_TOKENS = 12
 PLAIN_CALLS = 20
 IN_FORCE_TIMEOUT_SECONDS = 15.0
 
@@ -147,37 +149,37 @@
         raise SystemExit("the configuration did not come in force in time")
 
     async def _wait_for_endpoints(self, caller: GatewayClient) -> None:
-        """Wait until each entry VM can reach the plain service."""
+        """Wait until each entry VM can reach both services."""
         deadline = time.monotonic() + IN_FORCE_TIMEOUT_SECONDS
         for url in self._cluster.entry_urls:
-            while time.monotonic() < deadline:
-                answer = await caller.open(url, "GET", "/services/roster/ping")
-                async for _ in answer.chunks():
-                    pass
-                if answer.status == 200:
-                    break
-                await asyncio.sleep(0.1)
+            for method, path, body in (
+                ("GET", "/services/roster/ping", b""),
+                (
+                    "POST",
+                    COMPLETIONS_PATH,
+                    _encode_completion(_make_messages("ping")),
+                ),
+            ):
+                while time.monotonic() < deadline:
+                    answer = await caller.open(url, method, path, body=body)
+                    async for _ in answer.chunks():
+                        pass
+                    if answer.status == 200:
+                        break
+                    await asyncio.sleep(0.1)
 
     async def _complete(self, caller: GatewayClient, number: int) -> None:
         stream = number % 2 == 0
-        messages = [{"role": "user", "content": f"plan section {number}"}]
-        body = json.dumps(
-            {
-                "model": "planner",
-                "messages": messages,
-                "max_tokens": 12,
-                "stream": stream,
-            }
-        ).encode()
+        messages = _make_messages(f"plan section {number}")
         prompt = json.dumps(messages, separators=(",", ":")).encode()
-        expected = make_answer(prompt, 12)
+        expected = make_answer(prompt, OUTPUT_TOKENS)
         category = "completion, streamed" if stream else "completion, whole"
         await self._send(
             caller,
             category,
             "POST",
-            "/v1/chat/completions",
-            body,
+            COMPLETIONS_PATH,
+            _encode_completion(messages, stream=stream),
             lambda reply: _read_text(reply, stream) == expected,
         )
 
@@ -193,13 +195,12 @@
 
     async def _send_outside_residency(self) -> None:
         caller = self._connect(self._tokens["north"])
-        messages = [{"role": "user", "content": "x"}]
-        body = json.dumps({"model": "planner", "messages": messages}).encode()
+        body = _encode_completion(_make_messages("x"))
         await self._send(
             caller,
             "completion, residency excludes every live region",
             "POST",
-            "/v1/chat/completions",
+            COMPLETIONS_PATH,
             body,
             lambda reply: False,
         )
@@ -226,6 +227,21 @@
         self.outcomes.append(outcome)
 
 
+def _make_messages(text: str) -> list[dict]:
+    return [{"role": "user", "content": text}]
+
+
+def _encode_completion(messages: list[dict], *, stream: bool = False) -> bytes:
+    return json.dumps(
+        {
+            "model": "planner",
+            "messages": messages,
+            "max_tokens": OUTPUT_TOKENS,
+            "stream": stream,
+        }
+    ).encode()
+
+
 def _describe_result(reply: GatewayReply, is_complete: AnswerCheck) -> str:
     if reply.ok:
         return "whole answer" if is_complete(reply) else "WRONG ANSWER"
