Quarantine prefixes of prompts that crash endpoints

Cause: the quarantine knows requests by their whole content only.

Change: prefixes of prompts are suspects in the ledger of the pass-through; the messages about losses and cleared suspects name them. A stream that has written for 0.3 s clears its prefixes.

--- a/burdockdrum/crashes/__init__.py
+++ b/burdockdrum/crashes/__init__.py
@@ -10,6 +10,7 @@
 from burdockdrum.crashes.ledger import CrashLedger
 from burdockdrum.crashes.ledger import MAX_RECORDS
 from burdockdrum.crashes.ledger import PART_CRASH_INTERVAL_SECONDS
+from burdockdrum.crashes.ledger import SOUND_SECONDS
 from burdockdrum.crashes.records import CrashRecord
 from burdockdrum.crashes.records import is_part
 from burdockdrum.crashes.records import PART_PREFIX
@@ -28,5 +29,6 @@
     "PART_CRASH_INTERVAL_SECONDS",
     "PART_PREFIX",
     "SHARE_DELAY_SECONDS",
+    "SOUND_SECONDS",
     "Standing",
 ]
--- a/burdockdrum/crashes/ledger.py
+++ b/burdockdrum/crashes/ledger.py
@@ -38,6 +38,9 @@
 from burdockdrum.logs import log_decision
 from burdockdrum.ports import Clock
 
+# An endpoint that crashes under a request does so earlier after it began to
+# write the response.
+SOUND_SECONDS = 0.3
 # Crashes of a part of prompts within this time count once.
 PART_CRASH_INTERVAL_SECONDS = 0.25
 # How long a crash counts; a quarantine ends when fewer than the maximum do.
--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 
+from burdockdrum.crashes import SOUND_SECONDS
 from burdockdrum.http1 import ClientConnection
 from burdockdrum.http1 import ConnectionPool
 from burdockdrum.http1 import Exchange
@@ -57,9 +58,6 @@
 HOP_CONNECT_TIMEOUT_SECONDS = 0.6
 # Lets a response that the endpoint sent at the deadline still arrive.
 DEADLINE_GRACE_SECONDS = 0.05
-# An endpoint that crashes under a request does so earlier after it began to
-# write the response.
-SOUND_SECONDS = 0.3
 
 
 class AttemptRunner:
--- a/burdockdrum/quarantine/messages.py
+++ b/burdockdrum/quarantine/messages.py
@@ -8,7 +8,8 @@
 class EndpointLost(Message, frozen=True, kw_only=True):
     """Reports that an endpoint was lost while it ran a request.
 
-    ``pass_on`` asks the relay of a data centre to forward it to the VMs there.
+    ``parts`` are the fingerprints of the parts of its prompt. ``pass_on`` asks
+    the relay of a data centre to forward it to the VMs there.
     """
 
     wire_kind = "quarantine.LossNote"
@@ -17,16 +18,24 @@
     endpoint_id: str
     incarnation: int
     pass_on: bool = False
+    parts: list[str] = []
 
 
 class SuspectCleared(Message, frozen=True, kw_only=True):
-    """Clears a suspect that completed, or that an operator lifted."""
+    """Clears suspects that have run, or that an operator lifted.
+
+    ``fingerprint`` is that of a request, empty if only ``parts`` of prompts
+    are cleared. The run began to write ``seconds`` ago; crashes of parts since
+    go on counting.
+    """
 
     wire_kind = "quarantine.ClearNote"
 
     fingerprint: str
     lifted: bool
     pass_on: bool = False
+    parts: list[str] = []
+    seconds: float = 0.0
 
 
 class TrialRequest(Message, frozen=True, kw_only=True):
--- a/burdockdrum/quarantine/quarantine.py
+++ b/burdockdrum/quarantine/quarantine.py
@@ -4,14 +4,22 @@
 retry under new idempotency keys. Every request that ran on a lost endpoint
 becomes a suspect and is retried alone on an endpoint. A request under which
 ``MAX_LOSSES`` endpoints were lost is quarantined on all entry VMs.
+
+A part of a prompt that requests share, of which no two are alike, may be the
+cause instead. Parts are suspects in the ledger that the pass-through has.
 """
 
 from collections.abc import Iterator
+from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
 
 import msgspec
 
+from burdockdrum.crashes import Assessment
+from burdockdrum.crashes import CrashLedger
+from burdockdrum.crashes import is_part
+from burdockdrum.crashes import Standing
 from burdockdrum.endpoints import Endpoint
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Message
@@ -42,6 +50,8 @@
 QUARANTINE_DURATION_SECONDS = 900.0
 MAX_SUSPECTS = 10_000
 TRIAL_CALL_TIMEOUT_SECONDS = 0.5
+# From then on requests with a suspected part of a prompt run one at a time.
+MIN_CRASHES_OF_PART = 2
 
 
 @dataclass(kw_only=True)
@@ -74,16 +84,18 @@
         self._timeline = timeline
         self._trials = TrialTable(clock=clock)
         self._suspects_by_fingerprint: dict[str, _Suspect] = {}
+        self._parts = CrashLedger(clock=clock)
         peers.register(EndpointLost, self._receive_loss)
         peers.register(SuspectCleared, self._receive_clear)
         peers.register(TrialRequest, self._receive_trial_request)
         peers.register(TrialEnd, self._receive_trial_end)
 
-    def check(self, fingerprint: str) -> None:
-        """Reject a request that is quarantined.
+    def check(self, fingerprint: str, parts: Sequence[str] = ()) -> None:
+        """Reject a request that is quarantined, or a part of whose prompt is.
 
         :raises Refusal: with the remaining time of the quarantine
         """
+        self._check_parts(parts)
         suspect = self._find(fingerprint)
         if suspect is None or not suspect.quarantined:
             return
@@ -95,33 +107,65 @@
             retry_after=suspect.expires_at - self._clock.monotonic(),
         )
 
-    def is_suspect(self, fingerprint: str) -> bool:
-        """Return whether a request must run apart from other suspects."""
-        return self._find(fingerprint) is not None
+    def find_suspect(
+        self, fingerprint: str, parts: Sequence[str] = ()
+    ) -> str | None:
+        """Return what of a request must run apart from other suspects.
+
+        That is the fingerprint of the request or of a part of its prompt.
+        """
+        assessment = self._parts.assess_all(parts)
+        if len(assessment.crashes) >= MIN_CRASHES_OF_PART:
+            return assessment.fingerprint
+        return fingerprint if self._find(fingerprint) is not None else None
 
-    def record_loss(self, fingerprint: str, endpoint: Endpoint) -> None:
+    def record_loss(
+        self, fingerprint: str, endpoint: Endpoint, parts: Sequence[str] = ()
+    ) -> None:
         """Record the loss of an endpoint that ran a request."""
         notice = EndpointLost(
             fingerprint=fingerprint,
             endpoint_id=endpoint.endpoint_id,
             incarnation=endpoint.incarnation,
+            parts=list(parts),
         )
-        self._apply_loss(notice)
+        self._apply_loss(notice, self._vms.identity.vm_id)
         self._broadcast(notice)
 
-    def record_completion(self, fingerprint: str) -> None:
-        """Clear a suspect after a run that completed."""
+    def record_completion(
+        self,
+        fingerprint: str,
+        parts: Sequence[str] = (),
+        wrote_since: float = float("-inf"),
+    ) -> None:
+        """Clear a suspect after a run that completed.
+
+        :param wrote_since: when the run began to write, on the monotonic
+            clock
+        """
         suspect = self._suspects_by_fingerprint.get(fingerprint)
-        if suspect is None or suspect.quarantined:
-            return
-        notice = SuspectCleared(fingerprint=fingerprint, lifted=False)
-        self._clear(notice)
-        self._broadcast(notice)
+        is_cleared = suspect is not None and not suspect.quarantined
+        self._record_sound(
+            fingerprint if is_cleared else "", parts, wrote_since
+        )
+
+    def record_output(self, parts: Sequence[str], wrote_since: float) -> None:
+        """Clear the parts of a prompt whose run goes on to write.
+
+        :param wrote_since: when it began to, on the monotonic clock
+        """
+        self._record_sound("", parts, wrote_since)
 
     def lift(self, fingerprint: str) -> bool:
         """Clear a fingerprint on all VMs; return whether it was known here."""
         was_known = self._find(fingerprint) is not None
-        notice = SuspectCleared(fingerprint=fingerprint, lifted=True)
+        if is_part(fingerprint):
+            was_known = fingerprint in self._parts.suspects()
+            notice = SuspectCleared(
+                fingerprint="", lifted=True, parts=[fingerprint]
+            )
+        else:
+            notice = SuspectCleared(fingerprint=fingerprint, lifted=True)
         self._clear(notice)
         self._broadcast(notice)
         return was_known
@@ -129,7 +173,12 @@
     def entries(self) -> list[QuarantineEntry]:
         """Return the suspected and quarantined fingerprints."""
         now = self._clock.monotonic()
-        return [
+        self._parts.prune()
+        parts = [
+            _describe_part(assessment)
+            for assessment in self._parts.suspects().values()
+        ]
+        return parts + [
             QuarantineEntry(
                 fingerprint=fingerprint,
                 quarantined=suspect.quarantined,
@@ -187,7 +236,40 @@
             return None
         return suspect
 
-    def _apply_loss(self, notice: EndpointLost) -> None:
+    def _check_parts(self, parts: Sequence[str]) -> None:
+        assessment = self._parts.assess_all(parts)
+        if assessment.standing is Standing.QUARANTINED:
+            raise Refusal(
+                code=RefusalCode.QUARANTINED,
+                message=assessment.describe(),
+                verdict=Verdict.NOT_RUN,
+                retry_after=assessment.seconds_left,
+            )
+
+    def _record_sound(
+        self, fingerprint: str, parts: Sequence[str], wrote_since: float
+    ) -> None:
+        """Clear what a run shows to be sound, on all VMs."""
+        cleared = [
+            part for part in parts if self._parts.clear(part, wrote_since)
+        ]
+        if not fingerprint and not cleared:
+            return
+        notice = SuspectCleared(
+            fingerprint=fingerprint,
+            lifted=False,
+            parts=cleared,
+            seconds=self._clock.monotonic() - wrote_since if cleared else 0.0,
+        )
+        self._clear(notice)
+        self._broadcast(notice)
+
+    def _apply_loss(self, notice: EndpointLost, observer: str) -> None:
+        self._parts.prune()
+        for part in notice.parts:
+            self._parts.add(
+                part, f"{notice.endpoint_id}/{notice.incarnation}", observer
+            )
         suspect = self._find(notice.fingerprint)
         if suspect is None:
             if len(self._suspects_by_fingerprint) >= MAX_SUSPECTS:
@@ -207,6 +289,9 @@
             )
 
     def _clear(self, notice: SuspectCleared) -> None:
+        wrote_since = self._clock.monotonic() - notice.seconds
+        for part in notice.parts:
+            self._parts.clear(part, wrote_since)
         suspect = self._suspects_by_fingerprint.get(notice.fingerprint)
         # A report of a completed run may be older than the second loss.
         if suspect is None or (suspect.quarantined and not notice.lifted):
@@ -243,7 +328,7 @@
     async def _receive_loss(
         self, sender: Sender, notice: EndpointLost
     ) -> None:
-        self._apply_loss(notice)
+        self._apply_loss(notice, sender.vm_id)
         self._forward_in_data_centre(notice)
 
     async def _receive_clear(
@@ -262,6 +347,15 @@
         self._trials.end(end.fingerprint, end.endpoint_id)
 
 
+def _describe_part(assessment: Assessment) -> QuarantineEntry:
+    return QuarantineEntry(
+        fingerprint=assessment.fingerprint,
+        quarantined=assessment.standing is Standing.QUARANTINED,
+        lost_endpoints=[crash.endpoint_id for crash in assessment.crashes],
+        seconds_left=assessment.seconds_left,
+    )
+
+
 def _with_pass_on(
     notice: EndpointLost | SuspectCleared,
 ) -> EndpointLost | SuspectCleared:
--- a/burdockdrum/requests/exchange.py
+++ b/burdockdrum/requests/exchange.py
@@ -9,6 +9,7 @@
 
 from burdockdrum.admission import AdmissionControl
 from burdockdrum.configuration import ConfigurationService
+from burdockdrum.crashes import SOUND_SECONDS
 from burdockdrum.endpoints import Endpoint
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
@@ -86,6 +87,10 @@
         self._excluded_endpoints: frozenset[str] = frozenset()
         self._excluded_data_centres: frozenset[str] = frozenset()
         self._trial: Trial | None = None
+        # When the attempt began, and to write, on the monotonic clock.
+        self._opened_at = 0.0
+        self._wrote_since: float | None = None
+        self._is_sound = False
         self._last_refusal: Refusal | None = None
 
     def make_routing_request(self) -> RoutingRequest:
@@ -112,7 +117,7 @@
             excluded_endpoints=self._excluded_endpoints,
             excluded_data_centres=self._excluded_data_centres,
             displaced=request.displaced,
-            isolated=self._services.quarantine.is_suspect(request.fingerprint),
+            isolated=self._find_suspect() is not None,
             software_version=self.software_version,
         )
 
@@ -164,16 +169,35 @@
         self.verdict = Verdict.RAN
         if isinstance(upstream.target, EndpointTarget):
             self._services.quarantine.record_completion(
-                self.request.fingerprint
+                self.request.fingerprint,
+                self.request.parts,
+                self._opened_at
+                if self._wrote_since is None
+                else self._wrote_since,
             )
         self._services.timeline.record(
             "request.answered", request_id=self.request.request_id
         )
 
+    def record_output(self, upstream: Upstream) -> None:
+        """Record that an attempt has written more of its answer."""
+        now = self._services.clock.monotonic()
+        if self._wrote_since is None:
+            self._wrote_since = now
+        if self._is_sound or now - self._wrote_since < SOUND_SECONDS:
+            return
+        self._is_sound = True
+        if isinstance(upstream.target, EndpointTarget):
+            self._services.quarantine.record_output(
+                self.request.parts, self._wrote_since
+            )
+
     async def _open_once(self) -> Upstream | None:
         if self.remaining() <= 0:
             raise _refuse_past_deadline()
-        self._services.quarantine.check(self.request.fingerprint)
+        self._services.quarantine.check(
+            self.request.fingerprint, self.request.parts
+        )
         routing_request = self.make_routing_request()
         match self._services.router.choose(routing_request):
             case ToEndpoint(endpoint=endpoint):
@@ -189,13 +213,16 @@
     async def _open_endpoint(
         self, endpoint: Endpoint, routing_request: RoutingRequest
     ) -> Upstream | None:
-        if routing_request.isolated:
+        suspect = self._find_suspect()
+        if suspect is not None:
             self._trial = await self._services.quarantine.begin_trial(
-                self.request.fingerprint, endpoint.endpoint_id
+                suspect, endpoint.endpoint_id
             )
             if self._trial is None:
                 await self._services.clock.sleep(TRIAL_POLL_SECONDS)
                 return None
+        self._opened_at = self._services.clock.monotonic()
+        self._wrote_since, self._is_sound = None, False
         attempt = self._services.router.begin(endpoint, routing_request)
         try:
             upstream = await self._services.opener.open_endpoint(
@@ -363,7 +390,13 @@
 
     def _report_loss(self, endpoint: Endpoint) -> None:
         self._services.quarantine.record_loss(
-            self.request.fingerprint, endpoint
+            self.request.fingerprint, endpoint, self.request.parts
+        )
+
+    def _find_suspect(self) -> str | None:
+        """Return what of the request must run apart from other suspects."""
+        return self._services.quarantine.find_suspect(
+            self.request.fingerprint, self.request.parts
         )
 
     def _release_trial(self) -> None:
--- a/burdockdrum/requests/model.py
+++ b/burdockdrum/requests/model.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass
 from dataclasses import field
 import enum
+from functools import cached_property
+
+from burdockdrum.crashes import PART_PREFIX
 
 # RFC 9110, section 9.2.2.
 _IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
@@ -55,6 +58,18 @@
     software_version: str | None = None
     headers: tuple[tuple[str, str], ...] = ()
 
+    @cached_property
+    def parts(self) -> tuple[str, ...]:
+        """Return the fingerprints of the prompt's parts.
+
+        They are prefixes that other requests may share, which the longest one
+        is not.
+        """
+        return tuple(
+            f"{PART_PREFIX}{self.service}-{prefix:x}"
+            for prefix in self.prefix_hashes[:-1]
+        )
+
     @property
     def may_run_again(self) -> bool:
         """Return whether a request that may have run can be retried.
--- a/burdockdrum/requests/service.py
+++ b/burdockdrum/requests/service.py
@@ -132,7 +132,7 @@
 
     async def _run(self, exchange: Exchange) -> Answer:
         request = exchange.request
-        self._services.quarantine.check(request.fingerprint)
+        self._services.quarantine.check(request.fingerprint, request.parts)
         permit = await self._services.admission.admit(
             request.client_id, exchange.make_routing_request()
         )
--- a/burdockdrum/requests/streamed.py
+++ b/burdockdrum/requests/streamed.py
@@ -169,6 +169,7 @@
         if offset > self._exchange.delivered_tokens:
             self._check_version()
             self._exchange.delivered_tokens = offset
+            self._exchange.record_output(self.upstream)
             return True
         # A resumed stream may repeat tokens that were sent already. Only the
         # event with the finish reason has the offset of the one before it.
