Know a crashing prompt part at every service of its model

Its logs: the part was rejected at service s after 4 crashes; then the route's weights moved to service t, where 5 more endpoints ended until it was known.

Cause: the fingerprint of a part had the name of the service, so the same part of the same model was another one there.

Change: it has the model and the id only. The test fails before. A part that only one of two services with the same model can't bear is rejected at both, until a run of it is sound at either.

--- a/burdockdrum/passthrough/protocol/fingerprint.py
+++ b/burdockdrum/passthrough/protocol/fingerprint.py
@@ -28,13 +28,13 @@
     return _digest(fields)
 
 
-def make_part_fingerprint(service: str, model: str, part_id: str) -> str:
+def make_part_fingerprint(model: str, part_id: str) -> str:
     """Return a digest of a part of a prompt.
 
     Another model may mean something else by the same id, a hexadecimal
-    number.
+    number. Another service of the model means the same.
     """
-    fields = (service, model, part_id.lower())
+    fields = (model, part_id.lower())
     return PART_PREFIX + _digest(field.encode() for field in fields)
 
 
--- a/burdockdrum/passthrough/protocol/model.py
+++ b/burdockdrum/passthrough/protocol/model.py
@@ -91,9 +91,7 @@
         """
         prompt = self.prompt
         parts = (
-            make_part_fingerprint(
-                self.backend.name, prompt.model, part.part_id
-            )
+            make_part_fingerprint(prompt.model, part.part_id)
             for part in prompt.parts[:-1]
         )
         return tuple(dict.fromkeys((self.fingerprint, *parts)))
--- a/tests/passthrough/relaying/test_crashing_parts.py
+++ b/tests/passthrough/relaying/test_crashing_parts.py
@@ -134,8 +134,7 @@
         await self.call(b"first", CRASHING_PART)
         parts = set(filter(is_part, self.entry.ledger.suspects()))
         expected = {
-            make_part_fingerprint("model", "m", part)
-            for part in ("first", "BAD")
+            make_part_fingerprint("m", part) for part in ("first", "BAD")
         }
         self.assertEqual(expected, parts)
 
