Read the table of sockets once a connection in the soak of cuts

Cause: each request read /proc/net/tcp, which lists the sockets of the whole machine: 12 ms with 4,485 of them, in the event loop that also sends requests.

Not proved: that the process that was not seen to exit had the same cause.

--- a/scripts/soak/cut_endpoint.py
+++ b/scripts/soak/cut_endpoint.py
@@ -8,6 +8,7 @@
 import pathlib
 import random
 import time
+import weakref
 
 from burdockdrum.histories import RetryHistory
 from scripts.soak.failing_endpoint import FailingEndpoint
@@ -45,11 +46,16 @@
         """
         super().__init__(rng=rng, service=service, zone=zone, history=history)
         self._read_cuts = read_cuts
+        # The table of all sockets takes long to read beside other programs.
+        self._inodes_by_writer: weakref.WeakKeyDictionary[
+            asyncio.StreamWriter, str
+        ] = weakref.WeakKeyDictionary()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         inode = _find_inode(writer.get_extra_info("peername")[1])
+        self._inodes_by_writer[writer] = inode
         match self._find_cut(inode):
             case Cut.RESET | Cut.NEW_ONES_RESET:
                 writer.transport.abort()
@@ -70,7 +76,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         head = await reader.readuntil(b"\r\n\r\n")
-        inode = _find_inode(writer.get_extra_info("peername")[1])
+        inode = self._inodes_by_writer[writer]
         if self._find_cut(inode) is Cut.SILENT:
             await asyncio.sleep(SILENCE_SECONDS)
             return
@@ -87,11 +93,15 @@
 
 def _find_inode(port: int) -> str:
     """Return the inode of the socket bound to a loopback port."""
-    suffix = f":{port:04X}"
-    for line in _TCP_TABLE.read_text().splitlines()[1:]:
-        fields = line.split()
+    table = _TCP_TABLE.read_bytes()
+    suffix = b":%04X" % port
+    at = table.find(suffix + b" ")
+    while at >= 0:
+        begin, end = table.rfind(b"\n", 0, at) + 1, table.find(b"\n", at)
+        fields = table[begin:end].split()
         if fields[_LOCAL_ADDRESS_FIELD].endswith(suffix):
-            return fields[_INODE_FIELD]
+            return fields[_INODE_FIELD].decode()
+        at = table.find(suffix + b" ", end)
     return ""
 
 
