Keep exchanges apart from the connections that carry them

Two tests share the way to build a reader. No change of behaviour: the tests of the listener, its fuzz test and those of the two readers pass.

--- a/burdockdrum/http1/__init__.py
+++ b/burdockdrum/http1/__init__.py
@@ -10,6 +10,7 @@
 from burdockdrum.http1.client import NotConnected
 from burdockdrum.http1.client import ResponseHead
 from burdockdrum.http1.client import ResponseLost
+from burdockdrum.http1.exchange import Exchange
 from burdockdrum.http1.heads import encode_request
 from burdockdrum.http1.heads import encode_response
 from burdockdrum.http1.heads import Headers
@@ -21,7 +22,6 @@
 from burdockdrum.http1.numbers import parse_decimal
 from burdockdrum.http1.numbers import parse_seconds
 from burdockdrum.http1.requests import RequestHead
-from burdockdrum.http1.server import Exchange
 
 __all__ = [
     "ClientConnection",
--- a/burdockdrum/http1/listener.py
+++ b/burdockdrum/http1/listener.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 import socket
 
-from burdockdrum.http1.server import Exchange
+from burdockdrum.http1.exchange import Exchange
 from burdockdrum.http1.server import ServerConnection
 
 Handler = Callable[[Exchange], Awaitable[None]]
--- a/tests/passthrough/protocol/test_forwarded_service.py
+++ b/tests/passthrough/protocol/test_forwarded_service.py
@@ -1,19 +1,11 @@
 """Tests of the service of a request that another entry forwarded."""
 
-import random
 import unittest
 
 from burdockdrum.http1 import RequestHead
-from burdockdrum.passthrough.protocol.header_names import HeaderNames
 from burdockdrum.passthrough.protocol.header_names import HOP_SERVICE
-from burdockdrum.passthrough.protocol.request_reader import RequestReader
-from burdockdrum.passthrough.protocol.route_index import RouteIndex
 from burdockdrum.resources import WeightedService
-from tests.callers.fakes import FakeConfiguration
-from tests.callers.fakes import make_finder
-from tests.callers.fakes import make_meter
-from tests.passthrough.fakes import make_route
-from tests.passthrough.fakes import ManualClock
+from tests.passthrough.protocol.readers import make_reader
 
 SERVICES = [
     WeightedService(service="model", weight=999),
@@ -26,28 +18,14 @@
 
     def read(self, service, *, is_hop):
         """Return the service of a request with a forwarded service."""
-        configuration = FakeConfiguration(
-            routes=[make_route(services=SERVICES)]
-        )
-        clock = ManualClock()
-        finder = make_finder(configuration)
-        reader = RequestReader(
-            clock=clock,
-            rng=random.Random(1),
-            names=HeaderNames(),
-            read_index=lambda: RouteIndex(
-                table=configuration.current.route_table
-            ),
-            callers=finder,
-            meter=make_meter(clock, finder),
-        )
+        reader = make_reader(SERVICES)
         head = RequestHead(
             method=b"GET",
             target=b"/p/x",
             headers=[(b"host", b"h"), (HOP_SERVICE, service)],
             body=b"",
             keep_alive=True,
-            received_at=clock.now,
+            received_at=0.0,
         )
         return reader.read(head, is_hop=is_hop).backend.name
 
--- a/tests/passthrough/protocol/test_suspects.py
+++ b/tests/passthrough/protocol/test_suspects.py
@@ -1,19 +1,11 @@
 """Tests of what of a request may crash endpoints."""
 
-import random
 import unittest
 
 from burdockdrum.crashes import is_part
 from burdockdrum.http1 import RequestHead
-from burdockdrum.passthrough.protocol.header_names import HeaderNames
-from burdockdrum.passthrough.protocol.request_reader import RequestReader
-from burdockdrum.passthrough.protocol.route_index import RouteIndex
 from burdockdrum.resources import WeightedService
-from tests.callers.fakes import FakeConfiguration
-from tests.callers.fakes import make_finder
-from tests.callers.fakes import make_meter
-from tests.passthrough.fakes import make_route
-from tests.passthrough.fakes import ManualClock
+from tests.passthrough.protocol.readers import make_reader
 
 SERVICES = [
     WeightedService(service="model", weight=1),
@@ -26,21 +18,7 @@
 
     def list_parts(self, service):
         """Return the suspected parts of a request to a service."""
-        configuration = FakeConfiguration(
-            routes=[make_route(services=SERVICES)]
-        )
-        clock = ManualClock()
-        finder = make_finder(configuration)
-        reader = RequestReader(
-            clock=clock,
-            rng=random.Random(1),
-            names=HeaderNames(),
-            read_index=lambda: RouteIndex(
-                table=configuration.current.route_table
-            ),
-            callers=finder,
-            meter=make_meter(clock, finder),
-        )
+        reader = make_reader(SERVICES)
         head = RequestHead(
             method=b"POST",
             target=b"/p/x",
@@ -51,7 +29,7 @@
             ],
             body=b"",
             keep_alive=True,
-            received_at=clock.now,
+            received_at=0.0,
         )
         request = reader.with_service(reader.read(head, is_hop=False), service)
         self.assertEqual(service, request.backend.name)
