--- a/tests/soak/test_versions.py
+++ b/tests/soak/test_versions.py
@@ -27,7 +27,11 @@
         """Run processes under the faults; return what callers got."""
         soak = VersionSoak(SEED)
         result = self.run_soak(soak, faults, seconds=seconds)
-        self.assertGreater(result.counts_by_status.get(200, 0), 100)
+        self.assertGreater(
+            result.counts_by_status.get(200, 0),
+            100,
+            [result.counts_by_status, *soak.faults],
+        )
         return soak.streams
 
     def test_streams_go_on_at_their_version_while_entries_are_killed(self):
