--- a/tests/passthrough/relaying/test_relay_streams.py
+++ b/tests/passthrough/relaying/test_relay_streams.py
@@ -8,7 +8,7 @@
 from tests.passthrough.entries import event
 from tests.passthrough.entries import events
 from tests.passthrough.entries import never_respond
-from tests.passthrough.entries import RelayCase
+from tests.passthrough.streams import StreamCase
 
 
 class _UnclosableWriter:
@@ -21,25 +21,9 @@
         """Do nothing."""
 
 
-class StreamTest(RelayCase):
+class StreamTest(StreamCase):
     """Responses that are streams of numbered events."""
 
-    ROUTE = {"streams": True, "resumable": True}
-
-    async def call(self, entry):
-        status, head, body = await entry.call(method=b"POST", body=b"x")
-        if b"chunked" not in head:
-            return status, head, body, True
-        is_complete = body.endswith(b"0\r\n\r\n")
-        data = b""
-        while body:
-            size, _, body = body.partition(b"\r\n")
-            if not size or int(size, 16) == 0:
-                break
-            data += body[: int(size, 16)]
-            body = body[int(size, 16) + 2 :]
-        return status, head, data, is_complete
-
     async def test_estimate_error_is_recorded(self):
         # An idle endpoint is expected to respond at once but takes 0.25 s;
         # the metric shows the difference.
--- /dev/null
+++ b/tests/passthrough/relaying/test_silent_endpoints.py
@@ -0,0 +1,121 @@
+"""Tests of endpoints that fall silent for a while, over loopback sockets."""
+
+import asyncio
+
+from tests.passthrough.entries import answer
+from tests.passthrough.entries import close_without_response
+from tests.passthrough.entries import Endpoint
+from tests.passthrough.entries import event
+from tests.passthrough.entries import events
+from tests.passthrough.entries import never_respond
+from tests.passthrough.entries import RelayCase
+from tests.passthrough.streams import StreamCase
+
+PAUSE_SECONDS = 2.0
+NOT_RUN = b"X-Not-Run: 1"
+REJECT = answer(b"", b"503 Service Unavailable", NOT_RUN)
+FAIL = answer(b"", b"500 Internal Server Error")
+
+
+class _OpenWriter:
+    """A writer whose connection stays open after ``close``."""
+
+    def __init__(self, writer):
+        self.write = writer.write
+
+    def close(self):
+        """Do nothing."""
+
+
+async def pause_in_stream(writer, request_id):
+    """Send three events, nothing for a while, and two more."""
+    begin = events(1, 3, end=False)
+    await begin(_OpenWriter(writer), request_id)
+    await asyncio.sleep(PAUSE_SECONDS)
+    for number in (4, 5):
+        writer.write(b"%x\r\n%s\r\n" % (len(event(number)), event(number)))
+    writer.write(b"0\r\n\r\n")
+
+
+async def pause_before_stream(writer, request_id):
+    """Send a stream after a while."""
+    await asyncio.sleep(PAUSE_SECONDS)
+    await events(1, 5)(writer, request_id)
+
+
+async def pause_before_answer(writer, request_id):
+    """Send a whole answer after a while."""
+    await asyncio.sleep(PAUSE_SECONDS)
+    await answer(b"late")(writer, request_id)
+
+
+async def pause_twice(writer, request_id):
+    """Be silent for longer than the other endpoint."""
+    await asyncio.sleep(2 * PAUSE_SECONDS)
+    await events(4, 5)(writer, request_id)
+
+
+FAILURES = {
+    "rejects": REJECT,
+    "fails": FAIL,
+    "closes": close_without_response,
+    "pauses too": pause_twice,
+    "never responds": never_respond,
+}
+
+
+def share(endpoints, *behaviours):
+    """Let whichever endpoint gets the next request use the next behaviour."""
+    shared = list(behaviours)
+    for endpoint in endpoints:
+        endpoint.behaviours = shared
+
+
+class PausingStreamTest(StreamCase):
+    """Streams of a sound endpoint that sends nothing for a while."""
+
+    async def stream(self, *behaviours, **route):
+        """Send a stream to two endpoints; return its parts."""
+        endpoints = [Endpoint(None), Endpoint(None)]
+        entry = await self.open(
+            *endpoints, **{"timeout_seconds": 4.0, **self.ROUTE, **route}
+        )
+        share(endpoints, *behaviours)
+        return await self.call(entry)
+
+    async def test_stream_is_kept_while_its_successor_fails(self):
+        # Guards against cutting a stream whose endpoint would have gone on,
+        # for an attempt elsewhere that came to nothing.
+        for name, other in FAILURES.items():
+            with self.subTest(name):
+                status, _, data, is_complete = await self.stream(
+                    pause_in_stream, other
+                )
+                self.assertEqual((200, True), (status, is_complete))
+                self.assertEqual(b"".join(map(event, range(1, 6))), data)
+
+    async def test_unbegun_stream_is_kept_while_its_successor_fails(self):
+        # Guards against failing a request for an attempt elsewhere that came
+        # to nothing, before its first event.
+        for name, other in FAILURES.items():
+            with self.subTest(name):
+                status, _, data, is_complete = await self.stream(
+                    pause_before_stream, other
+                )
+                self.assertEqual((200, True), (status, is_complete))
+                self.assertEqual(b"".join(map(event, range(1, 6))), data)
+
+
+class PausingAnswerTest(RelayCase):
+    """Whole answers of a sound endpoint that is silent for a while."""
+
+    async def test_answer_is_kept_while_its_successor_fails(self):
+        # Guards against failing a request for an attempt elsewhere that came
+        # to nothing.
+        for name, other in FAILURES.items():
+            with self.subTest(name):
+                endpoints = [Endpoint(None), Endpoint(None)]
+                entry = await self.open(*endpoints, timeout_seconds=4.0)
+                share(endpoints, pause_before_answer, other)
+                status, _, body = await entry.call()
+                self.assertEqual((200, b"late"), (status, body))
