Split the relay: targets, the run of a request, reports of attempts

The relay held the life of a request from its read to its response, the search for a target and the reports of attempts in one class. Each has a module of its own now; behaviour is the same.

--- a/burdockdrum/passthrough/relaying/__init__.py
+++ b/burdockdrum/passthrough/relaying/__init__.py
@@ -1,5 +1,6 @@
 """Relay requests: attempts, timeouts, retries and the listeners."""
 
+from burdockdrum.passthrough.relaying.attempt_report import AttemptReporter
 from burdockdrum.passthrough.relaying.attempt_timeouts import AttemptTimeouts
 from burdockdrum.passthrough.relaying.attempts import AttemptRunner
 from burdockdrum.passthrough.relaying.attempts import CONNECT_TIMEOUT_SECONDS
@@ -8,11 +9,14 @@
 from burdockdrum.passthrough.relaying.endpoint_prober import EndpointProber
 from burdockdrum.passthrough.relaying.health_checker import HealthChecker
 from burdockdrum.passthrough.relaying.relay import Relay
+from burdockdrum.passthrough.relaying.request_runner import RequestRunner
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
 from burdockdrum.passthrough.relaying.server import PassThroughServer
 from burdockdrum.passthrough.relaying.stream_resumption import StreamResumption
+from burdockdrum.passthrough.relaying.target_finder import TargetFinder
 
 __all__ = [
+    "AttemptReporter",
     "AttemptRunner",
     "AttemptTimeouts",
     "CONNECT_TIMEOUT_SECONDS",
@@ -22,6 +26,8 @@
     "HealthChecker",
     "PassThroughServer",
     "Relay",
+    "RequestRunner",
     "RetryCharges",
     "StreamResumption",
+    "TargetFinder",
 ]
--- /dev/null
+++ b/burdockdrum/passthrough/relaying/request_runner.py
@@ -0,0 +1,306 @@
+"""Run the attempts of a request until it has a response or a refusal.
+
+A request is retried only as far as it is safe to repeat, and within its
+deadline, its route's attempts and the retry budget.
+"""
+
+from burdockdrum.http1 import Exchange
+from burdockdrum.passthrough.protocol import Delivered
+from burdockdrum.passthrough.protocol import EndpointTarget
+from burdockdrum.passthrough.protocol import ErrorResponse
+from burdockdrum.passthrough.protocol import HeaderNames
+from burdockdrum.passthrough.protocol import HOP_USED_ATTEMPTS
+from burdockdrum.passthrough.protocol import Lost
+from burdockdrum.passthrough.protocol import MAYBE_RUN_STATUS
+from burdockdrum.passthrough.protocol import NOT_RUN_STATUSES
+from burdockdrum.passthrough.protocol import NotStarted
+from burdockdrum.passthrough.protocol import Outcome
+from burdockdrum.passthrough.protocol import ProxiedRequest
+from burdockdrum.passthrough.protocol import RegionTarget
+from burdockdrum.passthrough.protocol import RequestProgress
+from burdockdrum.passthrough.protocol import ResponseClassifier
+from burdockdrum.passthrough.protocol import ResponseTruncated
+from burdockdrum.passthrough.protocol import ResumableEventSplitter
+from burdockdrum.passthrough.protocol import Target
+from burdockdrum.passthrough.relaying.attempt_report import AttemptReporter
+from burdockdrum.passthrough.relaying.attempts import AttemptRunner
+from burdockdrum.passthrough.relaying.attempts import forwarded_attempts
+from burdockdrum.passthrough.relaying.crash_guard import CrashGuard
+from burdockdrum.passthrough.relaying.place_outcomes import record_place
+from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
+from burdockdrum.passthrough.relaying.target_finder import TargetFinder
+from burdockdrum.passthrough.selection import TargetSelector
+from burdockdrum.ports import Clock
+from burdockdrum.verdicts import Refusal
+from burdockdrum.verdicts import RefusalCode
+from burdockdrum.verdicts import Verdict
+
+# Limits the attempts at endpoints that are unreachable or refuse, which come
+# on top of the route's attempts.
+MAX_NOT_STARTED_ATTEMPTS = 4
+
+
+class RequestRunner:
+    """Runs requests of callers and of entries in other regions."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        names: HeaderNames,
+        finder: TargetFinder,
+        selector: TargetSelector,
+        runner: AttemptRunner,
+        responses: ResponseClassifier,
+        retries: RetryCharges,
+        crash_guard: CrashGuard,
+        reporter: AttemptReporter,
+    ) -> None:
+        """Create it for an entry."""
+        self._clock = clock
+        self._names = names
+        self._finder = finder
+        self._selector = selector
+        self._runner = runner
+        self._responses = responses
+        self._retries = retries
+        self._crash_guard = crash_guard
+        self._reporter = reporter
+
+    async def run(
+        self,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        exchange: Exchange,
+    ) -> None:
+        """Run a request until its response is complete.
+
+        :raises Refusal: if it gets none
+        :raises ResponseTruncated: the same, if its response has begun
+        """
+        splitter = ResumableEventSplitter(last_number=request.last_event)
+        while True:
+            run = await self._crash_guard.begin_attempt(request)
+            try:
+                may_retry = await self._run_attempt(
+                    request, progress, exchange, splitter
+                )
+            finally:
+                self._crash_guard.end_attempt(run)
+            if not may_retry:
+                return
+
+    async def _run_attempt(
+        self,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        exchange: Exchange,
+        splitter: ResumableEventSplitter,
+    ) -> bool:
+        """Run one attempt; return whether another one should follow."""
+        self._crash_guard.check(request, progress, exchange)
+        try:
+            target = await self._finder.find(request, progress)
+        except Refusal as refusal:
+            self._finish_without_target(request, progress, exchange, refusal)
+            return False
+        if target is None:
+            return True
+        # The request may have waited in the line meanwhile.
+        self._crash_guard.check(request, progress, exchange)
+        found = await self._finder.acquire_place(target, request, progress)
+        if found is None:
+            return True
+        target = found
+        progress.permit = None
+        progress.target = target
+        if isinstance(target, EndpointTarget):
+            self._retries.record_request(request, progress)
+        started_at = self._clock.monotonic()
+        outcome: Outcome | None = None
+        try:
+            outcome = await self._runner.execute(
+                target, request, progress, exchange, splitter
+            )
+        finally:
+            record_place(target, outcome)
+        progress.last_event = splitter.last_number
+        self._reporter.report(target, request, progress, outcome, started_at)
+        if isinstance(outcome, Delivered):
+            return False
+        self._record_outcome(target, request, progress, outcome)
+        await self._crash_guard.check_outcome(
+            request, progress, exchange, outcome
+        )
+        if await self._may_retry(request, progress, outcome):
+            return True
+        self._finish_failed(request, progress, exchange, outcome)
+        return False
+
+    def _finish_without_target(
+        self,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        exchange: Exchange,
+        refusal: Refusal,
+    ) -> None:
+        if exchange.started:
+            raise ResponseTruncated(refusal.message)
+        if progress.failure is None:
+            raise refusal
+        # The endpoint's error is more specific than the refusal.
+        self._forward_failure(
+            request, exchange, progress.failure, progress.runs
+        )
+
+    def _record_outcome(
+        self,
+        target: Target,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        outcome: Outcome,
+    ) -> None:
+        match target:
+            case EndpointTarget(choice=choice):
+                progress.tried.add(choice.endpoint.endpoint_id)
+                progress.unreached += _is_unreached(outcome)
+            case RegionTarget(vm_id=vm_id, region=region):
+                progress.tried.add(vm_id)
+                if _has_answered(outcome):
+                    progress.tried_regions.add(region)
+                if isinstance(outcome, NotStarted):
+                    progress.record_region_retry_after(outcome.retry_after)
+                    if outcome.cut_off or _is_unreached(outcome):
+                        self._selector.record_cut_off(
+                            vm_id, request.backend.name
+                        )
+        if not isinstance(outcome, NotStarted) or outcome.reached:
+            progress.has_arrived = True
+        match outcome:
+            case NotStarted(reason=reason):
+                progress.last_reason = reason
+            case Lost(reason=reason):
+                progress.last_reason = reason
+                progress.verdict = Verdict.MAY_HAVE_RUN
+                progress.runs += _count_runs(
+                    target, outcome, request, progress
+                )
+            case ErrorResponse(runs=runs):
+                progress.runs += runs
+                progress.verdict = Verdict.RAN
+                progress.failure = outcome
+
+    async def _may_retry(
+        self,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        outcome: Outcome,
+    ) -> bool:
+        if request.deadline <= self._clock.monotonic():
+            return False
+        if len(progress.tried) >= MAX_NOT_STARTED_ATTEMPTS + request.attempts:
+            return False
+        if isinstance(outcome, ErrorResponse) and outcome.head.status < 500:
+            return False
+        if progress.chunks_sent and not request.is_resumable:
+            return False
+        must_not_rerun = (
+            not request.is_retryable or progress.runs >= request.attempts
+        )
+        if progress.runs and must_not_rerun:
+            return False
+        if not progress.has_arrived:
+            return True
+        return await self._retries.acquire(request, progress)
+
+    def _finish_failed(
+        self,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        exchange: Exchange,
+        outcome: Outcome,
+    ) -> None:
+        if exchange.started:
+            raise ResponseTruncated(progress.last_reason)
+        if progress.failure is not None:
+            self._forward_failure(
+                request, exchange, progress.failure, progress.runs
+            )
+            return
+        timed_out = isinstance(outcome, Lost) and outcome.timed_out
+        deadline_passed = request.deadline <= self._clock.monotonic()
+        is_deadline = timed_out or deadline_passed
+        raise Refusal(
+            code=RefusalCode.DEADLINE
+            if is_deadline
+            else RefusalCode.ENDPOINT_LOST,
+            message=f"{request.backend.name}: {progress.last_reason}",
+            verdict=progress.verdict,
+            retry_after=self._return_seconds(request, progress, outcome),
+        )
+
+    def _return_seconds(
+        self,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        outcome: Outcome,
+    ) -> float | None:
+        """Return when a rejected request should return, if known."""
+        if not isinstance(outcome, NotStarted):
+            return None
+        if outcome.retry_after is not None:
+            return outcome.retry_after
+        return self._selector.seconds_until_backoffs_end(request, progress)
+
+    def _forward_failure(
+        self,
+        request: ProxiedRequest,
+        exchange: Exchange,
+        failure: ErrorResponse,
+        runs: int,
+    ) -> None:
+        headers = self._responses.headers_for_caller(failure.head)
+        if request.forwarded_from is not None:
+            headers.append((HOP_USED_ATTEMPTS, b"%d" % runs))
+        status = failure.head.status
+        if status in NOT_RUN_STATUSES:
+            # These statuses promise that the request has not run, but it
+            # has. The replaced status is not the endpoint's, so its
+            # provenance header is removed.
+            provenance = self._names.provenance
+            headers = [h for h in headers if h[0].lower() != provenance]
+            status = MAYBE_RUN_STATUS
+        exchange.respond(status, headers, failure.body)
+
+
+def _is_unreached(outcome: Outcome) -> bool:
+    """Return whether the target of an attempt could not be connected to."""
+    return isinstance(outcome, NotStarted) and outcome.unconnected
+
+
+def _has_answered(outcome: Outcome) -> bool:
+    """Return whether the entry that was asked spoke for its region.
+
+    One that reaches no endpoint says nothing about the others there.
+    """
+    if not isinstance(outcome, NotStarted):
+        return True
+    return bool(outcome.retry_after) and not outcome.cut_off
+
+
+def _count_runs(
+    target: Target,
+    lost: Lost,
+    request: ProxiedRequest,
+    progress: RequestProgress,
+) -> int:
+    """Return how many endpoints may have run a lost attempt.
+
+    An entry of another region that does not report a number may have used
+    every attempt that it was granted.
+    """
+    if isinstance(target, EndpointTarget):
+        return 1
+    if lost.runs is not None:
+        return lost.runs
+    return forwarded_attempts(request, progress)
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -33,6 +33,7 @@
 from burdockdrum.passthrough.protocol import RequestReader
 from burdockdrum.passthrough.protocol import ResponseClassifier
 from burdockdrum.passthrough.protocol import ResponseSignals
+from burdockdrum.passthrough.relaying import AttemptReporter
 from burdockdrum.passthrough.relaying import AttemptRunner
 from burdockdrum.passthrough.relaying import AttemptTimeouts
 from burdockdrum.passthrough.relaying import CONNECT_TIMEOUT_SECONDS
@@ -42,8 +43,10 @@
 from burdockdrum.passthrough.relaying import HealthChecker
 from burdockdrum.passthrough.relaying import PassThroughServer
 from burdockdrum.passthrough.relaying import Relay
+from burdockdrum.passthrough.relaying import RequestRunner
 from burdockdrum.passthrough.relaying import RetryCharges
 from burdockdrum.passthrough.relaying import StreamResumption
+from burdockdrum.passthrough.relaying import TargetFinder
 from burdockdrum.passthrough.selection import Fleet
 from burdockdrum.passthrough.selection import TargetSelector
 from burdockdrum.passthrough.selection import TeamShares
@@ -514,28 +517,51 @@
     )
     runner = kernel.find("attempts", AttemptRunner)
     runner.on_stream = resumption.begin
+    reporter = AttemptReporter(
+        clock=clock, metrics=kernel.find("metrics", Metrics)
+    )
     return Relay(
         clock=clock,
         names=names,
         reader=reader,
-        selector=kernel.find("placing", TargetSelector),
-        runner=runner,
+        runner=_build_request_runner(kernel, reporter),
+        reporter=reporter,
         resumption=resumption,
-        responses=ResponseClassifier(names=names),
         retries=kernel.find("retry_charges", RetryCharges),
         drain=kernel.find("drain", Drain),
         configuration=configuration,
         metrics=kernel.find("metrics", Metrics),
         meter=kernel.find("quota_meter", QuotaMeter),
-        permits=kernel.find("limit_permits", LimitPermits),
-        places=kernel.find("place_broker", PlaceBroker),
-        holder=kernel.find("waiting_requests", RequestHolder),
+        mechanisms=kernel.find("settings", Settings).policy.mechanisms,
+    )
+
+
+def _build_request_runner(
+    kernel: Kernel, reporter: AttemptReporter
+) -> RequestRunner:
+    clock = kernel.find("clock", Clock)
+    names = kernel.find("header_names", HeaderNames)
+    selector = kernel.find("placing", TargetSelector)
+    return RequestRunner(
+        clock=clock,
+        names=names,
+        finder=TargetFinder(
+            clock=clock,
+            selector=selector,
+            holder=kernel.find("waiting_requests", RequestHolder),
+            permits=kernel.find("limit_permits", LimitPermits),
+            places=kernel.find("place_broker", PlaceBroker),
+        ),
+        selector=selector,
+        runner=kernel.find("attempts", AttemptRunner),
+        responses=ResponseClassifier(names=names),
+        retries=kernel.find("retry_charges", RetryCharges),
         crash_guard=CrashGuard(
             clock=clock,
             detector=kernel.find("crash_detector", CrashDetector),
             metrics=kernel.find("metrics", Metrics),
         ),
-        mechanisms=kernel.find("settings", Settings).policy.mechanisms,
+        reporter=reporter,
     )
 
 
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -23,6 +23,7 @@
 from burdockdrum.passthrough.protocol.response_signals import ResponseSignals
 from burdockdrum.passthrough.protocol.responses import ResponseClassifier
 from burdockdrum.passthrough.protocol.route_index import RouteIndex
+from burdockdrum.passthrough.relaying.attempt_report import AttemptReporter
 from burdockdrum.passthrough.relaying.attempt_timeouts import AttemptTimeouts
 from burdockdrum.passthrough.relaying.attempts import AttemptRunner
 from burdockdrum.passthrough.relaying.crash_detector import CrashDetector
@@ -30,8 +31,10 @@
 from burdockdrum.passthrough.relaying.endpoint_prober import EndpointProber
 from burdockdrum.passthrough.relaying.health_checker import HealthChecker
 from burdockdrum.passthrough.relaying.relay import Relay
+from burdockdrum.passthrough.relaying.request_runner import RequestRunner
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
 from burdockdrum.passthrough.relaying.stream_resumption import StreamResumption
+from burdockdrum.passthrough.relaying.target_finder import TargetFinder
 from burdockdrum.passthrough.selection.fleet import Fleet
 from burdockdrum.passthrough.selection.targets import TargetSelector
 from burdockdrum.passthrough.state import DrainAnnouncements
@@ -495,25 +498,37 @@
             clock=clock, origins=origins, reader=reader, metrics=metrics
         )
         runner.on_stream = resumption.begin
+        reporter = AttemptReporter(clock=clock, metrics=metrics)
         relay = Relay(
             clock=clock,
             names=NAMES,
             reader=reader,
             resumption=resumption,
-            selector=selector,
-            runner=runner,
-            responses=responses,
+            runner=RequestRunner(
+                clock=clock,
+                names=NAMES,
+                finder=TargetFinder(
+                    clock=clock,
+                    selector=selector,
+                    holder=holder,
+                    permits=permits,
+                    places=places,
+                ),
+                selector=selector,
+                runner=runner,
+                responses=responses,
+                retries=retries,
+                crash_guard=CrashGuard(
+                    clock=clock, detector=detector, metrics=metrics
+                ),
+                reporter=reporter,
+            ),
+            reporter=reporter,
             retries=retries,
             drain=drain,
             configuration=self.configuration,
             metrics=metrics,
             meter=meter,
-            permits=permits,
-            places=places,
-            holder=holder,
-            crash_guard=CrashGuard(
-                clock=clock, detector=detector, metrics=metrics
-            ),
         )
         entry = Entry(identity, relay, runner, fleet, capacities)
         entry.origins = origins
