Keep a stalled attempt until another one responds

Callers got cut answers, or 502 and 504, though a sound endpoint worked on their request: an attempt that was silent for longer than usual was aborted if another target would accept the request, and whatever then happened to the successor (no place, no permit, a backoff, a rejection, a failure, a silence of its own) ended the request.

Class: something that may still succeed is given up before what replaces it is secured.

Each attempt runs in a task of its own now. One that stalls goes on while another one is started beside it, within the route's attempts and the retry budget; the first of them to write owns the response, and the others end at once. A successor that fails is reported and counted as before, and the stalled attempt stays. An attempt that another region may use up all attempts for gets no successor: before, it was aborted with nothing left. The health of a silent endpoint hears of it when the attempt stalls, as soon as before.

--- a/burdockdrum/passthrough/protocol/__init__.py
+++ b/burdockdrum/passthrough/protocol/__init__.py
@@ -16,6 +16,8 @@
 from burdockdrum.passthrough.protocol.model import Delivered
 from burdockdrum.passthrough.protocol.model import EndpointTarget
 from burdockdrum.passthrough.protocol.model import ErrorResponse
+from burdockdrum.passthrough.protocol.model import forwarded_attempts
+from burdockdrum.passthrough.protocol.model import granted_runs
 from burdockdrum.passthrough.protocol.model import HopCharge
 from burdockdrum.passthrough.protocol.model import Lost
 from burdockdrum.passthrough.protocol.model import NotStarted
@@ -24,6 +26,7 @@
 from burdockdrum.passthrough.protocol.model import RegionTarget
 from burdockdrum.passthrough.protocol.model import RequestProgress
 from burdockdrum.passthrough.protocol.model import Target
+from burdockdrum.passthrough.protocol.model import Withdrawn
 from burdockdrum.passthrough.protocol.payloads import PayloadEncoder
 from burdockdrum.passthrough.protocol.refusal_responses import MAYBE_RUN_STATUS
 from burdockdrum.passthrough.protocol.refusal_responses import NOT_RUN_STATUSES
@@ -44,6 +47,8 @@
     "encode_version",
     "EndpointTarget",
     "ErrorResponse",
+    "forwarded_attempts",
+    "granted_runs",
     "HeaderNames",
     "HopCharge",
     "HOP_CUT_OFF",
@@ -73,4 +78,5 @@
     "send_refusal",
     "status_of",
     "Target",
+    "Withdrawn",
 ]
--- a/burdockdrum/passthrough/protocol/model.py
+++ b/burdockdrum/passthrough/protocol/model.py
@@ -101,9 +101,11 @@
 class RequestProgress:
     """The state of a request over its attempts.
 
-    ``runs`` counts the attempts that may have run, ``sent`` those that were
-    sent at all. ``has_arrived`` says that an endpoint of any region may have
-    got the request, so that another attempt is a retry of the retry budget.
+    ``runs`` counts the attempts that have ended and may have run,
+    ``stalled_runs`` those that have stalled but may still respond, and
+    ``sent`` those that were sent at all. ``has_arrived`` says that an endpoint
+    of any region may have got the request, so that another attempt is a retry
+    of the retry budget.
     ``first_chunk_at`` is the monotonic time of the first chunk sent to the
     caller, ``chunks_sent`` the number of chunks,
     ``longest_gap_seconds`` the longest time between two. ``target`` is that of
@@ -128,6 +130,7 @@
 
     verdict: Verdict = Verdict.NOT_RUN
     runs: int = 0
+    stalled_runs: int = 0
     sent: int = 0
     has_arrived: bool = False
     tried: set[str] = field(default_factory=set)
@@ -154,6 +157,11 @@
     has_requested_work: bool = False
     is_within_share: bool | None = None
 
+    @property
+    def begun_runs(self) -> int:
+        """Return how many attempts may have run or still may."""
+        return self.runs + self.stalled_runs
+
     @classmethod
     def begin(cls, request: ProxiedRequest) -> "RequestProgress":
         """Return the progress of a request that has just been received."""
@@ -163,6 +171,7 @@
             is_counted=request.forwarded_from is not None
             and charge is not HopCharge.REQUEST,
             origin=request.origin,
+            last_event=request.last_event,
         )
         if charge is HopCharge.RETRY:
             progress.retry_grant = RetryGrant(
@@ -286,5 +295,38 @@
     runs: int | None = None
 
 
+@dataclass(frozen=True, kw_only=True)
+class Withdrawn:
+    """The attempt was ended as the one that it was to replace responded."""
+
+    log_name: ClassVar[str] = "Withdrawn"
+
+    reason: str = "the attempt that had stalled responded"
+
+
 # ``log_name`` is the log's ``outcome``; operators' tools match it.
-Outcome = Delivered | ErrorResponse | NotStarted | Lost
+Outcome = Delivered | ErrorResponse | NotStarted | Lost | Withdrawn
+
+
+def forwarded_attempts(
+    request: ProxiedRequest, progress: RequestProgress
+) -> int:
+    """Return how many attempts another region may make for a request.
+
+    A stream that breaks off on its way back may have used all of them; this
+    entry VM can only resume it if it forwarded one and kept the others.
+    """
+    if request.route.streams:
+        return 1
+    return max(1, request.attempts - progress.begun_runs)
+
+
+def granted_runs(
+    target: Target, request: ProxiedRequest, progress: RequestProgress
+) -> int:
+    """Return how many runs an attempt may lead to."""
+    match target:
+        case EndpointTarget():
+            return 1
+        case RegionTarget():
+            return forwarded_attempts(request, progress)
--- a/burdockdrum/passthrough/relaying/attempt_timeouts.py
+++ b/burdockdrum/passthrough/relaying/attempt_timeouts.py
@@ -1,19 +1,21 @@
 """Timeouts of attempts that may be retried.
 
-An attempt without output for far longer than usual is aborted and retried
-elsewhere. Under load every endpoint is slow, so that it is only aborted if
-another target would accept the request now and the retry budget allows it:
-otherwise it would lose its place in a queue for nothing.
+An attempt without output for far longer than usual has stalled, and another
+one is started beside it. Under load every endpoint is slow, so that this only
+happens if another target would accept the request now and the retry budget
+allows it.
 """
 
 import asyncio
 from collections.abc import Callable
 
 from burdockdrum.passthrough.protocol import EndpointTarget
+from burdockdrum.passthrough.protocol import granted_runs
 from burdockdrum.passthrough.protocol import ProxiedRequest
 from burdockdrum.passthrough.protocol import RequestProgress
 from burdockdrum.passthrough.protocol import Target
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
+from burdockdrum.passthrough.relaying.running_attempts import Attempt
 from burdockdrum.passthrough.selection import Fleet
 from burdockdrum.settings import MechanismSettings
 
@@ -24,14 +26,14 @@
 STREAM_IDLE_TIMEOUT_SECONDS = 1.5
 # Two round trips to another region, one of them for the connection.
 HOP_MARGIN_SECONDS = 0.3
-# How often an idle attempt without an alternative is checked again.
+# How often an idle attempt is checked again.
 RECHECK_INTERVAL_SECONDS = 0.25
 
 HasAlternative = Callable[[ProxiedRequest, RequestProgress, Target], bool]
 
 
 class AttemptWatchdog:
-    """Aborts an attempt that has been idle for too long."""
+    """Reports an attempt that has been idle for too long."""
 
     def __init__(
         self,
@@ -39,7 +41,7 @@
         first_chunk_timeout_seconds: float,
         idle_timeout_seconds: float,
         may_retry: Callable[[], bool],
-        abort: Callable[[str], None],
+        report_stall: Callable[[], None],
     ) -> None:
         """Start the timer; requires a running event loop.
 
@@ -47,12 +49,12 @@
             response
         :param idle_timeout_seconds: between two chunks
         :param may_retry: returns whether a retry is possible now
-        :param abort: aborts the attempt, with the reason
+        :param report_stall: called when the attempt should be retried
         """
         self._loop = asyncio.get_running_loop()
         self._idle_timeout_seconds = idle_timeout_seconds
         self._may_retry = may_retry
-        self._abort = abort
+        self._report_stall = report_stall
         self._expires_at = self._loop.time() + first_chunk_timeout_seconds
         self._timer = self._loop.call_at(self._expires_at, self._check)
 
@@ -75,8 +77,7 @@
         next_at = self._expires_at
         if now >= self._expires_at:
             if self._may_retry():
-                self._abort("received no data")
-                return
+                self._report_stall()
             next_at = now + RECHECK_INTERVAL_SECONDS
         self._timer = self._loop.call_at(next_at, self._check)
 
@@ -110,20 +111,25 @@
         target: Target,
         request: ProxiedRequest,
         progress: RequestProgress,
-        abort: Callable[[str], None],
+        attempt: Attempt,
+        report_stall: Callable[[], None],
     ) -> AttemptWatchdog | None:
         """Start a watchdog for an attempt, None if it can't be retried."""
-        if not self._mechanisms.silence_given_up:
+        if not self._mechanisms.silence_given_up or not request.is_retryable:
             return None
-        if not request.is_retryable or progress.runs + 1 >= request.attempts:
+        runs = granted_runs(target, request, progress)
+        if progress.begun_runs + runs >= request.attempts:
             return None
         return AttemptWatchdog(
             first_chunk_timeout_seconds=self.first_chunk_timeout(
                 target, request
             ),
             idle_timeout_seconds=STREAM_IDLE_TIMEOUT_SECONDS,
-            may_retry=lambda: self._acquire_retry(target, request, progress),
-            abort=abort,
+            may_retry=lambda: (
+                attempt.may_have_successor
+                and self._acquire_retry(target, request, progress, attempt)
+            ),
+            report_stall=report_stall,
         )
 
     def first_chunk_timeout(
@@ -143,7 +149,12 @@
         target: Target,
         request: ProxiedRequest,
         progress: RequestProgress,
+        attempt: Attempt,
     ) -> bool:
+        runs = attempt.counted_runs or granted_runs(target, request, progress)
+        others = progress.begun_runs - attempt.counted_runs
+        if others + runs >= request.attempts:
+            return False
         if not self._has_alternative(request, progress, target):
             return False
         return self._retries.ensure_charged(request, progress)
--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -21,6 +21,7 @@
 from burdockdrum.passthrough.protocol import encode_version
 from burdockdrum.passthrough.protocol import EndpointTarget
 from burdockdrum.passthrough.protocol import ErrorResponse
+from burdockdrum.passthrough.protocol import forwarded_attempts
 from burdockdrum.passthrough.protocol import HOP_VERSION
 from burdockdrum.passthrough.protocol import HopCharge
 from burdockdrum.passthrough.protocol import InvalidEventStream
@@ -39,11 +40,15 @@
 from burdockdrum.passthrough.protocol import ResponseTruncated
 from burdockdrum.passthrough.protocol import ResumableEventSplitter
 from burdockdrum.passthrough.protocol import Target
+from burdockdrum.passthrough.protocol import Withdrawn
 from burdockdrum.passthrough.relaying.attempt_timeouts import AttemptTimeouts
 from burdockdrum.passthrough.relaying.crash_detector import CrashDetector
 from burdockdrum.passthrough.relaying.in_flight_calls import Call
 from burdockdrum.passthrough.relaying.in_flight_calls import InFlightCalls
+from burdockdrum.passthrough.relaying.request_log import log_stalled
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
+from burdockdrum.passthrough.relaying.running_attempts import Attempt
+from burdockdrum.passthrough.relaying.running_attempts import Superseded
 from burdockdrum.passthrough.selection import Fleet
 from burdockdrum.passthrough.selection import HOP_DELAY_SECONDS
 from burdockdrum.passthrough.state import EndpointHealth
@@ -121,7 +126,7 @@
         request: ProxiedRequest,
         progress: RequestProgress,
         exchange: Exchange,
-        splitter: ResumableEventSplitter,
+        attempt: Attempt,
     ) -> Outcome:
         """Run an attempt and forward its response to the caller.
 
@@ -131,11 +136,11 @@
         match target:
             case EndpointTarget():
                 return await self._send_to_endpoint(
-                    target, request, progress, exchange, splitter
+                    target, request, progress, exchange, attempt
                 )
             case RegionTarget():
                 return await self._forward_to_region(
-                    target, request, progress, exchange, splitter
+                    target, request, progress, exchange, attempt
                 )
 
     async def _send_to_endpoint(
@@ -144,7 +149,7 @@
         request: ProxiedRequest,
         progress: RequestProgress,
         exchange: Exchange,
-        splitter: ResumableEventSplitter,
+        attempt: Attempt,
     ) -> Outcome:
         endpoint = target.choice.endpoint
         in_flight_request = self._fleet.record_sent(
@@ -161,7 +166,7 @@
                 endpoint_id=endpoint.reported_id,
                 fetch_from=self._fleet.current_fetch_from(target.choice),
                 seconds_left=self._seconds_left(request),
-                last_event=splitter.last_number,
+                last_event=progress.last_event,
             )
 
         call = Call(
@@ -182,7 +187,7 @@
         try:
             self._in_flight.add(endpoint.endpoint_id, call)
             outcome = await self._call(
-                call, request, progress, exchange, splitter
+                call, request, progress, exchange, attempt
             )
             return outcome
         except ResponseTruncated:
@@ -200,7 +205,10 @@
                 in_flight_request, request.backend, whole=whole
             )
             self._record_outcome(
-                self._fleet.health_of(endpoint), outcome, is_silent=is_silent
+                self._fleet.health_of(endpoint),
+                outcome,
+                is_silent=is_silent,
+                is_recorded=call.is_loss_recorded,
             )
             if isinstance(outcome, NotStarted) and outcome.replaced:
                 self._fleet.remove_incarnation(endpoint)
@@ -239,7 +247,7 @@
         request: ProxiedRequest,
         progress: RequestProgress,
         exchange: Exchange,
-        splitter: ResumableEventSplitter,
+        attempt: Attempt,
     ) -> Outcome:
         attempts = forwarded_attempts(request, progress)
 
@@ -251,7 +259,7 @@
                 seconds_left=self._seconds_left(request),
                 attempts=attempts,
                 charge=charge,
-                last_event=splitter.last_number,
+                last_event=progress.last_event,
                 software_version=None
                 if progress.origin is None
                 else progress.origin.software_version,
@@ -265,7 +273,7 @@
             target=target,
         )
         began = self._clock.monotonic()
-        outcome = await self._call(call, request, progress, exchange, splitter)
+        outcome = await self._call(call, request, progress, exchange, attempt)
         if isinstance(outcome, Delivered):
             # An entry VM without local endpoints has no other samples.
             seconds = self._clock.monotonic() - began - HOP_DELAY_SECONDS
@@ -278,7 +286,7 @@
         request: ProxiedRequest,
         progress: RequestProgress,
         exchange: Exchange,
-        splitter: ResumableEventSplitter,
+        attempt: Attempt,
     ) -> Outcome:
         try:
             connection = await call.pool.acquire(
@@ -298,15 +306,23 @@
         if isinstance(call.target, EndpointTarget):
             progress.has_arrived = True
         began = call.sent_at = self._clock.monotonic()
+        attempt.was_sent = True
+        attempt.abort, attempt.expire = call.abort, call.expire
         try:
             connection.send(call.encode(), request.request_id.encode())
             async with asyncio.timeout(left) as call.timeout:
                 call.watchdog = self._timeouts.start_watchdog(
-                    call.target, request, progress, call.abort
+                    call.target,
+                    request,
+                    progress,
+                    attempt,
+                    lambda: self._report_stall(call, request, attempt),
                 )
                 return await self._receive(
-                    connection, call, request, progress, exchange, splitter
+                    connection, call, request, progress, exchange, attempt
                 )
+        except Superseded:
+            return _end_superseded(attempt)
         except TimeoutError:
             if call.abort_reason is not None:
                 waited = self._clock.monotonic() - began
@@ -327,6 +343,34 @@
             # end, which cancels the request at the other side.
             call.pool.release(call.address, connection, max_idle=call.max_idle)
 
+    def _report_stall(
+        self, call: Call, request: ProxiedRequest, attempt: Attempt
+    ) -> None:
+        """Let another attempt start beside one that is silent."""
+        match call.target:
+            case EndpointTarget(choice=choice):
+                endpoint = choice.endpoint
+                if not call.is_loss_recorded and self._fleet.has_been_silent(
+                    endpoint, call.sent_at
+                ):
+                    call.is_loss_recorded = True
+                    self._fleet.health_of(endpoint).record_loss(
+                        self._clock.monotonic(), is_silent=True
+                    )
+        log_stalled(call.target, request)
+        attempt.stall()
+
+    def _claim_response(
+        self, attempt: Attempt, request: ProxiedRequest
+    ) -> None:
+        """Own the response before a part of it is written.
+
+        :raises Superseded: if another attempt owns it
+        """
+        if attempt.is_stalled:
+            log_decision("attempt.resumed", request_id=request.request_id)
+        attempt.claim_response()
+
     def _reason_to_withhold(
         self, call: Call, request: ProxiedRequest, progress: RequestProgress
     ) -> str | None:
@@ -353,7 +397,7 @@
         request: ProxiedRequest,
         progress: RequestProgress,
         exchange: Exchange,
-        splitter: ResumableEventSplitter,
+        attempt: Attempt,
     ) -> Outcome:
         head = await connection.read_head()
         failure = self._responses.classify(head)
@@ -375,8 +419,9 @@
             )
         if request.route.streams:
             return await self._forward_stream(
-                connection, head, call, request, progress, exchange, splitter
+                connection, head, call, request, progress, exchange, attempt
             )
+        self._claim_response(attempt, request)
         call.disarm_watchdog()
         return await self._forward_response(connection, head, exchange)
 
@@ -410,9 +455,9 @@
         request: ProxiedRequest,
         progress: RequestProgress,
         exchange: Exchange,
-        splitter: ResumableEventSplitter,
+        attempt: Attempt,
     ) -> Outcome:
-        splitter.start_attempt()
+        splitter = ResumableEventSplitter(last_number=progress.last_event)
         has_events = False
         is_sound = False
         while (chunk := await connection.read_part()) is not None:
@@ -422,13 +467,18 @@
                 self._fleet.record_output(call.in_flight_request)
             events = splitter.feed(chunk)
             if events:
-                if not has_events:
-                    has_events = True
-                    if request.is_resumable:
-                        self._check_version(call, head, request, progress)
-                    else:
-                        # No other attempt can go on with the response.
-                        call.disarm_watchdog()
+                writer: StreamOrigin | None = None
+                if not has_events and request.is_resumable:
+                    writer = self._find_writer(call, head, request, progress)
+                self._claim_response(attempt, request)
+                if writer is not None:
+                    progress.origin = writer
+                    self.on_stream(request, writer)
+                elif not has_events:
+                    # No other attempt can go on with the response.
+                    call.disarm_watchdog()
+                has_events = True
+                progress.last_event = splitter.last_number
                 now = self._clock.monotonic()
                 progress.record_chunk(now)
                 if not is_sound and now - call.wrote_since > SOUND_SECONDS:
@@ -441,18 +491,19 @@
             raise InvalidEventStream(
                 "the stream ended in the middle of an event"
             )
+        self._claim_response(attempt, request)
         self._start_stream(exchange, head, request, progress)
         exchange.finish()
         return Delivered(status=head.status)
 
-    def _check_version(
+    def _find_writer(
         self,
         call: Call,
         head: ResponseHead,
         request: ProxiedRequest,
         progress: RequestProgress,
-    ) -> None:
-        """Check which software version writes the events of an attempt.
+    ) -> StreamOrigin:
+        """Return which software version writes the events of an attempt.
 
         The first one that writes any is the origin of the stream.
 
@@ -470,14 +521,13 @@
         writer = StreamOrigin(
             service=request.backend.name, software_version=version
         )
-        if progress.origin is None:
-            progress.origin = writer
-        elif progress.origin != writer:
+        origin = progress.origin
+        if origin is not None and origin != writer:
             raise InvalidEventStream(
                 f"software version {version!r} wrote the events, "
-                f"{progress.origin.software_version!r} began the stream"
+                f"{origin.software_version!r} began the stream"
             )
-        self.on_stream(request, writer)
+        return writer
 
     def _start_stream(
         self,
@@ -505,10 +555,12 @@
         outcome: Outcome | None,
         *,
         is_silent: bool,
+        is_recorded: bool,
     ) -> None:
         """Record an outcome for the health of an endpoint.
 
         :param is_silent: whether it sent nothing to anyone meanwhile
+        :param is_recorded: whether the loss of the attempt has been recorded
         """
         now = self._clock.monotonic()
         if isinstance(outcome, Delivered | ErrorResponse):
@@ -520,6 +572,8 @@
                 health.record_error(now)
             case NotStarted(unconnected=True):
                 health.record_unreachable(now)
+            case Lost() if is_recorded:
+                health.record_neutral()
             case Lost(timed_out=timed_out) if is_silent or not timed_out:
                 # A busy endpoint lets a deadline pass, but responds to others.
                 health.record_loss(now, is_silent=is_silent)
@@ -542,14 +596,8 @@
     return None if progress.is_counted else HopCharge.REQUEST
 
 
-def forwarded_attempts(
-    request: ProxiedRequest, progress: RequestProgress
-) -> int:
-    """Return how many attempts another region may make for a request.
-
-    A stream that breaks off on its way back may have used all of them; this
-    entry VM can only resume it if it forwarded one and kept the others.
-    """
-    if request.route.streams:
-        return 1
-    return max(1, request.attempts - progress.runs)
+def _end_superseded(attempt: Attempt) -> Outcome:
+    """Return the outcome of an attempt beside which another one responded."""
+    if attempt.is_stalled:
+        return Lost(reason="received no data", is_broken=True)
+    return Withdrawn()
--- a/burdockdrum/passthrough/relaying/in_flight_calls.py
+++ b/burdockdrum/passthrough/relaying/in_flight_calls.py
@@ -45,6 +45,8 @@
         # monotonic clock.
         self.sent_at = 0.0
         self.wrote_since = 0.0
+        # Whether the health of the endpoint has heard of a silence.
+        self.is_loss_recorded = False
 
     def disarm_watchdog(self) -> None:
         """Stop the watchdog; only the deadline limits the call then."""
@@ -52,6 +54,11 @@
             self.watchdog.stop()
             self.watchdog = None
 
+    def expire(self) -> None:
+        """Let the timeout of a silence pass now."""
+        if self.watchdog is not None:
+            self.watchdog.expire()
+
     def abort(self, reason: str) -> None:
         """Time the call out now, which closes its connection."""
         if self.timeout is None or self.timeout.expired():
@@ -82,8 +89,7 @@
     def expire_all(self, endpoint_id: str) -> None:
         """Let the timeouts of an endpoint's calls pass now."""
         for call in list(self._calls_by_id.get(endpoint_id, ())):
-            if call.watchdog is not None:
-                call.watchdog.expire()
+            call.expire()
 
     def abort_all(self, endpoint_id: str, reason: str) -> int:
         """Abort every call to an endpoint; return how many there were."""
--- a/burdockdrum/passthrough/relaying/request_log.py
+++ b/burdockdrum/passthrough/relaying/request_log.py
@@ -58,6 +58,23 @@
     )
 
 
+def log_stalled(target: Target, request: ProxiedRequest) -> None:
+    """Log that an attempt is silent and another one may start beside it."""
+    log_decision(
+        "attempt.stalled",
+        request_id=request.request_id,
+        route=request.route.name,
+        **_describe(target, request),
+    )
+
+
+def log_not_replaced(request: ProxiedRequest, reason: str) -> None:
+    """Log that no target accepts a request whose attempt has stalled."""
+    log_decision(
+        "attempt.not_replaced", request_id=request.request_id, reason=reason
+    )
+
+
 def log_disconnect(
     request: ProxiedRequest, progress: RequestProgress, now: float
 ) -> None:
--- a/burdockdrum/passthrough/relaying/request_runner.py
+++ b/burdockdrum/passthrough/relaying/request_runner.py
@@ -4,10 +4,14 @@
 deadline, its route's attempts and the retry budget.
 """
 
+import asyncio
+
 from burdockdrum.http1 import Exchange
 from burdockdrum.passthrough.protocol import Delivered
 from burdockdrum.passthrough.protocol import EndpointTarget
 from burdockdrum.passthrough.protocol import ErrorResponse
+from burdockdrum.passthrough.protocol import forwarded_attempts
+from burdockdrum.passthrough.protocol import granted_runs
 from burdockdrum.passthrough.protocol import HeaderNames
 from burdockdrum.passthrough.protocol import HOP_USED_ATTEMPTS
 from burdockdrum.passthrough.protocol import Lost
@@ -20,14 +24,16 @@
 from burdockdrum.passthrough.protocol import RequestProgress
 from burdockdrum.passthrough.protocol import ResponseClassifier
 from burdockdrum.passthrough.protocol import ResponseTruncated
-from burdockdrum.passthrough.protocol import ResumableEventSplitter
 from burdockdrum.passthrough.protocol import Target
+from burdockdrum.passthrough.protocol import Withdrawn
 from burdockdrum.passthrough.relaying.attempt_report import AttemptReporter
 from burdockdrum.passthrough.relaying.attempts import AttemptRunner
-from burdockdrum.passthrough.relaying.attempts import forwarded_attempts
 from burdockdrum.passthrough.relaying.crash_guard import CrashGuard
 from burdockdrum.passthrough.relaying.place_outcomes import record_place
+from burdockdrum.passthrough.relaying.request_log import log_not_replaced
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
+from burdockdrum.passthrough.relaying.running_attempts import Attempt
+from burdockdrum.passthrough.relaying.running_attempts import RunningAttempts
 from burdockdrum.passthrough.relaying.target_finder import TargetFinder
 from burdockdrum.passthrough.selection import TargetSelector
 from burdockdrum.ports import Clock
@@ -35,6 +41,7 @@
 from burdockdrum.verdicts import RefusalCode
 from burdockdrum.verdicts import Verdict
 
+FIRST_SERVER_ERROR_STATUS = 500
 # Limits the attempts at endpoints that are unreachable or refuse, which come
 # on top of the route's attempts.
 MAX_NOT_STARTED_ATTEMPTS = 4
@@ -78,57 +85,152 @@
         :raises Refusal: if it gets none
         :raises ResponseTruncated: the same, if its response has begun
         """
-        splitter = ResumableEventSplitter(last_number=request.last_event)
+        attempts = RunningAttempts()
+
+        def start_attempt() -> None:
+            attempts.start(
+                lambda attempt: self._run_attempt(
+                    attempt, request, progress, exchange
+                )
+            )
+
+        start_attempt()
+        try:
+            while not exchange.finished:
+                ended = await attempts.wait()
+                if ended is None:
+                    _count_stalled(attempts, request, progress)
+                    start_attempt()
+                    continue
+                outcome = self._read_outcome(
+                    ended, attempts, request, progress, exchange
+                )
+                if attempts.is_any_running:
+                    attempts.ask_for_successor()
+                elif outcome is not None and await self._should_retry(
+                    outcome, request, progress, exchange
+                ):
+                    start_attempt()
+        finally:
+            await attempts.close()
+
+    async def _run_attempt(
+        self,
+        attempt: Attempt,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        exchange: Exchange,
+    ) -> Outcome:
+        """Find a target and run one attempt there.
+
+        :raises Refusal: if no target accepts the request
+        """
         while True:
             run = await self._crash_guard.begin_attempt(request)
             try:
-                may_retry = await self._run_attempt(
-                    request, progress, exchange, splitter
-                )
+                target = await self._find_target(request, progress, exchange)
+                if target is not None:
+                    return await self._execute(
+                        target, attempt, request, progress, exchange
+                    )
             finally:
                 self._crash_guard.end_attempt(run)
-            if not may_retry:
-                return
 
-    async def _run_attempt(
+    async def _find_target(
         self,
         request: ProxiedRequest,
         progress: RequestProgress,
         exchange: Exchange,
-        splitter: ResumableEventSplitter,
-    ) -> bool:
-        """Run one attempt; return whether another one should follow."""
+    ) -> Target | None:
         self._crash_guard.check(request, progress, exchange)
-        try:
-            target = await self._finder.find(request, progress)
-        except Refusal as refusal:
-            self._finish_without_target(request, progress, exchange, refusal)
-            return False
+        target = await self._finder.find(request, progress)
         if target is None:
-            return True
+            return None
         # The request may have waited in the line meanwhile.
         self._crash_guard.check(request, progress, exchange)
-        found = await self._finder.acquire_place(target, request, progress)
-        if found is None:
-            return True
-        target = found
+        return await self._finder.acquire_place(target, request, progress)
+
+    async def _execute(
+        self,
+        target: Target,
+        attempt: Attempt,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        exchange: Exchange,
+    ) -> Outcome:
         progress.permit = None
-        progress.target = target
+        progress.target = attempt.target = target
         if isinstance(target, EndpointTarget):
             self._retries.record_request(request, progress)
-        started_at = self._clock.monotonic()
+        attempt.started_at = self._clock.monotonic()
         outcome: Outcome | None = None
         try:
             outcome = await self._runner.execute(
-                target, request, progress, exchange, splitter
+                target, request, progress, exchange, attempt
             )
         finally:
             record_place(target, outcome)
-        progress.last_event = splitter.last_number
-        self._reporter.report(target, request, progress, outcome, started_at)
+        return outcome
+
+    def _read_outcome(
+        self,
+        attempt: Attempt,
+        attempts: RunningAttempts,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        exchange: Exchange,
+    ) -> Outcome | None:
+        """Record the outcome of an attempt that has ended.
+
+        :returns: None if there was no target for it
+        :raises Refusal: if there was none, and no other attempt runs
+        :raises ResponseTruncated: the same, if the response has begun
+        """
+        progress.stalled_runs -= attempt.counted_runs
+        try:
+            outcome = attempt.task.result()
+        except asyncio.CancelledError:
+            outcome = Withdrawn()
+        except (Refusal, ResponseTruncated) as error:
+            if attempts.is_any_running:
+                log_not_replaced(request, str(error))
+                return None
+            if isinstance(error, ResponseTruncated):
+                raise
+            self._finish_without_target(request, progress, exchange, error)
+            return None
+        if attempt.target is None:
+            return outcome
+        self._reporter.report(
+            attempt.target, request, progress, outcome, attempt.started_at
+        )
+        if isinstance(outcome, Delivered):
+            return outcome
+        if attempt.was_sent or not isinstance(outcome, Withdrawn):
+            self._record_outcome(attempt.target, request, progress, outcome)
+        if (
+            attempts.is_any_running
+            and isinstance(outcome, ErrorResponse)
+            and not _is_server_error(outcome)
+            and not exchange.started
+        ):
+            self._forward_failure(request, exchange, outcome, progress.runs)
+        return outcome
+
+    async def _should_retry(
+        self,
+        outcome: Outcome,
+        request: ProxiedRequest,
+        progress: RequestProgress,
+        exchange: Exchange,
+    ) -> bool:
+        """Return whether another attempt should follow the last one.
+
+        :raises Refusal: if it must not, and the request has failed
+        :raises ResponseTruncated: the same, if the response has begun
+        """
         if isinstance(outcome, Delivered):
             return False
-        self._record_outcome(target, request, progress, outcome)
         await self._crash_guard.check_outcome(
             request, progress, exchange, outcome
         )
@@ -179,6 +281,9 @@
         match outcome:
             case NotStarted(reason=reason):
                 progress.last_reason = reason
+            case Withdrawn():
+                progress.verdict = Verdict.MAY_HAVE_RUN
+                progress.runs += granted_runs(target, request, progress)
             case Lost(reason=reason):
                 progress.last_reason = reason
                 progress.verdict = Verdict.MAY_HAVE_RUN
@@ -200,7 +305,9 @@
             return False
         if len(progress.tried) >= MAX_NOT_STARTED_ATTEMPTS + request.attempts:
             return False
-        if isinstance(outcome, ErrorResponse) and outcome.head.status < 500:
+        if isinstance(outcome, ErrorResponse) and not _is_server_error(
+            outcome
+        ):
             return False
         if progress.chunks_sent and not request.is_resumable:
             return False
@@ -273,6 +380,36 @@
         exchange.respond(status, headers, failure.body)
 
 
+def _count_stalled(
+    attempts: RunningAttempts,
+    request: ProxiedRequest,
+    progress: RequestProgress,
+) -> None:
+    """Count the runs of attempts that have stalled, and avoid their targets.
+
+    They have not ended, and may still run.
+    """
+    for attempt in attempts:
+        if not attempt.is_stalled or attempt.counted_runs:
+            continue
+        match attempt.target:
+            case EndpointTarget(choice=choice):
+                progress.tried.add(choice.endpoint.endpoint_id)
+            case RegionTarget(vm_id=vm_id, region=region):
+                progress.tried.add(vm_id)
+                progress.tried_regions.add(region)
+            case None:
+                continue
+        attempt.counted_runs = granted_runs(attempt.target, request, progress)
+        progress.stalled_runs += attempt.counted_runs
+        progress.has_arrived = True
+
+
+def _is_server_error(outcome: ErrorResponse) -> bool:
+    """Return whether another endpoint may answer otherwise."""
+    return outcome.head.status >= FIRST_SERVER_ERROR_STATUS
+
+
 def _is_unreached(outcome: Outcome) -> bool:
     """Return whether the target of an attempt could not be connected to."""
     return isinstance(outcome, NotStarted) and outcome.unconnected
