Test stalled attempts that go on, and use their endpoints again

An endpoint that was silent for longer than usual was set aside for 1 to 8 s, also after it went on. What it sends lifts that now, as a complete response does.

--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -361,15 +361,21 @@
         attempt.stall()
 
     def _claim_response(
-        self, attempt: Attempt, request: ProxiedRequest
+        self, call: Call, request: ProxiedRequest, attempt: Attempt
     ) -> None:
         """Own the response before a part of it is written.
 
         :raises Superseded: if another attempt owns it
         """
-        if attempt.is_stalled:
-            log_decision("attempt.resumed", request_id=request.request_id)
+        was_stalled = attempt.is_stalled
         attempt.claim_response()
+        if not was_stalled:
+            return
+        log_decision("attempt.resumed", request_id=request.request_id)
+        if call.is_loss_recorded and isinstance(call.target, EndpointTarget):
+            call.is_loss_recorded = False
+            endpoint = call.target.choice.endpoint
+            self._fleet.health_of(endpoint).record_success()
 
     def _reason_to_withhold(
         self, call: Call, request: ProxiedRequest, progress: RequestProgress
@@ -421,7 +427,7 @@
             return await self._forward_stream(
                 connection, head, call, request, progress, exchange, attempt
             )
-        self._claim_response(attempt, request)
+        self._claim_response(call, request, attempt)
         call.disarm_watchdog()
         return await self._forward_response(connection, head, exchange)
 
@@ -470,7 +476,7 @@
                 writer: StreamOrigin | None = None
                 if not has_events and request.is_resumable:
                     writer = self._find_writer(call, head, request, progress)
-                self._claim_response(attempt, request)
+                self._claim_response(call, request, attempt)
                 if writer is not None:
                     progress.origin = writer
                     self.on_stream(request, writer)
@@ -491,7 +497,7 @@
             raise InvalidEventStream(
                 "the stream ended in the middle of an event"
             )
-        self._claim_response(attempt, request)
+        self._claim_response(call, request, attempt)
         self._start_stream(exchange, head, request, progress)
         exchange.finish()
         return Delivered(status=head.status)
--- a/tests/passthrough/relaying/test_silent_endpoints.py
+++ b/tests/passthrough/relaying/test_silent_endpoints.py
@@ -1,10 +1,13 @@
 """Tests of endpoints that fall silent for a while, over loopback sockets."""
 
 import asyncio
+import time
 
+from tests.http1.wire import ScriptedServer
 from tests.passthrough.entries import answer
 from tests.passthrough.entries import close_without_response
 from tests.passthrough.entries import Endpoint
+from tests.passthrough.entries import EntryDeployment
 from tests.passthrough.entries import event
 from tests.passthrough.entries import events
 from tests.passthrough.entries import never_respond
@@ -49,6 +52,12 @@
     await answer(b"late")(writer, request_id)
 
 
+async def pause_before_answer_for_long(writer, request_id):
+    """Send a whole answer after longer than any usual silence."""
+    await asyncio.sleep(1.5 * PAUSE_SECONDS)
+    await answer(b"late")(writer, request_id)
+
+
 async def pause_twice(writer, request_id):
     """Be silent for longer than the other endpoint."""
     await asyncio.sleep(2 * PAUSE_SECONDS)
@@ -105,6 +114,50 @@
                 self.assertEqual((200, True), (status, is_complete))
                 self.assertEqual(b"".join(map(event, range(1, 6))), data)
 
+    async def test_stalled_stream_that_goes_on_ends_its_successor(self):
+        # Guards against events of two runs in one response, and against a
+        # successor that works on in vain.
+        endpoints = [Endpoint(None), Endpoint(None)]
+        entry = await self.open(*endpoints, timeout_seconds=4.0, **self.ROUTE)
+        share(endpoints, pause_in_stream, never_respond)
+        status, _, data, is_complete = await self.call(entry)
+        self.assertEqual((200, True), (status, is_complete))
+        self.assertEqual(b"".join(map(event, range(1, 6))), data)
+        await asyncio.sleep(0.1)
+        self.assertEqual({}, entry.fleet.read_own_load())
+
+    async def test_no_more_endpoints_than_attempts_get_a_stalled_stream(self):
+        # Guards against a retry for each time that an attempt stalls.
+        endpoints = [Endpoint(None) for _ in range(4)]
+        entry = await self.open(*endpoints, timeout_seconds=4.0, **self.ROUTE)
+        share(endpoints, pause_in_stream, FAIL)
+        await self.call(entry)
+        self.assertEqual(2, sum(len(e.seen) for e in endpoints))
+
+    async def test_caller_that_leaves_ends_both_attempts(self):
+        # Guards against work for a caller that has left.
+        endpoints = [Endpoint(None), Endpoint(None)]
+        entry = await self.open(*endpoints, **self.ROUTE)
+        share(endpoints, pause_in_stream, never_respond)
+        task = asyncio.create_task(self.call(entry))
+        await asyncio.sleep(1.8)
+        self.assertEqual(2, sum(len(e.seen) for e in endpoints))
+        for connection in list(entry.callers.connections):
+            connection._transport.abort()
+        await asyncio.gather(task, return_exceptions=True)
+        await asyncio.sleep(0.2)
+        self.assertEqual({}, entry.fleet.read_own_load())
+
+    async def test_endpoint_that_goes_on_is_used_again(self):
+        # Guards against an endpoint that is set aside for a pause.
+        endpoints = [Endpoint(None), Endpoint(None)]
+        entry = await self.open(*endpoints, timeout_seconds=4.0, **self.ROUTE)
+        share(endpoints, pause_before_stream, REJECT)
+        await self.call(entry)
+        for endpoint in entry.registered.values():
+            health = entry.fleet.health_of(endpoint)
+            self.assertFalse(health.is_ejected(time.monotonic()))
+
 
 class PausingAnswerTest(RelayCase):
     """Whole answers of a sound endpoint that is silent for a while."""
@@ -119,3 +172,39 @@
                 share(endpoints, pause_before_answer, other)
                 status, _, body = await entry.call()
                 self.assertEqual((200, b"late"), (status, body))
+
+    async def test_final_error_of_a_successor_is_delivered(self):
+        # Guards against waiting for a silent endpoint although another one
+        # has answered for good.
+        endpoints = [Endpoint(None), Endpoint(None)]
+        entry = await self.open(*endpoints, timeout_seconds=4.0)
+        share(endpoints, never_respond, answer(b"no", b"404 Not Found"))
+        status, _, body = await entry.call()
+        self.assertEqual((404, b"no"), (status, body))
+
+
+class PausingHopTest(RelayCase):
+    """Answers that another entry has forwarded, after a while."""
+
+    async def test_hop_that_may_use_all_attempts_is_kept(self):
+        # Guards against giving up the only attempt that is allowed.
+        self.world = EntryDeployment(timeout_seconds=4.0)
+        self.addAsyncCleanup(self.world.close)
+        first = await self.world.open_entry("here", capacities=["over"])
+        first.budget.record_request("model")
+        remote = Endpoint(pause_before_answer_for_long)
+        await self.world.open_entry("over", [remote])
+
+        async def answer_here(reader, writer):
+            raise AssertionError("the request went to a second target")
+
+        async def register_later():
+            await asyncio.sleep(0.2)
+            local = ScriptedServer(answer_here)
+            first.add_endpoint("late", await local.open())
+            self.addAsyncCleanup(local.close)
+
+        task = asyncio.create_task(register_later())
+        status, _, body = await first.call()
+        await task
+        self.assertEqual((200, b"late"), (status, body))
