Test that an event before a missing one is sent

Found while reading: if one part of a stream brought an event and, behind it, one after a gap, the attempt failed and the first event was dropped though it counted as sent; the next attempt went on behind it. The gap is closed since the progress of a request is recorded as events are written.

--- a/tests/passthrough/relaying/test_relay_streams.py
+++ b/tests/passthrough/relaying/test_relay_streams.py
@@ -63,6 +63,24 @@
         asked = {header(head, b"last-event-id") for head in heads}
         self.assertEqual({None, b"2"}, asked)
 
+    async def test_event_before_a_missing_one_is_sent(self):
+        # Guards against a gap: event 4 comes in one part with event 6, for
+        # which the attempt fails, so that the caller has not got it.
+        async def skip(writer, request_id):
+            await events(1, 3, end=None)(writer, request_id)
+            data = event(4) + event(6)
+            writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+            await asyncio.sleep(0.1)
+
+        endpoints = [Endpoint(None), Endpoint(None)]
+        entry = await self.open(*endpoints, **self.ROUTE)
+        shared = [skip, events(4, 6)]
+        for endpoint in endpoints:
+            endpoint.behaviours = shared
+        status, _, data, is_complete = await self.call(entry)
+        self.assertEqual((200, True), (status, is_complete))
+        self.assertEqual(b"".join(event(n) for n in range(1, 7)), data)
+
     async def test_non_resumable_stream_is_truncated(self):
         endpoints = [
             Endpoint(events(1, 2, end=False)),
