Decode the name of a forwarded request's service once

A stream of a service whose name isn't ASCII was cut when it went on over a hop: the other entry read the service that began it as Latin-1 and the one that goes on with it as UTF-8, took them for two, and rejected the events.

Evidence: test_stream_goes_on_at_the_service_that_began_it failed before ('modèle' != 'modÃ¨le'); tests.passthrough.protocol: 49 of 49.

--- a/burdockdrum/passthrough/protocol/request_reader.py
+++ b/burdockdrum/passthrough/protocol/request_reader.py
@@ -205,9 +205,9 @@
         A forwarded request keeps that of the first entry, unless this entry
         has another version of the route that doesn't use it.
         """
-        given = (head.find(HOP_SERVICE) or b"") if is_hop else b""
+        given = _read_service(head) if is_hop else None
         for share in route.services:
-            if share.weight and share.service.encode() == given:
+            if share.weight and share.service == given:
                 return share.service
         return choose_service(route, self._rng)
 
@@ -244,13 +244,19 @@
         )
 
 
+def _read_service(head: RequestHead) -> str | None:
+    """Return the service of a forwarded request, None if not told."""
+    service = head.find(HOP_SERVICE)
+    return None if service is None else service.decode(errors="replace")
+
+
 def _read_origin(head: RequestHead) -> StreamOrigin | None:
     """Return what began the stream of a forwarded request, if it goes on."""
     version = head.find(HOP_VERSION)
     if version is None:
         return None
     return StreamOrigin(
-        service=(head.find(HOP_SERVICE) or b"").decode("latin-1"),
+        service=_read_service(head) or "",
         software_version=decode_version(version),
     )
 
@@ -264,7 +270,7 @@
         charge = HopCharge(head.find(HOP_CHARGE))
     except ValueError:
         return None
-    is_kept = head.find(HOP_SERVICE) == service.encode()
+    is_kept = _read_service(head) == service
     if charge is HopCharge.RETRY and not is_kept:
         return HopCharge.UNPAID_RETRY
     return charge
--- a/tests/passthrough/protocol/test_forwarded_route.py
+++ b/tests/passthrough/protocol/test_forwarded_route.py
@@ -7,6 +7,8 @@
 from burdockdrum.passthrough.protocol.forwarded_route import encode_route
 from burdockdrum.passthrough.protocol.forwarded_route import ForwardedRoute
 from burdockdrum.passthrough.protocol.header_names import HOP_ROUTE
+from burdockdrum.passthrough.protocol.header_names import HOP_SERVICE
+from burdockdrum.passthrough.protocol.header_names import HOP_VERSION
 from burdockdrum.passthrough.protocol.model import ProxiedRequest
 from burdockdrum.passthrough.protocol.route_index import RouteIndex
 from burdockdrum.resources import Backend
@@ -102,3 +104,17 @@
         )
         found = [index.superseded_at(n) for n in (3, 4, 5, 6, 8, 9, 10)]
         self.assertEqual([10.0, 20.0, 20.0, 30.0, 30.0, None, None], found)
+
+
+class ForwardedServiceNameTest(unittest.TestCase):
+    """Names of services that are not ASCII."""
+
+    def test_stream_goes_on_at_the_service_that_began_it(self):
+        # Guards against cutting a stream whose service's name is decoded in
+        # two ways.
+        name = "mod\u00e8le"
+        reader = make_reader([WeightedService(service=name)], name)
+        head = make_head((HOP_SERVICE, name.encode()), (HOP_VERSION, b"v1"))
+        request = reader.read(head, is_hop=True)
+        self.assertEqual(name, request.backend.name)
+        self.assertEqual(name, request.origin.service)
