Take a forwarded request whatever the limits of this entry are

Callers got 502 for requests that an entry had read and sent to another one whose limit on heads or bodies was lower, as it had changed there already or was not raised there yet. That listener rejects with 413 or 431 before anything else reads the request, so that the first entry can't know whether it has run.

--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -15,7 +15,6 @@
 from burdockdrum.holdings import PrefixCacheSharing
 from burdockdrum.holdings import PrefixCacheTable
 from burdockdrum.http1 import ConnectionPool
-from burdockdrum.http1 import Limits
 from burdockdrum.http1 import Listener
 from burdockdrum.kernel import Kernel
 from burdockdrum.metrics import Metrics
@@ -76,10 +75,6 @@
 from burdockdrum.vms import Drain
 from burdockdrum.vms import VmDirectory
 
-# Longer than the idle timeout of the connection pools, so that the entry that
-# opened a connection closes it.
-VM_IDLE_SECONDS = 60.0
-
 
 def add_services(kernel: Kernel) -> None:
     """Register the active routes and, on an entry, the proxy."""
@@ -581,15 +576,10 @@
             handle=relay.serve_caller,
             read_limits=lambda: routes.limits,
         ),
-        # The forwarding entry adds headers to those within the limit.
         vms=Listener(
             address=settings.vms,
             handle=relay.serve_vm,
-            read_limits=lambda: Limits(
-                header_bytes=2 * routes.limits.header_bytes,
-                body_bytes=routes.limits.body_bytes,
-                idle_seconds=VM_IDLE_SECONDS,
-            ),
+            read_limits=lambda: routes.hop_limits,
         ),
         pools=[
             kernel.find("endpoint_pool", ConnectionPool),
