Time a pipelined request from its own first byte

A request that arrived in one segment with the end of the one before it had received_at = 0, so that its deadline had passed before it was read: callers that pipeline got a refusal with the reason that the deadline had passed, and the histogram of durations a sample of the machine's uptime. The connection also counted as idle while the second request was partly read.

The time was only set per call of data_received, and reset at the end of the first request. The parser's start of a message sets it now.

Evidence: test_pipelined_request_is_timed_from_its_own_bytes failed before with received_at = 0.0, and passes now.

--- a/burdockdrum/http1/server.py
+++ b/burdockdrum/http1/server.py
@@ -178,6 +178,11 @@
             self._paused = True
             self._transport.pause_reading()
 
+    def on_message_begin(self) -> None:
+        """Record the arrival of a request that follows another one."""
+        if not self._received_at:
+            self._received_at = time.monotonic()
+
     def on_url(self, url: bytes) -> None:
         """Append a part of the target."""
         self._target += url
