Soak endpoints that fall silent and go on, and bytes without end

No run of real processes had endpoints that pause and go on, or whose responses never end, beside changes of the configuration. Every answer that ends with nothing, or with a failure of ours, must have a reason in what endpoints did, in its time, or in a process that was killed.

Shared with the soak of versions: a caller that reads one response.

--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -3,13 +3,14 @@
 Usage:
   soak [--seed N] [--seeds N] [--seconds S] [--keep FOLDER]
        [--limits | --signals | --retries | --crashes | --cuts | --versions |
-       --brittle | --parts] [--entries N] [--rate R]
+       --brittle | --parts | --silent] [--entries N] [--rate R]
 
 Options:
   --seed N       The first seed [default: 1].
   --seeds N      How many seeds to run [default: 1].
   --seconds S    How long faults come, for each seed [default: 20].
-  --keep FOLDER  Keep the logs of seeds that failed there.
+  --keep FOLDER  Keep the logs of seeds that failed there, and print the lines
+                 of the requests that failed.
   --limits       Endpoints announce rate limits, to two entries in each region.
   --signals      Endpoints request backoffs, and announce drains and restart.
   --retries      Endpoints fail most requests; only retries are checked.
@@ -17,8 +18,9 @@
   --cuts         Entries lose their links; first tries there are checked.
   --brittle      Endpoints crash if they reject much; only that is checked.
   --parts        A prompt part crashes endpoints; only that is checked.
+  --silent       Endpoints fall silent and go on; only answers are checked.
   --versions     Endpoints have several versions; only streams are checked.
-  --entries N    With these six: the entries of each region [default: 2].
+  --entries N    With these seven: the entries of each region [default: 2].
   --rate R       With --retries: requests per second; at random by default.
 
 Three control VMs and three entries run as processes on loopback addresses.
@@ -45,10 +47,12 @@
 from scripts.soak.crashes import CrashSoak
 from scripts.soak.cuts import CutSoak
 from scripts.soak.parts import PartSoak
+from scripts.soak.related_logs import list_related
 from scripts.soak.retries import RetrySoak
 from scripts.soak.retries import run_soak
 from scripts.soak.run import Result
 from scripts.soak.run import run_seed
+from scripts.soak.silence import SilenceSoak
 from scripts.soak.versions import VersionSoak
 
 
@@ -64,6 +68,8 @@
         soak = BrittleSoak(seed, entries=entries)
     elif arguments["--parts"]:
         soak = PartSoak(seed, entries=entries)
+    elif arguments["--silent"]:
+        soak = SilenceSoak(seed, entries=entries)
     elif arguments["--cuts"]:
         soak = CutSoak(seed, entries=entries)
     elif arguments["--versions"]:
@@ -101,6 +107,8 @@
             shutil.rmtree(logs, ignore_errors=True)
         failed += bool(result.violations)
         print(result.format_result(), flush=True)
+        if result.violations and arguments["--keep"]:
+            print(*list_related(logs, result.violations), sep="\n")
     return 1 if failed else 0
 
 
--- a/scripts/soak/retries.py
+++ b/scripts/soak/retries.py
@@ -58,6 +58,8 @@
     route_fields: ClassVar[dict[str, Any]] = {}
     # Requests that each endpoint says it runs at once.
     slots = SLOTS
+    # Between two random faults.
+    fault_interval_seconds = (1.0, 5.0)
 
     def __init__(
         self, seed: int, *, entries: int = 2, rate: float | None = None
@@ -133,26 +135,33 @@
     async def put_configuration(self) -> bool:
         """Send a new version; return whether it was acknowledged."""
         self._version += 1
+        document = {
+            "version": self._version,
+            "routes": self.list_routes(),
+            "services": [{"name": service} for service in ENDPOINTS],
+        }
+        return await self._call_control("PUT", "/v1/config", document) == 200
+
+    def list_routes(self) -> list[dict[str, Any]]:
+        """Return the routes of the configuration."""
+        return [self.make_route("again", **self.route_fields)]
+
+    def make_route(self, name: str, **fields: Any) -> dict[str, Any]:
+        """Return a route, whose fields differ from those of a plain one."""
         backends = [
             {"service": service, "weight": weight}
             for service, weight in self._weights.items()
         ]
-        route = {
-            "name": "again",
+        return {
+            "name": name,
             "host": "h",
-            "path_prefix": "/again/",
+            "path_prefix": f"/{name}/",
             "kind": "safe",
             "timeout_ms": DEADLINE_MS,
             "backends": backends,
             "attempts": 3,
-            **self.route_fields,
+            **fields,
         }
-        document = {
-            "version": self._version,
-            "routes": [route],
-            "services": [{"name": service} for service in ENDPOINTS],
-        }
-        return await self._call_control("PUT", "/v1/config", document) == 200
 
     async def send_continuously(self) -> None:
         """Send requests at the rate, whether or not they are answered."""
@@ -211,7 +220,9 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.change_failures())
             while True:
-                await asyncio.sleep(self.rng.uniform(1.0, 5.0))
+                await asyncio.sleep(
+                    self.rng.uniform(*self.fault_interval_seconds)
+                )
                 group.create_task(self._inject(self.rng.choice(faults)))
 
     async def _inject(self, fault: Callable[[], Awaitable[None]]) -> None:
@@ -322,6 +333,10 @@
         """Return what was violated."""
         return self.violations + self.history.check(**BUDGET)
 
+    def summarize(self) -> str:
+        """Return a line on what happened, empty if there is none."""
+        return ""
+
     def _record(self, description: str) -> None:
         now = time.monotonic()
         seconds = now - self._began
@@ -374,6 +389,7 @@
         violations=soak.check(),
         counts_by_status=dict(soak.counts_by_status),
         faults=soak.faults,
+        summary=soak.summarize(),
     )
 
 
--- a/scripts/soak/run.py
+++ b/scripts/soak/run.py
@@ -52,6 +52,7 @@
     violations: list[str]
     counts_by_status: dict[int, int]
     faults: list[str]
+    summary: str = ""
 
     def format_result(self) -> str:
         """Return a summary line, then violations and faults if any."""
@@ -62,6 +63,8 @@
         verdict = "BROKEN" if self.violations else "held"
         head = f"seed {self.seed}: {verdict}; {counts}; "
         lines = [head + f"{len(self.faults)} faults"]
+        if self.summary:
+            lines.append(f"  {self.summary}")
         if self.violations:
             lines += [f"  {line}" for line in self.violations[:20]]
             lines += [f"  fault: {fault}" for fault in self.faults]
--- a/scripts/soak/versions.py
+++ b/scripts/soak/versions.py
@@ -14,8 +14,8 @@
 from burdockdrum.histories import ReceivedEvent
 from burdockdrum.histories import StreamHistory
 from burdockdrum.histories import StreamTry
-from scripts.local_deployment import CALLERS_PORT
 from scripts.local_deployment import Machine
+from scripts.soak.receiving import receive
 from scripts.soak.retries import RetrySoak
 from scripts.soak.versioned_endpoint import VersionedEndpoint
 
@@ -24,7 +24,6 @@
 DEADLINE_MS = 6000
 MAX_TRIES = 4
 UNTIL_TAKEN_UP_SECONDS = (0.02, 0.4)
-CONNECT_SECONDS = 1.0
 # A machine that was disturbed lately may not know enough.
 CONTACT_SECONDS = 5.0
 # An endpoint must have served for so long before a stream can go on there.
@@ -95,41 +94,24 @@
     ) -> tuple[int, bool]:
         """Receive what a try brings; return the status, and if it is whole."""
         headers = {
-            "Host": "h",
             "X-Request-Id": attempt.request_id,
             "X-Deadline-Ms": str(DEADLINE_MS),
-            "Content-Length": "0",
-            "Connection": "close",
         }
         if attempt.resumes is not None:
             events = [event for t in tries for event in t.events]
             headers["Resumes"] = attempt.resumes
             headers["Last-Event-Id"] = str(events[-1].number)
-        lines = ["POST /again/x HTTP/1.1"]
-        lines += [f"{name}: {value}" for name, value in headers.items()]
         (machine,) = (
             m for m in self.deployment.entries if m.name == attempt.entry
         )
-        data = b""
-        writer = None
-        # A stream that breaks off is taken up again.
-        with contextlib.suppress(OSError, TimeoutError):
-            async with asyncio.timeout(CONNECT_SECONDS):
-                reader, writer = await asyncio.open_connection(
-                    machine.ip, CALLERS_PORT
-                )
-            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
-            async with asyncio.timeout(DEADLINE_MS / 1000):
-                while chunk := await reader.read(65536):
-                    data += chunk
-        if writer is not None:
-            writer.close()
+        received = await receive(
+            machine.ip, "/again/x", headers, seconds=DEADLINE_MS / 1000
+        )
         attempt.events = [
             ReceivedEvent(number=int(number), version=version.decode())
-            for number, version in _EVENT.findall(data)
+            for number, version in _EVENT.findall(received.body)
         ]
-        status = int(data.split(b" ")[1]) if data else 0
-        return status, data.endswith(b"0\r\n\r\n")
+        return received.status, received.is_whole
 
     def _is_calm(self, entry: Machine) -> bool:
         """Return whether an entry and the control VMs were undisturbed."""
