Let the soak of silent endpoints leave most entries running

Kills of all processes at once explained most of the answers that ended with nothing, so that little was checked. Its random faults are now restarts of one process or in series, pauses, SIGHUPs and registrations that end.

A request on a connection with surplus bytes is recorded as failed by its endpoint.

--- a/scripts/soak/answers.py
+++ b/scripts/soak/answers.py
@@ -18,9 +18,11 @@
 NOTICE_SECONDS = 0.7
 # How much sooner than its time a request may count as over.
 TIME_SLACK_SECONDS = 0.1
-# After a signal to stop, an entry may end what still runs: at the last sixth
-# of the eight seconds that a process has for it.
-GRACE_SECONDS = 8.0 * 5 / 6
+# After a signal to stop, an entry may end what still runs in the last sixth of
+# the time that a process has for it, if it was sent soon after the signal.
+GRACE_SECONDS = 8.0
+MAY_END_SECONDS = GRACE_SECONDS * 5 / 6
+MAY_BE_SENT_SECONDS = 3.0
 _EVENT = re.compile(rb"id: (\d+)\ndata: (\w+)\n\n")
 
 
@@ -128,15 +130,11 @@
         runs = self.runs_by_id[answer.request_id]
         if answer.ended_at >= answer.due_at - TIME_SLACK_SECONDS:
             return "time"
-        since = answer.sent_at - NOTICE_SECONDS
         for stop in self.stops:
-            if stop.entry == answer.entry and since < stop.at:
-                if stop.is_kill and stop.at < answer.ended_at + NOTICE_SECONDS:
-                    return "entry killed"
-                if stop.at + GRACE_SECONDS < answer.ended_at:
-                    return "time to stop"
-                if not runs and not answer.received.status:
-                    return "not read by an entry that ended"
+            if stop.entry == answer.entry:
+                reason = _find_reason_of_stop(stop, answer, bool(runs))
+                if reason is not None:
+                    return reason
         sound = [run for run in runs if run.is_sound]
         if not runs and self._was_any_killed(answer.ended_at):
             return "killed on the way"
@@ -205,3 +203,23 @@
             f"{run.wrote_at:.2f}, {run.end.value} at {run.ended_at:.2f}"
             for run in runs
         )
+
+
+def _find_reason_of_stop(
+    stop: Stop, answer: Answer, has_run: bool
+) -> str | None:
+    """Return why the end of an answer's entry explains it, if it does."""
+    seconds = answer.ended_at - stop.at
+    since_sent = answer.sent_at - stop.at
+    if stop.is_kill:
+        is_meanwhile = (
+            seconds > -NOTICE_SECONDS and since_sent < NOTICE_SECONDS
+        )
+        return "entry killed" if is_meanwhile else None
+    if seconds > GRACE_SECONDS + NOTICE_SECONDS:
+        return None
+    if seconds > MAY_END_SECONDS and since_sent <= MAY_BE_SENT_SECONDS:
+        return "time to stop"
+    if seconds > 0 and not has_run and not answer.received.status:
+        return "not read by an entry that ends"
+    return None
--- a/scripts/soak/pausing_endpoint.py
+++ b/scripts/soak/pausing_endpoint.py
@@ -139,8 +139,28 @@
             return
         run.end, run.ended_at = RunEnd.WHOLE, time.monotonic()
         if endless is Endless.SURPLUS:
-            await self._write_endless(
-                reader, writer, endless, run, begins=False
+            unread = asyncio.create_task(self._lose_request(reader))
+            try:
+                await self._write_endless(
+                    reader, writer, endless, run, begins=False
+                )
+            finally:
+                unread.cancel()
+
+    async def _lose_request(self, reader: asyncio.StreamReader) -> None:
+        """Record that a request gets bytes that are no response."""
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            headers = parse_headers(await reader.readuntil(b"\r\n\r\n"))
+            request_id = headers.get(b"x-request-id", b"").decode()
+            now = time.monotonic()
+            self._answers.runs_by_id[request_id].append(
+                Run(
+                    request_id=request_id,
+                    endpoint_id=self.endpoint_id,
+                    began_at=now,
+                    end=RunEnd.FAILED,
+                    ended_at=now,
+                )
             )
 
     async def _send_parts(
--- a/scripts/soak/retries.py
+++ b/scripts/soak/retries.py
@@ -205,7 +205,18 @@
 
     async def inject_faults(self) -> None:
         """Inject random faults that overlap, until cancelled."""
-        faults: list[Callable[[], Awaitable[None]]] = [
+        faults = self.list_faults()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.change_failures())
+            while True:
+                await asyncio.sleep(
+                    self.rng.uniform(*self.fault_interval_seconds)
+                )
+                group.create_task(self._inject(self.rng.choice(faults)))
+
+    def list_faults(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the random faults, as often as each should come."""
+        return [
             self.restart_all_entries,
             self.restart_entries_in_series,
             self.restart_one,
@@ -217,13 +228,6 @@
             self.lose_endpoints,
             self.change_weights,
         ]
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self.change_failures())
-            while True:
-                await asyncio.sleep(
-                    self.rng.uniform(*self.fault_interval_seconds)
-                )
-                group.create_task(self._inject(self.rng.choice(faults)))
 
     async def _inject(self, fault: Callable[[], Awaitable[None]]) -> None:
         self._record(fault.__name__)
--- a/scripts/soak/silence.py
+++ b/scripts/soak/silence.py
@@ -6,12 +6,15 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import pathlib
 import signal
 import time
 from typing import Any
 
 from burdockdrum.histories import RequestOffered
+from scripts.local_deployment import is_ready
 from scripts.local_deployment import Machine
 from scripts.soak.answers import Answer
 from scripts.soak.answers import AnswerHistory
@@ -151,6 +154,25 @@
         )
         return received.status
 
+    def list_faults(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return faults that leave most entries with their requests."""
+        return [
+            self.restart_one,
+            self.restart_entries_in_series,
+            self.restart_control,
+            self.pause_entry,
+            self.pause_control,
+            self.lose_endpoints,
+            self.reload_entries,
+        ]
+
+    async def reload_entries(self) -> None:
+        """Let all entries read their settings again."""
+        for entry in self.deployment.entries:
+            # One that has not started up yet would end.
+            if await is_ready(entry) and entry.process is not None:
+                entry.send_signal(signal.SIGHUP)
+
     async def change_failures(self) -> None:
         """Let endpoints pause, fail and write without end."""
         async with asyncio.TaskGroup() as group:
--- a/tests/soak/test_answers.py
+++ b/tests/soak/test_answers.py
@@ -18,15 +18,17 @@
 }
 
 
-def make_answer(*, route="resume", status=200, body=b"", is_whole=False):
-    """Return an answer that ended after 2 of its 6 seconds."""
+def make_answer(
+    *, route="resume", status=200, body=b"", is_whole=False, ended_at=2.0
+):
+    """Return an answer to a request that has 6 seconds."""
     return Answer(
         request_id="r1",
         route=route,
         entry=ENTRY,
         sent_at=0.0,
         due_at=6.0,
-        ended_at=2.0,
+        ended_at=ended_at,
         received=Received(
             status=status,
             is_whole=is_whole,
@@ -87,6 +89,12 @@
             violations = self.check([SOUND], stops=[stop])
             self.assertEqual(is_kill, not violations)
 
+    def test_end_of_the_time_to_stop_is_a_reason(self):
+        for stopped_at, is_reason in ((-1.0, True), (-4.0, False)):
+            stop = Stop(at=stopped_at, entry=ENTRY, is_kill=False)
+            violations = self.check([SOUND], stops=[stop], ended_at=5.8)
+            self.assertEqual(is_reason, not violations)
+
     def test_missing_and_repeated_events_are_violations(self):
         for body in (EVENTS[15:], EVENTS + EVENTS[15:]):
             (text,) = self.check(
