Count handlers that fail in the soak of silent endpoints

An exception in a handler ends a request with 500, or in the middle of its response. The line of it in the log is now a violation by itself.

--- a/scripts/soak/silence.py
+++ b/scripts/soak/silence.py
@@ -56,6 +56,8 @@
 # The usual work of an entry, beyond what it needs at the start.
 USUAL_BYTES = 64 * 1024 * 1024
 MEMORY_INTERVAL_SECONDS = 0.5
+# The log line of an exception that nothing expected.
+FAILED_HANDLER = "the request handler failed"
 RULES = {
     "resume": RouteRule(attempts=3, is_stream=True, is_repeatable=True),
     "stream": RouteRule(attempts=2, is_stream=True),
@@ -289,6 +291,18 @@
         endless = PausingEndpoint.endless_peak * ENDLESS_BYTES
         return self.memory_at_start + USUAL_BYTES + endless
 
+    async def close(self) -> None:
+        """Stop all processes and endpoints, and read what handlers failed."""
+        for machine in self.deployment.machines:
+            output = machine.folder / "output"
+            lines = output.read_text().splitlines() if output.exists() else []
+            self.violations += [
+                f"{machine.name}: {line}"
+                for line in lines
+                if FAILED_HANDLER in line
+            ]
+        await super().close()
+
     def check(self) -> list[str]:
         """Return what was violated."""
         return [
