Cut a whole answer that has begun instead of answering again

A caller got the whole response of a second endpoint, status line and headers included, in the middle of the first one's body: an answer that is longer than the buffer of 256 KB is sent as it comes, and if its endpoint then started again, the attempt was lost and the request retried. Only streams counted what they had sent.

Class: a response that has begun is taken for one that has not.

Whether the response has begun decides now, for every route, and an exchange refuses a second head, so that a handler that tries fails and its connection is closed without the last chunk.

--- a/burdockdrum/http1/exchange.py
+++ b/burdockdrum/http1/exchange.py
@@ -9,6 +9,10 @@
 _LAST_CHUNK = b"0\r\n\r\n"
 
 
+class ResponseStarted(Exception):
+    """A handler wrote a second head, which would end up in the body."""
+
+
 class ResponseConnection(Protocol):
     """The interface of a connection that its exchanges use."""
 
@@ -65,7 +69,11 @@
         )
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete response."""
+        """Send a complete response.
+
+        :raises ResponseStarted: if the response has begun
+        """
+        self._check_not_started()
         length = (b"content-length", b"%d" % len(body))
         head = self._encode_head(status, [*headers, length])
         self.started = True
@@ -75,7 +83,11 @@
         self.finished = True
 
     def start(self, status: int, headers: Headers) -> None:
-        """Send the head of a streamed response."""
+        """Send the head of a streamed response.
+
+        :raises ResponseStarted: if the response has begun
+        """
+        self._check_not_started()
         self.started = self._is_streamed = True
         if self.request.knows_chunks:
             headers = [*headers, (b"transfer-encoding", b"chunked")]
@@ -97,6 +109,10 @@
             self._connection.write(_LAST_CHUNK)
         self.finished = True
 
+    def _check_not_started(self) -> None:
+        if self.started:
+            raise ResponseStarted("the response has a head already")
+
     def _encode_head(self, status: int, headers: Headers) -> bytes:
         self._is_kept = self.keeps_connection
         if not self._is_kept:
--- a/burdockdrum/passthrough/relaying/request_runner.py
+++ b/burdockdrum/passthrough/relaying/request_runner.py
@@ -234,7 +234,8 @@
         await self._crash_guard.check_outcome(
             request, progress, exchange, outcome
         )
-        if await self._may_retry(request, progress, outcome):
+        may_go_on = request.is_resumable or not exchange.started
+        if may_go_on and await self._may_retry(request, progress, outcome):
             return True
         self._finish_failed(request, progress, exchange, outcome)
         return False
@@ -309,8 +310,6 @@
             outcome
         ):
             return False
-        if progress.chunks_sent and not request.is_resumable:
-            return False
         must_not_rerun = (
             not request.is_retryable or progress.runs >= request.attempts
         )
--- a/tests/http1/test_connection_ends.py
+++ b/tests/http1/test_connection_ends.py
@@ -4,6 +4,8 @@
 import time
 import unittest
 
+from loguru import logger
+
 from tests.http1.wire import ListenerCase
 
 REQUEST = b"GET /%d HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -87,3 +89,18 @@
         _, body = await self.read_response(reader)
         self.assertIn(b"/2", body)
         writer.close()
+
+    async def test_second_head_is_not_written_into_a_body(self):
+        # Guards against a handler that responds after its stream has begun.
+        async def respond_twice(exchange):
+            exchange.start(200, [])
+            exchange.write(b"part")
+            exchange.respond(503, [], b"refused")
+
+        logger.disable("burdockdrum")
+        self.addCleanup(logger.enable, "burdockdrum")
+        await self.listener.close()
+        await self.open(respond_twice)
+        answer = await self.send(REQUEST % 1)
+        self.assertNotIn(b"refused", answer)
+        self.assertFalse(answer.endswith(b"0\r\n\r\n"))
