Keep the services of the table that a request was read with

A request to take up a stream was refused for good, with 503, if the service that had begun the stream left the configuration while the entry asked others what began it: the request was sent on to the service it had drawn, whose version did not begin the stream. It is looked up in the table that the request was read with now.

--- a/burdockdrum/passthrough/protocol/model.py
+++ b/burdockdrum/passthrough/protocol/model.py
@@ -1,5 +1,6 @@
 """Data classes of a proxied request, its attempts and their outcomes."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
 import enum
@@ -39,6 +40,7 @@
 class ProxiedRequest:
     """A proxied request with its resolved route.
 
+    ``backends_by_name`` are the services of the table that the route is from.
     ``team`` is the authenticated team, None if the route needs no token.
     ``began_as`` is the id of the request that began the stream which this one
     takes up, None if the caller named none. ``origin`` is what the entry that
@@ -66,6 +68,7 @@
     revision: int = 0
     team: str | None = None
     quota_charge: Charge | None = None
+    backends_by_name: Mapping[str, Backend] = field(default_factory=dict)
 
     @property
     def is_retryable(self) -> bool:
--- a/burdockdrum/passthrough/protocol/request_reader.py
+++ b/burdockdrum/passthrough/protocol/request_reader.py
@@ -141,6 +141,7 @@
             revision=found.generation,
             team=found.team,
             quota_charge=quota_charge,
+            backends_by_name=index.backends_by_name,
         )
 
     def with_service(
@@ -148,10 +149,9 @@
     ) -> ProxiedRequest:
         """Return a request that goes to another service of its route.
 
-        It stays as it is if its route doesn't use that service any more.
+        It stays as it is if its route doesn't use that service.
         """
-        index = self._read_index()
-        backend = index.backends_by_name.get(service) if index else None
+        backend = request.backends_by_name.get(service)
         is_used = any(
             share.service == service and share.weight
             for share in request.route.services
--- a/tests/passthrough/protocol/test_table.py
+++ b/tests/passthrough/protocol/test_table.py
@@ -75,7 +75,7 @@
 
     def read(self, *headers, is_hop=False, target=b"/p/x"):
         finder = make_finder(self.configuration)
-        reader = RequestReader(
+        self.reader = RequestReader(
             clock=self.clock,
             rng=random.Random(1),
             names=HeaderNames(),
@@ -91,7 +91,7 @@
             keep_alive=True,
             received_at=99.0,
         )
-        return reader.read(head, is_hop=is_hop)
+        return self.reader.read(head, is_hop=is_hop)
 
     def test_deadline_is_the_earlier_of_header_and_route_timeout(self):
         self.assertEqual(104.0, self.read().deadline)
@@ -112,6 +112,26 @@
             ("far", 1), (request.forwarded_from, request.attempts)
         )
 
+    def test_stream_keeps_a_service_that_leaves_the_table(self):
+        # Guards against refusing a request to take up a stream whose service
+        # is removed while the entry asks others what began it.
+        services = [
+            WeightedService(service="model", weight=999),
+            WeightedService(service="other", weight=1),
+        ]
+        self.index = make_index(make_route(services=services))
+        request = self.read()
+        self.assertEqual("model", request.backend.name)
+        self.index = RouteIndex(
+            table=RouteTableSpec(
+                generation=5,
+                routes=[make_route()],
+                backends=[Backend(name="model")],
+            )
+        )
+        found = self.reader.with_service(request, "other")
+        self.assertEqual("other", found.backend.name)
+
     def test_missing_route_is_retryable_with_outdated_table(self):
         # Guards against a final "not found" from an entry whose table may
         # lack a new route.
