Limit what a peer sends besides the expected body

An endpoint that sent a head, an interim or stray response, a chunk extension, a chunk size or a trailer without end was read until the deadline: the caller got nothing in time, and the entry kept every byte of a header, as the parser buffers it (+288 MB in 3 s from one endpoint). The client connection limited only the body that it buffers.

OverheadCounter counts the bytes of each read that turn out not to be body of the expected response, whether or not the parser reports them, so a header without end is seen before its end. Limits: a head 64 KiB; interim responses 100 and 256 KiB; skipped responses 100 and 1 MiB; trailers 64 KiB; chunk sizes, extensions and trailers 64 KiB beyond 12 bytes per byte of body, the most that a chunk of one byte with an eight-digit size takes, so that a long body in small chunks passes. Over a limit the connection is aborted at once and the attempt is Lost(is_broken=True) with the limit as its reason; health and request.attempted have it. Bytes after the end close the connection at the next read, as before. A malformed response closes it at once too, where nobody was waiting for it before.

Trailers are dropped; they were appended to the headers of a head that had been handed out.

--- a/burdockdrum/http1/client.py
+++ b/burdockdrum/http1/client.py
@@ -15,6 +15,9 @@
 from burdockdrum.http1.heads import find_header
 from burdockdrum.http1.heads import Headers
 from burdockdrum.http1.numbers import parse_count
+from burdockdrum.http1.overhead import LimitExceeded
+from burdockdrum.http1.overhead import OverheadCounter
+from burdockdrum.http1.overhead import ResponseKind
 from burdockdrum.http1.sockets import enable_keepalive
 
 MAX_BUFFERED_BYTES = 128 * 1024
@@ -50,7 +53,8 @@
     """A connection that carries one request at a time.
 
     A response that names another request's id is skipped. A connection that
-    receives bytes after the end of a response is not reused.
+    receives bytes after the end of a response is not reused. What is not body
+    of the expected response is limited; over a limit the connection ends.
     """
 
     def __init__(self, *, id_header: bytes) -> None:
@@ -67,10 +71,12 @@
         self._head: ResponseHead | None = None
         self._parts: list[bytes] = []
         self._buffered = 0
+        self._overhead = OverheadCounter()
+        # Of the expected response, in the current read.
+        self._body_bytes = 0
         self._paused = False
         self._complete = True
-        self._is_skipping = False
-        self._is_interim = False
+        self._kind = ResponseKind.EXPECTED
         self._dirty = False
         self._error: Exception | None = None
         self._waiter: asyncio.Future[None] | None = None
@@ -102,6 +108,7 @@
         self._head = None
         self._headers = []
         self._parts = []
+        self._overhead.begin_request()
         self._transport.write(payload)
 
     async def read_head(self) -> ResponseHead:
@@ -149,6 +156,7 @@
                 self._head is not None
                 and not self._has_framing
                 and error is None
+                and self._error is None
             ):
                 self._complete = True
             else:
@@ -165,16 +173,20 @@
             self._dirty = True
             self.close()
             return
+        self._body_bytes = 0
         try:
             self._parser.feed_data(data)
+            if not self._complete:
+                self._overhead.end_read(len(data), self._body_bytes)
         except httptools.HttpParserUpgrade:
-            self._dirty = True
             self._fail(ValueError("the peer changed the protocol"))
-        except httptools.HttpParserError as error:
-            self._dirty = True
-            if not self._complete:
-                self._fail(error)
-        if self._buffered > MAX_BUFFERED_BYTES and not self._paused:
+        except (httptools.HttpParserError, LimitExceeded) as error:
+            if self._complete:
+                self._dirty = True
+            else:
+                self._fail(self._overhead.exceeded or error)
+        is_full = self._buffered > MAX_BUFFERED_BYTES
+        if is_full and not self._paused and self._error is None:
             assert self._transport is not None
             self._paused = True
             self._transport.pause_reading()
@@ -185,25 +197,28 @@
         self._headers = []
         if self._complete:
             self._dirty = True
+        else:
+            self._overhead.begin_head()
+
+    def on_status(self, reason: bytes) -> None:
+        """Count the reason phrase."""
+        if not self._dirty:
+            self._overhead.add_status(reason)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header of the response."""
-        self._headers.append((name, value))
+        """Add a header of the response; trailers are dropped."""
+        if not self._dirty and self._overhead.add_header(name, value):
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Decide whether the response is interim, stray or the expected."""
-        status = self._parser.get_status_code()
-        self._is_interim = status < 200
-        if self._dirty or self._is_interim:
+        if self._dirty:
             return
+        status = self._parser.get_status_code()
         head = ResponseHead(status=status, headers=self._headers)
-        named = head.find(self._id_header)
-        self._is_skipping = (
-            self._expected_id is not None
-            and named is not None
-            and named != self._expected_id
-        )
-        if self._is_skipping:
+        self._kind = self._kind_of(head)
+        self._overhead.end_head(self._kind)
+        if self._kind is not ResponseKind.EXPECTED:
             return
         self._has_framing = (
             head.find(b"content-length") is not None
@@ -214,21 +229,33 @@
 
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body."""
-        if self._is_skipping or self._dirty:
+        if self._dirty:
+            return
+        if self._kind is ResponseKind.SKIPPED:
+            self._overhead.skip_body(len(body))
             return
         self._parts.append(body)
         self._buffered += len(body)
+        self._body_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """Complete the response unless it was interim or skipped."""
         if self._dirty:
             return
-        if self._is_interim or self._is_skipping:
-            self._is_interim = self._is_skipping = False
+        if self._kind is not ResponseKind.EXPECTED:
+            self._overhead.begin_head()
             return
         self._keep_alive = self._parser.should_keep_alive()
         self._complete = True
 
+    def _kind_of(self, head: ResponseHead) -> ResponseKind:
+        if head.status < 200:
+            return ResponseKind.INTERIM
+        named = head.find(self._id_header)
+        if self._expected_id in (None, named) or named is None:
+            return ResponseKind.EXPECTED
+        return ResponseKind.SKIPPED
+
     def _update_idle_timeout(self, head: ResponseHead) -> None:
         value = head.find(b"keep-alive")
         if value is None:
@@ -241,7 +268,7 @@
 
     async def _wait(self) -> None:
         if self._error is not None:
-            raise ResponseLost(repr(self._error)) from self._error
+            raise ResponseLost(_describe(self._error)) from self._error
         self._waiter = asyncio.get_running_loop().create_future()
         try:
             await self._waiter
@@ -249,9 +276,17 @@
             self._waiter = None
 
     def _fail(self, error: Exception) -> None:
+        """End the response, and the connection at once."""
         if self._error is None:
             self._error = error
+        self.close()
 
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
+
+
+def _describe(error: Exception) -> str:
+    if isinstance(error, LimitExceeded):
+        return str(error)
+    return repr(error)
