Test that queries for contents of caches end at the limits

Each query of an endpoint whose bytes don't end read until its timeout of 2.5 s, every 2 s. The client connection's limits end it; the body was limited already.

--- a/tests/platform/test_memories.py
+++ b/tests/platform/test_memories.py
@@ -19,6 +19,9 @@
 
 from burdockdrum.holdings import PrefixCacheUnavailable  # noqa: E402
 from burdockdrum.http1 import ConnectionPool  # noqa: E402
+from tests.http1.endless import BODY_BY_KIND  # noqa: E402
+from tests.http1.endless import EndlessServer  # noqa: E402
+from tests.http1.endless import OVERHEAD_BY_KIND  # noqa: E402
 from tests.http1.wire import read_request  # noqa: E402
 from tests.http1.wire import ScriptedServer  # noqa: E402
 from tests.passthrough.fakes import make_endpoint  # noqa: E402
@@ -180,3 +183,20 @@
         held = await prefix_caches.read_snapshot(endpoint)
         self.assertEqual(2, len(held.tokens_by_part))
         await asyncio.sleep(0)
+
+    async def test_endless_response_raises_at_once(self):
+        # Else each query reads until its timeout. A query names no request,
+        # so that a response to another one ends it too.
+        pool = ConnectionPool(id_header=b"x-request-id")
+        client = RunnerCacheClient(pool=pool)
+        for kind, script in (OVERHEAD_BY_KIND | BODY_BY_KIND).items():
+            with self.subTest(kind):
+                server = EndlessServer(*script)
+                address = await server.open()
+                self.addAsyncCleanup(server.close)
+                endpoint = make_endpoint("e", address=address)
+                async with asyncio.timeout(2):
+                    with self.assertRaises(PrefixCacheUnavailable):
+                        await client.read_events(endpoint, 19)
+                    await server.ended.wait()
+        self.assertEqual({}, pool.open_by_address)
