Ignore the abort of a call that has ended

Callers got 500 or a cut response where a stalled attempt and its successor ended and wrote in the same moment: the first part of the successor ends the others, and the timeout of a call that has ended can't be changed any more, so that the handler failed.

Red before: RuntimeError in Call.abort.

--- a/burdockdrum/passthrough/relaying/in_flight_calls.py
+++ b/burdockdrum/passthrough/relaying/in_flight_calls.py
@@ -63,9 +63,13 @@
         """Time the call out now, which closes its connection."""
         if self.timeout is None or self.timeout.expired():
             return
+        try:
+            # A time in the past expires in the next iteration of the loop.
+            self.timeout.reschedule(0.0)
+        except RuntimeError:
+            # The call has ended, which a timeout doesn't tell otherwise.
+            return
         self.abort_reason = self.abort_reason or reason
-        # A time in the past expires in the next iteration of the event loop.
-        self.timeout.reschedule(0.0)
 
 
 class InFlightCalls:
--- a/tests/passthrough/relaying/test_in_flight_calls.py
+++ b/tests/passthrough/relaying/test_in_flight_calls.py
@@ -34,3 +34,18 @@
                 await asyncio.sleep(1.0)
         self.assertEqual([], errors)
         self.assertIsNone(call.abort_reason)
+
+    async def test_call_that_has_ended_can_be_aborted(self):
+        # Guards against a response that fails with 500 since the attempt
+        # beside it ended in the same moment.
+        call = Call(
+            pool=None,
+            address="a:1",
+            encode=bytes,
+            connect_timeout_seconds=1.0,
+            target=None,
+        )
+        async with asyncio.timeout(1.0) as call.timeout:
+            pass
+        call.abort("reason")
+        self.assertIsNone(call.abort_reason)
