--- a/scripts/soak/answers.py
+++ b/scripts/soak/answers.py
@@ -144,7 +144,7 @@
             self._was_replaced(run, runs) or self._was_any_killed(run.ended_at)
             for run in sound
         ):
-            return "replaced by an attempt that failed, or killed"
+            return "replaced or killed"
         return None
 
     def _was_replaced(self, run: Run, runs: list[Run]) -> bool:
