Allow a response that was taken over more than once before it failed

A sound attempt that gives way to another sound one, which gives way to one that fails, has ended for the last one's failure; the check took the first for an attempt that was given up. Two sound attempts, of which none failed, are a violation as before.

--- a/scripts/soak/answers.py
+++ b/scripts/soak/answers.py
@@ -148,13 +148,19 @@
         return None
 
     def _was_replaced(self, run: Run, runs: list[Run]) -> bool:
-        """Return whether another run took over the response, and failed."""
+        """Return whether the response was taken over from a run, and failed.
+
+        Others may have taken it over in between.
+        """
         return any(
-            not other.is_sound
-            and other.wrote_at <= run.ended_at + NOTICE_SECONDS
+            not other.is_sound and other.wrote_at < float("inf")
+            for other in runs
+        ) and any(
+            other.wrote_at <= run.ended_at + NOTICE_SECONDS
             and other.wrote_at > run.began_at
             and other.ended_at >= run.ended_at - NOTICE_SECONDS
             for other in runs
+            if other is not run
         )
 
     def _was_any_killed(self, at: float) -> bool:
--- a/tests/soak/test_answers.py
+++ b/tests/soak/test_answers.py
@@ -79,6 +79,8 @@
     def test_cut_of_a_response_that_was_taken_over_has_a_reason(self):
         failed = make_run("e2", RunEnd.FAILED, began_at=1.5, wrote_at=1.9)
         self.assertEqual([], self.check([SOUND, failed]))
+        sound = make_run("e2", RunEnd.CUT, began_at=1.5, wrote_at=1.9)
+        self.assertEqual(1, len(self.check([SOUND, sound])))
 
     def test_end_by_the_endpoint_has_a_reason(self):
         self.assertEqual([], self.check([make_run("e1", RunEnd.FAILED)]))
