Judge no endpoint by a pause of this process

Class: a timeout measures how long this process did not look, not how long the other side was silent.

A ticker measures for how long the process could have heard anything. The watchdogs of attempts, the stall detector, the record of silent losses, health checks and connects count only that time.

--- a/burdockdrum/passthrough/relaying/__init__.py
+++ b/burdockdrum/passthrough/relaying/__init__.py
@@ -4,6 +4,7 @@
 from burdockdrum.passthrough.relaying.attempt_timeouts import AttemptTimeouts
 from burdockdrum.passthrough.relaying.attempts import AttemptRunner
 from burdockdrum.passthrough.relaying.attempts import CONNECT_TIMEOUT_SECONDS
+from burdockdrum.passthrough.relaying.connecting import connect_awake
 from burdockdrum.passthrough.relaying.crash_detector import CrashDetector
 from burdockdrum.passthrough.relaying.crash_guard import CrashGuard
 from burdockdrum.passthrough.relaying.endpoint_prober import EndpointProber
@@ -19,6 +20,7 @@
     "AttemptReporter",
     "AttemptRunner",
     "AttemptTimeouts",
+    "connect_awake",
     "CONNECT_TIMEOUT_SECONDS",
     "CrashDetector",
     "CrashGuard",
--- a/burdockdrum/passthrough/relaying/attempt_timeouts.py
+++ b/burdockdrum/passthrough/relaying/attempt_timeouts.py
@@ -17,6 +17,7 @@
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
 from burdockdrum.passthrough.relaying.running_attempts import Attempt
 from burdockdrum.passthrough.selection import Fleet
+from burdockdrum.pauses import PauseDetector
 from burdockdrum.settings import MechanismSettings
 
 # Multiple of the expected wait after which an attempt times out.
@@ -28,6 +29,10 @@
 HOP_MARGIN_SECONDS = 0.3
 # How often an idle attempt is checked again.
 RECHECK_INTERVAL_SECONDS = 0.25
+# The resolution of the event loop's timers.
+MIN_DELAY_SECONDS = 0.001
+# Above the rounding errors of differences of times.
+TOLERANCE_SECONDS = 1e-6
 
 HasAlternative = Callable[[ProxiedRequest, RequestProgress, Target], bool]
 
@@ -42,6 +47,7 @@
         idle_timeout_seconds: float,
         may_retry: Callable[[], bool],
         report_stall: Callable[[], None],
+        pauses: PauseDetector | None = None,
     ) -> None:
         """Start the timer; requires a running event loop.
 
@@ -50,22 +56,26 @@
         :param idle_timeout_seconds: between two chunks
         :param may_retry: returns whether a retry is possible now
         :param report_stall: called when the attempt should be retried
+        :param pauses: detects pauses of this process, which don't count
         """
         self._loop = asyncio.get_running_loop()
         self._idle_timeout_seconds = idle_timeout_seconds
         self._may_retry = may_retry
         self._report_stall = report_stall
-        self._expires_at = self._loop.time() + first_chunk_timeout_seconds
-        self._timer = self._loop.call_at(self._expires_at, self._check)
+        self._pauses = pauses
+        self._timeout_seconds = first_chunk_timeout_seconds
+        self._heard_at = self._read_time()
+        self._timer = self._loop.call_later(self._timeout_seconds, self._check)
 
     def record_chunk(self) -> None:
         """Restart the idle timeout after a chunk was received."""
-        self._expires_at = self._loop.time() + self._idle_timeout_seconds
+        self._heard_at = self._read_time()
+        self._timeout_seconds = self._idle_timeout_seconds
 
     def expire(self) -> None:
         """Let the timeout pass now; the attempt goes on if it must."""
         self._timer.cancel()
-        self._expires_at = self._loop.time()
+        self._timeout_seconds = 0.0
         self._check()
 
     def stop(self) -> None:
@@ -73,13 +83,24 @@
         self._timer.cancel()
 
     def _check(self) -> None:
-        now = self._loop.time()
-        next_at = self._expires_at
-        if now >= self._expires_at:
+        delay = self._timeout_seconds - self._read_silence()
+        if delay <= TOLERANCE_SECONDS:
             if self._may_retry():
                 self._report_stall()
-            next_at = now + RECHECK_INTERVAL_SECONDS
-        self._timer = self._loop.call_at(next_at, self._check)
+            delay = RECHECK_INTERVAL_SECONDS
+        delay = max(delay, MIN_DELAY_SECONDS)
+        self._timer = self._loop.call_later(delay, self._check)
+
+    def _read_time(self) -> float:
+        if self._pauses is None:
+            return self._loop.time()
+        return self._pauses.monotonic()
+
+    def _read_silence(self) -> float:
+        """Return for how many seconds nothing was received."""
+        if self._pauses is None:
+            return self._loop.time() - self._heard_at
+        return self._pauses.awake_seconds_since(self._heard_at)
 
 
 class AttemptTimeouts:
@@ -92,6 +113,7 @@
         retries: RetryCharges,
         has_alternative: HasAlternative,
         mechanisms: MechanismSettings | None = None,
+        pauses: PauseDetector | None = None,
     ) -> None:
         """Create the policy.
 
@@ -100,7 +122,9 @@
         :param has_alternative: returns whether another target would accept a
             request
         :param mechanisms: the enabled parts of the policy; default all
+        :param pauses: detects pauses of this process; none if None
         """
+        self._pauses = pauses
         self._mechanisms = mechanisms or MechanismSettings()
         self._fleet = fleet
         self._retries = retries
@@ -130,6 +154,7 @@
                 and self._acquire_retry(target, request, progress, attempt)
             ),
             report_stall=report_stall,
+            pauses=self._pauses,
         )
 
     def first_chunk_timeout(
--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -42,6 +42,7 @@
 from burdockdrum.passthrough.protocol import Target
 from burdockdrum.passthrough.protocol import Withdrawn
 from burdockdrum.passthrough.relaying.attempt_timeouts import AttemptTimeouts
+from burdockdrum.passthrough.relaying.connecting import connect_awake
 from burdockdrum.passthrough.relaying.crash_detector import CrashDetector
 from burdockdrum.passthrough.relaying.in_flight_calls import Call
 from burdockdrum.passthrough.relaying.in_flight_calls import InFlightCalls
@@ -52,6 +53,7 @@
 from burdockdrum.passthrough.selection import Fleet
 from burdockdrum.passthrough.selection import HOP_DELAY_SECONDS
 from burdockdrum.passthrough.state import EndpointHealth
+from burdockdrum.pauses import PauseDetector
 from burdockdrum.ports import Clock
 from burdockdrum.registrations import RegisteredEndpoint
 from burdockdrum.streams import StreamOrigin
@@ -81,8 +83,13 @@
         signals: ResponseSignals,
         retries: RetryCharges,
         crashes: CrashDetector,
+        pauses: PauseDetector | None = None,
     ) -> None:
-        """Create the runner with its connection pools and collaborators."""
+        """Create the runner with its connection pools and collaborators.
+
+        :param pauses: detects pauses of this process; none if None
+        """
+        self._pauses = pauses
         self._crashes = crashes
         self._retries = retries
         self._signals = signals
@@ -289,8 +296,11 @@
         attempt: Attempt,
     ) -> Outcome:
         try:
-            connection = await call.pool.acquire(
-                call.address, timeout=call.connect_timeout_seconds
+            connection = await connect_awake(
+                lambda: call.pool.acquire(
+                    call.address, timeout=call.connect_timeout_seconds
+                ),
+                self._pauses,
             )
         except NotConnected as error:
             return NotStarted(
--- a/burdockdrum/passthrough/relaying/health_checker.py
+++ b/burdockdrum/passthrough/relaying/health_checker.py
@@ -3,12 +3,15 @@
 import asyncio
 from collections.abc import Callable
 
+from burdockdrum.http1 import ClientConnection
 from burdockdrum.http1 import ConnectionPool
 from burdockdrum.http1 import encode_request
 from burdockdrum.http1 import NotConnected
 from burdockdrum.http1 import ResponseLost
 from burdockdrum.logs import log_decision
 from burdockdrum.passthrough.relaying.attempts import CONNECT_TIMEOUT_SECONDS
+from burdockdrum.passthrough.relaying.connecting import connect_awake
+from burdockdrum.pauses import PauseDetector
 from burdockdrum.registrations import RegisteredEndpoint
 
 # A health request waits for a slot like any other.
@@ -23,12 +26,15 @@
         *,
         pool: ConnectionPool,
         read_path: Callable[[str], str | None],
+        pauses: PauseDetector | None = None,
     ) -> None:
         """Create it.
 
         :param read_path: returns the health path of a service, None if it is
             unknown
+        :param pauses: detects pauses of this process; none if None
         """
+        self._pauses = pauses
         self._pool = pool
         self._read_path = read_path
 
@@ -38,8 +44,9 @@
         :raises NotConnected: if the endpoint is silent
         """
         address = endpoint.address
-        connection = await self._pool.open(
-            address, timeout=CONNECT_TIMEOUT_SECONDS
+        connection = await connect_awake(
+            lambda: self._pool.open(address, timeout=CONNECT_TIMEOUT_SECONDS),
+            self._pauses,
         )
         path = self._read_path(endpoint.service) or "/"
         payload = encode_request(
@@ -47,8 +54,7 @@
         )
         try:
             connection.send(payload, None)
-            async with asyncio.timeout(RESPONSE_TIMEOUT_SECONDS):
-                await connection.read_head()
+            await self._wait_for_head(connection)
         except ResponseLost as error:
             # A reset is an answer too.
             log_decision(
@@ -63,3 +69,24 @@
         finally:
             # The rest of the response is not read.
             self._pool.release(address, connection, max_idle=0)
+
+    async def _wait_for_head(self, connection: ClientConnection) -> None:
+        """Wait for a response; pauses of this process don't count.
+
+        :raises ResponseLost: if the connection ends first
+        :raises TimeoutError: if nothing arrives
+        """
+        began = self._pauses.monotonic() if self._pauses is not None else 0.0
+        left = RESPONSE_TIMEOUT_SECONDS
+        while True:
+            try:
+                async with asyncio.timeout(left):
+                    await connection.read_head()
+                return
+            except TimeoutError:
+                if self._pauses is None:
+                    raise
+                waited = self._pauses.awake_seconds_since(began)
+                left = RESPONSE_TIMEOUT_SECONDS - waited
+                if left <= 0:
+                    raise
--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -35,6 +35,7 @@
 from burdockdrum.passthrough.state import RequestTimings
 from burdockdrum.passthrough.state import SlowStartGate
 from burdockdrum.passthrough.state import TeamRequest
+from burdockdrum.pauses import PauseDetector
 from burdockdrum.ports import Clock
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RankLoad
@@ -73,6 +74,7 @@
         backoffs: RequestedBackoffs | None = None,
         is_chosen: Callable[[str, int], bool | None] = lambda *_: None,
         may_have_place: Callable[[str], bool] = lambda endpoint_id: True,
+        pauses: PauseDetector | None = None,
     ) -> None:
         """Create a fleet.
 
@@ -96,6 +98,7 @@
             them that a key selects, None if unknown; unknown by default
         :param may_have_place: returns whether an endpoint may have a place
             for a request, if it needs one
+        :param pauses: detects pauses of this process; none if None
         """
         self._mechanisms = mechanisms or MechanismSettings()
         # Called with a service when an endpoint may have capacity again.
@@ -164,6 +167,7 @@
         self._stalls = StallDetector(
             run_seconds=self._timings.run_seconds,
             mechanisms=self._mechanisms,
+            pauses=pauses,
         )
         self._eligibility = Eligibility(
             clock=clock,
@@ -575,7 +579,8 @@
         if state is None or state.idle_since > since:
             return False
         timeout = self.stall_timeout_seconds(endpoint.service)
-        return self._clock.monotonic() - since >= timeout
+        now = self._clock.monotonic()
+        return self._stalls.silent_seconds(since, now) >= timeout
 
     def record_unreachable(
         self, endpoint: RegisteredEndpoint, seconds: float
--- a/burdockdrum/passthrough/selection/stalls.py
+++ b/burdockdrum/passthrough/selection/stalls.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from burdockdrum.passthrough.state import EndpointState
+from burdockdrum.pauses import PauseDetector
 from burdockdrum.settings import MechanismSettings
 
 # An endpoint is stalled if it has work and sends nothing for this many average
@@ -24,13 +25,16 @@
         *,
         run_seconds: Callable[[str], float],
         mechanisms: MechanismSettings,
+        pauses: PauseDetector | None = None,
     ) -> None:
         """Create it.
 
         :param run_seconds: returns how long a request of a service holds a
             slot on average
         :param mechanisms: the enabled parts of the policy
+        :param pauses: detects pauses of this process; none if None
         """
+        self._pauses = pauses
         self._run_seconds = run_seconds
         self._mechanisms = mechanisms
 
@@ -44,7 +48,16 @@
         """Return whether an endpoint has requests and sends nothing."""
         if not state.in_flight_requests:
             return False
-        return now - state.idle_since > self.timeout_seconds(state.service)
+        timeout = self.timeout_seconds(state.service)
+        if now - state.idle_since <= timeout:
+            return False
+        return self.silent_seconds(state.idle_since, now) > timeout
+
+    def silent_seconds(self, since: float, now: float) -> float:
+        """Return the time since then without the pauses of this process."""
+        if self._pauses is None:
+            return now - since
+        return self._pauses.awake_seconds_since(since)
 
     def timeout_seconds(self, service: str) -> float:
         """Return after how long without output an endpoint is stalled."""
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -35,6 +35,7 @@
 from burdockdrum.passthrough.relaying import AttemptReporter
 from burdockdrum.passthrough.relaying import AttemptRunner
 from burdockdrum.passthrough.relaying import AttemptTimeouts
+from burdockdrum.passthrough.relaying import connect_awake
 from burdockdrum.passthrough.relaying import CONNECT_TIMEOUT_SECONDS
 from burdockdrum.passthrough.relaying import CrashDetector
 from burdockdrum.passthrough.relaying import CrashGuard
@@ -64,6 +65,7 @@
 from burdockdrum.passthrough.waiting import LineDispatcher
 from burdockdrum.passthrough.waiting import RequestHolder
 from burdockdrum.passthrough.waiting import WaitingLine
+from burdockdrum.pauses import PauseDetector
 from burdockdrum.peers import Peers
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
@@ -81,6 +83,7 @@
     kernel.add("routes_in_force", _build_active_routes)
     if kernel.has("log"):
         return
+    kernel.add("pauses", _build_pauses)
     kernel.add("header_names", lambda kernel: HeaderNames())
     kernel.add("endpoint_limits", _build_endpoint_limits)
     kernel.add("limit_permits", _build_limit_permits)
@@ -112,6 +115,13 @@
     )
 
 
+def _build_pauses(kernel: Kernel) -> PauseDetector:
+    return PauseDetector(
+        clock=kernel.find("clock", Clock),
+        metrics=kernel.find("metrics", Metrics),
+    )
+
+
 def _build_endpoint_limits(kernel: Kernel) -> EndpointLimits:
     registrations = kernel.find("registrations", RegistrationFollower)
     limits = EndpointLimits(
@@ -238,6 +248,7 @@
         backoffs=kernel.find("requested_backoffs", RequestedBackoffs),
         is_chosen=registrations.limit_shares.is_chosen,
         may_have_place=kernel.find("place_broker", PlaceBroker).may_ask,
+        pauses=kernel.find("pauses", PauseDetector),
     )
     kernel.find("metrics", Metrics).gauges(
         "burdockdrum_endpoint_time_factor",
@@ -408,18 +419,21 @@
     )
 
 
-def _make_connect(pool: ConnectionPool) -> Callable[[str], Awaitable[None]]:
+def _make_connect(kernel: Kernel) -> Callable[[str], Awaitable[None]]:
     """Return a function that opens a connection to an endpoint's address."""
+    pool = kernel.find("endpoint_pool", ConnectionPool)
+    pauses = kernel.find("pauses", PauseDetector)
 
     async def connect(address: str) -> None:
-        connection = await pool.open(address, timeout=CONNECT_TIMEOUT_SECONDS)
+        connection = await connect_awake(
+            lambda: pool.open(address, timeout=CONNECT_TIMEOUT_SECONDS), pauses
+        )
         pool.release(address, connection, max_idle=1)
 
     return connect
 
 
 def _build_crash_detector(kernel: Kernel) -> CrashDetector:
-    pool = kernel.find("endpoint_pool", ConnectionPool)
     registrations = kernel.find("registrations", RegistrationFollower)
 
     detector = CrashDetector(
@@ -428,7 +442,7 @@
         ledger=kernel.find("crash_ledger", CrashLedger),
         vm_id=kernel.find("identity", VmIdentity).vm_id,
         read_endpoints=lambda: registrations.endpoints_by_id,
-        connect=_make_connect(pool),
+        connect=_make_connect(kernel),
         metrics=kernel.find("metrics", Metrics),
     )
     registrations.restart_listeners.append(detector.record_replaced)
@@ -455,7 +469,9 @@
                 "placing", TargetSelector
             ).has_alternative,
             mechanisms=kernel.find("settings", Settings).policy.mechanisms,
+            pauses=kernel.find("pauses", PauseDetector),
         ),
+        pauses=kernel.find("pauses", PauseDetector),
         signals=kernel.find("response_signals", ResponseSignals),
         retries=retries,
         crashes=kernel.find("crash_detector", CrashDetector),
@@ -480,9 +496,11 @@
         clock=kernel.find("clock", Clock),
         fleet=kernel.find("fleet", Fleet),
         read_endpoints=lambda: registrations.endpoints_by_id,
-        connect=_make_connect(pool),
+        connect=_make_connect(kernel),
         check_health=HealthChecker(
-            pool=pool, read_path=read_health_path
+            pool=pool,
+            read_path=read_health_path,
+            pauses=kernel.find("pauses", PauseDetector),
         ).check,
         on_unreachable=runner.give_up_silent,
         metrics=kernel.find("metrics", Metrics),
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -26,6 +26,7 @@
 from burdockdrum.passthrough.relaying.attempt_report import AttemptReporter
 from burdockdrum.passthrough.relaying.attempt_timeouts import AttemptTimeouts
 from burdockdrum.passthrough.relaying.attempts import AttemptRunner
+from burdockdrum.passthrough.relaying.connecting import connect_awake
 from burdockdrum.passthrough.relaying.crash_detector import CrashDetector
 from burdockdrum.passthrough.relaying.crash_guard import CrashGuard
 from burdockdrum.passthrough.relaying.endpoint_prober import EndpointProber
@@ -45,6 +46,7 @@
 from burdockdrum.passthrough.waiting import LineDispatcher
 from burdockdrum.passthrough.waiting import RequestHolder
 from burdockdrum.passthrough.waiting import WaitingLine
+from burdockdrum.pauses import PauseDetector
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import VmIdentity
 from burdockdrum.registrations import KnownVersions
@@ -329,6 +331,7 @@
                 software_version=getattr(endpoint, "software_version", ""),
             )
         metrics = Metrics()
+        pauses = PauseDetector(clock=clock, metrics=metrics)
         limits = EndpointLimits(
             clock=clock,
             metrics=metrics,
@@ -376,6 +379,7 @@
             limits=limits,
             backoffs=backoffs,
             may_have_place=places.may_ask,
+            pauses=pauses,
         )
         pools = [ConnectionPool(id_header=NAMES.request_id) for _ in "ab"]
         responses = ResponseClassifier(names=NAMES)
@@ -410,7 +414,9 @@
         )
 
         async def connect(address):
-            connection = await pools[0].open(address, timeout=0.4)
+            connection = await connect_awake(
+                lambda: pools[0].open(address, timeout=0.4), pauses
+            )
             pools[0].release(address, connection, max_idle=1)
 
         ledger = CrashLedger(clock=clock)
@@ -434,7 +440,9 @@
                 fleet=fleet,
                 retries=retries,
                 has_alternative=selector.has_alternative,
+                pauses=pauses,
             ),
+            pauses=pauses,
             signals=signals,
             retries=retries,
             crashes=detector,
@@ -446,7 +454,9 @@
             read_endpoints=lambda: registered,
             connect=connect,
             check_health=HealthChecker(
-                pool=pools[0], read_path=lambda service: "/health"
+                pool=pools[0],
+                read_path=lambda service: "/health",
+                pauses=pauses,
             ).check,
             on_unreachable=runner.give_up_silent,
             metrics=metrics,
@@ -550,6 +560,8 @@
         await entry.vms.open()
         updates = asyncio.create_task(update_continuously(prober, detector))
         self.closers.append(lambda: stop_task(updates))
+        ticks = asyncio.create_task(pauses.run())
+        self.closers.append(lambda: stop_task(ticks))
         self.entries[key] = entry
         self.closers += [entry.callers.close, entry.vms.close]
         return entry
--- /dev/null
+++ b/tests/pauses/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the detection of pauses of this process."""
