Read what arrived in a pause before a connection times out

A caller whose request arrived whole while its entry was stopped or starved got a reset, neither an answer nor a refusal: on the VMs' event loop the idle timeout of the connection ran before the socket was read. A request of which a part had arrived before got 408 though the rest was there.

The idle, header and linger timeouts of listeners count only the time in which the process ran.

--- a/burdockdrum/http1/listener.py
+++ b/burdockdrum/http1/listener.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 import socket
+import time
 
 from burdockdrum.http1.exchange import Exchange
 from burdockdrum.http1.server import ServerConnection
@@ -36,12 +37,16 @@
         address: str,
         handle: Handler,
         read_limits: Callable[[], Limits] = Limits,
+        awake_seconds_since: Callable[[float], float] | None = None,
     ) -> None:
         """Create a listener that is not open yet.
 
         :param address: ``IP:PORT``; port 0 selects a free one
         :param read_limits: returns the current limits
+        :param awake_seconds_since: returns for how long this process has run
+            since a monotonic time; for as long as that is ago by default
         """
+        self.awake_seconds_since = awake_seconds_since or _seconds_since
         self.draining = False
         self.connections: set[ServerConnection] = set()
         self._address = address
@@ -122,3 +127,7 @@
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
         for connection in list(self.connections):
             connection.close()
+
+
+def _seconds_since(at: float) -> float:
+    return time.monotonic() - at
--- a/burdockdrum/http1/server.py
+++ b/burdockdrum/http1/server.py
@@ -26,6 +26,8 @@
 # How long a caller may go on sending after the last response. Bytes that are
 # not read would reset the connection, and the response could be lost.
 LINGER_SECONDS = 1.0
+# Above the resolution of the event loop's timers.
+MAX_EARLY_SECONDS = 0.01
 
 
 class ListenerProtocol(Protocol):
@@ -53,6 +55,10 @@
         """The idle timeout of a connection."""
         ...
 
+    def awake_seconds_since(self, at: float, /) -> float:
+        """Return for how long this process has run since a time."""
+        ...
+
     def add_connection(self, connection: "ServerConnection") -> None:
         """Add an open connection."""
         ...
@@ -81,6 +87,8 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_began = 0.0
+        self._timer_seconds = 0.0
         self._parser = httptools.HttpRequestParser(self)
         self._busy = False
         self._paused = False
@@ -327,6 +335,7 @@
 
     def _start_timer(self, seconds: float) -> None:
         self._stop_timer()
+        self._timer_began, self._timer_seconds = time.monotonic(), seconds
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(seconds, self._on_timeout)
 
@@ -337,6 +346,13 @@
 
     def _on_timeout(self) -> None:
         self._timer = None
+        waited = self._listener.awake_seconds_since(self._timer_began)
+        left = self._timer_seconds - waited
+        if left > MAX_EARLY_SECONDS:
+            # This process paused, and may not have read what has arrived.
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(left, self._on_timeout)
+            return
         if self._closing:
             self.close()
             return
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -583,6 +583,7 @@
 def _build_server(kernel: Kernel) -> PassThroughServer:
     settings = kernel.find("settings", Settings).passthrough
     relay = kernel.find("relay", Relay)
+    pauses = kernel.find("pauses", PauseDetector)
     routes = kernel.find("routes_in_force", ActiveRoutes)
     backoffs = kernel.find("requested_backoffs", RequestedBackoffs)
     poller = kernel.find("holdings_listener", PrefixCachePoller)
@@ -593,11 +594,13 @@
             address=settings.callers,
             handle=relay.serve_caller,
             read_limits=lambda: routes.limits,
+            awake_seconds_since=pauses.awake_seconds_since,
         ),
         vms=Listener(
             address=settings.vms,
             handle=relay.serve_vm,
             read_limits=lambda: routes.hop_limits,
+            awake_seconds_since=pauses.awake_seconds_since,
         ),
         pools=[
             kernel.find("endpoint_pool", ConnectionPool),
--- a/tests/http1/test_connection_ends.py
+++ b/tests/http1/test_connection_ends.py
@@ -1,11 +1,16 @@
 """Tests of when the listener may end a connection."""
 
 import asyncio
+import sys
 import time
 import unittest
 
 from loguru import logger
+import uvloop
 
+from burdockdrum.metrics import Metrics
+from burdockdrum.pauses import PauseDetector
+from burdockdrum.system_ports import SystemClock
 from tests.http1.wire import ListenerCase
 
 REQUEST = b"GET /%d HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -104,3 +109,42 @@
         answer = await self.send(REQUEST % 1)
         self.assertNotIn(b"refused", answer)
         self.assertFalse(answer.endswith(b"0\r\n\r\n"))
+
+
+class PausedListenerTest(ListenerCase, unittest.TestCase):
+    """A listener whose process is stopped, on the event loop of the VMs."""
+
+    def test_request_that_arrives_in_a_pause_is_served(self):
+        # Guards against closing an idle connection, or giving up a request,
+        # before what arrived while this process was stopped is read.
+        for begun in (0, 9):
+            with (
+                self.subTest(begun=begun),
+                asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner,
+            ):
+                answer = runner.run(self.request_in_pause(begun))
+                self.assertTrue(answer.startswith(b"HTTP/1.1 200 "), answer)
+
+    async def request_in_pause(self, begun):
+        """Stop while a request arrives; return the response."""
+        detector = PauseDetector(clock=SystemClock(), metrics=Metrics())
+        ticks = asyncio.create_task(detector.run())
+        self.awake_seconds_since = detector.awake_seconds_since
+        await self.open(respond, idle_seconds=0.5, header_seconds=0.5)
+        client = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "tests.http1.pausing_client",
+            self.listener.address.rpartition(":")[2],
+            str(begun),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        answer, _ = await client.communicate()
+        ticks.cancel()
+        await self.listener.close()
+        return answer
+
+
+async def respond(exchange):
+    """Respond at once."""
+    exchange.respond(200, [], b"")
--- a/tests/http1/wire.py
+++ b/tests/http1/wire.py
@@ -9,6 +9,8 @@
 class ListenerCase:
     """A mixin with a listener on a free port and raw connections to it."""
 
+    awake_seconds_since = None
+
     async def open(self, handle, **limits):
         """Open a listener that reads its limits from ``self.limits``."""
         self.limits = Limits(**limits)
@@ -16,6 +18,7 @@
             address="127.0.0.1:0",
             handle=handle,
             read_limits=lambda: self.limits,
+            awake_seconds_since=self.awake_seconds_since,
         )
         await self.listener.open()
         return self.listener
