Take no caller that reads slowly for a silent endpoint

A stream whose caller did not read for 1.5 s was called stalled, and a second endpoint ran it too; the first one counted as stalled, was avoided and probed. While an entry waits for the caller's buffer it does not read from the endpoint, and the timeouts of the silence went on.

Class: a timeout measures how long we did not look, not how long the other side was silent.

The watchdog of an attempt is suspended while its response is not read, and the stall detector leaves out such responses.

Evidence: test_slow_caller_is_no_silence_of_the_endpoint saw two attempts before and sees one now.

--- a/burdockdrum/passthrough/relaying/attempt_timeouts.py
+++ b/burdockdrum/passthrough/relaying/attempt_timeouts.py
@@ -63,6 +63,8 @@
         self._may_retry = may_retry
         self._report_stall = report_stall
         self._pauses = pauses
+        # While the endpoint is not read.
+        self.is_suspended = False
         self._timeout_seconds = first_chunk_timeout_seconds
         self._heard_at = self._read_time()
         self._timer = self._loop.call_later(self._timeout_seconds, self._check)
@@ -72,6 +74,11 @@
         self._heard_at = self._read_time()
         self._timeout_seconds = self._idle_timeout_seconds
 
+    def resume(self) -> None:
+        """Restart the idle timeout after the endpoint was not read."""
+        self.is_suspended = False
+        self.record_chunk()
+
     def expire(self) -> None:
         """Let the timeout pass now; the attempt goes on if it must."""
         self._timer.cancel()
@@ -85,7 +92,7 @@
     def _check(self) -> None:
         delay = self._timeout_seconds - self._read_silence()
         if delay <= TOLERANCE_SECONDS:
-            if self._may_retry():
+            if not self.is_suspended and self._may_retry():
                 self._report_stall()
             delay = RECHECK_INTERVAL_SECONDS
         delay = max(delay, MIN_DELAY_SECONDS)
--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -439,12 +439,13 @@
             )
         self._claim_response(call, request, attempt)
         call.disarm_watchdog()
-        return await self._forward_response(connection, head, exchange)
+        return await self._forward_response(connection, head, call, exchange)
 
     async def _forward_response(
         self,
         connection: ClientConnection,
         head: ResponseHead,
+        call: Call,
         exchange: Exchange,
     ) -> Outcome:
         body, whole = await read_buffered(connection)
@@ -457,7 +458,7 @@
         try:
             while (chunk := await connection.read_part()) is not None:
                 exchange.write(chunk)
-                await exchange.drain()
+                await self._drain(call, exchange)
         except ResponseLost as error:
             raise ResponseTruncated(str(error)) from error
         exchange.finish()
@@ -502,7 +503,7 @@
                     self._record_sound(request, call, is_complete=False)
                 self._start_stream(exchange, head, request, progress)
                 exchange.write(events)
-                await exchange.drain()
+                await self._drain(call, exchange)
         if splitter.has_partial_event:
             raise InvalidEventStream(
                 "the stream ended in the middle of an event"
@@ -512,6 +513,24 @@
         exchange.finish()
         return Delivered(status=head.status)
 
+    async def _drain(self, call: Call, exchange: Exchange) -> None:
+        """Wait for a caller that reads slowly.
+
+        The endpoint is not read meanwhile, so that it is not silent.
+        """
+        sent = call.in_flight_request
+        if sent is not None:
+            sent.unread_since = self._clock.monotonic()
+        if call.watchdog is not None:
+            call.watchdog.is_suspended = True
+        try:
+            await exchange.drain()
+        finally:
+            if call.watchdog is not None:
+                call.watchdog.resume()
+            if sent is not None:
+                self._fleet.record_read_again(sent)
+
     def _find_writer(
         self,
         call: Call,
--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -49,6 +49,8 @@
 TIE_MARGIN_SECONDS = 0.002
 # Time between requests that probe silent endpoints of the same service.
 SILENT_PROBE_SPACING_SECONDS = 2.0
+# Shorter times in which a response is not read don't matter.
+MIN_UNREAD_SECONDS = 0.05
 
 
 class Fleet:
@@ -481,6 +483,19 @@
             if team_request is not None:
                 self.record_served(team_request)
 
+    def record_read_again(self, in_flight_request: InFlightRequest) -> None:
+        """Record that a response is read again after its caller was slow.
+
+        An endpoint of which no response was read has not been silent.
+        """
+        now = self._clock.monotonic()
+        state = self._states_by_id.get(in_flight_request.endpoint.endpoint_id)
+        since = in_flight_request.unread_since
+        is_short = since is None or now - since < MIN_UNREAD_SECONDS
+        if state is not None and not is_short and not state.is_any_read():
+            state.idle_since = now
+        in_flight_request.unread_since = None
+
     def record_end(
         self,
         in_flight_request: InFlightRequest,
--- a/burdockdrum/passthrough/selection/stalls.py
+++ b/burdockdrum/passthrough/selection/stalls.py
@@ -49,7 +49,7 @@
         if not state.in_flight_requests:
             return False
         timeout = self.timeout_seconds(state.service)
-        if now - state.idle_since <= timeout:
+        if now - state.idle_since <= timeout or not state.is_any_read():
             return False
         return self.silent_seconds(state.idle_since, now) > timeout
 
--- a/burdockdrum/passthrough/state/endpoint_state.py
+++ b/burdockdrum/passthrough/state/endpoint_state.py
@@ -78,7 +78,9 @@
 class InFlightRequest:
     """An in-flight request at an endpoint.
 
-    ``chunks_received`` counts the chunks of its response. Times are monotonic.
+    ``chunks_received`` counts the chunks of its response, which is not read
+    since ``unread_since`` as its caller reads slowly, None if it is read.
+    Times are monotonic.
     """
 
     choice: RatedEndpoint
@@ -90,6 +92,7 @@
     chunks_received: int = 0
     event_tokens: int = 1
     deadline: float | None = None
+    unread_since: float | None = None
 
     @property
     def endpoint(self) -> RegisteredEndpoint:
@@ -160,6 +163,10 @@
         counts.requests += 1
         counts.held_tokens += request.prompt.memory_tokens
 
+    def is_any_read(self) -> bool:
+        """Return whether the response to any request is read now."""
+        return any(r.unread_since is None for r in self.in_flight_requests)
+
     def record_first_output(
         self, request: InFlightRequest, now: float
     ) -> None:
