Say why a response was cut, and what was still at work

request.cut said neither what still ran nor why no attempt followed, and nothing counted cuts by reason, so that hypotheses about them could not be told apart by the log.

The line has a machine-readable cause, the last target, the attempts that still ran or had stalled, runs and attempts, the last event, the seconds left, and the generation of the request and the one in force; burdockdrum_cut_responses_total counts by cause.

--- a/burdockdrum/passthrough/protocol/__init__.py
+++ b/burdockdrum/passthrough/protocol/__init__.py
@@ -4,6 +4,10 @@
 """
 
 from burdockdrum.passthrough.protocol.active_routes import ActiveRoutes
+from burdockdrum.passthrough.protocol.cut_causes import cause_of_refusal
+from burdockdrum.passthrough.protocol.cut_causes import CutCause
+from burdockdrum.passthrough.protocol.cut_causes import find_cut_cause
+from burdockdrum.passthrough.protocol.cut_causes import ResponseTruncated
 from burdockdrum.passthrough.protocol.events import InvalidEventStream
 from burdockdrum.passthrough.protocol.events import ResumableEventSplitter
 from burdockdrum.passthrough.protocol.header_names import encode_version
@@ -38,15 +42,17 @@
 from burdockdrum.passthrough.protocol.responses import read_error_body
 from burdockdrum.passthrough.protocol.responses import read_used_attempts
 from burdockdrum.passthrough.protocol.responses import ResponseClassifier
-from burdockdrum.passthrough.protocol.responses import ResponseTruncated
 from burdockdrum.passthrough.protocol.route_index import RouteIndex
 
 __all__ = [
     "ActiveRoutes",
+    "cause_of_refusal",
+    "CutCause",
     "Delivered",
     "encode_version",
     "EndpointTarget",
     "ErrorResponse",
+    "find_cut_cause",
     "forwarded_attempts",
     "granted_runs",
     "HeaderNames",
--- a/burdockdrum/passthrough/protocol/model.py
+++ b/burdockdrum/passthrough/protocol/model.py
@@ -128,7 +128,7 @@
     ``place_retry_after`` is the shortest time in seconds until one has.
     ``has_requested_work`` says that its work has been recorded for its team,
     and ``is_within_share`` whether its team's share covers it, None if not
-    asked.
+    asked. ``at_work`` are the attempts that ran when the request ended.
     """
 
     verdict: Verdict = Verdict.NOT_RUN
@@ -159,6 +159,7 @@
     place_retry_after: float | None = None
     has_requested_work: bool = False
     is_within_share: bool | None = None
+    at_work: tuple[str, ...] = ()
 
     @property
     def begun_runs(self) -> int:
--- a/burdockdrum/passthrough/protocol/responses.py
+++ b/burdockdrum/passthrough/protocol/responses.py
@@ -33,10 +33,6 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 
 
-class ResponseTruncated(Exception):
-    """A response was truncated after part of it had been forwarded."""
-
-
 class ResponseClassifier:
     """Classifies responses by a deployment's header names."""
 
--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -17,6 +17,7 @@
 from burdockdrum.logs import log_decision
 from burdockdrum.passthrough.brittle import Place
 from burdockdrum.passthrough.brittle import PlaceEvent
+from burdockdrum.passthrough.protocol import CutCause
 from burdockdrum.passthrough.protocol import Delivered
 from burdockdrum.passthrough.protocol import encode_version
 from burdockdrum.passthrough.protocol import EndpointTarget
@@ -460,7 +461,9 @@
                 exchange.write(chunk)
                 await self._drain(call, exchange)
         except ResponseLost as error:
-            raise ResponseTruncated(str(error)) from error
+            raise ResponseTruncated(
+                str(error), CutCause.NOT_RESUMABLE
+            ) from error
         exchange.finish()
         return Delivered(status=head.status)
 
--- a/burdockdrum/passthrough/relaying/crash_guard.py
+++ b/burdockdrum/passthrough/relaying/crash_guard.py
@@ -4,6 +4,7 @@
 from burdockdrum.http1 import Exchange
 from burdockdrum.logs import log_decision
 from burdockdrum.metrics import Metrics
+from burdockdrum.passthrough.protocol import CutCause
 from burdockdrum.passthrough.protocol import Lost
 from burdockdrum.passthrough.protocol import NotStarted
 from burdockdrum.passthrough.protocol import Outcome
@@ -139,5 +140,5 @@
 
     def _raise(self, exchange: Exchange, refusal: Refusal) -> None:
         if exchange.started:
-            raise ResponseTruncated(refusal.message)
+            raise ResponseTruncated(refusal.message, CutCause.QUARANTINED)
         raise refusal
--- a/burdockdrum/passthrough/relaying/relay.py
+++ b/burdockdrum/passthrough/relaying/relay.py
@@ -8,6 +8,7 @@
 from burdockdrum.http1 import Exchange
 from burdockdrum.logs import log_failure
 from burdockdrum.metrics import Metrics
+from burdockdrum.passthrough.protocol import cause_of_refusal
 from burdockdrum.passthrough.protocol import HeaderNames
 from burdockdrum.passthrough.protocol import HOP_CUT_OFF
 from burdockdrum.passthrough.protocol import HOP_QUARANTINED
@@ -20,6 +21,7 @@
 from burdockdrum.passthrough.protocol import send_refusal
 from burdockdrum.passthrough.protocol import status_of
 from burdockdrum.passthrough.relaying.attempt_report import AttemptReporter
+from burdockdrum.passthrough.relaying.request_log import log_cut
 from burdockdrum.passthrough.relaying.request_log import log_disconnect
 from burdockdrum.passthrough.relaying.request_runner import RequestRunner
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
@@ -75,6 +77,10 @@
             "burdockdrum_passed_requests_total",
             "Proxied requests, by outcome.",
         )
+        self._cut_total = metrics.counter(
+            "burdockdrum_cut_responses_total",
+            "Responses that had begun and did not come to their end.",
+        )
         self._duration_seconds = metrics.histogram(
             "burdockdrum_passed_seconds",
             "Time from first byte of a request to the end of its response.",
@@ -130,12 +136,14 @@
             self._refuse(exchange, refusal, request, progress, is_hop=is_hop)
             return "refused"
         except ResponseTruncated as error:
-            log_failure(
-                "request.cut",
-                request_id=request.request_id,
-                route=request.route.name,
-                reason=str(error),
-                runs=progress.runs,
+            self._cut_total.increment(cause=error.cause.value)
+            current = self._configuration.current.route_table
+            log_cut(
+                request,
+                progress,
+                error,
+                generation_in_force=current.generation if current else None,
+                now=self._clock.monotonic(),
             )
             return "cut"
         except asyncio.CancelledError:
@@ -165,7 +173,9 @@
                 raise
             refusal = make_stop_refusal(progress)
             if exchange.started:
-                raise ResponseTruncated(refusal.message) from None
+                raise ResponseTruncated(
+                    refusal.message, cause_of_refusal(refusal)
+                ) from None
             raise refusal from None
         finally:
             self._scopes.discard(scope)
--- a/burdockdrum/passthrough/relaying/request_log.py
+++ b/burdockdrum/passthrough/relaying/request_log.py
@@ -10,7 +10,9 @@
 from burdockdrum.passthrough.protocol import ProxiedRequest
 from burdockdrum.passthrough.protocol import RegionTarget
 from burdockdrum.passthrough.protocol import RequestProgress
+from burdockdrum.passthrough.protocol import ResponseTruncated
 from burdockdrum.passthrough.protocol import Target
+from burdockdrum.passthrough.relaying.running_attempts import Attempt
 
 
 def log_attempt(
@@ -75,6 +77,48 @@
     )
 
 
+def describe_attempt(attempt: Attempt) -> str:
+    """Return the target of an attempt that runs, and what it does."""
+    state = "stalled" if attempt.is_stalled else "running"
+    match attempt.target:
+        case EndpointTarget(choice=choice):
+            return f"{choice.endpoint.endpoint_id} {state}"
+        case RegionTarget(vm_id=vm_id):
+            return f"{vm_id} {state}"
+        case None:
+            return "no target yet"
+
+
+def log_cut(
+    request: ProxiedRequest,
+    progress: RequestProgress,
+    error: ResponseTruncated,
+    *,
+    generation_in_force: int | None,
+    now: float,
+) -> None:
+    """Log that a response that had begun did not come to its end."""
+    target = progress.target
+    log_failure(
+        "request.cut",
+        request_id=request.request_id,
+        route=request.route.name,
+        team=request.team,
+        cause=error.cause.value,
+        reason=str(error),
+        **(_describe(target, request) if target is not None else {}),
+        at_work=", ".join(progress.at_work),
+        runs=progress.runs,
+        attempts=request.attempts,
+        last_event=progress.last_event,
+        since_received=_round(now - request.received_at),
+        seconds_left=_round(request.deadline - now),
+        generation=request.revision,
+        generation_in_force=generation_in_force,
+        hop=request.forwarded_from is not None,
+    )
+
+
 def log_disconnect(
     request: ProxiedRequest, progress: RequestProgress, now: float
 ) -> None:
--- a/burdockdrum/passthrough/relaying/request_runner.py
+++ b/burdockdrum/passthrough/relaying/request_runner.py
@@ -7,9 +7,11 @@
 import asyncio
 
 from burdockdrum.http1 import Exchange
+from burdockdrum.passthrough.protocol import cause_of_refusal
 from burdockdrum.passthrough.protocol import Delivered
 from burdockdrum.passthrough.protocol import EndpointTarget
 from burdockdrum.passthrough.protocol import ErrorResponse
+from burdockdrum.passthrough.protocol import find_cut_cause
 from burdockdrum.passthrough.protocol import forwarded_attempts
 from burdockdrum.passthrough.protocol import granted_runs
 from burdockdrum.passthrough.protocol import HeaderNames
@@ -30,6 +32,7 @@
 from burdockdrum.passthrough.relaying.attempts import AttemptRunner
 from burdockdrum.passthrough.relaying.crash_guard import CrashGuard
 from burdockdrum.passthrough.relaying.place_outcomes import record_place
+from burdockdrum.passthrough.relaying.request_log import describe_attempt
 from burdockdrum.passthrough.relaying.request_log import log_not_replaced
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
 from burdockdrum.passthrough.relaying.running_attempts import Attempt
@@ -112,6 +115,7 @@
                 ):
                     start_attempt()
         finally:
+            progress.at_work = tuple(map(describe_attempt, attempts))
             await attempts.close()
 
     async def _run_attempt(
@@ -248,7 +252,7 @@
         refusal: Refusal,
     ) -> None:
         if exchange.started:
-            raise ResponseTruncated(refusal.message)
+            raise ResponseTruncated(refusal.message, cause_of_refusal(refusal))
         if progress.failure is None:
             raise refusal
         # The endpoint's error is more specific than the refusal.
@@ -327,7 +331,10 @@
         outcome: Outcome,
     ) -> None:
         if exchange.started:
-            raise ResponseTruncated(progress.last_reason)
+            cause = find_cut_cause(
+                request, progress, outcome, self._clock.monotonic()
+            )
+            raise ResponseTruncated(progress.last_reason, cause)
         if progress.failure is not None:
             self._forward_failure(
                 request, exchange, progress.failure, progress.runs
