Limit bodies that the product's own client reads whole

read_whole joined a body of any size: replies to GatewayClient.call, lists of entries, replies to announcements and to the operator's commands. It ends at 64 MiB with AnswerTooLarge and closes the connection; call does not ask other entries for the same reply. GatewayClient.stream kept a response with status 503 whole, to see whether an entry is draining: up to 64 KiB now, a longer one is passed on. Upstream.drain read what follows the end of a complete answer for 0.5 s as fast as it came: up to 64 KiB now.

--- a/burdockdrum/client/client.py
+++ b/burdockdrum/client/client.py
@@ -23,6 +23,7 @@
 
 from burdockdrum.client.entries import EntryTable
 from burdockdrum.ports import AnswerLost
+from burdockdrum.ports import AnswerTooLarge
 from burdockdrum.ports import Clock
 from burdockdrum.ports import ConnectFailed
 from burdockdrum.ports import HttpClient
@@ -43,6 +44,8 @@
 RESPONSE_HEAD_TIMEOUT_SECONDS = 620.0
 ENTRY_LIST_TIMEOUT_SECONDS = 2.0
 IDEMPOTENCY_HEADER = "idempotency-key"
+# An entry that refuses a request sends less.
+MAX_REFUSAL_BYTES = 64 * 1024
 _UNAVAILABLE_STATUS = 503
 
 
@@ -125,7 +128,8 @@
 
         :param repeatable: False for a request that must not run twice; it
             is retried only if it has an idempotency key
-        :raises ClientError: if no entry VM answered
+        :raises ClientError: if no entry VM answered, or the reply exceeds
+            ``burdockdrum.ports.http.MAX_WHOLE_BODY_BYTES``
         """
         may_resend = repeatable or _has_idempotency_key(headers)
         response_lost = False
@@ -137,6 +141,9 @@
                 content = await read_whole(answer)
             except ConnectFailed as error:
                 last_error = str(error)
+            except AnswerTooLarge as error:
+                # It would be as large from another entry.
+                raise ClientError(str(error), may_have_run=True) from error
             except AnswerLost as error:
                 last_error = str(error)
                 response_lost = True
@@ -177,11 +184,16 @@
             try:
                 answer = await self.open(entry, method, path, body, headers)
                 refusal_body = b""
+                may_be_refusal = answer.status == _UNAVAILABLE_STATUS
                 async for part in answer.chunks():
-                    if answer.status == _UNAVAILABLE_STATUS:
-                        refusal_body += part
-                    else:
+                    if not may_be_refusal:
                         yield part
+                        continue
+                    refusal_body += part
+                    if len(refusal_body) > MAX_REFUSAL_BYTES:
+                        may_be_refusal = False
+                        yield refusal_body
+                        refusal_body = b""
             except ConnectFailed as error:
                 last_error = str(error)
             except AnswerLost as error:
--- a/burdockdrum/ports/__init__.py
+++ b/burdockdrum/ports/__init__.py
@@ -10,6 +10,7 @@
 from burdockdrum.ports.disk import Disk
 from burdockdrum.ports.disk import DiskError
 from burdockdrum.ports.http import AnswerLost
+from burdockdrum.ports.http import AnswerTooLarge
 from burdockdrum.ports.http import ConnectFailed
 from burdockdrum.ports.http import HttpClient
 from burdockdrum.ports.http import read_whole
@@ -21,6 +22,7 @@
 
 __all__ = [
     "AnswerLost",
+    "AnswerTooLarge",
     "Clock",
     "ConnectFailed",
     "Disk",
--- a/burdockdrum/ports/http.py
+++ b/burdockdrum/ports/http.py
@@ -10,6 +10,9 @@
 from dataclasses import field
 from typing import Protocol
 
+# Of a body that is read whole; a longer one is read in parts.
+MAX_WHOLE_BODY_BYTES = 64 * 1024 * 1024
+
 
 class ConnectFailed(Exception):
     """No connection was established: no byte of the request was sent."""
@@ -23,6 +26,10 @@
     """
 
 
+class AnswerTooLarge(AnswerLost):
+    """The body of a response is too large to be read whole."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class UpstreamCall:
     """One HTTP request to an endpoint or another entry VM."""
@@ -65,9 +72,20 @@
 async def read_whole(answer: UpstreamAnswer) -> bytes:
     """Return the whole body of a response.
 
+    :raises AnswerTooLarge: if it exceeds ``MAX_WHOLE_BODY_BYTES``
     :raises AnswerLost: if the body is truncated
     """
-    return b"".join([part async for part in answer.chunks()])
+    parts: list[bytes] = []
+    size = 0
+    async for part in answer.chunks():
+        parts.append(part)
+        size += len(part)
+        if size > MAX_WHOLE_BODY_BYTES:
+            await answer.close()
+            raise AnswerTooLarge(
+                f"the body is over the limit of {MAX_WHOLE_BODY_BYTES} bytes"
+            )
+    return b"".join(parts)
 
 
 class HttpClient(Protocol):
--- a/burdockdrum/requests/attempts.py
+++ b/burdockdrum/requests/attempts.py
@@ -30,6 +30,8 @@
 # On streams of a forwarded request: the software version that writes them.
 VERSION_HEADER = "x-software-version"
 DRAIN_TIMEOUT_SECONDS = 0.5
+# Of the end of a body whose content is complete.
+MAX_DRAIN_BYTES = 64 * 1024
 MAX_WHOLE_BYTES = 4 * 1024 * 1024
 # Statuses of an overloaded or failing server.
 RETRYABLE_STATUSES = frozenset({429, 500, 502, 503, 504})
@@ -188,12 +190,16 @@
     async def drain(self) -> None:
         """Read the end of a body whose content is complete.
 
-        The connection can then be reused for another request.
+        The connection can then be reused for another request, unless more
+        follows than ``MAX_DRAIN_BYTES``.
         """
+        size = 0
         try:
             async with asyncio.timeout(DRAIN_TIMEOUT_SECONDS):
-                async for _ in self._parts:
-                    pass
+                async for part in self._parts:
+                    size += len(part)
+                    if size > MAX_DRAIN_BYTES:
+                        break
         except (TimeoutError, AnswerLost):
             pass
         finally:
--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -2,11 +2,13 @@
 
 import random
 import unittest
+from unittest import mock
 
 import msgspec
 
-from burdockdrum.client import ClientError
-from burdockdrum.client import GatewayClient
+from burdockdrum.client.client import ClientError
+from burdockdrum.client.client import GatewayClient
+from burdockdrum.client.client import MAX_REFUSAL_BYTES
 from burdockdrum.ports import AnswerLost
 from burdockdrum.ports import UpstreamCall
 from burdockdrum.testing import FakeAnswer
@@ -167,3 +169,40 @@
                 self.assertEqual("http://two:80", reply.entry)
 
         run_virtual(main())
+
+    def test_reply_without_end_is_an_error_and_not_retried(self):
+        # Guards against a client that fills its memory, once at each entry.
+        async def main():
+            entries = TwoEntries(fail=lambda: FakeAnswer(body=endless()))
+            with self.assertRaises(ClientError) as caught:
+                await entries.client.call("POST", "/v1/completions")
+            self.assertTrue(caught.exception.may_have_run)
+            self.assertEqual(1, len(entries.calls))
+
+        with mock.patch(
+            "burdockdrum.ports.http.MAX_WHOLE_BODY_BYTES", 100_000
+        ):
+            run_virtual(main())
+
+    def test_error_without_end_is_passed_on_in_a_stream(self):
+        # Only a short body can be the refusal of an entry that is draining.
+        async def main():
+            entries = TwoEntries(
+                fail=lambda: FakeAnswer(status=503, body=endless())
+            )
+            size = 0
+            async for part in entries.client.stream("POST", "/v1/x"):
+                self.assertLess(len(part), 2 * MAX_REFUSAL_BYTES)
+                size += len(part)
+                if size > 10 * MAX_REFUSAL_BYTES:
+                    break
+            self.assertEqual(1, len(entries.calls))
+
+        run_virtual(main())
+
+
+async def endless():
+    """Yield parts of a body without end, up to where a test has failed."""
+    for _ in range(1_000):
+        yield b"x" * 8_000
+    raise AssertionError("read 8 MB")
--- a/tests/system_ports/test_endless.py
+++ b/tests/system_ports/test_endless.py
@@ -4,9 +4,11 @@
 import itertools
 import tracemalloc
 import unittest
+from unittest import mock
 
 from burdockdrum.http1.overhead import MAX_HEAD_BYTES
 from burdockdrum.ports import AnswerLost
+from burdockdrum.ports import AnswerTooLarge
 from burdockdrum.ports import read_whole
 from burdockdrum.ports import UpstreamCall
 from burdockdrum.system_ports.connections import READ_BYTES
@@ -98,6 +100,22 @@
                     await asyncio.sleep(2 * pause)
                 self.assertEqual(3, server.connections)
 
+    async def test_whole_body_is_limited(self):
+        # A body that is read whole would fill the memory of a caller.
+        limit = mock.patch(
+            "burdockdrum.ports.http.MAX_WHOLE_BODY_BYTES", STREAM_BYTES
+        )
+        self.enterContext(limit)
+        for kind in ("unframed body", "chunked body", "error body"):
+            with self.subTest(kind):
+                server = EndlessServer(*BODY_BY_KIND[kind])
+                call = await self.serve(server)
+                async with asyncio.timeout(SECONDS):
+                    answer = await self.client.open(call)
+                    with self.assertRaises(AnswerTooLarge):
+                        await read_whole(answer)
+                    await server.ended.wait()
+
     async def test_long_body_of_small_chunks_is_whole(self):
         # Right but long: its overhead is many times the limits.
         async def script(reader, writer):
