Log connections that are closed for surplus bytes

A connection that received bytes of no request was closed without a word, and one that got them in the same read as the end of a response only when it was released. Both end at once with the line connection.closed, which names the address and why; the response itself is delivered as before.

--- a/burdockdrum/http1/client.py
+++ b/burdockdrum/http1/client.py
@@ -19,6 +19,7 @@
 from burdockdrum.http1.overhead import OverheadCounter
 from burdockdrum.http1.overhead import ResponseKind
 from burdockdrum.http1.sockets import enable_keepalive
+from burdockdrum.logs import log_failure
 
 MAX_BUFFERED_BYTES = 128 * 1024
 # Used when a server sends no Keep-Alive timeout; most servers close idle
@@ -170,8 +171,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; pause reading when the buffer is full."""
         if self._complete:
-            self._dirty = True
-            self.close()
+            self._end_surplus()
             return
         self._body_bytes = 0
         try:
@@ -181,12 +181,14 @@
         except httptools.HttpParserUpgrade:
             self._fail(ValueError("the peer changed the protocol"))
         except (httptools.HttpParserError, LimitExceeded) as error:
-            if self._complete:
-                self._dirty = True
-            else:
+            if not self._complete:
                 self._fail(self._overhead.exceeded or error)
+            self._dirty = True
+        if self._complete and self._dirty:
+            # The part of the body that was received is still read.
+            self._end_surplus()
         is_full = self._buffered > MAX_BUFFERED_BYTES
-        if is_full and not self._paused and self._error is None:
+        if is_full and not self._paused and not self._dirty:
             assert self._transport is not None
             self._paused = True
             self._transport.pause_reading()
@@ -256,6 +258,16 @@
             return ResponseKind.EXPECTED
         return ResponseKind.SKIPPED
 
+    def _end_surplus(self) -> None:
+        """Close a connection that received bytes of no request."""
+        assert self._transport is not None
+        log_failure(
+            "connection.closed",
+            address=str(self._transport.get_extra_info("peername")),
+            reason="bytes that belong to no request",
+        )
+        self.close()
+
     def _update_idle_timeout(self, head: ResponseHead) -> None:
         value = head.find(b"keep-alive")
         if value is None:
--- a/burdockdrum/system_ports/connections.py
+++ b/burdockdrum/system_ports/connections.py
@@ -254,7 +254,7 @@
         log_failure(
             "connection.closed",
             address=f"{self.host}:{self.port}",
-            reason="bytes after the end of a response",
+            reason="bytes that belong to no request",
         )
         self.abort()
 
--- a/tests/http1/test_endless.py
+++ b/tests/http1/test_endless.py
@@ -4,6 +4,7 @@
 import itertools
 import tracemalloc
 import unittest
+from unittest import mock
 
 from burdockdrum.http1.client import MAX_BUFFERED_BYTES
 from burdockdrum.http1.client import ResponseLost
@@ -85,11 +86,38 @@
             with self.subTest(kind):
                 server = EndlessServer(*BODY_BY_KIND[kind])
                 connection = await self.connect(server)
-                async with asyncio.timeout(SECONDS):
-                    _, body = await self.read(connection)
-                    await server.ended.wait()
+                with mock.patch("burdockdrum.http1.client.log_failure") as log:
+                    async with asyncio.timeout(SECONDS):
+                        _, body = await self.read(connection)
+                        await server.ended.wait()
                 self.assertEqual(b"ok", body)
                 self.assertFalse(connection.reusable)
+                line = log.call_args.kwargs
+                self.assertIn("no request", line["reason"])
+                self.assertIn(server.address.split(":")[1], line["address"])
+
+    async def test_bytes_before_any_request_end_the_connection(self):
+        # A probe only connects, and leaves the connection in the pool.
+        ended = asyncio.Event()
+
+        async def script(reader, writer):
+            try:
+                while True:
+                    writer.write(b"x" * 8_000)
+                    await writer.drain()
+                    await asyncio.sleep(0)
+            finally:
+                ended.set()
+
+        server = ScriptedServer(script)
+        address = await server.open()
+        self.addAsyncCleanup(server.close)
+        pool = ConnectionPool(id_header=b"x-request-id")
+        connection = await pool.open(address, timeout=1)
+        pool.release(address, connection, max_idle=1)
+        async with asyncio.timeout(SECONDS):
+            await ended.wait()
+        self.assertEqual({}, pool.open_by_address)
 
     async def test_head_over_the_limit_fails_however_it_is_split(self):
         # A limit that depends on the reads would fail at random.
--- a/tests/passthrough/relaying/test_endless_endpoints.py
+++ b/tests/passthrough/relaying/test_endless_endpoints.py
@@ -10,6 +10,7 @@
 from tests.http1.endless import OVERHEAD_BY_KIND
 from tests.passthrough.entries import answer
 from tests.passthrough.entries import Endpoint
+from tests.passthrough.entries import EntryDeployment
 from tests.passthrough.entries import RelayCase
 from tests.passthrough.fakes import make_endpoint
 
@@ -62,6 +63,26 @@
                     self.assertEqual((200, b"whole"), (status, body))
                 await self.world.close()
 
+    async def test_hop_is_lost_with_the_limit_as_its_reason(self):
+        # Another entry may be as faulty as an endpoint.
+        for kind, script in OVERHEAD_BY_KIND.items():
+            with self.subTest(kind):
+                server = EndlessServer(*script)
+                address = await server.open()
+                self.addAsyncCleanup(server.close)
+                self.world = EntryDeployment(attempts=1)
+                self.addAsyncCleanup(self.world.close)
+                entry = await self.world.open_entry(
+                    "here", capacities=("there",)
+                )
+                there = await self.world.open_entry("there")
+                there.vms = mock.Mock(address=address)
+                async with asyncio.timeout(SECONDS):
+                    status, _, body = await entry.call()
+                    await server.ended.wait()
+                self.assertEqual(502, status)
+                self.assertIn(b"over the limit of", body)
+
     async def test_endless_error_body_is_lost(self):
         # Error bodies are read whole, so their size is limited.
         for kind in ("error body", "body without provenance"):
--- a/tests/system_ports/test_endless.py
+++ b/tests/system_ports/test_endless.py
@@ -72,10 +72,14 @@
             with self.subTest(kind):
                 server = EndlessServer(*BODY_BY_KIND[kind])
                 call = await self.serve(server)
-                async with asyncio.timeout(SECONDS):
-                    body = await read_whole(await self.client.open(call))
-                    await server.ended.wait()
+                with mock.patch(
+                    "burdockdrum.system_ports.connections.log_failure"
+                ) as log:
+                    async with asyncio.timeout(SECONDS):
+                        body = await read_whole(await self.client.open(call))
+                        await server.ended.wait()
                 self.assertEqual(b"ok", body)
+                log.assert_called_once()
 
     async def test_stray_response_is_not_read_by_the_next_request(self):
         # It may arrive with the response or while the connection is idle.
