--- a/tests/passthrough/relaying/test_endless_endpoints.py
+++ b/tests/passthrough/relaying/test_endless_endpoints.py
@@ -95,6 +95,17 @@
                     await server.ended.wait()
                 self.assertEqual(502, status)
 
+    async def test_endless_event_is_lost(self):
+        # An event is held back until its end, to go on after a failure.
+        server, entry = await self.open_endless(
+            *BODY_BY_KIND["chunked body"], attempts=1, streams=True
+        )
+        async with asyncio.timeout(SECONDS):
+            status, _, body = await entry.call()
+            await server.ended.wait()
+        self.assertEqual(502, status)
+        self.assertIn(b"event exceeds", body)
+
     async def test_surplus_ends_the_connection(self):
         # The response is right; what follows is nobody's.
         for kind in ("surplus", "surplus responses"):
