Keep a silent attempt until another one responds, on the own interface too

An endpoint that sent nothing for 10 s within a stream (15 s before its head, half of the remaining time for a whole answer) was given up, its connection closed and the engine told to cancel, before anything else was found. If the next endpoint rejected (503), failed (500), closed the connection, was silent, slow or unreachable, or if there was none, the stream ended with an error event, or the request with 502, 503 or 504, though the first endpoint went on 4 s later. Calls that can't be repeated, and large bodies that had begun, ended for the silence alone.

Now each attempt runs in a task of its own (requests/answer_runner.py over burdockdrum/attempts, which the pass-through uses). One that is silent is reported by its read timer and goes on; if another target would take the request, attempts are left and the retry budget pays, a second one starts beside it. The first that writes to the caller owns the response and ends the other. A successor that fails is logged (attempt.not_replaced) and the first one goes on. The charge is made once and kept until a request is sent, so that rechecks every second and refused connections don't charge again. Attempts are counted when they stall or end, those that were superseded too, so that at most 4 begin as before. A suspect of the quarantine never runs twice at once. A forward that is silent may have a successor through another entry VM of the same data centre. An endpoint that is known with a later incarnation is dead, and its silent attempts fail, as waiting would take until the deadline. A timer that fires late says that this process was paused, and reports nothing.

The end of a successor after the answer doesn't change the request's verdict; else a complete stream would have been counted as cut.

The silence still counts against the endpoint's health at the same moment as before. What changes for a dead endpoint without any alternative: the request ends at its deadline, not at 15 or 10 s.

--- a/burdockdrum/attempts/running_attempts.py
+++ b/burdockdrum/attempts/running_attempts.py
@@ -47,6 +47,11 @@
         """Return whether no other attempt runs that has not stalled."""
         return self._group.are_others_stalled(self)
 
+    @property
+    def is_alone(self) -> bool:
+        """Return whether no other attempt runs."""
+        return all(other is self for other in self._group)
+
     def stall(self) -> None:
         """Record that the attempt is silent and may have a successor."""
         self.is_stalled = True
--- a/burdockdrum/requests/attempts.py
+++ b/burdockdrum/requests/attempts.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+import math
 from urllib.parse import unquote
 
 import msgspec
@@ -15,8 +16,9 @@
 from burdockdrum.http1 import parse_seconds
 from burdockdrum.ports import AnswerLost
 from burdockdrum.ports import UpstreamAnswer
+from burdockdrum.quarantine import Trial
 from burdockdrum.requests.events import has_other_request_id
-from burdockdrum.requests.idle_timer import IdleTimer
+from burdockdrum.requests.read_timer import ReadTimer
 from burdockdrum.routing import Attempt
 from burdockdrum.routing import AttemptOutcome
 from burdockdrum.verdicts import Refusal
@@ -62,10 +64,16 @@
 
 @dataclass(frozen=True, kw_only=True)
 class EndpointTarget:
-    """An endpoint of this data centre, and the attempt there."""
+    """An endpoint of this data centre, and the attempt there.
+
+    ``opened_at`` is when it began, on the monotonic clock, and ``trial`` the
+    permission to run a suspect, None if the request is none.
+    """
 
     endpoint: Endpoint
     attempt: Attempt
+    opened_at: float
+    trial: Trial | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -88,19 +96,26 @@
         answer: UpstreamAnswer,
         target: Target,
         attempt_id: str,
+        timer: ReadTimer,
         idle_timeout: float,
     ) -> None:
         """Wrap an answer whose head has been received.
 
-        :param idle_timeout: maximum time between two parts of the body
+        ``wrote_since`` is when the endpoint wrote its first tokens, on the
+        monotonic clock, and ``is_sound`` says that it has gone on since.
+
+        :param idle_timeout: between two parts of the body, in seconds; a
+            silence that exceeds it is reported
         """
         self.status = answer.status
         self.headers = answer.headers
         self.target = target
         self.attempt_id = attempt_id.encode()
+        self.wrote_since: float | None = None
+        self.is_sound = False
         self._answer = answer
         self._idle_timeout = idle_timeout
-        self._idle_timer = IdleTimer()
+        self._timer = timer
         self._parts: AsyncIterator[bytes] = aiter(answer.chunks())
         # A refusal of another entry VM has a request id of its own.
         if VERDICT_HEADER not in answer.headers:
@@ -119,23 +134,27 @@
         """Return the next part of the body, or None at its end.
 
         :param seconds: until the deadline
-        :raises AttemptFailed: if the connection breaks or a timeout expires
+        :raises AttemptFailed: if the connection breaks or the deadline passes
         """
-        self._idle_timer.begin(min(seconds, self._idle_timeout))
+        self._timer.begin(seconds, self._idle_timeout)
         try:
             part = await anext(self._parts, None)
         except asyncio.CancelledError:
-            if not self._idle_timer.absorb():
+            if not self._timer.absorb():
                 raise
-            raise fail_timed_out("idle timeout within the answer") from None
+            raise fail_timed_out("silent within the answer") from None
         except AnswerLost as error:
             raise fail_connection_lost(error) from error
         finally:
-            self._idle_timer.end()
+            self._timer.end()
         if part is not None and isinstance(self.target, EndpointTarget):
             self.target.attempt.record_first_token()
         return part
 
+    def stop_watching(self) -> None:
+        """Report no silence any more, as nothing else can provide the rest."""
+        self._idle_timeout = math.inf
+
     async def read_whole(self, seconds: float) -> bytes:
         """Read the body to its end.
 
@@ -207,7 +226,7 @@
 
     async def close(self) -> None:
         """Close the connection unless the body was read to its end."""
-        self._idle_timer.stop()
+        self._timer.stop()
         await self._answer.close()
 
     def _check_id(self, value: str | None) -> None:
--- a/burdockdrum/requests/buffered.py
+++ b/burdockdrum/requests/buffered.py
@@ -6,13 +6,17 @@
 """
 
 from collections.abc import AsyncIterator
+from typing import Any
 
 import msgspec
 
+from burdockdrum.attempts import Attempt
+from burdockdrum.requests.answer_runner import AnswerRunner
 from burdockdrum.requests.attempts import AttemptFailed
 from burdockdrum.requests.attempts import fail_incomplete
 from burdockdrum.requests.attempts import fail_status
 from burdockdrum.requests.attempts import RETRYABLE_STATUSES
+from burdockdrum.requests.attempts import Target
 from burdockdrum.requests.attempts import Upstream
 from burdockdrum.requests.exchange import Exchange
 from burdockdrum.requests.model import Answer
@@ -42,18 +46,18 @@
 
     :raises Refusal: with the verdict, if no attempt succeeds
     """
-    while True:
-        upstream = await exchange.open()
-        try:
-            return await read_answer(exchange, upstream)
-        except AttemptFailed as failure:
-            await exchange.give_up(upstream, failure)
-        except BaseException:
-            await exchange.abandon(upstream)
-            raise
+    runner = AnswerRunner(
+        exchange=exchange,
+        read=lambda upstream, attempt: read_answer(
+            exchange, upstream, attempt
+        ),
+    )
+    return await runner.run()
 
 
-async def read_answer(exchange: Exchange, upstream: Upstream) -> Answer:
+async def read_answer(
+    exchange: Exchange, upstream: Upstream, attempt: Attempt[Target, Any]
+) -> Answer:
     """Read the answer of one attempt.
 
     Only the start of a plain service's large answer is buffered, to bound
@@ -61,15 +65,18 @@
     caller's connection is broken too.
 
     :raises AttemptFailed: if it is an error, breaks or is not complete
+    :raises Superseded: if another attempt has begun to respond
     """
     request = exchange.request
     if upstream.status in RETRYABLE_STATUSES:
-        _check_status(exchange, upstream)
+        _check_status(exchange, upstream, attempt)
     if request.kind is RequestKind.PLAIN:
         body, ended = await upstream.read_start(
             exchange.remaining(), PLAIN_BUFFER_BYTES
         )
+        attempt.claim_response()
         if not ended:
+            upstream.stop_watching()
             return make_answer(
                 upstream, _stream_rest(exchange, upstream, body)
             )
@@ -77,6 +84,7 @@
         body = await upstream.read_whole(exchange.remaining())
         _check_complete(upstream, body)
         attempt_id = upstream.attempt_id
+        attempt.claim_response()
         body = body.replace(attempt_id, request.request_id.encode(), 1)
     exchange.complete(upstream, tokens=request.max_tokens)
     return make_answer(upstream, body)
@@ -117,14 +125,16 @@
     )
 
 
-def _check_status(exchange: Exchange, upstream: Upstream) -> None:
+def _check_status(
+    exchange: Exchange, upstream: Upstream, attempt: Attempt[Target, Any]
+) -> None:
     """Decide whether an error status is retried or sent to the caller.
 
     :raises AttemptFailed: if it is not sent to the caller
     """
     request = exchange.request
     failure = fail_status(upstream.status)
-    if request.kind is not RequestKind.PLAIN:
+    if request.kind is not RequestKind.PLAIN or not attempt.is_alone:
         raise failure
     if upstream.status == 500 or not request.may_run_again:
         return
--- a/burdockdrum/requests/service.py
+++ b/burdockdrum/requests/service.py
@@ -9,8 +9,8 @@
 from burdockdrum.claims import StoredAnswer
 from burdockdrum.requests.buffered import fetch_whole
 from burdockdrum.requests.exchange import Exchange
-from burdockdrum.requests.exchange import ExchangeServices
 from burdockdrum.requests.exchange import MAX_FORWARDS
+from burdockdrum.requests.exchange_services import ExchangeServices
 from burdockdrum.requests.model import Answer
 from burdockdrum.requests.model import InboundRequest
 from burdockdrum.requests.model import RequestKind
--- a/burdockdrum/requests/services.py
+++ b/burdockdrum/requests/services.py
@@ -11,7 +11,7 @@
 from burdockdrum.ports import HttpClient
 from burdockdrum.quarantine import Quarantine
 from burdockdrum.requests.budget import RetryBudget
-from burdockdrum.requests.exchange import ExchangeServices
+from burdockdrum.requests.exchange_services import ExchangeServices
 from burdockdrum.requests.request_metrics import RequestMetrics
 from burdockdrum.requests.service import RequestService
 from burdockdrum.requests.upstreams import IdleTimeouts
--- a/burdockdrum/requests/streamed.py
+++ b/burdockdrum/requests/streamed.py
@@ -1,13 +1,19 @@
 """Relaying of streamed completions, with resumption after a failure."""
 
+import asyncio
 from collections.abc import AsyncIterator
+from dataclasses import replace
+from typing import Any
 from urllib.parse import quote
 
+from burdockdrum.attempts import Attempt
+from burdockdrum.requests.answer_runner import AnswerRunner
 from burdockdrum.requests.attempts import AttemptFailed
 from burdockdrum.requests.attempts import EndpointTarget
 from burdockdrum.requests.attempts import fail_incomplete
 from burdockdrum.requests.attempts import fail_status
 from burdockdrum.requests.attempts import RETRYABLE_STATUSES
+from burdockdrum.requests.attempts import Target
 from burdockdrum.requests.attempts import Upstream
 from burdockdrum.requests.attempts import VERSION_HEADER
 from burdockdrum.requests.buffered import make_answer
@@ -35,96 +41,139 @@
 
     :raises Refusal: with the verdict, if no attempt succeeds
     """
-    while True:
-        upstream = await exchange.open()
-        try:
-            content_type = upstream.headers.get("content-type", "")
-            if not content_type.startswith(EVENT_STREAM):
-                return await read_answer(exchange, upstream)
-            if upstream.status in RETRYABLE_STATUSES:
-                raise fail_status(upstream.status)
-            relay = StreamRelay(exchange=exchange, upstream=upstream)
-            first = await relay.read()
-        except AttemptFailed as failure:
-            await exchange.give_up(upstream, failure)
-            continue
-        except BaseException:
-            await exchange.abandon(upstream)
-            raise
-        head = make_answer(upstream, b"")
-        headers = dict(head.headers)
-        if exchange.request.hops:
-            headers[VERSION_HEADER] = quote(upstream.software_version)
-        return Answer(
-            status=head.status,
-            content_type=head.content_type,
-            headers=headers,
-            body=_relay(exchange, relay, first),
-        )
+    stream = _CallerStream(exchange=exchange)
+    task = asyncio.create_task(stream.run())
+    waited: set[asyncio.Future[Any]] = {task, stream.head}
+    try:
+        await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
+    except BaseException:
+        await _end(task)
+        raise
+    if stream.head.done():
+        return replace(stream.head.result(), body=stream.read(task))
+    answer = task.result()
+    assert answer is not None, "an attempt succeeded without an answer"
+    return answer
+
 
+async def _end(task: asyncio.Task[Any]) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
 
-async def _relay(
-    exchange: Exchange, relay: "StreamRelay", part: bytes
-) -> AsyncIterator[bytes]:
-    """Yield the events up to the terminal marker.
 
-    If the stream can't be completed, the last event is an error event.
+class _CallerStream:
+    """The stream to a caller, which the request's attempts write.
+
+    A caller that reads slowly holds them back.
     """
-    finished = False
-    try:
-        while True:
-            if part:
+
+    def __init__(self, *, exchange: Exchange) -> None:
+        """Create a stream that has not begun."""
+        # Set when the first event has been received.
+        self.head: asyncio.Future[Answer] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._exchange = exchange
+        # None ends the stream.
+        self._parts: asyncio.Queue[bytes | None] = asyncio.Queue(maxsize=1)
+
+    async def run(self) -> Answer | None:
+        """Make attempts until the stream is complete.
+
+        If it can't be completed, the last event is an error event.
+
+        :returns: the answer if it is no stream
+        :raises Refusal: with the verdict, if the stream has not begun
+        """
+        runner = AnswerRunner(exchange=self._exchange, read=self._relay)
+        try:
+            answer = await runner.run()
+        except Refusal as refusal:
+            if not self.head.done():
+                raise
+            request_id = self._exchange.request.request_id
+            await self._parts.put(make_error_event(refusal, request_id))
+            answer = None
+        except Exception:
+            await self._parts.put(None)
+            raise
+        await self._parts.put(None)
+        return answer
+
+    async def read(self, task: asyncio.Task[Any]) -> AsyncIterator[bytes]:
+        """Yield the events up to the end of the stream.
+
+        :param task: runs the attempts, and is ended with the stream
+        """
+        try:
+            while (part := await self._parts.get()) is not None:
                 yield part
-            if relay.ended:
-                finished = True
-                await relay.upstream.drain()
-                break
+            await task
+        finally:
+            await _end(task)
+
+    async def _relay(
+        self,
+        upstream: Upstream,
+        attempt: Attempt[Target, Answer | None],
+    ) -> Answer | None:
+        """Relay the events of an attempt up to the terminal marker.
+
+        :raises AttemptFailed: if it ends before
+        :raises Superseded: if another attempt has begun to write
+        """
+        content_type = upstream.headers.get("content-type", "")
+        if not content_type.startswith(EVENT_STREAM):
+            if not self.head.done():
+                return await read_answer(self._exchange, upstream, attempt)
+            if upstream.status not in RETRYABLE_STATUSES:
+                raise fail_incomplete(final=True)
+        if upstream.status in RETRYABLE_STATUSES:
+            raise fail_status(upstream.status)
+        relay = StreamRelay(
+            exchange=self._exchange, upstream=upstream, attempt=attempt
+        )
+        while not relay.ended:
             try:
                 part = await relay.read()
             except AttemptFailed as failure:
-                relay = await _resume(exchange, relay, failure)
-                part = b""
-    except Refusal as refusal:
-        finished = True
-        yield make_error_event(refusal, exchange.request.request_id)
-    finally:
-        if not finished:
-            await exchange.abandon(relay.upstream)
-
-
-async def _resume(
-    exchange: Exchange, relay: "StreamRelay", failure: AttemptFailed
-) -> "StreamRelay":
-    """Open an attempt that resumes the stream after the delivered tokens.
-
-    :raises Refusal: if the stream can't be resumed
-    """
-    if not relay.resumable:
-        # Without offsets the engine can't resume the stream.
-        failure.final = True
-    await exchange.give_up(relay.upstream, failure)
-    upstream = await exchange.open()
-    if not upstream.headers.get("content-type", "").startswith(EVENT_STREAM):
-        await exchange.give_up(upstream, fail_incomplete(final=True))
-    return StreamRelay(exchange=exchange, upstream=upstream, resumed=True)
+                # Without offsets the engine can't resume the stream.
+                failure.final |= not self._exchange.resumable
+                raise
+            if not self.head.done():
+                self.head.set_result(self._make_head(upstream))
+            await self._parts.put(part)
+        await upstream.drain()
+        return None
+
+    def _make_head(self, upstream: Upstream) -> Answer:
+        head = make_answer(upstream, b"")
+        if not self._exchange.request.hops:
+            return head
+        version = quote(upstream.software_version)
+        return replace(head, headers={**head.headers, VERSION_HEADER: version})
 
 
 class StreamRelay:
     """Reads the events of one attempt that are new to the caller."""
 
     def __init__(
-        self, *, exchange: Exchange, upstream: Upstream, resumed: bool = False
+        self,
+        *,
+        exchange: Exchange,
+        upstream: Upstream,
+        attempt: Attempt[Target, Any],
     ) -> None:
         """Create a relay for an attempt's answer.
 
-        :param resumed: whether events up to the offset were sent already
+        Events up to the offset that it was opened at were sent already.
         """
         self.upstream = upstream
         self.ended = False
-        self.resumable = True
         self._exchange = exchange
+        self._attempt = attempt
         self._splitter = EventSplitter()
-        self._resumed = resumed or exchange.delivered_tokens > 0
+        self._resumed = exchange.delivered_tokens > 0
         self._attempt_id = upstream.attempt_id
         self._request_id = exchange.request.request_id.encode()
 
@@ -132,6 +181,7 @@
         """Return the next new events, joined; they may end the stream.
 
         :raises AttemptFailed: if the stream ends before its marker
+        :raises Superseded: if another attempt has begun to write
         """
         while True:
             seconds = max(0.0, self._exchange.remaining())
@@ -154,6 +204,7 @@
         if self.ended:
             return False
         if is_done(event):
+            self._attempt.claim_response()
             self.ended = True
             tokens = self._exchange.delivered_tokens
             self._exchange.complete(self.upstream, tokens=tokens)
@@ -164,16 +215,24 @@
         self.upstream.check_request_id(event)
         offset = read_offset(event)
         if offset is None:
-            self.resumable = self.resumable and not event.startswith(b"data:")
+            if not event.startswith(b"data:"):
+                # It says nothing, so that it ends no other attempt.
+                return self._attempt.is_alone
+            self._attempt.claim_response()
+            self._exchange.resumable = False
             return True
         if offset > self._exchange.delivered_tokens:
             self._check_version()
+            self._attempt.claim_response()
             self._exchange.delivered_tokens = offset
             self._exchange.record_output(self.upstream)
             return True
         # A resumed stream may repeat tokens that were sent already. Only the
         # event with the finish reason has the offset of the one before it.
-        return not (self._resumed and is_unfinished(event))
+        if self._resumed and is_unfinished(event):
+            return False
+        self._attempt.claim_response()
+        return True
 
     def _check_version(self) -> None:
         """Check that one software version writes the whole stream.
@@ -195,5 +254,8 @@
         """
         if isinstance(self.upstream.target, EndpointTarget):
             raise fail_incomplete()
+        if not self._attempt.is_alone:
+            raise fail_incomplete(final=True)
+        self._attempt.claim_response()
         self.ended = True
         self.upstream.finish(AttemptOutcome.FAILED)
--- a/burdockdrum/requests/upstreams.py
+++ b/burdockdrum/requests/upstreams.py
@@ -2,8 +2,8 @@
 
 import asyncio
 from dataclasses import dataclass
+import math
 
-from burdockdrum.endpoints import Endpoint
 from burdockdrum.peers import PayloadAuthenticator
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import AnswerLost
@@ -25,21 +25,24 @@
 from burdockdrum.requests.forwarding import sign_header
 from burdockdrum.requests.model import InboundRequest
 from burdockdrum.requests.model import RequestKind
-from burdockdrum.routing import Attempt
+from burdockdrum.requests.read_timer import ReadTimer
 
 CONNECT_SECONDS = 1.0
 CANCEL_SECONDS = 2.0
-# Forwards get longer timeouts, so that the other entry VM detects an
-# unresponsive endpoint first and retries locally.
+# Forwards get longer timeouts, so that the other entry VM detects a silent
+# endpoint first and tries another one locally.
 FORWARD_TIMEOUT_FACTOR = 2.0
-# Answers that are not streamed send nothing before their end. An attempt that
-# could be retried gets this fraction of the remaining time.
+# Answers that are not streamed send nothing before their end. An attempt is
+# silent after this fraction of the remaining time.
 WHOLE_ANSWER_TIMEOUT_FRACTION = 0.5
 
 
 @dataclass(frozen=True, kw_only=True)
 class IdleTimeouts:
-    """Idle timeouts of an answer, in seconds."""
+    """After which an answer counts as silent, in seconds.
+
+    Another attempt may then start beside it.
+    """
 
     first_token: float = 15.0
     between_tokens: float = 10.0
@@ -68,8 +71,8 @@
     async def open_endpoint(
         self,
         request: InboundRequest,
-        endpoint: Endpoint,
-        attempt: Attempt,
+        target: EndpointTarget,
+        timer: ReadTimer,
         *,
         attempt_id: str,
         offset: int,
@@ -90,27 +93,28 @@
             headers["idempotency-key"] = request.idempotency_key
         if offset:
             headers["x-resume-offset"] = str(offset)
-        head_timeout = self._first_part_timeout(request, remaining)
         call = UpstreamCall(
             method=request.method,
-            url=endpoint.url + request.path,
+            url=target.endpoint.url + request.path,
             headers=headers,
             body=request.body,
             connect_timeout=min(CONNECT_SECONDS, remaining),
-            head_timeout=head_timeout,
+            head_timeout=remaining,
         )
-        target = EndpointTarget(endpoint=endpoint, attempt=attempt)
-        idle_timeout = self._timeouts.between_tokens
-        if request.unrepeatable:
-            idle_timeout = remaining
         return await self._open(
-            call, target, attempt_id, head_timeout, idle_timeout
+            call,
+            target,
+            timer,
+            attempt_id,
+            self._find_timeouts(request, remaining),
         )
 
     async def open_forward(
         self,
         request: InboundRequest,
+        target: DataCentreTarget,
         entry: VmIdentity,
+        timer: ReadTimer,
         *,
         attempt_id: str,
         offset: int,
@@ -132,16 +136,6 @@
             resume_offset=offset,
             software_version=software_version,
         )
-        head_timeout = remaining
-        idle_timeout = remaining
-        if not request.unrepeatable:
-            first_part_timeout = self._first_part_timeout(request, remaining)
-            head_timeout = min(
-                remaining, first_part_timeout * FORWARD_TIMEOUT_FACTOR
-            )
-            idle_timeout = (
-                self._timeouts.between_tokens * FORWARD_TIMEOUT_FACTOR
-            )
         call = UpstreamCall(
             method="POST",
             url=entry.http_address + "/v1/forward",
@@ -153,13 +147,19 @@
             },
             body=request.body,
             connect_timeout=min(CONNECT_SECONDS, remaining),
-            head_timeout=head_timeout,
-        )
-        target = DataCentreTarget(
-            data_centre=entry.data_centre, vm_id=entry.vm_id
+            head_timeout=remaining,
         )
+        timeouts = self._find_timeouts(request, remaining)
         return await self._open(
-            call, target, attempt_id, head_timeout, idle_timeout
+            call,
+            target,
+            timer,
+            attempt_id,
+            IdleTimeouts(
+                first_token=timeouts.first_token * FORWARD_TIMEOUT_FACTOR,
+                between_tokens=timeouts.between_tokens
+                * FORWARD_TIMEOUT_FACTOR,
+            ),
         )
 
     def cancel(self, request: InboundRequest, upstream: Upstream) -> None:
@@ -187,45 +187,57 @@
             task.cancel()
         await asyncio.gather(*self._cancellations, return_exceptions=True)
 
-    def _first_part_timeout(
+    def _find_timeouts(
         self, request: InboundRequest, remaining: float
-    ) -> float:
-        if request.unrepeatable:
-            return remaining
-        head_timeout = self._timeouts.first_token
-        if not request.stream:
-            head_timeout = max(
-                head_timeout, remaining * WHOLE_ANSWER_TIMEOUT_FRACTION
-            )
-        return min(head_timeout, remaining)
+    ) -> IdleTimeouts:
+        if not request.may_run_again:
+            return IdleTimeouts(first_token=math.inf, between_tokens=math.inf)
+        if request.stream:
+            return self._timeouts
+        return IdleTimeouts(
+            first_token=max(
+                self._timeouts.first_token,
+                remaining * WHOLE_ANSWER_TIMEOUT_FRACTION,
+            ),
+            between_tokens=self._timeouts.between_tokens,
+        )
 
     async def _open(
         self,
         call: UpstreamCall,
         target: Target,
+        timer: ReadTimer,
         attempt_id: str,
-        head_timeout: float,
-        idle_timeout: float,
+        timeouts: IdleTimeouts,
     ) -> Upstream:
         started_at = self._clock.monotonic()
+        # The HTTP port keeps the deadline of the head.
+        timer.begin(math.inf, timeouts.first_token)
         try:
             answer = await self._http.open(call)
+        except asyncio.CancelledError:
+            if not timer.absorb():
+                raise
+            raise fail_timed_out("silent before the answer") from None
         except ConnectFailed as error:
             raise fail_unreachable(error) from error
         except AnswerLost as error:
             # The HTTP port does not distinguish a timeout from a broken
             # connection, but only the latter occurs before the limit.
-            if self._clock.monotonic() - started_at >= head_timeout:
+            if self._clock.monotonic() - started_at >= call.head_timeout:
                 raise fail_timed_out(
-                    f"no answer within {head_timeout:.1f} s"
+                    f"no answer within {call.head_timeout:.1f} s"
                 ) from error
             raise fail_connection_lost(error) from error
+        finally:
+            timer.end()
         try:
             return Upstream(
                 answer=answer,
                 target=target,
                 attempt_id=attempt_id,
-                idle_timeout=idle_timeout,
+                timer=timer,
+                idle_timeout=timeouts.between_tokens,
             )
         except AttemptFailed:
             await answer.close()
--- a/burdockdrum/routing/attempts.py
+++ b/burdockdrum/routing/attempts.py
@@ -31,6 +31,7 @@
         uncached_tokens: float,
         expected_first_token: float,
         on_first_token: Callable[["Attempt", float], None],
+        on_silence: Callable[["Attempt"], None],
         on_finish: Callable[["Attempt", AttemptFacts], None],
     ) -> None:
         """Start timing the attempt."""
@@ -42,19 +43,29 @@
         self.uncached_tokens = uncached_tokens
         self.expected_first_token = expected_first_token
         self._clock = clock
+        # Whether a silence was reported that goes on.
+        self.is_silent = False
         self._on_first_token = on_first_token
+        self._on_silence = on_silence
         self._on_finish = on_finish
         self._started_at = clock.monotonic()
         self._first_token_seconds: float | None = None
         self._finished = False
 
     def record_first_token(self) -> None:
-        """Record the arrival of the first part of the answer."""
+        """Record the arrival of the first part of the answer, or another."""
+        self.is_silent = False
         if self._first_token_seconds is None:
             seconds = self._clock.monotonic() - self._started_at
             self._first_token_seconds = seconds
             self._on_first_token(self, seconds)
 
+    def record_silence(self) -> None:
+        """Record that the endpoint is silent; repeats have no effect."""
+        if not self.is_silent and not self._finished:
+            self.is_silent = True
+            self._on_silence(self)
+
     def finish(self, outcome: AttemptOutcome, *, tokens: int = 0) -> None:
         """Record how the attempt ended; later calls have no effect.
 
--- a/burdockdrum/routing/router.py
+++ b/burdockdrum/routing/router.py
@@ -144,6 +144,11 @@
         """
         self._remote.record_refusal(data_centre)
 
+    def is_replaced(self, endpoint: Endpoint) -> bool:
+        """Return whether a later incarnation of an endpoint is known."""
+        known = self._endpoints.endpoints_by_id.get(endpoint.endpoint_id)
+        return known is not None and known.incarnation > endpoint.incarnation
+
     def begin(self, endpoint: Endpoint, request: RoutingRequest) -> Attempt:
         """Register an attempt that starts now."""
         tracker = self._fleet.track(endpoint)
@@ -170,6 +175,7 @@
             uncached_tokens=option.uncached_tokens,
             expected_first_token=expected,
             on_first_token=self._record_first_token,
+            on_silence=self._record_silence,
             on_finish=self._record_finish,
         )
         now = self.now()
@@ -374,6 +380,14 @@
                 self.now(),
             )
 
+    def _record_silence(self, attempt: Attempt) -> None:
+        now = self.now()
+        tracker = attempt.tracker
+        if tracker.is_overdue(attempt.number, now):
+            tracker.health.eject(now)
+        else:
+            tracker.health.record_failure(now)
+
     def _record_finish(self, attempt: Attempt, facts: AttemptFacts) -> None:
         now = self.now()
         tracker = attempt.tracker
@@ -389,7 +403,7 @@
             tracker.health.record_success(now)
         elif was_overdue:
             tracker.health.eject(now)
-        elif facts.outcome in _FAILURES:
+        elif facts.outcome in _FAILURES and not attempt.is_silent:
             tracker.health.record_failure(now)
         for listener in self._listeners:
             listener(attempt.endpoint.service)
--- a/tests/requests/stack.py
+++ b/tests/requests/stack.py
@@ -49,8 +49,9 @@
     ``crash_on`` is a content on which it crashes during the answer and loses
     all running requests. ``cut_after`` ends streams without the marker after
     this number of tokens, ``stall_after`` stops sending but keeps them open,
-    ``silent`` never answers. ``parts`` is the number of 10 kB parts of a
-    plain service's large body.
+    ``silent`` never answers, and ``pause_after`` sends nothing for
+    ``pause_seconds`` after this number of tokens or parts and then goes on.
+    ``parts`` is the number of 10 kB parts of a plain service's large body.
     """
 
     name: str
@@ -64,6 +65,8 @@
     parts: int = 0
     parts_made: int = 0
     stall_after: int | None = None
+    pause_after: int | None = None
+    pause_seconds: float = 0.0
     status: int = 200
     body: bytes = b"{}"
     seconds: float = 0.01
@@ -118,6 +121,11 @@
             body=self.large_body() if self.parts else self.body,
         )
 
+    async def pause(self, number):
+        """Send nothing for a while, if it does so after this number."""
+        if self.pause_after == number:
+            await asyncio.sleep(self.pause_seconds)
+
     def crash(self):
         """Fail all running requests."""
         self.crashes += 1
@@ -127,6 +135,7 @@
     async def large_body(self):
         """Yield a large body in parts of 10 kB."""
         for number in range(1, self.parts + 1):
+            await self.pause(number - 1)
             yield b"x" * 10_000
             self.parts_made = number
             if self.cut_after == number:
@@ -139,6 +148,7 @@
         self.running += 1
         try:
             for number in range(start + 1, self.tokens + 1):
+                await self.pause(number - 1)
                 await asyncio.sleep(self.token_seconds)
                 if self.crash_on and self.crash_on in call.body:
                     self.crash()
