Count an endpoint as disrupted until it serves again after its order

A rollout with max_unavailable 1 took 3 of 4 engines: each that vanished under its order, or came back without a version, left the list of pending or loaded endpoints, so that the next warm one was given the same order 1 s later, before the first one had been replaced. Only the freeze on losing half of the endpoints, and the rule for the last warm one, stopped it.

Evidence: the two new tests in tests/orders/test_reconciler.py, before the change both failed with 3 engines ordered instead of 1.

Now a disruptive order counts for its endpoint until that serves again, or 300 s have passed (the time that an order may take). The endpoint itself still gets its order again as soon as it is back.

--- a/burdockdrum/orders/planner.py
+++ b/burdockdrum/orders/planner.py
@@ -15,6 +15,7 @@
     spec: ServiceSpec,
     endpoints: Sequence[Endpoint],
     pending_ids: Collection[str],
+    disrupted_ids: Collection[str] = (),
 ) -> list[PlannedOrder]:
     """Return the orders that may be sent now, in sending order.
 
@@ -24,14 +25,17 @@
 
     :param endpoints: live endpoints of the service that are not draining
     :param pending_ids: ids of the endpoints with an unfinished order
+    :param disrupted_ids: ids of the service's endpoints that had a version
+        loaded when they got an order, and have not been seen to serve since
     """
     if spec.type != "model" or not (spec.version or spec.adapters):
         return []
     loaded = [e for e in endpoints if has_loaded_version(e)]
-    disrupted = sum(1 for e in loaded if e.endpoint_id in pending_ids)
-    allowed_disruptions = (
-        _count_allowed_disruptions(spec, len(loaded)) - disrupted
-    )
+    loaded_ids = {endpoint.endpoint_id for endpoint in loaded}
+    disrupted = loaded_ids.intersection(pending_ids).union(disrupted_ids)
+    allowed_disruptions = _count_allowed_disruptions(
+        spec, len(loaded_ids | disrupted)
+    ) - len(disrupted)
     planned = []
     for endpoint in sorted(endpoints, key=_sort_key):
         if endpoint.endpoint_id in pending_ids:
--- a/burdockdrum/orders/reconciler.py
+++ b/burdockdrum/orders/reconciler.py
@@ -80,6 +80,9 @@
         self._count_data_centres = count_data_centres
         self._may_acquire = may_acquire
         self._pending_by_id: dict[str, _Pending] = {}
+        # Orders to endpoints that had a version loaded and have not been seen
+        # to serve since, even if the order is no longer pending.
+        self._disrupted_by_id: dict[str, _Pending] = {}
         self._attempts_by_order_key: dict[str, int] = {}
         self._freeze = Freeze()
         self._was_frozen = False
@@ -110,6 +113,7 @@
 
     async def _run_under_lease(self) -> None:
         self._pending_by_id.clear()
+        self._disrupted_by_id.clear()
         settle_delay = (
             SETTLE_DELAY_SECONDS + self._rng.random() * SETTLE_JITTER_SECONDS
         )
@@ -137,7 +141,14 @@
         planned: list[PlannedOrder] = []
         for name, spec in self._read_services().items():
             endpoints = [e for e in live if e.service == name]
-            planned += plan_service(spec, endpoints, self._pending_by_id)
+            disrupted = [
+                endpoint_id
+                for endpoint_id, order in self._disrupted_by_id.items()
+                if order.planned.endpoint.service == name
+            ]
+            planned += plan_service(
+                spec, endpoints, self._pending_by_id, disrupted
+            )
         # Across services, endpoints without a loaded version come first.
         planned.sort(key=lambda order: has_loaded_version(order.endpoint))
         for order in planned:
@@ -164,11 +175,22 @@
                     "order.done", endpoint_id=name, value=pending.planned.value
                 )
 
+        for name, pending in list(self._disrupted_by_id.items()):
+            endpoint = live_by_id.get(name)
+            serves = endpoint is not None and has_loaded_version(endpoint)
+            if now >= pending.expires_at or (
+                serves and name not in self._pending_by_id
+            ):
+                del self._disrupted_by_id[name]
+
     def _start_order(self, planned: PlannedOrder, now: float) -> None:
         name = planned.endpoint.endpoint_id
-        self._pending_by_id[name] = _Pending(
+        pending = _Pending(
             planned=planned, expires_at=now + RESULT_TIMEOUT_SECONDS
         )
+        self._pending_by_id[name] = pending
+        if planned.is_disruptive:
+            self._disrupted_by_id[name] = pending
         task = asyncio.create_task(self._send(planned))
         self._sending.add(task)
         task.add_done_callback(self._sending.discard)
--- a/tests/orders/test_reconciler.py
+++ b/tests/orders/test_reconciler.py
@@ -64,6 +64,38 @@
 
         run_virtual(main())
 
+    def check_lost_under_order(self, lose):
+        async def main():
+            harness = OrdersHarness(seed=2, spec=make_spec(max_unavailable=1))
+            engines = [harness.add_engine(versions={"v1"}) for _ in range(4)]
+            for engine in engines:
+                engine.load_seconds = 10_000.0
+            harness.add_holder("vm0")
+            limit = asyncio.get_running_loop().time() + 200.0
+            while asyncio.get_running_loop().time() < limit:
+                for engine in engines:
+                    if engine.accepted_orders:
+                        lose(engine)
+                await asyncio.sleep(0.1)
+            ordered = [e for e in engines if e.accepted_orders]
+            self.assertEqual(1, len(ordered))
+            harness.stop()
+
+        run_virtual(main())
+
+    def test_rollout_waits_for_an_endpoint_that_vanished_under_its_order(self):
+        # Guards against a version that crashes one engine after the other.
+        def vanish(engine):
+            engine.alive = False
+
+        self.check_lost_under_order(vanish)
+
+    def test_rollout_waits_for_an_endpoint_that_came_back_empty(self):
+        # The same, if the engine starts again without a loaded version.
+        self.check_lost_under_order(
+            lambda engine: engine.book.versions.clear()
+        )
+
     def test_last_loaded_endpoint_keeps_serving(self):
         # The service must not become unavailable: the empty engine loads
         # before the only one that serves.
