Let the trial of a suspect last as long as its request may run

A trial was forgotten after 120 s, though its request may run for up to 600 s: a second run of the same suspect, or another suspect, was then let to an endpoint beside the first one, which could cost two endpoints or make the loss of one impossible to attribute. After a crash of an entry VM it blocked an endpoint for 120 s, even if the request had only 5 s left.

Now the entry VM says how long the run may take. A request of an older version of this program, which does not say it, keeps the 120 s.

--- a/burdockdrum/quarantine/messages.py
+++ b/burdockdrum/quarantine/messages.py
@@ -4,6 +4,9 @@
 
 from burdockdrum.peers import Message
 
+# Of a request for a trial by an older version of this program.
+DEFAULT_TRIAL_SECONDS = 120.0
+
 
 class EndpointLost(Message, frozen=True, kw_only=True):
     """Reports that an endpoint was lost while it ran a request.
@@ -39,12 +42,16 @@
 
 
 class TrialRequest(Message, frozen=True, kw_only=True):
-    """Asks the coordinator of a data centre to let a suspect run."""
+    """Asks the coordinator of a data centre to let a suspect run.
+
+    ``seconds`` is the longest time that the run may take.
+    """
 
     wire_kind = "quarantine.TrialCall"
 
     fingerprint: str
     endpoint_id: str
+    seconds: float = DEFAULT_TRIAL_SECONDS
 
 
 class TrialReply(Message, frozen=True, kw_only=True):
--- a/burdockdrum/quarantine/quarantine.py
+++ b/burdockdrum/quarantine/quarantine.py
@@ -190,23 +190,27 @@
         ]
 
     async def begin_trial(
-        self, fingerprint: str, endpoint_id: str
+        self, fingerprint: str, endpoint_id: str, seconds: float
     ) -> Trial | None:
         """Return permission to run a suspect on an endpoint, or None.
 
         One VM of the data centre, the coordinator, grants all trials there.
         Otherwise two entry VMs could run the same suspect, or two suspects
         on the same endpoint, at the same time.
+
+        :param seconds: the longest time that the run may take
         """
         coordinator = self._find_coordinator()
         if coordinator is None:
-            if not self._trials.grant(fingerprint, endpoint_id):
+            if not self._trials.grant(fingerprint, endpoint_id, seconds):
                 return None
             return Trial(
                 on_release=lambda: self._trials.end(fingerprint, endpoint_id)
             )
         address = coordinator.identity.control_address
-        call = TrialRequest(fingerprint=fingerprint, endpoint_id=endpoint_id)
+        call = TrialRequest(
+            fingerprint=fingerprint, endpoint_id=endpoint_id, seconds=seconds
+        )
         end = TrialEnd(fingerprint=fingerprint, endpoint_id=endpoint_id)
         try:
             reply = await self._peers.call(
@@ -340,7 +344,9 @@
     async def _receive_trial_request(
         self, sender: Sender, call: TrialRequest
     ) -> Message | None:
-        granted = self._trials.grant(call.fingerprint, call.endpoint_id)
+        granted = self._trials.grant(
+            call.fingerprint, call.endpoint_id, call.seconds
+        )
         return TrialReply(granted=granted)
 
     async def _receive_trial_end(self, sender: Sender, end: TrialEnd) -> None:
--- a/burdockdrum/quarantine/trials.py
+++ b/burdockdrum/quarantine/trials.py
@@ -4,8 +4,8 @@
 
 from burdockdrum.ports import Clock
 
-# Ends a trial whose entry VM stopped without reporting its end.
-TRIAL_TIMEOUT_SECONDS = 120.0
+# Time for the end of a trial to arrive, after the deadline of its request.
+END_DELAY_SECONDS = 2.0
 
 
 class Trial:
@@ -31,11 +31,17 @@
         self._clock = clock
         self._fingerprints_by_endpoint: dict[str, tuple[str, float]] = {}
 
-    def grant(self, fingerprint: str, endpoint_id: str) -> bool:
+    def grant(
+        self, fingerprint: str, endpoint_id: str, seconds: float
+    ) -> bool:
         """Grant a trial unless the suspect or the endpoint already has one.
 
         If two suspects shared an endpoint, its loss could not be attributed
-        to one of them. Two runs of a suspect could cost two endpoints.
+        to one of them. Two runs of a suspect could cost two endpoints. A
+        trial whose entry VM stopped without reporting its end lasts until the
+        run has ended at the latest.
+
+        :param seconds: the longest time that the run may take
         """
         now = self._clock.monotonic()
         self._fingerprints_by_endpoint = {
@@ -50,7 +56,7 @@
             return False
         if fingerprint in running:
             return False
-        until = now + TRIAL_TIMEOUT_SECONDS
+        until = now + seconds + END_DELAY_SECONDS
         self._fingerprints_by_endpoint[endpoint_id] = (fingerprint, until)
         return True
 
--- a/burdockdrum/requests/exchange.py
+++ b/burdockdrum/requests/exchange.py
@@ -288,7 +288,7 @@
         trial = None
         if suspect is not None:
             trial = await self._services.quarantine.begin_trial(
-                suspect, endpoint.endpoint_id
+                suspect, endpoint.endpoint_id, self.remaining()
             )
             if trial is None:
                 await self._services.clock.sleep(TRIAL_POLL_SECONDS)
