End an answer whose body nobody has begun to read

A caller that disconnected between the first event of its stream and the first read of the body left its attempt behind: a generator that is closed before its first part does not run its finally. The engine was not told to cancel, and the permit of admission was never released; since attempts run in tasks of their own the stream also ran on until it was held back by its unread part.

Now bodies are objects that clean up once, however they end (requests/bodies.py).

--- a/burdockdrum/requests/buffered.py
+++ b/burdockdrum/requests/buffered.py
@@ -18,6 +18,7 @@
 from burdockdrum.requests.attempts import RETRYABLE_STATUSES
 from burdockdrum.requests.attempts import Target
 from burdockdrum.requests.attempts import Upstream
+from burdockdrum.requests.bodies import ClosingBody
 from burdockdrum.requests.exchange import Exchange
 from burdockdrum.requests.model import Answer
 from burdockdrum.requests.model import RequestKind
@@ -90,24 +91,30 @@
     return make_answer(upstream, body)
 
 
-async def _stream_rest(
+def _stream_rest(
     exchange: Exchange, upstream: Upstream, start: bytes
-) -> AsyncIterator[bytes]:
-    part: bytes | None = start
+) -> ClosingBody:
     finished = False
-    try:
-        while part is not None:
-            yield part
-            part = await upstream.read(max(0.0, exchange.remaining()))
+
+    async def read() -> AsyncIterator[bytes]:
+        nonlocal finished
+        part: bytes | None = start
+        try:
+            while part is not None:
+                yield part
+                part = await upstream.read(max(0.0, exchange.remaining()))
+        except AttemptFailed as failure:
+            # A clean end would make the incomplete answer look complete.
+            raise ConnectionResetError(str(failure)) from failure
         finished = True
         exchange.complete(upstream)
-    except AttemptFailed as failure:
-        # A clean end would make the incomplete answer look complete.
-        raise ConnectionResetError(str(failure)) from failure
-    finally:
+
+    async def end() -> None:
         if not finished:
             await exchange.abandon(upstream)
 
+    return ClosingBody(read(), at_end=end)
+
 
 def make_answer(
     upstream: Upstream, body: AsyncIterator[bytes] | bytes
--- a/burdockdrum/requests/service.py
+++ b/burdockdrum/requests/service.py
@@ -7,6 +7,7 @@
 from burdockdrum.claims import Claim
 from burdockdrum.claims import ClaimService
 from burdockdrum.claims import StoredAnswer
+from burdockdrum.requests.bodies import ClosingBody
 from burdockdrum.requests.buffered import fetch_whole
 from burdockdrum.requests.exchange import Exchange
 from burdockdrum.requests.exchange import MAX_FORWARDS
@@ -203,31 +204,24 @@
             )
 
 
-async def _release_after(
+def _release_after(
     permit: Permit,
     exchange: Exchange,
     timer: AnswerTimer,
     body: AsyncIterator[bytes],
-) -> AsyncIterator[bytes]:
-    try:
-        async for part in body:
-            yield part
-    finally:
-        await _close(body)
+) -> ClosingBody:
+    async def release() -> None:
         complete = exchange.verdict is Verdict.RAN
         permit.release(completed=complete, tokens=exchange.delivered_tokens)
         timer.end(complete=complete)
 
+    return ClosingBody(body, at_end=release)
 
-async def _settle_after(
+
+def _settle_after(
     claim: Claim, exchange: Exchange, body: AsyncIterator[bytes]
-) -> AsyncIterator[bytes]:
-    try:
-        async for part in body:
-            yield part
-    finally:
-        await _close(body)
-        await _settle(claim, exchange.verdict)
+) -> ClosingBody:
+    return ClosingBody(body, at_end=lambda: _settle(claim, exchange.verdict))
 
 
 async def _settle(claim: Claim, verdict: Verdict) -> None:
@@ -240,12 +234,6 @@
             await claim.mark_ran(None)
 
 
-async def _close(body: AsyncIterator[bytes]) -> None:
-    close = getattr(body, "aclose", None)
-    if close is not None:
-        await close()
-
-
 def _replay(stored: StoredAnswer) -> Answer:
     return Answer(
         status=stored.status,
--- a/burdockdrum/requests/streamed.py
+++ b/burdockdrum/requests/streamed.py
@@ -16,6 +16,7 @@
 from burdockdrum.requests.attempts import Target
 from burdockdrum.requests.attempts import Upstream
 from burdockdrum.requests.attempts import VERSION_HEADER
+from burdockdrum.requests.bodies import ClosingBody
 from burdockdrum.requests.buffered import make_answer
 from burdockdrum.requests.buffered import read_answer
 from burdockdrum.requests.events import EventSplitter
@@ -50,7 +51,8 @@
         await _end(task)
         raise
     if stream.head.done():
-        return replace(stream.head.result(), body=stream.read(task))
+        body = ClosingBody(stream.read(task), at_end=lambda: _end(task))
+        return replace(stream.head.result(), body=body)
     answer = task.result()
     assert answer is not None, "an attempt succeeded without an answer"
     return answer
@@ -103,14 +105,11 @@
     async def read(self, task: asyncio.Task[Any]) -> AsyncIterator[bytes]:
         """Yield the events up to the end of the stream.
 
-        :param task: runs the attempts, and is ended with the stream
+        :param task: runs the attempts
         """
-        try:
-            while (part := await self._parts.get()) is not None:
-                yield part
-            await task
-        finally:
-            await _end(task)
+        while (part := await self._parts.get()) is not None:
+            yield part
+        await task
 
     async def _relay(
         self,
--- a/tests/requests/test_streams.py
+++ b/tests/requests/test_streams.py
@@ -4,7 +4,11 @@
 import unittest
 
 from burdockdrum.ports import AnswerLost
+from burdockdrum.requests import InboundRequest
+from burdockdrum.requests import RequestKind
+from burdockdrum.requests import RequestService
 from burdockdrum.testing import run_virtual
+from burdockdrum.testing import VirtualClock
 from tests.requests.stack import Endpoint
 from tests.requests.stack import event
 from tests.requests.stack import read_text
@@ -325,6 +329,38 @@
 
         run_with_stack(scenario, "a1")
 
+    def test_engine_is_cancelled_if_the_caller_leaves_before_the_body(self):
+        # Guards against streams that run on, and hold their permits, because
+        # nobody has begun to read them.
+        async def scenario(stack):
+            engine = Endpoint(name="e1", tokens=1000)
+            await stack.add_endpoint(engine, "a1")
+            requests = stack.cluster.vms_by_id["a1"].kernel.find(
+                "requests", RequestService
+            )
+            now = VirtualClock().monotonic()
+            answer = await requests.handle(
+                InboundRequest(
+                    request_id="req-1",
+                    client_id="crew",
+                    service="planner",
+                    kind=RequestKind.COMPLETION,
+                    method="POST",
+                    path="/v1/completions",
+                    body=b'{"stream":true}',
+                    content_type="application/json",
+                    stream=True,
+                    received_at=now,
+                    deadline=now + 60.0,
+                )
+            )
+            await answer.body.aclose()
+            await asyncio.sleep(1)
+            self.assertEqual(0, engine.running)
+            self.assertEqual(1, len(engine.cancelled))
+
+        run_with_stack(scenario, "a1")
+
     def test_slow_reader_does_not_block_other_callers(self):
         # A caller stops reading after one event. Others must be answered, and
         # it must get the rest when it continues to read.
