--- a/tests/requests/test_drain.py
+++ b/tests/requests/test_drain.py
@@ -5,6 +5,7 @@
 from burdockdrum.requests.attempts import DataCentreTarget
 from burdockdrum.requests.attempts import MAX_DRAIN_BYTES
 from burdockdrum.requests.attempts import Upstream
+from burdockdrum.requests.read_timer import ReadTimer
 
 PART = b"x" * 8_000
 
@@ -41,6 +42,7 @@
             answer=answer,
             target=DataCentreTarget(data_centre="dc", vm_id="vm"),
             attempt_id="a",
+            timer=ReadTimer(report_silence=self.fail),
             idle_timeout=1.0,
         )
         await upstream.drain()
