Require the response that failed to have begun at the caller

An attempt may give way to another one that then fails only if the caller has a part of that one's response; what is buffered still can be another attempt's.

--- a/scripts/soak/answers.py
+++ b/scripts/soak/answers.py
@@ -140,8 +140,11 @@
             return "killed on the way"
         if runs and not sound:
             return "endpoints failed"
+        # One that the caller has no part of can still be another attempt's.
+        has_begun = answer.received.status == 200
         if sound and all(
-            self._was_replaced(run, runs) or self._was_any_killed(run.ended_at)
+            (has_begun and self._was_replaced(run, runs))
+            or self._was_any_killed(run.ended_at)
             for run in sound
         ):
             return "replaced or killed"
--- a/scripts/soak/pausing_endpoint.py
+++ b/scripts/soak/pausing_endpoint.py
@@ -221,12 +221,13 @@
 
         :param begins: whether a valid head begins the answer
         """
-        if begins and endless in BEGINNING:
-            run.wrote_at = time.monotonic()
+        begins = begins and endless in BEGINNING
         with _count_endless():
             for data in write_endless(endless, run.request_id):
                 await self._stay_silent(reader, writer)
                 writer.write(data)
+                if begins:
+                    run.wrote_at = min(run.wrote_at, time.monotonic())
                 await writer.drain()
                 await asyncio.sleep(ENDLESS_INTERVAL_SECONDS)
 
--- a/tests/soak/test_answers.py
+++ b/tests/soak/test_answers.py
@@ -79,6 +79,8 @@
     def test_cut_of_a_response_that_was_taken_over_has_a_reason(self):
         failed = make_run("e2", RunEnd.FAILED, began_at=1.5, wrote_at=1.9)
         self.assertEqual([], self.check([SOUND, failed]))
+        (text,) = self.check([SOUND, failed], status=502, is_whole=True)
+        self.assertIn("a failure without a reason", text)
         sound = make_run("e2", RunEnd.CUT, began_at=1.5, wrote_at=1.9)
         self.assertEqual(1, len(self.check([SOUND, sound])))
 
