--- a/burdockdrum/http1/__init__.py
+++ b/burdockdrum/http1/__init__.py
@@ -8,6 +8,7 @@
 from burdockdrum.http1.client import ClientConnection
 from burdockdrum.http1.client import ResponseHead
 from burdockdrum.http1.client import ResponseLost
+from burdockdrum.http1.end_causes import EndCause
 from burdockdrum.http1.exchange import Exchange
 from burdockdrum.http1.heads import encode_request
 from burdockdrum.http1.heads import encode_response
@@ -28,6 +29,7 @@
     "ConnectionPool",
     "encode_request",
     "encode_response",
+    "EndCause",
     "Exchange",
     "Handler",
     "Headers",
--- a/burdockdrum/http1/listener.py
+++ b/burdockdrum/http1/listener.py
@@ -7,8 +7,10 @@
 import socket
 import time
 
+from burdockdrum.http1.end_causes import EndCause
 from burdockdrum.http1.exchange import Exchange
 from burdockdrum.http1.server import ServerConnection
+from burdockdrum.logs import log_failure
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
@@ -38,6 +40,7 @@
         handle: Handler,
         read_limits: Callable[[], Limits] = Limits,
         awake_seconds_since: Callable[[float], float] | None = None,
+        on_end: Callable[[EndCause], None] | None = None,
     ) -> None:
         """Create a listener that is not open yet.
 
@@ -45,7 +48,9 @@
         :param read_limits: returns the current limits
         :param awake_seconds_since: returns for how long this process has run
             since a monotonic time; for as long as that is ago by default
+        :param on_end: called when a connection ends
         """
+        self._on_end = on_end
         self.awake_seconds_since = awake_seconds_since or _seconds_since
         self.draining = False
         self.connections: set[ServerConnection] = set()
@@ -77,7 +82,7 @@
     @property
     def address(self) -> str:
         """The address of the listening socket, as ``IP:PORT``."""
-        if self._server is None:
+        if self._server is None or not self._server.sockets:
             return self._address
         host, port = self._server.sockets[0].getsockname()[:2]
         return f"{host}:{port}"
@@ -90,6 +95,23 @@
         """Remove a connection that was closed."""
         self.connections.discard(connection)
 
+    def record_end(self, cause: EndCause, *, unanswered: int) -> None:
+        """Record why a connection ends.
+
+        :param unanswered: the requests that were read on it, wholly or
+            partly, and have no complete response
+        """
+        if self._on_end is not None:
+            self._on_end(cause)
+        if cause.is_logged:
+            log_failure(
+                "connection.ended",
+                cause=cause.value,
+                listener=self.address,
+                unanswered=unanswered,
+                draining=self.draining,
+            )
+
     async def open(self) -> None:
         """Bind the socket and start accepting connections."""
         host, _, port = self._address.rpartition(":")
@@ -104,12 +126,6 @@
             backlog=BACKLOG,
         )
 
-    def close_idle(self) -> None:
-        """Close the connections without a request in progress."""
-        for connection in list(self.connections):
-            if connection.idle:
-                connection.close()
-
     async def close(self, *, timeout_seconds: float = 0.0) -> None:
         """Stop listening and close all connections.
 
@@ -126,7 +142,7 @@
         ):
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
         for connection in list(self.connections):
-            connection.close()
+            connection.stop()
 
 
 def _seconds_since(at: float) -> float:
--- a/burdockdrum/http1/server.py
+++ b/burdockdrum/http1/server.py
@@ -10,6 +10,7 @@
 import httptools
 from loguru import logger
 
+from burdockdrum.http1.end_causes import EndCause
 from burdockdrum.http1.exchange import Exchange
 from burdockdrum.http1.heads import encode_response
 from burdockdrum.http1.heads import find_header
@@ -21,6 +22,7 @@
 from burdockdrum.http1.sockets import reset
 
 MAX_PIPELINED_REQUESTS = 2
+REQUEST_TIMEOUT_STATUS = 408
 # Limits how much of a response is buffered for a slow reader.
 WRITE_HIGH_WATER_BYTES = 64 * 1024
 # How long a caller may go on sending after the last response. Bytes that are
@@ -59,6 +61,10 @@
         """Return for how long this process has run since a time."""
         ...
 
+    def record_end(self, cause: EndCause, *, unanswered: int) -> None:
+        """Record why a connection ends."""
+        ...
+
     def add_connection(self, connection: "ServerConnection") -> None:
         """Add an open connection."""
         ...
@@ -94,6 +100,7 @@
         self._paused = False
         self._closing = False
         self._is_rejected = False
+        self._has_ended = False
         self._received_at = 0.0
         self._reset_request()
 
@@ -126,7 +133,15 @@
         """Wait until the write buffer is below its high-water mark."""
         await self._writable.wait()
 
-    def close(self) -> None:
+    def stop(self) -> None:
+        """Close the connection as its listener closes."""
+        has_request = not (self._closing or self.idle)
+        self._record_end(
+            EndCause.STOPPED_WITH_REQUEST if has_request else EndCause.STOPPED
+        )
+        self._close()
+
+    def _close(self) -> None:
         """Close the connection after the write buffer is flushed."""
         self._closing = True
         if self._transport is not None:
@@ -142,6 +157,14 @@
             self._transport.resume_reading()
         self._start_timer(LINGER_SECONDS)
 
+    def _record_end(self, cause: EndCause) -> None:
+        if self._has_ended:
+            return
+        self._has_ended = True
+        unanswered = len(self._pending) + self._busy
+        unanswered += bool(self._received_at)
+        self._listener.record_end(cause, unanswered=unanswered)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that handles the connection's requests."""
         # uvloop's transports have the methods but not the base class.
@@ -157,6 +180,9 @@
         if self._timer is not None:
             self._timer.cancel()
         self._writable.set()
+        self._record_end(
+            EndCause.LEFT if self.idle else EndCause.LEFT_WITH_REQUEST
+        )
         self._listener.remove_connection(self)
         if self._task is not None:
             self._task.cancel()
@@ -290,13 +316,20 @@
         except Exception as error:
             # An unhandled exception must not end the connection's task.
             logger.opt(exception=error).error("the request handler failed")
+            self._record_end(EndCause.HANDLER_FAILED)
             if not exchange.started:
                 exchange.respond(500, [], b"")
         if not exchange.finished:
+            self._record_end(
+                EndCause.RESPONSE_CUT
+                if exchange.started
+                else EndCause.NO_RESPONSE
+            )
             self._close_incomplete(exchange)
             return
         await self.drain()
         if not exchange.keeps_connection:
+            self._record_end(EndCause.RESPONSE_SENT)
             self._close_after_response()
 
     def _await_next_request(self) -> None:
@@ -319,6 +352,11 @@
             (b"content-length", b"%d" % len(body)),
         ]
         self.write(encode_response(rejected.status, headers) + body)
+        self._record_end(
+            EndCause.REQUEST_TIMED_OUT
+            if rejected.status == REQUEST_TIMEOUT_STATUS
+            else EndCause.REJECTED
+        )
         self._close_after_response()
 
     def _close_incomplete(self, exchange: Exchange) -> None:
@@ -331,7 +369,7 @@
             self._closing = True
             reset(self._transport)
             return
-        self.close()
+        self._close()
 
     def _start_timer(self, seconds: float) -> None:
         self._stop_timer()
@@ -354,11 +392,14 @@
             self._timer = loop.call_later(left, self._on_timeout)
             return
         if self._closing:
-            self.close()
+            self._close()
             return
         if self._busy or self._pending:
             return
         if self._received_at:
-            self._reject(408, "the request did not arrive in time")
+            self._reject(
+                REQUEST_TIMEOUT_STATUS, "the request did not arrive in time"
+            )
             return
-        self.close()
+        self._record_end(EndCause.IDLE)
+        self._close()
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -15,6 +15,7 @@
 from burdockdrum.holdings import PrefixCacheSharing
 from burdockdrum.holdings import PrefixCacheTable
 from burdockdrum.http1 import ConnectionPool
+from burdockdrum.http1 import EndCause
 from burdockdrum.http1 import Listener
 from burdockdrum.kernel import Kernel
 from burdockdrum.metrics import Metrics
@@ -586,6 +587,14 @@
     pauses = kernel.find("pauses", PauseDetector)
     routes = kernel.find("routes_in_force", ActiveRoutes)
     backoffs = kernel.find("requested_backoffs", RequestedBackoffs)
+    ended_total = kernel.find("metrics", Metrics).counter(
+        "burdockdrum_ended_connections_total",
+        "Connections of callers and of other entries that ended, by cause.",
+    )
+
+    def count_end(cause: EndCause) -> None:
+        ended_total.increment(cause=cause.value)
+
     poller = kernel.find("holdings_listener", PrefixCachePoller)
     poller.read_backoff = backoffs.seconds_left
     return PassThroughServer(
@@ -595,12 +604,14 @@
             handle=relay.serve_caller,
             read_limits=lambda: routes.limits,
             awake_seconds_since=pauses.awake_seconds_since,
+            on_end=count_end,
         ),
         vms=Listener(
             address=settings.vms,
             handle=relay.serve_vm,
             read_limits=lambda: routes.hop_limits,
             awake_seconds_since=pauses.awake_seconds_since,
+            on_end=count_end,
         ),
         pools=[
             kernel.find("endpoint_pool", ConnectionPool),
--- a/tests/http1/test_connection_ends.py
+++ b/tests/http1/test_connection_ends.py
@@ -95,6 +95,34 @@
         self.assertIn(b"/2", body)
         writer.close()
 
+    async def test_each_end_has_a_cause(self):
+        # Guards against connections that end without a word for operators.
+        logger.disable("burdockdrum")
+        self.addCleanup(logger.enable, "burdockdrum")
+        await self.listener.close()
+        await self.open(end_as_told, idle_seconds=0.2, header_seconds=0.2)
+        cases = {
+            "response_sent": b"GET /whole HTTP/1.0\r\n\r\n",
+            "response_cut": b"GET /cut HTTP/1.1\r\nHost: x\r\n\r\n",
+            "no_response": b"GET /none HTTP/1.1\r\nHost: x\r\n\r\n",
+            "handler_failed": b"GET /fail HTTP/1.1\r\nHost: x\r\n\r\n",
+            "rejected": b"GET\r\n\r\n",
+            "request_timed_out": b"GET /",
+            "idle": b"",
+        }
+        for cause, data in cases.items():
+            with self.subTest(cause):
+                self.ends.clear()
+                await self.send(data)
+                self.assertEqual([cause], self.ends)
+        self.ends.clear()
+        _, writer = await self.connect()
+        writer.write(b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
+        await asyncio.sleep(0.05)
+        await self.listener.close()
+        self.assertEqual(["stopped_with_request"], self.ends)
+        writer.close()
+
     async def test_second_head_is_not_written_into_a_body(self):
         # Guards against a handler that responds after its stream has begun.
         async def respond_twice(exchange):
@@ -148,3 +176,16 @@
 async def respond(exchange):
     """Respond at once."""
     exchange.respond(200, [], b"")
+
+
+async def end_as_told(exchange):
+    """End a response as its target says."""
+    match exchange.request.target:
+        case b"/whole":
+            exchange.respond(200, [], b"")
+        case b"/cut":
+            exchange.start(200, [])
+        case b"/fail":
+            raise ValueError("a fault")
+        case b"/wait":
+            await asyncio.sleep(60)
--- a/tests/http1/wire.py
+++ b/tests/http1/wire.py
@@ -14,11 +14,14 @@
     async def open(self, handle, **limits):
         """Open a listener that reads its limits from ``self.limits``."""
         self.limits = Limits(**limits)
+        # The causes of ended connections.
+        self.ends = []
         self.listener = Listener(
             address="127.0.0.1:0",
             handle=handle,
             read_limits=lambda: self.limits,
             awake_seconds_since=self.awake_seconds_since,
+            on_end=lambda cause: self.ends.append(cause.value),
         )
         await self.listener.open()
         return self.listener
