Let a successor fail without ending or burdening the stalled attempt

Two faults of a successor that found no target while the stalled attempt went on. An unexpected exception in it (a fault of the code) ended the request, with 500 or a cut, though a sound endpoint worked on it. And a refusal that comes at once, such as that of a request that may crash endpoints, started the next successor at once, some hundred times until the stalled attempt went on, which takes the processor time of all requests of the entry.

Class: the successor's failure is the request's failure.

The exception is logged and counts as no target; without a target the watchdog asks again after its interval, not the runner at once.

--- a/burdockdrum/passthrough/relaying/request_runner.py
+++ b/burdockdrum/passthrough/relaying/request_runner.py
@@ -6,6 +6,8 @@
 
 import asyncio
 
+from loguru import logger
+
 from burdockdrum.http1 import Exchange
 from burdockdrum.passthrough.protocol import cause_of_refusal
 from burdockdrum.passthrough.protocol import Delivered
@@ -109,7 +111,9 @@
                     ended, attempts, request, progress, exchange
                 )
                 if attempts.is_any_running:
-                    attempts.ask_for_successor()
+                    # Without a target, the watchdog asks again in a while.
+                    if outcome is not None:
+                        attempts.ask_for_successor()
                 elif outcome is not None and await self._should_retry(
                     outcome, request, progress, exchange
                 ):
@@ -203,6 +207,13 @@
                 raise
             self._finish_without_target(request, progress, exchange, error)
             return None
+        except Exception as error:
+            if not attempts.is_any_running:
+                raise
+            # A fault of the code, which must not end the other attempts.
+            logger.opt(exception=error).error("an attempt failed")
+            log_not_replaced(request, repr(error))
+            return None
         if attempt.target is None:
             return outcome
         self._reporter.report(
--- a/tests/passthrough/relaying/test_silent_endpoints.py
+++ b/tests/passthrough/relaying/test_silent_endpoints.py
@@ -3,6 +3,9 @@
 import asyncio
 import time
 
+from burdockdrum.verdicts import Refusal
+from burdockdrum.verdicts import RefusalCode
+from burdockdrum.verdicts import Verdict
 from tests.http1.wire import ScriptedServer
 from tests.passthrough.entries import answer
 from tests.passthrough.entries import close_without_response
@@ -208,3 +211,46 @@
         status, _, body = await first.call()
         await task
         self.assertEqual((200, b"late"), (status, body))
+
+
+class FailingSuccessorTest(StreamCase):
+    """A stalled attempt whose successor finds no target at once."""
+
+    async def stream(self, error):
+        """Raise an error in each successor.
+
+        :returns: how many there were, and the response
+        """
+        endpoints = [Endpoint(pause_in_stream), Endpoint(pause_in_stream)]
+        entry = await self.open(*endpoints, timeout_seconds=4.0, **self.ROUTE)
+        finder = entry.relay._runner._finder
+        find, calls = finder.find, []
+
+        async def find_once(request, progress):
+            calls.append(request)
+            if len(calls) > 1:
+                raise error
+            return await find(request, progress)
+
+        finder.find = find_once
+        status, _, data, is_complete = await self.call(entry)
+        self.assertEqual((200, True), (status, is_complete))
+        self.assertEqual(b"".join(map(event, range(1, 6))), data)
+        return len(calls) - 1
+
+    async def test_stream_is_kept_when_its_successor_raises(self):
+        # Guards against ending a sound stream by an unexpected exception in
+        # the attempt that was to replace it.
+        self.assertGreater(await self.stream(KeyError("a fault")), 0)
+
+    async def test_refused_successor_is_not_started_again_at_once(self):
+        # Guards against a loop that takes all processor time until the
+        # stalled attempt goes on.
+        refusal = Refusal(
+            code=RefusalCode.QUARANTINED,
+            message="refused",
+            verdict=Verdict.NOT_RUN,
+        )
+        for error in (refusal, KeyError("a fault")):
+            with self.subTest(error=error):
+                self.assertLess(await self.stream(error), 5)
