Keep the other attempt until a whole answer is whole

The head of a whole answer ended the other attempt, though the caller has nothing before the body is whole or longer than the buffer. If the body then broke off, the sound attempt was gone, and the caller got 502.

--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -438,18 +438,23 @@
             return await self._forward_stream(
                 connection, head, call, request, progress, exchange, attempt
             )
-        self._claim_response(call, request, attempt)
         call.disarm_watchdog()
-        return await self._forward_response(connection, head, call, exchange)
+        return await self._forward_response(
+            connection, head, call, request, exchange, attempt
+        )
 
     async def _forward_response(
         self,
         connection: ClientConnection,
         head: ResponseHead,
         call: Call,
+        request: ProxiedRequest,
         exchange: Exchange,
+        attempt: Attempt,
     ) -> Outcome:
         body, whole = await read_buffered(connection)
+        # Until now the caller has nothing, and another attempt may respond.
+        self._claim_response(call, request, attempt)
         headers = self._responses.headers_for_caller(head)
         if whole:
             exchange.respond(head.status, headers, body)
