Ask the router for a successor only if the retry budget pays for it

Each check of a silent attempt, once a second, asked the router where a successor would go. A choice of another data centre is counted there as a forward, so that with an empty budget a data centre looked busier with every check, though nothing was sent. Now the budget is looked at first, without a withdrawal.

Evidence: test_router_is_not_asked_without_budget failed before.

python3 run.py test tests.requests: 61 passed with it (60 before it was added).

--- a/burdockdrum/requests/budget.py
+++ b/burdockdrum/requests/budget.py
@@ -25,9 +25,14 @@
         """Add the tokens of one request."""
         self._tokens = min(self._max_tokens, self._tokens + self._ratio)
 
+    @property
+    def can_withdraw(self) -> bool:
+        """Return whether the budget pays for a retry now."""
+        return self._tokens >= 1.0
+
     def try_withdraw(self) -> bool:
         """Withdraw one retry; return False if the budget is exhausted."""
-        if self._tokens < 1.0:
+        if not self.can_withdraw:
             return False
         self._tokens -= 1.0
         return True
--- a/burdockdrum/requests/exchange.py
+++ b/burdockdrum/requests/exchange.py
@@ -427,6 +427,9 @@
             return False
         if self._find_suspect() is not None:
             return False
+        # Asked before the router, which records the forwards that it chooses.
+        if not self._allowance.can_acquire_grant:
+            return False
         try:
             choice = self._choose(self.make_routing_request())
         except Refusal:
--- a/burdockdrum/requests/retry_allowance.py
+++ b/burdockdrum/requests/retry_allowance.py
@@ -43,6 +43,11 @@
         self.counted += 1
         return True
 
+    @property
+    def can_acquire_grant(self) -> bool:
+        """Return whether the budget pays for a retry now."""
+        return self._has_grant or self._budget.can_withdraw
+
     def acquire_grant(self) -> bool:
         """Return whether the budget pays for a retry, and withdraw it."""
         if not self._has_grant:
--- a/tests/requests/test_silent_endpoints.py
+++ b/tests/requests/test_silent_endpoints.py
@@ -208,6 +208,23 @@
                 exchange.report_silence(attempt, mock.Mock())
             self.assertEqual(stalls, attempt.stall.call_count)
 
+    def test_router_is_not_asked_without_budget(self):
+        # Guards against forwards that the router counts and nobody sends, one
+        # for each check of a silent attempt.
+        services = mock.Mock(budget=RetryBudget(max_tokens=0.0))
+        services.quarantine.find_suspect.return_value = None
+        services.clock.monotonic.return_value = 0.0
+        exchange = Exchange(
+            services=services,
+            request=mock.Mock(may_run_again=True, deadline=60.0),
+        )
+        attempt = mock.Mock(counted_runs=0, may_have_successor=True)
+        attempt.target = DataCentreTarget(data_centre="south", vm_id="b1")
+        with mock.patch.object(exchange, "make_routing_request"):
+            exchange.report_silence(attempt, mock.Mock())
+        services.router.choose.assert_not_called()
+        attempt.stall.assert_not_called()
+
     def test_stream_is_complete_though_a_successor_ends_after_it(self):
         # Guards against counting it as cut for the end of its successor.
         async def scenario(stack):
