Try a connect again only after a pause of most of its timeout

Beside load a request to an endpoint that hangs took 1.06 s instead of 0.4 s: any delay of the ticker by 0.05 s counted as a pause, and the connect was tried up to three times.

A connect is tried once more, and only if the process ran for less than half of the timeout.

--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -298,9 +298,10 @@
     ) -> Outcome:
         try:
             connection = await connect_awake(
-                lambda: call.pool.acquire(
-                    call.address, timeout=call.connect_timeout_seconds
+                lambda timeout: call.pool.acquire(
+                    call.address, timeout=timeout
                 ),
+                call.connect_timeout_seconds,
                 self._pauses,
             )
         except NotConnected as error:
--- a/burdockdrum/passthrough/relaying/health_checker.py
+++ b/burdockdrum/passthrough/relaying/health_checker.py
@@ -45,7 +45,8 @@
         """
         address = endpoint.address
         connection = await connect_awake(
-            lambda: self._pool.open(address, timeout=CONNECT_TIMEOUT_SECONDS),
+            lambda timeout: self._pool.open(address, timeout=timeout),
+            CONNECT_TIMEOUT_SECONDS,
             self._pauses,
         )
         path = self._read_path(endpoint.service) or "/"
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -427,7 +427,9 @@
 
     async def connect(address: str) -> None:
         connection = await connect_awake(
-            lambda: pool.open(address, timeout=CONNECT_TIMEOUT_SECONDS), pauses
+            lambda timeout: pool.open(address, timeout=timeout),
+            CONNECT_TIMEOUT_SECONDS,
+            pauses,
         )
         pool.release(address, connection, max_idle=1)
 
--- a/burdockdrum/pauses/detector.py
+++ b/burdockdrum/pauses/detector.py
@@ -73,10 +73,6 @@
         now = self._clock.monotonic()
         return max(0.0, now - at - self._paused_seconds_since(at, now))
 
-    def has_paused_since(self, at: float) -> bool:
-        """Return whether this process has paused since a monotonic time."""
-        return self._paused_seconds_since(at, self._clock.monotonic()) > 0
-
     def _paused_seconds_since(self, at: float, now: float) -> float:
         current = self._current_pause(now)
         seconds = current.seconds_since(at) if current is not None else 0.0
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -415,7 +415,9 @@
 
         async def connect(address):
             connection = await connect_awake(
-                lambda: pools[0].open(address, timeout=0.4), pauses
+                lambda timeout: pools[0].open(address, timeout=timeout),
+                0.4,
+                pauses,
             )
             pools[0].release(address, connection, max_idle=1)
 
--- a/tests/pauses/test_detector.py
+++ b/tests/pauses/test_detector.py
@@ -34,13 +34,10 @@
         began = self.detector.monotonic()
         block_event_loop(PAUSE_SECONDS)
         self.assertLess(self.detector.awake_seconds_since(began), 0.1)
-        self.assertTrue(self.detector.has_paused_since(began))
         await asyncio.sleep(0.3)
         awake = self.detector.awake_seconds_since(began)
         self.assertLess(awake, PAUSE_SECONDS)
         self.assertGreater(awake, 0.2)
-        ended = self.detector.monotonic()
-        self.assertFalse(self.detector.has_paused_since(ended))
         self.assertIn("burdockdrum_paused_seconds_total", self.metrics.text())
 
     async def test_pause_counts_only_as_far_as_it_was_after_a_time(self):
