Report the owner of a response before its request ends

If an attempt that had been superseded was collected in the same iteration in which the owner finished, the loop ended before the owner's attempt was reported: no request.attempted line and no sample of its estimate. Read, not seen; found while reviewing.

--- a/burdockdrum/attempts/running_attempts.py
+++ b/burdockdrum/attempts/running_attempts.py
@@ -81,6 +81,14 @@
         """Iterate over the attempts that run."""
         return iter(self._attempts)
 
+    @property
+    def has_owner(self) -> bool:
+        """Return whether an attempt owns the response and has not ended.
+
+        One that has not been returned by ``wait`` has not ended.
+        """
+        return self._owner is not None
+
     @property
     def is_any_running(self) -> bool:
         """Return whether any attempt runs."""
--- a/burdockdrum/passthrough/relaying/request_runner.py
+++ b/burdockdrum/passthrough/relaying/request_runner.py
@@ -101,7 +101,8 @@
 
         start_attempt()
         try:
-            while not exchange.finished:
+            # The owner of a response has ended once it has been reported.
+            while attempts.has_owner or not exchange.finished:
                 ended = await attempts.wait()
                 if ended is None:
                     _count_stalled(attempts, request, progress)
--- a/tests/passthrough/relaying/test_running_attempts.py
+++ b/tests/passthrough/relaying/test_running_attempts.py
@@ -66,7 +66,9 @@
             self.assertIs(second.attempt, ended)
             self.assertTrue(ended.task.cancelled())
             first.end(DELIVERED)
+            self.assertTrue(attempts.has_owner)
             self.assertIs(first.attempt, await attempts.wait())
+            self.assertFalse(attempts.has_owner)
 
         run_virtual(check())
 
