Limit what callers send beside the body, and drop trailers

Trailers are dropped now, and bytes that are neither head nor body end in 400 beyond twice the limit on a head.

Evidence: both tests were red before.

--- a/burdockdrum/http1/server.py
+++ b/burdockdrum/http1/server.py
@@ -16,6 +16,7 @@
 from burdockdrum.http1.heads import find_header
 from burdockdrum.http1.heads import Headers
 from burdockdrum.http1.numbers import parse_count
+from burdockdrum.http1.overhead import FRAMING_BYTES_PER_BODY_BYTE
 from burdockdrum.http1.requests import RejectedRequest
 from burdockdrum.http1.requests import RequestHead
 from burdockdrum.http1.sockets import enable_keepalive
@@ -203,7 +204,9 @@
             self._received_at = time.monotonic()
             if not self._busy:
                 self._start_timer(self._listener.header_seconds)
-        if not self._head_complete:
+        is_in_body = self._head_complete
+        body, body_size = self._body, self._body_size
+        if not is_in_body:
             self._head_size += len(data)
         try:
             self._parser.feed_data(data)
@@ -214,11 +217,21 @@
         too_large = self._head_size > 2 * self._listener.header_bytes
         if not self._head_complete and too_large:
             self._reject(431, "the head is too large")
+        if is_in_body and self._body is body:
+            self._count_framing(len(data), self._body_size - body_size)
         if len(self._pending) >= MAX_PIPELINED_REQUESTS and not self._paused:
             assert self._transport is not None
             self._paused = True
             self._transport.pause_reading()
 
+    def _count_framing(self, size: int, body_size: int) -> None:
+        """Count chunk sizes, chunk extensions and trailers, in bytes."""
+        justified = FRAMING_BYTES_PER_BODY_BYTE * body_size
+        rest = size - body_size - justified
+        self._framing_size = max(0, self._framing_size + rest)
+        if self._framing_size > 2 * self._listener.header_bytes:
+            self._reject(400, "too much is sent beside the body")
+
     def on_message_begin(self) -> None:
         """Record the arrival of a request that follows another one."""
         if not self._received_at:
@@ -229,8 +242,9 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header of the request."""
-        self._headers.append((name, value))
+        """Add a header of the request; trailers are dropped."""
+        if not self._head_complete:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Check the limits before the body is read."""
@@ -284,6 +298,7 @@
         self._body: list[bytes] = []
         self._body_size = 0
         self._head_size = 0
+        self._framing_size: int = 0
         self._head_complete = False
         self._received_at = 0.0
 
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -48,6 +48,41 @@
         )
         self.assertTrue(answer.endswith(b"POST / abc"))
 
+    async def test_trailers_are_no_headers(self):
+        # Guards against headers that the limits on a head never saw.
+        names = []
+
+        async def list_names(exchange):
+            names.extend(name for name, _ in exchange.request.headers)
+            exchange.respond(200, [], b"")
+
+        await self.close_listener()
+        await self.open(list_names)
+        await self.send(
+            b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+            b"Connection: close\r\n\r\n1\r\na\r\n0\r\nX-Late: 1\r\n\r\n"
+        )
+        self.assertNotIn(b"X-Late", names)
+
+    async def test_endless_bytes_beside_the_body_are_rejected(self):
+        # Guards against memory for trailers and chunk extensions without end.
+        begin = (
+            b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        for kind in (b"0\r\nX: ", b"1;x="):
+            with self.subTest(kind):
+                reader, writer = await self.connect()
+                writer.write(begin)
+                await asyncio.sleep(0.05)
+                writer.write(kind)
+                for _ in range(16):
+                    writer.write(b"a" * 16 * 1024)
+                    await asyncio.sleep(0.01)
+                async with asyncio.timeout(2):
+                    answer = await reader.readuntil(b"\r\n")
+                writer.close()
+                self.assertIn(b" 400 ", answer)
+
     async def test_request_smuggling_is_rejected(self):
         # Two parsers would disagree about where these requests end.
         smuggled = (
