--- a/burdockdrum/http1/server.py
+++ b/burdockdrum/http1/server.py
@@ -103,6 +103,8 @@
         self._is_rejected = False
         self._has_ended = False
         self._received_at = 0.0
+        # Chunk sizes, chunk extensions and trailers, in bytes.
+        self._framing_size = 0
         self._reset_request()
 
     @property
@@ -298,7 +300,7 @@
         self._body: list[bytes] = []
         self._body_size = 0
         self._head_size = 0
-        self._framing_size: int = 0
+        self._framing_size = 0
         self._head_complete = False
         self._received_at = 0.0
 
