Tell no caller 'not run' of a forwarded request when an entry stops

An entry that stopped answered 503 to requests that another entry ran for it: that an attempt has arrived is known only once a forwarded one has ended. Callers then repeated what must not run twice. An attempt that is interrupted after it was sent may have run, and says so itself.

--- a/burdockdrum/passthrough/relaying/relay.py
+++ b/burdockdrum/passthrough/relaying/relay.py
@@ -31,7 +31,6 @@
 from burdockdrum.settings import MechanismSettings
 from burdockdrum.verdicts import Refusal
 from burdockdrum.verdicts import RefusalCode
-from burdockdrum.verdicts import Verdict
 from burdockdrum.vms import Drain
 
 RETRY_AFTER_SECONDS = 0.5
@@ -232,10 +231,9 @@
 
 def make_stop_refusal(progress: RequestProgress) -> Refusal:
     """Return the refusal of a request when this entry stops."""
-    may_have_run = progress.has_arrived
     return Refusal(
         code=RefusalCode.DRAINING,
         message="this entry VM is stopping; use another one",
-        verdict=Verdict.MAY_HAVE_RUN if may_have_run else progress.verdict,
+        verdict=progress.verdict,
         retry_after=RETRY_AFTER_SECONDS,
     )
