Allow a stalled stream that went on and then failed

The check knew only when a response had begun, not when it went on, and took the successor for one that was given up.

--- a/scripts/soak/answers.py
+++ b/scripts/soak/answers.py
@@ -39,13 +39,15 @@
 class Run:
     """A run of a request at an endpoint, by monotonic time.
 
-    ``wrote_at`` is when its response began.
+    ``wrote_at`` is when its response began, ``last_wrote_at`` when it last
+    went on.
     """
 
     request_id: str
     endpoint_id: str
     began_at: float
     wrote_at: float = float("inf")
+    last_wrote_at: float = 0.0
     end: RunEnd = RunEnd.OPEN
     ended_at: float = float("inf")
 
@@ -160,7 +162,7 @@
             for other in runs
         ) and any(
             other.wrote_at <= run.ended_at + NOTICE_SECONDS
-            and other.wrote_at > run.began_at
+            and max(other.wrote_at, other.last_wrote_at) > run.began_at
             and other.ended_at >= run.ended_at - NOTICE_SECONDS
             for other in runs
             if other is not run
--- a/scripts/soak/pausing_endpoint.py
+++ b/scripts/soak/pausing_endpoint.py
@@ -182,8 +182,9 @@
                 await self._stay_silent(reader, writer)
                 writer.write(data)
             await writer.drain()
-            if number == begins_at:
-                run.wrote_at = time.monotonic()
+            if number >= begins_at:
+                run.last_wrote_at = time.monotonic()
+                run.wrote_at = min(run.wrote_at, run.last_wrote_at)
             await asyncio.sleep(PART_INTERVAL_SECONDS)
 
     async def _stay_silent(
--- a/tests/soak/test_answers.py
+++ b/tests/soak/test_answers.py
@@ -84,6 +84,15 @@
         sound = make_run("e2", RunEnd.CUT, began_at=1.5, wrote_at=1.9)
         self.assertEqual(1, len(self.check([SOUND, sound])))
 
+    def test_cut_of_a_successor_whose_predecessor_went_on_has_a_reason(self):
+        successor = make_run("e1", RunEnd.CUT, began_at=1.0)
+        for last_wrote_at, is_reason in ((1.5, True), (0.5, False)):
+            failed = make_run(
+                "e2", RunEnd.FAILED, wrote_at=0.1, last_wrote_at=last_wrote_at
+            )
+            violations = self.check([failed, successor])
+            self.assertEqual(is_reason, not violations)
+
     def test_end_by_the_endpoint_has_a_reason(self):
         self.assertEqual([], self.check([make_run("e1", RunEnd.FAILED)]))
 
