Count the attempts at work when an entry stops before their end

An entry that stops refuses the requests that run, and told the entry that had forwarded one only of runs that had ended: "may have run", 0 runs. That entry allows another attempt as long as no run is counted, also to a request that must not run twice, and a second endpoint ran it.

Class: a request ends while attempts are at work, and only outcomes count.

Evidence: two tests of test_stopping, of real entries over loopback, failed before: two endpoints ran the request, two entries got it.

--- a/burdockdrum/passthrough/relaying/request_runner.py
+++ b/burdockdrum/passthrough/relaying/request_runner.py
@@ -45,6 +45,7 @@
 from burdockdrum.verdicts import Refusal
 from burdockdrum.verdicts import RefusalCode
 from burdockdrum.verdicts import Verdict
+from burdockdrum.verdicts import worst
 
 FIRST_SERVER_ERROR_STATUS = 500
 # Limits the attempts at endpoints that are unreachable or refuse, which come
@@ -121,6 +122,7 @@
                     start_attempt()
         finally:
             progress.at_work = tuple(map(describe_attempt, attempts))
+            _count_at_work(attempts, request, progress)
             await attempts.close()
 
     async def _run_attempt(
@@ -423,6 +425,25 @@
         progress.has_arrived = True
 
 
+def _count_at_work(
+    attempts: RunningAttempts,
+    request: ProxiedRequest,
+    progress: RequestProgress,
+) -> None:
+    """Count the attempts that end with the request, which may have run."""
+    runs = progress.stalled_runs
+    for attempt in attempts:
+        if not attempt.was_sent or attempt.counted_runs:
+            continue
+        if attempt.target is not None:
+            runs += granted_runs(attempt.target, request, progress)
+    if not runs:
+        return
+    progress.stalled_runs = 0
+    progress.runs += runs
+    progress.verdict = worst(progress.verdict, Verdict.MAY_HAVE_RUN)
+
+
 def _is_server_error(outcome: ErrorResponse) -> bool:
     """Return whether another endpoint may answer otherwise."""
     return outcome.head.status >= FIRST_SERVER_ERROR_STATUS
@@ -452,10 +473,11 @@
     """Return how many endpoints may have run a lost attempt.
 
     An entry of another region that does not report a number may have used
-    every attempt that it was granted.
+    every attempt that it was granted. One that reports none says only that
+    none has ended.
     """
     if isinstance(target, EndpointTarget):
         return 1
     if lost.runs is not None:
-        return lost.runs
+        return max(1, lost.runs)
     return forwarded_attempts(request, progress)
--- a/tests/passthrough/relaying/test_stopping.py
+++ b/tests/passthrough/relaying/test_stopping.py
@@ -5,7 +5,11 @@
 from unittest import mock
 
 from burdockdrum.passthrough.relaying.server import PassThroughServer
+from burdockdrum.verdicts import Refusal
+from burdockdrum.verdicts import RefusalCode
+from burdockdrum.verdicts import Verdict
 from tests.passthrough.entries import Endpoint
+from tests.passthrough.entries import EntryDeployment
 from tests.passthrough.entries import events
 from tests.passthrough.entries import never_respond
 from tests.passthrough.fakes import MODEL
@@ -86,3 +90,54 @@
         )
         self.assertEqual(200, status)
         self.assertFalse(body.endswith(b"0\r\n\r\n"))
+
+    async def open_regions(self, *endpoints):
+        """Open an entry without endpoints, and one in each other region."""
+        self.world = EntryDeployment(timeout_seconds=4.0, idempotent=False)
+        self.addAsyncCleanup(self.world.close)
+        regions = [f"there{number}" for number in range(len(endpoints))]
+        first = await self.world.open_entry("here", capacities=regions)
+        # The retry budget of its tests has no burst.
+        first.budget.record_request("model")
+        others = [
+            await self.world.open_entry(region, [endpoint])
+            for region, endpoint in zip(regions, endpoints, strict=True)
+        ]
+        return first, others
+
+    async def test_request_that_a_stopping_entry_ran_is_not_sent_again(self):
+        # Guards against running an unrepeatable request twice, as the entry
+        # that stops reports only the runs that have ended.
+        endpoints = [Endpoint(never_respond), Endpoint(never_respond)]
+        first, others = await self.open_regions(*endpoints)
+        call = asyncio.create_task(first.call(method=b"POST", body=b"x"))
+        async with asyncio.timeout(2):
+            while not any(endpoint.seen for endpoint in endpoints):
+                await asyncio.sleep(0.005)
+        for endpoint, other in zip(endpoints, others, strict=True):
+            if endpoint.seen:
+                await make_server(other).close()
+        await asyncio.sleep(0.3)
+        self.assertEqual(1, sum(len(e.seen) for e in endpoints))
+        status, _, _ = await call
+        self.assertEqual(502, status)
+
+    async def test_request_lost_by_an_entry_without_ended_runs_counts(self):
+        # Guards against running an unrepeatable request twice beside an entry
+        # that says it may have run, and that no run of it has ended.
+        endpoints = [Endpoint(never_respond), Endpoint(never_respond)]
+        first, others = await self.open_regions(*endpoints)
+        calls = []
+
+        async def lose(request, progress, exchange):
+            calls.append(request)
+            raise Refusal(
+                code=RefusalCode.DRAINING,
+                message="stopping",
+                verdict=Verdict.MAY_HAVE_RUN,
+            )
+
+        for other in others:
+            other.relay._runner.run = lose
+        status, _, _ = await first.call(method=b"POST", body=b"x")
+        self.assertEqual((502, 1), (status, len(calls)))
