Refuse with the verdict of all attempts, not that at the successor's choice

A successor of a stalled attempt may wait for capacity. Its refusal keeps the verdict from when it began to wait; if the stalled attempt fails meanwhile, the caller got 503, "not run", although the request may have run.

Evidence: test_refusal_of_a_successor_does_not_promise_too_much failed (503) and passes now (502).

--- a/burdockdrum/passthrough/relaying/request_runner.py
+++ b/burdockdrum/passthrough/relaying/request_runner.py
@@ -268,7 +268,10 @@
         if exchange.started:
             raise ResponseTruncated(refusal.message, cause_of_refusal(refusal))
         if progress.failure is None:
-            raise refusal
+            # Its own may be older than the outcome of another attempt.
+            raise refusal.with_verdict(
+                worst(progress.verdict, refusal.verdict)
+            )
         # The endpoint's error is more specific than the refusal.
         self._forward_failure(
             request, exchange, progress.failure, progress.runs
--- a/tests/passthrough/relaying/test_silent_endpoints.py
+++ b/tests/passthrough/relaying/test_silent_endpoints.py
@@ -254,3 +254,31 @@
         for error in (refusal, KeyError("a fault")):
             with self.subTest(error=error):
                 self.assertLess(await self.stream(error), 5)
+
+    async def test_refusal_of_a_successor_does_not_promise_too_much(self):
+        # Guards against the promise that a request has not run, made before
+        # the stalled attempt failed and given to the caller after it.
+        async def fail_late(writer, request_id):
+            await asyncio.sleep(PAUSE_SECONDS)
+            writer.close()
+
+        endpoints = [Endpoint(fail_late), Endpoint(fail_late)]
+        entry = await self.open(*endpoints, timeout_seconds=4.0)
+        finder = entry.relay._runner._finder
+        find, calls = finder.find, []
+
+        async def find_once(request, progress):
+            calls.append(request)
+            if len(calls) == 1:
+                return await find(request, progress)
+            refusal = Refusal(
+                code=RefusalCode.OVERLOADED,
+                message="waited in vain",
+                verdict=progress.verdict,
+            )
+            await asyncio.sleep(PAUSE_SECONDS)
+            raise refusal
+
+        finder.find = find_once
+        status, _, body = await entry.call()
+        self.assertEqual((502, b"waited in vain"), (status, body))
