--- a/tests/passthrough/relaying/test_running_attempts.py
+++ b/tests/passthrough/relaying/test_running_attempts.py
@@ -4,6 +4,8 @@
 import unittest
 
 from hypothesis import given
+from hypothesis import HealthCheck
+from hypothesis import settings
 from hypothesis import strategies
 
 from burdockdrum.passthrough.protocol import Delivered
@@ -103,6 +105,7 @@
 
         run_virtual(check())
 
+    @settings(deadline=None, suppress_health_check=[HealthCheck.too_slow])
     @given(
         strategies.lists(
             strategies.tuples(
--- a/tests/passthrough/waiting/test_line.py
+++ b/tests/passthrough/waiting/test_line.py
@@ -3,6 +3,8 @@
 import unittest
 
 from hypothesis import given
+from hypothesis import HealthCheck
+from hypothesis import settings
 from hypothesis import strategies as st
 
 from burdockdrum.passthrough.waiting.line import MAX_ASKED
@@ -42,9 +44,16 @@
 )
 
 
+# How long a machine takes to draw examples says nothing about the line.
+ANY_SPEED = settings(
+    deadline=None, suppress_health_check=[HealthCheck.too_slow]
+)
+
+
 class PropertiesTest(unittest.TestCase):
     """What holds for any sequence of requests."""
 
+    @ANY_SPEED
     @given(requests)
     def test_memory_is_bounded_and_the_most_urgent_stay(self, arriving):
         line, left = make_line(), []
@@ -61,6 +70,7 @@
                 self.assertLessEqual(waiting[0].rank, most_urgent)
         self.assertEqual(len(arriving), len(line) + len(left))
 
+    @ANY_SPEED
     @given(requests)
     def test_sent_in_order_of_rank_share_and_time(self, arriving):
         line = WaitingLine()
@@ -72,6 +82,7 @@
         keys = [(r.rank, r.order, r.until) for r in sent]
         self.assertEqual(sorted(keys), keys)
 
+    @ANY_SPEED
     @given(requests, st.floats(0.0, 6.0))
     def test_nothing_waits_beyond_its_time(self, arriving, now):
         line = WaitingLine()
