Count interrupted attempts in one place

The attempts at work are counted when a request ends; that an interrupted one may have run needs no other place.

--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -58,7 +58,6 @@
 from burdockdrum.ports import Clock
 from burdockdrum.registrations import RegisteredEndpoint
 from burdockdrum.streams import StreamOrigin
-from burdockdrum.verdicts import Verdict
 
 # Shorter than the one-second TCP retransmission timeout: after a lost packet
 # a new connection is faster than the retransmission. A connection opens in a
@@ -334,10 +333,6 @@
                 return await self._receive(
                     connection, call, request, progress, exchange, attempt
                 )
-        except asyncio.CancelledError:
-            if progress.verdict is Verdict.NOT_RUN:
-                progress.verdict = Verdict.MAY_HAVE_RUN
-            raise
         except Superseded:
             return _end_superseded(attempt)
         except TimeoutError:
