--- a/tests/passthrough/relaying/test_running_attempts.py
+++ b/tests/passthrough/relaying/test_running_attempts.py
@@ -4,8 +4,6 @@
 import unittest
 
 from hypothesis import given
-from hypothesis import HealthCheck
-from hypothesis import settings
 from hypothesis import strategies
 
 from burdockdrum.passthrough.protocol import Delivered
@@ -13,6 +11,7 @@
 from burdockdrum.passthrough.relaying.running_attempts import RunningAttempts
 from burdockdrum.passthrough.relaying.running_attempts import Superseded
 from burdockdrum.testing import run_virtual
+from tests.drawing import draw
 
 DELIVERED = Delivered(status=200)
 LOST = Lost(reason="x")
@@ -105,7 +104,7 @@
 
         run_virtual(check())
 
-    @settings(deadline=None, suppress_health_check=[HealthCheck.too_slow])
+    @draw(100)
     @given(
         strategies.lists(
             strategies.tuples(
--- a/tests/passthrough/waiting/test_line.py
+++ b/tests/passthrough/waiting/test_line.py
@@ -3,14 +3,13 @@
 import unittest
 
 from hypothesis import given
-from hypothesis import HealthCheck
-from hypothesis import settings
 from hypothesis import strategies as st
 
 from burdockdrum.passthrough.waiting.line import MAX_ASKED
 from burdockdrum.passthrough.waiting.line import REQUEST_OVERHEAD_BYTES
 from burdockdrum.passthrough.waiting.line import WaitingLine
 from burdockdrum.passthrough.waiting.line import WaitingRequest
+from tests.drawing import draw
 
 ROOM = 5
 SERVICE = "model"
@@ -33,6 +32,8 @@
     return WaitingLine(max_bytes=ROOM * REQUEST_OVERHEAD_BYTES)
 
 
+EXAMPLES = 100
+
 requests = st.lists(
     st.builds(
         make_waiting,
@@ -44,16 +45,10 @@
 )
 
 
-# How long a machine takes to draw examples says nothing about the line.
-ANY_SPEED = settings(
-    deadline=None, suppress_health_check=[HealthCheck.too_slow]
-)
-
-
 class PropertiesTest(unittest.TestCase):
     """What holds for any sequence of requests."""
 
-    @ANY_SPEED
+    @draw(EXAMPLES)
     @given(requests)
     def test_memory_is_bounded_and_the_most_urgent_stay(self, arriving):
         line, left = make_line(), []
@@ -70,7 +65,7 @@
                 self.assertLessEqual(waiting[0].rank, most_urgent)
         self.assertEqual(len(arriving), len(line) + len(left))
 
-    @ANY_SPEED
+    @draw(EXAMPLES)
     @given(requests)
     def test_sent_in_order_of_rank_share_and_time(self, arriving):
         line = WaitingLine()
@@ -82,7 +77,7 @@
         keys = [(r.rank, r.order, r.until) for r in sent]
         self.assertEqual(sorted(keys), keys)
 
-    @ANY_SPEED
+    @draw(EXAMPLES)
     @given(requests, st.floats(0.0, 6.0))
     def test_nothing_waits_beyond_its_time(self, arriving, now):
         line = WaitingLine()
