Limit how many targets reject the successors of a silent attempt

An attempt that had stalled asked for the next successor as soon as one was rejected, without the limit of 4 + attempts targets that other retries have: one silent stream sent its request to all of 12 endpoints within milliseconds, each rejection charged to the retry budget that all requests share.

The limit moves to has_tried_enough, which both ways to a further attempt ask.

The test showed it only once its rejections were real ones: the tests of silent endpoints rejected with a header that the entries of the tests don't know, so that "rejects" was an error of a request that has run, alike to "fails". They use the name that the entries use; all pass.

Evidence: test_stalled_stream_tries_as_few_endpoints_as_any_request: 12 of 12 endpoints before, 6 at most now.

--- a/burdockdrum/passthrough/protocol/__init__.py
+++ b/burdockdrum/passthrough/protocol/__init__.py
@@ -22,8 +22,10 @@
 from burdockdrum.passthrough.protocol.model import ErrorResponse
 from burdockdrum.passthrough.protocol.model import forwarded_attempts
 from burdockdrum.passthrough.protocol.model import granted_runs
+from burdockdrum.passthrough.protocol.model import has_tried_enough
 from burdockdrum.passthrough.protocol.model import HopCharge
 from burdockdrum.passthrough.protocol.model import Lost
+from burdockdrum.passthrough.protocol.model import MAX_NOT_STARTED_ATTEMPTS
 from burdockdrum.passthrough.protocol.model import NotStarted
 from burdockdrum.passthrough.protocol.model import Outcome
 from burdockdrum.passthrough.protocol.model import ProxiedRequest
@@ -55,6 +57,7 @@
     "find_cut_cause",
     "forwarded_attempts",
     "granted_runs",
+    "has_tried_enough",
     "HeaderNames",
     "HopCharge",
     "HOP_CUT_OFF",
@@ -64,6 +67,7 @@
     "HOP_VERSION",
     "InvalidEventStream",
     "Lost",
+    "MAX_NOT_STARTED_ATTEMPTS",
     "MAYBE_RUN_STATUS",
     "NOT_RUN_STATUSES",
     "NotStarted",
--- a/burdockdrum/passthrough/protocol/model.py
+++ b/burdockdrum/passthrough/protocol/model.py
@@ -22,6 +22,10 @@
 from burdockdrum.streams import StreamOrigin
 from burdockdrum.verdicts import Verdict
 
+# Limits the attempts at endpoints that are unreachable or refuse, which come
+# on top of the route's attempts.
+MAX_NOT_STARTED_ATTEMPTS = 4
+
 
 class HopCharge(enum.Enum):
     """How a forwarded request counts in the retry budget.
@@ -334,3 +338,10 @@
             return 1
         case RegionTarget():
             return forwarded_attempts(request, progress)
+
+
+def has_tried_enough(
+    request: ProxiedRequest, progress: RequestProgress
+) -> bool:
+    """Return whether a request must not be sent to another target."""
+    return len(progress.tried) >= MAX_NOT_STARTED_ATTEMPTS + request.attempts
--- a/burdockdrum/passthrough/relaying/attempt_timeouts.py
+++ b/burdockdrum/passthrough/relaying/attempt_timeouts.py
@@ -11,6 +11,7 @@
 
 from burdockdrum.passthrough.protocol import EndpointTarget
 from burdockdrum.passthrough.protocol import granted_runs
+from burdockdrum.passthrough.protocol import has_tried_enough
 from burdockdrum.passthrough.protocol import ProxiedRequest
 from burdockdrum.passthrough.protocol import RequestProgress
 from burdockdrum.passthrough.protocol import Target
@@ -187,6 +188,8 @@
         others = progress.begun_runs - attempt.counted_runs
         if others + runs >= request.attempts:
             return False
+        if has_tried_enough(request, progress):
+            return False
         if not self._has_alternative(request, progress, target):
             return False
         return self._retries.ensure_charged(request, progress)
--- a/burdockdrum/passthrough/relaying/request_runner.py
+++ b/burdockdrum/passthrough/relaying/request_runner.py
@@ -16,6 +16,7 @@
 from burdockdrum.passthrough.protocol import find_cut_cause
 from burdockdrum.passthrough.protocol import forwarded_attempts
 from burdockdrum.passthrough.protocol import granted_runs
+from burdockdrum.passthrough.protocol import has_tried_enough
 from burdockdrum.passthrough.protocol import HeaderNames
 from burdockdrum.passthrough.protocol import HOP_USED_ATTEMPTS
 from burdockdrum.passthrough.protocol import Lost
@@ -48,9 +49,6 @@
 from burdockdrum.verdicts import worst
 
 FIRST_SERVER_ERROR_STATUS = 500
-# Limits the attempts at endpoints that are unreachable or refuse, which come
-# on top of the route's attempts.
-MAX_NOT_STARTED_ATTEMPTS = 4
 
 
 class RequestRunner:
@@ -325,7 +323,7 @@
     ) -> bool:
         if request.deadline <= self._clock.monotonic():
             return False
-        if len(progress.tried) >= MAX_NOT_STARTED_ATTEMPTS + request.attempts:
+        if has_tried_enough(request, progress):
             return False
         if isinstance(outcome, ErrorResponse) and not _is_server_error(
             outcome
--- a/tests/passthrough/relaying/test_silent_endpoints.py
+++ b/tests/passthrough/relaying/test_silent_endpoints.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from burdockdrum.passthrough.protocol import MAX_NOT_STARTED_ATTEMPTS
 from burdockdrum.verdicts import Refusal
 from burdockdrum.verdicts import RefusalCode
 from burdockdrum.verdicts import Verdict
@@ -13,12 +14,13 @@
 from tests.passthrough.entries import EntryDeployment
 from tests.passthrough.entries import event
 from tests.passthrough.entries import events
+from tests.passthrough.entries import NAMES
 from tests.passthrough.entries import never_respond
 from tests.passthrough.entries import RelayCase
 from tests.passthrough.streams import StreamCase
 
 PAUSE_SECONDS = 2.0
-NOT_RUN = b"X-Not-Run: 1"
+NOT_RUN = NAMES.not_run + b": 1"
 REJECT = answer(b"", b"503 Service Unavailable", NOT_RUN)
 FAIL = answer(b"", b"500 Internal Server Error")
 
@@ -137,6 +139,18 @@
         await self.call(entry)
         self.assertEqual(2, sum(len(e.seen) for e in endpoints))
 
+    async def test_stalled_stream_tries_as_few_endpoints_as_any_request(self):
+        # Guards against a rejection of each endpoint of a service, one after
+        # another at once, for a single silent one.
+        endpoints = [Endpoint(None) for _ in range(12)]
+        entry = await self.open(*endpoints, timeout_seconds=4.0, **self.ROUTE)
+        share(endpoints, pause_in_stream, REJECT)
+        for _ in range(20):
+            entry.budget.record_request("model")
+        await self.call(entry)
+        tried = sum(len(e.seen) for e in endpoints)
+        self.assertLessEqual(tried, 2 + MAX_NOT_STARTED_ATTEMPTS)
+
     async def test_caller_that_leaves_ends_both_attempts(self):
         # Guards against work for a caller that has left.
         endpoints = [Endpoint(None), Endpoint(None)]
