--- a/burdockdrum/passthrough/protocol/hop_routes.py
+++ b/burdockdrum/passthrough/protocol/hop_routes.py
@@ -27,8 +27,8 @@
 from burdockdrum.verdicts import RefusalCode
 from burdockdrum.verdicts import Verdict
 
-# How much later another entry may hear of a change, p99 0.13 s. Requests that
-# it reads in this time may still have the route that was changed.
+# How much later another entry may hear of a change. Requests that it reads in
+# this time may still have the route that was changed.
 MAX_NEWS_SECONDS = 0.2
 # Only a configuration change can resolve a residency conflict.
 RESIDENCY_RETRY_SECONDS = 5.0
