Let copies of a suspect wait until a crash is known

Since attempts run in tasks of their own, a run counted as ended before it was settled whether it had crashed its endpoint, and a copy that waited for it crashed one more: 5 of 4 allowed.

--- a/burdockdrum/passthrough/relaying/crash_guard.py
+++ b/burdockdrum/passthrough/relaying/crash_guard.py
@@ -106,6 +106,12 @@
                 ),
             )
 
+    async def settle(self, request: ProxiedRequest, outcome: Outcome) -> None:
+        """Wait until it is known whether an attempt crashed its endpoint."""
+        match outcome:
+            case Lost(is_broken=True):
+                await self._detector.settle(request.suspects)
+
     async def check_outcome(
         self,
         request: ProxiedRequest,
@@ -124,7 +130,6 @@
                     progress, exchange, "another region rejects the request"
                 )
             case Lost(is_broken=True):
-                await self._detector.settle(request.suspects)
                 self.check(request, progress, exchange)
 
     def _reject(
--- a/burdockdrum/passthrough/relaying/request_runner.py
+++ b/burdockdrum/passthrough/relaying/request_runner.py
@@ -139,9 +139,12 @@
             try:
                 target = await self._find_target(request, progress, exchange)
                 if target is not None:
-                    return await self._execute(
+                    outcome = await self._execute(
                         target, attempt, request, progress, exchange
                     )
+                    # Copies that wait for this run must know its crash.
+                    await self._crash_guard.settle(request, outcome)
+                    return outcome
             finally:
                 self._crash_guard.end_attempt(run)
 
