--- a/review/2/case.py
+++ b/review/2/case.py
@@ -25,6 +25,9 @@
 CONTROL_PORT, FRONT_PORT, READY_PORT, DIRECTORY_PORT = 8146, 8144, 8140, 8143
 RUNNER_PORT = 8080
 INTERNAL_PORTS = [7660, 7675]
+# The port of the metrics that the deploy file names.
+METRICS_PORT = 9464
+MAX_SECONDS = 110.0
 BOUNDS = {
     "seed_lag_s": 3,
     "addr_reuse_s": 2,
@@ -406,6 +409,7 @@
         reservation = socket.socket()
         try:
             reservation.bind((f"{network}.250.9", CONTROL_PORT))
+            check_free(network)
         except OSError:
             reservation.close()
             continue
@@ -413,6 +417,28 @@
     raise CouldNotRun("no free loopback network")
 
 
+def check_free(network):
+    """Check that the addresses of all processes are free.
+
+    :raises OSError: if one is not
+    """
+    ports = (
+        *INTERNAL_PORTS,
+        INTERNAL_PORTS[0] + 1,
+        CONTROL_PORT,
+        FRONT_PORT,
+        READY_PORT,
+        DIRECTORY_PORT,
+        RUNNER_PORT,
+        METRICS_PORT,
+    )
+    for zone in range(len(ZONES)):
+        for host in (1, 10, 20):
+            for port in ports:
+                with socket.socket() as probe:
+                    probe.bind((f"{network}.{zone + 1}.{host}", port))
+
+
 async def play(record, folder, machines):
     """Play the case; return whether the rule was broken."""
     reservation, network = reserve_network()
@@ -550,15 +576,25 @@
     return mixed > MAX_MIXED
 
 
+async def play_in_time(record, folder, machines):
+    """Play the case, unless it takes too long."""
+    async with asyncio.timeout(MAX_SECONDS):
+        return await play(record, folder, machines)
+
+
 def main():
+    # Ends the processes of the case also if this one is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record()
     machines = []
     with tempfile.TemporaryDirectory() as folder:
         try:
-            broken = asyncio.run(play(record, pathlib.Path(folder), machines))
-        except (CouldNotRun, OSError) as error:
-            record.write(f"could not run: {error}")
-            print(f"could not run: {error}", file=sys.stderr)
+            broken = asyncio.run(
+                play_in_time(record, pathlib.Path(folder), machines)
+            )
+        except Exception as error:
+            record.write(f"could not run: {error!r}")
+            print(f"could not run: {error!r}", file=sys.stderr)
             return 2
         finally:
             for machine in machines:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -24,6 +24,9 @@
 CONTROL_PORT, FRONT_PORT, READY_PORT, DIRECTORY_PORT = 8146, 8144, 8140, 8143
 RUNNER_PORT = 8080
 INTERNAL_PORTS = [7660, 7675]
+# The port of the metrics that the deploy file names.
+METRICS_PORT = 9464
+MAX_SECONDS = 110.0
 BOUNDS = {
     "seed_lag_s": 3,
     "addr_reuse_s": 2,
@@ -216,7 +219,10 @@
     async def _answer(self, path, headers, arrived):
         request_id = headers.get("x-request-id", "")
         expected = headers.get("x-expect-instance", self.instance_id)
-        lines = [f"X-Request-Id: {request_id}", f"X-Instance-Id: {self.instance_id}"]
+        lines = [
+            f"X-Request-Id: {request_id}",
+            f"X-Instance-Id: {self.instance_id}",
+        ]
         status, body = "200 OK", b"done"
         if expected != self.instance_id:
             status, body = "421 Misdirected Request", b""
@@ -274,9 +280,14 @@
 
         :returns: the moment of the acknowledgement
         """
+        backoff = 0.0
         for _ in range(5):
             for node in nodes:
-                self.record.write(f"operator sends {method} {path} to {node.name}")
+                await asyncio.sleep(backoff)
+                backoff += 0.1
+                self.record.write(
+                    f"operator sends {method} {path} to {node.name}"
+                )
                 status, _ = await call(
                     node.ip,
                     CONTROL_PORT,
@@ -286,8 +297,8 @@
                     seconds=OPERATOR_WAIT_SECONDS,
                 )
                 self.record.write(
-                    f"operator gets {status or 'no answer'} for {method} {path}"
-                    f" from {node.name}"
+                    f"operator gets {status or 'no answer'} for {method}"
+                    f" {path} from {node.name}"
                 )
                 if status == 200:
                     return time.monotonic()
@@ -309,7 +320,9 @@
     while not ended.is_set():
         number += 1
         entry = entries[number % len(entries)]
-        task = asyncio.create_task(send_request(entry, f"q{number}", record, sent))
+        task = asyncio.create_task(
+            send_request(entry, f"q{number}", record, sent)
+        )
         tasks.add(task)
         task.add_done_callback(tasks.discard)
         await asyncio.sleep(REQUEST_INTERVAL_SECONDS)
@@ -337,6 +350,7 @@
         reservation = socket.socket()
         try:
             reservation.bind((f"{network}.250.9", CONTROL_PORT))
+            check_free(network)
         except OSError:
             reservation.close()
             continue
@@ -344,6 +358,28 @@
     raise CouldNotRun("no free loopback network")
 
 
+def check_free(network):
+    """Check that the addresses of all processes are free.
+
+    :raises OSError: if one is not
+    """
+    ports = (
+        *INTERNAL_PORTS,
+        INTERNAL_PORTS[0] + 1,
+        CONTROL_PORT,
+        FRONT_PORT,
+        READY_PORT,
+        DIRECTORY_PORT,
+        RUNNER_PORT,
+        METRICS_PORT,
+    )
+    for zone in range(len(ZONES)):
+        for host in (1, 10, 20):
+            for port in ports:
+                with socket.socket() as probe:
+                    probe.bind((f"{network}.{zone + 1}.{host}", port))
+
+
 async def play(record, folder, machines):
     """Play the case; return whether the rule was broken."""
     reservation, network = reserve_network()
@@ -376,9 +412,7 @@
     ended = asyncio.Event()
     tasks = []
     try:
-        return await play_day(
-            record, controls, entries, runners, tasks, ended
-        )
+        return await play_day(record, controls, entries, runners, tasks, ended)
     finally:
         ended.set()
         for task in tasks:
@@ -469,7 +503,7 @@
     froze_at = time.monotonic()
     # The zone is taken back, and emptied again a moment later.
     await operator.order("DELETE", path, [frozen, *calm])
-    await asyncio.sleep(0.3)
+    await asyncio.sleep(1.0)
     evacuated_at = await operator.order("POST", path, calm)
     if TROUBLE:
         await asyncio.sleep(
@@ -480,10 +514,13 @@
         record.write(f"{frozen.name} wakes")
 
     # The longest that the bound may be stretched, and all in touch again.
-    judged_from = max(
-        evacuated_at + EVAC_SECONDS + MAX_STRETCH_SECONDS,
-        thawed_at + CONTACT_SECONDS,
-    ) + 0.5
+    judged_from = (
+        max(
+            evacuated_at + EVAC_SECONDS + MAX_STRETCH_SECONDS,
+            thawed_at + CONTACT_SECONDS,
+        )
+        + 0.5
+    )
     await asyncio.sleep(judged_from + JUDGED_SECONDS - time.monotonic())
     ended.set()
     await clients
@@ -514,15 +551,25 @@
     return bool(late)
 
 
+async def play_in_time(record, folder, machines):
+    """Play the case, unless it takes too long."""
+    async with asyncio.timeout(MAX_SECONDS):
+        return await play(record, folder, machines)
+
+
 def main():
+    # Ends the processes of the case also if this one is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record()
     machines = []
     with tempfile.TemporaryDirectory() as folder:
         try:
-            broken = asyncio.run(play(record, pathlib.Path(folder), machines))
-        except (CouldNotRun, OSError) as error:
-            record.write(f"could not run: {error}")
-            print(f"could not run: {error}", file=sys.stderr)
+            broken = asyncio.run(
+                play_in_time(record, pathlib.Path(folder), machines)
+            )
+        except Exception as error:
+            record.write(f"could not run: {error!r}")
+            print(f"could not run: {error!r}", file=sys.stderr)
             return 2
         finally:
             for machine in machines:
