--- a/review/2/case.py
+++ b/review/2/case.py
@@ -57,7 +57,7 @@
 # Clients abandon a stream after a gap of two seconds, four times the objective
 # or eight times the longest pause: here 4 x 800 ms and 8 x 400 ms.
 GAP_SECONDS = 3.2
-EVENTS = 60
+EVENTS = 45
 EVENT_SECONDS = 0.08
 # When the region is lost, after the streams began.
 LOSS_SECONDS = 1.5
