--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -20,6 +20,11 @@
 from burdockdrum.passthrough.selection.stale_load import draw
 from burdockdrum.passthrough.selection.stale_load import find_level
 from burdockdrum.passthrough.selection.stalls import StallDetector
+from burdockdrum.passthrough.selection.versions import ANY_VERSION
+from burdockdrum.passthrough.selection.versions import AnyVersion
+from burdockdrum.passthrough.selection.versions import EstablishedVersion
+from burdockdrum.passthrough.selection.versions import OnlyVersion
+from burdockdrum.passthrough.selection.versions import VersionFilter
 from burdockdrum.passthrough.state import BackoffGate
 from burdockdrum.passthrough.state import EndpointHealth
 from burdockdrum.passthrough.state import EndpointLimits
@@ -77,6 +82,7 @@
         is_chosen: Callable[[str, int], bool | None] = lambda *_: None,
         may_have_place: Callable[[str], bool] = lambda endpoint_id: True,
         pauses: PauseDetector | None = None,
+        is_established: Callable[[str, str], bool] = lambda *_: True,
     ) -> None:
         """Create a fleet.
 
@@ -101,7 +107,10 @@
         :param may_have_place: returns whether an endpoint may have a place
             for a request, if it needs one
         :param pauses: detects pauses of this process; none if None
+        :param is_established: returns whether streams that callers may take
+            up elsewhere may begin at a software version of a service
         """
+        self._is_established = is_established
         self._mechanisms = mechanisms or MechanismSettings()
         # Called with a service when an endpoint may have capacity again.
         self.on_capacity: Callable[[str], None] = _ignore
@@ -203,7 +212,7 @@
         closed_data_centres: frozenset[str],
         body_bytes: int = 0,
         permitted: str | None = None,
-        software_version: str | None = None,
+        versions: VersionFilter = ANY_VERSION,
     ) -> RatedEndpoint | None:
         """Return the endpoint with the best expected wait.
 
@@ -215,10 +224,10 @@
         :param body_bytes: size of the request's body
         :param permitted: id of an endpoint at its rate limit, for which a
             permit was acquired
-        :param software_version: the only one that the endpoint may have
+        :param versions: the software versions that the endpoint may have
         """
         split = self._split_eligible(
-            backend, tried, closed_data_centres, software_version
+            backend, tried, closed_data_centres, versions
         )
         candidates = split.available
         if permitted is not None:
@@ -283,11 +292,11 @@
         backend: Backend,
         tried: frozenset[str],
         closed_data_centres: frozenset[str],
-        software_version: str | None = None,
+        versions: VersionFilter = ANY_VERSION,
     ) -> list[str]:
         """Return the ids of endpoints that only their limits exclude."""
         split = self._split_eligible(
-            backend, tried, closed_data_centres, software_version
+            backend, tried, closed_data_centres, versions
         )
         return [endpoint.endpoint_id for endpoint in split.at_limit]
 
@@ -295,12 +304,12 @@
         self,
         backend: Backend,
         closed_data_centres: frozenset[str],
-        software_version: str | None = None,
+        versions: VersionFilter = ANY_VERSION,
     ) -> RequestedBackoff | None:
         """Return the backoff that ends first, if all endpoints are in one."""
         backoffs = [
             self._backoff_gate.find(endpoint.endpoint_id)
-            for endpoint in self._list_live(backend.name, software_version)
+            for endpoint in self._list_live(backend.name, versions)
             if endpoint.data_centre not in closed_data_centres
         ]
         active = [backoff for backoff in backoffs if backoff is not None]
@@ -326,24 +335,28 @@
         backend: Backend,
         tried: frozenset[str],
         closed_data_centres: frozenset[str],
-        software_version: str | None,
+        versions: VersionFilter,
     ) -> Candidates:
-        live = self._list_live(backend.name, software_version)
+        live = self._list_live(backend.name, versions)
         return self._eligibility.split(
             live, backend, tried, closed_data_centres
         )
 
     def _list_live(
-        self, service: str, software_version: str | None
+        self, service: str, versions: VersionFilter
     ) -> list[RegisteredEndpoint]:
         live = self._eligibility.list_live(service)
-        if software_version is None:
-            return live
-        return [
-            endpoint
-            for endpoint in live
-            if endpoint.software_version == software_version
-        ]
+        match versions:
+            case AnyVersion():
+                return live
+            case OnlyVersion(software_version=only):
+                return [e for e in live if e.software_version == only]
+            case EstablishedVersion():
+                return [
+                    endpoint
+                    for endpoint in live
+                    if self._is_established(service, endpoint.software_version)
+                ]
 
     def _list_sources(self, service: str) -> list[RegisteredEndpoint]:
         live = self._eligibility.list_live(service)
@@ -376,13 +389,13 @@
         return local or rated_endpoints
 
     def count_live(
-        self, service: str, software_version: str | None = None
+        self, service: str, versions: VersionFilter = ANY_VERSION
     ) -> int:
         """Return how many endpoints of a service accept requests here.
 
-        :param software_version: count only those; all versions if None
+        :param versions: count only those with these software versions
         """
-        return len(self._list_live(service, software_version))
+        return len(self._list_live(service, versions))
 
     def has_changed_version(self, endpoint: RegisteredEndpoint) -> bool:
         """Return whether an endpoint has another version than it had."""
--- a/burdockdrum/passthrough/selection/targets.py
+++ b/burdockdrum/passthrough/selection/targets.py
@@ -21,6 +21,10 @@
 from burdockdrum.passthrough.selection.output_pace import OutputNeeds
 from burdockdrum.passthrough.selection.region_rating import RegionRater
 from burdockdrum.passthrough.selection.team_shares import TeamShares
+from burdockdrum.passthrough.selection.versions import ANY_VERSION
+from burdockdrum.passthrough.selection.versions import ESTABLISHED_VERSION
+from burdockdrum.passthrough.selection.versions import OnlyVersion
+from burdockdrum.passthrough.selection.versions import VersionFilter
 from burdockdrum.passthrough.state import ExpectedWait
 from burdockdrum.passthrough.state import RatedEndpoint
 from burdockdrum.peers import VmIdentity
@@ -378,7 +382,7 @@
             closed_data_centres=self._read_closed_data_centres(),
             body_bytes=len(request.head.body),
             permitted=permit.endpoint_id if permit is not None else None,
-            software_version=_version_of(progress),
+            versions=_versions_for(request, progress),
         )
 
     def _choose_region(
@@ -473,7 +477,7 @@
             request.backend,
             frozenset(progress.tried),
             self._read_closed_data_centres(),
-            _version_of(progress),
+            _versions_for(request, progress),
         )
 
     def seconds_until_backoffs_end(
@@ -491,7 +495,7 @@
         backoff = self._fleet.find_first_backoff(
             request.backend,
             self._read_closed_data_centres(),
-            _version_of(progress),
+            _versions_for(request, progress),
         )
         if backoff is None:
             return None
@@ -596,8 +600,13 @@
 
         :param software_version: any one if None
         """
+        versions = (
+            ANY_VERSION
+            if software_version is None
+            else OnlyVersion(software_version=software_version)
+        )
         if self._may_run_here(request) and self._fleet.count_live(
-            request.backend.name, software_version
+            request.backend.name, versions
         ):
             return True
         return request.forwarded_from is None and self._regions.serve_version(
@@ -660,7 +669,10 @@
         )
 
 
-def _version_of(progress: RequestProgress) -> str | None:
-    """Return the only software version that may go on with a stream."""
-    origin = progress.origin
-    return origin.software_version if origin is not None else None
+def _versions_for(
+    request: ProxiedRequest, progress: RequestProgress
+) -> VersionFilter:
+    """Return the software versions that may serve a request."""
+    if progress.origin is not None:
+        return OnlyVersion(software_version=progress.origin.software_version)
+    return ESTABLISHED_VERSION if request.is_resumable else ANY_VERSION
--- a/burdockdrum/registrations/control_source.py
+++ b/burdockdrum/registrations/control_source.py
@@ -32,6 +32,7 @@
     capacities: list[ServiceCapacity] = field(default_factory=list)
     versions: list[ServiceVersion] = field(default_factory=list)
     version_serial: int = 0
+    are_versions_complete: bool = False
     stale_until_by_id: dict[str, float] = field(default_factory=dict)
 
     def begin_epoch(self, epoch: int, stale_until: float) -> None:
@@ -42,6 +43,7 @@
         self.epoch = epoch
         self.serial = 0
         self.version_serial = 0
+        self.are_versions_complete = False
         self.roster_version = NO_ROSTER_VERSION
         self.stale_until_by_id = dict.fromkeys(
             self.endpoints_by_id, stale_until
--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -42,6 +42,8 @@
 from burdockdrum.registrations.replaced_control_vms import ReplacedControlVms
 from burdockdrum.registrations.rosters import NO_ROSTER_VERSION
 from burdockdrum.registrations.software_versions import KnownVersions
+from burdockdrum.registrations.software_versions import VersionKey
+from burdockdrum.registrations.version_confirmation import VersionConfirmation
 
 # What a control VM reported before its restart or its replacement stays valid
 # for so long, in which a live endpoint checks in again.
@@ -107,6 +109,12 @@
             clock=clock, read_entry_count=lambda: self.total_entries
         )
         self.versions = KnownVersions(clock=clock)
+        self._established_versions: frozenset[VersionKey] = frozenset()
+        self._confirmation = VersionConfirmation(
+            clock=clock,
+            read_control_ids=lambda: self._control_addresses().keys(),
+            poll=self._watch_all,
+        )
         peers.register(RegistrationUpdate, self._receive_update)
 
     @property
@@ -154,19 +162,34 @@
         )
 
     def hears_majority(self) -> bool:
-        """Return whether most control VMs have sent updates lately.
+        """Return whether most control VMs have told their versions lately.
 
-        Then a version that isn't known has no endpoint, except behind a cut.
+        A version that appeared since may be unknown; ``confirm_versions``
+        rules that out.
         """
         since = self._clock.monotonic() - liveness_timeout(self.total_entries)
         control_ids = self._control_addresses().keys()
         heard = sum(
-            source.received_at >= since and source.version_serial > 0
+            source.received_at >= since and source.are_versions_complete
             for vm_id, source in self._sources_by_id.items()
             if vm_id in control_ids
         )
         return heard * 2 > len(control_ids)
 
+    async def confirm_versions(self, seconds: float) -> bool:
+        """Learn of each version that was established before this call.
+
+        :param seconds: how long at most
+        :returns: whether a majority of control VMs has replied
+        """
+        return await self._confirmation.confirm(seconds)
+
+    def is_version_established(
+        self, service: str, software_version: str
+    ) -> bool:
+        """Return whether a quorum of control VMs knows a version."""
+        return (service, software_version) in self._established_versions
+
     def report_limits(self) -> None:
         """Report limits at once to the control VMs that don't know them."""
         for vm_id, address in self._control_addresses().items():
@@ -203,6 +226,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._poll())
             group.create_task(self._share_crashes())
+            group.create_task(self._confirmation.run())
 
     async def _share_crashes(self) -> None:
         """Report crashes that control VMs don't know, without a poll."""
@@ -215,11 +239,14 @@
     async def _poll(self) -> None:
         while True:
             report = self.read_report()
-            for vm_id, address in self._control_addresses().items():
-                self._watch(vm_id, address, report)
+            self._watch_all(report)
             self._prune()
             await self._clock.sleep(self._poll_delay(report))
 
+    def _watch_all(self, report: LoadById | None = None) -> None:
+        for vm_id, address in self._control_addresses().items():
+            self._watch(vm_id, address, report)
+
     def _poll_delay(self, report: LoadById | None) -> float:
         """Return the seconds until control VMs are polled again.
 
@@ -290,10 +317,7 @@
             base=message.crash_base,
             serial=message.crash_serial,
         )
-        if message.versions is not None:
-            source.versions = message.versions
-            source.version_serial = message.version_serial
-        self.versions.record(source.versions)
+        self._receive_versions(sender.vm_id, source, message)
         if message.capacities is not None:
             source.capacities = message.capacities
         if message.base_serial <= source.serial <= message.serial:
@@ -307,6 +331,29 @@
             self._notify_listeners()
         return None
 
+    def _receive_versions(
+        self, vm_id: str, source: ControlSource, message: RegistrationUpdate
+    ) -> None:
+        if message.versions is not None:
+            source.versions = message.versions
+            source.version_serial = message.version_serial
+            self._update_established()
+        self.versions.record(source.versions)
+        source.are_versions_complete = (
+            message.are_versions_complete
+            and source.version_serial == message.version_serial
+        )
+        if source.are_versions_complete:
+            self._confirmation.record(vm_id, message.watch_sent_at_ms)
+
+    def _update_established(self) -> None:
+        self._established_versions = frozenset(
+            (known.service, known.software_version)
+            for source in self._sources_by_id.values()
+            for known in source.versions
+            if known.is_established
+        )
+
     def _receive_roster(
         self, vm_id: str, source: ControlSource, message: RegistrationUpdate
     ) -> None:
@@ -474,6 +521,7 @@
             source = self._sources_by_id.pop(vm_id)
             self._entry_counts_by_id.pop(vm_id, None)
             self._crash_exchange.forget(vm_id)
+            self._update_established()
             for endpoint_id in source.endpoints_by_id:
                 self._merge(endpoint_id)
             log_decision(
--- a/burdockdrum/registrations/messages.py
+++ b/burdockdrum/registrations/messages.py
@@ -90,12 +90,14 @@
 class ServiceVersion(msgspec.Struct, frozen=True, array_like=True):
     """A software version that endpoints of a service have, or had lately.
 
-    ``age`` is the time in seconds since one had it.
+    ``age`` is the time in seconds since one had it. ``is_established`` says
+    that a quorum of control VMs knows that endpoints of the sender have it.
     """
 
     service: str
     software_version: str
     age: float = 0.0
+    is_established: bool = False
 
 
 class LimitNotice(msgspec.Struct, frozen=True, array_like=True):
@@ -253,7 +255,8 @@
     ``watch_sent_at_ms`` repeats ``sent_at_ms`` of the entry's last message.
     ``crashes`` are the records of crashes that were changed after the serial
     ``crash_base``, up to ``crash_serial``. ``versions`` are the software
-    versions of services, None if the entry knows those of ``version_serial``.
+    versions of services, None if the entry knows those of ``version_serial``;
+    ``are_versions_complete`` says that the control VM has forgotten none.
     """
 
     wire_kind: ClassVar[str | None] = "registrations.Watched"
@@ -274,3 +277,4 @@
     crash_serial: int = 0
     versions: list[ServiceVersion] | None = None
     version_serial: int = 0
+    are_versions_complete: bool = False
--- a/burdockdrum/registrations/publisher.py
+++ b/burdockdrum/registrations/publisher.py
@@ -266,6 +266,7 @@
             crash_serial=crash_serial,
             versions=None if knows_versions else table.versions.list_known(),
             version_serial=table.versions.serial,
+            are_versions_complete=table.versions.is_complete,
         )
         self._peers.send(watcher.address, message)
 
--- a/burdockdrum/registrations/services.py
+++ b/burdockdrum/registrations/services.py
@@ -3,6 +3,7 @@
 import random
 
 from burdockdrum.configuration import ConfigurationService
+from burdockdrum.consensus import ReplicatedLog
 from burdockdrum.crashes import CrashLedger
 from burdockdrum.kernel import Kernel
 from burdockdrum.peers import Peers
@@ -14,6 +15,7 @@
 from burdockdrum.registrations.publisher import RegistrationPublisher
 from burdockdrum.registrations.store import RegistrationStore
 from burdockdrum.registrations.table import RegistrationTable
+from burdockdrum.registrations.version_exchange import VersionExchange
 from burdockdrum.settings import Settings
 from burdockdrum.vms import VmDirectory
 
@@ -24,13 +26,16 @@
         kernel.add("registration_book", _build_table)
         kernel.add("registration_publisher", _build_publisher)
         kernel.add("registration_store", _build_store)
+        kernel.add("version_exchange", _build_version_exchange)
     else:
         kernel.add("registrations", _build_follower)
         kernel.add("load_sharing", _build_load_sharing)
 
 
 def _build_table(kernel: Kernel) -> RegistrationTable:
-    return RegistrationTable(clock=kernel.find("clock", Clock))
+    return RegistrationTable(
+        clock=kernel.find("clock", Clock), are_versions_shared=True
+    )
 
 
 def _build_store(kernel: Kernel) -> RegistrationStore:
@@ -42,6 +47,25 @@
     )
 
 
+def _build_version_exchange(kernel: Kernel) -> VersionExchange:
+    log = kernel.find("log", ReplicatedLog)
+    store = kernel.find("registration_store", RegistrationStore)
+    settings = kernel.find("settings", Settings)
+    return VersionExchange(
+        peers=kernel.find("peers", Peers),
+        clock=kernel.find("clock", Clock),
+        versions=kernel.find("registration_book", RegistrationTable).versions,
+        restored=store.restored,
+        flush=store.flush,
+        read_voters=lambda: {
+            member.vm_id: member.address
+            for member in log.members
+            if member.voter
+        },
+        is_first_start=settings.control.first_start,
+    )
+
+
 def _build_publisher(kernel: Kernel) -> RegistrationPublisher:
     settings = kernel.find("settings", Settings)
     configuration = kernel.find("configuration", ConfigurationService)
--- a/burdockdrum/registrations/store.py
+++ b/burdockdrum/registrations/store.py
@@ -6,6 +6,9 @@
 as usual.
 """
 
+import asyncio
+import contextlib
+
 import msgspec
 
 from burdockdrum.crashes import CrashLedger
@@ -18,6 +21,7 @@
 from burdockdrum.ports import DiskError
 from burdockdrum.registrations.messages import Registration
 from burdockdrum.registrations.messages import ServiceVersion
+from burdockdrum.registrations.software_versions import VersionReport
 from burdockdrum.registrations.table import RegistrationTable
 
 # Check-ins without a change cause no write.
@@ -31,12 +35,20 @@
 
 
 class StoredRegistrations(msgspec.Struct, frozen=True, kw_only=True):
-    """The content of the file; ``written_at`` is wall clock time."""
+    """The content of the file; ``written_at`` is wall clock time.
+
+    ``versions`` are all known software versions, ``own_versions`` those of
+    endpoints that checked in here, and ``version_reports`` those of other
+    control VMs; ``are_versions_complete`` says that none was forgotten.
+    """
 
     written_at: float
     registrations: list[Registration]
     crashes: list[CrashRecord] = []
     versions: list[ServiceVersion] = []
+    own_versions: list[ServiceVersion] = []
+    version_reports: list[VersionReport] = []
+    are_versions_complete: bool = False
 
 
 class RegistrationStore:
@@ -60,16 +72,25 @@
         self._disk = disk
         self._table = table
         self._written_serial = 0
+        self._written_version_serial = 0
+        # Set once the file was read, if there is one.
+        self.restored = asyncio.Event()
+        self._failure: str | None = None
+        self._wake = asyncio.Event()
+        self._waiters: list[asyncio.Future[None]] = []
 
     async def run(self) -> None:
         """Restore the file, then write changes until cancelled."""
         await self._restore()
+        self.restored.set()
         while True:
-            await self._clock.sleep(WRITE_INTERVAL_SECONDS)
-            if (
-                self._table.serial == self._written_serial
-                and self._crashes.serial == self._written_crash_serial
-            ):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(WRITE_INTERVAL_SECONDS):
+                    await self._wake.wait()
+            self._wake.clear()
+            waiters, self._waiters = self._waiters, []
+            if not self._has_changed():
+                _resolve(waiters)
                 continue
             try:
                 await self._write()
@@ -77,7 +98,30 @@
                 # After a failed sync no later write can be trusted. Only the
                 # next start is affected, so the VM keeps running.
                 log_failure("registrations.not_stored", reason=str(error))
+                self._failure = str(error)
+                _resolve([*waiters, *self._waiters], failure=self._failure)
                 return
+            _resolve(waiters)
+
+    async def flush(self) -> None:
+        """Wait until all that is known now is durable.
+
+        :raises DiskError: if it can't be written
+        """
+        if self._failure is not None:
+            raise DiskError(self._failure)
+        waiter: asyncio.Future[None] = asyncio.Future()
+        self._waiters.append(waiter)
+        self._wake.set()
+        await waiter
+
+    def _has_changed(self) -> bool:
+        return (
+            self._table.serial != self._written_serial
+            or self._table.versions.stored_serial
+            != self._written_version_serial
+            or self._crashes.serial != self._written_crash_serial
+        )
 
     async def _restore(self) -> None:
         try:
@@ -93,17 +137,15 @@
             log_failure("registrations.not_restored", reason=str(error))
             return
         age = self._clock.wall() - stored.written_at
-        if not 0 <= age <= MAX_AGE_SECONDS:
+        is_recent = 0 <= age <= MAX_AGE_SECONDS
+        self._restore_versions(stored, age if is_recent else 0.0)
+        if not is_recent:
             log_decision("registrations.too_old", age=round(age, 1))
             return
         count = self._table.restore(
             _add_age(registration, age)
             for registration in stored.registrations
         )
-        self._table.versions.restore(
-            msgspec.structs.replace(known, age=known.age + age)
-            for known in stored.versions
-        )
         for record in stored.crashes:
             self._crashes.merge(
                 msgspec.structs.replace(record, age=record.age + age)
@@ -115,14 +157,39 @@
             age=round(age, 3),
         )
 
+    def _restore_versions(
+        self, stored: StoredRegistrations, seconds: float
+    ) -> None:
+        """Restore the versions; to know one for too long does no harm."""
+
+        def add_age(versions: list[ServiceVersion]) -> list[ServiceVersion]:
+            return [
+                msgspec.structs.replace(known, age=known.age + seconds)
+                for known in versions
+            ]
+
+        versions = self._table.versions
+        versions.restore(
+            add_age(stored.versions),
+            add_age(stored.own_versions),
+            stored.version_reports,
+        )
+        if stored.are_versions_complete:
+            versions.complete()
+
     async def _write(self) -> None:
         serial = self._table.serial
+        versions = self._table.versions
+        version_serial = versions.stored_serial
         crashes, crash_serial = self._crashes.records_after(0, MAX_RECORDS)
         stored = StoredRegistrations(
             written_at=self._clock.wall(),
             registrations=self._table.ready_or_draining(),
             crashes=crashes,
-            versions=self._table.versions.list_known(),
+            versions=versions.list_known(),
+            own_versions=versions.list_own(),
+            version_reports=versions.list_reports(),
+            are_versions_complete=versions.is_complete,
         )
         await self._disk.write(
             _TEMPORARY_FILE_NAME, msgspec.msgpack.encode(stored)
@@ -131,6 +198,7 @@
         await self._disk.rename(_TEMPORARY_FILE_NAME, _FILE_NAME)
         await self._disk.sync_folder()
         self._written_serial = serial
+        self._written_version_serial = version_serial
         self._written_crash_serial = crash_serial
 
 
@@ -141,3 +209,17 @@
     return msgspec.structs.replace(
         registration, rate_limit_age=registration.rate_limit_age + seconds
     )
+
+
+def _resolve(
+    waiters: list[asyncio.Future[None]], *, failure: str | None = None
+) -> None:
+    for waiter in waiters:
+        if waiter.done():
+            continue
+        if failure is None:
+            waiter.set_result(None)
+        else:
+            waiter.set_exception(DiskError(failure))
+            # Marks it as retrieved, as its task may have been cancelled.
+            waiter.exception()
--- a/burdockdrum/registrations/table.py
+++ b/burdockdrum/registrations/table.py
@@ -47,11 +47,19 @@
 class RegistrationTable:
     """The registrations by endpoint id; each change gets a new serial."""
 
-    def __init__(self, *, clock: Clock) -> None:
-        """Create an empty table."""
+    def __init__(
+        self, *, clock: Clock, are_versions_shared: bool = False
+    ) -> None:
+        """Create an empty table.
+
+        :param are_versions_shared: whether other control VMs are told of the
+            software versions
+        """
         self.serial = 0
         self.listeners: list[Callable[[Registration], None]] = []
-        self.versions = VersionMemory(clock=clock)
+        self.versions = VersionMemory(
+            clock=clock, is_shared=are_versions_shared
+        )
         self._clock = clock
         self._records_by_id: dict[str, _Record] = {}
         self._newest_id_by_address: dict[str, str] = {}
--- a/burdockdrum/settings/model.py
+++ b/burdockdrum/settings/model.py
@@ -54,10 +54,12 @@
     number of voters that the control VMs maintain automatically: a member
     with an empty disk is added again, a lost one replaced. 0 leaves this to
     operators. ``election_seconds`` is the election timeout; it has to cover
-    several round trips and disk syncs.
+    several round trips and disk syncs. ``first_start`` is set only while the
+    whole system starts for the first time, with empty data folders.
     """
 
     members: dict[str, str] = {}
+    first_start: bool = False
     voters: int = 0
     election_seconds: float = 1.2
     data_folder: str | None = None
--- a/burdockdrum/streams/holders.py
+++ b/burdockdrum/streams/holders.py
@@ -11,6 +11,8 @@
 from burdockdrum.vms import choose_by_hash
 from burdockdrum.vms import ENTRIES_PER_SUMMARY
 
+# With a lost region, one of the entries elsewhere may be lost as well.
+FAR_HOLDERS = 2
 # Of each data centre that may keep an origin, this many entries are asked:
 # the views of which entries are alive differ for a moment.
 ASKED_PER_DATA_CENTRE = 2
@@ -19,7 +21,7 @@
 
 
 class HolderSelector:
-    """Chooses one other entry here, and one of another data centre."""
+    """Chooses one other entry here, and one of each of two data centres."""
 
     def __init__(
         self,
@@ -54,22 +56,24 @@
         """Return the entry of this data centre that keeps an origin."""
         return _first(self._choose_in(self._own.data_centre, key, 1))
 
-    def choose_far(self, key: bytes) -> VmIdentity | None:
-        """Return the entry of another data centre that keeps an origin."""
+    def choose_far(self, key: bytes) -> list[VmIdentity]:
+        """Return the entries of other data centres that keep an origin."""
         others = self._data_centres() - {self._own.data_centre}
-        for name in choose_by_hash(others, key.hex(), 1):
-            return _first(self._choose_in(name, key, 1))
-        return None
+        return [
+            entry
+            for name in choose_by_hash(others, key.hex(), FAR_HOLDERS)
+            for entry in self._choose_in(name, key, 1)
+        ]
 
     def choose_asked(self, key: bytes) -> list[VmIdentity]:
         """Return the entries that may keep an origin."""
         others = self._other_entries()
         if len(others) <= MAX_ALL_ASKED:
             return others
-        # The second one keeps it if the stream began in the first one.
+        # One more than keep it, as the stream may have begun in one of them.
         names = {
             self._own.data_centre,
-            *choose_by_hash(self._data_centres(), key.hex(), 2),
+            *choose_by_hash(self._data_centres(), key.hex(), FAR_HOLDERS + 1),
         }
         return [
             entry
--- a/burdockdrum/streams/origins.py
+++ b/burdockdrum/streams/origins.py
@@ -1,11 +1,13 @@
 """Keeps what began each stream, and finds it for a caller's next try.
 
-While a service has one software version only, nothing is sent: any entry
-knows what must have begun a stream. Where it has, or lately had, several, each
-entry tells two others of the streams that it begins.
+While a service has one software version only, nothing is sent: a quorum of
+control VMs knows each version before a stream begins at it, so that any entry
+can find out what must have begun a stream. Where it has, or lately had,
+several, each entry tells three others of the streams that it begins.
 """
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Collection
 from dataclasses import dataclass
@@ -35,6 +37,9 @@
 RENEWAL_SECONDS = MEMORY_SECONDS / 3
 # Two round trips between regions and a retransmission.
 ASK_TIMEOUT_SECONDS = 0.5
+# An entry that has just started learns of other entries in this time.
+DISCOVERY_SECONDS = 2.0
+DISCOVERY_INTERVAL_SECONDS = 0.1
 KEY_BYTES = 12
 
 
@@ -97,19 +102,25 @@
         read_entries: Callable[[], Collection[VmIdentity]],
         read_versions: Callable[[str], list[str]],
         knows_all_versions: Callable[[], bool],
+        confirm_versions: Callable[[float], Awaitable[bool]],
     ) -> None:
         """Register the message handlers.
 
         :param read_entries: returns the entries that are alive
         :param read_versions: returns the software versions that a service
             has or lately had
-        :param knows_all_versions: returns whether that is up to date
+        :param knows_all_versions: returns whether that was complete lately
+        :param confirm_versions: waits, for so many seconds at most, until
+            all versions at which a stream may have begun are known, and
+            returns whether they are
         """
         self._clock = clock
+        self._began_at = clock.monotonic()
         self._peers = peers
         self._own_id = peers.identity.vm_id
         self._read_versions = read_versions
         self._knows_all_versions = knows_all_versions
+        self._confirm_versions = confirm_versions
         self._holders = HolderSelector(
             own=peers.identity, read_entries=read_entries
         )
@@ -132,7 +143,7 @@
         """Record that the first event of a stream is about to be sent."""
         stream = self._open_by_key[key] = _OpenStream(origin=origin)
         self._memory.keep(key, origin)
-        if self._is_needed(origin.service):
+        if self._is_needed(origin):
             self._share({key: stream})
 
     def end(self, key: bytes) -> None:
@@ -151,21 +162,24 @@
         record = self._memory.find(key) if key is not None else None
         if record is not None:
             return _found(record, Knowledge.OWN, self._own_id)
-        only = self._find_only_version(services)
-        if only is not None:
-            return FoundOrigin(origin=only, knowledge=Knowledge.ONLY_VERSION)
+        seconds = min(seconds, ASK_TIMEOUT_SECONDS)
+        asked_ids: set[str] = set()
+        searches = [asyncio.create_task(self._confirm(services, seconds))]
+        if key is not None:
+            searches.append(
+                asyncio.create_task(self._ask(key, asked_ids, seconds))
+            )
+        found = await _first_found(searches)
+        if found is not None:
+            return found
         if key is None:
             return UnknownOrigin(
-                reason="endpoints have several software versions, and the "
+                reason="endpoints may have several software versions, and the "
                 "request doesn't name the one that began its stream"
             )
-        asked = self._holders.choose_asked(key)
-        found = await self._ask(key, asked, min(seconds, ASK_TIMEOUT_SECONDS))
-        if found is not None:
-            return found
         return UnknownOrigin(
-            reason=f"none of {len(asked)} other entries knows which software "
-            "version began the stream"
+            reason=f"none of {len(asked_ids)} other entries knows which "
+            "software version began the stream"
         )
 
     async def run(self) -> None:
@@ -185,37 +199,49 @@
         :param is_changed: whether other entries are alive than before
         """
         since = self._clock.monotonic() - RENEWAL_SECONDS
-        services = {s.origin.service for s in self._open_by_key.values()}
-        needed = {name for name in services if self._is_needed(name)}
+        origins = {stream.origin for stream in self._open_by_key.values()}
+        needed = {origin for origin in origins if self._is_needed(origin)}
         return {
             key: stream
             for key, stream in self._open_by_key.items()
-            if stream.origin.service in needed
+            if stream.origin in needed
             and (
                 is_changed or stream.sent_at is None or stream.sent_at < since
             )
         }
 
-    def _is_needed(self, service: str) -> bool:
+    def _is_needed(self, origin: StreamOrigin) -> bool:
         """Return whether other entries can't tell what began a stream."""
-        return (
-            not self._knows_all_versions()
-            or len(self._read_versions(service)) > 1
-        )
+        return not self._knows_all_versions() or self._read_versions(
+            origin.service
+        ) != [origin.software_version]
 
-    def _find_only_version(
-        self, services: Collection[str]
-    ) -> StreamOrigin | None:
-        if len(services) != 1 or not self._knows_all_versions():
+    async def _confirm(
+        self, services: Collection[str], seconds: float
+    ) -> FoundOrigin | None:
+        """Return the only version, if there has been no other one."""
+        if len(services) != 1:
             return None
         (service,) = services
+        if len(self._read_versions(service)) > 1:
+            return None
+        is_confirmed = await self._confirm_versions(seconds)
         versions = self._read_versions(service)
-        if len(versions) != 1:
+        log_decision(
+            "stream.versions_confirmed",
+            service=service,
+            software_versions=",".join(versions),
+            is_confirmed=is_confirmed,
+        )
+        if not is_confirmed or len(versions) != 1:
             return None
-        return StreamOrigin(service=service, software_version=versions[0])
+        return FoundOrigin(
+            origin=StreamOrigin(service=service, software_version=versions[0]),
+            knowledge=Knowledge.ONLY_VERSION,
+        )
 
     def _share(self, streams_by_key: dict[bytes, _OpenStream]) -> None:
-        """Let two other entries keep the origins of streams."""
+        """Let other entries keep the origins of streams."""
         now = self._clock.monotonic()
         records_by_target: dict[tuple[str, bool], list[OriginRecord]] = {}
         for key, stream in streams_by_key.items():
@@ -223,14 +249,16 @@
             origin = stream.origin
             self._memory.keep(key, origin)
             record = OriginRecord(key, origin.service, origin.software_version)
-            for holder, is_near in (
-                (self._holders.choose_near(key), True),
-                (self._holders.choose_far(key), False),
-            ):
-                if holder is not None:
-                    records_by_target.setdefault(
-                        (holder.control_address, is_near), []
-                    ).append(record)
+            near = self._holders.choose_near(key)
+            holders = [
+                (holder, False) for holder in self._holders.choose_far(key)
+            ]
+            if near is not None:
+                holders.append((near, True))
+            for holder, is_near in holders:
+                records_by_target.setdefault(
+                    (holder.control_address, is_near), []
+                ).append(record)
         for (address, is_near), records in records_by_target.items():
             self._send(address, records, is_passed_on=is_near)
 
@@ -243,22 +271,34 @@
         )
 
     async def _ask(
-        self, key: bytes, asked: Collection[VmIdentity], seconds: float
+        self, key: bytes, asked_ids: set[str], seconds: float
     ) -> FoundOrigin | None:
-        """Return the first reply of an entry that knows a stream."""
-        calls = [
-            asyncio.create_task(self._ask_one(key, holder, seconds))
-            for holder in asked
-        ]
-        try:
-            for reply in asyncio.as_completed(calls):
-                found = await reply
-                if found is not None:
-                    return found
-        finally:
-            for call in calls:
-                call.cancel()
-        return None
+        """Return the first reply of an entry that knows a stream.
+
+        :param asked_ids: gets the ids of the entries that were asked
+        """
+        ends_at = self._clock.monotonic() + seconds
+        while True:
+            seconds = ends_at - self._clock.monotonic()
+            holders = [
+                holder
+                for holder in self._holders.choose_asked(key)
+                if holder.vm_id not in asked_ids
+            ]
+            asked_ids |= {holder.vm_id for holder in holders}
+            found = await _first_found(
+                [
+                    asyncio.create_task(self._ask_one(key, holder, seconds))
+                    for holder in holders
+                ]
+            )
+            now = self._clock.monotonic()
+            is_discovering = now - self._began_at < DISCOVERY_SECONDS
+            if found is not None or not is_discovering or now >= ends_at:
+                return found
+            await self._clock.sleep(
+                min(DISCOVERY_INTERVAL_SECONDS, ends_at - now)
+            )
 
     async def _ask_one(
         self, key: bytes, holder: VmIdentity, seconds: float
@@ -315,3 +355,18 @@
         vm_id=vm_id,
         age=record.age,
     )
+
+
+async def _first_found(
+    searches: list[asyncio.Task[FoundOrigin | None]],
+) -> FoundOrigin | None:
+    """Return the first result that isn't None, and end the other searches."""
+    try:
+        for search in asyncio.as_completed(searches):
+            found = await search
+            if found is not None:
+                return found
+    finally:
+        for task in searches:
+            task.cancel()
+    return None
--- a/burdockdrum/streams/services.py
+++ b/burdockdrum/streams/services.py
@@ -34,4 +34,5 @@
         read_entries=read_entries,
         read_versions=registrations.versions.versions_of,
         knows_all_versions=registrations.hears_majority,
+        confirm_versions=registrations.confirm_versions,
     )
--- a/scripts/bench/stream_origins.py
+++ b/scripts/bench/stream_origins.py
@@ -94,6 +94,10 @@
     entries = await _open_entries(ends)
     identities = [peers.identity for peers in entries]
 
+    async def confirm_versions(seconds: float) -> bool:
+        """Confirm the versions; streams here are never taken up."""
+        return True
+
     def begin_at(peers: Peers) -> Callable[[bytes], None]:
         origins = StreamOrigins(
             clock=SystemClock(),
@@ -102,6 +106,7 @@
             read_entries=lambda: identities,
             read_versions=lambda service: ["v1.1", "v1.2"],
             knows_all_versions=lambda: True,
+            confirm_versions=confirm_versions,
         )
 
         def begin(key: bytes) -> None:
@@ -130,6 +135,10 @@
         peers.register(OriginNotice, keep)
     addresses = [peers.identity.control_address for peers in control]
 
+    async def confirm_versions(seconds: float) -> bool:
+        """Confirm the versions; streams here are never taken up."""
+        return True
+
     def begin_at(peers: Peers) -> Callable[[bytes], None]:
         def begin(key: bytes) -> None:
             record = OriginRecord(key, ORIGIN.service, ORIGIN.software_version)
--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -3,7 +3,7 @@
 Usage:
   soak [--seed N] [--seeds N] [--seconds S] [--keep FOLDER]
        [--limits | --signals | --retries | --crashes | --cuts | --versions |
-       --brittle | --parts | --silent] [--entries N] [--rate R]
+       --regions | --brittle | --parts | --silent] [--entries N] [--rate R]
 
 Options:
   --seed N       The first seed [default: 1].
@@ -20,7 +20,8 @@
   --parts        A prompt part crashes endpoints; only that is checked.
   --silent       Endpoints fall silent and go on; only answers are checked.
   --versions     Endpoints have several versions; only streams are checked.
-  --entries N    With these seven: the entries of each region [default: 2].
+  --regions      Regions with versions of their own are lost; as --versions.
+  --entries N    With these eight: the entries of each region [default: 2].
   --rate R       With --retries: requests per second; at random by default.
 
 Three control VMs and three entries run as processes on loopback addresses.
@@ -47,6 +48,7 @@
 from scripts.soak.crashes import CrashSoak
 from scripts.soak.cuts import CutSoak
 from scripts.soak.parts import PartSoak
+from scripts.soak.regional_versions import RegionalVersionSoak
 from scripts.soak.related_logs import list_related
 from scripts.soak.retries import RetrySoak
 from scripts.soak.retries import run_soak
@@ -72,6 +74,8 @@
         soak = SilenceSoak(seed, entries=entries)
     elif arguments["--cuts"]:
         soak = CutSoak(seed, entries=entries)
+    elif arguments["--regions"]:
+        soak = RegionalVersionSoak(seed, entries=entries)
     elif arguments["--versions"]:
         soak = VersionSoak(seed, entries=entries)
     elif arguments["--retries"]:
--- a/scripts/soak/retries.py
+++ b/scripts/soak/retries.py
@@ -129,8 +129,16 @@
             "state": "ready",
             "seq": self._sequence,
         }
-        path = f"/v1/instances/{endpoint.endpoint_id}"
-        await self._call_control("PUT", path, registration)
+        await self._call_control(
+            "PUT",
+            f"/v1/instances/{endpoint.endpoint_id}",
+            registration,
+            self.choose_control(endpoint.zone),
+        )
+
+    def choose_control(self, zone: str) -> Machine:
+        """Return the control VM at which an endpoint of a zone checks in."""
+        return self.rng.choice(self.deployment.control)
 
     async def put_configuration(self) -> bool:
         """Send a new version; return whether it was acknowledged."""
@@ -347,9 +355,13 @@
         self.faults.append(f"{seconds:6.2f} s ({now:.2f})  {description}")
 
     async def _call_control(
-        self, method: str, path: str, document: dict
+        self,
+        method: str,
+        path: str,
+        document: dict,
+        machine: Machine | None = None,
     ) -> int:
-        machine = self.rng.choice(self.deployment.control)
+        machine = machine or self.rng.choice(self.deployment.control)
         body = json.dumps(document).encode()
         status, _ = await call(machine.ip, CONTROL_PORT, method, path, body)
         return status
--- a/scripts/soak/versioned_endpoint.py
+++ b/scripts/soak/versioned_endpoint.py
@@ -1,6 +1,7 @@
 """An endpoint that streams events with its software version."""
 
 import asyncio
+from collections.abc import Sequence
 import random
 
 from burdockdrum.histories import CrashHistory
@@ -19,15 +20,26 @@
 class VersionedEndpoint(CrashingEndpoint):
     """Comes back at its address as another incarnation and version."""
 
-    def __init__(self, *, rng: random.Random, service: str, zone: str) -> None:
-        """Create an endpoint that is not open."""
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        service: str,
+        zone: str,
+        versions: Sequence[str] = VERSIONS,
+    ) -> None:
+        """Create an endpoint that is not open.
+
+        :param versions: each incarnation has one of them
+        """
         super().__init__(
             rng=rng, service=service, zone=zone, history=CrashHistory()
         )
-        self.software_version = rng.choice(VERSIONS)
+        self._versions = versions
+        self.software_version = rng.choice(versions)
 
     async def _restart(self) -> None:
-        self.software_version = self._rng.choice(VERSIONS)
+        self.software_version = self._rng.choice(self._versions)
         await super()._restart()
 
     async def _answer(
--- a/scripts/soak/versions.py
+++ b/scripts/soak/versions.py
@@ -128,13 +128,17 @@
         since = time.monotonic() - SETTLED_SECONDS
         serving = [
             endpoint
-            for endpoint in self._versioned
+            for endpoint in self._list_reachable()
             if endpoint.is_registered
             and endpoint.software_version == version
             and self._registered_at.get(endpoint.endpoint_id, 0.0) < since
         ]
         return len(serving) >= MIN_ENDPOINTS
 
+    def _list_reachable(self) -> list[VersionedEndpoint]:
+        """Return the endpoints that a stream may go on at."""
+        return self._versioned
+
     async def _register(self, endpoint: object) -> None:
         assert isinstance(endpoint, VersionedEndpoint)
         self._registered_at.setdefault(endpoint.endpoint_id, time.monotonic())
@@ -198,9 +202,12 @@
 
     def check(self) -> list[str]:
         """Return what was violated."""
+        return self.streams.check()
+
+    def summarize(self) -> str:
+        """Return how many of the streams that were taken up went on."""
         number, went_on = self.streams.count_taken_up()
-        self.faults.append(
+        return (
             f"{len(self.streams.streams)} streams; "
             f"{went_on} of {number} that count went on"
         )
-        return self.streams.check()
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -294,6 +294,8 @@
         # Of messages between entries, by the receiver's address and the type.
         self.handlers_by_address = {}
         self.knows_all_versions = True
+        # What no quorum of control VMs knows.
+        self.unestablished_versions = set()
 
     async def open_entry(
         self,
@@ -380,6 +382,9 @@
             backoffs=backoffs,
             may_have_place=places.may_ask,
             pauses=pauses,
+            is_established=lambda _, version: (
+                version not in self.unestablished_versions
+            ),
         )
         pools = [ConnectionPool(id_header=NAMES.request_id) for _ in "ab"]
         responses = ResponseClassifier(names=NAMES)
@@ -504,6 +509,11 @@
             )
             return versions.versions_of(service)
 
+        async def confirm_versions(seconds):
+            if not self.knows_all_versions:
+                await asyncio.sleep(seconds)
+            return self.knows_all_versions
+
         identity = make_identity(key, region)
         origins = StreamOrigins(
             clock=clock,
@@ -512,6 +522,7 @@
             read_entries=lambda: [e.identity for e in self.entries.values()],
             read_versions=read_versions,
             knows_all_versions=lambda: self.knows_all_versions,
+            confirm_versions=confirm_versions,
         )
         resumption = StreamResumption(
             clock=clock, origins=origins, reader=reader, metrics=metrics
--- a/tests/passthrough/relaying/test_stream_versions.py
+++ b/tests/passthrough/relaying/test_stream_versions.py
@@ -68,6 +68,31 @@
         self.assertNotIn(b"id: 4\n", body)
         self.assertEqual(0, self.count_arrivals(others))
 
+    async def test_stream_doesn_t_begin_at_a_version_that_few_know(self):
+        # Guards against a stream that others take for one of another version.
+        endpoint = at_version("v1", events(1, 6))
+        self.entry = await self.open(endpoint, **STREAM)
+        self.world.unestablished_versions = {"v1"}
+        status, head, _ = await self.entry.call()
+        self.assertEqual(503, status)
+        self.assertIn(b"retry-after", head.lower())
+        self.assertEqual(0, self.count_arrivals([endpoint]))
+        self.world.unestablished_versions = set()
+        status, _, _ = await self.entry.call(request_id=b"r2")
+        self.assertEqual(200, status)
+
+    async def test_response_that_isn_t_taken_up_may_come_from_any_version(
+        self,
+    ):
+        # Guards against endpoints that serve nobody during a cut.
+        endpoint = at_version("v1", events(1, 6))
+        self.entry = await self.open(
+            endpoint, streams=True, resumable=False, attempts=1
+        )
+        self.world.unestablished_versions = {"v1"}
+        status, _, _ = await self.entry.call()
+        self.assertEqual(200, status)
+
     async def test_taken_up_stream_waits_for_the_only_version_to_come_back(
         self,
     ):
--- a/tests/registrations/limited_region.py
+++ b/tests/registrations/limited_region.py
@@ -78,6 +78,7 @@
         ]
         self.addresses = {name: f"tcp://{name}:1" for name in self.control}
         self.tables = {}
+        self.peers = {}
         self.followers = {}
         self.limits = {}
         self.permits = {}
@@ -121,6 +122,7 @@
             region="here",
             rng=self.rng,
         )
+        self.peers[name] = peers
         if name in self.addresses:
             jobs = [self._make_control(name, peers).run()]
         else:
@@ -183,7 +185,7 @@
         return sum(share for share in shares if share is not None)
 
     def _make_control(self, name, peers):
-        table = RegistrationTable(clock=self.clock)
+        table = self._make_table()
         self.tables[name] = table
         return RegistrationPublisher(
             peers=peers,
@@ -194,6 +196,9 @@
             crashes=self.make_ledger(name),
         )
 
+    def _make_table(self):
+        return RegistrationTable(clock=self.clock)
+
     def _make_entry(self, name, peers):
         follower = RegistrationFollower(
             peers=peers,
--- a/tests/registrations/test_software_versions.py
+++ b/tests/registrations/test_software_versions.py
@@ -9,7 +9,9 @@
 from burdockdrum.registrations import KnownVersions
 from burdockdrum.registrations import RegistrationState
 from burdockdrum.registrations import RegistrationTable
+from burdockdrum.registrations import ServiceVersion
 from burdockdrum.registrations.software_versions import MEMORY_SECONDS
+from burdockdrum.registrations.software_versions import VersionReport
 from burdockdrum.testing import FakeDisk
 from burdockdrum.testing import run_virtual
 from burdockdrum.testing import VirtualClock
@@ -102,6 +104,31 @@
 
         run_virtual(check())
 
+    def test_reports_of_other_control_vms_survive_a_power_failure(self):
+        # Guards against a version that was established and is forgotten.
+        async def check():
+            disk = FakeDisk(rng=random.Random(1))
+            vm = ControlVm(disk, are_versions_shared=True)
+            await asyncio.sleep(0.5)
+            report = VersionReport("c1", 7, 1, [ServiceVersion("s", "v2")])
+            vm.table.versions.apply_report(report)
+            self.assertFalse(vm.table.versions.is_complete)
+            vm.table.versions.complete()
+            await vm.store.flush()
+            await vm.stop()
+            disk.lose_power()
+            vm = ControlVm(disk, are_versions_shared=True)
+            await asyncio.sleep(0.5)
+            versions = vm.table.versions
+            await vm.stop()
+            self.assertEqual([report], versions.list_reports())
+            self.assertIn(
+                "v2", [v.software_version for v in versions.list_known()]
+            )
+            self.assertTrue(versions.is_complete)
+
+        run_virtual(check())
+
     def test_entries_know_the_versions_of_all_control_vms(self):
         # Guards against an entry that knows the endpoints of one only.
         async def check():
--- a/tests/registrations/test_store.py
+++ b/tests/registrations/test_store.py
@@ -36,9 +36,9 @@
 class ControlVm:
     """One run of a control VM with its table and store."""
 
-    def __init__(self, disk):
+    def __init__(self, disk, **fields):
         """Start with the content of a disk."""
-        self.table = RegistrationTable(clock=VirtualClock())
+        self.table = RegistrationTable(clock=VirtualClock(), **fields)
         self.crashes = CrashLedger(clock=VirtualClock())
         self.store = RegistrationStore(
             clock=VirtualClock(),
--- /dev/null
+++ b/tests/registrations/test_version_exchange.py
@@ -0,0 +1,200 @@
+"""Tests that a quorum of control VMs knows each version in use."""
+
+import asyncio
+import unittest
+
+from loguru import logger
+
+from burdockdrum.registrations import RegistrationTable
+from burdockdrum.registrations import ServiceVersion
+from burdockdrum.registrations.software_versions import MEMORY_SECONDS
+from burdockdrum.registrations.software_versions import VersionMemory
+from burdockdrum.registrations.software_versions import VersionReport
+from burdockdrum.registrations.version_exchange import INTERVAL_SECONDS
+from burdockdrum.registrations.version_exchange import VersionExchange
+from burdockdrum.testing import run_virtual
+from burdockdrum.testing import VirtualClock
+from tests.registrations.test_software_versions import VersionRegion
+
+V1 = ServiceVersion("s", "v1")
+V2 = ServiceVersion("s", "v2")
+
+
+class SharedVersionRegion(VersionRegion):
+    """Three control VMs that share versions; p0 checks in at c0, and so on."""
+
+    def __init__(self, *, first_start=True, **fields):
+        """Create VMs that are not started; p0 alone has v2."""
+        super().__init__(endpoints=3, **fields)
+        self.first_start = first_start
+        self.endpoints[0].software_version = "v2"
+
+    async def start(self, name):
+        """Start a VM; a control VM shares its versions."""
+        await super().start(name)
+        if name not in self.tables:
+            return
+        restored = asyncio.Event()
+        restored.set()
+        exchange = VersionExchange(
+            peers=self.peers[name],
+            clock=self.clock,
+            versions=self.tables[name].versions,
+            restored=restored,
+            flush=self._flush,
+            read_voters=lambda: self.addresses,
+            is_first_start=self.first_start,
+        )
+        self.tasks[f"{name} exchange"] = asyncio.create_task(exchange.run())
+
+    async def stop(self, name):
+        """Stop a VM."""
+        exchange = self.tasks.pop(f"{name} exchange", None)
+        if exchange is not None:
+            exchange.cancel()
+        if name in self.tasks:
+            await super().stop(name)
+
+    async def start_all(self, seconds=3.0):
+        """Start all VMs; later starts are no first ones."""
+        await super().start_all(seconds)
+        self.first_start = False
+
+    def _make_table(self):
+        return RegistrationTable(clock=self.clock, are_versions_shared=True)
+
+    async def _flush(self):
+        """Do as if everything was on disk."""
+
+    def versions_of(self, name):
+        """Return the versions that an entry knows."""
+        return self.followers[name].versions.versions_of("s")
+
+    def is_established(self, name, version):
+        """Return whether streams may begin at a version at an entry."""
+        return self.followers[name].is_version_established("s", version)
+
+
+class VersionExchangeTest(unittest.TestCase):
+    """Control VMs c0, c1, c2 and entries e0, e1, e2."""
+
+    def setUp(self):
+        logger.disable("burdockdrum")
+        self.addCleanup(logger.enable, "burdockdrum")
+
+    def play(self, test, **fields):
+        """Run a test with VMs that have been started."""
+
+        async def main():
+            world = SharedVersionRegion(**fields)
+            await world.start_all()
+            try:
+                await test(world)
+            finally:
+                await world.stop_all()
+
+        run_virtual(main())
+
+    def test_restarted_entry_knows_the_version_of_a_lost_control_vm(self):
+        # Guards against a majority that never heard of a version that serves.
+        async def check(world):
+            world.cut(["c0"])
+            await world.stop("e0")
+            await world.start("e0")
+            await world.run(1.0)
+            follower = world.followers["e0"]
+            self.assertTrue(await follower.confirm_versions(0.5))
+            self.assertEqual(["v1", "v2"], world.versions_of("e0"))
+
+        self.play(check)
+
+    def test_version_is_established_by_a_quorum_only(self):
+        # Guards against streams at a version that only a minority knows.
+        async def check(world):
+            self.assertTrue(world.is_established("e0", "v2"))
+            world.network.cut(["c0"], ["c1", "c2"])
+            world.endpoints[0].software_version = "v3"
+            await world.run(5.0)
+            self.assertIn("v3", world.versions_of("e0"))
+            self.assertFalse(world.is_established("e0", "v3"))
+            self.assertTrue(world.is_established("e0", "v1"))
+            world.heal()
+            await world.run(3.0)
+            self.assertTrue(world.is_established("e0", "v3"))
+
+        self.play(check)
+
+    def test_old_replies_confirm_nothing(self):
+        # Guards against knowledge that is older than the stream.
+        async def check(world):
+            follower = world.followers["e0"]
+            self.assertTrue(await follower.confirm_versions(0.5))
+            world.cut(["e0"])
+            self.assertTrue(follower.hears_majority())
+            self.assertFalse(await follower.confirm_versions(0.5))
+
+        self.play(check)
+
+    def test_control_vm_without_its_memory_confirms_nothing(self):
+        # Guards against a new memory taken for complete.
+        async def check(world):
+            world.cut(["c0"])
+            # What it has forgotten, only c0 and c2 know.
+            await world.stop("c1")
+            await world.start("c1")
+            await world.run(3.0)
+            follower = world.followers["e0"]
+            self.assertFalse(await follower.confirm_versions(0.5))
+            world.heal()
+            await world.run(INTERVAL_SECONDS)
+            self.assertTrue(await follower.confirm_versions(0.5))
+            self.assertIn("v2", world.versions_of("e0"))
+
+        self.play(check)
+
+    def test_versions_of_a_silent_control_vm_are_kept(self):
+        # Guards against a version that serves behind a long cut.
+        async def check(world):
+            world.network.cut(["c0"], ["c1", "c2"])
+            await world.run(3 * MEMORY_SECONDS)
+            for name in ("c1", "c2"):
+                known = world.tables[name].versions.list_known()
+                self.assertIn("v2", [v.software_version for v in known])
+            world.heal()
+            world.endpoints[0].software_version = "v1"
+            # One memory at c0, and one at the others after its report.
+            await world.run(2.5 * MEMORY_SECONDS)
+            for name in ("c0", "c1", "c2"):
+                known = world.tables[name].versions.list_known()
+                self.assertEqual(["v1"], [v.software_version for v in known])
+
+        self.play(check)
+
+    def test_system_that_starts_without_memory_is_complete_in_the_end(self):
+        async def check(world):
+            follower = world.followers["e0"]
+            self.assertFalse(await follower.confirm_versions(0.5))
+            await world.run(MEMORY_SECONDS + INTERVAL_SECONDS)
+            self.assertTrue(await follower.confirm_versions(0.5))
+
+        self.play(check, first_start=False)
+
+
+class VersionMemoryTest(unittest.TestCase):
+    """The memory of one control VM."""
+
+    def test_late_report_removes_nothing(self):
+        # Guards against an older message that arrives after a newer one.
+        async def check():
+            memory = VersionMemory(clock=VirtualClock(), is_shared=True)
+            memory.apply_report(VersionReport("c1", 5, 2, [V1, V2]))
+            memory.apply_report(VersionReport("c1", 5, 1, [V1]))
+            (report,) = memory.list_reports()
+            self.assertEqual({("s", "v1"), ("s", "v2")}, report.keys)
+            memory.apply_report(VersionReport("c1", 5, 3, [V1]))
+            (report,) = memory.list_reports()
+            self.assertEqual({("s", "v1")}, report.keys)
+            known = [v.software_version for v in memory.list_known()]
+            self.assertEqual(["v1", "v2"], sorted(known))
+
+        run_virtual(check())
--- a/tests/soak/test_versions.py
+++ b/tests/soak/test_versions.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from burdockdrum.histories.streams import MIN_STREAMS
+from scripts.soak.regional_versions import RegionalVersionSoak
 from scripts.soak.versions import VersionSoak
 from tests.soak.cases import SoakCase
 
@@ -43,3 +44,14 @@
 
     def test_streams_keep_their_version_under_random_faults(self):
         self.run_seed(None, seconds=20)
+
+
+class RegionalVersionTest(SoakCase):
+    """Streams of two versions, each of which one region doesn't have."""
+
+    def test_streams_keep_their_version_while_regions_are_lost(self):
+        # Guards against an entry that restarts and knows one version only.
+        soak = RegionalVersionSoak(SEED)
+        self.run_soak(soak, None, seconds=25)
+        number, _ = soak.streams.count_taken_up()
+        self.assertGreaterEqual(number, MIN_STREAMS)
--- a/tests/streams/test_origins.py
+++ b/tests/streams/test_origins.py
@@ -39,6 +39,8 @@
         self.network = FakeNetwork(rng=random.Random(1))
         self.network.set_default(delay=0.03)
         self.versions = ["v1", "v2"]
+        # What control VMs know, if an entry doesn't.
+        self.confirmed_versions = None
         self.knows_all = True
         self.names = [
             f"{data_centre}{number}"
@@ -76,11 +78,18 @@
             read_entries=lambda: list(self.identities.values()),
             read_versions=lambda service: self.versions,
             knows_all_versions=lambda: self.knows_all,
+            confirm_versions=self.confirm_versions,
         )
         self.tasks[name] = asyncio.create_task(
             self._run(made, self.origins[name])
         )
 
+    async def confirm_versions(self, seconds):
+        """Return whether a quorum of control VMs replies."""
+        await asyncio.sleep(0.11 if self.knows_all else seconds)
+        self.versions = self.confirmed_versions or self.versions
+        return self.knows_all
+
     async def stop(self, name):
         """Stop an entry; others learn of it later."""
         task = self.tasks.pop(name)
@@ -165,6 +174,47 @@
 
         self.play(check)
 
+    def test_stream_of_a_lost_region_is_known_after_another_restart(self):
+        # Guards against a second loss beside that of a region.
+        async def check(world):
+            keys = self.begin(world, "a0")
+            await asyncio.sleep(MESSAGE_SECONDS)
+            for name in ("a0", "a1", "b0"):
+                await world.stop(name)
+            await world.start("b0")
+            await self.assert_known(world, ["b0", "b1", "c0", "c1"], keys)
+
+        self.play(check)
+
+    def test_entry_that_knows_one_version_is_told_of_the_others(self):
+        # Guards against a memory that is younger than the stream.
+        async def check(world):
+            key = make_key(None, "r1")
+            world.origins["a0"].begin(key, V2)
+            world.versions = ["v1"]
+            world.confirmed_versions = ["v1", "v2"]
+            self.assertEqual("v2", await world.find("c0", key))
+            world.versions = ["v1"]
+            self.assertIsNone(await world.find("c0", make_key(None, "r2")))
+
+        self.play(check)
+
+    def test_entry_that_starts_asks_those_it_discovers(self):
+        # Guards against a stream that is refused as nobody was asked yet.
+        async def check(world):
+            key = make_key(None, "r1")
+            world.origins["a0"].begin(key, V2)
+            await asyncio.sleep(MESSAGE_SECONDS)
+            identities = world.identities
+            world.identities = {}
+            await world.start("c0")
+            search = asyncio.create_task(world.find("c0", key))
+            await asyncio.sleep(0.2)
+            world.identities = identities
+            self.assertEqual("v2", await search)
+
+        self.play(check)
+
     def test_open_streams_stay_known_while_all_entries_restart(self):
         # Guards against holders that restart one after the other.
         async def check(world):
