--- a/tests/peers/test_kinds.py
+++ b/tests/peers/test_kinds.py
@@ -76,6 +76,8 @@
     "registrations.DataCentreLoad",
     "registrations.LoadNotice",
     "registrations.RegionLoad",
+    "registrations.VersionNotice",
+    "registrations.VersionReply",
     "registrations.Watch",
     "registrations.Watched",
     "streams.OriginNotice",
