Apply orders on evacuations only in the order of their sending

Cause: an order has no identity, so that a copy that arrives late is a new order. A control VM that was frozen read the copy that waited in its socket, whose sender had moved on three seconds before, and applied it after its successor. Any other place where an order waits does the same: a link, a queue, the leader.

Change: the replicated state numbers the orders of each data centre, also those that change nothing. A control VM sends along the number that it knew before the order was sent: before its connection was accepted, less two ticks in which this process ran. An order with an outdated number that would change something is a conflict, and its sender is asked to come again. After recent orders a sender that leaves within 0.25 s is not served, which catches what a link held up.

Why it works: an order that was sent later and acknowledged has a newer number than any that was known before, wherever the old one waits.

--- a/burdockdrum/configuration/__init__.py
+++ b/burdockdrum/configuration/__init__.py
@@ -2,6 +2,7 @@
 
 from burdockdrum.configuration.control import propose_lease_command
 from burdockdrum.configuration.control_state import ControlState
+from burdockdrum.configuration.evacuations import EvacuationOrder
 from burdockdrum.configuration.history import RevisionGone
 from burdockdrum.configuration.service import ChangeNotAccepted
 from burdockdrum.configuration.service import ChangeOutcomeUnknown
@@ -14,6 +15,7 @@
     "ChangeOutcomeUnknown",
     "ConfigurationService",
     "ControlState",
+    "EvacuationOrder",
     "propose_lease_command",
     "RevisionGone",
 ]
--- a/burdockdrum/configuration/service.py
+++ b/burdockdrum/configuration/service.py
@@ -10,6 +10,8 @@
 from burdockdrum.configuration.control import ControlNode
 from burdockdrum.configuration.control import ControlStatus
 from burdockdrum.configuration.control_state import ControlState
+from burdockdrum.configuration.evacuations import EvacuationOrder
+from burdockdrum.configuration.evacuations import EvacuationOrderer
 from burdockdrum.configuration.follower import Follower
 from burdockdrum.configuration.local import LocalConfiguration
 from burdockdrum.configuration.messages import InForceQuery
@@ -24,6 +26,7 @@
 from burdockdrum.configuration.residency import check_synced
 from burdockdrum.consensus import NotCurrent
 from burdockdrum.consensus import ReplicatedLog
+from burdockdrum.pauses import PauseDetector
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Message
 from burdockdrum.peers import Peers
@@ -83,6 +86,7 @@
         residency_lease_seconds: float,
         state: ControlState | None = None,
         log: ReplicatedLog | None = None,
+        pauses: PauseDetector | None = None,
     ) -> None:
         """Create the service.
 
@@ -92,6 +96,7 @@
             sends data to regions other than the client's home region
         :param state: the replicated state, on a control VM
         :param log: the replicated log, on a control VM
+        :param pauses: detects pauses of this process; none if None
         """
         self.in_force_by_vm_id: dict[str, int] = {}
         self._peers = peers
@@ -120,6 +125,7 @@
         self._publisher.on_follow = self._follower.handle_follow
         self._leader_id: str | None = None
         self._control: ControlNode | None = None
+        self._evacuations: EvacuationOrderer | None = None
         if state is not None and log is not None:
             self._control = ControlNode(
                 peers=peers,
@@ -128,6 +134,9 @@
                 state=state,
                 log=log,
             )
+            self._evacuations = EvacuationOrderer(
+                clock=clock, store=state.store, pauses=pauses
+            )
             self._publisher.on_awaiting_sync = (
                 self._control.request_confirmation
             )
@@ -247,6 +256,20 @@
             await self._clock.sleep(_APPLY_POLL_INTERVAL_SECONDS)
         return result
 
+    async def order_evacuation(self, order: EvacuationOrder) -> ChangeResult:
+        """Start or end an evacuation, unless another order came between.
+
+        If the sender leaves, the caller cancels it.
+
+        :returns: a conflict if this VM can't know that the order is newer
+            than all that were applied
+        :raises ChangeOutcomeUnknown: if it may have been accepted
+        :raises ChangeNotAccepted: if it was not accepted and will not be
+        """
+        if self._evacuations is None:
+            raise ChangeNotAccepted("this VM is not a control VM")
+        return await self.change(await self._evacuations.make_change(order))
+
     async def read_committed(self, timeout: float) -> Configuration:
         """Return a configuration with all changes acknowledged so far.
 
--- a/burdockdrum/configuration/services.py
+++ b/burdockdrum/configuration/services.py
@@ -12,6 +12,7 @@
 from burdockdrum.kernel import Kernel
 from burdockdrum.leases import LeaseManager
 from burdockdrum.metrics import Metrics
+from burdockdrum.pauses import PauseDetector
 from burdockdrum.peers import Peers
 from burdockdrum.ports import Clock
 from burdockdrum.ports import Disk
@@ -91,4 +92,7 @@
         residency_lease_seconds=lease_seconds,
         state=state,
         log=log,
+        pauses=kernel.find("pauses", PauseDetector)
+        if kernel.has("pauses")
+        else None,
     )
--- a/burdockdrum/http1/exchange.py
+++ b/burdockdrum/http1/exchange.py
@@ -68,12 +68,22 @@
             self.request
         )
 
-    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+    def respond(
+        self,
+        status: int,
+        headers: Headers,
+        body: bytes,
+        *,
+        is_last: bool = False,
+    ) -> None:
         """Send a complete response.
 
+        :param is_last: whether the connection is closed after it
         :raises ResponseStarted: if the response has begun
         """
         self._check_not_started()
+        if is_last:
+            self._is_kept = False
         length = (b"content-length", b"%d" % len(body))
         head = self._encode_head(status, [*headers, length])
         self.started = True
--- a/burdockdrum/http1/requests.py
+++ b/burdockdrum/http1/requests.py
@@ -11,6 +11,7 @@
     """A request with its complete body.
 
     ``received_at`` is when its first byte arrived, by the monotonic clock.
+    ``connected_at`` is when its connection was accepted, by the same clock.
     ``knows_chunks`` says that its caller understands a chunked response.
     """
 
@@ -21,6 +22,7 @@
     keep_alive: bool
     received_at: float
     knows_chunks: bool = True
+    connected_at: float = float("-inf")
 
     def find(self, name: bytes) -> bytes | None:
         """Return the first value of a header; the name is in lower case."""
--- a/burdockdrum/http1/server.py
+++ b/burdockdrum/http1/server.py
@@ -103,6 +103,7 @@
         self._is_rejected = False
         self._has_ended = False
         self._received_at = 0.0
+        self._connected_at = float("-inf")
         # Chunk sizes, chunk extensions and trailers, in bytes.
         self._framing_size = 0
         self._reset_request()
@@ -172,6 +173,7 @@
         """Start the task that handles the connection's requests."""
         # uvloop's transports have the methods but not the base class.
         self._transport = cast(asyncio.Transport, transport)
+        self._connected_at = time.monotonic()
         self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         enable_keepalive(transport)
         self._listener.add_connection(self)
@@ -289,6 +291,7 @@
                 keep_alive=self._parser.should_keep_alive(),
                 received_at=self._received_at,
                 knows_chunks=self._parser.get_http_version() != "1.0",
+                connected_at=self._connected_at,
             )
         )
         self._reset_request()
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -82,9 +82,9 @@
 def add_services(kernel: Kernel) -> None:
     """Register the active routes and, on an entry, the proxy."""
     kernel.add("routes_in_force", _build_active_routes)
+    kernel.add("pauses", _build_pauses)
     if kernel.has("log"):
         return
-    kernel.add("pauses", _build_pauses)
     kernel.add("header_names", lambda kernel: HeaderNames())
     kernel.add("endpoint_limits", _build_endpoint_limits)
     kernel.add("limit_permits", _build_limit_permits)
--- a/burdockdrum/pauses/__init__.py
+++ b/burdockdrum/pauses/__init__.py
@@ -1,5 +1,6 @@
-"""Pauses of this process, which it must not take for silence of others."""
+"""Pauses of a process, which it must not take for silence of others."""
 
+from burdockdrum.pauses.detector import MAX_TICK_SECONDS
 from burdockdrum.pauses.detector import PauseDetector
 
-__all__ = ["PauseDetector"]
+__all__ = ["MAX_TICK_SECONDS", "PauseDetector"]
--- a/burdockdrum/pauses/detector.py
+++ b/burdockdrum/pauses/detector.py
@@ -73,6 +73,25 @@
         now = self._clock.monotonic()
         return max(0.0, now - at - self._paused_seconds_since(at, now))
 
+    def before(self, at: float, seconds: float) -> float:
+        """Return the latest time from which this process has run so long.
+
+        :param at: the monotonic time until which it has
+        :param seconds: for how long it has run between the two
+        """
+        current = self._current_pause(self._clock.monotonic())
+        pauses = [*self._pauses, *([current] if current is not None else [])]
+        left, end = seconds, at
+        for pause in reversed(pauses):
+            if pause.began_at >= end:
+                continue
+            awake = max(0.0, end - pause.ended_at)
+            if awake >= left:
+                break
+            left -= awake
+            end = pause.began_at
+        return end - left
+
     def _paused_seconds_since(self, at: float, now: float) -> float:
         current = self._current_pause(now)
         seconds = current.seconds_since(at) if current is not None else 0.0
--- a/burdockdrum/resources/store.py
+++ b/burdockdrum/resources/store.py
@@ -6,6 +6,8 @@
 
 from burdockdrum.resources.configuration import Configuration
 from burdockdrum.resources.errors import ResourceError
+from burdockdrum.resources.evacuation_orders import EvacuationOrders
+from burdockdrum.resources.evacuation_orders import EvacuationOrdersSnapshot
 from burdockdrum.resources.kinds import Resource
 from burdockdrum.resources.kinds import ResourceKey
 from burdockdrum.resources.kinds import ResourceRevision
@@ -65,10 +67,15 @@
 class SetEvacuation(
     msgspec.Struct, frozen=True, kw_only=True, tag="evacuation"
 ):
-    """Start or end the evacuation of a data centre."""
+    """Start or end the evacuation of a data centre.
+
+    ``expected_order`` is the number of the data centre's last order before
+    this one was sent, None if it doesn't matter.
+    """
 
     data_centre: str
     evacuated: bool
+    expected_order: int | None = None
 
 
 Change = Put | Delete | ReplaceRoutes | SetEvacuation
@@ -93,6 +100,9 @@
     revision: int
     resources: list[Resource]
     answers: list[RecordedResult]
+    evacuation_orders: EvacuationOrdersSnapshot = msgspec.field(
+        default_factory=EvacuationOrdersSnapshot
+    )
 
 
 class ResourceStore:
@@ -106,6 +116,7 @@
         """Create an empty store at revision 0."""
         self.configuration = Configuration()
         self.listeners: list[Callable[[ResourceRevision | None], None]] = []
+        self.evacuation_orders = EvacuationOrders()
         self._results = RecordedResults()
 
     def apply(self, change: Change) -> ChangeResult:
@@ -140,6 +151,7 @@
             revision=self.configuration.revision,
             resources=list(self.configuration.resources_by_key.values()),
             answers=self._results.as_list(),
+            evacuation_orders=self.evacuation_orders.snapshot(),
         )
 
     def restore(self, snapshot: StoreSnapshot) -> None:
@@ -148,6 +160,7 @@
             snapshot.revision, snapshot.resources
         )
         self._results = RecordedResults(snapshot.answers)
+        self.evacuation_orders.restore(snapshot.evacuation_orders)
         self._notify_listeners(None)
 
     def _replace_routes(self, spec: RouteTableSpec) -> ChangeResult:
@@ -167,6 +180,18 @@
         except ResourceError as error:
             return self._refuse(str(error))
         is_evacuated = key in self.configuration.resources_by_key
+        number = self.evacuation_orders.number_of(change.data_centre)
+        is_outdated = change.expected_order not in (None, number)
+        if is_outdated and is_evacuated != change.evacuated:
+            return ChangeResult(
+                code=CONFLICT,
+                revision=self.configuration.revision,
+                message=f"order {number} of data centre "
+                f"{change.data_centre!r} was applied since this one was sent",
+            )
+        # Also where nothing changes: an order that was sent before this one
+        # and arrives later must not be applied.
+        self.evacuation_orders.advance(change.data_centre)
         if is_evacuated == change.evacuated:
             return self._acknowledge()
         return self._revise(
--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -3,7 +3,8 @@
 Usage:
   soak [--seed N] [--seeds N] [--seconds S] [--keep FOLDER]
        [--limits | --signals | --retries | --crashes | --cuts | --versions |
-       --regions | --brittle | --parts | --silent] [--entries N] [--rate R]
+       --regions | --evacuations | --brittle | --parts | --silent]
+       [--entries N] [--rate R]
 
 Options:
   --seed N       The first seed [default: 1].
@@ -21,7 +22,8 @@
   --silent       Endpoints fall silent and go on; only answers are checked.
   --versions     Endpoints have several versions; only streams are checked.
   --regions      Regions with versions of their own are lost; as --versions.
-  --entries N    With these eight: the entries of each region [default: 2].
+  --evacuations  Zones are evacuated and taken back; only that is checked.
+  --entries N    With these nine: the entries of each region [default: 2].
   --rate R       With --retries: requests per second; at random by default.
 
 Three control VMs and three entries run as processes on loopback addresses.
@@ -47,6 +49,7 @@
 from scripts.soak.brittle import BrittleSoak
 from scripts.soak.crashes import CrashSoak
 from scripts.soak.cuts import CutSoak
+from scripts.soak.evacuations import EvacuationSoak
 from scripts.soak.parts import PartSoak
 from scripts.soak.regional_versions import RegionalVersionSoak
 from scripts.soak.related_logs import list_related
@@ -74,6 +77,8 @@
         soak = SilenceSoak(seed, entries=entries)
     elif arguments["--cuts"]:
         soak = CutSoak(seed, entries=entries)
+    elif arguments["--evacuations"]:
+        soak = EvacuationSoak(seed, entries=entries)
     elif arguments["--regions"]:
         soak = RegionalVersionSoak(seed, entries=entries)
     elif arguments["--versions"]:
--- a/scripts/soak/retries.py
+++ b/scripts/soak/retries.py
@@ -337,6 +337,9 @@
         if process.returncode is None:
             process.send_signal(signal.SIGCONT)
 
+    async def settle(self) -> None:
+        """Check what must hold once the faults have ended."""
+
     def find_peaks(self) -> list[RetryPeak]:
         """Return the window of each service that has most retries."""
         return self.history.find_peaks(**BUDGET)
@@ -387,6 +390,7 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds):
                 await (faults(soak) if faults else soak.inject_faults())
+        await soak.settle()
         if logs is not None:
             _copy_logs(soak, logs)
     finally:
--- a/tests/pauses/test_detector.py
+++ b/tests/pauses/test_detector.py
@@ -40,6 +40,19 @@
         self.assertGreater(awake, 0.2)
         self.assertIn("burdockdrum_paused_seconds_total", self.metrics.text())
 
+    async def test_pauses_are_no_part_of_the_time_before(self):
+        # Guards against what was read after a pause taken for new.
+        await asyncio.sleep(0.3)
+        began = self.detector.monotonic()
+        block_event_loop(PAUSE_SECONDS)
+        now = self.detector.monotonic()
+        self.assertLess(self.detector.before(now, 0.05), began)
+        await asyncio.sleep(0.3)
+        self.assertLess(self.detector.before(now, 0.05), began)
+        later = self.detector.monotonic()
+        self.assertGreater(self.detector.before(later, 0.1), now)
+        self.assertLess(self.detector.before(later, 0.6), began)
+
     async def test_pause_counts_only_as_far_as_it_was_after_a_time(self):
         block_event_loop(PAUSE_SECONDS)
         middle = self.detector.monotonic() - PAUSE_SECONDS / 2
--- a/tests/platform/test_faces.py
+++ b/tests/platform/test_faces.py
@@ -1,5 +1,6 @@
 """Tests of the platform's HTTP API over sockets."""
 
+import asyncio
 import json
 import pathlib
 import random
@@ -19,12 +20,15 @@
 from adapter.faces import RunnerHandlers  # noqa: E402
 
 from burdockdrum.configuration import ChangeOutcomeUnknown  # noqa: E402
+from burdockdrum.configuration import evacuations  # noqa: E402
 from burdockdrum.consensus import NotCurrent  # noqa: E402
 from burdockdrum.crashes import CrashLedger  # noqa: E402
 from burdockdrum.peers import VmIdentity  # noqa: E402
 from burdockdrum.registrations import RegistrationTable  # noqa: E402
 from burdockdrum.resources import ChangeResult  # noqa: E402
 from burdockdrum.resources import ResourceStore  # noqa: E402
+from burdockdrum.resources import SetEvacuation  # noqa: E402
+from burdockdrum.system_ports import SystemClock  # noqa: E402
 from burdockdrum.vms import VmView  # noqa: E402
 from tests.http1.wire import ListenerCase  # noqa: E402
 from tests.passthrough.fakes import ManualClock  # noqa: E402
@@ -38,6 +42,7 @@
     def __init__(self):
         """Create an empty store."""
         self.store = ResourceStore()
+        self.orderer = None
         self.error = None
 
     async def change(self, change) -> ChangeResult:
@@ -46,6 +51,15 @@
             raise self.error
         return self.store.apply(change)
 
+    async def order_evacuation(self, order) -> ChangeResult:
+        """Apply an order at once, or as its number says if it has one."""
+        change = SetEvacuation(
+            data_centre=order.data_centre, evacuated=order.evacuated
+        )
+        if self.orderer is not None:
+            change = await self.orderer.make_change(order)
+        return await self.change(change)
+
     async def read_committed(self, timeout):
         """Return the configuration, or raise the error that is set."""
         if self.error is not None:
@@ -155,6 +169,48 @@
         status, _ = await self.call("POST", "/v1/evac/")
         self.assertEqual(404, status)
 
+    async def test_order_that_was_read_late_undoes_no_later_one(self):
+        # Guards against an order that waited while its sender moved on.
+        self.order_with_numbers()
+        await self.call("POST", "/v1/evac/zone-a")
+        reader, writer = await self.connect()
+        self.addCleanup(writer.close)
+        await asyncio.sleep(2 * evacuations.ACCEPT_SECONDS)
+        for method in ("DELETE", "POST"):
+            status, _ = await self.call(method, "/v1/evac/zone-a")
+            self.assertEqual(200, status)
+            await asyncio.sleep(2 * evacuations.ACCEPT_SECONDS)
+        writer.write(b"DELETE /v1/evac/zone-a HTTP/1.1\r\nHost: x\r\n\r\n")
+        async with asyncio.timeout(5):
+            answer = await reader.read()
+        self.assertEqual({"zone-a"}, self.read_evacuated())
+        # It is never refused: a sender that is still there asks again.
+        self.assertIn(b" 503 ", answer)
+        self.assertIn(b"retry-after: 0.5", answer.lower())
+        self.assertIn(b"connection: close", answer.lower())
+
+    async def test_order_whose_sender_has_left_is_not_applied(self):
+        # Guards against an order that a link held up, with its end behind.
+        self.order_with_numbers()
+        await self.call("POST", "/v1/evac/zone-a")
+        await asyncio.sleep(2 * evacuations.ACCEPT_SECONDS)
+        _, writer = await self.connect()
+        writer.write(b"DELETE /v1/evac/zone-a HTTP/1.1\r\nHost: x\r\n\r\n")
+        writer.close()
+        await asyncio.sleep(2 * evacuations.PRESENCE_SECONDS)
+        self.assertEqual({"zone-a"}, self.read_evacuated())
+
+    def order_with_numbers(self):
+        """Give each order the number of the one before."""
+        self.configuration.orderer = evacuations.EvacuationOrderer(
+            clock=SystemClock(), store=self.configuration.store
+        )
+
+    def read_evacuated(self):
+        """Return the data centres that are evacuated."""
+        current = self.configuration.store.configuration
+        return set(current.evacuated_data_centres)
+
     async def test_quarantine_is_shown_and_lifted(self):
         for endpoint_id in ("i-1", "i-2", "i-3"):
             self.ledger.add("f", endpoint_id, "vm-1")
--- a/tests/resources/test_routes.py
+++ b/tests/resources/test_routes.py
@@ -9,6 +9,8 @@
 from burdockdrum.configuration.control_state import encode_command
 from burdockdrum.resources import ACCEPTED
 from burdockdrum.resources import Backend
+from burdockdrum.resources import CONFLICT
+from burdockdrum.resources import evacuation_orders
 from burdockdrum.resources import INVALID
 from burdockdrum.resources import ListenerLimits
 from burdockdrum.resources import Put
@@ -139,6 +141,54 @@
                 centres, set(store.configuration.evacuated_data_centres)
             )
 
+    def test_order_that_arrives_after_a_later_one_changes_nothing(self):
+        # Guards against an order that waits in a queue or at a leader.
+        store = ResourceStore()
+        before = store.evacuation_orders.number_of("a")
+        late = SetEvacuation(
+            data_centre="a", evacuated=True, expected_order=before
+        )
+        # It changes nothing, but it was acknowledged after the late one.
+        later = SetEvacuation(data_centre="a", evacuated=False)
+        self.assertEqual(ACCEPTED, store.apply(later).code)
+        self.assertEqual(CONFLICT, store.apply(late).code)
+        self.assertEqual(0, store.configuration.revision)
+        other = msgspec.structs.replace(late, data_centre="b")
+        self.assertEqual(ACCEPTED, store.apply(other).code)
+
+    def test_order_that_is_resent_is_acknowledged_again(self):
+        store = ResourceStore()
+        change = SetEvacuation(
+            data_centre="a", evacuated=True, expected_order=0
+        )
+        for _ in range(2):
+            self.assertEqual(ACCEPTED, store.apply(change).code)
+
+    def test_numbers_are_in_the_snapshot(self):
+        # Guards against a late order at a leader that was just restored.
+        store = ResourceStore()
+        late = SetEvacuation(
+            data_centre="a",
+            evacuated=True,
+            expected_order=store.evacuation_orders.number_of("a"),
+        )
+        store.apply(SetEvacuation(data_centre="a", evacuated=False))
+        other = ResourceStore()
+        other.restore(store.snapshot())
+        self.assertEqual(CONFLICT, other.apply(late).code)
+
+    def test_numbers_are_bounded(self):
+        orders = evacuation_orders.EvacuationOrders()
+        orders.advance("first")
+        number = orders.number_of("first")
+        for index in range(evacuation_orders.MAX_DATA_CENTRES):
+            orders.advance(f"d{index}")
+        self.assertEqual(
+            evacuation_orders.MAX_DATA_CENTRES,
+            len(orders.snapshot().numbers_by_data_centre),
+        )
+        self.assertEqual(number, orders.number_of("first"))
+
     def test_invalid_name_is_rejected(self):
         for name in ("", "A B", "x" * 64):
             change = SetEvacuation(data_centre=name, evacuated=True)
