Let a control VM take part again once its disk accepts writes

Cause: one refused write made the storage fail for good and the member halt until its process starts again, which nothing does.

Change: what the disk refused stays queued. While its disk refuses, a member doesn't vote, lead or take entries.

Why it works: after a failed sync the kernel may drop the pages and report success, so the same pages must not be synced again; records that are written anew are new pages. Nothing is acknowledged, counted or voted before their sync.

The random histories have a disk that accepts writes again.

Ruled out: ending the process, which reads back pages that were never written, and ends again and again while the disk is full.

--- a/burdockdrum/consensus/election.py
+++ b/burdockdrum/consensus/election.py
@@ -14,7 +14,6 @@
 from burdockdrum.consensus.messages import VoteRequest
 from burdockdrum.consensus.replica import Replica
 from burdockdrum.consensus.signals import wait_until
-from burdockdrum.consensus.storage import StorageFailed
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Peers
 
@@ -48,17 +47,14 @@
             if not self._may_campaign():
                 await replica.clock.sleep(replica.settings.heartbeat_seconds)
                 continue
-            try:
-                elected = await self._campaign(transfer)
-                if elected:
-                    await self._leadership.run()
-                # Counted from the end of an attempt: two candidates that
-                # began together would otherwise keep splitting the votes.
-                replica.postpone_election()
-                if not elected:
-                    timeout *= replica.rng.uniform(*_RETRY_TIMEOUT_FRACTIONS)
-            except StorageFailed as error:
-                replica.halt(str(error))
+            elected = await self._campaign(transfer)
+            if elected:
+                await self._leadership.run()
+            # Counted from the end of an attempt: two candidates that began
+            # together would otherwise keep splitting the votes.
+            replica.postpone_election()
+            if not elected:
+                timeout *= replica.rng.uniform(*_RETRY_TIMEOUT_FRACTIONS)
 
     def _may_campaign(self) -> bool:
         replica = self._replica
--- a/burdockdrum/consensus/follower.py
+++ b/burdockdrum/consensus/follower.py
@@ -58,6 +58,9 @@
         if message.term < storage.term:
             return self._reject(0)
         replica.follow(message.term, message.sender_id)
+        if storage.refusal is not None:
+            # What it can't acknowledge must not pile up in memory.
+            return None
         if not self._has_previous_entry(message):
             retry_index = self._find_retry_index(message)
             await storage.sync()
@@ -89,6 +92,8 @@
             return None
         if message.term >= replica.storage.term:
             replica.follow(message.term, message.sender_id)
+            if replica.storage.refusal is not None:
+                return None
             if await self._receive_chunk(message):
                 return self._snapshot_reply(message.size, done=True)
         await replica.storage.sync()
@@ -115,7 +120,7 @@
             return False
         if not replica.identity.current.formed:
             await self._founding.join(message.cluster_id)
-        return replica.halt_reason is None
+        return replica.identity.current.formed and replica.halt_reason is None
 
     def _has_previous_entry(self, message: AppendRequest) -> bool:
         # Committed entries are the same in the log of every later leader.
@@ -180,7 +185,7 @@
         data = bytes(partial.data)
         if digest_of(data) != message.digest:
             return False
-        await self._applier.install(
+        return await self._applier.install(
             Snapshot.of(
                 index=message.index,
                 term=message.index_term,
@@ -188,7 +193,6 @@
                 data=data,
             )
         )
-        return True
 
     def _snapshot_reply(self, next_offset: int, *, done: bool) -> Message:
         return SnapshotReply(
--- a/burdockdrum/consensus/founding.py
+++ b/burdockdrum/consensus/founding.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-from collections.abc import Callable
 
 from loguru import logger
 import msgspec
@@ -21,6 +20,7 @@
 from burdockdrum.consensus.messages import FoundingQuery
 from burdockdrum.consensus.messages import FoundingReply
 from burdockdrum.consensus.signals import Signal
+from burdockdrum.logs import log_failure
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Message
 from burdockdrum.peers import Peers
@@ -41,10 +41,8 @@
         settings: LogSettings,
         peers: Peers,
         clock: Clock,
-        on_disk_failure: Callable[[str], None],
     ) -> None:
         """Register the handlers for the other founders' requests."""
-        self._on_disk_failure = on_disk_failure
         self._file = file
         self._settings = settings
         self._peers = peers
@@ -147,11 +145,14 @@
         self.changed.fire()
 
     async def _save(self, identity: FolderIdentity) -> None:
+        """Save an identity; if the disk refuses, the former one stays.
+
+        Whoever asked for the change repeats it.
+        """
         try:
             await self._file.save(identity)
         except DiskError as error:
-            self._on_disk_failure(f"the disk failed: {error}")
-            raise
+            log_failure("founding.not_stored", reason=str(error))
 
     async def _query_all(
         self, message: FoundingQuery | FoundingProposal
--- a/burdockdrum/consensus/interface.py
+++ b/burdockdrum/consensus/interface.py
@@ -63,8 +63,8 @@
 class Role(enum.Enum):
     """The current role of a member.
 
-    A ``HALTED`` member takes no part until its restart, because its disk
-    failed or was rolled back to an older state.
+    A ``HALTED`` member takes no part until its restart, because its disk was
+    rolled back to an older state.
     """
 
     WAITING = "waiting to be added"
--- a/burdockdrum/consensus/replica.py
+++ b/burdockdrum/consensus/replica.py
@@ -72,6 +72,7 @@
         self.replication_due = Signal()
         self.campaign_requested = Signal()
         self.history = self._read_history()
+        storage.on_refused = self._leave_leadership
         self.term_at_start = storage.term
         # Identifies this start among the starts of the same member.
         self.start_id = secrets.randbits(_START_ID_BITS) + 1
@@ -131,8 +132,16 @@
 
     @property
     def may_participate(self) -> bool:
-        """Return whether this member may vote, acknowledge and lead."""
-        return self.halt_reason is None and self.admitted
+        """Return whether this member may vote, acknowledge and lead.
+
+        While its disk refuses writes it takes no part, as it could
+        acknowledge nothing.
+        """
+        return (
+            self.halt_reason is None
+            and self.admitted
+            and self.storage.refusal is None
+        )
 
     @property
     def contact_age(self) -> float | None:
@@ -214,6 +223,10 @@
                 self.leader_id = None
         self.set_role(Role.FOLLOWER)
 
+    def _leave_leadership(self, reason: str) -> None:
+        self.timeline.record("log.disk_refuses", reason=reason)
+        self.step_down(f"the disk refuses writes: {reason}")
+
     def halt(self, reason: str) -> None:
         """Take no part in votes, quorums or leadership until a restart."""
         if self.halt_reason is not None:
--- a/burdockdrum/registrations/store.py
+++ b/burdockdrum/registrations/store.py
@@ -26,6 +26,8 @@
 
 # Check-ins without a change cause no write.
 WRITE_INTERVAL_SECONDS = 0.25
+# Until a write that the disk refused is tried again.
+RETRY_SECONDS = 0.5
 # An older file says little about which endpoints are alive. The wall clock may
 # have been set meanwhile; then the file is ignored, or stale endpoints time
 # out.
@@ -75,7 +77,6 @@
         self._written_version_serial = 0
         # Set once the file was read, if there is one.
         self.restored = asyncio.Event()
-        self._failure: str | None = None
         self._wake = asyncio.Event()
         self._waiters: list[asyncio.Future[None]] = []
 
@@ -95,12 +96,11 @@
             try:
                 await self._write()
             except DiskError as error:
-                # After a failed sync no later write can be trusted. Only the
-                # next start is affected, so the VM keeps running.
+                # The next attempt writes all of it to a new file.
                 log_failure("registrations.not_stored", reason=str(error))
-                self._failure = str(error)
-                _resolve([*waiters, *self._waiters], failure=self._failure)
-                return
+                _resolve(waiters, failure=str(error))
+                await self._clock.sleep(RETRY_SECONDS)
+                continue
             _resolve(waiters)
 
     async def flush(self) -> None:
@@ -108,8 +108,6 @@
 
         :raises DiskError: if it can't be written
         """
-        if self._failure is not None:
-            raise DiskError(self._failure)
         waiter: asyncio.Future[None] = asyncio.Future()
         self._waiters.append(waiter)
         self._wake.set()
--- a/burdockdrum/testing/disk.py
+++ b/burdockdrum/testing/disk.py
@@ -10,7 +10,8 @@
     """Files with separate visible and durable contents.
 
     ``fail_syncs``, ``full`` and ``sync_seconds`` simulate a failing sync, a
-    full disk and a slow disk.
+    full disk and a slow disk. What a failed sync did not write is lost at the
+    next power loss, although the next sync of the file succeeds.
     """
 
     def __init__(self, *, rng: random.Random) -> None:
@@ -20,6 +21,8 @@
         self._synced: dict[str, bytes] = {}
         self._synced_names: set[str] = set()
         self._replaced_contents: dict[str, bytes] = {}
+        # From where on failed syncs have dropped a file's content.
+        self._dropped_from: dict[str, int] = {}
         self.fail_syncs = False
         self.full = False
         self.sync_seconds = 0.0
@@ -38,6 +41,7 @@
                 name, self._synced.get(name, b"")
             )
             seen = self._seen.get(name, b"")
+            seen = seen[: self._dropped_from.get(name, len(seen))]
             if name not in self._replaced_contents and seen.startswith(synced):
                 extra = self._rng.randint(0, len(seen) - len(synced))
                 synced = seen[: len(synced) + extra]
@@ -45,6 +49,7 @@
         self._seen = dict(durable)
         self._synced = dict(durable)
         self._replaced_contents = {}
+        self._dropped_from = {}
 
     def wipe(self) -> None:
         """Remove every file, as when the disk is replaced."""
@@ -71,6 +76,7 @@
             # Until the sync, power loss may leave the old content.
             self._synced.setdefault(name, b"")
         self._seen[name] = content
+        self._dropped_from.pop(name, None)
 
     async def append(self, name: str, content: bytes) -> None:
         """Add to the end of a file, creating it, unsynced."""
@@ -80,17 +86,30 @@
     async def truncate(self, name: str, size: int) -> None:
         """Cut a file to a size in bytes, unsynced."""
         self._seen[name] = self._seen[name][:size]
+        if size <= self._dropped_from.get(name, -1):
+            del self._dropped_from[name]
 
     async def sync(self, name: str) -> None:
-        """Make a file's content durable."""
-        await self._sync()
-        self._synced[name] = self._seen[name]
+        """Make a file's content durable, but for what was dropped."""
+        content = self._seen[name]
+        try:
+            await self._sync()
+        except DiskError:
+            synced = self._synced.get(name, b"")
+            written = len(synced) if content.startswith(synced) else 0
+            self._dropped_from.setdefault(name, written)
+            raise
+        end = self._dropped_from.get(name, len(self._seen[name]))
+        self._synced[name] = self._seen[name][:end]
 
     async def rename(self, old: str, new: str) -> None:
         """Rename a file over another."""
         if new in self._synced_names and new not in self._replaced_contents:
             self._replaced_contents[new] = self._synced.get(new, b"")
         self._seen[new] = self._seen.pop(old)
+        self._dropped_from.pop(new, None)
+        if old in self._dropped_from:
+            self._dropped_from[new] = self._dropped_from.pop(old)
         self._synced[new] = self._synced.pop(old, b"")
 
     async def remove(self, name: str) -> None:
--- a/tests/consensus/histories.py
+++ b/tests/consensus/histories.py
@@ -33,6 +33,7 @@
     "slow_disk",
     "failing_disk",
     "full_disk",
+    "working_disk",
     "transfer_leadership",
     "replace",
     "bad_links",
@@ -218,6 +219,8 @@
                 vm.disk.fail_syncs = True
             case "full_disk":
                 vm.disk.full = True
+            case "working_disk":
+                vm.disk.fail_syncs = vm.disk.full = False
             case "transfer_leadership":
                 if vm.task:
                     self._spawn(vm.running.transfer_leadership())
