Number the starts of a VM in their order, whatever its clock says

Cause: a start was numbered by the time of day. A control VM that started again after its clock was set back had a lower number than before, and entries dropped all that it said as messages of its former start, without an end.

Change: a VM with a disk keeps the number of its start there, and the next one is greater. Without a disk, or after its loss, a lower number counts as a new start once nothing came from the known one for the time after which it counts as dead; control VMs treat entries in the same way.

Why it works: late messages of a former start come while the newer start is heard. One that is silent for longer has ended.

--- a/burdockdrum/daemon/daemon.py
+++ b/burdockdrum/daemon/daemon.py
@@ -5,7 +5,6 @@
 import random
 import signal
 import socket
-import time
 from urllib.parse import urlsplit
 
 from blacksheep import Application
@@ -13,6 +12,7 @@
 
 from burdockdrum.daemon.assembly import assemble
 from burdockdrum.kernel import Kernel
+from burdockdrum.peers import number_start
 from burdockdrum.peers import VmIdentity
 from burdockdrum.settings import Settings
 from burdockdrum.system_ports import FolderDisk
@@ -63,13 +63,16 @@
 
     async def _assemble(self) -> Kernel:
         settings = self._settings
+        clock = SystemClock()
+        disk = _open_disk(settings)
+        incarnation = await number_start(clock=clock, disk=disk)
         mailbox = await PynngNetwork().open(settings.listen.control)
         parts = urlsplit(settings.listen.http)
         listener = bind(parts.hostname or "", parts.port or 0)
         host, port = listener.getsockname()[:2]
         identity = VmIdentity(
             vm_id=settings.vm.id,
-            incarnation=time.time_ns() // 1_000_000,
+            incarnation=incarnation,
             region=settings.vm.region,
             data_centre=settings.vm.data_centre,
             control_address=mailbox.address,
@@ -87,10 +90,10 @@
             settings=settings,
             identity=identity,
             mailbox=mailbox,
-            clock=SystemClock(),
+            clock=clock,
             http=PooledHttpClient(ssl_context=make_ssl_context(trust_file)),
             rng=random.Random(),
-            disk=_open_disk(settings),
+            disk=disk,
         )
         kernel.add("web", lambda kernel: _build_web(kernel, listener))
         return kernel
--- a/burdockdrum/gateway/process.py
+++ b/burdockdrum/gateway/process.py
@@ -5,7 +5,6 @@
 import pathlib
 import random
 import signal
-import time
 
 from loguru import logger
 
@@ -14,6 +13,7 @@
 from burdockdrum.logs import log_decision
 from burdockdrum.logs import set_up_structured_log
 from burdockdrum.logs import StructuredLog
+from burdockdrum.peers import number_start
 from burdockdrum.peers import VmIdentity
 from burdockdrum.settings import Settings
 from burdockdrum.system_ports import FolderDisk
@@ -87,24 +87,27 @@
 
     async def _assemble(self) -> Kernel:
         settings = self._settings
+        clock = SystemClock()
+        folder = settings.control.data_folder
+        disk = FolderDisk(folder=pathlib.Path(folder)) if folder else None
+        incarnation = await number_start(clock=clock, disk=disk)
         mailbox = await PynngNetwork().open(settings.listen.control)
         callers = settings.passthrough.callers
         identity = VmIdentity(
             vm_id=settings.vm.id,
-            incarnation=time.time_ns() // 1_000_000,
+            incarnation=incarnation,
             region=settings.vm.region,
             data_centre=settings.vm.data_centre,
             control_address=mailbox.address,
             http_address=f"http://{callers}" if callers else "",
         )
-        folder = settings.control.data_folder
         kernel = assemble(
             settings=settings,
             identity=identity,
             mailbox=mailbox,
-            clock=SystemClock(),
+            clock=clock,
             rng=random.Random(),
-            disk=FolderDisk(folder=pathlib.Path(folder)) if folder else None,
+            disk=disk,
         )
         self._extend(kernel)
         log_decision(
--- a/burdockdrum/peers/__init__.py
+++ b/burdockdrum/peers/__init__.py
@@ -7,6 +7,7 @@
 from burdockdrum.peers.peers import CallFailed
 from burdockdrum.peers.peers import Peers
 from burdockdrum.peers.services import add_services
+from burdockdrum.peers.starts import number_start
 from burdockdrum.peers.traffic import Distance
 from burdockdrum.peers.traffic import Traffic
 
@@ -15,6 +16,7 @@
     "CallFailed",
     "Distance",
     "Message",
+    "number_start",
     "PayloadAuthenticator",
     "Peers",
     "Sender",
--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -299,9 +299,15 @@
     ) -> Message | None:
         source = self._sources_by_id.setdefault(sender.vm_id, ControlSource())
         now = self._clock.monotonic()
-        if message.epoch < source.epoch:
+        if message.epoch < source.epoch and not self._is_silent(source, now):
             return None
-        if message.epoch > source.epoch:
+        if message.epoch != source.epoch:
+            log_decision(
+                "control_vm.restarted",
+                about_vm=sender.vm_id,
+                epoch=message.epoch,
+                former_epoch=source.epoch,
+            )
             source.begin_epoch(message.epoch, now + STALE_GRACE_SECONDS)
             self._crash_exchange.begin_epoch(sender.vm_id)
         source.received_at = now
@@ -331,6 +337,14 @@
             self._notify_listeners()
         return None
 
+    def _is_silent(self, source: ControlSource, now: float) -> bool:
+        """Return whether a control VM's known incarnation must have ended.
+
+        A start after the clock was set back may have a lower number.
+        """
+        seconds = liveness_timeout(self.total_entries)
+        return now - source.received_at > seconds
+
     def _receive_versions(
         self, vm_id: str, source: ControlSource, message: RegistrationUpdate
     ) -> None:
--- a/burdockdrum/registrations/publisher.py
+++ b/burdockdrum/registrations/publisher.py
@@ -131,9 +131,15 @@
     ) -> Message | None:
         now = self._clock.monotonic()
         watcher = self._watchers_by_id.get(sender.vm_id)
-        if watcher is not None and watcher.incarnation > sender.incarnation:
+        is_late = (
+            watcher is not None
+            and watcher.incarnation > sender.incarnation
+            and watcher.received_at >= self._live_since()
+        )
+        if is_late:
             return None
-        if watcher is None or watcher.incarnation < sender.incarnation:
+        # A start after the clock was set back may have a lower number.
+        if watcher is None or watcher.incarnation != sender.incarnation:
             watcher = _Watcher(
                 address=sender.address,
                 region=message.region,
@@ -223,9 +229,13 @@
         watcher.sent_at = self._clock.monotonic()
         self._send(watcher, with_capacities=False)
 
-    def _live_watchers(self) -> list[_Watcher]:
+    def _live_since(self) -> float:
+        """Return since when a live entry must have sent a poll."""
         seconds = liveness_timeout(len(self._watchers_by_id))
-        since = self._clock.monotonic() - seconds
+        return self._clock.monotonic() - seconds
+
+    def _live_watchers(self) -> list[_Watcher]:
+        since = self._live_since()
         return [
             watcher
             for watcher in self._watchers_by_id.values()
