Give software versions a package of their own

The registrations held 28 modules, four of them about software versions: what a control VM knows, what an entry knows, the exchange between control VMs and the confirmation by a majority. They are burdockdrum/software_versions now, and what an entry knows of established versions has left the follower.

No change of behaviour; tests of software_versions, registrations, streams, peers, platform and passthrough.relaying.test_stream_versions pass.

--- a/burdockdrum/consensus/storage.py
+++ b/burdockdrum/consensus/storage.py
@@ -33,7 +33,7 @@
 
 _PREFIX = "log-"
 _UNKNOWN_TERM = -1
-# Until a write that the disk refused is tried again.
+# Until a write that the disk refused is repeated.
 RETRY_SECONDS = 0.5
 
 
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -250,7 +250,7 @@
         is_chosen=registrations.limit_shares.is_chosen,
         may_have_place=kernel.find("place_broker", PlaceBroker).may_ask,
         pauses=kernel.find("pauses", PauseDetector),
-        is_established=registrations.is_version_established,
+        is_established=registrations.versions.is_established,
     )
     kernel.find("metrics", Metrics).gauges(
         "burdockdrum_endpoint_time_factor",
--- a/burdockdrum/registrations/__init__.py
+++ b/burdockdrum/registrations/__init__.py
@@ -18,7 +18,6 @@
 from burdockdrum.registrations.messages import Registration
 from burdockdrum.registrations.messages import RegistrationState
 from burdockdrum.registrations.messages import ServiceCapacity
-from burdockdrum.registrations.messages import ServiceVersion
 from burdockdrum.registrations.messages import SpeedSum
 from burdockdrum.registrations.model import RegisteredEndpoint
 from burdockdrum.registrations.publisher import RegistrationPublisher
@@ -28,7 +27,6 @@
 from burdockdrum.registrations.rate_limits import newest_limit
 from burdockdrum.registrations.rate_limits import rate_of
 from burdockdrum.registrations.services import add_services
-from burdockdrum.registrations.software_versions import KnownVersions
 from burdockdrum.registrations.speed_news import SpeedNews
 from burdockdrum.registrations.table import RegistrationTable
 from burdockdrum.registrations.team_work import NO_WORK
@@ -39,7 +37,6 @@
 from burdockdrum.registrations.team_work import WorkKey
 
 __all__ = [
-    "KnownVersions",
     "add_services",
     "AnnouncedLimit",
     "Bounds",
@@ -62,7 +59,6 @@
     "RegistrationState",
     "RegistrationTable",
     "ServiceCapacity",
-    "ServiceVersion",
     "SpeedNews",
     "SpeedSum",
     "sum_work",
--- a/burdockdrum/registrations/control_source.py
+++ b/burdockdrum/registrations/control_source.py
@@ -8,9 +8,9 @@
 from burdockdrum.registrations.messages import Registration
 from burdockdrum.registrations.messages import RegistrationUpdate
 from burdockdrum.registrations.messages import ServiceCapacity
-from burdockdrum.registrations.messages import ServiceVersion
 from burdockdrum.registrations.model import RegisteredEndpoint
 from burdockdrum.registrations.rosters import NO_ROSTER_VERSION
+from burdockdrum.software_versions import ServiceVersion
 
 
 @dataclass(kw_only=True)
--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -41,9 +41,8 @@
 from burdockdrum.registrations.rate_limits import AnnouncedLimit
 from burdockdrum.registrations.replaced_control_vms import ReplacedControlVms
 from burdockdrum.registrations.rosters import NO_ROSTER_VERSION
-from burdockdrum.registrations.software_versions import KnownVersions
-from burdockdrum.registrations.software_versions import VersionKey
-from burdockdrum.registrations.version_confirmation import VersionConfirmation
+from burdockdrum.software_versions import KnownVersions
+from burdockdrum.software_versions import VersionConfirmation
 
 # What a control VM reported before its restart or its replacement stays valid
 # for so long, in which a live endpoint checks in again.
@@ -109,7 +108,6 @@
             clock=clock, read_entry_count=lambda: self.total_entries
         )
         self.versions = KnownVersions(clock=clock)
-        self._established_versions: frozenset[VersionKey] = frozenset()
         self._confirmation = VersionConfirmation(
             clock=clock,
             read_control_ids=lambda: self._control_addresses().keys(),
@@ -184,12 +182,6 @@
         """
         return await self._confirmation.confirm(seconds)
 
-    def is_version_established(
-        self, service: str, software_version: str
-    ) -> bool:
-        """Return whether a quorum of control VMs knows a version."""
-        return (service, software_version) in self._established_versions
-
     def report_limits(self) -> None:
         """Report limits at once to the control VMs that don't know them."""
         for vm_id, address in self._control_addresses().items():
@@ -351,7 +343,7 @@
         if message.versions is not None:
             source.versions = message.versions
             source.version_serial = message.version_serial
-            self._update_established()
+            self.versions.set_reported(vm_id, source.versions)
         self.versions.record(source.versions)
         source.are_versions_complete = (
             message.are_versions_complete
@@ -360,14 +352,6 @@
         if source.are_versions_complete:
             self._confirmation.record(vm_id, message.watch_sent_at_ms)
 
-    def _update_established(self) -> None:
-        self._established_versions = frozenset(
-            (known.service, known.software_version)
-            for source in self._sources_by_id.values()
-            for known in source.versions
-            if known.is_established
-        )
-
     def _receive_roster(
         self, vm_id: str, source: ControlSource, message: RegistrationUpdate
     ) -> None:
@@ -535,7 +519,7 @@
             source = self._sources_by_id.pop(vm_id)
             self._entry_counts_by_id.pop(vm_id, None)
             self._crash_exchange.forget(vm_id)
-            self._update_established()
+            self.versions.forget(vm_id)
             for endpoint_id in source.endpoints_by_id:
                 self._merge(endpoint_id)
             log_decision(
--- a/burdockdrum/registrations/messages.py
+++ b/burdockdrum/registrations/messages.py
@@ -14,6 +14,7 @@
 from burdockdrum.registrations.incarnations import UNKNOWN_INCARNATION
 from burdockdrum.registrations.loads import RankLoad
 from burdockdrum.registrations.team_work import TeamWork
+from burdockdrum.software_versions import ServiceVersion
 
 
 class RegistrationState(enum.Enum):
@@ -87,19 +88,6 @@
     software_versions: list[str] = []
 
 
-class ServiceVersion(msgspec.Struct, frozen=True, array_like=True):
-    """A software version that endpoints of a service have, or had lately.
-
-    ``age`` is the time in seconds since one had it. ``is_established`` says
-    that a quorum of control VMs knows that endpoints of the sender have it.
-    """
-
-    service: str
-    software_version: str
-    age: float = 0.0
-    is_established: bool = False
-
-
 class LimitNotice(msgspec.Struct, frozen=True, array_like=True):
     """The bounds that an endpoint announced to an entry.
 
--- a/burdockdrum/registrations/services.py
+++ b/burdockdrum/registrations/services.py
@@ -15,8 +15,8 @@
 from burdockdrum.registrations.publisher import RegistrationPublisher
 from burdockdrum.registrations.store import RegistrationStore
 from burdockdrum.registrations.table import RegistrationTable
-from burdockdrum.registrations.version_exchange import VersionExchange
 from burdockdrum.settings import Settings
+from burdockdrum.software_versions import VersionExchange
 from burdockdrum.vms import VmDirectory
 
 
--- a/burdockdrum/registrations/store.py
+++ b/burdockdrum/registrations/store.py
@@ -20,13 +20,13 @@
 from burdockdrum.ports import Disk
 from burdockdrum.ports import DiskError
 from burdockdrum.registrations.messages import Registration
-from burdockdrum.registrations.messages import ServiceVersion
-from burdockdrum.registrations.software_versions import VersionReport
 from burdockdrum.registrations.table import RegistrationTable
+from burdockdrum.software_versions import ServiceVersion
+from burdockdrum.software_versions import VersionReport
 
 # Check-ins without a change cause no write.
 WRITE_INTERVAL_SECONDS = 0.25
-# Until a write that the disk refused is tried again.
+# Until a write that the disk refused is repeated.
 RETRY_SECONDS = 0.5
 # An older file says little about which endpoints are alive. The wall clock may
 # have been set meanwhile; then the file is ignored, or stale endpoints time
--- a/burdockdrum/registrations/table.py
+++ b/burdockdrum/registrations/table.py
@@ -18,7 +18,7 @@
 from burdockdrum.registrations.messages import LimitNotice
 from burdockdrum.registrations.messages import Registration
 from burdockdrum.registrations.messages import RegistrationState
-from burdockdrum.registrations.software_versions import VersionMemory
+from burdockdrum.software_versions import VersionMemory
 
 # Endpoints check in every 1.2 s, and a check-in may be seconds late.
 CHECK_IN_TIMEOUT_SECONDS = 4.5
--- a/burdockdrum/registrations/version_exchange.py
+++ b/burdockdrum/software_versions/exchange.py
@@ -19,10 +19,10 @@
 from burdockdrum.peers import Sender
 from burdockdrum.ports import Clock
 from burdockdrum.ports import DiskError
-from burdockdrum.registrations.messages import ServiceVersion
-from burdockdrum.registrations.software_versions import MEMORY_SECONDS
-from burdockdrum.registrations.software_versions import VersionMemory
-from burdockdrum.registrations.software_versions import VersionReport
+from burdockdrum.software_versions.memory import VersionMemory
+from burdockdrum.software_versions.model import MEMORY_SECONDS
+from burdockdrum.software_versions.model import ServiceVersion
+from burdockdrum.software_versions.model import VersionReport
 
 # While all control VMs have stored the report, it is repeated so often.
 INTERVAL_SECONDS = 5.0
--- a/burdockdrum/registrations/software_versions.py
+++ b/burdockdrum/software_versions/memory.py
@@ -1,10 +1,7 @@
-"""The software versions of services, also of endpoints that are gone.
-
-A stream that began at a version may be taken up after the last endpoint of
-that version has ended, and must not be mistaken for one of another version.
+"""The software versions that a control VM knows.
 
 Each control VM learns versions from the endpoints that check in there, and
-reports them to the others (``version_exchange``).
+reports them to the others (see ``exchange``).
 """
 
 from collections.abc import Callable
@@ -12,38 +9,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-import msgspec
-
 from burdockdrum.ports import Clock
-from burdockdrum.registrations.messages import ServiceVersion
-
-# How long a version is remembered after its last endpoint has ended. By then
-# its callers have taken up the streams that broke off, or given up.
-MEMORY_SECONDS = 60.0
-
-VersionKey = tuple[str, str]
-
-
-class VersionReport(msgspec.Struct, frozen=True, array_like=True):
-    """The versions of the endpoints that check in at one control VM.
-
-    Reports of one VM are ordered by its incarnation and the serial.
-    """
-
-    vm_id: str
-    incarnation: int
-    serial: int
-    versions: list[ServiceVersion]
-
-    @property
-    def stamp(self) -> tuple[int, int]:
-        """Return what orders the reports of one VM."""
-        return self.incarnation, self.serial
-
-    @property
-    def keys(self) -> frozenset[VersionKey]:
-        """Return the services and versions."""
-        return frozenset(_key_of(known) for known in self.versions)
+from burdockdrum.software_versions.model import key_of
+from burdockdrum.software_versions.model import MEMORY_SECONDS
+from burdockdrum.software_versions.model import ServiceVersion
+from burdockdrum.software_versions.model import VersionKey
+from burdockdrum.software_versions.model import VersionReport
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -98,11 +69,11 @@
         new = [
             known
             for known in versions
-            if _key_of(known) in self._own_last_seen_by_key
-            and _key_of(known) not in self._established
+            if key_of(known) in self._own_last_seen_by_key
+            and key_of(known) not in self._established
         ]
         if new:
-            self._established |= {_key_of(known) for known in new}
+            self._established |= {key_of(known) for known in new}
             self._record_change(is_urgent=True)
         return new
 
@@ -111,7 +82,7 @@
         now = self._clock.monotonic()
         for known in versions:
             if known.age < MEMORY_SECONDS:
-                self._observe(_key_of(known), now - known.age)
+                self._observe(key_of(known), now - known.age)
 
     def apply_report(self, report: VersionReport) -> None:
         """Take up another control VM's report, or a copy of it.
@@ -154,9 +125,9 @@
         self.add_known(versions)
         for known in own:
             if known.age < MEMORY_SECONDS:
-                self._observe_own(_key_of(known), now - known.age)
+                self._observe_own(key_of(known), now - known.age)
                 if known.is_established:
-                    self._established.add(_key_of(known))
+                    self._established.add(key_of(known))
 
     def prune(self, current: Collection[VersionKey]) -> None:
         """Forget versions that no endpoint has had for long.
@@ -248,36 +219,6 @@
                 listener()
 
 
-class KnownVersions:
-    """The versions that an entry knows from all control VMs."""
-
-    def __init__(self, *, clock: Clock) -> None:
-        """Create it without versions."""
-        self._clock = clock
-        self._last_seen_by_service: dict[str, dict[str, float]] = {}
-
-    def record(self, versions: Iterable[ServiceVersion]) -> None:
-        """Record what a control VM knows now."""
-        now = self._clock.monotonic()
-        for known in versions:
-            last_seen = self._last_seen_by_service.setdefault(
-                known.service, {}
-            )
-            last_seen[known.software_version] = now
-
-    def versions_of(self, service: str) -> list[str]:
-        """Return the versions that a service has or had lately."""
-        last_seen = self._last_seen_by_service.get(service, {})
-        since = self._clock.monotonic() - MEMORY_SECONDS
-        for version in [v for v, at in last_seen.items() if at < since]:
-            del last_seen[version]
-        return sorted(last_seen)
-
-
-def _key_of(known: ServiceVersion) -> VersionKey:
-    return known.service, known.software_version
-
-
 def _list_expired(
     last_seen_by_key: dict[VersionKey, float], now: float
 ) -> list[VersionKey]:
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -49,13 +49,13 @@
 from burdockdrum.pauses import PauseDetector
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import VmIdentity
-from burdockdrum.registrations import KnownVersions
 from burdockdrum.registrations import LikelyEntries
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RegistrationState
 from burdockdrum.registrations import ServiceCapacity
-from burdockdrum.registrations import ServiceVersion
 from burdockdrum.settings import MechanismSettings
+from burdockdrum.software_versions import KnownVersions
+from burdockdrum.software_versions import ServiceVersion
 from burdockdrum.streams import StreamOrigins
 from tests.callers.fakes import FakeConfiguration
 from tests.callers.fakes import make_finder
--- /dev/null
+++ b/tests/software_versions/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the software versions that a quorum of control VMs knows."""
--- a/tests/registrations/test_version_exchange.py
+++ b/tests/software_versions/test_exchange.py
@@ -6,15 +6,15 @@
 from loguru import logger
 
 from burdockdrum.registrations import RegistrationTable
-from burdockdrum.registrations import ServiceVersion
-from burdockdrum.registrations.software_versions import MEMORY_SECONDS
-from burdockdrum.registrations.software_versions import VersionMemory
-from burdockdrum.registrations.software_versions import VersionReport
-from burdockdrum.registrations.version_exchange import INTERVAL_SECONDS
-from burdockdrum.registrations.version_exchange import VersionExchange
+from burdockdrum.software_versions import exchange
+from burdockdrum.software_versions import MEMORY_SECONDS
+from burdockdrum.software_versions import ServiceVersion
+from burdockdrum.software_versions import VersionExchange
+from burdockdrum.software_versions import VersionMemory
+from burdockdrum.software_versions import VersionReport
 from burdockdrum.testing import run_virtual
 from burdockdrum.testing import VirtualClock
-from tests.registrations.test_software_versions import VersionRegion
+from tests.software_versions.test_memory import VersionRegion
 
 V1 = ServiceVersion("s", "v1")
 V2 = ServiceVersion("s", "v2")
@@ -36,7 +36,7 @@
             return
         restored = asyncio.Event()
         restored.set()
-        exchange = VersionExchange(
+        sharing = VersionExchange(
             peers=self.peers[name],
             clock=self.clock,
             versions=self.tables[name].versions,
@@ -45,13 +45,13 @@
             read_voters=lambda: self.addresses,
             is_first_start=self.first_start,
         )
-        self.tasks[f"{name} exchange"] = asyncio.create_task(exchange.run())
+        self.tasks[f"{name} exchange"] = asyncio.create_task(sharing.run())
 
     async def stop(self, name):
         """Stop a VM."""
-        exchange = self.tasks.pop(f"{name} exchange", None)
-        if exchange is not None:
-            exchange.cancel()
+        sharing = self.tasks.pop(f"{name} exchange", None)
+        if sharing is not None:
+            sharing.cancel()
         if name in self.tasks:
             await super().stop(name)
 
@@ -72,7 +72,7 @@
 
     def is_established(self, name, version):
         """Return whether streams may begin at a version at an entry."""
-        return self.followers[name].is_version_established("s", version)
+        return self.followers[name].versions.is_established("s", version)
 
 
 class VersionExchangeTest(unittest.TestCase):
@@ -146,7 +146,7 @@
             follower = world.followers["e0"]
             self.assertFalse(await follower.confirm_versions(0.5))
             world.heal()
-            await world.run(INTERVAL_SECONDS)
+            await world.run(exchange.INTERVAL_SECONDS)
             self.assertTrue(await follower.confirm_versions(0.5))
             self.assertIn("v2", world.versions_of("e0"))
 
@@ -174,7 +174,7 @@
         async def check(world):
             follower = world.followers["e0"]
             self.assertFalse(await follower.confirm_versions(0.5))
-            await world.run(MEMORY_SECONDS + INTERVAL_SECONDS)
+            await world.run(MEMORY_SECONDS + exchange.INTERVAL_SECONDS)
             self.assertTrue(await follower.confirm_versions(0.5))
 
         self.play(check, first_start=False)
--- a/tests/registrations/test_software_versions.py
+++ b/tests/software_versions/test_memory.py
@@ -6,12 +6,12 @@
 
 from loguru import logger
 
-from burdockdrum.registrations import KnownVersions
 from burdockdrum.registrations import RegistrationState
 from burdockdrum.registrations import RegistrationTable
-from burdockdrum.registrations import ServiceVersion
-from burdockdrum.registrations.software_versions import MEMORY_SECONDS
-from burdockdrum.registrations.software_versions import VersionReport
+from burdockdrum.software_versions import KnownVersions
+from burdockdrum.software_versions import MEMORY_SECONDS
+from burdockdrum.software_versions import ServiceVersion
+from burdockdrum.software_versions import VersionReport
 from burdockdrum.testing import FakeDisk
 from burdockdrum.testing import run_virtual
 from burdockdrum.testing import VirtualClock
