Let callers of the soak of regions return when they are told to

Two were refused with Retry-After 1.0, as no endpoint was eligible just after the loss; two met an endpoint that had crashed. A refusal with a time to return isn't the end of a stream; the soak's callers left there.

Change: they return at the time that they are told, up to four tries, and the last one counts whatever comes of it. The bound stays.

Bound and faults are the same.

--- a/scripts/soak/receiving.py
+++ b/scripts/soak/receiving.py
@@ -18,12 +18,14 @@
     """What came of a response.
 
     ``status`` is 0 if its head did not arrive. ``is_whole`` says that it
-    arrived to its end, ``is_connected`` that there was a connection.
+    arrived to its end, ``is_connected`` that there was a connection;
+    ``retry_after`` is in seconds.
     """
 
     status: int = 0
     is_whole: bool = False
     is_connected: bool = False
+    retry_after: float | None = None
     parts: list[bytes] = field(default_factory=list)
 
     @property
@@ -35,6 +37,11 @@
         """Add a part of the body; called by the parser."""
         self.parts.append(body)
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Read a header; called by the parser."""
+        if name.lower() == b"retry-after":
+            self.retry_after = float(value)
+
     def on_message_complete(self) -> None:
         """Record the end of the response; called by the parser."""
         self.is_whole = True
--- a/scripts/soak/regional_versions.py
+++ b/scripts/soak/regional_versions.py
@@ -9,15 +9,19 @@
 
 from burdockdrum.histories import StreamTry
 from scripts.local_deployment import Machine
+from scripts.soak.receiving import Received
 from scripts.soak.retries import ENDPOINTS
 from scripts.soak.versioned_endpoint import VersionedEndpoint
 from scripts.soak.versions import ENDPOINTS_PER_ZONE
+from scripts.soak.versions import MAX_TRIES
 from scripts.soak.versions import VersionSoak
 
 # Of each region in turn; the loss of one leaves endpoints of both versions.
 VERSIONS_BY_REGION = (("v2",), ("v1",), ("v1", "v2"))
 LOSS_INTERVAL_SECONDS = (3.0, 6.0)
 MIN_SHARE = 0.9
+# The longest time to return that callers wait for, in seconds.
+MAX_WAIT_SECONDS = 2.0
 
 
 class RegionalVersionSoak(VersionSoak):
@@ -84,11 +88,24 @@
 
     async def _receive(
         self, attempt: StreamTry, tries: list[StreamTry]
-    ) -> tuple[int, bool]:
-        status, is_whole = await super()._receive(attempt, tries)
+    ) -> Received:
+        received = await super()._receive(attempt, tries)
         # Without a response the entry was killed.
-        attempt.counts &= status != 0
-        return status, is_whole
+        attempt.counts &= received.status != 0
+        return received
+
+    async def _waits_to_return(
+        self, tries: list[StreamTry], received: Received
+    ) -> bool:
+        """Wait as a refused caller was told; only its last try counts."""
+        seconds = received.retry_after
+        if seconds is None or seconds > MAX_WAIT_SECONDS:
+            return False
+        if len(tries) == MAX_TRIES:
+            return False
+        tries[-1].counts = False
+        await asyncio.sleep(seconds)
+        return True
 
     def _is_calm(self, entry: Machine) -> bool:
         """Return whether a try at an entry counts; also just after a loss."""
--- a/scripts/soak/versions.py
+++ b/scripts/soak/versions.py
@@ -16,6 +16,7 @@
 from burdockdrum.histories import StreamTry
 from scripts.local_deployment import Machine
 from scripts.soak.receiving import receive
+from scripts.soak.receiving import Received
 from scripts.soak.retries import RetrySoak
 from scripts.soak.versioned_endpoint import VersionedEndpoint
 
@@ -68,11 +69,14 @@
         status = 0
         for _ in range(MAX_TRIES):
             attempt = self._make_try(tries)
-            status, is_whole = await self._receive(attempt, tries)
+            received = await self._receive(attempt, tries)
+            status = received.status
             self.counts_by_status[status] += 1
             tries.append(attempt)
             is_refused = attempt.resumes is not None and not attempt.events
-            if is_whole or (status == 503 and is_refused):
+            if is_refused and await self._waits_to_return(tries, received):
+                continue
+            if received.is_whole or (status == 503 and is_refused):
                 break
             await asyncio.sleep(self.rng.uniform(*UNTIL_TAKEN_UP_SECONDS))
         return status
@@ -89,10 +93,16 @@
             and (began is None or self._is_served(began.events[0].version)),
         )
 
+    async def _waits_to_return(
+        self, tries: list[StreamTry], received: Received
+    ) -> bool:
+        """Wait until a refused caller may return, if it does."""
+        return False
+
     async def _receive(
         self, attempt: StreamTry, tries: list[StreamTry]
-    ) -> tuple[int, bool]:
-        """Receive what a try brings; return the status, and if it is whole."""
+    ) -> Received:
+        """Receive what a try brings."""
         headers = {
             "X-Request-Id": attempt.request_id,
             "X-Deadline-Ms": str(DEADLINE_MS),
@@ -111,7 +121,7 @@
             ReceivedEvent(number=int(number), version=version.decode())
             for number, version in _EVENT.findall(received.body)
         ]
-        return received.status, received.is_whole
+        return received
 
     def _is_calm(self, entry: Machine) -> bool:
         """Return whether an entry and the control VMs were undisturbed."""
