Say why a stream doesn't begin at an endpoint of a new version

A refusal now names endpoints whose software version no quorum is known to know, and a control VM that an entry hears for the first time is not logged as restarted. test_stream_doesn_t_begin_at_a_version_that_few_know checks the reason.

--- a/burdockdrum/passthrough/selection/targets.py
+++ b/burdockdrum/passthrough/selection/targets.py
@@ -546,6 +546,7 @@
             f"none of {live_count} local endpoints is eligible, "
             f"{draining_count} more drain"
         )
+        reason += self._explain_versions(request, progress)
         if not self.list_at_limit(request, progress):
             wait = NO_ENDPOINT_RETRY_AFTER_SECONDS
             if progress.place_retry_after is not None:
@@ -593,6 +594,19 @@
             verdict=progress.verdict,
         )
 
+    def _explain_versions(
+        self, request: ProxiedRequest, progress: RequestProgress
+    ) -> str:
+        """Return a part of a reason, empty if no version is in the way."""
+        if progress.origin is not None or not request.is_resumable:
+            return ""
+        service = request.backend.name
+        established = self._fleet.count_live(service, ESTABLISHED_VERSION)
+        unknown = self._fleet.count_live(service) - established
+        if not unknown:
+            return ""
+        return f", {unknown} have a version that no quorum is known to know"
+
     def _is_served(
         self, request: ProxiedRequest, software_version: str | None
     ) -> bool:
--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -294,12 +294,7 @@
         if message.epoch < source.epoch and not self._is_silent(source, now):
             return None
         if message.epoch != source.epoch:
-            log_decision(
-                "control_vm.restarted",
-                about_vm=sender.vm_id,
-                epoch=message.epoch,
-                former_epoch=source.epoch,
-            )
+            self._log_restart(sender, source, message.epoch)
             source.begin_epoch(message.epoch, now + STALE_GRACE_SECONDS)
             self._crash_exchange.begin_epoch(sender.vm_id)
         source.received_at = now
@@ -329,6 +324,17 @@
             self._notify_listeners()
         return None
 
+    def _log_restart(
+        self, sender: Sender, source: ControlSource, epoch: int
+    ) -> None:
+        if source.epoch:
+            log_decision(
+                "control_vm.restarted",
+                about_vm=sender.vm_id,
+                epoch=epoch,
+                former_epoch=source.epoch,
+            )
+
     def _is_silent(self, source: ControlSource, now: float) -> bool:
         """Return whether a control VM's known incarnation must have ended.
 
--- a/tests/passthrough/relaying/test_stream_versions.py
+++ b/tests/passthrough/relaying/test_stream_versions.py
@@ -73,9 +73,10 @@
         endpoint = at_version("v1", events(1, 6))
         self.entry = await self.open(endpoint, **STREAM)
         self.world.unestablished_versions = {"v1"}
-        status, head, _ = await self.entry.call()
+        status, head, body = await self.entry.call()
         self.assertEqual(503, status)
         self.assertIn(b"retry-after", head.lower())
+        self.assertIn(b"no quorum", body)
         self.assertEqual(0, self.count_arrivals([endpoint]))
         self.world.unestablished_versions = set()
         status, _, _ = await self.entry.call(request_id=b"r2")
