Let the soak of evacuations wait for a control VM that is being killed

Cause, by reading: the end of the faults may cancel a restart after its kill, and the signal that follows would be sent to a process that ended.

--- a/scripts/soak/evacuations.py
+++ b/scripts/soak/evacuations.py
@@ -72,6 +72,9 @@
     async def settle(self) -> None:
         """Compare what is in force with the last orders."""
         for machine in self.deployment.control:
+            if machine.is_stopping:
+                # The end of the faults cancelled its restart.
+                await machine.wait_until_exited()
             if machine.process is None:
                 await machine.start()
             else:
