Replace whole files in one place

Five modules wrote a temporary file, synced it, renamed it and synced the folder, each by itself. The port has one function for it now.

--- a/burdockdrum/claims/log.py
+++ b/burdockdrum/claims/log.py
@@ -14,6 +14,7 @@
 from burdockdrum.claims.messages import Epoch
 from burdockdrum.ports import Disk
 from burdockdrum.ports import DiskError
+from burdockdrum.ports import replace_file
 
 FILE = "claims-log"
 NEW_FILE = "claims-log-new"
@@ -127,10 +128,9 @@
             await self._flush()
             content = b"".join(_encode(entry) for entry in entries)
             try:
-                await self._disk.write(NEW_FILE, content)
-                await self._disk.sync(NEW_FILE)
-                await self._disk.rename(NEW_FILE, FILE)
-                await self._disk.sync_folder()
+                await replace_file(
+                    self._disk, FILE, content, temporary_name=NEW_FILE
+                )
             except BaseException:
                 self.failed = True
                 raise
--- a/burdockdrum/consensus/identity.py
+++ b/burdockdrum/consensus/identity.py
@@ -10,6 +10,7 @@
 from burdockdrum.consensus.records import encode_frame
 from burdockdrum.consensus.records import FORMAT_VERSION
 from burdockdrum.ports import Disk
+from burdockdrum.ports import replace_file
 
 _FILE_NAME = "identity"
 _TEMPORARY_FILE_NAME = "identity.tmp"
@@ -96,8 +97,10 @@
         :raises DiskError: if it may not be durable
         """
         frame = encode_frame(msgspec.msgpack.encode(identity))
-        await self._disk.write(_TEMPORARY_FILE_NAME, frame)
-        await self._disk.sync(_TEMPORARY_FILE_NAME)
-        await self._disk.rename(_TEMPORARY_FILE_NAME, _FILE_NAME)
-        await self._disk.sync_folder()
+        await replace_file(
+            self._disk,
+            _FILE_NAME,
+            frame,
+            temporary_name=_TEMPORARY_FILE_NAME,
+        )
         self.current = identity
--- a/burdockdrum/consensus/snapshot.py
+++ b/burdockdrum/consensus/snapshot.py
@@ -14,6 +14,7 @@
 from burdockdrum.consensus.records import decode_frame
 from burdockdrum.consensus.records import encode_frame
 from burdockdrum.ports import Disk
+from burdockdrum.ports import replace_file
 
 _PREFIX = "snapshot-"
 _TEMPORARY = "snapshot.tmp"
@@ -89,12 +90,7 @@
         """
         name = f"{_PREFIX}{snapshot.index:016d}"
         frame = encode_frame(msgspec.msgpack.encode(snapshot))
-        await self._disk.write(_TEMPORARY, frame)
-        await self._disk.sync(_TEMPORARY)
-        await self._disk.rename(_TEMPORARY, name)
-        # Without this sync, a power loss could undo the rename after the
-        # entries that the snapshot covers were removed.
-        await self._disk.sync_folder()
+        await replace_file(self._disk, name, frame, temporary_name=_TEMPORARY)
         self.latest = snapshot
         for other in await self._disk.list():
             if other.startswith(_PREFIX) and other < name:
--- a/burdockdrum/peers/starts.py
+++ b/burdockdrum/peers/starts.py
@@ -8,6 +8,7 @@
 from burdockdrum.ports import Clock
 from burdockdrum.ports import Disk
 from burdockdrum.ports import DiskError
+from burdockdrum.ports import replace_file
 
 _FILE_NAME = "incarnation"
 _TEMPORARY_FILE_NAME = "incarnation.new"
@@ -44,7 +45,9 @@
 
 
 async def _write(disk: Disk, number: int) -> None:
-    await disk.write(_TEMPORARY_FILE_NAME, b"%d" % number)
-    await disk.sync(_TEMPORARY_FILE_NAME)
-    await disk.rename(_TEMPORARY_FILE_NAME, _FILE_NAME)
-    await disk.sync_folder()
+    await replace_file(
+        disk,
+        _FILE_NAME,
+        b"%d" % number,
+        temporary_name=_TEMPORARY_FILE_NAME,
+    )
--- a/burdockdrum/ports/__init__.py
+++ b/burdockdrum/ports/__init__.py
@@ -19,6 +19,7 @@
 from burdockdrum.ports.network import Mailbox
 from burdockdrum.ports.network import Network
 from burdockdrum.ports.network import SendFailed
+from burdockdrum.ports.replacement import replace_file
 
 __all__ = [
     "AnswerLost",
@@ -31,6 +32,7 @@
     "Mailbox",
     "Network",
     "read_whole",
+    "replace_file",
     "SendFailed",
     "UpstreamAnswer",
     "UpstreamCall",
--- a/burdockdrum/registrations/store.py
+++ b/burdockdrum/registrations/store.py
@@ -19,6 +19,7 @@
 from burdockdrum.ports import Clock
 from burdockdrum.ports import Disk
 from burdockdrum.ports import DiskError
+from burdockdrum.ports import replace_file
 from burdockdrum.registrations.messages import Registration
 from burdockdrum.registrations.table import RegistrationTable
 from burdockdrum.software_versions import ServiceVersion
@@ -189,12 +190,12 @@
             version_reports=versions.list_reports(),
             are_versions_complete=versions.is_complete,
         )
-        await self._disk.write(
-            _TEMPORARY_FILE_NAME, msgspec.msgpack.encode(stored)
+        await replace_file(
+            self._disk,
+            _FILE_NAME,
+            msgspec.msgpack.encode(stored),
+            temporary_name=_TEMPORARY_FILE_NAME,
         )
-        await self._disk.sync(_TEMPORARY_FILE_NAME)
-        await self._disk.rename(_TEMPORARY_FILE_NAME, _FILE_NAME)
-        await self._disk.sync_folder()
         self._written_serial = serial
         self._written_version_serial = version_serial
         self._written_crash_serial = crash_serial
