Log which members a lost quorum misses, and why a read is unconfirmed

What the record of the incident lacked: after the last leader stepped down no control VM wrote a line about its role. A candidate that got no quorum logged nothing (only a leader's step down is an event), a leader did not name the members that it missed, and why a read got 503 was on no line.

Now leader.stepped_down names the silent voters, member.silent and member.heard say since when and why, election.failed has the reply of each voter to the last attempt, log.read_unconfirmed the reason that is also in the 503, and log.admission_awaited whom a member waits for after its start.

--- a/burdockdrum/consensus/election.py
+++ b/burdockdrum/consensus/election.py
@@ -144,6 +144,7 @@
         quorum = self._replica.configuration.quorum
         others = self._other_voters()
         granted = 1
+        outcomes_by_id = {m.vm_id: "no reply" for m in others}
         starts_by_id: dict[str, int] = {}
         non_leaders = set()
         async with _ConcurrentRequests(
@@ -157,6 +158,7 @@
             async for vm_id, reply in requests:
                 if reply is None:
                     continue
+                outcomes_by_id[vm_id] = _describe(reply)
                 granted += reply.granted
                 if granted >= quorum:
                     return {}
@@ -167,6 +169,7 @@
         nobody_leads = len(non_leaders) == len(others)
         if nobody_leads and 1 + len(starts_by_id) >= quorum:
             return starts_by_id
+        self._log_failure("pre-vote", term, outcomes_by_id)
         return None
 
     async def _collect_votes(
@@ -174,6 +177,7 @@
     ) -> bool:
         quorum = self._replica.configuration.quorum
         votes = 1
+        outcomes_by_id = {m.vm_id: "no reply" for m in self._other_voters()}
         async with _ConcurrentRequests(
             {
                 member.vm_id: self._request_vote(
@@ -187,12 +191,28 @@
         ) as requests:
             if votes >= quorum:
                 return True
-            async for _, reply in requests:
-                votes += reply is not None and reply.granted
+            async for vm_id, reply in requests:
+                if reply is None:
+                    continue
+                outcomes_by_id[vm_id] = _describe(reply)
+                votes += reply.granted
                 if votes >= quorum:
                     return True
+        self._log_failure("vote", term, outcomes_by_id)
         return False
 
+    def _log_failure(
+        self, phase: str, term: int, outcomes_by_id: dict[str, str]
+    ) -> None:
+        self._replica.election_failure.report(
+            phase=phase,
+            term=term,
+            outcomes=", ".join(
+                f"{vm_id}: {outcome}"
+                for vm_id, outcome in sorted(outcomes_by_id.items())
+            ),
+        )
+
     def _other_voters(self) -> list[Member]:
         replica = self._replica
         voters = replica.configuration.voters
@@ -236,6 +256,16 @@
         return reply
 
 
+def _describe(reply: VoteReply) -> str:
+    if reply.granted:
+        return "granted"
+    if reply.leads:
+        return "denied, it leads"
+    if reply.only_restarted:
+        return "denied, it has just started"
+    return "denied"
+
+
 class _ConcurrentRequests:
     """Runs requests concurrently and iterates over replies as they arrive.
 
--- a/burdockdrum/consensus/forwarding.py
+++ b/burdockdrum/consensus/forwarding.py
@@ -10,6 +10,7 @@
 from burdockdrum.consensus.interface import OutcomeUnknown
 from burdockdrum.consensus.interface import Role
 from burdockdrum.consensus.leadership import Leadership
+from burdockdrum.consensus.logged_state import LoggedState
 from burdockdrum.consensus.messages import ProposeReply
 from burdockdrum.consensus.messages import ProposeRequest
 from burdockdrum.consensus.messages import ReadReply
@@ -41,6 +42,12 @@
         self._leadership = leadership
         self._peers = peers
         self._deduplicator = RequestDeduplicator()
+        self._read_failure = LoggedState(
+            clock=replica.clock,
+            begun="log.read_unconfirmed",
+            ended="log.read_confirmed",
+        )
+        self._unconfirmed_because = ""
         peers.register(ProposeRequest, self._on_propose)
         peers.register(ReadRequest, self._on_read)
 
@@ -63,13 +70,28 @@
 
     async def read_barrier(self, timeout: float) -> int:
         """Wait until a linearizable read index is applied here."""
+        index = None
         try:
             async with asyncio.timeout(timeout):
                 index = await self._find_read_index(timeout)
                 await self._applier.wait_for(index)
-                return index
         except TimeoutError:
-            raise NotCurrent("no leader confirmed the read in time") from None
+            reason = self._unconfirmed_because
+            if index is not None:
+                reason = f"entry {index} is not applied here"
+            self._read_failure.report(
+                reason=reason, term=self._replica.storage.term
+            )
+            raise NotCurrent(
+                f"no leader confirmed the read in time: {reason}"
+            ) from None
+        self._read_failure.end(index=index)
+        return index
+
+    @property
+    def is_read_unconfirmed(self) -> bool:
+        """Return whether the last read could not be confirmed."""
+        return self._read_failure.holds
 
     async def _try_propose(self, command: bytes, timeout: float) -> Applied:
         replica = self._replica
@@ -172,13 +194,18 @@
 
     async def _try_read(self, timeout: float) -> int | None:
         if self._replica.role is Role.LEADER:
+            self._unconfirmed_because = "this VM leads without a quorum"
             try:
                 return await self._leadership.confirm_read()
-            except NotCurrent:
+            except NotCurrent as error:
+                self._unconfirmed_because = str(error)
                 return None
+        leader_id = self._replica.leader_id
         address = self._replica.leader_address
         if address is None:
+            self._unconfirmed_because = "no leader is known"
             return None
+        self._unconfirmed_because = f"{leader_id} has not replied"
         call_timeout = min(
             timeout, self._replica.settings.call_timeout_seconds
         )
@@ -189,8 +216,11 @@
                 ReadReply,
                 timeout=call_timeout,
             )
-        except CallFailed:
+        except CallFailed as error:
+            self._unconfirmed_because = f"{leader_id}: {error}"
             return None
+        if reply.index is None:
+            self._unconfirmed_because = f"{leader_id} has no quorum"
         return reply.index
 
     async def _on_read(
--- a/burdockdrum/consensus/leadership.py
+++ b/burdockdrum/consensus/leadership.py
@@ -51,6 +51,9 @@
         replica.leader_id = replica.vm_id
         replica.set_role(Role.LEADER)
         replica.timeline.record("leader.elected", term=replica.storage.term)
+        replica.election_failure.end(
+            leader=replica.vm_id, term=replica.storage.term
+        )
         # A leader learns what is committed only by an entry of its own term
         # (section 5.4.2 of the Raft paper), so reads wait for this one.
         self._first_index = replica.append(EntryKind.NOOP).index
@@ -86,6 +89,22 @@
             and self._replica.commit_index >= self._first_index
         )
 
+    @property
+    def silent_voter_ids(self) -> list[str]:
+        """Return the other voters without a counted reply for a timeout.
+
+        Empty unless this member leads.
+        """
+        replica = self._replica
+        if replica.role is not Role.LEADER:
+            return []
+        timeout = replica.settings.election_timeout_seconds
+        return sorted(
+            replicator.member.vm_id
+            for replicator in self._voting_replicators()
+            if replicator.is_silent(timeout)
+        )
+
     @property
     def has_too_many_uncommitted(self) -> bool:
         """Return whether the limit of uncommitted entries is reached."""
@@ -198,12 +217,18 @@
             pass
 
     def _best_successor(self) -> Replicator | None:
-        voters = [
+        return max(
+            self._voting_replicators(),
+            key=lambda r: r.match_index,
+            default=None,
+        )
+
+    def _voting_replicators(self) -> list[Replicator]:
+        return [
             replicator
             for replicator in self._replicators_by_id.values()
             if replicator.member.voter
         ]
-        return max(voters, key=lambda r: r.match_index, default=None)
 
     def _leads_in(self, term: int) -> bool:
         replica = self._replica
@@ -259,8 +284,13 @@
         while True:
             await replica.clock.sleep(replica.settings.heartbeat_seconds)
             self.lease.detect_suspension()
+            for replicator in self._voting_replicators():
+                replicator.log_silence(timeout)
             if self.lease.seconds_without_quorum > timeout:
-                replica.step_down("no replies from a quorum")
+                replica.step_down(
+                    "no replies from a quorum",
+                    silent_ids=self.silent_voter_ids,
+                )
 
     def _advance_commit(self) -> None:
         replica = self._replica
--- a/burdockdrum/consensus/log.py
+++ b/burdockdrum/consensus/log.py
@@ -15,6 +15,7 @@
 from burdockdrum.consensus.follower import Follower
 from burdockdrum.consensus.forwarding import Forwarding
 from burdockdrum.consensus.founding import Founding
+from burdockdrum.consensus.gauges import add_member_gauges
 from burdockdrum.consensus.identity import IdentityFile
 from burdockdrum.consensus.interface import Applied
 from burdockdrum.consensus.interface import LogSettings
@@ -312,6 +313,12 @@
             leadership=self._leadership,
             peers=peers,
         )
+        add_member_gauges(
+            metrics=self._metrics,
+            replica=replica,
+            leadership=self._leadership,
+            forwarding=self._forwarding,
+        )
         self._member_changes = MemberChanges(
             replica=replica,
             applier=self._applier,
--- a/burdockdrum/consensus/replica.py
+++ b/burdockdrum/consensus/replica.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import math
 import random
 import secrets
@@ -14,6 +15,7 @@
 from burdockdrum.consensus.identity import IdentityFile
 from burdockdrum.consensus.interface import LogSettings
 from burdockdrum.consensus.interface import Role
+from burdockdrum.consensus.logged_state import LoggedState
 from burdockdrum.consensus.membership import Configuration
 from burdockdrum.consensus.membership import ConfigurationHistory
 from burdockdrum.consensus.records import Entry
@@ -67,6 +69,10 @@
         self.on_candidate_seen: Callable[[str, str], None] = _ignore
         # Called with index and term of the first entry that is overwritten.
         self.on_entry_replaced: Callable[[int, int], None] = _ignore
+        # Holds while this member's elections fail.
+        self.election_failure = LoggedState(
+            clock=clock, begun="election.failed", ended="election.ended"
+        )
         self.role_changed = Signal()
         self.commit_changed = Signal()
         self.replication_due = Signal()
@@ -207,17 +213,26 @@
             self.timeline.record(
                 "leader.followed", leader=leader_id, term=term
             )
+        self.election_failure.end(leader=leader_id, term=term)
         self.set_role(Role.FOLLOWER)
 
     def record_quorum_contact(self, contact_at: float) -> None:
         """Record when this member, as leader, last had a quorum."""
         self._quorum_contact_at = max(self._quorum_contact_at, contact_at)
 
-    def step_down(self, reason: str) -> None:
-        """Become a follower."""
+    def step_down(
+        self, reason: str, *, silent_ids: Iterable[str] = ()
+    ) -> None:
+        """Become a follower.
+
+        :param silent_ids: the voters whose replies a leader missed
+        """
         if self._role is Role.LEADER:
             self.timeline.record(
-                "leader.stepped_down", term=self.storage.term, reason=reason
+                "leader.stepped_down",
+                term=self.storage.term,
+                reason=reason,
+                silent=", ".join(silent_ids),
             )
             if self.leader_id == self.vm_id:
                 self.leader_id = None
--- a/burdockdrum/consensus/replication.py
+++ b/burdockdrum/consensus/replication.py
@@ -7,6 +7,7 @@
 import asyncio
 import math
 
+from burdockdrum.consensus.logged_state import LoggedState
 from burdockdrum.consensus.membership import Member
 from burdockdrum.consensus.messages import AppendReply
 from burdockdrum.consensus.messages import AppendRequest
@@ -60,6 +61,10 @@
         self.started_at = replica.clock.monotonic()
         self.acknowledged_at = -math.inf
         self.confirmation_requested_at = -math.inf
+        self._failure = "nothing was sent yet"
+        self._silence = LoggedState(
+            clock=replica.clock, begun="member.silent", ended="member.heard"
+        )
 
     async def run(self) -> None:
         """Replicate until cancelled.
@@ -78,6 +83,22 @@
                 else:
                     await self._reply_received.wait()
 
+    def is_silent(self, seconds: float) -> bool:
+        """Return whether no reply counted for so many seconds."""
+        heard_at = max(self.acknowledged_at, self.started_at)
+        return self._replica.clock.monotonic() - heard_at > seconds
+
+    def log_silence(self, seconds: float) -> None:
+        """Log once if no reply counted for so many seconds, and the end."""
+        if self.is_silent(seconds):
+            self._silence.report(
+                member=self.member.vm_id,
+                term=self._term,
+                reason=self._failure,
+            )
+        else:
+            self._silence.end(member=self.member.vm_id, term=self._term)
+
     async def _wait_for_work(self) -> None:
         replica = self._replica
         while True:
@@ -124,7 +145,8 @@
                 timeout=self._replica.settings.call_timeout_seconds,
             )
             self._handle_reply(request, reply, sent_at, match_at_send)
-        except CallFailed:
+        except CallFailed as error:
+            self._failure = str(error)
             self._rewind(request.previous_index + 1)
         finally:
             self._in_flight -= 1
@@ -191,7 +213,8 @@
                     SnapshotReply,
                     timeout=replica.settings.call_timeout_seconds,
                 )
-            except CallFailed:
+            except CallFailed as error:
+                self._failure = str(error)
                 # The next attempt asks for the offset again.
                 return
             if not self._record_reply(reply, sent_at):
@@ -237,6 +260,8 @@
             return False
         if reply.counts:
             self.acknowledged_at = max(self.acknowledged_at, sent_at)
+        else:
+            self._failure = "it replies, but isn't admitted to quorums"
         self._progressed.fire()
         return True
 
--- a/burdockdrum/consensus/rollback_detection.py
+++ b/burdockdrum/consensus/rollback_detection.py
@@ -12,7 +12,9 @@
 from dataclasses import dataclass
 
 from burdockdrum.consensus.founding import Founding
+from burdockdrum.consensus.logged_state import LoggedState
 from burdockdrum.consensus.membership import Configuration
+from burdockdrum.consensus.membership import Member
 from burdockdrum.consensus.messages import DiskStateQuery
 from burdockdrum.consensus.messages import DiskStateReply
 from burdockdrum.consensus.replica import Replica
@@ -51,6 +53,12 @@
         self._reply_received = Signal()
         self._query_tasks: set[asyncio.Task[None]] = set()
         self._candidate_addresses_by_disk: dict[str, str] = {}
+        self._awaited = LoggedState(
+            clock=replica.clock,
+            begun="log.admission_awaited",
+            ended="log.admitted",
+        )
+        self._started_at = replica.clock.monotonic()
         self._newest_log_end = (0, 0)
         self._newest_reply_configuration = replica.configuration
         self._started_empty = not replica.identity.current.formed
@@ -87,6 +95,7 @@
                 await self._admit_returned()
             else:
                 await replica.replication_due.wait()
+        self._awaited.end()
 
     async def _admit_learner(self) -> None:
         if self._replica.caught_up:
@@ -114,6 +123,7 @@
         if len(answered) >= (len(others) + 1) // 2:
             replica.admitted = True
             return
+        self._log_waiting(others)
         addresses = {member.disk_id: member.address for member in others}
         addresses.update(self._candidate_addresses_by_disk)
         for disk_id, address in addresses.items():
@@ -122,6 +132,20 @@
         deadline = replica.clock.monotonic() + _QUERY_INTERVAL_SECONDS
         await wait_until(replica.clock, deadline, self._reply_received)
 
+    def _log_waiting(self, others: list[Member]) -> None:
+        replica = self._replica
+        waited = replica.clock.monotonic() - self._started_at
+        if waited > replica.settings.election_timeout_seconds:
+            self._awaited.report(
+                silent=", ".join(
+                    sorted(
+                        member.vm_id
+                        for member in others
+                        if member.disk_id not in self._answered_disk_ids
+                    )
+                )
+            )
+
     def _start_query(self, disk_id: str, address: str) -> None:
         task = asyncio.ensure_future(self._query(disk_id, address))
         self._query_tasks.add(task)
