Write the last segment anew at a start, as its syncs may have failed

What callers would see: an acknowledged change is gone, or a VM votes twice in one term, after a disk whose sync failed, a kill within half a second, and a power loss later. Also a control VM that refuses to start ("is damaged"), for good, after faults in series.

Cause: a process can't know what its predecessor's syncs did. A start read records back from the page cache, synced the file, and counted them; after a failed sync the kernel may have dropped the pages, and that sync reports success. The reason for writing refused records anew holds at a start as well. A doubtful tail was cut by a truncation, whose own sync was repeated after a failure, and a segment's creation by a sync of the folder, repeated likewise.

Change: a start writes the valid part of the last segment to a temporary file and renames it over the former one, which stays until the new one is synced. Segments are created in this way too, so that no part of one is ever seen, and each try is a new entry of the folder. The header of a segment says how many bytes of the one before count, so nothing has to be truncated. While the disk refuses this, the member takes no part and the writer tries again. Segments whose removal failed are removed at the next compaction.

Why it works: every segment but the last was synced by the process that began the next one, so only the last is unknown. Cost: one segment at a start.

Ruled out: rewriting to a further segment that names what it replaces. It leaves gaps in the numbers, which the compaction uses to find undone removals.

--- a/burdockdrum/consensus/records.py
+++ b/burdockdrum/consensus/records.py
@@ -56,11 +56,16 @@
 
 
 class SegmentHeader(msgspec.Struct, frozen=True, array_like=True, tag="head"):
-    """The first record of a segment file."""
+    """The first record of a segment file.
+
+    ``previous_size`` is how many bytes of the previous segment count. What
+    follows them was refused by the disk, and is in this segment.
+    """
 
     format: int
     number: int
     disk_id: str
+    previous_size: int | None = None
 
 
 Record = Entry | HardState | Reset | SegmentHeader
--- a/burdockdrum/consensus/storage.py
+++ b/burdockdrum/consensus/storage.py
@@ -1,28 +1,26 @@
 """Durable storage of the entries, the term and the vote.
 
 Changes are visible in memory at once. A single writer task appends all
-queued records as one frame and syncs once. Segments are append-only, except
-that a tail torn by a power loss is truncated: an entry replaces those at or
-after its index, also when the segments are read back.
+queued records as one frame and syncs once. Segments are append-only: an entry
+replaces those at or after its index, also when the segments are read back.
 
 What the disk refuses stays queued, and nothing of it counts as durable. After
 a failed sync the kernel may drop the pages and report success next time, so
-that the records are written anew, to another segment.
+that the records are written anew, to another segment. A start can't know
+whether the syncs of earlier processes failed, and writes anew what it read.
 """
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from burdockdrum.consensus.records import CorruptLog
-from burdockdrum.consensus.records import decode_records
-from burdockdrum.consensus.records import encode_records
 from burdockdrum.consensus.records import Entry
-from burdockdrum.consensus.records import FORMAT_VERSION
 from burdockdrum.consensus.records import HardState
 from burdockdrum.consensus.records import Record
 from burdockdrum.consensus.records import Reset
 from burdockdrum.consensus.records import SegmentHeader
+from burdockdrum.consensus.segments import SegmentFiles
 from burdockdrum.consensus.signals import Signal
 from burdockdrum.consensus.snapshot import Snapshot
 from burdockdrum.logs import log_decision
@@ -31,22 +29,11 @@
 from burdockdrum.ports import Disk
 from burdockdrum.ports import DiskError
 
-_PREFIX = "log-"
 _UNKNOWN_TERM = -1
 # Until a write that the disk refused is repeated.
 RETRY_SECONDS = 0.5
 
 
-@dataclass(kw_only=True)
-class Segment:
-    """One file of the log; ``last_index`` is its highest entry index."""
-
-    name: str
-    number: int
-    size: int
-    last_index: int = 0
-
-
 class Storage:
     """The durable log, term and vote of one member."""
 
@@ -54,11 +41,11 @@
         self, *, disk: Disk, disk_id: str, segment_bytes: int, clock: Clock
     ) -> None:
         """Create the storage; ``open`` reads the data folder."""
-        self._disk = disk
         self._clock = clock
-        self._disk_id = disk_id
         self._segment_bytes = segment_bytes
-        self._segments: list[Segment] = []
+        self._files = SegmentFiles(disk=disk, disk_id=disk_id)
+        # Write anew what a start has read; empty once all of it is durable.
+        self._rewrites: list[Callable[[], Awaitable[None]]] = []
         self._queue: list[Record] = []
         self._queued = asyncio.Event()
         self._waiters: list[asyncio.Future[None]] = []
@@ -75,9 +62,6 @@
         # Called with the reason when the disk begins to refuse writes.
         self.on_refused: Callable[[str], None] = _ignore
         self._refused_at = 0.0
-        # Whether the last segment may have more than was synced.
-        self._is_tail_doubtful = False
-        self.torn_bytes = 0
         self.synced = Signal()
 
     @property
@@ -93,7 +77,16 @@
     @property
     def disk_bytes(self) -> int:
         """Return the size of all segments in bytes."""
-        return sum(segment.size for segment in self._segments)
+        return self._files.disk_bytes
+
+    @property
+    def torn_bytes(self) -> int:
+        """Return the size in bytes of the tail that was torn at the start."""
+        return self._files.torn_bytes
+
+    @property
+    def _hard_state(self) -> HardState:
+        return HardState(self.term, self.voted_for)
 
     def term_at(self, index: int) -> int | None:
         """Return the term of an entry, or None if it is not stored."""
@@ -123,7 +116,7 @@
         if (term, voted_for) != (self.term, self.voted_for):
             self.term = term
             self.voted_for = voted_for
-            self._enqueue(HardState(term, voted_for))
+            self._enqueue(self._hard_state)
 
     def append(self, entry: Entry) -> None:
         """Append an entry, replacing those at or after its index."""
@@ -139,7 +132,7 @@
 
     async def sync(self) -> None:
         """Wait until every change so far is durable."""
-        if not self._queue and not self._writing:
+        if not self._queue and not self._writing and not self._rewrites:
             return
         waiter: asyncio.Future[None] = asyncio.Future()
         self._waiters.append(waiter)
@@ -158,28 +151,29 @@
                 self._queued.set()
 
     async def open(self, snapshot: Snapshot | None) -> None:
-        """Read the segments back.
+        """Read the segments back and write the last one anew.
+
+        While the disk refuses that, nothing counts as durable; ``run``
+        repeats it.
 
-        :raises DiskError: if the data read may not be durable
+        :raises DiskError: if the segments can't be read
         :raises CorruptLog: if synced data is missing or damaged
         """
-        names = await self._disk.list()
-        names = [name for name in names if name.startswith(_PREFIX)]
-        for name in names:
-            await self._load_segment(name, is_last=name == names[-1])
+        for read in await self._files.read():
+            for record in read.records:
+                self._replay(record)
         if snapshot is not None:
             self._reconcile_snapshot(snapshot)
         elif self.base_index > 0:
             raise CorruptLog("entries were compacted but no snapshot is left")
-        if self._segments:
-            # The data read may include writes of a killed process that are
-            # only in the page cache. Without this sync they could be
-            # acknowledged and then lost in a power loss.
-            await self._disk.sync(self._segments[-1].name)
-            await self._disk.sync_folder()
+        self._rewrites = [self._write_read_back]
+        try:
+            await self._write_anew()
+        except DiskError as error:
+            self._record_refusal(str(error))
+            self._queued.set()
         else:
-            await self._add_segment()
-        self.durable_index = self.last_index
+            self.durable_index = self.last_index
 
     async def compact(self, index: int) -> None:
         """Remove entries up to an index that a synced snapshot covers."""
@@ -189,15 +183,7 @@
         del self.entries[: index - self.base_index]
         self.base_index = index
         self.base_term = term
-        covered = 0
-        for segment in self._segments[:-1]:
-            if segment.last_index > index:
-                break
-            covered += 1
-        removed = self._segments[:covered]
-        del self._segments[:covered]
-        for segment in removed:
-            await self._disk.remove(segment.name)
+        await self._files.remove_covered(index)
 
     def _enqueue(self, record: Record) -> None:
         self._queue.append(record)
@@ -231,6 +217,7 @@
         self._writing_up_to = self.last_index
         self._writing = True
         try:
+            await self._write_anew()
             if records:
                 await self._write(records)
         except DiskError as error:
@@ -248,7 +235,6 @@
         self.synced.fire()
 
     def _record_refusal(self, reason: str) -> None:
-        self._is_tail_doubtful = True
         is_first = self.refusal is None
         self.refusal = reason
         if is_first:
@@ -264,84 +250,19 @@
                 seconds=round(self._clock.monotonic() - self._refused_at, 3),
             )
 
+    async def _write_anew(self) -> None:
+        while self._rewrites:
+            await self._rewrites[0]()
+            del self._rewrites[0]
+
+    async def _write_read_back(self) -> None:
+        await self._files.write_read_back(self._hard_state)
+
     async def _write(self, records: list[Record]) -> None:
-        if self._is_tail_doubtful:
-            await self._truncate_doubtful_tail()
-            await self._add_segment()
-            self._is_tail_doubtful = False
-        elif self._segments[-1].size > self._segment_bytes:
-            await self._add_segment()
-        segment = self._segments[-1]
-        frame = encode_records(records)
-        await self._disk.append(segment.name, frame)
-        await self._disk.sync(segment.name)
-        segment.size += len(frame)
-        _note_last_index(segment, records)
-
-    async def _truncate_doubtful_tail(self) -> None:
-        """Truncate the last segment to what was synced."""
-        segment = self._segments[-1]
-        await self._disk.truncate(segment.name, segment.size)
-        await self._disk.sync(segment.name)
-
-    async def _add_segment(self) -> None:
-        number = self._segments[-1].number + 1 if self._segments else 1
-        segment = Segment(
-            name=f"{_PREFIX}{number:016d}", number=number, size=0
-        )
-        # Each segment has term and vote, since earlier ones are removed.
-        header: list[Record] = [
-            SegmentHeader(FORMAT_VERSION, number, self._disk_id),
-            HardState(self.term, self.voted_for),
-        ]
-        frame = encode_records(header)
-        await self._disk.write(segment.name, frame)
-        await self._disk.sync(segment.name)
-        await self._disk.sync_folder()
-        segment.size = len(frame)
-        self._segments.append(segment)
-
-    async def _load_segment(self, name: str, *, is_last: bool) -> None:
-        content = await self._disk.read(name) or b""
-        number = int(name.removeprefix(_PREFIX))
-        records, size = decode_records(content, name)
-        if size < len(content) or not records:
-            if not is_last:
-                raise CorruptLog(f"{name} is damaged at byte {size}")
-            await self._truncate_tail(name, size, len(content))
-        if not records:
-            return
-        if self._segments and number != self._segments[-1].number + 1:
-            # After a compaction, a power loss may undo the removal of one
-            # segment and not of the next. The missing entries must be in
-            # the snapshot, which is checked once all segments are read.
-            self._segments.clear()
-            self._reset_in_memory(Reset(0, 0))
-        self._segments.append(Segment(name=name, number=number, size=size))
-        self._check_header(records[0], name)
-        for record in records:
-            self._replay(record)
-        _note_last_index(self._segments[-1], records)
-
-    async def _truncate_tail(self, name: str, size: int, before: int) -> None:
-        self.torn_bytes += before - size
-        if size:
-            await self._disk.truncate(name, size)
-            await self._disk.sync(name)
-        else:
-            await self._disk.remove(name)
-            await self._disk.sync_folder()
-
-    def _check_header(self, record: Record, name: str) -> None:
-        if not isinstance(record, SegmentHeader):
-            raise CorruptLog(f"{name} does not begin with a segment header")
-        if record.disk_id != self._disk_id:
-            raise CorruptLog(f"{name} was written under another disk id")
-        if record.format != FORMAT_VERSION:
-            raise CorruptLog(
-                f"{name} has format {record.format}, this program reads "
-                f"{FORMAT_VERSION}"
-            )
+        last = self._files.last
+        is_full = last is not None and last.size > self._segment_bytes
+        if is_full or not await self._files.append(records):
+            await self._files.add(records, self._hard_state)
 
     def _replay(self, record: Record) -> None:
         match record:
@@ -383,11 +304,5 @@
             self._queued.set()
 
 
-def _note_last_index(segment: Segment, records: list[Record]) -> None:
-    for record in records:
-        if isinstance(record, Entry):
-            segment.last_index = max(segment.last_index, record.index)
-
-
 def _ignore(reason: str) -> None:
     """Ignore a refusal while no callback is set."""
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -5,6 +5,8 @@
 import random
 import unittest
 
+from loguru import logger
+
 from burdockdrum.consensus import Configuration
 from burdockdrum.consensus import CorruptLog
 from burdockdrum.consensus.records import Entry
@@ -15,36 +17,14 @@
 from burdockdrum.testing import FakeDisk
 from burdockdrum.testing import run_virtual
 from burdockdrum.testing import VirtualClock
+from tests.consensus.storage_lives import Crash
+from tests.consensus.storage_lives import CrashingDisk
+from tests.consensus.storage_lives import StorageLives
 
 FIRST_SEGMENT = "log-0000000000000001"
 MEMBERS = Configuration(cluster_id="x", members=())
 
 
-class Crash(Exception):
-    """The process is killed."""
-
-
-class CrashingDisk:
-    """A disk whose process is killed after a number of changes."""
-
-    def __init__(self, *, disk, changes):
-        self._disk = disk
-        self._left = changes
-
-    def __getattr__(self, name):
-        method = getattr(self._disk, name)
-        if name in ("read", "list"):
-            return method
-
-        async def count(*arguments):
-            if self._left == 0:
-                raise Crash
-            self._left -= 1
-            return await method(*arguments)
-
-        return count
-
-
 def entry(index, term=1, data=b"data"):
     return Entry(index, term, EntryKind.COMMAND, data)
 
@@ -60,6 +40,11 @@
     return storage
 
 
+def crash_after(storage, disk, changes):
+    """Kill the process of a storage after a number of changes."""
+    storage._files._disk = CrashingDisk(disk=disk, changes=changes)
+
+
 async def write(storage, *entries):
     for item in entries:
         storage.append(item)
@@ -196,7 +181,7 @@
             storage.append(entry(2))
             await storage._write_queue()
             setattr(disk, fault, False)
-            storage._disk = CrashingDisk(disk=disk, changes=changes)
+            crash_after(storage, disk, changes)
             is_written = False
             with contextlib.suppress(Crash):
                 await storage._write_queue()
@@ -223,8 +208,7 @@
                 disk = FakeDisk(rng=random.Random(seed))
                 storage = await open_storage(disk)
                 storage.append(entry(1))
-                crashing = CrashingDisk(disk=disk, changes=1)
-                storage._disk = crashing
+                crash_after(storage, disk, 1)
                 with self.assertRaises(Crash):
                     await storage._write_queue()
                 again = await open_storage(disk)
@@ -293,3 +277,44 @@
                     )
                 )
                 await storage.compact(index - 2)
+
+
+class RestartTest(unittest.TestCase):
+    """Starts that read back what a former process could not sync."""
+
+    def setUp(self):
+        logger.disable("burdockdrum")
+        self.addCleanup(logger.enable, "burdockdrum")
+
+    def test_start_does_not_trust_what_a_failed_sync_dropped(self):
+        # Guards against counting records that a former process wrote, whose
+        # failed sync dropped them: the next sync reports success.
+        async def main(seed):
+            disk = FakeDisk(rng=random.Random(seed))
+            storage = await open_storage(disk)
+            await write(storage, entry(1))
+            disk.fail_syncs = True
+            storage.set_hard_state(7, "b")
+            await write(storage, entry(2))
+            disk.fail_syncs = False
+            opened = await open_storage(disk)
+            durable = opened.durable_index
+            state = (opened.term, opened.voted_for)
+            disk.lose_power()
+            again = await open_storage(disk)
+            self.assertGreaterEqual(again.last_index, durable)
+            self.assertEqual(state, (again.term, again.voted_for))
+
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                run_virtual(main(seed))
+
+    def test_no_series_of_lives_loses_what_was_acknowledged(self):
+        # Guards against faults, kills, starts and power losses in series.
+        acknowledged = 0
+        for seed in range(300):
+            with self.subTest(seed=seed):
+                lives = StorageLives(seed=seed)
+                run_virtual(lives.run(lives=12))
+                acknowledged += lives.acknowledged
+        self.assertGreater(acknowledged, 3000)
