Let the simulated disk lose what a failed sync of the folder dropped

A kernel may drop the changes of a folder, like the pages of a file, after a failed sync, and report success the next time. The simulated disk forgave this: a later sync of the folder made them durable. Removals and renames that weren't synced were always undone by a power loss, and never kept. Reads, lists, renames, removals and truncations couldn't fail, a full disk took nothing of a write instead of a part, a truncation was durable too easily, and a replaced disk kept what had been dropped of the former one.

Files are now separate from their names, as inodes are, and a change of the folder is durable, dropped, or kept by chance.

--- a/burdockdrum/testing/disk.py
+++ b/burdockdrum/testing/disk.py
@@ -1,141 +1,194 @@
 """An in-memory disk that loses unsynced writes at a power loss."""
 
 import asyncio
+from dataclasses import dataclass
 import random
 
 from burdockdrum.ports import DiskError
 
 
+@dataclass(kw_only=True)
+class _File:
+    """One file, whatever its names are.
+
+    ``kept`` bytes of the durable content can't change in a power loss: the
+    rest was truncated or overwritten. ``dropped_from`` is where the content
+    begins that a failed sync has dropped.
+    """
+
+    seen: bytes = b""
+    durable: bytes = b""
+    kept: int = 0
+    dropped_from: int | None = None
+
+    def truncate(self, size: int) -> None:
+        self.seen = self.seen[:size]
+        self.kept = min(self.kept, size)
+        if self.dropped_from is not None and size <= self.dropped_from:
+            self.dropped_from = None
+
+    def drop(self) -> None:
+        """Drop what was not synced."""
+        if self.dropped_from is None:
+            self.dropped_from = self.kept
+
+    def sync(self) -> None:
+        self.durable = self.seen[: self.dropped_from]
+        self.kept = len(self.durable)
+
+    def content_after_power_loss(self, rng: random.Random) -> bytes:
+        if self.kept < len(self.durable) and rng.random() < 0.5:
+            return self.durable
+        end = len(self.seen[: self.dropped_from])
+        return self.seen[: rng.randint(self.kept, max(self.kept, end))]
+
+
 class FakeDisk:
     """Files with separate visible and durable contents.
 
-    ``fail_syncs``, ``full`` and ``sync_seconds`` simulate a failing sync, a
-    full disk and a slow disk. What a failed sync did not write is lost at the
-    next power loss, although the next sync of the file succeeds.
+    ``fail_syncs``, ``fail_reads``, ``fail_changes`` (of the folder, and
+    truncations), ``full`` and ``sync_seconds`` simulate a disk that fails, is
+    full or slow. What a failed sync did not write is lost at the next power
+    loss, although the next sync succeeds; this holds for files and for the
+    names in the folder.
     """
 
     def __init__(self, *, rng: random.Random) -> None:
         """Create an empty disk."""
         self._rng = rng
-        self._seen: dict[str, bytes] = {}
-        self._synced: dict[str, bytes] = {}
-        self._synced_names: set[str] = set()
-        self._replaced_contents: dict[str, bytes] = {}
-        # From where on failed syncs have dropped a file's content.
-        self._dropped_from: dict[str, int] = {}
+        self._seen: dict[str, _File] = {}
+        self._durable: dict[str, _File] = {}
+        # Changes of the folder since its last sync: the files by name, None
+        # where there is none any more.
+        self._pending: list[dict[str, _File | None]] = []
         self.fail_syncs = False
+        self.fail_reads = False
+        self.fail_changes = False
         self.full = False
         self.sync_seconds = 0.0
         self.syncs = 0
 
     def lose_power(self) -> None:
-        """Keep synced contents and a random part of unsynced appends.
+        """Keep synced contents and a random part of what wasn't synced.
 
         Appends since the last sync are truncated at a random byte, so the
-        last record may be torn. Creations, renames and removals without
-        ``sync_folder`` are undone.
+        last record may be torn. Each creation, rename and removal without
+        ``sync_folder`` may be undone.
         """
-        durable: dict[str, bytes] = {}
-        for name in self._synced_names:
-            synced = self._replaced_contents.get(
-                name, self._synced.get(name, b"")
+        for change in self._pending:
+            if self._rng.random() < 0.5:
+                self._apply(change)
+        self._pending = []
+        for name, file in sorted(self._durable.items()):
+            content = file.content_after_power_loss(self._rng)
+            self._durable[name] = _File(
+                seen=content, durable=content, kept=len(content)
             )
-            seen = self._seen.get(name, b"")
-            seen = seen[: self._dropped_from.get(name, len(seen))]
-            if name not in self._replaced_contents and seen.startswith(synced):
-                extra = self._rng.randint(0, len(seen) - len(synced))
-                synced = seen[: len(synced) + extra]
-            durable[name] = synced
-        self._seen = dict(durable)
-        self._synced = dict(durable)
-        self._replaced_contents = {}
-        self._dropped_from = {}
+        self._seen = dict(self._durable)
+
+    def mend(self) -> None:
+        """End all faults."""
+        self.fail_syncs = self.fail_reads = self.fail_changes = False
+        self.full = False
+        self.sync_seconds = 0.0
 
     def wipe(self) -> None:
         """Remove every file, as when the disk is replaced."""
-        self._seen.clear()
-        self._synced.clear()
-        self._synced_names.clear()
-        self._replaced_contents.clear()
+        self._seen = {}
+        self._durable = {}
+        self._pending = []
 
     def corrupt(self, name: str, offset: int) -> None:
         """Flip the bits of one byte of a file."""
-        content = bytearray(self._seen[name])
+        content = bytearray(self._seen[name].seen)
         content[offset] ^= 0xFF
-        self._seen[name] = bytes(content)
-        self._synced[name] = bytes(content)
+        self._seen[name].seen = bytes(content)
+        self._seen[name].durable = bytes(content)
 
     async def read(self, name: str) -> bytes | None:
         """Return a file's content, or None if there is none."""
-        return self._seen.get(name)
+        _raise_if(self.fail_reads)
+        file = self._seen.get(name)
+        return file.seen if file else None
 
     async def write(self, name: str, content: bytes) -> None:
         """Create a file or replace its content, unsynced."""
-        self._check_free_space()
-        if name in self._synced_names and name not in self._replaced_contents:
-            # Until the sync, power loss may leave the old content.
-            self._synced.setdefault(name, b"")
-        self._seen[name] = content
-        self._dropped_from.pop(name, None)
+        if name in self._seen:
+            self._seen[name].truncate(0)
+        await self.append(name, content)
 
     async def append(self, name: str, content: bytes) -> None:
-        """Add to the end of a file, creating it, unsynced."""
-        self._check_free_space()
-        self._seen[name] = self._seen.get(name, b"") + content
+        """Add to the end of a file, creating it, unsynced.
+
+        A full disk takes a part of the content.
+        """
+        if name not in self._seen:
+            self._seen[name] = _File()
+            self._pending.append({name: self._seen[name]})
+        if self.full:
+            content = content[: self._rng.randrange(len(content) + 1)]
+        self._seen[name].seen += content
+        if self.full:
+            raise DiskError("no space left on device")
 
     async def truncate(self, name: str, size: int) -> None:
         """Cut a file to a size in bytes, unsynced."""
-        self._seen[name] = self._seen[name][:size]
-        if size <= self._dropped_from.get(name, -1):
-            del self._dropped_from[name]
+        _raise_if(self.fail_changes)
+        self._seen[name].truncate(size)
 
     async def sync(self, name: str) -> None:
         """Make a file's content durable, but for what was dropped."""
-        content = self._seen[name]
+        file = self._seen[name]
         try:
             await self._sync()
         except DiskError:
-            synced = self._synced.get(name, b"")
-            written = len(synced) if content.startswith(synced) else 0
-            self._dropped_from.setdefault(name, written)
+            file.drop()
             raise
-        end = self._dropped_from.get(name, len(self._seen[name]))
-        self._synced[name] = self._seen[name][:end]
+        file.sync()
 
     async def rename(self, old: str, new: str) -> None:
         """Rename a file over another."""
-        if new in self._synced_names and new not in self._replaced_contents:
-            self._replaced_contents[new] = self._synced.get(new, b"")
-        self._seen[new] = self._seen.pop(old)
-        self._dropped_from.pop(new, None)
-        if old in self._dropped_from:
-            self._dropped_from[new] = self._dropped_from.pop(old)
-        self._synced[new] = self._synced.pop(old, b"")
+        _raise_if(self.fail_changes)
+        file = self._seen.pop(old)
+        self._seen[new] = file
+        self._pending.append({old: None, new: file})
 
     async def remove(self, name: str) -> None:
         """Remove a file if it is there."""
-        if name in self._synced_names and name not in self._replaced_contents:
-            self._replaced_contents[name] = self._synced.get(name, b"")
-        self._seen.pop(name, None)
-        self._synced.pop(name, None)
+        _raise_if(self.fail_changes)
+        if self._seen.pop(name, None):
+            self._pending.append({name: None})
 
     async def sync_folder(self) -> None:
         """Make creations, renames and removals durable."""
-        await self._sync()
-        self._synced_names = set(self._seen)
-        self._replaced_contents = {}
+        try:
+            await self._sync()
+        except DiskError:
+            self._pending = []
+            raise
+        for change in self._pending:
+            self._apply(change)
+        self._pending = []
 
     async def list(self) -> list[str]:
         """Return the names of the files, sorted."""
+        _raise_if(self.fail_reads)
         return sorted(self._seen)
 
-    def _check_free_space(self) -> None:
-        if self.full:
-            raise DiskError("no space left on device")
+    def _apply(self, change: dict[str, _File | None]) -> None:
+        for name, file in change.items():
+            if file is None:
+                self._durable.pop(name, None)
+            else:
+                self._durable[name] = file
 
     async def _sync(self) -> None:
         if self.sync_seconds:
             await asyncio.sleep(self.sync_seconds)
-        if self.fail_syncs:
-            raise DiskError("input/output error")
+        _raise_if(self.fail_syncs)
         self.syncs += 1
+
+
+def _raise_if(fails: bool) -> None:
+    if fails:
+        raise DiskError("input/output error")
