Read the registrations again while a disk refuses to return them

Callers would see endpoints in quarantine get the crashing request again, and only endpoints that had checked in since the restart.

Cause: at a start, a read that the disk refused was logged and the store counted as restored. The next write, a quarter of a second after the first check-in, replaced the file: the endpoints and the crashes that it held were gone.

Whether versions counted: no, `is_complete` was false after such a start, since only the file or other control VMs set it; it stays false until the file was read.

The read is repeated every half second, and nothing is written before it succeeded. Meanwhile `flush` fails at once, so that the VM stores no report of versions, and check-ins are served.

A refusal had a line at each attempt, up to four a second; it has one when it begins and one when it ends (OutageLog).

--- a/burdockdrum/logs/__init__.py
+++ b/burdockdrum/logs/__init__.py
@@ -6,6 +6,7 @@
 from burdockdrum.logs.explain import explain
 from burdockdrum.logs.explain import LogLine
 from burdockdrum.logs.explain import read_lines
+from burdockdrum.logs.outages import OutageLog
 from burdockdrum.logs.setup import set_up_structured_log
 from burdockdrum.logs.setup import StructuredLog
 from burdockdrum.logs.writer import BoundedWriter
@@ -16,6 +17,7 @@
     "log_decision",
     "log_failure",
     "LogLine",
+    "OutageLog",
     "read_lines",
     "set_up_structured_log",
     "StructuredLog",
--- a/burdockdrum/registrations/store.py
+++ b/burdockdrum/registrations/store.py
@@ -16,6 +16,7 @@
 from burdockdrum.crashes import MAX_RECORDS
 from burdockdrum.logs import log_decision
 from burdockdrum.logs import log_failure
+from burdockdrum.logs import OutageLog
 from burdockdrum.ports import Clock
 from burdockdrum.ports import Disk
 from burdockdrum.ports import DiskError
@@ -27,7 +28,7 @@
 
 # Check-ins without a change cause no write.
 WRITE_INTERVAL_SECONDS = 0.25
-# Until a write that the disk refused is repeated.
+# Until a read or a write that the disk refused is repeated.
 RETRY_SECONDS = 0.5
 # An older file says little about which endpoints are alive. The wall clock may
 # have been set meanwhile; then the file is ignored, or stale endpoints time
@@ -76,21 +77,36 @@
         self._table = table
         self._written_serial = 0
         self._written_version_serial = 0
-        # Set once the file was read, if there is one.
+        # Set once the file was read, or found missing or damaged.
         self.restored = asyncio.Event()
         self._wake = asyncio.Event()
         self._waiters: list[asyncio.Future[None]] = []
+        self._reading = OutageLog(
+            failed="registrations.not_read",
+            recovered="registrations.read",
+            read_time=clock.monotonic,
+        )
+        self._writing = OutageLog(
+            failed="registrations.not_stored",
+            recovered="registrations.stored",
+            read_time=clock.monotonic,
+        )
 
     async def run(self) -> None:
-        """Restore the file, then write changes until cancelled."""
-        await self._restore()
+        """Restore the file, then write changes until cancelled.
+
+        Nothing is written before the file was read, as a write replaces it.
+        """
+        content = await self._read()
+        if content is not None:
+            self._restore(content)
         self.restored.set()
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(WRITE_INTERVAL_SECONDS):
                     await self._wake.wait()
             self._wake.clear()
-            waiters, self._waiters = self._waiters, []
+            waiters = self._take_waiters()
             if not self._has_changed():
                 _resolve(waiters)
                 continue
@@ -98,17 +114,21 @@
                 await self._write()
             except DiskError as error:
                 # The next attempt writes all of it to a new file.
-                log_failure("registrations.not_stored", reason=str(error))
+                self._writing.fail(str(error))
                 _resolve(waiters, failure=str(error))
                 await self._clock.sleep(RETRY_SECONDS)
                 continue
+            self._writing.succeed()
             _resolve(waiters)
 
     async def flush(self) -> None:
         """Wait until all that is known now is durable.
 
-        :raises DiskError: if it can't be written
+        :raises DiskError: if it can't be written, or what was stored before
+            can't be read
         """
+        if self._reading.reason is not None:
+            raise DiskError(self._reading.reason)
         waiter: asyncio.Future[None] = asyncio.Future()
         self._waiters.append(waiter)
         self._wake.set()
@@ -122,14 +142,24 @@
             or self._crashes.serial != self._written_crash_serial
         )
 
-    async def _restore(self) -> None:
-        try:
-            content = await self._disk.read(_FILE_NAME)
-        except DiskError as error:
-            log_failure("registrations.not_restored", reason=str(error))
-            return
-        if content is None:
-            return
+    def _take_waiters(self) -> list[asyncio.Future[None]]:
+        waiters, self._waiters = self._waiters, []
+        return waiters
+
+    async def _read(self) -> bytes | None:
+        """Read the file, however long the disk refuses it."""
+        while True:
+            try:
+                content = await self._disk.read(_FILE_NAME)
+            except DiskError as error:
+                self._reading.fail(str(error))
+                _resolve(self._take_waiters(), failure=str(error))
+                await self._clock.sleep(RETRY_SECONDS)
+                continue
+            self._reading.succeed()
+            return content
+
+    def _restore(self, content: bytes) -> None:
         try:
             stored = msgspec.msgpack.decode(content, type=StoredRegistrations)
         except msgspec.DecodeError as error:
--- a/burdockdrum/software_versions/exchange.py
+++ b/burdockdrum/software_versions/exchange.py
@@ -13,6 +13,7 @@
 import contextlib
 
 from burdockdrum.logs import log_decision
+from burdockdrum.logs import OutageLog
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Message
 from burdockdrum.peers import Peers
@@ -90,6 +91,11 @@
         self._began_at = clock.monotonic()
         self._changed = asyncio.Event()
         self._unreached: frozenset[str] = frozenset()
+        self._storing = OutageLog(
+            failed="versions.not_stored",
+            recovered="versions.stored",
+            read_time=clock.monotonic,
+        )
         versions.report_listeners.append(self._changed.set)
         peers.register(VersionNotice, self._receive)
 
@@ -234,8 +240,9 @@
         try:
             await self._flush()
         except DiskError as error:
-            log_decision("versions.not_stored", reason=str(error))
+            self._storing.fail(str(error))
             return False
+        self._storing.succeed()
         return True
 
     def _log_unreached(self, unreached: set[str]) -> None:
--- /dev/null
+++ b/tests/logs/test_outages.py
@@ -0,0 +1,41 @@
+"""Tests of the lines about an operation that fails for a while."""
+
+import unittest
+from unittest import mock
+
+from burdockdrum.logs import OutageLog
+
+
+class OutageLogTest(unittest.TestCase):
+    """An operation that is repeated until it succeeds."""
+
+    def test_each_outage_has_two_lines(self):
+        # Guards against a line at each attempt while a disk is full.
+        time = iter((10.0, 12.5, 20.0, 21.0))
+        outage = OutageLog(
+            failed="x.failed",
+            recovered="x.recovered",
+            read_time=lambda: next(time),
+        )
+        path = "burdockdrum.logs.outages"
+        with (
+            mock.patch(f"{path}.log_failure") as failed,
+            mock.patch(f"{path}.log_decision") as recovered,
+        ):
+            outage.succeed()
+            for _ in range(2):
+                for attempt in range(3):
+                    self.assertEqual(attempt == 0, outage.fail("full"))
+                self.assertEqual("full", outage.reason)
+                outage.succeed()
+                outage.succeed()
+        self.assertEqual(
+            [mock.call("x.failed", reason="full")] * 2, failed.mock_calls
+        )
+        self.assertEqual(
+            [
+                mock.call("x.recovered", seconds=seconds, attempts=3)
+                for seconds in (2.5, 1.0)
+            ],
+            recovered.mock_calls,
+        )
--- a/tests/registrations/test_store.py
+++ b/tests/registrations/test_store.py
@@ -34,6 +34,25 @@
     return Registration(endpoint_id=endpoint_id, **{**defaults, **fields})
 
 
+class FaultyDisk(FakeDisk):
+    """A disk that may refuse reads, or the sync of its folder."""
+
+    refuses_reads = False
+    refuses_folder_syncs = False
+
+    async def read(self, name):
+        """Read a file."""
+        if self.refuses_reads:
+            raise DiskError("input/output error")
+        return await super().read(name)
+
+    async def sync_folder(self):
+        """Sync the folder."""
+        if self.refuses_folder_syncs:
+            raise DiskError("input/output error")
+        await super().sync_folder()
+
+
 class ControlVm:
     """One run of a control VM with its table and store."""
 
@@ -65,7 +84,7 @@
     def setUp(self):
         logger.disable("burdockdrum")
         self.addCleanup(logger.enable, "burdockdrum")
-        self.disk = FakeDisk(rng=random.Random(1))
+        self.disk = FaultyDisk(rng=random.Random(1))
 
     def play(self, before, after, down_seconds=1.5):
         """Run a VM, cut its power, and run it again.
@@ -244,6 +263,78 @@
 
         run_virtual(main())
 
+    def test_file_that_could_not_be_read_is_not_replaced(self):
+        # Guards against one refused read that forgets endpoints and crashes.
+        async def main():
+            vm = ControlVm(self.disk, are_versions_shared=True)
+            vm.table.apply(make_registration("a"))
+            vm.crashes.add("f", "a", "entry")
+            await vm.store.flush()
+            await vm.stop()
+            self.disk.refuses_reads = True
+            vm = ControlVm(self.disk, are_versions_shared=True)
+            vm.table.apply(make_registration("b"))
+            await asyncio.sleep(5.0)
+            self.assertEqual(["b"], vm.ready())
+            began = asyncio.get_running_loop().time()
+            with self.assertRaises(DiskError):
+                await vm.store.flush()
+            self.assertEqual(began, asyncio.get_running_loop().time())
+            self.assertFalse(vm.store.restored.is_set())
+            self.disk.refuses_reads = False
+            await vm.store.restored.wait()
+            await vm.store.flush()
+            await vm.stop()
+            self.disk.lose_power()
+            vm = ControlVm(self.disk, are_versions_shared=True)
+            await vm.store.restored.wait()
+            self.assertEqual(["a", "b"], vm.ready())
+            self.assertEqual(1, len(vm.crashes.assess("f").crashes))
+            await vm.stop()
+
+        run_virtual(main())
+
+    def test_versions_of_a_damaged_file_are_not_complete(self):
+        # Guards against a control VM that counts with what it has forgotten.
+        async def main():
+            for is_damaged in (False, True):
+                vm = ControlVm(self.disk, are_versions_shared=True)
+                vm.table.versions.complete()
+                await vm.store.flush()
+                await vm.stop()
+                if is_damaged:
+                    self.disk.corrupt("registrations", 0)
+                vm = ControlVm(self.disk, are_versions_shared=True)
+                await vm.store.restored.wait()
+                self.assertIsNot(is_damaged, vm.table.versions.is_complete)
+                await vm.stop()
+
+        run_virtual(main())
+
+    def test_what_was_read_back_is_written_before_it_is_acknowledged(self):
+        # Guards against a file whose rename was never synced.
+        async def main():
+            vm = ControlVm(self.disk)
+            vm.table.apply(make_registration("a"))
+            await vm.store.flush()
+            self.disk.refuses_folder_syncs = True
+            vm.table.apply(make_registration("b"))
+            with self.assertRaises(DiskError):
+                await vm.store.flush()
+            await vm.stop()
+            self.disk.refuses_folder_syncs = False
+            vm = ControlVm(self.disk)
+            await vm.store.flush()
+            self.assertEqual(["a", "b"], vm.ready())
+            await vm.stop()
+            self.disk.lose_power()
+            vm = ControlVm(self.disk)
+            await vm.store.restored.wait()
+            self.assertEqual(["a", "b"], vm.ready())
+            await vm.stop()
+
+        run_virtual(main())
+
     def test_check_ins_without_news_write_nothing(self):
         async def main():
             vm = ControlVm(self.disk)
