Open the log again while a disk refuses a start

Callers whose control VM started on a full or failing disk found its port closed: no check-ins, no directory, until the disk was well.

Cause: `ReplicatedLog.run` raised DiskError, which ended the process; it was started again and ended again, each time. `FolderDisk` made its folder in the constructor, so that a folder that could not be made ended the process before it had a log.

The gauge `burdockdrum_log_disk_refuses` is 1. A damaged folder still ends the process: another attempt reads the same, and only an operator knows whether a quorum of undamaged folders is left.

The cluster of the tests took a DiskError as the end of a process and went on; it is an error of the test now.

--- a/burdockdrum/consensus/log.py
+++ b/burdockdrum/consensus/log.py
@@ -16,7 +16,6 @@
 from burdockdrum.consensus.forwarding import Forwarding
 from burdockdrum.consensus.founding import Founding
 from burdockdrum.consensus.gauges import add_member_gauges
-from burdockdrum.consensus.identity import IdentityFile
 from burdockdrum.consensus.interface import Applied
 from burdockdrum.consensus.interface import LogSettings
 from burdockdrum.consensus.interface import NotAccepted
@@ -26,11 +25,10 @@
 from burdockdrum.consensus.leadership import Leadership
 from burdockdrum.consensus.member_changes import MemberChanges
 from burdockdrum.consensus.membership import Member
+from burdockdrum.consensus.opening import Opening
 from burdockdrum.consensus.replica import Replica
 from burdockdrum.consensus.rollback_detection import RollbackDetector
 from burdockdrum.consensus.self_repair import SelfRepair
-from burdockdrum.consensus.snapshot import SnapshotStore
-from burdockdrum.consensus.storage import Storage
 from burdockdrum.consensus.voting import Voting
 from burdockdrum.metrics import Metrics
 from burdockdrum.peers import Peers
@@ -56,10 +54,7 @@
     ) -> None:
         """Create the service; ``run`` opens the data folder."""
         self._peers = peers
-        self._disk = disk
         self._clock = clock
-        self._rng = rng
-        self._timeline = timeline
         self._metrics = metrics
         self._state_machine = state_machine
         self._settings = settings
@@ -70,18 +65,25 @@
         self._add_gauges(metrics)
         self._listeners: list[Callable[[int], None]] = []
         self._replica: Replica | None = None
-        self._started = asyncio.Event()
+        self._opening = Opening(
+            disk=disk,
+            clock=clock,
+            rng=rng,
+            timeline=timeline,
+            settings=settings,
+        )
 
     async def run(self) -> None:
         """Open the data folder and run this member until cancelled.
 
+        While the disk refuses to open it, this member is ``WAITING``, and
+        changes and reads are refused at once.
+
         :raises CorruptLog: if the data folder is damaged
-        :raises DiskError: if it can't be read
         """
-        await self._open()
-        replica = self._replica
-        assert replica is not None
-        self._started.set()
+        replica = await self._opening.run()
+        self._build(replica)
+        self._replica = replica
         async with asyncio.TaskGroup() as group:
             group.create_task(replica.storage.run())
             group.create_task(self._applier.run())
@@ -119,8 +121,10 @@
 
     @property
     def disk_refusal(self) -> str | None:
-        """Return why the disk refuses writes, None if it accepts them."""
-        return self._replica.storage.refusal if self._replica else None
+        """Return why the disk refuses the folder or writes, None if not."""
+        if self._replica is None:
+            return self._opening.refusal
+        return self._replica.storage.refusal
 
     @property
     def commit_index(self) -> int:
@@ -180,7 +184,7 @@
                 f"bytes, this one has {len(command)}"
             )
         if self._replica is None:
-            raise NotAccepted("the log is not open yet")
+            raise NotAccepted(self._describe_not_open())
         began = self._clock.monotonic()
         outcome = "unknown"
         try:
@@ -202,7 +206,7 @@
         :raises NotCurrent: if no leader and quorum confirmed it in time
         """
         if self._replica is None:
-            raise NotCurrent("the log is not open yet")
+            raise NotCurrent(self._describe_not_open())
         return await self._forwarding.read_barrier(timeout)
 
     async def add_member(
@@ -251,43 +255,19 @@
         gauges.append(
             (
                 "disk_refuses",
-                "1 while the disk of this VM refuses writes, else 0.",
+                "1 while the disk refuses writes, or a start, else 0.",
                 lambda: self.disk_refusal is not None,
             )
         )
         for name, help_text, read in gauges:
             metrics.gauge(f"burdockdrum_log_{name}", help_text, read)
 
-    async def _open(self) -> None:
-        identity = await IdentityFile.open(
-            disk=self._disk, vm_id=self._settings.vm_id, rng=self._rng
-        )
-        snapshots = SnapshotStore(disk=self._disk)
-        snapshot = await snapshots.load()
-        storage = Storage(
-            disk=self._disk,
-            disk_id=identity.current.disk_id,
-            segment_bytes=self._settings.segment_bytes,
-            clock=self._clock,
-        )
-        await storage.open(
-            snapshot, rewrites=(identity.rewrite, snapshots.rewrite)
-        )
-        if storage.torn_bytes:
-            self._timeline.record("log.tail_cut", size=storage.torn_bytes)
-        replica = Replica(
-            identity=identity,
-            storage=storage,
-            snapshots=snapshots,
-            settings=self._settings,
-            clock=self._clock,
-            rng=self._rng,
-            timeline=self._timeline,
-        )
-        self._build(identity, replica)
-        self._replica = replica
+    def _describe_not_open(self) -> str:
+        refusal = self._opening.refusal
+        reason = "the log is not open yet"
+        return reason if refusal is None else f"{reason}: {refusal}"
 
-    def _build(self, identity: IdentityFile, replica: Replica) -> None:
+    def _build(self, replica: Replica) -> None:
         peers = self._peers
         self._applier = Applier(
             replica=replica, state_machine=self._state_machine
@@ -297,7 +277,7 @@
         # Listeners added later are appended to the same list.
         self._listeners = self._applier.listeners
         self._founding = Founding(
-            file=identity,
+            file=replica.identity,
             settings=self._settings,
             peers=peers,
             clock=self._clock,
@@ -355,5 +335,5 @@
         self, vm_id: str, learner: Member | None, timeout: float
     ) -> None:
         if self._replica is None:
-            raise NotAccepted("the log is not open yet")
+            raise NotAccepted(self._describe_not_open())
         await self._member_changes.change(vm_id, learner, timeout)
--- a/burdockdrum/system_ports/disk.py
+++ b/burdockdrum/system_ports/disk.py
@@ -15,9 +15,9 @@
     """The files of one folder; blocking calls run in threads."""
 
     def __init__(self, *, folder: pathlib.Path) -> None:
-        """Create the folder if it is missing."""
+        """Create it; the first operation makes the folder if needed."""
         self._folder = folder
-        folder.mkdir(parents=True, exist_ok=True)
+        self._is_folder_made = False
 
     async def read(self, name: str) -> bytes | None:
         """Return a file's content, or None if there is none."""
@@ -63,13 +63,22 @@
 
     async def list(self) -> list[str]:
         """Return the names of the files, sorted."""
-        return sorted(
-            path.name for path in self._folder.iterdir() if path.is_file()
-        )
+
+        def list_names() -> list[str]:
+            paths = self._folder.iterdir()
+            return sorted(path.name for path in paths if path.is_file())
+
+        return await self._run(list_names)
 
     async def _run(self, operation: Callable[[], ResultT]) -> ResultT:
+        def run_in_folder() -> ResultT:
+            if not self._is_folder_made:
+                self._folder.mkdir(parents=True, exist_ok=True)
+                self._is_folder_made = True
+            return operation()
+
         try:
-            return await asyncio.to_thread(operation)
+            return await asyncio.to_thread(run_in_folder)
         except OSError as error:
             raise DiskError(str(error)) from error
 
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -15,7 +15,6 @@
 from burdockdrum.peers import Peers
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Disk
-from burdockdrum.ports import DiskError
 from burdockdrum.testing import FakeDisk
 from burdockdrum.testing import FakeNetwork
 from burdockdrum.testing import VirtualClock
@@ -240,9 +239,6 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(peers.run())
                 group.create_task(log.run())
-        except* DiskError:
-            # A disk failure during the start ends the process.
-            self.vm_of(log).task = None
         except* Exception as error:
             self.errors.append(error)
         finally:
--- a/tests/registrations/test_store.py
+++ b/tests/registrations/test_store.py
@@ -16,9 +16,9 @@
 from burdockdrum.registrations.store import WRITE_INTERVAL_SECONDS
 from burdockdrum.registrations.table import CHECK_IN_TIMEOUT_SECONDS
 from burdockdrum.registrations.table import RegistrationTable
-from burdockdrum.testing import FakeDisk
 from burdockdrum.testing import run_virtual
 from burdockdrum.testing import VirtualClock
+from tests.faulty_disk import FaultyDisk
 
 
 def make_registration(endpoint_id, **fields):
@@ -34,25 +34,6 @@
     return Registration(endpoint_id=endpoint_id, **{**defaults, **fields})
 
 
-class FaultyDisk(FakeDisk):
-    """A disk that may refuse reads, or the sync of its folder."""
-
-    refuses_reads = False
-    refuses_folder_syncs = False
-
-    async def read(self, name):
-        """Read a file."""
-        if self.refuses_reads:
-            raise DiskError("input/output error")
-        return await super().read(name)
-
-    async def sync_folder(self):
-        """Sync the folder."""
-        if self.refuses_folder_syncs:
-            raise DiskError("input/output error")
-        await super().sync_folder()
-
-
 class ControlVm:
     """One run of a control VM with its table and store."""
 
--- /dev/null
+++ b/tests/system_ports/test_disk.py
@@ -0,0 +1,28 @@
+"""Tests of the disk over a folder."""
+
+import asyncio
+import pathlib
+import tempfile
+import unittest
+
+from burdockdrum.ports import DiskError
+from burdockdrum.system_ports import FolderDisk
+
+
+class FolderDiskTest(unittest.TestCase):
+    """A folder that can't be used."""
+
+    def test_folder_that_cannot_be_made_is_made_later(self):
+        # Guards against a process that ends at its start on a full disk.
+        async def main(parent):
+            parent.write_bytes(b"in the way")
+            disk = FolderDisk(folder=parent / "data")
+            for operation in (disk.list(), disk.write("a", b"x")):
+                with self.assertRaises(DiskError):
+                    await operation
+            parent.unlink()
+            await disk.write("a", b"x")
+            self.assertEqual(["a"], await disk.list())
+
+        with tempfile.TemporaryDirectory() as folder:
+            asyncio.run(main(pathlib.Path(folder) / "parent"))
