--- a/burdockdrum/consensus/snapshot.py
+++ b/burdockdrum/consensus/snapshot.py
@@ -66,10 +66,11 @@
         self.latest: Snapshot | None = None
 
     async def load(self) -> Snapshot | None:
-        """Read the latest snapshot.
+        """Read the latest snapshot, and remove one that was begun.
 
         :raises CorruptLog: if it is damaged, as its entries are compacted
         """
+        await self._disk.remove(_TEMPORARY)
         names = [n for n in await self._disk.list() if n.startswith(_PREFIX)]
         if not names:
             return None
