Number starts apart whose numbers can't be stored, and store them later

What callers would see: requests at endpoints that a control VM has acknowledged to drain, or a VM that entries ignore, without an end: two starts of the VM had one number, and what others remember of the former one (serials, rosters, watches) they take for the later one's.

Cause: with the clock set back and the disk full, the number is the stored one plus one, which the next start takes as well. A read that failed counted as "no number", so the start had that of the clock, below the former ones, and nothing said so; a number that wasn't stored was forgotten for good.

Change: each stored number leaves 1,000 free before it. A start that can't store its own takes one of these by the time of day, so the next start that can is greater. StartNumber.run, a service of the process, stores what the disk refused as soon as it accepts it, also after a failed read, and says when the number turns out to be below a former one (incarnation.too_low). It replaces number_start; both callers provide it to their kernel.

What remains: starts in series that store nothing while the clock is behind can be out of order, and have one number if they are exactly a whole number of seconds apart, in milliseconds; a number that was never stored is forgotten if the clock is set back after it. Others hear a lower number once the former start is silent. Ruled out: a larger reserve, or more digits, which run ahead of the time of day, so that a start after a lost disk would be lower.

--- a/burdockdrum/daemon/daemon.py
+++ b/burdockdrum/daemon/daemon.py
@@ -12,7 +12,7 @@
 
 from burdockdrum.daemon.assembly import assemble
 from burdockdrum.kernel import Kernel
-from burdockdrum.peers import number_start
+from burdockdrum.peers import StartNumber
 from burdockdrum.peers import VmIdentity
 from burdockdrum.settings import Settings
 from burdockdrum.system_ports import FolderDisk
@@ -65,14 +65,14 @@
         settings = self._settings
         clock = SystemClock()
         disk = _open_disk(settings)
-        incarnation = await number_start(clock=clock, disk=disk)
+        start = await StartNumber.draw(clock=clock, disk=disk)
         mailbox = await PynngNetwork().open(settings.listen.control)
         parts = urlsplit(settings.listen.http)
         listener = bind(parts.hostname or "", parts.port or 0)
         host, port = listener.getsockname()[:2]
         identity = VmIdentity(
             vm_id=settings.vm.id,
-            incarnation=incarnation,
+            incarnation=start.number,
             region=settings.vm.region,
             data_centre=settings.vm.data_centre,
             control_address=mailbox.address,
@@ -95,6 +95,7 @@
             rng=random.Random(),
             disk=disk,
         )
+        kernel.provide("start_number", start)
         kernel.add("web", lambda kernel: _build_web(kernel, listener))
         return kernel
 
--- a/burdockdrum/gateway/process.py
+++ b/burdockdrum/gateway/process.py
@@ -13,7 +13,7 @@
 from burdockdrum.logs import log_decision
 from burdockdrum.logs import set_up_structured_log
 from burdockdrum.logs import StructuredLog
-from burdockdrum.peers import number_start
+from burdockdrum.peers import StartNumber
 from burdockdrum.peers import VmIdentity
 from burdockdrum.settings import Settings
 from burdockdrum.system_ports import FolderDisk
@@ -90,12 +90,12 @@
         clock = SystemClock()
         folder = settings.control.data_folder
         disk = FolderDisk(folder=pathlib.Path(folder)) if folder else None
-        incarnation = await number_start(clock=clock, disk=disk)
+        start = await StartNumber.draw(clock=clock, disk=disk)
         mailbox = await PynngNetwork().open(settings.listen.control)
         callers = settings.passthrough.callers
         identity = VmIdentity(
             vm_id=settings.vm.id,
-            incarnation=incarnation,
+            incarnation=start.number,
             region=settings.vm.region,
             data_centre=settings.vm.data_centre,
             control_address=mailbox.address,
@@ -109,6 +109,7 @@
             rng=random.Random(),
             disk=disk,
         )
+        kernel.provide("start_number", start)
         self._extend(kernel)
         log_decision(
             "process.started",
--- a/burdockdrum/peers/__init__.py
+++ b/burdockdrum/peers/__init__.py
@@ -7,7 +7,7 @@
 from burdockdrum.peers.peers import CallFailed
 from burdockdrum.peers.peers import Peers
 from burdockdrum.peers.services import add_services
-from burdockdrum.peers.starts import number_start
+from burdockdrum.peers.starts import StartNumber
 from burdockdrum.peers.traffic import Distance
 from burdockdrum.peers.traffic import Traffic
 
@@ -16,10 +16,10 @@
     "CallFailed",
     "Distance",
     "Message",
-    "number_start",
     "PayloadAuthenticator",
     "Peers",
     "Sender",
+    "StartNumber",
     "Traffic",
     "VmIdentity",
 ]
--- a/burdockdrum/peers/starts.py
+++ b/burdockdrum/peers/starts.py
@@ -2,8 +2,15 @@
 
 The time of day may be set back between two starts. A VM with a disk keeps the
 last number there; without one, or after its loss, the time of day decides.
+
+A start that can't store its number takes one of those that are left free
+after each number that is stored, so that the next start is greater. It stores
+what it couldn't as soon as the disk accepts it. Two starts in series that
+store nothing while the clock is behind are told apart by the time of day, but
+may be out of order.
 """
 
+from burdockdrum.logs import log_decision
 from burdockdrum.logs import log_failure
 from burdockdrum.ports import Clock
 from burdockdrum.ports import Disk
@@ -13,24 +20,88 @@
 _FILE_NAME = "incarnation"
 _TEMPORARY_FILE_NAME = "incarnation.new"
 _MILLISECONDS = 1000
+# Left free after each stored number. Starts a second apart don't run ahead of
+# the time of day by this.
+_FREE_NUMBERS = 1000
+_RETRY_SECONDS = 0.5
 
 
-async def number_start(*, clock: Clock, disk: Disk | None) -> int:
-    """Return a number greater than those of all earlier starts.
+class StartNumber:
+    """The number of this start, greater than those of all earlier ones.
 
-    :param disk: the data folder, on a control VM only
-    :returns: the time of day in milliseconds, or more
+    ``run`` stores it, if that failed.
     """
-    number = int(clock.wall() * _MILLISECONDS)
-    if disk is None:
-        return number
-    try:
-        number = max(number, await _read_last(disk) + 1)
-        await _write(disk, number)
-    except DiskError as error:
-        # The next start may get a lower number, if the clock is set back.
-        log_failure("incarnation.not_stored", reason=str(error))
-    return number
+
+    def __init__(self, *, clock: Clock, disk: Disk | None) -> None:
+        """Create it with the time of day; ``draw`` reads the last number.
+
+        :param disk: the data folder, on a control VM only
+        """
+        self._clock = clock
+        self._disk = disk
+        self._last: int | None = None
+        self._is_stored = disk is None
+        self.number = int(clock.wall() * _MILLISECONDS)
+
+    @classmethod
+    async def draw(cls, *, clock: Clock, disk: Disk | None) -> "StartNumber":
+        """Return the number of a start, stored if the disk accepts it."""
+        start = cls(clock=clock, disk=disk)
+        if disk is not None:
+            await start._draw(disk)
+        return start
+
+    async def run(self) -> None:
+        """Try again until the number is stored."""
+        while self._disk is not None and not self._is_stored:
+            await self._clock.sleep(_RETRY_SECONDS)
+            try:
+                await self._store_late(self._disk)
+            except DiskError:
+                # Logged at the start.
+                continue
+            log_decision("incarnation.stored", number=self.number)
+
+    async def _draw(self, disk: Disk) -> None:
+        try:
+            self._last = await _read_last(disk)
+        except DiskError as error:
+            log_failure(
+                "incarnation.not_read", number=self.number, reason=str(error)
+            )
+            return
+        time_of_day = self.number
+        self.number = max(time_of_day, self._last + _FREE_NUMBERS + 1)
+        try:
+            await self._store(disk, self.number)
+        except DiskError as error:
+            if self.number > time_of_day:
+                self.number = self._last + 1 + time_of_day % _FREE_NUMBERS
+            log_failure(
+                "incarnation.not_stored", number=self.number, reason=str(error)
+            )
+
+    async def _store_late(self, disk: Disk) -> None:
+        if self._last is None:
+            self._last = await _read_last(disk)
+            if self.number <= self._last:
+                # Others take this start for a former one until they have
+                # heard nothing of the VM for a while.
+                log_failure(
+                    "incarnation.too_low", number=self.number, last=self._last
+                )
+        await self._store(
+            disk, max(self.number, self._last + _FREE_NUMBERS + 1)
+        )
+
+    async def _store(self, disk: Disk, number: int) -> None:
+        await replace_file(
+            disk,
+            _FILE_NAME,
+            b"%d" % number,
+            temporary_name=_TEMPORARY_FILE_NAME,
+        )
+        self._is_stored = True
 
 
 async def _read_last(disk: Disk) -> int:
@@ -42,12 +113,3 @@
     except ValueError:
         log_failure("incarnation.unreadable", reason=repr(content[:40]))
         return 0
-
-
-async def _write(disk: Disk, number: int) -> None:
-    await replace_file(
-        disk,
-        _FILE_NAME,
-        b"%d" % number,
-        temporary_name=_TEMPORARY_FILE_NAME,
-    )
