Forget an old join request before a new one is compared with it

What callers would see: a control VM that lost its disk and started behind its clock never becomes a voter again; the next loss ends the quorum.

Cause: a join request with a lower number than the known one is dropped as a late copy. The known one was forgotten after 600 s, but only when a request was accepted: the only VM that sends any was ignored for good.

Change: requests are forgotten before the comparison.

Evidence: test_emptied_vm_that_starts_behind_its_clock_rejoins failed before ("False is not true": no voter after 620 s).

What remains: such a VM waits for up to 600 s. Ruled out: to accept a lower number after a silence, as elsewhere. A VM that was admitted sends no requests, so a late copy from before its restart would name a lost disk.

--- a/burdockdrum/consensus/self_repair.py
+++ b/burdockdrum/consensus/self_repair.py
@@ -114,6 +114,8 @@
     async def _on_join(
         self, sender: Sender, message: JoinRequest
     ) -> Message | None:
+        now = self._replica.clock.monotonic()
+        self._forget_requests(now - JOIN_REQUEST_MEMORY_SECONDS)
         known = self._received_by_vm_id.get(message.vm_id)
         if known is not None and (
             message.incarnation < known.request.incarnation
@@ -121,8 +123,6 @@
             # Sent before the VM's restart: it may name a disk that is gone
             # and must not replace the current one.
             return None
-        now = self._replica.clock.monotonic()
-        self._forget_requests(now - JOIN_REQUEST_MEMORY_SECONDS)
         self._received_by_vm_id[message.vm_id] = _ReceivedJoinRequest(
             request=message, at=now
         )
--- a/tests/consensus/test_self_repair.py
+++ b/tests/consensus/test_self_repair.py
@@ -207,6 +207,32 @@
 
         run_virtual(main())
 
+    def test_emptied_vm_that_starts_behind_its_clock_rejoins(self):
+        # Guards against a VM whose requests count as those of its former
+        # start for good, as no other VM sends any.
+        async def main():
+            cluster = make_cluster()
+            await cluster.start_all()
+            leader = await cluster.wait_for_leader()
+            vm = next(v for v in cluster.vms.values() if v.log is not leader)
+            request = JoinRequest(
+                vm_id=vm.vm_id,
+                address=vm.address,
+                disk_id=vm.running.disk_id,
+                incarnation=10,
+            )
+            vm.running._peers.send(cluster.vm_of(leader).address, request)
+            await asyncio.sleep(0.5)
+            await cluster.stop(vm.vm_id)
+            vm.disk.wipe()
+            await cluster.start(vm.vm_id)
+            await asyncio.sleep(JOIN_REQUEST_MEMORY_SECONDS)
+            rejoined = await wait_for(lambda: is_voter(cluster, vm), 20)
+            await cluster.stop_all()
+            self.assertTrue(rejoined)
+
+        run_virtual(main())
+
     def test_number_of_voters_grows_to_the_target(self):
         # Three founders and three more VMs, with five voters as the target.
         async def main():
