Let a VM that restarts behind its clock replace its dead start in the group

What callers would see: on the product's own interface, an entry that started again after its clock was set back gets no request from the other entries of its data centre, for four hours.

Cause: records under a lower number than the known one count as those of a former start, and a dead member is remembered for four hours.

Change: once the known start is dead, a VM that sends records itself under a lower number replaces it. What others say about a VM doesn't, so that two starts that are both dead don't replace each other.

Evidence: test_vm_that_restarts_behind_the_clock_replaces_its_dead_one failed before ("not within 2.0 s").

--- a/burdockdrum/vms/group.py
+++ b/burdockdrum/vms/group.py
@@ -171,8 +171,7 @@
         self.add_member(identity)
         member = self.members_by_id.get(identity.vm_id)
         if member is not None and member.health is Health.DEAD:
-            heartbeat = self._own.changes_since(self._own.sequence)
-            self._peers.send(identity.control_address, heartbeat)
+            self._peers.send(identity.control_address, self._own.heartbeat())
 
     def tick_interval_seconds(self) -> float:
         """Return the time between two ticks, which grows with the group."""
@@ -304,17 +303,19 @@
             return None
         known = member.identity.incarnation
         if changes.incarnation < known:
-            if direct:
-                # An older VM still uses the id of a newer one: notify it.
-                publication = member.publication
-                latest = publication.changes_since(publication.sequence)
-                self._peers.send(sender.address, latest)
-            return None
-        if changes.incarnation > known:
-            if direct:
+            if direct and member.health is Health.DEAD:
+                # A start after the clock was set back has a lower number.
+                self._remove(member, "vm.replaced")
                 self._handle_unknown_sender(sender, changes)
+            elif direct:
+                # An older VM still uses the id of a newer one: notify it.
+                heartbeat = member.publication.heartbeat()
+                self._peers.send(sender.address, heartbeat)
             return None
-        self._apply_changes(member, changes, direct=direct)
+        if changes.incarnation == known:
+            self._apply_changes(member, changes, direct=direct)
+        elif direct:
+            self._handle_unknown_sender(sender, changes)
         return None
 
     def _apply_changes(
--- a/burdockdrum/vms/publication.py
+++ b/burdockdrum/vms/publication.py
@@ -80,6 +80,10 @@
         self._pending.clear()
         return self._changes(since, False, records)
 
+    def heartbeat(self) -> Changes:
+        """Return the changes after the latest sequence, which are none."""
+        return self.changes_since(self.sequence)
+
     def changes_since(self, sequence: int) -> Changes:
         """Return the changes after a sequence, or all records if too old."""
         if sequence < max(self._horizon, 1):
--- a/tests/vms/harness.py
+++ b/tests/vms/harness.py
@@ -202,7 +202,7 @@
         self.network = FakeNetwork(rng=random.Random(seed))
         self.vms_by_id: dict[str, HarnessVm] = {}
         self._seed = seed
-        self._incarnation = 0
+        self.incarnation = 0
 
     def start_vm(
         self,
@@ -213,13 +213,13 @@
         services: int = 1,
         address: str | None = None,
     ) -> HarnessVm:
-        self._incarnation += 1
+        self.incarnation += 1
         self._seed += 7
         vm = HarnessVm(
             network=self.network,
             vm_id=vm_id,
             data_centre=data_centre,
-            incarnation=self._incarnation,
+            incarnation=self.incarnation,
             join=["tcp://vm0", "tcp://vm1"] if join is None else join,
             seed=self._seed,
             services=services,
--- a/tests/vms/test_group.py
+++ b/tests/vms/test_group.py
@@ -63,24 +63,31 @@
         run_virtual(main())
 
     def test_restarted_vm_replaces_its_old_incarnation(self):
-        async def main():
-            harness = MembershipHarness(seed=3)
-            harness.start_vms(5)
-            await asyncio.sleep(5)
-            await harness.crash_vm("vm2")
-            new = harness.start_vm("vm2")
-
-            def has_new(vm):
-                views = vm.vms.live_vms()
-                identities = [view.identity for view in views]
-                return new.identity in identities and len(views) == 5
-
-            await harness.wait_until(
-                lambda: harness.everywhere(has_new), limit=JOIN_WITHIN
-            )
-            await harness.stop()
-
-        run_virtual(main())
+        run_virtual(self.restart(incarnation=None))
+
+    def test_vm_that_restarts_behind_the_clock_replaces_its_dead_one(self):
+        # Guards against a VM that others ignore for hours.
+        run_virtual(self.restart(incarnation=0, pause=DEAD_WITHIN))
+
+    async def restart(self, *, incarnation, pause=0.0):
+        harness = MembershipHarness(seed=3)
+        harness.start_vms(5)
+        await asyncio.sleep(5)
+        await harness.crash_vm("vm2")
+        await asyncio.sleep(pause)
+        if incarnation is not None:
+            harness.incarnation = incarnation - 1
+        new = harness.start_vm("vm2")
+
+        def has_new(vm):
+            views = vm.vms.live_vms()
+            identities = [view.identity for view in views]
+            return new.identity in identities and len(views) == 5
+
+        await harness.wait_until(
+            lambda: harness.everywhere(has_new), limit=JOIN_WITHIN
+        )
+        await harness.stop()
 
     def test_message_loss_makes_no_vm_suspected(self):
         # At a loss of 5 %, three ticks in a row are lost now and then, but a
