--- a/burdockdrum/consensus/applier.py
+++ b/burdockdrum/consensus/applier.py
@@ -15,12 +15,15 @@
 from burdockdrum.consensus.signals import Signal
 from burdockdrum.consensus.snapshot import Snapshot
 from burdockdrum.consensus.storage import RETRY_SECONDS
-from burdockdrum.logs import log_failure
+from burdockdrum.logs import OutageLog
 from burdockdrum.ports import DiskError
 
 # Yields to other tasks after each batch, so that a long catch-up does not
 # delay heartbeats.
 _APPLY_BATCH_ENTRIES = 64
+# While the disk refuses a snapshot, each pause is twice the former one: on a
+# full disk an attempt takes, for a moment, the room that the log needs.
+_MAX_RETRY_SECONDS = 8.0
 
 
 @dataclass(kw_only=True)
@@ -52,6 +55,18 @@
         replica.on_entry_replaced = self._record_replacement
         self._snapshot_lock = asyncio.Lock()
         self._bytes_since_snapshot = 0
+        # Whether files that the latest snapshot covers may be left.
+        self._is_removal_due = replica.snapshots.latest is not None
+        self._saving = OutageLog(
+            failed="snapshot.not_saved",
+            recovered="snapshot.saved",
+            read_time=replica.clock.monotonic,
+        )
+        self._removing = OutageLog(
+            failed="log.not_compacted",
+            recovered="log.compacted",
+            read_time=replica.clock.monotonic,
+        )
         self.applied_index = 0
         self.changed = Signal()
         snapshot = replica.snapshots.latest
@@ -80,8 +95,13 @@
         """Take a snapshot whenever one is due, until cancelled."""
         while True:
             await self.changed.wait()
-            while self._is_snapshot_due() and not await self._take_snapshot():
-                await self._replica.clock.sleep(RETRY_SECONDS)
+            pause = RETRY_SECONDS
+            while not (
+                await self._take_due_snapshot()
+                and await self._remove_covered()
+            ):
+                await self._replica.clock.sleep(pause)
+                pause = min(2 * pause, _MAX_RETRY_SECONDS)
 
     async def wait_for(self, index: int) -> None:
         """Wait until an index is applied on this member."""
@@ -95,20 +115,46 @@
         """
         async with self._snapshot_lock:
             latest = self._replica.snapshots.latest
-            if latest is None or latest.index < snapshot.index:
-                try:
-                    await self._replica.snapshots.save(snapshot)
-                except DiskError as error:
-                    log_failure(
-                        "snapshot.not_installed",
-                        index=snapshot.index,
-                        reason=str(error),
-                    )
-                    return False
+            is_newer = latest is None or latest.index < snapshot.index
+            if is_newer and not await self._save(snapshot):
+                return False
             self._replace_log(snapshot)
         await self._replica.storage.sync()
         return True
 
+    async def _save(self, snapshot: Snapshot) -> bool:
+        """Save a snapshot; return False if the disk refuses it."""
+        snapshots = self._replica.snapshots
+        try:
+            await snapshots.save(snapshot)
+        except DiskError as error:
+            # The snapshot may be durable, and an earlier one not removed.
+            if snapshots.latest is not snapshot:
+                self._saving.fail(str(error))
+                return False
+        self._saving.succeed()
+        self._is_removal_due = True
+        return True
+
+    async def _remove_covered(self) -> bool:
+        """Remove what the latest snapshot covers; False if refused."""
+        replica = self._replica
+        latest = replica.snapshots.latest
+        if not self._is_removal_due or latest is None:
+            return True
+        async with self._snapshot_lock:
+            try:
+                await replica.snapshots.remove_earlier()
+                await replica.storage.compact(
+                    latest.index - replica.settings.keep_entries
+                )
+            except DiskError as error:
+                self._removing.fail(str(error))
+                return False
+        self._removing.succeed()
+        self._is_removal_due = False
+        return True
+
     def _replace_log(self, snapshot: Snapshot) -> None:
         replica = self._replica
         storage = replica.storage
@@ -199,8 +245,10 @@
             or self._bytes_since_snapshot >= settings.snapshot_every_bytes
         )
 
-    async def _take_snapshot(self) -> bool:
-        """Take a snapshot; return False if the disk refuses it."""
+    async def _take_due_snapshot(self) -> bool:
+        """Take a snapshot if one is due; False if the disk refuses it."""
+        if not self._is_snapshot_due():
+            return True
         replica = self._replica
         async with self._snapshot_lock:
             index = self.applied_index
@@ -214,16 +262,8 @@
                 data=self._state_machine.snapshot(),
             )
             covered_bytes = self._bytes_since_snapshot
-            try:
-                await replica.snapshots.save(snapshot)
-                self._bytes_since_snapshot -= covered_bytes
-                await replica.storage.compact(
-                    index - replica.settings.keep_entries
-                )
-            except DiskError as error:
-                log_failure(
-                    "snapshot.not_taken", index=index, reason=str(error)
-                )
+            if not await self._save(snapshot):
                 return False
+            self._bytes_since_snapshot -= covered_bytes
         replica.timeline.record("snapshot.taken", index=index)
         return True
--- a/burdockdrum/consensus/snapshot.py
+++ b/burdockdrum/consensus/snapshot.py
@@ -107,11 +107,25 @@
             await self._save(snapshot)
 
     async def _save(self, snapshot: Snapshot) -> None:
-        name = f"{_PREFIX}{snapshot.index:016d}"
+        name = _name_of(snapshot)
         frame = encode_frame(msgspec.msgpack.encode(snapshot))
         await replace_file(self._disk, name, frame, temporary_name=_TEMPORARY)
         self.latest = snapshot
         self._is_read_back = False
+        await self.remove_earlier()
+
+    async def remove_earlier(self) -> None:
+        """Remove the snapshots before the latest one.
+
+        :raises DiskError: if one can't be removed
+        """
+        if self.latest is None:
+            return
+        name = _name_of(self.latest)
         for other in await self._disk.list():
             if other.startswith(_PREFIX) and other < name:
                 await self._disk.remove(other)
+
+
+def _name_of(snapshot: Snapshot) -> str:
+    return f"{_PREFIX}{snapshot.index:016d}"
--- a/tests/consensus/test_disk_room.py
+++ b/tests/consensus/test_disk_room.py
@@ -62,6 +62,25 @@
 
         self.play(use)
 
+    def test_files_that_could_not_be_removed_are_removed_later(self):
+        # Guards against files that stay until the next snapshot.
+        async def use(cluster):
+            leader = await cluster.wait_for_leader()
+            vm = cluster.vm_of(leader)
+            vm.disk.refuses_removals = True
+            await self.propose(cluster, 40, 500)
+            self.assertEqual(2, len(vm.timeline.events(prefix="snapshot.t")))
+            self.assertEqual(2, await self.count_snapshots(vm))
+            vm.disk.refuses_removals = False
+            await asyncio.sleep(10.0)
+            self.assertEqual(1, await self.count_snapshots(vm))
+
+        self.play(use)
+
+    async def count_snapshots(self, vm):
+        names = await vm.disk.list()
+        return sum(name.startswith("snapshot-") for name in names)
+
     def test_snapshot_without_room_takes_none_from_the_log(self):
         # Guards against a part of a snapshot that fills the disk, so that
         # the member takes no part though its entries would fit.
