--- a/burdockdrum/consensus/applier.py
+++ b/burdockdrum/consensus/applier.py
@@ -145,9 +145,7 @@
         async with self._snapshot_lock:
             try:
                 await replica.snapshots.remove_earlier()
-                await replica.storage.compact(
-                    latest.index - replica.settings.keep_entries
-                )
+                await replica.storage.compact(self._last_covered(latest.index))
             except DiskError as error:
                 self._removing.fail(str(error))
                 return False
@@ -155,6 +153,18 @@
         self._is_removal_due = False
         return True
 
+    def _last_covered(self, index: int) -> int:
+        """Return up to where entries are removed after a snapshot."""
+        storage, settings = self._replica.storage, self._replica.settings
+        first = max(storage.base_index, index - settings.keep_entries)
+        kept_bytes = 0
+        while index > first:
+            kept_bytes += len(storage.entry(index).data)
+            if kept_bytes > settings.keep_bytes:
+                break
+            index -= 1
+        return index
+
     def _replace_log(self, snapshot: Snapshot) -> None:
         replica = self._replica
         storage = replica.storage
--- a/burdockdrum/consensus/interface.py
+++ b/burdockdrum/consensus/interface.py
@@ -86,6 +86,9 @@
     0 if operators do; ``read_control_addresses`` returns the addresses of the
     control VMs that receive join requests.
 
+    After a snapshot at most ``keep_entries`` entries before it are kept, and
+    at most ``keep_bytes`` of their data, for members that are a little behind.
+
     ``max_clock_drift`` is the largest error of a VM's clock rate, as a
     fraction; the leader's lease depends on it.
     """
@@ -105,6 +108,7 @@
     snapshot_every_entries: int = 1000
     snapshot_every_bytes: int = 4 * 1024 * 1024
     keep_entries: int = 200
+    keep_bytes: int = 4 * 1024 * 1024
     segment_bytes: int = 1024 * 1024
 
     @property
--- a/tests/consensus/test_disk_room.py
+++ b/tests/consensus/test_disk_room.py
@@ -14,6 +14,7 @@
 
 SETTINGS = {
     "snapshot_every_bytes": 8_000,
+    "keep_bytes": 8_000,
     "segment_bytes": 2_000,
 }
 
@@ -48,6 +49,19 @@
             leader = await cluster.wait_for_leader()
             await leader.propose(b"%06d" % number + bytes(size), timeout=5)
 
+    def test_large_entries_do_not_fill_the_disk(self):
+        # Guards against a log that keeps so many entries, however large.
+        async def use(cluster):
+            await cluster.wait_for_leader()
+            for vm in cluster.vms.values():
+                vm.disk.capacity = 100_000
+            await self.propose(cluster, 400, 500)
+            await cluster.wait_until_applied()
+            for vm in cluster.vms.values():
+                self.assertFalse(vm.timeline.events(prefix="log.disk_ref"))
+
+        self.play(use)
+
     def test_snapshot_that_was_begun_before_a_restart_takes_no_room(self):
         # Guards against a member that never has room again after a kill.
         async def use(cluster):
