--- a/burdockdrum/consensus/log.py
+++ b/burdockdrum/consensus/log.py
@@ -251,14 +251,24 @@
                 "1 if this VM stepped aside, else 0.",
                 lambda: self.halt_reason is not None,
             ),
-        ]
-        gauges.append(
             (
                 "disk_refuses",
                 "1 while the disk refuses writes, or a start, else 0.",
                 lambda: self.disk_refusal is not None,
-            )
-        )
+            ),
+            (
+                "bytes",
+                "Bytes of the log's segments on disk.",
+                lambda: (
+                    self._replica.storage.disk_bytes if self._replica else 0
+                ),
+            ),
+            (
+                "snapshot_bytes",
+                "Bytes of the latest snapshot.",
+                lambda: self._replica.snapshots.size if self._replica else 0,
+            ),
+        ]
         for name, help_text, read in gauges:
             metrics.gauge(f"burdockdrum_log_{name}", help_text, read)
 
--- a/burdockdrum/consensus/snapshot.py
+++ b/burdockdrum/consensus/snapshot.py
@@ -65,6 +65,11 @@
         self._is_read_back = False
         self.latest: Snapshot | None = None
 
+    @property
+    def size(self) -> int:
+        """Return the size in bytes of the latest snapshot's data."""
+        return len(self.latest.data) if self.latest is not None else 0
+
     async def load(self) -> Snapshot | None:
         """Read the latest snapshot, and remove one that was begun.
 
--- a/burdockdrum/registrations/services.py
+++ b/burdockdrum/registrations/services.py
@@ -6,6 +6,7 @@
 from burdockdrum.consensus import ReplicatedLog
 from burdockdrum.crashes import CrashLedger
 from burdockdrum.kernel import Kernel
+from burdockdrum.metrics import Metrics
 from burdockdrum.peers import Peers
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
@@ -39,12 +40,18 @@
 
 
 def _build_store(kernel: Kernel) -> RegistrationStore:
-    return RegistrationStore(
+    store = RegistrationStore(
         clock=kernel.find("clock", Clock),
         disk=kernel.find("disk", Disk),
         table=kernel.find("registration_book", RegistrationTable),
         crashes=kernel.find("crash_ledger", CrashLedger),
     )
+    kernel.find("metrics", Metrics).gauge(
+        "burdockdrum_registrations_bytes",
+        "Size of the file of registrations on this control VM.",
+        lambda: store.file_bytes,
+    )
+    return store
 
 
 def _build_version_exchange(kernel: Kernel) -> VersionExchange:
--- a/burdockdrum/registrations/store.py
+++ b/burdockdrum/registrations/store.py
@@ -76,6 +76,8 @@
         self._disk = disk
         self._table = table
         self._written_serial = 0
+        # The size in bytes of what was last read or written.
+        self.file_bytes = 0
         self._written_version_serial = 0
         # Set once the file was read, or found missing or damaged.
         self.restored = asyncio.Event()
@@ -160,6 +162,7 @@
             return content
 
     def _restore(self, content: bytes) -> None:
+        self.file_bytes = len(content)
         try:
             stored = msgspec.msgpack.decode(content, type=StoredRegistrations)
         except msgspec.DecodeError as error:
@@ -220,12 +223,14 @@
             version_reports=versions.list_reports(),
             are_versions_complete=versions.is_complete,
         )
+        content = msgspec.msgpack.encode(stored)
         await replace_file(
             self._disk,
             _FILE_NAME,
-            msgspec.msgpack.encode(stored),
+            content,
             temporary_name=_TEMPORARY_FILE_NAME,
         )
+        self.file_bytes = len(content)
         self._written_serial = serial
         self._written_version_serial = version_serial
         self._written_crash_serial = crash_serial
--- a/tests/consensus/test_disk_room.py
+++ b/tests/consensus/test_disk_room.py
@@ -59,6 +59,16 @@
             await cluster.wait_until_applied()
             for vm in cluster.vms.values():
                 self.assertFalse(vm.timeline.events(prefix="log.disk_ref"))
+                shown = dict(
+                    line.split()
+                    for line in vm.metrics.text().splitlines()
+                    if line.startswith("burdockdrum_log_")
+                )
+                known = sum(
+                    float(shown[f"burdockdrum_log_{name}"])
+                    for name in ("bytes", "snapshot_bytes")
+                )
+                self.assertAlmostEqual(vm.disk.used, known, delta=2_000)
 
         self.play(use)
 
