Write the claims that are read back at a start anew

What callers would see: a request that runs twice under one key. A claim replica's sync fails, its process ends, and the next one votes for an owner of the same key; after a power loss that vote is gone, and so are votes after it.

Cause: a start read the log back and went on appending to it. After a failed sync the kernel may drop the pages and report success next time, and what is read back may be in the page cache only. A process can't know what its predecessor's syncs did.

Change: a start writes what it read back to a new file and renames it.

Evidence: test_start_after_a_failed_sync_loses_no_vote, on the code before: AssertionError: <VoteOutcome.TAKEN: 'taken'> != <VoteOutcome.GRANTED>.

Ruled out: a sync of the file at the start, which reports success without writing the dropped pages.

--- a/burdockdrum/claims/log.py
+++ b/burdockdrum/claims/log.py
@@ -79,20 +79,18 @@
         self.failed = False
 
     async def load(self) -> list[Entry]:
-        """Read all valid entries and truncate the file after them.
+        """Read all valid entries and write them anew.
+
+        What is read back may be in the page cache only, also after a sync, if
+        an earlier process had a failed one.
 
         :raises DiskError: if the file can't be read or written
         """
-        content = await self._disk.read(FILE)
-        if content is None:
-            await self._disk.write(FILE, b"")
-            await self._disk.sync(FILE)
-            await self._disk.sync_folder()
-            return []
+        content = await self._disk.read(FILE) or b""
         entries, size = _decode_all(content)
-        if size < len(content):
-            await self._disk.truncate(FILE, size)
-            await self._disk.sync(FILE)
+        await replace_file(
+            self._disk, FILE, content[:size], temporary_name=NEW_FILE
+        )
         self._size = size
         self._compaction_size = max(self._compact_bytes, 2 * size)
         return entries
--- a/tests/claims/test_keeper.py
+++ b/tests/claims/test_keeper.py
@@ -110,6 +110,30 @@
 
         run_virtual(main())
 
+    def test_start_after_a_failed_sync_loses_no_vote(self):
+        # The process ends after a failed sync. What the next start reads back
+        # may be in the page cache only: a vote that is sent then must survive
+        # a power loss.
+        async def main():
+            for seed in range(20):
+                disk = FakeDisk(rng=random.Random(seed))
+                replica = await start(disk, form=True)
+                disk.fail_syncs = True
+                outcome = await vote(replica)
+                self.assertEqual(VoteOutcome.NOT_READY, outcome)
+                disk.fail_syncs = False
+                again = await start(disk)
+                for key in ("key", "other"):
+                    outcome = await vote(again, key=key)
+                    self.assertEqual(VoteOutcome.GRANTED, outcome)
+                disk.lose_power()
+                again = await start(disk)
+                for key in ("key", "other"):
+                    outcome = await vote(again, key=key, owner="req-2")
+                    self.assertEqual(VoteOutcome.TAKEN, outcome)
+
+        run_virtual(main())
+
     def test_failed_sync_ends_voting(self):
         # HARD CASE 22: a vote that may not be durable is not sent, nor is
         # any other until the VM restarts.
