Let a claim replica vote again once its disk accepts writes

What callers saw: once the disks of two of three claim replicas had refused one write each, however long apart, every unrepeatable request got 503 claim_unreachable, for good.

Cause: one refused append, sync, compaction or load made the log fail and the replica step aside until its process starts again, which nothing does.

Change: a single writer appends what is queued. What the disk refused stays queued and is written anew after the log was truncated to what was synced. While the disk refuses, the replica neither votes nor enters or begins epochs, and answers at once; the end of a run is not confirmed. Whether a replica is ready is derived from the position in the log that is durable. A compaction that is refused before its rename no longer matters to votes; after a rename whose sync of the folder failed, the whole file is replaced again. A load is repeated.

Why it works: after a failed sync the kernel may drop the pages and report success, so the same pages must not be synced again; truncated and written again they are new ones. The order of the queue makes a durable vote imply all before it, also a release or an epoch. Memory is never behind the disk, so what it tells a recovering replica includes every vote that was sent.

A cancelled caller no longer cancels the writer's sync, so that the vote of the other one may be sent.

Ruled out: ending the process, which reads the same pages back and ends again while the disk is full; writing the whole state at each attempt, which may take the room that other files on the disk need.

--- a/burdockdrum/claims/claims.py
+++ b/burdockdrum/claims/claims.py
@@ -197,11 +197,9 @@
         return ticket
 
     async def run(self) -> None:
-        """Recover this VM's replica, then expire its claims periodically."""
+        """Restore this VM's replica, then expire its claims periodically."""
         if self._replica is None:
             return
-        await self._replica.load()
-        self._last_configuration = self._configuration.current
         recovery = Recovery(
             replica=self._replica,
             peers=self._peers,
@@ -209,21 +207,20 @@
             addresses_by_id=self._addresses_by_id,
         )
         async with asyncio.TaskGroup() as group:
+            group.create_task(self._replica.run())
+            await self._replica.loaded.wait()
+            self._last_configuration = self._configuration.current
             group.create_task(recovery.run())
             group.create_task(self._clean_up(self._replica))
             group.create_task(self._wait_until_confirmed())
-            self._configuration.add_listener(
-                lambda new: self._record_new_clients(group, new)
-            )
+            self._configuration.add_listener(self._record_new_clients)
 
     async def _clean_up(self, replica: ClaimReplica) -> None:
         while True:
             await self._clock.sleep(CLEANUP_INTERVAL_SECONDS)
-            await replica.clean_up()
+            replica.clean_up()
 
-    def _record_new_clients(
-        self, group: asyncio.TaskGroup, new: Configuration
-    ) -> None:
+    def _record_new_clients(self, new: Configuration) -> None:
         """Record clients that the previous configuration did not have.
 
         Skipped until a control VM has confirmed that the configuration is
@@ -234,7 +231,7 @@
         if self._replica is None or not self._confirmed:
             return
         for client_id in new.clients_by_id.keys() - last.clients_by_id.keys():
-            group.create_task(self._replica.record_new_client(client_id))
+            self._replica.record_new_client(client_id)
 
     async def _wait_until_confirmed(self) -> None:
         started_at = self._clock.monotonic()
@@ -316,7 +313,7 @@
                 msgspec.structs.replace(call, pass_on=False)
             )
         elif self._replica is not None:
-            await self._replica.settle(call)
+            return SettleReply(stored=await self._replica.settle(call))
         return SettleReply()
 
     async def _handle_ticket(
--- a/burdockdrum/claims/coordinator.py
+++ b/burdockdrum/claims/coordinator.py
@@ -182,17 +182,17 @@
 
     async def _send_settlement(self, vm_id: str, call: SettleCall) -> bool:
         if vm_id == self._peers.identity.vm_id:
-            if self._replica is not None:
-                await self._replica.settle(call)
-            return True
+            if self._replica is None:
+                return True
+            return await self._replica.settle(call)
         address = self._addresses_by_id[vm_id]
         try:
-            await self._peers.call(
+            reply = await self._peers.call(
                 address, call, SettleReply, timeout=VOTE_TIMEOUT_SECONDS
             )
         except CallFailed:
             return False
-        return True
+        return reply.stored
 
 
 def count_valid_votes(votes: list[VoteReply]) -> int:
--- a/burdockdrum/claims/log.py
+++ b/burdockdrum/claims/log.py
@@ -1,175 +1,270 @@
 """The write-ahead log of a claim replica.
 
-An append-only file of records, each with length and checksum. Reading stops
-at the first record that is incomplete or corrupt, as after a power loss.
+An append-only file of entries. A single writer appends all that is queued and
+syncs once. What the disk refuses stays queued, and nothing of it counts as
+durable until it was written anew: after a failed sync the kernel may drop the
+pages and report success next time.
+
+The whole file is replaced at a start, since what is read back may be in the
+page cache only; by a compaction; and if too much was queued.
 """
 
 import asyncio
+import collections
+from collections.abc import Callable
 from collections.abc import Iterable
-import zlib
-
-import msgspec
 
-from burdockdrum.claims.messages import ClaimRecord
-from burdockdrum.claims.messages import Epoch
+from burdockdrum.claims.entries import decode_entries
+from burdockdrum.claims.entries import encode_entry
+from burdockdrum.claims.entries import Entry
+from burdockdrum.claims.entries import LogContent
+from burdockdrum.logs import log_decision
+from burdockdrum.logs import log_failure
+from burdockdrum.ports import Clock
 from burdockdrum.ports import Disk
 from burdockdrum.ports import DiskError
-from burdockdrum.ports import replace_file
 
 FILE = "claims-log"
 NEW_FILE = "claims-log-new"
 MIN_COMPACTION_BYTES = 4 * 1024 * 1024
-_HEADER_BYTES = 8
-
-
-class Put(msgspec.Struct, frozen=True, tag="put"):
-    """A claim was granted or changed."""
-
-    record: ClaimRecord
-
-
-class Removed(msgspec.Struct, frozen=True, tag="removed"):
-    """A claim was released."""
-
-    client_id: str
-    key: str
-
-
-class EpochEntered(msgspec.Struct, frozen=True, tag="entered"):
-    """An epoch was entered."""
-
-    epoch: Epoch
-    formed_at: float
-
-
-class ClientCreated(msgspec.Struct, frozen=True, tag="client"):
-    """A client was created in the current epoch."""
-
-    client_id: str
-
-
-Entry = Put | Removed | EpochEntered | ClientCreated
-
-_ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Entry)
+# Beyond this the whole state is written instead of what is queued.
+MAX_QUEUED_BYTES = 4 * 1024 * 1024
+# Until a write that the disk refused is repeated. The delay doubles if the
+# whole file is written, which may take the room that other files need.
+RETRY_SECONDS = 0.5
+MAX_RETRY_SECONDS = 8.0
 
 
 class ClaimLog:
     """The log file of one replica.
 
-    After a failed sync it rejects all appends: the kernel may have dropped
-    the data and still report success for the next sync.
+    Each entry has a position, which says whether it is durable.
     """
 
     def __init__(
-        self, *, disk: Disk, compact_bytes: int = MIN_COMPACTION_BYTES
+        self,
+        *,
+        disk: Disk,
+        clock: Clock,
+        compact_bytes: int = MIN_COMPACTION_BYTES,
     ) -> None:
         """Create a log whose file has not been read yet.
 
         :param compact_bytes: the smallest file size that is compacted
         """
         self._disk = disk
-        self._lock = asyncio.Lock()
-        self._pending: list[bytes] = []
-        self._written = 0
-        self._flushed = 0
+        self._clock = clock
+        # What is read back at the start has the first position.
+        self._position = 1
+        self._durable_position = 0
+        # Entries up to here are only in the replica's state.
+        self._state_position = 1
+        self._queue: collections.deque[tuple[int, bytes]] = collections.deque()
+        self._queued_bytes = 0
+        self._queued = asyncio.Event()
+        self._waiters: list[tuple[int, asyncio.Future[None]]] = []
         self._size = 0
+        # Whether the file may have more than its synced size.
+        self._is_tail_doubtful = False
+        # Whether a power loss may undo the last replacement of the file.
+        self._is_name_doubtful = False
         self._compact_bytes = compact_bytes
         self._compaction_size = compact_bytes
-        self.failed = False
-
-    async def load(self) -> list[Entry]:
-        """Read all valid entries and write them anew.
-
-        What is read back may be in the page cache only, also after a sync, if
-        an earlier process had a failed one.
-
-        :raises DiskError: if the file can't be read or written
+        self._is_compaction_requested = False
+        self._is_compaction_refused = False
+        self._retry_seconds = RETRY_SECONDS
+        self._refused_at = 0.0
+        # Why the disk refused the last operation; None while it accepts them.
+        self.refusal: str | None = None
+        # Called with the reason when the disk begins to refuse.
+        self.on_refused: Callable[[str], None] = _ignore
+
+    @property
+    def position(self) -> int:
+        """Return the position of the last entry."""
+        return self._position
+
+    @property
+    def queued_bytes(self) -> int:
+        """Return the size of the entries that wait to be written."""
+        return self._queued_bytes
+
+    def is_durable(self, position: int) -> bool:
+        """Return whether the entries up to a position are durable."""
+        return position <= self._durable_position
+
+    async def load(self) -> LogContent:
+        """Read the file, repeatedly if the disk refuses."""
+        while True:
+            try:
+                content = await self._disk.read(FILE)
+                break
+            except DiskError as error:
+                self._record_refusal(str(error))
+                await self._clock.sleep(RETRY_SECONDS)
+        self._queued.set()
+        return decode_entries(content or b"")
+
+    async def run(self, read_state: Callable[[], Iterable[Entry]]) -> None:
+        """Write what is queued until cancelled.
+
+        :param read_state: returns entries from which the whole state can be
+            restored, including those that are queued
+        """
+        while True:
+            await self._queued.wait()
+            self._queued.clear()
+            try:
+                await self._write(read_state)
+            except DiskError as error:
+                self._record_refusal(str(error))
+                await self._clock.sleep(self._retry_seconds)
+                self._queued.set()
+
+    def add(self, entry: Entry) -> int:
+        """Queue an entry and return its position."""
+        content = encode_entry(entry)
+        self._position += 1
+        self._queue.append((self._position, content))
+        self._queued_bytes += len(content)
+        if self._queued_bytes > MAX_QUEUED_BYTES:
+            self._queue.clear()
+            self._queued_bytes = 0
+            self._state_position = self._position
+        self._queued.set()
+        return self._position
+
+    async def wait_until_durable(self, position: int) -> None:
+        """Wait until the entries up to a position are durable.
+
+        :raises DiskError: at once if the disk refuses writes
         """
-        content = await self._disk.read(FILE) or b""
-        entries, size = _decode_all(content)
-        await replace_file(
-            self._disk, FILE, content[:size], temporary_name=NEW_FILE
+        if self.is_durable(position):
+            return
+        if self.refusal is not None:
+            raise DiskError(self.refusal)
+        waiter: asyncio.Future[None] = asyncio.Future()
+        self._waiters.append((position, waiter))
+        await waiter
+
+    def compact_if_large(self) -> None:
+        """Have the file replaced if it has outgrown its compaction size."""
+        if self._size > self._compaction_size:
+            self._is_compaction_requested = True
+            self._queued.set()
+
+    async def _write(self, read_state: Callable[[], Iterable[Entry]]) -> None:
+        if self._is_replacement_needed():
+            position, content = self._encode(read_state)
+            await self._write_new_file(content)
+            await self._replace_file(position, content)
+        if self._queue:
+            await self._append_queue()
+        self._record_success()
+        if self._is_compaction_requested:
+            self._is_compaction_requested = False
+            await self._compact(read_state)
+
+    def _is_replacement_needed(self) -> bool:
+        return self._is_name_doubtful or not self.is_durable(
+            self._state_position
         )
-        self._size = size
-        self._compaction_size = max(self._compact_bytes, 2 * size)
-        return entries
 
-    async def append(self, entry: Entry) -> None:
-        """Append an entry and sync; concurrent calls share a sync.
-
-        :raises DiskError: if the entry may not be durable
-        """
-        self._pending.append(_encode(entry))
-        self._written += 1
-        number = self._written
-        async with self._lock:
-            if self._flushed >= number:
-                return
-            if self.failed:
-                raise DiskError("an earlier sync of the claim log failed")
-            await self._flush()
-
-    def needs_compaction(self) -> bool:
-        """Return whether the file has outgrown its compaction size."""
-        return self._size > self._compaction_size
-
-    async def compact(self, entries: Iterable[Entry]) -> None:
-        """Replace the file by one with only these entries.
-
-        The old file stays until the new one is durable, so a power loss in
-        between loses nothing.
-
-        :raises DiskError: if the disk fails
-        """
-        async with self._lock:
-            await self._flush()
-            content = b"".join(_encode(entry) for entry in entries)
-            try:
-                await replace_file(
-                    self._disk, FILE, content, temporary_name=NEW_FILE
-                )
-            except BaseException:
-                self.failed = True
-                raise
-            self._size = len(content)
-            self._compaction_size = max(self._compact_bytes, 2 * len(content))
-
-    async def _flush(self) -> None:
-        pending, self._pending = self._pending, []
-        number = self._written
-        content = b"".join(pending)
-        try:
-            await self._disk.append(FILE, content)
+    async def _append_queue(self) -> None:
+        position = self._queue[-1][0]
+        content = b"".join(content for _, content in self._queue)
+        if self._is_tail_doubtful:
+            await self._disk.truncate(FILE, self._size)
             await self._disk.sync(FILE)
-        except BaseException:
-            # After a cancellation, too, the entries of every caller that
-            # waits for this sync may not be durable.
-            self.failed = True
-            raise
+        # A cancelled operation may be under way, too.
+        self._is_tail_doubtful = True
+        await self._disk.append(FILE, content)
+        await self._disk.sync(FILE)
+        self._is_tail_doubtful = False
         self._size += len(content)
-        self._flushed = number
-
-
-def _encode(entry: Entry) -> bytes:
-    body = _ENCODER.encode(entry)
-    length = len(body).to_bytes(4, "big")
-    return length + zlib.crc32(length + body).to_bytes(4, "big") + body
-
+        self._set_durable(position)
 
-def _decode_all(content: bytes) -> tuple[list[Entry], int]:
-    entries: list[Entry] = []
-    start = 0
-    while start + _HEADER_BYTES <= len(content):
-        length = content[start : start + 4]
-        end = start + _HEADER_BYTES + int.from_bytes(length, "big")
-        body = content[start + _HEADER_BYTES : end]
-        checksum = zlib.crc32(length + body).to_bytes(4, "big")
-        if end > len(content) or checksum != content[start + 4 : start + 8]:
-            break
+    async def _compact(
+        self, read_state: Callable[[], Iterable[Entry]]
+    ) -> None:
+        position, content = self._encode(read_state)
+        try:
+            await self._write_new_file(content)
+        except DiskError as error:
+            # The file that is there remains valid.
+            if not self._is_compaction_refused:
+                log_failure("claims.not_compacted", reason=str(error))
+            self._is_compaction_refused = True
+            return
+        await self._replace_file(position, content)
+        self._is_compaction_refused = False
+
+    def _encode(
+        self, read_state: Callable[[], Iterable[Entry]]
+    ) -> tuple[int, bytes]:
+        content = b"".join(encode_entry(entry) for entry in read_state())
+        return self._position, content
+
+    async def _write_new_file(self, content: bytes) -> None:
         try:
-            entries.append(_DECODER.decode(body))
-        except msgspec.MsgspecError:
-            break
-        start = end
-    return entries, start
+            await self._disk.write(NEW_FILE, content)
+            await self._disk.sync(NEW_FILE)
+        except DiskError:
+            # Leaves the room to other files.
+            await self._disk.remove(NEW_FILE)
+            raise
+
+    async def _replace_file(self, position: int, content: bytes) -> None:
+        # Not ``ports.replace_file``: a failure before the rename leaves a
+        # valid file, one after it does not.
+        self._is_name_doubtful = True
+        await self._disk.rename(NEW_FILE, FILE)
+        await self._disk.sync_folder()
+        self._is_name_doubtful = False
+        self._is_tail_doubtful = False
+        self._size = len(content)
+        self._compaction_size = max(self._compact_bytes, 2 * self._size)
+        self._set_durable(position)
+
+    def _set_durable(self, position: int) -> None:
+        self._durable_position = position
+        while self._queue and self._queue[0][0] <= position:
+            self._queued_bytes -= len(self._queue.popleft()[1])
+        waiters, self._waiters = self._waiters, []
+        for waited, waiter in waiters:
+            if waited > position:
+                self._waiters.append((waited, waiter))
+            elif not waiter.done():
+                waiter.set_result(None)
+
+    def _record_refusal(self, reason: str) -> None:
+        is_first = self.refusal is None
+        self.refusal = reason
+        if is_first:
+            self._refused_at = self._clock.monotonic()
+            log_failure("claims.disk_refuses", reason=reason)
+            self.on_refused(reason)
+        if is_first or not self._is_replacement_needed():
+            self._retry_seconds = RETRY_SECONDS
+        else:
+            self._retry_seconds = min(
+                2 * self._retry_seconds, MAX_RETRY_SECONDS
+            )
+        waiters, self._waiters = self._waiters, []
+        for _, waiter in waiters:
+            if not waiter.done():
+                waiter.set_exception(DiskError(reason))
+                # Marks it as retrieved, as its task may have been cancelled.
+                waiter.exception()
+
+    def _record_success(self) -> None:
+        if self.refusal is not None:
+            self.refusal = None
+            log_decision(
+                "claims.disk_accepts",
+                seconds=round(self._clock.monotonic() - self._refused_at, 3),
+            )
+
+
+def _ignore(reason: str) -> None:
+    """Ignore a refusal while no callback is set."""
--- a/burdockdrum/claims/messages.py
+++ b/burdockdrum/claims/messages.py
@@ -94,7 +94,9 @@
 
 
 class SettleReply(Message, frozen=True, kw_only=True):
-    """Confirm that the end of a run was recorded."""
+    """Whether the end of a run was recorded; False if it may be lost."""
+
+    stored: bool = True
 
 
 class RecoverCall(Message, frozen=True, kw_only=True):
--- a/burdockdrum/claims/recovery.py
+++ b/burdockdrum/claims/recovery.py
@@ -65,26 +65,23 @@
         }
 
     async def run(self) -> None:
-        """Recover, and again whenever the others entered a newer epoch.
-
-        Ends if the disk failed: a replica that can't vote must not force the
-        others into new epochs.
-        """
-        while not self._replica.disk_failed:
+        """Recover, and again whenever the others entered a newer epoch."""
+        await self._replica.loaded.wait()
+        while True:
             await self._recover()
             await self._clock.sleep(CHECK_INTERVAL_SECONDS)
             found = await self._query_all(after=_AFTER_LAST)
             newest = max((one.epoch for one in found), default=NO_EPOCH)
             if newest > self._replica.epoch:
                 # Votes from an older epoch don't count beside theirs.
-                self._replica.ready = False
+                self._replica.begin_recovery()
 
     async def _recover(self) -> None:
         started_at = self._clock.monotonic()
         rounds = 0
-        while not self._replica.ready and not self._replica.disk_failed:
+        while not self._replica.is_complete:
             found = await self._query_all(after=0)
-            if self._replica.ready or await self._try_to_adopt(found):
+            if self._replica.is_complete or self._try_to_adopt(found):
                 return
             elapsed = self._clock.monotonic() - started_at
             # A single round may hit the moment in which another replica
@@ -93,10 +90,10 @@
             may_wait = elapsed < NEW_EPOCH_DELAY_SECONDS
             if rounds >= 2 or not self._others or not may_wait:
                 await self._begin_epoch(found)
-            if not self._replica.ready:
+            if not self._replica.is_complete:
                 await self._clock.sleep(RETRY_INTERVAL_SECONDS)
 
-    async def _try_to_adopt(self, found: list["_ReplicaState"]) -> bool:
+    def _try_to_adopt(self, found: list["_ReplicaState"]) -> bool:
         newest = max((f.epoch for f in found), default=NO_EPOCH)
         ready = [f for f in found if f.ready and f.epoch == newest]
         if newest < self._replica.epoch:
@@ -106,7 +103,7 @@
         for one in ready:
             self._replica.merge_incarnations(one.incarnations)
         records = [record for one in ready for record in one.records]
-        await self._replica.adopt_state(
+        self._replica.adopt_state(
             newest,
             records,
             formed_at=max(one.formed_at for one in ready),
@@ -115,8 +112,12 @@
         return True
 
     async def _begin_epoch(self, found: list["_ReplicaState"]) -> None:
-        """Begin a new epoch if a majority accepts it."""
-        if 1 + len(found) < majority(self._size):
+        """Begin a new epoch if a majority accepts it.
+
+        A replica that can't store it must not force the others into it.
+        """
+        can_begin = 1 + len(found) >= majority(self._size)
+        if not can_begin or not self._replica.can_store:
             return
         newest = max((f.epoch for f in found), default=NO_EPOCH)
         newest = max(newest, self._replica.epoch)
--- a/burdockdrum/claims/refusals.py
+++ b/burdockdrum/claims/refusals.py
@@ -40,8 +40,8 @@
         case _:
             raise _refuse(
                 RefusalCode.CLAIM_UNREACHABLE,
-                "too few claim replicas in the client's home region "
-                "replied; this request was not run, but an earlier one with "
+                "too few claim replicas in the client's home region can "
+                "vote; this request was not run, but an earlier one with "
                 "the same key may have run",
                 retry_after=2.0,
             )
--- a/burdockdrum/claims/replica.py
+++ b/burdockdrum/claims/replica.py
@@ -4,7 +4,8 @@
 region, so two owners can't both hold it, even across a network partition.
 This also holds when replicas lose their memory:
 
-- A replica with a disk syncs a vote before it sends it.
+- A replica with a disk syncs a vote before it sends it. While its disk refuses
+  writes it does not vote; its memory stays as good as before.
 - A replica without a disk recovers after a restart from enough others to
   meet each majority that it was part of (Liskov and Cowling, "Viewstamped
   Replication Revisited", 2012, recovery). The others then name its new
@@ -16,18 +17,18 @@
   its client was created in this epoch.
 """
 
+import asyncio
 from collections.abc import Iterator
 
-from loguru import logger
 import msgspec
 
 from burdockdrum.claims.conflicts import ConflictingClaims
+from burdockdrum.claims.entries import ClientCreated
+from burdockdrum.claims.entries import Entry
+from burdockdrum.claims.entries import EpochEntered
+from burdockdrum.claims.entries import Put
+from burdockdrum.claims.entries import Removed
 from burdockdrum.claims.log import ClaimLog
-from burdockdrum.claims.log import ClientCreated
-from burdockdrum.claims.log import Entry
-from burdockdrum.claims.log import EpochEntered
-from burdockdrum.claims.log import Put
-from burdockdrum.claims.log import Removed
 from burdockdrum.claims.messages import ClaimRecord
 from burdockdrum.claims.messages import ClaimState
 from burdockdrum.claims.messages import Epoch
@@ -71,7 +72,10 @@
         """
         self.table = ClaimTable()
         self.epoch = NO_EPOCH
-        self.ready = False
+        # Whether the file was read back, if there is one.
+        self.loaded = asyncio.Event()
+        # Whether no claim of the epoch is missing in memory.
+        self.is_complete = False
         self.incarnations: dict[str, int] = {}
         self._identity = identity
         self._clock = clock
@@ -80,42 +84,66 @@
         self._log = log
         self._formed_at = 0.0
         self._new_clients: set[str] = set()
+        # The position in the log from which on the epoch is durable.
+        self._epoch_position = 0
         self._conflicts = ConflictingClaims()
+        if log is not None:
+            log.on_refused = self._record_refusal
 
     @property
-    def disk_failed(self) -> bool:
-        """Return whether the disk failed; no votes then until a restart."""
-        return self._log is not None and self._log.failed
+    def ready(self) -> bool:
+        """Return whether every claim of the epoch is known here, durably."""
+        return self.is_complete and (
+            self._log is None or self._log.is_durable(self._epoch_position)
+        )
+
+    @property
+    def disk_refusal(self) -> str | None:
+        """Return why the disk refuses writes, None if it accepts them."""
+        return self._log.refusal if self._log is not None else None
+
+    @property
+    def can_store(self) -> bool:
+        """Return whether new votes and epochs can be stored now."""
+        return self.loaded.is_set() and self.disk_refusal is None
 
-    async def load(self) -> None:
-        """Restore the state from the log; a ready replica is ready again."""
+    async def run(self) -> None:
+        """Restore the state from the log, then write to it until cancelled.
+
+        Whatever was read back is ready once it was written anew.
+        """
         if self._log is None:
+            self.loaded.set()
             return
-        try:
-            entries = await self._log.load()
-        except DiskError:
-            self._log.failed = True
-            self._stop_voting()
-            return
+        content = await self._log.load()
+        self._restore(content.entries)
+        self._epoch_position = self._log.position
+        self.loaded.set()
+        await self._log.run(self._entries)
+
+    def _restore(self, entries: list[Entry]) -> None:
         for entry in entries:
             match entry:
                 case Put(record=record):
                     self.merge(record)
                 case Removed(client_id=client_id, key=key):
                     self.table.remove((client_id, key))
-                case EpochEntered(epoch=epoch, formed_at=formed_at):
-                    self.epoch = epoch
-                    self._formed_at = formed_at
+                case EpochEntered():
+                    self.epoch = entry.epoch
+                    self._formed_at = entry.formed_at
+                    self.is_complete = (
+                        entry.is_complete and entry.epoch != NO_EPOCH
+                    )
                     self._new_clients.clear()
                 case ClientCreated(client_id=client_id):
                     self._new_clients.add(client_id)
-        self.ready = self.epoch != NO_EPOCH
 
     async def vote(self, call: VoteCall) -> VoteReply:
         """Vote for an owner unless the vote went to another one."""
         record = call.record
         known = self.table.get(record.claim_id)
-        if not self.ready or call.keepers != self._replica_ids:
+        may_vote = self.ready and self.disk_refusal is None
+        if not may_vote or call.keepers != self._replica_ids:
             return self._reply(VoteOutcome.NOT_READY, known)
         if known is not None:
             return await self._vote_on_known(record, known)
@@ -161,15 +189,20 @@
         self._conflicts.clear(record.claim_id)
         return True
 
-    async def settle(self, call: SettleCall) -> None:
-        """Record the end of a run, or remove a claim that is released."""
+    async def settle(self, call: SettleCall) -> bool:
+        """Record the end of a run, or remove a claim that is released.
+
+        :returns: False if that may not be durable
+        """
+        if not self.loaded.is_set():
+            return False
         known = self.table.get((call.client_id, call.key))
         if known is None:
-            return
+            return True
         if known.owner != call.owner:
             conflict = self._conflicts.pop(known.claim_id, call.owner)
             if conflict is None or call.state is None:
-                return
+                return True
             known = conflict
         if call.state is None:
             entry = self._release(known)
@@ -185,7 +218,7 @@
             )
             self.table.put(record)
             entry = Put(record=record)
-        await self._append(entry)
+        return await self._store(entry)
 
     def _release(self, record: ClaimRecord) -> Entry:
         """Replace a released claim by a conflicting one, else remove it."""
@@ -220,7 +253,11 @@
             last=last,
         )
 
-    async def adopt_state(
+    def begin_recovery(self) -> None:
+        """Stop voting, as others have entered a newer epoch."""
+        self.is_complete = False
+
+    def adopt_state(
         self,
         epoch: Epoch,
         records: list[ClaimRecord],
@@ -228,7 +265,9 @@
         formed_at: float,
         new_clients: set[str],
     ) -> None:
-        """Take over the state of enough other replicas and become ready.
+        """Take over the state of enough other replicas.
+
+        This replica is ready once the state is durable.
 
         :param formed_at: wall time at which the epoch began
         :param new_clients: clients created in the epoch, known to all others
@@ -236,13 +275,12 @@
         self._new_clients = set(new_clients)
         for record in records:
             if self.merge(record):
-                await self._append(Put(record=record))
-        self.epoch = epoch
-        self._formed_at = formed_at
-        await self._append(EpochEntered(epoch=epoch, formed_at=formed_at))
+                self._add(Put(record=record))
+        self._set_epoch(epoch, formed_at)
         for client_id in sorted(new_clients):
-            await self._append(ClientCreated(client_id=client_id))
-        self.ready = not self.disk_failed
+            self._epoch_position = self._add(
+                ClientCreated(client_id=client_id)
+            )
         self._timeline.record("claims.keeper_ready", epoch=epoch.number)
 
     def merge_incarnations(self, incarnations: dict[str, int]) -> None:
@@ -253,41 +291,41 @@
 
     async def enter_epoch(self, call: EpochCall) -> EpochReply:
         """Enter an epoch if it is newer than the current one."""
-        if call.epoch <= self.epoch:
-            return EpochReply(
-                accepted=call.epoch == self.epoch, epoch=self.epoch
+        if call.epoch > self.epoch and self.can_store:
+            self._new_clients.clear()
+            self._set_epoch(call.epoch, call.formed_at)
+            self._timeline.record(
+                "claims.epoch_entered", epoch=call.epoch.number
             )
-        self._new_clients.clear()
-        self.epoch = call.epoch
-        self._formed_at = call.formed_at
-        self.ready = False
-        await self._append(
-            EpochEntered(epoch=call.epoch, formed_at=call.formed_at)
+        is_durable = await self._wait_until_durable(self._epoch_position)
+        return EpochReply(
+            accepted=is_durable and call.epoch == self.epoch, epoch=self.epoch
         )
-        self.ready = not self.disk_failed
-        self._timeline.record("claims.epoch_entered", epoch=call.epoch.number)
-        return EpochReply(accepted=self.ready, epoch=self.epoch)
 
-    async def record_new_client(self, client_id: str) -> None:
+    def _set_epoch(self, epoch: Epoch, formed_at: float) -> None:
+        self.epoch = epoch
+        self._formed_at = formed_at
+        self.is_complete = True
+        self._epoch_position = self._add(
+            EpochEntered(epoch=epoch, formed_at=formed_at)
+        )
+
+    def record_new_client(self, client_id: str) -> None:
         """Record that a client was created in this epoch.
 
         None of its keys can be from an earlier epoch.
         """
-        if self.ready and client_id not in self._new_clients:
+        if self.is_complete and client_id not in self._new_clients:
             self._new_clients.add(client_id)
-            await self._append(ClientCreated(client_id=client_id))
+            self._add(ClientCreated(client_id=client_id))
 
-    async def clean_up(self) -> None:
+    def clean_up(self) -> None:
         """Remove expired claims and compact the log if it has grown."""
         oldest = self._clock.wall() - RETENTION_SECONDS
         for claim_id in self.table.expire(oldest):
             self._conflicts.clear(claim_id)
-        if self._log is None or not self._log.needs_compaction():
-            return
-        try:
-            await self._log.compact(self._entries())
-        except DiskError:
-            self._stop_voting()
+        if self._log is not None:
+            self._log.compact_if_large()
 
     def _is_provably_new(self, record: ClaimRecord) -> bool:
         if self._clock.wall() - self._formed_at > RETENTION_SECONDS:
@@ -298,7 +336,7 @@
 
     async def _grant(self, record: ClaimRecord) -> VoteReply:
         epoch = self.epoch
-        if not await self._append(Put(record=record)):
+        if not await self._store(Put(record=record)):
             return self._reply(VoteOutcome.NOT_READY, None)
         # During the sync this replica may have entered another epoch, or the
         # claim may have been released.
@@ -309,27 +347,33 @@
             return self._reply(VoteOutcome.TAKEN, current)
         return self._reply(VoteOutcome.GRANTED, current)
 
-    async def _append(self, entry: Entry) -> bool:
+    async def _store(self, entry: Entry) -> bool:
+        """Add an entry to the log; return whether it is durable."""
+        return await self._wait_until_durable(self._add(entry))
+
+    def _add(self, entry: Entry) -> int:
+        """Queue an entry, which is written as soon as the disk accepts it."""
+        return self._log.add(entry) if self._log is not None else 0
+
+    async def _wait_until_durable(self, position: int) -> bool:
         if self._log is None:
             return True
         try:
-            await self._log.append(entry)
+            await self._log.wait_until_durable(position)
         except DiskError:
-            self._stop_voting()
+            # The log reports when its disk begins to refuse.
             return False
         return True
 
-    def _stop_voting(self) -> None:
-        # A vote that is not synced may be lost in a restart, and the request
-        # could then run twice.
-        logger.error(
-            "disk failed: this claim replica does not vote until a restart"
-        )
-        self._timeline.record("claims.keeper_stepped_aside")
-        self.ready = False
+    def _record_refusal(self, reason: str) -> None:
+        self._timeline.record("claims.disk_refuses", reason=reason)
 
     def _entries(self) -> Iterator[Entry]:
-        yield EpochEntered(epoch=self.epoch, formed_at=self._formed_at)
+        yield EpochEntered(
+            epoch=self.epoch,
+            formed_at=self._formed_at,
+            is_complete=self.is_complete,
+        )
         for client_id in self._new_clients:
             yield ClientCreated(client_id=client_id)
         for record in self.table.records():
--- a/burdockdrum/claims/services.py
+++ b/burdockdrum/claims/services.py
@@ -7,6 +7,7 @@
 from burdockdrum.claims.replica import ClaimReplica
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.kernel import Kernel
+from burdockdrum.metrics import Metrics
 from burdockdrum.peers import Peers
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
@@ -45,11 +46,19 @@
     log: ClaimLog | None = None
     if kernel.has("disk"):
         # Disk is a protocol: an embedder's own class is not checked.
-        log = ClaimLog(disk=kernel.find("disk", Disk))
-    return ClaimReplica(
+        log = ClaimLog(
+            disk=kernel.find("disk", Disk), clock=kernel.find("clock", Clock)
+        )
+    replica = ClaimReplica(
         identity=kernel.find("identity", VmIdentity),
         clock=kernel.find("clock", Clock),
         timeline=kernel.find("timeline", Timeline),
         replica_ids=replica_ids,
         log=log,
     )
+    kernel.find("metrics", Metrics).gauge(
+        "burdockdrum_claims_disk_refuses",
+        "1 while the disk of this claim replica refuses writes, else 0.",
+        lambda: replica.disk_refusal is not None,
+    )
+    return replica
--- /dev/null
+++ b/tests/claims/test_disks.py
@@ -0,0 +1,248 @@
+"""Tests of claim replicas whose disks refuse writes, reads or syncs."""
+
+import asyncio
+import random
+import unittest
+
+import msgspec
+
+from burdockdrum.claims.entries import Put
+from burdockdrum.claims.log import ClaimLog
+from burdockdrum.claims.log import MAX_QUEUED_BYTES
+from burdockdrum.claims.log import MAX_RETRY_SECONDS
+from burdockdrum.claims.messages import VoteOutcome
+from burdockdrum.claims.table import MAX_ANSWER_BYTES
+from burdockdrum.ports import DiskError
+from burdockdrum.testing import FakeDisk
+from burdockdrum.testing import run_virtual
+from burdockdrum.testing import VirtualClock
+from tests.claims.test_keeper import end_run
+from tests.claims.test_keeper import form_epoch
+from tests.claims.test_keeper import make_record
+from tests.claims.test_keeper import start
+from tests.claims.test_keeper import stop
+from tests.claims.test_keeper import vote
+from tests.requests.stack import Endpoint
+from tests.requests.stack import Stack
+
+REPLICAS = ("a2", "a3", "a4")
+VMS = ("a1", *REPLICAS, "b1")
+
+
+class RefusingDisk(FakeDisk):
+    """A disk that refuses ``count`` operations from the ``first`` one on.
+
+    A refused append writes half of its content, and a rename is done.
+    """
+
+    def __init__(self, *, first, count=1, seed=1):
+        """Create an empty disk."""
+        super().__init__(rng=random.Random(seed))
+        self.operations = 0
+        self._refused = range(first, first + count)
+        self.done = []
+
+    def _count(self, name):
+        self.operations += 1
+        self.done.append(name)
+        return self.operations - 1 in self._refused
+
+    async def read(self, name):
+        """Return a file's content, unless refused."""
+        if self._count("read"):
+            raise DiskError("refused")
+        return await super().read(name)
+
+    async def write(self, name, content):
+        """Replace a file, by the first half if refused."""
+        refused = self._count("write")
+        await super().write(name, content[:: 2 if refused else 1])
+        if refused:
+            raise DiskError("refused")
+
+    async def append(self, name, content):
+        """Append to a file, only the first half if refused."""
+        refused = self._count("append")
+        await super().append(name, content[: len(content) // (1 + refused)])
+        if refused:
+            raise DiskError("refused")
+
+    async def truncate(self, name, size):
+        """Cut a file, unless refused."""
+        if self._count("truncate"):
+            raise DiskError("refused")
+        await super().truncate(name, size)
+
+    async def rename(self, old, new):
+        """Rename a file, also if refused."""
+        await super().rename(old, new)
+        if self._count("rename"):
+            raise DiskError("refused")
+
+    async def remove(self, name):
+        """Remove a file, unless refused."""
+        if self._count("remove"):
+            raise DiskError("refused")
+        await super().remove(name)
+
+    async def _sync(self):
+        self.fail_syncs = self._count("sync")
+        await super()._sync()
+
+
+class RefusalTest(unittest.TestCase):
+    """One replica, whose disk refuses some operations and then none."""
+
+    async def check(self, disk, *, seed):
+        granted = []
+        replica = await start(disk, compact_bytes=1000)
+        await asyncio.sleep(MAX_RETRY_SECONDS)
+        await form_epoch(replica)
+        for number in range(30):
+            outcome = await vote(replica, key=f"{number}")
+            if outcome is VoteOutcome.GRANTED:
+                granted.append(f"{number}")
+            if number % 3 == 0:
+                await replica.settle(end_run(f"{number}", kept=True))
+            replica.clean_up()
+            await asyncio.sleep(0.1)
+        # The vote itself may be refused once.
+        if await vote(replica, key="new") is not VoteOutcome.GRANTED:
+            await asyncio.sleep(MAX_RETRY_SECONDS)
+            outcome = await vote(replica, key="new")
+            self.assertIs(VoteOutcome.GRANTED, outcome)
+        self.assertIsNone(replica.disk_refusal)
+        await stop(replica)
+        if seed % 2:
+            disk.lose_power()
+        again = await start(disk)
+        await asyncio.sleep(MAX_RETRY_SECONDS)
+        self.assertTrue(again.ready)
+        for key in (*granted, "new"):
+            outcome = await vote(again, key=key, owner="req-2")
+            self.assertIs(VoteOutcome.TAKEN, outcome, key)
+        await stop(again)
+
+    def test_each_refused_operation_delays_votes_and_loses_none(self):
+        # Each operation of a run with compactions is refused once, or with
+        # the next one.
+        async def main():
+            whole = RefusingDisk(first=10_000)
+            await self.check(whole, seed=1)
+            self.assertLessEqual(
+                {"read", "write", "append", "sync", "rename"}, set(whole.done)
+            )
+            for first in range(whole.operations):
+                for seed in range(4):
+                    with self.subTest(first=first, seed=seed):
+                        disk = RefusingDisk(
+                            first=first, count=1 + seed // 2, seed=seed
+                        )
+                        await self.check(disk, seed=seed)
+
+        run_virtual(main())
+
+    def test_memory_is_bounded_while_the_disk_refuses(self):
+        # Runs end while nothing can be stored; their ends must be stored
+        # later, without keeping every one until then.
+        async def main():
+            disk = FakeDisk(rng=random.Random(1))
+            log = ClaimLog(disk=disk, clock=VirtualClock())
+            state = (await log.load()).entries
+            running = asyncio.create_task(log.run(lambda: state))
+            disk.full = True
+            body = b"x" * MAX_ANSWER_BYTES
+            for number in range(2 * MAX_QUEUED_BYTES // len(body)):
+                state.append(Put(make_record(key=f"{number}", body=body)))
+                log.add(state[-1])
+                self.assertLessEqual(log.queued_bytes, MAX_QUEUED_BYTES)
+                await asyncio.sleep(0.01)
+            disk.full = False
+            await asyncio.sleep(MAX_RETRY_SECONDS)
+            await log.wait_until_durable(log.position)
+            running.cancel()
+            disk.lose_power()
+            again = ClaimLog(disk=disk, clock=VirtualClock())
+            self.assertEqual(state, (await again.load()).entries)
+
+        run_virtual(main())
+
+
+class DiskStack(Stack):
+    """A cluster whose claim replicas have disks."""
+
+    def settings(self, vm):
+        """Return the settings of a VM."""
+        settings = super().settings(vm)
+        if vm not in REPLICAS:
+            return settings
+        control = msgspec.structs.replace(
+            settings.control, data_folder="unused"
+        )
+        return msgspec.structs.replace(settings, control=control)
+
+    def disk(self, vm):
+        """Return the disk of a VM."""
+        return self.cluster.disks_by_vm_id[vm]
+
+
+def run_with_service(scenario, *, seed=1, seconds=0.01):
+    async def main():
+        stack = DiskStack(seed=seed, keepers=REPLICAS)
+        await stack.start(*VMS)
+        await stack.configure()
+        service = Endpoint(name="e1", seconds=seconds, body=b'{"booked":1}')
+        await stack.add_endpoint(service, *VMS[:4], service="booking")
+        await asyncio.sleep(2)
+        try:
+            await scenario(stack, service)
+        finally:
+            await stack.stop()
+
+    run_virtual(main())
+
+
+class ServiceTest(unittest.TestCase):
+    """Requests that may run once, while disks of claim replicas refuse."""
+
+    def test_disks_that_refuse_in_turn_do_not_end_the_claims(self):
+        # Each refuses one append, one after the other.
+        async def scenario(stack, service):
+            for turn, vm in enumerate((*REPLICAS, REPLICAS[0])):
+                stack.disk(vm).full = True
+                during = await stack.book("a1", f"during-{turn}")
+                self.assertEqual(200, during.status, (vm, during.body))
+                await asyncio.sleep(5)
+                stack.disk(vm).full = False
+                await asyncio.sleep(10)
+            for vm in VMS:
+                after = await stack.book(vm, f"after-{vm}")
+                self.assertEqual(200, after.status, (vm, after.body))
+            self.assertEqual({1}, set(service.runs_by_key.values()))
+
+        run_with_service(scenario)
+
+    def test_caller_is_refused_at_once_while_a_majority_refuses(self):
+        async def scenario(stack, service):
+            loop = asyncio.get_running_loop()
+            for vm in REPLICAS[:2]:
+                stack.disk(vm).fail_syncs = True
+            for number in range(3):
+                began_at = loop.time()
+                refused = await stack.book("b1", f"{number}")
+                self.assertEqual("claim_unreachable", refused.code)
+                self.assertIn("retry-after", refused.headers)
+                self.assertLess(loop.time() - began_at, 0.5)
+            for vm in REPLICAS[:2]:
+                stack.disk(vm).fail_syncs = False
+            await asyncio.sleep(5)
+            for number in range(3):
+                booked = await stack.book("b1", f"{number}")
+                self.assertEqual(200, booked.status, booked.body)
+            self.assertEqual({1}, set(service.runs_by_key.values()))
+
+        run_with_service(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
