Wait for claim replicas that can't use their disks before a new epoch

Cause: a replica that recovers counts the others that are not ready as ones that lost their claims. So it did with one that could not read its disk yet or not write anew what it had read, and began a new epoch after a second.

Change: a replica gives what it knows to one that recovers as soon as it has read its disk, as that includes every vote that was sent. One that could not read it says so, and is waited for as if it was not reachable.

Evidence: test_replica_that_waits_for_its_disk_is_not_taken_for_forgetful, on the code before: AssertionError: 200 != 503 : claim_unknown, with refused reads and with refused writes (on with refused reads only, as a start wrote nothing then).

Ruled out: to let a replica with a refusing disk enter the new epoch, which it could not store.

--- a/burdockdrum/claims/messages.py
+++ b/burdockdrum/claims/messages.py
@@ -111,11 +111,16 @@
 
 
 class RecoverReply(Message, frozen=True, kw_only=True):
-    """A page of claims; ``last`` is the next position, None at the end."""
+    """A page of claims; ``last`` is the next position, None at the end.
+
+    A replica that is ``ready`` knows every claim of its epoch. One that
+    ``waits_for_disk`` may be, once it could read its disk.
+    """
 
     vm_id: str
     incarnation: int
     ready: bool
+    waits_for_disk: bool = False
     epoch: Epoch
     incarnations: dict[str, int]
     formed_at: float
--- a/burdockdrum/claims/recovery.py
+++ b/burdockdrum/claims/recovery.py
@@ -86,7 +86,10 @@
             elapsed = self._clock.monotonic() - started_at
             # A single round may hit the moment in which another replica
             # enters an epoch.
-            rounds = rounds + 1 if len(found) == len(self._others) else 0
+            can_all_reply = len(found) == len(self._others) and not any(
+                one.waits_for_disk for one in found
+            )
+            rounds = rounds + 1 if can_all_reply else 0
             may_wait = elapsed < NEW_EPOCH_DELAY_SECONDS
             if rounds >= 2 or not self._others or not may_wait:
                 await self._begin_epoch(found)
@@ -186,6 +189,7 @@
 
     def __init__(self, last: RecoverReply, records: list[ClaimRecord]) -> None:
         self.ready = last.ready
+        self.waits_for_disk = last.waits_for_disk
         self.epoch = last.epoch
         self.formed_at = last.formed_at
         self.new_clients = set(last.new_clients)
--- a/burdockdrum/claims/replica.py
+++ b/burdockdrum/claims/replica.py
@@ -232,9 +232,10 @@
     def handle_recovery(self, call: RecoverCall) -> RecoverReply:
         """Send a page of this replica's claims to a recovering replica.
 
-        Its incarnation is recorded first: votes that this replica sends from
-        now on name it, so they can't count together with a vote that the
-        other one sent before its restart.
+        That includes what is not durable yet: every vote that was sent is
+        among it. The other one's incarnation is recorded first: votes that
+        this replica sends from now on name it, so they can't count together
+        with a vote that the other one sent before its restart.
         """
         known = self.incarnations.get(call.vm_id, 0)
         self.incarnations[call.vm_id] = max(known, call.incarnation)
@@ -244,7 +245,8 @@
         return RecoverReply(
             vm_id=self._identity.vm_id,
             incarnation=self._identity.incarnation,
-            ready=self.ready,
+            ready=self.is_complete,
+            waits_for_disk=not self.loaded.is_set(),
             epoch=self.epoch,
             incarnations=dict(self.incarnations),
             formed_at=self._formed_at,
--- a/tests/claims/test_disks.py
+++ b/tests/claims/test_disks.py
@@ -3,11 +3,13 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 import msgspec
 
 from burdockdrum.claims.entries import Put
 from burdockdrum.claims.log import ClaimLog
+from burdockdrum.claims.log import FILE
 from burdockdrum.claims.log import MAX_QUEUED_BYTES
 from burdockdrum.claims.log import MAX_RETRY_SECONDS
 from burdockdrum.claims.messages import VoteOutcome
@@ -202,6 +204,21 @@
     run_virtual(main())
 
 
+def refuse_reads(disk):
+    read = disk.read
+
+    async def read_others(name):
+        if name == FILE:
+            raise DiskError("refused")
+        return await read(name)
+
+    return mock.patch.object(disk, "read", read_others)
+
+
+def refuse_writes(disk):
+    return mock.patch.object(disk, "full", True)
+
+
 class ServiceTest(unittest.TestCase):
     """Requests that may run once, while disks of claim replicas refuse."""
 
@@ -222,6 +239,29 @@
 
         run_with_service(scenario)
 
+    def test_replica_that_waits_for_its_disk_is_not_taken_for_forgetful(self):
+        # One replica lost its disk while that of another one refuses: a new
+        # epoch would refuse every key from before.
+        async def scenario(stack, service):
+            first = await stack.book("a1", "old")
+            for vm in REPLICAS:
+                await stack.cluster.crash_vm(vm)
+            stack.disk("a2").wipe()
+            with refuse(stack.disk("a3")):
+                for vm in REPLICAS:
+                    await stack.start_vm(vm)
+                await asyncio.sleep(20)
+            await asyncio.sleep(20)
+            again = await stack.book("a1", "old")
+            self.assertEqual((200, first.body), (again.status, again.body))
+            fresh = await stack.book("a1", "new")
+            self.assertEqual(200, fresh.status, fresh.body)
+            self.assertEqual({1}, set(service.runs_by_key.values()))
+
+        for refuse in (refuse_reads, refuse_writes):
+            with self.subTest(refuse=refuse.__name__):
+                run_with_service(scenario)
+
     def test_caller_is_refused_at_once_while_a_majority_refuses(self):
         async def scenario(stack, service):
             loop = asyncio.get_running_loop()
