--- a/burdockdrum/vms/group.py
+++ b/burdockdrum/vms/group.py
@@ -302,20 +302,18 @@
                 self._handle_unknown_sender(sender, changes)
             return None
         known = member.identity.incarnation
-        if changes.incarnation < known:
-            if direct and member.health is Health.DEAD:
-                # A start after the clock was set back has a lower number.
-                self._remove(member, "vm.replaced")
-                self._handle_unknown_sender(sender, changes)
-            elif direct:
-                # An older VM still uses the id of a newer one: notify it.
-                heartbeat = member.publication.heartbeat()
-                self._peers.send(sender.address, heartbeat)
-            return None
         if changes.incarnation == known:
             self._apply_changes(member, changes, direct=direct)
-        elif direct:
+        elif direct and changes.incarnation > known:
             self._handle_unknown_sender(sender, changes)
+        elif direct and member.health is Health.DEAD:
+            # A start after the clock was set back has a lower number.
+            self._remove(member, "vm.replaced")
+            self._handle_unknown_sender(sender, changes)
+        elif direct:
+            # An older VM still uses the id of a newer one: notify it.
+            heartbeat = member.publication.heartbeat()
+            self._peers.send(sender.address, heartbeat)
         return None
 
     def _apply_changes(
