Serve reads and changes beside a disk that refuses writes or stalls

Cause: a member treated all that it does as if it needed its disk. A vote and an entry have to be durable. A lease, a read, the leadership in a term that is durable, and applying what a quorum has synced need no write.

Now a blocked disk (it refuses, or ended no sync for an election timeout) ends votes and candidacies only. A leader keeps leading and its own copy isn't counted; followers acknowledge the contact, keep entries up to a limit and apply what is committed; handlers wait no longer than callers do; changes that can't be committed are rejected instead of appended. A leader hands over if too much waits for its disk or a learner is ready to take its place; the leader still replaces a voter that can't write.

Why it works: nothing is acknowledged, counted or voted before its sync, as before; a follower tells a term only if it is durable. The lease needs that a member withholds its vote, which it does in memory, and after a start for an election timeout (section 6.4.1 of the thesis).

--- a/burdockdrum/consensus/applier.py
+++ b/burdockdrum/consensus/applier.py
@@ -111,7 +111,7 @@
     async def install(self, snapshot: Snapshot) -> bool:
         """Install the leader's snapshot; it is synced on return.
 
-        :returns: False if the disk refuses it
+        :returns: False if the disk refuses it or stalls
         """
         async with self._snapshot_lock:
             latest = self._replica.snapshots.latest
@@ -119,8 +119,8 @@
             if is_newer and not await self._save(snapshot):
                 return False
             self._replace_log(snapshot)
-        await self._replica.storage.sync()
-        return True
+        seconds = self._replica.settings.call_timeout_seconds
+        return await self._replica.durability.sync(seconds=seconds)
 
     async def _save(self, snapshot: Snapshot) -> bool:
         """Save a snapshot; return False if the disk refuses it."""
@@ -256,7 +256,11 @@
         )
 
     async def _take_due_snapshot(self) -> bool:
-        """Take a snapshot if one is due; False if the disk refuses it."""
+        """Take a snapshot if one is due.
+
+        :returns: False if the disk refuses it, or the log that it would
+            compact is not synced
+        """
         if not self._is_snapshot_due():
             return True
         replica = self._replica
@@ -265,6 +269,8 @@
             term = replica.storage.term_at(index)
             if term is None:
                 return True
+            if replica.storage.durable_index < index:
+                return False
             snapshot = Snapshot.of(
                 index=index,
                 term=term,
--- a/burdockdrum/consensus/election.py
+++ b/burdockdrum/consensus/election.py
@@ -115,7 +115,10 @@
         term = storage.term + 1
         storage.set_hard_state(term, replica.vm_id)
         replica.leader_id = None
-        await storage.sync()
+        seconds = replica.settings.election_timeout_seconds
+        if not await replica.durability.sync(seconds=seconds):
+            replica.step_down("the own vote is not durable")
+            return False
         won = await self._collect_votes(term, transfer, waived_starts_by_id)
         still_candidate = (
             replica.role is Role.CANDIDATE and storage.term == term
--- a/burdockdrum/consensus/follower.py
+++ b/burdockdrum/consensus/follower.py
@@ -58,21 +58,25 @@
         if message.term < storage.term:
             return self._reject(0)
         replica.follow(message.term, message.sender_id)
-        if storage.refusal is not None:
+        if not replica.durability.has_room:
             # What it can't acknowledge must not pile up in memory.
-            return None
+            return self._acknowledge_contact(message)
         if not self._has_previous_entry(message):
             retry_index = self._find_retry_index(message)
-            await storage.sync()
+            if not await self._sync_for_reply():
+                return self._acknowledge_contact(message, retry_index)
             return self._reject(retry_index)
         match_index = message.previous_index + len(message.entries)
         for entry in message.entries:
             self._append_if_missing(entry)
+        # What the leader has committed is durable on a quorum, so that it may
+        # be applied, and read, while the own disk is blocked.
+        replica.commit(min(message.commit_index, match_index))
         # The reply counts towards the quorum, so the entries are synced first.
-        await storage.sync()
+        if not await self._sync_for_reply():
+            return self._acknowledge_contact(message)
         if storage.term != message.term:
             return self._reject(0)
-        replica.commit(min(message.commit_index, match_index))
         if match_index >= message.commit_index:
             replica.caught_up = True
             replica.replication_due.fire()
@@ -92,11 +96,12 @@
             return None
         if message.term >= replica.storage.term:
             replica.follow(message.term, message.sender_id)
-            if replica.storage.refusal is not None:
+            if replica.durability.blocked_because:
                 return None
             if await self._receive_chunk(message):
                 return self._snapshot_reply(message.size, done=True)
-        await replica.storage.sync()
+        if not await self._sync_for_reply():
+            return None
         received = len(self._partial.data) if self._partial else 0
         return self._snapshot_reply(received, done=False)
 
@@ -156,6 +161,32 @@
             index -= 1
         return index
 
+    def _acknowledge_contact(
+        self, message: AppendRequest, retry_index: int | None = None
+    ) -> AppendReply | None:
+        """Acknowledge the leader but none of its entries.
+
+        The leader's lease needs only that this member withholds its vote,
+        which it does without its disk. A term is told only once durable.
+
+        :param retry_index: from where the leader should retry; None if it
+            need not
+        """
+        replica = self._replica
+        term = message.term
+        if replica.storage.term != term:
+            return None
+        if not replica.durability.is_term_synced(term):
+            return None
+        return AppendReply(
+            term=term,
+            accepted=retry_index is None,
+            counts=replica.admitted,
+            last_index=replica.storage.last_index,
+            retry_index=retry_index or 0,
+            refusal=replica.durability.blocked_because,
+        )
+
     def _reject(self, retry_index: int) -> AppendReply:
         storage = self._replica.storage
         return AppendReply(
@@ -166,14 +197,21 @@
             retry_index=retry_index,
         )
 
+    async def _sync_for_reply(self) -> bool:
+        """Wait for the disk for as long as the leader still gets the reply."""
+        seconds = self._replica.settings.call_timeout_seconds / 2
+        return await self._replica.durability.sync(seconds=seconds)
+
     async def _receive_chunk(self, message: SnapshotRequest) -> bool:
         """Add a chunk and install the snapshot once it is complete.
 
         :returns: whether the whole snapshot is synced
         """
         if message.index <= self._replica.commit_index:
-            await self._replica.storage.sync()
-            return self._replica.storage.durable_index >= message.index
+            return (
+                await self._sync_for_reply()
+                and self._replica.storage.durable_index >= message.index
+            )
         partial = self._partial
         if partial is None or partial.digest != message.digest:
             partial = self._partial = PartialSnapshot(digest=message.digest)
--- a/burdockdrum/consensus/gauges.py
+++ b/burdockdrum/consensus/gauges.py
@@ -16,9 +16,14 @@
     """Add the gauges of one member of the log."""
     metrics.gauge(
         "burdockdrum_log_participates",
-        "1 while this VM may vote, acknowledge and lead, else 0.",
+        "1 while this VM may vote and be elected, else 0.",
         lambda: replica.may_participate,
     )
+    metrics.gauge(
+        "burdockdrum_log_disk_stalls",
+        "1 while no sync of this VM's disk ends, without an error, else 0.",
+        lambda: replica.durability.is_stalled,
+    )
     metrics.gauge(
         "burdockdrum_log_silent_voters",
         "Voters that acknowledge nothing to this VM while it leads.",
--- a/burdockdrum/consensus/leadership.py
+++ b/burdockdrum/consensus/leadership.py
@@ -34,7 +34,7 @@
         self._tasks_by_id: dict[str, asyncio.Task] = {}
         self._first_index = 0
         self.lease = Lease(
-            replica=replica, read_contact_at=self._last_acknowledged_at
+            replica=replica, read_contact_at=self._last_contact_at
         )
         self.voter_membership = VoterMembership(
             replica=replica,
@@ -123,6 +123,8 @@
             raise NotAccepted("too many uncommitted changes")
         if replica.role is not Role.LEADER or replica.transferring:
             raise NotAccepted(f"{replica.vm_id} does not lead")
+        if not self._can_commit() or not replica.durability.has_room:
+            raise NotAccepted("no quorum of the voters can write")
         return replica.append(EntryKind.COMMAND, command)
 
     async def confirm_read(self) -> int:
@@ -219,10 +221,36 @@
     def _best_successor(self) -> Replicator | None:
         return max(
             self._voting_replicators(),
-            key=lambda r: r.match_index,
+            key=lambda r: (not r.is_blocked, r.match_index),
             default=None,
         )
 
+    def _should_hand_over(self) -> bool:
+        """Return whether another member should lead for the blocked disk.
+
+        For a short time it is better to keep leading, as the others commit
+        without this disk.
+        """
+        replica = self._replica
+        if not replica.durability.blocked_because or not self._can_commit():
+            return False
+        if not replica.durability.has_room:
+            return True
+        # The next leader replaces this voter by the learner.
+        return (
+            replica.durability.blocked_seconds
+            > replica.settings.replacement_timeout_seconds
+            and self.voter_membership.has_ready_learner
+        )
+
+    def _can_commit(self) -> bool:
+        """Return whether a quorum of the voters is not known to be blocked."""
+        replica = self._replica
+        blocked = sum(r.is_blocked for r in self._voting_replicators())
+        blocked += bool(replica.durability.blocked_because)
+        configuration = replica.configuration
+        return len(configuration.voters) - blocked >= configuration.quorum
+
     def _voting_replicators(self) -> list[Replicator]:
         return [
             replicator
@@ -286,6 +314,9 @@
             self.lease.detect_suspension()
             for replicator in self._voting_replicators():
                 replicator.log_silence(timeout)
+            replica.durability.watch()
+            if self._should_hand_over():
+                await self.transfer_leadership()
             if self.lease.seconds_without_quorum > timeout:
                 replica.step_down(
                     "no replies from a quorum",
@@ -343,10 +374,10 @@
             return 0
         return replicator.match_index
 
-    def _last_acknowledged_at(self, member: Member) -> float:
+    def _last_contact_at(self, member: Member) -> float:
         replicator = self._replicators_by_id.get(member.vm_id)
         if replicator is None:
             return -math.inf
         if replicator.member.disk_id != member.disk_id:
             return -math.inf
-        return replicator.acknowledged_at
+        return replicator.contact_at
--- a/burdockdrum/consensus/messages.py
+++ b/burdockdrum/consensus/messages.py
@@ -76,7 +76,8 @@
     """The state of the follower's synced log.
 
     If not ``accepted``, the leader retries from ``retry_index``. If not
-    ``counts``, the follower stores entries but is in no quorum yet.
+    ``counts``, the follower stores entries but is in no quorum yet. With a
+    ``refusal``, why its disk is blocked, it only acknowledges the contact.
     """
 
     term: int
@@ -85,6 +86,7 @@
     last_index: int
     match_index: int = 0
     retry_index: int = 0
+    refusal: str = ""
 
 
 class SnapshotRequest(MemberMessage, frozen=True, kw_only=True):
--- a/burdockdrum/consensus/replica.py
+++ b/burdockdrum/consensus/replica.py
@@ -12,6 +12,7 @@
 
 from loguru import logger
 
+from burdockdrum.consensus.durability import Durability
 from burdockdrum.consensus.identity import IdentityFile
 from burdockdrum.consensus.interface import LogSettings
 from burdockdrum.consensus.interface import Role
@@ -78,7 +79,10 @@
         self.replication_due = Signal()
         self.campaign_requested = Signal()
         self.history = self._read_history()
-        storage.on_refused = self._leave_leadership
+        storage.on_refused = self._record_refusal
+        self.durability = Durability(
+            storage=storage, settings=settings, clock=clock
+        )
         self.term_at_start = storage.term
         # Identifies this start among the starts of the same member.
         self.start_id = secrets.randbits(_START_ID_BITS) + 1
@@ -138,15 +142,15 @@
 
     @property
     def may_participate(self) -> bool:
-        """Return whether this member may vote, acknowledge and lead.
+        """Return whether this member may vote and be elected.
 
-        While its disk refuses writes it takes no part, as it could
-        acknowledge nothing.
+        Both need its disk. A leader whose disk is blocked keeps leading, as
+        its term is durable and other members can commit without it.
         """
         return (
             self.halt_reason is None
             and self.admitted
-            and self.storage.refusal is None
+            and not self.durability.blocked_because
         )
 
     @property
@@ -238,9 +242,8 @@
                 self.leader_id = None
         self.set_role(Role.FOLLOWER)
 
-    def _leave_leadership(self, reason: str) -> None:
+    def _record_refusal(self, reason: str) -> None:
         self.timeline.record("log.disk_refuses", reason=reason)
-        self.step_down(f"the disk refuses writes: {reason}")
 
     def halt(self, reason: str) -> None:
         """Take no part in votes, quorums or leadership until a restart."""
--- a/burdockdrum/consensus/replication.py
+++ b/burdockdrum/consensus/replication.py
@@ -31,8 +31,10 @@
 class Replicator:
     """Replicates the log to one member and tracks its progress.
 
-    ``acknowledged_at`` is when the last request that the member replied to
-    was sent, by this VM's clock: the member received it then or later.
+    ``contact_at`` is when the last request that the member replied to was
+    sent, by this VM's clock: the member received it then or later.
+    ``acknowledged_at`` counts only replies of a member whose disk is not
+    blocked.
     """
 
     def __init__(
@@ -59,7 +61,10 @@
         self.next_index = next_index
         self.match_index = 0
         self.started_at = replica.clock.monotonic()
+        self.contact_at = -math.inf
         self.acknowledged_at = -math.inf
+        # Whether the member's disk was blocked at its last reply.
+        self.is_blocked = False
         self.confirmation_requested_at = -math.inf
         self._failure = "nothing was sent yet"
         self._silence = LoggedState(
@@ -180,9 +185,12 @@
         sent_at: float,
         match_at_send: int,
     ) -> None:
-        if not self._record_reply(reply, sent_at):
+        if not self._record_reply(reply, sent_at, reply.refusal):
             return
-        if reply.accepted:
+        if reply.refusal:
+            if not reply.accepted:
+                self._rewind(min(reply.retry_index, request.previous_index))
+        elif reply.accepted:
             self._window = _MAX_IN_FLIGHT_REQUESTS
             self._record_match(reply.match_index, reply.counts)
         elif reply.last_index < match_at_send:
@@ -249,19 +257,29 @@
         }
 
     def _record_reply(
-        self, reply: AppendReply | SnapshotReply, sent_at: float
+        self,
+        reply: AppendReply | SnapshotReply,
+        sent_at: float,
+        refusal: str = "",
     ) -> bool:
         """Record a reply of the member.
 
+        :param refusal: why its disk is blocked, if it is
+
         :returns: whether the member is still in this leader's term
         """
         if reply.term != self._term:
             self._replica.observe_term(reply.term)
             return False
-        if reply.counts:
-            self.acknowledged_at = max(self.acknowledged_at, sent_at)
-        else:
+        self.is_blocked = bool(refusal)
+        if not reply.counts:
             self._failure = "it replies, but isn't admitted to quorums"
+        else:
+            self.contact_at = max(self.contact_at, sent_at)
+            if refusal:
+                self._failure = refusal
+            else:
+                self.acknowledged_at = max(self.acknowledged_at, sent_at)
         self._progressed.fire()
         return True
 
--- a/burdockdrum/consensus/storage.py
+++ b/burdockdrum/consensus/storage.py
@@ -89,6 +89,11 @@
     def _hard_state(self) -> HardState:
         return HardState(self.term, self.voted_for)
 
+    @property
+    def has_unsynced(self) -> bool:
+        """Return whether a change is not durable yet."""
+        return bool(self._queue or self._rewrites) or self._writing
+
     def term_at(self, index: int) -> int | None:
         """Return the term of an entry, or None if it is not stored."""
         if index == self.base_index:
@@ -133,7 +138,7 @@
 
     async def sync(self) -> None:
         """Wait until every change so far is durable."""
-        if not self._queue and not self._writing and not self._rewrites:
+        if not self.has_unsynced:
             return
         waiter: asyncio.Future[None] = asyncio.Future()
         self._waiters.append(waiter)
--- a/burdockdrum/consensus/voter_membership.py
+++ b/burdockdrum/consensus/voter_membership.py
@@ -65,6 +65,11 @@
         reachable = [v for v in rest.voters if v.vm_id not in unreachable_ids]
         return bool(rest.voters) and len(reachable) >= rest.quorum
 
+    @property
+    def has_ready_learner(self) -> bool:
+        """Return whether a learner could become a voter at once."""
+        return self._find_ready_learner() is not None
+
     def find_change(self) -> VoterChange | None:
         """Return the next change of the members, if one is needed."""
         replica = self._replica
--- a/burdockdrum/consensus/voting.py
+++ b/burdockdrum/consensus/voting.py
@@ -32,12 +32,8 @@
             return self._reply_for_former_disk(message)
         replica.on_candidate_seen(message.sender_disk_id, sender.address)
         if not replica.may_participate:
-            # It may not vote yet, but can reply that it does not lead.
-            return VoteReply(
-                term=min(message.term, replica.storage.term),
-                granted=False,
-                leads=False,
-            )
+            # It may not vote, but can reply whether it leads.
+            return self._deny(message)
         if not message.trial and not self._must_withhold_vote(message):
             replica.observe_term(message.term)
         if not message.trial:
@@ -49,7 +45,9 @@
             replica.storage.set_hard_state(message.term, message.sender_id)
             replica.election_reset_at = replica.clock.monotonic()
         # A vote lost in a power loss could be granted twice.
-        await replica.storage.sync()
+        seconds = replica.settings.call_timeout_seconds
+        if not await replica.durability.sync(seconds=seconds):
+            return self._deny(message)
         return VoteReply(
             term=replica.storage.term,
             granted=granted,
@@ -79,6 +77,15 @@
             and self._founding.accepts_cluster(message.cluster_id)
         )
 
+    def _deny(self, message: VoteRequest) -> VoteReply:
+        """Reply without a vote, and without a term that may be lost."""
+        replica = self._replica
+        return VoteReply(
+            term=min(message.term, replica.storage.term),
+            granted=False,
+            leads=replica.role is Role.LEADER,
+        )
+
     def _reply_for_former_disk(self, message: VoteRequest) -> VoteReply | None:
         """Reply on behalf of a former disk of this VM that it does not lead.
 
--- a/tests/consensus/histories.py
+++ b/tests/consensus/histories.py
@@ -215,12 +215,16 @@
                 await self._start_all()
             case "slow_disk":
                 vm.disk.sync_seconds = self._rng.uniform(0, 0.3)
+            case "stalled_disk":
+                vm.disk.sync_seconds = self._rng.uniform(1.0, 4.0)
             case "failing_disk":
                 vm.disk.fail_syncs = True
             case "full_disk":
                 vm.disk.full = True
             case "working_disk":
                 vm.disk.fail_syncs = vm.disk.full = False
+                if vm.disk.sync_seconds >= 1.0:
+                    vm.disk.sync_seconds = 0.0
             case "transfer_leadership":
                 if vm.task:
                     self._spawn(vm.running.transfer_leadership())
