Test that a halted voter is replaced, and say what brings it back

A member that a rolled-back disk halted lives and acknowledges check-ins. Tried: the leader counts it as unreachable, since it acknowledges nothing, and a learner takes its place within 10 s; it doesn't join again by itself.

--- a/tests/consensus/test_self_repair.py
+++ b/tests/consensus/test_self_repair.py
@@ -94,6 +94,29 @@
             with self.subTest(seed=seed):
                 run_virtual(main(seed))
 
+    def test_halted_voter_is_replaced_and_does_not_return(self):
+        # Guards against a voter with an older image of its disk, which lives
+        # and answers other messages, that stays a third of the quorum.
+        async def main():
+            cluster = make_cluster()
+            leader = await start_six(cluster)
+            halted_id = next(
+                v for v in voters(leader) if cluster.vms[v].log is not leader
+            )
+            halted = cluster.vms[halted_id]
+            halted.running._replica.halt("an older image")
+            self.assertTrue(
+                await wait_for(lambda: halted_id not in voters(leader), 10)
+            )
+            await asyncio.sleep(20)
+            self.assertNotIn(halted_id, voters(leader))
+            self.assertEqual(3, len(voters(leader)))
+            self.assertIn("burdockdrum_log_halted 1", halted.metrics.text())
+            self.assertTrue(halted.timeline.events(prefix="log.stepped_aside"))
+            await cluster.stop_all()
+
+        run_virtual(main())
+
     def test_new_vm_replaces_a_lost_one(self):
         # The lost voter must be removed: four voters with one lost survive
         # no more losses than two of three.
