--- a/burdockdrum/consensus/applier.py
+++ b/burdockdrum/consensus/applier.py
@@ -265,11 +265,13 @@
             return True
         replica = self._replica
         async with self._snapshot_lock:
+            seconds = replica.settings.call_timeout_seconds
+            is_synced = await replica.durability.sync(seconds=seconds)
             index = self.applied_index
             term = replica.storage.term_at(index)
             if term is None:
                 return True
-            if replica.storage.durable_index < index:
+            if not is_synced or replica.storage.durable_index < index:
                 return False
             snapshot = Snapshot.of(
                 index=index,
--- a/tests/consensus/test_disks.py
+++ b/tests/consensus/test_disks.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import copy
+import functools
 import unittest
 
 from loguru import logger
