Treat a claim replica's disk that does not reply as refusing

What callers would see: while the disks of two claim replicas stalled, a request that arrived at one of them waited until its disk replied.

Cause: a coordinator bounds the votes of other VMs by a second, but waited for its own replica's vote and for its record of the end of a run without a limit.

Change: an operation that has not ended within a second counts as refused until it ends. Votes that wait for it are answered, later ones at once.

Evidence: test_stalled_disks_do_not_hold_callers, on the code before: AssertionError: 60.018 not less than 2.5 (seconds).

--- a/burdockdrum/claims/log.py
+++ b/burdockdrum/claims/log.py
@@ -13,6 +13,8 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
+import contextlib
 
 from burdockdrum.claims.entries import decode_entries
 from burdockdrum.claims.entries import encode_entry
@@ -33,6 +35,8 @@
 # whole file is written, which may take the room that other files need.
 RETRY_SECONDS = 0.5
 MAX_RETRY_SECONDS = 8.0
+# Until the disk counts as refusing if an operation does not end.
+STALL_SECONDS = 1.0
 
 
 class ClaimLog:
@@ -97,7 +101,8 @@
         """Read the file, repeatedly if the disk refuses."""
         while True:
             try:
-                content = await self._disk.read(FILE)
+                with self._watch_for_stall():
+                    content = await self._disk.read(FILE)
                 break
             except DiskError as error:
                 self._record_refusal(str(error))
@@ -115,11 +120,14 @@
             await self._queued.wait()
             self._queued.clear()
             try:
-                await self._write(read_state)
+                with self._watch_for_stall():
+                    await self._write(read_state)
             except DiskError as error:
                 self._record_refusal(str(error))
                 await self._clock.sleep(self._retry_seconds)
                 self._queued.set()
+            else:
+                self._record_success()
 
     def add(self, entry: Entry) -> int:
         """Queue an entry and return its position."""
@@ -137,7 +145,8 @@
     async def wait_until_durable(self, position: int) -> None:
         """Wait until the entries up to a position are durable.
 
-        :raises DiskError: at once if the disk refuses writes
+        :raises DiskError: at once if the disk refuses writes, and after
+            ``STALL_SECONDS`` if it does not reply
         """
         if self.is_durable(position):
             return
@@ -165,6 +174,19 @@
             self._is_compaction_requested = False
             await self._compact(read_state)
 
+    @contextlib.contextmanager
+    def _watch_for_stall(self) -> Iterator[None]:
+        """Treat an operation that takes too long as refused until its end."""
+        watch = asyncio.get_running_loop().call_later(
+            STALL_SECONDS,
+            self._record_refusal,
+            f"no reply within {STALL_SECONDS:g} s",
+        )
+        try:
+            yield
+        finally:
+            watch.cancel()
+
     def _is_replacement_needed(self) -> bool:
         return self._is_name_doubtful or not self.is_durable(
             self._state_position
--- a/tests/claims/test_disks.py
+++ b/tests/claims/test_disks.py
@@ -262,6 +262,27 @@
             with self.subTest(refuse=refuse.__name__):
                 run_with_service(scenario)
 
+    def test_stalled_disks_do_not_hold_callers(self):
+        # The disks of two replicas reply only after half a minute.
+        async def scenario(stack, service):
+            loop = asyncio.get_running_loop()
+            for vm in REPLICAS[:2]:
+                stack.disk(vm).sync_seconds = 30.0
+            for number, limit in enumerate((2.5, 0.5)):
+                began_at = loop.time()
+                refused = await stack.book(REPLICAS[0], f"{number}")
+                self.assertLess(loop.time() - began_at, limit)
+                self.assertEqual("claim_unreachable", refused.code)
+            for vm in REPLICAS[:2]:
+                stack.disk(vm).sync_seconds = 0.0
+            await asyncio.sleep(35)
+            for number in range(2):
+                booked = await stack.book(REPLICAS[0], f"{number}")
+                self.assertEqual(200, booked.status, booked.body)
+            self.assertEqual({1}, set(service.runs_by_key.values()))
+
+        run_with_service(scenario)
+
     def test_caller_is_refused_at_once_while_a_majority_refuses(self):
         async def scenario(stack, service):
             loop = asyncio.get_running_loop()
