--- a/tests/claims/test_at_most_once.py
+++ b/tests/claims/test_at_most_once.py
@@ -176,6 +176,12 @@
         for vm in vms:
             await stack.start_vm(vm)
 
+    async def get_ticket(self, stack):
+        answer = await stack.client("caller").open(
+            stack.url("b1"), "POST", "/v1/tickets"
+        )
+        return msgspec.json.decode(await stack.read(answer))["idempotency_key"]
+
     def test_rolling_restart_of_replicas_loses_no_claim(self):
         # In the end no replica that voted for the key is still the same
         # process.
@@ -218,11 +224,7 @@
             refused = await stack.book("a2", "key")
             self.assertEqual("claim_unknown", refused.code)
             self.assertEqual("may have run", refused.verdict)
-            answer = await stack.client("caller").open(
-                stack.url("b1"), "POST", "/v1/tickets"
-            )
-            ticket = msgspec.json.decode(await stack.read(answer))
-            key = ticket["idempotency_key"]
+            key = await self.get_ticket(stack)
             self.assertEqual(200, (await stack.book("a2", key)).status)
             self.assertEqual(200, (await stack.book("a3", key)).status)
             self.assertEqual(1, service.runs_by_key[key])
@@ -234,6 +236,19 @@
             replica_ids=("a2", "a3", "a4"),
         )
 
+    def test_ticket_that_ran_does_not_run_after_restarts_of_all(self):
+        # The replicas lose their memory each time: no later epoch may equal
+        # the one in which the ticket was issued.
+        async def scenario(stack, service):
+            key = await self.get_ticket(stack)
+            for _ in range(3):
+                await stack.book("a2", key)
+                await self.restart(stack, "a2")
+                await asyncio.sleep(10)
+            self.assertEqual(1, service.runs_by_key[key])
+
+        run_with_service(scenario, replica_ids=("a2",))
+
     def test_replica_with_a_disk_restores_claims_after_a_restart_of_all(self):
         # The old key must have its answer, and a new key needs no ticket.
         async def scenario(stack, service):
