Random histories of claims on disks that misbehave

Full disks, failed and slow syncs, kills and power losses over different replicas; each key is sent again after the disks accept writes, and new keys must be granted then. The body of the former histories is shared, unchanged but for the names of the keys.

--- a/tests/claims/test_at_most_once.py
+++ b/tests/claims/test_at_most_once.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from burdockdrum.testing import run_virtual
+from tests.claims.histories import run_history
 from tests.requests.stack import Endpoint
 from tests.requests.stack import Stack
 
@@ -271,61 +272,35 @@
     def check(self, seed):
         async def scenario(stack, service):
             rng = random.Random(seed)
-            verdicts_by_key = {}
-
-            async def send(key):
-                vm = rng.choice(VMS)
-                await asyncio.sleep(rng.uniform(0, 4))
-                if vm not in stack.cluster.vms_by_id:
-                    return
-                try:
-                    async with asyncio.timeout(20):
-                        booked = await stack.book(vm, key)
-                except Exception:
-                    verdicts_by_key.setdefault(key, []).append("lost")
-                    return
-                verdict = booked.verdict or "answered"
-                verdicts_by_key.setdefault(key, []).append(verdict)
 
             async def disturb():
-                while True:
-                    await asyncio.sleep(rng.uniform(0.5, 3))
-                    one = rng.choice(VMS)
-                    others = [vm for vm in VMS if vm != one]
-                    match rng.randrange(3):
-                        case 0:
-                            some = rng.sample(others, rng.randint(1, 3))
-                            stack.cluster.network.cut([one], some)
-                            await asyncio.sleep(rng.uniform(0.1, 4))
-                            stack.cluster.network.heal([one], some)
-                        case 1 if one not in ("a1", "b1"):
-                            await stack.cluster.crash_vm(one)
-                            await asyncio.sleep(rng.uniform(0.1, 2))
-                            await stack.start_vm(one)
-                        case _:
-                            stack.cluster.network.set_default(
-                                loss=rng.choice((0.0, 0.2)),
-                                jitter=rng.choice((0.0005, 0.3)),
-                            )
-
-            disturbing = asyncio.create_task(disturb())
-            for turn in range(12):
-                keys = [f"{turn}-{number}" for number in range(3)]
-                await asyncio.gather(
-                    *(send(key) for key in keys for _ in range(3))
-                )
-            disturbing.cancel()
-            await asyncio.gather(disturbing, return_exceptions=True)
-            self.answered += sum(
-                "answered" in verdicts for verdicts in verdicts_by_key.values()
+                one = rng.choice(VMS)
+                others = [vm for vm in VMS if vm != one]
+                match rng.randrange(3):
+                    case 0:
+                        some = rng.sample(others, rng.randint(1, 3))
+                        stack.cluster.network.cut([one], some)
+                        await asyncio.sleep(rng.uniform(0.1, 4))
+                        stack.cluster.network.heal([one], some)
+                    case 1 if one not in ("a1", "b1"):
+                        await stack.cluster.crash_vm(one)
+                        await asyncio.sleep(rng.uniform(0.1, 2))
+                        await stack.start_vm(one)
+                    case _:
+                        stack.cluster.network.set_default(
+                            loss=rng.choice((0.0, 0.2)),
+                            jitter=rng.choice((0.0005, 0.3)),
+                        )
+
+            self.answered += await run_history(
+                self,
+                stack,
+                service,
+                rng=rng,
+                vms=VMS,
+                disturb=disturb,
+                label=seed,
             )
-            for key, verdicts in verdicts_by_key.items():
-                runs = service.runs_by_key[key]
-                self.assertLessEqual(runs, 1, (seed, key, verdicts))
-                if set(verdicts) == {"not run"}:
-                    self.assertEqual(0, runs, (seed, key, verdicts))
-                if "answered" in verdicts:
-                    self.assertEqual(1, runs, (seed, key, verdicts))
 
         run_with_service(scenario, seed=seed)
 
--- a/tests/claims/test_disks.py
+++ b/tests/claims/test_disks.py
@@ -18,6 +18,7 @@
 from burdockdrum.testing import FakeDisk
 from burdockdrum.testing import run_virtual
 from burdockdrum.testing import VirtualClock
+from tests.claims.histories import run_history
 from tests.claims.test_keeper import end_run
 from tests.claims.test_keeper import form_epoch
 from tests.claims.test_keeper import make_record
@@ -29,6 +30,7 @@
 
 REPLICAS = ("a2", "a3", "a4")
 VMS = ("a1", *REPLICAS, "b1")
+SEEDS = range(4)
 
 
 class RefusingDisk(FakeDisk):
@@ -183,6 +185,42 @@
         )
         return msgspec.structs.replace(settings, control=control)
 
+    async def restart(self, vms, *, rng, power_loss=None):
+        """End some VMs and start them again.
+
+        :param power_loss: whether their disks lose what was not synced; at
+            random if None
+        """
+        if power_loss is None:
+            power_loss = rng.random() < 0.5
+        for vm in vms:
+            await self.cluster.crash_vm(vm)
+            if power_loss:
+                self.disk(vm).lose_power()
+        await asyncio.sleep(rng.uniform(0.1, 1))
+        for vm in vms:
+            await self.start_vm(vm)
+
+    async def end_faults(self):
+        """Let all disks, links and VMs work."""
+        for vm in REPLICAS:
+            disk = self.disk(vm)
+            disk.full = disk.fail_syncs = False
+            disk.sync_seconds = 0.0
+            self.cluster.network.heal([vm], ["a1"])
+        # A process whose disk refuses at its start may be about to end.
+        await asyncio.sleep(1)
+        await self.start_ended()
+
+    async def start_ended(self):
+        """Start VMs whose process has ended, as a supervisor would."""
+        for vm in REPLICAS:
+            running = self.cluster.vms_by_id.get(vm)
+            if running is not None and running.task.done():
+                await self.cluster.crash_vm(vm)
+            if vm not in self.cluster.vms_by_id:
+                await self.start_vm(vm)
+
     def disk(self, vm):
         """Return the disk of a VM."""
         return self.cluster.disks_by_vm_id[vm]
@@ -305,5 +343,63 @@
         run_with_service(scenario)
 
 
+class HistoryTest(unittest.TestCase):
+    """Random histories in which disks misbehave and processes end, by seed."""
+
+    def check(self, seed):
+        async def scenario(stack, service):
+            rng = random.Random(seed)
+
+            async def disturb():
+                """Disturb one replica; faults of disks last on."""
+                vm = rng.choice(REPLICAS)
+                disk = stack.disk(vm)
+                match rng.randrange(7):
+                    case 0 | 1:
+                        disk.full = rng.random() < 0.5
+                    case 2 | 3:
+                        disk.fail_syncs = rng.random() < 0.5
+                    case 4:
+                        disk.sync_seconds = rng.choice((0.0, 0.3, 3.0))
+                    case 5:
+                        stack.cluster.network.cut([vm], ["a1"])
+                        await asyncio.sleep(rng.uniform(0.1, 2))
+                        stack.cluster.network.heal([vm], ["a1"])
+                    case 6:
+                        await stack.restart([vm], rng=rng)
+                await stack.start_ended()
+
+            for turn in range(3):
+                self.answered += await run_history(
+                    self,
+                    stack,
+                    service,
+                    rng=rng,
+                    vms=VMS,
+                    disturb=disturb,
+                    label=(seed, turn),
+                )
+                if turn == 1:
+                    await stack.restart(REPLICAS, rng=rng, power_loss=True)
+                await stack.end_faults()
+                await asyncio.sleep(20)
+                for vm in VMS:
+                    fresh = await stack.book(vm, f"after-{turn}-{vm}")
+                    self.assertEqual(200, fresh.status, (seed, fresh.body))
+                for key in list(service.runs_by_key):
+                    await stack.book(rng.choice(VMS), key)
+                self.assertEqual({1}, set(service.runs_by_key.values()), seed)
+
+        run_with_service(scenario, seed=seed)
+
+    def test_histories_with_failing_disks_run_each_key_at_most_once(self):
+        # And once all disks accept writes, claims are granted again.
+        self.answered = 0
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.check(seed)
+        self.assertLess(36 * len(SEEDS), self.answered)
+
+
 if __name__ == "__main__":
     unittest.main()
