Soak control VMs whose disks refuse writes

What callers saw: after the disks of two control VMs had refused writes one after the other, no change was confirmed and no read answered. No soak had a disk that refuses, so none could show it.

The output of these processes goes through a pipe, as a file would count against the limit. Logs are copied by the deployment now.

--- a/scripts/local_deployment.py
+++ b/scripts/local_deployment.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import sys
@@ -50,6 +51,9 @@
         self.settings = self.folder / "node.toml"
         self.is_first_start = True
         self.is_stopping = False
+        # Its output then doesn't count against limits on the size of files.
+        self.pipes_output = False
+        self._copying: asyncio.Task[None] | None = None
 
     def write_settings(self, **changes: Any) -> None:
         """Write the settings file in the format of the platform."""
@@ -94,14 +98,24 @@
         self.write_settings()
         self.is_first_start = False
         log = (self.folder / "output").open("ab")
+        output = asyncio.subprocess.PIPE if self.pipes_output else log
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             str(VM_PROGRAM),
             env={**os.environ, "BURDOCKDRUM_BOOT": str(self.settings)},
-            stdout=log,
-            stderr=log,
+            stdout=output,
+            stderr=asyncio.subprocess.STDOUT,
         )
         log.close()
+        if self.process.stdout is not None:
+            self._copying = asyncio.create_task(
+                self._copy_output(self.process.stdout)
+            )
+
+    async def _copy_output(self, reader: asyncio.StreamReader) -> None:
+        while data := await reader.read(65536):
+            with (self.folder / "output").open("ab") as log:
+                log.write(data)
 
     def send_signal(self, number: int) -> None:
         """Send a signal to the process."""
@@ -123,6 +137,9 @@
             return None
         async with asyncio.timeout(STOP_TIMEOUT_SECONDS):
             code = await self.process.wait()
+        if self._copying is not None:
+            await self._copying
+            self._copying = None
         self.process = None
         self.is_stopping = False
         return code
@@ -210,6 +227,14 @@
         self._reservation.close()
         self._temporary_folder.cleanup()
 
+    def copy_logs(self, folder: pathlib.Path) -> None:
+        """Copy the log of each process into a folder."""
+        folder.mkdir(parents=True, exist_ok=True)
+        for machine in self.machines:
+            source = machine.folder / "output"
+            if source.exists():
+                shutil.copyfile(source, folder / f"{machine.name}.log")
+
     async def until_ready(
         self, machines: list[Machine] | None = None, seconds: float = 15
     ) -> None:
@@ -248,10 +273,15 @@
     path: str,
     body: bytes = b"",
     headers: Iterable[str] = (),
+    *,
+    seconds: float = 3.0,
 ) -> tuple[int, bytes]:
-    """Send a request on a new connection; status 0 if it fails."""
+    """Send a request on a new connection; status 0 if it fails.
+
+    :param seconds: how long to wait for the whole response
+    """
     try:
-        async with asyncio.timeout(3):
+        async with asyncio.timeout(seconds):
             reader, writer = await asyncio.open_connection(ip, port)
             lines = [
                 f"{method} {path} HTTP/1.1",
--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -3,7 +3,7 @@
 Usage:
   soak [--seed N] [--seeds N] [--seconds S] [--keep FOLDER]
        [--limits | --signals | --retries | --crashes | --cuts | --versions |
-       --regions | --evacuations | --brittle | --parts | --silent]
+       --regions | --evacuations | --brittle | --parts | --silent | --disks]
        [--entries N] [--rate R]
 
 Options:
@@ -20,10 +20,11 @@
   --brittle      Endpoints crash if they reject much; only that is checked.
   --parts        A prompt part crashes endpoints; only that is checked.
   --silent       Endpoints fall silent and go on; only answers are checked.
+  --disks        Disks of control VMs refuse writes; the rest is sound.
   --versions     Endpoints have several versions; only streams are checked.
   --regions      Regions with versions of their own are lost; as --versions.
   --evacuations  Zones are evacuated and taken back; only that is checked.
-  --entries N    With these nine: the entries of each region [default: 2].
+  --entries N    With these ten: the entries of each region [default: 2].
   --rate R       With --retries: requests per second; at random by default.
 
 Three control VMs and three entries run as processes on loopback addresses.
@@ -51,6 +52,7 @@
 from scripts.soak.cuts import CutSoak
 from scripts.soak.evacuations import EvacuationSoak
 from scripts.soak.parts import PartSoak
+from scripts.soak.refusing_disks import DiskSoak
 from scripts.soak.regional_versions import RegionalVersionSoak
 from scripts.soak.related_logs import list_related
 from scripts.soak.retries import RetrySoak
@@ -77,6 +79,8 @@
         soak = SilenceSoak(seed, entries=entries)
     elif arguments["--cuts"]:
         soak = CutSoak(seed, entries=entries)
+    elif arguments["--disks"]:
+        soak = DiskSoak(seed, entries=entries)
     elif arguments["--evacuations"]:
         soak = EvacuationSoak(seed, entries=entries)
     elif arguments["--regions"]:
--- a/scripts/soak/retries.py
+++ b/scripts/soak/retries.py
@@ -14,7 +14,6 @@
 import json
 import pathlib
 import random
-import shutil
 import signal
 import time
 from typing import Any
@@ -392,7 +391,7 @@
                 await (faults(soak) if faults else soak.inject_faults())
         await soak.settle()
         if logs is not None:
-            _copy_logs(soak, logs)
+            soak.deployment.copy_logs(logs)
     finally:
         for task in tasks:
             task.cancel()
@@ -411,11 +410,3 @@
         faults=soak.faults,
         summary=soak.summarize(),
     )
-
-
-def _copy_logs(soak: RetrySoak, folder: pathlib.Path) -> None:
-    folder.mkdir(parents=True, exist_ok=True)
-    for machine in soak.deployment.machines:
-        source = machine.folder / "output"
-        if source.exists():
-            shutil.copyfile(source, folder / f"{machine.name}.log")
--- a/scripts/soak/run.py
+++ b/scripts/soak/run.py
@@ -506,7 +506,7 @@
         soak_run.invariants.check_retries(soak_run.endpoints, SERVICE)
         registering.cancel()
         if logs is not None:
-            _copy_logs(soak_run, logs)
+            soak_run.deployment.copy_logs(logs)
     finally:
         await soak_run.close()
     return Result(
@@ -515,11 +515,3 @@
         counts_by_status=soak_run.invariants.counts_by_status,
         faults=soak_run.faults,
     )
-
-
-def _copy_logs(soak_run: SoakRun, folder: pathlib.Path) -> None:
-    folder.mkdir(parents=True, exist_ok=True)
-    for machine in soak_run.deployment.machines:
-        source = machine.folder / "output"
-        if source.exists():
-            shutil.copyfile(source, folder / f"{machine.name}.log")
