Keep log lines while a full disk refuses them, and count the lost ones

Operators lost the lines of the very seconds in which a disk was full.

Cause: the writer of the log took every error but a full pipe for a reader that is gone, and emptied its buffer of 256 KiB into it at each flush. It counted a batch as one lost line, and its report of lost lines was written while they still were.

What a full disk refuses stays in the buffer, also the rest of a line that was written in part; the newest lines are dropped once it is full. All lost lines are counted (burdockdrum_dropped_log_lines), and reported in one line when the log can be written again. The test with real processes reads what was logged while the disk was full.

--- a/burdockdrum/gateway/process.py
+++ b/burdockdrum/gateway/process.py
@@ -13,6 +13,7 @@
 from burdockdrum.logs import log_decision
 from burdockdrum.logs import set_up_structured_log
 from burdockdrum.logs import StructuredLog
+from burdockdrum.metrics import Metrics
 from burdockdrum.peers import StartNumber
 from burdockdrum.peers import VmIdentity
 from burdockdrum.settings import Settings
@@ -66,6 +67,11 @@
     async def _serve(self, log: StructuredLog) -> None:
         kernel = await self._assemble()
         log.read_stamp = kernel.find("timeline", Timeline).clock.tick
+        kernel.find("metrics", Metrics).gauge(
+            "burdockdrum_dropped_log_lines",
+            "Log lines of this process that could not be written.",
+            lambda: log.dropped,
+        )
         drain = kernel.find("drain", Drain)
         loop = asyncio.get_running_loop()
         for signal_number in _STOP_SIGNALS:
--- a/burdockdrum/logs/setup.py
+++ b/burdockdrum/logs/setup.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import sys
 from typing import Any
 
@@ -46,13 +47,21 @@
             line["trace"] = str(message)
         self._writer.add(self._encoder.encode(line) + b"\n")
 
+    @property
+    def dropped(self) -> int:
+        """Return how many lines were dropped since the start."""
+        return self._writer.dropped
+
     def flush(self) -> None:
-        """Write the buffered lines and log how many were dropped."""
-        dropped = self._writer.dropped
-        if dropped != self._reported_dropped:
-            newly_dropped = dropped - self._reported_dropped
-            self._reported_dropped = dropped
-            logger.bind(count=newly_dropped).warning("log.lines_dropped")
+        """Write the buffered lines.
+
+        Once all of them are written, one line says how many were dropped.
+        """
+        if not self._writer.flush() or self.dropped == self._reported_dropped:
+            return
+        newly_dropped = self.dropped - self._reported_dropped
+        self._reported_dropped = self.dropped
+        logger.bind(count=newly_dropped).warning("log.lines_dropped")
         self._writer.flush()
 
     async def run(self) -> None:
@@ -67,7 +76,8 @@
 
 def set_up_structured_log(settings: LogSettings, vm_id: str) -> StructuredLog:
     """Log to standard output; the caller has to run the returned sink."""
-    sys.stdout.flush()
+    with contextlib.suppress(OSError):
+        sys.stdout.flush()
     structured_log = StructuredLog(
         writer=BoundedWriter(descriptor=sys.stdout.fileno())
     )
--- a/burdockdrum/logs/writer.py
+++ b/burdockdrum/logs/writer.py
@@ -1,8 +1,8 @@
-"""Write lines to a pipe without blocking.
+"""Write lines to a pipe or a file without blocking.
 
-A plain write would block the process if the pipe is full because its reader
-is slow. Here lines are buffered up to a limit; further lines are dropped and
-counted.
+A plain write would block the process if a pipe is full because its reader is
+slow, and fail if a file is on a full disk. Here lines are buffered up to a
+limit; further lines are dropped and counted.
 """
 
 import collections
@@ -22,6 +22,8 @@
         self._descriptor = descriptor
         self._lines: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
+        # Whether the last write did not find the reader of a pipe gone.
+        self._has_reader = True
         os.set_blocking(descriptor, False)
 
     def add(self, line: bytes) -> None:
@@ -32,21 +34,29 @@
         self._lines.append(line)
         self._buffered_bytes += len(line)
 
-    def flush(self) -> None:
-        """Write as much as is possible without blocking."""
+    def flush(self) -> bool:
+        """Write as much as is possible without blocking.
+
+        What a full disk refuses stays in the buffer.
+
+        :returns: whether all was written
+        """
         while self._lines:
             batch = self._next_batch()
             try:
                 written = os.write(self._descriptor, batch)
-            except BlockingIOError:
-                written = 0
-            except OSError:
+            except BrokenPipeError:
                 # The reader is gone, so there is nowhere to report it.
-                self.dropped += 1
+                self.dropped += batch.count(b"\n")
+                self._has_reader = False
                 continue
+            except OSError:
+                written = 0
             if written < len(batch):
                 self._requeue(batch[written:])
-                return
+                return False
+            self._has_reader = True
+        return self._has_reader
 
     def _next_batch(self) -> bytes:
         lines = []
--- a/tests/platform/test_full_disks.py
+++ b/tests/platform/test_full_disks.py
@@ -80,6 +80,9 @@
         name = "burdockdrum_log_disk_refuses"
         return await self.read_metric(machine, name) == 1
 
+    async def has_logged(self, machine, event):
+        return event in machine.events()
+
     async def test_control_vm_that_starts_on_a_full_disk_serves(self):
         # Guards against a process that ends at each start on a full disk,
         # or with a log that can't be written.
@@ -109,4 +112,6 @@
         self.assertIsNone(machine.process.returncode)
         set_full(machine, is_full=False)
         await until(lambda: self.is_read(machine))
-        self.assertIn("log.lines_dropped", machine.events())
+        # What was logged while the disk was full is written later.
+        event = "log.opened" if is_empty else "log.disk_accepts"
+        await until(lambda: self.has_logged(machine, event))
