Let members of random histories start on disks that refuse

A start of the histories first mended the disk, since a start on a failing one ended the member. It doesn't any more, so that a member that was killed while its disk refuses starts on that disk, and one with an empty folder founds nothing until it can write.

--- a/tests/consensus/histories.py
+++ b/tests/consensus/histories.py
@@ -253,8 +253,6 @@
     async def _start_all(self) -> None:
         for vm in self.cluster.vms.values():
             if vm.task is None:
-                vm.disk.fail_syncs = False
-                vm.disk.full = False
                 await self.cluster.start(vm.vm_id)
 
     async def _replace(self, vm_id: str) -> None:
@@ -266,9 +264,6 @@
         vm = cluster.vms[vm_id]
         await cluster.stop(vm_id)
         vm.disk.wipe()
-        vm.disk.fail_syncs = False
-        vm.disk.full = False
-        vm.disk.sync_seconds = 0.0
         if vm.task is None:
             await cluster.start(vm_id)
         while not await self._try_to_add(vm_id):
