Remove no voter that a leader with a blocked disk can't replace

What callers would see: three voters and learners; the disk of the leader is full, and another voter's disk too, or it stops. The leader removes that voter, as two others are left. It can't commit the removal, since its own copy doesn't count; but a configuration counts once it is appended, so that the voter no longer counts when it is back, and changes end with "no quorum of the voters can write" until the disk of the leader is well.

Change: with a blocked disk the leader doesn't count itself among those that are left, and no configuration is appended while no quorum can write.

test_blocked_leader_removes_no_voter_that_it_can_not_replace failed before for both ways of losing the voter ("no quorum of the voters can write"). Found by reading the change again.

--- a/burdockdrum/consensus/leadership.py
+++ b/burdockdrum/consensus/leadership.py
@@ -160,7 +160,9 @@
         if replica.role is not Role.LEADER or replica.transferring:
             raise NotAccepted(f"{replica.vm_id} does not lead")
         if not self._may_change_members():
-            raise NotAccepted("an earlier change of members is not committed")
+            raise NotAccepted(
+                "an earlier change of members is not committed, or none can be"
+            )
         return replica.append(EntryKind.CONFIGURATION, configuration.encode())
 
     async def transfer_leadership(self) -> None:
@@ -356,6 +358,7 @@
             replica.history.latest_index <= replica.commit_index
             and self._first_index <= replica.commit_index
             and not replica.transferring
+            and self._can_commit()
         )
 
     def _is_self(self, member: Member) -> bool:
--- a/burdockdrum/consensus/voter_membership.py
+++ b/burdockdrum/consensus/voter_membership.py
@@ -52,16 +52,18 @@
         ]
 
     def can_remove(self, vm_id: str) -> bool:
-        """Return whether a quorum of the other voters is reachable.
+        """Return whether a quorum of the other voters can commit it.
 
-        Otherwise the removal could not be committed and would block every
-        other change of members.
+        Otherwise the removal would block every other change of members, and
+        the voter would not count when it returns.
         """
         replica = self._replica
         rest = replica.configuration.without(vm_id)
         unreachable_ids = self.unreachable_members(
             replica.settings.lease_seconds
         )
+        if replica.durability.blocked_because:
+            unreachable_ids.append(replica.vm_id)
         reachable = [v for v in rest.voters if v.vm_id not in unreachable_ids]
         return bool(rest.voters) and len(reachable) >= rest.quorum
 
--- a/tests/consensus/test_blocked_disks.py
+++ b/tests/consensus/test_blocked_disks.py
@@ -193,6 +193,39 @@
             with self.subTest(of_leader=of_leader):
                 run_virtual(main(of_leader))
 
+    def test_blocked_leader_removes_no_voter_that_it_can_not_replace(self):
+        # Guards against a removal that a leader appends and can't commit: the
+        # voter would not count when its disk is well again.
+        async def main(lose):
+            cluster = make_cluster()
+            leader = await start_six(cluster)
+            first = cluster.vm_of(leader)
+            second = next(
+                cluster.vms[v] for v in voters(leader) if v != first.vm_id
+            )
+            blocked = asyncio.create_task(block(first, "full", 60.0))
+            gone = asyncio.create_task(lose(cluster, second))
+            with self.assertRaises(OutcomeUnknown):
+                await leader.propose(b"x", timeout=2)
+            await gone
+            leader = await cluster.wait_for_leader()
+            await leader.propose(b"y", timeout=5)
+            blocked.cancel()
+            await cluster.stop_all()
+            self.assertEqual([], cluster.errors)
+
+        async def fill(cluster, vm):
+            await block(vm, "full", 8.0)
+
+        async def stop(cluster, vm):
+            await cluster.stop(vm.vm_id)
+            await asyncio.sleep(8.0)
+            await cluster.start(vm.vm_id)
+
+        for lose in (fill, stop):
+            with self.subTest(lose=lose.__name__):
+                run_virtual(main(lose))
+
     def test_random_histories_with_stalled_disks(self):
         # Guards against lost or stale answers when stalls, refusals, crashes
         # and losses of power come together.
