--- a/burdockdrum/claims/log.py
+++ b/burdockdrum/claims/log.py
@@ -288,5 +288,37 @@
             )
 
 
+class NoLog:
+    """The log of a replica without a disk, whose memory is all it has."""
+
+    refusal: str | None = None
+    position = 0
+
+    def __init__(self) -> None:
+        """Create a log that stores nothing."""
+        self.on_refused: Callable[[str], None] = _ignore
+
+    def is_durable(self, position: int) -> bool:
+        """Return True: nothing has to be durable."""
+        return True
+
+    async def load(self) -> LogContent:
+        """Return an empty log."""
+        return decode_entries(b"")
+
+    async def run(self, read_state: Callable[[], Iterable[Entry]]) -> None:
+        """Do nothing."""
+
+    def add(self, entry: Entry) -> int:
+        """Ignore an entry."""
+        return self.position
+
+    async def wait_until_durable(self, position: int) -> None:
+        """Return at once."""
+
+    def compact_if_large(self) -> None:
+        """Do nothing."""
+
+
 def _ignore(reason: str) -> None:
     """Ignore a refusal while no callback is set."""
--- a/burdockdrum/claims/replica.py
+++ b/burdockdrum/claims/replica.py
@@ -29,6 +29,7 @@
 from burdockdrum.claims.entries import Put
 from burdockdrum.claims.entries import Removed
 from burdockdrum.claims.log import ClaimLog
+from burdockdrum.claims.log import NoLog
 from burdockdrum.claims.messages import ClaimRecord
 from burdockdrum.claims.messages import ClaimState
 from burdockdrum.claims.messages import Epoch
@@ -81,26 +82,23 @@
         self._clock = clock
         self._timeline = timeline
         self._replica_ids = replica_ids
-        self._log = log
+        self._log = log if log is not None else NoLog()
+        self._log.on_refused = self._record_refusal
         self._formed_at = 0.0
         self._new_clients: set[str] = set()
         # The position in the log from which on the epoch is durable.
         self._epoch_position = 0
         self._conflicts = ConflictingClaims()
-        if log is not None:
-            log.on_refused = self._record_refusal
 
     @property
     def ready(self) -> bool:
         """Return whether every claim of the epoch is known here, durably."""
-        return self.is_complete and (
-            self._log is None or self._log.is_durable(self._epoch_position)
-        )
+        return self.is_complete and self._log.is_durable(self._epoch_position)
 
     @property
     def disk_refusal(self) -> str | None:
         """Return why the disk refuses writes, None if it accepts them."""
-        return self._log.refusal if self._log is not None else None
+        return self._log.refusal
 
     @property
     def can_store(self) -> bool:
@@ -112,9 +110,6 @@
 
         Whatever was read back is ready once it was written anew.
         """
-        if self._log is None:
-            self.loaded.set()
-            return
         content = await self._log.load()
         self._restore(content.entries)
         self._epoch_position = self._log.position
@@ -277,10 +272,10 @@
         self._new_clients = set(new_clients)
         for record in records:
             if self.merge(record):
-                self._add(Put(record=record))
+                self._log.add(Put(record=record))
         self._set_epoch(epoch, formed_at)
         for client_id in sorted(new_clients):
-            self._epoch_position = self._add(
+            self._epoch_position = self._log.add(
                 ClientCreated(client_id=client_id)
             )
         self._timeline.record("claims.keeper_ready", epoch=epoch.number)
@@ -308,7 +303,7 @@
         self.epoch = epoch
         self._formed_at = formed_at
         self.is_complete = True
-        self._epoch_position = self._add(
+        self._epoch_position = self._log.add(
             EpochEntered(epoch=epoch, formed_at=formed_at)
         )
 
@@ -319,15 +314,14 @@
         """
         if self.is_complete and client_id not in self._new_clients:
             self._new_clients.add(client_id)
-            self._add(ClientCreated(client_id=client_id))
+            self._log.add(ClientCreated(client_id=client_id))
 
     def clean_up(self) -> None:
         """Remove expired claims and compact the log if it has grown."""
         oldest = self._clock.wall() - RETENTION_SECONDS
         for claim_id in self.table.expire(oldest):
             self._conflicts.clear(claim_id)
-        if self._log is not None:
-            self._log.compact_if_large()
+        self._log.compact_if_large()
 
     def _is_provably_new(self, record: ClaimRecord) -> bool:
         if self._clock.wall() - self._formed_at > RETENTION_SECONDS:
@@ -351,15 +345,9 @@
 
     async def _store(self, entry: Entry) -> bool:
         """Add an entry to the log; return whether it is durable."""
-        return await self._wait_until_durable(self._add(entry))
-
-    def _add(self, entry: Entry) -> int:
-        """Queue an entry, which is written as soon as the disk accepts it."""
-        return self._log.add(entry) if self._log is not None else 0
+        return await self._wait_until_durable(self._log.add(entry))
 
     async def _wait_until_durable(self, position: int) -> bool:
-        if self._log is None:
-            return True
         try:
             await self._log.wait_until_durable(position)
         except DiskError:
