Don't vote from a claim log with an entry of an unknown type

What callers would see: a request that runs twice under one key, after a VM was set back to an earlier version.

Cause: a start ignored the entry, which another version wrote whole, and all after it, and the replica voted without them.

Change: such a log does not count as whole, also not at later starts; the replica recovers from the others, as after the loss of its disk.

Evidence: test_log_with_an_entry_of_another_version_does_not_count_as_whole, on the code before: AssertionError: NOT_READY != TAKEN.

Not covered: an entry whose content was damaged on the disk looks like an unfinished write.

--- a/burdockdrum/claims/replica.py
+++ b/burdockdrum/claims/replica.py
@@ -44,6 +44,7 @@
 from burdockdrum.claims.messages import VoteReply
 from burdockdrum.claims.table import ClaimTable
 from burdockdrum.claims.tickets import is_ticket_of
+from burdockdrum.logs import log_failure
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
 from burdockdrum.ports import DiskError
@@ -112,6 +113,9 @@
         """
         content = await self._log.load()
         self._restore(content.entries)
+        if not content.is_readable:
+            log_failure("claims.unreadable", bytes=content.torn_bytes)
+            self.is_complete = False
         self._epoch_position = self._log.position
         self.loaded.set()
         await self._log.run(self._entries)
--- a/tests/claims/test_keeper.py
+++ b/tests/claims/test_keeper.py
@@ -5,7 +5,10 @@
 import types
 import unittest
 
+import msgspec
+
 from burdockdrum.claims.coordinator import count_valid_votes
+from burdockdrum.claims.entries import encode_entry
 from burdockdrum.claims.log import ClaimLog
 from burdockdrum.claims.log import FILE
 from burdockdrum.claims.log import MAX_RETRY_SECONDS
@@ -240,6 +243,28 @@
 
         run_virtual(main())
 
+    def test_log_with_an_entry_of_another_version_does_not_count_as_whole(
+        self,
+    ):
+        # The entry, and what follows, may be votes that were sent.
+        class Unknown(msgspec.Struct, tag="unknown"):
+            pass
+
+        async def main():
+            disk = FakeDisk(rng=random.Random(1))
+            replica = await start(disk, form=True)
+            await vote(replica)
+            await stop(replica)
+            await disk.append(FILE, encode_entry(Unknown()))
+            for _ in range(2):
+                again = await start(disk)
+                for key in ("key", "other"):
+                    outcome = await vote(again, key=key, owner="req-2")
+                    self.assertEqual(VoteOutcome.NOT_READY, outcome)
+                await stop(again)
+
+        run_virtual(main())
+
     def test_replica_with_a_wiped_disk_does_not_vote(self):
         async def main():
             disk = FakeDisk(rng=random.Random(1))
