--- a/burdockdrum/consensus/applier.py
+++ b/burdockdrum/consensus/applier.py
@@ -67,6 +67,8 @@
             recovered="log.compacted",
             read_time=replica.clock.monotonic,
         )
+        self._install_pause = RETRY_SECONDS
+        self._next_install_at = -math.inf
         self.applied_index = 0
         self.changed = Signal()
         snapshot = replica.snapshots.latest
@@ -111,8 +113,22 @@
     async def install(self, snapshot: Snapshot) -> bool:
         """Install the leader's snapshot; it is synced on return.
 
-        :returns: False if the disk refuses it or stalls
+        :returns: False, after a moment, if the disk refuses it or stalls
         """
+        clock = self._replica.clock
+        if clock.monotonic() >= self._next_install_at:
+            if await self._try_install(snapshot):
+                self._install_pause = RETRY_SECONDS
+                return True
+            self._next_install_at = clock.monotonic() + self._install_pause
+            self._install_pause = min(
+                2 * self._install_pause, _MAX_RETRY_SECONDS
+            )
+        # Whoever sent it repeats it at once.
+        await clock.sleep(self._replica.settings.call_timeout_seconds / 2)
+        return False
+
+    async def _try_install(self, snapshot: Snapshot) -> bool:
         async with self._snapshot_lock:
             latest = self._replica.snapshots.latest
             is_newer = latest is None or latest.index < snapshot.index
--- a/burdockdrum/consensus/follower.py
+++ b/burdockdrum/consensus/follower.py
@@ -208,6 +208,7 @@
         :returns: whether the whole snapshot is synced
         """
         if message.index <= self._replica.commit_index:
+            self._partial = None
             return (
                 await self._sync_for_reply()
                 and self._replica.storage.durable_index >= message.index
@@ -219,11 +220,11 @@
             partial.data.extend(message.data)
         if len(partial.data) < message.size:
             return False
-        self._partial = None
         data = bytes(partial.data)
         if digest_of(data) != message.digest:
+            self._partial = None
             return False
-        return await self._applier.install(
+        is_installed = await self._applier.install(
             Snapshot.of(
                 index=message.index,
                 term=message.index_term,
@@ -231,6 +232,10 @@
                 data=data,
             )
         )
+        # While the disk refuses it, the leader need not send it again.
+        if is_installed and self._partial is partial:
+            self._partial = None
+        return is_installed
 
     def _snapshot_reply(self, next_offset: int, *, done: bool) -> Message:
         return SnapshotReply(
--- a/tests/consensus/test_disk_room.py
+++ b/tests/consensus/test_disk_room.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import unittest
+from unittest import mock
+from unittest.mock import ANY
 
 from loguru import logger
 
@@ -101,6 +103,33 @@
 
         self.play(use)
 
+    def test_snapshot_of_the_leader_is_installed_once_there_is_room(self):
+        # Guards against a member that is behind for good after one refusal,
+        # and against one that is sent the snapshot all the time.
+        async def use(cluster):
+            leader = await cluster.wait_for_leader()
+            vm = next(v for v in cluster.vms.values() if v.log is not leader)
+            cluster.cut_off(vm.vm_id)
+            await self.propose(cluster, 100, 500)
+            vm.disk.capacity = vm.disk.used + 5_000
+            cluster.heal()
+            with (
+                mock.patch("burdockdrum.logs.outages.log_failure") as failed,
+                mock.patch.object(
+                    vm.disk, "write", wraps=vm.disk.write
+                ) as written,
+            ):
+                await asyncio.sleep(10.0)
+            self.assertLess(written.call_count, 10)
+            failed.assert_called_once_with("snapshot.not_saved", reason=ANY)
+            self.assertFalse(vm.timeline.events(prefix="snapshot.installed"))
+            self.assertLess(vm.disk.used, vm.disk.capacity)
+            vm.disk.capacity = 100_000
+            await cluster.wait_until_applied()
+            self.assertTrue(vm.timeline.events(prefix="snapshot.installed"))
+
+        self.play(use)
+
     async def count_snapshots(self, vm):
         names = await vm.disk.list()
         return sum(name.startswith("snapshot-") for name in names)
