Give a candidate no vote of its own while a leader's lease may need it

Callers could read a configuration that is not the newest: two control VMs claimed to lead at once, each with a valid lease.

Cause: a member that heard a leader votes for nobody for an election timeout, nor after a restart, as the leader's lease counts on it. Its own vote as a candidate was not asked for that: one whose attempt failed, as it heard the leader meanwhile, tries again after a tenth to a half of the timeout, and one that has restarted after a tenth to four tenths. With a third member that doesn't hear the leader it won.

The own vote counts as any other does: not while it must be withheld, but for a transfer of leadership, for the only voter, and if all other voters have replied that they don't lead, as after a restart of all.

--- a/burdockdrum/consensus/election.py
+++ b/burdockdrum/consensus/election.py
@@ -146,7 +146,7 @@
     async def _collect_pre_votes(self, term: int) -> dict[str, int] | None:
         quorum = self._replica.configuration.quorum
         others = self._other_voters()
-        granted = 1
+        granted = self._own_votes
         outcomes_by_id = {m.vm_id: "no reply" for m in others}
         starts_by_id: dict[str, int] = {}
         non_leaders = set()
@@ -179,7 +179,8 @@
         self, term: int, transfer: bool, waived_starts_by_id: dict[str, int]
     ) -> bool:
         quorum = self._replica.configuration.quorum
-        votes = 1
+        is_waived = transfer or bool(waived_starts_by_id)
+        votes = 1 if is_waived else self._own_votes
         outcomes_by_id = {m.vm_id: "no reply" for m in self._other_voters()}
         async with _ConcurrentRequests(
             {
@@ -216,6 +217,17 @@
             ),
         )
 
+    @property
+    def _own_votes(self) -> int:
+        """Return 1 if this member may vote for itself, else 0.
+
+        A leader's lease may depend on it, as on any voter: it may have heard
+        the leader during its last attempt, or just before a restart.
+        """
+        replica = self._replica
+        is_only_voter = not self._other_voters()
+        return int(is_only_voter or not replica.must_withhold_vote)
+
     def _other_voters(self) -> list[Member]:
         replica = self._replica
         voters = replica.configuration.voters
