Random histories of disks that misbehave in series, over kills and starts

The histories had failed syncs, full and slow disks, but each start mended the disk, most power losses came without a failed sync before, and a member that halted was started again instead of reported. So they passed on code whose starts trust what a failed sync dropped.

DISK_FAULTS adds unreadable disks, folders that can't be changed, stalls of up to 8 s, kills and power losses whose starts meet the same disk, and kills of most members before they repeat what a sync has dropped. Replica records log.disk_refuses for a start on a disk that refuses.

The simulated disk has a capacity in bytes, and syncs of its folder that fail alone.

--- a/burdockdrum/testing/disk.py
+++ b/burdockdrum/testing/disk.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass
+import math
 import random
 
 from burdockdrum.ports import DiskError
@@ -46,11 +47,11 @@
 class FakeDisk:
     """Files with separate visible and durable contents.
 
-    ``fail_syncs``, ``fail_reads``, ``fail_changes`` (of the folder, and
-    truncations), ``full`` and ``sync_seconds`` simulate a disk that fails, is
-    full or slow. What a failed sync did not write is lost at the next power
-    loss, although the next sync succeeds; this holds for files and for the
-    names in the folder.
+    ``fail_syncs``, ``fail_folder_syncs``, ``fail_reads``, ``fail_changes`` (of
+    the folder, and truncations), ``full``, ``capacity`` in bytes and
+    ``sync_seconds`` simulate a disk that fails, is full or slow. What a
+    failed sync did not write is lost at the next power loss, although the
+    next sync succeeds; this holds for files and for the names in the folder.
     """
 
     def __init__(self, *, rng: random.Random) -> None:
@@ -62,12 +63,19 @@
         # where there is none any more.
         self._pending: list[dict[str, _File | None]] = []
         self.fail_syncs = False
+        self.fail_folder_syncs = False
         self.fail_reads = False
         self.fail_changes = False
         self.full = False
+        self.capacity: float = math.inf
         self.sync_seconds = 0.0
         self.syncs = 0
 
+    @property
+    def used(self) -> int:
+        """Return the size of all files in bytes."""
+        return sum(len(file.seen) for file in self._seen.values())
+
     def lose_power(self) -> None:
         """Keep synced contents and a random part of what wasn't synced.
 
@@ -87,10 +95,10 @@
         self._seen = dict(self._durable)
 
     def mend(self) -> None:
-        """End all faults."""
-        self.fail_syncs = self.fail_reads = self.fail_changes = False
+        """End all faults; a slow disk stays slow."""
+        self.fail_syncs = self.fail_folder_syncs = False
+        self.fail_reads = self.fail_changes = False
         self.full = False
-        self.sync_seconds = 0.0
 
     def wipe(self) -> None:
         """Remove every file, as when the disk is replaced."""
@@ -125,10 +133,12 @@
         if name not in self._seen:
             self._seen[name] = _File()
             self._pending.append({name: self._seen[name]})
+        room = max(0.0, self.capacity - self.used)
         if self.full:
-            content = content[: self._rng.randrange(len(content) + 1)]
-        self._seen[name].seen += content
-        if self.full:
+            room = self._rng.randrange(len(content) + 1)
+        taken = content[: int(min(room, len(content)))]
+        self._seen[name].seen += taken
+        if self.full or len(taken) < len(content):
             raise DiskError("no space left on device")
 
     async def truncate(self, name: str, size: int) -> None:
@@ -162,6 +172,7 @@
     async def sync_folder(self) -> None:
         """Make creations, renames and removals durable."""
         try:
+            _raise_if(self.fail_folder_syncs)
             await self._sync()
         except DiskError:
             self._pending = []
--- a/tests/consensus/histories.py
+++ b/tests/consensus/histories.py
@@ -39,6 +39,26 @@
     "bad_links",
     "good_links",
 )
+# Disks that misbehave in series and over several members, also while their
+# processes are killed and started.
+DISK_FAULTS = (
+    *FAULTS,
+    "unreadable_disk",
+    "stuck_folder",
+    "stalled_disk",
+    "failing_disk",
+    "full_disk",
+    "working_disk",
+    "working_disk",
+    "kill",
+    "kill",
+    "power_cycle",
+    "power_cycle_everywhere",
+    "power_cycle_everywhere",
+    "kill_after_failed_syncs",
+    "kill_after_failed_syncs",
+    "kill_after_failed_syncs",
+)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -216,15 +236,30 @@
             case "slow_disk":
                 vm.disk.sync_seconds = self._rng.uniform(0, 0.3)
             case "stalled_disk":
-                vm.disk.sync_seconds = self._rng.uniform(1.0, 4.0)
+                vm.disk.sync_seconds = self._rng.uniform(1.0, 8.0)
             case "failing_disk":
                 vm.disk.fail_syncs = True
             case "full_disk":
                 vm.disk.full = True
+            case "unreadable_disk":
+                vm.disk.fail_reads = True
+            case "stuck_folder":
+                vm.disk.fail_changes = True
             case "working_disk":
-                vm.disk.fail_syncs = vm.disk.full = False
+                vm.disk.mend()
                 if vm.disk.sync_seconds >= 1.0:
                     vm.disk.sync_seconds = 0.0
+            case "kill":
+                await cluster.stop(vm_id)
+                await cluster.start(vm_id)
+            case "power_cycle":
+                await cluster.stop(vm_id, power_loss=True)
+                await cluster.start(vm_id)
+            case "power_cycle_everywhere":
+                await cluster.stop_all(power_loss=True)
+                await cluster.start_all()
+            case "kill_after_failed_syncs":
+                await self._kill_after_failed_syncs()
             case "transfer_leadership":
                 if vm.task:
                     self._spawn(vm.running.transfer_leadership())
@@ -255,6 +290,21 @@
             if vm.task is None:
                 await self.cluster.start(vm.vm_id)
 
+    async def _kill_after_failed_syncs(self) -> None:
+        """Kill most members before they repeat what a sync has dropped.
+
+        Their disks accept writes when they start again.
+        """
+        names = sorted(self.cluster.vms)
+        chosen = self._rng.sample(names, len(names) // 2 + 1)
+        for vm_id in chosen:
+            self.cluster.vms[vm_id].disk.fail_syncs = True
+        await asyncio.sleep(self._rng.uniform(0.05, 0.4))
+        for vm_id in chosen:
+            await self.cluster.stop(vm_id)
+            self.cluster.vms[vm_id].disk.mend()
+            await self.cluster.start(vm_id)
+
     async def _replace(self, vm_id: str) -> None:
         """Wipe one VM's disk, remove the old member and add the new one.
 
@@ -297,9 +347,8 @@
         cluster.heal()
         self._set_links(bad=False)
         for vm in cluster.vms.values():
+            vm.disk.mend()
             vm.disk.sync_seconds = 0.0
-            vm.disk.fail_syncs = False
-            vm.disk.full = False
             if vm.task and vm.running.role is Role.HALTED:
                 raise Violation(f"{vm.vm_id}: {vm.running.halt_reason}")
         await self._start_all()
--- a/tests/consensus/storage_lives.py
+++ b/tests/consensus/storage_lives.py
@@ -20,7 +20,13 @@
 from burdockdrum.testing import VirtualClock
 from tests.consensus.checker import Violation
 
-FAULTS = ("fail_syncs", "full", "fail_reads", "fail_changes")
+FAULTS = (
+    "fail_syncs",
+    "fail_folder_syncs",
+    "fail_reads",
+    "fail_changes",
+    "full",
+)
 CONFIGURATION = Configuration(cluster_id="x", members=())
 
 
@@ -75,7 +81,7 @@
         for _ in range(lives):
             disk = CrashingDisk(
                 disk=self._disk,
-                changes=self._rng.randrange(60),
+                changes=self._rng.randrange(120),
                 before_change=self._change_faults,
             )
             with contextlib.suppress(Crash, DiskError):
@@ -86,7 +92,7 @@
         await self._open(self._disk)
 
     def _change_faults(self):
-        if self._rng.random() < 0.15:
+        if self._rng.random() < 0.08:
             self._disk.mend()
             fault = self._rng.choice((None, None, *FAULTS))
             if fault:
--- a/tests/consensus/test_disks.py
+++ b/tests/consensus/test_disks.py
@@ -38,6 +38,9 @@
             log = await cluster.start(first.vm_id)
             await asyncio.sleep(1.0)
             self.assertIsNotNone(log.disk_refusal)
+            events = first.timeline.events(prefix="log.disk_refuses")
+            self.assertEqual(1, len(events))
+            await log.propose(b"passed on", timeout=1)
             await cluster.stop(second.vm_id)
             with self.assertRaises((OutcomeUnknown, NotAccepted)):
                 await leader.propose(b"y", timeout=2)
--- a/tests/consensus/test_histories.py
+++ b/tests/consensus/test_histories.py
@@ -23,12 +23,14 @@
 from tests.consensus.cluster import Cluster
 from tests.consensus.cluster import with_cluster
 from tests.consensus.histories import CheckedMachine
+from tests.consensus.histories import DISK_FAULTS
 from tests.consensus.histories import FAULTS
 from tests.consensus.histories import Plan
 from tests.consensus.histories import run_history
 
 SEEDS_OF_THREE = range(160)
 SEEDS_OF_FIVE = range(1000, 1040)
+SEEDS_OF_DISKS = range(2060, 2130)
 
 
 async def write(history, log, command):
@@ -63,6 +65,13 @@
             with self.subTest(seed=seed):
                 run_history(Plan(seed=seed, size=5, seconds=6.0))
 
+    def test_disks_that_misbehave_in_series(self):
+        # Guards against a start that trusts what a former process could not
+        # sync, and members that disks take out of the quorum one by one.
+        for seed in SEEDS_OF_DISKS:
+            with self.subTest(seed=seed):
+                run_history(Plan(seed=seed, seconds=6.0, faults=DISK_FAULTS))
+
     def test_regression_seeds(self):
         # 1175: a restarted member knew only members that had been replaced,
         # and waited for their replies forever.
--- a/tests/testing/test_disk.py
+++ b/tests/testing/test_disk.py
@@ -104,6 +104,7 @@
             for fault, operation in (
                 ("fail_syncs", lambda: disk.sync("a")),
                 ("fail_syncs", disk.sync_folder),
+                ("fail_folder_syncs", disk.sync_folder),
                 ("fail_reads", lambda: disk.read("a")),
                 ("fail_reads", disk.list),
                 ("fail_changes", lambda: disk.rename("a", "b")),
@@ -115,5 +116,9 @@
                     await operation()
                 disk.mend()
             self.assertIn(len(await disk.read("a")), range(2, 101))
+            disk.capacity = disk.used + 3
+            with self.assertRaises(DiskError):
+                await disk.append("a", b"long")
+            self.assertEqual(disk.capacity, disk.used)
 
         run_virtual(main())
