Open the log of a start before its first syncs have ended

What callers see: a control VM that starts on a disk that stalls refuses changes and reads ("the log is not open yet") until several syncs have ended, though it could pass them on to the leader at once.

Cause: the folder was opened only once what was read back had been synced, which is needed for what the member acknowledges, not for what it reads.

Change: Storage.open only reads. The writer first writes anew what was read; sync, which every vote and acknowledgement waits for, waits for that too, and nothing is durable before.

compact now removes covered segments that are left from a removal that failed, also if there is nothing more to remove from memory.

Evidence: test_start_on_a_disk_that_stalls_passes_changes_on failed before ("NotAccepted: the log is not open yet", on as well).

--- a/burdockdrum/consensus/storage.py
+++ b/burdockdrum/consensus/storage.py
@@ -160,15 +160,14 @@
         self,
         snapshot: Snapshot | None,
         *,
-        rewrites: Sequence[Callable[[], Awaitable[None]]] = (),
+        rewrites: Sequence[Callable[[], Awaitable[None]]],
     ) -> None:
-        """Read the segments back and write the last one anew.
+        """Read the segments back.
 
-        While the disk refuses that, nothing counts as durable; ``run``
-        repeats it.
+        Nothing counts as durable until ``run`` has written anew what was
+        read: the last segment, and what ``rewrites`` write.
 
-        :param rewrites: write anew what else was read; until each of them
-            has ended without an error, nothing counts as durable
+        :param rewrites: write anew what else was read
         :raises DiskError: if the segments can't be read
         :raises CorruptLog: if synced data is missing or damaged
         """
@@ -180,23 +179,20 @@
         elif self.base_index > 0:
             raise CorruptLog("entries were compacted but no snapshot is left")
         self._rewrites = [*rewrites, self._write_read_back]
-        try:
-            await self._write_anew()
-        except DiskError as error:
-            self._record_refusal(str(error))
-            self._queued.set()
-        else:
-            self.durable_index = self.last_index
+        self._queued.set()
 
     async def compact(self, index: int) -> None:
-        """Remove entries up to an index that a synced snapshot covers."""
+        """Remove entries up to an index that a synced snapshot covers.
+
+        :raises DiskError: if a segment can't be removed; the next call
+            repeats it
+        """
         term = self.term_at(index)
-        if term is None:
-            return
-        del self.entries[: index - self.base_index]
-        self.base_index = index
-        self.base_term = term
-        await self._files.remove_covered(index)
+        if term is not None:
+            del self.entries[: index - self.base_index]
+            self.base_index = index
+            self.base_term = term
+        await self._files.remove_covered(self.base_index)
 
     def _enqueue(self, record: Record) -> None:
         self._queue.append(record)
--- a/tests/consensus/storage_lives.py
+++ b/tests/consensus/storage_lives.py
@@ -131,6 +131,7 @@
 
     async def _live(self, disk):
         storage, snapshots = await self._open(disk)
+        await storage._write_queue()
         self._acknowledge(storage)
         while True:
             choice = self._rng.randrange(8)
--- a/tests/consensus/test_disks.py
+++ b/tests/consensus/test_disks.py
@@ -54,6 +54,21 @@
                     with_cluster(Cluster(), functools.partial(use, fault))
                 )
 
+    def test_start_on_a_disk_that_stalls_passes_changes_on(self):
+        # Guards against a member that serves nobody until its first syncs
+        # have ended.
+        async def use(cluster):
+            leader = await cluster.wait_for_leader()
+            vm = next(v for v in cluster.vms.values() if v.log is not leader)
+            await cluster.stop(vm.vm_id)
+            vm.disk.sync_seconds = 20.0
+            log = await cluster.start(vm.vm_id)
+            await asyncio.sleep(1.0)
+            await log.propose(b"x", timeout=1)
+            self.assertEqual(0, log._replica.storage.durable_index)
+
+        run_virtual(with_cluster(Cluster(), use))
+
     def test_disks_that_refuse_writes_in_turn_end_nothing(self):
         # Guards against a cluster that loses a member with each full disk.
         async def use(cluster):
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -36,7 +36,8 @@
         segment_bytes=segment_bytes,
         clock=VirtualClock(),
     )
-    await storage.open(snapshot)
+    await storage.open(snapshot, rewrites=())
+    await storage._write_queue()
     return storage
 
 
