Issue tickets where the own claim replica is not ready

What callers would see: POST /v1/tickets got 503 claim_unreachable at a VM whose claim replica could not read its disk, and at entries of other regions that asked this VM, while the other replicas were ready.

Cause: a VM with a replica asked only that one, and an entry took the first reply, also one without a ticket.

Change: it asks the others then; they reply for themselves only.

Evidence: test_tickets_are_issued_where_the_own_replica_is_not_ready, on the code before: AssertionError: claim_unreachable, no claim replica in 'north' is reachable.

--- a/burdockdrum/claims/claims.py
+++ b/burdockdrum/claims/claims.py
@@ -289,7 +289,8 @@
                     TicketReply,
                     timeout=ACQUIRE_TIMEOUT_SECONDS,
                 )
-                return reply.ticket
+                if reply.ticket is not None:
+                    return reply.ticket
         return None
 
     def _find_coordinators(self, region: str) -> list[str]:
@@ -321,6 +322,9 @@
     async def _handle_ticket(
         self, sender: Sender, call: TicketCall
     ) -> Message:
+        if self._replica is not None:
+            # Replicas that are not ready must not ask each other in circles.
+            return TicketReply(ticket=self._coordinator.issue_own_ticket())
         return TicketReply(ticket=await self._coordinator.issue_ticket())
 
     async def _handle_vote(
--- a/burdockdrum/claims/coordinator.py
+++ b/burdockdrum/claims/coordinator.py
@@ -143,11 +143,12 @@
 
     async def issue_ticket(self) -> str | None:
         """Return a key of the current epoch, None if no replica is ready."""
-        if self._replica is not None:
-            if not self._replica.ready:
-                return None
-            return make_ticket(self._replica.epoch, self._rng)
-        for address in self._addresses_by_id.values():
+        ticket = self.issue_own_ticket()
+        if ticket is not None:
+            return ticket
+        for vm_id, address in self._addresses_by_id.items():
+            if vm_id == self._peers.identity.vm_id:
+                continue
             with contextlib.suppress(CallFailed):
                 reply = await self._peers.call(
                     address,
@@ -159,6 +160,12 @@
                     return reply.ticket
         return None
 
+    def issue_own_ticket(self) -> str | None:
+        """Return a key by this VM's replica, None if there is no ready one."""
+        if self._replica is None or not self._replica.ready:
+            return None
+        return make_ticket(self._replica.epoch, self._rng)
+
     async def _request_vote(
         self, vm_id: str, call: VoteCall
     ) -> VoteReply | None:
--- a/tests/claims/test_at_most_once.py
+++ b/tests/claims/test_at_most_once.py
@@ -4,8 +4,6 @@
 import random
 import unittest
 
-import msgspec
-
 from burdockdrum.testing import run_virtual
 from tests.claims.histories import run_history
 from tests.requests.stack import Endpoint
@@ -177,12 +175,6 @@
         for vm in vms:
             await stack.start_vm(vm)
 
-    async def get_ticket(self, stack):
-        answer = await stack.client("caller").open(
-            stack.url("b1"), "POST", "/v1/tickets"
-        )
-        return msgspec.json.decode(await stack.read(answer))["idempotency_key"]
-
     def test_rolling_restart_of_replicas_loses_no_claim(self):
         # In the end no replica that voted for the key is still the same
         # process.
@@ -225,7 +217,7 @@
             refused = await stack.book("a2", "key")
             self.assertEqual("claim_unknown", refused.code)
             self.assertEqual("may have run", refused.verdict)
-            key = await self.get_ticket(stack)
+            key = await stack.get_ticket("b1")
             self.assertEqual(200, (await stack.book("a2", key)).status)
             self.assertEqual(200, (await stack.book("a3", key)).status)
             self.assertEqual(1, service.runs_by_key[key])
@@ -241,7 +233,7 @@
         # The replicas lose their memory each time: no later epoch may equal
         # the one in which the ticket was issued.
         async def scenario(stack, service):
-            key = await self.get_ticket(stack)
+            key = await stack.get_ticket("b1")
             for _ in range(3):
                 await stack.book("a2", key)
                 await self.restart(stack, "a2")
--- a/tests/claims/test_disks.py
+++ b/tests/claims/test_disks.py
@@ -300,6 +300,20 @@
             with self.subTest(refuse=refuse.__name__):
                 run_with_service(scenario)
 
+    def test_tickets_are_issued_where_the_own_replica_is_not_ready(self):
+        # Its disk refuses since the start; the other replicas are ready.
+        async def scenario(stack, service):
+            await stack.cluster.crash_vm("a2")
+            with refuse_reads(stack.disk("a2")):
+                await stack.start_vm("a2")
+                await asyncio.sleep(5)
+                for vm in ("a2", "b1"):
+                    key = await stack.get_ticket(vm)
+                    booked = await stack.book(vm, key)
+                    self.assertEqual(200, booked.status, booked.body)
+
+        run_with_service(scenario)
+
     def test_stalled_disks_do_not_hold_callers(self):
         # The disks of two replicas reply only after half a minute.
         async def scenario(stack, service):
--- a/tests/requests/stack.py
+++ b/tests/requests/stack.py
@@ -369,6 +369,15 @@
         verdict = headers.get("x-verdict")
         return BookingResult(answer.status, verdict, body, headers)
 
+    async def get_ticket(self, vm):
+        """Return a new key for an unrepeatable call."""
+        answer = await self.client("caller").open(
+            self.url(vm), "POST", "/v1/tickets"
+        )
+        reply = msgspec.json.decode(await self.read(answer))
+        assert answer.status == 200, reply
+        return reply["idempotency_key"]
+
     async def stop(self):
         """Stop everything."""
         for task in self._tasks:
