--- a/burdockdrum/claims/log.py
+++ b/burdockdrum/claims/log.py
@@ -198,7 +198,7 @@
         if self._is_tail_doubtful:
             await self._disk.truncate(FILE, self._size)
             await self._disk.sync(FILE)
-        # A cancelled operation may be under way, too.
+        # Until the sync is done, also if it fails.
         self._is_tail_doubtful = True
         await self._disk.append(FILE, content)
         await self._disk.sync(FILE)
--- a/burdockdrum/claims/replica.py
+++ b/burdockdrum/claims/replica.py
@@ -44,6 +44,7 @@
 from burdockdrum.claims.messages import VoteReply
 from burdockdrum.claims.table import ClaimTable
 from burdockdrum.claims.tickets import is_ticket_of
+from burdockdrum.logs import log_decision
 from burdockdrum.logs import log_failure
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
@@ -113,6 +114,8 @@
         """
         content = await self._log.load()
         self._restore(content.entries)
+        if content.torn_bytes and content.is_readable:
+            log_decision("claims.tail_cut", bytes=content.torn_bytes)
         if not content.is_readable:
             log_failure("claims.unreadable", bytes=content.torn_bytes)
             self.is_complete = False
