Take back a founding proposal that its founder could not store

What callers would see: a new deployment that never accepts a change, though all disks are well: no control VM is part of a cluster, and each logs "waiting to be added to the cluster" or nothing.

Cause: the proposing founder sends its proposal while it stores its own promise. If its disk refuses that, or it is killed or loses power before, the others have accepted the proposal, durably, and it has none. It took theirs for the proposal of a lost disk, and waited for good; a restart changed nothing.

Evidence: test_founding_goes_on_once_the_proposal_can_be_stored, on the code before: "AssertionError: waited in vain", with and without a kill and a loss of power of the founder. Found by reading.

A proposal that names this disk was made by this founder, and only one is made; so it is proposed again, and formed only once all have stored it, this founder among them. If another one says that the cluster is formed, this disk had stored it and has forgotten: as before, it takes no part.

Another way is to send the proposal only after the own promise is stored. It is one step slower, and leaves deployments that wait already as they are.

--- a/burdockdrum/consensus/founding.py
+++ b/burdockdrum/consensus/founding.py
@@ -99,6 +99,8 @@
         if len(replies) < len(addresses):
             return
         founding = self._file.current.founding
+        if founding is None:
+            founding = self._find_own_proposal(replies)
         if founding is None:
             if any(reply.founding or reply.formed for reply in replies):
                 # Another disk of this VM took part in an earlier bootstrap.
@@ -114,6 +116,28 @@
         if len(accepted) == len(addresses):
             await self._form(founding)
 
+    def _find_own_proposal(
+        self, replies: list[FoundingReply]
+    ) -> Configuration | None:
+        """Return a proposal of this disk that others may have accepted.
+
+        Only this founder proposes it, and may not have stored it itself. Once
+        the cluster is formed it had: then this disk has an older image.
+        """
+        if any(reply.formed for reply in replies):
+            return None
+        current = self._file.current
+        founders = set(self._settings.bootstrap_addresses_by_id)
+        for reply in replies:
+            founding = reply.founding
+            if (
+                founding is not None
+                and founding.has_voter(current.vm_id, current.disk_id)
+                and {member.vm_id for member in founding.members} == founders
+            ):
+                return founding
+        return None
+
     def _propose(self, replies: list[FoundingReply]) -> Configuration:
         addresses = self._settings.bootstrap_addresses_by_id
         members = tuple(
--- a/tests/consensus/test_refused_starts.py
+++ b/tests/consensus/test_refused_starts.py
@@ -81,3 +81,28 @@
                 await cluster.stop_all()
 
         run_virtual(main())
+
+    def test_founding_goes_on_once_the_proposal_can_be_stored(self):
+        # Guards against a cluster that is never formed, as the others have
+        # accepted a proposal that its own founder could not store.
+        for is_killed in (False, True):
+            with self.subTest(is_killed=is_killed):
+                run_virtual(self._propose_on_a_full_disk(is_killed))
+
+    async def _propose_on_a_full_disk(self, is_killed):
+        cluster = Cluster()
+        founder = cluster.vms["a"]
+        await cluster.start("a")
+        await cluster.start("b")
+        try:
+            await asyncio.sleep(1.0)
+            founder.disk.full = True
+            await cluster.start("c")
+            await asyncio.sleep(3.0)
+            if is_killed:
+                await cluster.restart("a", power_loss=True)
+            founder.disk.full = False
+            leader = await cluster.wait_for_leader()
+            await leader.propose(b"x", timeout=5)
+        finally:
+            await cluster.stop_all()
