Translate errors of looking up a file to DiskError

What callers would see: a control VM that doesn't start while its disk fails to look up a file (an input/output error), where it should serve without its log; and a VM that answers nobody while the lookup stalls.

Versions of Python from 3.14 on return False there for every error: then the file would be taken for missing.

Evidence: test_file_that_cannot_be_looked_up_is_no_missing_one, on the code before: "OSError: [Errno 36] File name too long". A lookup that stalls was not run; it is only read that it ran in the event loop.

--- a/burdockdrum/system_ports/disk.py
+++ b/burdockdrum/system_ports/disk.py
@@ -21,10 +21,14 @@
 
     async def read(self, name: str) -> bytes | None:
         """Return a file's content, or None if there is none."""
-        path = self._folder / name
-        if not path.exists():
-            return None
-        return await self._run(path.read_bytes)
+
+        def read_content() -> bytes | None:
+            try:
+                return (self._folder / name).read_bytes()
+            except FileNotFoundError:
+                return None
+
+        return await self._run(read_content)
 
     async def write(self, name: str, content: bytes) -> None:
         """Create a file or replace its content, without syncing."""
--- a/tests/system_ports/test_disk.py
+++ b/tests/system_ports/test_disk.py
@@ -26,3 +26,15 @@
 
         with tempfile.TemporaryDirectory() as folder:
             asyncio.run(main(pathlib.Path(folder) / "parent"))
+
+    def test_file_that_cannot_be_looked_up_is_no_missing_one(self):
+        # Guards against a process that ends at its start on a failing disk,
+        # and against one that takes a file for lost.
+        async def main(folder):
+            disk = FolderDisk(folder=folder)
+            self.assertIsNone(await disk.read("missing"))
+            with self.assertRaises(DiskError):
+                await disk.read("x" * 300)
+
+        with tempfile.TemporaryDirectory() as folder:
+            asyncio.run(main(pathlib.Path(folder)))
