Let a test end its stalls, and show a planted lease fault on seed 13

test_early_grant_is_detected plants a fault that each of three seeds has to show. The check is the same.

--- a/tests/consensus/test_blocked_disks.py
+++ b/tests/consensus/test_blocked_disks.py
@@ -34,6 +34,7 @@
         setattr(vm.disk, fault, True)
     await asyncio.sleep(seconds)
     vm.disk.mend()
+    vm.disk.sync_seconds = 0.0
 
 
 class BlockedDiskTest(unittest.TestCase):
--- a/tests/leases/test_histories.py
+++ b/tests/leases/test_histories.py
@@ -19,7 +19,7 @@
 # More seeds: BURDOCKDRUM_SEEDS=200 python3 run.py test tests.leases
 SEEDS = range(int(os.environ.get("BURDOCKDRUM_SEEDS", "8")))
 # Seeds with which an early grant leads to two holders at once.
-SEEDS_WITH_OVERLAP = (6, 15, 28)
+SEEDS_WITH_OVERLAP = (6, 13, 28)
 FAULT_SECONDS = 60.0
 
 
