Make the data folder durably

What callers would see: after the first start and a power loss, a control VM comes back with an empty folder, so its identity, votes and entries are gone.

Cause: what was synced in the data folder is durable, but not the folder: the one above it was never synced. Some file systems do this along with the first file; nothing promises it.

Change: the folders above those that were made are synced; if that fails, they are removed and made anew, since the next sync could report success for what this one dropped.

Evidence: test_folder_is_made_durably failed before ("DiskError not raised"). The loss itself is a reading; no file system was seen to do it.

What remains: a process that is killed between the two leaves a folder that the next one takes for durable.

--- a/burdockdrum/system_ports/disk.py
+++ b/burdockdrum/system_ports/disk.py
@@ -77,7 +77,7 @@
     async def _run(self, operation: Callable[[], ResultT]) -> ResultT:
         def run_in_folder() -> ResultT:
             if not self._is_folder_made:
-                self._folder.mkdir(parents=True, exist_ok=True)
+                _make_folder(self._folder)
                 self._is_folder_made = True
             return operation()
 
@@ -87,6 +87,20 @@
             raise DiskError(str(error)) from error
 
 
+def _make_folder(folder: pathlib.Path) -> None:
+    """Make a folder and its parents durably, if they are missing."""
+    missing = [path for path in (folder, *folder.parents) if not path.exists()]
+    folder.mkdir(parents=True, exist_ok=True)
+    try:
+        for path in missing:
+            _sync_path(path.parent)
+    except OSError:
+        # A sync that failed must not be repeated; they are made anew.
+        for path in missing:
+            path.rmdir()
+        raise
+
+
 def _sync_path(path: pathlib.Path) -> None:
     descriptor = os.open(path, os.O_RDONLY)
     try:
--- a/tests/system_ports/test_disk.py
+++ b/tests/system_ports/test_disk.py
@@ -1,9 +1,11 @@
 """Tests of the disk over a folder."""
 
 import asyncio
+import os
 import pathlib
 import tempfile
 import unittest
+from unittest import mock
 
 from burdockdrum.ports import DiskError
 from burdockdrum.system_ports import FolderDisk
@@ -38,3 +40,25 @@
 
         with tempfile.TemporaryDirectory() as folder:
             asyncio.run(main(pathlib.Path(folder)))
+
+    def test_folder_is_made_durably(self):
+        # Guards against a folder that a power loss removes with all that
+        # was synced in it.
+        synced = []
+        real_open = os.open
+
+        def open_path(path, flags):
+            synced.append(path)
+            return real_open(path, flags)
+
+        async def main(folder):
+            disk = FolderDisk(folder=folder / "made" / "data")
+            failed = mock.patch("os.fsync", side_effect=OSError("failed"))
+            with failed, self.assertRaises(DiskError):
+                await disk.list()
+            with mock.patch("os.open", open_path):
+                await disk.list()
+            self.assertEqual({folder, folder / "made"}, set(synced))
+
+        with tempfile.TemporaryDirectory() as folder:
+            asyncio.run(main(pathlib.Path(folder)))
