--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -6,11 +6,15 @@
 import unittest
 
 from loguru import logger
+import msgspec
 
 from burdockdrum.consensus import Configuration
 from burdockdrum.consensus import CorruptLog
+from burdockdrum.consensus.records import encode_frame
 from burdockdrum.consensus.records import Entry
 from burdockdrum.consensus.records import EntryKind
+from burdockdrum.consensus.records import FORMAT_VERSION
+from burdockdrum.consensus.records import HardState
 from burdockdrum.consensus.snapshot import Snapshot
 from burdockdrum.consensus.snapshot import SnapshotStore
 from burdockdrum.consensus.storage import Storage
@@ -95,6 +99,22 @@
 
         run_virtual(main())
 
+    def test_segments_of_earlier_versions_are_read(self):
+        # Guards against an upgrade that can't read its folder: their headers
+        # don't say how much of the previous segment counts.
+        async def main():
+            disk = FakeDisk(rng=random.Random(1))
+            for number in (1, 2):
+                header = ["head", FORMAT_VERSION, number, "d"]
+                records = [header, HardState(3, "b"), entry(number)]
+                frame = encode_frame(msgspec.msgpack.encode(records))
+                await disk.write(f"log-{number:016d}", frame)
+            opened = await open_storage(disk)
+            self.assertEqual(2, opened.last_index)
+            self.assertEqual((3, "b"), (opened.term, opened.voted_for))
+
+        run_virtual(main())
+
     def test_missing_segment_is_rejected(self):
         async def main():
             disk = FakeDisk(rng=random.Random(1))
