Don't hand over leadership to a member that can't be elected

What callers would see: the disk of the leading control VM is full or stalls, and another one of three is down.

A voter that is silent is not known to be blocked, so that changes were appended, and leadership was handed over once the limit was reached; but a member with a blocked disk doesn't vote, so that the other one could not win.

Found by reading.

A voter without a reply that counts for an election timeout is now taken for one that can't write. Changes are rejected at once ("no quorum of the voters can write"), and the leader keeps its lease with those that hear it.

Not covered: a voter that stops within the election timeout before a hand-over.

--- a/burdockdrum/consensus/leadership.py
+++ b/burdockdrum/consensus/leadership.py
@@ -246,12 +246,16 @@
         )
 
     def _can_commit(self) -> bool:
-        """Return whether a quorum of the voters is not known to be blocked."""
+        """Return whether a quorum may be neither blocked nor silent."""
         replica = self._replica
-        blocked = sum(r.is_blocked for r in self._voting_replicators())
-        blocked += bool(replica.durability.blocked_because)
+        timeout = replica.settings.election_timeout_seconds
+        missing = sum(
+            replicator.is_blocked or replicator.is_silent(timeout)
+            for replicator in self._voting_replicators()
+        )
+        missing += bool(replica.durability.blocked_because)
         configuration = replica.configuration
-        return len(configuration.voters) - blocked >= configuration.quorum
+        return len(configuration.voters) - missing >= configuration.quorum
 
     def _voting_replicators(self) -> list[Replicator]:
         return [
--- a/tests/consensus/test_blocked_disks.py
+++ b/tests/consensus/test_blocked_disks.py
@@ -160,6 +160,29 @@
 
         self.play_each(use, append_bytes=4000)
 
+    def test_reads_go_on_if_no_successor_could_be_elected(self):
+        # Guards against a leader with a blocked disk that hands over, though
+        # the votes of the others are no quorum, and against changes that it
+        # takes meanwhile.
+        async def use(cluster, fault, victim, others):
+            gone, other = others
+            blocked = asyncio.create_task(block(victim, fault, 30.0))
+            await cluster.stop(gone.vm_id)
+            reasons = []
+            for _ in range(40):
+                await read(victim)
+                await read(other)
+                with self.assertRaises((OutcomeUnknown, NotAccepted)) as e:
+                    await other.running.propose(b"x", timeout=STEP_SECONDS)
+                reasons.append(str(e.exception))
+            self.assertIn("no quorum of the voters can write", reasons)
+            self.assertLess(victim.running._replica.storage.last_index, 20)
+            await blocked
+            log = await cluster.wait_for_leader()
+            await log.propose(b"after", timeout=5)
+
+        self.play_each(use, leads=(True,), max_uncommitted_entries=15)
+
     def test_voter_whose_disk_is_blocked_for_long_is_replaced(self):
         # Guards against a voter that counts as reachable, as it answers, and
         # leaves two of three voters that can write.
