--- a/burdockdrum/consensus/applier.py
+++ b/burdockdrum/consensus/applier.py
@@ -153,11 +153,16 @@
         return True
 
     async def _remove_covered(self) -> bool:
-        """Remove what the latest snapshot covers; False if refused."""
+        """Remove what the latest snapshot covers.
+
+        :returns: False if the disk refuses it, or may lose the snapshot
+        """
         replica = self._replica
         latest = replica.snapshots.latest
         if not self._is_removal_due or latest is None:
             return True
+        if replica.snapshots.is_doubtful:
+            return False
         async with self._snapshot_lock:
             try:
                 await replica.snapshots.remove_earlier()
--- a/burdockdrum/consensus/snapshot.py
+++ b/burdockdrum/consensus/snapshot.py
@@ -70,6 +70,11 @@
         """Return the size in bytes of the latest snapshot's data."""
         return len(self.latest.data) if self.latest is not None else 0
 
+    @property
+    def is_doubtful(self) -> bool:
+        """Return whether a power loss may undo the latest snapshot."""
+        return self._is_read_back
+
     async def load(self) -> Snapshot | None:
         """Read the latest snapshot, and remove one that was begun.
 
--- a/tests/consensus/test_refused_starts.py
+++ b/tests/consensus/test_refused_starts.py
@@ -13,6 +13,22 @@
 from tests.consensus.cluster import with_cluster
 from tests.faulty_disk import FaultyDisk
 
+SEEDS = range(6)
+
+
+class SnapshotLosingDisk(FaultyDisk):
+    """A disk that may fail to sync the names of new snapshots."""
+
+    loses_snapshots = False
+
+    async def sync_folder(self):
+        """Sync the folder, unless a snapshot would become durable."""
+        names = {name for change in self._pending for name in change}
+        self.refuses_folder_syncs = self.loses_snapshots and any(
+            name.startswith("snapshot-") for name in names
+        )
+        await super().sync_folder()
+
 
 class RefusedStartTest(unittest.TestCase):
     """A start whose disk refuses reads or writes for a while."""
@@ -106,3 +122,46 @@
             await leader.propose(b"x", timeout=5)
         finally:
             await cluster.stop_all()
+
+    def test_nothing_is_removed_for_a_snapshot_that_may_be_lost(self):
+        # Guards against a damaged folder after a power loss: a start that
+        # could not write the snapshot anew, and removed what it covers.
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                cluster = Cluster(
+                    seed=seed,
+                    snapshot_every_entries=10,
+                    keep_entries=2,
+                    segment_bytes=300,
+                )
+                run_virtual(with_cluster(cluster, self._lose_a_snapshot))
+
+    async def _lose_a_snapshot(self, cluster):
+        leader = await cluster.wait_for_leader()
+        vm = next(v for v in cluster.vms.values() if v.log is not leader)
+        await cluster.stop(vm.vm_id)
+        vm.disk = SnapshotLosingDisk.copy_of(vm.disk)
+        await cluster.start(vm.vm_id)
+
+        async def propose(count):
+            for _ in range(count):
+                await leader.propose(b"x", timeout=5)
+            await asyncio.sleep(1.0)
+
+        await propose(15)
+        vm.disk.loses_snapshots = True
+        await propose(12)
+        await cluster.stop(vm.vm_id)
+        vm.disk.loses_snapshots = False
+        vm.disk.full = True
+        await cluster.start(vm.vm_id)
+        await propose(3)
+        await cluster.stop(vm.vm_id, power_loss=True)
+        vm.disk.full = False
+        await cluster.start(vm.vm_id)
+        await propose(3)
+        await cluster.wait_until_applied()
+        # Once the snapshot is durable, the first segment is removed.
+        _, first_segment, *_ = await vm.disk.list()
+        await propose(30)
+        self.assertNotIn(first_segment, await vm.disk.list())
