--- a/burdockdrum/consensus/applier.py
+++ b/burdockdrum/consensus/applier.py
@@ -13,6 +13,7 @@
 from burdockdrum.consensus.records import EntryKind
 from burdockdrum.consensus.replica import Replica
 from burdockdrum.consensus.signals import Signal
+from burdockdrum.consensus.signals import wait_until
 from burdockdrum.consensus.snapshot import Snapshot
 from burdockdrum.consensus.storage import RETRY_SECONDS
 from burdockdrum.logs import OutageLog
@@ -67,8 +68,12 @@
             recovered="log.compacted",
             read_time=replica.clock.monotonic,
         )
-        self._install_pause = RETRY_SECONDS
-        self._next_install_at = -math.inf
+        self._to_install: Snapshot | None = None
+        self._is_installing = False
+        # Up to where snapshots of a leader were installed, and are synced.
+        self._installed_index = 0
+        self._install_requested = Signal()
+        self._install_ended = Signal()
         self.applied_index = 0
         self.changed = Signal()
         snapshot = replica.snapshots.latest
@@ -110,23 +115,43 @@
         while self.applied_index < index:
             await self.changed.wait()
 
-    async def install(self, snapshot: Snapshot) -> bool:
+    async def install(self, snapshot: Snapshot, *, seconds: float) -> bool:
         """Install the leader's snapshot; it is synced on return.
 
-        :returns: False, after a moment, if the disk refuses it or stalls
+        :param seconds: to wait at most
+        :returns: False, after this time, if the disk refuses it or stalls;
+            whoever sent it repeats it
         """
+        if not self._is_installing:
+            self._to_install = snapshot
+            self._install_requested.fire()
         clock = self._replica.clock
-        if clock.monotonic() >= self._next_install_at:
-            if await self._try_install(snapshot):
-                self._install_pause = RETRY_SECONDS
-                return True
-            self._next_install_at = clock.monotonic() + self._install_pause
-            self._install_pause = min(
-                2 * self._install_pause, _MAX_RETRY_SECONDS
-            )
-        # Whoever sent it repeats it at once.
-        await clock.sleep(self._replica.settings.call_timeout_seconds / 2)
-        return False
+        deadline = clock.monotonic() + seconds
+        while (
+            self._installed_index < snapshot.index
+            and clock.monotonic() < deadline
+        ):
+            await wait_until(clock, deadline, self._install_ended)
+        return self._installed_index >= snapshot.index
+
+    async def run_installs(self) -> None:
+        """Install the snapshots that the leader sends, until cancelled."""
+        pause = RETRY_SECONDS
+        while True:
+            if self._to_install is None:
+                await self._install_requested.wait()
+                continue
+            snapshot, self._to_install = self._to_install, None
+            self._is_installing = True
+            is_installed = await self._try_install(snapshot)
+            self._is_installing = False
+            if is_installed:
+                self._installed_index = snapshot.index
+                self._install_ended.fire()
+                pause = RETRY_SECONDS
+            else:
+                await self._replica.clock.sleep(pause)
+                pause = min(2 * pause, _MAX_RETRY_SECONDS)
 
     async def _try_install(self, snapshot: Snapshot) -> bool:
         async with self._snapshot_lock:
--- a/burdockdrum/consensus/follower.py
+++ b/burdockdrum/consensus/follower.py
@@ -19,6 +19,9 @@
 from burdockdrum.peers import Peers
 from burdockdrum.peers import Sender
 
+# A snapshot is installed, and the disk awaited up to twice, for one reply.
+_SNAPSHOT_SHARE = 0.25
+
 
 @dataclass(kw_only=True)
 class PartialSnapshot:
@@ -97,13 +100,15 @@
         if message.term >= replica.storage.term:
             replica.follow(message.term, message.sender_id)
             if replica.durability.blocked_because:
-                return None
+                # The leader repeats the request at once.
+                seconds = replica.settings.call_timeout_seconds / 2
+                await replica.clock.sleep(seconds)
+                return self._acknowledge_snapshot_contact(message)
             if await self._receive_chunk(message):
                 return self._snapshot_reply(message.size, done=True)
-        if not await self._sync_for_reply():
-            return None
-        received = len(self._partial.data) if self._partial else 0
-        return self._snapshot_reply(received, done=False)
+        if not await self._sync_for_reply(share=_SNAPSHOT_SHARE):
+            return self._acknowledge_snapshot_contact(message)
+        return self._snapshot_reply(self._received_bytes, done=False)
 
     async def _on_rollback(
         self, sender: Sender, message: RollbackNotice
@@ -187,6 +192,24 @@
             refusal=replica.durability.blocked_because,
         )
 
+    def _acknowledge_snapshot_contact(
+        self, message: SnapshotRequest
+    ) -> SnapshotReply | None:
+        """Acknowledge the leader while the disk is blocked."""
+        replica = self._replica
+        term = message.term
+        if replica.storage.term != term:
+            return None
+        if not replica.durability.is_term_synced(term):
+            return None
+        return SnapshotReply(
+            term=term,
+            next_offset=self._received_bytes,
+            done=False,
+            counts=replica.admitted,
+            refusal=replica.durability.blocked_because,
+        )
+
     def _reject(self, retry_index: int) -> AppendReply:
         storage = self._replica.storage
         return AppendReply(
@@ -197,9 +220,16 @@
             retry_index=retry_index,
         )
 
-    async def _sync_for_reply(self) -> bool:
-        """Wait for the disk for as long as the leader still gets the reply."""
-        seconds = self._replica.settings.call_timeout_seconds / 2
+    @property
+    def _received_bytes(self) -> int:
+        return len(self._partial.data) if self._partial else 0
+
+    async def _sync_for_reply(self, *, share: float = 0.5) -> bool:
+        """Wait for the disk for as long as the leader still gets the reply.
+
+        :param share: of the time after which the call times out
+        """
+        seconds = self._replica.settings.call_timeout_seconds * share
         return await self._replica.durability.sync(seconds=seconds)
 
     async def _receive_chunk(self, message: SnapshotRequest) -> bool:
@@ -210,7 +240,7 @@
         if message.index <= self._replica.commit_index:
             self._partial = None
             return (
-                await self._sync_for_reply()
+                await self._sync_for_reply(share=_SNAPSHOT_SHARE)
                 and self._replica.storage.durable_index >= message.index
             )
         partial = self._partial
@@ -224,18 +254,22 @@
         if digest_of(data) != message.digest:
             self._partial = None
             return False
+        timeout = self._replica.settings.call_timeout_seconds
         is_installed = await self._applier.install(
             Snapshot.of(
                 index=message.index,
                 term=message.index_term,
                 configuration=message.configuration,
                 data=data,
-            )
+            ),
+            seconds=timeout * _SNAPSHOT_SHARE,
         )
         # While the disk refuses it, the leader need not send it again.
         if is_installed and self._partial is partial:
             self._partial = None
-        return is_installed
+        return is_installed and await self._sync_for_reply(
+            share=_SNAPSHOT_SHARE
+        )
 
     def _snapshot_reply(self, next_offset: int, *, done: bool) -> Message:
         return SnapshotReply(
--- a/burdockdrum/consensus/log.py
+++ b/burdockdrum/consensus/log.py
@@ -88,6 +88,7 @@
             group.create_task(replica.storage.run())
             group.create_task(self._applier.run())
             group.create_task(self._applier.run_snapshots())
+            group.create_task(self._applier.run_installs())
             group.create_task(self._founding.run())
             group.create_task(self._watch_founding())
             group.create_task(self._rollback_detector.run())
--- a/burdockdrum/consensus/messages.py
+++ b/burdockdrum/consensus/messages.py
@@ -102,12 +102,17 @@
 
 
 class SnapshotReply(Message, frozen=True, kw_only=True):
-    """The offset that the follower needs next; ``size`` once it is done."""
+    """The offset that the follower needs next; ``size`` once it is done.
+
+    With a ``refusal``, why its disk is blocked, it only acknowledges the
+    contact.
+    """
 
     term: int
     next_offset: int
     done: bool
     counts: bool
+    refusal: str = ""
 
 
 class RollbackNotice(MemberMessage, frozen=True, kw_only=True):
--- a/burdockdrum/consensus/replication.py
+++ b/burdockdrum/consensus/replication.py
@@ -225,7 +225,7 @@
                 self._failure = str(error)
                 # The next attempt asks for the offset again.
                 return
-            if not self._record_reply(reply, sent_at):
+            if not self._record_reply(reply, sent_at, reply.refusal):
                 return
             offset = reply.next_offset
             done = reply.done
--- a/tests/consensus/test_blocked_disks.py
+++ b/tests/consensus/test_blocked_disks.py
@@ -183,6 +183,32 @@
 
         self.play_each(use, leads=(True,), max_uncommitted_entries=15)
 
+    def test_member_that_needs_a_snapshot_confirms_reads(self):
+        # Guards against a leader that loses its quorum, though it is heard by
+        # a member that is far behind and has a blocked disk.
+        async def use(cluster, fault, victim, others):
+            log = await cluster.wait_for_leader()
+            cluster.cut_off(victim.vm_id)
+            for number in range(30):
+                await log.propose(b"%d" % number, timeout=5)
+            blocked = asyncio.create_task(block(victim, fault, 20.0))
+            await asyncio.sleep(STEP_SECONDS)
+            if fault == "stall":
+                victim.disk.sync_seconds = 3.0
+            cluster.heal()
+            await asyncio.sleep(STEP_SECONDS)
+            gone = next(vm for vm in others if vm.log is not log)
+            await cluster.stop(gone.vm_id)
+            for _ in range(60):
+                await log.read_barrier(timeout=SERVED_SECONDS)
+                await asyncio.sleep(STEP_SECONDS)
+            await blocked
+            await log.propose(b"after", timeout=15)
+
+        self.play_each(
+            use, leads=(False,), snapshot_every_entries=10, keep_entries=2
+        )
+
     def test_voter_whose_disk_is_blocked_for_long_is_replaced(self):
         # Guards against a voter that counts as reachable, as it answers, and
         # leaves two of three voters that can write.
