--- a/burdockdrum/consensus/durability.py
+++ b/burdockdrum/consensus/durability.py
@@ -8,8 +8,8 @@
 import asyncio
 
 from burdockdrum.consensus.interface import LogSettings
-from burdockdrum.consensus.logged_state import LoggedState
 from burdockdrum.consensus.storage import Storage
+from burdockdrum.logs import LoggedState
 from burdockdrum.ports import Clock
 
 # The unsynced entries that are kept in memory for a disk that is blocked, in
@@ -32,7 +32,9 @@
         self._settings = settings
         self._clock = clock
         self._stall = LoggedState(
-            clock=clock, begun="log.disk_stalled", ended="log.disk_resumed"
+            begun="log.disk_stalled",
+            ended="log.disk_resumed",
+            read_time=clock.monotonic,
         )
         self._synced_term = 0
         self._unsynced_since: float | None = None
--- a/burdockdrum/consensus/forwarding.py
+++ b/burdockdrum/consensus/forwarding.py
@@ -10,12 +10,12 @@
 from burdockdrum.consensus.interface import OutcomeUnknown
 from burdockdrum.consensus.interface import Role
 from burdockdrum.consensus.leadership import Leadership
-from burdockdrum.consensus.logged_state import LoggedState
 from burdockdrum.consensus.messages import ProposeReply
 from burdockdrum.consensus.messages import ProposeRequest
 from burdockdrum.consensus.messages import ReadReply
 from burdockdrum.consensus.messages import ReadRequest
 from burdockdrum.consensus.replica import Replica
+from burdockdrum.logs import LoggedState
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Message
 from burdockdrum.peers import Peers
@@ -43,9 +43,9 @@
         self._peers = peers
         self._deduplicator = RequestDeduplicator()
         self._read_failure = LoggedState(
-            clock=replica.clock,
             begun="log.read_unconfirmed",
             ended="log.read_confirmed",
+            read_time=replica.clock.monotonic,
         )
         self._unconfirmed_because = ""
         peers.register(ProposeRequest, self._on_propose)
--- a/burdockdrum/consensus/replica.py
+++ b/burdockdrum/consensus/replica.py
@@ -16,7 +16,6 @@
 from burdockdrum.consensus.identity import IdentityFile
 from burdockdrum.consensus.interface import LogSettings
 from burdockdrum.consensus.interface import Role
-from burdockdrum.consensus.logged_state import LoggedState
 from burdockdrum.consensus.membership import Configuration
 from burdockdrum.consensus.membership import ConfigurationHistory
 from burdockdrum.consensus.records import Entry
@@ -24,6 +23,7 @@
 from burdockdrum.consensus.signals import Signal
 from burdockdrum.consensus.snapshot import SnapshotStore
 from burdockdrum.consensus.storage import Storage
+from burdockdrum.logs import LoggedState
 from burdockdrum.ports import Clock
 from burdockdrum.timeline import Timeline
 
@@ -72,7 +72,9 @@
         self.on_entry_replaced: Callable[[int, int], None] = _ignore
         # Holds while this member's elections fail.
         self.election_failure = LoggedState(
-            clock=clock, begun="election.failed", ended="election.ended"
+            begun="election.failed",
+            ended="election.ended",
+            read_time=clock.monotonic,
         )
         self.role_changed = Signal()
         self.commit_changed = Signal()
--- a/burdockdrum/consensus/replication.py
+++ b/burdockdrum/consensus/replication.py
@@ -7,7 +7,6 @@
 import asyncio
 import math
 
-from burdockdrum.consensus.logged_state import LoggedState
 from burdockdrum.consensus.membership import Member
 from burdockdrum.consensus.messages import AppendReply
 from burdockdrum.consensus.messages import AppendRequest
@@ -19,6 +18,7 @@
 from burdockdrum.consensus.signals import Signal
 from burdockdrum.consensus.signals import wait_until
 from burdockdrum.consensus.snapshot import Snapshot
+from burdockdrum.logs import LoggedState
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Peers
 
@@ -68,7 +68,9 @@
         self.confirmation_requested_at = -math.inf
         self._failure = "nothing was sent yet"
         self._silence = LoggedState(
-            clock=replica.clock, begun="member.silent", ended="member.heard"
+            begun="member.silent",
+            ended="member.heard",
+            read_time=replica.clock.monotonic,
         )
 
     async def run(self) -> None:
--- a/burdockdrum/consensus/rollback_detection.py
+++ b/burdockdrum/consensus/rollback_detection.py
@@ -12,7 +12,6 @@
 from dataclasses import dataclass
 
 from burdockdrum.consensus.founding import Founding
-from burdockdrum.consensus.logged_state import LoggedState
 from burdockdrum.consensus.membership import Configuration
 from burdockdrum.consensus.membership import Member
 from burdockdrum.consensus.messages import DiskStateQuery
@@ -20,6 +19,7 @@
 from burdockdrum.consensus.replica import Replica
 from burdockdrum.consensus.signals import Signal
 from burdockdrum.consensus.signals import wait_until
+from burdockdrum.logs import LoggedState
 from burdockdrum.peers import CallFailed
 from burdockdrum.peers import Message
 from burdockdrum.peers import Peers
@@ -54,9 +54,9 @@
         self._query_tasks: set[asyncio.Task[None]] = set()
         self._candidate_addresses_by_disk: dict[str, str] = {}
         self._awaited = LoggedState(
-            clock=replica.clock,
             begun="log.admission_awaited",
             ended="log.admitted",
+            read_time=replica.clock.monotonic,
         )
         self._started_at = replica.clock.monotonic()
         self._newest_log_end = (0, 0)
--- a/burdockdrum/logs/__init__.py
+++ b/burdockdrum/logs/__init__.py
@@ -6,9 +6,10 @@
 from burdockdrum.logs.explain import explain
 from burdockdrum.logs.explain import LogLine
 from burdockdrum.logs.explain import read_lines
-from burdockdrum.logs.outages import OutageLog
 from burdockdrum.logs.setup import set_up_structured_log
 from burdockdrum.logs.setup import StructuredLog
+from burdockdrum.logs.states import LoggedState
+from burdockdrum.logs.states import OutageLog
 from burdockdrum.logs.writer import BoundedWriter
 
 __all__ = [
@@ -16,6 +17,7 @@
     "explain",
     "log_decision",
     "log_failure",
+    "LoggedState",
     "LogLine",
     "OutageLog",
     "read_lines",
--- a/tests/consensus/test_blocked_disks.py
+++ b/tests/consensus/test_blocked_disks.py
@@ -170,8 +170,8 @@
             await cluster.stop(gone.vm_id)
             reasons = []
             for _ in range(40):
-                await read(victim)
-                await read(other)
+                await victim.running.read_barrier(timeout=SERVED_SECONDS)
+                await other.running.read_barrier(timeout=SERVED_SECONDS)
                 with self.assertRaises((OutcomeUnknown, NotAccepted)) as e:
                     await other.running.propose(b"x", timeout=STEP_SECONDS)
                 reasons.append(str(e.exception))
--- a/tests/logs/test_outages.py
+++ b/tests/logs/test_states.py
@@ -11,22 +11,24 @@
 
     def test_each_outage_has_two_lines(self):
         # Guards against a line at each attempt while a disk is full.
-        time = iter((10.0, 12.5, 20.0, 21.0))
+        now = 0.0
         outage = OutageLog(
             failed="x.failed",
             recovered="x.recovered",
-            read_time=lambda: next(time),
+            read_time=lambda: now,
         )
-        path = "burdockdrum.logs.outages"
+        path = "burdockdrum.logs.states"
         with (
             mock.patch(f"{path}.log_failure") as failed,
             mock.patch(f"{path}.log_decision") as recovered,
         ):
             outage.succeed()
-            for _ in range(2):
+            for began, ended in ((10.0, 12.5), (20.0, 21.0)):
+                now = began
                 for attempt in range(3):
                     self.assertEqual(attempt == 0, outage.fail("full"))
                 self.assertEqual("full", outage.reason)
+                now = ended
                 outage.succeed()
                 outage.succeed()
         self.assertEqual(
