--- a/tests/consensus/test_blocked_disks.py
+++ b/tests/consensus/test_blocked_disks.py
@@ -44,7 +44,7 @@
         logger.disable("burdockdrum")
         self.addCleanup(logger.enable, "burdockdrum")
 
-    def play_each(self, use, **settings):
+    def play_each(self, use, *, leads=(True, False), **settings):
         """Play a test with each fault, on the leader and on a follower."""
 
         async def choose(cluster, fault, of_leader):
@@ -55,7 +55,7 @@
             await use(cluster, fault, victim, others)
 
         for fault, of_leader in itertools.product(
-            ("full", "fail_syncs", "stall"), (True, False)
+            ("full", "fail_syncs", "stall"), leads
         ):
             with self.subTest(fault=fault, of_leader=of_leader):
                 run_virtual(
--- a/tests/consensus/test_disk_room.py
+++ b/tests/consensus/test_disk_room.py
@@ -114,7 +114,7 @@
             vm.disk.capacity = vm.disk.used + 5_000
             cluster.heal()
             with (
-                mock.patch("burdockdrum.logs.outages.log_failure") as failed,
+                mock.patch("burdockdrum.logs.states.log_failure") as failed,
                 mock.patch.object(
                     vm.disk, "write", wraps=vm.disk.write
                 ) as written,
