Draw the ids of the claims' epochs apart from the seeded source

Cause: a new epoch took a number from the seeded source that all services of a VM share, so that routing drew others and in four requests never chose this endpoint. The tests rightly ask that it was chosen; they are not changed.

Change: the id is drawn once a start, by the secrets module, as the replicated log does for its starts.

Evidence: both tests failed before (2 of 7) and pass now, with tests.claims.

--- a/burdockdrum/claims/claims.py
+++ b/burdockdrum/claims/claims.py
@@ -112,7 +112,6 @@
         """
         self._peers = peers
         self._clock = clock
-        self._rng = rng
         self._timeline = timeline
         self._vms = vms
         self._configuration = configuration
@@ -205,7 +204,6 @@
             replica=self._replica,
             peers=self._peers,
             clock=self._clock,
-            rng=self._rng,
             addresses_by_id=self._addresses_by_id,
         )
         async with asyncio.TaskGroup() as group:
--- a/burdockdrum/claims/messages.py
+++ b/burdockdrum/claims/messages.py
@@ -44,7 +44,7 @@
 class Epoch(msgspec.Struct, frozen=True, array_like=True, order=True):
     """A period in which the replicas together have lost no claim.
 
-    ``former`` is the VM that began it, with a random number.
+    ``former`` is the VM that began it, with a random number of its start.
     """
 
     number: int
--- a/burdockdrum/claims/recovery.py
+++ b/burdockdrum/claims/recovery.py
@@ -1,7 +1,7 @@
 """Recover a claim replica that lost its memory, until it may vote again."""
 
 import asyncio
-import random
+import secrets
 
 from burdockdrum.claims.messages import ClaimRecord
 from burdockdrum.claims.messages import Epoch
@@ -23,7 +23,7 @@
 NEW_EPOCH_DELAY_SECONDS = 30.0
 # Beyond every position, to query the state without any claims.
 _AFTER_LAST = 1 << 60
-_EPOCH_ID_BITS = 64
+_START_ID_BYTES = 8
 
 
 def majority(group_size: int) -> int:
@@ -49,7 +49,6 @@
         replica: ClaimReplica,
         peers: Peers,
         clock: Clock,
-        rng: random.Random,
         addresses_by_id: dict[str, str],
     ) -> None:
         """Create a recovery that has not begun.
@@ -59,7 +58,11 @@
         self._replica = replica
         self._peers = peers
         self._clock = clock
-        self._rng = rng
+        # Unique, as the numbers of epochs begin again once all replicas forgot
+        # them: a ticket of an earlier epoch must not be taken for a new one.
+        self._epoch_id = (
+            f"{peers.identity.vm_id}-{secrets.token_hex(_START_ID_BYTES)}"
+        )
         self._own = peers.identity.vm_id
         self._size = len(addresses_by_id)
         self._others = {
@@ -128,11 +131,8 @@
             return
         newest = max((f.epoch for f in found), default=NO_EPOCH)
         newest = max(newest, self._replica.epoch)
-        # Unique, as the numbers begin again once all replicas forgot them:
-        # tickets of an earlier epoch must not be taken for its own.
-        epoch_id = f"{self._own}-{self._rng.getrandbits(_EPOCH_ID_BITS):x}"
         call = EpochCall(
-            epoch=Epoch(newest.number + 1, epoch_id),
+            epoch=Epoch(newest.number + 1, self._epoch_id),
             formed_at=self._clock.wall(),
         )
         for one in found:
--- a/tests/claims/test_keeper.py
+++ b/tests/claims/test_keeper.py
@@ -187,7 +187,6 @@
                 replica=replica,
                 peers=types.SimpleNamespace(identity=IDENTITY),
                 clock=VirtualClock(),
-                rng=random.Random(1),
                 addresses_by_id={"a": IDENTITY.control_address},
             )
             disk.fail_syncs = True
