Watch a compaction of the claims for stalls of its own

What callers would see: the disk of a claim replica is slow, then stalls while the file is compacted; a request that may run once, at this VM, waits until the disk replies.

Cause: one watch covered a write and the compaction after it. Once the write took longer than the limit and ended, nothing watched the compaction.

Evidence: test_stall_under_a_compaction_does_not_hold_votes, on the code before: TimeoutError after 1.1 s, while the disk stalls for 60 s. Found by reading.

--- a/burdockdrum/claims/log.py
+++ b/burdockdrum/claims/log.py
@@ -122,6 +122,11 @@
             try:
                 with self._watch_for_stall():
                     await self._write(read_state)
+                self._record_success()
+                if self._is_compaction_requested:
+                    self._is_compaction_requested = False
+                    with self._watch_for_stall():
+                        await self._compact(read_state)
             except DiskError as error:
                 self._record_refusal(str(error))
                 await self._clock.sleep(self._retry_seconds)
@@ -169,10 +174,6 @@
             await self._replace_file(position, content)
         if self._queue:
             await self._append_queue()
-        self._record_success()
-        if self._is_compaction_requested:
-            self._is_compaction_requested = False
-            await self._compact(read_state)
 
     @contextlib.contextmanager
     def _watch_for_stall(self) -> Iterator[None]:
--- a/tests/claims/test_disks.py
+++ b/tests/claims/test_disks.py
@@ -12,6 +12,8 @@
 from burdockdrum.claims.log import FILE
 from burdockdrum.claims.log import MAX_QUEUED_BYTES
 from burdockdrum.claims.log import MAX_RETRY_SECONDS
+from burdockdrum.claims.log import STALL_SECONDS
+from burdockdrum.claims.messages import VoteOutcome
 from burdockdrum.claims.table import MAX_ANSWER_BYTES
 from burdockdrum.ports import DiskError
 from burdockdrum.testing import FakeDisk
@@ -146,6 +148,27 @@
 
         run_virtual(main())
 
+    def test_stall_under_a_compaction_does_not_hold_votes(self):
+        # The append before it took long enough to count as refused.
+        async def main():
+            disk = FakeDisk(rng=random.Random(1))
+            replica = await start(disk, form=True, compact_bytes=10)
+            for number in range(10):
+                await vote(replica, key=f"{number}")
+            disk.sync_seconds = 1.5
+            slow = asyncio.create_task(vote(replica, key="slow"))
+            await asyncio.sleep(1.2)
+            replica.clean_up()
+            self.assertIs(VoteOutcome.NOT_READY, await slow)
+            disk.sync_seconds = 60.0
+            await asyncio.sleep(0.5)
+            async with asyncio.timeout(STALL_SECONDS + 0.1):
+                outcome = await vote(replica, key="next")
+            self.assertIs(VoteOutcome.NOT_READY, outcome)
+            await stop(replica)
+
+        run_virtual(main())
+
 
 class DiskStack(Stack):
     """A cluster whose claim replicas have disks."""
