Report software versions beside a disk that stalls

What callers would see: while the disk of a control VM stalls, streams don't begin at the version of an endpoint that checks in there, though two others of three could store it.

Cause: a control VM waits for its own disk before it sends its report to the others, without a limit, and likewise in the handler of the others' reports, whose callers are gone by then.

Evidence: test_version_is_established_beside_a_stalled_disk, on the code before: "AssertionError: False is not true".

A disk that has not stored the report within less than a call's timeout counts as refusing it (versions.not_stored).

--- a/burdockdrum/software_versions/exchange.py
+++ b/burdockdrum/software_versions/exchange.py
@@ -30,6 +30,8 @@
 RETRY_SECONDS = 0.25
 # Two round trips between regions and two disk syncs.
 CALL_TIMEOUT_SECONDS = 0.4
+# Until a disk counts as refusing; the caller still gets that reply.
+_STORE_SECONDS = 0.3
 
 
 class VersionNotice(Message, frozen=True, kw_only=True, array_like=True):
@@ -238,10 +240,14 @@
 
     async def _store(self) -> bool:
         try:
-            await self._flush()
+            async with asyncio.timeout(_STORE_SECONDS):
+                await self._flush()
         except DiskError as error:
             self._storing.fail(str(error))
             return False
+        except TimeoutError:
+            self._storing.fail(f"no reply within {_STORE_SECONDS:g} s")
+            return False
         self._storing.succeed()
         return True
 
--- a/tests/software_versions/test_exchange.py
+++ b/tests/software_versions/test_exchange.py
@@ -27,6 +27,7 @@
         """Create VMs that are not started; p0 alone has v2."""
         super().__init__(endpoints=3, **fields)
         self.first_start = first_start
+        self.stalled = set()
         self.endpoints[0].software_version = "v2"
 
     async def start(self, name):
@@ -41,7 +42,7 @@
             clock=self.clock,
             versions=self.tables[name].versions,
             restored=restored,
-            flush=self._flush,
+            flush=lambda: self._flush(name),
             read_voters=lambda: self.addresses,
             is_first_start=self.first_start,
         )
@@ -63,8 +64,10 @@
     def _make_table(self):
         return RegistrationTable(clock=self.clock, are_versions_shared=True)
 
-    async def _flush(self):
-        """Do as if everything was on disk."""
+    async def _flush(self, name):
+        """Do as if everything was on disk, unless the disk stalls."""
+        if name in self.stalled:
+            await asyncio.sleep(60.0)
 
     def versions_of(self, name):
         """Return the versions that an entry knows."""
@@ -95,6 +98,17 @@
 
         run_virtual(main())
 
+    def test_version_is_established_beside_a_stalled_disk(self):
+        # Guards against a version at which no stream may begin for as long
+        # as the disk of one of three control VMs stalls.
+        async def check(world):
+            world.stalled = {"c0"}
+            world.endpoints[0].software_version = "v3"
+            await world.run(3.0)
+            self.assertTrue(world.is_established("e1", "v3"))
+
+        self.play(check)
+
     def test_restarted_entry_knows_the_version_of_a_lost_control_vm(self):
         # Guards against a majority that never heard of a version that serves.
         async def check(world):
