Elect a leader while syncs last longer than a call between members

What callers would see: no change and no read for as long as all disks of the control VMs are slow, though each sync succeeds.

Cause: a voter syncs its vote before it tells it, and both it and the candidate gave up after the timeout of a call, half an election timeout. Each attempt then raised the term again.

Change: a vote may take an election timeout, after which a disk counts as stalled anyway. Pre-votes need no write and keep their timeout. An attempt that can't reach a quorum any more ends at once, so that a member that is down doesn't make it longer.

What remains: syncs that last longer than an election timeout.

--- a/burdockdrum/consensus/election.py
+++ b/burdockdrum/consensus/election.py
@@ -115,7 +115,7 @@
         term = storage.term + 1
         storage.set_hard_state(term, replica.vm_id)
         replica.leader_id = None
-        seconds = replica.settings.election_timeout_seconds
+        seconds = replica.settings.vote_timeout_seconds
         if not await replica.durability.sync(seconds=seconds):
             replica.step_down("the own vote is not durable")
             return False
@@ -195,13 +195,16 @@
         ) as requests:
             if votes >= quorum:
                 return True
+            awaited = len(outcomes_by_id)
             async for vm_id, reply in requests:
-                if reply is None:
-                    continue
-                outcomes_by_id[vm_id] = _describe(reply)
-                votes += reply.granted
+                awaited -= 1
+                if reply is not None:
+                    outcomes_by_id[vm_id] = _describe(reply)
+                    votes += reply.granted
                 if votes >= quorum:
                     return True
+                if votes + awaited < quorum:
+                    break
         self._log_failure("vote", term, outcomes_by_id)
         return False
 
@@ -243,6 +246,10 @@
         waived_start: int = 0,
     ) -> VoteReply | None:
         replica = self._replica
+        settings = replica.settings
+        timeout = settings.vote_timeout_seconds
+        if pre_vote:
+            timeout = settings.call_timeout_seconds
         request = VoteRequest(
             cluster_id=replica.identity.current.cluster_id,
             target_id=member.vm_id,
@@ -261,7 +268,7 @@
                 member.address,
                 request,
                 VoteReply,
-                timeout=replica.settings.call_timeout_seconds,
+                timeout=timeout,
             )
         except CallFailed:
             return None
--- a/burdockdrum/consensus/interface.py
+++ b/burdockdrum/consensus/interface.py
@@ -111,6 +111,15 @@
     keep_bytes: int = 4 * 1024 * 1024
     segment_bytes: int = 1024 * 1024
 
+    @property
+    def vote_timeout_seconds(self) -> float:
+        """Return how long a candidate waits for a vote.
+
+        A vote is synced before it is told. A disk whose syncs take longer
+        than an election timeout counts as stalled.
+        """
+        return self.election_timeout_seconds
+
     @property
     def replacement_timeout_seconds(self) -> float:
         """Return after how long an unreachable voter is replaced.
--- a/burdockdrum/consensus/voting.py
+++ b/burdockdrum/consensus/voting.py
@@ -45,7 +45,7 @@
             replica.storage.set_hard_state(message.term, message.sender_id)
             replica.election_reset_at = replica.clock.monotonic()
         # A vote lost in a power loss could be granted twice.
-        seconds = replica.settings.call_timeout_seconds
+        seconds = replica.settings.vote_timeout_seconds
         if not await replica.durability.sync(seconds=seconds):
             return self._deny(message)
         return VoteReply(
