--- a/scripts/local_deployment.py
+++ b/scripts/local_deployment.py
@@ -25,7 +25,6 @@
 STOP_TIMEOUT_SECONDS = 10
 LOOPBACK_NETWORKS = 250
 RESERVATION_PORT = 18139
-MEMORY_FOLDER = pathlib.Path("/dev/shm")
 
 
 class Machine:
@@ -178,21 +177,10 @@
     """Control and entry processes in some zones, one region each."""
 
     def __init__(
-        self,
-        *,
-        zones: tuple[str, ...] = ("a", "b", "c"),
-        entries: int = 1,
-        is_in_memory: bool = False,
+        self, *, zones: tuple[str, ...] = ("a", "b", "c"), entries: int = 1
     ) -> None:
-        """Create processes that are not started.
-
-        :param is_in_memory: whether files are kept in memory, so that what
-            else uses the disk doesn't make syncs slow
-        """
-        has_memory = is_in_memory and MEMORY_FOLDER.is_dir()
-        self._temporary_folder = tempfile.TemporaryDirectory(
-            dir=MEMORY_FOLDER if has_memory else None
-        )
+        """Create processes that are not started."""
+        self._temporary_folder = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self._temporary_folder.name)
         self.zones = zones
         self._reservation, network = _reserve_network()
--- a/scripts/soak/refusing_disks.py
+++ b/scripts/soak/refusing_disks.py
@@ -33,8 +33,6 @@
 CONTACT_SECONDS = 5.0
 RECOVERY_SECONDS = 12.0
 START_SECONDS = 30.0
-# Not a bound: all processes start at once.
-OPEN_SECONDS = 90.0
 HOLD_SECONDS = (0.2, 3.0)
 STEP_SECONDS = (0.1, 1.5)
 STEPS = 8
@@ -46,8 +44,6 @@
 class DiskSoak(RetrySoak):
     """A deployment whose control VMs have disks that refuse writes."""
 
-    is_in_memory = True
-
     def __init__(self, seed: int, *, entries: int = 1) -> None:
         """Create a run that is not started.
 
@@ -84,7 +80,7 @@
 
     async def put_configuration(self) -> bool:
         """Send a version until it is acknowledged."""
-        async with asyncio.timeout(OPEN_SECONDS):
+        async with asyncio.timeout(START_SECONDS):
             await self.operator.change()
         return True
 
--- a/scripts/soak/retries.py
+++ b/scripts/soak/retries.py
@@ -57,8 +57,6 @@
     route_fields: ClassVar[dict[str, Any]] = {}
     # Requests that each endpoint says it runs at once.
     slots = SLOTS
-    # Whether slow syncs of the machine's disk must not count.
-    is_in_memory = False
     # Between two random faults.
     fault_interval_seconds = (1.0, 5.0)
 
@@ -72,9 +70,7 @@
         """
         self.seed = seed
         self.rng = random.Random(seed)
-        self.deployment = Deployment(
-            entries=entries, is_in_memory=self.is_in_memory
-        )
+        self.deployment = Deployment(entries=entries)
         self.history = RetryHistory()
         self.faults: list[str] = []
         self.violations: list[str] = []
