--- a/tests/peers/test_starts.py
+++ b/tests/peers/test_starts.py
@@ -1,11 +1,13 @@
 """Tests that a VM's starts are numbered in their order."""
 
+import asyncio
 import random
 import unittest
 
 from loguru import logger
 
 from burdockdrum.peers import StartNumber
+from burdockdrum.peers.starts import DRAW_SECONDS
 from burdockdrum.testing import FakeDisk
 from burdockdrum.testing import run_virtual
 from tests.passthrough.fakes import ManualClock
@@ -83,6 +85,26 @@
                 self.clock.wall_offset -= 3600.0
                 self.assertGreater(self.start(self.disk), first)
 
+    def test_disk_that_stalls_does_not_hold_the_start(self):
+        # Guards against a process that listens to nothing until its disk
+        # replies.
+        async def main():
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            start = await StartNumber.draw(clock=self.clock, disk=self.disk)
+            self.assertLessEqual(loop.time() - began, DRAW_SECONDS)
+            await start.run()
+            return start.number
+
+        first = self.start(self.disk)
+        self.clock.wall_offset = -90.0
+        self.disk.sync_seconds = 60.0
+        second = run_virtual(main())
+        self.disk.lose_power()
+        self.disk.sync_seconds = 0.0
+        self.assertGreater(second, first)
+        self.assertGreater(self.start(self.disk), second)
+
     def test_start_that_can_t_read_the_last_number_says_if_it_is_lower(self):
         # Guards against a VM that others take for a former start, and
         # nothing that says why.
