Share what began the streams of routes with several services

What callers saw: a stream of a route with two services, each of one software version, broke off as its entry was killed. Every other entry answered the caller's next try with 503 and `version_unknown`, for good, although the version that began the stream served.

Cause: an entry told others of a stream only if the stream's service had, or might have, another software version. Whoever takes up a stream of a route with two services can't infer the origin from the versions of one, so nobody but the killed entry knew it.

Change: an entry also shares the origins of streams whose route uses several services, under the same rules as where versions differ.

Evidence: test_stream_of_a_route_with_several_services_is_known fails without the change ("'v1' != None"), and passes with it.

Why it works: the three holders are chosen by the key of the stream alone, and are asked whatever the route uses.

--- a/burdockdrum/passthrough/relaying/stream_resumption.py
+++ b/burdockdrum/passthrough/relaying/stream_resumption.py
@@ -50,7 +50,7 @@
             return request
         found = await self._origins.find(
             _key_of(request) if request.began_as is not None else None,
-            [s.service for s in request.route.services if s.weight],
+            _list_services(request),
             request.deadline - self._clock.monotonic(),
         )
         match found:
@@ -74,7 +74,9 @@
         forwards may be lost on their way, and the stream begin elsewhere.
         """
         if request.forwarded_from is None:
-            self._origins.begin(_key_of(request), origin)
+            self._origins.begin(
+                _key_of(request), origin, _list_services(request)
+            )
 
     def end(self, request: ProxiedRequest) -> None:
         """Record the end of a request."""
@@ -101,6 +103,11 @@
     return request.is_resumable and request.last_event is not None
 
 
+def _list_services(request: ProxiedRequest) -> list[str]:
+    """Return the services that a request's route uses."""
+    return [s.service for s in request.route.services if s.weight]
+
+
 def _key_of(request: ProxiedRequest) -> bytes:
     """Return the key of a stream, the same over all tries of its caller."""
     began_as = request.began_as if _is_taken_up(request) else None
--- a/burdockdrum/streams/origins.py
+++ b/burdockdrum/streams/origins.py
@@ -1,9 +1,10 @@
 """Keeps what began each stream, and finds it for a caller's next try.
 
-While a service has one software version only, nothing is sent: a quorum of
-control VMs knows each version before a stream begins at it, so that any entry
-can find out what must have begun a stream. Where it has, or lately had,
-several, each entry tells three others of the streams that it begins.
+While a route has one service only, and that one software version, nothing is
+sent: a quorum of control VMs knows each version before a stream begins at it,
+so that any entry can find out what must have begun a stream. Where there are,
+or lately were, several, each entry tells three others of the streams that it
+begins.
 """
 
 import asyncio
@@ -79,6 +80,7 @@
 @dataclass(kw_only=True)
 class _OpenStream:
     origin: StreamOrigin
+    has_several_services: bool
     sent_at: float | None = None
 
 
@@ -139,11 +141,18 @@
         peers.register(OriginNotice, self._receive_notice)
         peers.register(OriginQuery, self._receive_query)
 
-    def begin(self, key: bytes, origin: StreamOrigin) -> None:
-        """Record that the first event of a stream is about to be sent."""
-        stream = self._open_by_key[key] = _OpenStream(origin=origin)
+    def begin(
+        self, key: bytes, origin: StreamOrigin, services: Collection[str]
+    ) -> None:
+        """Record that the first event of a stream is about to be sent.
+
+        :param services: those that its route uses
+        """
+        stream = self._open_by_key[key] = _OpenStream(
+            origin=origin, has_several_services=len(services) > 1
+        )
         self._memory.keep(key, origin)
-        if self._is_needed(origin):
+        if stream.has_several_services or self._is_ambiguous(origin):
             self._share({key: stream})
 
     def end(self, key: bytes) -> None:
@@ -200,18 +209,18 @@
         """
         since = self._clock.monotonic() - RENEWAL_SECONDS
         origins = {stream.origin for stream in self._open_by_key.values()}
-        needed = {origin for origin in origins if self._is_needed(origin)}
+        ambiguous = {o for o in origins if self._is_ambiguous(o)}
         return {
             key: stream
             for key, stream in self._open_by_key.items()
-            if stream.origin in needed
+            if (stream.has_several_services or stream.origin in ambiguous)
             and (
                 is_changed or stream.sent_at is None or stream.sent_at < since
             )
         }
 
-    def _is_needed(self, origin: StreamOrigin) -> bool:
-        """Return whether other entries can't tell what began a stream."""
+    def _is_ambiguous(self, origin: StreamOrigin) -> bool:
+        """Return whether there may be other origins on a stream's route."""
         return not self._knows_all_versions() or self._read_versions(
             origin.service
         ) != [origin.software_version]
--- a/scripts/bench/stream_origins.py
+++ b/scripts/bench/stream_origins.py
@@ -110,7 +110,7 @@
         )
 
         def begin(key: bytes) -> None:
-            origins.begin(key, ORIGIN)
+            origins.begin(key, ORIGIN, [ORIGIN.service])
             origins.end(key)
 
         return begin
--- a/tests/streams/test_origins.py
+++ b/tests/streams/test_origins.py
@@ -105,9 +105,9 @@
         finally:
             await peers.close()
 
-    async def find(self, name, key):
+    async def find(self, name, key, services=("s",)):
         """Return what an entry finds; the version, or None if unknown."""
-        found = await self.origins[name].find(key, ["s"], 3.0)
+        found = await self.origins[name].find(key, services, 3.0)
         match found:
             case FoundOrigin(origin=origin):
                 return origin.software_version
@@ -142,7 +142,7 @@
         """Begin streams at an entry; return their keys."""
         keys = [make_key(None, f"r{n}") for n in range(number)]
         for n, key in enumerate(keys):
-            world.origins[name].begin(key, V1 if n % 2 else V2)
+            world.origins[name].begin(key, V1 if n % 2 else V2, ["s"])
         return keys
 
     async def assert_known(self, world, names, keys):
@@ -190,7 +190,7 @@
         # Guards against a memory that is younger than the stream.
         async def check(world):
             key = make_key(None, "r1")
-            world.origins["a0"].begin(key, V2)
+            world.origins["a0"].begin(key, V2, ["s"])
             world.versions = ["v1"]
             world.confirmed_versions = ["v1", "v2"]
             self.assertEqual("v2", await world.find("c0", key))
@@ -203,7 +203,7 @@
         # Guards against a stream that is refused as nobody was asked yet.
         async def check(world):
             key = make_key(None, "r1")
-            world.origins["a0"].begin(key, V2)
+            world.origins["a0"].begin(key, V2, ["s"])
             await asyncio.sleep(MESSAGE_SECONDS)
             identities = world.identities
             world.identities = {}
@@ -245,7 +245,7 @@
         async def check(world):
             world.versions = ["v1"]
             key = make_key(None, "r1")
-            world.origins["a0"].begin(key, V1)
+            world.origins["a0"].begin(key, V1, ["s"])
             await asyncio.sleep(1.0)
             self.assertEqual("v1", await world.find("b0", key))
             world.versions = ["v1", "v2"]
@@ -255,6 +255,18 @@
 
         self.play(check)
 
+    def test_stream_of_a_route_with_several_services_is_known(self):
+        # Guards against a stream that is refused although its version serves.
+        async def check(world):
+            world.versions = ["v1"]
+            key = make_key(None, "r1")
+            world.origins["a0"].begin(key, V1, ["s", "t"])
+            await asyncio.sleep(MESSAGE_SECONDS)
+            await world.stop("a0")
+            self.assertEqual("v1", await world.find("b0", key, ["s", "t"]))
+
+        self.play(check)
+
     def test_unknown_stream_is_not_guessed(self):
         async def check(world):
             self.assertIsNone(await world.find("a0", make_key(None, "r9")))
