Refuse a stream at once whose route moved from its service

What callers saw: a caller took a stream up after its route had moved to another service. It got 502, after an endpoint of the other service had begun to run the request.

Cause: the service that began the stream was found, but a request whose route doesn't use it kept its service, and endpoints were selected by the software version alone. Where both services have a version of one name, an endpoint of the wrong service ran it, and only its first event showed that it was not the origin.

Change: a stream that is taken up is bound to its origin's service, whoever knew it, or refused for good with `version_gone` before any attempt. So the caller begins anew at once.

Evidence: test_stream_whose_route_moved_is_refused_at_once fails before ("503 != 502"), and passes now.

Why it works: the route and the service that began the stream are both known before an endpoint is selected.

--- a/burdockdrum/passthrough/relaying/stream_resumption.py
+++ b/burdockdrum/passthrough/relaying/stream_resumption.py
@@ -43,10 +43,12 @@
 
         Sets the origin of the stream in its progress.
 
-        :raises Refusal: for good, if nobody knows what began the stream
+        :raises Refusal: for good, if nobody knows what began the stream, or
+            its route doesn't use that service any more
         """
-        is_known = progress.origin is not None
-        if is_known or not _is_taken_up(request):
+        if progress.origin is not None:
+            return self._bind(request, progress.origin)
+        if not _is_taken_up(request):
             return request
         found = await self._origins.find(
             _key_of(request) if request.began_as is not None else None,
@@ -65,7 +67,7 @@
             case FoundOrigin(origin=origin):
                 progress.origin = origin
                 self._report(request, found)
-                return self._reader.with_service(request, origin.service)
+                return self._bind(request, origin)
 
     def begin(self, request: ProxiedRequest, origin: StreamOrigin) -> None:
         """Record that a stream's next events are about to be sent.
@@ -83,6 +85,23 @@
         if request.is_resumable:
             self._origins.end(_key_of(request))
 
+    def _bind(
+        self, request: ProxiedRequest, origin: StreamOrigin
+    ) -> ProxiedRequest:
+        """Return a request that goes to the service of an origin.
+
+        :raises Refusal: for good, if its route doesn't use that service
+        """
+        bound = self._reader.with_service(request, origin.service)
+        if bound.backend.name != origin.service:
+            raise Refusal(
+                code=RefusalCode.VERSION_GONE,
+                message=f"{origin.service}: the route of the stream that it "
+                f"began uses {bound.backend.name} now",
+                verdict=Verdict.NOT_RUN,
+            )
+        return bound
+
     def _report(self, request: ProxiedRequest, found: FoundOrigin) -> None:
         self._taken_up_total.increment(result=found.knowledge.value)
         log_decision(
--- a/tests/passthrough/relaying/test_stream_versions.py
+++ b/tests/passthrough/relaying/test_stream_versions.py
@@ -3,6 +3,8 @@
 import asyncio
 
 from burdockdrum.registrations import ServiceCapacity
+from burdockdrum.streams import make_key
+from burdockdrum.streams import StreamOrigin
 from tests.passthrough.entries import at_version
 from tests.passthrough.entries import EntryDeployment
 from tests.passthrough.entries import events
@@ -215,6 +217,24 @@
                 self.assertNotIn(b"retry-after", head.lower())
         self.assertEqual(0, self.count_others())
 
+    async def test_stream_whose_route_moved_is_refused_at_once(self):
+        # Guards against an attempt at another service with the same version.
+        await self.open_entries()
+        service = "former"
+        self.entry.origins.begin(
+            make_key(None, "r5"),
+            StreamOrigin(service=service, software_version="v1"),
+            [service],
+        )
+        arrivals = len(self.first.seen)
+        status, head, body = await self.entry.call(
+            b"Last-Event-Id: 3", b"X-Resumes: r5", request_id=b"r6"
+        )
+        self.assertEqual(503, status)
+        self.assertNotIn(b"retry-after", head.lower())
+        self.assertIn(b"former", body)
+        self.assertEqual(arrivals, len(self.first.seen))
+
     async def test_stream_without_events_begins_anew(self):
         await self.open_entries()
         status, _, _ = await self.entry.call(
