Don't take the service that a route moved to for a stream's origin

What callers saw: all entries were killed at once while a route moved to another service. Callers that took up their streams got 200 and the rest of the events from the other service, joined to the first part, with nothing in the answer to show it.

Cause: an entry that finds nobody who keeps the origin of a stream takes the only version of the only service of its route. It looked at the route that is in force now; the stream had begun before the route moved. That there is only one version was proved by a quorum, that there is only one service was not.

Change: the replicated state records the revision at which a path last moved to each service. Control VMs tell entries the services whose move they saw in the last 60 s, and an entry infers nothing for these. Only replies at the entry's own revision of the configuration count. While routes moved lately, entries share the origins of all streams.

Why it works: a stream that began at another service began before the move. Each control VM that has the entry's revision has applied that move, and says so for 60 s from then on, also after a restart, as the move is in the log's state; callers take streams up within their deadlines, which are shorter.

--- a/burdockdrum/registrations/__init__.py
+++ b/burdockdrum/registrations/__init__.py
@@ -26,6 +26,7 @@
 from burdockdrum.registrations.rate_limits import bounds_of
 from burdockdrum.registrations.rate_limits import newest_limit
 from burdockdrum.registrations.rate_limits import rate_of
+from burdockdrum.registrations.recent_route_moves import RecentRouteMoves
 from burdockdrum.registrations.services import add_services
 from burdockdrum.registrations.speed_news import SpeedNews
 from burdockdrum.registrations.table import RegistrationTable
@@ -52,6 +53,7 @@
     "RankLoad",
     "RankSum",
     "rate_of",
+    "RecentRouteMoves",
     "RegisteredEndpoint",
     "Registration",
     "RegistrationFollower",
--- a/burdockdrum/registrations/control_source.py
+++ b/burdockdrum/registrations/control_source.py
@@ -33,6 +33,7 @@
     versions: list[ServiceVersion] = field(default_factory=list)
     version_serial: int = 0
     are_versions_complete: bool = False
+    moved_to: list[str] = field(default_factory=list)
     stale_until_by_id: dict[str, float] = field(default_factory=dict)
 
     def begin_epoch(self, epoch: int, stale_until: float) -> None:
--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -42,6 +42,7 @@
 from burdockdrum.registrations.replaced_control_vms import ReplacedControlVms
 from burdockdrum.registrations.rosters import NO_ROSTER_VERSION
 from burdockdrum.software_versions import KnownVersions
+from burdockdrum.software_versions import MEMORY_SECONDS
 from burdockdrum.software_versions import VersionConfirmation
 
 # What a control VM reported before its restart or its replacement stays valid
@@ -65,6 +66,7 @@
         control_addresses: Callable[[], Mapping[str, str]],
         read_report: Callable[[], LoadById | None] = dict,
         on_revision: Callable[[str, int], None] = lambda *_: None,
+        read_revision: Callable[[], int] = int,
         crashes: CrashLedger | None = None,
     ) -> None:
         """Register the message handler; polling starts with ``run``.
@@ -74,6 +76,7 @@
             if another entry reports it
         :param on_revision: called with a control VM's address and the
             revision of its configuration
+        :param read_revision: returns the revision of the own configuration
         :param crashes: the crashes that this entry knows; a ledger of its
             own by default
         """
@@ -91,6 +94,7 @@
         self._rng = rng
         self._control_addresses = control_addresses
         self._on_revision = on_revision
+        self._read_revision = read_revision
         self._crashes = crashes or CrashLedger(clock=clock)
         self._crash_exchange = CrashExchange(ledger=self._crashes)
         self._sources_by_id: dict[str, ControlSource] = {}
@@ -174,11 +178,29 @@
         )
         return heard * 2 > len(control_ids)
 
+    @property
+    def moved_to(self) -> frozenset[str]:
+        """Return the services that routes moved to lately.
+
+        A stream on such a route may have begun at another service.
+        """
+        since = self._clock.monotonic() - MEMORY_SECONDS
+        return frozenset(
+            service
+            for source in self._sources_by_id.values()
+            if source.received_at >= since
+            for service in source.moved_to
+        )
+
     async def confirm_versions(self, seconds: float) -> bool:
-        """Learn of each version that was established before this call.
+        """Learn of what may have begun a stream before this call.
+
+        That is each version that was established, and each service that a
+        route moved to.
 
         :param seconds: how long at most
-        :returns: whether a majority of control VMs has replied
+        :returns: whether a majority of control VMs has replied, which have
+            the revision of the configuration that this entry has
         """
         return await self._confirmation.confirm(seconds)
 
@@ -355,7 +377,10 @@
             message.are_versions_complete
             and source.version_serial == message.version_serial
         )
-        if source.are_versions_complete:
+        source.moved_to = message.moved_to
+        # Of two revisions, either may route a stream that the other doesn't.
+        is_same_revision = message.revision == self._read_revision()
+        if source.are_versions_complete and is_same_revision:
             self._confirmation.record(vm_id, message.watch_sent_at_ms)
 
     def _receive_roster(
--- a/burdockdrum/registrations/messages.py
+++ b/burdockdrum/registrations/messages.py
@@ -245,6 +245,7 @@
     ``crash_base``, up to ``crash_serial``. ``versions`` are the software
     versions of services, None if the entry knows those of ``version_serial``;
     ``are_versions_complete`` says that the control VM has forgotten none.
+    ``moved_to`` are the services that routes moved to lately.
     """
 
     wire_kind: ClassVar[str | None] = "registrations.Watched"
@@ -266,3 +267,4 @@
     versions: list[ServiceVersion] | None = None
     version_serial: int = 0
     are_versions_complete: bool = False
+    moved_to: list[str] = []
--- a/burdockdrum/registrations/publisher.py
+++ b/burdockdrum/registrations/publisher.py
@@ -84,10 +84,12 @@
         table: RegistrationTable,
         regions_by_data_centre: Mapping[str, str],
         read_revision: Callable[[], int],
+        read_moved_to: Callable[[], list[str]] = list,
         crashes: CrashLedger | None = None,
     ) -> None:
         """Register the message handler and listen for changes.
 
+        :param read_moved_to: returns the services that routes moved to lately
         :param crashes: the crashes that this VM knows; a ledger of its own by
             default
         """
@@ -97,6 +99,7 @@
         self._table = table
         self._regions_by_data_centre = dict(regions_by_data_centre)
         self._read_revision = read_revision
+        self._read_moved_to = read_moved_to
         self._watchers_by_id: dict[str, _Watcher] = {}
         self._rosters = EntryRosters(clock=clock)
         table.listeners.append(self._publish_change)
@@ -277,6 +280,7 @@
             versions=None if knows_versions else table.versions.list_known(),
             version_serial=table.versions.serial,
             are_versions_complete=table.versions.is_complete,
+            moved_to=self._read_moved_to(),
         )
         self._peers.send(watcher.address, message)
 
--- a/burdockdrum/registrations/services.py
+++ b/burdockdrum/registrations/services.py
@@ -3,6 +3,7 @@
 import random
 
 from burdockdrum.configuration import ConfigurationService
+from burdockdrum.configuration import ControlState
 from burdockdrum.consensus import ReplicatedLog
 from burdockdrum.crashes import CrashLedger
 from burdockdrum.kernel import Kernel
@@ -14,6 +15,7 @@
 from burdockdrum.registrations.follower import RegistrationFollower
 from burdockdrum.registrations.load_sharing import LoadSharing
 from burdockdrum.registrations.publisher import RegistrationPublisher
+from burdockdrum.registrations.recent_route_moves import RecentRouteMoves
 from burdockdrum.registrations.store import RegistrationStore
 from burdockdrum.registrations.table import RegistrationTable
 from burdockdrum.settings import Settings
@@ -76,12 +78,19 @@
 def _build_publisher(kernel: Kernel) -> RegistrationPublisher:
     settings = kernel.find("settings", Settings)
     configuration = kernel.find("configuration", ConfigurationService)
+    store = kernel.find("control_state", ControlState).store
+    clock = kernel.find("clock", Clock)
+    moves = RecentRouteMoves(
+        clock=clock,
+        read_revisions=lambda: store.route_moves.revision_by_service,
+    )
     return RegistrationPublisher(
         peers=kernel.find("peers", Peers),
-        clock=kernel.find("clock", Clock),
+        clock=clock,
         table=kernel.find("registration_book", RegistrationTable),
         regions_by_data_centre=settings.topology.regions_by_data_centre,
         read_revision=lambda: configuration.current.revision,
+        read_moved_to=moves.list_services,
         crashes=kernel.find("crash_ledger", CrashLedger),
     )
 
@@ -94,6 +103,7 @@
         rng=kernel.find("random", random.Random),
         control_addresses=lambda: configuration.control_addresses,
         on_revision=configuration.handle_peer_revision,
+        read_revision=lambda: configuration.current.revision,
         crashes=kernel.find("crash_ledger", CrashLedger),
     )
 
--- a/burdockdrum/resources/store.py
+++ b/burdockdrum/resources/store.py
@@ -15,6 +15,7 @@
 from burdockdrum.resources.recorded_results import digest_change
 from burdockdrum.resources.recorded_results import RecordedResult
 from burdockdrum.resources.recorded_results import RecordedResults
+from burdockdrum.resources.route_moves import RouteMoves
 from burdockdrum.resources.route_validation import check_routes
 from burdockdrum.resources.routes import EvacuationSpec
 from burdockdrum.resources.routes import ROUTE_TABLE_NAME
@@ -103,6 +104,7 @@
     evacuation_orders: EvacuationOrdersSnapshot = msgspec.field(
         default_factory=EvacuationOrdersSnapshot
     )
+    route_moves: dict[str, int] = {}
 
 
 class ResourceStore:
@@ -117,6 +119,7 @@
         self.configuration = Configuration()
         self.listeners: list[Callable[[ResourceRevision | None], None]] = []
         self.evacuation_orders = EvacuationOrders()
+        self.route_moves = RouteMoves()
         self._results = RecordedResults()
 
     def apply(self, change: Change) -> ChangeResult:
@@ -152,6 +155,7 @@
             resources=list(self.configuration.resources_by_key.values()),
             answers=self._results.as_list(),
             evacuation_orders=self.evacuation_orders.snapshot(),
+            route_moves=dict(self.route_moves.revision_by_service),
         )
 
     def restore(self, snapshot: StoreSnapshot) -> None:
@@ -161,6 +165,7 @@
         )
         self._results = RecordedResults(snapshot.answers)
         self.evacuation_orders.restore(snapshot.evacuation_orders)
+        self.route_moves.revision_by_service = dict(snapshot.route_moves)
         self._notify_listeners(None)
 
     def _replace_routes(self, spec: RouteTableSpec) -> ChangeResult:
@@ -269,7 +274,10 @@
         resource_revision = ResourceRevision(
             revision=revision, kind=key.kind, name=key.name, resource=resource
         )
+        before = self.configuration.route_table
         self.configuration = self.configuration.revise([resource_revision])
+        if before is not None and isinstance(spec, RouteTableSpec):
+            self.route_moves.advance(before, spec, revision)
         self._notify_listeners(resource_revision)
         return self._acknowledge()
 
--- a/burdockdrum/streams/origins.py
+++ b/burdockdrum/streams/origins.py
@@ -2,9 +2,9 @@
 
 While a route has one service only, and that one software version, nothing is
 sent: a quorum of control VMs knows each version before a stream begins at it,
-so that any entry can find out what must have begun a stream. Where there are,
-or lately were, several, each entry tells three others of the streams that it
-begins.
+and each move of a route, so that any entry can find out what must have begun
+a stream. Where there are, or lately were, several, each entry tells three
+others of the streams that it begins.
 """
 
 import asyncio
@@ -105,6 +105,7 @@
         read_versions: Callable[[str], list[str]],
         knows_all_versions: Callable[[], bool],
         confirm_versions: Callable[[float], Awaitable[bool]],
+        read_moved_to: Callable[[], Collection[str]],
     ) -> None:
         """Register the message handlers.
 
@@ -115,6 +116,7 @@
         :param confirm_versions: waits, for so many seconds at most, until
             all versions at which a stream may have begun are known, and
             returns whether they are
+        :param read_moved_to: returns the services that routes moved to lately
         """
         self._clock = clock
         self._began_at = clock.monotonic()
@@ -123,6 +125,7 @@
         self._read_versions = read_versions
         self._knows_all_versions = knows_all_versions
         self._confirm_versions = confirm_versions
+        self._read_moved_to = read_moved_to
         self._holders = HolderSelector(
             own=peers.identity, read_entries=read_entries
         )
@@ -221,14 +224,16 @@
 
     def _is_ambiguous(self, origin: StreamOrigin) -> bool:
         """Return whether there may be other origins on a stream's route."""
-        return not self._knows_all_versions() or self._read_versions(
-            origin.service
-        ) != [origin.software_version]
+        return (
+            not self._knows_all_versions()
+            or bool(self._read_moved_to())
+            or self._read_versions(origin.service) != [origin.software_version]
+        )
 
     async def _confirm(
         self, services: Collection[str], seconds: float
     ) -> FoundOrigin | None:
-        """Return the only version, if there has been no other one."""
+        """Return the only version, if no other one can have begun it."""
         if len(services) != 1:
             return None
         (service,) = services
@@ -236,13 +241,15 @@
             return None
         is_confirmed = await self._confirm_versions(seconds)
         versions = self._read_versions(service)
+        has_route_moved = service in self._read_moved_to()
         log_decision(
             "stream.versions_confirmed",
             service=service,
             software_versions=",".join(versions),
+            has_route_moved=has_route_moved,
             is_confirmed=is_confirmed,
         )
-        if not is_confirmed or len(versions) != 1:
+        if not is_confirmed or has_route_moved or len(versions) != 1:
             return None
         return FoundOrigin(
             origin=StreamOrigin(service=service, software_version=versions[0]),
--- a/burdockdrum/streams/services.py
+++ b/burdockdrum/streams/services.py
@@ -35,4 +35,5 @@
         read_versions=registrations.versions.versions_of,
         knows_all_versions=registrations.hears_majority,
         confirm_versions=registrations.confirm_versions,
+        read_moved_to=lambda: registrations.moved_to,
     )
--- a/scripts/bench/stream_origins.py
+++ b/scripts/bench/stream_origins.py
@@ -107,6 +107,7 @@
             read_versions=lambda service: ["v1.1", "v1.2"],
             knows_all_versions=lambda: True,
             confirm_versions=confirm_versions,
+            read_moved_to=list,
         )
 
         def begin(key: bytes) -> None:
--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -3,7 +3,8 @@
 Usage:
   soak [--seed N] [--seeds N] [--seconds S] [--keep FOLDER]
        [--limits | --signals | --retries | --crashes | --cuts | --versions |
-       --regions | --evacuations | --brittle | --parts | --silent | --disks]
+       --regions | --moves | --evacuations | --brittle | --parts | --silent |
+       --disks]
        [--entries N] [--rate R]
 
 Options:
@@ -23,8 +24,9 @@
   --disks        Disks of control VMs refuse writes; the rest is sound.
   --versions     Endpoints have several versions; only streams are checked.
   --regions      Regions with versions of their own are lost; as --versions.
+  --moves        Routes move while entries are killed; as --versions.
   --evacuations  Zones are evacuated and taken back; only that is checked.
-  --entries N    With these ten: the entries of each region [default: 2].
+  --entries N    With these eleven: the entries of each region [default: 2].
   --rate R       With --retries: requests per second; at random by default.
 
 Three control VMs and three entries run as processes on loopback addresses.
@@ -51,6 +53,7 @@
 from scripts.soak.crashes import CrashSoak
 from scripts.soak.cuts import CutSoak
 from scripts.soak.evacuations import EvacuationSoak
+from scripts.soak.moved_routes import MovedRouteSoak
 from scripts.soak.parts import PartSoak
 from scripts.soak.refusing_disks import DiskSoak
 from scripts.soak.regional_versions import RegionalVersionSoak
@@ -83,6 +86,8 @@
         soak = DiskSoak(seed, entries=entries)
     elif arguments["--evacuations"]:
         soak = EvacuationSoak(seed, entries=entries)
+    elif arguments["--moves"]:
+        soak = MovedRouteSoak(seed, entries=entries)
     elif arguments["--regions"]:
         soak = RegionalVersionSoak(seed, entries=entries)
     elif arguments["--versions"]:
--- a/scripts/soak/versions.py
+++ b/scripts/soak/versions.py
@@ -24,7 +24,6 @@
 STREAM_RATE = 15.0
 DEADLINE_MS = 6000
 MAX_TRIES = 4
-UNTIL_TAKEN_UP_SECONDS = (0.02, 0.4)
 # A machine that was disturbed lately may not know enough.
 CONTACT_SECONDS = 5.0
 # An endpoint must have served for so long before a stream can go on there.
@@ -44,6 +43,8 @@
         "can_resume": True,
         "timeout_ms": DEADLINE_MS,
     }
+    max_tries = MAX_TRIES
+    until_taken_up_seconds = (0.02, 0.4)
 
     def __init__(self, seed: int, *, entries: int = 2) -> None:
         """Create a run that is not started.
@@ -67,7 +68,7 @@
         tries: list[StreamTry] = []
         self.streams.streams.append(tries)
         status = 0
-        for _ in range(MAX_TRIES):
+        for _ in range(self.max_tries):
             attempt = self._make_try(tries)
             received = await self._receive(attempt, tries)
             status = received.status
@@ -78,7 +79,7 @@
                 continue
             if received.is_whole or (status == 503 and is_refused):
                 break
-            await asyncio.sleep(self.rng.uniform(*UNTIL_TAKEN_UP_SECONDS))
+            await asyncio.sleep(self.rng.uniform(*self.until_taken_up_seconds))
         return status
 
     def _make_try(self, tries: list[StreamTry]) -> StreamTry:
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -294,6 +294,7 @@
         # Of messages between entries, by the receiver's address and the type.
         self.handlers_by_address = {}
         self.knows_all_versions = True
+        self.moved_to = []
         # What no quorum of control VMs knows.
         self.unestablished_versions = set()
 
@@ -523,6 +524,7 @@
             read_versions=read_versions,
             knows_all_versions=lambda: self.knows_all_versions,
             confirm_versions=confirm_versions,
+            read_moved_to=lambda: self.moved_to,
         )
         resumption = StreamResumption(
             clock=clock, origins=origins, reader=reader, metrics=metrics
--- a/tests/registrations/limited_region.py
+++ b/tests/registrations/limited_region.py
@@ -13,6 +13,7 @@
 from burdockdrum.passthrough.state.limit_permits import PERMIT_SECONDS
 from burdockdrum.passthrough.state.limit_permits import PermitReply
 from burdockdrum.passthrough.state.limit_permits import PermitRequest
+from burdockdrum.registrations import RecentRouteMoves
 from burdockdrum.registrations import Registration
 from burdockdrum.registrations import RegistrationFollower
 from burdockdrum.registrations import RegistrationPublisher
@@ -78,6 +79,10 @@
         ]
         self.addresses = {name: f"tcp://{name}:1" for name in self.control}
         self.tables = {}
+        # Revisions of the configuration, 0 by default.
+        self.revision_by_vm = {}
+        # When a route last moved to each service, by revision.
+        self.route_moves = {}
         self.peers = {}
         self.followers = {}
         self.limits = {}
@@ -187,12 +192,16 @@
     def _make_control(self, name, peers):
         table = self._make_table()
         self.tables[name] = table
+        moves = RecentRouteMoves(
+            clock=self.clock, read_revisions=lambda: self.route_moves
+        )
         return RegistrationPublisher(
             peers=peers,
             clock=self.clock,
             table=table,
             regions_by_data_centre={"dc": "here"},
-            read_revision=lambda: 0,
+            read_revision=lambda: self.revision_by_vm.get(name, 0),
+            read_moved_to=moves.list_services,
             crashes=self.make_ledger(name),
         )
 
@@ -205,6 +214,7 @@
             clock=self.clock,
             rng=self.rng,
             control_addresses=lambda: self.addresses,
+            read_revision=lambda: self.revision_by_vm.get(name, 0),
             crashes=self.make_ledger(name),
         )
         limits = EndpointLimits(
--- a/tests/resources/test_routes.py
+++ b/tests/resources/test_routes.py
@@ -122,6 +122,79 @@
         self.assertEqual(2, len(resource_revision.resource.spec.routes))
 
 
+class RouteMovesTest(unittest.TestCase):
+    """The services to which paths of other services move."""
+
+    def setUp(self):
+        self.store = ResourceStore()
+        self.generation = 0
+
+    def replace(self, **services_by_prefix):
+        """Replace the table; ``a_b`` stands for the prefix /a/b/."""
+        self.generation += 1
+        routes = [
+            make_route(
+                name=place,
+                path_prefix=f"/{place.replace('_', '/')}/",
+                services=[
+                    WeightedService(service=name, weight=weight)
+                    for name, weight in services.items()
+                ],
+            )
+            for place, services in services_by_prefix.items()
+        ]
+        spec = RouteTableSpec(
+            generation=self.generation,
+            routes=routes,
+            backends=[Backend(name=name) for name in "st"],
+        )
+        result = self.store.apply(ReplaceRoutes(spec=spec))
+        self.assertEqual(ACCEPTED, result.code)
+        return self.store.route_moves.revision_by_service
+
+    def test_moved_paths_are_recorded(self):
+        # Guards against a stream that goes on at another service.
+        moves = {
+            "to another": ({"a": {"s": 1}}, {"a": {"t": 1}}, {"t"}),
+            "to both": ({"a": {"s": 1}}, {"a": {"s": 1, "t": 1}}, {"t"}),
+            "from both": ({"a": {"s": 1, "t": 1}}, {"a": {"s": 1}}, {"s"}),
+            "by weight": (
+                {"a": {"s": 1, "t": 0}},
+                {"a": {"s": 0, "t": 1}},
+                {"t"},
+            ),
+            "to a longer prefix": (
+                {"a": {"s": 1}},
+                {"a": {"s": 1}, "a_b": {"t": 1}},
+                {"t"},
+            ),
+            "to a shorter prefix": (
+                {"a": {"s": 1}, "a_b": {"t": 1}},
+                {"a": {"s": 1}},
+                {"s"},
+            ),
+            "none": (
+                {"a": {"s": 1, "t": 1}},
+                {"a": {"s": 2, "t": 1}, "b": {"t": 1}},
+                set(),
+            ),
+        }
+        for name, (before, after, expected) in moves.items():
+            with self.subTest(name):
+                self.setUp()
+                self.replace(**before)
+                self.assertEqual(expected, set(self.replace(**after)))
+
+    def test_moves_are_in_the_snapshot(self):
+        # Guards against a control VM that forgets a move by its restart.
+        self.replace(a={"s": 1})
+        moves = self.replace(a={"t": 1})
+        self.assertEqual({"t": self.store.configuration.revision}, moves)
+        other = ResourceStore()
+        other.restore(self.store.snapshot())
+        self.assertEqual(moves, other.route_moves.revision_by_service)
+
+
 class EvacuationTest(unittest.TestCase):
     """Data centres whose endpoints receive no new requests."""
 
--- a/tests/software_versions/test_exchange.py
+++ b/tests/software_versions/test_exchange.py
@@ -149,6 +149,34 @@
 
         self.play(check)
 
+    def test_control_vms_at_another_revision_confirm_nothing(self):
+        # Guards against a move of a route that one of them hasn't applied.
+        async def check(world):
+            follower = world.followers["e0"]
+            for revision in (4, 6):
+                world.revision_by_vm = {"c0": 5, "c1": 5, "e0": revision}
+                self.assertFalse(await follower.confirm_versions(0.5))
+            world.revision_by_vm["e0"] = 5
+            self.assertTrue(await follower.confirm_versions(0.5))
+
+        self.play(check)
+
+    def test_moves_of_routes_are_known_for_a_while(self):
+        # Guards against a stream taken for one of the service that its route
+        # moved to.
+        async def check(world):
+            world.route_moves = {"t": 1}
+            follower = world.followers["e0"]
+            self.assertTrue(await follower.confirm_versions(0.5))
+            self.assertEqual({"t"}, follower.moved_to)
+            await world.run(MEMORY_SECONDS + 1.0)
+            self.assertEqual(set(), follower.moved_to)
+            world.route_moves = {"t": 7}
+            self.assertTrue(await follower.confirm_versions(0.5))
+            self.assertEqual({"t"}, follower.moved_to)
+
+        self.play(check)
+
     def test_control_vm_without_its_memory_confirms_nothing(self):
         # Guards against a new memory taken for complete.
         async def check(world):
--- a/tests/streams/test_origins.py
+++ b/tests/streams/test_origins.py
@@ -42,6 +42,7 @@
         # What control VMs know, if an entry doesn't.
         self.confirmed_versions = None
         self.knows_all = True
+        self.moved_to = []
         self.names = [
             f"{data_centre}{number}"
             for data_centre in "abc"
@@ -79,6 +80,7 @@
             read_versions=lambda service: self.versions,
             knows_all_versions=lambda: self.knows_all,
             confirm_versions=self.confirm_versions,
+            read_moved_to=lambda: self.moved_to,
         )
         self.tasks[name] = asyncio.create_task(
             self._run(made, self.origins[name])
@@ -267,6 +269,37 @@
 
         self.play(check)
 
+    def test_stream_does_not_go_on_at_the_service_that_its_route_moved_to(
+        self,
+    ):
+        # Guards against an answer joined from two services.
+        async def check(world):
+            world.versions = ["v1"]
+            key = make_key(None, "r1")
+            world.origins["a0"].begin(key, V1, ["s"])
+            await world.stop("a0")
+            world.moved_to = ["t"]
+            self.assertIsNone(await world.find("b0", key, ["t"]))
+            self.assertIsNone(await world.find("b0", None, ["t"]))
+            world.moved_to = []
+            self.assertEqual("v1", await world.find("b0", key, ["t"]))
+
+        self.play(check)
+
+    def test_open_streams_are_told_when_a_route_moves(self):
+        # Guards against a stream that only its entry knows when its route
+        # moves to another service and back.
+        async def check(world):
+            world.versions = ["v1"]
+            key = make_key(None, "r1")
+            world.origins["a0"].begin(key, V1, ["s"])
+            world.moved_to = ["s", "t"]
+            await asyncio.sleep(1.0)
+            await world.stop("a0")
+            self.assertEqual("v1", await world.find("b0", key))
+
+        self.play(check)
+
     def test_unknown_stream_is_not_guessed(self):
         async def check(world):
             self.assertIsNone(await world.find("a0", make_key(None, "r9")))
