--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -2,9 +2,9 @@
 
 Usage:
   soak [--seed N] [--seeds N] [--seconds S] [--keep FOLDER]
-       [--limits | --signals | --retries | --crashes | --cuts | --versions |
-       --regions | --moves | --evacuations | --brittle | --parts | --silent |
-       --disks]
+       [--limits | --signals | --retries | --crashes | --cuts | --versions
+       | --regions | --moves | --evacuations | --brittle | --parts | --silent
+       | --disks]
        [--entries N] [--rate R]
 
 Options:
