--- a/tests/platform/test_full_disks.py
+++ b/tests/platform/test_full_disks.py
@@ -1,5 +1,6 @@
 """Tests of processes whose files can't grow, as on a full disk."""
 
+import functools
 import json
 import resource
 import shutil
@@ -13,6 +14,10 @@
 from scripts.local_deployment import until
 
 METRICS_PORT = 9464
+# Less than a record takes.
+FREE_BYTES = 20
+# The platform's bound on a confirmation.
+ACK_SECONDS = 6.0
 CONFIG = {"version": 1, "routes": [], "services": [{"name": "s"}]}
 CHECK_IN = {
     "service": "s",
@@ -34,6 +39,24 @@
     resource.prlimit(machine.process.pid, resource.RLIMIT_FSIZE, (soft, hard))
 
 
+def find_log_bytes(machine):
+    """Return the size of the largest file of a replicated log, in bytes."""
+    return max(
+        f.stat().st_size for f in (machine.folder / "log").glob("log-*")
+    )
+
+
+def set_nearly_full(machine, *, free_bytes):
+    """Let the disk take only a part of the next write to the log.
+
+    :returns: the size at which the write stops
+    """
+    size = find_log_bytes(machine) + free_bytes
+    _, hard = resource.prlimit(machine.process.pid, resource.RLIMIT_FSIZE)
+    resource.prlimit(machine.process.pid, resource.RLIMIT_FSIZE, (size, hard))
+    return size
+
+
 class FullDiskTest(unittest.IsolatedAsyncioTestCase):
     """Three control VMs and an entry in each zone."""
 
@@ -90,6 +113,44 @@
             with self.subTest(is_empty=is_empty):
                 await self._start_on_a_full_disk(is_empty)
 
+    async def test_changes_go_on_while_disks_fill_in_turn(self):
+        # Guards against a control VM that takes no part any more after its
+        # disk took only a part of a write.
+        version = 1
+        for machine in self.deployment.control:
+            with self.subTest(machine.name):
+                size = set_nearly_full(machine, free_bytes=FREE_BYTES)
+                version = await self.change_at_each(version)
+                self.assertEqual(size, find_log_bytes(machine))
+                set_full(machine, is_full=True)
+                version = await self.change_at_each(version)
+                set_full(machine, is_full=False)
+                version = await self.change_at_each(version)
+        for machine in self.deployment.control:
+            await machine.stop()
+        for machine in self.deployment.control:
+            await machine.start()
+        for machine in self.deployment.control:
+            await until(functools.partial(self.reads, machine, version))
+
+    async def change_at_each(self, version):
+        """Change the configuration at each control VM.
+
+        :returns: the version after the last change
+        """
+        for machine in self.deployment.control:
+            version += 1
+            put = functools.partial(self.put_config, machine, version)
+            await until(put, ACK_SECONDS)
+        return version
+
+    async def reads(self, machine, version):
+        """Return whether a control VM has a version."""
+        status, body = await call(
+            machine.ip, CONTROL_PORT, "GET", "/v1/config"
+        )
+        return status == 200 and json.loads(body)["version"] == version
+
     async def _start_on_a_full_disk(self, is_empty):
         machine = self.last
         await machine.stop()
