Don't refuse a stream for good before the other entries are discovered

What callers saw: all entries of one region were killed and came back, while two software versions served. For two seconds and longer after their start they refused streams for good ("none of 1 other entries knows..."), which entries of other regions knew. Their callers lost what they had.

Cause: an entry that starts hears of the entries of other data centres with the next summaries, after one or two seconds. Its search ended after half a second, and one that was not answered held it up until then. "Nobody knows" was a statement about all, drawn from those that it had discovered.

Change: until entries of each data centre are known, for 5 s at most, an entry asks each one that it discovers at once, for 1.5 s, and then refuses with a time to return (`version_not_yet_known`).

Evidence: test_entry_that_has_just_started_refuses_nothing_for_good and test_unknown_stream_may_return_while_entries_are_discovered; both need what this adds.

Why it works: the topology names the data centres, so that an entry can tell whether it knows whom to ask.

--- a/burdockdrum/passthrough/relaying/stream_resumption.py
+++ b/burdockdrum/passthrough/relaying/stream_resumption.py
@@ -44,7 +44,8 @@
         Sets the origin of the stream in its progress.
 
         :raises Refusal: for good, if nobody knows what began the stream, or
-            its route doesn't use that service any more
+            its route doesn't use that service any more; for a moment, if
+            this entry has just started and doesn't know yet whom to ask
         """
         if progress.origin is not None:
             return self._bind(request, progress.origin)
@@ -56,7 +57,7 @@
             request.deadline - self._clock.monotonic(),
         )
         match found:
-            case UnknownOrigin(reason=reason):
+            case UnknownOrigin(reason=reason, retry_after=None):
                 self._taken_up_total.increment(result="unknown")
                 raise Refusal(
                     code=RefusalCode.VERSION_UNKNOWN,
@@ -64,6 +65,14 @@
                     "request without its last event to begin anew",
                     verdict=Verdict.NOT_RUN,
                 )
+            case UnknownOrigin(reason=reason, retry_after=seconds):
+                self._taken_up_total.increment(result="not yet known")
+                raise Refusal(
+                    code=RefusalCode.VERSION_NOT_YET_KNOWN,
+                    message=f"{request.backend.name}: {reason} yet",
+                    verdict=Verdict.NOT_RUN,
+                    retry_after=seconds,
+                )
             case FoundOrigin(origin=origin):
                 progress.origin = origin
                 self._report(request, found)
--- a/burdockdrum/streams/holders.py
+++ b/burdockdrum/streams/holders.py
@@ -46,6 +46,10 @@
         ]
         return len(here) <= ENTRIES_PER_SUMMARY
 
+    def are_all_heard(self, data_centres: Iterable[str]) -> bool:
+        """Return whether an entry of each of some data centres is known."""
+        return self._data_centres() >= set(data_centres)
+
     def read_view(self) -> frozenset[tuple[str, int]]:
         """Return the entries, by id and incarnation, that may be chosen."""
         return frozenset(
--- a/burdockdrum/streams/origins.py
+++ b/burdockdrum/streams/origins.py
@@ -38,8 +38,11 @@
 RENEWAL_SECONDS = MEMORY_SECONDS / 3
 # Two round trips between regions and a retransmission.
 ASK_TIMEOUT_SECONDS = 0.5
-# An entry that has just started learns of other entries in this time.
-DISCOVERY_SECONDS = 2.0
+# An entry that has just started hears of each data centre in this time, or
+# else counts it as lost. A caller that asks meanwhile waits or returns.
+DISCOVERY_SECONDS = 5.0
+DISCOVERY_WAIT_SECONDS = 1.5
+DISCOVERY_RETRY_SECONDS = 1.0
 DISCOVERY_INTERVAL_SECONDS = 0.1
 KEY_BYTES = 12
 
@@ -72,9 +75,14 @@
 
 @dataclass(frozen=True, kw_only=True)
 class UnknownOrigin:
-    """No one knows what began a stream."""
+    """No one knows what began a stream.
+
+    ``retry_after`` is the time in seconds after which another search may find
+    it, None if none will.
+    """
 
     reason: str
+    retry_after: float | None = None
 
 
 @dataclass(kw_only=True)
@@ -106,6 +114,7 @@
         knows_all_versions: Callable[[], bool],
         confirm_versions: Callable[[float], Awaitable[bool]],
         read_moved_to: Callable[[], Collection[str]],
+        data_centres: Collection[str] = (),
     ) -> None:
         """Register the message handlers.
 
@@ -117,6 +126,7 @@
             all versions at which a stream may have begun are known, and
             returns whether they are
         :param read_moved_to: returns the services that routes moved to lately
+        :param data_centres: the names of all data centres
         """
         self._clock = clock
         self._began_at = clock.monotonic()
@@ -126,6 +136,7 @@
         self._knows_all_versions = knows_all_versions
         self._confirm_versions = confirm_versions
         self._read_moved_to = read_moved_to
+        self._data_centres = frozenset(data_centres)
         self._holders = HolderSelector(
             own=peers.identity, read_entries=read_entries
         )
@@ -174,9 +185,12 @@
         record = self._memory.find(key) if key is not None else None
         if record is not None:
             return _found(record, Knowledge.OWN, self._own_id)
-        seconds = min(seconds, ASK_TIMEOUT_SECONDS)
         asked_ids: set[str] = set()
-        searches = [asyncio.create_task(self._confirm(services, seconds))]
+        searches = [
+            asyncio.create_task(
+                self._confirm(services, min(seconds, ASK_TIMEOUT_SECONDS))
+            )
+        ]
         if key is not None:
             searches.append(
                 asyncio.create_task(self._ask(key, asked_ids, seconds))
@@ -191,7 +205,10 @@
             )
         return UnknownOrigin(
             reason=f"none of {len(asked_ids)} other entries knows which "
-            "software version began the stream"
+            "software version began the stream",
+            retry_after=(
+                DISCOVERY_RETRY_SECONDS if self._is_discovering() else None
+            ),
         )
 
     async def run(self) -> None:
@@ -291,30 +308,51 @@
     ) -> FoundOrigin | None:
         """Return the first reply of an entry that knows a stream.
 
+        Entries that are discovered meanwhile are asked as well.
+
         :param asked_ids: gets the ids of the entries that were asked
+        :param seconds: how long at most
         """
-        ends_at = self._clock.monotonic() + seconds
-        while True:
-            seconds = ends_at - self._clock.monotonic()
-            holders = [
-                holder
-                for holder in self._holders.choose_asked(key)
-                if holder.vm_id not in asked_ids
-            ]
-            asked_ids |= {holder.vm_id for holder in holders}
-            found = await _first_found(
-                [
-                    asyncio.create_task(self._ask_one(key, holder, seconds))
-                    for holder in holders
-                ]
-            )
-            now = self._clock.monotonic()
-            is_discovering = now - self._began_at < DISCOVERY_SECONDS
-            if found is not None or not is_discovering or now >= ends_at:
-                return found
-            await self._clock.sleep(
-                min(DISCOVERY_INTERVAL_SECONDS, ends_at - now)
-            )
+        ends_at = self._clock.monotonic() + min(
+            seconds, DISCOVERY_WAIT_SECONDS
+        )
+        queries: set[asyncio.Task[FoundOrigin | None]] = set()
+        try:
+            while True:
+                for holder in self._holders.choose_asked(key):
+                    if holder.vm_id not in asked_ids:
+                        asked_ids.add(holder.vm_id)
+                        coroutine = self._ask_one(
+                            key, holder, min(seconds, ASK_TIMEOUT_SECONDS)
+                        )
+                        queries.add(asyncio.create_task(coroutine))
+                remaining = ends_at - self._clock.monotonic()
+                if remaining <= 0 or not (queries or self._is_discovering()):
+                    return None
+                pause = asyncio.create_task(
+                    self._clock.sleep(
+                        min(DISCOVERY_INTERVAL_SECONDS, remaining)
+                    )
+                )
+                ended, _ = await asyncio.wait(
+                    [*queries, pause], return_when=asyncio.FIRST_COMPLETED
+                )
+                pause.cancel()
+                for query in ended & queries:
+                    found = query.result()
+                    if found is not None:
+                        return found
+                queries -= ended
+        finally:
+            for query in queries:
+                query.cancel()
+
+    def _is_discovering(self) -> bool:
+        """Return whether entries that may know a stream aren't known yet."""
+        uptime = self._clock.monotonic() - self._began_at
+        return uptime < DISCOVERY_SECONDS and not self._holders.are_all_heard(
+            self._data_centres
+        )
 
     async def _ask_one(
         self, key: bytes, holder: VmIdentity, seconds: float
--- a/burdockdrum/streams/services.py
+++ b/burdockdrum/streams/services.py
@@ -6,6 +6,7 @@
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
 from burdockdrum.registrations import RegistrationFollower
+from burdockdrum.settings import Settings
 from burdockdrum.streams.origins import StreamOrigins
 from burdockdrum.vms import VmDirectory
 
@@ -19,6 +20,7 @@
 def _build_origins(kernel: Kernel) -> StreamOrigins:
     directory = kernel.find("vms", VmDirectory)
     registrations = kernel.find("registrations", RegistrationFollower)
+    settings = kernel.find("settings", Settings)
 
     def read_entries() -> list[VmIdentity]:
         return [
@@ -36,4 +38,5 @@
         knows_all_versions=registrations.hears_majority,
         confirm_versions=registrations.confirm_versions,
         read_moved_to=lambda: registrations.moved_to,
+        data_centres=settings.topology.regions_by_data_centre,
     )
--- a/burdockdrum/verdicts/refusal.py
+++ b/burdockdrum/verdicts/refusal.py
@@ -31,6 +31,7 @@
     QUARANTINED = "quarantined"
     VERSION_GONE = "version_gone"
     VERSION_UNKNOWN = "version_unknown"
+    VERSION_NOT_YET_KNOWN = "version_not_yet_known"
     ENDPOINT_LOST = "endpoint_lost"
     ENDPOINT_ERROR = "endpoint_error"
     ANSWER_TOO_LARGE = "answer_too_large"
--- a/tests/passthrough/relaying/test_stream_versions.py
+++ b/tests/passthrough/relaying/test_stream_versions.py
@@ -235,6 +235,18 @@
         self.assertIn(b"former", body)
         self.assertEqual(arrivals, len(self.first.seen))
 
+    async def test_unknown_stream_may_return_while_entries_are_discovered(
+        self,
+    ):
+        # Guards against a final answer of an entry that has just started.
+        await self.open_entries()
+        self.entry.origins._data_centres = frozenset({"unheard"})
+        status, head, _ = await self.entry.call(
+            b"Last-Event-Id: 3", b"X-Resumes: r9", request_id=b"r2"
+        )
+        self.assertEqual(503, status)
+        self.assertIn(b"retry-after", head.lower())
+
     async def test_stream_without_events_begins_anew(self):
         await self.open_entries()
         status, _, _ = await self.entry.call(
--- a/tests/streams/test_origins.py
+++ b/tests/streams/test_origins.py
@@ -13,6 +13,8 @@
 from burdockdrum.streams.memory import MEMORY_SECONDS
 from burdockdrum.streams.memory import OriginMemory
 from burdockdrum.streams.origin import StreamOrigin
+from burdockdrum.streams.origins import DISCOVERY_SECONDS
+from burdockdrum.streams.origins import DISCOVERY_WAIT_SECONDS
 from burdockdrum.streams.origins import FoundOrigin
 from burdockdrum.streams.origins import make_key
 from burdockdrum.streams.origins import StreamOrigins
@@ -81,6 +83,7 @@
             knows_all_versions=lambda: self.knows_all,
             confirm_versions=self.confirm_versions,
             read_moved_to=lambda: self.moved_to,
+            data_centres="abc",
         )
         self.tasks[name] = asyncio.create_task(
             self._run(made, self.origins[name])
@@ -217,6 +220,43 @@
 
         self.play(check)
 
+    def test_entry_that_has_just_started_refuses_nothing_for_good(self):
+        # Guards against a stream that is lost as those who know it were not
+        # discovered yet.
+        async def check(world):
+            key = make_key(None, "r1")
+            world.origins["b0"].begin(key, V2, ["s"])
+            await asyncio.sleep(MESSAGE_SECONDS)
+            for name in ("a0", "a1"):
+                await world.stop(name)
+            identities = world.identities
+            world.identities = {"a1": identities["a1"]}
+            await world.start("a0")
+            began = world.clock.monotonic()
+            found = await world.origins["a0"].find(key, ["s"], 3.0)
+            self.assertIsNotNone(found.retry_after)
+            seconds = world.clock.monotonic() - began
+            self.assertLessEqual(seconds, DISCOVERY_WAIT_SECONDS + 0.1)
+            world.identities = {**identities, **world.identities}
+            self.assertEqual("v2", await world.find("a0", key))
+            other = make_key(None, "r2")
+            found = await world.origins["a0"].find(other, ["s"], 3.0)
+            self.assertIsNone(found.retry_after)
+
+        self.play(check)
+
+    def test_lost_data_centre_is_not_awaited_for_ever(self):
+        async def check(world):
+            for name in ("c0", "c1"):
+                await world.stop(name)
+                del world.identities[name]
+            await asyncio.sleep(DISCOVERY_SECONDS)
+            key = make_key(None, "r1")
+            found = await world.origins["a0"].find(key, ["s"], 3.0)
+            self.assertIsNone(found.retry_after)
+
+        self.play(check)
+
     def test_open_streams_stay_known_while_all_entries_restart(self):
         # Guards against holders that restart one after the other.
         async def check(world):
