Give the written responses of a test time on a busy machine

The 36 streams of one process take 1.5 s on an idle machine, and the route of the test allows 3 s. That a response is cut at its route's timeout is right; what the test asks is that a change doesn't end it.

Change: the route allows 20 s. Each case asks for the same as before, the one that shortens the timeout to 0.01 s too.

--- a/tests/passthrough/relaying/test_configuration_changes.py
+++ b/tests/passthrough/relaying/test_configuration_changes.py
@@ -128,8 +128,14 @@
         return self._rng.sample(list(names), self._rng.randint(1, 2))
 
 
+# Longer than all responses take together on a busy machine.
+TIMEOUT_SECONDS = 20.0
 USUAL = {
-    "routes": [make_route(streams=True, idempotent=False)],
+    "routes": [
+        make_route(
+            streams=True, idempotent=False, timeout_seconds=TIMEOUT_SECONDS
+        )
+    ],
     "teams": [make_team("team", "secret")],
 }
 # What may change while a response is written, as arguments of a table.
