Cut connections of the soak from their first request on

Cause: a fault of the harness. The endpoint decided whether a connection belongs to a cut process by a list of that process's sockets up to 0.1 s old. A connection that was opened meanwhile was not on it: its first requests were answered, later ones were not. Each answer lifted what the entry had learned about the endpoint.

Change: a list that is older than a connection is read again before it decides about this connection. The owner of a socket doesn't change, so that no list is read on a timer any more.

--- a/scripts/soak/cut_endpoint.py
+++ b/scripts/soak/cut_endpoint.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+from dataclasses import dataclass
 import enum
 import os
 import pathlib
@@ -14,8 +15,8 @@
 from scripts.soak.failing_endpoint import FailingEndpoint
 
 SILENCE_SECONDS = 20.0
-# New connections of a process that is cut off may pass for so long.
-LIST_VALID_SECONDS = 0.1
+# How often open connections are checked for a cut.
+CHECK_INTERVAL_SECONDS = 0.1
 _TCP_TABLE = pathlib.Path("/proc/net/tcp")
 _LOCAL_ADDRESS_FIELD, _INODE_FIELD = 1, 9
 
@@ -28,6 +29,14 @@
     NEW_ONES_RESET = "new connections are reset, open ones live on"
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Peer:
+    """The socket at the other end of a connection; monotonic time."""
+
+    inode: str
+    accepted_at: float
+
+
 class CutEndpoint(FailingEndpoint):
     """Serves every request, except those of processes that are cut off."""
 
@@ -47,46 +56,49 @@
         super().__init__(rng=rng, service=service, zone=zone, history=history)
         self._read_cuts = read_cuts
         # The table of all sockets takes long to read beside other programs.
-        self._inodes_by_writer: weakref.WeakKeyDictionary[
-            asyncio.StreamWriter, str
+        self._peers_by_writer: weakref.WeakKeyDictionary[
+            asyncio.StreamWriter, _Peer
         ] = weakref.WeakKeyDictionary()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        inode = _find_inode(writer.get_extra_info("peername")[1])
-        self._inodes_by_writer[writer] = inode
-        match self._find_cut(inode):
+        peer = _Peer(
+            inode=_find_inode(writer.get_extra_info("peername")[1]),
+            accepted_at=time.monotonic(),
+        )
+        self._peers_by_writer[writer] = peer
+        match self._find_cut(peer):
             case Cut.RESET | Cut.NEW_ONES_RESET:
                 writer.transport.abort()
                 return
-        watch = asyncio.create_task(self._watch(writer, inode))
+        watch = asyncio.create_task(self._watch(writer, peer))
         try:
             await super()._serve(reader, writer)
         finally:
             watch.cancel()
 
-    async def _watch(self, writer: asyncio.StreamWriter, inode: str) -> None:
+    async def _watch(self, writer: asyncio.StreamWriter, peer: _Peer) -> None:
         """Reset a connection once its process is cut off in that way."""
-        while self._find_cut(inode) is not Cut.RESET:
-            await asyncio.sleep(LIST_VALID_SECONDS)
+        while self._find_cut(peer) is not Cut.RESET:
+            await asyncio.sleep(CHECK_INTERVAL_SECONDS)
         writer.transport.abort()
 
     async def _answer(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         head = await reader.readuntil(b"\r\n\r\n")
-        inode = self._inodes_by_writer[writer]
-        if self._find_cut(inode) is Cut.SILENT:
+        if self._find_cut(self._peers_by_writer[writer]) is Cut.SILENT:
             await asyncio.sleep(SILENCE_SECONDS)
             return
         buffered = asyncio.StreamReader()
         buffered.feed_data(head)
         await super()._answer(buffered, writer)
 
-    def _find_cut(self, inode: str) -> Cut | None:
+    def _find_cut(self, peer: _Peer) -> Cut | None:
         for pid, cut in self._read_cuts().items():
-            if inode and inode in _socket_lists.read(pid):
+            inodes = _socket_lists.read(pid, since=peer.accepted_at)
+            if peer.inode and peer.inode in inodes:
                 return cut
         return None
 
@@ -106,18 +118,21 @@
 
 
 class _SocketLists:
-    """The inodes of the sockets of processes, read again now and then."""
+    """The inodes of the sockets of processes, read again when needed."""
 
     def __init__(self) -> None:
         self._lists_by_pid: dict[int, tuple[float, set[str]]] = {}
 
-    def read(self, pid: int) -> set[str]:
-        """Return the inodes of a process's sockets."""
-        now = time.monotonic()
+    def read(self, pid: int, *, since: float) -> set[str]:
+        """Return the inodes of a process's sockets.
+
+        :param since: the list is not older than this monotonic time
+        """
         read_at, inodes = self._lists_by_pid.get(pid, (0.0, set()))
-        if now - read_at > LIST_VALID_SECONDS:
+        if read_at < since:
+            read_at = time.monotonic()
             inodes = _list_inodes(pid)
-            self._lists_by_pid[pid] = (now, inodes)
+            self._lists_by_pid[pid] = (read_at, inodes)
         return inodes
 
 
