Count a region as reachable once its entries have caught up

Three of the five tries that failed are of streams whose version served only in a region whose entries had been started 0.8 to 1.5 s before; each was refused for the fourth time with a time to return. One is of a region that was killed while the hop ran, and one of an entry of another region, started 0.02 s before. The soak took a region for reachable as soon as its processes ran.

Change: a try counts if enough endpoints of its version serve in regions whose entries have caught up, at its begin and at its end. The bound is the same.

--- a/scripts/soak/regional_versions.py
+++ b/scripts/soak/regional_versions.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import shutil
+import time
 
 from burdockdrum.histories import StreamTry
 from scripts.local_deployment import Machine
@@ -20,6 +21,8 @@
 VERSIONS_BY_REGION = (("v2",), ("v1",), ("v1", "v2"))
 LOSS_INTERVAL_SECONDS = (3.0, 6.0)
 MIN_SHARE = 0.9
+# A machine that is back counts as lost for so long.
+CATCH_UP_SECONDS = 4.0
 # The longest time to return that callers wait for, in seconds.
 MAX_WAIT_SECONDS = 2.0
 
@@ -92,6 +95,10 @@
         received = await super()._receive(attempt, tries)
         # Without a response the entry was killed.
         attempt.counts &= received.status != 0
+        began = next((t for t in tries if t.events), None)
+        if began is not None:
+            # The region that serves the version may have been lost meanwhile.
+            attempt.counts &= self._is_served(began.events[0].version)
         return received
 
     async def _waits_to_return(
@@ -112,8 +119,13 @@
         return True
 
     def _list_reachable(self) -> list[VersionedEndpoint]:
-        """Return the endpoints whose region has an entry."""
-        zones = {m.zone for m in self.deployment.entries if m.process}
+        """Return the endpoints of regions with an entry that caught up."""
+        since = time.monotonic() - CATCH_UP_SECONDS
+        zones = {
+            entry.zone
+            for entry in self.deployment.entries
+            if self._disturbed_at.get(entry.name, 0.0) < since
+        }
         return [e for e in self._versioned if e.zone in zones]
 
     def check(self) -> list[str]:
