Take a path that had no route meanwhile for moved

What callers saw: all entries were killed while an operator removed a route and gave its path to another service with the next change. Callers that took up their streams got 200 and the rest of the events from the other service, joined to the first part, with nothing in the answer to show it.

Cause: a move was a difference between two route tables in a row. A path that lost its route moved to no service, and one that got a route came from none, so that no move was recorded and an entry that had started since took the only version of the new service for the origin.

A path that gets a route to another service has moved, however long it had none.

Evidence: tests.soak.test_moved_routes removes the route in between, too.

Why it works: a stream on a path began at the services of the path's last route, and the state compares with these, on each control VM and after restarts.

--- a/burdockdrum/resources/store.py
+++ b/burdockdrum/resources/store.py
@@ -16,6 +16,7 @@
 from burdockdrum.resources.recorded_results import RecordedResult
 from burdockdrum.resources.recorded_results import RecordedResults
 from burdockdrum.resources.route_moves import RouteMoves
+from burdockdrum.resources.route_moves import RouteMovesSnapshot
 from burdockdrum.resources.route_validation import check_routes
 from burdockdrum.resources.routes import EvacuationSpec
 from burdockdrum.resources.routes import ROUTE_TABLE_NAME
@@ -104,7 +105,9 @@
     evacuation_orders: EvacuationOrdersSnapshot = msgspec.field(
         default_factory=EvacuationOrdersSnapshot
     )
-    route_moves: dict[str, int] = {}
+    route_moves: RouteMovesSnapshot = msgspec.field(
+        default_factory=RouteMovesSnapshot
+    )
 
 
 class ResourceStore:
@@ -155,7 +158,7 @@
             resources=list(self.configuration.resources_by_key.values()),
             answers=self._results.as_list(),
             evacuation_orders=self.evacuation_orders.snapshot(),
-            route_moves=dict(self.route_moves.revision_by_service),
+            route_moves=self.route_moves.snapshot(),
         )
 
     def restore(self, snapshot: StoreSnapshot) -> None:
@@ -165,7 +168,7 @@
         )
         self._results = RecordedResults(snapshot.answers)
         self.evacuation_orders.restore(snapshot.evacuation_orders)
-        self.route_moves.revision_by_service = dict(snapshot.route_moves)
+        self.route_moves.restore(snapshot.route_moves)
         self._notify_listeners(None)
 
     def _replace_routes(self, spec: RouteTableSpec) -> ChangeResult:
--- a/scripts/soak/moved_routes.py
+++ b/scripts/soak/moved_routes.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import Any
 
 from scripts.soak.versioned_endpoint import VersionedEndpoint
 from scripts.soak.versions import DEADLINE_MS
@@ -41,6 +42,13 @@
             for _ in range(ENDPOINTS_PER_ZONE)
         ]
         self.endpoints = self._versioned
+        self._is_path_closed = False
+
+    def list_routes(self) -> list[dict[str, Any]]:
+        """Return the routes of the configuration."""
+        if not self._is_path_closed:
+            return super().list_routes()
+        return [self.make_route("other", **self.route_fields)]
 
     async def inject_faults(self) -> None:
         """Inject one random fault after the other, until cancelled."""
@@ -55,6 +63,7 @@
         return [
             self.restart_all_entries,
             self.restart_beside_a_move,
+            self.restart_beside_a_closed_path,
             self.restart_region,
             self.restart_one,
             self.restart_control,
@@ -73,11 +82,24 @@
         """Kill all entries, and move the route before they start again."""
         async with asyncio.TaskGroup() as group:
             group.create_task(super().restart_all_entries())
-            s, t = self._weights.values()
-            self._weights = {"s": t, "t": s}
+            await self._move()
+        await self.deployment.until_ready()
+
+    async def restart_beside_a_closed_path(self) -> None:
+        """Do the same, with a time in which the path has no route."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(super().restart_all_entries())
+            self._is_path_closed = True
             await self.put_configuration()
+            self._is_path_closed = False
+            await self._move()
         await self.deployment.until_ready()
 
+    async def _move(self) -> None:
+        s, t = self._weights.values()
+        self._weights = {"s": t, "t": s}
+        await self.put_configuration()
+
     async def restart_region(self) -> None:
         """Kill all entries of one region, and start them again."""
         zone = self.rng.choice(self.deployment.zones)
--- a/tests/resources/test_routes.py
+++ b/tests/resources/test_routes.py
@@ -1,6 +1,7 @@
 """Tests of route tables and evacuations in the replicated state."""
 
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -17,6 +18,7 @@
 from burdockdrum.resources import ReplaceRoutes
 from burdockdrum.resources import ResourceStore
 from burdockdrum.resources import Route
+from burdockdrum.resources import route_moves
 from burdockdrum.resources import RouteTableSpec
 from burdockdrum.resources import SetEvacuation
 from burdockdrum.resources import WeightedService
@@ -185,6 +187,49 @@
                 self.replace(**before)
                 self.assertEqual(expected, set(self.replace(**after)))
 
+    def test_paths_that_had_no_route_meanwhile_are_recorded(self):
+        # Guards against a stream that goes on at the service that its path
+        # has after a time without a route.
+        returns = {
+            "to another": ({"a": {"s": 1}}, {"a": {"t": 1}}, {"t"}),
+            "to the same": ({"a": {"s": 1}}, {"a": {"s": 1}}, set()),
+            "to a longer prefix": ({"a": {"s": 1}}, {"a_b": {"t": 1}}, {"t"}),
+            "to a shorter prefix": ({"a_b": {"s": 1}}, {"a": {"t": 1}}, {"t"}),
+            "to a new path": ({"a": {"s": 1}}, {"b": {"t": 1}}, set()),
+        }
+        other = {"z": {"s": 1}}
+        for name, (before, after, expected) in returns.items():
+            with self.subTest(name):
+                self.setUp()
+                self.replace(**before, **other)
+                self.replace(**other)
+                self.replace(z={"s": 2})
+                self.assertEqual(expected, set(self.replace(**after, **other)))
+
+    def test_closed_paths_are_in_the_snapshot(self):
+        # Guards against a control VM that forgets them by its restart.
+        self.replace(a={"s": 1}, b={"s": 1})
+        self.replace(b={"s": 1})
+        snapshot = self.store.snapshot()
+        self.store = ResourceStore()
+        self.store.restore(snapshot)
+        self.assertEqual({"t"}, set(self.replace(a={"t": 1}, b={"s": 1})))
+
+    def test_closed_paths_are_bounded(self):
+        moves = route_moves.RouteMoves()
+        limit = 3
+        with mock.patch.object(route_moves, "MAX_CLOSED_PATHS", limit):
+            for number in range(limit + 2):
+                before, after = (
+                    make_table(1, make_route(path_prefix=f"/{n}/"))
+                    for n in (number, number + 1)
+                )
+                moves.advance(before, after, number)
+        self.assertEqual(
+            ["/2/", "/3/", "/4/"],
+            [path.path_prefix for path in moves.snapshot().closed_paths],
+        )
+
     def test_moves_are_in_the_snapshot(self):
         # Guards against a control VM that forgets a move by its restart.
         self.replace(a={"s": 1})
--- a/tests/soak/test_moved_routes.py
+++ b/tests/soak/test_moved_routes.py
@@ -13,6 +13,8 @@
 async def restart_beside_moves(soak):
     """Kill all entries again and again, each time beside a move."""
     while True:
+        await asyncio.sleep(SERVING_SECONDS)
+        await soak.restart_beside_a_closed_path()
         await asyncio.sleep(SERVING_SECONDS)
         await soak.restart_beside_a_move()
 
@@ -43,7 +45,7 @@
 
     def test_streams_do_not_go_on_at_the_service_of_a_moved_route(self):
         # Guards against answers joined from two services after all entries
-        # were killed.
+        # were killed, also where the path had no route in between.
         self.run_seed(restart_beside_moves)
 
     def test_streams_keep_their_version_while_all_entries_are_killed(self):
