--- a/burdockdrum/attempts/running_attempts.py
+++ b/burdockdrum/attempts/running_attempts.py
@@ -23,9 +23,10 @@
     """An attempt of a request, in a task of its own.
 
     ``target`` is None while it is selected, ``started_at`` is when that was
-    done, in monotonic time, and ``was_sent`` says whether the request has been
-    sent to it. ``is_stalled`` says that it has been silent for too long, and
-    ``counted_runs`` are the runs that were counted when it first was.
+    done, in monotonic time. ``was_sent`` says whether the request has been
+    sent to it, and ``sent_at`` when. ``is_stalled`` says that it has been
+    silent for too long, and ``counted_runs`` are the runs that were counted
+    when it first was.
     """
 
     def __init__(self, *, group: "RunningAttempts[TargetT, OutcomeT]") -> None:
@@ -34,6 +35,7 @@
         self.target: TargetT | None = None
         self.started_at = 0.0
         self.was_sent = False
+        self.sent_at = 0.0
         self.is_stalled = False
         self.counted_runs = 0
         self.task: asyncio.Task[OutcomeT]
--- a/burdockdrum/passthrough/relaying/attempt_report.py
+++ b/burdockdrum/passthrough/relaying/attempt_report.py
@@ -1,5 +1,7 @@
 """Logs and metrics of the attempts of requests."""
 
+from collections.abc import Iterable
+
 from burdockdrum.metrics import Metrics
 from burdockdrum.passthrough.protocol import EndpointTarget
 from burdockdrum.passthrough.protocol import Outcome
@@ -7,6 +9,8 @@
 from burdockdrum.passthrough.protocol import RequestProgress
 from burdockdrum.passthrough.protocol import Target
 from burdockdrum.passthrough.relaying.request_log import log_attempt
+from burdockdrum.passthrough.relaying.request_log import log_overlap
+from burdockdrum.passthrough.relaying.running_attempts import Attempt
 from burdockdrum.ports import Clock
 from burdockdrum.verdicts import RefusalCode
 
@@ -29,6 +33,10 @@
             "burdockdrum_first_part_error_seconds",
             "Absolute error of the expected time to first byte of streams.",
         )
+        self._overlaps = metrics.histogram(
+            "burdockdrum_overlapping_attempts_seconds",
+            "For how long two attempts of a request ran beside each other.",
+        )
 
     def count_refusal(self, code: RefusalCode) -> None:
         """Count a refusal that a limit or a backoff decided."""
@@ -44,28 +52,43 @@
         request: ProxiedRequest,
         progress: RequestProgress,
         outcome: Outcome,
-        started_at: float,
+        attempt: Attempt,
     ) -> None:
-        """Log an attempt that has ended and record its estimates.
-
-        :param started_at: on the monotonic clock
-        """
+        """Log an attempt that has ended and record its estimates."""
         now = self._clock.monotonic()
         self._count_skipped(target)
         first_byte_seconds = None
         if progress.first_chunk_at is not None:
-            first_byte_seconds = progress.first_chunk_at - started_at
+            first_byte_seconds = progress.first_chunk_at - attempt.started_at
             self._record_estimate_error(target, first_byte_seconds)
         log_attempt(
             target,
             request,
             progress,
             outcome,
-            started_at=started_at,
+            started_at=attempt.started_at,
+            sent_at=attempt.sent_at if attempt.was_sent else None,
             first_byte_seconds=first_byte_seconds,
             now=now,
         )
 
+    def report_overlaps(
+        self,
+        request: ProxiedRequest,
+        ended: Attempt,
+        others: Iterable[Attempt],
+    ) -> None:
+        """Record for how long an attempt ran beside others."""
+        if not ended.was_sent:
+            return
+        now = self._clock.monotonic()
+        for other in others:
+            if other is ended or not other.was_sent:
+                continue
+            seconds = now - max(ended.sent_at, other.sent_at)
+            self._overlaps.record(seconds)
+            log_overlap(request, ended, other, seconds)
+
     def _count_skipped(self, target: Target) -> None:
         """Count an attempt for which endpoints were skipped."""
         if not isinstance(target, EndpointTarget):
--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -47,6 +47,7 @@
 from burdockdrum.passthrough.relaying.crash_detector import CrashDetector
 from burdockdrum.passthrough.relaying.in_flight_calls import Call
 from burdockdrum.passthrough.relaying.in_flight_calls import InFlightCalls
+from burdockdrum.passthrough.relaying.request_log import log_slow_start
 from burdockdrum.passthrough.relaying.request_log import log_stalled
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
 from burdockdrum.passthrough.relaying.running_attempts import Attempt
@@ -318,8 +319,9 @@
         if isinstance(call.target, EndpointTarget):
             progress.has_arrived = True
         began = call.sent_at = self._clock.monotonic()
-        attempt.was_sent = True
+        attempt.was_sent, attempt.sent_at = True, began
         attempt.abort, attempt.expire = call.abort, call.expire
+        self._report_slow_start(call, request, attempt)
         try:
             connection.send(call.encode(), request.request_id.encode())
             async with asyncio.timeout(left) as call.timeout:
@@ -355,6 +357,19 @@
             # end, which cancels the request at the other side.
             call.pool.release(call.address, connection, max_idle=call.max_idle)
 
+    def _report_slow_start(
+        self, call: Call, request: ProxiedRequest, attempt: Attempt
+    ) -> None:
+        """Log a request that is written to an endpoint in slow start."""
+        sent = call.in_flight_request
+        if sent is None or not self._fleet.is_in_slow_start(
+            sent.endpoint, request.backend
+        ):
+            return
+        log_slow_start(
+            sent, request, since_assigned=attempt.sent_at - attempt.started_at
+        )
+
     def _report_stall(
         self, call: Call, request: ProxiedRequest, attempt: Attempt
     ) -> None:
--- a/burdockdrum/passthrough/relaying/request_log.py
+++ b/burdockdrum/passthrough/relaying/request_log.py
@@ -13,6 +13,7 @@
 from burdockdrum.passthrough.protocol import ResponseTruncated
 from burdockdrum.passthrough.protocol import Target
 from burdockdrum.passthrough.relaying.running_attempts import Attempt
+from burdockdrum.passthrough.state import InFlightRequest
 
 
 def log_attempt(
@@ -22,12 +23,14 @@
     outcome: Outcome,
     *,
     started_at: float,
+    sent_at: float | None,
     first_byte_seconds: float | None,
     now: float,
 ) -> None:
     """Log an attempt: its target, the estimates behind it and its outcome.
 
     :param started_at: when the attempt started, on the monotonic clock
+    :param sent_at: when the request was written; None if it was not
     :param first_byte_seconds: from then to the first byte of the response
     """
     write_log = log_decision if isinstance(outcome, Delivered) else log_failure
@@ -51,6 +54,9 @@
         outcome=outcome.log_name,
         reason=getattr(outcome, "reason", None),
         fingerprint=request.fingerprint if isinstance(outcome, Lost) else None,
+        written_after=None
+        if sent_at is None
+        else _round(sent_at - started_at),
         first_seconds=None
         if first_byte_seconds is None
         else _round(first_byte_seconds),
@@ -70,6 +76,35 @@
     )
 
 
+def log_overlap(
+    request: ProxiedRequest, ended: Attempt, other: Attempt, seconds: float
+) -> None:
+    """Log that two attempts ran beside each other until one ended."""
+    log_decision(
+        "attempts.overlapped",
+        request_id=request.request_id,
+        ended=describe_attempt(ended),
+        other=describe_attempt(other),
+        seconds=_round(seconds),
+    )
+
+
+def log_slow_start(
+    sent: InFlightRequest, request: ProxiedRequest, *, since_assigned: float
+) -> None:
+    """Log that a request is written to an endpoint in slow start.
+
+    :param since_assigned: seconds since the endpoint was chosen for it
+    """
+    log_decision(
+        "request.sent_in_slow_start",
+        request_id=request.request_id,
+        place=sent.endpoint.endpoint_id,
+        has_permit=sent.has_slow_start_permit,
+        since_assigned=_round(since_assigned),
+    )
+
+
 def log_not_replaced(request: ProxiedRequest, reason: str) -> None:
     """Log that no target accepts a request whose attempt has stalled."""
     log_decision(
--- a/burdockdrum/passthrough/relaying/request_runner.py
+++ b/burdockdrum/passthrough/relaying/request_runner.py
@@ -119,7 +119,12 @@
                 ):
                     start_attempt()
         finally:
-            progress.at_work = tuple(map(describe_attempt, attempts))
+            at_work = list(attempts)
+            for number, attempt in enumerate(at_work):
+                self._reporter.report_overlaps(
+                    request, attempt, at_work[number + 1 :]
+                )
+            progress.at_work = tuple(map(describe_attempt, at_work))
             _count_at_work(attempts, request, progress)
             await attempts.close()
 
@@ -199,6 +204,7 @@
         :raises ResponseTruncated: the same, if the response has begun
         """
         progress.stalled_runs -= attempt.counted_runs
+        self._reporter.report_overlaps(request, attempt, attempts)
         try:
             outcome = attempt.task.result()
         except asyncio.CancelledError:
@@ -221,7 +227,7 @@
         if attempt.target is None:
             return outcome
         self._reporter.report(
-            attempt.target, request, progress, outcome, attempt.started_at
+            attempt.target, request, progress, outcome, attempt
         )
         if isinstance(outcome, Delivered):
             return outcome
--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -321,6 +321,15 @@
         """Return whether an endpoint wants no requests from this entry."""
         return self._backoff_gate.is_backing_off(endpoint.endpoint_id)
 
+    def is_in_slow_start(
+        self, endpoint: RegisteredEndpoint, backend: Backend
+    ) -> bool:
+        """Return whether an endpoint is in slow start, as known now."""
+        current = self._read_endpoints().get(endpoint.endpoint_id, endpoint)
+        return self._eligibility.is_in_slow_start(
+            current, backend, self._clock.monotonic()
+        )
+
     def current_fetch_from(self, choice: RatedEndpoint) -> str | None:
         """Return the address to fetch the prefix from, if still possible."""
         fetch = choice.fetch
@@ -442,7 +451,10 @@
             self.prefix_cache_view.record_sent(
                 endpoint.endpoint_id, prompt, memory
             )
-        if self._eligibility.is_in_slow_start(endpoint, backend, now):
+        is_in_slow_start = self._eligibility.is_in_slow_start(
+            endpoint, backend, now
+        )
+        if is_in_slow_start:
             self._slow_start_gate.acquire(
                 endpoint.endpoint_id,
                 backend.cold_requests_per_second,
@@ -457,6 +469,7 @@
             if backend.engine is not None
             else 1,
             deadline=deadline,
+            has_slow_start_permit=is_in_slow_start,
         )
         state.add_request(in_flight_request)
         return in_flight_request
--- a/burdockdrum/passthrough/state/endpoint_state.py
+++ b/burdockdrum/passthrough/state/endpoint_state.py
@@ -80,6 +80,8 @@
 
     ``chunks_received`` counts the chunks of its response, which is not read
     since ``unread_since`` as its caller reads slowly, None if it is read.
+    ``has_slow_start_permit`` says that the slow start of the endpoint was
+    known when it was chosen, and allowed the request.
     Times are monotonic.
     """
 
@@ -93,6 +95,7 @@
     event_tokens: int = 1
     deadline: float | None = None
     unread_since: float | None = None
+    has_slow_start_permit: bool = False
 
     @property
     def endpoint(self) -> RegisteredEndpoint:
--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -21,6 +21,8 @@
 from burdockdrum.registrations.control_source import ControlSource
 from burdockdrum.registrations.control_source import make_endpoint
 from burdockdrum.registrations.ended_endpoints import EndedEndpoints
+from burdockdrum.registrations.endpoint_log import log_believed
+from burdockdrum.registrations.endpoint_log import log_slow_start
 from burdockdrum.registrations.incarnations import UNKNOWN_INCARNATION
 from burdockdrum.registrations.likely_entries import LikelyEntries
 from burdockdrum.registrations.limit_reports import keep_newest_limit
@@ -476,8 +478,8 @@
             self._limits_by_id[endpoint_id] = after.rate_limit
         else:
             self._limits_by_id.pop(endpoint_id, None)
-        if _state_of(before) is not _state_of(after):
-            self._log(before, after)
+        log_believed(before, after)
+        log_slow_start(before, after, self._clock.monotonic())
 
     def _find_copies(self, endpoint_id: str) -> list[RegisteredEndpoint]:
         return [
@@ -499,25 +501,6 @@
         draining = [copy for copy in copies if copy.is_draining]
         return max(draining or reachable, key=lambda copy: copy.sequence)
 
-    def _log(
-        self,
-        before: RegisteredEndpoint | None,
-        after: RegisteredEndpoint | None,
-    ) -> None:
-        known = after or before
-        if known is None:
-            return
-        log_decision(
-            "endpoint.believed",
-            endpoint_id=known.endpoint_id,
-            service=known.service,
-            data_centre=known.data_centre,
-            address=known.address,
-            sequence=known.sequence,
-            state=after.state.value if after else "dropped",
-            software_version=known.software_version,
-        )
-
     def _prune(self) -> None:
         now = self._clock.monotonic()
         self._crashes.prune()
@@ -563,9 +546,3 @@
     def _notify_listeners(self) -> None:
         for listener in self.listeners:
             listener()
-
-
-def _state_of(
-    endpoint: RegisteredEndpoint | None,
-) -> RegistrationState | None:
-    return endpoint.state if endpoint is not None else None
--- a/burdockdrum/registrations/publisher.py
+++ b/burdockdrum/registrations/publisher.py
@@ -213,9 +213,22 @@
     def _publish_change(self, registration: Registration) -> None:
         region = self._regions_by_data_centre.get(registration.data_centre)
         is_for_all_regions = registration.data_centre == ANY_DATA_CENTRE
-        for watcher in self._live_watchers():
-            if is_for_all_regions or watcher.region == region:
-                self._send_changes(watcher)
+        watchers = [
+            watcher
+            for watcher in self._live_watchers()
+            if is_for_all_regions or watcher.region == region
+        ]
+        log_decision(
+            "endpoint.published",
+            endpoint_id=registration.endpoint_id,
+            state=registration.state.value,
+            sequence=registration.sequence,
+            slow_start=round(registration.slow_start_seconds, 3),
+            serial=self._table.serial,
+            entries=len(watchers),
+        )
+        for watcher in watchers:
+            self._send_changes(watcher)
 
     def _resend_unacknowledged(self) -> None:
         """Resend changes that an entry has not acknowledged.
--- a/tests/passthrough/relaying/test_request_log.py
+++ b/tests/passthrough/relaying/test_request_log.py
@@ -55,11 +55,13 @@
                 RequestProgress(),
                 outcome,
                 started_at=100.0,
+                sent_at=100.3,
                 first_byte_seconds=None,
                 now=101.0,
             )
         ((name, mock_log),) = [item for item in logs.items() if item[1].called]
         mock_log.assert_called_once()
+        self.assertEqual(0.3, mock_log.call_args.kwargs["written_after"])
         return name, mock_log.call_args.kwargs["outcome"]
 
     def test_outcome_names_in_the_log_are_stable(self):
