Tell entries of a slow start that began anew while check-ins were lost

Cause: the table compared the remaining slow start with that of the last check-in as it was then, not with what is left of it now. If check-ins are lost, late or go to another control VM, the last one is old, and a slow start that began anew looks like the former one, counted down. Nothing was published then.

Why it works: a check-in is compared with what entries believe at that moment, and a record that is kept keeps their time, so that small differences of several check-ins don't add up. An entry that starts is told the same as the others.

--- a/burdockdrum/registrations/table.py
+++ b/burdockdrum/registrations/table.py
@@ -30,6 +30,9 @@
 # A change of an endpoint's rate limit is published to every entry, and an
 # endpoint may change it with each response.
 MIN_LIMIT_SECONDS = 0.25
+# Check-ins take longer or shorter to arrive; a slow start that seems to end
+# later by less has not begun anew.
+SLOW_START_TOLERANCE_SECONDS = 0.05
 # The data centre of an endpoint of which only the end is known.
 ANY_DATA_CENTRE = ""
 
@@ -83,11 +86,18 @@
                 self._set_state(previous, RegistrationState.GONE)
         now = self._clock.monotonic()
         registration = _keep_drain(_keep_limit(registration, known), known)
-        if known is not None and _is_unchanged(registration, known):
-            self._records_by_id[registration.endpoint_id] = replace(
-                known, registration=registration, received_at=now
-            )
-            return True
+        if known is not None:
+            told = _count_down(known, now)
+            if _is_unchanged(registration, told):
+                self._records_by_id[registration.endpoint_id] = replace(
+                    known,
+                    # The times stay those that entries count down.
+                    registration=msgspec.structs.replace(
+                        told, sequence=registration.sequence
+                    ),
+                    received_at=now,
+                )
+                return True
         self._newest_id_by_address[registration.address] = (
             registration.endpoint_id
         )
@@ -387,28 +397,26 @@
     return registration.sequence >= current.sequence
 
 
-def _is_unchanged(registration: Registration, known: _Record) -> bool:
+def _is_unchanged(registration: Registration, told: Registration) -> bool:
     """Return whether nothing changed that entries need to know.
 
-    The sequence and the remaining times change with each check-in; entries
-    count the times down themselves. Only a slow start that began anew, or an
-    end time that appeared or disappeared, counts as a change.
+    The sequence and the remaining times change with each check-in. Entries
+    count the times down themselves.
+
+    :param told: what entries believe now
     """
-    current = known.registration
     same = msgspec.structs.replace(
         registration,
-        sequence=current.sequence,
-        slow_start_seconds=current.slow_start_seconds,
-        seconds_left=current.seconds_left,
-    )
-    slow_start_restarted = (
-        registration.slow_start_seconds > current.slow_start_seconds
-    )
-    end_time_changed = (registration.seconds_left is None) != (
-        current.seconds_left is None
+        sequence=told.sequence,
+        slow_start_seconds=told.slow_start_seconds,
+        seconds_left=told.seconds_left,
+        rate_limit_age=told.rate_limit_age,
     )
+    extension = registration.slow_start_seconds - told.slow_start_seconds
     return (
-        same == current and not slow_start_restarted and not end_time_changed
+        same == told
+        and extension <= SLOW_START_TOLERANCE_SECONDS
+        and (registration.seconds_left is None) == (told.seconds_left is None)
     )
 
 
--- /dev/null
+++ b/tests/registrations/test_slow_starts.py
@@ -0,0 +1,125 @@
+"""Tests of what entries are told of the slow starts of endpoints."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies
+
+from burdockdrum.registrations.control_source import make_endpoint
+from burdockdrum.registrations.table import RegistrationTable
+from burdockdrum.registrations.table import SLOW_START_TOLERANCE_SECONDS
+from tests.drawing import draw
+from tests.registrations.test_book import HERE
+from tests.registrations.test_book import make
+from tests.registrations.test_book import SteppedClock
+
+# Of an entry that is told whatever changes; one more learns all at a time.
+TOLERANCE = SLOW_START_TOLERANCE_SECONDS + 1e-6
+
+
+class Follower:
+    """An entry that keeps what a table publishes."""
+
+    def __init__(self, clock, table):
+        """Know nothing."""
+        self.clock = clock
+        self.table = table
+        self.serial = 0
+        self.slow_start_until = 0.0
+
+    def read(self):
+        """Take over the changes since the last call."""
+        for registration in self.table.changes_after(self.serial, HERE):
+            endpoint = make_endpoint(registration, self.clock.now)
+            self.slow_start_until = endpoint.slow_start_until
+        self.serial = self.table.serial
+
+    def seconds_left(self):
+        """Return for how long it believes in a slow start."""
+        return max(0.0, self.slow_start_until - self.clock.now)
+
+
+class SlowStartTest(unittest.TestCase):
+    """Slow starts that begin, end and begin anew."""
+
+    def setUp(self):
+        self.clock = SteppedClock()
+        self.table = RegistrationTable(clock=self.clock)
+        self.entry = Follower(self.clock, self.table)
+        self.sequence = 0
+
+    def check_in(self, after, slow_start_seconds):
+        """Check in some seconds after the last time."""
+        self.clock.now += after
+        self.sequence += 1
+        self.table.prune()
+        self.table.apply(
+            make(sequence=self.sequence, slow_start_seconds=slow_start_seconds)
+        )
+        self.entry.read()
+
+    def test_slow_start_that_began_anew_is_told_after_lost_check_ins(self):
+        # Guards against a flood at an endpoint that is cold again, with less
+        # time left than it had when it last checked in here.
+        for name, check_ins, expected in (
+            ("after two lost", [(0, 3.0), (1.2, 1.8), (3.2, 1.6)], 1.6),
+            ("after the first", [(0, 3.0), (3.6, 2.8)], 2.8),
+            ("while still cold", [(0, 3.0), (2.4, 2.9)], 2.9),
+            ("late, then cold", [(0, 3.0), (1.2, 0.2), (0.6, 2.4)], 2.4),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                for after, seconds in check_ins:
+                    self.check_in(after, seconds)
+                self.assertAlmostEqual(
+                    expected, self.entry.seconds_left(), delta=TOLERANCE
+                )
+
+    def test_slow_start_that_counts_down_is_told_once(self):
+        # Guards against a message to every entry with each check-in.
+        self.check_in(0, 3.0)
+        serial = self.table.serial
+        for seconds in (1.81, 0.6, 0.0, 0.0):
+            self.check_in(1.2, seconds)
+        self.assertEqual(serial, self.table.serial)
+
+    @draw(200)
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.floats(0.01, 3.0),
+                strategies.sampled_from(
+                    ["check in", "lose", "cold again", "entry starts"]
+                ),
+            ),
+            min_size=10,
+            max_size=30,
+        )
+    )
+    def test_no_entry_believes_in_less_than_was_last_said(self, steps):
+        # Guards against a slow start that some entries know and others don't,
+        # whatever check-ins are lost and whenever entries start.
+        self.setUp()
+        entries = [self.entry]
+        cold_until = self.clock.now
+        said_until = 0.0
+        for after, step in steps:
+            self.clock.now += after
+            left = max(0.0, cold_until - self.clock.now)
+            match step:
+                case "check in":
+                    self.sequence += 1
+                    self.table.prune()
+                    self.table.apply(
+                        make(sequence=self.sequence, slow_start_seconds=left)
+                    )
+                    said_until = cold_until
+                case "cold again":
+                    cold_until = self.clock.now + 3.0
+                case "entry starts":
+                    entries.append(Follower(self.clock, self.table))
+            for entry in entries:
+                entry.read()
+                believed = entry.seconds_left()
+                said = max(0.0, said_until - self.clock.now)
+                self.assertGreaterEqual(believed, said - TOLERANCE)
