Don't count the time left of a slow start or a removal down twice

What callers saw: an endpoint that announced to drain, or fell silent, counted as warm or as removed before it was: 18 s left where it had said 19, 10 for 15.

Cause: a change of state stored the remaining times counted down to now, with the time of the last check-in, and whoever read them counted down once more.

Evidence: test_time_left_is_not_counted_twice_when_the_state_changes failed for both changes. Why it works: a record keeps the times of the check-in with the moment at which it came; only readers and listeners count down.

--- a/burdockdrum/registrations/table.py
+++ b/burdockdrum/registrations/table.py
@@ -30,9 +30,9 @@
 # A change of an endpoint's rate limit is published to every entry, and an
 # endpoint may change it with each response.
 MIN_LIMIT_SECONDS = 0.25
-# Check-ins take longer or shorter to arrive; a slow start that seems to end
-# later by less has not begun anew.
-SLOW_START_TOLERANCE_SECONDS = 0.05
+# Check-ins take longer or shorter to arrive, so that the end of a slow start
+# or a planned removal seems to move by less.
+TIME_TOLERANCE_SECONDS = 0.05
 # The data centre of an endpoint of which only the end is known.
 ANY_DATA_CENTRE = ""
 
@@ -184,7 +184,7 @@
         if known.registration.is_drain_announced:
             return False
         changed = msgspec.structs.replace(
-            _count_down(known, self._clock.monotonic()),
+            known.registration,
             state=RegistrationState.DRAINING,
             is_drain_announced=True,
         )
@@ -307,15 +307,16 @@
     def _set_state(self, record: _Record, state: RegistrationState) -> None:
         if record.registration.state is state:
             return
-        now = self._clock.monotonic()
-        changed = msgspec.structs.replace(
-            _count_down(record, now), state=state
-        )
+        changed = msgspec.structs.replace(record.registration, state=state)
         self._put(changed, received_at=record.received_at)
 
     def _put(
         self, registration: Registration, received_at: float | None = None
     ) -> None:
+        """Record a registration with a new serial, and tell the listeners.
+
+        :param received_at: from when its remaining times count; now if None
+        """
         self.serial += 1
         now = self._clock.monotonic()
         known = self._records_by_id.get(registration.endpoint_id)
@@ -323,7 +324,7 @@
             self.versions.observe(
                 registration.service, registration.software_version
             )
-        self._records_by_id[registration.endpoint_id] = _Record(
+        record = self._records_by_id[registration.endpoint_id] = _Record(
             registration=registration,
             serial=self.serial,
             received_at=now if received_at is None else received_at,
@@ -332,7 +333,7 @@
             limit_changed_at=_limit_changed_at(known),
         )
         for listener in self.listeners:
-            listener(registration)
+            listener(_count_down(record, now))
 
     def _remove(self, record: _Record) -> None:
         registration = record.registration
@@ -415,7 +416,7 @@
     extension = registration.slow_start_seconds - told.slow_start_seconds
     return (
         same == told
-        and extension <= SLOW_START_TOLERANCE_SECONDS
+        and extension <= TIME_TOLERANCE_SECONDS
         and (registration.seconds_left is None) == (told.seconds_left is None)
     )
 
--- a/tests/registrations/test_slow_starts.py
+++ b/tests/registrations/test_slow_starts.py
@@ -7,14 +7,14 @@
 
 from burdockdrum.registrations.control_source import make_endpoint
 from burdockdrum.registrations.table import RegistrationTable
-from burdockdrum.registrations.table import SLOW_START_TOLERANCE_SECONDS
+from burdockdrum.registrations.table import TIME_TOLERANCE_SECONDS
 from tests.drawing import draw
 from tests.registrations.test_book import HERE
 from tests.registrations.test_book import make
 from tests.registrations.test_book import SteppedClock
 
 # Of an entry that is told whatever changes; one more learns all at a time.
-TOLERANCE = SLOW_START_TOLERANCE_SECONDS + 1e-6
+TOLERANCE = TIME_TOLERANCE_SECONDS + 1e-6
 
 
 class Follower:
@@ -123,3 +123,34 @@
                 believed = entry.seconds_left()
                 said = max(0.0, said_until - self.clock.now)
                 self.assertGreaterEqual(believed, said - TOLERANCE)
+
+
+class RemovalTest(unittest.TestCase):
+    """The time until an endpoint is removed, as entries are told."""
+
+    def setUp(self):
+        self.clock = SteppedClock()
+        self.table = RegistrationTable(clock=self.clock)
+
+    def check_in(self, sequence, **fields):
+        self.table.apply(make(sequence=sequence, **fields))
+
+    def told(self):
+        (registration,) = self.table.changes_after(0, HERE)
+        return registration
+
+    def test_time_left_is_not_counted_twice_when_the_state_changes(self):
+        # Guards against an endpoint that counts as removed, or as warm, long
+        # before it is, after it announced to drain or fell silent.
+        for name, seconds, change in (
+            ("drains", 1.0, lambda: self.table.record_drain("e1")),
+            ("silent", 5.0, lambda: self.table.prune()),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self.check_in(1, seconds_left=20.0, slow_start_seconds=8.0)
+                self.clock.now += seconds
+                change()
+                told = self.told()
+                self.assertEqual(20.0 - seconds, told.seconds_left)
+                self.assertEqual(8.0 - seconds, told.slow_start_seconds)
