Tell entries of a planned removal that was moved

What callers saw: requests that were sent to an endpoint which would be removed before they end, as entries counted down to the time that it had said first.

Cause: the same as of the slow start that began anew: only that a time appeared or disappeared counted as news, not that it differs from what is left of the former one. Evidence: test_removal_that_was_moved_is_told failed for an end that came nearer and for one that went away. Jitter of check-ins is no news.

--- a/burdockdrum/registrations/table.py
+++ b/burdockdrum/registrations/table.py
@@ -417,10 +417,17 @@
     return (
         same == told
         and extension <= TIME_TOLERANCE_SECONDS
-        and (registration.seconds_left is None) == (told.seconds_left is None)
+        and not _is_end_moved(registration.seconds_left, told.seconds_left)
     )
 
 
+def _is_end_moved(before: float | None, after: float | None) -> bool:
+    """Return whether a planned removal was announced, moved or withdrawn."""
+    if before is None or after is None:
+        return before is not after
+    return abs(before - after) > TIME_TOLERANCE_SECONDS
+
+
 def _count_down(record: _Record, now: float) -> Registration:
     """Return a registration whose times count from now."""
     registration = record.registration
--- a/tests/registrations/test_slow_starts.py
+++ b/tests/registrations/test_slow_starts.py
@@ -154,3 +154,18 @@
                 told = self.told()
                 self.assertEqual(20.0 - seconds, told.seconds_left)
                 self.assertEqual(8.0 - seconds, told.slow_start_seconds)
+
+    def test_removal_that_was_moved_is_told(self):
+        # Guards against requests that outlive their endpoint, as entries
+        # still count down to the time that was announced first.
+        for moved_to in (2.0, 30.0):
+            with self.subTest(moved_to):
+                self.setUp()
+                self.check_in(1, seconds_left=20.0)
+                self.clock.now += 1.2
+                serial = self.table.serial
+                self.check_in(2, seconds_left=18.8)
+                self.assertEqual(serial, self.table.serial)
+                self.check_in(3, seconds_left=moved_to)
+                self.assertGreater(self.table.serial, serial)
+                self.assertEqual(moved_to, self.told().seconds_left)
