Ask the slow start of an endpoint again before a request is written

What callers saw: an endpoint in slow start got 20 requests at once, where it tolerates 7.9 in a second, and their answers were lost with it.

Cause: the gate was asked and charged when an endpoint was chosen. Between that and the write lie a place, a connect and pauses. Requests that were chosen for a warm endpoint were all written when its slow start had become known; requests that wait for places all passed the gate before the first of them was counted, and each charged it, open or not.

Why it works: a request has the permit of the gate, or asks for it right before the write, after the last wait. Without one it is not run, goes elsewhere, or is refused with the time at which the gate opens.

--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -54,6 +54,7 @@
 from burdockdrum.passthrough.relaying.running_attempts import Superseded
 from burdockdrum.passthrough.selection import Fleet
 from burdockdrum.passthrough.selection import HOP_DELAY_SECONDS
+from burdockdrum.passthrough.selection import MIN_RETRY_AFTER_SECONDS
 from burdockdrum.passthrough.state import EndpointHealth
 from burdockdrum.pauses import PauseDetector
 from burdockdrum.ports import Clock
@@ -309,10 +310,10 @@
             return NotStarted(
                 reason=str(error), reached=False, unconnected=True
             )
-        reason = self._reason_to_withhold(call, request, progress)
-        if reason is not None:
+        withheld = self._find_reason_to_withhold(call, request, progress)
+        if withheld is not None:
             call.pool.release(call.address, connection, max_idle=call.max_idle)
-            return NotStarted(reason=reason, reached=False, withheld=True)
+            return withheld
         left = self._seconds_left(request) + DEADLINE_GRACE_SECONDS
         progress.sent += 1
         progress.retry_grant = None
@@ -404,23 +405,29 @@
             endpoint = call.target.choice.endpoint
             self._fleet.health_of(endpoint).record_success()
 
-    def _reason_to_withhold(
+    def _find_reason_to_withhold(
         self, call: Call, request: ProxiedRequest, progress: RequestProgress
-    ) -> str | None:
+    ) -> NotStarted | None:
         """Return why a request should not be sent any more, if so.
 
         Charges a retry whose grant is missing or too old.
         """
         if self._seconds_left(request) <= 0:
-            return "the deadline passed before the request was sent"
-        match call.target:
-            case EndpointTarget(choice=choice):
-                if self._fleet.is_in_backoff(choice.endpoint):
-                    return "the endpoint meanwhile requested a backoff"
+            return _withhold("the deadline passed before the request was sent")
+        sent = call.in_flight_request
+        if sent is not None:
+            if self._fleet.is_in_backoff(sent.endpoint):
+                return _withhold("the endpoint meanwhile requested a backoff")
+            if not self._fleet.admit(sent, request.backend):
+                seconds = self._fleet.seconds_until_admitted(sent.endpoint)
+                return _withhold(
+                    "the endpoint meanwhile began a slow start",
+                    retry_after=max(MIN_RETRY_AFTER_SECONDS, seconds),
+                )
         if progress.has_arrived and not self._retries.ensure_charged(
             request, progress
         ):
-            return "the retry budget allows no further attempt"
+            return _withhold("the retry budget allows no further attempt")
         return None
 
     async def _receive(
@@ -640,6 +647,13 @@
                 health.record_neutral()
 
 
+def _withhold(reason: str, retry_after: float | None = None) -> NotStarted:
+    """Return the outcome of an attempt that is not written."""
+    return NotStarted(
+        reason=reason, reached=False, withheld=True, retry_after=retry_after
+    )
+
+
 def _do_nothing(endpoint_id: str) -> None:
     """Ignore an unreachable endpoint; the default handler."""
 
--- a/burdockdrum/passthrough/selection/eligibility.py
+++ b/burdockdrum/passthrough/selection/eligibility.py
@@ -129,6 +129,16 @@
             now, backend.cold_seconds
         )
 
+    def acquire_slow_start(
+        self, endpoint: RegisteredEndpoint, backend: Backend
+    ) -> bool:
+        """Count a request to an endpoint in slow start, if it may be sent."""
+        return self._slow_start_gate.acquire(
+            endpoint.endpoint_id,
+            backend.cold_requests_per_second,
+            self.entries,
+        )
+
     def _is_eligible(
         self,
         endpoint: RegisteredEndpoint,
--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -451,15 +451,6 @@
             self.prefix_cache_view.record_sent(
                 endpoint.endpoint_id, prompt, memory
             )
-        is_in_slow_start = self._eligibility.is_in_slow_start(
-            endpoint, backend, now
-        )
-        if is_in_slow_start:
-            self._slow_start_gate.acquire(
-                endpoint.endpoint_id,
-                backend.cold_requests_per_second,
-                self.entries,
-            )
         in_flight_request = InFlightRequest(
             choice=choice,
             prompt=prompt,
@@ -469,11 +460,35 @@
             if backend.engine is not None
             else 1,
             deadline=deadline,
-            has_slow_start_permit=is_in_slow_start,
         )
+        self.admit(in_flight_request, backend)
         state.add_request(in_flight_request)
         return in_flight_request
 
+    def admit(
+        self, in_flight_request: InFlightRequest, backend: Backend
+    ) -> bool:
+        """Return whether the slow start of an endpoint admits a request.
+
+        Asked when the endpoint is chosen, which counts the request, and again
+        before the request is written: a slow start may have begun meanwhile.
+        """
+        endpoint = in_flight_request.endpoint
+        if in_flight_request.has_slow_start_permit:
+            return True
+        if not self.is_in_slow_start(endpoint, backend):
+            return True
+        is_admitted = self._eligibility.acquire_slow_start(endpoint, backend)
+        in_flight_request.has_slow_start_permit = is_admitted
+        return is_admitted
+
+    def seconds_until_admitted(self, endpoint: RegisteredEndpoint) -> float:
+        """Return when the slow start of an endpoint admits a request next.
+
+        :returns: seconds from now, 0 if unknown
+        """
+        return self._slow_start_gate.seconds_until_open(endpoint.endpoint_id)
+
     def _postpone_probes(self, probed: EndpointState, now: float) -> None:
         """Let one request at a time probe the silent endpoints of a service.
 
--- a/burdockdrum/passthrough/state/limits.py
+++ b/burdockdrum/passthrough/state/limits.py
@@ -73,8 +73,13 @@
         self._next_at_by_id[endpoint_id] = next_at
         return now >= next_at
 
-    def acquire(self, endpoint_id: str, rate: float, entries: int) -> None:
-        """Record a request, which closes the gate for an interval."""
+    def acquire(self, endpoint_id: str, rate: float, entries: int) -> bool:
+        """Record a request if the gate is open, which closes it for a while.
+
+        :returns: whether the request may be sent
+        """
+        if not self.is_open(endpoint_id, rate, entries):
+            return False
         now = self._clock.monotonic()
         senders, fraction = entries, UNCOORDINATED_FRACTION
         if entries <= SLOW_START_SENDERS or self._is_sender(endpoint_id):
@@ -89,6 +94,12 @@
                 for name, at in self._next_at_by_id.items()
                 if at > now
             }
+        return True
+
+    def seconds_until_open(self, endpoint_id: str) -> float:
+        """Return for how long the gate stays closed, 0 if that is unknown."""
+        next_at = self._next_at_by_id.get(endpoint_id, 0.0)
+        return max(0.0, next_at - self._clock.monotonic())
 
     def _is_sender(self, endpoint_id: str) -> bool | None:
         """Return whether this entry VM sends requests, None if unknown."""
