Send nothing to endpoints in slow start in an entry's first second

What callers saw: an endpoint in slow start got one request more for each start of an entry, up to 10 in a second of two entries that restart five times in it, where it tolerates 7.9.

Cause: the gate of a process that has just started knows nothing of what the former one sent, and sent its first request at once.

Evidence: test_entries_that_restart_keep_to_slow_start failed at 0.2 and 0.25 s between starts. Why it works: what the former process sent is more than a second ago by then, and endpoints tolerate a number of requests in a second.

--- a/burdockdrum/passthrough/state/limits.py
+++ b/burdockdrum/passthrough/state/limits.py
@@ -16,6 +16,8 @@
 # once, which comes on top of its share of the rate in that second, and the
 # endpoint tolerates 1.5 times its rate plus three requests in a second.
 SLOW_START_SENDERS = 3
+# Endpoints tolerate a number of requests in any period of this length.
+LIMIT_PERIOD_SECONDS = 1.0
 # Part of the limit that is used where the senders are not known: how many
 # first requests come in the same second is up to chance.
 UNCOORDINATED_FRACTION = 0.35
@@ -51,10 +53,14 @@
         self._clock = clock
         self._rng = rng
         self._next_at_by_id: dict[str, float] = {}
+        self._started_at = clock.monotonic()
 
     def is_open(self, endpoint_id: str, rate: float, entries: int) -> bool:
         """Return whether a request may be sent now.
 
+        The first one is not sent in the first second of this entry VM, whose
+        former process may have sent one just before.
+
         :param rate: requests per second, over all entry VMs
         :param entries: number of entry VMs that may send to the endpoint
         """
@@ -66,7 +72,7 @@
         if next_at is not None:
             return now >= next_at
         if is_sender or entries <= SLOW_START_SENDERS:
-            return True
+            return now >= self._started_at + LIMIT_PERIOD_SECONDS
         next_at = now + self._rng.uniform(
             0, _interval_seconds(rate, entries, UNCOORDINATED_FRACTION)
         )
