Withdraw a successor that has nothing to show after 0.3 s

Cause: a stalled attempt and its successor ran beside each other for as long as the successor wrote nothing. "Goes on" was read as "writes its first event"; an endpoint sees only that the request has arrived. Class: a bound that holds because something usually takes less.

Why it works: after 0.3 s the successor ends, not the attempt that may still answer. An attempt whose machine accepts no connection doesn't count, so that a dead endpoint costs what it did. A request may return to an endpoint that it was withdrawn from once nothing else runs: the same endpoint, not one more.

Ruled out: aborting the silent attempt instead, which gives up answers that would have come. What it costs: a request at an endpoint that hangs, whose successor takes over 0.3 s, is not saved any more (design/stalled-attempts.md).

--- a/burdockdrum/attempts/running_attempts.py
+++ b/burdockdrum/attempts/running_attempts.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Iterator
@@ -43,6 +44,8 @@
         self.abort: Callable[[str], None] = _ignore
         # Asks at once whether a stalled attempt may have a successor.
         self.expire: Callable[[], None] = _do_nothing
+        # Returns whether the target can be reached now.
+        self.reach: Callable[[], Awaitable[bool]] = _reach_nothing
 
     @property
     def may_have_successor(self) -> bool:
@@ -54,6 +57,23 @@
         """Return whether no other attempt runs."""
         return all(other is self for other in self._group)
 
+    @property
+    def owns_response(self) -> bool:
+        """Return whether the response is this attempt's."""
+        return self._group.is_owner(self)
+
+    def list_others_at_work(self) -> "list[Attempt[TargetT, OutcomeT]]":
+        """Return the other attempts that were sent and have not ended."""
+        return [
+            other
+            for other in self._group
+            if other is not self and other.was_sent and not other.task.done()
+        ]
+
+    def withdraw(self) -> None:
+        """End the attempt; the others go on."""
+        self.task.cancel()
+
     def stall(self) -> None:
         """Record that the attempt is silent and may have a successor."""
         self.is_stalled = True
@@ -144,6 +164,10 @@
         """Return whether all attempts but one have stalled."""
         return all(a is attempt or a.is_stalled for a in self._attempts)
 
+    def is_owner(self, attempt: Attempt[TargetT, OutcomeT]) -> bool:
+        """Return whether an attempt owns the response."""
+        return self._owner is attempt
+
     def record_stall(self, attempt: Attempt[TargetT, OutcomeT]) -> None:
         """Record that an attempt needs a successor."""
         self._has_new_stall = True
@@ -185,3 +209,8 @@
 
 def _do_nothing() -> None:
     """Ask nothing, as nothing has been sent."""
+
+
+async def _reach_nothing() -> bool:
+    """Reach nothing, as nothing has been sent."""
+    return False
--- a/burdockdrum/passthrough/protocol/__init__.py
+++ b/burdockdrum/passthrough/protocol/__init__.py
@@ -26,6 +26,7 @@
 from burdockdrum.passthrough.protocol.model import HopCharge
 from burdockdrum.passthrough.protocol.model import Lost
 from burdockdrum.passthrough.protocol.model import MAX_NOT_STARTED_ATTEMPTS
+from burdockdrum.passthrough.protocol.model import must_return
 from burdockdrum.passthrough.protocol.model import NotStarted
 from burdockdrum.passthrough.protocol.model import Outcome
 from burdockdrum.passthrough.protocol.model import ProxiedRequest
@@ -69,6 +70,7 @@
     "Lost",
     "MAX_NOT_STARTED_ATTEMPTS",
     "MAYBE_RUN_STATUS",
+    "must_return",
     "NOT_RUN_STATUSES",
     "NotStarted",
     "Outcome",
--- a/burdockdrum/passthrough/protocol/model.py
+++ b/burdockdrum/passthrough/protocol/model.py
@@ -133,6 +133,8 @@
     ``has_requested_work`` says that its work has been recorded for its team,
     and ``is_within_share`` whether its team's share covers it, None if not
     asked. ``at_work`` are the attempts that ran when the request ended.
+    ``withdrawn`` are the endpoints from which the request was withdrawn. Once
+    nothing else runs it may return there, which is not another run.
     """
 
     verdict: Verdict = Verdict.NOT_RUN
@@ -164,6 +166,12 @@
     has_requested_work: bool = False
     is_within_share: bool | None = None
     at_work: tuple[str, ...] = ()
+    withdrawn: set[str] = field(default_factory=set)
+
+    @property
+    def returnable(self) -> frozenset[str]:
+        """Return the tried endpoints that may run it once more now."""
+        return frozenset(() if self.stalled_runs else self.withdrawn)
 
     @property
     def begun_runs(self) -> int:
@@ -340,6 +348,11 @@
             return forwarded_attempts(request, progress)
 
 
+def must_return(request: ProxiedRequest, progress: RequestProgress) -> bool:
+    """Return whether only tried endpoints may run a request once more."""
+    return bool(progress.returnable) and progress.runs >= request.attempts
+
+
 def has_tried_enough(
     request: ProxiedRequest, progress: RequestProgress
 ) -> bool:
--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -7,6 +7,8 @@
 import asyncio
 from collections.abc import Callable
 
+from burdockdrum.attempts import exceeds_overlap
+from burdockdrum.attempts import MAX_OVERLAP_SECONDS
 from burdockdrum.crashes import SOUND_SECONDS
 from burdockdrum.http1 import ClientConnection
 from burdockdrum.http1 import ConnectionPool
@@ -49,6 +51,7 @@
 from burdockdrum.passthrough.relaying.in_flight_calls import InFlightCalls
 from burdockdrum.passthrough.relaying.request_log import log_slow_start
 from burdockdrum.passthrough.relaying.request_log import log_stalled
+from burdockdrum.passthrough.relaying.request_log import log_withdrawn
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
 from burdockdrum.passthrough.relaying.running_attempts import Attempt
 from burdockdrum.passthrough.relaying.running_attempts import Superseded
@@ -322,6 +325,10 @@
         began = call.sent_at = self._clock.monotonic()
         attempt.was_sent, attempt.sent_at = True, began
         attempt.abort, attempt.expire = call.abort, call.expire
+        attempt.reach = lambda: self._reach(call)
+        overlap = asyncio.create_task(
+            self._limit_overlap(call, request, attempt)
+        )
         self._report_slow_start(call, request, attempt)
         try:
             connection.send(call.encode(), request.request_id.encode())
@@ -353,11 +360,41 @@
         except InvalidEventStream as error:
             return Lost(reason=str(error))
         finally:
+            overlap.cancel()
             call.disarm_watchdog()
             # The pool closes a connection whose response was not read to its
             # end, which cancels the request at the other side.
             call.pool.release(call.address, connection, max_idle=call.max_idle)
 
+    async def _limit_overlap(
+        self, call: Call, request: ProxiedRequest, attempt: Attempt
+    ) -> None:
+        """Withdraw an attempt that has been at work beside others too long.
+
+        One of them may still respond, and this one may still fail.
+        """
+        if attempt.is_alone:
+            return
+        seconds = MAX_OVERLAP_SECONDS
+        if isinstance(call.target, RegionTarget):
+            seconds += HOP_DELAY_SECONDS / 2
+        if await exceeds_overlap(attempt, seconds):
+            log_withdrawn(call.target, request)
+            attempt.withdraw()
+
+    async def _reach(self, call: Call) -> bool:
+        """Return whether the target of a call accepts connections."""
+        try:
+            connection = await connect_awake(
+                lambda timeout: call.pool.open(call.address, timeout=timeout),
+                call.connect_timeout_seconds,
+                self._pauses,
+            )
+        except NotConnected:
+            return False
+        call.pool.release(call.address, connection, max_idle=call.max_idle)
+        return True
+
     def _report_slow_start(
         self, call: Call, request: ProxiedRequest, attempt: Attempt
     ) -> None:
--- a/burdockdrum/passthrough/relaying/request_log.py
+++ b/burdockdrum/passthrough/relaying/request_log.py
@@ -105,6 +105,16 @@
     )
 
 
+def log_withdrawn(target: Target, request: ProxiedRequest) -> None:
+    """Log that an attempt ends as a stalled one beside it may be at work."""
+    log_decision(
+        "attempt.withdrawn",
+        request_id=request.request_id,
+        route=request.route.name,
+        **_describe(target, request),
+    )
+
+
 def log_not_replaced(request: ProxiedRequest, reason: str) -> None:
     """Log that no target accepts a request whose attempt has stalled."""
     log_decision(
--- a/burdockdrum/passthrough/relaying/request_runner.py
+++ b/burdockdrum/passthrough/relaying/request_runner.py
@@ -21,6 +21,7 @@
 from burdockdrum.passthrough.protocol import HOP_USED_ATTEMPTS
 from burdockdrum.passthrough.protocol import Lost
 from burdockdrum.passthrough.protocol import MAYBE_RUN_STATUS
+from burdockdrum.passthrough.protocol import must_return
 from burdockdrum.passthrough.protocol import NOT_RUN_STATUSES
 from burdockdrum.passthrough.protocol import NotStarted
 from burdockdrum.passthrough.protocol import Outcome
@@ -179,6 +180,7 @@
         progress.target = attempt.target = target
         if isinstance(target, EndpointTarget):
             self._retries.record_request(request, progress)
+            _count_return(target, progress)
         attempt.started_at = self._clock.monotonic()
         outcome: Outcome | None = None
         try:
@@ -313,6 +315,9 @@
             case Withdrawn():
                 progress.verdict = Verdict.MAY_HAVE_RUN
                 progress.runs += granted_runs(target, request, progress)
+                match target:
+                    case EndpointTarget(choice=choice):
+                        progress.withdrawn.add(choice.endpoint.endpoint_id)
             case Lost(reason=reason):
                 progress.last_reason = reason
                 progress.verdict = Verdict.MAY_HAVE_RUN
@@ -338,10 +343,10 @@
             outcome
         ):
             return False
-        must_not_rerun = (
-            not request.is_retryable or progress.runs >= request.attempts
-        )
-        if progress.runs and must_not_rerun:
+        is_used_up = progress.runs >= request.attempts
+        if is_used_up and must_return(request, progress):
+            is_used_up = False
+        if progress.runs and (is_used_up or not request.is_retryable):
             return False
         if not progress.has_arrived:
             return True
@@ -410,6 +415,14 @@
         exchange.respond(status, headers, failure.body)
 
 
+def _count_return(target: EndpointTarget, progress: RequestProgress) -> None:
+    """Count the run of an endpoint once, to which a request returns."""
+    endpoint_id = target.choice.endpoint.endpoint_id
+    if endpoint_id in progress.withdrawn:
+        progress.withdrawn.discard(endpoint_id)
+        progress.runs -= 1
+
+
 def _count_stalled(
     attempts: RunningAttempts,
     request: ProxiedRequest,
--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -213,6 +213,7 @@
         body_bytes: int = 0,
         permitted: str | None = None,
         versions: VersionFilter = ANY_VERSION,
+        only: frozenset[str] | None = None,
     ) -> RatedEndpoint | None:
         """Return the endpoint with the best expected wait.
 
@@ -225,11 +226,14 @@
         :param permitted: id of an endpoint at its rate limit, for which a
             permit was acquired
         :param versions: the software versions that the endpoint may have
+        :param only: ids of the endpoints that may be chosen; any if None
         """
         split = self._split_eligible(
             backend, tried, closed_data_centres, versions
         )
         candidates = split.available
+        if only is not None:
+            candidates = [e for e in candidates if e.endpoint_id in only]
         if permitted is not None:
             candidates = [
                 endpoint
--- a/burdockdrum/passthrough/selection/targets.py
+++ b/burdockdrum/passthrough/selection/targets.py
@@ -12,6 +12,7 @@
 import random
 
 from burdockdrum.passthrough.protocol import EndpointTarget
+from burdockdrum.passthrough.protocol import must_return
 from burdockdrum.passthrough.protocol import ProxiedRequest
 from burdockdrum.passthrough.protocol import RegionTarget
 from burdockdrum.passthrough.protocol import RequestProgress
@@ -378,11 +379,14 @@
             backend=request.backend,
             prompt=request.prompt,
             seconds_left=request.deadline - self._clock.monotonic(),
-            tried=frozenset(tried),
+            tried=frozenset(tried - progress.returnable),
             closed_data_centres=self._read_closed_data_centres(),
             body_bytes=len(request.head.body),
             permitted=permit.endpoint_id if permit is not None else None,
             versions=_versions_for(request, progress),
+            only=progress.returnable
+            if must_return(request, progress)
+            else None,
         )
 
     def _choose_region(
@@ -395,6 +399,8 @@
             # Forwarding loop: two entry VMs that each see free capacity at the
             # other would send a request back and forth.
             return None
+        if must_return(request, progress):
+            return None
         limit = float("inf")
         remaining = request.deadline - self._clock.monotonic()
         needs: OutputNeeds | None = None
