--- a/burdockdrum/passthrough/protocol/model.py
+++ b/burdockdrum/passthrough/protocol/model.py
@@ -313,11 +313,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Withdrawn:
-    """The attempt was ended as the one that it was to replace responded."""
+    """The attempt was ended as the one that it was to replace goes on."""
 
     log_name: ClassVar[str] = "Withdrawn"
 
-    reason: str = "the attempt that had stalled responded"
+    reason: str = "the attempt that had stalled goes on"
 
 
 # ``log_name`` is the log's ``outcome``; operators' tools match it.
