Keep to the slow start that a health response announces

What callers saw: an entry that asked an endpoint for its health, as all endpoints of the service were silent, was told a slow start and sent its usual traffic at once.

Cause: of a health response only counted that it came.

Evidence: test_slow_start_in_a_health_response_is_kept_to; the names did not exist before. Why it works: the time left is read, unless another endpoint responds at the address, and the gate keeps to the later of this and the check-in's.

--- a/burdockdrum/passthrough/protocol/header_names.py
+++ b/burdockdrum/passthrough/protocol/header_names.py
@@ -34,6 +34,9 @@
       all entries together, announced in its responses.
     - ``brittle``: how many requests an endpoint can reject in a second for
       want of room without crashing, announced in its responses.
+    - ``slow_start``: how many milliseconds of its slow start are left, in the
+      health responses of an endpoint.
+    - ``responder``: the id of the endpoint, in its health responses.
     - ``draining``: 1 in the responses of an endpoint that drains.
     - ``token``: authenticates the caller; never forwarded.
     - ``team``: the team that the token belongs to.
@@ -55,6 +58,8 @@
     fetch_from: bytes = b"x-fetch-from"
     rate_limit: bytes = b"x-rate-limit"
     brittle: bytes = b"x-brittle"
+    slow_start: bytes = b"x-slow-start-ms"
+    responder: bytes = b"x-endpoint-id"
     draining: bytes = b"x-draining"
     token: bytes = b"x-api-token"
     team: bytes = b"x-team"
--- a/burdockdrum/passthrough/protocol/response_signals.py
+++ b/burdockdrum/passthrough/protocol/response_signals.py
@@ -6,6 +6,7 @@
 from burdockdrum.passthrough.protocol.model import NotStarted
 from burdockdrum.passthrough.protocol.responses import BACKOFF_STATUS
 from burdockdrum.passthrough.protocol.responses import is_from_endpoint
+from burdockdrum.passthrough.state import AnnouncedSlowStarts
 from burdockdrum.passthrough.state import DrainAnnouncements
 from burdockdrum.passthrough.state import EndpointLimits
 from burdockdrum.passthrough.state import InFlightRequest
@@ -25,12 +26,14 @@
         limits: EndpointLimits,
         backoffs: RequestedBackoffs,
         drains: DrainAnnouncements,
+        slow_starts: AnnouncedSlowStarts,
     ) -> None:
         """Create it with the recipients of each signal."""
         self._names = names
         self._limits = limits
         self._backoffs = backoffs
         self._drains = drains
+        self._slow_starts = slow_starts
 
     def observe(
         self,
@@ -60,6 +63,20 @@
         self._observe_state(endpoint, head, None)
         self._observe_bounds(endpoint, head, None)
 
+    def observe_health(
+        self, endpoint: RegisteredEndpoint, head: ResponseHead
+    ) -> None:
+        """Read a health response, unless another endpoint has the address."""
+        responder = head.find(self._names.responder)
+        if (
+            responder is not None
+            and responder != endpoint.reported_id.encode()
+        ):
+            return
+        self._slow_starts.observe(
+            endpoint.endpoint_id, head.find_all(self._names.slow_start)
+        )
+
     def _observe_state(
         self,
         endpoint: RegisteredEndpoint,
--- a/burdockdrum/passthrough/relaying/health_checker.py
+++ b/burdockdrum/passthrough/relaying/health_checker.py
@@ -7,6 +7,7 @@
 from burdockdrum.http1 import ConnectionPool
 from burdockdrum.http1 import encode_request
 from burdockdrum.http1 import NotConnected
+from burdockdrum.http1 import ResponseHead
 from burdockdrum.http1 import ResponseLost
 from burdockdrum.logs import log_decision
 from burdockdrum.passthrough.relaying.attempts import CONNECT_TIMEOUT_SECONDS
@@ -26,17 +27,20 @@
         *,
         pool: ConnectionPool,
         read_path: Callable[[str], str | None],
+        observe: Callable[[RegisteredEndpoint, ResponseHead], None],
         pauses: PauseDetector | None = None,
     ) -> None:
         """Create it.
 
         :param read_path: returns the health path of a service, None if it is
             unknown
+        :param observe: called with the head of each response
         :param pauses: detects pauses of this process; none if None
         """
         self._pauses = pauses
         self._pool = pool
         self._read_path = read_path
+        self._observe = observe
 
     async def check(self, endpoint: RegisteredEndpoint) -> None:
         """Wait for a response, whatever it says, or a reset.
@@ -55,7 +59,8 @@
         )
         try:
             connection.send(payload, None)
-            await self._wait_for_head(connection)
+            head = await self._wait_for_head(connection)
+            self._observe(endpoint, head)
         except ResponseLost as error:
             # A reset is an answer too.
             log_decision(
@@ -71,7 +76,9 @@
             # The rest of the response is not read.
             self._pool.release(address, connection, max_idle=0)
 
-    async def _wait_for_head(self, connection: ClientConnection) -> None:
+    async def _wait_for_head(
+        self, connection: ClientConnection
+    ) -> ResponseHead:
         """Wait for a response; pauses of this process don't count.
 
         :raises ResponseLost: if the connection ends first
@@ -82,8 +89,7 @@
         while True:
             try:
                 async with asyncio.timeout(left):
-                    await connection.read_head()
-                return
+                    return await connection.read_head()
             except TimeoutError:
                 if self._pauses is None:
                     raise
--- a/burdockdrum/passthrough/selection/eligibility.py
+++ b/burdockdrum/passthrough/selection/eligibility.py
@@ -8,6 +8,7 @@
 from burdockdrum.passthrough.selection.candidates import Candidates
 from burdockdrum.passthrough.selection.candidates import split_candidates
 from burdockdrum.passthrough.selection.stalls import StallDetector
+from burdockdrum.passthrough.state import AnnouncedSlowStarts
 from burdockdrum.passthrough.state import BackoffGate
 from burdockdrum.passthrough.state import EndpointLimits
 from burdockdrum.passthrough.state import EndpointState
@@ -33,6 +34,7 @@
         states_by_id: Mapping[str, EndpointState],
         stalls: StallDetector,
         slow_start_gate: SlowStartGate,
+        slow_starts: AnnouncedSlowStarts,
         limits: EndpointLimits,
         backoff_gate: BackoffGate,
         may_have_place: Callable[[str], bool],
@@ -54,6 +56,7 @@
         self._states_by_id = states_by_id
         self._stalls = stalls
         self._slow_start_gate = slow_start_gate
+        self._slow_starts = slow_starts
         self._limits = limits
         self._backoff_gate = backoff_gate
         self._may_have_place = may_have_place
@@ -117,6 +120,8 @@
         """Return whether an endpoint accepts only a low rate of requests."""
         if endpoint.slow_start_until > now:
             return True
+        if self._slow_starts.ends_at(endpoint.endpoint_id) > now:
+            return True
         if (
             endpoint.incarnation == UNKNOWN_INCARNATION
             or not backend.cold_seconds
--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -25,6 +25,7 @@
 from burdockdrum.passthrough.selection.versions import EstablishedVersion
 from burdockdrum.passthrough.selection.versions import OnlyVersion
 from burdockdrum.passthrough.selection.versions import VersionFilter
+from burdockdrum.passthrough.state import AnnouncedSlowStarts
 from burdockdrum.passthrough.state import BackoffGate
 from burdockdrum.passthrough.state import EndpointHealth
 from burdockdrum.passthrough.state import EndpointLimits
@@ -79,6 +80,7 @@
         crossing_seconds: float = 0.0,
         limits: EndpointLimits | None = None,
         backoffs: RequestedBackoffs | None = None,
+        slow_starts: AnnouncedSlowStarts | None = None,
         is_chosen: Callable[[str, int], bool | None] = lambda *_: None,
         may_have_place: Callable[[str], bool] = lambda endpoint_id: True,
         pauses: PauseDetector | None = None,
@@ -102,6 +104,8 @@
             sending a megabyte to another data centre
         :param limits: the rate limits of endpoints; none by default
         :param backoffs: the backoffs that endpoints request; none by default
+        :param slow_starts: those that endpoints announce in health responses;
+            none by default
         :param is_chosen: returns whether this entry VM is among a number of
             them that a key selects, None if unknown; unknown by default
         :param may_have_place: returns whether an endpoint may have a place
@@ -187,6 +191,7 @@
             states_by_id=self._states_by_id,
             stalls=self._stalls,
             slow_start_gate=self._slow_start_gate,
+            slow_starts=slow_starts or AnnouncedSlowStarts(clock=clock),
             limits=self._limits,
             backoff_gate=self._backoff_gate,
             may_have_place=may_have_place,
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -51,6 +51,7 @@
 from burdockdrum.passthrough.selection import Fleet
 from burdockdrum.passthrough.selection import TargetSelector
 from burdockdrum.passthrough.selection import TeamShares
+from burdockdrum.passthrough.state import AnnouncedSlowStarts
 from burdockdrum.passthrough.state import DrainAnnouncements
 from burdockdrum.passthrough.state import EndpointLimits
 from burdockdrum.passthrough.state import LimitPermits
@@ -91,6 +92,7 @@
     kernel.add("requested_backoffs", _build_backoffs)
     kernel.add("brittle_endpoints", _build_brittle_endpoints)
     kernel.add("place_broker", _build_place_broker)
+    kernel.add("announced_slow_starts", _build_announced_slow_starts)
     kernel.add("response_signals", _build_response_signals)
     kernel.add("fleet", _build_fleet)
     kernel.add("endpoint_pool", _build_endpoint_pool)
@@ -190,6 +192,10 @@
     return broker
 
 
+def _build_announced_slow_starts(kernel: Kernel) -> AnnouncedSlowStarts:
+    return AnnouncedSlowStarts(clock=kernel.find("clock", Clock))
+
+
 def _build_response_signals(kernel: Kernel) -> ResponseSignals:
     registrations = kernel.find("registrations", RegistrationFollower)
     return ResponseSignals(
@@ -200,6 +206,7 @@
             metrics=kernel.find("metrics", Metrics),
             record=registrations.record_drain,
         ),
+        slow_starts=kernel.find("announced_slow_starts", AnnouncedSlowStarts),
     )
 
 
@@ -247,6 +254,7 @@
         crossing_seconds=settings.policy.crossing_seconds_a_megabyte,
         limits=kernel.find("endpoint_limits", EndpointLimits),
         backoffs=kernel.find("requested_backoffs", RequestedBackoffs),
+        slow_starts=kernel.find("announced_slow_starts", AnnouncedSlowStarts),
         is_chosen=registrations.limit_shares.is_chosen,
         may_have_place=kernel.find("place_broker", PlaceBroker).may_ask,
         pauses=kernel.find("pauses", PauseDetector),
@@ -504,6 +512,9 @@
         check_health=HealthChecker(
             pool=pool,
             read_path=read_health_path,
+            observe=kernel.find(
+                "response_signals", ResponseSignals
+            ).observe_health,
             pauses=kernel.find("pauses", PauseDetector),
         ).check,
         on_unreachable=runner.give_up_silent,
--- a/burdockdrum/passthrough/state/__init__.py
+++ b/burdockdrum/passthrough/state/__init__.py
@@ -42,6 +42,7 @@
 from burdockdrum.passthrough.state.retry_loans import RetryLoanReply
 from burdockdrum.passthrough.state.retry_loans import RetryLoanRequest
 from burdockdrum.passthrough.state.retry_loans import RetryLoans
+from burdockdrum.passthrough.state.slow_starts import AnnouncedSlowStarts
 from burdockdrum.passthrough.state.wait_estimates import decode_risk_seconds
 from burdockdrum.passthrough.state.wait_estimates import estimate_queue
 from burdockdrum.passthrough.state.wait_estimates import ExpectedWait
@@ -50,6 +51,7 @@
 from burdockdrum.passthrough.state.wait_estimates import RECENT_WINDOW_SECONDS
 
 __all__ = [
+    "AnnouncedSlowStarts",
     "BackoffGate",
     "choose_prefix_endpoint",
     "CongestionWindows",
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -38,6 +38,7 @@
 from burdockdrum.passthrough.relaying.target_finder import TargetFinder
 from burdockdrum.passthrough.selection.fleet import Fleet
 from burdockdrum.passthrough.selection.targets import TargetSelector
+from burdockdrum.passthrough.state import AnnouncedSlowStarts
 from burdockdrum.passthrough.state import DrainAnnouncements
 from burdockdrum.passthrough.state.endpoint_limits import EndpointLimits
 from burdockdrum.passthrough.state.limit_permits import LimitPermits
@@ -344,6 +345,7 @@
             clock=clock, metrics=metrics, read_endpoints=lambda: registered
         )
 
+        slow_starts = AnnouncedSlowStarts(clock=clock)
         entries = LikelyEntries(clock=clock, read_entry_count=lambda: 1)
         entries.record("control", {f"vm-{key}": "alone"})
         places = PlaceBroker(
@@ -381,6 +383,7 @@
             drop_endpoint=registered.pop,
             limits=limits,
             backoffs=backoffs,
+            slow_starts=slow_starts,
             may_have_place=places.may_ask,
             pauses=pauses,
             is_established=lambda _, version: (
@@ -417,6 +420,7 @@
             limits=limits,
             backoffs=backoffs,
             drains=DrainAnnouncements(metrics=metrics, record=drain_endpoint),
+            slow_starts=slow_starts,
         )
 
         async def connect(address):
@@ -464,6 +468,7 @@
             check_health=HealthChecker(
                 pool=pools[0],
                 read_path=lambda service: "/health",
+                observe=signals.observe_health,
                 pauses=pauses,
             ).check,
             on_unreachable=runner.give_up_silent,
--- a/tests/passthrough/relaying/test_endless_endpoints.py
+++ b/tests/passthrough/relaying/test_endless_endpoints.py
@@ -136,7 +136,11 @@
     async def test_health_check_ends_with_the_head(self):
         # A check reads no body, and a head without end is an answer too.
         pool = ConnectionPool(id_header=b"x-request-id")
-        checker = HealthChecker(pool=pool, read_path=lambda service: "/health")
+        checker = HealthChecker(
+            pool=pool,
+            read_path=lambda service: "/health",
+            observe=lambda endpoint, head: None,
+        )
         for kind, script in (OVERHEAD_BY_KIND | BODY_BY_KIND).items():
             with self.subTest(kind):
                 server = EndlessServer(*script)
--- a/tests/passthrough/relaying/test_slow_starts.py
+++ b/tests/passthrough/relaying/test_slow_starts.py
@@ -8,6 +8,7 @@
 from tests.passthrough.entries import answer
 from tests.passthrough.entries import Endpoint
 from tests.passthrough.entries import EntryDeployment
+from tests.passthrough.entries import NAMES
 from tests.passthrough.entries import RelayCase
 from tests.pauses.blocking import block_event_loop
 
@@ -99,3 +100,29 @@
         await asyncio.sleep(0)
         block_event_loop(0.5)
         self.check(await calls)
+
+    async def test_slow_start_in_a_health_response_is_kept_to(self):
+        # Guards against a flood at an endpoint whose check-ins have not told
+        # its slow start yet, while its health responses have.
+        for responder, value, is_known in (
+            (b"here-0", b"3000", True),
+            (b"another", b"3000", False),
+            (b"here-0", b"soon", False),
+        ):
+            with self.subTest(responder=responder, value=value):
+                await self.open_endpoint()
+                self.endpoint.behaviours = [
+                    answer(
+                        b"",
+                        b"200 OK",
+                        NAMES.responder + b": " + responder,
+                        NAMES.slow_start + b": " + value,
+                        has_provenance=False,
+                    )
+                ]
+                registered = self.entry.registered["here-0"]
+                await self.entry.prober._check_health(registered)
+                self.assertEqual(
+                    is_known,
+                    self.entry.fleet.is_in_slow_start(registered, BACKEND),
+                )
