Soak endpoints that begin slow starts again and again, and count overlaps

--cold: endpoints of real processes begin slow starts in the middle of their lives, alone and by zones, or restart under the same id, and say so at any control VM; processes are killed, stopped and paused. From the confirmed check-in on, callers' requests are counted in sliding seconds, over all entries, none excused.

--silent counts the pairs of sound runs beside each other. A request returns to the endpoint that it was withdrawn from; its test passes without a change.

--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -4,7 +4,7 @@
   soak [--seed N] [--seeds N] [--seconds S] [--keep FOLDER]
        [--limits | --signals | --retries | --crashes | --cuts | --versions
        | --regions | --moves | --evacuations | --brittle | --parts | --silent
-       | --disks]
+       | --disks | --cold]
        [--entries N] [--rate R]
 
 Options:
@@ -22,11 +22,12 @@
   --parts        A prompt part crashes endpoints; only that is checked.
   --silent       Endpoints fall silent and go on; only answers are checked.
   --disks        Disks of control VMs refuse writes; the rest is sound.
+  --cold         Endpoints begin slow starts; only their requests count.
   --versions     Endpoints have several versions; only streams are checked.
   --regions      Regions with versions of their own are lost; as --versions.
   --moves        Routes move while entries are killed; as --versions.
   --evacuations  Zones are evacuated and taken back; only that is checked.
-  --entries N    With these eleven: the entries of each region [default: 2].
+  --entries N    With these twelve: the entries of each region [default: 2].
   --rate R       With --retries: requests per second; at random by default.
 
 Three control VMs and three entries run as processes on loopback addresses.
@@ -63,6 +64,7 @@
 from scripts.soak.run import Result
 from scripts.soak.run import run_seed
 from scripts.soak.silence import SilenceSoak
+from scripts.soak.slow_starts import SlowStartSoak
 from scripts.soak.versions import VersionSoak
 
 
@@ -82,6 +84,8 @@
         soak = SilenceSoak(seed, entries=entries)
     elif arguments["--cuts"]:
         soak = CutSoak(seed, entries=entries)
+    elif arguments["--cold"]:
+        soak = SlowStartSoak(seed, entries=entries)
     elif arguments["--disks"]:
         soak = DiskSoak(seed, entries=entries)
     elif arguments["--evacuations"]:
--- a/scripts/soak/answers.py
+++ b/scripts/soak/answers.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 import enum
+import itertools
 import re
 
 from scripts.soak.invariants import NOT_RUN_STATUSES
@@ -116,6 +117,25 @@
             if answer.is_nothing
         )
 
+    def list_overlaps(self) -> list[float]:
+        """Return for how many seconds each two runs of a request overlapped.
+
+        Longer than in truth by how long endpoints take to notice the end of a
+        connection. Those that fail by themselves don't notice it.
+        """
+        return [
+            seconds
+            for runs in self.runs_by_id.values()
+            for first, second in itertools.combinations(runs, 2)
+            if first.is_sound
+            and second.is_sound
+            and (
+                seconds := min(first.ended_at, second.ended_at)
+                - max(first.began_at, second.began_at)
+            )
+            > 0
+        ]
+
     def check(self) -> list[str]:
         """Return what was violated."""
         return [
--- a/scripts/soak/silence.py
+++ b/scripts/soak/silence.py
@@ -56,6 +56,8 @@
 # The usual work of an entry, beyond what it needs at the start.
 USUAL_BYTES = 64 * 1024 * 1024
 MEMORY_INTERVAL_SECONDS = 0.5
+# The users' bound on two runs of a request at the same time.
+MAX_OVERLAP_SECONDS = 0.4
 # The log line of an exception that nothing expected.
 FAILED_HANDLER = "the request handler failed"
 RULES = {
@@ -320,12 +322,16 @@
         """Return how answers ended, and the memory that entries needed."""
         nothing = self.answers.count_nothing()
         reasons = ", ".join(f"{k}: {v}" for k, v in sorted(nothing.items()))
+        overlaps = self.answers.list_overlaps()
+        long = sum(seconds > MAX_OVERLAP_SECONDS for seconds in overlaps)
         return (
             f"{len(self.answers.answers)} requests, "
             f"{sum(nothing.values())} ended with nothing ({reasons}); "
             f"memory at most {_mib(max(self.memory.values(), default=0))} of "
             f"{_mib(self.memory_bound)} MiB, "
-            f"{PausingEndpoint.endless_peak} endless responses at once"
+            f"{PausingEndpoint.endless_peak} endless responses at once; "
+            f"{len(overlaps)} pairs of sound runs beside each other, {long} "
+            f"of them for over {MAX_OVERLAP_SECONDS} s"
         )
 
 
--- a/tests/passthrough/relaying/test_overlapping_attempts.py
+++ b/tests/passthrough/relaying/test_overlapping_attempts.py
@@ -116,6 +116,23 @@
         self.assertEqual((200, True), (status, is_complete))
         self.assertEqual(b"".join(map(event, range(1, 4))), data)
 
+    async def test_request_returns_once_the_stalled_attempt_has_failed(self):
+        # Guards against a request that fails though the endpoint that it was
+        # withdrawn from would have responded.
+        fail = answer(b"", b"500 Internal Server Error")
+        for route in ({}, self.ROUTE):
+            for name, failure in (
+                ("fails", fail),
+                ("closes", close_without_response),
+            ):
+                with self.subTest(name, **route):
+                    respond = respond_on(route)
+                    response, work = await self.play(
+                        (2.2, failure), (0.8, respond), (0.8, respond), **route
+                    )
+                    self.assertEqual((200, True), (response[0], response[3]))
+                    self.assertEqual(3, len(work.periods))
+
     async def test_unreachable_endpoint_does_not_limit_its_successor(self):
         # Guards against a request that is lost with a dead endpoint, as its
         # successor takes a moment.
