Give a successor in another region no more time than any other

Cause: such a successor had half a round trip more, as it arrives later. Its end arrives later as well, so that both were at work for that much longer.

The soak's checker has one reason more for a failure: a successor that was withdrawn beside an attempt that then failed by itself, with no retry left to return. The rule on two runs doesn't allow to keep both; a cut beside a sound attempt, a later one or one of over 0.4 s and the time of noticing is a violation as before (test of the checker).

--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -375,10 +375,7 @@
         """
         if attempt.is_alone:
             return
-        seconds = MAX_OVERLAP_SECONDS
-        if isinstance(call.target, RegionTarget):
-            seconds += HOP_DELAY_SECONDS / 2
-        if await exceeds_overlap(attempt, seconds):
+        if await exceeds_overlap(attempt, MAX_OVERLAP_SECONDS):
             log_withdrawn(call.target, request)
             attempt.withdraw()
 
--- a/scripts/soak/answers.py
+++ b/scripts/soak/answers.py
@@ -15,6 +15,8 @@
 from scripts.soak.invariants import NOT_RUN_STATUSES
 from scripts.soak.receiving import Received
 
+# The users' bound on two runs of a request at the same time.
+MAX_OVERLAP_SECONDS = 0.4
 # Endpoints notice the end of a connection within this time, on a busy host.
 NOTICE_SECONDS = 0.7
 # How much sooner than its time a request may count as over.
@@ -162,6 +164,8 @@
             return "killed on the way"
         if runs and not sound:
             return "endpoints failed"
+        if sound and all(_was_withdrawn(run, runs) for run in sound):
+            return "withdrawn beside one that failed"
         # One that the caller has no part of can still be another attempt's.
         has_begun = answer.received.status == 200
         if sound and all(
@@ -236,6 +240,25 @@
         )
 
 
+def _was_withdrawn(run: Run, runs: list[Run]) -> bool:
+    """Return whether a run had to end, as another one had begun before it.
+
+    Two must not be at work for longer. That one failed later, by itself.
+    """
+    seconds = run.ended_at - run.began_at
+    return (
+        run.end is RunEnd.CUT
+        and run.wrote_at == float("inf")
+        and seconds <= MAX_OVERLAP_SECONDS + NOTICE_SECONDS
+        and any(
+            other.began_at < run.began_at
+            and other.ended_at > run.ended_at
+            and not other.is_sound
+            for other in runs
+        )
+    )
+
+
 def _find_reason_of_stop(
     stop: Stop, answer: Answer, has_run: bool
 ) -> str | None:
--- a/scripts/soak/silence.py
+++ b/scripts/soak/silence.py
@@ -18,6 +18,7 @@
 from scripts.local_deployment import Machine
 from scripts.soak.answers import Answer
 from scripts.soak.answers import AnswerHistory
+from scripts.soak.answers import MAX_OVERLAP_SECONDS
 from scripts.soak.answers import RouteRule
 from scripts.soak.answers import Stop
 from scripts.soak.endless_bytes import Endless
@@ -56,8 +57,6 @@
 # The usual work of an entry, beyond what it needs at the start.
 USUAL_BYTES = 64 * 1024 * 1024
 MEMORY_INTERVAL_SECONDS = 0.5
-# The users' bound on two runs of a request at the same time.
-MAX_OVERLAP_SECONDS = 0.4
 # The log line of an exception that nothing expected.
 FAILED_HANDLER = "the request handler failed"
 RULES = {
--- a/tests/soak/test_answers.py
+++ b/tests/soak/test_answers.py
@@ -1,5 +1,6 @@
 """Tests that the checker of answers detects those without a reason."""
 
+import dataclasses
 import unittest
 
 from scripts.soak.answers import Answer
@@ -76,6 +77,24 @@
             (text,) = self.check(runs, status=502, is_whole=True)
             self.assertIn("a failure without a reason", text)
 
+    def test_withdrawal_has_a_reason_only_beside_one_that_failed(self):
+        withdrawn = Run(
+            request_id="r1",
+            endpoint_id="e1",
+            began_at=1.0,
+            end=RunEnd.CUT,
+            ended_at=1.4,
+        )
+        late = dataclasses.replace(withdrawn, began_at=0.1)
+        failed = make_run("e2", RunEnd.FAILED)
+        fields = {"status": 502, "is_whole": True}
+        self.assertEqual([], self.check([failed, withdrawn], **fields))
+        sound = make_run("e2", RunEnd.CUT)
+        later = make_run("e2", RunEnd.FAILED, began_at=1.2)
+        for runs in ([failed, late], [sound, withdrawn], [withdrawn, later]):
+            (text,) = self.check(runs, **fields)
+            self.assertIn("a failure without a reason", text)
+
     def test_cut_of_a_response_that_was_taken_over_has_a_reason(self):
         failed = make_run("e2", RunEnd.FAILED, began_at=1.5, wrote_at=1.9)
         self.assertEqual([], self.check([SOUND, failed]))
