--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -326,9 +326,11 @@
         attempt.was_sent, attempt.sent_at = True, began
         attempt.abort, attempt.expire = call.abort, call.expire
         attempt.reach = lambda: self._reach(call)
-        overlap = asyncio.create_task(
-            self._limit_overlap(call, request, attempt)
-        )
+        overlap: asyncio.Task[None] | None = None
+        if not attempt.is_alone:
+            overlap = asyncio.create_task(
+                self._limit_overlap(call, request, attempt)
+            )
         self._report_slow_start(call, request, attempt)
         try:
             connection.send(call.encode(), request.request_id.encode())
@@ -360,7 +362,8 @@
         except InvalidEventStream as error:
             return Lost(reason=str(error))
         finally:
-            overlap.cancel()
+            if overlap is not None:
+                overlap.cancel()
             call.disarm_watchdog()
             # The pool closes a connection whose response was not read to its
             # end, which cancels the request at the other side.
@@ -373,8 +376,6 @@
 
         One of them may still respond, and this one may still fail.
         """
-        if attempt.is_alone:
-            return
         if await exceeds_overlap(attempt, MAX_OVERLAP_SECONDS):
             log_withdrawn(call.target, request)
             attempt.withdraw()
--- a/burdockdrum/registrations/table.py
+++ b/burdockdrum/registrations/table.py
@@ -421,11 +421,11 @@
     )
 
 
-def _is_end_moved(before: float | None, after: float | None) -> bool:
+def _is_end_moved(reported: float | None, told: float | None) -> bool:
     """Return whether a planned removal was announced, moved or withdrawn."""
-    if before is None or after is None:
-        return before is not after
-    return abs(before - after) > TIME_TOLERANCE_SECONDS
+    if reported is None or told is None:
+        return reported is not told
+    return abs(reported - told) > TIME_TOLERANCE_SECONDS
 
 
 def _count_down(record: _Record, now: float) -> Registration:
