Tell a slow start again where a check-in went elsewhere in between

Cause: entries keep to the copy of an endpoint with the latest check-in, over all control VMs. One that had restored an early check-in from its disk took a later one for no news, as the time left was the same; entries had the copy of another control VM, later than the restored one and warm.

Evidence: the trace (a check-in confirmed at 4580.08 by a control VM that published nothing), and test_slow_start_is_told_where_another_control_vm_told_less, red before. Why it works: numbers of check-ins show that one went elsewhere or was lost; while a slow start lasts, the next one is then published.

--- a/burdockdrum/registrations/table.py
+++ b/burdockdrum/registrations/table.py
@@ -414,9 +414,12 @@
         rate_limit_age=told.rate_limit_age,
     )
     extension = registration.slow_start_seconds - told.slow_start_seconds
+    # Another control VM may have told entries something else in between.
+    has_gap = registration.sequence > told.sequence + 1
     return (
         same == told
         and extension <= TIME_TOLERANCE_SECONDS
+        and not (has_gap and registration.slow_start_seconds)
         and not _is_end_moved(registration.seconds_left, told.seconds_left)
     )
 
--- a/tests/registrations/test_slow_starts.py
+++ b/tests/registrations/test_slow_starts.py
@@ -75,6 +75,17 @@
                     expected, self.entry.seconds_left(), delta=TOLERANCE
                 )
 
+    def test_slow_start_is_told_where_another_control_vm_told_less(self):
+        # Guards against a flood at an endpoint that checked in elsewhere in
+        # between: entries keep to the later check-in, which was warm.
+        self.table.restore([make(sequence=1, slow_start_seconds=2.1)])
+        serial = self.table.serial
+        self.clock.now += 0.4
+        self.table.apply(make(sequence=8, slow_start_seconds=1.7))
+        (registration,) = self.table.changes_after(serial, HERE)
+        self.assertEqual(8, registration.sequence)
+        self.assertAlmostEqual(1.7, registration.slow_start_seconds)
+
     def test_slow_start_that_counts_down_is_told_once(self):
         # Guards against a message to every entry with each check-in.
         self.check_in(0, 3.0)
