--- a/burdockdrum/passthrough/state/endpoint_state.py
+++ b/burdockdrum/passthrough/state/endpoint_state.py
@@ -80,8 +80,8 @@
 
     ``chunks_received`` counts the chunks of its response, which is not read
     since ``unread_since`` as its caller reads slowly, None if it is read.
-    ``has_slow_start_permit`` says that the slow start of the endpoint was
-    known when it was chosen, and allowed the request.
+    ``has_slow_start_permit`` says that the slow start of the endpoint has
+    counted the request and admits it.
     Times are monotonic.
     """
 
