Tell what a promise that a request has not run rests on

Attempts of requests that may run once shared a limit of 40 lines a second with all others, so that under load the log named no run of a request that had run twice. Their lines have a limit of their own now, far above what an entry serves. New: request.sent_again with the reason why an earlier target has not run it, the status that said so, how many were sent and what was at work at a refusal, and a counter of attempts that did not run, by evidence. No decision changes.

--- a/burdockdrum/logs/__init__.py
+++ b/burdockdrum/logs/__init__.py
@@ -2,6 +2,7 @@
 
 from burdockdrum.logs.decisions import log_decision
 from burdockdrum.logs.decisions import log_failure
+from burdockdrum.logs.decisions import log_record
 from burdockdrum.logs.decisions import Value
 from burdockdrum.logs.explain import explain
 from burdockdrum.logs.explain import LogLine
@@ -17,6 +18,7 @@
     "explain",
     "log_decision",
     "log_failure",
+    "log_record",
     "LoggedState",
     "LogLine",
     "OutageLog",
--- a/burdockdrum/logs/decisions.py
+++ b/burdockdrum/logs/decisions.py
@@ -14,6 +14,8 @@
 # Lines of one event; above these limits a sample is enough.
 MAX_DECISIONS_PER_SECOND = 40
 MAX_FAILURES_PER_SECOND = 80
+# Far above what an entry can serve: such lines are left out only in a flood.
+MAX_RECORDS_PER_SECOND = 1000
 
 Value = str | int | float | bool | None
 
@@ -48,6 +50,7 @@
 
 _decision_limiter = _RateLimiter(limit=MAX_DECISIONS_PER_SECOND)
 _failure_limiter = _RateLimiter(limit=MAX_FAILURES_PER_SECOND)
+_record_limiter = _RateLimiter(limit=MAX_RECORDS_PER_SECOND)
 
 
 def log_decision(event: str, **fields: Value) -> None:
@@ -60,3 +63,10 @@
     """Log a failure or a refusal with its reason."""
     if _failure_limiter.admit(event):
         logger.bind(**fields).warning(event)
+
+
+def log_record(event: str, *, is_failure: bool, **fields: Value) -> None:
+    """Log what must not be sampled, such as the runs of a request."""
+    if _record_limiter.admit(event):
+        write = logger.bind(**fields)
+        write.log("WARNING" if is_failure else "INFO", event)
--- a/burdockdrum/passthrough/protocol/model.py
+++ b/burdockdrum/passthrough/protocol/model.py
@@ -279,7 +279,8 @@
     request was not sent although the target could be connected to, and
     ``replaced`` that another incarnation has the endpoint's address.
     ``quarantined`` says that another region rejects it as it crashes
-    endpoints, and ``cut_off`` that another entry reaches none.
+    endpoints, and ``cut_off`` that another entry reaches none. ``status`` is
+    that of the response that said so, None if there was none.
     """
 
     log_name: ClassVar[str] = "NotStarted"
@@ -292,6 +293,7 @@
     quarantined: bool = False
     cut_off: bool = False
     retry_after: float | None = None
+    status: int | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/burdockdrum/passthrough/protocol/responses.py
+++ b/burdockdrum/passthrough/protocol/responses.py
@@ -54,11 +54,13 @@
                 reason="the address belongs to another endpoint",
                 reached=True,
                 replaced=True,
+                status=head.status,
             )
         if head.find(self._names.not_run) is not None:
             return NotStarted(
                 reason=f"the endpoint refused with status {head.status}",
                 reached=True,
+                status=head.status,
                 # A backoff is kept by the entry, which tells its callers.
                 retry_after=None
                 if head.status == BACKOFF_STATUS
@@ -132,6 +134,7 @@
             reached=head.find(HOP_REACHED) is not None,
             cut_off=head.find(HOP_CUT_OFF) is not None,
             quarantined=head.find(HOP_QUARANTINED) is not None,
+            status=head.status,
             retry_after=_parse_retry_after(head),
         )
     return Lost(
--- a/burdockdrum/passthrough/relaying/attempt_report.py
+++ b/burdockdrum/passthrough/relaying/attempt_report.py
@@ -4,6 +4,7 @@
 
 from burdockdrum.metrics import Metrics
 from burdockdrum.passthrough.protocol import EndpointTarget
+from burdockdrum.passthrough.protocol import NotStarted
 from burdockdrum.passthrough.protocol import Outcome
 from burdockdrum.passthrough.protocol import ProxiedRequest
 from burdockdrum.passthrough.protocol import RequestProgress
@@ -29,6 +30,10 @@
             "burdockdrum_endpoint_backoff_decisions_total",
             "Attempts and refusals that requested backoffs decided.",
         )
+        self._not_run_total = metrics.counter(
+            "burdockdrum_not_run_attempts_total",
+            "Attempts that did not run, by what said so.",
+        )
         self._estimate_errors = metrics.histogram(
             "burdockdrum_first_part_error_seconds",
             "Absolute error of the expected time to first byte of streams.",
@@ -57,6 +62,8 @@
         """Log an attempt that has ended and record its estimates."""
         now = self._clock.monotonic()
         self._count_skipped(target)
+        if isinstance(outcome, NotStarted):
+            self._not_run_total.increment(evidence=_evidence(target, outcome))
         first_byte_seconds = None
         if progress.first_chunk_at is not None:
             first_byte_seconds = progress.first_chunk_at - attempt.started_at
@@ -108,3 +115,12 @@
         error = first_byte_seconds - wait.queue - wait.service_time
         side = "later" if error > 0 else "sooner"
         self._estimate_errors.record(abs(error), side=side)
+
+
+def _evidence(target: Target, outcome: NotStarted) -> str:
+    """Return what said that an attempt did not run."""
+    if outcome.status is None:
+        return "withheld" if outcome.withheld else "unconnected"
+    if isinstance(target, EndpointTarget):
+        return f"endpoint {outcome.status}"
+    return "entry"
--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -49,6 +49,7 @@
 from burdockdrum.passthrough.relaying.crash_detector import CrashDetector
 from burdockdrum.passthrough.relaying.in_flight_calls import Call
 from burdockdrum.passthrough.relaying.in_flight_calls import InFlightCalls
+from burdockdrum.passthrough.relaying.request_log import log_sent_again
 from burdockdrum.passthrough.relaying.request_log import log_slow_start
 from burdockdrum.passthrough.relaying.request_log import log_stalled
 from burdockdrum.passthrough.relaying.request_log import log_withdrawn
@@ -318,6 +319,7 @@
             call.pool.release(call.address, connection, max_idle=call.max_idle)
             return withheld
         left = self._seconds_left(request) + DEADLINE_GRACE_SECONDS
+        log_sent_again(call.target, request, progress)
         progress.sent += 1
         progress.retry_grant = None
         if isinstance(call.target, EndpointTarget):
--- a/burdockdrum/passthrough/relaying/relay.py
+++ b/burdockdrum/passthrough/relaying/relay.py
@@ -6,7 +6,6 @@
 
 from burdockdrum.configuration import ConfigurationService
 from burdockdrum.http1 import Exchange
-from burdockdrum.logs import log_failure
 from burdockdrum.metrics import Metrics
 from burdockdrum.passthrough.protocol import cause_of_refusal
 from burdockdrum.passthrough.protocol import HeaderNames
@@ -23,6 +22,7 @@
 from burdockdrum.passthrough.relaying.attempt_report import AttemptReporter
 from burdockdrum.passthrough.relaying.request_log import log_cut
 from burdockdrum.passthrough.relaying.request_log import log_disconnect
+from burdockdrum.passthrough.relaying.request_log import log_refusal
 from burdockdrum.passthrough.relaying.request_runner import RequestRunner
 from burdockdrum.passthrough.relaying.retry_charges import RetryCharges
 from burdockdrum.passthrough.relaying.stream_resumption import StreamResumption
@@ -203,20 +203,13 @@
         given = exchange.request.find(name)
         identity = [(name, given)] if given is not None else []
         self._reporter.count_refusal(refusal.code)
-        log_failure(
-            "request.refused",
+        log_refusal(
+            refusal,
+            request,
+            progress,
             request_id=(given or b"").decode("latin-1"),
-            route=request.route.name if request else None,
-            generation=request.revision if request else None,
-            team=request.team if request else None,
-            code=refusal.code.value,
-            verdict=refusal.verdict.value,
             status=status_of(refusal),
-            reason=refusal.message,
-            retry_after=None
-            if refusal.retry_after is None
-            else round(refusal.retry_after, 3),
-            hop=is_hop,
+            is_hop=is_hop,
         )
         if is_hop:
             identity.append((HOP_USED_ATTEMPTS, b"%d" % progress.runs))
--- a/burdockdrum/passthrough/relaying/request_log.py
+++ b/burdockdrum/passthrough/relaying/request_log.py
@@ -1,11 +1,16 @@
 """Log lines about the attempts and the outcome of a request."""
 
+from collections.abc import Callable
+import functools
+
 from burdockdrum.logs import log_decision
 from burdockdrum.logs import log_failure
+from burdockdrum.logs import log_record
 from burdockdrum.logs import Value
 from burdockdrum.passthrough.protocol import Delivered
 from burdockdrum.passthrough.protocol import EndpointTarget
 from burdockdrum.passthrough.protocol import Lost
+from burdockdrum.passthrough.protocol import NotStarted
 from burdockdrum.passthrough.protocol import Outcome
 from burdockdrum.passthrough.protocol import ProxiedRequest
 from burdockdrum.passthrough.protocol import RegionTarget
@@ -14,6 +19,7 @@
 from burdockdrum.passthrough.protocol import Target
 from burdockdrum.passthrough.relaying.running_attempts import Attempt
 from burdockdrum.passthrough.state import InFlightRequest
+from burdockdrum.verdicts import Refusal
 
 
 def log_attempt(
@@ -29,15 +35,16 @@
 ) -> None:
     """Log an attempt: its target, the estimates behind it and its outcome.
 
+    Those of a request that may run once are not sampled.
+
     :param started_at: when the attempt started, on the monotonic clock
     :param sent_at: when the request was written; None if it was not
     :param first_byte_seconds: from then to the first byte of the response
     """
-    write_log = log_decision if isinstance(outcome, Delivered) else log_failure
     if first_byte_seconds is not None and first_byte_seconds < 0:
         # The first byte came from an earlier attempt.
         first_byte_seconds = None
-    write_log(
+    _choose_log(request, is_failure=not isinstance(outcome, Delivered))(
         "request.attempted",
         request_id=request.request_id,
         route=request.route.name,
@@ -53,6 +60,11 @@
         within_share=progress.is_within_share,
         outcome=outcome.log_name,
         reason=getattr(outcome, "reason", None),
+        not_run_status=outcome.status
+        if isinstance(outcome, NotStarted)
+        else None,
+        sent=progress.sent,
+        hop=request.forwarded_from is not None,
         fingerprint=request.fingerprint if isinstance(outcome, Lost) else None,
         written_after=None
         if sent_at is None
@@ -66,6 +78,62 @@
     )
 
 
+def log_refusal(
+    refusal: Refusal,
+    request: ProxiedRequest | None,
+    progress: RequestProgress,
+    *,
+    request_id: str,
+    status: int,
+    is_hop: bool,
+) -> None:
+    """Log that a request is refused, and what was sent of it before.
+
+    :param request: None if it could not be read
+    :param status: of the response
+    """
+    was_sent = progress.sent > 0 and request is not None
+    _choose_log(request if was_sent else None, is_failure=True)(
+        "request.refused",
+        request_id=request_id,
+        route=request.route.name if request else None,
+        generation=request.revision if request else None,
+        team=request.team if request else None,
+        code=refusal.code.value,
+        verdict=refusal.verdict.value,
+        status=status,
+        reason=refusal.message,
+        retry_after=None
+        if refusal.retry_after is None
+        else _round(refusal.retry_after),
+        hop=is_hop,
+        sent=progress.sent,
+        runs=progress.runs,
+        at_work=", ".join(progress.at_work),
+    )
+
+
+def log_sent_again(
+    target: Target, request: ProxiedRequest, progress: RequestProgress
+) -> None:
+    """Log that a request which may run once is sent to another target.
+
+    ``reason`` says why it has not run at the one before.
+    """
+    if request.is_retryable or not progress.sent:
+        return
+    log_record(
+        "request.sent_again",
+        is_failure=False,
+        request_id=request.request_id,
+        route=request.route.name,
+        **_describe(target, request),
+        reason=progress.last_reason,
+        sent=progress.sent,
+        hop=request.forwarded_from is not None,
+    )
+
+
 def log_stalled(target: Target, request: ProxiedRequest) -> None:
     """Log that an attempt is silent and another one may start beside it."""
     log_decision(
@@ -216,5 +284,17 @@
             }
 
 
+def _choose_log(
+    request: ProxiedRequest | None, *, is_failure: bool
+) -> Callable[..., None]:
+    """Return how a line about a request is written.
+
+    :param request: None if its line may be left out under load
+    """
+    if request is not None and not request.is_retryable:
+        return functools.partial(log_record, is_failure=is_failure)
+    return log_failure if is_failure else log_decision
+
+
 def _round(seconds: float) -> float:
     return round(seconds, 4)
--- a/tests/logs/test_logs.py
+++ b/tests/logs/test_logs.py
@@ -12,6 +12,7 @@
 from burdockdrum.logs.decisions import _RateLimiter
 from burdockdrum.logs.decisions import log_decision
 from burdockdrum.logs.decisions import log_failure
+from burdockdrum.logs.decisions import log_record
 from burdockdrum.logs.setup import set_up_structured_log
 from burdockdrum.logs.writer import BoundedWriter
 from burdockdrum.logs.writer import MAX_BUFFERED_BYTES
@@ -114,6 +115,15 @@
         passed = events.count("flood.passed") - 1
         self.assertEqual(500, passed + counted["flood.passed"])
 
+    def test_records_are_kept_where_decisions_are_sampled(self):
+        with mock.patch("time.monotonic", return_value=1e6):
+            for number in range(500):
+                log_record("run.ended", is_failure=bool(number % 2))
+        lines = self.read()
+        levels = [line["level"] for line in lines]
+        self.assertEqual(250, levels.count("INFO"))
+        self.assertEqual(250, levels.count("WARNING"))
+
 
 class AllowanceTest(unittest.TestCase):
     """The rate limit of each event."""
--- a/tests/passthrough/relaying/test_request_log.py
+++ b/tests/passthrough/relaying/test_request_log.py
@@ -1,5 +1,6 @@
 """Tests of the log lines about the attempts of a request."""
 
+from dataclasses import replace
 import unittest
 from unittest import mock
 
@@ -42,16 +43,17 @@
 class AttemptTest(unittest.TestCase):
     """The log line of an attempt."""
 
-    def log_outcome(self, outcome):
+    def log_outcome(self, outcome, request=REQUEST):
         """Log an attempt; return the log function and the logged outcome."""
         with mock.patch.multiple(
             "burdockdrum.passthrough.relaying.request_log",
             log_decision=mock.DEFAULT,
             log_failure=mock.DEFAULT,
+            log_record=mock.DEFAULT,
         ) as logs:
             log_attempt(
                 TARGET,
-                REQUEST,
+                request,
                 RequestProgress(),
                 outcome,
                 started_at=100.0,
@@ -80,3 +82,14 @@
             (Lost(reason=""), ("log_failure", "Lost")),
         ):
             self.assertEqual(expected, self.log_outcome(outcome))
+
+    def test_attempts_of_requests_that_may_run_once_are_not_sampled(self):
+        # Guards against two runs of a request of which the log, under load,
+        # names neither.
+        route = make_route(idempotent=False)
+        for outcome in (
+            Delivered(status=200),
+            NotStarted(reason="", reached=True),
+        ):
+            name, _ = self.log_outcome(outcome, replace(REQUEST, route=route))
+            self.assertEqual("log_record", name)
