Believe a rejection only of a response with the request's id

Callers saw requests that may run once run at two endpoints, and answers 503 (not run) for requests that ran.

Cause: X-Not-Run, 421 and the verdict of another entry were believed before the request's id was looked at, and the connection takes a response without an id for the expected one. A response that was left over on a kept connection, to nothing or to something else, turned a request that its endpoint went on to run into one that had not.

A response now proves nothing without the id; a verdict is read from other entries only, a status from endpoints only. Ruled out: waiting for the response behind one without an id. It may be the only one, and the caller would wait until the deadline.

--- a/burdockdrum/passthrough/protocol/responses.py
+++ b/burdockdrum/passthrough/protocol/responses.py
@@ -40,34 +40,27 @@
         """Create a reader for a deployment's header names."""
         self._names = names
 
-    def classify(self, head: ResponseHead) -> NotStarted | Lost | None:
+    def classify(
+        self, head: ResponseHead, *, is_from_entry: bool
+    ) -> NotStarted | Lost | None:
         """Classify a response; None if it may be forwarded.
 
-        A response without the provenance header or the request's id, or with
-        an unrequested content coding, does not come from the endpoint.
+        A response without the request's id may be to anything that was sent
+        on the connection, so it says nothing of the request. One without the
+        provenance header, or with an unrequested content coding, does not
+        come from the endpoint.
+
+        :param is_from_entry: whether the request was forwarded to another
+            entry, which has a verdict where an endpoint has a status
         """
-        verdict = head.find(VERDICT)
-        if verdict is not None:
-            return _classify_verdict(head, verdict)
-        if head.status == MISDIRECTED_STATUS:
-            return NotStarted(
-                reason="the address belongs to another endpoint",
-                reached=True,
-                replaced=True,
-                status=head.status,
-            )
-        if head.find(self._names.not_run) is not None:
-            return NotStarted(
-                reason=f"the endpoint refused with status {head.status}",
-                reached=True,
-                status=head.status,
-                # A backoff is kept by the entry, which tells its callers.
-                retry_after=None
-                if head.status == BACKOFF_STATUS
-                else _parse_retry_after(head),
-            )
         if head.find(self._names.request_id) is None:
             return Lost(reason="response without the request id")
+        if is_from_entry:
+            verdict = head.find(VERDICT)
+            if verdict is not None:
+                return _classify_verdict(head, verdict)
+        elif (rejection := self._find_rejection(head)) is not None:
+            return rejection
         if head.find(self._names.provenance) is None:
             return Lost(
                 reason=f"response with status {head.status} without provenance"
@@ -76,6 +69,27 @@
             return Lost(reason="response with an unrequested content coding")
         return None
 
+    def _find_rejection(self, head: ResponseHead) -> NotStarted | None:
+        """Return what an endpoint says of a request that it did not run."""
+        if head.status == MISDIRECTED_STATUS:
+            return NotStarted(
+                reason="the address belongs to another endpoint",
+                reached=True,
+                replaced=True,
+                status=head.status,
+            )
+        if head.find(self._names.not_run) is None:
+            return None
+        return NotStarted(
+            reason=f"the endpoint refused with status {head.status}",
+            reached=True,
+            status=head.status,
+            # A backoff is kept by the entry, which tells its callers.
+            retry_after=None
+            if head.status == BACKOFF_STATUS
+            else _parse_retry_after(head),
+        )
+
     def read_version(self, head: ResponseHead) -> str:
         """Return the software version that another entry reports."""
         return decode_version(head.find(HOP_VERSION) or b"")
--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -477,7 +477,9 @@
         attempt: Attempt,
     ) -> Outcome:
         head = await connection.read_head()
-        failure = self._responses.classify(head)
+        failure = self._responses.classify(
+            head, is_from_entry=isinstance(call.target, RegionTarget)
+        )
         if call.in_flight_request is not None:
             self._signals.observe(
                 call.in_flight_request, request.request_id, head, failure
