Send a request on a connection only once under its id

A caller that came back with the id of a rejected try got 503 (not run) for a request that ran.

Cause: an endpoint may send another copy of a response late, at the point where the next one is due, and the id is to tell it apart. Where the next request on the connection has the same id, it can't. Callers should have an id for each try; those that don't must not be told wrongly.

A connection remembers the ids of its last 64 requests, and the pool passes it over for a request with one of them. Ruled out: closing the connection after each rejection, which endpoints that are crowded would pay for with a new connection each.

--- a/burdockdrum/http1/client.py
+++ b/burdockdrum/http1/client.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import cast
@@ -28,6 +29,9 @@
 # Applied to the server's Keep-Alive timeout, so that a request is not lost
 # by being sent while the server closes the connection.
 IDLE_TIMEOUT_FACTOR = 0.7
+# The last requests of a connection, of whose responses a server may send
+# another copy.
+MAX_REMEMBERED_IDS = 64
 
 
 class ResponseLost(Exception):
@@ -66,6 +70,9 @@
         """
         self._id_header = id_header
         self._expected_id: bytes | None = None
+        self._carried_ids: collections.deque[bytes] = collections.deque(
+            maxlen=MAX_REMEMBERED_IDS
+        )
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._headers: Headers = []
@@ -98,6 +105,13 @@
             and not self._transport.is_closing()
         )
 
+    def may_carry(self, request_id: bytes | None) -> bool:
+        """Return whether a response with this id could only be to a request.
+
+        It might be to an earlier request of this connection with the same id.
+        """
+        return request_id not in self._carried_ids
+
     def send(self, payload: bytes, request_id: bytes | None) -> None:
         """Send a complete request.
 
@@ -105,6 +119,8 @@
         """
         assert self._transport is not None
         self._expected_id = request_id
+        if request_id is not None:
+            self._carried_ids.append(request_id)
         self._complete = False
         self._head = None
         self._headers = []
--- a/burdockdrum/http1/pool.py
+++ b/burdockdrum/http1/pool.py
@@ -36,27 +36,41 @@
         ] = {}
 
     async def acquire(
-        self, address: str, *, timeout: float
+        self,
+        address: str,
+        *,
+        timeout: float,
+        request_id: bytes | None = None,
     ) -> ClientConnection:
         """Return an idle connection, or open one.
 
         :param timeout: limit in seconds for opening one
+        :param request_id: the id of the request that is to be sent, which
+            the connection has not carried lately; None if it has none
         :raises NotConnected: if the connection could not be opened
         """
-        connection = self._pop_idle(address)
+        connection = self._pop_idle(address, request_id)
         if connection is not None:
             return connection
         return await self.open(address, timeout=timeout)
 
-    def _pop_idle(self, address: str) -> ClientConnection | None:
-        loop = asyncio.get_running_loop()
+    def _pop_idle(
+        self, address: str, request_id: bytes | None
+    ) -> ClientConnection | None:
+        now = asyncio.get_running_loop().time()
         idle = self._idle_by_address.get(address, [])
-        while idle:
+        passed_over = []
+        found = None
+        while idle and found is None:
             expires_at, connection = idle.pop()
-            if connection.reusable and loop.time() < expires_at:
-                return connection
-            connection.close()
-        return None
+            if not connection.reusable or now >= expires_at:
+                connection.close()
+            elif connection.may_carry(request_id):
+                found = connection
+            else:
+                passed_over.append((expires_at, connection))
+        idle += reversed(passed_over)
+        return found
 
     async def open(self, address: str, *, timeout: float) -> ClientConnection:
         """Open a connection, whether or not there is an idle one.
--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -302,10 +302,11 @@
         exchange: Exchange,
         attempt: Attempt,
     ) -> Outcome:
+        request_id = request.request_id.encode()
         try:
             connection = await connect_awake(
                 lambda timeout: call.pool.acquire(
-                    call.address, timeout=timeout
+                    call.address, timeout=timeout, request_id=request_id
                 ),
                 call.connect_timeout_seconds,
                 self._pauses,
@@ -335,7 +336,7 @@
             )
         self._report_slow_start(call, request, attempt)
         try:
-            connection.send(call.encode(), request.request_id.encode())
+            connection.send(call.encode(), request_id)
             async with asyncio.timeout(left) as call.timeout:
                 call.watchdog = self._timeouts.start_watchdog(
                     call.target,
