Compare request ids as the bytes that the caller sent

A request whose id has bytes beyond ASCII got 504 at its deadline, although its endpoint had responded at once: the id was decoded as Latin-1 and encoded as UTF-8 before the response's was compared with it, so the response was skipped as another request's. Red before: 504 for 200.

--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -302,7 +302,7 @@
         exchange: Exchange,
         attempt: Attempt,
     ) -> Outcome:
-        request_id = request.request_id.encode()
+        request_id = request.request_id.encode("latin-1")
         try:
             connection = await connect_awake(
                 lambda timeout: call.pool.acquire(
--- a/tests/passthrough/relaying/test_leftover_responses.py
+++ b/tests/passthrough/relaying/test_leftover_responses.py
@@ -99,3 +99,10 @@
         entry = await self.open(endpoint, **ONCE)
         status = await self.call_twice(entry, b"r1", b"r1")
         self.assertNotIn((status, bool(endpoint.ran)), [(503, True)])
+
+    async def test_response_to_an_id_of_any_bytes_is_recognized(self):
+        # Guards against a response that is skipped for its id, so that its
+        # caller waits until the deadline.
+        entry = await self.open(Endpoint(answer(b"ran")), **ONCE)
+        status = await self.call_twice(entry, b"r\xe9")
+        self.assertEqual(200, status)
