Soak crowded endpoints whose responses are spoiled or followed by others

Endpoints with six slots and a queue reject, lose, cut and repeat responses, some where the next one is due, and come and go with the entries; callers keep their connections, pipeline, send chunks, and come back after a promise, some with the id that they had. Requests that may run once must run once, and not after a promise.

--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -4,7 +4,7 @@
   soak [--seed N] [--seeds N] [--seconds S] [--keep FOLDER]
        [--limits | --signals | --retries | --crashes | --cuts | --versions
        | --regions | --moves | --evacuations | --brittle | --parts | --silent
-       | --disks | --cold]
+       | --disks | --cold | --crowds]
        [--entries N] [--rate R]
 
 Options:
@@ -23,11 +23,12 @@
   --silent       Endpoints fall silent and go on; only answers are checked.
   --disks        Disks of control VMs refuse writes; the rest is sound.
   --cold         Endpoints begin slow starts; only their requests count.
+  --crowds       Endpoints reject and spoil much; runs of what must run once.
   --versions     Endpoints have several versions; only streams are checked.
   --regions      Regions with versions of their own are lost; as --versions.
   --moves        Routes move while entries are killed; as --versions.
   --evacuations  Zones are evacuated and taken back; only that is checked.
-  --entries N    With these twelve: the entries of each region [default: 2].
+  --entries N    With these thirteen: the entries of each region [default: 2].
   --rate R       With --retries: requests per second; at random by default.
 
 Three control VMs and three entries run as processes on loopback addresses.
@@ -52,6 +53,7 @@
 
 from scripts.soak.brittle import BrittleSoak
 from scripts.soak.crashes import CrashSoak
+from scripts.soak.crowds import CrowdSoak
 from scripts.soak.cuts import CutSoak
 from scripts.soak.evacuations import EvacuationSoak
 from scripts.soak.moved_routes import MovedRouteSoak
@@ -86,6 +88,8 @@
         soak = CutSoak(seed, entries=entries)
     elif arguments["--cold"]:
         soak = SlowStartSoak(seed, entries=entries)
+    elif arguments["--crowds"]:
+        soak = CrowdSoak(seed, entries=entries)
     elif arguments["--disks"]:
         soak = DiskSoak(seed, entries=entries)
     elif arguments["--evacuations"]:
