Soak an entry that stands still while a version joins a service

In each round one entry pauses for 1 to 5 s while endpoints of a second version join a service that it knows with one version; streams begin there at the other entries, break again and again, and are taken up at the entry that paused.

--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -4,7 +4,8 @@
   soak [--seed N] [--seeds N] [--seconds S] [--keep FOLDER]
        [--limits | --signals | --retries | --crashes | --cuts | --versions
        | --regions | --moves | --evacuations | --brittle | --parts | --silent
-       | --disks | --cold | --crowds]
+       | --disks | --cold | --crowds
+       | --paused]
        [--entries N] [--rate R]
 
 Options:
@@ -24,11 +25,12 @@
   --disks        Disks of control VMs refuse writes; the rest is sound.
   --cold         Endpoints begin slow starts; only their requests count.
   --crowds       Endpoints reject and spoil much; runs of what must run once.
+  --paused       An entry pauses as a version joins; as --versions.
   --versions     Endpoints have several versions; only streams are checked.
   --regions      Regions with versions of their own are lost; as --versions.
   --moves        Routes move while entries are killed; as --versions.
   --evacuations  Zones are evacuated and taken back; only that is checked.
-  --entries N    With these thirteen: the entries of each region [default: 2].
+  --entries N    With these fourteen: the entries of each region [default: 2].
   --rate R       With --retries: requests per second; at random by default.
 
 Three control VMs and three entries run as processes on loopback addresses.
@@ -58,6 +60,7 @@
 from scripts.soak.evacuations import EvacuationSoak
 from scripts.soak.moved_routes import MovedRouteSoak
 from scripts.soak.parts import PartSoak
+from scripts.soak.paused_entries import PausedEntrySoak
 from scripts.soak.refusing_disks import DiskSoak
 from scripts.soak.regional_versions import RegionalVersionSoak
 from scripts.soak.related_logs import list_related
@@ -98,6 +101,8 @@
         soak = MovedRouteSoak(seed, entries=entries)
     elif arguments["--regions"]:
         soak = RegionalVersionSoak(seed, entries=entries)
+    elif arguments["--paused"]:
+        soak = PausedEntrySoak(seed, entries=entries)
     elif arguments["--versions"]:
         soak = VersionSoak(seed, entries=entries)
     elif arguments["--retries"]:
--- a/scripts/soak/endpoint.py
+++ b/scripts/soak/endpoint.py
@@ -118,6 +118,11 @@
         for task in self._tasks - {asyncio.current_task()}:
             task.cancel()
 
+    def lose_connections(self) -> None:
+        """Reset every connection, and go on to listen."""
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/scripts/soak/retries.py
+++ b/scripts/soak/retries.py
@@ -145,10 +145,14 @@
         document = {
             "version": self._version,
             "routes": self.list_routes(),
-            "services": [{"name": service} for service in ENDPOINTS],
+            "services": [{"name": name} for name in self.list_services()],
         }
         return await self._call_control("PUT", "/v1/config", document) == 200
 
+    def list_services(self) -> list[str]:
+        """Return the services of the configuration."""
+        return list(ENDPOINTS)
+
     def list_routes(self) -> list[dict[str, Any]]:
         """Return the routes of the configuration."""
         return [self.make_route("again", **self.route_fields)]
--- a/scripts/soak/versions.py
+++ b/scripts/soak/versions.py
@@ -84,7 +84,7 @@
 
     def _make_try(self, tries: list[StreamTry]) -> StreamTry:
         self._number += 1
-        entry = self.rng.choice(self.deployment.entries)
+        entry = self.choose_entry(tries)
         began = next((t for t in tries if t.events), None)
         return StreamTry(
             request_id=f"r{self._number}",
@@ -116,7 +116,10 @@
             m for m in self.deployment.entries if m.name == attempt.entry
         )
         received = await receive(
-            machine.ip, "/again/x", headers, seconds=DEADLINE_MS / 1000
+            machine.ip,
+            self.find_target(tries),
+            headers,
+            seconds=DEADLINE_MS / 1000,
         )
         attempt.events = [
             ReceivedEvent(number=int(number), version=version.decode())
@@ -124,6 +127,14 @@
         ]
         return received
 
+    def find_target(self, tries: list[StreamTry]) -> str:
+        """Return the path of a stream."""
+        return "/again/x"
+
+    def choose_entry(self, tries: list[StreamTry]) -> Machine:
+        """Return the entry of the next try of a stream."""
+        return self.rng.choice(self.deployment.entries)
+
     def _is_calm(self, entry: Machine) -> bool:
         """Return whether an entry and the control VMs were undisturbed."""
         since = time.monotonic() - CONTACT_SECONDS
