Find the process of a cut connection by both of its addresses

tests.soak.test_cut_endpoint failed in two whole CIs: a connection that was to be silent got a response. Traced to the harness: it looked for the port only, and took the first socket with it in the table of all sockets, which may be another process's at another loopback address.

--- a/scripts/local_deployment.py
+++ b/scripts/local_deployment.py
@@ -23,6 +23,8 @@
 DIRECTORY_PORT = 18143
 INTERNAL_PORT_RANGE = (17660, 17675)
 STOP_TIMEOUT_SECONDS = 10
+# Of the log of a process that does not exit.
+LAST_LINES = 30
 LOOPBACK_NETWORKS = 250
 RESERVATION_PORT = 18139
 
@@ -135,8 +137,16 @@
         """Wait for a stopping process; return its exit code."""
         if self.process is None:
             return None
-        async with asyncio.timeout(STOP_TIMEOUT_SECONDS):
-            code = await self.process.wait()
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_SECONDS):
+                code = await self.process.wait()
+        except TimeoutError:
+            output = (self.folder / "output").read_text(errors="replace")
+            last = "\n".join(output.splitlines()[-LAST_LINES:])
+            raise TimeoutError(
+                f"{self.name} did not exit within {STOP_TIMEOUT_SECONDS} s; "
+                f"it wrote last:\n{last}"
+            ) from None
         if self._copying is not None:
             await self._copying
             self._copying = None
--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -5,7 +5,7 @@
        [--limits | --signals | --retries | --crashes | --cuts | --versions
        | --regions | --moves | --evacuations | --brittle | --parts | --silent
        | --disks | --cold | --crowds
-       | --paused]
+       | --paused [--kept-ids]]
        [--entries N] [--rate R]
 
 Options:
@@ -26,6 +26,7 @@
   --cold         Endpoints begin slow starts; only their requests count.
   --crowds       Endpoints reject and spoil much; runs of what must run once.
   --paused       An entry pauses as a version joins; as --versions.
+  --kept-ids     With --paused: endpoints also change under their ids.
   --versions     Endpoints have several versions; only streams are checked.
   --regions      Regions with versions of their own are lost; as --versions.
   --moves        Routes move while entries are killed; as --versions.
@@ -102,7 +103,9 @@
     elif arguments["--regions"]:
         soak = RegionalVersionSoak(seed, entries=entries)
     elif arguments["--paused"]:
-        soak = PausedEntrySoak(seed, entries=entries)
+        soak = PausedEntrySoak(
+            seed, entries=entries, keeps_ids=arguments["--kept-ids"]
+        )
     elif arguments["--versions"]:
         soak = VersionSoak(seed, entries=entries)
     elif arguments["--retries"]:
--- a/scripts/soak/cut_endpoint.py
+++ b/scripts/soak/cut_endpoint.py
@@ -8,6 +8,8 @@
 import os
 import pathlib
 import random
+import socket
+import struct
 import time
 import weakref
 
@@ -64,7 +66,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         peer = _Peer(
-            inode=_find_inode(writer.get_extra_info("peername")[1]),
+            inode=_find_inode(writer),
             accepted_at=time.monotonic(),
         )
         self._peers_by_writer[writer] = peer
@@ -103,20 +105,29 @@
         return None
 
 
-def _find_inode(port: int) -> str:
-    """Return the inode of the socket bound to a loopback port."""
-    table = _TCP_TABLE.read_bytes()
-    suffix = b":%04X" % port
-    at = table.find(suffix + b" ")
-    while at >= 0:
-        begin, end = table.rfind(b"\n", 0, at) + 1, table.find(b"\n", at)
-        fields = table[begin:end].split()
-        if fields[_LOCAL_ADDRESS_FIELD].endswith(suffix):
+def _find_inode(writer: asyncio.StreamWriter) -> str:
+    """Return the inode of the socket at the other end of a connection.
+
+    Sockets of other addresses may have the same port, and need not belong to
+    the same process.
+    """
+    ends = (
+        _encode_address(*writer.get_extra_info("peername")[:2]),
+        _encode_address(*writer.get_extra_info("sockname")[:2]),
+    )
+    for line in _TCP_TABLE.read_bytes().splitlines()[1:]:
+        fields = line.split()
+        if tuple(fields[_LOCAL_ADDRESS_FIELD:][:2]) == ends:
             return fields[_INODE_FIELD].decode()
-        at = table.find(suffix + b" ", end)
     return ""
 
 
+def _encode_address(ip: str, port: int) -> bytes:
+    """Return an address as the table of sockets has it."""
+    (number,) = struct.unpack("=I", socket.inet_aton(ip))
+    return b"%08X:%04X" % (number, port)
+
+
 class _SocketLists:
     """The inodes of the sockets of processes, read again when needed."""
 
--- a/scripts/soak/paused_entries.py
+++ b/scripts/soak/paused_entries.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import signal
+import time
 from typing import Any
 
 from burdockdrum.histories import StreamTry
@@ -25,6 +26,8 @@
 # How many of the streams that are taken up come to the entry that paused.
 PAUSED_FRACTION = 0.8
 KILL_FRACTION = 0.3
+# Rounds in which an endpoint changes its version and keeps its id.
+RESTART_FRACTION = 0.5
 STREAM_RATE = 40.0
 
 
@@ -33,10 +36,14 @@
 
     until_taken_up_seconds = (0.0, 0.3)
 
-    def __init__(self, seed: int, *, entries: int = 2) -> None:
+    def __init__(
+        self, seed: int, *, entries: int = 2, keeps_ids: bool = False
+    ) -> None:
         """Create a run that is not started.
 
         :param entries: the number of entries in each region
+        :param keeps_ids: whether endpoints also change their version under
+            the id that they had
         """
         super().__init__(seed, entries=entries)
         self.rate = STREAM_RATE
@@ -51,10 +58,19 @@
         for endpoint in self._versioned:
             endpoint.is_registered = endpoint.software_version == "v1"
         self.endpoints = self._versioned
+        self._keeps_ids = keeps_ids
         self._round = 0
+        self._born_at_by_id: dict[str, int] = {}
         self._paused: Machine | None = None
         self._round_by_stream: dict[int, int] = {}
 
+    def describe(self, endpoint: object) -> dict[str, Any]:
+        """Return when an endpoint started, in Unix milliseconds."""
+        assert isinstance(endpoint, VersionedEndpoint)
+        now = int(time.time() * 1000)
+        born = self._born_at_by_id.setdefault(endpoint.endpoint_id, now)
+        return {"born": born}
+
     def list_services(self) -> list[str]:
         """Return one service for each round."""
         return list(SERVICES)
@@ -114,6 +130,8 @@
                 endpoint.is_registered = True
                 await self._register(endpoint)
             self._paused = paused
+            if self._keeps_ids and self.rng.random() < RESTART_FRACTION:
+                joining.append(await self._restart_endpoint(service))
             await self._break_streams(joining, seconds)
             if self.rng.random() < KILL_FRACTION:
                 others = [
@@ -123,6 +141,22 @@
             paused.send_signal(signal.SIGCONT)
         await self._break_streams(joining, AFTER_SECONDS)
 
+    async def _restart_endpoint(self, service: str) -> VersionedEndpoint:
+        """Restart an endpoint under its id, at the second version."""
+        endpoint = self.rng.choice(
+            [
+                endpoint
+                for endpoint in self._versioned
+                if endpoint.service == service
+                and endpoint.software_version == "v1"
+            ]
+        )
+        self._record(f"{endpoint.endpoint_id} is v2 from now on")
+        await endpoint.restart_as("v2")
+        del self._born_at_by_id[endpoint.endpoint_id]
+        await self._register(endpoint)
+        return endpoint
+
     async def _break_streams(
         self, endpoints: list[VersionedEndpoint], seconds: float
     ) -> None:
--- a/scripts/soak/retries.py
+++ b/scripts/soak/retries.py
@@ -125,6 +125,7 @@
             "zone": endpoint.zone,
             "version": endpoint.software_version,
             "slots": self.slots,
+            **self.describe(endpoint),
             "state": "ready",
             "seq": self._sequence,
         }
@@ -135,6 +136,10 @@
             self.choose_control(endpoint.zone),
         )
 
+    def describe(self, endpoint: object) -> dict[str, Any]:
+        """Return further fields of an endpoint's check-ins."""
+        return {}
+
     def choose_control(self, zone: str) -> Machine:
         """Return the control VM at which an endpoint of a zone checks in."""
         return self.rng.choice(self.deployment.control)
--- a/scripts/soak/versioned_endpoint.py
+++ b/scripts/soak/versioned_endpoint.py
@@ -38,6 +38,13 @@
         self._versions = versions
         self.software_version = rng.choice(versions)
 
+    async def restart_as(self, version: str) -> None:
+        """End with all connections; start at once under the same id."""
+        host, _, port = self.address.rpartition(":")
+        self.close()
+        self.software_version = version
+        await self._listen(host, int(port))
+
     async def _restart(self) -> None:
         self.software_version = self._rng.choice(self._versions)
         await super()._restart()
--- a/tests/soak/test_cut_endpoint.py
+++ b/tests/soak/test_cut_endpoint.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import random
+import sys
 import unittest
 
 from burdockdrum.histories import RetryHistory
@@ -33,10 +34,12 @@
     async def asyncTearDown(self):
         self.endpoint.close()
 
-    async def connect(self):
+    async def connect(self, **options):
         """Return the two ends of a new connection to the endpoint."""
         host, port = self.endpoint.address.split(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await asyncio.open_connection(
+            host, int(port), **options
+        )
         self.addCleanup(writer.close)
         return reader, writer
 
@@ -72,6 +75,23 @@
         for number in range(3):
             await self.assert_silent(await self.connect(), b"n%d" % number)
 
+    async def test_port_that_another_process_has_elsewhere_is_told_apart(self):
+        # Guards against a connection that is taken for another process's, as
+        # that one has a socket with the same port at another address.
+        program = (
+            "import socket; s = socket.create_server(('127.0.0.2', 0)); "
+            "print(s.getsockname()[1], flush=True); s.accept()"
+        )
+        other = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", program, stdout=asyncio.subprocess.PIPE
+        )
+        self.addAsyncCleanup(other.wait)
+        self.addCleanup(other.kill)
+        port = int(await other.stdout.readline())
+        self.cuts_by_pid = {os.getpid(): Cut.SILENT}
+        connection = await self.connect(local_addr=("127.0.0.1", port))
+        await self.assert_silent(connection, b"r0")
+
     async def test_other_processes_are_not_cut_off(self):
         self.cuts_by_pid = {os.getppid(): Cut.SILENT}
         self.assertTrue(await self.is_answered(await self.connect(), b"r0"))
