Let a withdrawn request queue as long as a new one

A request that may be repeated got 502 beside a sound endpoint (soak of silent endpoints, test_answers_are_whole_while_entries_stop, one of four copies beside twelve busy processes, load 24): its first endpoint hung for 2 s, its successor was withdrawn after 0.3 s as two must not be at work for longer, the first then rejected it, and the way back to the successor was refused, as the queue there (0.33 s) was longer than a request past its objective may wait (0.10 s).

It is late for what this entry did, as a stream that goes on is, so the time that has passed doesn't count. Red before: test_withdrawn_request_queues_as_ long_as_a_new_one, QueueTooLong.

--- a/burdockdrum/passthrough/selection/targets.py
+++ b/burdockdrum/passthrough/selection/targets.py
@@ -322,8 +322,9 @@
         if not self._mechanisms.early_refusal:
             return remaining
         passed = self._clock.monotonic() - request.received_at
-        if progress.origin is not None:
-            # What its caller has would be lost, and few endpoints may go on.
+        if progress.origin is not None or progress.withdrawn:
+            # What its caller has would be lost, and few endpoints may go on;
+            # or this entry made it late.
             passed = 0.0
         seconds_to_objective = request.route.objective_seconds - passed
         rest = seconds_to_objective - wait.service_time - wait.expected_error
--- a/tests/passthrough/selection/test_target_selection.py
+++ b/tests/passthrough/selection/test_target_selection.py
@@ -128,6 +128,16 @@
         )
         self.assertIsInstance(target, EndpointTarget)
 
+    def test_withdrawn_request_queues_as_long_as_a_new_one(self):
+        # Guards against a refusal of a request for the time that it spent at
+        # an endpoint that hung, as its sound successor had been withdrawn.
+        self.fill_queue(MIN_QUEUE_SECONDS * 4)
+        target = self.make_selector().select(
+            self.make_request(since=2.0),
+            RequestProgress(withdrawn={"another"}),
+        )
+        self.assertIsInstance(target, EndpointTarget)
+
     def test_early_refusal_can_be_disabled(self):
         selector = self.make_selector(early_refusal=False)
         self.fill_queue(2.5)
