Don't use a connection with something unread

Callers of requests that may run once got 502 for requests that no endpoint had read: the end of a kept connection, or bytes of no request, waited in the kernel while the entry was busy, and the request was sent there. A second copy of a response with the same id was taken for the next one. Red before: test_connection_with_something_unread_is_not_used, four cases (lost twice, one connection instead of two, the copy taken).

The pool asks the kernel whether anything waits on an idle connection before it uses it, and closes it then.

--- a/burdockdrum/http1/client.py
+++ b/burdockdrum/http1/client.py
@@ -20,6 +20,7 @@
 from burdockdrum.http1.overhead import OverheadCounter
 from burdockdrum.http1.overhead import ResponseKind
 from burdockdrum.http1.sockets import enable_keepalive
+from burdockdrum.http1.sockets import has_unread
 from burdockdrum.logs import log_failure
 
 MAX_BUFFERED_BYTES = 128 * 1024
@@ -105,6 +106,11 @@
             and not self._transport.is_closing()
         )
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether the peer has sent something that is not read yet."""
+        return self._transport is not None and has_unread(self._transport)
+
     def may_carry(self, request_id: bytes | None) -> bool:
         """Return whether a response with this id could only be to a request.
 
--- a/burdockdrum/http1/pool.py
+++ b/burdockdrum/http1/pool.py
@@ -65,6 +65,9 @@
             expires_at, connection = idle.pop()
             if not connection.reusable or now >= expires_at:
                 connection.close()
+            elif connection.has_unread:
+                # The end of the connection, or bytes of no request.
+                connection.close()
             elif connection.may_carry(request_id):
                 found = connection
             else:
--- a/burdockdrum/http1/sockets.py
+++ b/burdockdrum/http1/sockets.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import select
 import socket
 import struct
 
@@ -33,6 +34,16 @@
         raw.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
+def has_unread(transport: asyncio.BaseTransport) -> bool:
+    """Return whether bytes, an end or an error wait to be read."""
+    raw = transport.get_extra_info("socket")
+    if raw is None:
+        return False
+    poll = select.poll()
+    poll.register(raw.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def reset(transport: asyncio.Transport) -> None:
     """Close a connection so that its peer gets an error, not an end."""
     raw = transport.get_extra_info("socket")
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -1,6 +1,8 @@
 """Tests of client connections, with stray and malformed responses."""
 
 import asyncio
+import os
+import socket
 import unittest
 
 from burdockdrum.http1 import ConnectionPool
@@ -95,6 +97,25 @@
         await self.call(address)
         self.assertEqual(2, self.server.connections)
 
+    async def test_connection_with_something_unread_is_not_used(self):
+        # Guards against a request that is sent on a connection whose end, or
+        # bytes of no request, came while this process was busy.
+        for extra in (b"", b"junk", STRAY_RESPONSE, RESPONSE):
+            with self.subTest(extra=extra):
+                address = await self.serve(RESPONSE)
+                await self.call(address)
+                raw = self.server.writers[0].get_extra_info("socket")
+                other_end = socket.socket(fileno=os.dup(raw.fileno()))
+                if extra:
+                    other_end.send(extra)
+                else:
+                    other_end.shutdown(socket.SHUT_WR)
+                other_end.close()
+                # No step of the loop has come in between.
+                _, body = await self.call(address)
+                self.assertEqual(b"ok", body)
+                self.assertEqual(2, self.server.connections)
+
     async def test_truncated_response_raises(self):
         truncated = (
             b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\npart",
