Let crowded endpoints stand still and hang, and their routes move

Endpoints of two services pause, run what they find afterwards though its connection has ended, or say nothing after a run.

--- a/scripts/soak/crowded_endpoint.py
+++ b/scripts/soak/crowded_endpoint.py
@@ -35,6 +35,7 @@
     RESET_AFTER_RUN = "reset after the run"
     CLOSED_AFTER_RUN = "closed after the run"
     ERROR_AFTER_RUN = "error after the run"
+    HANGS_AFTER_RUN = "nothing after the run"
     CUT = "cut"
     UNFRAMED = "ends with its connection"
     TWICE = "sent twice at once"
@@ -70,7 +71,9 @@
     """Runs a few requests at once and lets a few more wait.
 
     ``handled_by_id`` are all requests that it read, ``spoiled_fraction`` is
-    how many of its responses are spoiled.
+    how many of its responses are spoiled. It may stand still, and one that
+    doesn't drop requests whose connection has ended runs those that it finds
+    afterwards.
     """
 
     def __init__(
@@ -78,15 +81,20 @@
         *,
         rng: random.Random,
         zone: str,
+        service: str,
+        drops_ended: bool,
         handled_by_id: dict[str, list[Handling]],
     ) -> None:
         """Create an endpoint that is not open."""
         super().__init__(rng=rng)
-        self.service = "s"
+        self.service = service
         self.zone = zone
         self.is_registered = True
         self.spoiled_fraction = 0.0
         self.starts = 0
+        self._drops_ended = drops_ended
+        self._is_awake = asyncio.Event()
+        self._is_awake.set()
         self._handled_by_id = handled_by_id
         self._slots = asyncio.Semaphore(SLOTS)
         self._waiting = 0
@@ -104,6 +112,12 @@
         await self._listen(host, int(port))
         self.is_registered = True
 
+    async def pause(self, seconds: float) -> None:
+        """Stand still; what was sent meanwhile is read afterwards."""
+        self._is_awake.clear()
+        await asyncio.sleep(seconds)
+        self._is_awake.set()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -118,6 +132,7 @@
         leftover = b""
         while True:
             head = await reader.readuntil(b"\r\n\r\n")
+            await self._is_awake.wait()
             writer.write(leftover)
             leftover = await self._handle(head, reader, writer)
 
@@ -166,12 +181,16 @@
         with self._count_waiting():
             await self._slots.acquire()
         try:
-            if reader.at_eof() or writer.is_closing():
+            await self._is_awake.wait()
+            has_ended = reader.at_eof() or writer.is_closing()
+            if has_ended and self._drops_ended:
                 raise ConnectionResetError("closed by the entry")
             handling.began_at = time.monotonic()
             await asyncio.sleep(self._rng.uniform(*RUN_SECONDS))
         finally:
             self._slots.release()
+        if spoiled is Spoiled.HANGS_AFTER_RUN:
+            await reader.read()
         return self._write_answer(writer, name, spoiled, handling)
 
     def _write_answer(
--- a/scripts/soak/crowds.py
+++ b/scripts/soak/crowds.py
@@ -2,8 +2,9 @@
 
 Callers of one region after the other send more than its endpoint can run,
 over connections that they keep, some requests one right after the other. The
-endpoints reject, spoil and lose responses, while they and the processes come
-and go. A request that may run once must run once, and not after a promise.
+endpoints reject, spoil and lose responses and stand still, while they and the
+processes come and go and the routes move. A request that may run once must
+run once, and not after a promise.
 """
 
 import asyncio
@@ -22,6 +23,7 @@
 from scripts.soak.crowded_endpoint import Handling
 from scripts.soak.invariants import NOT_RUN_STATUSES
 from scripts.soak.receiving import Received
+from scripts.soak.retries import ENDPOINTS
 from scripts.soak.retries import RetrySoak
 
 REQUEST_RATE = 240.0
@@ -41,6 +43,7 @@
 SAME_ID_FRACTION = 0.3
 UNTIL_CRASH_SECONDS = (0.5, 4.0)
 DOWN_SECONDS = (0.05, 1.5)
+PAUSE_SECONDS = (0.3, 2.0)
 SPOILED_FRACTIONS = (0.0, 0.05, 0.3)
 CHUNK_BYTES = 300
 
@@ -156,9 +159,14 @@
         self._kept_by_entry: dict[str, list[CallerConnection]] = {}
         self._crowded = [
             CrowdedEndpoint(
-                rng=self.rng, zone=zone, handled_by_id=self.handled_by_id
+                rng=self.rng,
+                zone=zone,
+                service=service,
+                drops_ended=service == "s",
+                handled_by_id=self.handled_by_id,
             )
             for zone in self.deployment.zones
+            for service in ENDPOINTS
         ]
         self.endpoints = self._crowded  # type: ignore[assignment]
 
@@ -287,6 +295,8 @@
             self.pause_entry,
             self.pause_entry,
             self.lose_endpoints,
+            self.change_weights,
+            self.change_weights,
         ]
 
     async def change_failures(self) -> None:
@@ -294,6 +304,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._move_peak())
             group.create_task(self._restart_endpoints())
+            group.create_task(self._pause_endpoints())
 
     async def _move_peak(self) -> None:
         for zone in itertools.cycle(self.deployment.zones):
@@ -309,6 +320,13 @@
             self._record(f"{endpoint.endpoint_id} crashes")
             await endpoint.restart(self.rng.uniform(*DOWN_SECONDS))
 
+    async def _pause_endpoints(self) -> None:
+        while True:
+            await asyncio.sleep(self.rng.uniform(*UNTIL_CRASH_SECONDS))
+            endpoint = self.rng.choice(self._crowded)
+            self._record(f"{endpoint.endpoint_id} pauses")
+            await endpoint.pause(self.rng.uniform(*PAUSE_SECONDS))
+
     def check(self) -> list[str]:
         """Return what was violated."""
         tries_by_id: dict[str, list[Try]] = {}
