Tell what was at work when a caller left

A request that may run once and whose caller leaves had a line that could be left out under load, and none of the attempts that ended with it.

--- a/burdockdrum/passthrough/relaying/request_log.py
+++ b/burdockdrum/passthrough/relaying/request_log.py
@@ -212,7 +212,7 @@
 ) -> None:
     """Log that a response that had begun did not come to its end."""
     target = progress.target
-    log_failure(
+    _choose_log(request, is_failure=True)(
         "request.cut",
         request_id=request.request_id,
         route=request.route.name,
@@ -240,7 +240,7 @@
     first_at = progress.first_chunk_at
     last_at = progress.last_chunk_at or first_at
     target = progress.target
-    log_failure(
+    _choose_log(request, is_failure=True)(
         "request.left",
         request_id=request.request_id,
         route=request.route.name,
@@ -254,6 +254,8 @@
         else _round(first_at - received_at),
         last_part=None if last_at is None else _round(last_at - received_at),
         longest_pause=_round(progress.longest_gap_seconds),
+        sent=progress.sent,
+        at_work=", ".join(progress.at_work),
         since_received=_round(now - received_at),
         seconds_left=_round(request.deadline - now),
     )
