Soak endpoints that take a body for another request

An endpoint that rejects a request before it has read the body, and takes the body for a request without an id, answers that with 400 and "not run".

--- a/scripts/soak/crowded_endpoint.py
+++ b/scripts/soak/crowded_endpoint.py
@@ -22,6 +22,11 @@
     b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n"
     b"%sContent-Length: 4\r\n\r\nfull"
 )
+BAD_REQUEST = (
+    b"HTTP/1.1 400 Bad Request\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+)
+# Until an endpoint has taken the body of a request for another one.
+MISREAD_SECONDS = (0.0, 0.01)
 ANSWER = (
     b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n"
     b"X-Request-Id: %s\r\nContent-Length: %d\r\n\r\n"
@@ -44,6 +49,7 @@
     MISDIRECTION_LATE = "a 421 of nothing where the next one is due"
     REJECTED_EARLY = "rejected before the body was read"
     REJECTED_AND_CLOSED = "rejected, then closed"
+    REJECTED_UNREAD = "rejected, then its body taken for another request"
 
 
 @dataclass(kw_only=True)
@@ -167,6 +173,12 @@
         if spoiled is Spoiled.REJECTED_EARLY:
             writer.write(rejection)
         await reader.readexactly(length)
+        if spoiled is Spoiled.REJECTED_UNREAD:
+            handling.status = 503
+            writer.write(rejection)
+            await asyncio.sleep(self._rng.uniform(*MISREAD_SECONDS))
+            writer.write(BAD_REQUEST)
+            return b""
         if spoiled is Spoiled.REJECTED_AND_CLOSED or self._waiting >= QUEUE:
             writer.write(rejection)
         if spoiled is Spoiled.REJECTED_AND_CLOSED:
