--- a/scripts/soak/retries.py
+++ b/scripts/soak/retries.py
@@ -330,20 +330,26 @@
         stopped = [m for m in machines if m.process and not m.is_stopping]
         for machine in stopped:
             machine.send_signal(signal.SIGCONT)
-        await asyncio.gather(*(m.stop(number) for m in stopped))
-        await asyncio.sleep(self.rng.uniform(0.1, 1.5))
-        for machine in stopped:
-            if machine.process is None:
-                await machine.start()
+        try:
+            await asyncio.gather(*(m.stop(number) for m in stopped))
+            await asyncio.sleep(self.rng.uniform(0.1, 1.5))
+        finally:
+            # The time for faults may end meanwhile.
+            for machine in stopped:
+                await machine.wait_until_exited()
+                if machine.process is None:
+                    await machine.start()
 
     async def _pause(self, machine: Machine) -> None:
         process = machine.process
         if process is None or machine.is_stopping:
             return
         process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self.rng.uniform(0.5, 4.0))
-        if process.returncode is None:
-            process.send_signal(signal.SIGCONT)
+        try:
+            await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+        finally:
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
 
     async def settle(self) -> None:
         """Check what must hold once the faults have ended."""
