--- a/scripts/soak/crowded_endpoint.py
+++ b/scripts/soak/crowded_endpoint.py
@@ -52,6 +52,13 @@
     REJECTED_UNREAD = "rejected, then its body taken for another request"
 
 
+_REJECTED = (
+    Spoiled.REJECTED_EARLY,
+    Spoiled.REJECTED_AND_CLOSED,
+    Spoiled.REJECTED_UNREAD,
+)
+
+
 @dataclass(kw_only=True)
 class Handling:
     """A request at an endpoint, by monotonic time.
@@ -164,32 +171,59 @@
             endpoint_id=self.endpoint_id, arrived_at=time.monotonic()
         )
         self._handled_by_id.setdefault(name.decode(), []).append(handling)
-        rejection = REJECTION % (b"X-Request-Id: " + name + b"\r\n")
         if headers.get(b"x-expect-instance") != self.endpoint_id.encode():
             handling.status = 421
             await reader.readexactly(length)
             self._refuse(writer, b"421 Misdirected Request", name.decode())
             return b""
-        if spoiled is Spoiled.REJECTED_EARLY:
-            writer.write(rejection)
-        await reader.readexactly(length)
-        if spoiled is Spoiled.REJECTED_UNREAD:
+        if spoiled in _REJECTED or self._waiting >= QUEUE:
             handling.status = 503
+            return await self._turn_down(reader, writer, name, length, spoiled)
+        await reader.readexactly(length)
+        await self._occupy_slot(reader, writer, handling)
+        if spoiled is Spoiled.HANGS_AFTER_RUN:
+            await reader.read()
+        return self._write_answer(writer, name, spoiled, handling)
+
+    async def _turn_down(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        name: bytes,
+        length: int,
+        spoiled: Spoiled,
+    ) -> bytes:
+        """Reject a request before or after its body is read.
+
+        :returns: what is sent once the next request arrives
+        """
+        rejection = REJECTION % (b"X-Request-Id: " + name + b"\r\n")
+        if spoiled is Spoiled.REJECTED_EARLY:
             writer.write(rejection)
-            await asyncio.sleep(self._rng.uniform(*MISREAD_SECONDS))
-            writer.write(BAD_REQUEST)
+            await reader.readexactly(length)
             return b""
-        if spoiled is Spoiled.REJECTED_AND_CLOSED or self._waiting >= QUEUE:
-            writer.write(rejection)
-        if spoiled is Spoiled.REJECTED_AND_CLOSED:
-            writer.close()
-        if (
-            spoiled in (Spoiled.REJECTED_EARLY, Spoiled.REJECTED_AND_CLOSED)
-            or self._waiting >= QUEUE
-        ):
-            handling.status = 503
-            is_late = spoiled is Spoiled.TWICE_LATE
-            return rejection if is_late else b""
+        await reader.readexactly(length)
+        writer.write(rejection)
+        match spoiled:
+            case Spoiled.REJECTED_UNREAD:
+                await asyncio.sleep(self._rng.uniform(*MISREAD_SECONDS))
+                writer.write(BAD_REQUEST)
+            case Spoiled.REJECTED_AND_CLOSED:
+                writer.close()
+            case Spoiled.TWICE_LATE:
+                return rejection
+        return b""
+
+    async def _occupy_slot(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        handling: Handling,
+    ) -> None:
+        """Run a request once there is a slot.
+
+        :raises ConnectionResetError: if its connection has ended before
+        """
         with self._count_waiting():
             await self._slots.acquire()
         try:
@@ -201,9 +235,6 @@
             await asyncio.sleep(self._rng.uniform(*RUN_SECONDS))
         finally:
             self._slots.release()
-        if spoiled is Spoiled.HANGS_AFTER_RUN:
-            await reader.read()
-        return self._write_answer(writer, name, spoiled, handling)
 
     def _write_answer(
         self,
