--- a/burdockdrum/http1/client.py
+++ b/burdockdrum/http1/client.py
@@ -112,9 +112,9 @@
         return self._transport is not None and has_unread(self._transport)
 
     def may_carry(self, request_id: bytes | None) -> bool:
-        """Return whether a response with this id could only be to a request.
+        """Return whether no recent request of this connection had the id.
 
-        It might be to an earlier request of this connection with the same id.
+        Else a response with it may be to the earlier request.
         """
         return request_id not in self._carried_ids
 
--- a/tests/passthrough/relaying/test_configuration_changes.py
+++ b/tests/passthrough/relaying/test_configuration_changes.py
@@ -7,7 +7,9 @@
 import time
 from unittest import mock
 
-from burdockdrum.passthrough.relaying import attempts
+from burdockdrum.passthrough.protocol import NotStarted
+from burdockdrum.passthrough.protocol import Withdrawn
+from burdockdrum.passthrough.relaying import attempt_report
 from burdockdrum.registrations import ServiceCapacity
 from burdockdrum.resources import Backend
 from burdockdrum.resources import ListenerLimits
@@ -278,11 +280,13 @@
             caller.close()
 
     def was_withdrawn(self, number, count):
-        """Return whether an attempt of a request was withdrawn."""
-        return any(
-            call.args[1].request_id == f"r-{number}-{count}"
-            for call in self.log_withdrawn.call_args_list
-        )
+        """Return whether an attempt was withdrawn, and all others rejected."""
+        outcomes = [
+            type(call.args[3])
+            for call in self.log_attempt.call_args_list
+            if call.args[1].request_id == f"r-{number}-{count}"
+        ]
+        return set(outcomes) == {Withdrawn, NotStarted}
 
     def record(self, kind, phase, status, body, seconds):
         """Count an answer, by what it is."""
@@ -342,11 +346,11 @@
             task.cancel()
         await asyncio.gather(silences, changes, return_exceptions=True)
 
-    @mock.patch.object(attempts, "log_withdrawn")
-    async def test_no_answer_ends_with_nothing(self, log_withdrawn):
+    @mock.patch.object(attempt_report, "log_attempt")
+    async def test_no_answer_ends_with_nothing(self, log_attempt):
         # Guards against changes that end what was read before them, and
         # against taking a silent endpoint for a dead one.
-        self.log_withdrawn = log_withdrawn
+        self.log_attempt = log_attempt
         for seed in range(SEEDS):
             with self.subTest(seed=seed):
                 await self.run_seed(seed)
--- a/tests/soak/test_answers.py
+++ b/tests/soak/test_answers.py
@@ -51,6 +51,13 @@
 
 
 SOUND = make_run("e1", RunEnd.CUT, wrote_at=0.1)
+WITHDRAWN = Run(
+    request_id="r1",
+    endpoint_id="e1",
+    began_at=1.0,
+    end=RunEnd.CUT,
+    ended_at=1.4,
+)
 
 
 class AnswersTest(unittest.TestCase):
@@ -79,13 +86,7 @@
             self.assertIn("a failure without a reason", text)
 
     def test_withdrawal_has_a_reason_only_beside_one_that_failed(self):
-        withdrawn = Run(
-            request_id="r1",
-            endpoint_id="e1",
-            began_at=1.0,
-            end=RunEnd.CUT,
-            ended_at=1.4,
-        )
+        withdrawn = WITHDRAWN
         late = dataclasses.replace(withdrawn, began_at=0.1)
         failed = make_run("e2", RunEnd.FAILED)
         fields = {"status": 502, "is_whole": True}
@@ -101,22 +102,15 @@
             self.assertIn("a failure without a reason", text)
 
     def test_withdrawal_has_a_reason_beside_one_that_rejected_it_late(self):
-        withdrawn = Run(
-            request_id="r1",
-            endpoint_id="e1",
-            began_at=1.0,
-            end=RunEnd.CUT,
-            ended_at=1.4,
-        )
         late = make_run("e2", RunEnd.FAILED)
         fields = {"status": 502, "is_whole": True}
         self.assertEqual(
-            [], self.check([withdrawn], rejected=[late], **fields)
+            [], self.check([WITHDRAWN], rejected=[late], **fields)
         )
         at_once = dataclasses.replace(late, ended_at=0.1)
         later = dataclasses.replace(late, began_at=1.2)
         for rejected in ([], [at_once], [later]):
-            (text,) = self.check([withdrawn], rejected=rejected, **fields)
+            (text,) = self.check([WITHDRAWN], rejected=rejected, **fields)
             self.assertIn("a failure without a reason", text)
 
     def test_cut_of_a_response_that_was_taken_over_has_a_reason(self):
