Show that clients outside the limits cost a process all its memory

Crowds and bounds are fixed here, before the product changes. Real processes on loopback, limits lowered in the tests' own settings (100 MB and 500 descriptors, 200 of them for files; the daemon 150 MB and 300). Each test checks that the process lives, that its peak memory and its open descriptors stay under the settings, and that an ordinary request is answered while the crowd is there and after it. No times, no shares.

Modules under tests/hostile run after all others, one at a time. The deployment of tests/platform/test_processes.py moves to a mixin that both use.

--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -46,9 +46,17 @@
     """A cluster of processes; an asynchronous context manager."""
 
     def __init__(
-        self, *, vms: list[VmPlan], endpoints: list[EndpointPlan]
+        self,
+        *,
+        vms: list[VmPlan],
+        endpoints: list[EndpointPlan],
+        more_settings: str = "",
     ) -> None:
-        """Create a cluster that is not started."""
+        """Create a cluster that is not started.
+
+        :param more_settings: further tables of each VM's settings, as TOML
+        """
+        self._more_settings = more_settings
         self._vms = vms
         self._endpoints = endpoints
         self._folder = tempfile.TemporaryDirectory()
@@ -216,7 +224,7 @@
 
 [endpoints]
 token_hashes = ["{hash_token(self.endpoint_token)}"]
-"""
+{self._more_settings}"""
 
     def _control_address(self, vm_id: str) -> str:
         return f"tcp://127.0.0.1:{self._control_ports[vm_id]}"
--- a/scripts/local_deployment.py
+++ b/scripts/local_deployment.py
@@ -53,6 +53,8 @@
         self.settings = self.folder / "node.toml"
         self.is_first_start = True
         self.is_stopping = False
+        # The table of limits in the settings file.
+        self.limits: dict[str, int] = {}
         # Its output then doesn't count against limits on the size of files.
         self.pipes_output = False
         self._copying: asyncio.Task[None] | None = None
@@ -89,6 +91,7 @@
             "listen": listen,
             "tolerate": {"machines": 1},
             "bounds": {"grace_s": 8},
+            "limits": self.limits,
         }
         for name, table in tables.items():
             lines.append(f"[{name}]")
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -3,7 +3,8 @@
 Usage: python -m scripts.run_tests [PATTERN ...]
 
 Every test under tests/ whose dotted name has one of the patterns runs, each
-module in a process of its own, a few at a time. A failing test that
+module in a process of its own, a few at a time; those that measure memory run
+at the end, one at a time. A failing test that
 KNOWN-RED.txt names is printed and passed over; any other failure fails the
 run, and so does a named test that passes, because then its line is out of
 date.
@@ -26,6 +27,8 @@
 KNOWN_FAILURES_FILE = ROOT / "KNOWN-RED.txt"
 MAX_PROCESSES = 6
 SLOWEST_COUNT = 5
+# Modules under it run apart from all others.
+ALONE_PREFIX = "tests.hostile."
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -118,14 +121,25 @@
 
 
 def run_modules(names_by_module: dict[str, list[str]]) -> list[ModuleResult]:
-    """Run the modules in parallel; return the results in order."""
+    """Run the modules, in parallel where they may; return the results."""
+    alone = [m for m in names_by_module if m.startswith(ALONE_PREFIX)]
+    shared = [m for m in names_by_module if m not in alone]
     processes = min(MAX_PROCESSES, os.cpu_count() or 1)
+    return [
+        *_run_pool([names_by_module[m] for m in shared], processes),
+        *_run_pool([names_by_module[m] for m in alone], 1),
+    ]
+
+
+def _run_pool(
+    names_of_modules: list[list[str]], processes: int
+) -> list[ModuleResult]:
     with concurrent.futures.ProcessPoolExecutor(
         processes,
         mp_context=multiprocessing.get_context("spawn"),
         max_tasks_per_child=1,
     ) as pool:
-        return list(pool.map(run_module, names_by_module.values()))
+        return list(pool.map(run_module, names_of_modules))
 
 
 def main() -> int:
