Keep a body in one buffer, whatever its chunks are

Cause: each chunk was an object in a list, which costs about 50 bytes besides its two, and the join at the end held the body twice. The client side had the same shape for an endpoint's response, and so had the own interface.

Now a body is written to one buffer, whose content is handed on without a copy; the parsing of requests is a class of its own. A connection that receives chunks reads 4 KB at a time and yields to the others when there is more, as each chunk is a call.

Ruled out: the framing allowance of 12 bytes for a body byte, which is legal and costs nothing once the parts are gone.

--- a/burdockdrum/http1/client.py
+++ b/burdockdrum/http1/client.py
@@ -78,8 +78,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers: Headers = []
         self._head: ResponseHead | None = None
-        self._parts: list[bytes] = []
-        self._buffered = 0
+        # One buffer, as a peer may send small chunks.
+        self._buffer = bytearray()
         self._overhead = OverheadCounter()
         # Of the expected response, in the current read.
         self._body_bytes = 0
@@ -130,7 +130,7 @@
         self._complete = False
         self._head = None
         self._headers = []
-        self._parts = []
+        self._buffer.clear()
         self._overhead.begin_request()
         self._transport.write(payload)
 
@@ -148,13 +148,12 @@
 
         :raises ResponseLost: if the connection ends before the body does
         """
-        while not self._parts:
+        while not self._buffer:
             if self._complete:
                 return None
             await self._wait()
-        part = b"".join(self._parts)
-        self._parts = []
-        self._buffered = 0
+        part = bytes(self._buffer)
+        self._buffer.clear()
         if self._paused and self._transport is not None:
             self._paused = False
             self._transport.resume_reading()
@@ -209,7 +208,7 @@
         if self._complete and self._dirty:
             # The part of the body that was received is still read.
             self._end_surplus()
-        is_full = self._buffered > MAX_BUFFERED_BYTES
+        is_full = len(self._buffer) > MAX_BUFFERED_BYTES
         if is_full and not self._paused and not self._dirty:
             assert self._transport is not None
             self._paused = True
@@ -258,8 +257,7 @@
         if self._kind is ResponseKind.SKIPPED:
             self._overhead.skip_body(len(body))
             return
-        self._parts.append(body)
-        self._buffered += len(body)
+        self._buffer += body
         self._body_bytes += len(body)
 
     def on_message_complete(self) -> None:
--- a/burdockdrum/http1/listener.py
+++ b/burdockdrum/http1/listener.py
@@ -9,6 +9,7 @@
 
 from burdockdrum.http1.end_causes import EndCause
 from burdockdrum.http1.exchange import Exchange
+from burdockdrum.http1.receiver import MAX_READ_BYTES
 from burdockdrum.http1.server import ServerConnection
 from burdockdrum.logs import log_failure
 
@@ -50,6 +51,8 @@
             since a monotonic time; for as long as that is ago by default
         :param on_end: called when a connection ends
         """
+        # All connections are read in turn.
+        self.read_buffer = memoryview(bytearray(MAX_READ_BYTES))
         self._on_end = on_end
         self.awake_seconds_since = awake_seconds_since or _seconds_since
         self.draining = False
--- a/burdockdrum/http1/server.py
+++ b/burdockdrum/http1/server.py
@@ -3,27 +3,24 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from http import HTTPStatus
 import time
 from typing import cast
 from typing import Protocol
 
-import httptools
 from loguru import logger
 
 from burdockdrum.http1.end_causes import EndCause
 from burdockdrum.http1.exchange import Exchange
 from burdockdrum.http1.heads import encode_response
-from burdockdrum.http1.heads import find_header
-from burdockdrum.http1.heads import Headers
-from burdockdrum.http1.numbers import parse_count
-from burdockdrum.http1.overhead import FRAMING_BYTES_PER_BODY_BYTE
+from burdockdrum.http1.receiver import RequestReceiver
 from burdockdrum.http1.requests import RejectedRequest
 from burdockdrum.http1.requests import RequestHead
 from burdockdrum.http1.sockets import enable_keepalive
 from burdockdrum.http1.sockets import reset
 
 MAX_PIPELINED_REQUESTS = 2
-REQUEST_TIMEOUT_STATUS = 408
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Limits how much of a response is buffered for a slow reader.
 WRITE_HIGH_WATER_BYTES = 64 * 1024
 # How long a caller may go on sending after the last response. Bytes that are
@@ -37,6 +34,7 @@
     """The interface of a listener that its connections use."""
 
     draining: bool
+    read_buffer: memoryview
 
     @property
     def header_bytes(self) -> int:
@@ -75,7 +73,7 @@
         ...
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """Reads requests and handles each before the next."""
 
     def __init__(
@@ -96,22 +94,30 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_began = 0.0
         self._timer_seconds = 0.0
-        self._parser = httptools.HttpRequestParser(self)
         self._busy = False
         self._paused = False
         self._closing = False
-        self._is_rejected = False
         self._has_ended = False
-        self._received_at = 0.0
-        self._connected_at = float("-inf")
-        # Chunk sizes, chunk extensions and trailers, in bytes.
-        self._framing_size = 0
-        self._reset_request()
+        self._connected_at = time.monotonic()
+        self._receiver = RequestReceiver(
+            limits=listener,
+            connected_at=self._connected_at,
+            deliver=self._deliver,
+            reject=self._add_rejection,
+            send_continue=lambda: self.write(CONTINUE),
+        )
+        self._is_full = False
+        self._has_yielded = False
 
     @property
     def idle(self) -> bool:
         """Whether no request is being received or handled."""
-        return not (self._busy or self._pending or self._received_at)
+        return not (self._busy or self._pending or self._has_partial)
+
+    @property
+    def _has_partial(self) -> bool:
+        """Whether a request has begun to arrive."""
+        return bool(self._receiver.received_at)
 
     @property
     def is_responding(self) -> bool:
@@ -125,7 +131,7 @@
         """
         if not request.keep_alive or self._closing:
             return False
-        has_received_more = bool(self._pending or self._received_at)
+        has_received_more = bool(self._pending) or self._has_partial
         return has_received_more or not self._listener.draining
 
     def write(self, data: bytes) -> None:
@@ -157,8 +163,7 @@
         if self._transport is None or self._transport.is_closing():
             return
         self._transport.write_eof()
-        if self._paused:
-            self._transport.resume_reading()
+        self._update_reading()
         self._start_timer(LINGER_SECONDS)
 
     def _record_end(self, cause: EndCause) -> None:
@@ -166,14 +171,13 @@
             return
         self._has_ended = True
         unanswered = len(self._pending) + self._busy
-        unanswered += bool(self._received_at)
+        unanswered += self._has_partial
         self._listener.record_end(cause, unanswered=unanswered)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that handles the connection's requests."""
         # uvloop's transports have the methods but not the base class.
         self._transport = cast(asyncio.Transport, transport)
-        self._connected_at = time.monotonic()
         self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         enable_keepalive(transport)
         self._listener.add_connection(self)
@@ -189,6 +193,7 @@
             EndCause.LEFT if self.idle else EndCause.LEFT_WITH_REQUEST
         )
         self._listener.remove_connection(self)
+        self._closing = True
         if self._task is not None:
             self._task.cancel()
 
@@ -200,118 +205,65 @@
         """Release ``drain``, as the write buffer has emptied."""
         self._writable.set()
 
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes and enforce the limit on the head."""
-        if self._is_rejected or self._closing:
-            return
-        if not self._received_at:
-            self._received_at = time.monotonic()
-            if not self._busy:
-                self._start_timer(self._listener.header_seconds)
-        is_in_body = self._head_complete
-        body, body_size = self._body, self._body_size
-        if not is_in_body:
-            self._head_size += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(400, "an upgrade is not supported")
-        except httptools.HttpParserError as error:
-            self._reject(400, f"not HTTP/1.1: {error}")
-        too_large = self._head_size > 2 * self._listener.header_bytes
-        if not self._head_complete and too_large:
-            self._reject(431, "the head is too large")
-        if is_in_body and self._body is body:
-            self._count_framing(len(data), self._body_size - body_size)
-        if len(self._pending) >= MAX_PIPELINED_REQUESTS and not self._paused:
-            assert self._transport is not None
-            self._paused = True
-            self._transport.pause_reading()
+    def get_buffer(self, size_hint: int) -> memoryview:
+        """Return where the next bytes are read to."""
+        return self._listener.read_buffer[: self._receiver.read_size]
 
-    def _count_framing(self, size: int, body_size: int) -> None:
-        """Count chunk sizes, chunk extensions and trailers, in bytes."""
-        justified = FRAMING_BYTES_PER_BODY_BYTE * body_size
-        rest = size - body_size - justified
-        self._framing_size = max(0, self._framing_size + rest)
-        if self._framing_size > 2 * self._listener.header_bytes:
-            self._reject(400, "too much is sent beside the body")
-
-    def on_message_begin(self) -> None:
-        """Record the arrival of a request that follows another one."""
-        if not self._received_at:
-            self._received_at = time.monotonic()
-
-    def on_url(self, url: bytes) -> None:
-        """Append a part of the target."""
-        self._target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header of the request; trailers are dropped."""
-        if not self._head_complete:
-            self._headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Check the limits before the body is read."""
-        self._head_complete = True
-        head = sum(len(name) + len(value) + 4 for name, value in self._headers)
-        if head + len(self._target) > self._listener.header_bytes:
-            self._reject(431, "the head is too large")
+    def buffer_updated(self, size: int) -> None:
+        """Parse received bytes and enforce the limits."""
+        if self._receiver.is_rejected or self._closing:
             return
-        # The parser rejects a length that is not a number; parse_count
-        # returns None for one with too many digits.
-        length = find_header(self._headers, b"content-length") or b"0"
-        size = parse_count(length)
-        if size is None or size > self._listener.body_bytes:
-            self._reject(413, "the body is too large")
+        is_filled = size == self._receiver.read_size
+        now = time.monotonic()
+        if not (self._receiver.received_at or self._busy):
+            self._start_timer(self._listener.header_seconds)
+        self._parse(self._listener.read_buffer[:size], now)
+        if is_filled and self._receiver.is_chunked:
+            self._yield_turn()
+
+    def _parse(self, data: memoryview, arrived_at: float) -> None:
+        """Parse what was read, and stop reading if enough requests wait."""
+        position = 0
+        while position < len(data) and not self._receiver.is_rejected:
+            end = position + self._receiver.next_slice()
+            self._receiver.feed(data[position:end], arrived_at)
+            position = end
+        self._is_full = len(self._pending) >= MAX_PIPELINED_REQUESTS
+        self._update_reading()
+
+    def _yield_turn(self) -> None:
+        """Let other connections be read before the next read of this one.
+
+        Each small chunk is a call, and the event loop would read on.
+        """
+        if self._has_yielded:
             return
-        expect = find_header(self._headers, b"expect")
-        if expect is not None and expect.lower() == b"100-continue":
-            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._has_yielded = True
+        self._update_reading()
+        asyncio.get_running_loop().call_soon(self._end_yield)
 
-    def on_body(self, body: bytes) -> None:
-        """Append a part of the body."""
-        if self._is_rejected:
-            return
-        self._body_size += len(body)
-        if self._body_size > self._listener.body_bytes:
-            self._reject(413, "the body is too large")
-            return
-        self._body.append(body)
+    def _end_yield(self) -> None:
+        self._has_yielded = False
+        self._update_reading()
 
-    def on_message_complete(self) -> None:
-        """Queue the complete request for the handler."""
-        if self._is_rejected:
+    def _update_reading(self) -> None:
+        if self._transport is None or self._transport.is_closing():
             return
-        self._pending.append(
-            RequestHead(
-                method=self._parser.get_method(),
-                target=self._target,
-                headers=self._headers,
-                body=b"".join(self._body),
-                keep_alive=self._parser.should_keep_alive(),
-                received_at=self._received_at,
-                knows_chunks=self._parser.get_http_version() != "1.0",
-                connected_at=self._connected_at,
-            )
-        )
-        self._reset_request()
+        pauses = self._has_yielded or (self._is_full and not self._closing)
+        if pauses and not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
+        elif self._paused and not pauses:
+            self._paused = False
+            self._transport.resume_reading()
+
+    def _deliver(self, request: RequestHead) -> None:
+        self._pending.append(request)
         self._pending_added.set()
 
-    def _reset_request(self) -> None:
-        self._target = b""
-        self._headers: Headers = []
-        self._body: list[bytes] = []
-        self._body_size = 0
-        self._head_size = 0
-        self._framing_size = 0
-        self._head_complete = False
-        self._received_at = 0.0
-
-    def _reject(self, status: int, reason: str) -> None:
-        if not self._is_rejected:
-            self._is_rejected = True
-            self._pending.append(RejectedRequest(status=status, reason=reason))
-            self._pending_added.set()
+    def _add_rejection(self, status: int, reason: str) -> None:
+        self._pending.append(RejectedRequest(status=status, reason=reason))
+        self._pending_added.set()
 
     async def _run(self) -> None:
         while not self._closing:
@@ -325,6 +277,8 @@
                 self._send_rejection(received)
                 return
             await self._serve(received)
+            # The body would live until the next request.
+            del received
             self._busy = False
             if not self._closing:
                 self._await_next_request()
@@ -353,13 +307,12 @@
             self._close_after_response()
 
     def _await_next_request(self) -> None:
-        if self._paused and self._transport is not None:
-            self._paused = False
-            self._transport.resume_reading()
-        has_partial_request = self._received_at > 0
+        if self._is_full and len(self._pending) < MAX_PIPELINED_REQUESTS:
+            self._is_full = False
+        self._update_reading()
         seconds = (
             self._listener.header_seconds
-            if has_partial_request
+            if self._has_partial
             else self._listener.idle_seconds
         )
         self._start_timer(seconds)
@@ -372,11 +325,12 @@
             (b"content-length", b"%d" % len(body)),
         ]
         self.write(encode_response(rejected.status, headers) + body)
-        self._record_end(
-            EndCause.REQUEST_TIMED_OUT
-            if rejected.status == REQUEST_TIMEOUT_STATUS
-            else EndCause.REJECTED
-        )
+        match rejected.status:
+            case HTTPStatus.REQUEST_TIMEOUT:
+                cause = EndCause.REQUEST_TIMED_OUT
+            case _:
+                cause = EndCause.REJECTED
+        self._record_end(cause)
         self._close_after_response()
 
     def _close_incomplete(self, exchange: Exchange) -> None:
@@ -416,9 +370,10 @@
             return
         if self._busy or self._pending:
             return
-        if self._received_at:
-            self._reject(
-                REQUEST_TIMEOUT_STATUS, "the request did not arrive in time"
+        if self._has_partial:
+            self._receiver.reject(
+                HTTPStatus.REQUEST_TIMEOUT,
+                "the request did not arrive in time",
             )
             return
         self._record_end(EndCause.IDLE)
--- a/burdockdrum/web/reading.py
+++ b/burdockdrum/web/reading.py
@@ -1,5 +1,6 @@
 """Read bodies, headers and parameters of requests."""
 
+import io
 from typing import TypeVar
 
 from blacksheep.messages import Request
@@ -30,14 +31,13 @@
     declared = parse_count(request.get_first_header(b"content-length"))
     if declared is not None and declared > limit:
         raise _too_large(limit)
-    parts = []
-    size = 0
+    body = io.BytesIO()
     async for part in request.stream():  # type: ignore[attr-defined]
-        size += len(part)
-        if size > limit:
+        if body.tell() + len(part) > limit:
             raise _too_large(limit)
-        parts.append(part)
-    return b"".join(parts)
+        body.write(part)
+    # Not a copy.
+    return body.getvalue()
 
 
 async def read_json(request: Request, limit: int, expected: type[T]) -> T:
