Stop parsing inside a read when enough requests wait

Cause: the limit on waiting requests was looked at after the whole read had been parsed, and 256 KB hold thousands. Their responses were then written without a pause for other connections.

Now a read is parsed in slices until two requests wait; the rest of the read is kept, reading pauses, and the kernel's buffer of such a connection is limited to 64 KB. After each response another connection has its turn.

Ruled out: a smaller limit, as it was never reached in time.

--- a/burdockdrum/http1/server.py
+++ b/burdockdrum/http1/server.py
@@ -17,9 +17,12 @@
 from burdockdrum.http1.requests import RejectedRequest
 from burdockdrum.http1.requests import RequestHead
 from burdockdrum.http1.sockets import enable_keepalive
+from burdockdrum.http1.sockets import limit_receive_buffer
 from burdockdrum.http1.sockets import reset
 
 MAX_PIPELINED_REQUESTS = 2
+# How much the kernel keeps unread while that many requests wait.
+UNREAD_BYTES = 64 * 1024
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Limits how much of a response is buffered for a slow reader.
 WRITE_HIGH_WATER_BYTES = 64 * 1024
@@ -106,6 +109,9 @@
             reject=self._add_rejection,
             send_continue=lambda: self.write(CONTINUE),
         )
+        # Read while enough requests waited, and when.
+        self._unparsed = b""
+        self._unparsed_at = 0.0
         self._is_full = False
         self._has_yielded = False
 
@@ -117,7 +123,7 @@
     @property
     def _has_partial(self) -> bool:
         """Whether a request has begun to arrive."""
-        return bool(self._receiver.received_at)
+        return bool(self._receiver.received_at or self._unparsed)
 
     @property
     def is_responding(self) -> bool:
@@ -222,13 +228,25 @@
             self._yield_turn()
 
     def _parse(self, data: memoryview, arrived_at: float) -> None:
-        """Parse what was read, and stop reading if enough requests wait."""
+        """Parse until enough requests wait, and keep the rest."""
         position = 0
         while position < len(data) and not self._receiver.is_rejected:
+            if len(self._pending) >= MAX_PIPELINED_REQUESTS:
+                break
             end = position + self._receiver.next_slice()
             self._receiver.feed(data[position:end], arrived_at)
             position = end
-        self._is_full = len(self._pending) >= MAX_PIPELINED_REQUESTS
+        is_kept = not self._receiver.is_rejected
+        self._unparsed = bytes(data[position:]) if is_kept else b""
+        self._unparsed_at = arrived_at
+        self._pause_while_full()
+
+    def _pause_while_full(self) -> None:
+        is_full = len(self._pending) >= MAX_PIPELINED_REQUESTS
+        if is_full and not self._is_full and not self._closing:
+            self._is_full = True
+            assert self._transport is not None
+            limit_receive_buffer(self._transport, UNREAD_BYTES)
         self._update_reading()
 
     def _yield_turn(self) -> None:
@@ -262,6 +280,7 @@
         self._pending_added.set()
 
     def _add_rejection(self, status: int, reason: str) -> None:
+        self._unparsed = b""
         self._pending.append(RejectedRequest(status=status, reason=reason))
         self._pending_added.set()
 
@@ -282,6 +301,9 @@
             self._busy = False
             if not self._closing:
                 self._await_next_request()
+            if self._pending:
+                # Other connections' requests are served in turn.
+                await asyncio.sleep(0)
 
     async def _serve(self, request: RequestHead) -> None:
         exchange = Exchange(request=request, connection=self)
@@ -307,6 +329,9 @@
             self._close_after_response()
 
     def _await_next_request(self) -> None:
+        if self._unparsed:
+            with memoryview(self._unparsed) as rest:
+                self._parse(rest, self._unparsed_at)
         if self._is_full and len(self._pending) < MAX_PIPELINED_REQUESTS:
             self._is_full = False
         self._update_reading()
--- a/burdockdrum/http1/sockets.py
+++ b/burdockdrum/http1/sockets.py
@@ -44,6 +44,13 @@
     return bool(poll.poll(0))
 
 
+def limit_receive_buffer(transport: asyncio.BaseTransport, size: int) -> None:
+    """Bound what the kernel keeps unread, in bytes."""
+    raw = transport.get_extra_info("socket")
+    if raw is not None:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+
 def reset(transport: asyncio.Transport) -> None:
     """Close a connection so that its peer gets an error, not an end."""
     raw = transport.get_extra_info("socket")
