Bound what the requests of all connections hold together

The process ran out of memory and ended.

Cause: each connection had limits of its own, and nothing counted their sum; nothing read the memory of the settings file.

Counted is what is allocated: headers by their number, a body with the spare room of its buffer, until its response is written, and a response that a caller does not read. When it is used up:

- the incomplete requests that hold the most are refused for a smaller one, with 503 and Retry-After; they have not run.
A hop's refusal carries the request's id and the verdict, so that the other entry believes it;

A request of up to 4 KB isn't counted, so the ordinary ones cost nothing. Ruled out: refusing the newest, as callers that send quickly would pay for those that never end; a limit on the number of headers, which a head inside the limits can meet.

--- a/burdockdrum/gateway/base.py
+++ b/burdockdrum/gateway/base.py
@@ -5,6 +5,7 @@
 
 from burdockdrum.kernel import Kernel
 from burdockdrum.metrics import Metrics
+from burdockdrum.overload import make_limits
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
 from burdockdrum.ports import Disk
@@ -36,7 +37,13 @@
     kernel.provide("mailbox", mailbox)
     kernel.provide("random", rng)
     kernel.provide("clock", clock)
-    kernel.provide("metrics", Metrics())
+    metrics = Metrics()
+    kernel.provide("metrics", metrics)
+    limits = make_limits(
+        memory_mb=settings.limits.memory_mb,
+    )
+    limits.add_metrics(metrics)
+    kernel.provide("process_limits", limits)
     if disk is not None:
         kernel.provide("disk", disk)
     timeline = Timeline(
--- a/burdockdrum/http1/__init__.py
+++ b/burdockdrum/http1/__init__.py
@@ -12,6 +12,7 @@
 from burdockdrum.http1.exchange import Exchange
 from burdockdrum.http1.heads import encode_request
 from burdockdrum.http1.heads import encode_response
+from burdockdrum.http1.heads import find_header
 from burdockdrum.http1.heads import Headers
 from burdockdrum.http1.heads import remove_hop_by_hop_headers
 from burdockdrum.http1.listener import Handler
@@ -31,6 +32,7 @@
     "encode_response",
     "EndCause",
     "Exchange",
+    "find_header",
     "Handler",
     "Headers",
     "Limits",
--- a/burdockdrum/http1/end_causes.py
+++ b/burdockdrum/http1/end_causes.py
@@ -15,6 +15,10 @@
     # A request was malformed or over a limit.
     REJECTED = "rejected"
     REQUEST_TIMED_OUT = "request_timed_out"
+    # Other requests needed its memory.
+    SHED = "shed"
+    # The caller did not read its response, and others needed its memory.
+    SLOW_READER = "slow_reader"
     # A response had begun, and its handler ended first.
     RESPONSE_CUT = "response_cut"
     HANDLER_FAILED = "handler_failed"
@@ -35,6 +39,8 @@
         EndCause.IDLE,
         EndCause.LEFT,
         EndCause.LEFT_WITH_REQUEST,
+        # The process's limits log these.
+        EndCause.SHED,
         EndCause.STOPPED,
     }
 )
--- a/burdockdrum/http1/listener.py
+++ b/burdockdrum/http1/listener.py
@@ -9,9 +9,12 @@
 
 from burdockdrum.http1.end_causes import EndCause
 from burdockdrum.http1.exchange import Exchange
+from burdockdrum.http1.heads import Headers
 from burdockdrum.http1.receiver import MAX_READ_BYTES
 from burdockdrum.http1.server import ServerConnection
 from burdockdrum.logs import log_failure
+from burdockdrum.overload import make_limits
+from burdockdrum.overload import ProcessLimits
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
@@ -42,6 +45,8 @@
         read_limits: Callable[[], Limits] = Limits,
         awake_seconds_since: Callable[[float], float] | None = None,
         on_end: Callable[[EndCause], None] | None = None,
+        describe_refusal: Callable[[Headers], Headers] | None = None,
+        process_limits: ProcessLimits | None = None,
     ) -> None:
         """Create a listener that is not open yet.
 
@@ -50,9 +55,16 @@
         :param awake_seconds_since: returns for how long this process has run
             since a monotonic time; for as long as that is ago by default
         :param on_end: called when a connection ends
+        :param describe_refusal: returns the headers of the refusal of a
+            request that has not run, from those of the request; none by
+            default
+        :param process_limits: what all listeners of the process may use
+            together; by default those of the system, for this one alone
         """
+        self.process_limits = process_limits or make_limits()
         # All connections are read in turn.
         self.read_buffer = memoryview(bytearray(MAX_READ_BYTES))
+        self._describe_refusal = describe_refusal
         self._on_end = on_end
         self.awake_seconds_since = awake_seconds_since or _seconds_since
         self.draining = False
@@ -98,6 +110,12 @@
         """Remove a connection that was closed."""
         self.connections.discard(connection)
 
+    def describe_refusal(self, headers: Headers, /) -> Headers:
+        """Return the headers of the refusal of a request that has not run."""
+        if self._describe_refusal is None:
+            return []
+        return self._describe_refusal(headers)
+
     def record_end(self, cause: EndCause, *, unanswered: int) -> None:
         """Record why a connection ends.
 
--- a/burdockdrum/http1/receiver.py
+++ b/burdockdrum/http1/receiver.py
@@ -1,6 +1,7 @@
 """Parse the requests of one connection, within its limits.
 
-A body is one buffer whatever its chunks are.
+Everything that a request holds is counted as it is allocated: a header costs
+more than its bytes, and a body is one buffer whatever its chunks are.
 """
 
 from collections.abc import Callable
@@ -23,6 +24,12 @@
 HEAD_READ_BYTES = 16 * 1024
 CHUNKED_READ_BYTES = 4 * 1024
 MAX_READ_BYTES = 64 * 1024
+# A tuple, its place in a list and two byte strings without their content.
+HEADER_OVERHEAD_BYTES = 160
+# A request, its task's frames and its exchange.
+REQUEST_OVERHEAD_BYTES = 1024
+# A growing buffer allocates an eighth more than it needs.
+_SPARE_SHIFT = 3
 # ": " and a line end.
 _HEADER_LINE_BYTES = 4
 
@@ -49,13 +56,13 @@
         *,
         limits: ReceiverLimits,
         connected_at: float,
-        deliver: Callable[[RequestHead], None],
+        deliver: Callable[[RequestHead, int], None],
         reject: Callable[[int, str], None],
         send_continue: Callable[[], None],
     ) -> None:
         """Create a receiver for a new connection.
 
-        :param deliver: called with each request
+        :param deliver: called with each request and the bytes that it holds
         :param reject: called once with the status and the reason
         """
         self._limits = limits
@@ -69,6 +76,16 @@
         self.received_at = 0.0
         self._reset()
 
+    @property
+    def size(self) -> int:
+        """The bytes that the incomplete request holds."""
+        return self._head_size + self._headers_size + self._body_capacity
+
+    @property
+    def headers(self) -> Headers:
+        """The headers of the incomplete request, if all have arrived."""
+        return self._headers if self._head_complete else []
+
     @property
     def is_chunked(self) -> bool:
         """Whether a body in chunks is being received."""
@@ -132,6 +149,7 @@
         if self._head_complete or self.is_rejected:
             return
         self._headers.append((name, value))
+        self._headers_size += HEADER_OVERHEAD_BYTES
         self._parsed_size += len(name) + len(value) + _HEADER_LINE_BYTES
         if self._parsed_size > self._limits.header_bytes:
             self.reject(431, "the head is too large")
@@ -184,16 +202,18 @@
             knows_chunks=self._parser.get_http_version() != "1.0",
             connected_at=self._connected_at,
         )
+        size = self.size + REQUEST_OVERHEAD_BYTES
         self._reset()
-        self._deliver(request)
+        self._deliver(request, size)
 
     def _reset(self) -> None:
         self._target = b""
         self._headers: Headers = []
         self._head_complete = False
-        # As it was read, and as it was parsed.
+        # As it was read, as it was parsed, and the cost of its headers.
         self._head_size = 0
         self._parsed_size = 0
+        self._headers_size = 0
         self._body = io.BytesIO()
         self._body_size = 0
         # None if the body is in chunks.
@@ -204,6 +224,10 @@
         self.received_at = 0.0
         self._arrived_at = time.monotonic()
 
+    @property
+    def _body_capacity(self) -> int:
+        return self._body_size + (self._body_size >> _SPARE_SHIFT)
+
     def _count_framing(self, size: int, body_size: int) -> None:
         """Count chunk sizes, chunk extensions and trailers, in bytes."""
         justified = FRAMING_BYTES_PER_BODY_BYTE * body_size
--- a/burdockdrum/http1/requests.py
+++ b/burdockdrum/http1/requests.py
@@ -1,6 +1,7 @@
 """A received request, or the reason for which it was rejected."""
 
 from dataclasses import dataclass
+from dataclasses import field
 
 from burdockdrum.http1.heads import find_header
 from burdockdrum.http1.heads import Headers
@@ -51,3 +52,4 @@
 
     status: int
     reason: str
+    headers: Headers = field(default_factory=list)
--- a/burdockdrum/http1/server.py
+++ b/burdockdrum/http1/server.py
@@ -13,16 +13,26 @@
 from burdockdrum.http1.end_causes import EndCause
 from burdockdrum.http1.exchange import Exchange
 from burdockdrum.http1.heads import encode_response
+from burdockdrum.http1.heads import Headers
 from burdockdrum.http1.receiver import RequestReceiver
 from burdockdrum.http1.requests import RejectedRequest
 from burdockdrum.http1.requests import RequestHead
 from burdockdrum.http1.sockets import enable_keepalive
 from burdockdrum.http1.sockets import limit_receive_buffer
 from burdockdrum.http1.sockets import reset
+from burdockdrum.overload import ProcessLimits
+from burdockdrum.overload import Reservation
 
 MAX_PIPELINED_REQUESTS = 2
 # How much the kernel keeps unread while that many requests wait.
 UNREAD_BYTES = 64 * 1024
+# What a connection may hold before it is counted; most requests are smaller.
+FREE_BYTES = 4 * 1024
+SHED_RETRY_AFTER_SECONDS = b"1"
+SHED = (
+    HTTPStatus.SERVICE_UNAVAILABLE,
+    "too many large requests are being received",
+)
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Limits how much of a response is buffered for a slow reader.
 WRITE_HIGH_WATER_BYTES = 64 * 1024
@@ -37,6 +47,7 @@
     """The interface of a listener that its connections use."""
 
     draining: bool
+    process_limits: ProcessLimits
     read_buffer: memoryview
 
     @property
@@ -63,6 +74,10 @@
         """Return for how long this process has run since a time."""
         ...
 
+    def describe_refusal(self, headers: Headers, /) -> Headers:
+        """Return the headers of the refusal of a request that has not run."""
+        ...
+
     def record_end(self, cause: EndCause, *, unanswered: int) -> None:
         """Record why a connection ends."""
         ...
@@ -90,7 +105,8 @@
         self._handle = handle
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
-        self._pending: list[RequestHead | RejectedRequest] = []
+        # Each with the bytes that it holds.
+        self._pending: list[tuple[RequestHead | RejectedRequest, int]] = []
         self._pending_added = asyncio.Event()
         self._writable = asyncio.Event()
         self._writable.set()
@@ -100,6 +116,7 @@
         self._busy = False
         self._paused = False
         self._closing = False
+        self._is_lost = False
         self._has_ended = False
         self._connected_at = time.monotonic()
         self._receiver = RequestReceiver(
@@ -114,6 +131,13 @@
         self._unparsed_at = 0.0
         self._is_full = False
         self._has_yielded = False
+        self._reservation = Reservation(
+            budget=listener.process_limits.memory, shed=self.shed
+        )
+        # Of the requests that wait or are handled, and of the response.
+        self._complete_size = 0
+        self._unsent_size = 0
+        self._rejected_headers: Headers = []
 
     @property
     def idle(self) -> bool:
@@ -199,17 +223,33 @@
             EndCause.LEFT if self.idle else EndCause.LEFT_WITH_REQUEST
         )
         self._listener.remove_connection(self)
-        self._closing = True
+        self._closing = self._is_lost = True
+        self._reservation.release()
         if self._task is not None:
             self._task.cancel()
 
     def pause_writing(self) -> None:
         """Block ``drain``, as the write buffer is full."""
         self._writable.clear()
+        # By then the kernel has taken what it can.
+        asyncio.get_running_loop().call_soon(self._reserve_unsent)
 
     def resume_writing(self) -> None:
         """Release ``drain``, as the write buffer has emptied."""
         self._writable.set()
+        self._unsent_size = 0
+        self._update_reservation()
+
+    def _reserve_unsent(self) -> None:
+        """Reserve a response to a slow reader, or cut it for want of room."""
+        transport = self._transport
+        if self._writable.is_set() or transport is None or self._has_ended:
+            return
+        self._unsent_size = transport.get_write_buffer_size()
+        if not self._update_reservation():
+            self._record_end(EndCause.SLOW_READER)
+            self._closing = True
+            transport.abort()
 
     def get_buffer(self, size_hint: int) -> memoryview:
         """Return where the next bytes are read to."""
@@ -240,6 +280,8 @@
         self._unparsed = bytes(data[position:]) if is_kept else b""
         self._unparsed_at = arrived_at
         self._pause_while_full()
+        if not self._update_reservation() and is_kept:
+            self._shed_newest()
 
     def _pause_while_full(self) -> None:
         is_full = len(self._pending) >= MAX_PIPELINED_REQUESTS
@@ -275,21 +317,66 @@
             self._paused = False
             self._transport.resume_reading()
 
-    def _deliver(self, request: RequestHead) -> None:
-        self._pending.append(request)
+    def _update_reservation(self) -> bool:
+        """Reserve what this connection holds; return whether there is room."""
+        if self._is_lost:
+            return True
+        incomplete = self._receiver.size + len(self._unparsed)
+        size = incomplete + self._complete_size + self._unsent_size
+        if self._is_full:
+            size += UNREAD_BYTES
+        if size <= FREE_BYTES:
+            size = incomplete = 0
+        if not size and not self._reservation.size:
+            return True
+        return self._reservation.resize(size, incomplete=incomplete)
+
+    def shed(self) -> None:
+        """Refuse the incomplete request, which has not run, for want of room.
+
+        So are those that follow it on the connection.
+        """
+        self._reject(*SHED)
+
+    def _shed_newest(self) -> None:
+        """Refuse what arrived last, also if it is complete by now."""
+        if self._pending and not self._has_partial:
+            request, size = self._pending.pop()
+            self._complete_size -= size
+            if isinstance(request, RequestHead):
+                self._rejected_headers = self._listener.describe_refusal(
+                    request.headers
+                )
+            self._receiver.reject(*SHED)
+        else:
+            self.shed()
+
+    def _deliver(self, request: RequestHead, size: int) -> None:
+        self._complete_size += size
+        self._pending.append((request, size))
         self._pending_added.set()
 
+    def _reject(self, status: int, reason: str) -> None:
+        self._rejected_headers = self._listener.describe_refusal(
+            self._receiver.headers
+        )
+        self._receiver.reject(status, reason)
+
     def _add_rejection(self, status: int, reason: str) -> None:
         self._unparsed = b""
-        self._pending.append(RejectedRequest(status=status, reason=reason))
+        rejection = RejectedRequest(
+            status=status, reason=reason, headers=self._rejected_headers
+        )
+        self._pending.append((rejection, 0))
         self._pending_added.set()
+        self._update_reservation()
 
     async def _run(self) -> None:
         while not self._closing:
             while not self._pending:
                 self._pending_added.clear()
                 await self._pending_added.wait()
-            received = self._pending.pop(0)
+            received, size = self._pending.pop(0)
             self._busy = True
             self._stop_timer()
             if isinstance(received, RejectedRequest):
@@ -299,7 +386,10 @@
             # The body would live until the next request.
             del received
             self._busy = False
-            if not self._closing:
+            self._complete_size -= size
+            if self._closing:
+                self._update_reservation()
+            else:
                 self._await_next_request()
             if self._pending:
                 # Other connections' requests are served in turn.
@@ -332,8 +422,11 @@
         if self._unparsed:
             with memoryview(self._unparsed) as rest:
                 self._parse(rest, self._unparsed_at)
+        else:
+            self._update_reservation()
         if self._is_full and len(self._pending) < MAX_PIPELINED_REQUESTS:
             self._is_full = False
+            self._update_reservation()
         self._update_reading()
         seconds = (
             self._listener.header_seconds
@@ -345,14 +438,19 @@
     def _send_rejection(self, rejected: RejectedRequest) -> None:
         body = rejected.reason.encode()
         headers = [
+            *rejected.headers,
             (b"connection", b"close"),
             (b"content-type", b"text/plain"),
             (b"content-length", b"%d" % len(body)),
         ]
+        if rejected.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            headers.append((b"retry-after", SHED_RETRY_AFTER_SECONDS))
         self.write(encode_response(rejected.status, headers) + body)
         match rejected.status:
             case HTTPStatus.REQUEST_TIMEOUT:
                 cause = EndCause.REQUEST_TIMED_OUT
+            case HTTPStatus.SERVICE_UNAVAILABLE:
+                cause = EndCause.SHED
             case _:
                 cause = EndCause.REJECTED
         self._record_end(cause)
@@ -396,7 +494,7 @@
         if self._busy or self._pending:
             return
         if self._has_partial:
-            self._receiver.reject(
+            self._reject(
                 HTTPStatus.REQUEST_TIMEOUT,
                 "the request did not arrive in time",
             )
--- /dev/null
+++ b/burdockdrum/overload/__init__.py
@@ -0,0 +1,17 @@
+"""Limits of a process over all its connections.
+
+Limits of a single request or connection don't bound their sum. A process has
+one ``ProcessLimits``, which every listener uses.
+"""
+
+from burdockdrum.overload.limits import make_limits
+from burdockdrum.overload.limits import ProcessLimits
+from burdockdrum.overload.memory import MemoryBudget
+from burdockdrum.overload.memory import Reservation
+
+__all__ = [
+    "make_limits",
+    "MemoryBudget",
+    "ProcessLimits",
+    "Reservation",
+]
--- a/burdockdrum/passthrough/protocol/__init__.py
+++ b/burdockdrum/passthrough/protocol/__init__.py
@@ -36,6 +36,7 @@
 from burdockdrum.passthrough.protocol.model import Withdrawn
 from burdockdrum.passthrough.protocol.payloads import PayloadEncoder
 from burdockdrum.passthrough.protocol.refusal_responses import MAYBE_RUN_STATUS
+from burdockdrum.passthrough.protocol.refusal_responses import not_run_headers
 from burdockdrum.passthrough.protocol.refusal_responses import NOT_RUN_STATUSES
 from burdockdrum.passthrough.protocol.refusal_responses import send_refusal
 from burdockdrum.passthrough.protocol.refusal_responses import status_of
@@ -71,6 +72,7 @@
     "MAX_NOT_STARTED_ATTEMPTS",
     "MAYBE_RUN_STATUS",
     "must_return",
+    "not_run_headers",
     "NOT_RUN_STATUSES",
     "NotStarted",
     "Outcome",
--- a/burdockdrum/passthrough/protocol/refusal_responses.py
+++ b/burdockdrum/passthrough/protocol/refusal_responses.py
@@ -5,7 +5,9 @@
 """
 
 from burdockdrum.http1 import Exchange
+from burdockdrum.http1 import find_header
 from burdockdrum.http1 import Headers
+from burdockdrum.passthrough.protocol.header_names import HeaderNames
 from burdockdrum.passthrough.protocol.header_names import TIMED_OUT_STATUS
 from burdockdrum.passthrough.protocol.header_names import VERDICT
 from burdockdrum.verdicts import Refusal
@@ -49,6 +51,21 @@
     return _FINAL_STATUS_BY_CODE.get(refusal.code, NOT_RUN_STATUS)
 
 
+def not_run_headers(
+    headers: Headers, names: HeaderNames, *, to_vm: bool
+) -> Headers:
+    """Return the headers of the refusal of a request that was not read.
+
+    :param headers: those of the request; none if they had not arrived
+    :param to_vm: whether another entry VM forwards the request
+    """
+    given = find_header(headers, names.request_id)
+    identity = [] if given is None else [(names.request_id, given)]
+    if to_vm:
+        identity.append((VERDICT, Verdict.NOT_RUN.value.encode()))
+    return identity
+
+
 def send_refusal(
     exchange: Exchange, refusal: Refusal, identity: Headers, *, to_vm: bool
 ) -> None:
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -19,6 +19,7 @@
 from burdockdrum.http1 import Listener
 from burdockdrum.kernel import Kernel
 from burdockdrum.metrics import Metrics
+from burdockdrum.overload import ProcessLimits
 from burdockdrum.passthrough.brittle import ASK_TIMEOUT_SECONDS
 from burdockdrum.passthrough.brittle import BrittleEndpoints
 from burdockdrum.passthrough.brittle import PlaceBroker
@@ -29,6 +30,7 @@
 from burdockdrum.passthrough.brittle import UsedPlacesNotice
 from burdockdrum.passthrough.protocol import ActiveRoutes
 from burdockdrum.passthrough.protocol import HeaderNames
+from burdockdrum.passthrough.protocol import not_run_headers
 from burdockdrum.passthrough.protocol import PayloadEncoder
 from burdockdrum.passthrough.protocol import RequestReader
 from burdockdrum.passthrough.protocol import ResponseClassifier
@@ -601,6 +603,8 @@
     pauses = kernel.find("pauses", PauseDetector)
     routes = kernel.find("routes_in_force", ActiveRoutes)
     backoffs = kernel.find("requested_backoffs", RequestedBackoffs)
+    names = kernel.find("header_names", HeaderNames)
+    limits = kernel.find("process_limits", ProcessLimits)
     ended_total = kernel.find("metrics", Metrics).counter(
         "burdockdrum_ended_connections_total",
         "Connections of callers and of other entries that ended, by cause.",
@@ -619,6 +623,10 @@
             read_limits=lambda: routes.limits,
             awake_seconds_since=pauses.awake_seconds_since,
             on_end=count_end,
+            describe_refusal=lambda headers: not_run_headers(
+                headers, names, to_vm=False
+            ),
+            process_limits=limits,
         ),
         vms=Listener(
             address=settings.vms,
@@ -626,6 +634,10 @@
             read_limits=lambda: routes.hop_limits,
             awake_seconds_since=pauses.awake_seconds_since,
             on_end=count_end,
+            describe_refusal=lambda headers: not_run_headers(
+                headers, names, to_vm=True
+            ),
+            process_limits=limits,
         ),
         pools=[
             kernel.find("endpoint_pool", ConnectionPool),
--- a/burdockdrum/settings/model.py
+++ b/burdockdrum/settings/model.py
@@ -127,11 +127,16 @@
 
 
 class LimitSettings(_Section, frozen=True, kw_only=True):
-    """Limits of the size and the deadline of requests."""
+    """Limits of requests, and of this process over all of them.
+
+    ``memory_mb`` is the memory that this process may use, of which a part
+    holds requests; 0 stands for the memory of the machine.
+    """
 
     body_bytes: int = 4 * 1024 * 1024
     default_deadline_seconds: float = 60.0
     max_deadline_seconds: float = 600.0
+    memory_mb: int = 0
 
 
 class MechanismSettings(_Section, frozen=True, kw_only=True):
--- a/tests/http1/wire.py
+++ b/tests/http1/wire.py
@@ -10,6 +10,8 @@
     """A mixin with a listener on a free port and raw connections to it."""
 
     awake_seconds_since = None
+    describe_refusal = None
+    process_limits = None
 
     async def open(self, handle, **limits):
         """Open a listener that reads its limits from ``self.limits``."""
@@ -22,6 +24,8 @@
             read_limits=lambda: self.limits,
             awake_seconds_since=self.awake_seconds_since,
             on_end=lambda cause: self.ends.append(cause.value),
+            describe_refusal=self.describe_refusal,
+            process_limits=self.process_limits,
         )
         await self.listener.open()
         return self.listener
