Close unused connections before the descriptors run out

Cause: nothing counted the connections of all listeners, and nothing read the descriptors of the settings file.

Now accepted connections take five eighths of what the process may open (max_fds less the 200 for files, limits.descriptors of the own settings, else the limit of the system). Beyond that unused connections of the listener with most are closed for new ones, then idle ones, then those in the middle of a request, the oldest first; never one whose request is being handled. Each listener always gets some, so that callers can't keep operators, probes and other VMs out. They are counted when they are accepted, as one iteration of the event loop may accept a whole queue, whose length is an eighth at most.

Ruled out: to stop accepting, as ordinary callers would wait behind idle connections.

--- a/burdockdrum/gateway/base.py
+++ b/burdockdrum/gateway/base.py
@@ -41,6 +41,7 @@
     kernel.provide("metrics", metrics)
     limits = make_limits(
         memory_mb=settings.limits.memory_mb,
+        descriptors=settings.limits.descriptors,
     )
     limits.add_metrics(metrics)
     kernel.provide("process_limits", limits)
--- a/burdockdrum/http1/end_causes.py
+++ b/burdockdrum/http1/end_causes.py
@@ -15,8 +15,9 @@
     # A request was malformed or over a limit.
     REJECTED = "rejected"
     REQUEST_TIMED_OUT = "request_timed_out"
-    # Other requests needed its memory.
+    # Other requests needed its memory, or other connections its descriptor.
     SHED = "shed"
+    EVICTED = "evicted"
     # The caller did not read its response, and others needed its memory.
     SLOW_READER = "slow_reader"
     # A response had begun, and its handler ended first.
@@ -41,6 +42,7 @@
         EndCause.LEFT_WITH_REQUEST,
         # The process's limits log these.
         EndCause.SHED,
+        EndCause.EVICTED,
         EndCause.STOPPED,
     }
 )
--- a/burdockdrum/http1/listener.py
+++ b/burdockdrum/http1/listener.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 import socket
 import time
+from typing import cast
 
 from burdockdrum.http1.end_causes import EndCause
 from burdockdrum.http1.exchange import Exchange
@@ -18,9 +19,6 @@
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
-# The accept queue holds a burst of hundreds of connections; a client that
-# finds it full retransmits its SYN only after a second or more.
-BACKLOG = 1024
 POLL_INTERVAL_SECONDS = 0.005
 
 
@@ -105,10 +103,12 @@
     def add_connection(self, connection: ServerConnection) -> None:
         """Add an open connection."""
         self.connections.add(connection)
+        self.process_limits.connections.open(connection)
 
     def remove_connection(self, connection: ServerConnection) -> None:
         """Remove a connection that was closed."""
         self.connections.discard(connection)
+        self.process_limits.connections.close(connection)
 
     def describe_refusal(self, headers: Headers, /) -> Headers:
         """Return the headers of the refusal of a request that has not run."""
@@ -142,11 +142,18 @@
         raw.setblocking(False)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: ServerConnection(listener=self, handle=self._handle),
+            self._accept,
             sock=raw,
-            backlog=BACKLOG,
+            # A client that finds the queue full comes back a second later.
+            backlog=self.process_limits.backlog,
         )
 
+    def _accept(self) -> asyncio.BaseProtocol:
+        connection = ServerConnection(listener=self, handle=self._handle)
+        if self.process_limits.connections.accept(connection, id(self)):
+            return connection
+        return _RefusedConnection()
+
     async def close(self, *, timeout_seconds: float = 0.0) -> None:
         """Stop listening and close all connections.
 
@@ -166,5 +173,12 @@
             connection.stop()
 
 
+class _RefusedConnection(asyncio.Protocol):
+    """Closes a connection before anything is read."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        cast(asyncio.Transport, transport).abort()
+
+
 def _seconds_since(at: float) -> float:
     return time.monotonic() - at
--- a/burdockdrum/http1/server.py
+++ b/burdockdrum/http1/server.py
@@ -20,6 +20,7 @@
 from burdockdrum.http1.sockets import enable_keepalive
 from burdockdrum.http1.sockets import limit_receive_buffer
 from burdockdrum.http1.sockets import reset
+from burdockdrum.overload import EvictionRank
 from burdockdrum.overload import ProcessLimits
 from burdockdrum.overload import Reservation
 
@@ -118,6 +119,7 @@
         self._closing = False
         self._is_lost = False
         self._has_ended = False
+        self._has_served = False
         self._connected_at = time.monotonic()
         self._receiver = RequestReceiver(
             limits=listener,
@@ -351,6 +353,30 @@
         else:
             self.shed()
 
+    def evict(self) -> None:
+        """Close the connection, which has no complete request."""
+        self._record_end(EndCause.EVICTED)
+        if self._transport is not None:
+            self._closing = True
+            self._transport.abort()
+
+    @property
+    def eviction_rank(self) -> tuple[EvictionRank, float] | None:
+        """The rank and since when it applies; None while it is needed."""
+        if self._closing:
+            is_flushed = self._transport is not None and (
+                self._transport.get_write_buffer_size() == 0
+            )
+            rank = EvictionRank.UNUSED, self._connected_at
+            return rank if is_flushed else None
+        if self._busy or self._pending:
+            return None
+        if self._receiver.received_at:
+            return EvictionRank.INCOMPLETE, self._receiver.received_at
+        if self._has_served:
+            return EvictionRank.IDLE, self._timer_began
+        return EvictionRank.UNUSED, self._connected_at
+
     def _deliver(self, request: RequestHead, size: int) -> None:
         self._complete_size += size
         self._pending.append((request, size))
@@ -386,6 +412,7 @@
             # The body would live until the next request.
             del received
             self._busy = False
+            self._has_served = True
             self._complete_size -= size
             if self._closing:
                 self._update_reservation()
--- a/burdockdrum/settings/model.py
+++ b/burdockdrum/settings/model.py
@@ -130,13 +130,15 @@
     """Limits of requests, and of this process over all of them.
 
     ``memory_mb`` is the memory that this process may use, of which a part
-    holds requests; 0 stands for the memory of the machine.
+    holds requests, and ``descriptors`` the number that it may open; 0 stands
+    for the memory of the machine and the limit of the system.
     """
 
     body_bytes: int = 4 * 1024 * 1024
     default_deadline_seconds: float = 60.0
     max_deadline_seconds: float = 600.0
     memory_mb: int = 0
+    descriptors: int = 0
 
 
 class MechanismSettings(_Section, frozen=True, kw_only=True):
--- a/tests/http1/test_overload.py
+++ b/tests/http1/test_overload.py
@@ -4,6 +4,7 @@
 import unittest
 
 from burdockdrum.http1 import find_header
+from burdockdrum.overload import ConnectionLimit
 from burdockdrum.overload import MemoryBudget
 from burdockdrum.overload import ProcessLimits
 from tests.http1.wire import ListenerCase
@@ -20,11 +21,13 @@
 
 
 class OverloadTest(ListenerCase, unittest.IsolatedAsyncioTestCase):
-    """Room for one large request beside small ones,."""
+    """Room for one large request beside small ones, and 16 connections."""
 
     async def asyncSetUp(self):
         self.process_limits = ProcessLimits(
             memory=MemoryBudget(limit=900 * KIB),
+            connections=ConnectionLimit(limit=16),
+            backlog=16,
         )
         self.handled = []
         self.may_respond = asyncio.Event()
@@ -86,6 +89,7 @@
             connection.stop()
         await asyncio.sleep(0.05)
         self.assertEqual(0, self.process_limits.memory.used)
+        self.assertEqual(0, self.process_limits.connections.count)
 
     async def test_parsing_stops_when_enough_requests_wait(self):
         """Guards against thousands of requests of a single read."""
@@ -101,6 +105,13 @@
             self.assertIn(b"200 OK", await reader.readuntil(b"\r\n\r\n0"))
         self.assertEqual(count, len(self.handled))
 
+    async def test_idle_connections_make_room(self):
+        """Guards against callers that are refused beside unused ones."""
+        for _ in range(40):
+            await self.connect()
+        self.assertIn(b"200 OK", await self.send(SMALL))
+        self.assertLessEqual(self.process_limits.connections.count, 16)
+
     async def test_response_that_nobody_reads_gives_way(self):
         """Guards against memory for responses without a limit."""
 
