--- a/burdockdrum/http1/exchange.py
+++ b/burdockdrum/http1/exchange.py
@@ -6,6 +6,9 @@
 from burdockdrum.http1.heads import Headers
 from burdockdrum.http1.requests import RequestHead
 
+# Smaller bodies are copied behind their head, to be sent at once. Larger ones
+# may be the same object for many callers.
+_COPIED_BYTES = 4 * 1024
 _LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -89,7 +92,11 @@
         self.started = True
         if self.request.method == b"HEAD":
             body = b""
-        self._connection.write(head + body)
+        if len(body) < _COPIED_BYTES:
+            self._connection.write(head + body)
+        else:
+            self._connection.write(head)
+            self._connection.write(body)
         self.finished = True
 
     def start(self, status: int, headers: Headers) -> None:
