Write a body to endpoints without a copy for each attempt

Now the head is encoded for each attempt, and the body is written behind it as it was received. The bytes on the wire are the same. tests.passthrough and tests.http1 pass.

--- a/burdockdrum/http1/client.py
+++ b/burdockdrum/http1/client.py
@@ -118,9 +118,12 @@
         """
         return request_id not in self._carried_ids
 
-    def send(self, payload: bytes, request_id: bytes | None) -> None:
+    def send(
+        self, payload: bytes, request_id: bytes | None, *, body: bytes = b""
+    ) -> None:
         """Send a complete request.
 
+        :param body: sent after the payload, and not copied
         :param request_id: the id that the response must carry, None for any
         """
         assert self._transport is not None
@@ -132,7 +135,7 @@
         self._headers = []
         self._buffer.clear()
         self._overhead.begin_request()
-        self._transport.write(payload)
+        self._transport.writelines([payload, body] if body else [payload])
 
     async def read_head(self) -> ResponseHead:
         """Wait for the head of the response.
--- a/burdockdrum/passthrough/protocol/payloads.py
+++ b/burdockdrum/passthrough/protocol/payloads.py
@@ -58,7 +58,7 @@
         seconds_left: float,
         last_event: int | None,
     ) -> bytes:
-        """Return the payload for an endpoint.
+        """Return the head of the payload for an endpoint.
 
         :param fetch_from: the address to fetch a cached prefix from
         """
@@ -84,7 +84,7 @@
         last_event: int | None,
         software_version: str | None = None,
     ) -> bytes:
-        """Return the payload for an entry of another region.
+        """Return the head of the payload for an entry of another region.
 
         :param charge: how its retry budget counts the request
         :param software_version: the only one that may go on with the stream
@@ -125,4 +125,4 @@
         head = request.head
         if head.body or head.method not in (b"GET", b"HEAD"):
             headers.append((b"content-length", b"%d" % len(head.body)))
-        return encode_request(head.method, head.target, headers) + head.body
+        return encode_request(head.method, head.target, headers)
--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -336,7 +336,7 @@
             )
         self._report_slow_start(call, request, attempt)
         try:
-            connection.send(call.encode(), request_id)
+            connection.send(call.encode(), request_id, body=request.head.body)
             async with asyncio.timeout(left) as call.timeout:
                 call.watchdog = self._timeouts.start_watchdog(
                     call.target,
