Keep callers' values out of the daemon's log

What callers saw: each body that was not ended, and each caller that left, wrote a traceback to the daemon's log with the values of its variables: parts of the body, and what else was at hand, such as tokens.

Cause: loguru adds the values unless it is told not to, and an aborted body was an unexpected exception.

Now the daemon's log has tracebacks without values, and an aborted body is refused like any that is malformed. Nobody reads that response.

--- a/burdockdrum/daemon/logging_setup.py
+++ b/burdockdrum/daemon/logging_setup.py
@@ -16,6 +16,13 @@
     logger.remove()
     logger.configure(extra={"vm": vm_id})
     if settings.format == "json":
-        logger.add(sys.stderr, level=settings.level, serialize=True)
+        logger.add(
+            sys.stderr, level=settings.level, serialize=True, diagnose=False
+        )
     else:
-        logger.add(sys.stderr, level=settings.level, format=_TEXT_FORMAT)
+        logger.add(
+            sys.stderr,
+            level=settings.level,
+            format=_TEXT_FORMAT,
+            diagnose=False,
+        )
--- a/burdockdrum/web/reading.py
+++ b/burdockdrum/web/reading.py
@@ -3,6 +3,7 @@
 import io
 from typing import TypeVar
 
+from blacksheep.exceptions import MessageAborted
 from blacksheep.messages import Request
 import msgspec
 
@@ -26,16 +27,20 @@
 async def read_body(request: Request, limit: int) -> bytes:
     """Read a body of at most ``limit`` bytes.
 
-    :raises Refusal: if it is larger, without reading the rest
+    :raises Refusal: if it is larger, without reading the rest, or incomplete
     """
     declared = parse_count(request.get_first_header(b"content-length"))
     if declared is not None and declared > limit:
         raise _too_large(limit)
     body = io.BytesIO()
-    async for part in request.stream():  # type: ignore[attr-defined]
-        if body.tell() + len(part) > limit:
-            raise _too_large(limit)
-        body.write(part)
+    try:
+        async for part in request.stream():  # type: ignore[attr-defined]
+            if body.tell() + len(part) > limit:
+                raise _too_large(limit)
+            body.write(part)
+    except MessageAborted:
+        # Nobody reads the response, and the request has not run.
+        raise bad_request("the body did not arrive completely") from None
     # Not a copy.
     return body.getvalue()
 
--- a/tests/web/test_sockets.py
+++ b/tests/web/test_sockets.py
@@ -4,6 +4,8 @@
 import random
 import unittest
 
+from loguru import logger
+
 from burdockdrum.daemon import assemble
 from burdockdrum.peers import VmIdentity
 from burdockdrum.system_ports import PooledHttpClient
@@ -90,6 +92,18 @@
         reply = await self.send(head, *[chunk] * 5)
         self.assertIn(b" 413 ", reply)
 
+    async def test_caller_that_leaves_is_no_failure(self):
+        """Guards against a traceback for each body that is not ended."""
+        failures = []
+        sink = logger.add(failures.append, level="ERROR", format="{message}")
+        self.addCleanup(logger.remove, sink)
+        await self.send(
+            b"POST /v1/forward HTTP/1.1\r\nhost: x\r\nexpect: 100-continue\r\n"
+            b"content-length: 100\r\n\r\n"
+        )
+        await asyncio.sleep(0.1)
+        self.assertEqual([], failures)
+
 
 if __name__ == "__main__":
     unittest.main()
