Hold the own interface to the limits of its process

A request that didn't arrive was never ended.

Cause: uvicorn parses a read in one go, bounds no head and counts neither bodies nor connections; what a handler has read of a body was not counted.

Now its HTTP protocol is a subclass that uses the same budget and the same limit on connections as the pass-through: it parses in slices and stops when uvicorn pauses, refuses a head over 64 KB with 431, counts a body until its response is complete, refuses the incomplete request that holds most with 503, the verdict and Retry-After, and ends a request that takes over a minute to arrive. One with a key gets "may have run", as it may have elsewhere.

Open: a handshake of TLS that never ends counts as a connection, and can't be closed for others.

--- a/burdockdrum/daemon/daemon.py
+++ b/burdockdrum/daemon/daemon.py
@@ -12,6 +12,7 @@
 
 from burdockdrum.daemon.assembly import assemble
 from burdockdrum.kernel import Kernel
+from burdockdrum.overload import ProcessLimits
 from burdockdrum.peers import StartNumber
 from burdockdrum.peers import VmIdentity
 from burdockdrum.settings import Settings
@@ -129,4 +130,5 @@
         listener=listener,
         certificate_file=tls.certificate_file if tls else None,
         key_file=tls.key_file if tls else None,
+        process_limits=kernel.find("process_limits", ProcessLimits),
     )
--- a/burdockdrum/web/guard.py
+++ b/burdockdrum/web/guard.py
@@ -13,7 +13,7 @@
 from burdockdrum.web.responses import make_request_id
 from burdockdrum.web.responses import refusal_response
 
-_KEY_HEADER = b"idempotency-key"
+KEY_HEADER = b"idempotency-key"
 _CALLER_PATHS = (b"/services/", b"/v1/chat/completions", b"/v1/completions")
 
 Handler = Callable[[Request, str], Awaitable[Response]]
@@ -57,7 +57,7 @@
     """
     if refusal.verdict is not Verdict.NOT_RUN:
         return refusal
-    if request.get_first_header(_KEY_HEADER) is None:
+    if request.get_first_header(KEY_HEADER) is None:
         return refusal
     if not request.url.path.startswith(_CALLER_PATHS):
         return refusal
--- a/burdockdrum/web/responses.py
+++ b/burdockdrum/web/responses.py
@@ -8,6 +8,8 @@
 from blacksheep.messages import Response
 import msgspec
 
+from burdockdrum.http1 import encode_response
+from burdockdrum.http1 import Headers
 from burdockdrum.requests import VERDICT_HEADER
 from burdockdrum.verdicts import Refusal
 
@@ -33,6 +35,19 @@
     return f"req-{secrets.token_hex(10)}"
 
 
+def encode_refusal(status: int, refusal: Refusal) -> bytes:
+    """Return the whole response for a refusal that closes its connection."""
+    request_id = make_request_id()
+    body = msgspec.json.encode(_ErrorBody(_refusal_body(refusal, request_id)))
+    headers = [
+        *_refusal_headers(refusal, request_id),
+        (b"content-type", b"application/json"),
+        (b"content-length", b"%d" % len(body)),
+        (b"connection", b"close"),
+    ]
+    return encode_response(status, headers) + body
+
+
 def json_response(value: Any, *, status: int = 200) -> Response:
     """Return a response with a value encoded as JSON."""
     content = Content(b"application/json", msgspec.json.encode(value))
@@ -46,16 +61,28 @@
 
 def refusal_response(refusal: Refusal, request_id: str) -> Response:
     """Return the response for a refusal, with its code and verdict."""
-    body = RefusalBody(
+    body = _ErrorBody(_refusal_body(refusal, request_id))
+    response = json_response(body, status=refusal.status)
+    for name, value in _refusal_headers(refusal, request_id):
+        response.add_header(name, value)
+    return response
+
+
+def _refusal_body(refusal: Refusal, request_id: str) -> RefusalBody:
+    return RefusalBody(
         code=refusal.code.value,
         message=refusal.message,
         request_id=request_id,
         verdict=refusal.verdict.value,
     )
-    response = json_response(_ErrorBody(body), status=refusal.status)
-    response.add_header(REQUEST_ID_HEADER, request_id.encode())
-    response.add_header(_VERDICT_HEADER, refusal.verdict.value.encode())
+
+
+def _refusal_headers(refusal: Refusal, request_id: str) -> Headers:
+    headers = [
+        (REQUEST_ID_HEADER, request_id.encode()),
+        (_VERDICT_HEADER, refusal.verdict.value.encode()),
+    ]
     if refusal.retry_after is not None:
         seconds = max(1, math.ceil(refusal.retry_after))
-        response.add_header(b"retry-after", str(seconds).encode())
-    return response
+        headers.append((b"retry-after", str(seconds).encode()))
+    return headers
--- a/burdockdrum/web/server.py
+++ b/burdockdrum/web/server.py
@@ -3,12 +3,17 @@
 import asyncio
 from collections.abc import Iterator
 import contextlib
+import functools
 import socket
+from typing import cast
 
 from blacksheep import Application
 import uvicorn
 
-BACKLOG = 1024
+from burdockdrum.overload import make_limits
+from burdockdrum.overload import ProcessLimits
+from burdockdrum.web.protocol import LimitedHttpProtocol
+
 _TICKS_PER_SECOND = 10
 
 
@@ -48,8 +53,17 @@
         listener: socket.socket,
         certificate_file: str | None = None,
         key_file: str | None = None,
+        process_limits: ProcessLimits | None = None,
     ) -> None:
-        """Create a server for a bound socket."""
+        """Create a server for a bound socket.
+
+        :param process_limits: what all connections of the process may use
+            together; by default those of the system, for this server alone
+        """
+        limits = process_limits or make_limits()
+        protocol = functools.partial(
+            LimitedHttpProtocol, process_limits=limits
+        )
         self.stopped = asyncio.Event()
         self._application = application
         self._listener = listener
@@ -59,7 +73,8 @@
                 log_config=None,
                 access_log=False,
                 lifespan="off",
-                backlog=BACKLOG,
+                backlog=limits.backlog,
+                http=cast(type[asyncio.Protocol], protocol),
                 ssl_certfile=certificate_file,
                 ssl_keyfile=key_file,
             )
