Give large buffers back when they end

Cause: the C library moves large buffers to its heap once one has been freed. Many that grow side by side leave holes there, which stay with the process.

Now both programs fix the size from which a buffer has a mapping of its own, which grows in place and is given back.

--- a/burdockdrum/daemon/daemon.py
+++ b/burdockdrum/daemon/daemon.py
@@ -21,6 +21,7 @@
 from burdockdrum.system_ports import make_ssl_context
 from burdockdrum.system_ports import PooledHttpClient
 from burdockdrum.system_ports import PynngNetwork
+from burdockdrum.system_ports import return_large_buffers
 from burdockdrum.system_ports import SystemClock
 from burdockdrum.vms import Drain
 from burdockdrum.web import bind
@@ -41,6 +42,7 @@
     async def run(self) -> None:
         """Serve until a signal or a drain, then finish active requests."""
         limit_threads()
+        return_large_buffers()
         kernel = await self._assemble()
         drain = kernel.find("drain", Drain)
         loop = asyncio.get_running_loop()
--- a/burdockdrum/gateway/process.py
+++ b/burdockdrum/gateway/process.py
@@ -20,6 +20,7 @@
 from burdockdrum.system_ports import FolderDisk
 from burdockdrum.system_ports import limit_threads
 from burdockdrum.system_ports import PynngNetwork
+from burdockdrum.system_ports import return_large_buffers
 from burdockdrum.system_ports import SystemClock
 from burdockdrum.timeline import Timeline
 from burdockdrum.vms import Drain
@@ -54,6 +55,7 @@
         log = set_up_structured_log(self._settings.log, self._name)
         log_task = asyncio.create_task(log.run())
         limit_threads()
+        return_large_buffers()
         try:
             await self._serve(log)
         except BaseExceptionGroup as group:
--- a/burdockdrum/system_ports/__init__.py
+++ b/burdockdrum/system_ports/__init__.py
@@ -4,6 +4,7 @@
 
 from burdockdrum.system_ports.clock import SystemClock
 from burdockdrum.system_ports.disk import FolderDisk
+from burdockdrum.system_ports.memory import return_large_buffers
 from burdockdrum.system_ports.network import limit_threads
 from burdockdrum.system_ports.network import PynngNetwork
 from burdockdrum.system_ports.tls import make_ssl_context
@@ -14,6 +15,7 @@
     "make_ssl_context",
     "PooledHttpClient",
     "PynngNetwork",
+    "return_large_buffers",
     "SystemClock",
 ]
 
