Bound chunk extensions and trailers at the own interface

Found in the last read of the protocol: a trailer without end, or a chunk extension, is no head and no body, so nothing bounded it at the daemon, and the parser keeps a header until its end. The pass-through has that limit.

Now 64 KB beyond 12 bytes for each byte of body are refused with 400, as there. The verdict of such refusals is in one place: "may have run" where a key may be in what has not arrived. The unit test was red before (no answer in 5 s).

--- a/burdockdrum/http1/__init__.py
+++ b/burdockdrum/http1/__init__.py
@@ -21,6 +21,7 @@
 from burdockdrum.http1.numbers import parse_count
 from burdockdrum.http1.numbers import parse_decimal
 from burdockdrum.http1.numbers import parse_seconds
+from burdockdrum.http1.overhead import FRAMING_BYTES_PER_BODY_BYTE
 from burdockdrum.http1.pool import ConnectionPool
 from burdockdrum.http1.pool import NotConnected
 from burdockdrum.http1.requests import RequestHead
@@ -33,6 +34,7 @@
     "EndCause",
     "Exchange",
     "find_header",
+    "FRAMING_BYTES_PER_BODY_BYTE",
     "Handler",
     "Headers",
     "Limits",
--- a/burdockdrum/web/protocol.py
+++ b/burdockdrum/web/protocol.py
@@ -12,6 +12,7 @@
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from burdockdrum.http1 import FRAMING_BYTES_PER_BODY_BYTE
 from burdockdrum.logs import log_failure
 from burdockdrum.overload import EvictionRank
 from burdockdrum.overload import ProcessLimits
@@ -76,6 +77,8 @@
         self._is_in_body = False
         self._head_size = 0
         self._head_cost = 0
+        # Chunk sizes, chunk extensions and trailers, in bytes.
+        self._framing_size = 0
         self._body_size = 0
         self._unsent_size = 0
         self._arrival_timer: asyncio.TimerHandle | None = None
@@ -128,18 +131,13 @@
             size = BODY_SLICE_BYTES if self._is_in_body else SLICE_BYTES
             part = data[position : position + size]
             position += len(part)
-            if not self._is_in_body:
+            if self._is_in_body:
+                self._framing_size += len(part)
+            else:
                 self._head_size += len(part)
             super().data_received(part)
-            if self._head_size > MAX_HEAD_BYTES:
-                self._send_refusal(
-                    431,
-                    Refusal(
-                        code=RefusalCode.BAD_REQUEST,
-                        message="the head is too large",
-                        verdict=Verdict.NOT_RUN,
-                    ),
-                )
+            if max(self._head_size, self._framing_size) > MAX_HEAD_BYTES:
+                self._refuse_overhead()
         if self._is_refused or self.transport.is_closing():
             self._rest = b""
             return
@@ -153,6 +151,13 @@
         if not self._update_reservation():
             self.shed()
 
+    def _refuse_overhead(self) -> None:
+        if self._head_size > MAX_HEAD_BYTES:
+            status, what = 431, "the head is"
+        else:
+            status, what = 400, "chunk extensions and trailers are"
+        self._refuse(status, RefusalCode.BAD_REQUEST, f"{what} too large")
+
     def _stops(self) -> bool:
         is_closing = self._is_refused or self.transport.is_closing()
         return is_closing or self.flow.read_paused
@@ -172,11 +177,14 @@
         """Count a part of the body, which the handler keeps."""
         if not self.cycle.response_complete:
             self._body_size += len(body)
+        justified = (1 + FRAMING_BYTES_PER_BODY_BYTE) * len(body)
+        self._framing_size = max(0, self._framing_size - justified)
         super().on_body(body)
 
     def on_message_complete(self) -> None:
         """Expect the next request."""
         self._is_in_body = False
+        self._framing_size = 0
         self._received_at = 0.0
         super().on_message_complete()
 
@@ -212,7 +220,7 @@
             return True
         requests = len(self.pipeline) * REQUEST_OVERHEAD_BYTES
         size = len(self._rest) + self._head_size + self._head_cost + requests
-        size += self._body_size + self._unsent_size
+        size += self._framing_size + self._body_size + self._unsent_size
         if size <= FREE_BYTES:
             size = 0
         if not size and not self._reservation.size:
@@ -234,22 +242,40 @@
         if not self._is_incomplete:
             self.transport.abort()
             return
-        # A keyed request may have run elsewhere under its key.
-        has_key = any(name == KEY_HEADER for name, _ in self.headers or ())
-        self._send_refusal(
+        self._refuse(
             503,
-            Refusal(
-                code=RefusalCode.OVERLOADED,
-                message="too many large requests are being received",
-                verdict=Verdict.MAY_HAVE_RUN if has_key else Verdict.NOT_RUN,
-                retry_after=SHED_RETRY_AFTER_SECONDS,
-            ),
+            RefusalCode.OVERLOADED,
+            "too many large requests are being received",
+            retry_after=SHED_RETRY_AFTER_SECONDS,
         )
 
-    def _send_refusal(self, status: int, refusal: Refusal) -> None:
+    @property
+    def _may_have_run(self) -> bool:
+        """Whether the request may have run elsewhere, under a key."""
+        if not self._is_in_body:
+            # The key may be in what has not arrived.
+            return True
+        return any(name == KEY_HEADER for name, _ in self.headers)
+
+    def _refuse(
+        self,
+        status: int,
+        code: RefusalCode,
+        message: str,
+        *,
+        retry_after: float | None = None,
+    ) -> None:
         """Respond in place of the handler, and close the connection."""
         if self._is_refused or self.transport.is_closing():
             return
+        refusal = Refusal(
+            code=code,
+            message=message,
+            verdict=Verdict.MAY_HAVE_RUN
+            if self._may_have_run
+            else Verdict.NOT_RUN,
+            retry_after=retry_after,
+        )
         if self.cycle is not None and not self.cycle.response_complete:
             # The handler waits for the rest of the body.
             self.cycle.disconnected = True
--- a/tests/web/test_protocol.py
+++ b/tests/web/test_protocol.py
@@ -102,6 +102,15 @@
         answer = await self.read(await self.open(head))
         self.assertIn(b" 431 ", answer)
 
+    async def test_endless_bytes_beside_the_body_are_refused(self):
+        """Guards against memory for trailers without end."""
+        head = b"POST /count HTTP/1.1\r\nhost: x\r\n"
+        head += b"transfer-encoding: chunked\r\n\r\n"
+        for kind in (b"0\r\nx: ", b"1;x="):
+            with self.subTest(kind):
+                reader = await self.open(head + kind + b"a" * 200 * KIB)
+                self.assertIn(b" 400 ", await self.read(reader))
+
     async def test_largest_incomplete_request_gives_way(self):
         first = await self.open(unfinished(700 * KIB))
         keyed = await self.open(
