--- a/tests/hostile/test_processes.py
+++ b/tests/hostile/test_processes.py
@@ -221,6 +221,55 @@
         await self.attack(self.control, CONTROL_PORT, b"", count=400)
 
 
+class FaultsTest(HostileClientsCase, unittest.IsolatedAsyncioTestCase):
+    """Crowds at several processes and listeners beside faults."""
+
+    async def test_crowds_everywhere_while_a_control_vm_restarts(self):
+        """Guards against budgets that hold for one listener or in calm."""
+        whole = sized_body("/p/slow", *IDENTITY, missing=0)
+        small_chunks = chunked_body("/p/x", *IDENTITY, chunk_bytes=2)
+        waves = [
+            (self.entry, CALLERS_PORT, whole, 30),
+            (self.entry, CALLERS_PORT, pipelined("/p/x", 2000), 30),
+            (self.entry, VMS_PORT, small_chunks, 5),
+            (self.entry, DIRECTORY_PORT, many_headers("/", 30_000), 50),
+            (self.control, CONTROL_PORT, sized_body("/v1/config"), 30),
+            (self.control, CONTROL_PORT, pipelined("/v1/config", 2000), 30),
+            (self.control, DIRECTORY_PORT, b"", 200),
+        ]
+        gauges = [Gauge(m.process.pid) for m in (self.entry, self.control)]
+        sampling = [asyncio.create_task(g.sample()) for g in gauges]
+        crowds = [Crowd(ip=m.ip, port=port) for m, port, _, _ in waves]
+        running = asyncio.gather(
+            *(
+                crowd.run(data, count=count)
+                for crowd, (_, _, data, count) in zip(
+                    crowds, waves, strict=True
+                )
+            )
+        )
+        try:
+            other = self.deployment.control[1]
+            await other.stop()
+            await self.is_answered()
+            await other.start()
+            await running
+            await self.is_answered()
+        finally:
+            for crowd in crowds:
+                crowd.close()
+            for task in sampling:
+                task.cancel()
+        self.assertIsNone(self.entry.process.returncode)
+        self.assertIsNone(self.control.process.returncode)
+        self.assertTrue(await until(self.put_config, ANSWER_SECONDS))
+        for gauge in gauges:
+            self.assertLess(gauge.memory_mb, MEMORY_MB)
+            self.assertLessEqual(
+                gauge.descriptors, MAX_DESCRIPTORS - FILE_DESCRIPTORS
+            )
+
+
 async def respond_in_small_chunks(reader, writer):
     """Send a long response in chunks of two bytes."""
     while True:
