Count TLS connections from their accept, and close stalled handshakes

What callers saw: at the own interface with TLS, clients that connect and say nothing hold a descriptor each for a minute, and with the limit on connections others are refused meanwhile.

Cause: uvicorn hears of a connection when its handshake has ended, so that one whose handshake never does could be neither counted as idle nor closed.

Now a listener with TLS accepts by itself: a connection counts from its accept, is closed for others like any that never had a request, and its handshake may take 10 s. Certificates and requests are handled as before.

Evidence: the unit test was red before (the request of an ordinary caller was cut beside 60 stalled handshakes and 32 descriptors); also under uvloop, which the daemon runs on. Ruled out: loop.start_tls on an accepted connection, as uvloop may read the client's first message before the handshake begins.

--- a/burdockdrum/overload/connections.py
+++ b/burdockdrum/overload/connections.py
@@ -12,9 +12,8 @@
 GUARANTEED_FRACTION = 1 / 32
 # Closed at once, as finding them looks at all connections.
 EVICTION_BATCH = 16
-# Longer than the handshake of TLS may take; without it a connection that is
-# accepted is opened in the next iteration of the event loop.
-UNOPENED_SECONDS = 75.0
+# A connection that is accepted is opened in the next iteration of the loop.
+UNOPENED_SECONDS = 10.0
 
 Group = Hashable
 
--- a/burdockdrum/web/protocol.py
+++ b/burdockdrum/web/protocol.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+import socket
 import time
 from typing import Any
 
@@ -66,6 +67,8 @@
         super().__init__(*arguments, **options)
         self._limits = process_limits
         self._connected_at = time.monotonic()
+        # Of a connection that begins with a handshake.
+        self._raw: socket.socket | None = None
         self._is_accepted = process_limits.connections.accept(self, _GROUP)
         self._reservation = Reservation(
             budget=process_limits.memory, shed=self.shed
@@ -87,24 +90,42 @@
         self, transport: asyncio.Transport
     ) -> None:
         """Open the connection, or close it as there are too many."""
+        if self._raw is None:
+            self._count_open()
         if not self._is_accepted:
             self.transport = transport
             transport.abort()
             return
         super().connection_made(transport)
         self.flow = _Flow(transport, self._read_on)
-        self._limits.connections.open(self)
         self._start_arrival_timer()
 
-    def connection_lost(self, exc: Exception | None) -> None:
+    def begin(self, raw: socket.socket) -> bool:
+        """Count the connection during its handshake.
+
+        :returns: False if it has to close, as there are too many
+        """
+        self._raw = raw
+        self._count_open()
+        return self._is_accepted
+
+    def _count_open(self) -> None:
+        if self._is_accepted:
+            self._limits.connections.open(self)
+
+    def end(self) -> None:
         """Give everything back."""
-        super().connection_lost(exc)
         if self._arrival_timer is not None:
             self._arrival_timer.cancel()
         self._rest = b""
         self._limits.connections.close(self)
         self._reservation.release()
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Give everything back, as the connection is closed."""
+        super().connection_lost(exc)
+        self.end()
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes until reading is paused."""
         if self._is_refused or not self._is_accepted:
@@ -306,7 +327,11 @@
 
     def evict(self) -> None:
         """Close the connection, which has no complete request."""
-        self.transport.abort()
+        if self.transport is not None:
+            self.transport.abort()
+        elif self._raw is not None:
+            # The handshake fails.
+            self._raw.shutdown(socket.SHUT_RDWR)
 
     def _start_arrival_timer(self) -> None:
         if self._arrival_timer is not None:
--- a/burdockdrum/web/server.py
+++ b/burdockdrum/web/server.py
@@ -12,6 +12,8 @@
 
 from burdockdrum.overload import make_limits
 from burdockdrum.overload import ProcessLimits
+from burdockdrum.web.acceptor import make_server_context
+from burdockdrum.web.acceptor import TlsAcceptor
 from burdockdrum.web.protocol import LimitedHttpProtocol
 
 _TICKS_PER_SECOND = 10
@@ -75,28 +77,50 @@
                 lifespan="off",
                 backlog=limits.backlog,
                 http=cast(type[asyncio.Protocol], protocol),
-                ssl_certfile=certificate_file,
-                ssl_keyfile=key_file,
             )
         )
 
+        self._acceptor: TlsAcceptor | None = None
+        self._accepting: asyncio.Task[None] | None = None
+        if certificate_file is not None and key_file is not None:
+            self._acceptor = TlsAcceptor(
+                listener=listener,
+                context=make_server_context(certificate_file, key_file),
+                make_connection=lambda: protocol(
+                    config=self._server.config,
+                    server_state=self._server.server_state,
+                    app_state={},
+                ),
+                backlog=limits.backlog,
+            )
+
     async def run(self) -> None:
         """Serve until ``stop`` is called and every response is sent."""
         await self._application.start()
+        sockets = [self._listener]
+        if self._acceptor is not None:
+            sockets = []
+            self._accepting = asyncio.create_task(self._acceptor.run())
         try:
-            await self._server.serve(sockets=[self._listener])
+            await self._server.serve(sockets=sockets)
         except asyncio.CancelledError:
             self._server.force_exit = True
             raise
         finally:
+            self._stop_accepting()
             await self._application.stop()
             self.stopped.set()
 
     def stop(self) -> None:
         """Stop accepting connections and finish the running requests."""
+        self._stop_accepting()
         self._server.should_exit = True
         self._server.stopping.set()
 
+    def _stop_accepting(self) -> None:
+        if self._accepting is not None:
+            self._accepting.cancel()
+
 
 def bind(host: str, port: int) -> socket.socket:
     """Return a bound socket; port 0 selects a free one."""
--- a/tests/daemon/test_tls.py
+++ b/tests/daemon/test_tls.py
@@ -12,6 +12,7 @@
 from blacksheep.messages import Response
 from blacksheep.server.routing import Router
 
+from burdockdrum.overload import make_limits
 from burdockdrum.ports import ConnectFailed
 from burdockdrum.ports import read_whole
 from burdockdrum.ports import UpstreamCall
@@ -35,12 +36,14 @@
         application = Application(router=Router())
         application.router.add_get("/", greet)
         listener = bind("127.0.0.1", 0)
-        self.url = f"https://127.0.0.1:{listener.getsockname()[1]}/"
+        self.port = listener.getsockname()[1]
+        self.url = f"https://127.0.0.1:{self.port}/"
         self.web = WebServer(
             application=application,
             listener=listener,
             certificate_file=CERTIFICATE,
             key_file=str(FOLDER / "key.pem"),
+            process_limits=make_limits(descriptors=32),
         )
         self.serving = asyncio.create_task(self.web.run())
 
@@ -60,6 +63,14 @@
         context = make_ssl_context(CERTIFICATE)
         self.assertEqual((200, b"hello"), await self.call(context))
 
+    async def test_handshakes_without_end_make_room(self):
+        """Guards against callers that are refused beside stalled ones."""
+        for _ in range(60):
+            _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            self.addCleanup(writer.close)
+        context = make_ssl_context(CERTIFICATE)
+        self.assertEqual((200, b"hello"), await self.call(context))
+
     async def test_untrusted_certificate_is_a_connect_failure(self):
         # The handshake fails before a byte of the request is sent. The
         # server's log of the failure is silenced.
