--- a/burdockdrum/http1/server.py
+++ b/burdockdrum/http1/server.py
@@ -6,7 +6,6 @@
 from http import HTTPStatus
 import time
 from typing import cast
-from typing import Protocol
 
 from loguru import logger
 
@@ -14,6 +13,7 @@
 from burdockdrum.http1.exchange import Exchange
 from burdockdrum.http1.heads import encode_response
 from burdockdrum.http1.heads import Headers
+from burdockdrum.http1.listener_protocol import ListenerProtocol
 from burdockdrum.http1.receiver import RequestReceiver
 from burdockdrum.http1.requests import RejectedRequest
 from burdockdrum.http1.requests import RequestHead
@@ -21,7 +21,6 @@
 from burdockdrum.http1.sockets import limit_receive_buffer
 from burdockdrum.http1.sockets import reset
 from burdockdrum.overload import EvictionRank
-from burdockdrum.overload import ProcessLimits
 from burdockdrum.overload import Reservation
 
 MAX_PIPELINED_REQUESTS = 2
@@ -44,54 +43,6 @@
 MAX_EARLY_SECONDS = 0.01
 
 
-class ListenerProtocol(Protocol):
-    """The interface of a listener that its connections use."""
-
-    draining: bool
-    process_limits: ProcessLimits
-    read_buffer: memoryview
-
-    @property
-    def header_bytes(self) -> int:
-        """The maximum size of a request's head."""
-        ...
-
-    @property
-    def body_bytes(self) -> int:
-        """The maximum size of a request's body."""
-        ...
-
-    @property
-    def header_seconds(self) -> float:
-        """The timeout for receiving a complete request."""
-        ...
-
-    @property
-    def idle_seconds(self) -> float:
-        """The idle timeout of a connection."""
-        ...
-
-    def awake_seconds_since(self, at: float, /) -> float:
-        """Return for how long this process has run since a time."""
-        ...
-
-    def describe_refusal(self, headers: Headers, /) -> Headers:
-        """Return the headers of the refusal of a request that has not run."""
-        ...
-
-    def record_end(self, cause: EndCause, *, unanswered: int) -> None:
-        """Record why a connection ends."""
-        ...
-
-    def add_connection(self, connection: "ServerConnection") -> None:
-        """Add an open connection."""
-        ...
-
-    def remove_connection(self, connection: "ServerConnection") -> None:
-        """Remove a connection that was closed."""
-        ...
-
-
 class ServerConnection(asyncio.BufferedProtocol):
     """Reads requests and handles each before the next."""
 
@@ -139,6 +90,7 @@
         # Of the requests that wait or are handled, and of the response.
         self._complete_size = 0
         self._unsent_size = 0
+        # Of the refusal of a request that has not run.
         self._rejected_headers: Headers = []
 
     @property
