Record that idle connections at the port between VMs have no bound

Frames of those that are no VM cost nothing (42 MB); idle connections take a descriptor each, as nng waits for their hello without end and counts nobody. The port is for VMs only.

--- a/tests/hostile/test_processes.py
+++ b/tests/hostile/test_processes.py
@@ -30,6 +30,8 @@
 FILE_DESCRIPTORS = 200
 VMS_PORT = INTERNAL_PORT_RANGE[0] + 1
 METRICS_PORT = 9464
+# Of a message between VMs, below the largest.
+FRAME_BYTES = 900 * 1024
 ANSWER_SECONDS = 30
 IDENTITY = ("X-Request-Id: c1", "X-Deadline-Ms: 3000")
 
@@ -216,6 +218,18 @@
             self.entry, METRICS_PORT, data, count=200, reads=False
         )
 
+    async def test_frames_at_the_port_between_vms(self):
+        """Guards against memory for frames of those that are no VM."""
+        hello = b"\0SP\0\0\x51\0\0"
+        frame = FRAME_BYTES.to_bytes(8) + bytes(FRAME_BYTES)
+        await self.attack(
+            self.entry, INTERNAL_PORT_RANGE[0], hello + frame * 4, count=60
+        )
+
+    async def test_idle_connections_at_the_port_between_vms(self):
+        """Guards against descriptors that run out by those that are no VM."""
+        await self.attack(self.entry, INTERNAL_PORT_RANGE[0], b"", count=400)
+
     async def test_idle_connections_at_the_control_address(self):
         """Guards against descriptors that run out at a control VM."""
         await self.attack(self.control, CONTROL_PORT, b"", count=400)
