--- a/burdockdrum/http1/receiver.py
+++ b/burdockdrum/http1/receiver.py
@@ -16,6 +16,7 @@
 from burdockdrum.http1.numbers import parse_count
 from burdockdrum.http1.overhead import FRAMING_BYTES_PER_BODY_BYTE
 from burdockdrum.http1.requests import RequestHead
+from burdockdrum.overload import HEADER_OVERHEAD_BYTES
 
 # The parser does not stop inside what it is given, so it gets small slices;
 # a part of a body whose length is known holds nothing else.
@@ -24,8 +25,6 @@
 HEAD_READ_BYTES = 16 * 1024
 CHUNKED_READ_BYTES = 4 * 1024
 MAX_READ_BYTES = 64 * 1024
-# A tuple, its place in a list and two byte strings without their content.
-HEADER_OVERHEAD_BYTES = 160
 # A request, its task's frames and its exchange.
 REQUEST_OVERHEAD_BYTES = 1024
 # A growing buffer allocates an eighth more than it needs.
--- a/burdockdrum/overload/__init__.py
+++ b/burdockdrum/overload/__init__.py
@@ -9,6 +9,7 @@
 from burdockdrum.overload.connections import Group
 from burdockdrum.overload.limits import make_limits
 from burdockdrum.overload.limits import ProcessLimits
+from burdockdrum.overload.memory import HEADER_OVERHEAD_BYTES
 from burdockdrum.overload.memory import MemoryBudget
 from burdockdrum.overload.memory import Reservation
 
@@ -16,6 +17,7 @@
     "ConnectionLimit",
     "EvictionRank",
     "Group",
+    "HEADER_OVERHEAD_BYTES",
     "make_limits",
     "MemoryBudget",
     "ProcessLimits",
--- a/burdockdrum/overload/memory.py
+++ b/burdockdrum/overload/memory.py
@@ -4,6 +4,9 @@
 
 from burdockdrum.logs import log_failure
 
+# What a header holds besides its bytes: a tuple, its place in a list and two
+# byte strings.
+HEADER_OVERHEAD_BYTES = 160
 # Requests up to this size may use the whole budget, larger ones only a part
 # of it, so that large bodies leave room for ordinary callers.
 SMALL_REQUEST_BYTES = 64 * 1024
--- a/burdockdrum/web/protocol.py
+++ b/burdockdrum/web/protocol.py
@@ -16,6 +16,7 @@
 from burdockdrum.http1 import FRAMING_BYTES_PER_BODY_BYTE
 from burdockdrum.logs import log_failure
 from burdockdrum.overload import EvictionRank
+from burdockdrum.overload import HEADER_OVERHEAD_BYTES
 from burdockdrum.overload import ProcessLimits
 from burdockdrum.overload import Reservation
 from burdockdrum.verdicts import Refusal
@@ -30,7 +31,6 @@
 # One read of the event loop; many small chunks in it are parsed in turns.
 TURN_BYTES = 16 * 1024
 MAX_HEAD_BYTES = 64 * 1024
-HEADER_OVERHEAD_BYTES = 160
 REQUEST_OVERHEAD_BYTES = 4 * 1024
 # What a connection may hold before it is counted.
 FREE_BYTES = 8 * 1024
--- a/tests/hostile/test_processes.py
+++ b/tests/hostile/test_processes.py
@@ -21,6 +21,7 @@
 from tests.hostile.crowds import sized_body
 from tests.http1.wire import header
 from tests.http1.wire import read_request
+from tests.platform.processes import CONFIG
 from tests.platform.processes import ProcessesCase
 
 # Lower than on the machines of the pages, so that small crowds suffice.
@@ -332,32 +333,21 @@
 
     async def test_documents_that_nobody_reads(self):
         """Guards against memory for documents that clients don't read."""
+        (route,) = CONFIG["routes"]
         routes = [
             {
-                "name": f"r{number}",
-                "host": "h",
-                "path_prefix": f"/many{number}/",
+                **route,
+                "name": f"r{n}",
+                "path_prefix": f"/many{n}/",
                 "kind": "safe",
-                "timeout_ms": 3000,
-                "service": "s",
             }
-            for number in range(3000)
+            for n in range(3000)
         ]
         document = json.dumps(
             {
+                **CONFIG,
                 "version": 9,
-                "routes": [
-                    {
-                        "name": "fetch",
-                        "host": "h",
-                        "path_prefix": "/p/",
-                        "kind": "unsafe",
-                        "timeout_ms": 3000,
-                        "service": "s",
-                    },
-                    *routes,
-                ],
-                "services": [{"name": "s"}],
+                "routes": [*CONFIG["routes"], *routes],
             }
         ).encode()
 
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -121,6 +121,16 @@
         self.assertEqual("10.0.0.2:81", settings.passthrough.callers)
         self.assertEqual("10.0.0.2:7001", settings.passthrough.vms)
 
+    def test_limits_of_the_machine_are_those_of_the_process(self):
+        text = BOOT + "[limits]\nmemory_limit_mb = 300\nmax_fds = 4100\n"
+        limits = make_settings(self.read(text)).limits
+        self.assertEqual(300, limits.memory_mb)
+        self.assertEqual(3900, limits.descriptors)
+        unlimited = make_settings(self.read(BOOT)).limits
+        self.assertEqual((0, 0), (unlimited.memory_mb, unlimited.descriptors))
+        few = make_settings(self.read(text.replace("4100", "150"))).limits
+        self.assertEqual(1, few.descriptors)
+
     def test_invalid_settings_file_is_rejected(self):
         for text in ("", "node = ", BOOT.replace('zone = "a"', "zone = 3")):
             with self.assertRaises(ValueError):
