Don't time out a request that was sent in time

What callers saw: one body inside the limits, 4 MB in chunks of one byte, was answered 408, though it had been sent within a second.

Now the time for which a connection has left chunks unread, as it yields to others, is not counted. It ends as soon as nothing is left to read, so a caller that pauses between full reads is timed out as before.

Evidence: two unit tests, the first red before (408), the second guards the bound; one with a real process.

--- a/burdockdrum/http1/server.py
+++ b/burdockdrum/http1/server.py
@@ -18,6 +18,7 @@
 from burdockdrum.http1.requests import RejectedRequest
 from burdockdrum.http1.requests import RequestHead
 from burdockdrum.http1.sockets import enable_keepalive
+from burdockdrum.http1.sockets import has_unread
 from burdockdrum.http1.sockets import limit_receive_buffer
 from burdockdrum.http1.sockets import reset
 from burdockdrum.overload import EvictionRank
@@ -84,6 +85,10 @@
         self._unparsed_at = 0.0
         self._is_full = False
         self._has_yielded = False
+        # Since when something is left to read, and for how long that was so
+        # since the timer was started.
+        self._backlog_since: float | None = None
+        self._backlog_seconds = 0.0
         self._reservation = Reservation(
             budget=listener.process_limits.memory, shed=self.shed
         )
@@ -213,14 +218,22 @@
         """Parse received bytes and enforce the limits."""
         if self._receiver.is_rejected or self._closing:
             return
-        is_filled = size == self._receiver.read_size
         now = time.monotonic()
+        self._end_backlog(now)
+        is_filled = size == self._receiver.read_size
         if not (self._receiver.received_at or self._busy):
             self._start_timer(self._listener.header_seconds)
         self._parse(self._listener.read_buffer[:size], now)
         if is_filled and self._receiver.is_chunked:
+            self._backlog_since = now
             self._yield_turn()
 
+    def _end_backlog(self, now: float) -> None:
+        """Count the time for which the caller had sent more than was read."""
+        if self._backlog_since is not None:
+            self._backlog_seconds += now - self._backlog_since
+            self._backlog_since = None
+
     def _parse(self, data: memoryview, arrived_at: float) -> None:
         """Parse until enough requests wait, and keep the rest."""
         position = 0
@@ -258,6 +271,8 @@
 
     def _end_yield(self) -> None:
         self._has_yielded = False
+        if self._transport is None or not has_unread(self._transport):
+            self._end_backlog(time.monotonic())
         self._update_reading()
 
     def _update_reading(self) -> None:
@@ -450,6 +465,7 @@
     def _start_timer(self, seconds: float) -> None:
         self._stop_timer()
         self._timer_began, self._timer_seconds = time.monotonic(), seconds
+        self._backlog_seconds = 0.0
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(seconds, self._on_timeout)
 
@@ -461,9 +477,11 @@
     def _on_timeout(self) -> None:
         self._timer = None
         waited = self._listener.awake_seconds_since(self._timer_began)
-        left = self._timer_seconds - waited
+        left = self._timer_seconds - waited + self._backlog_seconds
+        if self._backlog_since is not None:
+            left += time.monotonic() - self._backlog_since
         if left > MAX_EARLY_SECONDS:
-            # This process paused, and may not have read what has arrived.
+            # This process paused, or has not read what has arrived.
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(left, self._on_timeout)
             return
--- a/tests/hostile/test_processes.py
+++ b/tests/hostile/test_processes.py
@@ -144,6 +144,34 @@
         self.assertIn(b" 200 ", answer)
         self.assertLess(Gauge(self.entry.process.pid).memory_mb, MEMORY_MB)
 
+    async def test_single_body_in_chunks_of_one_byte_is_served(self):
+        """Guards against a timeout while the process itself is slow."""
+        (route,) = CONFIG["routes"]
+        patient = [{**route, "timeout_ms": 120_000}]
+        self.assertTrue(await self.put_config(version=5, routes=patient))
+        await until(self.is_patient, ANSWER_SECONDS)
+        data = chunked_body(
+            "/p/x",
+            "X-Request-Id: c1",
+            "X-Deadline-Ms: 120000",
+            "Connection: close",
+            chunk_bytes=1,
+            is_whole=True,
+        )
+        reader, writer = await asyncio.open_connection(
+            self.entry.ip, CALLERS_PORT
+        )
+        self.addCleanup(writer.close)
+        writer.write(data)
+        self.assertIn(b" 200 ", await reader.readline())
+        self.assertLess(Gauge(self.entry.process.pid).memory_mb, MEMORY_MB)
+
+    async def is_patient(self):
+        """Return whether the attacked entry has the second configuration."""
+        await self.send_request(self.entry)
+        log = self.entry.log()
+        return any(line.get("generation") == 5 for line in log)
+
     async def test_many_requests_behind_each_other(self):
         """Guards against memory for requests that are not served yet."""
         await self.at_callers(pipelined("/none", 8000), count=60)
--- a/tests/http1/test_overload.py
+++ b/tests/http1/test_overload.py
@@ -4,6 +4,8 @@
 import unittest
 
 from burdockdrum.http1 import find_header
+from burdockdrum.http1 import Limits
+from burdockdrum.http1.receiver import CHUNKED_READ_BYTES
 from burdockdrum.overload import ConnectionLimit
 from burdockdrum.overload import MemoryBudget
 from burdockdrum.overload import ProcessLimits
@@ -105,6 +107,35 @@
             self.assertIn(b"200 OK", await reader.readuntil(b"\r\n\r\n0"))
         self.assertEqual(count, len(self.handled))
 
+    async def test_time_of_parsing_is_not_the_callers(self):
+        """Guards against a timeout for a request that was sent in time."""
+        self.limits = Limits(header_seconds=0.2)
+        head = b"POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        head += b"Transfer-Encoding: chunked\r\n\r\n"
+        body = b"1\r\nx\r\n" * BODY_BYTES + b"0\r\n\r\n"
+        reader, writer = await self.connect()
+        self.addCleanup(writer.close)
+        writer.write(head + body)
+        answer = await reader.read()
+        self.assertIn(b"200 OK", answer)
+        self.assertTrue(answer.endswith(b"524288"))
+
+    async def test_caller_that_pauses_between_full_reads_is_timed_out(self):
+        """Guards against a request that takes as long as its caller likes."""
+        self.limits = Limits(header_seconds=0.3)
+        head = b"POST / HTTP/1.1\r\nHost: x\r\n"
+        reader, writer = await self.connect()
+        self.addCleanup(writer.close)
+        writer.write(head + b"Transfer-Encoding: chunked\r\n\r\n")
+        size = CHUNKED_READ_BYTES - 8
+        block = b"%06x\r\n" % (size - 2) + bytes(size - 2) + b"\r\n"
+        answer = asyncio.create_task(reader.readline())
+        async with asyncio.timeout(5):
+            while not answer.done():
+                writer.write(block)
+                await asyncio.sleep(0.1)
+        self.assertIn(b" 408 ", answer.result())
+
     async def test_idle_connections_make_room(self):
         """Guards against callers that are refused beside unused ones."""
         for _ in range(40):
