--- a/burdockdrum/web/acceptor.py
+++ b/burdockdrum/web/acceptor.py
@@ -66,8 +66,9 @@
                 ssl=self._context,
                 ssl_handshake_timeout=HANDSHAKE_SECONDS,
             )
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as error:
             # The client left, was evicted, or does not trust the certificate.
+            log_failure("connection.handshake_failed", reason=repr(error))
             raw.close()
             connection.end()
 
