Reject data that is nested too deeply, as other invalid data

Cause: msgspec raises RecursionError on data nested about 1,000 levels deep, also in a field that no type names. Readers caught the documented DecodeError only. The same held for check-ins, deregistrations and configuration documents (answered 500, after which a caller tries again), frames and messages between VMs (the task that serves all peers ended), a hop's route, the product's own interface and the stored registrations.

burdockdrum.decoding decodes with one error, InvalidData; all readers of what other processes send use it. The number of a stream's event had the same shape: int() raises ValueError on thousands of digits.

Red before: test_deeply_nested_body_is_rejected (RecursionError), test_deeply_nested_bodies_are_invalid (500), test_deeply_nested_payloads_ are_dropped (a later message never arrived), test_event_number_of_any_ length_is_handled (ValueError).

Ruled out: bytes that aren't UTF-8, surrogates, NaN, 1e999 and numbers of thousands of digits raise DecodeError in msgspec 0.23.0.

--- a/burdockdrum/client/client.py
+++ b/burdockdrum/client/client.py
@@ -22,6 +22,8 @@
 import msgspec
 
 from burdockdrum.client.entries import EntryTable
+from burdockdrum.decoding import decode_json
+from burdockdrum.decoding import InvalidData
 from burdockdrum.ports import AnswerLost
 from burdockdrum.ports import AnswerTooLarge
 from burdockdrum.ports import Clock
@@ -264,8 +266,8 @@
         if answer.status != 200:
             return None
         try:
-            return msgspec.json.decode(body, type=EntryList)
-        except msgspec.MsgspecError:
+            return decode_json(body, EntryList)
+        except InvalidData:
             return None
 
     async def _back_off(self, attempt: int) -> None:
@@ -288,8 +290,8 @@
     if status != _UNAVAILABLE_STATUS:
         return False
     try:
-        refusal = msgspec.json.decode(body, type=_RefusalBody).error
-    except msgspec.MsgspecError:
+        refusal = decode_json(body, _RefusalBody).error
+    except InvalidData:
         return False
     has_draining_code = refusal.code == RefusalCode.DRAINING.value
     return has_draining_code and refusal.verdict == Verdict.NOT_RUN.value
--- a/burdockdrum/passthrough/protocol/events.py
+++ b/burdockdrum/passthrough/protocol/events.py
@@ -6,6 +6,8 @@
 
 import re
 
+from burdockdrum.http1 import parse_count
+
 _EVENT_ID = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 # Bounds the memory for a stream whose events never end; an event normally
@@ -63,7 +65,9 @@
         found = _EVENT_ID.search(event)
         if found is None:
             return True
-        number = int(found.group(1))
+        number = parse_count(found.group(1))
+        if number is None:
+            raise InvalidEventStream("an event has an invalid number")
         last = self.last_number
         if last is not None and number <= last:
             return False
--- a/burdockdrum/passthrough/protocol/forwarded_route.py
+++ b/burdockdrum/passthrough/protocol/forwarded_route.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from burdockdrum.decoding import decode_json
 from burdockdrum.passthrough.protocol.model import ProxiedRequest
 from burdockdrum.resources import Backend
 from burdockdrum.resources import Engine
@@ -143,4 +144,4 @@
 
     :raises ValueError: if it can't be read
     """
-    return msgspec.json.decode(unquote_to_bytes(value), type=ForwardedRoute)
+    return decode_json(unquote_to_bytes(value), ForwardedRoute)
--- a/burdockdrum/peers/peers.py
+++ b/burdockdrum/peers/peers.py
@@ -17,6 +17,9 @@
 from loguru import logger
 import msgspec
 
+from burdockdrum.decoding import decode
+from burdockdrum.decoding import decode_msgpack
+from burdockdrum.decoding import InvalidData
 from burdockdrum.metrics import Metrics
 from burdockdrum.peers.authentication import PayloadAuthenticator
 from burdockdrum.peers.compression import pack
@@ -145,12 +148,12 @@
             self._enqueue(address, envelope, is_urgent=message.is_urgent)
             async with asyncio.timeout(timeout):
                 body = await future
-            return msgspec.msgpack.decode(body, type=reply_type)
+            return decode_msgpack(body, reply_type)
         except TimeoutError:
             raise CallFailed(
                 f"no reply to {message.kind()} from {address} in {timeout} s"
             ) from None
-        except msgspec.MsgspecError as error:
+        except InvalidData as error:
             raise CallFailed(f"bad reply from {address}: {error}") from error
         finally:
             del self._replies_by_call[call_id]
@@ -236,8 +239,8 @@
                 self._dropped.increment(reason="bad_seal")
                 continue
             try:
-                frame = decoder.decode(unpack(payload))
-            except (msgspec.MsgspecError, UnpackError):
+                frame = decode(decoder, unpack(payload))
+            except (InvalidData, UnpackError):
                 self._dropped.increment(reason="bad_frame")
                 continue
             self._hybrid_clock.observe(frame.stamp)
@@ -307,8 +310,8 @@
             return
         message_type, handler = registered
         try:
-            message = msgspec.msgpack.decode(envelope.body, type=message_type)
-        except msgspec.MsgspecError:
+            message = decode_msgpack(envelope.body, message_type)
+        except InvalidData:
             self._dropped.increment(reason="bad_body")
             return
         try:
--- a/burdockdrum/registrations/store.py
+++ b/burdockdrum/registrations/store.py
@@ -14,6 +14,8 @@
 from burdockdrum.crashes import CrashLedger
 from burdockdrum.crashes import CrashRecord
 from burdockdrum.crashes import MAX_RECORDS
+from burdockdrum.decoding import decode_msgpack
+from burdockdrum.decoding import InvalidData
 from burdockdrum.logs import log_decision
 from burdockdrum.logs import log_failure
 from burdockdrum.logs import OutageLog
@@ -164,8 +166,8 @@
     def _restore(self, content: bytes) -> None:
         self.file_bytes = len(content)
         try:
-            stored = msgspec.msgpack.decode(content, type=StoredRegistrations)
-        except msgspec.DecodeError as error:
+            stored = decode_msgpack(content, StoredRegistrations)
+        except InvalidData as error:
             log_failure("registrations.not_restored", reason=str(error))
             return
         age = self._clock.wall() - stored.written_at
--- a/burdockdrum/requests/attempts.py
+++ b/burdockdrum/requests/attempts.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from burdockdrum.decoding import decode_json
 from burdockdrum.endpoints import Endpoint
 from burdockdrum.http1 import parse_seconds
 from burdockdrum.ports import AnswerLost
@@ -324,11 +325,11 @@
     code = RefusalCode.ENDPOINT_ERROR
     message = f"refused with status {upstream.status}"
     try:
-        error = msgspec.json.decode(body, type=_ErrorAnswer).error
+        error = decode_json(body, _ErrorAnswer).error
         verdict = Verdict(upstream.headers[VERDICT_HEADER])
         code = RefusalCode(error.code)
         message = error.message
-    except (msgspec.MsgspecError, ValueError):
+    except ValueError:
         pass
     seconds_text = upstream.headers.get("retry-after", "")
     refusal = Refusal(
--- a/burdockdrum/requests/buffered.py
+++ b/burdockdrum/requests/buffered.py
@@ -8,9 +8,9 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
-import msgspec
-
 from burdockdrum.attempts import Attempt
+from burdockdrum.decoding import decode_json
+from burdockdrum.decoding import InvalidData
 from burdockdrum.requests.answer_runner import AnswerRunner
 from burdockdrum.requests.attempts import AttemptFailed
 from burdockdrum.requests.attempts import fail_incomplete
@@ -157,6 +157,6 @@
     # A proxy in front of the engine may have truncated the body and still
     # framed it correctly.
     try:
-        msgspec.json.decode(body)
-    except msgspec.MsgspecError:
+        decode_json(body, object)
+    except InvalidData:
         raise fail_incomplete() from None
--- a/burdockdrum/requests/forwarding.py
+++ b/burdockdrum/requests/forwarding.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from burdockdrum.decoding import decode_msgpack
 from burdockdrum.peers import PayloadAuthenticator
 from burdockdrum.requests.model import InboundRequest
 from burdockdrum.requests.model import RequestKind
@@ -136,8 +137,8 @@
         payload = authenticator.verify(base64.urlsafe_b64decode(text))
         if payload is None:
             return None
-        content = msgspec.msgpack.decode(payload, type=_SignedHeader)
-    except (ValueError, msgspec.MsgspecError):
+        content = decode_msgpack(payload, _SignedHeader)
+    except ValueError:
         return None
     if content.body_digest != _digest(body):
         return None
--- a/burdockdrum/web/parsing.py
+++ b/burdockdrum/web/parsing.py
@@ -10,6 +10,8 @@
 from blacksheep.messages import Request
 import msgspec
 
+from burdockdrum.decoding import decode_json
+from burdockdrum.decoding import InvalidData
 from burdockdrum.ports import Clock
 from burdockdrum.requests import InboundRequest
 from burdockdrum.requests import RequestKind
@@ -164,8 +166,8 @@
     :raises Refusal: naming the invalid field
     """
     try:
-        parsed = msgspec.json.decode(body, type=CompletionBody)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        parsed = decode_json(body, CompletionBody)
+    except InvalidData as error:
         raise bad_request(f"the body is invalid: {error}") from None
     prompt = _extract_prompt(parsed, kind)
     max_tokens = parsed.max_completion_tokens
--- a/burdockdrum/web/reading.py
+++ b/burdockdrum/web/reading.py
@@ -5,8 +5,9 @@
 
 from blacksheep.exceptions import MessageAborted
 from blacksheep.messages import Request
-import msgspec
 
+from burdockdrum.decoding import decode_json
+from burdockdrum.decoding import InvalidData
 from burdockdrum.http1 import parse_count
 from burdockdrum.verdicts import Refusal
 from burdockdrum.verdicts import RefusalCode
@@ -52,8 +53,8 @@
     """
     body = await read_body(request, limit)
     try:
-        return msgspec.json.decode(body, type=expected)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return decode_json(body, expected)
+    except InvalidData as error:
         raise bad_request(f"the body is invalid: {error}") from None
 
 
--- /dev/null
+++ b/tests/decoding/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of burdockdrum.decoding."""
--- a/tests/passthrough/protocol/test_events.py
+++ b/tests/passthrough/protocol/test_events.py
@@ -63,6 +63,12 @@
             for _ in range(100):
                 splitter.feed(b"data: " + b"x" * 10_000)
 
+    def test_event_number_of_any_length_is_handled(self):
+        # int() raises ValueError on thousands of digits.
+        splitter = ResumableEventSplitter(last_number=3)
+        with self.assertRaises(InvalidEventStream):
+            splitter.feed(b"id: " + b"9" * 5000 + b"\n\n")
+
     def test_carriage_returns_are_accepted(self):
         splitter = ResumableEventSplitter(last_number=None)
         data = b"id: 1\r\ndata: a\r\n\r\n"
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -4,14 +4,20 @@
 import random
 import unittest
 
+import msgspec
+
 from burdockdrum.metrics import Metrics
-from burdockdrum.peers import CallFailed
-from burdockdrum.peers import Message
-from burdockdrum.peers import Peers
+from burdockdrum.peers.authentication import PayloadAuthenticator
+from burdockdrum.peers.messages import Envelope
+from burdockdrum.peers.messages import Frame
+from burdockdrum.peers.messages import Message
+from burdockdrum.peers.peers import CallFailed
+from burdockdrum.peers.peers import Peers
 from burdockdrum.testing import FakeNetwork
 from burdockdrum.testing import make_peers
 from burdockdrum.testing import run_virtual
 from burdockdrum.testing import VirtualClock
+from burdockdrum.timeline import HybridClock
 
 
 class Ping(Message):
@@ -215,3 +221,34 @@
             await _run_both(a, b, use)
 
         run_virtual(main())
+
+    def test_deeply_nested_payloads_are_dropped(self):
+        # RecursionError ended the task that serves all peers.
+        async def main():
+            fixture = Fixture()
+            a = await fixture.start("a")
+            b = await fixture.start("b")
+            b.register(Ping, fixture.answer)
+            nested = msgspec.Raw(b"\x91" * 5000 + b"\xc0")
+            frame = Frame(
+                a.identity.vm_id,
+                a.identity.control_address,
+                a.identity.incarnation,
+                HybridClock(clock=VirtualClock()).tick(),
+                [Envelope(Ping.kind(), 0, False, nested)],
+            )
+            payload = PayloadAuthenticator(secret=b"s").sign(
+                msgspec.msgpack.encode(frame)
+            )
+
+            async def use():
+                target = b.identity.control_address
+                fixture.network.deliver("a", target, payload)
+                await asyncio.sleep(1)
+                a.send(target, Ping(number=8))
+                await asyncio.sleep(1)
+                self.assertEqual([8], fixture.seen)
+
+            await _run_both(a, b, use)
+
+        run_virtual(main())
--- a/tests/platform/test_faces.py
+++ b/tests/platform/test_faces.py
@@ -147,6 +147,18 @@
         _, read = await self.call("GET", "/v1/config")
         self.assertEqual(self.document().encode(), read)
 
+    async def test_deeply_nested_bodies_are_invalid(self):
+        # They were answered 500, after which a caller tries again.
+        nested = f'"unknown": {"[" * 3000}'
+        for method, path in (
+            ("PUT", "/v1/config"),
+            ("PUT", "/v1/instances/i-1"),
+            ("DELETE", "/v1/instances/i-1"),
+        ):
+            status, reason = await self.call(method, path, f"{{{nested}")
+            self.assertEqual(400, status, f"{method} {path}")
+            self.assertIn(b"nested", reason)
+
     async def test_without_a_quorum_reads_and_changes_fail(self):
         await self.call("PUT", "/v1/config", self.document())
         self.configuration.error = NotCurrent("no quorum")
--- a/tests/platform/test_memories.py
+++ b/tests/platform/test_memories.py
@@ -94,6 +94,15 @@
         with self.assertRaises(PrefixCacheUnavailable):
             decode_snapshot(b'{"epoch":1}')
 
+    def test_deeply_nested_body_is_rejected(self):
+        # RecursionError ended the process of the entry that polled.
+        for begin in (b'{"epoch":7,"next":1,"x":', b'{"events":[', b""):
+            body = begin + b"[" * 2000
+            with self.assertRaises(PrefixCacheUnavailable):
+                decode_events(body, 19)
+            with self.assertRaises(PrefixCacheUnavailable):
+                decode_snapshot(body.replace(b"events", b"held"))
+
     @settings(max_examples=300, deadline=None)
     @given(
         strategies.lists(VALUES, max_size=5),
