Reject numbers from outside that can't be stored or sent on

A runner's report whose epoch, next or tokens has 20 digits or more was let in, and the message to the other entries raised OverflowError in holdings/sharing.py, which ended the entry. A configuration with such a version was answered 500 by each control VM, an announcement at the own interface ended the task that sends it to other VMs.

msgpack has integers of 64 bits only. Int64 is the type of all integers that others send; a resource's spec is encoded once when it is parsed.

Ruled out: check-ins bound theirs; numbers in headers have 15 digits at the most.

--- a/burdockdrum/decoding/decoding.py
+++ b/burdockdrum/decoding/decoding.py
@@ -5,11 +5,15 @@
 """
 
 from collections.abc import Callable
+from typing import Annotated
 from typing import Protocol
 from typing import TypeVar
 
 import msgspec
 
+# msgpack, in which VMs send and store numbers, has no larger integers.
+Int64 = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+
 T = TypeVar("T")
 T_co = TypeVar("T_co", covariant=True)
 
--- a/burdockdrum/endpoints/announcements.py
+++ b/burdockdrum/endpoints/announcements.py
@@ -4,6 +4,10 @@
 
 import msgspec
 
+from burdockdrum.decoding import Int64
+
+MAX_PREFIX = 2**64 - 1
+
 
 class Announcement(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
@@ -20,10 +24,10 @@
     """
 
     endpoint_id: str
-    incarnation: int
+    incarnation: Int64
     url: str
     service: str
-    slots: int
+    slots: Int64
     versions: list[str] = []
     adapters: list[str] = []
     role: Literal["both", "prefill", "decode"] = "both"
@@ -40,6 +44,11 @@
     prefix: int
     stored: bool
 
+    def __post_init__(self) -> None:
+        """Check the range, which exceeds that of ``Int64``."""
+        if not 0 <= self.prefix <= MAX_PREFIX:
+            raise ValueError(f"prefix must be 0 to {MAX_PREFIX}")
+
 
 class Report(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
@@ -54,14 +63,14 @@
     draining, for an entry VM that missed it.
     """
 
-    incarnation: int
-    sequence: int
-    running: int = 0
-    waiting: int = 0
+    incarnation: Int64
+    sequence: Int64
+    running: Int64 = 0
+    waiting: Int64 = 0
     memory_used: float = 0.0
     age_seconds: float = 0.0
     cache_events: list[CacheEvent] = []
-    cache_sequence: int = 0
+    cache_sequence: Int64 = 0
     cache_complete: bool = False
     versions: list[str] | None = None
     adapters: list[str] | None = None
--- a/burdockdrum/resources/validation.py
+++ b/burdockdrum/resources/validation.py
@@ -61,9 +61,13 @@
     if "kind" in fields and fields["kind"] != kind:
         raise ResourceError(f"spec.kind is not {kind!r}")
     try:
-        return msgspec.convert(fields, SPECS_BY_KIND[kind])
+        spec: Spec = msgspec.convert(fields, SPECS_BY_KIND[kind])
+        msgspec.msgpack.encode(spec)
     except msgspec.ValidationError as error:
         raise ResourceError(f"spec: {error}") from None
+    except OverflowError:
+        raise ResourceError("spec: a number exceeds 64 bits") from None
+    return spec
 
 
 def check_references(
--- a/tests/platform/test_faces.py
+++ b/tests/platform/test_faces.py
@@ -159,6 +159,19 @@
             self.assertEqual(400, status, f"{method} {path}")
             self.assertIn(b"nested", reason)
 
+    async def test_numbers_that_can_not_be_stored_are_invalid(self):
+        # They were answered 500, after which an operator tries again.
+        large = 10**25
+        for change in (
+            {"version": large},
+            {"limits": {"max_body_bytes": large}},
+            {"services": [{**DOCUMENT["services"][0], "max_conns": large}]},
+        ):
+            status, _ = await self.call(
+                "PUT", "/v1/config", self.document(**change)
+            )
+            self.assertEqual(400, status, f"{change}")
+
     async def test_without_a_quorum_reads_and_changes_fail(self):
         await self.call("PUT", "/v1/config", self.document())
         self.configuration.error = NotCurrent("no quorum")
--- a/tests/platform/test_memories.py
+++ b/tests/platform/test_memories.py
@@ -103,6 +103,23 @@
             with self.assertRaises(PrefixCacheUnavailable):
                 decode_snapshot(body.replace(b"events", b"held"))
 
+    def test_numbers_that_can_not_be_sent_on_are_rejected(self):
+        # OverflowError in the message to other entries ended the process.
+        large = 10**25
+        for field in ("epoch", "next"):
+            with self.assertRaises(PrefixCacheUnavailable):
+                decode_events(encode(EVENTS, **{field: large}), 19)
+            with self.assertRaises(PrefixCacheUnavailable):
+                decode_snapshot(encode(SNAPSHOT, **{field: large}))
+        rows = [[20, "+", "", "p", large, "m"]]
+        self.assertEqual(
+            {}, decode_events(encode(EVENTS, events=rows), 19).tokens_by_part
+        )
+        rows = [["", "p", large, "m"]]
+        self.assertEqual(
+            {}, decode_snapshot(encode(SNAPSHOT, held=rows)).tokens_by_part
+        )
+
     @settings(max_examples=300, deadline=None)
     @given(
         strategies.lists(VALUES, max_size=5),
