Restart tasks that fail by an error of their own

A service whose run may begin again says is_restartable, and the kernel runs it under a Supervisor: the error is counted (burdockdrum_task_failures_total) and logged with its cause and place (task.failed), and the task begins again after 0.1 s, then twice as long each time, up to 5 s. Polls of endpoints are supervised one by one. Frames and handlers of messages between VMs that fail are dropped and logged. Services that keep promises (log, claims, leases, stored registrations and software versions, drain) still end the process.

--- a/burdockdrum/admission/admission.py
+++ b/burdockdrum/admission/admission.py
@@ -76,6 +76,8 @@
     they can still be reordered, or refused as "not run".
     """
 
+    is_restartable = True
+
     def __init__(
         self,
         *,
--- a/burdockdrum/admission/quotas.py
+++ b/burdockdrum/admission/quotas.py
@@ -83,6 +83,8 @@
 class QuotaEnforcer:
     """Enforces this VM's shares of all quotas, and manages loans."""
 
+    is_restartable = True
+
     def __init__(
         self,
         *,
--- a/burdockdrum/configuration/local.py
+++ b/burdockdrum/configuration/local.py
@@ -39,8 +39,9 @@
         self.history.listeners.append(self._record)
 
     def start(self) -> None:
-        """Record the start of this VM."""
-        self._started_at = self._clock.monotonic()
+        """Record the start of this VM, once."""
+        if self._started_at is None:
+            self._started_at = self._clock.monotonic()
 
     @property
     def current(self) -> Configuration:
--- a/burdockdrum/configuration/service.py
+++ b/burdockdrum/configuration/service.py
@@ -75,6 +75,8 @@
     regions that ``allowed_regions`` returns.
     """
 
+    is_restartable = True
+
     def __init__(
         self,
         *,
--- a/burdockdrum/gateway/base.py
+++ b/burdockdrum/gateway/base.py
@@ -4,6 +4,7 @@
 import random
 
 from burdockdrum.kernel import Kernel
+from burdockdrum.kernel import Supervisor
 from burdockdrum.metrics import Metrics
 from burdockdrum.overload import make_limits
 from burdockdrum.peers import VmIdentity
@@ -39,6 +40,7 @@
     kernel.provide("clock", clock)
     metrics = Metrics()
     kernel.provide("metrics", metrics)
+    kernel.provide("supervisor", Supervisor(clock=clock, metrics=metrics))
     limits = make_limits(
         memory_mb=settings.limits.memory_mb,
         descriptors=settings.limits.descriptors,
--- a/burdockdrum/holdings/polling.py
+++ b/burdockdrum/holdings/polling.py
@@ -11,6 +11,7 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
+import functools
 
 import msgspec
 
@@ -19,6 +20,7 @@
 from burdockdrum.holdings.source import PrefixCacheSource
 from burdockdrum.holdings.source import PrefixCacheUnavailable
 from burdockdrum.holdings.table import PrefixCacheTable
+from burdockdrum.kernel import Supervisor
 from burdockdrum.logs import log_decision
 from burdockdrum.logs import log_failure
 from burdockdrum.peers import VmIdentity
@@ -39,6 +41,8 @@
 class PrefixCachePoller:
     """Runs one polling task for each endpoint assigned to this entry."""
 
+    is_restartable = True
+
     def __init__(
         self,
         *,
@@ -46,6 +50,7 @@
         clock: Clock,
         source: PrefixCacheSource,
         table: PrefixCacheTable,
+        supervisor: Supervisor,
         read_endpoints: Callable[[], Mapping[str, RegisteredEndpoint]],
         read_entries: Callable[[], Iterable[VmIdentity]],
         has_prefix_cache: Callable[[str], bool],
@@ -62,6 +67,7 @@
         self._clock = clock
         self._source = source
         self._table = table
+        self._supervisor = supervisor
         self._read_endpoints = read_endpoints
         self._read_entries = read_entries
         self._has_prefix_cache = has_prefix_cache
@@ -82,6 +88,7 @@
         if not self._source.is_available:
             return
         await self._initial_sync_done.wait()
+        self._tasks_by_id.clear()
         async with asyncio.TaskGroup() as group:
             while True:
                 self._update_tasks(group, self._source)
@@ -98,7 +105,11 @@
         for endpoint_id, endpoint in own.items():
             if endpoint_id not in self._tasks_by_id:
                 self._tasks_by_id[endpoint_id] = group.create_task(
-                    self._poll(source, endpoint)
+                    self._supervisor.supervise(
+                        "holdings.poll",
+                        functools.partial(self._poll, source, endpoint),
+                        endpoint_id=endpoint_id,
+                    )
                 )
                 log_decision("holdings.listening", endpoint_id=endpoint_id)
 
--- a/burdockdrum/holdings/services.py
+++ b/burdockdrum/holdings/services.py
@@ -10,6 +10,7 @@
 from burdockdrum.holdings.source import PrefixCacheSource
 from burdockdrum.holdings.table import PrefixCacheTable
 from burdockdrum.kernel import Kernel
+from burdockdrum.kernel import Supervisor
 from burdockdrum.peers import Peers
 from burdockdrum.peers import VmIdentity
 from burdockdrum.ports import Clock
@@ -80,6 +81,7 @@
         clock=kernel.find("clock", Clock),
         source=source,
         table=kernel.find("holdings", PrefixCacheTable),
+        supervisor=kernel.find("supervisor", Supervisor),
         read_endpoints=lambda: registrations.endpoints_by_id,
         read_entries=lambda: [
             entry
--- a/burdockdrum/holdings/sharing.py
+++ b/burdockdrum/holdings/sharing.py
@@ -56,6 +56,8 @@
 class PrefixCacheSharing:
     """Sends and receives changes of endpoints' prefix caches."""
 
+    is_restartable = True
+
     def __init__(
         self,
         *,
--- a/burdockdrum/kernel/kernel.py
+++ b/burdockdrum/kernel/kernel.py
@@ -10,6 +10,8 @@
 from typing import Any
 from typing import TypeVar
 
+from burdockdrum.kernel.supervisor import Supervisor
+
 ServiceT = TypeVar("ServiceT")
 Factory = Callable[["Kernel"], Any]
 
@@ -24,6 +26,9 @@
     A factory receives the kernel and looks up its dependencies by name.
     Services with a coroutine ``run`` run until the kernel stops; those with
     a coroutine ``close`` are closed in the reverse order of construction.
+
+    A service whose ``run`` may begin again after an error sets
+    ``is_restartable``. The error of any other service stops the kernel.
     """
 
     def __init__(self) -> None:
@@ -70,8 +75,8 @@
     async def run(self) -> None:
         """Build all services and run them until cancelled.
 
-        A failing service stops the others; its error is raised in an
-        exception group.
+        A failing service that is not restartable stops the others; its error
+        is raised in an exception group.
         """
         for name in list(self._factories_by_name):
             self.find(name, object)
@@ -80,10 +85,19 @@
                 for name, service in self._services_by_name.items():
                     run = getattr(service, "run", None)
                     if inspect.iscoroutinefunction(run):
-                        group.create_task(run(), name=name)
+                        group.create_task(
+                            self._run_service(name, service), name=name
+                        )
         finally:
             await self._close()
 
+    async def _run_service(self, name: str, service: Any) -> None:
+        if getattr(service, "is_restartable", False):
+            supervisor = self.find("supervisor", Supervisor)
+            await supervisor.supervise(name, service.run)
+        else:
+            await service.run()
+
     async def _close(self) -> None:
         for service in reversed(list(self._services_by_name.values())):
             close = getattr(service, "close", None)
--- a/burdockdrum/passthrough/relaying/server.py
+++ b/burdockdrum/passthrough/relaying/server.py
@@ -5,6 +5,7 @@
 
 from burdockdrum.http1 import ConnectionPool
 from burdockdrum.http1 import Listener
+from burdockdrum.kernel import Supervisor
 from burdockdrum.passthrough.brittle import PlaceBroker
 from burdockdrum.passthrough.protocol import RequestProgress
 from burdockdrum.passthrough.relaying.crash_detector import CrashDetector
@@ -32,6 +33,7 @@
         self,
         *,
         clock: Clock,
+        supervisor: Supervisor,
         callers: Listener,
         vms: Listener,
         pools: list[ConnectionPool],
@@ -55,6 +57,7 @@
         self._places = places
         self._prober = prober
         self._clock = clock
+        self._supervisor = supervisor
         self._callers = callers
         self._vms = vms
         self._pools = pools
@@ -74,6 +77,11 @@
         """Open the listeners, then update shares and pools periodically."""
         await self._callers.open()
         await self._vms.open()
+        await self._supervisor.supervise(
+            "passthrough.update", self._update_periodically
+        )
+
+    async def _update_periodically(self) -> None:
         while True:
             self._update()
             await self._clock.sleep(UPDATE_INTERVAL_SECONDS)
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -18,6 +18,7 @@
 from burdockdrum.http1 import EndCause
 from burdockdrum.http1 import Listener
 from burdockdrum.kernel import Kernel
+from burdockdrum.kernel import Supervisor
 from burdockdrum.metrics import Metrics
 from burdockdrum.overload import ProcessLimits
 from burdockdrum.passthrough.brittle import ASK_TIMEOUT_SECONDS
@@ -617,6 +618,7 @@
     poller.read_backoff = backoffs.seconds_left
     return PassThroughServer(
         clock=kernel.find("clock", Clock),
+        supervisor=kernel.find("supervisor", Supervisor),
         callers=Listener(
             address=settings.callers,
             handle=relay.serve_caller,
--- a/burdockdrum/peers/peers.py
+++ b/burdockdrum/peers/peers.py
@@ -200,7 +200,13 @@
                     async with asyncio.timeout(delay):
                         await outbox.hurried.wait()
             outbox.hurried.clear()
-            await self._send_frame(address, outbox.pop_batch())
+            batch = outbox.pop_batch()
+            try:
+                await self._send_frame(address, batch)
+            except Exception as error:
+                # One frame must not end the task that serves all peers.
+                self._dropped.increment(len(batch), reason="failed")
+                self._report_error(error, f"sending to {address}")
             next_at = self._clock.monotonic() + BATCH_INTERVAL_SECONDS
 
     async def _send_frame(
@@ -243,16 +249,21 @@
             except (InvalidData, UnpackError):
                 self._dropped.increment(reason="bad_frame")
                 continue
-            self._hybrid_clock.observe(frame.stamp)
-            self._link_monitor.record_received(
-                frame.sender_address,
-                self._clock.monotonic(),
-                frame.received_age,
-                frame.incarnation,
-            )
-            self._dispatch(frame)
+            try:
+                self._dispatch(frame)
+            except Exception as error:
+                # One frame must not end the task that serves all peers.
+                self._dropped.increment(reason="failed")
+                self._report_error(error, f"a frame of {frame.sender_id}")
 
     def _dispatch(self, frame: Frame) -> None:
+        self._hybrid_clock.observe(frame.stamp)
+        self._link_monitor.record_received(
+            frame.sender_address,
+            self._clock.monotonic(),
+            frame.received_age,
+            frame.incarnation,
+        )
         sender = Sender(
             vm_id=frame.sender_id,
             address=frame.sender_address,
@@ -316,18 +327,19 @@
             return
         try:
             reply = await handler(sender, message)
+            if reply is not None and envelope.call_id:
+                self._enqueue(
+                    sender.address,
+                    _envelope(reply, envelope.call_id, is_reply=True),
+                    is_urgent=reply.is_urgent,
+                )
         except Exception as error:
             # A failed handler must not end the task that serves all peers.
-            logger.opt(exception=error).error(
-                "handling {} from {} failed", envelope.kind, sender.vm_id
-            )
-            return
-        if reply is not None and envelope.call_id:
-            self._enqueue(
-                sender.address,
-                _envelope(reply, envelope.call_id, is_reply=True),
-                is_urgent=reply.is_urgent,
-            )
+            self._dropped.increment(reason="failed")
+            self._report_error(error, f"{envelope.kind} from {sender.vm_id}")
+
+    def _report_error(self, error: Exception, about: str) -> None:
+        logger.opt(exception=error).error("handling {} failed", about)
 
     def _spawn(self, coroutine: Any) -> asyncio.Task[None] | None:
         assert self._group is not None, "peers is not running"
--- a/burdockdrum/quotas/sharing.py
+++ b/burdockdrum/quotas/sharing.py
@@ -48,6 +48,8 @@
 class UsageSharing:
     """Exchanges usage with other entries, and totals what they report."""
 
+    is_restartable = True
+
     def __init__(
         self,
         *,
--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -59,6 +59,8 @@
 class RegistrationFollower:
     """The endpoints of this region by id, merged from all control VMs."""
 
+    is_restartable = True
+
     def __init__(
         self,
         *,
--- a/burdockdrum/registrations/load_sharing.py
+++ b/burdockdrum/registrations/load_sharing.py
@@ -55,6 +55,8 @@
 class LoadSharing:
     """The load of the other entries of this region, by endpoint."""
 
+    is_restartable = True
+
     def __init__(
         self,
         *,
--- a/burdockdrum/registrations/publisher.py
+++ b/burdockdrum/registrations/publisher.py
@@ -76,6 +76,8 @@
 class RegistrationPublisher:
     """Sends registrations to entries, on changes and in answer to polls."""
 
+    is_restartable = True
+
     def __init__(
         self,
         *,
--- a/burdockdrum/streams/origins.py
+++ b/burdockdrum/streams/origins.py
@@ -103,6 +103,8 @@
 class StreamOrigins:
     """The origins of the streams of an entry, and those kept for others."""
 
+    is_restartable = True
+
     def __init__(
         self,
         *,
--- a/burdockdrum/vms/directory.py
+++ b/burdockdrum/vms/directory.py
@@ -69,6 +69,8 @@
 class VmDirectory:
     """The live VMs known to this one, including itself."""
 
+    is_restartable = True
+
     def __init__(
         self,
         *,
--- a/tests/holdings/test_sharing.py
+++ b/tests/holdings/test_sharing.py
@@ -50,6 +50,24 @@
 
         play(check)
 
+    def test_unexpected_error_of_one_endpoint_stops_no_other_poll(self):
+        # One report that raised RecursionError ended the entry's process.
+        async def check(world):
+            world.share("plan")
+            world.caches["n0"].error = RecursionError("too deep")
+            await asyncio.sleep(5)
+            world.caches["n1"].put("plan", 4900)
+            await asyncio.sleep(3)
+            for name in ("n-a", "n-b", "n-c"):
+                entry = world.entries[name]
+                self.assertIn("plan", entry.cached_parts("n1"))
+            world.caches["n0"].error = None
+            world.caches["n0"].put("plan", 4900)
+            await asyncio.sleep(8)
+            self.assertIn("plan", world.entries["n-a"].cached_parts("n0"))
+
+        play(check)
+
     def test_only_long_parts_reach_another_region(self):
         async def check(world):
             world.share("plan", "head")
--- a/tests/holdings/world.py
+++ b/tests/holdings/world.py
@@ -10,6 +10,7 @@
 from burdockdrum.holdings import PrefixCacheTable
 from burdockdrum.holdings import PrefixCacheUnavailable
 from burdockdrum.holdings import SharedParts
+from burdockdrum.kernel import Supervisor
 from burdockdrum.metrics import Metrics
 from burdockdrum.peers import PayloadAuthenticator
 from burdockdrum.peers import Peers
@@ -33,6 +34,8 @@
         self.events = []
         self.tokens_by_part = {}
         self.is_unreachable = False
+        # Raised by each query; None if it is answered.
+        self.error: Exception | None = None
         self.queries = 0
         self.snapshots = 0
         self.max_events = 1000
@@ -88,6 +91,8 @@
     async def _call(self, endpoint):
         await asyncio.sleep(CALL_DELAY_SECONDS)
         cache = self.caches[endpoint.endpoint_id]
+        if cache.error is not None:
+            raise cache.error
         if cache.is_unreachable:
             raise PrefixCacheUnavailable("unreachable")
         return cache
@@ -139,6 +144,7 @@
             clock=world.clock,
             source=FakeSource(world.caches),
             table=self.table,
+            supervisor=Supervisor(clock=world.clock, metrics=self.metrics),
             read_endpoints=lambda: {
                 name: endpoint
                 for name, endpoint in world.endpoints.items()
--- a/tests/passthrough/relaying/test_server.py
+++ b/tests/passthrough/relaying/test_server.py
@@ -17,6 +17,7 @@
         fleet = types.SimpleNamespace(entries=1)
         PassThroughServer(
             clock=mock.Mock(),
+            supervisor=mock.Mock(),
             callers=mock.Mock(),
             vms=mock.Mock(),
             pools=[],
--- a/tests/passthrough/relaying/test_stopping.py
+++ b/tests/passthrough/relaying/test_stopping.py
@@ -21,6 +21,7 @@
     """Return the server of an entry, as far as a stop needs it."""
     return PassThroughServer(
         clock=mock.Mock(),
+        supervisor=mock.Mock(),
         callers=entry.callers,
         vms=entry.vms,
         pools=[],
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -252,3 +252,30 @@
             await _run_both(a, b, use)
 
         run_virtual(main())
+
+    def test_reply_that_can_not_be_encoded_ends_no_task(self):
+        # OverflowError ended the task that serves all peers.
+        async def main():
+            fixture = Fixture()
+            a = await fixture.start("a")
+            b = await fixture.start("b")
+
+            async def answer(sender, message):
+                return Ping(number=message.number * 10**25)
+
+            b.register(Ping, answer)
+
+            async def use():
+                target = b.identity.control_address
+                with self.assertRaises(CallFailed):
+                    await a.call(target, Ping(number=8), Ping, timeout=1.0)
+                reply = await a.call(target, Ping(number=0), Ping, timeout=1.0)
+                self.assertEqual(0, reply.number)
+                dropped = fixture.metrics.counter(
+                    "burdockdrum_peer_dropped_total", ""
+                )
+                self.assertEqual(1, dropped.value(reason="failed"))
+
+            await _run_both(a, b, use)
+
+        run_virtual(main())
