Don't suspect requests that have just run of crashes

Cause: each endpoint's end counted as a crash under the poll, of which copies ran at all three, and three crashes quarantine. Runs of the same request just before did not count, and in quarantine there are none after. A run in another region did not clear a request either.

A request that crashes endpoints never runs whole. So a run before a crash now outweighs it, and the crashes at the same moment; a later crash counts unless the request has run in between. Copies of a request that never ran count as before. Runs in other regions, and an endpoint's answers below 500, speak for a request as well. The same at the product's own interface, where two losses at once were enough.

Evidence: logs of the case have endpoint.crashed three times within milliseconds, then request.quarantined; no copy ran afterwards.

--- a/burdockdrum/crashes/__init__.py
+++ b/burdockdrum/crashes/__init__.py
@@ -15,6 +15,8 @@
 from burdockdrum.crashes.records import is_part
 from burdockdrum.crashes.records import PART_PREFIX
 from burdockdrum.crashes.services import add_services
+from burdockdrum.crashes.sound_runs import MAX_SOUND_RUNS
+from burdockdrum.crashes.sound_runs import SoundRuns
 from burdockdrum.crashes.verdicts import MAX_CRASHES
 
 __all__ = [
@@ -26,9 +28,11 @@
     "is_part",
     "MAX_CRASHES",
     "MAX_RECORDS",
+    "MAX_SOUND_RUNS",
     "PART_CRASH_INTERVAL_SECONDS",
     "PART_PREFIX",
     "SHARE_DELAY_SECONDS",
     "SOUND_SECONDS",
+    "SoundRuns",
     "Standing",
 ]
--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -72,6 +72,8 @@
 HOP_CONNECT_TIMEOUT_SECONDS = 0.6
 # Lets a response that the endpoint sent at the deadline still arrive.
 DEADLINE_GRACE_SECONDS = 0.05
+# Copies of larger requests are rare, and a digest of each would block others.
+MAX_RECORDED_BODY_BYTES = 64 * 1024
 
 
 class AttemptRunner:
@@ -240,15 +242,20 @@
                 self._crashes.record_lost(request.suspects, endpoint)
             case Delivered():
                 self._record_sound(request, call, is_complete=True)
+            case ErrorResponse(head=head) if head.status < 500:
+                self._record_sound(request, call, is_complete=True)
 
     def _record_sound(
         self, request: ProxiedRequest, call: Call, *, is_complete: bool
     ) -> None:
         """Record that an endpoint writes a response and goes on."""
-        if not isinstance(call.target, EndpointTarget):
-            return
+        if is_complete and len(request.head.body) <= MAX_RECORDED_BODY_BYTES:
+            self._crashes.record_run(request.fingerprint)
+        endpoint_id = None
+        if isinstance(call.target, EndpointTarget):
+            endpoint_id = call.target.choice.endpoint.endpoint_id
         self._crashes.record_response(
-            call.target.choice.endpoint.endpoint_id,
+            endpoint_id,
             lambda: request.suspects,
             call.sent_at,
             call.wrote_since,
@@ -289,6 +296,7 @@
         began = self._clock.monotonic()
         outcome = await self._call(call, request, progress, exchange, attempt)
         if isinstance(outcome, Delivered):
+            self._record_sound(request, call, is_complete=True)
             # An entry VM without local endpoints has no other samples.
             seconds = self._clock.monotonic() - began - HOP_DELAY_SECONDS
             self._fleet.record_run(request.backend.name, max(0.0, seconds))
--- a/burdockdrum/passthrough/relaying/crash_detector.py
+++ b/burdockdrum/passthrough/relaying/crash_detector.py
@@ -23,6 +23,7 @@
 from burdockdrum.crashes import is_part
 from burdockdrum.crashes import MAX_CRASHES
 from burdockdrum.crashes import PART_CRASH_INTERVAL_SECONDS
+from burdockdrum.crashes import SoundRuns
 from burdockdrum.crashes import Standing
 from burdockdrum.http1 import NotConnected
 from burdockdrum.logs import log_decision
@@ -92,6 +93,7 @@
         self._clock = clock
         self._rng = rng
         self._ledger = ledger
+        self._sound_runs = SoundRuns()
         self._vm_id = vm_id
         self._read_endpoints = read_endpoints
         self._connect = connect
@@ -222,9 +224,13 @@
             loss.probe = self._start_probe(loss)
         loss.suspects.update(suspects)
 
+    def record_run(self, fingerprint: str) -> None:
+        """Record that a request has run as a whole, at any endpoint."""
+        self._sound_runs.record(fingerprint, self._clock.monotonic())
+
     def record_response(
         self,
-        endpoint_id: str,
+        endpoint_id: str | None,
         suspects: ReadSuspects,
         sent_at: float,
         wrote_since: float,
@@ -233,14 +239,13 @@
     ) -> None:
         """Record that an endpoint has run a request, or goes on with it.
 
+        :param endpoint_id: None if it is known to another region only
         :param sent_at: when the request was sent, on the monotonic clock
         :param wrote_since: when the endpoint began to write the response
         :param is_complete: whether it has written all of it
         """
-        loss = self._losses_by_id.get(endpoint_id)
-        if loss is not None and sent_at > loss.lost_at:
-            self._forget(endpoint_id)
-            self._ledger.clear_endpoint(endpoint_id)
+        if endpoint_id is not None:
+            self._record_alive(endpoint_id, sent_at)
         if not self._losses_by_id and self._ledger.is_empty:
             return
         sound = [
@@ -260,6 +265,12 @@
             if self._ledger.clear(fingerprint, since):
                 log_decision("request.cleared", fingerprint=fingerprint)
 
+    def _record_alive(self, endpoint_id: str, sent_at: float) -> None:
+        loss = self._losses_by_id.get(endpoint_id)
+        if loss is not None and sent_at > loss.lost_at:
+            self._forget(endpoint_id)
+            self._ledger.clear_endpoint(endpoint_id)
+
     def record_replaced(self, endpoint_id: str) -> None:
         """Record that a later incarnation of an endpoint has registered."""
         self._confirm(endpoint_id, "restarted")
@@ -343,15 +354,22 @@
             return
         self._crashes_total.increment(evidence=evidence)
         since_lost = self._clock.monotonic() - loss.lost_at
+        sound = {
+            fingerprint
+            for fingerprint in loss.suspects
+            if not is_part(fingerprint)
+            and self._sound_runs.outweighs(fingerprint, loss.lost_at)
+        }
         log_decision(
             "endpoint.crashed",
             endpoint_id=endpoint_id,
             evidence=evidence,
             requests=len(loss.suspects) - sum(map(is_part, loss.suspects)),
             parts=sum(map(is_part, loss.suspects)),
+            sound_requests=len(sound),
             since_lost=round(since_lost, 3),
         )
-        for fingerprint in loss.suspects:
+        for fingerprint in loss.suspects - sound:
             self._ledger.add(fingerprint, endpoint_id, self._vm_id, since_lost)
 
     def _forget(self, endpoint_id: str) -> None:
--- a/burdockdrum/quarantine/quarantine.py
+++ b/burdockdrum/quarantine/quarantine.py
@@ -19,6 +19,7 @@
 from burdockdrum.crashes import Assessment
 from burdockdrum.crashes import CrashLedger
 from burdockdrum.crashes import is_part
+from burdockdrum.crashes import SoundRuns
 from burdockdrum.crashes import Standing
 from burdockdrum.endpoints import Endpoint
 from burdockdrum.peers import CallFailed
@@ -85,6 +86,7 @@
         self._trials = TrialTable(clock=clock)
         self._suspects_by_fingerprint: dict[str, _Suspect] = {}
         self._parts = CrashLedger(clock=clock)
+        self._sound_runs = SoundRuns()
         peers.register(EndpointLost, self._receive_loss)
         peers.register(SuspectCleared, self._receive_clear)
         peers.register(TrialRequest, self._receive_trial_request)
@@ -123,8 +125,11 @@
         self, fingerprint: str, endpoint: Endpoint, parts: Sequence[str] = ()
     ) -> None:
         """Record the loss of an endpoint that ran a request."""
+        is_sound = self._sound_runs.outweighs(
+            fingerprint, self._clock.monotonic()
+        )
         notice = EndpointLost(
-            fingerprint=fingerprint,
+            fingerprint="" if is_sound else fingerprint,
             endpoint_id=endpoint.endpoint_id,
             incarnation=endpoint.incarnation,
             parts=list(parts),
@@ -143,6 +148,7 @@
         :param wrote_since: when the run began to write, on the monotonic
             clock
         """
+        self._sound_runs.record(fingerprint, self._clock.monotonic())
         suspect = self._suspects_by_fingerprint.get(fingerprint)
         is_cleared = suspect is not None and not suspect.quarantined
         self._record_sound(
@@ -274,6 +280,8 @@
             self._parts.add(
                 part, f"{notice.endpoint_id}/{notice.incarnation}", observer
             )
+        if not notice.fingerprint:
+            return
         suspect = self._find(notice.fingerprint)
         if suspect is None:
             if len(self._suspects_by_fingerprint) >= MAX_SUSPECTS:
--- a/tests/passthrough/relaying/test_crash_detector.py
+++ b/tests/passthrough/relaying/test_crash_detector.py
@@ -136,6 +136,38 @@
         )
         self.assertEqual((0, 1), (self.crashes("f"), self.crashes("g")))
 
+    async def test_run_at_another_region_clears_a_request(self):
+        # Guards against a quarantine of what other regions serve.
+        self.refusing = {"a:80"}
+        await self.lose("f", "g")
+        self.detector.record_response(
+            None, lambda: ["f"], self.clock.now, self.clock.now
+        )
+        self.assertEqual((0, 1), (self.crashes("f"), self.crashes("g")))
+
+    async def test_endpoints_that_end_together_count_for_no_sound_request(
+        self,
+    ):
+        # Guards against a quarantine of polls after a data centre's power
+        # was lost once.
+        self.endpoints["d"] = make_endpoint("d")
+        self.detector.record_run("f")
+        self.clock.now += 1
+        self.refusing = {"a:80", "b:80", "c:80"}
+        for name in "abc":
+            await self.lose("f", "g", name=name)
+        self.assertEqual((0, 3), (self.crashes("f"), self.crashes("g")))
+
+    async def test_later_crashes_count_for_a_request_that_was_sound(self):
+        # Guards against a request that crashes endpoints since a release.
+        self.endpoints["d"] = make_endpoint("d")
+        self.detector.record_run("f")
+        self.refusing = {"a:80", "b:80", "c:80"}
+        for name in "abc":
+            self.clock.now += 1
+            await self.lose("f", name=name)
+        self.assertEqual(2, self.crashes("f"))
+
     async def test_suspects_are_kept_apart(self):
         self.refusing = {"a:80"}
         await self.lose("f", "g")
--- a/tests/passthrough/relaying/test_crashing_requests.py
+++ b/tests/passthrough/relaying/test_crashing_requests.py
@@ -105,6 +105,27 @@
                     max(MAX_CRASHES, copies), self.count_arrivals()
                 )
 
+    async def test_polls_are_served_after_endpoints_ended_together(self):
+        # Guards against a quarantine of sound requests after the endpoints of
+        # a data centre were down once.
+        entry = await self.open_entry(endpoints=3, attempts=3)
+        down, spare = self.endpoints, CrashingEndpoint()
+        self.addAsyncCleanup(spare.close)
+        await entry.call(target=b"/p/poll")
+        polls = [
+            asyncio.create_task(entry.call(target=b"/p/poll"))
+            for _ in range(12)
+        ]
+        async with asyncio.timeout(2):
+            while min(len(endpoint.seen) for endpoint in down) < 2:
+                await asyncio.sleep(0.001)
+        entry.add_endpoint("spare", await spare.open())
+        await asyncio.gather(*(endpoint.close() for endpoint in down))
+        await asyncio.gather(*polls)
+        status, _, _ = await entry.call(target=b"/p/poll")
+        self.assertEqual(200, status)
+        self.assertEqual(frozenset(), entry.ledger.quarantined)
+
     async def test_other_region_rejects_what_it_knows(self):
         # Guards against a request that goes on to the next region, where it
         # is not known yet, or comes back.
--- a/tests/quarantine/test_crashing_request.py
+++ b/tests/quarantine/test_crashing_request.py
@@ -100,6 +100,27 @@
 
         run_with_engines(scenario, count=3)
 
+    def test_sound_request_outlives_engines_that_end_together(self):
+        # Guards against a quarantine of sound requests of which copies ran
+        # on each engine of a data centre that lost power.
+        async def scenario(stack, engines):
+            async def poll():
+                response = await stack.complete("a1", "poll")
+                await stack.read(response)
+                return response.status
+
+            await poll()
+            polls = [asyncio.create_task(poll()) for _ in range(12)]
+            while sum(engine.running > 0 for engine in engines) < 3:
+                await asyncio.sleep(0.01)
+            for engine in engines:
+                if engine.running:
+                    engine.crash()
+            await asyncio.gather(*polls)
+            self.assertEqual(200, await poll())
+
+        run_with_engines(scenario)
+
     def test_crashing_non_idempotent_request_is_quarantined(self):
         # The gateway doesn't retry a non-idempotent call, but its caller
         # does under new keys.
