Count the callers told to return, and move no time of theirs

Cause: a request that came before its time started the wait again, and requests were recognised by route, team and prompt parts. So the request of one caller counted as the early return of another and moved its time; with requests of a session more often than each 0.8 s none was ever due.

ReturnTimes counts how many were told a time and lets as many come at it. An early request is told the rest and moves nothing, so that no refusal is extended by load. After it, the next may not come 0.2 s before its time. The caller's address is part of the key.

--- a/burdockdrum/http1/receiver.py
+++ b/burdockdrum/http1/receiver.py
@@ -66,6 +66,8 @@
         """
         self._limits = limits
         self._connected_at = connected_at
+        # Set once the connection is open.
+        self.peer_host = ""
         self._deliver = deliver
         self._reject_request = reject
         self._send_continue = send_continue
@@ -200,6 +202,7 @@
             received_at=self.received_at,
             knows_chunks=self._parser.get_http_version() != "1.0",
             connected_at=self._connected_at,
+            peer_host=self.peer_host,
         )
         size = self.size + REQUEST_OVERHEAD_BYTES
         self._reset()
--- a/burdockdrum/http1/requests.py
+++ b/burdockdrum/http1/requests.py
@@ -13,6 +13,7 @@
 
     ``received_at`` is when its first byte arrived, by the monotonic clock.
     ``connected_at`` is when its connection was accepted, by the same clock.
+    ``peer_host`` is the address that it came from, empty if unknown.
     ``knows_chunks`` says that its caller understands a chunked response.
     """
 
@@ -24,6 +25,7 @@
     received_at: float
     knows_chunks: bool = True
     connected_at: float = float("-inf")
+    peer_host: str = ""
 
     def find(self, name: bytes) -> bytes | None:
         """Return the first value of a header; the name is in lower case."""
--- a/burdockdrum/http1/server.py
+++ b/burdockdrum/http1/server.py
@@ -169,6 +169,9 @@
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         enable_keepalive(transport)
+        peer = transport.get_extra_info("peername")
+        if peer:
+            self._receiver.peer_host = peer[0]
         self._listener.add_connection(self)
         self._task = asyncio.create_task(self._run())
         self._start_timer(self._listener.idle_seconds)
--- a/burdockdrum/passthrough/waiting/dispatcher.py
+++ b/burdockdrum/passthrough/waiting/dispatcher.py
@@ -313,4 +313,9 @@
     """Return what a request shows again when it comes back, if anything."""
     if not request.prompt.parts:
         return None
-    return (request.route.name, request.team, request.prompt.parts)
+    return (
+        request.head.peer_host,
+        request.route.name,
+        request.team,
+        request.prompt.parts,
+    )
--- a/burdockdrum/passthrough/waiting/returns.py
+++ b/burdockdrum/passthrough/waiting/returns.py
@@ -1,24 +1,30 @@
 """Requests that were refused and told when to come back.
 
 A caller that repeats at once would otherwise have more chances than one that
-waits as told.
+waits as told. Several callers may send requests that look the same, so it is
+counted how many were told a time, and as many may come at it. A request that
+comes too early changes no time that another one was told.
 """
 
+import bisect
 from collections.abc import Hashable
 from dataclasses import dataclass
-from dataclasses import replace
+from dataclasses import field
 
-# A request may come back so much sooner than it was told.
+# A request may come back so much sooner than it was told, unless one like it
+# has come sooner still.
 EARLY_SECONDS = 0.2
 MAX_REMEMBERED = 2_000
+# Of the same request; more callers than that wait for the last of them.
+MAX_TIMES = 64
 
 
-@dataclass(frozen=True, kw_only=True)
-class _Return:
-    """When a request may come back, and the seconds that it was told."""
+@dataclass(kw_only=True)
+class _Returns:
+    """When requests with the same key may come back, the soonest first."""
 
-    at: float
-    seconds: float
+    times: list[float] = field(default_factory=list)
+    came_early: bool = False
 
 
 class ReturnTimes:
@@ -26,7 +32,7 @@
 
     def __init__(self) -> None:
         """Start without refused requests."""
-        self._returns_by_key: dict[Hashable, _Return] = {}
+        self._returns_by_key: dict[Hashable, _Returns] = {}
 
     def remember(
         self, key: Hashable | None, *, seconds: float, now: float
@@ -38,28 +44,38 @@
         """
         if key is None:
             return
-        if len(self._returns_by_key) >= MAX_REMEMBERED:
-            self._returns_by_key = {
-                other: known
-                for other, known in self._returns_by_key.items()
-                if known.at > now
-            }
-        if len(self._returns_by_key) < MAX_REMEMBERED:
-            self._returns_by_key[key] = _Return(
-                at=now + seconds, seconds=seconds
-            )
+        returns = self._returns_by_key.get(key)
+        if returns is None:
+            if len(self._returns_by_key) >= MAX_REMEMBERED:
+                self._forget_past(now)
+            if len(self._returns_by_key) >= MAX_REMEMBERED:
+                return
+            returns = self._returns_by_key[key] = _Returns()
+        if len(returns.times) < MAX_TIMES:
+            bisect.insort(returns.times, now + seconds)
 
     def seconds_too_early(self, key: Hashable | None, now: float) -> float:
         """Return how long a request has to stay away, 0 if it may come.
 
-        One that comes too early has to wait from then on as long as it was
-        told at first. It is forgotten when it comes at its time.
+        One that may come uses up the soonest of the times.
         """
-        known = self._returns_by_key.get(key)
-        if known is None:
+        returns = self._returns_by_key.get(key)
+        if returns is None:
             return 0.0
-        if now < known.at - EARLY_SECONDS:
-            self._returns_by_key[key] = replace(known, at=now + known.seconds)
-            return known.seconds
-        del self._returns_by_key[key]
+        tolerance = 0.0 if returns.came_early else EARLY_SECONDS
+        soonest = returns.times[0]
+        if now < soonest - tolerance:
+            returns.came_early = True
+            return soonest - now
+        returns.times.pop(0)
+        returns.came_early = False
+        if not returns.times:
+            del self._returns_by_key[key]
         return 0.0
+
+    def _forget_past(self, now: float) -> None:
+        self._returns_by_key = {
+            key: returns
+            for key, returns in self._returns_by_key.items()
+            if returns.times[-1] > now
+        }
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -64,6 +64,21 @@
         )
         self.assertNotIn(b"X-Late", names)
 
+    async def test_address_of_the_caller_is_known(self):
+        # Refused callers are told apart by it.
+        hosts = []
+
+        async def list_hosts(exchange):
+            hosts.append(exchange.request.peer_host)
+            exchange.respond(200, [], b"")
+
+        await self.close_listener()
+        await self.open(list_hosts)
+        await self.send(
+            b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        )
+        self.assertEqual(["127.0.0.1"], hosts)
+
     async def test_endless_bytes_beside_the_body_are_rejected(self):
         # Guards against memory for trailers and chunk extensions without end.
         begin = (
