Don't take a part of an early response for all of it

An endpoint that answered a long upload at once with a 200 that has no length, wrote a part of the body, and ended its side of the connection before it reset it: the caller got the part as a complete response.

Cause: a response without a length is complete at the end of the stream, and the reset that would tell otherwise came later, or met a connection that was closing. An endpoint that ends its side while it has not even taken the request is in trouble; so a success is not complete then. What was written but not acknowledged by the peer counts as not sent. Errors and responses with a length arrive as before; an early rejection without a length is no longer lost with the reset that follows it.

The same at the product's own interface, which also waited until all of a body was sent before it read the response.

Not covered: a body that the endpoint's kernel has taken and that the endpoint never reads.

--- a/burdockdrum/http1/client.py
+++ b/burdockdrum/http1/client.py
@@ -20,7 +20,10 @@
 from burdockdrum.http1.overhead import OverheadCounter
 from burdockdrum.http1.overhead import ResponseKind
 from burdockdrum.http1.sockets import enable_keepalive
+from burdockdrum.http1.sockets import has_unsent
 from burdockdrum.http1.sockets import has_unread
+from burdockdrum.http1.statuses import MIN_ERROR_STATUS
+from burdockdrum.http1.statuses import MIN_FINAL_STATUS
 from burdockdrum.logs import log_failure
 
 MAX_BUFFERED_BYTES = 128 * 1024
@@ -174,18 +177,29 @@
         self._transport = cast(asyncio.Transport, transport)
         enable_keepalive(transport)
 
+    def eof_received(self) -> None:
+        """Complete an unframed response, unless it is a part of one.
+
+        A success before the request was sent shows an endpoint in trouble:
+        a reset may follow, and the rest of the response is lost.
+        """
+        if self._complete or self._error is not None or self._head is None:
+            return
+        if self._has_framing:
+            return
+        assert self._transport is not None
+        is_success = self._head.status < MIN_ERROR_STATUS
+        if is_success and has_unsent(self._transport):
+            self._fail(EOFError("closed before the request was sent"))
+        else:
+            self._complete = True
+        self._keep_alive = False
+        self._wake()
+
     def connection_lost(self, error: Exception | None) -> None:
-        """Complete an unframed response, or fail one that is incomplete."""
+        """Fail a response that is incomplete."""
         if not self._complete:
-            if (
-                self._head is not None
-                and not self._has_framing
-                and error is None
-                and self._error is None
-            ):
-                self._complete = True
-            else:
-                self._fail(error or EOFError("closed by the peer"))
+            self._fail(error or EOFError("closed by the peer"))
         self._keep_alive = False
         self._dirty = True
         self._wake()
@@ -274,7 +288,7 @@
         self._complete = True
 
     def _kind_of(self, head: ResponseHead) -> ResponseKind:
-        if head.status < 200:
+        if head.status < MIN_FINAL_STATUS:
             return ResponseKind.INTERIM
         named = head.find(self._id_header)
         if self._expected_id in (None, named) or named is None:
--- a/burdockdrum/http1/sockets.py
+++ b/burdockdrum/http1/sockets.py
@@ -6,9 +6,11 @@
 """
 
 import asyncio
+import fcntl
 import select
 import socket
 import struct
+import termios
 
 # Below the 5 s within which other VMs expect this one to have detected it.
 UNACKNOWLEDGED_TIMEOUT_SECONDS = 4
@@ -44,6 +46,21 @@
     return bool(poll.poll(0))
 
 
+def has_unsent(transport: asyncio.WriteTransport) -> bool:
+    """Return whether the peer has not acknowledged all that was written."""
+    if transport.get_write_buffer_size():
+        return True
+    raw = transport.get_extra_info("socket")
+    if raw is None:
+        return False
+    try:
+        count = fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        # Not every system tells.
+        return False
+    return any(count)
+
+
 def limit_receive_buffer(transport: asyncio.BaseTransport, size: int) -> None:
     """Bound what the kernel keeps unread, in bytes."""
     raw = transport.get_extra_info("socket")
--- a/burdockdrum/system_ports/connections.py
+++ b/burdockdrum/system_ports/connections.py
@@ -20,6 +20,9 @@
 from burdockdrum.http1.overhead import LimitExceeded
 from burdockdrum.http1.overhead import OverheadCounter
 from burdockdrum.http1.overhead import ResponseKind
+from burdockdrum.http1.sockets import has_unsent
+from burdockdrum.http1.statuses import MIN_ERROR_STATUS
+from burdockdrum.http1.statuses import MIN_FINAL_STATUS
 from burdockdrum.logs import log_failure
 
 READ_BYTES = 65536
@@ -69,9 +72,11 @@
             reason = f"invalid HTTP: {error}"
             raise ConnectionEnded(str(exceeded or reason)) from error
 
-    def feed_end(self) -> None:
+    def feed_end(self, *, is_request_sent: bool = True) -> None:
         """Handle the end of the connection.
 
+        :param is_request_sent: otherwise a success is not complete, as the
+            rest of it may be lost in a reset
         :raises ConnectionEnded: unless the end of the connection delimits
             the body
         """
@@ -79,6 +84,8 @@
         framed = names & {b"content-length", b"transfer-encoding"}
         if not self.head_complete or framed:
             raise ConnectionEnded("closed before the end of the response")
+        if not is_request_sent and self.status < MIN_ERROR_STATUS:
+            raise ConnectionEnded("closed before the request was sent")
         self.complete = True
 
     def consume_body(self) -> bytes:
@@ -108,7 +115,7 @@
         if self.complete:
             return
         self.status = self._parser.get_status_code()
-        if self.status >= 200:
+        if self.status >= MIN_FINAL_STATUS:
             self._overhead.end_head(ResponseKind.EXPECTED)
             self.head_complete = True
         else:
@@ -203,7 +210,8 @@
         """Send a request and wait for the head of its response.
 
         Head and body are sent in one write, which saves a system call and
-        wakes the server only once.
+        wakes the server only once. The server may respond before it has read
+        all of them.
         """
         codec, writer = self._h11_conn, self.writer
         if codec is None or writer is None:
@@ -215,7 +223,6 @@
             parts.append(codec.send(h11.Data(data=body)))
         parts.append(codec.send(h11.EndOfMessage()))
         writer.write(b"".join(part for part in parts if part))
-        await writer.drain()
         return await self._receive_response()
 
     async def read_part(self) -> bytes | None:
@@ -249,6 +256,11 @@
         if self.writer is not None:
             self.writer.transport.abort()
 
+    def _is_request_sent(self) -> bool:
+        return self.writer is not None and not has_unsent(
+            self.writer.transport
+        )
+
     def _end_idle(self) -> None:
         """Close a connection that got bytes which are no response."""
         log_failure(
@@ -275,7 +287,7 @@
             if data:
                 receiver.feed(data)
             else:
-                receiver.feed_end()
+                receiver.feed_end(is_request_sent=self._is_request_sent())
         except ConnectionEnded:
             # Nobody reads what would still arrive.
             self.abort()
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -5,6 +5,8 @@
 import socket
 import unittest
 
+import uvloop
+
 from burdockdrum.http1 import ConnectionPool
 from burdockdrum.http1 import encode_request
 from burdockdrum.http1 import NotConnected
@@ -207,3 +209,78 @@
         await self.server.close()
         with self.assertRaises(NotConnected):
             await self.call(address)
+
+
+class EarlyResponseTest(unittest.TestCase):
+    """Responses that begin before the request has been sent.
+
+    On the event loop of the product, which ends connections in its own way.
+    """
+
+    async def upload(self, *, early, finish):
+        """Send a body that the endpoint does not read.
+
+        :param early: what the endpoint writes after the head of the request
+        :param finish: ends the connection, called with its writer
+        """
+
+        async def script(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            reader._transport.pause_reading()
+            writer.write(early)
+            await finish(writer)
+
+        server = ScriptedServer(script)
+        pool = ConnectionPool(id_header=b"x-id")
+        connection = await pool.acquire(await server.open(), timeout=1)
+        size = (b"content-length", b"3900000")
+        head = encode_request(b"POST", b"/", [(b"host", b"x"), size])
+        connection.send(head, b"1", body=b"x" * 3_900_000)
+        body = b""
+        try:
+            async with asyncio.timeout(2):
+                response = await connection.read_head()
+                while (part := await connection.read_part()) is not None:
+                    body += part
+        finally:
+            connection.close()
+            await server.close()
+        return response.status, body
+
+    def test_unframed_success_before_the_body_is_sent_raises(self):
+        # Guards against a part of a response that is taken for all of it, as
+        # the endpoint ends its side before it resets the connection.
+        for seconds in (0, 0.05, 1):
+
+            async def end_then_reset(writer, seconds=seconds):
+                writer.write_eof()
+                await asyncio.sleep(seconds)
+                writer.transport.abort()
+
+            with self.subTest(seconds=seconds):
+                with self.assertRaises(ResponseLost):
+                    uvloop.run(
+                        self.upload(
+                            early=b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart",
+                            finish=end_then_reset,
+                        )
+                    )
+
+    def test_early_responses_that_are_complete_arrive(self):
+        # An endpoint may reject a body that it has not read.
+        async def end(writer):
+            writer.write_eof()
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
+
+        length = b"Content-Length: 4\r\n"
+        for status, framing in ((200, length), (413, length), (413, b"")):
+            early = b"HTTP/1.1 %d X\r\nX-Id: 1\r\n%s\r\nbody" % (
+                status,
+                framing,
+            )
+            with self.subTest(early=early):
+                self.assertEqual(
+                    (status, b"body"),
+                    uvloop.run(self.upload(early=early, finish=end)),
+                )
--- a/tests/system_ports/test_http.py
+++ b/tests/system_ports/test_http.py
@@ -166,6 +166,37 @@
             with self.assertRaises(AnswerLost):
                 await client.open(UpstreamCall(method="GET", url=url))
 
+    async def read_early(self, early, body_bytes=3_900_000):
+        """Send a body of which the server reads nothing."""
+
+        async def handler(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            reader._transport.pause_reading()
+            writer.write(early)
+            writer.write_eof()
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
+
+        client, url = await self.serve(handler)
+        call = UpstreamCall(
+            method="POST", url=url, body=bytes(body_bytes), head_timeout=2.0
+        )
+        answer = await client.open(call)
+        body = b"".join([chunk async for chunk in answer.chunks()])
+        return answer.status, body
+
+    async def test_unframed_success_before_the_body_is_sent_is_lost(self):
+        # Guards against a part of an answer that is taken for all of it.
+        with self.assertRaises(AnswerLost):
+            await self.read_early(b"HTTP/1.1 200 OK\r\n\r\npart")
+
+    async def test_early_rejection_of_a_body_arrives(self):
+        # Guards against waiting until all of the body is sent.
+        early = b"HTTP/1.1 413 X\r\nContent-Length: 4\r\n\r\nbody"
+        self.assertEqual(
+            (413, b"body"), await self.read_early(early, 16_000_000)
+        )
+
     async def test_refused_connection_is_a_connect_failure(self):
         listener = bind("127.0.0.1", 0)
         port = listener.getsockname()[1]
