Break off at once what has an invalid status

A response of status 000 counted as an interim one: the caller got 504 at its deadline, and the body of the invalid response went before that of the next one on the connection. 600 and 999 were passed on.

RFC 9110, section 15: codes outside 100 to 599 are invalid, and to be treated as a server error. Such a response is lost at once now, at both interfaces, and its connection closed: 502, or another attempt where the request may run again. Only the body of the expected response is kept, whatever comes before it.

Red before: test_response_with_an_invalid_status_raises_at_once (eight cases: time-outs, and the body of the next response), test_invalid_status_ is_a_lost_answer. Held before: test_interim_response_with_a_body_adds_ nothing, as the parser reads no body of a 1xx status.

--- a/burdockdrum/http1/client.py
+++ b/burdockdrum/http1/client.py
@@ -20,8 +20,10 @@
 from burdockdrum.http1.overhead import OverheadCounter
 from burdockdrum.http1.overhead import ResponseKind
 from burdockdrum.http1.sockets import enable_keepalive
-from burdockdrum.http1.sockets import has_unsent
 from burdockdrum.http1.sockets import has_unread
+from burdockdrum.http1.sockets import has_unsent
+from burdockdrum.http1.statuses import check_status
+from burdockdrum.http1.statuses import InvalidStatus
 from burdockdrum.http1.statuses import MIN_ERROR_STATUS
 from burdockdrum.http1.statuses import MIN_FINAL_STATUS
 from burdockdrum.logs import log_failure
@@ -220,7 +222,7 @@
             self._fail(ValueError("the peer changed the protocol"))
         except (httptools.HttpParserError, LimitExceeded) as error:
             if not self._complete:
-                self._fail(self._overhead.exceeded or error)
+                self._fail(self._overhead.exceeded or _find_cause(error))
             self._dirty = True
         if self._complete and self._dirty:
             # The part of the body that was received is still read.
@@ -255,6 +257,7 @@
         if self._dirty:
             return
         status = self._parser.get_status_code()
+        check_status(status)
         head = ResponseHead(status=status, headers=self._headers)
         self._kind = self._kind_of(head)
         self._overhead.end_head(self._kind)
@@ -271,7 +274,7 @@
         """Buffer a part of the body."""
         if self._dirty:
             return
-        if self._kind is ResponseKind.SKIPPED:
+        if self._kind is not ResponseKind.EXPECTED:
             self._overhead.skip_body(len(body))
             return
         self._buffer += body
@@ -335,6 +338,12 @@
             self._waiter.set_result(None)
 
 
+def _find_cause(error: Exception) -> Exception:
+    """Return what a callback of the parser raised, else the error."""
+    cause = error.__context__
+    return cause if isinstance(cause, InvalidStatus) else error
+
+
 def _describe(error: Exception) -> str:
     if isinstance(error, LimitExceeded):
         return str(error)
--- a/burdockdrum/system_ports/connections.py
+++ b/burdockdrum/system_ports/connections.py
@@ -21,6 +21,7 @@
 from burdockdrum.http1.overhead import OverheadCounter
 from burdockdrum.http1.overhead import ResponseKind
 from burdockdrum.http1.sockets import has_unsent
+from burdockdrum.http1.statuses import check_status
 from burdockdrum.http1.statuses import MIN_ERROR_STATUS
 from burdockdrum.http1.statuses import MIN_FINAL_STATUS
 from burdockdrum.logs import log_failure
@@ -115,6 +116,7 @@
         if self.complete:
             return
         self.status = self._parser.get_status_code()
+        check_status(self.status)
         if self.status >= MIN_FINAL_STATUS:
             self._overhead.end_head(ResponseKind.EXPECTED)
             self.head_complete = True
@@ -124,7 +126,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a chunk of the body."""
-        if not self.complete:
+        if self.head_complete and not self.complete:
             self.parts.append(body)
             self._body_bytes += len(body)
 
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -158,6 +158,26 @@
             while await connection.read_part() is not None:
                 pass
 
+    async def test_response_with_an_invalid_status_raises_at_once(self):
+        # 000 counted as an interim response, so that the caller waited until
+        # its deadline, and its body preceded that of the next response.
+        for status in (b"000", b"099", b"600", b"999"):
+            line = b"HTTP/1.1 " + status + b" X\r\nX-Id: 1\r\n"
+            for rest in (b"\r\n", b"Content-Length: 3\r\n\r\nbad"):
+                with self.subTest(status=status, rest=rest):
+                    address = await self.serve(line + rest + RESPONSE)
+                    with self.assertRaises(ResponseLost):
+                        await self.call(address)
+
+    async def test_interim_response_with_a_body_adds_nothing(self):
+        # An interim response has no body: what follows it is a response.
+        interim = b"HTTP/1.1 103 X\r\nContent-Length: 3\r\n\r\n"
+        address = await self.serve(interim + RESPONSE)
+        self.assertEqual(b"ok", (await self.call(address))[1])
+        address = await self.serve(interim + b"bad" + RESPONSE)
+        with self.assertRaises(ResponseLost):
+            await self.call(address)
+
     async def test_interim_response_is_skipped(self):
         address = await self.serve(b"HTTP/1.1 100 Continue\r\n\r\n" + RESPONSE)
         self.assertEqual(b"ok", (await self.call(address))[1])
@@ -257,14 +277,12 @@
                 await asyncio.sleep(seconds)
                 writer.transport.abort()
 
-            with self.subTest(seconds=seconds):
-                with self.assertRaises(ResponseLost):
-                    uvloop.run(
-                        self.upload(
-                            early=b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart",
-                            finish=end_then_reset,
-                        )
-                    )
+            early = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart"
+            with (
+                self.subTest(seconds=seconds),
+                self.assertRaises(ResponseLost),
+            ):
+                uvloop.run(self.upload(early=early, finish=end_then_reset))
 
     def test_early_responses_that_are_complete_arrive(self):
         # An endpoint may reject a body that it has not read.
--- a/tests/system_ports/test_http.py
+++ b/tests/system_ports/test_http.py
@@ -197,6 +197,24 @@
             (413, b"body"), await self.read_early(early, 16_000_000)
         )
 
+    async def test_invalid_status_is_a_lost_answer(self):
+        # 000 counted as an interim response; its body preceded the next one.
+        for status in (b"000", b"099", b"600"):
+
+            async def handler(reader, writer, status=status):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(
+                    b"HTTP/1.1 " + status + b" X\r\nContent-Length: 3\r\n"
+                    b"\r\nbadHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+                )
+                await asyncio.sleep(1)
+
+            with self.subTest(status=status):
+                client, url = await self.serve(handler)
+                call = UpstreamCall(method="GET", url=url, head_timeout=2.0)
+                with self.assertRaises(AnswerLost):
+                    await client.open(call)
+
     async def test_refused_connection_is_a_connect_failure(self):
         listener = bind("127.0.0.1", 0)
         port = listener.getsockname()[1]
