Bound what reports of all endpoints hold together

A report on a cache may have 1 MB, and an entry polls as many endpoints as it is assigned. Faulty endpoints that send such bytes without end, each below its limit, could hold more than the memory of a process where few entries are left in a region: 300 endpoints, 300 MB.

--- a/tests/platform/test_memories.py
+++ b/tests/platform/test_memories.py
@@ -227,3 +227,39 @@
                     await server.ended.wait()
                 self.assertNotIn("TimeoutError", str(caught.exception))
         self.assertEqual({}, pool.open_by_address)
+
+    async def test_endless_responses_of_many_are_bounded_together(self):
+        # Guards against a process whose memory they fill, each below its
+        # own limit.
+        limit = 1024 * 1024
+        client = RunnerCacheClient(
+            pool=ConnectionPool(id_header=b"x-request-id"),
+            max_held_bytes=limit,
+        )
+        body = b"x" * 512 * 1024
+
+        async def script(reader, writer):
+            await read_request(reader)
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+                % (len(body) + 1)
+                + body
+            )
+            await asyncio.Event().wait()
+
+        reads = []
+        for number in range(8):
+            server = ScriptedServer(script)
+            self.addAsyncCleanup(server.close)
+            endpoint = make_endpoint(f"e{number}", address=await server.open())
+            reads.append(asyncio.create_task(client.read_events(endpoint, 19)))
+        async with asyncio.timeout(5):
+            while sum(read.done() for read in reads) < 6:
+                self.assertLessEqual(client._held_bytes, limit + len(body))
+                await asyncio.sleep(0.001)
+        results = await asyncio.gather(*reads, return_exceptions=True)
+        causes = [str(error) for error in results]
+        self.assertGreaterEqual(
+            causes.count("the responses of all endpoints are too large"), 6
+        )
+        self.assertEqual(0, client._held_bytes)
