--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -46,6 +46,7 @@
     """A mixin with three control VMs, three entries and one runner."""
 
     respond = staticmethod(run_request)
+    slots = 4
 
     async def asyncSetUp(self):
         self.deployment = Deployment()
@@ -77,7 +78,7 @@
                 "service": "s",
                 "addr": self.address,
                 "zone": "a",
-                "slots": 4,
+                "slots": self.slots,
                 "state": "ready",
                 "seq": sequence,
             }
