Hold an endpoint to its place when another writer checks in under its id

Cause: the highest sequence was the latest word of an incarnation, whatever it said, at control VMs and where entries choose among their copies; lower ones were ignored also once nothing else arrived.

An incarnation keeps its service, address and data centre. A check-in with others is ignored and logged (check_in.conflicting) while the endpoint is heard of. Lower sequences that go on to arrive, one after the other, when nothing else has for 4.5 s are the endpoint's own; those that a partition held up arrive together. Entries hold the place that they know while any control VM names it, and an end elsewhere ends nothing.

Open: "draining" at a control VM that the endpoint doesn't check in at, and a later start time.

--- a/burdockdrum/registrations/follower.py
+++ b/burdockdrum/registrations/follower.py
@@ -408,7 +408,10 @@
         endpoint_id = registration.endpoint_id
         source.stale_until_by_id.pop(endpoint_id, None)
         if registration.state is RegistrationState.GONE:
-            self._apply_end(source, registration, now)
+            if self._is_elsewhere(registration):
+                source.endpoints_by_id.pop(endpoint_id, None)
+            else:
+                self._apply_end(source, registration, now)
         elif registration.state is RegistrationState.EXPIRED:
             source.endpoints_by_id.pop(endpoint_id, None)
         elif self._ended.admits(registration, now):
@@ -420,6 +423,25 @@
             )
         self._merge(endpoint_id)
 
+    def _is_elsewhere(self, registration: Registration) -> bool:
+        """Return whether the endpoint is known to be in another place.
+
+        An end that a control VM was told without knowing the endpoint names
+        no place.
+        """
+        known = self.endpoints_by_id.get(registration.endpoint_id)
+        return (
+            known is not None
+            and not known.is_unreachable
+            and bool(registration.address)
+            and known.place
+            != (
+                registration.service,
+                registration.address,
+                registration.data_centre,
+            )
+        )
+
     def _apply_end(
         self, source: ControlSource, registration: Registration, now: float
     ) -> None:
@@ -471,7 +493,7 @@
     def _merge(self, endpoint_id: str) -> None:
         before = self.endpoints_by_id.pop(endpoint_id, None)
         copies = self._find_copies(endpoint_id)
-        after = self._choose_copy(endpoint_id, copies)
+        after = self._choose_copy(endpoint_id, copies, before)
         if after is not None:
             after = keep_newest_limit(before, after, copies)
             after = self._drains.apply(after)
@@ -491,11 +513,24 @@
         ]
 
     def _choose_copy(
-        self, endpoint_id: str, copies: list[RegisteredEndpoint]
+        self,
+        endpoint_id: str,
+        copies: list[RegisteredEndpoint],
+        before: RegisteredEndpoint | None,
     ) -> RegisteredEndpoint | None:
-        """Return the current registration of an endpoint, None if gone."""
+        """Return the current registration of an endpoint, None if gone.
+
+        Copies that name another place than the one known before come from
+        another writer. They don't count while any names the same.
+        """
         if not copies or endpoint_id in self._ended:
             return None
+        if before is not None:
+            copies = [
+                copy
+                for copy in copies
+                if copy.place == before.place and not copy.is_unreachable
+            ] or copies
         # Unreachable at one control VM, it may check in at another.
         reachable = [
             copy for copy in copies if not copy.is_unreachable
--- a/burdockdrum/registrations/model.py
+++ b/burdockdrum/registrations/model.py
@@ -40,6 +40,11 @@
         """Return the id that the endpoint reports, over all incarnations."""
         return self.name or self.endpoint_id
 
+    @property
+    def place(self) -> tuple[str, str, str]:
+        """Return what an incarnation keeps: service, address, data centre."""
+        return (self.service, self.address, self.data_centre)
+
     @property
     def is_draining(self) -> bool:
         """Return whether it is draining and accepts no new requests."""
--- a/burdockdrum/registrations/table.py
+++ b/burdockdrum/registrations/table.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from burdockdrum.logs import log_failure
 from burdockdrum.ports import Clock
 from burdockdrum.registrations.incarnations import LatestIncarnations
 from burdockdrum.registrations.incarnations import make_incarnation_id
@@ -22,6 +23,8 @@
 
 # Endpoints check in every 1.2 s, and a check-in may be seconds late.
 CHECK_IN_TIMEOUT_SECONDS = 4.5
+# Check-ins that were held up by a partition arrive together.
+MIN_CHECK_IN_INTERVAL_SECONDS = 0.5
 # An unreachable endpoint is kept for so long: partitions often heal within
 # seconds, and it may be checking in at another control VM.
 EXPIRY_SECONDS = 30.0
@@ -39,12 +42,29 @@
 
 @dataclass(frozen=True, kw_only=True)
 class _Record:
+    """A registration, and when it was received and changed.
+
+    ``late_sequence`` is the highest of the check-ins with lower sequences
+    that have arrived since, one after the other, ``late_at`` when it did, and
+    ``late_count`` how many they are.
+    """
+
     registration: Registration
     serial: int
     received_at: float
     changed_at: float
     limit_observed_at: float | None = None
     limit_changed_at: float = float("-inf")
+    late_sequence: int = -1
+    late_at: float = float("-inf")
+    late_count: int = 0
+
+    @property
+    def heard_at(self) -> float:
+        """Return when the endpoint was heard of, by any of its writers."""
+        if self.late_count < 2:
+            return self.received_at
+        return max(self.received_at, self.late_at)
 
 
 class RegistrationTable:
@@ -77,7 +97,7 @@
         if self._incarnations.is_outdated(name, incarnation):
             return False
         known = self._records_by_id.get(registration.endpoint_id)
-        if known is not None and not _is_newer(registration, known):
+        if known is not None and not self._is_accepted(registration, known):
             return False
         if known is None and self._is_superseded(registration):
             return False
@@ -96,6 +116,8 @@
                         told, sequence=registration.sequence
                     ),
                     received_at=now,
+                    late_sequence=-1,
+                    late_count=0,
                 )
                 return True
         self._newest_id_by_address[registration.address] = (
@@ -244,7 +266,7 @@
         """Mark endpoints that stopped checking in; remove expired ones."""
         now = self._clock.monotonic()
         for record in list(self._records_by_id.values()):
-            idle_seconds = now - record.received_at
+            idle_seconds = now - record.heard_at
             age = now - record.changed_at
             match record.registration.state:
                 case RegistrationState.READY:
@@ -280,6 +302,50 @@
             if record.registration.reported_id == name
         ]
 
+    def _is_accepted(self, registration: Registration, known: _Record) -> bool:
+        """Return whether a check-in replaces the one known before.
+
+        An incarnation keeps its service, address and data centre, so that a
+        check-in with others is from another writer. It is ignored while the
+        endpoint is heard of. So are lower sequences, unless they go on to
+        arrive when nothing else does: then they are the endpoint's own.
+        """
+        current = known.registration
+        if current.state is RegistrationState.GONE:
+            return False
+        silent_seconds = self._clock.monotonic() - known.received_at
+        is_silent = silent_seconds > CHECK_IN_TIMEOUT_SECONDS
+        if not _is_same_place(registration, current):
+            is_accepted = (
+                is_silent and current.state is not RegistrationState.DRAINING
+            )
+            if not is_accepted:
+                _log_conflict(registration, current)
+            return is_accepted
+        if registration.sequence >= current.sequence:
+            return True
+        is_next = self._record_late(registration, known)
+        return is_next and is_silent
+
+    def _record_late(self, registration: Registration, known: _Record) -> bool:
+        """Record a check-in with a lower sequence.
+
+        :returns: whether it follows another one in time and in sequence
+        """
+        now = self._clock.monotonic()
+        if (
+            registration.sequence <= known.late_sequence
+            or now < known.late_at + MIN_CHECK_IN_INTERVAL_SECONDS
+        ):
+            return False
+        self._records_by_id[registration.endpoint_id] = replace(
+            known,
+            late_sequence=registration.sequence,
+            late_at=now,
+            late_count=known.late_count + 1,
+        )
+        return known.late_count > 0
+
     def _is_superseded(self, registration: Registration) -> bool:
         """Return whether a check-in of an unknown id is outdated.
 
@@ -391,11 +457,28 @@
     return known.limit_changed_at if known is not None else float("-inf")
 
 
-def _is_newer(registration: Registration, known: _Record) -> bool:
-    current = known.registration
-    if current.state is RegistrationState.GONE:
-        return False
-    return registration.sequence >= current.sequence
+def _is_same_place(first: Registration, second: Registration) -> bool:
+    """Return whether two check-ins name the same service and address."""
+    return (first.service, first.address, first.data_centre) == (
+        second.service,
+        second.address,
+        second.data_centre,
+    )
+
+
+def _log_conflict(registration: Registration, current: Registration) -> None:
+    log_failure(
+        "check_in.conflicting",
+        endpoint_id=registration.endpoint_id,
+        service=registration.service,
+        place=registration.address,
+        data_centre=registration.data_centre,
+        sequence=registration.sequence,
+        known_service=current.service,
+        known_place=current.address,
+        known_data_centre=current.data_centre,
+        known_sequence=current.sequence,
+    )
 
 
 def _is_unchanged(registration: Registration, told: Registration) -> bool:
--- a/tests/registrations/test_book.py
+++ b/tests/registrations/test_book.py
@@ -65,6 +65,69 @@
         self.assertFalse(self.table.apply(make(sequence=4)))
         self.assertEqual({"e1": "leaving"}, self.states())
 
+    def test_check_in_of_another_writer_is_ignored(self):
+        # Guards against one check-in under an endpoint's id that takes it out
+        # of its service for good.
+        self.table.apply(make(sequence=5))
+        for change in (
+            {"service": "other"},
+            {"address": "10.0.0.9:80"},
+            {"state": "leaving", "service": "other"},
+        ):
+            with self.subTest(change=change):
+                other = make(sequence=5_000_000, **change)
+                self.assertFalse(self.table.apply(other))
+        self.assertTrue(self.table.apply(make(sequence=6)))
+        self.assertEqual({"e1": "ready"}, self.states())
+
+    def test_other_place_is_taken_up_once_the_endpoint_is_silent(self):
+        self.table.apply(make(sequence=5))
+        self.clock.now += CHECK_IN_TIMEOUT_SECONDS + 0.1
+        self.table.prune()
+        self.assertTrue(self.table.apply(make(address="10.0.0.9:80")))
+        self.assertEqual({"e1": "ready"}, self.states())
+
+    def test_drain_notice_is_undone_from_no_other_place(self):
+        self.table.apply(make(sequence=5, state="leaving"))
+        self.clock.now += CHECK_IN_TIMEOUT_SECONDS + 0.1
+        self.table.prune()
+        self.assertFalse(self.table.apply(make(address="10.0.0.9:80")))
+        self.assertEqual({"e1": "leaving"}, self.states())
+
+    def check_in_for(self, seconds, first):
+        """Check in every 1.2 s; return whether the last one was accepted."""
+        is_accepted = False
+        for number in range(int(seconds / 1.2)):
+            self.clock.now += 1.2
+            is_accepted = self.table.apply(make(sequence=first + number))
+            self.table.prune()
+        return is_accepted
+
+    def test_lower_sequences_that_go_on_are_the_endpoints_own(self):
+        # Guards against a check-in of another writer with a high sequence,
+        # after which all of the endpoint's own are ignored.
+        self.table.apply(make(sequence=5))
+        for state in ("ready", "leaving"):
+            with self.subTest(state=state):
+                self.table.apply(make(sequence=5_000_000, state=state))
+                self.assertTrue(self.check_in_for(8.0, 6))
+                self.assertEqual({"e1": "ready"}, self.states())
+
+    def test_endpoint_with_lower_sequences_is_never_unreachable(self):
+        self.table.apply(make(sequence=5_000_000))
+        serial = self.table.serial
+        self.check_in_for(12.0, 6)
+        self.assertEqual({}, self.states(serial))
+
+    def test_late_check_ins_undo_no_drain_notice_though_it_is_silent(self):
+        # A partition held them up, and they arrive together.
+        self.table.apply(make(sequence=9, state="leaving"))
+        self.clock.now += CHECK_IN_TIMEOUT_SECONDS + 0.1
+        for sequence in (6, 7, 8):
+            self.clock.now += 0.01
+            self.assertFalse(self.table.apply(make(sequence=sequence)))
+        self.assertEqual({"e1": "leaving"}, self.states())
+
     def test_end_is_final(self):
         self.table.apply(make(sequence=1))
         self.table.end("e1")
--- a/tests/registrations/test_following.py
+++ b/tests/registrations/test_following.py
@@ -4,6 +4,8 @@
 import random
 import unittest
 
+import msgspec
+
 from burdockdrum.metrics import Metrics
 from burdockdrum.peers import PayloadAuthenticator
 from burdockdrum.peers import Peers
@@ -175,6 +177,33 @@
 
         play(check)
 
+    def test_check_in_of_another_writer_elsewhere_is_not_believed(self):
+        # Guards against a check-in under an endpoint's id, at a control VM
+        # that does not hear the endpoint, that outranks its own.
+        async def check(world):
+            async def check_in(seconds):
+                for _ in range(int(seconds / 1.2)):
+                    check_in.sequence += 1
+                    world.tables["a"].apply(
+                        make("e1", sequence=check_in.sequence)
+                    )
+                    await asyncio.sleep(1.2)
+
+            check_in.sequence = 0
+            await check_in(2.4)
+            for state in ("ready", "leaving"):
+                other = make("e1", sequence=5_000_000, state=state)
+                other = msgspec.structs.replace(other, service="other")
+                world.tables["b"].apply(other)
+                await check_in(42.0)
+                for name in "xy":
+                    endpoint = world.followers[name].endpoints_by_id["e1"]
+                    self.assertEqual("s", endpoint.service)
+                    self.assertFalse(endpoint.is_draining)
+                    self.assertFalse(endpoint.is_unreachable)
+
+        play(check)
+
     def test_end_reported_at_control_vm_that_does_not_know_the_endpoint(self):
         # The endpoint checked in at a and reports its end at b. Entries must
         # not use it any more, though a still lists it as ready.
