Take up no stream at an endpoint that may have restarted

Cause: the version of the last check-in counted as that of the writer. An endpoint accepts requests before its check-in, which may be seconds late.

An endpoint with a start time is in doubt for 8 s after a failed connect, or a loss and a refused connect: it takes up no stream, and one that begins there goes on nowhere else.

Red before: test_stream_is_not_taken_up_before_the_check_in, test_stream_ that_begins_before_the_check_in_stays_there.

Open: an entry that saw nothing of the endpoint while it was down.

--- a/burdockdrum/passthrough/relaying/attempts.py
+++ b/burdockdrum/passthrough/relaying/attempts.py
@@ -630,6 +630,10 @@
                         "the endpoint changed its software version"
                     )
                 version = choice.endpoint.software_version
+                if self._fleet.is_version_in_doubt(choice.endpoint):
+                    # No other endpoint goes on with the stream.
+                    endpoint_id = choice.endpoint.endpoint_id
+                    version = f"{version} or later, at {endpoint_id}"
             case RegionTarget():
                 version = self._responses.read_version(head)
         writer = StreamOrigin(
--- a/burdockdrum/passthrough/relaying/crash_detector.py
+++ b/burdockdrum/passthrough/relaying/crash_detector.py
@@ -98,6 +98,10 @@
         self._read_endpoints = read_endpoints
         self._connect = connect
         self._losses_by_id: dict[str, _Loss] = {}
+        # Called if an endpoint whose connections were lost refuses others.
+        self.on_refused: Callable[[RegisteredEndpoint], None] = (
+            lambda endpoint: None
+        )
         # Keeps the tasks of losses that are forgotten meanwhile.
         self._probes: set[asyncio.Task[None]] = set()
         # The suspects of each run on each endpoint for this entry.
@@ -324,7 +328,10 @@
         try:
             await self._connect(loss.endpoint.address)
         except NotConnected as error:
-            if error.is_refused and await self._reaches_another(loss):
+            if not error.is_refused:
+                return
+            self.on_refused(loss.endpoint)
+            if await self._reaches_another(loss):
                 self._confirm(loss.endpoint.endpoint_id, "refused")
 
     async def _reaches_another(self, loss: _Loss) -> bool:
--- a/burdockdrum/passthrough/selection/fleet.py
+++ b/burdockdrum/passthrough/selection/fleet.py
@@ -46,6 +46,7 @@
 from burdockdrum.registrations import Load
 from burdockdrum.registrations import RankLoad
 from burdockdrum.registrations import RegisteredEndpoint
+from burdockdrum.registrations import UNKNOWN_INCARNATION
 from burdockdrum.resources import Backend
 from burdockdrum.resources import Route
 from burdockdrum.settings import MechanismSettings
@@ -356,6 +357,8 @@
         versions: VersionFilter,
     ) -> Candidates:
         live = self._list_live(backend.name, versions)
+        if isinstance(versions, OnlyVersion):
+            live = [e for e in live if not self.is_version_in_doubt(e)]
         return self._eligibility.split(
             live, backend, tried, closed_data_centres
         )
@@ -423,6 +426,24 @@
             and current.software_version != endpoint.software_version
         )
 
+    def is_version_in_doubt(self, endpoint: RegisteredEndpoint) -> bool:
+        """Return whether an endpoint may have restarted as another version.
+
+        One without a start time changes its id on a restart, and refuses
+        requests for the old one.
+        """
+        state = self._states_by_id.get(endpoint.endpoint_id)
+        return (
+            state is not None
+            and endpoint.incarnation != UNKNOWN_INCARNATION
+            and state.health.is_version_in_doubt(self._clock.monotonic())
+        )
+
+    def record_refused(self, endpoint: RegisteredEndpoint) -> None:
+        """Record that an endpoint refused a connection after a loss."""
+        now = self._clock.monotonic()
+        self._state_of(endpoint).health.record_refused(now)
+
     def endpoints_per_entry(self, service: str) -> float:
         """Return how many endpoints of a service there are per entry here."""
         return self.count_live(service) / max(1, self.entries)
--- a/burdockdrum/passthrough/services.py
+++ b/burdockdrum/passthrough/services.py
@@ -461,6 +461,7 @@
         metrics=kernel.find("metrics", Metrics),
     )
     registrations.restart_listeners.append(detector.record_replaced)
+    detector.on_refused = kernel.find("fleet", Fleet).record_refused
     return detector
 
 
--- a/burdockdrum/passthrough/state/health.py
+++ b/burdockdrum/passthrough/state/health.py
@@ -19,6 +19,8 @@
 # How long an endpoint is skipped after a failed connect; a restart takes
 # seconds.
 CONNECT_BACKOFF_SECONDS = 1.0
+# By then an endpoint that has restarted under its id has checked in.
+VERSION_DOUBT_SECONDS = 8.0
 
 
 @dataclass(kw_only=True)
@@ -29,7 +31,8 @@
     there is no better one: if a service fails everywhere, ejecting all of its
     endpoints would not help. ``reachable_since`` is the first success after a
     failed connect, None if there is none. ``is_silent`` says that requests
-    were lost there without a byte for anyone.
+    were lost there without a byte for anyone. ``unconnected_at`` is when a
+    connect last failed.
     """
 
     score: float = 0.0
@@ -40,6 +43,14 @@
     was_unreachable: bool = False
     reachable_since: float | None = None
     is_silent: bool = False
+    unconnected_at: float = float("-inf")
+
+    def is_version_in_doubt(self, now: float) -> bool:
+        """Return whether it may have restarted as another version.
+
+        It accepts requests under the same id before its first check-in.
+        """
+        return now < self.unconnected_at + VERSION_DOUBT_SECONDS
 
     def is_reachable(self, now: float) -> bool:
         """Return whether the backoff after a failed connect has passed."""
@@ -112,10 +123,15 @@
         :param seconds: for how long the endpoint is skipped
         """
         self.is_probing = False
+        self.unconnected_at = now
         self.unreachable_until = max(self.unreachable_until, now + seconds)
         self.was_unreachable = True
         self.reachable_since = None
 
+    def record_refused(self, now: float) -> None:
+        """Record that its address refused a connection after a loss."""
+        self.unconnected_at = now
+
     def record_neutral(self) -> None:
         """Record an end without a verdict, such as a caller's disconnect."""
         self.is_probing = False
--- a/tests/passthrough/entries.py
+++ b/tests/passthrough/entries.py
@@ -441,6 +441,7 @@
             connect=connect,
             metrics=metrics,
         )
+        detector.on_refused = fleet.record_refused
         runner = AttemptRunner(
             clock=clock,
             fleet=fleet,
--- a/tests/passthrough/relaying/test_stream_versions.py
+++ b/tests/passthrough/relaying/test_stream_versions.py
@@ -133,6 +133,79 @@
         self.assertEqual(4, self.count_arrivals([self.first]))
 
 
+class RestartedEndpointTest(RelayCase):
+    """An endpoint ends, and is back under its id before it checks in."""
+
+    async def open_restarting(self, *, incarnation):
+        """Open an entry whose endpoint ends while it writes a stream.
+
+        The one that follows it at its address is not registered.
+        """
+        self.first = at_version("v1", self.end)
+        self.second = at_version("v2", events(4, 6))
+        self.addAsyncCleanup(self.second.close)
+        self.entry = await self.open(self.first, **STREAM)
+        self.entry.registered.clear()
+        self.entry.add_endpoint(
+            "e",
+            self.first.address,
+            software_version="v1",
+            incarnation=incarnation,
+        )
+
+    async def end(self, writer, request_id):
+        """Send three events and end."""
+        await events(1, 3, end=None)(writer, request_id)
+        await self.first.close()
+
+    async def restart(self):
+        """Start the second endpoint at the address of the first."""
+        await asyncio.sleep(0.1)
+        host, _, port = self.first.address.rpartition(":")
+        self.second.server = await asyncio.start_server(
+            self.second._serve, host, int(port)
+        )
+        self.entry.fleet.record_reachable(self.entry.registered["e"])
+
+    async def test_stream_is_not_taken_up_before_the_check_in(self):
+        # Guards against a stream with events of two software versions.
+        await self.open_restarting(incarnation=5)
+        await self.entry.call()
+        await self.restart()
+        status, head, _ = await self.entry.call(*TAKEN_UP, request_id=b"r2")
+        self.assertEqual(503, status)
+        self.assertIn(b"retry-after", head.lower())
+        self.assertEqual([], self.second.seen)
+
+    async def test_stream_that_begins_before_the_check_in_stays_there(self):
+        # Guards against going on at the version that the endpoint had.
+        await self.open_restarting(incarnation=5)
+        await self.entry.call()
+        await self.restart()
+        self.second.behaviours = [events(1, 6)]
+        status, _, body = await self.entry.call(request_id=b"r3")
+        self.assertEqual(200, status)
+        self.assertIn(b"id: 6", body)
+        other = at_version("v1", events(4, 6))
+        self.addAsyncCleanup(other.close)
+        self.entry.add_endpoint(
+            "other", await other.open(), software_version="v1"
+        )
+        status, _, _ = await self.entry.call(
+            b"Last-Event-Id: 3", b"X-Resumes: r3", request_id=b"r4"
+        )
+        self.assertEqual(([], 503), (other.seen, status))
+
+    async def test_endpoint_that_changes_its_id_is_not_in_doubt(self):
+        # Guards against refusals where a restart is seen by the id.
+        await self.open_restarting(incarnation=0)
+        await self.entry.call()
+        await self.restart()
+        status, _, body = await self.entry.call(*TAKEN_UP, request_id=b"r2")
+        self.assertEqual(200, status)
+        self.assertIn(b"id: 6", body)
+
+
 class TakenUpStreamTest(RelayCase):
     """Streams that callers take up at an entry that didn't begin them."""
 
