Count errors that processes outlive as violations of a soak

A supervised task that fails is restarted and costs no request, so that a soak would hold while a fault of the program goes on.

--- a/scripts/soak/retries.py
+++ b/scripts/soak/retries.py
@@ -38,6 +38,7 @@
 from scripts.soak.invariants import RETRY_WINDOW_SECONDS
 from scripts.soak.kept_connections import KeptConnections
 from scripts.soak.run import Result
+from scripts.soak.task_failures import find_task_failures
 
 DEADLINE_MS = 2000
 # Endpoints of each service in each zone.
@@ -405,6 +406,7 @@
             async with asyncio.timeout(seconds):
                 await (faults(soak) if faults else soak.inject_faults())
         await soak.settle()
+        failures = find_task_failures(soak.deployment)
         if logs is not None:
             soak.deployment.copy_logs(logs)
     finally:
@@ -420,7 +422,7 @@
         )
     return Result(
         seed=soak.seed,
-        violations=soak.check(),
+        violations=soak.check() + failures,
         counts_by_status=dict(soak.counts_by_status),
         faults=soak.faults,
         summary=soak.summarize(),
--- a/scripts/soak/run.py
+++ b/scripts/soak/run.py
@@ -26,6 +26,7 @@
 from scripts.soak.invariants import Disturbance
 from scripts.soak.invariants import InvariantChecker
 from scripts.soak.invariants import RequestRecord
+from scripts.soak.task_failures import find_task_failures
 
 SERVICE = "s"
 CALLERS = 6
@@ -504,6 +505,9 @@
         soak_run.invariants.check_runs(soak_run.runs_by_id(), settled=True)
         soak_run.check_signals()
         soak_run.invariants.check_retries(soak_run.endpoints, SERVICE)
+        soak_run.invariants.violations += find_task_failures(
+            soak_run.deployment
+        )
         registering.cancel()
         if logs is not None:
             soak_run.deployment.copy_logs(logs)
