Give an endpoint of the soak another id though its drain is cancelled

The logs show e0-2 as leaving to the end, and checking in.

The harness gives the other id also when it is cancelled; the check is as it was. Red before: test_endpoint_that_announced_a_drain_gets_another_id.

--- a/scripts/soak/run.py
+++ b/scripts/soak/run.py
@@ -275,9 +275,12 @@
             await asyncio.sleep(rng.uniform(*SERVING_SECONDS))
             endpoint.is_draining = True
             self._record_fault(f"{endpoint.endpoint_id} drains")
-            await asyncio.sleep(rng.uniform(*DRAIN_SECONDS))
-            endpoint.is_draining = False
-            endpoint.endpoint_id = f"{name}-{number}"
+            try:
+                await asyncio.sleep(rng.uniform(*DRAIN_SECONDS))
+            finally:
+                # Also if the faults end now: a drain is never taken back.
+                endpoint.is_draining = False
+                endpoint.endpoint_id = f"{name}-{number}"
 
     def check_signals(self) -> None:
         """Check that what endpoints announced was kept to."""
--- a/tests/soak/test_ended_faults.py
+++ b/tests/soak/test_ended_faults.py
@@ -5,6 +5,7 @@
 import unittest
 
 from scripts.soak.retries import RetrySoak
+from scripts.soak.run import SoakRun
 
 
 class Program:
@@ -77,3 +78,22 @@
             self.assertEqual(
                 [signal.SIGSTOP, signal.SIGCONT], machine.process.signals
             )
+
+
+class EndedDrainTest(unittest.IsolatedAsyncioTestCase):
+    """A drain of an endpoint that is cancelled."""
+
+    async def test_endpoint_that_announced_a_drain_gets_another_id(self):
+        # Guards against an endpoint that goes on under the id that entries
+        # must not use any more, so that nothing recovers.
+        soak = SoakRun(1)
+        self.addAsyncCleanup(soak.close)
+        endpoint = soak.endpoints[0]
+        draining = asyncio.create_task(soak.drain_at_times(endpoint))
+        async with asyncio.timeout(30):
+            while not endpoint.is_draining:
+                await asyncio.sleep(0.01)
+        draining.cancel()
+        await asyncio.gather(draining, return_exceptions=True)
+        self.assertFalse(endpoint.is_draining)
+        self.assertEqual("e0-1", endpoint.endpoint_id)
