--- a/burdockdrum/passthrough/waiting/returns.py
+++ b/burdockdrum/passthrough/waiting/returns.py
@@ -14,6 +14,8 @@
 # A request may come back so much sooner than it was told, unless one like it
 # has come sooner still.
 EARLY_SECONDS = 0.2
+# Retry-After has two decimals.
+ROUNDING_SECONDS = 0.01
 MAX_REMEMBERED = 2_000
 # Of the same request; more callers than that wait for the last of them.
 MAX_TIMES = 64
@@ -62,7 +64,7 @@
         returns = self._returns_by_key.get(key)
         if returns is None:
             return 0.0
-        tolerance = 0.0 if returns.came_early else EARLY_SECONDS
+        tolerance = ROUNDING_SECONDS if returns.came_early else EARLY_SECONDS
         soonest = returns.times[0]
         if now < soonest - tolerance:
             returns.came_early = True
